--- /dev/null
+++ b/src/main/java/org/borageproxy/event/package-info.java
@@ -0,0 +1,2 @@
+/** Events of every process, ordered over all VMs by a hybrid logical clock. */
+package org.borageproxy.event;
--- /dev/null
+++ b/src/main/java/org/borageproxy/execution/package-info.java
@@ -0,0 +1,2 @@
+/** Execution of requests: claims, attempts, outcomes and retries. */
+package org.borageproxy.execution;
--- /dev/null
+++ b/src/main/java/org/borageproxy/quota/package-info.java
@@ -0,0 +1,2 @@
+/** Workspaces' rates and bursts, in tokens, over all VMs. */
+package org.borageproxy.quota;
--- /dev/null
+++ b/src/main/java/org/borageproxy/tree/Configuration.java
@@ -0,0 +1,36 @@
+package org.borageproxy.tree;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The effective configuration at one revision: what the tree and the keys say once inheritance is resolved. Immutable
+ * and thread safe. Revisions rise with every accepted change of the tree or of a key.
+ *
+ * @param revision the revision
+ * @param workspaces the workspaces by name
+ * @param models the models by name
+ * @param adapters the adapters by name
+ * @param routes the routes to plain services
+ * @param keysByDigest the keys by digest, withdrawn ones included
+ */
+public record Configuration(
+        long revision,
+        Map<String, Workspace> workspaces,
+        Map<String, Model> models,
+        Map<String, Adapter> adapters,
+        List<Route> routes,
+        Map<String, KeyRecord> keysByDigest) {
+
+    /** The configuration before the first change. */
+    public static final Configuration EMPTY = new Configuration(0, Map.of(), Map.of(), Map.of(), List.of(), Map.of());
+
+    /** Copies the collections. */
+    public Configuration {
+        workspaces = Map.copyOf(workspaces);
+        models = Map.copyOf(models);
+        adapters = Map.copyOf(adapters);
+        routes = List.copyOf(routes);
+        keysByDigest = Map.copyOf(keysByDigest);
+    }
+}
