Add the path of a request: callers' interface, keys, routing, attempts

Cause: the thin whole path needs an entry that authenticates callers, admits requests through the ports of the other parts and runs them on backend servers. Change: packages entry, key, routing and the pipeline in execution; sealed outcomes and one retry policy.

--- /dev/null
+++ b/src/main/java/org/borageproxy/entry/DrainState.java
@@ -0,0 +1,74 @@
+package org.borageproxy.entry;
+
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+
+/**
+ * Where the callers' interface stands between serving and stopped, and how many calls are in flight. Phases go only
+ * forwards. Thread safe without locks.
+ */
+final class DrainState {
+
+    /** The phase. */
+    private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.SERVING);
+    /** The calls in flight. */
+    private final AtomicInteger inFlight = new AtomicInteger();
+
+    /** The phases of the callers' interface. */
+    enum Phase {
+        /** Serves as usual. */
+        SERVING,
+        /** Reports that it is not ready and serves as usual. */
+        NOTICE,
+        /** Serves and closes connections after each answer. */
+        CLOSING,
+        /** Refuses new calls. */
+        REFUSING
+    }
+
+    /**
+     * Returns the phase.
+     *
+     * @return the phase
+     */
+    Phase phase() {
+        return phase.get();
+    }
+
+    /**
+     * Goes on to a later phase.
+     *
+     * @param later the phase; an earlier one has no effect
+     */
+    void advance(Phase later) {
+        phase.accumulateAndGet(later, (current, next) -> next.compareTo(current) > 0 ? next : current);
+    }
+
+    /**
+     * Tells whether connections are closed after each answer.
+     *
+     * @return {@code true} if they are
+     */
+    boolean closesConnections() {
+        return phase.get().compareTo(Phase.CLOSING) >= 0;
+    }
+
+    /** Counts a call that begins. */
+    void begin() {
+        inFlight.incrementAndGet();
+    }
+
+    /** Counts a call that ended. */
+    void end() {
+        inFlight.decrementAndGet();
+    }
+
+    /**
+     * Returns the calls in flight.
+     *
+     * @return the number
+     */
+    int inFlight() {
+        return inFlight.get();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/borageproxy/entry/HeldTokens.java
@@ -0,0 +1,29 @@
+package org.borageproxy.entry;
+
+import org.borageproxy.execution.TokenSink;
+
+/** Takes tokens of an answer that the caller gets as a whole; the work keeps them. Stateless and thread safe. */
+enum HeldTokens implements TokenSink {
+    /** The only sink. */
+    INSTANCE;
+
+    @Override
+    public void token(String text) {
+        // The work keeps the text until the answer is whole.
+    }
+
+    @Override
+    public boolean streams() {
+        return false;
+    }
+
+    @Override
+    public boolean isFull() {
+        return false;
+    }
+
+    @Override
+    public void onDrain(Runnable action) {
+        action.run();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/borageproxy/entry/package-info.java
@@ -0,0 +1,2 @@
+/** The callers' interface over HTTP. */
+package org.borageproxy.entry;
--- /dev/null
+++ b/src/main/java/org/borageproxy/execution/Admission.java
@@ -0,0 +1,188 @@
+package org.borageproxy.execution;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import org.borageproxy.admission.DispatchQueue;
+import org.borageproxy.key.Authentication;
+import org.borageproxy.key.KeyAuthenticator;
+import org.borageproxy.quota.TokenQuota;
+import org.borageproxy.result.ResultCode;
+import org.borageproxy.time.Deadline;
+
+/**
+ * What a request holds between its admission and its end: reserved tokens, a claim and a place in the queue. Each is
+ * given back exactly once. Confined to the request's event loop.
+ */
+final class Admission implements SendGuard {
+
+    /** How long a caller is told to wait if nothing better is known. */
+    static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+    /** What the execution needs of its surroundings. */
+    private final ExecutionServices services;
+    /** The request. */
+    private final ExecutionRequest request;
+    /** The tokens reserved, or {@code null}. */
+    private TokenQuota.Reservation reservation;
+    /** The claim held, or {@code null}. */
+    private ClaimDecision.Granted claim;
+    /** The place held, or {@code null}. */
+    private DispatchQueue.Slot slot;
+    /** Whether a byte of the request may have reached a backend server. */
+    private boolean dispatched;
+
+    /**
+     * Creates an admission that holds nothing.
+     *
+     * @param services what the execution needs of its surroundings
+     * @param request the request
+     */
+    Admission(ExecutionServices services, ExecutionRequest request) {
+        this.services = services;
+        this.request = request;
+    }
+
+    /**
+     * Holds reserved tokens.
+     *
+     * @param reserved the tokens
+     */
+    void hold(TokenQuota.Reservation reserved) {
+        reservation = reserved;
+    }
+
+    /**
+     * Holds a claim.
+     *
+     * @param granted the claim
+     */
+    void hold(ClaimDecision.Granted granted) {
+        claim = granted;
+    }
+
+    /**
+     * Holds a place in the queue.
+     *
+     * @param place the place
+     */
+    void hold(DispatchQueue.Slot place) {
+        slot = place;
+    }
+
+    /**
+     * Tells whether a claim is held.
+     *
+     * @return {@code true} if it is
+     */
+    boolean isClaimed() {
+        return claim != null;
+    }
+
+    /**
+     * Tells whether a byte of the request may have reached a backend server.
+     *
+     * @return {@code true} if it may
+     */
+    boolean isDispatched() {
+        return dispatched;
+    }
+
+    /**
+     * Checks whether the request may be dispatched now: its key is still accepted, the configuration is current, and
+     * its claim and deadline have not passed.
+     *
+     * @return why it may not, empty if it may
+     */
+    Optional<ResultCode> refusal() {
+        long now = services.clock().nanoTime();
+        if (request.caller().isPresent()) {
+            if (!services.configuration().isFresh(now)) {
+                return Optional.of(ResultCode.CONFIGURATION_STALE);
+            }
+            Authentication.Accepted caller = request.caller().get();
+            Authentication again =
+                    KeyAuthenticator.INSTANCE.check(services.configuration().current(), caller.digest());
+            if (!caller.equals(again)) {
+                return Optional.of(ResultCode.KEY_REFUSED);
+            }
+        }
+        if (claim != null && claim.dispatchBefore().hasPassed(now)) {
+            return Optional.of(ResultCode.CLAIM_UNAVAILABLE);
+        }
+        return request.deadline().hasPassed(now) ? Optional.of(ResultCode.DEADLINE_PASSED) : Optional.empty();
+    }
+
+    @Override
+    public Optional<ResultCode> beforeSend() {
+        Optional<ResultCode> refusal = refusal();
+        if (refusal.isEmpty()) {
+            dispatched = true;
+        }
+        return refusal;
+    }
+
+    /** Gives the place in the queue back. */
+    void releaseSlot() {
+        if (slot != null) {
+            slot.release();
+            slot = null;
+        }
+    }
+
+    /** Gives all reserved tokens back because the request did not run. */
+    void refund() {
+        if (reservation != null) {
+            reservation.refund();
+            reservation = null;
+        }
+    }
+
+    /**
+     * Pays for tokens and gives the others back.
+     *
+     * @param usedTokens the tokens that were used
+     */
+    void settle(long usedTokens) {
+        if (reservation != null) {
+            reservation.settle(usedTokens);
+            reservation = null;
+        }
+    }
+
+    /** Gives the claim back because the request did not run. */
+    void releaseClaim() {
+        if (claim != null) {
+            long epoch = claim.epoch();
+            claim = null;
+            request.claim().ifPresent(asked -> services.claims().release(asked.key(), epoch));
+        }
+    }
+
+    /** Records that the request may have run and that its answer is lost. */
+    void abandonClaim() {
+        if (claim != null) {
+            long epoch = claim.epoch();
+            claim = null;
+            request.claim().ifPresent(asked -> services.claims().abandon(asked.key(), epoch));
+        }
+    }
+
+    /**
+     * Returns the claim held.
+     *
+     * @return the claim
+     */
+    Optional<ClaimDecision.Granted> claim() {
+        return Optional.ofNullable(claim);
+    }
+
+    /**
+     * Returns when to come back if nothing better is known.
+     *
+     * @return the deadline
+     */
+    Deadline defaultRetry() {
+        return Deadline.after(services.clock().nanoTime(), RETRY_AFTER);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/borageproxy/execution/AttemptLoop.java
@@ -0,0 +1,435 @@
+package org.borageproxy.execution;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
+
+import io.vertx.core.Future;
+import org.borageproxy.event.Event;
+import org.borageproxy.membership.BackendServer;
+import org.borageproxy.membership.BackendServerName;
+import org.borageproxy.result.Execution;
+import org.borageproxy.result.ResultCode;
+import org.borageproxy.routing.Circuit;
+import org.borageproxy.routing.ReplicaSelector;
+import org.borageproxy.routing.Selection;
+import org.borageproxy.time.Deadline;
+import org.borageproxy.vm.AvailabilityZone;
+
+/**
+ * Runs the attempts of one admitted request: chooses a replica, runs the attempt, and follows the retry policy. A
+ * request that was running when a backend server ended runs alone from then on, and is given up after the second time.
+ * Confined to the request's event loop.
+ */
+final class AttemptLoop {
+
+    /** Milliseconds between looks for a replica. */
+    private static final long POLL_MILLIS = 20;
+    /** The largest number of connections that one request may see cut. */
+    private static final int MAXIMUM_CUTS = 2;
+    /** The largest delay before the first retry, in milliseconds; it doubles with each further one. */
+    private static final long FIRST_JITTER_MILLIS = 10;
+    /** The time in which a report of a crash must become durable. */
+    private static final Duration REPORT_TIME = Duration.ofSeconds(2);
+    /** When a server that still listens after a cut is looked at again. */
+    private static final Duration RESTART_CHECK = Duration.ofMillis(1500);
+
+    /** What the execution needs of its surroundings. */
+    private final ExecutionServices services;
+    /** The request. */
+    private final ExecutionRequest request;
+    /** What backend servers do for the request. */
+    private final Work work;
+    /** What the request holds. */
+    private final Admission admission;
+    /** Takes the conclusion. */
+    private final Consumer<Conclusion> conclude;
+    /** Reserves the tokens of a further attempt. */
+    private final Consumer<Consumer<Boolean>> reserveAgain;
+    /** The backend servers that failed the request. */
+    private final Map<BackendServerName, AvailabilityZone> tried = new HashMap<>();
+    /** What is known of the execution over all attempts. */
+    private Execution execution = Execution.NOT_RUN;
+    /** The attempts so far. */
+    private int attempts;
+    /** The connections that were cut during the request. */
+    private int cuts;
+    /** The tokens that were paid. */
+    private long paidTokens;
+    /** Whether an attempt is under way. */
+    private boolean running;
+    /** Whether the caller went away. */
+    private boolean callerGone;
+    /** Whether the request was concluded. */
+    private boolean stopped;
+    /** When waiting for a replica ends, or {@code null} while none is missing. */
+    private Deadline replicaBefore;
+    /** Why the last attempt failed, or {@code null}. */
+    private ResultCode lastFailure;
+
+    /**
+     * Creates a loop.
+     *
+     * @param services what the execution needs of its surroundings
+     * @param request the request
+     * @param work what backend servers do for the request
+     * @param admission what the request holds
+     * @param conclude takes the conclusion
+     * @param reserveAgain reserves the tokens of a further attempt
+     */
+    AttemptLoop(
+            ExecutionServices services,
+            ExecutionRequest request,
+            Work work,
+            Admission admission,
+            Consumer<Conclusion> conclude,
+            Consumer<Consumer<Boolean>> reserveAgain) {
+        this.services = services;
+        this.request = request;
+        this.work = work;
+        this.admission = admission;
+        this.conclude = conclude;
+        this.reserveAgain = reserveAgain;
+    }
+
+    /** Looks for a replica and runs the next attempt on it. */
+    void next() {
+        if (stopped) {
+            return;
+        }
+        Optional<ResultCode> refusal = admission.refusal();
+        if (refusal.isPresent()) {
+            giveUp(refusal.get());
+            return;
+        }
+        Suspicion suspicion = services.crashes().suspicion(request.fingerprint());
+        if (suspicion == Suspicion.QUARANTINED) {
+            giveUp(ResultCode.REQUEST_QUARANTINED);
+            return;
+        }
+        boolean exclusive = suspicion == Suspicion.SUSPECT || cuts > 0;
+        List<BackendServer> servers = services.servers().current();
+        long now = services.clock().nanoTime();
+        Selection selection = ReplicaSelector.INSTANCE.select(
+                work.query(servers, tried, exclusive),
+                servers,
+                services.table()::usage,
+                now,
+                ThreadLocalRandom.current());
+        if (selection instanceof Selection.Chosen chosen
+                && services.table().acquire(chosen.server().name(), exclusive, now)) {
+            run(chosen.server(), exclusive);
+        } else {
+            waitForReplica(selection, servers, now);
+        }
+    }
+
+    /**
+     * Waits for a replica, or gives the request up if none was known for too long.
+     *
+     * @param selection why there is none
+     * @param servers all backend servers
+     * @param now the reading of the monotonic clock in nanoseconds
+     */
+    private void waitForReplica(Selection selection, List<BackendServer> servers, long now) {
+        if (!(selection instanceof Selection.Missing)) {
+            replicaBefore = null;
+        } else if (replicaBefore == null) {
+            replicaBefore = Deadline.after(now, services.settings().replicaWait());
+        } else if (replicaBefore.hasPassed(now)) {
+            giveUp(work.missingCode(servers));
+            return;
+        }
+        services.vertx().setTimer(POLL_MILLIS, timer -> next());
+    }
+
+    /**
+     * Runs an attempt.
+     *
+     * @param server the backend server
+     * @param exclusive whether the attempt runs alone
+     */
+    private void run(BackendServer server, boolean exclusive) {
+        attempts++;
+        running = true;
+        replicaBefore = null;
+        long startedNanos = services.clock().nanoTime();
+        work.attempt(server, attempts, admission).onComplete(result -> {
+            running = false;
+            double millis = (services.clock().nanoTime() - startedNanos) / 1e6;
+            Outcome outcome = result.result();
+            services.table().release(server.name(), observation(outcome, millis));
+            ended(server, exclusive, outcome);
+        });
+    }
+
+    /**
+     * Returns what an outcome shows of its backend server.
+     *
+     * @param outcome the outcome
+     * @param millis the time it took, in milliseconds
+     * @return the change of the circuit
+     */
+    private UnaryOperator<Circuit> observation(Outcome outcome, double millis) {
+        long now = services.clock().nanoTime();
+        if (outcome instanceof Outcome.Answered) {
+            double share = Math.max(1, work.usedTokens() - paidTokens);
+            return circuit -> circuit.succeeded(millis / share);
+        }
+        boolean unreachable = outcome instanceof Outcome.NotRun refused && refused.code() == ResultCode.NO_REPLICA;
+        boolean failed = outcome instanceof Outcome.MayHaveRun lost && lost.cause() != Outcome.Cause.CANCELLED;
+        return unreachable || failed ? circuit -> circuit.failed(now) : Circuit::undecided;
+    }
+
+    /**
+     * Takes the outcome of an attempt.
+     *
+     * @param server the backend server
+     * @param exclusive whether the attempt ran alone
+     * @param outcome the outcome
+     */
+    private void ended(BackendServer server, boolean exclusive, Outcome outcome) {
+        if (outcome.execution() == Execution.MAY_HAVE_RUN) {
+            execution = Execution.MAY_HAVE_RUN;
+        }
+        if (outcome instanceof Outcome.Answered) {
+            execution = Execution.ANSWERED;
+            if (cuts > 0 || services.crashes().suspicion(request.fingerprint()) != Suspicion.NONE) {
+                services.crashes().reportAnswered(request.fingerprint());
+            }
+        } else {
+            tried.put(server.name(), server.zone());
+            record(server, outcome);
+        }
+        if (outcome instanceof Outcome.MayHaveRun lost && lost.cause() == Outcome.Cause.CUT) {
+            cuts++;
+            afterCut(server, exclusive).onComplete(known -> decide(outcome));
+        } else {
+            decide(outcome);
+        }
+    }
+
+    /**
+     * Records a failed attempt on the time line.
+     *
+     * @param server the backend server
+     * @param outcome the outcome
+     */
+    private void record(BackendServer server, Outcome outcome) {
+        services.events()
+                .record(Event.named("attempt-failed")
+                        .with("request", request.identity())
+                        .with("server", server.name())
+                        .with("attempt", attempts)
+                        .with("outcome", outcome.execution().headerValue()));
+    }
+
+    /**
+     * Finds out whether a backend server ended during the request and reports it.
+     *
+     * @param server the backend server
+     * @param exclusive whether the attempt ran alone
+     * @return completes when the report is durable, or needless, or late
+     */
+    private Future<Void> afterCut(BackendServer server, boolean exclusive) {
+        boolean alone = exclusive && server.load().running() <= 1;
+        return services.probe().isGone(server).transform(probed -> {
+            if (Boolean.TRUE.equals(probed.result())) {
+                return report(server, alone);
+            }
+            services.vertx().setTimer(RESTART_CHECK.toMillis(), timer -> {
+                if (hasRestarted(server)) {
+                    report(server, alone);
+                }
+            });
+            return Future.succeededFuture();
+        });
+    }
+
+    /**
+     * Tells whether a backend server has started again.
+     *
+     * @param server the backend server as it was
+     * @return {@code true} if it announces a later incarnation
+     */
+    private boolean hasRestarted(BackendServer server) {
+        return services.servers().current().stream()
+                .anyMatch(now -> now.name().equals(server.name()) && now.incarnation() > server.incarnation());
+    }
+
+    /**
+     * Reports that a backend server ended during the request.
+     *
+     * @param server the backend server
+     * @param alone whether the request ran alone
+     * @return completes when the report is durable, or late
+     */
+    private Future<Void> report(BackendServer server, boolean alone) {
+        Future<Suspicion> reported = Future.fromCompletionStage(
+                services.crashes().reportCrash(request.fingerprint(), server.name(), server.incarnation(), alone),
+                services.vertx().getOrCreateContext());
+        return reported.timeout(REPORT_TIME.toMillis(), java.util.concurrent.TimeUnit.MILLISECONDS)
+                .<Void>mapEmpty()
+                .otherwiseEmpty();
+    }
+
+    /**
+     * Follows the retry policy.
+     *
+     * @param outcome the outcome of the last attempt
+     */
+    private void decide(Outcome outcome) {
+        if (stopped) {
+            return;
+        }
+        boolean permanent = outcome instanceof Outcome.NotRun refused && refused.scope() == Outcome.Scope.REQUEST;
+        boolean attemptsLeft =
+                !permanent && !callerGone && attempts < services.settings().maximumAttempts() && cuts < MAXIMUM_CUTS;
+        lastFailure = code(outcome);
+        RetryDecision decision = decision(outcome, attemptsLeft);
+        boolean again = decision == RetryDecision.RETRY || decision == RetryDecision.RESUME;
+        if (again && !services.budget().withdraw()) {
+            lastFailure = outcome.execution() == Execution.NOT_RUN ? ResultCode.RETRY_BUDGET_SPENT : lastFailure;
+            decision = decision(outcome, false);
+        }
+        switch (decision) {
+            case DELIVER -> conclude.accept(Conclusion.Answered.INSTANCE);
+            case RETRY, RESUME -> retry();
+            default -> giveUp(lastFailure);
+        }
+    }
+
+    /**
+     * Asks the retry policy.
+     *
+     * @param outcome the outcome of the last attempt
+     * @param budgetLeft whether another attempt is allowed
+     * @return the decision
+     */
+    private RetryDecision decision(Outcome outcome, boolean budgetLeft) {
+        boolean timeLeft = !request.deadline().hasPassed(services.clock().nanoTime());
+        return RetryPolicy.INSTANCE.decide(new RetryPolicy.Situation(
+                outcome.execution(), request.repeatable(), work.sent(), timeLeft, budgetLeft));
+    }
+
+    /**
+     * Returns the code of an outcome.
+     *
+     * @param outcome the outcome
+     * @return the code
+     */
+    private static ResultCode code(Outcome outcome) {
+        if (outcome instanceof Outcome.NotRun refused) {
+            return refused.code();
+        }
+        return outcome instanceof Outcome.MayHaveRun lost ? lost.code() : ResultCode.OK;
+    }
+
+    /** Runs the next attempt after a random delay, once its tokens are reserved. */
+    private void retry() {
+        long bound =
+                FIRST_JITTER_MILLIS << Math.min(attempts, services.settings().maximumAttempts());
+        long delay = 1 + ThreadLocalRandom.current().nextLong(bound);
+        services.vertx().setTimer(delay, timer -> {
+            if (stopped) {
+                return;
+            }
+            if (execution == Execution.NOT_RUN) {
+                next();
+            } else {
+                reserveAgain.accept(granted -> afterReservation(granted));
+            }
+        });
+    }
+
+    /**
+     * Goes on once the tokens of a further attempt are decided upon.
+     *
+     * @param granted whether they are reserved
+     */
+    private void afterReservation(boolean granted) {
+        if (granted) {
+            next();
+        } else {
+            giveUp(lastFailure);
+        }
+    }
+
+    /**
+     * Concludes without a whole answer.
+     *
+     * @param code why
+     */
+    void giveUp(ResultCode code) {
+        if (stopped) {
+            return;
+        }
+        boolean comeBack = code != ResultCode.REQUEST_QUARANTINED
+                && code != ResultCode.KEY_REFUSED
+                && (execution == Execution.NOT_RUN || request.repeatable());
+        boolean quarantined = services.crashes().suspicion(request.fingerprint()) == Suspicion.QUARANTINED;
+        Optional<Deadline> retryAt =
+                comeBack && !quarantined ? Optional.of(admission.defaultRetry()) : Optional.empty();
+        ResultCode reason = execution == Execution.MAY_HAVE_RUN && lastFailure != null ? lastFailure : code;
+        ResultCode told = quarantined ? ResultCode.REQUEST_QUARANTINED : reason;
+        Execution known = quarantined ? Execution.MAY_HAVE_RUN : execution;
+        conclude.accept(new Conclusion.Failure(told, known, retryAt, work.sent() != SentBytes.NONE));
+    }
+
+    /**
+     * Cancels the attempt under way because the deadline passed.
+     *
+     * @return {@code true} if an attempt was under way, whose outcome concludes the request
+     */
+    boolean cancelForDeadline() {
+        if (running) {
+            work.cancel(Outcome.Cause.TIMEOUT);
+            return true;
+        }
+        return false;
+    }
+
+    /**
+     * Cancels the attempt under way because the caller went away.
+     *
+     * @return {@code true} if an attempt was under way, whose outcome concludes the request
+     */
+    boolean cancelForCaller() {
+        callerGone = true;
+        if (running) {
+            work.cancel(Outcome.Cause.CANCELLED);
+            return true;
+        }
+        return false;
+    }
+
+    /** Ends the loop. */
+    void stop() {
+        stopped = true;
+    }
+
+    /**
+     * Returns what is known of the execution over all attempts.
+     *
+     * @return the execution
+     */
+    Execution execution() {
+        return execution;
+    }
+
+    /**
+     * Returns the tokens that were used since the last call and marks them as paid.
+     *
+     * @return the tokens
+     */
+    long takeUnpaidTokens() {
+        long unpaid = work.usedTokens() - paidTokens;
+        paidTokens = work.usedTokens();
+        return Math.max(0, unpaid);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/borageproxy/execution/ServiceAnswer.java
@@ -0,0 +1,34 @@
+package org.borageproxy.execution;
+
+import java.util.List;
+import java.util.Map;
+
+import io.vertx.core.buffer.Buffer;
+
+/**
+ * The whole answer of a plain service. Immutable by convention: the body is not changed.
+ *
+ * @param status the HTTP status
+ * @param headers the headers to pass on
+ * @param body the body
+ */
+public record ServiceAnswer(int status, List<Map.Entry<String, String>> headers, Buffer body) {
+
+    /** Copies the headers. */
+    public ServiceAnswer {
+        headers = List.copyOf(headers);
+    }
+
+    /**
+     * Returns the media type of the body.
+     *
+     * @return the media type
+     */
+    public String contentType() {
+        return headers.stream()
+                .filter(header -> header.getKey().equalsIgnoreCase("content-type"))
+                .map(Map.Entry::getValue)
+                .findFirst()
+                .orElse("application/octet-stream");
+    }
+}
--- /dev/null
+++ b/src/main/java/org/borageproxy/key/package-info.java
@@ -0,0 +1,2 @@
+/** Callers' keys: digests and authentication. */
+package org.borageproxy.key;
--- /dev/null
+++ b/src/main/java/org/borageproxy/routing/ReplicaQuery.java
@@ -0,0 +1,95 @@
+package org.borageproxy.routing;
+
+import java.util.Map;
+import java.util.Set;
+
+import org.borageproxy.membership.BackendServer;
+import org.borageproxy.membership.BackendServerKind;
+import org.borageproxy.membership.BackendServerName;
+import org.borageproxy.vm.AvailabilityZone;
+
+/**
+ * What a request needs of a replica. Immutable and thread safe.
+ *
+ * @param target what must be loaded or offered
+ * @param work the size of the work
+ * @param zone the zone of this VM
+ * @param tried the backend servers that failed this request before, with their zones
+ * @param exclusive whether the request must run alone
+ * @param affinity the backend server that probably holds the prompt's prefix, or {@code null}
+ */
+public record ReplicaQuery(
+        Target target,
+        Work work,
+        AvailabilityZone zone,
+        Map<BackendServerName, AvailabilityZone> tried,
+        boolean exclusive,
+        BackendServerName affinity) {
+
+    /** Copies the tried servers. */
+    public ReplicaQuery {
+        tried = Map.copyOf(tried);
+    }
+
+    /** What must be loaded or offered. Implementations are immutable. */
+    public sealed interface Target {
+
+        /**
+         * Tells whether a backend server can run the request.
+         *
+         * @param server the backend server
+         * @return {@code true} if it can
+         */
+        boolean servedBy(BackendServer server);
+
+        /**
+         * A version of a model.
+         *
+         * @param model the model's name
+         * @param version the version's name
+         * @param adapter the adapter's name, empty for none
+         */
+        record OfModel(String model, String version, String adapter) implements Target {
+
+            @Override
+            public boolean servedBy(BackendServer server) {
+                return server.models().stream()
+                        .anyMatch(loaded -> loaded.model().equals(model)
+                                && loaded.version().equals(version)
+                                && hasAdapter(loaded.adapters()));
+            }
+
+            /**
+             * Tells whether the adapter is among those loaded.
+             *
+             * @param adapters the loaded adapters
+             * @return {@code true} if it is, or if none is needed
+             */
+            private boolean hasAdapter(Set<String> adapters) {
+                return adapter.isEmpty() || adapters.contains(adapter);
+            }
+        }
+
+        /**
+         * A plain service.
+         *
+         * @param service the service's name
+         */
+        record OfService(String service) implements Target {
+
+            @Override
+            public boolean servedBy(BackendServer server) {
+                return server.kind() == BackendServerKind.SERVICE
+                        && server.services().contains(service);
+            }
+        }
+    }
+
+    /**
+     * The size of the work.
+     *
+     * @param promptTokens the estimated tokens of the prompt
+     * @param outputTokens the largest number of output tokens
+     */
+    public record Work(long promptTokens, long outputTokens) {}
+}
--- /dev/null
+++ b/src/main/java/org/borageproxy/routing/ServerTable.java
@@ -0,0 +1,71 @@
+package org.borageproxy.routing;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.UnaryOperator;
+
+import org.borageproxy.membership.BackendServerName;
+
+/**
+ * What this VM has under way at each backend server, and what its requests showed of it. A server that runs an
+ * exclusive request runs no other request of this VM. Safe for use by any thread; its lock is a leaf.
+ */
+public final class ServerTable {
+
+    /** The entries by backend server. */
+    private final Map<BackendServerName, Usage> usages = new HashMap<>();
+
+    /**
+     * Returns what is known of a backend server.
+     *
+     * @param server the backend server
+     * @return its usage
+     */
+    public synchronized Usage usage(BackendServerName server) {
+        return usages.getOrDefault(server, Usage.IDLE);
+    }
+
+    /**
+     * Takes a place at a backend server.
+     *
+     * @param server the backend server
+     * @param exclusive whether the request must run alone
+     * @param nowNanos the reading of the monotonic clock in nanoseconds
+     * @return {@code true} if the place was taken and must be given back
+     */
+    public synchronized boolean acquire(BackendServerName server, boolean exclusive, long nowNanos) {
+        Usage usage = usage(server);
+        if (usage.exclusive() || (exclusive && usage.inFlight() > 0)) {
+            return false;
+        }
+        Circuit circuit =
+                usage.circuit().admitsProbe(nowNanos) ? usage.circuit().probed() : usage.circuit();
+        usages.put(server, new Usage(usage.inFlight() + 1, exclusive, circuit));
+        return true;
+    }
+
+    /**
+     * Gives a place back and records what the request showed.
+     *
+     * @param server the backend server
+     * @param observation how the circuit changes
+     */
+    public synchronized void release(BackendServerName server, UnaryOperator<Circuit> observation) {
+        Usage usage = usage(server);
+        Circuit circuit = observation.apply(usage.circuit());
+        usages.put(server, new Usage(Math.max(0, usage.inFlight() - 1), false, circuit));
+    }
+
+    /**
+     * What is known of one backend server.
+     *
+     * @param inFlight requests of this VM that it runs
+     * @param exclusive whether one of them runs alone
+     * @param circuit what recent requests showed
+     */
+    public record Usage(int inFlight, boolean exclusive, Circuit circuit) {
+
+        /** The usage of a backend server without a past. */
+        public static final Usage IDLE = new Usage(0, false, Circuit.CLOSED);
+    }
+}
