--- a/src/main/java/org/borageproxy/execution/CrashRegistry.java
+++ b/src/main/java/org/borageproxy/execution/CrashRegistry.java
@@ -4,9 +4,7 @@
 
 import org.borageproxy.membership.BackendServerName;
 
-/**
- * What the fleet knows of requests that end backend servers. Implementations are safe for use by any thread.
- */
+/** What the fleet knows of requests that end backend servers. Implementations are safe for use by any thread. */
 public interface CrashRegistry {
 
     /**
--- a/src/main/java/org/borageproxy/log/ReplicatedLog.java
+++ b/src/main/java/org/borageproxy/log/ReplicatedLog.java
@@ -7,9 +7,7 @@
 import org.borageproxy.time.Deadline;
 import org.borageproxy.vm.VmName;
 
-/**
- * This VM's member of the control group. Implementations are safe for use by any thread.
- */
+/** This VM's member of the control group. Implementations are safe for use by any thread. */
 public interface ReplicatedLog {
 
     /**
@@ -22,8 +20,8 @@
     CompletionStage<Proposal> propose(ByteString command, Deadline deadline);
 
     /**
-     * Waits until the local state machine holds everything that was committed before the call, as confirmed by
-     * the leader with a majority.
+     * Waits until the local state machine holds everything that was committed before the call, as confirmed by the
+     * leader with a majority.
      *
      * @param deadline when to give up
      * @return {@code true} if reads of the local state machine are current, {@code false} if unconfirmed
--- a/src/main/java/org/borageproxy/placement/LedgerStore.java
+++ b/src/main/java/org/borageproxy/placement/LedgerStore.java
@@ -4,9 +4,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 
-/**
- * The durable ledger of orders, kept by the control group. Implementations are safe for use by any thread.
- */
+/** The durable ledger of orders, kept by the control group. Implementations are safe for use by any thread. */
 public interface LedgerStore {
 
     /**
--- a/src/main/java/org/borageproxy/wire/UnreachableException.java
+++ b/src/main/java/org/borageproxy/wire/UnreachableException.java
@@ -1,8 +1,6 @@
 package org.borageproxy.wire;
 
-/**
- * Says that no answer came from another VM, so that it is unknown whether the VM handled the message. Immutable.
- */
+/** Says that no answer came from another VM, so that it is unknown whether the VM handled the message. Immutable. */
 public final class UnreachableException extends RuntimeException {
 
     /**
--- a/src/main/java/org/borageproxy/wire/proto/FrameProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/FrameProtocol.java
@@ -183,6 +183,14 @@
        * <code>FAILURE = 4;</code>
        */
       FAILURE(4),
+      /**
+       * <code>PING = 5;</code>
+       */
+      PING(5),
+      /**
+       * <code>PONG = 6;</code>
+       */
+      PONG(6),
       UNRECOGNIZED(-1),
       ;
 
@@ -215,6 +223,14 @@
        * <code>FAILURE = 4;</code>
        */
       public static final int FAILURE_VALUE = 4;
+      /**
+       * <code>PING = 5;</code>
+       */
+      public static final int PING_VALUE = 5;
+      /**
+       * <code>PONG = 6;</code>
+       */
+      public static final int PONG_VALUE = 6;
 
 
       public final int getNumber() {
@@ -246,6 +262,8 @@
           case 2: return REQUEST;
           case 3: return RESPONSE;
           case 4: return FAILURE;
+          case 5: return PING;
+          case 6: return PONG;
           default: return null;
         }
       }
@@ -1376,15 +1394,16 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\013frame.proto\022\021borageproxy.frame\"\210\002\n\005Fra" +
+      "\n\013frame.proto\022\021borageproxy.frame\"\234\002\n\005Fra" +
       "me\022+\n\004form\030\001 \001(\0162\035.borageproxy.frame.Fra" +
       "me.Form\022\014\n\004kind\030\002 \001(\r\022\023\n\013correlation\030\003 \001" +
       "(\004\022\014\n\004body\030\004 \001(\014\022\024\n\014clock_millis\030\005 \001(\004\022\025" +
       "\n\rclock_counter\030\006 \001(\r\022\016\n\006sender\030\007 \001(\t\022\r\n" +
-      "\005nonce\030\010 \001(\014\022\r\n\005proof\030\t \001(\014\"F\n\004Form\022\t\n\005H" +
+      "\005nonce\030\010 \001(\014\022\r\n\005proof\030\t \001(\014\"Z\n\004Form\022\t\n\005H" +
       "ELLO\020\000\022\013\n\007ONE_WAY\020\001\022\013\n\007REQUEST\020\002\022\014\n\010RESP" +
-      "ONSE\020\003\022\013\n\007FAILURE\020\004B+\n\032org.borageproxy.w" +
-      "ire.protoB\rFrameProtocolb\006proto3"
+      "ONSE\020\003\022\013\n\007FAILURE\020\004\022\010\n\004PING\020\005\022\010\n\004PONG\020\006B" +
+      "+\n\032org.borageproxy.wire.protoB\rFrameProt" +
+      "ocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
--- /dev/null
+++ b/src/test/java/org/borageproxy/wire/NettyVmNetworkTest.java
@@ -0,0 +1,130 @@
+package org.borageproxy.wire;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import com.google.protobuf.ByteString;
+import org.borageproxy.event.HybridClock;
+import org.borageproxy.time.Deadline;
+import org.borageproxy.time.MonotonicClock;
+import org.borageproxy.vm.AvailabilityZone;
+import org.borageproxy.vm.VmAddress;
+import org.borageproxy.vm.VmName;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+/** Tests of {@link NettyVmNetwork}. */
+class NettyVmNetworkTest {
+
+    private static final VmName ONE = new VmName("vm-1");
+    private static final VmName TWO = new VmName("vm-2");
+    private static final ByteString PING = ByteString.copyFromUtf8("ping");
+
+    private final Map<VmName, VmAddress> addresses = new HashMap<>();
+    private final NettyVmNetwork first = network(ONE, "secret");
+
+    private NettyVmNetwork network(VmName name, String secret) {
+        return new NettyVmNetwork(
+                name,
+                peer -> Optional.ofNullable(addresses.get(peer)),
+                PeerCredential.of(secret),
+                new HybridClock(InstantSource.system()),
+                MonotonicClock.ofSystem());
+    }
+
+    private void listen(VmName name, NettyVmNetwork network) {
+        int port = network.listen("127.0.0.1", 0);
+        addresses.put(name, new VmAddress(name, new AvailabilityZone("a"), "127.0.0.1", port));
+    }
+
+    private CompletableFuture<ByteString> ask(long millis) {
+        Deadline deadline = Deadline.after(System.nanoTime(), Duration.ofMillis(millis));
+        return first.request(TWO, MessageKind.STATUS, PING, deadline).toCompletableFuture();
+    }
+
+    @AfterEach
+    void close() {
+        first.close();
+    }
+
+    @Test
+    void aRequestGetsItsAnswerAndAOneWayMessageArrives() throws Exception {
+        try (NettyVmNetwork second = network(TWO, "secret")) {
+            listen(TWO, second);
+            CompletableFuture<ByteString> arrived = new CompletableFuture<>();
+            second.handle(MessageKind.LOG, (sender, body) -> {
+                arrived.complete(body);
+                return CompletableFuture.completedFuture(ByteString.EMPTY);
+            });
+            second.handle(
+                    MessageKind.STATUS,
+                    (sender, body) ->
+                            CompletableFuture.completedFuture(body.concat(ByteString.copyFromUtf8(sender.value()))));
+            assertEquals("pingvm-1", ask(10_000).get().toStringUtf8());
+            first.send(TWO, MessageKind.LOG, PING);
+            assertEquals(PING, arrived.get(10, TimeUnit.SECONDS));
+        }
+    }
+
+    @Test
+    void aVmWithAnotherSecretIsNeverHeard() {
+        try (NettyVmNetwork second = network(TWO, "another")) {
+            listen(TWO, second);
+            AtomicInteger heard = new AtomicInteger();
+            second.handle(MessageKind.STATUS, (sender, body) -> {
+                heard.incrementAndGet();
+                return CompletableFuture.completedFuture(body);
+            });
+            ExecutionException failure =
+                    assertThrows(ExecutionException.class, () -> ask(10_000).get());
+            assertInstanceOf(UnreachableException.class, failure.getCause());
+            assertEquals(0, heard.get());
+        }
+    }
+
+    @Test
+    void anUnknownVmAndAHandlerWithoutAnswerBothFail() {
+        assertThrows(ExecutionException.class, () -> ask(10_000).get());
+        try (NettyVmNetwork second = network(TWO, "secret")) {
+            listen(TWO, second);
+            second.handle(MessageKind.STATUS, (sender, body) -> new CompletableFuture<>());
+            assertThrows(ExecutionException.class, () -> ask(300).get());
+        }
+    }
+
+    @Test
+    void aRestartedVmIsReachedAgain() throws Exception {
+        for (int round = 0; round < 2; round++) {
+            NettyVmNetwork second = network(TWO, "secret");
+            listen(TWO, second);
+            second.handle(MessageKind.STATUS, (sender, body) -> CompletableFuture.completedFuture(body));
+            assertEquals(PING, askUntilAnswered());
+            second.close();
+        }
+    }
+
+    private ByteString askUntilAnswered() throws Exception {
+        Deadline end = Deadline.after(System.nanoTime(), Duration.ofSeconds(20));
+        while (true) {
+            try {
+                return ask(1_000).get();
+            } catch (ExecutionException exception) {
+                if (end.hasPassed(System.nanoTime())) {
+                    throw exception;
+                }
+                Thread.sleep(20);
+            }
+        }
+    }
+}
