--- /dev/null
+++ b/src/test/java/org/borageproxy/membership/InMemoryNetwork.java
@@ -0,0 +1,54 @@
+package org.borageproxy.membership;
+
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+
+import com.google.protobuf.ByteString;
+import org.borageproxy.time.Deadline;
+import org.borageproxy.vm.VmName;
+import org.borageproxy.wire.MessageKind;
+import org.borageproxy.wire.UnreachableException;
+import org.borageproxy.wire.VmNetwork;
+
+/** Connects VMs in one process; a VM that is cut off gets and sends nothing. Thread safe. */
+final class InMemoryNetwork {
+
+    private final Map<VmName, Map<MessageKind, VmNetwork.Handler>> handlers = new ConcurrentHashMap<>();
+    private final Map<VmName, Boolean> cut = new ConcurrentHashMap<>();
+
+    VmNetwork at(VmName vm) {
+        handlers.put(vm, new ConcurrentHashMap<>());
+        return new VmNetwork() {
+
+            @Override
+            public void send(VmName recipient, MessageKind kind, ByteString body) {
+                request(recipient, kind, body, null);
+            }
+
+            @Override
+            public CompletionStage<ByteString> request(
+                    VmName recipient, MessageKind kind, ByteString body, Deadline deadline) {
+                Handler handler = handlers.getOrDefault(recipient, Map.of()).get(kind);
+                if (handler == null || cut.containsKey(vm) || cut.containsKey(recipient)) {
+                    return CompletableFuture.failedFuture(new UnreachableException("cut"));
+                }
+                return handler.handle(vm, body);
+            }
+
+            @Override
+            public void handle(MessageKind kind, Handler handler) {
+                handlers.get(vm).put(kind, handler);
+            }
+        };
+    }
+
+    void cutOff(VmName vm) {
+        cut.put(vm, true);
+    }
+
+    void connect(VmName vm) {
+        cut.remove(vm);
+    }
+}
