Add the command line, the harness of process tests and the first pages

Cause: nothing could be run by a person, and the thin path is to be shown over separate processes. Ruled out: a parser of our own (args4j does it), commands that call the VM's classes directly (they must work from any machine). Change: commands for operators over HTTP with documented exit codes, the stand-in command, FleetProcesses for tests (kill, freeze, terminate), ArchUnit rules for the package map, README, architecture, glossary, settings pages.

--- a/src/main/java/org/borageproxy/Borageproxy.java
+++ b/src/main/java/org/borageproxy/Borageproxy.java
@@ -1,5 +1,8 @@
 package org.borageproxy;
 
+import org.borageproxy.command.CommandLine;
+import org.borageproxy.command.ExitCode;
+
 /** The entry point of the executable. Stateless and thread safe. */
 public final class Borageproxy {
 
@@ -12,6 +15,7 @@
      * @param arguments the command's name and its arguments
      */
     public static void main(String[] arguments) {
-        System.out.println("borageproxy " + arguments.length);
+        ExitCode exitCode = new CommandLine().run(arguments, System.out, System.err);
+        System.exit(exitCode.number());
     }
 }
--- /dev/null
+++ b/src/main/java/org/borageproxy/command/MembersCommand.java
@@ -0,0 +1,29 @@
+package org.borageproxy.command;
+
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.json.JsonObject;
+import org.kohsuke.args4j.Argument;
+
+/** Lists or changes the members of the control group. Used by one thread. */
+final class MembersCommand extends OperatorCommand {
+
+    /** What to do. */
+    @Argument(index = 0, metaVar = "list|add-learner|promote|remove|lead", usage = "what to do")
+    private String action = "list";
+
+    /** The member. */
+    @Argument(index = 1, metaVar = "MEMBER", usage = "the member's VM, or its identity as listed")
+    private String member;
+
+    @Override
+    OperatorClient.Answer call(OperatorClient client) {
+        if (action.equals("list")) {
+            return client.call(HttpMethod.GET, "/v1/members", null);
+        }
+        if (member == null) {
+            throw new CommandFailure(ExitCode.USAGE, "expected a member after '" + action + "'");
+        }
+        JsonObject body = new JsonObject().put("action", action).put("member", member);
+        return client.call(HttpMethod.POST, "/v1/members", body);
+    }
+}
--- a/src/main/java/org/borageproxy/standin/Announcer.java
+++ b/src/main/java/org/borageproxy/standin/Announcer.java
@@ -10,9 +10,7 @@
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.JsonObject;
 
-/**
- * Posts announcements to one VM at a time and turns to the next VM after a failure. Confined to one event loop.
- */
+/** Posts announcements to one VM at a time and turns to the next VM after a failure. Confined to one event loop. */
 final class Announcer {
 
     /** The longest time that a VM may take to answer, in milliseconds. */
--- a/src/main/java/org/borageproxy/standin/Run.java
+++ b/src/main/java/org/borageproxy/standin/Run.java
@@ -3,9 +3,7 @@
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.json.JsonObject;
 
-/**
- * A request that an engine runs or that waits for a place in its batch. Confined to one event loop.
- */
+/** A request that an engine runs or that waits for a place in its batch. Confined to one event loop. */
 final class Run {
 
     /** The request's identity. */
--- a/src/main/java/org/borageproxy/standin/RunLoop.java
+++ b/src/main/java/org/borageproxy/standin/RunLoop.java
@@ -6,9 +6,7 @@
 import io.vertx.core.json.JsonObject;
 import org.borageproxy.membership.LoadReport;
 
-/**
- * Generates the tokens of an engine's batch, one for each running request in each step. Confined to one event loop.
- */
+/** Generates the tokens of an engine's batch, one for each running request in each step. Confined to one event loop. */
 final class RunLoop {
 
     /** Nanoseconds in a second. */
--- /dev/null
+++ b/src/test/java/org/borageproxy/process/Caller.java
@@ -0,0 +1,53 @@
+package org.borageproxy.process;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+
+/** A caller of the fleet's HTTP interfaces. Safe for use by any thread. */
+final class Caller {
+
+    private final HttpClient client = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofSeconds(5))
+            .build();
+
+    HttpResponse<String> post(String host, int port, String path, String key, String body, String... headers)
+            throws IOException, InterruptedException {
+        HttpRequest.Builder request = request(host, port, path, key, headers)
+                .header("content-type", "application/json")
+                .POST(HttpRequest.BodyPublishers.ofString(body));
+        return client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    HttpResponse<String> get(String host, int port, String path, String key, String... headers)
+            throws IOException, InterruptedException {
+        return client.send(request(host, port, path, key, headers).GET().build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    /** Returns the status of a GET, or zero if nobody answers. */
+    int status(String host, int port, String path) {
+        try {
+            return get(host, port, path, "").statusCode();
+        } catch (IOException exception) {
+            return 0;
+        } catch (InterruptedException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+
+    private static HttpRequest.Builder request(String host, int port, String path, String key, String... headers) {
+        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + host + ":" + port + path))
+                .timeout(Duration.ofSeconds(30));
+        if (!key.isEmpty()) {
+            request.header("authorization", "Bearer " + key);
+        }
+        for (int index = 0; index < headers.length; index += 2) {
+            request.header(headers[index], headers[index + 1]);
+        }
+        return request;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/borageproxy/process/FleetProcesses.java
@@ -0,0 +1,255 @@
+package org.borageproxy.process;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+
+/**
+ * A fleet of VMs and stand-ins, each a process of its own on a loopback address. Every process that it started is ended
+ * by {@link #close()}. Used by one thread.
+ */
+final class FleetProcesses implements AutoCloseable {
+
+    /** The longest time a step may take; wide, since it only bounds a hang. */
+    static final Duration WIDE = Duration.ofSeconds(60);
+
+    private static final String SECRET = "a-secret-of-the-process-tests";
+
+    private final Path folder;
+    private final int controlCount;
+    private final Map<String, Process> processes = new LinkedHashMap<>();
+    private final Map<String, VmPorts> ports = new LinkedHashMap<>();
+
+    /** The loopback address and the ports of one VM. */
+    record VmPorts(String host, int vms, int callers, int operators, int announcements) {}
+
+    FleetProcesses(Path folder, int controlCount, int entryCount) throws IOException {
+        this.folder = folder;
+        this.controlCount = controlCount;
+        Files.createDirectories(folder.resolve("secrets"));
+        for (String name : List.of("vms", "operator", "announcer")) {
+            Files.writeString(folder.resolve("secrets").resolve(name), SECRET + "-" + name);
+        }
+        for (int number = 1; number <= controlCount + entryCount; number++) {
+            String host = "127.0.0." + (10 + number);
+            ports.put("vm-" + number, new VmPorts(host, free(host), free(host), free(host), free(host)));
+        }
+        for (String vm : ports.keySet()) {
+            Files.writeString(settingsFile(vm), settings(vm));
+        }
+    }
+
+    private static int free(String host) throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
+            return socket.getLocalPort();
+        }
+    }
+
+    static int freePort(String host) throws IOException {
+        return free(host);
+    }
+
+    List<String> vms() {
+        return List.copyOf(ports.keySet());
+    }
+
+    VmPorts portsOf(String vm) {
+        return ports.get(vm);
+    }
+
+    Path settingsFile(String vm) {
+        return folder.resolve(vm + ".toml");
+    }
+
+    Path dataFolder(String vm) {
+        return folder.resolve("data").resolve(vm);
+    }
+
+    String secret(String name) {
+        return SECRET + "-" + name;
+    }
+
+    private boolean isControl(String vm) {
+        return Integer.parseInt(vm.substring("vm-".length())) <= controlCount;
+    }
+
+    private String zone(String vm) {
+        return "zone-" + (char) ('a' + Integer.parseInt(vm.substring("vm-".length())) % 3);
+    }
+
+    private String settings(String vm) {
+        VmPorts own = ports.get(vm);
+        StringBuilder text = new StringBuilder();
+        text.append(table("[vm]", vm, own.host(), own.vms()));
+        if (isControl(vm)) {
+            text.append("data_folder = \"data/" + vm + "\"\n");
+        }
+        text.append(endpoint("callers", own.host(), own.callers()));
+        text.append(endpoint("operators", own.host(), own.operators()));
+        text.append(endpoint("announcements", own.host(), own.announcements()));
+        for (String other : ports.keySet()) {
+            if (isControl(other)) {
+                VmPorts peer = ports.get(other);
+                text.append(table("[[control.vm]]", other, peer.host(), peer.vms()));
+            }
+        }
+        text.append("[credentials]\nvms_file = \"secrets/vms\"\noperator_file = \"secrets/operator\"\n");
+        text.append("announcer_file = \"secrets/announcer\"\n");
+        text.append("[shutdown]\nnotice_millis = 500\nlimit_millis = 60000\n");
+        return text.toString();
+    }
+
+    private String table(String header, String vm, String host, int port) {
+        return header + "\nname = \"" + vm + "\"\navailability_zone = \"" + zone(vm) + "\"\nhost = \"" + host
+                + "\"\nport = " + port + "\n";
+    }
+
+    private static String endpoint(String name, String host, int port) {
+        return "[" + name + "]\nhost = \"" + host + "\"\nport = " + port + "\n";
+    }
+
+    /** Bootstraps the control group and starts every VM. */
+    void startAll() throws Exception {
+        for (String vm : vms()) {
+            if (isControl(vm)) {
+                run("bootstrap", settingsFile(vm).toString());
+            }
+        }
+        for (String vm : vms()) {
+            start(vm);
+        }
+    }
+
+    void start(String vm) throws IOException {
+        startProcess(vm, List.of("serve", settingsFile(vm).toString()));
+    }
+
+    void startStandIn(String name, String... arguments) throws IOException {
+        List<String> command = new ArrayList<>(List.of("standin"));
+        command.addAll(List.of(arguments));
+        startProcess(name, command);
+    }
+
+    private void startProcess(String name, List<String> arguments) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(javaCommand(arguments));
+        builder.redirectErrorStream(true);
+        builder.redirectOutput(ProcessBuilder.Redirect.appendTo(logFile(name).toFile()));
+        processes.put(name, builder.start());
+    }
+
+    private static List<String> javaCommand(List<String> arguments) {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(List.of("-Xmx128m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto"));
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "org.borageproxy.Borageproxy"));
+        command.addAll(arguments);
+        return command;
+    }
+
+    /** The result of a command that ended. */
+    record CommandResult(int exitCode, String output) {}
+
+    /** Runs a command to its end and fails unless it exits with zero. */
+    String run(String... arguments) throws Exception {
+        CommandResult result = tryRun(arguments);
+        if (result.exitCode() != 0) {
+            throw new AssertionError(String.join(" ", arguments) + " exited with " + result.exitCode() + "\n"
+                    + result.output() + "\n" + logTails());
+        }
+        return result.output();
+    }
+
+    CommandResult tryRun(String... arguments) throws Exception {
+        Path output = Files.createTempFile(folder, "command", ".out");
+        ProcessBuilder builder = new ProcessBuilder(javaCommand(List.of(arguments)));
+        builder.redirectErrorStream(true);
+        builder.redirectOutput(output.toFile());
+        Process process = builder.start();
+        if (!process.waitFor(WIDE.toSeconds(), TimeUnit.SECONDS)) {
+            process.destroyForcibly();
+            throw new AssertionError(String.join(" ", arguments) + " hung\n" + logTails());
+        }
+        return new CommandResult(process.exitValue(), Files.readString(output));
+    }
+
+    /** Runs an operator's command against every VM in turn. */
+    CommandResult operate(String... arguments) throws Exception {
+        List<String> command = new ArrayList<>(List.of(arguments));
+        command.addAll(
+                List.of("--credential", folder.resolve("secrets/operator").toString()));
+        for (VmPorts own : ports.values()) {
+            command.addAll(List.of("--vm", own.host() + ":" + own.operators()));
+        }
+        return tryRun(command.toArray(String[]::new));
+    }
+
+    Path logFile(String name) {
+        return folder.resolve(name + ".log");
+    }
+
+    String logTails() {
+        return processes.keySet().stream().map(this::logTail).collect(Collectors.joining("\n"));
+    }
+
+    private String logTail(String name) {
+        try {
+            List<String> lines = Files.readAllLines(logFile(name), StandardCharsets.UTF_8);
+            int from = Math.max(0, lines.size() - 15);
+            return "--- " + name + "\n" + String.join("\n", lines.subList(from, lines.size()));
+        } catch (IOException exception) {
+            return "--- " + name + ": no log";
+        }
+    }
+
+    void kill(String name) throws InterruptedException {
+        Process process = processes.remove(name);
+        process.destroyForcibly();
+        process.waitFor();
+    }
+
+    /** Asks a process to end and waits until it has. */
+    int terminate(String name) throws InterruptedException {
+        Process process = processes.remove(name);
+        process.destroy();
+        if (!process.waitFor(WIDE.toSeconds(), TimeUnit.SECONDS)) {
+            process.destroyForcibly();
+            throw new AssertionError(name + " did not end\n" + logTail(name));
+        }
+        return process.exitValue();
+    }
+
+    void signal(String name, String signal) throws Exception {
+        long pid = processes.get(name).pid();
+        new ProcessBuilder("kill", "-" + signal, Long.toString(pid)).start().waitFor();
+    }
+
+    /** Waits until a condition holds. */
+    void await(String what, BooleanSupplier condition) throws InterruptedException {
+        long end = System.nanoTime() + WIDE.toNanos();
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() - end > 0) {
+                throw new AssertionError("Never happened: " + what + "\n" + logTails());
+            }
+            Thread.sleep(20);
+        }
+    }
+
+    @Override
+    public void close() {
+        processes.values().forEach(Process::destroyForcibly);
+        for (Process process : processes.values()) {
+            process.onExit().join();
+        }
+    }
+}
