--- a/src/main/java/org/borageproxy/execution/AttemptLoop.java
+++ b/src/main/java/org/borageproxy/execution/AttemptLoop.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
 
@@ -61,6 +62,10 @@
     private int cuts;
     /** The tokens that were paid. */
     private long paidTokens;
+    /** What the fleet answered to the last report of a crash. */
+    private Suspicion reported = Suspicion.NONE;
+    /** Waits for a backend server that runs nothing else. */
+    private final ExclusiveWait exclusiveWait;
     /** Whether an attempt is under way. */
     private boolean running;
     /** Whether the caller went away. */
@@ -95,6 +100,7 @@
         this.admission = admission;
         this.conclude = conclude;
         this.reserveAgain = reserveAgain;
+        this.exclusiveWait = new ExclusiveWait(services.table());
     }
 
     /** Looks for a replica and runs the next attempt on it. */
@@ -108,7 +114,7 @@
             return;
         }
         Suspicion suspicion = services.crashes().suspicion(request.fingerprint());
-        if (suspicion == Suspicion.QUARANTINED) {
+        if (suspicion == Suspicion.QUARANTINED || reported == Suspicion.QUARANTINED) {
             giveUp(ResultCode.REQUEST_QUARANTINED);
             return;
         }
@@ -124,6 +130,9 @@
         if (selection instanceof Selection.Chosen chosen
                 && services.table().acquire(chosen.server().name(), exclusive, now)) {
             run(chosen.server(), exclusive);
+        } else if (exclusive && selection instanceof Selection.Busy) {
+            Optional<BackendServer> idle = exclusiveWait.poll(work.query(servers, tried, true), servers, now);
+            idle.ifPresentOrElse(server -> run(server, true), () -> waitForReplica(selection, servers, now));
         } else {
             waitForReplica(selection, servers, now);
         }
@@ -158,12 +167,13 @@
         attempts++;
         running = true;
         replicaBefore = null;
+        exclusiveWait.startedOn(server.name());
         long startedNanos = services.clock().nanoTime();
         work.attempt(server, attempts, admission).onComplete(result -> {
             running = false;
             double millis = (services.clock().nanoTime() - startedNanos) / 1e6;
             Outcome outcome = result.result();
-            services.table().release(server.name(), observation(outcome, millis));
+            services.table().release(server.name(), exclusive, observation(outcome, millis));
             ended(server, exclusive, outcome);
         });
     }
@@ -178,8 +188,8 @@
     private UnaryOperator<Circuit> observation(Outcome outcome, double millis) {
         long now = services.clock().nanoTime();
         if (outcome instanceof Outcome.Answered) {
-            double share = Math.max(1, work.usedTokens() - paidTokens);
-            return circuit -> circuit.succeeded(millis / share);
+            double partMillis = millis / work.answerParts();
+            return circuit -> circuit.succeeded(partMillis);
         }
         boolean unreachable = outcome instanceof Outcome.NotRun refused && refused.code() == ResultCode.NO_REPLICA;
         boolean failed = outcome instanceof Outcome.MayHaveRun lost && lost.cause() != Outcome.Cause.CANCELLED;
@@ -270,10 +280,11 @@
      * @return completes when the report is durable, or late
      */
     private Future<Void> report(BackendServer server, boolean alone) {
-        Future<Suspicion> reported = Future.fromCompletionStage(
+        Future<Suspicion> answer = Future.fromCompletionStage(
                 services.crashes().reportCrash(request.fingerprint(), server.name(), server.incarnation(), alone),
                 services.vertx().getOrCreateContext());
-        return reported.timeout(REPORT_TIME.toMillis(), java.util.concurrent.TimeUnit.MILLISECONDS)
+        return answer.timeout(REPORT_TIME.toMillis(), TimeUnit.MILLISECONDS)
+                .onSuccess(suspicion -> reported = suspicion)
                 .<Void>mapEmpty()
                 .otherwiseEmpty();
     }
@@ -372,7 +383,8 @@
         boolean comeBack = code != ResultCode.REQUEST_QUARANTINED
                 && code != ResultCode.KEY_REFUSED
                 && (execution == Execution.NOT_RUN || request.repeatable());
-        boolean quarantined = services.crashes().suspicion(request.fingerprint()) == Suspicion.QUARANTINED;
+        boolean quarantined = reported == Suspicion.QUARANTINED
+                || services.crashes().suspicion(request.fingerprint()) == Suspicion.QUARANTINED;
         Optional<Deadline> retryAt =
                 comeBack && !quarantined ? Optional.of(admission.defaultRetry()) : Optional.empty();
         ResultCode reason = execution == Execution.MAY_HAVE_RUN && lastFailure != null ? lastFailure : code;
@@ -411,6 +423,7 @@
     /** Ends the loop. */
     void stop() {
         stopped = true;
+        exclusiveWait.end();
     }
 
     /**
--- a/src/main/java/org/borageproxy/execution/EngineAttempt.java
+++ b/src/main/java/org/borageproxy/execution/EngineAttempt.java
@@ -163,6 +163,7 @@
      * @param response the answer
      */
     private void respond(HttpClientResponse response) {
+        response.exceptionHandler(failure -> cut());
         if (decided) {
             exchange.reset();
             return;
--- a/src/main/java/org/borageproxy/execution/EngineWork.java
+++ b/src/main/java/org/borageproxy/execution/EngineWork.java
@@ -36,6 +36,8 @@
     private final StringBuilder text = new StringBuilder();
     /** The tokens received. */
     private int received;
+    /** The tokens received before the last attempt. */
+    private int attemptStart;
     /** The tokens that all attempts have used. */
     private long used;
     /** The version that runs the request; fixed once tokens were received. */
@@ -118,6 +120,7 @@
     @Override
     public Future<Outcome> attempt(BackendServer server, int number, SendGuard guard) {
         used += request.promptTokens();
+        attemptStart = received;
         tools.affinity().remember(request.model().name(), request.prompt(), server.name());
         current = new EngineAttempt(tools, request, server, received, guard, new Receiver());
         return current.run(runBody(number));
@@ -163,6 +166,11 @@
         return used;
     }
 
+    @Override
+    public long answerParts() {
+        return Math.max(1, received - attemptStart);
+    }
+
     @Override
     public Optional<StoredAnswer> storedAnswer(int maximumBytes) {
         ByteString body = ByteString.copyFromUtf8(new JsonObject()
--- a/src/main/java/org/borageproxy/execution/ServiceWork.java
+++ b/src/main/java/org/borageproxy/execution/ServiceWork.java
@@ -102,6 +102,11 @@
         return everSent ? request.tokens() : 0;
     }
 
+    @Override
+    public long answerParts() {
+        return 1;
+    }
+
     @Override
     public Optional<StoredAnswer> storedAnswer(int maximumStoredBytes) {
         return answer().filter(whole -> whole.body().length() <= maximumStoredBytes)
@@ -187,10 +192,15 @@
             }
             sent = true;
             everSent = true;
-            request.headers().forEach(header -> connected.headers().add(header.getKey(), header.getValue()));
-            connected.putHeader(EngineAttempt.IDENTITY_HEADER, request.identity());
             connected.response().onComplete(this::respond, failure -> lost(Outcome.Cause.CUT));
-            connected.end(request.body());
+            try {
+                request.headers().forEach(header -> connected.headers().add(header.getKey(), header.getValue()));
+                connected.putHeader(EngineAttempt.IDENTITY_HEADER, request.identity());
+                connected.end(request.body());
+            } catch (IllegalArgumentException exception) {
+                lost(Outcome.Cause.INVALID);
+                connected.reset();
+            }
         }
 
         /**
@@ -199,6 +209,7 @@
          * @param response the answer
          */
         private void respond(HttpClientResponse response) {
+            response.exceptionHandler(failure -> lost(Outcome.Cause.CUT));
             String identity = response.getHeader(EngineAttempt.IDENTITY_HEADER);
             if (decided || (identity != null && !identity.equals(request.identity()))) {
                 lost(Outcome.Cause.INVALID);
@@ -206,7 +217,6 @@
                 return;
             }
             Buffer body = Buffer.buffer();
-            response.exceptionHandler(failure -> lost(Outcome.Cause.CUT));
             response.handler(chunk -> append(body, chunk));
             response.endHandler(nothing -> complete(response, body));
         }
--- a/src/main/java/org/borageproxy/execution/Work.java
+++ b/src/main/java/org/borageproxy/execution/Work.java
@@ -58,6 +58,14 @@
      */
     long usedTokens();
 
+    /**
+     * Returns the parts of the answer that the last attempt received, by which its time is divided to compare backend
+     * servers.
+     *
+     * @return the number of parts, at least one
+     */
+    long answerParts();
+
     /**
      * Returns the answer in the form that is kept for resends.
      *
--- a/src/main/java/org/borageproxy/routing/Circuit.java
+++ b/src/main/java/org/borageproxy/routing/Circuit.java
@@ -12,7 +12,8 @@
  * @param consecutiveFailures failures since the last success
  * @param openUntil when a probe may be sent; meaningful only while open
  * @param probing whether a probe is under way
- * @param meanMillis the moving average of the time to the first byte, in milliseconds; zero before the first sample
+ * @param meanMillis the moving average of the time for a part of an answer, in milliseconds; zero before the first
+ *     sample
  */
 public record Circuit(int consecutiveFailures, Deadline openUntil, boolean probing, double meanMillis) {
 
@@ -58,7 +59,7 @@
     /**
      * Returns the circuit after a success.
      *
-     * @param millis the time to the first byte, in milliseconds
+     * @param millis the time for a part of the answer, in milliseconds
      * @return the circuit
      */
     public Circuit succeeded(double millis) {
--- a/src/main/java/org/borageproxy/routing/ReplicaSelector.java
+++ b/src/main/java/org/borageproxy/routing/ReplicaSelector.java
@@ -30,6 +30,8 @@
     private static final double SLOW_FLOOR_MILLIS = 50.0;
     /** Seconds that a demoted replica is taken to be slower. */
     private static final double SLOW_PENALTY_SECONDS = 30.0;
+    /** One of so many choices ignores predictions, so that a replica once slow is measured again. */
+    private static final int EXPLORATION = 64;
     /** The smallest rate that a prediction divides by. */
     private static final double SMALLEST_RATE = 0.001;
 
@@ -136,6 +138,9 @@
             }
         }
         int first = random.nextInt(candidates.size());
+        if (random.nextInt(EXPLORATION) == 0) {
+            return candidates.get(first);
+        }
         int step = candidates.size() == 1 ? 0 : 1 + random.nextInt(candidates.size() - 1);
         Candidate one = candidates.get(first);
         Candidate two = candidates.get((first + step) % candidates.size());
@@ -202,7 +207,7 @@
          * Predicts the time to the whole answer.
          *
          * @param query what the request needs
-         * @param fastestMillis the mean time to the first byte of the fastest replica, in milliseconds
+         * @param fastestMillis the mean time of the fastest replica for a part of an answer, in milliseconds
          * @return seconds
          */
         double predictedSeconds(ReplicaQuery query, double fastestMillis) {
@@ -224,7 +229,7 @@
         /**
          * Tells whether the replica is much slower than the fastest.
          *
-         * @param fastestMillis the mean time to the first byte of the fastest replica, in milliseconds
+         * @param fastestMillis the mean time of the fastest replica for a part of an answer, in milliseconds
          * @return {@code true} if it is demoted
          */
         private boolean isSlow(double fastestMillis) {
--- a/src/main/java/org/borageproxy/routing/ServerTable.java
+++ b/src/main/java/org/borageproxy/routing/ServerTable.java
@@ -48,12 +48,54 @@
      * Gives a place back and records what the request showed.
      *
      * @param server the backend server
+     * @param exclusive whether the request ran alone
      * @param observation how the circuit changes
      */
-    public synchronized void release(BackendServerName server, UnaryOperator<Circuit> observation) {
+    public synchronized void release(BackendServerName server, boolean exclusive, UnaryOperator<Circuit> observation) {
         Usage usage = usage(server);
         Circuit circuit = observation.apply(usage.circuit());
-        usages.put(server, new Usage(Math.max(0, usage.inFlight() - 1), false, circuit));
+        boolean stillExclusive = usage.exclusive() && !exclusive;
+        usages.put(server, new Usage(Math.max(0, usage.inFlight() - 1), stillExclusive, circuit));
+    }
+
+    /**
+     * Reserves a backend server for a request that must run alone: it gets no other request of this VM.
+     *
+     * @param server the backend server
+     * @return {@code true} if it is reserved and must be occupied or given up
+     */
+    public synchronized boolean reserve(BackendServerName server) {
+        Usage usage = usage(server);
+        if (usage.exclusive()) {
+            return false;
+        }
+        usages.put(server, new Usage(usage.inFlight(), true, usage.circuit()));
+        return true;
+    }
+
+    /**
+     * Takes the place on a reserved backend server once it runs nothing else.
+     *
+     * @param server the reserved backend server
+     * @return {@code true} if the place was taken and must be given back
+     */
+    public synchronized boolean occupyReserved(BackendServerName server) {
+        Usage usage = usage(server);
+        if (!usage.exclusive() || usage.inFlight() > 0) {
+            return false;
+        }
+        usages.put(server, new Usage(1, true, usage.circuit()));
+        return true;
+    }
+
+    /**
+     * Gives a reservation up that was not occupied.
+     *
+     * @param server the reserved backend server
+     */
+    public synchronized void giveUpReservation(BackendServerName server) {
+        Usage usage = usage(server);
+        usages.put(server, new Usage(usage.inFlight(), false, usage.circuit()));
     }
 
     /**
--- /dev/null
+++ b/src/test/java/org/borageproxy/entry/BackendFaultTest.java
@@ -0,0 +1,320 @@
+package org.borageproxy.entry;
+
+import java.net.Socket;
+import java.net.http.HttpResponse;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import io.vertx.core.json.JsonObject;
+import org.borageproxy.admission.DispatchQueue;
+import org.borageproxy.execution.ClaimKey;
+import org.borageproxy.result.ResultCode;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Drives requests through faults of backend servers, as callers and backend servers see them. */
+class BackendFaultTest {
+
+    private static final String PATH = "/v1/chat/completions";
+    private EntryFixture fixture;
+
+    @BeforeEach
+    void start() {
+        fixture = new EntryFixture();
+    }
+
+    @AfterEach
+    void stop() {
+        fixture.close();
+    }
+
+    private static void assertFailure(HttpResponse<String> response, ResultCode code, String outcome) {
+        assertEquals(code.httpStatus(), response.statusCode(), response.body());
+        assertEquals(
+                code.name(),
+                new JsonObject(response.body()).getJsonObject("error").getString("name"));
+        assertEquals(
+                outcome, response.headers().firstValue("borageproxy-outcome").orElse(""));
+    }
+
+    @Test
+    void sendsARequestThatMayNotBeRepeatedOnceThoughItsConnectionCloses() {
+        ScriptedBackend.Script closeSecond = (exchange, number) -> {
+            if (number == 1) {
+                exchange.plain(200, "warm");
+            } else {
+                exchange.cut();
+            }
+        };
+        try (ScriptedBackend first = ScriptedBackend.answering(closeSecond);
+                ScriptedBackend second = ScriptedBackend.answering(closeSecond)) {
+            fixture.addService("service-1", first.port());
+            assertEquals(200, fixture.get("/stock/1").statusCode());
+            fixture.addService("service-2", second.port());
+            int before = first.runs().size() + second.runs().size();
+            HttpResponse<String> response = fixture.post("/orders", "bundle");
+            long orders = java.util.stream.Stream.of(first, second)
+                    .flatMap(backend -> backend.runs().stream())
+                    .filter(run -> run.head().startsWith("POST"))
+                    .count();
+            assertEquals(1, orders, "arrivals of the order");
+            if (response.statusCode() != 200) {
+                assertFailure(response, ResultCode.BACKEND_FAILED, "may-have-run");
+            }
+            assertEquals(before + 1, first.runs().size() + second.runs().size());
+        }
+    }
+
+    @Test
+    void neverResendsOnAPooledConnectionThatTheServerClosesAfterReading() {
+        ScriptedBackend.Script script = (exchange, number) -> {
+            if (exchange.request.head().startsWith("GET")) {
+                exchange.plain(200, "warm");
+            } else {
+                exchange.cut();
+            }
+        };
+        try (ScriptedBackend service = ScriptedBackend.answering(script)) {
+            fixture.addService("service-1", service.port());
+            assertEquals(200, fixture.get("/stock/1").statusCode());
+            HttpResponse<String> response = fixture.post("/orders", "bundle");
+            assertFailure(response, ResultCode.BACKEND_FAILED, "may-have-run");
+            assertEquals(2, service.runs().size());
+        }
+    }
+
+    @Test
+    void retriesARequestThatTheServerSaysItDidNotRun() {
+        try (ScriptedBackend refusing = ScriptedBackend.answering(
+                        (exchange, number) -> exchange.plain(429, "", "borageproxy-not-run: true\r\n"));
+                ScriptedBackend willing =
+                        ScriptedBackend.answering((exchange, number) -> exchange.plain(200, "sold"))) {
+            fixture.addService("service-1", refusing.port());
+            assertFailure(fixture.post("/orders", "a"), ResultCode.OVERLOADED, "not-run");
+            assertEquals(1, fixture.quota.refunded.get());
+            fixture.addService("service-2", willing.port());
+            assertEquals("sold", fixture.post("/orders", "b").body());
+        }
+    }
+
+    @Test
+    void resumesAStreamWithoutRepeatingOrLosingATokenWhenItsEngineDies() {
+        try (ScriptedBackend dying = ScriptedBackend.answering((exchange, number) -> {
+                    exchange.tokens(0, 3);
+                    exchange.crash();
+                });
+                ScriptedBackend other = ScriptedBackend.answering((exchange, number) -> {
+                    int from = exchange.request.json().getInteger("resume_from");
+                    exchange.tokens(from, 6).done();
+                })) {
+            fixture.addEngine("engine-1", dying.port());
+            CompletableFuture<HttpResponse<String>> answer = fixture.client.sendAsync(
+                    fixture.request(PATH)
+                            .POST(java.net.http.HttpRequest.BodyPublishers.ofString(EntryFixture.chat(true)))
+                            .build(),
+                    HttpResponse.BodyHandlers.ofString());
+            while (dying.runs().isEmpty()) {
+                Thread.onSpinWait();
+            }
+            fixture.addEngine("engine-2", other.port());
+            HttpResponse<String> response = EntryFixture.await(answer);
+            assertEquals("t0 t1 t2 t3 t4 t5 ", StreamText.of(response.body()));
+            assertTrue(response.body().endsWith("data: [DONE]\n\n"));
+            assertEquals("t0 t1 t2 ", other.runs().get(0).json().getString("resume_text"));
+            assertEquals(1, fixture.crashes.reportedAlone.size());
+            assertTrue(fixture.crashes.suspicions.isEmpty(), "an answered request is cleared");
+        }
+    }
+
+    @Test
+    void endsAStreamVisiblyCutWhenNoReplicaCanContinue() {
+        try (ScriptedBackend dying = ScriptedBackend.answering((exchange, number) -> {
+            exchange.tokens(0, 2);
+            exchange.cut();
+        })) {
+            fixture.addEngine("engine-1", dying.port());
+            String body = EntryFixture.chat(true);
+            String response = fixture.raw("POST " + PATH + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
+                    + EntryFixture.KEY + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+            assertTrue(response.contains("t0 "), response);
+            assertTrue(response.contains("event: error"), response);
+            assertFalse(response.contains("[DONE]"), response);
+            assertFalse(response.endsWith("0\r\n\r\n"), response);
+        }
+    }
+
+    @Test
+    void refusesAnswersThatAreTruncatedCrossedOrOutOfOrder() {
+        ScriptedBackend.Script[] faults = {
+            (exchange, number) -> exchange.tokens(0, 2).line("{\"request_id\":\"x\",\"done\":true}"),
+            (exchange, number) -> exchange.identity("someone-else").tokens(0, 2).done(),
+            (exchange, number) -> exchange.tokens(0, 1).tokens(2, 3).done(),
+            (exchange, number) -> exchange.tokens(0, 2).tokens(1, 2).done(),
+            (exchange, number) -> {
+                exchange.tokens(0, 2);
+                exchange.write("0\r\n\r\n");
+            },
+        };
+        for (ScriptedBackend.Script fault : faults) {
+            fixture.servers.clear();
+            try (ScriptedBackend engine = ScriptedBackend.answering(fault)) {
+                fixture.addEngine("engine-" + engine.port(), engine.port());
+                HttpResponse<String> response = fixture.post(PATH, EntryFixture.chat(false));
+                assertEquals(502, response.statusCode(), response.body());
+                assertEquals(
+                        "may-have-run",
+                        response.headers().firstValue("borageproxy-outcome").orElse(""));
+            }
+        }
+    }
+
+    @Test
+    void refusesATruncatedOrForeignAnswerOfAPlainService() {
+        ScriptedBackend.Script truncated = (exchange, number) -> {
+            exchange.write("HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nshort");
+            exchange.cut();
+        };
+        ScriptedBackend.Script foreign =
+                (exchange, number) -> exchange.plain(200, "x", "borageproxy-request-id: other\r\n");
+        try (ScriptedBackend first = ScriptedBackend.answering(truncated);
+                ScriptedBackend second = ScriptedBackend.answering(foreign)) {
+            fixture.addService("service-1", first.port());
+            assertFailure(fixture.post("/orders", "a"), ResultCode.BACKEND_FAILED, "may-have-run");
+            fixture.servers.clear();
+            fixture.addService("service-2", second.port());
+            assertFailure(fixture.post("/orders", "b"), ResultCode.ANSWER_INVALID, "may-have-run");
+        }
+    }
+
+    @Test
+    void dispatchesAClaimedRequestOnceAndReplaysItsAnswer() {
+        try (ScriptedBackend service =
+                ScriptedBackend.answering((exchange, number) -> exchange.plain(200, "order-" + number))) {
+            fixture.addService("service-1", service.port());
+            assertEquals(
+                    "order-1",
+                    fixture.post("/orders", "a", "Idempotency-Key", "i1").body());
+            assertEquals(
+                    "order-1",
+                    fixture.post("/orders", "a", "Idempotency-Key", "i1").body());
+            assertEquals(1, service.runs().size());
+        }
+    }
+
+    @Test
+    void doesNotDispatchAfterItsClaimLapsed() {
+        try (ScriptedBackend service = ScriptedBackend.answering((exchange, number) -> exchange.plain(200, "x"))) {
+            fixture.addService("service-1", service.port());
+            fixture.claims.dispatchTime = java.time.Duration.ZERO;
+            HttpResponse<String> response = fixture.post("/orders", "a", "Idempotency-Key", "i1");
+            assertFailure(response, ResultCode.CLAIM_UNAVAILABLE, "not-run");
+            assertEquals("released", fixture.claims.states.get(new ClaimKey("quilters", "i1")));
+            assertTrue(service.runs().isEmpty());
+        }
+    }
+
+    @Test
+    void abandonsTheClaimOfARequestThatMayHaveRun() {
+        try (ScriptedBackend service = ScriptedBackend.answering((exchange, number) -> exchange.cut())) {
+            fixture.addService("service-1", service.port());
+            assertFailure(
+                    fixture.post("/orders", "a", "Idempotency-Key", "i1"), ResultCode.BACKEND_FAILED, "may-have-run");
+            assertFailure(
+                    fixture.post("/orders", "a", "Idempotency-Key", "i1"), ResultCode.MAY_HAVE_RUN, "may-have-run");
+            assertEquals(1, service.runs().size());
+        }
+    }
+
+    @Test
+    void doesNotRunAQueuedRequestWhoseKeyIsWithdrawnOrWhoseConfigurationGoesStale() {
+        try (ScriptedBackend engine = ScriptedBackend.engine(1)) {
+            fixture.addEngine("engine-1", engine.port());
+            fixture.queue = queued -> {
+                fixture.configuration = EntryFixture.configuration(true);
+                return CompletableFuture.completedFuture(new DispatchQueue.Decision.Dispatchable(() -> {}));
+            };
+            assertFailure(fixture.post(PATH, EntryFixture.chat(false)), ResultCode.KEY_REFUSED, "not-run");
+            fixture.configuration = EntryFixture.configuration(false);
+            fixture.queue = queued -> {
+                fixture.fresh = false;
+                return CompletableFuture.completedFuture(new DispatchQueue.Decision.Dispatchable(() -> {}));
+            };
+            assertFailure(fixture.post(PATH, EntryFixture.chat(false)), ResultCode.CONFIGURATION_STALE, "not-run");
+            assertTrue(engine.runs().isEmpty());
+            assertEquals(2, fixture.quota.refunded.get());
+        }
+    }
+
+    @Test
+    void aRequestThatCrashesItsServersEndsTwoAtMostAndIsThenRefusedAtOnce() {
+        ScriptedBackend.Script crash = (exchange, number) -> exchange.crash();
+        try (ScriptedBackend first = ScriptedBackend.answering(crash);
+                ScriptedBackend second = ScriptedBackend.answering(crash);
+                ScriptedBackend third = ScriptedBackend.answering(crash)) {
+            fixture.addEngine("engine-1", first.port());
+            fixture.addEngine("engine-2", second.port());
+            fixture.addEngine("engine-3", third.port());
+            for (int send = 0; send < 3; send++) {
+                assertFailure(
+                        fixture.post(PATH, EntryFixture.chat(false)), ResultCode.REQUEST_QUARANTINED, "may-have-run");
+            }
+            int reached =
+                    first.runs().size() + second.runs().size() + third.runs().size();
+            assertEquals(2, reached);
+            assertEquals(java.util.List.of(false, true), fixture.crashes.reportedAlone);
+        }
+    }
+
+    @Test
+    void cancelsTheRunOfACallerWhoGoesAway() throws Exception {
+        CountDownLatch running = new CountDownLatch(1);
+        CountDownLatch cancelled = new CountDownLatch(1);
+        try (ScriptedBackend engine = ScriptedBackend.answering((exchange, number) -> {
+            if (exchange.request.head().startsWith("DELETE /v1/run/")) {
+                cancelled.countDown();
+                exchange.plain(200, "");
+            } else {
+                exchange.tokens(0, 1);
+                running.countDown();
+            }
+        })) {
+            fixture.addEngine("engine-1", engine.port());
+            String body = EntryFixture.chat(true);
+            try (Socket socket = new Socket("127.0.0.1", fixture.server.port())) {
+                socket.getOutputStream()
+                        .write(("POST " + PATH + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + EntryFixture.KEY
+                                        + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+                                .getBytes());
+                assertTrue(running.await(20, TimeUnit.SECONDS));
+            }
+            assertTrue(cancelled.await(20, TimeUnit.SECONDS));
+        }
+    }
+
+    @Test
+    void givesUpAtTheDeadlineAndSaysWhetherTheRequestMayHaveRun() {
+        fixture.configuration = EntryFixture.withRouteTimeout(300);
+        try (ScriptedBackend silent = ScriptedBackend.answering((exchange, number) -> {})) {
+            fixture.addService("service-1", silent.port());
+            assertFailure(fixture.post("/orders", "a"), ResultCode.BACKEND_TIMEOUT, "may-have-run");
+            fixture.queue = queued -> new CompletableFuture<>();
+            assertFailure(fixture.post("/orders", "b"), ResultCode.DEADLINE_PASSED, "not-run");
+            assertEquals(1, silent.runs().size());
+        }
+    }
+
+    @Test
+    void saysThatAModelIsLoadingOnceWaitingIsGivenUp() {
+        fixture.addEngine("engine-1", 1);
+        fixture.servers.set(0, EntryFixture.withoutModels(fixture.servers.get(0)));
+        HttpResponse<String> response = fixture.post(PATH, EntryFixture.chat(true));
+        assertFailure(response, ResultCode.MODEL_LOADING, "not-run");
+        assertEquals("1", response.headers().firstValue("retry-after").orElse(""));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/borageproxy/entry/DrainTest.java
@@ -0,0 +1,104 @@
+package org.borageproxy.entry;
+
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import io.vertx.core.Future;
+import org.borageproxy.time.Deadline;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Shuts the entry down while calls are in flight. */
+class DrainTest {
+
+    private EntryFixture fixture;
+
+    @BeforeEach
+    void start() {
+        fixture = new EntryFixture(settings -> settings.withDrainNotice(Duration.ofMillis(800)));
+    }
+
+    @AfterEach
+    void stop() {
+        fixture.close();
+    }
+
+    private Future<Void> drain(Duration time) {
+        return fixture.server.drain(Deadline.after(fixture.clock.nanoTime(), time));
+    }
+
+    @Test
+    void cutsNoStreamAndServesWhileTheBalancerNotices() throws Exception {
+        CountDownLatch begun = new CountDownLatch(1);
+        CountDownLatch goOn = new CountDownLatch(1);
+        try (ScriptedBackend engine = ScriptedBackend.answering((exchange, number) -> {
+                    exchange.tokens(0, 1);
+                    begun.countDown();
+                    awaitQuietly(goOn);
+                    exchange.tokens(1, 4).done();
+                });
+                ScriptedBackend service = ScriptedBackend.answering((exchange, number) -> exchange.plain(200, "ok"))) {
+            fixture.addEngine("engine-1", engine.port());
+            fixture.addService("service-1", service.port());
+            CompletableFuture<HttpResponse<String>> stream = fixture.client.sendAsync(
+                    fixture.request("/v1/chat/completions")
+                            .POST(HttpRequest.BodyPublishers.ofString(EntryFixture.chat(true)))
+                            .build(),
+                    HttpResponse.BodyHandlers.ofString());
+            assertTrue(begun.await(20, TimeUnit.SECONDS));
+            Future<Void> drained = drain(Duration.ofSeconds(60));
+            assertEquals(503, fixture.get("/readyz").statusCode());
+            assertEquals(200, fixture.get("/stock/1").statusCode());
+            drain(Duration.ofSeconds(60));
+            awaitConnectionClose();
+            assertFalse(drained.isComplete());
+            goOn.countDown();
+            assertEquals(
+                    "t0 t1 t2 t3 ", StreamText.of(EntryFixture.await(stream).body()));
+            EntryFixture.await(drained.toCompletionStage().toCompletableFuture());
+            assertEquals(0, fixture.server.inFlight());
+        }
+    }
+
+    private void awaitConnectionClose() {
+        long end = System.nanoTime() + EntryFixture.WAIT.toNanos();
+        while (System.nanoTime() < end) {
+            HttpResponse<String> response = fixture.get("/stock/1");
+            assertEquals(200, response.statusCode());
+            if (response.headers().firstValue("connection").orElse("").equals("close")) {
+                return;
+            }
+        }
+        throw new AssertionError("Connections were not closed");
+    }
+
+    private static void awaitQuietly(CountDownLatch latch) {
+        try {
+            assertTrue(latch.await(20, TimeUnit.SECONDS));
+        } catch (InterruptedException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+
+    @Test
+    void endsAtItsDeadlineThoughACallHangs() {
+        try (ScriptedBackend silent = ScriptedBackend.answering((exchange, number) -> {})) {
+            fixture.addService("service-1", silent.port());
+            fixture.client.sendAsync(fixture.request("/stock/1").GET().build(), HttpResponse.BodyHandlers.discarding());
+            while (fixture.server.inFlight() == 0) {
+                Thread.onSpinWait();
+            }
+            Future<Void> drained = drain(Duration.ofMillis(300));
+            EntryFixture.await(drained.toCompletionStage().toCompletableFuture());
+        }
+    }
+}
--- a/src/test/java/org/borageproxy/entry/EntryFixture.java
+++ b/src/test/java/org/borageproxy/entry/EntryFixture.java
@@ -27,6 +27,7 @@
 import org.borageproxy.execution.ClaimKey;
 import org.borageproxy.execution.ClaimStore;
 import org.borageproxy.execution.CrashRegistry;
+import org.borageproxy.execution.ExecutionSettings;
 import org.borageproxy.execution.Fingerprint;
 import org.borageproxy.execution.StoredAnswer;
 import org.borageproxy.execution.Suspicion;
@@ -76,7 +77,8 @@
     final AtomicInteger releasedSlots = new AtomicInteger();
 
     EntryFixture() {
-        this(settings -> settings);
+        this(settings -> settings.withExecution(
+                new ExecutionSettings(Duration.ofMillis(500), Duration.ofSeconds(2), 4, 0.1, 50.0, 65_536)));
     }
 
     EntryFixture(java.util.function.UnaryOperator<EntrySettings> adjust) {
@@ -121,6 +123,25 @@
                 Map.of(key.digest(), key, gone.digest(), gone));
     }
 
+    static Configuration withRouteTimeout(long millis) {
+        Configuration usual = configuration(false);
+        List<Route> routes = usual.routes().stream()
+                .map(route -> new Route(
+                        route.name(),
+                        route.pathPrefix(),
+                        route.service(),
+                        route.open(),
+                        route.repeatable(),
+                        millis,
+                        route.tokenCost()))
+                .toList();
+        return new Configuration(2, usual.workspaces(), usual.models(), Map.of(), routes, usual.keysByDigest());
+    }
+
+    static BackendServer withoutModels(BackendServer server) {
+        return server(server.name().value(), server.port(), server.kind(), Set.of(), List.of());
+    }
+
     void addEngine(String name, int port) {
         servers.add(server(
                 name, port, BackendServerKind.ENGINE, Set.of(), List.of(new LoadedModel("llama", "1", "0", Set.of()))));
--- /dev/null
+++ b/src/test/java/org/borageproxy/key/KeyAuthenticatorTest.java
@@ -0,0 +1,45 @@
+package org.borageproxy.key;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.borageproxy.tree.Configuration;
+import org.borageproxy.tree.KeyRecord;
+import org.borageproxy.tree.Workspace;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** Checks which keys are accepted. */
+class KeyAuthenticatorTest {
+
+    private static Configuration configuration(boolean withdrawn, String workspace) {
+        KeyRecord record = new KeyRecord("k1", KeyDigest.of("secret").value(), workspace, withdrawn);
+        return new Configuration(
+                1,
+                Map.of("quilters", new Workspace("quilters", 1, 1, 0, Set.of())),
+                Map.of(),
+                Map.of(),
+                List.of(),
+                Map.of(record.digest(), record));
+    }
+
+    private static Authentication authenticate(Configuration configuration, String header) {
+        Optional<String> key = KeyAuthenticator.INSTANCE.bearerToken(header);
+        return KeyAuthenticator.INSTANCE.authenticate(configuration, key);
+    }
+
+    @Test
+    void acceptsOnlyAKeyThatIsKnownNotWithdrawnAndOfAWorkspaceThatExists() {
+        Configuration usable = configuration(false, "quilters");
+        assertEquals(
+                new Authentication.Accepted("quilters", KeyDigest.of("secret")), authenticate(usable, "bearer secret"));
+        assertEquals(Authentication.Refused.INSTANCE, authenticate(usable, "Bearer other"));
+        assertEquals(Authentication.Refused.INSTANCE, authenticate(usable, "Basic secret"));
+        assertEquals(Authentication.Refused.INSTANCE, authenticate(usable, null));
+        assertEquals(Authentication.Refused.INSTANCE, authenticate(configuration(true, "quilters"), "Bearer secret"));
+        assertEquals(Authentication.Refused.INSTANCE, authenticate(configuration(false, "gone"), "Bearer secret"));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/borageproxy/routing/ServerTableTest.java
@@ -0,0 +1,62 @@
+package org.borageproxy.routing;
+
+import java.time.Duration;
+
+import org.borageproxy.membership.BackendServerName;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Checks the places at backend servers and their circuits in virtual time. */
+class ServerTableTest {
+
+    private static final BackendServerName SERVER = new BackendServerName("engine-1");
+    private final ServerTable table = new ServerTable();
+
+    @Test
+    void anExclusiveRequestRunsAlone() {
+        assertTrue(table.acquire(SERVER, false, 0));
+        assertFalse(table.acquire(SERVER, true, 0));
+        table.release(SERVER, false, circuit -> circuit);
+        assertTrue(table.acquire(SERVER, true, 0));
+        assertFalse(table.acquire(SERVER, false, 0));
+        table.release(SERVER, true, circuit -> circuit);
+        assertTrue(table.acquire(SERVER, false, 0));
+    }
+
+    @Test
+    void aReservedServerTakesNoOtherRequestAndIsOccupiedOnceIdle() {
+        assertTrue(table.acquire(SERVER, false, 0));
+        assertTrue(table.reserve(SERVER));
+        assertFalse(table.reserve(SERVER));
+        assertFalse(table.acquire(SERVER, false, 0));
+        assertFalse(table.occupyReserved(SERVER));
+        table.release(SERVER, false, circuit -> circuit);
+        assertFalse(table.acquire(SERVER, false, 0));
+        assertTrue(table.occupyReserved(SERVER));
+        table.release(SERVER, true, circuit -> circuit);
+        assertEquals(ServerTable.Usage.IDLE, table.usage(SERVER));
+    }
+
+    @Test
+    void aCircuitOpensAfterFailuresInARowAndAdmitsOneProbeAtATime() {
+        for (int failure = 0; failure < Circuit.FAILURES_TO_OPEN; failure++) {
+            table.acquire(SERVER, false, 0);
+            table.release(SERVER, false, circuit -> circuit.failed(0));
+        }
+        Circuit open = table.usage(SERVER).circuit();
+        assertTrue(open.isOpen());
+        long due = Duration.ofMillis(500).toNanos();
+        assertFalse(open.admitsProbe(due - 1));
+        assertTrue(open.admitsProbe(due));
+        table.acquire(SERVER, false, due);
+        assertFalse(table.usage(SERVER).circuit().admitsProbe(due));
+        table.release(SERVER, false, circuit -> circuit.failed(due));
+        assertFalse(table.usage(SERVER).circuit().admitsProbe(2 * due));
+        assertTrue(table.usage(SERVER).circuit().admitsProbe(3 * due));
+        table.release(SERVER, false, circuit -> circuit.succeeded(10));
+        assertFalse(table.usage(SERVER).circuit().isOpen());
+    }
+}
