--- a/src/main/java/org/borageproxy/entry/CallerCall.java
+++ b/src/main/java/org/borageproxy/entry/CallerCall.java
@@ -11,9 +11,7 @@
 import org.borageproxy.key.Authentication;
 import org.borageproxy.time.Deadline;
 
-/**
- * One call of a caller, authenticated unless its route is open. Confined to the request's event loop.
- */
+/** One call of a caller, authenticated unless its route is open. Confined to the request's event loop. */
 final class CallerCall {
 
     /** The header that identifies a request over resends. */
--- a/src/main/java/org/borageproxy/entry/EntryServer.java
+++ b/src/main/java/org/borageproxy/entry/EntryServer.java
@@ -106,9 +106,9 @@
     }
 
     /**
-     * Shuts down gracefully: readiness fails at once, calls are served as usual during the notice, then connections
-     * are closed after each answer, and the server stops once nothing is in flight. Only the deadline cuts calls; a
-     * second drain has no effect of its own.
+     * Shuts down gracefully: readiness fails at once, calls are served as usual during the notice, then connections are
+     * closed after each answer, and the server stops once nothing is in flight. Only the deadline cuts calls; a second
+     * drain has no effect of its own.
      *
      * @param deadline when to stop in any case
      * @return completes when the server has stopped
--- a/src/main/java/org/borageproxy/entry/EventStream.java
+++ b/src/main/java/org/borageproxy/entry/EventStream.java
@@ -8,8 +8,8 @@
 import org.borageproxy.result.ResultCode;
 
 /**
- * Streams a completion as server-sent events. The head is written with the first token, so that a failure before it
- * has its own status. A stream that is not whole never ends with the end mark: it ends with an error event and a closed
+ * Streams a completion as server-sent events. The head is written with the first token, so that a failure before it has
+ * its own status. A stream that is not whole never ends with the end mark: it ends with an error event and a closed
  * connection. Confined to the request's event loop.
  */
 final class EventStream implements TokenSink {
--- a/src/main/java/org/borageproxy/settings/ProcessSettings.java
+++ b/src/main/java/org/borageproxy/settings/ProcessSettings.java
@@ -14,6 +14,7 @@
  * @param operators where operators connect
  * @param announcements where backend servers announce themselves
  * @param dataFolder the folder of the durable state; empty if this VM is not in the control group
+ * @param group the identity of the control group, which changes when the group is created anew
  * @param controlVms the VMs of the control group
  * @param credentials the secrets
  * @param shutdown the time limits of a shutdown
@@ -24,6 +25,7 @@
         Endpoint operators,
         Endpoint announcements,
         Optional<Path> dataFolder,
+        String group,
         List<VmAddress> controlVms,
         Credentials credentials,
         ShutdownSettings shutdown) {
--- a/src/main/java/org/borageproxy/settings/SettingsFile.java
+++ b/src/main/java/org/borageproxy/settings/SettingsFile.java
@@ -85,7 +85,9 @@
                 root.has("callers") ? Optional.of(endpoint(root.child("callers"))) : Optional.empty();
         Endpoint operators = endpoint(root.child("operators"));
         Endpoint announcements = endpoint(root.child("announcements"));
-        List<VmAddress> controlVms = controlVms(root.child("control"));
+        SettingsReader control = root.child("control");
+        String group = control.text("group");
+        List<VmAddress> controlVms = controlVms(control);
         checkMembership(root, self, dataFolder, controlVms);
         return new ProcessSettings(
                 self,
@@ -93,6 +95,7 @@
                 operators,
                 announcements,
                 dataFolder,
+                group,
                 controlVms,
                 credentials(root.child("credentials"), folder),
                 root.has("shutdown") ? shutdown(root.child("shutdown")) : ShutdownSettings.DEFAULT);
@@ -105,7 +108,7 @@
      * @return the VMs
      */
     private static List<VmAddress> controlVms(SettingsReader control) {
-        control.allowOnly(Set.of("vm"));
+        control.allowOnly(Set.of("group", "vm"));
         List<VmAddress> vms = new ArrayList<>();
         for (SettingsReader vm : control.children("vm")) {
             vm.allowOnly(VM_KEYS);
--- a/src/test/java/org/borageproxy/process/FleetProcesses.java
+++ b/src/test/java/org/borageproxy/process/FleetProcesses.java
@@ -98,6 +98,7 @@
         text.append(endpoint("callers", own.host(), own.callers()));
         text.append(endpoint("operators", own.host(), own.operators()));
         text.append(endpoint("announcements", own.host(), own.announcements()));
+        text.append("[control]\ngroup = \"process-tests\"\n");
         for (String other : ports.keySet()) {
             if (isControl(other)) {
                 VmPorts peer = ports.get(other);
