Add the replicated log: consensus core, disk and driver

Cause: the state that every other promise rests on must outlive VMs and disks. Ruled out: one operating-system file per entry (a sync and a folder sync each); acknowledging before the sync; a vote kept only in memory. Conclusion: a group of three elects, replicates, restarts and is repaired in GroupMemberTest.

Wiring: once per VM GroupMember.bootstrap(folder, groupIdentity, self, initialVoters) or, after a lost disk, GroupMember.join(folder, groupIdentity, self), which returns the identity that the leader must add. At start GroupMember.open(folder, LogSettings.STANDARD, new MemberContext(network, stateMachine, MonotonicClock.ofSystem(), System::currentTimeMillis, events)), then start(); close() hands leadership over. GroupMember implements ReplicatedLog; change(new MemberChange.AddLearner/Promote/Remove(memberId), deadline) on the leader; status() gives role, term, leader and members. demo: GroupMember.inMemory(self, context). Futures complete on the core thread: don't block it.

--- /dev/null
+++ b/src/main/java/org/borageproxy/log/PendingChange.java
@@ -0,0 +1,33 @@
+package org.borageproxy.log;
+
+import java.util.concurrent.CompletableFuture;
+
+import com.google.protobuf.ByteString;
+import org.borageproxy.log.consensus.MemberChange;
+import org.borageproxy.time.Deadline;
+
+/**
+ * A caller that waits for its change of members. Immutable and thread safe.
+ *
+ * @param change the change
+ * @param deadline when to give up
+ * @param outcome takes the outcome
+ */
+record PendingChange(MemberChange change, Deadline deadline, CompletableFuture<ChangeOutcome> outcome)
+        implements PendingEntries.Waiter {
+
+    @Override
+    public void applied(long index, ByteString reply) {
+        outcome.complete(new ChangeOutcome.Committed(index));
+    }
+
+    @Override
+    public void overwritten() {
+        outcome.complete(new ChangeOutcome.Refused(MemberChange.Refusal.NOT_LEADER));
+    }
+
+    @Override
+    public void unknown() {
+        outcome.complete(new ChangeOutcome.Unknown());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/borageproxy/log/consensus/LogSettings.java
@@ -0,0 +1,137 @@
+package org.borageproxy.log.consensus;
+
+import java.time.Duration;
+
+/**
+ * The bounds by which a member of the control group works; equal on all members. Immutable and thread safe.
+ *
+ * @param heartbeat the time between two messages of the leader to a member
+ * @param electionTimeoutMinimum the shortest silence of a leader after which a member campaigns
+ * @param electionTimeoutMaximum the longest silence of a leader after which a member campaigns
+ * @param driftMarginPercent how much shorter than the shortest election timeout a leader's lease is, in percent
+ * @param batchEntries the most entries in a message
+ * @param batchBytes the most bytes of commands in a message, unless one command is larger
+ * @param windowEntries the most entries sent to a member and not yet acknowledged
+ * @param snapshotChunkBytes the bytes of a snapshot in a message
+ * @param snapshotEntries the applied entries after which a snapshot is taken
+ * @param trailingEntries the entries kept behind a snapshot for members that are a little behind
+ * @param segmentBytes the size after which a segment file is closed
+ */
+public record LogSettings(
+        Duration heartbeat,
+        Duration electionTimeoutMinimum,
+        Duration electionTimeoutMaximum,
+        int driftMarginPercent,
+        int batchEntries,
+        int batchBytes,
+        int windowEntries,
+        int snapshotChunkBytes,
+        int snapshotEntries,
+        int trailingEntries,
+        int segmentBytes) {
+
+    /** Hundred percent. */
+    private static final int HUNDRED_PERCENT = 100;
+
+    /** The settings for availability zones a few milliseconds apart. */
+    public static final LogSettings STANDARD = new LogSettings(
+            Duration.ofMillis(100),
+            Duration.ofMillis(500),
+            Duration.ofMillis(1000),
+            10,
+            256,
+            1 << 20,
+            2048,
+            256 << 10,
+            4096,
+            512,
+            4 << 20);
+
+    /** The settings for a group within one process. */
+    public static final LogSettings QUICK =
+            STANDARD.withTimes(Duration.ofMillis(20), Duration.ofMillis(100), Duration.ofMillis(200));
+
+    /** Refuses bounds that contradict each other. */
+    public LogSettings {
+        require(heartbeat.toNanos() > 0, "heartbeat must be positive");
+        require(
+                heartbeat.multipliedBy(3).compareTo(electionTimeoutMinimum) <= 0,
+                "electionTimeoutMinimum must be at least three heartbeats");
+        require(
+                electionTimeoutMinimum.compareTo(electionTimeoutMaximum) < 0,
+                "electionTimeoutMaximum must exceed electionTimeoutMinimum");
+        require(driftMarginPercent > 0 && driftMarginPercent < HUNDRED_PERCENT, "driftMarginPercent must be 1 to 99");
+        require(batchEntries > 0 && batchBytes > 0 && windowEntries >= batchEntries, "batches must fit the window");
+        require(snapshotChunkBytes > 0 && snapshotEntries > 0, "snapshot bounds must be positive");
+        require(trailingEntries >= 0 && segmentBytes > 0, "storage bounds must be positive");
+    }
+
+    /**
+     * Returns these settings with other times.
+     *
+     * @param newHeartbeat the time between two messages of the leader to a member
+     * @param newMinimum the shortest election timeout
+     * @param newMaximum the longest election timeout
+     * @return changed settings
+     */
+    public LogSettings withTimes(Duration newHeartbeat, Duration newMinimum, Duration newMaximum) {
+        return new LogSettings(
+                newHeartbeat,
+                newMinimum,
+                newMaximum,
+                driftMarginPercent,
+                batchEntries,
+                batchBytes,
+                windowEntries,
+                snapshotChunkBytes,
+                snapshotEntries,
+                trailingEntries,
+                segmentBytes);
+    }
+
+    /**
+     * Returns these settings with other bounds of snapshots.
+     *
+     * @param newSnapshotEntries the applied entries after which a snapshot is taken
+     * @param newTrailingEntries the entries kept behind a snapshot
+     * @param newChunkBytes the bytes of a snapshot in a message
+     * @return changed settings
+     */
+    public LogSettings withSnapshots(int newSnapshotEntries, int newTrailingEntries, int newChunkBytes) {
+        return new LogSettings(
+                heartbeat,
+                electionTimeoutMinimum,
+                electionTimeoutMaximum,
+                driftMarginPercent,
+                batchEntries,
+                batchBytes,
+                windowEntries,
+                newChunkBytes,
+                newSnapshotEntries,
+                newTrailingEntries,
+                segmentBytes);
+    }
+
+    /**
+     * Returns how long a leader may act after a majority answered it, shorter than any election timeout.
+     *
+     * @return the length of the lease
+     */
+    public Duration lease() {
+        return electionTimeoutMinimum
+                .multipliedBy(HUNDRED_PERCENT - driftMarginPercent)
+                .dividedBy(HUNDRED_PERCENT);
+    }
+
+    /**
+     * Refuses settings that break a rule.
+     *
+     * @param holds whether the rule holds
+     * @param rule the rule
+     */
+    private static void require(boolean holds, String rule) {
+        if (!holds) {
+            throw new IllegalArgumentException(rule);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/borageproxy/log/GroupMemberTest.java
@@ -0,0 +1,162 @@
+package org.borageproxy.log;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.IntStream;
+
+import org.borageproxy.event.EventRecorder;
+import org.borageproxy.log.consensus.LogSettings;
+import org.borageproxy.log.consensus.MemberChange;
+import org.borageproxy.log.consensus.MemberId;
+import org.borageproxy.log.storage.StorageException;
+import org.borageproxy.log.storage.StorageFault;
+import org.borageproxy.vm.VmName;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Tests of {@link GroupMember} with real threads and files. */
+class GroupMemberTest {
+
+    private static final VmName A = new VmName("a");
+
+    private static final VmName B = new VmName("b");
+
+    private static final VmName C = new VmName("c");
+
+    private static final LogSettings SETTINGS = LogSettings.QUICK.withSnapshots(50, 10, 256);
+
+    @TempDir
+    private Path root;
+
+    @Test
+    void aKilledLeaderIsReplacedAndNothingCommittedIsLost() throws Exception {
+        try (TestGroup group = new TestGroup(root, LogSettings.QUICK, "a", "b", "c")) {
+            group.commit("one");
+            VmName first = group.awaitLeader();
+            group.kill(first);
+            group.commit("two");
+            group.start(first);
+            TestGroup.await(() -> group.machines.get(first).commands().equals(List.of("one", "two")));
+            assertTrue(group.confirm(first));
+        }
+    }
+
+    @Test
+    void allMembersRestartedTogetherKeepWhatWasCommitted() throws Exception {
+        List<String> commands =
+                IntStream.range(0, 200).mapToObj(Integer::toString).toList();
+        try (TestGroup group = new TestGroup(root, SETTINGS, "a", "b", "c")) {
+            commands.forEach(group::commit);
+            List.of(A, B, C).forEach(group::kill);
+            for (VmName name : List.of(A, B, C)) {
+                group.start(name);
+            }
+            TestGroup.await(() -> group.machines.values().stream()
+                    .allMatch(machine -> machine.commands().equals(commands)));
+        }
+    }
+
+    @Test
+    void anIsolatedLeaderStopsToLeadAndDoesNotDeposeItsSuccessor() throws Exception {
+        try (TestGroup group = new TestGroup(root, LogSettings.QUICK, "a", "b", "c")) {
+            group.commit("one");
+            VmName first = group.awaitLeader();
+            GroupMember isolated = group.members.get(first);
+            group.hub.isolate(first);
+            TestGroup.await(() -> !isolated.isLeader());
+            assertFalse(group.confirm(first));
+            assertFalse(group.propose(isolated, "lost") instanceof ReplicatedLog.Proposal.Committed);
+            group.commit("two");
+            VmName second = group.awaitLeader();
+            long term = group.members.get(second).status().term();
+            group.hub.reconnect(first);
+            TestGroup.await(() -> group.machines.get(first).commands().equals(List.of("one", "two")));
+            assertEquals(term, group.members.get(second).status().term());
+        }
+    }
+
+    @Test
+    void aSecondVmMayBeLostRightAfterARepair() throws Exception {
+        try (TestGroup group = new TestGroup(root, SETTINGS, "a", "b", "c")) {
+            IntStream.range(0, 120).forEach(number -> group.commit("command " + number));
+            group.kill(C);
+            MemberId lost = MemberId.initial("group", C);
+            MemberId repaired = group.replaceDisk(C);
+            group.start(C);
+            group.change(new MemberChange.AddLearner(repaired));
+            group.change(new MemberChange.Promote(repaired));
+            group.change(new MemberChange.Remove(lost));
+            VmName second = group.awaitLeader().equals(A) ? A : B;
+            group.kill(second);
+            group.commit("after");
+            List<String> kept = group.machines.get(C).commands();
+            assertEquals(121, kept.size());
+            assertEquals("after", kept.get(120));
+        }
+    }
+
+    @Test
+    void anEmptyFolderIsNoMember() {
+        StorageException refused = assertThrows(
+                StorageException.class, () -> GroupMember.open(root, LogSettings.STANDARD, context(new LocalHub(), A)));
+        assertEquals(StorageFault.Kind.NO_IDENTITY, refused.fault().kind());
+    }
+
+    @Test
+    void aMemberThatJoinsDoesNothingUntilItIsAdded() throws Exception {
+        try (LocalHub hub = new LocalHub()) {
+            GroupMember.join(root, "group", A);
+            try (GroupMember member = GroupMember.open(root, LogSettings.QUICK, context(hub, A))) {
+                member.start();
+                Thread.sleep(LogSettings.QUICK
+                        .electionTimeoutMaximum()
+                        .multipliedBy(3)
+                        .toMillis());
+                assertEquals(0, member.status().term());
+            }
+        }
+    }
+
+    @Test
+    void closingTheLeaderHandsLeadershipOver() throws Exception {
+        LogSettings patient = LogSettings.STANDARD.withTimes(
+                java.time.Duration.ofMillis(50), java.time.Duration.ofSeconds(2), java.time.Duration.ofSeconds(3));
+        try (TestGroup group = new TestGroup(root, patient, "a", "b", "c")) {
+            group.commit("one");
+            VmName first = group.awaitLeader();
+            long started = System.nanoTime();
+            group.members.remove(first).close();
+            group.awaitLeader();
+            long millis = (System.nanoTime() - started) / 1_000_000;
+            assertTrue(millis < 1_500, "took " + millis + " ms, which is no hand-over");
+        }
+    }
+
+    @Test
+    void aSingleMemberInMemoryCommits() {
+        try (LocalHub hub = new LocalHub();
+                GroupMember member = GroupMember.inMemory(A, context(hub, A))) {
+            member.start();
+            TestGroup.await(member::isLeader);
+            ReplicatedLog.Proposal proposal = TestGroup.join(member.propose(
+                    com.google.protobuf.ByteString.copyFromUtf8("x"),
+                    org.borageproxy.time.Deadline.after(System.nanoTime(), java.time.Duration.ofSeconds(10))));
+            assertInstanceOf(ReplicatedLog.Proposal.Committed.class, proposal);
+        }
+    }
+
+    private static MemberContext context(LocalHub hub, VmName name) {
+        return new MemberContext(
+                hub.networkOf(name),
+                new RecordingMachine(),
+                TestGroup.CLOCK,
+                System::currentTimeMillis,
+                EventRecorder.NoOp.INSTANCE);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/borageproxy/log/TestGroup.java
@@ -0,0 +1,139 @@
+package org.borageproxy.log;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+import com.google.protobuf.ByteString;
+import org.borageproxy.event.EventRecorder;
+import org.borageproxy.log.consensus.LogSettings;
+import org.borageproxy.log.consensus.MemberChange;
+import org.borageproxy.log.consensus.MemberId;
+import org.borageproxy.time.Deadline;
+import org.borageproxy.time.MonotonicClock;
+import org.borageproxy.vm.VmName;
+
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** A group of members with disks in one process. */
+final class TestGroup implements AutoCloseable {
+
+    static final MonotonicClock CLOCK = MonotonicClock.ofSystem();
+
+    private static final Duration PATIENCE = Duration.ofSeconds(20);
+
+    final LocalHub hub = new LocalHub();
+
+    final Map<VmName, GroupMember> members = new ConcurrentHashMap<>();
+
+    final Map<VmName, RecordingMachine> machines = new ConcurrentHashMap<>();
+
+    private final Path root;
+
+    private final LogSettings settings;
+
+    TestGroup(Path root, LogSettings settings, String... names) throws IOException {
+        this.root = root;
+        this.settings = settings;
+        List<VmName> voters = List.of(names).stream().map(VmName::new).toList();
+        for (VmName name : voters) {
+            GroupMember.bootstrap(folder(name), "group", name, voters);
+            start(name);
+        }
+    }
+
+    Path folder(VmName name) {
+        return root.resolve(name.value());
+    }
+
+    GroupMember start(VmName name) throws IOException {
+        RecordingMachine machine = new RecordingMachine();
+        MemberContext context = new MemberContext(
+                hub.networkOf(name), machine, CLOCK, System::currentTimeMillis, EventRecorder.NoOp.INSTANCE);
+        GroupMember member = GroupMember.open(folder(name), settings, context);
+        machines.put(name, machine);
+        members.put(name, member);
+        member.start();
+        return member;
+    }
+
+    /** Ends a member without a hand-over. */
+    void kill(VmName name) {
+        hub.isolate(name);
+        members.remove(name).close();
+        hub.reconnect(name);
+    }
+
+    /** Empties a VM's folder and makes a new member there. */
+    MemberId replaceDisk(VmName name) throws IOException {
+        Path emptied = root.resolve(name.value() + "-lost");
+        java.nio.file.Files.move(folder(name), emptied);
+        return GroupMember.join(folder(name), "group", name);
+    }
+
+    VmName awaitLeader() {
+        await(() -> members.values().stream().anyMatch(GroupMember::isLeader));
+        return members.entrySet().stream()
+                .filter(entry -> entry.getValue().isLeader())
+                .findFirst()
+                .map(Map.Entry::getKey)
+                .orElseGet(this::awaitLeader);
+    }
+
+    /** Proposes until the command is committed; each command may be applied more than once. */
+    void commit(String command) {
+        await(() -> {
+            GroupMember leader = members.get(awaitLeader());
+            return leader != null && propose(leader, command) instanceof ReplicatedLog.Proposal.Committed;
+        });
+    }
+
+    ReplicatedLog.Proposal propose(GroupMember member, String command) {
+        Deadline deadline = Deadline.after(CLOCK.nanoTime(), Duration.ofSeconds(2));
+        return join(member.propose(ByteString.copyFromUtf8(command), deadline));
+    }
+
+    void change(MemberChange change) {
+        GroupMember leader = members.get(awaitLeader());
+        Deadline deadline = Deadline.after(CLOCK.nanoTime(), PATIENCE);
+        assertInstanceOf(ChangeOutcome.Committed.class, join(leader.change(change, deadline)));
+    }
+
+    boolean confirm(VmName name) {
+        Deadline deadline = Deadline.after(CLOCK.nanoTime(), Duration.ofSeconds(2));
+        return join(members.get(name).confirmRead(deadline));
+    }
+
+    static <T> T join(java.util.concurrent.CompletionStage<T> stage) {
+        try {
+            return stage.toCompletableFuture().get(PATIENCE.toSeconds(), TimeUnit.SECONDS);
+        } catch (Exception exception) {
+            throw new AssertionError(exception);
+        }
+    }
+
+    static void await(BooleanSupplier condition) {
+        Deadline deadline = Deadline.after(CLOCK.nanoTime(), PATIENCE);
+        while (!condition.getAsBoolean()) {
+            assertTrue(!deadline.hasPassed(CLOCK.nanoTime()), "condition did not come true in time");
+            Thread.onSpinWait();
+            try {
+                Thread.sleep(2);
+            } catch (InterruptedException exception) {
+                throw new AssertionError(exception);
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        members.keySet().forEach(this::kill);
+        hub.close();
+    }
+}
