--- a/src/main/java/org/borageproxy/log/consensus/Elections.java
+++ b/src/main/java/org/borageproxy/log/consensus/Elections.java
@@ -85,7 +85,8 @@
     }
 
     /**
-     * Answers a candidate.
+     * Answers a candidate. A member that caught up answers also before it learns that it became a voter, since the
+     * candidate may need its vote.
      *
      * @param message the candidate's request
      * @param leaseHeld whether this member leads and holds its lease
@@ -93,7 +94,8 @@
     void onRequest(LogMessage message, boolean leaseHeld) {
         VoteRequest request = message.getVoteRequest();
         boolean bound = leaseHeld || state.role() != Role.LEADER && state.isBoundToLeader();
-        if (!state.isVoter() || bound && !request.getTransfer()) {
+        boolean entitled = state.isVoter() || state.isCaughtUp();
+        if (!entitled || bound && !request.getTransfer()) {
             return;
         }
         MemberId candidate = MemberId.decode(message.getSender());
--- a/src/main/java/org/borageproxy/log/consensus/Following.java
+++ b/src/main/java/org/borageproxy/log/consensus/Following.java
@@ -166,6 +166,7 @@
     private void acknowledge() {
         AppendResponse response = AppendResponse.newBuilder()
                 .setSuccess(true)
+                .setCaughtUp(state.isCaughtUp())
                 .setMatch(Math.min(matched, state.durability().durableIndex()))
                 .build();
         answer(LogMessage.newBuilder().setAppendResponse(response));
--- a/src/main/java/org/borageproxy/log/consensus/Leadership.java
+++ b/src/main/java/org/borageproxy/log/consensus/Leadership.java
@@ -149,6 +149,7 @@
         }
         Progress progress = progresses.get(change.member());
         boolean current = progress != null
+                && progress.isCaughtUp()
                 && progress.mode() == Progress.Mode.REPLICATE
                 && progress.match() >= state.commit()
                 && !leaseFrom(progress.answeredSentAtNanos()).hasPassed(state.nowNanos());
@@ -176,7 +177,7 @@
         }
         AppendResponse response = message.getAppendResponse();
         if (response.getSuccess()) {
-            progress.matched(response.getMatch());
+            progress.matched(response.getMatch(), response.getCaughtUp());
         } else {
             progress.refused(response.getNextHint());
         }
--- a/src/main/java/org/borageproxy/log/consensus/Progress.java
+++ b/src/main/java/org/borageproxy/log/consensus/Progress.java
@@ -31,6 +31,9 @@
     /** The last index known to be durable at the member. */
     private long match;
 
+    /** Whether the member says that its vote counts. */
+    private boolean caughtUp;
+
     /** Whether a probe is under way. */
     private boolean waiting;
 
@@ -83,8 +86,10 @@
      * Notes that entries are durable at the member.
      *
      * @param index the last durable index equal to the leader's
+     * @param memberCaughtUp whether the member says that its vote counts
      */
-    void matched(long index) {
+    void matched(long index, boolean memberCaughtUp) {
+        caughtUp = memberCaughtUp;
         match = Math.max(match, index);
         waiting = false;
         if (mode == Mode.SNAPSHOT && match < snapshotPosition.getIndex()) {
@@ -226,6 +231,15 @@
         return waiting;
     }
 
+    /**
+     * Tells whether the member says that its vote counts.
+     *
+     * @return {@code true} once it held all that a leader had
+     */
+    boolean isCaughtUp() {
+        return caughtUp;
+    }
+
     /**
      * Returns the next index to send.
      *
--- a/src/main/java/org/borageproxy/log/consensus/ReplicaState.java
+++ b/src/main/java/org/borageproxy/log/consensus/ReplicaState.java
@@ -345,6 +345,15 @@
         return log.members().voters().contains(self);
     }
 
+    /**
+     * Tells whether the member once held all that a leader had.
+     *
+     * @return {@code true} if its vote counts
+     */
+    boolean isCaughtUp() {
+        return caughtUp;
+    }
+
     /**
      * Tells whether a candidate's log holds all that this member may have acknowledged. A member that never caught up
      * trusts its empty log only among initial voters without entries, since its data may have been lost.
--- a/src/main/java/org/borageproxy/wire/proto/LogProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/LogProtocol.java
@@ -12780,6 +12780,16 @@
      * @return The nextHint.
      */
     long getNextHint();
+
+    /**
+     * <pre>
+     * Whether the member's vote counts, see HardState.
+     * </pre>
+     *
+     * <code>bool caught_up = 4;</code>
+     * @return The caughtUp.
+     */
+    boolean getCaughtUp();
   }
   /**
    * Protobuf type {@code borageproxy.log.AppendResponse}
@@ -12864,6 +12874,21 @@
       return nextHint_;
     }
 
+    public static final int CAUGHT_UP_FIELD_NUMBER = 4;
+    private boolean caughtUp_ = false;
+    /**
+     * <pre>
+     * Whether the member's vote counts, see HardState.
+     * </pre>
+     *
+     * <code>bool caught_up = 4;</code>
+     * @return The caughtUp.
+     */
+    @java.lang.Override
+    public boolean getCaughtUp() {
+      return caughtUp_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -12887,6 +12912,9 @@
       if (nextHint_ != 0L) {
         output.writeUInt64(3, nextHint_);
       }
+      if (caughtUp_ != false) {
+        output.writeBool(4, caughtUp_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -12908,6 +12936,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(3, nextHint_);
       }
+      if (caughtUp_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(4, caughtUp_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -12929,6 +12961,8 @@
           != other.getMatch()) return false;
       if (getNextHint()
           != other.getNextHint()) return false;
+      if (getCaughtUp()
+          != other.getCaughtUp()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -12949,6 +12983,9 @@
       hash = (37 * hash) + NEXT_HINT_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getNextHint());
+      hash = (37 * hash) + CAUGHT_UP_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getCaughtUp());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -13083,6 +13120,7 @@
         success_ = false;
         match_ = 0L;
         nextHint_ = 0L;
+        caughtUp_ = false;
         return this;
       }
 
@@ -13125,6 +13163,9 @@
         if (((from_bitField0_ & 0x00000004) != 0)) {
           result.nextHint_ = nextHint_;
         }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.caughtUp_ = caughtUp_;
+        }
       }
 
       @java.lang.Override
@@ -13148,6 +13189,9 @@
         if (other.getNextHint() != 0L) {
           setNextHint(other.getNextHint());
         }
+        if (other.getCaughtUp() != false) {
+          setCaughtUp(other.getCaughtUp());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -13189,6 +13233,11 @@
                 bitField0_ |= 0x00000004;
                 break;
               } // case 24
+              case 32: {
+                caughtUp_ = input.readBool();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -13326,6 +13375,50 @@
         return this;
       }
 
+      private boolean caughtUp_ ;
+      /**
+       * <pre>
+       * Whether the member's vote counts, see HardState.
+       * </pre>
+       *
+       * <code>bool caught_up = 4;</code>
+       * @return The caughtUp.
+       */
+      @java.lang.Override
+      public boolean getCaughtUp() {
+        return caughtUp_;
+      }
+      /**
+       * <pre>
+       * Whether the member's vote counts, see HardState.
+       * </pre>
+       *
+       * <code>bool caught_up = 4;</code>
+       * @param value The caughtUp to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCaughtUp(boolean value) {
+
+        caughtUp_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether the member's vote counts, see HardState.
+       * </pre>
+       *
+       * <code>bool caught_up = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCaughtUp() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        caughtUp_ = false;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.log.AppendResponse)
     }
 
@@ -16424,18 +16517,19 @@
       "(\004\"\212\001\n\rAppendRequest\022+\n\010previous\030\001 \001(\0132\031" +
       ".borageproxy.log.Position\022\'\n\007entries\030\002 \003" +
       "(\0132\026.borageproxy.log.Entry\022\016\n\006commit\030\003 \001" +
-      "(\004\022\023\n\013leader_last\030\004 \001(\004\"C\n\016AppendRespons" +
+      "(\004\022\023\n\013leader_last\030\004 \001(\004\"V\n\016AppendRespons" +
       "e\022\017\n\007success\030\001 \001(\010\022\r\n\005match\030\002 \001(\004\022\021\n\tnex" +
-      "t_hint\030\003 \001(\004\"{\n\rSnapshotChunk\022+\n\010positio" +
-      "n\030\001 \001(\0132\031.borageproxy.log.Position\022\016\n\006of" +
-      "fset\030\002 \001(\004\022\r\n\005total\030\003 \001(\004\022\020\n\010checksum\030\004 " +
-      "\001(\007\022\014\n\004data\030\005 \001(\014\"f\n\020SnapshotResponse\022+\n" +
-      "\010position\030\001 \001(\0132\031.borageproxy.log.Positi" +
-      "on\022\020\n\010checksum\030\002 \001(\007\022\023\n\013next_offset\030\003 \001(" +
-      "\004\"\037\n\013ReadRequest\022\020\n\010sequence\030\001 \001(\004\"/\n\014Re" +
-      "adResponse\022\020\n\010sequence\030\001 \001(\004\022\r\n\005index\030\002 " +
-      "\001(\004\"\r\n\013CampaignNowB)\n\032org.borageproxy.wi" +
-      "re.protoB\013LogProtocolb\006proto3"
+      "t_hint\030\003 \001(\004\022\021\n\tcaught_up\030\004 \001(\010\"{\n\rSnaps" +
+      "hotChunk\022+\n\010position\030\001 \001(\0132\031.borageproxy" +
+      ".log.Position\022\016\n\006offset\030\002 \001(\004\022\r\n\005total\030\003" +
+      " \001(\004\022\020\n\010checksum\030\004 \001(\007\022\014\n\004data\030\005 \001(\014\"f\n\020" +
+      "SnapshotResponse\022+\n\010position\030\001 \001(\0132\031.bor" +
+      "ageproxy.log.Position\022\020\n\010checksum\030\002 \001(\007\022" +
+      "\023\n\013next_offset\030\003 \001(\004\"\037\n\013ReadRequest\022\020\n\010s" +
+      "equence\030\001 \001(\004\"/\n\014ReadResponse\022\020\n\010sequenc" +
+      "e\030\001 \001(\004\022\r\n\005index\030\002 \001(\004\"\r\n\013CampaignNowB)\n" +
+      "\032org.borageproxy.wire.protoB\013LogProtocol" +
+      "b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -16518,7 +16612,7 @@
     internal_static_borageproxy_log_AppendResponse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_log_AppendResponse_descriptor,
-        new java.lang.String[] { "Success", "Match", "NextHint", });
+        new java.lang.String[] { "Success", "Match", "NextHint", "CaughtUp", });
     internal_static_borageproxy_log_SnapshotChunk_descriptor =
       getDescriptor().getMessageType(13);
     internal_static_borageproxy_log_SnapshotChunk_fieldAccessorTable = new
