Add the workspaces' rates over all VMs and the fair queues

Cause: no workspace may get more than its rate and burst over all VMs, and one workspace's excess must not delay the others. Ruled out: waiting out the predecessor's credit after a failover (a two-second outage for workspaces within their rate). Instead no credit outlives the lease under which it was granted, so a successor knows that none is left. Ruled out as well: giving the unused part of a reservation back in full; it would let a bucket exceed its burst if it was full in between. Change: QuotaOwner, CreditLedger (pure), FleetQuota and OwnedShards (drivers), FairQueue (start-time fair queueing by tokens), FairDispatchQueue.

Wiring: - new QuotaEnvironment(self, uniqueSessionPerProcessRun, () -> peerNames, vmNetwork, leaseStore, configurationSource, clock, timers, eventRecorder, 8, candidate, QuotaSettings.DEFAULT); FleetQuota.start(environment). It registers MessageKind.QUOTA, owns no shard in the first 2.1 s of a process (credit of an earlier run with the same epoch must have ended), and needs leases of 1 s or longer. handBack() completes once credit and duties are returned; go on running the timers until then. - new FairDispatchQueue(pool -> slots, clock, timers); capacityChanged(pool) after a load or a leave; close() refuses new ones, stop() ends the timer. - Reserve first, then enter the queue; refund() if the request was not sent, settle(used) when it ended, also when it failed. - LeaseStore.holder(duty) must give the epoch of the newest holder; epochs of a duty must rise with each change of holder.

--- /dev/null
+++ b/src/test/java/org/borageproxy/quota/FleetQuotaTest.java
@@ -0,0 +1,251 @@
+package org.borageproxy.quota;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.borageproxy.quota.TokenQuota.Decision;
+import org.borageproxy.quota.VirtualFleet.Member;
+import org.borageproxy.result.ResultCode;
+import org.borageproxy.time.Deadline;
+import org.junit.jupiter.api.Test;
+
+import static org.borageproxy.quota.VirtualFleet.DRIFT;
+import static org.borageproxy.quota.VirtualFleet.MILLI;
+import static org.borageproxy.quota.VirtualFleet.SECOND;
+import static org.borageproxy.quota.VirtualFleet.workspace;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Tests the real quotas of nine VMs in virtual time. */
+class FleetQuotaTest {
+
+    private static final long RATE = 1_000;
+    private static final long BURST = 2_000;
+
+    /** What happened to the requests of one workspace. */
+    private static final class Outcome {
+        private final List<Spend> spends = new ArrayList<>();
+        private int refused;
+        private int reserved;
+        private long slowestNanos;
+
+        /** Tokens that were reserved; {@code used} falls once they are settled. */
+        private static final class Spend {
+            private final long atNanos;
+            private long used;
+
+            Spend(long atNanos, long used) {
+                this.atNanos = atNanos;
+                this.used = used;
+            }
+        }
+
+        /** Returns the smallest burst with which the rate explains all that was spent over every window. */
+        double explainedBurst(double rate) {
+            double level = 0;
+            double largest = 0;
+            long lastNanos = 0;
+            for (Spend spend : spends) {
+                level = Math.max(0, level - rate * (spend.atNanos - lastNanos) / 1e9) + spend.used;
+                lastNanos = spend.atNanos;
+                largest = Math.max(largest, level);
+            }
+            return largest;
+        }
+    }
+
+    private static void request(VirtualFleet fleet, Member member, long tokens, long used, Outcome outcome) {
+        long startedAtNanos = fleet.time.nowNanos();
+        var vm = member.vm;
+        if (!vm.isRunning()) {
+            return;
+        }
+        Deadline deadline = new Deadline(vm.localNanos() + 3 * SECOND);
+        member.quota.reserve("w", tokens, deadline).thenAccept(decision -> {
+            if (decision instanceof Decision.Reserved reserved) {
+                outcome.reserved++;
+                outcome.slowestNanos = Math.max(outcome.slowestNanos, fleet.time.nowNanos() - startedAtNanos);
+                Outcome.Spend spend = new Outcome.Spend(fleet.time.nowNanos(), tokens);
+                outcome.spends.add(spend);
+                vm.schedule(
+                        () -> {
+                            spend.used = used;
+                            reserved.reservation().settle(used);
+                        },
+                        fleet.random.nextInt(1_500),
+                        TimeUnit.MILLISECONDS);
+            } else {
+                outcome.refused++;
+            }
+        });
+    }
+
+    private static void settleDown(VirtualFleet fleet) {
+        fleet.time.runUntil(8 * SECOND);
+    }
+
+    private static void assertWithinBound(Outcome outcome) {
+        double explained = outcome.explainedBurst(RATE * (1 + DRIFT));
+        assertTrue(explained <= BURST + 1, "spent a burst of " + explained + " in " + outcome.spends.size());
+    }
+
+    @Test
+    void evenLoadJustUnderTheRateIsNeverRefused() {
+        VirtualFleet fleet = new VirtualFleet(1, 9, workspace("w", RATE, BURST));
+        settleDown(fleet);
+        Outcome outcome = new Outcome();
+        for (int index = 0; index < 2_850; index++) {
+            Member member = fleet.members.get(index % 9);
+            fleet.time.after(index * 20 * MILLI, () -> request(fleet, member, 19, 19, outcome));
+        }
+        fleet.time.runUntil(80 * SECOND);
+        assertEquals(0, outcome.refused);
+        assertEquals(2_850, outcome.reserved);
+        assertTrue(outcome.slowestNanos < 250 * MILLI, "slowest " + outcome.slowestNanos);
+        assertWithinBound(outcome);
+    }
+
+    @Test
+    void loadThatJumpsBetweenVmsIsNeverRefused() {
+        VirtualFleet fleet = new VirtualFleet(2, 9, workspace("w", RATE, BURST));
+        settleDown(fleet);
+        Outcome outcome = new Outcome();
+        for (int index = 0; index < 570; index++) {
+            Member member = fleet.members.get(index / 10 % 9);
+            fleet.time.after(index * 100 * MILLI, () -> request(fleet, member, 95, 95, outcome));
+        }
+        fleet.time.runUntil(80 * SECOND);
+        assertEquals(0, outcome.refused);
+        assertEquals(570, outcome.reserved);
+        assertTrue(outcome.slowestNanos < 500 * MILLI, "slowest " + outcome.slowestNanos);
+        assertWithinBound(outcome);
+    }
+
+    @Test
+    void wholeBurstIsAvailableAtOneVmAfterAllOthersWereBusy() {
+        VirtualFleet fleet = new VirtualFleet(3, 9, workspace("w", RATE, BURST));
+        settleDown(fleet);
+        Outcome outcome = new Outcome();
+        for (int index = 0; index < 180; index++) {
+            Member member = fleet.members.get(index % 9);
+            fleet.time.after(index * 10 * MILLI, () -> request(fleet, member, 9, 9, outcome));
+        }
+        fleet.time.after(5 * SECOND, () -> request(fleet, fleet.members.get(4), BURST, BURST, outcome));
+        fleet.time.runUntil(20 * SECOND);
+        assertEquals(181, outcome.reserved);
+        assertTrue(outcome.slowestNanos < 100 * MILLI, "slowest " + outcome.slowestNanos);
+    }
+
+    @Test
+    void refusalsNameTheirReason() {
+        VirtualFleet fleet = new VirtualFleet(4, 3, workspace("w", RATE, BURST));
+        settleDown(fleet);
+        Member member = fleet.members.get(0);
+        List<Decision> decisions = new ArrayList<>();
+        Deadline soon = new Deadline(member.vm.localNanos() + 500 * MILLI);
+        member.quota.reserve("w", BURST + 1, soon).thenAccept(decisions::add);
+        member.quota.reserve("w", BURST, soon).thenAccept(decisions::add);
+        member.quota.reserve("w", 1_500, soon).thenAccept(decisions::add);
+        fleet.time.runUntil(9 * SECOND);
+        assertEquals(ResultCode.TOO_MANY_TOKENS, ((Decision.Refused) decisions.get(0)).code());
+        assertTrue(decisions.get(1) instanceof Decision.Reserved);
+        Decision.Refused exceeded = (Decision.Refused) decisions.get(2);
+        assertEquals(ResultCode.RATE_EXCEEDED, exceeded.code());
+        long waitMillis = (exceeded.retryAt().atNanos() - soon.atNanos()) / MILLI + 500;
+        assertTrue(waitMillis > 1_400 && waitMillis < 1_600, "come back after " + waitMillis);
+        fleet.members.forEach(each -> each.cutOff = each == member);
+        Deadline later = new Deadline(member.vm.localNanos() + 4 * SECOND);
+        String shardOfOther = fleet.ownerOf("w").orElseThrow() == member ? "owner itself" : "cut off";
+        member.quota.reserve("w", 100, later).thenAccept(decisions::add);
+        fleet.time.runUntil(14 * SECOND);
+        assertEquals("cut off", shardOfOther);
+        assertEquals(ResultCode.QUOTA_OWNER_UNREACHABLE, ((Decision.Refused) decisions.get(3)).code());
+    }
+
+    @Test
+    void workspaceWithinItsRateSurvivesTheDeathOfItsOwner() {
+        VirtualFleet fleet = new VirtualFleet(5, 9, workspace("w", RATE, BURST));
+        settleDown(fleet);
+        Outcome outcome = new Outcome();
+        Member owner = fleet.ownerOf("w").orElseThrow();
+        List<Member> callers =
+                fleet.members.stream().filter(each -> each != owner).toList();
+        for (int index = 0; index < 1_000; index++) {
+            Member member = callers.get(index % callers.size());
+            fleet.time.after(index * 20 * MILLI, () -> request(fleet, member, 14, 14, outcome));
+        }
+        fleet.time.after(5 * SECOND, owner.vm::kill);
+        fleet.time.runUntil(60 * SECOND);
+        assertWithinBound(outcome);
+        assertTrue(outcome.refused <= 100, "refused " + outcome.refused);
+    }
+
+    @Test
+    void levelsAreHandedOverWhenAnOwnerLeaves() {
+        VirtualFleet fleet = new VirtualFleet(6, 9, workspace("w", RATE, BURST));
+        settleDown(fleet);
+        Member owner = fleet.ownerOf("w").orElseThrow();
+        List<Boolean> closed = new ArrayList<>();
+        owner.quota.handBack().thenRun(() -> closed.add(true));
+        fleet.time.runUntil(10 * SECOND);
+        assertEquals(1, closed.size());
+        assertTrue(fleet.ownerOf("w").orElseThrow() != owner);
+        Outcome outcome = new Outcome();
+        Member caller =
+                fleet.members.stream().filter(each -> each != owner).findFirst().orElseThrow();
+        request(fleet, caller, 1_900, 1_900, outcome);
+        fleet.time.runUntil(11 * SECOND);
+        assertEquals(1, outcome.reserved);
+        assertTrue(outcome.slowestNanos < 50 * MILLI, "slowest " + outcome.slowestNanos);
+    }
+
+    @Property(seed = "42", tries = 60)
+    void neverSpendsMoreThanBurstAndRateUnderAnyFaults(@ForAll Random seeds) {
+        VirtualFleet fleet = new VirtualFleet(seeds.nextLong(), 9, workspace("w", RATE, BURST));
+        Random random = fleet.random;
+        fleet.lossRate = random.nextDouble() * 0.3;
+        fleet.duplicateRate = random.nextDouble() * 0.3;
+        fleet.lateRate = random.nextDouble() * 0.2;
+        Outcome outcome = new Outcome();
+        for (int index = 0; index < 2_000; index++) {
+            long atNanos = random.nextInt(40_000) * MILLI;
+            Member member = fleet.members.get(random.nextInt(9));
+            long tokens = 1 + random.nextInt(300);
+            long used = random.nextInt((int) tokens + 1);
+            fleet.time.after(atNanos, () -> request(fleet, member, tokens, used, outcome));
+        }
+        for (int index = 0; index < 12; index++) {
+            fleet.time.after(random.nextInt(40_000) * MILLI, () -> fault(fleet));
+        }
+        fleet.time.runUntil(50 * SECOND);
+        assertTrue(outcome.reserved > 0);
+        assertWithinBound(outcome);
+    }
+
+    private static void fault(VirtualFleet fleet) {
+        Random random = fleet.random;
+        boolean atOwner = random.nextBoolean();
+        Member any = fleet.members.get(random.nextInt(9));
+        Member member = atOwner ? fleet.ownerOf("w").orElse(any) : any;
+        if (!member.vm.isRunning()) {
+            return;
+        }
+        long lastsNanos = random.nextInt(6_000) * MILLI;
+        switch (random.nextInt(4)) {
+            case 0 -> member.vm.freeze(lastsNanos);
+            case 1 -> {
+                member.cutOff = true;
+                fleet.time.after(lastsNanos, () -> member.cutOff = false);
+            }
+            case 2 -> member.quota.close();
+            default -> {
+                member.vm.kill();
+                fleet.time.after(lastsNanos / 10, member::start);
+            }
+        }
+    }
+}
