Add orders, the ledger, the planner and the placement owner

Memory may be overcommitted by orders that land late, twice or from an earlier owner, so accepted orders and load reports prove nothing. The ledger counts what the engine's own state shows plus every open order that may still land, and resolves an order only by a fencing number, a refusal, or time. Resolving once the effect is seen was ruled out for engines that ignore fencing numbers: a duplicate may still land after a later unload.

Shown by PlacementOwnerTest in virtual time (60 + 40 tries, lost, late, duplicated, reordered orders, frozen and isolated owners, restarts, both kinds of engine): the engines' own overcommit counters stay 0, the last copy is never unloaded, every model is reachable after the last fault.

Wiring: - client = new HttpOrderClient(vertx); - view = new DemandView(clock); view.register(vmNetwork); - table = new DemandTable(self, vmNetwork, leaseStore, view, clock, startedMillis) is the DemandMeter of the entry; - service = PlacementService.ofCandidate(new PlacementParts(leaseStore, ledgerStore, client, membership.registry(), configurationSource::current, view::current, PlacementSettings.DEFAULT, clock, eventRecorder), table) or PlacementService.ofEntryOnly(table); start(), close(). - FitCheck.check(configuration, registry.current()) for the tree check. PlacementSettings.leaseDuration must be at least the lease store's longest lease.

--- /dev/null
+++ b/src/main/java/org/borageproxy/placement/Planner.java
@@ -0,0 +1,357 @@
+package org.borageproxy.placement;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+
+import org.borageproxy.tree.Adapter;
+import org.borageproxy.vm.AvailabilityZone;
+
+/**
+ * Decides which orders bring the fleet nearer to what is wanted. Equal inputs give equal plans. The plan first restores
+ * reachability, then follows the demand, then spreads copies over availability zones, and moves nothing without a
+ * reason: a copy is unloaded only if the configuration names it no more or if another copy needs its room, and never
+ * while it is the last one that serves. Stateless and thread safe.
+ */
+final class Planner {
+
+    /** The part of an engine's power up to which a copy is given demand before another copy is loaded. */
+    private static final double LOAD_MORE_ABOVE = 0.6;
+    /** The part of an engine's power below which fewer copies would do. */
+    private static final double NEED_FEWER_BELOW = 0.3;
+    /** The number of copies that a model has without demand, in different availability zones. */
+    private static final int BASE_COPIES = 2;
+
+    /** What must be reachable. */
+    private final WantedModels wanted;
+    /** The fleet with the orders planned so far. */
+    private final PlannerDraft draft;
+
+    /**
+     * Creates a planner for one plan.
+     *
+     * @param input what the plan follows from
+     */
+    private Planner(PlannerInput input) {
+        wanted = new WantedModels(input.configuration(), input.demand());
+        draft = new PlannerDraft(input, wanted);
+    }
+
+    /**
+     * Plans the next orders.
+     *
+     * @param input what the plan follows from
+     * @return the orders, the most urgent first
+     */
+    static List<PlannedOrder> plan(PlannerInput input) {
+        if (input.accelerators().isEmpty()) {
+            return List.of();
+        }
+        Planner planner = new Planner(input);
+        planner.restoreReachability();
+        planner.loadAdapters(true, input.demand());
+        planner.followDemand();
+        planner.spreadOverZones();
+        planner.loadAdapters(false, input.demand());
+        planner.unloadObsolete();
+        return planner.draft.orders();
+    }
+
+    /** Loads the model versions of which no copy serves or is being loaded, the most demanded first. */
+    private void restoreReachability() {
+        List<WantedModels.Wanted> unreachable = wanted.all().stream()
+                .filter(unit -> draft.counted(unit.unit()).isEmpty())
+                .sorted(byDemand())
+                .toList();
+        for (WantedModels.Wanted unit : unreachable) {
+            if (draft.mayLoadModel() && !loadAgain(unit)) {
+                Optional<PlannerDraft.Place> place = choose(unit, unit.footprintBytes(), anywhere())
+                        .or(() -> choose(unit, unit.memoryBytes(), anywhere()));
+                place.ifPresentOrElse(
+                        chosen -> draft.load(unit, chosen, PlannedOrder.Reason.UNREACHABLE, false),
+                        () -> makeRoom(unit));
+            }
+        }
+    }
+
+    /**
+     * Repeats a load that seems to be lost; its memory is reserved already.
+     *
+     * @param unit the model version
+     * @return whether there was one
+     */
+    private boolean loadAgain(WantedModels.Wanted unit) {
+        Optional<PlannerDraft.Copy> uncertain = draft.all(unit.unit()).stream()
+                .filter(copy -> copy.view.status() == CopyView.Status.UNCERTAIN)
+                .findFirst();
+        uncertain.ifPresent(copy -> draft.load(unit, copy.place, PlannedOrder.Reason.UNREACHABLE, true));
+        return uncertain.isPresent();
+    }
+
+    /**
+     * Makes room for a model version where this costs the fewest moves. Copies that others can stand in for are
+     * unloaded; a last copy is first loaded elsewhere, and unloaded by a later plan.
+     *
+     * @param unit the model version
+     */
+    private void makeRoom(WantedModels.Wanted unit) {
+        draft.places().stream()
+                .map(place -> RoomPlan.of(place, unit.memoryBytes(), wanted, draft, this::elsewhere))
+                .flatMap(Optional::stream)
+                .min(Comparator.comparingInt(RoomPlan::cost))
+                .ifPresent(room -> room.apply(draft));
+    }
+
+    /**
+     * Finds room for another copy on another engine.
+     *
+     * @param unit the model version
+     * @param avoided where the copy is now
+     * @return the room
+     */
+    private Optional<PlannerDraft.Place> elsewhere(WantedModels.Wanted unit, PlannerDraft.Place avoided) {
+        return choose(unit, unit.footprintBytes(), place -> place != avoided);
+    }
+
+    /** Loads more copies of the model versions whose copies are asked for more than they can give. */
+    private void followDemand() {
+        wanted.all().stream().sorted(byDemand()).forEach(unit -> {
+            List<PlannerDraft.Copy> copies = draft.counted(unit.unit());
+            if (!copies.isEmpty() && draft.mayLoadModel() && copies.size() < neededCopies(unit)) {
+                Optional<PlannerDraft.Place> place = choose(unit, unit.footprintBytes(), isCalm());
+                place.ifPresentOrElse(
+                        chosen -> draft.load(unit, chosen, PlannedOrder.Reason.DEMAND, false), () -> displace(unit));
+            }
+        });
+    }
+
+    /**
+     * Unloads a copy that is not needed, so that a later plan can load one of a demanded model version there.
+     *
+     * @param unit the demanded model version
+     */
+    private void displace(WantedModels.Wanted unit) {
+        draft.places().stream()
+                .filter(isCalm())
+                .filter(place -> holds(place, unit.unit()).isEmpty())
+                .flatMap(place -> place.copies.stream())
+                .filter(PlannerDraft.Copy::isFree)
+                .filter(copy -> isSurplus(copy, unit))
+                .filter(copy -> sizeOf(copy) + copy.place.freeBytes >= unit.memoryBytes())
+                .min(Comparator.comparingDouble(this::demandPerCopy))
+                .ifPresent(copy -> draft.unload(copy, PlannedOrder.Reason.MAKE_ROOM));
+    }
+
+    /**
+     * Tells whether a copy can go in favour of a demanded model version.
+     *
+     * @param copy the copy
+     * @param unit the demanded model version
+     * @return {@code true} if the remaining copies suffice by far
+     */
+    private boolean isSurplus(PlannerDraft.Copy copy, WantedModels.Wanted unit) {
+        WantedModels.Wanted other = wanted.find(copy.view.unit());
+        long serving = draft.serving(copy.view.unit());
+        if (other == null) {
+            return true;
+        }
+        double needed = other.demand().larger() / (power(copy.place) * NEED_FEWER_BELOW);
+        return !other.unit().equals(unit.unit()) && serving > Math.max(1, Math.ceil(needed));
+    }
+
+    /**
+     * Returns the demand that each copy of a copy's model version serves.
+     *
+     * @param copy the copy
+     * @return the demand in tokens each second
+     */
+    private double demandPerCopy(PlannerDraft.Copy copy) {
+        WantedModels.Wanted unit = wanted.find(copy.view.unit());
+        return unit == null ? 0 : unit.demand().larger() / Math.max(1, draft.serving(unit.unit()));
+    }
+
+    /**
+     * Returns the memory of a copy.
+     *
+     * @param copy the copy
+     * @return the memory in bytes
+     */
+    private long sizeOf(PlannerDraft.Copy copy) {
+        return wanted.memoryBytes(copy.view.unit());
+    }
+
+    /**
+     * Returns how many copies the demand for a model version needs.
+     *
+     * @param unit the model version
+     * @return the number of copies
+     */
+    private int neededCopies(WantedModels.Wanted unit) {
+        double power =
+                draft.places().stream().mapToDouble(Planner::power).average().orElse(1.0);
+        return (int) Math.ceil(unit.demand().fast() / (power * LOAD_MORE_ABOVE));
+    }
+
+    /** Loads a second copy of each model version in another availability zone where memory is free. */
+    private void spreadOverZones() {
+        wanted.all().stream().sorted(byDemand()).forEach(unit -> {
+            List<PlannerDraft.Copy> copies = draft.counted(unit.unit());
+            Set<AvailabilityZone> zones =
+                    copies.stream().map(copy -> copy.place.zone()).collect(Collectors.toSet());
+            if (draft.mayLoadModel() && zones.size() == 1 && copies.size() < BASE_COPIES) {
+                choose(unit, unit.footprintBytes(), place -> !zones.contains(place.zone()))
+                        .ifPresent(place -> draft.load(unit, place, PlannedOrder.Reason.SECOND_ZONE, false));
+            }
+        });
+    }
+
+    /**
+     * Loads adapters beside the copies of their models, the most demanded first.
+     *
+     * @param unreachableOnly whether only adapters are loaded that can be used nowhere
+     * @param demand the demand
+     */
+    private void loadAdapters(boolean unreachableOnly, DemandRates demand) {
+        for (WantedModels.Wanted unit : wanted.all()) {
+            unit.adapters().stream()
+                    .sorted(Comparator.comparingDouble((Adapter adapter) ->
+                                    -demand.ofAdapter(adapter.name()).fast())
+                            .thenComparing(Adapter::name))
+                    .forEach(adapter -> loadAdapter(unit, adapter, unreachableOnly));
+        }
+    }
+
+    /**
+     * Loads an adapter beside the copies that lack it.
+     *
+     * @param unit the model version
+     * @param adapter the adapter
+     * @param unreachableOnly whether it is loaded only if it can be used nowhere
+     */
+    private void loadAdapter(WantedModels.Wanted unit, Adapter adapter, boolean unreachableOnly) {
+        List<PlannerDraft.Copy> copies = draft.all(unit.unit()).stream()
+                .filter(PlannerDraft.Copy::serves)
+                .toList();
+        boolean reachable = copies.stream()
+                .anyMatch(copy -> copy.view.adapters().contains(adapter.name())
+                        || copy.view.busyAdapters().contains(adapter.name()));
+        if (unreachableOnly && reachable) {
+            return;
+        }
+        copies.stream()
+                .filter(copy -> !copy.view.adapters().contains(adapter.name()))
+                .filter(copy -> !copy.view.busyAdapters().contains(adapter.name()))
+                .filter(copy -> copy.place.freeBytes >= adapter.memoryBytes() && draft.mayLoadAdapter())
+                .limit(unreachableOnly ? 1 : Long.MAX_VALUE)
+                .filter(copy -> !copy.plannedAdapters.contains(adapter.name()))
+                .forEach(copy -> draft.loadAdapter(copy, adapter.name(), adapter.memoryBytes()));
+    }
+
+    /** Unloads what the configuration names no more, once everything wanted of the same model serves. */
+    private void unloadObsolete() {
+        for (ModelUnit unit : draft.units()) {
+            WantedModels.Wanted known = wanted.find(unit);
+            List<PlannerDraft.Copy> copies =
+                    draft.all(unit).stream().filter(PlannerDraft.Copy::isFree).toList();
+            if (known != null) {
+                copies.forEach(copy -> unloadObsoleteAdapters(known, copy));
+            } else if (wanted.ofModel(unit.model()).stream().allMatch(other -> draft.serving(other.unit()) > 0)) {
+                copies.forEach(copy -> draft.unload(copy, PlannedOrder.Reason.OBSOLETE));
+            }
+        }
+    }
+
+    /**
+     * Unloads the adapters of a copy that the configuration names no more.
+     *
+     * @param unit the model version
+     * @param copy the copy
+     */
+    private void unloadObsoleteAdapters(WantedModels.Wanted unit, PlannerDraft.Copy copy) {
+        Set<String> names = unit.adapters().stream().map(Adapter::name).collect(Collectors.toSet());
+        copy.view.adapters().stream()
+                .filter(adapter -> !names.contains(adapter))
+                .sorted()
+                .forEach(adapter -> draft.unloadAdapter(copy, adapter));
+    }
+
+    /**
+     * Chooses where to load a copy: in an availability zone without one, on the engine with the least demand, and there
+     * where it leaves the least room unused.
+     *
+     * @param unit the model version
+     * @param bytes the room that is needed
+     * @param allowed which accelerators may be chosen
+     * @return the accelerator, if one has room
+     */
+    private Optional<PlannerDraft.Place> choose(
+            WantedModels.Wanted unit, long bytes, Predicate<PlannerDraft.Place> allowed) {
+        Set<AvailabilityZone> zones = draft.counted(unit.unit()).stream()
+                .map(copy -> copy.place.zone())
+                .collect(Collectors.toSet());
+        return draft.places().stream()
+                .filter(place -> place.freeBytes >= bytes)
+                .filter(allowed)
+                .filter(place -> holds(place, unit.unit()).isEmpty())
+                .min(Comparator.comparing((PlannerDraft.Place place) -> zones.contains(place.zone()))
+                        .thenComparing(draft::utilization)
+                        .thenComparing(place -> -place.freeBytes)
+                        .thenComparing(place -> place.view.server())
+                        .thenComparing(place -> place.view.accelerator()));
+    }
+
+    /**
+     * Finds a copy of a model version on the engine of an accelerator.
+     *
+     * @param place the accelerator
+     * @param unit the model version
+     * @return a copy in any state
+     */
+    private Optional<PlannerDraft.Copy> holds(PlannerDraft.Place place, ModelUnit unit) {
+        return draft.all(unit).stream()
+                .filter(copy -> copy.place.view.server().equals(place.view.server()))
+                .findFirst();
+    }
+
+    /**
+     * Returns a predicate that allows every accelerator.
+     *
+     * @return the predicate
+     */
+    private static Predicate<PlannerDraft.Place> anywhere() {
+        return place -> true;
+    }
+
+    /**
+     * Returns a predicate that allows the accelerators of engines with power to spare.
+     *
+     * @return the predicate
+     */
+    private Predicate<PlannerDraft.Place> isCalm() {
+        return place -> draft.utilization(place) < LOAD_MORE_ABOVE;
+    }
+
+    /**
+     * Returns the power of an accelerator's engine.
+     *
+     * @param place the accelerator
+     * @return the tokens generated each second with a full batch, at least one
+     */
+    private static double power(PlannerDraft.Place place) {
+        return Math.max(1.0, place.view.tokensPerSecond());
+    }
+
+    /**
+     * Orders model versions by demand, the largest first.
+     *
+     * @return the order
+     */
+    private static Comparator<WantedModels.Wanted> byDemand() {
+        return Comparator.comparingDouble(
+                        (WantedModels.Wanted unit) -> -unit.demand().fast())
+                .thenComparing(WantedModels.Wanted::unit);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/borageproxy/placement/FakeFleet.java
@@ -0,0 +1,276 @@
+package org.borageproxy.placement;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executor;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+import org.borageproxy.engine.EngineState;
+import org.borageproxy.engine.OrderClient;
+import org.borageproxy.engine.OrderResult;
+import org.borageproxy.event.EventRecorder;
+import org.borageproxy.lease.Duty;
+import org.borageproxy.lease.Lease;
+import org.borageproxy.lease.LeaseStore;
+import org.borageproxy.membership.BackendServer;
+import org.borageproxy.membership.BackendServerName;
+import org.borageproxy.time.Deadline;
+import org.borageproxy.tree.Configuration;
+import org.borageproxy.tree.Model;
+import org.borageproxy.tree.ModelVersion;
+import org.borageproxy.vm.VmName;
+
+/** Engines, control group and owners in virtual time, with faults while they are switched on. Used by one thread. */
+final class FakeFleet {
+
+    static final Duration LEASE = Duration.ofSeconds(3);
+    static final Duration LONGEST_ORDER_DELAY = Duration.ofSeconds(10);
+    private static final int LATE_MILLIS = 4_500;
+    private static final int ANSWER_TIMEOUT_MILLIS = 2_000;
+
+    final VirtualTime time = new VirtualTime();
+    final Random random;
+    final Map<BackendServerName, FakeEngine> engines = new TreeMap<>();
+    final List<Owner> owners = new ArrayList<>();
+    final Map<Long, Intent> intents = new TreeMap<>();
+    Configuration configuration = Configuration.EMPTY;
+    DemandRates demand = DemandRates.NONE;
+    boolean faulty;
+    int lastCopyUnloads;
+    int orders;
+    private long number;
+    private long epoch;
+    private Owner holder;
+    private long heldUntil;
+
+    FakeFleet(long seed) {
+        random = new Random(seed);
+    }
+
+    void addEngine(String name, String zone, boolean checksFencing, long memoryBytes) {
+        FakeEngine engine = new FakeEngine(time, name, zone, checksFencing, memoryBytes);
+        engines.put(engine.name, engine);
+    }
+
+    void addOwner(String name) {
+        Owner owner = new Owner(name);
+        owners.add(owner);
+        time.every(100, owner.placement::tick);
+    }
+
+    void setModels(Map<String, Long> sizes) {
+        Map<String, Model> models = new HashMap<>();
+        sizes.forEach((name, bytes) ->
+                models.put(name, new Model(name, bytes, 100, 1_000, List.of(new ModelVersion("1", 1)))));
+        configuration = new Configuration(1, Map.of(), models, Map.of(), List.of(), Map.of());
+    }
+
+    long copies(String model) {
+        return engines.values().stream().filter(engine -> engine.serves(model)).count();
+    }
+
+    boolean allReachable() {
+        return configuration.models().keySet().stream().allMatch(model -> copies(model) > 0);
+    }
+
+    long overcommits() {
+        return engines.values().stream().mapToLong(engine -> engine.overcommits).sum();
+    }
+
+    boolean chance(int percent) {
+        return faulty && random.nextInt(100) < percent;
+    }
+
+    /** A candidate for the placement duty; while frozen, its tasks wait. */
+    final class Owner implements LeaseStore, LedgerStore, OrderClient, Executor {
+
+        final VmName name;
+        final PlacementOwner placement;
+        boolean frozen;
+        boolean isolated;
+        private final List<Runnable> waiting = new ArrayList<>();
+
+        Owner(String name) {
+            this.name = new VmName(name);
+            PlacementSettings settings =
+                    new PlacementSettings(2.0, 16, 128, LEASE, LONGEST_ORDER_DELAY, Duration.ofSeconds(3));
+            placement = new PlacementOwner(
+                    new PlacementParts(
+                            this,
+                            this,
+                            this,
+                            () -> engines.values().stream()
+                                    .map(FakeEngine::server)
+                                    .toList(),
+                            () -> configuration,
+                            () -> demand,
+                            settings,
+                            time::now,
+                            EventRecorder.NoOp.INSTANCE),
+                    this);
+        }
+
+        @Override
+        public void execute(Runnable task) {
+            if (frozen) {
+                waiting.add(task);
+            } else {
+                time.after(0, task);
+            }
+        }
+
+        void thaw() {
+            frozen = false;
+            waiting.forEach(task -> time.after(0, task));
+            waiting.clear();
+        }
+
+        private <T> CompletionStage<T> control(Supplier<T> action) {
+            CompletableFuture<T> answer = new CompletableFuture<>();
+            if (isolated || chance(2)) {
+                time.after(500, () -> answer.completeExceptionally(new IllegalStateException("isolated")));
+                return answer;
+            }
+            boolean answerLost = chance(2);
+            time.after(1 + random.nextInt(5), () -> {
+                T result = action.get();
+                if (answerLost) {
+                    time.after(500, () -> answer.completeExceptionally(new IllegalStateException("lost")));
+                } else {
+                    answer.complete(result);
+                }
+            });
+            return answer;
+        }
+
+        @Override
+        public CompletionStage<Optional<Lease>> acquire(Duty duty) {
+            long askedAt = time.now();
+            return control(() -> {
+                if (holder != this && time.now() < heldUntil) {
+                    return Optional.empty();
+                }
+                if (holder != this) {
+                    epoch++;
+                    holder = this;
+                }
+                heldUntil = time.now() + LEASE.toNanos() * 5 / 4;
+                return Optional.of(new Lease(duty, name, epoch, Deadline.after(askedAt, LEASE)));
+            });
+        }
+
+        @Override
+        public CompletionStage<Void> release(Lease lease) {
+            return control(() -> {
+                heldUntil = holder == this ? time.now() : heldUntil;
+                return null;
+            });
+        }
+
+        @Override
+        public Optional<Lease> holder(Duty duty) {
+            return Optional.empty();
+        }
+
+        @Override
+        public CompletionStage<Optional<Intent>> record(Intent intent) {
+            return control(() -> {
+                if (intent.epoch() != epoch) {
+                    return Optional.empty();
+                }
+                number++;
+                Intent recorded = new Intent(
+                        number,
+                        intent.epoch(),
+                        intent.server(),
+                        intent.incarnation(),
+                        intent.accelerator(),
+                        intent.action(),
+                        intent.model(),
+                        intent.version(),
+                        intent.adapter(),
+                        intent.memoryBytes());
+                intents.put(number, recorded);
+                return Optional.of(recorded);
+            });
+        }
+
+        @Override
+        public CompletionStage<Void> resolve(long resolvingEpoch, List<Long> numbers) {
+            return control(() -> {
+                if (resolvingEpoch == epoch) {
+                    numbers.forEach(intents::remove);
+                }
+                return null;
+            });
+        }
+
+        @Override
+        public CompletionStage<List<Intent>> read() {
+            return control(() -> List.copyOf(intents.values()));
+        }
+
+        @Override
+        public CompletionStage<OrderResult> order(BackendServer server, Intent intent, BooleanSupplier maySend) {
+            CompletableFuture<OrderResult> answer = new CompletableFuture<>();
+            time.after(1, () -> {
+                if (!maySend.getAsBoolean()) {
+                    answer.complete(new OrderResult.NotSent());
+                    return;
+                }
+                orders++;
+                time.after(ANSWER_TIMEOUT_MILLIS, () -> answer.complete(new OrderResult.Unknown()));
+                boolean lost = chance(10);
+                boolean answerLost = chance(10);
+                if (!lost) {
+                    deliver(server.name(), intent, answerLost ? new CompletableFuture<>() : answer);
+                }
+                if (chance(10)) {
+                    deliver(server.name(), intent, new CompletableFuture<>());
+                }
+            });
+            return answer;
+        }
+
+        private void deliver(BackendServerName server, Intent intent, CompletableFuture<OrderResult> answer) {
+            long delay = chance(20) ? random.nextInt(LATE_MILLIS) : 1;
+            time.after(delay, () -> {
+                FakeEngine engine = engines.get(server);
+                if (engine.alive) {
+                    checkLastCopy(engine, intent);
+                    boolean forget = chance(10);
+                    answer.complete(engine.receive(intent, chance(20) ? random.nextInt(LATE_MILLIS) : 0, forget));
+                }
+            });
+        }
+
+        private void checkLastCopy(FakeEngine engine, Intent intent) {
+            boolean last = engine.serves(intent.model()) && copies(intent.model()) == 1;
+            boolean fenced = engine.checksFencing && engine.state().highestFencing() > intent.number();
+            if (intent.action() == Intent.Action.UNLOAD && last && !fenced) {
+                lastCopyUnloads++;
+            }
+        }
+
+        @Override
+        public CompletionStage<Optional<EngineState>> state(BackendServer server) {
+            CompletableFuture<Optional<EngineState>> answer = new CompletableFuture<>();
+            FakeEngine engine = engines.get(server.name());
+            boolean failing = !engine.alive || chance(5);
+            time.after(failing ? 10 : 1, () -> {
+                Optional<EngineState> state = failing || !engine.alive ? Optional.empty() : Optional.of(engine.state());
+                time.after(chance(10) ? random.nextInt(1_500) : 1, () -> answer.complete(state));
+            });
+            return answer;
+        }
+    }
+}
