--- /dev/null
+++ b/src/main/java/org/borageproxy/control/LedgerStoreForControlGroup.java
@@ -0,0 +1,104 @@
+package org.borageproxy.control;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+
+import org.borageproxy.membership.BackendServerName;
+import org.borageproxy.placement.Intent;
+import org.borageproxy.placement.LedgerStore;
+import org.borageproxy.result.ResultCode;
+import org.borageproxy.wire.proto.ControlProtocol.Command;
+import org.borageproxy.wire.proto.ControlProtocol.IntentRecord;
+import org.borageproxy.wire.proto.ControlProtocol.ReadIntents;
+import org.borageproxy.wire.proto.ControlProtocol.RecordIntent;
+import org.borageproxy.wire.proto.ControlProtocol.ResolveIntents;
+
+/** The ledger of orders kept by the control group. Safe for use by any thread. */
+public final class LedgerStoreForControlGroup implements LedgerStore {
+
+    /** The longest time that a request may take. */
+    private static final Duration PATIENCE = Duration.ofMillis(2500);
+
+    /** Submits commands. */
+    private final ControlClient client;
+
+    /**
+     * Creates a store.
+     *
+     * @param client submits commands
+     */
+    public LedgerStoreForControlGroup(ControlClient client) {
+        this.client = client;
+    }
+
+    @Override
+    public CompletionStage<Optional<Intent>> record(Intent intent) {
+        Command.Builder command =
+                Command.newBuilder().setRecordIntent(RecordIntent.newBuilder().setIntent(encode(intent)));
+        return client.expect(command, client.in(PATIENCE))
+                .thenApply(reply -> reply.hasIntent() ? Optional.of(decode(reply.getIntent())) : Optional.empty());
+    }
+
+    @Override
+    public CompletionStage<Void> resolve(long epoch, List<Long> numbers) {
+        Command.Builder command = Command.newBuilder()
+                .setResolveIntents(ResolveIntents.newBuilder().setEpoch(epoch).addAllNumbers(numbers));
+        return client.expect(command, client.in(PATIENCE)).thenAccept(reply -> {
+            if (!reply.hasDone()) {
+                throw new ControlException(ResultCode.FENCED);
+            }
+        });
+    }
+
+    @Override
+    public CompletionStage<List<Intent>> read() {
+        Command.Builder command = Command.newBuilder().setReadIntents(ReadIntents.getDefaultInstance());
+        return client.expect(command, client.in(PATIENCE))
+                .thenApply(reply -> reply.getIntents().getIntentsList().stream()
+                        .map(LedgerStoreForControlGroup::decode)
+                        .toList());
+    }
+
+    /**
+     * Encodes an intent.
+     *
+     * @param intent the intent
+     * @return the encoded intent
+     */
+    private static IntentRecord encode(Intent intent) {
+        return IntentRecord.newBuilder()
+                .setNumber(intent.number())
+                .setEpoch(intent.epoch())
+                .setServer(intent.server().value())
+                .setIncarnation(intent.incarnation())
+                .setAccelerator(intent.accelerator())
+                .setAction(intent.action().ordinal())
+                .setModel(intent.model())
+                .setVersion(intent.version())
+                .setAdapter(intent.adapter())
+                .setMemoryBytes(intent.memoryBytes())
+                .build();
+    }
+
+    /**
+     * Decodes an intent.
+     *
+     * @param encoded the encoded intent
+     * @return the intent
+     */
+    private static Intent decode(IntentRecord encoded) {
+        return new Intent(
+                encoded.getNumber(),
+                encoded.getEpoch(),
+                new BackendServerName(encoded.getServer()),
+                encoded.getIncarnation(),
+                encoded.getAccelerator(),
+                Intent.Action.values()[encoded.getAction()],
+                encoded.getModel(),
+                encoded.getVersion(),
+                encoded.getAdapter(),
+                encoded.getMemoryBytes());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/borageproxy/operator/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' HTTP interface. */
+package org.borageproxy.operator;
--- a/src/main/java/org/borageproxy/wire/proto/ControlProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/ControlProtocol.java
@@ -5934,6 +5934,16 @@
      */
     com.google.protobuf.ByteString
         getOperatorBytes();
+
+    /**
+     * <pre>
+     * Only asks for the reply to an earlier copy of the change.
+     * </pre>
+     *
+     * <code>bool only_known = 5;</code>
+     * @return The onlyKnown.
+     */
+    boolean getOnlyKnown();
   }
   /**
    * Protobuf type {@code borageproxy.control.ApplyTree}
@@ -6108,6 +6118,21 @@
       }
     }
 
+    public static final int ONLY_KNOWN_FIELD_NUMBER = 5;
+    private boolean onlyKnown_ = false;
+    /**
+     * <pre>
+     * Only asks for the reply to an earlier copy of the change.
+     * </pre>
+     *
+     * <code>bool only_known = 5;</code>
+     * @return The onlyKnown.
+     */
+    @java.lang.Override
+    public boolean getOnlyKnown() {
+      return onlyKnown_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -6134,6 +6159,9 @@
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(operator_)) {
         com.google.protobuf.GeneratedMessage.writeString(output, 4, operator_);
       }
+      if (onlyKnown_ != false) {
+        output.writeBool(5, onlyKnown_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -6156,6 +6184,10 @@
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(operator_)) {
         size += com.google.protobuf.GeneratedMessage.computeStringSize(4, operator_);
       }
+      if (onlyKnown_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(5, onlyKnown_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -6179,6 +6211,8 @@
           .equals(other.getDocument())) return false;
       if (!getOperator()
           .equals(other.getOperator())) return false;
+      if (getOnlyKnown()
+          != other.getOnlyKnown()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -6199,6 +6233,9 @@
       hash = (53 * hash) + getDocument().hashCode();
       hash = (37 * hash) + OPERATOR_FIELD_NUMBER;
       hash = (53 * hash) + getOperator().hashCode();
+      hash = (37 * hash) + ONLY_KNOWN_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getOnlyKnown());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -6334,6 +6371,7 @@
         baseRevision_ = 0L;
         document_ = "";
         operator_ = "";
+        onlyKnown_ = false;
         return this;
       }
 
@@ -6379,6 +6417,9 @@
         if (((from_bitField0_ & 0x00000008) != 0)) {
           result.operator_ = operator_;
         }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.onlyKnown_ = onlyKnown_;
+        }
       }
 
       @java.lang.Override
@@ -6411,6 +6452,9 @@
           bitField0_ |= 0x00000008;
           onChanged();
         }
+        if (other.getOnlyKnown() != false) {
+          setOnlyKnown(other.getOnlyKnown());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -6457,6 +6501,11 @@
                 bitField0_ |= 0x00000008;
                 break;
               } // case 34
+              case 40: {
+                onlyKnown_ = input.readBool();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -6722,6 +6771,50 @@
         return this;
       }
 
+      private boolean onlyKnown_ ;
+      /**
+       * <pre>
+       * Only asks for the reply to an earlier copy of the change.
+       * </pre>
+       *
+       * <code>bool only_known = 5;</code>
+       * @return The onlyKnown.
+       */
+      @java.lang.Override
+      public boolean getOnlyKnown() {
+        return onlyKnown_;
+      }
+      /**
+       * <pre>
+       * Only asks for the reply to an earlier copy of the change.
+       * </pre>
+       *
+       * <code>bool only_known = 5;</code>
+       * @param value The onlyKnown to set.
+       * @return This builder for chaining.
+       */
+      public Builder setOnlyKnown(boolean value) {
+
+        onlyKnown_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Only asks for the reply to an earlier copy of the change.
+       * </pre>
+       *
+       * <code>bool only_known = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearOnlyKnown() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        onlyKnown_ = false;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.control.ApplyTree)
     }
 
@@ -38509,12 +38602,6 @@
      */
     long getRevision();
 
-    /**
-     * <code>uint64 tree_revision = 3;</code>
-     * @return The treeRevision.
-     */
-    long getTreeRevision();
-
     /**
      * <code>repeated .borageproxy.control.TreeState history = 4;</code>
      */
@@ -38822,17 +38909,6 @@
       return revision_;
     }
 
-    public static final int TREE_REVISION_FIELD_NUMBER = 3;
-    private long treeRevision_ = 0L;
-    /**
-     * <code>uint64 tree_revision = 3;</code>
-     * @return The treeRevision.
-     */
-    @java.lang.Override
-    public long getTreeRevision() {
-      return treeRevision_;
-    }
-
     public static final int HISTORY_FIELD_NUMBER = 4;
     @SuppressWarnings("serial")
     private java.util.List<org.borageproxy.wire.proto.ControlProtocol.TreeState> history_;
@@ -39255,9 +39331,6 @@
       if (revision_ != 0L) {
         output.writeUInt64(2, revision_);
       }
-      if (treeRevision_ != 0L) {
-        output.writeUInt64(3, treeRevision_);
-      }
       for (int i = 0; i < history_.size(); i++) {
         output.writeMessage(4, history_.get(i));
       }
@@ -39311,10 +39384,6 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(2, revision_);
       }
-      if (treeRevision_ != 0L) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(3, treeRevision_);
-      }
 
           {
             final int count = history_.size();
@@ -39427,8 +39496,6 @@
           != other.getVersion()) return false;
       if (getRevision()
           != other.getRevision()) return false;
-      if (getTreeRevision()
-          != other.getTreeRevision()) return false;
       if (!getHistoryList()
           .equals(other.getHistoryList())) return false;
       if (!getKeysList()
@@ -39470,9 +39537,6 @@
       hash = (37 * hash) + REVISION_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getRevision());
-      hash = (37 * hash) + TREE_REVISION_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getTreeRevision());
       if (getHistoryCount() > 0) {
         hash = (37 * hash) + HISTORY_FIELD_NUMBER;
         hash = (53 * hash) + getHistoryList().hashCode();
@@ -39651,42 +39715,41 @@
         bitField0_ = 0;
         version_ = 0L;
         revision_ = 0L;
-        treeRevision_ = 0L;
         if (historyBuilder_ == null) {
           history_ = java.util.Collections.emptyList();
         } else {
           history_ = null;
           historyBuilder_.clear();
         }
-        bitField0_ = (bitField0_ & ~0x00000008);
+        bitField0_ = (bitField0_ & ~0x00000004);
         if (keysBuilder_ == null) {
           keys_ = java.util.Collections.emptyList();
         } else {
           keys_ = null;
           keysBuilder_.clear();
         }
-        bitField0_ = (bitField0_ & ~0x00000010);
+        bitField0_ = (bitField0_ & ~0x00000008);
         if (changesBuilder_ == null) {
           changes_ = java.util.Collections.emptyList();
         } else {
           changes_ = null;
           changesBuilder_.clear();
         }
-        bitField0_ = (bitField0_ & ~0x00000020);
+        bitField0_ = (bitField0_ & ~0x00000010);
         if (repliesBuilder_ == null) {
           replies_ = java.util.Collections.emptyList();
         } else {
           replies_ = null;
           repliesBuilder_.clear();
         }
-        bitField0_ = (bitField0_ & ~0x00000040);
+        bitField0_ = (bitField0_ & ~0x00000020);
         if (claimsBuilder_ == null) {
           claims_ = java.util.Collections.emptyList();
         } else {
           claims_ = null;
           claimsBuilder_.clear();
         }
-        bitField0_ = (bitField0_ & ~0x00000080);
+        bitField0_ = (bitField0_ & ~0x00000040);
         lastClaimEpoch_ = 0L;
         if (leasesBuilder_ == null) {
           leases_ = java.util.Collections.emptyList();
@@ -39694,14 +39757,14 @@
           leases_ = null;
           leasesBuilder_.clear();
         }
-        bitField0_ = (bitField0_ & ~0x00000200);
+        bitField0_ = (bitField0_ & ~0x00000100);
         if (intentsBuilder_ == null) {
           intents_ = java.util.Collections.emptyList();
         } else {
           intents_ = null;
           intentsBuilder_.clear();
         }
-        bitField0_ = (bitField0_ & ~0x00000400);
+        bitField0_ = (bitField0_ & ~0x00000200);
         lastIntentNumber_ = 0L;
         if (crashesBuilder_ == null) {
           crashes_ = java.util.Collections.emptyList();
@@ -39709,14 +39772,14 @@
           crashes_ = null;
           crashesBuilder_.clear();
         }
-        bitField0_ = (bitField0_ & ~0x00001000);
+        bitField0_ = (bitField0_ & ~0x00000800);
         if (itemsBuilder_ == null) {
           items_ = java.util.Collections.emptyList();
         } else {
           items_ = null;
           itemsBuilder_.clear();
         }
-        bitField0_ = (bitField0_ & ~0x00002000);
+        bitField0_ = (bitField0_ & ~0x00001000);
         removalsSince_ = 0L;
         return this;
       }
@@ -39752,81 +39815,81 @@
 
       private void buildPartialRepeatedFields(org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot result) {
         if (historyBuilder_ == null) {
-          if (((bitField0_ & 0x00000008) != 0)) {
+          if (((bitField0_ & 0x00000004) != 0)) {
             history_ = java.util.Collections.unmodifiableList(history_);
-            bitField0_ = (bitField0_ & ~0x00000008);
+            bitField0_ = (bitField0_ & ~0x00000004);
           }
           result.history_ = history_;
         } else {
           result.history_ = historyBuilder_.build();
         }
         if (keysBuilder_ == null) {
-          if (((bitField0_ & 0x00000010) != 0)) {
+          if (((bitField0_ & 0x00000008) != 0)) {
             keys_ = java.util.Collections.unmodifiableList(keys_);
-            bitField0_ = (bitField0_ & ~0x00000010);
+            bitField0_ = (bitField0_ & ~0x00000008);
           }
           result.keys_ = keys_;
         } else {
           result.keys_ = keysBuilder_.build();
         }
         if (changesBuilder_ == null) {
-          if (((bitField0_ & 0x00000020) != 0)) {
+          if (((bitField0_ & 0x00000010) != 0)) {
             changes_ = java.util.Collections.unmodifiableList(changes_);
-            bitField0_ = (bitField0_ & ~0x00000020);
+            bitField0_ = (bitField0_ & ~0x00000010);
           }
           result.changes_ = changes_;
         } else {
           result.changes_ = changesBuilder_.build();
         }
         if (repliesBuilder_ == null) {
-          if (((bitField0_ & 0x00000040) != 0)) {
+          if (((bitField0_ & 0x00000020) != 0)) {
             replies_ = java.util.Collections.unmodifiableList(replies_);
-            bitField0_ = (bitField0_ & ~0x00000040);
+            bitField0_ = (bitField0_ & ~0x00000020);
           }
           result.replies_ = replies_;
         } else {
           result.replies_ = repliesBuilder_.build();
         }
         if (claimsBuilder_ == null) {
-          if (((bitField0_ & 0x00000080) != 0)) {
+          if (((bitField0_ & 0x00000040) != 0)) {
             claims_ = java.util.Collections.unmodifiableList(claims_);
-            bitField0_ = (bitField0_ & ~0x00000080);
+            bitField0_ = (bitField0_ & ~0x00000040);
           }
           result.claims_ = claims_;
         } else {
           result.claims_ = claimsBuilder_.build();
         }
         if (leasesBuilder_ == null) {
-          if (((bitField0_ & 0x00000200) != 0)) {
+          if (((bitField0_ & 0x00000100) != 0)) {
             leases_ = java.util.Collections.unmodifiableList(leases_);
-            bitField0_ = (bitField0_ & ~0x00000200);
+            bitField0_ = (bitField0_ & ~0x00000100);
           }
           result.leases_ = leases_;
         } else {
           result.leases_ = leasesBuilder_.build();
         }
         if (intentsBuilder_ == null) {
-          if (((bitField0_ & 0x00000400) != 0)) {
+          if (((bitField0_ & 0x00000200) != 0)) {
             intents_ = java.util.Collections.unmodifiableList(intents_);
-            bitField0_ = (bitField0_ & ~0x00000400);
+            bitField0_ = (bitField0_ & ~0x00000200);
           }
           result.intents_ = intents_;
         } else {
           result.intents_ = intentsBuilder_.build();
         }
         if (crashesBuilder_ == null) {
-          if (((bitField0_ & 0x00001000) != 0)) {
+          if (((bitField0_ & 0x00000800) != 0)) {
             crashes_ = java.util.Collections.unmodifiableList(crashes_);
-            bitField0_ = (bitField0_ & ~0x00001000);
+            bitField0_ = (bitField0_ & ~0x00000800);
           }
           result.crashes_ = crashes_;
         } else {
           result.crashes_ = crashesBuilder_.build();
         }
         if (itemsBuilder_ == null) {
-          if (((bitField0_ & 0x00002000) != 0)) {
+          if (((bitField0_ & 0x00001000) != 0)) {
             items_ = java.util.Collections.unmodifiableList(items_);
-            bitField0_ = (bitField0_ & ~0x00002000);
+            bitField0_ = (bitField0_ & ~0x00001000);
           }
           result.items_ = items_;
         } else {
@@ -39842,16 +39905,13 @@
         if (((from_bitField0_ & 0x00000002) != 0)) {
           result.revision_ = revision_;
         }
-        if (((from_bitField0_ & 0x00000004) != 0)) {
-          result.treeRevision_ = treeRevision_;
-        }
-        if (((from_bitField0_ & 0x00000100) != 0)) {
+        if (((from_bitField0_ & 0x00000080) != 0)) {
           result.lastClaimEpoch_ = lastClaimEpoch_;
         }
-        if (((from_bitField0_ & 0x00000800) != 0)) {
+        if (((from_bitField0_ & 0x00000400) != 0)) {
           result.lastIntentNumber_ = lastIntentNumber_;
         }
-        if (((from_bitField0_ & 0x00004000) != 0)) {
+        if (((from_bitField0_ & 0x00002000) != 0)) {
           result.removalsSince_ = removalsSince_;
         }
       }
@@ -39874,14 +39934,11 @@
         if (other.getRevision() != 0L) {
           setRevision(other.getRevision());
         }
-        if (other.getTreeRevision() != 0L) {
-          setTreeRevision(other.getTreeRevision());
-        }
         if (historyBuilder_ == null) {
           if (!other.history_.isEmpty()) {
             if (history_.isEmpty()) {
               history_ = other.history_;
-              bitField0_ = (bitField0_ & ~0x00000008);
+              bitField0_ = (bitField0_ & ~0x00000004);
             } else {
               ensureHistoryIsMutable();
               history_.addAll(other.history_);
@@ -39894,7 +39951,7 @@
               historyBuilder_.dispose();
               historyBuilder_ = null;
               history_ = other.history_;
-              bitField0_ = (bitField0_ & ~0x00000008);
+              bitField0_ = (bitField0_ & ~0x00000004);
               historyBuilder_ = 
                 com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                    internalGetHistoryFieldBuilder() : null;
@@ -39907,7 +39964,7 @@
           if (!other.keys_.isEmpty()) {
             if (keys_.isEmpty()) {
               keys_ = other.keys_;
-              bitField0_ = (bitField0_ & ~0x00000010);
+              bitField0_ = (bitField0_ & ~0x00000008);
             } else {
               ensureKeysIsMutable();
               keys_.addAll(other.keys_);
@@ -39920,7 +39977,7 @@
               keysBuilder_.dispose();
               keysBuilder_ = null;
               keys_ = other.keys_;
-              bitField0_ = (bitField0_ & ~0x00000010);
+              bitField0_ = (bitField0_ & ~0x00000008);
               keysBuilder_ = 
                 com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                    internalGetKeysFieldBuilder() : null;
@@ -39933,7 +39990,7 @@
           if (!other.changes_.isEmpty()) {
             if (changes_.isEmpty()) {
               changes_ = other.changes_;
-              bitField0_ = (bitField0_ & ~0x00000020);
+              bitField0_ = (bitField0_ & ~0x00000010);
             } else {
               ensureChangesIsMutable();
               changes_.addAll(other.changes_);
@@ -39946,7 +40003,7 @@
               changesBuilder_.dispose();
               changesBuilder_ = null;
               changes_ = other.changes_;
-              bitField0_ = (bitField0_ & ~0x00000020);
+              bitField0_ = (bitField0_ & ~0x00000010);
               changesBuilder_ = 
                 com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                    internalGetChangesFieldBuilder() : null;
@@ -39959,7 +40016,7 @@
           if (!other.replies_.isEmpty()) {
             if (replies_.isEmpty()) {
               replies_ = other.replies_;
-              bitField0_ = (bitField0_ & ~0x00000040);
+              bitField0_ = (bitField0_ & ~0x00000020);
             } else {
               ensureRepliesIsMutable();
               replies_.addAll(other.replies_);
@@ -39972,7 +40029,7 @@
               repliesBuilder_.dispose();
               repliesBuilder_ = null;
               replies_ = other.replies_;
-              bitField0_ = (bitField0_ & ~0x00000040);
+              bitField0_ = (bitField0_ & ~0x00000020);
               repliesBuilder_ = 
                 com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                    internalGetRepliesFieldBuilder() : null;
@@ -39985,7 +40042,7 @@
           if (!other.claims_.isEmpty()) {
             if (claims_.isEmpty()) {
               claims_ = other.claims_;
-              bitField0_ = (bitField0_ & ~0x00000080);
+              bitField0_ = (bitField0_ & ~0x00000040);
             } else {
               ensureClaimsIsMutable();
               claims_.addAll(other.claims_);
@@ -39998,7 +40055,7 @@
               claimsBuilder_.dispose();
               claimsBuilder_ = null;
               claims_ = other.claims_;
-              bitField0_ = (bitField0_ & ~0x00000080);
+              bitField0_ = (bitField0_ & ~0x00000040);
               claimsBuilder_ = 
                 com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                    internalGetClaimsFieldBuilder() : null;
@@ -40014,7 +40071,7 @@
           if (!other.leases_.isEmpty()) {
             if (leases_.isEmpty()) {
               leases_ = other.leases_;
-              bitField0_ = (bitField0_ & ~0x00000200);
+              bitField0_ = (bitField0_ & ~0x00000100);
             } else {
               ensureLeasesIsMutable();
               leases_.addAll(other.leases_);
@@ -40027,7 +40084,7 @@
               leasesBuilder_.dispose();
               leasesBuilder_ = null;
               leases_ = other.leases_;
-              bitField0_ = (bitField0_ & ~0x00000200);
+              bitField0_ = (bitField0_ & ~0x00000100);
               leasesBuilder_ = 
                 com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                    internalGetLeasesFieldBuilder() : null;
@@ -40040,7 +40097,7 @@
           if (!other.intents_.isEmpty()) {
             if (intents_.isEmpty()) {
               intents_ = other.intents_;
-              bitField0_ = (bitField0_ & ~0x00000400);
+              bitField0_ = (bitField0_ & ~0x00000200);
             } else {
               ensureIntentsIsMutable();
               intents_.addAll(other.intents_);
@@ -40053,7 +40110,7 @@
               intentsBuilder_.dispose();
               intentsBuilder_ = null;
               intents_ = other.intents_;
-              bitField0_ = (bitField0_ & ~0x00000400);
+              bitField0_ = (bitField0_ & ~0x00000200);
               intentsBuilder_ = 
                 com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                    internalGetIntentsFieldBuilder() : null;
@@ -40069,7 +40126,7 @@
           if (!other.crashes_.isEmpty()) {
             if (crashes_.isEmpty()) {
               crashes_ = other.crashes_;
-              bitField0_ = (bitField0_ & ~0x00001000);
+              bitField0_ = (bitField0_ & ~0x00000800);
             } else {
               ensureCrashesIsMutable();
               crashes_.addAll(other.crashes_);
@@ -40082,7 +40139,7 @@
               crashesBuilder_.dispose();
               crashesBuilder_ = null;
               crashes_ = other.crashes_;
-              bitField0_ = (bitField0_ & ~0x00001000);
+              bitField0_ = (bitField0_ & ~0x00000800);
               crashesBuilder_ = 
                 com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                    internalGetCrashesFieldBuilder() : null;
@@ -40095,7 +40152,7 @@
           if (!other.items_.isEmpty()) {
             if (items_.isEmpty()) {
               items_ = other.items_;
-              bitField0_ = (bitField0_ & ~0x00002000);
+              bitField0_ = (bitField0_ & ~0x00001000);
             } else {
               ensureItemsIsMutable();
               items_.addAll(other.items_);
@@ -40108,7 +40165,7 @@
               itemsBuilder_.dispose();
               itemsBuilder_ = null;
               items_ = other.items_;
-              bitField0_ = (bitField0_ & ~0x00002000);
+              bitField0_ = (bitField0_ & ~0x00001000);
               itemsBuilder_ = 
                 com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                    internalGetItemsFieldBuilder() : null;
@@ -40156,11 +40213,6 @@
                 bitField0_ |= 0x00000002;
                 break;
               } // case 16
-              case 24: {
-                treeRevision_ = input.readUInt64();
-                bitField0_ |= 0x00000004;
-                break;
-              } // case 24
               case 34: {
                 org.borageproxy.wire.proto.ControlProtocol.TreeState m =
                     input.readMessage(
@@ -40228,7 +40280,7 @@
               } // case 66
               case 72: {
                 lastClaimEpoch_ = input.readInt64();
-                bitField0_ |= 0x00000100;
+                bitField0_ |= 0x00000080;
                 break;
               } // case 72
               case 82: {
@@ -40259,7 +40311,7 @@
               } // case 90
               case 96: {
                 lastIntentNumber_ = input.readInt64();
-                bitField0_ |= 0x00000800;
+                bitField0_ |= 0x00000400;
                 break;
               } // case 96
               case 106: {
@@ -40290,7 +40342,7 @@
               } // case 114
               case 120: {
                 removalsSince_ = input.readUInt64();
-                bitField0_ |= 0x00004000;
+                bitField0_ |= 0x00002000;
                 break;
               } // case 120
               default: {
@@ -40374,44 +40426,12 @@
         return this;
       }
 
-      private long treeRevision_ ;
-      /**
-       * <code>uint64 tree_revision = 3;</code>
-       * @return The treeRevision.
-       */
-      @java.lang.Override
-      public long getTreeRevision() {
-        return treeRevision_;
-      }
-      /**
-       * <code>uint64 tree_revision = 3;</code>
-       * @param value The treeRevision to set.
-       * @return This builder for chaining.
-       */
-      public Builder setTreeRevision(long value) {
-
-        treeRevision_ = value;
-        bitField0_ |= 0x00000004;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>uint64 tree_revision = 3;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearTreeRevision() {
-        bitField0_ = (bitField0_ & ~0x00000004);
-        treeRevision_ = 0L;
-        onChanged();
-        return this;
-      }
-
       private java.util.List<org.borageproxy.wire.proto.ControlProtocol.TreeState> history_ =
         java.util.Collections.emptyList();
       private void ensureHistoryIsMutable() {
-        if (!((bitField0_ & 0x00000008) != 0)) {
+        if (!((bitField0_ & 0x00000004) != 0)) {
           history_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.TreeState>(history_);
-          bitField0_ |= 0x00000008;
+          bitField0_ |= 0x00000004;
          }
       }
 
@@ -40561,7 +40581,7 @@
       public Builder clearHistory() {
         if (historyBuilder_ == null) {
           history_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000008);
+          bitField0_ = (bitField0_ & ~0x00000004);
           onChanged();
         } else {
           historyBuilder_.clear();
@@ -40638,7 +40658,7 @@
           historyBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
               org.borageproxy.wire.proto.ControlProtocol.TreeState, org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder, org.borageproxy.wire.proto.ControlProtocol.TreeStateOrBuilder>(
                   history_,
-                  ((bitField0_ & 0x00000008) != 0),
+                  ((bitField0_ & 0x00000004) != 0),
                   getParentForChildren(),
                   isClean());
           history_ = null;
@@ -40649,9 +40669,9 @@
       private java.util.List<org.borageproxy.wire.proto.ControlProtocol.KeyState> keys_ =
         java.util.Collections.emptyList();
       private void ensureKeysIsMutable() {
-        if (!((bitField0_ & 0x00000010) != 0)) {
+        if (!((bitField0_ & 0x00000008) != 0)) {
           keys_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.KeyState>(keys_);
-          bitField0_ |= 0x00000010;
+          bitField0_ |= 0x00000008;
          }
       }
 
@@ -40801,7 +40821,7 @@
       public Builder clearKeys() {
         if (keysBuilder_ == null) {
           keys_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000010);
+          bitField0_ = (bitField0_ & ~0x00000008);
           onChanged();
         } else {
           keysBuilder_.clear();
@@ -40878,7 +40898,7 @@
           keysBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
               org.borageproxy.wire.proto.ControlProtocol.KeyState, org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder, org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder>(
                   keys_,
-                  ((bitField0_ & 0x00000010) != 0),
+                  ((bitField0_ & 0x00000008) != 0),
                   getParentForChildren(),
                   isClean());
           keys_ = null;
@@ -40889,9 +40909,9 @@
       private java.util.List<org.borageproxy.wire.proto.ControlProtocol.ChangeState> changes_ =
         java.util.Collections.emptyList();
       private void ensureChangesIsMutable() {
-        if (!((bitField0_ & 0x00000020) != 0)) {
+        if (!((bitField0_ & 0x00000010) != 0)) {
           changes_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.ChangeState>(changes_);
-          bitField0_ |= 0x00000020;
+          bitField0_ |= 0x00000010;
          }
       }
 
@@ -41041,7 +41061,7 @@
       public Builder clearChanges() {
         if (changesBuilder_ == null) {
           changes_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000020);
+          bitField0_ = (bitField0_ & ~0x00000010);
           onChanged();
         } else {
           changesBuilder_.clear();
@@ -41118,7 +41138,7 @@
           changesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
               org.borageproxy.wire.proto.ControlProtocol.ChangeState, org.borageproxy.wire.proto.ControlProtocol.ChangeState.Builder, org.borageproxy.wire.proto.ControlProtocol.ChangeStateOrBuilder>(
                   changes_,
-                  ((bitField0_ & 0x00000020) != 0),
+                  ((bitField0_ & 0x00000010) != 0),
                   getParentForChildren(),
                   isClean());
           changes_ = null;
@@ -41129,9 +41149,9 @@
       private java.util.List<org.borageproxy.wire.proto.ControlProtocol.RememberedReply> replies_ =
         java.util.Collections.emptyList();
       private void ensureRepliesIsMutable() {
-        if (!((bitField0_ & 0x00000040) != 0)) {
+        if (!((bitField0_ & 0x00000020) != 0)) {
           replies_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.RememberedReply>(replies_);
-          bitField0_ |= 0x00000040;
+          bitField0_ |= 0x00000020;
          }
       }
 
@@ -41281,7 +41301,7 @@
       public Builder clearReplies() {
         if (repliesBuilder_ == null) {
           replies_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000040);
+          bitField0_ = (bitField0_ & ~0x00000020);
           onChanged();
         } else {
           repliesBuilder_.clear();
@@ -41358,7 +41378,7 @@
           repliesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
               org.borageproxy.wire.proto.ControlProtocol.RememberedReply, org.borageproxy.wire.proto.ControlProtocol.RememberedReply.Builder, org.borageproxy.wire.proto.ControlProtocol.RememberedReplyOrBuilder>(
                   replies_,
-                  ((bitField0_ & 0x00000040) != 0),
+                  ((bitField0_ & 0x00000020) != 0),
                   getParentForChildren(),
                   isClean());
           replies_ = null;
@@ -41369,9 +41389,9 @@
       private java.util.List<org.borageproxy.wire.proto.ControlProtocol.ClaimState> claims_ =
         java.util.Collections.emptyList();
       private void ensureClaimsIsMutable() {
-        if (!((bitField0_ & 0x00000080) != 0)) {
+        if (!((bitField0_ & 0x00000040) != 0)) {
           claims_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.ClaimState>(claims_);
-          bitField0_ |= 0x00000080;
+          bitField0_ |= 0x00000040;
          }
       }
 
@@ -41521,7 +41541,7 @@
       public Builder clearClaims() {
         if (claimsBuilder_ == null) {
           claims_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000080);
+          bitField0_ = (bitField0_ & ~0x00000040);
           onChanged();
         } else {
           claimsBuilder_.clear();
@@ -41598,7 +41618,7 @@
           claimsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
               org.borageproxy.wire.proto.ControlProtocol.ClaimState, org.borageproxy.wire.proto.ControlProtocol.ClaimState.Builder, org.borageproxy.wire.proto.ControlProtocol.ClaimStateOrBuilder>(
                   claims_,
-                  ((bitField0_ & 0x00000080) != 0),
+                  ((bitField0_ & 0x00000040) != 0),
                   getParentForChildren(),
                   isClean());
           claims_ = null;
@@ -41623,7 +41643,7 @@
       public Builder setLastClaimEpoch(long value) {
 
         lastClaimEpoch_ = value;
-        bitField0_ |= 0x00000100;
+        bitField0_ |= 0x00000080;
         onChanged();
         return this;
       }
@@ -41632,7 +41652,7 @@
        * @return This builder for chaining.
        */
       public Builder clearLastClaimEpoch() {
-        bitField0_ = (bitField0_ & ~0x00000100);
+        bitField0_ = (bitField0_ & ~0x00000080);
         lastClaimEpoch_ = 0L;
         onChanged();
         return this;
@@ -41641,9 +41661,9 @@
       private java.util.List<org.borageproxy.wire.proto.ControlProtocol.LeaseState> leases_ =
         java.util.Collections.emptyList();
       private void ensureLeasesIsMutable() {
-        if (!((bitField0_ & 0x00000200) != 0)) {
+        if (!((bitField0_ & 0x00000100) != 0)) {
           leases_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.LeaseState>(leases_);
-          bitField0_ |= 0x00000200;
+          bitField0_ |= 0x00000100;
          }
       }
 
@@ -41793,7 +41813,7 @@
       public Builder clearLeases() {
         if (leasesBuilder_ == null) {
           leases_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000200);
+          bitField0_ = (bitField0_ & ~0x00000100);
           onChanged();
         } else {
           leasesBuilder_.clear();
@@ -41870,7 +41890,7 @@
           leasesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
               org.borageproxy.wire.proto.ControlProtocol.LeaseState, org.borageproxy.wire.proto.ControlProtocol.LeaseState.Builder, org.borageproxy.wire.proto.ControlProtocol.LeaseStateOrBuilder>(
                   leases_,
-                  ((bitField0_ & 0x00000200) != 0),
+                  ((bitField0_ & 0x00000100) != 0),
                   getParentForChildren(),
                   isClean());
           leases_ = null;
@@ -41881,9 +41901,9 @@
       private java.util.List<org.borageproxy.wire.proto.ControlProtocol.IntentRecord> intents_ =
         java.util.Collections.emptyList();
       private void ensureIntentsIsMutable() {
-        if (!((bitField0_ & 0x00000400) != 0)) {
+        if (!((bitField0_ & 0x00000200) != 0)) {
           intents_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.IntentRecord>(intents_);
-          bitField0_ |= 0x00000400;
+          bitField0_ |= 0x00000200;
          }
       }
 
@@ -42033,7 +42053,7 @@
       public Builder clearIntents() {
         if (intentsBuilder_ == null) {
           intents_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000400);
+          bitField0_ = (bitField0_ & ~0x00000200);
           onChanged();
         } else {
           intentsBuilder_.clear();
@@ -42110,7 +42130,7 @@
           intentsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
               org.borageproxy.wire.proto.ControlProtocol.IntentRecord, org.borageproxy.wire.proto.ControlProtocol.IntentRecord.Builder, org.borageproxy.wire.proto.ControlProtocol.IntentRecordOrBuilder>(
                   intents_,
-                  ((bitField0_ & 0x00000400) != 0),
+                  ((bitField0_ & 0x00000200) != 0),
                   getParentForChildren(),
                   isClean());
           intents_ = null;
@@ -42135,7 +42155,7 @@
       public Builder setLastIntentNumber(long value) {
 
         lastIntentNumber_ = value;
-        bitField0_ |= 0x00000800;
+        bitField0_ |= 0x00000400;
         onChanged();
         return this;
       }
@@ -42144,7 +42164,7 @@
        * @return This builder for chaining.
        */
       public Builder clearLastIntentNumber() {
-        bitField0_ = (bitField0_ & ~0x00000800);
+        bitField0_ = (bitField0_ & ~0x00000400);
         lastIntentNumber_ = 0L;
         onChanged();
         return this;
@@ -42153,9 +42173,9 @@
       private java.util.List<org.borageproxy.wire.proto.ControlProtocol.CrashState> crashes_ =
         java.util.Collections.emptyList();
       private void ensureCrashesIsMutable() {
-        if (!((bitField0_ & 0x00001000) != 0)) {
+        if (!((bitField0_ & 0x00000800) != 0)) {
           crashes_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.CrashState>(crashes_);
-          bitField0_ |= 0x00001000;
+          bitField0_ |= 0x00000800;
          }
       }
 
@@ -42305,7 +42325,7 @@
       public Builder clearCrashes() {
         if (crashesBuilder_ == null) {
           crashes_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00001000);
+          bitField0_ = (bitField0_ & ~0x00000800);
           onChanged();
         } else {
           crashesBuilder_.clear();
@@ -42382,7 +42402,7 @@
           crashesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
               org.borageproxy.wire.proto.ControlProtocol.CrashState, org.borageproxy.wire.proto.ControlProtocol.CrashState.Builder, org.borageproxy.wire.proto.ControlProtocol.CrashStateOrBuilder>(
                   crashes_,
-                  ((bitField0_ & 0x00001000) != 0),
+                  ((bitField0_ & 0x00000800) != 0),
                   getParentForChildren(),
                   isClean());
           crashes_ = null;
@@ -42393,9 +42413,9 @@
       private java.util.List<org.borageproxy.wire.proto.ControlProtocol.Item> items_ =
         java.util.Collections.emptyList();
       private void ensureItemsIsMutable() {
-        if (!((bitField0_ & 0x00002000) != 0)) {
+        if (!((bitField0_ & 0x00001000) != 0)) {
           items_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.Item>(items_);
-          bitField0_ |= 0x00002000;
+          bitField0_ |= 0x00001000;
          }
       }
 
@@ -42545,7 +42565,7 @@
       public Builder clearItems() {
         if (itemsBuilder_ == null) {
           items_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00002000);
+          bitField0_ = (bitField0_ & ~0x00001000);
           onChanged();
         } else {
           itemsBuilder_.clear();
@@ -42622,7 +42642,7 @@
           itemsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
               org.borageproxy.wire.proto.ControlProtocol.Item, org.borageproxy.wire.proto.ControlProtocol.Item.Builder, org.borageproxy.wire.proto.ControlProtocol.ItemOrBuilder>(
                   items_,
-                  ((bitField0_ & 0x00002000) != 0),
+                  ((bitField0_ & 0x00001000) != 0),
                   getParentForChildren(),
                   isClean());
           items_ = null;
@@ -42647,7 +42667,7 @@
       public Builder setRemovalsSince(long value) {
 
         removalsSince_ = value;
-        bitField0_ |= 0x00004000;
+        bitField0_ |= 0x00002000;
         onChanged();
         return this;
       }
@@ -42656,7 +42676,7 @@
        * @return This builder for chaining.
        */
       public Builder clearRemovalsSince() {
-        bitField0_ = (bitField0_ & ~0x00004000);
+        bitField0_ = (bitField0_ & ~0x00002000);
         removalsSince_ = 0L;
         onChanged();
         return this;
@@ -42777,6 +42797,21 @@
      */
     org.borageproxy.wire.proto.ControlProtocol.ReadRevisionsOrBuilder getReadRevisionsOrBuilder();
 
+    /**
+     * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
+     * @return Whether the readKeys field is set.
+     */
+    boolean hasReadKeys();
+    /**
+     * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
+     * @return The readKeys.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ReadKeys getReadKeys();
+    /**
+     * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ReadKeysOrBuilder getReadKeysOrBuilder();
+
     org.borageproxy.wire.proto.ControlProtocol.WatchRequest.BodyCase getBodyCase();
   }
   /**
@@ -42835,6 +42870,7 @@
       READ_SERVED(2),
       READ_TREE(3),
       READ_REVISIONS(4),
+      READ_KEYS(5),
       BODY_NOT_SET(0);
       private final int value;
       private BodyCase(int value) {
@@ -42856,6 +42892,7 @@
           case 2: return READ_SERVED;
           case 3: return READ_TREE;
           case 4: return READ_REVISIONS;
+          case 5: return READ_KEYS;
           case 0: return BODY_NOT_SET;
           default: return null;
         }
@@ -42995,6 +43032,37 @@
       return org.borageproxy.wire.proto.ControlProtocol.ReadRevisions.getDefaultInstance();
     }
 
+    public static final int READ_KEYS_FIELD_NUMBER = 5;
+    /**
+     * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
+     * @return Whether the readKeys field is set.
+     */
+    @java.lang.Override
+    public boolean hasReadKeys() {
+      return bodyCase_ == 5;
+    }
+    /**
+     * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
+     * @return The readKeys.
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.ReadKeys getReadKeys() {
+      if (bodyCase_ == 5) {
+         return (org.borageproxy.wire.proto.ControlProtocol.ReadKeys) body_;
+      }
+      return org.borageproxy.wire.proto.ControlProtocol.ReadKeys.getDefaultInstance();
+    }
+    /**
+     * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.ReadKeysOrBuilder getReadKeysOrBuilder() {
+      if (bodyCase_ == 5) {
+         return (org.borageproxy.wire.proto.ControlProtocol.ReadKeys) body_;
+      }
+      return org.borageproxy.wire.proto.ControlProtocol.ReadKeys.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -43021,6 +43089,9 @@
       if (bodyCase_ == 4) {
         output.writeMessage(4, (org.borageproxy.wire.proto.ControlProtocol.ReadRevisions) body_);
       }
+      if (bodyCase_ == 5) {
+        output.writeMessage(5, (org.borageproxy.wire.proto.ControlProtocol.ReadKeys) body_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -43046,6 +43117,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(4, (org.borageproxy.wire.proto.ControlProtocol.ReadRevisions) body_);
       }
+      if (bodyCase_ == 5) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(5, (org.borageproxy.wire.proto.ControlProtocol.ReadKeys) body_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -43079,6 +43154,10 @@
           if (!getReadRevisions()
               .equals(other.getReadRevisions())) return false;
           break;
+        case 5:
+          if (!getReadKeys()
+              .equals(other.getReadKeys())) return false;
+          break;
         case 0:
         default:
       }
@@ -43110,6 +43189,10 @@
           hash = (37 * hash) + READ_REVISIONS_FIELD_NUMBER;
           hash = (53 * hash) + getReadRevisions().hashCode();
           break;
+        case 5:
+          hash = (37 * hash) + READ_KEYS_FIELD_NUMBER;
+          hash = (53 * hash) + getReadKeys().hashCode();
+          break;
         case 0:
         default:
       }
@@ -43260,6 +43343,9 @@
         if (readRevisionsBuilder_ != null) {
           readRevisionsBuilder_.clear();
         }
+        if (readKeysBuilder_ != null) {
+          readKeysBuilder_.clear();
+        }
         bodyCase_ = 0;
         body_ = null;
         return this;
@@ -43317,6 +43403,10 @@
             readRevisionsBuilder_ != null) {
           result.body_ = readRevisionsBuilder_.build();
         }
+        if (bodyCase_ == 5 &&
+            readKeysBuilder_ != null) {
+          result.body_ = readKeysBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -43348,6 +43438,10 @@
             mergeReadRevisions(other.getReadRevisions());
             break;
           }
+          case READ_KEYS: {
+            mergeReadKeys(other.getReadKeys());
+            break;
+          }
           case BODY_NOT_SET: {
             break;
           }
@@ -43406,6 +43500,13 @@
                 bodyCase_ = 4;
                 break;
               } // case 34
+              case 42: {
+                input.readMessage(
+                    internalGetReadKeysFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 5;
+                break;
+              } // case 42
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -44006,6 +44107,148 @@
         return readRevisionsBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.ReadKeys, org.borageproxy.wire.proto.ControlProtocol.ReadKeys.Builder, org.borageproxy.wire.proto.ControlProtocol.ReadKeysOrBuilder> readKeysBuilder_;
+      /**
+       * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
+       * @return Whether the readKeys field is set.
+       */
+      @java.lang.Override
+      public boolean hasReadKeys() {
+        return bodyCase_ == 5;
+      }
+      /**
+       * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
+       * @return The readKeys.
+       */
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ReadKeys getReadKeys() {
+        if (readKeysBuilder_ == null) {
+          if (bodyCase_ == 5) {
+            return (org.borageproxy.wire.proto.ControlProtocol.ReadKeys) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.ReadKeys.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 5) {
+            return readKeysBuilder_.getMessage();
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.ReadKeys.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
+       */
+      public Builder setReadKeys(org.borageproxy.wire.proto.ControlProtocol.ReadKeys value) {
+        if (readKeysBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          body_ = value;
+          onChanged();
+        } else {
+          readKeysBuilder_.setMessage(value);
+        }
+        bodyCase_ = 5;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
+       */
+      public Builder setReadKeys(
+          org.borageproxy.wire.proto.ControlProtocol.ReadKeys.Builder builderForValue) {
+        if (readKeysBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          readKeysBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 5;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
+       */
+      public Builder mergeReadKeys(org.borageproxy.wire.proto.ControlProtocol.ReadKeys value) {
+        if (readKeysBuilder_ == null) {
+          if (bodyCase_ == 5 &&
+              body_ != org.borageproxy.wire.proto.ControlProtocol.ReadKeys.getDefaultInstance()) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.ReadKeys.newBuilder((org.borageproxy.wire.proto.ControlProtocol.ReadKeys) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 5) {
+            readKeysBuilder_.mergeFrom(value);
+          } else {
+            readKeysBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 5;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
+       */
+      public Builder clearReadKeys() {
+        if (readKeysBuilder_ == null) {
+          if (bodyCase_ == 5) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 5) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          readKeysBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.ReadKeys.Builder getReadKeysBuilder() {
+        return internalGetReadKeysFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
+       */
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ReadKeysOrBuilder getReadKeysOrBuilder() {
+        if ((bodyCase_ == 5) && (readKeysBuilder_ != null)) {
+          return readKeysBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 5) {
+            return (org.borageproxy.wire.proto.ControlProtocol.ReadKeys) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.ReadKeys.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.ReadKeys, org.borageproxy.wire.proto.ControlProtocol.ReadKeys.Builder, org.borageproxy.wire.proto.ControlProtocol.ReadKeysOrBuilder> 
+          internalGetReadKeysFieldBuilder() {
+        if (readKeysBuilder_ == null) {
+          if (!(bodyCase_ == 5)) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.ReadKeys.getDefaultInstance();
+          }
+          readKeysBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.ReadKeys, org.borageproxy.wire.proto.ControlProtocol.ReadKeys.Builder, org.borageproxy.wire.proto.ControlProtocol.ReadKeysOrBuilder>(
+                  (org.borageproxy.wire.proto.ControlProtocol.ReadKeys) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 5;
+        onChanged();
+        return readKeysBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.control.WatchRequest)
     }
 
@@ -46030,6 +46273,366 @@
 
   }
 
+  public interface ReadKeysOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.control.ReadKeys)
+      com.google.protobuf.MessageOrBuilder {
+  }
+  /**
+   * Protobuf type {@code borageproxy.control.ReadKeys}
+   */
+  public static final class ReadKeys extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:borageproxy.control.ReadKeys)
+      ReadKeysOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "ReadKeys");
+    }
+    // Use ReadKeys.newBuilder() to construct.
+    private ReadKeys(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private ReadKeys() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ReadKeys_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ReadKeys_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ReadKeys_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.borageproxy.wire.proto.ControlProtocol.ReadKeys.class, org.borageproxy.wire.proto.ControlProtocol.ReadKeys.Builder.class);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.ReadKeys)) {
+        return super.equals(obj);
+      }
+      org.borageproxy.wire.proto.ControlProtocol.ReadKeys other = (org.borageproxy.wire.proto.ControlProtocol.ReadKeys) obj;
+
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.ReadKeys parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.ReadKeys parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.ReadKeys parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.ReadKeys parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.ReadKeys parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.ReadKeys parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.ReadKeys parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.ReadKeys parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.ReadKeys parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.ReadKeys parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.ReadKeys parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.ReadKeys parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.ReadKeys prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code borageproxy.control.ReadKeys}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:borageproxy.control.ReadKeys)
+        org.borageproxy.wire.proto.ControlProtocol.ReadKeysOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ReadKeys_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ReadKeys_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.borageproxy.wire.proto.ControlProtocol.ReadKeys.class, org.borageproxy.wire.proto.ControlProtocol.ReadKeys.Builder.class);
+      }
+
+      // Construct using org.borageproxy.wire.proto.ControlProtocol.ReadKeys.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ReadKeys_descriptor;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ReadKeys getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.ReadKeys.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ReadKeys build() {
+        org.borageproxy.wire.proto.ControlProtocol.ReadKeys result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ReadKeys buildPartial() {
+        org.borageproxy.wire.proto.ControlProtocol.ReadKeys result = new org.borageproxy.wire.proto.ControlProtocol.ReadKeys(this);
+        onBuilt();
+        return result;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.ReadKeys) {
+          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.ReadKeys)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.ReadKeys other) {
+        if (other == org.borageproxy.wire.proto.ControlProtocol.ReadKeys.getDefaultInstance()) return this;
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:borageproxy.control.ReadKeys)
+    }
+
+    // @@protoc_insertion_point(class_scope:borageproxy.control.ReadKeys)
+    private static final org.borageproxy.wire.proto.ControlProtocol.ReadKeys DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.ReadKeys();
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.ReadKeys getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<ReadKeys>
+        PARSER = new com.google.protobuf.AbstractParser<ReadKeys>() {
+      @java.lang.Override
+      public ReadKeys parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<ReadKeys> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<ReadKeys> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.ReadKeys getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
   public interface WatchAnswerOrBuilder extends
       // @@protoc_insertion_point(interface_extends:borageproxy.control.WatchAnswer)
       com.google.protobuf.MessageOrBuilder {
@@ -46148,6 +46751,30 @@
      */
     org.borageproxy.wire.proto.ControlProtocol.TreeStateOrBuilder getRevisionsOrBuilder(
         int index);
+
+    /**
+     * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+     */
+    java.util.List<org.borageproxy.wire.proto.ControlProtocol.KeyState> 
+        getKeysList();
+    /**
+     * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.KeyState getKeys(int index);
+    /**
+     * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+     */
+    int getKeysCount();
+    /**
+     * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+     */
+    java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder> 
+        getKeysOrBuilderList();
+    /**
+     * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder getKeysOrBuilder(
+        int index);
   }
   /**
    * Protobuf type {@code borageproxy.control.WatchAnswer}
@@ -46174,6 +46801,7 @@
       items_ = java.util.Collections.emptyList();
       served_ = java.util.Collections.emptyList();
       revisions_ = java.util.Collections.emptyList();
+      keys_ = java.util.Collections.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -46392,6 +47020,47 @@
       return revisions_.get(index);
     }
 
+    public static final int KEYS_FIELD_NUMBER = 9;
+    @SuppressWarnings("serial")
+    private java.util.List<org.borageproxy.wire.proto.ControlProtocol.KeyState> keys_;
+    /**
+     * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.borageproxy.wire.proto.ControlProtocol.KeyState> getKeysList() {
+      return keys_;
+    }
+    /**
+     * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder> 
+        getKeysOrBuilderList() {
+      return keys_;
+    }
+    /**
+     * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+     */
+    @java.lang.Override
+    public int getKeysCount() {
+      return keys_.size();
+    }
+    /**
+     * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.KeyState getKeys(int index) {
+      return keys_.get(index);
+    }
+    /**
+     * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder getKeysOrBuilder(
+        int index) {
+      return keys_.get(index);
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -46430,6 +47099,9 @@
       for (int i = 0; i < revisions_.size(); i++) {
         output.writeMessage(8, revisions_.get(i));
       }
+      for (int i = 0; i < keys_.size(); i++) {
+        output.writeMessage(9, keys_.get(i));
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -46486,6 +47158,15 @@
             }
             size += 1 * count;
           }
+
+          {
+            final int count = keys_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(keys_.get(i));
+            }
+            size += 1 * count;
+          }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -46520,6 +47201,8 @@
       }
       if (!getRevisionsList()
           .equals(other.getRevisionsList())) return false;
+      if (!getKeysList()
+          .equals(other.getKeysList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -46559,6 +47242,10 @@
         hash = (37 * hash) + REVISIONS_FIELD_NUMBER;
         hash = (53 * hash) + getRevisionsList().hashCode();
       }
+      if (getKeysCount() > 0) {
+        hash = (37 * hash) + KEYS_FIELD_NUMBER;
+        hash = (53 * hash) + getKeysList().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -46693,6 +47380,7 @@
           internalGetServedFieldBuilder();
           internalGetTreeFieldBuilder();
           internalGetRevisionsFieldBuilder();
+          internalGetKeysFieldBuilder();
         }
       }
       @java.lang.Override
@@ -46729,6 +47417,13 @@
           revisionsBuilder_.clear();
         }
         bitField0_ = (bitField0_ & ~0x00000080);
+        if (keysBuilder_ == null) {
+          keys_ = java.util.Collections.emptyList();
+        } else {
+          keys_ = null;
+          keysBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000100);
         return this;
       }
 
@@ -46789,6 +47484,15 @@
         } else {
           result.revisions_ = revisionsBuilder_.build();
         }
+        if (keysBuilder_ == null) {
+          if (((bitField0_ & 0x00000100) != 0)) {
+            keys_ = java.util.Collections.unmodifiableList(keys_);
+            bitField0_ = (bitField0_ & ~0x00000100);
+          }
+          result.keys_ = keys_;
+        } else {
+          result.keys_ = keysBuilder_.build();
+        }
       }
 
       private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.WatchAnswer result) {
@@ -46920,6 +47624,32 @@
             }
           }
         }
+        if (keysBuilder_ == null) {
+          if (!other.keys_.isEmpty()) {
+            if (keys_.isEmpty()) {
+              keys_ = other.keys_;
+              bitField0_ = (bitField0_ & ~0x00000100);
+            } else {
+              ensureKeysIsMutable();
+              keys_.addAll(other.keys_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.keys_.isEmpty()) {
+            if (keysBuilder_.isEmpty()) {
+              keysBuilder_.dispose();
+              keysBuilder_ = null;
+              keys_ = other.keys_;
+              bitField0_ = (bitField0_ & ~0x00000100);
+              keysBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetKeysFieldBuilder() : null;
+            } else {
+              keysBuilder_.addAllMessages(other.keys_);
+            }
+          }
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -47012,6 +47742,19 @@
                 }
                 break;
               } // case 66
+              case 74: {
+                org.borageproxy.wire.proto.ControlProtocol.KeyState m =
+                    input.readMessage(
+                        org.borageproxy.wire.proto.ControlProtocol.KeyState.parser(),
+                        extensionRegistry);
+                if (keysBuilder_ == null) {
+                  ensureKeysIsMutable();
+                  keys_.add(m);
+                } else {
+                  keysBuilder_.addMessage(m);
+                }
+                break;
+              } // case 74
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -48010,6 +48753,246 @@
         return revisionsBuilder_;
       }
 
+      private java.util.List<org.borageproxy.wire.proto.ControlProtocol.KeyState> keys_ =
+        java.util.Collections.emptyList();
+      private void ensureKeysIsMutable() {
+        if (!((bitField0_ & 0x00000100) != 0)) {
+          keys_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.KeyState>(keys_);
+          bitField0_ |= 0x00000100;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.KeyState, org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder, org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder> keysBuilder_;
+
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.KeyState> getKeysList() {
+        if (keysBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(keys_);
+        } else {
+          return keysBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       */
+      public int getKeysCount() {
+        if (keysBuilder_ == null) {
+          return keys_.size();
+        } else {
+          return keysBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.KeyState getKeys(int index) {
+        if (keysBuilder_ == null) {
+          return keys_.get(index);
+        } else {
+          return keysBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       */
+      public Builder setKeys(
+          int index, org.borageproxy.wire.proto.ControlProtocol.KeyState value) {
+        if (keysBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureKeysIsMutable();
+          keys_.set(index, value);
+          onChanged();
+        } else {
+          keysBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       */
+      public Builder setKeys(
+          int index, org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder builderForValue) {
+        if (keysBuilder_ == null) {
+          ensureKeysIsMutable();
+          keys_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          keysBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       */
+      public Builder addKeys(org.borageproxy.wire.proto.ControlProtocol.KeyState value) {
+        if (keysBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureKeysIsMutable();
+          keys_.add(value);
+          onChanged();
+        } else {
+          keysBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       */
+      public Builder addKeys(
+          int index, org.borageproxy.wire.proto.ControlProtocol.KeyState value) {
+        if (keysBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureKeysIsMutable();
+          keys_.add(index, value);
+          onChanged();
+        } else {
+          keysBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       */
+      public Builder addKeys(
+          org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder builderForValue) {
+        if (keysBuilder_ == null) {
+          ensureKeysIsMutable();
+          keys_.add(builderForValue.build());
+          onChanged();
+        } else {
+          keysBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       */
+      public Builder addKeys(
+          int index, org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder builderForValue) {
+        if (keysBuilder_ == null) {
+          ensureKeysIsMutable();
+          keys_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          keysBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       */
+      public Builder addAllKeys(
+          java.lang.Iterable<? extends org.borageproxy.wire.proto.ControlProtocol.KeyState> values) {
+        if (keysBuilder_ == null) {
+          ensureKeysIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, keys_);
+          onChanged();
+        } else {
+          keysBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       */
+      public Builder clearKeys() {
+        if (keysBuilder_ == null) {
+          keys_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000100);
+          onChanged();
+        } else {
+          keysBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       */
+      public Builder removeKeys(int index) {
+        if (keysBuilder_ == null) {
+          ensureKeysIsMutable();
+          keys_.remove(index);
+          onChanged();
+        } else {
+          keysBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder getKeysBuilder(
+          int index) {
+        return internalGetKeysFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder getKeysOrBuilder(
+          int index) {
+        if (keysBuilder_ == null) {
+          return keys_.get(index);  } else {
+          return keysBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       */
+      public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder> 
+           getKeysOrBuilderList() {
+        if (keysBuilder_ != null) {
+          return keysBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(keys_);
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder addKeysBuilder() {
+        return internalGetKeysFieldBuilder().addBuilder(
+            org.borageproxy.wire.proto.ControlProtocol.KeyState.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder addKeysBuilder(
+          int index) {
+        return internalGetKeysFieldBuilder().addBuilder(
+            index, org.borageproxy.wire.proto.ControlProtocol.KeyState.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder> 
+           getKeysBuilderList() {
+        return internalGetKeysFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.KeyState, org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder, org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder> 
+          internalGetKeysFieldBuilder() {
+        if (keysBuilder_ == null) {
+          keysBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.KeyState, org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder, org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder>(
+                  keys_,
+                  ((bitField0_ & 0x00000100) != 0),
+                  getParentForChildren(),
+                  isClean());
+          keys_ = null;
+        }
+        return keysBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.control.WatchAnswer)
     }
 
@@ -49105,6 +50088,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_borageproxy_control_ReadRevisions_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_borageproxy_control_ReadKeys_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_borageproxy_control_ReadKeys_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_borageproxy_control_WatchAnswer_descriptor;
   private static final 
@@ -49153,143 +50141,146 @@
       "proxy.control.ReportCrashH\000\0226\n\013clear_cra" +
       "sh\030\020 \001(\0132\037.borageproxy.control.ClearCras" +
       "hH\000\0226\n\013register_vm\030\021 \001(\0132\037.borageproxy.c" +
-      "ontrol.RegisterVmH\000B\006\n\004body\"_\n\tApplyTree" +
+      "ontrol.RegisterVmH\000B\006\n\004body\"s\n\tApplyTree" +
       "\022\027\n\017change_identity\030\001 \001(\t\022\025\n\rbase_revisi" +
       "on\030\002 \001(\004\022\020\n\010document\030\003 \001(\t\022\020\n\010operator\030\004" +
-      " \001(\t\"a\n\010Rollback\022\027\n\017change_identity\030\001 \001(" +
-      "\t\022\025\n\rbase_revision\030\002 \001(\004\022\023\n\013to_revision\030" +
-      "\003 \001(\004\022\020\n\010operator\030\004 \001(\t\"o\n\tCreateKey\022\027\n\017" +
-      "change_identity\030\001 \001(\t\022\024\n\014key_identity\030\002 " +
-      "\001(\t\022\016\n\006digest\030\003 \001(\t\022\021\n\tworkspace\030\004 \001(\t\022\020" +
-      "\n\010operator\030\005 \001(\t\"#\n\013WithdrawKey\022\024\n\014key_i" +
-      "dentity\030\001 \001(\t\"\203\001\n\005Claim\022\021\n\tworkspace\030\001 \001" +
-      "(\t\022\027\n\017idempotency_key\030\002 \001(\t\022\016\n\006digest\030\003 " +
-      "\001(\t\022\031\n\021created_at_millis\030\004 \001(\003\022\016\n\006holder" +
-      "\030\005 \001(\t\022\023\n\013hold_millis\030\006 \001(\003\"w\n\rCompleteC" +
-      "laim\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017idempotency_k" +
-      "ey\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\022+\n\006answer\030\004 \001(\0132" +
-      "\033.borageproxy.control.Answer\"E\n\010EndClaim" +
-      "\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017idempotency_key\030\002" +
-      " \001(\t\022\r\n\005epoch\030\003 \001(\003\"<\n\006Answer\022\016\n\006status\030" +
-      "\001 \001(\005\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003 \001(" +
-      "\014\"V\n\014AcquireLease\022\014\n\004duty\030\001 \001(\t\022\016\n\006holde" +
-      "r\030\002 \001(\t\022\017\n\007session\030\003 \001(\t\022\027\n\017expired_rene" +
-      "wal\030\004 \001(\004\"<\n\014ReleaseLease\022\014\n\004duty\030\001 \001(\t\022" +
-      "\017\n\007session\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\"\276\001\n\014Inte" +
-      "ntRecord\022\016\n\006number\030\001 \001(\003\022\r\n\005epoch\030\002 \001(\003\022" +
-      "\016\n\006server\030\003 \001(\t\022\023\n\013incarnation\030\004 \001(\003\022\023\n\013" +
-      "accelerator\030\005 \001(\t\022\016\n\006action\030\006 \001(\005\022\r\n\005mod" +
-      "el\030\007 \001(\t\022\017\n\007version\030\010 \001(\t\022\017\n\007adapter\030\t \001" +
-      "(\t\022\024\n\014memory_bytes\030\n \001(\003\"A\n\014RecordIntent" +
-      "\0221\n\006intent\030\001 \001(\0132!.borageproxy.control.I" +
-      "ntentRecord\"0\n\016ResolveIntents\022\r\n\005epoch\030\001" +
-      " \001(\003\022\017\n\007numbers\030\002 \003(\003\"\r\n\013ReadIntents\"V\n\013" +
-      "ReportCrash\022\023\n\013fingerprint\030\001 \001(\t\022\016\n\006serv" +
-      "er\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\003\022\r\n\005alone\030\004" +
-      " \001(\010\"!\n\nClearCrash\022\023\n\013fingerprint\030\001 \001(\t\"" +
-      "7\n\nRegisterVm\022)\n\002vm\030\001 \001(\0132\035.borageproxy." +
-      "control.VmRecord\"B\n\010VmRecord\022\014\n\004name\030\001 \001" +
-      "(\t\022\014\n\004zone\030\002 \001(\t\022\014\n\004host\030\003 \001(\t\022\014\n\004port\030\004" +
-      " \001(\005\"\205\005\n\005Reply\0221\n\010accepted\030\001 \001(\0132\035.borag" +
-      "eproxy.control.AcceptedH\000\022>\n\017change_conf" +
-      "lict\030\002 \001(\0132#.borageproxy.control.ChangeC" +
-      "onflictH\000\022B\n\021identity_conflict\030\003 \001(\0132%.b" +
-      "orageproxy.control.IdentityConflictH\000\022/\n" +
-      "\007missing\030\004 \001(\0132\034.borageproxy.control.Mis" +
-      "singH\000\0220\n\005claim\030\005 \001(\0132\037.borageproxy.cont" +
-      "rol.ClaimReplyH\000\0220\n\005lease\030\006 \001(\0132\037.borage" +
-      "proxy.control.LeaseReplyH\000\0223\n\006intent\030\007 \001" +
-      "(\0132!.borageproxy.control.IntentRecordH\000\022" +
-      "-\n\006fenced\030\010 \001(\0132\033.borageproxy.control.Fe" +
-      "ncedH\000\022/\n\007intents\030\t \001(\0132\034.borageproxy.co" +
-      "ntrol.IntentsH\000\0220\n\005crash\030\n \001(\0132\037.boragep" +
-      "roxy.control.CrashReplyH\000\022)\n\004done\030\013 \001(\0132" +
-      "\031.borageproxy.control.DoneH\000\0226\n\013key_crea" +
-      "ted\030\014 \001(\0132\037.borageproxy.control.KeyCreat" +
-      "edH\000B\006\n\004body\"\034\n\010Accepted\022\020\n\010revision\030\001 \001" +
-      "(\004\":\n\016ChangeConflict\022\030\n\020current_revision" +
-      "\030\001 \001(\004\022\016\n\006holder\030\002 \001(\t\"4\n\020IdentityConfli" +
-      "ct\022\016\n\006holder\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\"\t\n\007" +
-      "Missing\"\006\n\004Done\"\037\n\006Fenced\022\025\n\rcurrent_epo" +
-      "ch\030\001 \001(\003\"J\n\nKeyCreated\022\020\n\010revision\030\001 \001(\004" +
-      "\022*\n\003key\030\002 \001(\0132\035.borageproxy.control.KeyS" +
-      "tate\"\351\001\n\nClaimReply\022:\n\010decision\030\001 \001(\0162(." +
-      "borageproxy.control.ClaimReply.Decision\022" +
-      "\r\n\005epoch\030\002 \001(\003\022+\n\006answer\030\003 \001(\0132\033.boragep" +
-      "roxy.control.Answer\"c\n\010Decision\022\013\n\007GRANT" +
-      "ED\020\000\022\014\n\010ANSWERED\020\001\022\017\n\013IN_PROGRESS\020\002\022\020\n\014M" +
-      "AY_HAVE_RUN\020\003\022\014\n\010CONFLICT\020\004\022\013\n\007TOO_OLD\020\005" +
-      "\"<\n\nLeaseReply\022\017\n\007granted\030\001 \001(\010\022\016\n\006holde" +
-      "r\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\"=\n\007Intents\0222\n\007int" +
-      "ents\030\001 \003(\0132!.borageproxy.control.IntentR" +
-      "ecord\"\037\n\nCrashReply\022\021\n\tsuspicion\030\001 \001(\005\"R" +
-      "\n\010KeyState\022\020\n\010identity\030\001 \001(\t\022\016\n\006digest\030\002" +
-      " \001(\t\022\021\n\tworkspace\030\003 \001(\t\022\021\n\twithdrawn\030\004 \001" +
-      "(\010\"v\n\tTreeState\022\020\n\010revision\030\001 \001(\004\022\020\n\010doc" +
-      "ument\030\002 \001(\t\022\027\n\017change_identity\030\003 \001(\t\022\020\n\010" +
-      "operator\030\004 \001(\t\022\032\n\022accepted_at_millis\030\005 \001" +
-      "(\003\"i\n\nLeaseState\022\014\n\004duty\030\001 \001(\t\022\016\n\006holder" +
-      "\030\002 \001(\t\022\017\n\007session\030\003 \001(\t\022\r\n\005epoch\030\004 \001(\003\022\017" +
-      "\n\007renewal\030\005 \001(\004\022\014\n\004free\030\006 \001(\010\"\304\002\n\nClaimS" +
-      "tate\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017idempotency_k" +
-      "ey\030\002 \001(\t\022\016\n\006digest\030\003 \001(\t\022\016\n\006holder\030\004 \001(\t" +
-      "\022\r\n\005epoch\030\005 \001(\003\0224\n\005phase\030\006 \001(\0162%.boragep" +
-      "roxy.control.ClaimState.Phase\022\031\n\021held_un" +
-      "til_millis\030\007 \001(\003\022\031\n\021expires_at_millis\030\010 " +
-      "\001(\003\022+\n\006answer\030\t \001(\0132\033.borageproxy.contro" +
-      "l.Answer\"B\n\005Phase\022\013\n\007CLAIMED\020\000\022\014\n\010ANSWER" +
-      "ED\020\001\022\020\n\014MAY_HAVE_RUN\020\002\022\014\n\010RELEASED\020\003\"b\n\n" +
-      "CrashState\022\023\n\013fingerprint\030\001 \001(\t\022\017\n\007crash" +
-      "es\030\002 \003(\t\022\023\n\013quarantined\030\003 \001(\010\022\031\n\021expires" +
-      "_at_millis\030\004 \001(\003\"l\n\013ChangeState\022\020\n\010ident" +
-      "ity\030\001 \001(\t\022\016\n\006digest\030\002 \001(\014\022\020\n\010operator\030\003 " +
-      "\001(\t\022)\n\005reply\030\004 \001(\0132\032.borageproxy.control" +
-      ".Reply\"a\n\017RememberedReply\022\020\n\010identity\030\001 " +
-      "\001(\t\022\021\n\tat_millis\030\002 \001(\003\022)\n\005reply\030\003 \001(\0132\032." +
-      "borageproxy.control.Reply\"\260\002\n\004Item\022\014\n\004na" +
-      "me\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\022.\n\004tree\030\003 \001(\0132" +
-      "\036.borageproxy.control.TreeStateH\000\022,\n\003key" +
-      "\030\004 \001(\0132\035.borageproxy.control.KeyStateH\000\022" +
-      "0\n\005lease\030\005 \001(\0132\037.borageproxy.control.Lea" +
-      "seStateH\000\0220\n\005crash\030\006 \001(\0132\037.borageproxy.c" +
-      "ontrol.CrashStateH\000\022+\n\002vm\030\007 \001(\0132\035.borage" +
-      "proxy.control.VmRecordH\000\022\021\n\007removed\030\010 \001(" +
-      "\010H\000B\007\n\005value\"\323\004\n\017ControlSnapshot\022\017\n\007vers" +
-      "ion\030\001 \001(\004\022\020\n\010revision\030\002 \001(\004\022\025\n\rtree_revi" +
-      "sion\030\003 \001(\004\022/\n\007history\030\004 \003(\0132\036.borageprox" +
-      "y.control.TreeState\022+\n\004keys\030\005 \003(\0132\035.bora" +
-      "geproxy.control.KeyState\0221\n\007changes\030\006 \003(" +
-      "\0132 .borageproxy.control.ChangeState\0225\n\007r" +
-      "eplies\030\007 \003(\0132$.borageproxy.control.Remem" +
-      "beredReply\022/\n\006claims\030\010 \003(\0132\037.borageproxy" +
-      ".control.ClaimState\022\030\n\020last_claim_epoch\030" +
-      "\t \001(\003\022/\n\006leases\030\n \003(\0132\037.borageproxy.cont" +
-      "rol.LeaseState\0222\n\007intents\030\013 \003(\0132!.borage" +
-      "proxy.control.IntentRecord\022\032\n\022last_inten" +
-      "t_number\030\014 \001(\003\0220\n\007crashes\030\r \003(\0132\037.borage" +
-      "proxy.control.CrashState\022(\n\005items\030\016 \003(\0132" +
-      "\031.borageproxy.control.Item\022\026\n\016removals_s" +
-      "ince\030\017 \001(\004\"\355\001\n\014WatchRequest\022+\n\005watch\030\001 \001" +
-      "(\0132\032.borageproxy.control.WatchH\000\0226\n\013read" +
-      "_served\030\002 \001(\0132\037.borageproxy.control.Read" +
-      "ServedH\000\0222\n\tread_tree\030\003 \001(\0132\035.borageprox" +
-      "y.control.ReadTreeH\000\022<\n\016read_revisions\030\004" +
-      " \001(\0132\".borageproxy.control.ReadRevisions" +
-      "H\000B\006\n\004body\"q\n\005Watch\022)\n\002vm\030\001 \001(\0132\035.borage" +
-      "proxy.control.VmRecord\022\017\n\007version\030\002 \001(\004\022" +
-      "\027\n\017served_revision\030\003 \001(\004\022\023\n\013wait_millis\030" +
-      "\004 \001(\r\"\014\n\nReadServed\"\034\n\010ReadTree\022\020\n\010revis" +
-      "ion\030\001 \001(\004\"\017\n\rReadRevisions\"\211\002\n\013WatchAnsw" +
-      "er\022\021\n\tconfirmed\030\001 \001(\010\022\017\n\007version\030\002 \001(\004\022\020" +
-      "\n\010revision\030\003 \001(\004\022\014\n\004full\030\004 \001(\010\022(\n\005items\030" +
-      "\005 \003(\0132\031.borageproxy.control.Item\022+\n\006serv" +
-      "ed\030\006 \003(\0132\033.borageproxy.control.Served\022,\n" +
-      "\004tree\030\007 \001(\0132\036.borageproxy.control.TreeSt" +
-      "ate\0221\n\trevisions\030\010 \003(\0132\036.borageproxy.con" +
-      "trol.TreeState\"H\n\006Served\022\n\n\002vm\030\001 \001(\t\022\020\n\010" +
-      "revision\030\002 \001(\004\022\022\n\nage_millis\030\003 \001(\004\022\014\n\004zo" +
-      "ne\030\004 \001(\tB-\n\032org.borageproxy.wire.protoB\017" +
-      "ControlProtocolb\006proto3"
+      " \001(\t\022\022\n\nonly_known\030\005 \001(\010\"a\n\010Rollback\022\027\n\017" +
+      "change_identity\030\001 \001(\t\022\025\n\rbase_revision\030\002" +
+      " \001(\004\022\023\n\013to_revision\030\003 \001(\004\022\020\n\010operator\030\004 " +
+      "\001(\t\"o\n\tCreateKey\022\027\n\017change_identity\030\001 \001(" +
+      "\t\022\024\n\014key_identity\030\002 \001(\t\022\016\n\006digest\030\003 \001(\t\022" +
+      "\021\n\tworkspace\030\004 \001(\t\022\020\n\010operator\030\005 \001(\t\"#\n\013" +
+      "WithdrawKey\022\024\n\014key_identity\030\001 \001(\t\"\203\001\n\005Cl" +
+      "aim\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017idempotency_ke" +
+      "y\030\002 \001(\t\022\016\n\006digest\030\003 \001(\t\022\031\n\021created_at_mi" +
+      "llis\030\004 \001(\003\022\016\n\006holder\030\005 \001(\t\022\023\n\013hold_milli" +
+      "s\030\006 \001(\003\"w\n\rCompleteClaim\022\021\n\tworkspace\030\001 " +
+      "\001(\t\022\027\n\017idempotency_key\030\002 \001(\t\022\r\n\005epoch\030\003 " +
+      "\001(\003\022+\n\006answer\030\004 \001(\0132\033.borageproxy.contro" +
+      "l.Answer\"E\n\010EndClaim\022\021\n\tworkspace\030\001 \001(\t\022" +
+      "\027\n\017idempotency_key\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\"" +
+      "<\n\006Answer\022\016\n\006status\030\001 \001(\005\022\024\n\014content_typ" +
+      "e\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"V\n\014AcquireLease\022\014\n" +
+      "\004duty\030\001 \001(\t\022\016\n\006holder\030\002 \001(\t\022\017\n\007session\030\003" +
+      " \001(\t\022\027\n\017expired_renewal\030\004 \001(\004\"<\n\014Release" +
+      "Lease\022\014\n\004duty\030\001 \001(\t\022\017\n\007session\030\002 \001(\t\022\r\n\005" +
+      "epoch\030\003 \001(\003\"\276\001\n\014IntentRecord\022\016\n\006number\030\001" +
+      " \001(\003\022\r\n\005epoch\030\002 \001(\003\022\016\n\006server\030\003 \001(\t\022\023\n\013i" +
+      "ncarnation\030\004 \001(\003\022\023\n\013accelerator\030\005 \001(\t\022\016\n" +
+      "\006action\030\006 \001(\005\022\r\n\005model\030\007 \001(\t\022\017\n\007version\030" +
+      "\010 \001(\t\022\017\n\007adapter\030\t \001(\t\022\024\n\014memory_bytes\030\n" +
+      " \001(\003\"A\n\014RecordIntent\0221\n\006intent\030\001 \001(\0132!.b" +
+      "orageproxy.control.IntentRecord\"0\n\016Resol" +
+      "veIntents\022\r\n\005epoch\030\001 \001(\003\022\017\n\007numbers\030\002 \003(" +
+      "\003\"\r\n\013ReadIntents\"V\n\013ReportCrash\022\023\n\013finge" +
+      "rprint\030\001 \001(\t\022\016\n\006server\030\002 \001(\t\022\023\n\013incarnat" +
+      "ion\030\003 \001(\003\022\r\n\005alone\030\004 \001(\010\"!\n\nClearCrash\022\023" +
+      "\n\013fingerprint\030\001 \001(\t\"7\n\nRegisterVm\022)\n\002vm\030" +
+      "\001 \001(\0132\035.borageproxy.control.VmRecord\"B\n\010" +
+      "VmRecord\022\014\n\004name\030\001 \001(\t\022\014\n\004zone\030\002 \001(\t\022\014\n\004" +
+      "host\030\003 \001(\t\022\014\n\004port\030\004 \001(\005\"\205\005\n\005Reply\0221\n\010ac" +
+      "cepted\030\001 \001(\0132\035.borageproxy.control.Accep" +
+      "tedH\000\022>\n\017change_conflict\030\002 \001(\0132#.boragep" +
+      "roxy.control.ChangeConflictH\000\022B\n\021identit" +
+      "y_conflict\030\003 \001(\0132%.borageproxy.control.I" +
+      "dentityConflictH\000\022/\n\007missing\030\004 \001(\0132\034.bor" +
+      "ageproxy.control.MissingH\000\0220\n\005claim\030\005 \001(" +
+      "\0132\037.borageproxy.control.ClaimReplyH\000\0220\n\005" +
+      "lease\030\006 \001(\0132\037.borageproxy.control.LeaseR" +
+      "eplyH\000\0223\n\006intent\030\007 \001(\0132!.borageproxy.con" +
+      "trol.IntentRecordH\000\022-\n\006fenced\030\010 \001(\0132\033.bo" +
+      "rageproxy.control.FencedH\000\022/\n\007intents\030\t " +
+      "\001(\0132\034.borageproxy.control.IntentsH\000\0220\n\005c" +
+      "rash\030\n \001(\0132\037.borageproxy.control.CrashRe" +
+      "plyH\000\022)\n\004done\030\013 \001(\0132\031.borageproxy.contro" +
+      "l.DoneH\000\0226\n\013key_created\030\014 \001(\0132\037.boragepr" +
+      "oxy.control.KeyCreatedH\000B\006\n\004body\"\034\n\010Acce" +
+      "pted\022\020\n\010revision\030\001 \001(\004\":\n\016ChangeConflict" +
+      "\022\030\n\020current_revision\030\001 \001(\004\022\016\n\006holder\030\002 \001" +
+      "(\t\"4\n\020IdentityConflict\022\016\n\006holder\030\001 \001(\t\022\020" +
+      "\n\010revision\030\002 \001(\004\"\t\n\007Missing\"\006\n\004Done\"\037\n\006F" +
+      "enced\022\025\n\rcurrent_epoch\030\001 \001(\003\"J\n\nKeyCreat" +
+      "ed\022\020\n\010revision\030\001 \001(\004\022*\n\003key\030\002 \001(\0132\035.bora" +
+      "geproxy.control.KeyState\"\351\001\n\nClaimReply\022" +
+      ":\n\010decision\030\001 \001(\0162(.borageproxy.control." +
+      "ClaimReply.Decision\022\r\n\005epoch\030\002 \001(\003\022+\n\006an" +
+      "swer\030\003 \001(\0132\033.borageproxy.control.Answer\"" +
+      "c\n\010Decision\022\013\n\007GRANTED\020\000\022\014\n\010ANSWERED\020\001\022\017" +
+      "\n\013IN_PROGRESS\020\002\022\020\n\014MAY_HAVE_RUN\020\003\022\014\n\010CON" +
+      "FLICT\020\004\022\013\n\007TOO_OLD\020\005\"<\n\nLeaseReply\022\017\n\007gr" +
+      "anted\030\001 \001(\010\022\016\n\006holder\030\002 \001(\t\022\r\n\005epoch\030\003 \001" +
+      "(\003\"=\n\007Intents\0222\n\007intents\030\001 \003(\0132!.boragep" +
+      "roxy.control.IntentRecord\"\037\n\nCrashReply\022" +
+      "\021\n\tsuspicion\030\001 \001(\005\"R\n\010KeyState\022\020\n\010identi" +
+      "ty\030\001 \001(\t\022\016\n\006digest\030\002 \001(\t\022\021\n\tworkspace\030\003 " +
+      "\001(\t\022\021\n\twithdrawn\030\004 \001(\010\"v\n\tTreeState\022\020\n\010r" +
+      "evision\030\001 \001(\004\022\020\n\010document\030\002 \001(\t\022\027\n\017chang" +
+      "e_identity\030\003 \001(\t\022\020\n\010operator\030\004 \001(\t\022\032\n\022ac" +
+      "cepted_at_millis\030\005 \001(\003\"i\n\nLeaseState\022\014\n\004" +
+      "duty\030\001 \001(\t\022\016\n\006holder\030\002 \001(\t\022\017\n\007session\030\003 " +
+      "\001(\t\022\r\n\005epoch\030\004 \001(\003\022\017\n\007renewal\030\005 \001(\004\022\014\n\004f" +
+      "ree\030\006 \001(\010\"\304\002\n\nClaimState\022\021\n\tworkspace\030\001 " +
+      "\001(\t\022\027\n\017idempotency_key\030\002 \001(\t\022\016\n\006digest\030\003" +
+      " \001(\t\022\016\n\006holder\030\004 \001(\t\022\r\n\005epoch\030\005 \001(\003\0224\n\005p" +
+      "hase\030\006 \001(\0162%.borageproxy.control.ClaimSt" +
+      "ate.Phase\022\031\n\021held_until_millis\030\007 \001(\003\022\031\n\021" +
+      "expires_at_millis\030\010 \001(\003\022+\n\006answer\030\t \001(\0132" +
+      "\033.borageproxy.control.Answer\"B\n\005Phase\022\013\n" +
+      "\007CLAIMED\020\000\022\014\n\010ANSWERED\020\001\022\020\n\014MAY_HAVE_RUN" +
+      "\020\002\022\014\n\010RELEASED\020\003\"b\n\nCrashState\022\023\n\013finger" +
+      "print\030\001 \001(\t\022\017\n\007crashes\030\002 \003(\t\022\023\n\013quaranti" +
+      "ned\030\003 \001(\010\022\031\n\021expires_at_millis\030\004 \001(\003\"l\n\013" +
+      "ChangeState\022\020\n\010identity\030\001 \001(\t\022\016\n\006digest\030" +
+      "\002 \001(\014\022\020\n\010operator\030\003 \001(\t\022)\n\005reply\030\004 \001(\0132\032" +
+      ".borageproxy.control.Reply\"a\n\017Remembered" +
+      "Reply\022\020\n\010identity\030\001 \001(\t\022\021\n\tat_millis\030\002 \001" +
+      "(\003\022)\n\005reply\030\003 \001(\0132\032.borageproxy.control." +
+      "Reply\"\260\002\n\004Item\022\014\n\004name\030\001 \001(\t\022\017\n\007version\030" +
+      "\002 \001(\004\022.\n\004tree\030\003 \001(\0132\036.borageproxy.contro" +
+      "l.TreeStateH\000\022,\n\003key\030\004 \001(\0132\035.borageproxy" +
+      ".control.KeyStateH\000\0220\n\005lease\030\005 \001(\0132\037.bor" +
+      "ageproxy.control.LeaseStateH\000\0220\n\005crash\030\006" +
+      " \001(\0132\037.borageproxy.control.CrashStateH\000\022" +
+      "+\n\002vm\030\007 \001(\0132\035.borageproxy.control.VmReco" +
+      "rdH\000\022\021\n\007removed\030\010 \001(\010H\000B\007\n\005value\"\302\004\n\017Con" +
+      "trolSnapshot\022\017\n\007version\030\001 \001(\004\022\020\n\010revisio" +
+      "n\030\002 \001(\004\022/\n\007history\030\004 \003(\0132\036.borageproxy.c" +
+      "ontrol.TreeState\022+\n\004keys\030\005 \003(\0132\035.boragep" +
+      "roxy.control.KeyState\0221\n\007changes\030\006 \003(\0132 " +
+      ".borageproxy.control.ChangeState\0225\n\007repl" +
+      "ies\030\007 \003(\0132$.borageproxy.control.Remember" +
+      "edReply\022/\n\006claims\030\010 \003(\0132\037.borageproxy.co" +
+      "ntrol.ClaimState\022\030\n\020last_claim_epoch\030\t \001" +
+      "(\003\022/\n\006leases\030\n \003(\0132\037.borageproxy.control" +
+      ".LeaseState\0222\n\007intents\030\013 \003(\0132!.boragepro" +
+      "xy.control.IntentRecord\022\032\n\022last_intent_n" +
+      "umber\030\014 \001(\003\0220\n\007crashes\030\r \003(\0132\037.boragepro" +
+      "xy.control.CrashState\022(\n\005items\030\016 \003(\0132\031.b" +
+      "orageproxy.control.Item\022\026\n\016removals_sinc" +
+      "e\030\017 \001(\004J\004\010\003\020\004\"\241\002\n\014WatchRequest\022+\n\005watch\030" +
+      "\001 \001(\0132\032.borageproxy.control.WatchH\000\0226\n\013r" +
+      "ead_served\030\002 \001(\0132\037.borageproxy.control.R" +
+      "eadServedH\000\0222\n\tread_tree\030\003 \001(\0132\035.boragep" +
+      "roxy.control.ReadTreeH\000\022<\n\016read_revision" +
+      "s\030\004 \001(\0132\".borageproxy.control.ReadRevisi" +
+      "onsH\000\0222\n\tread_keys\030\005 \001(\0132\035.borageproxy.c" +
+      "ontrol.ReadKeysH\000B\006\n\004body\"q\n\005Watch\022)\n\002vm" +
+      "\030\001 \001(\0132\035.borageproxy.control.VmRecord\022\017\n" +
+      "\007version\030\002 \001(\004\022\027\n\017served_revision\030\003 \001(\004\022" +
+      "\023\n\013wait_millis\030\004 \001(\r\"\014\n\nReadServed\"\034\n\010Re" +
+      "adTree\022\020\n\010revision\030\001 \001(\004\"\017\n\rReadRevision" +
+      "s\"\n\n\010ReadKeys\"\266\002\n\013WatchAnswer\022\021\n\tconfirm" +
+      "ed\030\001 \001(\010\022\017\n\007version\030\002 \001(\004\022\020\n\010revision\030\003 " +
+      "\001(\004\022\014\n\004full\030\004 \001(\010\022(\n\005items\030\005 \003(\0132\031.borag" +
+      "eproxy.control.Item\022+\n\006served\030\006 \003(\0132\033.bo" +
+      "rageproxy.control.Served\022,\n\004tree\030\007 \001(\0132\036" +
+      ".borageproxy.control.TreeState\0221\n\trevisi" +
+      "ons\030\010 \003(\0132\036.borageproxy.control.TreeStat" +
+      "e\022+\n\004keys\030\t \003(\0132\035.borageproxy.control.Ke" +
+      "yState\"H\n\006Served\022\n\n\002vm\030\001 \001(\t\022\020\n\010revision" +
+      "\030\002 \001(\004\022\022\n\nage_millis\030\003 \001(\004\022\014\n\004zone\030\004 \001(\t" +
+      "B-\n\032org.borageproxy.wire.protoB\017ControlP" +
+      "rotocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -49318,7 +50309,7 @@
     internal_static_borageproxy_control_ApplyTree_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ApplyTree_descriptor,
-        new java.lang.String[] { "ChangeIdentity", "BaseRevision", "Document", "Operator", });
+        new java.lang.String[] { "ChangeIdentity", "BaseRevision", "Document", "Operator", "OnlyKnown", });
     internal_static_borageproxy_control_Rollback_descriptor =
       getDescriptor().getMessageType(4);
     internal_static_borageproxy_control_Rollback_fieldAccessorTable = new
@@ -49546,13 +50537,13 @@
     internal_static_borageproxy_control_ControlSnapshot_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ControlSnapshot_descriptor,
-        new java.lang.String[] { "Version", "Revision", "TreeRevision", "History", "Keys", "Changes", "Replies", "Claims", "LastClaimEpoch", "Leases", "Intents", "LastIntentNumber", "Crashes", "Items", "RemovalsSince", });
+        new java.lang.String[] { "Version", "Revision", "History", "Keys", "Changes", "Replies", "Claims", "LastClaimEpoch", "Leases", "Intents", "LastIntentNumber", "Crashes", "Items", "RemovalsSince", });
     internal_static_borageproxy_control_WatchRequest_descriptor =
       getDescriptor().getMessageType(42);
     internal_static_borageproxy_control_WatchRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_WatchRequest_descriptor,
-        new java.lang.String[] { "Watch", "ReadServed", "ReadTree", "ReadRevisions", "Body", });
+        new java.lang.String[] { "Watch", "ReadServed", "ReadTree", "ReadRevisions", "ReadKeys", "Body", });
     internal_static_borageproxy_control_Watch_descriptor =
       getDescriptor().getMessageType(43);
     internal_static_borageproxy_control_Watch_fieldAccessorTable = new
@@ -49577,14 +50568,20 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ReadRevisions_descriptor,
         new java.lang.String[] { });
-    internal_static_borageproxy_control_WatchAnswer_descriptor =
+    internal_static_borageproxy_control_ReadKeys_descriptor =
       getDescriptor().getMessageType(47);
+    internal_static_borageproxy_control_ReadKeys_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_borageproxy_control_ReadKeys_descriptor,
+        new java.lang.String[] { });
+    internal_static_borageproxy_control_WatchAnswer_descriptor =
+      getDescriptor().getMessageType(48);
     internal_static_borageproxy_control_WatchAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_WatchAnswer_descriptor,
-        new java.lang.String[] { "Confirmed", "Version", "Revision", "Full", "Items", "Served", "Tree", "Revisions", });
+        new java.lang.String[] { "Confirmed", "Version", "Revision", "Full", "Items", "Served", "Tree", "Revisions", "Keys", });
     internal_static_borageproxy_control_Served_descriptor =
-      getDescriptor().getMessageType(48);
+      getDescriptor().getMessageType(49);
     internal_static_borageproxy_control_Served_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Served_descriptor,
--- /dev/null
+++ b/src/test/java/org/borageproxy/spread/SpreadStateTest.java
@@ -0,0 +1,198 @@
+package org.borageproxy.spread;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.borageproxy.control.ControlClient;
+import org.borageproxy.control.ControlService;
+import org.borageproxy.control.FleetFake;
+import org.borageproxy.control.Submission;
+import org.borageproxy.event.EventRecorder;
+import org.borageproxy.vm.AvailabilityZone;
+import org.borageproxy.vm.VmAddress;
+import org.borageproxy.vm.VmName;
+import org.borageproxy.wire.MessageKind;
+import org.borageproxy.wire.VmNetwork;
+import org.borageproxy.wire.proto.ControlProtocol.ApplyTree;
+import org.borageproxy.wire.proto.ControlProtocol.Command;
+import org.borageproxy.wire.proto.ControlProtocol.CreateKey;
+import org.borageproxy.wire.proto.ControlProtocol.WithdrawKey;
+import org.junit.jupiter.api.Test;
+
+class SpreadStateTest {
+
+    private final FleetFake fleet = new FleetFake();
+
+    private final ControlClient operator = fleet.client("operator");
+
+    SpreadStateTest() {
+        for (VmName vm : fleet.controlVms()) {
+            VmNetwork network = fleet.network(vm.value());
+            network.handle(
+                    MessageKind.CONTROL_COMMAND,
+                    new ControlService(fleet.log(vm.value()), fleet.state(vm.value()), fleet::nanoTime));
+            network.handle(
+                    MessageKind.STATE_WATCH,
+                    new WatchService(
+                            fleet.log(vm.value()),
+                            fleet.state(vm.value()),
+                            fleet.client(vm.value()),
+                            fleet::nanoTime,
+                            fleet.timer()));
+        }
+    }
+
+    private SpreadState entry(String name) {
+        VmAddress address = new VmAddress(new VmName(name), new AvailabilityZone("a"), "127.0.0.1", 4000);
+        SpreadState state = new SpreadState(
+                address,
+                fleet.network(name),
+                fleet::controlVms,
+                fleet::nanoTime,
+                fleet.timer(),
+                EventRecorder.NoOp.INSTANCE);
+        state.start();
+        return state;
+    }
+
+    private List<SpreadState> entries(int count) {
+        List<SpreadState> entries = new ArrayList<>();
+        for (int number = 0; number < count; number++) {
+            entries.add(entry("e" + number));
+        }
+        return entries;
+    }
+
+    private void apply(String identity, long base, String document) {
+        Submission submission = fleet.await(operator.submit(
+                Command.newBuilder()
+                        .setApplyTree(ApplyTree.newBuilder()
+                                .setChangeIdentity(identity)
+                                .setBaseRevision(base)
+                                .setDocument(document)),
+                operator.in(Duration.ofSeconds(10))));
+        assertTrue(submission instanceof Submission.Replied replied
+                && replied.reply().hasAccepted());
+    }
+
+    private static String document(int workspaces) {
+        StringBuilder document =
+                new StringBuilder("[settings]\nrate_tokens_per_second = 5\nburst_tokens = 50\n");
+        for (int number = 0; number < workspaces; number++) {
+            document.append("[workspaces.w").append(number).append("]\n");
+        }
+        return document.toString();
+    }
+
+    @Test
+    void changesReachEveryEntryWithinASecond() {
+        List<SpreadState> entries = entries(9);
+        apply("one", 0, document(3));
+        assertTrue(fleet.runUntil(
+                () -> entries.stream().allMatch(entry -> entry.current().workspaces().size() == 3),
+                Duration.ofSeconds(1)));
+        assertTrue(entries.stream().allMatch(entry -> entry.isFresh(fleet.nanoTime())));
+        fleet.run(Duration.ofSeconds(1));
+        assertEquals(9, entries.get(0).vms().size());
+    }
+
+    @Test
+    void anEntryIsNotReadyBeforeTheStateCame() {
+        fleet.cut("c2");
+        fleet.cut("c3");
+        SpreadState entry = entry("e1");
+        fleet.run(Duration.ofSeconds(5));
+        assertFalse(entry.isReady());
+        fleet.heal("c3");
+        assertTrue(fleet.runUntil(entry::isReady, Duration.ofSeconds(3)));
+    }
+
+    @Test
+    void anIsolatedControlVmDoesNotKeepAnEntryFresh() {
+        SpreadState entry = entry("e1");
+        apply("one", 0, document(1));
+        fleet.run(Duration.ofSeconds(1));
+        assertTrue(entry.isFresh(fleet.nanoTime()));
+        fleet.cut("c1");
+        fleet.cut("c2");
+        long cutAt = fleet.nanoTime();
+        while (fleet.nanoTime() < cutAt + Duration.ofSeconds(20).toNanos()) {
+            fleet.run(Duration.ofMillis(10));
+            boolean isPastLease = fleet.nanoTime() - cutAt >= SpreadState.FRESHNESS.toNanos();
+            assertFalse(isPastLease && entry.isFresh(fleet.nanoTime()));
+        }
+        fleet.heal("c1");
+        assertTrue(fleet.runUntil(() -> entry.isFresh(fleet.nanoTime()), Duration.ofSeconds(3)));
+    }
+
+    @Test
+    void entriesStayFreshWhileOneControlVmIsIsolated() {
+        List<SpreadState> entries = entries(6);
+        apply("one", 0, document(1));
+        fleet.run(Duration.ofSeconds(1));
+        fleet.cut("c1");
+        for (int step = 0; step < 1000; step++) {
+            fleet.run(Duration.ofMillis(10));
+            assertTrue(entries.stream().allMatch(entry -> entry.isFresh(fleet.nanoTime())), "step " + step);
+        }
+    }
+
+    @Test
+    void aWithdrawnKeyIsWithdrawnOnEveryFreshEntry() {
+        List<SpreadState> entries = entries(5);
+        apply("one", 0, document(1));
+        fleet.await(operator.submit(
+                Command.newBuilder()
+                        .setCreateKey(CreateKey.newBuilder()
+                                .setChangeIdentity("k")
+                                .setKeyIdentity("k")
+                                .setDigest("d")
+                                .setWorkspace("w0")),
+                operator.in(Duration.ofSeconds(5))));
+        fleet.run(Duration.ofSeconds(1));
+        assertTrue(entries.stream().allMatch(entry -> entry.current().keysByDigest().containsKey("d")));
+        fleet.cut("c2");
+        fleet.await(operator.submit(
+                Command.newBuilder().setWithdrawKey(WithdrawKey.newBuilder().setKeyIdentity("k")),
+                operator.in(Duration.ofSeconds(5))));
+        fleet.run(SpreadState.FRESHNESS);
+        for (SpreadState entry : entries) {
+            boolean isWithdrawn = entry.current().keysByDigest().get("d").withdrawn();
+            assertTrue(isWithdrawn || !entry.isFresh(fleet.nanoTime()));
+        }
+    }
+
+    @Test
+    void bytesPerEntryAtRestAndPerChange() {
+        System.out.println("event=spread-cost-header entries workspaces bytes_per_entry_per_second bytes_per_change");
+        for (int count : new int[] {4, 50}) {
+            for (int workspaces : new int[] {10, 200}) {
+                SpreadStateTest trial = new SpreadStateTest();
+                trial.entries(count);
+                trial.apply("one", 0, document(workspaces));
+                trial.fleet.run(Duration.ofSeconds(5));
+                long atRest = trial.bytesIn(Duration.ofSeconds(20)) / count / 20;
+                long before = trial.fleet.bytes;
+                trial.apply("two", 1, document(workspaces + 1));
+                trial.fleet.run(Duration.ofSeconds(1));
+                long perChange = (trial.fleet.bytes - before) / count - atRest;
+                System.out.printf(
+                        "event=spread-cost entries=%d workspaces=%d document_bytes=%d at_rest=%d per_change=%d%n",
+                        count, workspaces, document(workspaces).length(), atRest, perChange);
+                assertTrue(atRest < 1_000, "bytes per entry and second at rest: " + atRest);
+                assertTrue(perChange < document(workspaces).length() + 2_000, "bytes per change: " + perChange);
+            }
+        }
+    }
+
+    private long bytesIn(Duration duration) {
+        long before = fleet.bytes;
+        fleet.run(duration);
+        return fleet.bytes - before;
+    }
+}
