--- a/src/main/java/org/borageproxy/log/consensus/LogSettings.java
+++ b/src/main/java/org/borageproxy/log/consensus/LogSettings.java
@@ -113,14 +113,13 @@
     }
 
     /**
-     * Returns how long a leader may act after a majority answered it, shorter than any election timeout.
+     * Returns for how long a leader may act after a majority answered it, shorter than any election timeout.
      *
      * @return the length of the lease
      */
     public Duration lease() {
-        return electionTimeoutMinimum
-                .multipliedBy(HUNDRED_PERCENT - driftMarginPercent)
-                .dividedBy(HUNDRED_PERCENT);
+        return Duration.ofNanos(
+                electionTimeoutMinimum.toNanos() / HUNDRED_PERCENT * (HUNDRED_PERCENT - driftMarginPercent));
     }
 
     /**
--- a/src/main/java/org/borageproxy/log/storage/Segments.java
+++ b/src/main/java/org/borageproxy/log/storage/Segments.java
@@ -21,6 +21,9 @@
     /** The beginning of the names of segment files. */
     private static final String PREFIX = "segment-";
 
+    /** The file that holds the number of the last segment, so that its loss is noticed. */
+    private static final String LAST = "last-segment";
+
     /** The end of the names of segment files. */
     private static final String SUFFIX = ".log";
 
@@ -89,6 +92,30 @@
             file.sync();
         }
         SealedFile.syncFolder(folder);
+        writeLast(folder, 1, opener);
+    }
+
+    /**
+     * Notes the number of the last segment.
+     *
+     * @param folder the folder
+     * @param number the number
+     * @param opener opens files
+     * @throws IOException if it cannot be written
+     */
+    private static void writeLast(Path folder, long number, DiskFile.Opener opener) throws IOException {
+        byte[] content = ByteBuffer.allocate(Long.BYTES).putLong(number).array();
+        SealedFile.replace(folder.resolve(LAST), content, opener);
+    }
+
+    /**
+     * Reads the number of the last segment.
+     *
+     * @return the number
+     * @throws IOException if it is gone or damaged
+     */
+    private long readLast() throws IOException {
+        return ByteBuffer.wrap(SealedFile.read(folder.resolve(LAST))).getLong();
     }
 
     /**
@@ -109,8 +136,9 @@
      */
     private void restore() throws IOException {
         List<Long> numbers = numbers();
-        if (numbers.isEmpty()) {
-            throw StorageException.missing(path(folder, 1));
+        long noted = readLast();
+        if (numbers.isEmpty() || numbers.get(numbers.size() - 1) < noted) {
+            throw StorageException.missing(path(folder, noted));
         }
         long expected = numbers.get(0);
         for (long number : numbers) {
@@ -240,6 +268,7 @@
         currentBytes = 0;
         current = opener.open(path(folder, currentNumber));
         SealedFile.syncFolder(folder);
+        writeLast(folder, currentNumber, opener);
     }
 
     /**
--- /dev/null
+++ b/src/test/java/org/borageproxy/log/storage/DiskStorageTest.java
@@ -0,0 +1,317 @@
+package org.borageproxy.log.storage;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.LongStream;
+import java.util.stream.Stream;
+
+import com.google.protobuf.ByteString;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.borageproxy.log.consensus.Effect;
+import org.borageproxy.log.consensus.MemberId;
+import org.borageproxy.log.consensus.Members;
+import org.borageproxy.vm.VmName;
+import org.borageproxy.wire.proto.LogProtocol.Entry;
+import org.borageproxy.wire.proto.LogProtocol.HardState;
+import org.borageproxy.wire.proto.LogProtocol.Snapshot;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Tests of {@link DiskStorage}. */
+class DiskStorageTest {
+
+    private static final MemberId SELF = MemberId.initial("group", new VmName("a"));
+
+    private static final int SEGMENT_BYTES = 300;
+
+    @TempDir
+    private Path folder;
+
+    private long ticket;
+
+    @BeforeEach
+    void createFolder() throws IOException {
+        DiskStorage.create(folder, "group", SELF, Members.ofVoters(List.of(SELF)));
+    }
+
+    @Test
+    void keepsEntriesTermAndVoteOverARestart() throws IOException {
+        HardState vote =
+                HardState.newBuilder().setTerm(7).setVotedFor(SELF.encode()).build();
+        try (DiskStorage storage = open()) {
+            storage.write(
+                    List.of(new Effect.Persist(1, Optional.of(vote), Optional.empty(), false, entries(1, 40, 7))));
+        }
+        try (DiskStorage storage = open()) {
+            assertEquals(entries(1, 40, 7), storage.restored().entries());
+            assertEquals(vote, storage.restored().hardState());
+            assertEquals(SELF, storage.restored().self());
+        }
+    }
+
+    @Test
+    void laterEntriesReplaceConflictingOnes() throws IOException {
+        append(entries(1, 10, 1));
+        append(entries(6, 8, 2));
+        assertEquals(concat(entries(1, 5, 1), entries(6, 8, 2)), restored());
+    }
+
+    @Test
+    void cutsATornTailAndGoesOn() throws IOException {
+        append(entries(1, 2, 1));
+        append(entries(3, 3, 1));
+        Path last = lastSegment();
+        cut(last, Files.size(last) - 3);
+        assertEquals(entries(1, 2, 1), restored());
+        append(entries(3, 4, 2));
+        assertEquals(concat(entries(1, 2, 1), entries(3, 4, 2)), restored());
+    }
+
+    @Property(seed = "42", tries = 150)
+    void aCrashDuringTheLastWriteLeavesWholeBatchesOnly(@ForAll @IntRange(min = 1, max = 200) int lostBytes)
+            throws IOException {
+        Path own = Files.createTempDirectory("torn");
+        DiskStorage.create(own, "group", SELF, Members.ofVoters(List.of(SELF)));
+        folder = own;
+        append(entries(1, 1, 1));
+        Path last = lastSegment();
+        long before = Files.size(last);
+        append(entries(2, 4, 1));
+        long written = Files.size(last) - before;
+        cut(last, before + Math.max(0, written - lostBytes));
+        assertEquals(entries(1, 1, 1), restored());
+    }
+
+    @Test
+    void refusesDamageInTheMiddleAndNamesFileAndOffset() throws IOException {
+        append(entries(1, 1, 1));
+        append(entries(2, 2, 1));
+        Path last = lastSegment();
+        flip(last, RecordFormat.HEADER_BYTES + 2);
+        StorageFault fault = assertThrows(StorageException.class, this::open).fault();
+        assertEquals(StorageFault.Kind.DAMAGED, fault.kind());
+        assertEquals(last, fault.file());
+        assertEquals(0, fault.offset());
+    }
+
+    @Test
+    void refusesDamageInAnEarlierSegment() throws IOException {
+        LongStream.rangeClosed(1, 30).forEach(index -> append(entries(index, index, 1)));
+        Path first = segments().get(0);
+        cut(first, Files.size(first) - 1);
+        assertEquals(
+                first, assertThrows(StorageException.class, this::open).fault().file());
+    }
+
+    @Test
+    void refusesAMissingSegmentVoteOrSnapshot() throws IOException {
+        LongStream.rangeClosed(1, 30).forEach(index -> append(entries(index, index, 1)));
+        snapshot(25, false);
+        for (Path needed : List.of(segments().get(1), folder.resolve("vote"), snapshotFile())) {
+            byte[] content = Files.readAllBytes(needed);
+            Files.delete(needed);
+            assertThrows(StorageException.class, this::open, needed.toString());
+            Files.write(needed, content);
+        }
+        open().close();
+    }
+
+    @Test
+    void refusesADamagedSnapshotOrVote() throws IOException {
+        append(entries(1, 5, 1));
+        snapshot(5, false);
+        for (Path needed : List.of(folder.resolve("vote"), folder.resolve("identity"), snapshotFile())) {
+            byte[] content = Files.readAllBytes(needed);
+            flip(needed, content.length - 1);
+            assertEquals(
+                    needed,
+                    assertThrows(StorageException.class, this::open).fault().file());
+            Files.write(needed, content);
+        }
+        open().close();
+    }
+
+    @Test
+    void aSnapshotReplacesTheEntriesBeforeIt() throws IOException {
+        LongStream.rangeClosed(1, 60).forEach(index -> append(entries(index, index, 1)));
+        int before = segments().size();
+        snapshot(50, false);
+        assertTrue(segments().size() < before);
+        assertEquals(entries(51, 60, 1), restored());
+    }
+
+    @Test
+    void aReceivedSnapshotReplacesTheWholeLog() throws IOException {
+        append(entries(1, 10, 1));
+        snapshot(100, true);
+        append(entries(101, 103, 3));
+        assertEquals(entries(101, 103, 3), restored());
+    }
+
+    @Test
+    void aCrashBetweenReceivedSnapshotAndLogLeavesTheSnapshot() throws IOException {
+        append(entries(1, 10, 1));
+        snapshot(8, false, 3);
+        assertEquals(List.of(), restored());
+        append(entries(9, 9, 3));
+        assertEquals(entries(9, 9, 3), restored());
+    }
+
+    @Test
+    void writesNothingMoreAfterAFullDisk() throws IOException {
+        AtomicLong room = new AtomicLong(200);
+        DiskStorage storage = DiskStorage.open(folder, 1 << 20, path -> limited(DiskFile.ForChannel.open(path), room));
+        storage.write(List.of(write(entries(1, 1, 1))));
+        assertThrows(IOException.class, () -> storage.write(List.of(write(entries(2, 9, 1)))));
+        room.set(Long.MAX_VALUE);
+        assertThrows(IOException.class, () -> storage.write(List.of(write(entries(2, 2, 1)))));
+        storage.close();
+        assertEquals(entries(1, 1, 1), restored());
+    }
+
+    @Test
+    void oneProcessUsesAFolder() throws IOException {
+        DiskStorage first = open();
+        assertEquals(
+                StorageFault.Kind.IN_USE,
+                assertThrows(StorageException.class, this::open).fault().kind());
+        first.close();
+    }
+
+    @Test
+    void anUnfinishedFolderIsNoMemberAndAMemberIsNotMadeTwice() throws IOException {
+        assertThrows(StorageException.class, () -> DiskStorage.create(folder, "group", SELF, Members.NONE));
+        Files.delete(folder.resolve("identity"));
+        assertEquals(
+                StorageFault.Kind.NO_IDENTITY,
+                assertThrows(StorageException.class, this::open).fault().kind());
+    }
+
+    private DiskStorage open() throws IOException {
+        return DiskStorage.open(folder, SEGMENT_BYTES);
+    }
+
+    private List<Entry> restored() throws IOException {
+        try (DiskStorage storage = open()) {
+            return storage.restored().entries();
+        }
+    }
+
+    private Effect.Persist write(List<Entry> entries) {
+        ticket++;
+        return new Effect.Persist(ticket, Optional.empty(), Optional.empty(), false, entries);
+    }
+
+    private void append(List<Entry> entries) {
+        try (DiskStorage storage = open()) {
+            storage.write(List.of(write(entries)));
+        } catch (IOException exception) {
+            throw new AssertionError(exception);
+        }
+    }
+
+    private void snapshot(long index, boolean reset) throws IOException {
+        snapshot(index, reset, 1);
+    }
+
+    private void snapshot(long index, boolean reset, long term) throws IOException {
+        Snapshot snapshot = Snapshot.newBuilder()
+                .setIndex(index)
+                .setTerm(term)
+                .setMembers(Members.NONE.encode())
+                .build();
+        ticket++;
+        try (DiskStorage storage = open()) {
+            storage.write(
+                    List.of(new Effect.Persist(ticket, Optional.empty(), Optional.of(snapshot), reset, List.of())));
+        }
+    }
+
+    private static List<Entry> entries(long from, long to, long term) {
+        return LongStream.rangeClosed(from, to)
+                .mapToObj(index -> Entry.newBuilder()
+                        .setIndex(index)
+                        .setTerm(term)
+                        .setKind(Entry.Kind.COMMAND)
+                        .setCommand(ByteString.copyFromUtf8("command " + index))
+                        .build())
+                .toList();
+    }
+
+    private static List<Entry> concat(List<Entry> first, List<Entry> second) {
+        List<Entry> all = new ArrayList<>(first);
+        all.addAll(second);
+        return all;
+    }
+
+    private List<Path> segments() throws IOException {
+        return list("segment-");
+    }
+
+    private Path lastSegment() throws IOException {
+        List<Path> segments = segments();
+        return segments.get(segments.size() - 1);
+    }
+
+    private Path snapshotFile() throws IOException {
+        return list("snapshot-").get(0);
+    }
+
+    private List<Path> list(String prefix) throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            return files.filter(file -> file.getFileName().toString().startsWith(prefix))
+                    .sorted()
+                    .toList();
+        }
+    }
+
+    private static void flip(Path file, int offset) throws IOException {
+        byte[] content = Files.readAllBytes(file);
+        content[offset] ^= 0x40;
+        Files.write(file, content, StandardOpenOption.TRUNCATE_EXISTING);
+    }
+
+    private static void cut(Path file, long length) throws IOException {
+        Files.write(file, Arrays.copyOf(Files.readAllBytes(file), (int) length), StandardOpenOption.TRUNCATE_EXISTING);
+    }
+
+    /** Returns a file on a disk with little room, which writes what fits and then fails. */
+    private static DiskFile limited(DiskFile file, AtomicLong room) {
+        return new DiskFile() {
+            @Override
+            public void append(ByteBuffer bytes) throws IOException {
+                int fits = (int) Math.min(room.get(), bytes.remaining());
+                room.addAndGet(-fits);
+                file.append(bytes.slice(bytes.position(), fits));
+                if (fits < bytes.remaining()) {
+                    throw new IOException("No space left on device");
+                }
+            }
+
+            @Override
+            public void sync() throws IOException {
+                file.sync();
+            }
+
+            @Override
+            public void close() throws IOException {
+                file.close();
+            }
+        };
+    }
+}
