Cut leaders off in the schedules, then isolate them

Cause: mutants without the lease binding of voters, and with a lease longer than the election timeout, survived. Change: schedules cut a leader off from one member and then from all, and isolate leaders.

--- a/src/test/java/org/borageproxy/log/consensus/GroupSimulation.java
+++ b/src/test/java/org/borageproxy/log/consensus/GroupSimulation.java
@@ -178,6 +178,7 @@
             case 7 -> member.handle(Input.TransferLeadership.INSTANCE);
             case 8 -> crashLeader();
             case 13 -> failPower();
+            case 14, 15 -> isolateLeader();
             case 9, 10, 11, 12 -> {
                 lastId++;
                 member.read(lastId);
@@ -187,16 +188,21 @@
     }
 
     private void healSometimes() {
-        if (random.nextInt(2) == 0) {
+        if (random.nextInt(4) != 0) {
             cut.clear();
         }
     }
 
     private void cutLeaderFromOne() {
         VmName to = names.get(random.nextInt(names.size()));
-        members.values().stream()
-                .filter(SimulatedMember::isLeaseHeld)
-                .forEach(leader -> cut.add(new Link(leader.self.name(), to)));
+        members.values().stream().filter(SimulatedMember::isLeaseHeld).forEach(leader -> {
+            cut.add(new Link(leader.self.name(), to));
+            schedule(random.nextInt(400) * MILLISECOND, () -> isolate(leader.self.name()));
+        });
+    }
+
+    private void isolateLeader() {
+        members.values().stream().filter(SimulatedMember::isLeaseHeld).forEach(leader -> isolate(leader.self.name()));
     }
 
     /** Crashes about every other member at the same moment, sometimes all of them. */
@@ -293,6 +299,7 @@
     }
 
     private void heal() {
+        advance(500 * MILLISECOND);
         cut.clear();
         lossRate = 0;
         duplicateRate = 0;
