Wait for places without the retry budget; renew claims; drain until quiet

Cause: a full engine's "not run" refusals spent the retry budget and turned into refusals of requests within their rate; a claim's right to dispatch (3 s) could pass in the queue; a drain could close a connection under an arriving request, and a second drain could end earlier than the first. Ruled out: claiming after the queue, since a resend would wait for a place before it gets its stored answer. Change: refusals for lack of a place go on waiting, bounded by the replica wait; a lapsed claim of which nothing was sent is given back and claimed anew; a drain ends after half a second without arrivals, and only the first one counts. Conclusion: each is shown by a test in BackendFaultTest or DrainTest.

--- a/src/main/java/org/borageproxy/entry/DrainState.java
+++ b/src/main/java/org/borageproxy/entry/DrainState.java
@@ -1,6 +1,7 @@
 package org.borageproxy.entry;
 
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 
 /**
@@ -14,6 +15,9 @@
     /** The calls in flight. */
     private final AtomicInteger inFlight = new AtomicInteger();
 
+    /** The calls that began before new ones were refused. */
+    private final AtomicLong begun = new AtomicLong();
+
     /** The phases of the callers' interface. */
     enum Phase {
         /** Serves as usual. */
@@ -56,6 +60,18 @@
     /** Counts a call that begins. */
     void begin() {
         inFlight.incrementAndGet();
+        if (phase.get() != Phase.REFUSING) {
+            begun.incrementAndGet();
+        }
+    }
+
+    /**
+     * Returns the calls that began before new ones were refused.
+     *
+     * @return the number
+     */
+    long begun() {
+        return begun.get();
     }
 
     /** Counts a call that ended. */
--- a/src/main/java/org/borageproxy/entry/EntryServer.java
+++ b/src/main/java/org/borageproxy/entry/EntryServer.java
@@ -1,14 +1,12 @@
 package org.borageproxy.entry;
 
-import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicReference;
 
 import io.vertx.core.DeploymentOptions;
 import io.vertx.core.Future;
-import io.vertx.core.Promise;
 import io.vertx.core.VerticleBase;
-import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
@@ -25,15 +23,12 @@
 /** The callers' interface of one VM. Safe for use by any thread; started once and drained or closed once. */
 public final class EntryServer {
 
-    /** Milliseconds between looks at the calls in flight during a drain. */
-    private static final long DRAIN_POLL_MILLIS = 25;
-    /** The share of a drain's time after which new calls are refused, as a divisor. */
-    private static final int REFUSING_DIVISOR = 2;
-
     /** What handlers share. */
     private final EntryParts parts;
     /** Where the interface stands. */
     private final DrainState state = new DrainState();
+    /** The drain, or {@code null} before one began. */
+    private final AtomicReference<Drain> draining = new AtomicReference<>();
     /** The port listened at, once started. */
     private volatile int actualPort;
     /** The identity of the deployed servers, once started. */
@@ -114,28 +109,11 @@
      * @return completes when the server has stopped
      */
     public Future<Void> drain(Deadline deadline) {
-        state.advance(DrainState.Phase.NOTICE);
-        parts.dependencies().events().record(Event.named("drain-started").with("in-flight", state.inFlight()));
-        long now = parts.dependencies().clock().nanoTime();
-        Deadline noticeEnd = Deadline.after(now, parts.settings().drainNotice()).earlierOf(deadline);
-        Deadline refusing = Deadline.after(now, Duration.ofNanos(deadline.remainingNanos(now) / REFUSING_DIVISOR));
-        Promise<Void> drained = Promise.promise();
-        Vertx vertx = parts.dependencies().vertx();
-        vertx.setPeriodic(DRAIN_POLL_MILLIS, timer -> {
-            long reading = parts.dependencies().clock().nanoTime();
-            if (noticeEnd.hasPassed(reading)) {
-                state.advance(DrainState.Phase.CLOSING);
-            }
-            if (refusing.hasPassed(reading) && noticeEnd.hasPassed(reading)) {
-                state.advance(DrainState.Phase.REFUSING);
-            }
-            boolean done = state.closesConnections() && state.inFlight() == 0;
-            if (done || deadline.hasPassed(reading)) {
-                vertx.cancelTimer(timer);
-                close().onComplete(closed -> drained.complete());
-            }
-        });
-        return drained.future();
+        if (draining.compareAndSet(null, new Drain(parts, state, deadline, this::close))) {
+            parts.dependencies().events().record(Event.named("drain-started").with("in-flight", state.inFlight()));
+            draining.get().start();
+        }
+        return draining.get().ended();
     }
 
     /**
--- a/src/main/java/org/borageproxy/entry/RequestFilter.java
+++ b/src/main/java/org/borageproxy/entry/RequestFilter.java
@@ -40,6 +40,8 @@
     /** The names of query parameters that carry keys elsewhere. */
     private static final Set<String> KEY_PARAMETERS =
             Set.of("api_key", "api-key", "apikey", "x-api-key", "access_token", "authorization", "bearer");
+    /** The characters of a text below which it is taken for no key. */
+    private static final int SHORTEST_KEY = 8;
     /** How many layers of percent encoding are looked through. */
     private static final int DECODED_LAYERS = 3;
 
@@ -108,11 +110,17 @@
      * @return {@code true} if it is a key
      */
     private static boolean isKey(String text, Configuration configuration) {
+        if (text.length() < SHORTEST_KEY) {
+            return false;
+        }
         String decoded = text;
         for (int layer = 0; layer < DECODED_LAYERS; layer++) {
             if (configuration.keysByDigest().containsKey(KeyDigest.of(decoded).value())) {
                 return true;
             }
+            if (decoded.indexOf('%') < 0) {
+                return false;
+            }
             decoded = decode(decoded);
         }
         return false;
@@ -177,7 +185,8 @@
      */
     private static boolean hasDots(String path) {
         for (String segment : path.split("/")) {
-            if (segment.equals(".") || segment.equals("..")) {
+            String name = segment.split(";", 2)[0];
+            if (name.equals(".") || name.equals("..")) {
                 return true;
             }
         }
--- a/src/main/java/org/borageproxy/execution/Admission.java
+++ b/src/main/java/org/borageproxy/execution/Admission.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 
 import org.borageproxy.admission.DispatchQueue;
 import org.borageproxy.key.Authentication;
@@ -71,12 +73,12 @@
     }
 
     /**
-     * Tells whether a claim is held.
+     * Tells whether a place in the queue is held.
      *
      * @return {@code true} if it is
      */
-    boolean isClaimed() {
-        return claim != null;
+    boolean hasSlot() {
+        return slot != null;
     }
 
     /**
@@ -150,13 +152,18 @@
         }
     }
 
-    /** Gives the claim back because the request did not run. */
-    void releaseClaim() {
-        if (claim != null) {
-            long epoch = claim.epoch();
-            claim = null;
-            request.claim().ifPresent(asked -> services.claims().release(asked.key(), epoch));
+    /**
+     * Gives the claim back because the request did not run.
+     *
+     * @return completes when the claim is given back, or at once if none is held
+     */
+    CompletionStage<Void> releaseClaim() {
+        if (claim == null || request.claim().isEmpty()) {
+            return CompletableFuture.completedFuture(null);
         }
+        long epoch = claim.epoch();
+        claim = null;
+        return services.claims().release(request.claim().get().key(), epoch);
     }
 
     /** Records that the request may have run and that its answer is lost. */
--- a/src/main/java/org/borageproxy/execution/AttemptLoop.java
+++ b/src/main/java/org/borageproxy/execution/AttemptLoop.java
@@ -37,6 +37,8 @@
     private static final long FIRST_JITTER_MILLIS = 10;
     /** The time in which a report of a crash must become durable. */
     private static final Duration REPORT_TIME = Duration.ofSeconds(2);
+    /** The largest number of renewals of a claim. */
+    private static final int MAXIMUM_RENEWALS = 2;
     /** When a server that still listens after a cut is looked at again. */
     private static final Duration RESTART_CHECK = Duration.ofMillis(1500);
 
@@ -52,6 +54,8 @@
     private final Consumer<Conclusion> conclude;
     /** Reserves the tokens of a further attempt. */
     private final Consumer<Consumer<Boolean>> reserveAgain;
+    /** Claims the request anew and goes on. */
+    private final Runnable renewClaim;
     /** The backend servers that failed the request. */
     private final Map<BackendServerName, AvailabilityZone> tried = new HashMap<>();
     /** What is known of the execution over all attempts. */
@@ -66,6 +70,12 @@
     private Suspicion reported = Suspicion.NONE;
     /** Waits for a backend server that runs nothing else. */
     private final ExclusiveWait exclusiveWait;
+    /** When waiting for a place on a full backend server ends, or {@code null} while none was full. */
+    private Deadline placeBefore;
+    /** The attempts that full backend servers refused. */
+    private int waits;
+    /** How often the claim was renewed. */
+    private int renewals;
     /** Whether an attempt is under way. */
     private boolean running;
     /** Whether the caller went away. */
@@ -86,6 +96,7 @@
      * @param admission what the request holds
      * @param conclude takes the conclusion
      * @param reserveAgain reserves the tokens of a further attempt
+     * @param renewClaim claims the request anew and goes on
      */
     AttemptLoop(
             ExecutionServices services,
@@ -93,13 +104,15 @@
             Work work,
             Admission admission,
             Consumer<Conclusion> conclude,
-            Consumer<Consumer<Boolean>> reserveAgain) {
+            Consumer<Consumer<Boolean>> reserveAgain,
+            Runnable renewClaim) {
         this.services = services;
         this.request = request;
         this.work = work;
         this.admission = admission;
         this.conclude = conclude;
         this.reserveAgain = reserveAgain;
+        this.renewClaim = renewClaim;
         this.exclusiveWait = new ExclusiveWait(services.table());
     }
 
@@ -110,7 +123,7 @@
         }
         Optional<ResultCode> refusal = admission.refusal();
         if (refusal.isPresent()) {
-            giveUp(refusal.get());
+            refused(refusal.get());
             return;
         }
         Suspicion suspicion = services.crashes().suspicion(request.fingerprint());
@@ -138,6 +151,21 @@
         }
     }
 
+    /**
+     * Ends the request that may not be dispatched, or renews a claim whose right to dispatch has passed unused.
+     *
+     * @param code why it may not be dispatched
+     */
+    private void refused(ResultCode code) {
+        boolean lapsed = code == ResultCode.CLAIM_UNAVAILABLE && !admission.isDispatched();
+        if (lapsed && renewals < MAXIMUM_RENEWALS) {
+            renewals++;
+            renewClaim.run();
+        } else {
+            giveUp(code);
+        }
+    }
+
     /**
      * Waits for a replica, or gives the request up if none was known for too long.
      *
@@ -298,13 +326,11 @@
         if (stopped) {
             return;
         }
-        boolean permanent = outcome instanceof Outcome.NotRun refused && refused.scope() == Outcome.Scope.REQUEST;
-        boolean attemptsLeft =
-                !permanent && !callerGone && attempts < services.settings().maximumAttempts() && cuts < MAXIMUM_CUTS;
+        boolean waiting = waitsForPlace(outcome);
         lastFailure = code(outcome);
-        RetryDecision decision = decision(outcome, attemptsLeft);
+        RetryDecision decision = decision(outcome, mayTryAgain(outcome, waiting));
         boolean again = decision == RetryDecision.RETRY || decision == RetryDecision.RESUME;
-        if (again && !services.budget().withdraw()) {
+        if (again && !waiting && !services.budget().withdraw()) {
             lastFailure = outcome.execution() == Execution.NOT_RUN ? ResultCode.RETRY_BUDGET_SPENT : lastFailure;
             decision = decision(outcome, false);
         }
@@ -315,6 +341,48 @@
         }
     }
 
+    /**
+     * Tells whether the request goes on waiting for a place because a backend server was full. Such a server did no
+     * work, so that coming back is no retry; the time for it is bounded.
+     *
+     * @param outcome the outcome of the last attempt
+     * @return {@code true} if the request waits
+     */
+    private boolean waitsForPlace(Outcome outcome) {
+        if (!isFull(outcome)) {
+            return false;
+        }
+        long now = services.clock().nanoTime();
+        if (placeBefore == null) {
+            placeBefore = Deadline.after(now, services.settings().replicaWait());
+        }
+        waits++;
+        return !placeBefore.hasPassed(now);
+    }
+
+    /**
+     * Tells whether the limits of one request allow another attempt.
+     *
+     * @param outcome the outcome of the last attempt
+     * @param waiting whether the request waits for a place
+     * @return {@code true} if they do
+     */
+    private boolean mayTryAgain(Outcome outcome, boolean waiting) {
+        boolean permanent = outcome instanceof Outcome.NotRun refused && refused.scope() == Outcome.Scope.REQUEST;
+        boolean attemptsLeft = attempts - waits < services.settings().maximumAttempts();
+        return !permanent && !callerGone && cuts < MAXIMUM_CUTS && (waiting || (attemptsLeft && !isFull(outcome)));
+    }
+
+    /**
+     * Tells whether a backend server was full.
+     *
+     * @param outcome the outcome of the last attempt
+     * @return {@code true} if it was
+     */
+    private static boolean isFull(Outcome outcome) {
+        return outcome instanceof Outcome.NotRun refused && refused.code() == ResultCode.OVERLOADED;
+    }
+
     /**
      * Asks the retry policy.
      *
--- a/src/main/java/org/borageproxy/execution/RequestExecution.java
+++ b/src/main/java/org/borageproxy/execution/RequestExecution.java
@@ -53,7 +53,8 @@
         this.work = work;
         this.context = context;
         this.admission = new Admission(services, request);
-        this.attempts = new AttemptLoop(services, request, work, admission, this::conclude, this::reserveAgain);
+        this.attempts = new AttemptLoop(
+                services, request, work, admission, this::conclude, this::reserveAgain, this::renewClaim);
     }
 
     /**
@@ -164,11 +165,8 @@
             return;
         }
         ClaimRequest asked = request.claim().get();
-        Deadline wait = Deadline.after(
-                        services.clock().nanoTime(), services.settings().claimWait())
-                .earlierOf(request.deadline());
         await(
-                services.claims().claim(asked.key(), asked.digest(), asked.createdAtMillis(), wait),
+                services.claims().claim(asked.key(), asked.digest(), asked.createdAtMillis(), request.deadline()),
                 this::claimed,
                 failure -> refuse(ResultCode.CLAIM_UNAVAILABLE));
     }
@@ -183,6 +181,8 @@
             admission.hold(granted);
             if (ended) {
                 admission.releaseClaim();
+            } else if (admission.hasSlot()) {
+                attempts.next();
             } else {
                 enterQueue();
             }
@@ -200,6 +200,11 @@
         }
     }
 
+    /** Claims the request anew because the right to dispatch it passed while it waited; nothing of it was sent. */
+    private void renewClaim() {
+        await(admission.releaseClaim(), released -> claim(), failure -> refuse(ResultCode.CLAIM_UNAVAILABLE));
+    }
+
     /** Waits for a place before the backend servers. */
     private void enterQueue() {
         DispatchQueue.QueuedRequest queued = new DispatchQueue.QueuedRequest(
--- a/src/test/java/org/borageproxy/entry/BackendFaultTest.java
+++ b/src/test/java/org/borageproxy/entry/BackendFaultTest.java
@@ -9,6 +9,8 @@
 import io.vertx.core.json.JsonObject;
 import org.borageproxy.admission.DispatchQueue;
 import org.borageproxy.execution.ClaimKey;
+import org.borageproxy.execution.RequestDigest;
+import org.borageproxy.execution.Suspicion;
 import org.borageproxy.result.ResultCode;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -317,4 +319,81 @@
         assertFailure(response, ResultCode.MODEL_LOADING, "not-run");
         assertEquals("1", response.headers().firstValue("retry-after").orElse(""));
     }
+
+    @Test
+    void waitsForAPlaceOnAFullServerWithoutSpendingTheRetryBudget() {
+        try (ScriptedBackend full = ScriptedBackend.answering((exchange, number) -> {
+            if (number % 4 == 0) {
+                exchange.plain(200, "sold");
+            } else {
+                exchange.plain(429, "", "borageproxy-not-run: true\r\n");
+            }
+        })) {
+            fixture.addService("service-1", full.port());
+            for (int call = 0; call < 30; call++) {
+                assertEquals("sold", fixture.post("/orders", "a").body());
+            }
+            assertEquals(120, full.runs().size());
+        }
+    }
+
+    @Test
+    void claimsAnewWhenTheQueueOutlastedTheRightToDispatch() {
+        try (ScriptedBackend service = ScriptedBackend.answering((exchange, number) -> exchange.plain(200, "sold"))) {
+            fixture.addService("service-1", service.port());
+            fixture.claims.dispatchTime = java.time.Duration.ZERO;
+            fixture.queue = queued -> {
+                fixture.claims.dispatchTime = java.time.Duration.ofSeconds(5);
+                return CompletableFuture.completedFuture(new DispatchQueue.Decision.Dispatchable(() -> {}));
+            };
+            assertEquals(
+                    "sold",
+                    fixture.post("/orders", "a", "Idempotency-Key", "i1").body());
+            assertEquals("answered", fixture.claims.states.get(new ClaimKey("quilters", "i1")));
+            assertEquals(1, service.runs().size());
+        }
+    }
+
+    @Test
+    void runsASuspectAloneThoughOthersKeepComing() throws Exception {
+        CountDownLatch goOn = new CountDownLatch(1);
+        CountDownLatch busy = new CountDownLatch(1);
+        java.util.concurrent.atomic.AtomicBoolean alone = new java.util.concurrent.atomic.AtomicBoolean();
+        try (ScriptedBackend service = ScriptedBackend.answering((exchange, number) -> {
+            if (exchange.request.head().startsWith("GET")) {
+                busy.countDown();
+                waitFor(goOn);
+            } else {
+                alone.set(goOn.getCount() == 0);
+            }
+            exchange.plain(200, "ok");
+        })) {
+            fixture.addService("service-1", service.port());
+            fixture.crashes.suspicions.put(
+                    RequestDigest.fingerprint("quilters", "/orders", "a".getBytes()), Suspicion.SUSPECT);
+            CompletableFuture<HttpResponse<String>> other = fixture.client.sendAsync(
+                    fixture.request("/stock/1").GET().build(), HttpResponse.BodyHandlers.ofString());
+            assertTrue(busy.await(20, TimeUnit.SECONDS));
+            CompletableFuture<HttpResponse<String>> suspect = fixture.client.sendAsync(
+                    fixture.request("/orders")
+                            .POST(java.net.http.HttpRequest.BodyPublishers.ofString("a"))
+                            .build(),
+                    HttpResponse.BodyHandlers.ofString());
+            Thread.sleep(400);
+            goOn.countDown();
+            assertEquals(200, EntryFixture.await(other).statusCode());
+            assertEquals(200, EntryFixture.await(suspect).statusCode());
+            assertTrue(alone.get());
+            assertTrue(fixture.crashes.suspicions.isEmpty());
+            assertEquals(200, fixture.get("/stock/2").statusCode());
+        }
+    }
+
+    private static void waitFor(CountDownLatch latch) {
+        try {
+            assertTrue(latch.await(20, TimeUnit.SECONDS));
+        } catch (InterruptedException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
 }
--- a/src/test/java/org/borageproxy/entry/DrainTest.java
+++ b/src/test/java/org/borageproxy/entry/DrainTest.java
@@ -58,7 +58,7 @@
             Future<Void> drained = drain(Duration.ofSeconds(60));
             assertEquals(503, fixture.get("/readyz").statusCode());
             assertEquals(200, fixture.get("/stock/1").statusCode());
-            drain(Duration.ofSeconds(60));
+            drain(Duration.ofMillis(50));
             awaitConnectionClose();
             assertFalse(drained.isComplete());
             goOn.countDown();
