Follow demand without displacing more than needed

A hot model displaced one surplus copy with each plan until the first unload had ended, and several copies were ordered one plan at a time. A plan now loads all missing copies while there is room, and waits for room that is coming free.

--- a/src/main/java/org/borageproxy/placement/CopyView.java
+++ b/src/main/java/org/borageproxy/placement/CopyView.java
@@ -29,6 +29,8 @@
         /** A load was ordered and nothing shows that it arrived; it may be ordered again. */
         UNCERTAIN,
         /** The copy is being unloaded, or an order to unload it is open. */
-        LEAVING
+        LEAVING,
+        /** The copy isn't in memory, and open orders about it forbid a new one. */
+        BLOCKED
     }
 }
--- a/src/main/java/org/borageproxy/placement/FleetViews.java
+++ b/src/main/java/org/borageproxy/placement/FleetViews.java
@@ -111,7 +111,7 @@
         CopyView.Status status =
                 switch (copy.status()) {
                     case SERVING, SERVING_WITH_OPEN_ORDER -> CopyView.Status.SERVING_WITH_OPEN_ORDER;
-                    default -> CopyView.Status.LEAVING;
+                    default -> CopyView.Status.BLOCKED;
                 };
         return new CopyView(copy.unit(), status, copy.adapters(), copy.busyAdapters());
     }
@@ -176,17 +176,17 @@
         List<OpenOrder> loads = about.stream()
                 .filter(order -> order.intent().action() == Intent.Action.LOAD)
                 .toList();
-        if (loads.isEmpty()) {
-            return has(about, Intent.Action.UNLOAD) ? Optional.of(CopyView.Status.LEAVING) : Optional.empty();
-        }
         if (has(about, Intent.Action.UNLOAD)) {
-            return Optional.of(CopyView.Status.LEAVING);
+            return Optional.of(CopyView.Status.BLOCKED);
+        }
+        if (loads.isEmpty()) {
+            return Optional.empty();
         }
         if (loads.stream().anyMatch(order -> mayBeUnderWay(order, read))) {
             return Optional.of(CopyView.Status.LOADING);
         }
         boolean repeatable = loads.size() < LARGEST_REPETITION;
-        return Optional.of(repeatable ? CopyView.Status.UNCERTAIN : CopyView.Status.LEAVING);
+        return Optional.of(repeatable ? CopyView.Status.UNCERTAIN : CopyView.Status.BLOCKED);
     }
 
     /**
--- a/src/main/java/org/borageproxy/placement/Planner.java
+++ b/src/main/java/org/borageproxy/placement/Planner.java
@@ -118,25 +118,43 @@
 
     /** Loads more copies of the model versions whose copies are asked for more than they can give. */
     private void followDemand() {
-        wanted.all().stream().sorted(byDemand()).forEach(unit -> {
-            List<PlannerDraft.Copy> copies = draft.counted(unit.unit());
-            if (!copies.isEmpty() && draft.mayLoadModel() && copies.size() < neededCopies(unit)) {
-                Optional<PlannerDraft.Place> place = choose(unit, unit.footprintBytes(), isCalm());
-                place.ifPresentOrElse(
-                        chosen -> draft.load(unit, chosen, PlannedOrder.Reason.DEMAND, false), () -> displace(unit));
+        wanted.all().stream()
+                .filter(unit -> !draft.counted(unit.unit()).isEmpty())
+                .sorted(byDemand())
+                .forEach(this::followDemand);
+    }
+
+    /**
+     * Loads copies of a model version until there are enough, or makes room for one.
+     *
+     * @param unit the model version
+     */
+    private void followDemand(WantedModels.Wanted unit) {
+        int needed = neededCopies(unit);
+        while (draft.mayLoadModel() && draft.counted(unit.unit()).size() < needed) {
+            Optional<PlannerDraft.Place> place = choose(unit, unit.footprintBytes(), isCalm());
+            if (place.isEmpty()) {
+                displace(unit);
+                return;
             }
-        });
+            draft.load(unit, place.get(), PlannedOrder.Reason.DEMAND, false);
+        }
     }
 
     /**
-     * Unloads a copy that is not needed, so that a later plan can load one of a demanded model version there.
+     * Unloads a copy that is not needed, so that a later plan can load one of a demanded model version there. Waits for
+     * room that is coming free already.
      *
      * @param unit the demanded model version
      */
     private void displace(WantedModels.Wanted unit) {
-        draft.places().stream()
+        List<PlannerDraft.Place> places = draft.places().stream()
                 .filter(isCalm())
                 .filter(place -> holds(place, unit.unit()).isEmpty())
+                .toList();
+        boolean underWay = places.stream().anyMatch(place -> isComingFree(place, unit));
+        places.stream()
+                .filter(place -> !underWay)
                 .flatMap(place -> place.copies.stream())
                 .filter(PlannerDraft.Copy::isFree)
                 .filter(copy -> isSurplus(copy, unit))
@@ -145,6 +163,18 @@
                 .ifPresent(copy -> draft.unload(copy, PlannedOrder.Reason.MAKE_ROOM));
     }
 
+    /**
+     * Tells whether the room for a model version is coming free.
+     *
+     * @param place the accelerator
+     * @param unit the model version
+     * @return {@code true} if the copies that are leaving make enough room
+     */
+    private boolean isComingFree(PlannerDraft.Place place, WantedModels.Wanted unit) {
+        long leavingBytes = RoomPlan.leavingBytes(place, wanted);
+        return leavingBytes > 0 && place.freeBytes + leavingBytes >= unit.memoryBytes();
+    }
+
     /**
      * Tells whether a copy can go in favour of a demanded model version.
      *
@@ -258,12 +288,22 @@
                     draft.all(unit).stream().filter(PlannerDraft.Copy::isFree).toList();
             if (known != null) {
                 copies.forEach(copy -> unloadObsoleteAdapters(known, copy));
-            } else if (wanted.ofModel(unit.model()).stream().allMatch(other -> draft.serving(other.unit()) > 0)) {
+            } else if (wanted.ofModel(unit.model()).stream().allMatch(this::suffices)) {
                 copies.forEach(copy -> draft.unload(copy, PlannedOrder.Reason.OBSOLETE));
             }
         }
     }
 
+    /**
+     * Tells whether a model version serves with as many copies as the demand needs.
+     *
+     * @param unit the model version
+     * @return {@code true} if copies of earlier versions can go
+     */
+    private boolean suffices(WantedModels.Wanted unit) {
+        return draft.serving(unit.unit()) >= Math.max(1, neededCopies(unit));
+    }
+
     /**
      * Unloads the adapters of a copy that the configuration names no more.
      *
--- a/src/main/java/org/borageproxy/placement/RoomPlan.java
+++ b/src/main/java/org/borageproxy/placement/RoomPlan.java
@@ -75,7 +75,7 @@
      * @param wanted what must be reachable
      * @return the memory of copies that are being unloaded, in bytes
      */
-    private static long leavingBytes(PlannerDraft.Place place, WantedModels wanted) {
+    static long leavingBytes(PlannerDraft.Place place, WantedModels wanted) {
         return place.copies.stream()
                 .filter(copy -> copy.unloading || copy.view.status() == CopyView.Status.LEAVING)
                 .mapToLong(copy -> wanted.memoryBytes(copy.view.unit()))
--- /dev/null
+++ b/src/test/java/org/borageproxy/placement/DemandViewTest.java
@@ -0,0 +1,87 @@
+package org.borageproxy.placement;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import org.borageproxy.lease.Duty;
+import org.borageproxy.lease.Lease;
+import org.borageproxy.lease.LeaseStore;
+import org.borageproxy.time.Deadline;
+import org.borageproxy.vm.VmName;
+import org.borageproxy.wire.proto.PlacementProtocol.DemandDigest;
+import org.borageproxy.wire.proto.PlacementProtocol.DemandLine;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Checks the demand that the placement owner sees. */
+class DemandViewTest {
+
+    private static final VmName SELF = new VmName("vm-1");
+
+    private long nowNanos;
+    private final DemandView view = new DemandView(() -> nowNanos);
+    private final DemandTable table = new DemandTable(SELF, null, new SelfOwner(), view, () -> nowNanos, 1);
+
+    @Test
+    void firstRequestOfModelIsSeenAtOnce() {
+        table.arrived("llama", "quilt", 100);
+        assertTrue(view.current().ofModel("llama").fast() > 0);
+        assertTrue(view.current().ofAdapter("quilt").fast() > 0);
+    }
+
+    @Test
+    void tenfoldJumpIsFollowedWithinSeconds() {
+        arrive(60, 100);
+        double before = view.current().ofModel("llama").fast();
+        arrive(10, 1_000);
+        double after = view.current().ofModel("llama").fast();
+        assertTrue(after > 8 * before, before + " to " + after);
+    }
+
+    @Test
+    void repeatedAndOldDigestsHaveNoEffectAndSilentVmsCountNoMore() {
+        VmName other = new VmName("vm-2");
+        view.take(other, digest(2, 7.0));
+        view.take(other, digest(2, 9.0));
+        view.take(other, digest(1, 11.0));
+        assertEquals(7.0, view.current().ofModel("llama").fast());
+        nowNanos += Duration.ofSeconds(6).toNanos();
+        assertEquals(0.0, view.current().ofModel("llama").fast());
+    }
+
+    private void arrive(int seconds, long tokens) {
+        for (int second = 0; second < seconds; second++) {
+            table.arrived("llama", "", tokens);
+            nowNanos += Duration.ofSeconds(1).toNanos();
+            table.sendDigest();
+        }
+    }
+
+    private static DemandDigest digest(long sequence, double fast) {
+        DemandLine line = DemandLine.newBuilder().setName("llama").setFast(fast).build();
+        return DemandDigest.newBuilder().setSequence(sequence).addLines(line).build();
+    }
+
+    /** This VM is always the owner. */
+    private static final class SelfOwner implements LeaseStore {
+
+        @Override
+        public CompletionStage<Optional<Lease>> acquire(Duty duty) {
+            return CompletableFuture.completedFuture(holder(duty));
+        }
+
+        @Override
+        public CompletionStage<Void> release(Lease lease) {
+            return CompletableFuture.completedFuture(null);
+        }
+
+        @Override
+        public Optional<Lease> holder(Duty duty) {
+            return Optional.of(new Lease(duty, SELF, 1, new Deadline(Long.MAX_VALUE)));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/borageproxy/placement/PlannerTest.java
@@ -0,0 +1,157 @@
+package org.borageproxy.placement;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+
+import org.borageproxy.membership.BackendServerName;
+import org.borageproxy.tree.Adapter;
+import org.borageproxy.tree.Configuration;
+import org.borageproxy.tree.Model;
+import org.borageproxy.tree.ModelVersion;
+import org.borageproxy.vm.AvailabilityZone;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Checks single plans. */
+class PlannerTest {
+
+    private static final ModelUnit LLAMA = new ModelUnit("llama", "1");
+    private static final ModelUnit GEMMA = new ModelUnit("gemma", "1");
+
+    private final Map<String, Model> models = new TreeMap<>();
+    private final Map<String, Adapter> adapters = new TreeMap<>();
+    private final List<AcceleratorView> places = new ArrayList<>();
+    private DemandRates demand = DemandRates.NONE;
+    private int modelLoads = 100;
+
+    @Test
+    void unreachableModelsComeFirstAndThenCopiesInOtherZones() {
+        model("llama", 10);
+        model("gemma", 10);
+        place("one", "a", 40, serving(LLAMA));
+        place("two", "b", 40);
+        List<PlannedOrder> plan = plan();
+        assertEquals(GEMMA, plan.get(0).unit());
+        assertEquals(PlannedOrder.Reason.UNREACHABLE, plan.get(0).reason());
+        assertTrue(plan.stream()
+                .anyMatch(order -> order.unit().equals(LLAMA)
+                        && order.reason() == PlannedOrder.Reason.SECOND_ZONE
+                        && order.server().value().equals("two")));
+        assertEquals(
+                List.of(),
+                plan.stream()
+                        .filter(order -> order.action() == Intent.Action.UNLOAD)
+                        .toList());
+    }
+
+    @Test
+    void weightStoreBudgetGoesToUnreachableModels() {
+        model("llama", 10);
+        model("gemma", 10);
+        modelLoads = 1;
+        place("one", "a", 40, serving(LLAMA));
+        place("two", "b", 40);
+        assertEquals(List.of(GEMMA), plan().stream().map(PlannedOrder::unit).toList());
+    }
+
+    @Test
+    void roomIsMadeFromCopiesThatOthersStandInFor() {
+        model("llama", 10);
+        model("gemma", 10);
+        place("one", "a", 0, serving(LLAMA));
+        place("two", "b", 0, serving(LLAMA));
+        List<PlannedOrder> plan = plan();
+        assertEquals(1, plan.size());
+        assertEquals(Intent.Action.UNLOAD, plan.get(0).action());
+        assertEquals(LLAMA, plan.get(0).unit());
+    }
+
+    @Test
+    void lastCopyIsLoadedElsewhereBeforeItsRoomIsTaken() {
+        model("llama", 10);
+        model("gemma", 20);
+        place("one", "a", 15, serving(LLAMA));
+        place("two", "b", 12);
+        List<PlannedOrder> plan = plan();
+        assertEquals(1, plan.size());
+        assertEquals(Intent.Action.LOAD, plan.get(0).action());
+        assertEquals(LLAMA, plan.get(0).unit());
+        assertEquals("two", plan.get(0).server().value());
+    }
+
+    @Test
+    void oldVersionStaysUntilTheNewOneServes() {
+        models.put("llama", new Model("llama", 10, 1, 1, List.of(new ModelVersion("2", 1))));
+        place("one", "a", 40, serving(LLAMA));
+        assertEquals(List.of(Intent.Action.LOAD), actions());
+        place("two", "b", 0, serving(new ModelUnit("llama", "2")));
+        assertTrue(actions().contains(Intent.Action.UNLOAD));
+    }
+
+    @Test
+    void versionsShareTheDemandByWeight() {
+        models.put("llama", new Model("llama", 10, 1, 1, List.of(new ModelVersion("1", 9), new ModelVersion("2", 1))));
+        demand = new DemandRates(Map.of("llama", new DemandRates.Rate(200, 200)), Map.of());
+        for (int index = 0; index < 6; index++) {
+            place("engine-" + index, "z" + index % 3, 100);
+        }
+        Map<String, Long> loads = plan().stream()
+                .collect(Collectors.groupingBy(order -> order.unit().version(), Collectors.counting()));
+        assertTrue(loads.get("1") >= 3 && loads.get("2") <= 2, loads.toString());
+    }
+
+    @Test
+    void adaptersAreLoadedBesideEachCopyAndObsoleteOnesUnloaded() {
+        model("llama", 10);
+        adapters.put("quilt", new Adapter("quilt", "llama", 1));
+        CopyView first = new CopyView(LLAMA, CopyView.Status.SERVING, Set.of("old"), Set.of());
+        place("one", "a", 5, first);
+        place("two", "b", 0, serving(LLAMA));
+        assertEquals(Set.of(Intent.Action.LOAD_ADAPTER, Intent.Action.UNLOAD_ADAPTER), Set.copyOf(actions()));
+        assertEquals(2, actions().size(), "the second copy has no room");
+    }
+
+    @Test
+    void lostLoadIsRepeatedInTheSamePlace() {
+        model("llama", 10);
+        place("one", "a", 0, new CopyView(LLAMA, CopyView.Status.UNCERTAIN, Set.of(), Set.of()));
+        place("two", "b", 40);
+        assertEquals("one", plan().get(0).server().value());
+    }
+
+    @Test
+    void settledFleetHasAnEmptyPlan() {
+        model("llama", 10);
+        place("one", "a", 40, serving(LLAMA));
+        place("two", "b", 40, serving(LLAMA));
+        assertEquals(List.of(), plan());
+    }
+
+    private void model(String name, long bytes) {
+        models.put(name, new Model(name, bytes, 1, 1, List.of(new ModelVersion("1", 1))));
+    }
+
+    private static CopyView serving(ModelUnit unit) {
+        return new CopyView(unit, CopyView.Status.SERVING, Set.of(), Set.of());
+    }
+
+    private void place(String server, String zone, long freeBytes, CopyView... copies) {
+        places.add(new AcceleratorView(
+                new BackendServerName(server), new AvailabilityZone(zone), "0", freeBytes, 100.0, List.of(copies)));
+    }
+
+    private List<PlannedOrder> plan() {
+        Configuration configuration = new Configuration(1, Map.of(), models, adapters, List.of(), Map.of());
+        return Planner.plan(new PlannerInput(configuration, places, demand, modelLoads, 100));
+    }
+
+    private List<Intent.Action> actions() {
+        return plan().stream().map(PlannedOrder::action).toList();
+    }
+}
