--- a/src/main/java/org/borageproxy/membership/BackendServerMembership.java
+++ b/src/main/java/org/borageproxy/membership/BackendServerMembership.java
@@ -17,6 +17,8 @@
  */
 public final class BackendServerMembership implements AutoCloseable {
 
+    /** The time between two sweeps of the registry, in milliseconds. */
+    private static final long SWEEP_INTERVAL_MILLIS = 100;
     /** The time between two batches of heartbeats, in milliseconds. */
     private static final long BATCH_INTERVAL_MILLIS = 250;
     /** The time between two comparisons with another VM, in milliseconds. */
@@ -36,6 +38,8 @@
     private final AnnounceServer server;
     /** Takes cache events. */
     private volatile CacheEvents.Listener cacheListener = CacheEvents.Listener.NoOp.INSTANCE;
+    /** The timer of the sweeps. */
+    private volatile long sweepTimer = -1;
     /** The timer of the batches. */
     private volatile long batchTimer = -1;
     /** The timer of the comparisons. */
@@ -94,10 +98,8 @@
      * @return succeeds with the announce port
      */
     public Future<Integer> start() {
-        batchTimer = vertx.setPeriodic(BATCH_INTERVAL_MILLIS, ignored -> {
-            registry.sweep(clock.nanoTime());
-            exchange.sendHeartbeats();
-        });
+        sweepTimer = vertx.setPeriodic(SWEEP_INTERVAL_MILLIS, ignored -> registry.sweep(clock.nanoTime()));
+        batchTimer = vertx.setPeriodic(BATCH_INTERVAL_MILLIS, ignored -> exchange.sendHeartbeats());
         compareRepeatedly();
         return server.start();
     }
@@ -138,6 +140,7 @@
 
     @Override
     public void close() {
+        vertx.cancelTimer(sweepTimer);
         vertx.cancelTimer(batchTimer);
         vertx.cancelTimer(compareTimer);
         server.close();
--- a/src/main/java/org/borageproxy/membership/BackendServerRegistry.java
+++ b/src/main/java/org/borageproxy/membership/BackendServerRegistry.java
@@ -14,7 +14,8 @@
  * What this VM knows of all backend servers. The newest announcement by incarnation and sequence number holds; a leave
  * is final for its incarnation. If most backend servers fall silent at once, the fault is taken to lie on the way to
  * this VM, and they stay usable. Time is an argument of each command. Thread safe: one lock guards the records, and
- * readers get the last published list without it.
+ * readers get the last published list without it. A sweep publishes the loads that heartbeats brought; every other
+ * change is published at once.
  */
 public final class BackendServerRegistry implements BackendServers {
 
@@ -95,7 +96,7 @@
     }
 
     /**
-     * Moves backend servers on whose deadlines have passed.
+     * Publishes the newest loads and moves backend servers on whose deadlines have passed.
      *
      * @param nowNanos the reading of the monotonic clock in nanoseconds
      */
@@ -124,8 +125,14 @@
             return Change.NONE;
         }
         records.put(update.name(), merged);
-        publish(nowNanos);
-        return sameContent(known, merged) ? Change.HEARTBEAT : Change.CONTENT;
+        if (!sameContent(known, merged)) {
+            publish(nowNanos);
+            return Change.CONTENT;
+        }
+        if (known.isSilent(settings, nowNanos)) {
+            publish(nowNanos);
+        }
+        return Change.HEARTBEAT;
     }
 
     /**
--- a/src/test/java/org/borageproxy/membership/BackendServerRegistryTest.java
+++ b/src/test/java/org/borageproxy/membership/BackendServerRegistryTest.java
@@ -36,6 +36,8 @@
         Collections.reverse(reversed);
         reversed.forEach(message -> message.apply(backwards));
         messages.forEach(message -> message.apply(backwards));
+        forwards.sweep(0);
+        backwards.sweep(0);
         assertEquals(forwards.current(), backwards.current());
     }
 
--- a/src/test/java/org/borageproxy/membership/MembershipExchangeTest.java
+++ b/src/test/java/org/borageproxy/membership/MembershipExchangeTest.java
@@ -36,6 +36,7 @@
         hear(announcement(3));
         assertEquals(1, secondRegistry.current().get(0).sequence());
         first.sendHeartbeats();
+        secondRegistry.sweep(0);
         assertEquals(3, secondRegistry.current().get(0).sequence());
     }
 
@@ -46,6 +47,8 @@
         network.connect(SECOND);
         hear(announcement(3));
         first.sendHeartbeats();
+        firstRegistry.sweep(0);
+        secondRegistry.sweep(0);
         assertEquals(firstRegistry.current(), secondRegistry.current());
     }
 
