Serve a request end to end over separate processes

Cause: the parts stood side by side and no process joined them. Ruled out: one process that cannot be taken apart (roles follow from the settings); a placement owner that acts before it has a configuration: the first run of the demonstration showed it planning to unload every model of the empty revision 0, so a duty that decides by the configuration is taken only while the configuration is known and fresh (FreshLeases, with its test). Conclusion: the thin path stands; failures over processes follow.

--- a/src/main/java/org/borageproxy/command/CommandLine.java
+++ b/src/main/java/org/borageproxy/command/CommandLine.java
@@ -28,6 +28,10 @@
 
     /** Creates a command line with all commands. */
     public CommandLine() {
+        add("serve", "run a VM as its settings say", ServeCommand::new);
+        add("demo", "run a VM, a model engine and a plain service in one process", DemoCommand::new);
+        add("bootstrap", "create the durable state of a VM of a new control group", BootstrapCommand::new);
+        add("join", "create the empty durable state of a VM that replaces a lost one", JoinCommand::new);
         add("apply", "change the settings tree", ApplyCommand::new);
         add("get", "print the settings tree, or with --effective the values in force", GetCommand::new);
         add("diff", "print what differs between two revisions", DiffCommand::new);
--- /dev/null
+++ b/src/main/java/org/borageproxy/command/JoinCommand.java
@@ -0,0 +1,27 @@
+package org.borageproxy.command;
+
+import java.io.IOException;
+import java.io.PrintStream;
+
+import org.borageproxy.log.GroupMember;
+import org.borageproxy.log.consensus.MemberId;
+import org.borageproxy.settings.ProcessSettings;
+
+/** Creates the empty durable state of a VM that takes the place of a lost member. Used by one thread. */
+final class JoinCommand extends SettingsOption implements Command {
+
+    @Override
+    public ExitCode run(PrintStream output) throws IOException {
+        ProcessSettings settings = settings();
+        MemberId member = GroupMember.join(
+                BootstrapCommand.dataFolder(settings),
+                settings.group(),
+                settings.vm().name());
+        output.println("created member " + member + " of group " + settings.group());
+        output.println("start this VM, then run on any machine:");
+        output.println("  borageproxy members add-learner '" + member + "' ...");
+        output.println("  borageproxy members promote '" + member + "' ...");
+        output.println("  borageproxy members remove '<lost member>' ...");
+        return ExitCode.DONE;
+    }
+}
--- a/src/main/java/org/borageproxy/entry/EntryServer.java
+++ b/src/main/java/org/borageproxy/entry/EntryServer.java
@@ -100,6 +100,15 @@
         return state.inFlight();
     }
 
+    /**
+     * Returns what this VM has under way at each backend server.
+     *
+     * @return the table
+     */
+    public ServerTable serverTable() {
+        return parts.services().table();
+    }
+
     /**
      * Shuts down gracefully: readiness fails at once, calls are served as usual during the notice, then connections are
      * closed after each answer, and the server stops once nothing is in flight. Only the deadline cuts calls; a second
--- /dev/null
+++ b/src/main/java/org/borageproxy/server/FreshLeases.java
@@ -0,0 +1,42 @@
+package org.borageproxy.server;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import org.borageproxy.lease.Duty;
+import org.borageproxy.lease.Lease;
+import org.borageproxy.lease.LeaseStore;
+import org.borageproxy.time.MonotonicClock;
+import org.borageproxy.tree.ConfigurationSource;
+
+/**
+ * Leases for a duty that decides by the configuration: none is acquired or renewed while this VM has no configuration,
+ * or cannot confirm that it is current. Otherwise a VM that has just started would act on an empty configuration.
+ * Immutable and thread safe.
+ *
+ * @param leases the leases
+ * @param configuration the configuration that this VM serves
+ * @param clock the clock
+ */
+record FreshLeases(LeaseStore leases, ConfigurationSource configuration, MonotonicClock clock) implements LeaseStore {
+
+    @Override
+    public CompletionStage<Optional<Lease>> acquire(Duty duty) {
+        boolean isKnown = configuration.current().revision() > 0;
+        if (!isKnown || !configuration.isFresh(clock.nanoTime())) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
+        return leases.acquire(duty);
+    }
+
+    @Override
+    public CompletionStage<Void> release(Lease lease) {
+        return leases.release(lease);
+    }
+
+    @Override
+    public Optional<Lease> holder(Duty duty) {
+        return leases.holder(duty);
+    }
+}
--- a/src/test/java/org/borageproxy/process/FleetProcesses.java
+++ b/src/test/java/org/borageproxy/process/FleetProcesses.java
@@ -186,11 +186,19 @@
 
     /** Runs an operator's command against every VM in turn. */
     CommandResult operate(String... arguments) throws Exception {
+        return operateWithout("", arguments);
+    }
+
+    /** Runs an operator's command against every VM but one. */
+    CommandResult operateWithout(String excluded, String... arguments) throws Exception {
         List<String> command = new ArrayList<>(List.of(arguments));
         command.addAll(
                 List.of("--credential", folder.resolve("secrets/operator").toString()));
-        for (VmPorts own : ports.values()) {
-            command.addAll(List.of("--vm", own.host() + ":" + own.operators()));
+        for (Map.Entry<String, VmPorts> vm : ports.entrySet()) {
+            if (!vm.getKey().equals(excluded)) {
+                command.addAll(List.of(
+                        "--vm", vm.getValue().host() + ":" + vm.getValue().operators()));
+            }
         }
         return tryRun(command.toArray(String[]::new));
     }
@@ -219,6 +227,10 @@
         process.waitFor();
     }
 
+    boolean isAlive(String name) {
+        return processes.get(name).isAlive();
+    }
+
     /** Asks a process to end and waits until it has. */
     int terminate(String name) throws InterruptedException {
         Process process = processes.remove(name);
