--- a/src/main/java/org/borageproxy/control/LeaseTable.java
+++ b/src/main/java/org/borageproxy/control/LeaseTable.java
@@ -53,7 +53,8 @@
      * @return {@code true} if no newer holder exists
      */
     boolean isCurrent(String duty, long epoch) {
-        return epoch == epochOf(duty) && !leases.get(duty).getFree();
+        LeaseState lease = leases.get(duty);
+        return lease != null && !lease.getFree() && lease.getEpoch() == epoch;
     }
 
     /**
--- /dev/null
+++ b/src/test/java/org/borageproxy/control/ControlClientTest.java
@@ -0,0 +1,105 @@
+package org.borageproxy.control;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import org.borageproxy.execution.ClaimDecision;
+import org.borageproxy.execution.ClaimKey;
+import org.borageproxy.lease.Duty;
+import org.borageproxy.lease.Lease;
+import org.borageproxy.vm.VmName;
+import org.borageproxy.wire.MessageKind;
+import org.borageproxy.wire.proto.ControlProtocol.Command;
+import org.borageproxy.wire.proto.ControlProtocol.WithdrawKey;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Commands, claims and leases over a lossy network in virtual time. */
+class ControlClientTest {
+
+    private final FleetFake fleet = new FleetFake();
+
+    private final ControlClient client = fleet.client("e1");
+
+    ControlClientTest() {
+        for (VmName vm : fleet.controlVms()) {
+            fleet.network(vm.value())
+                    .handle(
+                            MessageKind.CONTROL_COMMAND,
+                            new ControlService(fleet.log(vm.value()), fleet.state(vm.value()), fleet::nanoTime));
+        }
+    }
+
+    @Test
+    void aLostReplyIsUnknownAndNoReplyAtAllIsNotARefusal() {
+        fleet.cut("e1");
+        Command.Builder command =
+                Command.newBuilder().setWithdrawKey(WithdrawKey.newBuilder().setKeyIdentity("k"));
+        assertInstanceOf(
+                Submission.Unknown.class, fleet.await(client.submit(command, client.in(Duration.ofSeconds(3)))));
+    }
+
+    @Test
+    void aClaimWhoseReplyWasLostIsGrantedOnceByTheRetry() {
+        fleet.dropNextCommandAnswer = true;
+        ClaimKey key = new ClaimKey("w", "k");
+        ClaimStoreForControlGroup claims = new ClaimStoreForControlGroup(client);
+        ClaimDecision decision = fleet.await(claims.claim(key, "d", 0, client.in(Duration.ofSeconds(20))));
+        ClaimDecision.Granted granted = assertInstanceOf(ClaimDecision.Granted.class, decision);
+        assertEquals(1, granted.epoch());
+        ClaimStoreForControlGroup others = new ClaimStoreForControlGroup(fleet.client("e2"));
+        assertInstanceOf(
+                ClaimDecision.InProgress.class,
+                fleet.await(others.claim(key, "d", 0, client.in(Duration.ofSeconds(20)))));
+    }
+
+    @Test
+    void theRightToDispatchCountsFromWhenTheClaimWasSent() {
+        long sentAt = fleet.nanoTime();
+        fleet.dropNextCommandAnswer = true;
+        ClaimDecision decision = fleet.await(new ClaimStoreForControlGroup(client)
+                .claim(new ClaimKey("w", "k"), "d", 0, client.in(Duration.ofSeconds(20))));
+        long end = ((ClaimDecision.Granted) decision).dispatchBefore().atNanos();
+        assertTrue(end - sentAt <= Duration.ofMillis(3000).toNanos());
+    }
+
+    @Test
+    void noTwoVmsHoldADutyAtOnceAndItChangesHandsAfterTheLease() {
+        LeaseStoreForControlGroup one = new LeaseStoreForControlGroup(client, duty -> Optional.empty());
+        LeaseStoreForControlGroup two = new LeaseStoreForControlGroup(fleet.client("e2"), duty -> Optional.empty());
+        Lease first = fleet.await(one.acquire(Duty.PLACEMENT)).orElseThrow();
+        fleet.cut("e1");
+        Optional<Lease> second = Optional.empty();
+        for (int attempt = 0; attempt < 200 && second.isEmpty(); attempt++) {
+            second = fleet.await(two.acquire(Duty.PLACEMENT));
+            assertTrue(second.isEmpty() || first.expiresAt().hasPassed(fleet.nanoTime()));
+            fleet.run(Duration.ofMillis(100));
+        }
+        assertTrue(second.orElseThrow().epoch() > first.epoch());
+    }
+
+    @Test
+    void aNewLeaderDoesNotHandADutyOnEarly() {
+        LeaseStoreForControlGroup one = new LeaseStoreForControlGroup(client, duty -> Optional.empty());
+        LeaseStoreForControlGroup two = new LeaseStoreForControlGroup(fleet.client("e2"), duty -> Optional.empty());
+        Optional<Lease> held = fleet.await(one.acquire(Duty.PLACEMENT));
+        for (int step = 0; step < 100; step++) {
+            if (step == 15) {
+                fleet.cut("c1");
+            }
+            boolean isHeld = held.map(lease -> !lease.expiresAt().hasPassed(fleet.nanoTime()))
+                    .orElse(false);
+            Optional<Lease> other = fleet.await(two.acquire(Duty.PLACEMENT));
+            assertTrue(
+                    !isHeld || other.isEmpty() || held.orElseThrow().expiresAt().hasPassed(fleet.nanoTime()));
+            if (other.isPresent()) {
+                return;
+            }
+            fleet.run(Duration.ofMillis(100));
+        }
+        throw new AssertionError("The duty never changed hands");
+    }
+}
--- a/src/test/java/org/borageproxy/control/FleetFake.java
+++ b/src/test/java/org/borageproxy/control/FleetFake.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
 
+import com.google.protobuf.ByteString;
 import org.borageproxy.log.ReplicatedLog;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.vm.VmName;
@@ -21,8 +22,6 @@
 import org.borageproxy.wire.UnreachableException;
 import org.borageproxy.wire.VmNetwork;
 
-import com.google.protobuf.ByteString;
-
 /**
  * Control VMs and a network in one thread and in virtual time. The group commits at once while the leader is not cut
  * off; a cut VM neither sends nor gets messages. Not thread safe.
@@ -143,7 +142,13 @@
         return nowNanos / 1_000_000L;
     }
 
-    /** A task at a time. */
+    /**
+     * A task at a time.
+     *
+     * @param atNanos when the task is due
+     * @param order the order among tasks that are due at the same time
+     * @param task the task
+     */
     private record Task(long atNanos, long order, Runnable task) implements Comparable<Task> {
 
         @Override
@@ -184,9 +189,7 @@
         public CompletionStage<Boolean> confirmRead(Deadline deadline) {
             CompletableFuture<Boolean> result = new CompletableFuture<>();
             boolean isCurrent = !cut.contains(self) && hasMajority();
-            Duration delay = isCurrent
-                    ? Duration.ofMillis(2)
-                    : Duration.ofNanos(deadline.remainingNanos(nowNanos));
+            Duration delay = isCurrent ? Duration.ofMillis(2) : Duration.ofNanos(deadline.remainingNanos(nowNanos));
             timer().schedule(delay, () -> result.complete(isCurrent && !cut.contains(self)));
             return result;
         }
@@ -198,7 +201,9 @@
 
         @Override
         public boolean isLeader() {
-            return hasMajority() && !cut.contains(self) && FleetFake.this.leader().equals(self);
+            return hasMajority()
+                    && !cut.contains(self)
+                    && FleetFake.this.leader().equals(self);
         }
     }
 
