--- a/src/main/java/org/borageproxy/control/ChangeTable.java
+++ b/src/main/java/org/borageproxy/control/ChangeTable.java
@@ -38,6 +38,9 @@
     /** The number of documents that are kept. */
     static final int KEPT_DOCUMENTS = 50;
 
+    /** The size of all documents that are kept, in characters; the newest one is kept whatever its size. */
+    static final long KEPT_CHARACTERS = 8L * 1024 * 1024;
+
     /** The records that every VM holds. */
     private final SpreadTable spread;
 
@@ -266,13 +269,21 @@
                 .setAcceptedAtMillis(stateMillis)
                 .build();
         history.put(revision, tree);
-        while (history.size() > KEPT_DOCUMENTS) {
-            history.pollFirstEntry();
-        }
+        dropOldest();
         spread.put(Item.newBuilder().setName("tree").setTree(tree));
         return accepted();
     }
 
+    /** Drops the oldest documents beyond what is kept. */
+    private void dropOldest() {
+        long characters = history.values().stream()
+                .mapToLong(tree -> tree.getDocument().length())
+                .sum();
+        while (history.size() > 1 && (history.size() > KEPT_DOCUMENTS || characters > KEPT_CHARACTERS)) {
+            characters -= history.pollFirstEntry().getValue().getDocument().length();
+        }
+    }
+
     /**
      * Sets a key at a new revision.
      *
--- a/src/main/java/org/borageproxy/control/ControlState.java
+++ b/src/main/java/org/borageproxy/control/ControlState.java
@@ -19,6 +19,8 @@
 import org.borageproxy.wire.proto.ControlProtocol.Reply;
 import org.borageproxy.wire.proto.ControlProtocol.TreeState;
 import org.borageproxy.wire.proto.ControlProtocol.VmRecord;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The state of the control group. Deterministic: it reads no clock, and it does not parse operators' documents, so that
@@ -27,6 +29,9 @@
  */
 public final class ControlState implements StateMachine {
 
+    /** Logs commands that fail for an internal reason, which they do alike on every member. */
+    private static final Logger LOGGER = LoggerFactory.getLogger(ControlState.class);
+
     /** Stands before the name of a VM in the name of its record. */
     private static final String VM_PREFIX = "vm/";
 
@@ -65,6 +70,9 @@
             reply = applyLocked(stateMillis, Command.parseFrom(command));
         } catch (InvalidProtocolBufferException exception) {
             reply = Reply.newBuilder().setMissing(Missing.getDefaultInstance()).build();
+        } catch (RuntimeException exception) {
+            LOGGER.error("event=control-command-failed index={}", index, exception);
+            reply = Reply.newBuilder().setMissing(Missing.getDefaultInstance()).build();
         } finally {
             lock.unlock();
         }
@@ -205,7 +213,21 @@
     public Optional<VmRecord> vm(String name) {
         lock.lock();
         try {
-            return spread.find(VM_PREFIX + name).map(Item::getVm);
+            return spread.find(VM_PREFIX + name).filter(Item::hasVm).map(Item::getVm);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /**
+     * Lists the VMs that have registered.
+     *
+     * @return the records
+     */
+    public List<VmRecord> vms() {
+        lock.lock();
+        try {
+            return spread.all().stream().filter(Item::hasVm).map(Item::getVm).toList();
         } finally {
             lock.unlock();
         }
@@ -276,6 +298,7 @@
                 register(command.getRegisterVm().getVm());
                 yield done();
             }
+            case REMOVE_VM -> removeVm(command.getRemoveVm().getName());
             default ->
                 Reply.newBuilder().setMissing(Missing.getDefaultInstance()).build();
         };
@@ -290,6 +313,20 @@
         spread.put(Item.newBuilder().setName(VM_PREFIX + vm.getName()).setVm(vm));
     }
 
+    /**
+     * Removes the record of a VM; a VM that still runs registers again.
+     *
+     * @param name the VM's name
+     * @return the reply
+     */
+    private Reply removeVm(String name) {
+        if (spread.find(VM_PREFIX + name).filter(Item::hasVm).isEmpty()) {
+            return Reply.newBuilder().setMissing(Missing.getDefaultInstance()).build();
+        }
+        spread.remove(VM_PREFIX + name);
+        return done();
+    }
+
     /**
      * Returns the reply to a command that took effect.
      *
--- a/src/main/java/org/borageproxy/operator/Changes.java
+++ b/src/main/java/org/borageproxy/operator/Changes.java
@@ -159,6 +159,16 @@
         });
     }
 
+    /**
+     * Tells whether a VM was seen so lately that its configuration may count as fresh there.
+     *
+     * @param vm the VM
+     * @return {@code false} if the VM refuses keyed requests for certain
+     */
+    static boolean mayAdmit(Served vm) {
+        return vm.getAgeMillis() < GREATEST_AGE_MILLIS;
+    }
+
     /**
      * Returns the VMs that may still admit requests under an earlier revision.
      *
@@ -168,7 +178,7 @@
      */
     private static List<String> behind(List<Served> served, long revision) {
         return served.stream()
-                .filter(vm -> vm.getAgeMillis() < GREATEST_AGE_MILLIS && vm.getRevision() < revision)
+                .filter(vm -> mayAdmit(vm) && vm.getRevision() < revision)
                 .map(Served::getVm)
                 .toList();
     }
--- a/src/main/java/org/borageproxy/operator/OperatorRoute.java
+++ b/src/main/java/org/borageproxy/operator/OperatorRoute.java
@@ -38,7 +38,7 @@
         return Optional.of(parameters);
     }
 
-    /** Answers requests of operators. Handlers run on an event loop and must not block. */
+    /** Answers requests of operators. Handlers run on a worker thread. */
     @FunctionalInterface
     public interface Handler {
 
--- a/src/main/java/org/borageproxy/operator/OperatorRoutes.java
+++ b/src/main/java/org/borageproxy/operator/OperatorRoutes.java
@@ -15,7 +15,7 @@
     private OperatorRoutes() {}
 
     /**
-     * Returns the routes for the tree, the keys and the status.
+     * Returns the routes for the tree, the keys, the VMs and the status.
      *
      * @param client submits commands
      * @param reader reads the state
@@ -30,6 +30,7 @@
         List<OperatorRoute> routes = new ArrayList<>();
         routes.addAll(new TreeRoutes(changes, reader, check).routes());
         routes.addAll(new KeyRoutes(changes, reader, spread).routes());
+        routes.add(new OperatorRoute("DELETE", "/v1/vms/{name}", new RemoveVmHandler(changes)));
         routes.add(new OperatorRoute("GET", "/v1/status", new StatusHandler(client, reader, spread)));
         return routes;
     }
--- a/src/main/java/org/borageproxy/operator/OperatorServer.java
+++ b/src/main/java/org/borageproxy/operator/OperatorServer.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -31,7 +32,7 @@
     private static final Logger LOGGER = LoggerFactory.getLogger(OperatorServer.class);
 
     /** The largest size of a request's body, in bytes. */
-    private static final int GREATEST_BODY_BYTES = 4 * 1024 * 1024;
+    private static final int GREATEST_BODY_BYTES = 2 * 1024 * 1024;
 
     /** The time after which an idle connection is closed, in seconds. */
     private static final int IDLE_SECONDS = 60;
@@ -39,6 +40,9 @@
     /** What stands before the credential in its header. */
     private static final String SCHEME = "Bearer ";
 
+    /** Runs the server and the routes. */
+    private final Vertx vertx;
+
     /** The HTTP server. */
     private final HttpServer server;
 
@@ -67,6 +71,7 @@
         if (credential.isBlank()) {
             throw new IllegalArgumentException("The operators' credential must not be empty");
         }
+        this.vertx = vertx;
         this.host = host;
         this.port = port;
         this.credentialDigest = digestOf(credential);
@@ -145,21 +150,20 @@
      * @param parameters the parameters of the path
      * @param body the whole body
      */
-    private static void handle(
-            HttpServerRequest request, OperatorRoute route, Map<String, String> parameters, Buffer body) {
+    private void handle(HttpServerRequest request, OperatorRoute route, Map<String, String> parameters, Buffer body) {
         HttpServerResponse response = request.response();
         CompletionStage<OperatorAnswer> answer;
         try {
             JsonObject json = body.length() == 0 ? new JsonObject() : new JsonObject(body);
             Map<String, String> query = new HashMap<>();
             request.params().forEach(query::put);
-            answer = route.handler().handle(new OperatorRequest(parameters, query, json));
+            OperatorRequest decoded = new OperatorRequest(parameters, query, json);
+            answer = vertx.executeBlocking(() -> route.handler().handle(decoded), false)
+                    .toCompletionStage()
+                    .thenCompose(Function.identity());
         } catch (DecodeException exception) {
             respond(response, OperatorAnswer.failed(ResultCode.MALFORMED_REQUEST, "The body is not a JSON object"));
             return;
-        } catch (RuntimeException exception) {
-            fail(response, route, exception);
-            return;
         }
         answer.whenComplete((result, failure) -> {
             if (failure == null) {
--- a/src/main/java/org/borageproxy/operator/StatusHandler.java
+++ b/src/main/java/org/borageproxy/operator/StatusHandler.java
@@ -56,7 +56,9 @@
                     .put("revision", vm.getRevision())
                     .put("age_millis", vm.getAgeMillis()));
         }
+        boolean isInForce = served.stream().allMatch(vm -> vm.getRevision() >= revision || !Changes.mayAdmit(vm));
         return OperatorAnswer.of(new JsonObject()
+                .put("in_force", isInForce)
                 .put("vm", client.self().value())
                 .put("revision", revision)
                 .put("fresh", spread.isFresh(client.nanoTime()))
--- a/src/main/java/org/borageproxy/spread/SpreadState.java
+++ b/src/main/java/org/borageproxy/spread/SpreadState.java
@@ -242,9 +242,8 @@
         ByteString body = WatchRequest.newBuilder().setWatch(watch).build().toByteString();
         Deadline deadline = Deadline.after(sentAtNanos, wait.plus(PATIENCE));
         request(target, body, deadline)
-                .thenApply(answer -> take(answer, sentAtNanos))
-                .exceptionally(failure -> false)
-                .thenAccept(this::pollAgain);
+                .whenComplete((answer, failure) ->
+                        timer.schedule(Duration.ZERO, () -> pollAgain(failure == null && take(answer, sentAtNanos))));
     }
 
     /**
--- a/src/main/java/org/borageproxy/spread/StateReader.java
+++ b/src/main/java/org/borageproxy/spread/StateReader.java
@@ -77,14 +77,25 @@
                     Map<String, Served> newest = new TreeMap<>();
                     answers.forEach(answer -> answer.join()
                             .getServedList()
-                            .forEach(served -> newest.merge(
-                                    served.getVm(),
-                                    served,
-                                    (one, two) -> one.getAgeMillis() <= two.getAgeMillis() ? one : two)));
+                            .forEach(served -> newest.merge(served.getVm(), served, StateReader::better)));
                     return List.copyOf(newest.values());
                 });
     }
 
+    /**
+     * Returns what is newer of two sightings of a VM; a sighting that serves nothing counts only if there is no other.
+     *
+     * @param one a sighting
+     * @param two another sighting
+     * @return the newer one
+     */
+    private static Served better(Served one, Served two) {
+        if ((one.getRevision() == 0) != (two.getRevision() == 0)) {
+            return one.getRevision() == 0 ? two : one;
+        }
+        return one.getAgeMillis() <= two.getAgeMillis() ? one : two;
+    }
+
     /**
      * Reads from a control VM, or else from those after it.
      *
--- a/src/main/java/org/borageproxy/spread/WatchService.java
+++ b/src/main/java/org/borageproxy/spread/WatchService.java
@@ -1,6 +1,7 @@
 package org.borageproxy.spread;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -56,6 +57,9 @@
     /** Ends waits. */
     private final Timer timer;
 
+    /** When this process started, on the monotonic clock. */
+    private final long startedAtNanos;
+
     /** The requests that wait for a change. */
     private final Set<Waiter> waiters = ConcurrentHashMap.newKeySet();
 
@@ -80,6 +84,7 @@
         this.confirmation = new ReadConfirmation(log, clock);
         this.client = client;
         this.clock = clock;
+        this.startedAtNanos = clock.nanoTime();
         this.timer = timer;
         state.subscribe(this::wake);
     }
@@ -164,14 +169,18 @@
     }
 
     /**
-     * Adds what the VMs serve that watch here.
+     * Adds what the VMs serve that watch here. A registered VM that has not watched here since this process started
+     * counts as seen at the start, serving nothing.
      *
      * @param answer the answer
      */
     private void addServed(WatchAnswer.Builder answer) {
         long nowNanos = clock.nanoTime();
         watchers.values().removeIf(watcher -> nowNanos - watcher.seenAtNanos() > MEMORY.toNanos());
-        watchers.values()
+        Map<String, Watcher> known = new HashMap<>();
+        state.vms().forEach(vm -> known.put(vm.getName(), new Watcher(vm, 0, startedAtNanos)));
+        known.putAll(watchers);
+        known.values()
                 .forEach(watcher -> answer.addServed(Served.newBuilder()
                         .setVm(watcher.vm().getName())
                         .setZone(watcher.vm().getZone())
--- a/src/main/java/org/borageproxy/wire/proto/ControlProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/ControlProtocol.java
@@ -1977,6 +1977,21 @@
      */
     org.borageproxy.wire.proto.ControlProtocol.RegisterVmOrBuilder getRegisterVmOrBuilder();
 
+    /**
+     * <code>.borageproxy.control.RemoveVm remove_vm = 18;</code>
+     * @return Whether the removeVm field is set.
+     */
+    boolean hasRemoveVm();
+    /**
+     * <code>.borageproxy.control.RemoveVm remove_vm = 18;</code>
+     * @return The removeVm.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.RemoveVm getRemoveVm();
+    /**
+     * <code>.borageproxy.control.RemoveVm remove_vm = 18;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.RemoveVmOrBuilder getRemoveVmOrBuilder();
+
     org.borageproxy.wire.proto.ControlProtocol.Command.BodyCase getBodyCase();
   }
   /**
@@ -2048,6 +2063,7 @@
       REPORT_CRASH(15),
       CLEAR_CRASH(16),
       REGISTER_VM(17),
+      REMOVE_VM(18),
       BODY_NOT_SET(0);
       private final int value;
       private BodyCase(int value) {
@@ -2081,6 +2097,7 @@
           case 15: return REPORT_CRASH;
           case 16: return CLEAR_CRASH;
           case 17: return REGISTER_VM;
+          case 18: return REMOVE_VM;
           case 0: return BODY_NOT_SET;
           default: return null;
         }
@@ -2631,6 +2648,37 @@
       return org.borageproxy.wire.proto.ControlProtocol.RegisterVm.getDefaultInstance();
     }
 
+    public static final int REMOVE_VM_FIELD_NUMBER = 18;
+    /**
+     * <code>.borageproxy.control.RemoveVm remove_vm = 18;</code>
+     * @return Whether the removeVm field is set.
+     */
+    @java.lang.Override
+    public boolean hasRemoveVm() {
+      return bodyCase_ == 18;
+    }
+    /**
+     * <code>.borageproxy.control.RemoveVm remove_vm = 18;</code>
+     * @return The removeVm.
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.RemoveVm getRemoveVm() {
+      if (bodyCase_ == 18) {
+         return (org.borageproxy.wire.proto.ControlProtocol.RemoveVm) body_;
+      }
+      return org.borageproxy.wire.proto.ControlProtocol.RemoveVm.getDefaultInstance();
+    }
+    /**
+     * <code>.borageproxy.control.RemoveVm remove_vm = 18;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.RemoveVmOrBuilder getRemoveVmOrBuilder() {
+      if (bodyCase_ == 18) {
+         return (org.borageproxy.wire.proto.ControlProtocol.RemoveVm) body_;
+      }
+      return org.borageproxy.wire.proto.ControlProtocol.RemoveVm.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -2696,6 +2744,9 @@
       if (bodyCase_ == 17) {
         output.writeMessage(17, (org.borageproxy.wire.proto.ControlProtocol.RegisterVm) body_);
       }
+      if (bodyCase_ == 18) {
+        output.writeMessage(18, (org.borageproxy.wire.proto.ControlProtocol.RemoveVm) body_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -2772,6 +2823,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(17, (org.borageproxy.wire.proto.ControlProtocol.RegisterVm) body_);
       }
+      if (bodyCase_ == 18) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(18, (org.borageproxy.wire.proto.ControlProtocol.RemoveVm) body_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -2855,6 +2910,10 @@
           if (!getRegisterVm()
               .equals(other.getRegisterVm())) return false;
           break;
+        case 18:
+          if (!getRemoveVm()
+              .equals(other.getRemoveVm())) return false;
+          break;
         case 0:
         default:
       }
@@ -2936,6 +2995,10 @@
           hash = (37 * hash) + REGISTER_VM_FIELD_NUMBER;
           hash = (53 * hash) + getRegisterVm().hashCode();
           break;
+        case 18:
+          hash = (37 * hash) + REMOVE_VM_FIELD_NUMBER;
+          hash = (53 * hash) + getRemoveVm().hashCode();
+          break;
         case 0:
         default:
       }
@@ -3123,6 +3186,9 @@
         if (registerVmBuilder_ != null) {
           registerVmBuilder_.clear();
         }
+        if (removeVmBuilder_ != null) {
+          removeVmBuilder_.clear();
+        }
         bodyCase_ = 0;
         body_ = null;
         return this;
@@ -3231,6 +3297,10 @@
             registerVmBuilder_ != null) {
           result.body_ = registerVmBuilder_.build();
         }
+        if (bodyCase_ == 18 &&
+            removeVmBuilder_ != null) {
+          result.body_ = removeVmBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -3315,6 +3385,10 @@
             mergeRegisterVm(other.getRegisterVm());
             break;
           }
+          case REMOVE_VM: {
+            mergeRemoveVm(other.getRemoveVm());
+            break;
+          }
           case BODY_NOT_SET: {
             break;
           }
@@ -3462,6 +3536,13 @@
                 bodyCase_ = 17;
                 break;
               } // case 138
+              case 146: {
+                input.readMessage(
+                    internalGetRemoveVmFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 18;
+                break;
+              } // case 146
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -5838,6 +5919,148 @@
         return registerVmBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.RemoveVm, org.borageproxy.wire.proto.ControlProtocol.RemoveVm.Builder, org.borageproxy.wire.proto.ControlProtocol.RemoveVmOrBuilder> removeVmBuilder_;
+      /**
+       * <code>.borageproxy.control.RemoveVm remove_vm = 18;</code>
+       * @return Whether the removeVm field is set.
+       */
+      @java.lang.Override
+      public boolean hasRemoveVm() {
+        return bodyCase_ == 18;
+      }
+      /**
+       * <code>.borageproxy.control.RemoveVm remove_vm = 18;</code>
+       * @return The removeVm.
+       */
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.RemoveVm getRemoveVm() {
+        if (removeVmBuilder_ == null) {
+          if (bodyCase_ == 18) {
+            return (org.borageproxy.wire.proto.ControlProtocol.RemoveVm) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.RemoveVm.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 18) {
+            return removeVmBuilder_.getMessage();
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.RemoveVm.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.borageproxy.control.RemoveVm remove_vm = 18;</code>
+       */
+      public Builder setRemoveVm(org.borageproxy.wire.proto.ControlProtocol.RemoveVm value) {
+        if (removeVmBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          body_ = value;
+          onChanged();
+        } else {
+          removeVmBuilder_.setMessage(value);
+        }
+        bodyCase_ = 18;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.RemoveVm remove_vm = 18;</code>
+       */
+      public Builder setRemoveVm(
+          org.borageproxy.wire.proto.ControlProtocol.RemoveVm.Builder builderForValue) {
+        if (removeVmBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          removeVmBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 18;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.RemoveVm remove_vm = 18;</code>
+       */
+      public Builder mergeRemoveVm(org.borageproxy.wire.proto.ControlProtocol.RemoveVm value) {
+        if (removeVmBuilder_ == null) {
+          if (bodyCase_ == 18 &&
+              body_ != org.borageproxy.wire.proto.ControlProtocol.RemoveVm.getDefaultInstance()) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.RemoveVm.newBuilder((org.borageproxy.wire.proto.ControlProtocol.RemoveVm) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 18) {
+            removeVmBuilder_.mergeFrom(value);
+          } else {
+            removeVmBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 18;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.RemoveVm remove_vm = 18;</code>
+       */
+      public Builder clearRemoveVm() {
+        if (removeVmBuilder_ == null) {
+          if (bodyCase_ == 18) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 18) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          removeVmBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.RemoveVm remove_vm = 18;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.RemoveVm.Builder getRemoveVmBuilder() {
+        return internalGetRemoveVmFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.borageproxy.control.RemoveVm remove_vm = 18;</code>
+       */
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.RemoveVmOrBuilder getRemoveVmOrBuilder() {
+        if ((bodyCase_ == 18) && (removeVmBuilder_ != null)) {
+          return removeVmBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 18) {
+            return (org.borageproxy.wire.proto.ControlProtocol.RemoveVm) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.RemoveVm.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.borageproxy.control.RemoveVm remove_vm = 18;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.RemoveVm, org.borageproxy.wire.proto.ControlProtocol.RemoveVm.Builder, org.borageproxy.wire.proto.ControlProtocol.RemoveVmOrBuilder> 
+          internalGetRemoveVmFieldBuilder() {
+        if (removeVmBuilder_ == null) {
+          if (!(bodyCase_ == 18)) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.RemoveVm.getDefaultInstance();
+          }
+          removeVmBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.RemoveVm, org.borageproxy.wire.proto.ControlProtocol.RemoveVm.Builder, org.borageproxy.wire.proto.ControlProtocol.RemoveVmOrBuilder>(
+                  (org.borageproxy.wire.proto.ControlProtocol.RemoveVm) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 18;
+        onChanged();
+        return removeVmBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.control.Command)
     }
 
@@ -19319,6 +19542,521 @@
 
   }
 
+  public interface RemoveVmOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.control.RemoveVm)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string name = 1;</code>
+     * @return The name.
+     */
+    java.lang.String getName();
+    /**
+     * <code>string name = 1;</code>
+     * @return The bytes for name.
+     */
+    com.google.protobuf.ByteString
+        getNameBytes();
+  }
+  /**
+   * Protobuf type {@code borageproxy.control.RemoveVm}
+   */
+  public static final class RemoveVm extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:borageproxy.control.RemoveVm)
+      RemoveVmOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "RemoveVm");
+    }
+    // Use RemoveVm.newBuilder() to construct.
+    private RemoveVm(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private RemoveVm() {
+      name_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_RemoveVm_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_RemoveVm_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_RemoveVm_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.borageproxy.wire.proto.ControlProtocol.RemoveVm.class, org.borageproxy.wire.proto.ControlProtocol.RemoveVm.Builder.class);
+    }
+
+    public static final int NAME_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object name_ = "";
+    /**
+     * <code>string name = 1;</code>
+     * @return The name.
+     */
+    @java.lang.Override
+    public java.lang.String getName() {
+      java.lang.Object ref = name_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        name_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string name = 1;</code>
+     * @return The bytes for name.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getNameBytes() {
+      java.lang.Object ref = name_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        name_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(name_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, name_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(name_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, name_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.RemoveVm)) {
+        return super.equals(obj);
+      }
+      org.borageproxy.wire.proto.ControlProtocol.RemoveVm other = (org.borageproxy.wire.proto.ControlProtocol.RemoveVm) obj;
+
+      if (!getName()
+          .equals(other.getName())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + NAME_FIELD_NUMBER;
+      hash = (53 * hash) + getName().hashCode();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.RemoveVm parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.RemoveVm parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.RemoveVm parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.RemoveVm parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.RemoveVm parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.RemoveVm parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.RemoveVm parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.RemoveVm parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.RemoveVm parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.RemoveVm parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.RemoveVm parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.RemoveVm parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.RemoveVm prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code borageproxy.control.RemoveVm}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:borageproxy.control.RemoveVm)
+        org.borageproxy.wire.proto.ControlProtocol.RemoveVmOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_RemoveVm_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_RemoveVm_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.borageproxy.wire.proto.ControlProtocol.RemoveVm.class, org.borageproxy.wire.proto.ControlProtocol.RemoveVm.Builder.class);
+      }
+
+      // Construct using org.borageproxy.wire.proto.ControlProtocol.RemoveVm.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        name_ = "";
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_RemoveVm_descriptor;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.RemoveVm getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.RemoveVm.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.RemoveVm build() {
+        org.borageproxy.wire.proto.ControlProtocol.RemoveVm result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.RemoveVm buildPartial() {
+        org.borageproxy.wire.proto.ControlProtocol.RemoveVm result = new org.borageproxy.wire.proto.ControlProtocol.RemoveVm(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.RemoveVm result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.name_ = name_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.RemoveVm) {
+          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.RemoveVm)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.RemoveVm other) {
+        if (other == org.borageproxy.wire.proto.ControlProtocol.RemoveVm.getDefaultInstance()) return this;
+        if (!other.getName().isEmpty()) {
+          name_ = other.name_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                name_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object name_ = "";
+      /**
+       * <code>string name = 1;</code>
+       * @return The name.
+       */
+      public java.lang.String getName() {
+        java.lang.Object ref = name_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          name_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string name = 1;</code>
+       * @return The bytes for name.
+       */
+      public com.google.protobuf.ByteString
+          getNameBytes() {
+        java.lang.Object ref = name_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          name_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string name = 1;</code>
+       * @param value The name to set.
+       * @return This builder for chaining.
+       */
+      public Builder setName(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        name_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string name = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearName() {
+        name_ = getDefaultInstance().getName();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string name = 1;</code>
+       * @param value The bytes for name to set.
+       * @return This builder for chaining.
+       */
+      public Builder setNameBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        name_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:borageproxy.control.RemoveVm)
+    }
+
+    // @@protoc_insertion_point(class_scope:borageproxy.control.RemoveVm)
+    private static final org.borageproxy.wire.proto.ControlProtocol.RemoveVm DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.RemoveVm();
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.RemoveVm getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<RemoveVm>
+        PARSER = new com.google.protobuf.AbstractParser<RemoveVm>() {
+      @java.lang.Override
+      public RemoveVm parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<RemoveVm> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<RemoveVm> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.RemoveVm getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
   public interface VmRecordOrBuilder extends
       // @@protoc_insertion_point(interface_extends:borageproxy.control.VmRecord)
       com.google.protobuf.MessageOrBuilder {
@@ -49953,6 +50691,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_borageproxy_control_RegisterVm_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_borageproxy_control_RemoveVm_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_borageproxy_control_RemoveVm_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_borageproxy_control_VmRecord_descriptor;
   private static final 
@@ -50118,7 +50861,7 @@
       "s\030\002 \001(\004\"p\n\rCommandAnswer\022+\n\005reply\030\001 \001(\0132" +
       "\032.borageproxy.control.ReplyH\000\022\024\n\nnot_lea" +
       "der\030\002 \001(\tH\000\022\021\n\007unknown\030\003 \001(\010H\000B\t\n\007outcom" +
-      "e\"\257\007\n\007Command\022\020\n\010identity\030\001 \001(\t\0224\n\napply" +
+      "e\"\343\007\n\007Command\022\020\n\010identity\030\001 \001(\t\0224\n\napply" +
       "_tree\030\002 \001(\0132\036.borageproxy.control.ApplyT" +
       "reeH\000\0221\n\010rollback\030\003 \001(\0132\035.borageproxy.co" +
       "ntrol.RollbackH\000\0224\n\ncreate_key\030\004 \001(\0132\036.b" +
@@ -50141,146 +50884,148 @@
       "proxy.control.ReportCrashH\000\0226\n\013clear_cra" +
       "sh\030\020 \001(\0132\037.borageproxy.control.ClearCras" +
       "hH\000\0226\n\013register_vm\030\021 \001(\0132\037.borageproxy.c" +
-      "ontrol.RegisterVmH\000B\006\n\004body\"s\n\tApplyTree" +
-      "\022\027\n\017change_identity\030\001 \001(\t\022\025\n\rbase_revisi" +
-      "on\030\002 \001(\004\022\020\n\010document\030\003 \001(\t\022\020\n\010operator\030\004" +
-      " \001(\t\022\022\n\nonly_known\030\005 \001(\010\"a\n\010Rollback\022\027\n\017" +
-      "change_identity\030\001 \001(\t\022\025\n\rbase_revision\030\002" +
-      " \001(\004\022\023\n\013to_revision\030\003 \001(\004\022\020\n\010operator\030\004 " +
-      "\001(\t\"o\n\tCreateKey\022\027\n\017change_identity\030\001 \001(" +
-      "\t\022\024\n\014key_identity\030\002 \001(\t\022\016\n\006digest\030\003 \001(\t\022" +
-      "\021\n\tworkspace\030\004 \001(\t\022\020\n\010operator\030\005 \001(\t\"#\n\013" +
-      "WithdrawKey\022\024\n\014key_identity\030\001 \001(\t\"\203\001\n\005Cl" +
-      "aim\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017idempotency_ke" +
-      "y\030\002 \001(\t\022\016\n\006digest\030\003 \001(\t\022\031\n\021created_at_mi" +
-      "llis\030\004 \001(\003\022\016\n\006holder\030\005 \001(\t\022\023\n\013hold_milli" +
-      "s\030\006 \001(\003\"w\n\rCompleteClaim\022\021\n\tworkspace\030\001 " +
-      "\001(\t\022\027\n\017idempotency_key\030\002 \001(\t\022\r\n\005epoch\030\003 " +
-      "\001(\003\022+\n\006answer\030\004 \001(\0132\033.borageproxy.contro" +
-      "l.Answer\"E\n\010EndClaim\022\021\n\tworkspace\030\001 \001(\t\022" +
-      "\027\n\017idempotency_key\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\"" +
-      "<\n\006Answer\022\016\n\006status\030\001 \001(\005\022\024\n\014content_typ" +
-      "e\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"V\n\014AcquireLease\022\014\n" +
-      "\004duty\030\001 \001(\t\022\016\n\006holder\030\002 \001(\t\022\017\n\007session\030\003" +
-      " \001(\t\022\027\n\017expired_renewal\030\004 \001(\004\"<\n\014Release" +
-      "Lease\022\014\n\004duty\030\001 \001(\t\022\017\n\007session\030\002 \001(\t\022\r\n\005" +
-      "epoch\030\003 \001(\003\"\276\001\n\014IntentRecord\022\016\n\006number\030\001" +
-      " \001(\003\022\r\n\005epoch\030\002 \001(\003\022\016\n\006server\030\003 \001(\t\022\023\n\013i" +
-      "ncarnation\030\004 \001(\003\022\023\n\013accelerator\030\005 \001(\t\022\016\n" +
-      "\006action\030\006 \001(\005\022\r\n\005model\030\007 \001(\t\022\017\n\007version\030" +
-      "\010 \001(\t\022\017\n\007adapter\030\t \001(\t\022\024\n\014memory_bytes\030\n" +
-      " \001(\003\"A\n\014RecordIntent\0221\n\006intent\030\001 \001(\0132!.b" +
-      "orageproxy.control.IntentRecord\"0\n\016Resol" +
-      "veIntents\022\r\n\005epoch\030\001 \001(\003\022\017\n\007numbers\030\002 \003(" +
-      "\003\"\r\n\013ReadIntents\"V\n\013ReportCrash\022\023\n\013finge" +
-      "rprint\030\001 \001(\t\022\016\n\006server\030\002 \001(\t\022\023\n\013incarnat" +
-      "ion\030\003 \001(\003\022\r\n\005alone\030\004 \001(\010\"!\n\nClearCrash\022\023" +
-      "\n\013fingerprint\030\001 \001(\t\"7\n\nRegisterVm\022)\n\002vm\030" +
-      "\001 \001(\0132\035.borageproxy.control.VmRecord\"B\n\010" +
-      "VmRecord\022\014\n\004name\030\001 \001(\t\022\014\n\004zone\030\002 \001(\t\022\014\n\004" +
-      "host\030\003 \001(\t\022\014\n\004port\030\004 \001(\005\"\205\005\n\005Reply\0221\n\010ac" +
-      "cepted\030\001 \001(\0132\035.borageproxy.control.Accep" +
-      "tedH\000\022>\n\017change_conflict\030\002 \001(\0132#.boragep" +
-      "roxy.control.ChangeConflictH\000\022B\n\021identit" +
-      "y_conflict\030\003 \001(\0132%.borageproxy.control.I" +
-      "dentityConflictH\000\022/\n\007missing\030\004 \001(\0132\034.bor" +
-      "ageproxy.control.MissingH\000\0220\n\005claim\030\005 \001(" +
-      "\0132\037.borageproxy.control.ClaimReplyH\000\0220\n\005" +
-      "lease\030\006 \001(\0132\037.borageproxy.control.LeaseR" +
-      "eplyH\000\0223\n\006intent\030\007 \001(\0132!.borageproxy.con" +
-      "trol.IntentRecordH\000\022-\n\006fenced\030\010 \001(\0132\033.bo" +
-      "rageproxy.control.FencedH\000\022/\n\007intents\030\t " +
-      "\001(\0132\034.borageproxy.control.IntentsH\000\0220\n\005c" +
-      "rash\030\n \001(\0132\037.borageproxy.control.CrashRe" +
-      "plyH\000\022)\n\004done\030\013 \001(\0132\031.borageproxy.contro" +
-      "l.DoneH\000\0226\n\013key_created\030\014 \001(\0132\037.boragepr" +
-      "oxy.control.KeyCreatedH\000B\006\n\004body\"\034\n\010Acce" +
-      "pted\022\020\n\010revision\030\001 \001(\004\":\n\016ChangeConflict" +
-      "\022\030\n\020current_revision\030\001 \001(\004\022\016\n\006holder\030\002 \001" +
-      "(\t\"4\n\020IdentityConflict\022\016\n\006holder\030\001 \001(\t\022\020" +
-      "\n\010revision\030\002 \001(\004\"\t\n\007Missing\"\006\n\004Done\"\037\n\006F" +
-      "enced\022\025\n\rcurrent_epoch\030\001 \001(\003\"J\n\nKeyCreat" +
-      "ed\022\020\n\010revision\030\001 \001(\004\022*\n\003key\030\002 \001(\0132\035.bora" +
-      "geproxy.control.KeyState\"\351\001\n\nClaimReply\022" +
-      ":\n\010decision\030\001 \001(\0162(.borageproxy.control." +
-      "ClaimReply.Decision\022\r\n\005epoch\030\002 \001(\003\022+\n\006an" +
-      "swer\030\003 \001(\0132\033.borageproxy.control.Answer\"" +
-      "c\n\010Decision\022\013\n\007GRANTED\020\000\022\014\n\010ANSWERED\020\001\022\017" +
-      "\n\013IN_PROGRESS\020\002\022\020\n\014MAY_HAVE_RUN\020\003\022\014\n\010CON" +
-      "FLICT\020\004\022\013\n\007TOO_OLD\020\005\"<\n\nLeaseReply\022\017\n\007gr" +
-      "anted\030\001 \001(\010\022\016\n\006holder\030\002 \001(\t\022\r\n\005epoch\030\003 \001" +
-      "(\003\"=\n\007Intents\0222\n\007intents\030\001 \003(\0132!.boragep" +
-      "roxy.control.IntentRecord\"\037\n\nCrashReply\022" +
-      "\021\n\tsuspicion\030\001 \001(\005\"R\n\010KeyState\022\020\n\010identi" +
-      "ty\030\001 \001(\t\022\016\n\006digest\030\002 \001(\t\022\021\n\tworkspace\030\003 " +
-      "\001(\t\022\021\n\twithdrawn\030\004 \001(\010\"v\n\tTreeState\022\020\n\010r" +
-      "evision\030\001 \001(\004\022\020\n\010document\030\002 \001(\t\022\027\n\017chang" +
-      "e_identity\030\003 \001(\t\022\020\n\010operator\030\004 \001(\t\022\032\n\022ac" +
-      "cepted_at_millis\030\005 \001(\003\"i\n\nLeaseState\022\014\n\004" +
-      "duty\030\001 \001(\t\022\016\n\006holder\030\002 \001(\t\022\017\n\007session\030\003 " +
-      "\001(\t\022\r\n\005epoch\030\004 \001(\003\022\017\n\007renewal\030\005 \001(\004\022\014\n\004f" +
-      "ree\030\006 \001(\010\"\304\002\n\nClaimState\022\021\n\tworkspace\030\001 " +
-      "\001(\t\022\027\n\017idempotency_key\030\002 \001(\t\022\016\n\006digest\030\003" +
-      " \001(\t\022\016\n\006holder\030\004 \001(\t\022\r\n\005epoch\030\005 \001(\003\0224\n\005p" +
-      "hase\030\006 \001(\0162%.borageproxy.control.ClaimSt" +
-      "ate.Phase\022\031\n\021held_until_millis\030\007 \001(\003\022\031\n\021" +
-      "expires_at_millis\030\010 \001(\003\022+\n\006answer\030\t \001(\0132" +
-      "\033.borageproxy.control.Answer\"B\n\005Phase\022\013\n" +
-      "\007CLAIMED\020\000\022\014\n\010ANSWERED\020\001\022\020\n\014MAY_HAVE_RUN" +
-      "\020\002\022\014\n\010RELEASED\020\003\"b\n\nCrashState\022\023\n\013finger" +
-      "print\030\001 \001(\t\022\017\n\007crashes\030\002 \003(\t\022\023\n\013quaranti" +
-      "ned\030\003 \001(\010\022\031\n\021expires_at_millis\030\004 \001(\003\"l\n\013" +
-      "ChangeState\022\020\n\010identity\030\001 \001(\t\022\016\n\006digest\030" +
-      "\002 \001(\014\022\020\n\010operator\030\003 \001(\t\022)\n\005reply\030\004 \001(\0132\032" +
-      ".borageproxy.control.Reply\"a\n\017Remembered" +
-      "Reply\022\020\n\010identity\030\001 \001(\t\022\021\n\tat_millis\030\002 \001" +
-      "(\003\022)\n\005reply\030\003 \001(\0132\032.borageproxy.control." +
-      "Reply\"\260\002\n\004Item\022\014\n\004name\030\001 \001(\t\022\017\n\007version\030" +
-      "\002 \001(\004\022.\n\004tree\030\003 \001(\0132\036.borageproxy.contro" +
-      "l.TreeStateH\000\022,\n\003key\030\004 \001(\0132\035.borageproxy" +
-      ".control.KeyStateH\000\0220\n\005lease\030\005 \001(\0132\037.bor" +
-      "ageproxy.control.LeaseStateH\000\0220\n\005crash\030\006" +
-      " \001(\0132\037.borageproxy.control.CrashStateH\000\022" +
-      "+\n\002vm\030\007 \001(\0132\035.borageproxy.control.VmReco" +
-      "rdH\000\022\021\n\007removed\030\010 \001(\010H\000B\007\n\005value\"\302\004\n\017Con" +
-      "trolSnapshot\022\017\n\007version\030\001 \001(\004\022\020\n\010revisio" +
-      "n\030\002 \001(\004\022/\n\007history\030\004 \003(\0132\036.borageproxy.c" +
-      "ontrol.TreeState\022+\n\004keys\030\005 \003(\0132\035.boragep" +
-      "roxy.control.KeyState\0221\n\007changes\030\006 \003(\0132 " +
-      ".borageproxy.control.ChangeState\0225\n\007repl" +
-      "ies\030\007 \003(\0132$.borageproxy.control.Remember" +
-      "edReply\022/\n\006claims\030\010 \003(\0132\037.borageproxy.co" +
-      "ntrol.ClaimState\022\030\n\020last_claim_epoch\030\t \001" +
-      "(\003\022/\n\006leases\030\n \003(\0132\037.borageproxy.control" +
-      ".LeaseState\0222\n\007intents\030\013 \003(\0132!.boragepro" +
-      "xy.control.IntentRecord\022\032\n\022last_intent_n" +
-      "umber\030\014 \001(\003\0220\n\007crashes\030\r \003(\0132\037.boragepro" +
-      "xy.control.CrashState\022(\n\005items\030\016 \003(\0132\031.b" +
-      "orageproxy.control.Item\022\026\n\016removals_sinc" +
-      "e\030\017 \001(\004J\004\010\003\020\004\"\241\002\n\014WatchRequest\022+\n\005watch\030" +
-      "\001 \001(\0132\032.borageproxy.control.WatchH\000\0226\n\013r" +
-      "ead_served\030\002 \001(\0132\037.borageproxy.control.R" +
-      "eadServedH\000\0222\n\tread_tree\030\003 \001(\0132\035.boragep" +
-      "roxy.control.ReadTreeH\000\022<\n\016read_revision" +
-      "s\030\004 \001(\0132\".borageproxy.control.ReadRevisi" +
-      "onsH\000\0222\n\tread_keys\030\005 \001(\0132\035.borageproxy.c" +
-      "ontrol.ReadKeysH\000B\006\n\004body\"q\n\005Watch\022)\n\002vm" +
-      "\030\001 \001(\0132\035.borageproxy.control.VmRecord\022\017\n" +
-      "\007version\030\002 \001(\004\022\027\n\017served_revision\030\003 \001(\004\022" +
-      "\023\n\013wait_millis\030\004 \001(\r\"\014\n\nReadServed\"\034\n\010Re" +
-      "adTree\022\020\n\010revision\030\001 \001(\004\"\017\n\rReadRevision" +
-      "s\"\n\n\010ReadKeys\"\266\002\n\013WatchAnswer\022\021\n\tconfirm" +
-      "ed\030\001 \001(\010\022\017\n\007version\030\002 \001(\004\022\020\n\010revision\030\003 " +
-      "\001(\004\022\014\n\004full\030\004 \001(\010\022(\n\005items\030\005 \003(\0132\031.borag" +
-      "eproxy.control.Item\022+\n\006served\030\006 \003(\0132\033.bo" +
-      "rageproxy.control.Served\022,\n\004tree\030\007 \001(\0132\036" +
-      ".borageproxy.control.TreeState\0221\n\trevisi" +
-      "ons\030\010 \003(\0132\036.borageproxy.control.TreeStat" +
-      "e\022+\n\004keys\030\t \003(\0132\035.borageproxy.control.Ke" +
-      "yState\"H\n\006Served\022\n\n\002vm\030\001 \001(\t\022\020\n\010revision" +
-      "\030\002 \001(\004\022\022\n\nage_millis\030\003 \001(\004\022\014\n\004zone\030\004 \001(\t" +
-      "B-\n\032org.borageproxy.wire.protoB\017ControlP" +
-      "rotocolb\006proto3"
+      "ontrol.RegisterVmH\000\0222\n\tremove_vm\030\022 \001(\0132\035" +
+      ".borageproxy.control.RemoveVmH\000B\006\n\004body\"" +
+      "s\n\tApplyTree\022\027\n\017change_identity\030\001 \001(\t\022\025\n" +
+      "\rbase_revision\030\002 \001(\004\022\020\n\010document\030\003 \001(\t\022\020" +
+      "\n\010operator\030\004 \001(\t\022\022\n\nonly_known\030\005 \001(\010\"a\n\010" +
+      "Rollback\022\027\n\017change_identity\030\001 \001(\t\022\025\n\rbas" +
+      "e_revision\030\002 \001(\004\022\023\n\013to_revision\030\003 \001(\004\022\020\n" +
+      "\010operator\030\004 \001(\t\"o\n\tCreateKey\022\027\n\017change_i" +
+      "dentity\030\001 \001(\t\022\024\n\014key_identity\030\002 \001(\t\022\016\n\006d" +
+      "igest\030\003 \001(\t\022\021\n\tworkspace\030\004 \001(\t\022\020\n\010operat" +
+      "or\030\005 \001(\t\"#\n\013WithdrawKey\022\024\n\014key_identity\030" +
+      "\001 \001(\t\"\203\001\n\005Claim\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017id" +
+      "empotency_key\030\002 \001(\t\022\016\n\006digest\030\003 \001(\t\022\031\n\021c" +
+      "reated_at_millis\030\004 \001(\003\022\016\n\006holder\030\005 \001(\t\022\023" +
+      "\n\013hold_millis\030\006 \001(\003\"w\n\rCompleteClaim\022\021\n\t" +
+      "workspace\030\001 \001(\t\022\027\n\017idempotency_key\030\002 \001(\t" +
+      "\022\r\n\005epoch\030\003 \001(\003\022+\n\006answer\030\004 \001(\0132\033.borage" +
+      "proxy.control.Answer\"E\n\010EndClaim\022\021\n\twork" +
+      "space\030\001 \001(\t\022\027\n\017idempotency_key\030\002 \001(\t\022\r\n\005" +
+      "epoch\030\003 \001(\003\"<\n\006Answer\022\016\n\006status\030\001 \001(\005\022\024\n" +
+      "\014content_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"V\n\014Acq" +
+      "uireLease\022\014\n\004duty\030\001 \001(\t\022\016\n\006holder\030\002 \001(\t\022" +
+      "\017\n\007session\030\003 \001(\t\022\027\n\017expired_renewal\030\004 \001(" +
+      "\004\"<\n\014ReleaseLease\022\014\n\004duty\030\001 \001(\t\022\017\n\007sessi" +
+      "on\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\"\276\001\n\014IntentRecord" +
+      "\022\016\n\006number\030\001 \001(\003\022\r\n\005epoch\030\002 \001(\003\022\016\n\006serve" +
+      "r\030\003 \001(\t\022\023\n\013incarnation\030\004 \001(\003\022\023\n\013accelera" +
+      "tor\030\005 \001(\t\022\016\n\006action\030\006 \001(\005\022\r\n\005model\030\007 \001(\t" +
+      "\022\017\n\007version\030\010 \001(\t\022\017\n\007adapter\030\t \001(\t\022\024\n\014me" +
+      "mory_bytes\030\n \001(\003\"A\n\014RecordIntent\0221\n\006inte" +
+      "nt\030\001 \001(\0132!.borageproxy.control.IntentRec" +
+      "ord\"0\n\016ResolveIntents\022\r\n\005epoch\030\001 \001(\003\022\017\n\007" +
+      "numbers\030\002 \003(\003\"\r\n\013ReadIntents\"V\n\013ReportCr" +
+      "ash\022\023\n\013fingerprint\030\001 \001(\t\022\016\n\006server\030\002 \001(\t" +
+      "\022\023\n\013incarnation\030\003 \001(\003\022\r\n\005alone\030\004 \001(\010\"!\n\n" +
+      "ClearCrash\022\023\n\013fingerprint\030\001 \001(\t\"7\n\nRegis" +
+      "terVm\022)\n\002vm\030\001 \001(\0132\035.borageproxy.control." +
+      "VmRecord\"\030\n\010RemoveVm\022\014\n\004name\030\001 \001(\t\"B\n\010Vm" +
+      "Record\022\014\n\004name\030\001 \001(\t\022\014\n\004zone\030\002 \001(\t\022\014\n\004ho" +
+      "st\030\003 \001(\t\022\014\n\004port\030\004 \001(\005\"\205\005\n\005Reply\0221\n\010acce" +
+      "pted\030\001 \001(\0132\035.borageproxy.control.Accepte" +
+      "dH\000\022>\n\017change_conflict\030\002 \001(\0132#.boragepro" +
+      "xy.control.ChangeConflictH\000\022B\n\021identity_" +
+      "conflict\030\003 \001(\0132%.borageproxy.control.Ide" +
+      "ntityConflictH\000\022/\n\007missing\030\004 \001(\0132\034.borag" +
+      "eproxy.control.MissingH\000\0220\n\005claim\030\005 \001(\0132" +
+      "\037.borageproxy.control.ClaimReplyH\000\0220\n\005le" +
+      "ase\030\006 \001(\0132\037.borageproxy.control.LeaseRep" +
+      "lyH\000\0223\n\006intent\030\007 \001(\0132!.borageproxy.contr" +
+      "ol.IntentRecordH\000\022-\n\006fenced\030\010 \001(\0132\033.bora" +
+      "geproxy.control.FencedH\000\022/\n\007intents\030\t \001(" +
+      "\0132\034.borageproxy.control.IntentsH\000\0220\n\005cra" +
+      "sh\030\n \001(\0132\037.borageproxy.control.CrashRepl" +
+      "yH\000\022)\n\004done\030\013 \001(\0132\031.borageproxy.control." +
+      "DoneH\000\0226\n\013key_created\030\014 \001(\0132\037.borageprox" +
+      "y.control.KeyCreatedH\000B\006\n\004body\"\034\n\010Accept" +
+      "ed\022\020\n\010revision\030\001 \001(\004\":\n\016ChangeConflict\022\030" +
+      "\n\020current_revision\030\001 \001(\004\022\016\n\006holder\030\002 \001(\t" +
+      "\"4\n\020IdentityConflict\022\016\n\006holder\030\001 \001(\t\022\020\n\010" +
+      "revision\030\002 \001(\004\"\t\n\007Missing\"\006\n\004Done\"\037\n\006Fen" +
+      "ced\022\025\n\rcurrent_epoch\030\001 \001(\003\"J\n\nKeyCreated" +
+      "\022\020\n\010revision\030\001 \001(\004\022*\n\003key\030\002 \001(\0132\035.borage" +
+      "proxy.control.KeyState\"\351\001\n\nClaimReply\022:\n" +
+      "\010decision\030\001 \001(\0162(.borageproxy.control.Cl" +
+      "aimReply.Decision\022\r\n\005epoch\030\002 \001(\003\022+\n\006answ" +
+      "er\030\003 \001(\0132\033.borageproxy.control.Answer\"c\n" +
+      "\010Decision\022\013\n\007GRANTED\020\000\022\014\n\010ANSWERED\020\001\022\017\n\013" +
+      "IN_PROGRESS\020\002\022\020\n\014MAY_HAVE_RUN\020\003\022\014\n\010CONFL" +
+      "ICT\020\004\022\013\n\007TOO_OLD\020\005\"<\n\nLeaseReply\022\017\n\007gran" +
+      "ted\030\001 \001(\010\022\016\n\006holder\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003" +
+      "\"=\n\007Intents\0222\n\007intents\030\001 \003(\0132!.boragepro" +
+      "xy.control.IntentRecord\"\037\n\nCrashReply\022\021\n" +
+      "\tsuspicion\030\001 \001(\005\"R\n\010KeyState\022\020\n\010identity" +
+      "\030\001 \001(\t\022\016\n\006digest\030\002 \001(\t\022\021\n\tworkspace\030\003 \001(" +
+      "\t\022\021\n\twithdrawn\030\004 \001(\010\"v\n\tTreeState\022\020\n\010rev" +
+      "ision\030\001 \001(\004\022\020\n\010document\030\002 \001(\t\022\027\n\017change_" +
+      "identity\030\003 \001(\t\022\020\n\010operator\030\004 \001(\t\022\032\n\022acce" +
+      "pted_at_millis\030\005 \001(\003\"i\n\nLeaseState\022\014\n\004du" +
+      "ty\030\001 \001(\t\022\016\n\006holder\030\002 \001(\t\022\017\n\007session\030\003 \001(" +
+      "\t\022\r\n\005epoch\030\004 \001(\003\022\017\n\007renewal\030\005 \001(\004\022\014\n\004fre" +
+      "e\030\006 \001(\010\"\304\002\n\nClaimState\022\021\n\tworkspace\030\001 \001(" +
+      "\t\022\027\n\017idempotency_key\030\002 \001(\t\022\016\n\006digest\030\003 \001" +
+      "(\t\022\016\n\006holder\030\004 \001(\t\022\r\n\005epoch\030\005 \001(\003\0224\n\005pha" +
+      "se\030\006 \001(\0162%.borageproxy.control.ClaimStat" +
+      "e.Phase\022\031\n\021held_until_millis\030\007 \001(\003\022\031\n\021ex" +
+      "pires_at_millis\030\010 \001(\003\022+\n\006answer\030\t \001(\0132\033." +
+      "borageproxy.control.Answer\"B\n\005Phase\022\013\n\007C" +
+      "LAIMED\020\000\022\014\n\010ANSWERED\020\001\022\020\n\014MAY_HAVE_RUN\020\002" +
+      "\022\014\n\010RELEASED\020\003\"b\n\nCrashState\022\023\n\013fingerpr" +
+      "int\030\001 \001(\t\022\017\n\007crashes\030\002 \003(\t\022\023\n\013quarantine" +
+      "d\030\003 \001(\010\022\031\n\021expires_at_millis\030\004 \001(\003\"l\n\013Ch" +
+      "angeState\022\020\n\010identity\030\001 \001(\t\022\016\n\006digest\030\002 " +
+      "\001(\014\022\020\n\010operator\030\003 \001(\t\022)\n\005reply\030\004 \001(\0132\032.b" +
+      "orageproxy.control.Reply\"a\n\017RememberedRe" +
+      "ply\022\020\n\010identity\030\001 \001(\t\022\021\n\tat_millis\030\002 \001(\003" +
+      "\022)\n\005reply\030\003 \001(\0132\032.borageproxy.control.Re" +
+      "ply\"\260\002\n\004Item\022\014\n\004name\030\001 \001(\t\022\017\n\007version\030\002 " +
+      "\001(\004\022.\n\004tree\030\003 \001(\0132\036.borageproxy.control." +
+      "TreeStateH\000\022,\n\003key\030\004 \001(\0132\035.borageproxy.c" +
+      "ontrol.KeyStateH\000\0220\n\005lease\030\005 \001(\0132\037.borag" +
+      "eproxy.control.LeaseStateH\000\0220\n\005crash\030\006 \001" +
+      "(\0132\037.borageproxy.control.CrashStateH\000\022+\n" +
+      "\002vm\030\007 \001(\0132\035.borageproxy.control.VmRecord" +
+      "H\000\022\021\n\007removed\030\010 \001(\010H\000B\007\n\005value\"\302\004\n\017Contr" +
+      "olSnapshot\022\017\n\007version\030\001 \001(\004\022\020\n\010revision\030" +
+      "\002 \001(\004\022/\n\007history\030\004 \003(\0132\036.borageproxy.con" +
+      "trol.TreeState\022+\n\004keys\030\005 \003(\0132\035.boragepro" +
+      "xy.control.KeyState\0221\n\007changes\030\006 \003(\0132 .b" +
+      "orageproxy.control.ChangeState\0225\n\007replie" +
+      "s\030\007 \003(\0132$.borageproxy.control.Remembered" +
+      "Reply\022/\n\006claims\030\010 \003(\0132\037.borageproxy.cont" +
+      "rol.ClaimState\022\030\n\020last_claim_epoch\030\t \001(\003" +
+      "\022/\n\006leases\030\n \003(\0132\037.borageproxy.control.L" +
+      "easeState\0222\n\007intents\030\013 \003(\0132!.borageproxy" +
+      ".control.IntentRecord\022\032\n\022last_intent_num" +
+      "ber\030\014 \001(\003\0220\n\007crashes\030\r \003(\0132\037.borageproxy" +
+      ".control.CrashState\022(\n\005items\030\016 \003(\0132\031.bor" +
+      "ageproxy.control.Item\022\026\n\016removals_since\030" +
+      "\017 \001(\004J\004\010\003\020\004\"\241\002\n\014WatchRequest\022+\n\005watch\030\001 " +
+      "\001(\0132\032.borageproxy.control.WatchH\000\0226\n\013rea" +
+      "d_served\030\002 \001(\0132\037.borageproxy.control.Rea" +
+      "dServedH\000\0222\n\tread_tree\030\003 \001(\0132\035.boragepro" +
+      "xy.control.ReadTreeH\000\022<\n\016read_revisions\030" +
+      "\004 \001(\0132\".borageproxy.control.ReadRevision" +
+      "sH\000\0222\n\tread_keys\030\005 \001(\0132\035.borageproxy.con" +
+      "trol.ReadKeysH\000B\006\n\004body\"q\n\005Watch\022)\n\002vm\030\001" +
+      " \001(\0132\035.borageproxy.control.VmRecord\022\017\n\007v" +
+      "ersion\030\002 \001(\004\022\027\n\017served_revision\030\003 \001(\004\022\023\n" +
+      "\013wait_millis\030\004 \001(\r\"\014\n\nReadServed\"\034\n\010Read" +
+      "Tree\022\020\n\010revision\030\001 \001(\004\"\017\n\rReadRevisions\"" +
+      "\n\n\010ReadKeys\"\266\002\n\013WatchAnswer\022\021\n\tconfirmed" +
+      "\030\001 \001(\010\022\017\n\007version\030\002 \001(\004\022\020\n\010revision\030\003 \001(" +
+      "\004\022\014\n\004full\030\004 \001(\010\022(\n\005items\030\005 \003(\0132\031.boragep" +
+      "roxy.control.Item\022+\n\006served\030\006 \003(\0132\033.bora" +
+      "geproxy.control.Served\022,\n\004tree\030\007 \001(\0132\036.b" +
+      "orageproxy.control.TreeState\0221\n\trevision" +
+      "s\030\010 \003(\0132\036.borageproxy.control.TreeState\022" +
+      "+\n\004keys\030\t \003(\0132\035.borageproxy.control.KeyS" +
+      "tate\"H\n\006Served\022\n\n\002vm\030\001 \001(\t\022\020\n\010revision\030\002" +
+      " \001(\004\022\022\n\nage_millis\030\003 \001(\004\022\014\n\004zone\030\004 \001(\tB-" +
+      "\n\032org.borageproxy.wire.protoB\017ControlPro" +
+      "tocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -50303,7 +51048,7 @@
     internal_static_borageproxy_control_Command_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Command_descriptor,
-        new java.lang.String[] { "Identity", "ApplyTree", "Rollback", "CreateKey", "WithdrawKey", "Claim", "CompleteClaim", "ReleaseClaim", "AbandonClaim", "AcquireLease", "ReleaseLease", "RecordIntent", "ResolveIntents", "ReadIntents", "ReportCrash", "ClearCrash", "RegisterVm", "Body", });
+        new java.lang.String[] { "Identity", "ApplyTree", "Rollback", "CreateKey", "WithdrawKey", "Claim", "CompleteClaim", "ReleaseClaim", "AbandonClaim", "AcquireLease", "ReleaseLease", "RecordIntent", "ResolveIntents", "ReadIntents", "ReportCrash", "ClearCrash", "RegisterVm", "RemoveVm", "Body", });
     internal_static_borageproxy_control_ApplyTree_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_borageproxy_control_ApplyTree_fieldAccessorTable = new
@@ -50406,182 +51151,188 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_RegisterVm_descriptor,
         new java.lang.String[] { "Vm", });
-    internal_static_borageproxy_control_VmRecord_descriptor =
+    internal_static_borageproxy_control_RemoveVm_descriptor =
       getDescriptor().getMessageType(20);
+    internal_static_borageproxy_control_RemoveVm_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_borageproxy_control_RemoveVm_descriptor,
+        new java.lang.String[] { "Name", });
+    internal_static_borageproxy_control_VmRecord_descriptor =
+      getDescriptor().getMessageType(21);
     internal_static_borageproxy_control_VmRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_VmRecord_descriptor,
         new java.lang.String[] { "Name", "Zone", "Host", "Port", });
     internal_static_borageproxy_control_Reply_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(22);
     internal_static_borageproxy_control_Reply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Reply_descriptor,
         new java.lang.String[] { "Accepted", "ChangeConflict", "IdentityConflict", "Missing", "Claim", "Lease", "Intent", "Fenced", "Intents", "Crash", "Done", "KeyCreated", "Body", });
     internal_static_borageproxy_control_Accepted_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(23);
     internal_static_borageproxy_control_Accepted_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Accepted_descriptor,
         new java.lang.String[] { "Revision", });
     internal_static_borageproxy_control_ChangeConflict_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(24);
     internal_static_borageproxy_control_ChangeConflict_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ChangeConflict_descriptor,
         new java.lang.String[] { "CurrentRevision", "Holder", });
     internal_static_borageproxy_control_IdentityConflict_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(25);
     internal_static_borageproxy_control_IdentityConflict_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_IdentityConflict_descriptor,
         new java.lang.String[] { "Holder", "Revision", });
     internal_static_borageproxy_control_Missing_descriptor =
-      getDescriptor().getMessageType(25);
+      getDescriptor().getMessageType(26);
     internal_static_borageproxy_control_Missing_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Missing_descriptor,
         new java.lang.String[] { });
     internal_static_borageproxy_control_Done_descriptor =
-      getDescriptor().getMessageType(26);
+      getDescriptor().getMessageType(27);
     internal_static_borageproxy_control_Done_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Done_descriptor,
         new java.lang.String[] { });
     internal_static_borageproxy_control_Fenced_descriptor =
-      getDescriptor().getMessageType(27);
+      getDescriptor().getMessageType(28);
     internal_static_borageproxy_control_Fenced_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Fenced_descriptor,
         new java.lang.String[] { "CurrentEpoch", });
     internal_static_borageproxy_control_KeyCreated_descriptor =
-      getDescriptor().getMessageType(28);
+      getDescriptor().getMessageType(29);
     internal_static_borageproxy_control_KeyCreated_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_KeyCreated_descriptor,
         new java.lang.String[] { "Revision", "Key", });
     internal_static_borageproxy_control_ClaimReply_descriptor =
-      getDescriptor().getMessageType(29);
+      getDescriptor().getMessageType(30);
     internal_static_borageproxy_control_ClaimReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ClaimReply_descriptor,
         new java.lang.String[] { "Decision", "Epoch", "Answer", });
     internal_static_borageproxy_control_LeaseReply_descriptor =
-      getDescriptor().getMessageType(30);
+      getDescriptor().getMessageType(31);
     internal_static_borageproxy_control_LeaseReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_LeaseReply_descriptor,
         new java.lang.String[] { "Granted", "Holder", "Epoch", });
     internal_static_borageproxy_control_Intents_descriptor =
-      getDescriptor().getMessageType(31);
+      getDescriptor().getMessageType(32);
     internal_static_borageproxy_control_Intents_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Intents_descriptor,
         new java.lang.String[] { "Intents", });
     internal_static_borageproxy_control_CrashReply_descriptor =
-      getDescriptor().getMessageType(32);
+      getDescriptor().getMessageType(33);
     internal_static_borageproxy_control_CrashReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_CrashReply_descriptor,
         new java.lang.String[] { "Suspicion", });
     internal_static_borageproxy_control_KeyState_descriptor =
-      getDescriptor().getMessageType(33);
+      getDescriptor().getMessageType(34);
     internal_static_borageproxy_control_KeyState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_KeyState_descriptor,
         new java.lang.String[] { "Identity", "Digest", "Workspace", "Withdrawn", });
     internal_static_borageproxy_control_TreeState_descriptor =
-      getDescriptor().getMessageType(34);
+      getDescriptor().getMessageType(35);
     internal_static_borageproxy_control_TreeState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_TreeState_descriptor,
         new java.lang.String[] { "Revision", "Document", "ChangeIdentity", "Operator", "AcceptedAtMillis", });
     internal_static_borageproxy_control_LeaseState_descriptor =
-      getDescriptor().getMessageType(35);
+      getDescriptor().getMessageType(36);
     internal_static_borageproxy_control_LeaseState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_LeaseState_descriptor,
         new java.lang.String[] { "Duty", "Holder", "Session", "Epoch", "Renewal", "Free", });
     internal_static_borageproxy_control_ClaimState_descriptor =
-      getDescriptor().getMessageType(36);
+      getDescriptor().getMessageType(37);
     internal_static_borageproxy_control_ClaimState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ClaimState_descriptor,
         new java.lang.String[] { "Workspace", "IdempotencyKey", "Digest", "Holder", "Epoch", "Phase", "HeldUntilMillis", "ExpiresAtMillis", "Answer", });
     internal_static_borageproxy_control_CrashState_descriptor =
-      getDescriptor().getMessageType(37);
+      getDescriptor().getMessageType(38);
     internal_static_borageproxy_control_CrashState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_CrashState_descriptor,
         new java.lang.String[] { "Fingerprint", "Crashes", "Quarantined", "ExpiresAtMillis", });
     internal_static_borageproxy_control_ChangeState_descriptor =
-      getDescriptor().getMessageType(38);
+      getDescriptor().getMessageType(39);
     internal_static_borageproxy_control_ChangeState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ChangeState_descriptor,
         new java.lang.String[] { "Identity", "Digest", "Operator", "Reply", });
     internal_static_borageproxy_control_RememberedReply_descriptor =
-      getDescriptor().getMessageType(39);
+      getDescriptor().getMessageType(40);
     internal_static_borageproxy_control_RememberedReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_RememberedReply_descriptor,
         new java.lang.String[] { "Identity", "AtMillis", "Reply", });
     internal_static_borageproxy_control_Item_descriptor =
-      getDescriptor().getMessageType(40);
+      getDescriptor().getMessageType(41);
     internal_static_borageproxy_control_Item_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Item_descriptor,
         new java.lang.String[] { "Name", "Version", "Tree", "Key", "Lease", "Crash", "Vm", "Removed", "Value", });
     internal_static_borageproxy_control_ControlSnapshot_descriptor =
-      getDescriptor().getMessageType(41);
+      getDescriptor().getMessageType(42);
     internal_static_borageproxy_control_ControlSnapshot_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ControlSnapshot_descriptor,
         new java.lang.String[] { "Version", "Revision", "History", "Keys", "Changes", "Replies", "Claims", "LastClaimEpoch", "Leases", "Intents", "LastIntentNumber", "Crashes", "Items", "RemovalsSince", });
     internal_static_borageproxy_control_WatchRequest_descriptor =
-      getDescriptor().getMessageType(42);
+      getDescriptor().getMessageType(43);
     internal_static_borageproxy_control_WatchRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_WatchRequest_descriptor,
         new java.lang.String[] { "Watch", "ReadServed", "ReadTree", "ReadRevisions", "ReadKeys", "Body", });
     internal_static_borageproxy_control_Watch_descriptor =
-      getDescriptor().getMessageType(43);
+      getDescriptor().getMessageType(44);
     internal_static_borageproxy_control_Watch_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Watch_descriptor,
         new java.lang.String[] { "Vm", "Version", "ServedRevision", "WaitMillis", });
     internal_static_borageproxy_control_ReadServed_descriptor =
-      getDescriptor().getMessageType(44);
+      getDescriptor().getMessageType(45);
     internal_static_borageproxy_control_ReadServed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ReadServed_descriptor,
         new java.lang.String[] { });
     internal_static_borageproxy_control_ReadTree_descriptor =
-      getDescriptor().getMessageType(45);
+      getDescriptor().getMessageType(46);
     internal_static_borageproxy_control_ReadTree_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ReadTree_descriptor,
         new java.lang.String[] { "Revision", });
     internal_static_borageproxy_control_ReadRevisions_descriptor =
-      getDescriptor().getMessageType(46);
+      getDescriptor().getMessageType(47);
     internal_static_borageproxy_control_ReadRevisions_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ReadRevisions_descriptor,
         new java.lang.String[] { });
     internal_static_borageproxy_control_ReadKeys_descriptor =
-      getDescriptor().getMessageType(47);
+      getDescriptor().getMessageType(48);
     internal_static_borageproxy_control_ReadKeys_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ReadKeys_descriptor,
         new java.lang.String[] { });
     internal_static_borageproxy_control_WatchAnswer_descriptor =
-      getDescriptor().getMessageType(48);
+      getDescriptor().getMessageType(49);
     internal_static_borageproxy_control_WatchAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_WatchAnswer_descriptor,
         new java.lang.String[] { "Confirmed", "Version", "Revision", "Full", "Items", "Served", "Tree", "Revisions", "Keys", });
     internal_static_borageproxy_control_Served_descriptor =
-      getDescriptor().getMessageType(49);
+      getDescriptor().getMessageType(50);
     internal_static_borageproxy_control_Served_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Served_descriptor,
--- a/src/test/java/org/borageproxy/control/ControlClientTest.java
+++ b/src/test/java/org/borageproxy/control/ControlClientTest.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.CompletionStage;
 
 import org.borageproxy.execution.ClaimDecision;
 import org.borageproxy.execution.ClaimKey;
@@ -9,6 +10,7 @@
 import org.borageproxy.lease.Lease;
 import org.borageproxy.vm.VmName;
 import org.borageproxy.wire.MessageKind;
+import org.borageproxy.wire.proto.ControlProtocol.ApplyTree;
 import org.borageproxy.wire.proto.ControlProtocol.Command;
 import org.borageproxy.wire.proto.ControlProtocol.WithdrawKey;
 import org.junit.jupiter.api.Test;
@@ -56,6 +58,19 @@
                 fleet.await(others.claim(key, "d", 0, client.in(Duration.ofSeconds(20)))));
     }
 
+    @Test
+    void aLeaderLostBetweenAcceptAndReplyAppliesTheChangeOnce() {
+        fleet.dropNextCommandAnswer = true;
+        Command.Builder command = Command.newBuilder()
+                .setApplyTree(ApplyTree.newBuilder().setChangeIdentity("one").setDocument("x"));
+        CompletionStage<Submission> outcome = client.submit(command, client.in(Duration.ofSeconds(10)));
+        assertTrue(fleet.runUntil(() -> !fleet.dropNextCommandAnswer, Duration.ofSeconds(5)));
+        fleet.cut("c1");
+        Submission.Replied replied = assertInstanceOf(Submission.Replied.class, fleet.await(outcome));
+        assertEquals(1, replied.reply().getAccepted().getRevision());
+        assertEquals(1, fleet.state("c2").revisions().size());
+    }
+
     @Test
     void theRightToDispatchCountsFromWhenTheClaimWasSent() {
         long sentAt = fleet.nanoTime();
