--- a/src/test/java/org/borageproxy/spread/SpreadStateTest.java
+++ b/src/test/java/org/borageproxy/spread/SpreadStateTest.java
@@ -171,7 +171,7 @@
 
     @Test
     void bytesPerEntryAtRestAndPerChange() {
-        System.out.println("event=spread-cost-header entries workspaces bytes_per_entry_per_second bytes_per_change");
+
         for (int count : new int[] {4, 50}) {
             for (int workspaces : new int[] {10, 200}) {
                 SpreadStateTest trial = new SpreadStateTest();
