--- a/src/test/java/org/borageproxy/control/FleetFake.java
+++ b/src/test/java/org/borageproxy/control/FleetFake.java
@@ -142,7 +142,13 @@
         return nowNanos / 1_000_000L;
     }
 
-    /** A task at a time. */
+    /**
+     * A task at a time.
+     *
+     * @param atNanos when the task is due
+     * @param order the order among tasks that are due at the same time
+     * @param task the task
+     */
     private record Task(long atNanos, long order, Runnable task) implements Comparable<Task> {
 
         @Override
