--- a/src/main/java/org/borageproxy/execution/AttemptLoop.java
+++ b/src/main/java/org/borageproxy/execution/AttemptLoop.java
@@ -1,16 +1,13 @@
 package org.borageproxy.execution;
 
-import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
 
-import io.vertx.core.Future;
 import org.borageproxy.event.Event;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerName;
@@ -31,17 +28,10 @@
 
     /** Milliseconds between looks for a replica. */
     private static final long POLL_MILLIS = 20;
-    /** The largest number of connections that one request may see cut. */
-    private static final int MAXIMUM_CUTS = 2;
     /** The largest delay before the first retry, in milliseconds; it doubles with each further one. */
     private static final long FIRST_JITTER_MILLIS = 10;
-    /** The time in which a report of a crash must become durable. */
-    private static final Duration REPORT_TIME = Duration.ofSeconds(2);
     /** The largest number of renewals of a claim. */
     private static final int MAXIMUM_RENEWALS = 2;
-    /** When a server that still listens after a cut is looked at again. */
-    private static final Duration RESTART_CHECK = Duration.ofMillis(1500);
-
     /** What the execution needs of its surroundings. */
     private final ExecutionServices services;
     /** The request. */
@@ -62,12 +52,10 @@
     private Execution execution = Execution.NOT_RUN;
     /** The attempts so far. */
     private int attempts;
-    /** The connections that were cut during the request. */
-    private int cuts;
     /** The tokens that were paid. */
     private long paidTokens;
-    /** What the fleet answered to the last report of a crash. */
-    private Suspicion reported = Suspicion.NONE;
+    /** Finds out whether backend servers ended during the request. */
+    private final CrashWatch crashes;
     /** Waits for a backend server that runs nothing else. */
     private final ExclusiveWait exclusiveWait;
     /** When waiting for a place on a full backend server ends, or {@code null} while none was full. */
@@ -113,6 +101,7 @@
         this.conclude = conclude;
         this.reserveAgain = reserveAgain;
         this.renewClaim = renewClaim;
+        this.crashes = new CrashWatch(services, request);
         this.exclusiveWait = new ExclusiveWait(services.table());
     }
 
@@ -126,12 +115,11 @@
             refused(refusal.get());
             return;
         }
-        Suspicion suspicion = services.crashes().suspicion(request.fingerprint());
-        if (suspicion == Suspicion.QUARANTINED || reported == Suspicion.QUARANTINED) {
+        if (crashes.isQuarantined()) {
             giveUp(ResultCode.REQUEST_QUARANTINED);
             return;
         }
-        boolean exclusive = suspicion == Suspicion.SUSPECT || cuts > 0;
+        boolean exclusive = crashes.mustRunAlone();
         List<BackendServer> servers = services.servers().current();
         long now = services.clock().nanoTime();
         Selection selection = ReplicaSelector.INSTANCE.select(
@@ -237,16 +225,13 @@
         }
         if (outcome instanceof Outcome.Answered) {
             execution = Execution.ANSWERED;
-            if (cuts > 0 || services.crashes().suspicion(request.fingerprint()) != Suspicion.NONE) {
-                services.crashes().reportAnswered(request.fingerprint());
-            }
+            crashes.answered();
         } else {
             tried.put(server.name(), server.zone());
             record(server, outcome);
         }
         if (outcome instanceof Outcome.MayHaveRun lost && lost.cause() == Outcome.Cause.CUT) {
-            cuts++;
-            afterCut(server, exclusive).onComplete(known -> decide(outcome));
+            crashes.cut(server, exclusive).onComplete(known -> decide(outcome));
         } else {
             decide(outcome);
         }
@@ -267,56 +252,6 @@
                         .with("outcome", outcome.execution().headerValue()));
     }
 
-    /**
-     * Finds out whether a backend server ended during the request and reports it.
-     *
-     * @param server the backend server
-     * @param exclusive whether the attempt ran alone
-     * @return completes when the report is durable, or needless, or late
-     */
-    private Future<Void> afterCut(BackendServer server, boolean exclusive) {
-        boolean alone = exclusive && server.load().running() <= 1;
-        return services.probe().isGone(server).transform(probed -> {
-            if (Boolean.TRUE.equals(probed.result())) {
-                return report(server, alone);
-            }
-            services.vertx().setTimer(RESTART_CHECK.toMillis(), timer -> {
-                if (hasRestarted(server)) {
-                    report(server, alone);
-                }
-            });
-            return Future.succeededFuture();
-        });
-    }
-
-    /**
-     * Tells whether a backend server has started again.
-     *
-     * @param server the backend server as it was
-     * @return {@code true} if it announces a later incarnation
-     */
-    private boolean hasRestarted(BackendServer server) {
-        return services.servers().current().stream()
-                .anyMatch(now -> now.name().equals(server.name()) && now.incarnation() > server.incarnation());
-    }
-
-    /**
-     * Reports that a backend server ended during the request.
-     *
-     * @param server the backend server
-     * @param alone whether the request ran alone
-     * @return completes when the report is durable, or late
-     */
-    private Future<Void> report(BackendServer server, boolean alone) {
-        Future<Suspicion> answer = Future.fromCompletionStage(
-                services.crashes().reportCrash(request.fingerprint(), server.name(), server.incarnation(), alone),
-                services.vertx().getOrCreateContext());
-        return answer.timeout(REPORT_TIME.toMillis(), TimeUnit.MILLISECONDS)
-                .onSuccess(suspicion -> reported = suspicion)
-                .<Void>mapEmpty()
-                .otherwiseEmpty();
-    }
-
     /**
      * Follows the retry policy.
      *
@@ -370,7 +305,7 @@
     private boolean mayTryAgain(Outcome outcome, boolean waiting) {
         boolean permanent = outcome instanceof Outcome.NotRun refused && refused.scope() == Outcome.Scope.REQUEST;
         boolean attemptsLeft = attempts - waits < services.settings().maximumAttempts();
-        return !permanent && !callerGone && cuts < MAXIMUM_CUTS && (waiting || (attemptsLeft && !isFull(outcome)));
+        return !permanent && !callerGone && !crashes.isExhausted() && (waiting || (attemptsLeft && !isFull(outcome)));
     }
 
     /**
@@ -451,8 +386,7 @@
         boolean comeBack = code != ResultCode.REQUEST_QUARANTINED
                 && code != ResultCode.KEY_REFUSED
                 && (execution == Execution.NOT_RUN || request.repeatable());
-        boolean quarantined = reported == Suspicion.QUARANTINED
-                || services.crashes().suspicion(request.fingerprint()) == Suspicion.QUARANTINED;
+        boolean quarantined = crashes.isQuarantined();
         Optional<Deadline> retryAt =
                 comeBack && !quarantined ? Optional.of(admission.defaultRetry()) : Optional.empty();
         ResultCode reason = execution == Execution.MAY_HAVE_RUN && lastFailure != null ? lastFailure : code;
--- /dev/null
+++ b/src/main/java/org/borageproxy/execution/CrashWatch.java
@@ -0,0 +1,135 @@
+package org.borageproxy.execution;
+
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+
+import io.vertx.core.Future;
+import org.borageproxy.membership.BackendServer;
+
+/**
+ * Finds out whether backend servers ended during one request, and reports it to the fleet. From its first cut on the
+ * request must run alone; after the second it is not run again. Confined to the request's event loop.
+ */
+final class CrashWatch {
+
+    /** The largest number of connections that one request may see cut. */
+    private static final int MAXIMUM_CUTS = 2;
+    /** The time in which a report of a crash must become durable. */
+    private static final Duration REPORT_TIME = Duration.ofSeconds(2);
+    /** When a server that still listens after a cut is looked at again. */
+    private static final Duration RESTART_CHECK = Duration.ofMillis(1500);
+
+    /** What the execution needs of its surroundings. */
+    private final ExecutionServices services;
+    /** The request. */
+    private final ExecutionRequest request;
+    /** The connections that were cut during the request. */
+    private int cuts;
+    /** What the fleet answered to the last report, which may be ahead of this VM's view. */
+    private Suspicion reported = Suspicion.NONE;
+
+    /**
+     * Creates a watch over a request that has not run.
+     *
+     * @param services what the execution needs of its surroundings
+     * @param request the request
+     */
+    CrashWatch(ExecutionServices services, ExecutionRequest request) {
+        this.services = services;
+        this.request = request;
+    }
+
+    /**
+     * Tells whether the request must not run any more.
+     *
+     * @return {@code true} if the fleet has quarantined it
+     */
+    boolean isQuarantined() {
+        return reported == Suspicion.QUARANTINED || known() == Suspicion.QUARANTINED;
+    }
+
+    /**
+     * Tells whether the request must run alone.
+     *
+     * @return {@code true} if a connection was cut during it, here or on another VM
+     */
+    boolean mustRunAlone() {
+        return cuts > 0 || known() == Suspicion.SUSPECT;
+    }
+
+    /**
+     * Tells whether the request has seen as many cuts as one request may.
+     *
+     * @return {@code true} if it must not be tried again
+     */
+    boolean isExhausted() {
+        return cuts >= MAXIMUM_CUTS;
+    }
+
+    /** Clears the suspicion of a request that was answered. */
+    void answered() {
+        if (cuts > 0 || known() != Suspicion.NONE) {
+            services.crashes().reportAnswered(request.fingerprint());
+        }
+    }
+
+    /**
+     * Returns what this VM knows of the request.
+     *
+     * @return the suspicion
+     */
+    private Suspicion known() {
+        return services.crashes().suspicion(request.fingerprint());
+    }
+
+    /**
+     * Finds out whether a backend server ended during the request and reports it.
+     *
+     * @param server the backend server whose connection was cut
+     * @param exclusive whether the attempt ran alone
+     * @return completes when the report is durable, or needless, or late
+     */
+    Future<Void> cut(BackendServer server, boolean exclusive) {
+        cuts++;
+        boolean alone = exclusive && server.load().running() <= 1;
+        return services.probe().isGone(server).transform(probed -> {
+            if (Boolean.TRUE.equals(probed.result())) {
+                return report(server, alone);
+            }
+            services.vertx().setTimer(RESTART_CHECK.toMillis(), timer -> {
+                if (hasRestarted(server)) {
+                    report(server, alone);
+                }
+            });
+            return Future.succeededFuture();
+        });
+    }
+
+    /**
+     * Tells whether a backend server has started again.
+     *
+     * @param server the backend server as it was
+     * @return {@code true} if it announces a later incarnation
+     */
+    private boolean hasRestarted(BackendServer server) {
+        return services.servers().current().stream()
+                .anyMatch(now -> now.name().equals(server.name()) && now.incarnation() > server.incarnation());
+    }
+
+    /**
+     * Reports that a backend server ended during the request.
+     *
+     * @param server the backend server
+     * @param alone whether the request ran alone
+     * @return completes when the report is durable, or late
+     */
+    private Future<Void> report(BackendServer server, boolean alone) {
+        Future<Suspicion> answer = Future.fromCompletionStage(
+                services.crashes().reportCrash(request.fingerprint(), server.name(), server.incarnation(), alone),
+                services.vertx().getOrCreateContext());
+        return answer.timeout(REPORT_TIME.toMillis(), TimeUnit.MILLISECONDS)
+                .onSuccess(suspicion -> reported = suspicion)
+                .<Void>mapEmpty()
+                .otherwiseEmpty();
+    }
+}
