Let a retried run wait for its cancellation; end failed answers visibly

Cause: a cancellation could overtake the next attempt of the same identity on the same engine; a fault while an answer was written left the caller waiting.

--- a/src/main/java/org/borageproxy/entry/CallerResponse.java
+++ b/src/main/java/org/borageproxy/entry/CallerResponse.java
@@ -13,10 +13,14 @@
 import org.borageproxy.result.ResultCode;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Writes the answer to one request, at most once. Confined to the request's event loop. */
 final class CallerResponse {
 
+    /** The log. */
+    private static final Logger LOGGER = LoggerFactory.getLogger(CallerResponse.class);
     /** The header that states what is known of the execution. */
     static final String OUTCOME_HEADER = "borageproxy-outcome";
     /** The header that carries the request's identity. */
@@ -213,6 +217,27 @@
         request.connection().close();
     }
 
+    /**
+     * Runs a step that writes the answer, and ends the call visibly if the step fails.
+     *
+     * @param step the step
+     */
+    void guarded(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException exception) {
+            LOGGER.error(
+                    "event=answer-failed request={} reason={}",
+                    identity,
+                    exception.getClass().getName());
+            if (begun) {
+                cut(ResultCode.INTERNAL);
+            } else {
+                fail(ResultCode.INTERNAL, ResultCode.INTERNAL.sentence(), Execution.MAY_HAVE_RUN, Optional.empty());
+            }
+        }
+    }
+
     /**
      * Tells whether the caller can still receive anything.
      *
--- a/src/main/java/org/borageproxy/entry/EntryHandler.java
+++ b/src/main/java/org/borageproxy/entry/EntryHandler.java
@@ -10,21 +10,15 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
-import org.borageproxy.execution.Conclusion;
 import org.borageproxy.key.Authentication;
 import org.borageproxy.key.KeyAuthenticator;
-import org.borageproxy.result.Execution;
 import org.borageproxy.result.ResultCode;
 import org.borageproxy.tree.Configuration;
 import org.borageproxy.tree.Route;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** Takes callers' requests, checks them and hands them to the handler of their path. Safe for use by any event loop. */
 final class EntryHandler implements Handler<HttpServerRequest> {
 
-    /** The log. */
-    private static final Logger LOGGER = LoggerFactory.getLogger(EntryHandler.class);
     /** How long a caller is told to wait when the configuration is stale or this VM shuts down. */
     private static final Duration SHORT_WAIT = Duration.ofSeconds(1);
 
@@ -70,22 +64,7 @@
             response.refuse(refusal.get());
             return;
         }
-        guarded(response, () -> route(identity, request, response));
-    }
-
-    /**
-     * Runs a step and answers with an internal error if it fails.
-     *
-     * @param response the response
-     * @param step the step
-     */
-    private static void guarded(CallerResponse response, Runnable step) {
-        try {
-            step.run();
-        } catch (RuntimeException exception) {
-            LOGGER.error("event=request-failed reason={}", exception.getClass().getName());
-            response.fail(new Conclusion.Failure(ResultCode.INTERNAL, Execution.MAY_HAVE_RUN, Optional.empty(), false));
-        }
+        response.guarded(() -> route(identity, request, response));
     }
 
     /**
@@ -269,7 +248,7 @@
                 .onComplete(
                         body -> {
                             vertx.cancelTimer(timer);
-                            guarded(call.response(), () -> use.accept(body, context));
+                            call.response().guarded(() -> use.accept(body, context));
                         },
                         failure -> {
                             boolean large = failure instanceof BoundedBody.TooLargeException;
--- a/src/main/java/org/borageproxy/entry/ModelHandler.java
+++ b/src/main/java/org/borageproxy/entry/ModelHandler.java
@@ -163,7 +163,7 @@
         EngineWork work = new EngineWork(parts.engineTools(), engine, answer.sink());
         RequestExecution execution = new RequestExecution(parts.services(), request, work, context);
         call.onCallerGone(execution::callerGone);
-        execution.start().onSuccess(conclusion -> conclude(answer, work, conclusion));
+        execution.start().onSuccess(conclusion -> call.response().guarded(() -> conclude(answer, work, conclusion)));
     }
 
     /**
--- a/src/main/java/org/borageproxy/entry/ServiceHandler.java
+++ b/src/main/java/org/borageproxy/entry/ServiceHandler.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import io.vertx.core.Context;
@@ -68,7 +69,7 @@
                 workspace == null ? 0 : workspace.priority(),
                 deadline,
                 repeatable,
-                repeatable ? java.util.Optional.empty() : call.claim(body),
+                repeatable ? Optional.empty() : call.claim(body),
                 RequestDigest.fingerprint(call.workspace(), call.path(), body.getBytes()));
         ServiceRequest service = new ServiceRequest(
                 call.identity(),
@@ -86,7 +87,7 @@
                 parts.settings().limits().answerBytes());
         RequestExecution execution = new RequestExecution(parts.services(), request, work, context);
         call.onCallerGone(execution::callerGone);
-        execution.start().onSuccess(conclusion -> conclude(call, work, conclusion));
+        execution.start().onSuccess(conclusion -> call.response().guarded(() -> conclude(call, work, conclusion)));
     }
 
     /**
--- a/src/main/java/org/borageproxy/execution/EngineAttempt.java
+++ b/src/main/java/org/borageproxy/execution/EngineAttempt.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -290,14 +291,31 @@
             decide(new Outcome.NotRun(ResultCode.DEADLINE_PASSED, Outcome.Scope.REQUEST));
             return;
         }
+        decided = true;
+        tools.vertx().cancelTimer(progressTimer);
+        exchange.reset();
+        boolean goesOn = cause == Outcome.Cause.TIMEOUT
+                && !request.deadline().hasPassed(tools.clock().nanoTime());
         ResultCode code = cause == Outcome.Cause.TIMEOUT ? ResultCode.BACKEND_TIMEOUT : ResultCode.BACKEND_FAILED;
-        abort(new Outcome.MayHaveRun(code, cause));
+        Future<Void> told = tellEngine();
+        Future<Void> awaited = goesOn ? told : Future.succeededFuture();
+        awaited.onComplete(done -> outcome.complete(new Outcome.MayHaveRun(code, cause)));
+    }
+
+    /**
+     * Tells the engine that the run is cancelled. A further attempt waits for this, since it has the same identity.
+     *
+     * @return completes when the engine has answered, or when waiting for that is over
+     */
+    private Future<Void> tellEngine() {
         RequestOptions options = options(HttpMethod.DELETE, "/v1/run/" + request.identity());
-        tools.clients()
+        return tools.clients()
                 .pooled()
                 .request(options)
                 .compose(HttpClientRequest::send)
-                .compose(HttpClientResponse::end);
+                .compose(HttpClientResponse::end)
+                .timeout(CANCEL_TIME.toMillis(), TimeUnit.MILLISECONDS)
+                .otherwiseEmpty();
     }
 
     /**
--- a/src/main/java/org/borageproxy/execution/ServiceWork.java
+++ b/src/main/java/org/borageproxy/execution/ServiceWork.java
@@ -12,6 +12,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerName;
@@ -270,7 +271,9 @@
          * @return {@code true} if it does
          */
         private boolean isPassedOn(String name) {
-            return !NOT_PASSED_ON.contains(name) && !name.startsWith(OWN_PREFIX);
+            boolean lengthOfHead =
+                    name.equals("content-length") && request.method().equals(HttpMethod.HEAD);
+            return lengthOfHead || (!NOT_PASSED_ON.contains(name) && !name.startsWith(OWN_PREFIX));
         }
 
         /**
--- a/src/test/java/org/borageproxy/entry/BackendFaultTest.java
+++ b/src/test/java/org/borageproxy/entry/BackendFaultTest.java
@@ -158,6 +158,8 @@
             (exchange, number) -> exchange.identity("someone-else").tokens(0, 2).done(),
             (exchange, number) -> exchange.tokens(0, 1).tokens(2, 3).done(),
             (exchange, number) -> exchange.tokens(0, 2).tokens(1, 2).done(),
+            (exchange, number) ->
+                    exchange.tokens(0, 1).tokens(0, 1).tokens(2, 3).done(),
             (exchange, number) -> {
                 exchange.tokens(0, 2);
                 exchange.write("0\r\n\r\n");
