Give unused tokens back from the report that named them spent

Cause: the distance from full was taken since the last answer before the reservation. Then the tokens still counted against the burst, so that after an idle time nothing of a burst's unused tokens came back: a wrongful refusal. Ruled out: giving back in full; FleetQuotaTest finds the overspending. Change: a reservation carries the number of the report that names it spent, and the owner's clock at that report counts. Until then the tokens are outstanding credit, so the case equals credit that was held unspent and returned. Nothing comes back for credit that was written off before.

--- a/src/main/java/org/borageproxy/quota/CreditAccount.java
+++ b/src/main/java/org/borageproxy/quota/CreditAccount.java
@@ -59,15 +59,16 @@
      *
      * @param report the report
      * @param bucket the workspace's bucket
+     * @return whether the difference is known, so that tokens spent in it may be given back
      */
-    void take(CreditRequest report, TokenBucket bucket) {
+    boolean take(CreditRequest report, TokenBucket bucket) {
         if (unknown) {
             granted = report.accepted();
             spent = report.spent();
             returned = report.returned();
             bucket.grant(outstanding());
             unknown = false;
-            return;
+            return false;
         }
         bucket.spend(report.spent() - spent);
         bucket.takeBack(report.returned() - returned);
@@ -75,6 +76,7 @@
         granted = report.accepted();
         spent = report.spent();
         returned = report.returned();
+        return true;
     }
 
     /**
--- a/src/main/java/org/borageproxy/quota/CreditLedger.java
+++ b/src/main/java/org/borageproxy/quota/CreditLedger.java
@@ -93,12 +93,12 @@
     record Decided(Waiter waiter, Optional<TokenQuota.Decision.Refused> refusal) {}
 
     /**
-     * A mark that tells when a reservation was made, on the owner's clock.
+     * A mark that tells by which report the owner learns of a reservation.
      *
      * @param epoch the epoch of the owner
-     * @param ownerNanos a reading of the owner's clock no later than the reservation
+     * @param report the sequence number of the report
      */
-    record Stamp(long epoch, long ownerNanos) {}
+    record Stamp(long epoch, long report) {}
 
     /**
      * Creates a ledger that holds nothing.
@@ -152,7 +152,7 @@
      */
     void giveBack(Stamp stamp, long tokens) {
         if (stamp.epoch() == epoch && tokens > 0) {
-            held.giveBack(stamp.ownerNanos(), tokens);
+            held.giveBack(stamp.report(), tokens);
         }
     }
 
@@ -260,6 +260,7 @@
             reportAtNanos = nowNanos;
             return List.of();
         }
+        held.reportTaken(reply);
         long expiry = answeredRequest.askedAtNanos() + reply.lifetimeNanos();
         if (nowNanos - expiry >= 0) {
             return List.of();
@@ -495,7 +496,7 @@
      * @return the stamp
      */
     Stamp stamp() {
-        return new Stamp(epoch, held.ownerNanos());
+        return new Stamp(epoch, sequence + 1);
     }
 
     /**
--- a/src/main/java/org/borageproxy/quota/CreditReply.java
+++ b/src/main/java/org/borageproxy/quota/CreditReply.java
@@ -7,7 +7,7 @@
  * @param status what the owner did
  * @param epoch the owner's epoch
  * @param sequence the request's sequence number
- * @param ownerNanos the owner's clock when it answered
+ * @param ownerNanos the owner's clock when it took the report, from which what was spent in it can be given back
  * @param granted tokens that the entry may spend besides those it holds
  * @param lifetimeNanos how long all credit of the entry holds
  * @param waitNanos when the bucket is predicted to cover the first waiting reservation; zero if it is covered
@@ -46,4 +46,14 @@
     static CreditReply without(Status status, long epoch, long sequence) {
         return new CreditReply(status, epoch, sequence, 0, 0, 0, 0, false);
     }
+
+    /**
+     * Returns this reply with another moment at which the report was taken.
+     *
+     * @param nanos the reading of the owner's clock
+     * @return a copy
+     */
+    CreditReply processedAt(long nanos) {
+        return new CreditReply(status, epoch, sequence, nanos, granted, lifetimeNanos, waitNanos, returnIdle);
+    }
 }
--- a/src/main/java/org/borageproxy/quota/HeldCredit.java
+++ b/src/main/java/org/borageproxy/quota/HeldCredit.java
@@ -1,8 +1,11 @@
 package org.borageproxy.quota;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
 
 /**
  * The credit that this entry holds for one workspace, and the totals it reports. Credit is spent only before its
@@ -10,6 +13,9 @@
  */
 final class HeldCredit {
 
+    /** The answered reports that are remembered. */
+    private static final int MOST_REPORTS = 2_048;
+
     /** Credit accepted in total. */
     private long accepted;
 
@@ -25,10 +31,10 @@
     /** When the held credit can be spent no longer. */
     private long expiresAtNanos;
 
-    /** The reading of the owner's clock in its last answer. */
-    private long ownerNanos;
+    /** When the owner took each report, on its clock, by the report's sequence number. */
+    private final TreeMap<Long, Long> reportsTaken = new TreeMap<>();
 
-    /** Tokens to give back, by a reading of the owner's clock before their reservation. */
+    /** Tokens to give back, by the sequence number of the report that says that they were spent. */
     private final Map<Long, Long> giveBacks = new LinkedHashMap<>();
 
     /**
@@ -63,7 +69,18 @@
     void accept(CreditReply reply, long expiry) {
         accepted += reply.granted();
         expiresAtNanos = amount() == reply.granted() ? expiry : Math.max(expiresAtNanos, expiry);
-        ownerNanos = reply.ownerNanos();
+    }
+
+    /**
+     * Notes when the owner took a report.
+     *
+     * @param reply the owner's answer to it
+     */
+    void reportTaken(CreditReply reply) {
+        reportsTaken.put(reply.sequence(), reply.ownerNanos());
+        if (reportsTaken.size() > MOST_REPORTS) {
+            reportsTaken.pollFirstEntry();
+        }
     }
 
     /**
@@ -90,32 +107,49 @@
     void leaveOwner() {
         keepAtMost(0);
         giveBacks.clear();
+        reportsTaken.clear();
         confirmed = spent + returned;
     }
 
     /**
      * Notes tokens that a reservation did not use.
      *
-     * @param stamp the owner's clock as known when the reservation was made
+     * @param report the sequence number of the report that says that they were spent
      * @param tokens the tokens
      */
-    void giveBack(long stamp, long tokens) {
-        giveBacks.merge(stamp, tokens, Long::sum);
+    void giveBack(long report, long tokens) {
+        giveBacks.merge(report, tokens, Long::sum);
     }
 
     /**
-     * Takes the tokens to give back, so that they are reported in one request only.
+     * Takes the tokens to give back whose spending the owner knows of, so that they are reported in one request only.
      *
      * @return the tokens to give back
      */
     List<GiveBack> takeGiveBacks() {
-        List<GiveBack> taken = giveBacks.entrySet().stream()
-                .map(entry -> new GiveBack(entry.getKey(), entry.getValue()))
-                .toList();
-        giveBacks.clear();
+        List<GiveBack> taken = new ArrayList<>();
+        long lastTaken = reportsTaken.isEmpty() ? Long.MIN_VALUE : reportsTaken.lastKey();
+        giveBacks.entrySet().removeIf(entry -> {
+            boolean known = entry.getKey() <= lastTaken;
+            if (known) {
+                takenNoLaterThan(entry.getKey()).ifPresent(nanos -> taken.add(new GiveBack(nanos, entry.getValue())));
+            }
+            return known;
+        });
         return taken;
     }
 
+    /**
+     * Returns a moment no later than when the owner took a report; an unanswered report may have been taken at any time
+     * after the answered one before it.
+     *
+     * @param report the report's sequence number
+     * @return the reading of the owner's clock, or empty if too long ago
+     */
+    private Optional<Long> takenNoLaterThan(long report) {
+        return Optional.ofNullable(reportsTaken.floorEntry(report)).map(Map.Entry::getValue);
+    }
+
     /**
      * Notes that the owner knows the totals of a request.
      *
@@ -169,13 +203,4 @@
     long expiresAtNanos() {
         return expiresAtNanos;
     }
-
-    /**
-     * Returns the owner's clock as known.
-     *
-     * @return a reading that is no later than the owner's clock now
-     */
-    long ownerNanos() {
-        return ownerNanos;
-    }
 }
--- a/src/main/java/org/borageproxy/quota/TokenBucket.java
+++ b/src/main/java/org/borageproxy/quota/TokenBucket.java
@@ -117,10 +117,11 @@
     /**
      * Adds tokens of a reservation that did not use them, as far as the bucket would hold them had they not been taken.
      *
-     * @param sinceNanos a moment no later than the reservation
+     * @param sinceNanos a moment no later than when the tokens were taken out of the outstanding
      * @param tokens the unused tokens
      */
     void giveBack(long sinceNanos, long tokens) {
+        history.note(accruedAtNanos, headroom());
         double worth = Math.min(tokens, history.minimumSince(sinceNanos, accruedAtNanos));
         level += worth;
         history.lower(sinceNanos, tokens);
--- a/src/main/java/org/borageproxy/quota/WorkspaceQuota.java
+++ b/src/main/java/org/borageproxy/quota/WorkspaceQuota.java
@@ -11,6 +11,9 @@
     /** How long a written-off account is remembered, in nanoseconds. */
     private static final long FORGET_AFTER_NANOS = 10_000_000_000L;
 
+    /** The age from which tokens that are given back are worth nothing, in nanoseconds. */
+    private static final long WORTHLESS_NANOS = 3_600_000_000_000L;
+
     /** The share of the free tokens that one prefetch may take, as one part in this many. */
     private static final long PREFETCH_DIVISOR = 4;
 
@@ -73,13 +76,13 @@
         if (account.hasHandled(request.sequence())) {
             return account.replay(request.sequence(), epoch);
         }
-        account.take(request, bucket);
+        long processedAtNanos = account.take(request, bucket) ? nowNanos : nowNanos - WORTHLESS_NANOS;
         for (GiveBack giveBack : request.giveBacks()) {
             bucket.giveBack(giveBack.sinceOwnerNanos(), giveBack.tokens());
         }
         CreditReply reply = closing
                 ? CreditReply.without(Status.CLOSING, epoch, request.sequence())
-                : grant(request, epoch, lifetimeNanos, nowNanos);
+                : grant(request, epoch, lifetimeNanos, nowNanos).processedAt(processedAtNanos);
         account.answered(reply, settings.writeOffAt(nowNanos, lifetimeNanos));
         return reply;
     }
--- a/src/test/java/org/borageproxy/quota/FleetQuotaTest.java
+++ b/src/test/java/org/borageproxy/quota/FleetQuotaTest.java
@@ -141,6 +141,22 @@
         assertTrue(outcome.slowestNanos < 100 * MILLI, "slowest " + outcome.slowestNanos);
     }
 
+    @Test
+    void unusedTokensOfABurstCanBeSpentAgain() {
+        VirtualFleet fleet = new VirtualFleet(7, 9, workspace("w", 100, BURST));
+        fleet.time.runUntil(40 * SECOND);
+        Outcome outcome = new Outcome();
+        for (int round = 0; round < 4; round++) {
+            for (int index = 0; index < 10; index++) {
+                Member member = fleet.members.get(index % 9);
+                fleet.time.after((round * 5L + 1) * SECOND, () -> request(fleet, member, 190, 30, outcome));
+            }
+        }
+        fleet.time.runUntil(80 * SECOND);
+        assertEquals(0, outcome.refused);
+        assertEquals(40, outcome.reserved);
+    }
+
     @Test
     void refusalsNameTheirReason() {
         VirtualFleet fleet = new VirtualFleet(4, 3, workspace("w", RATE, BURST));
