Make room for every lost model at once and bound the planner's cost

With 34 of 340 models lost, each unreachable model counted on the same room that was coming free, so one plan unloaded one copy and models came back one by one. Room is now promised to one model. Copies that others stand in for are looked at before last copies are moved, and counts are kept instead of counted.

The next plan waits 20 times as long as the last one took, and the time between reads of an engine grows with the fleet.

--- a/src/main/java/org/borageproxy/placement/EngineReader.java
+++ b/src/main/java/org/borageproxy/placement/EngineReader.java
@@ -20,8 +20,10 @@
  */
 final class EngineReader {
 
-    /** The time between two reads of an engine. */
-    private static final Duration READ_INTERVAL = Duration.ofMillis(500);
+    /** The shortest time between two reads of an engine. */
+    private static final Duration SHORTEST_INTERVAL = Duration.ofMillis(500);
+    /** The shortest time between the reads of two engines, on average. */
+    private static final Duration INTERVAL_PER_ENGINE = Duration.ofMillis(2);
 
     /** What the owner works with. */
     private final PlacementParts parts;
@@ -65,7 +67,7 @@
             present.add(engine.name());
             Deadline due = readAt.get(engine.name());
             if (!reading.contains(engine.name()) && (due == null || due.hasPassed(nowNanos))) {
-                read(engine, nowNanos);
+                read(engine, nowNanos, interval(engines.size()));
             }
         }
         ledger.retain(present);
@@ -73,6 +75,17 @@
         readAt.keySet().retainAll(present);
     }
 
+    /**
+     * Returns the time between two reads of an engine, which grows with the fleet so that the number of reads doesn't.
+     *
+     * @param engines the number of engines
+     * @return the time
+     */
+    static Duration interval(int engines) {
+        Duration shared = INTERVAL_PER_ENGINE.multipliedBy(engines);
+        return shared.compareTo(SHORTEST_INTERVAL) > 0 ? shared : SHORTEST_INTERVAL;
+    }
+
     /**
      * Reads an engine at the next opportunity.
      *
@@ -87,10 +100,11 @@
      *
      * @param engine the engine
      * @param nowNanos the reading of the monotonic clock in nanoseconds
+     * @param interval the time until the next read
      */
-    private void read(BackendServer engine, long nowNanos) {
+    private void read(BackendServer engine, long nowNanos, Duration interval) {
         reading.add(engine.name());
-        readAt.put(engine.name(), Deadline.after(nowNanos, READ_INTERVAL));
+        readAt.put(engine.name(), Deadline.after(nowNanos, interval));
         parts.client().state(engine).whenCompleteAsync((state, failure) -> take(engine, state, nowNanos), executor);
     }
 
--- a/src/main/java/org/borageproxy/placement/PlacementTerm.java
+++ b/src/main/java/org/borageproxy/placement/PlacementTerm.java
@@ -13,6 +13,7 @@
 import org.borageproxy.membership.BackendServerKind;
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.membership.BackendServerState;
+import org.borageproxy.time.Deadline;
 
 /**
  * The work of the placement owner in one epoch. Nothing is planned before the open intents of earlier owners are known
@@ -23,6 +24,8 @@
 
     /** The largest number of orders that one engine gets from one plan. */
     private static final int LARGEST_CHAIN = 32;
+    /** How much longer than a plan took the time to the next plan is. */
+    private static final int PAUSE_FACTOR = 20;
 
     /** What the owner works with. */
     private final PlacementParts parts;
@@ -42,6 +45,8 @@
     private boolean ledgerComplete;
     /** Whether the store is being read. */
     private boolean readingStore;
+    /** When the next plan is made. */
+    private Deadline planAt;
 
     /**
      * Creates a term that knows nothing.
@@ -58,6 +63,7 @@
         ledger = new Ledger(parts.settings().longestOrderDelay());
         dispatcher = new OrderDispatcher(parts, executor, epoch, ledger, holdsLease, this::isSafe, this);
         reader = new EngineReader(parts, executor, ledger, dispatcher::resolved);
+        planAt = new Deadline(parts.clock().nanoTime());
         budget = new LoadBudget(
                 parts.settings().modelLoadsPerSecond(), parts.clock().nanoTime());
     }
@@ -85,7 +91,11 @@
         }
         dispatcher.recordResolutions();
         budget.refill(nowNanos);
-        plan(engines, nowNanos);
+        if (planAt.hasPassed(nowNanos)) {
+            plan(engines, nowNanos);
+            long endNanos = parts.clock().nanoTime();
+            planAt = new Deadline(endNanos + PAUSE_FACTOR * (endNanos - nowNanos));
+        }
     }
 
     /** Reads the open intents of earlier owners, and of this one if it is unknown whether one was recorded. */
@@ -234,7 +244,8 @@
      * @return the accelerators
      */
     private List<AcceleratorView> views(long nowNanos) {
-        List<BackendServer> usable = engines().stream()
+        List<BackendServer> engines = engines();
+        List<BackendServer> usable = engines.stream()
                 .filter(engine -> engine.state() == BackendServerState.ALIVE || !reader.isFailing(engine.name()))
                 .toList();
         return new FleetViews(ledger).accelerators(usable, parts.settings().readFreshness(), nowNanos);
--- a/src/main/java/org/borageproxy/placement/Planner.java
+++ b/src/main/java/org/borageproxy/placement/Planner.java
@@ -22,6 +22,8 @@
     private static final double LOAD_MORE_ABOVE = 0.6;
     /** The part of an engine's power below which fewer copies would do. */
     private static final double NEED_FEWER_BELOW = 0.3;
+    /** The largest number of unreachable model versions that one plan looks at. */
+    private static final int LARGEST_BACKLOG = 32;
     /** The number of copies that a model has without demand, in different availability zones. */
     private static final int BASE_COPIES = 2;
 
@@ -66,14 +68,26 @@
                 .filter(unit -> draft.counted(unit.unit()).isEmpty())
                 .sorted(byDemand())
                 .toList();
-        for (WantedModels.Wanted unit : unreachable) {
-            if (draft.mayLoadModel() && !loadAgain(unit)) {
-                Optional<PlannerDraft.Place> place = choose(unit, unit.footprintBytes(), anywhere())
-                        .or(() -> choose(unit, unit.memoryBytes(), anywhere()));
-                place.ifPresentOrElse(
-                        chosen -> draft.load(unit, chosen, PlannedOrder.Reason.UNREACHABLE, false),
-                        () -> makeRoom(unit));
-            }
+        unreachable.stream().limit(LARGEST_BACKLOG).forEach(this::restoreReachability);
+    }
+
+    /**
+     * Loads a model version, keeps room for it until the weight store allows the load, or makes room.
+     *
+     * @param unit the model version
+     */
+    private void restoreReachability(WantedModels.Wanted unit) {
+        if (draft.mayLoadModel() && loadAgain(unit)) {
+            return;
+        }
+        Optional<PlannerDraft.Place> place =
+                choose(unit, unit.footprintBytes(), anywhere()).or(() -> choose(unit, unit.memoryBytes(), anywhere()));
+        if (place.isEmpty()) {
+            makeRoom(unit);
+        } else if (draft.mayLoadModel()) {
+            draft.load(unit, place.get(), PlannedOrder.Reason.UNREACHABLE, false);
+        } else {
+            place.get().reserve(unit.footprintBytes());
         }
     }
 
@@ -93,16 +107,36 @@
 
     /**
      * Makes room for a model version where this costs the fewest moves. Copies that others can stand in for are
-     * unloaded; a last copy is first loaded elsewhere, and unloaded by a later plan.
+     * unloaded; only if they don't suffice anywhere, a last copy is loaded elsewhere, and unloaded by a later plan.
      *
      * @param unit the model version
      */
     private void makeRoom(WantedModels.Wanted unit) {
-        draft.places().stream()
-                .map(place -> RoomPlan.of(place, unit.memoryBytes(), wanted, draft, this::elsewhere))
+        List<PlannerDraft.Place> places = draft.places().stream()
+                .filter(place -> holds(place, unit.unit()).isEmpty())
+                .toList();
+        cheapestRoom(unit, places, (last, avoided) -> Optional.empty())
+                .or(() -> cheapestRoom(unit, places, this::elsewhere))
+                .ifPresent(room -> {
+                    room.apply(draft);
+                    room.place().reserve(unit.memoryBytes());
+                });
+    }
+
+    /**
+     * Finds the accelerator on which room costs the fewest moves.
+     *
+     * @param unit the model version
+     * @param places the accelerators
+     * @param elsewhere finds room for another copy on another accelerator
+     * @return the plan to make room
+     */
+    private Optional<RoomPlan> cheapestRoom(
+            WantedModels.Wanted unit, List<PlannerDraft.Place> places, RoomPlan.Elsewhere elsewhere) {
+        return places.stream()
+                .map(place -> RoomPlan.of(place, unit.memoryBytes(), wanted, draft, elsewhere))
                 .flatMap(Optional::stream)
-                .min(Comparator.comparingInt(RoomPlan::cost))
-                .ifPresent(room -> room.apply(draft));
+                .min(Comparator.comparingInt(RoomPlan::cost));
     }
 
     /**
@@ -172,7 +206,8 @@
      */
     private boolean isComingFree(PlannerDraft.Place place, WantedModels.Wanted unit) {
         long leavingBytes = RoomPlan.leavingBytes(place, wanted);
-        return leavingBytes > 0 && place.freeBytes + leavingBytes >= unit.memoryBytes();
+        long room = place.freeBytes + leavingBytes - place.promisedBytes;
+        return leavingBytes > 0 && room >= unit.memoryBytes();
     }
 
     /**
--- a/src/main/java/org/borageproxy/placement/PlannerDraft.java
+++ b/src/main/java/org/borageproxy/placement/PlannerDraft.java
@@ -20,6 +20,8 @@
     private final List<Place> places = new ArrayList<>();
     /** The copies by model version. */
     private final Map<ModelUnit, List<Copy>> copies = new HashMap<>();
+    /** The number of copies that serve and stay, by model version. */
+    private final Map<ModelUnit, Long> serving = new HashMap<>();
     /** The orders planned so far. */
     private final List<PlannedOrder> orders = new ArrayList<>();
     /** The demand that each engine serves, in tokens each second. */
@@ -45,6 +47,8 @@
                     .add(new Copy(place, copy)));
         }
         copies.values().forEach(list -> list.forEach(copy -> copy.place.copies.add(copy)));
+        copies.forEach((unit, list) ->
+                serving.put(unit, list.stream().filter(Copy::serves).count()));
         for (WantedModels.Wanted unit : wanted.all()) {
             List<Copy> present = counted(unit.unit());
             present.forEach(copy -> addLoad(copy.place, unit.demand().fast() / present.size()));
@@ -60,6 +64,8 @@
         final List<Copy> copies = new ArrayList<>();
         /** The memory that remains, in bytes. */
         long freeBytes;
+        /** The part of the memory that is coming free which is wanted for a copy already, in bytes. */
+        long promisedBytes;
 
         /**
          * Creates a place.
@@ -71,6 +77,17 @@
             freeBytes = view.freeBytes();
         }
 
+        /**
+         * Keeps room for a copy that cannot be loaded yet.
+         *
+         * @param bytes the room in bytes
+         */
+        void reserve(long bytes) {
+            long taken = Math.max(0, Math.min(freeBytes, bytes));
+            freeBytes -= taken;
+            promisedBytes += bytes - taken;
+        }
+
         /**
          * Returns the availability zone.
          *
@@ -190,7 +207,7 @@
      * @return the number
      */
     long serving(ModelUnit unit) {
-        return all(unit).stream().filter(Copy::serves).count();
+        return serving.getOrDefault(unit, 0L);
     }
 
     /**
@@ -260,6 +277,9 @@
      * @param reason why
      */
     void unload(Copy copy, PlannedOrder.Reason reason) {
+        if (copy.serves()) {
+            serving.merge(copy.view.unit(), -1L, Long::sum);
+        }
         copy.unloading = true;
         add(Intent.Action.UNLOAD, copy.place, copy.view.unit(), "", 0, reason);
     }
--- a/src/main/java/org/borageproxy/placement/RoomPlan.java
+++ b/src/main/java/org/borageproxy/placement/RoomPlan.java
@@ -4,16 +4,16 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.BiFunction;
 
 /**
  * What it takes to make room on an accelerator: the copies that can go at once, because others serve, and the copies
  * that must first be loaded elsewhere. Immutable once created; confined to the call that plans.
  *
+ * @param place the accelerator
  * @param unloads the copies that can go at once
  * @param moves the last copies, with where they are loaded first
  */
-record RoomPlan(List<PlannerDraft.Copy> unloads, List<Move> moves) {
+record RoomPlan(PlannerDraft.Place place, List<PlannerDraft.Copy> unloads, List<Move> moves) {
 
     /** What a move costs in comparison with an unload. */
     private static final int MOVE_COST = 10;
@@ -26,6 +26,20 @@
      */
     record Move(WantedModels.Wanted unit, PlannerDraft.Place place) {}
 
+    /** Finds room for another copy of a model version. */
+    @FunctionalInterface
+    interface Elsewhere {
+
+        /**
+         * Finds room.
+         *
+         * @param unit the model version
+         * @param avoided the accelerator that is not chosen
+         * @return the room
+         */
+        Optional<PlannerDraft.Place> find(WantedModels.Wanted unit, PlannerDraft.Place avoided);
+    }
+
     /**
      * Plans to make room on an accelerator.
      *
@@ -37,14 +51,10 @@
      * @return the plan, or empty if the room cannot be made
      */
     static Optional<RoomPlan> of(
-            PlannerDraft.Place place,
-            long bytes,
-            WantedModels wanted,
-            PlannerDraft draft,
-            BiFunction<WantedModels.Wanted, PlannerDraft.Place, Optional<PlannerDraft.Place>> elsewhere) {
+            PlannerDraft.Place place, long bytes, WantedModels wanted, PlannerDraft draft, Elsewhere elsewhere) {
         List<PlannerDraft.Copy> unloads = new ArrayList<>();
         List<Move> moves = new ArrayList<>();
-        long room = place.freeBytes + leavingBytes(place, wanted);
+        long room = place.freeBytes + leavingBytes(place, wanted) - place.promisedBytes;
         List<PlannerDraft.Copy> candidates = place.copies.stream()
                 .filter(PlannerDraft.Copy::isFree)
                 .sorted(Comparator.comparingLong((PlannerDraft.Copy copy) -> -draft.serving(copy.view.unit())))
@@ -58,14 +68,14 @@
             Optional<Move> move = replaced
                     ? Optional.empty()
                     : Optional.ofNullable(wanted.find(unit))
-                            .flatMap(last -> elsewhere.apply(last, place).map(target -> new Move(last, target)));
+                            .flatMap(last -> elsewhere.find(last, place).map(target -> new Move(last, target)));
             if (draft.serving(unit) > 1) {
                 unloads.add(copy);
             }
             move.ifPresent(moves::add);
             room += replaced || move.isPresent() ? wanted.memoryBytes(unit) : 0;
         }
-        return room >= bytes ? Optional.of(new RoomPlan(unloads, moves)) : Optional.empty();
+        return room >= bytes ? Optional.of(new RoomPlan(place, unloads, moves)) : Optional.empty();
     }
 
     /**
--- a/src/test/java/org/borageproxy/placement/PlannerTest.java
+++ b/src/test/java/org/borageproxy/placement/PlannerTest.java
@@ -72,6 +72,17 @@
         assertEquals(LLAMA, plan.get(0).unit());
     }
 
+    @Test
+    void roomIsMadeForEachUnreachableModel() {
+        model("llama", 10);
+        model("gemma", 10);
+        model("other", 10);
+        place("one", "a", 0, serving(LLAMA));
+        place("two", "b", 0, serving(LLAMA));
+        place("three", "c", 0, serving(LLAMA));
+        assertEquals(List.of(Intent.Action.UNLOAD, Intent.Action.UNLOAD), actions());
+    }
+
     @Test
     void lastCopyIsLoadedElsewhereBeforeItsRoomIsTaken() {
         model("llama", 10);
