--- a/src/main/java/org/borageproxy/log/CoreThread.java
+++ b/src/main/java/org/borageproxy/log/CoreThread.java
@@ -150,7 +150,7 @@
         try {
             LogMessage message = LogMessage.parseFrom(body);
             boolean genuine = message.getSender().getName().equals(sender.value());
-            if (genuine && tasks.size() < QUEUE_INPUTS) {
+            if (genuine && running && tasks.size() < QUEUE_INPUTS) {
                 tasks.add(() -> inputs.add(new Input.Receive(message)));
             }
         } catch (InvalidProtocolBufferException exception) {
--- a/src/main/java/org/borageproxy/log/GroupMember.java
+++ b/src/main/java/org/borageproxy/log/GroupMember.java
@@ -29,6 +29,9 @@
  */
 public final class GroupMember implements ReplicatedLog, AutoCloseable {
 
+    /** The most bytes of a command, well below the largest message between VMs. */
+    public static final int LARGEST_COMMAND_BYTES = 8 << 20;
+
     /** How often leadership is awaited to end at a shutdown, per heartbeat. */
     private static final Duration TRANSFER_POLL = Duration.ofMillis(5);
 
@@ -92,6 +95,20 @@
         return member;
     }
 
+    /**
+     * Makes the member of a folder the only voter of a new group, after a majority of the old group's disks was lost
+     * for good. What only the lost members held is gone, and members of the old group are not heard any more. The other
+     * VMs join the new group as learners.
+     *
+     * @param folder the folder of the survivor, not in use
+     * @param newGroup the identity of the new group, never used before
+     * @return the identity of the survivor's member
+     * @throws IOException if the folder holds no member, is damaged, or cannot be written
+     */
+    public static MemberId recoverFromLostMajority(Path folder, String newGroup) throws IOException {
+        return DiskStorage.recoverAlone(folder, newGroup);
+    }
+
     /**
      * Opens the member of a folder.
      *
@@ -137,6 +154,9 @@
 
     @Override
     public CompletionStage<Proposal> propose(ByteString command, Deadline deadline) {
+        if (command.size() > LARGEST_COMMAND_BYTES) {
+            throw new IllegalArgumentException("Command too large: " + command.size());
+        }
         CompletableFuture<Proposal> outcome = new CompletableFuture<>();
         core.propose(command, deadline, outcome);
         return outcome;
--- a/src/main/java/org/borageproxy/log/storage/DiskStorage.java
+++ b/src/main/java/org/borageproxy/log/storage/DiskStorage.java
@@ -17,6 +17,7 @@
 import org.borageproxy.log.consensus.MemberId;
 import org.borageproxy.log.consensus.Members;
 import org.borageproxy.log.consensus.RestoredState;
+import org.borageproxy.wire.proto.LogProtocol.Entry;
 import org.borageproxy.wire.proto.LogProtocol.HardState;
 import org.borageproxy.wire.proto.LogProtocol.IdentityFile;
 import org.borageproxy.wire.proto.LogProtocol.Position;
@@ -158,6 +159,55 @@
         SealedFile.replace(folder.resolve(IDENTITY), identity.toByteArray(), DiskFile.ForChannel::open);
     }
 
+    /**
+     * Makes the member of a folder the only voter of a new group. The group changes first, so that a crash on the way
+     * leaves a member that cannot elect anyone and the call can be repeated.
+     *
+     * @param folder the folder, not in use
+     * @param newGroup the identity of the new group
+     * @return the member
+     * @throws IOException if the folder holds no member, is damaged, or cannot be written
+     */
+    public static MemberId recoverAlone(Path folder, String newGroup) throws IOException {
+        try (DiskStorage storage = open(folder, Integer.MAX_VALUE)) {
+            RestoredState state = storage.restored();
+            IdentityFile identity = IdentityFile.newBuilder()
+                    .setGroup(newGroup)
+                    .setSelf(state.self().encode())
+                    .setInitial(state.initial().encode())
+                    .build();
+            SealedFile.replace(folder.resolve(IDENTITY), identity.toByteArray(), DiskFile.ForChannel::open);
+            HardState vote = HardState.newBuilder()
+                    .setTerm(state.hardState().getTerm() + 1)
+                    .setCaughtUp(true)
+                    .build();
+            storage.write(List.of(new Effect.Persist(
+                    1, Optional.of(vote), Optional.empty(), false, List.of(onlyVoter(state, vote.getTerm())))));
+            return state.self();
+        }
+    }
+
+    /**
+     * Returns the entry that makes a member the only voter.
+     *
+     * @param state the member's state
+     * @param term the term of the entry
+     * @return the entry after the last
+     */
+    private static Entry onlyVoter(RestoredState state, long term) {
+        List<Entry> entries = state.entries();
+        boolean none = entries.isEmpty();
+        Snapshot snapshot = state.snapshot();
+        Entry last = none ? Entry.getDefaultInstance() : entries.get(entries.size() - 1);
+        return Entry.newBuilder()
+                .setIndex((none ? snapshot.getIndex() : last.getIndex()) + 1)
+                .setTerm(term)
+                .setKind(Entry.Kind.MEMBERS)
+                .setStateMillis(none ? snapshot.getStateMillis() : last.getStateMillis())
+                .setMembers(Members.ofVoters(List.of(state.self())).encode())
+                .build();
+    }
+
     /**
      * Locks a folder for this process.
      *
--- a/src/test/java/org/borageproxy/log/GroupMemberTest.java
+++ b/src/test/java/org/borageproxy/log/GroupMemberTest.java
@@ -2,12 +2,16 @@
 
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.IntStream;
 
 import org.borageproxy.event.EventRecorder;
 import org.borageproxy.log.consensus.LogSettings;
 import org.borageproxy.log.consensus.MemberChange;
 import org.borageproxy.log.consensus.MemberId;
+import org.borageproxy.log.storage.DiskFile;
+import org.borageproxy.log.storage.DiskStorage;
 import org.borageproxy.log.storage.StorageException;
 import org.borageproxy.log.storage.StorageFault;
 import org.borageproxy.vm.VmName;
@@ -101,6 +105,45 @@
         }
     }
 
+    @Test
+    void aMemberWhoseDiskFailsStopsForGoodAndTheGroupGoesOn() throws Exception {
+        try (TestGroup group = new TestGroup(root, LogSettings.QUICK, "a", "b", "c")) {
+            group.commit("one");
+            VmName first = group.awaitLeader();
+            group.kill(first);
+            AtomicBoolean full = new AtomicBoolean();
+            DiskStorage storage = DiskStorage.open(
+                    group.folder(first), 1 << 20, path -> new FailingFile(DiskFile.ForChannel.open(path), full));
+            GroupMember member = GroupMember.withStorage(storage, LogSettings.QUICK, group.context(first));
+            group.members.put(first, member);
+            member.start();
+            full.set(true);
+            group.commit("two");
+            TestGroup.join(member.failure());
+            full.set(false);
+            assertFalse(member.isLeader());
+            assertInstanceOf(ReplicatedLog.Proposal.NotLeader.class, group.propose(member, "three"));
+            group.commit("four");
+        }
+    }
+
+    @Test
+    void theSurvivorOfALostMajorityGoesOnAloneInANewGroup() throws Exception {
+        try (TestGroup group = new TestGroup(root, LogSettings.QUICK, "a", "b", "c")) {
+            group.commit("one");
+            TestGroup.await(() -> group.machines.get(C).commands().equals(List.of("one")));
+            List.of(A, B, C).forEach(group::kill);
+            GroupMember.recoverFromLostMajority(group.folder(C), "group-2");
+            group.start(C);
+            group.commit("two");
+            group.start(A);
+            TestGroup.await(() -> group.machines.get(C).commands().equals(List.of("one", "two")));
+            assertEquals(
+                    Set.of(MemberId.initial("group", C)),
+                    group.members.get(C).status().members().voters());
+        }
+    }
+
     @Test
     void anEmptyFolderIsNoMember() {
         StorageException refused = assertThrows(
--- a/src/test/java/org/borageproxy/log/TestGroup.java
+++ b/src/test/java/org/borageproxy/log/TestGroup.java
@@ -52,12 +52,15 @@
         return root.resolve(name.value());
     }
 
-    GroupMember start(VmName name) throws IOException {
+    MemberContext context(VmName name) {
         RecordingMachine machine = new RecordingMachine();
-        MemberContext context = new MemberContext(
-                hub.networkOf(name), machine, CLOCK, System::currentTimeMillis, EventRecorder.NoOp.INSTANCE);
-        GroupMember member = GroupMember.open(folder(name), settings, context);
         machines.put(name, machine);
+        return new MemberContext(
+                hub.networkOf(name), machine, CLOCK, System::currentTimeMillis, EventRecorder.NoOp.INSTANCE);
+    }
+
+    GroupMember start(VmName name) throws IOException {
+        GroupMember member = GroupMember.open(folder(name), settings, context(name));
         members.put(name, member);
         member.start();
         return member;
--- a/src/test/java/org/borageproxy/log/consensus/ConsensusTest.java
+++ b/src/test/java/org/borageproxy/log/consensus/ConsensusTest.java
@@ -85,11 +85,7 @@
 
     @Test
     void aLeaderFrozenPastItsLeaseStepsDownBeforeItHandlesAnyInput() {
-        Consensus member = start(RestoredState.fresh(GROUP, A, Members.ofVoters(List.of(A, B))));
-        handle(member, SILENCE, Input.Tick.INSTANCE);
-        handle(member, SILENCE, new Input.Receive(voteResponse(true, 1, 0)));
-        handle(member, SILENCE, new Input.Synced(1), new Input.Receive(voteResponse(false, 1, 1)));
-        assertEquals(Role.LEADER, member.role());
+        Consensus member = lead();
         long woken = SILENCE + SETTINGS.lease().toNanos();
         List<Effect> effects = handle(member, woken, new Input.Propose(7, 0, ByteString.EMPTY));
         assertEquals(7, only(effects, Effect.ProposalRefused.class).id());
@@ -111,8 +107,44 @@
         assertEquals(2, member.commit());
     }
 
+    @Test
+    void aReadIsConfirmedOnlyByAMajorityAskedAfterIt() {
+        Consensus member = lead();
+        handle(member, SILENCE, new Input.Receive(appended(1, 1, 3)));
+        assertEquals(1, member.commit());
+        List<Effect> asked = handle(member, SILENCE + 1, new Input.ConfirmRead(7));
+        long round = only(asked, Effect.Send.class).message().getRound();
+        List<Effect> earlier = handle(member, SILENCE + 2, new Input.Receive(appended(1, 1, round - 1)));
+        assertFalse(earlier.contains(new Effect.ReadConfirmed(7)));
+        List<Effect> answered = handle(member, SILENCE + 3, new Input.Receive(appended(1, 1, round)));
+        assertTrue(answered.contains(new Effect.ReadConfirmed(7)));
+    }
+
+    @Test
+    void aRestartedMemberElectsNobodyBeforeALeaseOnItsWordIsOver() {
+        HardState state = HardState.newBuilder().setTerm(1).setCaughtUp(true).build();
+        Consensus member = start(new RestoredState(GROUP, A, THREE, state, Snapshot.getDefaultInstance(), List.of()));
+        long within = SETTINGS.lease().toNanos();
+        assertEquals(List.of(), handle(member, within, new Input.Receive(voteRequest(B, 2, 1, 1, false))));
+    }
+
+    /** Returns a member that leads a group of two in term 1, with its first entry on its own disk. */
+    private static Consensus lead() {
+        Consensus member = start(RestoredState.fresh(GROUP, A, Members.ofVoters(List.of(A, B))));
+        handle(member, SILENCE, Input.Tick.INSTANCE);
+        handle(member, SILENCE, new Input.Receive(voteResponse(true, 1, 0)));
+        handle(member, SILENCE, new Input.Synced(1), new Input.Receive(voteResponse(false, 1, 1)));
+        handle(member, SILENCE, new Input.Synced(2));
+        assertEquals(Role.LEADER, member.role());
+        return member;
+    }
+
     private static LogMessage appended(long match) {
-        LogMessage.Builder message = envelope(B, A, 2);
+        return appended(2, match, 0);
+    }
+
+    private static LogMessage appended(long term, long match, long round) {
+        LogMessage.Builder message = envelope(B, A, term).setRound(round).setSentAtNanos(SILENCE);
         message.getAppendResponseBuilder().setSuccess(true).setMatch(match);
         return message.build();
     }
