--- a/src/main/java/org/borageproxy/log/consensus/Leadership.java
+++ b/src/main/java/org/borageproxy/log/consensus/Leadership.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import com.google.protobuf.ByteString;
 import org.borageproxy.time.Deadline;
@@ -152,8 +154,35 @@
                 && progress.isCaughtUp()
                 && progress.mode() == Progress.Mode.REPLICATE
                 && progress.match() >= state.commit()
-                && !leaseFrom(progress.answeredSentAtNanos()).hasPassed(state.nowNanos());
-        return MemberRules.refusal(log.members(), change, current);
+                && answersNow(change.member());
+        Optional<MemberChange.Refusal> refusal = MemberRules.refusal(log.members(), change, current);
+        return refusal.isPresent() ? refusal : silentMajority(MemberRules.apply(log.members(), change));
+    }
+
+    /**
+     * Refuses members of whom too few answer.
+     *
+     * @param changed the members after a change
+     * @return the reason, or empty if a majority answers
+     */
+    private Optional<MemberChange.Refusal> silentMajority(Members changed) {
+        Set<MemberId> answering =
+                changed.voters().stream().filter(this::answersNow).collect(Collectors.toSet());
+        return changed.isMajority(answering) ? Optional.empty() : Optional.of(MemberChange.Refusal.MAJORITY_SILENT);
+    }
+
+    /**
+     * Tells whether a member answered lately.
+     *
+     * @param member the member
+     * @return {@code true} for this member and those that answered within a lease
+     */
+    private boolean answersNow(MemberId member) {
+        if (member.equals(state.self())) {
+            return true;
+        }
+        Progress progress = progresses.get(member);
+        return progress != null && !leaseFrom(progress.answeredSentAtNanos()).hasPassed(state.nowNanos());
     }
 
     /**
--- a/src/main/java/org/borageproxy/log/consensus/MemberChange.java
+++ b/src/main/java/org/borageproxy/log/consensus/MemberChange.java
@@ -44,6 +44,8 @@
         /** The member is not in the group, or not a learner where one is needed. */
         UNKNOWN_MEMBER,
         /** The last voter cannot leave. */
-        LAST_VOTER
+        LAST_VOTER,
+        /** Too few of the voters that the change leaves have answered lately, so that it could stop the group. */
+        MAJORITY_SILENT
     }
 }
--- a/src/test/java/org/borageproxy/control/FleetFake.java
+++ b/src/test/java/org/borageproxy/control/FleetFake.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
 
+import com.google.protobuf.ByteString;
 import org.borageproxy.log.ReplicatedLog;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.vm.VmName;
@@ -21,8 +22,6 @@
 import org.borageproxy.wire.UnreachableException;
 import org.borageproxy.wire.VmNetwork;
 
-import com.google.protobuf.ByteString;
-
 /**
  * Control VMs and a network in one thread and in virtual time. The group commits at once while the leader is not cut
  * off; a cut VM neither sends nor gets messages. Not thread safe.
@@ -184,9 +183,7 @@
         public CompletionStage<Boolean> confirmRead(Deadline deadline) {
             CompletableFuture<Boolean> result = new CompletableFuture<>();
             boolean isCurrent = !cut.contains(self) && hasMajority();
-            Duration delay = isCurrent
-                    ? Duration.ofMillis(2)
-                    : Duration.ofNanos(deadline.remainingNanos(nowNanos));
+            Duration delay = isCurrent ? Duration.ofMillis(2) : Duration.ofNanos(deadline.remainingNanos(nowNanos));
             timer().schedule(delay, () -> result.complete(isCurrent && !cut.contains(self)));
             return result;
         }
@@ -198,7 +195,9 @@
 
         @Override
         public boolean isLeader() {
-            return hasMajority() && !cut.contains(self) && FleetFake.this.leader().equals(self);
+            return hasMajority()
+                    && !cut.contains(self)
+                    && FleetFake.this.leader().equals(self);
         }
     }
 
--- a/src/test/java/org/borageproxy/log/consensus/ConsensusTest.java
+++ b/src/test/java/org/borageproxy/log/consensus/ConsensusTest.java
@@ -107,6 +107,18 @@
         assertEquals(2, member.commit());
     }
 
+    @Test
+    void aChangeThatWouldLeaveASilentMajorityIsRefused() {
+        Consensus member = lead(THREE);
+        handle(member, SILENCE, new Input.Receive(appended(1, 1, 3)));
+        List<Effect> refused = handle(member, SILENCE, new Input.ChangeMembers(7, 0, new MemberChange.Remove(B)));
+        assertEquals(
+                MemberChange.Refusal.MAJORITY_SILENT,
+                only(refused, Effect.ChangeRefused.class).refusal());
+        List<Effect> accepted = handle(member, SILENCE, new Input.ChangeMembers(8, 0, new MemberChange.Remove(C)));
+        assertEquals(8, only(accepted, Effect.Appended.class).id());
+    }
+
     @Test
     void aReadIsConfirmedOnlyByAMajorityAskedAfterIt() {
         Consensus member = lead();
@@ -128,9 +140,13 @@
         assertEquals(List.of(), handle(member, within, new Input.Receive(voteRequest(B, 2, 1, 1, false))));
     }
 
-    /** Returns a member that leads a group of two in term 1, with its first entry on its own disk. */
     private static Consensus lead() {
-        Consensus member = start(RestoredState.fresh(GROUP, A, Members.ofVoters(List.of(A, B))));
+        return lead(Members.ofVoters(List.of(A, B)));
+    }
+
+    /** Returns a member that leads a group in term 1, with its first entry on its own disk. */
+    private static Consensus lead(Members members) {
+        Consensus member = start(RestoredState.fresh(GROUP, A, members));
         handle(member, SILENCE, Input.Tick.INSTANCE);
         handle(member, SILENCE, new Input.Receive(voteResponse(true, 1, 0)));
         handle(member, SILENCE, new Input.Synced(1), new Input.Receive(voteResponse(false, 1, 1)));
--- a/src/test/java/org/borageproxy/spread/SpreadStateTest.java
+++ b/src/test/java/org/borageproxy/spread/SpreadStateTest.java
@@ -1,9 +1,5 @@
 package org.borageproxy.spread;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -24,6 +20,10 @@
 import org.borageproxy.wire.proto.ControlProtocol.WithdrawKey;
 import org.junit.jupiter.api.Test;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 class SpreadStateTest {
 
     private final FleetFake fleet = new FleetFake();
@@ -81,8 +81,7 @@
     }
 
     private static String document(int workspaces) {
-        StringBuilder document =
-                new StringBuilder("[settings]\nrate_tokens_per_second = 5\nburst_tokens = 50\n");
+        StringBuilder document = new StringBuilder("[settings]\nrate_tokens_per_second = 5\nburst_tokens = 50\n");
         for (int number = 0; number < workspaces; number++) {
             document.append("[workspaces.w").append(number).append("]\n");
         }
@@ -94,7 +93,8 @@
         List<SpreadState> entries = entries(9);
         apply("one", 0, document(3));
         assertTrue(fleet.runUntil(
-                () -> entries.stream().allMatch(entry -> entry.current().workspaces().size() == 3),
+                () -> entries.stream()
+                        .allMatch(entry -> entry.current().workspaces().size() == 3),
                 Duration.ofSeconds(1)));
         assertTrue(entries.stream().allMatch(entry -> entry.isFresh(fleet.nanoTime())));
         fleet.run(Duration.ofSeconds(1));
@@ -155,7 +155,8 @@
                                 .setWorkspace("w0")),
                 operator.in(Duration.ofSeconds(5))));
         fleet.run(Duration.ofSeconds(1));
-        assertTrue(entries.stream().allMatch(entry -> entry.current().keysByDigest().containsKey("d")));
+        assertTrue(entries.stream()
+                .allMatch(entry -> entry.current().keysByDigest().containsKey("d")));
         fleet.cut("c2");
         fleet.await(operator.submit(
                 Command.newBuilder().setWithdrawKey(WithdrawKey.newBuilder().setKeyIdentity("k")),
