--- a/src/main/java/org/borageproxy/log/GroupMember.java
+++ b/src/main/java/org/borageproxy/log/GroupMember.java
@@ -32,7 +32,7 @@
     /** The most bytes of a command, well below the largest message between VMs. */
     public static final int LARGEST_COMMAND_BYTES = 8 << 20;
 
-    /** How often leadership is awaited to end at a shutdown, per heartbeat. */
+    /** The time between two looks at whether leadership has ended at a shutdown. */
     private static final Duration TRANSFER_POLL = Duration.ofMillis(5);
 
     /** The member's thread. */
--- a/src/main/java/org/borageproxy/log/consensus/Reads.java
+++ b/src/main/java/org/borageproxy/log/consensus/Reads.java
@@ -43,7 +43,7 @@
     /** The sequence number of the last read; numbers of an earlier process never match. */
     private long lastSequence;
 
-    /** The last sequence number asked for in this batch. */
+    /** Whether the leader must be asked at the end of this batch. */
     private boolean requestDue;
 
     /**
