--- a/src/test/java/org/borageproxy/log/GroupMemberTest.java
+++ b/src/test/java/org/borageproxy/log/GroupMemberTest.java
@@ -1,13 +1,18 @@
 package org.borageproxy.log;
 
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.IntStream;
 
 import org.borageproxy.event.EventRecorder;
 import org.borageproxy.log.consensus.LogSettings;
 import org.borageproxy.log.consensus.MemberChange;
 import org.borageproxy.log.consensus.MemberId;
+import org.borageproxy.log.storage.DiskFile;
+import org.borageproxy.log.storage.DiskStorage;
 import org.borageproxy.log.storage.StorageException;
 import org.borageproxy.log.storage.StorageFault;
 import org.borageproxy.vm.VmName;
@@ -83,8 +88,10 @@
 
     @Test
     void aSecondVmMayBeLostRightAfterARepair() throws Exception {
+        List<String> before =
+                IntStream.range(0, 120).mapToObj(Integer::toString).toList();
         try (TestGroup group = new TestGroup(root, SETTINGS, "a", "b", "c")) {
-            IntStream.range(0, 120).forEach(number -> group.commit("command " + number));
+            before.forEach(group::commit);
             group.kill(C);
             MemberId lost = MemberId.initial("group", C);
             MemberId repaired = group.replaceDisk(C);
@@ -95,9 +102,48 @@
             VmName second = group.awaitLeader().equals(A) ? A : B;
             group.kill(second);
             group.commit("after");
-            List<String> kept = group.machines.get(C).commands();
-            assertEquals(121, kept.size());
-            assertEquals("after", kept.get(120));
+            List<String> expected = new ArrayList<>(before);
+            expected.add("after");
+            TestGroup.await(() -> group.machines.get(C).commands().equals(expected));
+        }
+    }
+
+    @Test
+    void aMemberWhoseDiskFailsStopsForGoodAndTheGroupGoesOn() throws Exception {
+        try (TestGroup group = new TestGroup(root, LogSettings.QUICK, "a", "b", "c")) {
+            group.commit("one");
+            VmName first = group.awaitLeader();
+            group.kill(first);
+            AtomicBoolean full = new AtomicBoolean();
+            DiskStorage storage = DiskStorage.open(
+                    group.folder(first), 1 << 20, path -> new FailingFile(DiskFile.ForChannel.open(path), full));
+            GroupMember member = GroupMember.withStorage(storage, LogSettings.QUICK, group.context(first));
+            group.members.put(first, member);
+            member.start();
+            full.set(true);
+            group.commit("two");
+            TestGroup.join(member.failure());
+            full.set(false);
+            assertFalse(member.isLeader());
+            assertInstanceOf(ReplicatedLog.Proposal.NotLeader.class, group.propose(member, "three"));
+            group.commit("four");
+        }
+    }
+
+    @Test
+    void theSurvivorOfALostMajorityGoesOnAloneInANewGroup() throws Exception {
+        try (TestGroup group = new TestGroup(root, LogSettings.QUICK, "a", "b", "c")) {
+            group.commit("one");
+            TestGroup.await(() -> group.machines.get(C).commands().equals(List.of("one")));
+            List.of(A, B, C).forEach(group::kill);
+            GroupMember.recoverFromLostMajority(group.folder(C), "group-2");
+            group.start(C);
+            group.commit("two");
+            group.start(A);
+            TestGroup.await(() -> group.machines.get(C).commands().equals(List.of("one", "two")));
+            assertEquals(
+                    Set.of(MemberId.initial("group", C)),
+                    group.members.get(C).status().members().voters());
         }
     }
 
