Test the resend of a change that the fleet refuses now, and the removal of a VM's record

Cause: both paths had no test. Seen on the way: the first version of the removal test waited for an empty table of VMs, which need not be observable, since the control VM registers a watching VM before it answers; the test now asks the state for the new record instead.

--- a/src/test/java/org/borageproxy/operator/OperatorServerTest.java
+++ b/src/test/java/org/borageproxy/operator/OperatorServerTest.java
@@ -30,6 +30,7 @@
 import org.borageproxy.spread.WatchService;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
+import org.borageproxy.tree.TreeError;
 import org.borageproxy.vm.AvailabilityZone;
 import org.borageproxy.vm.VmAddress;
 import org.borageproxy.vm.VmName;
@@ -58,13 +59,16 @@
 
     private final HttpClient http = HttpClient.newHttpClient();
 
+    private final ControlState state = new ControlState();
+
     private SpreadState spread;
 
+    private volatile List<TreeError> errors = List.of();
+
     private int port;
 
     @BeforeEach
     void start() throws Exception {
-        ControlState state = new ControlState();
         ReplicatedLog log = new SingleLog(state);
         MonotonicClock clock = MonotonicClock.ofSystem();
         Timer timer = Timer.of(executor);
@@ -77,11 +81,7 @@
         spread.start();
         StateReader reader = new StateReader(network, () -> List.of(SELF), clock);
         OperatorServer server = new OperatorServer(
-                vertx,
-                "127.0.0.1",
-                0,
-                "secret",
-                OperatorRoutes.of(client, reader, spread, timer, TreeCheck.NoOp.INSTANCE));
+                vertx, "127.0.0.1", 0, "secret", OperatorRoutes.of(client, reader, spread, timer, tree -> errors));
         port = server.start().toCompletableFuture().get(10, TimeUnit.SECONDS);
     }
 
@@ -155,6 +155,47 @@
         assertTrue(call("POST", "/v1/tree", change("one", 0, DOCUMENT), 200).getBoolean("in_force"));
     }
 
+    @Test
+    void aChangeThatTheFleetRefusesNowKeepsItsFirstReplyIfItWasAccepted() throws Exception {
+        call("POST", "/v1/tree", change("one", 0, DOCUMENT), 200);
+        errors = List.of(new TreeError("models.m", 0, "Does not fit"));
+        assertEquals(
+                1, call("POST", "/v1/tree", change("one", 0, DOCUMENT), 200).getInteger("revision"));
+        call("POST", "/v1/tree", change("two", 1, DOCUMENT), 422);
+        call("POST", "/v1/tree", change("two", 1, DOCUMENT).put("check_only", true), 422);
+        errors = List.of();
+        assertTrue(call(
+                        "POST",
+                        "/v1/tree",
+                        new JsonObject().put("document", DOCUMENT).put("check_only", true),
+                        200)
+                .getBoolean("valid"));
+        assertEquals(
+                2, call("POST", "/v1/tree", change("two", 1, DOCUMENT), 200).getInteger("revision"));
+    }
+
+    @Test
+    void aRemovedVmThatStillRunsRegistersAgain() throws Exception {
+        CompletableFuture<Void> registered = new CompletableFuture<>();
+        spread.subscribeVms(vms -> completeIf(!vms.isEmpty(), registered));
+        registered.get(10, TimeUnit.SECONDS);
+        call("DELETE", "/v1/vms/vm-1", new JsonObject(), 200);
+        CompletableFuture<Void> again = new CompletableFuture<>();
+        spread.subscribeVms(vms -> completeIf(isRegistered(), again));
+        again.get(10, TimeUnit.SECONDS);
+        call("DELETE", "/v1/vms/none", new JsonObject(), 400);
+    }
+
+    private boolean isRegistered() {
+        return state.vm(SELF.value()).isPresent();
+    }
+
+    private static void completeIf(boolean condition, CompletableFuture<Void> future) {
+        if (condition) {
+            future.complete(null);
+        }
+    }
+
     @Test
     void aKeyIsShownOnceAndWithdrawnForGood() throws Exception {
         call("POST", "/v1/tree", change("one", 0, DOCUMENT), 200);
