--- a/src/test/java/org/borageproxy/entry/BackendFaultTest.java
+++ b/src/test/java/org/borageproxy/entry/BackendFaultTest.java
@@ -275,6 +275,22 @@
         }
     }
 
+    @Test
+    void aRequestEndsTwoServersAtMostThoughTheCrashRegistryIsUnreachable() {
+        ScriptedBackend.Script crash = (exchange, number) -> exchange.crash();
+        fixture.crashes.unreachable = true;
+        try (ScriptedBackend first = ScriptedBackend.answering(crash);
+                ScriptedBackend second = ScriptedBackend.answering(crash);
+                ScriptedBackend third = ScriptedBackend.answering(crash)) {
+            fixture.addEngine("engine-1", first.port());
+            fixture.addEngine("engine-2", second.port());
+            fixture.addEngine("engine-3", third.port());
+            assertFailure(fixture.post(PATH, EntryFixture.chat(false)), ResultCode.BACKEND_FAILED, "may-have-run");
+            assertEquals(
+                    2, first.runs().size() + second.runs().size() + third.runs().size());
+        }
+    }
+
     @Test
     void cancelsTheRunOfACallerWhoGoesAway() throws Exception {
         CountDownLatch running = new CountDownLatch(1);
--- a/src/test/java/org/borageproxy/entry/EntryFixture.java
+++ b/src/test/java/org/borageproxy/entry/EntryFixture.java
@@ -321,6 +321,7 @@
 
         final Map<Fingerprint, Suspicion> suspicions = new ConcurrentHashMap<>();
         final List<Boolean> reportedAlone = new ArrayList<>();
+        volatile boolean unreachable;
 
         @Override
         public Suspicion suspicion(Fingerprint fingerprint) {
@@ -331,6 +332,9 @@
         public synchronized CompletableFuture<Suspicion> reportCrash(
                 Fingerprint fingerprint, BackendServerName server, long incarnation, boolean alone) {
             reportedAlone.add(alone);
+            if (unreachable) {
+                return CompletableFuture.failedFuture(new IllegalStateException("unreachable"));
+            }
             Suspicion next = suspicions.containsKey(fingerprint) ? Suspicion.QUARANTINED : Suspicion.SUSPECT;
             suspicions.put(fingerprint, next);
             return CompletableFuture.completedFuture(next);
