--- a/src/main/java/org/borageproxy/placement/PlacementTerm.java
+++ b/src/main/java/org/borageproxy/placement/PlacementTerm.java
@@ -1,5 +1,6 @@
 package org.borageproxy.placement;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -26,6 +27,8 @@
     private static final int LARGEST_CHAIN = 32;
     /** How much longer than a plan took the time to the next plan is. */
     private static final int PAUSE_FACTOR = 20;
+    /** The longest time between two plans. */
+    private static final Duration LONGEST_PAUSE = Duration.ofSeconds(1);
 
     /** What the owner works with. */
     private final PlacementParts parts;
@@ -94,7 +97,8 @@
         if (planAt.hasPassed(nowNanos)) {
             plan(engines, nowNanos);
             long endNanos = parts.clock().nanoTime();
-            planAt = new Deadline(endNanos + PAUSE_FACTOR * (endNanos - nowNanos));
+            long pauseNanos = Math.min(LONGEST_PAUSE.toNanos(), PAUSE_FACTOR * (endNanos - nowNanos));
+            planAt = new Deadline(endNanos + pauseNanos);
         }
     }
 
@@ -248,7 +252,8 @@
         List<BackendServer> usable = engines.stream()
                 .filter(engine -> engine.state() == BackendServerState.ALIVE || !reader.isFailing(engine.name()))
                 .toList();
-        return new FleetViews(ledger).accelerators(usable, parts.settings().readFreshness(), nowNanos);
+        Duration freshness = parts.settings().readFreshness().plus(EngineReader.interval(usable.size()));
+        return new FleetViews(ledger).accelerators(usable, freshness, nowNanos);
     }
 
     /**
