--- a/src/main/java/org/borageproxy/execution/AttemptLoop.java
+++ b/src/main/java/org/borageproxy/execution/AttemptLoop.java
@@ -1,16 +1,13 @@
 package org.borageproxy.execution;
 
-import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
 
-import io.vertx.core.Future;
 import org.borageproxy.event.Event;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerName;
@@ -31,15 +28,10 @@
 
     /** Milliseconds between looks for a replica. */
     private static final long POLL_MILLIS = 20;
-    /** The largest number of connections that one request may see cut. */
-    private static final int MAXIMUM_CUTS = 2;
     /** The largest delay before the first retry, in milliseconds; it doubles with each further one. */
     private static final long FIRST_JITTER_MILLIS = 10;
-    /** The time in which a report of a crash must become durable. */
-    private static final Duration REPORT_TIME = Duration.ofSeconds(2);
-    /** When a server that still listens after a cut is looked at again. */
-    private static final Duration RESTART_CHECK = Duration.ofMillis(1500);
-
+    /** The largest number of renewals of a claim. */
+    private static final int MAXIMUM_RENEWALS = 2;
     /** What the execution needs of its surroundings. */
     private final ExecutionServices services;
     /** The request. */
@@ -52,20 +44,26 @@
     private final Consumer<Conclusion> conclude;
     /** Reserves the tokens of a further attempt. */
     private final Consumer<Consumer<Boolean>> reserveAgain;
+    /** Claims the request anew and goes on. */
+    private final Runnable renewClaim;
     /** The backend servers that failed the request. */
     private final Map<BackendServerName, AvailabilityZone> tried = new HashMap<>();
     /** What is known of the execution over all attempts. */
     private Execution execution = Execution.NOT_RUN;
     /** The attempts so far. */
     private int attempts;
-    /** The connections that were cut during the request. */
-    private int cuts;
     /** The tokens that were paid. */
     private long paidTokens;
-    /** What the fleet answered to the last report of a crash. */
-    private Suspicion reported = Suspicion.NONE;
+    /** Finds out whether backend servers ended during the request. */
+    private final CrashWatch crashes;
     /** Waits for a backend server that runs nothing else. */
     private final ExclusiveWait exclusiveWait;
+    /** When waiting for a place on a full backend server ends, or {@code null} while none was full. */
+    private Deadline placeBefore;
+    /** The attempts that full backend servers refused. */
+    private int waits;
+    /** How often the claim was renewed. */
+    private int renewals;
     /** Whether an attempt is under way. */
     private boolean running;
     /** Whether the caller went away. */
@@ -86,6 +84,7 @@
      * @param admission what the request holds
      * @param conclude takes the conclusion
      * @param reserveAgain reserves the tokens of a further attempt
+     * @param renewClaim claims the request anew and goes on
      */
     AttemptLoop(
             ExecutionServices services,
@@ -93,13 +92,16 @@
             Work work,
             Admission admission,
             Consumer<Conclusion> conclude,
-            Consumer<Consumer<Boolean>> reserveAgain) {
+            Consumer<Consumer<Boolean>> reserveAgain,
+            Runnable renewClaim) {
         this.services = services;
         this.request = request;
         this.work = work;
         this.admission = admission;
         this.conclude = conclude;
         this.reserveAgain = reserveAgain;
+        this.renewClaim = renewClaim;
+        this.crashes = new CrashWatch(services, request);
         this.exclusiveWait = new ExclusiveWait(services.table());
     }
 
@@ -110,15 +112,14 @@
         }
         Optional<ResultCode> refusal = admission.refusal();
         if (refusal.isPresent()) {
-            giveUp(refusal.get());
+            refused(refusal.get());
             return;
         }
-        Suspicion suspicion = services.crashes().suspicion(request.fingerprint());
-        if (suspicion == Suspicion.QUARANTINED || reported == Suspicion.QUARANTINED) {
+        if (crashes.isQuarantined()) {
             giveUp(ResultCode.REQUEST_QUARANTINED);
             return;
         }
-        boolean exclusive = suspicion == Suspicion.SUSPECT || cuts > 0;
+        boolean exclusive = crashes.mustRunAlone();
         List<BackendServer> servers = services.servers().current();
         long now = services.clock().nanoTime();
         Selection selection = ReplicaSelector.INSTANCE.select(
@@ -138,6 +139,21 @@
         }
     }
 
+    /**
+     * Ends the request that may not be dispatched, or renews a claim whose right to dispatch has passed unused.
+     *
+     * @param code why it may not be dispatched
+     */
+    private void refused(ResultCode code) {
+        boolean lapsed = code == ResultCode.CLAIM_UNAVAILABLE && !admission.isDispatched();
+        if (lapsed && renewals < MAXIMUM_RENEWALS) {
+            renewals++;
+            renewClaim.run();
+        } else {
+            giveUp(code);
+        }
+    }
+
     /**
      * Waits for a replica, or gives the request up if none was known for too long.
      *
@@ -209,16 +225,13 @@
         }
         if (outcome instanceof Outcome.Answered) {
             execution = Execution.ANSWERED;
-            if (cuts > 0 || services.crashes().suspicion(request.fingerprint()) != Suspicion.NONE) {
-                services.crashes().reportAnswered(request.fingerprint());
-            }
+            crashes.answered();
         } else {
             tried.put(server.name(), server.zone());
             record(server, outcome);
         }
         if (outcome instanceof Outcome.MayHaveRun lost && lost.cause() == Outcome.Cause.CUT) {
-            cuts++;
-            afterCut(server, exclusive).onComplete(known -> decide(outcome));
+            crashes.cut(server, exclusive).onComplete(known -> decide(outcome));
         } else {
             decide(outcome);
         }
@@ -239,56 +252,6 @@
                         .with("outcome", outcome.execution().headerValue()));
     }
 
-    /**
-     * Finds out whether a backend server ended during the request and reports it.
-     *
-     * @param server the backend server
-     * @param exclusive whether the attempt ran alone
-     * @return completes when the report is durable, or needless, or late
-     */
-    private Future<Void> afterCut(BackendServer server, boolean exclusive) {
-        boolean alone = exclusive && server.load().running() <= 1;
-        return services.probe().isGone(server).transform(probed -> {
-            if (Boolean.TRUE.equals(probed.result())) {
-                return report(server, alone);
-            }
-            services.vertx().setTimer(RESTART_CHECK.toMillis(), timer -> {
-                if (hasRestarted(server)) {
-                    report(server, alone);
-                }
-            });
-            return Future.succeededFuture();
-        });
-    }
-
-    /**
-     * Tells whether a backend server has started again.
-     *
-     * @param server the backend server as it was
-     * @return {@code true} if it announces a later incarnation
-     */
-    private boolean hasRestarted(BackendServer server) {
-        return services.servers().current().stream()
-                .anyMatch(now -> now.name().equals(server.name()) && now.incarnation() > server.incarnation());
-    }
-
-    /**
-     * Reports that a backend server ended during the request.
-     *
-     * @param server the backend server
-     * @param alone whether the request ran alone
-     * @return completes when the report is durable, or late
-     */
-    private Future<Void> report(BackendServer server, boolean alone) {
-        Future<Suspicion> answer = Future.fromCompletionStage(
-                services.crashes().reportCrash(request.fingerprint(), server.name(), server.incarnation(), alone),
-                services.vertx().getOrCreateContext());
-        return answer.timeout(REPORT_TIME.toMillis(), TimeUnit.MILLISECONDS)
-                .onSuccess(suspicion -> reported = suspicion)
-                .<Void>mapEmpty()
-                .otherwiseEmpty();
-    }
-
     /**
      * Follows the retry policy.
      *
@@ -298,13 +261,11 @@
         if (stopped) {
             return;
         }
-        boolean permanent = outcome instanceof Outcome.NotRun refused && refused.scope() == Outcome.Scope.REQUEST;
-        boolean attemptsLeft =
-                !permanent && !callerGone && attempts < services.settings().maximumAttempts() && cuts < MAXIMUM_CUTS;
+        boolean waiting = waitsForPlace(outcome);
         lastFailure = code(outcome);
-        RetryDecision decision = decision(outcome, attemptsLeft);
+        RetryDecision decision = decision(outcome, mayTryAgain(outcome, waiting));
         boolean again = decision == RetryDecision.RETRY || decision == RetryDecision.RESUME;
-        if (again && !services.budget().withdraw()) {
+        if (again && !waiting && !services.budget().withdraw()) {
             lastFailure = outcome.execution() == Execution.NOT_RUN ? ResultCode.RETRY_BUDGET_SPENT : lastFailure;
             decision = decision(outcome, false);
         }
@@ -315,6 +276,48 @@
         }
     }
 
+    /**
+     * Tells whether the request goes on waiting for a place because a backend server was full. Such a server did no
+     * work, so that coming back is no retry; the time for it is bounded.
+     *
+     * @param outcome the outcome of the last attempt
+     * @return {@code true} if the request waits
+     */
+    private boolean waitsForPlace(Outcome outcome) {
+        if (!isFull(outcome)) {
+            return false;
+        }
+        long now = services.clock().nanoTime();
+        if (placeBefore == null) {
+            placeBefore = Deadline.after(now, services.settings().replicaWait());
+        }
+        waits++;
+        return !placeBefore.hasPassed(now);
+    }
+
+    /**
+     * Tells whether the limits of one request allow another attempt.
+     *
+     * @param outcome the outcome of the last attempt
+     * @param waiting whether the request waits for a place
+     * @return {@code true} if they do
+     */
+    private boolean mayTryAgain(Outcome outcome, boolean waiting) {
+        boolean permanent = outcome instanceof Outcome.NotRun refused && refused.scope() == Outcome.Scope.REQUEST;
+        boolean attemptsLeft = attempts - waits < services.settings().maximumAttempts();
+        return !permanent && !callerGone && !crashes.isExhausted() && (waiting || (attemptsLeft && !isFull(outcome)));
+    }
+
+    /**
+     * Tells whether a backend server was full.
+     *
+     * @param outcome the outcome of the last attempt
+     * @return {@code true} if it was
+     */
+    private static boolean isFull(Outcome outcome) {
+        return outcome instanceof Outcome.NotRun refused && refused.code() == ResultCode.OVERLOADED;
+    }
+
     /**
      * Asks the retry policy.
      *
@@ -383,8 +386,7 @@
         boolean comeBack = code != ResultCode.REQUEST_QUARANTINED
                 && code != ResultCode.KEY_REFUSED
                 && (execution == Execution.NOT_RUN || request.repeatable());
-        boolean quarantined = reported == Suspicion.QUARANTINED
-                || services.crashes().suspicion(request.fingerprint()) == Suspicion.QUARANTINED;
+        boolean quarantined = crashes.isQuarantined();
         Optional<Deadline> retryAt =
                 comeBack && !quarantined ? Optional.of(admission.defaultRetry()) : Optional.empty();
         ResultCode reason = execution == Execution.MAY_HAVE_RUN && lastFailure != null ? lastFailure : code;
