Free the duties of a lost holder on every VM

Cause: when the leader that owned a workspace's shard was killed, nobody took the shard: every VM had heard of the lease, none hears of renewals, so each took the dead holder for alive and never asked. Callers of that workspace were refused for good. Ruled out: asking for held duties now and then (16 shards on nine VMs would write tens of commands a second to the log); spreading renewals (bytes for each entry at rest).

--- a/src/main/java/org/borageproxy/control/ControlService.java
+++ b/src/main/java/org/borageproxy/control/ControlService.java
@@ -72,6 +72,11 @@
      * @return the command to propose
      */
     private Command observed(Command command, long nowNanos) {
+        if (command.hasReleaseLease()) {
+            return command.toBuilder()
+                    .setReleaseLease(command.getReleaseLease().toBuilder().clearExpiredRenewal())
+                    .build();
+        }
         if (!command.hasAcquireLease()) {
             return command;
         }
--- a/src/main/java/org/borageproxy/control/LeaseTable.java
+++ b/src/main/java/org/borageproxy/control/LeaseTable.java
@@ -93,21 +93,33 @@
     }
 
     /**
-     * Frees a duty, if the caller still holds it.
+     * Frees a duty, if the caller still holds it or its newest renewal has run out.
      *
      * @param command the request
      * @return the reply
      */
     Reply release(ReleaseLease command) {
         LeaseState current = leases.get(command.getDuty());
-        if (current != null
-                && current.getEpoch() == command.getEpoch()
-                && current.getSession().equals(command.getSession())) {
+        if (current != null && current.getEpoch() == command.getEpoch() && mayFree(command, current)) {
             put(current.toBuilder().setFree(true).build());
         }
         return Reply.newBuilder().setDone(Done.getDefaultInstance()).build();
     }
 
+    /**
+     * Tells whether a request may free a lease of its epoch.
+     *
+     * @param command the request
+     * @param current the lease
+     * @return {@code true} if its holder asks, or if nothing was renewed since the leader saw it run out
+     */
+    private static boolean mayFree(ReleaseLease command, LeaseState current) {
+        if (command.getExpiredRenewal() != 0) {
+            return command.getExpiredRenewal() == current.getRenewal();
+        }
+        return current.getSession().equals(command.getSession());
+    }
+
     /**
      * Adds the table to a snapshot.
      *
--- a/src/main/java/org/borageproxy/server/ControlRole.java
+++ b/src/main/java/org/borageproxy/server/ControlRole.java
@@ -2,10 +2,12 @@
 
 import java.io.IOException;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 import org.borageproxy.control.ControlClient;
 import org.borageproxy.control.ControlService;
 import org.borageproxy.control.ControlState;
+import org.borageproxy.control.LeaseSweep;
 import org.borageproxy.log.GroupMember;
 import org.borageproxy.log.MemberContext;
 import org.borageproxy.log.consensus.LogSettings;
@@ -15,6 +17,9 @@
 /** A VM's part in the control group. Immutable and thread safe. */
 final class ControlRole implements AutoCloseable {
 
+    /** The time between two sweeps of the leases, in milliseconds. */
+    private static final long SWEEP_INTERVAL_MILLIS = 250;
+
     /** This VM's member of the group. */
     private final GroupMember member;
 
@@ -46,6 +51,11 @@
                 GroupMember.open(foundation.settings().dataFolder().orElseThrow(), LogSettings.STANDARD, context);
         serve(foundation, client, state, member);
         member.start();
+        LeaseSweep sweep = new LeaseSweep(member, state, foundation.clock());
+        foundation
+                .timers()
+                .scheduleWithFixedDelay(
+                        sweep::sweep, SWEEP_INTERVAL_MILLIS, SWEEP_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         return Optional.of(new ControlRole(member));
     }
 
--- a/src/main/java/org/borageproxy/wire/proto/ControlProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/ControlProtocol.java
@@ -13902,6 +13902,16 @@
      * @return The epoch.
      */
     long getEpoch();
+
+    /**
+     * <pre>
+     * Set by the leader instead of the session: frees a lease whose newest renewal, this one, has run out.
+     * </pre>
+     *
+     * <code>uint64 expired_renewal = 4;</code>
+     * @return The expiredRenewal.
+     */
+    long getExpiredRenewal();
   }
   /**
    * Protobuf type {@code borageproxy.control.ReleaseLease}
@@ -14036,6 +14046,21 @@
       return epoch_;
     }
 
+    public static final int EXPIRED_RENEWAL_FIELD_NUMBER = 4;
+    private long expiredRenewal_ = 0L;
+    /**
+     * <pre>
+     * Set by the leader instead of the session: frees a lease whose newest renewal, this one, has run out.
+     * </pre>
+     *
+     * <code>uint64 expired_renewal = 4;</code>
+     * @return The expiredRenewal.
+     */
+    @java.lang.Override
+    public long getExpiredRenewal() {
+      return expiredRenewal_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -14059,6 +14084,9 @@
       if (epoch_ != 0L) {
         output.writeInt64(3, epoch_);
       }
+      if (expiredRenewal_ != 0L) {
+        output.writeUInt64(4, expiredRenewal_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -14078,6 +14106,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeInt64Size(3, epoch_);
       }
+      if (expiredRenewal_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(4, expiredRenewal_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -14099,6 +14131,8 @@
           .equals(other.getSession())) return false;
       if (getEpoch()
           != other.getEpoch()) return false;
+      if (getExpiredRenewal()
+          != other.getExpiredRenewal()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -14117,6 +14151,9 @@
       hash = (37 * hash) + EPOCH_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getEpoch());
+      hash = (37 * hash) + EXPIRED_RENEWAL_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getExpiredRenewal());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -14251,6 +14288,7 @@
         duty_ = "";
         session_ = "";
         epoch_ = 0L;
+        expiredRenewal_ = 0L;
         return this;
       }
 
@@ -14293,6 +14331,9 @@
         if (((from_bitField0_ & 0x00000004) != 0)) {
           result.epoch_ = epoch_;
         }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.expiredRenewal_ = expiredRenewal_;
+        }
       }
 
       @java.lang.Override
@@ -14320,6 +14361,9 @@
         if (other.getEpoch() != 0L) {
           setEpoch(other.getEpoch());
         }
+        if (other.getExpiredRenewal() != 0L) {
+          setExpiredRenewal(other.getExpiredRenewal());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -14361,6 +14405,11 @@
                 bitField0_ |= 0x00000004;
                 break;
               } // case 24
+              case 32: {
+                expiredRenewal_ = input.readUInt64();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -14554,6 +14603,50 @@
         return this;
       }
 
+      private long expiredRenewal_ ;
+      /**
+       * <pre>
+       * Set by the leader instead of the session: frees a lease whose newest renewal, this one, has run out.
+       * </pre>
+       *
+       * <code>uint64 expired_renewal = 4;</code>
+       * @return The expiredRenewal.
+       */
+      @java.lang.Override
+      public long getExpiredRenewal() {
+        return expiredRenewal_;
+      }
+      /**
+       * <pre>
+       * Set by the leader instead of the session: frees a lease whose newest renewal, this one, has run out.
+       * </pre>
+       *
+       * <code>uint64 expired_renewal = 4;</code>
+       * @param value The expiredRenewal to set.
+       * @return This builder for chaining.
+       */
+      public Builder setExpiredRenewal(long value) {
+
+        expiredRenewal_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Set by the leader instead of the session: frees a lease whose newest renewal, this one, has run out.
+       * </pre>
+       *
+       * <code>uint64 expired_renewal = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearExpiredRenewal() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        expiredRenewal_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.control.ReleaseLease)
     }
 
@@ -50907,125 +51000,125 @@
       "\014content_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"V\n\014Acq" +
       "uireLease\022\014\n\004duty\030\001 \001(\t\022\016\n\006holder\030\002 \001(\t\022" +
       "\017\n\007session\030\003 \001(\t\022\027\n\017expired_renewal\030\004 \001(" +
-      "\004\"<\n\014ReleaseLease\022\014\n\004duty\030\001 \001(\t\022\017\n\007sessi" +
-      "on\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\"\276\001\n\014IntentRecord" +
-      "\022\016\n\006number\030\001 \001(\003\022\r\n\005epoch\030\002 \001(\003\022\016\n\006serve" +
-      "r\030\003 \001(\t\022\023\n\013incarnation\030\004 \001(\003\022\023\n\013accelera" +
-      "tor\030\005 \001(\t\022\016\n\006action\030\006 \001(\005\022\r\n\005model\030\007 \001(\t" +
-      "\022\017\n\007version\030\010 \001(\t\022\017\n\007adapter\030\t \001(\t\022\024\n\014me" +
-      "mory_bytes\030\n \001(\003\"A\n\014RecordIntent\0221\n\006inte" +
-      "nt\030\001 \001(\0132!.borageproxy.control.IntentRec" +
-      "ord\"0\n\016ResolveIntents\022\r\n\005epoch\030\001 \001(\003\022\017\n\007" +
-      "numbers\030\002 \003(\003\"\r\n\013ReadIntents\"V\n\013ReportCr" +
-      "ash\022\023\n\013fingerprint\030\001 \001(\t\022\016\n\006server\030\002 \001(\t" +
-      "\022\023\n\013incarnation\030\003 \001(\003\022\r\n\005alone\030\004 \001(\010\"!\n\n" +
-      "ClearCrash\022\023\n\013fingerprint\030\001 \001(\t\"7\n\nRegis" +
-      "terVm\022)\n\002vm\030\001 \001(\0132\035.borageproxy.control." +
-      "VmRecord\"\030\n\010RemoveVm\022\014\n\004name\030\001 \001(\t\"B\n\010Vm" +
-      "Record\022\014\n\004name\030\001 \001(\t\022\014\n\004zone\030\002 \001(\t\022\014\n\004ho" +
-      "st\030\003 \001(\t\022\014\n\004port\030\004 \001(\005\"\205\005\n\005Reply\0221\n\010acce" +
-      "pted\030\001 \001(\0132\035.borageproxy.control.Accepte" +
-      "dH\000\022>\n\017change_conflict\030\002 \001(\0132#.boragepro" +
-      "xy.control.ChangeConflictH\000\022B\n\021identity_" +
-      "conflict\030\003 \001(\0132%.borageproxy.control.Ide" +
-      "ntityConflictH\000\022/\n\007missing\030\004 \001(\0132\034.borag" +
-      "eproxy.control.MissingH\000\0220\n\005claim\030\005 \001(\0132" +
-      "\037.borageproxy.control.ClaimReplyH\000\0220\n\005le" +
-      "ase\030\006 \001(\0132\037.borageproxy.control.LeaseRep" +
-      "lyH\000\0223\n\006intent\030\007 \001(\0132!.borageproxy.contr" +
-      "ol.IntentRecordH\000\022-\n\006fenced\030\010 \001(\0132\033.bora" +
-      "geproxy.control.FencedH\000\022/\n\007intents\030\t \001(" +
-      "\0132\034.borageproxy.control.IntentsH\000\0220\n\005cra" +
-      "sh\030\n \001(\0132\037.borageproxy.control.CrashRepl" +
-      "yH\000\022)\n\004done\030\013 \001(\0132\031.borageproxy.control." +
-      "DoneH\000\0226\n\013key_created\030\014 \001(\0132\037.borageprox" +
-      "y.control.KeyCreatedH\000B\006\n\004body\"\034\n\010Accept" +
-      "ed\022\020\n\010revision\030\001 \001(\004\":\n\016ChangeConflict\022\030" +
-      "\n\020current_revision\030\001 \001(\004\022\016\n\006holder\030\002 \001(\t" +
-      "\"4\n\020IdentityConflict\022\016\n\006holder\030\001 \001(\t\022\020\n\010" +
-      "revision\030\002 \001(\004\"\t\n\007Missing\"\006\n\004Done\"\037\n\006Fen" +
-      "ced\022\025\n\rcurrent_epoch\030\001 \001(\003\"J\n\nKeyCreated" +
-      "\022\020\n\010revision\030\001 \001(\004\022*\n\003key\030\002 \001(\0132\035.borage" +
-      "proxy.control.KeyState\"\351\001\n\nClaimReply\022:\n" +
-      "\010decision\030\001 \001(\0162(.borageproxy.control.Cl" +
-      "aimReply.Decision\022\r\n\005epoch\030\002 \001(\003\022+\n\006answ" +
-      "er\030\003 \001(\0132\033.borageproxy.control.Answer\"c\n" +
-      "\010Decision\022\013\n\007GRANTED\020\000\022\014\n\010ANSWERED\020\001\022\017\n\013" +
-      "IN_PROGRESS\020\002\022\020\n\014MAY_HAVE_RUN\020\003\022\014\n\010CONFL" +
-      "ICT\020\004\022\013\n\007TOO_OLD\020\005\"<\n\nLeaseReply\022\017\n\007gran" +
-      "ted\030\001 \001(\010\022\016\n\006holder\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003" +
-      "\"=\n\007Intents\0222\n\007intents\030\001 \003(\0132!.boragepro" +
-      "xy.control.IntentRecord\"\037\n\nCrashReply\022\021\n" +
-      "\tsuspicion\030\001 \001(\005\"R\n\010KeyState\022\020\n\010identity" +
-      "\030\001 \001(\t\022\016\n\006digest\030\002 \001(\t\022\021\n\tworkspace\030\003 \001(" +
-      "\t\022\021\n\twithdrawn\030\004 \001(\010\"v\n\tTreeState\022\020\n\010rev" +
-      "ision\030\001 \001(\004\022\020\n\010document\030\002 \001(\t\022\027\n\017change_" +
-      "identity\030\003 \001(\t\022\020\n\010operator\030\004 \001(\t\022\032\n\022acce" +
-      "pted_at_millis\030\005 \001(\003\"i\n\nLeaseState\022\014\n\004du" +
-      "ty\030\001 \001(\t\022\016\n\006holder\030\002 \001(\t\022\017\n\007session\030\003 \001(" +
-      "\t\022\r\n\005epoch\030\004 \001(\003\022\017\n\007renewal\030\005 \001(\004\022\014\n\004fre" +
-      "e\030\006 \001(\010\"\304\002\n\nClaimState\022\021\n\tworkspace\030\001 \001(" +
-      "\t\022\027\n\017idempotency_key\030\002 \001(\t\022\016\n\006digest\030\003 \001" +
-      "(\t\022\016\n\006holder\030\004 \001(\t\022\r\n\005epoch\030\005 \001(\003\0224\n\005pha" +
-      "se\030\006 \001(\0162%.borageproxy.control.ClaimStat" +
-      "e.Phase\022\031\n\021held_until_millis\030\007 \001(\003\022\031\n\021ex" +
-      "pires_at_millis\030\010 \001(\003\022+\n\006answer\030\t \001(\0132\033." +
-      "borageproxy.control.Answer\"B\n\005Phase\022\013\n\007C" +
-      "LAIMED\020\000\022\014\n\010ANSWERED\020\001\022\020\n\014MAY_HAVE_RUN\020\002" +
-      "\022\014\n\010RELEASED\020\003\"b\n\nCrashState\022\023\n\013fingerpr" +
-      "int\030\001 \001(\t\022\017\n\007crashes\030\002 \003(\t\022\023\n\013quarantine" +
-      "d\030\003 \001(\010\022\031\n\021expires_at_millis\030\004 \001(\003\"l\n\013Ch" +
-      "angeState\022\020\n\010identity\030\001 \001(\t\022\016\n\006digest\030\002 " +
-      "\001(\014\022\020\n\010operator\030\003 \001(\t\022)\n\005reply\030\004 \001(\0132\032.b" +
-      "orageproxy.control.Reply\"a\n\017RememberedRe" +
-      "ply\022\020\n\010identity\030\001 \001(\t\022\021\n\tat_millis\030\002 \001(\003" +
-      "\022)\n\005reply\030\003 \001(\0132\032.borageproxy.control.Re" +
-      "ply\"\260\002\n\004Item\022\014\n\004name\030\001 \001(\t\022\017\n\007version\030\002 " +
-      "\001(\004\022.\n\004tree\030\003 \001(\0132\036.borageproxy.control." +
-      "TreeStateH\000\022,\n\003key\030\004 \001(\0132\035.borageproxy.c" +
-      "ontrol.KeyStateH\000\0220\n\005lease\030\005 \001(\0132\037.borag" +
-      "eproxy.control.LeaseStateH\000\0220\n\005crash\030\006 \001" +
-      "(\0132\037.borageproxy.control.CrashStateH\000\022+\n" +
-      "\002vm\030\007 \001(\0132\035.borageproxy.control.VmRecord" +
-      "H\000\022\021\n\007removed\030\010 \001(\010H\000B\007\n\005value\"\302\004\n\017Contr" +
-      "olSnapshot\022\017\n\007version\030\001 \001(\004\022\020\n\010revision\030" +
-      "\002 \001(\004\022/\n\007history\030\004 \003(\0132\036.borageproxy.con" +
-      "trol.TreeState\022+\n\004keys\030\005 \003(\0132\035.boragepro" +
-      "xy.control.KeyState\0221\n\007changes\030\006 \003(\0132 .b" +
-      "orageproxy.control.ChangeState\0225\n\007replie" +
-      "s\030\007 \003(\0132$.borageproxy.control.Remembered" +
-      "Reply\022/\n\006claims\030\010 \003(\0132\037.borageproxy.cont" +
-      "rol.ClaimState\022\030\n\020last_claim_epoch\030\t \001(\003" +
-      "\022/\n\006leases\030\n \003(\0132\037.borageproxy.control.L" +
-      "easeState\0222\n\007intents\030\013 \003(\0132!.borageproxy" +
-      ".control.IntentRecord\022\032\n\022last_intent_num" +
-      "ber\030\014 \001(\003\0220\n\007crashes\030\r \003(\0132\037.borageproxy" +
-      ".control.CrashState\022(\n\005items\030\016 \003(\0132\031.bor" +
-      "ageproxy.control.Item\022\026\n\016removals_since\030" +
-      "\017 \001(\004J\004\010\003\020\004\"\241\002\n\014WatchRequest\022+\n\005watch\030\001 " +
-      "\001(\0132\032.borageproxy.control.WatchH\000\0226\n\013rea" +
-      "d_served\030\002 \001(\0132\037.borageproxy.control.Rea" +
-      "dServedH\000\0222\n\tread_tree\030\003 \001(\0132\035.boragepro" +
-      "xy.control.ReadTreeH\000\022<\n\016read_revisions\030" +
-      "\004 \001(\0132\".borageproxy.control.ReadRevision" +
-      "sH\000\0222\n\tread_keys\030\005 \001(\0132\035.borageproxy.con" +
-      "trol.ReadKeysH\000B\006\n\004body\"q\n\005Watch\022)\n\002vm\030\001" +
-      " \001(\0132\035.borageproxy.control.VmRecord\022\017\n\007v" +
-      "ersion\030\002 \001(\004\022\027\n\017served_revision\030\003 \001(\004\022\023\n" +
-      "\013wait_millis\030\004 \001(\r\"\014\n\nReadServed\"\034\n\010Read" +
-      "Tree\022\020\n\010revision\030\001 \001(\004\"\017\n\rReadRevisions\"" +
-      "\n\n\010ReadKeys\"\266\002\n\013WatchAnswer\022\021\n\tconfirmed" +
-      "\030\001 \001(\010\022\017\n\007version\030\002 \001(\004\022\020\n\010revision\030\003 \001(" +
-      "\004\022\014\n\004full\030\004 \001(\010\022(\n\005items\030\005 \003(\0132\031.boragep" +
-      "roxy.control.Item\022+\n\006served\030\006 \003(\0132\033.bora" +
-      "geproxy.control.Served\022,\n\004tree\030\007 \001(\0132\036.b" +
-      "orageproxy.control.TreeState\0221\n\trevision" +
-      "s\030\010 \003(\0132\036.borageproxy.control.TreeState\022" +
-      "+\n\004keys\030\t \003(\0132\035.borageproxy.control.KeyS" +
-      "tate\"H\n\006Served\022\n\n\002vm\030\001 \001(\t\022\020\n\010revision\030\002" +
-      " \001(\004\022\022\n\nage_millis\030\003 \001(\004\022\014\n\004zone\030\004 \001(\tB-" +
-      "\n\032org.borageproxy.wire.protoB\017ControlPro" +
-      "tocolb\006proto3"
+      "\004\"U\n\014ReleaseLease\022\014\n\004duty\030\001 \001(\t\022\017\n\007sessi" +
+      "on\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\022\027\n\017expired_renew" +
+      "al\030\004 \001(\004\"\276\001\n\014IntentRecord\022\016\n\006number\030\001 \001(" +
+      "\003\022\r\n\005epoch\030\002 \001(\003\022\016\n\006server\030\003 \001(\t\022\023\n\013inca" +
+      "rnation\030\004 \001(\003\022\023\n\013accelerator\030\005 \001(\t\022\016\n\006ac" +
+      "tion\030\006 \001(\005\022\r\n\005model\030\007 \001(\t\022\017\n\007version\030\010 \001" +
+      "(\t\022\017\n\007adapter\030\t \001(\t\022\024\n\014memory_bytes\030\n \001(" +
+      "\003\"A\n\014RecordIntent\0221\n\006intent\030\001 \001(\0132!.bora" +
+      "geproxy.control.IntentRecord\"0\n\016ResolveI" +
+      "ntents\022\r\n\005epoch\030\001 \001(\003\022\017\n\007numbers\030\002 \003(\003\"\r" +
+      "\n\013ReadIntents\"V\n\013ReportCrash\022\023\n\013fingerpr" +
+      "int\030\001 \001(\t\022\016\n\006server\030\002 \001(\t\022\023\n\013incarnation" +
+      "\030\003 \001(\003\022\r\n\005alone\030\004 \001(\010\"!\n\nClearCrash\022\023\n\013f" +
+      "ingerprint\030\001 \001(\t\"7\n\nRegisterVm\022)\n\002vm\030\001 \001" +
+      "(\0132\035.borageproxy.control.VmRecord\"\030\n\010Rem" +
+      "oveVm\022\014\n\004name\030\001 \001(\t\"B\n\010VmRecord\022\014\n\004name\030" +
+      "\001 \001(\t\022\014\n\004zone\030\002 \001(\t\022\014\n\004host\030\003 \001(\t\022\014\n\004por" +
+      "t\030\004 \001(\005\"\205\005\n\005Reply\0221\n\010accepted\030\001 \001(\0132\035.bo" +
+      "rageproxy.control.AcceptedH\000\022>\n\017change_c" +
+      "onflict\030\002 \001(\0132#.borageproxy.control.Chan" +
+      "geConflictH\000\022B\n\021identity_conflict\030\003 \001(\0132" +
+      "%.borageproxy.control.IdentityConflictH\000" +
+      "\022/\n\007missing\030\004 \001(\0132\034.borageproxy.control." +
+      "MissingH\000\0220\n\005claim\030\005 \001(\0132\037.borageproxy.c" +
+      "ontrol.ClaimReplyH\000\0220\n\005lease\030\006 \001(\0132\037.bor" +
+      "ageproxy.control.LeaseReplyH\000\0223\n\006intent\030" +
+      "\007 \001(\0132!.borageproxy.control.IntentRecord" +
+      "H\000\022-\n\006fenced\030\010 \001(\0132\033.borageproxy.control" +
+      ".FencedH\000\022/\n\007intents\030\t \001(\0132\034.borageproxy" +
+      ".control.IntentsH\000\0220\n\005crash\030\n \001(\0132\037.bora" +
+      "geproxy.control.CrashReplyH\000\022)\n\004done\030\013 \001" +
+      "(\0132\031.borageproxy.control.DoneH\000\0226\n\013key_c" +
+      "reated\030\014 \001(\0132\037.borageproxy.control.KeyCr" +
+      "eatedH\000B\006\n\004body\"\034\n\010Accepted\022\020\n\010revision\030" +
+      "\001 \001(\004\":\n\016ChangeConflict\022\030\n\020current_revis" +
+      "ion\030\001 \001(\004\022\016\n\006holder\030\002 \001(\t\"4\n\020IdentityCon" +
+      "flict\022\016\n\006holder\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\"" +
+      "\t\n\007Missing\"\006\n\004Done\"\037\n\006Fenced\022\025\n\rcurrent_" +
+      "epoch\030\001 \001(\003\"J\n\nKeyCreated\022\020\n\010revision\030\001 " +
+      "\001(\004\022*\n\003key\030\002 \001(\0132\035.borageproxy.control.K" +
+      "eyState\"\351\001\n\nClaimReply\022:\n\010decision\030\001 \001(\016" +
+      "2(.borageproxy.control.ClaimReply.Decisi" +
+      "on\022\r\n\005epoch\030\002 \001(\003\022+\n\006answer\030\003 \001(\0132\033.bora" +
+      "geproxy.control.Answer\"c\n\010Decision\022\013\n\007GR" +
+      "ANTED\020\000\022\014\n\010ANSWERED\020\001\022\017\n\013IN_PROGRESS\020\002\022\020" +
+      "\n\014MAY_HAVE_RUN\020\003\022\014\n\010CONFLICT\020\004\022\013\n\007TOO_OL" +
+      "D\020\005\"<\n\nLeaseReply\022\017\n\007granted\030\001 \001(\010\022\016\n\006ho" +
+      "lder\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\"=\n\007Intents\0222\n\007" +
+      "intents\030\001 \003(\0132!.borageproxy.control.Inte" +
+      "ntRecord\"\037\n\nCrashReply\022\021\n\tsuspicion\030\001 \001(" +
+      "\005\"R\n\010KeyState\022\020\n\010identity\030\001 \001(\t\022\016\n\006diges" +
+      "t\030\002 \001(\t\022\021\n\tworkspace\030\003 \001(\t\022\021\n\twithdrawn\030" +
+      "\004 \001(\010\"v\n\tTreeState\022\020\n\010revision\030\001 \001(\004\022\020\n\010" +
+      "document\030\002 \001(\t\022\027\n\017change_identity\030\003 \001(\t\022" +
+      "\020\n\010operator\030\004 \001(\t\022\032\n\022accepted_at_millis\030" +
+      "\005 \001(\003\"i\n\nLeaseState\022\014\n\004duty\030\001 \001(\t\022\016\n\006hol" +
+      "der\030\002 \001(\t\022\017\n\007session\030\003 \001(\t\022\r\n\005epoch\030\004 \001(" +
+      "\003\022\017\n\007renewal\030\005 \001(\004\022\014\n\004free\030\006 \001(\010\"\304\002\n\nCla" +
+      "imState\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017idempotenc" +
+      "y_key\030\002 \001(\t\022\016\n\006digest\030\003 \001(\t\022\016\n\006holder\030\004 " +
+      "\001(\t\022\r\n\005epoch\030\005 \001(\003\0224\n\005phase\030\006 \001(\0162%.bora" +
+      "geproxy.control.ClaimState.Phase\022\031\n\021held" +
+      "_until_millis\030\007 \001(\003\022\031\n\021expires_at_millis" +
+      "\030\010 \001(\003\022+\n\006answer\030\t \001(\0132\033.borageproxy.con" +
+      "trol.Answer\"B\n\005Phase\022\013\n\007CLAIMED\020\000\022\014\n\010ANS" +
+      "WERED\020\001\022\020\n\014MAY_HAVE_RUN\020\002\022\014\n\010RELEASED\020\003\"" +
+      "b\n\nCrashState\022\023\n\013fingerprint\030\001 \001(\t\022\017\n\007cr" +
+      "ashes\030\002 \003(\t\022\023\n\013quarantined\030\003 \001(\010\022\031\n\021expi" +
+      "res_at_millis\030\004 \001(\003\"l\n\013ChangeState\022\020\n\010id" +
+      "entity\030\001 \001(\t\022\016\n\006digest\030\002 \001(\014\022\020\n\010operator" +
+      "\030\003 \001(\t\022)\n\005reply\030\004 \001(\0132\032.borageproxy.cont" +
+      "rol.Reply\"a\n\017RememberedReply\022\020\n\010identity" +
+      "\030\001 \001(\t\022\021\n\tat_millis\030\002 \001(\003\022)\n\005reply\030\003 \001(\013" +
+      "2\032.borageproxy.control.Reply\"\260\002\n\004Item\022\014\n" +
+      "\004name\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\022.\n\004tree\030\003 \001" +
+      "(\0132\036.borageproxy.control.TreeStateH\000\022,\n\003" +
+      "key\030\004 \001(\0132\035.borageproxy.control.KeyState" +
+      "H\000\0220\n\005lease\030\005 \001(\0132\037.borageproxy.control." +
+      "LeaseStateH\000\0220\n\005crash\030\006 \001(\0132\037.borageprox" +
+      "y.control.CrashStateH\000\022+\n\002vm\030\007 \001(\0132\035.bor" +
+      "ageproxy.control.VmRecordH\000\022\021\n\007removed\030\010" +
+      " \001(\010H\000B\007\n\005value\"\302\004\n\017ControlSnapshot\022\017\n\007v" +
+      "ersion\030\001 \001(\004\022\020\n\010revision\030\002 \001(\004\022/\n\007histor" +
+      "y\030\004 \003(\0132\036.borageproxy.control.TreeState\022" +
+      "+\n\004keys\030\005 \003(\0132\035.borageproxy.control.KeyS" +
+      "tate\0221\n\007changes\030\006 \003(\0132 .borageproxy.cont" +
+      "rol.ChangeState\0225\n\007replies\030\007 \003(\0132$.borag" +
+      "eproxy.control.RememberedReply\022/\n\006claims" +
+      "\030\010 \003(\0132\037.borageproxy.control.ClaimState\022" +
+      "\030\n\020last_claim_epoch\030\t \001(\003\022/\n\006leases\030\n \003(" +
+      "\0132\037.borageproxy.control.LeaseState\0222\n\007in" +
+      "tents\030\013 \003(\0132!.borageproxy.control.Intent" +
+      "Record\022\032\n\022last_intent_number\030\014 \001(\003\0220\n\007cr" +
+      "ashes\030\r \003(\0132\037.borageproxy.control.CrashS" +
+      "tate\022(\n\005items\030\016 \003(\0132\031.borageproxy.contro" +
+      "l.Item\022\026\n\016removals_since\030\017 \001(\004J\004\010\003\020\004\"\241\002\n" +
+      "\014WatchRequest\022+\n\005watch\030\001 \001(\0132\032.boragepro" +
+      "xy.control.WatchH\000\0226\n\013read_served\030\002 \001(\0132" +
+      "\037.borageproxy.control.ReadServedH\000\0222\n\tre" +
+      "ad_tree\030\003 \001(\0132\035.borageproxy.control.Read" +
+      "TreeH\000\022<\n\016read_revisions\030\004 \001(\0132\".boragep" +
+      "roxy.control.ReadRevisionsH\000\0222\n\tread_key" +
+      "s\030\005 \001(\0132\035.borageproxy.control.ReadKeysH\000" +
+      "B\006\n\004body\"q\n\005Watch\022)\n\002vm\030\001 \001(\0132\035.boragepr" +
+      "oxy.control.VmRecord\022\017\n\007version\030\002 \001(\004\022\027\n" +
+      "\017served_revision\030\003 \001(\004\022\023\n\013wait_millis\030\004 " +
+      "\001(\r\"\014\n\nReadServed\"\034\n\010ReadTree\022\020\n\010revisio" +
+      "n\030\001 \001(\004\"\017\n\rReadRevisions\"\n\n\010ReadKeys\"\266\002\n" +
+      "\013WatchAnswer\022\021\n\tconfirmed\030\001 \001(\010\022\017\n\007versi" +
+      "on\030\002 \001(\004\022\020\n\010revision\030\003 \001(\004\022\014\n\004full\030\004 \001(\010" +
+      "\022(\n\005items\030\005 \003(\0132\031.borageproxy.control.It" +
+      "em\022+\n\006served\030\006 \003(\0132\033.borageproxy.control" +
+      ".Served\022,\n\004tree\030\007 \001(\0132\036.borageproxy.cont" +
+      "rol.TreeState\0221\n\trevisions\030\010 \003(\0132\036.borag" +
+      "eproxy.control.TreeState\022+\n\004keys\030\t \003(\0132\035" +
+      ".borageproxy.control.KeyState\"H\n\006Served\022" +
+      "\n\n\002vm\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\022\n\nage_mil" +
+      "lis\030\003 \001(\004\022\014\n\004zone\030\004 \001(\tB-\n\032org.boragepro" +
+      "xy.wire.protoB\017ControlProtocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -51108,7 +51201,7 @@
     internal_static_borageproxy_control_ReleaseLease_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ReleaseLease_descriptor,
-        new java.lang.String[] { "Duty", "Session", "Epoch", });
+        new java.lang.String[] { "Duty", "Session", "Epoch", "ExpiredRenewal", });
     internal_static_borageproxy_control_IntentRecord_descriptor =
       getDescriptor().getMessageType(13);
     internal_static_borageproxy_control_IntentRecord_fieldAccessorTable = new
