Let a suspect request wait for a busy replica instead of the failed one

Cause: after an engine was killed, requests that had run on it must run alone. The other engines were busy and the dead one idle, so each of the four attempts went to the dead one within milliseconds, and the streams ended cut with NO_REPLICA though two engines lived. Ruled out: the retry budget (50 in reserve, 8 used); a wrong quarantine (the answer was 3004, not 4004). Change: ReplicaQuery.eligible leaves out what failed the request while another replica is alive, for the choice and for the reservation.

--- a/src/main/java/org/borageproxy/execution/ExclusiveWait.java
+++ b/src/main/java/org/borageproxy/execution/ExclusiveWait.java
@@ -49,8 +49,7 @@
             reserveAfter = Deadline.after(nowNanos, PATIENCE);
         }
         if (reserved == null && reserveAfter.hasPassed(nowNanos)) {
-            servers.stream()
-                    .filter(query.target()::servedBy)
+            query.eligible(servers).stream()
                     .map(BackendServer::name)
                     .min(Comparator.comparingInt(name -> table.usage(name).inFlight()))
                     .filter(table::reserve)
--- a/src/main/java/org/borageproxy/routing/ReplicaQuery.java
+++ b/src/main/java/org/borageproxy/routing/ReplicaQuery.java
@@ -1,11 +1,13 @@
 package org.borageproxy.routing;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerKind;
 import org.borageproxy.membership.BackendServerName;
+import org.borageproxy.membership.BackendServerState;
 import org.borageproxy.vm.AvailabilityZone;
 
 /**
@@ -31,6 +33,35 @@
         tried = Map.copyOf(tried);
     }
 
+    /**
+     * Returns the backend servers that may get the request. One that failed it before is left out while another one is
+     * alive, even if that one is busy now: the failed one is idle because it may be gone.
+     *
+     * @param servers all backend servers
+     * @return the backend servers that have what the request needs
+     */
+    public List<BackendServer> eligible(List<BackendServer> servers) {
+        List<BackendServer> serving = servers.stream()
+                .filter(server -> server.state() != BackendServerState.LEAVING)
+                .filter(target::servedBy)
+                .toList();
+        boolean otherAlive =
+                serving.stream().anyMatch(server -> server.state() == BackendServerState.ALIVE && !wasTriedOn(server));
+        return otherAlive
+                ? serving.stream().filter(server -> !wasTriedOn(server)).toList()
+                : serving;
+    }
+
+    /**
+     * Tells whether a backend server failed this request before.
+     *
+     * @param server the backend server
+     * @return {@code true} if it did
+     */
+    private boolean wasTriedOn(BackendServer server) {
+        return tried.containsKey(server.name());
+    }
+
     /** What must be loaded or offered. Implementations are immutable. */
     public sealed interface Target {
 
--- a/src/main/java/org/borageproxy/routing/ReplicaSelector.java
+++ b/src/main/java/org/borageproxy/routing/ReplicaSelector.java
@@ -51,9 +51,7 @@
             Function<BackendServerName, ServerTable.Usage> usages,
             long nowNanos,
             RandomGenerator random) {
-        List<Candidate> serving = servers.stream()
-                .filter(server -> server.state() != BackendServerState.LEAVING)
-                .filter(query.target()::servedBy)
+        List<Candidate> serving = query.eligible(servers).stream()
                 .map(server -> new Candidate(server, usages.apply(server.name())))
                 .toList();
         if (serving.isEmpty()) {
@@ -90,11 +88,9 @@
      */
     private static List<Candidate> preferred(
             ReplicaQuery query, List<Candidate> free, boolean lookUntrusted, long nowNanos) {
-        List<Candidate> untried = narrowed(
-                free, candidate -> !query.tried().containsKey(candidate.server().name()));
         List<Candidate> trusted = lookUntrusted
-                ? untried
-                : narrowed(untried, candidate -> !candidate.looksLost() || candidate.admitsProbe(nowNanos));
+                ? free
+                : narrowed(free, candidate -> !candidate.looksLost() || candidate.admitsProbe(nowNanos));
         List<Candidate> otherZone = query.tried().isEmpty()
                 ? trusted
                 : narrowed(trusted, candidate -> !query.tried()
--- a/src/test/java/org/borageproxy/process/Caller.java
+++ b/src/test/java/org/borageproxy/process/Caller.java
@@ -1,10 +1,15 @@
 package org.borageproxy.process;
 
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 
 /** A caller of the fleet's HTTP interfaces. Safe for use by any thread. */
@@ -23,6 +28,23 @@
         return client.send(request.build(), HttpResponse.BodyHandlers.ofString());
     }
 
+    /** Reads a streamed answer; the text ends with "(cut)" if the connection ended before the answer. */
+    String stream(String host, int port, String path, String key, String body)
+            throws IOException, InterruptedException {
+        HttpRequest.Builder request = request(host, port, path, key)
+                .header("content-type", "application/json")
+                .POST(HttpRequest.BodyPublishers.ofString(body));
+        HttpResponse<InputStream> response = client.send(request.build(), HttpResponse.BodyHandlers.ofInputStream());
+        StringBuilder text = new StringBuilder();
+        try (BufferedReader lines =
+                new BufferedReader(new InputStreamReader(response.body(), StandardCharsets.UTF_8))) {
+            lines.lines().forEach(line -> text.append(line).append('\n'));
+        } catch (UncheckedIOException exception) {
+            text.append("(cut)");
+        }
+        return text.toString();
+    }
+
     HttpResponse<String> get(String host, int port, String path, String key, String... headers)
             throws IOException, InterruptedException {
         return client.send(request(host, port, path, key, headers).GET().build(), HttpResponse.BodyHandlers.ofString());
--- a/src/test/java/org/borageproxy/process/RequestFailureTest.java
+++ b/src/test/java/org/borageproxy/process/RequestFailureTest.java
@@ -56,6 +56,15 @@
         }
     }
 
+    private String stream(FleetProcesses fleet, String vm, String key, String content) {
+        FleetProcesses.VmPorts ports = fleet.portsOf(vm);
+        try {
+            return caller.stream(ports.host(), ports.callers(), "/v1/chat/completions", key, chat(content, true));
+        } catch (IOException | InterruptedException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+
     private String started(FleetProcesses fleet) throws Exception {
         fleet.startAll();
         for (String vm : fleet.vms()) {
@@ -113,14 +122,13 @@
             List<CompletableFuture<String>> streams = new ArrayList<>();
             for (int stream = 0; stream < STREAMS; stream++) {
                 String vm = fleet.vms().get(stream % 2);
-                streams.add(CompletableFuture.supplyAsync(
-                        () -> send(fleet, vm, key, chat("pick list", true)).body(), callers));
+                streams.add(CompletableFuture.supplyAsync(() -> stream(fleet, vm, key, "pick list"), callers));
             }
             Thread.sleep(700);
             fleet.kill("engine-1");
             for (CompletableFuture<String> stream : streams) {
-                assertEquals(whole, text(stream.get()));
-                assertTrue(stream.get().strip().endsWith("data: [DONE]"));
+                assertEquals(whole, text(stream.get()), () -> stream.join() + fleet.logTails());
+                assertTrue(stream.get().strip().endsWith("data: [DONE]"), stream.get());
             }
         }
     }
--- a/src/test/java/org/borageproxy/routing/ReplicaSelectorTest.java
+++ b/src/test/java/org/borageproxy/routing/ReplicaSelectorTest.java
@@ -104,6 +104,15 @@
         }
     }
 
+    @Test
+    void waitsForABusyReplicaRatherThanGoBackToTheOneThatFailed() {
+        use("engine-2", 1, false, Circuit.CLOSED);
+        Map<BackendServerName, AvailabilityZone> tried = Map.of(new BackendServerName("engine-1"), ZONE);
+        ReplicaQuery query = query("", tried, true);
+        assertEquals(Selection.Busy.INSTANCE, select(query, alive("engine-1"), alive("engine-2")));
+        assertEquals("engine-1", chosen(query, alive("engine-1")));
+    }
+
     @Test
     void needsTheAdapterLoaded() {
         assertEquals("engine-1", chosen(query("quilt", Map.of(), false), alive("engine-1")));
