--- a/src/main/java/org/borageproxy/command/CommandLine.java
+++ b/src/main/java/org/borageproxy/command/CommandLine.java
@@ -32,6 +32,7 @@
         add("demo", "run a VM, a model engine and a plain service in one process", DemoCommand::new);
         add("bootstrap", "create the durable state of a VM of a new control group", BootstrapCommand::new);
         add("join", "create the empty durable state of a VM that replaces a lost one", JoinCommand::new);
+        add("recover", "make this VM the only voter of a new group after a lost majority", RecoverCommand::new);
         add("apply", "change the settings tree", ApplyCommand::new);
         add("get", "print the settings tree, or with --effective the values in force", GetCommand::new);
         add("diff", "print what differs between two revisions", DiffCommand::new);
@@ -42,6 +43,7 @@
         add("drain", "shut one VM down gracefully", DrainCommand::new);
         add("timeline", "print the events of all VMs in one order", TimeLineCommand::new);
         add("check-settings", "check a settings file without starting", CheckSettingsCommand::new);
+        add("experiment", "compare policies with a baseline on seeded traces", ExperimentCommand::new);
         add("standin", "run a stand-in backend server or weight store", StandInCommand::new);
         add("version", "print the version", VersionCommand::new);
     }
--- a/src/main/java/org/borageproxy/log/CoreThread.java
+++ b/src/main/java/org/borageproxy/log/CoreThread.java
@@ -442,12 +442,6 @@
      */
     private void report(Effect.RoleChanged changed) {
         String leader = changed.leader().map(Object::toString).orElse("none");
-        LOGGER.info(
-                "event=log-role-changed member={} role={} term={} leader={}",
-                self,
-                changed.role(),
-                changed.term(),
-                leader);
         context.events()
                 .record(Event.named("log-role-changed")
                         .with("member", self)
--- a/src/test/java/org/borageproxy/process/FleetProcesses.java
+++ b/src/test/java/org/borageproxy/process/FleetProcesses.java
@@ -227,6 +227,10 @@
         process.waitFor();
     }
 
+    long pid(String name) {
+        return processes.get(name).pid();
+    }
+
     boolean isAlive(String name) {
         return processes.get(name).isAlive();
     }
