Attach body handlers on the event loop of the answer

The answer's head had come, its body never did: the chain request, send, body was built on another thread, so the body's handler could be attached after the body had passed. The operators' client and the reader of engines' states had the same chain. Ruled out: the store (it received every request), the pool (a trace showed each request and each answer's head). Change: the handler is attached inside the callback of the send, there and in the tests; the request path did so already. The time limits stay.

--- a/src/main/java/org/borageproxy/command/OperatorClient.java
+++ b/src/main/java/org/borageproxy/command/OperatorClient.java
@@ -126,9 +126,8 @@
                 .setURI(path)
                 .putHeader("authorization", "Bearer " + credential);
         Buffer content = body == null ? Buffer.buffer() : body.toBuffer();
-        Future<Answer> answer = client.request(options)
-                .compose(request -> request.send(content))
-                .compose(response -> response.body().map(bytes -> new Answer(response.statusCode(), parsed(bytes))));
+        Future<Answer> answer = client.request(options).compose(request -> request.send(content)
+                .compose(response -> response.body().map(bytes -> new Answer(response.statusCode(), parsed(bytes)))));
         return answer.toCompletionStage().toCompletableFuture().get(CALL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
--- a/src/main/java/org/borageproxy/engine/HttpOrderClient.java
+++ b/src/main/java/org/borageproxy/engine/HttpOrderClient.java
@@ -110,17 +110,27 @@
     public CompletionStage<Optional<EngineState>> state(BackendServer server) {
         CompletableFuture<Optional<EngineState>> result = new CompletableFuture<>();
         states.request(options(server, HttpMethod.GET, "/v1/state"))
-                .compose(HttpClientRequest::send)
-                .compose(response -> response.body()
-                        .map(body -> response.statusCode() == 200
-                                ? EngineStateParser.parse(body.toString())
-                                : Optional.<EngineState>empty()))
+                .compose(request -> request.send().compose(HttpOrderClient::readState))
                 .onSuccess(state ->
                         result.complete(state.filter(read -> read.name().equals(server.name()))))
                 .onFailure(failure -> result.complete(Optional.empty()));
         return result;
     }
 
+    /**
+     * Reads the state in an answer. Called on the event loop of the answer, since a handler that is attached from
+     * another thread may come after the body.
+     *
+     * @param response the response
+     * @return succeeds with the state, empty if the answer holds none
+     */
+    private static Future<Optional<EngineState>> readState(HttpClientResponse response) {
+        return response.body()
+                .map(body -> response.statusCode() == 200
+                        ? EngineStateParser.parse(body.toString())
+                        : Optional.<EngineState>empty());
+    }
+
     /**
      * Returns the options of a request to an engine.
      *
--- a/src/test/java/org/borageproxy/membership/AnnounceServerTest.java
+++ b/src/test/java/org/borageproxy/membership/AnnounceServerTest.java
@@ -77,9 +77,9 @@
 
     private String post(String path, String authorization, String body) throws Exception {
         return await(client.request(HttpMethod.POST, port, "127.0.0.1", path)
-                .compose(request ->
-                        request.putHeader("authorization", authorization).send(body))
-                .compose(response -> response.body().map(answer -> response.statusCode() + " " + answer)));
+                .compose(request -> request.putHeader("authorization", authorization)
+                        .send(body)
+                        .compose(response -> response.body().map(answer -> response.statusCode() + " " + answer))));
     }
 
     private static <T> T await(Future<T> future) throws Exception {
--- a/src/test/java/org/borageproxy/process/RequestFailureTest.java
+++ b/src/test/java/org/borageproxy/process/RequestFailureTest.java
@@ -24,6 +24,8 @@
 class RequestFailureTest {
 
     private static final String MARKER = "poison-requisition";
+    private static final String WARM_UP =
+            "{\"model\":\"llama\",\"messages\":[{\"role\":\"user\",\"content\":\"warm\"}],\"max_tokens\":1}";
     private static final int STREAMS = 8;
 
     @TempDir
--- a/src/test/java/org/borageproxy/standin/ModelEngineTest.java
+++ b/src/test/java/org/borageproxy/standin/ModelEngineTest.java
@@ -121,8 +121,7 @@
                 .put("maximum_output_tokens", 64)
                 .put("resume_from", resumeFrom);
         return await(client.request(HttpMethod.POST, port, "127.0.0.1", "/v1/run")
-                .compose(request -> request.send(body.toBuffer()))
-                .compose(response -> response.body())
+                .compose(request -> request.send(body.toBuffer()).compose(response -> response.body()))
                 .map(Object::toString));
     }
 
@@ -147,8 +146,7 @@
 
     private JsonObject get(String path) throws Exception {
         return await(client.request(HttpMethod.GET, port, "127.0.0.1", path)
-                .compose(request -> request.send())
-                .compose(response -> response.body())
+                .compose(request -> request.send().compose(response -> response.body()))
                 .map(body -> body.toJsonObject()));
     }
 
--- a/src/test/java/org/borageproxy/standin/PlainServiceTest.java
+++ b/src/test/java/org/borageproxy/standin/PlainServiceTest.java
@@ -74,14 +74,12 @@
 
     private Future<?> weights(int storePort, String path) {
         return client.request(HttpMethod.GET, storePort, "127.0.0.1", path)
-                .compose(request -> request.send())
-                .compose(response -> response.body());
+                .compose(request -> request.send().compose(response -> response.body()));
     }
 
     private void faults(JsonObject json) throws Exception {
         await(client.request(HttpMethod.POST, port, "127.0.0.1", "/faults")
-                .compose(request -> request.send(json.toBuffer()))
-                .compose(response -> response.body()));
+                .compose(request -> request.send(json.toBuffer()).compose(response -> response.body())));
     }
 
     private Future<HttpClientResponse> send(String identity, String body) {
@@ -91,13 +89,16 @@
     }
 
     private String post(String identity, String body) throws Exception {
-        return await(send(identity, body).compose(response -> response.body()).map(Object::toString));
+        return await(client.request(HttpMethod.POST, port, "127.0.0.1", "/stock")
+                .compose(request -> request.putHeader("borageproxy-request-id", identity)
+                        .send(body)
+                        .compose(response -> response.body()))
+                .map(Object::toString));
     }
 
     private JsonObject counters(int counted) throws Exception {
         return await(client.request(HttpMethod.GET, counted, "127.0.0.1", "/counters")
-                .compose(request -> request.send())
-                .compose(response -> response.body())
+                .compose(request -> request.send().compose(response -> response.body()))
                 .map(body -> body.toJsonObject()));
     }
 
