--- a/src/main/java/org/borageproxy/event/TimeLine.java
+++ b/src/main/java/org/borageproxy/event/TimeLine.java
@@ -5,6 +5,7 @@
 import java.util.Deque;
 import java.util.List;
 
+import org.borageproxy.vm.AvailabilityZone;
 import org.borageproxy.vm.VmName;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -23,6 +24,8 @@
 
     /** The name of this VM. */
     private final VmName vm;
+    /** The availability zone of this VM. */
+    private final AvailabilityZone zone;
     /** The clock that gives the timestamps. */
     private final HybridClock clock;
     /** The entries, oldest first; guarded by this object's monitor. */
@@ -32,17 +35,19 @@
      * Creates an empty time line.
      *
      * @param vm the name of this VM
+     * @param zone the availability zone of this VM
      * @param clock the clock that gives the timestamps
      */
-    public TimeLine(VmName vm, HybridClock clock) {
+    public TimeLine(VmName vm, AvailabilityZone zone, HybridClock clock) {
         this.vm = vm;
+        this.zone = zone;
         this.clock = clock;
     }
 
     @Override
     public void record(Event event) {
         TimeLineEntry entry = append(event);
-        LOGGER.info("{}", entry.toLine());
+        LOGGER.info("zone={} {}", zone, entry.toLine());
     }
 
     /**
--- a/src/main/java/org/borageproxy/event/TimeLineEntry.java
+++ b/src/main/java/org/borageproxy/event/TimeLineEntry.java
@@ -29,7 +29,7 @@
      */
     public String toLine() {
         StringBuilder line = new StringBuilder();
-        line.append("time=").append(timestamp.millis());
+        line.append("clock=").append(timestamp.millis());
         line.append('.').append(timestamp.counter());
         line.append(" vm=").append(vm);
         line.append(" event=").append(event.name());
--- a/src/main/java/org/borageproxy/server/VmFoundation.java
+++ b/src/main/java/org/borageproxy/server/VmFoundation.java
@@ -66,7 +66,7 @@
         return new VmFoundation(
                 settings,
                 clock,
-                new TimeLine(self.name(), hybridClock),
+                new TimeLine(self.name(), self.zone(), hybridClock),
                 Vertx.vertx(vertxOptions()),
                 timerExecutor(),
                 directory,
