--- a/src/main/java/org/borageproxy/command/CommandLine.java
+++ b/src/main/java/org/borageproxy/command/CommandLine.java
@@ -29,6 +29,7 @@
     /** Creates a command line with all commands. */
     public CommandLine() {
         add("serve", "run a VM as its settings say", ServeCommand::new);
+        add("platform", "run a VM on the platform, as its settings file says", PlatformCommand::new);
         add("demo", "run a VM, a model engine and a plain service in one process", DemoCommand::new);
         add("bootstrap", "create the durable state of a VM of a new control group", BootstrapCommand::new);
         add("join", "create the empty durable state of a VM that replaces a lost one", JoinCommand::new);
--- a/src/main/java/org/borageproxy/control/ControlState.java
+++ b/src/main/java/org/borageproxy/control/ControlState.java
@@ -11,11 +11,14 @@
 import org.borageproxy.wire.proto.ControlProtocol.ClaimState;
 import org.borageproxy.wire.proto.ControlProtocol.Command;
 import org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot;
+import org.borageproxy.wire.proto.ControlProtocol.DocumentHeld;
+import org.borageproxy.wire.proto.ControlProtocol.DocumentState;
 import org.borageproxy.wire.proto.ControlProtocol.Done;
 import org.borageproxy.wire.proto.ControlProtocol.Item;
 import org.borageproxy.wire.proto.ControlProtocol.KeyState;
 import org.borageproxy.wire.proto.ControlProtocol.LeaseState;
 import org.borageproxy.wire.proto.ControlProtocol.Missing;
+import org.borageproxy.wire.proto.ControlProtocol.PublishDocument;
 import org.borageproxy.wire.proto.ControlProtocol.Reply;
 import org.borageproxy.wire.proto.ControlProtocol.TreeState;
 import org.borageproxy.wire.proto.ControlProtocol.VmRecord;
@@ -35,6 +38,9 @@
     /** Stands before the name of a VM in the name of its record. */
     private static final String VM_PREFIX = "vm/";
 
+    /** The name of the item that holds the published document. */
+    private static final String DOCUMENT = "document";
+
     /** Guards all tables. */
     private final ReentrantLock lock = new ReentrantLock();
 
@@ -233,6 +239,20 @@
         }
     }
 
+    /**
+     * Returns the published document.
+     *
+     * @return the document with the highest number, empty before the first
+     */
+    public Optional<DocumentState> document() {
+        lock.lock();
+        try {
+            return spread.find(DOCUMENT).map(Item::getDocument);
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /**
      * Returns the leases.
      *
@@ -298,6 +318,7 @@
                 register(command.getRegisterVm().getVm());
                 yield done();
             }
+            case PUBLISH_DOCUMENT -> publish(command.getPublishDocument());
             case REMOVE_VM -> removeVm(command.getRemoveVm().getName());
             default ->
                 Reply.newBuilder().setMissing(Missing.getDefaultInstance()).build();
@@ -313,6 +334,29 @@
         spread.put(Item.newBuilder().setName(VM_PREFIX + vm.getName()).setVm(vm));
     }
 
+    /**
+     * Replaces the published document by one with a higher number; any other is held to be known.
+     *
+     * @param change the document
+     * @return the number of the document in force
+     */
+    private Reply publish(PublishDocument change) {
+        long held = spread.find(DOCUMENT)
+                .map(item -> item.getDocument().getNumber())
+                .orElse(0L);
+        if (change.getNumber() > held) {
+            DocumentState document = DocumentState.newBuilder()
+                    .setNumber(change.getNumber())
+                    .setContent(change.getContent())
+                    .build();
+            spread.put(Item.newBuilder().setName(DOCUMENT).setDocument(document));
+            held = change.getNumber();
+        }
+        return Reply.newBuilder()
+                .setDocumentHeld(DocumentHeld.newBuilder().setNumber(held))
+                .build();
+    }
+
     /**
      * Removes the record of a VM; a VM that still runs registers again.
      *
--- /dev/null
+++ b/src/main/java/org/borageproxy/coordination/HeldModels.java
@@ -0,0 +1,85 @@
+package org.borageproxy.coordination;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+
+import org.borageproxy.membership.BackendServer;
+import org.borageproxy.membership.LoadedModel;
+import org.borageproxy.wire.proto.CoordinationProtocol.HeldModel;
+import org.borageproxy.wire.proto.CoordinationProtocol.ServerContent;
+
+/**
+ * The models and adapters that one incarnation of a backend server holds. Immutable and thread safe.
+ *
+ * @param incarnation the incarnation
+ * @param orders the number of orders that the server had accepted
+ * @param adaptersByModel the adapters of each model that can be used
+ * @param arriving the models that are being loaded
+ */
+public record HeldModels(
+        long incarnation, long orders, Map<String, Set<String>> adaptersByModel, Set<String> arriving) {
+
+    /** Copies the collections. */
+    public HeldModels {
+        adaptersByModel = Map.copyOf(adaptersByModel);
+        arriving = Set.copyOf(arriving);
+    }
+
+    /**
+     * Returns what a server announced.
+     *
+     * @param server the server
+     * @return its models, before any order
+     */
+    public static HeldModels announcedBy(BackendServer server) {
+        Map<String, Set<String>> adapters = new HashMap<>();
+        for (LoadedModel model : server.models()) {
+            adapters.put(model.model(), model.adapters());
+        }
+        return new HeldModels(server.incarnation(), 0, adapters, Set.of());
+    }
+
+    /**
+     * Decodes what the coordinator knows.
+     *
+     * @param encoded the encoded content
+     * @return the models
+     */
+    public static HeldModels decode(ServerContent encoded) {
+        Map<String, Set<String>> adapters = new HashMap<>();
+        for (HeldModel model : encoded.getModelsList()) {
+            adapters.put(model.getModel(), Set.copyOf(model.getAdaptersList()));
+        }
+        return new HeldModels(
+                encoded.getIncarnation(), encoded.getOrders(), adapters, Set.copyOf(encoded.getArrivingList()));
+    }
+
+    /**
+     * Encodes these models.
+     *
+     * @param name the server's name
+     * @return the encoded content
+     */
+    public ServerContent encode(String name) {
+        ServerContent.Builder content = ServerContent.newBuilder()
+                .setName(name)
+                .setIncarnation(incarnation)
+                .setOrders(orders);
+        adaptersByModel.forEach((model, adapters) ->
+                content.addModels(HeldModel.newBuilder().setModel(model).addAllAdapters(adapters)));
+        return content.addAllArriving(arriving).build();
+    }
+
+    /**
+     * Tells whether a request can run.
+     *
+     * @param model the model
+     * @param adapter the adapter; empty for none
+     * @return {@code true} if both can be used
+     */
+    public boolean holds(String model, String adapter) {
+        Set<String> adapters = adaptersByModel.get(model);
+        return adapters != null && (adapter.isEmpty() || adapters.contains(adapter));
+    }
+}
--- a/src/main/java/org/borageproxy/entry/AmbiguousFramingException.java
+++ b/src/main/java/org/borageproxy/entry/AmbiguousFramingException.java
@@ -1,7 +1,7 @@
 package org.borageproxy.entry;
 
 /** Says that a request states the length of its body in more than one way. Immutable. */
-final class AmbiguousFramingException extends IllegalArgumentException {
+public final class AmbiguousFramingException extends IllegalArgumentException {
 
     /** Creates an exception. */
     AmbiguousFramingException() {
--- a/src/main/java/org/borageproxy/entry/StrictRequestDecoder.java
+++ b/src/main/java/org/borageproxy/entry/StrictRequestDecoder.java
@@ -11,7 +11,7 @@
  * Decodes requests and refuses those with both Content-Length and Transfer-Encoding, of which the usual decoder drops
  * the former without a trace. Confined to the connection's event loop.
  */
-final class StrictRequestDecoder extends VertxHttpRequestDecoder {
+public final class StrictRequestDecoder extends VertxHttpRequestDecoder {
 
     /** The name of the decoder in the pipeline of a connection. */
     private static final String NAME = "httpDecoder";
@@ -31,7 +31,7 @@
      * @param connection the connection
      * @param options the options of the server
      */
-    static void install(HttpConnection connection, HttpServerOptions options) {
+    public static void install(HttpConnection connection, HttpServerOptions options) {
         ChannelPipeline pipeline = ((ConnectionBase) connection).channel().pipeline();
         pipeline.replace(NAME, NAME, new StrictRequestDecoder(options));
     }
--- a/src/main/java/org/borageproxy/execution/RetryBudget.java
+++ b/src/main/java/org/borageproxy/execution/RetryBudget.java
@@ -10,7 +10,7 @@
     /** The share of a retry that a first attempt deposits. */
     private final double share;
     /** The largest balance, in retries. */
-    private final double maximum;
+    private double maximum;
     /** The balance in retries. */
     private double balance;
 
@@ -43,4 +43,14 @@
         balance -= 1.0;
         return true;
     }
+
+    /**
+     * Changes the largest balance.
+     *
+     * @param newMaximum the largest balance, in retries
+     */
+    public synchronized void limit(double newMaximum) {
+        maximum = newMaximum;
+        balance = Math.min(balance, maximum);
+    }
 }
--- /dev/null
+++ b/src/main/java/org/borageproxy/forward/CallerProtocol.java
@@ -0,0 +1,46 @@
+package org.borageproxy.forward;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.vertx.core.MultiMap;
+
+/**
+ * Names and formats of the heads that callers and backend servers exchange. Decides nothing. Implementations are
+ * immutable and thread safe.
+ */
+public interface CallerProtocol {
+
+    /**
+     * Reads the head of a caller's request.
+     *
+     * @param headers the headers
+     * @return what they say; fields that are malformed count as absent
+     */
+    CallerFields read(MultiMap headers);
+
+    /**
+     * Makes the headers of a request to a backend server: the caller's without its key and without what is not the
+     * caller's to set, and what the dispatch adds.
+     *
+     * @param headers the caller's headers
+     * @param dispatch what is added
+     * @return the headers, without those that concern one connection
+     */
+    HttpHeaders forwarded(MultiMap headers, Dispatch dispatch);
+
+    /**
+     * Reads the head of a backend server's answer.
+     *
+     * @param status the status
+     * @param headers the headers
+     * @return what they say
+     */
+    ServerAnswer answer(int status, HttpHeaders headers);
+
+    /**
+     * What the head of an answer says. Immutable and thread safe.
+     *
+     * @param identity the identity of the request that was answered; empty if none is stated
+     * @param notRun whether the server states that it did not run the request
+     */
+    record ServerAnswer(String identity, boolean notRun) {}
+}
--- /dev/null
+++ b/src/main/java/org/borageproxy/forward/PromptMemory.java
@@ -0,0 +1,76 @@
+package org.borageproxy.forward;
+
+import java.util.LinkedHashMap;
+
+/**
+ * The prompt parts that a backend server has read lately on this VM's requests, the least recently used forgotten
+ * first, as engines do. A part counts only behind all parts before it. Not thread safe.
+ */
+final class PromptMemory {
+
+    private final long mostTokens;
+    private final LinkedHashMap<String, Integer> tokensByPath = new LinkedHashMap<>(16, 0.75f, true);
+    private long tokens;
+
+    PromptMemory(long mostTokens) {
+        this.mostTokens = mostTokens;
+    }
+
+    /**
+     * Returns how much of a prompt the server has likely kept.
+     *
+     * @param work the work
+     * @return the tokens of the leading parts that were read lately
+     */
+    int kept(CallerFields.EngineWork work) {
+        int kept = 0;
+        StringBuilder path = weights(work);
+        for (CallerFields.PromptPart part : work.parts()) {
+            path.append('/').append(part.identity());
+            if (!tokensByPath.containsKey(path.toString())) {
+                break;
+            }
+            kept += part.tokens();
+        }
+        return kept;
+    }
+
+    /**
+     * Notes that the server reads a prompt.
+     *
+     * @param work the work
+     */
+    void read(CallerFields.EngineWork work) {
+        StringBuilder path = weights(work);
+        for (CallerFields.PromptPart part : work.parts()) {
+            path.append('/').append(part.identity());
+            if (tokensByPath.put(path.toString(), part.tokens()) == null) {
+                tokens += part.tokens();
+            }
+        }
+        var eldest = tokensByPath.entrySet().iterator();
+        while (tokens > mostTokens && eldest.hasNext()) {
+            tokens -= eldest.next().getValue();
+            eldest.remove();
+        }
+    }
+
+    /**
+     * Forgets all parts that were read with the weights of a model.
+     *
+     * @param model the model
+     */
+    void forget(String model) {
+        tokensByPath.entrySet().removeIf(entry -> {
+            boolean ofModel = entry.getKey().startsWith(model + '+');
+            if (ofModel) {
+                tokens -= entry.getValue();
+            }
+            return ofModel;
+        });
+    }
+
+    private static StringBuilder weights(CallerFields.EngineWork work) {
+        return new StringBuilder(work.model()).append('+').append(work.adapter());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/borageproxy/forward/ServerChoice.java
@@ -0,0 +1,135 @@
+package org.borageproxy.forward;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import java.util.stream.IntStream;
+
+import org.borageproxy.membership.BackendServer;
+import org.borageproxy.membership.BackendServerName;
+import org.borageproxy.membership.BackendServerState;
+import org.borageproxy.publication.EnginePool;
+import org.borageproxy.vm.AvailabilityZone;
+
+/**
+ * Chooses the backend server of a request by predicted time to the answer, or to its first event. A pure function of
+ * the candidates. Stateless and thread safe.
+ */
+enum ServerChoice {
+    /** The only choice. */
+    INSTANCE;
+
+    /** Prompt tokens that an engine reads in a millisecond, until its own pace is known; from the users' sheets. */
+    private static final double PROMPT_TOKENS_PER_MILLISECOND = 19.0;
+    /** Milliseconds of a decoding step; from the users' sheets. */
+    private static final double STEP_MILLISECONDS = 10.0;
+    /** Milliseconds that each request in the batch adds to a step; from the users' sheets. */
+    private static final double STEP_MILLISECONDS_PER_REQUEST = 0.04;
+    /** Milliseconds of a plain service's request until its own pace is known; from the users' sheets. */
+    private static final double SERVICE_MILLISECONDS = 60.0;
+    /** Milliseconds by which another availability zone counts as slower. */
+    private static final double ZONE_MILLISECONDS = 4.0;
+    /** Milliseconds that a surely failing server counts as slower. */
+    private static final double FAILURE_MILLISECONDS = 1_500.0;
+    /** The part of an engine's cache beyond which requests wait for memory. */
+    private static final double USABLE_CACHE = 0.85;
+    /** Milliseconds that a request waits for each whole cache of tokens beyond the usable part. */
+    private static final double FULL_CACHE_MILLISECONDS = 4_000.0;
+
+    /**
+     * What is asked for.
+     *
+     * @param work the work of an engine; empty for a plain service
+     * @param engines the engines of the service; empty for a plain service
+     * @param zone the availability zone of this VM
+     * @param tried the servers that are not asked again
+     */
+    record Query(
+            Optional<CallerFields.EngineWork> work,
+            Optional<EnginePool> engines,
+            AvailabilityZone zone,
+            Set<BackendServerName> tried) {}
+
+    /**
+     * A server that can run the request.
+     *
+     * @param server the server
+     * @param use what is in flight there
+     * @param pace the pace of its model in proportion to the expected one
+     */
+    record Candidate(BackendServer server, ServerUse use, double pace) {}
+
+    /**
+     * The chosen server.
+     *
+     * @param server the server
+     * @param expectedMillis the predicted time to the answer or its first event
+     * @param unreadTokens the prompt tokens that the server has to read
+     */
+    record Chosen(BackendServer server, double expectedMillis, int unreadTokens) {}
+
+    /**
+     * Chooses a server.
+     *
+     * @param query what is asked for
+     * @param candidates the servers that can run it
+     * @param nowNanos the reading of the clock
+     * @param random decides between equals
+     * @return empty if there is no candidate
+     */
+    Optional<Chosen> choose(Query query, List<Candidate> candidates, long nowNanos, RandomGenerator random) {
+        List<Candidate> untried = candidates.stream()
+                .filter(candidate -> !query.tried().contains(candidate.server().name()))
+                .toList();
+        List<Candidate> sound = untried.stream()
+                .filter(candidate -> !candidate.use().isAvoided(nowNanos)
+                        && candidate.server().state() == BackendServerState.ALIVE)
+                .toList();
+        List<Candidate> considered = sound.isEmpty() ? untried : sound;
+        int offset = considered.isEmpty() ? 0 : random.nextInt(considered.size());
+        return IntStream.range(0, considered.size())
+                .mapToObj(index -> considered.get((index + offset) % considered.size()))
+                .map(candidate -> predicted(query, candidate))
+                .min(Comparator.comparingDouble(Scored::score))
+                .map(Scored::chosen);
+    }
+
+    private record Scored(Chosen chosen, double score) {}
+
+    private Scored predicted(Query query, Candidate candidate) {
+        ServerUse use = candidate.use();
+        int unread = query.work()
+                .map(work -> Math.max(1, work.promptTokens() - use.prompts().kept(work)))
+                .orElse(0);
+        double expected = query.work()
+                .map(work -> engineMillis(query, candidate, work, unread))
+                .orElseGet(() -> serviceMillis(candidate));
+        double penalty = candidate.server().zone().equals(query.zone()) ? 0.0 : ZONE_MILLISECONDS;
+        double score = expected * use.slowness() + use.failureShare() * FAILURE_MILLISECONDS + penalty;
+        return new Scored(new Chosen(candidate.server(), expected, unread), score);
+    }
+
+    private static double engineMillis(Query query, Candidate candidate, CallerFields.EngineWork work, int unread) {
+        ServerUse use = candidate.use();
+        double prefill = (use.allUnreadTokens() + unread) / PROMPT_TOKENS_PER_MILLISECOND;
+        double step = STEP_MILLISECONDS + use.allRequests() * STEP_MILLISECONDS_PER_REQUEST;
+        double memory = 0.0;
+        if (query.engines().isPresent()) {
+            EnginePool engines = query.engines().get();
+            double held = (use.allHeldTokens() + work.tokens()) / (double) Math.max(1, engines.cacheTokens());
+            memory = Math.max(0.0, held - USABLE_CACHE) * FULL_CACHE_MILLISECONDS;
+            int beyond = use.allRequests() + 1 - engines.batchSlots();
+            memory += Math.max(0, beyond) * step;
+        }
+        return (prefill + 2 * step) * candidate.pace() + memory;
+    }
+
+    private static double serviceMillis(Candidate candidate) {
+        int slots = Math.max(1, candidate.server().load().batchLimit());
+        int ahead = Math.max(0, candidate.use().allRequests() + 1 - slots);
+        double crowding = candidate.use().allRequests() / (double) slots;
+        return SERVICE_MILLISECONDS * candidate.pace() * (1 + ahead / (double) slots) + crowding;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/borageproxy/forward/ServerPool.java
@@ -0,0 +1,395 @@
+package org.borageproxy.forward;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import org.borageproxy.coordination.HeldModels;
+import org.borageproxy.membership.BackendServer;
+import org.borageproxy.membership.BackendServerName;
+import org.borageproxy.membership.BackendServerState;
+import org.borageproxy.membership.BackendServers;
+import org.borageproxy.publication.EnginePool;
+import org.borageproxy.time.MonotonicClock;
+import org.borageproxy.vm.AvailabilityZone;
+import org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand;
+import org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage;
+
+/**
+ * The backend servers as the requests of this VM see them: who can run what, what is in flight where, and who waits for
+ * a model. Not thread safe; used by the event loop of the requests.
+ */
+public final class ServerPool {
+
+    /** The cache of a server whose engines are not published, in tokens. */
+    private static final long UNKNOWN_CACHE_TOKENS = 100_000;
+    /** The weight of the newest observation in a model's pace. */
+    private static final double NEWEST = 0.1;
+
+    private static final double SLOWEST_PACE = 20.0;
+    private static final double FASTEST_PACE = 0.05;
+
+    private final BackendServers servers;
+    private final MonotonicClock clock;
+    private final AvailabilityZone zone;
+    private final RandomGenerator random;
+    private final Map<BackendServerName, ServerUse> uses = new HashMap<>();
+    private final Map<BackendServerName, HeldModels> contents = new HashMap<>();
+    private final Map<String, Double> paces = new HashMap<>();
+    private final Map<DemandKey, Demand> demands = new HashMap<>();
+    private final Set<Runnable> waiting = new LinkedHashSet<>();
+    private Runnable urgentReport = () -> {};
+
+    /** Why no server can run a request now. */
+    public enum Absence {
+        /** No server of the service takes work. */
+        NO_SERVER,
+        /** No server holds the model. */
+        NO_MODEL,
+        /** A server holds the model, none the adapter. */
+        NO_ADAPTER,
+        /** All servers that could run the request were tried. */
+        ALL_TRIED
+    }
+
+    private record DemandKey(String service, String model, String adapter) {}
+
+    private static final class Demand {
+        private long tokens;
+        private int waiting;
+    }
+
+    /**
+     * Creates a pool.
+     *
+     * @param servers the announced servers
+     * @param clock the clock
+     * @param zone the availability zone of this VM
+     * @param random decides between equals
+     */
+    public ServerPool(BackendServers servers, MonotonicClock clock, AvailabilityZone zone, RandomGenerator random) {
+        this.servers = servers;
+        this.clock = clock;
+        this.zone = zone;
+        this.random = random;
+    }
+
+    /**
+     * Sets what brings urgent demand to the coordinator.
+     *
+     * @param report reports soon
+     */
+    public void onUrgentDemand(Runnable report) {
+        urgentReport = report;
+    }
+
+    /**
+     * Chooses the server of a request.
+     *
+     * @param service the service
+     * @param engines the engines of the service; empty for a plain service
+     * @param work the work of an engine
+     * @param tried the servers that are not asked again
+     * @return empty if no server can run the request now
+     */
+    Optional<ServerChoice.Chosen> choose(
+            String service,
+            Optional<EnginePool> engines,
+            Optional<CallerFields.EngineWork> work,
+            Set<BackendServerName> tried) {
+        List<ServerChoice.Candidate> candidates = new ArrayList<>();
+        String pace = work.map(CallerFields.EngineWork::model).orElse(service);
+        for (BackendServer server : servers.current()) {
+            if (takesWork(server, service) && canRun(server, work)) {
+                candidates.add(new ServerChoice.Candidate(server, use(server, engines), paces.getOrDefault(pace, 1.0)));
+            }
+        }
+        ServerChoice.Query query = new ServerChoice.Query(work, engines, zone, tried);
+        return ServerChoice.INSTANCE.choose(query, candidates, clock.nanoTime(), random);
+    }
+
+    private static boolean takesWork(BackendServer server, String service) {
+        return server.state() != BackendServerState.LEAVING && server.services().contains(service);
+    }
+
+    private boolean canRun(BackendServer server, Optional<CallerFields.EngineWork> work) {
+        return work.isEmpty()
+                || content(server).holds(work.get().model(), work.get().adapter());
+    }
+
+    private HeldModels content(BackendServer server) {
+        HeldModels known = contents.get(server.name());
+        boolean current = known != null && known.incarnation() == server.incarnation();
+        return current ? known : HeldModels.announcedBy(server);
+    }
+
+    private ServerUse use(BackendServer server, Optional<EnginePool> engines) {
+        ServerUse known = uses.get(server.name());
+        if (known == null || known.incarnation() != server.incarnation()) {
+            long cache = engines.map(EnginePool::cacheTokens).orElse(UNKNOWN_CACHE_TOKENS);
+            known = new ServerUse(server.incarnation(), cache, clock.nanoTime());
+            uses.put(server.name(), known);
+        }
+        return known;
+    }
+
+    /**
+     * Tells why no server was chosen.
+     *
+     * @param service the service
+     * @param work the work of an engine
+     * @return the reason
+     */
+    Absence absence(String service, Optional<CallerFields.EngineWork> work) {
+        List<BackendServer> live = servers.current().stream()
+                .filter(server -> takesWork(server, service))
+                .toList();
+        if (live.isEmpty()) {
+            return Absence.NO_SERVER;
+        }
+        if (live.stream().anyMatch(server -> canRun(server, work))) {
+            return Absence.ALL_TRIED;
+        }
+        String model = work.orElseThrow().model();
+        boolean isHeld = live.stream().anyMatch(server -> content(server).holds(model, ""));
+        return isHeld ? Absence.NO_ADAPTER : Absence.NO_MODEL;
+    }
+
+    /**
+     * Tells whether a server still takes work, as its last announcement says.
+     *
+     * @param chosen the server
+     * @return {@code false} if it left or started anew
+     */
+    boolean isCurrent(BackendServer chosen) {
+        return servers.current().stream()
+                .anyMatch(server -> server.name().equals(chosen.name())
+                        && server.incarnation() == chosen.incarnation()
+                        && server.state() != BackendServerState.LEAVING);
+    }
+
+    /**
+     * Notes a request that is sent.
+     *
+     * @param chosen the chosen server
+     * @param engines the engines of the service
+     * @param work the work of an engine
+     * @return follows the request
+     */
+    Flight started(ServerChoice.Chosen chosen, Optional<EnginePool> engines, Optional<CallerFields.EngineWork> work) {
+        ServerUse use = use(chosen.server(), engines);
+        work.ifPresent(use.prompts()::read);
+        Flight flight = new Flight(use, chosen, work);
+        use.started(chosen.unreadTokens(), flight.heldTokens());
+        return flight;
+    }
+
+    /** One request at a server. Not thread safe. */
+    final class Flight {
+        private final ServerUse use;
+        private final ServerChoice.Chosen chosen;
+        private final Optional<CallerFields.EngineWork> work;
+        private final long startedAtNanos = clock.nanoTime();
+        private boolean isRead;
+        private boolean hasEnded;
+
+        private Flight(ServerUse use, ServerChoice.Chosen chosen, Optional<CallerFields.EngineWork> work) {
+            this.use = use;
+            this.chosen = chosen;
+            this.work = work;
+        }
+
+        private int heldTokens() {
+            return work.map(CallerFields.EngineWork::tokens).orElse(0);
+        }
+
+        /**
+         * Notes the first event, or the answer of a plain service.
+         *
+         * @param service the service
+         */
+        void answered(String service) {
+            if (isRead || hasEnded) {
+                return;
+            }
+            isRead = true;
+            use.read(chosen.unreadTokens());
+            double millis = (clock.nanoTime() - startedAtNanos) / 1e6;
+            double ratio = Math.min(SLOWEST_PACE, millis / Math.max(1.0, chosen.expectedMillis()));
+            use.succeeded(Math.max(FASTEST_PACE, ratio));
+            String pace = work.map(CallerFields.EngineWork::model).orElse(service);
+            paces.merge(pace, 1.0, (known, one) -> bounded(known * (1 + NEWEST * (ratio - 1))));
+        }
+
+        /** Notes the end of the request, in whatever way. */
+        void ended() {
+            if (!hasEnded) {
+                hasEnded = true;
+                if (!isRead) {
+                    use.read(chosen.unreadTokens());
+                }
+                use.ended(heldTokens());
+            }
+        }
+
+        /** Notes a failure of the server. */
+        void failed() {
+            use.failed(clock.nanoTime());
+            ended();
+        }
+
+        /**
+         * Returns how long the request is at the server.
+         *
+         * @return milliseconds
+         */
+        long ageMillis() {
+            return (clock.nanoTime() - startedAtNanos) / 1_000_000L;
+        }
+    }
+
+    private static double bounded(double pace) {
+        return Math.max(FASTEST_PACE, Math.min(SLOWEST_PACE, pace));
+    }
+
+    /**
+     * Counts what callers ask for.
+     *
+     * @param service the service
+     * @param work the work of an engine
+     */
+    void asked(String service, CallerFields.EngineWork work) {
+        demand(service, work).tokens += work.tokens();
+    }
+
+    /**
+     * Keeps a request until a server may hold its model.
+     *
+     * @param service the service
+     * @param work the work of an engine
+     * @param retry looks for a server again
+     */
+    void await(String service, CallerFields.EngineWork work, Runnable retry) {
+        if (waiting.add(retry)) {
+            demand(service, work).waiting++;
+        }
+        urgentReport.run();
+    }
+
+    /**
+     * Ends the wait of a request.
+     *
+     * @param service the service
+     * @param work the work of an engine
+     * @param retry what was given to {@link #await}
+     */
+    void stopWaiting(String service, CallerFields.EngineWork work, Runnable retry) {
+        if (waiting.remove(retry)) {
+            demand(service, work).waiting--;
+        }
+    }
+
+    private Demand demand(String service, CallerFields.EngineWork work) {
+        return demands.computeIfAbsent(new DemandKey(service, work.model(), work.adapter()), key -> new Demand());
+    }
+
+    /**
+     * Tells whether a model is on its way to a server.
+     *
+     * @param service the service
+     * @param model the model
+     * @return {@code true} if the coordinator ordered a load
+     */
+    boolean isArriving(String service, String model) {
+        return servers.current().stream()
+                .anyMatch(server ->
+                        takesWork(server, service) && content(server).arriving().contains(model));
+    }
+
+    /**
+     * Takes what the coordinator knows.
+     *
+     * @param newContents the contents of servers by name
+     */
+    public void contents(Map<BackendServerName, HeldModels> newContents) {
+        newContents.forEach((name, held) -> contents.merge(name, held, ServerPool::newer));
+        List.copyOf(waiting).forEach(Runnable::run);
+    }
+
+    private static HeldModels newer(HeldModels known, HeldModels offered) {
+        boolean isOlder = offered.incarnation() < known.incarnation()
+                || offered.incarnation() == known.incarnation() && offered.orders() < known.orders();
+        return isOlder ? known : offered;
+    }
+
+    /**
+     * Takes what the other VMs have in flight.
+     *
+     * @param usages their usage by server; servers that are left out have none
+     */
+    public void otherUsage(List<ServerUsage> usages) {
+        Map<String, ServerUsage> byName = new HashMap<>();
+        usages.forEach(usage -> byName.put(usage.getName(), usage));
+        uses.forEach((name, use) -> {
+            ServerUsage usage = byName.getOrDefault(name.value(), ServerUsage.getDefaultInstance());
+            boolean current = usage.getIncarnation() == use.incarnation();
+            use.others(
+                    current ? usage.getRequests() : 0,
+                    current ? usage.getPromptTokens() : 0,
+                    current ? usage.getHeldTokens() : 0);
+        });
+    }
+
+    /**
+     * Returns what this VM has in flight.
+     *
+     * @return the usage of each server with requests
+     */
+    public List<ServerUsage> ownUsage() {
+        List<ServerUsage> usages = new ArrayList<>();
+        uses.forEach((name, use) -> {
+            if (use.ownRequests() > 0) {
+                usages.add(ServerUsage.newBuilder()
+                        .setName(name.value())
+                        .setIncarnation(use.incarnation())
+                        .setRequests(use.ownRequests())
+                        .setPromptTokens(Math.max(0, use.ownUnreadTokens()))
+                        .setHeldTokens(Math.max(0, use.ownHeldTokens()))
+                        .build());
+            }
+        });
+        return usages;
+    }
+
+    /**
+     * Returns the demand since the last call.
+     *
+     * @return tokens asked for and requests waiting, by model and adapter
+     */
+    public List<ModelDemand> takeDemand() {
+        List<ModelDemand> taken = new ArrayList<>();
+        demands.forEach((key, demand) -> taken.add(ModelDemand.newBuilder()
+                .setService(key.service())
+                .setModel(key.model())
+                .setAdapter(key.adapter())
+                .setTokens(demand.tokens)
+                .setWaiting(demand.waiting)
+                .build()));
+        demands.values().forEach(demand -> demand.tokens = 0);
+        demands.values().removeIf(demand -> demand.waiting == 0);
+        return taken;
+    }
+
+    /** Forgets servers that are gone. */
+    void sweep() {
+        Set<BackendServerName> known = new LinkedHashSet<>();
+        servers.current().forEach(server -> known.add(server.name()));
+        uses.keySet().retainAll(known);
+        contents.keySet().retainAll(known);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/borageproxy/forward/ServerUse.java
@@ -0,0 +1,149 @@
+package org.borageproxy.forward;
+
+import java.time.Duration;
+
+import org.borageproxy.time.Deadline;
+
+/**
+ * What this VM has in flight at one incarnation of a backend server, what the other VMs have there, and how the server
+ * did lately. Not thread safe; used by the event loop of the requests.
+ */
+final class ServerUse {
+
+    /** The weight of the newest observation in moving means. */
+    private static final double NEWEST = 0.2;
+    /** How long a server is avoided after its first failure in a row. */
+    private static final Duration FIRST_AVOIDANCE = Duration.ofMillis(400);
+    /** The most doublings of the avoidance. */
+    private static final int MOST_DOUBLINGS = 4;
+
+    private final long incarnation;
+    private final PromptMemory prompts;
+    private int requests;
+    private int unreadTokens;
+    private int heldTokens;
+    private int otherRequests;
+    private int otherUnreadTokens;
+    private int otherHeldTokens;
+    private int failuresInRow;
+    private Deadline avoidedUntil;
+    private double failureShare;
+    private double slowness = 1.0;
+
+    ServerUse(long incarnation, long cacheTokens, long nowNanos) {
+        this.incarnation = incarnation;
+        this.prompts = new PromptMemory(cacheTokens);
+        this.avoidedUntil = new Deadline(nowNanos);
+    }
+
+    long incarnation() {
+        return incarnation;
+    }
+
+    PromptMemory prompts() {
+        return prompts;
+    }
+
+    /**
+     * Notes a request that is sent.
+     *
+     * @param unread the prompt tokens that the server has to read
+     * @param held the tokens that it will hold
+     */
+    void started(int unread, int held) {
+        requests++;
+        unreadTokens += unread;
+        heldTokens += held;
+    }
+
+    /**
+     * Notes that a prompt has been read.
+     *
+     * @param unread the tokens that were noted as unread
+     */
+    void read(int unread) {
+        unreadTokens -= unread;
+    }
+
+    /**
+     * Notes the end of a request.
+     *
+     * @param held the tokens that were noted as held
+     */
+    void ended(int held) {
+        requests--;
+        heldTokens -= held;
+    }
+
+    /**
+     * Takes what the other VMs have in flight.
+     *
+     * @param newRequests their requests
+     * @param newUnread their unread prompt tokens
+     * @param newHeld their held tokens
+     */
+    void others(int newRequests, int newUnread, int newHeld) {
+        otherRequests = newRequests;
+        otherUnreadTokens = newUnread;
+        otherHeldTokens = newHeld;
+    }
+
+    /**
+     * Notes an answer of the server.
+     *
+     * @param ratio the time to it in proportion to the expected time
+     */
+    void succeeded(double ratio) {
+        failuresInRow = 0;
+        failureShare *= 1 - NEWEST;
+        slowness += NEWEST * (ratio - slowness);
+    }
+
+    /**
+     * Notes a failure of the server.
+     *
+     * @param nowNanos the reading of the clock
+     */
+    void failed(long nowNanos) {
+        failureShare += NEWEST * (1 - failureShare);
+        int doublings = Math.min(failuresInRow, MOST_DOUBLINGS);
+        failuresInRow++;
+        avoidedUntil = Deadline.after(nowNanos, FIRST_AVOIDANCE.multipliedBy(1L << doublings));
+    }
+
+    boolean isAvoided(long nowNanos) {
+        return failuresInRow > 0 && !avoidedUntil.hasPassed(nowNanos);
+    }
+
+    double failureShare() {
+        return failureShare;
+    }
+
+    double slowness() {
+        return slowness;
+    }
+
+    int ownRequests() {
+        return requests;
+    }
+
+    int ownUnreadTokens() {
+        return unreadTokens;
+    }
+
+    int ownHeldTokens() {
+        return heldTokens;
+    }
+
+    int allRequests() {
+        return requests + otherRequests;
+    }
+
+    int allUnreadTokens() {
+        return unreadTokens + otherUnreadTokens;
+    }
+
+    int allHeldTokens() {
+        return heldTokens + otherHeldTokens;
+    }
+}
--- a/src/main/java/org/borageproxy/log/CoreThread.java
+++ b/src/main/java/org/borageproxy/log/CoreThread.java
@@ -484,7 +484,13 @@
      */
     private MemberStatus currentStatus() {
         return new MemberStatus(
-                self, consensus.role(), consensus.term(), consensus.commit(), consensus.leader(), consensus.members());
+                self,
+                consensus.role(),
+                consensus.term(),
+                consensus.commit(),
+                consensus.leader(),
+                consensus.members(),
+                consensus.answering());
     }
 
     /**
--- a/src/main/java/org/borageproxy/log/MemberStatus.java
+++ b/src/main/java/org/borageproxy/log/MemberStatus.java
@@ -1,6 +1,7 @@
 package org.borageproxy.log;
 
 import java.util.Optional;
+import java.util.Set;
 
 import org.borageproxy.log.consensus.MemberId;
 import org.borageproxy.log.consensus.Members;
@@ -15,6 +16,13 @@
  * @param commit the last index known to be committed
  * @param leader the leader, if known
  * @param members the members in force
+ * @param answering the members that answered this leader within its lease; empty on others
  */
 public record MemberStatus(
-        MemberId self, Role role, long term, long commit, Optional<MemberId> leader, Members members) {}
+        MemberId self,
+        Role role,
+        long term,
+        long commit,
+        Optional<MemberId> leader,
+        Members members,
+        Set<MemberId> answering) {}
--- a/src/main/java/org/borageproxy/log/consensus/Consensus.java
+++ b/src/main/java/org/borageproxy/log/consensus/Consensus.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 
 import org.borageproxy.time.Deadline;
 import org.borageproxy.wire.proto.LogProtocol.LogMessage;
@@ -300,6 +301,15 @@
         return state.log().lastIndex();
     }
 
+    /**
+     * Returns the members that answer this leader.
+     *
+     * @return the members that answered within the lease; empty if this member does not lead
+     */
+    public Set<MemberId> answering() {
+        return leadership.map(Leadership::answering).orElse(Set.of());
+    }
+
     /**
      * Returns the members in force at the end of the log.
      *
--- a/src/main/java/org/borageproxy/log/consensus/Leadership.java
+++ b/src/main/java/org/borageproxy/log/consensus/Leadership.java
@@ -171,6 +171,15 @@
         return changed.isMajority(answering) ? Optional.empty() : Optional.of(MemberChange.Refusal.MAJORITY_SILENT);
     }
 
+    /**
+     * Returns the members that answered within the lease, with this one.
+     *
+     * @return the members
+     */
+    Set<MemberId> answering() {
+        return state.log().members().all().stream().filter(this::answersNow).collect(Collectors.toUnmodifiableSet());
+    }
+
     /**
      * Tells whether a member answered lately.
      *
--- a/src/main/java/org/borageproxy/membership/Announcement.java
+++ b/src/main/java/org/borageproxy/membership/Announcement.java
@@ -28,6 +28,7 @@
      * @param services the plain services that it runs
      * @param accelerators its accelerators
      * @param models the models that can be used now
+     * @param copies the models that load without the weight store
      */
     public record Content(
             BackendServerKind kind,
@@ -38,7 +39,8 @@
             int intervalMillis,
             Set<String> services,
             List<Accelerator> accelerators,
-            List<LoadedModel> models) {
+            List<LoadedModel> models,
+            WeightCopies copies) {
 
         /** Copies the collections. */
         public Content {
@@ -46,6 +48,42 @@
             accelerators = List.copyOf(accelerators);
             models = List.copyOf(models);
         }
+
+        /**
+         * Creates the content of a backend server that states no copies of weights.
+         *
+         * @param kind what the server is
+         * @param zone the availability zone
+         * @param host the host
+         * @param port the port
+         * @param checksFencing whether the server refuses orders with old fencing numbers
+         * @param intervalMillis the time between announcements in milliseconds
+         * @param services the services that it provides
+         * @param accelerators its accelerators
+         * @param models the models that can be used now
+         */
+        public Content(
+                BackendServerKind kind,
+                AvailabilityZone zone,
+                String host,
+                int port,
+                boolean checksFencing,
+                int intervalMillis,
+                Set<String> services,
+                List<Accelerator> accelerators,
+                List<LoadedModel> models) {
+            this(
+                    kind,
+                    zone,
+                    host,
+                    port,
+                    checksFencing,
+                    intervalMillis,
+                    services,
+                    accelerators,
+                    models,
+                    WeightCopies.NONE);
+        }
     }
 
     /**
@@ -68,6 +106,7 @@
                 content.services(),
                 content.accelerators(),
                 content.models(),
+                content.copies(),
                 load);
     }
 
--- a/src/main/java/org/borageproxy/membership/BackendServer.java
+++ b/src/main/java/org/borageproxy/membership/BackendServer.java
@@ -21,6 +21,7 @@
  * @param services the plain services that it runs
  * @param accelerators its accelerators
  * @param models the models in its memory that can be used now
+ * @param copies the models that load without the weight store
  * @param load the load it reported last
  */
 public record BackendServer(
@@ -36,6 +37,7 @@
         Set<String> services,
         List<Accelerator> accelerators,
         List<LoadedModel> models,
+        WeightCopies copies,
         LoadReport load) {
 
     /** Copies the collections. */
@@ -45,6 +47,54 @@
         models = List.copyOf(models);
     }
 
+    /**
+     * Creates a server that states no copies of weights.
+     *
+     * @param name the name
+     * @param incarnation the number of its start
+     * @param sequence the number of its last announcement
+     * @param kind what it is
+     * @param state whether it takes work
+     * @param zone the availability zone
+     * @param host the host
+     * @param port the port
+     * @param checksFencing whether it refuses orders with old fencing numbers
+     * @param services the services that it provides
+     * @param accelerators its accelerators
+     * @param models the models in its memory that can be used now
+     * @param load its last load report
+     */
+    public BackendServer(
+            BackendServerName name,
+            long incarnation,
+            long sequence,
+            BackendServerKind kind,
+            BackendServerState state,
+            AvailabilityZone zone,
+            String host,
+            int port,
+            boolean checksFencing,
+            Set<String> services,
+            List<Accelerator> accelerators,
+            List<LoadedModel> models,
+            LoadReport load) {
+        this(
+                name,
+                incarnation,
+                sequence,
+                kind,
+                state,
+                zone,
+                host,
+                port,
+                checksFencing,
+                services,
+                accelerators,
+                models,
+                WeightCopies.NONE,
+                load);
+    }
+
     /**
      * Returns this backend server in another state.
      *
@@ -65,6 +115,7 @@
                 services,
                 accelerators,
                 models,
+                copies,
                 load);
     }
 
--- a/src/main/java/org/borageproxy/membership/BackendServerMembership.java
+++ b/src/main/java/org/borageproxy/membership/BackendServerMembership.java
@@ -1,6 +1,7 @@
 package org.borageproxy.membership;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.function.Supplier;
 
@@ -35,7 +36,7 @@
     /** Spreads what this VM knows. */
     private final MembershipExchange exchange;
     /** The announce port. */
-    private final AnnounceServer server;
+    private final Optional<AnnounceServer> server;
     /** Takes cache events. */
     private volatile CacheEvents.Listener cacheListener = CacheEvents.Listener.NoOp.INSTANCE;
     /** The timer of the sweeps. */
@@ -66,7 +67,50 @@
         this.clock = clock;
         registry = new BackendServerRegistry(MembershipSettings.DEFAULT, events);
         exchange = new MembershipExchange(registry, network, peers, clock, new Random());
-        server = new AnnounceServer(vertx, settings, new Receiver());
+        server = Optional.of(new AnnounceServer(vertx, settings, new Receiver()));
+    }
+
+    /**
+     * Creates a membership to which another interface brings the announcements.
+     *
+     * @param vertx runs its timers
+     * @param network the network between VMs
+     * @param peers returns the other VMs
+     * @param clock the clock
+     * @param events takes the events of note
+     */
+    public BackendServerMembership(
+            Vertx vertx, VmNetwork network, Supplier<List<VmName>> peers, MonotonicClock clock, EventRecorder events) {
+        this.vertx = vertx;
+        this.clock = clock;
+        registry = new BackendServerRegistry(MembershipSettings.DEFAULT, events);
+        exchange = new MembershipExchange(registry, network, peers, clock, new Random());
+        server = Optional.empty();
+    }
+
+    /**
+     * Takes an announcement.
+     *
+     * @param announcement what a backend server says of itself
+     * @return {@code true} if it is news
+     */
+    public boolean announced(Announcement announcement) {
+        BackendServerRegistry.Change change = registry.announce(announcement, clock.nanoTime());
+        exchange.changed(announcement.name(), change);
+        return change != BackendServerRegistry.Change.NONE;
+    }
+
+    /**
+     * Takes the word of a backend server that it leaves.
+     *
+     * @param name the server
+     * @param incarnation its incarnation
+     * @return {@code true} if it is news
+     */
+    public boolean left(BackendServerName name, long incarnation) {
+        BackendServerRegistry.Change change = registry.leave(name, incarnation, clock.nanoTime());
+        exchange.changed(name, change);
+        return change != BackendServerRegistry.Change.NONE;
     }
 
     /** Takes the messages of backend servers. Thread safe. */
@@ -74,16 +118,12 @@
 
         @Override
         public boolean announced(Announcement announcement) {
-            BackendServerRegistry.Change change = registry.announce(announcement, clock.nanoTime());
-            exchange.changed(announcement.name(), change);
-            return change != BackendServerRegistry.Change.NONE;
+            return BackendServerMembership.this.announced(announcement);
         }
 
         @Override
         public boolean left(BackendServerName name, long incarnation) {
-            BackendServerRegistry.Change change = registry.leave(name, incarnation, clock.nanoTime());
-            exchange.changed(name, change);
-            return change != BackendServerRegistry.Change.NONE;
+            return BackendServerMembership.this.left(name, incarnation);
         }
 
         @Override
@@ -101,7 +141,7 @@
         sweepTimer = vertx.setPeriodic(SWEEP_INTERVAL_MILLIS, ignored -> registry.sweep(clock.nanoTime()));
         batchTimer = vertx.setPeriodic(BATCH_INTERVAL_MILLIS, ignored -> exchange.sendHeartbeats());
         compareRepeatedly();
-        return server.start();
+        return server.map(AnnounceServer::start).orElse(Future.succeededFuture(0));
     }
 
     /** Compares with other VMs now and again later, sooner until one has answered. */
@@ -143,6 +183,6 @@
         vertx.cancelTimer(sweepTimer);
         vertx.cancelTimer(batchTimer);
         vertx.cancelTimer(compareTimer);
-        server.close();
+        server.ifPresent(AnnounceServer::close);
     }
 }
--- a/src/main/java/org/borageproxy/membership/MembershipCodec.java
+++ b/src/main/java/org/borageproxy/membership/MembershipCodec.java
@@ -154,6 +154,8 @@
                         .setVersion(model.version())
                         .setAccelerator(model.accelerator())
                         .addAllAdapters(model.adapters().stream().sorted().toList())));
+        encoded.addAllInMemory(content.copies().inMemory().stream().sorted().toList())
+                .addAllOnDisk(content.copies().onDisk().stream().sorted().toList());
         return encoded.build();
     }
 
@@ -183,7 +185,8 @@
                 encoded.getIntervalMillis(),
                 Set.copyOf(encoded.getServicesList()),
                 accelerators,
-                models);
+                models,
+                new WeightCopies(Set.copyOf(encoded.getInMemoryList()), Set.copyOf(encoded.getOnDiskList())));
     }
 
     /**
--- /dev/null
+++ b/src/main/java/org/borageproxy/platform/EngineCalls.java
@@ -0,0 +1,124 @@
+package org.borageproxy.platform;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpHeaders;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import org.borageproxy.coordination.HeldModels;
+import org.borageproxy.membership.BackendServer;
+import org.borageproxy.membership.LoadedModel;
+import org.borageproxy.placement.EngineClient;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The calls to model engines about what they hold. Thread safe. */
+final class EngineCalls implements EngineClient {
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(EngineCalls.class);
+    private static final String ORDER = "/order";
+    private static final String REPORT = "/report";
+    private static final String EXPECTED_SERVER = "X-Expect-Replica";
+    private static final int CONNECT_MILLIS = 700;
+    private static final int KEEP_ALIVE_SECONDS = 2;
+    private static final int MOST_CONNECTIONS = 4;
+    /** The time allowed to a call; engines answer within milliseconds. */
+    private static final long CALL_MILLIS = 800;
+
+    private static final int DONE = 200;
+    private static final int STARTED = 202;
+    private static final int CONFLICT = 409;
+    private static final int FENCED = 412;
+    private static final int MISDIRECTED = 421;
+    private static final int UNAVAILABLE = 503;
+
+    private final HttpClient client;
+
+    EngineCalls(Vertx vertx) {
+        client = vertx.createHttpClient(
+                new HttpClientOptions().setConnectTimeout(CONNECT_MILLIS).setKeepAliveTimeout(KEEP_ALIVE_SECONDS),
+                new PoolOptions().setHttp1MaxSize(MOST_CONNECTIONS));
+    }
+
+    @Override
+    public CompletionStage<Reply> order(BackendServer server, EngineOrder order) {
+        JsonObject body = new JsonObject()
+                .put("Operation", order.loads() ? "load" : "unload")
+                .put("Model", order.model())
+                .put("Expected", order.expectedOrders())
+                .put("Holder", order.holder())
+                .put("FencingToken", order.fence());
+        if (!order.adapter().isEmpty()) {
+            body.put("Adapter", order.adapter());
+        }
+        return client.request(HttpMethod.POST, server.port(), server.host(), ORDER)
+                .compose(request -> request.putHeader(HttpHeaders.CONTENT_TYPE, "application/json")
+                        .putHeader(EXPECTED_SERVER, server.name().value())
+                        .send(body.toBuffer()))
+                .compose(response -> response.body().map(ignored -> reply(response.statusCode())))
+                .timeout(CALL_MILLIS, TimeUnit.MILLISECONDS)
+                .otherwise(failure -> {
+                    LOGGER.info("event=order-unanswered server={} reason=\"{}\"", server.name(), failure.getMessage());
+                    return Reply.UNKNOWN;
+                })
+                .toCompletionStage();
+    }
+
+    private static Reply reply(int status) {
+        return switch (status) {
+            case STARTED -> Reply.ACCEPTED;
+            case DONE -> Reply.HELD;
+            case CONFLICT, UNAVAILABLE -> Reply.CONFLICT;
+            case FENCED -> Reply.FENCED;
+            case MISDIRECTED -> Reply.REFUSED;
+            default -> status >= UNAVAILABLE ? Reply.UNKNOWN : Reply.REFUSED;
+        };
+    }
+
+    @Override
+    public CompletionStage<Optional<State>> state(BackendServer server) {
+        return client.request(HttpMethod.GET, server.port(), server.host(), REPORT)
+                .compose(request -> request.putHeader(
+                                EXPECTED_SERVER, server.name().value())
+                        .send())
+                .compose(HttpClientResponse::body)
+                .map(body -> state(server, body))
+                .timeout(CALL_MILLIS, TimeUnit.MILLISECONDS)
+                .otherwise(failure -> {
+                    LOGGER.info("event=report-unanswered server={} reason=\"{}\"", server.name(), failure.getMessage());
+                    return Optional.empty();
+                })
+                .toCompletionStage();
+    }
+
+    private static Optional<State> state(BackendServer server, Buffer body) {
+        try {
+            JsonObject json = new JsonObject(body);
+            Map<String, Set<String>> adapters = new HashMap<>();
+            for (LoadedModel model : HeartbeatDocument.models(json.getJsonArray("Models"))) {
+                adapters.put(model.model(), new HashSet<>(model.adapters()));
+            }
+            long incarnation = Optional.ofNullable(json.getLong("born")).orElse(server.incarnation());
+            HeldModels held = new HeldModels(incarnation, json.getLong("Sequence"), adapters, Set.of());
+            int arriving = json.getJsonArray("Pending", new JsonArray()).size();
+            return Optional.of(new State(held, json.getBoolean("Busy", false), arriving));
+        } catch (DecodeException | ClassCastException | NullPointerException exception) {
+            LOGGER.info("event=report-malformed server={} reason=\"{}\"", server.name(), exception.getMessage());
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/borageproxy/platform/PlatformProtocol.java
@@ -0,0 +1,39 @@
+package org.borageproxy.platform;
+
+import java.util.concurrent.CompletionStage;
+
+import io.vertx.core.Vertx;
+import org.borageproxy.forward.CallerProtocol;
+import org.borageproxy.placement.EngineClient;
+import org.borageproxy.publication.Publication;
+import org.borageproxy.server.ControlPlane;
+import org.borageproxy.server.OutsideProtocol;
+import org.borageproxy.settings.Endpoint;
+
+/**
+ * The platform as the product sees it. Immutable and thread safe.
+ *
+ * @param heartbeatMillis the time between heartbeats of backend servers, in milliseconds
+ */
+record PlatformProtocol(int heartbeatMillis) implements OutsideProtocol {
+
+    @Override
+    public CallerProtocol callers() {
+        return new PlatformHeaders();
+    }
+
+    @Override
+    public Publication publication(byte[] document) {
+        return PublicationDocument.decode(document);
+    }
+
+    @Override
+    public CompletionStage<?> serveControl(Vertx vertx, Endpoint endpoint, ControlPlane plane) {
+        return ControlCalls.serve(vertx, endpoint, plane, heartbeatMillis);
+    }
+
+    @Override
+    public EngineClient engines(Vertx vertx) {
+        return new EngineCalls(vertx);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/borageproxy/server/GatewayMetrics.java
@@ -0,0 +1,75 @@
+package org.borageproxy.server;
+
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import org.borageproxy.forward.ForwardMetrics;
+import org.borageproxy.settings.Endpoint;
+
+/** The counters and latency histograms of a gateway VM. Safe for use by any thread. */
+final class GatewayMetrics implements ForwardMetrics {
+
+    private static final Duration[] BUCKETS = {
+        Duration.ofMillis(50),
+        Duration.ofMillis(100),
+        Duration.ofMillis(250),
+        Duration.ofMillis(500),
+        Duration.ofSeconds(1),
+        Duration.ofSeconds(2),
+        Duration.ofSeconds(5),
+        Duration.ofSeconds(10)
+    };
+    private static final long MICROS_PER_MILLISECOND = 1000;
+
+    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+
+    @Override
+    public void ended(String route, String outcome, double millis) {
+        timer("requests", "route", route, outcome, millis);
+    }
+
+    @Override
+    public void attempted(String service, String outcome, double millis) {
+        timer("attempts", "service", service, outcome, millis);
+    }
+
+    private void timer(String name, String dimension, String value, String outcome, double millis) {
+        Timer.builder(name)
+                .tag(dimension, value)
+                .tag("outcome", outcome)
+                .serviceLevelObjectives(BUCKETS)
+                .register(registry)
+                .record((long) (millis * MICROS_PER_MILLISECOND), TimeUnit.MICROSECONDS);
+    }
+
+    /**
+     * Returns the registry for further meters.
+     *
+     * @return the registry
+     */
+    PrometheusMeterRegistry registry() {
+        return registry;
+    }
+
+    /**
+     * Serves the figures as text.
+     *
+     * @param vertx runs the server
+     * @param endpoint where to listen
+     * @return completes when requests are answered
+     */
+    Future<HttpServer> serve(Vertx vertx, Endpoint endpoint) {
+        HttpServerOptions options =
+                new HttpServerOptions().setHost(endpoint.host()).setPort(endpoint.port());
+        return vertx.createHttpServer(options)
+                .requestHandler(request -> request.response().end(registry.scrape()))
+                .listen();
+    }
+}
--- a/src/main/java/org/borageproxy/spread/SpreadReplica.java
+++ b/src/main/java/org/borageproxy/spread/SpreadReplica.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.stream.Collectors;
 
 import org.borageproxy.execution.Suspicion;
@@ -14,6 +15,7 @@
 import org.borageproxy.vm.AvailabilityZone;
 import org.borageproxy.vm.VmAddress;
 import org.borageproxy.vm.VmName;
+import org.borageproxy.wire.proto.ControlProtocol.DocumentState;
 import org.borageproxy.wire.proto.ControlProtocol.Item;
 import org.borageproxy.wire.proto.ControlProtocol.KeyState;
 import org.borageproxy.wire.proto.ControlProtocol.LeaseState;
@@ -153,6 +155,15 @@
         return suspicions.getOrDefault(fingerprint, Suspicion.NONE);
     }
 
+    /**
+     * Returns the published document.
+     *
+     * @return the document, empty before the first
+     */
+    Optional<DocumentState> published() {
+        return Optional.ofNullable(items.get("document")).map(Item::getDocument);
+    }
+
     /**
      * Returns the lease of a duty.
      *
@@ -170,9 +181,23 @@
      * @return the addresses
      */
     List<VmAddress> vms() {
+        return addresses(false);
+    }
+
+    /**
+     * Returns the VMs that take part in the control group.
+     *
+     * @return their addresses
+     */
+    List<VmAddress> controlVms() {
+        return addresses(true);
+    }
+
+    private List<VmAddress> addresses(boolean onlyControl) {
         return items.values().stream()
                 .filter(Item::hasVm)
                 .map(Item::getVm)
+                .filter(vm -> vm.getControl() || !onlyControl)
                 .map(SpreadReplica::addressOf)
                 .toList();
     }
--- a/src/main/java/org/borageproxy/spread/SpreadState.java
+++ b/src/main/java/org/borageproxy/spread/SpreadState.java
@@ -27,6 +27,7 @@
 import org.borageproxy.vm.VmName;
 import org.borageproxy.wire.MessageKind;
 import org.borageproxy.wire.VmNetwork;
+import org.borageproxy.wire.proto.ControlProtocol.DocumentState;
 import org.borageproxy.wire.proto.ControlProtocol.LeaseState;
 import org.borageproxy.wire.proto.ControlProtocol.VmRecord;
 import org.borageproxy.wire.proto.ControlProtocol.Watch;
@@ -82,6 +83,12 @@
     /** The listeners for changes of the table of VMs. */
     private final List<Consumer<List<VmAddress>>> vmListeners = new CopyOnWriteArrayList<>();
 
+    /** Told of each published document. */
+    private final List<Consumer<DocumentState>> documentListeners = new CopyOnWriteArrayList<>();
+
+    /** Whether this VM takes part in the control group. */
+    private final boolean control;
+
     /** What this VM holds. */
     private volatile SpreadReplica replica = SpreadReplica.EMPTY;
 
@@ -114,7 +121,30 @@
             MonotonicClock clock,
             Timer timer,
             EventRecorder events) {
+        this(self, false, network, controlVms, clock, timer, events);
+    }
+
+    /**
+     * Creates a follower of the state that tells the control group whether this VM takes part in it.
+     *
+     * @param self this VM
+     * @param control whether this VM takes part in the control group
+     * @param network the network between VMs
+     * @param controlVms returns the control VMs
+     * @param clock the clock
+     * @param timer runs tasks later
+     * @param events takes the events of note
+     */
+    public SpreadState(
+            VmAddress self,
+            boolean control,
+            VmNetwork network,
+            Supplier<List<VmName>> controlVms,
+            MonotonicClock clock,
+            Timer timer,
+            EventRecorder events) {
         this.self = self;
+        this.control = control;
         this.network = network;
         this.controlVms = controlVms;
         this.clock = clock;
@@ -217,6 +247,38 @@
         listener.accept(replica.vms());
     }
 
+    /**
+     * Registers a listener of the published document, which is told the newest one at once.
+     *
+     * @param listener takes each newer document
+     */
+    public synchronized void subscribeDocument(Consumer<DocumentState> listener) {
+        documentListeners.add(listener);
+        replica.published().ifPresent(listener);
+    }
+
+    /**
+     * Returns the VMs that registered and take no part in the control group.
+     *
+     * @return their names
+     */
+    public List<VmName> registeredEntries() {
+        List<VmAddress> control = replica.controlVms();
+        return replica.vms().stream()
+                .filter(vm -> !control.contains(vm))
+                .map(VmAddress::name)
+                .toList();
+    }
+
+    /**
+     * Returns the VMs that registered as members of the control group.
+     *
+     * @return their addresses
+     */
+    public List<VmAddress> registeredControlVms() {
+        return replica.controlVms();
+    }
+
     /** Sends a request to a control VM. */
     private void poll() {
         List<VmName> candidates = controlVms.get();
@@ -235,7 +297,8 @@
                         .setName(self.name().value())
                         .setZone(self.zone().value())
                         .setHost(self.host())
-                        .setPort(self.port()))
+                        .setPort(self.port())
+                        .setControl(control))
                 .setVersion(replica.version())
                 .setServedRevision(replica.configuration().revision())
                 .setWaitMillis((int) wait.toMillis());
@@ -332,6 +395,10 @@
             return;
         }
         vmListeners.forEach(listener -> listener.accept(later.vms()));
+        long held = earlier.published().map(DocumentState::getNumber).orElse(0L);
+        later.published()
+                .filter(document -> document.getNumber() > held)
+                .ifPresent(document -> documentListeners.forEach(listener -> listener.accept(document)));
         if (later.configuration().revision() > earlier.configuration().revision()) {
             events.record(Event.named("configuration-served")
                     .with("revision", later.configuration().revision()));
--- a/src/main/java/org/borageproxy/wire/MessageKind.java
+++ b/src/main/java/org/borageproxy/wire/MessageKind.java
@@ -21,7 +21,13 @@
     /** Reports and notices about placement between entries and the placement owner. */
     PLACEMENT(9),
     /** A change of the control group's members. */
-    MEMBERS_CHANGE(10);
+    MEMBERS_CHANGE(10),
+    /** What an entry reports to the coordinator, answered with its share of what the fleet shares. */
+    COORDINATION(11),
+    /** What the coordinator tells entries unasked. */
+    COORDINATION_NOTICE(12),
+    /** A request of a VM to be taken into the control group. */
+    ADMISSION(13);
 
     /** The number on the wire. */
     private final int number;
--- a/src/main/java/org/borageproxy/wire/NettyVmNetwork.java
+++ b/src/main/java/org/borageproxy/wire/NettyVmNetwork.java
@@ -13,6 +13,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.SocketChannel;
@@ -41,8 +42,9 @@
     private static final int ACCEPTED_IDLE_MILLIS = 30_000;
 
     /** The network threads. */
-    private final MultiThreadIoEventLoopGroup eventLoops =
-            new MultiThreadIoEventLoopGroup(NETWORK_THREADS, NioIoHandler.newFactory());
+    private final EventLoopGroup eventLoops;
+    /** Ends the network threads that are this network's own. */
+    private final Runnable endThreads;
     /** Makes the frames. */
     private final Frames frames;
     /** Finds the addresses of VMs. */
@@ -72,6 +74,33 @@
         this.frames = new Frames(self, hybridClock, credential);
         this.directory = directory;
         this.clock = clock;
+        MultiThreadIoEventLoopGroup own = new MultiThreadIoEventLoopGroup(NETWORK_THREADS, NioIoHandler.newFactory());
+        this.eventLoops = own;
+        this.endThreads = () -> own.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    /**
+     * Creates a network that does not listen yet and shares the thread of others.
+     *
+     * @param self the name of this VM
+     * @param directory finds the addresses of VMs
+     * @param credential the secret that the VMs share
+     * @param hybridClock this VM's hybrid logical clock
+     * @param clock the clock of the deadlines
+     * @param eventLoops runs the network, and is not ended with it
+     */
+    public NettyVmNetwork(
+            VmName self,
+            VmDirectory directory,
+            PeerCredential credential,
+            HybridClock hybridClock,
+            MonotonicClock clock,
+            EventLoopGroup eventLoops) {
+        this.frames = new Frames(self, hybridClock, credential);
+        this.directory = directory;
+        this.clock = clock;
+        this.eventLoops = eventLoops;
+        this.endThreads = () -> {};
     }
 
     /**
@@ -119,7 +148,7 @@
     @Override
     public void close() {
         connections.values().forEach(DialedConnection::close);
-        eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        endThreads.run();
     }
 
     /**
@@ -130,9 +159,7 @@
      */
     private DialedConnection connectionTo(VmName recipient) {
         return connections.computeIfAbsent(
-                recipient,
-                name -> new DialedConnection(
-                        name, this::dial, frames, clock, (io.netty.channel.EventLoop) eventLoops.next()));
+                recipient, name -> new DialedConnection(name, this::dial, frames, clock, eventLoops.next()));
     }
 
     /**
--- a/src/main/java/org/borageproxy/wire/proto/ControlProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/ControlProtocol.java
@@ -1992,6 +1992,21 @@
      */
     org.borageproxy.wire.proto.ControlProtocol.RemoveVmOrBuilder getRemoveVmOrBuilder();
 
+    /**
+     * <code>.borageproxy.control.PublishDocument publish_document = 19;</code>
+     * @return Whether the publishDocument field is set.
+     */
+    boolean hasPublishDocument();
+    /**
+     * <code>.borageproxy.control.PublishDocument publish_document = 19;</code>
+     * @return The publishDocument.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.PublishDocument getPublishDocument();
+    /**
+     * <code>.borageproxy.control.PublishDocument publish_document = 19;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.PublishDocumentOrBuilder getPublishDocumentOrBuilder();
+
     org.borageproxy.wire.proto.ControlProtocol.Command.BodyCase getBodyCase();
   }
   /**
@@ -2064,6 +2079,7 @@
       CLEAR_CRASH(16),
       REGISTER_VM(17),
       REMOVE_VM(18),
+      PUBLISH_DOCUMENT(19),
       BODY_NOT_SET(0);
       private final int value;
       private BodyCase(int value) {
@@ -2098,6 +2114,7 @@
           case 16: return CLEAR_CRASH;
           case 17: return REGISTER_VM;
           case 18: return REMOVE_VM;
+          case 19: return PUBLISH_DOCUMENT;
           case 0: return BODY_NOT_SET;
           default: return null;
         }
@@ -2679,6 +2696,37 @@
       return org.borageproxy.wire.proto.ControlProtocol.RemoveVm.getDefaultInstance();
     }
 
+    public static final int PUBLISH_DOCUMENT_FIELD_NUMBER = 19;
+    /**
+     * <code>.borageproxy.control.PublishDocument publish_document = 19;</code>
+     * @return Whether the publishDocument field is set.
+     */
+    @java.lang.Override
+    public boolean hasPublishDocument() {
+      return bodyCase_ == 19;
+    }
+    /**
+     * <code>.borageproxy.control.PublishDocument publish_document = 19;</code>
+     * @return The publishDocument.
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.PublishDocument getPublishDocument() {
+      if (bodyCase_ == 19) {
+         return (org.borageproxy.wire.proto.ControlProtocol.PublishDocument) body_;
+      }
+      return org.borageproxy.wire.proto.ControlProtocol.PublishDocument.getDefaultInstance();
+    }
+    /**
+     * <code>.borageproxy.control.PublishDocument publish_document = 19;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.PublishDocumentOrBuilder getPublishDocumentOrBuilder() {
+      if (bodyCase_ == 19) {
+         return (org.borageproxy.wire.proto.ControlProtocol.PublishDocument) body_;
+      }
+      return org.borageproxy.wire.proto.ControlProtocol.PublishDocument.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -2747,6 +2795,9 @@
       if (bodyCase_ == 18) {
         output.writeMessage(18, (org.borageproxy.wire.proto.ControlProtocol.RemoveVm) body_);
       }
+      if (bodyCase_ == 19) {
+        output.writeMessage(19, (org.borageproxy.wire.proto.ControlProtocol.PublishDocument) body_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -2827,6 +2878,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(18, (org.borageproxy.wire.proto.ControlProtocol.RemoveVm) body_);
       }
+      if (bodyCase_ == 19) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(19, (org.borageproxy.wire.proto.ControlProtocol.PublishDocument) body_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -2914,6 +2969,10 @@
           if (!getRemoveVm()
               .equals(other.getRemoveVm())) return false;
           break;
+        case 19:
+          if (!getPublishDocument()
+              .equals(other.getPublishDocument())) return false;
+          break;
         case 0:
         default:
       }
@@ -2999,6 +3058,10 @@
           hash = (37 * hash) + REMOVE_VM_FIELD_NUMBER;
           hash = (53 * hash) + getRemoveVm().hashCode();
           break;
+        case 19:
+          hash = (37 * hash) + PUBLISH_DOCUMENT_FIELD_NUMBER;
+          hash = (53 * hash) + getPublishDocument().hashCode();
+          break;
         case 0:
         default:
       }
@@ -3189,6 +3252,9 @@
         if (removeVmBuilder_ != null) {
           removeVmBuilder_.clear();
         }
+        if (publishDocumentBuilder_ != null) {
+          publishDocumentBuilder_.clear();
+        }
         bodyCase_ = 0;
         body_ = null;
         return this;
@@ -3301,6 +3367,10 @@
             removeVmBuilder_ != null) {
           result.body_ = removeVmBuilder_.build();
         }
+        if (bodyCase_ == 19 &&
+            publishDocumentBuilder_ != null) {
+          result.body_ = publishDocumentBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -3389,6 +3459,10 @@
             mergeRemoveVm(other.getRemoveVm());
             break;
           }
+          case PUBLISH_DOCUMENT: {
+            mergePublishDocument(other.getPublishDocument());
+            break;
+          }
           case BODY_NOT_SET: {
             break;
           }
@@ -3543,6 +3617,13 @@
                 bodyCase_ = 18;
                 break;
               } // case 146
+              case 154: {
+                input.readMessage(
+                    internalGetPublishDocumentFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 19;
+                break;
+              } // case 154
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -6061,6 +6142,148 @@
         return removeVmBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.PublishDocument, org.borageproxy.wire.proto.ControlProtocol.PublishDocument.Builder, org.borageproxy.wire.proto.ControlProtocol.PublishDocumentOrBuilder> publishDocumentBuilder_;
+      /**
+       * <code>.borageproxy.control.PublishDocument publish_document = 19;</code>
+       * @return Whether the publishDocument field is set.
+       */
+      @java.lang.Override
+      public boolean hasPublishDocument() {
+        return bodyCase_ == 19;
+      }
+      /**
+       * <code>.borageproxy.control.PublishDocument publish_document = 19;</code>
+       * @return The publishDocument.
+       */
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.PublishDocument getPublishDocument() {
+        if (publishDocumentBuilder_ == null) {
+          if (bodyCase_ == 19) {
+            return (org.borageproxy.wire.proto.ControlProtocol.PublishDocument) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.PublishDocument.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 19) {
+            return publishDocumentBuilder_.getMessage();
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.PublishDocument.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.borageproxy.control.PublishDocument publish_document = 19;</code>
+       */
+      public Builder setPublishDocument(org.borageproxy.wire.proto.ControlProtocol.PublishDocument value) {
+        if (publishDocumentBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          body_ = value;
+          onChanged();
+        } else {
+          publishDocumentBuilder_.setMessage(value);
+        }
+        bodyCase_ = 19;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.PublishDocument publish_document = 19;</code>
+       */
+      public Builder setPublishDocument(
+          org.borageproxy.wire.proto.ControlProtocol.PublishDocument.Builder builderForValue) {
+        if (publishDocumentBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          publishDocumentBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 19;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.PublishDocument publish_document = 19;</code>
+       */
+      public Builder mergePublishDocument(org.borageproxy.wire.proto.ControlProtocol.PublishDocument value) {
+        if (publishDocumentBuilder_ == null) {
+          if (bodyCase_ == 19 &&
+              body_ != org.borageproxy.wire.proto.ControlProtocol.PublishDocument.getDefaultInstance()) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.PublishDocument.newBuilder((org.borageproxy.wire.proto.ControlProtocol.PublishDocument) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 19) {
+            publishDocumentBuilder_.mergeFrom(value);
+          } else {
+            publishDocumentBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 19;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.PublishDocument publish_document = 19;</code>
+       */
+      public Builder clearPublishDocument() {
+        if (publishDocumentBuilder_ == null) {
+          if (bodyCase_ == 19) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 19) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          publishDocumentBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.PublishDocument publish_document = 19;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.PublishDocument.Builder getPublishDocumentBuilder() {
+        return internalGetPublishDocumentFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.borageproxy.control.PublishDocument publish_document = 19;</code>
+       */
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.PublishDocumentOrBuilder getPublishDocumentOrBuilder() {
+        if ((bodyCase_ == 19) && (publishDocumentBuilder_ != null)) {
+          return publishDocumentBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 19) {
+            return (org.borageproxy.wire.proto.ControlProtocol.PublishDocument) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.PublishDocument.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.borageproxy.control.PublishDocument publish_document = 19;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.PublishDocument, org.borageproxy.wire.proto.ControlProtocol.PublishDocument.Builder, org.borageproxy.wire.proto.ControlProtocol.PublishDocumentOrBuilder> 
+          internalGetPublishDocumentFieldBuilder() {
+        if (publishDocumentBuilder_ == null) {
+          if (!(bodyCase_ == 19)) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.PublishDocument.getDefaultInstance();
+          }
+          publishDocumentBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.PublishDocument, org.borageproxy.wire.proto.ControlProtocol.PublishDocument.Builder, org.borageproxy.wire.proto.ControlProtocol.PublishDocumentOrBuilder>(
+                  (org.borageproxy.wire.proto.ControlProtocol.PublishDocument) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 19;
+        onChanged();
+        return publishDocumentBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.control.Command)
     }
 
@@ -20150,59 +20373,33 @@
 
   }
 
-  public interface VmRecordOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:borageproxy.control.VmRecord)
+  public interface PublishDocumentOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.control.PublishDocument)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>string name = 1;</code>
-     * @return The name.
-     */
-    java.lang.String getName();
-    /**
-     * <code>string name = 1;</code>
-     * @return The bytes for name.
-     */
-    com.google.protobuf.ByteString
-        getNameBytes();
-
-    /**
-     * <code>string zone = 2;</code>
-     * @return The zone.
-     */
-    java.lang.String getZone();
-    /**
-     * <code>string zone = 2;</code>
-     * @return The bytes for zone.
-     */
-    com.google.protobuf.ByteString
-        getZoneBytes();
-
-    /**
-     * <code>string host = 3;</code>
-     * @return The host.
-     */
-    java.lang.String getHost();
-    /**
-     * <code>string host = 3;</code>
-     * @return The bytes for host.
+     * <code>uint64 number = 1;</code>
+     * @return The number.
      */
-    com.google.protobuf.ByteString
-        getHostBytes();
+    long getNumber();
 
     /**
-     * <code>int32 port = 4;</code>
-     * @return The port.
+     * <code>bytes content = 2;</code>
+     * @return The content.
      */
-    int getPort();
+    com.google.protobuf.ByteString getContent();
   }
   /**
-   * Protobuf type {@code borageproxy.control.VmRecord}
+   * <pre>
+   * A whole document of an operator; the one with the highest number holds.
+   * </pre>
+   *
+   * Protobuf type {@code borageproxy.control.PublishDocument}
    */
-  public static final class VmRecord extends
+  public static final class PublishDocument extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:borageproxy.control.VmRecord)
-      VmRecordOrBuilder {
+      // @@protoc_insertion_point(message_implements:borageproxy.control.PublishDocument)
+      PublishDocumentOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -20211,162 +20408,54 @@
         /* minor= */ 34,
         /* patch= */ 2,
         /* suffix= */ "",
-        "VmRecord");
+        "PublishDocument");
     }
-    // Use VmRecord.newBuilder() to construct.
-    private VmRecord(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use PublishDocument.newBuilder() to construct.
+    private PublishDocument(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private VmRecord() {
-      name_ = "";
-      zone_ = "";
-      host_ = "";
+    private PublishDocument() {
+      content_ = com.google.protobuf.ByteString.EMPTY;
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_VmRecord_descriptor;
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_PublishDocument_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_VmRecord_descriptor;
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_PublishDocument_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_VmRecord_fieldAccessorTable
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_PublishDocument_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.borageproxy.wire.proto.ControlProtocol.VmRecord.class, org.borageproxy.wire.proto.ControlProtocol.VmRecord.Builder.class);
-    }
-
-    public static final int NAME_FIELD_NUMBER = 1;
-    @SuppressWarnings("serial")
-    private volatile java.lang.Object name_ = "";
-    /**
-     * <code>string name = 1;</code>
-     * @return The name.
-     */
-    @java.lang.Override
-    public java.lang.String getName() {
-      java.lang.Object ref = name_;
-      if (ref instanceof java.lang.String) {
-        return (java.lang.String) ref;
-      } else {
-        com.google.protobuf.ByteString bs = 
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        name_ = s;
-        return s;
-      }
-    }
-    /**
-     * <code>string name = 1;</code>
-     * @return The bytes for name.
-     */
-    @java.lang.Override
-    public com.google.protobuf.ByteString
-        getNameBytes() {
-      java.lang.Object ref = name_;
-      if (ref instanceof java.lang.String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        name_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
+              org.borageproxy.wire.proto.ControlProtocol.PublishDocument.class, org.borageproxy.wire.proto.ControlProtocol.PublishDocument.Builder.class);
     }
 
-    public static final int ZONE_FIELD_NUMBER = 2;
-    @SuppressWarnings("serial")
-    private volatile java.lang.Object zone_ = "";
-    /**
-     * <code>string zone = 2;</code>
-     * @return The zone.
-     */
-    @java.lang.Override
-    public java.lang.String getZone() {
-      java.lang.Object ref = zone_;
-      if (ref instanceof java.lang.String) {
-        return (java.lang.String) ref;
-      } else {
-        com.google.protobuf.ByteString bs = 
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        zone_ = s;
-        return s;
-      }
-    }
-    /**
-     * <code>string zone = 2;</code>
-     * @return The bytes for zone.
-     */
-    @java.lang.Override
-    public com.google.protobuf.ByteString
-        getZoneBytes() {
-      java.lang.Object ref = zone_;
-      if (ref instanceof java.lang.String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        zone_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
-    }
-
-    public static final int HOST_FIELD_NUMBER = 3;
-    @SuppressWarnings("serial")
-    private volatile java.lang.Object host_ = "";
-    /**
-     * <code>string host = 3;</code>
-     * @return The host.
-     */
-    @java.lang.Override
-    public java.lang.String getHost() {
-      java.lang.Object ref = host_;
-      if (ref instanceof java.lang.String) {
-        return (java.lang.String) ref;
-      } else {
-        com.google.protobuf.ByteString bs = 
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        host_ = s;
-        return s;
-      }
-    }
+    public static final int NUMBER_FIELD_NUMBER = 1;
+    private long number_ = 0L;
     /**
-     * <code>string host = 3;</code>
-     * @return The bytes for host.
+     * <code>uint64 number = 1;</code>
+     * @return The number.
      */
     @java.lang.Override
-    public com.google.protobuf.ByteString
-        getHostBytes() {
-      java.lang.Object ref = host_;
-      if (ref instanceof java.lang.String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        host_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
+    public long getNumber() {
+      return number_;
     }
 
-    public static final int PORT_FIELD_NUMBER = 4;
-    private int port_ = 0;
+    public static final int CONTENT_FIELD_NUMBER = 2;
+    private com.google.protobuf.ByteString content_ = com.google.protobuf.ByteString.EMPTY;
     /**
-     * <code>int32 port = 4;</code>
-     * @return The port.
+     * <code>bytes content = 2;</code>
+     * @return The content.
      */
     @java.lang.Override
-    public int getPort() {
-      return port_;
+    public com.google.protobuf.ByteString getContent() {
+      return content_;
     }
 
     private byte memoizedIsInitialized = -1;
@@ -20383,17 +20472,11 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(name_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 1, name_);
-      }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(zone_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 2, zone_);
-      }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(host_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 3, host_);
+      if (number_ != 0L) {
+        output.writeUInt64(1, number_);
       }
-      if (port_ != 0) {
-        output.writeInt32(4, port_);
+      if (!content_.isEmpty()) {
+        output.writeBytes(2, content_);
       }
       getUnknownFields().writeTo(output);
     }
@@ -20404,18 +20487,13 @@
       if (size != -1) return size;
 
       size = 0;
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(name_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, name_);
-      }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(zone_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, zone_);
-      }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(host_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(3, host_);
+      if (number_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(1, number_);
       }
-      if (port_ != 0) {
+      if (!content_.isEmpty()) {
         size += com.google.protobuf.CodedOutputStream
-          .computeInt32Size(4, port_);
+          .computeBytesSize(2, content_);
       }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
@@ -20427,19 +20505,15 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.VmRecord)) {
+      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.PublishDocument)) {
         return super.equals(obj);
       }
-      org.borageproxy.wire.proto.ControlProtocol.VmRecord other = (org.borageproxy.wire.proto.ControlProtocol.VmRecord) obj;
+      org.borageproxy.wire.proto.ControlProtocol.PublishDocument other = (org.borageproxy.wire.proto.ControlProtocol.PublishDocument) obj;
 
-      if (!getName()
-          .equals(other.getName())) return false;
-      if (!getZone()
-          .equals(other.getZone())) return false;
-      if (!getHost()
-          .equals(other.getHost())) return false;
-      if (getPort()
-          != other.getPort()) return false;
+      if (getNumber()
+          != other.getNumber()) return false;
+      if (!getContent()
+          .equals(other.getContent())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -20451,57 +20525,54 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + NAME_FIELD_NUMBER;
-      hash = (53 * hash) + getName().hashCode();
-      hash = (37 * hash) + ZONE_FIELD_NUMBER;
-      hash = (53 * hash) + getZone().hashCode();
-      hash = (37 * hash) + HOST_FIELD_NUMBER;
-      hash = (53 * hash) + getHost().hashCode();
-      hash = (37 * hash) + PORT_FIELD_NUMBER;
-      hash = (53 * hash) + getPort();
+      hash = (37 * hash) + NUMBER_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getNumber());
+      hash = (37 * hash) + CONTENT_FIELD_NUMBER;
+      hash = (53 * hash) + getContent().hashCode();
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.VmRecord parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.PublishDocument parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.VmRecord parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.PublishDocument parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.VmRecord parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.PublishDocument parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.VmRecord parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.PublishDocument parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.VmRecord parseFrom(byte[] data)
+    public static org.borageproxy.wire.proto.ControlProtocol.PublishDocument parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.VmRecord parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.PublishDocument parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.VmRecord parseFrom(java.io.InputStream input)
+    public static org.borageproxy.wire.proto.ControlProtocol.PublishDocument parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.VmRecord parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.PublishDocument parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -20509,26 +20580,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.VmRecord parseDelimitedFrom(java.io.InputStream input)
+    public static org.borageproxy.wire.proto.ControlProtocol.PublishDocument parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.VmRecord parseDelimitedFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.PublishDocument parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.VmRecord parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.PublishDocument parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.VmRecord parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.PublishDocument parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -20541,7 +20612,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.VmRecord prototype) {
+    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.PublishDocument prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -20557,26 +20628,30 @@
       return builder;
     }
     /**
-     * Protobuf type {@code borageproxy.control.VmRecord}
+     * <pre>
+     * A whole document of an operator; the one with the highest number holds.
+     * </pre>
+     *
+     * Protobuf type {@code borageproxy.control.PublishDocument}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:borageproxy.control.VmRecord)
-        org.borageproxy.wire.proto.ControlProtocol.VmRecordOrBuilder {
+        // @@protoc_insertion_point(builder_implements:borageproxy.control.PublishDocument)
+        org.borageproxy.wire.proto.ControlProtocol.PublishDocumentOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_VmRecord_descriptor;
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_PublishDocument_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_VmRecord_fieldAccessorTable
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_PublishDocument_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                org.borageproxy.wire.proto.ControlProtocol.VmRecord.class, org.borageproxy.wire.proto.ControlProtocol.VmRecord.Builder.class);
+                org.borageproxy.wire.proto.ControlProtocol.PublishDocument.class, org.borageproxy.wire.proto.ControlProtocol.PublishDocument.Builder.class);
       }
 
-      // Construct using org.borageproxy.wire.proto.ControlProtocol.VmRecord.newBuilder()
+      // Construct using org.borageproxy.wire.proto.ControlProtocol.PublishDocument.newBuilder()
       private Builder() {
 
       }
@@ -20590,27 +20665,25 @@
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        name_ = "";
-        zone_ = "";
-        host_ = "";
-        port_ = 0;
+        number_ = 0L;
+        content_ = com.google.protobuf.ByteString.EMPTY;
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_VmRecord_descriptor;
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_PublishDocument_descriptor;
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.VmRecord getDefaultInstanceForType() {
-        return org.borageproxy.wire.proto.ControlProtocol.VmRecord.getDefaultInstance();
+      public org.borageproxy.wire.proto.ControlProtocol.PublishDocument getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.PublishDocument.getDefaultInstance();
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.VmRecord build() {
-        org.borageproxy.wire.proto.ControlProtocol.VmRecord result = buildPartial();
+      public org.borageproxy.wire.proto.ControlProtocol.PublishDocument build() {
+        org.borageproxy.wire.proto.ControlProtocol.PublishDocument result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -20618,58 +20691,40 @@
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.VmRecord buildPartial() {
-        org.borageproxy.wire.proto.ControlProtocol.VmRecord result = new org.borageproxy.wire.proto.ControlProtocol.VmRecord(this);
+      public org.borageproxy.wire.proto.ControlProtocol.PublishDocument buildPartial() {
+        org.borageproxy.wire.proto.ControlProtocol.PublishDocument result = new org.borageproxy.wire.proto.ControlProtocol.PublishDocument(this);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.VmRecord result) {
+      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.PublishDocument result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.name_ = name_;
+          result.number_ = number_;
         }
         if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.zone_ = zone_;
-        }
-        if (((from_bitField0_ & 0x00000004) != 0)) {
-          result.host_ = host_;
-        }
-        if (((from_bitField0_ & 0x00000008) != 0)) {
-          result.port_ = port_;
+          result.content_ = content_;
         }
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.VmRecord) {
-          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.VmRecord)other);
+        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.PublishDocument) {
+          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.PublishDocument)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.VmRecord other) {
-        if (other == org.borageproxy.wire.proto.ControlProtocol.VmRecord.getDefaultInstance()) return this;
-        if (!other.getName().isEmpty()) {
-          name_ = other.name_;
-          bitField0_ |= 0x00000001;
-          onChanged();
-        }
-        if (!other.getZone().isEmpty()) {
-          zone_ = other.zone_;
-          bitField0_ |= 0x00000002;
-          onChanged();
-        }
-        if (!other.getHost().isEmpty()) {
-          host_ = other.host_;
-          bitField0_ |= 0x00000004;
-          onChanged();
+      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.PublishDocument other) {
+        if (other == org.borageproxy.wire.proto.ControlProtocol.PublishDocument.getDefaultInstance()) return this;
+        if (other.getNumber() != 0L) {
+          setNumber(other.getNumber());
         }
-        if (other.getPort() != 0) {
-          setPort(other.getPort());
+        if (!other.getContent().isEmpty()) {
+          setContent(other.getContent());
         }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
@@ -20697,26 +20752,16 @@
               case 0:
                 done = true;
                 break;
-              case 10: {
-                name_ = input.readStringRequireUtf8();
+              case 8: {
+                number_ = input.readUInt64();
                 bitField0_ |= 0x00000001;
                 break;
-              } // case 10
+              } // case 8
               case 18: {
-                zone_ = input.readStringRequireUtf8();
+                content_ = input.readBytes();
                 bitField0_ |= 0x00000002;
                 break;
               } // case 18
-              case 26: {
-                host_ = input.readStringRequireUtf8();
-                bitField0_ |= 0x00000004;
-                break;
-              } // case 26
-              case 32: {
-                port_ = input.readInt32();
-                bitField0_ |= 0x00000008;
-                break;
-              } // case 32
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -20734,271 +20779,87 @@
       }
       private int bitField0_;
 
-      private java.lang.Object name_ = "";
-      /**
-       * <code>string name = 1;</code>
-       * @return The name.
-       */
-      public java.lang.String getName() {
-        java.lang.Object ref = name_;
-        if (!(ref instanceof java.lang.String)) {
-          com.google.protobuf.ByteString bs =
-              (com.google.protobuf.ByteString) ref;
-          java.lang.String s = bs.toStringUtf8();
-          name_ = s;
-          return s;
-        } else {
-          return (java.lang.String) ref;
-        }
-      }
+      private long number_ ;
       /**
-       * <code>string name = 1;</code>
-       * @return The bytes for name.
+       * <code>uint64 number = 1;</code>
+       * @return The number.
        */
-      public com.google.protobuf.ByteString
-          getNameBytes() {
-        java.lang.Object ref = name_;
-        if (ref instanceof String) {
-          com.google.protobuf.ByteString b = 
-              com.google.protobuf.ByteString.copyFromUtf8(
-                  (java.lang.String) ref);
-          name_ = b;
-          return b;
-        } else {
-          return (com.google.protobuf.ByteString) ref;
-        }
+      @java.lang.Override
+      public long getNumber() {
+        return number_;
       }
       /**
-       * <code>string name = 1;</code>
-       * @param value The name to set.
+       * <code>uint64 number = 1;</code>
+       * @param value The number to set.
        * @return This builder for chaining.
        */
-      public Builder setName(
-          java.lang.String value) {
-        if (value == null) { throw new NullPointerException(); }
-        name_ = value;
+      public Builder setNumber(long value) {
+
+        number_ = value;
         bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
       /**
-       * <code>string name = 1;</code>
+       * <code>uint64 number = 1;</code>
        * @return This builder for chaining.
        */
-      public Builder clearName() {
-        name_ = getDefaultInstance().getName();
+      public Builder clearNumber() {
         bitField0_ = (bitField0_ & ~0x00000001);
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>string name = 1;</code>
-       * @param value The bytes for name to set.
-       * @return This builder for chaining.
-       */
-      public Builder setNameBytes(
-          com.google.protobuf.ByteString value) {
-        if (value == null) { throw new NullPointerException(); }
-        checkByteStringIsUtf8(value);
-        name_ = value;
-        bitField0_ |= 0x00000001;
+        number_ = 0L;
         onChanged();
         return this;
       }
 
-      private java.lang.Object zone_ = "";
-      /**
-       * <code>string zone = 2;</code>
-       * @return The zone.
-       */
-      public java.lang.String getZone() {
-        java.lang.Object ref = zone_;
-        if (!(ref instanceof java.lang.String)) {
-          com.google.protobuf.ByteString bs =
-              (com.google.protobuf.ByteString) ref;
-          java.lang.String s = bs.toStringUtf8();
-          zone_ = s;
-          return s;
-        } else {
-          return (java.lang.String) ref;
-        }
-      }
+      private com.google.protobuf.ByteString content_ = com.google.protobuf.ByteString.EMPTY;
       /**
-       * <code>string zone = 2;</code>
-       * @return The bytes for zone.
+       * <code>bytes content = 2;</code>
+       * @return The content.
        */
-      public com.google.protobuf.ByteString
-          getZoneBytes() {
-        java.lang.Object ref = zone_;
-        if (ref instanceof String) {
-          com.google.protobuf.ByteString b = 
-              com.google.protobuf.ByteString.copyFromUtf8(
-                  (java.lang.String) ref);
-          zone_ = b;
-          return b;
-        } else {
-          return (com.google.protobuf.ByteString) ref;
-        }
+      @java.lang.Override
+      public com.google.protobuf.ByteString getContent() {
+        return content_;
       }
       /**
-       * <code>string zone = 2;</code>
-       * @param value The zone to set.
+       * <code>bytes content = 2;</code>
+       * @param value The content to set.
        * @return This builder for chaining.
        */
-      public Builder setZone(
-          java.lang.String value) {
+      public Builder setContent(com.google.protobuf.ByteString value) {
         if (value == null) { throw new NullPointerException(); }
-        zone_ = value;
+        content_ = value;
         bitField0_ |= 0x00000002;
         onChanged();
         return this;
       }
       /**
-       * <code>string zone = 2;</code>
+       * <code>bytes content = 2;</code>
        * @return This builder for chaining.
        */
-      public Builder clearZone() {
-        zone_ = getDefaultInstance().getZone();
+      public Builder clearContent() {
         bitField0_ = (bitField0_ & ~0x00000002);
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>string zone = 2;</code>
-       * @param value The bytes for zone to set.
-       * @return This builder for chaining.
-       */
-      public Builder setZoneBytes(
-          com.google.protobuf.ByteString value) {
-        if (value == null) { throw new NullPointerException(); }
-        checkByteStringIsUtf8(value);
-        zone_ = value;
-        bitField0_ |= 0x00000002;
-        onChanged();
-        return this;
-      }
-
-      private java.lang.Object host_ = "";
-      /**
-       * <code>string host = 3;</code>
-       * @return The host.
-       */
-      public java.lang.String getHost() {
-        java.lang.Object ref = host_;
-        if (!(ref instanceof java.lang.String)) {
-          com.google.protobuf.ByteString bs =
-              (com.google.protobuf.ByteString) ref;
-          java.lang.String s = bs.toStringUtf8();
-          host_ = s;
-          return s;
-        } else {
-          return (java.lang.String) ref;
-        }
-      }
-      /**
-       * <code>string host = 3;</code>
-       * @return The bytes for host.
-       */
-      public com.google.protobuf.ByteString
-          getHostBytes() {
-        java.lang.Object ref = host_;
-        if (ref instanceof String) {
-          com.google.protobuf.ByteString b = 
-              com.google.protobuf.ByteString.copyFromUtf8(
-                  (java.lang.String) ref);
-          host_ = b;
-          return b;
-        } else {
-          return (com.google.protobuf.ByteString) ref;
-        }
-      }
-      /**
-       * <code>string host = 3;</code>
-       * @param value The host to set.
-       * @return This builder for chaining.
-       */
-      public Builder setHost(
-          java.lang.String value) {
-        if (value == null) { throw new NullPointerException(); }
-        host_ = value;
-        bitField0_ |= 0x00000004;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>string host = 3;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearHost() {
-        host_ = getDefaultInstance().getHost();
-        bitField0_ = (bitField0_ & ~0x00000004);
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>string host = 3;</code>
-       * @param value The bytes for host to set.
-       * @return This builder for chaining.
-       */
-      public Builder setHostBytes(
-          com.google.protobuf.ByteString value) {
-        if (value == null) { throw new NullPointerException(); }
-        checkByteStringIsUtf8(value);
-        host_ = value;
-        bitField0_ |= 0x00000004;
-        onChanged();
-        return this;
-      }
-
-      private int port_ ;
-      /**
-       * <code>int32 port = 4;</code>
-       * @return The port.
-       */
-      @java.lang.Override
-      public int getPort() {
-        return port_;
-      }
-      /**
-       * <code>int32 port = 4;</code>
-       * @param value The port to set.
-       * @return This builder for chaining.
-       */
-      public Builder setPort(int value) {
-
-        port_ = value;
-        bitField0_ |= 0x00000008;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>int32 port = 4;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearPort() {
-        bitField0_ = (bitField0_ & ~0x00000008);
-        port_ = 0;
+        content_ = getDefaultInstance().getContent();
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:borageproxy.control.VmRecord)
+      // @@protoc_insertion_point(builder_scope:borageproxy.control.PublishDocument)
     }
 
-    // @@protoc_insertion_point(class_scope:borageproxy.control.VmRecord)
-    private static final org.borageproxy.wire.proto.ControlProtocol.VmRecord DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:borageproxy.control.PublishDocument)
+    private static final org.borageproxy.wire.proto.ControlProtocol.PublishDocument DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.VmRecord();
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.PublishDocument();
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.VmRecord getDefaultInstance() {
+    public static org.borageproxy.wire.proto.ControlProtocol.PublishDocument getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<VmRecord>
-        PARSER = new com.google.protobuf.AbstractParser<VmRecord>() {
+    private static final com.google.protobuf.Parser<PublishDocument>
+        PARSER = new com.google.protobuf.AbstractParser<PublishDocument>() {
       @java.lang.Override
-      public VmRecord parsePartialFrom(
+      public PublishDocument parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -21017,219 +20878,85 @@
       }
     };
 
-    public static com.google.protobuf.Parser<VmRecord> parser() {
+    public static com.google.protobuf.Parser<PublishDocument> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<VmRecord> getParserForType() {
+    public com.google.protobuf.Parser<PublishDocument> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.VmRecord getDefaultInstanceForType() {
+    public org.borageproxy.wire.proto.ControlProtocol.PublishDocument getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
   }
 
-  public interface ReplyOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:borageproxy.control.Reply)
+  public interface VmRecordOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.control.VmRecord)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>.borageproxy.control.Accepted accepted = 1;</code>
-     * @return Whether the accepted field is set.
-     */
-    boolean hasAccepted();
-    /**
-     * <code>.borageproxy.control.Accepted accepted = 1;</code>
-     * @return The accepted.
-     */
-    org.borageproxy.wire.proto.ControlProtocol.Accepted getAccepted();
-    /**
-     * <code>.borageproxy.control.Accepted accepted = 1;</code>
-     */
-    org.borageproxy.wire.proto.ControlProtocol.AcceptedOrBuilder getAcceptedOrBuilder();
-
-    /**
-     * <code>.borageproxy.control.ChangeConflict change_conflict = 2;</code>
-     * @return Whether the changeConflict field is set.
-     */
-    boolean hasChangeConflict();
-    /**
-     * <code>.borageproxy.control.ChangeConflict change_conflict = 2;</code>
-     * @return The changeConflict.
-     */
-    org.borageproxy.wire.proto.ControlProtocol.ChangeConflict getChangeConflict();
-    /**
-     * <code>.borageproxy.control.ChangeConflict change_conflict = 2;</code>
-     */
-    org.borageproxy.wire.proto.ControlProtocol.ChangeConflictOrBuilder getChangeConflictOrBuilder();
-
-    /**
-     * <code>.borageproxy.control.IdentityConflict identity_conflict = 3;</code>
-     * @return Whether the identityConflict field is set.
-     */
-    boolean hasIdentityConflict();
-    /**
-     * <code>.borageproxy.control.IdentityConflict identity_conflict = 3;</code>
-     * @return The identityConflict.
-     */
-    org.borageproxy.wire.proto.ControlProtocol.IdentityConflict getIdentityConflict();
-    /**
-     * <code>.borageproxy.control.IdentityConflict identity_conflict = 3;</code>
-     */
-    org.borageproxy.wire.proto.ControlProtocol.IdentityConflictOrBuilder getIdentityConflictOrBuilder();
-
-    /**
-     * <code>.borageproxy.control.Missing missing = 4;</code>
-     * @return Whether the missing field is set.
-     */
-    boolean hasMissing();
-    /**
-     * <code>.borageproxy.control.Missing missing = 4;</code>
-     * @return The missing.
-     */
-    org.borageproxy.wire.proto.ControlProtocol.Missing getMissing();
-    /**
-     * <code>.borageproxy.control.Missing missing = 4;</code>
-     */
-    org.borageproxy.wire.proto.ControlProtocol.MissingOrBuilder getMissingOrBuilder();
-
-    /**
-     * <code>.borageproxy.control.ClaimReply claim = 5;</code>
-     * @return Whether the claim field is set.
-     */
-    boolean hasClaim();
-    /**
-     * <code>.borageproxy.control.ClaimReply claim = 5;</code>
-     * @return The claim.
-     */
-    org.borageproxy.wire.proto.ControlProtocol.ClaimReply getClaim();
-    /**
-     * <code>.borageproxy.control.ClaimReply claim = 5;</code>
-     */
-    org.borageproxy.wire.proto.ControlProtocol.ClaimReplyOrBuilder getClaimOrBuilder();
-
-    /**
-     * <code>.borageproxy.control.LeaseReply lease = 6;</code>
-     * @return Whether the lease field is set.
-     */
-    boolean hasLease();
-    /**
-     * <code>.borageproxy.control.LeaseReply lease = 6;</code>
-     * @return The lease.
-     */
-    org.borageproxy.wire.proto.ControlProtocol.LeaseReply getLease();
-    /**
-     * <code>.borageproxy.control.LeaseReply lease = 6;</code>
-     */
-    org.borageproxy.wire.proto.ControlProtocol.LeaseReplyOrBuilder getLeaseOrBuilder();
-
-    /**
-     * <code>.borageproxy.control.IntentRecord intent = 7;</code>
-     * @return Whether the intent field is set.
-     */
-    boolean hasIntent();
-    /**
-     * <code>.borageproxy.control.IntentRecord intent = 7;</code>
-     * @return The intent.
-     */
-    org.borageproxy.wire.proto.ControlProtocol.IntentRecord getIntent();
-    /**
-     * <code>.borageproxy.control.IntentRecord intent = 7;</code>
-     */
-    org.borageproxy.wire.proto.ControlProtocol.IntentRecordOrBuilder getIntentOrBuilder();
-
-    /**
-     * <code>.borageproxy.control.Fenced fenced = 8;</code>
-     * @return Whether the fenced field is set.
-     */
-    boolean hasFenced();
-    /**
-     * <code>.borageproxy.control.Fenced fenced = 8;</code>
-     * @return The fenced.
+     * <code>string name = 1;</code>
+     * @return The name.
      */
-    org.borageproxy.wire.proto.ControlProtocol.Fenced getFenced();
+    java.lang.String getName();
     /**
-     * <code>.borageproxy.control.Fenced fenced = 8;</code>
+     * <code>string name = 1;</code>
+     * @return The bytes for name.
      */
-    org.borageproxy.wire.proto.ControlProtocol.FencedOrBuilder getFencedOrBuilder();
+    com.google.protobuf.ByteString
+        getNameBytes();
 
     /**
-     * <code>.borageproxy.control.Intents intents = 9;</code>
-     * @return Whether the intents field is set.
-     */
-    boolean hasIntents();
-    /**
-     * <code>.borageproxy.control.Intents intents = 9;</code>
-     * @return The intents.
+     * <code>string zone = 2;</code>
+     * @return The zone.
      */
-    org.borageproxy.wire.proto.ControlProtocol.Intents getIntents();
+    java.lang.String getZone();
     /**
-     * <code>.borageproxy.control.Intents intents = 9;</code>
+     * <code>string zone = 2;</code>
+     * @return The bytes for zone.
      */
-    org.borageproxy.wire.proto.ControlProtocol.IntentsOrBuilder getIntentsOrBuilder();
+    com.google.protobuf.ByteString
+        getZoneBytes();
 
     /**
-     * <code>.borageproxy.control.CrashReply crash = 10;</code>
-     * @return Whether the crash field is set.
-     */
-    boolean hasCrash();
-    /**
-     * <code>.borageproxy.control.CrashReply crash = 10;</code>
-     * @return The crash.
+     * <code>string host = 3;</code>
+     * @return The host.
      */
-    org.borageproxy.wire.proto.ControlProtocol.CrashReply getCrash();
+    java.lang.String getHost();
     /**
-     * <code>.borageproxy.control.CrashReply crash = 10;</code>
+     * <code>string host = 3;</code>
+     * @return The bytes for host.
      */
-    org.borageproxy.wire.proto.ControlProtocol.CrashReplyOrBuilder getCrashOrBuilder();
+    com.google.protobuf.ByteString
+        getHostBytes();
 
     /**
-     * <code>.borageproxy.control.Done done = 11;</code>
-     * @return Whether the done field is set.
-     */
-    boolean hasDone();
-    /**
-     * <code>.borageproxy.control.Done done = 11;</code>
-     * @return The done.
-     */
-    org.borageproxy.wire.proto.ControlProtocol.Done getDone();
-    /**
-     * <code>.borageproxy.control.Done done = 11;</code>
+     * <code>int32 port = 4;</code>
+     * @return The port.
      */
-    org.borageproxy.wire.proto.ControlProtocol.DoneOrBuilder getDoneOrBuilder();
+    int getPort();
 
     /**
-     * <code>.borageproxy.control.KeyCreated key_created = 12;</code>
-     * @return Whether the keyCreated field is set.
-     */
-    boolean hasKeyCreated();
-    /**
-     * <code>.borageproxy.control.KeyCreated key_created = 12;</code>
-     * @return The keyCreated.
-     */
-    org.borageproxy.wire.proto.ControlProtocol.KeyCreated getKeyCreated();
-    /**
-     * <code>.borageproxy.control.KeyCreated key_created = 12;</code>
+     * <pre>
+     * Whether the VM takes part in the control group.
+     * </pre>
+     *
+     * <code>bool control = 5;</code>
+     * @return The control.
      */
-    org.borageproxy.wire.proto.ControlProtocol.KeyCreatedOrBuilder getKeyCreatedOrBuilder();
-
-    org.borageproxy.wire.proto.ControlProtocol.Reply.BodyCase getBodyCase();
+    boolean getControl();
   }
   /**
-   * <pre>
-   * The state machine's reply to a command.
-   * </pre>
-   *
-   * Protobuf type {@code borageproxy.control.Reply}
+   * Protobuf type {@code borageproxy.control.VmRecord}
    */
-  public static final class Reply extends
+  public static final class VmRecord extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:borageproxy.control.Reply)
-      ReplyOrBuilder {
+      // @@protoc_insertion_point(message_implements:borageproxy.control.VmRecord)
+      VmRecordOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -21238,57 +20965,1183 @@
         /* minor= */ 34,
         /* patch= */ 2,
         /* suffix= */ "",
-        "Reply");
+        "VmRecord");
     }
-    // Use Reply.newBuilder() to construct.
-    private Reply(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use VmRecord.newBuilder() to construct.
+    private VmRecord(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private Reply() {
+    private VmRecord() {
+      name_ = "";
+      zone_ = "";
+      host_ = "";
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Reply_descriptor;
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_VmRecord_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Reply_descriptor;
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_VmRecord_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Reply_fieldAccessorTable
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_VmRecord_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.borageproxy.wire.proto.ControlProtocol.Reply.class, org.borageproxy.wire.proto.ControlProtocol.Reply.Builder.class);
+              org.borageproxy.wire.proto.ControlProtocol.VmRecord.class, org.borageproxy.wire.proto.ControlProtocol.VmRecord.Builder.class);
     }
 
-    private int bodyCase_ = 0;
+    public static final int NAME_FIELD_NUMBER = 1;
     @SuppressWarnings("serial")
-    private java.lang.Object body_;
-    public enum BodyCase
-        implements com.google.protobuf.Internal.EnumLite,
-            com.google.protobuf.AbstractMessage.InternalOneOfEnum {
-      ACCEPTED(1),
-      CHANGE_CONFLICT(2),
-      IDENTITY_CONFLICT(3),
-      MISSING(4),
-      CLAIM(5),
-      LEASE(6),
-      INTENT(7),
-      FENCED(8),
-      INTENTS(9),
-      CRASH(10),
-      DONE(11),
-      KEY_CREATED(12),
-      BODY_NOT_SET(0);
-      private final int value;
-      private BodyCase(int value) {
-        this.value = value;
+    private volatile java.lang.Object name_ = "";
+    /**
+     * <code>string name = 1;</code>
+     * @return The name.
+     */
+    @java.lang.Override
+    public java.lang.String getName() {
+      java.lang.Object ref = name_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        name_ = s;
+        return s;
       }
-      /**
+    }
+    /**
+     * <code>string name = 1;</code>
+     * @return The bytes for name.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getNameBytes() {
+      java.lang.Object ref = name_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        name_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int ZONE_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object zone_ = "";
+    /**
+     * <code>string zone = 2;</code>
+     * @return The zone.
+     */
+    @java.lang.Override
+    public java.lang.String getZone() {
+      java.lang.Object ref = zone_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        zone_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string zone = 2;</code>
+     * @return The bytes for zone.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getZoneBytes() {
+      java.lang.Object ref = zone_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        zone_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int HOST_FIELD_NUMBER = 3;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object host_ = "";
+    /**
+     * <code>string host = 3;</code>
+     * @return The host.
+     */
+    @java.lang.Override
+    public java.lang.String getHost() {
+      java.lang.Object ref = host_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        host_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string host = 3;</code>
+     * @return The bytes for host.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getHostBytes() {
+      java.lang.Object ref = host_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        host_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int PORT_FIELD_NUMBER = 4;
+    private int port_ = 0;
+    /**
+     * <code>int32 port = 4;</code>
+     * @return The port.
+     */
+    @java.lang.Override
+    public int getPort() {
+      return port_;
+    }
+
+    public static final int CONTROL_FIELD_NUMBER = 5;
+    private boolean control_ = false;
+    /**
+     * <pre>
+     * Whether the VM takes part in the control group.
+     * </pre>
+     *
+     * <code>bool control = 5;</code>
+     * @return The control.
+     */
+    @java.lang.Override
+    public boolean getControl() {
+      return control_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(name_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, name_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(zone_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, zone_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(host_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 3, host_);
+      }
+      if (port_ != 0) {
+        output.writeInt32(4, port_);
+      }
+      if (control_ != false) {
+        output.writeBool(5, control_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(name_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, name_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(zone_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, zone_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(host_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(3, host_);
+      }
+      if (port_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt32Size(4, port_);
+      }
+      if (control_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(5, control_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.VmRecord)) {
+        return super.equals(obj);
+      }
+      org.borageproxy.wire.proto.ControlProtocol.VmRecord other = (org.borageproxy.wire.proto.ControlProtocol.VmRecord) obj;
+
+      if (!getName()
+          .equals(other.getName())) return false;
+      if (!getZone()
+          .equals(other.getZone())) return false;
+      if (!getHost()
+          .equals(other.getHost())) return false;
+      if (getPort()
+          != other.getPort()) return false;
+      if (getControl()
+          != other.getControl()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + NAME_FIELD_NUMBER;
+      hash = (53 * hash) + getName().hashCode();
+      hash = (37 * hash) + ZONE_FIELD_NUMBER;
+      hash = (53 * hash) + getZone().hashCode();
+      hash = (37 * hash) + HOST_FIELD_NUMBER;
+      hash = (53 * hash) + getHost().hashCode();
+      hash = (37 * hash) + PORT_FIELD_NUMBER;
+      hash = (53 * hash) + getPort();
+      hash = (37 * hash) + CONTROL_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getControl());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.VmRecord parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.VmRecord parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.VmRecord parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.VmRecord parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.VmRecord parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.VmRecord parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.VmRecord parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.VmRecord parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.VmRecord parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.VmRecord parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.VmRecord parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.VmRecord parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.VmRecord prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code borageproxy.control.VmRecord}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:borageproxy.control.VmRecord)
+        org.borageproxy.wire.proto.ControlProtocol.VmRecordOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_VmRecord_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_VmRecord_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.borageproxy.wire.proto.ControlProtocol.VmRecord.class, org.borageproxy.wire.proto.ControlProtocol.VmRecord.Builder.class);
+      }
+
+      // Construct using org.borageproxy.wire.proto.ControlProtocol.VmRecord.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        name_ = "";
+        zone_ = "";
+        host_ = "";
+        port_ = 0;
+        control_ = false;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_VmRecord_descriptor;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.VmRecord getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.VmRecord.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.VmRecord build() {
+        org.borageproxy.wire.proto.ControlProtocol.VmRecord result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.VmRecord buildPartial() {
+        org.borageproxy.wire.proto.ControlProtocol.VmRecord result = new org.borageproxy.wire.proto.ControlProtocol.VmRecord(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.VmRecord result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.name_ = name_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.zone_ = zone_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.host_ = host_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.port_ = port_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.control_ = control_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.VmRecord) {
+          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.VmRecord)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.VmRecord other) {
+        if (other == org.borageproxy.wire.proto.ControlProtocol.VmRecord.getDefaultInstance()) return this;
+        if (!other.getName().isEmpty()) {
+          name_ = other.name_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (!other.getZone().isEmpty()) {
+          zone_ = other.zone_;
+          bitField0_ |= 0x00000002;
+          onChanged();
+        }
+        if (!other.getHost().isEmpty()) {
+          host_ = other.host_;
+          bitField0_ |= 0x00000004;
+          onChanged();
+        }
+        if (other.getPort() != 0) {
+          setPort(other.getPort());
+        }
+        if (other.getControl() != false) {
+          setControl(other.getControl());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                name_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 18: {
+                zone_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              case 26: {
+                host_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 26
+              case 32: {
+                port_ = input.readInt32();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              case 40: {
+                control_ = input.readBool();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object name_ = "";
+      /**
+       * <code>string name = 1;</code>
+       * @return The name.
+       */
+      public java.lang.String getName() {
+        java.lang.Object ref = name_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          name_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string name = 1;</code>
+       * @return The bytes for name.
+       */
+      public com.google.protobuf.ByteString
+          getNameBytes() {
+        java.lang.Object ref = name_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          name_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string name = 1;</code>
+       * @param value The name to set.
+       * @return This builder for chaining.
+       */
+      public Builder setName(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        name_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string name = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearName() {
+        name_ = getDefaultInstance().getName();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string name = 1;</code>
+       * @param value The bytes for name to set.
+       * @return This builder for chaining.
+       */
+      public Builder setNameBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        name_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object zone_ = "";
+      /**
+       * <code>string zone = 2;</code>
+       * @return The zone.
+       */
+      public java.lang.String getZone() {
+        java.lang.Object ref = zone_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          zone_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string zone = 2;</code>
+       * @return The bytes for zone.
+       */
+      public com.google.protobuf.ByteString
+          getZoneBytes() {
+        java.lang.Object ref = zone_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          zone_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string zone = 2;</code>
+       * @param value The zone to set.
+       * @return This builder for chaining.
+       */
+      public Builder setZone(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        zone_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string zone = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearZone() {
+        zone_ = getDefaultInstance().getZone();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string zone = 2;</code>
+       * @param value The bytes for zone to set.
+       * @return This builder for chaining.
+       */
+      public Builder setZoneBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        zone_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object host_ = "";
+      /**
+       * <code>string host = 3;</code>
+       * @return The host.
+       */
+      public java.lang.String getHost() {
+        java.lang.Object ref = host_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          host_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string host = 3;</code>
+       * @return The bytes for host.
+       */
+      public com.google.protobuf.ByteString
+          getHostBytes() {
+        java.lang.Object ref = host_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          host_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string host = 3;</code>
+       * @param value The host to set.
+       * @return This builder for chaining.
+       */
+      public Builder setHost(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        host_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string host = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearHost() {
+        host_ = getDefaultInstance().getHost();
+        bitField0_ = (bitField0_ & ~0x00000004);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string host = 3;</code>
+       * @param value The bytes for host to set.
+       * @return This builder for chaining.
+       */
+      public Builder setHostBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        host_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+
+      private int port_ ;
+      /**
+       * <code>int32 port = 4;</code>
+       * @return The port.
+       */
+      @java.lang.Override
+      public int getPort() {
+        return port_;
+      }
+      /**
+       * <code>int32 port = 4;</code>
+       * @param value The port to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPort(int value) {
+
+        port_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int32 port = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearPort() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        port_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private boolean control_ ;
+      /**
+       * <pre>
+       * Whether the VM takes part in the control group.
+       * </pre>
+       *
+       * <code>bool control = 5;</code>
+       * @return The control.
+       */
+      @java.lang.Override
+      public boolean getControl() {
+        return control_;
+      }
+      /**
+       * <pre>
+       * Whether the VM takes part in the control group.
+       * </pre>
+       *
+       * <code>bool control = 5;</code>
+       * @param value The control to set.
+       * @return This builder for chaining.
+       */
+      public Builder setControl(boolean value) {
+
+        control_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether the VM takes part in the control group.
+       * </pre>
+       *
+       * <code>bool control = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearControl() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        control_ = false;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:borageproxy.control.VmRecord)
+    }
+
+    // @@protoc_insertion_point(class_scope:borageproxy.control.VmRecord)
+    private static final org.borageproxy.wire.proto.ControlProtocol.VmRecord DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.VmRecord();
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.VmRecord getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<VmRecord>
+        PARSER = new com.google.protobuf.AbstractParser<VmRecord>() {
+      @java.lang.Override
+      public VmRecord parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<VmRecord> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<VmRecord> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.VmRecord getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface ReplyOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.control.Reply)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>.borageproxy.control.Accepted accepted = 1;</code>
+     * @return Whether the accepted field is set.
+     */
+    boolean hasAccepted();
+    /**
+     * <code>.borageproxy.control.Accepted accepted = 1;</code>
+     * @return The accepted.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.Accepted getAccepted();
+    /**
+     * <code>.borageproxy.control.Accepted accepted = 1;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.AcceptedOrBuilder getAcceptedOrBuilder();
+
+    /**
+     * <code>.borageproxy.control.ChangeConflict change_conflict = 2;</code>
+     * @return Whether the changeConflict field is set.
+     */
+    boolean hasChangeConflict();
+    /**
+     * <code>.borageproxy.control.ChangeConflict change_conflict = 2;</code>
+     * @return The changeConflict.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ChangeConflict getChangeConflict();
+    /**
+     * <code>.borageproxy.control.ChangeConflict change_conflict = 2;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ChangeConflictOrBuilder getChangeConflictOrBuilder();
+
+    /**
+     * <code>.borageproxy.control.IdentityConflict identity_conflict = 3;</code>
+     * @return Whether the identityConflict field is set.
+     */
+    boolean hasIdentityConflict();
+    /**
+     * <code>.borageproxy.control.IdentityConflict identity_conflict = 3;</code>
+     * @return The identityConflict.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.IdentityConflict getIdentityConflict();
+    /**
+     * <code>.borageproxy.control.IdentityConflict identity_conflict = 3;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.IdentityConflictOrBuilder getIdentityConflictOrBuilder();
+
+    /**
+     * <code>.borageproxy.control.Missing missing = 4;</code>
+     * @return Whether the missing field is set.
+     */
+    boolean hasMissing();
+    /**
+     * <code>.borageproxy.control.Missing missing = 4;</code>
+     * @return The missing.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.Missing getMissing();
+    /**
+     * <code>.borageproxy.control.Missing missing = 4;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.MissingOrBuilder getMissingOrBuilder();
+
+    /**
+     * <code>.borageproxy.control.ClaimReply claim = 5;</code>
+     * @return Whether the claim field is set.
+     */
+    boolean hasClaim();
+    /**
+     * <code>.borageproxy.control.ClaimReply claim = 5;</code>
+     * @return The claim.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ClaimReply getClaim();
+    /**
+     * <code>.borageproxy.control.ClaimReply claim = 5;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ClaimReplyOrBuilder getClaimOrBuilder();
+
+    /**
+     * <code>.borageproxy.control.LeaseReply lease = 6;</code>
+     * @return Whether the lease field is set.
+     */
+    boolean hasLease();
+    /**
+     * <code>.borageproxy.control.LeaseReply lease = 6;</code>
+     * @return The lease.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.LeaseReply getLease();
+    /**
+     * <code>.borageproxy.control.LeaseReply lease = 6;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.LeaseReplyOrBuilder getLeaseOrBuilder();
+
+    /**
+     * <code>.borageproxy.control.IntentRecord intent = 7;</code>
+     * @return Whether the intent field is set.
+     */
+    boolean hasIntent();
+    /**
+     * <code>.borageproxy.control.IntentRecord intent = 7;</code>
+     * @return The intent.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.IntentRecord getIntent();
+    /**
+     * <code>.borageproxy.control.IntentRecord intent = 7;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.IntentRecordOrBuilder getIntentOrBuilder();
+
+    /**
+     * <code>.borageproxy.control.Fenced fenced = 8;</code>
+     * @return Whether the fenced field is set.
+     */
+    boolean hasFenced();
+    /**
+     * <code>.borageproxy.control.Fenced fenced = 8;</code>
+     * @return The fenced.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.Fenced getFenced();
+    /**
+     * <code>.borageproxy.control.Fenced fenced = 8;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.FencedOrBuilder getFencedOrBuilder();
+
+    /**
+     * <code>.borageproxy.control.Intents intents = 9;</code>
+     * @return Whether the intents field is set.
+     */
+    boolean hasIntents();
+    /**
+     * <code>.borageproxy.control.Intents intents = 9;</code>
+     * @return The intents.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.Intents getIntents();
+    /**
+     * <code>.borageproxy.control.Intents intents = 9;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.IntentsOrBuilder getIntentsOrBuilder();
+
+    /**
+     * <code>.borageproxy.control.CrashReply crash = 10;</code>
+     * @return Whether the crash field is set.
+     */
+    boolean hasCrash();
+    /**
+     * <code>.borageproxy.control.CrashReply crash = 10;</code>
+     * @return The crash.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.CrashReply getCrash();
+    /**
+     * <code>.borageproxy.control.CrashReply crash = 10;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.CrashReplyOrBuilder getCrashOrBuilder();
+
+    /**
+     * <code>.borageproxy.control.Done done = 11;</code>
+     * @return Whether the done field is set.
+     */
+    boolean hasDone();
+    /**
+     * <code>.borageproxy.control.Done done = 11;</code>
+     * @return The done.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.Done getDone();
+    /**
+     * <code>.borageproxy.control.Done done = 11;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.DoneOrBuilder getDoneOrBuilder();
+
+    /**
+     * <code>.borageproxy.control.KeyCreated key_created = 12;</code>
+     * @return Whether the keyCreated field is set.
+     */
+    boolean hasKeyCreated();
+    /**
+     * <code>.borageproxy.control.KeyCreated key_created = 12;</code>
+     * @return The keyCreated.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.KeyCreated getKeyCreated();
+    /**
+     * <code>.borageproxy.control.KeyCreated key_created = 12;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.KeyCreatedOrBuilder getKeyCreatedOrBuilder();
+
+    /**
+     * <code>.borageproxy.control.DocumentHeld document_held = 13;</code>
+     * @return Whether the documentHeld field is set.
+     */
+    boolean hasDocumentHeld();
+    /**
+     * <code>.borageproxy.control.DocumentHeld document_held = 13;</code>
+     * @return The documentHeld.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.DocumentHeld getDocumentHeld();
+    /**
+     * <code>.borageproxy.control.DocumentHeld document_held = 13;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.DocumentHeldOrBuilder getDocumentHeldOrBuilder();
+
+    org.borageproxy.wire.proto.ControlProtocol.Reply.BodyCase getBodyCase();
+  }
+  /**
+   * <pre>
+   * The state machine's reply to a command.
+   * </pre>
+   *
+   * Protobuf type {@code borageproxy.control.Reply}
+   */
+  public static final class Reply extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:borageproxy.control.Reply)
+      ReplyOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Reply");
+    }
+    // Use Reply.newBuilder() to construct.
+    private Reply(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private Reply() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Reply_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Reply_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Reply_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.borageproxy.wire.proto.ControlProtocol.Reply.class, org.borageproxy.wire.proto.ControlProtocol.Reply.Builder.class);
+    }
+
+    private int bodyCase_ = 0;
+    @SuppressWarnings("serial")
+    private java.lang.Object body_;
+    public enum BodyCase
+        implements com.google.protobuf.Internal.EnumLite,
+            com.google.protobuf.AbstractMessage.InternalOneOfEnum {
+      ACCEPTED(1),
+      CHANGE_CONFLICT(2),
+      IDENTITY_CONFLICT(3),
+      MISSING(4),
+      CLAIM(5),
+      LEASE(6),
+      INTENT(7),
+      FENCED(8),
+      INTENTS(9),
+      CRASH(10),
+      DONE(11),
+      KEY_CREATED(12),
+      DOCUMENT_HELD(13),
+      BODY_NOT_SET(0);
+      private final int value;
+      private BodyCase(int value) {
+        this.value = value;
+      }
+      /**
        * @param value The number of the enum to look for.
        * @return The enum associated with the given number.
        * @deprecated Use {@link #forNumber(int)} instead.
@@ -21312,6 +22165,7 @@
           case 10: return CRASH;
           case 11: return DONE;
           case 12: return KEY_CREATED;
+          case 13: return DOCUMENT_HELD;
           case 0: return BODY_NOT_SET;
           default: return null;
         }
@@ -21699,6 +22553,37 @@
       return org.borageproxy.wire.proto.ControlProtocol.KeyCreated.getDefaultInstance();
     }
 
+    public static final int DOCUMENT_HELD_FIELD_NUMBER = 13;
+    /**
+     * <code>.borageproxy.control.DocumentHeld document_held = 13;</code>
+     * @return Whether the documentHeld field is set.
+     */
+    @java.lang.Override
+    public boolean hasDocumentHeld() {
+      return bodyCase_ == 13;
+    }
+    /**
+     * <code>.borageproxy.control.DocumentHeld document_held = 13;</code>
+     * @return The documentHeld.
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.DocumentHeld getDocumentHeld() {
+      if (bodyCase_ == 13) {
+         return (org.borageproxy.wire.proto.ControlProtocol.DocumentHeld) body_;
+      }
+      return org.borageproxy.wire.proto.ControlProtocol.DocumentHeld.getDefaultInstance();
+    }
+    /**
+     * <code>.borageproxy.control.DocumentHeld document_held = 13;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.DocumentHeldOrBuilder getDocumentHeldOrBuilder() {
+      if (bodyCase_ == 13) {
+         return (org.borageproxy.wire.proto.ControlProtocol.DocumentHeld) body_;
+      }
+      return org.borageproxy.wire.proto.ControlProtocol.DocumentHeld.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -21749,6 +22634,9 @@
       if (bodyCase_ == 12) {
         output.writeMessage(12, (org.borageproxy.wire.proto.ControlProtocol.KeyCreated) body_);
       }
+      if (bodyCase_ == 13) {
+        output.writeMessage(13, (org.borageproxy.wire.proto.ControlProtocol.DocumentHeld) body_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -21806,6 +22694,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(12, (org.borageproxy.wire.proto.ControlProtocol.KeyCreated) body_);
       }
+      if (bodyCase_ == 13) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(13, (org.borageproxy.wire.proto.ControlProtocol.DocumentHeld) body_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -21871,6 +22763,10 @@
           if (!getKeyCreated()
               .equals(other.getKeyCreated())) return false;
           break;
+        case 13:
+          if (!getDocumentHeld()
+              .equals(other.getDocumentHeld())) return false;
+          break;
         case 0:
         default:
       }
@@ -21934,6 +22830,10 @@
           hash = (37 * hash) + KEY_CREATED_FIELD_NUMBER;
           hash = (53 * hash) + getKeyCreated().hashCode();
           break;
+        case 13:
+          hash = (37 * hash) + DOCUMENT_HELD_FIELD_NUMBER;
+          hash = (53 * hash) + getDocumentHeld().hashCode();
+          break;
         case 0:
         default:
       }
@@ -22108,6 +23008,9 @@
         if (keyCreatedBuilder_ != null) {
           keyCreatedBuilder_.clear();
         }
+        if (documentHeldBuilder_ != null) {
+          documentHeldBuilder_.clear();
+        }
         bodyCase_ = 0;
         body_ = null;
         return this;
@@ -22197,6 +23100,10 @@
             keyCreatedBuilder_ != null) {
           result.body_ = keyCreatedBuilder_.build();
         }
+        if (bodyCase_ == 13 &&
+            documentHeldBuilder_ != null) {
+          result.body_ = documentHeldBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -22260,6 +23167,10 @@
             mergeKeyCreated(other.getKeyCreated());
             break;
           }
+          case DOCUMENT_HELD: {
+            mergeDocumentHeld(other.getDocumentHeld());
+            break;
+          }
           case BODY_NOT_SET: {
             break;
           }
@@ -22374,6 +23285,13 @@
                 bodyCase_ = 12;
                 break;
               } // case 98
+              case 106: {
+                input.readMessage(
+                    internalGetDocumentHeldFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 13;
+                break;
+              } // case 106
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -24110,6 +25028,148 @@
         return keyCreatedBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.DocumentHeld, org.borageproxy.wire.proto.ControlProtocol.DocumentHeld.Builder, org.borageproxy.wire.proto.ControlProtocol.DocumentHeldOrBuilder> documentHeldBuilder_;
+      /**
+       * <code>.borageproxy.control.DocumentHeld document_held = 13;</code>
+       * @return Whether the documentHeld field is set.
+       */
+      @java.lang.Override
+      public boolean hasDocumentHeld() {
+        return bodyCase_ == 13;
+      }
+      /**
+       * <code>.borageproxy.control.DocumentHeld document_held = 13;</code>
+       * @return The documentHeld.
+       */
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.DocumentHeld getDocumentHeld() {
+        if (documentHeldBuilder_ == null) {
+          if (bodyCase_ == 13) {
+            return (org.borageproxy.wire.proto.ControlProtocol.DocumentHeld) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.DocumentHeld.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 13) {
+            return documentHeldBuilder_.getMessage();
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.DocumentHeld.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.borageproxy.control.DocumentHeld document_held = 13;</code>
+       */
+      public Builder setDocumentHeld(org.borageproxy.wire.proto.ControlProtocol.DocumentHeld value) {
+        if (documentHeldBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          body_ = value;
+          onChanged();
+        } else {
+          documentHeldBuilder_.setMessage(value);
+        }
+        bodyCase_ = 13;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.DocumentHeld document_held = 13;</code>
+       */
+      public Builder setDocumentHeld(
+          org.borageproxy.wire.proto.ControlProtocol.DocumentHeld.Builder builderForValue) {
+        if (documentHeldBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          documentHeldBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 13;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.DocumentHeld document_held = 13;</code>
+       */
+      public Builder mergeDocumentHeld(org.borageproxy.wire.proto.ControlProtocol.DocumentHeld value) {
+        if (documentHeldBuilder_ == null) {
+          if (bodyCase_ == 13 &&
+              body_ != org.borageproxy.wire.proto.ControlProtocol.DocumentHeld.getDefaultInstance()) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.DocumentHeld.newBuilder((org.borageproxy.wire.proto.ControlProtocol.DocumentHeld) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 13) {
+            documentHeldBuilder_.mergeFrom(value);
+          } else {
+            documentHeldBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 13;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.DocumentHeld document_held = 13;</code>
+       */
+      public Builder clearDocumentHeld() {
+        if (documentHeldBuilder_ == null) {
+          if (bodyCase_ == 13) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 13) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          documentHeldBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.DocumentHeld document_held = 13;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.DocumentHeld.Builder getDocumentHeldBuilder() {
+        return internalGetDocumentHeldFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.borageproxy.control.DocumentHeld document_held = 13;</code>
+       */
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.DocumentHeldOrBuilder getDocumentHeldOrBuilder() {
+        if ((bodyCase_ == 13) && (documentHeldBuilder_ != null)) {
+          return documentHeldBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 13) {
+            return (org.borageproxy.wire.proto.ControlProtocol.DocumentHeld) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.DocumentHeld.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.borageproxy.control.DocumentHeld document_held = 13;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.DocumentHeld, org.borageproxy.wire.proto.ControlProtocol.DocumentHeld.Builder, org.borageproxy.wire.proto.ControlProtocol.DocumentHeldOrBuilder> 
+          internalGetDocumentHeldFieldBuilder() {
+        if (documentHeldBuilder_ == null) {
+          if (!(bodyCase_ == 13)) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.DocumentHeld.getDefaultInstance();
+          }
+          documentHeldBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.DocumentHeld, org.borageproxy.wire.proto.ControlProtocol.DocumentHeld.Builder, org.borageproxy.wire.proto.ControlProtocol.DocumentHeldOrBuilder>(
+                  (org.borageproxy.wire.proto.ControlProtocol.DocumentHeld) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 13;
+        onChanged();
+        return documentHeldBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.control.Reply)
     }
 
@@ -25777,6 +26837,454 @@
 
   }
 
+  public interface DocumentHeldOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.control.DocumentHeld)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>uint64 number = 1;</code>
+     * @return The number.
+     */
+    long getNumber();
+  }
+  /**
+   * <pre>
+   * The number of the document in force after a publication.
+   * </pre>
+   *
+   * Protobuf type {@code borageproxy.control.DocumentHeld}
+   */
+  public static final class DocumentHeld extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:borageproxy.control.DocumentHeld)
+      DocumentHeldOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "DocumentHeld");
+    }
+    // Use DocumentHeld.newBuilder() to construct.
+    private DocumentHeld(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private DocumentHeld() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_DocumentHeld_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_DocumentHeld_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_DocumentHeld_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.borageproxy.wire.proto.ControlProtocol.DocumentHeld.class, org.borageproxy.wire.proto.ControlProtocol.DocumentHeld.Builder.class);
+    }
+
+    public static final int NUMBER_FIELD_NUMBER = 1;
+    private long number_ = 0L;
+    /**
+     * <code>uint64 number = 1;</code>
+     * @return The number.
+     */
+    @java.lang.Override
+    public long getNumber() {
+      return number_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (number_ != 0L) {
+        output.writeUInt64(1, number_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (number_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(1, number_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.DocumentHeld)) {
+        return super.equals(obj);
+      }
+      org.borageproxy.wire.proto.ControlProtocol.DocumentHeld other = (org.borageproxy.wire.proto.ControlProtocol.DocumentHeld) obj;
+
+      if (getNumber()
+          != other.getNumber()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + NUMBER_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getNumber());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.DocumentHeld parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.DocumentHeld parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.DocumentHeld parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.DocumentHeld parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.DocumentHeld parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.DocumentHeld parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.DocumentHeld parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.DocumentHeld parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.DocumentHeld parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.DocumentHeld parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.DocumentHeld parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.DocumentHeld parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.DocumentHeld prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * The number of the document in force after a publication.
+     * </pre>
+     *
+     * Protobuf type {@code borageproxy.control.DocumentHeld}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:borageproxy.control.DocumentHeld)
+        org.borageproxy.wire.proto.ControlProtocol.DocumentHeldOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_DocumentHeld_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_DocumentHeld_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.borageproxy.wire.proto.ControlProtocol.DocumentHeld.class, org.borageproxy.wire.proto.ControlProtocol.DocumentHeld.Builder.class);
+      }
+
+      // Construct using org.borageproxy.wire.proto.ControlProtocol.DocumentHeld.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        number_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_DocumentHeld_descriptor;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.DocumentHeld getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.DocumentHeld.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.DocumentHeld build() {
+        org.borageproxy.wire.proto.ControlProtocol.DocumentHeld result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.DocumentHeld buildPartial() {
+        org.borageproxy.wire.proto.ControlProtocol.DocumentHeld result = new org.borageproxy.wire.proto.ControlProtocol.DocumentHeld(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.DocumentHeld result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.number_ = number_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.DocumentHeld) {
+          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.DocumentHeld)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.DocumentHeld other) {
+        if (other == org.borageproxy.wire.proto.ControlProtocol.DocumentHeld.getDefaultInstance()) return this;
+        if (other.getNumber() != 0L) {
+          setNumber(other.getNumber());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                number_ = input.readUInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long number_ ;
+      /**
+       * <code>uint64 number = 1;</code>
+       * @return The number.
+       */
+      @java.lang.Override
+      public long getNumber() {
+        return number_;
+      }
+      /**
+       * <code>uint64 number = 1;</code>
+       * @param value The number to set.
+       * @return This builder for chaining.
+       */
+      public Builder setNumber(long value) {
+
+        number_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 number = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearNumber() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        number_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:borageproxy.control.DocumentHeld)
+    }
+
+    // @@protoc_insertion_point(class_scope:borageproxy.control.DocumentHeld)
+    private static final org.borageproxy.wire.proto.ControlProtocol.DocumentHeld DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.DocumentHeld();
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.DocumentHeld getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<DocumentHeld>
+        PARSER = new com.google.protobuf.AbstractParser<DocumentHeld>() {
+      @java.lang.Override
+      public DocumentHeld parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<DocumentHeld> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<DocumentHeld> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.DocumentHeld getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
   public interface MissingOrBuilder extends
       // @@protoc_insertion_point(interface_extends:borageproxy.control.Missing)
       com.google.protobuf.MessageOrBuilder {
