@@ -29912,12 +31420,491 @@
     int getSuspicion();
   }
   /**
-   * Protobuf type {@code borageproxy.control.CrashReply}
+   * Protobuf type {@code borageproxy.control.CrashReply}
+   */
+  public static final class CrashReply extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:borageproxy.control.CrashReply)
+      CrashReplyOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "CrashReply");
+    }
+    // Use CrashReply.newBuilder() to construct.
+    private CrashReply(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private CrashReply() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_CrashReply_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_CrashReply_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_CrashReply_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.borageproxy.wire.proto.ControlProtocol.CrashReply.class, org.borageproxy.wire.proto.ControlProtocol.CrashReply.Builder.class);
+    }
+
+    public static final int SUSPICION_FIELD_NUMBER = 1;
+    private int suspicion_ = 0;
+    /**
+     * <code>int32 suspicion = 1;</code>
+     * @return The suspicion.
+     */
+    @java.lang.Override
+    public int getSuspicion() {
+      return suspicion_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (suspicion_ != 0) {
+        output.writeInt32(1, suspicion_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (suspicion_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt32Size(1, suspicion_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.CrashReply)) {
+        return super.equals(obj);
+      }
+      org.borageproxy.wire.proto.ControlProtocol.CrashReply other = (org.borageproxy.wire.proto.ControlProtocol.CrashReply) obj;
+
+      if (getSuspicion()
+          != other.getSuspicion()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + SUSPICION_FIELD_NUMBER;
+      hash = (53 * hash) + getSuspicion();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.CrashReply parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.CrashReply parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.CrashReply parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.CrashReply parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.CrashReply parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.CrashReply parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.CrashReply parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.CrashReply parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.CrashReply parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.CrashReply parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.CrashReply parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.CrashReply parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.CrashReply prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code borageproxy.control.CrashReply}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:borageproxy.control.CrashReply)
+        org.borageproxy.wire.proto.ControlProtocol.CrashReplyOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_CrashReply_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_CrashReply_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.borageproxy.wire.proto.ControlProtocol.CrashReply.class, org.borageproxy.wire.proto.ControlProtocol.CrashReply.Builder.class);
+      }
+
+      // Construct using org.borageproxy.wire.proto.ControlProtocol.CrashReply.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        suspicion_ = 0;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_CrashReply_descriptor;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.CrashReply getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.CrashReply.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.CrashReply build() {
+        org.borageproxy.wire.proto.ControlProtocol.CrashReply result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.CrashReply buildPartial() {
+        org.borageproxy.wire.proto.ControlProtocol.CrashReply result = new org.borageproxy.wire.proto.ControlProtocol.CrashReply(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.CrashReply result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.suspicion_ = suspicion_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.CrashReply) {
+          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.CrashReply)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.CrashReply other) {
+        if (other == org.borageproxy.wire.proto.ControlProtocol.CrashReply.getDefaultInstance()) return this;
+        if (other.getSuspicion() != 0) {
+          setSuspicion(other.getSuspicion());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                suspicion_ = input.readInt32();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private int suspicion_ ;
+      /**
+       * <code>int32 suspicion = 1;</code>
+       * @return The suspicion.
+       */
+      @java.lang.Override
+      public int getSuspicion() {
+        return suspicion_;
+      }
+      /**
+       * <code>int32 suspicion = 1;</code>
+       * @param value The suspicion to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSuspicion(int value) {
+
+        suspicion_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int32 suspicion = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSuspicion() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        suspicion_ = 0;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:borageproxy.control.CrashReply)
+    }
+
+    // @@protoc_insertion_point(class_scope:borageproxy.control.CrashReply)
+    private static final org.borageproxy.wire.proto.ControlProtocol.CrashReply DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.CrashReply();
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.CrashReply getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<CrashReply>
+        PARSER = new com.google.protobuf.AbstractParser<CrashReply>() {
+      @java.lang.Override
+      public CrashReply parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<CrashReply> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<CrashReply> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.CrashReply getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface KeyStateOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.control.KeyState)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string identity = 1;</code>
+     * @return The identity.
+     */
+    java.lang.String getIdentity();
+    /**
+     * <code>string identity = 1;</code>
+     * @return The bytes for identity.
+     */
+    com.google.protobuf.ByteString
+        getIdentityBytes();
+
+    /**
+     * <code>string digest = 2;</code>
+     * @return The digest.
+     */
+    java.lang.String getDigest();
+    /**
+     * <code>string digest = 2;</code>
+     * @return The bytes for digest.
+     */
+    com.google.protobuf.ByteString
+        getDigestBytes();
+
+    /**
+     * <code>string workspace = 3;</code>
+     * @return The workspace.
+     */
+    java.lang.String getWorkspace();
+    /**
+     * <code>string workspace = 3;</code>
+     * @return The bytes for workspace.
+     */
+    com.google.protobuf.ByteString
+        getWorkspaceBytes();
+
+    /**
+     * <code>bool withdrawn = 4;</code>
+     * @return The withdrawn.
+     */
+    boolean getWithdrawn();
+  }
+  /**
+   * <pre>
+   * The records of the state, in snapshots and on their way to the entries.
+   * </pre>
+   *
+   * Protobuf type {@code borageproxy.control.KeyState}
    */
-  public static final class CrashReply extends
+  public static final class KeyState extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:borageproxy.control.CrashReply)
-      CrashReplyOrBuilder {
+      // @@protoc_insertion_point(message_implements:borageproxy.control.KeyState)
+      KeyStateOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -29926,42 +31913,162 @@
         /* minor= */ 34,
         /* patch= */ 2,
         /* suffix= */ "",
-        "CrashReply");
+        "KeyState");
     }
-    // Use CrashReply.newBuilder() to construct.
-    private CrashReply(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use KeyState.newBuilder() to construct.
+    private KeyState(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private CrashReply() {
+    private KeyState() {
+      identity_ = "";
+      digest_ = "";
+      workspace_ = "";
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_CrashReply_descriptor;
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_KeyState_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_CrashReply_descriptor;
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_KeyState_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_CrashReply_fieldAccessorTable
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_KeyState_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.borageproxy.wire.proto.ControlProtocol.CrashReply.class, org.borageproxy.wire.proto.ControlProtocol.CrashReply.Builder.class);
+              org.borageproxy.wire.proto.ControlProtocol.KeyState.class, org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder.class);
     }
 
-    public static final int SUSPICION_FIELD_NUMBER = 1;
-    private int suspicion_ = 0;
+    public static final int IDENTITY_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object identity_ = "";
     /**
-     * <code>int32 suspicion = 1;</code>
-     * @return The suspicion.
+     * <code>string identity = 1;</code>
+     * @return The identity.
      */
     @java.lang.Override
-    public int getSuspicion() {
-      return suspicion_;
+    public java.lang.String getIdentity() {
+      java.lang.Object ref = identity_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        identity_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string identity = 1;</code>
+     * @return The bytes for identity.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getIdentityBytes() {
+      java.lang.Object ref = identity_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        identity_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int DIGEST_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object digest_ = "";
+    /**
+     * <code>string digest = 2;</code>
+     * @return The digest.
+     */
+    @java.lang.Override
+    public java.lang.String getDigest() {
+      java.lang.Object ref = digest_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        digest_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string digest = 2;</code>
+     * @return The bytes for digest.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getDigestBytes() {
+      java.lang.Object ref = digest_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        digest_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int WORKSPACE_FIELD_NUMBER = 3;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object workspace_ = "";
+    /**
+     * <code>string workspace = 3;</code>
+     * @return The workspace.
+     */
+    @java.lang.Override
+    public java.lang.String getWorkspace() {
+      java.lang.Object ref = workspace_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        workspace_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string workspace = 3;</code>
+     * @return The bytes for workspace.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getWorkspaceBytes() {
+      java.lang.Object ref = workspace_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        workspace_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int WITHDRAWN_FIELD_NUMBER = 4;
+    private boolean withdrawn_ = false;
+    /**
+     * <code>bool withdrawn = 4;</code>
+     * @return The withdrawn.
+     */
+    @java.lang.Override
+    public boolean getWithdrawn() {
+      return withdrawn_;
     }
 
     private byte memoizedIsInitialized = -1;
@@ -29978,8 +32085,17 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      if (suspicion_ != 0) {
-        output.writeInt32(1, suspicion_);
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(identity_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, identity_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(digest_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, digest_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workspace_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 3, workspace_);
+      }
+      if (withdrawn_ != false) {
+        output.writeBool(4, withdrawn_);
       }
       getUnknownFields().writeTo(output);
     }
@@ -29990,9 +32106,18 @@
       if (size != -1) return size;
 
       size = 0;
-      if (suspicion_ != 0) {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(identity_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, identity_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(digest_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, digest_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workspace_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(3, workspace_);
+      }
+      if (withdrawn_ != false) {
         size += com.google.protobuf.CodedOutputStream
-          .computeInt32Size(1, suspicion_);
+          .computeBoolSize(4, withdrawn_);
       }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
@@ -30004,13 +32129,19 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.CrashReply)) {
+      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.KeyState)) {
         return super.equals(obj);
       }
-      org.borageproxy.wire.proto.ControlProtocol.CrashReply other = (org.borageproxy.wire.proto.ControlProtocol.CrashReply) obj;
+      org.borageproxy.wire.proto.ControlProtocol.KeyState other = (org.borageproxy.wire.proto.ControlProtocol.KeyState) obj;
 
-      if (getSuspicion()
-          != other.getSuspicion()) return false;
+      if (!getIdentity()
+          .equals(other.getIdentity())) return false;
+      if (!getDigest()
+          .equals(other.getDigest())) return false;
+      if (!getWorkspace()
+          .equals(other.getWorkspace())) return false;
+      if (getWithdrawn()
+          != other.getWithdrawn()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -30022,51 +32153,58 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + SUSPICION_FIELD_NUMBER;
-      hash = (53 * hash) + getSuspicion();
+      hash = (37 * hash) + IDENTITY_FIELD_NUMBER;
+      hash = (53 * hash) + getIdentity().hashCode();
+      hash = (37 * hash) + DIGEST_FIELD_NUMBER;
+      hash = (53 * hash) + getDigest().hashCode();
+      hash = (37 * hash) + WORKSPACE_FIELD_NUMBER;
+      hash = (53 * hash) + getWorkspace().hashCode();
+      hash = (37 * hash) + WITHDRAWN_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getWithdrawn());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.CrashReply parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.KeyState parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.CrashReply parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.KeyState parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.CrashReply parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.KeyState parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.CrashReply parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.KeyState parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.CrashReply parseFrom(byte[] data)
+    public static org.borageproxy.wire.proto.ControlProtocol.KeyState parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.CrashReply parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.KeyState parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.CrashReply parseFrom(java.io.InputStream input)
+    public static org.borageproxy.wire.proto.ControlProtocol.KeyState parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.CrashReply parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.KeyState parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -30074,26 +32212,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.CrashReply parseDelimitedFrom(java.io.InputStream input)
+    public static org.borageproxy.wire.proto.ControlProtocol.KeyState parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.CrashReply parseDelimitedFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.KeyState parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.CrashReply parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.KeyState parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.CrashReply parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.KeyState parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -30106,7 +32244,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.CrashReply prototype) {
+    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.KeyState prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -30122,26 +32260,30 @@
       return builder;
     }
     /**
-     * Protobuf type {@code borageproxy.control.CrashReply}
+     * <pre>
+     * The records of the state, in snapshots and on their way to the entries.
+     * </pre>
+     *
+     * Protobuf type {@code borageproxy.control.KeyState}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:borageproxy.control.CrashReply)
-        org.borageproxy.wire.proto.ControlProtocol.CrashReplyOrBuilder {
+        // @@protoc_insertion_point(builder_implements:borageproxy.control.KeyState)
+        org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_CrashReply_descriptor;
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_KeyState_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_CrashReply_fieldAccessorTable
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_KeyState_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                org.borageproxy.wire.proto.ControlProtocol.CrashReply.class, org.borageproxy.wire.proto.ControlProtocol.CrashReply.Builder.class);
+                org.borageproxy.wire.proto.ControlProtocol.KeyState.class, org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder.class);
       }
 
-      // Construct using org.borageproxy.wire.proto.ControlProtocol.CrashReply.newBuilder()
+      // Construct using org.borageproxy.wire.proto.ControlProtocol.KeyState.newBuilder()
       private Builder() {
 
       }
@@ -30155,157 +32297,415 @@
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        suspicion_ = 0;
+        identity_ = "";
+        digest_ = "";
+        workspace_ = "";
+        withdrawn_ = false;
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_CrashReply_descriptor;
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_KeyState_descriptor;
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.CrashReply getDefaultInstanceForType() {
-        return org.borageproxy.wire.proto.ControlProtocol.CrashReply.getDefaultInstance();
+      public org.borageproxy.wire.proto.ControlProtocol.KeyState getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.KeyState.getDefaultInstance();
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.CrashReply build() {
-        org.borageproxy.wire.proto.ControlProtocol.CrashReply result = buildPartial();
+      public org.borageproxy.wire.proto.ControlProtocol.KeyState build() {
+        org.borageproxy.wire.proto.ControlProtocol.KeyState result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
         return result;
       }
-
-      @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.CrashReply buildPartial() {
-        org.borageproxy.wire.proto.ControlProtocol.CrashReply result = new org.borageproxy.wire.proto.ControlProtocol.CrashReply(this);
-        if (bitField0_ != 0) { buildPartial0(result); }
-        onBuilt();
-        return result;
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.KeyState buildPartial() {
+        org.borageproxy.wire.proto.ControlProtocol.KeyState result = new org.borageproxy.wire.proto.ControlProtocol.KeyState(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.KeyState result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.identity_ = identity_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.digest_ = digest_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.workspace_ = workspace_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.withdrawn_ = withdrawn_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.KeyState) {
+          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.KeyState)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.KeyState other) {
+        if (other == org.borageproxy.wire.proto.ControlProtocol.KeyState.getDefaultInstance()) return this;
+        if (!other.getIdentity().isEmpty()) {
+          identity_ = other.identity_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (!other.getDigest().isEmpty()) {
+          digest_ = other.digest_;
+          bitField0_ |= 0x00000002;
+          onChanged();
+        }
+        if (!other.getWorkspace().isEmpty()) {
+          workspace_ = other.workspace_;
+          bitField0_ |= 0x00000004;
+          onChanged();
+        }
+        if (other.getWithdrawn() != false) {
+          setWithdrawn(other.getWithdrawn());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                identity_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 18: {
+                digest_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              case 26: {
+                workspace_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 26
+              case 32: {
+                withdrawn_ = input.readBool();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object identity_ = "";
+      /**
+       * <code>string identity = 1;</code>
+       * @return The identity.
+       */
+      public java.lang.String getIdentity() {
+        java.lang.Object ref = identity_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          identity_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string identity = 1;</code>
+       * @return The bytes for identity.
+       */
+      public com.google.protobuf.ByteString
+          getIdentityBytes() {
+        java.lang.Object ref = identity_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          identity_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string identity = 1;</code>
+       * @param value The identity to set.
+       * @return This builder for chaining.
+       */
+      public Builder setIdentity(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        identity_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string identity = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearIdentity() {
+        identity_ = getDefaultInstance().getIdentity();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string identity = 1;</code>
+       * @param value The bytes for identity to set.
+       * @return This builder for chaining.
+       */
+      public Builder setIdentityBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        identity_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object digest_ = "";
+      /**
+       * <code>string digest = 2;</code>
+       * @return The digest.
+       */
+      public java.lang.String getDigest() {
+        java.lang.Object ref = digest_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          digest_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string digest = 2;</code>
+       * @return The bytes for digest.
+       */
+      public com.google.protobuf.ByteString
+          getDigestBytes() {
+        java.lang.Object ref = digest_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          digest_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string digest = 2;</code>
+       * @param value The digest to set.
+       * @return This builder for chaining.
+       */
+      public Builder setDigest(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        digest_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string digest = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearDigest() {
+        digest_ = getDefaultInstance().getDigest();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string digest = 2;</code>
+       * @param value The bytes for digest to set.
+       * @return This builder for chaining.
+       */
+      public Builder setDigestBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        digest_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
       }
 
-      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.CrashReply result) {
-        int from_bitField0_ = bitField0_;
-        if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.suspicion_ = suspicion_;
+      private java.lang.Object workspace_ = "";
+      /**
+       * <code>string workspace = 3;</code>
+       * @return The workspace.
+       */
+      public java.lang.String getWorkspace() {
+        java.lang.Object ref = workspace_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          workspace_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
         }
       }
-
-      @java.lang.Override
-      public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.CrashReply) {
-          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.CrashReply)other);
+      /**
+       * <code>string workspace = 3;</code>
+       * @return The bytes for workspace.
+       */
+      public com.google.protobuf.ByteString
+          getWorkspaceBytes() {
+        java.lang.Object ref = workspace_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          workspace_ = b;
+          return b;
         } else {
-          super.mergeFrom(other);
-          return this;
+          return (com.google.protobuf.ByteString) ref;
         }
       }
-
-      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.CrashReply other) {
-        if (other == org.borageproxy.wire.proto.ControlProtocol.CrashReply.getDefaultInstance()) return this;
-        if (other.getSuspicion() != 0) {
-          setSuspicion(other.getSuspicion());
-        }
-        this.mergeUnknownFields(other.getUnknownFields());
+      /**
+       * <code>string workspace = 3;</code>
+       * @param value The workspace to set.
+       * @return This builder for chaining.
+       */
+      public Builder setWorkspace(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        workspace_ = value;
+        bitField0_ |= 0x00000004;
         onChanged();
         return this;
       }
-
-      @java.lang.Override
-      public final boolean isInitialized() {
-        return true;
+      /**
+       * <code>string workspace = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearWorkspace() {
+        workspace_ = getDefaultInstance().getWorkspace();
+        bitField0_ = (bitField0_ & ~0x00000004);
+        onChanged();
+        return this;
       }
-
-      @java.lang.Override
-      public Builder mergeFrom(
-          com.google.protobuf.CodedInputStream input,
-          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-          throws java.io.IOException {
-        if (extensionRegistry == null) {
-          throw new java.lang.NullPointerException();
-        }
-        try {
-          boolean done = false;
-          while (!done) {
-            int tag = input.readTag();
-            switch (tag) {
-              case 0:
-                done = true;
-                break;
-              case 8: {
-                suspicion_ = input.readInt32();
-                bitField0_ |= 0x00000001;
-                break;
-              } // case 8
-              default: {
-                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                  done = true; // was an endgroup tag
-                }
-                break;
-              } // default:
-            } // switch (tag)
-          } // while (!done)
-        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-          throw e.unwrapIOException();
-        } finally {
-          onChanged();
-        } // finally
+      /**
+       * <code>string workspace = 3;</code>
+       * @param value The bytes for workspace to set.
+       * @return This builder for chaining.
+       */
+      public Builder setWorkspaceBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        workspace_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
         return this;
       }
-      private int bitField0_;
 
-      private int suspicion_ ;
+      private boolean withdrawn_ ;
       /**
-       * <code>int32 suspicion = 1;</code>
-       * @return The suspicion.
+       * <code>bool withdrawn = 4;</code>
+       * @return The withdrawn.
        */
       @java.lang.Override
-      public int getSuspicion() {
-        return suspicion_;
+      public boolean getWithdrawn() {
+        return withdrawn_;
       }
       /**
-       * <code>int32 suspicion = 1;</code>
-       * @param value The suspicion to set.
+       * <code>bool withdrawn = 4;</code>
+       * @param value The withdrawn to set.
        * @return This builder for chaining.
        */
-      public Builder setSuspicion(int value) {
+      public Builder setWithdrawn(boolean value) {
 
-        suspicion_ = value;
-        bitField0_ |= 0x00000001;
+        withdrawn_ = value;
+        bitField0_ |= 0x00000008;
         onChanged();
         return this;
       }
       /**
-       * <code>int32 suspicion = 1;</code>
+       * <code>bool withdrawn = 4;</code>
        * @return This builder for chaining.
        */
-      public Builder clearSuspicion() {
-        bitField0_ = (bitField0_ & ~0x00000001);
-        suspicion_ = 0;
+      public Builder clearWithdrawn() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        withdrawn_ = false;
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:borageproxy.control.CrashReply)
+      // @@protoc_insertion_point(builder_scope:borageproxy.control.KeyState)
     }
 
-    // @@protoc_insertion_point(class_scope:borageproxy.control.CrashReply)
-    private static final org.borageproxy.wire.proto.ControlProtocol.CrashReply DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:borageproxy.control.KeyState)
+    private static final org.borageproxy.wire.proto.ControlProtocol.KeyState DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.CrashReply();
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.KeyState();
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.CrashReply getDefaultInstance() {
+    public static org.borageproxy.wire.proto.ControlProtocol.KeyState getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<CrashReply>
-        PARSER = new com.google.protobuf.AbstractParser<CrashReply>() {
+    private static final com.google.protobuf.Parser<KeyState>
+        PARSER = new com.google.protobuf.AbstractParser<KeyState>() {
       @java.lang.Override
-      public CrashReply parsePartialFrom(
+      public KeyState parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -30324,79 +32724,81 @@
       }
     };
 
-    public static com.google.protobuf.Parser<CrashReply> parser() {
+    public static com.google.protobuf.Parser<KeyState> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<CrashReply> getParserForType() {
+    public com.google.protobuf.Parser<KeyState> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.CrashReply getDefaultInstanceForType() {
+    public org.borageproxy.wire.proto.ControlProtocol.KeyState getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
   }
 
-  public interface KeyStateOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:borageproxy.control.KeyState)
+  public interface TreeStateOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.control.TreeState)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>string identity = 1;</code>
-     * @return The identity.
+     * <code>uint64 revision = 1;</code>
+     * @return The revision.
      */
-    java.lang.String getIdentity();
+    long getRevision();
+
     /**
-     * <code>string identity = 1;</code>
-     * @return The bytes for identity.
+     * <code>string document = 2;</code>
+     * @return The document.
+     */
+    java.lang.String getDocument();
+    /**
+     * <code>string document = 2;</code>
+     * @return The bytes for document.
      */
     com.google.protobuf.ByteString
-        getIdentityBytes();
+        getDocumentBytes();
 
     /**
-     * <code>string digest = 2;</code>
-     * @return The digest.
+     * <code>string change_identity = 3;</code>
+     * @return The changeIdentity.
      */
-    java.lang.String getDigest();
+    java.lang.String getChangeIdentity();
     /**
-     * <code>string digest = 2;</code>
-     * @return The bytes for digest.
+     * <code>string change_identity = 3;</code>
+     * @return The bytes for changeIdentity.
      */
     com.google.protobuf.ByteString
-        getDigestBytes();
+        getChangeIdentityBytes();
 
     /**
-     * <code>string workspace = 3;</code>
-     * @return The workspace.
+     * <code>string operator = 4;</code>
+     * @return The operator.
      */
-    java.lang.String getWorkspace();
+    java.lang.String getOperator();
     /**
-     * <code>string workspace = 3;</code>
-     * @return The bytes for workspace.
+     * <code>string operator = 4;</code>
+     * @return The bytes for operator.
      */
     com.google.protobuf.ByteString
-        getWorkspaceBytes();
+        getOperatorBytes();
 
     /**
-     * <code>bool withdrawn = 4;</code>
-     * @return The withdrawn.
+     * <code>int64 accepted_at_millis = 5;</code>
+     * @return The acceptedAtMillis.
      */
-    boolean getWithdrawn();
+    long getAcceptedAtMillis();
   }
   /**
-   * <pre>
-   * The records of the state, in snapshots and on their way to the entries.
-   * </pre>
-   *
-   * Protobuf type {@code borageproxy.control.KeyState}
+   * Protobuf type {@code borageproxy.control.TreeState}
    */
-  public static final class KeyState extends
+  public static final class TreeState extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:borageproxy.control.KeyState)
-      KeyStateOrBuilder {
+      // @@protoc_insertion_point(message_implements:borageproxy.control.TreeState)
+      TreeStateOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -30405,162 +32807,173 @@
         /* minor= */ 34,
         /* patch= */ 2,
         /* suffix= */ "",
-        "KeyState");
+        "TreeState");
     }
-    // Use KeyState.newBuilder() to construct.
-    private KeyState(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use TreeState.newBuilder() to construct.
+    private TreeState(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private KeyState() {
-      identity_ = "";
-      digest_ = "";
-      workspace_ = "";
+    private TreeState() {
+      document_ = "";
+      changeIdentity_ = "";
+      operator_ = "";
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_KeyState_descriptor;
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_TreeState_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_KeyState_descriptor;
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_TreeState_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_KeyState_fieldAccessorTable
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_TreeState_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.borageproxy.wire.proto.ControlProtocol.KeyState.class, org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder.class);
+              org.borageproxy.wire.proto.ControlProtocol.TreeState.class, org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder.class);
     }
 
-    public static final int IDENTITY_FIELD_NUMBER = 1;
+    public static final int REVISION_FIELD_NUMBER = 1;
+    private long revision_ = 0L;
+    /**
+     * <code>uint64 revision = 1;</code>
+     * @return The revision.
+     */
+    @java.lang.Override
+    public long getRevision() {
+      return revision_;
+    }
+
+    public static final int DOCUMENT_FIELD_NUMBER = 2;
     @SuppressWarnings("serial")
-    private volatile java.lang.Object identity_ = "";
+    private volatile java.lang.Object document_ = "";
     /**
-     * <code>string identity = 1;</code>
-     * @return The identity.
+     * <code>string document = 2;</code>
+     * @return The document.
      */
     @java.lang.Override
-    public java.lang.String getIdentity() {
-      java.lang.Object ref = identity_;
+    public java.lang.String getDocument() {
+      java.lang.Object ref = document_;
       if (ref instanceof java.lang.String) {
         return (java.lang.String) ref;
       } else {
         com.google.protobuf.ByteString bs = 
             (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
-        identity_ = s;
+        document_ = s;
         return s;
       }
     }
     /**
-     * <code>string identity = 1;</code>
-     * @return The bytes for identity.
+     * <code>string document = 2;</code>
+     * @return The bytes for document.
      */
     @java.lang.Override
     public com.google.protobuf.ByteString
-        getIdentityBytes() {
-      java.lang.Object ref = identity_;
+        getDocumentBytes() {
+      java.lang.Object ref = document_;
       if (ref instanceof java.lang.String) {
         com.google.protobuf.ByteString b = 
             com.google.protobuf.ByteString.copyFromUtf8(
                 (java.lang.String) ref);
-        identity_ = b;
+        document_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
 
-    public static final int DIGEST_FIELD_NUMBER = 2;
+    public static final int CHANGE_IDENTITY_FIELD_NUMBER = 3;
     @SuppressWarnings("serial")
-    private volatile java.lang.Object digest_ = "";
+    private volatile java.lang.Object changeIdentity_ = "";
     /**
-     * <code>string digest = 2;</code>
-     * @return The digest.
+     * <code>string change_identity = 3;</code>
+     * @return The changeIdentity.
      */
     @java.lang.Override
-    public java.lang.String getDigest() {
-      java.lang.Object ref = digest_;
+    public java.lang.String getChangeIdentity() {
+      java.lang.Object ref = changeIdentity_;
       if (ref instanceof java.lang.String) {
         return (java.lang.String) ref;
       } else {
         com.google.protobuf.ByteString bs = 
             (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
-        digest_ = s;
+        changeIdentity_ = s;
         return s;
       }
     }
     /**
-     * <code>string digest = 2;</code>
-     * @return The bytes for digest.
+     * <code>string change_identity = 3;</code>
+     * @return The bytes for changeIdentity.
      */
     @java.lang.Override
     public com.google.protobuf.ByteString
-        getDigestBytes() {
-      java.lang.Object ref = digest_;
+        getChangeIdentityBytes() {
+      java.lang.Object ref = changeIdentity_;
       if (ref instanceof java.lang.String) {
         com.google.protobuf.ByteString b = 
             com.google.protobuf.ByteString.copyFromUtf8(
                 (java.lang.String) ref);
-        digest_ = b;
+        changeIdentity_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
 
-    public static final int WORKSPACE_FIELD_NUMBER = 3;
+    public static final int OPERATOR_FIELD_NUMBER = 4;
     @SuppressWarnings("serial")
-    private volatile java.lang.Object workspace_ = "";
+    private volatile java.lang.Object operator_ = "";
     /**
-     * <code>string workspace = 3;</code>
-     * @return The workspace.
+     * <code>string operator = 4;</code>
+     * @return The operator.
      */
     @java.lang.Override
-    public java.lang.String getWorkspace() {
-      java.lang.Object ref = workspace_;
+    public java.lang.String getOperator() {
+      java.lang.Object ref = operator_;
       if (ref instanceof java.lang.String) {
         return (java.lang.String) ref;
       } else {
         com.google.protobuf.ByteString bs = 
             (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
-        workspace_ = s;
+        operator_ = s;
         return s;
       }
     }
     /**
-     * <code>string workspace = 3;</code>
-     * @return The bytes for workspace.
+     * <code>string operator = 4;</code>
+     * @return The bytes for operator.
      */
     @java.lang.Override
     public com.google.protobuf.ByteString
-        getWorkspaceBytes() {
-      java.lang.Object ref = workspace_;
+        getOperatorBytes() {
+      java.lang.Object ref = operator_;
       if (ref instanceof java.lang.String) {
         com.google.protobuf.ByteString b = 
             com.google.protobuf.ByteString.copyFromUtf8(
                 (java.lang.String) ref);
-        workspace_ = b;
+        operator_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
 
-    public static final int WITHDRAWN_FIELD_NUMBER = 4;
-    private boolean withdrawn_ = false;
+    public static final int ACCEPTED_AT_MILLIS_FIELD_NUMBER = 5;
+    private long acceptedAtMillis_ = 0L;
     /**
-     * <code>bool withdrawn = 4;</code>
-     * @return The withdrawn.
+     * <code>int64 accepted_at_millis = 5;</code>
+     * @return The acceptedAtMillis.
      */
     @java.lang.Override
-    public boolean getWithdrawn() {
-      return withdrawn_;
+    public long getAcceptedAtMillis() {
+      return acceptedAtMillis_;
     }
 
     private byte memoizedIsInitialized = -1;
@@ -30577,17 +32990,20 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(identity_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 1, identity_);
+      if (revision_ != 0L) {
+        output.writeUInt64(1, revision_);
       }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(digest_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 2, digest_);
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(document_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, document_);
       }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workspace_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 3, workspace_);
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(changeIdentity_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 3, changeIdentity_);
       }
-      if (withdrawn_ != false) {
-        output.writeBool(4, withdrawn_);
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(operator_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 4, operator_);
+      }
+      if (acceptedAtMillis_ != 0L) {
+        output.writeInt64(5, acceptedAtMillis_);
       }
       getUnknownFields().writeTo(output);
     }
@@ -30598,18 +33014,22 @@
       if (size != -1) return size;
 
       size = 0;
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(identity_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, identity_);
+      if (revision_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(1, revision_);
       }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(digest_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, digest_);
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(document_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, document_);
       }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workspace_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(3, workspace_);
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(changeIdentity_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(3, changeIdentity_);
       }
-      if (withdrawn_ != false) {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(operator_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(4, operator_);
+      }
+      if (acceptedAtMillis_ != 0L) {
         size += com.google.protobuf.CodedOutputStream
-          .computeBoolSize(4, withdrawn_);
+          .computeInt64Size(5, acceptedAtMillis_);
       }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
@@ -30621,19 +33041,21 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.KeyState)) {
+      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.TreeState)) {
         return super.equals(obj);
       }
-      org.borageproxy.wire.proto.ControlProtocol.KeyState other = (org.borageproxy.wire.proto.ControlProtocol.KeyState) obj;
+      org.borageproxy.wire.proto.ControlProtocol.TreeState other = (org.borageproxy.wire.proto.ControlProtocol.TreeState) obj;
 
-      if (!getIdentity()
-          .equals(other.getIdentity())) return false;
-      if (!getDigest()
-          .equals(other.getDigest())) return false;
-      if (!getWorkspace()
-          .equals(other.getWorkspace())) return false;
-      if (getWithdrawn()
-          != other.getWithdrawn()) return false;
+      if (getRevision()
+          != other.getRevision()) return false;
+      if (!getDocument()
+          .equals(other.getDocument())) return false;
+      if (!getChangeIdentity()
+          .equals(other.getChangeIdentity())) return false;
+      if (!getOperator()
+          .equals(other.getOperator())) return false;
+      if (getAcceptedAtMillis()
+          != other.getAcceptedAtMillis()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -30645,58 +33067,61 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + IDENTITY_FIELD_NUMBER;
-      hash = (53 * hash) + getIdentity().hashCode();
-      hash = (37 * hash) + DIGEST_FIELD_NUMBER;
-      hash = (53 * hash) + getDigest().hashCode();
-      hash = (37 * hash) + WORKSPACE_FIELD_NUMBER;
-      hash = (53 * hash) + getWorkspace().hashCode();
-      hash = (37 * hash) + WITHDRAWN_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-          getWithdrawn());
+      hash = (37 * hash) + REVISION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRevision());
+      hash = (37 * hash) + DOCUMENT_FIELD_NUMBER;
+      hash = (53 * hash) + getDocument().hashCode();
+      hash = (37 * hash) + CHANGE_IDENTITY_FIELD_NUMBER;
+      hash = (53 * hash) + getChangeIdentity().hashCode();
+      hash = (37 * hash) + OPERATOR_FIELD_NUMBER;
+      hash = (53 * hash) + getOperator().hashCode();
+      hash = (37 * hash) + ACCEPTED_AT_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getAcceptedAtMillis());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.KeyState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.TreeState parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.KeyState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.TreeState parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.KeyState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.TreeState parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.KeyState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.TreeState parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.KeyState parseFrom(byte[] data)
+    public static org.borageproxy.wire.proto.ControlProtocol.TreeState parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.KeyState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.TreeState parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.KeyState parseFrom(java.io.InputStream input)
+    public static org.borageproxy.wire.proto.ControlProtocol.TreeState parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.KeyState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.TreeState parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -30704,26 +33129,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.KeyState parseDelimitedFrom(java.io.InputStream input)
+    public static org.borageproxy.wire.proto.ControlProtocol.TreeState parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.KeyState parseDelimitedFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.TreeState parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.KeyState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.TreeState parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.KeyState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.TreeState parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -30736,7 +33161,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.KeyState prototype) {
+    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.TreeState prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -30752,30 +33177,26 @@
       return builder;
     }
     /**
-     * <pre>
-     * The records of the state, in snapshots and on their way to the entries.
-     * </pre>
-     *
-     * Protobuf type {@code borageproxy.control.KeyState}
+     * Protobuf type {@code borageproxy.control.TreeState}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:borageproxy.control.KeyState)
-        org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder {
+        // @@protoc_insertion_point(builder_implements:borageproxy.control.TreeState)
+        org.borageproxy.wire.proto.ControlProtocol.TreeStateOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_KeyState_descriptor;
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_TreeState_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_KeyState_fieldAccessorTable
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_TreeState_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                org.borageproxy.wire.proto.ControlProtocol.KeyState.class, org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder.class);
+                org.borageproxy.wire.proto.ControlProtocol.TreeState.class, org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder.class);
       }
 
-      // Construct using org.borageproxy.wire.proto.ControlProtocol.KeyState.newBuilder()
+      // Construct using org.borageproxy.wire.proto.ControlProtocol.TreeState.newBuilder()
       private Builder() {
 
       }
@@ -30789,27 +33210,28 @@
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        identity_ = "";
-        digest_ = "";
-        workspace_ = "";
-        withdrawn_ = false;
+        revision_ = 0L;
+        document_ = "";
+        changeIdentity_ = "";
+        operator_ = "";
+        acceptedAtMillis_ = 0L;
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_KeyState_descriptor;
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_TreeState_descriptor;
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.KeyState getDefaultInstanceForType() {
-        return org.borageproxy.wire.proto.ControlProtocol.KeyState.getDefaultInstance();
+      public org.borageproxy.wire.proto.ControlProtocol.TreeState getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.TreeState.getDefaultInstance();
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.KeyState build() {
-        org.borageproxy.wire.proto.ControlProtocol.KeyState result = buildPartial();
+      public org.borageproxy.wire.proto.ControlProtocol.TreeState build() {
+        org.borageproxy.wire.proto.ControlProtocol.TreeState result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -30817,58 +33239,64 @@
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.KeyState buildPartial() {
-        org.borageproxy.wire.proto.ControlProtocol.KeyState result = new org.borageproxy.wire.proto.ControlProtocol.KeyState(this);
+      public org.borageproxy.wire.proto.ControlProtocol.TreeState buildPartial() {
+        org.borageproxy.wire.proto.ControlProtocol.TreeState result = new org.borageproxy.wire.proto.ControlProtocol.TreeState(this);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.KeyState result) {
+      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.TreeState result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.identity_ = identity_;
+          result.revision_ = revision_;
         }
         if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.digest_ = digest_;
+          result.document_ = document_;
         }
         if (((from_bitField0_ & 0x00000004) != 0)) {
-          result.workspace_ = workspace_;
+          result.changeIdentity_ = changeIdentity_;
         }
         if (((from_bitField0_ & 0x00000008) != 0)) {
-          result.withdrawn_ = withdrawn_;
+          result.operator_ = operator_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.acceptedAtMillis_ = acceptedAtMillis_;
         }
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.KeyState) {
-          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.KeyState)other);
+        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.TreeState) {
+          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.TreeState)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.KeyState other) {
-        if (other == org.borageproxy.wire.proto.ControlProtocol.KeyState.getDefaultInstance()) return this;
-        if (!other.getIdentity().isEmpty()) {
-          identity_ = other.identity_;
-          bitField0_ |= 0x00000001;
-          onChanged();
+      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.TreeState other) {
+        if (other == org.borageproxy.wire.proto.ControlProtocol.TreeState.getDefaultInstance()) return this;
+        if (other.getRevision() != 0L) {
+          setRevision(other.getRevision());
         }
-        if (!other.getDigest().isEmpty()) {
-          digest_ = other.digest_;
+        if (!other.getDocument().isEmpty()) {
+          document_ = other.document_;
           bitField0_ |= 0x00000002;
           onChanged();
         }
-        if (!other.getWorkspace().isEmpty()) {
-          workspace_ = other.workspace_;
+        if (!other.getChangeIdentity().isEmpty()) {
+          changeIdentity_ = other.changeIdentity_;
           bitField0_ |= 0x00000004;
           onChanged();
         }
-        if (other.getWithdrawn() != false) {
-          setWithdrawn(other.getWithdrawn());
+        if (!other.getOperator().isEmpty()) {
+          operator_ = other.operator_;
+          bitField0_ |= 0x00000008;
+          onChanged();
+        }
+        if (other.getAcceptedAtMillis() != 0L) {
+          setAcceptedAtMillis(other.getAcceptedAtMillis());
         }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
@@ -30896,26 +33324,31 @@
               case 0:
                 done = true;
                 break;
-              case 10: {
-                identity_ = input.readStringRequireUtf8();
+              case 8: {
+                revision_ = input.readUInt64();
                 bitField0_ |= 0x00000001;
                 break;
-              } // case 10
+              } // case 8
               case 18: {
-                digest_ = input.readStringRequireUtf8();
+                document_ = input.readStringRequireUtf8();
                 bitField0_ |= 0x00000002;
                 break;
               } // case 18
               case 26: {
-                workspace_ = input.readStringRequireUtf8();
+                changeIdentity_ = input.readStringRequireUtf8();
                 bitField0_ |= 0x00000004;
                 break;
               } // case 26
-              case 32: {
-                withdrawn_ = input.readBool();
+              case 34: {
+                operator_ = input.readStringRequireUtf8();
                 bitField0_ |= 0x00000008;
                 break;
-              } // case 32
+              } // case 34
+              case 40: {
+                acceptedAtMillis_ = input.readInt64();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -30933,271 +33366,303 @@
       }
       private int bitField0_;
 
-      private java.lang.Object identity_ = "";
+      private long revision_ ;
       /**
-       * <code>string identity = 1;</code>
-       * @return The identity.
+       * <code>uint64 revision = 1;</code>
+       * @return The revision.
        */
-      public java.lang.String getIdentity() {
-        java.lang.Object ref = identity_;
+      @java.lang.Override
+      public long getRevision() {
+        return revision_;
+      }
+      /**
+       * <code>uint64 revision = 1;</code>
+       * @param value The revision to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRevision(long value) {
+
+        revision_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 revision = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRevision() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        revision_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object document_ = "";
+      /**
+       * <code>string document = 2;</code>
+       * @return The document.
+       */
+      public java.lang.String getDocument() {
+        java.lang.Object ref = document_;
         if (!(ref instanceof java.lang.String)) {
           com.google.protobuf.ByteString bs =
               (com.google.protobuf.ByteString) ref;
           java.lang.String s = bs.toStringUtf8();
-          identity_ = s;
+          document_ = s;
           return s;
         } else {
           return (java.lang.String) ref;
         }
       }
       /**
-       * <code>string identity = 1;</code>
-       * @return The bytes for identity.
+       * <code>string document = 2;</code>
+       * @return The bytes for document.
        */
       public com.google.protobuf.ByteString
-          getIdentityBytes() {
-        java.lang.Object ref = identity_;
+          getDocumentBytes() {
+        java.lang.Object ref = document_;
         if (ref instanceof String) {
           com.google.protobuf.ByteString b = 
               com.google.protobuf.ByteString.copyFromUtf8(
                   (java.lang.String) ref);
-          identity_ = b;
+          document_ = b;
           return b;
         } else {
           return (com.google.protobuf.ByteString) ref;
         }
       }
       /**
-       * <code>string identity = 1;</code>
-       * @param value The identity to set.
+       * <code>string document = 2;</code>
+       * @param value The document to set.
        * @return This builder for chaining.
        */
-      public Builder setIdentity(
+      public Builder setDocument(
           java.lang.String value) {
         if (value == null) { throw new NullPointerException(); }
-        identity_ = value;
-        bitField0_ |= 0x00000001;
+        document_ = value;
+        bitField0_ |= 0x00000002;
         onChanged();
         return this;
       }
       /**
-       * <code>string identity = 1;</code>
+       * <code>string document = 2;</code>
        * @return This builder for chaining.
        */
-      public Builder clearIdentity() {
-        identity_ = getDefaultInstance().getIdentity();
-        bitField0_ = (bitField0_ & ~0x00000001);
+      public Builder clearDocument() {
+        document_ = getDefaultInstance().getDocument();
+        bitField0_ = (bitField0_ & ~0x00000002);
         onChanged();
         return this;
       }
       /**
-       * <code>string identity = 1;</code>
-       * @param value The bytes for identity to set.
+       * <code>string document = 2;</code>
+       * @param value The bytes for document to set.
        * @return This builder for chaining.
        */
-      public Builder setIdentityBytes(
+      public Builder setDocumentBytes(
           com.google.protobuf.ByteString value) {
         if (value == null) { throw new NullPointerException(); }
         checkByteStringIsUtf8(value);
-        identity_ = value;
-        bitField0_ |= 0x00000001;
+        document_ = value;
+        bitField0_ |= 0x00000002;
         onChanged();
         return this;
       }
 
-      private java.lang.Object digest_ = "";
+      private java.lang.Object changeIdentity_ = "";
       /**
-       * <code>string digest = 2;</code>
-       * @return The digest.
+       * <code>string change_identity = 3;</code>
+       * @return The changeIdentity.
        */
-      public java.lang.String getDigest() {
-        java.lang.Object ref = digest_;
+      public java.lang.String getChangeIdentity() {
+        java.lang.Object ref = changeIdentity_;
         if (!(ref instanceof java.lang.String)) {
           com.google.protobuf.ByteString bs =
               (com.google.protobuf.ByteString) ref;
           java.lang.String s = bs.toStringUtf8();
-          digest_ = s;
+          changeIdentity_ = s;
           return s;
         } else {
           return (java.lang.String) ref;
         }
       }
       /**
-       * <code>string digest = 2;</code>
-       * @return The bytes for digest.
+       * <code>string change_identity = 3;</code>
+       * @return The bytes for changeIdentity.
        */
       public com.google.protobuf.ByteString
-          getDigestBytes() {
-        java.lang.Object ref = digest_;
+          getChangeIdentityBytes() {
+        java.lang.Object ref = changeIdentity_;
         if (ref instanceof String) {
           com.google.protobuf.ByteString b = 
               com.google.protobuf.ByteString.copyFromUtf8(
                   (java.lang.String) ref);
-          digest_ = b;
+          changeIdentity_ = b;
           return b;
         } else {
           return (com.google.protobuf.ByteString) ref;
         }
       }
       /**
-       * <code>string digest = 2;</code>
-       * @param value The digest to set.
+       * <code>string change_identity = 3;</code>
+       * @param value The changeIdentity to set.
        * @return This builder for chaining.
        */
-      public Builder setDigest(
+      public Builder setChangeIdentity(
           java.lang.String value) {
         if (value == null) { throw new NullPointerException(); }
-        digest_ = value;
-        bitField0_ |= 0x00000002;
+        changeIdentity_ = value;
+        bitField0_ |= 0x00000004;
         onChanged();
         return this;
       }
       /**
-       * <code>string digest = 2;</code>
+       * <code>string change_identity = 3;</code>
        * @return This builder for chaining.
        */
-      public Builder clearDigest() {
-        digest_ = getDefaultInstance().getDigest();
-        bitField0_ = (bitField0_ & ~0x00000002);
+      public Builder clearChangeIdentity() {
+        changeIdentity_ = getDefaultInstance().getChangeIdentity();
+        bitField0_ = (bitField0_ & ~0x00000004);
         onChanged();
         return this;
       }
       /**
-       * <code>string digest = 2;</code>
-       * @param value The bytes for digest to set.
+       * <code>string change_identity = 3;</code>
+       * @param value The bytes for changeIdentity to set.
        * @return This builder for chaining.
        */
-      public Builder setDigestBytes(
+      public Builder setChangeIdentityBytes(
           com.google.protobuf.ByteString value) {
         if (value == null) { throw new NullPointerException(); }
         checkByteStringIsUtf8(value);
-        digest_ = value;
-        bitField0_ |= 0x00000002;
+        changeIdentity_ = value;
+        bitField0_ |= 0x00000004;
         onChanged();
         return this;
       }
 
-      private java.lang.Object workspace_ = "";
+      private java.lang.Object operator_ = "";
       /**
-       * <code>string workspace = 3;</code>
-       * @return The workspace.
+       * <code>string operator = 4;</code>
+       * @return The operator.
        */
-      public java.lang.String getWorkspace() {
-        java.lang.Object ref = workspace_;
+      public java.lang.String getOperator() {
+        java.lang.Object ref = operator_;
         if (!(ref instanceof java.lang.String)) {
           com.google.protobuf.ByteString bs =
               (com.google.protobuf.ByteString) ref;
           java.lang.String s = bs.toStringUtf8();
-          workspace_ = s;
+          operator_ = s;
           return s;
         } else {
           return (java.lang.String) ref;
         }
       }
       /**
-       * <code>string workspace = 3;</code>
-       * @return The bytes for workspace.
+       * <code>string operator = 4;</code>
+       * @return The bytes for operator.
        */
       public com.google.protobuf.ByteString
-          getWorkspaceBytes() {
-        java.lang.Object ref = workspace_;
+          getOperatorBytes() {
+        java.lang.Object ref = operator_;
         if (ref instanceof String) {
           com.google.protobuf.ByteString b = 
               com.google.protobuf.ByteString.copyFromUtf8(
                   (java.lang.String) ref);
-          workspace_ = b;
+          operator_ = b;
           return b;
         } else {
           return (com.google.protobuf.ByteString) ref;
         }
       }
       /**
-       * <code>string workspace = 3;</code>
-       * @param value The workspace to set.
+       * <code>string operator = 4;</code>
+       * @param value The operator to set.
        * @return This builder for chaining.
        */
-      public Builder setWorkspace(
+      public Builder setOperator(
           java.lang.String value) {
         if (value == null) { throw new NullPointerException(); }
-        workspace_ = value;
-        bitField0_ |= 0x00000004;
+        operator_ = value;
+        bitField0_ |= 0x00000008;
         onChanged();
         return this;
       }
       /**
-       * <code>string workspace = 3;</code>
+       * <code>string operator = 4;</code>
        * @return This builder for chaining.
        */
-      public Builder clearWorkspace() {
-        workspace_ = getDefaultInstance().getWorkspace();
-        bitField0_ = (bitField0_ & ~0x00000004);
+      public Builder clearOperator() {
+        operator_ = getDefaultInstance().getOperator();
+        bitField0_ = (bitField0_ & ~0x00000008);
         onChanged();
         return this;
       }
       /**
-       * <code>string workspace = 3;</code>
-       * @param value The bytes for workspace to set.
+       * <code>string operator = 4;</code>
+       * @param value The bytes for operator to set.
        * @return This builder for chaining.
        */
-      public Builder setWorkspaceBytes(
+      public Builder setOperatorBytes(
           com.google.protobuf.ByteString value) {
         if (value == null) { throw new NullPointerException(); }
         checkByteStringIsUtf8(value);
-        workspace_ = value;
-        bitField0_ |= 0x00000004;
+        operator_ = value;
+        bitField0_ |= 0x00000008;
         onChanged();
         return this;
       }
 
-      private boolean withdrawn_ ;
+      private long acceptedAtMillis_ ;
       /**
-       * <code>bool withdrawn = 4;</code>
-       * @return The withdrawn.
+       * <code>int64 accepted_at_millis = 5;</code>
+       * @return The acceptedAtMillis.
        */
       @java.lang.Override
-      public boolean getWithdrawn() {
-        return withdrawn_;
+      public long getAcceptedAtMillis() {
+        return acceptedAtMillis_;
       }
       /**
-       * <code>bool withdrawn = 4;</code>
-       * @param value The withdrawn to set.
+       * <code>int64 accepted_at_millis = 5;</code>
+       * @param value The acceptedAtMillis to set.
        * @return This builder for chaining.
        */
-      public Builder setWithdrawn(boolean value) {
+      public Builder setAcceptedAtMillis(long value) {
 
-        withdrawn_ = value;
-        bitField0_ |= 0x00000008;
+        acceptedAtMillis_ = value;
+        bitField0_ |= 0x00000010;
         onChanged();
         return this;
       }
       /**
-       * <code>bool withdrawn = 4;</code>
+       * <code>int64 accepted_at_millis = 5;</code>
        * @return This builder for chaining.
        */
-      public Builder clearWithdrawn() {
-        bitField0_ = (bitField0_ & ~0x00000008);
-        withdrawn_ = false;
+      public Builder clearAcceptedAtMillis() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        acceptedAtMillis_ = 0L;
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:borageproxy.control.KeyState)
+      // @@protoc_insertion_point(builder_scope:borageproxy.control.TreeState)
     }
 
-    // @@protoc_insertion_point(class_scope:borageproxy.control.KeyState)
-    private static final org.borageproxy.wire.proto.ControlProtocol.KeyState DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:borageproxy.control.TreeState)
+    private static final org.borageproxy.wire.proto.ControlProtocol.TreeState DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.KeyState();
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.TreeState();
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.KeyState getDefaultInstance() {
+    public static org.borageproxy.wire.proto.ControlProtocol.TreeState getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<KeyState>
-        PARSER = new com.google.protobuf.AbstractParser<KeyState>() {
+    private static final com.google.protobuf.Parser<TreeState>
+        PARSER = new com.google.protobuf.AbstractParser<TreeState>() {
       @java.lang.Override
-      public KeyState parsePartialFrom(
+      public TreeState parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -31216,81 +33681,87 @@
       }
     };
 
-    public static com.google.protobuf.Parser<KeyState> parser() {
+    public static com.google.protobuf.Parser<TreeState> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<KeyState> getParserForType() {
+    public com.google.protobuf.Parser<TreeState> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.KeyState getDefaultInstanceForType() {
+    public org.borageproxy.wire.proto.ControlProtocol.TreeState getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
   }
 
-  public interface TreeStateOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:borageproxy.control.TreeState)
+  public interface LeaseStateOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.control.LeaseState)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>uint64 revision = 1;</code>
-     * @return The revision.
+     * <code>string duty = 1;</code>
+     * @return The duty.
      */
-    long getRevision();
+    java.lang.String getDuty();
+    /**
+     * <code>string duty = 1;</code>
+     * @return The bytes for duty.
+     */
+    com.google.protobuf.ByteString
+        getDutyBytes();
 
     /**
-     * <code>string document = 2;</code>
-     * @return The document.
+     * <code>string holder = 2;</code>
+     * @return The holder.
      */
-    java.lang.String getDocument();
+    java.lang.String getHolder();
     /**
-     * <code>string document = 2;</code>
-     * @return The bytes for document.
+     * <code>string holder = 2;</code>
+     * @return The bytes for holder.
      */
     com.google.protobuf.ByteString
-        getDocumentBytes();
+        getHolderBytes();
 
     /**
-     * <code>string change_identity = 3;</code>
-     * @return The changeIdentity.
+     * <code>string session = 3;</code>
+     * @return The session.
      */
-    java.lang.String getChangeIdentity();
+    java.lang.String getSession();
     /**
-     * <code>string change_identity = 3;</code>
-     * @return The bytes for changeIdentity.
+     * <code>string session = 3;</code>
+     * @return The bytes for session.
      */
     com.google.protobuf.ByteString
-        getChangeIdentityBytes();
+        getSessionBytes();
 
     /**
-     * <code>string operator = 4;</code>
-     * @return The operator.
+     * <code>int64 epoch = 4;</code>
+     * @return The epoch.
      */
-    java.lang.String getOperator();
+    long getEpoch();
+
     /**
-     * <code>string operator = 4;</code>
-     * @return The bytes for operator.
+     * <code>uint64 renewal = 5;</code>
+     * @return The renewal.
      */
-    com.google.protobuf.ByteString
-        getOperatorBytes();
+    long getRenewal();
 
     /**
-     * <code>int64 accepted_at_millis = 5;</code>
-     * @return The acceptedAtMillis.
+     * <code>bool free = 6;</code>
+     * @return The free.
      */
-    long getAcceptedAtMillis();
+    boolean getFree();
   }
   /**
-   * Protobuf type {@code borageproxy.control.TreeState}
+   * Protobuf type {@code borageproxy.control.LeaseState}
    */
-  public static final class TreeState extends
+  public static final class LeaseState extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:borageproxy.control.TreeState)
-      TreeStateOrBuilder {
+      // @@protoc_insertion_point(message_implements:borageproxy.control.LeaseState)
+      LeaseStateOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -31299,173 +33770,184 @@
         /* minor= */ 34,
         /* patch= */ 2,
         /* suffix= */ "",
-        "TreeState");
+        "LeaseState");
     }
-    // Use TreeState.newBuilder() to construct.
-    private TreeState(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use LeaseState.newBuilder() to construct.
+    private LeaseState(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private TreeState() {
-      document_ = "";
-      changeIdentity_ = "";
-      operator_ = "";
+    private LeaseState() {
+      duty_ = "";
+      holder_ = "";
+      session_ = "";
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_TreeState_descriptor;
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_LeaseState_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_TreeState_descriptor;
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_LeaseState_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_TreeState_fieldAccessorTable
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_LeaseState_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.borageproxy.wire.proto.ControlProtocol.TreeState.class, org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder.class);
-    }
-
-    public static final int REVISION_FIELD_NUMBER = 1;
-    private long revision_ = 0L;
-    /**
-     * <code>uint64 revision = 1;</code>
-     * @return The revision.
-     */
-    @java.lang.Override
-    public long getRevision() {
-      return revision_;
+              org.borageproxy.wire.proto.ControlProtocol.LeaseState.class, org.borageproxy.wire.proto.ControlProtocol.LeaseState.Builder.class);
     }
 
-    public static final int DOCUMENT_FIELD_NUMBER = 2;
+    public static final int DUTY_FIELD_NUMBER = 1;
     @SuppressWarnings("serial")
-    private volatile java.lang.Object document_ = "";
+    private volatile java.lang.Object duty_ = "";
     /**
-     * <code>string document = 2;</code>
-     * @return The document.
+     * <code>string duty = 1;</code>
+     * @return The duty.
      */
     @java.lang.Override
-    public java.lang.String getDocument() {
-      java.lang.Object ref = document_;
+    public java.lang.String getDuty() {
+      java.lang.Object ref = duty_;
       if (ref instanceof java.lang.String) {
         return (java.lang.String) ref;
       } else {
         com.google.protobuf.ByteString bs = 
             (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
-        document_ = s;
+        duty_ = s;
         return s;
       }
     }
     /**
-     * <code>string document = 2;</code>
-     * @return The bytes for document.
+     * <code>string duty = 1;</code>
+     * @return The bytes for duty.
      */
     @java.lang.Override
     public com.google.protobuf.ByteString
-        getDocumentBytes() {
-      java.lang.Object ref = document_;
+        getDutyBytes() {
+      java.lang.Object ref = duty_;
       if (ref instanceof java.lang.String) {
         com.google.protobuf.ByteString b = 
             com.google.protobuf.ByteString.copyFromUtf8(
                 (java.lang.String) ref);
-        document_ = b;
+        duty_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
 
-    public static final int CHANGE_IDENTITY_FIELD_NUMBER = 3;
+    public static final int HOLDER_FIELD_NUMBER = 2;
     @SuppressWarnings("serial")
-    private volatile java.lang.Object changeIdentity_ = "";
+    private volatile java.lang.Object holder_ = "";
     /**
-     * <code>string change_identity = 3;</code>
-     * @return The changeIdentity.
+     * <code>string holder = 2;</code>
+     * @return The holder.
      */
     @java.lang.Override
-    public java.lang.String getChangeIdentity() {
-      java.lang.Object ref = changeIdentity_;
+    public java.lang.String getHolder() {
+      java.lang.Object ref = holder_;
       if (ref instanceof java.lang.String) {
         return (java.lang.String) ref;
       } else {
         com.google.protobuf.ByteString bs = 
             (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
-        changeIdentity_ = s;
+        holder_ = s;
         return s;
       }
     }
     /**
-     * <code>string change_identity = 3;</code>
-     * @return The bytes for changeIdentity.
+     * <code>string holder = 2;</code>
+     * @return The bytes for holder.
      */
     @java.lang.Override
     public com.google.protobuf.ByteString
-        getChangeIdentityBytes() {
-      java.lang.Object ref = changeIdentity_;
+        getHolderBytes() {
+      java.lang.Object ref = holder_;
       if (ref instanceof java.lang.String) {
         com.google.protobuf.ByteString b = 
             com.google.protobuf.ByteString.copyFromUtf8(
                 (java.lang.String) ref);
-        changeIdentity_ = b;
+        holder_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
 
-    public static final int OPERATOR_FIELD_NUMBER = 4;
+    public static final int SESSION_FIELD_NUMBER = 3;
     @SuppressWarnings("serial")
-    private volatile java.lang.Object operator_ = "";
+    private volatile java.lang.Object session_ = "";
     /**
-     * <code>string operator = 4;</code>
-     * @return The operator.
+     * <code>string session = 3;</code>
+     * @return The session.
      */
     @java.lang.Override
-    public java.lang.String getOperator() {
-      java.lang.Object ref = operator_;
+    public java.lang.String getSession() {
+      java.lang.Object ref = session_;
       if (ref instanceof java.lang.String) {
         return (java.lang.String) ref;
       } else {
         com.google.protobuf.ByteString bs = 
             (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
-        operator_ = s;
+        session_ = s;
         return s;
       }
     }
     /**
-     * <code>string operator = 4;</code>
-     * @return The bytes for operator.
+     * <code>string session = 3;</code>
+     * @return The bytes for session.
      */
     @java.lang.Override
     public com.google.protobuf.ByteString
-        getOperatorBytes() {
-      java.lang.Object ref = operator_;
+        getSessionBytes() {
+      java.lang.Object ref = session_;
       if (ref instanceof java.lang.String) {
         com.google.protobuf.ByteString b = 
             com.google.protobuf.ByteString.copyFromUtf8(
                 (java.lang.String) ref);
-        operator_ = b;
+        session_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
 
-    public static final int ACCEPTED_AT_MILLIS_FIELD_NUMBER = 5;
-    private long acceptedAtMillis_ = 0L;
+    public static final int EPOCH_FIELD_NUMBER = 4;
+    private long epoch_ = 0L;
     /**
-     * <code>int64 accepted_at_millis = 5;</code>
-     * @return The acceptedAtMillis.
+     * <code>int64 epoch = 4;</code>
+     * @return The epoch.
+     */
+    @java.lang.Override
+    public long getEpoch() {
+      return epoch_;
+    }
+
+    public static final int RENEWAL_FIELD_NUMBER = 5;
+    private long renewal_ = 0L;
+    /**
+     * <code>uint64 renewal = 5;</code>
+     * @return The renewal.
+     */
+    @java.lang.Override
+    public long getRenewal() {
+      return renewal_;
+    }
+
+    public static final int FREE_FIELD_NUMBER = 6;
+    private boolean free_ = false;
+    /**
+     * <code>bool free = 6;</code>
+     * @return The free.
      */
     @java.lang.Override
-    public long getAcceptedAtMillis() {
-      return acceptedAtMillis_;
+    public boolean getFree() {
+      return free_;
     }
 
     private byte memoizedIsInitialized = -1;
@@ -31482,20 +33964,23 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      if (revision_ != 0L) {
-        output.writeUInt64(1, revision_);
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(duty_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, duty_);
       }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(document_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 2, document_);
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holder_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, holder_);
       }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(changeIdentity_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 3, changeIdentity_);
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(session_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 3, session_);
       }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(operator_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 4, operator_);
+      if (epoch_ != 0L) {
+        output.writeInt64(4, epoch_);
       }
-      if (acceptedAtMillis_ != 0L) {
-        output.writeInt64(5, acceptedAtMillis_);
+      if (renewal_ != 0L) {
+        output.writeUInt64(5, renewal_);
+      }
+      if (free_ != false) {
+        output.writeBool(6, free_);
       }
       getUnknownFields().writeTo(output);
     }
@@ -31506,22 +33991,26 @@
       if (size != -1) return size;
 
       size = 0;
-      if (revision_ != 0L) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(1, revision_);
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(duty_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, duty_);
       }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(document_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, document_);
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holder_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, holder_);
       }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(changeIdentity_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(3, changeIdentity_);
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(session_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(3, session_);
       }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(operator_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(4, operator_);
+      if (epoch_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(4, epoch_);
       }
-      if (acceptedAtMillis_ != 0L) {
+      if (renewal_ != 0L) {
         size += com.google.protobuf.CodedOutputStream
-          .computeInt64Size(5, acceptedAtMillis_);
+          .computeUInt64Size(5, renewal_);
+      }
+      if (free_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(6, free_);
       }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
@@ -31533,21 +34022,23 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.TreeState)) {
+      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.LeaseState)) {
         return super.equals(obj);
       }
-      org.borageproxy.wire.proto.ControlProtocol.TreeState other = (org.borageproxy.wire.proto.ControlProtocol.TreeState) obj;
+      org.borageproxy.wire.proto.ControlProtocol.LeaseState other = (org.borageproxy.wire.proto.ControlProtocol.LeaseState) obj;
 
-      if (getRevision()
-          != other.getRevision()) return false;
-      if (!getDocument()
-          .equals(other.getDocument())) return false;
-      if (!getChangeIdentity()
-          .equals(other.getChangeIdentity())) return false;
-      if (!getOperator()
-          .equals(other.getOperator())) return false;
-      if (getAcceptedAtMillis()
-          != other.getAcceptedAtMillis()) return false;
+      if (!getDuty()
+          .equals(other.getDuty())) return false;
+      if (!getHolder()
+          .equals(other.getHolder())) return false;
+      if (!getSession()
+          .equals(other.getSession())) return false;
+      if (getEpoch()
+          != other.getEpoch()) return false;
+      if (getRenewal()
+          != other.getRenewal()) return false;
+      if (getFree()
+          != other.getFree()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -31559,61 +34050,64 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + REVISION_FIELD_NUMBER;
+      hash = (37 * hash) + DUTY_FIELD_NUMBER;
+      hash = (53 * hash) + getDuty().hashCode();
+      hash = (37 * hash) + HOLDER_FIELD_NUMBER;
+      hash = (53 * hash) + getHolder().hashCode();
+      hash = (37 * hash) + SESSION_FIELD_NUMBER;
+      hash = (53 * hash) + getSession().hashCode();
+      hash = (37 * hash) + EPOCH_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getRevision());
-      hash = (37 * hash) + DOCUMENT_FIELD_NUMBER;
-      hash = (53 * hash) + getDocument().hashCode();
-      hash = (37 * hash) + CHANGE_IDENTITY_FIELD_NUMBER;
-      hash = (53 * hash) + getChangeIdentity().hashCode();
-      hash = (37 * hash) + OPERATOR_FIELD_NUMBER;
-      hash = (53 * hash) + getOperator().hashCode();
-      hash = (37 * hash) + ACCEPTED_AT_MILLIS_FIELD_NUMBER;
+          getEpoch());
+      hash = (37 * hash) + RENEWAL_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getAcceptedAtMillis());
+          getRenewal());
+      hash = (37 * hash) + FREE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getFree());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.TreeState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.LeaseState parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.TreeState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.LeaseState parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.TreeState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.LeaseState parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.TreeState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.LeaseState parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.TreeState parseFrom(byte[] data)
+    public static org.borageproxy.wire.proto.ControlProtocol.LeaseState parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.TreeState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.LeaseState parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.TreeState parseFrom(java.io.InputStream input)
+    public static org.borageproxy.wire.proto.ControlProtocol.LeaseState parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.TreeState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.LeaseState parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -31621,26 +34115,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.TreeState parseDelimitedFrom(java.io.InputStream input)
+    public static org.borageproxy.wire.proto.ControlProtocol.LeaseState parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.TreeState parseDelimitedFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.LeaseState parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.TreeState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.LeaseState parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.TreeState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.LeaseState parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -31653,7 +34147,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.TreeState prototype) {
+    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.LeaseState prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -31669,26 +34163,26 @@
       return builder;
     }
     /**
-     * Protobuf type {@code borageproxy.control.TreeState}
+     * Protobuf type {@code borageproxy.control.LeaseState}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:borageproxy.control.TreeState)
-        org.borageproxy.wire.proto.ControlProtocol.TreeStateOrBuilder {
+        // @@protoc_insertion_point(builder_implements:borageproxy.control.LeaseState)
+        org.borageproxy.wire.proto.ControlProtocol.LeaseStateOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_TreeState_descriptor;
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_LeaseState_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_TreeState_fieldAccessorTable
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_LeaseState_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                org.borageproxy.wire.proto.ControlProtocol.TreeState.class, org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder.class);
+                org.borageproxy.wire.proto.ControlProtocol.LeaseState.class, org.borageproxy.wire.proto.ControlProtocol.LeaseState.Builder.class);
       }
 
-      // Construct using org.borageproxy.wire.proto.ControlProtocol.TreeState.newBuilder()
+      // Construct using org.borageproxy.wire.proto.ControlProtocol.LeaseState.newBuilder()
       private Builder() {
 
       }
@@ -31702,28 +34196,29 @@
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        revision_ = 0L;
-        document_ = "";
-        changeIdentity_ = "";
-        operator_ = "";
-        acceptedAtMillis_ = 0L;
+        duty_ = "";
+        holder_ = "";
+        session_ = "";
+        epoch_ = 0L;
+        renewal_ = 0L;
+        free_ = false;
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_TreeState_descriptor;
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_LeaseState_descriptor;
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.TreeState getDefaultInstanceForType() {
-        return org.borageproxy.wire.proto.ControlProtocol.TreeState.getDefaultInstance();
+      public org.borageproxy.wire.proto.ControlProtocol.LeaseState getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.LeaseState.getDefaultInstance();
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.TreeState build() {
-        org.borageproxy.wire.proto.ControlProtocol.TreeState result = buildPartial();
+      public org.borageproxy.wire.proto.ControlProtocol.LeaseState build() {
+        org.borageproxy.wire.proto.ControlProtocol.LeaseState result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -31731,64 +34226,70 @@
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.TreeState buildPartial() {
-        org.borageproxy.wire.proto.ControlProtocol.TreeState result = new org.borageproxy.wire.proto.ControlProtocol.TreeState(this);
+      public org.borageproxy.wire.proto.ControlProtocol.LeaseState buildPartial() {
+        org.borageproxy.wire.proto.ControlProtocol.LeaseState result = new org.borageproxy.wire.proto.ControlProtocol.LeaseState(this);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.TreeState result) {
+      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.LeaseState result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.revision_ = revision_;
+          result.duty_ = duty_;
         }
         if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.document_ = document_;
+          result.holder_ = holder_;
         }
         if (((from_bitField0_ & 0x00000004) != 0)) {
-          result.changeIdentity_ = changeIdentity_;
+          result.session_ = session_;
         }
         if (((from_bitField0_ & 0x00000008) != 0)) {
-          result.operator_ = operator_;
+          result.epoch_ = epoch_;
         }
         if (((from_bitField0_ & 0x00000010) != 0)) {
-          result.acceptedAtMillis_ = acceptedAtMillis_;
+          result.renewal_ = renewal_;
+        }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.free_ = free_;
         }
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.TreeState) {
-          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.TreeState)other);
+        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.LeaseState) {
+          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.LeaseState)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.TreeState other) {
-        if (other == org.borageproxy.wire.proto.ControlProtocol.TreeState.getDefaultInstance()) return this;
-        if (other.getRevision() != 0L) {
-          setRevision(other.getRevision());
+      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.LeaseState other) {
+        if (other == org.borageproxy.wire.proto.ControlProtocol.LeaseState.getDefaultInstance()) return this;
+        if (!other.getDuty().isEmpty()) {
+          duty_ = other.duty_;
+          bitField0_ |= 0x00000001;
+          onChanged();
         }
-        if (!other.getDocument().isEmpty()) {
-          document_ = other.document_;
+        if (!other.getHolder().isEmpty()) {
+          holder_ = other.holder_;
           bitField0_ |= 0x00000002;
           onChanged();
         }
-        if (!other.getChangeIdentity().isEmpty()) {
-          changeIdentity_ = other.changeIdentity_;
+        if (!other.getSession().isEmpty()) {
+          session_ = other.session_;
           bitField0_ |= 0x00000004;
           onChanged();
         }
-        if (!other.getOperator().isEmpty()) {
-          operator_ = other.operator_;
-          bitField0_ |= 0x00000008;
-          onChanged();
+        if (other.getEpoch() != 0L) {
+          setEpoch(other.getEpoch());
         }
-        if (other.getAcceptedAtMillis() != 0L) {
-          setAcceptedAtMillis(other.getAcceptedAtMillis());
+        if (other.getRenewal() != 0L) {
+          setRenewal(other.getRenewal());
+        }
+        if (other.getFree() != false) {
+          setFree(other.getFree());
         }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
@@ -31816,31 +34317,36 @@
               case 0:
                 done = true;
                 break;
-              case 8: {
-                revision_ = input.readUInt64();
+              case 10: {
+                duty_ = input.readStringRequireUtf8();
                 bitField0_ |= 0x00000001;
                 break;
-              } // case 8
+              } // case 10
               case 18: {
-                document_ = input.readStringRequireUtf8();
+                holder_ = input.readStringRequireUtf8();
                 bitField0_ |= 0x00000002;
                 break;
               } // case 18
               case 26: {
-                changeIdentity_ = input.readStringRequireUtf8();
+                session_ = input.readStringRequireUtf8();
                 bitField0_ |= 0x00000004;
                 break;
               } // case 26
-              case 34: {
-                operator_ = input.readStringRequireUtf8();
+              case 32: {
+                epoch_ = input.readInt64();
                 bitField0_ |= 0x00000008;
                 break;
-              } // case 34
+              } // case 32
               case 40: {
-                acceptedAtMillis_ = input.readInt64();
+                renewal_ = input.readUInt64();
                 bitField0_ |= 0x00000010;
                 break;
               } // case 40
+              case 48: {
+                free_ = input.readBool();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 48
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -31858,303 +34364,335 @@
       }
       private int bitField0_;
 
-      private long revision_ ;
-      /**
-       * <code>uint64 revision = 1;</code>
-       * @return The revision.
-       */
-      @java.lang.Override
-      public long getRevision() {
-        return revision_;
-      }
-      /**
-       * <code>uint64 revision = 1;</code>
-       * @param value The revision to set.
-       * @return This builder for chaining.
-       */
-      public Builder setRevision(long value) {
-
-        revision_ = value;
-        bitField0_ |= 0x00000001;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>uint64 revision = 1;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearRevision() {
-        bitField0_ = (bitField0_ & ~0x00000001);
-        revision_ = 0L;
-        onChanged();
-        return this;
-      }
-
-      private java.lang.Object document_ = "";
+      private java.lang.Object duty_ = "";
       /**
-       * <code>string document = 2;</code>
-       * @return The document.
+       * <code>string duty = 1;</code>
+       * @return The duty.
        */
-      public java.lang.String getDocument() {
-        java.lang.Object ref = document_;
+      public java.lang.String getDuty() {
+        java.lang.Object ref = duty_;
         if (!(ref instanceof java.lang.String)) {
           com.google.protobuf.ByteString bs =
               (com.google.protobuf.ByteString) ref;
           java.lang.String s = bs.toStringUtf8();
-          document_ = s;
+          duty_ = s;
           return s;
         } else {
           return (java.lang.String) ref;
         }
       }
       /**
-       * <code>string document = 2;</code>
-       * @return The bytes for document.
+       * <code>string duty = 1;</code>
+       * @return The bytes for duty.
        */
       public com.google.protobuf.ByteString
-          getDocumentBytes() {
-        java.lang.Object ref = document_;
+          getDutyBytes() {
+        java.lang.Object ref = duty_;
         if (ref instanceof String) {
           com.google.protobuf.ByteString b = 
               com.google.protobuf.ByteString.copyFromUtf8(
                   (java.lang.String) ref);
-          document_ = b;
+          duty_ = b;
           return b;
         } else {
           return (com.google.protobuf.ByteString) ref;
         }
       }
       /**
-       * <code>string document = 2;</code>
-       * @param value The document to set.
+       * <code>string duty = 1;</code>
+       * @param value The duty to set.
        * @return This builder for chaining.
        */
-      public Builder setDocument(
+      public Builder setDuty(
           java.lang.String value) {
         if (value == null) { throw new NullPointerException(); }
-        document_ = value;
-        bitField0_ |= 0x00000002;
+        duty_ = value;
+        bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
       /**
-       * <code>string document = 2;</code>
+       * <code>string duty = 1;</code>
        * @return This builder for chaining.
        */
-      public Builder clearDocument() {
-        document_ = getDefaultInstance().getDocument();
-        bitField0_ = (bitField0_ & ~0x00000002);
+      public Builder clearDuty() {
+        duty_ = getDefaultInstance().getDuty();
+        bitField0_ = (bitField0_ & ~0x00000001);
         onChanged();
         return this;
       }
       /**
-       * <code>string document = 2;</code>
-       * @param value The bytes for document to set.
+       * <code>string duty = 1;</code>
+       * @param value The bytes for duty to set.
        * @return This builder for chaining.
        */
-      public Builder setDocumentBytes(
+      public Builder setDutyBytes(
           com.google.protobuf.ByteString value) {
         if (value == null) { throw new NullPointerException(); }
         checkByteStringIsUtf8(value);
-        document_ = value;
-        bitField0_ |= 0x00000002;
+        duty_ = value;
+        bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
 
-      private java.lang.Object changeIdentity_ = "";
+      private java.lang.Object holder_ = "";
       /**
-       * <code>string change_identity = 3;</code>
-       * @return The changeIdentity.
+       * <code>string holder = 2;</code>
+       * @return The holder.
        */
-      public java.lang.String getChangeIdentity() {
-        java.lang.Object ref = changeIdentity_;
+      public java.lang.String getHolder() {
+        java.lang.Object ref = holder_;
         if (!(ref instanceof java.lang.String)) {
           com.google.protobuf.ByteString bs =
               (com.google.protobuf.ByteString) ref;
           java.lang.String s = bs.toStringUtf8();
-          changeIdentity_ = s;
+          holder_ = s;
           return s;
         } else {
           return (java.lang.String) ref;
         }
       }
       /**
-       * <code>string change_identity = 3;</code>
-       * @return The bytes for changeIdentity.
+       * <code>string holder = 2;</code>
+       * @return The bytes for holder.
        */
       public com.google.protobuf.ByteString
-          getChangeIdentityBytes() {
-        java.lang.Object ref = changeIdentity_;
+          getHolderBytes() {
+        java.lang.Object ref = holder_;
         if (ref instanceof String) {
           com.google.protobuf.ByteString b = 
               com.google.protobuf.ByteString.copyFromUtf8(
                   (java.lang.String) ref);
-          changeIdentity_ = b;
+          holder_ = b;
           return b;
         } else {
           return (com.google.protobuf.ByteString) ref;
         }
       }
       /**
-       * <code>string change_identity = 3;</code>
-       * @param value The changeIdentity to set.
+       * <code>string holder = 2;</code>
+       * @param value The holder to set.
        * @return This builder for chaining.
        */
-      public Builder setChangeIdentity(
+      public Builder setHolder(
           java.lang.String value) {
         if (value == null) { throw new NullPointerException(); }
-        changeIdentity_ = value;
-        bitField0_ |= 0x00000004;
+        holder_ = value;
+        bitField0_ |= 0x00000002;
         onChanged();
         return this;
       }
       /**
-       * <code>string change_identity = 3;</code>
+       * <code>string holder = 2;</code>
        * @return This builder for chaining.
        */
-      public Builder clearChangeIdentity() {
-        changeIdentity_ = getDefaultInstance().getChangeIdentity();
-        bitField0_ = (bitField0_ & ~0x00000004);
+      public Builder clearHolder() {
+        holder_ = getDefaultInstance().getHolder();
+        bitField0_ = (bitField0_ & ~0x00000002);
         onChanged();
         return this;
       }
       /**
-       * <code>string change_identity = 3;</code>
-       * @param value The bytes for changeIdentity to set.
+       * <code>string holder = 2;</code>
+       * @param value The bytes for holder to set.
        * @return This builder for chaining.
        */
-      public Builder setChangeIdentityBytes(
+      public Builder setHolderBytes(
           com.google.protobuf.ByteString value) {
         if (value == null) { throw new NullPointerException(); }
         checkByteStringIsUtf8(value);
-        changeIdentity_ = value;
-        bitField0_ |= 0x00000004;
+        holder_ = value;
+        bitField0_ |= 0x00000002;
         onChanged();
         return this;
       }
 
-      private java.lang.Object operator_ = "";
+      private java.lang.Object session_ = "";
       /**
-       * <code>string operator = 4;</code>
-       * @return The operator.
+       * <code>string session = 3;</code>
+       * @return The session.
        */
-      public java.lang.String getOperator() {
-        java.lang.Object ref = operator_;
+      public java.lang.String getSession() {
+        java.lang.Object ref = session_;
         if (!(ref instanceof java.lang.String)) {
           com.google.protobuf.ByteString bs =
               (com.google.protobuf.ByteString) ref;
           java.lang.String s = bs.toStringUtf8();
-          operator_ = s;
+          session_ = s;
           return s;
         } else {
           return (java.lang.String) ref;
         }
       }
       /**
-       * <code>string operator = 4;</code>
-       * @return The bytes for operator.
+       * <code>string session = 3;</code>
+       * @return The bytes for session.
        */
       public com.google.protobuf.ByteString
-          getOperatorBytes() {
-        java.lang.Object ref = operator_;
+          getSessionBytes() {
+        java.lang.Object ref = session_;
         if (ref instanceof String) {
           com.google.protobuf.ByteString b = 
               com.google.protobuf.ByteString.copyFromUtf8(
                   (java.lang.String) ref);
-          operator_ = b;
+          session_ = b;
           return b;
         } else {
           return (com.google.protobuf.ByteString) ref;
         }
       }
       /**
-       * <code>string operator = 4;</code>
-       * @param value The operator to set.
+       * <code>string session = 3;</code>
+       * @param value The session to set.
        * @return This builder for chaining.
        */
-      public Builder setOperator(
+      public Builder setSession(
           java.lang.String value) {
         if (value == null) { throw new NullPointerException(); }
-        operator_ = value;
-        bitField0_ |= 0x00000008;
+        session_ = value;
+        bitField0_ |= 0x00000004;
         onChanged();
         return this;
       }
       /**
-       * <code>string operator = 4;</code>
+       * <code>string session = 3;</code>
        * @return This builder for chaining.
        */
-      public Builder clearOperator() {
-        operator_ = getDefaultInstance().getOperator();
-        bitField0_ = (bitField0_ & ~0x00000008);
+      public Builder clearSession() {
+        session_ = getDefaultInstance().getSession();
+        bitField0_ = (bitField0_ & ~0x00000004);
         onChanged();
         return this;
       }
       /**
-       * <code>string operator = 4;</code>
-       * @param value The bytes for operator to set.
+       * <code>string session = 3;</code>
+       * @param value The bytes for session to set.
        * @return This builder for chaining.
        */
-      public Builder setOperatorBytes(
+      public Builder setSessionBytes(
           com.google.protobuf.ByteString value) {
         if (value == null) { throw new NullPointerException(); }
         checkByteStringIsUtf8(value);
-        operator_ = value;
+        session_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+
+      private long epoch_ ;
+      /**
+       * <code>int64 epoch = 4;</code>
+       * @return The epoch.
+       */
+      @java.lang.Override
+      public long getEpoch() {
+        return epoch_;
+      }
+      /**
+       * <code>int64 epoch = 4;</code>
+       * @param value The epoch to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEpoch(long value) {
+
+        epoch_ = value;
         bitField0_ |= 0x00000008;
         onChanged();
         return this;
       }
+      /**
+       * <code>int64 epoch = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearEpoch() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        epoch_ = 0L;
+        onChanged();
+        return this;
+      }
 
-      private long acceptedAtMillis_ ;
+      private long renewal_ ;
       /**
-       * <code>int64 accepted_at_millis = 5;</code>
-       * @return The acceptedAtMillis.
+       * <code>uint64 renewal = 5;</code>
+       * @return The renewal.
        */
       @java.lang.Override
-      public long getAcceptedAtMillis() {
-        return acceptedAtMillis_;
+      public long getRenewal() {
+        return renewal_;
       }
       /**
-       * <code>int64 accepted_at_millis = 5;</code>
-       * @param value The acceptedAtMillis to set.
+       * <code>uint64 renewal = 5;</code>
+       * @param value The renewal to set.
        * @return This builder for chaining.
        */
-      public Builder setAcceptedAtMillis(long value) {
+      public Builder setRenewal(long value) {
 
-        acceptedAtMillis_ = value;
+        renewal_ = value;
         bitField0_ |= 0x00000010;
         onChanged();
         return this;
       }
       /**
-       * <code>int64 accepted_at_millis = 5;</code>
+       * <code>uint64 renewal = 5;</code>
        * @return This builder for chaining.
        */
-      public Builder clearAcceptedAtMillis() {
+      public Builder clearRenewal() {
         bitField0_ = (bitField0_ & ~0x00000010);
-        acceptedAtMillis_ = 0L;
+        renewal_ = 0L;
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:borageproxy.control.TreeState)
+      private boolean free_ ;
+      /**
+       * <code>bool free = 6;</code>
+       * @return The free.
+       */
+      @java.lang.Override
+      public boolean getFree() {
+        return free_;
+      }
+      /**
+       * <code>bool free = 6;</code>
+       * @param value The free to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFree(boolean value) {
+
+        free_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bool free = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearFree() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        free_ = false;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:borageproxy.control.LeaseState)
     }
 
-    // @@protoc_insertion_point(class_scope:borageproxy.control.TreeState)
-    private static final org.borageproxy.wire.proto.ControlProtocol.TreeState DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:borageproxy.control.LeaseState)
+    private static final org.borageproxy.wire.proto.ControlProtocol.LeaseState DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.TreeState();
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.LeaseState();
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.TreeState getDefaultInstance() {
+    public static org.borageproxy.wire.proto.ControlProtocol.LeaseState getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<TreeState>
-        PARSER = new com.google.protobuf.AbstractParser<TreeState>() {
+    private static final com.google.protobuf.Parser<LeaseState>
+        PARSER = new com.google.protobuf.AbstractParser<LeaseState>() {
       @java.lang.Override
-      public TreeState parsePartialFrom(
+      public LeaseState parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -32173,87 +34711,125 @@
       }
     };
 
-    public static com.google.protobuf.Parser<TreeState> parser() {
+    public static com.google.protobuf.Parser<LeaseState> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<TreeState> getParserForType() {
+    public com.google.protobuf.Parser<LeaseState> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.TreeState getDefaultInstanceForType() {
+    public org.borageproxy.wire.proto.ControlProtocol.LeaseState getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
   }
 
-  public interface LeaseStateOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:borageproxy.control.LeaseState)
+  public interface ClaimStateOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.control.ClaimState)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>string duty = 1;</code>
-     * @return The duty.
+     * <code>string workspace = 1;</code>
+     * @return The workspace.
      */
-    java.lang.String getDuty();
+    java.lang.String getWorkspace();
     /**
-     * <code>string duty = 1;</code>
-     * @return The bytes for duty.
+     * <code>string workspace = 1;</code>
+     * @return The bytes for workspace.
      */
     com.google.protobuf.ByteString
-        getDutyBytes();
+        getWorkspaceBytes();
 
     /**
-     * <code>string holder = 2;</code>
+     * <code>string idempotency_key = 2;</code>
+     * @return The idempotencyKey.
+     */
+    java.lang.String getIdempotencyKey();
+    /**
+     * <code>string idempotency_key = 2;</code>
+     * @return The bytes for idempotencyKey.
+     */
+    com.google.protobuf.ByteString
+        getIdempotencyKeyBytes();
+
+    /**
+     * <code>string digest = 3;</code>
+     * @return The digest.
+     */
+    java.lang.String getDigest();
+    /**
+     * <code>string digest = 3;</code>
+     * @return The bytes for digest.
+     */
+    com.google.protobuf.ByteString
+        getDigestBytes();
+
+    /**
+     * <code>string holder = 4;</code>
      * @return The holder.
      */
     java.lang.String getHolder();
     /**
-     * <code>string holder = 2;</code>
+     * <code>string holder = 4;</code>
      * @return The bytes for holder.
      */
     com.google.protobuf.ByteString
         getHolderBytes();
 
     /**
-     * <code>string session = 3;</code>
-     * @return The session.
+     * <code>int64 epoch = 5;</code>
+     * @return The epoch.
      */
-    java.lang.String getSession();
+    long getEpoch();
+
     /**
-     * <code>string session = 3;</code>
-     * @return The bytes for session.
+     * <code>.borageproxy.control.ClaimState.Phase phase = 6;</code>
+     * @return The enum numeric value on the wire for phase.
      */
-    com.google.protobuf.ByteString
-        getSessionBytes();
+    int getPhaseValue();
+    /**
+     * <code>.borageproxy.control.ClaimState.Phase phase = 6;</code>
+     * @return The phase.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ClaimState.Phase getPhase();
 
     /**
-     * <code>int64 epoch = 4;</code>
-     * @return The epoch.
+     * <code>int64 held_until_millis = 7;</code>
+     * @return The heldUntilMillis.
      */
-    long getEpoch();
+    long getHeldUntilMillis();
 
     /**
-     * <code>uint64 renewal = 5;</code>
-     * @return The renewal.
+     * <code>int64 expires_at_millis = 8;</code>
+     * @return The expiresAtMillis.
      */
-    long getRenewal();
+    long getExpiresAtMillis();
 
     /**
-     * <code>bool free = 6;</code>
-     * @return The free.
+     * <code>.borageproxy.control.Answer answer = 9;</code>
+     * @return Whether the answer field is set.
      */
-    boolean getFree();
+    boolean hasAnswer();
+    /**
+     * <code>.borageproxy.control.Answer answer = 9;</code>
+     * @return The answer.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.Answer getAnswer();
+    /**
+     * <code>.borageproxy.control.Answer answer = 9;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.AnswerOrBuilder getAnswerOrBuilder();
   }
   /**
-   * Protobuf type {@code borageproxy.control.LeaseState}
+   * Protobuf type {@code borageproxy.control.ClaimState}
    */
-  public static final class LeaseState extends
+  public static final class ClaimState extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:borageproxy.control.LeaseState)
-      LeaseStateOrBuilder {
+      // @@protoc_insertion_point(message_implements:borageproxy.control.ClaimState)
+      ClaimStateOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -32262,157 +34838,334 @@
         /* minor= */ 34,
         /* patch= */ 2,
         /* suffix= */ "",
-        "LeaseState");
+        "ClaimState");
     }
-    // Use LeaseState.newBuilder() to construct.
-    private LeaseState(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use ClaimState.newBuilder() to construct.
+    private ClaimState(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private LeaseState() {
-      duty_ = "";
+    private ClaimState() {
+      workspace_ = "";
+      idempotencyKey_ = "";
+      digest_ = "";
       holder_ = "";
-      session_ = "";
+      phase_ = 0;
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_LeaseState_descriptor;
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ClaimState_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_LeaseState_descriptor;
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ClaimState_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_LeaseState_fieldAccessorTable
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ClaimState_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.borageproxy.wire.proto.ControlProtocol.LeaseState.class, org.borageproxy.wire.proto.ControlProtocol.LeaseState.Builder.class);
+              org.borageproxy.wire.proto.ControlProtocol.ClaimState.class, org.borageproxy.wire.proto.ControlProtocol.ClaimState.Builder.class);
     }
 
-    public static final int DUTY_FIELD_NUMBER = 1;
+    /**
+     * Protobuf enum {@code borageproxy.control.ClaimState.Phase}
+     */
+    public enum Phase
+        implements com.google.protobuf.ProtocolMessageEnum {
+      /**
+       * <code>CLAIMED = 0;</code>
+       */
+      CLAIMED(0),
+      /**
+       * <code>ANSWERED = 1;</code>
+       */
+      ANSWERED(1),
+      /**
+       * <code>MAY_HAVE_RUN = 2;</code>
+       */
+      MAY_HAVE_RUN(2),
+      /**
+       * <code>RELEASED = 3;</code>
+       */
+      RELEASED(3),
+      UNRECOGNIZED(-1),
+      ;
+
+      static {
+        com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+          com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+          /* major= */ 4,
+          /* minor= */ 34,
+          /* patch= */ 2,
+          /* suffix= */ "",
+          "Phase");
+      }
+      /**
+       * <code>CLAIMED = 0;</code>
+       */
+      public static final int CLAIMED_VALUE = 0;
+      /**
+       * <code>ANSWERED = 1;</code>
+       */
+      public static final int ANSWERED_VALUE = 1;
+      /**
+       * <code>MAY_HAVE_RUN = 2;</code>
+       */
+      public static final int MAY_HAVE_RUN_VALUE = 2;
+      /**
+       * <code>RELEASED = 3;</code>
+       */
+      public static final int RELEASED_VALUE = 3;
+
+
+      public final int getNumber() {
+        if (this == UNRECOGNIZED) {
+          throw new java.lang.IllegalArgumentException(
+              "Can't get the number of an unknown enum value.");
+        }
+        return value;
+      }
+
+      /**
+       * @param value The numeric wire value of the corresponding enum entry.
+       * @return The enum associated with the given numeric wire value.
+       * @deprecated Use {@link #forNumber(int)} instead.
+       */
+      @java.lang.Deprecated
+      public static Phase valueOf(int value) {
+        return forNumber(value);
+      }
+
+      /**
+       * @param value The numeric wire value of the corresponding enum entry.
+       * @return The enum associated with the given numeric wire value.
+       */
+      public static Phase forNumber(int value) {
+        switch (value) {
+          case 0: return CLAIMED;
+          case 1: return ANSWERED;
+          case 2: return MAY_HAVE_RUN;
+          case 3: return RELEASED;
+          default: return null;
+        }
+      }
+
+      public static com.google.protobuf.Internal.EnumLiteMap<Phase>
+          internalGetValueMap() {
+        return internalValueMap;
+      }
+      private static final com.google.protobuf.Internal.EnumLiteMap<
+          Phase> internalValueMap =
+            new com.google.protobuf.Internal.EnumLiteMap<Phase>() {
+              public Phase findValueByNumber(int number) {
+                return Phase.forNumber(number);
+              }
+            };
+
+      public final com.google.protobuf.Descriptors.EnumValueDescriptor
+          getValueDescriptor() {
+        if (this == UNRECOGNIZED) {
+          throw new java.lang.IllegalStateException(
+              "Can't get the descriptor of an unrecognized enum value.");
+        }
+        return getDescriptor().getValue(ordinal());
+      }
+      public final com.google.protobuf.Descriptors.EnumDescriptor
+          getDescriptorForType() {
+        return getDescriptor();
+      }
+      public static com.google.protobuf.Descriptors.EnumDescriptor
+          getDescriptor() {
+        return org.borageproxy.wire.proto.ControlProtocol.ClaimState.getDescriptor().getEnumType(0);
+      }
+
+      private static final Phase[] VALUES = values();
+
+      public static Phase valueOf(
+          com.google.protobuf.Descriptors.EnumValueDescriptor desc) {
+        if (desc.getType() != getDescriptor()) {
+          throw new java.lang.IllegalArgumentException(
+            "EnumValueDescriptor is not for this type.");
+        }
+        if (desc.getIndex() == -1) {
+          return UNRECOGNIZED;
+        }
+        return VALUES[desc.getIndex()];
+      }
+
+      private final int value;
+
+      private Phase(int value) {
+        this.value = value;
+      }
+
+      // @@protoc_insertion_point(enum_scope:borageproxy.control.ClaimState.Phase)
+    }
+
+    private int bitField0_;
+    public static final int WORKSPACE_FIELD_NUMBER = 1;
     @SuppressWarnings("serial")
-    private volatile java.lang.Object duty_ = "";
+    private volatile java.lang.Object workspace_ = "";
     /**
-     * <code>string duty = 1;</code>
-     * @return The duty.
+     * <code>string workspace = 1;</code>
+     * @return The workspace.
      */
     @java.lang.Override
-    public java.lang.String getDuty() {
-      java.lang.Object ref = duty_;
+    public java.lang.String getWorkspace() {
+      java.lang.Object ref = workspace_;
       if (ref instanceof java.lang.String) {
         return (java.lang.String) ref;
       } else {
         com.google.protobuf.ByteString bs = 
             (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
-        duty_ = s;
+        workspace_ = s;
         return s;
       }
     }
     /**
-     * <code>string duty = 1;</code>
-     * @return The bytes for duty.
+     * <code>string workspace = 1;</code>
+     * @return The bytes for workspace.
      */
     @java.lang.Override
     public com.google.protobuf.ByteString
-        getDutyBytes() {
-      java.lang.Object ref = duty_;
+        getWorkspaceBytes() {
+      java.lang.Object ref = workspace_;
       if (ref instanceof java.lang.String) {
         com.google.protobuf.ByteString b = 
             com.google.protobuf.ByteString.copyFromUtf8(
                 (java.lang.String) ref);
-        duty_ = b;
+        workspace_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
 
-    public static final int HOLDER_FIELD_NUMBER = 2;
+    public static final int IDEMPOTENCY_KEY_FIELD_NUMBER = 2;
     @SuppressWarnings("serial")
-    private volatile java.lang.Object holder_ = "";
+    private volatile java.lang.Object idempotencyKey_ = "";
     /**
-     * <code>string holder = 2;</code>
-     * @return The holder.
+     * <code>string idempotency_key = 2;</code>
+     * @return The idempotencyKey.
      */
     @java.lang.Override
-    public java.lang.String getHolder() {
-      java.lang.Object ref = holder_;
+    public java.lang.String getIdempotencyKey() {
+      java.lang.Object ref = idempotencyKey_;
       if (ref instanceof java.lang.String) {
         return (java.lang.String) ref;
       } else {
         com.google.protobuf.ByteString bs = 
             (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
-        holder_ = s;
+        idempotencyKey_ = s;
         return s;
       }
     }
     /**
-     * <code>string holder = 2;</code>
-     * @return The bytes for holder.
+     * <code>string idempotency_key = 2;</code>
+     * @return The bytes for idempotencyKey.
      */
     @java.lang.Override
     public com.google.protobuf.ByteString
-        getHolderBytes() {
-      java.lang.Object ref = holder_;
+        getIdempotencyKeyBytes() {
+      java.lang.Object ref = idempotencyKey_;
       if (ref instanceof java.lang.String) {
         com.google.protobuf.ByteString b = 
             com.google.protobuf.ByteString.copyFromUtf8(
                 (java.lang.String) ref);
-        holder_ = b;
+        idempotencyKey_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
 
-    public static final int SESSION_FIELD_NUMBER = 3;
+    public static final int DIGEST_FIELD_NUMBER = 3;
     @SuppressWarnings("serial")
-    private volatile java.lang.Object session_ = "";
+    private volatile java.lang.Object digest_ = "";
     /**
-     * <code>string session = 3;</code>
-     * @return The session.
+     * <code>string digest = 3;</code>
+     * @return The digest.
      */
     @java.lang.Override
-    public java.lang.String getSession() {
-      java.lang.Object ref = session_;
+    public java.lang.String getDigest() {
+      java.lang.Object ref = digest_;
       if (ref instanceof java.lang.String) {
         return (java.lang.String) ref;
       } else {
         com.google.protobuf.ByteString bs = 
             (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
-        session_ = s;
+        digest_ = s;
         return s;
       }
     }
     /**
-     * <code>string session = 3;</code>
-     * @return The bytes for session.
+     * <code>string digest = 3;</code>
+     * @return The bytes for digest.
      */
     @java.lang.Override
     public com.google.protobuf.ByteString
-        getSessionBytes() {
-      java.lang.Object ref = session_;
+        getDigestBytes() {
+      java.lang.Object ref = digest_;
       if (ref instanceof java.lang.String) {
         com.google.protobuf.ByteString b = 
             com.google.protobuf.ByteString.copyFromUtf8(
                 (java.lang.String) ref);
-        session_ = b;
+        digest_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
 
-    public static final int EPOCH_FIELD_NUMBER = 4;
+    public static final int HOLDER_FIELD_NUMBER = 4;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object holder_ = "";
+    /**
+     * <code>string holder = 4;</code>
+     * @return The holder.
+     */
+    @java.lang.Override
+    public java.lang.String getHolder() {
+      java.lang.Object ref = holder_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        holder_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string holder = 4;</code>
+     * @return The bytes for holder.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getHolderBytes() {
+      java.lang.Object ref = holder_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        holder_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int EPOCH_FIELD_NUMBER = 5;
     private long epoch_ = 0L;
     /**
-     * <code>int64 epoch = 4;</code>
+     * <code>int64 epoch = 5;</code>
      * @return The epoch.
      */
     @java.lang.Override
@@ -32420,26 +35173,70 @@
       return epoch_;
     }
 
-    public static final int RENEWAL_FIELD_NUMBER = 5;
-    private long renewal_ = 0L;
+    public static final int PHASE_FIELD_NUMBER = 6;
+    private int phase_ = 0;
     /**
-     * <code>uint64 renewal = 5;</code>
-     * @return The renewal.
+     * <code>.borageproxy.control.ClaimState.Phase phase = 6;</code>
+     * @return The enum numeric value on the wire for phase.
+     */
+    @java.lang.Override public int getPhaseValue() {
+      return phase_;
+    }
+    /**
+     * <code>.borageproxy.control.ClaimState.Phase phase = 6;</code>
+     * @return The phase.
+     */
+    @java.lang.Override public org.borageproxy.wire.proto.ControlProtocol.ClaimState.Phase getPhase() {
+      org.borageproxy.wire.proto.ControlProtocol.ClaimState.Phase result = org.borageproxy.wire.proto.ControlProtocol.ClaimState.Phase.forNumber(phase_);
+      return result == null ? org.borageproxy.wire.proto.ControlProtocol.ClaimState.Phase.UNRECOGNIZED : result;
+    }
+
+    public static final int HELD_UNTIL_MILLIS_FIELD_NUMBER = 7;
+    private long heldUntilMillis_ = 0L;
+    /**
+     * <code>int64 held_until_millis = 7;</code>
+     * @return The heldUntilMillis.
      */
     @java.lang.Override
-    public long getRenewal() {
-      return renewal_;
+    public long getHeldUntilMillis() {
+      return heldUntilMillis_;
     }
 
-    public static final int FREE_FIELD_NUMBER = 6;
-    private boolean free_ = false;
+    public static final int EXPIRES_AT_MILLIS_FIELD_NUMBER = 8;
+    private long expiresAtMillis_ = 0L;
     /**
-     * <code>bool free = 6;</code>
-     * @return The free.
+     * <code>int64 expires_at_millis = 8;</code>
+     * @return The expiresAtMillis.
      */
     @java.lang.Override
-    public boolean getFree() {
-      return free_;
+    public long getExpiresAtMillis() {
+      return expiresAtMillis_;
+    }
+
+    public static final int ANSWER_FIELD_NUMBER = 9;
+    private org.borageproxy.wire.proto.ControlProtocol.Answer answer_;
+    /**
+     * <code>.borageproxy.control.Answer answer = 9;</code>
+     * @return Whether the answer field is set.
+     */
+    @java.lang.Override
+    public boolean hasAnswer() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <code>.borageproxy.control.Answer answer = 9;</code>
+     * @return The answer.
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.Answer getAnswer() {
+      return answer_ == null ? org.borageproxy.wire.proto.ControlProtocol.Answer.getDefaultInstance() : answer_;
+    }
+    /**
+     * <code>.borageproxy.control.Answer answer = 9;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.AnswerOrBuilder getAnswerOrBuilder() {
+      return answer_ == null ? org.borageproxy.wire.proto.ControlProtocol.Answer.getDefaultInstance() : answer_;
     }
 
     private byte memoizedIsInitialized = -1;
@@ -32456,23 +35253,32 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(duty_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 1, duty_);
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workspace_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, workspace_);
       }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holder_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 2, holder_);
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(idempotencyKey_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, idempotencyKey_);
       }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(session_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 3, session_);
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(digest_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 3, digest_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holder_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 4, holder_);
       }
       if (epoch_ != 0L) {
-        output.writeInt64(4, epoch_);
+        output.writeInt64(5, epoch_);
       }
-      if (renewal_ != 0L) {
-        output.writeUInt64(5, renewal_);
+      if (phase_ != org.borageproxy.wire.proto.ControlProtocol.ClaimState.Phase.CLAIMED.getNumber()) {
+        output.writeEnum(6, phase_);
       }
-      if (free_ != false) {
-        output.writeBool(6, free_);
+      if (heldUntilMillis_ != 0L) {
+        output.writeInt64(7, heldUntilMillis_);
+      }
+      if (expiresAtMillis_ != 0L) {
+        output.writeInt64(8, expiresAtMillis_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeMessage(9, getAnswer());
       }
       getUnknownFields().writeTo(output);
     }
@@ -32483,26 +35289,37 @@
       if (size != -1) return size;
 
       size = 0;
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(duty_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, duty_);
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workspace_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, workspace_);
       }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holder_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, holder_);
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(idempotencyKey_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, idempotencyKey_);
       }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(session_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(3, session_);
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(digest_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(3, digest_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holder_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(4, holder_);
       }
       if (epoch_ != 0L) {
         size += com.google.protobuf.CodedOutputStream
-          .computeInt64Size(4, epoch_);
+          .computeInt64Size(5, epoch_);
+      }
+      if (phase_ != org.borageproxy.wire.proto.ControlProtocol.ClaimState.Phase.CLAIMED.getNumber()) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeEnumSize(6, phase_);
+      }
+      if (heldUntilMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(7, heldUntilMillis_);
       }
-      if (renewal_ != 0L) {
+      if (expiresAtMillis_ != 0L) {
         size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(5, renewal_);
+          .computeInt64Size(8, expiresAtMillis_);
       }
-      if (free_ != false) {
+      if (((bitField0_ & 0x00000001) != 0)) {
         size += com.google.protobuf.CodedOutputStream
-          .computeBoolSize(6, free_);
+          .computeMessageSize(9, getAnswer());
       }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
@@ -32514,23 +35331,31 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.LeaseState)) {
+      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.ClaimState)) {
         return super.equals(obj);
       }
-      org.borageproxy.wire.proto.ControlProtocol.LeaseState other = (org.borageproxy.wire.proto.ControlProtocol.LeaseState) obj;
+      org.borageproxy.wire.proto.ControlProtocol.ClaimState other = (org.borageproxy.wire.proto.ControlProtocol.ClaimState) obj;
 
-      if (!getDuty()
-          .equals(other.getDuty())) return false;
+      if (!getWorkspace()
+          .equals(other.getWorkspace())) return false;
+      if (!getIdempotencyKey()
+          .equals(other.getIdempotencyKey())) return false;
+      if (!getDigest()
+          .equals(other.getDigest())) return false;
       if (!getHolder()
           .equals(other.getHolder())) return false;
-      if (!getSession()
-          .equals(other.getSession())) return false;
       if (getEpoch()
           != other.getEpoch()) return false;
-      if (getRenewal()
-          != other.getRenewal()) return false;
-      if (getFree()
-          != other.getFree()) return false;
+      if (phase_ != other.phase_) return false;
+      if (getHeldUntilMillis()
+          != other.getHeldUntilMillis()) return false;
+      if (getExpiresAtMillis()
+          != other.getExpiresAtMillis()) return false;
+      if (hasAnswer() != other.hasAnswer()) return false;
+      if (hasAnswer()) {
+        if (!getAnswer()
+            .equals(other.getAnswer())) return false;
+      }
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -32542,64 +35367,72 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + DUTY_FIELD_NUMBER;
-      hash = (53 * hash) + getDuty().hashCode();
+      hash = (37 * hash) + WORKSPACE_FIELD_NUMBER;
+      hash = (53 * hash) + getWorkspace().hashCode();
+      hash = (37 * hash) + IDEMPOTENCY_KEY_FIELD_NUMBER;
+      hash = (53 * hash) + getIdempotencyKey().hashCode();
+      hash = (37 * hash) + DIGEST_FIELD_NUMBER;
+      hash = (53 * hash) + getDigest().hashCode();
       hash = (37 * hash) + HOLDER_FIELD_NUMBER;
       hash = (53 * hash) + getHolder().hashCode();
-      hash = (37 * hash) + SESSION_FIELD_NUMBER;
-      hash = (53 * hash) + getSession().hashCode();
       hash = (37 * hash) + EPOCH_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getEpoch());
-      hash = (37 * hash) + RENEWAL_FIELD_NUMBER;
+      hash = (37 * hash) + PHASE_FIELD_NUMBER;
+      hash = (53 * hash) + phase_;
+      hash = (37 * hash) + HELD_UNTIL_MILLIS_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getRenewal());
-      hash = (37 * hash) + FREE_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-          getFree());
+          getHeldUntilMillis());
+      hash = (37 * hash) + EXPIRES_AT_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getExpiresAtMillis());
+      if (hasAnswer()) {
+        hash = (37 * hash) + ANSWER_FIELD_NUMBER;
+        hash = (53 * hash) + getAnswer().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.LeaseState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ClaimState parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.LeaseState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ClaimState parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.LeaseState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ClaimState parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.LeaseState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ClaimState parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.LeaseState parseFrom(byte[] data)
+    public static org.borageproxy.wire.proto.ControlProtocol.ClaimState parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.LeaseState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ClaimState parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.LeaseState parseFrom(java.io.InputStream input)
+    public static org.borageproxy.wire.proto.ControlProtocol.ClaimState parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.LeaseState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ClaimState parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -32607,26 +35440,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.LeaseState parseDelimitedFrom(java.io.InputStream input)
+    public static org.borageproxy.wire.proto.ControlProtocol.ClaimState parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.LeaseState parseDelimitedFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ClaimState parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.LeaseState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ClaimState parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.LeaseState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ClaimState parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -32639,7 +35472,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.LeaseState prototype) {
+    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.ClaimState prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -32655,62 +35488,75 @@
       return builder;
     }
     /**
-     * Protobuf type {@code borageproxy.control.LeaseState}
+     * Protobuf type {@code borageproxy.control.ClaimState}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:borageproxy.control.LeaseState)
-        org.borageproxy.wire.proto.ControlProtocol.LeaseStateOrBuilder {
+        // @@protoc_insertion_point(builder_implements:borageproxy.control.ClaimState)
+        org.borageproxy.wire.proto.ControlProtocol.ClaimStateOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_LeaseState_descriptor;
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ClaimState_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_LeaseState_fieldAccessorTable
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ClaimState_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                org.borageproxy.wire.proto.ControlProtocol.LeaseState.class, org.borageproxy.wire.proto.ControlProtocol.LeaseState.Builder.class);
+                org.borageproxy.wire.proto.ControlProtocol.ClaimState.class, org.borageproxy.wire.proto.ControlProtocol.ClaimState.Builder.class);
       }
 
-      // Construct using org.borageproxy.wire.proto.ControlProtocol.LeaseState.newBuilder()
+      // Construct using org.borageproxy.wire.proto.ControlProtocol.ClaimState.newBuilder()
       private Builder() {
-
+        maybeForceBuilderInitialization();
       }
 
       private Builder(
           com.google.protobuf.GeneratedMessage.BuilderParent parent) {
         super(parent);
-
+        maybeForceBuilderInitialization();
+      }
+      private void maybeForceBuilderInitialization() {
+        if (com.google.protobuf.GeneratedMessage
+                .alwaysUseFieldBuilders) {
+          internalGetAnswerFieldBuilder();
+        }
       }
       @java.lang.Override
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        duty_ = "";
+        workspace_ = "";
+        idempotencyKey_ = "";
+        digest_ = "";
         holder_ = "";
-        session_ = "";
         epoch_ = 0L;
-        renewal_ = 0L;
-        free_ = false;
+        phase_ = 0;
+        heldUntilMillis_ = 0L;
+        expiresAtMillis_ = 0L;
+        answer_ = null;
+        if (answerBuilder_ != null) {
+          answerBuilder_.dispose();
+          answerBuilder_ = null;
+        }
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_LeaseState_descriptor;
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ClaimState_descriptor;
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.LeaseState getDefaultInstanceForType() {
-        return org.borageproxy.wire.proto.ControlProtocol.LeaseState.getDefaultInstance();
+      public org.borageproxy.wire.proto.ControlProtocol.ClaimState getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.ClaimState.getDefaultInstance();
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.LeaseState build() {
-        org.borageproxy.wire.proto.ControlProtocol.LeaseState result = buildPartial();
+      public org.borageproxy.wire.proto.ControlProtocol.ClaimState build() {
+        org.borageproxy.wire.proto.ControlProtocol.ClaimState result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -32718,70 +35564,95 @@
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.LeaseState buildPartial() {
-        org.borageproxy.wire.proto.ControlProtocol.LeaseState result = new org.borageproxy.wire.proto.ControlProtocol.LeaseState(this);
+      public org.borageproxy.wire.proto.ControlProtocol.ClaimState buildPartial() {
+        org.borageproxy.wire.proto.ControlProtocol.ClaimState result = new org.borageproxy.wire.proto.ControlProtocol.ClaimState(this);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.LeaseState result) {
+      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.ClaimState result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.duty_ = duty_;
+          result.workspace_ = workspace_;
         }
         if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.holder_ = holder_;
+          result.idempotencyKey_ = idempotencyKey_;
         }
         if (((from_bitField0_ & 0x00000004) != 0)) {
-          result.session_ = session_;
+          result.digest_ = digest_;
         }
         if (((from_bitField0_ & 0x00000008) != 0)) {
-          result.epoch_ = epoch_;
+          result.holder_ = holder_;
         }
         if (((from_bitField0_ & 0x00000010) != 0)) {
-          result.renewal_ = renewal_;
+          result.epoch_ = epoch_;
         }
         if (((from_bitField0_ & 0x00000020) != 0)) {
-          result.free_ = free_;
+          result.phase_ = phase_;
+        }
+        if (((from_bitField0_ & 0x00000040) != 0)) {
+          result.heldUntilMillis_ = heldUntilMillis_;
+        }
+        if (((from_bitField0_ & 0x00000080) != 0)) {
+          result.expiresAtMillis_ = expiresAtMillis_;
+        }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000100) != 0)) {
+          result.answer_ = answerBuilder_ == null
+              ? answer_
+              : answerBuilder_.build();
+          to_bitField0_ |= 0x00000001;
         }
+        result.bitField0_ |= to_bitField0_;
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.LeaseState) {
-          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.LeaseState)other);
+        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.ClaimState) {
+          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.ClaimState)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.LeaseState other) {
-        if (other == org.borageproxy.wire.proto.ControlProtocol.LeaseState.getDefaultInstance()) return this;
-        if (!other.getDuty().isEmpty()) {
-          duty_ = other.duty_;
+      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.ClaimState other) {
+        if (other == org.borageproxy.wire.proto.ControlProtocol.ClaimState.getDefaultInstance()) return this;
+        if (!other.getWorkspace().isEmpty()) {
+          workspace_ = other.workspace_;
           bitField0_ |= 0x00000001;
           onChanged();
         }
-        if (!other.getHolder().isEmpty()) {
-          holder_ = other.holder_;
+        if (!other.getIdempotencyKey().isEmpty()) {
+          idempotencyKey_ = other.idempotencyKey_;
           bitField0_ |= 0x00000002;
           onChanged();
         }
-        if (!other.getSession().isEmpty()) {
-          session_ = other.session_;
+        if (!other.getDigest().isEmpty()) {
+          digest_ = other.digest_;
           bitField0_ |= 0x00000004;
           onChanged();
         }
+        if (!other.getHolder().isEmpty()) {
+          holder_ = other.holder_;
+          bitField0_ |= 0x00000008;
+          onChanged();
+        }
         if (other.getEpoch() != 0L) {
           setEpoch(other.getEpoch());
         }
-        if (other.getRenewal() != 0L) {
-          setRenewal(other.getRenewal());
+        if (other.phase_ != 0) {
+          setPhaseValue(other.getPhaseValue());
         }
-        if (other.getFree() != false) {
-          setFree(other.getFree());
+        if (other.getHeldUntilMillis() != 0L) {
+          setHeldUntilMillis(other.getHeldUntilMillis());
+        }
+        if (other.getExpiresAtMillis() != 0L) {
+          setExpiresAtMillis(other.getExpiresAtMillis());
+        }
+        if (other.hasAnswer()) {
+          mergeAnswer(other.getAnswer());
         }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
@@ -32810,35 +35681,52 @@
                 done = true;
                 break;
               case 10: {
-                duty_ = input.readStringRequireUtf8();
+                workspace_ = input.readStringRequireUtf8();
                 bitField0_ |= 0x00000001;
                 break;
               } // case 10
               case 18: {
-                holder_ = input.readStringRequireUtf8();
+                idempotencyKey_ = input.readStringRequireUtf8();
                 bitField0_ |= 0x00000002;
                 break;
               } // case 18
               case 26: {
-                session_ = input.readStringRequireUtf8();
+                digest_ = input.readStringRequireUtf8();
                 bitField0_ |= 0x00000004;
                 break;
               } // case 26
-              case 32: {
-                epoch_ = input.readInt64();
+              case 34: {
+                holder_ = input.readStringRequireUtf8();
                 bitField0_ |= 0x00000008;
                 break;
-              } // case 32
+              } // case 34
               case 40: {
-                renewal_ = input.readUInt64();
+                epoch_ = input.readInt64();
                 bitField0_ |= 0x00000010;
                 break;
               } // case 40
               case 48: {
-                free_ = input.readBool();
+                phase_ = input.readEnum();
                 bitField0_ |= 0x00000020;
                 break;
               } // case 48
+              case 56: {
+                heldUntilMillis_ = input.readInt64();
+                bitField0_ |= 0x00000040;
+                break;
+              } // case 56
+              case 64: {
+                expiresAtMillis_ = input.readInt64();
+                bitField0_ |= 0x00000080;
+                break;
+              } // case 64
+              case 74: {
+                input.readMessage(
+                    internalGetAnswerFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bitField0_ |= 0x00000100;
+                break;
+              } // case 74
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
