@@ -32856,335 +35744,580 @@
       }
       private int bitField0_;
 
-      private java.lang.Object duty_ = "";
+      private java.lang.Object workspace_ = "";
       /**
-       * <code>string duty = 1;</code>
-       * @return The duty.
+       * <code>string workspace = 1;</code>
+       * @return The workspace.
        */
-      public java.lang.String getDuty() {
-        java.lang.Object ref = duty_;
+      public java.lang.String getWorkspace() {
+        java.lang.Object ref = workspace_;
         if (!(ref instanceof java.lang.String)) {
           com.google.protobuf.ByteString bs =
               (com.google.protobuf.ByteString) ref;
           java.lang.String s = bs.toStringUtf8();
-          duty_ = s;
+          workspace_ = s;
           return s;
         } else {
           return (java.lang.String) ref;
         }
       }
       /**
-       * <code>string duty = 1;</code>
-       * @return The bytes for duty.
+       * <code>string workspace = 1;</code>
+       * @return The bytes for workspace.
        */
       public com.google.protobuf.ByteString
-          getDutyBytes() {
-        java.lang.Object ref = duty_;
+          getWorkspaceBytes() {
+        java.lang.Object ref = workspace_;
         if (ref instanceof String) {
           com.google.protobuf.ByteString b = 
               com.google.protobuf.ByteString.copyFromUtf8(
                   (java.lang.String) ref);
-          duty_ = b;
+          workspace_ = b;
           return b;
         } else {
           return (com.google.protobuf.ByteString) ref;
         }
       }
       /**
-       * <code>string duty = 1;</code>
-       * @param value The duty to set.
+       * <code>string workspace = 1;</code>
+       * @param value The workspace to set.
        * @return This builder for chaining.
        */
-      public Builder setDuty(
+      public Builder setWorkspace(
           java.lang.String value) {
         if (value == null) { throw new NullPointerException(); }
-        duty_ = value;
+        workspace_ = value;
         bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
       /**
-       * <code>string duty = 1;</code>
+       * <code>string workspace = 1;</code>
        * @return This builder for chaining.
        */
-      public Builder clearDuty() {
-        duty_ = getDefaultInstance().getDuty();
+      public Builder clearWorkspace() {
+        workspace_ = getDefaultInstance().getWorkspace();
         bitField0_ = (bitField0_ & ~0x00000001);
         onChanged();
         return this;
       }
       /**
-       * <code>string duty = 1;</code>
-       * @param value The bytes for duty to set.
+       * <code>string workspace = 1;</code>
+       * @param value The bytes for workspace to set.
        * @return This builder for chaining.
        */
-      public Builder setDutyBytes(
+      public Builder setWorkspaceBytes(
           com.google.protobuf.ByteString value) {
         if (value == null) { throw new NullPointerException(); }
         checkByteStringIsUtf8(value);
-        duty_ = value;
+        workspace_ = value;
         bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
 
-      private java.lang.Object holder_ = "";
+      private java.lang.Object idempotencyKey_ = "";
       /**
-       * <code>string holder = 2;</code>
-       * @return The holder.
+       * <code>string idempotency_key = 2;</code>
+       * @return The idempotencyKey.
        */
-      public java.lang.String getHolder() {
-        java.lang.Object ref = holder_;
+      public java.lang.String getIdempotencyKey() {
+        java.lang.Object ref = idempotencyKey_;
         if (!(ref instanceof java.lang.String)) {
           com.google.protobuf.ByteString bs =
               (com.google.protobuf.ByteString) ref;
           java.lang.String s = bs.toStringUtf8();
-          holder_ = s;
+          idempotencyKey_ = s;
           return s;
         } else {
           return (java.lang.String) ref;
         }
       }
       /**
-       * <code>string holder = 2;</code>
-       * @return The bytes for holder.
+       * <code>string idempotency_key = 2;</code>
+       * @return The bytes for idempotencyKey.
        */
       public com.google.protobuf.ByteString
-          getHolderBytes() {
-        java.lang.Object ref = holder_;
+          getIdempotencyKeyBytes() {
+        java.lang.Object ref = idempotencyKey_;
         if (ref instanceof String) {
           com.google.protobuf.ByteString b = 
               com.google.protobuf.ByteString.copyFromUtf8(
                   (java.lang.String) ref);
-          holder_ = b;
+          idempotencyKey_ = b;
           return b;
         } else {
           return (com.google.protobuf.ByteString) ref;
         }
       }
       /**
-       * <code>string holder = 2;</code>
-       * @param value The holder to set.
+       * <code>string idempotency_key = 2;</code>
+       * @param value The idempotencyKey to set.
        * @return This builder for chaining.
        */
-      public Builder setHolder(
+      public Builder setIdempotencyKey(
           java.lang.String value) {
         if (value == null) { throw new NullPointerException(); }
-        holder_ = value;
+        idempotencyKey_ = value;
         bitField0_ |= 0x00000002;
         onChanged();
         return this;
       }
       /**
-       * <code>string holder = 2;</code>
+       * <code>string idempotency_key = 2;</code>
        * @return This builder for chaining.
        */
-      public Builder clearHolder() {
-        holder_ = getDefaultInstance().getHolder();
+      public Builder clearIdempotencyKey() {
+        idempotencyKey_ = getDefaultInstance().getIdempotencyKey();
         bitField0_ = (bitField0_ & ~0x00000002);
         onChanged();
         return this;
       }
       /**
-       * <code>string holder = 2;</code>
-       * @param value The bytes for holder to set.
+       * <code>string idempotency_key = 2;</code>
+       * @param value The bytes for idempotencyKey to set.
        * @return This builder for chaining.
        */
-      public Builder setHolderBytes(
+      public Builder setIdempotencyKeyBytes(
           com.google.protobuf.ByteString value) {
         if (value == null) { throw new NullPointerException(); }
         checkByteStringIsUtf8(value);
-        holder_ = value;
+        idempotencyKey_ = value;
         bitField0_ |= 0x00000002;
         onChanged();
         return this;
       }
 
-      private java.lang.Object session_ = "";
+      private java.lang.Object digest_ = "";
       /**
-       * <code>string session = 3;</code>
-       * @return The session.
+       * <code>string digest = 3;</code>
+       * @return The digest.
        */
-      public java.lang.String getSession() {
-        java.lang.Object ref = session_;
+      public java.lang.String getDigest() {
+        java.lang.Object ref = digest_;
         if (!(ref instanceof java.lang.String)) {
           com.google.protobuf.ByteString bs =
               (com.google.protobuf.ByteString) ref;
           java.lang.String s = bs.toStringUtf8();
-          session_ = s;
+          digest_ = s;
           return s;
         } else {
           return (java.lang.String) ref;
         }
       }
       /**
-       * <code>string session = 3;</code>
-       * @return The bytes for session.
+       * <code>string digest = 3;</code>
+       * @return The bytes for digest.
        */
       public com.google.protobuf.ByteString
-          getSessionBytes() {
-        java.lang.Object ref = session_;
+          getDigestBytes() {
+        java.lang.Object ref = digest_;
         if (ref instanceof String) {
           com.google.protobuf.ByteString b = 
               com.google.protobuf.ByteString.copyFromUtf8(
                   (java.lang.String) ref);
-          session_ = b;
+          digest_ = b;
           return b;
         } else {
           return (com.google.protobuf.ByteString) ref;
         }
       }
       /**
-       * <code>string session = 3;</code>
-       * @param value The session to set.
+       * <code>string digest = 3;</code>
+       * @param value The digest to set.
        * @return This builder for chaining.
        */
-      public Builder setSession(
+      public Builder setDigest(
           java.lang.String value) {
         if (value == null) { throw new NullPointerException(); }
-        session_ = value;
+        digest_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string digest = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearDigest() {
+        digest_ = getDefaultInstance().getDigest();
+        bitField0_ = (bitField0_ & ~0x00000004);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string digest = 3;</code>
+       * @param value The bytes for digest to set.
+       * @return This builder for chaining.
+       */
+      public Builder setDigestBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        digest_ = value;
         bitField0_ |= 0x00000004;
         onChanged();
         return this;
       }
+
+      private java.lang.Object holder_ = "";
+      /**
+       * <code>string holder = 4;</code>
+       * @return The holder.
+       */
+      public java.lang.String getHolder() {
+        java.lang.Object ref = holder_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          holder_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string holder = 4;</code>
+       * @return The bytes for holder.
+       */
+      public com.google.protobuf.ByteString
+          getHolderBytes() {
+        java.lang.Object ref = holder_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          holder_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string holder = 4;</code>
+       * @param value The holder to set.
+       * @return This builder for chaining.
+       */
+      public Builder setHolder(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        holder_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string holder = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearHolder() {
+        holder_ = getDefaultInstance().getHolder();
+        bitField0_ = (bitField0_ & ~0x00000008);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string holder = 4;</code>
+       * @param value The bytes for holder to set.
+       * @return This builder for chaining.
+       */
+      public Builder setHolderBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        holder_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+
+      private long epoch_ ;
+      /**
+       * <code>int64 epoch = 5;</code>
+       * @return The epoch.
+       */
+      @java.lang.Override
+      public long getEpoch() {
+        return epoch_;
+      }
+      /**
+       * <code>int64 epoch = 5;</code>
+       * @param value The epoch to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEpoch(long value) {
+
+        epoch_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 epoch = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearEpoch() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        epoch_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private int phase_ = 0;
+      /**
+       * <code>.borageproxy.control.ClaimState.Phase phase = 6;</code>
+       * @return The enum numeric value on the wire for phase.
+       */
+      @java.lang.Override public int getPhaseValue() {
+        return phase_;
+      }
+      /**
+       * <code>.borageproxy.control.ClaimState.Phase phase = 6;</code>
+       * @param value The enum numeric value on the wire for phase to set.
+       * @throws IllegalArgumentException if UNRECOGNIZED is provided.
+       * @return This builder for chaining.
+       */
+      public Builder setPhaseValue(int value) {
+        phase_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.ClaimState.Phase phase = 6;</code>
+       * @return The phase.
+       */
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ClaimState.Phase getPhase() {
+        org.borageproxy.wire.proto.ControlProtocol.ClaimState.Phase result = org.borageproxy.wire.proto.ControlProtocol.ClaimState.Phase.forNumber(phase_);
+        return result == null ? org.borageproxy.wire.proto.ControlProtocol.ClaimState.Phase.UNRECOGNIZED : result;
+      }
       /**
-       * <code>string session = 3;</code>
+       * <code>.borageproxy.control.ClaimState.Phase phase = 6;</code>
+       * @param value The phase to set.
        * @return This builder for chaining.
        */
-      public Builder clearSession() {
-        session_ = getDefaultInstance().getSession();
-        bitField0_ = (bitField0_ & ~0x00000004);
+      public Builder setPhase(org.borageproxy.wire.proto.ControlProtocol.ClaimState.Phase value) {
+        if (value == null) { throw new NullPointerException(); }
+        bitField0_ |= 0x00000020;
+        phase_ = value.getNumber();
         onChanged();
         return this;
       }
       /**
-       * <code>string session = 3;</code>
-       * @param value The bytes for session to set.
+       * <code>.borageproxy.control.ClaimState.Phase phase = 6;</code>
        * @return This builder for chaining.
        */
-      public Builder setSessionBytes(
-          com.google.protobuf.ByteString value) {
-        if (value == null) { throw new NullPointerException(); }
-        checkByteStringIsUtf8(value);
-        session_ = value;
-        bitField0_ |= 0x00000004;
+      public Builder clearPhase() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        phase_ = 0;
         onChanged();
         return this;
       }
 
-      private long epoch_ ;
+      private long heldUntilMillis_ ;
       /**
-       * <code>int64 epoch = 4;</code>
-       * @return The epoch.
+       * <code>int64 held_until_millis = 7;</code>
+       * @return The heldUntilMillis.
        */
       @java.lang.Override
-      public long getEpoch() {
-        return epoch_;
+      public long getHeldUntilMillis() {
+        return heldUntilMillis_;
       }
       /**
-       * <code>int64 epoch = 4;</code>
-       * @param value The epoch to set.
+       * <code>int64 held_until_millis = 7;</code>
+       * @param value The heldUntilMillis to set.
        * @return This builder for chaining.
        */
-      public Builder setEpoch(long value) {
+      public Builder setHeldUntilMillis(long value) {
 
-        epoch_ = value;
-        bitField0_ |= 0x00000008;
+        heldUntilMillis_ = value;
+        bitField0_ |= 0x00000040;
         onChanged();
         return this;
       }
       /**
-       * <code>int64 epoch = 4;</code>
+       * <code>int64 held_until_millis = 7;</code>
        * @return This builder for chaining.
        */
-      public Builder clearEpoch() {
-        bitField0_ = (bitField0_ & ~0x00000008);
-        epoch_ = 0L;
+      public Builder clearHeldUntilMillis() {
+        bitField0_ = (bitField0_ & ~0x00000040);
+        heldUntilMillis_ = 0L;
         onChanged();
         return this;
       }
 
-      private long renewal_ ;
+      private long expiresAtMillis_ ;
       /**
-       * <code>uint64 renewal = 5;</code>
-       * @return The renewal.
+       * <code>int64 expires_at_millis = 8;</code>
+       * @return The expiresAtMillis.
        */
       @java.lang.Override
-      public long getRenewal() {
-        return renewal_;
+      public long getExpiresAtMillis() {
+        return expiresAtMillis_;
       }
       /**
-       * <code>uint64 renewal = 5;</code>
-       * @param value The renewal to set.
+       * <code>int64 expires_at_millis = 8;</code>
+       * @param value The expiresAtMillis to set.
        * @return This builder for chaining.
        */
-      public Builder setRenewal(long value) {
+      public Builder setExpiresAtMillis(long value) {
 
-        renewal_ = value;
-        bitField0_ |= 0x00000010;
+        expiresAtMillis_ = value;
+        bitField0_ |= 0x00000080;
         onChanged();
         return this;
       }
       /**
-       * <code>uint64 renewal = 5;</code>
+       * <code>int64 expires_at_millis = 8;</code>
        * @return This builder for chaining.
        */
-      public Builder clearRenewal() {
-        bitField0_ = (bitField0_ & ~0x00000010);
-        renewal_ = 0L;
+      public Builder clearExpiresAtMillis() {
+        bitField0_ = (bitField0_ & ~0x00000080);
+        expiresAtMillis_ = 0L;
         onChanged();
         return this;
       }
 
-      private boolean free_ ;
+      private org.borageproxy.wire.proto.ControlProtocol.Answer answer_;
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.Answer, org.borageproxy.wire.proto.ControlProtocol.Answer.Builder, org.borageproxy.wire.proto.ControlProtocol.AnswerOrBuilder> answerBuilder_;
       /**
-       * <code>bool free = 6;</code>
-       * @return The free.
+       * <code>.borageproxy.control.Answer answer = 9;</code>
+       * @return Whether the answer field is set.
        */
-      @java.lang.Override
-      public boolean getFree() {
-        return free_;
+      public boolean hasAnswer() {
+        return ((bitField0_ & 0x00000100) != 0);
       }
       /**
-       * <code>bool free = 6;</code>
-       * @param value The free to set.
-       * @return This builder for chaining.
+       * <code>.borageproxy.control.Answer answer = 9;</code>
+       * @return The answer.
        */
-      public Builder setFree(boolean value) {
-
-        free_ = value;
-        bitField0_ |= 0x00000020;
+      public org.borageproxy.wire.proto.ControlProtocol.Answer getAnswer() {
+        if (answerBuilder_ == null) {
+          return answer_ == null ? org.borageproxy.wire.proto.ControlProtocol.Answer.getDefaultInstance() : answer_;
+        } else {
+          return answerBuilder_.getMessage();
+        }
+      }
+      /**
+       * <code>.borageproxy.control.Answer answer = 9;</code>
+       */
+      public Builder setAnswer(org.borageproxy.wire.proto.ControlProtocol.Answer value) {
+        if (answerBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          answer_ = value;
+        } else {
+          answerBuilder_.setMessage(value);
+        }
+        bitField0_ |= 0x00000100;
         onChanged();
         return this;
       }
       /**
-       * <code>bool free = 6;</code>
-       * @return This builder for chaining.
+       * <code>.borageproxy.control.Answer answer = 9;</code>
        */
-      public Builder clearFree() {
-        bitField0_ = (bitField0_ & ~0x00000020);
-        free_ = false;
+      public Builder setAnswer(
+          org.borageproxy.wire.proto.ControlProtocol.Answer.Builder builderForValue) {
+        if (answerBuilder_ == null) {
+          answer_ = builderForValue.build();
+        } else {
+          answerBuilder_.setMessage(builderForValue.build());
+        }
+        bitField0_ |= 0x00000100;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.Answer answer = 9;</code>
+       */
+      public Builder mergeAnswer(org.borageproxy.wire.proto.ControlProtocol.Answer value) {
+        if (answerBuilder_ == null) {
+          if (((bitField0_ & 0x00000100) != 0) &&
+            answer_ != null &&
+            answer_ != org.borageproxy.wire.proto.ControlProtocol.Answer.getDefaultInstance()) {
+            getAnswerBuilder().mergeFrom(value);
+          } else {
+            answer_ = value;
+          }
+        } else {
+          answerBuilder_.mergeFrom(value);
+        }
+        if (answer_ != null) {
+          bitField0_ |= 0x00000100;
+          onChanged();
+        }
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.Answer answer = 9;</code>
+       */
+      public Builder clearAnswer() {
+        bitField0_ = (bitField0_ & ~0x00000100);
+        answer_ = null;
+        if (answerBuilder_ != null) {
+          answerBuilder_.dispose();
+          answerBuilder_ = null;
+        }
         onChanged();
         return this;
       }
+      /**
+       * <code>.borageproxy.control.Answer answer = 9;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.Answer.Builder getAnswerBuilder() {
+        bitField0_ |= 0x00000100;
+        onChanged();
+        return internalGetAnswerFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.borageproxy.control.Answer answer = 9;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.AnswerOrBuilder getAnswerOrBuilder() {
+        if (answerBuilder_ != null) {
+          return answerBuilder_.getMessageOrBuilder();
+        } else {
+          return answer_ == null ?
+              org.borageproxy.wire.proto.ControlProtocol.Answer.getDefaultInstance() : answer_;
+        }
+      }
+      /**
+       * <code>.borageproxy.control.Answer answer = 9;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.Answer, org.borageproxy.wire.proto.ControlProtocol.Answer.Builder, org.borageproxy.wire.proto.ControlProtocol.AnswerOrBuilder> 
+          internalGetAnswerFieldBuilder() {
+        if (answerBuilder_ == null) {
+          answerBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.Answer, org.borageproxy.wire.proto.ControlProtocol.Answer.Builder, org.borageproxy.wire.proto.ControlProtocol.AnswerOrBuilder>(
+                  getAnswer(),
+                  getParentForChildren(),
+                  isClean());
+          answer_ = null;
+        }
+        return answerBuilder_;
+      }
 
-      // @@protoc_insertion_point(builder_scope:borageproxy.control.LeaseState)
+      // @@protoc_insertion_point(builder_scope:borageproxy.control.ClaimState)
     }
 
-    // @@protoc_insertion_point(class_scope:borageproxy.control.LeaseState)
-    private static final org.borageproxy.wire.proto.ControlProtocol.LeaseState DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:borageproxy.control.ClaimState)
+    private static final org.borageproxy.wire.proto.ControlProtocol.ClaimState DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.LeaseState();
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.ClaimState();
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.LeaseState getDefaultInstance() {
+    public static org.borageproxy.wire.proto.ControlProtocol.ClaimState getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<LeaseState>
-        PARSER = new com.google.protobuf.AbstractParser<LeaseState>() {
+    private static final com.google.protobuf.Parser<ClaimState>
+        PARSER = new com.google.protobuf.AbstractParser<ClaimState>() {
       @java.lang.Override
-      public LeaseState parsePartialFrom(
+      public ClaimState parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -33203,501 +36336,243 @@
       }
     };
 
-    public static com.google.protobuf.Parser<LeaseState> parser() {
+    public static com.google.protobuf.Parser<ClaimState> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<LeaseState> getParserForType() {
+    public com.google.protobuf.Parser<ClaimState> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.LeaseState getDefaultInstanceForType() {
-      return DEFAULT_INSTANCE;
-    }
-
-  }
-
-  public interface ClaimStateOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:borageproxy.control.ClaimState)
-      com.google.protobuf.MessageOrBuilder {
-
-    /**
-     * <code>string workspace = 1;</code>
-     * @return The workspace.
-     */
-    java.lang.String getWorkspace();
-    /**
-     * <code>string workspace = 1;</code>
-     * @return The bytes for workspace.
-     */
-    com.google.protobuf.ByteString
-        getWorkspaceBytes();
-
-    /**
-     * <code>string idempotency_key = 2;</code>
-     * @return The idempotencyKey.
-     */
-    java.lang.String getIdempotencyKey();
-    /**
-     * <code>string idempotency_key = 2;</code>
-     * @return The bytes for idempotencyKey.
-     */
-    com.google.protobuf.ByteString
-        getIdempotencyKeyBytes();
-
-    /**
-     * <code>string digest = 3;</code>
-     * @return The digest.
-     */
-    java.lang.String getDigest();
-    /**
-     * <code>string digest = 3;</code>
-     * @return The bytes for digest.
-     */
-    com.google.protobuf.ByteString
-        getDigestBytes();
-
-    /**
-     * <code>string holder = 4;</code>
-     * @return The holder.
-     */
-    java.lang.String getHolder();
-    /**
-     * <code>string holder = 4;</code>
-     * @return The bytes for holder.
-     */
-    com.google.protobuf.ByteString
-        getHolderBytes();
-
-    /**
-     * <code>int64 epoch = 5;</code>
-     * @return The epoch.
-     */
-    long getEpoch();
-
-    /**
-     * <code>.borageproxy.control.ClaimState.Phase phase = 6;</code>
-     * @return The enum numeric value on the wire for phase.
-     */
-    int getPhaseValue();
-    /**
-     * <code>.borageproxy.control.ClaimState.Phase phase = 6;</code>
-     * @return The phase.
-     */
-    org.borageproxy.wire.proto.ControlProtocol.ClaimState.Phase getPhase();
-
-    /**
-     * <code>int64 held_until_millis = 7;</code>
-     * @return The heldUntilMillis.
-     */
-    long getHeldUntilMillis();
-
-    /**
-     * <code>int64 expires_at_millis = 8;</code>
-     * @return The expiresAtMillis.
-     */
-    long getExpiresAtMillis();
-
-    /**
-     * <code>.borageproxy.control.Answer answer = 9;</code>
-     * @return Whether the answer field is set.
-     */
-    boolean hasAnswer();
-    /**
-     * <code>.borageproxy.control.Answer answer = 9;</code>
-     * @return The answer.
-     */
-    org.borageproxy.wire.proto.ControlProtocol.Answer getAnswer();
-    /**
-     * <code>.borageproxy.control.Answer answer = 9;</code>
-     */
-    org.borageproxy.wire.proto.ControlProtocol.AnswerOrBuilder getAnswerOrBuilder();
-  }
-  /**
-   * Protobuf type {@code borageproxy.control.ClaimState}
-   */
-  public static final class ClaimState extends
-      com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:borageproxy.control.ClaimState)
-      ClaimStateOrBuilder {
-  private static final long serialVersionUID = 0L;
-    static {
-      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-        /* major= */ 4,
-        /* minor= */ 34,
-        /* patch= */ 2,
-        /* suffix= */ "",
-        "ClaimState");
-    }
-    // Use ClaimState.newBuilder() to construct.
-    private ClaimState(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-      super(builder);
-    }
-    private ClaimState() {
-      workspace_ = "";
-      idempotencyKey_ = "";
-      digest_ = "";
-      holder_ = "";
-      phase_ = 0;
-    }
-
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ClaimState_descriptor;
-    }
-
-    @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ClaimState_descriptor;
-    }
-
-    @java.lang.Override
-    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ClaimState_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              org.borageproxy.wire.proto.ControlProtocol.ClaimState.class, org.borageproxy.wire.proto.ControlProtocol.ClaimState.Builder.class);
-    }
-
-    /**
-     * Protobuf enum {@code borageproxy.control.ClaimState.Phase}
-     */
-    public enum Phase
-        implements com.google.protobuf.ProtocolMessageEnum {
-      /**
-       * <code>CLAIMED = 0;</code>
-       */
-      CLAIMED(0),
-      /**
-       * <code>ANSWERED = 1;</code>
-       */
-      ANSWERED(1),
-      /**
-       * <code>MAY_HAVE_RUN = 2;</code>
-       */
-      MAY_HAVE_RUN(2),
-      /**
-       * <code>RELEASED = 3;</code>
-       */
-      RELEASED(3),
-      UNRECOGNIZED(-1),
-      ;
-
-      static {
-        com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-          com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-          /* major= */ 4,
-          /* minor= */ 34,
-          /* patch= */ 2,
-          /* suffix= */ "",
-          "Phase");
-      }
-      /**
-       * <code>CLAIMED = 0;</code>
-       */
-      public static final int CLAIMED_VALUE = 0;
-      /**
-       * <code>ANSWERED = 1;</code>
-       */
-      public static final int ANSWERED_VALUE = 1;
-      /**
-       * <code>MAY_HAVE_RUN = 2;</code>
-       */
-      public static final int MAY_HAVE_RUN_VALUE = 2;
-      /**
-       * <code>RELEASED = 3;</code>
-       */
-      public static final int RELEASED_VALUE = 3;
-
-
-      public final int getNumber() {
-        if (this == UNRECOGNIZED) {
-          throw new java.lang.IllegalArgumentException(
-              "Can't get the number of an unknown enum value.");
-        }
-        return value;
-      }
-
-      /**
-       * @param value The numeric wire value of the corresponding enum entry.
-       * @return The enum associated with the given numeric wire value.
-       * @deprecated Use {@link #forNumber(int)} instead.
-       */
-      @java.lang.Deprecated
-      public static Phase valueOf(int value) {
-        return forNumber(value);
-      }
-
-      /**
-       * @param value The numeric wire value of the corresponding enum entry.
-       * @return The enum associated with the given numeric wire value.
-       */
-      public static Phase forNumber(int value) {
-        switch (value) {
-          case 0: return CLAIMED;
-          case 1: return ANSWERED;
-          case 2: return MAY_HAVE_RUN;
-          case 3: return RELEASED;
-          default: return null;
-        }
-      }
-
-      public static com.google.protobuf.Internal.EnumLiteMap<Phase>
-          internalGetValueMap() {
-        return internalValueMap;
-      }
-      private static final com.google.protobuf.Internal.EnumLiteMap<
-          Phase> internalValueMap =
-            new com.google.protobuf.Internal.EnumLiteMap<Phase>() {
-              public Phase findValueByNumber(int number) {
-                return Phase.forNumber(number);
-              }
-            };
-
-      public final com.google.protobuf.Descriptors.EnumValueDescriptor
-          getValueDescriptor() {
-        if (this == UNRECOGNIZED) {
-          throw new java.lang.IllegalStateException(
-              "Can't get the descriptor of an unrecognized enum value.");
-        }
-        return getDescriptor().getValue(ordinal());
-      }
-      public final com.google.protobuf.Descriptors.EnumDescriptor
-          getDescriptorForType() {
-        return getDescriptor();
-      }
-      public static com.google.protobuf.Descriptors.EnumDescriptor
-          getDescriptor() {
-        return org.borageproxy.wire.proto.ControlProtocol.ClaimState.getDescriptor().getEnumType(0);
-      }
-
-      private static final Phase[] VALUES = values();
-
-      public static Phase valueOf(
-          com.google.protobuf.Descriptors.EnumValueDescriptor desc) {
-        if (desc.getType() != getDescriptor()) {
-          throw new java.lang.IllegalArgumentException(
-            "EnumValueDescriptor is not for this type.");
-        }
-        if (desc.getIndex() == -1) {
-          return UNRECOGNIZED;
-        }
-        return VALUES[desc.getIndex()];
-      }
-
-      private final int value;
-
-      private Phase(int value) {
-        this.value = value;
-      }
-
-      // @@protoc_insertion_point(enum_scope:borageproxy.control.ClaimState.Phase)
+    public org.borageproxy.wire.proto.ControlProtocol.ClaimState getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
     }
 
-    private int bitField0_;
-    public static final int WORKSPACE_FIELD_NUMBER = 1;
-    @SuppressWarnings("serial")
-    private volatile java.lang.Object workspace_ = "";
+  }
+
+  public interface CrashStateOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.control.CrashState)
+      com.google.protobuf.MessageOrBuilder {
+
     /**
-     * <code>string workspace = 1;</code>
-     * @return The workspace.
+     * <code>string fingerprint = 1;</code>
+     * @return The fingerprint.
      */
-    @java.lang.Override
-    public java.lang.String getWorkspace() {
-      java.lang.Object ref = workspace_;
-      if (ref instanceof java.lang.String) {
-        return (java.lang.String) ref;
-      } else {
-        com.google.protobuf.ByteString bs = 
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        workspace_ = s;
-        return s;
-      }
-    }
+    java.lang.String getFingerprint();
     /**
-     * <code>string workspace = 1;</code>
-     * @return The bytes for workspace.
+     * <code>string fingerprint = 1;</code>
+     * @return The bytes for fingerprint.
      */
-    @java.lang.Override
-    public com.google.protobuf.ByteString
-        getWorkspaceBytes() {
-      java.lang.Object ref = workspace_;
-      if (ref instanceof java.lang.String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        workspace_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
-    }
+    com.google.protobuf.ByteString
+        getFingerprintBytes();
 
-    public static final int IDEMPOTENCY_KEY_FIELD_NUMBER = 2;
-    @SuppressWarnings("serial")
-    private volatile java.lang.Object idempotencyKey_ = "";
     /**
-     * <code>string idempotency_key = 2;</code>
-     * @return The idempotencyKey.
+     * <pre>
+     * Backend server and incarnation of each crash, joined by an &#64; sign.
+     * </pre>
+     *
+     * <code>repeated string crashes = 2;</code>
+     * @return A list containing the crashes.
      */
-    @java.lang.Override
-    public java.lang.String getIdempotencyKey() {
-      java.lang.Object ref = idempotencyKey_;
-      if (ref instanceof java.lang.String) {
-        return (java.lang.String) ref;
-      } else {
-        com.google.protobuf.ByteString bs = 
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        idempotencyKey_ = s;
-        return s;
-      }
-    }
+    java.util.List<java.lang.String>
+        getCrashesList();
     /**
-     * <code>string idempotency_key = 2;</code>
-     * @return The bytes for idempotencyKey.
+     * <pre>
+     * Backend server and incarnation of each crash, joined by an &#64; sign.
+     * </pre>
+     *
+     * <code>repeated string crashes = 2;</code>
+     * @return The count of crashes.
      */
-    @java.lang.Override
-    public com.google.protobuf.ByteString
-        getIdempotencyKeyBytes() {
-      java.lang.Object ref = idempotencyKey_;
-      if (ref instanceof java.lang.String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        idempotencyKey_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
-    }
+    int getCrashesCount();
+    /**
+     * <pre>
+     * Backend server and incarnation of each crash, joined by an &#64; sign.
+     * </pre>
+     *
+     * <code>repeated string crashes = 2;</code>
+     * @param index The index of the element to return.
+     * @return The crashes at the given index.
+     */
+    java.lang.String getCrashes(int index);
+    /**
+     * <pre>
+     * Backend server and incarnation of each crash, joined by an &#64; sign.
+     * </pre>
+     *
+     * <code>repeated string crashes = 2;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the crashes at the given index.
+     */
+    com.google.protobuf.ByteString
+        getCrashesBytes(int index);
 
-    public static final int DIGEST_FIELD_NUMBER = 3;
-    @SuppressWarnings("serial")
-    private volatile java.lang.Object digest_ = "";
     /**
-     * <code>string digest = 3;</code>
-     * @return The digest.
+     * <code>bool quarantined = 3;</code>
+     * @return The quarantined.
      */
-    @java.lang.Override
-    public java.lang.String getDigest() {
-      java.lang.Object ref = digest_;
-      if (ref instanceof java.lang.String) {
-        return (java.lang.String) ref;
-      } else {
-        com.google.protobuf.ByteString bs = 
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        digest_ = s;
-        return s;
-      }
-    }
+    boolean getQuarantined();
+
     /**
-     * <code>string digest = 3;</code>
-     * @return The bytes for digest.
+     * <code>int64 expires_at_millis = 4;</code>
+     * @return The expiresAtMillis.
      */
+    long getExpiresAtMillis();
+  }
+  /**
+   * Protobuf type {@code borageproxy.control.CrashState}
+   */
+  public static final class CrashState extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:borageproxy.control.CrashState)
+      CrashStateOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "CrashState");
+    }
+    // Use CrashState.newBuilder() to construct.
+    private CrashState(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private CrashState() {
+      fingerprint_ = "";
+      crashes_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_CrashState_descriptor;
+    }
+
     @java.lang.Override
-    public com.google.protobuf.ByteString
-        getDigestBytes() {
-      java.lang.Object ref = digest_;
-      if (ref instanceof java.lang.String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        digest_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_CrashState_descriptor;
     }
 
-    public static final int HOLDER_FIELD_NUMBER = 4;
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_CrashState_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.borageproxy.wire.proto.ControlProtocol.CrashState.class, org.borageproxy.wire.proto.ControlProtocol.CrashState.Builder.class);
+    }
+
+    public static final int FINGERPRINT_FIELD_NUMBER = 1;
     @SuppressWarnings("serial")
-    private volatile java.lang.Object holder_ = "";
+    private volatile java.lang.Object fingerprint_ = "";
     /**
-     * <code>string holder = 4;</code>
-     * @return The holder.
+     * <code>string fingerprint = 1;</code>
+     * @return The fingerprint.
      */
     @java.lang.Override
-    public java.lang.String getHolder() {
-      java.lang.Object ref = holder_;
+    public java.lang.String getFingerprint() {
+      java.lang.Object ref = fingerprint_;
       if (ref instanceof java.lang.String) {
         return (java.lang.String) ref;
       } else {
         com.google.protobuf.ByteString bs = 
             (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
-        holder_ = s;
+        fingerprint_ = s;
         return s;
       }
     }
     /**
-     * <code>string holder = 4;</code>
-     * @return The bytes for holder.
+     * <code>string fingerprint = 1;</code>
+     * @return The bytes for fingerprint.
      */
     @java.lang.Override
     public com.google.protobuf.ByteString
-        getHolderBytes() {
-      java.lang.Object ref = holder_;
+        getFingerprintBytes() {
+      java.lang.Object ref = fingerprint_;
       if (ref instanceof java.lang.String) {
         com.google.protobuf.ByteString b = 
             com.google.protobuf.ByteString.copyFromUtf8(
                 (java.lang.String) ref);
-        holder_ = b;
+        fingerprint_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
 
-    public static final int EPOCH_FIELD_NUMBER = 5;
-    private long epoch_ = 0L;
+    public static final int CRASHES_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.LazyStringArrayList crashes_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
     /**
-     * <code>int64 epoch = 5;</code>
-     * @return The epoch.
+     * <pre>
+     * Backend server and incarnation of each crash, joined by an &#64; sign.
+     * </pre>
+     *
+     * <code>repeated string crashes = 2;</code>
+     * @return A list containing the crashes.
      */
-    @java.lang.Override
-    public long getEpoch() {
-      return epoch_;
+    public com.google.protobuf.ProtocolStringList
+        getCrashesList() {
+      return crashes_;
     }
-
-    public static final int PHASE_FIELD_NUMBER = 6;
-    private int phase_ = 0;
     /**
-     * <code>.borageproxy.control.ClaimState.Phase phase = 6;</code>
-     * @return The enum numeric value on the wire for phase.
+     * <pre>
+     * Backend server and incarnation of each crash, joined by an &#64; sign.
+     * </pre>
+     *
+     * <code>repeated string crashes = 2;</code>
+     * @return The count of crashes.
      */
-    @java.lang.Override public int getPhaseValue() {
-      return phase_;
+    public int getCrashesCount() {
+      return crashes_.size();
     }
     /**
-     * <code>.borageproxy.control.ClaimState.Phase phase = 6;</code>
-     * @return The phase.
+     * <pre>
+     * Backend server and incarnation of each crash, joined by an &#64; sign.
+     * </pre>
+     *
+     * <code>repeated string crashes = 2;</code>
+     * @param index The index of the element to return.
+     * @return The crashes at the given index.
      */
-    @java.lang.Override public org.borageproxy.wire.proto.ControlProtocol.ClaimState.Phase getPhase() {
-      org.borageproxy.wire.proto.ControlProtocol.ClaimState.Phase result = org.borageproxy.wire.proto.ControlProtocol.ClaimState.Phase.forNumber(phase_);
-      return result == null ? org.borageproxy.wire.proto.ControlProtocol.ClaimState.Phase.UNRECOGNIZED : result;
+    public java.lang.String getCrashes(int index) {
+      return crashes_.get(index);
+    }
+    /**
+     * <pre>
+     * Backend server and incarnation of each crash, joined by an &#64; sign.
+     * </pre>
+     *
+     * <code>repeated string crashes = 2;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the crashes at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getCrashesBytes(int index) {
+      return crashes_.getByteString(index);
     }
 
-    public static final int HELD_UNTIL_MILLIS_FIELD_NUMBER = 7;
-    private long heldUntilMillis_ = 0L;
+    public static final int QUARANTINED_FIELD_NUMBER = 3;
+    private boolean quarantined_ = false;
     /**
-     * <code>int64 held_until_millis = 7;</code>
-     * @return The heldUntilMillis.
+     * <code>bool quarantined = 3;</code>
+     * @return The quarantined.
      */
     @java.lang.Override
-    public long getHeldUntilMillis() {
-      return heldUntilMillis_;
+    public boolean getQuarantined() {
+      return quarantined_;
     }
 
-    public static final int EXPIRES_AT_MILLIS_FIELD_NUMBER = 8;
+    public static final int EXPIRES_AT_MILLIS_FIELD_NUMBER = 4;
     private long expiresAtMillis_ = 0L;
     /**
-     * <code>int64 expires_at_millis = 8;</code>
+     * <code>int64 expires_at_millis = 4;</code>
      * @return The expiresAtMillis.
      */
     @java.lang.Override
@@ -33705,32 +36580,6 @@
       return expiresAtMillis_;
     }
 
-    public static final int ANSWER_FIELD_NUMBER = 9;
-    private org.borageproxy.wire.proto.ControlProtocol.Answer answer_;
-    /**
-     * <code>.borageproxy.control.Answer answer = 9;</code>
-     * @return Whether the answer field is set.
-     */
-    @java.lang.Override
-    public boolean hasAnswer() {
-      return ((bitField0_ & 0x00000001) != 0);
-    }
-    /**
-     * <code>.borageproxy.control.Answer answer = 9;</code>
-     * @return The answer.
-     */
-    @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.Answer getAnswer() {
-      return answer_ == null ? org.borageproxy.wire.proto.ControlProtocol.Answer.getDefaultInstance() : answer_;
-    }
-    /**
-     * <code>.borageproxy.control.Answer answer = 9;</code>
-     */
-    @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.AnswerOrBuilder getAnswerOrBuilder() {
-      return answer_ == null ? org.borageproxy.wire.proto.ControlProtocol.Answer.getDefaultInstance() : answer_;
-    }
-
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -33745,32 +36594,17 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workspace_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 1, workspace_);
-      }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(idempotencyKey_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 2, idempotencyKey_);
-      }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(digest_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 3, digest_);
-      }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holder_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 4, holder_);
-      }
-      if (epoch_ != 0L) {
-        output.writeInt64(5, epoch_);
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(fingerprint_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, fingerprint_);
       }
-      if (phase_ != org.borageproxy.wire.proto.ControlProtocol.ClaimState.Phase.CLAIMED.getNumber()) {
-        output.writeEnum(6, phase_);
+      for (int i = 0; i < crashes_.size(); i++) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, crashes_.getRaw(i));
       }
-      if (heldUntilMillis_ != 0L) {
-        output.writeInt64(7, heldUntilMillis_);
+      if (quarantined_ != false) {
+        output.writeBool(3, quarantined_);
       }
       if (expiresAtMillis_ != 0L) {
-        output.writeInt64(8, expiresAtMillis_);
-      }
-      if (((bitField0_ & 0x00000001) != 0)) {
-        output.writeMessage(9, getAnswer());
+        output.writeInt64(4, expiresAtMillis_);
       }
       getUnknownFields().writeTo(output);
     }
@@ -33781,37 +36615,24 @@
       if (size != -1) return size;
 
       size = 0;
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workspace_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, workspace_);
-      }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(idempotencyKey_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, idempotencyKey_);
-      }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(digest_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(3, digest_);
-      }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holder_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(4, holder_);
-      }
-      if (epoch_ != 0L) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeInt64Size(5, epoch_);
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(fingerprint_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, fingerprint_);
       }
-      if (phase_ != org.borageproxy.wire.proto.ControlProtocol.ClaimState.Phase.CLAIMED.getNumber()) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeEnumSize(6, phase_);
+      {
+        int dataSize = 0;
+        for (int i = 0; i < crashes_.size(); i++) {
+          dataSize += computeStringSizeNoTag(crashes_.getRaw(i));
+        }
+        size += dataSize;
+        size += 1 * getCrashesList().size();
       }
-      if (heldUntilMillis_ != 0L) {
+      if (quarantined_ != false) {
         size += com.google.protobuf.CodedOutputStream
-          .computeInt64Size(7, heldUntilMillis_);
+          .computeBoolSize(3, quarantined_);
       }
       if (expiresAtMillis_ != 0L) {
         size += com.google.protobuf.CodedOutputStream
-          .computeInt64Size(8, expiresAtMillis_);
-      }
-      if (((bitField0_ & 0x00000001) != 0)) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeMessageSize(9, getAnswer());
+          .computeInt64Size(4, expiresAtMillis_);
       }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
@@ -33823,31 +36644,19 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.ClaimState)) {
+      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.CrashState)) {
         return super.equals(obj);
       }
-      org.borageproxy.wire.proto.ControlProtocol.ClaimState other = (org.borageproxy.wire.proto.ControlProtocol.ClaimState) obj;
+      org.borageproxy.wire.proto.ControlProtocol.CrashState other = (org.borageproxy.wire.proto.ControlProtocol.CrashState) obj;
 
-      if (!getWorkspace()
-          .equals(other.getWorkspace())) return false;
-      if (!getIdempotencyKey()
-          .equals(other.getIdempotencyKey())) return false;
-      if (!getDigest()
-          .equals(other.getDigest())) return false;
-      if (!getHolder()
-          .equals(other.getHolder())) return false;
-      if (getEpoch()
-          != other.getEpoch()) return false;
-      if (phase_ != other.phase_) return false;
-      if (getHeldUntilMillis()
-          != other.getHeldUntilMillis()) return false;
+      if (!getFingerprint()
+          .equals(other.getFingerprint())) return false;
+      if (!getCrashesList()
+          .equals(other.getCrashesList())) return false;
+      if (getQuarantined()
+          != other.getQuarantined()) return false;
       if (getExpiresAtMillis()
           != other.getExpiresAtMillis()) return false;
-      if (hasAnswer() != other.hasAnswer()) return false;
-      if (hasAnswer()) {
-        if (!getAnswer()
-            .equals(other.getAnswer())) return false;
-      }
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -33859,72 +36668,61 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + WORKSPACE_FIELD_NUMBER;
-      hash = (53 * hash) + getWorkspace().hashCode();
-      hash = (37 * hash) + IDEMPOTENCY_KEY_FIELD_NUMBER;
-      hash = (53 * hash) + getIdempotencyKey().hashCode();
-      hash = (37 * hash) + DIGEST_FIELD_NUMBER;
-      hash = (53 * hash) + getDigest().hashCode();
-      hash = (37 * hash) + HOLDER_FIELD_NUMBER;
-      hash = (53 * hash) + getHolder().hashCode();
-      hash = (37 * hash) + EPOCH_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getEpoch());
-      hash = (37 * hash) + PHASE_FIELD_NUMBER;
-      hash = (53 * hash) + phase_;
-      hash = (37 * hash) + HELD_UNTIL_MILLIS_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getHeldUntilMillis());
+      hash = (37 * hash) + FINGERPRINT_FIELD_NUMBER;
+      hash = (53 * hash) + getFingerprint().hashCode();
+      if (getCrashesCount() > 0) {
+        hash = (37 * hash) + CRASHES_FIELD_NUMBER;
+        hash = (53 * hash) + getCrashesList().hashCode();
+      }
+      hash = (37 * hash) + QUARANTINED_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getQuarantined());
       hash = (37 * hash) + EXPIRES_AT_MILLIS_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getExpiresAtMillis());
-      if (hasAnswer()) {
-        hash = (37 * hash) + ANSWER_FIELD_NUMBER;
-        hash = (53 * hash) + getAnswer().hashCode();
-      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.ClaimState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.CrashState parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.ClaimState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.CrashState parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.ClaimState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.CrashState parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.ClaimState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.CrashState parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.ClaimState parseFrom(byte[] data)
+    public static org.borageproxy.wire.proto.ControlProtocol.CrashState parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.ClaimState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.CrashState parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.ClaimState parseFrom(java.io.InputStream input)
+    public static org.borageproxy.wire.proto.ControlProtocol.CrashState parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.ClaimState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.CrashState parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -33932,26 +36730,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.ClaimState parseDelimitedFrom(java.io.InputStream input)
+    public static org.borageproxy.wire.proto.ControlProtocol.CrashState parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.ClaimState parseDelimitedFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.CrashState parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.ClaimState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.CrashState parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.ClaimState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.CrashState parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -33964,7 +36762,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.ClaimState prototype) {
+    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.CrashState prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -33980,75 +36778,61 @@
       return builder;
     }
     /**
-     * Protobuf type {@code borageproxy.control.ClaimState}
+     * Protobuf type {@code borageproxy.control.CrashState}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:borageproxy.control.ClaimState)
-        org.borageproxy.wire.proto.ControlProtocol.ClaimStateOrBuilder {
+        // @@protoc_insertion_point(builder_implements:borageproxy.control.CrashState)
+        org.borageproxy.wire.proto.ControlProtocol.CrashStateOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ClaimState_descriptor;
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_CrashState_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ClaimState_fieldAccessorTable
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_CrashState_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                org.borageproxy.wire.proto.ControlProtocol.ClaimState.class, org.borageproxy.wire.proto.ControlProtocol.ClaimState.Builder.class);
+                org.borageproxy.wire.proto.ControlProtocol.CrashState.class, org.borageproxy.wire.proto.ControlProtocol.CrashState.Builder.class);
       }
 
-      // Construct using org.borageproxy.wire.proto.ControlProtocol.ClaimState.newBuilder()
+      // Construct using org.borageproxy.wire.proto.ControlProtocol.CrashState.newBuilder()
       private Builder() {
-        maybeForceBuilderInitialization();
+
       }
 
       private Builder(
           com.google.protobuf.GeneratedMessage.BuilderParent parent) {
         super(parent);
-        maybeForceBuilderInitialization();
-      }
-      private void maybeForceBuilderInitialization() {
-        if (com.google.protobuf.GeneratedMessage
-                .alwaysUseFieldBuilders) {
-          internalGetAnswerFieldBuilder();
-        }
+
       }
       @java.lang.Override
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        workspace_ = "";
-        idempotencyKey_ = "";
-        digest_ = "";
-        holder_ = "";
-        epoch_ = 0L;
-        phase_ = 0;
-        heldUntilMillis_ = 0L;
+        fingerprint_ = "";
+        crashes_ =
+            com.google.protobuf.LazyStringArrayList.emptyList();
+        quarantined_ = false;
         expiresAtMillis_ = 0L;
-        answer_ = null;
-        if (answerBuilder_ != null) {
-          answerBuilder_.dispose();
-          answerBuilder_ = null;
-        }
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ClaimState_descriptor;
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_CrashState_descriptor;
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.ClaimState getDefaultInstanceForType() {
-        return org.borageproxy.wire.proto.ControlProtocol.ClaimState.getDefaultInstance();
+      public org.borageproxy.wire.proto.ControlProtocol.CrashState getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.CrashState.getDefaultInstance();
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.ClaimState build() {
-        org.borageproxy.wire.proto.ControlProtocol.ClaimState result = buildPartial();
+      public org.borageproxy.wire.proto.ControlProtocol.CrashState build() {
+        org.borageproxy.wire.proto.ControlProtocol.CrashState result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -34056,96 +36840,63 @@
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.ClaimState buildPartial() {
-        org.borageproxy.wire.proto.ControlProtocol.ClaimState result = new org.borageproxy.wire.proto.ControlProtocol.ClaimState(this);
+      public org.borageproxy.wire.proto.ControlProtocol.CrashState buildPartial() {
+        org.borageproxy.wire.proto.ControlProtocol.CrashState result = new org.borageproxy.wire.proto.ControlProtocol.CrashState(this);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.ClaimState result) {
+      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.CrashState result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.workspace_ = workspace_;
+          result.fingerprint_ = fingerprint_;
         }
         if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.idempotencyKey_ = idempotencyKey_;
+          crashes_.makeImmutable();
+          result.crashes_ = crashes_;
         }
         if (((from_bitField0_ & 0x00000004) != 0)) {
-          result.digest_ = digest_;
+          result.quarantined_ = quarantined_;
         }
         if (((from_bitField0_ & 0x00000008) != 0)) {
-          result.holder_ = holder_;
-        }
-        if (((from_bitField0_ & 0x00000010) != 0)) {
-          result.epoch_ = epoch_;
-        }
-        if (((from_bitField0_ & 0x00000020) != 0)) {
-          result.phase_ = phase_;
-        }
-        if (((from_bitField0_ & 0x00000040) != 0)) {
-          result.heldUntilMillis_ = heldUntilMillis_;
-        }
-        if (((from_bitField0_ & 0x00000080) != 0)) {
           result.expiresAtMillis_ = expiresAtMillis_;
         }
-        int to_bitField0_ = 0;
-        if (((from_bitField0_ & 0x00000100) != 0)) {
-          result.answer_ = answerBuilder_ == null
-              ? answer_
-              : answerBuilder_.build();
-          to_bitField0_ |= 0x00000001;
-        }
-        result.bitField0_ |= to_bitField0_;
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.ClaimState) {
-          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.ClaimState)other);
+        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.CrashState) {
+          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.CrashState)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.ClaimState other) {
-        if (other == org.borageproxy.wire.proto.ControlProtocol.ClaimState.getDefaultInstance()) return this;
-        if (!other.getWorkspace().isEmpty()) {
-          workspace_ = other.workspace_;
+      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.CrashState other) {
+        if (other == org.borageproxy.wire.proto.ControlProtocol.CrashState.getDefaultInstance()) return this;
+        if (!other.getFingerprint().isEmpty()) {
+          fingerprint_ = other.fingerprint_;
           bitField0_ |= 0x00000001;
           onChanged();
         }
-        if (!other.getIdempotencyKey().isEmpty()) {
-          idempotencyKey_ = other.idempotencyKey_;
-          bitField0_ |= 0x00000002;
-          onChanged();
-        }
-        if (!other.getDigest().isEmpty()) {
-          digest_ = other.digest_;
-          bitField0_ |= 0x00000004;
-          onChanged();
-        }
-        if (!other.getHolder().isEmpty()) {
-          holder_ = other.holder_;
-          bitField0_ |= 0x00000008;
+        if (!other.crashes_.isEmpty()) {
+          if (crashes_.isEmpty()) {
+            crashes_ = other.crashes_;
+            bitField0_ |= 0x00000002;
+          } else {
+            ensureCrashesIsMutable();
+            crashes_.addAll(other.crashes_);
+          }
           onChanged();
         }
-        if (other.getEpoch() != 0L) {
-          setEpoch(other.getEpoch());
-        }
-        if (other.phase_ != 0) {
-          setPhaseValue(other.getPhaseValue());
-        }
-        if (other.getHeldUntilMillis() != 0L) {
-          setHeldUntilMillis(other.getHeldUntilMillis());
+        if (other.getQuarantined() != false) {
+          setQuarantined(other.getQuarantined());
         }
         if (other.getExpiresAtMillis() != 0L) {
           setExpiresAtMillis(other.getExpiresAtMillis());
         }
-        if (other.hasAnswer()) {
-          mergeAnswer(other.getAnswer());
-        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -34173,52 +36924,25 @@
                 done = true;
                 break;
               case 10: {
-                workspace_ = input.readStringRequireUtf8();
+                fingerprint_ = input.readStringRequireUtf8();
                 bitField0_ |= 0x00000001;
                 break;
               } // case 10
               case 18: {
-                idempotencyKey_ = input.readStringRequireUtf8();
-                bitField0_ |= 0x00000002;
+                ensureCrashesIsMutable();
+                crashes_.add(input.readStringRequireUtf8());
                 break;
               } // case 18
-              case 26: {
-                digest_ = input.readStringRequireUtf8();
+              case 24: {
+                quarantined_ = input.readBool();
                 bitField0_ |= 0x00000004;
                 break;
-              } // case 26
-              case 34: {
-                holder_ = input.readStringRequireUtf8();
-                bitField0_ |= 0x00000008;
-                break;
-              } // case 34
-              case 40: {
-                epoch_ = input.readInt64();
-                bitField0_ |= 0x00000010;
-                break;
-              } // case 40
-              case 48: {
-                phase_ = input.readEnum();
-                bitField0_ |= 0x00000020;
-                break;
-              } // case 48
-              case 56: {
-                heldUntilMillis_ = input.readInt64();
-                bitField0_ |= 0x00000040;
-                break;
-              } // case 56
-              case 64: {
+              } // case 24
+              case 32: {
                 expiresAtMillis_ = input.readInt64();
-                bitField0_ |= 0x00000080;
-                break;
-              } // case 64
-              case 74: {
-                input.readMessage(
-                    internalGetAnswerFieldBuilder().getBuilder(),
-                    extensionRegistry);
-                bitField0_ |= 0x00000100;
+                bitField0_ |= 0x00000008;
                 break;
-              } // case 74
+              } // case 32
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -34236,413 +36960,260 @@
       }
       private int bitField0_;
 
-      private java.lang.Object workspace_ = "";
+      private java.lang.Object fingerprint_ = "";
       /**
-       * <code>string workspace = 1;</code>
-       * @return The workspace.
+       * <code>string fingerprint = 1;</code>
+       * @return The fingerprint.
        */
-      public java.lang.String getWorkspace() {
-        java.lang.Object ref = workspace_;
+      public java.lang.String getFingerprint() {
+        java.lang.Object ref = fingerprint_;
         if (!(ref instanceof java.lang.String)) {
           com.google.protobuf.ByteString bs =
               (com.google.protobuf.ByteString) ref;
           java.lang.String s = bs.toStringUtf8();
-          workspace_ = s;
+          fingerprint_ = s;
           return s;
         } else {
           return (java.lang.String) ref;
         }
       }
       /**
-       * <code>string workspace = 1;</code>
-       * @return The bytes for workspace.
+       * <code>string fingerprint = 1;</code>
+       * @return The bytes for fingerprint.
        */
       public com.google.protobuf.ByteString
-          getWorkspaceBytes() {
-        java.lang.Object ref = workspace_;
+          getFingerprintBytes() {
+        java.lang.Object ref = fingerprint_;
         if (ref instanceof String) {
           com.google.protobuf.ByteString b = 
               com.google.protobuf.ByteString.copyFromUtf8(
                   (java.lang.String) ref);
-          workspace_ = b;
+          fingerprint_ = b;
           return b;
         } else {
           return (com.google.protobuf.ByteString) ref;
         }
       }
       /**
-       * <code>string workspace = 1;</code>
-       * @param value The workspace to set.
+       * <code>string fingerprint = 1;</code>
+       * @param value The fingerprint to set.
        * @return This builder for chaining.
        */
-      public Builder setWorkspace(
+      public Builder setFingerprint(
           java.lang.String value) {
         if (value == null) { throw new NullPointerException(); }
-        workspace_ = value;
+        fingerprint_ = value;
         bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
       /**
-       * <code>string workspace = 1;</code>
+       * <code>string fingerprint = 1;</code>
        * @return This builder for chaining.
        */
-      public Builder clearWorkspace() {
-        workspace_ = getDefaultInstance().getWorkspace();
+      public Builder clearFingerprint() {
+        fingerprint_ = getDefaultInstance().getFingerprint();
         bitField0_ = (bitField0_ & ~0x00000001);
         onChanged();
         return this;
       }
       /**
-       * <code>string workspace = 1;</code>
-       * @param value The bytes for workspace to set.
+       * <code>string fingerprint = 1;</code>
+       * @param value The bytes for fingerprint to set.
        * @return This builder for chaining.
        */
-      public Builder setWorkspaceBytes(
+      public Builder setFingerprintBytes(
           com.google.protobuf.ByteString value) {
         if (value == null) { throw new NullPointerException(); }
         checkByteStringIsUtf8(value);
-        workspace_ = value;
+        fingerprint_ = value;
         bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
 
-      private java.lang.Object idempotencyKey_ = "";
-      /**
-       * <code>string idempotency_key = 2;</code>
-       * @return The idempotencyKey.
-       */
-      public java.lang.String getIdempotencyKey() {
-        java.lang.Object ref = idempotencyKey_;
-        if (!(ref instanceof java.lang.String)) {
-          com.google.protobuf.ByteString bs =
-              (com.google.protobuf.ByteString) ref;
-          java.lang.String s = bs.toStringUtf8();
-          idempotencyKey_ = s;
-          return s;
-        } else {
-          return (java.lang.String) ref;
-        }
-      }
-      /**
-       * <code>string idempotency_key = 2;</code>
-       * @return The bytes for idempotencyKey.
-       */
-      public com.google.protobuf.ByteString
-          getIdempotencyKeyBytes() {
-        java.lang.Object ref = idempotencyKey_;
-        if (ref instanceof String) {
-          com.google.protobuf.ByteString b = 
-              com.google.protobuf.ByteString.copyFromUtf8(
-                  (java.lang.String) ref);
-          idempotencyKey_ = b;
-          return b;
-        } else {
-          return (com.google.protobuf.ByteString) ref;
+      private com.google.protobuf.LazyStringArrayList crashes_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      private void ensureCrashesIsMutable() {
+        if (!crashes_.isModifiable()) {
+          crashes_ = new com.google.protobuf.LazyStringArrayList(crashes_);
         }
-      }
-      /**
-       * <code>string idempotency_key = 2;</code>
-       * @param value The idempotencyKey to set.
-       * @return This builder for chaining.
-       */
-      public Builder setIdempotencyKey(
-          java.lang.String value) {
-        if (value == null) { throw new NullPointerException(); }
-        idempotencyKey_ = value;
         bitField0_ |= 0x00000002;
-        onChanged();
-        return this;
       }
       /**
-       * <code>string idempotency_key = 2;</code>
-       * @return This builder for chaining.
+       * <pre>
+       * Backend server and incarnation of each crash, joined by an &#64; sign.
+       * </pre>
+       *
+       * <code>repeated string crashes = 2;</code>
+       * @return A list containing the crashes.
        */
-      public Builder clearIdempotencyKey() {
-        idempotencyKey_ = getDefaultInstance().getIdempotencyKey();
-        bitField0_ = (bitField0_ & ~0x00000002);
-        onChanged();
-        return this;
+      public com.google.protobuf.ProtocolStringList
+          getCrashesList() {
+        crashes_.makeImmutable();
+        return crashes_;
       }
       /**
-       * <code>string idempotency_key = 2;</code>
-       * @param value The bytes for idempotencyKey to set.
-       * @return This builder for chaining.
+       * <pre>
+       * Backend server and incarnation of each crash, joined by an &#64; sign.
+       * </pre>
+       *
+       * <code>repeated string crashes = 2;</code>
+       * @return The count of crashes.
        */
-      public Builder setIdempotencyKeyBytes(
-          com.google.protobuf.ByteString value) {
-        if (value == null) { throw new NullPointerException(); }
-        checkByteStringIsUtf8(value);
-        idempotencyKey_ = value;
-        bitField0_ |= 0x00000002;
-        onChanged();
-        return this;
+      public int getCrashesCount() {
+        return crashes_.size();
       }
-
-      private java.lang.Object digest_ = "";
       /**
-       * <code>string digest = 3;</code>
-       * @return The digest.
+       * <pre>
+       * Backend server and incarnation of each crash, joined by an &#64; sign.
+       * </pre>
+       *
+       * <code>repeated string crashes = 2;</code>
+       * @param index The index of the element to return.
+       * @return The crashes at the given index.
        */
-      public java.lang.String getDigest() {
-        java.lang.Object ref = digest_;
-        if (!(ref instanceof java.lang.String)) {
-          com.google.protobuf.ByteString bs =
-              (com.google.protobuf.ByteString) ref;
-          java.lang.String s = bs.toStringUtf8();
-          digest_ = s;
-          return s;
-        } else {
-          return (java.lang.String) ref;
-        }
+      public java.lang.String getCrashes(int index) {
+        return crashes_.get(index);
       }
       /**
-       * <code>string digest = 3;</code>
-       * @return The bytes for digest.
+       * <pre>
+       * Backend server and incarnation of each crash, joined by an &#64; sign.
+       * </pre>
+       *
+       * <code>repeated string crashes = 2;</code>
+       * @param index The index of the value to return.
+       * @return The bytes of the crashes at the given index.
        */
       public com.google.protobuf.ByteString
-          getDigestBytes() {
-        java.lang.Object ref = digest_;
-        if (ref instanceof String) {
-          com.google.protobuf.ByteString b = 
-              com.google.protobuf.ByteString.copyFromUtf8(
-                  (java.lang.String) ref);
-          digest_ = b;
-          return b;
-        } else {
-          return (com.google.protobuf.ByteString) ref;
-        }
-      }
-      /**
-       * <code>string digest = 3;</code>
-       * @param value The digest to set.
-       * @return This builder for chaining.
-       */
-      public Builder setDigest(
-          java.lang.String value) {
-        if (value == null) { throw new NullPointerException(); }
-        digest_ = value;
-        bitField0_ |= 0x00000004;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>string digest = 3;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearDigest() {
-        digest_ = getDefaultInstance().getDigest();
-        bitField0_ = (bitField0_ & ~0x00000004);
-        onChanged();
-        return this;
+          getCrashesBytes(int index) {
+        return crashes_.getByteString(index);
       }
       /**
-       * <code>string digest = 3;</code>
-       * @param value The bytes for digest to set.
+       * <pre>
+       * Backend server and incarnation of each crash, joined by an &#64; sign.
+       * </pre>
+       *
+       * <code>repeated string crashes = 2;</code>
+       * @param index The index to set the value at.
+       * @param value The crashes to set.
        * @return This builder for chaining.
        */
-      public Builder setDigestBytes(
-          com.google.protobuf.ByteString value) {
+      public Builder setCrashes(
+          int index, java.lang.String value) {
         if (value == null) { throw new NullPointerException(); }
-        checkByteStringIsUtf8(value);
-        digest_ = value;
-        bitField0_ |= 0x00000004;
+        ensureCrashesIsMutable();
+        crashes_.set(index, value);
+        bitField0_ |= 0x00000002;
         onChanged();
         return this;
       }
-
-      private java.lang.Object holder_ = "";
-      /**
-       * <code>string holder = 4;</code>
-       * @return The holder.
-       */
-      public java.lang.String getHolder() {
-        java.lang.Object ref = holder_;
-        if (!(ref instanceof java.lang.String)) {
-          com.google.protobuf.ByteString bs =
-              (com.google.protobuf.ByteString) ref;
-          java.lang.String s = bs.toStringUtf8();
-          holder_ = s;
-          return s;
-        } else {
-          return (java.lang.String) ref;
-        }
-      }
-      /**
-       * <code>string holder = 4;</code>
-       * @return The bytes for holder.
-       */
-      public com.google.protobuf.ByteString
-          getHolderBytes() {
-        java.lang.Object ref = holder_;
-        if (ref instanceof String) {
-          com.google.protobuf.ByteString b = 
-              com.google.protobuf.ByteString.copyFromUtf8(
-                  (java.lang.String) ref);
-          holder_ = b;
-          return b;
-        } else {
-          return (com.google.protobuf.ByteString) ref;
-        }
-      }
       /**
-       * <code>string holder = 4;</code>
-       * @param value The holder to set.
+       * <pre>
+       * Backend server and incarnation of each crash, joined by an &#64; sign.
+       * </pre>
+       *
+       * <code>repeated string crashes = 2;</code>
+       * @param value The crashes to add.
        * @return This builder for chaining.
        */
-      public Builder setHolder(
+      public Builder addCrashes(
           java.lang.String value) {
         if (value == null) { throw new NullPointerException(); }
-        holder_ = value;
-        bitField0_ |= 0x00000008;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>string holder = 4;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearHolder() {
-        holder_ = getDefaultInstance().getHolder();
-        bitField0_ = (bitField0_ & ~0x00000008);
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>string holder = 4;</code>
-       * @param value The bytes for holder to set.
-       * @return This builder for chaining.
-       */
-      public Builder setHolderBytes(
-          com.google.protobuf.ByteString value) {
-        if (value == null) { throw new NullPointerException(); }
-        checkByteStringIsUtf8(value);
-        holder_ = value;
-        bitField0_ |= 0x00000008;
-        onChanged();
-        return this;
-      }
-
-      private long epoch_ ;
-      /**
-       * <code>int64 epoch = 5;</code>
-       * @return The epoch.
-       */
-      @java.lang.Override
-      public long getEpoch() {
-        return epoch_;
-      }
-      /**
-       * <code>int64 epoch = 5;</code>
-       * @param value The epoch to set.
-       * @return This builder for chaining.
-       */
-      public Builder setEpoch(long value) {
-
-        epoch_ = value;
-        bitField0_ |= 0x00000010;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>int64 epoch = 5;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearEpoch() {
-        bitField0_ = (bitField0_ & ~0x00000010);
-        epoch_ = 0L;
+        ensureCrashesIsMutable();
+        crashes_.add(value);
+        bitField0_ |= 0x00000002;
         onChanged();
         return this;
       }
-
-      private int phase_ = 0;
-      /**
-       * <code>.borageproxy.control.ClaimState.Phase phase = 6;</code>
-       * @return The enum numeric value on the wire for phase.
-       */
-      @java.lang.Override public int getPhaseValue() {
-        return phase_;
-      }
       /**
-       * <code>.borageproxy.control.ClaimState.Phase phase = 6;</code>
-       * @param value The enum numeric value on the wire for phase to set.
-       * @throws IllegalArgumentException if UNRECOGNIZED is provided.
+       * <pre>
+       * Backend server and incarnation of each crash, joined by an &#64; sign.
+       * </pre>
+       *
+       * <code>repeated string crashes = 2;</code>
+       * @param values The crashes to add.
        * @return This builder for chaining.
        */
-      public Builder setPhaseValue(int value) {
-        phase_ = value;
-        bitField0_ |= 0x00000020;
+      public Builder addAllCrashes(
+          java.lang.Iterable<java.lang.String> values) {
+        ensureCrashesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, crashes_);
+        bitField0_ |= 0x00000002;
         onChanged();
         return this;
       }
       /**
-       * <code>.borageproxy.control.ClaimState.Phase phase = 6;</code>
-       * @return The phase.
-       */
-      @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.ClaimState.Phase getPhase() {
-        org.borageproxy.wire.proto.ControlProtocol.ClaimState.Phase result = org.borageproxy.wire.proto.ControlProtocol.ClaimState.Phase.forNumber(phase_);
-        return result == null ? org.borageproxy.wire.proto.ControlProtocol.ClaimState.Phase.UNRECOGNIZED : result;
-      }
-      /**
-       * <code>.borageproxy.control.ClaimState.Phase phase = 6;</code>
-       * @param value The phase to set.
-       * @return This builder for chaining.
-       */
-      public Builder setPhase(org.borageproxy.wire.proto.ControlProtocol.ClaimState.Phase value) {
-        if (value == null) { throw new NullPointerException(); }
-        bitField0_ |= 0x00000020;
-        phase_ = value.getNumber();
+       * <pre>
+       * Backend server and incarnation of each crash, joined by an &#64; sign.
+       * </pre>
+       *
+       * <code>repeated string crashes = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCrashes() {
+        crashes_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000002);;
         onChanged();
         return this;
       }
       /**
-       * <code>.borageproxy.control.ClaimState.Phase phase = 6;</code>
+       * <pre>
+       * Backend server and incarnation of each crash, joined by an &#64; sign.
+       * </pre>
+       *
+       * <code>repeated string crashes = 2;</code>
+       * @param value The bytes of the crashes to add.
        * @return This builder for chaining.
        */
-      public Builder clearPhase() {
-        bitField0_ = (bitField0_ & ~0x00000020);
-        phase_ = 0;
+      public Builder addCrashesBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        ensureCrashesIsMutable();
+        crashes_.add(value);
+        bitField0_ |= 0x00000002;
         onChanged();
         return this;
       }
 
-      private long heldUntilMillis_ ;
+      private boolean quarantined_ ;
       /**
-       * <code>int64 held_until_millis = 7;</code>
-       * @return The heldUntilMillis.
+       * <code>bool quarantined = 3;</code>
+       * @return The quarantined.
        */
       @java.lang.Override
-      public long getHeldUntilMillis() {
-        return heldUntilMillis_;
+      public boolean getQuarantined() {
+        return quarantined_;
       }
       /**
-       * <code>int64 held_until_millis = 7;</code>
-       * @param value The heldUntilMillis to set.
+       * <code>bool quarantined = 3;</code>
+       * @param value The quarantined to set.
        * @return This builder for chaining.
        */
-      public Builder setHeldUntilMillis(long value) {
+      public Builder setQuarantined(boolean value) {
 
-        heldUntilMillis_ = value;
-        bitField0_ |= 0x00000040;
+        quarantined_ = value;
+        bitField0_ |= 0x00000004;
         onChanged();
         return this;
       }
       /**
-       * <code>int64 held_until_millis = 7;</code>
+       * <code>bool quarantined = 3;</code>
        * @return This builder for chaining.
        */
-      public Builder clearHeldUntilMillis() {
-        bitField0_ = (bitField0_ & ~0x00000040);
-        heldUntilMillis_ = 0L;
+      public Builder clearQuarantined() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        quarantined_ = false;
         onChanged();
         return this;
       }
 
       private long expiresAtMillis_ ;
       /**
-       * <code>int64 expires_at_millis = 8;</code>
+       * <code>int64 expires_at_millis = 4;</code>
        * @return The expiresAtMillis.
        */
       @java.lang.Override
@@ -34650,166 +37221,45 @@
         return expiresAtMillis_;
       }
       /**
-       * <code>int64 expires_at_millis = 8;</code>
+       * <code>int64 expires_at_millis = 4;</code>
        * @param value The expiresAtMillis to set.
        * @return This builder for chaining.
        */
       public Builder setExpiresAtMillis(long value) {
 
         expiresAtMillis_ = value;
-        bitField0_ |= 0x00000080;
+        bitField0_ |= 0x00000008;
         onChanged();
         return this;
       }
       /**
-       * <code>int64 expires_at_millis = 8;</code>
+       * <code>int64 expires_at_millis = 4;</code>
        * @return This builder for chaining.
        */
       public Builder clearExpiresAtMillis() {
-        bitField0_ = (bitField0_ & ~0x00000080);
+        bitField0_ = (bitField0_ & ~0x00000008);
         expiresAtMillis_ = 0L;
         onChanged();
         return this;
       }
 
-      private org.borageproxy.wire.proto.ControlProtocol.Answer answer_;
-      private com.google.protobuf.SingleFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.Answer, org.borageproxy.wire.proto.ControlProtocol.Answer.Builder, org.borageproxy.wire.proto.ControlProtocol.AnswerOrBuilder> answerBuilder_;
-      /**
-       * <code>.borageproxy.control.Answer answer = 9;</code>
-       * @return Whether the answer field is set.
-       */
-      public boolean hasAnswer() {
-        return ((bitField0_ & 0x00000100) != 0);
-      }
-      /**
-       * <code>.borageproxy.control.Answer answer = 9;</code>
-       * @return The answer.
-       */
-      public org.borageproxy.wire.proto.ControlProtocol.Answer getAnswer() {
-        if (answerBuilder_ == null) {
-          return answer_ == null ? org.borageproxy.wire.proto.ControlProtocol.Answer.getDefaultInstance() : answer_;
-        } else {
-          return answerBuilder_.getMessage();
-        }
-      }
-      /**
-       * <code>.borageproxy.control.Answer answer = 9;</code>
-       */
-      public Builder setAnswer(org.borageproxy.wire.proto.ControlProtocol.Answer value) {
-        if (answerBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          answer_ = value;
-        } else {
-          answerBuilder_.setMessage(value);
-        }
-        bitField0_ |= 0x00000100;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>.borageproxy.control.Answer answer = 9;</code>
-       */
-      public Builder setAnswer(
-          org.borageproxy.wire.proto.ControlProtocol.Answer.Builder builderForValue) {
-        if (answerBuilder_ == null) {
-          answer_ = builderForValue.build();
-        } else {
-          answerBuilder_.setMessage(builderForValue.build());
-        }
-        bitField0_ |= 0x00000100;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>.borageproxy.control.Answer answer = 9;</code>
-       */
-      public Builder mergeAnswer(org.borageproxy.wire.proto.ControlProtocol.Answer value) {
-        if (answerBuilder_ == null) {
-          if (((bitField0_ & 0x00000100) != 0) &&
-            answer_ != null &&
-            answer_ != org.borageproxy.wire.proto.ControlProtocol.Answer.getDefaultInstance()) {
-            getAnswerBuilder().mergeFrom(value);
-          } else {
-            answer_ = value;
-          }
-        } else {
-          answerBuilder_.mergeFrom(value);
-        }
-        if (answer_ != null) {
-          bitField0_ |= 0x00000100;
-          onChanged();
-        }
-        return this;
-      }
-      /**
-       * <code>.borageproxy.control.Answer answer = 9;</code>
-       */
-      public Builder clearAnswer() {
-        bitField0_ = (bitField0_ & ~0x00000100);
-        answer_ = null;
-        if (answerBuilder_ != null) {
-          answerBuilder_.dispose();
-          answerBuilder_ = null;
-        }
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>.borageproxy.control.Answer answer = 9;</code>
-       */
-      public org.borageproxy.wire.proto.ControlProtocol.Answer.Builder getAnswerBuilder() {
-        bitField0_ |= 0x00000100;
-        onChanged();
-        return internalGetAnswerFieldBuilder().getBuilder();
-      }
-      /**
-       * <code>.borageproxy.control.Answer answer = 9;</code>
-       */
-      public org.borageproxy.wire.proto.ControlProtocol.AnswerOrBuilder getAnswerOrBuilder() {
-        if (answerBuilder_ != null) {
-          return answerBuilder_.getMessageOrBuilder();
-        } else {
-          return answer_ == null ?
-              org.borageproxy.wire.proto.ControlProtocol.Answer.getDefaultInstance() : answer_;
-        }
-      }
-      /**
-       * <code>.borageproxy.control.Answer answer = 9;</code>
-       */
-      private com.google.protobuf.SingleFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.Answer, org.borageproxy.wire.proto.ControlProtocol.Answer.Builder, org.borageproxy.wire.proto.ControlProtocol.AnswerOrBuilder> 
-          internalGetAnswerFieldBuilder() {
-        if (answerBuilder_ == null) {
-          answerBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-              org.borageproxy.wire.proto.ControlProtocol.Answer, org.borageproxy.wire.proto.ControlProtocol.Answer.Builder, org.borageproxy.wire.proto.ControlProtocol.AnswerOrBuilder>(
-                  getAnswer(),
-                  getParentForChildren(),
-                  isClean());
-          answer_ = null;
-        }
-        return answerBuilder_;
-      }
-
-      // @@protoc_insertion_point(builder_scope:borageproxy.control.ClaimState)
+      // @@protoc_insertion_point(builder_scope:borageproxy.control.CrashState)
     }
 
-    // @@protoc_insertion_point(class_scope:borageproxy.control.ClaimState)
-    private static final org.borageproxy.wire.proto.ControlProtocol.ClaimState DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:borageproxy.control.CrashState)
+    private static final org.borageproxy.wire.proto.ControlProtocol.CrashState DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.ClaimState();
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.CrashState();
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.ClaimState getDefaultInstance() {
+    public static org.borageproxy.wire.proto.ControlProtocol.CrashState getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<ClaimState>
-        PARSER = new com.google.protobuf.AbstractParser<ClaimState>() {
+    private static final com.google.protobuf.Parser<CrashState>
+        PARSER = new com.google.protobuf.AbstractParser<CrashState>() {
       @java.lang.Override
-      public ClaimState parsePartialFrom(
+      public CrashState parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -34828,98 +37278,45 @@
       }
     };
 
-    public static com.google.protobuf.Parser<ClaimState> parser() {
+    public static com.google.protobuf.Parser<CrashState> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<ClaimState> getParserForType() {
+    public com.google.protobuf.Parser<CrashState> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.ClaimState getDefaultInstanceForType() {
+    public org.borageproxy.wire.proto.ControlProtocol.CrashState getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
   }
 
-  public interface CrashStateOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:borageproxy.control.CrashState)
+  public interface DocumentStateOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.control.DocumentState)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>string fingerprint = 1;</code>
-     * @return The fingerprint.
-     */
-    java.lang.String getFingerprint();
-    /**
-     * <code>string fingerprint = 1;</code>
-     * @return The bytes for fingerprint.
-     */
-    com.google.protobuf.ByteString
-        getFingerprintBytes();
-
-    /**
-     * <pre>
-     * Backend server and incarnation of each crash, joined by an &#64; sign.
-     * </pre>
-     *
-     * <code>repeated string crashes = 2;</code>
-     * @return A list containing the crashes.
-     */
-    java.util.List<java.lang.String>
-        getCrashesList();
-    /**
-     * <pre>
-     * Backend server and incarnation of each crash, joined by an &#64; sign.
-     * </pre>
-     *
-     * <code>repeated string crashes = 2;</code>
-     * @return The count of crashes.
-     */
-    int getCrashesCount();
-    /**
-     * <pre>
-     * Backend server and incarnation of each crash, joined by an &#64; sign.
-     * </pre>
-     *
-     * <code>repeated string crashes = 2;</code>
-     * @param index The index of the element to return.
-     * @return The crashes at the given index.
-     */
-    java.lang.String getCrashes(int index);
-    /**
-     * <pre>
-     * Backend server and incarnation of each crash, joined by an &#64; sign.
-     * </pre>
-     *
-     * <code>repeated string crashes = 2;</code>
-     * @param index The index of the value to return.
-     * @return The bytes of the crashes at the given index.
-     */
-    com.google.protobuf.ByteString
-        getCrashesBytes(int index);
-
-    /**
-     * <code>bool quarantined = 3;</code>
-     * @return The quarantined.
+     * <code>uint64 number = 1;</code>
+     * @return The number.
      */
-    boolean getQuarantined();
+    long getNumber();
 
     /**
-     * <code>int64 expires_at_millis = 4;</code>
-     * @return The expiresAtMillis.
+     * <code>bytes content = 2;</code>
+     * @return The content.
      */
-    long getExpiresAtMillis();
+    com.google.protobuf.ByteString getContent();
   }
   /**
-   * Protobuf type {@code borageproxy.control.CrashState}
+   * Protobuf type {@code borageproxy.control.DocumentState}
    */
-  public static final class CrashState extends
+  public static final class DocumentState extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:borageproxy.control.CrashState)
-      CrashStateOrBuilder {
+      // @@protoc_insertion_point(message_implements:borageproxy.control.DocumentState)
+      DocumentStateOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -34928,148 +37325,54 @@
         /* minor= */ 34,
         /* patch= */ 2,
         /* suffix= */ "",
-        "CrashState");
+        "DocumentState");
     }
-    // Use CrashState.newBuilder() to construct.
-    private CrashState(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use DocumentState.newBuilder() to construct.
+    private DocumentState(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private CrashState() {
-      fingerprint_ = "";
-      crashes_ =
-          com.google.protobuf.LazyStringArrayList.emptyList();
+    private DocumentState() {
+      content_ = com.google.protobuf.ByteString.EMPTY;
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_CrashState_descriptor;
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_DocumentState_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_CrashState_descriptor;
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_DocumentState_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_CrashState_fieldAccessorTable
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_DocumentState_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.borageproxy.wire.proto.ControlProtocol.CrashState.class, org.borageproxy.wire.proto.ControlProtocol.CrashState.Builder.class);
-    }
-
-    public static final int FINGERPRINT_FIELD_NUMBER = 1;
-    @SuppressWarnings("serial")
-    private volatile java.lang.Object fingerprint_ = "";
-    /**
-     * <code>string fingerprint = 1;</code>
-     * @return The fingerprint.
-     */
-    @java.lang.Override
-    public java.lang.String getFingerprint() {
-      java.lang.Object ref = fingerprint_;
-      if (ref instanceof java.lang.String) {
-        return (java.lang.String) ref;
-      } else {
-        com.google.protobuf.ByteString bs = 
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        fingerprint_ = s;
-        return s;
-      }
-    }
-    /**
-     * <code>string fingerprint = 1;</code>
-     * @return The bytes for fingerprint.
-     */
-    @java.lang.Override
-    public com.google.protobuf.ByteString
-        getFingerprintBytes() {
-      java.lang.Object ref = fingerprint_;
-      if (ref instanceof java.lang.String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        fingerprint_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
-    }
-
-    public static final int CRASHES_FIELD_NUMBER = 2;
-    @SuppressWarnings("serial")
-    private com.google.protobuf.LazyStringArrayList crashes_ =
-        com.google.protobuf.LazyStringArrayList.emptyList();
-    /**
-     * <pre>
-     * Backend server and incarnation of each crash, joined by an &#64; sign.
-     * </pre>
-     *
-     * <code>repeated string crashes = 2;</code>
-     * @return A list containing the crashes.
-     */
-    public com.google.protobuf.ProtocolStringList
-        getCrashesList() {
-      return crashes_;
-    }
-    /**
-     * <pre>
-     * Backend server and incarnation of each crash, joined by an &#64; sign.
-     * </pre>
-     *
-     * <code>repeated string crashes = 2;</code>
-     * @return The count of crashes.
-     */
-    public int getCrashesCount() {
-      return crashes_.size();
-    }
-    /**
-     * <pre>
-     * Backend server and incarnation of each crash, joined by an &#64; sign.
-     * </pre>
-     *
-     * <code>repeated string crashes = 2;</code>
-     * @param index The index of the element to return.
-     * @return The crashes at the given index.
-     */
-    public java.lang.String getCrashes(int index) {
-      return crashes_.get(index);
-    }
-    /**
-     * <pre>
-     * Backend server and incarnation of each crash, joined by an &#64; sign.
-     * </pre>
-     *
-     * <code>repeated string crashes = 2;</code>
-     * @param index The index of the value to return.
-     * @return The bytes of the crashes at the given index.
-     */
-    public com.google.protobuf.ByteString
-        getCrashesBytes(int index) {
-      return crashes_.getByteString(index);
+              org.borageproxy.wire.proto.ControlProtocol.DocumentState.class, org.borageproxy.wire.proto.ControlProtocol.DocumentState.Builder.class);
     }
 
-    public static final int QUARANTINED_FIELD_NUMBER = 3;
-    private boolean quarantined_ = false;
+    public static final int NUMBER_FIELD_NUMBER = 1;
+    private long number_ = 0L;
     /**
-     * <code>bool quarantined = 3;</code>
-     * @return The quarantined.
+     * <code>uint64 number = 1;</code>
+     * @return The number.
      */
     @java.lang.Override
-    public boolean getQuarantined() {
-      return quarantined_;
+    public long getNumber() {
+      return number_;
     }
 
-    public static final int EXPIRES_AT_MILLIS_FIELD_NUMBER = 4;
-    private long expiresAtMillis_ = 0L;
+    public static final int CONTENT_FIELD_NUMBER = 2;
+    private com.google.protobuf.ByteString content_ = com.google.protobuf.ByteString.EMPTY;
     /**
-     * <code>int64 expires_at_millis = 4;</code>
-     * @return The expiresAtMillis.
+     * <code>bytes content = 2;</code>
+     * @return The content.
      */
     @java.lang.Override
-    public long getExpiresAtMillis() {
-      return expiresAtMillis_;
+    public com.google.protobuf.ByteString getContent() {
+      return content_;
     }
 
     private byte memoizedIsInitialized = -1;
@@ -35086,17 +37389,11 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(fingerprint_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 1, fingerprint_);
-      }
-      for (int i = 0; i < crashes_.size(); i++) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 2, crashes_.getRaw(i));
-      }
-      if (quarantined_ != false) {
-        output.writeBool(3, quarantined_);
+      if (number_ != 0L) {
+        output.writeUInt64(1, number_);
       }
-      if (expiresAtMillis_ != 0L) {
-        output.writeInt64(4, expiresAtMillis_);
+      if (!content_.isEmpty()) {
+        output.writeBytes(2, content_);
       }
       getUnknownFields().writeTo(output);
     }
@@ -35107,24 +37404,13 @@
       if (size != -1) return size;
 
       size = 0;
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(fingerprint_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, fingerprint_);
-      }
-      {
-        int dataSize = 0;
-        for (int i = 0; i < crashes_.size(); i++) {
-          dataSize += computeStringSizeNoTag(crashes_.getRaw(i));
-        }
-        size += dataSize;
-        size += 1 * getCrashesList().size();
-      }
-      if (quarantined_ != false) {
+      if (number_ != 0L) {
         size += com.google.protobuf.CodedOutputStream
-          .computeBoolSize(3, quarantined_);
+          .computeUInt64Size(1, number_);
       }
-      if (expiresAtMillis_ != 0L) {
+      if (!content_.isEmpty()) {
         size += com.google.protobuf.CodedOutputStream
-          .computeInt64Size(4, expiresAtMillis_);
+          .computeBytesSize(2, content_);
       }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
@@ -35136,19 +37422,15 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.CrashState)) {
+      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.DocumentState)) {
         return super.equals(obj);
       }
-      org.borageproxy.wire.proto.ControlProtocol.CrashState other = (org.borageproxy.wire.proto.ControlProtocol.CrashState) obj;
+      org.borageproxy.wire.proto.ControlProtocol.DocumentState other = (org.borageproxy.wire.proto.ControlProtocol.DocumentState) obj;
 
-      if (!getFingerprint()
-          .equals(other.getFingerprint())) return false;
-      if (!getCrashesList()
-          .equals(other.getCrashesList())) return false;
-      if (getQuarantined()
-          != other.getQuarantined()) return false;
-      if (getExpiresAtMillis()
-          != other.getExpiresAtMillis()) return false;
+      if (getNumber()
+          != other.getNumber()) return false;
+      if (!getContent()
+          .equals(other.getContent())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -35160,61 +37442,54 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + FINGERPRINT_FIELD_NUMBER;
-      hash = (53 * hash) + getFingerprint().hashCode();
-      if (getCrashesCount() > 0) {
-        hash = (37 * hash) + CRASHES_FIELD_NUMBER;
-        hash = (53 * hash) + getCrashesList().hashCode();
-      }
-      hash = (37 * hash) + QUARANTINED_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-          getQuarantined());
-      hash = (37 * hash) + EXPIRES_AT_MILLIS_FIELD_NUMBER;
+      hash = (37 * hash) + NUMBER_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getExpiresAtMillis());
+          getNumber());
+      hash = (37 * hash) + CONTENT_FIELD_NUMBER;
+      hash = (53 * hash) + getContent().hashCode();
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.CrashState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.DocumentState parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.CrashState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.DocumentState parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.CrashState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.DocumentState parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.CrashState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.DocumentState parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.CrashState parseFrom(byte[] data)
+    public static org.borageproxy.wire.proto.ControlProtocol.DocumentState parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.CrashState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.DocumentState parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.CrashState parseFrom(java.io.InputStream input)
+    public static org.borageproxy.wire.proto.ControlProtocol.DocumentState parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.CrashState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.DocumentState parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -35222,26 +37497,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.CrashState parseDelimitedFrom(java.io.InputStream input)
+    public static org.borageproxy.wire.proto.ControlProtocol.DocumentState parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.CrashState parseDelimitedFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.DocumentState parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.CrashState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.DocumentState parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.CrashState parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.DocumentState parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -35254,7 +37529,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.CrashState prototype) {
+    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.DocumentState prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -35270,26 +37545,26 @@
       return builder;
     }
     /**
-     * Protobuf type {@code borageproxy.control.CrashState}
+     * Protobuf type {@code borageproxy.control.DocumentState}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:borageproxy.control.CrashState)
-        org.borageproxy.wire.proto.ControlProtocol.CrashStateOrBuilder {
+        // @@protoc_insertion_point(builder_implements:borageproxy.control.DocumentState)
+        org.borageproxy.wire.proto.ControlProtocol.DocumentStateOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_CrashState_descriptor;
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_DocumentState_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_CrashState_fieldAccessorTable
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_DocumentState_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                org.borageproxy.wire.proto.ControlProtocol.CrashState.class, org.borageproxy.wire.proto.ControlProtocol.CrashState.Builder.class);
+                org.borageproxy.wire.proto.ControlProtocol.DocumentState.class, org.borageproxy.wire.proto.ControlProtocol.DocumentState.Builder.class);
       }
 
-      // Construct using org.borageproxy.wire.proto.ControlProtocol.CrashState.newBuilder()
+      // Construct using org.borageproxy.wire.proto.ControlProtocol.DocumentState.newBuilder()
       private Builder() {
 
       }
@@ -35303,28 +37578,25 @@
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        fingerprint_ = "";
-        crashes_ =
-            com.google.protobuf.LazyStringArrayList.emptyList();
-        quarantined_ = false;
-        expiresAtMillis_ = 0L;
+        number_ = 0L;
+        content_ = com.google.protobuf.ByteString.EMPTY;
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_CrashState_descriptor;
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_DocumentState_descriptor;
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.CrashState getDefaultInstanceForType() {
-        return org.borageproxy.wire.proto.ControlProtocol.CrashState.getDefaultInstance();
+      public org.borageproxy.wire.proto.ControlProtocol.DocumentState getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.DocumentState.getDefaultInstance();
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.CrashState build() {
-        org.borageproxy.wire.proto.ControlProtocol.CrashState result = buildPartial();
+      public org.borageproxy.wire.proto.ControlProtocol.DocumentState build() {
+        org.borageproxy.wire.proto.ControlProtocol.DocumentState result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -35332,62 +37604,40 @@
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.CrashState buildPartial() {
-        org.borageproxy.wire.proto.ControlProtocol.CrashState result = new org.borageproxy.wire.proto.ControlProtocol.CrashState(this);
+      public org.borageproxy.wire.proto.ControlProtocol.DocumentState buildPartial() {
+        org.borageproxy.wire.proto.ControlProtocol.DocumentState result = new org.borageproxy.wire.proto.ControlProtocol.DocumentState(this);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.CrashState result) {
+      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.DocumentState result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.fingerprint_ = fingerprint_;
+          result.number_ = number_;
         }
         if (((from_bitField0_ & 0x00000002) != 0)) {
-          crashes_.makeImmutable();
-          result.crashes_ = crashes_;
-        }
-        if (((from_bitField0_ & 0x00000004) != 0)) {
-          result.quarantined_ = quarantined_;
-        }
-        if (((from_bitField0_ & 0x00000008) != 0)) {
-          result.expiresAtMillis_ = expiresAtMillis_;
+          result.content_ = content_;
         }
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.CrashState) {
-          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.CrashState)other);
+        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.DocumentState) {
+          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.DocumentState)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.CrashState other) {
-        if (other == org.borageproxy.wire.proto.ControlProtocol.CrashState.getDefaultInstance()) return this;
-        if (!other.getFingerprint().isEmpty()) {
-          fingerprint_ = other.fingerprint_;
-          bitField0_ |= 0x00000001;
-          onChanged();
-        }
-        if (!other.crashes_.isEmpty()) {
-          if (crashes_.isEmpty()) {
-            crashes_ = other.crashes_;
-            bitField0_ |= 0x00000002;
-          } else {
-            ensureCrashesIsMutable();
-            crashes_.addAll(other.crashes_);
-          }
-          onChanged();
-        }
-        if (other.getQuarantined() != false) {
-          setQuarantined(other.getQuarantined());
+      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.DocumentState other) {
+        if (other == org.borageproxy.wire.proto.ControlProtocol.DocumentState.getDefaultInstance()) return this;
+        if (other.getNumber() != 0L) {
+          setNumber(other.getNumber());
         }
-        if (other.getExpiresAtMillis() != 0L) {
-          setExpiresAtMillis(other.getExpiresAtMillis());
+        if (!other.getContent().isEmpty()) {
+          setContent(other.getContent());
         }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
@@ -35415,26 +37665,16 @@
               case 0:
                 done = true;
                 break;
-              case 10: {
-                fingerprint_ = input.readStringRequireUtf8();
+              case 8: {
+                number_ = input.readUInt64();
                 bitField0_ |= 0x00000001;
                 break;
-              } // case 10
+              } // case 8
               case 18: {
-                ensureCrashesIsMutable();
-                crashes_.add(input.readStringRequireUtf8());
+                content_ = input.readBytes();
+                bitField0_ |= 0x00000002;
                 break;
               } // case 18
-              case 24: {
-                quarantined_ = input.readBool();
-                bitField0_ |= 0x00000004;
-                break;
-              } // case 24
-              case 32: {
-                expiresAtMillis_ = input.readInt64();
-                bitField0_ |= 0x00000008;
-                break;
-              } // case 32
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -35452,306 +37692,87 @@
       }
       private int bitField0_;
 
-      private java.lang.Object fingerprint_ = "";
-      /**
-       * <code>string fingerprint = 1;</code>
-       * @return The fingerprint.
-       */
-      public java.lang.String getFingerprint() {
-        java.lang.Object ref = fingerprint_;
-        if (!(ref instanceof java.lang.String)) {
-          com.google.protobuf.ByteString bs =
-              (com.google.protobuf.ByteString) ref;
-          java.lang.String s = bs.toStringUtf8();
-          fingerprint_ = s;
-          return s;
-        } else {
-          return (java.lang.String) ref;
-        }
-      }
+      private long number_ ;
       /**
-       * <code>string fingerprint = 1;</code>
-       * @return The bytes for fingerprint.
+       * <code>uint64 number = 1;</code>
+       * @return The number.
        */
-      public com.google.protobuf.ByteString
-          getFingerprintBytes() {
-        java.lang.Object ref = fingerprint_;
-        if (ref instanceof String) {
-          com.google.protobuf.ByteString b = 
-              com.google.protobuf.ByteString.copyFromUtf8(
-                  (java.lang.String) ref);
-          fingerprint_ = b;
-          return b;
-        } else {
-          return (com.google.protobuf.ByteString) ref;
-        }
+      @java.lang.Override
+      public long getNumber() {
+        return number_;
       }
       /**
-       * <code>string fingerprint = 1;</code>
-       * @param value The fingerprint to set.
+       * <code>uint64 number = 1;</code>
+       * @param value The number to set.
        * @return This builder for chaining.
        */
-      public Builder setFingerprint(
-          java.lang.String value) {
-        if (value == null) { throw new NullPointerException(); }
-        fingerprint_ = value;
+      public Builder setNumber(long value) {
+
+        number_ = value;
         bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
       /**
-       * <code>string fingerprint = 1;</code>
+       * <code>uint64 number = 1;</code>
        * @return This builder for chaining.
        */
-      public Builder clearFingerprint() {
-        fingerprint_ = getDefaultInstance().getFingerprint();
+      public Builder clearNumber() {
         bitField0_ = (bitField0_ & ~0x00000001);
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>string fingerprint = 1;</code>
-       * @param value The bytes for fingerprint to set.
-       * @return This builder for chaining.
-       */
-      public Builder setFingerprintBytes(
-          com.google.protobuf.ByteString value) {
-        if (value == null) { throw new NullPointerException(); }
-        checkByteStringIsUtf8(value);
-        fingerprint_ = value;
-        bitField0_ |= 0x00000001;
+        number_ = 0L;
         onChanged();
         return this;
       }
 
-      private com.google.protobuf.LazyStringArrayList crashes_ =
-          com.google.protobuf.LazyStringArrayList.emptyList();
-      private void ensureCrashesIsMutable() {
-        if (!crashes_.isModifiable()) {
-          crashes_ = new com.google.protobuf.LazyStringArrayList(crashes_);
-        }
-        bitField0_ |= 0x00000002;
-      }
+      private com.google.protobuf.ByteString content_ = com.google.protobuf.ByteString.EMPTY;
       /**
-       * <pre>
-       * Backend server and incarnation of each crash, joined by an &#64; sign.
-       * </pre>
-       *
-       * <code>repeated string crashes = 2;</code>
-       * @return A list containing the crashes.
-       */
-      public com.google.protobuf.ProtocolStringList
-          getCrashesList() {
-        crashes_.makeImmutable();
-        return crashes_;
-      }
-      /**
-       * <pre>
-       * Backend server and incarnation of each crash, joined by an &#64; sign.
-       * </pre>
-       *
-       * <code>repeated string crashes = 2;</code>
-       * @return The count of crashes.
+       * <code>bytes content = 2;</code>
+       * @return The content.
        */
-      public int getCrashesCount() {
-        return crashes_.size();
-      }
-      /**
-       * <pre>
-       * Backend server and incarnation of each crash, joined by an &#64; sign.
-       * </pre>
-       *
-       * <code>repeated string crashes = 2;</code>
-       * @param index The index of the element to return.
-       * @return The crashes at the given index.
-       */
-      public java.lang.String getCrashes(int index) {
-        return crashes_.get(index);
-      }
-      /**
-       * <pre>
-       * Backend server and incarnation of each crash, joined by an &#64; sign.
-       * </pre>
-       *
-       * <code>repeated string crashes = 2;</code>
-       * @param index The index of the value to return.
-       * @return The bytes of the crashes at the given index.
-       */
-      public com.google.protobuf.ByteString
-          getCrashesBytes(int index) {
-        return crashes_.getByteString(index);
-      }
-      /**
-       * <pre>
-       * Backend server and incarnation of each crash, joined by an &#64; sign.
-       * </pre>
-       *
-       * <code>repeated string crashes = 2;</code>
-       * @param index The index to set the value at.
-       * @param value The crashes to set.
-       * @return This builder for chaining.
-       */
-      public Builder setCrashes(
-          int index, java.lang.String value) {
-        if (value == null) { throw new NullPointerException(); }
-        ensureCrashesIsMutable();
-        crashes_.set(index, value);
-        bitField0_ |= 0x00000002;
-        onChanged();
-        return this;
-      }
-      /**
-       * <pre>
-       * Backend server and incarnation of each crash, joined by an &#64; sign.
-       * </pre>
-       *
-       * <code>repeated string crashes = 2;</code>
-       * @param value The crashes to add.
-       * @return This builder for chaining.
-       */
-      public Builder addCrashes(
-          java.lang.String value) {
-        if (value == null) { throw new NullPointerException(); }
-        ensureCrashesIsMutable();
-        crashes_.add(value);
-        bitField0_ |= 0x00000002;
-        onChanged();
-        return this;
-      }
-      /**
-       * <pre>
-       * Backend server and incarnation of each crash, joined by an &#64; sign.
-       * </pre>
-       *
-       * <code>repeated string crashes = 2;</code>
-       * @param values The crashes to add.
-       * @return This builder for chaining.
-       */
-      public Builder addAllCrashes(
-          java.lang.Iterable<java.lang.String> values) {
-        ensureCrashesIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, crashes_);
-        bitField0_ |= 0x00000002;
-        onChanged();
-        return this;
-      }
-      /**
-       * <pre>
-       * Backend server and incarnation of each crash, joined by an &#64; sign.
-       * </pre>
-       *
-       * <code>repeated string crashes = 2;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearCrashes() {
-        crashes_ =
-          com.google.protobuf.LazyStringArrayList.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000002);;
-        onChanged();
-        return this;
+      @java.lang.Override
+      public com.google.protobuf.ByteString getContent() {
+        return content_;
       }
       /**
-       * <pre>
-       * Backend server and incarnation of each crash, joined by an &#64; sign.
-       * </pre>
-       *
-       * <code>repeated string crashes = 2;</code>
-       * @param value The bytes of the crashes to add.
+       * <code>bytes content = 2;</code>
+       * @param value The content to set.
        * @return This builder for chaining.
        */
-      public Builder addCrashesBytes(
-          com.google.protobuf.ByteString value) {
+      public Builder setContent(com.google.protobuf.ByteString value) {
         if (value == null) { throw new NullPointerException(); }
-        checkByteStringIsUtf8(value);
-        ensureCrashesIsMutable();
-        crashes_.add(value);
+        content_ = value;
         bitField0_ |= 0x00000002;
         onChanged();
         return this;
       }
-
-      private boolean quarantined_ ;
-      /**
-       * <code>bool quarantined = 3;</code>
-       * @return The quarantined.
-       */
-      @java.lang.Override
-      public boolean getQuarantined() {
-        return quarantined_;
-      }
-      /**
-       * <code>bool quarantined = 3;</code>
-       * @param value The quarantined to set.
-       * @return This builder for chaining.
-       */
-      public Builder setQuarantined(boolean value) {
-
-        quarantined_ = value;
-        bitField0_ |= 0x00000004;
-        onChanged();
-        return this;
-      }
       /**
-       * <code>bool quarantined = 3;</code>
+       * <code>bytes content = 2;</code>
        * @return This builder for chaining.
        */
-      public Builder clearQuarantined() {
-        bitField0_ = (bitField0_ & ~0x00000004);
-        quarantined_ = false;
-        onChanged();
-        return this;
-      }
-
-      private long expiresAtMillis_ ;
-      /**
-       * <code>int64 expires_at_millis = 4;</code>
-       * @return The expiresAtMillis.
-       */
-      @java.lang.Override
-      public long getExpiresAtMillis() {
-        return expiresAtMillis_;
-      }
-      /**
-       * <code>int64 expires_at_millis = 4;</code>
-       * @param value The expiresAtMillis to set.
-       * @return This builder for chaining.
-       */
-      public Builder setExpiresAtMillis(long value) {
-
-        expiresAtMillis_ = value;
-        bitField0_ |= 0x00000008;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>int64 expires_at_millis = 4;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearExpiresAtMillis() {
-        bitField0_ = (bitField0_ & ~0x00000008);
-        expiresAtMillis_ = 0L;
+      public Builder clearContent() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        content_ = getDefaultInstance().getContent();
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:borageproxy.control.CrashState)
+      // @@protoc_insertion_point(builder_scope:borageproxy.control.DocumentState)
     }
 
-    // @@protoc_insertion_point(class_scope:borageproxy.control.CrashState)
-    private static final org.borageproxy.wire.proto.ControlProtocol.CrashState DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:borageproxy.control.DocumentState)
+    private static final org.borageproxy.wire.proto.ControlProtocol.DocumentState DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.CrashState();
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.DocumentState();
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.CrashState getDefaultInstance() {
+    public static org.borageproxy.wire.proto.ControlProtocol.DocumentState getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<CrashState>
-        PARSER = new com.google.protobuf.AbstractParser<CrashState>() {
+    private static final com.google.protobuf.Parser<DocumentState>
+        PARSER = new com.google.protobuf.AbstractParser<DocumentState>() {
       @java.lang.Override
-      public CrashState parsePartialFrom(
+      public DocumentState parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -35770,17 +37791,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<CrashState> parser() {
+    public static com.google.protobuf.Parser<DocumentState> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<CrashState> getParserForType() {
+    public com.google.protobuf.Parser<DocumentState> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.CrashState getDefaultInstanceForType() {
+    public org.borageproxy.wire.proto.ControlProtocol.DocumentState getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -37634,6 +39655,21 @@
      */
     boolean getRemoved();
 
+    /**
+     * <code>.borageproxy.control.DocumentState document = 9;</code>
+     * @return Whether the document field is set.
+     */
+    boolean hasDocument();
+    /**
+     * <code>.borageproxy.control.DocumentState document = 9;</code>
+     * @return The document.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.DocumentState getDocument();
+    /**
+     * <code>.borageproxy.control.DocumentState document = 9;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.DocumentStateOrBuilder getDocumentOrBuilder();
+
     org.borageproxy.wire.proto.ControlProtocol.Item.ValueCase getValueCase();
   }
   /**
@@ -37695,6 +39731,7 @@
       CRASH(6),
       VM(7),
       REMOVED(8),
+      DOCUMENT(9),
       VALUE_NOT_SET(0);
       private final int value;
       private ValueCase(int value) {
@@ -37718,6 +39755,7 @@
           case 6: return CRASH;
           case 7: return VM;
           case 8: return REMOVED;
+          case 9: return DOCUMENT;
           case 0: return VALUE_NOT_SET;
           default: return null;
         }
@@ -37959,6 +39997,37 @@
       return false;
     }
 
+    public static final int DOCUMENT_FIELD_NUMBER = 9;
+    /**
+     * <code>.borageproxy.control.DocumentState document = 9;</code>
+     * @return Whether the document field is set.
+     */
+    @java.lang.Override
+    public boolean hasDocument() {
+      return valueCase_ == 9;
+    }
+    /**
+     * <code>.borageproxy.control.DocumentState document = 9;</code>
+     * @return The document.
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.DocumentState getDocument() {
+      if (valueCase_ == 9) {
+         return (org.borageproxy.wire.proto.ControlProtocol.DocumentState) value_;
+      }
+      return org.borageproxy.wire.proto.ControlProtocol.DocumentState.getDefaultInstance();
+    }
+    /**
+     * <code>.borageproxy.control.DocumentState document = 9;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.DocumentStateOrBuilder getDocumentOrBuilder() {
+      if (valueCase_ == 9) {
+         return (org.borageproxy.wire.proto.ControlProtocol.DocumentState) value_;
+      }
+      return org.borageproxy.wire.proto.ControlProtocol.DocumentState.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -37998,6 +40067,9 @@
         output.writeBool(
             8, (boolean)((java.lang.Boolean) value_));
       }
+      if (valueCase_ == 9) {
+        output.writeMessage(9, (org.borageproxy.wire.proto.ControlProtocol.DocumentState) value_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -38039,6 +40111,10 @@
           .computeBoolSize(
               8, (boolean)((java.lang.Boolean) value_));
       }
+      if (valueCase_ == 9) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(9, (org.borageproxy.wire.proto.ControlProtocol.DocumentState) value_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -38084,6 +40160,10 @@
           if (getRemoved()
               != other.getRemoved()) return false;
           break;
+        case 9:
+          if (!getDocument()
+              .equals(other.getDocument())) return false;
+          break;
         case 0:
         default:
       }
@@ -38129,6 +40209,10 @@
           hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
               getRemoved());
           break;
+        case 9:
+          hash = (37 * hash) + DOCUMENT_FIELD_NUMBER;
+          hash = (53 * hash) + getDocument().hashCode();
+          break;
         case 0:
         default:
       }
@@ -38284,6 +40368,9 @@
         if (vmBuilder_ != null) {
           vmBuilder_.clear();
         }
+        if (documentBuilder_ != null) {
+          documentBuilder_.clear();
+        }
         valueCase_ = 0;
         value_ = null;
         return this;
@@ -38351,6 +40438,10 @@
             vmBuilder_ != null) {
           result.value_ = vmBuilder_.build();
         }
+        if (valueCase_ == 9 &&
+            documentBuilder_ != null) {
+          result.value_ = documentBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -38398,6 +40489,10 @@
             setRemoved(other.getRemoved());
             break;
           }
+          case DOCUMENT: {
+            mergeDocument(other.getDocument());
+            break;
+          }
           case VALUE_NOT_SET: {
             break;
           }
@@ -38478,6 +40573,13 @@
                 valueCase_ = 8;
                 break;
               } // case 64
+              case 74: {
+                input.readMessage(
+                    internalGetDocumentFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                valueCase_ = 9;
+                break;
+              } // case 74
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -39366,6 +41468,148 @@
         return this;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.DocumentState, org.borageproxy.wire.proto.ControlProtocol.DocumentState.Builder, org.borageproxy.wire.proto.ControlProtocol.DocumentStateOrBuilder> documentBuilder_;
+      /**
+       * <code>.borageproxy.control.DocumentState document = 9;</code>
+       * @return Whether the document field is set.
+       */
+      @java.lang.Override
+      public boolean hasDocument() {
+        return valueCase_ == 9;
+      }
+      /**
+       * <code>.borageproxy.control.DocumentState document = 9;</code>
+       * @return The document.
+       */
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.DocumentState getDocument() {
+        if (documentBuilder_ == null) {
+          if (valueCase_ == 9) {
+            return (org.borageproxy.wire.proto.ControlProtocol.DocumentState) value_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.DocumentState.getDefaultInstance();
+        } else {
+          if (valueCase_ == 9) {
+            return documentBuilder_.getMessage();
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.DocumentState.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.borageproxy.control.DocumentState document = 9;</code>
+       */
+      public Builder setDocument(org.borageproxy.wire.proto.ControlProtocol.DocumentState value) {
+        if (documentBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          value_ = value;
+          onChanged();
+        } else {
+          documentBuilder_.setMessage(value);
+        }
+        valueCase_ = 9;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.DocumentState document = 9;</code>
+       */
+      public Builder setDocument(
+          org.borageproxy.wire.proto.ControlProtocol.DocumentState.Builder builderForValue) {
+        if (documentBuilder_ == null) {
+          value_ = builderForValue.build();
+          onChanged();
+        } else {
+          documentBuilder_.setMessage(builderForValue.build());
+        }
+        valueCase_ = 9;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.DocumentState document = 9;</code>
+       */
+      public Builder mergeDocument(org.borageproxy.wire.proto.ControlProtocol.DocumentState value) {
+        if (documentBuilder_ == null) {
+          if (valueCase_ == 9 &&
+              value_ != org.borageproxy.wire.proto.ControlProtocol.DocumentState.getDefaultInstance()) {
+            value_ = org.borageproxy.wire.proto.ControlProtocol.DocumentState.newBuilder((org.borageproxy.wire.proto.ControlProtocol.DocumentState) value_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            value_ = value;
+          }
+          onChanged();
+        } else {
+          if (valueCase_ == 9) {
+            documentBuilder_.mergeFrom(value);
+          } else {
+            documentBuilder_.setMessage(value);
+          }
+        }
+        valueCase_ = 9;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.DocumentState document = 9;</code>
+       */
+      public Builder clearDocument() {
+        if (documentBuilder_ == null) {
+          if (valueCase_ == 9) {
+            valueCase_ = 0;
+            value_ = null;
+            onChanged();
+          }
+        } else {
+          if (valueCase_ == 9) {
+            valueCase_ = 0;
+            value_ = null;
+          }
+          documentBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.DocumentState document = 9;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.DocumentState.Builder getDocumentBuilder() {
+        return internalGetDocumentFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.borageproxy.control.DocumentState document = 9;</code>
+       */
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.DocumentStateOrBuilder getDocumentOrBuilder() {
+        if ((valueCase_ == 9) && (documentBuilder_ != null)) {
+          return documentBuilder_.getMessageOrBuilder();
+        } else {
+          if (valueCase_ == 9) {
+            return (org.borageproxy.wire.proto.ControlProtocol.DocumentState) value_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.DocumentState.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.borageproxy.control.DocumentState document = 9;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.DocumentState, org.borageproxy.wire.proto.ControlProtocol.DocumentState.Builder, org.borageproxy.wire.proto.ControlProtocol.DocumentStateOrBuilder> 
+          internalGetDocumentFieldBuilder() {
+        if (documentBuilder_ == null) {
+          if (!(valueCase_ == 9)) {
+            value_ = org.borageproxy.wire.proto.ControlProtocol.DocumentState.getDefaultInstance();
+          }
+          documentBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.DocumentState, org.borageproxy.wire.proto.ControlProtocol.DocumentState.Builder, org.borageproxy.wire.proto.ControlProtocol.DocumentStateOrBuilder>(
+                  (org.borageproxy.wire.proto.ControlProtocol.DocumentState) value_,
+                  getParentForChildren(),
+                  isClean());
+          value_ = null;
+        }
+        valueCase_ = 9;
+        onChanged();
+        return documentBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.control.Item)
     }
 
@@ -50789,6 +53033,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_borageproxy_control_RemoveVm_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_borageproxy_control_PublishDocument_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_borageproxy_control_PublishDocument_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_borageproxy_control_VmRecord_descriptor;
   private static final 
@@ -50814,6 +53063,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_borageproxy_control_IdentityConflict_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_borageproxy_control_DocumentHeld_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_borageproxy_control_DocumentHeld_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_borageproxy_control_Missing_descriptor;
   private static final 
@@ -50879,6 +53133,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_borageproxy_control_CrashState_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_borageproxy_control_DocumentState_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_borageproxy_control_DocumentState_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_borageproxy_control_ChangeState_descriptor;
   private static final 
@@ -50954,7 +53213,7 @@
       "s\030\002 \001(\004\"p\n\rCommandAnswer\022+\n\005reply\030\001 \001(\0132" +
       "\032.borageproxy.control.ReplyH\000\022\024\n\nnot_lea" +
       "der\030\002 \001(\tH\000\022\021\n\007unknown\030\003 \001(\010H\000B\t\n\007outcom" +
-      "e\"\343\007\n\007Command\022\020\n\010identity\030\001 \001(\t\0224\n\napply" +
+      "e\"\245\010\n\007Command\022\020\n\010identity\030\001 \001(\t\0224\n\napply" +
       "_tree\030\002 \001(\0132\036.borageproxy.control.ApplyT" +
       "reeH\000\0221\n\010rollback\030\003 \001(\0132\035.borageproxy.co" +
       "ntrol.RollbackH\000\0224\n\ncreate_key\030\004 \001(\0132\036.b" +
@@ -50978,147 +53237,156 @@
       "sh\030\020 \001(\0132\037.borageproxy.control.ClearCras" +
       "hH\000\0226\n\013register_vm\030\021 \001(\0132\037.borageproxy.c" +
       "ontrol.RegisterVmH\000\0222\n\tremove_vm\030\022 \001(\0132\035" +
-      ".borageproxy.control.RemoveVmH\000B\006\n\004body\"" +
-      "s\n\tApplyTree\022\027\n\017change_identity\030\001 \001(\t\022\025\n" +
-      "\rbase_revision\030\002 \001(\004\022\020\n\010document\030\003 \001(\t\022\020" +
-      "\n\010operator\030\004 \001(\t\022\022\n\nonly_known\030\005 \001(\010\"a\n\010" +
-      "Rollback\022\027\n\017change_identity\030\001 \001(\t\022\025\n\rbas" +
-      "e_revision\030\002 \001(\004\022\023\n\013to_revision\030\003 \001(\004\022\020\n" +
-      "\010operator\030\004 \001(\t\"o\n\tCreateKey\022\027\n\017change_i" +
-      "dentity\030\001 \001(\t\022\024\n\014key_identity\030\002 \001(\t\022\016\n\006d" +
-      "igest\030\003 \001(\t\022\021\n\tworkspace\030\004 \001(\t\022\020\n\010operat" +
-      "or\030\005 \001(\t\"#\n\013WithdrawKey\022\024\n\014key_identity\030" +
-      "\001 \001(\t\"\203\001\n\005Claim\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017id" +
-      "empotency_key\030\002 \001(\t\022\016\n\006digest\030\003 \001(\t\022\031\n\021c" +
-      "reated_at_millis\030\004 \001(\003\022\016\n\006holder\030\005 \001(\t\022\023" +
-      "\n\013hold_millis\030\006 \001(\003\"w\n\rCompleteClaim\022\021\n\t" +
-      "workspace\030\001 \001(\t\022\027\n\017idempotency_key\030\002 \001(\t" +
-      "\022\r\n\005epoch\030\003 \001(\003\022+\n\006answer\030\004 \001(\0132\033.borage" +
-      "proxy.control.Answer\"E\n\010EndClaim\022\021\n\twork" +
-      "space\030\001 \001(\t\022\027\n\017idempotency_key\030\002 \001(\t\022\r\n\005" +
-      "epoch\030\003 \001(\003\"<\n\006Answer\022\016\n\006status\030\001 \001(\005\022\024\n" +
-      "\014content_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"V\n\014Acq" +
-      "uireLease\022\014\n\004duty\030\001 \001(\t\022\016\n\006holder\030\002 \001(\t\022" +
-      "\017\n\007session\030\003 \001(\t\022\027\n\017expired_renewal\030\004 \001(" +
-      "\004\"U\n\014ReleaseLease\022\014\n\004duty\030\001 \001(\t\022\017\n\007sessi" +
-      "on\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\022\027\n\017expired_renew" +
-      "al\030\004 \001(\004\"\276\001\n\014IntentRecord\022\016\n\006number\030\001 \001(" +
-      "\003\022\r\n\005epoch\030\002 \001(\003\022\016\n\006server\030\003 \001(\t\022\023\n\013inca" +
-      "rnation\030\004 \001(\003\022\023\n\013accelerator\030\005 \001(\t\022\016\n\006ac" +
-      "tion\030\006 \001(\005\022\r\n\005model\030\007 \001(\t\022\017\n\007version\030\010 \001" +
-      "(\t\022\017\n\007adapter\030\t \001(\t\022\024\n\014memory_bytes\030\n \001(" +
-      "\003\"A\n\014RecordIntent\0221\n\006intent\030\001 \001(\0132!.bora" +
-      "geproxy.control.IntentRecord\"0\n\016ResolveI" +
-      "ntents\022\r\n\005epoch\030\001 \001(\003\022\017\n\007numbers\030\002 \003(\003\"\r" +
-      "\n\013ReadIntents\"V\n\013ReportCrash\022\023\n\013fingerpr" +
-      "int\030\001 \001(\t\022\016\n\006server\030\002 \001(\t\022\023\n\013incarnation" +
-      "\030\003 \001(\003\022\r\n\005alone\030\004 \001(\010\"!\n\nClearCrash\022\023\n\013f" +
-      "ingerprint\030\001 \001(\t\"7\n\nRegisterVm\022)\n\002vm\030\001 \001" +
-      "(\0132\035.borageproxy.control.VmRecord\"\030\n\010Rem" +
-      "oveVm\022\014\n\004name\030\001 \001(\t\"B\n\010VmRecord\022\014\n\004name\030" +
-      "\001 \001(\t\022\014\n\004zone\030\002 \001(\t\022\014\n\004host\030\003 \001(\t\022\014\n\004por" +
-      "t\030\004 \001(\005\"\205\005\n\005Reply\0221\n\010accepted\030\001 \001(\0132\035.bo" +
-      "rageproxy.control.AcceptedH\000\022>\n\017change_c" +
-      "onflict\030\002 \001(\0132#.borageproxy.control.Chan" +
-      "geConflictH\000\022B\n\021identity_conflict\030\003 \001(\0132" +
-      "%.borageproxy.control.IdentityConflictH\000" +
-      "\022/\n\007missing\030\004 \001(\0132\034.borageproxy.control." +
-      "MissingH\000\0220\n\005claim\030\005 \001(\0132\037.borageproxy.c" +
-      "ontrol.ClaimReplyH\000\0220\n\005lease\030\006 \001(\0132\037.bor" +
-      "ageproxy.control.LeaseReplyH\000\0223\n\006intent\030" +
-      "\007 \001(\0132!.borageproxy.control.IntentRecord" +
-      "H\000\022-\n\006fenced\030\010 \001(\0132\033.borageproxy.control" +
-      ".FencedH\000\022/\n\007intents\030\t \001(\0132\034.borageproxy" +
-      ".control.IntentsH\000\0220\n\005crash\030\n \001(\0132\037.bora" +
-      "geproxy.control.CrashReplyH\000\022)\n\004done\030\013 \001" +
-      "(\0132\031.borageproxy.control.DoneH\000\0226\n\013key_c" +
-      "reated\030\014 \001(\0132\037.borageproxy.control.KeyCr" +
-      "eatedH\000B\006\n\004body\"\034\n\010Accepted\022\020\n\010revision\030" +
-      "\001 \001(\004\":\n\016ChangeConflict\022\030\n\020current_revis" +
-      "ion\030\001 \001(\004\022\016\n\006holder\030\002 \001(\t\"4\n\020IdentityCon" +
-      "flict\022\016\n\006holder\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\"" +
-      "\t\n\007Missing\"\006\n\004Done\"\037\n\006Fenced\022\025\n\rcurrent_" +
-      "epoch\030\001 \001(\003\"J\n\nKeyCreated\022\020\n\010revision\030\001 " +
-      "\001(\004\022*\n\003key\030\002 \001(\0132\035.borageproxy.control.K" +
-      "eyState\"\351\001\n\nClaimReply\022:\n\010decision\030\001 \001(\016" +
-      "2(.borageproxy.control.ClaimReply.Decisi" +
-      "on\022\r\n\005epoch\030\002 \001(\003\022+\n\006answer\030\003 \001(\0132\033.bora" +
-      "geproxy.control.Answer\"c\n\010Decision\022\013\n\007GR" +
-      "ANTED\020\000\022\014\n\010ANSWERED\020\001\022\017\n\013IN_PROGRESS\020\002\022\020" +
-      "\n\014MAY_HAVE_RUN\020\003\022\014\n\010CONFLICT\020\004\022\013\n\007TOO_OL" +
-      "D\020\005\"<\n\nLeaseReply\022\017\n\007granted\030\001 \001(\010\022\016\n\006ho" +
-      "lder\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\"=\n\007Intents\0222\n\007" +
-      "intents\030\001 \003(\0132!.borageproxy.control.Inte" +
-      "ntRecord\"\037\n\nCrashReply\022\021\n\tsuspicion\030\001 \001(" +
-      "\005\"R\n\010KeyState\022\020\n\010identity\030\001 \001(\t\022\016\n\006diges" +
-      "t\030\002 \001(\t\022\021\n\tworkspace\030\003 \001(\t\022\021\n\twithdrawn\030" +
-      "\004 \001(\010\"v\n\tTreeState\022\020\n\010revision\030\001 \001(\004\022\020\n\010" +
-      "document\030\002 \001(\t\022\027\n\017change_identity\030\003 \001(\t\022" +
-      "\020\n\010operator\030\004 \001(\t\022\032\n\022accepted_at_millis\030" +
-      "\005 \001(\003\"i\n\nLeaseState\022\014\n\004duty\030\001 \001(\t\022\016\n\006hol" +
-      "der\030\002 \001(\t\022\017\n\007session\030\003 \001(\t\022\r\n\005epoch\030\004 \001(" +
-      "\003\022\017\n\007renewal\030\005 \001(\004\022\014\n\004free\030\006 \001(\010\"\304\002\n\nCla" +
-      "imState\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017idempotenc" +
-      "y_key\030\002 \001(\t\022\016\n\006digest\030\003 \001(\t\022\016\n\006holder\030\004 " +
-      "\001(\t\022\r\n\005epoch\030\005 \001(\003\0224\n\005phase\030\006 \001(\0162%.bora" +
-      "geproxy.control.ClaimState.Phase\022\031\n\021held" +
-      "_until_millis\030\007 \001(\003\022\031\n\021expires_at_millis" +
-      "\030\010 \001(\003\022+\n\006answer\030\t \001(\0132\033.borageproxy.con" +
-      "trol.Answer\"B\n\005Phase\022\013\n\007CLAIMED\020\000\022\014\n\010ANS" +
-      "WERED\020\001\022\020\n\014MAY_HAVE_RUN\020\002\022\014\n\010RELEASED\020\003\"" +
-      "b\n\nCrashState\022\023\n\013fingerprint\030\001 \001(\t\022\017\n\007cr" +
-      "ashes\030\002 \003(\t\022\023\n\013quarantined\030\003 \001(\010\022\031\n\021expi" +
-      "res_at_millis\030\004 \001(\003\"l\n\013ChangeState\022\020\n\010id" +
-      "entity\030\001 \001(\t\022\016\n\006digest\030\002 \001(\014\022\020\n\010operator" +
-      "\030\003 \001(\t\022)\n\005reply\030\004 \001(\0132\032.borageproxy.cont" +
-      "rol.Reply\"a\n\017RememberedReply\022\020\n\010identity" +
-      "\030\001 \001(\t\022\021\n\tat_millis\030\002 \001(\003\022)\n\005reply\030\003 \001(\013" +
-      "2\032.borageproxy.control.Reply\"\260\002\n\004Item\022\014\n" +
-      "\004name\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\022.\n\004tree\030\003 \001" +
-      "(\0132\036.borageproxy.control.TreeStateH\000\022,\n\003" +
-      "key\030\004 \001(\0132\035.borageproxy.control.KeyState" +
-      "H\000\0220\n\005lease\030\005 \001(\0132\037.borageproxy.control." +
-      "LeaseStateH\000\0220\n\005crash\030\006 \001(\0132\037.borageprox" +
-      "y.control.CrashStateH\000\022+\n\002vm\030\007 \001(\0132\035.bor" +
-      "ageproxy.control.VmRecordH\000\022\021\n\007removed\030\010" +
-      " \001(\010H\000B\007\n\005value\"\302\004\n\017ControlSnapshot\022\017\n\007v" +
-      "ersion\030\001 \001(\004\022\020\n\010revision\030\002 \001(\004\022/\n\007histor" +
-      "y\030\004 \003(\0132\036.borageproxy.control.TreeState\022" +
-      "+\n\004keys\030\005 \003(\0132\035.borageproxy.control.KeyS" +
-      "tate\0221\n\007changes\030\006 \003(\0132 .borageproxy.cont" +
-      "rol.ChangeState\0225\n\007replies\030\007 \003(\0132$.borag" +
-      "eproxy.control.RememberedReply\022/\n\006claims" +
-      "\030\010 \003(\0132\037.borageproxy.control.ClaimState\022" +
-      "\030\n\020last_claim_epoch\030\t \001(\003\022/\n\006leases\030\n \003(" +
-      "\0132\037.borageproxy.control.LeaseState\0222\n\007in" +
-      "tents\030\013 \003(\0132!.borageproxy.control.Intent" +
-      "Record\022\032\n\022last_intent_number\030\014 \001(\003\0220\n\007cr" +
-      "ashes\030\r \003(\0132\037.borageproxy.control.CrashS" +
-      "tate\022(\n\005items\030\016 \003(\0132\031.borageproxy.contro" +
-      "l.Item\022\026\n\016removals_since\030\017 \001(\004J\004\010\003\020\004\"\241\002\n" +
-      "\014WatchRequest\022+\n\005watch\030\001 \001(\0132\032.boragepro" +
-      "xy.control.WatchH\000\0226\n\013read_served\030\002 \001(\0132" +
-      "\037.borageproxy.control.ReadServedH\000\0222\n\tre" +
-      "ad_tree\030\003 \001(\0132\035.borageproxy.control.Read" +
-      "TreeH\000\022<\n\016read_revisions\030\004 \001(\0132\".boragep" +
-      "roxy.control.ReadRevisionsH\000\0222\n\tread_key" +
-      "s\030\005 \001(\0132\035.borageproxy.control.ReadKeysH\000" +
-      "B\006\n\004body\"q\n\005Watch\022)\n\002vm\030\001 \001(\0132\035.boragepr" +
-      "oxy.control.VmRecord\022\017\n\007version\030\002 \001(\004\022\027\n" +
-      "\017served_revision\030\003 \001(\004\022\023\n\013wait_millis\030\004 " +
-      "\001(\r\"\014\n\nReadServed\"\034\n\010ReadTree\022\020\n\010revisio" +
-      "n\030\001 \001(\004\"\017\n\rReadRevisions\"\n\n\010ReadKeys\"\266\002\n" +
-      "\013WatchAnswer\022\021\n\tconfirmed\030\001 \001(\010\022\017\n\007versi" +
-      "on\030\002 \001(\004\022\020\n\010revision\030\003 \001(\004\022\014\n\004full\030\004 \001(\010" +
-      "\022(\n\005items\030\005 \003(\0132\031.borageproxy.control.It" +
-      "em\022+\n\006served\030\006 \003(\0132\033.borageproxy.control" +
-      ".Served\022,\n\004tree\030\007 \001(\0132\036.borageproxy.cont" +
-      "rol.TreeState\0221\n\trevisions\030\010 \003(\0132\036.borag" +
-      "eproxy.control.TreeState\022+\n\004keys\030\t \003(\0132\035" +
-      ".borageproxy.control.KeyState\"H\n\006Served\022" +
-      "\n\n\002vm\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\022\n\nage_mil" +
-      "lis\030\003 \001(\004\022\014\n\004zone\030\004 \001(\tB-\n\032org.boragepro" +
-      "xy.wire.protoB\017ControlProtocolb\006proto3"
+      ".borageproxy.control.RemoveVmH\000\022@\n\020publi" +
+      "sh_document\030\023 \001(\0132$.borageproxy.control." +
+      "PublishDocumentH\000B\006\n\004body\"s\n\tApplyTree\022\027" +
+      "\n\017change_identity\030\001 \001(\t\022\025\n\rbase_revision" +
+      "\030\002 \001(\004\022\020\n\010document\030\003 \001(\t\022\020\n\010operator\030\004 \001" +
+      "(\t\022\022\n\nonly_known\030\005 \001(\010\"a\n\010Rollback\022\027\n\017ch" +
+      "ange_identity\030\001 \001(\t\022\025\n\rbase_revision\030\002 \001" +
+      "(\004\022\023\n\013to_revision\030\003 \001(\004\022\020\n\010operator\030\004 \001(" +
+      "\t\"o\n\tCreateKey\022\027\n\017change_identity\030\001 \001(\t\022" +
+      "\024\n\014key_identity\030\002 \001(\t\022\016\n\006digest\030\003 \001(\t\022\021\n" +
+      "\tworkspace\030\004 \001(\t\022\020\n\010operator\030\005 \001(\t\"#\n\013Wi" +
+      "thdrawKey\022\024\n\014key_identity\030\001 \001(\t\"\203\001\n\005Clai" +
+      "m\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017idempotency_key\030" +
+      "\002 \001(\t\022\016\n\006digest\030\003 \001(\t\022\031\n\021created_at_mill" +
+      "is\030\004 \001(\003\022\016\n\006holder\030\005 \001(\t\022\023\n\013hold_millis\030" +
+      "\006 \001(\003\"w\n\rCompleteClaim\022\021\n\tworkspace\030\001 \001(" +
+      "\t\022\027\n\017idempotency_key\030\002 \001(\t\022\r\n\005epoch\030\003 \001(" +
+      "\003\022+\n\006answer\030\004 \001(\0132\033.borageproxy.control." +
+      "Answer\"E\n\010EndClaim\022\021\n\tworkspace\030\001 \001(\t\022\027\n" +
+      "\017idempotency_key\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\"<\n" +
+      "\006Answer\022\016\n\006status\030\001 \001(\005\022\024\n\014content_type\030" +
+      "\002 \001(\t\022\014\n\004body\030\003 \001(\014\"V\n\014AcquireLease\022\014\n\004d" +
+      "uty\030\001 \001(\t\022\016\n\006holder\030\002 \001(\t\022\017\n\007session\030\003 \001" +
+      "(\t\022\027\n\017expired_renewal\030\004 \001(\004\"U\n\014ReleaseLe" +
+      "ase\022\014\n\004duty\030\001 \001(\t\022\017\n\007session\030\002 \001(\t\022\r\n\005ep" +
+      "och\030\003 \001(\003\022\027\n\017expired_renewal\030\004 \001(\004\"\276\001\n\014I" +
+      "ntentRecord\022\016\n\006number\030\001 \001(\003\022\r\n\005epoch\030\002 \001" +
+      "(\003\022\016\n\006server\030\003 \001(\t\022\023\n\013incarnation\030\004 \001(\003\022" +
+      "\023\n\013accelerator\030\005 \001(\t\022\016\n\006action\030\006 \001(\005\022\r\n\005" +
+      "model\030\007 \001(\t\022\017\n\007version\030\010 \001(\t\022\017\n\007adapter\030" +
+      "\t \001(\t\022\024\n\014memory_bytes\030\n \001(\003\"A\n\014RecordInt" +
+      "ent\0221\n\006intent\030\001 \001(\0132!.borageproxy.contro" +
+      "l.IntentRecord\"0\n\016ResolveIntents\022\r\n\005epoc" +
+      "h\030\001 \001(\003\022\017\n\007numbers\030\002 \003(\003\"\r\n\013ReadIntents\"" +
+      "V\n\013ReportCrash\022\023\n\013fingerprint\030\001 \001(\t\022\016\n\006s" +
+      "erver\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\003\022\r\n\005alon" +
+      "e\030\004 \001(\010\"!\n\nClearCrash\022\023\n\013fingerprint\030\001 \001" +
+      "(\t\"7\n\nRegisterVm\022)\n\002vm\030\001 \001(\0132\035.boragepro" +
+      "xy.control.VmRecord\"\030\n\010RemoveVm\022\014\n\004name\030" +
+      "\001 \001(\t\"2\n\017PublishDocument\022\016\n\006number\030\001 \001(\004" +
+      "\022\017\n\007content\030\002 \001(\014\"S\n\010VmRecord\022\014\n\004name\030\001 " +
+      "\001(\t\022\014\n\004zone\030\002 \001(\t\022\014\n\004host\030\003 \001(\t\022\014\n\004port\030" +
+      "\004 \001(\005\022\017\n\007control\030\005 \001(\010\"\301\005\n\005Reply\0221\n\010acce" +
+      "pted\030\001 \001(\0132\035.borageproxy.control.Accepte" +
+      "dH\000\022>\n\017change_conflict\030\002 \001(\0132#.boragepro" +
+      "xy.control.ChangeConflictH\000\022B\n\021identity_" +
+      "conflict\030\003 \001(\0132%.borageproxy.control.Ide" +
+      "ntityConflictH\000\022/\n\007missing\030\004 \001(\0132\034.borag" +
+      "eproxy.control.MissingH\000\0220\n\005claim\030\005 \001(\0132" +
+      "\037.borageproxy.control.ClaimReplyH\000\0220\n\005le" +
+      "ase\030\006 \001(\0132\037.borageproxy.control.LeaseRep" +
+      "lyH\000\0223\n\006intent\030\007 \001(\0132!.borageproxy.contr" +
+      "ol.IntentRecordH\000\022-\n\006fenced\030\010 \001(\0132\033.bora" +
+      "geproxy.control.FencedH\000\022/\n\007intents\030\t \001(" +
+      "\0132\034.borageproxy.control.IntentsH\000\0220\n\005cra" +
+      "sh\030\n \001(\0132\037.borageproxy.control.CrashRepl" +
+      "yH\000\022)\n\004done\030\013 \001(\0132\031.borageproxy.control." +
+      "DoneH\000\0226\n\013key_created\030\014 \001(\0132\037.borageprox" +
+      "y.control.KeyCreatedH\000\022:\n\rdocument_held\030" +
+      "\r \001(\0132!.borageproxy.control.DocumentHeld" +
+      "H\000B\006\n\004body\"\034\n\010Accepted\022\020\n\010revision\030\001 \001(\004" +
+      "\":\n\016ChangeConflict\022\030\n\020current_revision\030\001" +
+      " \001(\004\022\016\n\006holder\030\002 \001(\t\"4\n\020IdentityConflict" +
+      "\022\016\n\006holder\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\"\036\n\014Do" +
+      "cumentHeld\022\016\n\006number\030\001 \001(\004\"\t\n\007Missing\"\006\n" +
+      "\004Done\"\037\n\006Fenced\022\025\n\rcurrent_epoch\030\001 \001(\003\"J" +
+      "\n\nKeyCreated\022\020\n\010revision\030\001 \001(\004\022*\n\003key\030\002 " +
+      "\001(\0132\035.borageproxy.control.KeyState\"\351\001\n\nC" +
+      "laimReply\022:\n\010decision\030\001 \001(\0162(.borageprox" +
+      "y.control.ClaimReply.Decision\022\r\n\005epoch\030\002" +
+      " \001(\003\022+\n\006answer\030\003 \001(\0132\033.borageproxy.contr" +
+      "ol.Answer\"c\n\010Decision\022\013\n\007GRANTED\020\000\022\014\n\010AN" +
+      "SWERED\020\001\022\017\n\013IN_PROGRESS\020\002\022\020\n\014MAY_HAVE_RU" +
+      "N\020\003\022\014\n\010CONFLICT\020\004\022\013\n\007TOO_OLD\020\005\"<\n\nLeaseR" +
+      "eply\022\017\n\007granted\030\001 \001(\010\022\016\n\006holder\030\002 \001(\t\022\r\n" +
+      "\005epoch\030\003 \001(\003\"=\n\007Intents\0222\n\007intents\030\001 \003(\013" +
+      "2!.borageproxy.control.IntentRecord\"\037\n\nC" +
+      "rashReply\022\021\n\tsuspicion\030\001 \001(\005\"R\n\010KeyState" +
+      "\022\020\n\010identity\030\001 \001(\t\022\016\n\006digest\030\002 \001(\t\022\021\n\two" +
+      "rkspace\030\003 \001(\t\022\021\n\twithdrawn\030\004 \001(\010\"v\n\tTree" +
+      "State\022\020\n\010revision\030\001 \001(\004\022\020\n\010document\030\002 \001(" +
+      "\t\022\027\n\017change_identity\030\003 \001(\t\022\020\n\010operator\030\004" +
+      " \001(\t\022\032\n\022accepted_at_millis\030\005 \001(\003\"i\n\nLeas" +
+      "eState\022\014\n\004duty\030\001 \001(\t\022\016\n\006holder\030\002 \001(\t\022\017\n\007" +
+      "session\030\003 \001(\t\022\r\n\005epoch\030\004 \001(\003\022\017\n\007renewal\030" +
+      "\005 \001(\004\022\014\n\004free\030\006 \001(\010\"\304\002\n\nClaimState\022\021\n\two" +
+      "rkspace\030\001 \001(\t\022\027\n\017idempotency_key\030\002 \001(\t\022\016" +
+      "\n\006digest\030\003 \001(\t\022\016\n\006holder\030\004 \001(\t\022\r\n\005epoch\030" +
+      "\005 \001(\003\0224\n\005phase\030\006 \001(\0162%.borageproxy.contr" +
+      "ol.ClaimState.Phase\022\031\n\021held_until_millis" +
+      "\030\007 \001(\003\022\031\n\021expires_at_millis\030\010 \001(\003\022+\n\006ans" +
+      "wer\030\t \001(\0132\033.borageproxy.control.Answer\"B" +
+      "\n\005Phase\022\013\n\007CLAIMED\020\000\022\014\n\010ANSWERED\020\001\022\020\n\014MA" +
+      "Y_HAVE_RUN\020\002\022\014\n\010RELEASED\020\003\"b\n\nCrashState" +
+      "\022\023\n\013fingerprint\030\001 \001(\t\022\017\n\007crashes\030\002 \003(\t\022\023" +
+      "\n\013quarantined\030\003 \001(\010\022\031\n\021expires_at_millis" +
+      "\030\004 \001(\003\"0\n\rDocumentState\022\016\n\006number\030\001 \001(\004\022" +
+      "\017\n\007content\030\002 \001(\014\"l\n\013ChangeState\022\020\n\010ident" +
+      "ity\030\001 \001(\t\022\016\n\006digest\030\002 \001(\014\022\020\n\010operator\030\003 " +
+      "\001(\t\022)\n\005reply\030\004 \001(\0132\032.borageproxy.control" +
+      ".Reply\"a\n\017RememberedReply\022\020\n\010identity\030\001 " +
+      "\001(\t\022\021\n\tat_millis\030\002 \001(\003\022)\n\005reply\030\003 \001(\0132\032." +
+      "borageproxy.control.Reply\"\350\002\n\004Item\022\014\n\004na" +
+      "me\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\022.\n\004tree\030\003 \001(\0132" +
+      "\036.borageproxy.control.TreeStateH\000\022,\n\003key" +
+      "\030\004 \001(\0132\035.borageproxy.control.KeyStateH\000\022" +
+      "0\n\005lease\030\005 \001(\0132\037.borageproxy.control.Lea" +
+      "seStateH\000\0220\n\005crash\030\006 \001(\0132\037.borageproxy.c" +
+      "ontrol.CrashStateH\000\022+\n\002vm\030\007 \001(\0132\035.borage" +
+      "proxy.control.VmRecordH\000\022\021\n\007removed\030\010 \001(" +
+      "\010H\000\0226\n\010document\030\t \001(\0132\".borageproxy.cont" +
+      "rol.DocumentStateH\000B\007\n\005value\"\302\004\n\017Control" +
+      "Snapshot\022\017\n\007version\030\001 \001(\004\022\020\n\010revision\030\002 " +
+      "\001(\004\022/\n\007history\030\004 \003(\0132\036.borageproxy.contr" +
+      "ol.TreeState\022+\n\004keys\030\005 \003(\0132\035.borageproxy" +
+      ".control.KeyState\0221\n\007changes\030\006 \003(\0132 .bor" +
+      "ageproxy.control.ChangeState\0225\n\007replies\030" +
+      "\007 \003(\0132$.borageproxy.control.RememberedRe" +
+      "ply\022/\n\006claims\030\010 \003(\0132\037.borageproxy.contro" +
+      "l.ClaimState\022\030\n\020last_claim_epoch\030\t \001(\003\022/" +
+      "\n\006leases\030\n \003(\0132\037.borageproxy.control.Lea" +
+      "seState\0222\n\007intents\030\013 \003(\0132!.borageproxy.c" +
+      "ontrol.IntentRecord\022\032\n\022last_intent_numbe" +
+      "r\030\014 \001(\003\0220\n\007crashes\030\r \003(\0132\037.borageproxy.c" +
+      "ontrol.CrashState\022(\n\005items\030\016 \003(\0132\031.borag" +
+      "eproxy.control.Item\022\026\n\016removals_since\030\017 " +
+      "\001(\004J\004\010\003\020\004\"\241\002\n\014WatchRequest\022+\n\005watch\030\001 \001(" +
+      "\0132\032.borageproxy.control.WatchH\000\0226\n\013read_" +
+      "served\030\002 \001(\0132\037.borageproxy.control.ReadS" +
+      "ervedH\000\0222\n\tread_tree\030\003 \001(\0132\035.borageproxy" +
+      ".control.ReadTreeH\000\022<\n\016read_revisions\030\004 " +
+      "\001(\0132\".borageproxy.control.ReadRevisionsH" +
+      "\000\0222\n\tread_keys\030\005 \001(\0132\035.borageproxy.contr" +
+      "ol.ReadKeysH\000B\006\n\004body\"q\n\005Watch\022)\n\002vm\030\001 \001" +
+      "(\0132\035.borageproxy.control.VmRecord\022\017\n\007ver" +
+      "sion\030\002 \001(\004\022\027\n\017served_revision\030\003 \001(\004\022\023\n\013w" +
+      "ait_millis\030\004 \001(\r\"\014\n\nReadServed\"\034\n\010ReadTr" +
+      "ee\022\020\n\010revision\030\001 \001(\004\"\017\n\rReadRevisions\"\n\n" +
+      "\010ReadKeys\"\266\002\n\013WatchAnswer\022\021\n\tconfirmed\030\001" +
+      " \001(\010\022\017\n\007version\030\002 \001(\004\022\020\n\010revision\030\003 \001(\004\022" +
+      "\014\n\004full\030\004 \001(\010\022(\n\005items\030\005 \003(\0132\031.boragepro" +
+      "xy.control.Item\022+\n\006served\030\006 \003(\0132\033.borage" +
+      "proxy.control.Served\022,\n\004tree\030\007 \001(\0132\036.bor" +
+      "ageproxy.control.TreeState\0221\n\trevisions\030" +
+      "\010 \003(\0132\036.borageproxy.control.TreeState\022+\n" +
+      "\004keys\030\t \003(\0132\035.borageproxy.control.KeySta" +
+      "te\"H\n\006Served\022\n\n\002vm\030\001 \001(\t\022\020\n\010revision\030\002 \001" +
+      "(\004\022\022\n\nage_millis\030\003 \001(\004\022\014\n\004zone\030\004 \001(\tB-\n\032" +
+      "org.borageproxy.wire.protoB\017ControlProto" +
+      "colb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -51141,7 +53409,7 @@
     internal_static_borageproxy_control_Command_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Command_descriptor,
-        new java.lang.String[] { "Identity", "ApplyTree", "Rollback", "CreateKey", "WithdrawKey", "Claim", "CompleteClaim", "ReleaseClaim", "AbandonClaim", "AcquireLease", "ReleaseLease", "RecordIntent", "ResolveIntents", "ReadIntents", "ReportCrash", "ClearCrash", "RegisterVm", "RemoveVm", "Body", });
+        new java.lang.String[] { "Identity", "ApplyTree", "Rollback", "CreateKey", "WithdrawKey", "Claim", "CompleteClaim", "ReleaseClaim", "AbandonClaim", "AcquireLease", "ReleaseLease", "RecordIntent", "ResolveIntents", "ReadIntents", "ReportCrash", "ClearCrash", "RegisterVm", "RemoveVm", "PublishDocument", "Body", });
     internal_static_borageproxy_control_ApplyTree_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_borageproxy_control_ApplyTree_fieldAccessorTable = new
@@ -51250,182 +53518,200 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_RemoveVm_descriptor,
         new java.lang.String[] { "Name", });
-    internal_static_borageproxy_control_VmRecord_descriptor =
+    internal_static_borageproxy_control_PublishDocument_descriptor =
       getDescriptor().getMessageType(21);
+    internal_static_borageproxy_control_PublishDocument_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_borageproxy_control_PublishDocument_descriptor,
+        new java.lang.String[] { "Number", "Content", });
+    internal_static_borageproxy_control_VmRecord_descriptor =
+      getDescriptor().getMessageType(22);
     internal_static_borageproxy_control_VmRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_VmRecord_descriptor,
-        new java.lang.String[] { "Name", "Zone", "Host", "Port", });
+        new java.lang.String[] { "Name", "Zone", "Host", "Port", "Control", });
     internal_static_borageproxy_control_Reply_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(23);
     internal_static_borageproxy_control_Reply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Reply_descriptor,
-        new java.lang.String[] { "Accepted", "ChangeConflict", "IdentityConflict", "Missing", "Claim", "Lease", "Intent", "Fenced", "Intents", "Crash", "Done", "KeyCreated", "Body", });
+        new java.lang.String[] { "Accepted", "ChangeConflict", "IdentityConflict", "Missing", "Claim", "Lease", "Intent", "Fenced", "Intents", "Crash", "Done", "KeyCreated", "DocumentHeld", "Body", });
     internal_static_borageproxy_control_Accepted_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(24);
     internal_static_borageproxy_control_Accepted_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Accepted_descriptor,
         new java.lang.String[] { "Revision", });
     internal_static_borageproxy_control_ChangeConflict_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(25);
     internal_static_borageproxy_control_ChangeConflict_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ChangeConflict_descriptor,
         new java.lang.String[] { "CurrentRevision", "Holder", });
     internal_static_borageproxy_control_IdentityConflict_descriptor =
-      getDescriptor().getMessageType(25);
+      getDescriptor().getMessageType(26);
     internal_static_borageproxy_control_IdentityConflict_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_IdentityConflict_descriptor,
         new java.lang.String[] { "Holder", "Revision", });
+    internal_static_borageproxy_control_DocumentHeld_descriptor =
+      getDescriptor().getMessageType(27);
+    internal_static_borageproxy_control_DocumentHeld_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_borageproxy_control_DocumentHeld_descriptor,
+        new java.lang.String[] { "Number", });
     internal_static_borageproxy_control_Missing_descriptor =
-      getDescriptor().getMessageType(26);
+      getDescriptor().getMessageType(28);
     internal_static_borageproxy_control_Missing_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Missing_descriptor,
         new java.lang.String[] { });
     internal_static_borageproxy_control_Done_descriptor =
-      getDescriptor().getMessageType(27);
+      getDescriptor().getMessageType(29);
     internal_static_borageproxy_control_Done_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Done_descriptor,
         new java.lang.String[] { });
     internal_static_borageproxy_control_Fenced_descriptor =
-      getDescriptor().getMessageType(28);
+      getDescriptor().getMessageType(30);
     internal_static_borageproxy_control_Fenced_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Fenced_descriptor,
         new java.lang.String[] { "CurrentEpoch", });
     internal_static_borageproxy_control_KeyCreated_descriptor =
-      getDescriptor().getMessageType(29);
+      getDescriptor().getMessageType(31);
     internal_static_borageproxy_control_KeyCreated_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_KeyCreated_descriptor,
         new java.lang.String[] { "Revision", "Key", });
     internal_static_borageproxy_control_ClaimReply_descriptor =
-      getDescriptor().getMessageType(30);
+      getDescriptor().getMessageType(32);
     internal_static_borageproxy_control_ClaimReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ClaimReply_descriptor,
         new java.lang.String[] { "Decision", "Epoch", "Answer", });
     internal_static_borageproxy_control_LeaseReply_descriptor =
-      getDescriptor().getMessageType(31);
+      getDescriptor().getMessageType(33);
     internal_static_borageproxy_control_LeaseReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_LeaseReply_descriptor,
         new java.lang.String[] { "Granted", "Holder", "Epoch", });
     internal_static_borageproxy_control_Intents_descriptor =
-      getDescriptor().getMessageType(32);
+      getDescriptor().getMessageType(34);
     internal_static_borageproxy_control_Intents_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Intents_descriptor,
         new java.lang.String[] { "Intents", });
     internal_static_borageproxy_control_CrashReply_descriptor =
-      getDescriptor().getMessageType(33);
+      getDescriptor().getMessageType(35);
     internal_static_borageproxy_control_CrashReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_CrashReply_descriptor,
         new java.lang.String[] { "Suspicion", });
     internal_static_borageproxy_control_KeyState_descriptor =
-      getDescriptor().getMessageType(34);
+      getDescriptor().getMessageType(36);
     internal_static_borageproxy_control_KeyState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_KeyState_descriptor,
         new java.lang.String[] { "Identity", "Digest", "Workspace", "Withdrawn", });
     internal_static_borageproxy_control_TreeState_descriptor =
-      getDescriptor().getMessageType(35);
+      getDescriptor().getMessageType(37);
     internal_static_borageproxy_control_TreeState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_TreeState_descriptor,
         new java.lang.String[] { "Revision", "Document", "ChangeIdentity", "Operator", "AcceptedAtMillis", });
     internal_static_borageproxy_control_LeaseState_descriptor =
-      getDescriptor().getMessageType(36);
+      getDescriptor().getMessageType(38);
     internal_static_borageproxy_control_LeaseState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_LeaseState_descriptor,
         new java.lang.String[] { "Duty", "Holder", "Session", "Epoch", "Renewal", "Free", });
     internal_static_borageproxy_control_ClaimState_descriptor =
-      getDescriptor().getMessageType(37);
+      getDescriptor().getMessageType(39);
     internal_static_borageproxy_control_ClaimState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ClaimState_descriptor,
         new java.lang.String[] { "Workspace", "IdempotencyKey", "Digest", "Holder", "Epoch", "Phase", "HeldUntilMillis", "ExpiresAtMillis", "Answer", });
     internal_static_borageproxy_control_CrashState_descriptor =
-      getDescriptor().getMessageType(38);
+      getDescriptor().getMessageType(40);
     internal_static_borageproxy_control_CrashState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_CrashState_descriptor,
         new java.lang.String[] { "Fingerprint", "Crashes", "Quarantined", "ExpiresAtMillis", });
+    internal_static_borageproxy_control_DocumentState_descriptor =
+      getDescriptor().getMessageType(41);
+    internal_static_borageproxy_control_DocumentState_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_borageproxy_control_DocumentState_descriptor,
+        new java.lang.String[] { "Number", "Content", });
     internal_static_borageproxy_control_ChangeState_descriptor =
-      getDescriptor().getMessageType(39);
+      getDescriptor().getMessageType(42);
     internal_static_borageproxy_control_ChangeState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ChangeState_descriptor,
         new java.lang.String[] { "Identity", "Digest", "Operator", "Reply", });
     internal_static_borageproxy_control_RememberedReply_descriptor =
-      getDescriptor().getMessageType(40);
+      getDescriptor().getMessageType(43);
     internal_static_borageproxy_control_RememberedReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_RememberedReply_descriptor,
         new java.lang.String[] { "Identity", "AtMillis", "Reply", });
     internal_static_borageproxy_control_Item_descriptor =
-      getDescriptor().getMessageType(41);
+      getDescriptor().getMessageType(44);
     internal_static_borageproxy_control_Item_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Item_descriptor,
-        new java.lang.String[] { "Name", "Version", "Tree", "Key", "Lease", "Crash", "Vm", "Removed", "Value", });
+        new java.lang.String[] { "Name", "Version", "Tree", "Key", "Lease", "Crash", "Vm", "Removed", "Document", "Value", });
     internal_static_borageproxy_control_ControlSnapshot_descriptor =
-      getDescriptor().getMessageType(42);
+      getDescriptor().getMessageType(45);
     internal_static_borageproxy_control_ControlSnapshot_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ControlSnapshot_descriptor,
         new java.lang.String[] { "Version", "Revision", "History", "Keys", "Changes", "Replies", "Claims", "LastClaimEpoch", "Leases", "Intents", "LastIntentNumber", "Crashes", "Items", "RemovalsSince", });
     internal_static_borageproxy_control_WatchRequest_descriptor =
-      getDescriptor().getMessageType(43);
+      getDescriptor().getMessageType(46);
     internal_static_borageproxy_control_WatchRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_WatchRequest_descriptor,
         new java.lang.String[] { "Watch", "ReadServed", "ReadTree", "ReadRevisions", "ReadKeys", "Body", });
     internal_static_borageproxy_control_Watch_descriptor =
-      getDescriptor().getMessageType(44);
+      getDescriptor().getMessageType(47);
     internal_static_borageproxy_control_Watch_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Watch_descriptor,
         new java.lang.String[] { "Vm", "Version", "ServedRevision", "WaitMillis", });
     internal_static_borageproxy_control_ReadServed_descriptor =
-      getDescriptor().getMessageType(45);
+      getDescriptor().getMessageType(48);
     internal_static_borageproxy_control_ReadServed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ReadServed_descriptor,
         new java.lang.String[] { });
     internal_static_borageproxy_control_ReadTree_descriptor =
-      getDescriptor().getMessageType(46);
+      getDescriptor().getMessageType(49);
     internal_static_borageproxy_control_ReadTree_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ReadTree_descriptor,
         new java.lang.String[] { "Revision", });
     internal_static_borageproxy_control_ReadRevisions_descriptor =
-      getDescriptor().getMessageType(47);
+      getDescriptor().getMessageType(50);
     internal_static_borageproxy_control_ReadRevisions_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ReadRevisions_descriptor,
         new java.lang.String[] { });
     internal_static_borageproxy_control_ReadKeys_descriptor =
-      getDescriptor().getMessageType(48);
+      getDescriptor().getMessageType(51);
     internal_static_borageproxy_control_ReadKeys_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ReadKeys_descriptor,
         new java.lang.String[] { });
     internal_static_borageproxy_control_WatchAnswer_descriptor =
-      getDescriptor().getMessageType(49);
+      getDescriptor().getMessageType(52);
     internal_static_borageproxy_control_WatchAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_WatchAnswer_descriptor,
         new java.lang.String[] { "Confirmed", "Version", "Revision", "Full", "Items", "Served", "Tree", "Revisions", "Keys", });
     internal_static_borageproxy_control_Served_descriptor =
-      getDescriptor().getMessageType(50);
+      getDescriptor().getMessageType(53);
     internal_static_borageproxy_control_Served_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Served_descriptor,
