--- a/src/main/java/org/borageproxy/wire/proto/MembershipProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/MembershipProtocol.java
@@ -2517,6 +2517,72 @@
      */
     org.borageproxy.wire.proto.MembershipProtocol.LoadedModelStateOrBuilder getModelsOrBuilder(
         int index);
+
+    /**
+     * <pre>
+     * Models whose weights are kept in the server's main memory and on its disk.
+     * </pre>
+     *
+     * <code>repeated string in_memory = 10;</code>
+     * @return A list containing the inMemory.
+     */
+    java.util.List<java.lang.String>
+        getInMemoryList();
+    /**
+     * <pre>
+     * Models whose weights are kept in the server's main memory and on its disk.
+     * </pre>
+     *
+     * <code>repeated string in_memory = 10;</code>
+     * @return The count of inMemory.
+     */
+    int getInMemoryCount();
+    /**
+     * <pre>
+     * Models whose weights are kept in the server's main memory and on its disk.
+     * </pre>
+     *
+     * <code>repeated string in_memory = 10;</code>
+     * @param index The index of the element to return.
+     * @return The inMemory at the given index.
+     */
+    java.lang.String getInMemory(int index);
+    /**
+     * <pre>
+     * Models whose weights are kept in the server's main memory and on its disk.
+     * </pre>
+     *
+     * <code>repeated string in_memory = 10;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the inMemory at the given index.
+     */
+    com.google.protobuf.ByteString
+        getInMemoryBytes(int index);
+
+    /**
+     * <code>repeated string on_disk = 11;</code>
+     * @return A list containing the onDisk.
+     */
+    java.util.List<java.lang.String>
+        getOnDiskList();
+    /**
+     * <code>repeated string on_disk = 11;</code>
+     * @return The count of onDisk.
+     */
+    int getOnDiskCount();
+    /**
+     * <code>repeated string on_disk = 11;</code>
+     * @param index The index of the element to return.
+     * @return The onDisk at the given index.
+     */
+    java.lang.String getOnDisk(int index);
+    /**
+     * <code>repeated string on_disk = 11;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the onDisk at the given index.
+     */
+    com.google.protobuf.ByteString
+        getOnDiskBytes(int index);
   }
   /**
    * <pre>
@@ -2550,6 +2616,10 @@
           com.google.protobuf.LazyStringArrayList.emptyList();
       accelerators_ = java.util.Collections.emptyList();
       models_ = java.util.Collections.emptyList();
+      inMemory_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      onDisk_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -2811,6 +2881,96 @@
       return models_.get(index);
     }
 
+    public static final int IN_MEMORY_FIELD_NUMBER = 10;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.LazyStringArrayList inMemory_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    /**
+     * <pre>
+     * Models whose weights are kept in the server's main memory and on its disk.
+     * </pre>
+     *
+     * <code>repeated string in_memory = 10;</code>
+     * @return A list containing the inMemory.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getInMemoryList() {
+      return inMemory_;
+    }
+    /**
+     * <pre>
+     * Models whose weights are kept in the server's main memory and on its disk.
+     * </pre>
+     *
+     * <code>repeated string in_memory = 10;</code>
+     * @return The count of inMemory.
+     */
+    public int getInMemoryCount() {
+      return inMemory_.size();
+    }
+    /**
+     * <pre>
+     * Models whose weights are kept in the server's main memory and on its disk.
+     * </pre>
+     *
+     * <code>repeated string in_memory = 10;</code>
+     * @param index The index of the element to return.
+     * @return The inMemory at the given index.
+     */
+    public java.lang.String getInMemory(int index) {
+      return inMemory_.get(index);
+    }
+    /**
+     * <pre>
+     * Models whose weights are kept in the server's main memory and on its disk.
+     * </pre>
+     *
+     * <code>repeated string in_memory = 10;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the inMemory at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getInMemoryBytes(int index) {
+      return inMemory_.getByteString(index);
+    }
+
+    public static final int ON_DISK_FIELD_NUMBER = 11;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.LazyStringArrayList onDisk_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    /**
+     * <code>repeated string on_disk = 11;</code>
+     * @return A list containing the onDisk.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getOnDiskList() {
+      return onDisk_;
+    }
+    /**
+     * <code>repeated string on_disk = 11;</code>
+     * @return The count of onDisk.
+     */
+    public int getOnDiskCount() {
+      return onDisk_.size();
+    }
+    /**
+     * <code>repeated string on_disk = 11;</code>
+     * @param index The index of the element to return.
+     * @return The onDisk at the given index.
+     */
+    public java.lang.String getOnDisk(int index) {
+      return onDisk_.get(index);
+    }
+    /**
+     * <code>repeated string on_disk = 11;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the onDisk at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getOnDiskBytes(int index) {
+      return onDisk_.getByteString(index);
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -2852,6 +3012,12 @@
       for (int i = 0; i < models_.size(); i++) {
         output.writeMessage(9, models_.get(i));
       }
+      for (int i = 0; i < inMemory_.size(); i++) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 10, inMemory_.getRaw(i));
+      }
+      for (int i = 0; i < onDisk_.size(); i++) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 11, onDisk_.getRaw(i));
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -2909,6 +3075,22 @@
             }
             size += 1 * count;
           }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < inMemory_.size(); i++) {
+          dataSize += computeStringSizeNoTag(inMemory_.getRaw(i));
+        }
+        size += dataSize;
+        size += 1 * getInMemoryList().size();
+      }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < onDisk_.size(); i++) {
+          dataSize += computeStringSizeNoTag(onDisk_.getRaw(i));
+        }
+        size += dataSize;
+        size += 1 * getOnDiskList().size();
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -2942,6 +3124,10 @@
           .equals(other.getAcceleratorsList())) return false;
       if (!getModelsList()
           .equals(other.getModelsList())) return false;
+      if (!getInMemoryList()
+          .equals(other.getInMemoryList())) return false;
+      if (!getOnDiskList()
+          .equals(other.getOnDiskList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -2979,6 +3165,14 @@
         hash = (37 * hash) + MODELS_FIELD_NUMBER;
         hash = (53 * hash) + getModelsList().hashCode();
       }
+      if (getInMemoryCount() > 0) {
+        hash = (37 * hash) + IN_MEMORY_FIELD_NUMBER;
+        hash = (53 * hash) + getInMemoryList().hashCode();
+      }
+      if (getOnDiskCount() > 0) {
+        hash = (37 * hash) + ON_DISK_FIELD_NUMBER;
+        hash = (53 * hash) + getOnDiskList().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -3136,6 +3330,10 @@
           modelsBuilder_.clear();
         }
         bitField0_ = (bitField0_ & ~0x00000100);
+        inMemory_ =
+            com.google.protobuf.LazyStringArrayList.emptyList();
+        onDisk_ =
+            com.google.protobuf.LazyStringArrayList.emptyList();
         return this;
       }
 
@@ -3213,6 +3411,14 @@
           services_.makeImmutable();
           result.services_ = services_;
         }
+        if (((from_bitField0_ & 0x00000200) != 0)) {
+          inMemory_.makeImmutable();
+          result.inMemory_ = inMemory_;
+        }
+        if (((from_bitField0_ & 0x00000400) != 0)) {
+          onDisk_.makeImmutable();
+          result.onDisk_ = onDisk_;
+        }
       }
 
       @java.lang.Override
@@ -3311,6 +3517,26 @@
             }
           }
         }
+        if (!other.inMemory_.isEmpty()) {
+          if (inMemory_.isEmpty()) {
+            inMemory_ = other.inMemory_;
+            bitField0_ |= 0x00000200;
+          } else {
+            ensureInMemoryIsMutable();
+            inMemory_.addAll(other.inMemory_);
+          }
+          onChanged();
+        }
+        if (!other.onDisk_.isEmpty()) {
+          if (onDisk_.isEmpty()) {
+            onDisk_ = other.onDisk_;
+            bitField0_ |= 0x00000400;
+          } else {
+            ensureOnDiskIsMutable();
+            onDisk_.addAll(other.onDisk_);
+          }
+          onChanged();
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -3398,6 +3624,16 @@
                 }
                 break;
               } // case 74
+              case 82: {
+                ensureInMemoryIsMutable();
+                inMemory_.add(input.readStringRequireUtf8());
+                break;
+              } // case 82
+              case 90: {
+                ensureOnDiskIsMutable();
+                onDisk_.add(input.readStringRequireUtf8());
+                break;
+              } // case 90
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -4278,6 +4514,264 @@
         return modelsBuilder_;
       }
 
+      private com.google.protobuf.LazyStringArrayList inMemory_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      private void ensureInMemoryIsMutable() {
+        if (!inMemory_.isModifiable()) {
+          inMemory_ = new com.google.protobuf.LazyStringArrayList(inMemory_);
+        }
+        bitField0_ |= 0x00000200;
+      }
+      /**
+       * <pre>
+       * Models whose weights are kept in the server's main memory and on its disk.
+       * </pre>
+       *
+       * <code>repeated string in_memory = 10;</code>
+       * @return A list containing the inMemory.
+       */
+      public com.google.protobuf.ProtocolStringList
+          getInMemoryList() {
+        inMemory_.makeImmutable();
+        return inMemory_;
+      }
+      /**
+       * <pre>
+       * Models whose weights are kept in the server's main memory and on its disk.
+       * </pre>
+       *
+       * <code>repeated string in_memory = 10;</code>
+       * @return The count of inMemory.
+       */
+      public int getInMemoryCount() {
+        return inMemory_.size();
+      }
+      /**
+       * <pre>
+       * Models whose weights are kept in the server's main memory and on its disk.
+       * </pre>
+       *
+       * <code>repeated string in_memory = 10;</code>
+       * @param index The index of the element to return.
+       * @return The inMemory at the given index.
+       */
+      public java.lang.String getInMemory(int index) {
+        return inMemory_.get(index);
+      }
+      /**
+       * <pre>
+       * Models whose weights are kept in the server's main memory and on its disk.
+       * </pre>
+       *
+       * <code>repeated string in_memory = 10;</code>
+       * @param index The index of the value to return.
+       * @return The bytes of the inMemory at the given index.
+       */
+      public com.google.protobuf.ByteString
+          getInMemoryBytes(int index) {
+        return inMemory_.getByteString(index);
+      }
+      /**
+       * <pre>
+       * Models whose weights are kept in the server's main memory and on its disk.
+       * </pre>
+       *
+       * <code>repeated string in_memory = 10;</code>
+       * @param index The index to set the value at.
+       * @param value The inMemory to set.
+       * @return This builder for chaining.
+       */
+      public Builder setInMemory(
+          int index, java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        ensureInMemoryIsMutable();
+        inMemory_.set(index, value);
+        bitField0_ |= 0x00000200;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Models whose weights are kept in the server's main memory and on its disk.
+       * </pre>
+       *
+       * <code>repeated string in_memory = 10;</code>
+       * @param value The inMemory to add.
+       * @return This builder for chaining.
+       */
+      public Builder addInMemory(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        ensureInMemoryIsMutable();
+        inMemory_.add(value);
+        bitField0_ |= 0x00000200;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Models whose weights are kept in the server's main memory and on its disk.
+       * </pre>
+       *
+       * <code>repeated string in_memory = 10;</code>
+       * @param values The inMemory to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllInMemory(
+          java.lang.Iterable<java.lang.String> values) {
+        ensureInMemoryIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, inMemory_);
+        bitField0_ |= 0x00000200;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Models whose weights are kept in the server's main memory and on its disk.
+       * </pre>
+       *
+       * <code>repeated string in_memory = 10;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearInMemory() {
+        inMemory_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000200);;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Models whose weights are kept in the server's main memory and on its disk.
+       * </pre>
+       *
+       * <code>repeated string in_memory = 10;</code>
+       * @param value The bytes of the inMemory to add.
+       * @return This builder for chaining.
+       */
+      public Builder addInMemoryBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        ensureInMemoryIsMutable();
+        inMemory_.add(value);
+        bitField0_ |= 0x00000200;
+        onChanged();
+        return this;
+      }
+
+      private com.google.protobuf.LazyStringArrayList onDisk_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      private void ensureOnDiskIsMutable() {
+        if (!onDisk_.isModifiable()) {
+          onDisk_ = new com.google.protobuf.LazyStringArrayList(onDisk_);
+        }
+        bitField0_ |= 0x00000400;
+      }
+      /**
+       * <code>repeated string on_disk = 11;</code>
+       * @return A list containing the onDisk.
+       */
+      public com.google.protobuf.ProtocolStringList
+          getOnDiskList() {
+        onDisk_.makeImmutable();
+        return onDisk_;
+      }
+      /**
+       * <code>repeated string on_disk = 11;</code>
+       * @return The count of onDisk.
+       */
+      public int getOnDiskCount() {
+        return onDisk_.size();
+      }
+      /**
+       * <code>repeated string on_disk = 11;</code>
+       * @param index The index of the element to return.
+       * @return The onDisk at the given index.
+       */
+      public java.lang.String getOnDisk(int index) {
+        return onDisk_.get(index);
+      }
+      /**
+       * <code>repeated string on_disk = 11;</code>
+       * @param index The index of the value to return.
+       * @return The bytes of the onDisk at the given index.
+       */
+      public com.google.protobuf.ByteString
+          getOnDiskBytes(int index) {
+        return onDisk_.getByteString(index);
+      }
+      /**
+       * <code>repeated string on_disk = 11;</code>
+       * @param index The index to set the value at.
+       * @param value The onDisk to set.
+       * @return This builder for chaining.
+       */
+      public Builder setOnDisk(
+          int index, java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        ensureOnDiskIsMutable();
+        onDisk_.set(index, value);
+        bitField0_ |= 0x00000400;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string on_disk = 11;</code>
+       * @param value The onDisk to add.
+       * @return This builder for chaining.
+       */
+      public Builder addOnDisk(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        ensureOnDiskIsMutable();
+        onDisk_.add(value);
+        bitField0_ |= 0x00000400;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string on_disk = 11;</code>
+       * @param values The onDisk to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllOnDisk(
+          java.lang.Iterable<java.lang.String> values) {
+        ensureOnDiskIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, onDisk_);
+        bitField0_ |= 0x00000400;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string on_disk = 11;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearOnDisk() {
+        onDisk_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000400);;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string on_disk = 11;</code>
+       * @param value The bytes of the onDisk to add.
+       * @return This builder for chaining.
+       */
+      public Builder addOnDiskBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        ensureOnDiskIsMutable();
+        onDisk_.add(value);
+        bitField0_ |= 0x00000400;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.membership.Content)
     }
 
@@ -8262,27 +8756,28 @@
       "ate\022\017\n\007running\030\001 \001(\r\022\017\n\007waiting\030\002 \001(\r\022\023\n" +
       "\013batch_limit\030\003 \001(\r\022\031\n\021tokens_per_second\030" +
       "\004 \001(\001\022!\n\031prefill_tokens_per_second\030\005 \001(\001" +
-      "\"\200\002\n\007Content\022\016\n\006engine\030\001 \001(\010\022\014\n\004zone\030\002 \001" +
+      "\"\244\002\n\007Content\022\016\n\006engine\030\001 \001(\010\022\014\n\004zone\030\002 \001" +
       "(\t\022\014\n\004host\030\003 \001(\t\022\014\n\004port\030\004 \001(\r\022\026\n\016checks" +
       "_fencing\030\005 \001(\010\022\027\n\017interval_millis\030\006 \001(\r\022" +
       "\020\n\010services\030\007 \003(\t\022>\n\014accelerators\030\010 \003(\0132" +
       "(.borageproxy.membership.AcceleratorStat" +
       "e\0228\n\006models\030\t \003(\0132(.borageproxy.membersh" +
-      "ip.LoadedModelState\"\341\001\n\014ServerUpdate\022\014\n\004" +
-      "name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010seque" +
-      "nce\030\003 \001(\004\022\014\n\004left\030\004 \001(\010\022\025\n\rsilent_millis" +
-      "\030\005 \001(\004\022\024\n\014content_hash\030\006 \001(\006\0220\n\007content\030" +
-      "\007 \001(\0132\037.borageproxy.membership.Content\022/" +
-      "\n\004load\030\010 \001(\0132!.borageproxy.membership.Lo" +
-      "adState\"e\n\nDigestLine\022\014\n\004name\030\001 \001(\t\022\023\n\013i" +
-      "ncarnation\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\022\014\n\004le" +
-      "ft\030\004 \001(\010\022\024\n\014content_hash\030\005 \001(\006\";\n\006Digest" +
-      "\0221\n\005lines\030\001 \003(\0132\".borageproxy.membership" +
-      ".DigestLine\"z\n\021MembershipMessage\0225\n\007upda" +
-      "tes\030\001 \003(\0132$.borageproxy.membership.Serve" +
-      "rUpdate\022.\n\006digest\030\002 \001(\0132\036.borageproxy.me" +
-      "mbership.DigestB0\n\032org.borageproxy.wire." +
-      "protoB\022MembershipProtocolb\006proto3"
+      "ip.LoadedModelState\022\021\n\tin_memory\030\n \003(\t\022\017" +
+      "\n\007on_disk\030\013 \003(\t\"\341\001\n\014ServerUpdate\022\014\n\004name" +
+      "\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010sequence\030" +
+      "\003 \001(\004\022\014\n\004left\030\004 \001(\010\022\025\n\rsilent_millis\030\005 \001" +
+      "(\004\022\024\n\014content_hash\030\006 \001(\006\0220\n\007content\030\007 \001(" +
+      "\0132\037.borageproxy.membership.Content\022/\n\004lo" +
+      "ad\030\010 \001(\0132!.borageproxy.membership.LoadSt" +
+      "ate\"e\n\nDigestLine\022\014\n\004name\030\001 \001(\t\022\023\n\013incar" +
+      "nation\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\022\014\n\004left\030\004" +
+      " \001(\010\022\024\n\014content_hash\030\005 \001(\006\";\n\006Digest\0221\n\005" +
+      "lines\030\001 \003(\0132\".borageproxy.membership.Dig" +
+      "estLine\"z\n\021MembershipMessage\0225\n\007updates\030" +
+      "\001 \003(\0132$.borageproxy.membership.ServerUpd" +
+      "ate\022.\n\006digest\030\002 \001(\0132\036.borageproxy.member" +
+      "ship.DigestB0\n\032org.borageproxy.wire.prot" +
+      "oB\022MembershipProtocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -8311,7 +8806,7 @@
     internal_static_borageproxy_membership_Content_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_membership_Content_descriptor,
-        new java.lang.String[] { "Engine", "Zone", "Host", "Port", "ChecksFencing", "IntervalMillis", "Services", "Accelerators", "Models", });
+        new java.lang.String[] { "Engine", "Zone", "Host", "Port", "ChecksFencing", "IntervalMillis", "Services", "Accelerators", "Models", "InMemory", "OnDisk", });
     internal_static_borageproxy_membership_ServerUpdate_descriptor =
       getDescriptor().getMessageType(4);
     internal_static_borageproxy_membership_ServerUpdate_fieldAccessorTable = new
