Order models and adapters from the leader of the control group

Cause: 23 of 44 models or adapters were never served; nothing was ordered. Change: the leader plans copies and adapters from the entries' demand; each order names the expected count of orders, so that late ones cannot add up. Shares of rates beyond the even part are granted from one bucket.

--- a/src/main/java/org/borageproxy/coordination/Coordinator.java
+++ b/src/main/java/org/borageproxy/coordination/Coordinator.java
@@ -134,9 +134,13 @@
     }
 
     private RateShare share(VmName sender, WorkspaceUsage usage, PublishedWorkspace workspace, long nowNanos) {
-        RateSplitter splitter = splitters.computeIfAbsent(workspace.name(), name -> newSplitter(workspace, nowNanos));
-        RateSplitter.Part part = splitter.report(
-                sender, usage.getDemand(), usage.getHeld(), usage.getSpent(), workspace.rate(), nowNanos);
+        RateSplitter.Limit limit = new RateSplitter.Limit(workspace.rate(), workspace.burst());
+        RateSplitter splitter = splitters.compute(
+                workspace.name(),
+                (name, known) -> known != null && known.limit().equals(limit) ? known : newSplitter(limit, nowNanos));
+        RateSplitter.Report report =
+                new RateSplitter.Report(usage.getDemand(), usage.getHeld(), usage.getSpent(), usage.getNeeded());
+        RateSplitter.Part part = splitter.report(sender, report, nowNanos);
         return RateShare.newBuilder()
                 .setWorkspace(workspace.name())
                 .setRate(part.rate())
@@ -144,10 +148,10 @@
                 .build();
     }
 
-    private RateSplitter newSplitter(PublishedWorkspace workspace, long nowNanos) {
-        RateSplitter splitter = new RateSplitter();
+    private RateSplitter newSplitter(RateSplitter.Limit limit, long nowNanos) {
+        RateSplitter splitter = new RateSplitter(limit, nowNanos);
         List<VmName> known = entries.get();
-        known.forEach(entry -> splitter.suppose(entry, workspace.rate() / (double) known.size(), nowNanos));
+        known.forEach(entry -> splitter.suppose(entry, limit.rate() / (double) known.size(), nowNanos));
         return splitter;
     }
 
--- a/src/main/java/org/borageproxy/coordination/HeldModels.java
+++ b/src/main/java/org/borageproxy/coordination/HeldModels.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.LoadedModel;
@@ -71,6 +72,25 @@
         return content.addAllArriving(arriving).build();
     }
 
+    /**
+     * Returns these models without one that turned out to be absent.
+     *
+     * @param model the model
+     * @param adapter the adapter that is absent; empty if the model is
+     * @return a changed copy
+     */
+    public HeldModels without(String model, String adapter) {
+        Map<String, Set<String>> changed = new HashMap<>(adaptersByModel);
+        if (adapter.isEmpty()) {
+            changed.remove(model);
+        } else {
+            changed.computeIfPresent(model, (name, adapters) -> adapters.stream()
+                    .filter(each -> !each.equals(adapter))
+                    .collect(Collectors.toUnmodifiableSet()));
+        }
+        return new HeldModels(incarnation, orders, changed, arriving);
+    }
+
     /**
      * Tells whether a request can run.
      *
--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -281,7 +281,10 @@
             isOver = true;
             flight.ifPresent(ServerPool.Flight::ended);
             log.rejected(server, status);
-            if (status == MISDIRECTED && held.fields().work().isEmpty()) {
+            if (status == MISDIRECTED && held.fields().work().isPresent()) {
+                parts.pool().notHeld(server, held.fields().work().get());
+                tried.remove(server.name());
+            } else if (status == MISDIRECTED) {
                 flight.ifPresent(ServerPool.Flight::failed);
             }
             retry(RefusalReason.REFUSED_BY_SERVERS, true);
--- a/src/main/java/org/borageproxy/forward/ServerPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerPool.java
@@ -138,6 +138,16 @@
         return known;
     }
 
+    /**
+     * Takes the word of a server that it does not hold a model or an adapter.
+     *
+     * @param server the server
+     * @param work the work that it refused
+     */
+    void notHeld(BackendServer server, CallerFields.EngineWork work) {
+        contents.put(server.name(), content(server).without(work.model(), work.adapter()));
+    }
+
     /**
      * Tells why no server was chosen.
      *
--- /dev/null
+++ b/src/main/java/org/borageproxy/placement/CopyPlan.java
@@ -0,0 +1,251 @@
+package org.borageproxy.placement;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.borageproxy.publication.EnginePool;
+
+/**
+ * Plans which model or adapter an engine loads or gives up next. Models that callers wait for come first, then models
+ * whose engines are far busier than the rest. The last place of a model that is asked for is never given up. A pure
+ * function of its arguments. Immutable and thread safe.
+ */
+final class CopyPlan {
+
+    /** How far the engines of a model exceed the mean before it gets another place. */
+    private static final double CROWDED = 1.35;
+    /** The work below which engines are never crowded, in seconds of an engine for each second. */
+    private static final double LEAST_WORK = 0.12;
+    /** The gain that a move must bring, in seconds of an engine for each second. */
+    private static final double LEAST_GAIN = 0.04;
+    /** Prompt and output tokens that an engine serves in a second at pace one; from the users' sheets. */
+    private static final double TOKENS_PER_SECOND = 12_000.0;
+
+    private final EnginePool pool;
+    private final Collection<EngineBook> engines;
+    private final Map<String, Demand> demands;
+
+    /**
+     * The demand of a model.
+     *
+     * @param tokensPerSecond prompt and output tokens asked for
+     * @param waiting requests that wait for it
+     */
+    record Demand(double tokensPerSecond, int waiting) {
+
+        static final Demand NONE = new Demand(0, 0);
+    }
+
+    /** What an engine does next. */
+    sealed interface Step {
+
+        /**
+         * Returns the engine.
+         *
+         * @return its book
+         */
+        EngineBook engine();
+
+        /**
+         * Loads a model.
+         *
+         * @param engine the engine
+         * @param model the model
+         */
+        record Load(EngineBook engine, String model) implements Step {}
+
+        /**
+         * Gives up a model.
+         *
+         * @param engine the engine
+         * @param model the model
+         * @param successor the model for which room is made
+         */
+        record Unload(EngineBook engine, String model, String successor) implements Step {}
+    }
+
+    CopyPlan(EnginePool pool, Collection<EngineBook> engines, Map<String, Demand> demands) {
+        this.pool = pool;
+        this.engines = engines;
+        this.demands = demands;
+    }
+
+    /**
+     * Returns the next step.
+     *
+     * @param mayUseStore whether a load from the weight store may begin
+     * @return empty if all is as it should be, or nothing can be done now
+     */
+    Optional<Step> next(boolean mayUseStore) {
+        for (EngineBook engine : engines) {
+            String awaited = engine.awaitedModel();
+            boolean isKnown = pool.models().containsKey(awaited);
+            if (engine.takesOrders() && isKnown && (mayUseStore || engine.hasCopy(awaited))) {
+                Optional<Step> step = step(engine, awaited);
+                if (step.isPresent()) {
+                    return step;
+                }
+            }
+        }
+        List<String> urgent = demands.entrySet().stream()
+                .filter(entry -> entry.getValue().waiting() > 0
+                        && pool.models().containsKey(entry.getKey())
+                        && places(entry.getKey()) == 0)
+                .sorted(Comparator.comparingInt((Map.Entry<String, Demand> entry) ->
+                                entry.getValue().waiting())
+                        .reversed())
+                .map(Map.Entry::getKey)
+                .toList();
+        for (String model : urgent) {
+            Optional<Step> step = place(model, mayUseStore, Double.MAX_VALUE);
+            if (step.isPresent()) {
+                return step;
+            }
+        }
+        return relief(mayUseStore);
+    }
+
+    private Optional<Step> relief(boolean mayUseStore) {
+        Map<EngineBook, Double> work = work();
+        double mean = work.values().stream()
+                .mapToDouble(Double::doubleValue)
+                .average()
+                .orElse(0);
+        return demands.entrySet().stream()
+                .filter(entry -> places(entry.getKey()) > 0 && pool.models().containsKey(entry.getKey()))
+                .filter(entry -> crowding(entry.getKey(), work) > Math.max(LEAST_WORK, mean * CROWDED))
+                .sorted(Comparator.comparingDouble(
+                        (Map.Entry<String, Demand> entry) -> -share(entry.getKey(), places(entry.getKey()))))
+                .map(entry -> place(entry.getKey(), mayUseStore, crowding(entry.getKey(), work)))
+                .flatMap(Optional::stream)
+                .findFirst();
+    }
+
+    /** The least work among the engines of a model; requests go there first. */
+    private double crowding(String model, Map<EngineBook, Double> work) {
+        return engines.stream()
+                .filter(engine -> holds(engine, model))
+                .mapToDouble(work::get)
+                .min()
+                .orElse(0);
+    }
+
+    private Optional<Step> place(String model, boolean mayUseStore, double crowding) {
+        Map<EngineBook, Double> work = work();
+        double brought = share(model, places(model) + 1);
+        Optional<Step> best = Optional.empty();
+        double bestCost = Double.MAX_VALUE;
+        for (EngineBook engine : engines) {
+            boolean isFree = engine.takesOrders() && engine.awaitedModel().isEmpty() && !holds(engine, model);
+            boolean isPaid = engine.hasCopy(model) || mayUseStore;
+            if (!isFree || !isPaid || work.get(engine) + brought + LEAST_GAIN > crowding) {
+                continue;
+            }
+            Optional<Step> step = step(engine, model);
+            double cost = work.get(engine) + loadSeconds(engine, model) / 10 + lossOf(step);
+            if (step.isPresent() && cost < bestCost) {
+                best = step;
+                bestCost = cost;
+            }
+        }
+        return best;
+    }
+
+    private double lossOf(Optional<Step> step) {
+        return step.map(each ->
+                        each instanceof Step.Unload unload ? 0.05 + share(unload.model(), places(unload.model())) : 0.0)
+                .orElse(0.0);
+    }
+
+    private double loadSeconds(EngineBook engine, String model) {
+        EnginePool.EngineModel figures = pool.models().get(model);
+        if (engine.isInMemory(model)) {
+            return figures.memoryLoadSeconds();
+        }
+        return engine.hasCopy(model) ? figures.diskLoadSeconds() : figures.storeLoadSeconds();
+    }
+
+    private Optional<Step> step(EngineBook engine, String model) {
+        if (used(engine) + pool.models().get(model).weightMegabytes() <= pool.weightMegabytes()) {
+            return Optional.of(new Step.Load(engine, model));
+        }
+        return engine.held().keySet().stream()
+                .filter(this::isDispensable)
+                .min(Comparator.comparingDouble(each -> share(each, places(each))))
+                .map(victim -> new Step.Unload(engine, victim, model));
+    }
+
+    /** A model is given up where others hold it too, or where nobody asks for it and it can come back from a disk. */
+    private boolean isDispensable(String model) {
+        Demand demand = demands.getOrDefault(model, Demand.NONE);
+        int places = settledPlaces(model);
+        boolean isAsked = demand.tokensPerSecond() > 1 || demand.waiting() > 0;
+        return places > 1 || !isAsked;
+    }
+
+    private int settledPlaces(String model) {
+        return (int) engines.stream()
+                .filter(engine -> engine.held().containsKey(model))
+                .count();
+    }
+
+    private int places(String model) {
+        return (int) engines.stream().filter(engine -> holds(engine, model)).count();
+    }
+
+    private static boolean holds(EngineBook engine, String model) {
+        return engine.held().containsKey(model)
+                || engine.arrivingModel().equals(model)
+                || engine.awaitedModel().equals(model);
+    }
+
+    /**
+     * Returns the memory that an engine uses or is about to use.
+     *
+     * @param engine the engine
+     * @return megabytes
+     */
+    double used(EngineBook engine) {
+        double used = 0;
+        for (Map.Entry<String, Set<String>> entry : engine.held().entrySet()) {
+            EnginePool.EngineModel figures = pool.models().get(entry.getKey());
+            if (figures != null) {
+                used += figures.weightMegabytes() + entry.getValue().size() * figures.adapterMegabytes();
+            }
+        }
+        for (String model : List.of(engine.arrivingModel(), engine.leavingModel())) {
+            EnginePool.EngineModel figures = pool.models().get(model);
+            used += figures == null ? 0 : figures.weightMegabytes();
+        }
+        double adapter = pool.models().values().stream()
+                .mapToDouble(EnginePool.EngineModel::adapterMegabytes)
+                .max()
+                .orElse(0);
+        return used + adapter * pool.adapterSlots() / 2.0 + adapter * engine.arrivingAdapterCount();
+    }
+
+    /** The work of a model at each of its places. */
+    private double share(String model, int places) {
+        Demand demand = demands.getOrDefault(model, Demand.NONE);
+        return demand.tokensPerSecond() / TOKENS_PER_SECOND / Math.max(1, places);
+    }
+
+    private Map<EngineBook, Double> work() {
+        Map<EngineBook, Double> work = new HashMap<>();
+        List<String> models = new ArrayList<>(demands.keySet());
+        for (EngineBook engine : engines) {
+            double sum = models.stream()
+                    .filter(model -> holds(engine, model))
+                    .mapToDouble(model -> share(model, places(model)))
+                    .sum();
+            work.put(engine, sum);
+        }
+        return work;
+    }
+}
--- a/src/main/java/org/borageproxy/quota/RateShares.java
+++ b/src/main/java/org/borageproxy/quota/RateShares.java
@@ -33,6 +33,7 @@
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final Map<String, Share> shares = new HashMap<>();
+    private Runnable shortage = () -> {};
 
     private static final class Share {
         private double rate;
@@ -43,6 +44,7 @@
         private Deadline extraLapsesAt;
         private long asked;
         private long spent;
+        private long needed;
         private double demand;
         private long reportedAtNanos;
 
@@ -60,6 +62,15 @@
         }
     }
 
+    /**
+     * Sets what tells the coordinator of a shortage.
+     *
+     * @param report reports soon
+     */
+    public void onShortage(Runnable report) {
+        shortage = report;
+    }
+
     /**
      * Spends tokens of a workspace.
      *
@@ -80,9 +91,11 @@
             double beyond = Math.max(0, Math.min(share.extra, tokens - Math.max(0, share.level)));
             share.extra -= beyond;
             share.level -= tokens - beyond;
-            share.spent += tokens;
+            share.spent += (long) (tokens - beyond);
             return Optional.empty();
         }
+        share.needed += tokens;
+        shortage.run();
         double missing = Math.min(tokens, share.rate * SAVED_SECONDS) - share.level;
         double seconds = share.rate > 0 ? missing / share.rate : VALIDITY.toSeconds();
         return Optional.of(Duration.ofNanos((long) (Math.min(seconds, VALIDITY.toSeconds()) * NANOS_PER_SECOND)));
@@ -130,7 +143,7 @@
                 share.accrue(Math.max(askedAtNanos, share.accruedAtNanos));
                 share.rate = renewal.getRate();
                 share.level = Math.min(share.level, share.rate * SAVED_SECONDS);
-                share.extra = renewal.getExtra();
+                share.extra += renewal.getExtra();
                 share.lapsesAt = Deadline.after(askedAtNanos, VALIDITY);
                 share.extraLapsesAt = Deadline.after(askedAtNanos, EXTRA_VALIDITY);
             }
@@ -156,7 +169,9 @@
                     .setDemand((long) share.demand)
                     .setHeld((long) share.rate)
                     .setSpent(Math.max(0, share.spent))
+                    .setNeeded(share.needed)
                     .build());
+            share.needed = 0;
             share.asked = 0;
             share.spent = Math.min(0, share.spent);
             share.reportedAtNanos = nowNanos;
--- a/src/main/java/org/borageproxy/quota/RateSplitter.java
+++ b/src/main/java/org/borageproxy/quota/RateSplitter.java
@@ -1,8 +1,6 @@
 package org.borageproxy.quota;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -17,16 +15,25 @@
 
     /** How long the share of a silent entry is kept back; longer than it holds there. */
     private static final Duration KEPT_BACK = RateShares.VALIDITY.plusSeconds(2);
-    /** The seconds over which spending is compared with the rate. */
-    private static final int WINDOW_SECONDS = 8;
-    /** The part of the window's tokens below which spending counts as low. */
-    private static final double LOW_SPENDING = 0.75;
-    /** The part of the unspent tokens that may be spent between two reports. */
-    private static final double SPENDABLE = 0.5;
+    /** The part of the unspent tokens that is handed out before anyone asks. */
+    private static final double HANDED_OUT = 0.4;
+    /** The part of the unspent tokens that one report may get. */
+    private static final double GRANTED = 0.8;
+
+    private static final double NANOS_PER_SECOND = 1e9;
 
     private final Map<VmName, Holder> holders = new HashMap<>();
-    private final Deque<Spending> spendings = new ArrayDeque<>();
-    private long spentInWindow;
+    private final Limit limit;
+    private double unspent;
+    private long accruedAtNanos;
+
+    /**
+     * A workspace's rate.
+     *
+     * @param rate tokens per second
+     * @param burst tokens that may be spent beyond the rate
+     */
+    public record Limit(long rate, long burst) {}
 
     private static final class Holder {
         private double share;
@@ -34,7 +41,35 @@
         private Deadline keptUntil;
     }
 
-    private record Spending(Deadline leavesWindowAt, long tokens) {}
+    /**
+     * What an entry reports.
+     *
+     * @param demand the rate that it asks for, in tokens per second
+     * @param held the rate that it holds
+     * @param spent the tokens of its share spent since its last report
+     * @param needed the tokens that requests wait for
+     */
+    public record Report(double demand, double held, long spent, long needed) {}
+
+    /**
+     * Divides a rate of which nothing is known to be unspent.
+     *
+     * @param limit the rate
+     * @param nowNanos the reading of the clock
+     */
+    public RateSplitter(Limit limit, long nowNanos) {
+        this.limit = limit;
+        this.accruedAtNanos = nowNanos;
+    }
+
+    /**
+     * Returns the divided rate.
+     *
+     * @return the rate
+     */
+    public Limit limit() {
+        return limit;
+    }
 
     /**
      * An entry's part.
@@ -64,27 +99,23 @@
      * Takes a report and gives the entry its part.
      *
      * @param entry the entry
-     * @param demand the rate that it asks for, in tokens per second
-     * @param held the rate that it holds
-     * @param spent the tokens spent since its last report
-     * @param rate the workspace's rate
+     * @param report the report
      * @param nowNanos the reading of the clock
      * @return the part
      */
-    public Part report(VmName entry, double demand, double held, long spent, long rate, long nowNanos) {
-        note(spent, nowNanos);
+    public Part report(VmName entry, Report report, long nowNanos) {
         Holder holder = holders.computeIfAbsent(entry, name -> new Holder());
-        holder.demand = demand;
-        holder.share = held;
+        holder.demand = report.demand();
+        holder.share = report.held();
         holder.keptUntil = Deadline.after(nowNanos, KEPT_BACK);
         holders.values().removeIf(other -> other.keptUntil.hasPassed(nowNanos));
         double others = holders.values().stream()
                 .filter(other -> other != holder)
                 .mapToDouble(other -> other.share)
                 .sum();
-        double free = Math.max(0, rate - others);
-        holder.share = Math.min(free, wanted(holder, rate));
-        return new Part((long) holder.share, extra(rate));
+        double free = Math.max(0, limit.rate() - others);
+        holder.share = Math.min(free, wanted(holder, limit.rate()));
+        return new Part((long) holder.share, extra(report, nowNanos));
     }
 
     private double wanted(Holder holder, long rate) {
@@ -114,20 +145,15 @@
         return rate;
     }
 
-    private void note(long spent, long nowNanos) {
-        while (!spendings.isEmpty() && spendings.peek().leavesWindowAt().hasPassed(nowNanos)) {
-            spentInWindow -= spendings.remove().tokens();
-        }
-        if (spent > 0) {
-            spendings.add(new Spending(Deadline.after(nowNanos, Duration.ofSeconds(WINDOW_SECONDS)), spent));
-            spentInWindow += spent;
-        }
-    }
-
-    private long extra(long rate) {
-        double window = (double) rate * WINDOW_SECONDS;
-        double unspent = Math.max(0, window - spentInWindow) * SPENDABLE;
-        boolean isLow = spentInWindow < window * LOW_SPENDING;
-        return (long) (isLow ? unspent : unspent / Math.max(1, holders.size()));
+    // Tokens granted beyond shares count as spent at once; what an entry leaves of them is lost.
+    private long extra(Report report, long nowNanos) {
+        double seconds = Math.max(0, nowNanos - accruedAtNanos) / NANOS_PER_SECOND;
+        accruedAtNanos = nowNanos;
+        unspent = Math.min(limit.burst(), unspent + limit.rate() * seconds) - report.spent();
+        double spendable = Math.max(0, unspent);
+        double wished = Math.max(report.needed(), spendable * HANDED_OUT / Math.max(1, holders.size()));
+        long granted = (long) Math.min(wished, spendable * GRANTED);
+        unspent -= granted;
+        return granted;
     }
 }
--- a/src/main/java/org/borageproxy/server/GatewayControl.java
+++ b/src/main/java/org/borageproxy/server/GatewayControl.java
@@ -27,15 +27,15 @@
 import org.borageproxy.membership.Announcement;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerName;
+import org.borageproxy.placement.FleetPlacement;
 import org.borageproxy.publication.Publication;
 import org.borageproxy.publication.PublishedWorkspace;
 import org.borageproxy.spread.WatchService;
 import org.borageproxy.time.Deadline;
-import org.borageproxy.vm.VmName;
 import org.borageproxy.wire.MessageKind;
 import org.borageproxy.wire.proto.ControlProtocol.Command;
 import org.borageproxy.wire.proto.ControlProtocol.PublishDocument;
-import org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand;
+import org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -60,6 +60,7 @@
     private final GroupMember member;
     private final ControlClient client;
     private final AdmissionService admission;
+    private final FleetPlacement placement;
     private volatile Optional<Publication> publication = Optional.empty();
 
     private GatewayControl(GatewayFoundation foundation, Path folder) throws IOException {
@@ -74,6 +75,7 @@
                 foundation::controlVms,
                 foundation.clock(),
                 foundation.timer());
+        placement = placement();
         admission = new AdmissionService(
                 member,
                 new AdmissionPolicy(foundation.settings().bounds().wantedVoters()),
@@ -125,13 +127,36 @@
                 settings.seeds());
     }
 
+    private FleetPlacement placement() {
+        GatewaySettings settings = foundation.settings();
+        return new FleetPlacement(new FleetPlacement.Environment(
+                member::isLeader,
+                () -> member.status().term(),
+                settings.label(),
+                Duration.ofMillis(settings.bounds().holderTurnMillis()),
+                () -> publication,
+                foundation.membership().registry(),
+                foundation.protocol().engines(foundation.vertx()),
+                this::tellEntries,
+                foundation.clock(),
+                foundation.timer(),
+                foundation.eventLoop()));
+    }
+
+    private void tellEntries(String server, HeldModels held) {
+        ByteString notice = CoordinationUpdate.newBuilder()
+                .setCoordinates(true)
+                .addContents(held.encode(server))
+                .build()
+                .toByteString();
+        foundation.spread().registeredEntries().forEach(entry -> foundation
+                .network()
+                .send(entry, MessageKind.COORDINATION_NOTICE, notice));
+    }
+
     private void serve() {
         Coordinator coordinator = new Coordinator(
-                member,
-                foundation.clock(),
-                this::workspaces,
-                foundation.spread()::registeredEntries,
-                new NoPlacement());
+                member, foundation.clock(), this::workspaces, foundation.spread()::registeredEntries, placement);
         foundation.network().handle(MessageKind.CONTROL_COMMAND, new ControlService(member, state, foundation.clock()));
         foundation
                 .network()
@@ -146,6 +171,7 @@
         member.failure().thenAccept(failure -> LOGGER.error("event=member-failed", failure));
         member.start();
         admission.start();
+        placement.start();
     }
 
     private void take(long number, byte[] document) {
@@ -160,19 +186,6 @@
         return publication.map(Publication::workspaces).orElse(Map.of());
     }
 
-    /** Placement before any order can be given. */
-    private static final class NoPlacement implements Coordinator.Placement {
-        @Override
-        public void demanded(VmName entry, List<ModelDemand> demands) {
-            // Demand is not needed without orders.
-        }
-
-        @Override
-        public Map<String, HeldModels> contents() {
-            return Map.of();
-        }
-    }
-
     @Override
     public CompletionStage<Published> publish(byte[] document) {
         Publication offered;
@@ -244,6 +257,7 @@
     @Override
     public void close() {
         admission.stop();
+        placement.stop();
         member.close();
     }
 }
--- a/src/main/java/org/borageproxy/server/GatewayEntry.java
+++ b/src/main/java/org/borageproxy/server/GatewayEntry.java
@@ -69,6 +69,7 @@
                 this::report,
                 this::take);
         pool.onUrgentDemand(coordination::reportSoon);
+        rates.onShortage(coordination::reportSoon);
         ControlClient client = new ControlClient(
                 foundation.self(),
                 foundation.network(),
--- a/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
@@ -2616,13 +2616,23 @@
 
     /**
      * <pre>
-     * Tokens spent since the report before.
+     * Tokens of the share spent since the report before.
      * </pre>
      *
      * <code>uint64 spent = 4;</code>
      * @return The spent.
      */
     long getSpent();
+
+    /**
+     * <pre>
+     * Tokens that requests wait for.
+     * </pre>
+     *
+     * <code>uint64 needed = 5;</code>
+     * @return The needed.
+     */
+    long getNeeded();
   }
   /**
    * <pre>
@@ -2744,7 +2754,7 @@
     private long spent_ = 0L;
     /**
      * <pre>
-     * Tokens spent since the report before.
+     * Tokens of the share spent since the report before.
      * </pre>
      *
      * <code>uint64 spent = 4;</code>
@@ -2755,6 +2765,21 @@
       return spent_;
     }
 
+    public static final int NEEDED_FIELD_NUMBER = 5;
+    private long needed_ = 0L;
+    /**
+     * <pre>
+     * Tokens that requests wait for.
+     * </pre>
+     *
+     * <code>uint64 needed = 5;</code>
+     * @return The needed.
+     */
+    @java.lang.Override
+    public long getNeeded() {
+      return needed_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -2781,6 +2806,9 @@
       if (spent_ != 0L) {
         output.writeUInt64(4, spent_);
       }
+      if (needed_ != 0L) {
+        output.writeUInt64(5, needed_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -2805,6 +2833,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(4, spent_);
       }
+      if (needed_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(5, needed_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -2828,6 +2860,8 @@
           != other.getHeld()) return false;
       if (getSpent()
           != other.getSpent()) return false;
+      if (getNeeded()
+          != other.getNeeded()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -2850,6 +2884,9 @@
       hash = (37 * hash) + SPENT_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getSpent());
+      hash = (37 * hash) + NEEDED_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getNeeded());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -2989,6 +3026,7 @@
         demand_ = 0L;
         held_ = 0L;
         spent_ = 0L;
+        needed_ = 0L;
         return this;
       }
 
@@ -3034,6 +3072,9 @@
         if (((from_bitField0_ & 0x00000008) != 0)) {
           result.spent_ = spent_;
         }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.needed_ = needed_;
+        }
       }
 
       @java.lang.Override
@@ -3062,6 +3103,9 @@
         if (other.getSpent() != 0L) {
           setSpent(other.getSpent());
         }
+        if (other.getNeeded() != 0L) {
+          setNeeded(other.getNeeded());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -3108,6 +3152,11 @@
                 bitField0_ |= 0x00000008;
                 break;
               } // case 32
+              case 40: {
+                needed_ = input.readUInt64();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -3288,7 +3337,7 @@
       private long spent_ ;
       /**
        * <pre>
-       * Tokens spent since the report before.
+       * Tokens of the share spent since the report before.
        * </pre>
        *
        * <code>uint64 spent = 4;</code>
@@ -3300,7 +3349,7 @@
       }
       /**
        * <pre>
-       * Tokens spent since the report before.
+       * Tokens of the share spent since the report before.
        * </pre>
        *
        * <code>uint64 spent = 4;</code>
@@ -3316,7 +3365,7 @@
       }
       /**
        * <pre>
-       * Tokens spent since the report before.
+       * Tokens of the share spent since the report before.
        * </pre>
        *
        * <code>uint64 spent = 4;</code>
@@ -3329,6 +3378,50 @@
         return this;
       }
 
+      private long needed_ ;
+      /**
+       * <pre>
+       * Tokens that requests wait for.
+       * </pre>
+       *
+       * <code>uint64 needed = 5;</code>
+       * @return The needed.
+       */
+      @java.lang.Override
+      public long getNeeded() {
+        return needed_;
+      }
+      /**
+       * <pre>
+       * Tokens that requests wait for.
+       * </pre>
+       *
+       * <code>uint64 needed = 5;</code>
+       * @param value The needed to set.
+       * @return This builder for chaining.
+       */
+      public Builder setNeeded(long value) {
+
+        needed_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Tokens that requests wait for.
+       * </pre>
+       *
+       * <code>uint64 needed = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearNeeded() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        needed_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.coordination.WorkspaceUsage)
     }
 
@@ -9305,25 +9398,25 @@
       "n.ModelDemand\"n\n\013ServerUsage\022\014\n\004name\030\001 \001" +
       "(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010requests\030\003 \001(" +
       "\r\022\025\n\rprompt_tokens\030\004 \001(\r\022\023\n\013held_tokens\030" +
-      "\005 \001(\r\"K\n\016WorkspaceUsage\022\014\n\004name\030\001 \001(\t\022\016\n" +
+      "\005 \001(\r\"[\n\016WorkspaceUsage\022\014\n\004name\030\001 \001(\t\022\016\n" +
       "\006demand\030\002 \001(\004\022\014\n\004held\030\003 \001(\004\022\r\n\005spent\030\004 \001" +
-      "(\004\"_\n\013ModelDemand\022\017\n\007service\030\001 \001(\t\022\r\n\005mo" +
-      "del\030\002 \001(\t\022\017\n\007adapter\030\003 \001(\t\022\016\n\006tokens\030\004 \001" +
-      "(\004\022\017\n\007waiting\030\005 \001(\r\"\367\001\n\022CoordinationUpda" +
-      "te\022\023\n\013coordinates\030\001 \001(\010\022\023\n\013coordinator\030\002" +
-      " \001(\t\022\017\n\007entries\030\003 \001(\r\0226\n\007servers\030\004 \003(\0132%" +
-      ".borageproxy.coordination.ServerUsage\0223\n" +
-      "\006shares\030\005 \003(\0132#.borageproxy.coordination" +
-      ".RateShare\0229\n\010contents\030\006 \003(\0132\'.boragepro" +
-      "xy.coordination.ServerContent\";\n\tRateSha" +
-      "re\022\021\n\tworkspace\030\001 \001(\t\022\014\n\004rate\030\002 \001(\004\022\r\n\005e" +
-      "xtra\030\003 \001(\004\"\211\001\n\rServerContent\022\014\n\004name\030\001 \001" +
-      "(\t\022\023\n\013incarnation\030\002 \001(\004\022\016\n\006orders\030\003 \001(\004\022" +
-      "3\n\006models\030\004 \003(\0132#.borageproxy.coordinati" +
-      "on.HeldModel\022\020\n\010arriving\030\005 \003(\t\",\n\tHeldMo" +
-      "del\022\r\n\005model\030\001 \001(\t\022\020\n\010adapters\030\002 \003(\tB2\n\032" +
-      "org.borageproxy.wire.protoB\024Coordination" +
-      "Protocolb\006proto3"
+      "(\004\022\016\n\006needed\030\005 \001(\004\"_\n\013ModelDemand\022\017\n\007ser" +
+      "vice\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022\017\n\007adapter\030\003 \001" +
+      "(\t\022\016\n\006tokens\030\004 \001(\004\022\017\n\007waiting\030\005 \001(\r\"\367\001\n\022" +
+      "CoordinationUpdate\022\023\n\013coordinates\030\001 \001(\010\022" +
+      "\023\n\013coordinator\030\002 \001(\t\022\017\n\007entries\030\003 \001(\r\0226\n" +
+      "\007servers\030\004 \003(\0132%.borageproxy.coordinatio" +
+      "n.ServerUsage\0223\n\006shares\030\005 \003(\0132#.boragepr" +
+      "oxy.coordination.RateShare\0229\n\010contents\030\006" +
+      " \003(\0132\'.borageproxy.coordination.ServerCo" +
+      "ntent\";\n\tRateShare\022\021\n\tworkspace\030\001 \001(\t\022\014\n" +
+      "\004rate\030\002 \001(\004\022\r\n\005extra\030\003 \001(\004\"\211\001\n\rServerCon" +
+      "tent\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022" +
+      "\016\n\006orders\030\003 \001(\004\0223\n\006models\030\004 \003(\0132#.borage" +
+      "proxy.coordination.HeldModel\022\020\n\010arriving" +
+      "\030\005 \003(\t\",\n\tHeldModel\022\r\n\005model\030\001 \001(\t\022\020\n\010ad" +
+      "apters\030\002 \003(\tB2\n\032org.borageproxy.wire.pro" +
+      "toB\024CoordinationProtocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -9346,7 +9439,7 @@
     internal_static_borageproxy_coordination_WorkspaceUsage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_WorkspaceUsage_descriptor,
-        new java.lang.String[] { "Name", "Demand", "Held", "Spent", });
+        new java.lang.String[] { "Name", "Demand", "Held", "Spent", "Needed", });
     internal_static_borageproxy_coordination_ModelDemand_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_borageproxy_coordination_ModelDemand_fieldAccessorTable = new
