Hold requests for crowded engines at the entry and settle order counts

Cause: streams paused for over 400 ms when an engine had several prompts to read; counts of orders that a report contradicted were never corrected, so that one engine refused loads for 16 s. Change: an engine gets no further prompt while it has a third of a second of unread prompts; counts settle from reports 700 ms after the last order.

--- a/src/main/java/org/borageproxy/coordination/CoordinationClient.java
+++ b/src/main/java/org/borageproxy/coordination/CoordinationClient.java
@@ -28,7 +28,7 @@
 
     private static final Logger LOGGER = LoggerFactory.getLogger(CoordinationClient.class);
     /** The time between two reports. */
-    private static final Duration INTERVAL = Duration.ofMillis(250);
+    private static final Duration INTERVAL = Duration.ofMillis(120);
     /** The time between two urgent reports. */
     private static final Duration URGENT_INTERVAL = Duration.ofMillis(15);
     /** The time allowed to an answer. */
--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -50,6 +50,11 @@
 
     private static final Duration RATE_SLACK = Duration.ofMillis(2);
     private static final int MOST_RATE_HOLDS = 2;
+    /** The part of the time to its objective that a request waits in a crowd. */
+    private static final double CROWD_PATIENCE = 0.55;
+    /** How many VMs are supposed to have such a crowd. */
+    private static final int SUPPOSED_CROWDS = 4;
+
     private static final int MISDIRECTED = 421;
     private static final int FIRST_SERVER_ERROR = 500;
 
@@ -67,7 +72,8 @@
     private Optional<HttpResponse> firstHead = Optional.empty();
     private int sends;
     private int runs;
-    private boolean isWaiting;
+    private boolean isAbsent;
+    private Optional<ServerPool.Waiting> waiting = Optional.empty();
     private boolean hasEnded;
 
     Exchange(ForwardParts parts, HeldRequest held, Runnable ended) {
@@ -115,6 +121,9 @@
                 }
             });
         } else {
+            held.workspace()
+                    .ifPresent(workspace ->
+                            log.rateSpent(held.rateTokens(), parts.rates().describe(workspace)));
             refuse(RefusalReason.RATE_SPENT, wait);
         }
     }
@@ -128,13 +137,13 @@
             return;
         }
         ServerPool.Absence absence =
-                parts.pool().absence(held.service(), held.fields().work());
-        log.noServer(absence, tried.size());
+                parts.pool().absence(held.service(), held.fields().work(), tried);
         switch (absence) {
             case ALL_TRIED -> giveUp(RefusalReason.REFUSED_BY_SERVERS, SOON);
-            case NO_SERVER -> waitOrRefuse(RefusalReason.NO_SERVER, SERVER_WAIT);
-            case NO_ADAPTER -> waitOrRefuse(RefusalReason.MODEL_ABSENT, ADAPTER_WAIT);
-            default -> waitOrRefuse(RefusalReason.MODEL_ABSENT, modelWait());
+            case NO_SERVER -> waitOrRefuse(RefusalReason.NO_SERVER, absence, SERVER_WAIT);
+            case NO_ADAPTER -> waitOrRefuse(RefusalReason.MODEL_ABSENT, absence, ADAPTER_WAIT);
+            case CROWDED -> waitOrRefuse(RefusalReason.NO_CAPACITY, absence, crowdWait());
+            default -> waitOrRefuse(RefusalReason.MODEL_ABSENT, absence, modelWait());
         }
     }
 
@@ -143,31 +152,48 @@
         return Duration.ofNanos(untilObjective / 2);
     }
 
-    private void waitOrRefuse(RefusalReason reason, Duration longest) {
-        if (isWaiting) {
+    /** A request waits in a crowd only as long as it can still be on time, and not at all if the crowd is too large. */
+    private Duration crowdWait() {
+        CallerFields.EngineWork work = held.fields().work().orElseThrow();
+        double rate = parts.pool().readingRate(held.service(), work.model());
+        double aheadMillis = parts.pool().tokensBefore(asWaiting()) * SUPPOSED_CROWDS / Math.max(0.1, rate);
+        long leftMillis = held.objective().remainingMillis(parts.clock().nanoTime());
+        long patience = (long) (leftMillis * CROWD_PATIENCE);
+        return aheadMillis > patience ? Duration.ZERO : Duration.ofMillis(patience);
+    }
+
+    private ServerPool.Waiting asWaiting() {
+        return new ServerPool.Waiting(
+                held.urgency(), held.objective(), held.fields().work().orElseThrow(), lookAgain);
+    }
+
+    private void waitOrRefuse(RefusalReason reason, ServerPool.Absence absence, Duration longest) {
+        if (waiting.isPresent()) {
             return;
         }
+        log.noServer(absence, tried.size());
         if (held.fields().work().isEmpty() || longest.isZero()) {
             giveUp(reason, SOON);
             return;
         }
-        isWaiting = true;
+        isAbsent = absence != ServerPool.Absence.CROWDED;
+        waiting = Optional.of(asWaiting());
         waitTimer = parts.eventLoop().schedule(() -> giveUp(reason, SOON), longest.toNanos(), TimeUnit.NANOSECONDS);
-        parts.pool().await(held.service(), held.fields().work().get(), lookAgain);
+        parts.pool().await(held.service(), waiting.get(), isAbsent);
     }
 
     private void lookAgain() {
-        if (isWaiting && !hasEnded) {
+        if (waiting.isPresent() && !hasEnded) {
             find();
         }
     }
 
     private void stopWaiting() {
-        if (isWaiting) {
-            isWaiting = false;
+        waiting.ifPresent(request -> {
             waitTimer.cancel(false);
-            parts.pool().stopWaiting(held.service(), held.fields().work().orElseThrow(), lookAgain);
-        }
+            parts.pool().stopWaiting(held.service(), request, isAbsent);
+        });
+        waiting = Optional.empty();
     }
 
     private void send(ServerChoice.Chosen chosen) {
--- a/src/main/java/org/borageproxy/forward/RequestLog.java
+++ b/src/main/java/org/borageproxy/forward/RequestLog.java
@@ -41,6 +41,10 @@
                 ageMillis());
     }
 
+    void rateSpent(long tokens, String share) {
+        LOGGER.info("event=rate-spent id={} tokens={} share=\"{}\" age_ms={}", identity(), tokens, share, ageMillis());
+    }
+
     private String model() {
         return held.fields()
                 .work()
--- a/src/main/java/org/borageproxy/forward/ServerChoice.java
+++ b/src/main/java/org/borageproxy/forward/ServerChoice.java
@@ -22,7 +22,7 @@
     INSTANCE;
 
     /** Prompt tokens that an engine reads in a millisecond, until its own pace is known; from the users' sheets. */
-    private static final double PROMPT_TOKENS_PER_MILLISECOND = 19.0;
+    static final double PROMPT_TOKENS_PER_MILLISECOND = 19.0;
     /** Milliseconds of a decoding step; from the users' sheets. */
     private static final double STEP_MILLISECONDS = 10.0;
     /** Milliseconds that each request in the batch adds to a step; from the users' sheets. */
@@ -37,6 +37,8 @@
     private static final double USABLE_CACHE = 0.85;
     /** Milliseconds that a request waits for each whole cache of tokens beyond the usable part. */
     private static final double FULL_CACHE_MILLISECONDS = 4_000.0;
+    /** Milliseconds of unread prompts at an engine beyond which its running streams pause for too long. */
+    private static final double MOST_UNREAD_MILLISECONDS = 330.0;
 
     /**
      * What is asked for.
@@ -87,7 +89,8 @@
                 .filter(candidate -> !candidate.use().isAvoided(nowNanos)
                         && candidate.server().state() == BackendServerState.ALIVE)
                 .toList();
-        List<Candidate> considered = sound.isEmpty() ? untried : sound;
+        List<Candidate> considered = (sound.isEmpty() ? untried : sound)
+                .stream().filter(candidate -> admits(query, candidate)).toList();
         int offset = considered.isEmpty() ? 0 : random.nextInt(considered.size());
         return IntStream.range(0, considered.size())
                 .mapToObj(index -> considered.get((index + offset) % considered.size()))
@@ -96,6 +99,22 @@
                 .map(Scored::chosen);
     }
 
+    private static boolean admits(Query query, Candidate candidate) {
+        if (query.work().isEmpty()
+                || query.engines().isEmpty()
+                || candidate.use().allRequests() == 0) {
+            return true;
+        }
+        ServerUse use = candidate.use();
+        CallerFields.EngineWork work = query.work().get();
+        int unread = work.promptTokens() - use.prompts().kept(work) + Math.max(0, use.allUnreadTokens());
+        boolean isReadSoon = unread / PROMPT_TOKENS_PER_MILLISECOND * candidate.pace() <= MOST_UNREAD_MILLISECONDS;
+        boolean hasRoom =
+                use.allHeldTokens() + work.tokens() <= query.engines().get().cacheTokens() * USABLE_CACHE;
+        boolean hasSlot = use.allRequests() < query.engines().get().batchSlots();
+        return (isReadSoon || use.allUnreadTokens() <= 0) && hasRoom && hasSlot;
+    }
+
     private record Scored(Chosen chosen, double score) {}
 
     private Scored predicted(Query query, Candidate candidate) {
--- a/src/main/java/org/borageproxy/forward/ServerPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerPool.java
@@ -1,6 +1,7 @@
 package org.borageproxy.forward;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -15,6 +16,7 @@
 import org.borageproxy.membership.BackendServerState;
 import org.borageproxy.membership.BackendServers;
 import org.borageproxy.publication.EnginePool;
+import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
 import org.borageproxy.vm.AvailabilityZone;
 import org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand;
@@ -31,6 +33,8 @@
     /** The weight of the newest observation in a model's pace. */
     private static final double NEWEST = 0.1;
 
+    private static final Comparator<Waiting> BY_RANK =
+            Comparator.comparingInt(Waiting::rank).thenComparing(Waiting::objective);
     private static final double SLOWEST_PACE = 20.0;
     private static final double FASTEST_PACE = 0.05;
 
@@ -42,7 +46,7 @@
     private final Map<BackendServerName, HeldModels> contents = new HashMap<>();
     private final Map<String, Double> paces = new HashMap<>();
     private final Map<DemandKey, Demand> demands = new HashMap<>();
-    private final Set<Runnable> waiting = new LinkedHashSet<>();
+    private final List<Waiting> waiting = new ArrayList<>();
     private Runnable urgentReport = () -> {};
 
     /** Why no server can run a request now. */
@@ -53,10 +57,22 @@
         NO_MODEL,
         /** A server holds the model, none the adapter. */
         NO_ADAPTER,
+        /** Servers that could run the request have as much to read as they can without delaying others. */
+        CROWDED,
         /** All servers that could run the request were tried. */
         ALL_TRIED
     }
 
+    /**
+     * A request that waits for a server.
+     *
+     * @param rank the rank, the lowest first
+     * @param objective when its answer is late
+     * @param work the work of an engine
+     * @param retry looks for a server again
+     */
+    record Waiting(int rank, Deadline objective, CallerFields.EngineWork work, Runnable retry) {}
+
     private record DemandKey(String service, String model, String adapter) {}
 
     private static final class Demand {
@@ -153,17 +169,21 @@
      *
      * @param service the service
      * @param work the work of an engine
+     * @param tried the servers that are not asked again
      * @return the reason
      */
-    Absence absence(String service, Optional<CallerFields.EngineWork> work) {
+    Absence absence(String service, Optional<CallerFields.EngineWork> work, Set<BackendServerName> tried) {
         List<BackendServer> live = servers.current().stream()
                 .filter(server -> takesWork(server, service))
                 .toList();
         if (live.isEmpty()) {
             return Absence.NO_SERVER;
         }
-        if (live.stream().anyMatch(server -> canRun(server, work))) {
-            return Absence.ALL_TRIED;
+        List<BackendServer> able =
+                live.stream().filter(server -> canRun(server, work)).toList();
+        if (!able.isEmpty()) {
+            boolean areAllTried = able.stream().allMatch(server -> tried.contains(server.name()));
+            return areAllTried ? Absence.ALL_TRIED : Absence.CROWDED;
         }
         String model = work.orElseThrow().model();
         boolean isHeld = live.stream().anyMatch(server -> content(server).holds(model, ""));
@@ -234,6 +254,7 @@
             use.succeeded(Math.max(FASTEST_PACE, ratio));
             String pace = work.map(CallerFields.EngineWork::model).orElse(service);
             paces.merge(pace, 1.0, (known, one) -> bounded(known * (1 + NEWEST * (ratio - 1))));
+            retryWaiting();
         }
 
         /** Notes the end of the request, in whatever way. */
@@ -244,6 +265,7 @@
                     use.read(chosen.unreadTokens());
                 }
                 use.ended(heldTokens());
+                retryWaiting();
             }
         }
 
@@ -278,29 +300,68 @@
     }
 
     /**
-     * Keeps a request until a server may hold its model.
+     * Keeps a request until a server may run it.
      *
      * @param service the service
-     * @param work the work of an engine
-     * @param retry looks for a server again
+     * @param request the request
+     * @param isAbsent whether no server holds its model or adapter, so that the coordinator must act
      */
-    void await(String service, CallerFields.EngineWork work, Runnable retry) {
-        if (waiting.add(retry)) {
-            demand(service, work).waiting++;
+    void await(String service, Waiting request, boolean isAbsent) {
+        int position = 0;
+        while (position < waiting.size() && BY_RANK.compare(waiting.get(position), request) <= 0) {
+            position++;
+        }
+        waiting.add(position, request);
+        if (isAbsent) {
+            demand(service, request.work()).waiting++;
+            urgentReport.run();
         }
-        urgentReport.run();
     }
 
     /**
      * Ends the wait of a request.
      *
      * @param service the service
-     * @param work the work of an engine
-     * @param retry what was given to {@link #await}
+     * @param request what was given to {@link #await}
+     * @param wasAbsent what was given to {@link #await}
+     */
+    void stopWaiting(String service, Waiting request, boolean wasAbsent) {
+        if (waiting.remove(request) && wasAbsent) {
+            demand(service, request.work()).waiting--;
+        }
+    }
+
+    /**
+     * Returns the prompt tokens of waiting requests for a model that go first.
+     *
+     * @param request a request
+     * @return the tokens on this VM
      */
-    void stopWaiting(String service, CallerFields.EngineWork work, Runnable retry) {
-        if (waiting.remove(retry)) {
-            demand(service, work).waiting--;
+    long tokensBefore(Waiting request) {
+        return waiting.stream()
+                .filter(each ->
+                        each.work().model().equals(request.work().model()) && BY_RANK.compare(each, request) <= 0)
+                .mapToLong(each -> each.work().promptTokens())
+                .sum();
+    }
+
+    /**
+     * Returns how many prompt tokens the servers of a model read in a millisecond.
+     *
+     * @param service the service
+     * @param model the model
+     * @return the sum over its servers
+     */
+    double readingRate(String service, String model) {
+        long places = servers.current().stream()
+                .filter(server -> takesWork(server, service) && content(server).holds(model, ""))
+                .count();
+        return places * ServerChoice.PROMPT_TOKENS_PER_MILLISECOND / paces.getOrDefault(model, 1.0);
+    }
+
+    private void retryWaiting() {
+        if (!waiting.isEmpty()) {
+            List.copyOf(waiting).forEach(request -> request.retry().run());
         }
     }
 
@@ -328,7 +389,7 @@
      */
     public void contents(Map<BackendServerName, HeldModels> newContents) {
         newContents.forEach((name, held) -> contents.merge(name, held, ServerPool::newer));
-        List.copyOf(waiting).forEach(Runnable::run);
+        retryWaiting();
     }
 
     private static HeldModels newer(HeldModels known, HeldModels offered) {
@@ -353,6 +414,7 @@
                     current ? usage.getPromptTokens() : 0,
                     current ? usage.getHeldTokens() : 0);
         });
+        retryWaiting();
     }
 
     /**
--- a/src/main/java/org/borageproxy/placement/CopyPlan.java
+++ b/src/main/java/org/borageproxy/placement/CopyPlan.java
@@ -24,6 +24,18 @@
     private static final double LEAST_WORK = 0.12;
     /** The gain that a move must bring, in seconds of an engine for each second. */
     private static final double LEAST_GAIN = 0.04;
+    /** The part of a place's work that other places of the model cannot take over without loss. */
+    private static final double KEPT_SHARE = 0.6;
+    /** The loss with the last place of a model that is asked for. */
+    private static final double LAST_PLACE = 0.15;
+    /** The loss with the last place of a model that nobody asks for. */
+    private static final double UNASKED_PLACE = 0.02;
+    /** What a second of loading counts against an engine. */
+    private static final double LOAD_COST = 0.05;
+    /** The time for which demand stays about the same, in seconds; from the users' days. */
+    private static final double HORIZON_SECONDS = 14.0;
+
+    private static final double LEAST_WORTH = 0.15;
     /** Prompt and output tokens that an engine serves in a second at pace one; from the users' sheets. */
     private static final double TOKENS_PER_SECOND = 12_000.0;
 
@@ -144,12 +156,14 @@
         for (EngineBook engine : engines) {
             boolean isFree = engine.takesOrders() && engine.awaitedModel().isEmpty() && !holds(engine, model);
             boolean isPaid = engine.hasCopy(model) || mayUseStore;
-            if (!isFree || !isPaid || work.get(engine) + brought + LEAST_GAIN > crowding) {
+            if (!isFree || !isPaid) {
                 continue;
             }
             Optional<Step> step = step(engine, model);
-            double cost = work.get(engine) + loadSeconds(engine, model) / 10 + lossOf(step);
-            if (step.isPresent() && cost < bestCost) {
+            double loss = lossOf(step);
+            double gain = (crowding - work.get(engine) - brought) * worthOfLoad(engine, model);
+            double cost = work.get(engine) + loadSeconds(engine, model) * LOAD_COST + loss;
+            if (step.isPresent() && gain > loss + LEAST_GAIN && cost < bestCost) {
                 best = step;
                 bestCost = cost;
             }
@@ -157,9 +171,13 @@
         return best;
     }
 
+    /** The part of the time until demand moves on in which a loaded model serves. */
+    private double worthOfLoad(EngineBook engine, String model) {
+        return Math.max(LEAST_WORTH, (HORIZON_SECONDS - loadSeconds(engine, model)) / HORIZON_SECONDS);
+    }
+
     private double lossOf(Optional<Step> step) {
-        return step.map(each ->
-                        each instanceof Step.Unload unload ? 0.05 + share(unload.model(), places(unload.model())) : 0.0)
+        return step.map(each -> each instanceof Step.Unload unload ? loss(unload.model()) : 0.0)
                 .orElse(0.0);
     }
 
@@ -176,17 +194,20 @@
             return Optional.of(new Step.Load(engine, model));
         }
         return engine.held().keySet().stream()
-                .filter(this::isDispensable)
-                .min(Comparator.comparingDouble(each -> share(each, places(each))))
+                .filter(each -> !each.equals(model))
+                .min(Comparator.comparingDouble(this::loss))
+                .filter(victim -> demands.getOrDefault(victim, Demand.NONE).waiting() == 0)
                 .map(victim -> new Step.Unload(engine, victim, model));
     }
 
-    /** A model is given up where others hold it too, or where nobody asks for it and it can come back from a disk. */
-    private boolean isDispensable(String model) {
-        Demand demand = demands.getOrDefault(model, Demand.NONE);
-        int places = settledPlaces(model);
-        boolean isAsked = demand.tokensPerSecond() > 1 || demand.waiting() > 0;
-        return places > 1 || !isAsked;
+    /** What is lost with one place of a model, in seconds of an engine for each second. */
+    private double loss(String model) {
+        double share = share(model, places(model));
+        if (settledPlaces(model) > 1) {
+            return share * KEPT_SHARE;
+        }
+        boolean isAsked = demands.getOrDefault(model, Demand.NONE).tokensPerSecond() > 1;
+        return isAsked ? LAST_PLACE + 2 * share : UNASKED_PLACE;
     }
 
     private int settledPlaces(String model) {
@@ -219,10 +240,8 @@
                 used += figures.weightMegabytes() + entry.getValue().size() * figures.adapterMegabytes();
             }
         }
-        for (String model : List.of(engine.arrivingModel(), engine.leavingModel())) {
-            EnginePool.EngineModel figures = pool.models().get(model);
-            used += figures == null ? 0 : figures.weightMegabytes();
-        }
+        EnginePool.EngineModel arriving = pool.models().get(engine.arrivingModel());
+        used += arriving == null ? 0 : arriving.weightMegabytes();
         double adapter = pool.models().values().stream()
                 .mapToDouble(EnginePool.EngineModel::adapterMegabytes)
                 .max()
--- a/src/main/java/org/borageproxy/placement/EngineBook.java
+++ b/src/main/java/org/borageproxy/placement/EngineBook.java
@@ -35,6 +35,7 @@
     private String awaitedModel = "";
     private Deadline arrivesAt;
     private Deadline reportsCountFrom;
+    private Deadline countsSettle;
     private boolean isOrdering;
 
     EngineBook(BackendServer server, long nowNanos) {
@@ -46,6 +47,7 @@
         announced(server);
         arrivesAt = new Deadline(nowNanos);
         reportsCountFrom = new Deadline(nowNanos);
+        countsSettle = new Deadline(nowNanos);
     }
 
     BackendServer server() {
@@ -70,8 +72,8 @@
      * @param askedAtNanos when the engine was asked
      */
     void reported(EngineClient.State state, long askedAtNanos) {
-        boolean isStale = !reportsCountFrom.hasPassed(askedAtNanos)
-                || isOrdersKnown && state.held().orders() < orders;
+        boolean isBehind = isOrdersKnown && state.held().orders() < orders && !countsSettle.hasPassed(askedAtNanos);
+        boolean isStale = isBehind || !reportsCountFrom.hasPassed(askedAtNanos);
         if (isStale || state.held().incarnation() != server.incarnation()) {
             return;
         }
@@ -81,7 +83,9 @@
         state.held().adaptersByModel().forEach((model, adapters) -> held.put(model, new HashSet<>(adapters)));
         copies.addAll(held.keySet());
         leavingAdapters.clear();
-        if (!state.isBusy()) {
+        if (state.isBusy()) {
+            held.remove(leavingModel);
+        } else {
             arrivingModel = "";
             leavingModel = "";
         }
@@ -102,7 +106,12 @@
      * @return {@code false} while one is under way, or the count of orders is not known
      */
     boolean takesOrders() {
-        return isOrdersKnown && !isOrdering && !isBusy();
+        return isOrdersKnown && !isOrdering && arrivingModel.isEmpty() && (leavingModel.isEmpty() || isAwaiting());
+    }
+
+    /** The engine refuses the load for which room is made until the room is there. */
+    private boolean isAwaiting() {
+        return !awaitedModel.isEmpty();
     }
 
     /** Notes that the count of orders is not what it was taken for. */
@@ -137,6 +146,7 @@
      */
     void accepted(EngineClient.EngineOrder order, boolean isDone, Duration arrival, long nowNanos) {
         orders++;
+        countsSettle = Deadline.after(nowNanos, REPORT_LAG);
         if (!order.adapter().isEmpty()) {
             Set<String> adapters = held.computeIfAbsent(order.model(), model -> new HashSet<>());
             if (order.loads()) {
@@ -149,6 +159,7 @@
             }
         } else if (order.loads()) {
             awaitedModel = "";
+            leavingModel = "";
             arrivingModel = order.model();
             arrivesAt = Deadline.after(nowNanos, arrival);
         } else {
--- a/src/main/java/org/borageproxy/placement/FleetPlacement.java
+++ b/src/main/java/org/borageproxy/placement/FleetPlacement.java
@@ -43,6 +43,8 @@
     private static final Duration BUSY_REPORTS = Duration.ofMillis(150);
     /** The time between two reports of an engine at rest. */
     private static final Duration REST_REPORTS = Duration.ofMillis(2500);
+    /** How long an engine that carries out another order is left alone. */
+    private static final Duration BUSY_RETRY = Duration.ofMillis(120);
     /** How long an engine whose order got no answer is left alone. */
     private static final Duration UNANSWERED_PAUSE = Duration.ofMillis(1500);
     /** The part of the weight store's rate that is used. */
@@ -50,7 +52,7 @@
     /** Loads from the weight store that may begin at once. */
     private static final double STORE_BURST = 2.0;
     /** The weight of the newest second in demand. */
-    private static final double NEWEST = 0.35;
+    private static final double NEWEST = 0.45;
     /** The adapters that may be on their way to one engine. */
     private static final int MOST_ARRIVING_ADAPTERS = 4;
 
@@ -405,15 +407,21 @@
             case ACCEPTED, HELD -> {
                 engine.accepted(order, reply == EngineClient.Reply.HELD, arrival, nowNanos);
                 engine.ordering(false);
+                nextReports.put(engine.server().name(), Deadline.after(nowNanos, BUSY_REPORTS));
                 announce(engine);
-                if (mayOrder()) {
-                    plan();
-                }
+                resume();
             }
             case CONFLICT -> {
-                engine.awaits("");
-                engine.conflicted(nowNanos);
-                engine.ordering(false);
+                if (engine.isBusy()) {
+                    environment.timer().schedule(BUSY_RETRY, () -> {
+                        engine.ordering(false);
+                        resume();
+                    });
+                } else {
+                    engine.awaits("");
+                    engine.conflicted(nowNanos);
+                    engine.ordering(false);
+                }
             }
             default -> {
                 engine.awaits("");
@@ -424,6 +432,12 @@
         environment.timer().schedule(Duration.ofMillis(30), this::settleAll);
     }
 
+    private void resume() {
+        if (mayOrder()) {
+            plan();
+        }
+    }
+
     private void settleAll() {
         long nowNanos = environment.clock().nanoTime();
         for (EngineBook book : books.values()) {
--- a/src/main/java/org/borageproxy/quota/RateShares.java
+++ b/src/main/java/org/borageproxy/quota/RateShares.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 
@@ -101,6 +102,27 @@
         return Optional.of(Duration.ofNanos((long) (Math.min(seconds, VALIDITY.toSeconds()) * NANOS_PER_SECOND)));
     }
 
+    /**
+     * Describes a workspace's part for logs.
+     *
+     * @param workspace the workspace
+     * @return the limit and what is held of it
+     */
+    public String describe(PublishedWorkspace workspace) {
+        Share share = shares.get(workspace.name());
+        return share == null
+                ? "none"
+                : String.format(
+                        Locale.ROOT,
+                        "limit:%d/%d,share:%.0f,level:%.0f,extra:%.0f,demand:%.0f",
+                        workspace.rate(),
+                        workspace.burst(),
+                        share.rate,
+                        share.level,
+                        share.extra,
+                        share.demand);
+    }
+
     /**
      * Gives back tokens of a request that did not run.
      *
