--- a/src/main/java/org/borageproxy/forward/ForwardServer.java
+++ b/src/main/java/org/borageproxy/forward/ForwardServer.java
@@ -36,6 +36,9 @@
     /** How long a caller is asked to wait while no publication is known. */
     private static final Duration PUBLICATION_WAIT = Duration.ofMillis(400);
 
+    /** How long a caller of a VM that stops is asked to wait; another VM can take the request at once. */
+    private static final Duration STOPPING_WAIT = Duration.ofMillis(20);
+
     private static final int BACKLOG = 1024;
 
     private final Vertx vertx;
@@ -45,6 +48,7 @@
     private HttpServer server;
     private int inFlight;
     private boolean isClosing;
+    private boolean isRefusing;
 
     /**
      * Creates a server.
@@ -127,6 +131,10 @@
 
     private void forward(HttpServerRequest request, byte[] body, long arrivedAtNanos) {
         CallerFields fields = parts.protocol().read(request.headers());
+        if (isRefusing) {
+            refuse(request, fields.identity(), RefusalReason.STOPPING, Optional.of(STOPPING_WAIT));
+            return;
+        }
         Optional<ServedPublication> served = publications.get();
         if (served.isEmpty()) {
             refuse(request, fields.identity(), RefusalReason.NO_PUBLICATION, Optional.of(PUBLICATION_WAIT));
@@ -222,6 +230,13 @@
         isClosing = true;
     }
 
+    /**
+     * Refuses further requests as not run, since they might not end before the process does. Called on the event loop.
+     */
+    public void refuseFurther() {
+        isRefusing = true;
+    }
+
     /**
      * Stops listening; called on the event loop when nothing is in flight or the time for a shutdown is over.
      *
--- a/src/main/java/org/borageproxy/forward/ServerChoice.java
+++ b/src/main/java/org/borageproxy/forward/ServerChoice.java
@@ -30,7 +30,7 @@
     /** Milliseconds of a plain service's request until its own pace is known; from the users' sheets. */
     private static final double SERVICE_MILLISECONDS = 60.0;
     /** Milliseconds by which another availability zone counts as slower. */
-    private static final double ZONE_MILLISECONDS = 4.0;
+    private static final double ZONE_MILLISECONDS = 30.0;
     /** Milliseconds that a surely failing server counts as slower. */
     private static final double FAILURE_MILLISECONDS = 1_500.0;
     /** The part of an engine's cache beyond which requests wait for memory. */
@@ -38,7 +38,11 @@
     /** Milliseconds that a request waits for each whole cache of tokens beyond the usable part. */
     private static final double FULL_CACHE_MILLISECONDS = 4_000.0;
     /** Milliseconds of unread prompts at an engine beyond which its running streams pause for too long. */
-    private static final double MOST_UNREAD_MILLISECONDS = 330.0;
+    private static final double MOST_UNREAD_MILLISECONDS = 300.0;
+    /** Milliseconds of unread prompts at an engine that its running streams do not notice. */
+    private static final double HARMLESS_UNREAD_MILLISECONDS = 160.0;
+    /** Milliseconds by which a running stream that may pause for too long counts against an engine. */
+    private static final double PAUSE_MILLISECONDS = 25.0;
 
     /**
      * What is asked for.
@@ -126,10 +130,19 @@
                 .map(work -> engineMillis(query, candidate, work, unread))
                 .orElseGet(() -> serviceMillis(candidate));
         double penalty = candidate.server().zone().equals(query.zone()) ? 0.0 : ZONE_MILLISECONDS;
-        double score = expected * use.slowness() + use.failureShare() * FAILURE_MILLISECONDS + penalty;
+        double score = expected * use.slowness()
+                + use.failureShare() * FAILURE_MILLISECONDS
+                + penalty
+                + harmMillis(use, unread, candidate.pace());
         return new Scored(new Chosen(candidate.server(), expected, unread), score);
     }
 
+    private static double harmMillis(ServerUse use, int unread, double pace) {
+        double reading = (use.allUnreadTokens() + unread) / PROMPT_TOKENS_PER_MILLISECOND * pace;
+        double excess = Math.max(0, reading - HARMLESS_UNREAD_MILLISECONDS) / HARMLESS_UNREAD_MILLISECONDS;
+        return Math.min(1.0, excess) * use.allRequests() * PAUSE_MILLISECONDS;
+    }
+
     private static double engineMillis(Query query, Candidate candidate, CallerFields.EngineWork work, int unread) {
         ServerUse use = candidate.use();
         double prefill = (use.allUnreadTokens() + unread) / PROMPT_TOKENS_PER_MILLISECOND;
--- a/src/main/java/org/borageproxy/placement/CopyPlan.java
+++ b/src/main/java/org/borageproxy/placement/CopyPlan.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 
 import org.borageproxy.publication.EnginePool;
 
@@ -236,27 +235,45 @@
                 || engine.awaitedModel().equals(model);
     }
 
+    /** The memory that an engine uses or is about to use, with room for its adapters, in megabytes. */
+    private double used(EngineBook engine) {
+        double adapter = pool.models().values().stream()
+                .mapToDouble(EnginePool.EngineModel::adapterMegabytes)
+                .max()
+                .orElse(0);
+        return weights(pool, engine) + adapter * pool.adapterSlots();
+    }
+
+    private static double weights(EnginePool pool, EngineBook engine) {
+        double used = 0;
+        for (String model : engine.held().keySet()) {
+            used += megabytes(pool, model);
+        }
+        return used + megabytes(pool, engine.arrivingModel());
+    }
+
+    private static double megabytes(EnginePool pool, String model) {
+        EnginePool.EngineModel figures = pool.models().get(model);
+        return figures == null ? 0 : figures.weightMegabytes();
+    }
+
     /**
-     * Returns the memory that an engine uses or is about to use.
+     * Tells whether an adapter fits into the memory of an engine.
      *
+     * @param pool the engine's pool
      * @param engine the engine
-     * @return megabytes
+     * @param model the adapter's model
+     * @return {@code false} if the engine could be overfilled
      */
-    double used(EngineBook engine) {
-        double used = 0;
-        for (Map.Entry<String, Set<String>> entry : engine.held().entrySet()) {
-            EnginePool.EngineModel figures = pool.models().get(entry.getKey());
-            if (figures != null) {
-                used += figures.weightMegabytes() + entry.getValue().size() * figures.adapterMegabytes();
-            }
-        }
-        EnginePool.EngineModel arriving = pool.models().get(engine.arrivingModel());
-        used += arriving == null ? 0 : arriving.weightMegabytes();
-        double adapter = pool.models().values().stream()
+    static boolean hasRoomForAdapter(EnginePool pool, EngineBook engine, String model) {
+        EnginePool.EngineModel figures = pool.models().get(model);
+        double largest = pool.models().values().stream()
                 .mapToDouble(EnginePool.EngineModel::adapterMegabytes)
                 .max()
                 .orElse(0);
-        return used + adapter * pool.adapterSlots() / 2.0 + adapter * engine.arrivingAdapterCount();
+        double adapters = engine.adapterCount() * largest;
+        return figures != null
+                && weights(pool, engine) + adapters + figures.adapterMegabytes() <= pool.weightMegabytes();
     }
 
     /** The work of a model at each of its places. */
--- a/src/main/java/org/borageproxy/placement/EngineBook.java
+++ b/src/main/java/org/borageproxy/placement/EngineBook.java
@@ -37,6 +37,8 @@
     private Deadline reportsCountFrom;
     private Deadline countsSettle;
     private boolean isOrdering;
+    private boolean isReportedBusy;
+    private int reportedAdapters;
 
     EngineBook(BackendServer server, long nowNanos) {
         this.server = server;
@@ -83,6 +85,8 @@
         state.held().adaptersByModel().forEach((model, adapters) -> held.put(model, new HashSet<>(adapters)));
         copies.addAll(held.keySet());
         leavingAdapters.clear();
+        isReportedBusy = state.isBusy();
+        reportedAdapters = state.arrivingAdapters();
         if (state.isBusy()) {
             held.remove(leavingModel);
         } else {
@@ -106,7 +110,11 @@
      * @return {@code false} while one is under way, or the count of orders is not known
      */
     boolean takesOrders() {
-        return isOrdersKnown && !isOrdering && arrivingModel.isEmpty() && (leavingModel.isEmpty() || isAwaiting());
+        return isOrdersKnown
+                && !isOrdering
+                && (!isReportedBusy || isAwaiting())
+                && arrivingModel.isEmpty()
+                && (leavingModel.isEmpty() || isAwaiting());
     }
 
     /** The engine refuses the load for which room is made until the room is there. */
@@ -125,7 +133,7 @@
     }
 
     boolean isBusy() {
-        return !arrivingModel.isEmpty() || !leavingModel.isEmpty();
+        return isReportedBusy || !arrivingModel.isEmpty() || !leavingModel.isEmpty();
     }
 
     boolean takesAdapters() {
@@ -243,7 +251,8 @@
      * @return the number
      */
     int adapterCount() {
-        return held.values().stream().mapToInt(Set::size).sum() + arrivingAdapters.size() + leavingAdapters.size();
+        int arriving = Math.max(arrivingAdapters.size(), reportedAdapters);
+        return held.values().stream().mapToInt(Set::size).sum() + arriving + leavingAdapters.size();
     }
 
     /**
--- a/src/main/java/org/borageproxy/placement/FleetPlacement.java
+++ b/src/main/java/org/borageproxy/placement/FleetPlacement.java
@@ -375,7 +375,7 @@
     }
 
     private void bring(String service, EnginePool pool, EngineBook engine, Wanted wanted) {
-        if (engine.adapterCount() < pool.adapterSlots()) {
+        if (engine.adapterCount() < pool.adapterSlots() && CopyPlan.hasRoomForAdapter(pool, engine, wanted.model())) {
             order(engine, true, wanted.model(), wanted.adapter(), Duration.ZERO);
         } else {
             victim(service, engine)
--- a/src/main/java/org/borageproxy/server/GatewayEntry.java
+++ b/src/main/java/org/borageproxy/server/GatewayEntry.java
@@ -175,6 +175,11 @@
         server.beginClosing();
     }
 
+    /** Refuses further requests as not run. */
+    void refuseFurther() {
+        server.refuseFurther();
+    }
+
     /**
      * Stops listening.
      *
--- a/src/main/java/org/borageproxy/server/GatewayProcess.java
+++ b/src/main/java/org/borageproxy/server/GatewayProcess.java
@@ -161,6 +161,9 @@
 
     private void drain(Deadline noticed, Deadline end) {
         long nowNanos = foundation.clock().nanoTime();
+        if (noticed.hasPassed(nowNanos)) {
+            entry.ifPresent(GatewayEntry::refuseFurther);
+        }
         boolean isIdle = entry.map(GatewayEntry::inFlight).orElse(0) == 0;
         boolean isDone = entry.isEmpty() || noticed.hasPassed(nowNanos) && isIdle || end.hasPassed(nowNanos);
         if (!isDone) {
--- /dev/null
+++ b/src/test/java/org/borageproxy/placement/EngineBookTest.java
@@ -0,0 +1,114 @@
+package org.borageproxy.placement;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.borageproxy.coordination.HeldModels;
+import org.borageproxy.membership.BackendServer;
+import org.borageproxy.membership.BackendServerKind;
+import org.borageproxy.membership.BackendServerName;
+import org.borageproxy.membership.BackendServerState;
+import org.borageproxy.membership.LoadReport;
+import org.borageproxy.membership.LoadedModel;
+import org.borageproxy.publication.EnginePool;
+import org.borageproxy.vm.AvailabilityZone;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class EngineBookTest {
+
+    private static final long SECOND = 1_000_000_000L;
+    private static final EnginePool POOL = new EnginePool(
+            64, 100_000, 2, 210, 2, 2, Map.of("a", model("a"), "b", model("b"), "c", model("c"), "d", model("d")));
+
+    private static EnginePool.EngineModel model(String name) {
+        return new EnginePool.EngineModel(name, 65, 9, 2, 1, 1);
+    }
+
+    private static EngineBook book(String... models) {
+        List<LoadedModel> loaded = java.util.Arrays.stream(models)
+                .map(name -> new LoadedModel(name, "1", "", Set.of()))
+                .toList();
+        return new EngineBook(
+                new BackendServer(
+                        new BackendServerName("e"),
+                        7,
+                        1,
+                        BackendServerKind.ENGINE,
+                        BackendServerState.ALIVE,
+                        new AvailabilityZone("z"),
+                        "127.0.0.1",
+                        1,
+                        true,
+                        Set.of("s"),
+                        List.of(),
+                        loaded,
+                        new LoadReport(0, 0, 64, 1, 1)),
+                0);
+    }
+
+    private static EngineClient.State state(long orders, boolean isBusy, String... models) {
+        Map<String, Set<String>> held = new java.util.HashMap<>();
+        for (String name : models) {
+            held.put(name, Set.of());
+        }
+        return new EngineClient.State(new HeldModels(7, orders, held, Set.of()), isBusy, 0);
+    }
+
+    private static Optional<CopyPlan.Step> step(EngineBook book, String wanted) {
+        Map<String, CopyPlan.Demand> demand = Map.of(wanted, new CopyPlan.Demand(5_000, 3));
+        return new CopyPlan(POOL, List.of(book), demand).next(true);
+    }
+
+    @Test
+    void engineThatCarriesOutAnOrderOfAnEarlierLeaderGetsNone() {
+        EngineBook book = book("a", "b");
+        book.reported(state(2, true, "a", "b"), SECOND);
+        assertTrue(step(book, "d").isEmpty());
+        book.reported(state(2, false, "a", "b", "c"), 2 * SECOND);
+        assertTrue(step(book, "d").orElseThrow() instanceof CopyPlan.Step.Unload);
+    }
+
+    @Test
+    void countsThatAReportContradictsForLongAreCorrected() {
+        EngineBook book = book("a", "b", "c");
+        book.reported(state(3, false, "a", "b", "c"), 0);
+        EngineClient.EngineOrder order = new EngineClient.EngineOrder(false, "a", "", 3, "me", 1);
+        book.accepted(order, false, Duration.ZERO, SECOND);
+        book.reported(state(3, false, "a", "b", "c"), SECOND + SECOND / 10);
+        assertEquals(4, book.orders());
+        book.reported(state(3, false, "a", "b", "c"), 3 * SECOND);
+        assertEquals(3, book.orders());
+    }
+
+    @Test
+    void roomIsMadeBeforeALoadAndNeverOverfilled() {
+        EngineBook book = book("a", "b", "c");
+        book.reported(state(0, false, "a", "b", "c"), 0);
+        CopyPlan.Step.Unload unload = (CopyPlan.Step.Unload) step(book, "d").orElseThrow();
+        book.awaits(unload.successor());
+        book.accepted(
+                new EngineClient.EngineOrder(false, unload.model(), "", 0, "me", 1), false, Duration.ZERO, SECOND);
+        assertEquals(new CopyPlan.Step.Load(book, "d"), step(book, "d").orElseThrow());
+        book.accepted(new EngineClient.EngineOrder(true, "d", "", 1, "me", 1), false, Duration.ofSeconds(9), SECOND);
+        assertTrue(step(book, "d").isEmpty());
+        assertFalse(book.takesOrders());
+    }
+
+    @Test
+    void adaptersThatTheEngineStillLetsGoKeepTheirPlaces() {
+        EngineBook book = book("a");
+        book.reported(state(0, false, "a"), 0);
+        book.accepted(new EngineClient.EngineOrder(true, "a", "x", 0, "me", 1), false, Duration.ZERO, 0);
+        assertTrue(book.settle(SECOND));
+        book.accepted(new EngineClient.EngineOrder(false, "a", "x", 1, "me", 1), false, Duration.ZERO, SECOND);
+        assertEquals(1, book.adapterCount());
+        assertFalse(book.usable().holds("a", "x"));
+    }
+}
