--- a/src/main/java/org/borageproxy/coordination/CoordinationClient.java
+++ b/src/main/java/org/borageproxy/coordination/CoordinationClient.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.function.BiConsumer;
@@ -31,6 +32,8 @@
     private static final Duration INTERVAL = Duration.ofMillis(120);
     /** The time between two urgent reports. */
     private static final Duration URGENT_INTERVAL = Duration.ofMillis(15);
+    /** How long after its last answer a coordinator counts as reachable. */
+    private static final Duration HEARD = Duration.ofMillis(400);
     /** The time allowed to an answer. */
     private static final Duration PATIENCE = Duration.ofMillis(400);
 
@@ -48,6 +51,7 @@
     private boolean isRunning;
     private boolean hadCoordinator;
     private Deadline nextUrgentAt;
+    private Deadline heardUntil;
     private long round;
 
     /**
@@ -77,12 +81,23 @@
         this.reports = reports;
         this.updates = updates;
         this.nextUrgentAt = new Deadline(clock.nanoTime());
+        this.heardUntil = nextUrgentAt;
         network.handle(MessageKind.COORDINATION_NOTICE, (sender, body) -> {
             eventLoop.execute(() -> take(sender, body, clock.nanoTime()));
             return CompletableFuture.completedFuture(ByteString.EMPTY);
         });
     }
 
+    /**
+     * Returns the coordinator.
+     *
+     * @return empty while none answers
+     */
+    public Optional<VmName> coordinator() {
+        boolean isHeard = hadCoordinator && !heardUntil.hasPassed(clock.nanoTime());
+        return isHeard ? Optional.ofNullable(coordinator) : Optional.empty();
+    }
+
     /** Begins to report. */
     public void start() {
         isRunning = true;
@@ -172,6 +187,7 @@
                 LOGGER.info("event=coordinator-found vm={}", sender);
             }
             coordinator = sender;
+            heardUntil = Deadline.after(clock.nanoTime(), HEARD);
             updates.accept(update, madeAtNanos);
             return true;
         }
--- a/src/main/java/org/borageproxy/coordination/Coordinator.java
+++ b/src/main/java/org/borageproxy/coordination/Coordinator.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 
 import com.google.protobuf.ByteString;
@@ -39,6 +40,7 @@
     private final Supplier<Map<String, PublishedWorkspace>> workspaces;
     private final Supplier<List<VmName>> entries;
     private final Placement placement;
+    private final BiConsumer<VmName, UsageReport> reported;
     private final Map<VmName, Reported> reports = new HashMap<>();
     private final Map<String, RateSplitter> splitters = new HashMap<>();
     private long term = -1;
@@ -62,6 +64,13 @@
          * @return the models by server name
          */
         Map<String, HeldModels> contents();
+
+        /**
+         * Returns the version of what servers hold.
+         *
+         * @return a number that changes with each change
+         */
+        long contentsVersion();
     }
 
     /**
@@ -72,18 +81,21 @@
      * @param workspaces the published workspaces
      * @param entries the registered VMs
      * @param placement knows and orders models
+     * @param reported takes each report
      */
     public Coordinator(
             GroupMember member,
             MonotonicClock clock,
             Supplier<Map<String, PublishedWorkspace>> workspaces,
             Supplier<List<VmName>> entries,
-            Placement placement) {
+            Placement placement,
+            BiConsumer<VmName, UsageReport> reported) {
         this.member = member;
         this.clock = clock;
         this.workspaces = workspaces;
         this.entries = entries;
         this.placement = placement;
+        this.reported = reported;
     }
 
     @Override
@@ -102,7 +114,11 @@
         }
         CoordinationUpdate.Builder update = answer(sender, report);
         placement.demanded(sender, report.getDemandsList());
-        placement.contents().forEach((name, held) -> update.addContents(held.encode(name)));
+        reported.accept(sender, report);
+        update.setContentsVersion(placement.contentsVersion());
+        if (report.getContentsVersion() != placement.contentsVersion()) {
+            placement.contents().forEach((name, held) -> update.addContents(held.encode(name)));
+        }
         return CompletableFuture.completedFuture(update.build().toByteString());
     }
 
@@ -161,33 +177,9 @@
             if (!entry.equals(sender)) {
                 reported.report()
                         .getServersList()
-                        .forEach(usage -> sums.merge(usage.getName(), usage, Coordinator::sum));
+                        .forEach(usage -> sums.merge(usage.getName(), usage, ServerUsages::sum));
             }
         });
         return new ArrayList<>(sums.values());
     }
-
-    private static ServerUsage sum(ServerUsage one, ServerUsage other) {
-        if (one.getIncarnation() != other.getIncarnation()) {
-            return one.getIncarnation() > other.getIncarnation() ? one : other;
-        }
-        return one.toBuilder()
-                .setRequests(one.getRequests() + other.getRequests())
-                .setPromptTokens(one.getPromptTokens() + other.getPromptTokens())
-                .setHeldTokens(one.getHeldTokens() + other.getHeldTokens())
-                .build();
-    }
-
-    /**
-     * Returns the work in flight at all servers as the entries reported it.
-     *
-     * @return the usage by server name
-     */
-    public synchronized Map<String, ServerUsage> usage() {
-        Map<String, ServerUsage> sums = new HashMap<>();
-        reports.values().forEach(reported -> reported.report()
-                .getServersList()
-                .forEach(usage -> sums.merge(usage.getName(), usage, Coordinator::sum)));
-        return sums;
-    }
 }
--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -25,7 +25,10 @@
 import org.borageproxy.publication.PublishedWorkspace;
 import org.borageproxy.publication.Repeatability;
 import org.borageproxy.quota.RateShares;
+import org.borageproxy.routing.EngineWork;
+import org.borageproxy.routing.ServerChoice;
 import org.borageproxy.time.Deadline;
+import org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer;
 
 /**
  * One request from its arrival to its last byte: finds a server, sends, sends again where that is safe and the budget
@@ -132,6 +135,44 @@
     }
 
     private void find() {
+        Optional<EngineWork> work = held.fields().work();
+        if (work.isEmpty() || held.engines().isEmpty()) {
+            findHere();
+            return;
+        }
+        parts.slots().request(held, work.get(), tried, answer -> {
+            if (hasEnded) {
+                return;
+            }
+            if (answer.isPresent()) {
+                placed(answer.get());
+            } else {
+                findHere();
+            }
+        });
+    }
+
+    private void placed(SlotAnswer answer) {
+        Duration comeBack = Duration.ofMillis(answer.getComeBackMillis());
+        switch (answer.getOutcome()) {
+            case CHOSEN -> {
+                Optional<BackendServer> server = parts.pool().find(answer.getServer(), answer.getIncarnation());
+                if (server.isPresent()) {
+                    send(new ServerChoice.Chosen(server.get(), answer.getExpectedMillis(), answer.getUnreadTokens()));
+                } else {
+                    log.unknownPlace(answer.getServer());
+                    findHere();
+                }
+            }
+            case AGAIN -> find();
+            case NO_SERVER -> giveUp(RefusalReason.NO_SERVER, comeBack);
+            case NO_MODEL -> giveUp(RefusalReason.MODEL_ABSENT, comeBack);
+            case CROWDED -> giveUp(RefusalReason.NO_CAPACITY, comeBack);
+            default -> giveUp(RefusalReason.REFUSED_BY_SERVERS, comeBack);
+        }
+    }
+
+    private void findHere() {
         Optional<ServerChoice.Chosen> chosen = parts.pool()
                 .choose(held.service(), held.engines(), held.fields().work(), tried);
         if (chosen.isPresent()) {
@@ -157,7 +198,7 @@
 
     /** A request waits in a crowd only as long as it can still be on time, and not at all if the crowd is too large. */
     private Duration crowdWait() {
-        CallerFields.EngineWork work = held.fields().work().orElseThrow();
+        EngineWork work = held.fields().work().orElseThrow();
         double rate = parts.pool().readingRate(held.service(), work.model());
         double aheadMillis = parts.pool().tokensBefore(asWaiting()) * SUPPOSED_CROWDS / Math.max(0.1, rate);
         long leftMillis = held.objective().remainingMillis(parts.clock().nanoTime());
@@ -187,7 +228,7 @@
 
     private void lookAgain() {
         if (waiting.isPresent() && !hasEnded) {
-            find();
+            findHere();
         }
     }
 
--- a/src/main/java/org/borageproxy/forward/ForwardParts.java
+++ b/src/main/java/org/borageproxy/forward/ForwardParts.java
@@ -14,6 +14,7 @@
  * @param clock the clock
  * @param protocol names and formats
  * @param pool the backend servers
+ * @param slots asks the coordinator for places at model engines
  * @param connections the connections to them
  * @param rates this entry's parts of the rates
  * @param budgets returns the retry budget of a service
@@ -25,6 +26,7 @@
         MonotonicClock clock,
         CallerProtocol protocol,
         ServerPool pool,
+        SlotClient slots,
         ServerConnections connections,
         RateShares rates,
         Function<String, RetryBudget> budgets,
--- a/src/main/java/org/borageproxy/forward/RequestLog.java
+++ b/src/main/java/org/borageproxy/forward/RequestLog.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 
 import org.borageproxy.membership.BackendServer;
+import org.borageproxy.routing.ServerChoice;
 import org.borageproxy.time.MonotonicClock;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -69,6 +70,10 @@
         }
     }
 
+    void unknownPlace(String server) {
+        LOGGER.info("event=place-unknown id={} server={} age_ms={}", identity(), server, ageMillis());
+    }
+
     void skipped(BackendServer server, String reason) {
         LOGGER.info("event=server-skipped id={} server={} reason=\"{}\"", identity(), server.name(), reason);
     }
--- a/src/main/java/org/borageproxy/forward/ServerPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerPool.java
@@ -16,6 +16,9 @@
 import org.borageproxy.membership.BackendServerState;
 import org.borageproxy.membership.BackendServers;
 import org.borageproxy.publication.EnginePool;
+import org.borageproxy.routing.EngineWork;
+import org.borageproxy.routing.ServerChoice;
+import org.borageproxy.routing.ServerUse;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
 import org.borageproxy.vm.AvailabilityZone;
@@ -48,6 +51,7 @@
     private final Map<DemandKey, Demand> demands = new HashMap<>();
     private final List<Waiting> waiting = new ArrayList<>();
     private Runnable urgentReport = () -> {};
+    private Runnable changedUse = () -> {};
 
     /** Why no server can run a request now. */
     public enum Absence {
@@ -71,7 +75,7 @@
      * @param work the work of an engine
      * @param retry looks for a server again
      */
-    record Waiting(int rank, Deadline objective, CallerFields.EngineWork work, Runnable retry) {}
+    record Waiting(int rank, Deadline objective, EngineWork work, Runnable retry) {}
 
     private record DemandKey(String service, String model, String adapter) {}
 
@@ -95,6 +99,15 @@
         this.random = random;
     }
 
+    /**
+     * Sets what tells the coordinator that an engine has read a prompt or ended a request.
+     *
+     * @param report reports soon
+     */
+    public void onChangedUse(Runnable report) {
+        changedUse = report;
+    }
+
     /**
      * Sets what brings urgent demand to the coordinator.
      *
@@ -113,19 +126,35 @@
      * @param tried the servers that are not asked again
      * @return empty if no server can run the request now
      */
+    Optional<ServerChoice.Chosen> choose(
+            String service, Optional<EnginePool> engines, Optional<EngineWork> work, Set<BackendServerName> tried) {
+        return choose(service, engines, work, tried, zone);
+    }
+
+    /**
+     * Chooses the server of a request for a caller in another availability zone.
+     *
+     * @param service the service
+     * @param engines the engines of the service; empty for a plain service
+     * @param work the work of an engine
+     * @param tried the servers that are not asked again
+     * @param callerZone the availability zone from which the request is sent
+     * @return empty if no server can run the request now
+     */
     Optional<ServerChoice.Chosen> choose(
             String service,
             Optional<EnginePool> engines,
-            Optional<CallerFields.EngineWork> work,
-            Set<BackendServerName> tried) {
+            Optional<EngineWork> work,
+            Set<BackendServerName> tried,
+            AvailabilityZone callerZone) {
         List<ServerChoice.Candidate> candidates = new ArrayList<>();
-        String pace = work.map(CallerFields.EngineWork::model).orElse(service);
+        String pace = work.map(EngineWork::model).orElse(service);
         for (BackendServer server : servers.current()) {
             if (takesWork(server, service) && canRun(server, work)) {
                 candidates.add(new ServerChoice.Candidate(server, use(server, engines), paces.getOrDefault(pace, 1.0)));
             }
         }
-        ServerChoice.Query query = new ServerChoice.Query(work, engines, zone, tried);
+        ServerChoice.Query query = new ServerChoice.Query(work, engines, callerZone, tried);
         return ServerChoice.INSTANCE.choose(query, candidates, clock.nanoTime(), random);
     }
 
@@ -133,7 +162,7 @@
         return server.state() != BackendServerState.LEAVING && server.services().contains(service);
     }
 
-    private boolean canRun(BackendServer server, Optional<CallerFields.EngineWork> work) {
+    private boolean canRun(BackendServer server, Optional<EngineWork> work) {
         return work.isEmpty()
                 || content(server).holds(work.get().model(), work.get().adapter());
     }
@@ -160,7 +189,7 @@
      * @param server the server
      * @param work the work that it refused
      */
-    void notHeld(BackendServer server, CallerFields.EngineWork work) {
+    void notHeld(BackendServer server, EngineWork work) {
         contents.put(server.name(), content(server).without(work.model(), work.adapter()));
     }
 
@@ -172,7 +201,7 @@
      * @param tried the servers that are not asked again
      * @return the reason
      */
-    Absence absence(String service, Optional<CallerFields.EngineWork> work, Set<BackendServerName> tried) {
+    Absence absence(String service, Optional<EngineWork> work, Set<BackendServerName> tried) {
         List<BackendServer> live = servers.current().stream()
                 .filter(server -> takesWork(server, service))
                 .toList();
@@ -203,6 +232,55 @@
                         && server.state() != BackendServerState.LEAVING);
     }
 
+    /**
+     * Notes a request that another VM sends.
+     *
+     * @param chosen the chosen server
+     * @param work the work
+     */
+    void promised(ServerChoice.Chosen chosen, EngineWork work) {
+        ServerUse use = uses.get(chosen.server().name());
+        use.prompts().read(work);
+        use.others(
+                use.allRequests() + 1,
+                use.allUnreadTokens() + chosen.unreadTokens(),
+                use.allHeldTokens() + work.tokens());
+    }
+
+    /**
+     * Takes the pace of a model as another VM sees it.
+     *
+     * @param model the model
+     * @param pace the pace in proportion to the expected one
+     */
+    void paceOf(String model, double pace) {
+        paces.merge(model, bounded(pace), (known, reported) -> known + NEWEST * (reported - known));
+    }
+
+    /**
+     * Returns the paces of models as this VM sees them.
+     *
+     * @return the pace by model
+     */
+    public Map<String, Double> modelPaces() {
+        return Map.copyOf(paces);
+    }
+
+    /**
+     * Finds a server that takes work.
+     *
+     * @param name the server
+     * @param incarnation its incarnation
+     * @return empty if it left or started anew
+     */
+    Optional<BackendServer> find(String name, long incarnation) {
+        return servers.current().stream()
+                .filter(server -> server.name().value().equals(name)
+                        && server.incarnation() == incarnation
+                        && server.state() != BackendServerState.LEAVING)
+                .findFirst();
+    }
+
     /**
      * Notes a request that is sent.
      *
@@ -211,7 +289,7 @@
      * @param work the work of an engine
      * @return follows the request
      */
-    Flight started(ServerChoice.Chosen chosen, Optional<EnginePool> engines, Optional<CallerFields.EngineWork> work) {
+    Flight started(ServerChoice.Chosen chosen, Optional<EnginePool> engines, Optional<EngineWork> work) {
         ServerUse use = use(chosen.server(), engines);
         work.ifPresent(use.prompts()::read);
         Flight flight = new Flight(use, chosen, work);
@@ -223,19 +301,19 @@
     final class Flight {
         private final ServerUse use;
         private final ServerChoice.Chosen chosen;
-        private final Optional<CallerFields.EngineWork> work;
+        private final Optional<EngineWork> work;
         private final long startedAtNanos = clock.nanoTime();
         private boolean isRead;
         private boolean hasEnded;
 
-        private Flight(ServerUse use, ServerChoice.Chosen chosen, Optional<CallerFields.EngineWork> work) {
+        private Flight(ServerUse use, ServerChoice.Chosen chosen, Optional<EngineWork> work) {
             this.use = use;
             this.chosen = chosen;
             this.work = work;
         }
 
         private int heldTokens() {
-            return work.map(CallerFields.EngineWork::tokens).orElse(0);
+            return work.map(EngineWork::tokens).orElse(0);
         }
 
         /**
@@ -252,9 +330,16 @@
             double millis = (clock.nanoTime() - startedAtNanos) / 1e6;
             double ratio = Math.min(SLOWEST_PACE, millis / Math.max(1.0, chosen.expectedMillis()));
             use.succeeded(Math.max(FASTEST_PACE, ratio));
-            String pace = work.map(CallerFields.EngineWork::model).orElse(service);
+            String pace = work.map(EngineWork::model).orElse(service);
             paces.merge(pace, 1.0, (known, one) -> bounded(known * (1 + NEWEST * (ratio - 1))));
+            used();
+        }
+
+        private void used() {
             retryWaiting();
+            if (work.isPresent()) {
+                changedUse.run();
+            }
         }
 
         /** Notes the end of the request, in whatever way. */
@@ -265,7 +350,7 @@
                     use.read(chosen.unreadTokens());
                 }
                 use.ended(heldTokens());
-                retryWaiting();
+                used();
             }
         }
 
@@ -295,7 +380,7 @@
      * @param service the service
      * @param work the work of an engine
      */
-    void asked(String service, CallerFields.EngineWork work) {
+    void asked(String service, EngineWork work) {
         demand(service, work).tokens += work.tokens();
     }
 
@@ -365,7 +450,7 @@
         }
     }
 
-    private Demand demand(String service, CallerFields.EngineWork work) {
+    private Demand demand(String service, EngineWork work) {
         return demands.computeIfAbsent(new DemandKey(service, work.model(), work.adapter()), key -> new Demand());
     }
 
--- /dev/null
+++ b/src/main/java/org/borageproxy/forward/SlotBroker.java
@@ -0,0 +1,311 @@
+package org.borageproxy.forward;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.borageproxy.control.Timer;
+import org.borageproxy.coordination.HeldModels;
+import org.borageproxy.coordination.ServerUsages;
+import org.borageproxy.membership.BackendServerName;
+import org.borageproxy.publication.EnginePool;
+import org.borageproxy.routing.EngineWork;
+import org.borageproxy.routing.ServerChoice;
+import org.borageproxy.time.Deadline;
+import org.borageproxy.time.MonotonicClock;
+import org.borageproxy.vm.AvailabilityZone;
+import org.borageproxy.vm.VmName;
+import org.borageproxy.wire.VmNetwork;
+import org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage;
+import org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer;
+import org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest;
+import org.borageproxy.wire.proto.CoordinationProtocol.UsageReport;
+
+/**
+ * Gives requests of all entries their places at model engines, on the coordinator, so that entries do not crowd one
+ * engine unaware of one another. A request that finds no place waits here in the order of ranks and objectives, and
+ * only as long as it can still be on time. Without an answer an entry chooses by itself. Confined to one event loop.
+ */
+public final class SlotBroker implements VmNetwork.Handler {
+
+    /** The part of the time to its objective that a request waits. */
+    private static final double PATIENCE = 0.6;
+    /** How long a request waits for an adapter, which an engine gets within milliseconds. */
+    private static final Duration ADAPTER_WAIT = Duration.ofMillis(700);
+    /** How long a given slot counts before its entry has reported it. */
+    private static final Duration UNREPORTED = Duration.ofMillis(800);
+    /** The longest time after which callers are asked to come back. */
+    private static final Duration LATEST_RETURN = Duration.ofMillis(2500);
+
+    private static final Duration SOON = Duration.ofMillis(300);
+    /** The longest time to an answer; a request that waits longer asks again. */
+    static final Duration LONGEST_ANSWER = Duration.ofMillis(200);
+
+    private final Environment environment;
+    private final ServerPool pool;
+    private final Map<VmName, Entry> entries = new HashMap<>();
+
+    /**
+     * What the broker works with.
+     *
+     * @param coordinates tells whether this VM coordinates now
+     * @param pool the servers as seen from here, with the work of all entries
+     * @param engines the engines of a service
+     * @param clock the clock
+     * @param timer runs tasks later
+     * @param demand takes requests that wait for a model, to be ordered at once
+     */
+    public record Environment(
+            Supplier<Boolean> coordinates,
+            ServerPool pool,
+            Function<String, Optional<EnginePool>> engines,
+            MonotonicClock clock,
+            Timer timer,
+            Demand demand) {}
+
+    /** Takes requests that wait for a model or an adapter. */
+    @FunctionalInterface
+    public interface Demand {
+
+        /**
+         * Takes a change of the requests that wait.
+         *
+         * @param service the service
+         * @param work the work
+         * @param change one for a request that begins to wait, minus one for one that ends
+         */
+        void waits(String service, EngineWork work, int change);
+    }
+
+    private static final class Entry {
+        private final List<Given> given = new ArrayList<>();
+        private List<ServerUsage> reported = List.of();
+        private String session = "";
+        private Deadline countsUntil;
+        private long lastSlot;
+    }
+
+    private record Given(long slot, ServerUsage usage, Deadline countsUntil) {}
+
+    /**
+     * Creates a broker.
+     *
+     * @param environment what it works with
+     */
+    public SlotBroker(Environment environment) {
+        this.environment = environment;
+        this.pool = environment.pool();
+    }
+
+    /**
+     * Takes an entry's report.
+     *
+     * @param sender the entry
+     * @param report the report
+     */
+    public void reported(VmName sender, UsageReport report) {
+        long nowNanos = environment.clock().nanoTime();
+        Entry entry = entries.computeIfAbsent(sender, name -> new Entry());
+        if (!entry.session.equals(report.getSession())) {
+            entry.session = report.getSession();
+            entry.given.clear();
+        }
+        entry.reported = report.getServersList();
+        entry.countsUntil = Deadline.after(nowNanos, Duration.ofMillis(1500));
+        entry.given.removeIf(each -> each.slot() <= report.getLastSlot());
+        report.getPacesList().forEach(pace -> pool.paceOf(pace.getModel(), pace.getPace()));
+        refresh();
+    }
+
+    /**
+     * Takes what engines hold.
+     *
+     * @param name the server
+     * @param held its models
+     */
+    public void held(String name, HeldModels held) {
+        pool.contents(Map.of(new BackendServerName(name), held));
+    }
+
+    private void refresh() {
+        long nowNanos = environment.clock().nanoTime();
+        entries.values().removeIf(entry -> entry.countsUntil.hasPassed(nowNanos));
+        Map<String, ServerUsage> sums = new HashMap<>();
+        entries.values().forEach(entry -> {
+            entry.given.removeIf(each -> each.countsUntil().hasPassed(nowNanos));
+            entry.reported.forEach(usage -> sums.merge(usage.getName(), usage, ServerUsages::sum));
+            entry.given.forEach(each -> sums.merge(each.usage().getName(), each.usage(), ServerUsages::sum));
+        });
+        pool.otherUsage(List.copyOf(sums.values()));
+    }
+
+    @Override
+    public CompletionStage<ByteString> handle(VmName sender, ByteString body) {
+        SlotRequest request;
+        try {
+            request = SlotRequest.parseFrom(body);
+        } catch (InvalidProtocolBufferException exception) {
+            return CompletableFuture.failedFuture(exception);
+        }
+        if (!environment.coordinates().get() || !entries.containsKey(sender)) {
+            return CompletableFuture.completedFuture(
+                    SlotAnswer.getDefaultInstance().toByteString());
+        }
+        CompletableFuture<ByteString> answer = new CompletableFuture<>();
+        new Search(sender, request, answer).begin();
+        return answer;
+    }
+
+    /** One request that looks for a place. */
+    private final class Search {
+        private final VmName sender;
+        private final SlotRequest request;
+        private final EngineWork work;
+        private final CompletableFuture<ByteString> answer;
+        private final ServerPool.Waiting waiting;
+        private final Set<BackendServerName> tried = new HashSet<>();
+        private boolean isWaiting;
+        private boolean isAbsent;
+
+        Search(VmName sender, SlotRequest request, CompletableFuture<ByteString> answer) {
+            this.sender = sender;
+            this.request = request;
+            this.answer = answer;
+            List<EngineWork.PromptPart> parts = request.getPartsList().stream()
+                    .map(part -> new EngineWork.PromptPart(part.getIdentity(), part.getTokens()))
+                    .toList();
+            work = new EngineWork(
+                    request.getModel(),
+                    request.getAdapter(),
+                    request.getPromptTokens(),
+                    request.getOutputTokens(),
+                    parts);
+            Deadline objective =
+                    Deadline.after(environment.clock().nanoTime(), Duration.ofMillis(request.getObjectiveMillis()));
+            waiting = new ServerPool.Waiting(request.getRank(), objective, work, this::look);
+            request.getTriedList().forEach(name -> tried.add(new BackendServerName(name)));
+        }
+
+        void begin() {
+            if (!found()) {
+                settle();
+            }
+        }
+
+        private void look() {
+            if (isWaiting && found()) {
+                stop();
+            }
+        }
+
+        private boolean found() {
+            AvailabilityZone zone = new AvailabilityZone(request.getZone());
+            Optional<EnginePool> engines = environment.engines().apply(request.getService());
+            Optional<ServerChoice.Chosen> chosen =
+                    pool.choose(request.getService(), engines, Optional.of(work), tried, zone);
+            chosen.ifPresent(this::give);
+            return chosen.isPresent();
+        }
+
+        private void give(ServerChoice.Chosen chosen) {
+            Entry entry = entries.computeIfAbsent(sender, name -> new Entry());
+            entry.lastSlot++;
+            ServerUsage usage = ServerUsage.newBuilder()
+                    .setName(chosen.server().name().value())
+                    .setIncarnation(chosen.server().incarnation())
+                    .setRequests(1)
+                    .setPromptTokens(chosen.unreadTokens())
+                    .setHeldTokens(work.tokens())
+                    .build();
+            Deadline countsUntil = Deadline.after(environment.clock().nanoTime(), UNREPORTED);
+            entry.given.add(new Given(entry.lastSlot, usage, countsUntil));
+            if (entry.countsUntil == null) {
+                entry.countsUntil = countsUntil;
+            }
+            pool.promised(chosen, work);
+            answer(SlotAnswer.newBuilder()
+                    .setOutcome(SlotAnswer.Outcome.CHOSEN)
+                    .setServer(chosen.server().name().value())
+                    .setIncarnation(chosen.server().incarnation())
+                    .setExpectedMillis(chosen.expectedMillis())
+                    .setUnreadTokens(chosen.unreadTokens())
+                    .setSlot(entry.lastSlot));
+        }
+
+        private void settle() {
+            ServerPool.Absence absence = pool.absence(request.getService(), Optional.of(work), tried);
+            switch (absence) {
+                case NO_SERVER -> refuse(SlotAnswer.Outcome.NO_SERVER, SOON);
+                case ALL_TRIED -> refuse(SlotAnswer.Outcome.ALL_TRIED, SOON);
+                case CROWDED -> waitInCrowd();
+                case NO_ADAPTER -> waitFor(waitLeft(ADAPTER_WAIT), SlotAnswer.Outcome.NO_MODEL, true);
+                default -> waitFor(waitLeft(modelWait()), SlotAnswer.Outcome.NO_MODEL, true);
+            }
+        }
+
+        private Duration modelWait() {
+            return Duration.ofMillis(request.getMostWaitMillis());
+        }
+
+        private Duration waitLeft(Duration longest) {
+            Duration left = longest.minusMillis(request.getWaitedMillis());
+            return left.isNegative() ? Duration.ZERO : left;
+        }
+
+        private void waitInCrowd() {
+            double rate = Math.max(0.1, pool.readingRate(request.getService(), work.model()));
+            double aheadMillis = pool.tokensBefore(waiting) / rate;
+            double whole = (double) request.getObjectiveMillis() + request.getWaitedMillis();
+            double patience = whole * PATIENCE - request.getWaitedMillis();
+            if (aheadMillis > patience) {
+                refuse(SlotAnswer.Outcome.CROWDED, Duration.ofMillis((long) aheadMillis));
+            } else {
+                waitFor(Duration.ofMillis((long) patience), SlotAnswer.Outcome.CROWDED, false);
+            }
+        }
+
+        private void waitFor(Duration time, SlotAnswer.Outcome otherwise, boolean absent) {
+            isWaiting = true;
+            isAbsent = absent;
+            pool.await(request.getService(), waiting, false);
+            if (absent) {
+                environment.demand().waits(request.getService(), work, 1);
+            }
+            boolean isLong = time.compareTo(LONGEST_ANSWER) > 0;
+            environment.timer().schedule(isLong ? LONGEST_ANSWER : time, () -> {
+                if (isWaiting) {
+                    stop();
+                    refuse(isLong ? SlotAnswer.Outcome.AGAIN : otherwise, SOON);
+                }
+            });
+        }
+
+        private void stop() {
+            isWaiting = false;
+            pool.stopWaiting(request.getService(), waiting, false);
+            if (isAbsent) {
+                environment.demand().waits(request.getService(), work, -1);
+            }
+        }
+
+        private void refuse(SlotAnswer.Outcome outcome, Duration comeBack) {
+            Duration bounded = comeBack.compareTo(LATEST_RETURN) > 0 ? LATEST_RETURN : comeBack;
+            answer(SlotAnswer.newBuilder().setOutcome(outcome).setComeBackMillis((int) bounded.toMillis()));
+        }
+
+        private void answer(SlotAnswer.Builder built) {
+            answer.complete(built.build().toByteString());
+        }
+    }
+}
--- a/src/main/java/org/borageproxy/placement/FleetPlacement.java
+++ b/src/main/java/org/borageproxy/placement/FleetPlacement.java
@@ -56,6 +56,9 @@
     /** The adapters that may be on their way to one engine. */
     private static final int MOST_ARRIVING_ADAPTERS = 4;
 
+    /** Contents of different terms have different versions. */
+    private static final int CONTENTS_BITS = 32;
+
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final Environment environment;
@@ -67,6 +70,7 @@
     private double storeTokens;
     private long accruedAtNanos;
     private boolean isRunning;
+    private long contentsVersion = 1;
 
     private record Wanted(String service, String model, String adapter) {}
 
@@ -75,10 +79,12 @@
         private long tokens;
         private long measuredAtNanos;
         private long askedAtNanos;
+        private int waitingHere;
         private final Map<VmName, Integer> waiting = new HashMap<>();
 
         private int waitingCount() {
-            return waiting.values().stream().mapToInt(Integer::intValue).sum();
+            return waitingHere
+                    + waiting.values().stream().mapToInt(Integer::intValue).sum();
         }
     }
 
@@ -152,6 +158,7 @@
         }
         term = current;
         books.clear();
+        contentsVersion = term << CONTENTS_BITS;
         nextReports.clear();
         demands.clear();
         storeTokens = 0;
@@ -233,6 +240,7 @@
     }
 
     private void announce(EngineBook book) {
+        contentsVersion++;
         environment.notices().accept(book.server().name().value(), book.usable());
     }
 
@@ -263,6 +271,28 @@
         return contents;
     }
 
+    @Override
+    public long contentsVersion() {
+        return contentsVersion;
+    }
+
+    /**
+     * Takes a change of the requests that wait for a model or an adapter on the coordinator itself.
+     *
+     * @param service the service
+     * @param model the model
+     * @param adapter the adapter; empty for none
+     * @param change one for a request that begins to wait, minus one for one that ends
+     */
+    public void waits(String service, String model, String adapter, int change) {
+        Measured measured = demands.computeIfAbsent(new Wanted(service, model, adapter), key -> new Measured());
+        measured.askedAtNanos = environment.clock().nanoTime();
+        measured.waitingHere += change;
+        if (change > 0 && mayOrder()) {
+            plan();
+        }
+    }
+
     private void plan() {
         measure();
         if (!mayOrder()) {
--- a/src/main/java/org/borageproxy/platform/PlatformHeaders.java
+++ b/src/main/java/org/borageproxy/platform/PlatformHeaders.java
@@ -16,6 +16,7 @@
 import org.borageproxy.forward.CallerProtocol;
 import org.borageproxy.forward.ConnectionHeaders;
 import org.borageproxy.forward.Dispatch;
+import org.borageproxy.routing.EngineWork;
 
 /** The heads of callers' requests and backend servers' answers. Immutable and thread safe. */
 final class PlatformHeaders implements CallerProtocol {
@@ -62,7 +63,7 @@
                 Optional.ofNullable(headers.get(LAST_EVENT)));
     }
 
-    private static Optional<CallerFields.EngineWork> work(MultiMap headers) {
+    private static Optional<EngineWork> work(MultiMap headers) {
         String model = headers.get(MODEL);
         if (model == null) {
             return Optional.empty();
@@ -72,7 +73,7 @@
         int comma = tokens.indexOf(',');
         int prompt = comma < 0 ? 0 : small(tokens.substring(0, comma));
         int output = comma < 0 ? 0 : small(tokens.substring(comma + 1));
-        return Optional.of(new CallerFields.EngineWork(
+        return Optional.of(new EngineWork(
                 slash < 0 ? model : model.substring(0, slash),
                 slash < 0 ? "" : model.substring(slash + 1),
                 prompt,
@@ -80,13 +81,12 @@
                 parts(Optional.ofNullable(headers.get(PROMPT_PARTS)).orElse(""))));
     }
 
-    private static List<CallerFields.PromptPart> parts(String text) {
-        List<CallerFields.PromptPart> parts = new ArrayList<>();
+    private static List<EngineWork.PromptPart> parts(String text) {
+        List<EngineWork.PromptPart> parts = new ArrayList<>();
         for (String part : text.split(",")) {
             int colon = part.indexOf(':');
             if (colon > 0) {
-                parts.add(
-                        new CallerFields.PromptPart(part.substring(0, colon).trim(), small(part.substring(colon + 1))));
+                parts.add(new EngineWork.PromptPart(part.substring(0, colon).trim(), small(part.substring(colon + 1))));
             }
         }
         return parts;
--- a/src/main/java/org/borageproxy/forward/PromptMemory.java
+++ b/src/main/java/org/borageproxy/routing/PromptMemory.java
@@ -1,4 +1,4 @@
-package org.borageproxy.forward;
+package org.borageproxy.routing;
 
 import java.util.LinkedHashMap;
 
@@ -6,13 +6,18 @@
  * The prompt parts that a backend server has read lately on this VM's requests, the least recently used forgotten
  * first, as engines do. A part counts only behind all parts before it. Not thread safe.
  */
-final class PromptMemory {
+public final class PromptMemory {
 
     private final long mostTokens;
     private final LinkedHashMap<String, Integer> tokensByPath = new LinkedHashMap<>(16, 0.75f, true);
     private long tokens;
 
-    PromptMemory(long mostTokens) {
+    /**
+     * Creates a memory.
+     *
+     * @param mostTokens the tokens that the server keeps
+     */
+    public PromptMemory(long mostTokens) {
         this.mostTokens = mostTokens;
     }
 
@@ -22,10 +27,10 @@
      * @param work the work
      * @return the tokens of the leading parts that were read lately
      */
-    int kept(CallerFields.EngineWork work) {
+    public int kept(EngineWork work) {
         int kept = 0;
         StringBuilder path = weights(work);
-        for (CallerFields.PromptPart part : work.parts()) {
+        for (EngineWork.PromptPart part : work.parts()) {
             path.append('/').append(part.identity());
             if (!tokensByPath.containsKey(path.toString())) {
                 break;
@@ -40,9 +45,9 @@
      *
      * @param work the work
      */
-    void read(CallerFields.EngineWork work) {
+    public void read(EngineWork work) {
         StringBuilder path = weights(work);
-        for (CallerFields.PromptPart part : work.parts()) {
+        for (EngineWork.PromptPart part : work.parts()) {
             path.append('/').append(part.identity());
             if (tokensByPath.put(path.toString(), part.tokens()) == null) {
                 tokens += part.tokens();
@@ -55,22 +60,7 @@
         }
     }
 
-    /**
-     * Forgets all parts that were read with the weights of a model.
-     *
-     * @param model the model
-     */
-    void forget(String model) {
-        tokensByPath.entrySet().removeIf(entry -> {
-            boolean ofModel = entry.getKey().startsWith(model + '+');
-            if (ofModel) {
-                tokens -= entry.getValue();
-            }
-            return ofModel;
-        });
-    }
-
-    private static StringBuilder weights(CallerFields.EngineWork work) {
+    private static StringBuilder weights(EngineWork work) {
         return new StringBuilder(work.model()).append('+').append(work.adapter());
     }
 }
--- a/src/main/java/org/borageproxy/forward/ServerChoice.java
+++ b/src/main/java/org/borageproxy/routing/ServerChoice.java
@@ -1,4 +1,4 @@
-package org.borageproxy.forward;
+package org.borageproxy.routing;
 
 import java.util.Comparator;
 import java.util.List;
@@ -17,12 +17,12 @@
  * Chooses the backend server of a request by predicted time to the answer, or to its first event. A pure function of
  * the candidates. Stateless and thread safe.
  */
-enum ServerChoice {
+public enum ServerChoice {
     /** The only choice. */
     INSTANCE;
 
     /** Prompt tokens that an engine reads in a millisecond, until its own pace is known; from the users' sheets. */
-    static final double PROMPT_TOKENS_PER_MILLISECOND = 19.0;
+    public static final double PROMPT_TOKENS_PER_MILLISECOND = 19.0;
     /** Milliseconds of a decoding step; from the users' sheets. */
     private static final double STEP_MILLISECONDS = 10.0;
     /** Milliseconds that each request in the batch adds to a step; from the users' sheets. */
@@ -52,8 +52,8 @@
      * @param zone the availability zone of this VM
      * @param tried the servers that are not asked again
      */
-    record Query(
-            Optional<CallerFields.EngineWork> work,
+    public record Query(
+            Optional<EngineWork> work,
             Optional<EnginePool> engines,
             AvailabilityZone zone,
             Set<BackendServerName> tried) {}
@@ -65,7 +65,7 @@
      * @param use what is in flight there
      * @param pace the pace of its model in proportion to the expected one
      */
-    record Candidate(BackendServer server, ServerUse use, double pace) {}
+    public record Candidate(BackendServer server, ServerUse use, double pace) {}
 
     /**
      * The chosen server.
@@ -74,7 +74,7 @@
      * @param expectedMillis the predicted time to the answer or its first event
      * @param unreadTokens the prompt tokens that the server has to read
      */
-    record Chosen(BackendServer server, double expectedMillis, int unreadTokens) {}
+    public record Chosen(BackendServer server, double expectedMillis, int unreadTokens) {}
 
     /**
      * Chooses a server.
@@ -85,7 +85,7 @@
      * @param random decides between equals
      * @return empty if there is no candidate
      */
-    Optional<Chosen> choose(Query query, List<Candidate> candidates, long nowNanos, RandomGenerator random) {
+    public Optional<Chosen> choose(Query query, List<Candidate> candidates, long nowNanos, RandomGenerator random) {
         List<Candidate> untried = candidates.stream()
                 .filter(candidate -> !query.tried().contains(candidate.server().name()))
                 .toList();
@@ -110,7 +110,7 @@
             return true;
         }
         ServerUse use = candidate.use();
-        CallerFields.EngineWork work = query.work().get();
+        EngineWork work = query.work().get();
         int unread = work.promptTokens() - use.prompts().kept(work) + Math.max(0, use.allUnreadTokens());
         boolean isReadSoon = unread / PROMPT_TOKENS_PER_MILLISECOND * candidate.pace() <= MOST_UNREAD_MILLISECONDS;
         boolean hasRoom =
@@ -143,7 +143,7 @@
         return Math.min(1.0, excess) * use.allRequests() * PAUSE_MILLISECONDS;
     }
 
-    private static double engineMillis(Query query, Candidate candidate, CallerFields.EngineWork work, int unread) {
+    private static double engineMillis(Query query, Candidate candidate, EngineWork work, int unread) {
         ServerUse use = candidate.use();
         double prefill = (use.allUnreadTokens() + unread) / PROMPT_TOKENS_PER_MILLISECOND;
         double step = STEP_MILLISECONDS + use.allRequests() * STEP_MILLISECONDS_PER_REQUEST;
--- a/src/main/java/org/borageproxy/forward/ServerUse.java
+++ b/src/main/java/org/borageproxy/routing/ServerUse.java
@@ -1,4 +1,4 @@
-package org.borageproxy.forward;
+package org.borageproxy.routing;
 
 import java.time.Duration;
 
@@ -8,7 +8,7 @@
  * What this VM has in flight at one incarnation of a backend server, what the other VMs have there, and how the server
  * did lately. Not thread safe; used by the event loop of the requests.
  */
-final class ServerUse {
+public final class ServerUse {
 
     /** The weight of the newest observation in moving means. */
     private static final double NEWEST = 0.2;
@@ -30,17 +30,34 @@
     private double failureShare;
     private double slowness = 1.0;
 
-    ServerUse(long incarnation, long cacheTokens, long nowNanos) {
+    /**
+     * Creates the use of a server.
+     *
+     * @param incarnation the incarnation
+     * @param cacheTokens the tokens that the server keeps
+     * @param nowNanos the reading of the clock
+     */
+    public ServerUse(long incarnation, long cacheTokens, long nowNanos) {
         this.incarnation = incarnation;
         this.prompts = new PromptMemory(cacheTokens);
         this.avoidedUntil = new Deadline(nowNanos);
     }
 
-    long incarnation() {
+    /**
+     * Returns the incarnation.
+     *
+     * @return the number of the server's start
+     */
+    public long incarnation() {
         return incarnation;
     }
 
-    PromptMemory prompts() {
+    /**
+     * Returns the prompts that the server has read.
+     *
+     * @return the memory
+     */
+    public PromptMemory prompts() {
         return prompts;
     }
 
@@ -50,7 +67,7 @@
      * @param unread the prompt tokens that the server has to read
      * @param held the tokens that it will hold
      */
-    void started(int unread, int held) {
+    public void started(int unread, int held) {
         requests++;
         unreadTokens += unread;
         heldTokens += held;
@@ -61,7 +78,7 @@
      *
      * @param unread the tokens that were noted as unread
      */
-    void read(int unread) {
+    public void read(int unread) {
         unreadTokens -= unread;
     }
 
@@ -70,7 +87,7 @@
      *
      * @param held the tokens that were noted as held
      */
-    void ended(int held) {
+    public void ended(int held) {
         requests--;
         heldTokens -= held;
     }
@@ -82,7 +99,7 @@
      * @param newUnread their unread prompt tokens
      * @param newHeld their held tokens
      */
-    void others(int newRequests, int newUnread, int newHeld) {
+    public void others(int newRequests, int newUnread, int newHeld) {
         otherRequests = newRequests;
         otherUnreadTokens = newUnread;
         otherHeldTokens = newHeld;
@@ -93,7 +110,7 @@
      *
      * @param ratio the time to it in proportion to the expected time
      */
-    void succeeded(double ratio) {
+    public void succeeded(double ratio) {
         failuresInRow = 0;
         failureShare *= 1 - NEWEST;
         slowness += NEWEST * (ratio - slowness);
@@ -104,7 +121,7 @@
      *
      * @param nowNanos the reading of the clock
      */
-    void failed(long nowNanos) {
+    public void failed(long nowNanos) {
         failureShare += NEWEST * (1 - failureShare);
         int doublings = Math.min(failuresInRow, MOST_DOUBLINGS);
         failuresInRow++;
@@ -123,27 +140,57 @@
         return slowness;
     }
 
-    int ownRequests() {
+    /**
+     * Returns the requests of this VM.
+     *
+     * @return the number in flight
+     */
+    public int ownRequests() {
         return requests;
     }
 
-    int ownUnreadTokens() {
+    /**
+     * Returns the prompt tokens of this VM that are not read yet.
+     *
+     * @return the tokens
+     */
+    public int ownUnreadTokens() {
         return unreadTokens;
     }
 
-    int ownHeldTokens() {
+    /**
+     * Returns the tokens that requests of this VM hold.
+     *
+     * @return the tokens
+     */
+    public int ownHeldTokens() {
         return heldTokens;
     }
 
-    int allRequests() {
+    /**
+     * Returns the requests of all VMs.
+     *
+     * @return the number in flight
+     */
+    public int allRequests() {
         return requests + otherRequests;
     }
 
-    int allUnreadTokens() {
+    /**
+     * Returns the prompt tokens of all VMs that are not read yet.
+     *
+     * @return the tokens
+     */
+    public int allUnreadTokens() {
         return unreadTokens + otherUnreadTokens;
     }
 
-    int allHeldTokens() {
+    /**
+     * Returns the tokens that requests of all VMs hold.
+     *
+     * @return the tokens
+     */
+    public int allHeldTokens() {
         return heldTokens + otherHeldTokens;
     }
 }
--- a/src/main/java/org/borageproxy/server/GatewayControl.java
+++ b/src/main/java/org/borageproxy/server/GatewayControl.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
@@ -20,6 +21,8 @@
 import org.borageproxy.control.Submission;
 import org.borageproxy.coordination.Coordinator;
 import org.borageproxy.coordination.HeldModels;
+import org.borageproxy.forward.ServerPool;
+import org.borageproxy.forward.SlotBroker;
 import org.borageproxy.log.GroupMember;
 import org.borageproxy.log.MemberContext;
 import org.borageproxy.log.consensus.LogSettings;
@@ -61,6 +64,7 @@
     private final ControlClient client;
     private final AdmissionService admission;
     private final FleetPlacement placement;
+    private final SlotBroker broker;
     private volatile Optional<Publication> publication = Optional.empty();
 
     private GatewayControl(GatewayFoundation foundation, Path folder) throws IOException {
@@ -76,6 +80,7 @@
                 foundation.clock(),
                 foundation.timer());
         placement = placement();
+        broker = broker();
         admission = new AdmissionService(
                 member,
                 new AdmissionPolicy(foundation.settings().bounds().wantedVoters()),
@@ -143,7 +148,23 @@
                 foundation.eventLoop()));
     }
 
+    private SlotBroker broker() {
+        ServerPool pool = new ServerPool(
+                foundation.membership().registry(),
+                foundation.clock(),
+                foundation.settings().vm().zone(),
+                new Random());
+        return new SlotBroker(new SlotBroker.Environment(
+                member::isLeader,
+                pool,
+                service -> publication.flatMap(known -> known.engines(service)),
+                foundation.clock(),
+                foundation.timer(),
+                (service, work, change) -> placement.waits(service, work.model(), work.adapter(), change)));
+    }
+
     private void tellEntries(String server, HeldModels held) {
+        broker.held(server, held);
         ByteString notice = CoordinationUpdate.newBuilder()
                 .setCoordinates(true)
                 .addContents(held.encode(server))
@@ -156,7 +177,13 @@
 
     private void serve() {
         Coordinator coordinator = new Coordinator(
-                member, foundation.clock(), this::workspaces, foundation.spread()::registeredEntries, placement);
+                member,
+                foundation.clock(),
+                this::workspaces,
+                foundation.spread()::registeredEntries,
+                placement,
+                broker::reported);
+        foundation.network().handle(MessageKind.SLOT, broker);
         foundation.network().handle(MessageKind.CONTROL_COMMAND, new ControlService(member, state, foundation.clock()));
         foundation
                 .network()
--- a/src/main/java/org/borageproxy/server/GatewayEntry.java
+++ b/src/main/java/org/borageproxy/server/GatewayEntry.java
@@ -1,7 +1,9 @@
 package org.borageproxy.server;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
@@ -19,6 +21,7 @@
 import org.borageproxy.forward.ForwardServer;
 import org.borageproxy.forward.ServerConnections;
 import org.borageproxy.forward.ServerPool;
+import org.borageproxy.forward.SlotClient;
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.publication.Publication;
 import org.borageproxy.publication.PublishedWorkspace;
@@ -27,6 +30,7 @@
 import org.borageproxy.settings.Endpoint;
 import org.borageproxy.wire.proto.ControlProtocol.DocumentState;
 import org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate;
+import org.borageproxy.wire.proto.CoordinationProtocol.ModelPace;
 import org.borageproxy.wire.proto.CoordinationProtocol.UsageReport;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -47,10 +51,12 @@
     private final RateShares rates = new RateShares();
     private final Map<String, RetryBudget> budgets = new HashMap<>();
     private final CoordinationClient coordination;
+    private final SlotClient slots;
     private final ForwardServer server;
     private final String session = UUID.randomUUID().toString();
     private Optional<ServedPublication> served = Optional.empty();
     private int entries = SUPPOSED_ENTRIES;
+    private long contentsVersion;
 
     GatewayEntry(GatewayFoundation foundation, ForwardMetrics metrics) {
         this.foundation = foundation;
@@ -69,6 +75,7 @@
                 this::report,
                 this::take);
         pool.onUrgentDemand(coordination::reportSoon);
+        pool.onChangedUse(coordination::reportSoon);
         rates.onShortage(coordination::reportSoon);
         ControlClient client = new ControlClient(
                 foundation.self(),
@@ -76,11 +83,18 @@
                 foundation::controlVms,
                 foundation.clock(),
                 foundation.timer());
+        slots = new SlotClient(
+                foundation.network(),
+                coordination::coordinator,
+                foundation.settings().vm().zone(),
+                foundation.clock(),
+                foundation.eventLoop());
         ForwardParts parts = new ForwardParts(
                 foundation.eventLoop(),
                 foundation.clock(),
                 foundation.protocol().callers(),
                 pool,
+                slots,
                 new ServerConnections(foundation.eventLoop(), foundation.clock()),
                 rates,
                 this::budget,
@@ -126,9 +140,20 @@
                 .addAllServers(pool.ownUsage())
                 .addAllWorkspaces(rates.takeUsage(foundation.clock().nanoTime()))
                 .addAllDemands(pool.takeDemand())
+                .setLastSlot(slots.lastSlot())
+                .setContentsVersion(contentsVersion)
+                .addAllPaces(paces())
                 .build();
     }
 
+    private List<ModelPace> paces() {
+        List<ModelPace> paces = new ArrayList<>();
+        pool.modelPaces()
+                .forEach((model, pace) -> paces.add(
+                        ModelPace.newBuilder().setModel(model).setPace(pace).build()));
+        return paces;
+    }
+
     private void take(CoordinationUpdate update, long askedAtNanos) {
         if (update.getEntries() > 0 && update.getEntries() != entries) {
             entries = update.getEntries();
@@ -140,6 +165,9 @@
                     served.map(known -> known.publication().workspaces()).orElse(Map.of());
             rates.renew(workspaces, update.getSharesList(), askedAtNanos);
         }
+        if (update.getContentsVersion() != 0) {
+            contentsVersion = update.getContentsVersion();
+        }
         Map<BackendServerName, HeldModels> contents = new HashMap<>();
         update.getContentsList()
                 .forEach(content -> contents.put(new BackendServerName(content.getName()), HeldModels.decode(content)));
--- a/src/main/java/org/borageproxy/wire/MessageKind.java
+++ b/src/main/java/org/borageproxy/wire/MessageKind.java
@@ -27,7 +27,9 @@
     /** What the coordinator tells entries unasked. */
     COORDINATION_NOTICE(12),
     /** A request of a VM to be taken into the control group. */
-    ADMISSION(13);
+    ADMISSION(13),
+    /** A request of an entry for a place at a model engine. */
+    SLOT(14);
 
     /** The number on the wire. */
     private final int number;
--- a/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
@@ -121,6 +121,70 @@
      */
     org.borageproxy.wire.proto.CoordinationProtocol.ModelDemandOrBuilder getDemandsOrBuilder(
         int index);
+
+    /**
+     * <pre>
+     * The last slot that the entry was given.
+     * </pre>
+     *
+     * <code>uint64 last_slot = 5;</code>
+     * @return The lastSlot.
+     */
+    long getLastSlot();
+
+    /**
+     * <pre>
+     * The pace of each model in proportion to the expected one.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ModelPace paces = 6;</code>
+     */
+    java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ModelPace> 
+        getPacesList();
+    /**
+     * <pre>
+     * The pace of each model in proportion to the expected one.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ModelPace paces = 6;</code>
+     */
+    org.borageproxy.wire.proto.CoordinationProtocol.ModelPace getPaces(int index);
+    /**
+     * <pre>
+     * The pace of each model in proportion to the expected one.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ModelPace paces = 6;</code>
+     */
+    int getPacesCount();
+    /**
+     * <pre>
+     * The pace of each model in proportion to the expected one.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ModelPace paces = 6;</code>
+     */
+    java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.ModelPaceOrBuilder> 
+        getPacesOrBuilderList();
+    /**
+     * <pre>
+     * The pace of each model in proportion to the expected one.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ModelPace paces = 6;</code>
+     */
+    org.borageproxy.wire.proto.CoordinationProtocol.ModelPaceOrBuilder getPacesOrBuilder(
+        int index);
+
+    /**
+     * <pre>
+     * The version of the contents that the entry holds.
+     * </pre>
+     *
+     * <code>uint64 contents_version = 7;</code>
+     * @return The contentsVersion.
+     */
+    long getContentsVersion();
   }
   /**
    * <pre>
@@ -152,6 +216,7 @@
       servers_ = java.util.Collections.emptyList();
       workspaces_ = java.util.Collections.emptyList();
       demands_ = java.util.Collections.emptyList();
+      paces_ = java.util.Collections.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -342,6 +407,97 @@
       return demands_.get(index);
     }
 
+    public static final int LAST_SLOT_FIELD_NUMBER = 5;
+    private long lastSlot_ = 0L;
+    /**
+     * <pre>
+     * The last slot that the entry was given.
+     * </pre>
+     *
+     * <code>uint64 last_slot = 5;</code>
+     * @return The lastSlot.
+     */
+    @java.lang.Override
+    public long getLastSlot() {
+      return lastSlot_;
+    }
+
+    public static final int PACES_FIELD_NUMBER = 6;
+    @SuppressWarnings("serial")
+    private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ModelPace> paces_;
+    /**
+     * <pre>
+     * The pace of each model in proportion to the expected one.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ModelPace paces = 6;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ModelPace> getPacesList() {
+      return paces_;
+    }
+    /**
+     * <pre>
+     * The pace of each model in proportion to the expected one.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ModelPace paces = 6;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.ModelPaceOrBuilder> 
+        getPacesOrBuilderList() {
+      return paces_;
+    }
+    /**
+     * <pre>
+     * The pace of each model in proportion to the expected one.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ModelPace paces = 6;</code>
+     */
+    @java.lang.Override
+    public int getPacesCount() {
+      return paces_.size();
+    }
+    /**
+     * <pre>
+     * The pace of each model in proportion to the expected one.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ModelPace paces = 6;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.CoordinationProtocol.ModelPace getPaces(int index) {
+      return paces_.get(index);
+    }
+    /**
+     * <pre>
+     * The pace of each model in proportion to the expected one.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ModelPace paces = 6;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.CoordinationProtocol.ModelPaceOrBuilder getPacesOrBuilder(
+        int index) {
+      return paces_.get(index);
+    }
+
+    public static final int CONTENTS_VERSION_FIELD_NUMBER = 7;
+    private long contentsVersion_ = 0L;
+    /**
+     * <pre>
+     * The version of the contents that the entry holds.
+     * </pre>
+     *
+     * <code>uint64 contents_version = 7;</code>
+     * @return The contentsVersion.
+     */
+    @java.lang.Override
+    public long getContentsVersion() {
+      return contentsVersion_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -368,6 +524,15 @@
       for (int i = 0; i < demands_.size(); i++) {
         output.writeMessage(4, demands_.get(i));
       }
+      if (lastSlot_ != 0L) {
+        output.writeUInt64(5, lastSlot_);
+      }
+      for (int i = 0; i < paces_.size(); i++) {
+        output.writeMessage(6, paces_.get(i));
+      }
+      if (contentsVersion_ != 0L) {
+        output.writeUInt64(7, contentsVersion_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -407,6 +572,23 @@
             }
             size += 1 * count;
           }
+      if (lastSlot_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(5, lastSlot_);
+      }
+
+          {
+            final int count = paces_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(paces_.get(i));
+            }
+            size += 1 * count;
+          }
+      if (contentsVersion_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(7, contentsVersion_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -430,6 +612,12 @@
           .equals(other.getWorkspacesList())) return false;
       if (!getDemandsList()
           .equals(other.getDemandsList())) return false;
+      if (getLastSlot()
+          != other.getLastSlot()) return false;
+      if (!getPacesList()
+          .equals(other.getPacesList())) return false;
+      if (getContentsVersion()
+          != other.getContentsVersion()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -455,6 +643,16 @@
         hash = (37 * hash) + DEMANDS_FIELD_NUMBER;
         hash = (53 * hash) + getDemandsList().hashCode();
       }
+      hash = (37 * hash) + LAST_SLOT_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getLastSlot());
+      if (getPacesCount() > 0) {
+        hash = (37 * hash) + PACES_FIELD_NUMBER;
+        hash = (53 * hash) + getPacesList().hashCode();
+      }
+      hash = (37 * hash) + CONTENTS_VERSION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getContentsVersion());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -612,6 +810,15 @@
           demandsBuilder_.clear();
         }
         bitField0_ = (bitField0_ & ~0x00000008);
+        lastSlot_ = 0L;
+        if (pacesBuilder_ == null) {
+          paces_ = java.util.Collections.emptyList();
+        } else {
+          paces_ = null;
+          pacesBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000020);
+        contentsVersion_ = 0L;
         return this;
       }
 
@@ -672,6 +879,15 @@
         } else {
           result.demands_ = demandsBuilder_.build();
         }
+        if (pacesBuilder_ == null) {
+          if (((bitField0_ & 0x00000020) != 0)) {
+            paces_ = java.util.Collections.unmodifiableList(paces_);
+            bitField0_ = (bitField0_ & ~0x00000020);
+          }
+          result.paces_ = paces_;
+        } else {
+          result.paces_ = pacesBuilder_.build();
+        }
       }
 
       private void buildPartial0(org.borageproxy.wire.proto.CoordinationProtocol.UsageReport result) {
@@ -679,6 +895,12 @@
         if (((from_bitField0_ & 0x00000001) != 0)) {
           result.session_ = session_;
         }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.lastSlot_ = lastSlot_;
+        }
+        if (((from_bitField0_ & 0x00000040) != 0)) {
+          result.contentsVersion_ = contentsVersion_;
+        }
       }
 
       @java.lang.Override
@@ -776,6 +998,38 @@
             }
           }
         }
+        if (other.getLastSlot() != 0L) {
+          setLastSlot(other.getLastSlot());
+        }
+        if (pacesBuilder_ == null) {
+          if (!other.paces_.isEmpty()) {
+            if (paces_.isEmpty()) {
+              paces_ = other.paces_;
+              bitField0_ = (bitField0_ & ~0x00000020);
+            } else {
+              ensurePacesIsMutable();
+              paces_.addAll(other.paces_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.paces_.isEmpty()) {
+            if (pacesBuilder_.isEmpty()) {
+              pacesBuilder_.dispose();
+              pacesBuilder_ = null;
+              paces_ = other.paces_;
+              bitField0_ = (bitField0_ & ~0x00000020);
+              pacesBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetPacesFieldBuilder() : null;
+            } else {
+              pacesBuilder_.addAllMessages(other.paces_);
+            }
+          }
+        }
+        if (other.getContentsVersion() != 0L) {
+          setContentsVersion(other.getContentsVersion());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -846,6 +1100,29 @@
                 }
                 break;
               } // case 34
+              case 40: {
+                lastSlot_ = input.readUInt64();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
+              case 50: {
+                org.borageproxy.wire.proto.CoordinationProtocol.ModelPace m =
+                    input.readMessage(
+                        org.borageproxy.wire.proto.CoordinationProtocol.ModelPace.parser(),
+                        extensionRegistry);
+                if (pacesBuilder_ == null) {
+                  ensurePacesIsMutable();
+                  paces_.add(m);
+                } else {
+                  pacesBuilder_.addMessage(m);
+                }
+                break;
+              } // case 50
+              case 56: {
+                contentsVersion_ = input.readUInt64();
+                bitField0_ |= 0x00000040;
+                break;
+              } // case 56
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -1675,417 +1952,714 @@
         return demandsBuilder_;
       }
 
-      // @@protoc_insertion_point(builder_scope:borageproxy.coordination.UsageReport)
-    }
-
-    // @@protoc_insertion_point(class_scope:borageproxy.coordination.UsageReport)
-    private static final org.borageproxy.wire.proto.CoordinationProtocol.UsageReport DEFAULT_INSTANCE;
-    static {
-      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.CoordinationProtocol.UsageReport();
-    }
-
-    public static org.borageproxy.wire.proto.CoordinationProtocol.UsageReport getDefaultInstance() {
-      return DEFAULT_INSTANCE;
-    }
-
-    private static final com.google.protobuf.Parser<UsageReport>
-        PARSER = new com.google.protobuf.AbstractParser<UsageReport>() {
+      private long lastSlot_ ;
+      /**
+       * <pre>
+       * The last slot that the entry was given.
+       * </pre>
+       *
+       * <code>uint64 last_slot = 5;</code>
+       * @return The lastSlot.
+       */
       @java.lang.Override
-      public UsageReport parsePartialFrom(
-          com.google.protobuf.CodedInputStream input,
-          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-          throws com.google.protobuf.InvalidProtocolBufferException {
-        Builder builder = newBuilder();
-        try {
-          builder.mergeFrom(input, extensionRegistry);
-        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-          throw e.setUnfinishedMessage(builder.buildPartial());
-        } catch (com.google.protobuf.UninitializedMessageException e) {
-          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-        } catch (java.io.IOException e) {
-          throw new com.google.protobuf.InvalidProtocolBufferException(e)
-              .setUnfinishedMessage(builder.buildPartial());
-        }
-        return builder.buildPartial();
+      public long getLastSlot() {
+        return lastSlot_;
       }
-    };
-
-    public static com.google.protobuf.Parser<UsageReport> parser() {
-      return PARSER;
-    }
-
-    @java.lang.Override
-    public com.google.protobuf.Parser<UsageReport> getParserForType() {
-      return PARSER;
-    }
-
-    @java.lang.Override
-    public org.borageproxy.wire.proto.CoordinationProtocol.UsageReport getDefaultInstanceForType() {
-      return DEFAULT_INSTANCE;
-    }
-
-  }
-
-  public interface ServerUsageOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:borageproxy.coordination.ServerUsage)
-      com.google.protobuf.MessageOrBuilder {
+      /**
+       * <pre>
+       * The last slot that the entry was given.
+       * </pre>
+       *
+       * <code>uint64 last_slot = 5;</code>
+       * @param value The lastSlot to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLastSlot(long value) {
 
-    /**
-     * <code>string name = 1;</code>
-     * @return The name.
-     */
-    java.lang.String getName();
-    /**
-     * <code>string name = 1;</code>
-     * @return The bytes for name.
-     */
-    com.google.protobuf.ByteString
-        getNameBytes();
+        lastSlot_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The last slot that the entry was given.
+       * </pre>
+       *
+       * <code>uint64 last_slot = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLastSlot() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        lastSlot_ = 0L;
+        onChanged();
+        return this;
+      }
 
-    /**
-     * <code>uint64 incarnation = 2;</code>
-     * @return The incarnation.
-     */
-    long getIncarnation();
+      private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ModelPace> paces_ =
+        java.util.Collections.emptyList();
+      private void ensurePacesIsMutable() {
+        if (!((bitField0_ & 0x00000020) != 0)) {
+          paces_ = new java.util.ArrayList<org.borageproxy.wire.proto.CoordinationProtocol.ModelPace>(paces_);
+          bitField0_ |= 0x00000020;
+         }
+      }
 
-    /**
-     * <code>uint32 requests = 3;</code>
-     * @return The requests.
-     */
-    int getRequests();
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.CoordinationProtocol.ModelPace, org.borageproxy.wire.proto.CoordinationProtocol.ModelPace.Builder, org.borageproxy.wire.proto.CoordinationProtocol.ModelPaceOrBuilder> pacesBuilder_;
 
-    /**
-     * <pre>
-     * Prompt tokens not yet read, as far as the entry can tell.
-     * </pre>
-     *
-     * <code>uint32 prompt_tokens = 4;</code>
-     * @return The promptTokens.
-     */
-    int getPromptTokens();
-
-    /**
-     * <pre>
-     * Tokens of prompts and outputs held in memory.
-     * </pre>
-     *
-     * <code>uint32 held_tokens = 5;</code>
-     * @return The heldTokens.
-     */
-    int getHeldTokens();
-  }
-  /**
-   * <pre>
-   * The work that an entry has in flight at one backend server.
-   * </pre>
-   *
-   * Protobuf type {@code borageproxy.coordination.ServerUsage}
-   */
-  public static final class ServerUsage extends
-      com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:borageproxy.coordination.ServerUsage)
-      ServerUsageOrBuilder {
-  private static final long serialVersionUID = 0L;
-    static {
-      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-        /* major= */ 4,
-        /* minor= */ 34,
-        /* patch= */ 2,
-        /* suffix= */ "",
-        "ServerUsage");
-    }
-    // Use ServerUsage.newBuilder() to construct.
-    private ServerUsage(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-      super(builder);
-    }
-    private ServerUsage() {
-      name_ = "";
-    }
-
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ServerUsage_descriptor;
-    }
-
-    @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ServerUsage_descriptor;
-    }
-
-    @java.lang.Override
-    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ServerUsage_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.class, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder.class);
-    }
-
-    public static final int NAME_FIELD_NUMBER = 1;
-    @SuppressWarnings("serial")
-    private volatile java.lang.Object name_ = "";
-    /**
-     * <code>string name = 1;</code>
-     * @return The name.
-     */
-    @java.lang.Override
-    public java.lang.String getName() {
-      java.lang.Object ref = name_;
-      if (ref instanceof java.lang.String) {
-        return (java.lang.String) ref;
-      } else {
-        com.google.protobuf.ByteString bs = 
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        name_ = s;
-        return s;
-      }
-    }
-    /**
-     * <code>string name = 1;</code>
-     * @return The bytes for name.
-     */
-    @java.lang.Override
-    public com.google.protobuf.ByteString
-        getNameBytes() {
-      java.lang.Object ref = name_;
-      if (ref instanceof java.lang.String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        name_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
+      /**
+       * <pre>
+       * The pace of each model in proportion to the expected one.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ModelPace paces = 6;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ModelPace> getPacesList() {
+        if (pacesBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(paces_);
+        } else {
+          return pacesBuilder_.getMessageList();
+        }
       }
-    }
-
-    public static final int INCARNATION_FIELD_NUMBER = 2;
-    private long incarnation_ = 0L;
-    /**
-     * <code>uint64 incarnation = 2;</code>
-     * @return The incarnation.
-     */
-    @java.lang.Override
-    public long getIncarnation() {
-      return incarnation_;
-    }
-
-    public static final int REQUESTS_FIELD_NUMBER = 3;
-    private int requests_ = 0;
-    /**
-     * <code>uint32 requests = 3;</code>
-     * @return The requests.
-     */
-    @java.lang.Override
-    public int getRequests() {
-      return requests_;
-    }
-
-    public static final int PROMPT_TOKENS_FIELD_NUMBER = 4;
-    private int promptTokens_ = 0;
-    /**
-     * <pre>
-     * Prompt tokens not yet read, as far as the entry can tell.
-     * </pre>
-     *
-     * <code>uint32 prompt_tokens = 4;</code>
-     * @return The promptTokens.
-     */
-    @java.lang.Override
-    public int getPromptTokens() {
-      return promptTokens_;
-    }
-
-    public static final int HELD_TOKENS_FIELD_NUMBER = 5;
-    private int heldTokens_ = 0;
-    /**
-     * <pre>
-     * Tokens of prompts and outputs held in memory.
-     * </pre>
-     *
-     * <code>uint32 held_tokens = 5;</code>
-     * @return The heldTokens.
-     */
-    @java.lang.Override
-    public int getHeldTokens() {
-      return heldTokens_;
-    }
-
-    private byte memoizedIsInitialized = -1;
-    @java.lang.Override
-    public final boolean isInitialized() {
-      byte isInitialized = memoizedIsInitialized;
-      if (isInitialized == 1) return true;
-      if (isInitialized == 0) return false;
-
-      memoizedIsInitialized = 1;
-      return true;
-    }
-
-    @java.lang.Override
-    public void writeTo(com.google.protobuf.CodedOutputStream output)
-                        throws java.io.IOException {
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(name_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 1, name_);
+      /**
+       * <pre>
+       * The pace of each model in proportion to the expected one.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ModelPace paces = 6;</code>
+       */
+      public int getPacesCount() {
+        if (pacesBuilder_ == null) {
+          return paces_.size();
+        } else {
+          return pacesBuilder_.getCount();
+        }
       }
-      if (incarnation_ != 0L) {
-        output.writeUInt64(2, incarnation_);
+      /**
+       * <pre>
+       * The pace of each model in proportion to the expected one.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ModelPace paces = 6;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.ModelPace getPaces(int index) {
+        if (pacesBuilder_ == null) {
+          return paces_.get(index);
+        } else {
+          return pacesBuilder_.getMessage(index);
+        }
       }
-      if (requests_ != 0) {
-        output.writeUInt32(3, requests_);
+      /**
+       * <pre>
+       * The pace of each model in proportion to the expected one.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ModelPace paces = 6;</code>
+       */
+      public Builder setPaces(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.ModelPace value) {
+        if (pacesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensurePacesIsMutable();
+          paces_.set(index, value);
+          onChanged();
+        } else {
+          pacesBuilder_.setMessage(index, value);
+        }
+        return this;
       }
-      if (promptTokens_ != 0) {
-        output.writeUInt32(4, promptTokens_);
+      /**
+       * <pre>
+       * The pace of each model in proportion to the expected one.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ModelPace paces = 6;</code>
+       */
+      public Builder setPaces(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.ModelPace.Builder builderForValue) {
+        if (pacesBuilder_ == null) {
+          ensurePacesIsMutable();
+          paces_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          pacesBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
       }
-      if (heldTokens_ != 0) {
-        output.writeUInt32(5, heldTokens_);
+      /**
+       * <pre>
+       * The pace of each model in proportion to the expected one.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ModelPace paces = 6;</code>
+       */
+      public Builder addPaces(org.borageproxy.wire.proto.CoordinationProtocol.ModelPace value) {
+        if (pacesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensurePacesIsMutable();
+          paces_.add(value);
+          onChanged();
+        } else {
+          pacesBuilder_.addMessage(value);
+        }
+        return this;
       }
-      getUnknownFields().writeTo(output);
-    }
-
-    @java.lang.Override
-    public int getSerializedSize() {
-      int size = memoizedSize;
-      if (size != -1) return size;
-
-      size = 0;
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(name_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, name_);
+      /**
+       * <pre>
+       * The pace of each model in proportion to the expected one.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ModelPace paces = 6;</code>
+       */
+      public Builder addPaces(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.ModelPace value) {
+        if (pacesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensurePacesIsMutable();
+          paces_.add(index, value);
+          onChanged();
+        } else {
+          pacesBuilder_.addMessage(index, value);
+        }
+        return this;
       }
-      if (incarnation_ != 0L) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(2, incarnation_);
+      /**
+       * <pre>
+       * The pace of each model in proportion to the expected one.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ModelPace paces = 6;</code>
+       */
+      public Builder addPaces(
+          org.borageproxy.wire.proto.CoordinationProtocol.ModelPace.Builder builderForValue) {
+        if (pacesBuilder_ == null) {
+          ensurePacesIsMutable();
+          paces_.add(builderForValue.build());
+          onChanged();
+        } else {
+          pacesBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
       }
-      if (requests_ != 0) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt32Size(3, requests_);
+      /**
+       * <pre>
+       * The pace of each model in proportion to the expected one.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ModelPace paces = 6;</code>
+       */
+      public Builder addPaces(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.ModelPace.Builder builderForValue) {
+        if (pacesBuilder_ == null) {
+          ensurePacesIsMutable();
+          paces_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          pacesBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
       }
-      if (promptTokens_ != 0) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt32Size(4, promptTokens_);
+      /**
+       * <pre>
+       * The pace of each model in proportion to the expected one.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ModelPace paces = 6;</code>
+       */
+      public Builder addAllPaces(
+          java.lang.Iterable<? extends org.borageproxy.wire.proto.CoordinationProtocol.ModelPace> values) {
+        if (pacesBuilder_ == null) {
+          ensurePacesIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, paces_);
+          onChanged();
+        } else {
+          pacesBuilder_.addAllMessages(values);
+        }
+        return this;
       }
-      if (heldTokens_ != 0) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt32Size(5, heldTokens_);
+      /**
+       * <pre>
+       * The pace of each model in proportion to the expected one.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ModelPace paces = 6;</code>
+       */
+      public Builder clearPaces() {
+        if (pacesBuilder_ == null) {
+          paces_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000020);
+          onChanged();
+        } else {
+          pacesBuilder_.clear();
+        }
+        return this;
       }
-      size += getUnknownFields().getSerializedSize();
-      memoizedSize = size;
-      return size;
-    }
-
-    @java.lang.Override
-    public boolean equals(final java.lang.Object obj) {
-      if (obj == this) {
-       return true;
+      /**
+       * <pre>
+       * The pace of each model in proportion to the expected one.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ModelPace paces = 6;</code>
+       */
+      public Builder removePaces(int index) {
+        if (pacesBuilder_ == null) {
+          ensurePacesIsMutable();
+          paces_.remove(index);
+          onChanged();
+        } else {
+          pacesBuilder_.remove(index);
+        }
+        return this;
       }
-      if (!(obj instanceof org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage)) {
-        return super.equals(obj);
+      /**
+       * <pre>
+       * The pace of each model in proportion to the expected one.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ModelPace paces = 6;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.ModelPace.Builder getPacesBuilder(
+          int index) {
+        return internalGetPacesFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * The pace of each model in proportion to the expected one.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ModelPace paces = 6;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.ModelPaceOrBuilder getPacesOrBuilder(
+          int index) {
+        if (pacesBuilder_ == null) {
+          return paces_.get(index);  } else {
+          return pacesBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * The pace of each model in proportion to the expected one.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ModelPace paces = 6;</code>
+       */
+      public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.ModelPaceOrBuilder> 
+           getPacesOrBuilderList() {
+        if (pacesBuilder_ != null) {
+          return pacesBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(paces_);
+        }
+      }
+      /**
+       * <pre>
+       * The pace of each model in proportion to the expected one.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ModelPace paces = 6;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.ModelPace.Builder addPacesBuilder() {
+        return internalGetPacesFieldBuilder().addBuilder(
+            org.borageproxy.wire.proto.CoordinationProtocol.ModelPace.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * The pace of each model in proportion to the expected one.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ModelPace paces = 6;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.ModelPace.Builder addPacesBuilder(
+          int index) {
+        return internalGetPacesFieldBuilder().addBuilder(
+            index, org.borageproxy.wire.proto.CoordinationProtocol.ModelPace.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * The pace of each model in proportion to the expected one.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ModelPace paces = 6;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ModelPace.Builder> 
+           getPacesBuilderList() {
+        return internalGetPacesFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.CoordinationProtocol.ModelPace, org.borageproxy.wire.proto.CoordinationProtocol.ModelPace.Builder, org.borageproxy.wire.proto.CoordinationProtocol.ModelPaceOrBuilder> 
+          internalGetPacesFieldBuilder() {
+        if (pacesBuilder_ == null) {
+          pacesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.borageproxy.wire.proto.CoordinationProtocol.ModelPace, org.borageproxy.wire.proto.CoordinationProtocol.ModelPace.Builder, org.borageproxy.wire.proto.CoordinationProtocol.ModelPaceOrBuilder>(
+                  paces_,
+                  ((bitField0_ & 0x00000020) != 0),
+                  getParentForChildren(),
+                  isClean());
+          paces_ = null;
+        }
+        return pacesBuilder_;
       }
-      org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage other = (org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage) obj;
 
-      if (!getName()
-          .equals(other.getName())) return false;
-      if (getIncarnation()
-          != other.getIncarnation()) return false;
-      if (getRequests()
-          != other.getRequests()) return false;
-      if (getPromptTokens()
-          != other.getPromptTokens()) return false;
-      if (getHeldTokens()
-          != other.getHeldTokens()) return false;
-      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
-      return true;
-    }
+      private long contentsVersion_ ;
+      /**
+       * <pre>
+       * The version of the contents that the entry holds.
+       * </pre>
+       *
+       * <code>uint64 contents_version = 7;</code>
+       * @return The contentsVersion.
+       */
+      @java.lang.Override
+      public long getContentsVersion() {
+        return contentsVersion_;
+      }
+      /**
+       * <pre>
+       * The version of the contents that the entry holds.
+       * </pre>
+       *
+       * <code>uint64 contents_version = 7;</code>
+       * @param value The contentsVersion to set.
+       * @return This builder for chaining.
+       */
+      public Builder setContentsVersion(long value) {
 
-    @java.lang.Override
-    public int hashCode() {
-      if (memoizedHashCode != 0) {
-        return memoizedHashCode;
+        contentsVersion_ = value;
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The version of the contents that the entry holds.
+       * </pre>
+       *
+       * <code>uint64 contents_version = 7;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearContentsVersion() {
+        bitField0_ = (bitField0_ & ~0x00000040);
+        contentsVersion_ = 0L;
+        onChanged();
+        return this;
       }
-      int hash = 41;
-      hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + NAME_FIELD_NUMBER;
-      hash = (53 * hash) + getName().hashCode();
-      hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getIncarnation());
-      hash = (37 * hash) + REQUESTS_FIELD_NUMBER;
-      hash = (53 * hash) + getRequests();
-      hash = (37 * hash) + PROMPT_TOKENS_FIELD_NUMBER;
-      hash = (53 * hash) + getPromptTokens();
-      hash = (37 * hash) + HELD_TOKENS_FIELD_NUMBER;
-      hash = (53 * hash) + getHeldTokens();
-      hash = (29 * hash) + getUnknownFields().hashCode();
-      memoizedHashCode = hash;
-      return hash;
-    }
 
-    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage parseFrom(
-        java.nio.ByteBuffer data)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data);
-    }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage parseFrom(
-        java.nio.ByteBuffer data,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data, extensionRegistry);
-    }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage parseFrom(
-        com.google.protobuf.ByteString data)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data);
-    }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage parseFrom(
-        com.google.protobuf.ByteString data,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data, extensionRegistry);
-    }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage parseFrom(byte[] data)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data);
+      // @@protoc_insertion_point(builder_scope:borageproxy.coordination.UsageReport)
     }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage parseFrom(
-        byte[] data,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data, extensionRegistry);
+
+    // @@protoc_insertion_point(class_scope:borageproxy.coordination.UsageReport)
+    private static final org.borageproxy.wire.proto.CoordinationProtocol.UsageReport DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.CoordinationProtocol.UsageReport();
     }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage parseFrom(java.io.InputStream input)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseWithIOException(PARSER, input);
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.UsageReport getDefaultInstance() {
+      return DEFAULT_INSTANCE;
     }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage parseFrom(
-        java.io.InputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseWithIOException(PARSER, input, extensionRegistry);
+
+    private static final com.google.protobuf.Parser<UsageReport>
+        PARSER = new com.google.protobuf.AbstractParser<UsageReport>() {
+      @java.lang.Override
+      public UsageReport parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<UsageReport> parser() {
+      return PARSER;
     }
 
-    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage parseDelimitedFrom(java.io.InputStream input)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseDelimitedWithIOException(PARSER, input);
+    @java.lang.Override
+    public com.google.protobuf.Parser<UsageReport> getParserForType() {
+      return PARSER;
     }
 
-    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage parseDelimitedFrom(
-        java.io.InputStream input,
+    @java.lang.Override
+    public org.borageproxy.wire.proto.CoordinationProtocol.UsageReport getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface ModelPaceOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.coordination.ModelPace)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string model = 1;</code>
+     * @return The model.
+     */
+    java.lang.String getModel();
+    /**
+     * <code>string model = 1;</code>
+     * @return The bytes for model.
+     */
+    com.google.protobuf.ByteString
+        getModelBytes();
+
+    /**
+     * <code>double pace = 2;</code>
+     * @return The pace.
+     */
+    double getPace();
+  }
+  /**
+   * Protobuf type {@code borageproxy.coordination.ModelPace}
+   */
+  public static final class ModelPace extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:borageproxy.coordination.ModelPace)
+      ModelPaceOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "ModelPace");
+    }
+    // Use ModelPace.newBuilder() to construct.
+    private ModelPace(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private ModelPace() {
+      model_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ModelPace_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ModelPace_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ModelPace_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.borageproxy.wire.proto.CoordinationProtocol.ModelPace.class, org.borageproxy.wire.proto.CoordinationProtocol.ModelPace.Builder.class);
+    }
+
+    public static final int MODEL_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object model_ = "";
+    /**
+     * <code>string model = 1;</code>
+     * @return The model.
+     */
+    @java.lang.Override
+    public java.lang.String getModel() {
+      java.lang.Object ref = model_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        model_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string model = 1;</code>
+     * @return The bytes for model.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getModelBytes() {
+      java.lang.Object ref = model_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        model_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int PACE_FIELD_NUMBER = 2;
+    private double pace_ = 0D;
+    /**
+     * <code>double pace = 2;</code>
+     * @return The pace.
+     */
+    @java.lang.Override
+    public double getPace() {
+      return pace_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(model_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, model_);
+      }
+      if (java.lang.Double.doubleToRawLongBits(pace_) != 0) {
+        output.writeDouble(2, pace_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(model_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, model_);
+      }
+      if (java.lang.Double.doubleToRawLongBits(pace_) != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeDoubleSize(2, pace_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.borageproxy.wire.proto.CoordinationProtocol.ModelPace)) {
+        return super.equals(obj);
+      }
+      org.borageproxy.wire.proto.CoordinationProtocol.ModelPace other = (org.borageproxy.wire.proto.CoordinationProtocol.ModelPace) obj;
+
+      if (!getModel()
+          .equals(other.getModel())) return false;
+      if (java.lang.Double.doubleToLongBits(getPace())
+          != java.lang.Double.doubleToLongBits(
+              other.getPace())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + MODEL_FIELD_NUMBER;
+      hash = (53 * hash) + getModel().hashCode();
+      hash = (37 * hash) + PACE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          java.lang.Double.doubleToLongBits(getPace()));
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelPace parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelPace parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelPace parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelPace parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelPace parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelPace parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelPace parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelPace parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelPace parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelPace parseDelimitedFrom(
+        java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage parseFrom(
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelPace parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage parseFrom(
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelPace parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -2098,7 +2672,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage prototype) {
+    public static Builder newBuilder(org.borageproxy.wire.proto.CoordinationProtocol.ModelPace prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -2114,30 +2688,26 @@
       return builder;
     }
     /**
-     * <pre>
-     * The work that an entry has in flight at one backend server.
-     * </pre>
-     *
-     * Protobuf type {@code borageproxy.coordination.ServerUsage}
+     * Protobuf type {@code borageproxy.coordination.ModelPace}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:borageproxy.coordination.ServerUsage)
-        org.borageproxy.wire.proto.CoordinationProtocol.ServerUsageOrBuilder {
+        // @@protoc_insertion_point(builder_implements:borageproxy.coordination.ModelPace)
+        org.borageproxy.wire.proto.CoordinationProtocol.ModelPaceOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ServerUsage_descriptor;
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ModelPace_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ServerUsage_fieldAccessorTable
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ModelPace_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.class, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder.class);
+                org.borageproxy.wire.proto.CoordinationProtocol.ModelPace.class, org.borageproxy.wire.proto.CoordinationProtocol.ModelPace.Builder.class);
       }
 
-      // Construct using org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.newBuilder()
+      // Construct using org.borageproxy.wire.proto.CoordinationProtocol.ModelPace.newBuilder()
       private Builder() {
 
       }
@@ -2151,28 +2721,25 @@
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        name_ = "";
-        incarnation_ = 0L;
-        requests_ = 0;
-        promptTokens_ = 0;
-        heldTokens_ = 0;
+        model_ = "";
+        pace_ = 0D;
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ServerUsage_descriptor;
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ModelPace_descriptor;
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage getDefaultInstanceForType() {
-        return org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.getDefaultInstance();
+      public org.borageproxy.wire.proto.CoordinationProtocol.ModelPace getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.ModelPace.getDefaultInstance();
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage build() {
-        org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage result = buildPartial();
+      public org.borageproxy.wire.proto.CoordinationProtocol.ModelPace build() {
+        org.borageproxy.wire.proto.CoordinationProtocol.ModelPace result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -2180,60 +2747,42 @@
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage buildPartial() {
-        org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage result = new org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage(this);
+      public org.borageproxy.wire.proto.CoordinationProtocol.ModelPace buildPartial() {
+        org.borageproxy.wire.proto.CoordinationProtocol.ModelPace result = new org.borageproxy.wire.proto.CoordinationProtocol.ModelPace(this);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage result) {
+      private void buildPartial0(org.borageproxy.wire.proto.CoordinationProtocol.ModelPace result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.name_ = name_;
+          result.model_ = model_;
         }
         if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.incarnation_ = incarnation_;
-        }
-        if (((from_bitField0_ & 0x00000004) != 0)) {
-          result.requests_ = requests_;
-        }
-        if (((from_bitField0_ & 0x00000008) != 0)) {
-          result.promptTokens_ = promptTokens_;
-        }
-        if (((from_bitField0_ & 0x00000010) != 0)) {
-          result.heldTokens_ = heldTokens_;
+          result.pace_ = pace_;
         }
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage) {
-          return mergeFrom((org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage)other);
+        if (other instanceof org.borageproxy.wire.proto.CoordinationProtocol.ModelPace) {
+          return mergeFrom((org.borageproxy.wire.proto.CoordinationProtocol.ModelPace)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage other) {
-        if (other == org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.getDefaultInstance()) return this;
-        if (!other.getName().isEmpty()) {
-          name_ = other.name_;
+      public Builder mergeFrom(org.borageproxy.wire.proto.CoordinationProtocol.ModelPace other) {
+        if (other == org.borageproxy.wire.proto.CoordinationProtocol.ModelPace.getDefaultInstance()) return this;
+        if (!other.getModel().isEmpty()) {
+          model_ = other.model_;
           bitField0_ |= 0x00000001;
           onChanged();
         }
-        if (other.getIncarnation() != 0L) {
-          setIncarnation(other.getIncarnation());
-        }
-        if (other.getRequests() != 0) {
-          setRequests(other.getRequests());
-        }
-        if (other.getPromptTokens() != 0) {
-          setPromptTokens(other.getPromptTokens());
-        }
-        if (other.getHeldTokens() != 0) {
-          setHeldTokens(other.getHeldTokens());
+        if (java.lang.Double.doubleToRawLongBits(other.getPace()) != 0) {
+          setPace(other.getPace());
         }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
@@ -2262,30 +2811,15 @@
                 done = true;
                 break;
               case 10: {
-                name_ = input.readStringRequireUtf8();
+                model_ = input.readStringRequireUtf8();
                 bitField0_ |= 0x00000001;
                 break;
               } // case 10
-              case 16: {
-                incarnation_ = input.readUInt64();
+              case 17: {
+                pace_ = input.readDouble();
                 bitField0_ |= 0x00000002;
                 break;
-              } // case 16
-              case 24: {
-                requests_ = input.readUInt32();
-                bitField0_ |= 0x00000004;
-                break;
-              } // case 24
-              case 32: {
-                promptTokens_ = input.readUInt32();
-                bitField0_ |= 0x00000008;
-                break;
-              } // case 32
-              case 40: {
-                heldTokens_ = input.readUInt32();
-                bitField0_ |= 0x00000010;
-                break;
-              } // case 40
+              } // case 17
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -2303,247 +2837,127 @@
       }
       private int bitField0_;
 
-      private java.lang.Object name_ = "";
+      private java.lang.Object model_ = "";
       /**
-       * <code>string name = 1;</code>
-       * @return The name.
+       * <code>string model = 1;</code>
+       * @return The model.
        */
-      public java.lang.String getName() {
-        java.lang.Object ref = name_;
+      public java.lang.String getModel() {
+        java.lang.Object ref = model_;
         if (!(ref instanceof java.lang.String)) {
           com.google.protobuf.ByteString bs =
               (com.google.protobuf.ByteString) ref;
           java.lang.String s = bs.toStringUtf8();
-          name_ = s;
+          model_ = s;
           return s;
         } else {
           return (java.lang.String) ref;
         }
       }
       /**
-       * <code>string name = 1;</code>
-       * @return The bytes for name.
+       * <code>string model = 1;</code>
+       * @return The bytes for model.
        */
       public com.google.protobuf.ByteString
-          getNameBytes() {
-        java.lang.Object ref = name_;
+          getModelBytes() {
+        java.lang.Object ref = model_;
         if (ref instanceof String) {
           com.google.protobuf.ByteString b = 
               com.google.protobuf.ByteString.copyFromUtf8(
                   (java.lang.String) ref);
-          name_ = b;
+          model_ = b;
           return b;
         } else {
           return (com.google.protobuf.ByteString) ref;
         }
       }
       /**
-       * <code>string name = 1;</code>
-       * @param value The name to set.
+       * <code>string model = 1;</code>
+       * @param value The model to set.
        * @return This builder for chaining.
        */
-      public Builder setName(
+      public Builder setModel(
           java.lang.String value) {
         if (value == null) { throw new NullPointerException(); }
-        name_ = value;
+        model_ = value;
         bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
       /**
-       * <code>string name = 1;</code>
+       * <code>string model = 1;</code>
        * @return This builder for chaining.
        */
-      public Builder clearName() {
-        name_ = getDefaultInstance().getName();
+      public Builder clearModel() {
+        model_ = getDefaultInstance().getModel();
         bitField0_ = (bitField0_ & ~0x00000001);
         onChanged();
         return this;
       }
       /**
-       * <code>string name = 1;</code>
-       * @param value The bytes for name to set.
+       * <code>string model = 1;</code>
+       * @param value The bytes for model to set.
        * @return This builder for chaining.
        */
-      public Builder setNameBytes(
+      public Builder setModelBytes(
           com.google.protobuf.ByteString value) {
         if (value == null) { throw new NullPointerException(); }
         checkByteStringIsUtf8(value);
-        name_ = value;
+        model_ = value;
         bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
 
-      private long incarnation_ ;
+      private double pace_ ;
       /**
-       * <code>uint64 incarnation = 2;</code>
-       * @return The incarnation.
+       * <code>double pace = 2;</code>
+       * @return The pace.
        */
       @java.lang.Override
-      public long getIncarnation() {
-        return incarnation_;
+      public double getPace() {
+        return pace_;
       }
       /**
-       * <code>uint64 incarnation = 2;</code>
-       * @param value The incarnation to set.
+       * <code>double pace = 2;</code>
+       * @param value The pace to set.
        * @return This builder for chaining.
        */
-      public Builder setIncarnation(long value) {
+      public Builder setPace(double value) {
 
-        incarnation_ = value;
+        pace_ = value;
         bitField0_ |= 0x00000002;
         onChanged();
         return this;
       }
       /**
-       * <code>uint64 incarnation = 2;</code>
+       * <code>double pace = 2;</code>
        * @return This builder for chaining.
        */
-      public Builder clearIncarnation() {
+      public Builder clearPace() {
         bitField0_ = (bitField0_ & ~0x00000002);
-        incarnation_ = 0L;
-        onChanged();
-        return this;
-      }
-
-      private int requests_ ;
-      /**
-       * <code>uint32 requests = 3;</code>
-       * @return The requests.
-       */
-      @java.lang.Override
-      public int getRequests() {
-        return requests_;
-      }
-      /**
-       * <code>uint32 requests = 3;</code>
-       * @param value The requests to set.
-       * @return This builder for chaining.
-       */
-      public Builder setRequests(int value) {
-
-        requests_ = value;
-        bitField0_ |= 0x00000004;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>uint32 requests = 3;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearRequests() {
-        bitField0_ = (bitField0_ & ~0x00000004);
-        requests_ = 0;
-        onChanged();
-        return this;
-      }
-
-      private int promptTokens_ ;
-      /**
-       * <pre>
-       * Prompt tokens not yet read, as far as the entry can tell.
-       * </pre>
-       *
-       * <code>uint32 prompt_tokens = 4;</code>
-       * @return The promptTokens.
-       */
-      @java.lang.Override
-      public int getPromptTokens() {
-        return promptTokens_;
-      }
-      /**
-       * <pre>
-       * Prompt tokens not yet read, as far as the entry can tell.
-       * </pre>
-       *
-       * <code>uint32 prompt_tokens = 4;</code>
-       * @param value The promptTokens to set.
-       * @return This builder for chaining.
-       */
-      public Builder setPromptTokens(int value) {
-
-        promptTokens_ = value;
-        bitField0_ |= 0x00000008;
-        onChanged();
-        return this;
-      }
-      /**
-       * <pre>
-       * Prompt tokens not yet read, as far as the entry can tell.
-       * </pre>
-       *
-       * <code>uint32 prompt_tokens = 4;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearPromptTokens() {
-        bitField0_ = (bitField0_ & ~0x00000008);
-        promptTokens_ = 0;
-        onChanged();
-        return this;
-      }
-
-      private int heldTokens_ ;
-      /**
-       * <pre>
-       * Tokens of prompts and outputs held in memory.
-       * </pre>
-       *
-       * <code>uint32 held_tokens = 5;</code>
-       * @return The heldTokens.
-       */
-      @java.lang.Override
-      public int getHeldTokens() {
-        return heldTokens_;
-      }
-      /**
-       * <pre>
-       * Tokens of prompts and outputs held in memory.
-       * </pre>
-       *
-       * <code>uint32 held_tokens = 5;</code>
-       * @param value The heldTokens to set.
-       * @return This builder for chaining.
-       */
-      public Builder setHeldTokens(int value) {
-
-        heldTokens_ = value;
-        bitField0_ |= 0x00000010;
-        onChanged();
-        return this;
-      }
-      /**
-       * <pre>
-       * Tokens of prompts and outputs held in memory.
-       * </pre>
-       *
-       * <code>uint32 held_tokens = 5;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearHeldTokens() {
-        bitField0_ = (bitField0_ & ~0x00000010);
-        heldTokens_ = 0;
+        pace_ = 0D;
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:borageproxy.coordination.ServerUsage)
+      // @@protoc_insertion_point(builder_scope:borageproxy.coordination.ModelPace)
     }
 
-    // @@protoc_insertion_point(class_scope:borageproxy.coordination.ServerUsage)
-    private static final org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:borageproxy.coordination.ModelPace)
+    private static final org.borageproxy.wire.proto.CoordinationProtocol.ModelPace DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage();
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.CoordinationProtocol.ModelPace();
     }
 
-    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage getDefaultInstance() {
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelPace getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<ServerUsage>
-        PARSER = new com.google.protobuf.AbstractParser<ServerUsage>() {
+    private static final com.google.protobuf.Parser<ModelPace>
+        PARSER = new com.google.protobuf.AbstractParser<ModelPace>() {
       @java.lang.Override
-      public ServerUsage parsePartialFrom(
+      public ModelPace parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -2562,24 +2976,24 @@
       }
     };
 
-    public static com.google.protobuf.Parser<ServerUsage> parser() {
+    public static com.google.protobuf.Parser<ModelPace> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<ServerUsage> getParserForType() {
+    public com.google.protobuf.Parser<ModelPace> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage getDefaultInstanceForType() {
+    public org.borageproxy.wire.proto.CoordinationProtocol.ModelPace getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
   }
 
-  public interface WorkspaceUsageOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:borageproxy.coordination.WorkspaceUsage)
+  public interface ServerUsageOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.coordination.ServerUsage)
       com.google.protobuf.MessageOrBuilder {
 
     /**
@@ -2595,56 +3009,48 @@
         getNameBytes();
 
     /**
-     * <pre>
-     * The rate that the workspace asks for here, in tokens per second.
-     * </pre>
-     *
-     * <code>uint64 demand = 2;</code>
-     * @return The demand.
+     * <code>uint64 incarnation = 2;</code>
+     * @return The incarnation.
      */
-    long getDemand();
+    long getIncarnation();
 
     /**
-     * <pre>
-     * The rate that the entry still holds, in tokens per second.
-     * </pre>
-     *
-     * <code>uint64 held = 3;</code>
-     * @return The held.
+     * <code>uint32 requests = 3;</code>
+     * @return The requests.
      */
-    long getHeld();
+    int getRequests();
 
     /**
      * <pre>
-     * Tokens of the share spent since the report before.
+     * Prompt tokens not yet read, as far as the entry can tell.
      * </pre>
      *
-     * <code>uint64 spent = 4;</code>
-     * @return The spent.
+     * <code>uint32 prompt_tokens = 4;</code>
+     * @return The promptTokens.
      */
-    long getSpent();
+    int getPromptTokens();
 
     /**
      * <pre>
-     * Tokens that requests wait for.
+     * Tokens of prompts and outputs held in memory.
      * </pre>
      *
-     * <code>uint64 needed = 5;</code>
-     * @return The needed.
+     * <code>uint32 held_tokens = 5;</code>
+     * @return The heldTokens.
      */
-    long getNeeded();
+    int getHeldTokens();
   }
   /**
    * <pre>
-   * The tokens of a workspace at one entry.
+   * The work that an entry has in flight at one backend server.
    * </pre>
    *
-   * Protobuf type {@code borageproxy.coordination.WorkspaceUsage}
+   * Protobuf type {@code borageproxy.coordination.ServerUsage}
    */
-  public static final class WorkspaceUsage extends
+  public static final class ServerUsage extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:borageproxy.coordination.WorkspaceUsage)
-      WorkspaceUsageOrBuilder {
+      // @@protoc_insertion_point(message_implements:borageproxy.coordination.ServerUsage)
+      ServerUsageOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -2653,32 +3059,32 @@
         /* minor= */ 34,
         /* patch= */ 2,
         /* suffix= */ "",
-        "WorkspaceUsage");
+        "ServerUsage");
     }
-    // Use WorkspaceUsage.newBuilder() to construct.
-    private WorkspaceUsage(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use ServerUsage.newBuilder() to construct.
+    private ServerUsage(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private WorkspaceUsage() {
+    private ServerUsage() {
       name_ = "";
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_WorkspaceUsage_descriptor;
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ServerUsage_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_WorkspaceUsage_descriptor;
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ServerUsage_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_WorkspaceUsage_fieldAccessorTable
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ServerUsage_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage.class, org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage.Builder.class);
+              org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.class, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder.class);
     }
 
     public static final int NAME_FIELD_NUMBER = 1;
@@ -2720,64 +3126,56 @@
       }
     }
 
-    public static final int DEMAND_FIELD_NUMBER = 2;
-    private long demand_ = 0L;
+    public static final int INCARNATION_FIELD_NUMBER = 2;
+    private long incarnation_ = 0L;
     /**
-     * <pre>
-     * The rate that the workspace asks for here, in tokens per second.
-     * </pre>
-     *
-     * <code>uint64 demand = 2;</code>
-     * @return The demand.
+     * <code>uint64 incarnation = 2;</code>
+     * @return The incarnation.
      */
     @java.lang.Override
-    public long getDemand() {
-      return demand_;
+    public long getIncarnation() {
+      return incarnation_;
     }
 
-    public static final int HELD_FIELD_NUMBER = 3;
-    private long held_ = 0L;
+    public static final int REQUESTS_FIELD_NUMBER = 3;
+    private int requests_ = 0;
     /**
-     * <pre>
-     * The rate that the entry still holds, in tokens per second.
-     * </pre>
-     *
-     * <code>uint64 held = 3;</code>
-     * @return The held.
+     * <code>uint32 requests = 3;</code>
+     * @return The requests.
      */
     @java.lang.Override
-    public long getHeld() {
-      return held_;
+    public int getRequests() {
+      return requests_;
     }
 
-    public static final int SPENT_FIELD_NUMBER = 4;
-    private long spent_ = 0L;
+    public static final int PROMPT_TOKENS_FIELD_NUMBER = 4;
+    private int promptTokens_ = 0;
     /**
      * <pre>
-     * Tokens of the share spent since the report before.
+     * Prompt tokens not yet read, as far as the entry can tell.
      * </pre>
      *
-     * <code>uint64 spent = 4;</code>
-     * @return The spent.
+     * <code>uint32 prompt_tokens = 4;</code>
+     * @return The promptTokens.
      */
     @java.lang.Override
-    public long getSpent() {
-      return spent_;
+    public int getPromptTokens() {
+      return promptTokens_;
     }
 
-    public static final int NEEDED_FIELD_NUMBER = 5;
-    private long needed_ = 0L;
+    public static final int HELD_TOKENS_FIELD_NUMBER = 5;
+    private int heldTokens_ = 0;
     /**
      * <pre>
-     * Tokens that requests wait for.
+     * Tokens of prompts and outputs held in memory.
      * </pre>
      *
-     * <code>uint64 needed = 5;</code>
-     * @return The needed.
+     * <code>uint32 held_tokens = 5;</code>
+     * @return The heldTokens.
      */
     @java.lang.Override
-    public long getNeeded() {
-      return needed_;
+    public int getHeldTokens() {
+      return heldTokens_;
     }
 
     private byte memoizedIsInitialized = -1;
@@ -2797,17 +3195,17 @@
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(name_)) {
         com.google.protobuf.GeneratedMessage.writeString(output, 1, name_);
       }
-      if (demand_ != 0L) {
-        output.writeUInt64(2, demand_);
+      if (incarnation_ != 0L) {
+        output.writeUInt64(2, incarnation_);
       }
-      if (held_ != 0L) {
-        output.writeUInt64(3, held_);
+      if (requests_ != 0) {
+        output.writeUInt32(3, requests_);
       }
-      if (spent_ != 0L) {
-        output.writeUInt64(4, spent_);
+      if (promptTokens_ != 0) {
+        output.writeUInt32(4, promptTokens_);
       }
-      if (needed_ != 0L) {
-        output.writeUInt64(5, needed_);
+      if (heldTokens_ != 0) {
+        output.writeUInt32(5, heldTokens_);
       }
       getUnknownFields().writeTo(output);
     }
@@ -2821,21 +3219,21 @@
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(name_)) {
         size += com.google.protobuf.GeneratedMessage.computeStringSize(1, name_);
       }
-      if (demand_ != 0L) {
+      if (incarnation_ != 0L) {
         size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(2, demand_);
+          .computeUInt64Size(2, incarnation_);
       }
-      if (held_ != 0L) {
+      if (requests_ != 0) {
         size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(3, held_);
+          .computeUInt32Size(3, requests_);
       }
-      if (spent_ != 0L) {
+      if (promptTokens_ != 0) {
         size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(4, spent_);
+          .computeUInt32Size(4, promptTokens_);
       }
-      if (needed_ != 0L) {
+      if (heldTokens_ != 0) {
         size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(5, needed_);
+          .computeUInt32Size(5, heldTokens_);
       }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
@@ -2847,21 +3245,21 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage)) {
+      if (!(obj instanceof org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage)) {
         return super.equals(obj);
       }
-      org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage other = (org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage) obj;
+      org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage other = (org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage) obj;
 
       if (!getName()
           .equals(other.getName())) return false;
-      if (getDemand()
-          != other.getDemand()) return false;
-      if (getHeld()
-          != other.getHeld()) return false;
-      if (getSpent()
-          != other.getSpent()) return false;
-      if (getNeeded()
-          != other.getNeeded()) return false;
+      if (getIncarnation()
+          != other.getIncarnation()) return false;
+      if (getRequests()
+          != other.getRequests()) return false;
+      if (getPromptTokens()
+          != other.getPromptTokens()) return false;
+      if (getHeldTokens()
+          != other.getHeldTokens()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -2875,61 +3273,58 @@
       hash = (19 * hash) + getDescriptor().hashCode();
       hash = (37 * hash) + NAME_FIELD_NUMBER;
       hash = (53 * hash) + getName().hashCode();
-      hash = (37 * hash) + DEMAND_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getDemand());
-      hash = (37 * hash) + HELD_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getHeld());
-      hash = (37 * hash) + SPENT_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getSpent());
-      hash = (37 * hash) + NEEDED_FIELD_NUMBER;
+      hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getNeeded());
+          getIncarnation());
+      hash = (37 * hash) + REQUESTS_FIELD_NUMBER;
+      hash = (53 * hash) + getRequests();
+      hash = (37 * hash) + PROMPT_TOKENS_FIELD_NUMBER;
+      hash = (53 * hash) + getPromptTokens();
+      hash = (37 * hash) + HELD_TOKENS_FIELD_NUMBER;
+      hash = (53 * hash) + getHeldTokens();
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage parseFrom(
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage parseFrom(
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage parseFrom(
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage parseFrom(
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage parseFrom(byte[] data)
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage parseFrom(
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage parseFrom(java.io.InputStream input)
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage parseFrom(
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -2937,26 +3332,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage parseDelimitedFrom(java.io.InputStream input)
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage parseDelimitedFrom(
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage parseFrom(
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage parseFrom(
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -2969,7 +3364,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage prototype) {
+    public static Builder newBuilder(org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -2986,29 +3381,29 @@
     }
     /**
      * <pre>
-     * The tokens of a workspace at one entry.
+     * The work that an entry has in flight at one backend server.
      * </pre>
      *
-     * Protobuf type {@code borageproxy.coordination.WorkspaceUsage}
+     * Protobuf type {@code borageproxy.coordination.ServerUsage}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:borageproxy.coordination.WorkspaceUsage)
-        org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsageOrBuilder {
+        // @@protoc_insertion_point(builder_implements:borageproxy.coordination.ServerUsage)
+        org.borageproxy.wire.proto.CoordinationProtocol.ServerUsageOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_WorkspaceUsage_descriptor;
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ServerUsage_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_WorkspaceUsage_fieldAccessorTable
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ServerUsage_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage.class, org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage.Builder.class);
+                org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.class, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder.class);
       }
 
-      // Construct using org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage.newBuilder()
+      // Construct using org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.newBuilder()
       private Builder() {
 
       }
@@ -3023,27 +3418,27 @@
         super.clear();
         bitField0_ = 0;
         name_ = "";
-        demand_ = 0L;
-        held_ = 0L;
-        spent_ = 0L;
-        needed_ = 0L;
+        incarnation_ = 0L;
+        requests_ = 0;
+        promptTokens_ = 0;
+        heldTokens_ = 0;
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_WorkspaceUsage_descriptor;
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ServerUsage_descriptor;
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage getDefaultInstanceForType() {
-        return org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage.getDefaultInstance();
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.getDefaultInstance();
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage build() {
-        org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage result = buildPartial();
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage build() {
+        org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -3051,60 +3446,60 @@
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage buildPartial() {
-        org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage result = new org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage(this);
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage buildPartial() {
+        org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage result = new org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage(this);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage result) {
+      private void buildPartial0(org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
           result.name_ = name_;
         }
         if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.demand_ = demand_;
+          result.incarnation_ = incarnation_;
         }
         if (((from_bitField0_ & 0x00000004) != 0)) {
-          result.held_ = held_;
+          result.requests_ = requests_;
         }
         if (((from_bitField0_ & 0x00000008) != 0)) {
-          result.spent_ = spent_;
+          result.promptTokens_ = promptTokens_;
         }
         if (((from_bitField0_ & 0x00000010) != 0)) {
-          result.needed_ = needed_;
+          result.heldTokens_ = heldTokens_;
         }
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage) {
-          return mergeFrom((org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage)other);
+        if (other instanceof org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage) {
+          return mergeFrom((org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage other) {
-        if (other == org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage.getDefaultInstance()) return this;
+      public Builder mergeFrom(org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage other) {
+        if (other == org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.getDefaultInstance()) return this;
         if (!other.getName().isEmpty()) {
           name_ = other.name_;
           bitField0_ |= 0x00000001;
           onChanged();
         }
-        if (other.getDemand() != 0L) {
-          setDemand(other.getDemand());
-        }
-        if (other.getHeld() != 0L) {
-          setHeld(other.getHeld());
+        if (other.getIncarnation() != 0L) {
+          setIncarnation(other.getIncarnation());
         }
-        if (other.getSpent() != 0L) {
-          setSpent(other.getSpent());
+        if (other.getRequests() != 0) {
+          setRequests(other.getRequests());
         }
-        if (other.getNeeded() != 0L) {
-          setNeeded(other.getNeeded());
+        if (other.getPromptTokens() != 0) {
+          setPromptTokens(other.getPromptTokens());
+        }
+        if (other.getHeldTokens() != 0) {
+          setHeldTokens(other.getHeldTokens());
         }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
@@ -3138,22 +3533,22 @@
                 break;
               } // case 10
               case 16: {
-                demand_ = input.readUInt64();
+                incarnation_ = input.readUInt64();
                 bitField0_ |= 0x00000002;
                 break;
               } // case 16
               case 24: {
-                held_ = input.readUInt64();
+                requests_ = input.readUInt32();
                 bitField0_ |= 0x00000004;
                 break;
               } // case 24
               case 32: {
-                spent_ = input.readUInt64();
+                promptTokens_ = input.readUInt32();
                 bitField0_ |= 0x00000008;
                 break;
               } // case 32
               case 40: {
-                needed_ = input.readUInt64();
+                heldTokens_ = input.readUInt32();
                 bitField0_ |= 0x00000010;
                 break;
               } // case 40
@@ -3246,199 +3641,175 @@
         return this;
       }
 
-      private long demand_ ;
+      private long incarnation_ ;
       /**
-       * <pre>
-       * The rate that the workspace asks for here, in tokens per second.
-       * </pre>
-       *
-       * <code>uint64 demand = 2;</code>
-       * @return The demand.
+       * <code>uint64 incarnation = 2;</code>
+       * @return The incarnation.
        */
       @java.lang.Override
-      public long getDemand() {
-        return demand_;
+      public long getIncarnation() {
+        return incarnation_;
       }
       /**
-       * <pre>
-       * The rate that the workspace asks for here, in tokens per second.
-       * </pre>
-       *
-       * <code>uint64 demand = 2;</code>
-       * @param value The demand to set.
+       * <code>uint64 incarnation = 2;</code>
+       * @param value The incarnation to set.
        * @return This builder for chaining.
        */
-      public Builder setDemand(long value) {
+      public Builder setIncarnation(long value) {
 
-        demand_ = value;
+        incarnation_ = value;
         bitField0_ |= 0x00000002;
         onChanged();
         return this;
       }
       /**
-       * <pre>
-       * The rate that the workspace asks for here, in tokens per second.
-       * </pre>
-       *
-       * <code>uint64 demand = 2;</code>
+       * <code>uint64 incarnation = 2;</code>
        * @return This builder for chaining.
        */
-      public Builder clearDemand() {
+      public Builder clearIncarnation() {
         bitField0_ = (bitField0_ & ~0x00000002);
-        demand_ = 0L;
+        incarnation_ = 0L;
         onChanged();
         return this;
       }
 
-      private long held_ ;
+      private int requests_ ;
       /**
-       * <pre>
-       * The rate that the entry still holds, in tokens per second.
-       * </pre>
-       *
-       * <code>uint64 held = 3;</code>
-       * @return The held.
+       * <code>uint32 requests = 3;</code>
+       * @return The requests.
        */
       @java.lang.Override
-      public long getHeld() {
-        return held_;
+      public int getRequests() {
+        return requests_;
       }
       /**
-       * <pre>
-       * The rate that the entry still holds, in tokens per second.
-       * </pre>
-       *
-       * <code>uint64 held = 3;</code>
-       * @param value The held to set.
+       * <code>uint32 requests = 3;</code>
+       * @param value The requests to set.
        * @return This builder for chaining.
        */
-      public Builder setHeld(long value) {
+      public Builder setRequests(int value) {
 
-        held_ = value;
+        requests_ = value;
         bitField0_ |= 0x00000004;
         onChanged();
         return this;
       }
       /**
-       * <pre>
-       * The rate that the entry still holds, in tokens per second.
-       * </pre>
-       *
-       * <code>uint64 held = 3;</code>
+       * <code>uint32 requests = 3;</code>
        * @return This builder for chaining.
        */
-      public Builder clearHeld() {
+      public Builder clearRequests() {
         bitField0_ = (bitField0_ & ~0x00000004);
-        held_ = 0L;
+        requests_ = 0;
         onChanged();
         return this;
       }
 
-      private long spent_ ;
+      private int promptTokens_ ;
       /**
        * <pre>
-       * Tokens of the share spent since the report before.
+       * Prompt tokens not yet read, as far as the entry can tell.
        * </pre>
        *
-       * <code>uint64 spent = 4;</code>
-       * @return The spent.
+       * <code>uint32 prompt_tokens = 4;</code>
+       * @return The promptTokens.
        */
       @java.lang.Override
-      public long getSpent() {
-        return spent_;
+      public int getPromptTokens() {
+        return promptTokens_;
       }
       /**
        * <pre>
-       * Tokens of the share spent since the report before.
+       * Prompt tokens not yet read, as far as the entry can tell.
        * </pre>
        *
-       * <code>uint64 spent = 4;</code>
-       * @param value The spent to set.
+       * <code>uint32 prompt_tokens = 4;</code>
+       * @param value The promptTokens to set.
        * @return This builder for chaining.
        */
-      public Builder setSpent(long value) {
+      public Builder setPromptTokens(int value) {
 
-        spent_ = value;
+        promptTokens_ = value;
         bitField0_ |= 0x00000008;
         onChanged();
         return this;
       }
       /**
        * <pre>
-       * Tokens of the share spent since the report before.
+       * Prompt tokens not yet read, as far as the entry can tell.
        * </pre>
        *
-       * <code>uint64 spent = 4;</code>
+       * <code>uint32 prompt_tokens = 4;</code>
        * @return This builder for chaining.
        */
-      public Builder clearSpent() {
+      public Builder clearPromptTokens() {
         bitField0_ = (bitField0_ & ~0x00000008);
-        spent_ = 0L;
+        promptTokens_ = 0;
         onChanged();
         return this;
       }
 
-      private long needed_ ;
+      private int heldTokens_ ;
       /**
        * <pre>
-       * Tokens that requests wait for.
+       * Tokens of prompts and outputs held in memory.
        * </pre>
        *
-       * <code>uint64 needed = 5;</code>
-       * @return The needed.
+       * <code>uint32 held_tokens = 5;</code>
+       * @return The heldTokens.
        */
       @java.lang.Override
-      public long getNeeded() {
-        return needed_;
+      public int getHeldTokens() {
+        return heldTokens_;
       }
       /**
        * <pre>
-       * Tokens that requests wait for.
+       * Tokens of prompts and outputs held in memory.
        * </pre>
        *
-       * <code>uint64 needed = 5;</code>
-       * @param value The needed to set.
+       * <code>uint32 held_tokens = 5;</code>
+       * @param value The heldTokens to set.
        * @return This builder for chaining.
        */
-      public Builder setNeeded(long value) {
+      public Builder setHeldTokens(int value) {
 
-        needed_ = value;
+        heldTokens_ = value;
         bitField0_ |= 0x00000010;
         onChanged();
         return this;
       }
       /**
        * <pre>
-       * Tokens that requests wait for.
+       * Tokens of prompts and outputs held in memory.
        * </pre>
        *
-       * <code>uint64 needed = 5;</code>
+       * <code>uint32 held_tokens = 5;</code>
        * @return This builder for chaining.
        */
-      public Builder clearNeeded() {
+      public Builder clearHeldTokens() {
         bitField0_ = (bitField0_ & ~0x00000010);
-        needed_ = 0L;
+        heldTokens_ = 0;
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:borageproxy.coordination.WorkspaceUsage)
+      // @@protoc_insertion_point(builder_scope:borageproxy.coordination.ServerUsage)
     }
 
-    // @@protoc_insertion_point(class_scope:borageproxy.coordination.WorkspaceUsage)
-    private static final org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:borageproxy.coordination.ServerUsage)
+    private static final org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage();
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage();
     }
 
-    public static org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage getDefaultInstance() {
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<WorkspaceUsage>
-        PARSER = new com.google.protobuf.AbstractParser<WorkspaceUsage>() {
+    private static final com.google.protobuf.Parser<ServerUsage>
+        PARSER = new com.google.protobuf.AbstractParser<ServerUsage>() {
       @java.lang.Override
-      public WorkspaceUsage parsePartialFrom(
+      public ServerUsage parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -3457,93 +3828,89 @@
       }
     };
 
-    public static com.google.protobuf.Parser<WorkspaceUsage> parser() {
+    public static com.google.protobuf.Parser<ServerUsage> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<WorkspaceUsage> getParserForType() {
+    public com.google.protobuf.Parser<ServerUsage> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage getDefaultInstanceForType() {
+    public org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
   }
 
-  public interface ModelDemandOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:borageproxy.coordination.ModelDemand)
+  public interface WorkspaceUsageOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.coordination.WorkspaceUsage)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>string service = 1;</code>
-     * @return The service.
+     * <code>string name = 1;</code>
+     * @return The name.
      */
-    java.lang.String getService();
+    java.lang.String getName();
     /**
-     * <code>string service = 1;</code>
-     * @return The bytes for service.
+     * <code>string name = 1;</code>
+     * @return The bytes for name.
      */
     com.google.protobuf.ByteString
-        getServiceBytes();
+        getNameBytes();
 
     /**
-     * <code>string model = 2;</code>
-     * @return The model.
-     */
-    java.lang.String getModel();
-    /**
-     * <code>string model = 2;</code>
-     * @return The bytes for model.
+     * <pre>
+     * The rate that the workspace asks for here, in tokens per second.
+     * </pre>
+     *
+     * <code>uint64 demand = 2;</code>
+     * @return The demand.
      */
-    com.google.protobuf.ByteString
-        getModelBytes();
+    long getDemand();
 
     /**
-     * <code>string adapter = 3;</code>
-     * @return The adapter.
-     */
-    java.lang.String getAdapter();
-    /**
-     * <code>string adapter = 3;</code>
-     * @return The bytes for adapter.
+     * <pre>
+     * The rate that the entry still holds, in tokens per second.
+     * </pre>
+     *
+     * <code>uint64 held = 3;</code>
+     * @return The held.
      */
-    com.google.protobuf.ByteString
-        getAdapterBytes();
+    long getHeld();
 
     /**
      * <pre>
-     * Prompt and output tokens asked for since the report before.
+     * Tokens of the share spent since the report before.
      * </pre>
      *
-     * <code>uint64 tokens = 4;</code>
-     * @return The tokens.
+     * <code>uint64 spent = 4;</code>
+     * @return The spent.
      */
-    long getTokens();
+    long getSpent();
 
     /**
      * <pre>
-     * Requests that wait because no backend server holds the model or the adapter.
+     * Tokens that requests wait for.
      * </pre>
      *
-     * <code>uint32 waiting = 5;</code>
-     * @return The waiting.
+     * <code>uint64 needed = 5;</code>
+     * @return The needed.
      */
-    int getWaiting();
+    long getNeeded();
   }
   /**
    * <pre>
-   * What callers of an entry ask of a model.
+   * The tokens of a workspace at one entry.
    * </pre>
    *
-   * Protobuf type {@code borageproxy.coordination.ModelDemand}
+   * Protobuf type {@code borageproxy.coordination.WorkspaceUsage}
    */
-  public static final class ModelDemand extends
+  public static final class WorkspaceUsage extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:borageproxy.coordination.ModelDemand)
-      ModelDemandOrBuilder {
+      // @@protoc_insertion_point(message_implements:borageproxy.coordination.WorkspaceUsage)
+      WorkspaceUsageOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -3552,181 +3919,131 @@
         /* minor= */ 34,
         /* patch= */ 2,
         /* suffix= */ "",
-        "ModelDemand");
+        "WorkspaceUsage");
     }
-    // Use ModelDemand.newBuilder() to construct.
-    private ModelDemand(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use WorkspaceUsage.newBuilder() to construct.
+    private WorkspaceUsage(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private ModelDemand() {
-      service_ = "";
-      model_ = "";
-      adapter_ = "";
+    private WorkspaceUsage() {
+      name_ = "";
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ModelDemand_descriptor;
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_WorkspaceUsage_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ModelDemand_descriptor;
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_WorkspaceUsage_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ModelDemand_fieldAccessorTable
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_WorkspaceUsage_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand.class, org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand.Builder.class);
+              org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage.class, org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage.Builder.class);
     }
 
-    public static final int SERVICE_FIELD_NUMBER = 1;
+    public static final int NAME_FIELD_NUMBER = 1;
     @SuppressWarnings("serial")
-    private volatile java.lang.Object service_ = "";
+    private volatile java.lang.Object name_ = "";
     /**
-     * <code>string service = 1;</code>
-     * @return The service.
+     * <code>string name = 1;</code>
+     * @return The name.
      */
     @java.lang.Override
-    public java.lang.String getService() {
-      java.lang.Object ref = service_;
+    public java.lang.String getName() {
+      java.lang.Object ref = name_;
       if (ref instanceof java.lang.String) {
         return (java.lang.String) ref;
       } else {
         com.google.protobuf.ByteString bs = 
             (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
-        service_ = s;
+        name_ = s;
         return s;
       }
     }
     /**
-     * <code>string service = 1;</code>
-     * @return The bytes for service.
+     * <code>string name = 1;</code>
+     * @return The bytes for name.
      */
     @java.lang.Override
     public com.google.protobuf.ByteString
-        getServiceBytes() {
-      java.lang.Object ref = service_;
+        getNameBytes() {
+      java.lang.Object ref = name_;
       if (ref instanceof java.lang.String) {
         com.google.protobuf.ByteString b = 
             com.google.protobuf.ByteString.copyFromUtf8(
                 (java.lang.String) ref);
-        service_ = b;
+        name_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
 
-    public static final int MODEL_FIELD_NUMBER = 2;
-    @SuppressWarnings("serial")
-    private volatile java.lang.Object model_ = "";
-    /**
-     * <code>string model = 2;</code>
-     * @return The model.
-     */
-    @java.lang.Override
-    public java.lang.String getModel() {
-      java.lang.Object ref = model_;
-      if (ref instanceof java.lang.String) {
-        return (java.lang.String) ref;
-      } else {
-        com.google.protobuf.ByteString bs = 
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        model_ = s;
-        return s;
-      }
-    }
+    public static final int DEMAND_FIELD_NUMBER = 2;
+    private long demand_ = 0L;
     /**
-     * <code>string model = 2;</code>
-     * @return The bytes for model.
+     * <pre>
+     * The rate that the workspace asks for here, in tokens per second.
+     * </pre>
+     *
+     * <code>uint64 demand = 2;</code>
+     * @return The demand.
      */
     @java.lang.Override
-    public com.google.protobuf.ByteString
-        getModelBytes() {
-      java.lang.Object ref = model_;
-      if (ref instanceof java.lang.String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        model_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
+    public long getDemand() {
+      return demand_;
     }
 
-    public static final int ADAPTER_FIELD_NUMBER = 3;
-    @SuppressWarnings("serial")
-    private volatile java.lang.Object adapter_ = "";
-    /**
-     * <code>string adapter = 3;</code>
-     * @return The adapter.
-     */
-    @java.lang.Override
-    public java.lang.String getAdapter() {
-      java.lang.Object ref = adapter_;
-      if (ref instanceof java.lang.String) {
-        return (java.lang.String) ref;
-      } else {
-        com.google.protobuf.ByteString bs = 
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        adapter_ = s;
-        return s;
-      }
-    }
+    public static final int HELD_FIELD_NUMBER = 3;
+    private long held_ = 0L;
     /**
-     * <code>string adapter = 3;</code>
-     * @return The bytes for adapter.
+     * <pre>
+     * The rate that the entry still holds, in tokens per second.
+     * </pre>
+     *
+     * <code>uint64 held = 3;</code>
+     * @return The held.
      */
     @java.lang.Override
-    public com.google.protobuf.ByteString
-        getAdapterBytes() {
-      java.lang.Object ref = adapter_;
-      if (ref instanceof java.lang.String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        adapter_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
+    public long getHeld() {
+      return held_;
     }
 
-    public static final int TOKENS_FIELD_NUMBER = 4;
-    private long tokens_ = 0L;
+    public static final int SPENT_FIELD_NUMBER = 4;
+    private long spent_ = 0L;
     /**
      * <pre>
-     * Prompt and output tokens asked for since the report before.
+     * Tokens of the share spent since the report before.
      * </pre>
      *
-     * <code>uint64 tokens = 4;</code>
-     * @return The tokens.
+     * <code>uint64 spent = 4;</code>
+     * @return The spent.
      */
     @java.lang.Override
-    public long getTokens() {
-      return tokens_;
+    public long getSpent() {
+      return spent_;
     }
 
-    public static final int WAITING_FIELD_NUMBER = 5;
-    private int waiting_ = 0;
+    public static final int NEEDED_FIELD_NUMBER = 5;
+    private long needed_ = 0L;
     /**
      * <pre>
-     * Requests that wait because no backend server holds the model or the adapter.
+     * Tokens that requests wait for.
      * </pre>
      *
-     * <code>uint32 waiting = 5;</code>
-     * @return The waiting.
+     * <code>uint64 needed = 5;</code>
+     * @return The needed.
      */
     @java.lang.Override
-    public int getWaiting() {
-      return waiting_;
+    public long getNeeded() {
+      return needed_;
     }
 
     private byte memoizedIsInitialized = -1;
@@ -3743,20 +4060,20 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 1, service_);
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(name_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, name_);
       }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(model_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 2, model_);
+      if (demand_ != 0L) {
+        output.writeUInt64(2, demand_);
       }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(adapter_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 3, adapter_);
+      if (held_ != 0L) {
+        output.writeUInt64(3, held_);
       }
-      if (tokens_ != 0L) {
-        output.writeUInt64(4, tokens_);
+      if (spent_ != 0L) {
+        output.writeUInt64(4, spent_);
       }
-      if (waiting_ != 0) {
-        output.writeUInt32(5, waiting_);
+      if (needed_ != 0L) {
+        output.writeUInt64(5, needed_);
       }
       getUnknownFields().writeTo(output);
     }
@@ -3767,22 +4084,24 @@
       if (size != -1) return size;
 
       size = 0;
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, service_);
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(name_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, name_);
       }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(model_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, model_);
+      if (demand_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, demand_);
       }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(adapter_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(3, adapter_);
+      if (held_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, held_);
       }
-      if (tokens_ != 0L) {
+      if (spent_ != 0L) {
         size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(4, tokens_);
+          .computeUInt64Size(4, spent_);
       }
-      if (waiting_ != 0) {
+      if (needed_ != 0L) {
         size += com.google.protobuf.CodedOutputStream
-          .computeUInt32Size(5, waiting_);
+          .computeUInt64Size(5, needed_);
       }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
@@ -3794,21 +4113,21 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand)) {
+      if (!(obj instanceof org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage)) {
         return super.equals(obj);
       }
-      org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand other = (org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand) obj;
+      org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage other = (org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage) obj;
 
-      if (!getService()
-          .equals(other.getService())) return false;
-      if (!getModel()
-          .equals(other.getModel())) return false;
-      if (!getAdapter()
-          .equals(other.getAdapter())) return false;
-      if (getTokens()
-          != other.getTokens()) return false;
-      if (getWaiting()
-          != other.getWaiting()) return false;
+      if (!getName()
+          .equals(other.getName())) return false;
+      if (getDemand()
+          != other.getDemand()) return false;
+      if (getHeld()
+          != other.getHeld()) return false;
+      if (getSpent()
+          != other.getSpent()) return false;
+      if (getNeeded()
+          != other.getNeeded()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -3820,60 +4139,63 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + SERVICE_FIELD_NUMBER;
-      hash = (53 * hash) + getService().hashCode();
-      hash = (37 * hash) + MODEL_FIELD_NUMBER;
-      hash = (53 * hash) + getModel().hashCode();
-      hash = (37 * hash) + ADAPTER_FIELD_NUMBER;
-      hash = (53 * hash) + getAdapter().hashCode();
-      hash = (37 * hash) + TOKENS_FIELD_NUMBER;
+      hash = (37 * hash) + NAME_FIELD_NUMBER;
+      hash = (53 * hash) + getName().hashCode();
+      hash = (37 * hash) + DEMAND_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getTokens());
-      hash = (37 * hash) + WAITING_FIELD_NUMBER;
-      hash = (53 * hash) + getWaiting();
+          getDemand());
+      hash = (37 * hash) + HELD_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getHeld());
+      hash = (37 * hash) + SPENT_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getSpent());
+      hash = (37 * hash) + NEEDED_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getNeeded());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand parseFrom(
+    public static org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand parseFrom(
+    public static org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand parseFrom(
+    public static org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand parseFrom(
+    public static org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand parseFrom(byte[] data)
+    public static org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand parseFrom(
+    public static org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand parseFrom(java.io.InputStream input)
+    public static org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand parseFrom(
+    public static org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -3881,26 +4203,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand parseDelimitedFrom(java.io.InputStream input)
+    public static org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand parseDelimitedFrom(
+    public static org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand parseFrom(
+    public static org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand parseFrom(
+    public static org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -3913,7 +4235,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand prototype) {
+    public static Builder newBuilder(org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
