@@ -3930,519 +4252,3609 @@
     }
     /**
      * <pre>
-     * What callers of an entry ask of a model.
+     * The tokens of a workspace at one entry.
      * </pre>
      *
-     * Protobuf type {@code borageproxy.coordination.ModelDemand}
+     * Protobuf type {@code borageproxy.coordination.WorkspaceUsage}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:borageproxy.coordination.ModelDemand)
-        org.borageproxy.wire.proto.CoordinationProtocol.ModelDemandOrBuilder {
+        // @@protoc_insertion_point(builder_implements:borageproxy.coordination.WorkspaceUsage)
+        org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsageOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ModelDemand_descriptor;
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_WorkspaceUsage_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ModelDemand_fieldAccessorTable
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_WorkspaceUsage_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand.class, org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand.Builder.class);
+                org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage.class, org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage.Builder.class);
+      }
+
+      // Construct using org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        name_ = "";
+        demand_ = 0L;
+        held_ = 0L;
+        spent_ = 0L;
+        needed_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_WorkspaceUsage_descriptor;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage build() {
+        org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage buildPartial() {
+        org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage result = new org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.name_ = name_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.demand_ = demand_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.held_ = held_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.spent_ = spent_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.needed_ = needed_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage) {
+          return mergeFrom((org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage other) {
+        if (other == org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage.getDefaultInstance()) return this;
+        if (!other.getName().isEmpty()) {
+          name_ = other.name_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getDemand() != 0L) {
+          setDemand(other.getDemand());
+        }
+        if (other.getHeld() != 0L) {
+          setHeld(other.getHeld());
+        }
+        if (other.getSpent() != 0L) {
+          setSpent(other.getSpent());
+        }
+        if (other.getNeeded() != 0L) {
+          setNeeded(other.getNeeded());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                name_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                demand_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                held_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 32: {
+                spent_ = input.readUInt64();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              case 40: {
+                needed_ = input.readUInt64();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object name_ = "";
+      /**
+       * <code>string name = 1;</code>
+       * @return The name.
+       */
+      public java.lang.String getName() {
+        java.lang.Object ref = name_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          name_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string name = 1;</code>
+       * @return The bytes for name.
+       */
+      public com.google.protobuf.ByteString
+          getNameBytes() {
+        java.lang.Object ref = name_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          name_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string name = 1;</code>
+       * @param value The name to set.
+       * @return This builder for chaining.
+       */
+      public Builder setName(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        name_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string name = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearName() {
+        name_ = getDefaultInstance().getName();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string name = 1;</code>
+       * @param value The bytes for name to set.
+       * @return This builder for chaining.
+       */
+      public Builder setNameBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        name_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long demand_ ;
+      /**
+       * <pre>
+       * The rate that the workspace asks for here, in tokens per second.
+       * </pre>
+       *
+       * <code>uint64 demand = 2;</code>
+       * @return The demand.
+       */
+      @java.lang.Override
+      public long getDemand() {
+        return demand_;
+      }
+      /**
+       * <pre>
+       * The rate that the workspace asks for here, in tokens per second.
+       * </pre>
+       *
+       * <code>uint64 demand = 2;</code>
+       * @param value The demand to set.
+       * @return This builder for chaining.
+       */
+      public Builder setDemand(long value) {
+
+        demand_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The rate that the workspace asks for here, in tokens per second.
+       * </pre>
+       *
+       * <code>uint64 demand = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearDemand() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        demand_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long held_ ;
+      /**
+       * <pre>
+       * The rate that the entry still holds, in tokens per second.
+       * </pre>
+       *
+       * <code>uint64 held = 3;</code>
+       * @return The held.
+       */
+      @java.lang.Override
+      public long getHeld() {
+        return held_;
+      }
+      /**
+       * <pre>
+       * The rate that the entry still holds, in tokens per second.
+       * </pre>
+       *
+       * <code>uint64 held = 3;</code>
+       * @param value The held to set.
+       * @return This builder for chaining.
+       */
+      public Builder setHeld(long value) {
+
+        held_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The rate that the entry still holds, in tokens per second.
+       * </pre>
+       *
+       * <code>uint64 held = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearHeld() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        held_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long spent_ ;
+      /**
+       * <pre>
+       * Tokens of the share spent since the report before.
+       * </pre>
+       *
+       * <code>uint64 spent = 4;</code>
+       * @return The spent.
+       */
+      @java.lang.Override
+      public long getSpent() {
+        return spent_;
+      }
+      /**
+       * <pre>
+       * Tokens of the share spent since the report before.
+       * </pre>
+       *
+       * <code>uint64 spent = 4;</code>
+       * @param value The spent to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSpent(long value) {
+
+        spent_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Tokens of the share spent since the report before.
+       * </pre>
+       *
+       * <code>uint64 spent = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSpent() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        spent_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long needed_ ;
+      /**
+       * <pre>
+       * Tokens that requests wait for.
+       * </pre>
+       *
+       * <code>uint64 needed = 5;</code>
+       * @return The needed.
+       */
+      @java.lang.Override
+      public long getNeeded() {
+        return needed_;
+      }
+      /**
+       * <pre>
+       * Tokens that requests wait for.
+       * </pre>
+       *
+       * <code>uint64 needed = 5;</code>
+       * @param value The needed to set.
+       * @return This builder for chaining.
+       */
+      public Builder setNeeded(long value) {
+
+        needed_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Tokens that requests wait for.
+       * </pre>
+       *
+       * <code>uint64 needed = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearNeeded() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        needed_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:borageproxy.coordination.WorkspaceUsage)
+    }
+
+    // @@protoc_insertion_point(class_scope:borageproxy.coordination.WorkspaceUsage)
+    private static final org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage();
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<WorkspaceUsage>
+        PARSER = new com.google.protobuf.AbstractParser<WorkspaceUsage>() {
+      @java.lang.Override
+      public WorkspaceUsage parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<WorkspaceUsage> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<WorkspaceUsage> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface ModelDemandOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.coordination.ModelDemand)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string service = 1;</code>
+     * @return The service.
+     */
+    java.lang.String getService();
+    /**
+     * <code>string service = 1;</code>
+     * @return The bytes for service.
+     */
+    com.google.protobuf.ByteString
+        getServiceBytes();
+
+    /**
+     * <code>string model = 2;</code>
+     * @return The model.
+     */
+    java.lang.String getModel();
+    /**
+     * <code>string model = 2;</code>
+     * @return The bytes for model.
+     */
+    com.google.protobuf.ByteString
+        getModelBytes();
+
+    /**
+     * <code>string adapter = 3;</code>
+     * @return The adapter.
+     */
+    java.lang.String getAdapter();
+    /**
+     * <code>string adapter = 3;</code>
+     * @return The bytes for adapter.
+     */
+    com.google.protobuf.ByteString
+        getAdapterBytes();
+
+    /**
+     * <pre>
+     * Prompt and output tokens asked for since the report before.
+     * </pre>
+     *
+     * <code>uint64 tokens = 4;</code>
+     * @return The tokens.
+     */
+    long getTokens();
+
+    /**
+     * <pre>
+     * Requests that wait because no backend server holds the model or the adapter.
+     * </pre>
+     *
+     * <code>uint32 waiting = 5;</code>
+     * @return The waiting.
+     */
+    int getWaiting();
+  }
+  /**
+   * <pre>
+   * What callers of an entry ask of a model.
+   * </pre>
+   *
+   * Protobuf type {@code borageproxy.coordination.ModelDemand}
+   */
+  public static final class ModelDemand extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:borageproxy.coordination.ModelDemand)
+      ModelDemandOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "ModelDemand");
+    }
+    // Use ModelDemand.newBuilder() to construct.
+    private ModelDemand(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private ModelDemand() {
+      service_ = "";
+      model_ = "";
+      adapter_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ModelDemand_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ModelDemand_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ModelDemand_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand.class, org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand.Builder.class);
+    }
+
+    public static final int SERVICE_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object service_ = "";
+    /**
+     * <code>string service = 1;</code>
+     * @return The service.
+     */
+    @java.lang.Override
+    public java.lang.String getService() {
+      java.lang.Object ref = service_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        service_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string service = 1;</code>
+     * @return The bytes for service.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getServiceBytes() {
+      java.lang.Object ref = service_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        service_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int MODEL_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object model_ = "";
+    /**
+     * <code>string model = 2;</code>
+     * @return The model.
+     */
+    @java.lang.Override
+    public java.lang.String getModel() {
+      java.lang.Object ref = model_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        model_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string model = 2;</code>
+     * @return The bytes for model.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getModelBytes() {
+      java.lang.Object ref = model_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        model_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int ADAPTER_FIELD_NUMBER = 3;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object adapter_ = "";
+    /**
+     * <code>string adapter = 3;</code>
+     * @return The adapter.
+     */
+    @java.lang.Override
+    public java.lang.String getAdapter() {
+      java.lang.Object ref = adapter_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        adapter_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string adapter = 3;</code>
+     * @return The bytes for adapter.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getAdapterBytes() {
+      java.lang.Object ref = adapter_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        adapter_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int TOKENS_FIELD_NUMBER = 4;
+    private long tokens_ = 0L;
+    /**
+     * <pre>
+     * Prompt and output tokens asked for since the report before.
+     * </pre>
+     *
+     * <code>uint64 tokens = 4;</code>
+     * @return The tokens.
+     */
+    @java.lang.Override
+    public long getTokens() {
+      return tokens_;
+    }
+
+    public static final int WAITING_FIELD_NUMBER = 5;
+    private int waiting_ = 0;
+    /**
+     * <pre>
+     * Requests that wait because no backend server holds the model or the adapter.
+     * </pre>
+     *
+     * <code>uint32 waiting = 5;</code>
+     * @return The waiting.
+     */
+    @java.lang.Override
+    public int getWaiting() {
+      return waiting_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, service_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(model_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, model_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(adapter_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 3, adapter_);
+      }
+      if (tokens_ != 0L) {
+        output.writeUInt64(4, tokens_);
+      }
+      if (waiting_ != 0) {
+        output.writeUInt32(5, waiting_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, service_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(model_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, model_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(adapter_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(3, adapter_);
+      }
+      if (tokens_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(4, tokens_);
+      }
+      if (waiting_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(5, waiting_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand)) {
+        return super.equals(obj);
+      }
+      org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand other = (org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand) obj;
+
+      if (!getService()
+          .equals(other.getService())) return false;
+      if (!getModel()
+          .equals(other.getModel())) return false;
+      if (!getAdapter()
+          .equals(other.getAdapter())) return false;
+      if (getTokens()
+          != other.getTokens()) return false;
+      if (getWaiting()
+          != other.getWaiting()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + SERVICE_FIELD_NUMBER;
+      hash = (53 * hash) + getService().hashCode();
+      hash = (37 * hash) + MODEL_FIELD_NUMBER;
+      hash = (53 * hash) + getModel().hashCode();
+      hash = (37 * hash) + ADAPTER_FIELD_NUMBER;
+      hash = (53 * hash) + getAdapter().hashCode();
+      hash = (37 * hash) + TOKENS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getTokens());
+      hash = (37 * hash) + WAITING_FIELD_NUMBER;
+      hash = (53 * hash) + getWaiting();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * What callers of an entry ask of a model.
+     * </pre>
+     *
+     * Protobuf type {@code borageproxy.coordination.ModelDemand}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:borageproxy.coordination.ModelDemand)
+        org.borageproxy.wire.proto.CoordinationProtocol.ModelDemandOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ModelDemand_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ModelDemand_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand.class, org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand.Builder.class);
+      }
+
+      // Construct using org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        service_ = "";
+        model_ = "";
+        adapter_ = "";
+        tokens_ = 0L;
+        waiting_ = 0;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ModelDemand_descriptor;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand build() {
+        org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand buildPartial() {
+        org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand result = new org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.service_ = service_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.model_ = model_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.adapter_ = adapter_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.tokens_ = tokens_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.waiting_ = waiting_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand) {
+          return mergeFrom((org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand other) {
+        if (other == org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand.getDefaultInstance()) return this;
+        if (!other.getService().isEmpty()) {
+          service_ = other.service_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (!other.getModel().isEmpty()) {
+          model_ = other.model_;
+          bitField0_ |= 0x00000002;
+          onChanged();
+        }
+        if (!other.getAdapter().isEmpty()) {
+          adapter_ = other.adapter_;
+          bitField0_ |= 0x00000004;
+          onChanged();
+        }
+        if (other.getTokens() != 0L) {
+          setTokens(other.getTokens());
+        }
+        if (other.getWaiting() != 0) {
+          setWaiting(other.getWaiting());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                service_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 18: {
+                model_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              case 26: {
+                adapter_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 26
+              case 32: {
+                tokens_ = input.readUInt64();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              case 40: {
+                waiting_ = input.readUInt32();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object service_ = "";
+      /**
+       * <code>string service = 1;</code>
+       * @return The service.
+       */
+      public java.lang.String getService() {
+        java.lang.Object ref = service_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          service_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @return The bytes for service.
+       */
+      public com.google.protobuf.ByteString
+          getServiceBytes() {
+        java.lang.Object ref = service_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          service_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @param value The service to set.
+       * @return This builder for chaining.
+       */
+      public Builder setService(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        service_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearService() {
+        service_ = getDefaultInstance().getService();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @param value The bytes for service to set.
+       * @return This builder for chaining.
+       */
+      public Builder setServiceBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        service_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object model_ = "";
+      /**
+       * <code>string model = 2;</code>
+       * @return The model.
+       */
+      public java.lang.String getModel() {
+        java.lang.Object ref = model_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          model_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string model = 2;</code>
+       * @return The bytes for model.
+       */
+      public com.google.protobuf.ByteString
+          getModelBytes() {
+        java.lang.Object ref = model_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          model_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string model = 2;</code>
+       * @param value The model to set.
+       * @return This builder for chaining.
+       */
+      public Builder setModel(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        model_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string model = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearModel() {
+        model_ = getDefaultInstance().getModel();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string model = 2;</code>
+       * @param value The bytes for model to set.
+       * @return This builder for chaining.
+       */
+      public Builder setModelBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        model_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object adapter_ = "";
+      /**
+       * <code>string adapter = 3;</code>
+       * @return The adapter.
+       */
+      public java.lang.String getAdapter() {
+        java.lang.Object ref = adapter_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          adapter_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string adapter = 3;</code>
+       * @return The bytes for adapter.
+       */
+      public com.google.protobuf.ByteString
+          getAdapterBytes() {
+        java.lang.Object ref = adapter_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          adapter_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string adapter = 3;</code>
+       * @param value The adapter to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAdapter(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        adapter_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string adapter = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAdapter() {
+        adapter_ = getDefaultInstance().getAdapter();
+        bitField0_ = (bitField0_ & ~0x00000004);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string adapter = 3;</code>
+       * @param value The bytes for adapter to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAdapterBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        adapter_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+
+      private long tokens_ ;
+      /**
+       * <pre>
+       * Prompt and output tokens asked for since the report before.
+       * </pre>
+       *
+       * <code>uint64 tokens = 4;</code>
+       * @return The tokens.
+       */
+      @java.lang.Override
+      public long getTokens() {
+        return tokens_;
+      }
+      /**
+       * <pre>
+       * Prompt and output tokens asked for since the report before.
+       * </pre>
+       *
+       * <code>uint64 tokens = 4;</code>
+       * @param value The tokens to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTokens(long value) {
+
+        tokens_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Prompt and output tokens asked for since the report before.
+       * </pre>
+       *
+       * <code>uint64 tokens = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTokens() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        tokens_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private int waiting_ ;
+      /**
+       * <pre>
+       * Requests that wait because no backend server holds the model or the adapter.
+       * </pre>
+       *
+       * <code>uint32 waiting = 5;</code>
+       * @return The waiting.
+       */
+      @java.lang.Override
+      public int getWaiting() {
+        return waiting_;
+      }
+      /**
+       * <pre>
+       * Requests that wait because no backend server holds the model or the adapter.
+       * </pre>
+       *
+       * <code>uint32 waiting = 5;</code>
+       * @param value The waiting to set.
+       * @return This builder for chaining.
+       */
+      public Builder setWaiting(int value) {
+
+        waiting_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Requests that wait because no backend server holds the model or the adapter.
+       * </pre>
+       *
+       * <code>uint32 waiting = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearWaiting() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        waiting_ = 0;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:borageproxy.coordination.ModelDemand)
+    }
+
+    // @@protoc_insertion_point(class_scope:borageproxy.coordination.ModelDemand)
+    private static final org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand();
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<ModelDemand>
+        PARSER = new com.google.protobuf.AbstractParser<ModelDemand>() {
+      @java.lang.Override
+      public ModelDemand parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<ModelDemand> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<ModelDemand> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface CoordinationUpdateOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.coordination.CoordinationUpdate)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <pre>
+     * Whether the answering VM coordinates; otherwise only the coordinator is set.
+     * </pre>
+     *
+     * <code>bool coordinates = 1;</code>
+     * @return The coordinates.
+     */
+    boolean getCoordinates();
+
+    /**
+     * <code>string coordinator = 2;</code>
+     * @return The coordinator.
+     */
+    java.lang.String getCoordinator();
+    /**
+     * <code>string coordinator = 2;</code>
+     * @return The bytes for coordinator.
+     */
+    com.google.protobuf.ByteString
+        getCoordinatorBytes();
+
+    /**
+     * <pre>
+     * The number of entries that reported lately.
+     * </pre>
+     *
+     * <code>uint32 entries = 3;</code>
+     * @return The entries.
+     */
+    int getEntries();
+
+    /**
+     * <pre>
+     * The work of all other entries.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+     */
+    java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage> 
+        getServersList();
+    /**
+     * <pre>
+     * The work of all other entries.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+     */
+    org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage getServers(int index);
+    /**
+     * <pre>
+     * The work of all other entries.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+     */
+    int getServersCount();
+    /**
+     * <pre>
+     * The work of all other entries.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+     */
+    java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.ServerUsageOrBuilder> 
+        getServersOrBuilderList();
+    /**
+     * <pre>
+     * The work of all other entries.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+     */
+    org.borageproxy.wire.proto.CoordinationProtocol.ServerUsageOrBuilder getServersOrBuilder(
+        int index);
+
+    /**
+     * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+     */
+    java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.RateShare> 
+        getSharesList();
+    /**
+     * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+     */
+    org.borageproxy.wire.proto.CoordinationProtocol.RateShare getShares(int index);
+    /**
+     * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+     */
+    int getSharesCount();
+    /**
+     * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+     */
+    java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.RateShareOrBuilder> 
+        getSharesOrBuilderList();
+    /**
+     * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+     */
+    org.borageproxy.wire.proto.CoordinationProtocol.RateShareOrBuilder getSharesOrBuilder(
+        int index);
+
+    /**
+     * <pre>
+     * All backend servers of which the coordinator knows more than they announced.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+     */
+    java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerContent> 
+        getContentsList();
+    /**
+     * <pre>
+     * All backend servers of which the coordinator knows more than they announced.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+     */
+    org.borageproxy.wire.proto.CoordinationProtocol.ServerContent getContents(int index);
+    /**
+     * <pre>
+     * All backend servers of which the coordinator knows more than they announced.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+     */
+    int getContentsCount();
+    /**
+     * <pre>
+     * All backend servers of which the coordinator knows more than they announced.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+     */
+    java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.ServerContentOrBuilder> 
+        getContentsOrBuilderList();
+    /**
+     * <pre>
+     * All backend servers of which the coordinator knows more than they announced.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+     */
+    org.borageproxy.wire.proto.CoordinationProtocol.ServerContentOrBuilder getContentsOrBuilder(
+        int index);
+
+    /**
+     * <code>uint64 contents_version = 7;</code>
+     * @return The contentsVersion.
+     */
+    long getContentsVersion();
+  }
+  /**
+   * <pre>
+   * What the coordinator answers to a report.
+   * </pre>
+   *
+   * Protobuf type {@code borageproxy.coordination.CoordinationUpdate}
+   */
+  public static final class CoordinationUpdate extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:borageproxy.coordination.CoordinationUpdate)
+      CoordinationUpdateOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "CoordinationUpdate");
+    }
+    // Use CoordinationUpdate.newBuilder() to construct.
+    private CoordinationUpdate(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private CoordinationUpdate() {
+      coordinator_ = "";
+      servers_ = java.util.Collections.emptyList();
+      shares_ = java.util.Collections.emptyList();
+      contents_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_CoordinationUpdate_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_CoordinationUpdate_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_CoordinationUpdate_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate.class, org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate.Builder.class);
+    }
+
+    public static final int COORDINATES_FIELD_NUMBER = 1;
+    private boolean coordinates_ = false;
+    /**
+     * <pre>
+     * Whether the answering VM coordinates; otherwise only the coordinator is set.
+     * </pre>
+     *
+     * <code>bool coordinates = 1;</code>
+     * @return The coordinates.
+     */
+    @java.lang.Override
+    public boolean getCoordinates() {
+      return coordinates_;
+    }
+
+    public static final int COORDINATOR_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object coordinator_ = "";
+    /**
+     * <code>string coordinator = 2;</code>
+     * @return The coordinator.
+     */
+    @java.lang.Override
+    public java.lang.String getCoordinator() {
+      java.lang.Object ref = coordinator_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        coordinator_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string coordinator = 2;</code>
+     * @return The bytes for coordinator.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getCoordinatorBytes() {
+      java.lang.Object ref = coordinator_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        coordinator_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int ENTRIES_FIELD_NUMBER = 3;
+    private int entries_ = 0;
+    /**
+     * <pre>
+     * The number of entries that reported lately.
+     * </pre>
+     *
+     * <code>uint32 entries = 3;</code>
+     * @return The entries.
+     */
+    @java.lang.Override
+    public int getEntries() {
+      return entries_;
+    }
+
+    public static final int SERVERS_FIELD_NUMBER = 4;
+    @SuppressWarnings("serial")
+    private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage> servers_;
+    /**
+     * <pre>
+     * The work of all other entries.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage> getServersList() {
+      return servers_;
+    }
+    /**
+     * <pre>
+     * The work of all other entries.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.ServerUsageOrBuilder> 
+        getServersOrBuilderList() {
+      return servers_;
+    }
+    /**
+     * <pre>
+     * The work of all other entries.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+     */
+    @java.lang.Override
+    public int getServersCount() {
+      return servers_.size();
+    }
+    /**
+     * <pre>
+     * The work of all other entries.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage getServers(int index) {
+      return servers_.get(index);
+    }
+    /**
+     * <pre>
+     * The work of all other entries.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.CoordinationProtocol.ServerUsageOrBuilder getServersOrBuilder(
+        int index) {
+      return servers_.get(index);
+    }
+
+    public static final int SHARES_FIELD_NUMBER = 5;
+    @SuppressWarnings("serial")
+    private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.RateShare> shares_;
+    /**
+     * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.RateShare> getSharesList() {
+      return shares_;
+    }
+    /**
+     * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.RateShareOrBuilder> 
+        getSharesOrBuilderList() {
+      return shares_;
+    }
+    /**
+     * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+     */
+    @java.lang.Override
+    public int getSharesCount() {
+      return shares_.size();
+    }
+    /**
+     * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.CoordinationProtocol.RateShare getShares(int index) {
+      return shares_.get(index);
+    }
+    /**
+     * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.CoordinationProtocol.RateShareOrBuilder getSharesOrBuilder(
+        int index) {
+      return shares_.get(index);
+    }
+
+    public static final int CONTENTS_FIELD_NUMBER = 6;
+    @SuppressWarnings("serial")
+    private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerContent> contents_;
+    /**
+     * <pre>
+     * All backend servers of which the coordinator knows more than they announced.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerContent> getContentsList() {
+      return contents_;
+    }
+    /**
+     * <pre>
+     * All backend servers of which the coordinator knows more than they announced.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.ServerContentOrBuilder> 
+        getContentsOrBuilderList() {
+      return contents_;
+    }
+    /**
+     * <pre>
+     * All backend servers of which the coordinator knows more than they announced.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+     */
+    @java.lang.Override
+    public int getContentsCount() {
+      return contents_.size();
+    }
+    /**
+     * <pre>
+     * All backend servers of which the coordinator knows more than they announced.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.CoordinationProtocol.ServerContent getContents(int index) {
+      return contents_.get(index);
+    }
+    /**
+     * <pre>
+     * All backend servers of which the coordinator knows more than they announced.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.CoordinationProtocol.ServerContentOrBuilder getContentsOrBuilder(
+        int index) {
+      return contents_.get(index);
+    }
+
+    public static final int CONTENTS_VERSION_FIELD_NUMBER = 7;
+    private long contentsVersion_ = 0L;
+    /**
+     * <code>uint64 contents_version = 7;</code>
+     * @return The contentsVersion.
+     */
+    @java.lang.Override
+    public long getContentsVersion() {
+      return contentsVersion_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (coordinates_ != false) {
+        output.writeBool(1, coordinates_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(coordinator_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, coordinator_);
+      }
+      if (entries_ != 0) {
+        output.writeUInt32(3, entries_);
+      }
+      for (int i = 0; i < servers_.size(); i++) {
+        output.writeMessage(4, servers_.get(i));
+      }
+      for (int i = 0; i < shares_.size(); i++) {
+        output.writeMessage(5, shares_.get(i));
+      }
+      for (int i = 0; i < contents_.size(); i++) {
+        output.writeMessage(6, contents_.get(i));
+      }
+      if (contentsVersion_ != 0L) {
+        output.writeUInt64(7, contentsVersion_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (coordinates_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(1, coordinates_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(coordinator_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, coordinator_);
+      }
+      if (entries_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(3, entries_);
+      }
+
+          {
+            final int count = servers_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(servers_.get(i));
+            }
+            size += 1 * count;
+          }
+
+          {
+            final int count = shares_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(shares_.get(i));
+            }
+            size += 1 * count;
+          }
+
+          {
+            final int count = contents_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(contents_.get(i));
+            }
+            size += 1 * count;
+          }
+      if (contentsVersion_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(7, contentsVersion_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate)) {
+        return super.equals(obj);
+      }
+      org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate other = (org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate) obj;
+
+      if (getCoordinates()
+          != other.getCoordinates()) return false;
+      if (!getCoordinator()
+          .equals(other.getCoordinator())) return false;
+      if (getEntries()
+          != other.getEntries()) return false;
+      if (!getServersList()
+          .equals(other.getServersList())) return false;
+      if (!getSharesList()
+          .equals(other.getSharesList())) return false;
+      if (!getContentsList()
+          .equals(other.getContentsList())) return false;
+      if (getContentsVersion()
+          != other.getContentsVersion()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + COORDINATES_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getCoordinates());
+      hash = (37 * hash) + COORDINATOR_FIELD_NUMBER;
+      hash = (53 * hash) + getCoordinator().hashCode();
+      hash = (37 * hash) + ENTRIES_FIELD_NUMBER;
+      hash = (53 * hash) + getEntries();
+      if (getServersCount() > 0) {
+        hash = (37 * hash) + SERVERS_FIELD_NUMBER;
+        hash = (53 * hash) + getServersList().hashCode();
+      }
+      if (getSharesCount() > 0) {
+        hash = (37 * hash) + SHARES_FIELD_NUMBER;
+        hash = (53 * hash) + getSharesList().hashCode();
+      }
+      if (getContentsCount() > 0) {
+        hash = (37 * hash) + CONTENTS_FIELD_NUMBER;
+        hash = (53 * hash) + getContentsList().hashCode();
+      }
+      hash = (37 * hash) + CONTENTS_VERSION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getContentsVersion());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * What the coordinator answers to a report.
+     * </pre>
+     *
+     * Protobuf type {@code borageproxy.coordination.CoordinationUpdate}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:borageproxy.coordination.CoordinationUpdate)
+        org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdateOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_CoordinationUpdate_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_CoordinationUpdate_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate.class, org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate.Builder.class);
+      }
+
+      // Construct using org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        coordinates_ = false;
+        coordinator_ = "";
+        entries_ = 0;
+        if (serversBuilder_ == null) {
+          servers_ = java.util.Collections.emptyList();
+        } else {
+          servers_ = null;
+          serversBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000008);
+        if (sharesBuilder_ == null) {
+          shares_ = java.util.Collections.emptyList();
+        } else {
+          shares_ = null;
+          sharesBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000010);
+        if (contentsBuilder_ == null) {
+          contents_ = java.util.Collections.emptyList();
+        } else {
+          contents_ = null;
+          contentsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000020);
+        contentsVersion_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_CoordinationUpdate_descriptor;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate build() {
+        org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate buildPartial() {
+        org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate result = new org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate result) {
+        if (serversBuilder_ == null) {
+          if (((bitField0_ & 0x00000008) != 0)) {
+            servers_ = java.util.Collections.unmodifiableList(servers_);
+            bitField0_ = (bitField0_ & ~0x00000008);
+          }
+          result.servers_ = servers_;
+        } else {
+          result.servers_ = serversBuilder_.build();
+        }
+        if (sharesBuilder_ == null) {
+          if (((bitField0_ & 0x00000010) != 0)) {
+            shares_ = java.util.Collections.unmodifiableList(shares_);
+            bitField0_ = (bitField0_ & ~0x00000010);
+          }
+          result.shares_ = shares_;
+        } else {
+          result.shares_ = sharesBuilder_.build();
+        }
+        if (contentsBuilder_ == null) {
+          if (((bitField0_ & 0x00000020) != 0)) {
+            contents_ = java.util.Collections.unmodifiableList(contents_);
+            bitField0_ = (bitField0_ & ~0x00000020);
+          }
+          result.contents_ = contents_;
+        } else {
+          result.contents_ = contentsBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.coordinates_ = coordinates_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.coordinator_ = coordinator_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.entries_ = entries_;
+        }
+        if (((from_bitField0_ & 0x00000040) != 0)) {
+          result.contentsVersion_ = contentsVersion_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate) {
+          return mergeFrom((org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate other) {
+        if (other == org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate.getDefaultInstance()) return this;
+        if (other.getCoordinates() != false) {
+          setCoordinates(other.getCoordinates());
+        }
+        if (!other.getCoordinator().isEmpty()) {
+          coordinator_ = other.coordinator_;
+          bitField0_ |= 0x00000002;
+          onChanged();
+        }
+        if (other.getEntries() != 0) {
+          setEntries(other.getEntries());
+        }
+        if (serversBuilder_ == null) {
+          if (!other.servers_.isEmpty()) {
+            if (servers_.isEmpty()) {
+              servers_ = other.servers_;
+              bitField0_ = (bitField0_ & ~0x00000008);
+            } else {
+              ensureServersIsMutable();
+              servers_.addAll(other.servers_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.servers_.isEmpty()) {
+            if (serversBuilder_.isEmpty()) {
+              serversBuilder_.dispose();
+              serversBuilder_ = null;
+              servers_ = other.servers_;
+              bitField0_ = (bitField0_ & ~0x00000008);
+              serversBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetServersFieldBuilder() : null;
+            } else {
+              serversBuilder_.addAllMessages(other.servers_);
+            }
+          }
+        }
+        if (sharesBuilder_ == null) {
+          if (!other.shares_.isEmpty()) {
+            if (shares_.isEmpty()) {
+              shares_ = other.shares_;
+              bitField0_ = (bitField0_ & ~0x00000010);
+            } else {
+              ensureSharesIsMutable();
+              shares_.addAll(other.shares_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.shares_.isEmpty()) {
+            if (sharesBuilder_.isEmpty()) {
+              sharesBuilder_.dispose();
+              sharesBuilder_ = null;
+              shares_ = other.shares_;
+              bitField0_ = (bitField0_ & ~0x00000010);
+              sharesBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetSharesFieldBuilder() : null;
+            } else {
+              sharesBuilder_.addAllMessages(other.shares_);
+            }
+          }
+        }
+        if (contentsBuilder_ == null) {
+          if (!other.contents_.isEmpty()) {
+            if (contents_.isEmpty()) {
+              contents_ = other.contents_;
+              bitField0_ = (bitField0_ & ~0x00000020);
+            } else {
+              ensureContentsIsMutable();
+              contents_.addAll(other.contents_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.contents_.isEmpty()) {
+            if (contentsBuilder_.isEmpty()) {
+              contentsBuilder_.dispose();
+              contentsBuilder_ = null;
+              contents_ = other.contents_;
+              bitField0_ = (bitField0_ & ~0x00000020);
+              contentsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetContentsFieldBuilder() : null;
+            } else {
+              contentsBuilder_.addAllMessages(other.contents_);
+            }
+          }
+        }
+        if (other.getContentsVersion() != 0L) {
+          setContentsVersion(other.getContentsVersion());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                coordinates_ = input.readBool();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 18: {
+                coordinator_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              case 24: {
+                entries_ = input.readUInt32();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 34: {
+                org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage m =
+                    input.readMessage(
+                        org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.parser(),
+                        extensionRegistry);
+                if (serversBuilder_ == null) {
+                  ensureServersIsMutable();
+                  servers_.add(m);
+                } else {
+                  serversBuilder_.addMessage(m);
+                }
+                break;
+              } // case 34
+              case 42: {
+                org.borageproxy.wire.proto.CoordinationProtocol.RateShare m =
+                    input.readMessage(
+                        org.borageproxy.wire.proto.CoordinationProtocol.RateShare.parser(),
+                        extensionRegistry);
+                if (sharesBuilder_ == null) {
+                  ensureSharesIsMutable();
+                  shares_.add(m);
+                } else {
+                  sharesBuilder_.addMessage(m);
+                }
+                break;
+              } // case 42
+              case 50: {
+                org.borageproxy.wire.proto.CoordinationProtocol.ServerContent m =
+                    input.readMessage(
+                        org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.parser(),
+                        extensionRegistry);
+                if (contentsBuilder_ == null) {
+                  ensureContentsIsMutable();
+                  contents_.add(m);
+                } else {
+                  contentsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 50
+              case 56: {
+                contentsVersion_ = input.readUInt64();
+                bitField0_ |= 0x00000040;
+                break;
+              } // case 56
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private boolean coordinates_ ;
+      /**
+       * <pre>
+       * Whether the answering VM coordinates; otherwise only the coordinator is set.
+       * </pre>
+       *
+       * <code>bool coordinates = 1;</code>
+       * @return The coordinates.
+       */
+      @java.lang.Override
+      public boolean getCoordinates() {
+        return coordinates_;
+      }
+      /**
+       * <pre>
+       * Whether the answering VM coordinates; otherwise only the coordinator is set.
+       * </pre>
+       *
+       * <code>bool coordinates = 1;</code>
+       * @param value The coordinates to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCoordinates(boolean value) {
+
+        coordinates_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether the answering VM coordinates; otherwise only the coordinator is set.
+       * </pre>
+       *
+       * <code>bool coordinates = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCoordinates() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        coordinates_ = false;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object coordinator_ = "";
+      /**
+       * <code>string coordinator = 2;</code>
+       * @return The coordinator.
+       */
+      public java.lang.String getCoordinator() {
+        java.lang.Object ref = coordinator_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          coordinator_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string coordinator = 2;</code>
+       * @return The bytes for coordinator.
+       */
+      public com.google.protobuf.ByteString
+          getCoordinatorBytes() {
+        java.lang.Object ref = coordinator_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          coordinator_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string coordinator = 2;</code>
+       * @param value The coordinator to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCoordinator(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        coordinator_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string coordinator = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCoordinator() {
+        coordinator_ = getDefaultInstance().getCoordinator();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string coordinator = 2;</code>
+       * @param value The bytes for coordinator to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCoordinatorBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        coordinator_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+
+      private int entries_ ;
+      /**
+       * <pre>
+       * The number of entries that reported lately.
+       * </pre>
+       *
+       * <code>uint32 entries = 3;</code>
+       * @return The entries.
+       */
+      @java.lang.Override
+      public int getEntries() {
+        return entries_;
+      }
+      /**
+       * <pre>
+       * The number of entries that reported lately.
+       * </pre>
+       *
+       * <code>uint32 entries = 3;</code>
+       * @param value The entries to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEntries(int value) {
+
+        entries_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The number of entries that reported lately.
+       * </pre>
+       *
+       * <code>uint32 entries = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearEntries() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        entries_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage> servers_ =
+        java.util.Collections.emptyList();
+      private void ensureServersIsMutable() {
+        if (!((bitField0_ & 0x00000008) != 0)) {
+          servers_ = new java.util.ArrayList<org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage>(servers_);
+          bitField0_ |= 0x00000008;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsageOrBuilder> serversBuilder_;
+
+      /**
+       * <pre>
+       * The work of all other entries.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage> getServersList() {
+        if (serversBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(servers_);
+        } else {
+          return serversBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <pre>
+       * The work of all other entries.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       */
+      public int getServersCount() {
+        if (serversBuilder_ == null) {
+          return servers_.size();
+        } else {
+          return serversBuilder_.getCount();
+        }
+      }
+      /**
+       * <pre>
+       * The work of all other entries.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage getServers(int index) {
+        if (serversBuilder_ == null) {
+          return servers_.get(index);
+        } else {
+          return serversBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <pre>
+       * The work of all other entries.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       */
+      public Builder setServers(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage value) {
+        if (serversBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureServersIsMutable();
+          servers_.set(index, value);
+          onChanged();
+        } else {
+          serversBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * The work of all other entries.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       */
+      public Builder setServers(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder builderForValue) {
+        if (serversBuilder_ == null) {
+          ensureServersIsMutable();
+          servers_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          serversBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * The work of all other entries.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       */
+      public Builder addServers(org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage value) {
+        if (serversBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureServersIsMutable();
+          servers_.add(value);
+          onChanged();
+        } else {
+          serversBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * The work of all other entries.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       */
+      public Builder addServers(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage value) {
+        if (serversBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureServersIsMutable();
+          servers_.add(index, value);
+          onChanged();
+        } else {
+          serversBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * The work of all other entries.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       */
+      public Builder addServers(
+          org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder builderForValue) {
+        if (serversBuilder_ == null) {
+          ensureServersIsMutable();
+          servers_.add(builderForValue.build());
+          onChanged();
+        } else {
+          serversBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * The work of all other entries.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       */
+      public Builder addServers(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder builderForValue) {
+        if (serversBuilder_ == null) {
+          ensureServersIsMutable();
+          servers_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          serversBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
       }
-
-      // Construct using org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand.newBuilder()
-      private Builder() {
-
+      /**
+       * <pre>
+       * The work of all other entries.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       */
+      public Builder addAllServers(
+          java.lang.Iterable<? extends org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage> values) {
+        if (serversBuilder_ == null) {
+          ensureServersIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, servers_);
+          onChanged();
+        } else {
+          serversBuilder_.addAllMessages(values);
+        }
+        return this;
       }
-
-      private Builder(
-          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-        super(parent);
-
+      /**
+       * <pre>
+       * The work of all other entries.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       */
+      public Builder clearServers() {
+        if (serversBuilder_ == null) {
+          servers_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000008);
+          onChanged();
+        } else {
+          serversBuilder_.clear();
+        }
+        return this;
       }
-      @java.lang.Override
-      public Builder clear() {
-        super.clear();
-        bitField0_ = 0;
-        service_ = "";
-        model_ = "";
-        adapter_ = "";
-        tokens_ = 0L;
-        waiting_ = 0;
+      /**
+       * <pre>
+       * The work of all other entries.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       */
+      public Builder removeServers(int index) {
+        if (serversBuilder_ == null) {
+          ensureServersIsMutable();
+          servers_.remove(index);
+          onChanged();
+        } else {
+          serversBuilder_.remove(index);
+        }
         return this;
       }
-
-      @java.lang.Override
-      public com.google.protobuf.Descriptors.Descriptor
-          getDescriptorForType() {
-        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ModelDemand_descriptor;
+      /**
+       * <pre>
+       * The work of all other entries.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder getServersBuilder(
+          int index) {
+        return internalGetServersFieldBuilder().getBuilder(index);
       }
-
-      @java.lang.Override
-      public org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand getDefaultInstanceForType() {
-        return org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand.getDefaultInstance();
+      /**
+       * <pre>
+       * The work of all other entries.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerUsageOrBuilder getServersOrBuilder(
+          int index) {
+        if (serversBuilder_ == null) {
+          return servers_.get(index);  } else {
+          return serversBuilder_.getMessageOrBuilder(index);
+        }
       }
-
-      @java.lang.Override
-      public org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand build() {
-        org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand result = buildPartial();
-        if (!result.isInitialized()) {
-          throw newUninitializedMessageException(result);
+      /**
+       * <pre>
+       * The work of all other entries.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       */
+      public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.ServerUsageOrBuilder> 
+           getServersOrBuilderList() {
+        if (serversBuilder_ != null) {
+          return serversBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(servers_);
         }
-        return result;
+      }
+      /**
+       * <pre>
+       * The work of all other entries.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder addServersBuilder() {
+        return internalGetServersFieldBuilder().addBuilder(
+            org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * The work of all other entries.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder addServersBuilder(
+          int index) {
+        return internalGetServersFieldBuilder().addBuilder(
+            index, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * The work of all other entries.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder> 
+           getServersBuilderList() {
+        return internalGetServersFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsageOrBuilder> 
+          internalGetServersFieldBuilder() {
+        if (serversBuilder_ == null) {
+          serversBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsageOrBuilder>(
+                  servers_,
+                  ((bitField0_ & 0x00000008) != 0),
+                  getParentForChildren(),
+                  isClean());
+          servers_ = null;
+        }
+        return serversBuilder_;
       }
 
-      @java.lang.Override
-      public org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand buildPartial() {
-        org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand result = new org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand(this);
-        if (bitField0_ != 0) { buildPartial0(result); }
-        onBuilt();
-        return result;
+      private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.RateShare> shares_ =
+        java.util.Collections.emptyList();
+      private void ensureSharesIsMutable() {
+        if (!((bitField0_ & 0x00000010) != 0)) {
+          shares_ = new java.util.ArrayList<org.borageproxy.wire.proto.CoordinationProtocol.RateShare>(shares_);
+          bitField0_ |= 0x00000010;
+         }
       }
 
-      private void buildPartial0(org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand result) {
-        int from_bitField0_ = bitField0_;
-        if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.service_ = service_;
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.CoordinationProtocol.RateShare, org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder, org.borageproxy.wire.proto.CoordinationProtocol.RateShareOrBuilder> sharesBuilder_;
+
+      /**
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.RateShare> getSharesList() {
+        if (sharesBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(shares_);
+        } else {
+          return sharesBuilder_.getMessageList();
         }
-        if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.model_ = model_;
+      }
+      /**
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       */
+      public int getSharesCount() {
+        if (sharesBuilder_ == null) {
+          return shares_.size();
+        } else {
+          return sharesBuilder_.getCount();
         }
-        if (((from_bitField0_ & 0x00000004) != 0)) {
-          result.adapter_ = adapter_;
+      }
+      /**
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.RateShare getShares(int index) {
+        if (sharesBuilder_ == null) {
+          return shares_.get(index);
+        } else {
+          return sharesBuilder_.getMessage(index);
         }
-        if (((from_bitField0_ & 0x00000008) != 0)) {
-          result.tokens_ = tokens_;
+      }
+      /**
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       */
+      public Builder setShares(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.RateShare value) {
+        if (sharesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureSharesIsMutable();
+          shares_.set(index, value);
+          onChanged();
+        } else {
+          sharesBuilder_.setMessage(index, value);
         }
-        if (((from_bitField0_ & 0x00000010) != 0)) {
-          result.waiting_ = waiting_;
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       */
+      public Builder setShares(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder builderForValue) {
+        if (sharesBuilder_ == null) {
+          ensureSharesIsMutable();
+          shares_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          sharesBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       */
+      public Builder addShares(org.borageproxy.wire.proto.CoordinationProtocol.RateShare value) {
+        if (sharesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureSharesIsMutable();
+          shares_.add(value);
+          onChanged();
+        } else {
+          sharesBuilder_.addMessage(value);
         }
+        return this;
       }
-
-      @java.lang.Override
-      public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand) {
-          return mergeFrom((org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand)other);
+      /**
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       */
+      public Builder addShares(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.RateShare value) {
+        if (sharesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureSharesIsMutable();
+          shares_.add(index, value);
+          onChanged();
         } else {
-          super.mergeFrom(other);
-          return this;
+          sharesBuilder_.addMessage(index, value);
         }
+        return this;
       }
-
-      public Builder mergeFrom(org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand other) {
-        if (other == org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand.getDefaultInstance()) return this;
-        if (!other.getService().isEmpty()) {
-          service_ = other.service_;
-          bitField0_ |= 0x00000001;
+      /**
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       */
+      public Builder addShares(
+          org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder builderForValue) {
+        if (sharesBuilder_ == null) {
+          ensureSharesIsMutable();
+          shares_.add(builderForValue.build());
           onChanged();
+        } else {
+          sharesBuilder_.addMessage(builderForValue.build());
         }
-        if (!other.getModel().isEmpty()) {
-          model_ = other.model_;
-          bitField0_ |= 0x00000002;
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       */
+      public Builder addShares(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder builderForValue) {
+        if (sharesBuilder_ == null) {
+          ensureSharesIsMutable();
+          shares_.add(index, builderForValue.build());
           onChanged();
+        } else {
+          sharesBuilder_.addMessage(index, builderForValue.build());
         }
-        if (!other.getAdapter().isEmpty()) {
-          adapter_ = other.adapter_;
-          bitField0_ |= 0x00000004;
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       */
+      public Builder addAllShares(
+          java.lang.Iterable<? extends org.borageproxy.wire.proto.CoordinationProtocol.RateShare> values) {
+        if (sharesBuilder_ == null) {
+          ensureSharesIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, shares_);
           onChanged();
+        } else {
+          sharesBuilder_.addAllMessages(values);
         }
-        if (other.getTokens() != 0L) {
-          setTokens(other.getTokens());
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       */
+      public Builder clearShares() {
+        if (sharesBuilder_ == null) {
+          shares_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000010);
+          onChanged();
+        } else {
+          sharesBuilder_.clear();
         }
-        if (other.getWaiting() != 0) {
-          setWaiting(other.getWaiting());
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       */
+      public Builder removeShares(int index) {
+        if (sharesBuilder_ == null) {
+          ensureSharesIsMutable();
+          shares_.remove(index);
+          onChanged();
+        } else {
+          sharesBuilder_.remove(index);
         }
-        this.mergeUnknownFields(other.getUnknownFields());
-        onChanged();
         return this;
       }
-
-      @java.lang.Override
-      public final boolean isInitialized() {
-        return true;
+      /**
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder getSharesBuilder(
+          int index) {
+        return internalGetSharesFieldBuilder().getBuilder(index);
       }
-
-      @java.lang.Override
-      public Builder mergeFrom(
-          com.google.protobuf.CodedInputStream input,
-          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-          throws java.io.IOException {
-        if (extensionRegistry == null) {
-          throw new java.lang.NullPointerException();
+      /**
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.RateShareOrBuilder getSharesOrBuilder(
+          int index) {
+        if (sharesBuilder_ == null) {
+          return shares_.get(index);  } else {
+          return sharesBuilder_.getMessageOrBuilder(index);
         }
-        try {
-          boolean done = false;
-          while (!done) {
-            int tag = input.readTag();
-            switch (tag) {
-              case 0:
-                done = true;
-                break;
-              case 10: {
-                service_ = input.readStringRequireUtf8();
-                bitField0_ |= 0x00000001;
-                break;
-              } // case 10
-              case 18: {
-                model_ = input.readStringRequireUtf8();
-                bitField0_ |= 0x00000002;
-                break;
-              } // case 18
-              case 26: {
-                adapter_ = input.readStringRequireUtf8();
-                bitField0_ |= 0x00000004;
-                break;
-              } // case 26
-              case 32: {
-                tokens_ = input.readUInt64();
-                bitField0_ |= 0x00000008;
-                break;
-              } // case 32
-              case 40: {
-                waiting_ = input.readUInt32();
-                bitField0_ |= 0x00000010;
-                break;
-              } // case 40
-              default: {
-                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                  done = true; // was an endgroup tag
-                }
-                break;
-              } // default:
-            } // switch (tag)
-          } // while (!done)
-        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-          throw e.unwrapIOException();
-        } finally {
-          onChanged();
-        } // finally
-        return this;
       }
-      private int bitField0_;
-
-      private java.lang.Object service_ = "";
       /**
-       * <code>string service = 1;</code>
-       * @return The service.
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
        */
-      public java.lang.String getService() {
-        java.lang.Object ref = service_;
-        if (!(ref instanceof java.lang.String)) {
-          com.google.protobuf.ByteString bs =
-              (com.google.protobuf.ByteString) ref;
-          java.lang.String s = bs.toStringUtf8();
-          service_ = s;
-          return s;
+      public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.RateShareOrBuilder> 
+           getSharesOrBuilderList() {
+        if (sharesBuilder_ != null) {
+          return sharesBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(shares_);
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder addSharesBuilder() {
+        return internalGetSharesFieldBuilder().addBuilder(
+            org.borageproxy.wire.proto.CoordinationProtocol.RateShare.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder addSharesBuilder(
+          int index) {
+        return internalGetSharesFieldBuilder().addBuilder(
+            index, org.borageproxy.wire.proto.CoordinationProtocol.RateShare.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder> 
+           getSharesBuilderList() {
+        return internalGetSharesFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.CoordinationProtocol.RateShare, org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder, org.borageproxy.wire.proto.CoordinationProtocol.RateShareOrBuilder> 
+          internalGetSharesFieldBuilder() {
+        if (sharesBuilder_ == null) {
+          sharesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.borageproxy.wire.proto.CoordinationProtocol.RateShare, org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder, org.borageproxy.wire.proto.CoordinationProtocol.RateShareOrBuilder>(
+                  shares_,
+                  ((bitField0_ & 0x00000010) != 0),
+                  getParentForChildren(),
+                  isClean());
+          shares_ = null;
+        }
+        return sharesBuilder_;
+      }
+
+      private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerContent> contents_ =
+        java.util.Collections.emptyList();
+      private void ensureContentsIsMutable() {
+        if (!((bitField0_ & 0x00000020) != 0)) {
+          contents_ = new java.util.ArrayList<org.borageproxy.wire.proto.CoordinationProtocol.ServerContent>(contents_);
+          bitField0_ |= 0x00000020;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.CoordinationProtocol.ServerContent, org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder, org.borageproxy.wire.proto.CoordinationProtocol.ServerContentOrBuilder> contentsBuilder_;
+
+      /**
+       * <pre>
+       * All backend servers of which the coordinator knows more than they announced.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerContent> getContentsList() {
+        if (contentsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(contents_);
         } else {
-          return (java.lang.String) ref;
+          return contentsBuilder_.getMessageList();
         }
       }
       /**
-       * <code>string service = 1;</code>
-       * @return The bytes for service.
+       * <pre>
+       * All backend servers of which the coordinator knows more than they announced.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
        */
-      public com.google.protobuf.ByteString
-          getServiceBytes() {
-        java.lang.Object ref = service_;
-        if (ref instanceof String) {
-          com.google.protobuf.ByteString b = 
-              com.google.protobuf.ByteString.copyFromUtf8(
-                  (java.lang.String) ref);
-          service_ = b;
-          return b;
+      public int getContentsCount() {
+        if (contentsBuilder_ == null) {
+          return contents_.size();
         } else {
-          return (com.google.protobuf.ByteString) ref;
+          return contentsBuilder_.getCount();
         }
       }
       /**
-       * <code>string service = 1;</code>
-       * @param value The service to set.
-       * @return This builder for chaining.
+       * <pre>
+       * All backend servers of which the coordinator knows more than they announced.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
        */
-      public Builder setService(
-          java.lang.String value) {
-        if (value == null) { throw new NullPointerException(); }
-        service_ = value;
-        bitField0_ |= 0x00000001;
-        onChanged();
-        return this;
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerContent getContents(int index) {
+        if (contentsBuilder_ == null) {
+          return contents_.get(index);
+        } else {
+          return contentsBuilder_.getMessage(index);
+        }
       }
       /**
-       * <code>string service = 1;</code>
-       * @return This builder for chaining.
+       * <pre>
+       * All backend servers of which the coordinator knows more than they announced.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
        */
-      public Builder clearService() {
-        service_ = getDefaultInstance().getService();
-        bitField0_ = (bitField0_ & ~0x00000001);
-        onChanged();
+      public Builder setContents(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerContent value) {
+        if (contentsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureContentsIsMutable();
+          contents_.set(index, value);
+          onChanged();
+        } else {
+          contentsBuilder_.setMessage(index, value);
+        }
         return this;
       }
       /**
-       * <code>string service = 1;</code>
-       * @param value The bytes for service to set.
-       * @return This builder for chaining.
+       * <pre>
+       * All backend servers of which the coordinator knows more than they announced.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
        */
-      public Builder setServiceBytes(
-          com.google.protobuf.ByteString value) {
-        if (value == null) { throw new NullPointerException(); }
-        checkByteStringIsUtf8(value);
-        service_ = value;
-        bitField0_ |= 0x00000001;
-        onChanged();
+      public Builder setContents(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder builderForValue) {
+        if (contentsBuilder_ == null) {
+          ensureContentsIsMutable();
+          contents_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          contentsBuilder_.setMessage(index, builderForValue.build());
+        }
         return this;
       }
-
-      private java.lang.Object model_ = "";
       /**
-       * <code>string model = 2;</code>
-       * @return The model.
+       * <pre>
+       * All backend servers of which the coordinator knows more than they announced.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
        */
-      public java.lang.String getModel() {
-        java.lang.Object ref = model_;
-        if (!(ref instanceof java.lang.String)) {
-          com.google.protobuf.ByteString bs =
-              (com.google.protobuf.ByteString) ref;
-          java.lang.String s = bs.toStringUtf8();
-          model_ = s;
-          return s;
+      public Builder addContents(org.borageproxy.wire.proto.CoordinationProtocol.ServerContent value) {
+        if (contentsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureContentsIsMutable();
+          contents_.add(value);
+          onChanged();
         } else {
-          return (java.lang.String) ref;
+          contentsBuilder_.addMessage(value);
         }
+        return this;
       }
       /**
-       * <code>string model = 2;</code>
-       * @return The bytes for model.
+       * <pre>
+       * All backend servers of which the coordinator knows more than they announced.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
        */
-      public com.google.protobuf.ByteString
-          getModelBytes() {
-        java.lang.Object ref = model_;
-        if (ref instanceof String) {
-          com.google.protobuf.ByteString b = 
-              com.google.protobuf.ByteString.copyFromUtf8(
-                  (java.lang.String) ref);
-          model_ = b;
-          return b;
+      public Builder addContents(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerContent value) {
+        if (contentsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureContentsIsMutable();
+          contents_.add(index, value);
+          onChanged();
         } else {
-          return (com.google.protobuf.ByteString) ref;
+          contentsBuilder_.addMessage(index, value);
         }
-      }
-      /**
-       * <code>string model = 2;</code>
-       * @param value The model to set.
-       * @return This builder for chaining.
-       */
-      public Builder setModel(
-          java.lang.String value) {
-        if (value == null) { throw new NullPointerException(); }
-        model_ = value;
-        bitField0_ |= 0x00000002;
-        onChanged();
         return this;
       }
       /**
-       * <code>string model = 2;</code>
-       * @return This builder for chaining.
+       * <pre>
+       * All backend servers of which the coordinator knows more than they announced.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
        */
-      public Builder clearModel() {
-        model_ = getDefaultInstance().getModel();
-        bitField0_ = (bitField0_ & ~0x00000002);
-        onChanged();
+      public Builder addContents(
+          org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder builderForValue) {
+        if (contentsBuilder_ == null) {
+          ensureContentsIsMutable();
+          contents_.add(builderForValue.build());
+          onChanged();
+        } else {
+          contentsBuilder_.addMessage(builderForValue.build());
+        }
         return this;
       }
       /**
-       * <code>string model = 2;</code>
-       * @param value The bytes for model to set.
-       * @return This builder for chaining.
+       * <pre>
+       * All backend servers of which the coordinator knows more than they announced.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
        */
-      public Builder setModelBytes(
-          com.google.protobuf.ByteString value) {
-        if (value == null) { throw new NullPointerException(); }
-        checkByteStringIsUtf8(value);
-        model_ = value;
-        bitField0_ |= 0x00000002;
-        onChanged();
+      public Builder addContents(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder builderForValue) {
+        if (contentsBuilder_ == null) {
+          ensureContentsIsMutable();
+          contents_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          contentsBuilder_.addMessage(index, builderForValue.build());
+        }
         return this;
       }
-
-      private java.lang.Object adapter_ = "";
       /**
-       * <code>string adapter = 3;</code>
-       * @return The adapter.
+       * <pre>
+       * All backend servers of which the coordinator knows more than they announced.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
        */
-      public java.lang.String getAdapter() {
-        java.lang.Object ref = adapter_;
-        if (!(ref instanceof java.lang.String)) {
-          com.google.protobuf.ByteString bs =
-              (com.google.protobuf.ByteString) ref;
-          java.lang.String s = bs.toStringUtf8();
-          adapter_ = s;
-          return s;
+      public Builder addAllContents(
+          java.lang.Iterable<? extends org.borageproxy.wire.proto.CoordinationProtocol.ServerContent> values) {
+        if (contentsBuilder_ == null) {
+          ensureContentsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, contents_);
+          onChanged();
         } else {
-          return (java.lang.String) ref;
+          contentsBuilder_.addAllMessages(values);
         }
+        return this;
       }
       /**
-       * <code>string adapter = 3;</code>
-       * @return The bytes for adapter.
+       * <pre>
+       * All backend servers of which the coordinator knows more than they announced.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
        */
-      public com.google.protobuf.ByteString
-          getAdapterBytes() {
-        java.lang.Object ref = adapter_;
-        if (ref instanceof String) {
-          com.google.protobuf.ByteString b = 
-              com.google.protobuf.ByteString.copyFromUtf8(
-                  (java.lang.String) ref);
-          adapter_ = b;
-          return b;
+      public Builder clearContents() {
+        if (contentsBuilder_ == null) {
+          contents_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000020);
+          onChanged();
         } else {
-          return (com.google.protobuf.ByteString) ref;
+          contentsBuilder_.clear();
         }
-      }
-      /**
-       * <code>string adapter = 3;</code>
-       * @param value The adapter to set.
-       * @return This builder for chaining.
-       */
-      public Builder setAdapter(
-          java.lang.String value) {
-        if (value == null) { throw new NullPointerException(); }
-        adapter_ = value;
-        bitField0_ |= 0x00000004;
-        onChanged();
         return this;
       }
       /**
-       * <code>string adapter = 3;</code>
-       * @return This builder for chaining.
+       * <pre>
+       * All backend servers of which the coordinator knows more than they announced.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
        */
-      public Builder clearAdapter() {
-        adapter_ = getDefaultInstance().getAdapter();
-        bitField0_ = (bitField0_ & ~0x00000004);
-        onChanged();
+      public Builder removeContents(int index) {
+        if (contentsBuilder_ == null) {
+          ensureContentsIsMutable();
+          contents_.remove(index);
+          onChanged();
+        } else {
+          contentsBuilder_.remove(index);
+        }
         return this;
       }
       /**
-       * <code>string adapter = 3;</code>
-       * @param value The bytes for adapter to set.
-       * @return This builder for chaining.
+       * <pre>
+       * All backend servers of which the coordinator knows more than they announced.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
        */
-      public Builder setAdapterBytes(
-          com.google.protobuf.ByteString value) {
-        if (value == null) { throw new NullPointerException(); }
-        checkByteStringIsUtf8(value);
-        adapter_ = value;
-        bitField0_ |= 0x00000004;
-        onChanged();
-        return this;
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder getContentsBuilder(
+          int index) {
+        return internalGetContentsFieldBuilder().getBuilder(index);
       }
-
-      private long tokens_ ;
       /**
        * <pre>
-       * Prompt and output tokens asked for since the report before.
+       * All backend servers of which the coordinator knows more than they announced.
        * </pre>
        *
-       * <code>uint64 tokens = 4;</code>
-       * @return The tokens.
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
        */
-      @java.lang.Override
-      public long getTokens() {
-        return tokens_;
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerContentOrBuilder getContentsOrBuilder(
+          int index) {
+        if (contentsBuilder_ == null) {
+          return contents_.get(index);  } else {
+          return contentsBuilder_.getMessageOrBuilder(index);
+        }
       }
       /**
        * <pre>
-       * Prompt and output tokens asked for since the report before.
+       * All backend servers of which the coordinator knows more than they announced.
        * </pre>
        *
-       * <code>uint64 tokens = 4;</code>
-       * @param value The tokens to set.
-       * @return This builder for chaining.
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
        */
-      public Builder setTokens(long value) {
-
-        tokens_ = value;
-        bitField0_ |= 0x00000008;
-        onChanged();
-        return this;
+      public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.ServerContentOrBuilder> 
+           getContentsOrBuilderList() {
+        if (contentsBuilder_ != null) {
+          return contentsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(contents_);
+        }
       }
       /**
        * <pre>
-       * Prompt and output tokens asked for since the report before.
+       * All backend servers of which the coordinator knows more than they announced.
        * </pre>
        *
-       * <code>uint64 tokens = 4;</code>
-       * @return This builder for chaining.
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
        */
-      public Builder clearTokens() {
-        bitField0_ = (bitField0_ & ~0x00000008);
-        tokens_ = 0L;
-        onChanged();
-        return this;
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder addContentsBuilder() {
+        return internalGetContentsFieldBuilder().addBuilder(
+            org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.getDefaultInstance());
       }
-
-      private int waiting_ ;
       /**
        * <pre>
-       * Requests that wait because no backend server holds the model or the adapter.
+       * All backend servers of which the coordinator knows more than they announced.
        * </pre>
        *
-       * <code>uint32 waiting = 5;</code>
-       * @return The waiting.
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
        */
-      @java.lang.Override
-      public int getWaiting() {
-        return waiting_;
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder addContentsBuilder(
+          int index) {
+        return internalGetContentsFieldBuilder().addBuilder(
+            index, org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.getDefaultInstance());
       }
       /**
        * <pre>
-       * Requests that wait because no backend server holds the model or the adapter.
+       * All backend servers of which the coordinator knows more than they announced.
        * </pre>
        *
-       * <code>uint32 waiting = 5;</code>
-       * @param value The waiting to set.
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder> 
+           getContentsBuilderList() {
+        return internalGetContentsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.CoordinationProtocol.ServerContent, org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder, org.borageproxy.wire.proto.CoordinationProtocol.ServerContentOrBuilder> 
+          internalGetContentsFieldBuilder() {
+        if (contentsBuilder_ == null) {
+          contentsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.borageproxy.wire.proto.CoordinationProtocol.ServerContent, org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder, org.borageproxy.wire.proto.CoordinationProtocol.ServerContentOrBuilder>(
+                  contents_,
+                  ((bitField0_ & 0x00000020) != 0),
+                  getParentForChildren(),
+                  isClean());
+          contents_ = null;
+        }
+        return contentsBuilder_;
+      }
+
+      private long contentsVersion_ ;
+      /**
+       * <code>uint64 contents_version = 7;</code>
+       * @return The contentsVersion.
+       */
+      @java.lang.Override
+      public long getContentsVersion() {
+        return contentsVersion_;
+      }
+      /**
+       * <code>uint64 contents_version = 7;</code>
+       * @param value The contentsVersion to set.
        * @return This builder for chaining.
        */
-      public Builder setWaiting(int value) {
+      public Builder setContentsVersion(long value) {
 
-        waiting_ = value;
-        bitField0_ |= 0x00000010;
+        contentsVersion_ = value;
+        bitField0_ |= 0x00000040;
         onChanged();
         return this;
       }
       /**
-       * <pre>
-       * Requests that wait because no backend server holds the model or the adapter.
-       * </pre>
-       *
-       * <code>uint32 waiting = 5;</code>
+       * <code>uint64 contents_version = 7;</code>
        * @return This builder for chaining.
        */
-      public Builder clearWaiting() {
-        bitField0_ = (bitField0_ & ~0x00000010);
-        waiting_ = 0;
+      public Builder clearContentsVersion() {
+        bitField0_ = (bitField0_ & ~0x00000040);
+        contentsVersion_ = 0L;
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:borageproxy.coordination.ModelDemand)
+      // @@protoc_insertion_point(builder_scope:borageproxy.coordination.CoordinationUpdate)
     }
 
-    // @@protoc_insertion_point(class_scope:borageproxy.coordination.ModelDemand)
-    private static final org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:borageproxy.coordination.CoordinationUpdate)
+    private static final org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand();
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate();
     }
 
-    public static org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand getDefaultInstance() {
+    public static org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<ModelDemand>
-        PARSER = new com.google.protobuf.AbstractParser<ModelDemand>() {
+    private static final com.google.protobuf.Parser<CoordinationUpdate>
+        PARSER = new com.google.protobuf.AbstractParser<CoordinationUpdate>() {
       @java.lang.Override
-      public ModelDemand parsePartialFrom(
+      public CoordinationUpdate parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -4461,181 +7873,192 @@
       }
     };
 
-    public static com.google.protobuf.Parser<ModelDemand> parser() {
+    public static com.google.protobuf.Parser<CoordinationUpdate> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<ModelDemand> getParserForType() {
+    public com.google.protobuf.Parser<CoordinationUpdate> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand getDefaultInstanceForType() {
+    public org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
   }
 
-  public interface CoordinationUpdateOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:borageproxy.coordination.CoordinationUpdate)
+  public interface SlotRequestOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.coordination.SlotRequest)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <pre>
-     * Whether the answering VM coordinates; otherwise only the coordinator is set.
-     * </pre>
-     *
-     * <code>bool coordinates = 1;</code>
-     * @return The coordinates.
+     * <code>string zone = 1;</code>
+     * @return The zone.
      */
-    boolean getCoordinates();
+    java.lang.String getZone();
+    /**
+     * <code>string zone = 1;</code>
+     * @return The bytes for zone.
+     */
+    com.google.protobuf.ByteString
+        getZoneBytes();
 
     /**
-     * <code>string coordinator = 2;</code>
-     * @return The coordinator.
+     * <code>string service = 2;</code>
+     * @return The service.
      */
-    java.lang.String getCoordinator();
+    java.lang.String getService();
     /**
-     * <code>string coordinator = 2;</code>
-     * @return The bytes for coordinator.
+     * <code>string service = 2;</code>
+     * @return The bytes for service.
      */
     com.google.protobuf.ByteString
-        getCoordinatorBytes();
+        getServiceBytes();
 
     /**
-     * <pre>
-     * The number of entries that reported lately.
-     * </pre>
-     *
-     * <code>uint32 entries = 3;</code>
-     * @return The entries.
+     * <code>string model = 3;</code>
+     * @return The model.
      */
-    int getEntries();
-
+    java.lang.String getModel();
     /**
-     * <pre>
-     * The work of all other entries.
-     * </pre>
-     *
-     * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+     * <code>string model = 3;</code>
+     * @return The bytes for model.
      */
-    java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage> 
-        getServersList();
+    com.google.protobuf.ByteString
+        getModelBytes();
+
     /**
-     * <pre>
-     * The work of all other entries.
-     * </pre>
-     *
-     * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+     * <code>string adapter = 4;</code>
+     * @return The adapter.
      */
-    org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage getServers(int index);
+    java.lang.String getAdapter();
     /**
-     * <pre>
-     * The work of all other entries.
-     * </pre>
-     *
-     * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+     * <code>string adapter = 4;</code>
+     * @return The bytes for adapter.
      */
-    int getServersCount();
+    com.google.protobuf.ByteString
+        getAdapterBytes();
+
     /**
-     * <pre>
-     * The work of all other entries.
-     * </pre>
-     *
-     * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+     * <code>uint32 prompt_tokens = 5;</code>
+     * @return The promptTokens.
      */
-    java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.ServerUsageOrBuilder> 
-        getServersOrBuilderList();
-    /**
-     * <pre>
-     * The work of all other entries.
-     * </pre>
-     *
-     * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+    int getPromptTokens();
+
+    /**
+     * <code>uint32 output_tokens = 6;</code>
+     * @return The outputTokens.
      */
-    org.borageproxy.wire.proto.CoordinationProtocol.ServerUsageOrBuilder getServersOrBuilder(
-        int index);
+    int getOutputTokens();
 
     /**
-     * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+     * <code>repeated .borageproxy.coordination.PartOfPrompt parts = 7;</code>
      */
-    java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.RateShare> 
-        getSharesList();
+    java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt> 
+        getPartsList();
     /**
-     * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+     * <code>repeated .borageproxy.coordination.PartOfPrompt parts = 7;</code>
      */
-    org.borageproxy.wire.proto.CoordinationProtocol.RateShare getShares(int index);
+    org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt getParts(int index);
     /**
-     * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+     * <code>repeated .borageproxy.coordination.PartOfPrompt parts = 7;</code>
      */
-    int getSharesCount();
+    int getPartsCount();
     /**
-     * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+     * <code>repeated .borageproxy.coordination.PartOfPrompt parts = 7;</code>
      */
-    java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.RateShareOrBuilder> 
-        getSharesOrBuilderList();
+    java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.PartOfPromptOrBuilder> 
+        getPartsOrBuilderList();
     /**
-     * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+     * <code>repeated .borageproxy.coordination.PartOfPrompt parts = 7;</code>
      */
-    org.borageproxy.wire.proto.CoordinationProtocol.RateShareOrBuilder getSharesOrBuilder(
+    org.borageproxy.wire.proto.CoordinationProtocol.PartOfPromptOrBuilder getPartsOrBuilder(
         int index);
 
     /**
-     * <pre>
-     * All backend servers of which the coordinator knows more than they announced.
-     * </pre>
-     *
-     * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+     * <code>uint32 rank = 8;</code>
+     * @return The rank.
      */
-    java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerContent> 
-        getContentsList();
+    int getRank();
+
     /**
      * <pre>
-     * All backend servers of which the coordinator knows more than they announced.
+     * The time until the answer is late.
      * </pre>
      *
-     * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+     * <code>uint32 objective_millis = 9;</code>
+     * @return The objectiveMillis.
      */
-    org.borageproxy.wire.proto.CoordinationProtocol.ServerContent getContents(int index);
+    int getObjectiveMillis();
+
     /**
      * <pre>
-     * All backend servers of which the coordinator knows more than they announced.
+     * The time until the caller gives up.
      * </pre>
      *
-     * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+     * <code>uint32 deadline_millis = 10;</code>
+     * @return The deadlineMillis.
      */
-    int getContentsCount();
+    int getDeadlineMillis();
+
+    /**
+     * <code>repeated string tried = 11;</code>
+     * @return A list containing the tried.
+     */
+    java.util.List<java.lang.String>
+        getTriedList();
+    /**
+     * <code>repeated string tried = 11;</code>
+     * @return The count of tried.
+     */
+    int getTriedCount();
+    /**
+     * <code>repeated string tried = 11;</code>
+     * @param index The index of the element to return.
+     * @return The tried at the given index.
+     */
+    java.lang.String getTried(int index);
+    /**
+     * <code>repeated string tried = 11;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the tried at the given index.
+     */
+    com.google.protobuf.ByteString
+        getTriedBytes(int index);
+
     /**
      * <pre>
-     * All backend servers of which the coordinator knows more than they announced.
+     * How long the request has waited so far.
      * </pre>
      *
-     * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+     * <code>uint32 waited_millis = 12;</code>
+     * @return The waitedMillis.
      */
-    java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.ServerContentOrBuilder> 
-        getContentsOrBuilderList();
+    int getWaitedMillis();
+
     /**
      * <pre>
-     * All backend servers of which the coordinator knows more than they announced.
+     * How long it may wait for a model to be loaded.
      * </pre>
      *
-     * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+     * <code>uint32 most_wait_millis = 13;</code>
+     * @return The mostWaitMillis.
      */
-    org.borageproxy.wire.proto.CoordinationProtocol.ServerContentOrBuilder getContentsOrBuilder(
-        int index);
+    int getMostWaitMillis();
   }
   /**
    * <pre>
-   * What the coordinator answers to a report.
+   * What an entry asks the coordinator: a place for a request at a model engine.
    * </pre>
    *
-   * Protobuf type {@code borageproxy.coordination.CoordinationUpdate}
+   * Protobuf type {@code borageproxy.coordination.SlotRequest}
    */
-  public static final class CoordinationUpdate extends
+  public static final class SlotRequest extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:borageproxy.coordination.CoordinationUpdate)
-      CoordinationUpdateOrBuilder {
+      // @@protoc_insertion_point(message_implements:borageproxy.coordination.SlotRequest)
+      SlotRequestOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
