@@ -4644,1878 +8067,3721 @@
         /* minor= */ 34,
         /* patch= */ 2,
         /* suffix= */ "",
-        "CoordinationUpdate");
+        "SlotRequest");
     }
-    // Use CoordinationUpdate.newBuilder() to construct.
-    private CoordinationUpdate(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use SlotRequest.newBuilder() to construct.
+    private SlotRequest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private CoordinationUpdate() {
-      coordinator_ = "";
-      servers_ = java.util.Collections.emptyList();
-      shares_ = java.util.Collections.emptyList();
-      contents_ = java.util.Collections.emptyList();
+    private SlotRequest() {
+      zone_ = "";
+      service_ = "";
+      model_ = "";
+      adapter_ = "";
+      parts_ = java.util.Collections.emptyList();
+      tried_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_CoordinationUpdate_descriptor;
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_SlotRequest_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_CoordinationUpdate_descriptor;
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_SlotRequest_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_CoordinationUpdate_fieldAccessorTable
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_SlotRequest_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate.class, org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate.Builder.class);
+              org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest.class, org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest.Builder.class);
     }
 
-    public static final int COORDINATES_FIELD_NUMBER = 1;
-    private boolean coordinates_ = false;
+    public static final int ZONE_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object zone_ = "";
     /**
-     * <pre>
-     * Whether the answering VM coordinates; otherwise only the coordinator is set.
-     * </pre>
-     *
-     * <code>bool coordinates = 1;</code>
-     * @return The coordinates.
+     * <code>string zone = 1;</code>
+     * @return The zone.
      */
     @java.lang.Override
-    public boolean getCoordinates() {
-      return coordinates_;
+    public java.lang.String getZone() {
+      java.lang.Object ref = zone_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        zone_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string zone = 1;</code>
+     * @return The bytes for zone.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getZoneBytes() {
+      java.lang.Object ref = zone_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        zone_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
     }
 
-    public static final int COORDINATOR_FIELD_NUMBER = 2;
+    public static final int SERVICE_FIELD_NUMBER = 2;
     @SuppressWarnings("serial")
-    private volatile java.lang.Object coordinator_ = "";
+    private volatile java.lang.Object service_ = "";
     /**
-     * <code>string coordinator = 2;</code>
-     * @return The coordinator.
+     * <code>string service = 2;</code>
+     * @return The service.
      */
     @java.lang.Override
-    public java.lang.String getCoordinator() {
-      java.lang.Object ref = coordinator_;
+    public java.lang.String getService() {
+      java.lang.Object ref = service_;
       if (ref instanceof java.lang.String) {
         return (java.lang.String) ref;
       } else {
         com.google.protobuf.ByteString bs = 
             (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
-        coordinator_ = s;
+        service_ = s;
         return s;
       }
     }
     /**
-     * <code>string coordinator = 2;</code>
-     * @return The bytes for coordinator.
+     * <code>string service = 2;</code>
+     * @return The bytes for service.
      */
     @java.lang.Override
     public com.google.protobuf.ByteString
-        getCoordinatorBytes() {
-      java.lang.Object ref = coordinator_;
+        getServiceBytes() {
+      java.lang.Object ref = service_;
       if (ref instanceof java.lang.String) {
         com.google.protobuf.ByteString b = 
             com.google.protobuf.ByteString.copyFromUtf8(
                 (java.lang.String) ref);
-        coordinator_ = b;
+        service_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
 
-    public static final int ENTRIES_FIELD_NUMBER = 3;
-    private int entries_ = 0;
+    public static final int MODEL_FIELD_NUMBER = 3;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object model_ = "";
     /**
-     * <pre>
-     * The number of entries that reported lately.
-     * </pre>
-     *
-     * <code>uint32 entries = 3;</code>
-     * @return The entries.
+     * <code>string model = 3;</code>
+     * @return The model.
      */
     @java.lang.Override
-    public int getEntries() {
-      return entries_;
+    public java.lang.String getModel() {
+      java.lang.Object ref = model_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        model_ = s;
+        return s;
+      }
     }
-
-    public static final int SERVERS_FIELD_NUMBER = 4;
-    @SuppressWarnings("serial")
-    private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage> servers_;
     /**
-     * <pre>
-     * The work of all other entries.
-     * </pre>
-     *
-     * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+     * <code>string model = 3;</code>
+     * @return The bytes for model.
      */
     @java.lang.Override
-    public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage> getServersList() {
-      return servers_;
+    public com.google.protobuf.ByteString
+        getModelBytes() {
+      java.lang.Object ref = model_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        model_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
     }
+
+    public static final int ADAPTER_FIELD_NUMBER = 4;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object adapter_ = "";
     /**
-     * <pre>
-     * The work of all other entries.
-     * </pre>
-     *
-     * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+     * <code>string adapter = 4;</code>
+     * @return The adapter.
      */
     @java.lang.Override
-    public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.ServerUsageOrBuilder> 
-        getServersOrBuilderList() {
-      return servers_;
+    public java.lang.String getAdapter() {
+      java.lang.Object ref = adapter_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        adapter_ = s;
+        return s;
+      }
     }
     /**
-     * <pre>
-     * The work of all other entries.
-     * </pre>
-     *
-     * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+     * <code>string adapter = 4;</code>
+     * @return The bytes for adapter.
      */
     @java.lang.Override
-    public int getServersCount() {
-      return servers_.size();
+    public com.google.protobuf.ByteString
+        getAdapterBytes() {
+      java.lang.Object ref = adapter_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        adapter_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
     }
+
+    public static final int PROMPT_TOKENS_FIELD_NUMBER = 5;
+    private int promptTokens_ = 0;
     /**
-     * <pre>
-     * The work of all other entries.
-     * </pre>
-     *
-     * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+     * <code>uint32 prompt_tokens = 5;</code>
+     * @return The promptTokens.
      */
     @java.lang.Override
-    public org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage getServers(int index) {
-      return servers_.get(index);
+    public int getPromptTokens() {
+      return promptTokens_;
     }
+
+    public static final int OUTPUT_TOKENS_FIELD_NUMBER = 6;
+    private int outputTokens_ = 0;
     /**
-     * <pre>
-     * The work of all other entries.
-     * </pre>
-     *
-     * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+     * <code>uint32 output_tokens = 6;</code>
+     * @return The outputTokens.
      */
     @java.lang.Override
-    public org.borageproxy.wire.proto.CoordinationProtocol.ServerUsageOrBuilder getServersOrBuilder(
-        int index) {
-      return servers_.get(index);
+    public int getOutputTokens() {
+      return outputTokens_;
     }
 
-    public static final int SHARES_FIELD_NUMBER = 5;
+    public static final int PARTS_FIELD_NUMBER = 7;
     @SuppressWarnings("serial")
-    private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.RateShare> shares_;
+    private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt> parts_;
     /**
-     * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+     * <code>repeated .borageproxy.coordination.PartOfPrompt parts = 7;</code>
      */
     @java.lang.Override
-    public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.RateShare> getSharesList() {
-      return shares_;
+    public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt> getPartsList() {
+      return parts_;
     }
     /**
-     * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+     * <code>repeated .borageproxy.coordination.PartOfPrompt parts = 7;</code>
      */
     @java.lang.Override
-    public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.RateShareOrBuilder> 
-        getSharesOrBuilderList() {
-      return shares_;
+    public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.PartOfPromptOrBuilder> 
+        getPartsOrBuilderList() {
+      return parts_;
     }
     /**
-     * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+     * <code>repeated .borageproxy.coordination.PartOfPrompt parts = 7;</code>
      */
     @java.lang.Override
-    public int getSharesCount() {
-      return shares_.size();
+    public int getPartsCount() {
+      return parts_.size();
     }
     /**
-     * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+     * <code>repeated .borageproxy.coordination.PartOfPrompt parts = 7;</code>
      */
     @java.lang.Override
-    public org.borageproxy.wire.proto.CoordinationProtocol.RateShare getShares(int index) {
-      return shares_.get(index);
+    public org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt getParts(int index) {
+      return parts_.get(index);
     }
     /**
-     * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+     * <code>repeated .borageproxy.coordination.PartOfPrompt parts = 7;</code>
      */
     @java.lang.Override
-    public org.borageproxy.wire.proto.CoordinationProtocol.RateShareOrBuilder getSharesOrBuilder(
+    public org.borageproxy.wire.proto.CoordinationProtocol.PartOfPromptOrBuilder getPartsOrBuilder(
         int index) {
-      return shares_.get(index);
+      return parts_.get(index);
     }
 
-    public static final int CONTENTS_FIELD_NUMBER = 6;
-    @SuppressWarnings("serial")
-    private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerContent> contents_;
+    public static final int RANK_FIELD_NUMBER = 8;
+    private int rank_ = 0;
     /**
-     * <pre>
-     * All backend servers of which the coordinator knows more than they announced.
-     * </pre>
-     *
-     * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+     * <code>uint32 rank = 8;</code>
+     * @return The rank.
      */
     @java.lang.Override
-    public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerContent> getContentsList() {
-      return contents_;
+    public int getRank() {
+      return rank_;
     }
+
+    public static final int OBJECTIVE_MILLIS_FIELD_NUMBER = 9;
+    private int objectiveMillis_ = 0;
     /**
      * <pre>
-     * All backend servers of which the coordinator knows more than they announced.
+     * The time until the answer is late.
      * </pre>
      *
-     * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+     * <code>uint32 objective_millis = 9;</code>
+     * @return The objectiveMillis.
      */
     @java.lang.Override
-    public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.ServerContentOrBuilder> 
-        getContentsOrBuilderList() {
-      return contents_;
+    public int getObjectiveMillis() {
+      return objectiveMillis_;
     }
+
+    public static final int DEADLINE_MILLIS_FIELD_NUMBER = 10;
+    private int deadlineMillis_ = 0;
     /**
      * <pre>
-     * All backend servers of which the coordinator knows more than they announced.
+     * The time until the caller gives up.
      * </pre>
      *
-     * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+     * <code>uint32 deadline_millis = 10;</code>
+     * @return The deadlineMillis.
      */
     @java.lang.Override
-    public int getContentsCount() {
-      return contents_.size();
+    public int getDeadlineMillis() {
+      return deadlineMillis_;
+    }
+
+    public static final int TRIED_FIELD_NUMBER = 11;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.LazyStringArrayList tried_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    /**
+     * <code>repeated string tried = 11;</code>
+     * @return A list containing the tried.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getTriedList() {
+      return tried_;
+    }
+    /**
+     * <code>repeated string tried = 11;</code>
+     * @return The count of tried.
+     */
+    public int getTriedCount() {
+      return tried_.size();
+    }
+    /**
+     * <code>repeated string tried = 11;</code>
+     * @param index The index of the element to return.
+     * @return The tried at the given index.
+     */
+    public java.lang.String getTried(int index) {
+      return tried_.get(index);
+    }
+    /**
+     * <code>repeated string tried = 11;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the tried at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getTriedBytes(int index) {
+      return tried_.getByteString(index);
     }
+
+    public static final int WAITED_MILLIS_FIELD_NUMBER = 12;
+    private int waitedMillis_ = 0;
     /**
      * <pre>
-     * All backend servers of which the coordinator knows more than they announced.
+     * How long the request has waited so far.
      * </pre>
      *
-     * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+     * <code>uint32 waited_millis = 12;</code>
+     * @return The waitedMillis.
      */
     @java.lang.Override
-    public org.borageproxy.wire.proto.CoordinationProtocol.ServerContent getContents(int index) {
-      return contents_.get(index);
+    public int getWaitedMillis() {
+      return waitedMillis_;
     }
+
+    public static final int MOST_WAIT_MILLIS_FIELD_NUMBER = 13;
+    private int mostWaitMillis_ = 0;
     /**
      * <pre>
-     * All backend servers of which the coordinator knows more than they announced.
+     * How long it may wait for a model to be loaded.
      * </pre>
      *
-     * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+     * <code>uint32 most_wait_millis = 13;</code>
+     * @return The mostWaitMillis.
      */
     @java.lang.Override
-    public org.borageproxy.wire.proto.CoordinationProtocol.ServerContentOrBuilder getContentsOrBuilder(
-        int index) {
-      return contents_.get(index);
+    public int getMostWaitMillis() {
+      return mostWaitMillis_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(zone_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, zone_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, service_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(model_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 3, model_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(adapter_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 4, adapter_);
+      }
+      if (promptTokens_ != 0) {
+        output.writeUInt32(5, promptTokens_);
+      }
+      if (outputTokens_ != 0) {
+        output.writeUInt32(6, outputTokens_);
+      }
+      for (int i = 0; i < parts_.size(); i++) {
+        output.writeMessage(7, parts_.get(i));
+      }
+      if (rank_ != 0) {
+        output.writeUInt32(8, rank_);
+      }
+      if (objectiveMillis_ != 0) {
+        output.writeUInt32(9, objectiveMillis_);
+      }
+      if (deadlineMillis_ != 0) {
+        output.writeUInt32(10, deadlineMillis_);
+      }
+      for (int i = 0; i < tried_.size(); i++) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 11, tried_.getRaw(i));
+      }
+      if (waitedMillis_ != 0) {
+        output.writeUInt32(12, waitedMillis_);
+      }
+      if (mostWaitMillis_ != 0) {
+        output.writeUInt32(13, mostWaitMillis_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(zone_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, zone_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, service_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(model_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(3, model_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(adapter_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(4, adapter_);
+      }
+      if (promptTokens_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(5, promptTokens_);
+      }
+      if (outputTokens_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(6, outputTokens_);
+      }
+
+          {
+            final int count = parts_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(parts_.get(i));
+            }
+            size += 1 * count;
+          }
+      if (rank_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(8, rank_);
+      }
+      if (objectiveMillis_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(9, objectiveMillis_);
+      }
+      if (deadlineMillis_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(10, deadlineMillis_);
+      }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < tried_.size(); i++) {
+          dataSize += computeStringSizeNoTag(tried_.getRaw(i));
+        }
+        size += dataSize;
+        size += 1 * getTriedList().size();
+      }
+      if (waitedMillis_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(12, waitedMillis_);
+      }
+      if (mostWaitMillis_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(13, mostWaitMillis_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest)) {
+        return super.equals(obj);
+      }
+      org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest other = (org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest) obj;
+
+      if (!getZone()
+          .equals(other.getZone())) return false;
+      if (!getService()
+          .equals(other.getService())) return false;
+      if (!getModel()
+          .equals(other.getModel())) return false;
+      if (!getAdapter()
+          .equals(other.getAdapter())) return false;
+      if (getPromptTokens()
+          != other.getPromptTokens()) return false;
+      if (getOutputTokens()
+          != other.getOutputTokens()) return false;
+      if (!getPartsList()
+          .equals(other.getPartsList())) return false;
+      if (getRank()
+          != other.getRank()) return false;
+      if (getObjectiveMillis()
+          != other.getObjectiveMillis()) return false;
+      if (getDeadlineMillis()
+          != other.getDeadlineMillis()) return false;
+      if (!getTriedList()
+          .equals(other.getTriedList())) return false;
+      if (getWaitedMillis()
+          != other.getWaitedMillis()) return false;
+      if (getMostWaitMillis()
+          != other.getMostWaitMillis()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + ZONE_FIELD_NUMBER;
+      hash = (53 * hash) + getZone().hashCode();
+      hash = (37 * hash) + SERVICE_FIELD_NUMBER;
+      hash = (53 * hash) + getService().hashCode();
+      hash = (37 * hash) + MODEL_FIELD_NUMBER;
+      hash = (53 * hash) + getModel().hashCode();
+      hash = (37 * hash) + ADAPTER_FIELD_NUMBER;
+      hash = (53 * hash) + getAdapter().hashCode();
+      hash = (37 * hash) + PROMPT_TOKENS_FIELD_NUMBER;
+      hash = (53 * hash) + getPromptTokens();
+      hash = (37 * hash) + OUTPUT_TOKENS_FIELD_NUMBER;
+      hash = (53 * hash) + getOutputTokens();
+      if (getPartsCount() > 0) {
+        hash = (37 * hash) + PARTS_FIELD_NUMBER;
+        hash = (53 * hash) + getPartsList().hashCode();
+      }
+      hash = (37 * hash) + RANK_FIELD_NUMBER;
+      hash = (53 * hash) + getRank();
+      hash = (37 * hash) + OBJECTIVE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + getObjectiveMillis();
+      hash = (37 * hash) + DEADLINE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + getDeadlineMillis();
+      if (getTriedCount() > 0) {
+        hash = (37 * hash) + TRIED_FIELD_NUMBER;
+        hash = (53 * hash) + getTriedList().hashCode();
+      }
+      hash = (37 * hash) + WAITED_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + getWaitedMillis();
+      hash = (37 * hash) + MOST_WAIT_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + getMostWaitMillis();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
     }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * What an entry asks the coordinator: a place for a request at a model engine.
+     * </pre>
+     *
+     * Protobuf type {@code borageproxy.coordination.SlotRequest}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:borageproxy.coordination.SlotRequest)
+        org.borageproxy.wire.proto.CoordinationProtocol.SlotRequestOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_SlotRequest_descriptor;
+      }
 
-    private byte memoizedIsInitialized = -1;
-    @java.lang.Override
-    public final boolean isInitialized() {
-      byte isInitialized = memoizedIsInitialized;
-      if (isInitialized == 1) return true;
-      if (isInitialized == 0) return false;
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_SlotRequest_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest.class, org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest.Builder.class);
+      }
 
-      memoizedIsInitialized = 1;
-      return true;
-    }
+      // Construct using org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest.newBuilder()
+      private Builder() {
 
-    @java.lang.Override
-    public void writeTo(com.google.protobuf.CodedOutputStream output)
-                        throws java.io.IOException {
-      if (coordinates_ != false) {
-        output.writeBool(1, coordinates_);
       }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(coordinator_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 2, coordinator_);
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
       }
-      if (entries_ != 0) {
-        output.writeUInt32(3, entries_);
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        zone_ = "";
+        service_ = "";
+        model_ = "";
+        adapter_ = "";
+        promptTokens_ = 0;
+        outputTokens_ = 0;
+        if (partsBuilder_ == null) {
+          parts_ = java.util.Collections.emptyList();
+        } else {
+          parts_ = null;
+          partsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000040);
+        rank_ = 0;
+        objectiveMillis_ = 0;
+        deadlineMillis_ = 0;
+        tried_ =
+            com.google.protobuf.LazyStringArrayList.emptyList();
+        waitedMillis_ = 0;
+        mostWaitMillis_ = 0;
+        return this;
       }
-      for (int i = 0; i < servers_.size(); i++) {
-        output.writeMessage(4, servers_.get(i));
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_SlotRequest_descriptor;
       }
-      for (int i = 0; i < shares_.size(); i++) {
-        output.writeMessage(5, shares_.get(i));
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest.getDefaultInstance();
       }
-      for (int i = 0; i < contents_.size(); i++) {
-        output.writeMessage(6, contents_.get(i));
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest build() {
+        org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
       }
-      getUnknownFields().writeTo(output);
-    }
 
-    @java.lang.Override
-    public int getSerializedSize() {
-      int size = memoizedSize;
-      if (size != -1) return size;
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest buildPartial() {
+        org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest result = new org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
 
-      size = 0;
-      if (coordinates_ != false) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeBoolSize(1, coordinates_);
+      private void buildPartialRepeatedFields(org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest result) {
+        if (partsBuilder_ == null) {
+          if (((bitField0_ & 0x00000040) != 0)) {
+            parts_ = java.util.Collections.unmodifiableList(parts_);
+            bitField0_ = (bitField0_ & ~0x00000040);
+          }
+          result.parts_ = parts_;
+        } else {
+          result.parts_ = partsBuilder_.build();
+        }
       }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(coordinator_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, coordinator_);
+
+      private void buildPartial0(org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.zone_ = zone_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.service_ = service_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.model_ = model_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.adapter_ = adapter_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.promptTokens_ = promptTokens_;
+        }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.outputTokens_ = outputTokens_;
+        }
+        if (((from_bitField0_ & 0x00000080) != 0)) {
+          result.rank_ = rank_;
+        }
+        if (((from_bitField0_ & 0x00000100) != 0)) {
+          result.objectiveMillis_ = objectiveMillis_;
+        }
+        if (((from_bitField0_ & 0x00000200) != 0)) {
+          result.deadlineMillis_ = deadlineMillis_;
+        }
+        if (((from_bitField0_ & 0x00000400) != 0)) {
+          tried_.makeImmutable();
+          result.tried_ = tried_;
+        }
+        if (((from_bitField0_ & 0x00000800) != 0)) {
+          result.waitedMillis_ = waitedMillis_;
+        }
+        if (((from_bitField0_ & 0x00001000) != 0)) {
+          result.mostWaitMillis_ = mostWaitMillis_;
+        }
       }
-      if (entries_ != 0) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt32Size(3, entries_);
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest) {
+          return mergeFrom((org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
       }
 
-          {
-            final int count = servers_.size();
-            for (int i = 0; i < count; i++) {
-              size += com.google.protobuf.CodedOutputStream
-                .computeMessageSizeNoTag(servers_.get(i));
+      public Builder mergeFrom(org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest other) {
+        if (other == org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest.getDefaultInstance()) return this;
+        if (!other.getZone().isEmpty()) {
+          zone_ = other.zone_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (!other.getService().isEmpty()) {
+          service_ = other.service_;
+          bitField0_ |= 0x00000002;
+          onChanged();
+        }
+        if (!other.getModel().isEmpty()) {
+          model_ = other.model_;
+          bitField0_ |= 0x00000004;
+          onChanged();
+        }
+        if (!other.getAdapter().isEmpty()) {
+          adapter_ = other.adapter_;
+          bitField0_ |= 0x00000008;
+          onChanged();
+        }
+        if (other.getPromptTokens() != 0) {
+          setPromptTokens(other.getPromptTokens());
+        }
+        if (other.getOutputTokens() != 0) {
+          setOutputTokens(other.getOutputTokens());
+        }
+        if (partsBuilder_ == null) {
+          if (!other.parts_.isEmpty()) {
+            if (parts_.isEmpty()) {
+              parts_ = other.parts_;
+              bitField0_ = (bitField0_ & ~0x00000040);
+            } else {
+              ensurePartsIsMutable();
+              parts_.addAll(other.parts_);
             }
-            size += 1 * count;
+            onChanged();
           }
-
-          {
-            final int count = shares_.size();
-            for (int i = 0; i < count; i++) {
-              size += com.google.protobuf.CodedOutputStream
-                .computeMessageSizeNoTag(shares_.get(i));
+        } else {
+          if (!other.parts_.isEmpty()) {
+            if (partsBuilder_.isEmpty()) {
+              partsBuilder_.dispose();
+              partsBuilder_ = null;
+              parts_ = other.parts_;
+              bitField0_ = (bitField0_ & ~0x00000040);
+              partsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetPartsFieldBuilder() : null;
+            } else {
+              partsBuilder_.addAllMessages(other.parts_);
             }
-            size += 1 * count;
           }
-
-          {
-            final int count = contents_.size();
-            for (int i = 0; i < count; i++) {
-              size += com.google.protobuf.CodedOutputStream
-                .computeMessageSizeNoTag(contents_.get(i));
-            }
-            size += 1 * count;
+        }
+        if (other.getRank() != 0) {
+          setRank(other.getRank());
+        }
+        if (other.getObjectiveMillis() != 0) {
+          setObjectiveMillis(other.getObjectiveMillis());
+        }
+        if (other.getDeadlineMillis() != 0) {
+          setDeadlineMillis(other.getDeadlineMillis());
+        }
+        if (!other.tried_.isEmpty()) {
+          if (tried_.isEmpty()) {
+            tried_ = other.tried_;
+            bitField0_ |= 0x00000400;
+          } else {
+            ensureTriedIsMutable();
+            tried_.addAll(other.tried_);
           }
-      size += getUnknownFields().getSerializedSize();
-      memoizedSize = size;
-      return size;
-    }
+          onChanged();
+        }
+        if (other.getWaitedMillis() != 0) {
+          setWaitedMillis(other.getWaitedMillis());
+        }
+        if (other.getMostWaitMillis() != 0) {
+          setMostWaitMillis(other.getMostWaitMillis());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
 
-    @java.lang.Override
-    public boolean equals(final java.lang.Object obj) {
-      if (obj == this) {
-       return true;
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
       }
-      if (!(obj instanceof org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate)) {
-        return super.equals(obj);
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                zone_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 18: {
+                service_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              case 26: {
+                model_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 26
+              case 34: {
+                adapter_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 34
+              case 40: {
+                promptTokens_ = input.readUInt32();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
+              case 48: {
+                outputTokens_ = input.readUInt32();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 48
+              case 58: {
+                org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt m =
+                    input.readMessage(
+                        org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt.parser(),
+                        extensionRegistry);
+                if (partsBuilder_ == null) {
+                  ensurePartsIsMutable();
+                  parts_.add(m);
+                } else {
+                  partsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 58
+              case 64: {
+                rank_ = input.readUInt32();
+                bitField0_ |= 0x00000080;
+                break;
+              } // case 64
+              case 72: {
+                objectiveMillis_ = input.readUInt32();
+                bitField0_ |= 0x00000100;
+                break;
+              } // case 72
+              case 80: {
+                deadlineMillis_ = input.readUInt32();
+                bitField0_ |= 0x00000200;
+                break;
+              } // case 80
+              case 90: {
+                ensureTriedIsMutable();
+                tried_.add(input.readStringRequireUtf8());
+                break;
+              } // case 90
+              case 96: {
+                waitedMillis_ = input.readUInt32();
+                bitField0_ |= 0x00000800;
+                break;
+              } // case 96
+              case 104: {
+                mostWaitMillis_ = input.readUInt32();
+                bitField0_ |= 0x00001000;
+                break;
+              } // case 104
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
       }
-      org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate other = (org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate) obj;
-
-      if (getCoordinates()
-          != other.getCoordinates()) return false;
-      if (!getCoordinator()
-          .equals(other.getCoordinator())) return false;
-      if (getEntries()
-          != other.getEntries()) return false;
-      if (!getServersList()
-          .equals(other.getServersList())) return false;
-      if (!getSharesList()
-          .equals(other.getSharesList())) return false;
-      if (!getContentsList()
-          .equals(other.getContentsList())) return false;
-      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
-      return true;
-    }
+      private int bitField0_;
 
-    @java.lang.Override
-    public int hashCode() {
-      if (memoizedHashCode != 0) {
-        return memoizedHashCode;
+      private java.lang.Object zone_ = "";
+      /**
+       * <code>string zone = 1;</code>
+       * @return The zone.
+       */
+      public java.lang.String getZone() {
+        java.lang.Object ref = zone_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          zone_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
       }
-      int hash = 41;
-      hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + COORDINATES_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-          getCoordinates());
-      hash = (37 * hash) + COORDINATOR_FIELD_NUMBER;
-      hash = (53 * hash) + getCoordinator().hashCode();
-      hash = (37 * hash) + ENTRIES_FIELD_NUMBER;
-      hash = (53 * hash) + getEntries();
-      if (getServersCount() > 0) {
-        hash = (37 * hash) + SERVERS_FIELD_NUMBER;
-        hash = (53 * hash) + getServersList().hashCode();
+      /**
+       * <code>string zone = 1;</code>
+       * @return The bytes for zone.
+       */
+      public com.google.protobuf.ByteString
+          getZoneBytes() {
+        java.lang.Object ref = zone_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          zone_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
       }
-      if (getSharesCount() > 0) {
-        hash = (37 * hash) + SHARES_FIELD_NUMBER;
-        hash = (53 * hash) + getSharesList().hashCode();
+      /**
+       * <code>string zone = 1;</code>
+       * @param value The zone to set.
+       * @return This builder for chaining.
+       */
+      public Builder setZone(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        zone_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
       }
-      if (getContentsCount() > 0) {
-        hash = (37 * hash) + CONTENTS_FIELD_NUMBER;
-        hash = (53 * hash) + getContentsList().hashCode();
+      /**
+       * <code>string zone = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearZone() {
+        zone_ = getDefaultInstance().getZone();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
       }
-      hash = (29 * hash) + getUnknownFields().hashCode();
-      memoizedHashCode = hash;
-      return hash;
-    }
-
-    public static org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate parseFrom(
-        java.nio.ByteBuffer data)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data);
-    }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate parseFrom(
-        java.nio.ByteBuffer data,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data, extensionRegistry);
-    }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate parseFrom(
-        com.google.protobuf.ByteString data)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data);
-    }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate parseFrom(
-        com.google.protobuf.ByteString data,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data, extensionRegistry);
-    }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate parseFrom(byte[] data)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data);
-    }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate parseFrom(
-        byte[] data,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws com.google.protobuf.InvalidProtocolBufferException {
-      return PARSER.parseFrom(data, extensionRegistry);
-    }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate parseFrom(java.io.InputStream input)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseWithIOException(PARSER, input);
-    }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate parseFrom(
-        java.io.InputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseWithIOException(PARSER, input, extensionRegistry);
-    }
-
-    public static org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate parseDelimitedFrom(java.io.InputStream input)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseDelimitedWithIOException(PARSER, input);
-    }
-
-    public static org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate parseDelimitedFrom(
-        java.io.InputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-    }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate parseFrom(
-        com.google.protobuf.CodedInputStream input)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseWithIOException(PARSER, input);
-    }
-    public static org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate parseFrom(
-        com.google.protobuf.CodedInputStream input,
-        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-        throws java.io.IOException {
-      return com.google.protobuf.GeneratedMessage
-          .parseWithIOException(PARSER, input, extensionRegistry);
-    }
-
-    @java.lang.Override
-    public Builder newBuilderForType() { return newBuilder(); }
-    public static Builder newBuilder() {
-      return DEFAULT_INSTANCE.toBuilder();
-    }
-    public static Builder newBuilder(org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate prototype) {
-      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-    }
-    @java.lang.Override
-    public Builder toBuilder() {
-      return this == DEFAULT_INSTANCE
-          ? new Builder() : new Builder().mergeFrom(this);
-    }
-
-    @java.lang.Override
-    protected Builder newBuilderForType(
-        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-      Builder builder = new Builder(parent);
-      return builder;
-    }
-    /**
-     * <pre>
-     * What the coordinator answers to a report.
-     * </pre>
-     *
-     * Protobuf type {@code borageproxy.coordination.CoordinationUpdate}
-     */
-    public static final class Builder extends
-        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:borageproxy.coordination.CoordinationUpdate)
-        org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdateOrBuilder {
-      public static final com.google.protobuf.Descriptors.Descriptor
-          getDescriptor() {
-        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_CoordinationUpdate_descriptor;
+      /**
+       * <code>string zone = 1;</code>
+       * @param value The bytes for zone to set.
+       * @return This builder for chaining.
+       */
+      public Builder setZoneBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        zone_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
       }
 
-      @java.lang.Override
-      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-          internalGetFieldAccessorTable() {
-        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_CoordinationUpdate_fieldAccessorTable
-            .ensureFieldAccessorsInitialized(
-                org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate.class, org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate.Builder.class);
+      private java.lang.Object service_ = "";
+      /**
+       * <code>string service = 2;</code>
+       * @return The service.
+       */
+      public java.lang.String getService() {
+        java.lang.Object ref = service_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          service_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string service = 2;</code>
+       * @return The bytes for service.
+       */
+      public com.google.protobuf.ByteString
+          getServiceBytes() {
+        java.lang.Object ref = service_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          service_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string service = 2;</code>
+       * @param value The service to set.
+       * @return This builder for chaining.
+       */
+      public Builder setService(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        service_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string service = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearService() {
+        service_ = getDefaultInstance().getService();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
       }
-
-      // Construct using org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate.newBuilder()
-      private Builder() {
-
+      /**
+       * <code>string service = 2;</code>
+       * @param value The bytes for service to set.
+       * @return This builder for chaining.
+       */
+      public Builder setServiceBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        service_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
       }
 
-      private Builder(
-          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-        super(parent);
-
+      private java.lang.Object model_ = "";
+      /**
+       * <code>string model = 3;</code>
+       * @return The model.
+       */
+      public java.lang.String getModel() {
+        java.lang.Object ref = model_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          model_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
       }
-      @java.lang.Override
-      public Builder clear() {
-        super.clear();
-        bitField0_ = 0;
-        coordinates_ = false;
-        coordinator_ = "";
-        entries_ = 0;
-        if (serversBuilder_ == null) {
-          servers_ = java.util.Collections.emptyList();
+      /**
+       * <code>string model = 3;</code>
+       * @return The bytes for model.
+       */
+      public com.google.protobuf.ByteString
+          getModelBytes() {
+        java.lang.Object ref = model_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          model_ = b;
+          return b;
         } else {
-          servers_ = null;
-          serversBuilder_.clear();
+          return (com.google.protobuf.ByteString) ref;
         }
-        bitField0_ = (bitField0_ & ~0x00000008);
-        if (sharesBuilder_ == null) {
-          shares_ = java.util.Collections.emptyList();
+      }
+      /**
+       * <code>string model = 3;</code>
+       * @param value The model to set.
+       * @return This builder for chaining.
+       */
+      public Builder setModel(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        model_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string model = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearModel() {
+        model_ = getDefaultInstance().getModel();
+        bitField0_ = (bitField0_ & ~0x00000004);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string model = 3;</code>
+       * @param value The bytes for model to set.
+       * @return This builder for chaining.
+       */
+      public Builder setModelBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        model_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object adapter_ = "";
+      /**
+       * <code>string adapter = 4;</code>
+       * @return The adapter.
+       */
+      public java.lang.String getAdapter() {
+        java.lang.Object ref = adapter_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          adapter_ = s;
+          return s;
         } else {
-          shares_ = null;
-          sharesBuilder_.clear();
+          return (java.lang.String) ref;
         }
-        bitField0_ = (bitField0_ & ~0x00000010);
-        if (contentsBuilder_ == null) {
-          contents_ = java.util.Collections.emptyList();
+      }
+      /**
+       * <code>string adapter = 4;</code>
+       * @return The bytes for adapter.
+       */
+      public com.google.protobuf.ByteString
+          getAdapterBytes() {
+        java.lang.Object ref = adapter_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          adapter_ = b;
+          return b;
         } else {
-          contents_ = null;
-          contentsBuilder_.clear();
+          return (com.google.protobuf.ByteString) ref;
         }
-        bitField0_ = (bitField0_ & ~0x00000020);
+      }
+      /**
+       * <code>string adapter = 4;</code>
+       * @param value The adapter to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAdapter(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        adapter_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string adapter = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAdapter() {
+        adapter_ = getDefaultInstance().getAdapter();
+        bitField0_ = (bitField0_ & ~0x00000008);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string adapter = 4;</code>
+       * @param value The bytes for adapter to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAdapterBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        adapter_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
         return this;
       }
 
+      private int promptTokens_ ;
+      /**
+       * <code>uint32 prompt_tokens = 5;</code>
+       * @return The promptTokens.
+       */
       @java.lang.Override
-      public com.google.protobuf.Descriptors.Descriptor
-          getDescriptorForType() {
-        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_CoordinationUpdate_descriptor;
+      public int getPromptTokens() {
+        return promptTokens_;
       }
+      /**
+       * <code>uint32 prompt_tokens = 5;</code>
+       * @param value The promptTokens to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPromptTokens(int value) {
 
-      @java.lang.Override
-      public org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate getDefaultInstanceForType() {
-        return org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate.getDefaultInstance();
+        promptTokens_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 prompt_tokens = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearPromptTokens() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        promptTokens_ = 0;
+        onChanged();
+        return this;
       }
 
+      private int outputTokens_ ;
+      /**
+       * <code>uint32 output_tokens = 6;</code>
+       * @return The outputTokens.
+       */
       @java.lang.Override
-      public org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate build() {
-        org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate result = buildPartial();
-        if (!result.isInitialized()) {
-          throw newUninitializedMessageException(result);
-        }
-        return result;
+      public int getOutputTokens() {
+        return outputTokens_;
       }
+      /**
+       * <code>uint32 output_tokens = 6;</code>
+       * @param value The outputTokens to set.
+       * @return This builder for chaining.
+       */
+      public Builder setOutputTokens(int value) {
 
-      @java.lang.Override
-      public org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate buildPartial() {
-        org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate result = new org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate(this);
-        buildPartialRepeatedFields(result);
-        if (bitField0_ != 0) { buildPartial0(result); }
-        onBuilt();
-        return result;
+        outputTokens_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 output_tokens = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearOutputTokens() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        outputTokens_ = 0;
+        onChanged();
+        return this;
       }
 
-      private void buildPartialRepeatedFields(org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate result) {
-        if (serversBuilder_ == null) {
-          if (((bitField0_ & 0x00000008) != 0)) {
-            servers_ = java.util.Collections.unmodifiableList(servers_);
-            bitField0_ = (bitField0_ & ~0x00000008);
+      private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt> parts_ =
+        java.util.Collections.emptyList();
+      private void ensurePartsIsMutable() {
+        if (!((bitField0_ & 0x00000040) != 0)) {
+          parts_ = new java.util.ArrayList<org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt>(parts_);
+          bitField0_ |= 0x00000040;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt, org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt.Builder, org.borageproxy.wire.proto.CoordinationProtocol.PartOfPromptOrBuilder> partsBuilder_;
+
+      /**
+       * <code>repeated .borageproxy.coordination.PartOfPrompt parts = 7;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt> getPartsList() {
+        if (partsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(parts_);
+        } else {
+          return partsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.coordination.PartOfPrompt parts = 7;</code>
+       */
+      public int getPartsCount() {
+        if (partsBuilder_ == null) {
+          return parts_.size();
+        } else {
+          return partsBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.coordination.PartOfPrompt parts = 7;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt getParts(int index) {
+        if (partsBuilder_ == null) {
+          return parts_.get(index);
+        } else {
+          return partsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.coordination.PartOfPrompt parts = 7;</code>
+       */
+      public Builder setParts(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt value) {
+        if (partsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
           }
-          result.servers_ = servers_;
+          ensurePartsIsMutable();
+          parts_.set(index, value);
+          onChanged();
+        } else {
+          partsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.coordination.PartOfPrompt parts = 7;</code>
+       */
+      public Builder setParts(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt.Builder builderForValue) {
+        if (partsBuilder_ == null) {
+          ensurePartsIsMutable();
+          parts_.set(index, builderForValue.build());
+          onChanged();
         } else {
-          result.servers_ = serversBuilder_.build();
+          partsBuilder_.setMessage(index, builderForValue.build());
         }
-        if (sharesBuilder_ == null) {
-          if (((bitField0_ & 0x00000010) != 0)) {
-            shares_ = java.util.Collections.unmodifiableList(shares_);
-            bitField0_ = (bitField0_ & ~0x00000010);
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.coordination.PartOfPrompt parts = 7;</code>
+       */
+      public Builder addParts(org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt value) {
+        if (partsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
           }
-          result.shares_ = shares_;
+          ensurePartsIsMutable();
+          parts_.add(value);
+          onChanged();
         } else {
-          result.shares_ = sharesBuilder_.build();
+          partsBuilder_.addMessage(value);
         }
-        if (contentsBuilder_ == null) {
-          if (((bitField0_ & 0x00000020) != 0)) {
-            contents_ = java.util.Collections.unmodifiableList(contents_);
-            bitField0_ = (bitField0_ & ~0x00000020);
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.coordination.PartOfPrompt parts = 7;</code>
+       */
+      public Builder addParts(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt value) {
+        if (partsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
           }
-          result.contents_ = contents_;
+          ensurePartsIsMutable();
+          parts_.add(index, value);
+          onChanged();
         } else {
-          result.contents_ = contentsBuilder_.build();
+          partsBuilder_.addMessage(index, value);
         }
+        return this;
       }
-
-      private void buildPartial0(org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate result) {
-        int from_bitField0_ = bitField0_;
-        if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.coordinates_ = coordinates_;
-        }
-        if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.coordinator_ = coordinator_;
+      /**
+       * <code>repeated .borageproxy.coordination.PartOfPrompt parts = 7;</code>
+       */
+      public Builder addParts(
+          org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt.Builder builderForValue) {
+        if (partsBuilder_ == null) {
+          ensurePartsIsMutable();
+          parts_.add(builderForValue.build());
+          onChanged();
+        } else {
+          partsBuilder_.addMessage(builderForValue.build());
         }
-        if (((from_bitField0_ & 0x00000004) != 0)) {
-          result.entries_ = entries_;
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.coordination.PartOfPrompt parts = 7;</code>
+       */
+      public Builder addParts(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt.Builder builderForValue) {
+        if (partsBuilder_ == null) {
+          ensurePartsIsMutable();
+          parts_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          partsBuilder_.addMessage(index, builderForValue.build());
         }
+        return this;
       }
-
-      @java.lang.Override
-      public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate) {
-          return mergeFrom((org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate)other);
+      /**
+       * <code>repeated .borageproxy.coordination.PartOfPrompt parts = 7;</code>
+       */
+      public Builder addAllParts(
+          java.lang.Iterable<? extends org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt> values) {
+        if (partsBuilder_ == null) {
+          ensurePartsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, parts_);
+          onChanged();
         } else {
-          super.mergeFrom(other);
-          return this;
+          partsBuilder_.addAllMessages(values);
         }
+        return this;
       }
-
-      public Builder mergeFrom(org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate other) {
-        if (other == org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate.getDefaultInstance()) return this;
-        if (other.getCoordinates() != false) {
-          setCoordinates(other.getCoordinates());
+      /**
+       * <code>repeated .borageproxy.coordination.PartOfPrompt parts = 7;</code>
+       */
+      public Builder clearParts() {
+        if (partsBuilder_ == null) {
+          parts_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000040);
+          onChanged();
+        } else {
+          partsBuilder_.clear();
         }
-        if (!other.getCoordinator().isEmpty()) {
-          coordinator_ = other.coordinator_;
-          bitField0_ |= 0x00000002;
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.coordination.PartOfPrompt parts = 7;</code>
+       */
+      public Builder removeParts(int index) {
+        if (partsBuilder_ == null) {
+          ensurePartsIsMutable();
+          parts_.remove(index);
           onChanged();
+        } else {
+          partsBuilder_.remove(index);
         }
-        if (other.getEntries() != 0) {
-          setEntries(other.getEntries());
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.coordination.PartOfPrompt parts = 7;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt.Builder getPartsBuilder(
+          int index) {
+        return internalGetPartsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .borageproxy.coordination.PartOfPrompt parts = 7;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.PartOfPromptOrBuilder getPartsOrBuilder(
+          int index) {
+        if (partsBuilder_ == null) {
+          return parts_.get(index);  } else {
+          return partsBuilder_.getMessageOrBuilder(index);
         }
-        if (serversBuilder_ == null) {
-          if (!other.servers_.isEmpty()) {
-            if (servers_.isEmpty()) {
-              servers_ = other.servers_;
-              bitField0_ = (bitField0_ & ~0x00000008);
-            } else {
-              ensureServersIsMutable();
-              servers_.addAll(other.servers_);
-            }
-            onChanged();
-          }
+      }
+      /**
+       * <code>repeated .borageproxy.coordination.PartOfPrompt parts = 7;</code>
+       */
+      public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.PartOfPromptOrBuilder> 
+           getPartsOrBuilderList() {
+        if (partsBuilder_ != null) {
+          return partsBuilder_.getMessageOrBuilderList();
         } else {
-          if (!other.servers_.isEmpty()) {
-            if (serversBuilder_.isEmpty()) {
-              serversBuilder_.dispose();
-              serversBuilder_ = null;
-              servers_ = other.servers_;
-              bitField0_ = (bitField0_ & ~0x00000008);
-              serversBuilder_ = 
-                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                   internalGetServersFieldBuilder() : null;
-            } else {
-              serversBuilder_.addAllMessages(other.servers_);
-            }
-          }
+          return java.util.Collections.unmodifiableList(parts_);
         }
-        if (sharesBuilder_ == null) {
-          if (!other.shares_.isEmpty()) {
-            if (shares_.isEmpty()) {
-              shares_ = other.shares_;
-              bitField0_ = (bitField0_ & ~0x00000010);
-            } else {
-              ensureSharesIsMutable();
-              shares_.addAll(other.shares_);
-            }
-            onChanged();
-          }
-        } else {
-          if (!other.shares_.isEmpty()) {
-            if (sharesBuilder_.isEmpty()) {
-              sharesBuilder_.dispose();
-              sharesBuilder_ = null;
-              shares_ = other.shares_;
-              bitField0_ = (bitField0_ & ~0x00000010);
-              sharesBuilder_ = 
-                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                   internalGetSharesFieldBuilder() : null;
-            } else {
-              sharesBuilder_.addAllMessages(other.shares_);
-            }
-          }
+      }
+      /**
+       * <code>repeated .borageproxy.coordination.PartOfPrompt parts = 7;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt.Builder addPartsBuilder() {
+        return internalGetPartsFieldBuilder().addBuilder(
+            org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .borageproxy.coordination.PartOfPrompt parts = 7;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt.Builder addPartsBuilder(
+          int index) {
+        return internalGetPartsFieldBuilder().addBuilder(
+            index, org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .borageproxy.coordination.PartOfPrompt parts = 7;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt.Builder> 
+           getPartsBuilderList() {
+        return internalGetPartsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt, org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt.Builder, org.borageproxy.wire.proto.CoordinationProtocol.PartOfPromptOrBuilder> 
+          internalGetPartsFieldBuilder() {
+        if (partsBuilder_ == null) {
+          partsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt, org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt.Builder, org.borageproxy.wire.proto.CoordinationProtocol.PartOfPromptOrBuilder>(
+                  parts_,
+                  ((bitField0_ & 0x00000040) != 0),
+                  getParentForChildren(),
+                  isClean());
+          parts_ = null;
         }
-        if (contentsBuilder_ == null) {
-          if (!other.contents_.isEmpty()) {
-            if (contents_.isEmpty()) {
-              contents_ = other.contents_;
-              bitField0_ = (bitField0_ & ~0x00000020);
-            } else {
-              ensureContentsIsMutable();
-              contents_.addAll(other.contents_);
-            }
-            onChanged();
-          }
-        } else {
-          if (!other.contents_.isEmpty()) {
-            if (contentsBuilder_.isEmpty()) {
-              contentsBuilder_.dispose();
-              contentsBuilder_ = null;
-              contents_ = other.contents_;
-              bitField0_ = (bitField0_ & ~0x00000020);
-              contentsBuilder_ = 
-                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                   internalGetContentsFieldBuilder() : null;
-            } else {
-              contentsBuilder_.addAllMessages(other.contents_);
-            }
-          }
+        return partsBuilder_;
+      }
+
+      private int rank_ ;
+      /**
+       * <code>uint32 rank = 8;</code>
+       * @return The rank.
+       */
+      @java.lang.Override
+      public int getRank() {
+        return rank_;
+      }
+      /**
+       * <code>uint32 rank = 8;</code>
+       * @param value The rank to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRank(int value) {
+
+        rank_ = value;
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 rank = 8;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRank() {
+        bitField0_ = (bitField0_ & ~0x00000080);
+        rank_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private int objectiveMillis_ ;
+      /**
+       * <pre>
+       * The time until the answer is late.
+       * </pre>
+       *
+       * <code>uint32 objective_millis = 9;</code>
+       * @return The objectiveMillis.
+       */
+      @java.lang.Override
+      public int getObjectiveMillis() {
+        return objectiveMillis_;
+      }
+      /**
+       * <pre>
+       * The time until the answer is late.
+       * </pre>
+       *
+       * <code>uint32 objective_millis = 9;</code>
+       * @param value The objectiveMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setObjectiveMillis(int value) {
+
+        objectiveMillis_ = value;
+        bitField0_ |= 0x00000100;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The time until the answer is late.
+       * </pre>
+       *
+       * <code>uint32 objective_millis = 9;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearObjectiveMillis() {
+        bitField0_ = (bitField0_ & ~0x00000100);
+        objectiveMillis_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private int deadlineMillis_ ;
+      /**
+       * <pre>
+       * The time until the caller gives up.
+       * </pre>
+       *
+       * <code>uint32 deadline_millis = 10;</code>
+       * @return The deadlineMillis.
+       */
+      @java.lang.Override
+      public int getDeadlineMillis() {
+        return deadlineMillis_;
+      }
+      /**
+       * <pre>
+       * The time until the caller gives up.
+       * </pre>
+       *
+       * <code>uint32 deadline_millis = 10;</code>
+       * @param value The deadlineMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setDeadlineMillis(int value) {
+
+        deadlineMillis_ = value;
+        bitField0_ |= 0x00000200;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The time until the caller gives up.
+       * </pre>
+       *
+       * <code>uint32 deadline_millis = 10;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearDeadlineMillis() {
+        bitField0_ = (bitField0_ & ~0x00000200);
+        deadlineMillis_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private com.google.protobuf.LazyStringArrayList tried_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      private void ensureTriedIsMutable() {
+        if (!tried_.isModifiable()) {
+          tried_ = new com.google.protobuf.LazyStringArrayList(tried_);
         }
-        this.mergeUnknownFields(other.getUnknownFields());
+        bitField0_ |= 0x00000400;
+      }
+      /**
+       * <code>repeated string tried = 11;</code>
+       * @return A list containing the tried.
+       */
+      public com.google.protobuf.ProtocolStringList
+          getTriedList() {
+        tried_.makeImmutable();
+        return tried_;
+      }
+      /**
+       * <code>repeated string tried = 11;</code>
+       * @return The count of tried.
+       */
+      public int getTriedCount() {
+        return tried_.size();
+      }
+      /**
+       * <code>repeated string tried = 11;</code>
+       * @param index The index of the element to return.
+       * @return The tried at the given index.
+       */
+      public java.lang.String getTried(int index) {
+        return tried_.get(index);
+      }
+      /**
+       * <code>repeated string tried = 11;</code>
+       * @param index The index of the value to return.
+       * @return The bytes of the tried at the given index.
+       */
+      public com.google.protobuf.ByteString
+          getTriedBytes(int index) {
+        return tried_.getByteString(index);
+      }
+      /**
+       * <code>repeated string tried = 11;</code>
+       * @param index The index to set the value at.
+       * @param value The tried to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTried(
+          int index, java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        ensureTriedIsMutable();
+        tried_.set(index, value);
+        bitField0_ |= 0x00000400;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string tried = 11;</code>
+       * @param value The tried to add.
+       * @return This builder for chaining.
+       */
+      public Builder addTried(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        ensureTriedIsMutable();
+        tried_.add(value);
+        bitField0_ |= 0x00000400;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string tried = 11;</code>
+       * @param values The tried to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllTried(
+          java.lang.Iterable<java.lang.String> values) {
+        ensureTriedIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, tried_);
+        bitField0_ |= 0x00000400;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string tried = 11;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTried() {
+        tried_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000400);;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string tried = 11;</code>
+       * @param value The bytes of the tried to add.
+       * @return This builder for chaining.
+       */
+      public Builder addTriedBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        ensureTriedIsMutable();
+        tried_.add(value);
+        bitField0_ |= 0x00000400;
+        onChanged();
+        return this;
+      }
+
+      private int waitedMillis_ ;
+      /**
+       * <pre>
+       * How long the request has waited so far.
+       * </pre>
+       *
+       * <code>uint32 waited_millis = 12;</code>
+       * @return The waitedMillis.
+       */
+      @java.lang.Override
+      public int getWaitedMillis() {
+        return waitedMillis_;
+      }
+      /**
+       * <pre>
+       * How long the request has waited so far.
+       * </pre>
+       *
+       * <code>uint32 waited_millis = 12;</code>
+       * @param value The waitedMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setWaitedMillis(int value) {
+
+        waitedMillis_ = value;
+        bitField0_ |= 0x00000800;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * How long the request has waited so far.
+       * </pre>
+       *
+       * <code>uint32 waited_millis = 12;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearWaitedMillis() {
+        bitField0_ = (bitField0_ & ~0x00000800);
+        waitedMillis_ = 0;
         onChanged();
         return this;
       }
 
+      private int mostWaitMillis_ ;
+      /**
+       * <pre>
+       * How long it may wait for a model to be loaded.
+       * </pre>
+       *
+       * <code>uint32 most_wait_millis = 13;</code>
+       * @return The mostWaitMillis.
+       */
       @java.lang.Override
-      public final boolean isInitialized() {
-        return true;
+      public int getMostWaitMillis() {
+        return mostWaitMillis_;
+      }
+      /**
+       * <pre>
+       * How long it may wait for a model to be loaded.
+       * </pre>
+       *
+       * <code>uint32 most_wait_millis = 13;</code>
+       * @param value The mostWaitMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setMostWaitMillis(int value) {
+
+        mostWaitMillis_ = value;
+        bitField0_ |= 0x00001000;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * How long it may wait for a model to be loaded.
+       * </pre>
+       *
+       * <code>uint32 most_wait_millis = 13;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearMostWaitMillis() {
+        bitField0_ = (bitField0_ & ~0x00001000);
+        mostWaitMillis_ = 0;
+        onChanged();
+        return this;
       }
 
+      // @@protoc_insertion_point(builder_scope:borageproxy.coordination.SlotRequest)
+    }
+
+    // @@protoc_insertion_point(class_scope:borageproxy.coordination.SlotRequest)
+    private static final org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest();
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<SlotRequest>
+        PARSER = new com.google.protobuf.AbstractParser<SlotRequest>() {
       @java.lang.Override
-      public Builder mergeFrom(
+      public SlotRequest parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-          throws java.io.IOException {
-        if (extensionRegistry == null) {
-          throw new java.lang.NullPointerException();
-        }
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
         try {
-          boolean done = false;
-          while (!done) {
-            int tag = input.readTag();
-            switch (tag) {
-              case 0:
-                done = true;
-                break;
-              case 8: {
-                coordinates_ = input.readBool();
-                bitField0_ |= 0x00000001;
-                break;
-              } // case 8
-              case 18: {
-                coordinator_ = input.readStringRequireUtf8();
-                bitField0_ |= 0x00000002;
-                break;
-              } // case 18
-              case 24: {
-                entries_ = input.readUInt32();
-                bitField0_ |= 0x00000004;
-                break;
-              } // case 24
-              case 34: {
-                org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage m =
-                    input.readMessage(
-                        org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.parser(),
-                        extensionRegistry);
-                if (serversBuilder_ == null) {
-                  ensureServersIsMutable();
-                  servers_.add(m);
-                } else {
-                  serversBuilder_.addMessage(m);
-                }
-                break;
-              } // case 34
-              case 42: {
-                org.borageproxy.wire.proto.CoordinationProtocol.RateShare m =
-                    input.readMessage(
-                        org.borageproxy.wire.proto.CoordinationProtocol.RateShare.parser(),
-                        extensionRegistry);
-                if (sharesBuilder_ == null) {
-                  ensureSharesIsMutable();
-                  shares_.add(m);
-                } else {
-                  sharesBuilder_.addMessage(m);
-                }
-                break;
-              } // case 42
-              case 50: {
-                org.borageproxy.wire.proto.CoordinationProtocol.ServerContent m =
-                    input.readMessage(
-                        org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.parser(),
-                        extensionRegistry);
-                if (contentsBuilder_ == null) {
-                  ensureContentsIsMutable();
-                  contents_.add(m);
-                } else {
-                  contentsBuilder_.addMessage(m);
-                }
-                break;
-              } // case 50
-              default: {
-                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                  done = true; // was an endgroup tag
-                }
-                break;
-              } // default:
-            } // switch (tag)
-          } // while (!done)
+          builder.mergeFrom(input, extensionRegistry);
         } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-          throw e.unwrapIOException();
-        } finally {
-          onChanged();
-        } // finally
-        return this;
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<SlotRequest> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<SlotRequest> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface PartOfPromptOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.coordination.PartOfPrompt)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string identity = 1;</code>
+     * @return The identity.
+     */
+    java.lang.String getIdentity();
+    /**
+     * <code>string identity = 1;</code>
+     * @return The bytes for identity.
+     */
+    com.google.protobuf.ByteString
+        getIdentityBytes();
+
+    /**
+     * <code>uint32 tokens = 2;</code>
+     * @return The tokens.
+     */
+    int getTokens();
+  }
+  /**
+   * Protobuf type {@code borageproxy.coordination.PartOfPrompt}
+   */
+  public static final class PartOfPrompt extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:borageproxy.coordination.PartOfPrompt)
+      PartOfPromptOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "PartOfPrompt");
+    }
+    // Use PartOfPrompt.newBuilder() to construct.
+    private PartOfPrompt(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private PartOfPrompt() {
+      identity_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_PartOfPrompt_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_PartOfPrompt_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_PartOfPrompt_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt.class, org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt.Builder.class);
+    }
+
+    public static final int IDENTITY_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object identity_ = "";
+    /**
+     * <code>string identity = 1;</code>
+     * @return The identity.
+     */
+    @java.lang.Override
+    public java.lang.String getIdentity() {
+      java.lang.Object ref = identity_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        identity_ = s;
+        return s;
       }
-      private int bitField0_;
+    }
+    /**
+     * <code>string identity = 1;</code>
+     * @return The bytes for identity.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getIdentityBytes() {
+      java.lang.Object ref = identity_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        identity_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
 
-      private boolean coordinates_ ;
-      /**
-       * <pre>
-       * Whether the answering VM coordinates; otherwise only the coordinator is set.
-       * </pre>
-       *
-       * <code>bool coordinates = 1;</code>
-       * @return The coordinates.
-       */
-      @java.lang.Override
-      public boolean getCoordinates() {
-        return coordinates_;
+    public static final int TOKENS_FIELD_NUMBER = 2;
+    private int tokens_ = 0;
+    /**
+     * <code>uint32 tokens = 2;</code>
+     * @return The tokens.
+     */
+    @java.lang.Override
+    public int getTokens() {
+      return tokens_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(identity_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, identity_);
       }
-      /**
-       * <pre>
-       * Whether the answering VM coordinates; otherwise only the coordinator is set.
-       * </pre>
-       *
-       * <code>bool coordinates = 1;</code>
-       * @param value The coordinates to set.
-       * @return This builder for chaining.
-       */
-      public Builder setCoordinates(boolean value) {
+      if (tokens_ != 0) {
+        output.writeUInt32(2, tokens_);
+      }
+      getUnknownFields().writeTo(output);
+    }
 
-        coordinates_ = value;
-        bitField0_ |= 0x00000001;
-        onChanged();
-        return this;
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(identity_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, identity_);
       }
-      /**
-       * <pre>
-       * Whether the answering VM coordinates; otherwise only the coordinator is set.
-       * </pre>
-       *
-       * <code>bool coordinates = 1;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearCoordinates() {
-        bitField0_ = (bitField0_ & ~0x00000001);
-        coordinates_ = false;
-        onChanged();
-        return this;
+      if (tokens_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(2, tokens_);
       }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
 
-      private java.lang.Object coordinator_ = "";
-      /**
-       * <code>string coordinator = 2;</code>
-       * @return The coordinator.
-       */
-      public java.lang.String getCoordinator() {
-        java.lang.Object ref = coordinator_;
-        if (!(ref instanceof java.lang.String)) {
-          com.google.protobuf.ByteString bs =
-              (com.google.protobuf.ByteString) ref;
-          java.lang.String s = bs.toStringUtf8();
-          coordinator_ = s;
-          return s;
-        } else {
-          return (java.lang.String) ref;
-        }
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
       }
-      /**
-       * <code>string coordinator = 2;</code>
-       * @return The bytes for coordinator.
-       */
-      public com.google.protobuf.ByteString
-          getCoordinatorBytes() {
-        java.lang.Object ref = coordinator_;
-        if (ref instanceof String) {
-          com.google.protobuf.ByteString b = 
-              com.google.protobuf.ByteString.copyFromUtf8(
-                  (java.lang.String) ref);
-          coordinator_ = b;
-          return b;
-        } else {
-          return (com.google.protobuf.ByteString) ref;
-        }
+      if (!(obj instanceof org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt)) {
+        return super.equals(obj);
+      }
+      org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt other = (org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt) obj;
+
+      if (!getIdentity()
+          .equals(other.getIdentity())) return false;
+      if (getTokens()
+          != other.getTokens()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + IDENTITY_FIELD_NUMBER;
+      hash = (53 * hash) + getIdentity().hashCode();
+      hash = (37 * hash) + TOKENS_FIELD_NUMBER;
+      hash = (53 * hash) + getTokens();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code borageproxy.coordination.PartOfPrompt}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:borageproxy.coordination.PartOfPrompt)
+        org.borageproxy.wire.proto.CoordinationProtocol.PartOfPromptOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_PartOfPrompt_descriptor;
       }
-      /**
-       * <code>string coordinator = 2;</code>
-       * @param value The coordinator to set.
-       * @return This builder for chaining.
-       */
-      public Builder setCoordinator(
-          java.lang.String value) {
-        if (value == null) { throw new NullPointerException(); }
-        coordinator_ = value;
-        bitField0_ |= 0x00000002;
-        onChanged();
-        return this;
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_PartOfPrompt_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt.class, org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt.Builder.class);
       }
-      /**
-       * <code>string coordinator = 2;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearCoordinator() {
-        coordinator_ = getDefaultInstance().getCoordinator();
-        bitField0_ = (bitField0_ & ~0x00000002);
-        onChanged();
-        return this;
+
+      // Construct using org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt.newBuilder()
+      private Builder() {
+
       }
-      /**
-       * <code>string coordinator = 2;</code>
-       * @param value The bytes for coordinator to set.
-       * @return This builder for chaining.
-       */
-      public Builder setCoordinatorBytes(
-          com.google.protobuf.ByteString value) {
-        if (value == null) { throw new NullPointerException(); }
-        checkByteStringIsUtf8(value);
-        coordinator_ = value;
-        bitField0_ |= 0x00000002;
-        onChanged();
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        identity_ = "";
+        tokens_ = 0;
         return this;
       }
 
-      private int entries_ ;
-      /**
-       * <pre>
-       * The number of entries that reported lately.
-       * </pre>
-       *
-       * <code>uint32 entries = 3;</code>
-       * @return The entries.
-       */
       @java.lang.Override
-      public int getEntries() {
-        return entries_;
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_PartOfPrompt_descriptor;
       }
-      /**
-       * <pre>
-       * The number of entries that reported lately.
-       * </pre>
-       *
-       * <code>uint32 entries = 3;</code>
-       * @param value The entries to set.
-       * @return This builder for chaining.
-       */
-      public Builder setEntries(int value) {
 
-        entries_ = value;
-        bitField0_ |= 0x00000004;
-        onChanged();
-        return this;
-      }
-      /**
-       * <pre>
-       * The number of entries that reported lately.
-       * </pre>
-       *
-       * <code>uint32 entries = 3;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearEntries() {
-        bitField0_ = (bitField0_ & ~0x00000004);
-        entries_ = 0;
-        onChanged();
-        return this;
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt.getDefaultInstance();
       }
 
-      private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage> servers_ =
-        java.util.Collections.emptyList();
-      private void ensureServersIsMutable() {
-        if (!((bitField0_ & 0x00000008) != 0)) {
-          servers_ = new java.util.ArrayList<org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage>(servers_);
-          bitField0_ |= 0x00000008;
-         }
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt build() {
+        org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
       }
 
-      private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsageOrBuilder> serversBuilder_;
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt buildPartial() {
+        org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt result = new org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
 
-      /**
-       * <pre>
-       * The work of all other entries.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
-       */
-      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage> getServersList() {
-        if (serversBuilder_ == null) {
-          return java.util.Collections.unmodifiableList(servers_);
-        } else {
-          return serversBuilder_.getMessageList();
+      private void buildPartial0(org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.identity_ = identity_;
         }
-      }
-      /**
-       * <pre>
-       * The work of all other entries.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
-       */
-      public int getServersCount() {
-        if (serversBuilder_ == null) {
-          return servers_.size();
-        } else {
-          return serversBuilder_.getCount();
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.tokens_ = tokens_;
         }
       }
-      /**
-       * <pre>
-       * The work of all other entries.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
-       */
-      public org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage getServers(int index) {
-        if (serversBuilder_ == null) {
-          return servers_.get(index);
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt) {
+          return mergeFrom((org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt)other);
         } else {
-          return serversBuilder_.getMessage(index);
+          super.mergeFrom(other);
+          return this;
         }
       }
-      /**
-       * <pre>
-       * The work of all other entries.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
-       */
-      public Builder setServers(
-          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage value) {
-        if (serversBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          ensureServersIsMutable();
-          servers_.set(index, value);
+
+      public Builder mergeFrom(org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt other) {
+        if (other == org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt.getDefaultInstance()) return this;
+        if (!other.getIdentity().isEmpty()) {
+          identity_ = other.identity_;
+          bitField0_ |= 0x00000001;
           onChanged();
-        } else {
-          serversBuilder_.setMessage(index, value);
         }
+        if (other.getTokens() != 0) {
+          setTokens(other.getTokens());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
         return this;
       }
-      /**
-       * <pre>
-       * The work of all other entries.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
-       */
-      public Builder setServers(
-          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder builderForValue) {
-        if (serversBuilder_ == null) {
-          ensureServersIsMutable();
-          servers_.set(index, builderForValue.build());
-          onChanged();
-        } else {
-          serversBuilder_.setMessage(index, builderForValue.build());
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
         }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                identity_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                tokens_ = input.readUInt32();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
         return this;
       }
+      private int bitField0_;
+
+      private java.lang.Object identity_ = "";
       /**
-       * <pre>
-       * The work of all other entries.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       * <code>string identity = 1;</code>
+       * @return The identity.
        */
-      public Builder addServers(org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage value) {
-        if (serversBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          ensureServersIsMutable();
-          servers_.add(value);
-          onChanged();
+      public java.lang.String getIdentity() {
+        java.lang.Object ref = identity_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          identity_ = s;
+          return s;
         } else {
-          serversBuilder_.addMessage(value);
+          return (java.lang.String) ref;
         }
-        return this;
       }
       /**
-       * <pre>
-       * The work of all other entries.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       * <code>string identity = 1;</code>
+       * @return The bytes for identity.
        */
-      public Builder addServers(
-          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage value) {
-        if (serversBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          ensureServersIsMutable();
-          servers_.add(index, value);
-          onChanged();
+      public com.google.protobuf.ByteString
+          getIdentityBytes() {
+        java.lang.Object ref = identity_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          identity_ = b;
+          return b;
         } else {
-          serversBuilder_.addMessage(index, value);
+          return (com.google.protobuf.ByteString) ref;
         }
+      }
+      /**
+       * <code>string identity = 1;</code>
+       * @param value The identity to set.
+       * @return This builder for chaining.
+       */
+      public Builder setIdentity(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        identity_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
         return this;
       }
       /**
-       * <pre>
-       * The work of all other entries.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       * <code>string identity = 1;</code>
+       * @return This builder for chaining.
        */
-      public Builder addServers(
-          org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder builderForValue) {
-        if (serversBuilder_ == null) {
-          ensureServersIsMutable();
-          servers_.add(builderForValue.build());
-          onChanged();
-        } else {
-          serversBuilder_.addMessage(builderForValue.build());
-        }
+      public Builder clearIdentity() {
+        identity_ = getDefaultInstance().getIdentity();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
         return this;
       }
       /**
-       * <pre>
-       * The work of all other entries.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       * <code>string identity = 1;</code>
+       * @param value The bytes for identity to set.
+       * @return This builder for chaining.
        */
-      public Builder addServers(
-          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder builderForValue) {
-        if (serversBuilder_ == null) {
-          ensureServersIsMutable();
-          servers_.add(index, builderForValue.build());
-          onChanged();
-        } else {
-          serversBuilder_.addMessage(index, builderForValue.build());
-        }
+      public Builder setIdentityBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        identity_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
         return this;
       }
+
+      private int tokens_ ;
       /**
-       * <pre>
-       * The work of all other entries.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       * <code>uint32 tokens = 2;</code>
+       * @return The tokens.
        */
-      public Builder addAllServers(
-          java.lang.Iterable<? extends org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage> values) {
-        if (serversBuilder_ == null) {
-          ensureServersIsMutable();
-          com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, servers_);
-          onChanged();
-        } else {
-          serversBuilder_.addAllMessages(values);
-        }
+      @java.lang.Override
+      public int getTokens() {
+        return tokens_;
+      }
+      /**
+       * <code>uint32 tokens = 2;</code>
+       * @param value The tokens to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTokens(int value) {
+
+        tokens_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
         return this;
       }
       /**
-       * <pre>
-       * The work of all other entries.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       * <code>uint32 tokens = 2;</code>
+       * @return This builder for chaining.
        */
-      public Builder clearServers() {
-        if (serversBuilder_ == null) {
-          servers_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000008);
-          onChanged();
-        } else {
-          serversBuilder_.clear();
-        }
+      public Builder clearTokens() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        tokens_ = 0;
+        onChanged();
         return this;
       }
+
+      // @@protoc_insertion_point(builder_scope:borageproxy.coordination.PartOfPrompt)
+    }
+
+    // @@protoc_insertion_point(class_scope:borageproxy.coordination.PartOfPrompt)
+    private static final org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt();
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<PartOfPrompt>
+        PARSER = new com.google.protobuf.AbstractParser<PartOfPrompt>() {
+      @java.lang.Override
+      public PartOfPrompt parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<PartOfPrompt> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<PartOfPrompt> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.borageproxy.wire.proto.CoordinationProtocol.PartOfPrompt getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface SlotAnswerOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.coordination.SlotAnswer)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>.borageproxy.coordination.SlotAnswer.Outcome outcome = 1;</code>
+     * @return The enum numeric value on the wire for outcome.
+     */
+    int getOutcomeValue();
+    /**
+     * <code>.borageproxy.coordination.SlotAnswer.Outcome outcome = 1;</code>
+     * @return The outcome.
+     */
+    org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer.Outcome getOutcome();
+
+    /**
+     * <code>string server = 2;</code>
+     * @return The server.
+     */
+    java.lang.String getServer();
+    /**
+     * <code>string server = 2;</code>
+     * @return The bytes for server.
+     */
+    com.google.protobuf.ByteString
+        getServerBytes();
+
+    /**
+     * <code>uint64 incarnation = 3;</code>
+     * @return The incarnation.
+     */
+    long getIncarnation();
+
+    /**
+     * <code>double expected_millis = 4;</code>
+     * @return The expectedMillis.
+     */
+    double getExpectedMillis();
+
+    /**
+     * <code>uint32 unread_tokens = 5;</code>
+     * @return The unreadTokens.
+     */
+    int getUnreadTokens();
+
+    /**
+     * <pre>
+     * Numbers the slots of one entry.
+     * </pre>
+     *
+     * <code>uint64 slot = 6;</code>
+     * @return The slot.
+     */
+    long getSlot();
+
+    /**
+     * <pre>
+     * The time after which the request may find a place.
+     * </pre>
+     *
+     * <code>uint32 come_back_millis = 7;</code>
+     * @return The comeBackMillis.
+     */
+    int getComeBackMillis();
+  }
+  /**
+   * Protobuf type {@code borageproxy.coordination.SlotAnswer}
+   */
+  public static final class SlotAnswer extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:borageproxy.coordination.SlotAnswer)
+      SlotAnswerOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "SlotAnswer");
+    }
+    // Use SlotAnswer.newBuilder() to construct.
+    private SlotAnswer(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private SlotAnswer() {
+      outcome_ = 0;
+      server_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_SlotAnswer_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_SlotAnswer_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_SlotAnswer_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer.class, org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer.Builder.class);
+    }
+
+    /**
+     * Protobuf enum {@code borageproxy.coordination.SlotAnswer.Outcome}
+     */
+    public enum Outcome
+        implements com.google.protobuf.ProtocolMessageEnum {
+      /**
+       * <code>NOT_COORDINATOR = 0;</code>
+       */
+      NOT_COORDINATOR(0),
+      /**
+       * <code>CHOSEN = 1;</code>
+       */
+      CHOSEN(1),
+      /**
+       * <code>NO_SERVER = 2;</code>
+       */
+      NO_SERVER(2),
+      /**
+       * <code>NO_MODEL = 3;</code>
+       */
+      NO_MODEL(3),
+      /**
+       * <code>CROWDED = 4;</code>
+       */
+      CROWDED(4),
+      /**
+       * <code>ALL_TRIED = 5;</code>
+       */
+      ALL_TRIED(5),
       /**
        * <pre>
-       * The work of all other entries.
+       * The request still waits; the entry asks again, so that a lost coordinator is noticed soon.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       * <code>AGAIN = 6;</code>
        */
-      public Builder removeServers(int index) {
-        if (serversBuilder_ == null) {
-          ensureServersIsMutable();
-          servers_.remove(index);
-          onChanged();
-        } else {
-          serversBuilder_.remove(index);
-        }
-        return this;
+      AGAIN(6),
+      UNRECOGNIZED(-1),
+      ;
+
+      static {
+        com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+          com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+          /* major= */ 4,
+          /* minor= */ 34,
+          /* patch= */ 2,
+          /* suffix= */ "",
+          "Outcome");
       }
       /**
-       * <pre>
-       * The work of all other entries.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       * <code>NOT_COORDINATOR = 0;</code>
+       */
+      public static final int NOT_COORDINATOR_VALUE = 0;
+      /**
+       * <code>CHOSEN = 1;</code>
+       */
+      public static final int CHOSEN_VALUE = 1;
+      /**
+       * <code>NO_SERVER = 2;</code>
+       */
+      public static final int NO_SERVER_VALUE = 2;
+      /**
+       * <code>NO_MODEL = 3;</code>
        */
-      public org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder getServersBuilder(
-          int index) {
-        return internalGetServersFieldBuilder().getBuilder(index);
-      }
+      public static final int NO_MODEL_VALUE = 3;
+      /**
+       * <code>CROWDED = 4;</code>
+       */
+      public static final int CROWDED_VALUE = 4;
+      /**
+       * <code>ALL_TRIED = 5;</code>
+       */
+      public static final int ALL_TRIED_VALUE = 5;
       /**
        * <pre>
-       * The work of all other entries.
+       * The request still waits; the entry asks again, so that a lost coordinator is noticed soon.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       * <code>AGAIN = 6;</code>
        */
-      public org.borageproxy.wire.proto.CoordinationProtocol.ServerUsageOrBuilder getServersOrBuilder(
-          int index) {
-        if (serversBuilder_ == null) {
-          return servers_.get(index);  } else {
-          return serversBuilder_.getMessageOrBuilder(index);
+      public static final int AGAIN_VALUE = 6;
+
+
+      public final int getNumber() {
+        if (this == UNRECOGNIZED) {
+          throw new java.lang.IllegalArgumentException(
+              "Can't get the number of an unknown enum value.");
         }
+        return value;
       }
+
       /**
-       * <pre>
-       * The work of all other entries.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       * @param value The numeric wire value of the corresponding enum entry.
+       * @return The enum associated with the given numeric wire value.
+       * @deprecated Use {@link #forNumber(int)} instead.
        */
-      public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.ServerUsageOrBuilder> 
-           getServersOrBuilderList() {
-        if (serversBuilder_ != null) {
-          return serversBuilder_.getMessageOrBuilderList();
-        } else {
-          return java.util.Collections.unmodifiableList(servers_);
+      @java.lang.Deprecated
+      public static Outcome valueOf(int value) {
+        return forNumber(value);
+      }
+
+      /**
+       * @param value The numeric wire value of the corresponding enum entry.
+       * @return The enum associated with the given numeric wire value.
+       */
+      public static Outcome forNumber(int value) {
+        switch (value) {
+          case 0: return NOT_COORDINATOR;
+          case 1: return CHOSEN;
+          case 2: return NO_SERVER;
+          case 3: return NO_MODEL;
+          case 4: return CROWDED;
+          case 5: return ALL_TRIED;
+          case 6: return AGAIN;
+          default: return null;
+        }
+      }
+
+      public static com.google.protobuf.Internal.EnumLiteMap<Outcome>
+          internalGetValueMap() {
+        return internalValueMap;
+      }
+      private static final com.google.protobuf.Internal.EnumLiteMap<
+          Outcome> internalValueMap =
+            new com.google.protobuf.Internal.EnumLiteMap<Outcome>() {
+              public Outcome findValueByNumber(int number) {
+                return Outcome.forNumber(number);
+              }
+            };
+
+      public final com.google.protobuf.Descriptors.EnumValueDescriptor
+          getValueDescriptor() {
+        if (this == UNRECOGNIZED) {
+          throw new java.lang.IllegalStateException(
+              "Can't get the descriptor of an unrecognized enum value.");
+        }
+        return getDescriptor().getValue(ordinal());
+      }
+      public final com.google.protobuf.Descriptors.EnumDescriptor
+          getDescriptorForType() {
+        return getDescriptor();
+      }
+      public static com.google.protobuf.Descriptors.EnumDescriptor
+          getDescriptor() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer.getDescriptor().getEnumType(0);
+      }
+
+      private static final Outcome[] VALUES = values();
+
+      public static Outcome valueOf(
+          com.google.protobuf.Descriptors.EnumValueDescriptor desc) {
+        if (desc.getType() != getDescriptor()) {
+          throw new java.lang.IllegalArgumentException(
+            "EnumValueDescriptor is not for this type.");
+        }
+        if (desc.getIndex() == -1) {
+          return UNRECOGNIZED;
         }
+        return VALUES[desc.getIndex()];
+      }
+
+      private final int value;
+
+      private Outcome(int value) {
+        this.value = value;
+      }
+
+      // @@protoc_insertion_point(enum_scope:borageproxy.coordination.SlotAnswer.Outcome)
+    }
+
+    public static final int OUTCOME_FIELD_NUMBER = 1;
+    private int outcome_ = 0;
+    /**
+     * <code>.borageproxy.coordination.SlotAnswer.Outcome outcome = 1;</code>
+     * @return The enum numeric value on the wire for outcome.
+     */
+    @java.lang.Override public int getOutcomeValue() {
+      return outcome_;
+    }
+    /**
+     * <code>.borageproxy.coordination.SlotAnswer.Outcome outcome = 1;</code>
+     * @return The outcome.
+     */
+    @java.lang.Override public org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer.Outcome getOutcome() {
+      org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer.Outcome result = org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer.Outcome.forNumber(outcome_);
+      return result == null ? org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer.Outcome.UNRECOGNIZED : result;
+    }
+
+    public static final int SERVER_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object server_ = "";
+    /**
+     * <code>string server = 2;</code>
+     * @return The server.
+     */
+    @java.lang.Override
+    public java.lang.String getServer() {
+      java.lang.Object ref = server_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        server_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string server = 2;</code>
+     * @return The bytes for server.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getServerBytes() {
+      java.lang.Object ref = server_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        server_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int INCARNATION_FIELD_NUMBER = 3;
+    private long incarnation_ = 0L;
+    /**
+     * <code>uint64 incarnation = 3;</code>
+     * @return The incarnation.
+     */
+    @java.lang.Override
+    public long getIncarnation() {
+      return incarnation_;
+    }
+
+    public static final int EXPECTED_MILLIS_FIELD_NUMBER = 4;
+    private double expectedMillis_ = 0D;
+    /**
+     * <code>double expected_millis = 4;</code>
+     * @return The expectedMillis.
+     */
+    @java.lang.Override
+    public double getExpectedMillis() {
+      return expectedMillis_;
+    }
+
+    public static final int UNREAD_TOKENS_FIELD_NUMBER = 5;
+    private int unreadTokens_ = 0;
+    /**
+     * <code>uint32 unread_tokens = 5;</code>
+     * @return The unreadTokens.
+     */
+    @java.lang.Override
+    public int getUnreadTokens() {
+      return unreadTokens_;
+    }
+
+    public static final int SLOT_FIELD_NUMBER = 6;
+    private long slot_ = 0L;
+    /**
+     * <pre>
+     * Numbers the slots of one entry.
+     * </pre>
+     *
+     * <code>uint64 slot = 6;</code>
+     * @return The slot.
+     */
+    @java.lang.Override
+    public long getSlot() {
+      return slot_;
+    }
+
+    public static final int COME_BACK_MILLIS_FIELD_NUMBER = 7;
+    private int comeBackMillis_ = 0;
+    /**
+     * <pre>
+     * The time after which the request may find a place.
+     * </pre>
+     *
+     * <code>uint32 come_back_millis = 7;</code>
+     * @return The comeBackMillis.
+     */
+    @java.lang.Override
+    public int getComeBackMillis() {
+      return comeBackMillis_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (outcome_ != org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer.Outcome.NOT_COORDINATOR.getNumber()) {
+        output.writeEnum(1, outcome_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(server_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, server_);
+      }
+      if (incarnation_ != 0L) {
+        output.writeUInt64(3, incarnation_);
+      }
+      if (java.lang.Double.doubleToRawLongBits(expectedMillis_) != 0) {
+        output.writeDouble(4, expectedMillis_);
+      }
+      if (unreadTokens_ != 0) {
+        output.writeUInt32(5, unreadTokens_);
+      }
+      if (slot_ != 0L) {
+        output.writeUInt64(6, slot_);
+      }
+      if (comeBackMillis_ != 0) {
+        output.writeUInt32(7, comeBackMillis_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (outcome_ != org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer.Outcome.NOT_COORDINATOR.getNumber()) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeEnumSize(1, outcome_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(server_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, server_);
+      }
+      if (incarnation_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, incarnation_);
+      }
+      if (java.lang.Double.doubleToRawLongBits(expectedMillis_) != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeDoubleSize(4, expectedMillis_);
+      }
+      if (unreadTokens_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(5, unreadTokens_);
+      }
+      if (slot_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(6, slot_);
+      }
+      if (comeBackMillis_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(7, comeBackMillis_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer)) {
+        return super.equals(obj);
+      }
+      org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer other = (org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer) obj;
+
+      if (outcome_ != other.outcome_) return false;
+      if (!getServer()
+          .equals(other.getServer())) return false;
+      if (getIncarnation()
+          != other.getIncarnation()) return false;
+      if (java.lang.Double.doubleToLongBits(getExpectedMillis())
+          != java.lang.Double.doubleToLongBits(
+              other.getExpectedMillis())) return false;
+      if (getUnreadTokens()
+          != other.getUnreadTokens()) return false;
+      if (getSlot()
+          != other.getSlot()) return false;
+      if (getComeBackMillis()
+          != other.getComeBackMillis()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + OUTCOME_FIELD_NUMBER;
+      hash = (53 * hash) + outcome_;
+      hash = (37 * hash) + SERVER_FIELD_NUMBER;
+      hash = (53 * hash) + getServer().hashCode();
+      hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getIncarnation());
+      hash = (37 * hash) + EXPECTED_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          java.lang.Double.doubleToLongBits(getExpectedMillis()));
+      hash = (37 * hash) + UNREAD_TOKENS_FIELD_NUMBER;
+      hash = (53 * hash) + getUnreadTokens();
+      hash = (37 * hash) + SLOT_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getSlot());
+      hash = (37 * hash) + COME_BACK_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + getComeBackMillis();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code borageproxy.coordination.SlotAnswer}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:borageproxy.coordination.SlotAnswer)
+        org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswerOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_SlotAnswer_descriptor;
       }
-      /**
-       * <pre>
-       * The work of all other entries.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
-       */
-      public org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder addServersBuilder() {
-        return internalGetServersFieldBuilder().addBuilder(
-            org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.getDefaultInstance());
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_SlotAnswer_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer.class, org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer.Builder.class);
       }
-      /**
-       * <pre>
-       * The work of all other entries.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
-       */
-      public org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder addServersBuilder(
-          int index) {
-        return internalGetServersFieldBuilder().addBuilder(
-            index, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.getDefaultInstance());
+
+      // Construct using org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer.newBuilder()
+      private Builder() {
+
       }
-      /**
-       * <pre>
-       * The work of all other entries.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
-       */
-      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder> 
-           getServersBuilderList() {
-        return internalGetServersFieldBuilder().getBuilderList();
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
       }
-      private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsageOrBuilder> 
-          internalGetServersFieldBuilder() {
-        if (serversBuilder_ == null) {
-          serversBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsageOrBuilder>(
-                  servers_,
-                  ((bitField0_ & 0x00000008) != 0),
-                  getParentForChildren(),
-                  isClean());
-          servers_ = null;
-        }
-        return serversBuilder_;
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        outcome_ = 0;
+        server_ = "";
+        incarnation_ = 0L;
+        expectedMillis_ = 0D;
+        unreadTokens_ = 0;
+        slot_ = 0L;
+        comeBackMillis_ = 0;
+        return this;
       }
 
-      private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.RateShare> shares_ =
-        java.util.Collections.emptyList();
-      private void ensureSharesIsMutable() {
-        if (!((bitField0_ & 0x00000010) != 0)) {
-          shares_ = new java.util.ArrayList<org.borageproxy.wire.proto.CoordinationProtocol.RateShare>(shares_);
-          bitField0_ |= 0x00000010;
-         }
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_SlotAnswer_descriptor;
       }
 
-      private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.CoordinationProtocol.RateShare, org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder, org.borageproxy.wire.proto.CoordinationProtocol.RateShareOrBuilder> sharesBuilder_;
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer.getDefaultInstance();
+      }
 
-      /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
-       */
-      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.RateShare> getSharesList() {
-        if (sharesBuilder_ == null) {
-          return java.util.Collections.unmodifiableList(shares_);
-        } else {
-          return sharesBuilder_.getMessageList();
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer build() {
+        org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
         }
+        return result;
       }
-      /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
-       */
-      public int getSharesCount() {
-        if (sharesBuilder_ == null) {
-          return shares_.size();
-        } else {
-          return sharesBuilder_.getCount();
-        }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer buildPartial() {
+        org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer result = new org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
       }
-      /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
-       */
-      public org.borageproxy.wire.proto.CoordinationProtocol.RateShare getShares(int index) {
-        if (sharesBuilder_ == null) {
-          return shares_.get(index);
-        } else {
-          return sharesBuilder_.getMessage(index);
+
+      private void buildPartial0(org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.outcome_ = outcome_;
         }
-      }
-      /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
-       */
-      public Builder setShares(
-          int index, org.borageproxy.wire.proto.CoordinationProtocol.RateShare value) {
-        if (sharesBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          ensureSharesIsMutable();
-          shares_.set(index, value);
-          onChanged();
-        } else {
-          sharesBuilder_.setMessage(index, value);
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.server_ = server_;
         }
-        return this;
-      }
-      /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
-       */
-      public Builder setShares(
-          int index, org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder builderForValue) {
-        if (sharesBuilder_ == null) {
-          ensureSharesIsMutable();
-          shares_.set(index, builderForValue.build());
-          onChanged();
-        } else {
-          sharesBuilder_.setMessage(index, builderForValue.build());
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.incarnation_ = incarnation_;
         }
-        return this;
-      }
-      /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
-       */
-      public Builder addShares(org.borageproxy.wire.proto.CoordinationProtocol.RateShare value) {
-        if (sharesBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          ensureSharesIsMutable();
-          shares_.add(value);
-          onChanged();
-        } else {
-          sharesBuilder_.addMessage(value);
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.expectedMillis_ = expectedMillis_;
         }
-        return this;
-      }
-      /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
-       */
-      public Builder addShares(
-          int index, org.borageproxy.wire.proto.CoordinationProtocol.RateShare value) {
-        if (sharesBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          ensureSharesIsMutable();
-          shares_.add(index, value);
-          onChanged();
-        } else {
-          sharesBuilder_.addMessage(index, value);
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.unreadTokens_ = unreadTokens_;
         }
-        return this;
-      }
-      /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
-       */
-      public Builder addShares(
-          org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder builderForValue) {
-        if (sharesBuilder_ == null) {
-          ensureSharesIsMutable();
-          shares_.add(builderForValue.build());
-          onChanged();
-        } else {
-          sharesBuilder_.addMessage(builderForValue.build());
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.slot_ = slot_;
         }
-        return this;
-      }
-      /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
-       */
-      public Builder addShares(
-          int index, org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder builderForValue) {
-        if (sharesBuilder_ == null) {
-          ensureSharesIsMutable();
-          shares_.add(index, builderForValue.build());
-          onChanged();
-        } else {
-          sharesBuilder_.addMessage(index, builderForValue.build());
+        if (((from_bitField0_ & 0x00000040) != 0)) {
+          result.comeBackMillis_ = comeBackMillis_;
         }
-        return this;
       }
-      /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
-       */
-      public Builder addAllShares(
-          java.lang.Iterable<? extends org.borageproxy.wire.proto.CoordinationProtocol.RateShare> values) {
-        if (sharesBuilder_ == null) {
-          ensureSharesIsMutable();
-          com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, shares_);
-          onChanged();
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer) {
+          return mergeFrom((org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer)other);
         } else {
-          sharesBuilder_.addAllMessages(values);
+          super.mergeFrom(other);
+          return this;
         }
-        return this;
       }
-      /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
-       */
-      public Builder clearShares() {
-        if (sharesBuilder_ == null) {
-          shares_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000010);
+
+      public Builder mergeFrom(org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer other) {
+        if (other == org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer.getDefaultInstance()) return this;
+        if (other.outcome_ != 0) {
+          setOutcomeValue(other.getOutcomeValue());
+        }
+        if (!other.getServer().isEmpty()) {
+          server_ = other.server_;
+          bitField0_ |= 0x00000002;
           onChanged();
-        } else {
-          sharesBuilder_.clear();
         }
+        if (other.getIncarnation() != 0L) {
+          setIncarnation(other.getIncarnation());
+        }
+        if (java.lang.Double.doubleToRawLongBits(other.getExpectedMillis()) != 0) {
+          setExpectedMillis(other.getExpectedMillis());
+        }
+        if (other.getUnreadTokens() != 0) {
+          setUnreadTokens(other.getUnreadTokens());
+        }
+        if (other.getSlot() != 0L) {
+          setSlot(other.getSlot());
+        }
+        if (other.getComeBackMillis() != 0) {
+          setComeBackMillis(other.getComeBackMillis());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
         return this;
       }
-      /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
-       */
-      public Builder removeShares(int index) {
-        if (sharesBuilder_ == null) {
-          ensureSharesIsMutable();
-          shares_.remove(index);
-          onChanged();
-        } else {
-          sharesBuilder_.remove(index);
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
         }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                outcome_ = input.readEnum();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 18: {
+                server_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              case 24: {
+                incarnation_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 33: {
+                expectedMillis_ = input.readDouble();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 33
+              case 40: {
+                unreadTokens_ = input.readUInt32();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
+              case 48: {
+                slot_ = input.readUInt64();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 48
+              case 56: {
+                comeBackMillis_ = input.readUInt32();
+                bitField0_ |= 0x00000040;
+                break;
+              } // case 56
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
         return this;
       }
+      private int bitField0_;
+
+      private int outcome_ = 0;
       /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       * <code>.borageproxy.coordination.SlotAnswer.Outcome outcome = 1;</code>
+       * @return The enum numeric value on the wire for outcome.
        */
-      public org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder getSharesBuilder(
-          int index) {
-        return internalGetSharesFieldBuilder().getBuilder(index);
+      @java.lang.Override public int getOutcomeValue() {
+        return outcome_;
       }
       /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       * <code>.borageproxy.coordination.SlotAnswer.Outcome outcome = 1;</code>
+       * @param value The enum numeric value on the wire for outcome to set.
+       * @throws IllegalArgumentException if UNRECOGNIZED is provided.
+       * @return This builder for chaining.
        */
-      public org.borageproxy.wire.proto.CoordinationProtocol.RateShareOrBuilder getSharesOrBuilder(
-          int index) {
-        if (sharesBuilder_ == null) {
-          return shares_.get(index);  } else {
-          return sharesBuilder_.getMessageOrBuilder(index);
-        }
+      public Builder setOutcomeValue(int value) {
+        outcome_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
       }
       /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       * <code>.borageproxy.coordination.SlotAnswer.Outcome outcome = 1;</code>
+       * @return The outcome.
        */
-      public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.RateShareOrBuilder> 
-           getSharesOrBuilderList() {
-        if (sharesBuilder_ != null) {
-          return sharesBuilder_.getMessageOrBuilderList();
-        } else {
-          return java.util.Collections.unmodifiableList(shares_);
-        }
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer.Outcome getOutcome() {
+        org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer.Outcome result = org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer.Outcome.forNumber(outcome_);
+        return result == null ? org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer.Outcome.UNRECOGNIZED : result;
       }
       /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       * <code>.borageproxy.coordination.SlotAnswer.Outcome outcome = 1;</code>
+       * @param value The outcome to set.
+       * @return This builder for chaining.
        */
-      public org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder addSharesBuilder() {
-        return internalGetSharesFieldBuilder().addBuilder(
-            org.borageproxy.wire.proto.CoordinationProtocol.RateShare.getDefaultInstance());
+      public Builder setOutcome(org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer.Outcome value) {
+        if (value == null) { throw new NullPointerException(); }
+        bitField0_ |= 0x00000001;
+        outcome_ = value.getNumber();
+        onChanged();
+        return this;
       }
       /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       * <code>.borageproxy.coordination.SlotAnswer.Outcome outcome = 1;</code>
+       * @return This builder for chaining.
        */
-      public org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder addSharesBuilder(
-          int index) {
-        return internalGetSharesFieldBuilder().addBuilder(
-            index, org.borageproxy.wire.proto.CoordinationProtocol.RateShare.getDefaultInstance());
+      public Builder clearOutcome() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        outcome_ = 0;
+        onChanged();
+        return this;
       }
+
+      private java.lang.Object server_ = "";
       /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       * <code>string server = 2;</code>
+       * @return The server.
        */
-      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder> 
-           getSharesBuilderList() {
-        return internalGetSharesFieldBuilder().getBuilderList();
-      }
-      private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.CoordinationProtocol.RateShare, org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder, org.borageproxy.wire.proto.CoordinationProtocol.RateShareOrBuilder> 
-          internalGetSharesFieldBuilder() {
-        if (sharesBuilder_ == null) {
-          sharesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              org.borageproxy.wire.proto.CoordinationProtocol.RateShare, org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder, org.borageproxy.wire.proto.CoordinationProtocol.RateShareOrBuilder>(
-                  shares_,
-                  ((bitField0_ & 0x00000010) != 0),
-                  getParentForChildren(),
-                  isClean());
-          shares_ = null;
+      public java.lang.String getServer() {
+        java.lang.Object ref = server_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          server_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
         }
-        return sharesBuilder_;
-      }
-
-      private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerContent> contents_ =
-        java.util.Collections.emptyList();
-      private void ensureContentsIsMutable() {
-        if (!((bitField0_ & 0x00000020) != 0)) {
-          contents_ = new java.util.ArrayList<org.borageproxy.wire.proto.CoordinationProtocol.ServerContent>(contents_);
-          bitField0_ |= 0x00000020;
-         }
       }
-
-      private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.CoordinationProtocol.ServerContent, org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder, org.borageproxy.wire.proto.CoordinationProtocol.ServerContentOrBuilder> contentsBuilder_;
-
       /**
-       * <pre>
-       * All backend servers of which the coordinator knows more than they announced.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>string server = 2;</code>
+       * @return The bytes for server.
        */
-      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerContent> getContentsList() {
-        if (contentsBuilder_ == null) {
-          return java.util.Collections.unmodifiableList(contents_);
+      public com.google.protobuf.ByteString
+          getServerBytes() {
+        java.lang.Object ref = server_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          server_ = b;
+          return b;
         } else {
-          return contentsBuilder_.getMessageList();
+          return (com.google.protobuf.ByteString) ref;
         }
       }
       /**
-       * <pre>
-       * All backend servers of which the coordinator knows more than they announced.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>string server = 2;</code>
+       * @param value The server to set.
+       * @return This builder for chaining.
        */
-      public int getContentsCount() {
-        if (contentsBuilder_ == null) {
-          return contents_.size();
-        } else {
-          return contentsBuilder_.getCount();
-        }
+      public Builder setServer(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        server_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
       }
       /**
-       * <pre>
-       * All backend servers of which the coordinator knows more than they announced.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>string server = 2;</code>
+       * @return This builder for chaining.
        */
-      public org.borageproxy.wire.proto.CoordinationProtocol.ServerContent getContents(int index) {
-        if (contentsBuilder_ == null) {
-          return contents_.get(index);
-        } else {
-          return contentsBuilder_.getMessage(index);
-        }
+      public Builder clearServer() {
+        server_ = getDefaultInstance().getServer();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
       }
       /**
-       * <pre>
-       * All backend servers of which the coordinator knows more than they announced.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>string server = 2;</code>
+       * @param value The bytes for server to set.
+       * @return This builder for chaining.
        */
-      public Builder setContents(
-          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerContent value) {
-        if (contentsBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          ensureContentsIsMutable();
-          contents_.set(index, value);
-          onChanged();
-        } else {
-          contentsBuilder_.setMessage(index, value);
-        }
+      public Builder setServerBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        server_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
         return this;
       }
+
+      private long incarnation_ ;
       /**
-       * <pre>
-       * All backend servers of which the coordinator knows more than they announced.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>uint64 incarnation = 3;</code>
+       * @return The incarnation.
+       */
+      @java.lang.Override
+      public long getIncarnation() {
+        return incarnation_;
+      }
+      /**
+       * <code>uint64 incarnation = 3;</code>
+       * @param value The incarnation to set.
+       * @return This builder for chaining.
        */
-      public Builder setContents(
-          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder builderForValue) {
-        if (contentsBuilder_ == null) {
-          ensureContentsIsMutable();
-          contents_.set(index, builderForValue.build());
-          onChanged();
-        } else {
-          contentsBuilder_.setMessage(index, builderForValue.build());
-        }
+      public Builder setIncarnation(long value) {
+
+        incarnation_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
         return this;
       }
       /**
-       * <pre>
-       * All backend servers of which the coordinator knows more than they announced.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>uint64 incarnation = 3;</code>
+       * @return This builder for chaining.
        */
-      public Builder addContents(org.borageproxy.wire.proto.CoordinationProtocol.ServerContent value) {
-        if (contentsBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          ensureContentsIsMutable();
-          contents_.add(value);
-          onChanged();
-        } else {
-          contentsBuilder_.addMessage(value);
-        }
+      public Builder clearIncarnation() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        incarnation_ = 0L;
+        onChanged();
         return this;
       }
+
+      private double expectedMillis_ ;
       /**
-       * <pre>
-       * All backend servers of which the coordinator knows more than they announced.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>double expected_millis = 4;</code>
+       * @return The expectedMillis.
        */
-      public Builder addContents(
-          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerContent value) {
-        if (contentsBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          ensureContentsIsMutable();
-          contents_.add(index, value);
-          onChanged();
-        } else {
-          contentsBuilder_.addMessage(index, value);
-        }
-        return this;
+      @java.lang.Override
+      public double getExpectedMillis() {
+        return expectedMillis_;
       }
       /**
-       * <pre>
-       * All backend servers of which the coordinator knows more than they announced.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>double expected_millis = 4;</code>
+       * @param value The expectedMillis to set.
+       * @return This builder for chaining.
        */
-      public Builder addContents(
-          org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder builderForValue) {
-        if (contentsBuilder_ == null) {
-          ensureContentsIsMutable();
-          contents_.add(builderForValue.build());
-          onChanged();
-        } else {
-          contentsBuilder_.addMessage(builderForValue.build());
-        }
+      public Builder setExpectedMillis(double value) {
+
+        expectedMillis_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
         return this;
       }
       /**
-       * <pre>
-       * All backend servers of which the coordinator knows more than they announced.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>double expected_millis = 4;</code>
+       * @return This builder for chaining.
        */
-      public Builder addContents(
-          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder builderForValue) {
-        if (contentsBuilder_ == null) {
-          ensureContentsIsMutable();
-          contents_.add(index, builderForValue.build());
-          onChanged();
-        } else {
-          contentsBuilder_.addMessage(index, builderForValue.build());
-        }
+      public Builder clearExpectedMillis() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        expectedMillis_ = 0D;
+        onChanged();
         return this;
       }
+
+      private int unreadTokens_ ;
       /**
-       * <pre>
-       * All backend servers of which the coordinator knows more than they announced.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>uint32 unread_tokens = 5;</code>
+       * @return The unreadTokens.
        */
-      public Builder addAllContents(
-          java.lang.Iterable<? extends org.borageproxy.wire.proto.CoordinationProtocol.ServerContent> values) {
-        if (contentsBuilder_ == null) {
-          ensureContentsIsMutable();
-          com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, contents_);
-          onChanged();
-        } else {
-          contentsBuilder_.addAllMessages(values);
-        }
-        return this;
+      @java.lang.Override
+      public int getUnreadTokens() {
+        return unreadTokens_;
       }
       /**
-       * <pre>
-       * All backend servers of which the coordinator knows more than they announced.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>uint32 unread_tokens = 5;</code>
+       * @param value The unreadTokens to set.
+       * @return This builder for chaining.
        */
-      public Builder clearContents() {
-        if (contentsBuilder_ == null) {
-          contents_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000020);
-          onChanged();
-        } else {
-          contentsBuilder_.clear();
-        }
+      public Builder setUnreadTokens(int value) {
+
+        unreadTokens_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
         return this;
       }
       /**
-       * <pre>
-       * All backend servers of which the coordinator knows more than they announced.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>uint32 unread_tokens = 5;</code>
+       * @return This builder for chaining.
        */
-      public Builder removeContents(int index) {
-        if (contentsBuilder_ == null) {
-          ensureContentsIsMutable();
-          contents_.remove(index);
-          onChanged();
-        } else {
-          contentsBuilder_.remove(index);
-        }
+      public Builder clearUnreadTokens() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        unreadTokens_ = 0;
+        onChanged();
         return this;
       }
+
+      private long slot_ ;
       /**
        * <pre>
-       * All backend servers of which the coordinator knows more than they announced.
+       * Numbers the slots of one entry.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>uint64 slot = 6;</code>
+       * @return The slot.
        */
-      public org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder getContentsBuilder(
-          int index) {
-        return internalGetContentsFieldBuilder().getBuilder(index);
+      @java.lang.Override
+      public long getSlot() {
+        return slot_;
       }
       /**
        * <pre>
-       * All backend servers of which the coordinator knows more than they announced.
+       * Numbers the slots of one entry.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>uint64 slot = 6;</code>
+       * @param value The slot to set.
+       * @return This builder for chaining.
        */
-      public org.borageproxy.wire.proto.CoordinationProtocol.ServerContentOrBuilder getContentsOrBuilder(
-          int index) {
-        if (contentsBuilder_ == null) {
-          return contents_.get(index);  } else {
-          return contentsBuilder_.getMessageOrBuilder(index);
-        }
+      public Builder setSlot(long value) {
+
+        slot_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
       }
       /**
        * <pre>
-       * All backend servers of which the coordinator knows more than they announced.
+       * Numbers the slots of one entry.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>uint64 slot = 6;</code>
+       * @return This builder for chaining.
        */
-      public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.ServerContentOrBuilder> 
-           getContentsOrBuilderList() {
-        if (contentsBuilder_ != null) {
-          return contentsBuilder_.getMessageOrBuilderList();
-        } else {
-          return java.util.Collections.unmodifiableList(contents_);
-        }
+      public Builder clearSlot() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        slot_ = 0L;
+        onChanged();
+        return this;
       }
+
+      private int comeBackMillis_ ;
       /**
        * <pre>
-       * All backend servers of which the coordinator knows more than they announced.
+       * The time after which the request may find a place.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>uint32 come_back_millis = 7;</code>
+       * @return The comeBackMillis.
        */
-      public org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder addContentsBuilder() {
-        return internalGetContentsFieldBuilder().addBuilder(
-            org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.getDefaultInstance());
+      @java.lang.Override
+      public int getComeBackMillis() {
+        return comeBackMillis_;
       }
       /**
        * <pre>
-       * All backend servers of which the coordinator knows more than they announced.
+       * The time after which the request may find a place.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>uint32 come_back_millis = 7;</code>
+       * @param value The comeBackMillis to set.
+       * @return This builder for chaining.
        */
-      public org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder addContentsBuilder(
-          int index) {
-        return internalGetContentsFieldBuilder().addBuilder(
-            index, org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.getDefaultInstance());
+      public Builder setComeBackMillis(int value) {
+
+        comeBackMillis_ = value;
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
       }
       /**
        * <pre>
-       * All backend servers of which the coordinator knows more than they announced.
+       * The time after which the request may find a place.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>uint32 come_back_millis = 7;</code>
+       * @return This builder for chaining.
        */
-      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder> 
-           getContentsBuilderList() {
-        return internalGetContentsFieldBuilder().getBuilderList();
-      }
-      private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.CoordinationProtocol.ServerContent, org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder, org.borageproxy.wire.proto.CoordinationProtocol.ServerContentOrBuilder> 
-          internalGetContentsFieldBuilder() {
-        if (contentsBuilder_ == null) {
-          contentsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              org.borageproxy.wire.proto.CoordinationProtocol.ServerContent, org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder, org.borageproxy.wire.proto.CoordinationProtocol.ServerContentOrBuilder>(
-                  contents_,
-                  ((bitField0_ & 0x00000020) != 0),
-                  getParentForChildren(),
-                  isClean());
-          contents_ = null;
-        }
-        return contentsBuilder_;
+      public Builder clearComeBackMillis() {
+        bitField0_ = (bitField0_ & ~0x00000040);
+        comeBackMillis_ = 0;
+        onChanged();
+        return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:borageproxy.coordination.CoordinationUpdate)
+      // @@protoc_insertion_point(builder_scope:borageproxy.coordination.SlotAnswer)
     }
 
-    // @@protoc_insertion_point(class_scope:borageproxy.coordination.CoordinationUpdate)
-    private static final org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:borageproxy.coordination.SlotAnswer)
+    private static final org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate();
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer();
     }
 
-    public static org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate getDefaultInstance() {
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<CoordinationUpdate>
-        PARSER = new com.google.protobuf.AbstractParser<CoordinationUpdate>() {
+    private static final com.google.protobuf.Parser<SlotAnswer>
+        PARSER = new com.google.protobuf.AbstractParser<SlotAnswer>() {
       @java.lang.Override
-      public CoordinationUpdate parsePartialFrom(
+      public SlotAnswer parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -6534,17 +11800,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<CoordinationUpdate> parser() {
+    public static com.google.protobuf.Parser<SlotAnswer> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<CoordinationUpdate> getParserForType() {
+    public com.google.protobuf.Parser<SlotAnswer> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate getDefaultInstanceForType() {
+    public org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -9345,6 +14611,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_borageproxy_coordination_UsageReport_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_borageproxy_coordination_ModelPace_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_borageproxy_coordination_ModelPace_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_borageproxy_coordination_ServerUsage_descriptor;
   private static final 
@@ -9365,6 +14636,21 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_borageproxy_coordination_CoordinationUpdate_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_borageproxy_coordination_SlotRequest_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_borageproxy_coordination_SlotRequest_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_borageproxy_coordination_PartOfPrompt_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_borageproxy_coordination_PartOfPrompt_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_borageproxy_coordination_SlotAnswer_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_borageproxy_coordination_SlotAnswer_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_borageproxy_coordination_RateShare_descriptor;
   private static final 
