@@ -9390,33 +14676,54 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\022coordination.proto\022\030borageproxy.coordi" +
-      "nation\"\314\001\n\013UsageReport\022\017\n\007session\030\001 \001(\t\022" +
+      "nation\"\255\002\n\013UsageReport\022\017\n\007session\030\001 \001(\t\022" +
       "6\n\007servers\030\002 \003(\0132%.borageproxy.coordinat" +
       "ion.ServerUsage\022<\n\nworkspaces\030\003 \003(\0132(.bo" +
       "rageproxy.coordination.WorkspaceUsage\0226\n" +
       "\007demands\030\004 \003(\0132%.borageproxy.coordinatio" +
-      "n.ModelDemand\"n\n\013ServerUsage\022\014\n\004name\030\001 \001" +
-      "(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010requests\030\003 \001(" +
-      "\r\022\025\n\rprompt_tokens\030\004 \001(\r\022\023\n\013held_tokens\030" +
-      "\005 \001(\r\"[\n\016WorkspaceUsage\022\014\n\004name\030\001 \001(\t\022\016\n" +
-      "\006demand\030\002 \001(\004\022\014\n\004held\030\003 \001(\004\022\r\n\005spent\030\004 \001" +
-      "(\004\022\016\n\006needed\030\005 \001(\004\"_\n\013ModelDemand\022\017\n\007ser" +
-      "vice\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022\017\n\007adapter\030\003 \001" +
-      "(\t\022\016\n\006tokens\030\004 \001(\004\022\017\n\007waiting\030\005 \001(\r\"\367\001\n\022" +
-      "CoordinationUpdate\022\023\n\013coordinates\030\001 \001(\010\022" +
-      "\023\n\013coordinator\030\002 \001(\t\022\017\n\007entries\030\003 \001(\r\0226\n" +
-      "\007servers\030\004 \003(\0132%.borageproxy.coordinatio" +
-      "n.ServerUsage\0223\n\006shares\030\005 \003(\0132#.boragepr" +
-      "oxy.coordination.RateShare\0229\n\010contents\030\006" +
-      " \003(\0132\'.borageproxy.coordination.ServerCo" +
-      "ntent\";\n\tRateShare\022\021\n\tworkspace\030\001 \001(\t\022\014\n" +
-      "\004rate\030\002 \001(\004\022\r\n\005extra\030\003 \001(\004\"\211\001\n\rServerCon" +
-      "tent\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022" +
-      "\016\n\006orders\030\003 \001(\004\0223\n\006models\030\004 \003(\0132#.borage" +
-      "proxy.coordination.HeldModel\022\020\n\010arriving" +
-      "\030\005 \003(\t\",\n\tHeldModel\022\r\n\005model\030\001 \001(\t\022\020\n\010ad" +
-      "apters\030\002 \003(\tB2\n\032org.borageproxy.wire.pro" +
-      "toB\024CoordinationProtocolb\006proto3"
+      "n.ModelDemand\022\021\n\tlast_slot\030\005 \001(\004\0222\n\005pace" +
+      "s\030\006 \003(\0132#.borageproxy.coordination.Model" +
+      "Pace\022\030\n\020contents_version\030\007 \001(\004\"(\n\tModelP" +
+      "ace\022\r\n\005model\030\001 \001(\t\022\014\n\004pace\030\002 \001(\001\"n\n\013Serv" +
+      "erUsage\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001" +
+      "(\004\022\020\n\010requests\030\003 \001(\r\022\025\n\rprompt_tokens\030\004 " +
+      "\001(\r\022\023\n\013held_tokens\030\005 \001(\r\"[\n\016WorkspaceUsa" +
+      "ge\022\014\n\004name\030\001 \001(\t\022\016\n\006demand\030\002 \001(\004\022\014\n\004held" +
+      "\030\003 \001(\004\022\r\n\005spent\030\004 \001(\004\022\016\n\006needed\030\005 \001(\004\"_\n" +
+      "\013ModelDemand\022\017\n\007service\030\001 \001(\t\022\r\n\005model\030\002" +
+      " \001(\t\022\017\n\007adapter\030\003 \001(\t\022\016\n\006tokens\030\004 \001(\004\022\017\n" +
+      "\007waiting\030\005 \001(\r\"\221\002\n\022CoordinationUpdate\022\023\n" +
+      "\013coordinates\030\001 \001(\010\022\023\n\013coordinator\030\002 \001(\t\022" +
+      "\017\n\007entries\030\003 \001(\r\0226\n\007servers\030\004 \003(\0132%.bora" +
+      "geproxy.coordination.ServerUsage\0223\n\006shar" +
+      "es\030\005 \003(\0132#.borageproxy.coordination.Rate" +
+      "Share\0229\n\010contents\030\006 \003(\0132\'.borageproxy.co" +
+      "ordination.ServerContent\022\030\n\020contents_ver" +
+      "sion\030\007 \001(\004\"\262\002\n\013SlotRequest\022\014\n\004zone\030\001 \001(\t" +
+      "\022\017\n\007service\030\002 \001(\t\022\r\n\005model\030\003 \001(\t\022\017\n\007adap" +
+      "ter\030\004 \001(\t\022\025\n\rprompt_tokens\030\005 \001(\r\022\025\n\routp" +
+      "ut_tokens\030\006 \001(\r\0225\n\005parts\030\007 \003(\0132&.boragep" +
+      "roxy.coordination.PartOfPrompt\022\014\n\004rank\030\010" +
+      " \001(\r\022\030\n\020objective_millis\030\t \001(\r\022\027\n\017deadli" +
+      "ne_millis\030\n \001(\r\022\r\n\005tried\030\013 \003(\t\022\025\n\rwaited" +
+      "_millis\030\014 \001(\r\022\030\n\020most_wait_millis\030\r \001(\r\"" +
+      "0\n\014PartOfPrompt\022\020\n\010identity\030\001 \001(\t\022\016\n\006tok" +
+      "ens\030\002 \001(\r\"\270\002\n\nSlotAnswer\022=\n\007outcome\030\001 \001(" +
+      "\0162,.borageproxy.coordination.SlotAnswer." +
+      "Outcome\022\016\n\006server\030\002 \001(\t\022\023\n\013incarnation\030\003" +
+      " \001(\004\022\027\n\017expected_millis\030\004 \001(\001\022\025\n\runread_" +
+      "tokens\030\005 \001(\r\022\014\n\004slot\030\006 \001(\004\022\030\n\020come_back_" +
+      "millis\030\007 \001(\r\"n\n\007Outcome\022\023\n\017NOT_COORDINAT" +
+      "OR\020\000\022\n\n\006CHOSEN\020\001\022\r\n\tNO_SERVER\020\002\022\014\n\010NO_MO" +
+      "DEL\020\003\022\013\n\007CROWDED\020\004\022\r\n\tALL_TRIED\020\005\022\t\n\005AGA" +
+      "IN\020\006\";\n\tRateShare\022\021\n\tworkspace\030\001 \001(\t\022\014\n\004" +
+      "rate\030\002 \001(\004\022\r\n\005extra\030\003 \001(\004\"\211\001\n\rServerCont" +
+      "ent\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\016" +
+      "\n\006orders\030\003 \001(\004\0223\n\006models\030\004 \003(\0132#.boragep" +
+      "roxy.coordination.HeldModel\022\020\n\010arriving\030" +
+      "\005 \003(\t\",\n\tHeldModel\022\r\n\005model\030\001 \001(\t\022\020\n\010ada" +
+      "pters\030\002 \003(\tB2\n\032org.borageproxy.wire.prot" +
+      "oB\024CoordinationProtocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -9427,45 +14734,69 @@
     internal_static_borageproxy_coordination_UsageReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_UsageReport_descriptor,
-        new java.lang.String[] { "Session", "Servers", "Workspaces", "Demands", });
-    internal_static_borageproxy_coordination_ServerUsage_descriptor =
+        new java.lang.String[] { "Session", "Servers", "Workspaces", "Demands", "LastSlot", "Paces", "ContentsVersion", });
+    internal_static_borageproxy_coordination_ModelPace_descriptor =
       getDescriptor().getMessageType(1);
+    internal_static_borageproxy_coordination_ModelPace_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_borageproxy_coordination_ModelPace_descriptor,
+        new java.lang.String[] { "Model", "Pace", });
+    internal_static_borageproxy_coordination_ServerUsage_descriptor =
+      getDescriptor().getMessageType(2);
     internal_static_borageproxy_coordination_ServerUsage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_ServerUsage_descriptor,
         new java.lang.String[] { "Name", "Incarnation", "Requests", "PromptTokens", "HeldTokens", });
     internal_static_borageproxy_coordination_WorkspaceUsage_descriptor =
-      getDescriptor().getMessageType(2);
+      getDescriptor().getMessageType(3);
     internal_static_borageproxy_coordination_WorkspaceUsage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_WorkspaceUsage_descriptor,
         new java.lang.String[] { "Name", "Demand", "Held", "Spent", "Needed", });
     internal_static_borageproxy_coordination_ModelDemand_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(4);
     internal_static_borageproxy_coordination_ModelDemand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_ModelDemand_descriptor,
         new java.lang.String[] { "Service", "Model", "Adapter", "Tokens", "Waiting", });
     internal_static_borageproxy_coordination_CoordinationUpdate_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(5);
     internal_static_borageproxy_coordination_CoordinationUpdate_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_CoordinationUpdate_descriptor,
-        new java.lang.String[] { "Coordinates", "Coordinator", "Entries", "Servers", "Shares", "Contents", });
+        new java.lang.String[] { "Coordinates", "Coordinator", "Entries", "Servers", "Shares", "Contents", "ContentsVersion", });
+    internal_static_borageproxy_coordination_SlotRequest_descriptor =
+      getDescriptor().getMessageType(6);
+    internal_static_borageproxy_coordination_SlotRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_borageproxy_coordination_SlotRequest_descriptor,
+        new java.lang.String[] { "Zone", "Service", "Model", "Adapter", "PromptTokens", "OutputTokens", "Parts", "Rank", "ObjectiveMillis", "DeadlineMillis", "Tried", "WaitedMillis", "MostWaitMillis", });
+    internal_static_borageproxy_coordination_PartOfPrompt_descriptor =
+      getDescriptor().getMessageType(7);
+    internal_static_borageproxy_coordination_PartOfPrompt_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_borageproxy_coordination_PartOfPrompt_descriptor,
+        new java.lang.String[] { "Identity", "Tokens", });
+    internal_static_borageproxy_coordination_SlotAnswer_descriptor =
+      getDescriptor().getMessageType(8);
+    internal_static_borageproxy_coordination_SlotAnswer_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_borageproxy_coordination_SlotAnswer_descriptor,
+        new java.lang.String[] { "Outcome", "Server", "Incarnation", "ExpectedMillis", "UnreadTokens", "Slot", "ComeBackMillis", });
     internal_static_borageproxy_coordination_RateShare_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(9);
     internal_static_borageproxy_coordination_RateShare_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_RateShare_descriptor,
         new java.lang.String[] { "Workspace", "Rate", "Extra", });
     internal_static_borageproxy_coordination_ServerContent_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(10);
     internal_static_borageproxy_coordination_ServerContent_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_ServerContent_descriptor,
         new java.lang.String[] { "Name", "Incarnation", "Orders", "Models", "Arriving", });
     internal_static_borageproxy_coordination_HeldModel_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(11);
     internal_static_borageproxy_coordination_HeldModel_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_HeldModel_descriptor,
--- a/src/test/java/org/borageproxy/platform/ForwardingTest.java
+++ b/src/test/java/org/borageproxy/platform/ForwardingTest.java
@@ -13,10 +13,12 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
+import com.google.protobuf.ByteString;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.internal.ContextInternal;
@@ -29,6 +31,7 @@
 import org.borageproxy.forward.ForwardServer;
 import org.borageproxy.forward.ServerConnections;
 import org.borageproxy.forward.ServerPool;
+import org.borageproxy.forward.SlotClient;
 import org.borageproxy.forward.SuspectRequests;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerKind;
@@ -44,8 +47,12 @@
 import org.borageproxy.publication.ServedPublication;
 import org.borageproxy.quota.RateShares;
 import org.borageproxy.settings.Endpoint;
+import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
 import org.borageproxy.vm.AvailabilityZone;
+import org.borageproxy.vm.VmName;
+import org.borageproxy.wire.MessageKind;
+import org.borageproxy.wire.VmNetwork;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -137,6 +144,27 @@
         }
     }
 
+    /** No coordinator is ever asked here. */
+    private enum NoNetwork implements VmNetwork {
+        INSTANCE;
+
+        @Override
+        public void send(VmName recipient, MessageKind kind, ByteString body) {
+            throw new AssertionError("sent " + kind);
+        }
+
+        @Override
+        public CompletionStage<ByteString> request(
+                VmName recipient, MessageKind kind, ByteString body, Deadline deadline) {
+            throw new AssertionError("asked " + kind);
+        }
+
+        @Override
+        public void handle(MessageKind kind, Handler handler) {
+            throw new AssertionError("handled " + kind);
+        }
+    }
+
     private enum NoSuspects implements SuspectRequests {
         INSTANCE;
 
@@ -161,6 +189,7 @@
                 clock,
                 new PlatformHeaders(),
                 new ServerPool(() -> List.copyOf(servers), clock, ZONE, new Random(1)),
+                new SlotClient(NoNetwork.INSTANCE, Optional::empty, ZONE, clock, context.nettyEventLoop()),
                 new ServerConnections(context.nettyEventLoop(), clock),
                 new RateShares(),
                 service -> new RetryBudget(0.2, 10),
--- a/src/test/java/org/borageproxy/forward/ServerChoiceTest.java
+++ b/src/test/java/org/borageproxy/routing/ServerChoiceTest.java
@@ -1,4 +1,4 @@
-package org.borageproxy.forward;
+package org.borageproxy.routing;
 
 import java.util.List;
 import java.util.Map;
@@ -22,12 +22,8 @@
 
     private static final AvailabilityZone ZONE = new AvailabilityZone("a");
     private static final EnginePool POOL = new EnginePool(64, 100_000, 2, 200_000, 8, 2, Map.of());
-    private static final CallerFields.EngineWork WORK = new CallerFields.EngineWork(
-            "m",
-            "",
-            2_400,
-            40,
-            List.of(new CallerFields.PromptPart("p", 570), new CallerFields.PromptPart("q", 1_830)));
+    private static final EngineWork WORK = new EngineWork(
+            "m", "", 2_400, 40, List.of(new EngineWork.PromptPart("p", 570), new EngineWork.PromptPart("q", 1_830)));
 
     private static ServerChoice.Candidate candidate(String name, ServerUse use) {
         BackendServer server = new BackendServer(
