--- a/src/main/java/org/borageproxy/command/PlatformCommand.java
+++ b/src/main/java/org/borageproxy/command/PlatformCommand.java
@@ -36,7 +36,7 @@
         } catch (SettingsException exception) {
             throw new CommandFailure(ExitCode.INVALID, exception.getMessage());
         }
-        Thread hook = new Thread(() -> process.shutDown().toCompletableFuture().join(), "stop");
+        Thread hook = new Thread(() -> LogFlush.after(process.shutDown()), "stop");
         Runtime.getRuntime().addShutdownHook(hook);
         process.stopped().toCompletableFuture().join();
         return ExitCode.DONE;
--- a/src/main/java/org/borageproxy/command/ServeCommand.java
+++ b/src/main/java/org/borageproxy/command/ServeCommand.java
@@ -25,6 +25,6 @@
      * @param process the VM
      */
     private static void stop(VmProcess process) {
-        process.shutDown().toCompletableFuture().join();
+        LogFlush.after(process.shutDown());
     }
 }
--- a/src/main/java/org/borageproxy/forward/ServerConnections.java
+++ b/src/main/java/org/borageproxy/forward/ServerConnections.java
@@ -163,7 +163,7 @@
      *
      * @return the number since the start
      */
-    long opened() {
+    public long opened() {
         return opened;
     }
 
--- a/src/main/java/org/borageproxy/platform/HeartbeatDocument.java
+++ b/src/main/java/org/borageproxy/platform/HeartbeatDocument.java
@@ -65,6 +65,9 @@
     private static Announcement.Content content(JsonObject json, int intervalMillis) {
         String address = json.getString("Address");
         int colon = address.lastIndexOf(':');
+        if (colon < 0) {
+            throw new IllegalArgumentException("no port in the address " + address);
+        }
         List<LoadedModel> models = models(json.getJsonArray("Models", new JsonArray()));
         return new Announcement.Content(
                 json.containsKey("Models") ? BackendServerKind.ENGINE : BackendServerKind.SERVICE,
--- a/src/main/java/org/borageproxy/server/GatewayControl.java
+++ b/src/main/java/org/borageproxy/server/GatewayControl.java
@@ -25,6 +25,7 @@
 import org.borageproxy.forward.SlotBroker;
 import org.borageproxy.log.GroupMember;
 import org.borageproxy.log.MemberContext;
+import org.borageproxy.log.MemberStatus;
 import org.borageproxy.log.consensus.LogSettings;
 import org.borageproxy.log.storage.DiskStorage;
 import org.borageproxy.membership.Announcement;
@@ -295,6 +296,10 @@
         leaving.ifPresent(which -> foundation.membership().left(name, which));
     }
 
+    MemberStatus status() {
+        return member.status();
+    }
+
     /** Hands leadership over and closes the durable state. */
     @Override
     public void close() {
--- a/src/main/java/org/borageproxy/server/GatewayEntry.java
+++ b/src/main/java/org/borageproxy/server/GatewayEntry.java
@@ -52,6 +52,7 @@
     private final Map<String, RetryBudget> budgets = new HashMap<>();
     private final CoordinationClient coordination;
     private final SlotClient slots;
+    private final ServerConnections connections;
     private final ForwardServer server;
     private final String session = UUID.randomUUID().toString();
     private Optional<ServedPublication> served = Optional.empty();
@@ -90,13 +91,14 @@
                 foundation.settings().vm().zone(),
                 foundation.clock(),
                 foundation.eventLoop());
+        connections = new ServerConnections(foundation.eventLoop(), foundation.clock());
         ForwardParts parts = new ForwardParts(
                 foundation.eventLoop(),
                 foundation.clock(),
                 foundation.protocol().callers(),
                 pool,
                 slots,
-                new ServerConnections(foundation.eventLoop(), foundation.clock()),
+                connections,
                 rates,
                 this::budget,
                 new CrashReports(foundation, client, CrashProbe.ofConnections(foundation.vertx())),
@@ -195,6 +197,18 @@
         return served.isPresent() && foundation.membership().isSynchronised();
     }
 
+    long publicationNumber() {
+        return served.map(known -> known.publication().number()).orElse(0L);
+    }
+
+    boolean hasCoordinator() {
+        return coordination.coordinator().isPresent();
+    }
+
+    long openedConnections() {
+        return connections.opened();
+    }
+
     int inFlight() {
         return server.inFlight();
     }
--- a/src/main/java/org/borageproxy/server/GatewayMetrics.java
+++ b/src/main/java/org/borageproxy/server/GatewayMetrics.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -50,12 +52,13 @@
     }
 
     /**
-     * Returns the registry for further meters.
+     * Shows a value.
      *
-     * @return the registry
+     * @param name the name
+     * @param value returns the value now
      */
-    PrometheusMeterRegistry registry() {
-        return registry;
+    void show(String name, Supplier<Number> value) {
+        Gauge.builder(name, value).register(registry);
     }
 
     /**
--- a/src/main/java/org/borageproxy/server/GatewayProcess.java
+++ b/src/main/java/org/borageproxy/server/GatewayProcess.java
@@ -11,6 +11,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
+import org.borageproxy.log.consensus.Role;
 import org.borageproxy.settings.Endpoint;
 import org.borageproxy.time.Deadline;
 import org.slf4j.Logger;
@@ -78,6 +79,7 @@
         if (entry.isPresent()) {
             await(onEventLoop(() -> entry.get().start(settings.callers().get())));
         }
+        showState();
         if (settings.metrics().isPresent()) {
             await(onEventLoop(
                     () -> metrics.serve(foundation.vertx(), settings.metrics().get())));
@@ -92,6 +94,25 @@
                 settings.seeds());
     }
 
+    private void showState() {
+        metrics.show("ready", () -> isReady() ? 1 : 0);
+        metrics.show(
+                "known_servers",
+                () -> foundation.membership().registry().current().size());
+        entry.ifPresent(serving -> {
+            metrics.show("requests_in_flight", serving::inFlight);
+            metrics.show("publication_number", serving::publicationNumber);
+            metrics.show("coordinator_known", () -> serving.hasCoordinator() ? 1 : 0);
+            metrics.show("server_connections_opened", serving::openedConnections);
+        });
+        control.ifPresent(part -> {
+            metrics.show("leads", () -> part.status().role() == Role.LEADER ? 1 : 0);
+            metrics.show("term", () -> part.status().term());
+            metrics.show("committed_entries", () -> part.status().commit());
+            metrics.show("voters", () -> part.status().members().voters().size());
+        });
+    }
+
     private CompletionStage<?> onEventLoop(Supplier<Future<?>> start) {
         CompletableFuture<Object> done = new CompletableFuture<>();
         foundation.context().runOnContext(nothing -> start.get().onComplete(result -> {
--- a/src/test/java/org/borageproxy/ArchitectureTest.java
+++ b/src/test/java/org/borageproxy/ArchitectureTest.java
@@ -43,6 +43,14 @@
             .dependOnClassesThat()
             .resideInAPackage(ROOT + ".standin..");
 
+    @ArchTest
+    static final ArchRule ONLY_COMMANDS_KNOW_THE_PLATFORM = noClasses()
+            .that()
+            .resideOutsideOfPackages(ROOT + ".platform..", ROOT + ".command..")
+            .should()
+            .dependOnClassesThat()
+            .resideInAPackage(ROOT + ".platform..");
+
     @ArchTest
     static final ArchRule THE_PRODUCT_STARTS_NO_PROCESS =
             noClasses().should().dependOnClassesThat().haveFullyQualifiedName("java.lang.ProcessBuilder");
