Trust an engine's report only some time after its last order

Engines count an order at once but report what they hold some hundred ms late, so that a report with the new count and the old contents made a loading engine look free. Ruled out: a change of leader (none by then); orders without an answer. Figures: the new test failed before and passes after.

--- a/src/main/java/org/borageproxy/placement/EngineBook.java
+++ b/src/main/java/org/borageproxy/placement/EngineBook.java
@@ -35,7 +35,6 @@
     private String awaitedModel = "";
     private Deadline arrivesAt;
     private Deadline reportsCountFrom;
-    private Deadline countsSettle;
     private boolean isOrdering;
     private boolean isReportedBusy;
     private int reportedAdapters;
@@ -48,8 +47,7 @@
         copies.addAll(held.keySet());
         announced(server);
         arrivesAt = new Deadline(nowNanos);
-        reportsCountFrom = new Deadline(nowNanos);
-        countsSettle = new Deadline(nowNanos);
+        reportsCountFrom = Deadline.after(nowNanos, REPORT_LAG);
     }
 
     BackendServer server() {
@@ -74,8 +72,7 @@
      * @param askedAtNanos when the engine was asked
      */
     void reported(EngineClient.State state, long askedAtNanos) {
-        boolean isBehind = isOrdersKnown && state.held().orders() < orders && !countsSettle.hasPassed(askedAtNanos);
-        boolean isStale = isBehind || !reportsCountFrom.hasPassed(askedAtNanos);
+        boolean isStale = !reportsCountFrom.hasPassed(askedAtNanos);
         if (isStale || state.held().incarnation() != server.incarnation()) {
             return;
         }
@@ -168,7 +165,7 @@
      */
     void accepted(EngineClient.EngineOrder order, boolean isDone, Duration arrival, long nowNanos) {
         orders++;
-        countsSettle = Deadline.after(nowNanos, REPORT_LAG);
+        reportsCountFrom = Deadline.after(nowNanos, REPORT_LAG);
         if (!order.adapter().isEmpty()) {
             Set<String> adapters = held.computeIfAbsent(order.model(), model -> new HashSet<>());
             if (order.loads()) {
--- a/src/test/java/org/borageproxy/placement/EngineBookTest.java
+++ b/src/test/java/org/borageproxy/placement/EngineBookTest.java
@@ -78,7 +78,7 @@
     @Test
     void countsThatAReportContradictsForLongAreCorrected() {
         EngineBook book = book("a", "b", "c");
-        book.reported(state(3, false, "a", "b", "c"), 0);
+        book.reported(state(3, false, "a", "b", "c"), SECOND);
         EngineClient.EngineOrder order = new EngineClient.EngineOrder(false, "a", "", 3, "me", 1);
         book.accepted(order, false, Duration.ZERO, SECOND);
         book.reported(state(3, false, "a", "b", "c"), SECOND + SECOND / 10);
@@ -87,10 +87,23 @@
         assertEquals(3, book.orders());
     }
 
+    /** Engines count orders at once but report what they hold with a lag, so that a new count proves nothing. */
+    @Test
+    void reportShortlyAfterAnOrderIsNotTrustedForWhatIsHeld() {
+        EngineBook book = book("a", "b");
+        book.reported(state(0, false, "a", "b"), SECOND);
+        book.accepted(
+                new EngineClient.EngineOrder(true, "c", "", 0, "me", 1), false, Duration.ofSeconds(1), 2 * SECOND);
+        book.reported(state(1, false, "a", "b"), 2 * SECOND + SECOND / 10);
+        assertTrue(step(book, "d").isEmpty());
+        book.reported(state(1, false, "a", "b", "c"), 4 * SECOND);
+        assertTrue(step(book, "d").orElseThrow() instanceof CopyPlan.Step.Unload);
+    }
+
     @Test
     void roomIsMadeBeforeALoadAndNeverOverfilled() {
         EngineBook book = book("a", "b", "c");
-        book.reported(state(0, false, "a", "b", "c"), 0);
+        book.reported(state(0, false, "a", "b", "c"), SECOND);
         CopyPlan.Step.Unload unload = (CopyPlan.Step.Unload) step(book, "d").orElseThrow();
         book.awaits(unload.successor());
         book.accepted(
@@ -104,7 +117,7 @@
     @Test
     void modelThatTheEngineDeniesIsNoLongerCounted() {
         EngineBook book = book("a", "b");
-        book.reported(state(0, false, "a", "b"), 0);
+        book.reported(state(0, false, "a", "b"), SECOND);
         assertTrue(book.absent("a", ""));
         assertFalse(book.absent("a", ""));
         assertFalse(book.usable().holds("a", ""));
@@ -114,7 +127,7 @@
     @Test
     void adaptersThatTheEngineStillLetsGoKeepTheirPlaces() {
         EngineBook book = book("a");
-        book.reported(state(0, false, "a"), 0);
+        book.reported(state(0, false, "a"), SECOND);
         book.accepted(new EngineClient.EngineOrder(true, "a", "x", 0, "me", 1), false, Duration.ZERO, 0);
         assertTrue(book.settle(SECOND));
         book.accepted(new EngineClient.EngineOrder(false, "a", "x", 1, "me", 1), false, Duration.ZERO, SECOND);
