--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -157,6 +157,7 @@
 
     private void placed(SlotAnswer answer) {
         Duration comeBack = Duration.ofMillis(answer.getComeBackMillis());
+        log.placed(answer);
         switch (answer.getOutcome()) {
             case CHOSEN -> {
                 Optional<BackendServer> server = parts.pool().find(answer.getServer(), answer.getIncarnation());
--- a/src/main/java/org/borageproxy/forward/RequestLog.java
+++ b/src/main/java/org/borageproxy/forward/RequestLog.java
@@ -5,6 +5,7 @@
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.routing.ServerChoice;
 import org.borageproxy.time.MonotonicClock;
+import org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -70,6 +71,20 @@
         }
     }
 
+    void placed(SlotAnswer answer) {
+        boolean isRefused =
+                answer.getOutcome() != SlotAnswer.Outcome.CHOSEN && answer.getOutcome() != SlotAnswer.Outcome.AGAIN;
+        if (isRefused) {
+            LOGGER.info(
+                    "event=place-refused id={} model={} outcome={} come_back_ms={} age_ms={}",
+                    identity(),
+                    model(),
+                    answer.getOutcome(),
+                    answer.getComeBackMillis(),
+                    ageMillis());
+        }
+    }
+
     void unknownPlace(String server) {
         LOGGER.info("event=place-unknown id={} server={} age_ms={}", identity(), server, ageMillis());
     }
