Forget servers that are gone and drop what nothing uses

Cause: uses of and idle connections to servers that left were kept for the life of an entry; a constant and a method had no caller; a farewell without a name threw in its handler. Ruled out: relying on servers to close connections; silent ones do not. Change: a look every 5 s; the leftovers are gone; such a farewell gets 404.

--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -52,7 +52,6 @@
     /** How long a request is held for the rate of its workspace; two reports of usage. */
     private static final Duration RATE_HOLD = Duration.ofMillis(250);
 
-    private static final Duration RATE_SLACK = Duration.ofMillis(2);
     private static final int MOST_RATE_HOLDS = 2;
     /** The part of the time to its objective that a request waits in a crowd. */
     private static final double CROWD_PATIENCE = 0.55;
--- a/src/main/java/org/borageproxy/forward/ServerConnections.java
+++ b/src/main/java/org/borageproxy/forward/ServerConnections.java
@@ -147,7 +147,7 @@
      *
      * @param isCurrent tells whether an incarnation of a server is current
      */
-    void retain(BiPredicate<BackendServerName, Long> isCurrent) {
+    public void retain(BiPredicate<BackendServerName, Long> isCurrent) {
         idle.entrySet().removeIf(entry -> {
             boolean gone =
                     !isCurrent.test(entry.getKey().server(), entry.getKey().incarnation());
--- a/src/main/java/org/borageproxy/forward/ServerPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerPool.java
@@ -252,6 +252,18 @@
                         && server.state() != BackendServerState.LEAVING);
     }
 
+    /**
+     * Tells whether an incarnation of a server is known, whatever its state.
+     *
+     * @param name the server
+     * @param incarnation its incarnation
+     * @return {@code false} if it is gone or started anew
+     */
+    public boolean isKnown(BackendServerName name, long incarnation) {
+        return servers.current().stream()
+                .anyMatch(server -> server.name().equals(name) && server.incarnation() == incarnation);
+    }
+
     /**
      * Notes a request that another VM sends.
      *
@@ -486,19 +498,6 @@
         return demands.computeIfAbsent(new DemandKey(service, work.model(), work.adapter()), key -> new Demand());
     }
 
-    /**
-     * Tells whether a model is on its way to a server.
-     *
-     * @param service the service
-     * @param model the model
-     * @return {@code true} if the coordinator ordered a load
-     */
-    boolean isArriving(String service, String model) {
-        return servers.current().stream()
-                .anyMatch(server ->
-                        takesWork(server, service) && content(server).arriving().contains(model));
-    }
-
     /**
      * Takes what the coordinator knows.
      *
@@ -575,7 +574,7 @@
     }
 
     /** Forgets servers that are gone. */
-    void sweep() {
+    public void sweep() {
         Set<BackendServerName> known = new LinkedHashSet<>();
         servers.current().forEach(server -> known.add(server.name()));
         uses.keySet().retainAll(known);
--- a/src/main/java/org/borageproxy/platform/ControlCalls.java
+++ b/src/main/java/org/borageproxy/platform/ControlCalls.java
@@ -67,7 +67,7 @@
             read(request);
         } else if (isPost && path.startsWith(HEARTBEAT)) {
             heartbeat(request, path.substring(HEARTBEAT.length()), body);
-        } else if (isPost && path.startsWith(FAREWELL)) {
+        } else if (isPost && path.startsWith(FAREWELL) && path.length() > FAREWELL.length()) {
             plane.left(new BackendServerName(path.substring(FAREWELL.length())), HeartbeatDocument.incarnation(body));
             answer(request, OK, "{}");
         } else {
--- a/src/main/java/org/borageproxy/server/GatewayEntry.java
+++ b/src/main/java/org/borageproxy/server/GatewayEntry.java
@@ -43,6 +43,8 @@
     private static final double DIVIDED_SLACK = 0.6;
     /** The part of the allowed share of retries that is used; the rest covers windows cut unluckily. */
     private static final double USED_SHARE = 0.75;
+    /** The time between two looks for servers that are gone. */
+    private static final Duration SWEEP_INTERVAL = Duration.ofSeconds(5);
     /** The number of entries that is supposed before the coordinator tells it. */
     private static final int SUPPOSED_ENTRIES = 16;
 
@@ -185,9 +187,16 @@
      */
     Future<?> start(Endpoint callers) {
         coordination.start();
+        foundation.timer().schedule(SWEEP_INTERVAL, this::sweep);
         return server.listen(callers);
     }
 
+    private void sweep() {
+        pool.sweep();
+        connections.retain(pool::isKnown);
+        foundation.timer().schedule(SWEEP_INTERVAL, this::sweep);
+    }
+
     /**
      * Tells whether callers can be served.
      *
