Bring a model that nobody holds back from the disk that has it

Ruled out: the weight store's rate; orders were accepted at once. Change: while a model has no place, a second of loading counts ten times. Figures: the new test chose the wrong engine before.

--- a/src/main/java/org/borageproxy/placement/CopyPlan.java
+++ b/src/main/java/org/borageproxy/placement/CopyPlan.java
@@ -33,6 +33,8 @@
     private static final double LOAD_COST = 0.05;
     /** What work with adapters counts more against an engine that loads. */
     private static final double ADAPTER_BLOCK = 0.3;
+    /** What a second of loading counts while callers of a model that no engine holds are refused. */
+    private static final double URGENT_LOAD_COST = 0.5;
     /** The time for which demand stays about the same, in seconds; from the users' days. */
     private static final double HORIZON_SECONDS = 14.0;
 
@@ -150,6 +152,7 @@
     }
 
     private Optional<Step> place(String model, boolean mayUseStore, double crowding) {
+        boolean isUrgent = places(model) == 0;
         Map<EngineBook, Double> work = work();
         double brought = share(model, places(model) + 1);
         Optional<Step> best = Optional.empty();
@@ -163,7 +166,8 @@
             Optional<Step> step = step(engine, model);
             double loss = lossOf(step);
             double gain = (crowding - work.get(engine) - brought) * worthOfLoad(engine, model);
-            double cost = work.get(engine) + loadSeconds(engine, model) * (LOAD_COST + blocked(engine)) + loss;
+            double secondCost = isUrgent ? URGENT_LOAD_COST : LOAD_COST;
+            double cost = work.get(engine) + loadSeconds(engine, model) * (secondCost + blocked(engine)) + loss;
             if (step.isPresent() && gain > loss + LEAST_GAIN && cost < bestCost) {
                 best = step;
                 bestCost = cost;
--- a/src/test/java/org/borageproxy/placement/EngineBookTest.java
+++ b/src/test/java/org/borageproxy/placement/EngineBookTest.java
@@ -87,6 +87,25 @@
         assertEquals(3, book.orders());
     }
 
+    /**
+     * Load pattern: demand moves to a model whose last place was given up while nobody asked for it. It comes back
+     * within seconds from the disk of the engine that had it, though another engine has less work.
+     */
+    @Test
+    void modelThatNoEngineHoldsComesBackWhereItsCopyIs() {
+        EngineBook idle = book("a", "c");
+        idle.reported(state(0, false, "a", "c"), SECOND);
+        EngineBook busy = book("b", "d");
+        busy.reported(state(0, false, "b", "d"), SECOND);
+        busy.accepted(new EngineClient.EngineOrder(false, "d", "", 0, "me", 1), true, Duration.ZERO, 2 * SECOND);
+        busy.reported(state(1, false, "b"), 4 * SECOND);
+        Map<String, CopyPlan.Demand> demand =
+                Map.of("b", new CopyPlan.Demand(9_000, 0), "d", new CopyPlan.Demand(2_000, 5));
+        CopyPlan.Step step =
+                new CopyPlan(POOL, List.of(idle, busy), demand).next(true).orElseThrow();
+        assertEquals(new CopyPlan.Step.Load(busy, "d"), step);
+    }
+
     /** Engines count orders at once but report what they hold with a lag, so that a new count proves nothing. */
     @Test
     void reportShortlyAfterAnOrderIsNotTrustedForWhatIsHeld() {
