Count silence against servers and tell the coordinator of outcomes

Change: an attempt given up unanswered after a second, and after four times the expected time, counts against its server; reports carry outcomes. Paces and demand of models moved to classes of their own; comments in plain terms.

--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -53,10 +53,10 @@
     private static final Duration RATE_HOLD = Duration.ofMillis(250);
 
     private static final int MOST_RATE_HOLDS = 2;
-    /** The part of the time to its objective that a request waits in a crowd. */
-    private static final double CROWD_PATIENCE = 0.55;
-    /** How many VMs are supposed to have such a crowd. */
-    private static final int SUPPOSED_CROWDS = 4;
+    /** The part of the time to its objective that a request waits for capacity. */
+    private static final double CAPACITY_PATIENCE = 0.55;
+    /** How many VMs are assumed to have queues of the same length. */
+    private static final int ASSUMED_QUEUES = 4;
 
     private static final int MISDIRECTED = 421;
     private static final int FIRST_SERVER_ERROR = 500;
@@ -189,7 +189,7 @@
             case ALL_TRIED -> giveUp(RefusalReason.REFUSED_BY_SERVERS, SOON);
             case NO_SERVER -> waitOrRefuse(RefusalReason.NO_SERVER, absence, SERVER_WAIT);
             case NO_ADAPTER -> waitOrRefuse(RefusalReason.MODEL_ABSENT, absence, ADAPTER_WAIT);
-            case CROWDED -> waitOrRefuse(RefusalReason.NO_CAPACITY, absence, crowdWait());
+            case CROWDED -> waitOrRefuse(RefusalReason.NO_CAPACITY, absence, capacityWait());
             default -> waitOrRefuse(RefusalReason.MODEL_ABSENT, absence, modelWait());
         }
     }
@@ -199,13 +199,13 @@
         return Duration.ofNanos(untilObjective / 2);
     }
 
-    /** A request waits in a crowd only as long as it can still be on time, and not at all if the crowd is too large. */
-    private Duration crowdWait() {
+    /** A request waits for capacity only while it can still be on time, and not at all behind too long a queue. */
+    private Duration capacityWait() {
         EngineWork work = held.fields().work().orElseThrow();
         double rate = parts.pool().readingRate(held.service(), work.model());
-        double aheadMillis = parts.pool().tokensBefore(asWaiting()) * SUPPOSED_CROWDS / Math.max(0.1, rate);
+        double aheadMillis = parts.pool().tokensBefore(asWaiting()) * ASSUMED_QUEUES / Math.max(0.1, rate);
         long leftMillis = held.objective().remainingMillis(parts.clock().nanoTime());
-        long patience = (long) (leftMillis * CROWD_PATIENCE);
+        long patience = (long) (leftMillis * CAPACITY_PATIENCE);
         return aheadMillis > patience ? Duration.ZERO : Duration.ofMillis(patience);
     }
 
@@ -376,6 +376,14 @@
             goneServers.add(server.name());
         }
 
+        private void giveUp() {
+            flight.filter(ServerPool.Flight::isSilent).ifPresent(silent -> {
+                log.failed(server, "no answer", ageMillis());
+                silent.failed();
+            });
+            abandon();
+        }
+
         /** Ends this attempt's hold of its connection. */
         private void abandon() {
             isOver = true;
@@ -579,7 +587,7 @@
         if (deadlineTimer != null) {
             deadlineTimer.cancel(false);
         }
-        current.filter(attempt -> !attempt.isOver).ifPresent(Attempt::abandon);
+        current.filter(attempt -> !attempt.isOver).ifPresent(Attempt::giveUp);
         log.ended(outcome, status, sends, scanner.events());
         parts.metrics().ended(held.route().name(), outcome, (parts.clock().nanoTime() - held.arrivedAtNanos()) / 1e6);
         ended.run();
--- a/src/main/java/org/borageproxy/forward/ServerPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerPool.java
@@ -34,13 +34,13 @@
 
     /** The cache of a server whose engines are not published, in tokens. */
     private static final long UNKNOWN_CACHE_TOKENS = 100_000;
-    /** The weight of the newest observation in a model's pace. */
-    private static final double NEWEST = 0.1;
 
     private static final Comparator<Waiting> BY_RANK =
             Comparator.comparingInt(Waiting::rank).thenComparing(Waiting::objective);
-    private static final double SLOWEST_PACE = 20.0;
-    private static final double FASTEST_PACE = 0.05;
+    /** Milliseconds below which a silence never counts against a server. */
+    private static final double LEAST_SILENCE_MILLIS = 1_000.0;
+    /** How many times the expected time a silence lasts before it counts against a server. */
+    private static final double SILENCE_FACTOR = 4.0;
 
     private final BackendServers servers;
     private final MonotonicClock clock;
@@ -48,8 +48,8 @@
     private final RandomGenerator random;
     private final Map<BackendServerName, ServerUse> uses = new HashMap<>();
     private final Map<BackendServerName, HeldModels> contents = new HashMap<>();
-    private final Map<String, Double> paces = new HashMap<>();
-    private final Map<DemandKey, Demand> demands = new HashMap<>();
+    private final ModelPaces paces = new ModelPaces();
+    private final ModelDemands demands = new ModelDemands();
     private final List<Waiting> waiting = new ArrayList<>();
     private Runnable urgentReport = () -> {};
     private Runnable changedUse = () -> {};
@@ -79,13 +79,6 @@
      */
     record Waiting(int rank, Deadline objective, EngineWork work, Runnable retry) {}
 
-    private record DemandKey(String service, String model, String adapter) {}
-
-    private static final class Demand {
-        private long tokens;
-        private int waiting;
-    }
-
     /**
      * Creates a pool.
      *
@@ -153,7 +146,7 @@
         String pace = work.map(EngineWork::model).orElse(service);
         for (BackendServer server : servers.current()) {
             if (takesWork(server, service) && canRun(server, work)) {
-                candidates.add(new ServerChoice.Candidate(server, use(server, engines), paces.getOrDefault(pace, 1.0)));
+                candidates.add(new ServerChoice.Candidate(server, use(server, engines), paces.of(pace)));
             }
         }
         ServerChoice.Query query = new ServerChoice.Query(work, engines, callerZone, tried);
@@ -186,7 +179,7 @@
     }
 
     /**
-     * Takes the word of a server that it does not hold a model or an adapter.
+     * Notes that a server refused a request because it lacks the model or the adapter.
      *
      * @param server the server
      * @param work the work that it refused
@@ -205,7 +198,7 @@
     }
 
     /**
-     * Takes the evidence that a server is gone: nothing, or another server, answers at its address.
+     * Suspects a server at whose address nothing, or another server, answers.
      *
      * @param server the server
      */
@@ -286,7 +279,7 @@
      * @param pace the pace in proportion to the expected one
      */
     void paceOf(String model, double pace) {
-        paces.merge(model, bounded(pace), (known, reported) -> known + NEWEST * (reported - known));
+        paces.reported(model, pace);
     }
 
     /**
@@ -295,7 +288,7 @@
      * @return the pace by model
      */
     public Map<String, Double> modelPaces() {
-        return Map.copyOf(paces);
+        return paces.all();
     }
 
     /**
@@ -372,10 +365,9 @@
             isRead = true;
             use.read(chosen.unreadTokens());
             double millis = (clock.nanoTime() - startedAtNanos) / 1e6;
-            double ratio = Math.min(SLOWEST_PACE, millis / Math.max(1.0, chosen.expectedMillis()));
-            use.succeeded(Math.max(FASTEST_PACE, ratio));
-            String pace = work.map(EngineWork::model).orElse(service);
-            paces.merge(pace, 1.0, (known, one) -> bounded(known * (1 + NEWEST * (ratio - 1))));
+            double ratio = ModelPaces.bounded(millis / Math.max(1.0, chosen.expectedMillis()));
+            use.succeeded(ratio);
+            paces.answered(work.map(EngineWork::model).orElse(service), ratio);
             used();
         }
 
@@ -398,6 +390,16 @@
             }
         }
 
+        /**
+         * Tells whether the server has been silent for much longer than expected.
+         *
+         * @return {@code true} if the silence counts against it
+         */
+        boolean isSilent() {
+            double patience = Math.max(LEAST_SILENCE_MILLIS, chosen.expectedMillis() * SILENCE_FACTOR);
+            return !isRead && ageMillis() >= patience;
+        }
+
         /** Notes a failure of the server. */
         void failed() {
             use.failed(clock.nanoTime());
@@ -414,10 +416,6 @@
         }
     }
 
-    private static double bounded(double pace) {
-        return Math.max(FASTEST_PACE, Math.min(SLOWEST_PACE, pace));
-    }
-
     /**
      * Counts what callers ask for.
      *
@@ -425,7 +423,7 @@
      * @param work the work of an engine
      */
     void asked(String service, EngineWork work) {
-        demand(service, work).tokens += work.tokens();
+        demands.asked(service, work);
     }
 
     /**
@@ -442,7 +440,7 @@
         }
         waiting.add(position, request);
         if (isAbsent) {
-            demand(service, request.work()).waiting++;
+            demands.waits(service, request.work(), 1);
             urgentReport.run();
         }
     }
@@ -456,7 +454,7 @@
      */
     void stopWaiting(String service, Waiting request, boolean wasAbsent) {
         if (waiting.remove(request) && wasAbsent) {
-            demand(service, request.work()).waiting--;
+            demands.waits(service, request.work(), -1);
         }
     }
 
@@ -485,7 +483,7 @@
         long places = servers.current().stream()
                 .filter(server -> takesWork(server, service) && content(server).holds(model, ""))
                 .count();
-        return places * ServerChoice.PROMPT_TOKENS_PER_MILLISECOND / paces.getOrDefault(model, 1.0);
+        return places * ServerChoice.PROMPT_TOKENS_PER_MILLISECOND / paces.of(model);
     }
 
     private void retryWaiting() {
@@ -494,10 +492,6 @@
         }
     }
 
-    private Demand demand(String service, EngineWork work) {
-        return demands.computeIfAbsent(new DemandKey(service, work.model(), work.adapter()), key -> new Demand());
-    }
-
     /**
      * Takes what the coordinator knows.
      *
@@ -534,20 +528,41 @@
     }
 
     /**
-     * Returns what this VM has in flight.
+     * Takes the outcomes of another VM's attempts.
+     *
+     * @param usage the usage of a server that holds them
+     */
+    void observed(ServerUsage usage) {
+        ServerUse use = uses.get(new BackendServerName(usage.getName()));
+        if (use == null || use.incarnation() != usage.getIncarnation()) {
+            return;
+        }
+        if (usage.getAnswers() > 0) {
+            use.succeeded(1.0);
+        }
+        if (usage.getFailures() > 0) {
+            use.failed(clock.nanoTime());
+        }
+    }
+
+    /**
+     * Returns what this VM has in flight, and the outcomes since the last call.
      *
-     * @return the usage of each server with requests
+     * @return the usage of each server with requests or outcomes
      */
-    public List<ServerUsage> ownUsage() {
+    public List<ServerUsage> takeUsage() {
         List<ServerUsage> usages = new ArrayList<>();
         uses.forEach((name, use) -> {
-            if (use.ownRequests() > 0) {
+            ServerUse.Outcomes outcomes = use.takeOutcomes();
+            if (use.ownRequests() > 0 || outcomes.failures() > 0 || outcomes.answers() > 0) {
                 usages.add(ServerUsage.newBuilder()
                         .setName(name.value())
                         .setIncarnation(use.incarnation())
                         .setRequests(use.ownRequests())
                         .setPromptTokens(Math.max(0, use.ownUnreadTokens()))
                         .setHeldTokens(Math.max(0, use.ownHeldTokens()))
+                        .setFailures(outcomes.failures())
+                        .setAnswers(outcomes.answers())
                         .build());
             }
         });
@@ -560,17 +575,7 @@
      * @return tokens asked for and requests waiting, by model and adapter
      */
     public List<ModelDemand> takeDemand() {
-        List<ModelDemand> taken = new ArrayList<>();
-        demands.forEach((key, demand) -> taken.add(ModelDemand.newBuilder()
-                .setService(key.service())
-                .setModel(key.model())
-                .setAdapter(key.adapter())
-                .setTokens(demand.tokens)
-                .setWaiting(demand.waiting)
-                .build()));
-        demands.values().forEach(demand -> demand.tokens = 0);
-        demands.values().removeIf(demand -> demand.waiting == 0);
-        return taken;
+        return demands.take();
     }
 
     /** Forgets servers that are gone. */
--- a/src/main/java/org/borageproxy/forward/SlotBroker.java
+++ b/src/main/java/org/borageproxy/forward/SlotBroker.java
@@ -33,7 +33,7 @@
 import org.borageproxy.wire.proto.CoordinationProtocol.UsageReport;
 
 /**
- * Gives requests of all entries their places at model engines, on the coordinator, so that entries do not crowd one
+ * Gives requests of all entries their places at model engines, on the coordinator, so that entries do not overload one
  * engine unaware of one another. A request that finds no place waits here in the order of ranks and objectives, and
  * only as long as it can still be on time. Without an answer an entry chooses by itself. Confined to one event loop.
  */
@@ -87,7 +87,7 @@
         void waits(String service, EngineWork work, int change);
 
         /**
-         * Takes the word of a server that it does not hold a model or an adapter.
+         * Notes that a server refused a request because it lacks the model or the adapter.
          *
          * @param server the server
          * @param work the work that it refused
@@ -131,6 +131,7 @@
         entry.reported = report.getServersList();
         entry.countsUntil = Deadline.after(nowNanos, Duration.ofMillis(1500));
         entry.given.removeIf(each -> each.slot() <= report.getLastSlot());
+        report.getServersList().forEach(pool::observed);
         report.getPacesList().forEach(pace -> pool.paceOf(pace.getModel(), pace.getPace()));
         refresh();
     }
@@ -267,7 +268,7 @@
             switch (absence) {
                 case NO_SERVER -> refuse(SlotAnswer.Outcome.NO_SERVER, SOON);
                 case ALL_TRIED -> refuse(SlotAnswer.Outcome.ALL_TRIED, SOON);
-                case CROWDED -> waitInCrowd();
+                case CROWDED -> waitForCapacity();
                 case NO_ADAPTER -> waitFor(waitLeft(ADAPTER_WAIT), SlotAnswer.Outcome.NO_MODEL, true);
                 default -> waitFor(waitLeft(modelWait()), SlotAnswer.Outcome.NO_MODEL, true);
             }
@@ -282,7 +283,7 @@
             return left.isNegative() ? Duration.ZERO : left;
         }
 
-        private void waitInCrowd() {
+        private void waitForCapacity() {
             double rate = Math.max(0.1, pool.readingRate(request.getService(), work.model()));
             double aheadMillis = pool.tokensBefore(waiting) / rate;
             double whole = (double) request.getObjectiveMillis() + request.getWaitedMillis();
--- a/src/main/java/org/borageproxy/membership/BackendServerMembership.java
+++ b/src/main/java/org/borageproxy/membership/BackendServerMembership.java
@@ -101,7 +101,7 @@
     }
 
     /**
-     * Takes the word of a backend server that it leaves.
+     * Notes that a backend server leaves.
      *
      * @param name the server
      * @param incarnation its incarnation
--- a/src/main/java/org/borageproxy/placement/EngineBook.java
+++ b/src/main/java/org/borageproxy/placement/EngineBook.java
@@ -93,7 +93,7 @@
     }
 
     /**
-     * Takes the word of the engine that it does not hold something.
+     * Notes that the engine lacks a model or an adapter.
      *
      * @param model the model
      * @param adapter the adapter that is absent; empty if the model is
--- a/src/main/java/org/borageproxy/placement/FleetPlacement.java
+++ b/src/main/java/org/borageproxy/placement/FleetPlacement.java
@@ -473,7 +473,7 @@
     }
 
     /**
-     * Takes the word of an engine that it does not hold a model or an adapter.
+     * Notes that an engine refused a request because it lacks the model or the adapter.
      *
      * @param name the engine
      * @param model the model
--- a/src/main/java/org/borageproxy/routing/ServerUse.java
+++ b/src/main/java/org/borageproxy/routing/ServerUse.java
@@ -25,6 +25,8 @@
     private int otherRequests;
     private int otherUnreadTokens;
     private int otherHeldTokens;
+    private int failures;
+    private int answers;
     private int failuresInRow;
     private Deadline avoidedUntil;
     private double failureShare;
@@ -111,6 +113,7 @@
      * @param ratio the time to it in proportion to the expected time
      */
     public void succeeded(double ratio) {
+        answers++;
         failuresInRow = 0;
         failureShare *= 1 - NEWEST;
         slowness += NEWEST * (ratio - slowness);
@@ -122,12 +125,33 @@
      * @param nowNanos the reading of the clock
      */
     public void failed(long nowNanos) {
+        failures++;
         failureShare += NEWEST * (1 - failureShare);
         int doublings = Math.min(failuresInRow, MOST_DOUBLINGS);
         failuresInRow++;
         avoidedUntil = Deadline.after(nowNanos, FIRST_AVOIDANCE.multipliedBy(1L << doublings));
     }
 
+    /**
+     * What happened since the last look.
+     *
+     * @param failures the attempts that failed or stayed unanswered
+     * @param answers the attempts that were answered
+     */
+    public record Outcomes(int failures, int answers) {}
+
+    /**
+     * Returns what happened since the last call.
+     *
+     * @return the outcomes
+     */
+    public Outcomes takeOutcomes() {
+        Outcomes taken = new Outcomes(failures, answers);
+        failures = 0;
+        answers = 0;
+        return taken;
+    }
+
     boolean isAvoided(long nowNanos) {
         return failuresInRow > 0 && !avoidedUntil.hasPassed(nowNanos);
     }
--- a/src/main/java/org/borageproxy/server/ControlPlane.java
+++ b/src/main/java/org/borageproxy/server/ControlPlane.java
@@ -34,7 +34,7 @@
     void announced(Announcement announcement, boolean leaves);
 
     /**
-     * Takes the word of a backend server that it is gone.
+     * Notes that a backend server has left.
      *
      * @param name the server
      * @param incarnation its incarnation, empty for the one that is known
--- a/src/main/java/org/borageproxy/server/GatewayEntry.java
+++ b/src/main/java/org/borageproxy/server/GatewayEntry.java
@@ -142,7 +142,7 @@
     private UsageReport report() {
         return UsageReport.newBuilder()
                 .setSession(session)
-                .addAllServers(pool.ownUsage())
+                .addAllServers(pool.takeUsage())
                 .addAllWorkspaces(rates.takeUsage(foundation.clock().nanoTime()))
                 .addAllDemands(pool.takeDemand())
                 .setLastSlot(slots.lastSlot())
--- a/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
@@ -3039,6 +3039,26 @@
      * @return The heldTokens.
      */
     int getHeldTokens();
+
+    /**
+     * <pre>
+     * Attempts that failed or stayed unanswered since the report before.
+     * </pre>
+     *
+     * <code>uint32 failures = 6;</code>
+     * @return The failures.
+     */
+    int getFailures();
+
+    /**
+     * <pre>
+     * Attempts that were answered since the report before.
+     * </pre>
+     *
+     * <code>uint32 answers = 7;</code>
+     * @return The answers.
+     */
+    int getAnswers();
   }
   /**
    * <pre>
@@ -3178,6 +3198,36 @@
       return heldTokens_;
     }
 
+    public static final int FAILURES_FIELD_NUMBER = 6;
+    private int failures_ = 0;
+    /**
+     * <pre>
+     * Attempts that failed or stayed unanswered since the report before.
+     * </pre>
+     *
+     * <code>uint32 failures = 6;</code>
+     * @return The failures.
+     */
+    @java.lang.Override
+    public int getFailures() {
+      return failures_;
+    }
+
+    public static final int ANSWERS_FIELD_NUMBER = 7;
+    private int answers_ = 0;
+    /**
+     * <pre>
+     * Attempts that were answered since the report before.
+     * </pre>
+     *
+     * <code>uint32 answers = 7;</code>
+     * @return The answers.
+     */
+    @java.lang.Override
+    public int getAnswers() {
+      return answers_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -3207,6 +3257,12 @@
       if (heldTokens_ != 0) {
         output.writeUInt32(5, heldTokens_);
       }
+      if (failures_ != 0) {
+        output.writeUInt32(6, failures_);
+      }
+      if (answers_ != 0) {
+        output.writeUInt32(7, answers_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -3235,6 +3291,14 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt32Size(5, heldTokens_);
       }
+      if (failures_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(6, failures_);
+      }
+      if (answers_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(7, answers_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -3260,6 +3324,10 @@
           != other.getPromptTokens()) return false;
       if (getHeldTokens()
           != other.getHeldTokens()) return false;
+      if (getFailures()
+          != other.getFailures()) return false;
+      if (getAnswers()
+          != other.getAnswers()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -3282,6 +3350,10 @@
       hash = (53 * hash) + getPromptTokens();
       hash = (37 * hash) + HELD_TOKENS_FIELD_NUMBER;
       hash = (53 * hash) + getHeldTokens();
+      hash = (37 * hash) + FAILURES_FIELD_NUMBER;
+      hash = (53 * hash) + getFailures();
+      hash = (37 * hash) + ANSWERS_FIELD_NUMBER;
+      hash = (53 * hash) + getAnswers();
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -3422,6 +3494,8 @@
         requests_ = 0;
         promptTokens_ = 0;
         heldTokens_ = 0;
+        failures_ = 0;
+        answers_ = 0;
         return this;
       }
 
@@ -3470,6 +3544,12 @@
         if (((from_bitField0_ & 0x00000010) != 0)) {
           result.heldTokens_ = heldTokens_;
         }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.failures_ = failures_;
+        }
+        if (((from_bitField0_ & 0x00000040) != 0)) {
+          result.answers_ = answers_;
+        }
       }
 
       @java.lang.Override
@@ -3501,6 +3581,12 @@
         if (other.getHeldTokens() != 0) {
           setHeldTokens(other.getHeldTokens());
         }
+        if (other.getFailures() != 0) {
+          setFailures(other.getFailures());
+        }
+        if (other.getAnswers() != 0) {
+          setAnswers(other.getAnswers());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -3552,6 +3638,16 @@
                 bitField0_ |= 0x00000010;
                 break;
               } // case 40
+              case 48: {
+                failures_ = input.readUInt32();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 48
+              case 56: {
+                answers_ = input.readUInt32();
+                bitField0_ |= 0x00000040;
+                break;
+              } // case 56
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -3793,6 +3889,94 @@
         return this;
       }
 
+      private int failures_ ;
+      /**
+       * <pre>
+       * Attempts that failed or stayed unanswered since the report before.
+       * </pre>
+       *
+       * <code>uint32 failures = 6;</code>
+       * @return The failures.
+       */
+      @java.lang.Override
+      public int getFailures() {
+        return failures_;
+      }
+      /**
+       * <pre>
+       * Attempts that failed or stayed unanswered since the report before.
+       * </pre>
+       *
+       * <code>uint32 failures = 6;</code>
+       * @param value The failures to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFailures(int value) {
+
+        failures_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Attempts that failed or stayed unanswered since the report before.
+       * </pre>
+       *
+       * <code>uint32 failures = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearFailures() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        failures_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private int answers_ ;
+      /**
+       * <pre>
+       * Attempts that were answered since the report before.
+       * </pre>
+       *
+       * <code>uint32 answers = 7;</code>
+       * @return The answers.
+       */
+      @java.lang.Override
+      public int getAnswers() {
+        return answers_;
+      }
+      /**
+       * <pre>
+       * Attempts that were answered since the report before.
+       * </pre>
+       *
+       * <code>uint32 answers = 7;</code>
+       * @param value The answers to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAnswers(int value) {
+
+        answers_ = value;
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Attempts that were answered since the report before.
+       * </pre>
+       *
+       * <code>uint32 answers = 7;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAnswers() {
+        bitField0_ = (bitField0_ & ~0x00000040);
+        answers_ = 0;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.coordination.ServerUsage)
     }
 
@@ -15246,47 +15430,48 @@
       "n.ModelDemand\022\021\n\tlast_slot\030\005 \001(\004\0222\n\005pace" +
       "s\030\006 \003(\0132#.borageproxy.coordination.Model" +
       "Pace\022\030\n\020contents_version\030\007 \001(\004\"(\n\tModelP" +
-      "ace\022\r\n\005model\030\001 \001(\t\022\014\n\004pace\030\002 \001(\001\"n\n\013Serv" +
-      "erUsage\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001" +
-      "(\004\022\020\n\010requests\030\003 \001(\r\022\025\n\rprompt_tokens\030\004 " +
-      "\001(\r\022\023\n\013held_tokens\030\005 \001(\r\"[\n\016WorkspaceUsa" +
-      "ge\022\014\n\004name\030\001 \001(\t\022\016\n\006demand\030\002 \001(\004\022\014\n\004held" +
-      "\030\003 \001(\004\022\r\n\005spent\030\004 \001(\004\022\016\n\006needed\030\005 \001(\004\"_\n" +
-      "\013ModelDemand\022\017\n\007service\030\001 \001(\t\022\r\n\005model\030\002" +
-      " \001(\t\022\017\n\007adapter\030\003 \001(\t\022\016\n\006tokens\030\004 \001(\004\022\017\n" +
-      "\007waiting\030\005 \001(\r\"\221\002\n\022CoordinationUpdate\022\023\n" +
-      "\013coordinates\030\001 \001(\010\022\023\n\013coordinator\030\002 \001(\t\022" +
-      "\017\n\007entries\030\003 \001(\r\0226\n\007servers\030\004 \003(\0132%.bora" +
-      "geproxy.coordination.ServerUsage\0223\n\006shar" +
-      "es\030\005 \003(\0132#.borageproxy.coordination.Rate" +
-      "Share\0229\n\010contents\030\006 \003(\0132\'.borageproxy.co" +
-      "ordination.ServerContent\022\030\n\020contents_ver" +
-      "sion\030\007 \001(\004\"\323\002\n\013SlotRequest\022\014\n\004zone\030\001 \001(\t" +
-      "\022\017\n\007service\030\002 \001(\t\022\r\n\005model\030\003 \001(\t\022\017\n\007adap" +
-      "ter\030\004 \001(\t\022\025\n\rprompt_tokens\030\005 \001(\r\022\025\n\routp" +
-      "ut_tokens\030\006 \001(\r\0225\n\005parts\030\007 \003(\0132&.boragep" +
-      "roxy.coordination.PartOfPrompt\022\014\n\004rank\030\010" +
-      " \001(\r\022\030\n\020objective_millis\030\t \001(\r\022\027\n\017deadli" +
-      "ne_millis\030\n \001(\r\022\r\n\005tried\030\013 \003(\t\022\025\n\rwaited" +
-      "_millis\030\014 \001(\r\022\030\n\020most_wait_millis\030\r \001(\r\022" +
-      "\021\n\tabsent_at\030\016 \003(\t\022\014\n\004gone\030\017 \003(\t\"0\n\014Part" +
-      "OfPrompt\022\020\n\010identity\030\001 \001(\t\022\016\n\006tokens\030\002 \001" +
-      "(\r\"\270\002\n\nSlotAnswer\022=\n\007outcome\030\001 \001(\0162,.bor" +
-      "ageproxy.coordination.SlotAnswer.Outcome" +
-      "\022\016\n\006server\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\004\022\027\n" +
-      "\017expected_millis\030\004 \001(\001\022\025\n\runread_tokens\030" +
-      "\005 \001(\r\022\014\n\004slot\030\006 \001(\004\022\030\n\020come_back_millis\030" +
-      "\007 \001(\r\"n\n\007Outcome\022\023\n\017NOT_COORDINATOR\020\000\022\n\n" +
-      "\006CHOSEN\020\001\022\r\n\tNO_SERVER\020\002\022\014\n\010NO_MODEL\020\003\022\013" +
-      "\n\007CROWDED\020\004\022\r\n\tALL_TRIED\020\005\022\t\n\005AGAIN\020\006\";\n" +
-      "\tRateShare\022\021\n\tworkspace\030\001 \001(\t\022\014\n\004rate\030\002 " +
-      "\001(\004\022\r\n\005extra\030\003 \001(\004\"\211\001\n\rServerContent\022\014\n\004" +
-      "name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\016\n\006order" +
-      "s\030\003 \001(\004\0223\n\006models\030\004 \003(\0132#.borageproxy.co" +
-      "ordination.HeldModel\022\020\n\010arriving\030\005 \003(\t\"," +
-      "\n\tHeldModel\022\r\n\005model\030\001 \001(\t\022\020\n\010adapters\030\002" +
-      " \003(\tB2\n\032org.borageproxy.wire.protoB\024Coor" +
-      "dinationProtocolb\006proto3"
+      "ace\022\r\n\005model\030\001 \001(\t\022\014\n\004pace\030\002 \001(\001\"\221\001\n\013Ser" +
+      "verUsage\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 " +
+      "\001(\004\022\020\n\010requests\030\003 \001(\r\022\025\n\rprompt_tokens\030\004" +
+      " \001(\r\022\023\n\013held_tokens\030\005 \001(\r\022\020\n\010failures\030\006 " +
+      "\001(\r\022\017\n\007answers\030\007 \001(\r\"[\n\016WorkspaceUsage\022\014" +
+      "\n\004name\030\001 \001(\t\022\016\n\006demand\030\002 \001(\004\022\014\n\004held\030\003 \001" +
+      "(\004\022\r\n\005spent\030\004 \001(\004\022\016\n\006needed\030\005 \001(\004\"_\n\013Mod" +
+      "elDemand\022\017\n\007service\030\001 \001(\t\022\r\n\005model\030\002 \001(\t" +
+      "\022\017\n\007adapter\030\003 \001(\t\022\016\n\006tokens\030\004 \001(\004\022\017\n\007wai" +
+      "ting\030\005 \001(\r\"\221\002\n\022CoordinationUpdate\022\023\n\013coo" +
+      "rdinates\030\001 \001(\010\022\023\n\013coordinator\030\002 \001(\t\022\017\n\007e" +
+      "ntries\030\003 \001(\r\0226\n\007servers\030\004 \003(\0132%.boragepr" +
+      "oxy.coordination.ServerUsage\0223\n\006shares\030\005" +
+      " \003(\0132#.borageproxy.coordination.RateShar" +
+      "e\0229\n\010contents\030\006 \003(\0132\'.borageproxy.coordi" +
+      "nation.ServerContent\022\030\n\020contents_version" +
+      "\030\007 \001(\004\"\323\002\n\013SlotRequest\022\014\n\004zone\030\001 \001(\t\022\017\n\007" +
+      "service\030\002 \001(\t\022\r\n\005model\030\003 \001(\t\022\017\n\007adapter\030" +
+      "\004 \001(\t\022\025\n\rprompt_tokens\030\005 \001(\r\022\025\n\routput_t" +
+      "okens\030\006 \001(\r\0225\n\005parts\030\007 \003(\0132&.borageproxy" +
+      ".coordination.PartOfPrompt\022\014\n\004rank\030\010 \001(\r" +
+      "\022\030\n\020objective_millis\030\t \001(\r\022\027\n\017deadline_m" +
+      "illis\030\n \001(\r\022\r\n\005tried\030\013 \003(\t\022\025\n\rwaited_mil" +
+      "lis\030\014 \001(\r\022\030\n\020most_wait_millis\030\r \001(\r\022\021\n\ta" +
+      "bsent_at\030\016 \003(\t\022\014\n\004gone\030\017 \003(\t\"0\n\014PartOfPr" +
+      "ompt\022\020\n\010identity\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\r\"\270" +
+      "\002\n\nSlotAnswer\022=\n\007outcome\030\001 \001(\0162,.boragep" +
+      "roxy.coordination.SlotAnswer.Outcome\022\016\n\006" +
+      "server\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\004\022\027\n\017exp" +
+      "ected_millis\030\004 \001(\001\022\025\n\runread_tokens\030\005 \001(" +
+      "\r\022\014\n\004slot\030\006 \001(\004\022\030\n\020come_back_millis\030\007 \001(" +
+      "\r\"n\n\007Outcome\022\023\n\017NOT_COORDINATOR\020\000\022\n\n\006CHO" +
+      "SEN\020\001\022\r\n\tNO_SERVER\020\002\022\014\n\010NO_MODEL\020\003\022\013\n\007CR" +
+      "OWDED\020\004\022\r\n\tALL_TRIED\020\005\022\t\n\005AGAIN\020\006\";\n\tRat" +
+      "eShare\022\021\n\tworkspace\030\001 \001(\t\022\014\n\004rate\030\002 \001(\004\022" +
+      "\r\n\005extra\030\003 \001(\004\"\211\001\n\rServerContent\022\014\n\004name" +
+      "\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\016\n\006orders\030\003 " +
+      "\001(\004\0223\n\006models\030\004 \003(\0132#.borageproxy.coordi" +
+      "nation.HeldModel\022\020\n\010arriving\030\005 \003(\t\",\n\tHe" +
+      "ldModel\022\r\n\005model\030\001 \001(\t\022\020\n\010adapters\030\002 \003(\t" +
+      "B2\n\032org.borageproxy.wire.protoB\024Coordina" +
+      "tionProtocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -15309,7 +15494,7 @@
     internal_static_borageproxy_coordination_ServerUsage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_ServerUsage_descriptor,
-        new java.lang.String[] { "Name", "Incarnation", "Requests", "PromptTokens", "HeldTokens", });
+        new java.lang.String[] { "Name", "Incarnation", "Requests", "PromptTokens", "HeldTokens", "Failures", "Answers", });
     internal_static_borageproxy_coordination_WorkspaceUsage_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_borageproxy_coordination_WorkspaceUsage_fieldAccessorTable = new
--- a/src/test/java/org/borageproxy/platform/ForwardingTest.java
+++ b/src/test/java/org/borageproxy/platform/ForwardingTest.java
@@ -416,6 +416,24 @@
         assertFalse(answer.endsWith("0\r\n\r\n"), answer);
     }
 
+    /** Load pattern: a server takes requests and answers none while its heartbeats are good. */
+    @Test
+    void silentServerIsAvoidedByTheNextRequests() throws Exception {
+        Function<String, ScriptedServer.Answer> silent = request -> {
+            try {
+                Thread.sleep(5_000);
+            } catch (InterruptedException exception) {
+                Thread.currentThread().interrupt();
+            }
+            return keep("");
+        };
+        server(silent);
+        assertTrue(call("/once/", "").startsWith("HTTP/1.1 504"));
+        ScriptedServer sound = server(request -> keep(ok(request, "Content-Length: 2\r\n", "ok")));
+        assertTrue(call("/once/", "").startsWith("HTTP/1.1 200"));
+        assertEquals(1, sound.requests.size());
+    }
+
     @Test
     void silentServerIsGivenUpAtTheDeadlineWithoutAPromise() throws Exception {
         server(request -> {
