--- a/src/main/java/org/borageproxy/quota/RateShares.java
+++ b/src/main/java/org/borageproxy/quota/RateShares.java
@@ -28,8 +28,6 @@
     private static final Duration EXHAUSTION = Duration.ofMillis(150);
     /** The part of a rate that an entry may spend before its first share. */
     private static final double FIRST_SHARE = 1.0 / 16;
-    /** Seconds of its rate that an entry keeps of allowances that it did not use; what is more lapses. */
-    private static final double KEPT_EXTRA_SECONDS = 0.1;
     /** Seconds of its rate that an entry may save; the coordinator saves the rest of the burst. */
     private static final double SAVED_SECONDS = 0.4;
     /** The weight of the newest second in the measured demand. */
@@ -152,8 +150,7 @@
     }
 
     /**
-     * Gives back tokens of a request that did not run. They were or will be reported as spent, so they come back as an
-     * allowance, which is not reported again.
+     * Gives back tokens of a request that did not run.
      *
      * @param workspace the workspace
      * @param tokens the tokens
@@ -161,7 +158,8 @@
     public void refund(PublishedWorkspace workspace, long tokens) {
         Share share = shares.get(workspace.name());
         if (workspace.isLimited() && share != null) {
-            share.extra += tokens;
+            share.level += tokens;
+            share.spent -= tokens;
         }
     }
 
@@ -194,8 +192,7 @@
                 share.accrue(Math.max(askedAtNanos, share.accruedAtNanos));
                 share.rate = renewal.getRate();
                 share.level = Math.min(share.level, share.rate * SAVED_SECONDS);
-                double kept = Math.max(renewal.getExtra(), share.rate * KEPT_EXTRA_SECONDS);
-                share.extra = Math.min(share.extra + renewal.getExtra(), kept);
+                share.extra += renewal.getExtra();
                 if (renewal.getExtra() < share.neededAtReport) {
                     share.exhaustedUntil = Deadline.after(askedAtNanos, EXHAUSTION);
                 }
@@ -223,13 +220,13 @@
                     .setName(name)
                     .setDemand((long) share.demand)
                     .setHeld((long) share.rate)
-                    .setSpent(share.spent)
+                    .setSpent(Math.max(0, share.spent))
                     .setNeeded(share.needed)
                     .build());
             share.neededAtReport = share.needed;
             share.needed = 0;
             share.asked = 0;
-            share.spent = 0;
+            share.spent = Math.min(0, share.spent);
             share.reportedAtNanos = nowNanos;
         });
         return usages;
