--- a/src/main/java/org/borageproxy/coordination/Coordinator.java
+++ b/src/main/java/org/borageproxy/coordination/Coordinator.java
@@ -154,13 +154,13 @@
         RateSplitter splitter = splitters.compute(
                 workspace.name(),
                 (name, known) -> known != null && known.limit().equals(limit) ? known : newSplitter(limit, nowNanos));
-        RateSplitter.Report report =
-                new RateSplitter.Report(usage.getDemand(), usage.getHeld(), usage.getSpent(), usage.getNeeded());
+        RateSplitter.Report report = new RateSplitter.Report(
+                usage.getDemand(), usage.getHeld(), usage.getSpent(), usage.getReturned(), usage.getNeedsList());
         RateSplitter.Part part = splitter.report(sender, report, nowNanos);
         return RateShare.newBuilder()
                 .setWorkspace(workspace.name())
                 .setRate(part.rate())
-                .setExtra(part.extra())
+                .setGranted(part.granted())
                 .build();
     }
 
--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -49,10 +49,6 @@
     private static final Duration SOON = Duration.ofMillis(300);
     /** The time that a server's own answer at the deadline gets to arrive. */
     private static final Duration DEADLINE_GRACE = Duration.ofMillis(40);
-    /** How long a request is held for the rate of its workspace; two reports of usage. */
-    private static final Duration RATE_HOLD = Duration.ofMillis(250);
-
-    private static final int MOST_RATE_HOLDS = 2;
     /** The part of the time to its objective that a request waits for capacity. */
     private static final double CAPACITY_PATIENCE = 0.55;
     /** How many VMs are assumed to have queues of the same length. */
@@ -64,6 +60,7 @@
     private final ForwardParts parts;
     private final HeldRequest held;
     private final RequestLog log;
+    private final RateAdmission rate;
     private final Runnable ended;
     private final AnswerRelay relay;
     private final Set<BackendServerName> tried = new HashSet<>();
@@ -87,6 +84,7 @@
         this.ended = ended;
         this.relay = new AnswerRelay(held.request().response());
         this.log = new RequestLog(held, parts.clock());
+        this.rate = new RateAdmission(parts, held);
     }
 
     /** Begins. */
@@ -105,9 +103,7 @@
         deadlineTimer = schedule(held.deadline(), DEADLINE_GRACE, this::expire);
         parts.budgets().apply(held.service()).deposit();
         held.fields().work().ifPresent(work -> parts.pool().asked(held.service(), work));
-        held.workspace().ifPresent(workspace -> parts.rates()
-                .asked(workspace, held.rateTokens(), parts.clock().nanoTime()));
-        spendRate(0);
+        rate.request(this::find, this::refuseRate);
     }
 
     private ScheduledFuture<?> schedule(Deadline deadline, Duration grace, Runnable task) {
@@ -115,24 +111,11 @@
         return parts.eventLoop().schedule(task, nanos, TimeUnit.NANOSECONDS);
     }
 
-    private void spendRate(int holds) {
-        Optional<RateShares.Shortage> shortage = held.workspace().flatMap(workspace -> parts.rates()
-                .spend(workspace, held.rateTokens(), parts.clock().nanoTime()));
-        if (shortage.isEmpty()) {
-            find();
-        } else if (holds < MOST_RATE_HOLDS && shortage.get().isAsked()) {
-            Deadline again = Deadline.after(parts.clock().nanoTime(), RATE_HOLD);
-            schedule(again, Duration.ZERO, () -> {
-                if (!hasEnded) {
-                    spendRate(holds + 1);
-                }
-            });
-        } else {
-            held.workspace()
-                    .ifPresent(workspace ->
-                            log.rateSpent(held.rateTokens(), parts.rates().describe(workspace)));
-            refuse(RefusalReason.RATE_SPENT, Optional.of(shortage.get().time()));
-        }
+    private void refuseRate(RateShares.Shortage shortage) {
+        held.workspace()
+                .ifPresent(workspace ->
+                        log.rateSpent(held.rateTokens(), parts.rates().describe(workspace)));
+        refuse(RefusalReason.RATE_SPENT, Optional.of(shortage.time()));
     }
 
     private void find() {
@@ -540,7 +523,6 @@
         } else if (runs > 0) {
             refuse(RefusalReason.ANSWER_LOST, Optional.empty());
         } else {
-            held.workspace().ifPresent(workspace -> parts.rates().refund(workspace, held.rateTokens()));
             refuse(reason, Optional.of(comeBack));
         }
     }
@@ -587,6 +569,7 @@
         if (deadlineTimer != null) {
             deadlineTimer.cancel(false);
         }
+        rate.close(runs > 0);
         current.filter(attempt -> !attempt.isOver).ifPresent(Attempt::giveUp);
         log.ended(outcome, status, sends, scanner.events());
         parts.metrics().ended(held.route().name(), outcome, (parts.clock().nanoTime() - held.arrivedAtNanos()) / 1e6);
--- a/src/main/java/org/borageproxy/quota/RateShares.java
+++ b/src/main/java/org/borageproxy/quota/RateShares.java
@@ -1,7 +1,9 @@
 package org.borageproxy.quota;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -14,22 +16,25 @@
 import org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage;
 
 /**
- * An entry's parts of the workspaces' rates. The coordinator divides each rate; a share that is not renewed lapses, so
- * that an entry that lost the coordinator spends nothing that another entry may have been given. Not thread safe; used
- * by the event loop of the requests.
+ * An entry's parts of the workspaces' rates. While the coordinator answers, only tokens that it granted are spent, and
+ * each report returns those that were not. While it does not answer, the entry spends its share of the rate; a share
+ * that is not renewed lapses, so that an entry that lost the coordinator spends nothing that another entry may have
+ * been given. Not thread safe; used by the event loop of the requests.
  */
 public final class RateShares {
 
     /** How long a share holds without renewal; the coordinator keeps it back for longer. */
     public static final Duration VALIDITY = Duration.ofSeconds(10);
-    /** How long the allowance beyond the rate holds without renewal. */
-    private static final Duration EXTRA_VALIDITY = Duration.ofMillis(900);
+    /** How long after its last answered report an entry relies on grants; two reports and a half. */
+    public static final Duration GRANT_VALIDITY = Duration.ofMillis(300);
     /** How long a workspace whose need was not met counts as exhausted. */
     private static final Duration EXHAUSTION = Duration.ofMillis(150);
     /** The part of a rate that an entry may spend before its first share. */
     private static final double FIRST_SHARE = 1.0 / 16;
-    /** Seconds of its rate that an entry may save; the coordinator saves the rest of the burst. */
+    /** Seconds of its share that an entry saves while the coordinator does not answer. */
     private static final double SAVED_SECONDS = 0.4;
+    /** Seconds of its share that such an entry spends in advance, so that large requests are admitted too. */
+    private static final double OWED_SECONDS = 1;
     /** The weight of the newest second in the measured demand. */
     private static final double NEWEST = 0.5;
 
@@ -37,34 +42,76 @@
 
     private final Map<String, Share> shares = new HashMap<>();
     private Runnable shortage = () -> {};
+    private Deadline grantLapsesAt;
+
+    /**
+     * Begins without a coordinator.
+     *
+     * @param nowNanos the reading of the clock
+     */
+    public RateShares(long nowNanos) {
+        grantLapsesAt = new Deadline(nowNanos);
+    }
 
     private static final class Share {
+        private final Deque<Waiting> waiting = new ArrayDeque<>();
         private double rate;
         private double level;
-        private double extra;
+        private long granted;
         private long accruedAtNanos;
         private Deadline lapsesAt;
-        private Deadline extraLapsesAt;
+        private Deadline grantLapsesAt;
         private Deadline exhaustedUntil;
-        private long neededAtReport;
         private long asked;
         private long spent;
-        private long needed;
+        private long spentInReport;
+        private long neededInReport;
         private double demand;
         private long reportedAtNanos;
 
         private void accrue(long nowNanos) {
-            double seconds = Math.max(0, nowNanos - accruedAtNanos) / NANOS_PER_SECOND;
+            long fromNanos = Math.max(accruedAtNanos, grantLapsesAt.atNanos());
             accruedAtNanos = nowNanos;
+            if (!isAlone(nowNanos)) {
+                return;
+            }
+            granted = 0;
             if (lapsesAt.hasPassed(nowNanos)) {
                 rate = 0;
                 level = Math.min(level, 0);
             }
-            if (extraLapsesAt.hasPassed(nowNanos)) {
-                extra = 0;
-            }
+            double seconds = Math.max(0, nowNanos - fromNanos) / NANOS_PER_SECOND;
             level = Math.min(level + rate * seconds, rate * SAVED_SECONDS);
         }
+
+        private boolean isAlone(long nowNanos) {
+            return grantLapsesAt.hasPassed(nowNanos);
+        }
+
+        private boolean spend(long tokens, long nowNanos) {
+            accrue(nowNanos);
+            if (granted >= tokens) {
+                granted -= tokens;
+                return true;
+            }
+            if (isAlone(nowNanos) && rate > 0 && level + rate * OWED_SECONDS >= tokens) {
+                level -= tokens;
+                spent += tokens;
+                return true;
+            }
+            return false;
+        }
+    }
+
+    private static final class Waiting {
+        private final long tokens;
+        private final Runnable decided;
+        private boolean isReported;
+
+        private Waiting(long tokens, Runnable decided) {
+            this.tokens = tokens;
+            this.decided = decided;
+        }
     }
 
     /**
@@ -80,9 +127,9 @@
      * Why tokens were not spent.
      *
      * @param time the time after which they may be there
-     * @param isAsked whether the coordinator was asked and may grant them within milliseconds
+     * @param isGrantable whether the coordinator may grant them within milliseconds
      */
-    public record Shortage(Duration time, boolean isAsked) {}
+    public record Shortage(Duration time, boolean isGrantable) {}
 
     /**
      * Spends tokens of a workspace.
@@ -97,22 +144,40 @@
             return Optional.empty();
         }
         Share share = share(workspace, nowNanos);
-        share.accrue(nowNanos);
-        boolean isAlone = share.extraLapsesAt.hasPassed(nowNanos);
-        boolean mayOwe = isAlone && share.rate > 0 && share.level >= share.rate * SAVED_SECONDS;
-        if (share.level + share.extra >= tokens || mayOwe) {
-            double beyond = Math.max(0, Math.min(share.extra, tokens - Math.max(0, share.level)));
-            share.extra -= beyond;
-            share.level -= tokens - beyond;
-            share.spent += (long) (tokens - beyond);
+        if (share.spend(tokens, nowNanos)) {
             return Optional.empty();
         }
-        share.needed += tokens;
-        shortage.run();
         double rate = workspace.rate();
         double seconds = Math.min(VALIDITY.toSeconds(), (tokens - Math.min(0, share.level)) / Math.max(1.0, rate));
-        boolean isAsked = !isAlone && share.exhaustedUntil.hasPassed(nowNanos);
-        return Optional.of(new Shortage(Duration.ofNanos((long) (seconds * NANOS_PER_SECOND)), isAsked));
+        boolean isGrantable = !share.isAlone(nowNanos) && share.exhaustedUntil.hasPassed(nowNanos);
+        return Optional.of(new Shortage(Duration.ofNanos((long) (seconds * NANOS_PER_SECOND)), isGrantable));
+    }
+
+    /**
+     * Asks the coordinator for tokens that could not be spent. Requests are granted tokens in the order in which they
+     * asked.
+     *
+     * @param workspace the workspace
+     * @param tokens the tokens of one request
+     * @param decided called once when the coordinator granted the tokens or could not, to spend again; never called if
+     *     the coordinator does not answer
+     */
+    public void awaitGrant(PublishedWorkspace workspace, long tokens, Runnable decided) {
+        Share share = shares.get(workspace.name());
+        if (share != null) {
+            share.waiting.add(new Waiting(tokens, decided));
+            shortage.run();
+        }
+    }
+
+    /**
+     * Returns whether requests wait for a grant that was not asked for yet.
+     *
+     * @return whether a report is due
+     */
+    public boolean isAwaited() {
+        return shares.values().stream()
+                .anyMatch(share -> !share.waiting.isEmpty() && !share.waiting.peekLast().isReported);
     }
 
     /**
@@ -140,12 +205,12 @@
                 ? "none"
                 : String.format(
                         Locale.ROOT,
-                        "limit:%d/%d,share:%.0f,level:%.0f,extra:%.0f,demand:%.0f",
+                        "limit:%d/%d,share:%.0f,level:%.0f,granted:%d,demand:%.0f",
                         workspace.rate(),
                         workspace.burst(),
                         share.rate,
                         share.level,
-                        share.extra,
+                        share.granted,
                         share.demand);
     }
 
@@ -154,12 +219,19 @@
      *
      * @param workspace the workspace
      * @param tokens the tokens
+     * @param nowNanos the reading of the clock
      */
-    public void refund(PublishedWorkspace workspace, long tokens) {
+    public void refund(PublishedWorkspace workspace, long tokens, long nowNanos) {
         Share share = shares.get(workspace.name());
-        if (workspace.isLimited() && share != null) {
+        if (!workspace.isLimited() || share == null) {
+            return;
+        }
+        share.accrue(nowNanos);
+        if (share.isAlone(nowNanos)) {
             share.level += tokens;
             share.spent -= tokens;
+        } else {
+            share.granted += tokens;
         }
     }
 
@@ -170,7 +242,7 @@
             share.level = workspace.burst() * FIRST_SHARE;
             share.accruedAtNanos = nowNanos;
             share.lapsesAt = Deadline.after(nowNanos, VALIDITY);
-            share.extraLapsesAt = new Deadline(nowNanos);
+            share.grantLapsesAt = grantLapsesAt;
             share.exhaustedUntil = new Deadline(nowNanos);
             share.reportedAtNanos = nowNanos;
             return share;
@@ -178,13 +250,15 @@
     }
 
     /**
-     * Takes the shares that the coordinator gives.
+     * Takes the shares that the coordinator gives, and decides about the requests that waited for them.
      *
      * @param workspaces the limited workspaces by name
      * @param given the shares
      * @param askedAtNanos when the coordinator was asked
      */
     public void renew(Map<String, PublishedWorkspace> workspaces, List<RateShare> given, long askedAtNanos) {
+        grantLapsesAt = Deadline.after(askedAtNanos, GRANT_VALIDITY);
+        List<Runnable> decided = new ArrayList<>();
         for (RateShare renewal : given) {
             PublishedWorkspace workspace = workspaces.get(renewal.getWorkspace());
             if (workspace != null) {
@@ -192,19 +266,26 @@
                 share.accrue(Math.max(askedAtNanos, share.accruedAtNanos));
                 share.rate = renewal.getRate();
                 share.level = Math.min(share.level, share.rate * SAVED_SECONDS);
-                share.extra += renewal.getExtra();
-                if (renewal.getExtra() < share.neededAtReport) {
+                share.granted += renewal.getGranted();
+                if (renewal.getGranted() < share.neededInReport) {
                     share.exhaustedUntil = Deadline.after(askedAtNanos, EXHAUSTION);
                 }
+                share.spent -= share.spentInReport;
+                share.spentInReport = 0;
                 share.lapsesAt = Deadline.after(askedAtNanos, VALIDITY);
-                share.extraLapsesAt = Deadline.after(askedAtNanos, EXTRA_VALIDITY);
+                share.grantLapsesAt = grantLapsesAt;
+                while (!share.waiting.isEmpty() && share.waiting.peek().isReported) {
+                    decided.add(share.waiting.remove().decided);
+                }
             }
         }
         shares.keySet().retainAll(workspaces.keySet());
+        decided.forEach(Runnable::run);
     }
 
     /**
-     * Returns what was asked and spent since the last call.
+     * Returns what was asked and spent since the last report that was answered, and returns the tokens that were
+     * granted and not spent.
      *
      * @param nowNanos the reading of the clock
      * @return the usage of each workspace that asked lately
@@ -216,17 +297,22 @@
             double seconds = Math.max(1, nowNanos - share.reportedAtNanos) / NANOS_PER_SECOND;
             double weight = Math.min(1.0, NEWEST * Math.min(2.0, seconds / 0.25));
             share.demand += weight * (share.asked / seconds - share.demand);
-            usages.add(WorkspaceUsage.newBuilder()
+            share.spentInReport = Math.max(0, share.spent);
+            WorkspaceUsage.Builder usage = WorkspaceUsage.newBuilder()
                     .setName(name)
                     .setDemand((long) share.demand)
                     .setHeld((long) share.rate)
-                    .setSpent(Math.max(0, share.spent))
-                    .setNeeded(share.needed)
-                    .build());
-            share.neededAtReport = share.needed;
-            share.needed = 0;
+                    .setSpent(share.spentInReport)
+                    .setReturned(share.granted);
+            share.granted = 0;
+            share.neededInReport = 0;
+            for (Waiting waiting : share.waiting) {
+                usage.addNeeds(waiting.tokens);
+                waiting.isReported = true;
+                share.neededInReport += waiting.tokens;
+            }
+            usages.add(usage.build());
             share.asked = 0;
-            share.spent = Math.min(0, share.spent);
             share.reportedAtNanos = nowNanos;
         });
         return usages;
--- a/src/main/java/org/borageproxy/quota/RateSplitter.java
+++ b/src/main/java/org/borageproxy/quota/RateSplitter.java
@@ -2,27 +2,25 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 import org.borageproxy.time.Deadline;
 import org.borageproxy.vm.VmName;
 
 /**
- * Divides one workspace's rate among the entries by their demand. The shares that entries may still hold never exceed
- * the rate: the share of an entry that fell silent is kept back until it has lapsed there. Not thread safe.
+ * Gives out one workspace's tokens to the entries that need them, and divides its rate into the shares that they spend
+ * while they do not reach the coordinator. The shares that entries may still hold never exceed the rate: the share of
+ * an entry that fell silent is kept back until it has lapsed there. Not thread safe.
  */
 public final class RateSplitter {
 
     /** How long the share of a silent entry is kept back; longer than it holds there. */
     private static final Duration KEPT_BACK = RateShares.VALIDITY.plusSeconds(2);
-    /** How long after a report an entry's spending is taken for known. */
-    private static final Duration SILENCE = Duration.ofMillis(500);
-    /** The part of the burst that is saved here; entries save the rest. */
-    private static final double SAVED_HERE = 0.6;
-    /** The part of the unspent tokens that is handed out before anyone asks. */
-    private static final double HANDED_OUT = 0.4;
-    /** The part of the unspent tokens that one report may get. */
-    private static final double GRANTED = 0.8;
+    /** The part of the burst from which on unspent tokens are granted before anyone asks. */
+    private static final double RESERVED = 0.5;
+    /** The part of the tokens above it that all entries together hold. */
+    private static final double HANDED_OUT = 0.6;
 
     private static final double NANOS_PER_SECOND = 1e9;
 
@@ -44,6 +42,7 @@
         private double demand;
         private Deadline keptUntil;
         private Deadline silentFrom;
+        private double supposedSpent;
     }
 
     /**
@@ -51,10 +50,25 @@
      *
      * @param demand the rate that it asks for, in tokens per second
      * @param held the rate that it holds
-     * @param spent the tokens of its share spent since its last report
-     * @param needed the tokens that requests wait for
+     * @param spent the tokens of its share that it spent without a grant
+     * @param returned the granted tokens that it did not spend
+     * @param needs the tokens of each request that waits for a grant, oldest first
      */
-    public record Report(double demand, double held, long spent, long needed) {}
+    public record Report(double demand, double held, long spent, long returned, List<Long> needs) {
+
+        /**
+         * Copies the needs.
+         *
+         * @param demand the rate that it asks for, in tokens per second
+         * @param held the rate that it holds
+         * @param spent the tokens of its share that it spent without a grant
+         * @param returned the granted tokens that it did not spend
+         * @param needs the tokens of each request that waits for a grant, oldest first
+         */
+        public Report {
+            needs = List.copyOf(needs);
+        }
+    }
 
     /**
      * Divides a rate of which nothing is known to be unspent.
@@ -79,10 +93,10 @@
     /**
      * An entry's part.
      *
-     * @param rate tokens per second
-     * @param extra tokens that may be spent at once beyond the rate until the next report
+     * @param rate tokens per second that may be spent without grants
+     * @param granted tokens that may be spent until the next report
      */
-    public record Part(long rate, long extra) {}
+    public record Part(long rate, long granted) {}
 
     /**
      * Notes an entry of which only the name is known, and which may hold its part of the rate.
@@ -111,10 +125,13 @@
      */
     public Part report(VmName entry, Report report, long nowNanos) {
         Holder holder = holders.computeIfAbsent(entry, name -> new Holder());
+        accrue(nowNanos);
+        unspent += report.returned() + holder.supposedSpent - report.spent();
+        holder.supposedSpent = 0;
         holder.demand = report.demand();
         holder.share = report.held();
         holder.keptUntil = Deadline.after(nowNanos, KEPT_BACK);
-        holder.silentFrom = Deadline.after(nowNanos, SILENCE);
+        holder.silentFrom = Deadline.after(nowNanos, RateShares.GRANT_VALIDITY);
         holders.values().removeIf(other -> other.keptUntil.hasPassed(nowNanos));
         double others = holders.values().stream()
                 .filter(other -> other != holder)
@@ -122,7 +139,7 @@
                 .sum();
         double free = Math.max(0, limit.rate() - others);
         holder.share = Math.min(free, wanted(holder, limit.rate()));
-        return new Part((long) holder.share, extra(report, nowNanos));
+        return new Part((long) holder.share, granted(report));
     }
 
     private double wanted(Holder holder, long rate) {
@@ -152,21 +169,35 @@
         return rate;
     }
 
-    // Tokens granted beyond shares count as spent at once; what an entry leaves of them is lost. A silent entry is
-    // taken to spend its whole share.
-    private long extra(Report report, long nowNanos) {
+    // A silent entry is taken to spend its whole share until it reports again.
+    private void accrue(long nowNanos) {
         double seconds = Math.max(0, nowNanos - accruedAtNanos) / NANOS_PER_SECOND;
         accruedAtNanos = nowNanos;
-        double silent = holders.values().stream()
-                .filter(holder -> holder.silentFrom.hasPassed(nowNanos))
-                .mapToDouble(holder -> holder.share)
-                .sum();
-        unspent = Math.min(limit.burst() * SAVED_HERE, unspent + Math.max(0, limit.rate() - silent) * seconds)
-                - report.spent();
-        double spendable = Math.max(0, unspent);
-        double wished = Math.max(report.needed(), spendable * HANDED_OUT / Math.max(1, holders.size()));
-        long granted = (long) Math.min(wished, spendable * GRANTED);
-        unspent -= granted;
-        return granted;
+        double silent = 0;
+        for (Holder holder : holders.values()) {
+            if (holder.silentFrom != null && holder.silentFrom.hasPassed(nowNanos)) {
+                holder.supposedSpent += holder.share * seconds;
+                silent += holder.share;
+            }
+        }
+        unspent = Math.min(limit.burst(), unspent + Math.max(0, limit.rate() - silent) * seconds);
+    }
+
+    // The last request that is granted its tokens may take more than there are: otherwise small requests would always
+    // use up what a large one needs.
+    private long granted(Report report) {
+        unspent = Math.min(limit.burst(), unspent);
+        long granted = 0;
+        for (long need : report.needs()) {
+            if (unspent <= 0) {
+                break;
+            }
+            granted += need;
+            unspent -= need;
+        }
+        double ample = Math.max(0, unspent - limit.burst() * RESERVED);
+        long ahead = (long) (ample * HANDED_OUT / Math.max(1, holders.size()));
+        unspent -= ahead;
+        return granted + ahead;
     }
 }
--- a/src/main/java/org/borageproxy/server/GatewayEntry.java
+++ b/src/main/java/org/borageproxy/server/GatewayEntry.java
@@ -50,7 +50,7 @@
 
     private final GatewayFoundation foundation;
     private final ServerPool pool;
-    private final RateShares rates = new RateShares();
+    private final RateShares rates;
     private final Map<String, RetryBudget> budgets = new HashMap<>();
     private final CoordinationClient coordination;
     private final SlotClient slots;
@@ -80,6 +80,7 @@
         pool.onGone(foundation::serverGone);
         pool.onUrgentDemand(coordination::reportSoon);
         pool.onChangedUse(coordination::reportSoon);
+        rates = new RateShares(foundation.clock().nanoTime());
         rates.onShortage(coordination::reportSoon);
         ControlClient client = new ControlClient(
                 foundation.self(),
--- a/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
@@ -4066,7 +4066,7 @@
 
     /**
      * <pre>
-     * Tokens of the share spent since the report before.
+     * Tokens spent without a grant since the last report that was answered.
      * </pre>
      *
      * <code>uint64 spent = 4;</code>
@@ -4076,13 +4076,42 @@
 
     /**
      * <pre>
-     * Tokens that requests wait for.
+     * The tokens of each request that waits for a grant, oldest first.
      * </pre>
      *
-     * <code>uint64 needed = 5;</code>
-     * @return The needed.
+     * <code>repeated uint64 needs = 6;</code>
+     * @return A list containing the needs.
      */
-    long getNeeded();
+    java.util.List<java.lang.Long> getNeedsList();
+    /**
+     * <pre>
+     * The tokens of each request that waits for a grant, oldest first.
+     * </pre>
+     *
+     * <code>repeated uint64 needs = 6;</code>
+     * @return The count of needs.
+     */
+    int getNeedsCount();
+    /**
+     * <pre>
+     * The tokens of each request that waits for a grant, oldest first.
+     * </pre>
+     *
+     * <code>repeated uint64 needs = 6;</code>
+     * @param index The index of the element to return.
+     * @return The needs at the given index.
+     */
+    long getNeeds(int index);
+
+    /**
+     * <pre>
+     * Granted tokens that were not spent.
+     * </pre>
+     *
+     * <code>uint64 returned = 7;</code>
+     * @return The returned.
+     */
+    long getReturned();
   }
   /**
    * <pre>
@@ -4111,6 +4140,7 @@
     }
     private WorkspaceUsage() {
       name_ = "";
+      needs_ = emptyLongList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -4204,7 +4234,7 @@
     private long spent_ = 0L;
     /**
      * <pre>
-     * Tokens of the share spent since the report before.
+     * Tokens spent without a grant since the last report that was answered.
      * </pre>
      *
      * <code>uint64 spent = 4;</code>
@@ -4215,19 +4245,61 @@
       return spent_;
     }
 
-    public static final int NEEDED_FIELD_NUMBER = 5;
-    private long needed_ = 0L;
+    public static final int NEEDS_FIELD_NUMBER = 6;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.Internal.LongList needs_ =
+        emptyLongList();
     /**
      * <pre>
-     * Tokens that requests wait for.
+     * The tokens of each request that waits for a grant, oldest first.
      * </pre>
      *
-     * <code>uint64 needed = 5;</code>
-     * @return The needed.
+     * <code>repeated uint64 needs = 6;</code>
+     * @return A list containing the needs.
      */
     @java.lang.Override
-    public long getNeeded() {
-      return needed_;
+    public java.util.List<java.lang.Long>
+        getNeedsList() {
+      return needs_;
+    }
+    /**
+     * <pre>
+     * The tokens of each request that waits for a grant, oldest first.
+     * </pre>
+     *
+     * <code>repeated uint64 needs = 6;</code>
+     * @return The count of needs.
+     */
+    public int getNeedsCount() {
+      return needs_.size();
+    }
+    /**
+     * <pre>
+     * The tokens of each request that waits for a grant, oldest first.
+     * </pre>
+     *
+     * <code>repeated uint64 needs = 6;</code>
+     * @param index The index of the element to return.
+     * @return The needs at the given index.
+     */
+    public long getNeeds(int index) {
+      return needs_.getLong(index);
+    }
+    private int needsMemoizedSerializedSize = -1;
+
+    public static final int RETURNED_FIELD_NUMBER = 7;
+    private long returned_ = 0L;
+    /**
+     * <pre>
+     * Granted tokens that were not spent.
+     * </pre>
+     *
+     * <code>uint64 returned = 7;</code>
+     * @return The returned.
+     */
+    @java.lang.Override
+    public long getReturned() {
+      return returned_;
     }
 
     private byte memoizedIsInitialized = -1;
@@ -4244,6 +4316,7 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
+      getSerializedSize();
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(name_)) {
         com.google.protobuf.GeneratedMessage.writeString(output, 1, name_);
       }
@@ -4256,8 +4329,15 @@
       if (spent_ != 0L) {
         output.writeUInt64(4, spent_);
       }
-      if (needed_ != 0L) {
-        output.writeUInt64(5, needed_);
+      if (getNeedsList().size() > 0) {
+        output.writeUInt32NoTag(50);
+        output.writeUInt32NoTag(needsMemoizedSerializedSize);
+      }
+      for (int i = 0; i < needs_.size(); i++) {
+        output.writeUInt64NoTag(needs_.getLong(i));
+      }
+      if (returned_ != 0L) {
+        output.writeUInt64(7, returned_);
       }
       getUnknownFields().writeTo(output);
     }
@@ -4283,9 +4363,23 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(4, spent_);
       }
-      if (needed_ != 0L) {
+      {
+        int dataSize = 0;
+        for (int i = 0; i < needs_.size(); i++) {
+          dataSize += com.google.protobuf.CodedOutputStream
+            .computeUInt64SizeNoTag(needs_.getLong(i));
+        }
+        size += dataSize;
+        if (!getNeedsList().isEmpty()) {
+          size += 1;
+          size += com.google.protobuf.CodedOutputStream
+              .computeInt32SizeNoTag(dataSize);
+        }
+        needsMemoizedSerializedSize = dataSize;
+      }
+      if (returned_ != 0L) {
         size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(5, needed_);
+          .computeUInt64Size(7, returned_);
       }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
@@ -4310,8 +4404,10 @@
           != other.getHeld()) return false;
       if (getSpent()
           != other.getSpent()) return false;
-      if (getNeeded()
-          != other.getNeeded()) return false;
+      if (!getNeedsList()
+          .equals(other.getNeedsList())) return false;
+      if (getReturned()
+          != other.getReturned()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -4334,9 +4430,13 @@
       hash = (37 * hash) + SPENT_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getSpent());
-      hash = (37 * hash) + NEEDED_FIELD_NUMBER;
+      if (getNeedsCount() > 0) {
+        hash = (37 * hash) + NEEDS_FIELD_NUMBER;
+        hash = (53 * hash) + getNeedsList().hashCode();
+      }
+      hash = (37 * hash) + RETURNED_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getNeeded());
+          getReturned());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -4476,7 +4576,8 @@
         demand_ = 0L;
         held_ = 0L;
         spent_ = 0L;
-        needed_ = 0L;
+        needs_ = emptyLongList();
+        returned_ = 0L;
         return this;
       }
 
@@ -4523,7 +4624,11 @@
           result.spent_ = spent_;
         }
         if (((from_bitField0_ & 0x00000010) != 0)) {
-          result.needed_ = needed_;
+          needs_.makeImmutable();
+          result.needs_ = needs_;
+        }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.returned_ = returned_;
         }
       }
 
@@ -4553,8 +4658,19 @@
         if (other.getSpent() != 0L) {
           setSpent(other.getSpent());
         }
-        if (other.getNeeded() != 0L) {
-          setNeeded(other.getNeeded());
+        if (!other.needs_.isEmpty()) {
+          if (needs_.isEmpty()) {
+            needs_ = other.needs_;
+            needs_.makeImmutable();
+            bitField0_ |= 0x00000010;
+          } else {
+            ensureNeedsIsMutable();
+            needs_.addAll(other.needs_);
+          }
+          onChanged();
+        }
+        if (other.getReturned() != 0L) {
+          setReturned(other.getReturned());
         }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
@@ -4602,11 +4718,27 @@
                 bitField0_ |= 0x00000008;
                 break;
               } // case 32
-              case 40: {
-                needed_ = input.readUInt64();
-                bitField0_ |= 0x00000010;
+              case 48: {
+                long v = input.readUInt64();
+                ensureNeedsIsMutable();
+                needs_.addLong(v);
                 break;
-              } // case 40
+              } // case 48
+              case 50: {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                ensureNeedsIsMutable();
+                while (input.getBytesUntilLimit() > 0) {
+                  needs_.addLong(input.readUInt64());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 50
+              case 56: {
+                returned_ = input.readUInt64();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 56
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -4787,7 +4919,7 @@
       private long spent_ ;
       /**
        * <pre>
-       * Tokens of the share spent since the report before.
+       * Tokens spent without a grant since the last report that was answered.
        * </pre>
        *
        * <code>uint64 spent = 4;</code>
@@ -4799,7 +4931,7 @@
       }
       /**
        * <pre>
-       * Tokens of the share spent since the report before.
+       * Tokens spent without a grant since the last report that was answered.
        * </pre>
        *
        * <code>uint64 spent = 4;</code>
@@ -4815,7 +4947,7 @@
       }
       /**
        * <pre>
-       * Tokens of the share spent since the report before.
+       * Tokens spent without a grant since the last report that was answered.
        * </pre>
        *
        * <code>uint64 spent = 4;</code>
@@ -4828,46 +4960,158 @@
         return this;
       }
 
-      private long needed_ ;
+      private com.google.protobuf.Internal.LongList needs_ = emptyLongList();
+      private void ensureNeedsIsMutable() {
+        if (!needs_.isModifiable()) {
+          needs_ = makeMutableCopy(needs_);
+        }
+        bitField0_ |= 0x00000010;
+      }
       /**
        * <pre>
-       * Tokens that requests wait for.
+       * The tokens of each request that waits for a grant, oldest first.
        * </pre>
        *
-       * <code>uint64 needed = 5;</code>
-       * @return The needed.
+       * <code>repeated uint64 needs = 6;</code>
+       * @return A list containing the needs.
        */
-      @java.lang.Override
-      public long getNeeded() {
-        return needed_;
+      public java.util.List<java.lang.Long>
+          getNeedsList() {
+        needs_.makeImmutable();
+        return needs_;
+      }
+      /**
+       * <pre>
+       * The tokens of each request that waits for a grant, oldest first.
+       * </pre>
+       *
+       * <code>repeated uint64 needs = 6;</code>
+       * @return The count of needs.
+       */
+      public int getNeedsCount() {
+        return needs_.size();
+      }
+      /**
+       * <pre>
+       * The tokens of each request that waits for a grant, oldest first.
+       * </pre>
+       *
+       * <code>repeated uint64 needs = 6;</code>
+       * @param index The index of the element to return.
+       * @return The needs at the given index.
+       */
+      public long getNeeds(int index) {
+        return needs_.getLong(index);
+      }
+      /**
+       * <pre>
+       * The tokens of each request that waits for a grant, oldest first.
+       * </pre>
+       *
+       * <code>repeated uint64 needs = 6;</code>
+       * @param index The index to set the value at.
+       * @param value The needs to set.
+       * @return This builder for chaining.
+       */
+      public Builder setNeeds(
+          int index, long value) {
+
+        ensureNeedsIsMutable();
+        needs_.setLong(index, value);
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
       }
       /**
        * <pre>
-       * Tokens that requests wait for.
+       * The tokens of each request that waits for a grant, oldest first.
        * </pre>
        *
-       * <code>uint64 needed = 5;</code>
-       * @param value The needed to set.
+       * <code>repeated uint64 needs = 6;</code>
+       * @param value The needs to add.
        * @return This builder for chaining.
        */
-      public Builder setNeeded(long value) {
+      public Builder addNeeds(long value) {
 
-        needed_ = value;
+        ensureNeedsIsMutable();
+        needs_.addLong(value);
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The tokens of each request that waits for a grant, oldest first.
+       * </pre>
+       *
+       * <code>repeated uint64 needs = 6;</code>
+       * @param values The needs to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllNeeds(
+          java.lang.Iterable<? extends java.lang.Long> values) {
+        ensureNeedsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, needs_);
         bitField0_ |= 0x00000010;
         onChanged();
         return this;
       }
       /**
        * <pre>
-       * Tokens that requests wait for.
+       * The tokens of each request that waits for a grant, oldest first.
        * </pre>
        *
-       * <code>uint64 needed = 5;</code>
+       * <code>repeated uint64 needs = 6;</code>
        * @return This builder for chaining.
        */
-      public Builder clearNeeded() {
+      public Builder clearNeeds() {
+        needs_ = emptyLongList();
         bitField0_ = (bitField0_ & ~0x00000010);
-        needed_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long returned_ ;
+      /**
+       * <pre>
+       * Granted tokens that were not spent.
+       * </pre>
+       *
+       * <code>uint64 returned = 7;</code>
+       * @return The returned.
+       */
+      @java.lang.Override
+      public long getReturned() {
+        return returned_;
+      }
+      /**
+       * <pre>
+       * Granted tokens that were not spent.
+       * </pre>
+       *
+       * <code>uint64 returned = 7;</code>
+       * @param value The returned to set.
+       * @return This builder for chaining.
+       */
+      public Builder setReturned(long value) {
+
+        returned_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Granted tokens that were not spent.
+       * </pre>
+       *
+       * <code>uint64 returned = 7;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearReturned() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        returned_ = 0L;
         onChanged();
         return this;
       }
@@ -12580,7 +12824,7 @@
 
     /**
      * <pre>
-     * Tokens per second.
+     * Tokens per second that may be spent while the coordinator does not answer.
      * </pre>
      *
      * <code>uint64 rate = 2;</code>
@@ -12590,13 +12834,13 @@
 
     /**
      * <pre>
-     * Tokens that may be spent at once beyond the rate, until the next share.
+     * Tokens that may be spent until the next report.
      * </pre>
      *
-     * <code>uint64 extra = 3;</code>
-     * @return The extra.
+     * <code>uint64 granted = 3;</code>
+     * @return The granted.
      */
-    long getExtra();
+    long getGranted();
   }
   /**
    * <pre>
@@ -12688,7 +12932,7 @@
     private long rate_ = 0L;
     /**
      * <pre>
-     * Tokens per second.
+     * Tokens per second that may be spent while the coordinator does not answer.
      * </pre>
      *
      * <code>uint64 rate = 2;</code>
@@ -12699,19 +12943,19 @@
       return rate_;
     }
 
-    public static final int EXTRA_FIELD_NUMBER = 3;
-    private long extra_ = 0L;
+    public static final int GRANTED_FIELD_NUMBER = 3;
+    private long granted_ = 0L;
     /**
      * <pre>
-     * Tokens that may be spent at once beyond the rate, until the next share.
+     * Tokens that may be spent until the next report.
      * </pre>
      *
-     * <code>uint64 extra = 3;</code>
-     * @return The extra.
+     * <code>uint64 granted = 3;</code>
+     * @return The granted.
      */
     @java.lang.Override
-    public long getExtra() {
-      return extra_;
+    public long getGranted() {
+      return granted_;
     }
 
     private byte memoizedIsInitialized = -1;
@@ -12734,8 +12978,8 @@
       if (rate_ != 0L) {
         output.writeUInt64(2, rate_);
       }
-      if (extra_ != 0L) {
-        output.writeUInt64(3, extra_);
+      if (granted_ != 0L) {
+        output.writeUInt64(3, granted_);
       }
       getUnknownFields().writeTo(output);
     }
@@ -12753,9 +12997,9 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(2, rate_);
       }
-      if (extra_ != 0L) {
+      if (granted_ != 0L) {
         size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(3, extra_);
+          .computeUInt64Size(3, granted_);
       }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
@@ -12776,8 +13020,8 @@
           .equals(other.getWorkspace())) return false;
       if (getRate()
           != other.getRate()) return false;
-      if (getExtra()
-          != other.getExtra()) return false;
+      if (getGranted()
+          != other.getGranted()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -12794,9 +13038,9 @@
       hash = (37 * hash) + RATE_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getRate());
-      hash = (37 * hash) + EXTRA_FIELD_NUMBER;
+      hash = (37 * hash) + GRANTED_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getExtra());
+          getGranted());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -12934,7 +13178,7 @@
         bitField0_ = 0;
         workspace_ = "";
         rate_ = 0L;
-        extra_ = 0L;
+        granted_ = 0L;
         return this;
       }
 
@@ -12975,7 +13219,7 @@
           result.rate_ = rate_;
         }
         if (((from_bitField0_ & 0x00000004) != 0)) {
-          result.extra_ = extra_;
+          result.granted_ = granted_;
         }
       }
 
@@ -12999,8 +13243,8 @@
         if (other.getRate() != 0L) {
           setRate(other.getRate());
         }
-        if (other.getExtra() != 0L) {
-          setExtra(other.getExtra());
+        if (other.getGranted() != 0L) {
+          setGranted(other.getGranted());
         }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
@@ -13039,7 +13283,7 @@
                 break;
               } // case 16
               case 24: {
-                extra_ = input.readUInt64();
+                granted_ = input.readUInt64();
                 bitField0_ |= 0x00000004;
                 break;
               } // case 24
@@ -13135,7 +13379,7 @@
       private long rate_ ;
       /**
        * <pre>
-       * Tokens per second.
+       * Tokens per second that may be spent while the coordinator does not answer.
        * </pre>
        *
        * <code>uint64 rate = 2;</code>
@@ -13147,7 +13391,7 @@
       }
       /**
        * <pre>
-       * Tokens per second.
+       * Tokens per second that may be spent while the coordinator does not answer.
        * </pre>
        *
        * <code>uint64 rate = 2;</code>
@@ -13163,7 +13407,7 @@
       }
       /**
        * <pre>
-       * Tokens per second.
+       * Tokens per second that may be spent while the coordinator does not answer.
        * </pre>
        *
        * <code>uint64 rate = 2;</code>
@@ -13176,46 +13420,46 @@
         return this;
       }
 
-      private long extra_ ;
+      private long granted_ ;
       /**
        * <pre>
-       * Tokens that may be spent at once beyond the rate, until the next share.
+       * Tokens that may be spent until the next report.
        * </pre>
        *
-       * <code>uint64 extra = 3;</code>
-       * @return The extra.
+       * <code>uint64 granted = 3;</code>
+       * @return The granted.
        */
       @java.lang.Override
-      public long getExtra() {
-        return extra_;
+      public long getGranted() {
+        return granted_;
       }
       /**
        * <pre>
-       * Tokens that may be spent at once beyond the rate, until the next share.
+       * Tokens that may be spent until the next report.
        * </pre>
        *
-       * <code>uint64 extra = 3;</code>
-       * @param value The extra to set.
+       * <code>uint64 granted = 3;</code>
+       * @param value The granted to set.
        * @return This builder for chaining.
        */
-      public Builder setExtra(long value) {
+      public Builder setGranted(long value) {
 
-        extra_ = value;
+        granted_ = value;
         bitField0_ |= 0x00000004;
         onChanged();
         return this;
       }
       /**
        * <pre>
-       * Tokens that may be spent at once beyond the rate, until the next share.
+       * Tokens that may be spent until the next report.
        * </pre>
        *
-       * <code>uint64 extra = 3;</code>
+       * <code>uint64 granted = 3;</code>
        * @return This builder for chaining.
        */
-      public Builder clearExtra() {
+      public Builder clearGranted() {
         bitField0_ = (bitField0_ & ~0x00000004);
-        extra_ = 0L;
+        granted_ = 0L;
         onChanged();
         return this;
       }
@@ -15434,44 +15678,45 @@
       "verUsage\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 " +
       "\001(\004\022\020\n\010requests\030\003 \001(\r\022\025\n\rprompt_tokens\030\004" +
       " \001(\r\022\023\n\013held_tokens\030\005 \001(\r\022\020\n\010failures\030\006 " +
-      "\001(\r\022\017\n\007answers\030\007 \001(\r\"[\n\016WorkspaceUsage\022\014" +
+      "\001(\r\022\017\n\007answers\030\007 \001(\r\"r\n\016WorkspaceUsage\022\014" +
       "\n\004name\030\001 \001(\t\022\016\n\006demand\030\002 \001(\004\022\014\n\004held\030\003 \001" +
-      "(\004\022\r\n\005spent\030\004 \001(\004\022\016\n\006needed\030\005 \001(\004\"_\n\013Mod" +
-      "elDemand\022\017\n\007service\030\001 \001(\t\022\r\n\005model\030\002 \001(\t" +
-      "\022\017\n\007adapter\030\003 \001(\t\022\016\n\006tokens\030\004 \001(\004\022\017\n\007wai" +
-      "ting\030\005 \001(\r\"\221\002\n\022CoordinationUpdate\022\023\n\013coo" +
-      "rdinates\030\001 \001(\010\022\023\n\013coordinator\030\002 \001(\t\022\017\n\007e" +
-      "ntries\030\003 \001(\r\0226\n\007servers\030\004 \003(\0132%.boragepr" +
-      "oxy.coordination.ServerUsage\0223\n\006shares\030\005" +
-      " \003(\0132#.borageproxy.coordination.RateShar" +
-      "e\0229\n\010contents\030\006 \003(\0132\'.borageproxy.coordi" +
-      "nation.ServerContent\022\030\n\020contents_version" +
-      "\030\007 \001(\004\"\323\002\n\013SlotRequest\022\014\n\004zone\030\001 \001(\t\022\017\n\007" +
-      "service\030\002 \001(\t\022\r\n\005model\030\003 \001(\t\022\017\n\007adapter\030" +
-      "\004 \001(\t\022\025\n\rprompt_tokens\030\005 \001(\r\022\025\n\routput_t" +
-      "okens\030\006 \001(\r\0225\n\005parts\030\007 \003(\0132&.borageproxy" +
-      ".coordination.PartOfPrompt\022\014\n\004rank\030\010 \001(\r" +
-      "\022\030\n\020objective_millis\030\t \001(\r\022\027\n\017deadline_m" +
-      "illis\030\n \001(\r\022\r\n\005tried\030\013 \003(\t\022\025\n\rwaited_mil" +
-      "lis\030\014 \001(\r\022\030\n\020most_wait_millis\030\r \001(\r\022\021\n\ta" +
-      "bsent_at\030\016 \003(\t\022\014\n\004gone\030\017 \003(\t\"0\n\014PartOfPr" +
-      "ompt\022\020\n\010identity\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\r\"\270" +
-      "\002\n\nSlotAnswer\022=\n\007outcome\030\001 \001(\0162,.boragep" +
-      "roxy.coordination.SlotAnswer.Outcome\022\016\n\006" +
-      "server\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\004\022\027\n\017exp" +
-      "ected_millis\030\004 \001(\001\022\025\n\runread_tokens\030\005 \001(" +
-      "\r\022\014\n\004slot\030\006 \001(\004\022\030\n\020come_back_millis\030\007 \001(" +
-      "\r\"n\n\007Outcome\022\023\n\017NOT_COORDINATOR\020\000\022\n\n\006CHO" +
-      "SEN\020\001\022\r\n\tNO_SERVER\020\002\022\014\n\010NO_MODEL\020\003\022\013\n\007CR" +
-      "OWDED\020\004\022\r\n\tALL_TRIED\020\005\022\t\n\005AGAIN\020\006\";\n\tRat" +
-      "eShare\022\021\n\tworkspace\030\001 \001(\t\022\014\n\004rate\030\002 \001(\004\022" +
-      "\r\n\005extra\030\003 \001(\004\"\211\001\n\rServerContent\022\014\n\004name" +
-      "\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\016\n\006orders\030\003 " +
-      "\001(\004\0223\n\006models\030\004 \003(\0132#.borageproxy.coordi" +
-      "nation.HeldModel\022\020\n\010arriving\030\005 \003(\t\",\n\tHe" +
-      "ldModel\022\r\n\005model\030\001 \001(\t\022\020\n\010adapters\030\002 \003(\t" +
-      "B2\n\032org.borageproxy.wire.protoB\024Coordina" +
-      "tionProtocolb\006proto3"
+      "(\004\022\r\n\005spent\030\004 \001(\004\022\r\n\005needs\030\006 \003(\004\022\020\n\010retu" +
+      "rned\030\007 \001(\004J\004\010\005\020\006\"_\n\013ModelDemand\022\017\n\007servi" +
+      "ce\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022\017\n\007adapter\030\003 \001(\t" +
+      "\022\016\n\006tokens\030\004 \001(\004\022\017\n\007waiting\030\005 \001(\r\"\221\002\n\022Co" +
+      "ordinationUpdate\022\023\n\013coordinates\030\001 \001(\010\022\023\n" +
+      "\013coordinator\030\002 \001(\t\022\017\n\007entries\030\003 \001(\r\0226\n\007s" +
+      "ervers\030\004 \003(\0132%.borageproxy.coordination." +
+      "ServerUsage\0223\n\006shares\030\005 \003(\0132#.borageprox" +
+      "y.coordination.RateShare\0229\n\010contents\030\006 \003" +
+      "(\0132\'.borageproxy.coordination.ServerCont" +
+      "ent\022\030\n\020contents_version\030\007 \001(\004\"\323\002\n\013SlotRe" +
+      "quest\022\014\n\004zone\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\r\n\005" +
+      "model\030\003 \001(\t\022\017\n\007adapter\030\004 \001(\t\022\025\n\rprompt_t" +
+      "okens\030\005 \001(\r\022\025\n\routput_tokens\030\006 \001(\r\0225\n\005pa" +
+      "rts\030\007 \003(\0132&.borageproxy.coordination.Par" +
+      "tOfPrompt\022\014\n\004rank\030\010 \001(\r\022\030\n\020objective_mil" +
+      "lis\030\t \001(\r\022\027\n\017deadline_millis\030\n \001(\r\022\r\n\005tr" +
+      "ied\030\013 \003(\t\022\025\n\rwaited_millis\030\014 \001(\r\022\030\n\020most" +
+      "_wait_millis\030\r \001(\r\022\021\n\tabsent_at\030\016 \003(\t\022\014\n" +
+      "\004gone\030\017 \003(\t\"0\n\014PartOfPrompt\022\020\n\010identity\030" +
+      "\001 \001(\t\022\016\n\006tokens\030\002 \001(\r\"\270\002\n\nSlotAnswer\022=\n\007" +
+      "outcome\030\001 \001(\0162,.borageproxy.coordination" +
+      ".SlotAnswer.Outcome\022\016\n\006server\030\002 \001(\t\022\023\n\013i" +
+      "ncarnation\030\003 \001(\004\022\027\n\017expected_millis\030\004 \001(" +
+      "\001\022\025\n\runread_tokens\030\005 \001(\r\022\014\n\004slot\030\006 \001(\004\022\030" +
+      "\n\020come_back_millis\030\007 \001(\r\"n\n\007Outcome\022\023\n\017N" +
+      "OT_COORDINATOR\020\000\022\n\n\006CHOSEN\020\001\022\r\n\tNO_SERVE" +
+      "R\020\002\022\014\n\010NO_MODEL\020\003\022\013\n\007CROWDED\020\004\022\r\n\tALL_TR" +
+      "IED\020\005\022\t\n\005AGAIN\020\006\"=\n\tRateShare\022\021\n\tworkspa" +
+      "ce\030\001 \001(\t\022\014\n\004rate\030\002 \001(\004\022\017\n\007granted\030\003 \001(\004\"" +
+      "\211\001\n\rServerContent\022\014\n\004name\030\001 \001(\t\022\023\n\013incar" +
+      "nation\030\002 \001(\004\022\016\n\006orders\030\003 \001(\004\0223\n\006models\030\004" +
+      " \003(\0132#.borageproxy.coordination.HeldMode" +
+      "l\022\020\n\010arriving\030\005 \003(\t\",\n\tHeldModel\022\r\n\005mode" +
+      "l\030\001 \001(\t\022\020\n\010adapters\030\002 \003(\tB2\n\032org.boragep" +
+      "roxy.wire.protoB\024CoordinationProtocolb\006p" +
+      "roto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -15500,7 +15745,7 @@
     internal_static_borageproxy_coordination_WorkspaceUsage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_WorkspaceUsage_descriptor,
-        new java.lang.String[] { "Name", "Demand", "Held", "Spent", "Needed", });
+        new java.lang.String[] { "Name", "Demand", "Held", "Spent", "Needs", "Returned", });
     internal_static_borageproxy_coordination_ModelDemand_descriptor =
       getDescriptor().getMessageType(4);
     internal_static_borageproxy_coordination_ModelDemand_fieldAccessorTable = new
@@ -15536,7 +15781,7 @@
     internal_static_borageproxy_coordination_RateShare_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_RateShare_descriptor,
-        new java.lang.String[] { "Workspace", "Rate", "Extra", });
+        new java.lang.String[] { "Workspace", "Rate", "Granted", });
     internal_static_borageproxy_coordination_ServerContent_descriptor =
       getDescriptor().getMessageType(10);
     internal_static_borageproxy_coordination_ServerContent_fieldAccessorTable = new
--- a/src/test/java/org/borageproxy/platform/ForwardingTest.java
+++ b/src/test/java/org/borageproxy/platform/ForwardingTest.java
@@ -194,7 +194,7 @@
                 pool,
                 new SlotClient(NoNetwork.INSTANCE, Optional::empty, ZONE, clock, context.nettyEventLoop()),
                 new ServerConnections(context.nettyEventLoop(), clock),
-                new RateShares(),
+                new RateShares(System.nanoTime()),
                 service -> new RetryBudget(0.2, 10),
                 NoSuspects.INSTANCE,
                 ForwardMetrics.NoOp.INSTANCE);
--- /dev/null
+++ b/src/test/java/org/borageproxy/quota/RateFairnessTest.java
@@ -0,0 +1,123 @@
+package org.borageproxy.quota;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.borageproxy.publication.PublishedWorkspace;
+import org.borageproxy.vm.VmName;
+import org.borageproxy.wire.proto.CoordinationProtocol.RateShare;
+import org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class RateFairnessTest {
+
+    private static final long MILLI = 1_000_000L;
+    private static final long RATE = 24_000;
+    private static final PublishedWorkspace WORKSPACE = new PublishedWorkspace("w", Set.of("k"), 0, RATE, RATE, 200);
+    private static final int ENTRIES = 9;
+    private static final int LARGE = 3_500;
+
+    private final List<RateShares> shares = new ArrayList<>();
+    private RateSplitter splitter;
+    private long askedSmall;
+    private long admittedSmall;
+    private long askedLarge;
+    private long admittedLarge;
+
+    /** Load pattern: a workspace asks for seven tenths of its rate, unevenly over the entries. */
+    @Property(tries = 30)
+    void requestsWithinTheRateAreAdmitted(@ForAll long seed) {
+        play(seed, 0.7, 3_000);
+        long asked = askedSmall + askedLarge;
+        long admitted = admittedSmall + admittedLarge;
+        assertTrue(admitted >= 0.99 * asked, "admitted " + admitted + " of " + asked);
+    }
+
+    /** Load pattern: a workspace asks for four times its rate; its largest requests are admitted as often as others. */
+    @Property(tries = 5)
+    void largeRequestsOfAHotWorkspaceAreNotStarved(@ForAll long seed) {
+        play(seed, 4, 30_000);
+        double small = (double) admittedSmall / askedSmall;
+        double large = (double) admittedLarge / askedLarge;
+        assertTrue(large >= 0.8 * small, "large " + large + ", small " + small);
+        assertTrue(small > 0.1, "small " + small);
+    }
+
+    private void play(long seed, double load, int steps) {
+        Random random = new Random(seed);
+        askedSmall = 0;
+        admittedSmall = 0;
+        askedLarge = 0;
+        admittedLarge = 0;
+        shares.clear();
+        splitter = new RateSplitter(new RateSplitter.Limit(RATE, RATE), 0);
+        for (int index = 0; index < ENTRIES; index++) {
+            shares.add(new RateShares(0));
+        }
+        for (long step = 0; step < steps; step++) {
+            long now = step * 10 * MILLI;
+            boolean hasSavedTheBurst = step > 120;
+            for (int index = 0; index < ENTRIES; index++) {
+                // The first entry gets half of the requests.
+                double part = index == 0 ? 0.5 : 0.5 / (ENTRIES - 1);
+                if (hasSavedTheBurst && random.nextDouble() < load * part * RATE / 2_400 / 100) {
+                    request(shares.get(index), 400 + random.nextInt(4_000), now);
+                }
+                if ((step + index) % 12 == 0
+                        || step % 2 == 0 && shares.get(index).isAwaited()) {
+                    exchange(shares.get(index), "e" + index, now);
+                }
+            }
+        }
+    }
+
+    private void request(RateShares held, int tokens, long now) {
+        if (tokens >= LARGE) {
+            askedLarge++;
+        } else {
+            askedSmall++;
+        }
+        held.asked(WORKSPACE, tokens, now);
+        held.spend(WORKSPACE, tokens, now)
+                .ifPresentOrElse(
+                        shortage -> {
+                            if (shortage.isGrantable()) {
+                                held.awaitGrant(WORKSPACE, tokens, () -> {
+                                    if (held.spend(WORKSPACE, tokens, now).isEmpty()) {
+                                        count(tokens);
+                                    }
+                                });
+                            }
+                        },
+                        () -> count(tokens));
+    }
+
+    private void count(int tokens) {
+        if (tokens >= LARGE) {
+            admittedLarge++;
+        } else {
+            admittedSmall++;
+        }
+    }
+
+    private void exchange(RateShares held, String name, long now) {
+        List<RateShare> given = new ArrayList<>();
+        for (WorkspaceUsage usage : held.takeUsage(now)) {
+            RateSplitter.Report report = new RateSplitter.Report(
+                    usage.getDemand(), usage.getHeld(), usage.getSpent(), usage.getReturned(), usage.getNeedsList());
+            RateSplitter.Part part = splitter.report(new VmName(name), report, now);
+            given.add(RateShare.newBuilder()
+                    .setWorkspace("w")
+                    .setRate(part.rate())
+                    .setGranted(part.granted())
+                    .build());
+        }
+        held.renew(Map.of("w", WORKSPACE), given, now);
+    }
+}
--- a/src/test/java/org/borageproxy/quota/RateRefundTest.java
+++ b/src/test/java/org/borageproxy/quota/RateRefundTest.java
@@ -35,7 +35,7 @@
         RateSplitter splitter = new RateSplitter(new RateSplitter.Limit(rate, rate), 0);
         List<RateShares> shares = new ArrayList<>();
         for (int index = 0; index < entries; index++) {
-            shares.add(new RateShares());
+            shares.add(new RateShares(0));
             splitter.suppose(new VmName("e" + index), rate / (double) entries, 0);
         }
         List<long[]> spendings = new ArrayList<>();
@@ -50,15 +50,18 @@
                     shares.get(index).asked(workspace, tokens, now);
                     if (shares.get(index).spend(workspace, tokens, now).isEmpty()) {
                         if (random.nextInt(5) == 0) {
-                            shares.get(index).refund(workspace, tokens);
+                            shares.get(index).refund(workspace, tokens, now);
                         } else {
                             spendings.add(new long[] {now, tokens});
                         }
                     } else if (!(isCut && index % 3 == 0)) {
+                        RateShares held = shares.get(index);
+                        held.awaitGrant(workspace, tokens, () -> {
+                            if (held.spend(workspace, tokens, now).isEmpty()) {
+                                spendings.add(new long[] {now, tokens});
+                            }
+                        });
                         exchange(splitter, shares.get(index), "e" + index, now, workspace);
-                        if (shares.get(index).spend(workspace, tokens, now).isEmpty()) {
-                            spendings.add(new long[] {now, tokens});
-                        }
                     }
                 }
                 boolean isReporting = (step + index) % 12 == 0 && !(isCut && index % 3 == 0);
@@ -73,13 +76,13 @@
     private static void exchange(
             RateSplitter splitter, RateShares held, String name, long now, PublishedWorkspace workspace) {
         for (WorkspaceUsage usage : held.takeUsage(now)) {
-            RateSplitter.Report report =
-                    new RateSplitter.Report(usage.getDemand(), usage.getHeld(), usage.getSpent(), usage.getNeeded());
+            RateSplitter.Report report = new RateSplitter.Report(
+                    usage.getDemand(), usage.getHeld(), usage.getSpent(), usage.getReturned(), usage.getNeedsList());
             RateSplitter.Part part = splitter.report(new VmName(name), report, now);
             RateShare share = RateShare.newBuilder()
                     .setWorkspace("w")
                     .setRate(part.rate())
-                    .setExtra(part.extra())
+                    .setGranted(part.granted())
                     .build();
             held.renew(Map.of("w", workspace), List.of(share), now);
         }
--- a/src/test/java/org/borageproxy/quota/RateSplitterTest.java
+++ b/src/test/java/org/borageproxy/quota/RateSplitterTest.java
@@ -28,9 +28,9 @@
         RateSplitter splitter = new RateSplitter(new RateSplitter.Limit(RATE, RATE), 0);
         VmName one = new VmName("1");
         VmName two = new VmName("2");
-        splitter.report(one, new RateSplitter.Report(1000, 0, 0, 0), 0);
-        splitter.report(two, new RateSplitter.Report(3000, 0, 0, 0), 0);
-        RateSplitter.Part part = splitter.report(one, new RateSplitter.Report(1000, 1000, 0, 0), MILLI);
+        splitter.report(one, new RateSplitter.Report(1000, 0, 0, 0, List.of()), 0);
+        splitter.report(two, new RateSplitter.Report(3000, 0, 0, 0, List.of()), 0);
+        RateSplitter.Part part = splitter.report(one, new RateSplitter.Report(1000, 1000, 0, 0, List.of()), MILLI);
         assertTrue(part.rate() >= 1000, "share " + part.rate());
     }
 
@@ -40,10 +40,11 @@
         VmName silent = new VmName("1");
         VmName other = new VmName("2");
         splitter.suppose(silent, RATE / 2.0, 0);
-        RateSplitter.Part before = splitter.report(other, new RateSplitter.Report(RATE, 0, 0, 0), MILLI);
+        RateSplitter.Part before = splitter.report(other, new RateSplitter.Report(RATE, 0, 0, 0, List.of()), MILLI);
         assertEquals(RATE / 2, before.rate());
         long later = RateShares.VALIDITY.toNanos() + 3_000 * MILLI;
-        RateSplitter.Part after = splitter.report(other, new RateSplitter.Report(RATE, RATE / 2.0, 0, 0), later);
+        RateSplitter.Part after =
+                splitter.report(other, new RateSplitter.Report(RATE, RATE / 2.0, 0, 0, List.of()), later);
         assertEquals(RATE, after.rate());
     }
 
@@ -58,7 +59,7 @@
         RateSplitter splitter = new RateSplitter(new RateSplitter.Limit(RATE, RATE), 0);
         List<RateShares> shares = new ArrayList<>();
         for (int index = 0; index < entries; index++) {
-            shares.add(new RateShares());
+            shares.add(new RateShares(0));
             splitter.suppose(new VmName("e" + index), RATE / (double) entries, 0);
         }
         List<long[]> spendings = new ArrayList<>();
@@ -74,10 +75,13 @@
                     if (shares.get(index).spend(WORKSPACE, tokens, now).isEmpty()) {
                         spendings.add(new long[] {now, tokens});
                     } else if (!(isCut && index % 3 == 0)) {
+                        RateShares held = shares.get(index);
+                        held.awaitGrant(WORKSPACE, tokens, () -> {
+                            if (held.spend(WORKSPACE, tokens, now).isEmpty()) {
+                                spendings.add(new long[] {now, tokens});
+                            }
+                        });
                         exchange(splitter, shares.get(index), "e" + index, now);
-                        if (shares.get(index).spend(WORKSPACE, tokens, now).isEmpty()) {
-                            spendings.add(new long[] {now, tokens});
-                        }
                     }
                 }
                 boolean isReporting = (step + index) % 12 == 0 && !(isCut && index % 3 == 0);
@@ -91,13 +95,13 @@
 
     private static void exchange(RateSplitter splitter, RateShares held, String name, long now) {
         for (WorkspaceUsage usage : held.takeUsage(now)) {
-            RateSplitter.Report report =
-                    new RateSplitter.Report(usage.getDemand(), usage.getHeld(), usage.getSpent(), usage.getNeeded());
+            RateSplitter.Report report = new RateSplitter.Report(
+                    usage.getDemand(), usage.getHeld(), usage.getSpent(), usage.getReturned(), usage.getNeedsList());
             RateSplitter.Part part = splitter.report(new VmName(name), report, now);
             RateShare share = RateShare.newBuilder()
                     .setWorkspace("w")
                     .setRate(part.rate())
-                    .setExtra(part.extra())
+                    .setGranted(part.granted())
                     .build();
             held.renew(Map.of("w", WORKSPACE), List.of(share), now);
         }
