Save tokens from the begin of a term, before the first request

A changed limit forgot what was saved, too.

Change: splitters begin with the term; an entry that reports without the workspace holds no share of it. A changed limit keeps the saved tokens up to the new burst.

Tests: RateSplitterTest.tokensAreSavedBeforeTheFirstRequest, lowerRateBindsTokensThatWereSavedBefore.

--- a/src/main/java/org/borageproxy/coordination/Coordinator.java
+++ b/src/main/java/org/borageproxy/coordination/Coordinator.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.BiConsumer;
@@ -131,10 +132,15 @@
                 .setCoordinates(true)
                 .setEntries(reports.size())
                 .addAllServers(usageOfOthers(sender));
-        for (WorkspaceUsage usage : report.getWorkspacesList()) {
-            PublishedWorkspace workspace = workspaces.get().get(usage.getName());
-            if (workspace != null && workspace.isLimited()) {
-                update.addShares(share(sender, usage, workspace, nowNanos));
+        Map<String, WorkspaceUsage> usages = new HashMap<>();
+        report.getWorkspacesList().forEach(usage -> usages.put(usage.getName(), usage));
+        for (PublishedWorkspace workspace : workspaces.get().values()) {
+            if (workspace.isLimited()) {
+                RateSplitter splitter = splitter(workspace, nowNanos);
+                Optional.ofNullable(usages.get(workspace.name()))
+                        .ifPresentOrElse(
+                                usage -> update.addShares(share(sender, usage, splitter, nowNanos)),
+                                () -> splitter.unused(sender, nowNanos));
             }
         }
         return update;
@@ -149,21 +155,27 @@
         }
     }
 
-    private RateShare share(VmName sender, WorkspaceUsage usage, PublishedWorkspace workspace, long nowNanos) {
-        RateSplitter.Limit limit = new RateSplitter.Limit(workspace.rate(), workspace.burst());
-        RateSplitter splitter = splitters.compute(
-                workspace.name(),
-                (name, known) -> known != null && known.limit().equals(limit) ? known : newSplitter(limit, nowNanos));
+    private static RateShare share(VmName sender, WorkspaceUsage usage, RateSplitter splitter, long nowNanos) {
         RateSplitter.Report report = new RateSplitter.Report(
                 usage.getDemand(), usage.getHeld(), usage.getSpent(), usage.getReturned(), usage.getNeedsList());
         RateSplitter.Part part = splitter.report(sender, report, nowNanos);
         return RateShare.newBuilder()
-                .setWorkspace(workspace.name())
+                .setWorkspace(usage.getName())
                 .setRate(part.rate())
                 .setGranted(part.granted())
                 .build();
     }
 
+    // Splitters begin with the term, so that they know by the first request which tokens were saved since.
+    private RateSplitter splitter(PublishedWorkspace workspace, long nowNanos) {
+        RateSplitter.Limit limit = new RateSplitter.Limit(workspace.rate(), workspace.burst());
+        RateSplitter splitter = splitters.computeIfAbsent(workspace.name(), name -> newSplitter(limit, nowNanos));
+        if (!splitter.limit().equals(limit)) {
+            splitter.change(limit, nowNanos);
+        }
+        return splitter;
+    }
+
     private RateSplitter newSplitter(RateSplitter.Limit limit, long nowNanos) {
         RateSplitter splitter = new RateSplitter(limit, nowNanos);
         List<VmName> known = entries.get();
--- a/src/main/java/org/borageproxy/quota/RateSplitter.java
+++ b/src/main/java/org/borageproxy/quota/RateSplitter.java
@@ -25,7 +25,7 @@
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final Map<VmName, Holder> holders = new HashMap<>();
-    private final Limit limit;
+    private Limit limit;
     private double unspent;
     private long accruedAtNanos;
 
@@ -115,6 +115,30 @@
         });
     }
 
+    /**
+     * Notes that an entry holds no part of the rate, since nothing was asked of it there.
+     *
+     * @param entry the entry
+     * @param nowNanos the reading of the clock
+     */
+    public void unused(VmName entry, long nowNanos) {
+        Holder holder = heard(entry, nowNanos);
+        holder.demand = 0;
+        holder.share = 0;
+    }
+
+    /**
+     * Changes the rate.
+     *
+     * @param changed the new rate
+     * @param nowNanos the reading of the clock
+     */
+    public void change(Limit changed, long nowNanos) {
+        accrue(nowNanos);
+        limit = changed;
+        unspent = Math.min(unspent, limit.burst());
+    }
+
     /**
      * Takes a report and gives the entry its part.
      *
@@ -124,14 +148,10 @@
      * @return the part
      */
     public Part report(VmName entry, Report report, long nowNanos) {
-        Holder holder = holders.computeIfAbsent(entry, name -> new Holder());
-        accrue(nowNanos);
-        unspent += report.returned() + holder.supposedSpent - report.spent();
-        holder.supposedSpent = 0;
+        Holder holder = heard(entry, nowNanos);
+        unspent += report.returned() - report.spent();
         holder.demand = report.demand();
         holder.share = report.held();
-        holder.keptUntil = Deadline.after(nowNanos, KEPT_BACK);
-        holder.silentFrom = Deadline.after(nowNanos, RateShares.GRANT_VALIDITY);
         holders.values().removeIf(other -> other.keptUntil.hasPassed(nowNanos));
         double others = holders.values().stream()
                 .filter(other -> other != holder)
@@ -142,6 +162,16 @@
         return new Part((long) holder.share, granted(report));
     }
 
+    private Holder heard(VmName entry, long nowNanos) {
+        accrue(nowNanos);
+        Holder holder = holders.computeIfAbsent(entry, name -> new Holder());
+        unspent += holder.supposedSpent;
+        holder.supposedSpent = 0;
+        holder.keptUntil = Deadline.after(nowNanos, KEPT_BACK);
+        holder.silentFrom = Deadline.after(nowNanos, RateShares.GRANT_VALIDITY);
+        return holder;
+    }
+
     private double wanted(Holder holder, long rate) {
         double total =
                 holders.values().stream().mapToDouble(each -> each.demand).sum();
@@ -175,7 +205,7 @@
         accruedAtNanos = nowNanos;
         double silent = 0;
         for (Holder holder : holders.values()) {
-            if (holder.silentFrom != null && holder.silentFrom.hasPassed(nowNanos)) {
+            if (holder.silentFrom.hasPassed(nowNanos)) {
                 holder.supposedSpent += holder.share * seconds;
                 silent += holder.share;
             }
--- a/src/test/java/org/borageproxy/quota/RateSplitterTest.java
+++ b/src/test/java/org/borageproxy/quota/RateSplitterTest.java
@@ -48,6 +48,33 @@
         assertEquals(RATE, after.rate());
     }
 
+    /** Load pattern: the first requests of a workspace come at once, long after the fleet started. */
+    @Test
+    void tokensAreSavedBeforeTheFirstRequest() {
+        RateSplitter splitter = new RateSplitter(new RateSplitter.Limit(RATE, RATE), 0);
+        VmName entry = new VmName("1");
+        splitter.suppose(entry, RATE, 0);
+        splitter.unused(entry, 0);
+        for (int step = 1; step <= 10; step++) {
+            splitter.unused(entry, step * 100 * MILLI);
+        }
+        RateSplitter.Report report = new RateSplitter.Report(RATE, 0, 0, 0, List.of(RATE / 2, RATE / 4));
+        assertTrue(splitter.report(entry, report, 1_000 * MILLI).granted() >= RATE * 3 / 4);
+    }
+
+    @Test
+    void lowerRateBindsTokensThatWereSavedBefore() {
+        RateSplitter splitter = new RateSplitter(new RateSplitter.Limit(RATE, RATE), 0);
+        VmName entry = new VmName("1");
+        for (int step = 0; step <= 20; step++) {
+            splitter.unused(entry, step * 100 * MILLI);
+        }
+        splitter.change(new RateSplitter.Limit(RATE / 8, RATE / 8), 2_000 * MILLI);
+        List<Long> needs = List.of(RATE / 8, RATE / 8, RATE / 8);
+        RateSplitter.Part part = splitter.report(entry, new RateSplitter.Report(RATE, 0, 0, 0, needs), 2_000 * MILLI);
+        assertEquals(RATE / 8, part.granted());
+    }
+
     /**
      * Load pattern: one workspace jumps to several times its rate while a third of the entries loses the coordinator
      * and comes back. Over any eight seconds the fleet spends at most rate, burst and the stated overage.
