Keep the last places of models and let requests wait for a known arrival

Ruled out: reports taken 700 ms late.

Change: the last place of a model costs a planner's step as much as a long load does, asked for or not. A request for a model or an adapter on its way waits if it arrives before the request's deadline; otherwise it is refused at once with the time of the arrival. Without an order it is refused after 0.7 s and told 1.5 s.

Tests: CopyPlanTest (moderateCrowdingTakesTheLastPlaceOfNoModel failed before).

--- a/src/main/java/org/borageproxy/forward/SlotBroker.java
+++ b/src/main/java/org/borageproxy/forward/SlotBroker.java
@@ -41,12 +41,16 @@
 
     /** The part of the time to its objective that a request waits. */
     private static final double PATIENCE = 0.6;
-    /** How long a request waits for an adapter, which an engine gets within milliseconds. */
-    private static final Duration ADAPTER_WAIT = Duration.ofMillis(700);
+    /** How long a request waits for a model or an adapter to be ordered. */
+    private static final Duration ORDER_WAIT = Duration.ofMillis(700);
+    /** The time that a request needs at least at a server once its model is there. */
+    private static final Duration LEAST_RUN = Duration.ofMillis(300);
+    /** When callers come back for a model that no server could load yet. */
+    private static final Duration UNORDERED_RETURN = Duration.ofMillis(1500);
     /** How long a given slot counts before its entry has reported it. */
     private static final Duration UNREPORTED = Duration.ofMillis(800);
     /** The longest time after which callers are asked to come back. */
-    private static final Duration LATEST_RETURN = Duration.ofMillis(2500);
+    private static final Duration LATEST_RETURN = Duration.ofSeconds(10);
 
     private static final Duration SOON = Duration.ofMillis(300);
     /** The longest time to an answer; a request that waits longer asks again. */
@@ -93,6 +97,15 @@
          * @param work the work that it refused
          */
         void absent(BackendServerName server, EngineWork work);
+
+        /**
+         * Returns when the model and the adapter of some work can be used.
+         *
+         * @param service the service
+         * @param work the work
+         * @return empty if they are not on their way
+         */
+        Optional<Deadline> arrival(String service, EngineWork work);
     }
 
     private static final class Entry {
@@ -269,13 +282,24 @@
                 case NO_SERVER -> refuse(SlotAnswer.Outcome.NO_SERVER, SOON);
                 case ALL_TRIED -> refuse(SlotAnswer.Outcome.ALL_TRIED, SOON);
                 case CROWDED -> waitForCapacity();
-                case NO_ADAPTER -> waitFor(waitLeft(ADAPTER_WAIT), SlotAnswer.Outcome.NO_MODEL, true);
-                default -> waitFor(waitLeft(modelWait()), SlotAnswer.Outcome.NO_MODEL, true);
+                default -> waitForModel();
             }
         }
 
-        private Duration modelWait() {
-            return Duration.ofMillis(request.getMostWaitMillis());
+        private void waitForModel() {
+            Optional<Deadline> arrival = environment.demand().arrival(request.getService(), work);
+            if (arrival.isEmpty()) {
+                waitFor(waitLeft(ORDER_WAIT), SlotAnswer.Outcome.NO_MODEL, UNORDERED_RETURN, true);
+                return;
+            }
+            long nowNanos = environment.clock().nanoTime();
+            Duration left = Duration.ofNanos(arrival.get().remainingNanos(nowNanos));
+            boolean isInTime = left.plus(LEAST_RUN).toMillis() < request.getDeadlineMillis();
+            if (isInTime) {
+                waitFor(left, SlotAnswer.Outcome.NO_MODEL, UNORDERED_RETURN, true);
+            } else {
+                refuse(SlotAnswer.Outcome.NO_MODEL, left);
+            }
         }
 
         private Duration waitLeft(Duration longest) {
@@ -291,11 +315,11 @@
             if (aheadMillis > patience) {
                 refuse(SlotAnswer.Outcome.CROWDED, Duration.ofMillis((long) aheadMillis));
             } else {
-                waitFor(Duration.ofMillis((long) patience), SlotAnswer.Outcome.CROWDED, false);
+                waitFor(Duration.ofMillis((long) patience), SlotAnswer.Outcome.CROWDED, SOON, false);
             }
         }
 
-        private void waitFor(Duration time, SlotAnswer.Outcome otherwise, boolean absent) {
+        private void waitFor(Duration time, SlotAnswer.Outcome otherwise, Duration comeBack, boolean absent) {
             isWaiting = true;
             isAbsent = absent;
             pool.await(request.getService(), waiting, false);
@@ -306,7 +330,7 @@
             environment.timer().schedule(isLong ? LONGEST_ANSWER : time, () -> {
                 if (isWaiting) {
                     stop();
-                    refuse(isLong ? SlotAnswer.Outcome.AGAIN : otherwise, SOON);
+                    refuse(isLong ? SlotAnswer.Outcome.AGAIN : otherwise, comeBack);
                 }
             });
         }
--- a/src/main/java/org/borageproxy/placement/CopyPlan.java
+++ b/src/main/java/org/borageproxy/placement/CopyPlan.java
@@ -26,9 +26,9 @@
     /** The part of a place's work that other places of the model cannot take over without loss. */
     private static final double KEPT_SHARE = 0.6;
     /** The loss with the last place of a model that is asked for. */
-    private static final double LAST_PLACE = 0.15;
-    /** The loss with the last place of a model that nobody asks for. */
-    private static final double UNASKED_PLACE = 0.02;
+    private static final double LAST_PLACE = 0.3;
+    /** The loss with the last place of a model that nobody asks for now; demand moves on faster than a load. */
+    private static final double UNASKED_PLACE = 0.15;
     /** What a second of loading counts against an engine. */
     private static final double LOAD_COST = 0.05;
     /** What work with adapters counts more against an engine that loads. */
@@ -195,11 +195,7 @@
     }
 
     private double loadSeconds(EngineBook engine, String model) {
-        EnginePool.EngineModel figures = pool.models().get(model);
-        if (engine.isInMemory(model)) {
-            return figures.memoryLoadSeconds();
-        }
-        return engine.hasCopy(model) ? figures.diskLoadSeconds() : figures.storeLoadSeconds();
+        return engine.loadTime(pool.models().get(model)).toMillis() / 1e3;
     }
 
     private Optional<Step> step(EngineBook engine, String model) {
--- a/src/main/java/org/borageproxy/placement/EngineBook.java
+++ b/src/main/java/org/borageproxy/placement/EngineBook.java
@@ -9,6 +9,7 @@
 import org.borageproxy.coordination.HeldModels;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.LoadedModel;
+import org.borageproxy.publication.EnginePool;
 import org.borageproxy.time.Deadline;
 
 /**
@@ -256,6 +257,19 @@
         return server.copies().inMemory().contains(model);
     }
 
+    /**
+     * Returns how long a model takes to load, from the nearest copy.
+     *
+     * @param model the model
+     * @return the time, without other loads at once
+     */
+    Duration loadTime(EnginePool.EngineModel model) {
+        double seconds = isInMemory(model.name())
+                ? model.memoryLoadSeconds()
+                : hasCopy(model.name()) ? model.diskLoadSeconds() : model.storeLoadSeconds();
+        return Duration.ofMillis((long) (seconds * 1e3));
+    }
+
     /**
      * Returns the places for adapters that are taken or about to be.
      *
--- a/src/main/java/org/borageproxy/placement/FleetPlacement.java
+++ b/src/main/java/org/borageproxy/placement/FleetPlacement.java
@@ -47,6 +47,10 @@
     private static final Duration BUSY_RETRY = Duration.ofMillis(120);
     /** How long an engine whose order got no answer is left alone. */
     private static final Duration UNANSWERED_PAUSE = Duration.ofMillis(1500);
+    /** The time until a change at an engine shows in its reports; they lag by some hundred ms. */
+    private static final Duration NOTICE = Duration.ofMillis(500);
+    /** How much later than expected a model may arrive before nobody waits for it any longer. */
+    private static final Duration OVERDUE = Duration.ofSeconds(2);
     /** The part of the weight store's rate that is used. */
     private static final double USED_STORE_RATE = 0.92;
     /** Loads from the weight store that may begin at once. */
@@ -345,14 +349,11 @@
     private void take(CopyPlan.Step step, EnginePool pool) {
         EngineBook engine = step.engine();
         if (step instanceof CopyPlan.Step.Load load) {
-            EnginePool.EngineModel figures = pool.models().get(load.model());
-            double seconds = engine.isInMemory(load.model())
-                    ? figures.memoryLoadSeconds()
-                    : engine.hasCopy(load.model()) ? figures.diskLoadSeconds() : figures.storeLoadSeconds();
+            Duration time = engine.loadTime(pool.models().get(load.model()));
             if (!engine.hasCopy(load.model())) {
                 storeTokens -= 1;
             }
-            order(engine, true, load.model(), "", Duration.ofMillis((long) (seconds * 1e3)));
+            order(engine, true, load.model(), "", time);
         } else if (step instanceof CopyPlan.Step.Unload unload) {
             engine.awaits(unload.successor());
             order(engine, false, unload.model(), "", Duration.ZERO);
@@ -487,6 +488,43 @@
         }
     }
 
+    /**
+     * Returns when a model or an adapter that no engine holds can be used.
+     *
+     * @param service the service
+     * @param model the model
+     * @param adapter the adapter; empty for none
+     * @return empty if it is not on its way
+     */
+    public Optional<Deadline> arrival(String service, String model, String adapter) {
+        long nowNanos = environment.clock().nanoTime();
+        return books.values().stream()
+                .filter(book -> book.server().services().contains(service)
+                        && book.isBusy()
+                        && !Deadline.after(book.arrivesAt().atNanos(), OVERDUE).hasPassed(nowNanos))
+                .flatMap(book -> arrival(book, service, model, adapter, nowNanos).stream())
+                .min(Comparator.naturalOrder());
+    }
+
+    private Optional<Deadline> arrival(EngineBook book, String service, String model, String adapter, long nowNanos) {
+        Deadline notBefore = new Deadline(Math.max(nowNanos, book.arrivesAt().atNanos()));
+        boolean isOnItsWay = book.arrivingModel().equals(model) || isAdapterNext(book, model, adapter);
+        if (isOnItsWay) {
+            return Optional.of(Deadline.after(notBefore.atNanos(), NOTICE));
+        }
+        return pool(service)
+                .filter(pool ->
+                        book.awaitedModel().equals(model) && pool.models().containsKey(model))
+                .map(pool -> Deadline.after(
+                        notBefore.atNanos(),
+                        NOTICE.plus(book.loadTime(pool.models().get(model)))));
+    }
+
+    // An engine takes adapters only once the model that it loads has arrived.
+    private static boolean isAdapterNext(EngineBook book, String model, String adapter) {
+        return !adapter.isEmpty() && book.held().containsKey(model);
+    }
+
     private void resume() {
         if (mayOrder()) {
             plan();
--- a/src/main/java/org/borageproxy/server/GatewayControl.java
+++ b/src/main/java/org/borageproxy/server/GatewayControl.java
@@ -177,6 +177,11 @@
         public void absent(BackendServerName server, EngineWork work) {
             placement.absent(server, work.model(), work.adapter());
         }
+
+        @Override
+        public Optional<Deadline> arrival(String service, EngineWork work) {
+            return placement.arrival(service, work.model(), work.adapter());
+        }
     }
 
     private void tellEntries(String server, HeldModels held) {
