Give no work to servers that are gone, and load their models elsewhere

As nobody waited for these models, placement did not load them elsewhere.

Ruled out: servers suspected for missing heartbeats alone. They may run on while the control group is away, and keep their work.

Change: a refused connection or the answer of another incarnation takes a server out of the choice until a heartbeat makes it alive again. Its models then count as absent, so that requests wait and placement acts. The waiting requests of ServerPool are a class of their own.

--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -75,7 +75,7 @@
     private int sends;
     private int runs;
     private boolean isAbsent;
-    private Optional<ServerPool.Waiting> waiting = Optional.empty();
+    private Optional<WaitingRequests.Waiting> waiting = Optional.empty();
     private boolean hasEnded;
 
     Exchange(ForwardParts parts, HeldRequest held, Runnable ended) {
@@ -192,8 +192,8 @@
         return aheadMillis > patience ? Duration.ZERO : Duration.ofMillis(patience);
     }
 
-    private ServerPool.Waiting asWaiting() {
-        return new ServerPool.Waiting(
+    private WaitingRequests.Waiting asWaiting() {
+        return new WaitingRequests.Waiting(
                 held.urgency(), held.objective(), held.fields().work().orElseThrow(), lookAgain);
     }
 
--- a/src/main/java/org/borageproxy/forward/ServerPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerPool.java
@@ -1,7 +1,6 @@
 package org.borageproxy.forward;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -20,7 +19,6 @@
 import org.borageproxy.routing.EngineWork;
 import org.borageproxy.routing.ServerChoice;
 import org.borageproxy.routing.ServerUse;
-import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
 import org.borageproxy.vm.AvailabilityZone;
 import org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand;
@@ -35,8 +33,6 @@
     /** The cache of a server whose engines are not published, in tokens. */
     private static final long UNKNOWN_CACHE_TOKENS = 100_000;
 
-    private static final Comparator<Waiting> BY_RANK =
-            Comparator.comparingInt(Waiting::rank).thenComparing(Waiting::objective);
     /** Milliseconds below which a silence never counts against a server. */
     private static final double LEAST_SILENCE_MILLIS = 1_000.0;
     /** How many times the expected time a silence lasts before it counts against a server. */
@@ -48,9 +44,10 @@
     private final RandomGenerator random;
     private final Map<BackendServerName, ServerUse> uses = new HashMap<>();
     private final Map<BackendServerName, HeldModels> contents = new HashMap<>();
+    private final Map<BackendServerName, Long> gone = new HashMap<>();
     private final ModelPaces paces = new ModelPaces();
     private final ModelDemands demands = new ModelDemands();
-    private final List<Waiting> waiting = new ArrayList<>();
+    private final WaitingRequests waiting = new WaitingRequests();
     private Runnable urgentReport = () -> {};
     private Runnable changedUse = () -> {};
     private Consumer<BackendServer> goneListener = server -> {};
@@ -69,16 +66,6 @@
         ALL_TRIED
     }
 
-    /**
-     * A request that waits for a server.
-     *
-     * @param rank the rank, the lowest first
-     * @param objective when its answer is late
-     * @param work the work of an engine
-     * @param retry looks for a server again
-     */
-    record Waiting(int rank, Deadline objective, EngineWork work, Runnable retry) {}
-
     /**
      * Creates a pool.
      *
@@ -153,8 +140,18 @@
         return ServerChoice.INSTANCE.choose(query, candidates, clock.nanoTime(), random);
     }
 
-    private static boolean takesWork(BackendServer server, String service) {
-        return server.state() != BackendServerState.LEAVING && server.services().contains(service);
+    private boolean takesWork(BackendServer server, String service) {
+        return server.state() != BackendServerState.LEAVING && server.services().contains(service) && !isGone(server);
+    }
+
+    // A later heartbeat makes the server alive again and takes the evidence back.
+    private boolean isGone(BackendServer server) {
+        boolean isKnownGone = Long.valueOf(server.incarnation()).equals(gone.get(server.name()));
+        if (isKnownGone && server.state() == BackendServerState.ALIVE) {
+            gone.remove(server.name());
+            return false;
+        }
+        return isKnownGone;
     }
 
     private boolean canRun(BackendServer server, Optional<EngineWork> work) {
@@ -198,12 +195,13 @@
     }
 
     /**
-     * Suspects a server at whose address nothing, or another server, answers.
+     * Suspects a server at whose address nothing, or another server, answers. It takes no work until it is heard of.
      *
      * @param server the server
      */
     void gone(BackendServer server) {
         goneListener.accept(server);
+        gone.put(server.name(), server.incarnation());
     }
 
     /**
@@ -372,7 +370,7 @@
         }
 
         private void used() {
-            retryWaiting();
+            waiting.retry();
             if (work.isPresent()) {
                 changedUse.run();
             }
@@ -433,12 +431,8 @@
      * @param request the request
      * @param isAbsent whether no server holds its model or adapter, so that the coordinator must act
      */
-    void await(String service, Waiting request, boolean isAbsent) {
-        int position = 0;
-        while (position < waiting.size() && BY_RANK.compare(waiting.get(position), request) <= 0) {
-            position++;
-        }
-        waiting.add(position, request);
+    void await(String service, WaitingRequests.Waiting request, boolean isAbsent) {
+        waiting.add(request);
         if (isAbsent) {
             demands.waits(service, request.work(), 1);
             urgentReport.run();
@@ -452,7 +446,7 @@
      * @param request what was given to {@link #await}
      * @param wasAbsent what was given to {@link #await}
      */
-    void stopWaiting(String service, Waiting request, boolean wasAbsent) {
+    void stopWaiting(String service, WaitingRequests.Waiting request, boolean wasAbsent) {
         if (waiting.remove(request) && wasAbsent) {
             demands.waits(service, request.work(), -1);
         }
@@ -464,12 +458,8 @@
      * @param request a request
      * @return the tokens on this VM
      */
-    long tokensBefore(Waiting request) {
-        return waiting.stream()
-                .filter(each ->
-                        each.work().model().equals(request.work().model()) && BY_RANK.compare(each, request) <= 0)
-                .mapToLong(each -> each.work().promptTokens())
-                .sum();
+    long tokensBefore(WaitingRequests.Waiting request) {
+        return waiting.tokensBefore(request);
     }
 
     /**
@@ -486,12 +476,6 @@
         return places * ServerChoice.PROMPT_TOKENS_PER_MILLISECOND / paces.of(model);
     }
 
-    private void retryWaiting() {
-        if (!waiting.isEmpty()) {
-            List.copyOf(waiting).forEach(request -> request.retry().run());
-        }
-    }
-
     /**
      * Takes what the coordinator knows.
      *
@@ -499,7 +483,7 @@
      */
     public void contents(Map<BackendServerName, HeldModels> newContents) {
         newContents.forEach((name, held) -> contents.merge(name, held, ServerPool::newer));
-        retryWaiting();
+        waiting.retry();
     }
 
     private static HeldModels newer(HeldModels known, HeldModels offered) {
@@ -524,7 +508,7 @@
                     current ? usage.getPromptTokens() : 0,
                     current ? usage.getHeldTokens() : 0);
         });
-        retryWaiting();
+        waiting.retry();
     }
 
     /**
@@ -584,5 +568,6 @@
         servers.current().forEach(server -> known.add(server.name()));
         uses.keySet().retainAll(known);
         contents.keySet().retainAll(known);
+        gone.keySet().retainAll(known);
     }
 }
--- a/src/main/java/org/borageproxy/forward/SlotBroker.java
+++ b/src/main/java/org/borageproxy/forward/SlotBroker.java
@@ -206,7 +206,7 @@
         private final SlotRequest request;
         private final EngineWork work;
         private final CompletableFuture<ByteString> answer;
-        private final ServerPool.Waiting waiting;
+        private final WaitingRequests.Waiting waiting;
         private final Set<BackendServerName> tried = new HashSet<>();
         private boolean isWaiting;
         private boolean isAbsent;
@@ -226,7 +226,7 @@
                     parts);
             Deadline objective =
                     Deadline.after(environment.clock().nanoTime(), Duration.ofMillis(request.getObjectiveMillis()));
-            waiting = new ServerPool.Waiting(request.getRank(), objective, work, this::look);
+            waiting = new WaitingRequests.Waiting(request.getRank(), objective, work, this::look);
             request.getTriedList().forEach(name -> tried.add(new BackendServerName(name)));
         }
 
--- /dev/null
+++ b/src/main/java/org/borageproxy/forward/WaitingRequests.java
@@ -0,0 +1,55 @@
+package org.borageproxy.forward;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+import org.borageproxy.routing.EngineWork;
+import org.borageproxy.time.Deadline;
+
+/** The requests that wait for a server, in the order in which they may go. Not thread safe. */
+final class WaitingRequests {
+
+    private static final Comparator<Waiting> BY_RANK =
+            Comparator.comparingInt(Waiting::rank).thenComparing(Waiting::objective);
+
+    private final List<Waiting> waiting = new ArrayList<>();
+
+    /**
+     * A request that waits for a server.
+     *
+     * @param rank the rank, the lowest first
+     * @param objective when its answer is late
+     * @param work the work of an engine
+     * @param retry looks for a server again
+     */
+    record Waiting(int rank, Deadline objective, EngineWork work, Runnable retry) {}
+
+    void add(Waiting request) {
+        int position = 0;
+        while (position < waiting.size() && BY_RANK.compare(waiting.get(position), request) <= 0) {
+            position++;
+        }
+        waiting.add(position, request);
+    }
+
+    boolean remove(Waiting request) {
+        return waiting.remove(request);
+    }
+
+    /** Returns the prompt tokens of requests for the same model that go first. */
+    long tokensBefore(Waiting request) {
+        return waiting.stream()
+                .filter(each ->
+                        each.work().model().equals(request.work().model()) && BY_RANK.compare(each, request) <= 0)
+                .mapToLong(each -> each.work().promptTokens())
+                .sum();
+    }
+
+    /** Lets each request look for a server; those that find one remove themselves. */
+    void retry() {
+        if (!waiting.isEmpty()) {
+            List.copyOf(waiting).forEach(request -> request.retry().run());
+        }
+    }
+}
