Wait for the verdict on both cuts before a request is given up

Cause: RequestFailureTest ended three of four engines once, beside load. The probe of a cut connection looks for 350 ms; an engine that takes longer to exit still listens, so that the first end was reported only if the engine started again. With one report for two ended engines the fleet did not quarantine the request, and its resend ended a third.

Ruled out: the registry's count and the durability of reports; the new test shows the missing report without them.

Change: a server that still listens is probed twice more, 250 ms apart, while the request goes on. After the last cut that a request may see, it is answered only when all verdicts are there, 1.6 s later at most.

Tests: CrashWatchTest (new; the code before looks again only for a restart, so the first server would stay unreported).

--- a/src/main/java/org/borageproxy/execution/CrashWatch.java
+++ b/src/main/java/org/borageproxy/execution/CrashWatch.java
@@ -1,9 +1,12 @@
 package org.borageproxy.execution;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import org.borageproxy.membership.BackendServer;
 
 /**
@@ -16,13 +19,17 @@
     private static final int MAXIMUM_CUTS = 2;
     /** The time in which a report of a crash must become durable. */
     private static final Duration REPORT_TIME = Duration.ofSeconds(2);
-    /** When a server that still listens after a cut is looked at again. */
-    private static final Duration RESTART_CHECK = Duration.ofMillis(1500);
+    /** The probes of a server whose connection was cut; a process that dies on a busy VM listens on for a while. */
+    private static final int MOST_PROBES = 3;
+    /** The pause between two probes. */
+    private static final Duration PROBE_PAUSE = Duration.ofMillis(250);
 
     /** What the execution needs of its surroundings. */
     private final ExecutionServices services;
     /** The request. */
     private final ExecutionRequest request;
+    /** What the probes find, one for each cut. */
+    private final List<Future<Void>> verdicts = new ArrayList<>();
     /** The connections that were cut during the request. */
     private int cuts;
     /** What the fleet answered to the last report, which may be ahead of this VM's view. */
@@ -83,7 +90,8 @@
     }
 
     /**
-     * Finds out whether a backend server ended during the request and reports it.
+     * Finds out whether a backend server ended during the request and reports it. After the last cut that the request
+     * may see, it waits for all verdicts, so that no further request runs before the fleet knows.
      *
      * @param server the backend server whose connection was cut
      * @param exclusive whether the attempt ran alone
@@ -92,16 +100,24 @@
     Future<Void> cut(BackendServer server, boolean exclusive) {
         cuts++;
         boolean alone = exclusive && server.load().running() <= 1;
+        Promise<Void> firstProbe = Promise.promise();
+        Future<Void> verdict = probe(server, alone, 1, firstProbe).onComplete(known -> firstProbe.tryComplete());
+        verdicts.add(verdict);
+        return isExhausted() ? Future.join(verdicts).mapEmpty() : firstProbe.future();
+    }
+
+    private Future<Void> probe(BackendServer server, boolean alone, int number, Promise<Void> firstProbe) {
         return services.probe().isGone(server).transform(probed -> {
-            if (Boolean.TRUE.equals(probed.result())) {
+            if (Boolean.TRUE.equals(probed.result()) || hasRestarted(server)) {
                 return report(server, alone);
             }
-            services.vertx().setTimer(RESTART_CHECK.toMillis(), timer -> {
-                if (hasRestarted(server)) {
-                    report(server, alone);
-                }
-            });
-            return Future.succeededFuture();
+            firstProbe.tryComplete();
+            if (number == MOST_PROBES) {
+                return Future.succeededFuture();
+            }
+            return services.vertx()
+                    .timer(PROBE_PAUSE.toMillis())
+                    .compose(paused -> probe(server, alone, number + 1, firstProbe));
         });
     }
 
--- /dev/null
+++ b/src/test/java/org/borageproxy/execution/CrashWatchTest.java
@@ -0,0 +1,113 @@
+package org.borageproxy.execution;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import org.borageproxy.membership.BackendServer;
+import org.borageproxy.membership.BackendServerKind;
+import org.borageproxy.membership.BackendServerName;
+import org.borageproxy.membership.BackendServerState;
+import org.borageproxy.membership.LoadReport;
+import org.borageproxy.time.Deadline;
+import org.borageproxy.vm.AvailabilityZone;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class CrashWatchTest {
+
+    private final Vertx vertx = Vertx.vertx();
+    private final List<String> reported = new ArrayList<>();
+    private final Map<String, Integer> probes = new HashMap<>();
+
+    @AfterEach
+    void close() throws Exception {
+        vertx.close().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
+    }
+
+    private static BackendServer server(String name) {
+        return new BackendServer(
+                new BackendServerName(name),
+                1,
+                1,
+                BackendServerKind.ENGINE,
+                BackendServerState.ALIVE,
+                new AvailabilityZone("a"),
+                "127.0.0.1",
+                1,
+                true,
+                Set.of("s"),
+                List.of(),
+                List.of(),
+                new LoadReport(0, 0, 64, 1, 1));
+    }
+
+    /** A watch over servers that still listen at their first probe and are gone at the second. */
+    private CrashWatch watchOverSlowExits() {
+        CrashProbe probe =
+                server -> Future.succeededFuture(probes.merge(server.name().value(), 1, Integer::sum) > 1);
+        ExecutionServices services = new ExecutionServices(
+                vertx,
+                System::nanoTime,
+                null,
+                List::of,
+                null,
+                null,
+                null,
+                new Registry(),
+                null,
+                null,
+                null,
+                probe,
+                null);
+        Fingerprint fingerprint = new Fingerprint("f");
+        return new CrashWatch(
+                services,
+                new ExecutionRequest(
+                        "r", Optional.empty(), "m", 1, 0, new Deadline(0), true, Optional.empty(), fingerprint));
+    }
+
+    @Test
+    void serverThatListensOnForAWhileIsReportedBeforeTheRequestIsGivenUp() throws Exception {
+        CrashWatch watch = watchOverSlowExits();
+        Future<Void> first = watch.cut(server("one"), false);
+        assertTrue(first.isComplete());
+        Future<Void> second = watch.cut(server("two"), true);
+        assertFalse(second.isComplete());
+        second.toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
+        assertEquals(Set.of("one", "two"), Set.copyOf(reported));
+        assertTrue(watch.isExhausted());
+        assertTrue(watch.isQuarantined());
+    }
+
+    private final class Registry implements CrashRegistry {
+        @Override
+        public Suspicion suspicion(Fingerprint fingerprint) {
+            return Suspicion.NONE;
+        }
+
+        @Override
+        public CompletionStage<Suspicion> reportCrash(
+                Fingerprint fingerprint, BackendServerName server, long incarnation, boolean alone) {
+            reported.add(server.value());
+            return CompletableFuture.completedFuture(reported.size() > 1 ? Suspicion.QUARANTINED : Suspicion.SUSPECT);
+        }
+
+        @Override
+        public void reportAnswered(Fingerprint fingerprint) {
+            reported.clear();
+        }
+    }
+}
