--- a/src/main/java/org/borageproxy/command/CommandLine.java
+++ b/src/main/java/org/borageproxy/command/CommandLine.java
@@ -43,6 +43,7 @@
         add("members", "list or change the members of the control group", MembersCommand::new);
         add("drain", "shut one VM down gracefully", DrainCommand::new);
         add("timeline", "print the events of all VMs in one order", TimeLineCommand::new);
+        add("explain", "print the lines of one request from the logs of all VMs", ExplainCommand::new);
         add("check-settings", "check a settings file without starting", CheckSettingsCommand::new);
         add("experiment", "compare policies with a baseline on seeded traces", ExperimentCommand::new);
         add("standin", "run a stand-in backend server or weight store", StandInCommand::new);
--- a/src/main/java/org/borageproxy/platform/ControlCalls.java
+++ b/src/main/java/org/borageproxy/platform/ControlCalls.java
@@ -53,6 +53,10 @@
                 .setPort(endpoint.port())
                 .setIdleTimeout(IDLE_SECONDS);
         return vertx.createHttpServer(options)
+                .connectionHandler(connection -> connection.exceptionHandler(failure -> LOGGER.info(
+                        "event=connection-failed peer={} reason=\"{}\"",
+                        connection.remoteAddress(),
+                        failure.getMessage())))
                 .requestHandler(request -> request.body().onSuccess(body -> calls.handle(request, body)))
                 .listen()
                 .toCompletionStage();
--- a/src/main/java/org/borageproxy/server/GatewayProcess.java
+++ b/src/main/java/org/borageproxy/server/GatewayProcess.java
@@ -12,6 +12,7 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import org.borageproxy.log.consensus.Role;
+import org.borageproxy.logging.BoundedAppender;
 import org.borageproxy.settings.Endpoint;
 import org.borageproxy.time.Deadline;
 import org.slf4j.Logger;
@@ -96,6 +97,7 @@
 
     private void showState() {
         metrics.show("ready", () -> isReady() ? 1 : 0);
+        metrics.show("log_lines_dropped", BoundedAppender::dropped);
         metrics.show(
                 "known_servers",
                 () -> foundation.membership().registry().current().size());
