Never tell callers to come back at once

Change: refusals of the broker tell 300 ms at least. The broker's waiting for models gets tests that need no network.

Tests: SlotBrokerTest (crowdedRefusalTellsATimeAboveZero failed before).

--- a/src/main/java/org/borageproxy/forward/SlotBroker.java
+++ b/src/main/java/org/borageproxy/forward/SlotBroker.java
@@ -52,6 +52,7 @@
     /** The longest time after which callers are asked to come back. */
     private static final Duration LATEST_RETURN = Duration.ofSeconds(10);
 
+    /** The shortest time after which callers are asked to come back. */
     private static final Duration SOON = Duration.ofMillis(300);
     /** The longest time to an answer; a request that waits longer asks again. */
     static final Duration LONGEST_ANSWER = Duration.ofMillis(200);
@@ -344,7 +345,8 @@
         }
 
         private void refuse(SlotAnswer.Outcome outcome, Duration comeBack) {
-            Duration bounded = comeBack.compareTo(LATEST_RETURN) > 0 ? LATEST_RETURN : comeBack;
+            Duration least = comeBack.compareTo(SOON) < 0 ? SOON : comeBack;
+            Duration bounded = least.compareTo(LATEST_RETURN) > 0 ? LATEST_RETURN : least;
             answer(SlotAnswer.newBuilder().setOutcome(outcome).setComeBackMillis((int) bounded.toMillis()));
         }
 
--- /dev/null
+++ b/src/test/java/org/borageproxy/forward/SlotBrokerTest.java
@@ -0,0 +1,158 @@
+package org.borageproxy.forward;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+
+import com.google.protobuf.ByteString;
+import org.borageproxy.membership.BackendServer;
+import org.borageproxy.membership.BackendServerKind;
+import org.borageproxy.membership.BackendServerName;
+import org.borageproxy.membership.BackendServerState;
+import org.borageproxy.membership.LoadReport;
+import org.borageproxy.membership.LoadedModel;
+import org.borageproxy.publication.EnginePool;
+import org.borageproxy.routing.EngineWork;
+import org.borageproxy.time.Deadline;
+import org.borageproxy.vm.AvailabilityZone;
+import org.borageproxy.vm.VmName;
+import org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer;
+import org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest;
+import org.borageproxy.wire.proto.CoordinationProtocol.UsageReport;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+class SlotBrokerTest {
+
+    private static final VmName ENTRY = new VmName("entry");
+    private static final AvailabilityZone ZONE = new AvailabilityZone("a");
+    private static final EnginePool ENGINES = new EnginePool(64, 100_000, 2, 200_000, 8, 2, Map.of());
+
+    private final List<Timed> timers = new ArrayList<>();
+    private long nowNanos = 1;
+    private Optional<Duration> untilArrival = Optional.empty();
+    private int waiting;
+    private final SlotBroker broker = broker();
+
+    private record Timed(Deadline due, Runnable task) {}
+
+    private SlotBroker broker() {
+        BackendServer other = new BackendServer(
+                new BackendServerName("other"),
+                1,
+                1,
+                BackendServerKind.ENGINE,
+                BackendServerState.ALIVE,
+                ZONE,
+                "127.0.0.1",
+                1,
+                true,
+                Set.of("s"),
+                List.of(),
+                List.of(new LoadedModel("n", "1", "", Set.of())),
+                new LoadReport(0, 0, 64, 1, 1));
+        ServerPool pool = new ServerPool(() -> List.of(other), () -> nowNanos, ZONE, new Random(1));
+        SlotBroker made = new SlotBroker(new SlotBroker.Environment(
+                () -> true,
+                pool,
+                service -> Optional.of(ENGINES),
+                () -> nowNanos,
+                (delay, task) -> timers.add(new Timed(Deadline.after(nowNanos, delay), task)),
+                new Demand()));
+        made.reported(ENTRY, UsageReport.getDefaultInstance());
+        return made;
+    }
+
+    private CompletableFuture<ByteString> ask(String model, int rank, int deadlineMillis, int waitedMillis) {
+        SlotRequest request = SlotRequest.newBuilder()
+                .setZone("a")
+                .setService("s")
+                .setModel(model)
+                .setPromptTokens(500)
+                .setRank(rank)
+                .setObjectiveMillis(1_200)
+                .setDeadlineMillis(deadlineMillis)
+                .setWaitedMillis(waitedMillis)
+                .build();
+        return broker.handle(ENTRY, request.toByteString()).toCompletableFuture();
+    }
+
+    private void advance(Duration time) {
+        nowNanos += time.toNanos();
+        List<Timed> due =
+                timers.stream().filter(timed -> timed.due().hasPassed(nowNanos)).toList();
+        timers.removeAll(due);
+        due.forEach(timed -> timed.task().run());
+    }
+
+    private static SlotAnswer answer(CompletableFuture<ByteString> future) throws Exception {
+        assertTrue(future.isDone());
+        return SlotAnswer.parseFrom(future.get());
+    }
+
+    /** Load pattern: a rare model becomes busy while its second place is loaded from the store. */
+    @Test
+    void requestWaitsForAModelThatArrivesInTime() throws Exception {
+        untilArrival = Optional.of(Duration.ofSeconds(2));
+        CompletableFuture<ByteString> asked = ask("m", 5, 5_000, 0);
+        assertFalse(asked.isDone());
+        assertEquals(1, waiting);
+        advance(SlotBroker.LONGEST_ANSWER.plusMillis(1));
+        assertEquals(SlotAnswer.Outcome.AGAIN, answer(asked).getOutcome());
+        assertEquals(0, waiting);
+    }
+
+    @Test
+    void requestIsRefusedAtOnceIfItsModelArrivesTooLate() throws Exception {
+        untilArrival = Optional.of(Duration.ofSeconds(8));
+        SlotAnswer answer = answer(ask("m", 5, 5_000, 0));
+        assertEquals(SlotAnswer.Outcome.NO_MODEL, answer.getOutcome());
+        assertEquals(8_000, answer.getComeBackMillis());
+    }
+
+    @Test
+    void requestForAModelThatNoEngineCanLoadIsRefusedSoon() throws Exception {
+        CompletableFuture<ByteString> asked = ask("m", 5, 15_000, 600);
+        assertFalse(asked.isDone());
+        advance(Duration.ofMillis(101));
+        SlotAnswer answer = answer(asked);
+        assertEquals(SlotAnswer.Outcome.NO_MODEL, answer.getOutcome());
+        assertEquals(1_500, answer.getComeBackMillis());
+    }
+
+    /** Load pattern: a request whose patience is over finds an engine full, with nobody ahead of it. */
+    @Test
+    void crowdedRefusalTellsATimeAboveZero() throws Exception {
+        for (int request = 0; request < 200; request++) {
+            ask("n", 5, 5_000, 0);
+        }
+        SlotAnswer answer = answer(ask("n", 0, 3_000, 2_000));
+        assertEquals(SlotAnswer.Outcome.CROWDED, answer.getOutcome());
+        assertTrue(answer.getComeBackMillis() >= 300, "come back " + answer.getComeBackMillis());
+    }
+
+    private final class Demand implements SlotBroker.Demand {
+        @Override
+        public void waits(String service, EngineWork work, int change) {
+            waiting += change;
+        }
+
+        @Override
+        public void absent(BackendServerName server, EngineWork work) {
+            throw new AssertionError("no request names an engine without its model");
+        }
+
+        @Override
+        public Optional<Deadline> arrival(String service, EngineWork work) {
+            return untilArrival.map(time -> Deadline.after(nowNanos, time));
+        }
+    }
+}
