Answer every request before a shutdown ends

Requests that wait for a model on its way may now wait longer than the rest of a shutdown, and at its end connections were closed under them.

Ruled out: requests that arrive after the notice to balancers is over; they were refused before, too.

Change: when further requests are refused, those that still wait to be sent are refused as well, since another VM can take them at once.

Tests: ForwardingTest.requestsGetAnAnswerWhenTheTimeForAShutdownIsOver.

--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -6,6 +6,7 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -61,7 +62,7 @@
     private final HeldRequest held;
     private final RequestLog log;
     private final RateAdmission rate;
-    private final Runnable ended;
+    private final Consumer<Exchange> ended;
     private final AnswerRelay relay;
     private final Set<BackendServerName> tried = new HashSet<>();
     private final Set<BackendServerName> absentAt = new HashSet<>();
@@ -78,7 +79,7 @@
     private Optional<WaitingRequests.Waiting> waiting = Optional.empty();
     private boolean hasEnded;
 
-    Exchange(ForwardParts parts, HeldRequest held, Runnable ended) {
+    Exchange(ForwardParts parts, HeldRequest held, Consumer<Exchange> ended) {
         this.parts = parts;
         this.held = held;
         this.ended = ended;
@@ -527,6 +528,18 @@
         }
     }
 
+    /** Refuses the request if it was sent to no server. */
+    void stopUnsent(Duration comeBack) {
+        if (runs == 0 && !relay.hasBegun()) {
+            stop(comeBack);
+        }
+    }
+
+    /** Ends the request with what is true now. */
+    void stop(Duration comeBack) {
+        giveUp(RefusalReason.STOPPING, comeBack);
+    }
+
     private void refuse(RefusalReason reason, Optional<Duration> comeBack) {
         if (!hasEnded) {
             Refusals.answer(held.request(), reason, comeBack);
@@ -573,6 +586,6 @@
         current.filter(attempt -> !attempt.isOver).ifPresent(Attempt::giveUp);
         log.ended(outcome, status, sends, scanner.events());
         parts.metrics().ended(held.route().name(), outcome, (parts.clock().nanoTime() - held.arrivedAtNanos()) / 1e6);
-        ended.run();
+        ended.accept(this);
     }
 }
--- a/src/main/java/org/borageproxy/forward/ForwardServer.java
+++ b/src/main/java/org/borageproxy/forward/ForwardServer.java
@@ -2,8 +2,11 @@
 
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -46,7 +49,7 @@
     private final Supplier<Optional<ServedPublication>> publications;
     private final RandomGenerator random;
     private HttpServer server;
-    private int inFlight;
+    private final Set<Exchange> exchanges = new LinkedHashSet<>();
     private boolean isClosing;
     private boolean isRefusing;
 
@@ -153,8 +156,9 @@
             return;
         }
         HeldRequest held = held(request, body, fields, served.get(), route.get(), workspace, arrivedAtNanos);
-        inFlight++;
-        new Exchange(parts, held, this::ended).start();
+        Exchange exchange = new Exchange(parts, held, exchanges::remove);
+        exchanges.add(exchange);
+        exchange.start();
     }
 
     private HeldRequest held(
@@ -185,10 +189,6 @@
                 deadline);
     }
 
-    private void ended() {
-        inFlight--;
-    }
-
     private static void refuse(
             HttpServerRequest request, String identity, RefusalReason reason, Optional<Duration> comeBack) {
         LOGGER.info(
@@ -219,7 +219,7 @@
      * @return the number
      */
     public int inFlight() {
-        return inFlight;
+        return exchanges.size();
     }
 
     /**
@@ -231,10 +231,20 @@
     }
 
     /**
-     * Refuses further requests as not run, since they might not end before the process does. Called on the event loop.
+     * Refuses further requests, and those that still wait to be sent, as not run, since they might not end before the
+     * process does. Called on the event loop.
      */
     public void refuseFurther() {
         isRefusing = true;
+        List.copyOf(exchanges).forEach(exchange -> exchange.stopUnsent(STOPPING_WAIT));
+    }
+
+    /**
+     * Ends what is in flight: each request that has no answer yet gets one, and streams are cut. Called on the event
+     * loop when the time for a shutdown is over.
+     */
+    public void stopRest() {
+        List.copyOf(exchanges).forEach(exchange -> exchange.stop(STOPPING_WAIT));
     }
 
     /**
--- a/src/main/java/org/borageproxy/server/GatewayEntry.java
+++ b/src/main/java/org/borageproxy/server/GatewayEntry.java
@@ -233,6 +233,11 @@
         server.refuseFurther();
     }
 
+    /** Ends what is in flight with an answer. */
+    void stopRest() {
+        server.stopRest();
+    }
+
     /**
      * Stops listening.
      *
--- a/src/main/java/org/borageproxy/server/GatewayProcess.java
+++ b/src/main/java/org/borageproxy/server/GatewayProcess.java
@@ -193,8 +193,12 @@
             foundation.timer().schedule(DRAIN_POLL, () -> drain(noticed, end));
             return;
         }
-        entry.ifPresent(serving -> serving.close(CLOSE_TIME));
-        new Thread(this::closeRest, "shutdown").start();
+        entry.ifPresent(GatewayEntry::stopRest);
+        // The last answers leave before their connections are closed.
+        foundation.timer().schedule(DRAIN_POLL, () -> {
+            entry.ifPresent(serving -> serving.close(CLOSE_TIME));
+            new Thread(this::closeRest, "shutdown").start();
+        });
     }
 
     private void closeRest() {
--- a/src/test/java/org/borageproxy/platform/ForwardingTest.java
+++ b/src/test/java/org/borageproxy/platform/ForwardingTest.java
@@ -3,18 +3,22 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.UncheckedIOException;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
@@ -70,6 +74,8 @@
     private final List<BackendServer> servers = new CopyOnWriteArrayList<>();
     private final List<String> gone = new CopyOnWriteArrayList<>();
     private Vertx vertx;
+    private ContextInternal context;
+    private ForwardServer forwarding;
     private int port;
 
     /** A backend server that answers each request by a script and then closes or keeps its connection. */
@@ -183,7 +189,7 @@
     @BeforeEach
     void start() throws Exception {
         vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
-        ContextInternal context = ((VertxInternal) vertx).createEventLoopContext();
+        context = ((VertxInternal) vertx).createEventLoopContext();
         MonotonicClock clock = MonotonicClock.ofSystem();
         ServerPool pool = new ServerPool(() -> List.copyOf(servers), clock, ZONE, new Random(1));
         pool.onGone(server -> gone.add(server.name().value()));
@@ -199,13 +205,13 @@
                 NoSuspects.INSTANCE,
                 ForwardMetrics.NoOp.INSTANCE);
         ServedPublication served = new ServedPublication(publication());
-        ForwardServer server = new ForwardServer(vertx, parts, () -> Optional.of(served), new Random(1));
+        forwarding = new ForwardServer(vertx, parts, () -> Optional.of(served), new Random(1));
         try (ServerSocket free = new ServerSocket(0)) {
             port = free.getLocalPort();
         }
-        java.util.concurrent.CompletableFuture<Object> listening = new java.util.concurrent.CompletableFuture<>();
+        CompletableFuture<Object> listening = new CompletableFuture<>();
         context.runOnContext(nothing ->
-                server.listen(new Endpoint("127.0.0.1", port)).onComplete(result -> listening.complete(result)));
+                forwarding.listen(new Endpoint("127.0.0.1", port)).onComplete(result -> listening.complete(result)));
         listening.get(10, TimeUnit.SECONDS);
     }
 
@@ -467,4 +473,40 @@
         assertTrue(answer.startsWith("HTTP/1.1 400"), answer);
         assertTrue(server.requests.isEmpty());
     }
+
+    /** Load pattern: a VM shuts down while requests wait for answers, and callers have not left it yet. */
+    @Test
+    void requestsGetAnAnswerWhenTheTimeForAShutdownIsOver() throws Exception {
+        CountDownLatch arrived = new CountDownLatch(1);
+        CountDownLatch released = new CountDownLatch(1);
+        server(request -> {
+            arrived.countDown();
+            try {
+                released.await();
+            } catch (InterruptedException exception) {
+                Thread.currentThread().interrupt();
+            }
+            return keep(ok(request, "Content-Length: 2\r\n", "ok"));
+        });
+        CompletableFuture<String> running = CompletableFuture.supplyAsync(() -> {
+            try {
+                return call("/once/", "");
+            } catch (IOException exception) {
+                throw new UncheckedIOException(exception);
+            }
+        });
+        assertTrue(arrived.await(5, TimeUnit.SECONDS));
+        context.runOnContext(nothing -> {
+            forwarding.beginClosing();
+            forwarding.refuseFurther();
+        });
+        String further = call("/safe/", "");
+        assertTrue(further.startsWith("HTTP/1.1 503"), further);
+        assertFalse(running.isDone());
+        context.runOnContext(nothing -> forwarding.stopRest());
+        String last = running.get(5, TimeUnit.SECONDS);
+        released.countDown();
+        assertTrue(last.startsWith("HTTP/1.1 502"), last);
+        assertTrue(last.toLowerCase(Locale.ROOT).contains("connection: close"), last);
+    }
 }
