Order one load of an absent model at a time and keep waits through a term

Cause: found by FleetPlacementTest. While the order of a load had no answer yet, the engine did not count as a place of the model, so that the plan gave the same order to every other engine with room (as after a scale-out). And a new term forgot the requests that wait on the coordinator; as each counts down when its wait ends, a model's count fell below zero and the next waits for it went unnoticed.

Change: an engine counts as a place of the model of an order under way. A new term keeps the requests that wait on this VM.

Tests: FleetPlacementTest (newLeaderOrdersNothingDuringTheTurnOfTheOneBefore, leaderThatIsElectedAgainWaitsItsTurnAgain failed before), ServerPoolTest.serverThatLeavesTakesNoFurtherWork, ForwardingTest.repeatsOfAllRequestsStayWithinTheBudget (no fault found).

--- a/src/main/java/org/borageproxy/placement/CopyPlan.java
+++ b/src/main/java/org/borageproxy/placement/CopyPlan.java
@@ -145,7 +145,7 @@
     /** The least work among the engines of a model; requests go there first. */
     private double crowding(String model, Map<EngineBook, Double> work) {
         return engines.stream()
-                .filter(engine -> holds(engine, model))
+                .filter(engine -> engine.isPlaceOf(model))
                 .mapToDouble(work::get)
                 .min()
                 .orElse(0);
@@ -158,7 +158,7 @@
         Optional<Step> best = Optional.empty();
         double bestCost = Double.MAX_VALUE;
         for (EngineBook engine : engines) {
-            boolean isFree = engine.takesOrders() && engine.awaitedModel().isEmpty() && !holds(engine, model);
+            boolean isFree = engine.takesOrders() && engine.awaitedModel().isEmpty() && !engine.isPlaceOf(model);
             boolean isPaid = engine.hasCopy(model) || mayUseStore;
             if (!isFree || !isPaid) {
                 continue;
@@ -226,13 +226,7 @@
     }
 
     private int places(String model) {
-        return (int) engines.stream().filter(engine -> holds(engine, model)).count();
-    }
-
-    private static boolean holds(EngineBook engine, String model) {
-        return engine.held().containsKey(model)
-                || engine.arrivingModel().equals(model)
-                || engine.awaitedModel().equals(model);
+        return (int) engines.stream().filter(engine -> engine.isPlaceOf(model)).count();
     }
 
     /** The memory that an engine uses or is about to use, with room for its adapters, in megabytes. */
@@ -287,7 +281,7 @@
         List<String> models = new ArrayList<>(demands.keySet());
         for (EngineBook engine : engines) {
             double sum = models.stream()
-                    .filter(model -> holds(engine, model))
+                    .filter(model -> engine.isPlaceOf(model))
                     .mapToDouble(model -> share(model, places(model)))
                     .sum();
             work.put(engine, sum);
--- a/src/main/java/org/borageproxy/placement/EngineBook.java
+++ b/src/main/java/org/borageproxy/placement/EngineBook.java
@@ -34,6 +34,7 @@
     private String arrivingModel = "";
     private String leavingModel = "";
     private String awaitedModel = "";
+    private String orderedModel = "";
     private Deadline arrivesAt;
     private Deadline reportsCountFrom;
     private boolean isOrdering;
@@ -152,8 +153,33 @@
         return isOrdersKnown && !isOrdering;
     }
 
-    void ordering(boolean ordering) {
-        isOrdering = ordering;
+    /**
+     * Notes an order that is sent and not answered yet.
+     *
+     * @param order the order
+     */
+    void ordering(EngineClient.EngineOrder order) {
+        isOrdering = true;
+        orderedModel = order.loads() && order.adapter().isEmpty() ? order.model() : "";
+    }
+
+    /** Notes that no order is under way any more. */
+    void ordered() {
+        isOrdering = false;
+        orderedModel = "";
+    }
+
+    /**
+     * Tells whether the engine holds a model or is about to.
+     *
+     * @param model the model
+     * @return whether it counts as a place of the model
+     */
+    boolean isPlaceOf(String model) {
+        return held.containsKey(model)
+                || arrivingModel.equals(model)
+                || awaitedModel.equals(model)
+                || orderedModel.equals(model);
     }
 
     /**
--- a/src/main/java/org/borageproxy/placement/FleetPlacement.java
+++ b/src/main/java/org/borageproxy/placement/FleetPlacement.java
@@ -164,7 +164,9 @@
         books.clear();
         contentsVersion = term << CONTENTS_BITS;
         nextReports.clear();
-        demands.clear();
+        // Requests that wait on this VM go on waiting through the change.
+        demands.values().removeIf(measured -> measured.waitingHere == 0);
+        demands.values().forEach(measured -> measured.waiting.clear());
         storeTokens = 0;
         long nowNanos = environment.clock().nanoTime();
         accruedAtNanos = nowNanos;
@@ -417,7 +419,7 @@
     private void order(EngineBook engine, boolean loads, String model, String adapter, Duration arrival) {
         EngineClient.EngineOrder order =
                 new EngineClient.EngineOrder(loads, model, adapter, engine.orders(), environment.holder(), term);
-        engine.ordering(true);
+        engine.ordering(order);
         environment.engines().order(engine.server(), order).thenAccept(reply -> environment
                 .eventLoop()
                 .execute(() -> ordered(engine, order, arrival, reply)));
@@ -438,7 +440,7 @@
         switch (reply) {
             case ACCEPTED, HELD -> {
                 engine.accepted(order, reply == EngineClient.Reply.HELD, arrival, nowNanos);
-                engine.ordering(false);
+                engine.ordered();
                 nextReports.put(engine.server().name(), Deadline.after(nowNanos, BUSY_REPORTS));
                 announce(engine);
                 resume();
@@ -447,19 +449,19 @@
                 refundStore(engine, order);
                 if (engine.isBusy()) {
                     environment.timer().schedule(BUSY_RETRY, () -> {
-                        engine.ordering(false);
+                        engine.ordered();
                         resume();
                     });
                 } else {
                     engine.awaits("");
                     engine.conflicted(nowNanos);
-                    engine.ordering(false);
+                    engine.ordered();
                 }
             }
             default -> {
                 engine.awaits("");
                 engine.conflicted(nowNanos);
-                environment.timer().schedule(UNANSWERED_PAUSE, () -> engine.ordering(false));
+                environment.timer().schedule(UNANSWERED_PAUSE, engine::ordered);
             }
         }
         environment.timer().schedule(Duration.ofMillis(30), this::settleAll);
--- a/src/test/java/org/borageproxy/forward/ServerPoolTest.java
+++ b/src/test/java/org/borageproxy/forward/ServerPoolTest.java
@@ -20,6 +20,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class ServerPoolTest {
@@ -91,4 +92,18 @@
         servers.add(server("only", "m").withState(BackendServerState.SUSPECT));
         assertEquals(Optional.of("only"), chosen("m"));
     }
+
+    @Test
+    void serverThatLeavesTakesNoFurtherWork() {
+        BackendServer leaving = server("leaving", "m");
+        servers.add(leaving);
+        servers.add(server("stays", "m"));
+        assertTrue(pool.isCurrent(leaving));
+        servers.set(0, leaving.withState(BackendServerState.LEAVING));
+        assertEquals(Optional.of("stays"), chosen("m"));
+        // A request that was given its place before looks again right before it is sent.
+        assertFalse(pool.isCurrent(leaving));
+        servers.remove(0);
+        assertFalse(pool.isCurrent(leaving));
+    }
 }
--- /dev/null
+++ b/src/test/java/org/borageproxy/placement/FleetPlacementTest.java
@@ -0,0 +1,192 @@
+package org.borageproxy.placement;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import org.borageproxy.coordination.HeldModels;
+import org.borageproxy.membership.BackendServer;
+import org.borageproxy.membership.BackendServerKind;
+import org.borageproxy.membership.BackendServerName;
+import org.borageproxy.membership.BackendServerState;
+import org.borageproxy.membership.LoadReport;
+import org.borageproxy.membership.LoadedModel;
+import org.borageproxy.publication.EnginePool;
+import org.borageproxy.publication.Publication;
+import org.borageproxy.publication.PublishedService;
+import org.borageproxy.publication.RequestLimits;
+import org.borageproxy.time.Deadline;
+import org.borageproxy.vm.AvailabilityZone;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Two engines with one model each, room for another one, and an ordering VM whose clock and term the tests move. */
+class FleetPlacementTest {
+
+    private static final Duration TURN = Duration.ofSeconds(3);
+    private static final Duration LOAD = Duration.ofSeconds(9);
+    private static final EnginePool POOL =
+            new EnginePool(64, 100_000, 2, 140, 2, 2, Map.of("a", model("a"), "b", model("b"), "c", model("c")));
+
+    private final List<Timed> timers = new ArrayList<>();
+    private final Deque<Runnable> tasks = new ArrayDeque<>();
+    private final Engines engines = new Engines();
+    private long nowNanos = 1;
+    private boolean leads = true;
+    private long term = 4;
+    private final FleetPlacement placement = placement();
+
+    private record Timed(Deadline due, Runnable task) {}
+
+    private record Ordered(String server, EngineClient.EngineOrder order) {}
+
+    private static EnginePool.EngineModel model(String name) {
+        return new EnginePool.EngineModel(name, 65, LOAD.toSeconds(), 2, 1, 1);
+    }
+
+    private static BackendServer engine(String name, String model) {
+        return new BackendServer(
+                new BackendServerName(name),
+                7,
+                1,
+                BackendServerKind.ENGINE,
+                BackendServerState.ALIVE,
+                new AvailabilityZone("z"),
+                "127.0.0.1",
+                1,
+                true,
+                Set.of("s"),
+                List.of(),
+                List.of(new LoadedModel(model, "1", "", Set.of())),
+                new LoadReport(0, 0, 64, 1, 1));
+    }
+
+    private FleetPlacement placement() {
+        Publication publication = new Publication(
+                1,
+                List.of(),
+                Map.of("s", new PublishedService("s", 100, Optional.of(POOL))),
+                Map.of(),
+                RequestLimits.DEFAULT);
+        List<BackendServer> servers = List.of(engine("e1", "a"), engine("e2", "b"));
+        servers.forEach(server ->
+                engines.held.put(server.name().value(), server.models().get(0).model()));
+        FleetPlacement made = new FleetPlacement(new FleetPlacement.Environment(
+                () -> leads,
+                () -> term,
+                "vm",
+                TURN,
+                () -> Optional.of(publication),
+                () -> servers,
+                engines,
+                (name, held) -> {},
+                () -> nowNanos,
+                (delay, task) -> timers.add(new Timed(Deadline.after(nowNanos, delay), task)),
+                tasks::add));
+        made.start();
+        return made;
+    }
+
+    private void advance(Duration time) {
+        long endNanos = nowNanos + time.toNanos();
+        while (nowNanos < endNanos) {
+            nowNanos += 10_000_000L;
+            List<Timed> due = timers.stream()
+                    .filter(timed -> timed.due().hasPassed(nowNanos))
+                    .toList();
+            timers.removeAll(due);
+            due.forEach(timed -> timed.task().run());
+            while (!tasks.isEmpty()) {
+                tasks.remove().run();
+            }
+        }
+    }
+
+    @Test
+    void newLeaderOrdersNothingDuringTheTurnOfTheOneBefore() {
+        advance(Duration.ofMillis(200));
+        placement.waits("s", "c", "", 1);
+        advance(TURN.minusMillis(300));
+        assertEquals(List.of(), engines.ordered);
+        advance(Duration.ofMillis(500));
+        assertEquals(1, engines.ordered.size(), engines.ordered.toString());
+        EngineClient.EngineOrder order = engines.ordered.get(0).order();
+        assertTrue(order.loads() && order.model().equals("c"), order.toString());
+        assertEquals(term, order.fence());
+        assertEquals(0, order.expectedOrders());
+    }
+
+    @Test
+    void vmThatLeadsNoLongerOrdersNothing() {
+        advance(TURN.plusMillis(1_200));
+        leads = false;
+        placement.waits("s", "c", "", 1);
+        advance(Duration.ofSeconds(5));
+        assertEquals(List.of(), engines.ordered);
+    }
+
+    @Test
+    void leaderThatIsElectedAgainWaitsItsTurnAgain() {
+        advance(TURN.plusMillis(1_200));
+        term = 6;
+        placement.waits("s", "c", "", 1);
+        advance(TURN.minusMillis(200));
+        assertEquals(List.of(), engines.ordered);
+        advance(Duration.ofMillis(700));
+        assertEquals(6, engines.ordered.get(0).order().fence());
+    }
+
+    @Test
+    void arrivalOfAModelOnItsWayIsKnown() {
+        advance(TURN.plusMillis(1_200));
+        assertTrue(placement.arrival("s", "c", "").isEmpty());
+        placement.waits("s", "c", "", 1);
+        advance(Duration.ofMillis(200));
+        long millis = placement.arrival("s", "c", "").orElseThrow().remainingMillis(nowNanos);
+        assertTrue(millis > LOAD.toMillis() - 500 && millis < LOAD.toMillis() + 1_000, "arrives in " + millis + " ms");
+        assertTrue(placement.arrival("s", "d", "").isEmpty());
+    }
+
+    /** Load pattern: an engine accepts a load and never finishes it. */
+    @Test
+    void modelThatIsLongOverdueIsNotWaitedFor() {
+        advance(TURN.plusMillis(1_200));
+        placement.waits("s", "c", "", 1);
+        advance(LOAD.plusSeconds(1));
+        assertTrue(placement.arrival("s", "c", "").isPresent());
+        advance(Duration.ofSeconds(3));
+        assertTrue(placement.arrival("s", "c", "").isEmpty());
+    }
+
+    /** Accepts each order and never finishes a load. */
+    private static final class Engines implements EngineClient {
+        private final Map<String, String> held = new HashMap<>();
+        private final Set<String> busy = new java.util.HashSet<>();
+        private final List<Ordered> ordered = new ArrayList<>();
+
+        @Override
+        public CompletionStage<Reply> order(BackendServer server, EngineOrder order) {
+            ordered.add(new Ordered(server.name().value(), order));
+            busy.add(server.name().value());
+            return CompletableFuture.completedFuture(Reply.ACCEPTED);
+        }
+
+        @Override
+        public CompletionStage<Optional<State>> state(BackendServer server) {
+            String name = server.name().value();
+            HeldModels models =
+                    new HeldModels(7, busy.contains(name) ? 1 : 0, Map.of(held.get(name), Set.of()), Set.of());
+            return CompletableFuture.completedFuture(Optional.of(new State(models, busy.contains(name), 0)));
+        }
+    }
+}
--- a/src/test/java/org/borageproxy/platform/ForwardingTest.java
+++ b/src/test/java/org/borageproxy/platform/ForwardingTest.java
@@ -70,6 +70,9 @@
 
     private static final AvailabilityZone ZONE = new AvailabilityZone("a");
     private static final String END = "\r\n\r\n";
+    private static final double BUDGET_SHARE = 0.2;
+    private static final int BUDGET_MAXIMUM = 10;
+    private final RetryBudget budget = new RetryBudget(BUDGET_SHARE, BUDGET_MAXIMUM);
     private final List<ScriptedServer> scripted = new ArrayList<>();
     private final List<BackendServer> servers = new CopyOnWriteArrayList<>();
     private final List<String> gone = new CopyOnWriteArrayList<>();
@@ -201,7 +204,7 @@
                 new SlotClient(NoNetwork.INSTANCE, Optional::empty, ZONE, clock, context.nettyEventLoop()),
                 new ServerConnections(context.nettyEventLoop(), clock),
                 new RateShares(System.nanoTime()),
-                service -> new RetryBudget(0.2, 10),
+                service -> budget,
                 NoSuspects.INSTANCE,
                 ForwardMetrics.NoOp.INSTANCE);
         ServedPublication served = new ServedPublication(publication());
@@ -509,4 +512,19 @@
         assertTrue(last.startsWith("HTTP/1.1 502"), last);
         assertTrue(last.toLowerCase(Locale.ROOT).contains("connection: close"), last);
     }
+
+    /** Load pattern: every server of a service breaks off every answer; its callers come in numbers. */
+    @Test
+    void repeatsOfAllRequestsStayWithinTheBudget() throws Exception {
+        ScriptedServer one = server(request -> new ScriptedServer.Answer("HTTP/1.1 200 OK\r\n", false, true));
+        ScriptedServer two = server(request -> new ScriptedServer.Answer("HTTP/1.1 200 OK\r\n", false, true));
+        int requests = 40;
+        for (int request = 0; request < requests; request++) {
+            String answer = call("/safe/", "");
+            assertFalse(answer.startsWith("HTTP/1.1 200"), answer);
+        }
+        int arrivals = one.requests.size() + two.requests.size();
+        assertTrue(arrivals <= requests + BUDGET_SHARE * requests + BUDGET_MAXIMUM, "arrivals " + arrivals);
+        assertTrue(arrivals > requests, "arrivals " + arrivals);
+    }
 }
