Tell refused callers a time that allows for those refused before them

Cause: a request without tokens was told tokens/rate, some 20 ms for a plain one, and came back into the same shortage; one refused for want of capacity after its patience was told 300 ms, whatever the queue.

Connections to engines that break off are logged by event and peer instead of by Vert.x.

Tests: RateFairnessTest.callersThatAreRefusedAreToldRisingTimes, SlotBrokerTest.crowdedRefusalTellsToComeBackAfterAsLongAsTheRequestCouldWait.

--- a/src/main/java/org/borageproxy/forward/RateAdmission.java
+++ b/src/main/java/org/borageproxy/forward/RateAdmission.java
@@ -28,7 +28,11 @@
         this.held = held;
     }
 
-    void request(Runnable admitted, Consumer<RateShares.Shortage> refused) {
+    void request(Runnable admitted, Consumer<RateShares.Shortage> onShortage) {
+        Consumer<RateShares.Shortage> refused = shortage -> {
+            held.workspace().ifPresent(workspace -> parts.rates().refused(workspace, held.rateTokens(), nowNanos()));
+            onShortage.accept(shortage);
+        };
         held.workspace().ifPresent(workspace -> parts.rates().asked(workspace, held.rateTokens(), nowNanos()));
         Optional<RateShares.Shortage> shortage = shortage();
         if (shortage.isEmpty()) {
--- a/src/main/java/org/borageproxy/forward/SlotBroker.java
+++ b/src/main/java/org/borageproxy/forward/SlotBroker.java
@@ -313,10 +313,13 @@
             double aheadMillis = pool.tokensBefore(waiting) / rate;
             double whole = (double) request.getObjectiveMillis() + request.getWaitedMillis();
             double patience = whole * PATIENCE - request.getWaitedMillis();
+            // A queue that is longer than the request's patience is worth another look after as long.
+            double comeBackMillis = Math.max(aheadMillis, whole * PATIENCE);
+            Duration comeBack = Duration.ofMillis((long) comeBackMillis);
             if (aheadMillis > patience) {
-                refuse(SlotAnswer.Outcome.CROWDED, Duration.ofMillis((long) aheadMillis));
+                refuse(SlotAnswer.Outcome.CROWDED, comeBack);
             } else {
-                waitFor(Duration.ofMillis((long) patience), SlotAnswer.Outcome.CROWDED, SOON, false);
+                waitFor(Duration.ofMillis((long) patience), SlotAnswer.Outcome.CROWDED, comeBack, false);
             }
         }
 
--- a/src/main/java/org/borageproxy/platform/EngineCalls.java
+++ b/src/main/java/org/borageproxy/platform/EngineCalls.java
@@ -49,9 +49,14 @@
     private final HttpClient client;
 
     EngineCalls(Vertx vertx) {
-        client = vertx.createHttpClient(
-                new HttpClientOptions().setConnectTimeout(CONNECT_MILLIS).setKeepAliveTimeout(KEEP_ALIVE_SECONDS),
-                new PoolOptions().setHttp1MaxSize(MOST_CONNECTIONS));
+        client = vertx.httpClientBuilder()
+                .with(new HttpClientOptions().setConnectTimeout(CONNECT_MILLIS).setKeepAliveTimeout(KEEP_ALIVE_SECONDS))
+                .with(new PoolOptions().setHttp1MaxSize(MOST_CONNECTIONS))
+                .withConnectHandler(connection -> connection.exceptionHandler(failure -> LOGGER.info(
+                        "event=connection-failed peer={} reason=\"{}\"",
+                        connection.remoteAddress(),
+                        failure.getMessage())))
+                .build();
     }
 
     @Override
--- a/src/main/java/org/borageproxy/quota/RateShares.java
+++ b/src/main/java/org/borageproxy/quota/RateShares.java
@@ -29,6 +29,10 @@
     public static final Duration GRANT_VALIDITY = Duration.ofMillis(300);
     /** How long a workspace whose need was not met counts as exhausted. */
     private static final Duration EXHAUSTION = Duration.ofMillis(150);
+    /** The shortest time after which callers come back for tokens. */
+    private static final Duration LEAST_RETURN = Duration.ofMillis(300);
+    /** The longest time that others who come back are allowed for; demand stays the same for some seconds. */
+    private static final Duration LATEST_RETURN = Duration.ofSeconds(5);
     /** The part of a rate that an entry may spend before its first share. */
     private static final double FIRST_SHARE = 1.0 / 16;
     /** Seconds of its share that an entry saves while the coordinator does not answer. */
@@ -62,6 +66,7 @@
         private Deadline lapsesAt;
         private Deadline grantLapsesAt;
         private Deadline exhaustedUntil;
+        private Deadline promisedUntil;
         private long asked;
         private long spent;
         private long spentInReport;
@@ -84,6 +89,14 @@
             level = Math.min(level + rate * seconds, rate * SAVED_SECONDS);
         }
 
+        // Requests that were refused before are expected to come back first.
+        private Duration timeUntil(long tokens, PublishedWorkspace workspace, long nowNanos) {
+            double seconds = (tokens - Math.min(0, level)) / Math.max(1.0, workspace.rate());
+            long ownNanos = (long) (Math.min(VALIDITY.toSeconds(), seconds) * NANOS_PER_SECOND);
+            long promisedNanos = Math.max(0, promisedUntil.remainingNanos(nowNanos));
+            return Duration.ofNanos(Math.max(LEAST_RETURN.toNanos(), promisedNanos + ownNanos));
+        }
+
         private boolean isAlone(long nowNanos) {
             return grantLapsesAt.hasPassed(nowNanos);
         }
@@ -147,10 +160,8 @@
         if (share.spend(tokens, nowNanos)) {
             return Optional.empty();
         }
-        double rate = workspace.rate();
-        double seconds = Math.min(VALIDITY.toSeconds(), (tokens - Math.min(0, share.level)) / Math.max(1.0, rate));
         boolean isGrantable = !share.isAlone(nowNanos) && share.exhaustedUntil.hasPassed(nowNanos);
-        return Optional.of(new Shortage(Duration.ofNanos((long) (seconds * NANOS_PER_SECOND)), isGrantable));
+        return Optional.of(new Shortage(share.timeUntil(tokens, workspace, nowNanos), isGrantable));
     }
 
     /**
@@ -180,6 +191,21 @@
                 .anyMatch(share -> !share.waiting.isEmpty() && !share.waiting.peekLast().isReported);
     }
 
+    /**
+     * Notes that a request was refused its tokens and may come back for them, so that the next one is told a later
+     * time.
+     *
+     * @param workspace the workspace
+     * @param tokens the tokens of the request
+     * @param nowNanos the reading of the clock
+     */
+    public void refused(PublishedWorkspace workspace, long tokens, long nowNanos) {
+        Share share = share(workspace, nowNanos);
+        Duration time = Duration.ofNanos((long) (tokens / Math.max(1.0, share.rate) * NANOS_PER_SECOND));
+        Deadline free = new Deadline(Math.max(nowNanos, share.promisedUntil.atNanos()));
+        share.promisedUntil = Deadline.after(free.atNanos(), time).earlierOf(Deadline.after(nowNanos, LATEST_RETURN));
+    }
+
     /**
      * Counts what a workspace asks for.
      *
@@ -244,6 +270,7 @@
             share.lapsesAt = Deadline.after(nowNanos, VALIDITY);
             share.grantLapsesAt = grantLapsesAt;
             share.exhaustedUntil = new Deadline(nowNanos);
+            share.promisedUntil = new Deadline(nowNanos);
             share.reportedAtNanos = nowNanos;
             return share;
         });
--- a/src/test/java/org/borageproxy/forward/SlotBrokerTest.java
+++ b/src/test/java/org/borageproxy/forward/SlotBrokerTest.java
@@ -128,15 +128,16 @@
         assertEquals(1_500, answer.getComeBackMillis());
     }
 
-    /** Load pattern: a request whose patience is over finds an engine full, with nobody ahead of it. */
+    /** Load pattern: a burst; a request whose patience is over finds engines full, with nobody ahead of it. */
     @Test
-    void crowdedRefusalTellsATimeAboveZero() throws Exception {
+    void crowdedRefusalTellsToComeBackAfterAsLongAsTheRequestCouldWait() throws Exception {
         for (int request = 0; request < 200; request++) {
             ask("n", 5, 5_000, 0);
         }
         SlotAnswer answer = answer(ask("n", 0, 3_000, 2_000));
         assertEquals(SlotAnswer.Outcome.CROWDED, answer.getOutcome());
-        assertTrue(answer.getComeBackMillis() >= 300, "come back " + answer.getComeBackMillis());
+        long patience = (long) ((1_200 + 2_000) * 0.6);
+        assertEquals(patience, answer.getComeBackMillis(), 1);
     }
 
     private final class Demand implements SlotBroker.Demand {
--- a/src/test/java/org/borageproxy/quota/RateFairnessTest.java
+++ b/src/test/java/org/borageproxy/quota/RateFairnessTest.java
@@ -12,6 +12,7 @@
 import org.borageproxy.vm.VmName;
 import org.borageproxy.wire.proto.CoordinationProtocol.RateShare;
 import org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage;
+import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -53,6 +54,24 @@
         assertTrue(small > 0.1, "small " + small);
     }
 
+    /** Load pattern: an entry refuses many requests of a workspace at once; their callers come back one by one. */
+    @Test
+    void callersThatAreRefusedAreToldRisingTimes() {
+        RateShares held = new RateShares(0);
+        held.renew(Map.of("w", WORKSPACE), List.of(), 0);
+        held.asked(WORKSPACE, 3_000, 0);
+        long last = 0;
+        for (int request = 0; request < 4; request++) {
+            long millis = held.spend(WORKSPACE, 3_000, 0).orElseThrow().time().toMillis();
+            held.refused(WORKSPACE, 3_000, 0);
+            assertTrue(millis >= 300 && millis > last, "told " + millis + " ms after " + last + " ms");
+            last = millis;
+        }
+        long afterwards = 60_000 * MILLI;
+        held.renew(Map.of("w", WORKSPACE), List.of(), afterwards);
+        assertTrue(held.spend(WORKSPACE, 3_000, afterwards).orElseThrow().time().toMillis() < last);
+    }
+
     private void play(long seed, double load, int steps) {
         Random random = new Random(seed);
         undivided = 0;
