Drop a field of slot requests that nobody reads, and rates of removed workspaces

The wait for a model follows from its arrival since the last places are kept. Rates of workspaces that a publication dropped stayed in the coordinator's memory for the rest of the term.

--- a/src/main/java/org/borageproxy/coordination/Coordinator.java
+++ b/src/main/java/org/borageproxy/coordination/Coordinator.java
@@ -134,6 +134,7 @@
                 .addAllServers(usageOfOthers(sender));
         Map<String, WorkspaceUsage> usages = new HashMap<>();
         report.getWorkspacesList().forEach(usage -> usages.put(usage.getName(), usage));
+        splitters.keySet().retainAll(workspaces.get().keySet());
         for (PublishedWorkspace workspace : workspaces.get().values()) {
             if (workspace.isLimited()) {
                 RateSplitter splitter = splitter(workspace, nowNanos);
--- a/src/main/java/org/borageproxy/forward/SlotClient.java
+++ b/src/main/java/org/borageproxy/forward/SlotClient.java
@@ -31,8 +31,6 @@
     private static final Logger LOGGER = LoggerFactory.getLogger(SlotClient.class);
     /** The time after which a request without an answer is placed from here. */
     private static final Duration PATIENCE = SlotBroker.LONGEST_ANSWER.plusMillis(120);
-    /** The part of the time to its objective that a request waits for a model. */
-    private static final double MODEL_PATIENCE = 0.5;
     /** How long a silent coordinator is not asked. */
     private static final Duration SILENCE = Duration.ofMillis(600);
 
@@ -130,8 +128,7 @@
         tried.absentAt().forEach(name -> request.addAbsentAt(name.value()));
         tried.gone().forEach(name -> request.addGone(name.value()));
         long waitedMillis = (nowNanos - held.arrivedAtNanos()) / 1_000_000L;
-        request.setWaitedMillis((int) waitedMillis)
-                .setMostWaitMillis((int) ((objectiveMillis + waitedMillis) * MODEL_PATIENCE));
+        request.setWaitedMillis((int) waitedMillis);
         network.request(
                         asked.get(),
                         MessageKind.SLOT,
--- a/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
@@ -8466,16 +8466,6 @@
      */
     int getWaitedMillis();
 
-    /**
-     * <pre>
-     * How long it may wait for a model to be loaded.
-     * </pre>
-     *
-     * <code>uint32 most_wait_millis = 13;</code>
-     * @return The mostWaitMillis.
-     */
-    int getMostWaitMillis();
-
     /**
      * <pre>
      * Servers that turned out not to hold the model or the adapter.
@@ -8927,21 +8917,6 @@
       return waitedMillis_;
     }
 
-    public static final int MOST_WAIT_MILLIS_FIELD_NUMBER = 13;
-    private int mostWaitMillis_ = 0;
-    /**
-     * <pre>
-     * How long it may wait for a model to be loaded.
-     * </pre>
-     *
-     * <code>uint32 most_wait_millis = 13;</code>
-     * @return The mostWaitMillis.
-     */
-    @java.lang.Override
-    public int getMostWaitMillis() {
-      return mostWaitMillis_;
-    }
-
     public static final int ABSENT_AT_FIELD_NUMBER = 14;
     @SuppressWarnings("serial")
     private com.google.protobuf.LazyStringArrayList absentAt_ =
@@ -9098,9 +9073,6 @@
       if (waitedMillis_ != 0) {
         output.writeUInt32(12, waitedMillis_);
       }
-      if (mostWaitMillis_ != 0) {
-        output.writeUInt32(13, mostWaitMillis_);
-      }
       for (int i = 0; i < absentAt_.size(); i++) {
         com.google.protobuf.GeneratedMessage.writeString(output, 14, absentAt_.getRaw(i));
       }
@@ -9169,10 +9141,6 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt32Size(12, waitedMillis_);
       }
-      if (mostWaitMillis_ != 0) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt32Size(13, mostWaitMillis_);
-      }
       {
         int dataSize = 0;
         for (int i = 0; i < absentAt_.size(); i++) {
@@ -9228,8 +9196,6 @@
           .equals(other.getTriedList())) return false;
       if (getWaitedMillis()
           != other.getWaitedMillis()) return false;
-      if (getMostWaitMillis()
-          != other.getMostWaitMillis()) return false;
       if (!getAbsentAtList()
           .equals(other.getAbsentAtList())) return false;
       if (!getGoneList()
@@ -9273,8 +9239,6 @@
       }
       hash = (37 * hash) + WAITED_MILLIS_FIELD_NUMBER;
       hash = (53 * hash) + getWaitedMillis();
-      hash = (37 * hash) + MOST_WAIT_MILLIS_FIELD_NUMBER;
-      hash = (53 * hash) + getMostWaitMillis();
       if (getAbsentAtCount() > 0) {
         hash = (37 * hash) + ABSENT_AT_FIELD_NUMBER;
         hash = (53 * hash) + getAbsentAtList().hashCode();
@@ -9437,7 +9401,6 @@
         tried_ =
             com.google.protobuf.LazyStringArrayList.emptyList();
         waitedMillis_ = 0;
-        mostWaitMillis_ = 0;
         absentAt_ =
             com.google.protobuf.LazyStringArrayList.emptyList();
         gone_ =
@@ -9523,13 +9486,10 @@
           result.waitedMillis_ = waitedMillis_;
         }
         if (((from_bitField0_ & 0x00001000) != 0)) {
-          result.mostWaitMillis_ = mostWaitMillis_;
-        }
-        if (((from_bitField0_ & 0x00002000) != 0)) {
           absentAt_.makeImmutable();
           result.absentAt_ = absentAt_;
         }
-        if (((from_bitField0_ & 0x00004000) != 0)) {
+        if (((from_bitField0_ & 0x00002000) != 0)) {
           gone_.makeImmutable();
           result.gone_ = gone_;
         }
@@ -9621,13 +9581,10 @@
         if (other.getWaitedMillis() != 0) {
           setWaitedMillis(other.getWaitedMillis());
         }
-        if (other.getMostWaitMillis() != 0) {
-          setMostWaitMillis(other.getMostWaitMillis());
-        }
         if (!other.absentAt_.isEmpty()) {
           if (absentAt_.isEmpty()) {
             absentAt_ = other.absentAt_;
-            bitField0_ |= 0x00002000;
+            bitField0_ |= 0x00001000;
           } else {
             ensureAbsentAtIsMutable();
             absentAt_.addAll(other.absentAt_);
@@ -9637,7 +9594,7 @@
         if (!other.gone_.isEmpty()) {
           if (gone_.isEmpty()) {
             gone_ = other.gone_;
-            bitField0_ |= 0x00004000;
+            bitField0_ |= 0x00002000;
           } else {
             ensureGoneIsMutable();
             gone_.addAll(other.gone_);
@@ -9738,11 +9695,6 @@
                 bitField0_ |= 0x00000800;
                 break;
               } // case 96
-              case 104: {
-                mostWaitMillis_ = input.readUInt32();
-                bitField0_ |= 0x00001000;
-                break;
-              } // case 104
               case 114: {
                 ensureAbsentAtIsMutable();
                 absentAt_.add(input.readStringRequireUtf8());
@@ -10637,57 +10589,13 @@
         return this;
       }
 
-      private int mostWaitMillis_ ;
-      /**
-       * <pre>
-       * How long it may wait for a model to be loaded.
-       * </pre>
-       *
-       * <code>uint32 most_wait_millis = 13;</code>
-       * @return The mostWaitMillis.
-       */
-      @java.lang.Override
-      public int getMostWaitMillis() {
-        return mostWaitMillis_;
-      }
-      /**
-       * <pre>
-       * How long it may wait for a model to be loaded.
-       * </pre>
-       *
-       * <code>uint32 most_wait_millis = 13;</code>
-       * @param value The mostWaitMillis to set.
-       * @return This builder for chaining.
-       */
-      public Builder setMostWaitMillis(int value) {
-
-        mostWaitMillis_ = value;
-        bitField0_ |= 0x00001000;
-        onChanged();
-        return this;
-      }
-      /**
-       * <pre>
-       * How long it may wait for a model to be loaded.
-       * </pre>
-       *
-       * <code>uint32 most_wait_millis = 13;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearMostWaitMillis() {
-        bitField0_ = (bitField0_ & ~0x00001000);
-        mostWaitMillis_ = 0;
-        onChanged();
-        return this;
-      }
-
       private com.google.protobuf.LazyStringArrayList absentAt_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
       private void ensureAbsentAtIsMutable() {
         if (!absentAt_.isModifiable()) {
           absentAt_ = new com.google.protobuf.LazyStringArrayList(absentAt_);
         }
-        bitField0_ |= 0x00002000;
+        bitField0_ |= 0x00001000;
       }
       /**
        * <pre>
@@ -10753,7 +10661,7 @@
         if (value == null) { throw new NullPointerException(); }
         ensureAbsentAtIsMutable();
         absentAt_.set(index, value);
-        bitField0_ |= 0x00002000;
+        bitField0_ |= 0x00001000;
         onChanged();
         return this;
       }
@@ -10771,7 +10679,7 @@
         if (value == null) { throw new NullPointerException(); }
         ensureAbsentAtIsMutable();
         absentAt_.add(value);
-        bitField0_ |= 0x00002000;
+        bitField0_ |= 0x00001000;
         onChanged();
         return this;
       }
@@ -10789,7 +10697,7 @@
         ensureAbsentAtIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
             values, absentAt_);
-        bitField0_ |= 0x00002000;
+        bitField0_ |= 0x00001000;
         onChanged();
         return this;
       }
@@ -10804,7 +10712,7 @@
       public Builder clearAbsentAt() {
         absentAt_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
-        bitField0_ = (bitField0_ & ~0x00002000);;
+        bitField0_ = (bitField0_ & ~0x00001000);;
         onChanged();
         return this;
       }
@@ -10823,7 +10731,7 @@
         checkByteStringIsUtf8(value);
         ensureAbsentAtIsMutable();
         absentAt_.add(value);
-        bitField0_ |= 0x00002000;
+        bitField0_ |= 0x00001000;
         onChanged();
         return this;
       }
@@ -10834,7 +10742,7 @@
         if (!gone_.isModifiable()) {
           gone_ = new com.google.protobuf.LazyStringArrayList(gone_);
         }
-        bitField0_ |= 0x00004000;
+        bitField0_ |= 0x00002000;
       }
       /**
        * <pre>
@@ -10900,7 +10808,7 @@
         if (value == null) { throw new NullPointerException(); }
         ensureGoneIsMutable();
         gone_.set(index, value);
-        bitField0_ |= 0x00004000;
+        bitField0_ |= 0x00002000;
         onChanged();
         return this;
       }
@@ -10918,7 +10826,7 @@
         if (value == null) { throw new NullPointerException(); }
         ensureGoneIsMutable();
         gone_.add(value);
-        bitField0_ |= 0x00004000;
+        bitField0_ |= 0x00002000;
         onChanged();
         return this;
       }
@@ -10936,7 +10844,7 @@
         ensureGoneIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
             values, gone_);
-        bitField0_ |= 0x00004000;
+        bitField0_ |= 0x00002000;
         onChanged();
         return this;
       }
@@ -10951,7 +10859,7 @@
       public Builder clearGone() {
         gone_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
-        bitField0_ = (bitField0_ & ~0x00004000);;
+        bitField0_ = (bitField0_ & ~0x00002000);;
         onChanged();
         return this;
       }
@@ -10970,7 +10878,7 @@
         checkByteStringIsUtf8(value);
         ensureGoneIsMutable();
         gone_.add(value);
-        bitField0_ |= 0x00004000;
+        bitField0_ |= 0x00002000;
         onChanged();
         return this;
       }
@@ -15690,33 +15598,32 @@
       "ServerUsage\0223\n\006shares\030\005 \003(\0132#.borageprox" +
       "y.coordination.RateShare\0229\n\010contents\030\006 \003" +
       "(\0132\'.borageproxy.coordination.ServerCont" +
-      "ent\022\030\n\020contents_version\030\007 \001(\004\"\323\002\n\013SlotRe" +
+      "ent\022\030\n\020contents_version\030\007 \001(\004\"\277\002\n\013SlotRe" +
       "quest\022\014\n\004zone\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\r\n\005" +
       "model\030\003 \001(\t\022\017\n\007adapter\030\004 \001(\t\022\025\n\rprompt_t" +
       "okens\030\005 \001(\r\022\025\n\routput_tokens\030\006 \001(\r\0225\n\005pa" +
       "rts\030\007 \003(\0132&.borageproxy.coordination.Par" +
       "tOfPrompt\022\014\n\004rank\030\010 \001(\r\022\030\n\020objective_mil" +
       "lis\030\t \001(\r\022\027\n\017deadline_millis\030\n \001(\r\022\r\n\005tr" +
-      "ied\030\013 \003(\t\022\025\n\rwaited_millis\030\014 \001(\r\022\030\n\020most" +
-      "_wait_millis\030\r \001(\r\022\021\n\tabsent_at\030\016 \003(\t\022\014\n" +
-      "\004gone\030\017 \003(\t\"0\n\014PartOfPrompt\022\020\n\010identity\030" +
-      "\001 \001(\t\022\016\n\006tokens\030\002 \001(\r\"\270\002\n\nSlotAnswer\022=\n\007" +
-      "outcome\030\001 \001(\0162,.borageproxy.coordination" +
-      ".SlotAnswer.Outcome\022\016\n\006server\030\002 \001(\t\022\023\n\013i" +
-      "ncarnation\030\003 \001(\004\022\027\n\017expected_millis\030\004 \001(" +
-      "\001\022\025\n\runread_tokens\030\005 \001(\r\022\014\n\004slot\030\006 \001(\004\022\030" +
-      "\n\020come_back_millis\030\007 \001(\r\"n\n\007Outcome\022\023\n\017N" +
-      "OT_COORDINATOR\020\000\022\n\n\006CHOSEN\020\001\022\r\n\tNO_SERVE" +
-      "R\020\002\022\014\n\010NO_MODEL\020\003\022\013\n\007CROWDED\020\004\022\r\n\tALL_TR" +
-      "IED\020\005\022\t\n\005AGAIN\020\006\"=\n\tRateShare\022\021\n\tworkspa" +
-      "ce\030\001 \001(\t\022\014\n\004rate\030\002 \001(\004\022\017\n\007granted\030\003 \001(\004\"" +
-      "\211\001\n\rServerContent\022\014\n\004name\030\001 \001(\t\022\023\n\013incar" +
-      "nation\030\002 \001(\004\022\016\n\006orders\030\003 \001(\004\0223\n\006models\030\004" +
-      " \003(\0132#.borageproxy.coordination.HeldMode" +
-      "l\022\020\n\010arriving\030\005 \003(\t\",\n\tHeldModel\022\r\n\005mode" +
-      "l\030\001 \001(\t\022\020\n\010adapters\030\002 \003(\tB2\n\032org.boragep" +
-      "roxy.wire.protoB\024CoordinationProtocolb\006p" +
-      "roto3"
+      "ied\030\013 \003(\t\022\025\n\rwaited_millis\030\014 \001(\r\022\021\n\tabse" +
+      "nt_at\030\016 \003(\t\022\014\n\004gone\030\017 \003(\tJ\004\010\r\020\016\"0\n\014PartO" +
+      "fPrompt\022\020\n\010identity\030\001 \001(\t\022\016\n\006tokens\030\002 \001(" +
+      "\r\"\270\002\n\nSlotAnswer\022=\n\007outcome\030\001 \001(\0162,.bora" +
+      "geproxy.coordination.SlotAnswer.Outcome\022" +
+      "\016\n\006server\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\004\022\027\n\017" +
+      "expected_millis\030\004 \001(\001\022\025\n\runread_tokens\030\005" +
+      " \001(\r\022\014\n\004slot\030\006 \001(\004\022\030\n\020come_back_millis\030\007" +
+      " \001(\r\"n\n\007Outcome\022\023\n\017NOT_COORDINATOR\020\000\022\n\n\006" +
+      "CHOSEN\020\001\022\r\n\tNO_SERVER\020\002\022\014\n\010NO_MODEL\020\003\022\013\n" +
+      "\007CROWDED\020\004\022\r\n\tALL_TRIED\020\005\022\t\n\005AGAIN\020\006\"=\n\t" +
+      "RateShare\022\021\n\tworkspace\030\001 \001(\t\022\014\n\004rate\030\002 \001" +
+      "(\004\022\017\n\007granted\030\003 \001(\004\"\211\001\n\rServerContent\022\014\n" +
+      "\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\016\n\006orde" +
+      "rs\030\003 \001(\004\0223\n\006models\030\004 \003(\0132#.borageproxy.c" +
+      "oordination.HeldModel\022\020\n\010arriving\030\005 \003(\t\"" +
+      ",\n\tHeldModel\022\r\n\005model\030\001 \001(\t\022\020\n\010adapters\030" +
+      "\002 \003(\tB2\n\032org.borageproxy.wire.protoB\024Coo" +
+      "rdinationProtocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -15763,7 +15670,7 @@
     internal_static_borageproxy_coordination_SlotRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_SlotRequest_descriptor,
-        new java.lang.String[] { "Zone", "Service", "Model", "Adapter", "PromptTokens", "OutputTokens", "Parts", "Rank", "ObjectiveMillis", "DeadlineMillis", "Tried", "WaitedMillis", "MostWaitMillis", "AbsentAt", "Gone", });
+        new java.lang.String[] { "Zone", "Service", "Model", "Adapter", "PromptTokens", "OutputTokens", "Parts", "Rank", "ObjectiveMillis", "DeadlineMillis", "Tried", "WaitedMillis", "AbsentAt", "Gone", });
     internal_static_borageproxy_coordination_PartOfPrompt_descriptor =
       getDescriptor().getMessageType(7);
     internal_static_borageproxy_coordination_PartOfPrompt_fieldAccessorTable = new
