--- a/src/test/java/org/borageproxy/placement/FleetPlacementTest.java
+++ b/src/test/java/org/borageproxy/placement/FleetPlacementTest.java
@@ -35,8 +35,9 @@
 
     private static final Duration TURN = Duration.ofSeconds(3);
     private static final Duration LOAD = Duration.ofSeconds(9);
-    private static final EnginePool POOL =
-            new EnginePool(64, 100_000, 2, 140, 2, 2, Map.of("a", model("a"), "b", model("b"), "c", model("c")));
+    private static final double LOADS_PER_SECOND = 2;
+    private static final int FURTHER = 30;
+    private static final EnginePool POOL = pool();
 
     private final List<Timed> timers = new ArrayList<>();
     private final Deque<Runnable> tasks = new ArrayDeque<>();
@@ -44,11 +45,21 @@
     private long nowNanos = 1;
     private boolean leads = true;
     private long term = 4;
+    private final List<BackendServer> servers = new ArrayList<>();
     private final FleetPlacement placement = placement();
 
     private record Timed(Deadline due, Runnable task) {}
 
-    private record Ordered(String server, EngineClient.EngineOrder order) {}
+    private record Ordered(long atNanos, EngineClient.EngineOrder order) {}
+
+    private static EnginePool pool() {
+        Map<String, EnginePool.EngineModel> models = new HashMap<>();
+        List.of("a", "b", "c").forEach(name -> models.put(name, model(name)));
+        for (int index = 0; index < FURTHER; index++) {
+            models.put("m" + index, model("m" + index));
+        }
+        return new EnginePool(64, 100_000, 2, 140, 2, LOADS_PER_SECOND, models);
+    }
 
     private static EnginePool.EngineModel model(String name) {
         return new EnginePool.EngineModel(name, 65, LOAD.toSeconds(), 2, 1, 1);
@@ -78,16 +89,15 @@
                 Map.of("s", new PublishedService("s", 100, Optional.of(POOL))),
                 Map.of(),
                 RequestLimits.DEFAULT);
-        List<BackendServer> servers = List.of(engine("e1", "a"), engine("e2", "b"));
-        servers.forEach(server ->
-                engines.held.put(server.name().value(), server.models().get(0).model()));
+        servers.add(engine("e1", "a"));
+        servers.add(engine("e2", "b"));
         FleetPlacement made = new FleetPlacement(new FleetPlacement.Environment(
                 () -> leads,
                 () -> term,
                 "vm",
                 TURN,
                 () -> Optional.of(publication),
-                () -> servers,
+                () -> List.copyOf(servers),
                 engines,
                 (name, held) -> {},
                 () -> nowNanos,
@@ -168,15 +178,39 @@
         assertTrue(placement.arrival("s", "c", "").isEmpty());
     }
 
+    /** Load pattern: thirty rare models are asked for at once, right after empty engines were added. */
+    @Test
+    void loadsFromTheStoreKeepToItsRate() {
+        for (int index = 0; index < FURTHER; index++) {
+            servers.add(engine("f" + index, "a"));
+        }
+        advance(TURN.plusMillis(1_200));
+        for (int index = 0; index < FURTHER; index++) {
+            placement.waits("s", "m" + index, "", 1);
+        }
+        advance(Duration.ofSeconds(20));
+        List<Long> loads = engines.ordered.stream()
+                .filter(ordered -> ordered.order().loads())
+                .map(Ordered::atNanos)
+                .toList();
+        assertEquals(FURTHER, loads.size());
+        long windowNanos = Duration.ofSeconds(5).toNanos();
+        for (long from : loads) {
+            long inWindow = loads.stream()
+                    .filter(at -> at >= from && at <= from + windowNanos)
+                    .count();
+            assertTrue(inWindow <= LOADS_PER_SECOND * 5 * 1.1 + 3, inWindow + " loads in 5 s");
+        }
+    }
+
     /** Accepts each order and never finishes a load. */
-    private static final class Engines implements EngineClient {
-        private final Map<String, String> held = new HashMap<>();
+    private final class Engines implements EngineClient {
         private final Set<String> busy = new java.util.HashSet<>();
         private final List<Ordered> ordered = new ArrayList<>();
 
         @Override
         public CompletionStage<Reply> order(BackendServer server, EngineOrder order) {
-            ordered.add(new Ordered(server.name().value(), order));
+            ordered.add(new Ordered(nowNanos, order));
             busy.add(server.name().value());
             return CompletableFuture.completedFuture(Reply.ACCEPTED);
         }
@@ -184,8 +218,8 @@
         @Override
         public CompletionStage<Optional<State>> state(BackendServer server) {
             String name = server.name().value();
-            HeldModels models =
-                    new HeldModels(7, busy.contains(name) ? 1 : 0, Map.of(held.get(name), Set.of()), Set.of());
+            Map<String, Set<String>> held = Map.of(server.models().get(0).model(), Set.of());
+            HeldModels models = new HeldModels(7, busy.contains(name) ? 1 : 0, held, Set.of());
             return CompletableFuture.completedFuture(Optional.of(new State(models, busy.contains(name), 0)));
         }
     }
--- a/src/test/java/org/borageproxy/platform/ForwardingTest.java
+++ b/src/test/java/org/borageproxy/platform/ForwardingTest.java
@@ -254,10 +254,8 @@
                 false);
     }
 
-    private ScriptedServer server(Function<String, ScriptedServer.Answer> script) throws IOException {
-        ScriptedServer started = new ScriptedServer(script);
-        scripted.add(started);
-        servers.add(new BackendServer(
+    private BackendServer backendServer(int serverPort) {
+        return new BackendServer(
                 new BackendServerName("r" + servers.size()),
                 1,
                 1,
@@ -265,12 +263,18 @@
                 BackendServerState.ALIVE,
                 ZONE,
                 "127.0.0.1",
-                started.socket.getLocalPort(),
+                serverPort,
                 true,
                 Set.of("s"),
                 List.of(),
                 List.of(),
-                new LoadReport(0, 0, 6, 1, 1)));
+                new LoadReport(0, 0, 6, 1, 1));
+    }
+
+    private ScriptedServer server(Function<String, ScriptedServer.Answer> script) throws IOException {
+        ScriptedServer started = new ScriptedServer(script);
+        scripted.add(started);
+        servers.add(backendServer(started.socket.getLocalPort()));
         return started;
     }
 
@@ -527,4 +531,38 @@
         assertTrue(arrivals <= requests + BUDGET_SHARE * requests + BUDGET_MAXIMUM, "arrivals " + arrivals);
         assertTrue(arrivals > requests, "arrivals " + arrivals);
     }
+
+    /** Load pattern: callers give up while their requests run. */
+    @Test
+    void serverSeesWithinHalfASecondThatTheCallerLeft() throws Exception {
+        CountDownLatch arrived = new CountDownLatch(1);
+        CompletableFuture<Long> closedAtNanos = new CompletableFuture<>();
+        try (ServerSocket silent = new ServerSocket(0)) {
+            servers.add(backendServer(silent.getLocalPort()));
+            Thread thread = new Thread(() -> {
+                try (Socket connection = silent.accept()) {
+                    ScriptedServer.read(connection.getInputStream());
+                    arrived.countDown();
+                    while (connection.getInputStream().read() >= 0) {
+                        // Nothing may follow the request on this connection.
+                    }
+                    closedAtNanos.complete(System.nanoTime());
+                } catch (IOException exception) {
+                    closedAtNanos.complete(System.nanoTime());
+                }
+            });
+            thread.setDaemon(true);
+            thread.start();
+            long leftAtNanos;
+            try (Socket caller = new Socket("127.0.0.1", port)) {
+                String request = "POST /once/x HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: id-1\r\n"
+                        + "X-Credential: secret-key\r\nX-Deadline-Ms: 3000\r\nContent-Length: 2\r\n\r\nhi";
+                caller.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+                assertTrue(arrived.await(5, TimeUnit.SECONDS));
+                leftAtNanos = System.nanoTime();
+            }
+            long millis = (closedAtNanos.get(5, TimeUnit.SECONDS) - leftAtNanos) / 1_000_000L;
+            assertTrue(millis <= 500, "closed after " + millis + " ms");
+        }
+    }
 }
