--- a/src/main/java/org/borageproxy/forward/SlotBroker.java
+++ b/src/main/java/org/borageproxy/forward/SlotBroker.java
@@ -35,8 +35,8 @@
 /**
  * Gives requests of all entries their places at model engines, on the coordinator, so that entries do not overload one
  * engine unaware of one another. A request that finds no place waits here in the order of ranks and objectives: for
- * capacity as long as it can still be on time, for a model on its way as long as it arrives before the deadline. Without
- * an answer an entry chooses by itself. Confined to one event loop.
+ * capacity as long as it can still be on time, for a model on its way as long as it arrives before the deadline.
+ * Without an answer an entry chooses by itself. Confined to one event loop.
  */
 public final class SlotBroker implements VmNetwork.Handler {
 
