Play the shared rate of a workspace in one place for all its tests

Ruled out: one class for all tests. Each keeps its load pattern and bound.

Draws, bounds and numbers of tries are as before; isAwaited is gone, the fixture listens to shortages instead. No behaviour changes.

--- a/src/main/java/org/borageproxy/quota/RateShares.java
+++ b/src/main/java/org/borageproxy/quota/RateShares.java
@@ -181,16 +181,6 @@
         }
     }
 
-    /**
-     * Returns whether requests wait for a grant that was not asked for yet.
-     *
-     * @return whether a report is due
-     */
-    public boolean isAwaited() {
-        return shares.values().stream()
-                .anyMatch(share -> !share.waiting.isEmpty() && !share.waiting.peekLast().isReported);
-    }
-
     /**
      * Notes that a request was refused its tokens and may come back for them, so that the next one is told a later
      * time.
--- a/src/test/java/org/borageproxy/quota/RateFairnessTest.java
+++ b/src/test/java/org/borageproxy/quota/RateFairnessTest.java
@@ -1,31 +1,24 @@
 package org.borageproxy.quota;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.Set;
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.borageproxy.publication.PublishedWorkspace;
-import org.borageproxy.vm.VmName;
-import org.borageproxy.wire.proto.CoordinationProtocol.RateShare;
-import org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class RateFairnessTest {
 
-    private static final long MILLI = 1_000_000L;
+    private static final long MILLI = RateFleet.MILLI;
     private static final long RATE = 24_000;
-    private static final PublishedWorkspace WORKSPACE = new PublishedWorkspace("w", Set.of("k"), 0, RATE, RATE, 200);
-    private static final int ENTRIES = 9;
+    private static final PublishedWorkspace WORKSPACE = RateFleet.workspace(RATE);
     private static final int LARGE = 3_500;
 
-    private final List<RateShares> shares = new ArrayList<>();
-    private RateSplitter splitter;
+    private RateFleet fleet;
     private double undivided;
     private long admittedUndivided;
     private long askedSmall;
@@ -80,30 +73,25 @@
         admittedSmall = 0;
         askedLarge = 0;
         admittedLarge = 0;
-        shares.clear();
-        splitter = new RateSplitter(new RateSplitter.Limit(RATE, RATE), 0);
-        for (int index = 0; index < ENTRIES; index++) {
-            shares.add(new RateShares(0));
-        }
+        fleet = new RateFleet(RATE);
         for (long step = 0; step < steps; step++) {
             long now = step * 10 * MILLI;
             undivided = Math.min(RATE, undivided + RATE / 100.0);
             boolean hasSavedTheBurst = step > 120;
-            for (int index = 0; index < ENTRIES; index++) {
+            for (int entry = 0; entry < fleet.size(); entry++) {
                 // The first entry gets half of the requests.
-                double part = index == 0 ? 0.5 : 0.5 / (ENTRIES - 1);
+                double part = entry == 0 ? 0.5 : 0.5 / (fleet.size() - 1);
                 if (hasSavedTheBurst && random.nextDouble() < load * part * RATE / 2_400 / 100) {
-                    request(shares.get(index), 400 + random.nextInt(4_000), now);
+                    request(entry, 400 + random.nextInt(4_000), now);
                 }
-                if ((step + index) % 12 == 0
-                        || step % 2 == 0 && shares.get(index).isAwaited()) {
-                    exchange(shares.get(index), "e" + index, now);
+                if ((step + entry) % 12 == 0 || step % 2 == 0 && fleet.isShort(entry)) {
+                    fleet.exchange(entry, now);
                 }
             }
         }
     }
 
-    private void request(RateShares held, int tokens, long now) {
+    private void request(int entry, int tokens, long now) {
         if (undivided >= tokens) {
             undivided -= tokens;
             admittedUndivided++;
@@ -113,19 +101,11 @@
         } else {
             askedSmall++;
         }
-        held.asked(WORKSPACE, tokens, now);
-        held.spend(WORKSPACE, tokens, now)
-                .ifPresentOrElse(
-                        shortage -> {
-                            if (shortage.isGrantable()) {
-                                held.awaitGrant(WORKSPACE, tokens, () -> {
-                                    if (held.spend(WORKSPACE, tokens, now).isEmpty()) {
-                                        count(tokens);
-                                    }
-                                });
-                            }
-                        },
-                        () -> count(tokens));
+        if (fleet.spend(entry, tokens, now)) {
+            count(tokens);
+        } else if (fleet.mayAwaitGrant(entry, tokens, now)) {
+            fleet.awaitGrant(entry, tokens, now, () -> count(tokens));
+        }
     }
 
     private void count(int tokens) {
@@ -135,19 +115,4 @@
             admittedSmall++;
         }
     }
-
-    private void exchange(RateShares held, String name, long now) {
-        List<RateShare> given = new ArrayList<>();
-        for (WorkspaceUsage usage : held.takeUsage(now)) {
-            RateSplitter.Report report = new RateSplitter.Report(
-                    usage.getDemand(), usage.getHeld(), usage.getSpent(), usage.getReturned(), usage.getNeedsList());
-            RateSplitter.Part part = splitter.report(new VmName(name), report, now);
-            given.add(RateShare.newBuilder()
-                    .setWorkspace("w")
-                    .setRate(part.rate())
-                    .setGranted(part.granted())
-                    .build());
-        }
-        held.renew(Map.of("w", WORKSPACE), given, now);
-    }
 }
--- a/src/test/java/org/borageproxy/quota/RateSplitterTest.java
+++ b/src/test/java/org/borageproxy/quota/RateSplitterTest.java
@@ -1,17 +1,11 @@
 package org.borageproxy.quota;
 
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Random;
-import java.util.Set;
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
-import org.borageproxy.publication.PublishedWorkspace;
 import org.borageproxy.vm.VmName;
-import org.borageproxy.wire.proto.CoordinationProtocol.RateShare;
-import org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -21,7 +15,6 @@
 
     private static final long MILLI = 1_000_000L;
     private static final long RATE = 8_000;
-    private static final PublishedWorkspace WORKSPACE = new PublishedWorkspace("w", Set.of("k"), 0, RATE, RATE, 200);
 
     @Test
     void evenDemandIsMetAndTheRestDivided() {
@@ -81,69 +74,8 @@
      */
     @Property(tries = 60)
     void spendingStaysWithinTheRateThroughAHotWorkspaceAndLostReports(@ForAll long seed) {
-        Random random = new Random(seed);
-        int entries = 9;
-        RateSplitter splitter = new RateSplitter(new RateSplitter.Limit(RATE, RATE), 0);
-        List<RateShares> shares = new ArrayList<>();
-        for (int index = 0; index < entries; index++) {
-            shares.add(new RateShares(0));
-            splitter.suppose(new VmName("e" + index), RATE / (double) entries, 0);
-        }
-        List<long[]> spendings = new ArrayList<>();
-        for (int step = 0; step < 3_000; step++) {
-            long now = step * 10 * MILLI;
-            boolean isHot = step > 800 && step < 1_900;
-            boolean isCut = step > 1_200 && step < 1_700;
-            for (int index = 0; index < entries; index++) {
-                double arrivals = (isHot ? 7.5 : 1.0) * RATE / 1.8 / 2_400 / 100 / entries;
-                if (random.nextDouble() < arrivals) {
-                    int tokens = 400 + random.nextInt(4_000);
-                    shares.get(index).asked(WORKSPACE, tokens, now);
-                    if (shares.get(index).spend(WORKSPACE, tokens, now).isEmpty()) {
-                        spendings.add(new long[] {now, tokens});
-                    } else if (!(isCut && index % 3 == 0)) {
-                        RateShares held = shares.get(index);
-                        held.awaitGrant(WORKSPACE, tokens, () -> {
-                            if (held.spend(WORKSPACE, tokens, now).isEmpty()) {
-                                spendings.add(new long[] {now, tokens});
-                            }
-                        });
-                        exchange(splitter, shares.get(index), "e" + index, now);
-                    }
-                }
-                boolean isReporting = (step + index) % 12 == 0 && !(isCut && index % 3 == 0);
-                if (isReporting) {
-                    exchange(splitter, shares.get(index), "e" + index, now);
-                }
-            }
-        }
-        assertWithin(spendings, (long) ((RATE * 8 + RATE) * 1.1) + 17_000);
-    }
-
-    private static void exchange(RateSplitter splitter, RateShares held, String name, long now) {
-        for (WorkspaceUsage usage : held.takeUsage(now)) {
-            RateSplitter.Report report = new RateSplitter.Report(
-                    usage.getDemand(), usage.getHeld(), usage.getSpent(), usage.getReturned(), usage.getNeedsList());
-            RateSplitter.Part part = splitter.report(new VmName(name), report, now);
-            RateShare share = RateShare.newBuilder()
-                    .setWorkspace("w")
-                    .setRate(part.rate())
-                    .setGranted(part.granted())
-                    .build();
-            held.renew(Map.of("w", WORKSPACE), List.of(share), now);
-        }
-    }
-
-    private static void assertWithin(List<long[]> spendings, long bound) {
-        int first = 0;
-        long sum = 0;
-        for (long[] spending : spendings) {
-            sum += spending[1];
-            while (spending[0] - spendings.get(first)[0] > 8_000 * MILLI) {
-                sum -= spendings.get(first)[1];
-                first++;
-            }
-            assertTrue(sum <= bound, "spent " + sum + " of " + bound + " at " + spending[0] / MILLI + " ms");
-        }
+        RateFleet fleet = new RateFleet(RATE);
+        long most = RateFleet.mostInEightSeconds(fleet.playHotWorkspace(new Random(seed), 0));
+        assertTrue(most <= fleet.allowedInEightSeconds(), "spent " + most + " of " + fleet.allowedInEightSeconds());
     }
 }
