Build the backend servers of tests in one place

Ruled out: the builders of ReplicaSelectorTest, FakeEngine and EntryFixture; they vary load, accelerators or fencing, which is what they test.

Change: BackendServerFixture. Incarnation and zone are the same in all eight now; no check depends on their values. No behaviour changes.

--- a/src/test/java/org/borageproxy/execution/CrashWatchTest.java
+++ b/src/test/java/org/borageproxy/execution/CrashWatchTest.java
@@ -12,13 +12,9 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import org.borageproxy.membership.BackendServer;
-import org.borageproxy.membership.BackendServerKind;
+import org.borageproxy.membership.BackendServerFixture;
 import org.borageproxy.membership.BackendServerName;
-import org.borageproxy.membership.BackendServerState;
-import org.borageproxy.membership.LoadReport;
 import org.borageproxy.time.Deadline;
-import org.borageproxy.vm.AvailabilityZone;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -37,23 +33,6 @@
         vertx.close().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
     }
 
-    private static BackendServer server(String name) {
-        return new BackendServer(
-                new BackendServerName(name),
-                1,
-                1,
-                BackendServerKind.ENGINE,
-                BackendServerState.ALIVE,
-                new AvailabilityZone("a"),
-                "127.0.0.1",
-                1,
-                true,
-                Set.of("s"),
-                List.of(),
-                List.of(),
-                new LoadReport(0, 0, 64, 1, 1));
-    }
-
     /** A watch over servers that still listen at their first probe and are gone at the second. */
     private CrashWatch watchOverSlowExits() {
         CrashProbe probe =
@@ -82,9 +61,9 @@
     @Test
     void serverThatListensOnForAWhileIsReportedBeforeTheRequestIsGivenUp() throws Exception {
         CrashWatch watch = watchOverSlowExits();
-        Future<Void> first = watch.cut(server("one"), false);
+        Future<Void> first = watch.cut(BackendServerFixture.engine("one"), false);
         assertTrue(first.isComplete());
-        Future<Void> second = watch.cut(server("two"), true);
+        Future<Void> second = watch.cut(BackendServerFixture.engine("two"), true);
         assertFalse(second.isComplete());
         second.toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
         assertEquals(Set.of("one", "two"), Set.copyOf(reported));
--- a/src/test/java/org/borageproxy/forward/ServerPoolTest.java
+++ b/src/test/java/org/borageproxy/forward/ServerPoolTest.java
@@ -8,15 +8,12 @@
 import java.util.Set;
 
 import org.borageproxy.membership.BackendServer;
-import org.borageproxy.membership.BackendServerKind;
+import org.borageproxy.membership.BackendServerFixture;
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.membership.BackendServerState;
-import org.borageproxy.membership.LoadReport;
-import org.borageproxy.membership.LoadedModel;
 import org.borageproxy.publication.EnginePool;
 import org.borageproxy.routing.EngineWork;
 import org.borageproxy.routing.ServerChoice;
-import org.borageproxy.vm.AvailabilityZone;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -25,28 +22,11 @@
 
 class ServerPoolTest {
 
-    private static final AvailabilityZone ZONE = new AvailabilityZone("a");
     private static final EnginePool ENGINES = new EnginePool(64, 100_000, 2, 200_000, 8, 2, Map.of());
 
     private final List<BackendServer> servers = new ArrayList<>();
-    private final ServerPool pool = new ServerPool(() -> List.copyOf(servers), () -> 1, ZONE, new Random(1));
-
-    private static BackendServer server(String name, String model) {
-        return new BackendServer(
-                new BackendServerName(name),
-                1,
-                1,
-                BackendServerKind.ENGINE,
-                BackendServerState.ALIVE,
-                ZONE,
-                "127.0.0.1",
-                1,
-                true,
-                Set.of("s"),
-                List.of(),
-                List.of(new LoadedModel(model, "1", "", Set.of())),
-                new LoadReport(0, 0, 64, 1, 1));
-    }
+    private final ServerPool pool =
+            new ServerPool(() -> List.copyOf(servers), () -> 1, BackendServerFixture.ZONE, new Random(1));
 
     private static Optional<EngineWork> work(String model) {
         return Optional.of(new EngineWork(model, "", 1_000, 40, List.of()));
@@ -65,9 +45,9 @@
     /** Load pattern: the only engine of a model crashes; its callers come back again and again. */
     @Test
     void modelOfAnEngineThatIsGoneCountsAsAbsent() {
-        BackendServer only = server("only", "m");
+        BackendServer only = BackendServerFixture.engine("only", "m");
         servers.add(only);
-        servers.add(server("other", "n"));
+        servers.add(BackendServerFixture.engine("other", "n"));
         pool.onGone(this::suspect);
         assertEquals(Optional.of("only"), chosen("m"));
         pool.gone(only);
@@ -77,7 +57,7 @@
 
     @Test
     void engineThatIsHeardOfAgainTakesWork() {
-        BackendServer only = server("only", "m");
+        BackendServer only = BackendServerFixture.engine("only", "m");
         servers.add(only);
         pool.onGone(this::suspect);
         pool.gone(only);
@@ -89,15 +69,15 @@
     /** Heartbeats may be missing because of the control group; that alone is no evidence against a server. */
     @Test
     void engineThatIsOnlySuspectedTakesWork() {
-        servers.add(server("only", "m").withState(BackendServerState.SUSPECT));
+        servers.add(BackendServerFixture.engine("only", "m").withState(BackendServerState.SUSPECT));
         assertEquals(Optional.of("only"), chosen("m"));
     }
 
     @Test
     void serverThatLeavesTakesNoFurtherWork() {
-        BackendServer leaving = server("leaving", "m");
+        BackendServer leaving = BackendServerFixture.engine("leaving", "m");
         servers.add(leaving);
-        servers.add(server("stays", "m"));
+        servers.add(BackendServerFixture.engine("stays", "m"));
         assertTrue(pool.isCurrent(leaving));
         servers.set(0, leaving.withState(BackendServerState.LEAVING));
         assertEquals(Optional.of("stays"), chosen("m"));
--- a/src/test/java/org/borageproxy/forward/SlotBrokerTest.java
+++ b/src/test/java/org/borageproxy/forward/SlotBrokerTest.java
@@ -6,20 +6,15 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 import com.google.protobuf.ByteString;
 import org.borageproxy.membership.BackendServer;
-import org.borageproxy.membership.BackendServerKind;
+import org.borageproxy.membership.BackendServerFixture;
 import org.borageproxy.membership.BackendServerName;
-import org.borageproxy.membership.BackendServerState;
-import org.borageproxy.membership.LoadReport;
-import org.borageproxy.membership.LoadedModel;
 import org.borageproxy.publication.EnginePool;
 import org.borageproxy.routing.EngineWork;
 import org.borageproxy.time.Deadline;
-import org.borageproxy.vm.AvailabilityZone;
 import org.borageproxy.vm.VmName;
 import org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer;
 import org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest;
@@ -33,7 +28,6 @@
 class SlotBrokerTest {
 
     private static final VmName ENTRY = new VmName("entry");
-    private static final AvailabilityZone ZONE = new AvailabilityZone("a");
     private static final EnginePool ENGINES = new EnginePool(64, 100_000, 2, 200_000, 8, 2, Map.of());
 
     private final List<Timed> timers = new ArrayList<>();
@@ -45,21 +39,9 @@
     private record Timed(Deadline due, Runnable task) {}
 
     private SlotBroker broker() {
-        BackendServer other = new BackendServer(
-                new BackendServerName("other"),
-                1,
-                1,
-                BackendServerKind.ENGINE,
-                BackendServerState.ALIVE,
-                ZONE,
-                "127.0.0.1",
-                1,
-                true,
-                Set.of("s"),
-                List.of(),
-                List.of(new LoadedModel("n", "1", "", Set.of())),
-                new LoadReport(0, 0, 64, 1, 1));
-        ServerPool pool = new ServerPool(() -> List.of(other), () -> nowNanos, ZONE, new Random(1));
+        BackendServer other = BackendServerFixture.engine("other", "n");
+        ServerPool pool =
+                new ServerPool(() -> List.of(other), () -> nowNanos, BackendServerFixture.ZONE, new Random(1));
         SlotBroker made = new SlotBroker(new SlotBroker.Environment(
                 () -> true,
                 pool,
--- /dev/null
+++ b/src/test/java/org/borageproxy/membership/BackendServerFixture.java
@@ -0,0 +1,64 @@
+package org.borageproxy.membership;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+
+import org.borageproxy.vm.AvailabilityZone;
+
+/** Backend servers for tests: alive, in one availability zone, for one service. */
+public final class BackendServerFixture {
+
+    /** The incarnation of each server. */
+    public static final long INCARNATION = 7;
+    /** The service that each server runs. */
+    public static final String SERVICE = "s";
+    /** The availability zone of each server. */
+    public static final AvailabilityZone ZONE = new AvailabilityZone("a");
+
+    private static final LoadReport IDLE = new LoadReport(0, 0, 64, 1, 1);
+
+    private BackendServerFixture() {}
+
+    /**
+     * Returns a model engine.
+     *
+     * @param name its name
+     * @param models the models that it holds, without adapters
+     * @return the engine
+     */
+    public static BackendServer engine(String name, String... models) {
+        List<LoadedModel> loaded = Arrays.stream(models)
+                .map(model -> new LoadedModel(model, "1", "", Set.of()))
+                .toList();
+        return server(name, BackendServerKind.ENGINE, 1, loaded);
+    }
+
+    /**
+     * Returns a server of a plain service.
+     *
+     * @param name its name
+     * @param port the port on the loopback address where it listens
+     * @return the server
+     */
+    public static BackendServer service(String name, int port) {
+        return server(name, BackendServerKind.SERVICE, port, List.of());
+    }
+
+    private static BackendServer server(String name, BackendServerKind kind, int port, List<LoadedModel> models) {
+        return new BackendServer(
+                new BackendServerName(name),
+                INCARNATION,
+                1,
+                kind,
+                BackendServerState.ALIVE,
+                ZONE,
+                "127.0.0.1",
+                port,
+                true,
+                Set.of(SERVICE),
+                List.of(),
+                models,
+                IDLE);
+    }
+}
--- a/src/test/java/org/borageproxy/placement/CopyPlanTest.java
+++ b/src/test/java/org/borageproxy/placement/CopyPlanTest.java
@@ -7,14 +7,8 @@
 import java.util.Set;
 
 import org.borageproxy.coordination.HeldModels;
-import org.borageproxy.membership.BackendServer;
-import org.borageproxy.membership.BackendServerKind;
-import org.borageproxy.membership.BackendServerName;
-import org.borageproxy.membership.BackendServerState;
-import org.borageproxy.membership.LoadReport;
-import org.borageproxy.membership.LoadedModel;
+import org.borageproxy.membership.BackendServerFixture;
 import org.borageproxy.publication.EnginePool;
-import org.borageproxy.vm.AvailabilityZone;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -44,30 +38,14 @@
     }
 
     private static EngineBook book(String name, String... models) {
-        List<LoadedModel> loaded = java.util.Arrays.stream(models)
-                .map(model -> new LoadedModel(model, "1", "", Set.of()))
-                .toList();
-        EngineBook book = new EngineBook(
-                new BackendServer(
-                        new BackendServerName(name),
-                        7,
-                        1,
-                        BackendServerKind.ENGINE,
-                        BackendServerState.ALIVE,
-                        new AvailabilityZone("z"),
-                        "127.0.0.1",
-                        1,
-                        true,
-                        Set.of("s"),
-                        List.of(),
-                        loaded,
-                        new LoadReport(0, 0, 64, 1, 1)),
-                0);
+        EngineBook book = new EngineBook(BackendServerFixture.engine(name, models), 0);
         Map<String, Set<String>> held = new HashMap<>();
         for (String model : models) {
             held.put(model, Set.of());
         }
-        book.reported(new EngineClient.State(new HeldModels(7, 0, held, Set.of()), false, 0), SECOND);
+        book.reported(
+                new EngineClient.State(new HeldModels(BackendServerFixture.INCARNATION, 0, held, Set.of()), false, 0),
+                SECOND);
         return book;
     }
 
--- a/src/test/java/org/borageproxy/placement/EngineBookTest.java
+++ b/src/test/java/org/borageproxy/placement/EngineBookTest.java
@@ -7,14 +7,8 @@
 import java.util.Set;
 
 import org.borageproxy.coordination.HeldModels;
-import org.borageproxy.membership.BackendServer;
-import org.borageproxy.membership.BackendServerKind;
-import org.borageproxy.membership.BackendServerName;
-import org.borageproxy.membership.BackendServerState;
-import org.borageproxy.membership.LoadReport;
-import org.borageproxy.membership.LoadedModel;
+import org.borageproxy.membership.BackendServerFixture;
 import org.borageproxy.publication.EnginePool;
-import org.borageproxy.vm.AvailabilityZone;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -32,25 +26,7 @@
     }
 
     private static EngineBook book(String... models) {
-        List<LoadedModel> loaded = java.util.Arrays.stream(models)
-                .map(name -> new LoadedModel(name, "1", "", Set.of()))
-                .toList();
-        return new EngineBook(
-                new BackendServer(
-                        new BackendServerName("e"),
-                        7,
-                        1,
-                        BackendServerKind.ENGINE,
-                        BackendServerState.ALIVE,
-                        new AvailabilityZone("z"),
-                        "127.0.0.1",
-                        1,
-                        true,
-                        Set.of("s"),
-                        List.of(),
-                        loaded,
-                        new LoadReport(0, 0, 64, 1, 1)),
-                0);
+        return new EngineBook(BackendServerFixture.engine("e", models), 0);
     }
 
     private static EngineClient.State state(long orders, boolean isBusy, String... models) {
@@ -58,7 +34,8 @@
         for (String name : models) {
             held.put(name, Set.of());
         }
-        return new EngineClient.State(new HeldModels(7, orders, held, Set.of()), isBusy, 0);
+        return new EngineClient.State(
+                new HeldModels(BackendServerFixture.INCARNATION, orders, held, Set.of()), isBusy, 0);
     }
 
     private static Optional<CopyPlan.Step> step(EngineBook book, String wanted) {
--- a/src/test/java/org/borageproxy/placement/FleetPlacementTest.java
+++ b/src/test/java/org/borageproxy/placement/FleetPlacementTest.java
@@ -14,17 +14,12 @@
 
 import org.borageproxy.coordination.HeldModels;
 import org.borageproxy.membership.BackendServer;
-import org.borageproxy.membership.BackendServerKind;
-import org.borageproxy.membership.BackendServerName;
-import org.borageproxy.membership.BackendServerState;
-import org.borageproxy.membership.LoadReport;
-import org.borageproxy.membership.LoadedModel;
+import org.borageproxy.membership.BackendServerFixture;
 import org.borageproxy.publication.EnginePool;
 import org.borageproxy.publication.Publication;
 import org.borageproxy.publication.PublishedService;
 import org.borageproxy.publication.RequestLimits;
 import org.borageproxy.time.Deadline;
-import org.borageproxy.vm.AvailabilityZone;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -65,23 +60,6 @@
         return new EnginePool.EngineModel(name, 65, LOAD.toSeconds(), 2, 1, 1);
     }
 
-    private static BackendServer engine(String name, String model) {
-        return new BackendServer(
-                new BackendServerName(name),
-                7,
-                1,
-                BackendServerKind.ENGINE,
-                BackendServerState.ALIVE,
-                new AvailabilityZone("z"),
-                "127.0.0.1",
-                1,
-                true,
-                Set.of("s"),
-                List.of(),
-                List.of(new LoadedModel(model, "1", "", Set.of())),
-                new LoadReport(0, 0, 64, 1, 1));
-    }
-
     private FleetPlacement placement() {
         Publication publication = new Publication(
                 1,
@@ -89,8 +67,8 @@
                 Map.of("s", new PublishedService("s", 100, Optional.of(POOL))),
                 Map.of(),
                 RequestLimits.DEFAULT);
-        servers.add(engine("e1", "a"));
-        servers.add(engine("e2", "b"));
+        servers.add(BackendServerFixture.engine("e1", "a"));
+        servers.add(BackendServerFixture.engine("e2", "b"));
         FleetPlacement made = new FleetPlacement(new FleetPlacement.Environment(
                 () -> leads,
                 () -> term,
@@ -182,7 +160,7 @@
     @Test
     void loadsFromTheStoreKeepToItsRate() {
         for (int index = 0; index < FURTHER; index++) {
-            servers.add(engine("f" + index, "a"));
+            servers.add(BackendServerFixture.engine("f" + index, "a"));
         }
         advance(TURN.plusMillis(1_200));
         for (int index = 0; index < FURTHER; index++) {
@@ -219,7 +197,8 @@
         public CompletionStage<Optional<State>> state(BackendServer server) {
             String name = server.name().value();
             Map<String, Set<String>> held = Map.of(server.models().get(0).model(), Set.of());
-            HeldModels models = new HeldModels(7, busy.contains(name) ? 1 : 0, held, Set.of());
+            HeldModels models =
+                    new HeldModels(BackendServerFixture.INCARNATION, busy.contains(name) ? 1 : 0, held, Set.of());
             return CompletableFuture.completedFuture(Optional.of(new State(models, busy.contains(name), 0)));
         }
     }
--- a/src/test/java/org/borageproxy/platform/ForwardingTest.java
+++ b/src/test/java/org/borageproxy/platform/ForwardingTest.java
@@ -38,10 +38,7 @@
 import org.borageproxy.forward.SlotClient;
 import org.borageproxy.forward.SuspectRequests;
 import org.borageproxy.membership.BackendServer;
-import org.borageproxy.membership.BackendServerKind;
-import org.borageproxy.membership.BackendServerName;
-import org.borageproxy.membership.BackendServerState;
-import org.borageproxy.membership.LoadReport;
+import org.borageproxy.membership.BackendServerFixture;
 import org.borageproxy.publication.Publication;
 import org.borageproxy.publication.PublishedRoute;
 import org.borageproxy.publication.PublishedService;
@@ -68,7 +65,7 @@
 /** Callers and backend servers as sockets around a forwarding server: what each sees under faults of the other. */
 class ForwardingTest {
 
-    private static final AvailabilityZone ZONE = new AvailabilityZone("a");
+    private static final AvailabilityZone ZONE = BackendServerFixture.ZONE;
     private static final String END = "\r\n\r\n";
     private static final double BUDGET_SHARE = 0.2;
     private static final int BUDGET_MAXIMUM = 10;
@@ -255,20 +252,7 @@
     }
 
     private BackendServer backendServer(int serverPort) {
-        return new BackendServer(
-                new BackendServerName("r" + servers.size()),
-                1,
-                1,
-                BackendServerKind.SERVICE,
-                BackendServerState.ALIVE,
-                ZONE,
-                "127.0.0.1",
-                serverPort,
-                true,
-                Set.of("s"),
-                List.of(),
-                List.of(),
-                new LoadReport(0, 0, 6, 1, 1));
+        return BackendServerFixture.service("r" + servers.size(), serverPort);
     }
 
     private ScriptedServer server(Function<String, ScriptedServer.Answer> script) throws IOException {
--- a/src/test/java/org/borageproxy/routing/ServerChoiceTest.java
+++ b/src/test/java/org/borageproxy/routing/ServerChoiceTest.java
@@ -7,10 +7,7 @@
 import java.util.Set;
 
 import org.borageproxy.membership.BackendServer;
-import org.borageproxy.membership.BackendServerKind;
-import org.borageproxy.membership.BackendServerName;
-import org.borageproxy.membership.BackendServerState;
-import org.borageproxy.membership.LoadReport;
+import org.borageproxy.membership.BackendServerFixture;
 import org.borageproxy.publication.EnginePool;
 import org.borageproxy.vm.AvailabilityZone;
 import org.junit.jupiter.api.Test;
@@ -20,31 +17,18 @@
 
 class ServerChoiceTest {
 
-    private static final AvailabilityZone ZONE = new AvailabilityZone("a");
+    private static final AvailabilityZone ZONE = BackendServerFixture.ZONE;
     private static final EnginePool POOL = new EnginePool(64, 100_000, 2, 200_000, 8, 2, Map.of());
     private static final EngineWork WORK = new EngineWork(
             "m", "", 2_400, 40, List.of(new EngineWork.PromptPart("p", 570), new EngineWork.PromptPart("q", 1_830)));
 
     private static ServerChoice.Candidate candidate(String name, ServerUse use) {
-        BackendServer server = new BackendServer(
-                new BackendServerName(name),
-                1,
-                1,
-                BackendServerKind.ENGINE,
-                BackendServerState.ALIVE,
-                ZONE,
-                "127.0.0.1",
-                1,
-                true,
-                Set.of("s"),
-                List.of(),
-                List.of(),
-                new LoadReport(0, 0, 64, 1, 1));
+        BackendServer server = BackendServerFixture.engine(name);
         return new ServerChoice.Candidate(server, use, 1.0);
     }
 
     private static ServerUse use() {
-        return new ServerUse(1, 100_000, 0);
+        return new ServerUse(BackendServerFixture.INCARNATION, 100_000, 0);
     }
 
     private static Optional<String> choose(List<ServerChoice.Candidate> candidates) {
