Keep one virtual time for the tests of quota, placement and forwarding

Cause: quota and placement each had a queue of tasks in virtual time, and two new tests a third and fourth in their own words.

Ruled out: the simulated networks of the log; they order messages, not tasks.

Change: org.borageproxy.time.VirtualTime, with the unit of a delay in the name of the call. No behaviour changes.

--- a/src/test/java/org/borageproxy/forward/SlotBrokerTest.java
+++ b/src/test/java/org/borageproxy/forward/SlotBrokerTest.java
@@ -1,7 +1,6 @@
 package org.borageproxy.forward;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -15,6 +14,7 @@
 import org.borageproxy.publication.EnginePool;
 import org.borageproxy.routing.EngineWork;
 import org.borageproxy.time.Deadline;
+import org.borageproxy.time.VirtualTime;
 import org.borageproxy.vm.VmName;
 import org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer;
 import org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest;
@@ -30,24 +30,21 @@
     private static final VmName ENTRY = new VmName("entry");
     private static final EnginePool ENGINES = new EnginePool(64, 100_000, 2, 200_000, 8, 2, Map.of());
 
-    private final List<Timed> timers = new ArrayList<>();
-    private long nowNanos = 1;
+    private final VirtualTime time = new VirtualTime(1);
     private Optional<Duration> untilArrival = Optional.empty();
     private int waiting;
     private final SlotBroker broker = broker();
 
-    private record Timed(Deadline due, Runnable task) {}
-
     private SlotBroker broker() {
         BackendServer other = BackendServerFixture.engine("other", "n");
         ServerPool pool =
-                new ServerPool(() -> List.of(other), () -> nowNanos, BackendServerFixture.ZONE, new Random(1));
+                new ServerPool(() -> List.of(other), time::nowNanos, BackendServerFixture.ZONE, new Random(1));
         SlotBroker made = new SlotBroker(new SlotBroker.Environment(
                 () -> true,
                 pool,
                 service -> Optional.of(ENGINES),
-                () -> nowNanos,
-                (delay, task) -> timers.add(new Timed(Deadline.after(nowNanos, delay), task)),
+                time::nowNanos,
+                (delay, task) -> time.afterNanos(delay.toNanos(), task),
                 new Demand()));
         made.reported(ENTRY, UsageReport.getDefaultInstance());
         return made;
@@ -67,14 +64,6 @@
         return broker.handle(ENTRY, request.toByteString()).toCompletableFuture();
     }
 
-    private void advance(Duration time) {
-        nowNanos += time.toNanos();
-        List<Timed> due =
-                timers.stream().filter(timed -> timed.due().hasPassed(nowNanos)).toList();
-        timers.removeAll(due);
-        due.forEach(timed -> timed.task().run());
-    }
-
     private static SlotAnswer answer(CompletableFuture<ByteString> future) throws Exception {
         assertTrue(future.isDone());
         return SlotAnswer.parseFrom(future.get());
@@ -87,7 +76,7 @@
         CompletableFuture<ByteString> asked = ask("m", 5, 5_000, 0);
         assertFalse(asked.isDone());
         assertEquals(1, waiting);
-        advance(SlotBroker.LONGEST_ANSWER.plusMillis(1));
+        time.run(SlotBroker.LONGEST_ANSWER.plusMillis(1));
         assertEquals(SlotAnswer.Outcome.AGAIN, answer(asked).getOutcome());
         assertEquals(0, waiting);
     }
@@ -104,7 +93,7 @@
     void requestForAModelThatNoEngineCanLoadIsRefusedSoon() throws Exception {
         CompletableFuture<ByteString> asked = ask("m", 5, 15_000, 600);
         assertFalse(asked.isDone());
-        advance(Duration.ofMillis(101));
+        time.run(Duration.ofMillis(101));
         SlotAnswer answer = answer(asked);
         assertEquals(SlotAnswer.Outcome.NO_MODEL, answer.getOutcome());
         assertEquals(1_500, answer.getComeBackMillis());
@@ -135,7 +124,7 @@
 
         @Override
         public Optional<Deadline> arrival(String service, EngineWork work) {
-            return untilArrival.map(time -> Deadline.after(nowNanos, time));
+            return untilArrival.map(duration -> Deadline.after(time.nowNanos(), duration));
         }
     }
 }
--- a/src/test/java/org/borageproxy/placement/FakeEngine.java
+++ b/src/test/java/org/borageproxy/placement/FakeEngine.java
@@ -13,6 +13,7 @@
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.membership.BackendServerState;
 import org.borageproxy.membership.LoadReport;
+import org.borageproxy.time.VirtualTime;
 import org.borageproxy.vm.AvailabilityZone;
 
 /** A model engine in virtual time that counts overcommitment and unloads of the last copy itself. */
@@ -68,7 +69,7 @@
         }
         long accepting = incarnation;
         pending.add(order.number());
-        time.after(delayMillis, () -> {
+        time.afterMillis(delayMillis, () -> {
             if (accepting == incarnation && alive) {
                 pending.remove(order.number());
                 execute(order);
@@ -95,7 +96,7 @@
         }
         Copy copy = new Copy(order);
         copies.add(copy);
-        time.after(LOAD_MILLIS, () -> copy.ready = !copy.leaving);
+        time.afterMillis(LOAD_MILLIS, () -> copy.ready = !copy.leaving);
         return new OrderResult.Accepted();
     }
 
@@ -103,7 +104,7 @@
         copy.leaving = true;
         copy.ready = false;
         copy.order = order;
-        time.after(UNLOAD_MILLIS, () -> copies.remove(copy));
+        time.afterMillis(UNLOAD_MILLIS, () -> copies.remove(copy));
     }
 
     private Copy find(String model) {
--- a/src/test/java/org/borageproxy/placement/FakeFleet.java
+++ b/src/test/java/org/borageproxy/placement/FakeFleet.java
@@ -24,6 +24,7 @@
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.time.Deadline;
+import org.borageproxy.time.VirtualTime;
 import org.borageproxy.tree.Configuration;
 import org.borageproxy.tree.Model;
 import org.borageproxy.tree.ModelVersion;
@@ -37,7 +38,7 @@
     private static final int LATE_MILLIS = 4_500;
     private static final int ANSWER_TIMEOUT_MILLIS = 2_000;
 
-    final VirtualTime time = new VirtualTime();
+    final VirtualTime time = new VirtualTime(Duration.ofDays(1).toNanos());
     final Random random;
     final Map<BackendServerName, FakeEngine> engines = new TreeMap<>();
     final List<Owner> owners = new ArrayList<>();
@@ -64,7 +65,7 @@
     void addOwner(String name) {
         Owner owner = new Owner(name);
         owners.add(owner);
-        time.every(100, owner.placement::tick);
+        time.everyMillis(100, owner.placement::tick);
     }
 
     void setModels(Map<String, Long> sizes) {
@@ -114,7 +115,7 @@
                             () -> configuration,
                             () -> demand,
                             settings,
-                            time::now,
+                            time::nowNanos,
                             EventRecorder.NoOp.INSTANCE),
                     this);
         }
@@ -124,27 +125,27 @@
             if (frozen) {
                 waiting.add(task);
             } else {
-                time.after(0, task);
+                time.afterMillis(0, task);
             }
         }
 
         void thaw() {
             frozen = false;
-            waiting.forEach(task -> time.after(0, task));
+            waiting.forEach(task -> time.afterMillis(0, task));
             waiting.clear();
         }
 
         private <T> CompletionStage<T> control(Supplier<T> action) {
             CompletableFuture<T> answer = new CompletableFuture<>();
             if (isolated || chance(2)) {
-                time.after(500, () -> answer.completeExceptionally(new IllegalStateException("isolated")));
+                time.afterMillis(500, () -> answer.completeExceptionally(new IllegalStateException("isolated")));
                 return answer;
             }
             boolean answerLost = chance(2);
-            time.after(1 + random.nextInt(5), () -> {
+            time.afterMillis(1 + random.nextInt(5), () -> {
                 T result = action.get();
                 if (answerLost) {
-                    time.after(500, () -> answer.completeExceptionally(new IllegalStateException("lost")));
+                    time.afterMillis(500, () -> answer.completeExceptionally(new IllegalStateException("lost")));
                 } else {
                     answer.complete(result);
                 }
@@ -154,16 +155,16 @@
 
         @Override
         public CompletionStage<Optional<Lease>> acquire(Duty duty) {
-            long askedAt = time.now();
+            long askedAt = time.nowNanos();
             return control(() -> {
-                if (holder != this && time.now() < heldUntil) {
+                if (holder != this && time.nowNanos() < heldUntil) {
                     return Optional.empty();
                 }
                 if (holder != this) {
                     epoch++;
                     holder = this;
                 }
-                heldUntil = time.now() + LEASE.toNanos() * 5 / 4;
+                heldUntil = time.nowNanos() + LEASE.toNanos() * 5 / 4;
                 return Optional.of(new Lease(duty, name, epoch, Deadline.after(askedAt, LEASE)));
             });
         }
@@ -171,7 +172,7 @@
         @Override
         public CompletionStage<Void> release(Lease lease) {
             return control(() -> {
-                heldUntil = holder == this ? time.now() : heldUntil;
+                heldUntil = holder == this ? time.nowNanos() : heldUntil;
                 return null;
             });
         }
@@ -222,13 +223,13 @@
         @Override
         public CompletionStage<OrderResult> order(BackendServer server, Intent intent, BooleanSupplier maySend) {
             CompletableFuture<OrderResult> answer = new CompletableFuture<>();
-            time.after(1, () -> {
+            time.afterMillis(1, () -> {
                 if (!maySend.getAsBoolean()) {
                     answer.complete(new OrderResult.NotSent());
                     return;
                 }
                 orders++;
-                time.after(ANSWER_TIMEOUT_MILLIS, () -> answer.complete(new OrderResult.Unknown()));
+                time.afterMillis(ANSWER_TIMEOUT_MILLIS, () -> answer.complete(new OrderResult.Unknown()));
                 boolean lost = chance(10);
                 boolean answerLost = chance(10);
                 if (!lost) {
@@ -243,7 +244,7 @@
 
         private void deliver(BackendServerName server, Intent intent, CompletableFuture<OrderResult> answer) {
             long delay = chance(20) ? random.nextInt(LATE_MILLIS) : 1;
-            time.after(delay, () -> {
+            time.afterMillis(delay, () -> {
                 FakeEngine engine = engines.get(server);
                 if (engine.alive) {
                     checkLastCopy(engine, intent);
@@ -266,9 +267,9 @@
             CompletableFuture<Optional<EngineState>> answer = new CompletableFuture<>();
             FakeEngine engine = engines.get(server.name());
             boolean failing = !engine.alive || chance(5);
-            time.after(failing ? 10 : 1, () -> {
+            time.afterMillis(failing ? 10 : 1, () -> {
                 Optional<EngineState> state = failing || !engine.alive ? Optional.empty() : Optional.of(engine.state());
-                time.after(chance(10) ? random.nextInt(1_500) : 1, () -> answer.complete(state));
+                time.afterMillis(chance(10) ? random.nextInt(1_500) : 1, () -> answer.complete(state));
             });
             return answer;
         }
--- a/src/test/java/org/borageproxy/placement/FitCheckTest.java
+++ b/src/test/java/org/borageproxy/placement/FitCheckTest.java
@@ -1,9 +1,11 @@
 package org.borageproxy.placement;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 
 import org.borageproxy.membership.BackendServer;
+import org.borageproxy.time.VirtualTime;
 import org.borageproxy.tree.Adapter;
 import org.borageproxy.tree.Configuration;
 import org.borageproxy.tree.Model;
@@ -15,7 +17,8 @@
 /** Checks whether models are told to fit. */
 class FitCheckTest {
 
-    private static final BackendServer ENGINE = new FakeEngine(new VirtualTime(), "one", "a", true, 100).server();
+    private static final BackendServer ENGINE =
+            new FakeEngine(new VirtualTime(Duration.ofDays(1).toNanos()), "one", "a", true, 100).server();
 
     @Test
     void modelsWithAdaptersMustFitOnSomeAccelerator() {
--- a/src/test/java/org/borageproxy/placement/FleetPlacementTest.java
+++ b/src/test/java/org/borageproxy/placement/FleetPlacementTest.java
@@ -1,9 +1,7 @@
 package org.borageproxy.placement;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,7 +17,7 @@
 import org.borageproxy.publication.Publication;
 import org.borageproxy.publication.PublishedService;
 import org.borageproxy.publication.RequestLimits;
-import org.borageproxy.time.Deadline;
+import org.borageproxy.time.VirtualTime;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -34,17 +32,13 @@
     private static final int FURTHER = 30;
     private static final EnginePool POOL = pool();
 
-    private final List<Timed> timers = new ArrayList<>();
-    private final Deque<Runnable> tasks = new ArrayDeque<>();
     private final Engines engines = new Engines();
-    private long nowNanos = 1;
+    private final VirtualTime time = new VirtualTime(1);
     private boolean leads = true;
     private long term = 4;
     private final List<BackendServer> servers = new ArrayList<>();
     private final FleetPlacement placement = placement();
 
-    private record Timed(Deadline due, Runnable task) {}
-
     private record Ordered(long atNanos, EngineClient.EngineOrder order) {}
 
     private static EnginePool pool() {
@@ -78,35 +72,20 @@
                 () -> List.copyOf(servers),
                 engines,
                 (name, held) -> {},
-                () -> nowNanos,
-                (delay, task) -> timers.add(new Timed(Deadline.after(nowNanos, delay), task)),
-                tasks::add));
+                time::nowNanos,
+                (delay, task) -> time.afterNanos(delay.toNanos(), task),
+                task -> time.afterNanos(0, task)));
         made.start();
         return made;
     }
 
-    private void advance(Duration time) {
-        long endNanos = nowNanos + time.toNanos();
-        while (nowNanos < endNanos) {
-            nowNanos += 10_000_000L;
-            List<Timed> due = timers.stream()
-                    .filter(timed -> timed.due().hasPassed(nowNanos))
-                    .toList();
-            timers.removeAll(due);
-            due.forEach(timed -> timed.task().run());
-            while (!tasks.isEmpty()) {
-                tasks.remove().run();
-            }
-        }
-    }
-
     @Test
     void newLeaderOrdersNothingDuringTheTurnOfTheOneBefore() {
-        advance(Duration.ofMillis(200));
+        time.run(Duration.ofMillis(200));
         placement.waits("s", "c", "", 1);
-        advance(TURN.minusMillis(300));
+        time.run(TURN.minusMillis(300));
         assertEquals(List.of(), engines.ordered);
-        advance(Duration.ofMillis(500));
+        time.run(Duration.ofMillis(500));
         assertEquals(1, engines.ordered.size(), engines.ordered.toString());
         EngineClient.EngineOrder order = engines.ordered.get(0).order();
         assertTrue(order.loads() && order.model().equals("c"), order.toString());
@@ -116,31 +95,31 @@
 
     @Test
     void vmThatLeadsNoLongerOrdersNothing() {
-        advance(TURN.plusMillis(1_200));
+        time.run(TURN.plusMillis(1_200));
         leads = false;
         placement.waits("s", "c", "", 1);
-        advance(Duration.ofSeconds(5));
+        time.run(Duration.ofSeconds(5));
         assertEquals(List.of(), engines.ordered);
     }
 
     @Test
     void leaderThatIsElectedAgainWaitsItsTurnAgain() {
-        advance(TURN.plusMillis(1_200));
+        time.run(TURN.plusMillis(1_200));
         term = 6;
         placement.waits("s", "c", "", 1);
-        advance(TURN.minusMillis(200));
+        time.run(TURN.minusMillis(200));
         assertEquals(List.of(), engines.ordered);
-        advance(Duration.ofMillis(700));
+        time.run(Duration.ofMillis(700));
         assertEquals(6, engines.ordered.get(0).order().fence());
     }
 
     @Test
     void arrivalOfAModelOnItsWayIsKnown() {
-        advance(TURN.plusMillis(1_200));
+        time.run(TURN.plusMillis(1_200));
         assertTrue(placement.arrival("s", "c", "").isEmpty());
         placement.waits("s", "c", "", 1);
-        advance(Duration.ofMillis(200));
-        long millis = placement.arrival("s", "c", "").orElseThrow().remainingMillis(nowNanos);
+        time.run(Duration.ofMillis(200));
+        long millis = placement.arrival("s", "c", "").orElseThrow().remainingMillis(time.nowNanos());
         assertTrue(millis > LOAD.toMillis() - 500 && millis < LOAD.toMillis() + 1_000, "arrives in " + millis + " ms");
         assertTrue(placement.arrival("s", "d", "").isEmpty());
     }
@@ -148,11 +127,11 @@
     /** Load pattern: an engine accepts a load and never finishes it. */
     @Test
     void modelThatIsLongOverdueIsNotWaitedFor() {
-        advance(TURN.plusMillis(1_200));
+        time.run(TURN.plusMillis(1_200));
         placement.waits("s", "c", "", 1);
-        advance(LOAD.plusSeconds(1));
+        time.run(LOAD.plusSeconds(1));
         assertTrue(placement.arrival("s", "c", "").isPresent());
-        advance(Duration.ofSeconds(3));
+        time.run(Duration.ofSeconds(3));
         assertTrue(placement.arrival("s", "c", "").isEmpty());
     }
 
@@ -162,11 +141,11 @@
         for (int index = 0; index < FURTHER; index++) {
             servers.add(BackendServerFixture.engine("f" + index, "a"));
         }
-        advance(TURN.plusMillis(1_200));
+        time.run(TURN.plusMillis(1_200));
         for (int index = 0; index < FURTHER; index++) {
             placement.waits("s", "m" + index, "", 1);
         }
-        advance(Duration.ofSeconds(20));
+        time.run(Duration.ofSeconds(20));
         List<Long> loads = engines.ordered.stream()
                 .filter(ordered -> ordered.order().loads())
                 .map(Ordered::atNanos)
@@ -188,7 +167,7 @@
 
         @Override
         public CompletionStage<Reply> order(BackendServer server, EngineOrder order) {
-            ordered.add(new Ordered(nowNanos, order));
+            ordered.add(new Ordered(time.nowNanos(), order));
             busy.add(server.name().value());
             return CompletableFuture.completedFuture(Reply.ACCEPTED);
         }
--- a/src/test/java/org/borageproxy/quota/DecisionCostBenchmark.java
+++ b/src/test/java/org/borageproxy/quota/DecisionCostBenchmark.java
@@ -7,6 +7,7 @@
 import org.borageproxy.admission.DispatchQueue;
 import org.borageproxy.admission.FairDispatchQueue;
 import org.borageproxy.time.Deadline;
+import org.borageproxy.time.VirtualTime;
 import org.borageproxy.tree.Workspace;
 
 /** Prints what a quota decision and an admission cost; run by hand, not a test. */
@@ -89,7 +90,7 @@
     }
 
     private static LongConsumer freePlace() {
-        VirtualVm timers = new VirtualVm(new org.borageproxy.vm.VmName("vm"), new VirtualTime(), 1, 0);
+        VirtualVm timers = new VirtualVm(new org.borageproxy.vm.VmName("vm"), new VirtualTime(0), 1, 0);
         FairDispatchQueue queue = new FairDispatchQueue(pool -> 16, System::nanoTime, timers);
         Deadline deadline = new Deadline(Long.MAX_VALUE / 2);
         return index -> {
--- a/src/test/java/org/borageproxy/quota/FleetQuotaTest.java
+++ b/src/test/java/org/borageproxy/quota/FleetQuotaTest.java
@@ -101,7 +101,7 @@
         Outcome outcome = new Outcome();
         for (int index = 0; index < 2_850; index++) {
             Member member = fleet.members.get(index % 9);
-            fleet.time.after(index * 20 * MILLI, () -> request(fleet, member, 19, 19, outcome));
+            fleet.time.afterNanos(index * 20 * MILLI, () -> request(fleet, member, 19, 19, outcome));
         }
         fleet.time.runUntil(80 * SECOND);
         assertEquals(0, outcome.refused);
@@ -117,7 +117,7 @@
         Outcome outcome = new Outcome();
         for (int index = 0; index < 570; index++) {
             Member member = fleet.members.get(index / 10 % 9);
-            fleet.time.after(index * 100 * MILLI, () -> request(fleet, member, 95, 95, outcome));
+            fleet.time.afterNanos(index * 100 * MILLI, () -> request(fleet, member, 95, 95, outcome));
         }
         fleet.time.runUntil(80 * SECOND);
         assertEquals(0, outcome.refused);
@@ -133,9 +133,9 @@
         Outcome outcome = new Outcome();
         for (int index = 0; index < 180; index++) {
             Member member = fleet.members.get(index % 9);
-            fleet.time.after(index * 10 * MILLI, () -> request(fleet, member, 9, 9, outcome));
+            fleet.time.afterNanos(index * 10 * MILLI, () -> request(fleet, member, 9, 9, outcome));
         }
-        fleet.time.after(5 * SECOND, () -> request(fleet, fleet.members.get(4), BURST, BURST, outcome));
+        fleet.time.afterNanos(5 * SECOND, () -> request(fleet, fleet.members.get(4), BURST, BURST, outcome));
         fleet.time.runUntil(20 * SECOND);
         assertEquals(181, outcome.reserved);
         assertTrue(outcome.slowestNanos < 100 * MILLI, "slowest " + outcome.slowestNanos);
@@ -149,7 +149,7 @@
         for (int round = 0; round < 4; round++) {
             for (int index = 0; index < 10; index++) {
                 Member member = fleet.members.get(index % 9);
-                fleet.time.after((round * 5L + 1) * SECOND, () -> request(fleet, member, 190, 30, outcome));
+                fleet.time.afterNanos((round * 5L + 1) * SECOND, () -> request(fleet, member, 190, 30, outcome));
             }
         }
         fleet.time.runUntil(80 * SECOND);
@@ -193,9 +193,9 @@
                 fleet.members.stream().filter(each -> each != owner).toList();
         for (int index = 0; index < 1_000; index++) {
             Member member = callers.get(index % callers.size());
-            fleet.time.after(index * 20 * MILLI, () -> request(fleet, member, 14, 14, outcome));
+            fleet.time.afterNanos(index * 20 * MILLI, () -> request(fleet, member, 14, 14, outcome));
         }
-        fleet.time.after(5 * SECOND, owner.vm::kill);
+        fleet.time.afterNanos(5 * SECOND, owner.vm::kill);
         fleet.time.runUntil(60 * SECOND);
         assertWithinBound(outcome, BURST);
         assertTrue(outcome.refused == 0, "refused " + outcome.refused);
@@ -235,10 +235,10 @@
                 long tokens = 1 + random.nextInt(100);
                 long used = random.nextInt(4) > 0 ? tokens : random.nextInt((int) tokens + 1);
                 long requestedAtNanos = atNanos + random.nextInt(300) * MILLI;
-                fleet.time.after(requestedAtNanos, () -> request(fleet, member, tokens, used, outcome));
+                fleet.time.afterNanos(requestedAtNanos, () -> request(fleet, member, tokens, used, outcome));
             }
             if (random.nextInt(3) == 0) {
-                fleet.time.after(atNanos + random.nextInt(500) * MILLI, () -> fault(fleet));
+                fleet.time.afterNanos(atNanos + random.nextInt(500) * MILLI, () -> fault(fleet));
             }
         }
         fleet.time.runUntil(70 * SECOND);
@@ -259,12 +259,12 @@
             case 0 -> member.vm.freeze(lastsNanos);
             case 1 -> {
                 member.cutOff = true;
-                fleet.time.after(lastsNanos, () -> member.cutOff = false);
+                fleet.time.afterNanos(lastsNanos, () -> member.cutOff = false);
             }
             case 2 -> member.quota.close();
             default -> {
                 member.vm.kill();
-                fleet.time.after(lastsNanos / 10, member::start);
+                fleet.time.afterNanos(lastsNanos / 10, member::start);
             }
         }
     }
--- a/src/test/java/org/borageproxy/quota/VirtualFleet.java
+++ b/src/test/java/org/borageproxy/quota/VirtualFleet.java
@@ -18,6 +18,7 @@
 import org.borageproxy.lease.Lease;
 import org.borageproxy.lease.LeaseStore;
 import org.borageproxy.time.Deadline;
+import org.borageproxy.time.VirtualTime;
 import org.borageproxy.tree.Configuration;
 import org.borageproxy.tree.ConfigurationSource;
 import org.borageproxy.tree.Workspace;
@@ -34,7 +35,7 @@
     static final double DRIFT = 0.004;
     private static final long LEASE_NANOS = 3 * SECOND;
 
-    final VirtualTime time = new VirtualTime();
+    final VirtualTime time = new VirtualTime(0);
     final Random random;
     final List<Member> members = new ArrayList<>();
     double lossRate;
@@ -127,7 +128,7 @@
             if (from.cutOff || to.cutOff || random.nextDouble() < lossRate) {
                 continue;
             }
-            time.after(delayNanos(), action);
+            time.afterNanos(delayNanos(), action);
         }
     }
 
@@ -188,12 +189,12 @@
         public CompletionStage<Optional<Lease>> acquire(Duty duty) {
             CompletableFuture<Optional<Lease>> answer = new CompletableFuture<>();
             long askedAtNanos = vm.localNanos();
-            time.after(delayNanos(), () -> {
+            time.afterNanos(delayNanos(), () -> {
                 if (self.cutOff || vm.isDead()) {
                     return;
                 }
                 Optional<Lease> lease = grant(duty, askedAtNanos);
-                time.after(delayNanos(), () -> vm.run(() -> answer.complete(lease)));
+                time.afterNanos(delayNanos(), () -> vm.run(() -> answer.complete(lease)));
             });
             return answer;
         }
@@ -212,7 +213,7 @@
 
         @Override
         public CompletionStage<Void> release(Lease lease) {
-            time.after(delayNanos(), () -> {
+            time.afterNanos(delayNanos(), () -> {
                 Held held = leases.get(lease.duty());
                 if (held != null
                         && held.epoch() == lease.epoch()
--- a/src/test/java/org/borageproxy/quota/VirtualVm.java
+++ b/src/test/java/org/borageproxy/quota/VirtualVm.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
+import org.borageproxy.time.VirtualTime;
 import org.borageproxy.vm.VmName;
 
 /** One run of a VM's process in virtual time, with a drifting clock; it can be frozen and killed. Not thread safe. */
@@ -47,7 +48,7 @@
 
     void freeze(long trueNanos) {
         frozen = true;
-        time.after(trueNanos, this::thaw);
+        time.afterNanos(trueNanos, this::thaw);
     }
 
     private void thaw() {
@@ -72,7 +73,7 @@
     @Override
     public ScheduledFuture<?> schedule(Runnable command, long delay, TimeUnit unit) {
         Scheduled task = new Scheduled(command);
-        time.after((long) (unit.toNanos(delay) / clockSpeed), () -> run(task));
+        time.afterNanos((long) (unit.toNanos(delay) / clockSpeed), () -> run(task));
         return task;
     }
 
@@ -84,7 +85,7 @@
     }
 
     private void repeat(Scheduled handle, Runnable command, long initial, long delay, TimeUnit unit) {
-        time.after(
+        time.afterNanos(
                 (long) (unit.toNanos(initial) / clockSpeed),
                 () -> run(() -> {
                     if (!handle.isCancelled()) {
@@ -96,7 +97,7 @@
 
     @Override
     public void execute(Runnable command) {
-        time.after(0, () -> run(command));
+        time.afterNanos(0, () -> run(command));
     }
 
     @Override
