Move the scripted server out of ForwardingTest

Ruled out: splitting the tests by rule; they share one start and one stop.

Change: ScriptedServer is a file of its own, with its port and requests as methods. No behaviour changes.

--- a/src/test/java/org/borageproxy/platform/ForwardingTest.java
+++ b/src/test/java/org/borageproxy/platform/ForwardingTest.java
@@ -1,8 +1,6 @@
 package org.borageproxy.platform;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.UncheckedIOException;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -66,7 +64,6 @@
 class ForwardingTest {
 
     private static final AvailabilityZone ZONE = BackendServerFixture.ZONE;
-    private static final String END = "\r\n\r\n";
     private static final double BUDGET_SHARE = 0.2;
     private static final int BUDGET_MAXIMUM = 10;
     private final RetryBudget budget = new RetryBudget(BUDGET_SHARE, BUDGET_MAXIMUM);
@@ -78,79 +75,6 @@
     private ForwardServer forwarding;
     private int port;
 
-    /** A backend server that answers each request by a script and then closes or keeps its connection. */
-    private static final class ScriptedServer implements AutoCloseable {
-        private final ServerSocket socket = new ServerSocket(0);
-        private final List<String> requests = new CopyOnWriteArrayList<>();
-        private final Function<String, Answer> script;
-
-        private record Answer(String bytes, boolean closes, boolean resets) {}
-
-        ScriptedServer(Function<String, Answer> script) throws IOException {
-            this.script = script;
-            Thread thread = new Thread(this::accept);
-            thread.setDaemon(true);
-            thread.start();
-        }
-
-        private void accept() {
-            while (!socket.isClosed()) {
-                try {
-                    Socket connection = socket.accept();
-                    Thread thread = new Thread(() -> serve(connection));
-                    thread.setDaemon(true);
-                    thread.start();
-                } catch (IOException exception) {
-                    return;
-                }
-            }
-        }
-
-        private void serve(Socket connection) {
-            try (connection) {
-                String request = read(connection.getInputStream());
-                while (!request.isEmpty()) {
-                    requests.add(request);
-                    Answer answer = script.apply(request);
-                    connection.getOutputStream().write(answer.bytes().getBytes(StandardCharsets.UTF_8));
-                    connection.getOutputStream().flush();
-                    if (answer.resets()) {
-                        Thread.sleep(50);
-                        connection.setSoLinger(true, 0);
-                    }
-                    if (answer.closes() || answer.resets()) {
-                        return;
-                    }
-                    request = read(connection.getInputStream());
-                }
-            } catch (IOException | InterruptedException exception) {
-                // The other end left; the test looks at the requests that arrived.
-            }
-        }
-
-        private static String read(InputStream input) throws IOException {
-            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-            int next = input.read();
-            while (next >= 0) {
-                bytes.write(next);
-                String text = bytes.toString(StandardCharsets.UTF_8);
-                if (text.endsWith(END)) {
-                    int length = text.contains("content-length: ")
-                            ? Integer.parseInt(text.split("content-length: ")[1].split("\r\n")[0])
-                            : 0;
-                    return text + new String(input.readNBytes(length), StandardCharsets.UTF_8);
-                }
-                next = input.read();
-            }
-            return "";
-        }
-
-        @Override
-        public void close() throws IOException {
-            socket.close();
-        }
-    }
-
     /** No coordinator is ever asked here. */
     private enum NoNetwork implements VmNetwork {
         INSTANCE;
@@ -258,7 +182,7 @@
     private ScriptedServer server(Function<String, ScriptedServer.Answer> script) throws IOException {
         ScriptedServer started = new ScriptedServer(script);
         scripted.add(started);
-        servers.add(backendServer(started.socket.getLocalPort()));
+        servers.add(backendServer(started.port()));
         return started;
     }
 
@@ -292,7 +216,7 @@
         String answer = call("/once/", "X-Tenant: forged\r\nX-Hold: forged\r\nX-Custom: kept\r\n");
         assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
         assertTrue(answer.endsWith("hello"), answer);
-        String request = server.requests.get(0);
+        String request = server.requests().get(0);
         assertTrue(request.startsWith("POST /once/x?q=1 HTTP/1.1\r\n"), request);
         assertTrue(request.endsWith("hi") && request.contains("X-Custom: kept"), request);
         assertTrue(request.contains("X-Tenant: w\r\n") && request.contains("X-Expect-Replica: r0\r\n"), request);
@@ -337,7 +261,8 @@
         ScriptedServer server = server(request -> new ScriptedServer.Answer("", true, false));
         server(request -> new ScriptedServer.Answer("", true, false));
         assertTrue(call("/once/", "").startsWith("HTTP/1.1 502"));
-        assertEquals(1, scripted.stream().mapToInt(each -> each.requests.size()).sum(), () -> "" + server.requests);
+        assertEquals(
+                1, scripted.stream().mapToInt(each -> each.requests().size()).sum(), () -> "" + server.requests());
     }
 
     @Test
@@ -428,7 +353,7 @@
         assertTrue(call("/once/", "").startsWith("HTTP/1.1 504"));
         ScriptedServer sound = server(request -> keep(ok(request, "Content-Length: 2\r\n", "ok")));
         assertTrue(call("/once/", "").startsWith("HTTP/1.1 200"));
-        assertEquals(1, sound.requests.size());
+        assertEquals(1, sound.requests().size());
     }
 
     @Test
@@ -462,7 +387,7 @@
         ScriptedServer server = server(request -> keep(ok(request, "Content-Length: 2\r\n", "ok")));
         String answer = call("/safe/", "Transfer-Encoding: chunked\r\n");
         assertTrue(answer.startsWith("HTTP/1.1 400"), answer);
-        assertTrue(server.requests.isEmpty());
+        assertTrue(server.requests().isEmpty());
     }
 
     /** Load pattern: a VM shuts down while requests wait for answers, and callers have not left it yet. */
@@ -511,7 +436,7 @@
             String answer = call("/safe/", "");
             assertFalse(answer.startsWith("HTTP/1.1 200"), answer);
         }
-        int arrivals = one.requests.size() + two.requests.size();
+        int arrivals = one.requests().size() + two.requests().size();
         assertTrue(arrivals <= requests + BUDGET_SHARE * requests + BUDGET_MAXIMUM, "arrivals " + arrivals);
         assertTrue(arrivals > requests, "arrivals " + arrivals);
     }
--- /dev/null
+++ b/src/test/java/org/borageproxy/platform/ScriptedServer.java
@@ -0,0 +1,99 @@
+package org.borageproxy.platform;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Function;
+
+/**
+ * A backend server that answers each request by a script and then closes or keeps its connection. Safe for use by any
+ * thread.
+ */
+final class ScriptedServer implements AutoCloseable {
+
+    private static final String END_OF_HEAD = "\r\n\r\n";
+
+    private final ServerSocket socket = new ServerSocket(0);
+    private final List<String> requests = new CopyOnWriteArrayList<>();
+    private final Function<String, Answer> script;
+
+    record Answer(String bytes, boolean closes, boolean resets) {}
+
+    ScriptedServer(Function<String, Answer> script) throws IOException {
+        this.script = script;
+        Thread thread = new Thread(this::accept);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void accept() {
+        while (!socket.isClosed()) {
+            try {
+                Socket connection = socket.accept();
+                Thread thread = new Thread(() -> serve(connection));
+                thread.setDaemon(true);
+                thread.start();
+            } catch (IOException exception) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket connection) {
+        try (connection) {
+            String request = read(connection.getInputStream());
+            while (!request.isEmpty()) {
+                requests.add(request);
+                Answer answer = script.apply(request);
+                connection.getOutputStream().write(answer.bytes().getBytes(StandardCharsets.UTF_8));
+                connection.getOutputStream().flush();
+                if (answer.resets()) {
+                    Thread.sleep(50);
+                    connection.setSoLinger(true, 0);
+                }
+                if (answer.closes() || answer.resets()) {
+                    return;
+                }
+                request = read(connection.getInputStream());
+            }
+        } catch (IOException | InterruptedException exception) {
+            // The other end left; the test looks at the requests that arrived.
+        }
+    }
+
+    static String read(InputStream input) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        int next = input.read();
+        while (next >= 0) {
+            bytes.write(next);
+            String text = bytes.toString(StandardCharsets.UTF_8);
+            if (text.endsWith(END_OF_HEAD)) {
+                int length = text.contains("content-length: ")
+                        ? Integer.parseInt(text.split("content-length: ")[1].split("\r\n")[0])
+                        : 0;
+                return text + new String(input.readNBytes(length), StandardCharsets.UTF_8);
+            }
+            next = input.read();
+        }
+        return "";
+    }
+
+    int port() {
+        return socket.getLocalPort();
+    }
+
+    /** Returns the requests that arrived, each with head and body. */
+    List<String> requests() {
+        return requests;
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+}
