Give the measured demand for models a class of its own

Ruled out: the demand view of the product's planner (DemandView); it counts requests by replica of a ledger that is not used here.

Change: FleetDemand holds rates and waits; the bounds 0.5 s and 10 s in it get names. No behaviour changes.

--- a/src/main/java/org/borageproxy/placement/FleetPlacement.java
+++ b/src/main/java/org/borageproxy/placement/FleetPlacement.java
@@ -55,8 +55,6 @@
     private static final double USED_STORE_RATE = 0.92;
     /** Loads from the weight store that may begin at once. */
     private static final double STORE_BURST = 2.0;
-    /** The weight of the newest second in demand. */
-    private static final double NEWEST = 0.45;
     /** The adapters that may be on their way to one engine. */
     private static final int MOST_ARRIVING_ADAPTERS = 4;
 
@@ -68,7 +66,7 @@
     private final Environment environment;
     private final Map<BackendServerName, EngineBook> books = new LinkedHashMap<>();
     private final Map<BackendServerName, Deadline> nextReports = new HashMap<>();
-    private final Map<Wanted, Measured> demands = new HashMap<>();
+    private final FleetDemand demand = new FleetDemand();
     private long term = -1;
     private Deadline ordersFrom;
     private double storeTokens;
@@ -76,22 +74,6 @@
     private boolean isRunning;
     private long contentsVersion = 1;
 
-    private record Wanted(String service, String model, String adapter) {}
-
-    private static final class Measured {
-        private double tokensPerSecond;
-        private long tokens;
-        private long measuredAtNanos;
-        private long askedAtNanos;
-        private int waitingHere;
-        private final Map<VmName, Integer> waiting = new HashMap<>();
-
-        private int waitingCount() {
-            return waitingHere
-                    + waiting.values().stream().mapToInt(Integer::intValue).sum();
-        }
-    }
-
     /**
      * What placement works with.
      *
@@ -164,9 +146,7 @@
         books.clear();
         contentsVersion = term << CONTENTS_BITS;
         nextReports.clear();
-        // Requests that wait on this VM go on waiting through the change.
-        demands.values().removeIf(measured -> measured.waitingHere == 0);
-        demands.values().forEach(measured -> measured.waiting.clear());
+        demand.beginTerm();
         storeTokens = 0;
         long nowNanos = environment.clock().nanoTime();
         accruedAtNanos = nowNanos;
@@ -252,19 +232,7 @@
 
     @Override
     public void demanded(VmName entry, List<ModelDemand> reported) {
-        long nowNanos = environment.clock().nanoTime();
-        demands.values().forEach(measured -> measured.waiting.remove(entry));
-        boolean isUrgent = false;
-        for (ModelDemand demand : reported) {
-            Wanted wanted = new Wanted(demand.getService(), demand.getModel(), demand.getAdapter());
-            Measured measured = demands.computeIfAbsent(wanted, key -> new Measured());
-            measured.tokens += demand.getTokens();
-            measured.askedAtNanos = nowNanos;
-            if (demand.getWaiting() > 0) {
-                measured.waiting.put(entry, demand.getWaiting());
-                isUrgent = true;
-            }
-        }
+        boolean isUrgent = demand.reported(entry, reported, environment.clock().nanoTime());
         if (isUrgent && mayOrder()) {
             plan();
         }
@@ -291,16 +259,15 @@
      * @param change one for a request that begins to wait, minus one for one that ends
      */
     public void waits(String service, String model, String adapter, int change) {
-        Measured measured = demands.computeIfAbsent(new Wanted(service, model, adapter), key -> new Measured());
-        measured.askedAtNanos = environment.clock().nanoTime();
-        measured.waitingHere += change;
+        FleetDemand.Wanted wanted = new FleetDemand.Wanted(service, model, adapter);
+        demand.waits(wanted, change, environment.clock().nanoTime());
         if (change > 0 && mayOrder()) {
             plan();
         }
     }
 
     private void plan() {
-        measure();
+        demand.measure(environment.clock().nanoTime());
         if (!mayOrder()) {
             return;
         }
@@ -310,37 +277,12 @@
                 .forEach(service -> service.engine().ifPresent(pool -> plan(service.name(), pool))));
     }
 
-    private void measure() {
-        long nowNanos = environment.clock().nanoTime();
-        demands.values().forEach(measured -> {
-            double seconds = (nowNanos - measured.measuredAtNanos) / NANOS_PER_SECOND;
-            if (seconds >= 0.5) {
-                double rate = measured.tokens / Math.min(seconds, 1.0);
-                measured.tokensPerSecond += NEWEST * (rate - measured.tokensPerSecond);
-                measured.tokens = 0;
-                measured.measuredAtNanos = nowNanos;
-            }
-        });
-        demands.values()
-                .removeIf(measured ->
-                        measured.waitingCount() == 0 && nowNanos - measured.askedAtNanos > 10 * NANOS_PER_SECOND);
-    }
-
     private void plan(String service, EnginePool pool) {
         List<EngineBook> engines = books.values().stream()
                 .filter(book -> book.server().services().contains(service))
                 .toList();
         planAdapters(service, pool, engines);
-        Map<String, CopyPlan.Demand> byModel = new HashMap<>();
-        demands.forEach((wanted, measured) -> {
-            if (wanted.service().equals(service)) {
-                byModel.merge(
-                        wanted.model(),
-                        new CopyPlan.Demand(measured.tokensPerSecond, measured.waitingCount()),
-                        (one, other) -> new CopyPlan.Demand(
-                                one.tokensPerSecond() + other.tokensPerSecond(), one.waiting() + other.waiting()));
-            }
-        });
+        Map<String, CopyPlan.Demand> byModel = demand.byModel(service);
         Optional<CopyPlan.Step> step = new CopyPlan(pool, engines, byModel).next(storeTokens >= 1);
         while (step.isPresent()) {
             take(step.get(), pool);
@@ -363,14 +305,10 @@
     }
 
     private void planAdapters(String service, EnginePool pool, List<EngineBook> engines) {
-        List<Wanted> missing = demands.entrySet().stream()
-                .filter(entry -> entry.getKey().service().equals(service)
-                        && !entry.getKey().adapter().isEmpty()
-                        && entry.getValue().waitingCount() > 0)
-                .map(Map.Entry::getKey)
+        List<FleetDemand.Wanted> missing = demand.awaitedAdapters(service).stream()
                 .filter(wanted -> engines.stream().noneMatch(engine -> hasAdapter(engine, wanted)))
                 .toList();
-        for (Wanted wanted : missing) {
+        for (FleetDemand.Wanted wanted : missing) {
             engines.stream()
                     .filter(engine -> engine.held().containsKey(wanted.model())
                             && engine.takesAdapters()
@@ -383,31 +321,24 @@
         }
     }
 
-    private static boolean hasAdapter(EngineBook engine, Wanted wanted) {
+    private static boolean hasAdapter(EngineBook engine, FleetDemand.Wanted wanted) {
         return engine.isArriving(wanted.model(), wanted.adapter())
                 || engine.held().getOrDefault(wanted.model(), Set.of()).contains(wanted.adapter());
     }
 
-    private long askedAtNanos(String service, String model, String adapter) {
-        Measured measured = demands.get(new Wanted(service, model, adapter));
-        return measured == null ? Long.MIN_VALUE : measured.askedAtNanos;
-    }
-
     private long oldestAdapterNanos(String service, EngineBook engine) {
-        return victim(service, engine)
-                .map(victim -> askedAtNanos(service, victim.model(), victim.adapter()))
-                .orElse(Long.MIN_VALUE);
+        return victim(service, engine).map(demand::askedAtNanos).orElse(Long.MIN_VALUE);
     }
 
-    private Optional<Wanted> victim(String service, EngineBook engine) {
-        List<Wanted> held = new ArrayList<>();
+    private Optional<FleetDemand.Wanted> victim(String service, EngineBook engine) {
+        List<FleetDemand.Wanted> held = new ArrayList<>();
         engine.held()
                 .forEach((model, adapters) ->
-                        adapters.forEach(adapter -> held.add(new Wanted(service, model, adapter))));
-        return held.stream().min(Comparator.comparingLong(each -> askedAtNanos(service, each.model(), each.adapter())));
+                        adapters.forEach(adapter -> held.add(new FleetDemand.Wanted(service, model, adapter))));
+        return held.stream().min(demand.byLastAsked());
     }
 
-    private void bring(String service, EnginePool pool, EngineBook engine, Wanted wanted) {
+    private void bring(String service, EnginePool pool, EngineBook engine, FleetDemand.Wanted wanted) {
         if (engine.adapterCount() < pool.adapterSlots() && CopyPlan.hasRoomForAdapter(pool, engine, wanted.model())) {
             order(engine, true, wanted.model(), wanted.adapter(), Duration.ZERO);
         } else {
