Give the search for a server on one VM a class of its own

Ruled out: moving its attempts out; they share the relay, the scanner and the counts of sends and runs with the request, and the interface between them would be wider than what it parts.

Change: LocalSearch with its waits and bounds; it reports a server or the reason for none. The check for an ended request is now that its wait has ended, which its end does. No behaviour changes.

--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -42,18 +42,10 @@
     private static final int MOST_SENDS = 4;
     /** The largest answer that is held back until it is whole. */
     private static final int MOST_HELD_BYTES = 512 << 10;
-    /** How long a request waits for an adapter that can be loaded. */
-    private static final Duration ADAPTER_WAIT = Duration.ofMillis(700);
-    /** How long a request waits for a server of its service to appear. */
-    private static final Duration SERVER_WAIT = Duration.ofMillis(250);
     /** When a caller may come back after a refusal whose cause passes quickly. */
     private static final Duration SOON = Duration.ofMillis(300);
     /** The time that a server's own answer at the deadline gets to arrive. */
     private static final Duration DEADLINE_GRACE = Duration.ofMillis(40);
-    /** The part of the time to its objective that a request waits for capacity. */
-    private static final double CAPACITY_PATIENCE = 0.55;
-    /** How many VMs are assumed to have queues of the same length. */
-    private static final int ASSUMED_QUEUES = 4;
 
     private static final int MISDIRECTED = 421;
     private static final int FIRST_SERVER_ERROR = 500;
@@ -68,15 +60,12 @@
     private final Set<BackendServerName> absentAt = new HashSet<>();
     private final Set<BackendServerName> goneServers = new HashSet<>();
     private final EventScanner scanner = new EventScanner();
-    private final Runnable lookAgain = this::lookAgain;
+    private final LocalSearch local;
     private ScheduledFuture<?> deadlineTimer;
-    private ScheduledFuture<?> waitTimer;
     private Optional<Attempt> current = Optional.empty();
     private Optional<HttpResponse> firstHead = Optional.empty();
     private int sends;
     private int runs;
-    private boolean isAbsent;
-    private Optional<WaitingRequests.Waiting> waiting = Optional.empty();
     private boolean hasEnded;
 
     Exchange(ForwardParts parts, HeldRequest held, Consumer<Exchange> ended) {
@@ -86,6 +75,7 @@
         this.relay = new AnswerRelay(held.request().response());
         this.log = new RequestLog(held, parts.clock());
         this.rate = new RateAdmission(parts, held);
+        this.local = new LocalSearch(parts, held, log, tried, new LocalOutcome());
     }
 
     /** Begins. */
@@ -122,7 +112,7 @@
     private void find() {
         Optional<EngineWork> work = held.fields().work();
         if (work.isEmpty() || held.engines().isEmpty()) {
-            findHere();
+            local.look();
             return;
         }
         SlotClient.Tried servers = new SlotClient.Tried(tried, absentAt, goneServers);
@@ -133,7 +123,7 @@
             if (answer.isPresent()) {
                 placed(answer.get());
             } else {
-                findHere();
+                local.look();
             }
         });
     }
@@ -148,7 +138,7 @@
                     send(new ServerChoice.Chosen(server.get(), answer.getExpectedMillis(), answer.getUnreadTokens()));
                 } else {
                     log.unknownPlace(answer.getServer());
-                    findHere();
+                    local.look();
                 }
             }
             case AGAIN -> find();
@@ -159,74 +149,6 @@
         }
     }
 
-    private void findHere() {
-        Optional<ServerChoice.Chosen> chosen = parts.pool()
-                .choose(held.service(), held.engines(), held.fields().work(), tried);
-        if (chosen.isPresent()) {
-            stopWaiting();
-            send(chosen.get());
-            return;
-        }
-        ServerPool.Absence absence =
-                parts.pool().absence(held.service(), held.fields().work(), tried);
-        switch (absence) {
-            case ALL_TRIED -> giveUp(RefusalReason.REFUSED_BY_SERVERS, SOON);
-            case NO_SERVER -> waitOrRefuse(RefusalReason.NO_SERVER, absence, SERVER_WAIT);
-            case NO_ADAPTER -> waitOrRefuse(RefusalReason.MODEL_ABSENT, absence, ADAPTER_WAIT);
-            case CROWDED -> waitOrRefuse(RefusalReason.NO_CAPACITY, absence, capacityWait());
-            default -> waitOrRefuse(RefusalReason.MODEL_ABSENT, absence, modelWait());
-        }
-    }
-
-    private Duration modelWait() {
-        long untilObjective = held.objective().remainingNanos(parts.clock().nanoTime());
-        return Duration.ofNanos(untilObjective / 2);
-    }
-
-    /** A request waits for capacity only while it can still be on time, and not at all behind too long a queue. */
-    private Duration capacityWait() {
-        EngineWork work = held.fields().work().orElseThrow();
-        double rate = parts.pool().readingRate(held.service(), work.model());
-        double aheadMillis = parts.pool().tokensBefore(asWaiting()) * ASSUMED_QUEUES / Math.max(0.1, rate);
-        long leftMillis = held.objective().remainingMillis(parts.clock().nanoTime());
-        long patience = (long) (leftMillis * CAPACITY_PATIENCE);
-        return aheadMillis > patience ? Duration.ZERO : Duration.ofMillis(patience);
-    }
-
-    private WaitingRequests.Waiting asWaiting() {
-        return new WaitingRequests.Waiting(
-                held.urgency(), held.objective(), held.fields().work().orElseThrow(), lookAgain);
-    }
-
-    private void waitOrRefuse(RefusalReason reason, ServerPool.Absence absence, Duration longest) {
-        if (waiting.isPresent()) {
-            return;
-        }
-        log.noServer(absence, tried.size());
-        if (held.fields().work().isEmpty() || longest.isZero()) {
-            giveUp(reason, SOON);
-            return;
-        }
-        isAbsent = absence != ServerPool.Absence.CROWDED;
-        waiting = Optional.of(asWaiting());
-        waitTimer = parts.eventLoop().schedule(() -> giveUp(reason, SOON), longest.toNanos(), TimeUnit.NANOSECONDS);
-        parts.pool().await(held.service(), waiting.get(), isAbsent);
-    }
-
-    private void lookAgain() {
-        if (waiting.isPresent() && !hasEnded) {
-            findHere();
-        }
-    }
-
-    private void stopWaiting() {
-        waiting.ifPresent(request -> {
-            waitTimer.cancel(false);
-            parts.pool().stopWaiting(held.service(), request, isAbsent);
-        });
-        waiting = Optional.empty();
-    }
-
     private void send(ServerChoice.Chosen chosen) {
         tried.add(chosen.server().name());
         Attempt attempt = new Attempt(chosen);
@@ -254,6 +176,19 @@
                 HttpVersion.HTTP_1_1, method, held.request().uri(), headers);
     }
 
+    /** Sends the request to the server that this VM chose, or gives it up. */
+    private final class LocalOutcome implements LocalSearch.Outcome {
+        @Override
+        public void chosen(ServerChoice.Chosen chosen) {
+            send(chosen);
+        }
+
+        @Override
+        public void notFound(RefusalReason reason) {
+            giveUp(reason, SOON);
+        }
+    }
+
     /** One sending to one server. */
     private final class Attempt implements ServerConnections.Taker, ServerConnection.Listener {
         private final ServerChoice.Chosen chosen;
@@ -578,7 +513,7 @@
 
     private void finish(String outcome, int status) {
         hasEnded = true;
-        stopWaiting();
+        local.stop();
         if (deadlineTimer != null) {
             deadlineTimer.cancel(false);
         }
