Cap the tokens that entries make available when they return from a silence

Cause: the share of an entry that has not reported is withheld, and was credited in full with its next report. Ruled out: debts of disconnected entries and the last granted request that may exceed the unspent tokens; both stay below a burst. Change: the splitter counts withheld tokens against the burst; what overflows covers the spending that the entry reports, but is not available again.

--- a/src/main/java/org/borageproxy/quota/RateSplitter.java
+++ b/src/main/java/org/borageproxy/quota/RateSplitter.java
@@ -44,8 +44,10 @@
         private Deadline retainedUntil;
         /** Time from which the entry is assumed to spend its share without grants. */
         private Deadline silentAfter;
-        /** Tokens charged for the time without a report; withdrawn with the next report. */
-        private double assumedSpending;
+        /** Tokens withheld for the time without a report; available again once the entry reports that it spent less. */
+        private double withheldTokens;
+        /** Part of the share, for the time without a report, that would have exceeded the burst if left unspent. */
+        private double overflowedTokens;
     }
 
     /**
@@ -126,7 +128,7 @@
      * @param nowNanos the current time of the clock
      */
     public void recordNoUsage(VmName entry, long nowNanos) {
-        EntryState state = recordContact(entry, nowNanos);
+        EntryState state = recordContact(entry, 0, nowNanos);
         state.demand = 0;
         state.share = 0;
     }
@@ -152,8 +154,8 @@
      * @return the share and grant
      */
     public Allocation handleReport(VmName entry, Report report, long nowNanos) {
-        EntryState state = recordContact(entry, nowNanos);
-        unspentTokens += report.returned() - report.spent();
+        EntryState state = recordContact(entry, report.spent(), nowNanos);
+        unspentTokens += report.returned();
         state.demand = report.demand();
         state.share = report.share();
         entries.values().removeIf(other -> other.retainedUntil.hasPassed(nowNanos));
@@ -166,12 +168,16 @@
         return new Allocation((long) state.share, grant(report));
     }
 
-    /** Records that an entry has reported, and withdraws the spending assumed while it was silent. */
-    private EntryState recordContact(VmName entry, long nowNanos) {
+    /**
+     * Records that an entry has reported, and replaces the spending assumed while it was silent by what it spent.
+     * Tokens that overflowed meanwhile cover their part of the spending, but are not available again.
+     */
+    private EntryState recordContact(VmName entry, long spent, long nowNanos) {
         refill(nowNanos);
         EntryState state = entries.computeIfAbsent(entry, name -> new EntryState());
-        unspentTokens += state.assumedSpending;
-        state.assumedSpending = 0;
+        unspentTokens += state.withheldTokens - Math.max(0, spent - state.overflowedTokens);
+        state.withheldTokens = 0;
+        state.overflowedTokens = 0;
         state.retainedUntil = Deadline.after(nowNanos, SILENT_SHARE_RETENTION);
         state.silentAfter = Deadline.after(nowNanos, RateShares.GRANT_VALIDITY);
         return state;
@@ -208,18 +214,35 @@
         return rate;
     }
 
-    // An entry that does not report is assumed to spend its whole share until its next report corrects this.
+    // The share of an entry that does not report is withheld until its next report tells how much of it was spent.
     private void refill(long nowNanos) {
         double seconds = Math.max(0, nowNanos - refilledAtNanos) / NANOS_PER_SECOND;
         refilledAtNanos = nowNanos;
         double silentShares = 0;
+        double withheldTokens = 0;
         for (EntryState state : entries.values()) {
             if (state.silentAfter.hasPassed(nowNanos)) {
-                state.assumedSpending += state.share * seconds;
+                state.withheldTokens += state.share * seconds;
                 silentShares += state.share;
             }
+            withheldTokens += state.withheldTokens;
         }
         unspentTokens = Math.min(limit.burst(), unspentTokens + Math.max(0, limit.rate() - silentShares) * seconds);
+        dropOverflow(unspentTokens + withheldTokens - limit.burst());
+    }
+
+    // Without this, the entries that return from a silence would together make several times the burst available.
+    private void dropOverflow(double overflow) {
+        double remaining = overflow;
+        for (EntryState state : entries.values()) {
+            if (remaining <= 0) {
+                return;
+            }
+            double dropped = Math.min(state.withheldTokens, remaining);
+            state.withheldTokens -= dropped;
+            state.overflowedTokens += dropped;
+            remaining -= dropped;
+        }
     }
 
     // The last granted request may exceed the unspent tokens: otherwise small requests would always use up the tokens
--- a/src/test/java/org/borageproxy/quota/RateFairnessTest.java
+++ b/src/test/java/org/borageproxy/quota/RateFairnessTest.java
@@ -8,6 +8,8 @@
 import net.jqwik.api.Property;
 import org.borageproxy.publication.PublishedWorkspace;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -39,6 +41,13 @@
                 "admitted " + admitted + ", by a single bucket " + admittedBySingleBucket);
     }
 
+    /** The seeds with requests in the last step, which were counted for the single bucket only. */
+    @ParameterizedTest
+    @ValueSource(longs = {148, -2_945})
+    void requestsOfTheLastStepAreCounted(long seed) {
+        requestsWithinTheRateAreAdmitted(seed);
+    }
+
     /**
      * Load pattern: a workspace requests four times its rate. Large requests are admitted about as often as small ones.
      */
@@ -101,6 +110,16 @@
                 }
             }
         }
+        decidePendingRequests(steps * 10L * MILLI);
+    }
+
+    /** Requests of the last steps are decided after them, so that they count as they do for the single bucket. */
+    private void decidePendingRequests(long nowNanos) {
+        for (int entry = 0; entry < fleet.size(); entry++) {
+            if (fleet.hasShortage(entry)) {
+                fleet.report(entry, nowNanos);
+            }
+        }
     }
 
     private void request(int entry, int tokens, long nowNanos) {
--- a/src/test/java/org/borageproxy/quota/RateSplitterTest.java
+++ b/src/test/java/org/borageproxy/quota/RateSplitterTest.java
@@ -7,6 +7,8 @@
 import net.jqwik.api.Property;
 import org.borageproxy.vm.VmName;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -71,6 +73,51 @@
         assertEquals(RATE / 8, allocation.granted());
     }
 
+    /**
+     * Load pattern: the entries of a workspace that has been idle for seconds receive their first requests at the same
+     * time. Together they are granted the burst, not the rate of all the idle seconds.
+     */
+    @Test
+    void entriesReturningFromSilenceAreGrantedTheBurstOnce() {
+        RateSplitter splitter = new RateSplitter(new RateSplitter.Limit(RATE, RATE), 0);
+        int entries = 8;
+        for (int entry = 0; entry < entries; entry++) {
+            splitter.assumeShare(new VmName("e" + entry), RATE / (double) entries, 0);
+        }
+        long granted = 0;
+        RateSplitter.Report report = new RateSplitter.Report(RATE, 0, 0, 0, List.of(RATE / 2, RATE / 2));
+        for (int entry = 0; entry < entries; entry++) {
+            granted += splitter.handleReport(new VmName("e" + entry), report, 8_000 * MILLI)
+                    .granted();
+        }
+        assertTrue(granted <= RATE + RATE / 2, "granted " + granted);
+    }
+
+    /**
+     * Load pattern: the only entry with demand loses the coordinator, spends its share and returns. Its spending is
+     * covered by the rate of the time that it was silent.
+     */
+    @Test
+    void spendingOfASilentEntryIsCoveredByItsShareOfThatTime() {
+        RateSplitter splitter = new RateSplitter(new RateSplitter.Limit(RATE, RATE), 0);
+        VmName silent = new VmName("1");
+        VmName other = new VmName("2");
+        splitter.handleReport(silent, new RateSplitter.Report(RATE, 0, 0, 0, List.of()), 0);
+        for (int step = 1; step <= 80; step++) {
+            splitter.handleReport(other, new RateSplitter.Report(0, 0, 0, 0, List.of()), step * 100 * MILLI);
+        }
+        RateSplitter.Report report = new RateSplitter.Report(RATE, RATE, 7 * RATE + RATE * 3 / 5, 0, List.of(RATE / 4));
+        assertEquals(
+                RATE / 4, splitter.handleReport(silent, report, 8_000 * MILLI).granted());
+    }
+
+    /** The seeds of which the bound was exceeded when withheld shares could accumulate beyond the burst. */
+    @ParameterizedTest
+    @ValueSource(longs = {288_350, 79, 394, 1_509, 1_577, 1_949, 2_151, 2_235})
+    void spendingStaysWithinTheRateForSeedsThatExceededIt(long seed) {
+        spendingStaysWithinTheRateThroughAHotWorkspaceAndLostReports(seed);
+    }
+
     /**
      * Load pattern: the demand of one workspace rises to several times its rate while a third of the entries loses the
      * coordinator and reconnects. In any period of eight seconds, all entries together spend at most the rate, the
