Make rollback and the members commands do what their usage texts say

Cause: RollbackCommand sent "revision", the interface reads "to_revision", so that each rollback was refused; no test called it. The members commands refused the name of a VM that their usage text offers. Change: the command sends to_revision; promote and remove accept the name of a VM with one candidate (learners to promote, all members to remove), and refuse an ambiguous one with the candidates. add-learner needs an identity, which the group does not know before; the usage text says so.

--- a/src/main/java/org/borageproxy/command/MembersCommand.java
+++ b/src/main/java/org/borageproxy/command/MembersCommand.java
@@ -10,7 +10,10 @@
     @Argument(index = 0, metaVar = "list|add-learner|promote|remove|lead", usage = "action")
     private String action = "list";
 
-    @Argument(index = 1, metaVar = "MEMBER", usage = "VM name of the member, or its identity as listed")
+    @Argument(
+            index = 1,
+            metaVar = "MEMBER",
+            usage = "identity of the member, as listed; to promote or remove, the name of its VM is sufficient")
     private String member;
 
     @Override
--- a/src/main/java/org/borageproxy/command/RollbackCommand.java
+++ b/src/main/java/org/borageproxy/command/RollbackCommand.java
@@ -27,7 +27,7 @@
     @Override
     OperatorClient.Response call(OperatorClient client) {
         JsonObject body = new JsonObject()
-                .put("revision", restoredRevision)
+                .put("to_revision", restoredRevision)
                 .put("base_revision", baseRevision)
                 .put("change_identity", changeIdentity);
         return client.call(HttpMethod.POST, "/v1/rollback", body);
--- a/src/main/java/org/borageproxy/log/consensus/MemberId.java
+++ b/src/main/java/org/borageproxy/log/consensus/MemberId.java
@@ -54,6 +54,16 @@
         return new MemberId(name, RANDOM.nextLong());
     }
 
+    /**
+     * Returns whether a text has the form that {@link #toString()} returns, as opposed to a bare VM name.
+     *
+     * @param text the text
+     * @return {@code true} if the text contains the separator of name and incarnation
+     */
+    public static boolean isIdentity(String text) {
+        return text.indexOf(SEPARATOR) >= 0;
+    }
+
     /**
      * Parses the form that {@link #toString()} returns.
      *
--- a/src/main/java/org/borageproxy/log/consensus/Members.java
+++ b/src/main/java/org/borageproxy/log/consensus/Members.java
@@ -43,6 +43,27 @@
         return new Members(new LinkedHashSet<>(voters), Set.of());
     }
 
+    /**
+     * Returns the member that an operator names.
+     *
+     * @param text the identity of a member, or the name of a VM
+     * @param candidates the members to which a VM name may refer
+     * @return the identity, whether or not it is a candidate, or the only candidate on the VM
+     * @throws IllegalArgumentException if the VM has no candidate or several
+     */
+    public static MemberId resolve(String text, Collection<MemberId> candidates) {
+        if (MemberId.isIdentity(text)) {
+            return MemberId.parse(text);
+        }
+        List<MemberId> onVm = candidates.stream()
+                .filter(member -> member.name().value().equals(text))
+                .toList();
+        if (onVm.size() != 1) {
+            throw new IllegalArgumentException("Expected one member on VM " + text + ", found " + onVm);
+        }
+        return onVm.get(0);
+    }
+
     /**
      * Decodes a group from its protobuf message.
      *
--- a/src/main/java/org/borageproxy/server/MembersService.java
+++ b/src/main/java/org/borageproxy/server/MembersService.java
@@ -11,6 +11,7 @@
 import org.borageproxy.log.MemberStatus;
 import org.borageproxy.log.consensus.MemberChange;
 import org.borageproxy.log.consensus.MemberId;
+import org.borageproxy.log.consensus.Members;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
 import org.borageproxy.vm.VmName;
@@ -59,15 +60,16 @@
             return completed(answerWithStatus(MembersAnswer.Result.DONE));
         }
         Deadline deadline = Deadline.after(clock.nanoTime(), CHANGE_TIMEOUT);
-        return member.changeMembers(parseChange(request), deadline).thenApply(this::toAnswer);
+        return member.changeMembers(parseChange(request, member.status().members()), deadline)
+                .thenApply(this::toAnswer);
     }
 
-    private static MemberChange parseChange(MembersRequest request) {
-        MemberId subject = MemberId.parse(request.getMember());
+    private static MemberChange parseChange(MembersRequest request, Members members) {
+        String name = request.getMember();
         return switch (request.getAction()) {
-            case ADD_LEARNER -> new MemberChange.AddLearner(subject);
-            case PROMOTE -> new MemberChange.Promote(subject);
-            case REMOVE -> new MemberChange.Remove(subject);
+            case ADD_LEARNER -> new MemberChange.AddLearner(MemberId.parse(name));
+            case PROMOTE -> new MemberChange.Promote(Members.resolve(name, members.learners()));
+            case REMOVE -> new MemberChange.Remove(Members.resolve(name, members.all()));
             default -> throw new IllegalArgumentException("Unknown action " + request.getAction());
         };
     }
--- a/src/test/java/org/borageproxy/operator/OperatorServerTest.java
+++ b/src/test/java/org/borageproxy/operator/OperatorServerTest.java
@@ -1,9 +1,13 @@
 package org.borageproxy.operator;
 
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -18,6 +22,8 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
+import org.borageproxy.command.CommandLine;
+import org.borageproxy.command.ExitCode;
 import org.borageproxy.control.ControlClient;
 import org.borageproxy.control.ControlService;
 import org.borageproxy.control.ControlState;
@@ -40,6 +46,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -147,6 +154,20 @@
         call("GET", "/v1/tree?revision=9", new JsonObject(), 404);
     }
 
+    @Test
+    void rollbackCommandRestoresAnEarlierRevision(@TempDir Path folder) throws Exception {
+        call("POST", "/v1/tree", change("one", 0, DOCUMENT), 200);
+        call("POST", "/v1/tree", change("two", 1, DOCUMENT + "priority = 3\n"), 200);
+        Path credential = Files.writeString(folder.resolve("credential"), "secret");
+        String[] arguments = {
+            "rollback", "1", "--base", "2", "--vm", "127.0.0.1:" + port, "--credential", credential.toString()
+        };
+        ByteArrayOutputStream output = new ByteArrayOutputStream();
+        PrintStream printed = new PrintStream(output);
+        assertEquals(ExitCode.DONE, new CommandLine().run(arguments, printed, printed), output::toString);
+        assertEquals(DOCUMENT, call("GET", "/v1/tree", new JsonObject(), 200).getString("document"));
+    }
+
     @Test
     void invalidDocumentIsRejectedWithAllErrors() throws Exception {
         JsonObject answer = call("POST", "/v1/tree", change("one", 0, "[workspaces.w]\nx = 1\ny = 2\n"), 422);
--- a/src/test/java/org/borageproxy/process/ControlFailureTest.java
+++ b/src/test/java/org/borageproxy/process/ControlFailureTest.java
@@ -161,7 +161,7 @@
             fleet.start(lost);
             for (List<String> step : List.of(
                     List.of("members", "add-learner", joined),
-                    List.of("members", "promote", joined),
+                    List.of("members", "promote", lost),
                     List.of("members", "remove", lostMember))) {
                 awaitSuccess(fleet, step);
             }
--- a/src/test/java/org/borageproxy/process/FleetProcesses.java
+++ b/src/test/java/org/borageproxy/process/FleetProcesses.java
@@ -1,6 +1,7 @@
 package org.borageproxy.process;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
@@ -11,6 +12,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
@@ -24,6 +28,11 @@
     /** Far above the usual duration of a step, since it only bounds a hang. */
     static final Duration STEP_TIMEOUT = Duration.ofSeconds(60);
 
+    private static final int FIRST_PORT = 12_000;
+    /** The lowest port that Linux assigns to outgoing connections by default. */
+    private static final int FIRST_EPHEMERAL_PORT = 32_768;
+
+    private static final Set<Integer> RETURNED_PORTS = ConcurrentHashMap.newKeySet();
     private static final String SECRET_PREFIX = "a-secret-of-the-process-tests";
 
     private final Path folder;
@@ -63,14 +72,25 @@
         }
     }
 
-    private static int findFreePort(String host) throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
-            return socket.getLocalPort();
+    /**
+     * Returns a port that no other call has returned and on which nothing listens. It lies below the ephemeral ports,
+     * so that no outgoing connection takes it before the process that is to listen there.
+     */
+    static int findFreePort(String host) throws IOException {
+        while (true) {
+            int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, FIRST_EPHEMERAL_PORT);
+            if (RETURNED_PORTS.add(port) && isFree(host, port)) {
+                return port;
+            }
         }
     }
 
-    static int freePort(String host) throws IOException {
-        return findFreePort(host);
+    private static boolean isFree(String host, int port) throws IOException {
+        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(host))) {
+            return socket.isBound();
+        } catch (BindException exception) {
+            return false;
+        }
     }
 
     List<String> vms() {
--- a/src/test/java/org/borageproxy/process/StandInFleet.java
+++ b/src/test/java/org/borageproxy/process/StandInFleet.java
@@ -65,7 +65,7 @@
     }
 
     private static Address address(String host) throws IOException {
-        return new Address(host, FleetProcesses.freePort(host));
+        return new Address(host, FleetProcesses.findFreePort(host));
     }
 
     private static List<String> commonArguments(FleetProcesses fleet, Path folder, Address address) {
