Spread backend servers from the control VMs to the entries, not by gossip

Cause: above 17 VMs each VM forwarded every new update to four random others, at once if the content had changed. Engines list their adapters in heartbeats, so that nearly every heartbeat of a busy engine changes its content. Each VM therefore held connections to all others (9,900 at 100 VMs), and each started with digests to all known VMs every 200 ms. The full content was also hashed for each update on each VM. Change: control VMs, to which servers announce themselves, exchange all updates. Entries observe them: joins, restarts and leaves arrive at once from the control VM that received them, heartbeats without content once a second, and digests, for presence only, repair what was lost. Entries take the models of a server from the coordinator, as before. Entries exchange nothing with one another.

--- a/src/main/java/org/borageproxy/membership/Announcement.java
+++ b/src/main/java/org/borageproxy/membership/Announcement.java
@@ -84,6 +84,12 @@
                     models,
                     LocalWeights.NONE);
         }
+
+        /** Returns a copy without the parts that orders for models change. */
+        Content withoutModels() {
+            return new Content(
+                    kind, zone, host, port, checksFencing, intervalMillis, services, accelerators, List.of());
+        }
     }
 
     /** Returns the view of the backend server in a state. */
--- a/src/main/java/org/borageproxy/membership/BackendServerMembership.java
+++ b/src/main/java/org/borageproxy/membership/BackendServerMembership.java
@@ -22,6 +22,8 @@
     private static final long SWEEP_INTERVAL_MILLIS = 100;
     /** Interval of the batches of heartbeats, in milliseconds. */
     private static final long BATCH_INTERVAL_MILLIS = 250;
+    /** Interval of the batches of heartbeats to observers, in milliseconds. */
+    private static final long OBSERVER_BATCH_INTERVAL_MILLIS = 1_000;
     /** Interval of the exchanges of digests, in milliseconds. */
     private static final long DIGEST_INTERVAL_MILLIS = 2_000;
     /** Interval of the exchanges of digests before the first answer, in milliseconds. */
@@ -37,6 +39,7 @@
     private volatile CacheEvents.Listener cacheListener = CacheEvents.Listener.NoOp.INSTANCE;
     private volatile long sweepTimer = -1;
     private volatile long batchTimer = -1;
+    private volatile long observerBatchTimer = -1;
     private volatile long digestTimer = -1;
 
     /**
@@ -59,7 +62,8 @@
         this.vertx = vertx;
         this.clock = clock;
         registry = new BackendServerRegistry(MembershipSettings.DEFAULT, events);
-        exchange = new MembershipExchange(registry, network, peers, clock, new Random());
+        exchange =
+                new MembershipExchange(registry, network, MembershipPeers.exchangingWith(peers), clock, new Random());
         server = Optional.of(new AnnounceServer(vertx, settings, new Receiver()));
     }
 
@@ -68,12 +72,12 @@
      *
      * @param vertx the timers
      * @param network the network between VMs
-     * @param peers supplies the other VMs, without this one
+     * @param peers the other VMs
      * @param clock the monotonic clock
      * @param events records events
      */
     public BackendServerMembership(
-            Vertx vertx, VmNetwork network, Supplier<List<VmName>> peers, MonotonicClock clock, EventRecorder events) {
+            Vertx vertx, VmNetwork network, MembershipPeers peers, MonotonicClock clock, EventRecorder events) {
         this.vertx = vertx;
         this.clock = clock;
         registry = new BackendServerRegistry(MembershipSettings.DEFAULT, events);
@@ -132,6 +136,7 @@
     public Future<Integer> start() {
         sweepTimer = vertx.setPeriodic(SWEEP_INTERVAL_MILLIS, timerId -> registry.sweep(clock.nanoTime()));
         batchTimer = vertx.setPeriodic(BATCH_INTERVAL_MILLIS, timerId -> exchange.sendHeartbeats());
+        observerBatchTimer = vertx.setPeriodic(OBSERVER_BATCH_INTERVAL_MILLIS, timerId -> exchange.sendObservations());
         exchangeDigestsPeriodically();
         return server.map(AnnounceServer::start).orElse(Future.succeededFuture(0));
     }
@@ -175,6 +180,7 @@
     public void close() {
         vertx.cancelTimer(sweepTimer);
         vertx.cancelTimer(batchTimer);
+        vertx.cancelTimer(observerBatchTimer);
         vertx.cancelTimer(digestTimer);
         server.ifPresent(AnnounceServer::close);
     }
--- a/src/main/java/org/borageproxy/membership/BackendServerRegistry.java
+++ b/src/main/java/org/borageproxy/membership/BackendServerRegistry.java
@@ -46,8 +46,10 @@
         NONE,
         /** Only the sequence number and the load changed. */
         HEARTBEAT,
-        /** A backend server joined, restarted or left, or its content changed. */
-        CONTENT
+        /** The loaded models or local weights changed. */
+        MODELS,
+        /** A backend server joined, restarted or left, or another part of its content changed. */
+        PRESENCE
     }
 
     @Override
@@ -110,7 +112,7 @@
         if (current == null) {
             records.put(update.name(), update);
             publish(nowNanos);
-            return Change.CONTENT;
+            return Change.PRESENCE;
         }
         ServerRecord merged = current.merge(update);
         if (merged == current) {
@@ -120,7 +122,7 @@
         records.put(update.name(), merged);
         if (!hasSameContent(current, merged)) {
             publish(nowNanos);
-            return Change.CONTENT;
+            return hasSamePresence(current, merged) ? Change.MODELS : Change.PRESENCE;
         }
         if (current.isUnresponsive(settings, nowNanos)) {
             publish(nowNanos);
@@ -135,6 +137,16 @@
         }
     }
 
+    /** Whether two records differ at most in their models, local weights, sequence number and load. */
+    private static boolean hasSamePresence(ServerRecord before, ServerRecord after) {
+        return before.incarnation() == after.incarnation()
+                && before.left() == after.left()
+                && before.announcement()
+                        .map(announcement -> announcement.content().withoutModels())
+                        .equals(after.announcement()
+                                .map(announcement -> announcement.content().withoutModels()));
+    }
+
     /** Whether two records differ at most in their sequence number and load. */
     private static boolean hasSameContent(ServerRecord before, ServerRecord after) {
         return before.incarnation() == after.incarnation()
--- a/src/main/java/org/borageproxy/membership/MembershipCodec.java
+++ b/src/main/java/org/borageproxy/membership/MembershipCodec.java
@@ -55,7 +55,6 @@
                 .setIncarnation(known.incarnation())
                 .setSequence(Math.max(0, known.sequence()))
                 .setLeft(known.left())
-                .setContentHash(contentHash(known))
                 .build();
     }
 
--- a/src/main/java/org/borageproxy/membership/MembershipExchange.java
+++ b/src/main/java/org/borageproxy/membership/MembershipExchange.java
@@ -12,7 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.function.Supplier;
+import java.util.function.Consumer;
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
@@ -29,8 +29,10 @@
 /**
  * Propagates the records of backend servers between VMs by gossip. Joins, leaves and changes of content are sent
  * immediately, heartbeats in batches; a periodic exchange of digests (anti-entropy) repairs lost messages. A small
- * fleet receives every update directly; in a larger one each VM forwards new updates to some others. Thread safe: this
- * object's monitor guards the pending heartbeats, and no message is sent under it.
+ * number of peers receives every update directly; if there are more, each VM forwards new updates to some others.
+ * Observers receive each update from the VM to which the backend server announced it; the messages to one observer do
+ * not depend on the number of observers. Thread safe: this object's monitor guards the pending heartbeats, and no
+ * message is sent under it.
  */
 final class MembershipExchange {
 
@@ -45,12 +47,14 @@
 
     private final BackendServerRegistry registry;
     private final VmNetwork network;
-    private final Supplier<List<VmName>> peers;
+    private final MembershipPeers peers;
     private final MonotonicClock clock;
     /** Selects the recipients. */
     private final Random random;
     /** Servers with a heartbeat for the next batch; guarded by this. */
     private final Set<BackendServerName> pendingHeartbeats = new HashSet<>();
+    /** Servers with a heartbeat for the next batch to the observers; guarded by this. */
+    private final Set<BackendServerName> pendingObservations = new HashSet<>();
     /** Whether a digest has been answered since the start, or no other VM was known. */
     private volatile boolean isSynchronized;
 
@@ -58,7 +62,7 @@
     MembershipExchange(
             BackendServerRegistry registry,
             VmNetwork network,
-            Supplier<List<VmName>> peers,
+            MembershipPeers peers,
             MonotonicClock clock,
             Random random) {
         this.registry = registry;
@@ -69,39 +73,70 @@
         network.registerHandler(MessageKind.MEMBERSHIP, this::receive);
     }
 
-    /** Propagates a change of a record. A heartbeat waits for the next batch, other changes are sent immediately. */
+    /**
+     * Propagates a change that was announced to this VM. A heartbeat waits for the next batch, other changes are sent
+     * immediately; observers receive only changes of presence immediately.
+     */
     void propagate(BackendServerName name, BackendServerRegistry.Change change) {
-        if (change == BackendServerRegistry.Change.HEARTBEAT) {
-            synchronized (this) {
+        synchronized (this) {
+            if (change == BackendServerRegistry.Change.HEARTBEAT) {
                 pendingHeartbeats.add(name);
             }
+            if (change != BackendServerRegistry.Change.NONE) {
+                pendingObservations.add(name);
+            }
         }
-        if (change == BackendServerRegistry.Change.CONTENT) {
+        boolean isPresence = change == BackendServerRegistry.Change.PRESENCE;
+        if (isPresence || change == BackendServerRegistry.Change.MODELS) {
             long nowNanos = clock.nanoTime();
-            registry.record(name).ifPresent(known -> broadcast(List.of(MembershipCodec.encodeFull(known, nowNanos))));
+            registry.record(name)
+                    .map(known -> List.of(MembershipCodec.encodeFull(known, nowNanos)))
+                    .ifPresent(update -> {
+                        broadcast(update);
+                        if (isPresence) {
+                            send(peers.observers().get(), update);
+                        }
+                    });
         }
     }
 
     /** Sends the heartbeats since the last batch, with the latest sequence number and load of each server. */
     void sendHeartbeats() {
-        List<BackendServerName> names;
-        synchronized (this) {
-            names = List.copyOf(pendingHeartbeats);
-            pendingHeartbeats.clear();
+        inBatches(encodeHeartbeats(takeAll(pendingHeartbeats)), this::broadcast);
+    }
+
+    /** Sends the heartbeats since the last batch to the observers. */
+    void sendObservations() {
+        List<BackendServerName> names = takeAll(pendingObservations);
+        List<VmName> observers = peers.observers().get();
+        if (!observers.isEmpty()) {
+            inBatches(encodeHeartbeats(names), batch -> send(observers, batch));
         }
+    }
+
+    private synchronized List<BackendServerName> takeAll(Set<BackendServerName> pending) {
+        List<BackendServerName> names = List.copyOf(pending);
+        pending.clear();
+        return names;
+    }
+
+    private List<ServerUpdate> encodeHeartbeats(List<BackendServerName> names) {
         long nowNanos = clock.nanoTime();
-        List<ServerUpdate> updates = names.stream()
+        return names.stream()
                 .flatMap(name -> registry.record(name).stream())
                 .map(known -> MembershipCodec.encodeHeartbeat(known, nowNanos))
                 .toList();
+    }
+
+    private static void inBatches(List<ServerUpdate> updates, Consumer<List<ServerUpdate>> sender) {
         for (int start = 0; start < updates.size(); start += MAX_BATCH_UPDATES) {
-            broadcast(updates.subList(start, Math.min(updates.size(), start + MAX_BATCH_UPDATES)));
+            sender.accept(updates.subList(start, Math.min(updates.size(), start + MAX_BATCH_UPDATES)));
         }
     }
 
     /** Sends a digest to one random VM, or to all of them until one has answered. */
     void exchangeDigests() {
-        List<VmName> known = new ArrayList<>(peers.get());
+        List<VmName> known = new ArrayList<>(peers.peers().get());
         if (known.isEmpty()) {
             isSynchronized = true;
             return;
@@ -130,18 +165,22 @@
     private Digest digest() {
         Digest.Builder digest = Digest.newBuilder();
         registry.records().forEach(known -> digest.addLines(MembershipCodec.encodeDigestLine(known)));
-        return digest.build();
+        return digest.setPresenceOnly(peers.isObserver()).build();
     }
 
-    /** Sends updates to all other VMs of a small fleet, or to {@link #FANOUT} random ones of a larger fleet. */
+    /** Sends updates to all peers if they are few, or to {@link #FANOUT} random ones of them. */
     private void broadcast(List<ServerUpdate> updates) {
-        ByteString message =
-                MembershipMessage.newBuilder().addAllUpdates(updates).build().toByteString();
-        List<VmName> recipients = new ArrayList<>(peers.get());
+        List<VmName> recipients = new ArrayList<>(peers.peers().get());
         if (recipients.size() > MAX_DIRECT_PEERS) {
             Collections.shuffle(recipients, random);
             recipients = recipients.subList(0, FANOUT);
         }
+        send(recipients, updates);
+    }
+
+    private void send(List<VmName> recipients, List<ServerUpdate> updates) {
+        ByteString message =
+                MembershipMessage.newBuilder().addAllUpdates(updates).build().toByteString();
         recipients.forEach(recipient -> network.send(recipient, MessageKind.MEMBERSHIP, message));
     }
 
@@ -190,17 +229,17 @@
             return known.isPresent() && isStale(known.get(), update);
         }
         BackendServerRegistry.Change change = registry.merge(record, nowNanos);
-        if (peers.get().size() > MAX_DIRECT_PEERS) {
+        if (peers.peers().get().size() > MAX_DIRECT_PEERS) {
             propagate(name, change);
         }
         return true;
     }
 
     /** Whether a heartbeat belongs to the incarnation and the content of the local record. */
-    private static boolean hasSameContent(ServerRecord known, ServerUpdate update) {
+    private boolean hasSameContent(ServerRecord known, ServerUpdate update) {
         return known.incarnation() == update.getIncarnation()
                 && known.announcement().isPresent()
-                && MembershipCodec.contentHash(known) == update.getContentHash();
+                && (peers.isObserver() || MembershipCodec.contentHash(known) == update.getContentHash());
     }
 
     /** Whether a heartbeat is not newer than the local record. */
@@ -218,7 +257,14 @@
         for (ServerRecord known : registry.records()) {
             DigestLine line = lines.get(known.name().value());
             if (line == null || isNewer(known, line)) {
-                message.addUpdates(MembershipCodec.encodeFull(known, nowNanos));
+                boolean isContentKnown = digest.getPresenceOnly()
+                        && line != null
+                        && line.getIncarnation() == known.incarnation()
+                        && line.getLeft() == known.left();
+                message.addUpdates(
+                        isContentKnown
+                                ? MembershipCodec.encodeHeartbeat(known, nowNanos)
+                                : MembershipCodec.encodeFull(known, nowNanos));
             }
         }
         return message.build().toByteString();
--- a/src/main/java/org/borageproxy/server/GatewayRuntime.java
+++ b/src/main/java/org/borageproxy/server/GatewayRuntime.java
@@ -1,7 +1,6 @@
 package org.borageproxy.server;
 
 import java.time.InstantSource;
-import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
@@ -18,6 +17,7 @@
 import org.borageproxy.event.TimeLine;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerMembership;
+import org.borageproxy.membership.MembershipPeers;
 import org.borageproxy.spread.ControlStateWatcher;
 import org.borageproxy.time.MonotonicClock;
 import org.borageproxy.vm.VmAddress;
@@ -63,7 +63,10 @@
                 self.name(), this::addressOf, PeerCredential.of(PEER_CREDENTIAL), hybridClock, clock, eventLoop);
         boolean isControl = settings.dataFolder().isPresent();
         spread = new ControlStateWatcher(self, isControl, network, this::controlVms, clock, timer(), timeLine);
-        membership = new BackendServerMembership(vertx, network, this::peers, clock, timeLine);
+        MembershipPeers peers = isControl
+                ? MembershipPeers.announcingTo(this::otherControlVms, spread::registeredDataPlaneVms)
+                : MembershipPeers.observing(this::otherControlVms);
+        membership = new BackendServerMembership(vertx, network, peers, clock, timeLine);
     }
 
     /** VMs are named by their IP addresses and all listen on the same port. The zone is always that of this VM. */
@@ -83,16 +86,8 @@
         return List.copyOf(names);
     }
 
-    /**
-     * Returns all known VMs except this one.
-     *
-     * @return the names without duplicates
-     */
-    List<VmName> peers() {
-        Set<VmName> names = new LinkedHashSet<>(settings.seeds());
-        spread.vms().forEach(vm -> names.add(vm.name()));
-        names.remove(self());
-        return new ArrayList<>(names);
+    private List<VmName> otherControlVms() {
+        return controlVms().stream().filter(vm -> !vm.equals(self())).toList();
     }
 
     /**
--- a/src/main/java/org/borageproxy/wire/proto/MembershipProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/MembershipProtocol.java
@@ -6192,12 +6192,6 @@
      * @return The left.
      */
     boolean getLeft();
-
-    /**
-     * <code>fixed64 content_hash = 5;</code>
-     * @return The contentHash.
-     */
-    long getContentHash();
   }
   /**
    * <pre>
@@ -6318,17 +6312,6 @@
       return left_;
     }
 
-    public static final int CONTENT_HASH_FIELD_NUMBER = 5;
-    private long contentHash_ = 0L;
-    /**
-     * <code>fixed64 content_hash = 5;</code>
-     * @return The contentHash.
-     */
-    @java.lang.Override
-    public long getContentHash() {
-      return contentHash_;
-    }
-
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -6355,9 +6338,6 @@
       if (left_ != false) {
         output.writeBool(4, left_);
       }
-      if (contentHash_ != 0L) {
-        output.writeFixed64(5, contentHash_);
-      }
       getUnknownFields().writeTo(output);
     }
 
@@ -6382,10 +6362,6 @@
         size += com.google.protobuf.CodedOutputStream
           .computeBoolSize(4, left_);
       }
-      if (contentHash_ != 0L) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeFixed64Size(5, contentHash_);
-      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -6409,8 +6385,6 @@
           != other.getSequence()) return false;
       if (getLeft()
           != other.getLeft()) return false;
-      if (getContentHash()
-          != other.getContentHash()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -6433,9 +6407,6 @@
       hash = (37 * hash) + LEFT_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
           getLeft());
-      hash = (37 * hash) + CONTENT_HASH_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getContentHash());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -6575,7 +6546,6 @@
         incarnation_ = 0L;
         sequence_ = 0L;
         left_ = false;
-        contentHash_ = 0L;
         return this;
       }
 
@@ -6621,9 +6591,6 @@
         if (((from_bitField0_ & 0x00000008) != 0)) {
           result.left_ = left_;
         }
-        if (((from_bitField0_ & 0x00000010) != 0)) {
-          result.contentHash_ = contentHash_;
-        }
       }
 
       @java.lang.Override
@@ -6652,9 +6619,6 @@
         if (other.getLeft() != false) {
           setLeft(other.getLeft());
         }
-        if (other.getContentHash() != 0L) {
-          setContentHash(other.getContentHash());
-        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -6701,11 +6665,6 @@
                 bitField0_ |= 0x00000008;
                 break;
               } // case 32
-              case 41: {
-                contentHash_ = input.readFixed64();
-                bitField0_ |= 0x00000010;
-                break;
-              } // case 41
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -6891,38 +6850,6 @@
         return this;
       }
 
-      private long contentHash_ ;
-      /**
-       * <code>fixed64 content_hash = 5;</code>
-       * @return The contentHash.
-       */
-      @java.lang.Override
-      public long getContentHash() {
-        return contentHash_;
-      }
-      /**
-       * <code>fixed64 content_hash = 5;</code>
-       * @param value The contentHash to set.
-       * @return This builder for chaining.
-       */
-      public Builder setContentHash(long value) {
-
-        contentHash_ = value;
-        bitField0_ |= 0x00000010;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>fixed64 content_hash = 5;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearContentHash() {
-        bitField0_ = (bitField0_ & ~0x00000010);
-        contentHash_ = 0L;
-        onChanged();
-        return this;
-      }
-
       // @@protoc_insertion_point(builder_scope:borageproxy.membership.DigestLine)
     }
 
@@ -7001,6 +6928,17 @@
      */
     org.borageproxy.wire.proto.MembershipProtocol.DigestLineOrBuilder getLinesOrBuilder(
         int index);
+
+    /**
+     * <pre>
+     * Whether the sender follows only which servers are present: content is answered for servers that joined, restarted
+     * or left, and later heartbeats without content.
+     * </pre>
+     *
+     * <code>bool presence_only = 2;</code>
+     * @return The presenceOnly.
+     */
+    boolean getPresenceOnly();
   }
   /**
    * <pre>
@@ -7090,6 +7028,22 @@
       return lines_.get(index);
     }
 
+    public static final int PRESENCE_ONLY_FIELD_NUMBER = 2;
+    private boolean presenceOnly_ = false;
+    /**
+     * <pre>
+     * Whether the sender follows only which servers are present: content is answered for servers that joined, restarted
+     * or left, and later heartbeats without content.
+     * </pre>
+     *
+     * <code>bool presence_only = 2;</code>
+     * @return The presenceOnly.
+     */
+    @java.lang.Override
+    public boolean getPresenceOnly() {
+      return presenceOnly_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -7107,6 +7061,9 @@
       for (int i = 0; i < lines_.size(); i++) {
         output.writeMessage(1, lines_.get(i));
       }
+      if (presenceOnly_ != false) {
+        output.writeBool(2, presenceOnly_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -7125,6 +7082,10 @@
             }
             size += 1 * count;
           }
+      if (presenceOnly_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(2, presenceOnly_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -7142,6 +7103,8 @@
 
       if (!getLinesList()
           .equals(other.getLinesList())) return false;
+      if (getPresenceOnly()
+          != other.getPresenceOnly()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -7157,6 +7120,9 @@
         hash = (37 * hash) + LINES_FIELD_NUMBER;
         hash = (53 * hash) + getLinesList().hashCode();
       }
+      hash = (37 * hash) + PRESENCE_ONLY_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getPresenceOnly());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -7299,6 +7265,7 @@
           linesBuilder_.clear();
         }
         bitField0_ = (bitField0_ & ~0x00000001);
+        presenceOnly_ = false;
         return this;
       }
 
@@ -7345,6 +7312,9 @@
 
       private void buildPartial0(org.borageproxy.wire.proto.MembershipProtocol.Digest result) {
         int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.presenceOnly_ = presenceOnly_;
+        }
       }
 
       @java.lang.Override
@@ -7385,6 +7355,9 @@
             }
           }
         }
+        if (other.getPresenceOnly() != false) {
+          setPresenceOnly(other.getPresenceOnly());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -7424,6 +7397,11 @@
                 }
                 break;
               } // case 10
+              case 16: {
+                presenceOnly_ = input.readBool();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -7681,6 +7659,53 @@
         return linesBuilder_;
       }
 
+      private boolean presenceOnly_ ;
+      /**
+       * <pre>
+       * Whether the sender follows only which servers are present: content is answered for servers that joined, restarted
+       * or left, and later heartbeats without content.
+       * </pre>
+       *
+       * <code>bool presence_only = 2;</code>
+       * @return The presenceOnly.
+       */
+      @java.lang.Override
+      public boolean getPresenceOnly() {
+        return presenceOnly_;
+      }
+      /**
+       * <pre>
+       * Whether the sender follows only which servers are present: content is answered for servers that joined, restarted
+       * or left, and later heartbeats without content.
+       * </pre>
+       *
+       * <code>bool presence_only = 2;</code>
+       * @param value The presenceOnly to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPresenceOnly(boolean value) {
+
+        presenceOnly_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether the sender follows only which servers are present: content is answered for servers that joined, restarted
+       * or left, and later heartbeats without content.
+       * </pre>
+       *
+       * <code>bool presence_only = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearPresenceOnly() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        presenceOnly_ = false;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.membership.Digest)
     }
 
@@ -8769,15 +8794,15 @@
       "(\004\022\024\n\014content_hash\030\006 \001(\006\0220\n\007content\030\007 \001(" +
       "\0132\037.borageproxy.membership.Content\022/\n\004lo" +
       "ad\030\010 \001(\0132!.borageproxy.membership.LoadSt" +
-      "ate\"e\n\nDigestLine\022\014\n\004name\030\001 \001(\t\022\023\n\013incar" +
+      "ate\"U\n\nDigestLine\022\014\n\004name\030\001 \001(\t\022\023\n\013incar" +
       "nation\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\022\014\n\004left\030\004" +
-      " \001(\010\022\024\n\014content_hash\030\005 \001(\006\";\n\006Digest\0221\n\005" +
-      "lines\030\001 \003(\0132\".borageproxy.membership.Dig" +
-      "estLine\"z\n\021MembershipMessage\0225\n\007updates\030" +
-      "\001 \003(\0132$.borageproxy.membership.ServerUpd" +
-      "ate\022.\n\006digest\030\002 \001(\0132\036.borageproxy.member" +
-      "ship.DigestB0\n\032org.borageproxy.wire.prot" +
-      "oB\022MembershipProtocolb\006proto3"
+      " \001(\010J\004\010\005\020\006\"R\n\006Digest\0221\n\005lines\030\001 \003(\0132\".bo" +
+      "rageproxy.membership.DigestLine\022\025\n\rprese" +
+      "nce_only\030\002 \001(\010\"z\n\021MembershipMessage\0225\n\007u" +
+      "pdates\030\001 \003(\0132$.borageproxy.membership.Se" +
+      "rverUpdate\022.\n\006digest\030\002 \001(\0132\036.borageproxy" +
+      ".membership.DigestB0\n\032org.borageproxy.wi" +
+      "re.protoB\022MembershipProtocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -8818,13 +8843,13 @@
     internal_static_borageproxy_membership_DigestLine_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_membership_DigestLine_descriptor,
-        new java.lang.String[] { "Name", "Incarnation", "Sequence", "Left", "ContentHash", });
+        new java.lang.String[] { "Name", "Incarnation", "Sequence", "Left", });
     internal_static_borageproxy_membership_Digest_descriptor =
       getDescriptor().getMessageType(6);
     internal_static_borageproxy_membership_Digest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_membership_Digest_descriptor,
-        new java.lang.String[] { "Lines", });
+        new java.lang.String[] { "Lines", "PresenceOnly", });
     internal_static_borageproxy_membership_MembershipMessage_descriptor =
       getDescriptor().getMessageType(7);
     internal_static_borageproxy_membership_MembershipMessage_fieldAccessorTable = new
--- a/src/test/java/org/borageproxy/membership/InMemoryNetwork.java
+++ b/src/test/java/org/borageproxy/membership/InMemoryNetwork.java
@@ -1,6 +1,7 @@
 package org.borageproxy.membership;
 
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
@@ -17,6 +18,8 @@
 
     private final Map<VmName, Map<MessageKind, VmNetwork.Handler>> handlers = new ConcurrentHashMap<>();
     private final Map<VmName, Boolean> isolated = new ConcurrentHashMap<>();
+    private final Map<VmName, Integer> receivedBytes = new ConcurrentHashMap<>();
+    private final Map<VmName, Set<VmName>> senders = new ConcurrentHashMap<>();
 
     VmNetwork at(VmName vm) {
         handlers.put(vm, new ConcurrentHashMap<>());
@@ -34,6 +37,9 @@
                 if (handler == null || isolated.containsKey(vm) || isolated.containsKey(recipient)) {
                     return CompletableFuture.failedFuture(new UnreachableException("VM is isolated or has no handler"));
                 }
+                receivedBytes.merge(recipient, body.size(), Integer::sum);
+                senders.computeIfAbsent(recipient, name -> ConcurrentHashMap.newKeySet())
+                        .add(vm);
                 return handler.handle(vm, body);
             }
 
@@ -44,6 +50,16 @@
         };
     }
 
+    /** Returns the bytes of the messages and requests that a VM has received. */
+    int receivedBytes(VmName vm) {
+        return receivedBytes.getOrDefault(vm, 0);
+    }
+
+    /** Returns the VMs from which a VM has received a message or request. */
+    Set<VmName> senders(VmName vm) {
+        return senders.getOrDefault(vm, Set.of());
+    }
+
     void isolate(VmName vm) {
         isolated.put(vm, true);
     }
--- a/src/test/java/org/borageproxy/membership/MembershipExchangeTest.java
+++ b/src/test/java/org/borageproxy/membership/MembershipExchangeTest.java
@@ -76,7 +76,8 @@
     }
 
     private MembershipExchange exchange(VmName self, VmName peer, BackendServerRegistry registry) {
-        return new MembershipExchange(registry, network.at(self), () -> List.of(peer), () -> 0L, new Random(42));
+        MembershipPeers peers = MembershipPeers.exchangingWith(() -> List.of(peer));
+        return new MembershipExchange(registry, network.at(self), peers, () -> 0L, new Random(42));
     }
 
     private static BackendServerRegistry registry() {
