Start the VMs of the platform from a class data archive made by the build

Cause: a VM spent 1.2 to 1.8 s of processor time until it served, most of it loading and verifying some thousand classes; 100 VMs start together. PlatformRehearsalTest runs the same VM.

--- a/src/main/java/org/borageproxy/command/PlatformCommand.java
+++ b/src/main/java/org/borageproxy/command/PlatformCommand.java
@@ -1,10 +1,12 @@
 package org.borageproxy.command;
 
 import java.io.PrintStream;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Optional;
 import java.util.OptionalInt;
 
+import org.borageproxy.platform.PlatformRehearsal;
 import org.borageproxy.platform.PlatformVm;
 import org.borageproxy.server.GatewayProcess;
 import org.borageproxy.settings.SettingsException;
@@ -25,8 +27,17 @@
     @Option(name = "--settings", metaVar = "FILE", usage = "settings file; if absent, the one named by the environment")
     private String settingsFile;
 
+    @Option(
+            name = "--rehearse",
+            usage = "run a VM on loopback ports through some requests and exit; the build records its classes")
+    private boolean rehearse;
+
     @Override
     public ExitCode run(PrintStream output) throws Exception {
+        if (rehearse) {
+            new PlatformRehearsal().run(Files.createTempDirectory("borageproxy-rehearsal"));
+            return ExitCode.DONE;
+        }
         Path file = Optional.ofNullable(settingsFile)
                 .map(Path::of)
                 .or(PlatformVm::settingsFile)
