Let a report cost the coordinator what it names, not what all entries use

Cause: for each report (about eight a second and entry, more under load) the coordinator summed the usage that all entries reported, twice, built an answer with the load of every server, and searched for each queued request again. Each order told every entry at once. Change: running totals by server (ServerUsageTotals, in place of ServerUsages); the load on engines, which entries use only without a coordinator, goes out every 500 ms, that on plain services with each answer as before; reports within 4 ms share one pass over the queue; changed inventories go to the entries every 250 ms, and only while the VM leads.

--- a/src/main/java/org/borageproxy/coordination/Coordinator.java
+++ b/src/main/java/org/borageproxy/coordination/Coordinator.java
@@ -1,7 +1,6 @@
 package org.borageproxy.coordination;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -36,6 +35,8 @@
 
     /** Period for which a report counts; an entry without a later report is left out of the totals. */
     private static final Duration REPORT_VALIDITY = Duration.ofMillis(1500);
+    /** Interval at which an entry receives the load on model engines, which it uses only without a coordinator. */
+    private static final Duration ENGINE_USAGE_INTERVAL = Duration.ofMillis(500);
 
     private final GroupMember member;
     private final MonotonicClock clock;
@@ -44,10 +45,11 @@
     private final Placement placement;
     private final BiConsumer<VmName, UsageReport> reportListener;
     private final Map<VmName, ReceivedReport> reports = new HashMap<>();
+    private final ServerUsageTotals usage = new ServerUsageTotals();
     private final Map<String, RateSplitter> splitters = new HashMap<>();
     private long term = -1;
 
-    private record ReceivedReport(UsageReport report, Deadline expiresAt) {}
+    private record ReceivedReport(UsageReport report, Deadline expiresAt, Deadline nextEngineUsageAt) {}
 
     /** Model demand and loaded models, as the coordinator exchanges them with the placement. */
     public interface Placement {
@@ -127,12 +129,25 @@
     private synchronized CoordinationUpdate.Builder buildUpdate(VmName sender, UsageReport report) {
         long nowNanos = clock.nanoTime();
         resetOnNewTerm();
-        reports.values().removeIf(received -> received.expiresAt().hasPassed(nowNanos));
-        reports.put(sender, new ReceivedReport(report, Deadline.after(nowNanos, REPORT_VALIDITY)));
-        CoordinationUpdate.Builder update = CoordinationUpdate.newBuilder()
-                .setCoordinates(true)
-                .setEntries(reports.size())
-                .addAllServers(usageExcluding(sender));
+        removeExpiredReports(nowNanos);
+        Optional<ReceivedReport> previous = Optional.ofNullable(reports.get(sender));
+        previous.ifPresent(received -> usage.remove(received.report().getServersList()));
+        boolean hasEngineUsage = previous.map(
+                        received -> received.nextEngineUsageAt().hasPassed(nowNanos))
+                .orElse(true);
+        CoordinationUpdate.Builder update =
+                CoordinationUpdate.newBuilder().setCoordinates(true).setAllServers(hasEngineUsage);
+        for (ServerUsage others : usage.latest()) {
+            if (hasEngineUsage || others.getHeldTokens() == 0) {
+                update.addServers(others);
+            }
+        }
+        usage.add(report.getServersList());
+        Deadline nextEngineUsageAt = hasEngineUsage
+                ? Deadline.after(nowNanos, ENGINE_USAGE_INTERVAL)
+                : previous.get().nextEngineUsageAt();
+        reports.put(sender, new ReceivedReport(report, Deadline.after(nowNanos, REPORT_VALIDITY), nextEngineUsageAt));
+        update.setEntries(reports.size());
         Map<String, WorkspaceUsage> usageByWorkspace = new HashMap<>();
         report.getWorkspacesList().forEach(usage -> usageByWorkspace.put(usage.getName(), usage));
         splitters.keySet().retainAll(workspaces.get().keySet());
@@ -148,11 +163,22 @@
         return update;
     }
 
+    private void removeExpiredReports(long nowNanos) {
+        reports.values().removeIf(received -> {
+            boolean isExpired = received.expiresAt().hasPassed(nowNanos);
+            if (isExpired) {
+                usage.remove(received.report().getServersList());
+            }
+            return isExpired;
+        });
+    }
+
     private void resetOnNewTerm() {
         long currentTerm = member.status().term();
         if (currentTerm != term) {
             term = currentTerm;
             reports.clear();
+            usage.clear();
             splitters.clear();
         }
     }
@@ -185,16 +211,4 @@
         registered.forEach(entry -> splitter.assumeShare(entry, limit.rate() / (double) registered.size(), nowNanos));
         return splitter;
     }
-
-    private List<ServerUsage> usageExcluding(VmName sender) {
-        Map<String, ServerUsage> sums = new HashMap<>();
-        reports.forEach((entry, received) -> {
-            if (!entry.equals(sender)) {
-                received.report()
-                        .getServersList()
-                        .forEach(usage -> sums.merge(usage.getName(), usage, ServerUsages::sum));
-            }
-        });
-        return new ArrayList<>(sums.values());
-    }
 }
--- a/src/main/java/org/borageproxy/forward/ServerPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerPool.java
@@ -512,22 +512,22 @@
     }
 
     /**
-     * Replaces the load of the other VMs. Servers that were never considered for a request are skipped.
+     * Updates the load of the other VMs and retries the queued requests. Servers that were never considered for a
+     * request are skipped.
      *
-     * @param usages the total usage of the other VMs, one for each server; a server that is left out, or whose
-     *     incarnation differs, has none
+     * @param usages the total usage of the other VMs, one for each server; a server that is left out has none
+     * @param isComplete {@code false} if the usage of model engines is left out and unchanged
      */
-    public void updateOtherVmUsage(List<ServerUsage> usages) {
-        Map<String, ServerUsage> byName = new HashMap<>();
-        usages.forEach(usage -> byName.put(usage.getName(), usage));
-        loads.forEach((name, load) -> {
-            ServerUsage usage = byName.getOrDefault(name.value(), ServerUsage.getDefaultInstance());
-            boolean isCurrent = usage.getIncarnation() == load.incarnation();
-            load.setOtherVmLoad(
-                    isCurrent ? usage.getRequests() : 0,
-                    isCurrent ? usage.getPromptTokens() : 0,
-                    isCurrent ? usage.getHeldTokens() : 0);
-        });
+    public void updateOtherVmUsage(List<ServerUsage> usages, boolean isComplete) {
+        loads.values().stream()
+                .filter(load -> isComplete || !load.hasOtherVmTokens())
+                .forEach(load -> load.setOtherVmLoad(0, 0, 0));
+        for (ServerUsage usage : usages) {
+            ServerLoad load = loads.get(new BackendServerName(usage.getName()));
+            if (load != null && usage.getIncarnation() == load.incarnation()) {
+                load.setOtherVmLoad(usage.getRequests(), usage.getPromptTokens(), usage.getHeldTokens());
+            }
+        }
         queue.retryAll();
     }
 
--- a/src/main/java/org/borageproxy/forward/SlotBroker.java
+++ b/src/main/java/org/borageproxy/forward/SlotBroker.java
@@ -11,13 +11,14 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import org.borageproxy.control.Timer;
 import org.borageproxy.coordination.ModelInventory;
-import org.borageproxy.coordination.ServerUsages;
+import org.borageproxy.coordination.ServerUsageTotals;
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.publication.EnginePool;
 import org.borageproxy.routing.EngineWork;
@@ -56,12 +57,16 @@
     private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(10);
 
     private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(300);
+    /** Delay after a report until the usage is updated and the queued requests are retried. */
+    private static final Duration REFRESH_DELAY = Duration.ofMillis(4);
     /** Maximum delay of an answer; a request that has to wait longer is told to ask again. */
     static final Duration MAX_ANSWER_DELAY = Duration.ofMillis(200);
 
     private final Environment environment;
     private final ServerPool pool;
     private final Map<VmName, Entry> entries = new HashMap<>();
+    private final ServerUsageTotals usage = new ServerUsageTotals();
+    private boolean isRefreshScheduled;
 
     /**
      * Collaborators of the broker.
@@ -140,16 +145,37 @@
     public void recordReport(VmName sender, UsageReport report) {
         long nowNanos = environment.clock().nanoTime();
         Entry entry = entries.computeIfAbsent(sender, name -> new Entry());
-        if (!entry.session.equals(report.getSession())) {
-            entry.session = report.getSession();
-            entry.grants.clear();
-        }
+        boolean isSameSession = entry.session.equals(report.getSession());
+        entry.session = report.getSession();
+        removeGrants(entry, grant -> !isSameSession || grant.slot() <= report.getLastSlot());
+        usage.remove(entry.reportedUsage);
+        usage.add(report.getServersList());
         entry.reportedUsage = report.getServersList();
         entry.expiresAt = Deadline.after(nowNanos, Duration.ofMillis(1500));
-        entry.grants.removeIf(each -> each.slot() <= report.getLastSlot());
         report.getServersList().forEach(pool::applyOutcomes);
         report.getPacesList().forEach(pace -> pool.mergeLatencyRatio(pace.getModel(), pace.getPace()));
-        refreshUsage();
+        scheduleRefresh();
+    }
+
+    private void removeGrants(Entry entry, Predicate<Grant> isObsolete) {
+        entry.grants.removeIf(grant -> {
+            boolean isRemoved = isObsolete.test(grant);
+            if (isRemoved) {
+                usage.remove(List.of(grant.usage()));
+            }
+            return isRemoved;
+        });
+    }
+
+    /** Reports arrive in quick succession; one refresh and one pass over the queue serve all of an interval. */
+    private void scheduleRefresh() {
+        if (!isRefreshScheduled) {
+            isRefreshScheduled = true;
+            environment.timer().schedule(REFRESH_DELAY, () -> {
+                isRefreshScheduled = false;
+                refreshUsage();
+            });
+        }
     }
 
     /**
@@ -164,14 +190,15 @@
 
     private void refreshUsage() {
         long nowNanos = environment.clock().nanoTime();
-        entries.values().removeIf(entry -> entry.expiresAt.hasPassed(nowNanos));
-        Map<String, ServerUsage> usageByServer = new HashMap<>();
-        entries.values().forEach(entry -> {
-            entry.grants.removeIf(each -> each.expiresAt().hasPassed(nowNanos));
-            entry.reportedUsage.forEach(usage -> usageByServer.merge(usage.getName(), usage, ServerUsages::sum));
-            entry.grants.forEach(each -> usageByServer.merge(each.usage().getName(), each.usage(), ServerUsages::sum));
+        entries.values().removeIf(entry -> {
+            boolean isExpired = entry.expiresAt.hasPassed(nowNanos);
+            removeGrants(entry, grant -> isExpired || grant.expiresAt().hasPassed(nowNanos));
+            if (isExpired) {
+                usage.remove(entry.reportedUsage);
+            }
+            return isExpired;
         });
-        pool.updateOtherVmUsage(List.copyOf(usageByServer.values()));
+        pool.updateOtherVmUsage(usage.latest(), true);
     }
 
     @Override
@@ -257,7 +284,7 @@
         private void grant(ServerSelector.Choice choice) {
             Entry entry = entries.computeIfAbsent(sender, name -> new Entry());
             entry.lastSlot++;
-            ServerUsage usage = ServerUsage.newBuilder()
+            ServerUsage granted = ServerUsage.newBuilder()
                     .setName(choice.server().name().value())
                     .setIncarnation(choice.server().incarnation())
                     .setRequests(1)
@@ -265,7 +292,8 @@
                     .setHeldTokens(work.totalTokens())
                     .build();
             Deadline expiresAt = Deadline.after(environment.clock().nanoTime(), UNREPORTED_GRANT_VALIDITY);
-            entry.grants.add(new Grant(entry.lastSlot, usage, expiresAt));
+            entry.grants.add(new Grant(entry.lastSlot, granted, expiresAt));
+            usage.add(List.of(granted));
             if (entry.expiresAt == null) {
                 entry.expiresAt = expiresAt;
             }
--- a/src/main/java/org/borageproxy/routing/ServerLoad.java
+++ b/src/main/java/org/borageproxy/routing/ServerLoad.java
@@ -95,6 +95,15 @@
         ownReservedTokens -= reservedTokens;
     }
 
+    /**
+     * Returns whether the other VMs have tokens reserved at the server, which only model engines have.
+     *
+     * @return {@code false} for a plain service, or without requests of other VMs
+     */
+    public boolean hasOtherVmTokens() {
+        return otherReservedTokens > 0;
+    }
+
     /**
      * Replaces the load of the other VMs.
      *
--- a/src/main/java/org/borageproxy/server/GatewayControl.java
+++ b/src/main/java/org/borageproxy/server/GatewayControl.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -58,6 +59,9 @@
 
     private static final Duration READ_TIMEOUT = Duration.ofMillis(700);
 
+    /** Delay of a notice to all entries, so that many changes cost one message to each. */
+    private static final Duration NOTICE_DELAY = Duration.ofMillis(250);
+
     private static final LogSettings LOG_SETTINGS = LogSettings.STANDARD;
 
     private final GatewayRuntime runtime;
@@ -67,6 +71,9 @@
     private final AdmissionService admission;
     private final FleetPlacement placement;
     private final SlotBroker slotBroker;
+    /** Changes that the entries have not been told yet; confined to the event loop. */
+    private final Map<String, ModelInventory> changedInventories = new LinkedHashMap<>();
+
     private volatile Optional<Publication> publication = Optional.empty();
 
     private GatewayControl(GatewayRuntime runtime, Path folder) throws IOException {
@@ -182,11 +189,22 @@
 
     private void notifyEntries(String server, ModelInventory inventory) {
         slotBroker.updateInventory(server, inventory);
-        ByteString notice = CoordinationUpdate.newBuilder()
-                .setCoordinates(true)
-                .addContents(inventory.encode(server))
-                .build()
-                .toByteString();
+        boolean isFirst = changedInventories.isEmpty();
+        changedInventories.put(server, inventory);
+        if (isFirst) {
+            runtime.timer().schedule(NOTICE_DELAY, this::sendNotice);
+        }
+    }
+
+    /** Sends the inventories that changed since the last notice. Entries use them while no coordinator answers. */
+    private void sendNotice() {
+        CoordinationUpdate.Builder update = CoordinationUpdate.newBuilder().setCoordinates(true);
+        changedInventories.forEach((name, changed) -> update.addContents(changed.encode(name)));
+        changedInventories.clear();
+        if (!member.isLeader()) {
+            return;
+        }
+        ByteString notice = update.build().toByteString();
         runtime.spread().registeredDataPlaneVms().forEach(entry -> runtime.network()
                 .send(entry, MessageKind.COORDINATION_NOTICE, notice));
     }
--- a/src/main/java/org/borageproxy/server/GatewayEntry.java
+++ b/src/main/java/org/borageproxy/server/GatewayEntry.java
@@ -163,7 +163,7 @@
             retryBudgets.values().forEach(budget -> budget.setMaximum(retryBurst()));
         }
         if (update.getEntries() > 0) {
-            pool.updateOtherVmUsage(update.getServersList());
+            pool.updateOtherVmUsage(update.getServersList(), update.getAllServers());
             Map<String, PublishedWorkspace> workspaces = servedPublication
                     .map(current -> current.publication().workspaces())
                     .orElse(Map.of());
--- a/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
@@ -6209,7 +6209,7 @@
 
     /**
      * <pre>
-     * The load of all other entries.
+     * The load of all other entries, on plain services only unless all_servers is set.
      * </pre>
      *
      * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
@@ -6218,7 +6218,7 @@
         getServersList();
     /**
      * <pre>
-     * The load of all other entries.
+     * The load of all other entries, on plain services only unless all_servers is set.
      * </pre>
      *
      * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
@@ -6226,7 +6226,7 @@
     org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage getServers(int index);
     /**
      * <pre>
-     * The load of all other entries.
+     * The load of all other entries, on plain services only unless all_servers is set.
      * </pre>
      *
      * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
@@ -6234,7 +6234,7 @@
     int getServersCount();
     /**
      * <pre>
-     * The load of all other entries.
+     * The load of all other entries, on plain services only unless all_servers is set.
      * </pre>
      *
      * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
@@ -6243,7 +6243,7 @@
         getServersOrBuilderList();
     /**
      * <pre>
-     * The load of all other entries.
+     * The load of all other entries, on plain services only unless all_servers is set.
      * </pre>
      *
      * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
@@ -6324,6 +6324,17 @@
      * @return The contentsVersion.
      */
     long getContentsVersion();
+
+    /**
+     * <pre>
+     * Whether the load on model engines is included. It is left out of most answers, since the coordinator chooses the
+     * engines while it answers.
+     * </pre>
+     *
+     * <code>bool all_servers = 8;</code>
+     * @return The allServers.
+     */
+    boolean getAllServers();
   }
   /**
    * <pre>
@@ -6449,7 +6460,7 @@
     private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage> servers_;
     /**
      * <pre>
-     * The load of all other entries.
+     * The load of all other entries, on plain services only unless all_servers is set.
      * </pre>
      *
      * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
@@ -6460,7 +6471,7 @@
     }
     /**
      * <pre>
-     * The load of all other entries.
+     * The load of all other entries, on plain services only unless all_servers is set.
      * </pre>
      *
      * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
@@ -6472,7 +6483,7 @@
     }
     /**
      * <pre>
-     * The load of all other entries.
+     * The load of all other entries, on plain services only unless all_servers is set.
      * </pre>
      *
      * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
@@ -6483,7 +6494,7 @@
     }
     /**
      * <pre>
-     * The load of all other entries.
+     * The load of all other entries, on plain services only unless all_servers is set.
      * </pre>
      *
      * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
@@ -6494,7 +6505,7 @@
     }
     /**
      * <pre>
-     * The load of all other entries.
+     * The load of all other entries, on plain services only unless all_servers is set.
      * </pre>
      *
      * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
@@ -6618,6 +6629,22 @@
       return contentsVersion_;
     }
 
+    public static final int ALL_SERVERS_FIELD_NUMBER = 8;
+    private boolean allServers_ = false;
+    /**
+     * <pre>
+     * Whether the load on model engines is included. It is left out of most answers, since the coordinator chooses the
+     * engines while it answers.
+     * </pre>
+     *
+     * <code>bool all_servers = 8;</code>
+     * @return The allServers.
+     */
+    @java.lang.Override
+    public boolean getAllServers() {
+      return allServers_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -6653,6 +6680,9 @@
       if (contentsVersion_ != 0L) {
         output.writeUInt64(7, contentsVersion_);
       }
+      if (allServers_ != false) {
+        output.writeBool(8, allServers_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -6704,6 +6734,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(7, contentsVersion_);
       }
+      if (allServers_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(8, allServers_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -6733,6 +6767,8 @@
           .equals(other.getContentsList())) return false;
       if (getContentsVersion()
           != other.getContentsVersion()) return false;
+      if (getAllServers()
+          != other.getAllServers()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -6766,6 +6802,9 @@
       hash = (37 * hash) + CONTENTS_VERSION_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getContentsVersion());
+      hash = (37 * hash) + ALL_SERVERS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getAllServers());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -6926,6 +6965,7 @@
         }
         bitField0_ = (bitField0_ & ~0x00000020);
         contentsVersion_ = 0L;
+        allServers_ = false;
         return this;
       }
 
@@ -7002,6 +7042,9 @@
         if (((from_bitField0_ & 0x00000040) != 0)) {
           result.contentsVersion_ = contentsVersion_;
         }
+        if (((from_bitField0_ & 0x00000080) != 0)) {
+          result.allServers_ = allServers_;
+        }
       }
 
       @java.lang.Override
@@ -7108,6 +7151,9 @@
         if (other.getContentsVersion() != 0L) {
           setContentsVersion(other.getContentsVersion());
         }
+        if (other.getAllServers() != false) {
+          setAllServers(other.getAllServers());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -7193,6 +7239,11 @@
                 bitField0_ |= 0x00000040;
                 break;
               } // case 56
+              case 64: {
+                allServers_ = input.readBool();
+                bitField0_ |= 0x00000080;
+                break;
+              } // case 64
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -7384,7 +7435,7 @@
 
       /**
        * <pre>
-       * The load of all other entries.
+       * The load of all other entries, on plain services only unless all_servers is set.
        * </pre>
        *
        * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
@@ -7398,7 +7449,7 @@
       }
       /**
        * <pre>
-       * The load of all other entries.
+       * The load of all other entries, on plain services only unless all_servers is set.
        * </pre>
        *
        * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
@@ -7412,7 +7463,7 @@
       }
       /**
        * <pre>
-       * The load of all other entries.
+       * The load of all other entries, on plain services only unless all_servers is set.
        * </pre>
        *
        * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
@@ -7426,7 +7477,7 @@
       }
       /**
        * <pre>
-       * The load of all other entries.
+       * The load of all other entries, on plain services only unless all_servers is set.
        * </pre>
        *
        * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
@@ -7447,7 +7498,7 @@
       }
       /**
        * <pre>
-       * The load of all other entries.
+       * The load of all other entries, on plain services only unless all_servers is set.
        * </pre>
        *
        * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
@@ -7465,7 +7516,7 @@
       }
       /**
        * <pre>
-       * The load of all other entries.
+       * The load of all other entries, on plain services only unless all_servers is set.
        * </pre>
        *
        * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
@@ -7485,7 +7536,7 @@
       }
       /**
        * <pre>
-       * The load of all other entries.
+       * The load of all other entries, on plain services only unless all_servers is set.
        * </pre>
        *
        * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
@@ -7506,7 +7557,7 @@
       }
       /**
        * <pre>
-       * The load of all other entries.
+       * The load of all other entries, on plain services only unless all_servers is set.
        * </pre>
        *
        * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
@@ -7524,7 +7575,7 @@
       }
       /**
        * <pre>
-       * The load of all other entries.
+       * The load of all other entries, on plain services only unless all_servers is set.
        * </pre>
        *
        * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
@@ -7542,7 +7593,7 @@
       }
       /**
        * <pre>
-       * The load of all other entries.
+       * The load of all other entries, on plain services only unless all_servers is set.
        * </pre>
        *
        * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
@@ -7561,7 +7612,7 @@
       }
       /**
        * <pre>
-       * The load of all other entries.
+       * The load of all other entries, on plain services only unless all_servers is set.
        * </pre>
        *
        * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
@@ -7578,7 +7629,7 @@
       }
       /**
        * <pre>
-       * The load of all other entries.
+       * The load of all other entries, on plain services only unless all_servers is set.
        * </pre>
        *
        * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
@@ -7595,7 +7646,7 @@
       }
       /**
        * <pre>
-       * The load of all other entries.
+       * The load of all other entries, on plain services only unless all_servers is set.
        * </pre>
        *
        * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
@@ -7606,7 +7657,7 @@
       }
       /**
        * <pre>
-       * The load of all other entries.
+       * The load of all other entries, on plain services only unless all_servers is set.
        * </pre>
        *
        * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
@@ -7620,7 +7671,7 @@
       }
       /**
        * <pre>
-       * The load of all other entries.
+       * The load of all other entries, on plain services only unless all_servers is set.
        * </pre>
        *
        * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
@@ -7635,7 +7686,7 @@
       }
       /**
        * <pre>
-       * The load of all other entries.
+       * The load of all other entries, on plain services only unless all_servers is set.
        * </pre>
        *
        * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
@@ -7646,7 +7697,7 @@
       }
       /**
        * <pre>
-       * The load of all other entries.
+       * The load of all other entries, on plain services only unless all_servers is set.
        * </pre>
        *
        * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
@@ -7658,7 +7709,7 @@
       }
       /**
        * <pre>
-       * The load of all other entries.
+       * The load of all other entries, on plain services only unless all_servers is set.
        * </pre>
        *
        * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
@@ -8266,6 +8317,53 @@
         return this;
       }
 
+      private boolean allServers_ ;
+      /**
+       * <pre>
+       * Whether the load on model engines is included. It is left out of most answers, since the coordinator chooses the
+       * engines while it answers.
+       * </pre>
+       *
+       * <code>bool all_servers = 8;</code>
+       * @return The allServers.
+       */
+      @java.lang.Override
+      public boolean getAllServers() {
+        return allServers_;
+      }
+      /**
+       * <pre>
+       * Whether the load on model engines is included. It is left out of most answers, since the coordinator chooses the
+       * engines while it answers.
+       * </pre>
+       *
+       * <code>bool all_servers = 8;</code>
+       * @param value The allServers to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAllServers(boolean value) {
+
+        allServers_ = value;
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether the load on model engines is included. It is left out of most answers, since the coordinator chooses the
+       * engines while it answers.
+       * </pre>
+       *
+       * <code>bool all_servers = 8;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAllServers() {
+        bitField0_ = (bitField0_ & ~0x00000080);
+        allServers_ = false;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.coordination.CoordinationUpdate)
     }
 
@@ -15591,39 +15689,40 @@
       "(\004\022\r\n\005spent\030\004 \001(\004\022\r\n\005needs\030\006 \003(\004\022\020\n\010retu" +
       "rned\030\007 \001(\004J\004\010\005\020\006\"_\n\013ModelDemand\022\017\n\007servi" +
       "ce\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022\017\n\007adapter\030\003 \001(\t" +
-      "\022\016\n\006tokens\030\004 \001(\004\022\017\n\007waiting\030\005 \001(\r\"\221\002\n\022Co" +
+      "\022\016\n\006tokens\030\004 \001(\004\022\017\n\007waiting\030\005 \001(\r\"\246\002\n\022Co" +
       "ordinationUpdate\022\023\n\013coordinates\030\001 \001(\010\022\023\n" +
       "\013coordinator\030\002 \001(\t\022\017\n\007entries\030\003 \001(\r\0226\n\007s" +
       "ervers\030\004 \003(\0132%.borageproxy.coordination." +
       "ServerUsage\0223\n\006shares\030\005 \003(\0132#.borageprox" +
       "y.coordination.RateShare\0229\n\010contents\030\006 \003" +
       "(\0132\'.borageproxy.coordination.ServerCont" +
-      "ent\022\030\n\020contents_version\030\007 \001(\004\"\277\002\n\013SlotRe" +
-      "quest\022\014\n\004zone\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\r\n\005" +
-      "model\030\003 \001(\t\022\017\n\007adapter\030\004 \001(\t\022\025\n\rprompt_t" +
-      "okens\030\005 \001(\r\022\025\n\routput_tokens\030\006 \001(\r\0225\n\005pa" +
-      "rts\030\007 \003(\0132&.borageproxy.coordination.Par" +
-      "tOfPrompt\022\014\n\004rank\030\010 \001(\r\022\030\n\020objective_mil" +
-      "lis\030\t \001(\r\022\027\n\017deadline_millis\030\n \001(\r\022\r\n\005tr" +
-      "ied\030\013 \003(\t\022\025\n\rwaited_millis\030\014 \001(\r\022\021\n\tabse" +
-      "nt_at\030\016 \003(\t\022\014\n\004gone\030\017 \003(\tJ\004\010\r\020\016\"0\n\014PartO" +
-      "fPrompt\022\020\n\010identity\030\001 \001(\t\022\016\n\006tokens\030\002 \001(" +
-      "\r\"\270\002\n\nSlotAnswer\022=\n\007outcome\030\001 \001(\0162,.bora" +
-      "geproxy.coordination.SlotAnswer.Outcome\022" +
-      "\016\n\006server\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\004\022\027\n\017" +
-      "expected_millis\030\004 \001(\001\022\025\n\runread_tokens\030\005" +
-      " \001(\r\022\014\n\004slot\030\006 \001(\004\022\030\n\020come_back_millis\030\007" +
-      " \001(\r\"n\n\007Outcome\022\023\n\017NOT_COORDINATOR\020\000\022\n\n\006" +
-      "CHOSEN\020\001\022\r\n\tNO_SERVER\020\002\022\014\n\010NO_MODEL\020\003\022\013\n" +
-      "\007CROWDED\020\004\022\r\n\tALL_TRIED\020\005\022\t\n\005AGAIN\020\006\"=\n\t" +
-      "RateShare\022\021\n\tworkspace\030\001 \001(\t\022\014\n\004rate\030\002 \001" +
-      "(\004\022\017\n\007granted\030\003 \001(\004\"\211\001\n\rServerContent\022\014\n" +
-      "\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\016\n\006orde" +
-      "rs\030\003 \001(\004\0223\n\006models\030\004 \003(\0132#.borageproxy.c" +
-      "oordination.HeldModel\022\020\n\010arriving\030\005 \003(\t\"" +
-      ",\n\tHeldModel\022\r\n\005model\030\001 \001(\t\022\020\n\010adapters\030" +
-      "\002 \003(\tB2\n\032org.borageproxy.wire.protoB\024Coo" +
-      "rdinationProtocolb\006proto3"
+      "ent\022\030\n\020contents_version\030\007 \001(\004\022\023\n\013all_ser" +
+      "vers\030\010 \001(\010\"\277\002\n\013SlotRequest\022\014\n\004zone\030\001 \001(\t" +
+      "\022\017\n\007service\030\002 \001(\t\022\r\n\005model\030\003 \001(\t\022\017\n\007adap" +
+      "ter\030\004 \001(\t\022\025\n\rprompt_tokens\030\005 \001(\r\022\025\n\routp" +
+      "ut_tokens\030\006 \001(\r\0225\n\005parts\030\007 \003(\0132&.boragep" +
+      "roxy.coordination.PartOfPrompt\022\014\n\004rank\030\010" +
+      " \001(\r\022\030\n\020objective_millis\030\t \001(\r\022\027\n\017deadli" +
+      "ne_millis\030\n \001(\r\022\r\n\005tried\030\013 \003(\t\022\025\n\rwaited" +
+      "_millis\030\014 \001(\r\022\021\n\tabsent_at\030\016 \003(\t\022\014\n\004gone" +
+      "\030\017 \003(\tJ\004\010\r\020\016\"0\n\014PartOfPrompt\022\020\n\010identity" +
+      "\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\r\"\270\002\n\nSlotAnswer\022=\n" +
+      "\007outcome\030\001 \001(\0162,.borageproxy.coordinatio" +
+      "n.SlotAnswer.Outcome\022\016\n\006server\030\002 \001(\t\022\023\n\013" +
+      "incarnation\030\003 \001(\004\022\027\n\017expected_millis\030\004 \001" +
+      "(\001\022\025\n\runread_tokens\030\005 \001(\r\022\014\n\004slot\030\006 \001(\004\022" +
+      "\030\n\020come_back_millis\030\007 \001(\r\"n\n\007Outcome\022\023\n\017" +
+      "NOT_COORDINATOR\020\000\022\n\n\006CHOSEN\020\001\022\r\n\tNO_SERV" +
+      "ER\020\002\022\014\n\010NO_MODEL\020\003\022\013\n\007CROWDED\020\004\022\r\n\tALL_T" +
+      "RIED\020\005\022\t\n\005AGAIN\020\006\"=\n\tRateShare\022\021\n\tworksp" +
+      "ace\030\001 \001(\t\022\014\n\004rate\030\002 \001(\004\022\017\n\007granted\030\003 \001(\004" +
+      "\"\211\001\n\rServerContent\022\014\n\004name\030\001 \001(\t\022\023\n\013inca" +
+      "rnation\030\002 \001(\004\022\016\n\006orders\030\003 \001(\004\0223\n\006models\030" +
+      "\004 \003(\0132#.borageproxy.coordination.HeldMod" +
+      "el\022\020\n\010arriving\030\005 \003(\t\",\n\tHeldModel\022\r\n\005mod" +
+      "el\030\001 \001(\t\022\020\n\010adapters\030\002 \003(\tB2\n\032org.borage" +
+      "proxy.wire.protoB\024CoordinationProtocolb\006" +
+      "proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -15664,7 +15763,7 @@
     internal_static_borageproxy_coordination_CoordinationUpdate_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_CoordinationUpdate_descriptor,
-        new java.lang.String[] { "Coordinates", "Coordinator", "Entries", "Servers", "Shares", "Contents", "ContentsVersion", });
+        new java.lang.String[] { "Coordinates", "Coordinator", "Entries", "Servers", "Shares", "Contents", "ContentsVersion", "AllServers", });
     internal_static_borageproxy_coordination_SlotRequest_descriptor =
       getDescriptor().getMessageType(6);
     internal_static_borageproxy_coordination_SlotRequest_fieldAccessorTable = new
--- a/src/test/java/org/borageproxy/forward/SlotBrokerTest.java
+++ b/src/test/java/org/borageproxy/forward/SlotBrokerTest.java
@@ -33,12 +33,19 @@
     private final VirtualTime time = new VirtualTime(1);
     private Optional<Duration> untilArrival = Optional.empty();
     private int waiting;
+    private int selections;
     private final SlotBroker broker = broker();
 
     private SlotBroker broker() {
         BackendServer other = BackendServerFixture.engine("other", "n");
-        ServerPool pool =
-                new ServerPool(() -> List.of(other), time::nowNanos, BackendServerFixture.ZONE, new Random(1));
+        ServerPool pool = new ServerPool(
+                () -> {
+                    selections++;
+                    return List.of(other);
+                },
+                time::nowNanos,
+                BackendServerFixture.ZONE,
+                new Random(1));
         SlotBroker made = new SlotBroker(new SlotBroker.Environment(
                 () -> true,
                 pool,
@@ -117,6 +124,31 @@
         assertEquals(maximumWaitMillis, answer.getComeBackMillis(), 1);
     }
 
+    /**
+     * Load pattern: a hundred entries report at the same time while many requests wait for an engine. The queue is
+     * searched once for all of the reports.
+     */
+    @Test
+    void manyReportsCauseOnePassOverTheQueue() {
+        for (int request = 0; request < 200; request++) {
+            ask("n", 5, 5_000, 0);
+        }
+        time.advance(Duration.ofMillis(10));
+        int before = selections;
+        int queued = selectionsOfOneReport(1);
+        assertTrue(queued > 0);
+        assertEquals(queued, selectionsOfOneReport(100), "selections before: " + before);
+    }
+
+    private int selectionsOfOneReport(int reports) {
+        int before = selections;
+        for (int entry = 0; entry < reports; entry++) {
+            broker.recordReport(new VmName("e" + entry), UsageReport.getDefaultInstance());
+        }
+        time.advance(Duration.ofMillis(10));
+        return selections - before;
+    }
+
     private final class Demand implements SlotBroker.Demand {
         @Override
         public void addWaiting(String service, EngineWork work, int change) {
