--- a/src/main/java/org/borageproxy/coordination/CoordinationClient.java
+++ b/src/main/java/org/borageproxy/coordination/CoordinationClient.java
@@ -30,6 +30,8 @@
 
     private static final Logger LOGGER = LoggerFactory.getLogger(CoordinationClient.class);
     private static final Duration REPORT_INTERVAL = Duration.ofMillis(120);
+    /** Interval after a report without usage; shorter than the validity of grants, which each report renews. */
+    private static final Duration IDLE_REPORT_INTERVAL = Duration.ofMillis(250);
     /** Minimum interval between urgent reports, so that a burst of requests does not flood the coordinator. */
     private static final Duration URGENT_REPORT_INTERVAL = Duration.ofMillis(15);
     /** Period after its last update for which a coordinator counts as reachable. */
@@ -47,6 +49,7 @@
     private VmName coordinator;
     private int nextCandidate;
     private boolean isReportInFlight;
+    private boolean isIdle;
     private boolean isUrgentReportPending;
     private boolean isRunning;
     private boolean hadCoordinator;
@@ -149,10 +152,12 @@
         isReportInFlight = true;
         long reportedAtNanos = clock.nanoTime();
         nextUrgentReportAt = Deadline.after(reportedAtNanos, URGENT_REPORT_INTERVAL);
+        UsageReport report = reportSource.get();
+        isIdle = report.getServersCount() == 0 && report.getWorkspacesCount() == 0 && report.getDemandsCount() == 0;
         network.request(
                         target,
                         MessageKind.COORDINATION,
-                        reportSource.get().toByteString(),
+                        report.toByteString(),
                         Deadline.after(reportedAtNanos, REPORT_TIMEOUT))
                 .whenComplete((body, failure) ->
                         eventLoop.execute(() -> handleAnswer(target, body, failure, reportedAtNanos)));
@@ -173,7 +178,11 @@
             return;
         }
         boolean isRedirected = !isCoordinator && coordinator != null;
-        schedule(isUrgentReportPending || isRedirected ? URGENT_REPORT_INTERVAL : REPORT_INTERVAL);
+        if (isUrgentReportPending || isRedirected) {
+            schedule(URGENT_REPORT_INTERVAL);
+        } else {
+            schedule(isCoordinator && isIdle ? IDLE_REPORT_INTERVAL : REPORT_INTERVAL);
+        }
     }
 
     private boolean handleUpdate(VmName sender, ByteString body, long reportedAtNanos) {
--- a/src/main/java/org/borageproxy/membership/BackendServerMembership.java
+++ b/src/main/java/org/borageproxy/membership/BackendServerMembership.java
@@ -19,7 +19,7 @@
 public final class BackendServerMembership implements AutoCloseable {
 
     /** Interval of the sweeps of the registry, in milliseconds. */
-    private static final long SWEEP_INTERVAL_MILLIS = 100;
+    private static final long SWEEP_INTERVAL_MILLIS = 250;
     /** Interval of the batches of heartbeats, in milliseconds. */
     private static final long BATCH_INTERVAL_MILLIS = 250;
     /** Interval of the batches of heartbeats to observers, in milliseconds. */
@@ -33,6 +33,8 @@
     private final MonotonicClock clock;
     private final BackendServerRegistry registry;
     private final MembershipExchange exchange;
+    /** Whether this VM receives no announcements, and so has nothing to send in batches. */
+    private final boolean isObserver;
     /** The announce port, empty if announcements arrive through another interface. */
     private final Optional<AnnounceServer> server;
 
@@ -64,6 +66,7 @@
         registry = new BackendServerRegistry(MembershipSettings.DEFAULT, events);
         exchange =
                 new MembershipExchange(registry, network, MembershipPeers.exchangingWith(peers), clock, new Random());
+        isObserver = false;
         server = Optional.of(new AnnounceServer(vertx, settings, new Receiver()));
     }
 
@@ -82,6 +85,7 @@
         this.clock = clock;
         registry = new BackendServerRegistry(MembershipSettings.DEFAULT, events);
         exchange = new MembershipExchange(registry, network, peers, clock, new Random());
+        isObserver = peers.isObserver();
         server = Optional.empty();
     }
 
--- a/src/main/java/org/borageproxy/server/GatewayRuntime.java
+++ b/src/main/java/org/borageproxy/server/GatewayRuntime.java
@@ -35,6 +35,8 @@
     private static final String PEER_CREDENTIAL = "fleet";
 
     private static final int BLOCKING_THREAD_COUNT = 1;
+    /** Interval of the check for a blocked event loop; each check wakes a thread of its own. */
+    private static final int BLOCKED_THREAD_CHECK_SECONDS = 10;
 
     private final ExternalProtocol protocol;
     private final MonotonicClock clock = MonotonicClock.ofSystem();
@@ -53,7 +55,9 @@
         vertx = Vertx.vertx(new VertxOptions()
                 .setEventLoopPoolSize(1)
                 .setWorkerPoolSize(BLOCKING_THREAD_COUNT)
-                .setInternalBlockingPoolSize(BLOCKING_THREAD_COUNT));
+                .setInternalBlockingPoolSize(BLOCKING_THREAD_COUNT)
+                .setBlockedThreadCheckInterval(BLOCKED_THREAD_CHECK_SECONDS)
+                .setBlockedThreadCheckIntervalUnit(TimeUnit.SECONDS));
         context = ((VertxInternal) vertx).createEventLoopContext();
         eventLoop = context.nettyEventLoop();
         HybridClock hybridClock = new HybridClock(InstantSource.system());
--- a/src/main/java/org/borageproxy/spread/ControlStateWatcher.java
+++ b/src/main/java/org/borageproxy/spread/ControlStateWatcher.java
@@ -46,7 +46,7 @@
     public static final Duration FRESHNESS_LEASE = Duration.ofMillis(2500);
 
     /** Time for which a control VM may delay its answer until a change. */
-    private static final Duration LONG_POLL_WAIT = Duration.ofMillis(400);
+    private static final Duration LONG_POLL_WAIT = Duration.ofMillis(800);
 
     /** Maximum time for a request in addition to the long-poll wait. */
     private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(600);
