Do not forward a request whose caller left before it was read

Cause: a caller that waits for a second without being read closes its connection. An entry that is busy, as after a restart, then reads the request and the end of the connection in two turns of its event loop, and sent the request on in between: at once over an idle connection to a server, otherwise as soon as the new connection opened. Ruled out: lost or late close events; the close was handled in the turn after the send. Change: one turn reads a caller's connection to its end, and a request starts after that read only if its connection is still open. ForwardingTest.requestOfCallerThatLeftBeforeItWasReadIsNotForwarded: five of five such requests were forwarded before, none after.

--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -81,8 +81,8 @@
     /** Refuses the request or begins its admission. */
     void start() {
         HttpServerRequest request = buffered.request();
-        request.response().closeHandler(closed -> callerLeft());
-        request.response().exceptionHandler(failure -> callerLeft());
+        request.response().closeHandler(closed -> handleCallerLeft());
+        request.response().exceptionHandler(failure -> handleCallerLeft());
         if (buffered.deadline().hasPassed(context.clock().nanoTime())) {
             refuse(RefusalReason.EXPIRED_UNSENT, Optional.empty());
             return;
@@ -513,7 +513,8 @@
         }
     }
 
-    private void callerLeft() {
+    /** Ends the request without an answer, unless it has ended. */
+    void handleCallerLeft() {
         if (!hasEnded) {
             finish("caller-left", 0);
         }
--- a/src/main/java/org/borageproxy/forward/ForwardServer.java
+++ b/src/main/java/org/borageproxy/forward/ForwardServer.java
@@ -10,12 +10,16 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.Channel;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.net.impl.ConnectionBase;
 import org.borageproxy.entry.StrictRequestDecoder;
 import org.borageproxy.execution.RequestDigest;
 import org.borageproxy.publication.PublishedRoute;
@@ -43,6 +47,8 @@
     private static final Duration STOPPING_RETRY_AFTER = Duration.ofMillis(20);
 
     private static final int ACCEPT_BACKLOG = 1024;
+    /** Maximum number of reads from one connection before others are read. */
+    private static final int MAX_READS_PER_TURN = 16;
 
     private final Vertx vertx;
     private final ForwardContext context;
@@ -92,12 +98,26 @@
                 .setTcpNoDelay(true)
                 .setTcpKeepAlive(true);
         server = vertx.createHttpServer(options)
-                .connectionHandler(connection -> StrictRequestDecoder.install(connection, options))
+                .connectionHandler(connection -> {
+                    StrictRequestDecoder.install(connection, options);
+                    readToTheEnd(connection);
+                })
                 .invalidRequestHandler(ForwardServer::refuseInvalid)
                 .requestHandler(this::handle);
         return server.listen();
     }
 
+    /** Makes each turn of the event loop also read the end of a connection that directly follows a request. */
+    private static void readToTheEnd(HttpConnection connection) {
+        AdaptiveRecvByteBufAllocator allocator = new AdaptiveRecvByteBufAllocator();
+        allocator.maxMessagesPerRead(MAX_READS_PER_TURN);
+        channelOf(connection).config().setRecvByteBufAllocator(allocator.respectMaybeMoreData(false));
+    }
+
+    private static Channel channelOf(HttpConnection connection) {
+        return ((ConnectionBase) connection).channel();
+    }
+
     private static void refuseInvalid(HttpServerRequest request) {
         LOGGER.info("event=request-invalid remote={}", request.remoteAddress());
         request.response()
@@ -163,7 +183,14 @@
                 bufferedRequest(request, body, fields, served.get(), route.get(), workspace, arrivedAtNanos);
         Exchange exchange = new Exchange(context, buffered, exchanges::remove);
         exchanges.add(exchange);
-        exchange.start();
+        // Runs after the read, which ends with the end of the connection if the caller has left already.
+        context.eventLoop().execute(() -> {
+            if (channelOf(request.connection()).isOpen()) {
+                exchange.start();
+            } else {
+                exchange.handleCallerLeft();
+            }
+        });
     }
 
     private BufferedRequest bufferedRequest(
--- a/src/main/java/org/borageproxy/server/GatewayControl.java
+++ b/src/main/java/org/borageproxy/server/GatewayControl.java
@@ -12,6 +12,7 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
 
 import com.google.protobuf.ByteString;
 import org.borageproxy.control.AdmissionPolicy;
@@ -262,8 +263,10 @@
                 .setPublishDocument(PublishDocument.newBuilder()
                         .setNumber(submitted.number())
                         .setContent(ByteString.copyFrom(document)));
-        Deadline deadline = Deadline.after(runtime.clock().nanoTime(), PUBLISH_TIMEOUT);
-        return client.submit(command, deadline).handle((submission, failure) -> toPublishResult(submitted, submission));
+        long receivedAtNanos = runtime.clock().nanoTime();
+        Deadline deadline = Deadline.after(receivedAtNanos, PUBLISH_TIMEOUT);
+        return client.submit(command, deadline)
+                .handle((submission, failure) -> toPublishResult(submitted, submission, receivedAtNanos));
     }
 
     private static CompletionStage<PublishResult> rejectAsInvalid(String reason) {
@@ -271,15 +274,16 @@
         return CompletableFuture.completedFuture(new PublishResult.Invalid(reason));
     }
 
-    private static PublishResult toPublishResult(Publication submitted, Submission submission) {
+    private PublishResult toPublishResult(Publication submitted, Submission submission, long receivedAtNanos) {
         boolean isInForce = submission instanceof Submission.Replied replied
                 && replied.reply().hasDocumentHeld()
                 && replied.reply().getDocumentHeld().getNumber() >= submitted.number();
         LOGGER.info(
-                "event=publication-submitted number={} routes={} outcome={}",
+                "event=publication-submitted number={} routes={} outcome={} took_ms={}",
                 submitted.number(),
                 submitted.routes().size(),
-                isInForce ? "held" : "unknown");
+                isInForce ? "held" : "unknown",
+                TimeUnit.NANOSECONDS.toMillis(runtime.clock().nanoTime() - receivedAtNanos));
         return isInForce ? new PublishResult.Accepted(submitted.number()) : new PublishResult.Unknown();
     }
 
--- a/src/test/java/org/borageproxy/platform/ForwardingTest.java
+++ b/src/test/java/org/borageproxy/platform/ForwardingTest.java
@@ -244,6 +244,48 @@
         assertTrue(call("/once/", "").startsWith("HTTP/1.1 200"));
     }
 
+    /**
+     * Load pattern: after a restart an entry is busy for seconds, and callers give up before it reads their requests.
+     * The request and the end of its connection are read in the same turn of the event loop.
+     */
+    @Test
+    void requestOfCallerThatLeftBeforeItWasReadIsNotForwarded() throws Exception {
+        ScriptedServer server = server(request -> keepAlive(ok(request, "Content-Length: 2\r\n", "ok")));
+        call("/safe/", "");
+        String request = "GET /safe/late HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: id-2\r\n"
+                + "X-Credential: secret-key\r\nX-Deadline-Ms: 3000\r\n\r\n";
+        for (int caller = 0; caller < 5; caller++) {
+            try (Socket socket = new Socket("127.0.0.1", port)) {
+                CountDownLatch isBusy = new CountDownLatch(1);
+                CountDownLatch hasLeft = new CountDownLatch(1);
+                socket.getOutputStream().write("GET /none/ HTTP/1.1\r\nHost: other\r\n\r\n".getBytes());
+                assertTrue(ScriptedServer.read(socket.getInputStream()).startsWith("HTTP/1.1 404"));
+                context.runOnContext(nothing -> {
+                    isBusy.countDown();
+                    await(hasLeft);
+                });
+                assertTrue(isBusy.await(10, TimeUnit.SECONDS));
+                socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+                socket.close();
+                Thread.sleep(50);
+                hasLeft.countDown();
+            }
+        }
+        call("/safe/", "");
+        List<String> ids =
+                server.requests().stream().map(ForwardingTest::identity).toList();
+        assertEquals(List.of("id-1", "id-1"), ids);
+        assertEquals(0, forwarding.inFlight());
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await(10, TimeUnit.SECONDS);
+        } catch (InterruptedException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+
     /** A server crashes, and another one starts at its address before the heartbeat timeout of the first. */
     @Test
     void misdirectedResponseFromOtherReplicaReportsServerGone() throws Exception {
