Do not start a request that a shutdown has already refused

Since a request starts in a task after its read. A shutdown that refuses all unsent requests in between answered it with 503, not run, and the task then sent it on. ForwardingTest passes (20 tests); no test reaches the two tasks in this order.

--- a/src/main/java/org/borageproxy/coordination/Coordinator.java
+++ b/src/main/java/org/borageproxy/coordination/Coordinator.java
@@ -138,7 +138,8 @@
         CoordinationUpdate.Builder update =
                 CoordinationUpdate.newBuilder().setCoordinates(true).setAllServers(hasEngineUsage);
         for (ServerUsage others : usage.latest()) {
-            if (hasEngineUsage || others.getHeldTokens() == 0) {
+            boolean isPlainService = others.getHeldTokens() == 0;
+            if (hasEngineUsage || isPlainService) {
                 update.addServers(others);
             }
         }
--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -78,8 +78,11 @@
         this.localSearch = new LocalSearch(context, buffered, log, triedServers, new LocalSearchListener());
     }
 
-    /** Refuses the request or begins its admission. */
+    /** Refuses the request or begins its admission, unless it was refused by a shutdown before. */
     void start() {
+        if (hasEnded) {
+            return;
+        }
         HttpServerRequest request = buffered.request();
         request.response().closeHandler(closed -> handleCallerLeft());
         request.response().exceptionHandler(failure -> handleCallerLeft());
