--- a/src/main/java/org/borageproxy/quota/RateShares.java
+++ b/src/main/java/org/borageproxy/quota/RateShares.java
@@ -30,6 +30,8 @@
     public static final Duration SHARE_VALIDITY = Duration.ofSeconds(10);
     /** Validity of grants after the last answered report was sent: four report intervals. */
     public static final Duration GRANT_VALIDITY = Duration.ofMillis(500);
+    /** Time after the start for which requests wait for the first grant; an entry finds the coordinator within it. */
+    private static final Duration COORDINATOR_SEARCH_TIME = Duration.ofSeconds(2);
     /** Time for which a workspace counts as exhausted after a grant did not cover its pending requests. */
     private static final Duration EXHAUSTED_PERIOD = Duration.ofMillis(150);
     /** Minimum retry delay of a refused caller. */
@@ -53,6 +55,8 @@
     private final Map<String, Share> shares = new HashMap<>();
     private final RandomGenerator random;
     private final IntSupplier entryCount;
+    private final Deadline searchEndsAt;
+    private boolean hadCoordinator;
     private Runnable shortageListener = () -> {};
     private Deadline grantsExpireAt;
 
@@ -66,6 +70,7 @@
     public RateShares(long nowNanos, RandomGenerator random, IntSupplier entryCount) {
         this.random = random;
         this.entryCount = entryCount;
+        searchEndsAt = Deadline.after(nowNanos, COORDINATOR_SEARCH_TIME);
         grantsExpireAt = new Deadline(nowNanos);
     }
 
@@ -193,7 +198,9 @@
         if (share.spend(tokens, random, nowNanos)) {
             return Optional.empty();
         }
-        boolean isGrantable = !share.isDisconnected(nowNanos) && share.exhaustedUntil.hasPassed(nowNanos);
+        boolean isSearching = !hadCoordinator && !searchEndsAt.hasPassed(nowNanos);
+        boolean isGrantable =
+                isSearching || !share.isDisconnected(nowNanos) && share.exhaustedUntil.hasPassed(nowNanos);
         return Optional.of(new Shortage(share.retryDelay(tokens, workspace, nowNanos), isGrantable));
     }
 
@@ -309,6 +316,7 @@
      * @param sentAtNanos when the report was sent
      */
     public void applyShares(Map<String, PublishedWorkspace> workspaces, List<RateShare> updates, long sentAtNanos) {
+        hadCoordinator = true;
         grantsExpireAt = Deadline.after(sentAtNanos, GRANT_VALIDITY);
         List<Runnable> decisions = new ArrayList<>();
         for (RateShare update : updates) {
