--- a/src/main/java/org/borageproxy/platform/PlatformRehearsal.java
+++ b/src/main/java/org/borageproxy/platform/PlatformRehearsal.java
@@ -10,8 +10,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.OptionalInt;
 
 import io.vertx.core.Vertx;
@@ -29,7 +27,6 @@
 public final class PlatformRehearsal {
 
     private static final String HOST = "127.0.0.1";
-    private static final int PORT_COUNT = 6;
     private static final int OK = 200;
     private static final Duration TIME_LIMIT = Duration.ofSeconds(20);
     private static final Duration ATTEMPT_INTERVAL = Duration.ofMillis(100);
@@ -82,52 +79,68 @@
      * @throws Exception if the VM cannot start or does not serve the requests within the time limit
      */
     public void run(Path folder) throws Exception {
-        List<Integer> ports = freePorts();
-        int control = ports.get(3);
+        Ports ports = Ports.free();
         Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
         vertx.createHttpServer()
                 .requestHandler(PlatformRehearsal::serve)
-                .listen(ports.get(4), HOST)
+                .listen(ports.server(), HOST)
                 .toCompletionStage()
                 .toCompletableFuture()
                 .get();
         Path settings = Files.writeString(folder.resolve("boot.toml"), settings(folder, ports));
-        GatewayProcess process = new PlatformVm(settings, OptionalInt.of(ports.get(5))).start();
-        awaitOk(request(control, "/Config.Replace").POST(HttpRequest.BodyPublishers.ofString(PUBLICATION)));
-        announce(control, "engines", ports.get(4), ENGINE_STATE);
-        announce(control, "plain", ports.get(4), "");
-        awaitOk(request(ports.get(2), "/readyz"));
-        awaitOk(modelRequest(ports.get(1)));
-        awaitOk(callerRequest(ports.get(1), "/p/1"));
-        awaitOk(request(control, "/Config.Read"));
-        awaitOk(request(ports.get(5), "/metrics"));
+        GatewayProcess process = new PlatformVm(settings, OptionalInt.of(ports.metrics())).start();
+        awaitOk(request(ports.control(), "/Config.Replace").POST(HttpRequest.BodyPublishers.ofString(PUBLICATION)));
+        announce(ports, "engines", ENGINE_STATE);
+        announce(ports, "plain", "");
+        awaitOk(request(ports.readiness(), "/readyz"));
+        awaitOk(modelRequest(ports.callers()));
+        awaitOk(callerRequest(ports.callers(), "/p/1"));
+        awaitOk(request(ports.control(), "/Config.Read"));
+        awaitOk(request(ports.metrics(), "/metrics"));
         process.shutDown().toCompletableFuture().join();
         vertx.close().toCompletionStage().toCompletableFuture().get();
     }
 
-    private static List<Integer> freePorts() throws IOException {
-        List<ServerSocket> sockets = new ArrayList<>();
-        try {
-            for (int index = 0; index < PORT_COUNT; index++) {
-                sockets.add(new ServerSocket(0, 1, InetAddress.getByName(HOST)));
-            }
-            return sockets.stream().map(ServerSocket::getLocalPort).toList();
-        } finally {
-            for (ServerSocket socket : sockets) {
-                socket.close();
+    /** The ports of the VM and of the backend server. */
+    private record Ports(int internal, int callers, int readiness, int control, int metrics, int server) {
+
+        /** Returns ports on which nothing listens; all are bound at the same time, so that they differ. */
+        private static Ports free() throws IOException {
+            try (ServerSocket internal = bind();
+                    ServerSocket callers = bind();
+                    ServerSocket readiness = bind();
+                    ServerSocket control = bind();
+                    ServerSocket metrics = bind();
+                    ServerSocket server = bind()) {
+                return new Ports(
+                        internal.getLocalPort(),
+                        callers.getLocalPort(),
+                        readiness.getLocalPort(),
+                        control.getLocalPort(),
+                        metrics.getLocalPort(),
+                        server.getLocalPort());
             }
         }
+
+        private static ServerSocket bind() throws IOException {
+            return new ServerSocket(0, 1, InetAddress.getByName(HOST));
+        }
     }
 
-    private static String settings(Path folder, List<Integer> ports) {
-        int internal = ports.get(0);
+    private static String settings(Path folder, Ports ports) {
         return SETTINGS.formatted(
-                folder.resolve("data"), internal, internal, internal, ports.get(1), ports.get(2), ports.get(3));
+                folder.resolve("data"),
+                ports.internal(),
+                ports.internal(),
+                ports.internal(),
+                ports.callers(),
+                ports.readiness(),
+                ports.control());
     }
 
-    private void announce(int control, String service, int port, String state) throws Exception {
-        String heartbeat = HEARTBEAT.formatted(service, port, state);
-        awaitOk(request(control, "/Replicas.Heartbeat/i-" + service)
+    private void announce(Ports ports, String service, String state) throws Exception {
+        String heartbeat = HEARTBEAT.formatted(service, ports.server(), state);
+        awaitOk(request(ports.control(), "/Replicas.Heartbeat/i-" + service)
                 .POST(HttpRequest.BodyPublishers.ofString(heartbeat)));
     }
 
