Log which stream a request resumes and the software version of each server

Change: a server's software version is part of its announcement, reaches all VMs with its content and stands in server-joined, request-sent-again and request-ended; a request that resumes a stream is logged as stream-resumed. No decision uses them yet.

--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -94,6 +94,7 @@
             refuse(RefusalReason.QUARANTINED, Optional.empty());
             return;
         }
+        log.streamResumed();
         deadlineTimer = schedule(buffered.deadline(), DEADLINE_GRACE, this::expire);
         context.retryBudgets().apply(buffered.service()).deposit();
         buffered.metadata().work().ifPresent(work -> context.pool().recordDemand(buffered.service(), work));
--- a/src/main/java/org/borageproxy/forward/RequestLog.java
+++ b/src/main/java/org/borageproxy/forward/RequestLog.java
@@ -17,6 +17,7 @@
     private final BufferedRequest buffered;
     private final MonotonicClock clock;
     private String triedServers = "";
+    private String softwareVersions = "";
     private long firstEventMillis = -1;
     private long lastEventMillis;
     private long longestGapMillis;
@@ -57,20 +58,39 @@
     }
 
     void sent(ServerSelector.Choice choice, int sends, boolean isReused, Optional<String> lastEventIdentity) {
-        triedServers = triedServers.isEmpty()
-                ? choice.server().name().value()
-                : triedServers + ',' + choice.server().name().value();
+        triedServers = appended(triedServers, choice.server().name().value());
+        softwareVersions = appended(softwareVersions, softwareOf(choice.server()));
         if (sends > 1) {
             LOGGER.info(
-                    "event=request-sent-again id={} server={} attempt={} after_event={} age_ms={}",
+                    "event=request-sent-again id={} server={} attempt={} after_event={} age_ms={} software={}",
                     identity(),
                     choice.server().name(),
                     sends,
                     lastEventIdentity.orElse("-"),
-                    ageMillis());
+                    ageMillis(),
+                    softwareOf(choice.server()));
         }
     }
 
+    private static String appended(String list, String item) {
+        return list.isEmpty() ? item : list + ',' + item;
+    }
+
+    private static String softwareOf(BackendServer server) {
+        return server.softwareVersion().isEmpty() ? "-" : server.softwareVersion();
+    }
+
+    /** Logs that the request resumes a stream which another request of the caller began. */
+    void streamResumed() {
+        buffered.metadata()
+                .lastEventIdentity()
+                .ifPresent(event -> LOGGER.info(
+                        "event=stream-resumed id={} begun_by={} after_event={}",
+                        identity(),
+                        buffered.metadata().resumedRequest().orElse("-"),
+                        event));
+    }
+
     void slotAnswered(SlotAnswer answer) {
         boolean isRefused =
                 answer.getOutcome() != SlotAnswer.Outcome.CHOSEN && answer.getOutcome() != SlotAnswer.Outcome.AGAIN;
@@ -126,7 +146,7 @@
     void ended(String outcome, int status, int sends, int events) {
         LOGGER.info(
                 "event=request-ended id={} route={} service={} workspace={} model={} outcome=\"{}\" status={} sends={}"
-                        + " servers={} events={} first_event_ms={} longest_gap_ms={} age_ms={} left_ms={}",
+                        + " servers={} events={} first_event_ms={} longest_gap_ms={} age_ms={} left_ms={} software={}",
                 identity(),
                 buffered.route().name(),
                 buffered.service(),
@@ -140,6 +160,7 @@
                 firstEventMillis,
                 longestGapMillis,
                 ageMillis(),
-                buffered.deadline().remainingMillis(clock.nanoTime()));
+                buffered.deadline().remainingMillis(clock.nanoTime()),
+                softwareVersions.isEmpty() ? "-" : softwareVersions);
     }
 }
--- a/src/main/java/org/borageproxy/membership/Announcement.java
+++ b/src/main/java/org/borageproxy/membership/Announcement.java
@@ -29,6 +29,7 @@
      * @param accelerators the accelerators
      * @param models the model versions that are loaded and usable
      * @param localWeights the models that it can load without the weight store
+     * @param softwareVersion the version of its software; empty if it states none
      */
     public record Content(
             BackendServerKind kind,
@@ -40,7 +41,8 @@
             Set<String> services,
             List<Accelerator> accelerators,
             List<LoadedModel> models,
-            LocalWeights localWeights) {
+            LocalWeights localWeights,
+            String softwareVersion) {
 
         /** Copies the collections defensively. */
         public Content {
@@ -50,7 +52,7 @@
         }
 
         /**
-         * Creates the content of a backend server without local weights.
+         * Creates the content of a backend server without local weights that states no software version.
          *
          * @param kind what the backend server runs
          * @param zone the availability zone
@@ -82,13 +84,24 @@
                     services,
                     accelerators,
                     models,
-                    LocalWeights.NONE);
+                    LocalWeights.NONE,
+                    "");
         }
 
         /** Returns a copy without the parts that orders for models change. */
         Content withoutModels() {
             return new Content(
-                    kind, zone, host, port, checksFencing, intervalMillis, services, accelerators, List.of());
+                    kind,
+                    zone,
+                    host,
+                    port,
+                    checksFencing,
+                    intervalMillis,
+                    services,
+                    accelerators,
+                    List.of(),
+                    LocalWeights.NONE,
+                    softwareVersion);
         }
     }
 
@@ -108,6 +121,7 @@
                 content.accelerators(),
                 content.models(),
                 content.localWeights(),
+                content.softwareVersion(),
                 load);
     }
 
--- a/src/main/java/org/borageproxy/membership/BackendServer.java
+++ b/src/main/java/org/borageproxy/membership/BackendServer.java
@@ -22,6 +22,7 @@
  * @param accelerators the accelerators
  * @param models the model versions that are loaded and usable
  * @param localWeights the models that it can load without the weight store
+ * @param softwareVersion the version of its software; empty if it states none
  * @param load the latest reported load
  */
 public record BackendServer(
@@ -38,6 +39,7 @@
         List<Accelerator> accelerators,
         List<LoadedModel> models,
         LocalWeights localWeights,
+        String softwareVersion,
         LoadReport load) {
 
     /** Copies the collections defensively. */
@@ -48,7 +50,7 @@
     }
 
     /**
-     * Creates a backend server without local weights.
+     * Creates a backend server without local weights that states no software version.
      *
      * @param name the name
      * @param incarnation increases with each start of the backend server
@@ -92,6 +94,7 @@
                 accelerators,
                 models,
                 LocalWeights.NONE,
+                "",
                 load);
     }
 
@@ -116,6 +119,7 @@
                 accelerators,
                 models,
                 localWeights,
+                softwareVersion,
                 load);
     }
 
--- a/src/main/java/org/borageproxy/membership/BackendServerRegistry.java
+++ b/src/main/java/org/borageproxy/membership/BackendServerRegistry.java
@@ -227,6 +227,7 @@
                 .with("server", server.name())
                 .with("incarnation", server.incarnation())
                 .with("state", server.state())
-                .with("zone", server.zone());
+                .with("zone", server.zone())
+                .with("software", server.softwareVersion().isEmpty() ? "-" : server.softwareVersion());
     }
 }
--- a/src/main/java/org/borageproxy/membership/MembershipCodec.java
+++ b/src/main/java/org/borageproxy/membership/MembershipCodec.java
@@ -103,6 +103,7 @@
                 .setPort(content.port())
                 .setChecksFencing(content.checksFencing())
                 .setIntervalMillis(content.intervalMillis())
+                .setSoftwareVersion(content.softwareVersion())
                 .addAllServices(content.services().stream().sorted().toList());
         content.accelerators()
                 .forEach(accelerator -> encoded.addAccelerators(AcceleratorState.newBuilder()
@@ -141,7 +142,8 @@
                 Set.copyOf(encoded.getServicesList()),
                 accelerators,
                 models,
-                new LocalWeights(Set.copyOf(encoded.getInMemoryList()), Set.copyOf(encoded.getOnDiskList())));
+                new LocalWeights(Set.copyOf(encoded.getInMemoryList()), Set.copyOf(encoded.getOnDiskList())),
+                encoded.getSoftwareVersion());
     }
 
     private static LoadState encode(LoadReport load) {
--- a/src/main/java/org/borageproxy/platform/HeartbeatDocument.java
+++ b/src/main/java/org/borageproxy/platform/HeartbeatDocument.java
@@ -25,6 +25,7 @@
     private static final String READY = "ready";
     private static final String DRAINING = "draining";
     private static final String NO_ACCELERATOR = "";
+    private static final String NO_VERSION = "";
 
     private HeartbeatDocument() {}
 
@@ -79,7 +80,8 @@
                 Set.of(json.getString("Service")),
                 List.of(),
                 models,
-                decodeWeightCopies(json));
+                decodeWeightCopies(json),
+                json.getString("Version", NO_VERSION));
     }
 
     /**
--- a/src/main/java/org/borageproxy/platform/PlatformHeaders.java
+++ b/src/main/java/org/borageproxy/platform/PlatformHeaders.java
@@ -31,6 +31,7 @@
 
     private static final String PROMPT_PARTS_HEADER = "X-Prompt-Prefix";
     private static final String LAST_EVENT_HEADER = "Last-Event-Id";
+    private static final String RESUMED_REQUEST_HEADER = "Resumes";
     private static final String WORKSPACE_HEADER = "X-Tenant";
     private static final String EXPECTED_SERVER_HEADER = "X-Expect-Replica";
     private static final String URGENCY_HEADER = "X-Request-Urgency";
@@ -62,7 +63,8 @@
                 Optional.ofNullable(headers.get(API_KEY_HEADER)).map(String::trim),
                 parseNonNegative(headers.get(TIMEOUT_HEADER)),
                 parseWork(headers),
-                Optional.ofNullable(headers.get(LAST_EVENT_HEADER)));
+                Optional.ofNullable(headers.get(LAST_EVENT_HEADER)),
+                Optional.ofNullable(headers.get(RESUMED_REQUEST_HEADER)).map(String::trim));
     }
 
     private static Optional<EngineWork> parseWork(MultiMap headers) {
--- a/src/main/java/org/borageproxy/wire/proto/MembershipProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/MembershipProtocol.java
@@ -2583,6 +2583,26 @@
      */
     com.google.protobuf.ByteString
         getOnDiskBytes(int index);
+
+    /**
+     * <pre>
+     * The version of the server's software, empty if it states none.
+     * </pre>
+     *
+     * <code>string software_version = 12;</code>
+     * @return The softwareVersion.
+     */
+    java.lang.String getSoftwareVersion();
+    /**
+     * <pre>
+     * The version of the server's software, empty if it states none.
+     * </pre>
+     *
+     * <code>string software_version = 12;</code>
+     * @return The bytes for softwareVersion.
+     */
+    com.google.protobuf.ByteString
+        getSoftwareVersionBytes();
   }
   /**
    * <pre>
@@ -2620,6 +2640,7 @@
           com.google.protobuf.LazyStringArrayList.emptyList();
       onDisk_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
+      softwareVersion_ = "";
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -2971,6 +2992,53 @@
       return onDisk_.getByteString(index);
     }
 
+    public static final int SOFTWARE_VERSION_FIELD_NUMBER = 12;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object softwareVersion_ = "";
+    /**
+     * <pre>
+     * The version of the server's software, empty if it states none.
+     * </pre>
+     *
+     * <code>string software_version = 12;</code>
+     * @return The softwareVersion.
+     */
+    @java.lang.Override
+    public java.lang.String getSoftwareVersion() {
+      java.lang.Object ref = softwareVersion_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        softwareVersion_ = s;
+        return s;
+      }
+    }
+    /**
+     * <pre>
+     * The version of the server's software, empty if it states none.
+     * </pre>
+     *
+     * <code>string software_version = 12;</code>
+     * @return The bytes for softwareVersion.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getSoftwareVersionBytes() {
+      java.lang.Object ref = softwareVersion_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        softwareVersion_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -3018,6 +3086,9 @@
       for (int i = 0; i < onDisk_.size(); i++) {
         com.google.protobuf.GeneratedMessage.writeString(output, 11, onDisk_.getRaw(i));
       }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(softwareVersion_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 12, softwareVersion_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -3091,6 +3162,9 @@
         size += dataSize;
         size += 1 * getOnDiskList().size();
       }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(softwareVersion_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(12, softwareVersion_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -3128,6 +3202,8 @@
           .equals(other.getInMemoryList())) return false;
       if (!getOnDiskList()
           .equals(other.getOnDiskList())) return false;
+      if (!getSoftwareVersion()
+          .equals(other.getSoftwareVersion())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -3173,6 +3249,8 @@
         hash = (37 * hash) + ON_DISK_FIELD_NUMBER;
         hash = (53 * hash) + getOnDiskList().hashCode();
       }
+      hash = (37 * hash) + SOFTWARE_VERSION_FIELD_NUMBER;
+      hash = (53 * hash) + getSoftwareVersion().hashCode();
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -3334,6 +3412,7 @@
             com.google.protobuf.LazyStringArrayList.emptyList();
         onDisk_ =
             com.google.protobuf.LazyStringArrayList.emptyList();
+        softwareVersion_ = "";
         return this;
       }
 
@@ -3419,6 +3498,9 @@
           onDisk_.makeImmutable();
           result.onDisk_ = onDisk_;
         }
+        if (((from_bitField0_ & 0x00000800) != 0)) {
+          result.softwareVersion_ = softwareVersion_;
+        }
       }
 
       @java.lang.Override
@@ -3537,6 +3619,11 @@
           }
           onChanged();
         }
+        if (!other.getSoftwareVersion().isEmpty()) {
+          softwareVersion_ = other.softwareVersion_;
+          bitField0_ |= 0x00000800;
+          onChanged();
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -3634,6 +3721,11 @@
                 onDisk_.add(input.readStringRequireUtf8());
                 break;
               } // case 90
+              case 98: {
+                softwareVersion_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000800;
+                break;
+              } // case 98
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -4772,6 +4864,98 @@
         return this;
       }
 
+      private java.lang.Object softwareVersion_ = "";
+      /**
+       * <pre>
+       * The version of the server's software, empty if it states none.
+       * </pre>
+       *
+       * <code>string software_version = 12;</code>
+       * @return The softwareVersion.
+       */
+      public java.lang.String getSoftwareVersion() {
+        java.lang.Object ref = softwareVersion_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          softwareVersion_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <pre>
+       * The version of the server's software, empty if it states none.
+       * </pre>
+       *
+       * <code>string software_version = 12;</code>
+       * @return The bytes for softwareVersion.
+       */
+      public com.google.protobuf.ByteString
+          getSoftwareVersionBytes() {
+        java.lang.Object ref = softwareVersion_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          softwareVersion_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <pre>
+       * The version of the server's software, empty if it states none.
+       * </pre>
+       *
+       * <code>string software_version = 12;</code>
+       * @param value The softwareVersion to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSoftwareVersion(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        softwareVersion_ = value;
+        bitField0_ |= 0x00000800;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The version of the server's software, empty if it states none.
+       * </pre>
+       *
+       * <code>string software_version = 12;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSoftwareVersion() {
+        softwareVersion_ = getDefaultInstance().getSoftwareVersion();
+        bitField0_ = (bitField0_ & ~0x00000800);
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The version of the server's software, empty if it states none.
+       * </pre>
+       *
+       * <code>string software_version = 12;</code>
+       * @param value The bytes for softwareVersion to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSoftwareVersionBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        softwareVersion_ = value;
+        bitField0_ |= 0x00000800;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.membership.Content)
     }
 
@@ -8781,28 +8965,29 @@
       "ate\022\017\n\007running\030\001 \001(\r\022\017\n\007waiting\030\002 \001(\r\022\023\n" +
       "\013batch_limit\030\003 \001(\r\022\031\n\021tokens_per_second\030" +
       "\004 \001(\001\022!\n\031prefill_tokens_per_second\030\005 \001(\001" +
-      "\"\244\002\n\007Content\022\016\n\006engine\030\001 \001(\010\022\014\n\004zone\030\002 \001" +
+      "\"\276\002\n\007Content\022\016\n\006engine\030\001 \001(\010\022\014\n\004zone\030\002 \001" +
       "(\t\022\014\n\004host\030\003 \001(\t\022\014\n\004port\030\004 \001(\r\022\026\n\016checks" +
       "_fencing\030\005 \001(\010\022\027\n\017interval_millis\030\006 \001(\r\022" +
       "\020\n\010services\030\007 \003(\t\022>\n\014accelerators\030\010 \003(\0132" +
       "(.borageproxy.membership.AcceleratorStat" +
       "e\0228\n\006models\030\t \003(\0132(.borageproxy.membersh" +
       "ip.LoadedModelState\022\021\n\tin_memory\030\n \003(\t\022\017" +
-      "\n\007on_disk\030\013 \003(\t\"\341\001\n\014ServerUpdate\022\014\n\004name" +
-      "\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010sequence\030" +
-      "\003 \001(\004\022\014\n\004left\030\004 \001(\010\022\025\n\rsilent_millis\030\005 \001" +
-      "(\004\022\024\n\014content_hash\030\006 \001(\006\0220\n\007content\030\007 \001(" +
-      "\0132\037.borageproxy.membership.Content\022/\n\004lo" +
-      "ad\030\010 \001(\0132!.borageproxy.membership.LoadSt" +
-      "ate\"U\n\nDigestLine\022\014\n\004name\030\001 \001(\t\022\023\n\013incar" +
-      "nation\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\022\014\n\004left\030\004" +
-      " \001(\010J\004\010\005\020\006\"R\n\006Digest\0221\n\005lines\030\001 \003(\0132\".bo" +
-      "rageproxy.membership.DigestLine\022\025\n\rprese" +
-      "nce_only\030\002 \001(\010\"z\n\021MembershipMessage\0225\n\007u" +
-      "pdates\030\001 \003(\0132$.borageproxy.membership.Se" +
-      "rverUpdate\022.\n\006digest\030\002 \001(\0132\036.borageproxy" +
-      ".membership.DigestB0\n\032org.borageproxy.wi" +
-      "re.protoB\022MembershipProtocolb\006proto3"
+      "\n\007on_disk\030\013 \003(\t\022\030\n\020software_version\030\014 \001(" +
+      "\t\"\341\001\n\014ServerUpdate\022\014\n\004name\030\001 \001(\t\022\023\n\013inca" +
+      "rnation\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\022\014\n\004left\030" +
+      "\004 \001(\010\022\025\n\rsilent_millis\030\005 \001(\004\022\024\n\014content_" +
+      "hash\030\006 \001(\006\0220\n\007content\030\007 \001(\0132\037.borageprox" +
+      "y.membership.Content\022/\n\004load\030\010 \001(\0132!.bor" +
+      "ageproxy.membership.LoadState\"U\n\nDigestL" +
+      "ine\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020" +
+      "\n\010sequence\030\003 \001(\004\022\014\n\004left\030\004 \001(\010J\004\010\005\020\006\"R\n\006" +
+      "Digest\0221\n\005lines\030\001 \003(\0132\".borageproxy.memb" +
+      "ership.DigestLine\022\025\n\rpresence_only\030\002 \001(\010" +
+      "\"z\n\021MembershipMessage\0225\n\007updates\030\001 \003(\0132$" +
+      ".borageproxy.membership.ServerUpdate\022.\n\006" +
+      "digest\030\002 \001(\0132\036.borageproxy.membership.Di" +
+      "gestB0\n\032org.borageproxy.wire.protoB\022Memb" +
+      "ershipProtocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -8831,7 +9016,7 @@
     internal_static_borageproxy_membership_Content_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_membership_Content_descriptor,
-        new java.lang.String[] { "Engine", "Zone", "Host", "Port", "ChecksFencing", "IntervalMillis", "Services", "Accelerators", "Models", "InMemory", "OnDisk", });
+        new java.lang.String[] { "Engine", "Zone", "Host", "Port", "ChecksFencing", "IntervalMillis", "Services", "Accelerators", "Models", "InMemory", "OnDisk", "SoftwareVersion", });
     internal_static_borageproxy_membership_ServerUpdate_descriptor =
       getDescriptor().getMessageType(4);
     internal_static_borageproxy_membership_ServerUpdate_fieldAccessorTable = new
