Reproduce streams of two software versions with real VMs and simulated engines

Cause: not mended yet. StreamVersionTest runs a control VM and two entries as processes before four engines of two software versions, two of which send streams without length. Taken up at another VM, after the VM that began the streams was killed, after the coordinator restarted, and within one answer streams go on at the other version; a stream that no VM knows is sent as well.

--- /dev/null
+++ b/src/test/java/org/borageproxy/platform/EngineStandIn.java
@@ -0,0 +1,225 @@
+package org.borageproxy.platform;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * A model engine that streams events, each with the version of the engine's software as its data. What it does with a
+ * stream follows from the {@code X-Script} header that the caller sends. It crashes, as an engine does whose process
+ * ends, when it begins to answer a request with a part of a prompt that {@link #crashOn} names. Thread safe.
+ */
+final class EngineStandIn implements AutoCloseable {
+
+    /** The number of events of a stream. */
+    static final int EVENT_COUNT = 6;
+    /** Sends one event and then nothing until the connection ends. */
+    static final String HOLD = "hold";
+    /** Breaks off inside the third event of a stream that begins; answers the rest of a resumed stream. */
+    static final String BREAK = "break";
+    /** Answers the whole stream. */
+    static final String WHOLE = "whole";
+
+    private static final String MODELS = "\"Models\":[{\"Name\":\"m\",\"Version\":1,\"Adapters\":[]}]";
+    private static final AtomicLong LAST_INCARNATION = new AtomicLong();
+
+    private final String name;
+    private final String software;
+    private final boolean isFramed;
+    private final int port;
+    private final Set<String> crashingParts = ConcurrentHashMap.newKeySet();
+    private final List<String> requests = new CopyOnWriteArrayList<>();
+    private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+    private final AtomicLong sequence = new AtomicLong();
+    private volatile long incarnation;
+    private volatile ServerSocket listening;
+
+    /**
+     * Starts an engine.
+     *
+     * @param isFramed whether streams are sent in chunks; otherwise they have no length and end with the connection
+     */
+    EngineStandIn(String name, String software, boolean isFramed) throws IOException {
+        this.name = name;
+        this.software = software;
+        this.isFramed = isFramed;
+        listening = new ServerSocket(0, 100, InetAddress.getByName("127.0.0.1"));
+        port = listening.getLocalPort();
+        restart();
+    }
+
+    /** Starts a new incarnation, after a crash on the same port. */
+    void restart() throws IOException {
+        if (listening.isClosed()) {
+            ServerSocket reopened = new ServerSocket();
+            reopened.setReuseAddress(true);
+            reopened.bind(new java.net.InetSocketAddress("127.0.0.1", port));
+            listening = reopened;
+        }
+        incarnation = LAST_INCARNATION.incrementAndGet();
+        sequence.set(0);
+        ServerSocket accepting = listening;
+        Thread thread = new Thread(() -> accept(accepting));
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void accept(ServerSocket accepting) {
+        while (!accepting.isClosed()) {
+            try {
+                Socket connection = accepting.accept();
+                connections.add(connection);
+                Thread thread = new Thread(() -> serve(connection));
+                thread.setDaemon(true);
+                thread.start();
+            } catch (IOException exception) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket connection) {
+        try (connection) {
+            String request = ScriptedServer.read(connection.getInputStream());
+            while (!request.isEmpty() && answer(request, connection)) {
+                request = ScriptedServer.read(connection.getInputStream());
+            }
+        } catch (IOException exception) {
+            // The other side closed the connection; tests assert on the recorded requests.
+        } finally {
+            connections.remove(connection);
+        }
+    }
+
+    /** Answers a request and returns whether the connection stays open. */
+    private boolean answer(String request, Socket connection) throws IOException {
+        OutputStream output = connection.getOutputStream();
+        if (request.startsWith("GET /report")) {
+            write(
+                    output,
+                    document("\"Busy\":false,\"Sequence\":0,\"Queued\":0,\"Active\":0,\"KvUsed\":0,"
+                            + "\"KvTotal\":90000,\"Stage\":\"mixed\"," + MODELS));
+            return true;
+        }
+        if (!request.startsWith("POST /e/")) {
+            write(output, document(""));
+            return true;
+        }
+        requests.add(request);
+        String head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Server-Signature: s\r\nX-Request-Id: "
+                + header(request, "X-Request-Id").orElse("") + "\r\n"
+                + (isFramed ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n");
+        String parts = header(request, "X-Prompt-Prefix").orElse("");
+        if (crashingParts.stream().anyMatch(parts::contains)) {
+            write(output, head);
+            crash();
+            return false;
+        }
+        return stream(request, head, output, connection.getInputStream());
+    }
+
+    private boolean stream(String request, String head, OutputStream output, InputStream input) throws IOException {
+        Optional<String> resumedAfter = header(request, "Last-Event-Id");
+        int first = resumedAfter.map(Integer::parseInt).orElse(0) + 1;
+        String script = header(request, "X-Script").orElse(WHOLE);
+        write(output, head);
+        if (script.equals(HOLD) && resumedAfter.isEmpty()) {
+            write(output, framed(event(first)));
+            while (input.read() >= 0) {
+                // Discards input until the connection ends.
+            }
+            return false;
+        }
+        if (script.equals(BREAK) && resumedAfter.isEmpty()) {
+            write(output, framed(event(1) + event(2) + "id: 3\ndata: "));
+            return false;
+        }
+        StringBuilder events = new StringBuilder();
+        for (int number = first; number <= EVENT_COUNT; number++) {
+            events.append(event(number));
+        }
+        write(output, framed(events.toString()) + (isFramed ? "0\r\n\r\n" : ""));
+        return isFramed;
+    }
+
+    private String event(int number) {
+        return "id: " + number + "\ndata: " + software + "\n\n";
+    }
+
+    private String framed(String text) {
+        return isFramed ? Integer.toHexString(text.length()) + "\r\n" + text + "\r\n" : text;
+    }
+
+    private static String document(String fields) {
+        String body = "{" + fields + "}";
+        return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + body.length() + "\r\n\r\n"
+                + body;
+    }
+
+    private static void write(OutputStream output, String text) throws IOException {
+        output.write(text.getBytes(StandardCharsets.UTF_8));
+        output.flush();
+    }
+
+    private static Optional<String> header(String request, String name) {
+        String field = name.toLowerCase(Locale.ROOT) + ": ";
+        return request.lines()
+                .filter(line -> line.toLowerCase(Locale.ROOT).startsWith(field))
+                .map(line -> line.substring(field.length()).trim())
+                .findFirst();
+    }
+
+    /** Makes the engine crash when it begins to answer a request with this part of a prompt. */
+    void crashOn(String part) {
+        crashingParts.add(part);
+    }
+
+    private void crash() throws IOException {
+        listening.close();
+        for (Socket connection : connections) {
+            connection.close();
+        }
+    }
+
+    /** Whether the engine runs; it does not between a crash and the next {@link #restart}. */
+    boolean isRunning() {
+        return !listening.isClosed();
+    }
+
+    /** Returns the next heartbeat of the present incarnation. */
+    String heartbeat() {
+        return "{\"Service\":\"engines\",\"Address\":\"127.0.0.1:" + port + "\",\"Zone\":\"a\",\"Version\":\""
+                + software
+                + "\",\"Slots\":64,\"State\":\"ready\",\"ColdRemainingMs\":0,\"Stage\":\"mixed\"," + MODELS
+                + ",\"Sequence\":" + sequence.incrementAndGet() + ",\"born\":" + incarnation + "}";
+    }
+
+    String name() {
+        return name;
+    }
+
+    String software() {
+        return software;
+    }
+
+    /** Returns the received requests of callers in order of arrival, each with head and body. */
+    List<String> requests() {
+        return requests;
+    }
+
+    @Override
+    public void close() throws IOException {
+        crash();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/borageproxy/platform/PlatformFleet.java
@@ -0,0 +1,254 @@
+package org.borageproxy.platform;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * VMs on the platform, each a separate process on a loopback address, with engines that send heartbeats to the control
+ * VM. The first VM is the control group, the others are entries. {@link #close()} ends every process and engine. Used
+ * by one thread.
+ */
+final class PlatformFleet implements AutoCloseable {
+
+    /** Far above the usual duration of a step, since it only bounds a hang. */
+    static final Duration STEP_TIMEOUT = Duration.ofSeconds(60);
+    /** The bound within which the members of the fleet agree again after a change. */
+    static final Duration STABLE = Duration.ofSeconds(3);
+
+    private static final String CONTROL = "127.0.1.10";
+    private static final int HEARTBEAT_MILLIS = 300;
+    private static final int OK = 200;
+    private static final String PUBLICATION = """
+            {"Version":1,"Routes":[{"Name":"r1","Host":"e.example","PathPrefix":"/e/","Type":"streaming",
+            "TimeoutMs":9000,"TargetLatencyMs":5000,"Priority":1,"Service":"engines","MaxAttempts":2,"Sticky":true,
+            "Resumable":true,"TargetGapMs":400}],
+            "Services":[{"Name":"engines","HealthPath":"/healthz","MaxConnections":90,"Engine":{"Slots":64,
+            "KvCapacityTokens":90000,"Models":[{"Name":"m","WeightsMb":10.0,"LoadS":1.0,"Adapters":1,
+            "AdapterSizeMb":1.0}],"WeightsMb":100.0,"AdapterSlots":2,"LoadsPerS":2.0}}],
+            "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
+            "Tenants":[{"Name":"w","ApiKeys":["k"],"Priority":1,"Unit":"token_stream","PlainTokens":200,
+            "RatePerS":0,"Burst":0}]}""";
+
+    private final Path folder;
+    private final List<String> entries = new ArrayList<>();
+    private final Map<String, Process> processes = new LinkedHashMap<>();
+    private final List<EngineStandIn> engines = new ArrayList<>();
+    private final HttpClient client = HttpClient.newHttpClient();
+    private final ScheduledExecutorService heartbeats = Executors.newSingleThreadScheduledExecutor();
+    private final int internalPort = freePort();
+    private final int callerPort = freePort();
+    private final int readinessPort = freePort();
+    private final int controlPort = freePort();
+
+    /** Starts the VMs and publishes one route, whose service has one model; waits until the entries are ready. */
+    PlatformFleet(Path folder, int entryCount) throws Exception {
+        this.folder = folder;
+        for (int number = 1; number <= entryCount; number++) {
+            entries.add("127.0.1." + (10 + number));
+        }
+        start(CONTROL);
+        for (String entry : entries) {
+            start(entry);
+        }
+        awaitOk(request(CONTROL, controlPort, "/Config.Replace")
+                .POST(HttpRequest.BodyPublishers.ofString(PUBLICATION)));
+        for (String entry : entries) {
+            awaitReady(entry);
+        }
+        heartbeats.scheduleWithFixedDelay(
+                this::announceEngines, HEARTBEAT_MILLIS, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(CONTROL))) {
+            return socket.getLocalPort();
+        }
+    }
+
+    /** Returns the addresses of the entries. */
+    List<String> entries() {
+        return entries;
+    }
+
+    /** Returns the address of the control VM. */
+    String control() {
+        return CONTROL;
+    }
+
+    private String settings(String vm, boolean isFirstStart) {
+        boolean isControl = vm.equals(CONTROL);
+        String roles = isControl
+                ? "ControlPlane = \"" + CONTROL + ":" + controlPort + "\"\n"
+                : "FrontAddr = \"" + vm + ":" + callerPort + "\"\nReadyAddr = \"" + vm + ":" + readinessPort + "\"\n";
+        return "NodeName = \"vm-" + vm + "\"\nIp = \"" + vm + "\"\nZone = \"a\"\nBootstrap = " + isFirstStart
+                + "\nHeartbeatMs = " + HEARTBEAT_MILLIS + "\n"
+                + (isControl ? "DataDir = \"" + folder.resolve("data") + "\"\n" : "")
+                + "InternalPortRange = [" + internalPort + ", " + internalPort + "]\nSeedNodes = [\"" + CONTROL + ":"
+                + controlPort + "\"]\n[Listen]\n" + roles + "[Bounds]\nGraceS = 3\nRetryBudgetRatio = 0.2\n"
+                + "RetryBudgetSlack = 60\n";
+    }
+
+    /** Starts a VM that does not run. */
+    void start(String vm) throws IOException {
+        boolean isFirstStart = !Files.exists(folder.resolve("data"));
+        Path file = Files.writeString(folder.resolve(vm + ".toml"), settings(vm, isFirstStart));
+        List<String> command = List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx128m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("java.class.path"),
+                "org.borageproxy.Borageproxy",
+                "platform");
+        ProcessBuilder builder = new ProcessBuilder(command);
+        builder.environment().put("BORAGEPROXY_BOOT", file.toString());
+        builder.redirectErrorStream(true);
+        builder.redirectOutput(
+                ProcessBuilder.Redirect.appendTo(folder.resolve(vm + ".log").toFile()));
+        processes.put(vm, builder.start());
+    }
+
+    /** Kills a VM. */
+    void kill(String vm) throws InterruptedException {
+        Process process = processes.remove(vm);
+        process.destroyForcibly();
+        process.waitFor();
+    }
+
+    /** Waits until an entry is ready. */
+    void awaitReady(String entry) throws Exception {
+        awaitOk(request(entry, readinessPort, "/readyz"));
+    }
+
+    /** Starts an engine, which announces itself from then on. */
+    EngineStandIn startEngine(String name, String software, boolean isFramed) throws Exception {
+        EngineStandIn engine = new EngineStandIn(name, software, isFramed);
+        synchronized (engines) {
+            engines.add(engine);
+        }
+        return engine;
+    }
+
+    /** Returns the number of callers' requests that have reached an engine. */
+    int requestCount() {
+        synchronized (engines) {
+            return engines.stream().mapToInt(engine -> engine.requests().size()).sum();
+        }
+    }
+
+    private void announceEngines() {
+        List<EngineStandIn> announced;
+        synchronized (engines) {
+            announced = engines.stream().filter(EngineStandIn::isRunning).toList();
+        }
+        for (EngineStandIn engine : announced) {
+            try {
+                client.send(
+                        request(CONTROL, controlPort, "/Replicas.Heartbeat/" + engine.name())
+                                .POST(HttpRequest.BodyPublishers.ofString(engine.heartbeat()))
+                                .build(),
+                        HttpResponse.BodyHandlers.discarding());
+            } catch (IOException exception) {
+                // The control VM does not run; the next heartbeat may reach it.
+            } catch (InterruptedException exception) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+        }
+    }
+
+    private static HttpRequest.Builder request(String host, int port, String path) {
+        return HttpRequest.newBuilder(URI.create("http://" + host + ":" + port + path))
+                .timeout(Duration.ofSeconds(2))
+                .version(HttpClient.Version.HTTP_1_1);
+    }
+
+    private void awaitOk(HttpRequest.Builder builder) throws Exception {
+        long end = System.nanoTime() + STEP_TIMEOUT.toNanos();
+        int status = 0;
+        while (status != OK) {
+            if (System.nanoTime() - end > 0) {
+                throw new AssertionError(builder.build().uri() + " answered " + status + "\n" + logs());
+            }
+            try {
+                status = client.send(builder.build(), HttpResponse.BodyHandlers.discarding())
+                        .statusCode();
+            } catch (IOException exception) {
+                status = 0;
+            }
+            Thread.sleep(status == OK ? 0 : 50);
+        }
+    }
+
+    private String logs() throws IOException {
+        StringBuilder logs = new StringBuilder();
+        for (String vm : processes.keySet()) {
+            List<String> lines = Files.readAllLines(folder.resolve(vm + ".log"), StandardCharsets.UTF_8);
+            logs.append(vm)
+                    .append('\n')
+                    .append(String.join("\n", lines.subList(Math.max(0, lines.size() - 15), lines.size())));
+        }
+        return logs.toString();
+    }
+
+    /** Opens a connection to an entry, sends a request for the model and returns the connection. */
+    Socket send(String entry, String identity, String parts, String extraHeaders) throws IOException {
+        Socket socket = new Socket(entry, callerPort);
+        socket.setSoTimeout(15_000);
+        String request = "POST /e/x HTTP/1.1\r\nHost: e.example\r\nX-Request-Id: " + identity
+                + "\r\nX-Credential: k\r\nX-Deadline-Ms: 9000\r\nX-Model: m\r\nX-Token-Count: 100,10\r\n"
+                + "X-Prompt-Prefix: " + parts + "\r\nConnection: close\r\n" + extraHeaders
+                + "Content-Length: 2\r\n\r\nhi";
+        socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+        return socket;
+    }
+
+    /** Sends a request and returns the whole answer, or what arrived of it before the connection broke. */
+    String call(String entry, String identity, String parts, String extraHeaders) throws IOException {
+        try (Socket socket = send(entry, identity, parts, extraHeaders)) {
+            StringBuilder answer = new StringBuilder();
+            InputStream input = socket.getInputStream();
+            try {
+                int next = input.read();
+                while (next >= 0) {
+                    answer.append((char) next);
+                    next = input.read();
+                }
+            } catch (IOException exception) {
+                answer.append("<broken>");
+            }
+            return answer.toString();
+        }
+    }
+
+    @Override
+    public void close() throws Exception {
+        heartbeats.shutdownNow();
+        processes.values().forEach(Process::destroyForcibly);
+        for (Process process : processes.values()) {
+            process.onExit().join();
+        }
+        for (EngineStandIn engine : engines) {
+            engine.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/borageproxy/platform/StreamVersionTest.java
@@ -0,0 +1,185 @@
+package org.borageproxy.platform;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Streams of a service whose engines run two software versions, with real VMs and simulated engines. */
+class StreamVersionTest {
+
+    private static final int STREAM_COUNT = 24;
+    private static final Pattern EVENT = Pattern.compile("id: (\\d+)\ndata: (\\S+)\n");
+
+    @TempDir
+    Path folder;
+
+    private PlatformFleet fleet;
+
+    /** A stream whose first event a caller has. */
+    private record Begun(String identity, String software) {}
+
+    @BeforeEach
+    void start() throws Exception {
+        fleet = new PlatformFleet(folder, 2);
+        for (int number = 0; number < 4; number++) {
+            boolean isFramed = number < 2;
+            fleet.startEngine("i-" + number, number % 2 == 0 ? "v1" : "v2", isFramed);
+        }
+        awaitBothVersions();
+    }
+
+    private void awaitBothVersions() throws Exception {
+        for (String entry : fleet.entries()) {
+            TreeSet<String> seen = new TreeSet<>();
+            for (int number = 0; seen.size() < 2; number++) {
+                assertTrue(number < 400, () -> entry + " reaches " + seen);
+                seen.addAll(versions(call(entry, "warm-" + entry + number, EngineStandIn.WHOLE, "")));
+            }
+        }
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        fleet.close();
+    }
+
+    private String call(String entry, String identity, String script, String headers) throws IOException {
+        return fleet.call(entry, identity, "a1:50," + identity + ":50", "X-Script: " + script + "\r\n" + headers);
+    }
+
+    private static TreeSet<String> versions(String answer) {
+        TreeSet<String> versions = new TreeSet<>();
+        EVENT.matcher(answer).results().forEach(event -> versions.add(event.group(2)));
+        return versions;
+    }
+
+    /** Begins streams at an entry; each caller leaves when it has the first event. */
+    private List<Begun> begin(String entry, String prefix) throws IOException {
+        List<Begun> streams = new ArrayList<>();
+        for (int number = 0; number < STREAM_COUNT; number++) {
+            String identity = prefix + number;
+            String headers = "X-Script: " + EngineStandIn.HOLD + "\r\n";
+            try (Socket socket = fleet.send(entry, identity, "a1:50," + identity + ":50", headers)) {
+                streams.add(new Begun(identity, firstEvent(socket)));
+            }
+        }
+        assertEquals(2, streams.stream().map(Begun::software).distinct().count(), () -> "" + streams);
+        return streams;
+    }
+
+    private static String firstEvent(Socket socket) throws IOException {
+        StringBuilder received = new StringBuilder();
+        Optional<String> software = Optional.empty();
+        while (software.isEmpty()) {
+            int next = socket.getInputStream().read();
+            assertTrue(next >= 0, () -> "answer ended: " + received);
+            received.append((char) next);
+            Matcher matcher = EVENT.matcher(received);
+            software = matcher.find() ? Optional.of(matcher.group(2)) : Optional.empty();
+        }
+        return software.get();
+    }
+
+    private String takeUp(String entry, String identity, String begunBy) throws IOException {
+        return call(entry, identity, EngineStandIn.WHOLE, "Last-Event-Id: 1\r\nResumes: " + begunBy + "\r\n");
+    }
+
+    /** Takes streams up at an entry: none goes on at another version, and at least half go on. */
+    private void assertGoOnAtTheirVersion(String entry, List<Begun> streams) throws IOException {
+        List<String> mixed = new ArrayList<>();
+        int resumed = 0;
+        for (Begun stream : streams) {
+            String answer = takeUp(entry, "again-" + stream.identity(), stream.identity());
+            if (answer.startsWith("HTTP/1.1 200")) {
+                resumed++;
+                if (!versions(answer).equals(new TreeSet<>(List.of(stream.software())))) {
+                    mixed.add(stream + " " + versions(answer));
+                }
+            } else {
+                assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
+            }
+        }
+        assertEquals(List.of(), mixed);
+        assertTrue(resumed >= streams.size() / 2, resumed + " of " + streams.size());
+    }
+
+    /** Guards against events of two software versions in one stream: the caller takes it up at another VM. */
+    @Test
+    void streamThatCallerTakesUpAtAnotherVmStaysAtVersionThatBeganIt() throws Exception {
+        List<Begun> streams = begin(fleet.entries().get(0), "s");
+        Thread.sleep(300);
+        assertGoOnAtTheirVersion(fleet.entries().get(1), streams);
+    }
+
+    /** Guards against events of two software versions in one stream: the VM that began it is killed. */
+    @Test
+    void streamOfKilledVmStaysAtVersionThatBeganIt() throws Exception {
+        String killed = fleet.entries().get(0);
+        List<Begun> streams = begin(killed, "s");
+        Thread.sleep(300);
+        fleet.kill(killed);
+        assertGoOnAtTheirVersion(fleet.entries().get(1), streams);
+        fleet.start(killed);
+        fleet.awaitReady(killed);
+        Thread.sleep(PlatformFleet.STABLE.toMillis());
+        assertGoOnAtTheirVersion(killed, streams);
+    }
+
+    /** Guards against events of two software versions in one stream: the control VM lost what it had been told. */
+    @Test
+    void streamStaysAtVersionThatBeganItAfterCoordinatorRestarted() throws Exception {
+        List<Begun> streams = begin(fleet.entries().get(0), "s");
+        fleet.kill(fleet.control());
+        List<String> mixed = new ArrayList<>();
+        for (Begun stream : streams) {
+            String answer = takeUp(fleet.entries().get(1), "cut-" + stream.identity(), stream.identity());
+            if (answer.startsWith("HTTP/1.1 200")
+                    && !versions(answer).equals(new TreeSet<>(List.of(stream.software())))) {
+                mixed.add(stream + " " + versions(answer));
+            }
+        }
+        assertEquals(List.of(), mixed);
+        fleet.start(fleet.control());
+        Thread.sleep(2 * PlatformFleet.STABLE.toMillis());
+        assertGoOnAtTheirVersion(fleet.entries().get(1), streams);
+    }
+
+    /** Guards against events of two software versions in one answer: the engine breaks off inside an event. */
+    @Test
+    void streamThatEngineBreaksOffGoesOnAtItsVersionInOneAnswer() throws Exception {
+        int whole = 0;
+        for (int number = 0; number < STREAM_COUNT; number++) {
+            String answer = call(fleet.entries().get(0), "b" + number, EngineStandIn.BREAK, "");
+            assertEquals(1, versions(answer).size(), answer);
+            whole += answer.contains("id: " + EngineStandIn.EVENT_COUNT) ? 1 : 0;
+        }
+        assertTrue(whole >= STREAM_COUNT / 2, whole + " of " + STREAM_COUNT);
+    }
+
+    /** Guards against a stream that goes on at any version because no VM knows which one began it. */
+    @Test
+    void streamThatNoVmKnowsIsRefusedAtOnceAndNotSent() throws Exception {
+        int sent = fleet.requestCount();
+        for (String entry : fleet.entries()) {
+            long startedAt = System.nanoTime();
+            String answer = takeUp(entry, "again-" + entry, "nobody-knows");
+            assertTrue(answer.startsWith("HTTP/1.1 503") && answer.toLowerCase().contains("retry-after: "), answer);
+            assertTrue(System.nanoTime() - startedAt < 2_000_000_000L, answer);
+        }
+        assertEquals(sent, fleet.requestCount());
+    }
+}
