--- a/src/main/java/org/borageproxy/coordination/Coordinator.java
+++ b/src/main/java/org/borageproxy/coordination/Coordinator.java
@@ -148,7 +148,7 @@
                 ? Deadline.after(nowNanos, ENGINE_USAGE_INTERVAL)
                 : previous.get().nextEngineUsageAt();
         reports.put(sender, new ReceivedReport(report, Deadline.after(nowNanos, REPORT_VALIDITY), nextEngineUsageAt));
-        update.setEntries(reports.size());
+        update.setEntries(reports.size()).setTerm(term);
         Map<String, WorkspaceUsage> usageByWorkspace = new HashMap<>();
         report.getWorkspacesList().forEach(usage -> usageByWorkspace.put(usage.getName(), usage));
         splitters.keySet().retainAll(workspaces.get().keySet());
--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -64,6 +64,9 @@
     private ScheduledFuture<?> deadlineTimer;
     private Optional<Attempt> currentAttempt = Optional.empty();
     private Optional<HttpResponse> firstHead = Optional.empty();
+    /** What began the stream; present once the caller has an event of it. */
+    private Optional<StreamOrigin> origin = Optional.empty();
+
     private int sends;
     private int possibleRuns;
     private boolean hasEnded;
@@ -75,7 +78,8 @@
         this.relay = new ResponseRelay(buffered.request().response());
         this.log = new RequestLog(buffered, context.clock());
         this.rate = new RateAdmission(context, buffered);
-        this.localSearch = new LocalSearch(context, buffered, log, triedServers, new LocalSearchListener());
+        this.localSearch =
+                new LocalSearch(context, buffered, log, triedServers, () -> origin, new LocalSearchListener());
     }
 
     /** Refuses the request or begins its admission, unless it was refused by a shutdown before. */
@@ -98,7 +102,37 @@
         deadlineTimer = schedule(buffered.deadline(), DEADLINE_GRACE, this::expire);
         context.retryBudgets().apply(buffered.service()).deposit();
         buffered.metadata().work().ifPresent(work -> context.pool().recordDemand(buffered.service(), work));
-        rate.admit(this::findServer, this::refuseRate);
+        if (isResumable() && buffered.metadata().lastEventIdentity().isPresent()) {
+            findOrigin();
+        } else {
+            rate.admit(this::findServer, this::refuseRate);
+        }
+    }
+
+    private boolean isResumable() {
+        return buffered.route().repeatability() == Repeatability.RESUMABLE_STREAM;
+    }
+
+    /** A caller that does not name the request that began the stream can resume it while there is only one version. */
+    private void findOrigin() {
+        buffered.metadata()
+                .resumedRequest()
+                .ifPresentOrElse(
+                        begunBy -> context.streamOrigins().find(begunBy, this::resume),
+                        () -> resume(context.pool().commonOrigin(buffered.service())));
+    }
+
+    private void resume(Optional<StreamOrigin> found) {
+        if (hasEnded) {
+            return;
+        }
+        log.originFound(found);
+        origin = found.filter(known -> known.service().equals(buffered.service()));
+        if (origin.isPresent()) {
+            rate.admit(this::findServer, this::refuseRate);
+        } else {
+            refuse(RefusalReason.STREAM_UNKNOWN, Optional.of(DEFAULT_RETRY_AFTER));
+        }
     }
 
     private ScheduledFuture<?> schedule(Deadline deadline, Duration grace, Runnable task) {
@@ -121,7 +155,7 @@
         }
         SlotClient.PriorAttempts priorAttempts =
                 new SlotClient.PriorAttempts(triedServers, serversWithoutModel, goneServers);
-        context.slotClient().request(buffered, work.get(), priorAttempts, answer -> {
+        context.slotClient().request(buffered, work.get(), priorAttempts, origin, answer -> {
             if (hasEnded) {
                 return;
             }
@@ -325,9 +359,12 @@
             if (isOver || head.isEmpty()) {
                 return;
             }
-            inFlightRequest.ifPresent(present -> present.recordResponse(buffered.service()));
             if (isStream) {
+                // Before the response is recorded, which may report to the coordinator what began the stream.
                 relayEvents(bytes);
+            }
+            inFlightRequest.ifPresent(present -> present.recordResponse(buffered.service()));
+            if (isStream) {
                 return;
             }
             body.writeBytes(bytes);
@@ -343,22 +380,30 @@
         }
 
         private void relayEvents(ByteBuf bytes) {
-            boolean isResumable = buffered.route().repeatability() == Repeatability.RESUMABLE_STREAM;
             ByteBuf relayedBytes = buffered.route().repeatability().isStream() ? scanner.append(bytes) : bytes;
             if (!relayedBytes.isReadable()) {
                 return;
             }
             if (firstHead.isEmpty()) {
                 firstHead = head;
+                recordOrigin();
             }
             log.streamEvent();
-            relay.sendPart(firstHead.get(), relayedBytes, isResumable ? Optional.empty() : length());
+            relay.sendPart(firstHead.get(), relayedBytes, isResumable() ? Optional.empty() : length());
             if (relay.isWriteQueueFull()) {
                 connection.ifPresent(present -> present.setReading(false));
                 relay.onDrained(() -> connection.ifPresent(present -> present.setReading(true)));
             }
         }
 
+        private void recordOrigin() {
+            if (isResumable() && origin.isEmpty()) {
+                StreamOrigin begun = new StreamOrigin(buffered.service(), server.softwareVersion());
+                origin = Optional.of(begun);
+                context.streamOrigins().recordBegun(buffered.metadata().requestIdentity(), begun);
+            }
+        }
+
         @Override
         public void onEnd() {
             if (isOver) {
@@ -412,7 +457,7 @@
             log.failed(server, reason, ageMillis());
             context.metrics().recordAttempt(buffered.service(), "lost", ageMillis());
             scanner.discardPartialEvent();
-            if (relay.hasBegun() && !(isStream && buffered.route().repeatability() == Repeatability.RESUMABLE_STREAM)) {
+            if (relay.hasBegun() && !(isStream && isResumable())) {
                 abortStream("answer broken off");
                 return;
             }
--- a/src/main/java/org/borageproxy/forward/ForwardContext.java
+++ b/src/main/java/org/borageproxy/forward/ForwardContext.java
@@ -15,6 +15,7 @@
  * @param protocol the header protocol of callers and backend servers
  * @param pool the backend servers
  * @param slotClient requests slots at model engines from the coordinator
+ * @param streamOrigins finds what began the streams that callers resume
  * @param connections the connections to the backend servers
  * @param rateShares this entry's shares of the workspace rates
  * @param retryBudgets returns the retry budget of a service
@@ -27,6 +28,7 @@
         CallerProtocol protocol,
         ServerPool pool,
         SlotClient slotClient,
+        StreamOriginClient streamOrigins,
         ServerConnectionPool connections,
         RateShares rateShares,
         Function<String, RetryBudget> retryBudgets,
--- a/src/main/java/org/borageproxy/forward/LocalSearch.java
+++ b/src/main/java/org/borageproxy/forward/LocalSearch.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.routing.EngineWork;
@@ -30,6 +31,7 @@
     private final BufferedRequest buffered;
     private final RequestLog log;
     private final Set<BackendServerName> triedServers;
+    private final Supplier<Optional<StreamOrigin>> origin;
     private final Listener listener;
     private final Runnable searchAgain = this::searchAgain;
     private Optional<RequestQueue.QueuedRequest> queuedRequest = Optional.empty();
@@ -59,29 +61,27 @@
             BufferedRequest buffered,
             RequestLog log,
             Set<BackendServerName> triedServers,
+            Supplier<Optional<StreamOrigin>> origin,
             Listener listener) {
         this.context = context;
         this.buffered = buffered;
         this.log = log;
         this.triedServers = triedServers;
+        this.origin = origin;
         this.listener = listener;
     }
 
     /** Selects a server or starts to wait for one; the listener may be called before this method returns. */
     void search() {
-        Optional<ServerSelector.Choice> choice = context.pool()
-                .choose(
-                        buffered.service(),
-                        buffered.engines(),
-                        buffered.metadata().work(),
-                        triedServers);
+        ServerRequirement requirement = new ServerRequirement(
+                buffered.service(), buffered.engines(), buffered.metadata().work(), triedServers, origin.get());
+        Optional<ServerSelector.Choice> choice = context.pool().choose(requirement);
         if (choice.isPresent()) {
             stop();
             listener.onChosen(choice.get());
             return;
         }
-        ServerPool.Unavailability unavailability = context.pool()
-                .unavailability(buffered.service(), buffered.metadata().work(), triedServers);
+        ServerPool.Unavailability unavailability = context.pool().unavailability(requirement);
         switch (unavailability) {
             case ALL_TRIED -> listener.onNotFound(RefusalReason.REFUSED_BY_SERVERS);
             case NO_SERVER -> waitOrRefuse(RefusalReason.NO_SERVER, unavailability, MAX_SERVER_WAIT);
--- a/src/main/java/org/borageproxy/forward/RefusalReason.java
+++ b/src/main/java/org/borageproxy/forward/RefusalReason.java
@@ -14,8 +14,10 @@
     RATE_SPENT(429, "rate-spent"),
     /** No backend server has capacity for the request in time, or none could be reached. */
     NO_CAPACITY(503, "no-capacity"),
-    /** No backend server of the service accepts requests. */
+    /** No backend server of the service, or none that can continue the stream, accepts requests. */
     NO_SERVER(503, "no-server"),
+    /** It is not known which software version began the stream that the request resumes. */
+    STREAM_UNKNOWN(503, "stream-unknown"),
     /** No backend server has the model or adapter loaded, and none will have it in time. */
     MODEL_ABSENT(503, "model-absent"),
     /** Every backend server that the request was sent to refused it without running it. */
--- a/src/main/java/org/borageproxy/forward/RequestLog.java
+++ b/src/main/java/org/borageproxy/forward/RequestLog.java
@@ -143,6 +143,21 @@
         lastEventMillis = nowMillis;
     }
 
+    /**
+     * Logs the result of the search for what began the stream that the request resumes.
+     *
+     * @param origin what began the stream; empty if it is not known
+     */
+    void originFound(Optional<StreamOrigin> origin) {
+        LOGGER.info(
+                "event=stream-origin id={} known={} service={} software={} age_ms={}",
+                identity(),
+                origin.isPresent(),
+                origin.map(StreamOrigin::service).orElse("-"),
+                origin.map(StreamOrigin::softwareVersion).orElse("-"),
+                ageMillis());
+    }
+
     void ended(String outcome, int status, int sends, int events) {
         LOGGER.info(
                 "event=request-ended id={} route={} service={} workspace={} model={} outcome=\"{}\" status={} sends={}"
--- a/src/main/java/org/borageproxy/forward/ServerPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerPool.java
@@ -56,7 +56,7 @@
 
     /** Reasons for which no server can run a request now. */
     public enum Unavailability {
-        /** No server of the service accepts requests. */
+        /** No server of the service, or none that can continue the stream, accepts requests. */
         NO_SERVER,
         /** No server has the model loaded. */
         NO_MODEL,
@@ -107,48 +107,38 @@
     /**
      * Selects the server of a request of this VM.
      *
-     * @param service the service
-     * @param engines the engine pool of the service; empty for a plain service
-     * @param work the inference work; empty for a plain service
-     * @param triedServers the servers that must not be selected again
+     * @param requirement what the request requires
      * @return empty if no server can run the request now
      */
-    Optional<ServerSelector.Choice> choose(
-            String service,
-            Optional<EnginePool> engines,
-            Optional<EngineWork> work,
-            Set<BackendServerName> triedServers) {
-        return choose(service, engines, work, triedServers, zone);
+    Optional<ServerSelector.Choice> choose(ServerRequirement requirement) {
+        return choose(requirement, zone);
     }
 
     /**
      * Selects the server of a request that is sent from a given availability zone.
      *
-     * @param service the service
-     * @param engines the engine pool of the service; empty for a plain service
-     * @param work the inference work; empty for a plain service
-     * @param triedServers the servers that must not be selected again
+     * @param requirement what the request requires
      * @param callerZone the availability zone from which the request is sent
      * @return empty if no server can run the request now
      */
-    Optional<ServerSelector.Choice> choose(
-            String service,
-            Optional<EnginePool> engines,
-            Optional<EngineWork> work,
-            Set<BackendServerName> triedServers,
-            AvailabilityZone callerZone) {
+    Optional<ServerSelector.Choice> choose(ServerRequirement requirement, AvailabilityZone callerZone) {
         List<ServerSelector.Candidate> candidates = new ArrayList<>();
-        String modelOrService = work.map(EngineWork::model).orElse(service);
+        String modelOrService = requirement.work().map(EngineWork::model).orElse(requirement.service());
         for (BackendServer server : servers.current()) {
-            if (acceptsWork(server, service) && canRun(server, work)) {
-                candidates.add(
-                        new ServerSelector.Candidate(server, load(server, engines), latencyRatios.of(modelOrService)));
+            if (acceptsWork(server, requirement) && canRun(server, requirement.work())) {
+                candidates.add(new ServerSelector.Candidate(
+                        server, load(server, requirement.engines()), latencyRatios.of(modelOrService)));
             }
         }
-        ServerSelector.Query query = new ServerSelector.Query(work, engines, callerZone, triedServers);
+        ServerSelector.Query query = new ServerSelector.Query(
+                requirement.work(), requirement.engines(), callerZone, requirement.triedServers());
         return ServerSelector.INSTANCE.choose(query, candidates, clock.nanoTime(), random);
     }
 
+    private boolean acceptsWork(BackendServer server, ServerRequirement requirement) {
+        return acceptsWork(server, requirement.service()) && requirement.isMetBy(server);
+    }
+
     private boolean acceptsWork(BackendServer server, String service) {
         return server.state() != BackendServerState.LEAVING
                 && server.services().contains(service)
@@ -220,14 +210,13 @@
     /**
      * Returns the reason for which no server can be selected for a request.
      *
-     * @param service the service
-     * @param work the inference work; empty for a plain service
-     * @param triedServers the servers that must not be selected again
+     * @param requirement what the request requires
      * @return the reason; meaningful only if no server was selected
      */
-    Unavailability unavailability(String service, Optional<EngineWork> work, Set<BackendServerName> triedServers) {
+    Unavailability unavailability(ServerRequirement requirement) {
+        Optional<EngineWork> work = requirement.work();
         List<BackendServer> accepting = servers.current().stream()
-                .filter(server -> acceptsWork(server, service))
+                .filter(server -> acceptsWork(server, requirement))
                 .toList();
         if (accepting.isEmpty()) {
             return Unavailability.NO_SERVER;
@@ -235,7 +224,8 @@
         List<BackendServer> capable =
                 accepting.stream().filter(server -> canRun(server, work)).toList();
         if (!capable.isEmpty()) {
-            boolean areAllTried = capable.stream().allMatch(server -> triedServers.contains(server.name()));
+            boolean areAllTried = capable.stream()
+                    .allMatch(server -> requirement.triedServers().contains(server.name()));
             return areAllTried ? Unavailability.ALL_TRIED : Unavailability.CROWDED;
         }
         String model = work.orElseThrow().model();
@@ -244,6 +234,21 @@
         return isModelLoaded ? Unavailability.NO_ADAPTER : Unavailability.NO_MODEL;
     }
 
+    /**
+     * Returns the origin of any stream of a service, if all of its announced servers run the same software version.
+     *
+     * @param service the service
+     * @return empty if there are several versions or no servers
+     */
+    Optional<StreamOrigin> commonOrigin(String service) {
+        List<String> versions = servers.current().stream()
+                .filter(server -> server.services().contains(service))
+                .map(BackendServer::softwareVersion)
+                .distinct()
+                .toList();
+        return versions.size() == 1 ? Optional.of(new StreamOrigin(service, versions.get(0))) : Optional.empty();
+    }
+
     /**
      * Returns whether an incarnation of a server is still announced and not leaving.
      *
--- a/src/main/java/org/borageproxy/forward/SlotBroker.java
+++ b/src/main/java/org/borageproxy/forward/SlotBroker.java
@@ -64,6 +64,7 @@
 
     private final Environment environment;
     private final ServerPool pool;
+    private final StreamOrigins origins;
     private final Map<VmName, Entry> entries = new HashMap<>();
     private final ServerUsageTotals usage = new ServerUsageTotals();
     private boolean isRefreshScheduled;
@@ -73,6 +74,7 @@
      *
      * @param isCoordinator supplies whether this VM is the coordinator
      * @param pool the servers with the load of all entries; used by this broker only
+     * @param origins the origins of the streams that the entries report
      * @param engines returns the engine pool of a service
      * @param clock the clock
      * @param timer schedules tasks on the event loop
@@ -81,6 +83,7 @@
     public record Environment(
             Supplier<Boolean> isCoordinator,
             ServerPool pool,
+            StreamOrigins origins,
             Function<String, Optional<EnginePool>> engines,
             MonotonicClock clock,
             Timer timer,
@@ -134,6 +137,7 @@
     public SlotBroker(Environment environment) {
         this.environment = environment;
         this.pool = environment.pool();
+        this.origins = environment.origins();
     }
 
     /**
@@ -153,6 +157,7 @@
         entry.reportedUsage = report.getServersList();
         entry.expiresAt = Deadline.after(nowNanos, Duration.ofMillis(1500));
         report.getServersList().forEach(pool::applyOutcomes);
+        origins.recordReported(report.getBegunStreamsList());
         report.getPacesList().forEach(pace -> pool.mergeLatencyRatio(pace.getModel(), pace.getPace()));
         scheduleRefresh();
     }
@@ -237,7 +242,7 @@
         private final EngineWork work;
         private final CompletableFuture<ByteString> answer;
         private final RequestQueue.QueuedRequest queuedRequest;
-        private final Set<BackendServerName> triedServers = new HashSet<>();
+        private final ServerRequirement requirement;
         private boolean isWaiting;
         private boolean isModelMissing;
 
@@ -257,7 +262,17 @@
             Deadline objective =
                     Deadline.after(environment.clock().nanoTime(), Duration.ofMillis(request.getObjectiveMillis()));
             queuedRequest = new RequestQueue.QueuedRequest(request.getRank(), objective, work, this::searchAgain);
+            Set<BackendServerName> triedServers = new HashSet<>();
             request.getTriedList().forEach(name -> triedServers.add(new BackendServerName(name)));
+            Optional<StreamOrigin> origin = request.hasSoftwareVersion()
+                    ? Optional.of(new StreamOrigin(request.getService(), request.getSoftwareVersion()))
+                    : Optional.empty();
+            requirement = new ServerRequirement(
+                    request.getService(),
+                    environment.engines().apply(request.getService()),
+                    Optional.of(work),
+                    triedServers,
+                    origin);
         }
 
         void begin() {
@@ -274,9 +289,7 @@
 
         private boolean tryGrant() {
             AvailabilityZone zone = new AvailabilityZone(request.getZone());
-            Optional<EnginePool> engines = environment.engines().apply(request.getService());
-            Optional<ServerSelector.Choice> choice =
-                    pool.choose(request.getService(), engines, Optional.of(work), triedServers, zone);
+            Optional<ServerSelector.Choice> choice = pool.choose(requirement, zone);
             choice.ifPresent(this::grant);
             return choice.isPresent();
         }
@@ -308,8 +321,7 @@
         }
 
         private void waitOrRefuse() {
-            ServerPool.Unavailability unavailability =
-                    pool.unavailability(request.getService(), Optional.of(work), triedServers);
+            ServerPool.Unavailability unavailability = pool.unavailability(requirement);
             switch (unavailability) {
                 case NO_SERVER -> refuse(SlotAnswer.Outcome.NO_SERVER, MIN_RETRY_AFTER);
                 case ALL_TRIED -> refuse(SlotAnswer.Outcome.ALL_TRIED, MIN_RETRY_AFTER);
--- a/src/main/java/org/borageproxy/forward/SlotClient.java
+++ b/src/main/java/org/borageproxy/forward/SlotClient.java
@@ -104,9 +104,15 @@
      * @param buffered the request
      * @param work the inference work
      * @param priorAttempts the results of earlier attempts
+     * @param origin what began the stream that the request continues; empty for a request that any server can run
      * @param listener receives the answer, possibly before this method returns
      */
-    void request(BufferedRequest buffered, EngineWork work, PriorAttempts priorAttempts, AnswerListener listener) {
+    void request(
+            BufferedRequest buffered,
+            EngineWork work,
+            PriorAttempts priorAttempts,
+            Optional<StreamOrigin> origin,
+            AnswerListener listener) {
         long nowNanos = clock.nanoTime();
         Optional<VmName> target = coordinator.get();
         if (target.isEmpty() || !backoffUntil.hasPassed(nowNanos)) {
@@ -130,6 +136,7 @@
         priorAttempts.triedServers().forEach(name -> request.addTried(name.value()));
         priorAttempts.serversWithoutModel().forEach(name -> request.addAbsentAt(name.value()));
         priorAttempts.goneServers().forEach(name -> request.addGone(name.value()));
+        origin.ifPresent(known -> request.setSoftwareVersion(known.softwareVersion()));
         long waitedMillis = (nowNanos - buffered.arrivedAtNanos()) / 1_000_000L;
         request.setWaitedMillis((int) waitedMillis);
         network.request(
--- a/src/main/java/org/borageproxy/server/GatewayControl.java
+++ b/src/main/java/org/borageproxy/server/GatewayControl.java
@@ -25,6 +25,7 @@
 import org.borageproxy.coordination.ModelInventory;
 import org.borageproxy.forward.ServerPool;
 import org.borageproxy.forward.SlotBroker;
+import org.borageproxy.forward.StreamOrigins;
 import org.borageproxy.log.GroupMember;
 import org.borageproxy.log.MemberContext;
 import org.borageproxy.log.MemberStatus;
@@ -72,6 +73,7 @@
     private final AdmissionService admission;
     private final FleetPlacement placement;
     private final SlotBroker slotBroker;
+    private final StreamOrigins streamOrigins;
     /** Changes that the entries have not been told yet; confined to the event loop. */
     private final Map<String, ModelInventory> changedInventories = new LinkedHashMap<>();
 
@@ -86,6 +88,7 @@
         client = new ControlClient(
                 runtime.self(), runtime.network(), runtime::controlVms, runtime.clock(), runtime.timer());
         placement = createPlacement();
+        streamOrigins = new StreamOrigins(runtime.clock());
         slotBroker = createSlotBroker();
         admission = new AdmissionService(
                 member,
@@ -164,6 +167,7 @@
         return new SlotBroker(new SlotBroker.Environment(
                 member::isLeader,
                 pool,
+                streamOrigins,
                 service -> publication.flatMap(current -> current.enginePool(service)),
                 runtime.clock(),
                 runtime.timer(),
@@ -219,6 +223,7 @@
                 placement,
                 slotBroker::recordReport);
         runtime.network().registerHandler(MessageKind.SLOT, slotBroker);
+        runtime.network().registerHandler(MessageKind.STREAM_ORIGIN, streamOrigins);
         runtime.network()
                 .registerHandler(MessageKind.CONTROL_COMMAND, new ControlService(member, state, runtime.clock()));
         runtime.network()
--- a/src/main/java/org/borageproxy/server/GatewayEntry.java
+++ b/src/main/java/org/borageproxy/server/GatewayEntry.java
@@ -22,6 +22,8 @@
 import org.borageproxy.forward.ServerConnectionPool;
 import org.borageproxy.forward.ServerPool;
 import org.borageproxy.forward.SlotClient;
+import org.borageproxy.forward.StreamOriginClient;
+import org.borageproxy.forward.StreamOrigins;
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.publication.Publication;
 import org.borageproxy.publication.PublishedWorkspace;
@@ -54,6 +56,7 @@
     private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
     private final CoordinationClient coordination;
     private final SlotClient slotClient;
+    private final StreamOrigins streamOrigins;
     private final ServerConnectionPool connectionPool;
     private final ForwardServer server;
     private final String session = UUID.randomUUID().toString();
@@ -77,6 +80,7 @@
                 runtime.eventLoop(),
                 this::createUsageReport,
                 this::applyUpdate);
+        streamOrigins = new StreamOrigins(runtime.clock());
         pool.onGone(runtime::suspectServer);
         pool.onUrgentDemand(coordination::requestUrgentReport);
         pool.onLoadChange(coordination::requestUrgentReport);
@@ -99,6 +103,12 @@
                 runtime.protocol().callerProtocol(),
                 pool,
                 slotClient,
+                new StreamOriginClient(
+                        streamOrigins,
+                        runtime.network(),
+                        coordination::coordinator,
+                        runtime.clock(),
+                        runtime.eventLoop()),
                 connectionPool,
                 rateShares,
                 this::retryBudget,
@@ -148,6 +158,7 @@
                 .setLastSlot(slotClient.lastSlot())
                 .setContentsVersion(inventoryVersion)
                 .addAllPaces(latencyRatios())
+                .addAllBegunStreams(streamOrigins.collectUnreported())
                 .build();
     }
 
@@ -165,6 +176,7 @@
             retryBudgets.values().forEach(budget -> budget.setMaximum(retryBurst()));
         }
         if (update.getEntries() > 0) {
+            streamOrigins.confirmReport(update.getTerm());
             pool.updateOtherVmUsage(update.getServersList(), update.getAllServers());
             Map<String, PublishedWorkspace> workspaces = servedPublication
                     .map(current -> current.publication().workspaces())
--- a/src/main/java/org/borageproxy/wire/MessageKind.java
+++ b/src/main/java/org/borageproxy/wire/MessageKind.java
@@ -29,7 +29,9 @@
     /** A periodic request of a VM to be admitted to the control group. */
     ADMISSION(13),
     /** A request of an entry for an execution slot on a model engine, answered by the coordinator. */
-    SLOT(14);
+    SLOT(14),
+    /** A query of an entry for the origin of a stream, answered by the coordinator. */
+    STREAM_ORIGIN(15);
 
     private final int number;
 
--- a/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
@@ -185,6 +185,50 @@
      * @return The contentsVersion.
      */
     long getContentsVersion();
+
+    /**
+     * <pre>
+     * Resumable streams whose first event was relayed since the last report that was answered.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+     */
+    java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.BegunStream> 
+        getBegunStreamsList();
+    /**
+     * <pre>
+     * Resumable streams whose first event was relayed since the last report that was answered.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+     */
+    org.borageproxy.wire.proto.CoordinationProtocol.BegunStream getBegunStreams(int index);
+    /**
+     * <pre>
+     * Resumable streams whose first event was relayed since the last report that was answered.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+     */
+    int getBegunStreamsCount();
+    /**
+     * <pre>
+     * Resumable streams whose first event was relayed since the last report that was answered.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+     */
+    java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.BegunStreamOrBuilder> 
+        getBegunStreamsOrBuilderList();
+    /**
+     * <pre>
+     * Resumable streams whose first event was relayed since the last report that was answered.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+     */
+    org.borageproxy.wire.proto.CoordinationProtocol.BegunStreamOrBuilder getBegunStreamsOrBuilder(
+        int index);
   }
   /**
    * <pre>
@@ -217,6 +261,7 @@
       workspaces_ = java.util.Collections.emptyList();
       demands_ = java.util.Collections.emptyList();
       paces_ = java.util.Collections.emptyList();
+      begunStreams_ = java.util.Collections.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -498,6 +543,67 @@
       return contentsVersion_;
     }
 
+    public static final int BEGUN_STREAMS_FIELD_NUMBER = 8;
+    @SuppressWarnings("serial")
+    private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.BegunStream> begunStreams_;
+    /**
+     * <pre>
+     * Resumable streams whose first event was relayed since the last report that was answered.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.BegunStream> getBegunStreamsList() {
+      return begunStreams_;
+    }
+    /**
+     * <pre>
+     * Resumable streams whose first event was relayed since the last report that was answered.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.BegunStreamOrBuilder> 
+        getBegunStreamsOrBuilderList() {
+      return begunStreams_;
+    }
+    /**
+     * <pre>
+     * Resumable streams whose first event was relayed since the last report that was answered.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+     */
+    @java.lang.Override
+    public int getBegunStreamsCount() {
+      return begunStreams_.size();
+    }
+    /**
+     * <pre>
+     * Resumable streams whose first event was relayed since the last report that was answered.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.CoordinationProtocol.BegunStream getBegunStreams(int index) {
+      return begunStreams_.get(index);
+    }
+    /**
+     * <pre>
+     * Resumable streams whose first event was relayed since the last report that was answered.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.CoordinationProtocol.BegunStreamOrBuilder getBegunStreamsOrBuilder(
+        int index) {
+      return begunStreams_.get(index);
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -533,6 +639,9 @@
       if (contentsVersion_ != 0L) {
         output.writeUInt64(7, contentsVersion_);
       }
+      for (int i = 0; i < begunStreams_.size(); i++) {
+        output.writeMessage(8, begunStreams_.get(i));
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -589,6 +698,15 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(7, contentsVersion_);
       }
+
+          {
+            final int count = begunStreams_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(begunStreams_.get(i));
+            }
+            size += 1 * count;
+          }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -618,6 +736,8 @@
           .equals(other.getPacesList())) return false;
       if (getContentsVersion()
           != other.getContentsVersion()) return false;
+      if (!getBegunStreamsList()
+          .equals(other.getBegunStreamsList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -653,6 +773,10 @@
       hash = (37 * hash) + CONTENTS_VERSION_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getContentsVersion());
+      if (getBegunStreamsCount() > 0) {
+        hash = (37 * hash) + BEGUN_STREAMS_FIELD_NUMBER;
+        hash = (53 * hash) + getBegunStreamsList().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -819,6 +943,13 @@
         }
         bitField0_ = (bitField0_ & ~0x00000020);
         contentsVersion_ = 0L;
+        if (begunStreamsBuilder_ == null) {
+          begunStreams_ = java.util.Collections.emptyList();
+        } else {
+          begunStreams_ = null;
+          begunStreamsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000080);
         return this;
       }
 
@@ -888,6 +1019,15 @@
         } else {
           result.paces_ = pacesBuilder_.build();
         }
+        if (begunStreamsBuilder_ == null) {
+          if (((bitField0_ & 0x00000080) != 0)) {
+            begunStreams_ = java.util.Collections.unmodifiableList(begunStreams_);
+            bitField0_ = (bitField0_ & ~0x00000080);
+          }
+          result.begunStreams_ = begunStreams_;
+        } else {
+          result.begunStreams_ = begunStreamsBuilder_.build();
+        }
       }
 
       private void buildPartial0(org.borageproxy.wire.proto.CoordinationProtocol.UsageReport result) {
@@ -1030,6 +1170,32 @@
         if (other.getContentsVersion() != 0L) {
           setContentsVersion(other.getContentsVersion());
         }
+        if (begunStreamsBuilder_ == null) {
+          if (!other.begunStreams_.isEmpty()) {
+            if (begunStreams_.isEmpty()) {
+              begunStreams_ = other.begunStreams_;
+              bitField0_ = (bitField0_ & ~0x00000080);
+            } else {
+              ensureBegunStreamsIsMutable();
+              begunStreams_.addAll(other.begunStreams_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.begunStreams_.isEmpty()) {
+            if (begunStreamsBuilder_.isEmpty()) {
+              begunStreamsBuilder_.dispose();
+              begunStreamsBuilder_ = null;
+              begunStreams_ = other.begunStreams_;
+              bitField0_ = (bitField0_ & ~0x00000080);
+              begunStreamsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetBegunStreamsFieldBuilder() : null;
+            } else {
+              begunStreamsBuilder_.addAllMessages(other.begunStreams_);
+            }
+          }
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -1123,6 +1289,19 @@
                 bitField0_ |= 0x00000040;
                 break;
               } // case 56
+              case 66: {
+                org.borageproxy.wire.proto.CoordinationProtocol.BegunStream m =
+                    input.readMessage(
+                        org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.parser(),
+                        extensionRegistry);
+                if (begunStreamsBuilder_ == null) {
+                  ensureBegunStreamsIsMutable();
+                  begunStreams_.add(m);
+                } else {
+                  begunStreamsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 66
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -2322,53 +2501,2515 @@
         return contentsVersion_;
       }
       /**
-       * <pre>
-       * The version of the server contents that the entry has received.
-       * </pre>
-       *
-       * <code>uint64 contents_version = 7;</code>
-       * @param value The contentsVersion to set.
+       * <pre>
+       * The version of the server contents that the entry has received.
+       * </pre>
+       *
+       * <code>uint64 contents_version = 7;</code>
+       * @param value The contentsVersion to set.
+       * @return This builder for chaining.
+       */
+      public Builder setContentsVersion(long value) {
+
+        contentsVersion_ = value;
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The version of the server contents that the entry has received.
+       * </pre>
+       *
+       * <code>uint64 contents_version = 7;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearContentsVersion() {
+        bitField0_ = (bitField0_ & ~0x00000040);
+        contentsVersion_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.BegunStream> begunStreams_ =
+        java.util.Collections.emptyList();
+      private void ensureBegunStreamsIsMutable() {
+        if (!((bitField0_ & 0x00000080) != 0)) {
+          begunStreams_ = new java.util.ArrayList<org.borageproxy.wire.proto.CoordinationProtocol.BegunStream>(begunStreams_);
+          bitField0_ |= 0x00000080;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.CoordinationProtocol.BegunStream, org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.Builder, org.borageproxy.wire.proto.CoordinationProtocol.BegunStreamOrBuilder> begunStreamsBuilder_;
+
+      /**
+       * <pre>
+       * Resumable streams whose first event was relayed since the last report that was answered.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.BegunStream> getBegunStreamsList() {
+        if (begunStreamsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(begunStreams_);
+        } else {
+          return begunStreamsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <pre>
+       * Resumable streams whose first event was relayed since the last report that was answered.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       */
+      public int getBegunStreamsCount() {
+        if (begunStreamsBuilder_ == null) {
+          return begunStreams_.size();
+        } else {
+          return begunStreamsBuilder_.getCount();
+        }
+      }
+      /**
+       * <pre>
+       * Resumable streams whose first event was relayed since the last report that was answered.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.BegunStream getBegunStreams(int index) {
+        if (begunStreamsBuilder_ == null) {
+          return begunStreams_.get(index);
+        } else {
+          return begunStreamsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <pre>
+       * Resumable streams whose first event was relayed since the last report that was answered.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       */
+      public Builder setBegunStreams(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.BegunStream value) {
+        if (begunStreamsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureBegunStreamsIsMutable();
+          begunStreams_.set(index, value);
+          onChanged();
+        } else {
+          begunStreamsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Resumable streams whose first event was relayed since the last report that was answered.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       */
+      public Builder setBegunStreams(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.Builder builderForValue) {
+        if (begunStreamsBuilder_ == null) {
+          ensureBegunStreamsIsMutable();
+          begunStreams_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          begunStreamsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Resumable streams whose first event was relayed since the last report that was answered.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       */
+      public Builder addBegunStreams(org.borageproxy.wire.proto.CoordinationProtocol.BegunStream value) {
+        if (begunStreamsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureBegunStreamsIsMutable();
+          begunStreams_.add(value);
+          onChanged();
+        } else {
+          begunStreamsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Resumable streams whose first event was relayed since the last report that was answered.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       */
+      public Builder addBegunStreams(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.BegunStream value) {
+        if (begunStreamsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureBegunStreamsIsMutable();
+          begunStreams_.add(index, value);
+          onChanged();
+        } else {
+          begunStreamsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Resumable streams whose first event was relayed since the last report that was answered.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       */
+      public Builder addBegunStreams(
+          org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.Builder builderForValue) {
+        if (begunStreamsBuilder_ == null) {
+          ensureBegunStreamsIsMutable();
+          begunStreams_.add(builderForValue.build());
+          onChanged();
+        } else {
+          begunStreamsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Resumable streams whose first event was relayed since the last report that was answered.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       */
+      public Builder addBegunStreams(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.Builder builderForValue) {
+        if (begunStreamsBuilder_ == null) {
+          ensureBegunStreamsIsMutable();
+          begunStreams_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          begunStreamsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Resumable streams whose first event was relayed since the last report that was answered.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       */
+      public Builder addAllBegunStreams(
+          java.lang.Iterable<? extends org.borageproxy.wire.proto.CoordinationProtocol.BegunStream> values) {
+        if (begunStreamsBuilder_ == null) {
+          ensureBegunStreamsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, begunStreams_);
+          onChanged();
+        } else {
+          begunStreamsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Resumable streams whose first event was relayed since the last report that was answered.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       */
+      public Builder clearBegunStreams() {
+        if (begunStreamsBuilder_ == null) {
+          begunStreams_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000080);
+          onChanged();
+        } else {
+          begunStreamsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Resumable streams whose first event was relayed since the last report that was answered.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       */
+      public Builder removeBegunStreams(int index) {
+        if (begunStreamsBuilder_ == null) {
+          ensureBegunStreamsIsMutable();
+          begunStreams_.remove(index);
+          onChanged();
+        } else {
+          begunStreamsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Resumable streams whose first event was relayed since the last report that was answered.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.Builder getBegunStreamsBuilder(
+          int index) {
+        return internalGetBegunStreamsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * Resumable streams whose first event was relayed since the last report that was answered.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.BegunStreamOrBuilder getBegunStreamsOrBuilder(
+          int index) {
+        if (begunStreamsBuilder_ == null) {
+          return begunStreams_.get(index);  } else {
+          return begunStreamsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * Resumable streams whose first event was relayed since the last report that was answered.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       */
+      public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.BegunStreamOrBuilder> 
+           getBegunStreamsOrBuilderList() {
+        if (begunStreamsBuilder_ != null) {
+          return begunStreamsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(begunStreams_);
+        }
+      }
+      /**
+       * <pre>
+       * Resumable streams whose first event was relayed since the last report that was answered.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.Builder addBegunStreamsBuilder() {
+        return internalGetBegunStreamsFieldBuilder().addBuilder(
+            org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Resumable streams whose first event was relayed since the last report that was answered.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.Builder addBegunStreamsBuilder(
+          int index) {
+        return internalGetBegunStreamsFieldBuilder().addBuilder(
+            index, org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Resumable streams whose first event was relayed since the last report that was answered.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.Builder> 
+           getBegunStreamsBuilderList() {
+        return internalGetBegunStreamsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.CoordinationProtocol.BegunStream, org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.Builder, org.borageproxy.wire.proto.CoordinationProtocol.BegunStreamOrBuilder> 
+          internalGetBegunStreamsFieldBuilder() {
+        if (begunStreamsBuilder_ == null) {
+          begunStreamsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.borageproxy.wire.proto.CoordinationProtocol.BegunStream, org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.Builder, org.borageproxy.wire.proto.CoordinationProtocol.BegunStreamOrBuilder>(
+                  begunStreams_,
+                  ((bitField0_ & 0x00000080) != 0),
+                  getParentForChildren(),
+                  isClean());
+          begunStreams_ = null;
+        }
+        return begunStreamsBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:borageproxy.coordination.UsageReport)
+    }
+
+    // @@protoc_insertion_point(class_scope:borageproxy.coordination.UsageReport)
+    private static final org.borageproxy.wire.proto.CoordinationProtocol.UsageReport DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.CoordinationProtocol.UsageReport();
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.UsageReport getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<UsageReport>
+        PARSER = new com.google.protobuf.AbstractParser<UsageReport>() {
+      @java.lang.Override
+      public UsageReport parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<UsageReport> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<UsageReport> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.borageproxy.wire.proto.CoordinationProtocol.UsageReport getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface BegunStreamOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.coordination.BegunStream)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <pre>
+     * The identity of the request that began the stream.
+     * </pre>
+     *
+     * <code>string request = 1;</code>
+     * @return The request.
+     */
+    java.lang.String getRequest();
+    /**
+     * <pre>
+     * The identity of the request that began the stream.
+     * </pre>
+     *
+     * <code>string request = 1;</code>
+     * @return The bytes for request.
+     */
+    com.google.protobuf.ByteString
+        getRequestBytes();
+
+    /**
+     * <code>string service = 2;</code>
+     * @return The service.
+     */
+    java.lang.String getService();
+    /**
+     * <code>string service = 2;</code>
+     * @return The bytes for service.
+     */
+    com.google.protobuf.ByteString
+        getServiceBytes();
+
+    /**
+     * <code>string software_version = 3;</code>
+     * @return The softwareVersion.
+     */
+    java.lang.String getSoftwareVersion();
+    /**
+     * <code>string software_version = 3;</code>
+     * @return The bytes for softwareVersion.
+     */
+    com.google.protobuf.ByteString
+        getSoftwareVersionBytes();
+  }
+  /**
+   * <pre>
+   * The service and software version at which a resumable stream began.
+   * </pre>
+   *
+   * Protobuf type {@code borageproxy.coordination.BegunStream}
+   */
+  public static final class BegunStream extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:borageproxy.coordination.BegunStream)
+      BegunStreamOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "BegunStream");
+    }
+    // Use BegunStream.newBuilder() to construct.
+    private BegunStream(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private BegunStream() {
+      request_ = "";
+      service_ = "";
+      softwareVersion_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_BegunStream_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_BegunStream_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_BegunStream_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.class, org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.Builder.class);
+    }
+
+    public static final int REQUEST_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object request_ = "";
+    /**
+     * <pre>
+     * The identity of the request that began the stream.
+     * </pre>
+     *
+     * <code>string request = 1;</code>
+     * @return The request.
+     */
+    @java.lang.Override
+    public java.lang.String getRequest() {
+      java.lang.Object ref = request_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        request_ = s;
+        return s;
+      }
+    }
+    /**
+     * <pre>
+     * The identity of the request that began the stream.
+     * </pre>
+     *
+     * <code>string request = 1;</code>
+     * @return The bytes for request.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getRequestBytes() {
+      java.lang.Object ref = request_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        request_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int SERVICE_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object service_ = "";
+    /**
+     * <code>string service = 2;</code>
+     * @return The service.
+     */
+    @java.lang.Override
+    public java.lang.String getService() {
+      java.lang.Object ref = service_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        service_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string service = 2;</code>
+     * @return The bytes for service.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getServiceBytes() {
+      java.lang.Object ref = service_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        service_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int SOFTWARE_VERSION_FIELD_NUMBER = 3;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object softwareVersion_ = "";
+    /**
+     * <code>string software_version = 3;</code>
+     * @return The softwareVersion.
+     */
+    @java.lang.Override
+    public java.lang.String getSoftwareVersion() {
+      java.lang.Object ref = softwareVersion_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        softwareVersion_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string software_version = 3;</code>
+     * @return The bytes for softwareVersion.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getSoftwareVersionBytes() {
+      java.lang.Object ref = softwareVersion_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        softwareVersion_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(request_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, request_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, service_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(softwareVersion_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 3, softwareVersion_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(request_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, request_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, service_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(softwareVersion_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(3, softwareVersion_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.borageproxy.wire.proto.CoordinationProtocol.BegunStream)) {
+        return super.equals(obj);
+      }
+      org.borageproxy.wire.proto.CoordinationProtocol.BegunStream other = (org.borageproxy.wire.proto.CoordinationProtocol.BegunStream) obj;
+
+      if (!getRequest()
+          .equals(other.getRequest())) return false;
+      if (!getService()
+          .equals(other.getService())) return false;
+      if (!getSoftwareVersion()
+          .equals(other.getSoftwareVersion())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + REQUEST_FIELD_NUMBER;
+      hash = (53 * hash) + getRequest().hashCode();
+      hash = (37 * hash) + SERVICE_FIELD_NUMBER;
+      hash = (53 * hash) + getService().hashCode();
+      hash = (37 * hash) + SOFTWARE_VERSION_FIELD_NUMBER;
+      hash = (53 * hash) + getSoftwareVersion().hashCode();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.BegunStream parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.BegunStream parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.BegunStream parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.BegunStream parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.BegunStream parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.BegunStream parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.BegunStream parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.BegunStream parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.BegunStream parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.BegunStream parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.BegunStream parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.BegunStream parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.borageproxy.wire.proto.CoordinationProtocol.BegunStream prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * The service and software version at which a resumable stream began.
+     * </pre>
+     *
+     * Protobuf type {@code borageproxy.coordination.BegunStream}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:borageproxy.coordination.BegunStream)
+        org.borageproxy.wire.proto.CoordinationProtocol.BegunStreamOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_BegunStream_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_BegunStream_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.class, org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.Builder.class);
+      }
+
+      // Construct using org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        request_ = "";
+        service_ = "";
+        softwareVersion_ = "";
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_BegunStream_descriptor;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.BegunStream getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.BegunStream build() {
+        org.borageproxy.wire.proto.CoordinationProtocol.BegunStream result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.BegunStream buildPartial() {
+        org.borageproxy.wire.proto.CoordinationProtocol.BegunStream result = new org.borageproxy.wire.proto.CoordinationProtocol.BegunStream(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.borageproxy.wire.proto.CoordinationProtocol.BegunStream result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.request_ = request_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.service_ = service_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.softwareVersion_ = softwareVersion_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.borageproxy.wire.proto.CoordinationProtocol.BegunStream) {
+          return mergeFrom((org.borageproxy.wire.proto.CoordinationProtocol.BegunStream)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.borageproxy.wire.proto.CoordinationProtocol.BegunStream other) {
+        if (other == org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.getDefaultInstance()) return this;
+        if (!other.getRequest().isEmpty()) {
+          request_ = other.request_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (!other.getService().isEmpty()) {
+          service_ = other.service_;
+          bitField0_ |= 0x00000002;
+          onChanged();
+        }
+        if (!other.getSoftwareVersion().isEmpty()) {
+          softwareVersion_ = other.softwareVersion_;
+          bitField0_ |= 0x00000004;
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                request_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 18: {
+                service_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              case 26: {
+                softwareVersion_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 26
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object request_ = "";
+      /**
+       * <pre>
+       * The identity of the request that began the stream.
+       * </pre>
+       *
+       * <code>string request = 1;</code>
+       * @return The request.
+       */
+      public java.lang.String getRequest() {
+        java.lang.Object ref = request_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          request_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <pre>
+       * The identity of the request that began the stream.
+       * </pre>
+       *
+       * <code>string request = 1;</code>
+       * @return The bytes for request.
+       */
+      public com.google.protobuf.ByteString
+          getRequestBytes() {
+        java.lang.Object ref = request_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          request_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <pre>
+       * The identity of the request that began the stream.
+       * </pre>
+       *
+       * <code>string request = 1;</code>
+       * @param value The request to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRequest(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        request_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The identity of the request that began the stream.
+       * </pre>
+       *
+       * <code>string request = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRequest() {
+        request_ = getDefaultInstance().getRequest();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The identity of the request that began the stream.
+       * </pre>
+       *
+       * <code>string request = 1;</code>
+       * @param value The bytes for request to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRequestBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        request_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object service_ = "";
+      /**
+       * <code>string service = 2;</code>
+       * @return The service.
+       */
+      public java.lang.String getService() {
+        java.lang.Object ref = service_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          service_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string service = 2;</code>
+       * @return The bytes for service.
+       */
+      public com.google.protobuf.ByteString
+          getServiceBytes() {
+        java.lang.Object ref = service_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          service_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string service = 2;</code>
+       * @param value The service to set.
+       * @return This builder for chaining.
+       */
+      public Builder setService(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        service_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string service = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearService() {
+        service_ = getDefaultInstance().getService();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string service = 2;</code>
+       * @param value The bytes for service to set.
+       * @return This builder for chaining.
+       */
+      public Builder setServiceBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        service_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object softwareVersion_ = "";
+      /**
+       * <code>string software_version = 3;</code>
+       * @return The softwareVersion.
+       */
+      public java.lang.String getSoftwareVersion() {
+        java.lang.Object ref = softwareVersion_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          softwareVersion_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string software_version = 3;</code>
+       * @return The bytes for softwareVersion.
+       */
+      public com.google.protobuf.ByteString
+          getSoftwareVersionBytes() {
+        java.lang.Object ref = softwareVersion_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          softwareVersion_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string software_version = 3;</code>
+       * @param value The softwareVersion to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSoftwareVersion(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        softwareVersion_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string software_version = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSoftwareVersion() {
+        softwareVersion_ = getDefaultInstance().getSoftwareVersion();
+        bitField0_ = (bitField0_ & ~0x00000004);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string software_version = 3;</code>
+       * @param value The bytes for softwareVersion to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSoftwareVersionBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        softwareVersion_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:borageproxy.coordination.BegunStream)
+    }
+
+    // @@protoc_insertion_point(class_scope:borageproxy.coordination.BegunStream)
+    private static final org.borageproxy.wire.proto.CoordinationProtocol.BegunStream DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.CoordinationProtocol.BegunStream();
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.BegunStream getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<BegunStream>
+        PARSER = new com.google.protobuf.AbstractParser<BegunStream>() {
+      @java.lang.Override
+      public BegunStream parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<BegunStream> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<BegunStream> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.borageproxy.wire.proto.CoordinationProtocol.BegunStream getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface StreamOriginQueryOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.coordination.StreamOriginQuery)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <pre>
+     * The identity of the request that began the stream.
+     * </pre>
+     *
+     * <code>string request = 1;</code>
+     * @return The request.
+     */
+    java.lang.String getRequest();
+    /**
+     * <pre>
+     * The identity of the request that began the stream.
+     * </pre>
+     *
+     * <code>string request = 1;</code>
+     * @return The bytes for request.
+     */
+    com.google.protobuf.ByteString
+        getRequestBytes();
+  }
+  /**
+   * <pre>
+   * A query of an entry for the origin of a stream that a caller resumes.
+   * </pre>
+   *
+   * Protobuf type {@code borageproxy.coordination.StreamOriginQuery}
+   */
+  public static final class StreamOriginQuery extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:borageproxy.coordination.StreamOriginQuery)
+      StreamOriginQueryOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "StreamOriginQuery");
+    }
+    // Use StreamOriginQuery.newBuilder() to construct.
+    private StreamOriginQuery(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private StreamOriginQuery() {
+      request_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_StreamOriginQuery_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_StreamOriginQuery_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_StreamOriginQuery_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery.class, org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery.Builder.class);
+    }
+
+    public static final int REQUEST_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object request_ = "";
+    /**
+     * <pre>
+     * The identity of the request that began the stream.
+     * </pre>
+     *
+     * <code>string request = 1;</code>
+     * @return The request.
+     */
+    @java.lang.Override
+    public java.lang.String getRequest() {
+      java.lang.Object ref = request_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        request_ = s;
+        return s;
+      }
+    }
+    /**
+     * <pre>
+     * The identity of the request that began the stream.
+     * </pre>
+     *
+     * <code>string request = 1;</code>
+     * @return The bytes for request.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getRequestBytes() {
+      java.lang.Object ref = request_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        request_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(request_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, request_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(request_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, request_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery)) {
+        return super.equals(obj);
+      }
+      org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery other = (org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery) obj;
+
+      if (!getRequest()
+          .equals(other.getRequest())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + REQUEST_FIELD_NUMBER;
+      hash = (53 * hash) + getRequest().hashCode();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * A query of an entry for the origin of a stream that a caller resumes.
+     * </pre>
+     *
+     * Protobuf type {@code borageproxy.coordination.StreamOriginQuery}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:borageproxy.coordination.StreamOriginQuery)
+        org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQueryOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_StreamOriginQuery_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_StreamOriginQuery_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery.class, org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery.Builder.class);
+      }
+
+      // Construct using org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        request_ = "";
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_StreamOriginQuery_descriptor;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery build() {
+        org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery buildPartial() {
+        org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery result = new org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.request_ = request_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery) {
+          return mergeFrom((org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery other) {
+        if (other == org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery.getDefaultInstance()) return this;
+        if (!other.getRequest().isEmpty()) {
+          request_ = other.request_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                request_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object request_ = "";
+      /**
+       * <pre>
+       * The identity of the request that began the stream.
+       * </pre>
+       *
+       * <code>string request = 1;</code>
+       * @return The request.
+       */
+      public java.lang.String getRequest() {
+        java.lang.Object ref = request_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          request_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <pre>
+       * The identity of the request that began the stream.
+       * </pre>
+       *
+       * <code>string request = 1;</code>
+       * @return The bytes for request.
+       */
+      public com.google.protobuf.ByteString
+          getRequestBytes() {
+        java.lang.Object ref = request_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          request_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <pre>
+       * The identity of the request that began the stream.
+       * </pre>
+       *
+       * <code>string request = 1;</code>
+       * @param value The request to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRequest(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        request_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The identity of the request that began the stream.
+       * </pre>
+       *
+       * <code>string request = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRequest() {
+        request_ = getDefaultInstance().getRequest();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The identity of the request that began the stream.
+       * </pre>
+       *
+       * <code>string request = 1;</code>
+       * @param value The bytes for request to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRequestBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        request_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:borageproxy.coordination.StreamOriginQuery)
+    }
+
+    // @@protoc_insertion_point(class_scope:borageproxy.coordination.StreamOriginQuery)
+    private static final org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery();
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<StreamOriginQuery>
+        PARSER = new com.google.protobuf.AbstractParser<StreamOriginQuery>() {
+      @java.lang.Override
+      public StreamOriginQuery parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<StreamOriginQuery> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<StreamOriginQuery> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface StreamOriginAnswerOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.coordination.StreamOriginAnswer)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>bool known = 1;</code>
+     * @return The known.
+     */
+    boolean getKnown();
+
+    /**
+     * <code>string service = 2;</code>
+     * @return The service.
+     */
+    java.lang.String getService();
+    /**
+     * <code>string service = 2;</code>
+     * @return The bytes for service.
+     */
+    com.google.protobuf.ByteString
+        getServiceBytes();
+
+    /**
+     * <code>string software_version = 3;</code>
+     * @return The softwareVersion.
+     */
+    java.lang.String getSoftwareVersion();
+    /**
+     * <code>string software_version = 3;</code>
+     * @return The bytes for softwareVersion.
+     */
+    com.google.protobuf.ByteString
+        getSoftwareVersionBytes();
+  }
+  /**
+   * Protobuf type {@code borageproxy.coordination.StreamOriginAnswer}
+   */
+  public static final class StreamOriginAnswer extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:borageproxy.coordination.StreamOriginAnswer)
+      StreamOriginAnswerOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "StreamOriginAnswer");
+    }
+    // Use StreamOriginAnswer.newBuilder() to construct.
+    private StreamOriginAnswer(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private StreamOriginAnswer() {
+      service_ = "";
+      softwareVersion_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_StreamOriginAnswer_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_StreamOriginAnswer_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_StreamOriginAnswer_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer.class, org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer.Builder.class);
+    }
+
+    public static final int KNOWN_FIELD_NUMBER = 1;
+    private boolean known_ = false;
+    /**
+     * <code>bool known = 1;</code>
+     * @return The known.
+     */
+    @java.lang.Override
+    public boolean getKnown() {
+      return known_;
+    }
+
+    public static final int SERVICE_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object service_ = "";
+    /**
+     * <code>string service = 2;</code>
+     * @return The service.
+     */
+    @java.lang.Override
+    public java.lang.String getService() {
+      java.lang.Object ref = service_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        service_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string service = 2;</code>
+     * @return The bytes for service.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getServiceBytes() {
+      java.lang.Object ref = service_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        service_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int SOFTWARE_VERSION_FIELD_NUMBER = 3;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object softwareVersion_ = "";
+    /**
+     * <code>string software_version = 3;</code>
+     * @return The softwareVersion.
+     */
+    @java.lang.Override
+    public java.lang.String getSoftwareVersion() {
+      java.lang.Object ref = softwareVersion_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        softwareVersion_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string software_version = 3;</code>
+     * @return The bytes for softwareVersion.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getSoftwareVersionBytes() {
+      java.lang.Object ref = softwareVersion_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        softwareVersion_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (known_ != false) {
+        output.writeBool(1, known_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, service_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(softwareVersion_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 3, softwareVersion_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (known_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(1, known_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, service_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(softwareVersion_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(3, softwareVersion_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer)) {
+        return super.equals(obj);
+      }
+      org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer other = (org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer) obj;
+
+      if (getKnown()
+          != other.getKnown()) return false;
+      if (!getService()
+          .equals(other.getService())) return false;
+      if (!getSoftwareVersion()
+          .equals(other.getSoftwareVersion())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + KNOWN_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getKnown());
+      hash = (37 * hash) + SERVICE_FIELD_NUMBER;
+      hash = (53 * hash) + getService().hashCode();
+      hash = (37 * hash) + SOFTWARE_VERSION_FIELD_NUMBER;
+      hash = (53 * hash) + getSoftwareVersion().hashCode();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code borageproxy.coordination.StreamOriginAnswer}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:borageproxy.coordination.StreamOriginAnswer)
+        org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswerOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_StreamOriginAnswer_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_StreamOriginAnswer_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer.class, org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer.Builder.class);
+      }
+
+      // Construct using org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        known_ = false;
+        service_ = "";
+        softwareVersion_ = "";
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_StreamOriginAnswer_descriptor;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer build() {
+        org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer buildPartial() {
+        org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer result = new org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.known_ = known_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.service_ = service_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.softwareVersion_ = softwareVersion_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer) {
+          return mergeFrom((org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer other) {
+        if (other == org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer.getDefaultInstance()) return this;
+        if (other.getKnown() != false) {
+          setKnown(other.getKnown());
+        }
+        if (!other.getService().isEmpty()) {
+          service_ = other.service_;
+          bitField0_ |= 0x00000002;
+          onChanged();
+        }
+        if (!other.getSoftwareVersion().isEmpty()) {
+          softwareVersion_ = other.softwareVersion_;
+          bitField0_ |= 0x00000004;
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                known_ = input.readBool();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 18: {
+                service_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              case 26: {
+                softwareVersion_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 26
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private boolean known_ ;
+      /**
+       * <code>bool known = 1;</code>
+       * @return The known.
+       */
+      @java.lang.Override
+      public boolean getKnown() {
+        return known_;
+      }
+      /**
+       * <code>bool known = 1;</code>
+       * @param value The known to set.
+       * @return This builder for chaining.
+       */
+      public Builder setKnown(boolean value) {
+
+        known_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bool known = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearKnown() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        known_ = false;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object service_ = "";
+      /**
+       * <code>string service = 2;</code>
+       * @return The service.
+       */
+      public java.lang.String getService() {
+        java.lang.Object ref = service_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          service_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string service = 2;</code>
+       * @return The bytes for service.
+       */
+      public com.google.protobuf.ByteString
+          getServiceBytes() {
+        java.lang.Object ref = service_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          service_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string service = 2;</code>
+       * @param value The service to set.
+       * @return This builder for chaining.
+       */
+      public Builder setService(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        service_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string service = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearService() {
+        service_ = getDefaultInstance().getService();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string service = 2;</code>
+       * @param value The bytes for service to set.
+       * @return This builder for chaining.
+       */
+      public Builder setServiceBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        service_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object softwareVersion_ = "";
+      /**
+       * <code>string software_version = 3;</code>
+       * @return The softwareVersion.
+       */
+      public java.lang.String getSoftwareVersion() {
+        java.lang.Object ref = softwareVersion_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          softwareVersion_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string software_version = 3;</code>
+       * @return The bytes for softwareVersion.
+       */
+      public com.google.protobuf.ByteString
+          getSoftwareVersionBytes() {
+        java.lang.Object ref = softwareVersion_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          softwareVersion_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string software_version = 3;</code>
+       * @param value The softwareVersion to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSoftwareVersion(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        softwareVersion_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string software_version = 3;</code>
        * @return This builder for chaining.
        */
-      public Builder setContentsVersion(long value) {
-
-        contentsVersion_ = value;
-        bitField0_ |= 0x00000040;
+      public Builder clearSoftwareVersion() {
+        softwareVersion_ = getDefaultInstance().getSoftwareVersion();
+        bitField0_ = (bitField0_ & ~0x00000004);
         onChanged();
         return this;
       }
       /**
-       * <pre>
-       * The version of the server contents that the entry has received.
-       * </pre>
-       *
-       * <code>uint64 contents_version = 7;</code>
+       * <code>string software_version = 3;</code>
+       * @param value The bytes for softwareVersion to set.
        * @return This builder for chaining.
        */
-      public Builder clearContentsVersion() {
-        bitField0_ = (bitField0_ & ~0x00000040);
-        contentsVersion_ = 0L;
+      public Builder setSoftwareVersionBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        softwareVersion_ = value;
+        bitField0_ |= 0x00000004;
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:borageproxy.coordination.UsageReport)
+      // @@protoc_insertion_point(builder_scope:borageproxy.coordination.StreamOriginAnswer)
     }
 
-    // @@protoc_insertion_point(class_scope:borageproxy.coordination.UsageReport)
-    private static final org.borageproxy.wire.proto.CoordinationProtocol.UsageReport DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:borageproxy.coordination.StreamOriginAnswer)
+    private static final org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.CoordinationProtocol.UsageReport();
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer();
     }
 
-    public static org.borageproxy.wire.proto.CoordinationProtocol.UsageReport getDefaultInstance() {
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<UsageReport>
-        PARSER = new com.google.protobuf.AbstractParser<UsageReport>() {
+    private static final com.google.protobuf.Parser<StreamOriginAnswer>
+        PARSER = new com.google.protobuf.AbstractParser<StreamOriginAnswer>() {
       @java.lang.Override
-      public UsageReport parsePartialFrom(
+      public StreamOriginAnswer parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -2387,17 +5028,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<UsageReport> parser() {
+    public static com.google.protobuf.Parser<StreamOriginAnswer> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<UsageReport> getParserForType() {
+    public com.google.protobuf.Parser<StreamOriginAnswer> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.borageproxy.wire.proto.CoordinationProtocol.UsageReport getDefaultInstanceForType() {
+    public org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -6335,6 +8976,16 @@
      * @return The allServers.
      */
     boolean getAllServers();
+
+    /**
+     * <pre>
+     * The term of the coordinator; zero in notices between reports.
+     * </pre>
+     *
+     * <code>uint64 term = 9;</code>
+     * @return The term.
+     */
+    long getTerm();
   }
   /**
    * <pre>
@@ -6645,6 +9296,21 @@
       return allServers_;
     }
 
+    public static final int TERM_FIELD_NUMBER = 9;
+    private long term_ = 0L;
+    /**
+     * <pre>
+     * The term of the coordinator; zero in notices between reports.
+     * </pre>
+     *
+     * <code>uint64 term = 9;</code>
+     * @return The term.
+     */
+    @java.lang.Override
+    public long getTerm() {
+      return term_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -6683,6 +9349,9 @@
       if (allServers_ != false) {
         output.writeBool(8, allServers_);
       }
+      if (term_ != 0L) {
+        output.writeUInt64(9, term_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -6738,6 +9407,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeBoolSize(8, allServers_);
       }
+      if (term_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(9, term_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -6769,6 +9442,8 @@
           != other.getContentsVersion()) return false;
       if (getAllServers()
           != other.getAllServers()) return false;
+      if (getTerm()
+          != other.getTerm()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -6805,6 +9480,9 @@
       hash = (37 * hash) + ALL_SERVERS_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
           getAllServers());
+      hash = (37 * hash) + TERM_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getTerm());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -6966,6 +9644,7 @@
         bitField0_ = (bitField0_ & ~0x00000020);
         contentsVersion_ = 0L;
         allServers_ = false;
+        term_ = 0L;
         return this;
       }
 
@@ -7045,6 +9724,9 @@
         if (((from_bitField0_ & 0x00000080) != 0)) {
           result.allServers_ = allServers_;
         }
+        if (((from_bitField0_ & 0x00000100) != 0)) {
+          result.term_ = term_;
+        }
       }
 
       @java.lang.Override
@@ -7154,6 +9836,9 @@
         if (other.getAllServers() != false) {
           setAllServers(other.getAllServers());
         }
+        if (other.getTerm() != 0L) {
+          setTerm(other.getTerm());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -7244,6 +9929,11 @@
                 bitField0_ |= 0x00000080;
                 break;
               } // case 64
+              case 72: {
+                term_ = input.readUInt64();
+                bitField0_ |= 0x00000100;
+                break;
+              } // case 72
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -8364,6 +11054,50 @@
         return this;
       }
 
+      private long term_ ;
+      /**
+       * <pre>
+       * The term of the coordinator; zero in notices between reports.
+       * </pre>
+       *
+       * <code>uint64 term = 9;</code>
+       * @return The term.
+       */
+      @java.lang.Override
+      public long getTerm() {
+        return term_;
+      }
+      /**
+       * <pre>
+       * The term of the coordinator; zero in notices between reports.
+       * </pre>
+       *
+       * <code>uint64 term = 9;</code>
+       * @param value The term to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTerm(long value) {
+
+        term_ = value;
+        bitField0_ |= 0x00000100;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The term of the coordinator; zero in notices between reports.
+       * </pre>
+       *
+       * <code>uint64 term = 9;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTerm() {
+        bitField0_ = (bitField0_ & ~0x00000100);
+        term_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.coordination.CoordinationUpdate)
     }
 
@@ -8645,6 +11379,35 @@
      */
     com.google.protobuf.ByteString
         getGoneBytes(int index);
+
+    /**
+     * <pre>
+     * Set for a stream that resumes: only servers of this software version can continue it.
+     * </pre>
+     *
+     * <code>optional string software_version = 16;</code>
+     * @return Whether the softwareVersion field is set.
+     */
+    boolean hasSoftwareVersion();
+    /**
+     * <pre>
+     * Set for a stream that resumes: only servers of this software version can continue it.
+     * </pre>
+     *
+     * <code>optional string software_version = 16;</code>
+     * @return The softwareVersion.
+     */
+    java.lang.String getSoftwareVersion();
+    /**
+     * <pre>
+     * Set for a stream that resumes: only servers of this software version can continue it.
+     * </pre>
+     *
+     * <code>optional string software_version = 16;</code>
+     * @return The bytes for softwareVersion.
+     */
+    com.google.protobuf.ByteString
+        getSoftwareVersionBytes();
   }
   /**
    * <pre>
@@ -8683,6 +11446,7 @@
           com.google.protobuf.LazyStringArrayList.emptyList();
       gone_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
+      softwareVersion_ = "";
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -8703,6 +11467,7 @@
               org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest.class, org.borageproxy.wire.proto.CoordinationProtocol.SlotRequest.Builder.class);
     }
 
+    private int bitField0_;
     public static final int ZONE_FIELD_NUMBER = 1;
     @SuppressWarnings("serial")
     private volatile java.lang.Object zone_ = "";
@@ -9121,6 +11886,65 @@
       return gone_.getByteString(index);
     }
 
+    public static final int SOFTWARE_VERSION_FIELD_NUMBER = 16;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object softwareVersion_ = "";
+    /**
+     * <pre>
+     * Set for a stream that resumes: only servers of this software version can continue it.
+     * </pre>
+     *
+     * <code>optional string software_version = 16;</code>
+     * @return Whether the softwareVersion field is set.
+     */
+    @java.lang.Override
+    public boolean hasSoftwareVersion() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <pre>
+     * Set for a stream that resumes: only servers of this software version can continue it.
+     * </pre>
+     *
+     * <code>optional string software_version = 16;</code>
+     * @return The softwareVersion.
+     */
+    @java.lang.Override
+    public java.lang.String getSoftwareVersion() {
+      java.lang.Object ref = softwareVersion_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        softwareVersion_ = s;
+        return s;
+      }
+    }
+    /**
+     * <pre>
+     * Set for a stream that resumes: only servers of this software version can continue it.
+     * </pre>
+     *
+     * <code>optional string software_version = 16;</code>
+     * @return The bytes for softwareVersion.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getSoftwareVersionBytes() {
+      java.lang.Object ref = softwareVersion_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        softwareVersion_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -9177,6 +12001,9 @@
       for (int i = 0; i < gone_.size(); i++) {
         com.google.protobuf.GeneratedMessage.writeString(output, 15, gone_.getRaw(i));
       }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 16, softwareVersion_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -9255,6 +12082,9 @@
         size += dataSize;
         size += 1 * getGoneList().size();
       }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(16, softwareVersion_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -9298,6 +12128,11 @@
           .equals(other.getAbsentAtList())) return false;
       if (!getGoneList()
           .equals(other.getGoneList())) return false;
+      if (hasSoftwareVersion() != other.hasSoftwareVersion()) return false;
+      if (hasSoftwareVersion()) {
+        if (!getSoftwareVersion()
+            .equals(other.getSoftwareVersion())) return false;
+      }
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -9345,6 +12180,10 @@
         hash = (37 * hash) + GONE_FIELD_NUMBER;
         hash = (53 * hash) + getGoneList().hashCode();
       }
+      if (hasSoftwareVersion()) {
+        hash = (37 * hash) + SOFTWARE_VERSION_FIELD_NUMBER;
+        hash = (53 * hash) + getSoftwareVersion().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -9503,6 +12342,7 @@
             com.google.protobuf.LazyStringArrayList.emptyList();
         gone_ =
             com.google.protobuf.LazyStringArrayList.emptyList();
+        softwareVersion_ = "";
         return this;
       }
 
@@ -9591,6 +12431,12 @@
           gone_.makeImmutable();
           result.gone_ = gone_;
         }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00004000) != 0)) {
+          result.softwareVersion_ = softwareVersion_;
+          to_bitField0_ |= 0x00000001;
+        }
+        result.bitField0_ |= to_bitField0_;
       }
 
       @java.lang.Override
@@ -9699,6 +12545,11 @@
           }
           onChanged();
         }
+        if (other.hasSoftwareVersion()) {
+          softwareVersion_ = other.softwareVersion_;
+          bitField0_ |= 0x00004000;
+          onChanged();
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -9803,6 +12654,11 @@
                 gone_.add(input.readStringRequireUtf8());
                 break;
               } // case 122
+              case 130: {
+                softwareVersion_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00004000;
+                break;
+              } // case 130
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -10981,6 +13837,109 @@
         return this;
       }
 
+      private java.lang.Object softwareVersion_ = "";
+      /**
+       * <pre>
+       * Set for a stream that resumes: only servers of this software version can continue it.
+       * </pre>
+       *
+       * <code>optional string software_version = 16;</code>
+       * @return Whether the softwareVersion field is set.
+       */
+      public boolean hasSoftwareVersion() {
+        return ((bitField0_ & 0x00004000) != 0);
+      }
+      /**
+       * <pre>
+       * Set for a stream that resumes: only servers of this software version can continue it.
+       * </pre>
+       *
+       * <code>optional string software_version = 16;</code>
+       * @return The softwareVersion.
+       */
+      public java.lang.String getSoftwareVersion() {
+        java.lang.Object ref = softwareVersion_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          softwareVersion_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <pre>
+       * Set for a stream that resumes: only servers of this software version can continue it.
+       * </pre>
+       *
+       * <code>optional string software_version = 16;</code>
+       * @return The bytes for softwareVersion.
+       */
+      public com.google.protobuf.ByteString
+          getSoftwareVersionBytes() {
+        java.lang.Object ref = softwareVersion_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          softwareVersion_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <pre>
+       * Set for a stream that resumes: only servers of this software version can continue it.
+       * </pre>
+       *
+       * <code>optional string software_version = 16;</code>
+       * @param value The softwareVersion to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSoftwareVersion(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        softwareVersion_ = value;
+        bitField0_ |= 0x00004000;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Set for a stream that resumes: only servers of this software version can continue it.
+       * </pre>
+       *
+       * <code>optional string software_version = 16;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSoftwareVersion() {
+        softwareVersion_ = getDefaultInstance().getSoftwareVersion();
+        bitField0_ = (bitField0_ & ~0x00004000);
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Set for a stream that resumes: only servers of this software version can continue it.
+       * </pre>
+       *
+       * <code>optional string software_version = 16;</code>
+       * @param value The bytes for softwareVersion to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSoftwareVersionBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        softwareVersion_ = value;
+        bitField0_ |= 0x00004000;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.coordination.SlotRequest)
     }
 
@@ -15607,6 +18566,21 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_borageproxy_coordination_UsageReport_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_borageproxy_coordination_BegunStream_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_borageproxy_coordination_BegunStream_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_borageproxy_coordination_StreamOriginQuery_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_borageproxy_coordination_StreamOriginQuery_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_borageproxy_coordination_StreamOriginAnswer_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_borageproxy_coordination_StreamOriginAnswer_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_borageproxy_coordination_ModelPace_descriptor;
   private static final 
@@ -15672,57 +18646,65 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\022coordination.proto\022\030borageproxy.coordi" +
-      "nation\"\255\002\n\013UsageReport\022\017\n\007session\030\001 \001(\t\022" +
+      "nation\"\353\002\n\013UsageReport\022\017\n\007session\030\001 \001(\t\022" +
       "6\n\007servers\030\002 \003(\0132%.borageproxy.coordinat" +
       "ion.ServerUsage\022<\n\nworkspaces\030\003 \003(\0132(.bo" +
       "rageproxy.coordination.WorkspaceUsage\0226\n" +
       "\007demands\030\004 \003(\0132%.borageproxy.coordinatio" +
       "n.ModelDemand\022\021\n\tlast_slot\030\005 \001(\004\0222\n\005pace" +
       "s\030\006 \003(\0132#.borageproxy.coordination.Model" +
-      "Pace\022\030\n\020contents_version\030\007 \001(\004\"(\n\tModelP" +
-      "ace\022\r\n\005model\030\001 \001(\t\022\014\n\004pace\030\002 \001(\001\"\221\001\n\013Ser" +
-      "verUsage\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 " +
-      "\001(\004\022\020\n\010requests\030\003 \001(\r\022\025\n\rprompt_tokens\030\004" +
-      " \001(\r\022\023\n\013held_tokens\030\005 \001(\r\022\020\n\010failures\030\006 " +
-      "\001(\r\022\017\n\007answers\030\007 \001(\r\"r\n\016WorkspaceUsage\022\014" +
-      "\n\004name\030\001 \001(\t\022\016\n\006demand\030\002 \001(\004\022\014\n\004held\030\003 \001" +
-      "(\004\022\r\n\005spent\030\004 \001(\004\022\r\n\005needs\030\006 \003(\004\022\020\n\010retu" +
-      "rned\030\007 \001(\004J\004\010\005\020\006\"_\n\013ModelDemand\022\017\n\007servi" +
-      "ce\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022\017\n\007adapter\030\003 \001(\t" +
-      "\022\016\n\006tokens\030\004 \001(\004\022\017\n\007waiting\030\005 \001(\r\"\246\002\n\022Co" +
-      "ordinationUpdate\022\023\n\013coordinates\030\001 \001(\010\022\023\n" +
-      "\013coordinator\030\002 \001(\t\022\017\n\007entries\030\003 \001(\r\0226\n\007s" +
-      "ervers\030\004 \003(\0132%.borageproxy.coordination." +
-      "ServerUsage\0223\n\006shares\030\005 \003(\0132#.borageprox" +
-      "y.coordination.RateShare\0229\n\010contents\030\006 \003" +
-      "(\0132\'.borageproxy.coordination.ServerCont" +
-      "ent\022\030\n\020contents_version\030\007 \001(\004\022\023\n\013all_ser" +
-      "vers\030\010 \001(\010\"\277\002\n\013SlotRequest\022\014\n\004zone\030\001 \001(\t" +
-      "\022\017\n\007service\030\002 \001(\t\022\r\n\005model\030\003 \001(\t\022\017\n\007adap" +
-      "ter\030\004 \001(\t\022\025\n\rprompt_tokens\030\005 \001(\r\022\025\n\routp" +
-      "ut_tokens\030\006 \001(\r\0225\n\005parts\030\007 \003(\0132&.boragep" +
-      "roxy.coordination.PartOfPrompt\022\014\n\004rank\030\010" +
-      " \001(\r\022\030\n\020objective_millis\030\t \001(\r\022\027\n\017deadli" +
-      "ne_millis\030\n \001(\r\022\r\n\005tried\030\013 \003(\t\022\025\n\rwaited" +
-      "_millis\030\014 \001(\r\022\021\n\tabsent_at\030\016 \003(\t\022\014\n\004gone" +
-      "\030\017 \003(\tJ\004\010\r\020\016\"0\n\014PartOfPrompt\022\020\n\010identity" +
-      "\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\r\"\270\002\n\nSlotAnswer\022=\n" +
-      "\007outcome\030\001 \001(\0162,.borageproxy.coordinatio" +
-      "n.SlotAnswer.Outcome\022\016\n\006server\030\002 \001(\t\022\023\n\013" +
-      "incarnation\030\003 \001(\004\022\027\n\017expected_millis\030\004 \001" +
-      "(\001\022\025\n\runread_tokens\030\005 \001(\r\022\014\n\004slot\030\006 \001(\004\022" +
-      "\030\n\020come_back_millis\030\007 \001(\r\"n\n\007Outcome\022\023\n\017" +
-      "NOT_COORDINATOR\020\000\022\n\n\006CHOSEN\020\001\022\r\n\tNO_SERV" +
-      "ER\020\002\022\014\n\010NO_MODEL\020\003\022\013\n\007CROWDED\020\004\022\r\n\tALL_T" +
-      "RIED\020\005\022\t\n\005AGAIN\020\006\"=\n\tRateShare\022\021\n\tworksp" +
-      "ace\030\001 \001(\t\022\014\n\004rate\030\002 \001(\004\022\017\n\007granted\030\003 \001(\004" +
-      "\"\211\001\n\rServerContent\022\014\n\004name\030\001 \001(\t\022\023\n\013inca" +
-      "rnation\030\002 \001(\004\022\016\n\006orders\030\003 \001(\004\0223\n\006models\030" +
-      "\004 \003(\0132#.borageproxy.coordination.HeldMod" +
-      "el\022\020\n\010arriving\030\005 \003(\t\",\n\tHeldModel\022\r\n\005mod" +
-      "el\030\001 \001(\t\022\020\n\010adapters\030\002 \003(\tB2\n\032org.borage" +
-      "proxy.wire.protoB\024CoordinationProtocolb\006" +
-      "proto3"
+      "Pace\022\030\n\020contents_version\030\007 \001(\004\022<\n\rbegun_" +
+      "streams\030\010 \003(\0132%.borageproxy.coordination" +
+      ".BegunStream\"I\n\013BegunStream\022\017\n\007request\030\001" +
+      " \001(\t\022\017\n\007service\030\002 \001(\t\022\030\n\020software_versio" +
+      "n\030\003 \001(\t\"$\n\021StreamOriginQuery\022\017\n\007request\030" +
+      "\001 \001(\t\"N\n\022StreamOriginAnswer\022\r\n\005known\030\001 \001" +
+      "(\010\022\017\n\007service\030\002 \001(\t\022\030\n\020software_version\030" +
+      "\003 \001(\t\"(\n\tModelPace\022\r\n\005model\030\001 \001(\t\022\014\n\004pac" +
+      "e\030\002 \001(\001\"\221\001\n\013ServerUsage\022\014\n\004name\030\001 \001(\t\022\023\n" +
+      "\013incarnation\030\002 \001(\004\022\020\n\010requests\030\003 \001(\r\022\025\n\r" +
+      "prompt_tokens\030\004 \001(\r\022\023\n\013held_tokens\030\005 \001(\r" +
+      "\022\020\n\010failures\030\006 \001(\r\022\017\n\007answers\030\007 \001(\r\"r\n\016W" +
+      "orkspaceUsage\022\014\n\004name\030\001 \001(\t\022\016\n\006demand\030\002 " +
+      "\001(\004\022\014\n\004held\030\003 \001(\004\022\r\n\005spent\030\004 \001(\004\022\r\n\005need" +
+      "s\030\006 \003(\004\022\020\n\010returned\030\007 \001(\004J\004\010\005\020\006\"_\n\013Model" +
+      "Demand\022\017\n\007service\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022\017" +
+      "\n\007adapter\030\003 \001(\t\022\016\n\006tokens\030\004 \001(\004\022\017\n\007waiti" +
+      "ng\030\005 \001(\r\"\264\002\n\022CoordinationUpdate\022\023\n\013coord" +
+      "inates\030\001 \001(\010\022\023\n\013coordinator\030\002 \001(\t\022\017\n\007ent" +
+      "ries\030\003 \001(\r\0226\n\007servers\030\004 \003(\0132%.borageprox" +
+      "y.coordination.ServerUsage\0223\n\006shares\030\005 \003" +
+      "(\0132#.borageproxy.coordination.RateShare\022" +
+      "9\n\010contents\030\006 \003(\0132\'.borageproxy.coordina" +
+      "tion.ServerContent\022\030\n\020contents_version\030\007" +
+      " \001(\004\022\023\n\013all_servers\030\010 \001(\010\022\014\n\004term\030\t \001(\004\"" +
+      "\363\002\n\013SlotRequest\022\014\n\004zone\030\001 \001(\t\022\017\n\007service" +
+      "\030\002 \001(\t\022\r\n\005model\030\003 \001(\t\022\017\n\007adapter\030\004 \001(\t\022\025" +
+      "\n\rprompt_tokens\030\005 \001(\r\022\025\n\routput_tokens\030\006" +
+      " \001(\r\0225\n\005parts\030\007 \003(\0132&.borageproxy.coordi" +
+      "nation.PartOfPrompt\022\014\n\004rank\030\010 \001(\r\022\030\n\020obj" +
+      "ective_millis\030\t \001(\r\022\027\n\017deadline_millis\030\n" +
+      " \001(\r\022\r\n\005tried\030\013 \003(\t\022\025\n\rwaited_millis\030\014 \001" +
+      "(\r\022\021\n\tabsent_at\030\016 \003(\t\022\014\n\004gone\030\017 \003(\t\022\035\n\020s" +
+      "oftware_version\030\020 \001(\tH\000\210\001\001B\023\n\021_software_" +
+      "versionJ\004\010\r\020\016\"0\n\014PartOfPrompt\022\020\n\010identit" +
+      "y\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\r\"\270\002\n\nSlotAnswer\022=" +
+      "\n\007outcome\030\001 \001(\0162,.borageproxy.coordinati" +
+      "on.SlotAnswer.Outcome\022\016\n\006server\030\002 \001(\t\022\023\n" +
+      "\013incarnation\030\003 \001(\004\022\027\n\017expected_millis\030\004 " +
+      "\001(\001\022\025\n\runread_tokens\030\005 \001(\r\022\014\n\004slot\030\006 \001(\004" +
+      "\022\030\n\020come_back_millis\030\007 \001(\r\"n\n\007Outcome\022\023\n" +
+      "\017NOT_COORDINATOR\020\000\022\n\n\006CHOSEN\020\001\022\r\n\tNO_SER" +
+      "VER\020\002\022\014\n\010NO_MODEL\020\003\022\013\n\007CROWDED\020\004\022\r\n\tALL_" +
+      "TRIED\020\005\022\t\n\005AGAIN\020\006\"=\n\tRateShare\022\021\n\tworks" +
+      "pace\030\001 \001(\t\022\014\n\004rate\030\002 \001(\004\022\017\n\007granted\030\003 \001(" +
+      "\004\"\211\001\n\rServerContent\022\014\n\004name\030\001 \001(\t\022\023\n\013inc" +
+      "arnation\030\002 \001(\004\022\016\n\006orders\030\003 \001(\004\0223\n\006models" +
+      "\030\004 \003(\0132#.borageproxy.coordination.HeldMo" +
+      "del\022\020\n\010arriving\030\005 \003(\t\",\n\tHeldModel\022\r\n\005mo" +
+      "del\030\001 \001(\t\022\020\n\010adapters\030\002 \003(\tB2\n\032org.borag" +
+      "eproxy.wire.protoB\024CoordinationProtocolb" +
+      "\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -15733,69 +18715,87 @@
     internal_static_borageproxy_coordination_UsageReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_UsageReport_descriptor,
-        new java.lang.String[] { "Session", "Servers", "Workspaces", "Demands", "LastSlot", "Paces", "ContentsVersion", });
-    internal_static_borageproxy_coordination_ModelPace_descriptor =
+        new java.lang.String[] { "Session", "Servers", "Workspaces", "Demands", "LastSlot", "Paces", "ContentsVersion", "BegunStreams", });
+    internal_static_borageproxy_coordination_BegunStream_descriptor =
       getDescriptor().getMessageType(1);
+    internal_static_borageproxy_coordination_BegunStream_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_borageproxy_coordination_BegunStream_descriptor,
+        new java.lang.String[] { "Request", "Service", "SoftwareVersion", });
+    internal_static_borageproxy_coordination_StreamOriginQuery_descriptor =
+      getDescriptor().getMessageType(2);
+    internal_static_borageproxy_coordination_StreamOriginQuery_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_borageproxy_coordination_StreamOriginQuery_descriptor,
+        new java.lang.String[] { "Request", });
+    internal_static_borageproxy_coordination_StreamOriginAnswer_descriptor =
+      getDescriptor().getMessageType(3);
+    internal_static_borageproxy_coordination_StreamOriginAnswer_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_borageproxy_coordination_StreamOriginAnswer_descriptor,
+        new java.lang.String[] { "Known", "Service", "SoftwareVersion", });
+    internal_static_borageproxy_coordination_ModelPace_descriptor =
+      getDescriptor().getMessageType(4);
     internal_static_borageproxy_coordination_ModelPace_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_ModelPace_descriptor,
         new java.lang.String[] { "Model", "Pace", });
     internal_static_borageproxy_coordination_ServerUsage_descriptor =
-      getDescriptor().getMessageType(2);
+      getDescriptor().getMessageType(5);
     internal_static_borageproxy_coordination_ServerUsage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_ServerUsage_descriptor,
         new java.lang.String[] { "Name", "Incarnation", "Requests", "PromptTokens", "HeldTokens", "Failures", "Answers", });
     internal_static_borageproxy_coordination_WorkspaceUsage_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(6);
     internal_static_borageproxy_coordination_WorkspaceUsage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_WorkspaceUsage_descriptor,
         new java.lang.String[] { "Name", "Demand", "Held", "Spent", "Needs", "Returned", });
     internal_static_borageproxy_coordination_ModelDemand_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(7);
     internal_static_borageproxy_coordination_ModelDemand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_ModelDemand_descriptor,
         new java.lang.String[] { "Service", "Model", "Adapter", "Tokens", "Waiting", });
     internal_static_borageproxy_coordination_CoordinationUpdate_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(8);
     internal_static_borageproxy_coordination_CoordinationUpdate_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_CoordinationUpdate_descriptor,
-        new java.lang.String[] { "Coordinates", "Coordinator", "Entries", "Servers", "Shares", "Contents", "ContentsVersion", "AllServers", });
+        new java.lang.String[] { "Coordinates", "Coordinator", "Entries", "Servers", "Shares", "Contents", "ContentsVersion", "AllServers", "Term", });
     internal_static_borageproxy_coordination_SlotRequest_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(9);
     internal_static_borageproxy_coordination_SlotRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_SlotRequest_descriptor,
-        new java.lang.String[] { "Zone", "Service", "Model", "Adapter", "PromptTokens", "OutputTokens", "Parts", "Rank", "ObjectiveMillis", "DeadlineMillis", "Tried", "WaitedMillis", "AbsentAt", "Gone", });
+        new java.lang.String[] { "Zone", "Service", "Model", "Adapter", "PromptTokens", "OutputTokens", "Parts", "Rank", "ObjectiveMillis", "DeadlineMillis", "Tried", "WaitedMillis", "AbsentAt", "Gone", "SoftwareVersion", });
     internal_static_borageproxy_coordination_PartOfPrompt_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(10);
     internal_static_borageproxy_coordination_PartOfPrompt_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_PartOfPrompt_descriptor,
         new java.lang.String[] { "Identity", "Tokens", });
     internal_static_borageproxy_coordination_SlotAnswer_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(11);
     internal_static_borageproxy_coordination_SlotAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_SlotAnswer_descriptor,
         new java.lang.String[] { "Outcome", "Server", "Incarnation", "ExpectedMillis", "UnreadTokens", "Slot", "ComeBackMillis", });
     internal_static_borageproxy_coordination_RateShare_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(12);
     internal_static_borageproxy_coordination_RateShare_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_RateShare_descriptor,
         new java.lang.String[] { "Workspace", "Rate", "Granted", });
     internal_static_borageproxy_coordination_ServerContent_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(13);
     internal_static_borageproxy_coordination_ServerContent_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_ServerContent_descriptor,
         new java.lang.String[] { "Name", "Incarnation", "Orders", "Models", "Arriving", });
     internal_static_borageproxy_coordination_HeldModel_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(14);
     internal_static_borageproxy_coordination_HeldModel_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_HeldModel_descriptor,
--- a/src/test/java/org/borageproxy/forward/ServerPoolTest.java
+++ b/src/test/java/org/borageproxy/forward/ServerPoolTest.java
@@ -32,8 +32,13 @@
         return Optional.of(new EngineWork(model, "", 1_000, 40, List.of()));
     }
 
+    private static ServerRequirement requirement(
+            String model, Set<BackendServerName> triedServers, Optional<StreamOrigin> origin) {
+        return new ServerRequirement("s", Optional.of(ENGINES), work(model), triedServers, origin);
+    }
+
     private Optional<String> chosen(String model) {
-        return pool.choose("s", Optional.of(ENGINES), work(model), Set.of())
+        return pool.choose(requirement(model, Set.of(), Optional.empty()))
                 .map(ServerSelector.Choice::server)
                 .map(server -> server.name().value());
     }
@@ -57,7 +62,7 @@
         assertTrue(chosen("m").isEmpty());
         assertEquals(
                 ServerPool.Unavailability.NO_MODEL,
-                pool.unavailability("s", work("m"), Set.of(new BackendServerName("only"))));
+                pool.unavailability(requirement("m", Set.of(new BackendServerName("only")), Optional.empty())));
     }
 
     @Test
--- a/src/test/java/org/borageproxy/forward/SlotBrokerTest.java
+++ b/src/test/java/org/borageproxy/forward/SlotBrokerTest.java
@@ -49,6 +49,7 @@
         SlotBroker made = new SlotBroker(new SlotBroker.Environment(
                 () -> true,
                 pool,
+                new StreamOrigins(time::nowNanos),
                 service -> Optional.of(ENGINES),
                 time::nowNanos,
                 (delay, task) -> time.scheduleAfterNanos(delay.toNanos(), task),
--- a/src/test/java/org/borageproxy/platform/ForwardingTest.java
+++ b/src/test/java/org/borageproxy/platform/ForwardingTest.java
@@ -34,6 +34,8 @@
 import org.borageproxy.forward.ServerConnectionPool;
 import org.borageproxy.forward.ServerPool;
 import org.borageproxy.forward.SlotClient;
+import org.borageproxy.forward.StreamOriginClient;
+import org.borageproxy.forward.StreamOrigins;
 import org.borageproxy.forward.SuspectRequests;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerFixture;
@@ -126,6 +128,8 @@
                 new PlatformHeaders(),
                 pool,
                 new SlotClient(NoNetwork.INSTANCE, Optional::empty, ZONE, clock, context.nettyEventLoop()),
+                new StreamOriginClient(
+                        new StreamOrigins(clock), NoNetwork.INSTANCE, Optional::empty, clock, context.nettyEventLoop()),
                 new ServerConnectionPool(context.nettyEventLoop(), clock),
                 new RateShares(System.nanoTime(), new Random(1), () -> 1),
                 service -> budget,
