--- a/src/test/java/org/borageproxy/forward/ServerPoolTest.java
+++ b/src/test/java/org/borageproxy/forward/ServerPoolTest.java
@@ -83,6 +83,36 @@
         assertEquals(Optional.of("only"), chosen("m"));
     }
 
+    /** Guards against events of two software versions in one stream; a new stream may begin at any version. */
+    @Test
+    void streamIsContinuedOnlyByServersOfItsVersion() {
+        servers.add(BackendServerFixture.withSoftware(BackendServerFixture.engine("old", "m"), "v1"));
+        servers.add(BackendServerFixture.withSoftware(BackendServerFixture.engine("new", "m"), "v2"));
+        for (int round = 0; round < 20; round++) {
+            assertEquals(Optional.of("old"), chosen("m", "v1"));
+            assertEquals(Optional.of("new"), chosen("m", "v2"));
+        }
+        assertTrue(chosen("m").isPresent());
+        assertTrue(chosen("m", "v3").isEmpty());
+        assertEquals(
+                ServerPool.Unavailability.NO_SERVER,
+                pool.unavailability(requirement("m", Set.of(), Optional.of(new StreamOrigin("s", "v3")))));
+    }
+
+    private Optional<String> chosen(String model, String softwareVersion) {
+        return pool.choose(requirement(model, Set.of(), Optional.of(new StreamOrigin("s", softwareVersion))))
+                .map(choice -> choice.server().name().value());
+    }
+
+    @Test
+    void originIsCommonOnlyWhileAllServersRunOneVersion() {
+        assertEquals(Optional.empty(), pool.commonOrigin("s"));
+        servers.add(BackendServerFixture.withSoftware(BackendServerFixture.engine("old", "m"), "v1"));
+        assertEquals(Optional.of(new StreamOrigin("s", "v1")), pool.commonOrigin("s"));
+        servers.add(BackendServerFixture.withSoftware(BackendServerFixture.engine("new", "m"), "v2"));
+        assertEquals(Optional.empty(), pool.commonOrigin("s"));
+    }
+
     @Test
     void leavingServerIsNeitherChosenNorCurrent() {
         BackendServer leaving = BackendServerFixture.engine("leaving", "m");
--- a/src/test/java/org/borageproxy/forward/SlotBrokerTest.java
+++ b/src/test/java/org/borageproxy/forward/SlotBrokerTest.java
@@ -37,7 +37,7 @@
     private final SlotBroker broker = broker();
 
     private SlotBroker broker() {
-        BackendServer other = BackendServerFixture.engine("other", "n");
+        BackendServer other = BackendServerFixture.withSoftware(BackendServerFixture.engine("other", "n"), "v1");
         ServerPool pool = new ServerPool(
                 () -> {
                     selections++;
@@ -125,6 +125,28 @@
         assertEquals(maximumWaitMillis, answer.getComeBackMillis(), 1);
     }
 
+    /** Guards against events of two software versions in one stream: the coordinator chooses the server. */
+    @Test
+    void streamWithoutServerOfItsVersionIsRefusedAtOnce() throws Exception {
+        SlotRequest.Builder request = SlotRequest.newBuilder()
+                .setZone("a")
+                .setService("s")
+                .setModel("n")
+                .setPromptTokens(500)
+                .setObjectiveMillis(1_200)
+                .setDeadlineMillis(5_000);
+        assertEquals(SlotAnswer.Outcome.CHOSEN, answer(continued(request, "v1")).getOutcome());
+        assertEquals(
+                SlotAnswer.Outcome.NO_SERVER, answer(continued(request, "v2")).getOutcome());
+    }
+
+    private CompletableFuture<ByteString> continued(SlotRequest.Builder request, String softwareVersion) {
+        return broker.handle(
+                        ENTRY,
+                        request.setSoftwareVersion(softwareVersion).build().toByteString())
+                .toCompletableFuture();
+    }
+
     /**
      * Load pattern: a hundred entries report at the same time while many requests wait for an engine. The queue is
      * searched once for all of the reports.
--- a/src/test/java/org/borageproxy/membership/BackendServerFixture.java
+++ b/src/test/java/org/borageproxy/membership/BackendServerFixture.java
@@ -34,6 +34,32 @@
         return server(name, BackendServerKind.ENGINE, 1, loaded);
     }
 
+    /**
+     * Returns a copy of a server with another software version.
+     *
+     * @param server the server
+     * @param softwareVersion the version
+     * @return the copy
+     */
+    public static BackendServer withSoftware(BackendServer server, String softwareVersion) {
+        return new BackendServer(
+                server.name(),
+                server.incarnation(),
+                server.sequence(),
+                server.kind(),
+                server.state(),
+                server.zone(),
+                server.host(),
+                server.port(),
+                server.checksFencing(),
+                server.services(),
+                server.accelerators(),
+                server.models(),
+                server.localWeights(),
+                softwareVersion,
+                server.load());
+    }
+
     /**
      * Returns a server of a plain service.
      *
