Resume a generation only at an engine of the software version that began it

Callers of the own interface could get tokens of two software versions in one answer. EngineTask kept the model version once tokens had been received, but engines could not state the version of their software. Ruled out: the model version, which was already fixed.

--- a/src/main/java/org/borageproxy/experiment/Strategy.java
+++ b/src/main/java/org/borageproxy/experiment/Strategy.java
@@ -100,7 +100,7 @@
         public Optional<Engine> chooseEngine(Arrival arrival) {
             // The zones repeat every three engines, so that the first three engines give the zone of each entry VM.
             ReplicaQuery query = new ReplicaQuery(
-                    new ReplicaQuery.Target.OfModel(arrival.model(), "1", arrival.adapter()),
+                    new ReplicaQuery.Target.OfModel(arrival.model(), "1", arrival.adapter(), Optional.empty()),
                     new ReplicaQuery.Work(arrival.promptTokens(), arrival.maximumOutputTokens()),
                     engines.engines().get(arrival.entryIndex() % 3).zone,
                     Map.of(),
--- a/src/main/java/org/borageproxy/membership/AnnouncementParser.java
+++ b/src/main/java/org/borageproxy/membership/AnnouncementParser.java
@@ -139,7 +139,9 @@
                 (int) number(json, "interval_millis", MIN_INTERVAL_MILLIS, MAX_INTERVAL_MILLIS),
                 names(json, "services"),
                 accelerators(json),
-                models(json));
+                models(json),
+                LocalWeights.NONE,
+                json.containsKey("software_version") ? name(json, "software_version") : "");
     }
 
     private static int port(String text) {
--- a/src/main/java/org/borageproxy/routing/ReplicaQuery.java
+++ b/src/main/java/org/borageproxy/routing/ReplicaQuery.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import org.borageproxy.membership.BackendServer;
@@ -73,11 +74,20 @@
          * @param model the model's name
          * @param version the version's name
          * @param adapter the adapter's name, empty for none
+         * @param softwareVersion the version of the software that must run the model; empty for any
          */
-        record OfModel(String model, String version, String adapter) implements Target {
+        record OfModel(String model, String version, String adapter, Optional<String> softwareVersion)
+                implements Target {
 
             @Override
             public boolean isServedBy(BackendServer server) {
+                return softwareVersion
+                                .map(required -> required.equals(server.softwareVersion()))
+                                .orElse(true)
+                        && hasModel(server);
+            }
+
+            private boolean hasModel(BackendServer server) {
                 return server.models().stream()
                         .anyMatch(loaded -> loaded.model().equals(model)
                                 && loaded.version().equals(version)
--- a/src/test/java/org/borageproxy/entry/BackendFaultTest.java
+++ b/src/test/java/org/borageproxy/entry/BackendFaultTest.java
@@ -2,6 +2,7 @@
 
 import java.net.Socket;
 import java.net.http.HttpResponse;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -134,6 +135,47 @@
         }
     }
 
+    private static void pause(Duration duration) {
+        try {
+            Thread.sleep(duration.toMillis());
+        } catch (InterruptedException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+
+    /** Guards against tokens of two software versions in one answer: the only other engine runs another one. */
+    @Test
+    void resumesStreamOnlyAtEngineOfSameSoftwareVersion() {
+        try (ScriptedBackend crashing = ScriptedBackend.answering((exchange, number) -> {
+                    exchange.tokens(0, 3);
+                    exchange.crash();
+                });
+                ScriptedBackend newer = ScriptedBackend.answering(
+                        (exchange, number) -> exchange.tokens(0, 6).done());
+                ScriptedBackend same = ScriptedBackend.answering((exchange, number) -> exchange.tokens(
+                                exchange.request.json().getInteger("resume_from"), 6)
+                        .done())) {
+            fixture.addEngine("engine-1", crashing.port(), "v1");
+            CompletableFuture<HttpResponse<String>> answer = fixture.client.sendAsync(
+                    fixture.request(PATH)
+                            .POST(java.net.http.HttpRequest.BodyPublishers.ofString(EntryFixture.chat(true)))
+                            .build(),
+                    HttpResponse.BodyHandlers.ofString());
+            while (crashing.runs().isEmpty()) {
+                Thread.onSpinWait();
+            }
+            fixture.servers.clear();
+            fixture.addEngine("engine-2", newer.port(), "v2");
+            pause(Duration.ofMillis(200));
+            fixture.addEngine("engine-3", same.port(), "v1");
+            assertEquals(
+                    "t0 t1 t2 t3 t4 t5 ",
+                    StreamText.of(EntryFixture.await(answer).body()));
+            assertEquals(0, newer.runs().size());
+            assertEquals(1, same.runs().size());
+        }
+    }
+
     @Test
     void endsStreamWithErrorEventWhenNoReplicaCanContinue() {
         try (ScriptedBackend crashing = ScriptedBackend.answering((exchange, number) -> {
--- a/src/test/java/org/borageproxy/entry/EntryFixture.java
+++ b/src/test/java/org/borageproxy/entry/EntryFixture.java
@@ -33,6 +33,7 @@
 import org.borageproxy.execution.Suspicion;
 import org.borageproxy.key.KeyDigest;
 import org.borageproxy.membership.BackendServer;
+import org.borageproxy.membership.BackendServerFixture;
 import org.borageproxy.membership.BackendServerKind;
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.membership.BackendServerState;
@@ -147,6 +148,11 @@
                 name, port, BackendServerKind.ENGINE, Set.of(), List.of(new LoadedModel("llama", "1", "0", Set.of()))));
     }
 
+    void addEngine(String name, int port, String softwareVersion) {
+        addEngine(name, port);
+        servers.add(BackendServerFixture.withSoftware(servers.remove(servers.size() - 1), softwareVersion));
+    }
+
     void addService(String name, int port) {
         servers.add(server(name, port, BackendServerKind.SERVICE, Set.of("stock"), List.of()));
     }
--- a/src/test/java/org/borageproxy/routing/ReplicaSelectorTest.java
+++ b/src/test/java/org/borageproxy/routing/ReplicaSelectorTest.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 
@@ -56,7 +57,7 @@
 
     private static ReplicaQuery query(String adapter, Map<BackendServerName, AvailabilityZone> tried, boolean alone) {
         return new ReplicaQuery(
-                new ReplicaQuery.Target.OfModel("llama", "1", adapter),
+                new ReplicaQuery.Target.OfModel("llama", "1", adapter, Optional.empty()),
                 new ReplicaQuery.Work(10, 20),
                 ZONE,
                 tried,
@@ -179,7 +180,7 @@
     @Test
     void choosesTheReplicaNamedByThePrefixHint() {
         ReplicaQuery hinted = new ReplicaQuery(
-                new ReplicaQuery.Target.OfModel("llama", "1", ""),
+                new ReplicaQuery.Target.OfModel("llama", "1", "", Optional.empty()),
                 new ReplicaQuery.Work(5000, 20),
                 ZONE,
                 Map.of(),
