--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -237,6 +237,7 @@
         private Optional<ServerPool.InFlightRequest> inFlightRequest = Optional.empty();
         private Optional<HttpResponse> head = Optional.empty();
         private ByteBuf body = Unpooled.EMPTY_BUFFER;
+        private long receivedBytes;
         private boolean isStream;
         private boolean isOver;
 
@@ -279,7 +280,7 @@
             context.pool()
                     .recordStart(choice, buffered.engines(), buffered.metadata().work())
                     .recordFailure();
-            log.failed(server, "unreachable: " + reason, 0);
+            log.failed(server, "unreachable: " + reason, 0, 0);
             retry(RefusalReason.NO_CAPACITY, true);
         }
 
@@ -342,7 +343,7 @@
 
         private void cancel() {
             inFlightRequest.filter(ServerPool.InFlightRequest::isOverdue).ifPresent(overdue -> {
-                log.failed(server, "no answer within several times the expected time", ageMillis());
+                log.failed(server, "no answer within several times the expected time", ageMillis(), receivedBytes);
                 overdue.recordFailure();
             });
             closeConnection();
@@ -359,6 +360,7 @@
             if (isOver || head.isEmpty()) {
                 return;
             }
+            receivedBytes += bytes.readableBytes();
             if (isStream) {
                 // Before the response is recorded, which may report to the coordinator what began the stream.
                 relayEvents(bytes);
@@ -418,7 +420,7 @@
                 endStream();
             } else if (status >= FIRST_SERVER_ERROR && mayRepeat() && !isExpired()) {
                 inFlightRequest.ifPresent(ServerPool.InFlightRequest::recordFailure);
-                log.failed(server, "status " + status, ageMillis());
+                log.failed(server, "status " + status, ageMillis(), receivedBytes);
                 HttpResponse keptHead = head.get();
                 ByteBuf keptBody = body;
                 retryOrElse(() -> sendCompleteAnswer(keptHead, keptBody));
@@ -454,7 +456,7 @@
         }
 
         private void handleLostAnswer(String reason) {
-            log.failed(server, reason, ageMillis());
+            log.failed(server, reason, ageMillis(), receivedBytes);
             context.metrics().recordAttempt(buffered.service(), "lost", ageMillis());
             scanner.discardPartialEvent();
             if (relay.hasBegun() && !(isStream && isResumable())) {
--- a/src/main/java/org/borageproxy/forward/RequestLog.java
+++ b/src/main/java/org/borageproxy/forward/RequestLog.java
@@ -1,8 +1,10 @@
 package org.borageproxy.forward;
 
 import java.util.Optional;
+import java.util.stream.Collectors;
 
 import org.borageproxy.membership.BackendServer;
+import org.borageproxy.routing.EngineWork;
 import org.borageproxy.routing.ServerSelector;
 import org.borageproxy.time.MonotonicClock;
 import org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer;
@@ -13,6 +15,7 @@
 final class RequestLog {
 
     private static final Logger LOGGER = LoggerFactory.getLogger("request");
+    private static final int MAX_LOGGED_PARTS = 8;
 
     private final BufferedRequest buffered;
     private final MonotonicClock clock;
@@ -122,15 +125,37 @@
                 ageMillis());
     }
 
-    void failed(BackendServer server, String reason, long attemptMillis) {
+    /**
+     * Logs an attempt without a usable answer.
+     *
+     * @param server the server
+     * @param reason the reason
+     * @param attemptMillis the duration of the attempt in milliseconds
+     * @param receivedBytes the bytes of the answer's body that were received, before its end was missed
+     */
+    void failed(BackendServer server, String reason, long attemptMillis, long receivedBytes) {
         LOGGER.info(
-                "event=attempt-failed id={} server={} incarnation={} reason=\"{}\" attempt_ms={} age_ms={}",
+                "event=attempt-failed id={} server={} incarnation={} reason=\"{}\" attempt_ms={} age_ms={}"
+                        + " received_bytes={} parts={}",
                 identity(),
                 server.name(),
                 server.incarnation(),
                 reason,
                 attemptMillis,
-                ageMillis());
+                ageMillis(),
+                receivedBytes,
+                parts());
+    }
+
+    private String parts() {
+        String parts = buffered.metadata()
+                .work()
+                .map(work -> work.promptParts().stream()
+                        .limit(MAX_LOGGED_PARTS)
+                        .map(EngineWork.PromptPart::identity)
+                        .collect(Collectors.joining(",")))
+                .orElse("");
+        return parts.isEmpty() ? "-" : parts;
     }
 
     void streamEvent() {
