Reproduce requests that share a part of their prompts and crash engines

Cause: not mended yet. The engines of StreamVersionTest no longer delay their answers by 40 ms (two small writes).

--- a/src/test/java/org/borageproxy/platform/EngineStandIn.java
+++ b/src/test/java/org/borageproxy/platform/EngineStandIn.java
@@ -4,6 +4,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -64,7 +65,7 @@
         if (listening.isClosed()) {
             ServerSocket reopened = new ServerSocket();
             reopened.setReuseAddress(true);
-            reopened.bind(new java.net.InetSocketAddress("127.0.0.1", port));
+            reopened.bind(new InetSocketAddress("127.0.0.1", port));
             listening = reopened;
         }
         incarnation = LAST_INCARNATION.incrementAndGet();
@@ -79,6 +80,7 @@
         while (!accepting.isClosed()) {
             try {
                 Socket connection = accepting.accept();
+                connection.setTcpNoDelay(true);
                 connections.add(connection);
                 Thread thread = new Thread(() -> serve(connection));
                 thread.setDaemon(true);
@@ -122,7 +124,7 @@
                 + (isFramed ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n");
         String parts = header(request, "X-Prompt-Prefix").orElse("");
         if (crashingParts.stream().anyMatch(parts::contains)) {
-            write(output, head);
+            write(output, head + (isFramed ? "" : "id: 1\nda"));
             crash();
             return false;
         }
--- a/src/test/java/org/borageproxy/platform/PlatformFleet.java
+++ b/src/test/java/org/borageproxy/platform/PlatformFleet.java
@@ -214,7 +214,7 @@
     Socket send(String entry, String identity, String parts, String extraHeaders) throws IOException {
         Socket socket = new Socket(entry, callerPort);
         socket.setSoTimeout(15_000);
-        String request = "POST /e/x HTTP/1.1\r\nHost: e.example\r\nX-Request-Id: " + identity
+        String request = "POST /e/" + identity + " HTTP/1.1\r\nHost: e.example\r\nX-Request-Id: " + identity
                 + "\r\nX-Credential: k\r\nX-Deadline-Ms: 9000\r\nX-Model: m\r\nX-Token-Count: 100,10\r\n"
                 + "X-Prompt-Prefix: " + parts + "\r\nConnection: close\r\n" + extraHeaders
                 + "Content-Length: 2\r\n\r\nhi";
