--- a/src/main/java/org/borageproxy/control/ControlGroupCrashRegistry.java
+++ b/src/main/java/org/borageproxy/control/ControlGroupCrashRegistry.java
@@ -1,6 +1,7 @@
 package org.borageproxy.control;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Function;
 
@@ -13,6 +14,7 @@
 import org.borageproxy.wire.proto.ControlProtocol.ClearCrash;
 import org.borageproxy.wire.proto.ControlProtocol.Command;
 import org.borageproxy.wire.proto.ControlProtocol.ReportCrash;
+import org.borageproxy.wire.proto.ControlProtocol.SuspectPart;
 
 /**
  * Stores crash reports in the control group. Reports of this VM take effect on it immediately, before the control group
@@ -26,6 +28,9 @@
     /** Retention of this VM's own reports; covers the time until the control group has published them. */
     private static final Duration OWN_REPORT_RETENTION = Duration.ofSeconds(30);
 
+    /** Minimum time between two clears of the same suspicion. */
+    private static final Duration CLEAR_INTERVAL = Duration.ofMillis(500);
+
     /** Maximum number of retained reports of this VM. */
     private static final int MAX_OWN_REPORTS = 10_000;
 
@@ -40,6 +45,12 @@
             .expireAfterWrite(OWN_REPORT_RETENTION)
             .build();
 
+    /** What this VM has cleared and the control group may not have published yet. */
+    private final Cache<Fingerprint, Boolean> ownClears = Caffeine.newBuilder()
+            .maximumSize(MAX_OWN_REPORTS)
+            .expireAfterWrite(CLEAR_INTERVAL)
+            .build();
+
     /**
      * Creates a registry.
      *
@@ -61,14 +72,44 @@
     @Override
     public CompletionStage<Suspicion> reportCrash(
             Fingerprint fingerprint, BackendServerName server, long incarnation, boolean alone) {
-        ownReports.put(
-                fingerprint, suspicion(fingerprint) == Suspicion.NONE ? Suspicion.SUSPECT : suspicion(fingerprint));
-        Command.Builder command = Command.newBuilder()
-                .setReportCrash(ReportCrash.newBuilder()
-                        .setFingerprint(fingerprint.value())
+        return submit(
+                fingerprint,
+                ReportCrash.newBuilder()
                         .setServer(server.value())
                         .setIncarnation(incarnation)
                         .setAlone(alone));
+    }
+
+    /**
+     * Reports that a backend server crashed while it began a request, with the parts of the prompt that may be the
+     * cause.
+     *
+     * @param request the fingerprint of the request
+     * @param parts the fingerprints of the parts
+     * @param isUntested whether no request with any of the parts had succeeded on this VM shortly before
+     * @param server the backend server
+     * @param incarnation the incarnation that crashed
+     * @return the shared suspicion of the request once the report is durable, or a failure
+     */
+    public CompletionStage<Suspicion> reportCrash(
+            Fingerprint request,
+            List<Fingerprint> parts,
+            boolean isUntested,
+            BackendServerName server,
+            long incarnation) {
+        ReportCrash.Builder report =
+                ReportCrash.newBuilder().setServer(server.value()).setIncarnation(incarnation);
+        for (Fingerprint part : parts) {
+            report.addParts(
+                    SuspectPart.newBuilder().setFingerprint(part.value()).setUntested(isUntested));
+        }
+        return submit(request, report);
+    }
+
+    private CompletionStage<Suspicion> submit(Fingerprint fingerprint, ReportCrash.Builder report) {
+        ownReports.put(
+                fingerprint, suspicion(fingerprint) == Suspicion.NONE ? Suspicion.SUSPECT : suspicion(fingerprint));
+        Command.Builder command = Command.newBuilder().setReportCrash(report.setFingerprint(fingerprint.value()));
         return client.submitForReply(command, client.deadlineAfter(TIMEOUT)).thenApply(reply -> {
             Suspicion suspicion = Suspicion.values()[reply.getCrash().getSuspicion()];
             ownReports.put(fingerprint, suspicion);
@@ -78,10 +119,14 @@
 
     @Override
     public void reportAnswered(Fingerprint fingerprint) {
-        if (suspicion(fingerprint) != Suspicion.SUSPECT) {
+        Suspicion suspicion = suspicion(fingerprint);
+        boolean isClearable =
+                suspicion == Suspicion.SUSPECT || suspicion == Suspicion.QUARANTINED && fingerprint.isPart();
+        if (!isClearable || ownClears.getIfPresent(fingerprint) != null) {
             return;
         }
         ownReports.invalidate(fingerprint);
+        ownClears.put(fingerprint, true);
         Command.Builder command =
                 Command.newBuilder().setClearCrash(ClearCrash.newBuilder().setFingerprint(fingerprint.value()));
         client.submit(command, client.deadlineAfter(TIMEOUT));
--- a/src/main/java/org/borageproxy/control/CrashTable.java
+++ b/src/main/java/org/borageproxy/control/CrashTable.java
@@ -1,6 +1,7 @@
 package org.borageproxy.control;
 
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 import org.borageproxy.execution.Suspicion;
@@ -13,8 +14,10 @@
 
 /**
  * Requests that were running when backend servers crashed. The first crash makes a request suspect. A further crash
- * quarantines it if it ran alone, if an earlier crash hit another backend server, or if it is the third. A successful
- * response clears a suspect request but not a quarantined one. Guarded by the lock of {@link ControlState}.
+ * quarantines it if it ran alone, if an earlier crash hit another backend server, or if it is the third; crashes that a
+ * part of another prompt explains do not count. A successful response clears a suspect request but not a quarantined
+ * one. The parts of prompts of these requests are counted apart, in a {@link PartCrashTable}. Guarded by the lock of
+ * {@link ControlState}.
  */
 final class CrashTable {
 
@@ -34,6 +37,7 @@
     private static final String SEPARATOR = "@";
 
     private final WatchedRecords records;
+    private final PartCrashTable parts;
 
     /** Requests by fingerprint, least recently reported first. */
     private final LinkedHashMap<String, CrashState> crashes = new LinkedHashMap<>();
@@ -43,6 +47,7 @@
 
     CrashTable(WatchedRecords records) {
         this.records = records;
+        this.parts = new PartCrashTable(this::publish, this::withdraw);
     }
 
     /**
@@ -51,16 +56,19 @@
      */
     Reply report(ReportCrash report, long stateMillis) {
         String crash = report.getServer() + SEPARATOR + report.getIncarnation();
+        if (parts.report(report.getPartsList(), crash, stateMillis)) {
+            reconsider(crash);
+        }
         CrashState earlier = crashes.get(report.getFingerprint());
         if (earlier != null && earlier.getCrashesList().contains(crash)) {
             return reply(earlier);
         }
         CrashState.Builder state =
                 earlier == null ? CrashState.newBuilder().setFingerprint(report.getFingerprint()) : earlier.toBuilder();
-        boolean isQuarantined = state.getQuarantined()
-                || earlier != null && (report.getAlone() || hasCrashedOtherServer(earlier, report.getServer()))
-                || state.getCrashesCount() + 1 >= QUARANTINE_CRASH_COUNT;
-        state.addCrashes(crash).setQuarantined(isQuarantined);
+        state.addCrashes(crash);
+        boolean isQuarantined =
+                state.getQuarantined() || earlier != null && report.getAlone() || isGuilty(state.getCrashesList());
+        state.setQuarantined(isQuarantined);
         state.setExpiresAtMillis(stateMillis + (isQuarantined ? QUARANTINE_MILLIS : SUSPICION_MILLIS));
         crashes.remove(report.getFingerprint());
         crashes.put(report.getFingerprint(), state.build());
@@ -70,8 +78,14 @@
         return reply(state.build());
     }
 
-    /** Clears a suspect request that has been answered. Does not affect quarantined requests. */
+    /**
+     * Clears a suspect request that has been answered, or a part of prompts with which one has. Does not affect
+     * quarantined requests.
+     */
     void clear(String fingerprint) {
+        if (parts.clear(fingerprint)) {
+            return;
+        }
         CrashState state = crashes.get(fingerprint);
         if (state != null && !state.getQuarantined()) {
             remove(fingerprint);
@@ -80,6 +94,7 @@
 
     /** Removes expired suspicions and quarantines. */
     void expire(long stateMillis) {
+        parts.expire(stateMillis);
         if (stateMillis < firstExpiryMillis) {
             return;
         }
@@ -93,13 +108,16 @@
 
     /** Adds the table to a snapshot. */
     void save(ControlSnapshot.Builder snapshot) {
-        snapshot.addAllCrashes(crashes.values());
+        snapshot.addAllCrashes(crashes.values()).addAllCrashes(parts.states());
     }
 
     /** Replaces the table with the content of a snapshot. */
     void load(ControlSnapshot snapshot) {
         crashes.clear();
-        snapshot.getCrashesList().forEach(state -> crashes.put(state.getFingerprint(), state));
+        snapshot.getCrashesList().stream()
+                .filter(state -> !state.getPart())
+                .forEach(state -> crashes.put(state.getFingerprint(), state));
+        parts.load(snapshot.getCrashesList());
         updateFirstExpiry();
     }
 
@@ -119,19 +137,48 @@
 
     private void remove(String fingerprint) {
         crashes.remove(fingerprint);
+        withdraw(fingerprint);
+    }
+
+    private void withdraw(String fingerprint) {
         records.remove("crash/" + fingerprint);
     }
 
-    /** Publishes the suspicion of a request to the watching VMs, without its crashes and expiry time. */
+    /** Publishes the suspicion of a request or part to the watching VMs, without its crashes and expiry time. */
     private void publish(CrashState state) {
-        CrashState published =
-                state.toBuilder().clearCrashes().clearExpiresAtMillis().build();
+        CrashState published = state.toBuilder()
+                .clearCrashes()
+                .clearUntestedCrashes()
+                .clearExpiresAtMillis()
+                .build();
         records.put(Item.newBuilder().setName("crash/" + state.getFingerprint()).setCrash(published));
     }
 
-    /** Whether the request was reported for a crash of a different backend server. */
-    private static boolean hasCrashedOtherServer(CrashState state, String server) {
-        return state.getCrashesList().stream().anyMatch(crash -> !crash.startsWith(server + SEPARATOR));
+    /** Whether a request caused the crashes: those of several servers, or enough of one, that nothing else explains. */
+    private boolean isGuilty(List<String> crashesOfRequest) {
+        List<String> counted = crashesOfRequest.stream()
+                .filter(crash -> !parts.isExplained(crash))
+                .toList();
+        long serverCount = counted.stream().map(CrashTable::serverOf).distinct().count();
+        return serverCount > 1 || counted.size() >= QUARANTINE_CRASH_COUNT;
+    }
+
+    private static String serverOf(String crash) {
+        return crash.substring(0, crash.lastIndexOf(SEPARATOR));
+    }
+
+    /** Ends the quarantine of requests that were quarantined for a crash that a part of a prompt explains. */
+    private void reconsider(String crash) {
+        List<CrashState> innocent = crashes.values().stream()
+                .filter(state -> state.getQuarantined()
+                        && state.getCrashesList().contains(crash)
+                        && !isGuilty(state.getCrashesList()))
+                .toList();
+        for (CrashState state : innocent) {
+            CrashState suspect = state.toBuilder().setQuarantined(false).build();
+            crashes.put(state.getFingerprint(), suspect);
+            publish(suspect);
+        }
     }
 
     private static Reply reply(CrashState state) {
--- a/src/main/java/org/borageproxy/execution/CrashRegistry.java
+++ b/src/main/java/org/borageproxy/execution/CrashRegistry.java
@@ -28,9 +28,10 @@
             Fingerprint fingerprint, BackendServerName server, long incarnation, boolean alone);
 
     /**
-     * Clears the suspicion of a request that was answered.
+     * Clears the suspicion of a request that was answered, or of a part of its prompt. A quarantined request stays
+     * quarantined.
      *
-     * @param fingerprint the fingerprint of the request
+     * @param fingerprint the fingerprint of the request or part
      */
     void reportAnswered(Fingerprint fingerprint);
 }
--- a/src/main/java/org/borageproxy/execution/RequestDigest.java
+++ b/src/main/java/org/borageproxy/execution/RequestDigest.java
@@ -11,6 +11,9 @@
  */
 public final class RequestDigest {
 
+    /** Longer names of parts are replaced by their digests. */
+    private static final int MAX_NAME_LENGTH = 128;
+
     private RequestDigest() {}
 
     /**
@@ -25,6 +28,19 @@
         return new Fingerprint(digest(workspace, path, body));
     }
 
+    /**
+     * Computes the fingerprint that identifies a part of prompts across VMs and requests. Never equal to the
+     * fingerprint of a request.
+     *
+     * @param service the service
+     * @param part the identity of the part
+     * @return the fingerprint
+     */
+    public static Fingerprint partFingerprint(String service, String part) {
+        String name = service + '/' + part;
+        return Fingerprint.ofPart(name.length() <= MAX_NAME_LENGTH ? name : digest(service, part, new byte[0]));
+    }
+
     /**
      * Computes the digest that detects the reuse of an idempotency key for another request.
      *
--- a/src/main/java/org/borageproxy/forward/BufferedRequest.java
+++ b/src/main/java/org/borageproxy/forward/BufferedRequest.java
@@ -4,7 +4,6 @@
 import java.util.Optional;
 
 import io.vertx.core.http.HttpServerRequest;
-import org.borageproxy.execution.Fingerprint;
 import org.borageproxy.publication.EnginePool;
 import org.borageproxy.publication.PublishedRoute;
 import org.borageproxy.publication.PublishedWorkspace;
@@ -21,7 +20,7 @@
  * @param service the service that was drawn from the route
  * @param engines the engine pool of the service; empty for a plain service
  * @param workspace the workspace of the caller's API key; empty if no known key came with the request
- * @param fingerprint equal for identical requests of the same workspace
+ * @param suspects what may make a backend server crash that begins the request
  * @param arrivedAtNanos the time on the monotonic clock at the arrival, in nanoseconds
  * @param deadline the deadline of the caller or of the route, whichever is earlier
  */
@@ -33,7 +32,7 @@
         String service,
         Optional<EnginePool> engines,
         Optional<PublishedWorkspace> workspace,
-        Fingerprint fingerprint,
+        CrashSuspects suspects,
         long arrivedAtNanos,
         Deadline deadline) {
 
--- /dev/null
+++ b/src/main/java/org/borageproxy/forward/CrashEvidence.java
@@ -0,0 +1,71 @@
+package org.borageproxy.forward;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import org.borageproxy.membership.BackendServer;
+import org.borageproxy.time.Deadline;
+import org.borageproxy.time.MonotonicClock;
+
+/**
+ * Decides for one request whether it may have crashed a server that ended: only until a server has survived the
+ * beginning of its answer. Not thread safe; confined to the event loop of the request.
+ */
+final class CrashEvidence {
+
+    /** Time after the first event of an answer in which the server may still crash because of it. */
+    private static final Duration BEGINNING = Duration.ofMillis(250);
+
+    private final SuspectRequests registry;
+    private final CrashSuspects suspects;
+    private final MonotonicClock clock;
+    /** The end of the beginning of the current attempt's answer; empty before its first event. */
+    private Optional<Deadline> beginningEndsAt = Optional.empty();
+
+    private boolean isHarmless;
+
+    CrashEvidence(SuspectRequests registry, CrashSuspects suspects, MonotonicClock clock) {
+        this.registry = registry;
+        this.suspects = suspects;
+        this.clock = clock;
+    }
+
+    /** Returns whether the request must not be sent. */
+    boolean isQuarantined() {
+        return registry.isQuarantined(suspects);
+    }
+
+    /** Records that the request is sent to a server. */
+    void recordAttempt() {
+        beginningEndsAt = Optional.empty();
+    }
+
+    /** Records a complete event of the current attempt's answer. */
+    void recordEvent() {
+        long nowNanos = clock.nanoTime();
+        if (beginningEndsAt.isEmpty()) {
+            beginningEndsAt = Optional.of(Deadline.after(nowNanos, BEGINNING));
+        } else if (beginningEndsAt.get().hasPassed(nowNanos)) {
+            recordAnswer();
+        }
+    }
+
+    /** Records that the current attempt was answered completely, whatever the answer. */
+    void recordAnswer() {
+        if (!isHarmless) {
+            isHarmless = true;
+            registry.reportHarmless(suspects);
+        }
+    }
+
+    /**
+     * Records that the connection to a server was lost before the end of its answer.
+     *
+     * @param server the server
+     */
+    void recordConnectionLoss(BackendServer server) {
+        if (!isHarmless) {
+            registry.reportConnectionLoss(suspects, server);
+        }
+    }
+}
--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -3,27 +3,20 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.vertx.core.http.HttpServerRequest;
-import org.borageproxy.execution.Suspicion;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerName;
-import org.borageproxy.publication.PublishedWorkspace;
 import org.borageproxy.publication.Repeatability;
 import org.borageproxy.quota.RateShares;
 import org.borageproxy.routing.EngineWork;
@@ -61,6 +54,7 @@
     private final Set<BackendServerName> goneServers = new HashSet<>();
     private final EventScanner scanner = new EventScanner();
     private final LocalSearch localSearch;
+    private final CrashEvidence crashEvidence;
     private ScheduledFuture<?> deadlineTimer;
     private Optional<Attempt> currentAttempt = Optional.empty();
     private Optional<HttpResponse> firstHead = Optional.empty();
@@ -78,6 +72,7 @@
         this.relay = new ResponseRelay(buffered.request().response());
         this.log = new RequestLog(buffered, context.clock());
         this.rate = new RateAdmission(context, buffered);
+        this.crashEvidence = new CrashEvidence(context.suspectRequests(), buffered.suspects(), context.clock());
         this.localSearch =
                 new LocalSearch(context, buffered, log, triedServers, () -> origin, new LocalSearchListener());
     }
@@ -94,7 +89,7 @@
             refuse(RefusalReason.EXPIRED_UNSENT, Optional.empty());
             return;
         }
-        if (context.suspectRequests().suspicion(buffered.fingerprint()) == Suspicion.QUARANTINED) {
+        if (crashEvidence.isQuarantined()) {
             refuse(RefusalReason.QUARANTINED, Optional.empty());
             return;
         }
@@ -195,27 +190,6 @@
         context.connections().connect(choice.server(), attempt);
     }
 
-    private long remainingMillis() {
-        return buffered.deadline().remainingMillis(context.clock().nanoTime());
-    }
-
-    private HttpRequest forwardedRequest(BackendServer server) {
-        DispatchMetadata dispatch = new DispatchMetadata(
-                server.name(),
-                buffered.workspace().map(PublishedWorkspace::name),
-                Math.max(1, remainingMillis()),
-                buffered.metadata().work().isPresent() ? OptionalInt.of(buffered.urgency()) : OptionalInt.empty(),
-                scanner.lastEventIdentity().or(() -> buffered.metadata().lastEventIdentity()));
-        HttpHeaders headers =
-                context.protocol().forwardedHeaders(buffered.request().headers(), dispatch);
-        HttpMethod method = HttpMethod.valueOf(buffered.request().method().name());
-        if (buffered.body().length > 0 || method.equals(HttpMethod.POST) || method.equals(HttpMethod.PUT)) {
-            headers.set(HttpHeaderNames.CONTENT_LENGTH, buffered.body().length);
-        }
-        return new DefaultHttpRequest(
-                HttpVersion.HTTP_1_1, method, buffered.request().uri(), headers);
-    }
-
     /** Sends the request to the server that this VM selected, or refuses it. */
     private final class LocalSearchListener implements LocalSearch.Listener {
         @Override
@@ -259,13 +233,23 @@
                 findServer();
                 return;
             }
+            // Other requests with the same part of a prompt may have been found guilty while this one waited.
+            if (crashEvidence.isQuarantined()) {
+                acquired.close();
+                isOver = true;
+                log.skipped(server, "request was quarantined before it was sent");
+                refuseOrAbort(RefusalReason.QUARANTINED, DEFAULT_RETRY_AFTER);
+                return;
+            }
             connection = Optional.of(acquired);
+            crashEvidence.recordAttempt();
             sends++;
             possibleRuns++;
             inFlightRequest = Optional.of(context.pool()
                     .recordStart(choice, buffered.engines(), buffered.metadata().work()));
             log.sent(choice, sends, acquired.isReused(), scanner.lastEventIdentity());
-            acquired.send(forwardedRequest(server), buffered.body(), this);
+            acquired.send(
+                    ForwardedHead.of(context, buffered, server, scanner.lastEventIdentity()), buffered.body(), this);
         }
 
         @Override
@@ -391,6 +375,7 @@
                 recordOrigin();
             }
             log.streamEvent();
+            crashEvidence.recordEvent();
             relay.sendPart(firstHead.get(), relayedBytes, isResumable() ? Optional.empty() : length());
             if (relay.isWriteQueueFull()) {
                 connection.ifPresent(present -> present.setReading(false));
@@ -415,6 +400,12 @@
             inFlightRequest.ifPresent(present -> present.recordResponse(buffered.service()));
             inFlightRequest.ifPresent(ServerPool.InFlightRequest::recordEnd);
             int status = head.get().status().code();
+            if (isBrokenOff()) {
+                recordCrashSuspicion();
+                handleLostAnswer("answer ended within an event");
+                return;
+            }
+            crashEvidence.recordAnswer();
             context.metrics().recordAttempt(buffered.service(), Integer.toString(status), ageMillis());
             if (isStream) {
                 endStream();
@@ -432,11 +423,19 @@
             }
         }
 
+        /** Returns whether a stream ended within an event, or without any if only the connection marks its end. */
+        private boolean isBrokenOff() {
+            boolean isEventStream = isStream && buffered.route().repeatability().isStream();
+            boolean isFramed = length().isPresent() || HttpUtil.isTransferEncodingChunked(head.get());
+            return isEventStream && (scanner.hasPartialEvent() || !isFramed && receivedBytes == 0);
+        }
+
+        private void recordCrashSuspicion() {
+            inFlightRequest.ifPresent(ServerPool.InFlightRequest::recordFailure);
+            crashEvidence.recordConnectionLoss(server);
+        }
+
         private void endStream() {
-            if (scanner.hasPartialEvent()) {
-                handleLostAnswer("stream ended within an event");
-                return;
-            }
             if (!relay.hasBegun()) {
                 relay.sendPart(head.get(), Unpooled.EMPTY_BUFFER, Optional.empty());
             }
@@ -450,8 +449,7 @@
                 return;
             }
             isOver = true;
-            inFlightRequest.ifPresent(ServerPool.InFlightRequest::recordFailure);
-            context.suspectRequests().reportConnectionLoss(buffered.fingerprint(), server);
+            recordCrashSuspicion();
             handleLostAnswer(reason);
         }
 
@@ -499,7 +497,7 @@
                 && !isExpired()
                 && sends < MAX_SENDS
                 && possibleRuns < buffered.route().maxAttempts()
-                && context.suspectRequests().suspicion(buffered.fingerprint()) != Suspicion.QUARANTINED;
+                && !crashEvidence.isQuarantined();
         if (isAllowed
                 && (!hasBeenSent
                         || context.retryBudgets().apply(buffered.service()).tryWithdraw())) {
--- a/src/main/java/org/borageproxy/forward/ForwardServer.java
+++ b/src/main/java/org/borageproxy/forward/ForwardServer.java
@@ -26,6 +26,7 @@
 import org.borageproxy.publication.PublishedWorkspace;
 import org.borageproxy.publication.RequestLimits;
 import org.borageproxy.publication.ServedPublication;
+import org.borageproxy.routing.EngineWork;
 import org.borageproxy.settings.Endpoint;
 import org.borageproxy.time.Deadline;
 import org.slf4j.Logger;
@@ -216,7 +217,10 @@
                 service,
                 served.publication().enginePool(service),
                 workspace,
-                RequestDigest.fingerprint(owner, request.uri(), body),
+                CrashSuspects.of(
+                        RequestDigest.fingerprint(owner, request.uri(), body),
+                        service,
+                        fields.work().map(EngineWork::promptParts).orElse(List.of())),
                 arrivedAtNanos,
                 deadline);
     }
--- a/src/main/java/org/borageproxy/forward/SuspectRequests.java
+++ b/src/main/java/org/borageproxy/forward/SuspectRequests.java
@@ -1,25 +1,30 @@
 package org.borageproxy.forward;
 
-import org.borageproxy.execution.Fingerprint;
-import org.borageproxy.execution.Suspicion;
 import org.borageproxy.membership.BackendServer;
 
-/** Fleet-wide registry of requests that are suspected of crashing the backend servers that run them. */
+/** Fleet-wide registry of requests, and parts of prompts, that are suspected of crashing backend servers. */
 public interface SuspectRequests {
 
     /**
-     * Returns the suspicion against a request.
+     * Returns whether a request must not be sent.
      *
-     * @param fingerprint the request's fingerprint
-     * @return the suspicion; quarantined requests must not be sent
+     * @param suspects the request and the parts of its prompt
+     * @return {@code true} if one of them is quarantined
      */
-    Suspicion suspicion(Fingerprint fingerprint);
+    boolean isQuarantined(CrashSuspects suspects);
 
     /**
-     * Reports that the connection to a server was lost while the server ran a request.
+     * Reports that the connection to a server was lost while the server was beginning a request.
      *
-     * @param fingerprint the request's fingerprint
+     * @param suspects the request and the parts of its prompt
      * @param server the server
      */
-    void reportConnectionLoss(Fingerprint fingerprint, BackendServer server);
+    void reportConnectionLoss(CrashSuspects suspects, BackendServer server);
+
+    /**
+     * Reports that a server has survived the beginning of a request, which clears its suspects.
+     *
+     * @param suspects the request and the parts of its prompt
+     */
+    void reportHarmless(CrashSuspects suspects);
 }
--- a/src/main/java/org/borageproxy/wire/proto/ControlProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/ControlProtocol.java
@@ -17998,6 +17998,50 @@
      * @return The alone.
      */
     boolean getAlone();
+
+    /**
+     * <pre>
+     * Parts of the request's prompt that may have caused the crash.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.control.SuspectPart parts = 5;</code>
+     */
+    java.util.List<org.borageproxy.wire.proto.ControlProtocol.SuspectPart> 
+        getPartsList();
+    /**
+     * <pre>
+     * Parts of the request's prompt that may have caused the crash.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.control.SuspectPart parts = 5;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.SuspectPart getParts(int index);
+    /**
+     * <pre>
+     * Parts of the request's prompt that may have caused the crash.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.control.SuspectPart parts = 5;</code>
+     */
+    int getPartsCount();
+    /**
+     * <pre>
+     * Parts of the request's prompt that may have caused the crash.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.control.SuspectPart parts = 5;</code>
+     */
+    java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.SuspectPartOrBuilder> 
+        getPartsOrBuilderList();
+    /**
+     * <pre>
+     * Parts of the request's prompt that may have caused the crash.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.control.SuspectPart parts = 5;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.SuspectPartOrBuilder getPartsOrBuilder(
+        int index);
   }
   /**
    * Protobuf type {@code borageproxy.control.ReportCrash}
@@ -18023,6 +18067,7 @@
     private ReportCrash() {
       fingerprint_ = "";
       server_ = "";
+      parts_ = java.util.Collections.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -18143,6 +18188,67 @@
       return alone_;
     }
 
+    public static final int PARTS_FIELD_NUMBER = 5;
+    @SuppressWarnings("serial")
+    private java.util.List<org.borageproxy.wire.proto.ControlProtocol.SuspectPart> parts_;
+    /**
+     * <pre>
+     * Parts of the request's prompt that may have caused the crash.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.control.SuspectPart parts = 5;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.borageproxy.wire.proto.ControlProtocol.SuspectPart> getPartsList() {
+      return parts_;
+    }
+    /**
+     * <pre>
+     * Parts of the request's prompt that may have caused the crash.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.control.SuspectPart parts = 5;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.SuspectPartOrBuilder> 
+        getPartsOrBuilderList() {
+      return parts_;
+    }
+    /**
+     * <pre>
+     * Parts of the request's prompt that may have caused the crash.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.control.SuspectPart parts = 5;</code>
+     */
+    @java.lang.Override
+    public int getPartsCount() {
+      return parts_.size();
+    }
+    /**
+     * <pre>
+     * Parts of the request's prompt that may have caused the crash.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.control.SuspectPart parts = 5;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.SuspectPart getParts(int index) {
+      return parts_.get(index);
+    }
+    /**
+     * <pre>
+     * Parts of the request's prompt that may have caused the crash.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.control.SuspectPart parts = 5;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.SuspectPartOrBuilder getPartsOrBuilder(
+        int index) {
+      return parts_.get(index);
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -18169,6 +18275,9 @@
       if (alone_ != false) {
         output.writeBool(4, alone_);
       }
+      for (int i = 0; i < parts_.size(); i++) {
+        output.writeMessage(5, parts_.get(i));
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -18192,6 +18301,15 @@
         size += com.google.protobuf.CodedOutputStream
           .computeBoolSize(4, alone_);
       }
+
+          {
+            final int count = parts_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(parts_.get(i));
+            }
+            size += 1 * count;
+          }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -18215,6 +18333,8 @@
           != other.getIncarnation()) return false;
       if (getAlone()
           != other.getAlone()) return false;
+      if (!getPartsList()
+          .equals(other.getPartsList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -18236,6 +18356,10 @@
       hash = (37 * hash) + ALONE_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
           getAlone());
+      if (getPartsCount() > 0) {
+        hash = (37 * hash) + PARTS_FIELD_NUMBER;
+        hash = (53 * hash) + getPartsList().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -18371,6 +18495,13 @@
         server_ = "";
         incarnation_ = 0L;
         alone_ = false;
+        if (partsBuilder_ == null) {
+          parts_ = java.util.Collections.emptyList();
+        } else {
+          parts_ = null;
+          partsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000010);
         return this;
       }
 
@@ -18397,11 +18528,24 @@
       @java.lang.Override
       public org.borageproxy.wire.proto.ControlProtocol.ReportCrash buildPartial() {
         org.borageproxy.wire.proto.ControlProtocol.ReportCrash result = new org.borageproxy.wire.proto.ControlProtocol.ReportCrash(this);
+        buildPartialRepeatedFields(result);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
+      private void buildPartialRepeatedFields(org.borageproxy.wire.proto.ControlProtocol.ReportCrash result) {
+        if (partsBuilder_ == null) {
+          if (((bitField0_ & 0x00000010) != 0)) {
+            parts_ = java.util.Collections.unmodifiableList(parts_);
+            bitField0_ = (bitField0_ & ~0x00000010);
+          }
+          result.parts_ = parts_;
+        } else {
+          result.parts_ = partsBuilder_.build();
+        }
+      }
+
       private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.ReportCrash result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
@@ -18446,6 +18590,32 @@
         if (other.getAlone() != false) {
           setAlone(other.getAlone());
         }
+        if (partsBuilder_ == null) {
+          if (!other.parts_.isEmpty()) {
+            if (parts_.isEmpty()) {
+              parts_ = other.parts_;
+              bitField0_ = (bitField0_ & ~0x00000010);
+            } else {
+              ensurePartsIsMutable();
+              parts_.addAll(other.parts_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.parts_.isEmpty()) {
+            if (partsBuilder_.isEmpty()) {
+              partsBuilder_.dispose();
+              partsBuilder_ = null;
+              parts_ = other.parts_;
+              bitField0_ = (bitField0_ & ~0x00000010);
+              partsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetPartsFieldBuilder() : null;
+            } else {
+              partsBuilder_.addAllMessages(other.parts_);
+            }
+          }
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -18492,6 +18662,19 @@
                 bitField0_ |= 0x00000008;
                 break;
               } // case 32
+              case 42: {
+                org.borageproxy.wire.proto.ControlProtocol.SuspectPart m =
+                    input.readMessage(
+                        org.borageproxy.wire.proto.ControlProtocol.SuspectPart.parser(),
+                        extensionRegistry);
+                if (partsBuilder_ == null) {
+                  ensurePartsIsMutable();
+                  parts_.add(m);
+                } else {
+                  partsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 42
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -18717,6 +18900,318 @@
         return this;
       }
 
+      private java.util.List<org.borageproxy.wire.proto.ControlProtocol.SuspectPart> parts_ =
+        java.util.Collections.emptyList();
+      private void ensurePartsIsMutable() {
+        if (!((bitField0_ & 0x00000010) != 0)) {
+          parts_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.SuspectPart>(parts_);
+          bitField0_ |= 0x00000010;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.SuspectPart, org.borageproxy.wire.proto.ControlProtocol.SuspectPart.Builder, org.borageproxy.wire.proto.ControlProtocol.SuspectPartOrBuilder> partsBuilder_;
+
+      /**
+       * <pre>
+       * Parts of the request's prompt that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.SuspectPart parts = 5;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.SuspectPart> getPartsList() {
+        if (partsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(parts_);
+        } else {
+          return partsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <pre>
+       * Parts of the request's prompt that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.SuspectPart parts = 5;</code>
+       */
+      public int getPartsCount() {
+        if (partsBuilder_ == null) {
+          return parts_.size();
+        } else {
+          return partsBuilder_.getCount();
+        }
+      }
+      /**
+       * <pre>
+       * Parts of the request's prompt that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.SuspectPart parts = 5;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.SuspectPart getParts(int index) {
+        if (partsBuilder_ == null) {
+          return parts_.get(index);
+        } else {
+          return partsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <pre>
+       * Parts of the request's prompt that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.SuspectPart parts = 5;</code>
+       */
+      public Builder setParts(
+          int index, org.borageproxy.wire.proto.ControlProtocol.SuspectPart value) {
+        if (partsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensurePartsIsMutable();
+          parts_.set(index, value);
+          onChanged();
+        } else {
+          partsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Parts of the request's prompt that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.SuspectPart parts = 5;</code>
+       */
+      public Builder setParts(
+          int index, org.borageproxy.wire.proto.ControlProtocol.SuspectPart.Builder builderForValue) {
+        if (partsBuilder_ == null) {
+          ensurePartsIsMutable();
+          parts_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          partsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Parts of the request's prompt that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.SuspectPart parts = 5;</code>
+       */
+      public Builder addParts(org.borageproxy.wire.proto.ControlProtocol.SuspectPart value) {
+        if (partsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensurePartsIsMutable();
+          parts_.add(value);
+          onChanged();
+        } else {
+          partsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Parts of the request's prompt that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.SuspectPart parts = 5;</code>
+       */
+      public Builder addParts(
+          int index, org.borageproxy.wire.proto.ControlProtocol.SuspectPart value) {
+        if (partsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensurePartsIsMutable();
+          parts_.add(index, value);
+          onChanged();
+        } else {
+          partsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Parts of the request's prompt that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.SuspectPart parts = 5;</code>
+       */
+      public Builder addParts(
+          org.borageproxy.wire.proto.ControlProtocol.SuspectPart.Builder builderForValue) {
+        if (partsBuilder_ == null) {
+          ensurePartsIsMutable();
+          parts_.add(builderForValue.build());
+          onChanged();
+        } else {
+          partsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Parts of the request's prompt that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.SuspectPart parts = 5;</code>
+       */
+      public Builder addParts(
+          int index, org.borageproxy.wire.proto.ControlProtocol.SuspectPart.Builder builderForValue) {
+        if (partsBuilder_ == null) {
+          ensurePartsIsMutable();
+          parts_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          partsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Parts of the request's prompt that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.SuspectPart parts = 5;</code>
+       */
+      public Builder addAllParts(
+          java.lang.Iterable<? extends org.borageproxy.wire.proto.ControlProtocol.SuspectPart> values) {
+        if (partsBuilder_ == null) {
+          ensurePartsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, parts_);
+          onChanged();
+        } else {
+          partsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Parts of the request's prompt that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.SuspectPart parts = 5;</code>
+       */
+      public Builder clearParts() {
+        if (partsBuilder_ == null) {
+          parts_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000010);
+          onChanged();
+        } else {
+          partsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Parts of the request's prompt that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.SuspectPart parts = 5;</code>
+       */
+      public Builder removeParts(int index) {
+        if (partsBuilder_ == null) {
+          ensurePartsIsMutable();
+          parts_.remove(index);
+          onChanged();
+        } else {
+          partsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Parts of the request's prompt that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.SuspectPart parts = 5;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.SuspectPart.Builder getPartsBuilder(
+          int index) {
+        return internalGetPartsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * Parts of the request's prompt that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.SuspectPart parts = 5;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.SuspectPartOrBuilder getPartsOrBuilder(
+          int index) {
+        if (partsBuilder_ == null) {
+          return parts_.get(index);  } else {
+          return partsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * Parts of the request's prompt that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.SuspectPart parts = 5;</code>
+       */
+      public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.SuspectPartOrBuilder> 
+           getPartsOrBuilderList() {
+        if (partsBuilder_ != null) {
+          return partsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(parts_);
+        }
+      }
+      /**
+       * <pre>
+       * Parts of the request's prompt that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.SuspectPart parts = 5;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.SuspectPart.Builder addPartsBuilder() {
+        return internalGetPartsFieldBuilder().addBuilder(
+            org.borageproxy.wire.proto.ControlProtocol.SuspectPart.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Parts of the request's prompt that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.SuspectPart parts = 5;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.SuspectPart.Builder addPartsBuilder(
+          int index) {
+        return internalGetPartsFieldBuilder().addBuilder(
+            index, org.borageproxy.wire.proto.ControlProtocol.SuspectPart.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Parts of the request's prompt that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.SuspectPart parts = 5;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.SuspectPart.Builder> 
+           getPartsBuilderList() {
+        return internalGetPartsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.SuspectPart, org.borageproxy.wire.proto.ControlProtocol.SuspectPart.Builder, org.borageproxy.wire.proto.ControlProtocol.SuspectPartOrBuilder> 
+          internalGetPartsFieldBuilder() {
+        if (partsBuilder_ == null) {
+          partsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.SuspectPart, org.borageproxy.wire.proto.ControlProtocol.SuspectPart.Builder, org.borageproxy.wire.proto.ControlProtocol.SuspectPartOrBuilder>(
+                  parts_,
+                  ((bitField0_ & 0x00000010) != 0),
+                  getParentForChildren(),
+                  isClean());
+          parts_ = null;
+        }
+        return partsBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.control.ReportCrash)
     }
 
@@ -18768,6 +19263,614 @@
 
   }
 
+  public interface SuspectPartOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.control.SuspectPart)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string fingerprint = 1;</code>
+     * @return The fingerprint.
+     */
+    java.lang.String getFingerprint();
+    /**
+     * <code>string fingerprint = 1;</code>
+     * @return The bytes for fingerprint.
+     */
+    com.google.protobuf.ByteString
+        getFingerprintBytes();
+
+    /**
+     * <pre>
+     * Whether no request with this part had succeeded at the reporting VM shortly before.
+     * </pre>
+     *
+     * <code>bool untested = 2;</code>
+     * @return The untested.
+     */
+    boolean getUntested();
+  }
+  /**
+   * Protobuf type {@code borageproxy.control.SuspectPart}
+   */
+  public static final class SuspectPart extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:borageproxy.control.SuspectPart)
+      SuspectPartOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "SuspectPart");
+    }
+    // Use SuspectPart.newBuilder() to construct.
+    private SuspectPart(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private SuspectPart() {
+      fingerprint_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_SuspectPart_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_SuspectPart_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_SuspectPart_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.borageproxy.wire.proto.ControlProtocol.SuspectPart.class, org.borageproxy.wire.proto.ControlProtocol.SuspectPart.Builder.class);
+    }
+
+    public static final int FINGERPRINT_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object fingerprint_ = "";
+    /**
+     * <code>string fingerprint = 1;</code>
+     * @return The fingerprint.
+     */
+    @java.lang.Override
+    public java.lang.String getFingerprint() {
+      java.lang.Object ref = fingerprint_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        fingerprint_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string fingerprint = 1;</code>
+     * @return The bytes for fingerprint.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getFingerprintBytes() {
+      java.lang.Object ref = fingerprint_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        fingerprint_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int UNTESTED_FIELD_NUMBER = 2;
+    private boolean untested_ = false;
+    /**
+     * <pre>
+     * Whether no request with this part had succeeded at the reporting VM shortly before.
+     * </pre>
+     *
+     * <code>bool untested = 2;</code>
+     * @return The untested.
+     */
+    @java.lang.Override
+    public boolean getUntested() {
+      return untested_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(fingerprint_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, fingerprint_);
+      }
+      if (untested_ != false) {
+        output.writeBool(2, untested_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(fingerprint_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, fingerprint_);
+      }
+      if (untested_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(2, untested_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.SuspectPart)) {
+        return super.equals(obj);
+      }
+      org.borageproxy.wire.proto.ControlProtocol.SuspectPart other = (org.borageproxy.wire.proto.ControlProtocol.SuspectPart) obj;
+
+      if (!getFingerprint()
+          .equals(other.getFingerprint())) return false;
+      if (getUntested()
+          != other.getUntested()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + FINGERPRINT_FIELD_NUMBER;
+      hash = (53 * hash) + getFingerprint().hashCode();
+      hash = (37 * hash) + UNTESTED_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getUntested());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.SuspectPart parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.SuspectPart parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.SuspectPart parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.SuspectPart parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.SuspectPart parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.SuspectPart parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.SuspectPart parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.SuspectPart parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.SuspectPart parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.SuspectPart parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.SuspectPart parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.SuspectPart parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.SuspectPart prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code borageproxy.control.SuspectPart}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:borageproxy.control.SuspectPart)
+        org.borageproxy.wire.proto.ControlProtocol.SuspectPartOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_SuspectPart_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_SuspectPart_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.borageproxy.wire.proto.ControlProtocol.SuspectPart.class, org.borageproxy.wire.proto.ControlProtocol.SuspectPart.Builder.class);
+      }
+
+      // Construct using org.borageproxy.wire.proto.ControlProtocol.SuspectPart.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        fingerprint_ = "";
+        untested_ = false;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_SuspectPart_descriptor;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.SuspectPart getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.SuspectPart.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.SuspectPart build() {
+        org.borageproxy.wire.proto.ControlProtocol.SuspectPart result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.SuspectPart buildPartial() {
+        org.borageproxy.wire.proto.ControlProtocol.SuspectPart result = new org.borageproxy.wire.proto.ControlProtocol.SuspectPart(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.SuspectPart result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.fingerprint_ = fingerprint_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.untested_ = untested_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.SuspectPart) {
+          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.SuspectPart)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.SuspectPart other) {
+        if (other == org.borageproxy.wire.proto.ControlProtocol.SuspectPart.getDefaultInstance()) return this;
+        if (!other.getFingerprint().isEmpty()) {
+          fingerprint_ = other.fingerprint_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getUntested() != false) {
+          setUntested(other.getUntested());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                fingerprint_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                untested_ = input.readBool();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object fingerprint_ = "";
+      /**
+       * <code>string fingerprint = 1;</code>
+       * @return The fingerprint.
+       */
+      public java.lang.String getFingerprint() {
+        java.lang.Object ref = fingerprint_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          fingerprint_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string fingerprint = 1;</code>
+       * @return The bytes for fingerprint.
+       */
+      public com.google.protobuf.ByteString
+          getFingerprintBytes() {
+        java.lang.Object ref = fingerprint_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          fingerprint_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string fingerprint = 1;</code>
+       * @param value The fingerprint to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFingerprint(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        fingerprint_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string fingerprint = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearFingerprint() {
+        fingerprint_ = getDefaultInstance().getFingerprint();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string fingerprint = 1;</code>
+       * @param value The bytes for fingerprint to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFingerprintBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        fingerprint_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private boolean untested_ ;
+      /**
+       * <pre>
+       * Whether no request with this part had succeeded at the reporting VM shortly before.
+       * </pre>
+       *
+       * <code>bool untested = 2;</code>
+       * @return The untested.
+       */
+      @java.lang.Override
+      public boolean getUntested() {
+        return untested_;
+      }
+      /**
+       * <pre>
+       * Whether no request with this part had succeeded at the reporting VM shortly before.
+       * </pre>
+       *
+       * <code>bool untested = 2;</code>
+       * @param value The untested to set.
+       * @return This builder for chaining.
+       */
+      public Builder setUntested(boolean value) {
+
+        untested_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether no request with this part had succeeded at the reporting VM shortly before.
+       * </pre>
+       *
+       * <code>bool untested = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearUntested() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        untested_ = false;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:borageproxy.control.SuspectPart)
+    }
+
+    // @@protoc_insertion_point(class_scope:borageproxy.control.SuspectPart)
+    private static final org.borageproxy.wire.proto.ControlProtocol.SuspectPart DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.SuspectPart();
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.SuspectPart getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<SuspectPart>
+        PARSER = new com.google.protobuf.AbstractParser<SuspectPart>() {
+      @java.lang.Override
+      public SuspectPart parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<SuspectPart> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<SuspectPart> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.SuspectPart getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
   public interface ClearCrashOrBuilder extends
       // @@protoc_insertion_point(interface_extends:borageproxy.control.ClearCrash)
       com.google.protobuf.MessageOrBuilder {
@@ -36420,6 +37523,57 @@
      * @return The expiresAtMillis.
      */
     long getExpiresAtMillis();
+
+    /**
+     * <pre>
+     * Whether the fingerprint is that of a part of prompts instead of a request.
+     * </pre>
+     *
+     * <code>bool part = 5;</code>
+     * @return The part.
+     */
+    boolean getPart();
+
+    /**
+     * <pre>
+     * The crashes for which the part was reported as untested.
+     * </pre>
+     *
+     * <code>repeated string untested_crashes = 6;</code>
+     * @return A list containing the untestedCrashes.
+     */
+    java.util.List<java.lang.String>
+        getUntestedCrashesList();
+    /**
+     * <pre>
+     * The crashes for which the part was reported as untested.
+     * </pre>
+     *
+     * <code>repeated string untested_crashes = 6;</code>
+     * @return The count of untestedCrashes.
+     */
+    int getUntestedCrashesCount();
+    /**
+     * <pre>
+     * The crashes for which the part was reported as untested.
+     * </pre>
+     *
+     * <code>repeated string untested_crashes = 6;</code>
+     * @param index The index of the element to return.
+     * @return The untestedCrashes at the given index.
+     */
+    java.lang.String getUntestedCrashes(int index);
+    /**
+     * <pre>
+     * The crashes for which the part was reported as untested.
+     * </pre>
+     *
+     * <code>repeated string untested_crashes = 6;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the untestedCrashes at the given index.
+     */
+    com.google.protobuf.ByteString
+        getUntestedCrashesBytes(int index);
   }
   /**
    * Protobuf type {@code borageproxy.control.CrashState}
@@ -36446,6 +37600,8 @@
       fingerprint_ = "";
       crashes_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
+      untestedCrashes_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -36580,6 +37736,74 @@
       return expiresAtMillis_;
     }
 
+    public static final int PART_FIELD_NUMBER = 5;
+    private boolean part_ = false;
+    /**
+     * <pre>
+     * Whether the fingerprint is that of a part of prompts instead of a request.
+     * </pre>
+     *
+     * <code>bool part = 5;</code>
+     * @return The part.
+     */
+    @java.lang.Override
+    public boolean getPart() {
+      return part_;
+    }
+
+    public static final int UNTESTED_CRASHES_FIELD_NUMBER = 6;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.LazyStringArrayList untestedCrashes_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    /**
+     * <pre>
+     * The crashes for which the part was reported as untested.
+     * </pre>
+     *
+     * <code>repeated string untested_crashes = 6;</code>
+     * @return A list containing the untestedCrashes.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getUntestedCrashesList() {
+      return untestedCrashes_;
+    }
+    /**
+     * <pre>
+     * The crashes for which the part was reported as untested.
+     * </pre>
+     *
+     * <code>repeated string untested_crashes = 6;</code>
+     * @return The count of untestedCrashes.
+     */
+    public int getUntestedCrashesCount() {
+      return untestedCrashes_.size();
+    }
+    /**
+     * <pre>
+     * The crashes for which the part was reported as untested.
+     * </pre>
+     *
+     * <code>repeated string untested_crashes = 6;</code>
+     * @param index The index of the element to return.
+     * @return The untestedCrashes at the given index.
+     */
+    public java.lang.String getUntestedCrashes(int index) {
+      return untestedCrashes_.get(index);
+    }
+    /**
+     * <pre>
+     * The crashes for which the part was reported as untested.
+     * </pre>
+     *
+     * <code>repeated string untested_crashes = 6;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the untestedCrashes at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getUntestedCrashesBytes(int index) {
+      return untestedCrashes_.getByteString(index);
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -36606,6 +37830,12 @@
       if (expiresAtMillis_ != 0L) {
         output.writeInt64(4, expiresAtMillis_);
       }
+      if (part_ != false) {
+        output.writeBool(5, part_);
+      }
+      for (int i = 0; i < untestedCrashes_.size(); i++) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 6, untestedCrashes_.getRaw(i));
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -36634,6 +37864,18 @@
         size += com.google.protobuf.CodedOutputStream
           .computeInt64Size(4, expiresAtMillis_);
       }
+      if (part_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(5, part_);
+      }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < untestedCrashes_.size(); i++) {
+          dataSize += computeStringSizeNoTag(untestedCrashes_.getRaw(i));
+        }
+        size += dataSize;
+        size += 1 * getUntestedCrashesList().size();
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -36657,6 +37899,10 @@
           != other.getQuarantined()) return false;
       if (getExpiresAtMillis()
           != other.getExpiresAtMillis()) return false;
+      if (getPart()
+          != other.getPart()) return false;
+      if (!getUntestedCrashesList()
+          .equals(other.getUntestedCrashesList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -36680,6 +37926,13 @@
       hash = (37 * hash) + EXPIRES_AT_MILLIS_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getExpiresAtMillis());
+      hash = (37 * hash) + PART_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getPart());
+      if (getUntestedCrashesCount() > 0) {
+        hash = (37 * hash) + UNTESTED_CRASHES_FIELD_NUMBER;
+        hash = (53 * hash) + getUntestedCrashesList().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -36816,6 +38069,9 @@
             com.google.protobuf.LazyStringArrayList.emptyList();
         quarantined_ = false;
         expiresAtMillis_ = 0L;
+        part_ = false;
+        untestedCrashes_ =
+            com.google.protobuf.LazyStringArrayList.emptyList();
         return this;
       }
 
@@ -36862,6 +38118,13 @@
         if (((from_bitField0_ & 0x00000008) != 0)) {
           result.expiresAtMillis_ = expiresAtMillis_;
         }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.part_ = part_;
+        }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          untestedCrashes_.makeImmutable();
+          result.untestedCrashes_ = untestedCrashes_;
+        }
       }
 
       @java.lang.Override
@@ -36897,6 +38160,19 @@
         if (other.getExpiresAtMillis() != 0L) {
           setExpiresAtMillis(other.getExpiresAtMillis());
         }
+        if (other.getPart() != false) {
+          setPart(other.getPart());
+        }
+        if (!other.untestedCrashes_.isEmpty()) {
+          if (untestedCrashes_.isEmpty()) {
+            untestedCrashes_ = other.untestedCrashes_;
+            bitField0_ |= 0x00000020;
+          } else {
+            ensureUntestedCrashesIsMutable();
+            untestedCrashes_.addAll(other.untestedCrashes_);
+          }
+          onChanged();
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -36943,6 +38219,16 @@
                 bitField0_ |= 0x00000008;
                 break;
               } // case 32
+              case 40: {
+                part_ = input.readBool();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
+              case 50: {
+                ensureUntestedCrashesIsMutable();
+                untestedCrashes_.add(input.readStringRequireUtf8());
+                break;
+              } // case 50
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -37243,6 +38529,197 @@
         return this;
       }
 
+      private boolean part_ ;
+      /**
+       * <pre>
+       * Whether the fingerprint is that of a part of prompts instead of a request.
+       * </pre>
+       *
+       * <code>bool part = 5;</code>
+       * @return The part.
+       */
+      @java.lang.Override
+      public boolean getPart() {
+        return part_;
+      }
+      /**
+       * <pre>
+       * Whether the fingerprint is that of a part of prompts instead of a request.
+       * </pre>
+       *
+       * <code>bool part = 5;</code>
+       * @param value The part to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPart(boolean value) {
+
+        part_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether the fingerprint is that of a part of prompts instead of a request.
+       * </pre>
+       *
+       * <code>bool part = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearPart() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        part_ = false;
+        onChanged();
+        return this;
+      }
+
+      private com.google.protobuf.LazyStringArrayList untestedCrashes_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      private void ensureUntestedCrashesIsMutable() {
+        if (!untestedCrashes_.isModifiable()) {
+          untestedCrashes_ = new com.google.protobuf.LazyStringArrayList(untestedCrashes_);
+        }
+        bitField0_ |= 0x00000020;
+      }
+      /**
+       * <pre>
+       * The crashes for which the part was reported as untested.
+       * </pre>
+       *
+       * <code>repeated string untested_crashes = 6;</code>
+       * @return A list containing the untestedCrashes.
+       */
+      public com.google.protobuf.ProtocolStringList
+          getUntestedCrashesList() {
+        untestedCrashes_.makeImmutable();
+        return untestedCrashes_;
+      }
+      /**
+       * <pre>
+       * The crashes for which the part was reported as untested.
+       * </pre>
+       *
+       * <code>repeated string untested_crashes = 6;</code>
+       * @return The count of untestedCrashes.
+       */
+      public int getUntestedCrashesCount() {
+        return untestedCrashes_.size();
+      }
+      /**
+       * <pre>
+       * The crashes for which the part was reported as untested.
+       * </pre>
+       *
+       * <code>repeated string untested_crashes = 6;</code>
+       * @param index The index of the element to return.
+       * @return The untestedCrashes at the given index.
+       */
+      public java.lang.String getUntestedCrashes(int index) {
+        return untestedCrashes_.get(index);
+      }
+      /**
+       * <pre>
+       * The crashes for which the part was reported as untested.
+       * </pre>
+       *
+       * <code>repeated string untested_crashes = 6;</code>
+       * @param index The index of the value to return.
+       * @return The bytes of the untestedCrashes at the given index.
+       */
+      public com.google.protobuf.ByteString
+          getUntestedCrashesBytes(int index) {
+        return untestedCrashes_.getByteString(index);
+      }
+      /**
+       * <pre>
+       * The crashes for which the part was reported as untested.
+       * </pre>
+       *
+       * <code>repeated string untested_crashes = 6;</code>
+       * @param index The index to set the value at.
+       * @param value The untestedCrashes to set.
+       * @return This builder for chaining.
+       */
+      public Builder setUntestedCrashes(
+          int index, java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        ensureUntestedCrashesIsMutable();
+        untestedCrashes_.set(index, value);
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The crashes for which the part was reported as untested.
+       * </pre>
+       *
+       * <code>repeated string untested_crashes = 6;</code>
+       * @param value The untestedCrashes to add.
+       * @return This builder for chaining.
+       */
+      public Builder addUntestedCrashes(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        ensureUntestedCrashesIsMutable();
+        untestedCrashes_.add(value);
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The crashes for which the part was reported as untested.
+       * </pre>
+       *
+       * <code>repeated string untested_crashes = 6;</code>
+       * @param values The untestedCrashes to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllUntestedCrashes(
+          java.lang.Iterable<java.lang.String> values) {
+        ensureUntestedCrashesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, untestedCrashes_);
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The crashes for which the part was reported as untested.
+       * </pre>
+       *
+       * <code>repeated string untested_crashes = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearUntestedCrashes() {
+        untestedCrashes_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000020);;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The crashes for which the part was reported as untested.
+       * </pre>
+       *
+       * <code>repeated string untested_crashes = 6;</code>
+       * @param value The bytes of the untestedCrashes to add.
+       * @return This builder for chaining.
+       */
+      public Builder addUntestedCrashesBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        ensureUntestedCrashesIsMutable();
+        untestedCrashes_.add(value);
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.control.CrashState)
     }
 
@@ -53018,6 +54495,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_borageproxy_control_ReportCrash_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_borageproxy_control_SuspectPart_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_borageproxy_control_SuspectPart_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_borageproxy_control_ClearCrash_descriptor;
   private static final 
@@ -53271,122 +54753,125 @@
       "ent\0221\n\006intent\030\001 \001(\0132!.borageproxy.contro" +
       "l.IntentRecord\"0\n\016ResolveIntents\022\r\n\005epoc" +
       "h\030\001 \001(\003\022\017\n\007numbers\030\002 \003(\003\"\r\n\013ReadIntents\"" +
-      "V\n\013ReportCrash\022\023\n\013fingerprint\030\001 \001(\t\022\016\n\006s" +
-      "erver\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\003\022\r\n\005alon" +
-      "e\030\004 \001(\010\"!\n\nClearCrash\022\023\n\013fingerprint\030\001 \001" +
-      "(\t\"7\n\nRegisterVm\022)\n\002vm\030\001 \001(\0132\035.boragepro" +
-      "xy.control.VmRecord\"\030\n\010RemoveVm\022\014\n\004name\030" +
-      "\001 \001(\t\"2\n\017PublishDocument\022\016\n\006number\030\001 \001(\004" +
-      "\022\017\n\007content\030\002 \001(\014\"S\n\010VmRecord\022\014\n\004name\030\001 " +
-      "\001(\t\022\014\n\004zone\030\002 \001(\t\022\014\n\004host\030\003 \001(\t\022\014\n\004port\030" +
-      "\004 \001(\005\022\017\n\007control\030\005 \001(\010\"\301\005\n\005Reply\0221\n\010acce" +
-      "pted\030\001 \001(\0132\035.borageproxy.control.Accepte" +
-      "dH\000\022>\n\017change_conflict\030\002 \001(\0132#.boragepro" +
-      "xy.control.ChangeConflictH\000\022B\n\021identity_" +
-      "conflict\030\003 \001(\0132%.borageproxy.control.Ide" +
-      "ntityConflictH\000\022/\n\007missing\030\004 \001(\0132\034.borag" +
-      "eproxy.control.MissingH\000\0220\n\005claim\030\005 \001(\0132" +
-      "\037.borageproxy.control.ClaimReplyH\000\0220\n\005le" +
-      "ase\030\006 \001(\0132\037.borageproxy.control.LeaseRep" +
-      "lyH\000\0223\n\006intent\030\007 \001(\0132!.borageproxy.contr" +
-      "ol.IntentRecordH\000\022-\n\006fenced\030\010 \001(\0132\033.bora" +
-      "geproxy.control.FencedH\000\022/\n\007intents\030\t \001(" +
-      "\0132\034.borageproxy.control.IntentsH\000\0220\n\005cra" +
-      "sh\030\n \001(\0132\037.borageproxy.control.CrashRepl" +
-      "yH\000\022)\n\004done\030\013 \001(\0132\031.borageproxy.control." +
-      "DoneH\000\0226\n\013key_created\030\014 \001(\0132\037.borageprox" +
-      "y.control.KeyCreatedH\000\022:\n\rdocument_held\030" +
-      "\r \001(\0132!.borageproxy.control.DocumentHeld" +
-      "H\000B\006\n\004body\"\034\n\010Accepted\022\020\n\010revision\030\001 \001(\004" +
-      "\":\n\016ChangeConflict\022\030\n\020current_revision\030\001" +
-      " \001(\004\022\016\n\006holder\030\002 \001(\t\"4\n\020IdentityConflict" +
-      "\022\016\n\006holder\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\"\036\n\014Do" +
-      "cumentHeld\022\016\n\006number\030\001 \001(\004\"\t\n\007Missing\"\006\n" +
-      "\004Done\"\037\n\006Fenced\022\025\n\rcurrent_epoch\030\001 \001(\003\"J" +
-      "\n\nKeyCreated\022\020\n\010revision\030\001 \001(\004\022*\n\003key\030\002 " +
-      "\001(\0132\035.borageproxy.control.KeyState\"\351\001\n\nC" +
-      "laimReply\022:\n\010decision\030\001 \001(\0162(.borageprox" +
-      "y.control.ClaimReply.Decision\022\r\n\005epoch\030\002" +
-      " \001(\003\022+\n\006answer\030\003 \001(\0132\033.borageproxy.contr" +
-      "ol.Answer\"c\n\010Decision\022\013\n\007GRANTED\020\000\022\014\n\010AN" +
-      "SWERED\020\001\022\017\n\013IN_PROGRESS\020\002\022\020\n\014MAY_HAVE_RU" +
-      "N\020\003\022\014\n\010CONFLICT\020\004\022\013\n\007TOO_OLD\020\005\"<\n\nLeaseR" +
-      "eply\022\017\n\007granted\030\001 \001(\010\022\016\n\006holder\030\002 \001(\t\022\r\n" +
-      "\005epoch\030\003 \001(\003\"=\n\007Intents\0222\n\007intents\030\001 \003(\013" +
-      "2!.borageproxy.control.IntentRecord\"\037\n\nC" +
-      "rashReply\022\021\n\tsuspicion\030\001 \001(\005\"R\n\010KeyState" +
-      "\022\020\n\010identity\030\001 \001(\t\022\016\n\006digest\030\002 \001(\t\022\021\n\two" +
-      "rkspace\030\003 \001(\t\022\021\n\twithdrawn\030\004 \001(\010\"v\n\tTree" +
-      "State\022\020\n\010revision\030\001 \001(\004\022\020\n\010document\030\002 \001(" +
-      "\t\022\027\n\017change_identity\030\003 \001(\t\022\020\n\010operator\030\004" +
-      " \001(\t\022\032\n\022accepted_at_millis\030\005 \001(\003\"i\n\nLeas" +
-      "eState\022\014\n\004duty\030\001 \001(\t\022\016\n\006holder\030\002 \001(\t\022\017\n\007" +
-      "session\030\003 \001(\t\022\r\n\005epoch\030\004 \001(\003\022\017\n\007renewal\030" +
-      "\005 \001(\004\022\014\n\004free\030\006 \001(\010\"\304\002\n\nClaimState\022\021\n\two" +
-      "rkspace\030\001 \001(\t\022\027\n\017idempotency_key\030\002 \001(\t\022\016" +
-      "\n\006digest\030\003 \001(\t\022\016\n\006holder\030\004 \001(\t\022\r\n\005epoch\030" +
-      "\005 \001(\003\0224\n\005phase\030\006 \001(\0162%.borageproxy.contr" +
-      "ol.ClaimState.Phase\022\031\n\021held_until_millis" +
-      "\030\007 \001(\003\022\031\n\021expires_at_millis\030\010 \001(\003\022+\n\006ans" +
-      "wer\030\t \001(\0132\033.borageproxy.control.Answer\"B" +
-      "\n\005Phase\022\013\n\007CLAIMED\020\000\022\014\n\010ANSWERED\020\001\022\020\n\014MA" +
-      "Y_HAVE_RUN\020\002\022\014\n\010RELEASED\020\003\"b\n\nCrashState" +
-      "\022\023\n\013fingerprint\030\001 \001(\t\022\017\n\007crashes\030\002 \003(\t\022\023" +
-      "\n\013quarantined\030\003 \001(\010\022\031\n\021expires_at_millis" +
-      "\030\004 \001(\003\"0\n\rDocumentState\022\016\n\006number\030\001 \001(\004\022" +
-      "\017\n\007content\030\002 \001(\014\"l\n\013ChangeState\022\020\n\010ident" +
-      "ity\030\001 \001(\t\022\016\n\006digest\030\002 \001(\014\022\020\n\010operator\030\003 " +
-      "\001(\t\022)\n\005reply\030\004 \001(\0132\032.borageproxy.control" +
-      ".Reply\"a\n\017RememberedReply\022\020\n\010identity\030\001 " +
-      "\001(\t\022\021\n\tat_millis\030\002 \001(\003\022)\n\005reply\030\003 \001(\0132\032." +
-      "borageproxy.control.Reply\"\350\002\n\004Item\022\014\n\004na" +
-      "me\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\022.\n\004tree\030\003 \001(\0132" +
-      "\036.borageproxy.control.TreeStateH\000\022,\n\003key" +
-      "\030\004 \001(\0132\035.borageproxy.control.KeyStateH\000\022" +
-      "0\n\005lease\030\005 \001(\0132\037.borageproxy.control.Lea" +
-      "seStateH\000\0220\n\005crash\030\006 \001(\0132\037.borageproxy.c" +
-      "ontrol.CrashStateH\000\022+\n\002vm\030\007 \001(\0132\035.borage" +
-      "proxy.control.VmRecordH\000\022\021\n\007removed\030\010 \001(" +
-      "\010H\000\0226\n\010document\030\t \001(\0132\".borageproxy.cont" +
-      "rol.DocumentStateH\000B\007\n\005value\"\302\004\n\017Control" +
-      "Snapshot\022\017\n\007version\030\001 \001(\004\022\020\n\010revision\030\002 " +
-      "\001(\004\022/\n\007history\030\004 \003(\0132\036.borageproxy.contr" +
-      "ol.TreeState\022+\n\004keys\030\005 \003(\0132\035.borageproxy" +
-      ".control.KeyState\0221\n\007changes\030\006 \003(\0132 .bor" +
-      "ageproxy.control.ChangeState\0225\n\007replies\030" +
-      "\007 \003(\0132$.borageproxy.control.RememberedRe" +
-      "ply\022/\n\006claims\030\010 \003(\0132\037.borageproxy.contro" +
-      "l.ClaimState\022\030\n\020last_claim_epoch\030\t \001(\003\022/" +
-      "\n\006leases\030\n \003(\0132\037.borageproxy.control.Lea" +
-      "seState\0222\n\007intents\030\013 \003(\0132!.borageproxy.c" +
-      "ontrol.IntentRecord\022\032\n\022last_intent_numbe" +
-      "r\030\014 \001(\003\0220\n\007crashes\030\r \003(\0132\037.borageproxy.c" +
-      "ontrol.CrashState\022(\n\005items\030\016 \003(\0132\031.borag" +
-      "eproxy.control.Item\022\026\n\016removals_since\030\017 " +
-      "\001(\004J\004\010\003\020\004\"\241\002\n\014WatchRequest\022+\n\005watch\030\001 \001(" +
-      "\0132\032.borageproxy.control.WatchH\000\0226\n\013read_" +
-      "served\030\002 \001(\0132\037.borageproxy.control.ReadS" +
-      "ervedH\000\0222\n\tread_tree\030\003 \001(\0132\035.borageproxy" +
-      ".control.ReadTreeH\000\022<\n\016read_revisions\030\004 " +
-      "\001(\0132\".borageproxy.control.ReadRevisionsH" +
-      "\000\0222\n\tread_keys\030\005 \001(\0132\035.borageproxy.contr" +
-      "ol.ReadKeysH\000B\006\n\004body\"q\n\005Watch\022)\n\002vm\030\001 \001" +
-      "(\0132\035.borageproxy.control.VmRecord\022\017\n\007ver" +
-      "sion\030\002 \001(\004\022\027\n\017served_revision\030\003 \001(\004\022\023\n\013w" +
-      "ait_millis\030\004 \001(\r\"\014\n\nReadServed\"\034\n\010ReadTr" +
-      "ee\022\020\n\010revision\030\001 \001(\004\"\017\n\rReadRevisions\"\n\n" +
-      "\010ReadKeys\"\266\002\n\013WatchAnswer\022\021\n\tconfirmed\030\001" +
-      " \001(\010\022\017\n\007version\030\002 \001(\004\022\020\n\010revision\030\003 \001(\004\022" +
-      "\014\n\004full\030\004 \001(\010\022(\n\005items\030\005 \003(\0132\031.boragepro" +
-      "xy.control.Item\022+\n\006served\030\006 \003(\0132\033.borage" +
-      "proxy.control.Served\022,\n\004tree\030\007 \001(\0132\036.bor" +
-      "ageproxy.control.TreeState\0221\n\trevisions\030" +
-      "\010 \003(\0132\036.borageproxy.control.TreeState\022+\n" +
-      "\004keys\030\t \003(\0132\035.borageproxy.control.KeySta" +
-      "te\"H\n\006Served\022\n\n\002vm\030\001 \001(\t\022\020\n\010revision\030\002 \001" +
-      "(\004\022\022\n\nage_millis\030\003 \001(\004\022\014\n\004zone\030\004 \001(\tB-\n\032" +
-      "org.borageproxy.wire.protoB\017ControlProto" +
-      "colb\006proto3"
+      "\207\001\n\013ReportCrash\022\023\n\013fingerprint\030\001 \001(\t\022\016\n\006" +
+      "server\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\003\022\r\n\005alo" +
+      "ne\030\004 \001(\010\022/\n\005parts\030\005 \003(\0132 .borageproxy.co" +
+      "ntrol.SuspectPart\"4\n\013SuspectPart\022\023\n\013fing" +
+      "erprint\030\001 \001(\t\022\020\n\010untested\030\002 \001(\010\"!\n\nClear" +
+      "Crash\022\023\n\013fingerprint\030\001 \001(\t\"7\n\nRegisterVm" +
+      "\022)\n\002vm\030\001 \001(\0132\035.borageproxy.control.VmRec" +
+      "ord\"\030\n\010RemoveVm\022\014\n\004name\030\001 \001(\t\"2\n\017Publish" +
+      "Document\022\016\n\006number\030\001 \001(\004\022\017\n\007content\030\002 \001(" +
+      "\014\"S\n\010VmRecord\022\014\n\004name\030\001 \001(\t\022\014\n\004zone\030\002 \001(" +
+      "\t\022\014\n\004host\030\003 \001(\t\022\014\n\004port\030\004 \001(\005\022\017\n\007control" +
+      "\030\005 \001(\010\"\301\005\n\005Reply\0221\n\010accepted\030\001 \001(\0132\035.bor" +
+      "ageproxy.control.AcceptedH\000\022>\n\017change_co" +
+      "nflict\030\002 \001(\0132#.borageproxy.control.Chang" +
+      "eConflictH\000\022B\n\021identity_conflict\030\003 \001(\0132%" +
+      ".borageproxy.control.IdentityConflictH\000\022" +
+      "/\n\007missing\030\004 \001(\0132\034.borageproxy.control.M" +
+      "issingH\000\0220\n\005claim\030\005 \001(\0132\037.borageproxy.co" +
+      "ntrol.ClaimReplyH\000\0220\n\005lease\030\006 \001(\0132\037.bora" +
+      "geproxy.control.LeaseReplyH\000\0223\n\006intent\030\007" +
+      " \001(\0132!.borageproxy.control.IntentRecordH" +
+      "\000\022-\n\006fenced\030\010 \001(\0132\033.borageproxy.control." +
+      "FencedH\000\022/\n\007intents\030\t \001(\0132\034.borageproxy." +
+      "control.IntentsH\000\0220\n\005crash\030\n \001(\0132\037.borag" +
+      "eproxy.control.CrashReplyH\000\022)\n\004done\030\013 \001(" +
+      "\0132\031.borageproxy.control.DoneH\000\0226\n\013key_cr" +
+      "eated\030\014 \001(\0132\037.borageproxy.control.KeyCre" +
+      "atedH\000\022:\n\rdocument_held\030\r \001(\0132!.boragepr" +
+      "oxy.control.DocumentHeldH\000B\006\n\004body\"\034\n\010Ac" +
+      "cepted\022\020\n\010revision\030\001 \001(\004\":\n\016ChangeConfli" +
+      "ct\022\030\n\020current_revision\030\001 \001(\004\022\016\n\006holder\030\002" +
+      " \001(\t\"4\n\020IdentityConflict\022\016\n\006holder\030\001 \001(\t" +
+      "\022\020\n\010revision\030\002 \001(\004\"\036\n\014DocumentHeld\022\016\n\006nu" +
+      "mber\030\001 \001(\004\"\t\n\007Missing\"\006\n\004Done\"\037\n\006Fenced\022" +
+      "\025\n\rcurrent_epoch\030\001 \001(\003\"J\n\nKeyCreated\022\020\n\010" +
+      "revision\030\001 \001(\004\022*\n\003key\030\002 \001(\0132\035.borageprox" +
+      "y.control.KeyState\"\351\001\n\nClaimReply\022:\n\010dec" +
+      "ision\030\001 \001(\0162(.borageproxy.control.ClaimR" +
+      "eply.Decision\022\r\n\005epoch\030\002 \001(\003\022+\n\006answer\030\003" +
+      " \001(\0132\033.borageproxy.control.Answer\"c\n\010Dec" +
+      "ision\022\013\n\007GRANTED\020\000\022\014\n\010ANSWERED\020\001\022\017\n\013IN_P" +
+      "ROGRESS\020\002\022\020\n\014MAY_HAVE_RUN\020\003\022\014\n\010CONFLICT\020" +
+      "\004\022\013\n\007TOO_OLD\020\005\"<\n\nLeaseReply\022\017\n\007granted\030" +
+      "\001 \001(\010\022\016\n\006holder\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\"=\n\007" +
+      "Intents\0222\n\007intents\030\001 \003(\0132!.borageproxy.c" +
+      "ontrol.IntentRecord\"\037\n\nCrashReply\022\021\n\tsus" +
+      "picion\030\001 \001(\005\"R\n\010KeyState\022\020\n\010identity\030\001 \001" +
+      "(\t\022\016\n\006digest\030\002 \001(\t\022\021\n\tworkspace\030\003 \001(\t\022\021\n" +
+      "\twithdrawn\030\004 \001(\010\"v\n\tTreeState\022\020\n\010revisio" +
+      "n\030\001 \001(\004\022\020\n\010document\030\002 \001(\t\022\027\n\017change_iden" +
+      "tity\030\003 \001(\t\022\020\n\010operator\030\004 \001(\t\022\032\n\022accepted" +
+      "_at_millis\030\005 \001(\003\"i\n\nLeaseState\022\014\n\004duty\030\001" +
+      " \001(\t\022\016\n\006holder\030\002 \001(\t\022\017\n\007session\030\003 \001(\t\022\r\n" +
+      "\005epoch\030\004 \001(\003\022\017\n\007renewal\030\005 \001(\004\022\014\n\004free\030\006 " +
+      "\001(\010\"\304\002\n\nClaimState\022\021\n\tworkspace\030\001 \001(\t\022\027\n" +
+      "\017idempotency_key\030\002 \001(\t\022\016\n\006digest\030\003 \001(\t\022\016" +
+      "\n\006holder\030\004 \001(\t\022\r\n\005epoch\030\005 \001(\003\0224\n\005phase\030\006" +
+      " \001(\0162%.borageproxy.control.ClaimState.Ph" +
+      "ase\022\031\n\021held_until_millis\030\007 \001(\003\022\031\n\021expire" +
+      "s_at_millis\030\010 \001(\003\022+\n\006answer\030\t \001(\0132\033.bora" +
+      "geproxy.control.Answer\"B\n\005Phase\022\013\n\007CLAIM" +
+      "ED\020\000\022\014\n\010ANSWERED\020\001\022\020\n\014MAY_HAVE_RUN\020\002\022\014\n\010" +
+      "RELEASED\020\003\"\212\001\n\nCrashState\022\023\n\013fingerprint" +
+      "\030\001 \001(\t\022\017\n\007crashes\030\002 \003(\t\022\023\n\013quarantined\030\003" +
+      " \001(\010\022\031\n\021expires_at_millis\030\004 \001(\003\022\014\n\004part\030" +
+      "\005 \001(\010\022\030\n\020untested_crashes\030\006 \003(\t\"0\n\rDocum" +
+      "entState\022\016\n\006number\030\001 \001(\004\022\017\n\007content\030\002 \001(" +
+      "\014\"l\n\013ChangeState\022\020\n\010identity\030\001 \001(\t\022\016\n\006di" +
+      "gest\030\002 \001(\014\022\020\n\010operator\030\003 \001(\t\022)\n\005reply\030\004 " +
+      "\001(\0132\032.borageproxy.control.Reply\"a\n\017Remem" +
+      "beredReply\022\020\n\010identity\030\001 \001(\t\022\021\n\tat_milli" +
+      "s\030\002 \001(\003\022)\n\005reply\030\003 \001(\0132\032.borageproxy.con" +
+      "trol.Reply\"\350\002\n\004Item\022\014\n\004name\030\001 \001(\t\022\017\n\007ver" +
+      "sion\030\002 \001(\004\022.\n\004tree\030\003 \001(\0132\036.borageproxy.c" +
+      "ontrol.TreeStateH\000\022,\n\003key\030\004 \001(\0132\035.borage" +
+      "proxy.control.KeyStateH\000\0220\n\005lease\030\005 \001(\0132" +
+      "\037.borageproxy.control.LeaseStateH\000\0220\n\005cr" +
+      "ash\030\006 \001(\0132\037.borageproxy.control.CrashSta" +
+      "teH\000\022+\n\002vm\030\007 \001(\0132\035.borageproxy.control.V" +
+      "mRecordH\000\022\021\n\007removed\030\010 \001(\010H\000\0226\n\010document" +
+      "\030\t \001(\0132\".borageproxy.control.DocumentSta" +
+      "teH\000B\007\n\005value\"\302\004\n\017ControlSnapshot\022\017\n\007ver" +
+      "sion\030\001 \001(\004\022\020\n\010revision\030\002 \001(\004\022/\n\007history\030" +
+      "\004 \003(\0132\036.borageproxy.control.TreeState\022+\n" +
+      "\004keys\030\005 \003(\0132\035.borageproxy.control.KeySta" +
+      "te\0221\n\007changes\030\006 \003(\0132 .borageproxy.contro" +
+      "l.ChangeState\0225\n\007replies\030\007 \003(\0132$.boragep" +
+      "roxy.control.RememberedReply\022/\n\006claims\030\010" +
+      " \003(\0132\037.borageproxy.control.ClaimState\022\030\n" +
+      "\020last_claim_epoch\030\t \001(\003\022/\n\006leases\030\n \003(\0132" +
+      "\037.borageproxy.control.LeaseState\0222\n\007inte" +
+      "nts\030\013 \003(\0132!.borageproxy.control.IntentRe" +
+      "cord\022\032\n\022last_intent_number\030\014 \001(\003\0220\n\007cras" +
+      "hes\030\r \003(\0132\037.borageproxy.control.CrashSta" +
+      "te\022(\n\005items\030\016 \003(\0132\031.borageproxy.control." +
+      "Item\022\026\n\016removals_since\030\017 \001(\004J\004\010\003\020\004\"\241\002\n\014W" +
+      "atchRequest\022+\n\005watch\030\001 \001(\0132\032.borageproxy" +
+      ".control.WatchH\000\0226\n\013read_served\030\002 \001(\0132\037." +
+      "borageproxy.control.ReadServedH\000\0222\n\tread" +
+      "_tree\030\003 \001(\0132\035.borageproxy.control.ReadTr" +
+      "eeH\000\022<\n\016read_revisions\030\004 \001(\0132\".boragepro" +
+      "xy.control.ReadRevisionsH\000\0222\n\tread_keys\030" +
+      "\005 \001(\0132\035.borageproxy.control.ReadKeysH\000B\006" +
+      "\n\004body\"q\n\005Watch\022)\n\002vm\030\001 \001(\0132\035.borageprox" +
+      "y.control.VmRecord\022\017\n\007version\030\002 \001(\004\022\027\n\017s" +
+      "erved_revision\030\003 \001(\004\022\023\n\013wait_millis\030\004 \001(" +
+      "\r\"\014\n\nReadServed\"\034\n\010ReadTree\022\020\n\010revision\030" +
+      "\001 \001(\004\"\017\n\rReadRevisions\"\n\n\010ReadKeys\"\266\002\n\013W" +
+      "atchAnswer\022\021\n\tconfirmed\030\001 \001(\010\022\017\n\007version" +
+      "\030\002 \001(\004\022\020\n\010revision\030\003 \001(\004\022\014\n\004full\030\004 \001(\010\022(" +
+      "\n\005items\030\005 \003(\0132\031.borageproxy.control.Item" +
+      "\022+\n\006served\030\006 \003(\0132\033.borageproxy.control.S" +
+      "erved\022,\n\004tree\030\007 \001(\0132\036.borageproxy.contro" +
+      "l.TreeState\0221\n\trevisions\030\010 \003(\0132\036.boragep" +
+      "roxy.control.TreeState\022+\n\004keys\030\t \003(\0132\035.b" +
+      "orageproxy.control.KeyState\"H\n\006Served\022\n\n" +
+      "\002vm\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\022\n\nage_milli" +
+      "s\030\003 \001(\004\022\014\n\004zone\030\004 \001(\tB-\n\032org.borageproxy" +
+      ".wire.protoB\017ControlProtocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -53499,219 +54984,225 @@
     internal_static_borageproxy_control_ReportCrash_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ReportCrash_descriptor,
-        new java.lang.String[] { "Fingerprint", "Server", "Incarnation", "Alone", });
-    internal_static_borageproxy_control_ClearCrash_descriptor =
+        new java.lang.String[] { "Fingerprint", "Server", "Incarnation", "Alone", "Parts", });
+    internal_static_borageproxy_control_SuspectPart_descriptor =
       getDescriptor().getMessageType(18);
+    internal_static_borageproxy_control_SuspectPart_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_borageproxy_control_SuspectPart_descriptor,
+        new java.lang.String[] { "Fingerprint", "Untested", });
+    internal_static_borageproxy_control_ClearCrash_descriptor =
+      getDescriptor().getMessageType(19);
     internal_static_borageproxy_control_ClearCrash_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ClearCrash_descriptor,
         new java.lang.String[] { "Fingerprint", });
     internal_static_borageproxy_control_RegisterVm_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(20);
     internal_static_borageproxy_control_RegisterVm_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_RegisterVm_descriptor,
         new java.lang.String[] { "Vm", });
     internal_static_borageproxy_control_RemoveVm_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(21);
     internal_static_borageproxy_control_RemoveVm_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_RemoveVm_descriptor,
         new java.lang.String[] { "Name", });
     internal_static_borageproxy_control_PublishDocument_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(22);
     internal_static_borageproxy_control_PublishDocument_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_PublishDocument_descriptor,
         new java.lang.String[] { "Number", "Content", });
     internal_static_borageproxy_control_VmRecord_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(23);
     internal_static_borageproxy_control_VmRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_VmRecord_descriptor,
         new java.lang.String[] { "Name", "Zone", "Host", "Port", "Control", });
     internal_static_borageproxy_control_Reply_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(24);
     internal_static_borageproxy_control_Reply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Reply_descriptor,
         new java.lang.String[] { "Accepted", "ChangeConflict", "IdentityConflict", "Missing", "Claim", "Lease", "Intent", "Fenced", "Intents", "Crash", "Done", "KeyCreated", "DocumentHeld", "Body", });
     internal_static_borageproxy_control_Accepted_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(25);
     internal_static_borageproxy_control_Accepted_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Accepted_descriptor,
         new java.lang.String[] { "Revision", });
     internal_static_borageproxy_control_ChangeConflict_descriptor =
-      getDescriptor().getMessageType(25);
+      getDescriptor().getMessageType(26);
     internal_static_borageproxy_control_ChangeConflict_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ChangeConflict_descriptor,
         new java.lang.String[] { "CurrentRevision", "Holder", });
     internal_static_borageproxy_control_IdentityConflict_descriptor =
-      getDescriptor().getMessageType(26);
+      getDescriptor().getMessageType(27);
     internal_static_borageproxy_control_IdentityConflict_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_IdentityConflict_descriptor,
         new java.lang.String[] { "Holder", "Revision", });
     internal_static_borageproxy_control_DocumentHeld_descriptor =
-      getDescriptor().getMessageType(27);
+      getDescriptor().getMessageType(28);
     internal_static_borageproxy_control_DocumentHeld_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_DocumentHeld_descriptor,
         new java.lang.String[] { "Number", });
     internal_static_borageproxy_control_Missing_descriptor =
-      getDescriptor().getMessageType(28);
+      getDescriptor().getMessageType(29);
     internal_static_borageproxy_control_Missing_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Missing_descriptor,
         new java.lang.String[] { });
     internal_static_borageproxy_control_Done_descriptor =
-      getDescriptor().getMessageType(29);
+      getDescriptor().getMessageType(30);
     internal_static_borageproxy_control_Done_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Done_descriptor,
         new java.lang.String[] { });
     internal_static_borageproxy_control_Fenced_descriptor =
-      getDescriptor().getMessageType(30);
+      getDescriptor().getMessageType(31);
     internal_static_borageproxy_control_Fenced_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Fenced_descriptor,
         new java.lang.String[] { "CurrentEpoch", });
     internal_static_borageproxy_control_KeyCreated_descriptor =
-      getDescriptor().getMessageType(31);
+      getDescriptor().getMessageType(32);
     internal_static_borageproxy_control_KeyCreated_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_KeyCreated_descriptor,
         new java.lang.String[] { "Revision", "Key", });
     internal_static_borageproxy_control_ClaimReply_descriptor =
-      getDescriptor().getMessageType(32);
+      getDescriptor().getMessageType(33);
     internal_static_borageproxy_control_ClaimReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ClaimReply_descriptor,
         new java.lang.String[] { "Decision", "Epoch", "Answer", });
     internal_static_borageproxy_control_LeaseReply_descriptor =
-      getDescriptor().getMessageType(33);
+      getDescriptor().getMessageType(34);
     internal_static_borageproxy_control_LeaseReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_LeaseReply_descriptor,
         new java.lang.String[] { "Granted", "Holder", "Epoch", });
     internal_static_borageproxy_control_Intents_descriptor =
-      getDescriptor().getMessageType(34);
+      getDescriptor().getMessageType(35);
     internal_static_borageproxy_control_Intents_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Intents_descriptor,
         new java.lang.String[] { "Intents", });
     internal_static_borageproxy_control_CrashReply_descriptor =
-      getDescriptor().getMessageType(35);
+      getDescriptor().getMessageType(36);
     internal_static_borageproxy_control_CrashReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_CrashReply_descriptor,
         new java.lang.String[] { "Suspicion", });
     internal_static_borageproxy_control_KeyState_descriptor =
-      getDescriptor().getMessageType(36);
+      getDescriptor().getMessageType(37);
     internal_static_borageproxy_control_KeyState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_KeyState_descriptor,
         new java.lang.String[] { "Identity", "Digest", "Workspace", "Withdrawn", });
     internal_static_borageproxy_control_TreeState_descriptor =
-      getDescriptor().getMessageType(37);
+      getDescriptor().getMessageType(38);
     internal_static_borageproxy_control_TreeState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_TreeState_descriptor,
         new java.lang.String[] { "Revision", "Document", "ChangeIdentity", "Operator", "AcceptedAtMillis", });
     internal_static_borageproxy_control_LeaseState_descriptor =
-      getDescriptor().getMessageType(38);
+      getDescriptor().getMessageType(39);
     internal_static_borageproxy_control_LeaseState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_LeaseState_descriptor,
         new java.lang.String[] { "Duty", "Holder", "Session", "Epoch", "Renewal", "Free", });
     internal_static_borageproxy_control_ClaimState_descriptor =
-      getDescriptor().getMessageType(39);
+      getDescriptor().getMessageType(40);
     internal_static_borageproxy_control_ClaimState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ClaimState_descriptor,
         new java.lang.String[] { "Workspace", "IdempotencyKey", "Digest", "Holder", "Epoch", "Phase", "HeldUntilMillis", "ExpiresAtMillis", "Answer", });
     internal_static_borageproxy_control_CrashState_descriptor =
-      getDescriptor().getMessageType(40);
+      getDescriptor().getMessageType(41);
     internal_static_borageproxy_control_CrashState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_CrashState_descriptor,
-        new java.lang.String[] { "Fingerprint", "Crashes", "Quarantined", "ExpiresAtMillis", });
+        new java.lang.String[] { "Fingerprint", "Crashes", "Quarantined", "ExpiresAtMillis", "Part", "UntestedCrashes", });
     internal_static_borageproxy_control_DocumentState_descriptor =
-      getDescriptor().getMessageType(41);
+      getDescriptor().getMessageType(42);
     internal_static_borageproxy_control_DocumentState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_DocumentState_descriptor,
         new java.lang.String[] { "Number", "Content", });
     internal_static_borageproxy_control_ChangeState_descriptor =
-      getDescriptor().getMessageType(42);
+      getDescriptor().getMessageType(43);
     internal_static_borageproxy_control_ChangeState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ChangeState_descriptor,
         new java.lang.String[] { "Identity", "Digest", "Operator", "Reply", });
     internal_static_borageproxy_control_RememberedReply_descriptor =
-      getDescriptor().getMessageType(43);
+      getDescriptor().getMessageType(44);
     internal_static_borageproxy_control_RememberedReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_RememberedReply_descriptor,
         new java.lang.String[] { "Identity", "AtMillis", "Reply", });
     internal_static_borageproxy_control_Item_descriptor =
-      getDescriptor().getMessageType(44);
+      getDescriptor().getMessageType(45);
     internal_static_borageproxy_control_Item_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Item_descriptor,
         new java.lang.String[] { "Name", "Version", "Tree", "Key", "Lease", "Crash", "Vm", "Removed", "Document", "Value", });
     internal_static_borageproxy_control_ControlSnapshot_descriptor =
-      getDescriptor().getMessageType(45);
+      getDescriptor().getMessageType(46);
     internal_static_borageproxy_control_ControlSnapshot_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ControlSnapshot_descriptor,
         new java.lang.String[] { "Version", "Revision", "History", "Keys", "Changes", "Replies", "Claims", "LastClaimEpoch", "Leases", "Intents", "LastIntentNumber", "Crashes", "Items", "RemovalsSince", });
     internal_static_borageproxy_control_WatchRequest_descriptor =
-      getDescriptor().getMessageType(46);
+      getDescriptor().getMessageType(47);
     internal_static_borageproxy_control_WatchRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_WatchRequest_descriptor,
         new java.lang.String[] { "Watch", "ReadServed", "ReadTree", "ReadRevisions", "ReadKeys", "Body", });
     internal_static_borageproxy_control_Watch_descriptor =
-      getDescriptor().getMessageType(47);
+      getDescriptor().getMessageType(48);
     internal_static_borageproxy_control_Watch_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Watch_descriptor,
         new java.lang.String[] { "Vm", "Version", "ServedRevision", "WaitMillis", });
     internal_static_borageproxy_control_ReadServed_descriptor =
-      getDescriptor().getMessageType(48);
+      getDescriptor().getMessageType(49);
     internal_static_borageproxy_control_ReadServed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ReadServed_descriptor,
         new java.lang.String[] { });
     internal_static_borageproxy_control_ReadTree_descriptor =
-      getDescriptor().getMessageType(49);
+      getDescriptor().getMessageType(50);
     internal_static_borageproxy_control_ReadTree_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ReadTree_descriptor,
         new java.lang.String[] { "Revision", });
     internal_static_borageproxy_control_ReadRevisions_descriptor =
-      getDescriptor().getMessageType(50);
+      getDescriptor().getMessageType(51);
     internal_static_borageproxy_control_ReadRevisions_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ReadRevisions_descriptor,
         new java.lang.String[] { });
     internal_static_borageproxy_control_ReadKeys_descriptor =
-      getDescriptor().getMessageType(51);
+      getDescriptor().getMessageType(52);
     internal_static_borageproxy_control_ReadKeys_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ReadKeys_descriptor,
         new java.lang.String[] { });
     internal_static_borageproxy_control_WatchAnswer_descriptor =
-      getDescriptor().getMessageType(52);
+      getDescriptor().getMessageType(53);
     internal_static_borageproxy_control_WatchAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_WatchAnswer_descriptor,
         new java.lang.String[] { "Confirmed", "Version", "Revision", "Full", "Items", "Served", "Tree", "Revisions", "Keys", });
     internal_static_borageproxy_control_Served_descriptor =
-      getDescriptor().getMessageType(53);
+      getDescriptor().getMessageType(54);
     internal_static_borageproxy_control_Served_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Served_descriptor,
--- a/src/test/java/org/borageproxy/platform/ForwardingTest.java
+++ b/src/test/java/org/borageproxy/platform/ForwardingTest.java
@@ -25,9 +25,8 @@
 import io.vertx.core.VertxOptions;
 import io.vertx.core.internal.ContextInternal;
 import io.vertx.core.internal.VertxInternal;
-import org.borageproxy.execution.Fingerprint;
 import org.borageproxy.execution.RetryBudget;
-import org.borageproxy.execution.Suspicion;
+import org.borageproxy.forward.CrashSuspects;
 import org.borageproxy.forward.ForwardContext;
 import org.borageproxy.forward.ForwardMetrics;
 import org.borageproxy.forward.ForwardServer;
@@ -105,12 +104,17 @@
         INSTANCE;
 
         @Override
-        public Suspicion suspicion(Fingerprint fingerprint) {
-            return Suspicion.NONE;
+        public boolean isQuarantined(CrashSuspects suspects) {
+            return false;
         }
 
         @Override
-        public void reportConnectionLoss(Fingerprint fingerprint, BackendServer server) {
+        public void reportConnectionLoss(CrashSuspects suspects, BackendServer server) {
+            // These tests do not check crash reports.
+        }
+
+        @Override
+        public void reportHarmless(CrashSuspects suspects) {
             // These tests do not check crash reports.
         }
     }
