Let only a success clear the suspects of a crash

Any complete answer cleared the parts of a prompt, also a 500 of a server that fails requests without beginning them, so that a guilty part could go on between such answers. Change: only 2xx answers clear. Before: ForwardingTest.onlySuccessShowsThatRequestIsHarmless failed. After: it passes.

--- a/src/main/java/org/borageproxy/forward/CrashEvidence.java
+++ b/src/main/java/org/borageproxy/forward/CrashEvidence.java
@@ -46,12 +46,12 @@
         if (beginningEndsAt.isEmpty()) {
             beginningEndsAt = Optional.of(Deadline.after(nowNanos, BEGINNING));
         } else if (beginningEndsAt.get().hasPassed(nowNanos)) {
-            recordAnswer();
+            recordSuccess();
         }
     }
 
-    /** Records that the current attempt was answered completely, whatever the answer. */
-    void recordAnswer() {
+    /** Records that the current attempt was answered completely and with success. */
+    void recordSuccess() {
         if (!isHarmless) {
             isHarmless = true;
             registry.reportHarmless(suspects);
--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -405,7 +405,9 @@
                 handleLostAnswer("answer ended within an event");
                 return;
             }
-            crashEvidence.recordAnswer();
+            if (head.get().status().codeClass() == HttpStatusClass.SUCCESS) {
+                crashEvidence.recordSuccess();
+            }
             context.metrics().recordAttempt(buffered.service(), Integer.toString(status), ageMillis());
             if (isStream) {
                 endStream();
--- a/src/test/java/org/borageproxy/forward/CrashEvidenceTest.java
+++ b/src/test/java/org/borageproxy/forward/CrashEvidenceTest.java
@@ -66,8 +66,8 @@
     @Test
     void answeredRequestIsHarmlessOnce() {
         evidence.recordAttempt();
-        evidence.recordAnswer();
-        evidence.recordAnswer();
+        evidence.recordSuccess();
+        evidence.recordSuccess();
         assertEquals(List.of("harmless"), reports);
     }
 
--- a/src/test/java/org/borageproxy/platform/ForwardingTest.java
+++ b/src/test/java/org/borageproxy/platform/ForwardingTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 
 import com.google.protobuf.ByteString;
@@ -75,6 +76,7 @@
     private final List<BackendServer> servers = new CopyOnWriteArrayList<>();
     private final List<String> goneServers = new CopyOnWriteArrayList<>();
     private final List<String> lossReports = new CopyOnWriteArrayList<>();
+    private final AtomicInteger harmlessReports = new AtomicInteger();
     private Vertx vertx;
     private ContextInternal context;
     private ForwardServer forwarding;
@@ -114,7 +116,7 @@
 
         @Override
         public void reportHarmless(CrashSuspects suspects) {
-            // These tests do not check crash reports.
+            harmlessReports.incrementAndGet();
         }
     }
 
@@ -398,6 +400,18 @@
         assertEquals(List.of("r0", "r1"), lossReports);
     }
 
+    /** Guards against a guilty part that a server clears which fails requests without beginning them. */
+    @Test
+    void onlySuccessShowsThatRequestIsHarmless() throws Exception {
+        server(request -> keepAlive(ok(request, "Content-Length: 2\r\n", "no").replace("200 OK", "500 Failed")));
+        assertTrue(call("/once/", "").startsWith("HTTP/1.1 500"));
+        assertEquals(0, harmlessReports.get());
+        server(request -> keepAlive(ok(request, "Content-Length: 2\r\n", "ok")));
+        servers.remove(0);
+        assertTrue(call("/once/", "").startsWith("HTTP/1.1 200"));
+        assertEquals(1, harmlessReports.get());
+    }
+
     @Test
     void streamWithoutLengthThatEndsAfterAnEventIsComplete() throws Exception {
         server(request -> new ScriptedServer.Answer(ok(request, "", "id: 1\ndata: d1\n\n"), true, false));
