Read the requests in flight on the event loop in the test of left callers

Cause: the test's own. The caller has the end of its answer before the event loop ends the request, and the test read the number from its own thread. Change: the number is read on the event loop, in a later turn; the bound stays 0.

--- a/src/test/java/org/borageproxy/platform/ForwardingTest.java
+++ b/src/test/java/org/borageproxy/platform/ForwardingTest.java
@@ -284,7 +284,14 @@
         List<String> ids =
                 server.requests().stream().map(ForwardingTest::identity).toList();
         assertEquals(List.of("id-1", "id-1"), ids);
-        assertEquals(0, forwarding.inFlight());
+        assertEquals(0, inFlightAfterThisTurn());
+    }
+
+    /** A caller may have the end of its answer before the event loop has ended the request. */
+    private int inFlightAfterThisTurn() throws Exception {
+        CompletableFuture<Integer> inFlight = new CompletableFuture<>();
+        context.runOnContext(nothing -> inFlight.complete(forwarding.inFlight()));
+        return inFlight.get(10, TimeUnit.SECONDS);
     }
 
     private static void await(CountDownLatch latch) {
