Load adapters for resumed streams at servers of their software version

A stream that can only go on at one version waited for an adapter that servers of another version had, so that none was ordered, or for a model that was on its way to another version. Ruled out: models; they are placed without regard to versions, and a load takes seconds. Change: the demand of waiting requests names the version; an adapter is loaded on a server of that version, and arrivals are estimated over these. A stream whose model is not loaded at its version is refused at once while there are several versions. Before: FleetPlacementTest.adapterIsLoadedOnEngineOfRequiredSoftwareVersion and SlotBrokerTest.streamWhoseModelIsNotLoadedAtItsVersionIsRefusedAtOnce fail without the change in FleetDemand and SlotBroker. After: they pass.

--- a/src/main/java/org/borageproxy/forward/SlotBroker.java
+++ b/src/main/java/org/borageproxy/forward/SlotBroker.java
@@ -97,9 +97,10 @@
          *
          * @param service the service
          * @param work the inference work
+         * @param softwareVersion the version of the software that must run the request; empty for any
          * @param change one for a request that starts to wait, minus one for a request that stops waiting
          */
-        void addWaiting(String service, EngineWork work, int change);
+        void addWaiting(String service, EngineWork work, Optional<String> softwareVersion, int change);
 
         /**
          * Records that a server refused a request because the model or adapter is not loaded.
@@ -114,9 +115,10 @@
          *
          * @param service the service
          * @param work the inference work
+         * @param softwareVersion the version of the software that must run the request; empty for any
          * @return empty if no load is in progress
          */
-        Optional<Deadline> availableAt(String service, EngineWork work);
+        Optional<Deadline> availableAt(String service, EngineWork work, Optional<String> softwareVersion);
     }
 
     private static final class Entry {
@@ -326,12 +328,25 @@
                 case NO_SERVER -> refuse(SlotAnswer.Outcome.NO_SERVER, MIN_RETRY_AFTER);
                 case ALL_TRIED -> refuse(SlotAnswer.Outcome.ALL_TRIED, MIN_RETRY_AFTER);
                 case CROWDED -> waitForCapacity();
-                default -> waitForModel();
+                default -> waitForModel(unavailability);
             }
         }
 
-        private void waitForModel() {
-            Optional<Deadline> availableAt = environment.demand().availableAt(request.getService(), work);
+        private Optional<String> softwareVersion() {
+            return requirement.origin().map(StreamOrigin::softwareVersion);
+        }
+
+        private void waitForModel(ServerPool.Unavailability unavailability) {
+            Optional<Deadline> availableAt =
+                    environment.demand().availableAt(request.getService(), work, softwareVersion());
+            // Models, unlike adapters, are placed without regard to software versions.
+            boolean mayBeOrdered = requirement.origin().isEmpty()
+                    || unavailability == ServerPool.Unavailability.NO_ADAPTER
+                    || requirement.origin().equals(pool.commonOrigin(request.getService()));
+            if (availableAt.isEmpty() && !mayBeOrdered) {
+                refuse(SlotAnswer.Outcome.NO_MODEL, UNORDERED_RETRY_AFTER);
+                return;
+            }
             if (availableAt.isEmpty()) {
                 waitFor(remainingWait(MAX_ORDER_WAIT), SlotAnswer.Outcome.NO_MODEL, UNORDERED_RETRY_AFTER, true);
                 return;
@@ -372,7 +387,7 @@
             isModelMissing = isForModel;
             pool.enqueue(request.getService(), queuedRequest, false);
             if (isForModel) {
-                environment.demand().addWaiting(request.getService(), work, 1);
+                environment.demand().addWaiting(request.getService(), work, softwareVersion(), 1);
             }
             boolean isLong = maximumWait.compareTo(MAX_ANSWER_DELAY) > 0;
             environment.timer().schedule(isLong ? MAX_ANSWER_DELAY : maximumWait, () -> {
@@ -387,7 +402,7 @@
             isWaiting = false;
             pool.dequeue(request.getService(), queuedRequest, false);
             if (isModelMissing) {
-                environment.demand().addWaiting(request.getService(), work, -1);
+                environment.demand().addWaiting(request.getService(), work, softwareVersion(), -1);
             }
         }
 
--- a/src/main/java/org/borageproxy/placement/FleetPlacement.java
+++ b/src/main/java/org/borageproxy/placement/FleetPlacement.java
@@ -261,10 +261,12 @@
      * @param service the service
      * @param model the model
      * @param adapter the adapter, empty for none
+     * @param softwareVersion the version of the software that must run the requests; empty for any
      * @param change 1 if a request starts to wait, -1 if one stops
      */
-    public void adjustWaiting(String service, String model, String adapter, int change) {
-        FleetDemand.Target target = new FleetDemand.Target(service, model, adapter);
+    public void adjustWaiting(
+            String service, String model, String adapter, Optional<String> softwareVersion, int change) {
+        FleetDemand.Target target = new FleetDemand.Target(service, model, adapter, softwareVersion);
         demand.adjustWaiting(target, change, environment.clock().nanoTime());
         if (change > 0 && mayOrder()) {
             plan();
@@ -315,7 +317,8 @@
                 .toList();
         for (FleetDemand.Target target : missingAdapters) {
             engines.stream()
-                    .filter(engine -> engine.loadedModels().containsKey(target.model())
+                    .filter(engine -> target.admits(engine.server())
+                            && engine.loadedModels().containsKey(target.model())
                             && engine.acceptsAdapterOrders()
                             && !engine.isBusy()
                             && engine.loadingAdapterCount() < MAX_LOADING_ADAPTERS)
@@ -327,8 +330,11 @@
     }
 
     private static boolean hasAdapter(TrackedEngine engine, FleetDemand.Target target) {
-        return engine.isLoadingAdapter(target.model(), target.adapter())
-                || engine.loadedModels().getOrDefault(target.model(), Set.of()).contains(target.adapter());
+        return target.admits(engine.server())
+                && (engine.isLoadingAdapter(target.model(), target.adapter())
+                        || engine.loadedModels()
+                                .getOrDefault(target.model(), Set.of())
+                                .contains(target.adapter()));
     }
 
     /** Returns the time of the last request for the adapter that the engine would unload first. */
@@ -435,12 +441,15 @@
      * @param service the service
      * @param model the model
      * @param adapter the adapter, empty for none
+     * @param softwareVersion the version of the software that the engine must run; empty for any
      * @return the estimated time, or empty if no engine is loading it
      */
-    public Optional<Deadline> estimateAvailability(String service, String model, String adapter) {
+    public Optional<Deadline> estimateAvailability(
+            String service, String model, String adapter, Optional<String> softwareVersion) {
+        FleetDemand.Target target = new FleetDemand.Target(service, model, adapter, softwareVersion);
         long nowNanos = environment.clock().nanoTime();
         return trackedEngines.values().stream()
-                .filter(engine -> engine.server().services().contains(service)
+                .filter(engine -> target.admits(engine.server())
                         && engine.isBusy()
                         && !Deadline.after(engine.loadCompletesAt().atNanos(), MAX_LOAD_OVERRUN)
                                 .hasPassed(nowNanos))
--- a/src/main/java/org/borageproxy/server/GatewayControl.java
+++ b/src/main/java/org/borageproxy/server/GatewayControl.java
@@ -177,8 +177,8 @@
     /** Passes the demand of waiting requests to the placement. */
     private final class PlacementDemand implements SlotBroker.Demand {
         @Override
-        public void addWaiting(String service, EngineWork work, int change) {
-            placement.adjustWaiting(service, work.model(), work.adapter(), change);
+        public void addWaiting(String service, EngineWork work, Optional<String> softwareVersion, int change) {
+            placement.adjustWaiting(service, work.model(), work.adapter(), softwareVersion, change);
         }
 
         @Override
@@ -187,8 +187,8 @@
         }
 
         @Override
-        public Optional<Deadline> availableAt(String service, EngineWork work) {
-            return placement.estimateAvailability(service, work.model(), work.adapter());
+        public Optional<Deadline> availableAt(String service, EngineWork work, Optional<String> softwareVersion) {
+            return placement.estimateAvailability(service, work.model(), work.adapter(), softwareVersion);
         }
     }
 
--- a/src/test/java/org/borageproxy/forward/SlotBrokerTest.java
+++ b/src/test/java/org/borageproxy/forward/SlotBrokerTest.java
@@ -1,6 +1,7 @@
 package org.borageproxy.forward;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -34,14 +35,15 @@
     private Optional<Duration> untilArrival = Optional.empty();
     private int waiting;
     private int selections;
+    private final List<BackendServer> servers = new ArrayList<>();
     private final SlotBroker broker = broker();
 
     private SlotBroker broker() {
-        BackendServer other = BackendServerFixture.withSoftware(BackendServerFixture.engine("other", "n"), "v1");
+        servers.add(BackendServerFixture.withSoftware(BackendServerFixture.engine("other", "n"), "v1"));
         ServerPool pool = new ServerPool(
                 () -> {
                     selections++;
-                    return List.of(other);
+                    return List.copyOf(servers);
                 },
                 time::nowNanos,
                 BackendServerFixture.ZONE,
@@ -140,6 +142,27 @@
                 SlotAnswer.Outcome.NO_SERVER, answer(continued(request, "v2")).getOutcome());
     }
 
+    /** Guards against a stream that waits for a model which will be loaded at another version only. */
+    @Test
+    void streamWhoseModelIsNotLoadedAtItsVersionIsRefusedAtOnce() throws Exception {
+        SlotRequest.Builder request = SlotRequest.newBuilder()
+                .setZone("a")
+                .setService("s")
+                .setModel("m")
+                .setPromptTokens(500)
+                .setObjectiveMillis(1_200)
+                .setDeadlineMillis(5_000);
+        assertFalse(continued(request, "v1").isDone(), "the only version gets the model");
+        assertEquals(1, waiting);
+        servers.add(BackendServerFixture.withSoftware(BackendServerFixture.engine("newer", "k"), "v2"));
+        assertEquals(
+                SlotAnswer.Outcome.NO_MODEL, answer(continued(request, "v1")).getOutcome());
+        assertEquals(1, waiting);
+        untilArrival = Optional.of(Duration.ofSeconds(2));
+        assertFalse(continued(request, "v1").isDone());
+        assertEquals(2, waiting);
+    }
+
     private CompletableFuture<ByteString> continued(SlotRequest.Builder request, String softwareVersion) {
         return broker.handle(
                         ENTRY,
@@ -174,7 +197,7 @@
 
     private final class Demand implements SlotBroker.Demand {
         @Override
-        public void addWaiting(String service, EngineWork work, int change) {
+        public void addWaiting(String service, EngineWork work, Optional<String> softwareVersion, int change) {
             waiting += change;
         }
 
@@ -184,7 +207,7 @@
         }
 
         @Override
-        public Optional<Deadline> availableAt(String service, EngineWork work) {
+        public Optional<Deadline> availableAt(String service, EngineWork work, Optional<String> softwareVersion) {
             return untilArrival.map(duration -> Deadline.after(time.nowNanos(), duration));
         }
     }
--- a/src/test/java/org/borageproxy/placement/FleetPlacementTest.java
+++ b/src/test/java/org/borageproxy/placement/FleetPlacementTest.java
@@ -42,7 +42,7 @@
     private final List<BackendServer> servers = new ArrayList<>();
     private final FleetPlacement placement = placement();
 
-    private record SentOrder(long atNanos, EngineClient.EngineOrder order) {}
+    private record SentOrder(long atNanos, String server, EngineClient.EngineOrder order) {}
 
     private static EnginePool pool() {
         Map<String, EnginePool.EngineModel> models = new HashMap<>();
@@ -85,7 +85,7 @@
     @Test
     void newLeaderSendsNoOrdersDuringHandoverDelay() {
         time.advance(Duration.ofMillis(200));
-        placement.adjustWaiting("s", "c", "", 1);
+        placement.adjustWaiting("s", "c", "", Optional.empty(), 1);
         time.advance(HANDOVER_DELAY.minusMillis(300));
         assertEquals(List.of(), engineClient.sentOrders);
         time.advance(Duration.ofMillis(500));
@@ -100,7 +100,7 @@
     void formerLeaderSendsNoOrders() {
         time.advance(HANDOVER_DELAY.plusMillis(1_200));
         isLeader = false;
-        placement.adjustWaiting("s", "c", "", 1);
+        placement.adjustWaiting("s", "c", "", Optional.empty(), 1);
         time.advance(Duration.ofSeconds(5));
         assertEquals(List.of(), engineClient.sentOrders);
     }
@@ -109,7 +109,7 @@
     void reelectedLeaderObservesHandoverDelayAgain() {
         time.advance(HANDOVER_DELAY.plusMillis(1_200));
         term = 6;
-        placement.adjustWaiting("s", "c", "", 1);
+        placement.adjustWaiting("s", "c", "", Optional.empty(), 1);
         time.advance(HANDOVER_DELAY.minusMillis(200));
         assertEquals(List.of(), engineClient.sentOrders);
         time.advance(Duration.ofMillis(700));
@@ -119,25 +119,32 @@
     @Test
     void availabilityOfLoadingModelIsEstimated() {
         time.advance(HANDOVER_DELAY.plusMillis(1_200));
-        assertTrue(placement.estimateAvailability("s", "c", "").isEmpty());
-        placement.adjustWaiting("s", "c", "", 1);
+        assertTrue(
+                placement.estimateAvailability("s", "c", "", Optional.empty()).isEmpty());
+        placement.adjustWaiting("s", "c", "", Optional.empty(), 1);
         time.advance(Duration.ofMillis(200));
-        long millis = placement.estimateAvailability("s", "c", "").orElseThrow().remainingMillis(time.nowNanos());
+        long millis = placement
+                .estimateAvailability("s", "c", "", Optional.empty())
+                .orElseThrow()
+                .remainingMillis(time.nowNanos());
         assertTrue(
                 millis > LOAD_TIME.toMillis() - 500 && millis < LOAD_TIME.toMillis() + 1_000,
                 "estimated to be usable in " + millis + " ms");
-        assertTrue(placement.estimateAvailability("s", "d", "").isEmpty());
+        assertTrue(
+                placement.estimateAvailability("s", "d", "", Optional.empty()).isEmpty());
     }
 
     /** Guards against waiting forever: an engine accepts a load and never completes it. */
     @Test
     void longOverdueLoadHasNoAvailabilityEstimate() {
         time.advance(HANDOVER_DELAY.plusMillis(1_200));
-        placement.adjustWaiting("s", "c", "", 1);
+        placement.adjustWaiting("s", "c", "", Optional.empty(), 1);
         time.advance(LOAD_TIME.plusSeconds(1));
-        assertTrue(placement.estimateAvailability("s", "c", "").isPresent());
+        assertTrue(
+                placement.estimateAvailability("s", "c", "", Optional.empty()).isPresent());
         time.advance(Duration.ofSeconds(3));
-        assertTrue(placement.estimateAvailability("s", "c", "").isEmpty());
+        assertTrue(
+                placement.estimateAvailability("s", "c", "", Optional.empty()).isEmpty());
     }
 
     /**
@@ -151,7 +158,7 @@
         }
         time.advance(HANDOVER_DELAY.plusMillis(1_200));
         for (int index = 0; index < FURTHER_MODELS; index++) {
-            placement.adjustWaiting("s", "m" + index, "", 1);
+            placement.adjustWaiting("s", "m" + index, "", Optional.empty(), 1);
         }
         time.advance(Duration.ofSeconds(20));
         List<Long> loads = engineClient.sentOrders.stream()
@@ -168,6 +175,24 @@
         }
     }
 
+    /** Guards against streams that wait for an adapter which only engines of another software version get. */
+    @Test
+    void adapterIsLoadedOnEngineOfRequiredSoftwareVersion() {
+        servers.clear();
+        servers.add(BackendServerFixture.withSoftware(BackendServerFixture.engine("e1", "a"), "v1"));
+        servers.add(BackendServerFixture.withSoftware(BackendServerFixture.engine("e2", "a"), "v2"));
+        time.advance(HANDOVER_DELAY.plusMillis(1_200));
+        placement.adjustWaiting("s", "a", "x", Optional.of("v2"), 1);
+        placement.adjustWaiting("s", "a", "y", Optional.of("v1"), 1);
+        time.advance(Duration.ofSeconds(1));
+        List<String> loads = engineClient.sentOrders.stream()
+                .filter(sent -> sent.order().isLoad())
+                .map(sent -> sent.server() + ' ' + sent.order().adapter())
+                .sorted()
+                .toList();
+        assertEquals(List.of("e1 y", "e2 x"), loads);
+    }
+
     /** Accepts every order and never completes a load. */
     private final class LoadingEngineClient implements EngineClient {
         private final Set<String> loadingEngines = new java.util.HashSet<>();
@@ -175,7 +200,7 @@
 
         @Override
         public CompletionStage<OrderReply> sendOrder(BackendServer server, EngineOrder order) {
-            sentOrders.add(new SentOrder(time.nowNanos(), order));
+            sentOrders.add(new SentOrder(time.nowNanos(), server.name().value(), order));
             loadingEngines.add(server.name().value());
             return CompletableFuture.completedFuture(OrderReply.ACCEPTED);
         }
