Expire parts in the order of their reports and plain up names

Cause: reading the diff. Each command of the control group scanned all suspect parts for expired ones; names and a log value were unclear. Change: parts expire from the oldest on; names; parts in server-ended-during-request are joined by commas. Behaviour is the same.

--- a/src/main/java/org/borageproxy/control/CrashTable.java
+++ b/src/main/java/org/borageproxy/control/CrashTable.java
@@ -66,8 +66,9 @@
         CrashState.Builder state =
                 earlier == null ? CrashState.newBuilder().setFingerprint(report.getFingerprint()) : earlier.toBuilder();
         state.addCrashes(crash);
-        boolean isQuarantined =
-                state.getQuarantined() || earlier != null && report.getAlone() || isGuilty(state.getCrashesList());
+        boolean isQuarantined = state.getQuarantined()
+                || earlier != null && report.getAlone()
+                || isQuarantineDue(state.getCrashesList());
         state.setQuarantined(isQuarantined);
         state.setExpiresAtMillis(stateMillis + (isQuarantined ? QUARANTINE_MILLIS : SUSPICION_MILLIS));
         crashes.remove(report.getFingerprint());
@@ -154,8 +155,8 @@
         records.put(Item.newBuilder().setName("crash/" + state.getFingerprint()).setCrash(published));
     }
 
-    /** Whether a request caused the crashes: those of several servers, or enough of one, that nothing else explains. */
-    private boolean isGuilty(List<String> crashesOfRequest) {
+    /** Whether the crashes that nothing else explains hit several servers, or one often enough. */
+    private boolean isQuarantineDue(List<String> crashesOfRequest) {
         List<String> counted = crashesOfRequest.stream()
                 .filter(crash -> !parts.isExplained(crash))
                 .toList();
@@ -169,12 +170,12 @@
 
     /** Ends the quarantine of requests that were quarantined for a crash that a part of a prompt explains. */
     private void reconsider(String crash) {
-        List<CrashState> innocent = crashes.values().stream()
+        List<CrashState> released = crashes.values().stream()
                 .filter(state -> state.getQuarantined()
                         && state.getCrashesList().contains(crash)
-                        && !isGuilty(state.getCrashesList()))
+                        && !isQuarantineDue(state.getCrashesList()))
                 .toList();
-        for (CrashState state : innocent) {
+        for (CrashState state : released) {
             CrashState suspect = state.toBuilder().setQuarantined(false).build();
             crashes.put(state.getFingerprint(), suspect);
             publish(suspect);
--- a/src/main/java/org/borageproxy/control/PartCrashTable.java
+++ b/src/main/java/org/borageproxy/control/PartCrashTable.java
@@ -50,7 +50,7 @@
         suspects.forEach(suspect -> record(suspect, crash, stateMillis));
         suspects.forEach(suspect -> updateQuarantine(suspect.getFingerprint()));
         while (parts.size() > MAX_PARTS) {
-            clear(parts.keySet().iterator().next());
+            clear(oldest().getFingerprint());
         }
         return !wasExplained && isExplained(crash);
     }
@@ -107,13 +107,15 @@
         return true;
     }
 
-    /** Removes expired parts. */
+    private CrashState oldest() {
+        return parts.values().iterator().next();
+    }
+
+    /** Removes expired parts, which are the ones reported least recently. */
     void expire(long stateMillis) {
-        parts.values().stream()
-                .filter(state -> state.getExpiresAtMillis() <= stateMillis)
-                .map(CrashState::getFingerprint)
-                .toList()
-                .forEach(this::clear);
+        while (!parts.isEmpty() && oldest().getExpiresAtMillis() <= stateMillis) {
+            clear(oldest().getFingerprint());
+        }
     }
 
     /** Returns the parts with their crashes, for a snapshot. */
--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -233,7 +233,7 @@
                 findServer();
                 return;
             }
-            // Other requests with the same part of a prompt may have been found guilty while this one waited.
+            // A part of the prompt may have been quarantined while the request waited.
             if (crashEvidence.isQuarantined()) {
                 acquired.close();
                 isOver = true;
--- a/src/main/java/org/borageproxy/server/CrashReports.java
+++ b/src/main/java/org/borageproxy/server/CrashReports.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.stream.Collectors;
 
 import com.github.benmanes.caffeine.cache.Cache;
 import com.github.benmanes.caffeine.cache.Caffeine;
@@ -70,7 +71,9 @@
                 server.name(),
                 server.incarnation(),
                 suspects.request().value(),
-                reported.stream().map(Fingerprint::value).toList(),
+                reported.isEmpty()
+                        ? "-"
+                        : reported.stream().map(Fingerprint::value).collect(Collectors.joining(",")),
                 isUntested);
         registry.reportCrash(suspects.request(), reported, isUntested, server.name(), server.incarnation());
     }
