--- a/src/test/java/org/borageproxy/platform/StreamVersionTest.java
+++ b/src/test/java/org/borageproxy/platform/StreamVersionTest.java
@@ -10,30 +10,32 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestInstance;
 import org.junit.jupiter.api.io.TempDir;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Streams of a service whose engines run two software versions, with real VMs and simulated engines. */
+/**
+ * Streams of a service whose engines run two software versions, with real VMs and simulated engines. All tests use one
+ * fleet; each restarts the VMs that it kills.
+ */
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
 class StreamVersionTest {
 
     private static final int STREAM_COUNT = 24;
     private static final Pattern EVENT = Pattern.compile("id: (\\d+)\ndata: (\\S+)\n");
 
-    @TempDir
-    Path folder;
-
     private PlatformFleet fleet;
 
     /** A stream whose first event a caller has. */
     private record Begun(String identity, String software) {}
 
-    @BeforeEach
-    void start() throws Exception {
+    @BeforeAll
+    void start(@TempDir Path folder) throws Exception {
         fleet = new PlatformFleet(folder, 2);
         for (int number = 0; number < 4; number++) {
             boolean isFramed = number < 2;
@@ -52,7 +54,7 @@
         }
     }
 
-    @AfterEach
+    @AfterAll
     void stop() throws Exception {
         fleet.close();
     }
@@ -129,20 +131,20 @@
     @Test
     void streamOfKilledVmStaysAtVersionThatBeganIt() throws Exception {
         String killed = fleet.entries().get(0);
-        List<Begun> streams = begin(killed, "s");
+        List<Begun> streams = begin(killed, "k");
         Thread.sleep(300);
         fleet.kill(killed);
         assertGoOnAtTheirVersion(fleet.entries().get(1), streams);
         fleet.start(killed);
         fleet.awaitReady(killed);
-        Thread.sleep(PlatformFleet.STABLE.toMillis());
+        awaitResumption(killed, streams.get(0));
         assertGoOnAtTheirVersion(killed, streams);
     }
 
     /** Guards against events of two software versions in one stream: the control VM lost what it had been told. */
     @Test
     void streamStaysAtVersionThatBeganItAfterCoordinatorRestarted() throws Exception {
-        List<Begun> streams = begin(fleet.entries().get(0), "s");
+        List<Begun> streams = begin(fleet.entries().get(0), "c");
         fleet.kill(fleet.control());
         List<String> mixed = new ArrayList<>();
         for (Begun stream : streams) {
@@ -154,10 +156,20 @@
         }
         assertEquals(List.of(), mixed);
         fleet.start(fleet.control());
-        Thread.sleep(2 * PlatformFleet.STABLE.toMillis());
+        awaitResumption(fleet.entries().get(1), streams.get(0));
         assertGoOnAtTheirVersion(fleet.entries().get(1), streams);
     }
 
+    /** Waits until an entry resumes a stream, for at most twice the time in which the fleet agrees again. */
+    private void awaitResumption(String entry, Begun stream) throws Exception {
+        long end = System.nanoTime() + 2 * PlatformFleet.STABLE.toNanos();
+        String answer = takeUp(entry, "await", stream.identity());
+        while (!answer.startsWith("HTTP/1.1 200") && System.nanoTime() - end < 0) {
+            Thread.sleep(100);
+            answer = takeUp(entry, "await", stream.identity());
+        }
+    }
+
     /** Guards against events of two software versions in one answer: the engine breaks off inside an event. */
     @Test
     void streamThatEngineBreaksOffGoesOnAtItsVersionInOneAnswer() throws Exception {
