Let the test of full servers wait longer than slow answers take

Cause: the test's own. Each call is refused three times and may wait for 500 ms in all, a bound that the test does not check; its calls took 0.4 s on average there. Traced on: with answers delayed by 230 ms the old test fails alike, with 130 ms it passes; the new one passes with 230 ms. Change: the test waits up to 10 s; what it checks (30 answers, 120 runs, retry budget) is the same.

--- a/src/test/java/org/borageproxy/entry/BackendFaultTest.java
+++ b/src/test/java/org/borageproxy/entry/BackendFaultTest.java
@@ -382,6 +382,8 @@
 
     @Test
     void retriesOnFullServerDoNotExhaustRetryBudget() {
+        fixture.close();
+        fixture = new EntryFixture(Duration.ofSeconds(10));
         try (ScriptedBackend full = ScriptedBackend.answering((exchange, number) -> {
             if (number % 4 == 0) {
                 exchange.respond(200, "sold");
--- a/src/test/java/org/borageproxy/entry/EntryFixture.java
+++ b/src/test/java/org/borageproxy/entry/EntryFixture.java
@@ -78,8 +78,12 @@
     final AtomicInteger releasedSlots = new AtomicInteger();
 
     EntryFixture() {
+        this(Duration.ofMillis(500));
+    }
+
+    EntryFixture(Duration replicaTimeout) {
         this(settings -> settings.withExecution(
-                new ExecutionSettings(Duration.ofMillis(500), Duration.ofSeconds(2), 4, 0.1, 50.0, 65_536)));
+                new ExecutionSettings(replicaTimeout, Duration.ofSeconds(2), 4, 0.1, 50.0, 65_536)));
     }
 
     EntryFixture(java.util.function.UnaryOperator<EntrySettings> adjust) {
