Move the tracking of a request in flight to a type of its own

Change: ServerPool.InFlightRequest is now InFlightRequest; no behaviour changes. Tests were not run for this commit alone.

--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -208,7 +208,7 @@
         private final ServerSelector.Choice choice;
         private final BackendServer server;
         private Optional<ServerConnection> connection = Optional.empty();
-        private Optional<ServerPool.InFlightRequest> inFlightRequest = Optional.empty();
+        private Optional<InFlightRequest> inFlightRequest = Optional.empty();
         private Optional<HttpResponse> head = Optional.empty();
         private ByteBuf body = Unpooled.EMPTY_BUFFER;
         private long receivedBytes;
@@ -302,7 +302,7 @@
             int status = response.status().code();
             possibleRuns--;
             isOver = true;
-            inFlightRequest.ifPresent(ServerPool.InFlightRequest::recordEnd);
+            inFlightRequest.ifPresent(InFlightRequest::recordEnd);
             log.rejected(server, status);
             boolean isOtherServer = answer.respondingServer()
                     .filter(name -> !name.equals(server.name()))
@@ -320,13 +320,13 @@
         }
 
         private void markServerGone() {
-            inFlightRequest.ifPresent(ServerPool.InFlightRequest::recordFailure);
+            inFlightRequest.ifPresent(InFlightRequest::recordFailure);
             context.pool().markGone(server);
             goneServers.add(server.name());
         }
 
         private void cancel() {
-            inFlightRequest.filter(ServerPool.InFlightRequest::isOverdue).ifPresent(overdue -> {
+            inFlightRequest.filter(InFlightRequest::isOverdue).ifPresent(overdue -> {
                 log.failed(server, "no answer within several times the expected time", ageMillis(), receivedBytes);
                 overdue.recordFailure();
             });
@@ -336,7 +336,7 @@
         private void closeConnection() {
             isOver = true;
             connection.ifPresent(ServerConnection::close);
-            inFlightRequest.ifPresent(ServerPool.InFlightRequest::recordEnd);
+            inFlightRequest.ifPresent(InFlightRequest::recordEnd);
         }
 
         @Override
@@ -398,7 +398,7 @@
             }
             isOver = true;
             inFlightRequest.ifPresent(present -> present.recordResponse(buffered.service()));
-            inFlightRequest.ifPresent(ServerPool.InFlightRequest::recordEnd);
+            inFlightRequest.ifPresent(InFlightRequest::recordEnd);
             int status = head.get().status().code();
             if (isBrokenOff()) {
                 recordCrashSuspicion();
@@ -412,14 +412,14 @@
             if (isStream) {
                 endStream();
             } else if (status >= FIRST_SERVER_ERROR && mayRepeat() && !isExpired()) {
-                inFlightRequest.ifPresent(ServerPool.InFlightRequest::recordFailure);
+                inFlightRequest.ifPresent(InFlightRequest::recordFailure);
                 log.failed(server, "status " + status, ageMillis(), receivedBytes);
                 HttpResponse keptHead = head.get();
                 ByteBuf keptBody = body;
                 retryOrElse(() -> sendCompleteAnswer(keptHead, keptBody));
             } else {
                 if (status >= FIRST_SERVER_ERROR) {
-                    inFlightRequest.ifPresent(ServerPool.InFlightRequest::recordFailure);
+                    inFlightRequest.ifPresent(InFlightRequest::recordFailure);
                 }
                 sendCompleteAnswer(head.get(), body);
             }
@@ -433,7 +433,7 @@
         }
 
         private void recordCrashSuspicion() {
-            inFlightRequest.ifPresent(ServerPool.InFlightRequest::recordFailure);
+            inFlightRequest.ifPresent(InFlightRequest::recordFailure);
             crashEvidence.recordConnectionLoss(server);
         }
 
@@ -467,7 +467,7 @@
         }
 
         private long ageMillis() {
-            return inFlightRequest.map(ServerPool.InFlightRequest::ageMillis).orElse(0L);
+            return inFlightRequest.map(InFlightRequest::ageMillis).orElse(0L);
         }
     }
 
--- /dev/null
+++ b/src/main/java/org/borageproxy/forward/InFlightRequest.java
@@ -0,0 +1,114 @@
+package org.borageproxy.forward;
+
+import java.util.Optional;
+
+import org.borageproxy.routing.EngineWork;
+import org.borageproxy.routing.ServerLoad;
+import org.borageproxy.routing.ServerSelector;
+import org.borageproxy.time.MonotonicClock;
+
+/** Tracks one request in flight at a server. Not thread safe; confined to one event loop. */
+final class InFlightRequest {
+
+    /** Age below which a request without a response is never overdue. */
+    private static final double MIN_OVERDUE_MILLIS = 1_000.0;
+    /** Multiple of the expected time after which a request without a response is overdue. */
+    private static final double OVERDUE_FACTOR = 4.0;
+
+    private final MonotonicClock clock;
+    private final ServerLoad load;
+    private final ServerSelector.Choice choice;
+    private final Optional<EngineWork> work;
+    private final ModelLatencyRatios latencyRatios;
+    private final Runnable loadChangeListener;
+    private final long startedAtNanos;
+    private boolean hasResponded;
+    private boolean hasEnded;
+
+    /**
+     * Records the start of a request.
+     *
+     * @param clock the clock
+     * @param load the load of the server
+     * @param choice the selected server
+     * @param work the inference work; empty for a plain service
+     * @param latencyRatios receives the observed latency
+     * @param loadChangeListener called when the response has begun and when the request has ended
+     */
+    InFlightRequest(
+            MonotonicClock clock,
+            ServerLoad load,
+            ServerSelector.Choice choice,
+            Optional<EngineWork> work,
+            ModelLatencyRatios latencyRatios,
+            Runnable loadChangeListener) {
+        this.clock = clock;
+        this.load = load;
+        this.choice = choice;
+        this.work = work;
+        this.latencyRatios = latencyRatios;
+        this.loadChangeListener = loadChangeListener;
+        this.startedAtNanos = clock.nanoTime();
+        load.recordStart(choice.prefillTokens(), reservedTokens());
+    }
+
+    private int reservedTokens() {
+        return work.map(EngineWork::totalTokens).orElse(0);
+    }
+
+    /**
+     * Records that the response has begun, by its first bytes or its end. Has no effect on further calls or after
+     * {@link #recordEnd}.
+     *
+     * @param service the service, whose latency ratio is updated if the request has no inference work
+     */
+    void recordResponse(String service) {
+        if (hasResponded || hasEnded) {
+            return;
+        }
+        hasResponded = true;
+        load.recordPrefillEnd(choice.prefillTokens());
+        double millis = (clock.nanoTime() - startedAtNanos) / 1e6;
+        double ratio = ModelLatencyRatios.clamp(millis / Math.max(1.0, choice.expectedMillis()));
+        load.recordSuccess(ratio);
+        latencyRatios.recordObservation(work.map(EngineWork::model).orElse(service), ratio);
+        loadChangeListener.run();
+    }
+
+    /** Records the end of the request, whatever its outcome; later calls have no effect. */
+    void recordEnd() {
+        if (!hasEnded) {
+            hasEnded = true;
+            if (!hasResponded) {
+                load.recordPrefillEnd(choice.prefillTokens());
+            }
+            load.recordEnd(reservedTokens());
+            loadChangeListener.run();
+        }
+    }
+
+    /**
+     * Returns whether the request has had no response for much longer than expected.
+     *
+     * @return {@code true} if the server should be treated as failing
+     */
+    boolean isOverdue() {
+        double overdueMillis = Math.max(MIN_OVERDUE_MILLIS, choice.expectedMillis() * OVERDUE_FACTOR);
+        return !hasResponded && ageMillis() >= overdueMillis;
+    }
+
+    /** Records a failure of the server, and the end of the request if it was not recorded before. */
+    void recordFailure() {
+        load.recordFailure(clock.nanoTime());
+        recordEnd();
+    }
+
+    /**
+     * Returns the time since the request was sent.
+     *
+     * @return the time in milliseconds
+     */
+    long ageMillis() {
+        return (clock.nanoTime() - startedAtNanos) / 1_000_000L;
+    }
+}
--- a/src/main/java/org/borageproxy/forward/ServerPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerPool.java
@@ -35,11 +35,6 @@
     /** Assumed KV cache capacity of a server whose engine pool is not published. */
     private static final long DEFAULT_CACHE_TOKENS = 100_000;
 
-    /** Age below which a request without a response is never overdue. */
-    private static final double MIN_OVERDUE_MILLIS = 1_000.0;
-    /** Multiple of the expected time after which a request without a response is overdue. */
-    private static final double OVERDUE_FACTOR = 4.0;
-
     private final BackendServers servers;
     private final MonotonicClock clock;
     private final AvailabilityZone zone;
@@ -348,91 +343,13 @@
     InFlightRequest recordStart(ServerSelector.Choice choice, Optional<EnginePool> engines, Optional<EngineWork> work) {
         ServerLoad load = load(choice.server(), engines);
         work.ifPresent(load.prefixCache()::recordPrompt);
-        InFlightRequest inFlightRequest = new InFlightRequest(load, choice, work);
-        load.recordStart(choice.prefillTokens(), inFlightRequest.reservedTokens());
-        return inFlightRequest;
-    }
-
-    /** Tracks one request in flight at a server. Not thread safe. */
-    final class InFlightRequest {
-        private final ServerLoad load;
-        private final ServerSelector.Choice choice;
-        private final Optional<EngineWork> work;
-        private final long startedAtNanos = clock.nanoTime();
-        private boolean hasResponded;
-        private boolean hasEnded;
-
-        private InFlightRequest(ServerLoad load, ServerSelector.Choice choice, Optional<EngineWork> work) {
-            this.load = load;
-            this.choice = choice;
-            this.work = work;
-        }
-
-        private int reservedTokens() {
-            return work.map(EngineWork::totalTokens).orElse(0);
-        }
-
-        /**
-         * Records that the response has begun, by its first bytes or its end. Has no effect on further calls or after
-         * {@link #recordEnd}.
-         *
-         * @param service the service, whose latency ratio is updated if the request has no inference work
-         */
-        void recordResponse(String service) {
-            if (hasResponded || hasEnded) {
-                return;
-            }
-            hasResponded = true;
-            load.recordPrefillEnd(choice.prefillTokens());
-            double millis = (clock.nanoTime() - startedAtNanos) / 1e6;
-            double ratio = ModelLatencyRatios.clamp(millis / Math.max(1.0, choice.expectedMillis()));
-            load.recordSuccess(ratio);
-            latencyRatios.recordObservation(work.map(EngineWork::model).orElse(service), ratio);
-            notifyLoadChange();
-        }
-
-        private void notifyLoadChange() {
-            queue.retryAll();
-            if (work.isPresent()) {
-                loadChangeListener.run();
-            }
-        }
-
-        /** Records the end of the request, whatever its outcome; later calls have no effect. */
-        void recordEnd() {
-            if (!hasEnded) {
-                hasEnded = true;
-                if (!hasResponded) {
-                    load.recordPrefillEnd(choice.prefillTokens());
-                }
-                load.recordEnd(reservedTokens());
-                notifyLoadChange();
-            }
-        }
-
-        /**
-         * Returns whether the request has had no response for much longer than expected.
-         *
-         * @return {@code true} if the server should be treated as failing
-         */
-        boolean isOverdue() {
-            double overdueMillis = Math.max(MIN_OVERDUE_MILLIS, choice.expectedMillis() * OVERDUE_FACTOR);
-            return !hasResponded && ageMillis() >= overdueMillis;
-        }
-
-        /** Records a failure of the server, and the end of the request if it was not recorded before. */
-        void recordFailure() {
-            load.recordFailure(clock.nanoTime());
-            recordEnd();
-        }
+        return new InFlightRequest(clock, load, choice, work, latencyRatios, () -> handleLoadChange(work));
+    }
 
-        /**
-         * Returns the time since the request was sent.
-         *
-         * @return the time in milliseconds
-         */
-        long ageMillis() {
-            return (clock.nanoTime() - startedAtNanos) / 1_000_000L;
+    private void handleLoadChange(Optional<EngineWork> work) {
+        queue.retryAll();
+        if (work.isPresent()) {
+            loadChangeListener.run();
         }
     }
 
