Log what backend servers state about their capacity

Change: the request limit and the rejection limit in answers to requests, orders and reads of the engine state are decoded in platform/ and logged when they change (server-stated), on entries and on the VM that sends orders. Nothing else reads them yet. A malformed field is logged and changes nothing; of a repeated field the lowest value counts. Ruled out: nothing.

--- a/src/main/java/org/borageproxy/forward/CallerProtocol.java
+++ b/src/main/java/org/borageproxy/forward/CallerProtocol.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.vertx.core.MultiMap;
 import org.borageproxy.membership.BackendServerName;
+import org.borageproxy.routing.ServerStatement;
 
 /**
  * Names and formats of the header fields of callers and backend servers. Contains no forwarding policy. Implementations
@@ -46,6 +47,11 @@
      * @param notRun whether the server states that it did not run the request
      * @param respondingServer the server that answered at the address of the expected one; empty if it is the expected
      *     one or none is stated
+     * @param statement what the server states about its capacity; empty if that cannot be read
      */
-    record ResponseMetadata(String requestIdentity, boolean notRun, Optional<BackendServerName> respondingServer) {}
+    record ResponseMetadata(
+            String requestIdentity,
+            boolean notRun,
+            Optional<BackendServerName> respondingServer,
+            Optional<ServerStatement> statement) {}
 }
--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -281,6 +281,9 @@
                 handleLostAnswer("answer belongs to another request");
                 return;
             }
+            if (answer.respondingServer().isEmpty()) {
+                answer.statement().ifPresent(statement -> context.pool().recordStatement(server, statement));
+            }
             if (answer.notRun()) {
                 handleNotRun(response, answer);
                 return;
--- a/src/main/java/org/borageproxy/forward/ServerPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerPool.java
@@ -19,6 +19,8 @@
 import org.borageproxy.routing.EngineWork;
 import org.borageproxy.routing.ServerLoad;
 import org.borageproxy.routing.ServerSelector;
+import org.borageproxy.routing.ServerStatement;
+import org.borageproxy.routing.ServerStatements;
 import org.borageproxy.time.MonotonicClock;
 import org.borageproxy.vm.AvailabilityZone;
 import org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand;
@@ -45,6 +47,7 @@
     private final ModelLatencyRatios latencyRatios = new ModelLatencyRatios();
     private final ModelDemandCounter demandCounter = new ModelDemandCounter();
     private final RequestQueue queue = new RequestQueue();
+    private final ServerStatements statements = new ServerStatements();
     private Runnable urgentDemandListener = () -> {};
     private Runnable loadChangeListener = () -> {};
     private Consumer<BackendServer> goneListener = server -> {};
@@ -181,6 +184,16 @@
         inventories.put(server.name(), inventory(server).without(work.model(), work.adapter()));
     }
 
+    /**
+     * Records what a server states about its capacity in an answer to this VM.
+     *
+     * @param server the server
+     * @param statement the statement
+     */
+    public void recordStatement(BackendServer server, ServerStatement statement) {
+        statements.recordAnswer(server, statement);
+    }
+
     /**
      * Sets the listener for servers that are marked as gone.
      *
@@ -511,6 +524,7 @@
         servers.current().forEach(server -> known.add(server.name()));
         loads.keySet().retainAll(known);
         inventories.keySet().retainAll(known);
+        statements.retain(known);
         goneIncarnations.keySet().retainAll(known);
     }
 }
--- a/src/main/java/org/borageproxy/platform/EngineCalls.java
+++ b/src/main/java/org/borageproxy/platform/EngineCalls.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -23,6 +24,7 @@
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.LoadedModel;
 import org.borageproxy.placement.EngineClient;
+import org.borageproxy.routing.ServerStatement;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -47,8 +49,10 @@
     private static final int UNAVAILABLE = 503;
 
     private final HttpClient client;
+    private final BiConsumer<BackendServer, ServerStatement> statementListener;
 
-    EngineCalls(Vertx vertx) {
+    EngineCalls(Vertx vertx, BiConsumer<BackendServer, ServerStatement> statementListener) {
+        this.statementListener = statementListener;
         client = vertx.httpClientBuilder()
                 .with(new HttpClientOptions()
                         .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
@@ -76,7 +80,10 @@
                 .compose(request -> request.putHeader(HttpHeaders.CONTENT_TYPE, "application/json")
                         .putHeader(EXPECTED_SERVER_HEADER, server.name().value())
                         .send(body.toBuffer()))
-                .compose(response -> response.body().map(ignored -> toReply(response.statusCode())))
+                .compose(response -> {
+                    readStatement(server, response);
+                    return response.body().map(ignored -> toReply(response.statusCode()));
+                })
                 .timeout(CALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
                 .otherwise(failure -> {
                     LOGGER.info("event=order-unanswered server={} reason=\"{}\"", server.name(), failure.getMessage());
@@ -102,7 +109,10 @@
                 .compose(request -> request.putHeader(
                                 EXPECTED_SERVER_HEADER, server.name().value())
                         .send())
-                .compose(HttpClientResponse::body)
+                .compose(response -> {
+                    readStatement(server, response);
+                    return response.body();
+                })
                 .map(body -> parseReport(server, body))
                 .timeout(CALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
                 .otherwise(failure -> {
@@ -112,6 +122,15 @@
                 .toCompletionStage();
     }
 
+    private void readStatement(BackendServer server, HttpClientResponse response) {
+        if (response.statusCode() != MISDIRECTED) {
+            PlatformHeaders.parseStatement(
+                            response.headers().getAll(PlatformHeaders.REQUEST_LIMIT_HEADER),
+                            response.headers().getAll(PlatformHeaders.REJECTION_LIMIT_HEADER))
+                    .ifPresent(statement -> statementListener.accept(server, statement));
+        }
+    }
+
     private static Optional<EngineReport> parseReport(BackendServer server, Buffer body) {
         try {
             JsonObject json = new JsonObject(body);
--- a/src/main/java/org/borageproxy/platform/PlatformHeaders.java
+++ b/src/main/java/org/borageproxy/platform/PlatformHeaders.java
@@ -18,6 +18,9 @@
 import org.borageproxy.forward.RequestMetadata;
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.routing.EngineWork;
+import org.borageproxy.routing.ServerStatement;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Header fields of callers' requests and backend servers' responses. Immutable and thread safe. */
 final class PlatformHeaders implements CallerProtocol {
@@ -37,6 +40,12 @@
     private static final String URGENCY_HEADER = "X-Request-Urgency";
     private static final String NOT_RUN_HEADER = "X-Not-Executed";
     private static final String RESPONDING_SERVER_HEADER = "X-Replica-Id";
+    /** The requests per second that the answering server takes from all VMs together, a decimal number. */
+    static final String REQUEST_LIMIT_HEADER = "Server-Limit";
+    /** The number of rejections within a second that the answering server survives. */
+    static final String REJECTION_LIMIT_HEADER = "Server-Brittle";
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(PlatformHeaders.class);
     private static final int MISDIRECTED_STATUS = 421;
     /** Headers that are not copied from the caller: its API key, and headers that only the proxy may set. */
     private static final Set<String> NON_FORWARDED_HEADERS = Set.of(
@@ -145,6 +154,33 @@
         Optional<BackendServerName> respondingServer = Optional.ofNullable(headers.get(RESPONDING_SERVER_HEADER))
                 .filter(name -> isMisdirected && !name.isBlank())
                 .map(BackendServerName::new);
-        return new ResponseMetadata(identity, headers.contains(NOT_RUN_HEADER) || isMisdirected, respondingServer);
+        return new ResponseMetadata(
+                identity,
+                headers.contains(NOT_RUN_HEADER) || isMisdirected,
+                respondingServer,
+                parseStatement(headers.getAll(REQUEST_LIMIT_HEADER), headers.getAll(REJECTION_LIMIT_HEADER)));
+    }
+
+    /**
+     * Parses what a backend server states about its capacity. Of a repeated field, the lowest value counts.
+     *
+     * @param requestLimits the values of the field with the requests per second
+     * @param rejectionLimits the values of the field with the tolerated rejections per second
+     * @return empty if a value is malformed
+     */
+    static Optional<ServerStatement> parseStatement(List<String> requestLimits, List<String> rejectionLimits) {
+        try {
+            return Optional.of(new ServerStatement(
+                    requestLimits.stream().mapToDouble(Double::parseDouble).min(),
+                    rejectionLimits.stream()
+                            .mapToInt(text -> Integer.parseInt(text.trim()))
+                            .min()));
+        } catch (IllegalArgumentException exception) {
+            LOGGER.info(
+                    "event=server-statement-malformed request_limits={} rejection_limits={}",
+                    requestLimits,
+                    rejectionLimits);
+            return Optional.empty();
+        }
     }
 }
--- a/src/main/java/org/borageproxy/server/GatewayControl.java
+++ b/src/main/java/org/borageproxy/server/GatewayControl.java
@@ -72,6 +72,9 @@
     private final ControlClient client;
     private final AdmissionService admission;
     private final FleetPlacement placement;
+    /** The servers with the load of all entries; used by the broker and the placement. */
+    private final ServerPool pool;
+
     private final SlotBroker slotBroker;
     private final StreamOrigins streamOrigins;
     /** Changes that the entries have not been told yet; confined to the event loop. */
@@ -87,6 +90,7 @@
         member = GroupMember.open(folder, LOG_SETTINGS, context);
         client = new ControlClient(
                 runtime.self(), runtime.network(), runtime::controlVms, runtime.clock(), runtime.timer());
+        pool = createServerPool();
         placement = createPlacement();
         streamOrigins = new StreamOrigins(runtime.clock());
         slotBroker = createSlotBroker();
@@ -150,20 +154,25 @@
                 Duration.ofMillis(settings.bounds().handoverDelayMillis()),
                 () -> publication,
                 runtime.membership().registry(),
-                runtime.protocol().createEngineClient(runtime.vertx()),
+                runtime.protocol().createEngineClient(runtime.vertx(), (server, statement) -> runtime.eventLoop()
+                        .execute(() -> pool.recordStatement(server, statement))),
                 this::notifyEntries,
                 runtime.clock(),
                 runtime.timer(),
                 runtime.eventLoop()));
     }
 
-    private SlotBroker createSlotBroker() {
-        ServerPool pool = new ServerPool(
+    private ServerPool createServerPool() {
+        ServerPool created = new ServerPool(
                 runtime.membership().registry(),
                 runtime.clock(),
                 runtime.settings().vm().zone(),
                 new Random());
-        pool.onGone(runtime::suspectServer);
+        created.onGone(runtime::suspectServer);
+        return created;
+    }
+
+    private SlotBroker createSlotBroker() {
         return new SlotBroker(new SlotBroker.Environment(
                 member::isLeader,
                 pool,
