Reproduce backend servers that get more requests than they take

The fault is triggered with a control VM, three entries and simulated servers of both kinds, which state a limit of 2 requests a second from all VMs together. The stand-in states header lines in all of its answers, notes the arrival of every request (orders and reads of its state as well), and serves a plain service.

--- a/src/test/java/org/borageproxy/platform/EngineStandIn.java
+++ b/src/test/java/org/borageproxy/platform/EngineStandIn.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.InterruptedIOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -19,7 +20,8 @@
 /**
  * A model engine that streams events, each with the version of the engine's software as its data. What it does with a
  * stream follows from the {@code X-Script} header that the caller sends. It crashes, as an engine does whose process
- * ends, when it begins to answer a request with a part of a prompt that {@link #crashOn} names. Thread safe.
+ * ends, when it begins to answer a request with a part of a prompt that {@link #crashOn} names. As a server of a plain
+ * service it answers each request with a short body. Thread safe.
  */
 final class EngineStandIn implements AutoCloseable {
 
@@ -32,26 +34,38 @@
     /** Answers the whole stream. */
     static final String WHOLE = "whole";
 
+    /** Time for which a server of a plain service works on a request; it has one slot. */
+    private static final long PLAIN_WORK_MILLIS = 60;
+
     private static final String MODELS = "\"Models\":[{\"Name\":\"m\",\"Version\":1,\"Adapters\":[]}]";
     private static final AtomicLong LAST_INCARNATION = new AtomicLong();
 
     private final String name;
     private final String software;
+    private final String service;
     private final boolean isFramed;
     private final int port;
     private final Set<String> crashingParts = ConcurrentHashMap.newKeySet();
     private final List<String> requests = new CopyOnWriteArrayList<>();
+    private final List<Long> arrivalsNanos = new CopyOnWriteArrayList<>();
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
     private final AtomicLong sequence = new AtomicLong();
+    /** Header lines of all answers, each with its end of line. */
+    private volatile String statement = "";
+
     private volatile long incarnation;
     private volatile ServerSocket listening;
 
     /**
-     * Starts an engine.
+     * Starts an engine, or a server of a plain service.
      *
+     * @param service the service, {@link PlatformFleet#ENGINES} or {@link PlatformFleet#PLAIN}
+     * @param name the name
+     * @param software the version of the software
      * @param isFramed whether streams are sent in chunks; otherwise they have no length and end with the connection
      */
-    EngineStandIn(String name, String software, boolean isFramed) throws IOException {
+    EngineStandIn(String service, String name, String software, boolean isFramed) throws IOException {
+        this.service = service;
         this.name = name;
         this.software = software;
         this.isFramed = isFramed;
@@ -107,6 +121,7 @@
     /** Answers a request and returns whether the connection stays open. */
     private boolean answer(String request, Socket connection) throws IOException {
         OutputStream output = connection.getOutputStream();
+        arrivalsNanos.add(System.nanoTime());
         if (request.startsWith("GET /report")) {
             write(
                     output,
@@ -114,12 +129,24 @@
                             + "\"KvTotal\":90000,\"Stage\":\"mixed\"," + MODELS));
             return true;
         }
+        if (request.startsWith("POST /p/")) {
+            requests.add(request);
+            workPlainly();
+            String identity = header(request, "X-Request-Id").orElse("");
+            write(
+                    output,
+                    document("")
+                            .replace(
+                                    "\r\n\r\n", "\r\nX-Server-Signature: s\r\nX-Request-Id: " + identity + "\r\n\r\n"));
+            return true;
+        }
         if (!request.startsWith("POST /e/")) {
             write(output, document(""));
             return true;
         }
         requests.add(request);
-        String head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Server-Signature: s\r\nX-Request-Id: "
+        String head = "HTTP/1.1 200 OK\r\n" + statement
+                + "Content-Type: text/event-stream\r\nX-Server-Signature: s\r\nX-Request-Id: "
                 + header(request, "X-Request-Id").orElse("") + "\r\n"
                 + (isFramed ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n");
         String parts = header(request, "X-Prompt-Prefix").orElse("");
@@ -163,10 +190,18 @@
         return isFramed ? Integer.toHexString(text.length()) + "\r\n" + text + "\r\n" : text;
     }
 
-    private static String document(String fields) {
+    private static void workPlainly() throws IOException {
+        try {
+            Thread.sleep(PLAIN_WORK_MILLIS);
+        } catch (InterruptedException exception) {
+            throw new InterruptedIOException("stopped");
+        }
+    }
+
+    private String document(String fields) {
         String body = "{" + fields + "}";
-        return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + body.length() + "\r\n\r\n"
-                + body;
+        return "HTTP/1.1 200 OK\r\n" + statement + "Content-Type: application/json\r\nContent-Length: " + body.length()
+                + "\r\n\r\n" + body;
     }
 
     private static void write(OutputStream output, String text) throws IOException {
@@ -194,6 +229,20 @@
         }
     }
 
+    /**
+     * Sets what the engine states in all further answers.
+     *
+     * @param headerLines header lines, each with its end of line; empty for none
+     */
+    void state(String headerLines) {
+        statement = headerLines;
+    }
+
+    /** Returns the clock readings at which requests arrived, those of callers and all others. */
+    List<Long> arrivalsNanos() {
+        return arrivalsNanos;
+    }
+
     /** Whether the engine runs; it does not between a crash and the next {@link #restart}. */
     boolean isRunning() {
         return !listening.isClosed();
@@ -201,9 +250,11 @@
 
     /** Returns the next heartbeat of the present incarnation. */
     String heartbeat() {
-        return "{\"Service\":\"engines\",\"Address\":\"127.0.0.1:" + port + "\",\"Zone\":\"a\",\"Version\":\""
+        boolean isEngine = service.equals(PlatformFleet.ENGINES);
+        return "{\"Service\":\"" + service + "\",\"Address\":\"127.0.0.1:" + port + "\",\"Zone\":\"a\",\"Version\":\""
                 + software
-                + "\",\"Slots\":64,\"State\":\"ready\",\"ColdRemainingMs\":0,\"Stage\":\"mixed\"," + MODELS
+                + "\",\"Slots\":" + (isEngine ? 64 : 1) + ",\"State\":\"ready\",\"ColdRemainingMs\":0"
+                + (isEngine ? ",\"Stage\":\"mixed\"," + MODELS : "")
                 + ",\"Sequence\":" + sequence.incrementAndGet() + ",\"born\":" + incarnation + "}";
     }
 
--- a/src/test/java/org/borageproxy/platform/PlatformFleet.java
+++ b/src/test/java/org/borageproxy/platform/PlatformFleet.java
@@ -33,16 +33,23 @@
     /** The bound within which the members of the fleet agree again after a change. */
     static final Duration STABLE = Duration.ofSeconds(3);
 
+    /** The service of the model engines. */
+    static final String ENGINES = "engines";
+    /** A plain service, whose requests may be repeated. */
+    static final String PLAIN = "plain";
+
     private static final String CONTROL = "127.0.1.10";
     private static final int HEARTBEAT_MILLIS = 300;
     private static final int OK = 200;
     private static final String PUBLICATION = """
             {"Version":1,"Routes":[{"Name":"r1","Host":"e.example","PathPrefix":"/e/","Type":"streaming",
             "TimeoutMs":9000,"TargetLatencyMs":5000,"Priority":1,"Service":"engines","MaxAttempts":2,"Sticky":true,
-            "Resumable":true,"TargetGapMs":400}],
+            "Resumable":true,"TargetGapMs":400},{"Name":"r2","Host":"e.example","PathPrefix":"/p/","Type":"safe",
+            "TimeoutMs":9000,"TargetLatencyMs":500,"Priority":1,"Service":"plain","MaxAttempts":2}],
             "Services":[{"Name":"engines","HealthPath":"/healthz","MaxConnections":90,"Engine":{"Slots":64,
             "KvCapacityTokens":90000,"Models":[{"Name":"m","WeightsMb":10.0,"LoadS":1.0,"Adapters":1,
-            "AdapterSizeMb":1.0}],"WeightsMb":100.0,"AdapterSlots":2,"LoadsPerS":2.0}}],
+            "AdapterSizeMb":1.0}],"WeightsMb":100.0,"AdapterSlots":2,"LoadsPerS":2.0}},
+            {"Name":"plain","HealthPath":"/healthz","MaxConnections":90}],
             "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
             "Tenants":[{"Name":"w","ApiKeys":["k"],"Priority":1,"Unit":"token_stream","PlainTokens":200,
             "RatePerS":0,"Burst":0}]}""";
@@ -141,7 +148,12 @@
 
     /** Starts an engine, which announces itself from then on. */
     EngineStandIn startEngine(String name, String software, boolean isFramed) throws Exception {
-        EngineStandIn engine = new EngineStandIn(name, software, isFramed);
+        return startServer(ENGINES, name, software, isFramed);
+    }
+
+    /** Starts a server of a service, which announces itself from then on. */
+    EngineStandIn startServer(String service, String name, String software, boolean isFramed) throws Exception {
+        EngineStandIn engine = new EngineStandIn(service, name, software, isFramed);
         synchronized (engines) {
             engines.add(engine);
         }
@@ -212,32 +224,51 @@
 
     /** Opens a connection to an entry, sends a request for the model and returns the connection. */
     Socket send(String entry, String identity, String parts, String extraHeaders) throws IOException {
+        return sendTo(
+                entry,
+                "/e/" + identity,
+                identity,
+                "X-Model: m\r\nX-Token-Count: 100,10\r\nX-Prompt-Prefix: " + parts + "\r\n" + extraHeaders);
+    }
+
+    /** Opens a connection to an entry, sends a request and returns the connection. */
+    private Socket sendTo(String entry, String path, String identity, String extraHeaders) throws IOException {
         Socket socket = new Socket(entry, callerPort);
         socket.setSoTimeout(15_000);
-        String request = "POST /e/" + identity + " HTTP/1.1\r\nHost: e.example\r\nX-Request-Id: " + identity
-                + "\r\nX-Credential: k\r\nX-Deadline-Ms: 9000\r\nX-Model: m\r\nX-Token-Count: 100,10\r\n"
-                + "X-Prompt-Prefix: " + parts + "\r\nConnection: close\r\n" + extraHeaders
+        String request = "POST " + path + " HTTP/1.1\r\nHost: e.example\r\nX-Request-Id: " + identity
+                + "\r\nX-Credential: k\r\nX-Deadline-Ms: 9000\r\nConnection: close\r\n" + extraHeaders
                 + "Content-Length: 2\r\n\r\nhi";
         socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
         return socket;
     }
 
+    /** Sends a request for the plain service and returns the whole answer, or what arrived of it. */
+    String callPlain(String entry, String identity) throws IOException {
+        try (Socket socket = sendTo(entry, "/p/" + identity, identity, "")) {
+            return readAll(socket);
+        }
+    }
+
     /** Sends a request and returns the whole answer, or what arrived of it before the connection broke. */
     String call(String entry, String identity, String parts, String extraHeaders) throws IOException {
         try (Socket socket = send(entry, identity, parts, extraHeaders)) {
-            StringBuilder answer = new StringBuilder();
-            InputStream input = socket.getInputStream();
-            try {
-                int next = input.read();
-                while (next >= 0) {
-                    answer.append((char) next);
-                    next = input.read();
-                }
-            } catch (IOException exception) {
-                answer.append("<broken>");
+            return readAll(socket);
+        }
+    }
+
+    private static String readAll(Socket socket) throws IOException {
+        StringBuilder answer = new StringBuilder();
+        InputStream input = socket.getInputStream();
+        try {
+            int next = input.read();
+            while (next >= 0) {
+                answer.append((char) next);
+                next = input.read();
             }
-            return answer.toString();
+        } catch (IOException exception) {
+            answer.append("<broken>");
         }
+        return answer.toString();
     }
 
     @Override
