--- a/src/main/java/org/borageproxy/coordination/Coordinator.java
+++ b/src/main/java/org/borageproxy/coordination/Coordinator.java
@@ -23,6 +23,7 @@
 import org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand;
 import org.borageproxy.wire.proto.CoordinationProtocol.RateShare;
 import org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage;
+import org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits;
 import org.borageproxy.wire.proto.CoordinationProtocol.UsageReport;
 import org.borageproxy.wire.proto.CoordinationProtocol.WorkspaceUsage;
 
@@ -44,6 +45,7 @@
     private final Supplier<List<VmName>> entries;
     private final Placement placement;
     private final BiConsumer<VmName, UsageReport> reportListener;
+    private final Limits limits;
     private final Map<VmName, ReceivedReport> reports = new HashMap<>();
     private final ServerUsageTotals usage = new ServerUsageTotals();
     private final Map<String, RateSplitter> splitters = new HashMap<>();
@@ -77,6 +79,24 @@
         long inventoryVersion();
     }
 
+    /** What the backend servers state about their capacity. */
+    public interface Limits {
+
+        /**
+         * Returns the stated limits of all servers.
+         *
+         * @return the limits with their ages
+         */
+        List<StatedLimits> all();
+
+        /**
+         * Returns the version of the limits. Entries that report another version receive all limits.
+         *
+         * @return a number that changes with every change of a limit
+         */
+        long version();
+    }
+
     /**
      * Creates a coordinator.
      *
@@ -86,6 +106,7 @@
      * @param entries supplies the registered VMs
      * @param placement receives model demand and supplies the inventories
      * @param reportListener receives each report
+     * @param limits what the backend servers state about their capacity
      */
     public Coordinator(
             GroupMember member,
@@ -93,13 +114,15 @@
             Supplier<Map<String, PublishedWorkspace>> workspaces,
             Supplier<List<VmName>> entries,
             Placement placement,
-            BiConsumer<VmName, UsageReport> reportListener) {
+            BiConsumer<VmName, UsageReport> reportListener,
+            Limits limits) {
         this.member = member;
         this.clock = clock;
         this.workspaces = workspaces;
         this.entries = entries;
         this.placement = placement;
         this.reportListener = reportListener;
+        this.limits = limits;
     }
 
     @Override
@@ -123,6 +146,12 @@
         if (report.getContentsVersion() != placement.inventoryVersion()) {
             placement.inventories().forEach((name, inventory) -> update.addContents(inventory.encode(name)));
         }
+        // The term makes the versions of two coordinators differ.
+        long limitsVersion = (update.getTerm() << Integer.SIZE) + limits.version();
+        update.setLimitsVersion(limitsVersion);
+        if (report.getLimitsVersion() != limitsVersion) {
+            update.addAllStatedLimits(limits.all());
+        }
         return CompletableFuture.completedFuture(update.build().toByteString());
     }
 
--- a/src/main/java/org/borageproxy/forward/BufferedRequest.java
+++ b/src/main/java/org/borageproxy/forward/BufferedRequest.java
@@ -7,6 +7,7 @@
 import org.borageproxy.publication.EnginePool;
 import org.borageproxy.publication.PublishedRoute;
 import org.borageproxy.publication.PublishedWorkspace;
+import org.borageproxy.routing.EngineWork;
 import org.borageproxy.time.Deadline;
 
 /**
@@ -53,6 +54,15 @@
                 : Deadline.after(arrivedAtNanos, objective).earlierOf(deadline);
     }
 
+    /**
+     * Returns the inference work of a request for a service of model engines.
+     *
+     * @return empty for a plain service
+     */
+    Optional<EngineWork> inferenceWork() {
+        return engines.isEmpty() ? Optional.empty() : metadata.work();
+    }
+
     /**
      * Returns the cost of the request under the workspace's token rate.
      *
--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -19,8 +19,8 @@
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.publication.Repeatability;
 import org.borageproxy.quota.RateShares;
-import org.borageproxy.routing.EngineWork;
 import org.borageproxy.routing.ServerSelector;
+import org.borageproxy.routing.ServerStatement;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer;
 
@@ -143,14 +143,14 @@
     }
 
     private void findServer() {
-        Optional<EngineWork> work = buffered.metadata().work();
-        if (work.isEmpty() || buffered.engines().isEmpty()) {
+        boolean isPlainService = buffered.inferenceWork().isEmpty();
+        if (isPlainService && !context.pool().isLimited(buffered.service())) {
             localSearch.search();
             return;
         }
         SlotClient.PriorAttempts priorAttempts =
                 new SlotClient.PriorAttempts(triedServers, serversWithoutModel, goneServers);
-        context.slotClient().request(buffered, work.get(), priorAttempts, origin, answer -> {
+        context.slotClient().request(buffered, priorAttempts, origin, answer -> {
             if (hasEnded) {
                 return;
             }
@@ -282,7 +282,7 @@
                 return;
             }
             if (answer.respondingServer().isEmpty()) {
-                answer.statement().ifPresent(statement -> context.pool().recordStatement(server, statement));
+                answer.statement().ifPresent(this::recordStatement);
             }
             if (answer.notRun()) {
                 handleNotRun(response, answer);
@@ -301,6 +301,12 @@
             }
         }
 
+        private void recordStatement(ServerStatement statement) {
+            long sentAtNanos =
+                    inFlightRequest.map(InFlightRequest::startedAtNanos).orElse(buffered.arrivedAtNanos());
+            context.pool().statements().recordAnswer(server, statement, sentAtNanos);
+        }
+
         private void handleNotRun(HttpResponse response, CallerProtocol.ResponseMetadata answer) {
             int status = response.status().code();
             possibleRuns--;
--- a/src/main/java/org/borageproxy/forward/InFlightRequest.java
+++ b/src/main/java/org/borageproxy/forward/InFlightRequest.java
@@ -103,6 +103,15 @@
         recordEnd();
     }
 
+    /**
+     * Returns when the request was sent.
+     *
+     * @return the clock reading in nanoseconds
+     */
+    long startedAtNanos() {
+        return startedAtNanos;
+    }
+
     /**
      * Returns the time since the request was sent.
      *
--- a/src/main/java/org/borageproxy/forward/LocalSearch.java
+++ b/src/main/java/org/borageproxy/forward/LocalSearch.java
@@ -78,6 +78,7 @@
         Optional<ServerSelector.Choice> choice = context.pool().choose(requirement);
         if (choice.isPresent()) {
             stop();
+            context.pool().statements().acquirePermit(choice.get().server());
             listener.onChosen(choice.get());
             return;
         }
@@ -86,7 +87,7 @@
             case ALL_TRIED -> listener.onNotFound(RefusalReason.REFUSED_BY_SERVERS);
             case NO_SERVER -> waitOrRefuse(RefusalReason.NO_SERVER, unavailability, MAX_SERVER_WAIT);
             case NO_ADAPTER -> waitOrRefuse(RefusalReason.MODEL_ABSENT, unavailability, MAX_ADAPTER_WAIT);
-            case CROWDED -> waitOrRefuse(RefusalReason.NO_CAPACITY, unavailability, capacityWait());
+            case CROWDED, LIMITED -> waitOrRefuse(RefusalReason.NO_CAPACITY, unavailability, capacityWait());
             default -> waitOrRefuse(RefusalReason.MODEL_ABSENT, unavailability, modelWait());
         }
     }
@@ -99,8 +100,12 @@
 
     /** Returns zero if the prefill of the requests ahead would take longer than the maximum wait. */
     private Duration capacityWait() {
-        EngineWork work = buffered.metadata().work().orElseThrow();
-        double prefillRate = context.pool().prefillTokensPerMillisecond(buffered.service(), work.model());
+        Optional<EngineWork> work = buffered.metadata().work();
+        if (work.isEmpty()) {
+            return Duration.ZERO;
+        }
+        double prefillRate = context.pool()
+                .prefillTokensPerMillisecond(buffered.service(), work.get().model());
         double aheadMillis =
                 context.pool().queuedTokensAhead(newQueuedRequest()) * ASSUMED_QUEUES / Math.max(0.1, prefillRate);
         long leftMillis =
@@ -113,7 +118,7 @@
         return new RequestQueue.QueuedRequest(
                 buffered.urgency(),
                 buffered.objectiveDeadline(),
-                buffered.metadata().work().orElseThrow(),
+                buffered.metadata().work(),
                 searchAgain);
     }
 
@@ -126,7 +131,8 @@
             listener.onNotFound(reason);
             return;
         }
-        isModelMissing = unavailability != ServerPool.Unavailability.CROWDED;
+        isModelMissing = unavailability != ServerPool.Unavailability.CROWDED
+                && unavailability != ServerPool.Unavailability.LIMITED;
         queuedRequest = Optional.of(newQueuedRequest());
         timer = context.eventLoop()
                 .schedule(() -> listener.onNotFound(reason), maximumWait.toNanos(), TimeUnit.NANOSECONDS);
--- a/src/main/java/org/borageproxy/forward/RequestQueue.java
+++ b/src/main/java/org/borageproxy/forward/RequestQueue.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 
 import org.borageproxy.routing.EngineWork;
 import org.borageproxy.time.Deadline;
@@ -20,10 +21,10 @@
      *
      * @param rank the rank; the lowest goes first
      * @param objectiveDeadline the time after which the answer misses its objective
-     * @param work the inference work
+     * @param work the inference work; empty for a plain service
      * @param retry searches for a server again
      */
-    record QueuedRequest(int rank, Deadline objectiveDeadline, EngineWork work, Runnable retry) {}
+    record QueuedRequest(int rank, Deadline objectiveDeadline, Optional<EngineWork> work, Runnable retry) {}
 
     void add(QueuedRequest request) {
         int position = 0;
@@ -37,12 +38,17 @@
         return queue.remove(request);
     }
 
+    int size() {
+        return queue.size();
+    }
+
     /** Returns the prompt tokens of requests for the same model that do not rank behind the request. */
     long tokensAhead(QueuedRequest request) {
         return queue.stream()
-                .filter(each -> each.work().model().equals(request.work().model())
-                        && BY_RANK_AND_OBJECTIVE.compare(each, request) <= 0)
-                .mapToLong(each -> each.work().promptTokens())
+                .filter(each ->
+                        each.work().map(EngineWork::model).equals(request.work().map(EngineWork::model))
+                                && BY_RANK_AND_OBJECTIVE.compare(each, request) <= 0)
+                .mapToLong(each -> each.work().map(EngineWork::promptTokens).orElse(0))
                 .sum();
     }
 
--- a/src/main/java/org/borageproxy/forward/ServerPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerPool.java
@@ -1,6 +1,8 @@
 package org.borageproxy.forward;
 
+import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -8,7 +10,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 
 import org.borageproxy.coordination.ModelInventory;
 import org.borageproxy.membership.BackendServer;
@@ -19,8 +23,7 @@
 import org.borageproxy.routing.EngineWork;
 import org.borageproxy.routing.ServerLoad;
 import org.borageproxy.routing.ServerSelector;
-import org.borageproxy.routing.ServerStatement;
-import org.borageproxy.routing.ServerStatements;
+import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
 import org.borageproxy.vm.AvailabilityZone;
 import org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand;
@@ -37,17 +40,19 @@
     /** Assumed KV cache capacity of a server whose engine pool is not published. */
     private static final long DEFAULT_CACHE_TOKENS = 100_000;
 
+    private static final double MILLIS_PER_SECOND = 1e3;
+
     private final BackendServers servers;
     private final MonotonicClock clock;
     private final AvailabilityZone zone;
     private final RandomGenerator random;
     private final Map<BackendServerName, ServerLoad> loads = new HashMap<>();
-    private final Map<BackendServerName, ModelInventory> inventories = new HashMap<>();
+    private final ModelInventories inventories = new ModelInventories();
     private final Map<BackendServerName, Long> goneIncarnations = new HashMap<>();
     private final ModelLatencyRatios latencyRatios = new ModelLatencyRatios();
     private final ModelDemandCounter demandCounter = new ModelDemandCounter();
     private final RequestQueue queue = new RequestQueue();
-    private final ServerStatements statements = new ServerStatements();
+    private final ServerStatements statements;
     private Runnable urgentDemandListener = () -> {};
     private Runnable loadChangeListener = () -> {};
     private Consumer<BackendServer> goneListener = server -> {};
@@ -65,6 +70,8 @@
          * memory, or have so long a prefill backlog that the request would stall their running streams.
          */
         CROWDED,
+        /** Untried servers could run the request, but all of them have used up the request limits that they state. */
+        LIMITED,
         /** All servers that could run the request were tried. */
         ALL_TRIED
     }
@@ -76,12 +83,39 @@
      * @param clock the clock
      * @param zone the availability zone of this VM
      * @param random breaks ties
+     * @param limitShare supplies the fraction of stated request limits that this VM may use; one for the coordinator
      */
-    public ServerPool(BackendServers servers, MonotonicClock clock, AvailabilityZone zone, RandomGenerator random) {
+    public ServerPool(
+            BackendServers servers,
+            MonotonicClock clock,
+            AvailabilityZone zone,
+            RandomGenerator random,
+            DoubleSupplier limitShare) {
         this.servers = servers;
         this.clock = clock;
         this.zone = zone;
         this.random = random;
+        this.statements = new ServerStatements(clock, random, limitShare);
+    }
+
+    /**
+     * Returns what the servers state about their capacity.
+     *
+     * @return the statements, which the caller updates
+     */
+    public ServerStatements statements() {
+        return statements;
+    }
+
+    /**
+     * Returns whether any server of a service states limits.
+     *
+     * @param service the service
+     * @return {@code true} if the coordinator has to grant the requests for the service
+     */
+    boolean isLimited(String service) {
+        return servers.current().stream()
+                .anyMatch(server -> server.services().contains(service) && statements.isLimiting(server));
     }
 
     /**
@@ -123,7 +157,9 @@
         List<ServerSelector.Candidate> candidates = new ArrayList<>();
         String modelOrService = requirement.work().map(EngineWork::model).orElse(requirement.service());
         for (BackendServer server : servers.current()) {
-            if (acceptsWork(server, requirement) && canRun(server, requirement.work())) {
+            if (isCapable(server, requirement)
+                    && !requirement.triedServers().contains(server.name())
+                    && statements.isPermitted(server)) {
                 candidates.add(new ServerSelector.Candidate(
                         server, load(server, requirement.engines()), latencyRatios.of(modelOrService)));
             }
@@ -133,6 +169,10 @@
         return ServerSelector.INSTANCE.choose(query, candidates, clock.nanoTime(), random);
     }
 
+    private boolean isCapable(BackendServer server, ServerRequirement requirement) {
+        return acceptsWork(server, requirement) && canRun(server, requirement.work());
+    }
+
     private boolean acceptsWork(BackendServer server, ServerRequirement requirement) {
         return acceptsWork(server, requirement.service()) && requirement.isMetBy(server);
     }
@@ -155,13 +195,9 @@
 
     private boolean canRun(BackendServer server, Optional<EngineWork> work) {
         return work.isEmpty()
-                || inventory(server).contains(work.get().model(), work.get().adapter());
-    }
-
-    private ModelInventory inventory(BackendServer server) {
-        ModelInventory known = inventories.get(server.name());
-        boolean isCurrent = known != null && known.incarnation() == server.incarnation();
-        return isCurrent ? known : ModelInventory.announcedBy(server);
+                || inventories
+                        .of(server)
+                        .contains(work.get().model(), work.get().adapter());
     }
 
     private ServerLoad load(BackendServer server, Optional<EnginePool> engines) {
@@ -181,17 +217,7 @@
      * @param work the refused work
      */
     void recordMissingModel(BackendServer server, EngineWork work) {
-        inventories.put(server.name(), inventory(server).without(work.model(), work.adapter()));
-    }
-
-    /**
-     * Records what a server states about its capacity in an answer to this VM.
-     *
-     * @param server the server
-     * @param statement the statement
-     */
-    public void recordStatement(BackendServer server, ServerStatement statement) {
-        statements.recordAnswer(server, statement);
+        inventories.recordMissing(server, work.model(), work.adapter());
     }
 
     /**
@@ -232,16 +258,63 @@
         List<BackendServer> capable =
                 accepting.stream().filter(server -> canRun(server, work)).toList();
         if (!capable.isEmpty()) {
-            boolean areAllTried = capable.stream()
-                    .allMatch(server -> requirement.triedServers().contains(server.name()));
-            return areAllTried ? Unavailability.ALL_TRIED : Unavailability.CROWDED;
+            List<BackendServer> untried = capable.stream()
+                    .filter(server -> !requirement.triedServers().contains(server.name()))
+                    .toList();
+            if (untried.isEmpty()) {
+                return Unavailability.ALL_TRIED;
+            }
+            return untried.stream()
+                            .allMatch(server ->
+                                    statements.requestLimit(server).isPresent() && !statements.isPermitted(server))
+                    ? Unavailability.LIMITED
+                    : Unavailability.CROWDED;
         }
         String model = work.orElseThrow().model();
         boolean isModelLoaded =
-                accepting.stream().anyMatch(server -> inventory(server).contains(model, ""));
+                accepting.stream().anyMatch(server -> inventories.of(server).contains(model, ""));
         return isModelLoaded ? Unavailability.NO_ADAPTER : Unavailability.NO_MODEL;
     }
 
+    /**
+     * Returns when the servers that limit their requests can take one that is queued behind others.
+     *
+     * @param requirement what the request requires
+     * @return the time at which all queued requests for the service and this one have had their permits
+     */
+    Deadline permittedAt(ServerRequirement requirement) {
+        double rate = untried(requirement)
+                .mapToDouble(server -> statements.requestLimit(server).orElse(0))
+                .sum();
+        double queueSeconds = queue.size() / Math.max(RequestPermits.MIN_RATE, rate);
+        return Deadline.after(
+                firstPermitAt(requirement).atNanos(), Duration.ofMillis((long) (queueSeconds * MILLIS_PER_SECOND)));
+    }
+
+    private Stream<BackendServer> untried(ServerRequirement requirement) {
+        return servers.current().stream()
+                .filter(server -> isCapable(server, requirement)
+                        && !requirement.triedServers().contains(server.name()));
+    }
+
+    /**
+     * Returns when the first of the servers that limit their requests takes another one.
+     *
+     * @param requirement what the request requires
+     * @return the time
+     */
+    Deadline firstPermitAt(ServerRequirement requirement) {
+        return untried(requirement)
+                .map(statements::permittedAt)
+                .min(Comparator.naturalOrder())
+                .orElseGet(() -> new Deadline(clock.nanoTime()));
+    }
+
+    /** Retries all queued requests in their order. */
+    void retryQueued() {
+        queue.retryAll();
+    }
+
     /**
      * Returns the origin of any stream of a service, if all of its announced servers run the same software version.
      *
@@ -288,15 +361,16 @@
      * they would be added as well.
      *
      * @param choice the server that this pool selected
-     * @param work the inference work
+     * @param work the inference work; empty for a plain service
      */
-    void recordAssignment(ServerSelector.Choice choice, EngineWork work) {
+    void recordAssignment(ServerSelector.Choice choice, Optional<EngineWork> work) {
+        statements.acquirePermit(choice.server());
         ServerLoad load = loads.get(choice.server().name());
-        load.prefixCache().recordPrompt(work);
+        work.ifPresent(load.prefixCache()::recordPrompt);
         load.setOtherVmLoad(
                 load.totalRequests() + 1,
                 load.totalPrefillTokens() + choice.prefillTokens(),
-                load.totalReservedTokens() + work.totalTokens());
+                load.totalReservedTokens() + work.map(EngineWork::totalTokens).orElse(0));
     }
 
     /**
@@ -386,7 +460,7 @@
     void enqueue(String service, RequestQueue.QueuedRequest request, boolean isModelMissing) {
         queue.add(request);
         if (isModelMissing) {
-            demandCounter.addWaiting(service, request.work(), 1);
+            request.work().ifPresent(work -> demandCounter.addWaiting(service, work, 1));
             urgentDemandListener.run();
         }
     }
@@ -400,7 +474,7 @@
      */
     void dequeue(String service, RequestQueue.QueuedRequest request, boolean wasModelMissing) {
         if (queue.remove(request) && wasModelMissing) {
-            demandCounter.addWaiting(service, request.work(), -1);
+            request.work().ifPresent(work -> demandCounter.addWaiting(service, work, -1));
         }
     }
 
@@ -425,7 +499,7 @@
     double prefillTokensPerMillisecond(String service, String model) {
         long serverCount = servers.current().stream()
                 .filter(server ->
-                        acceptsWork(server, service) && inventory(server).contains(model, ""))
+                        acceptsWork(server, service) && inventories.of(server).contains(model, ""))
                 .count();
         return serverCount * ServerSelector.PREFILL_TOKENS_PER_MILLISECOND / latencyRatios.of(model);
     }
@@ -436,16 +510,10 @@
      * @param newInventories the inventories by server
      */
     public void updateInventories(Map<BackendServerName, ModelInventory> newInventories) {
-        newInventories.forEach((name, inventory) -> inventories.merge(name, inventory, ServerPool::newer));
+        inventories.update(newInventories);
         queue.retryAll();
     }
 
-    private static ModelInventory newer(ModelInventory known, ModelInventory offered) {
-        boolean isOlder = offered.incarnation() < known.incarnation()
-                || offered.incarnation() == known.incarnation() && offered.acceptedOrders() < known.acceptedOrders();
-        return isOlder ? known : offered;
-    }
-
     /**
      * Updates the load of the other VMs and retries the queued requests. Servers that were never considered for a
      * request are skipped.
@@ -523,7 +591,7 @@
         Set<BackendServerName> known = new LinkedHashSet<>();
         servers.current().forEach(server -> known.add(server.name()));
         loads.keySet().retainAll(known);
-        inventories.keySet().retainAll(known);
+        inventories.retain(known);
         statements.retain(known);
         goneIncarnations.keySet().retainAll(known);
     }
--- /dev/null
+++ b/src/main/java/org/borageproxy/forward/ServerStatements.java
@@ -0,0 +1,274 @@
+package org.borageproxy.forward;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.function.DoubleSupplier;
+import java.util.random.RandomGenerator;
+
+import org.borageproxy.coordination.Coordinator;
+import org.borageproxy.membership.BackendServer;
+import org.borageproxy.membership.BackendServerName;
+import org.borageproxy.routing.ServerStatement;
+import org.borageproxy.time.Deadline;
+import org.borageproxy.time.MonotonicClock;
+import org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The latest statement of each backend server about its capacity, from its answers to this VM and from other VMs, and
+ * the permits that follow from stated request limits. A statement belongs to one incarnation of its server. Of two
+ * statements the later one holds; a statement without limits counts from the time at which the request that it answers
+ * was sent, so that answers which were on their way do not end a limit. Not thread safe; confined to one event loop.
+ */
+public final class ServerStatements implements Coordinator.Limits {
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(ServerStatements.class);
+    /** Time for which the end of a limit is remembered, so that it outlasts older statements of other VMs. */
+    private static final Duration END_RETENTION = Duration.ofSeconds(10);
+
+    private final MonotonicClock clock;
+    private final RandomGenerator random;
+    private final DoubleSupplier share;
+    private final Map<BackendServerName, Known> known = new HashMap<>();
+    private Runnable changeListener = () -> {};
+    private long version;
+    private long confirmedTerm;
+
+    private static final class Known {
+        private final long incarnation;
+        private final RequestPermits permits;
+        private ServerStatement statement = ServerStatement.NONE;
+        private long statedAtNanos;
+        /** Whether the coordinator has answered a report with the statement. */
+        private boolean isReported;
+        /** Whether the report that is in flight includes the statement. */
+        private boolean isInReport;
+
+        private Known(long incarnation, RequestPermits permits, long statedAtNanos) {
+            this.incarnation = incarnation;
+            this.permits = permits;
+            this.statedAtNanos = statedAtNanos;
+        }
+    }
+
+    /**
+     * Creates an instance without statements.
+     *
+     * @param clock the clock
+     * @param random the source for draws of permits
+     * @param share supplies the fraction of each request limit that this VM may use; one if it holds the whole rate
+     */
+    public ServerStatements(MonotonicClock clock, RandomGenerator random, DoubleSupplier share) {
+        this.clock = clock;
+        this.random = random;
+        this.share = share;
+    }
+
+    /**
+     * Sets the action to run when an answer to this VM has changed a statement.
+     *
+     * @param listener reports the change to the coordinator
+     */
+    public void onChange(Runnable listener) {
+        changeListener = listener;
+    }
+
+    /**
+     * Records the statement in an answer to this VM.
+     *
+     * @param server the server that answered
+     * @param statement the statement
+     * @param sentAtNanos the clock reading at which the answered request was sent
+     */
+    public void recordAnswer(BackendServer server, ServerStatement statement, long sentAtNanos) {
+        long statedAtNanos = statement.isLimiting() ? clock.nanoTime() : sentAtNanos;
+        if (update(server.name(), server.incarnation(), statement, statedAtNanos, "answer")) {
+            changeListener.run();
+        }
+    }
+
+    private boolean update(
+            BackendServerName name, long incarnation, ServerStatement statement, long statedAtNanos, String source) {
+        Known previous = known.get(name);
+        boolean isKnown = previous != null && previous.incarnation >= incarnation;
+        if (isKnown ? previous.incarnation > incarnation : !statement.isLimiting()) {
+            return false;
+        }
+        Known current = isKnown ? previous : create(name, incarnation, statedAtNanos);
+        boolean isChange = statedAtNanos - current.statedAtNanos >= 0 && !statement.equals(current.statement);
+        if (source.equals("answer") || isChange) {
+            current.statedAtNanos += Math.max(0, statedAtNanos - current.statedAtNanos);
+        }
+        if (!isChange) {
+            return false;
+        }
+        current.statement = statement;
+        current.isReported = false;
+        current.isInReport = false;
+        statement.requestLimit().ifPresent(current.permits::changeLimit);
+        version++;
+        LOGGER.info("event=server-stated server={} incarnation={} {} source={}", name, incarnation, statement, source);
+        return true;
+    }
+
+    private Known create(BackendServerName name, long incarnation, long statedAtNanos) {
+        Known created = new Known(incarnation, new RequestPermits(0, random, clock.nanoTime()), statedAtNanos);
+        known.put(name, created);
+        return created;
+    }
+
+    /**
+     * Returns whether a server states any limit.
+     *
+     * @param server the server
+     * @return {@code false} for a server without a statement
+     */
+    public boolean isLimiting(BackendServer server) {
+        return statement(server).isLimiting();
+    }
+
+    private ServerStatement statement(BackendServer server) {
+        Known current = known.get(server.name());
+        boolean isKnown = current != null && current.incarnation == server.incarnation();
+        return isKnown ? current.statement : ServerStatement.NONE;
+    }
+
+    /**
+     * Returns whether this VM may send a request to a server now, as far as the server's request limit is concerned.
+     *
+     * @param server the server
+     * @return {@code true} for a server without a request limit
+     */
+    public boolean isPermitted(BackendServer server) {
+        return statement(server).requestLimit().isEmpty()
+                || known.get(server.name()).permits.isAvailable(share.getAsDouble(), clock.nanoTime());
+    }
+
+    /**
+     * Uses the permit for a request to a server; without effect for a server without a request limit.
+     *
+     * @param server the server
+     */
+    public void acquirePermit(BackendServer server) {
+        if (statement(server).requestLimit().isPresent()) {
+            known.get(server.name()).permits.acquire(share.getAsDouble(), clock.nanoTime());
+        }
+    }
+
+    /**
+     * Returns when a holder of the whole rate may send its next request to a server.
+     *
+     * @param server the server
+     * @return a time that has passed for a server without a request limit
+     */
+    Deadline permittedAt(BackendServer server) {
+        long nowNanos = clock.nanoTime();
+        return statement(server).requestLimit().isEmpty()
+                ? new Deadline(nowNanos)
+                : known.get(server.name()).permits.availableAt(nowNanos);
+    }
+
+    /**
+     * Returns the requests per second that a server takes from all VMs.
+     *
+     * @param server the server
+     * @return empty if the server states no request limit
+     */
+    OptionalDouble requestLimit(BackendServer server) {
+        return statement(server).requestLimit();
+    }
+
+    /**
+     * Merges statements that another VM knows.
+     *
+     * @param statements the statements
+     */
+    public void merge(List<StatedLimits> statements) {
+        long nowNanos = clock.nanoTime();
+        for (StatedLimits stated : statements) {
+            ServerStatement statement = new ServerStatement(
+                    stated.hasRequestsPerSecond()
+                            ? OptionalDouble.of(stated.getRequestsPerSecond())
+                            : OptionalDouble.empty(),
+                    stated.hasRejections() ? OptionalInt.of(stated.getRejections()) : OptionalInt.empty());
+            long statedAtNanos =
+                    nowNanos - Duration.ofMillis(stated.getAgeMillis()).toNanos();
+            update(new BackendServerName(stated.getName()), stated.getIncarnation(), statement, statedAtNanos, "vm");
+        }
+    }
+
+    /**
+     * Returns the statements that the coordinator has not confirmed yet.
+     *
+     * @return the statements for the next report
+     */
+    public List<StatedLimits> collectUnreported() {
+        List<StatedLimits> unreported = new ArrayList<>();
+        known.forEach((name, each) -> {
+            if (!each.isReported) {
+                each.isInReport = true;
+                unreported.add(encode(name, each));
+            }
+        });
+        return unreported;
+    }
+
+    /**
+     * Records that the coordinator has answered the report that was in flight. A coordinator of another term gets all
+     * statements again.
+     *
+     * @param term the term of the coordinator
+     */
+    public void confirmReport(long term) {
+        boolean isNewTerm = term != confirmedTerm;
+        confirmedTerm = term;
+        for (Known each : known.values()) {
+            each.isReported = each.isInReport || each.isReported && !isNewTerm;
+            each.isInReport = false;
+        }
+    }
+
+    @Override
+    public List<StatedLimits> all() {
+        List<StatedLimits> statements = new ArrayList<>();
+        known.forEach((name, each) -> statements.add(encode(name, each)));
+        return statements;
+    }
+
+    private StatedLimits encode(BackendServerName name, Known each) {
+        long ageNanos = Math.max(0, clock.nanoTime() - each.statedAtNanos);
+        StatedLimits.Builder stated = StatedLimits.newBuilder()
+                .setName(name.value())
+                .setIncarnation(each.incarnation)
+                .setAgeMillis(Duration.ofNanos(ageNanos).toMillis());
+        each.statement.requestLimit().ifPresent(stated::setRequestsPerSecond);
+        each.statement.rejectionLimit().ifPresent(stated::setRejections);
+        return stated.build();
+    }
+
+    @Override
+    public long version() {
+        return version;
+    }
+
+    /**
+     * Removes the statements of servers that are no longer announced, and ends of limits that are old.
+     *
+     * @param announced the announced servers
+     */
+    public void retain(Set<BackendServerName> announced) {
+        long nowNanos = clock.nanoTime();
+        known.entrySet()
+                .removeIf(entry -> !announced.contains(entry.getKey())
+                        || !entry.getValue().statement.isLimiting()
+                                && Deadline.after(entry.getValue().statedAtNanos, END_RETENTION)
+                                        .hasPassed(nowNanos));
+    }
+}
--- a/src/main/java/org/borageproxy/forward/SlotBroker.java
+++ b/src/main/java/org/borageproxy/forward/SlotBroker.java
@@ -35,9 +35,10 @@
 
 /**
  * Grants slots at model engines to the requests of all entries, on the coordinator, so that entries do not overload an
- * engine independently of one another. A request without a slot waits in the order of ranks and objectives: for
- * capacity while it can still meet its objective, for a model that is being loaded if that ends before the request's
- * deadline. An entry that gets no answer selects a server itself. Not thread safe; confined to one event loop.
+ * engine independently of one another; also at plain services whose servers state limits. A request without a slot
+ * waits in the order of ranks and objectives: for capacity while it can still meet its objective, for a model that is
+ * being loaded if that ends before the request's deadline. An entry that gets no answer selects a server itself. Not
+ * thread safe; confined to one event loop.
  */
 public final class SlotBroker implements VmNetwork.Handler {
 
@@ -59,6 +60,8 @@
     private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(300);
     /** Delay after a report until the usage is updated and the queued requests are retried. */
     private static final Duration REFRESH_DELAY = Duration.ofMillis(4);
+
+    private static final double NANOS_PER_MILLISECOND = 1e6;
     /** Maximum delay of an answer; a request that has to wait longer is told to ask again. */
     static final Duration MAX_ANSWER_DELAY = Duration.ofMillis(200);
 
@@ -159,6 +162,7 @@
         entry.reportedUsage = report.getServersList();
         entry.expiresAt = Deadline.after(nowNanos, Duration.ofMillis(1500));
         report.getServersList().forEach(pool::applyOutcomes);
+        pool.statements().merge(report.getStatedLimitsList());
         origins.recordReported(report.getBegunStreamsList());
         report.getPacesList().forEach(pace -> pool.mergeLatencyRatio(pace.getModel(), pace.getPace()));
         scheduleRefresh();
@@ -241,7 +245,7 @@
     private final class Search {
         private final VmName sender;
         private final SlotRequest request;
-        private final EngineWork work;
+        private final Optional<EngineWork> work;
         private final CompletableFuture<ByteString> answer;
         private final RequestQueue.QueuedRequest queuedRequest;
         private final ServerRequirement requirement;
@@ -255,12 +259,14 @@
             List<EngineWork.PromptPart> parts = request.getPartsList().stream()
                     .map(part -> new EngineWork.PromptPart(part.getIdentity(), part.getTokens()))
                     .toList();
-            work = new EngineWork(
-                    request.getModel(),
-                    request.getAdapter(),
-                    request.getPromptTokens(),
-                    request.getOutputTokens(),
-                    parts);
+            work = request.getModel().isEmpty()
+                    ? Optional.empty()
+                    : Optional.of(new EngineWork(
+                            request.getModel(),
+                            request.getAdapter(),
+                            request.getPromptTokens(),
+                            request.getOutputTokens(),
+                            parts));
             Deadline objective =
                     Deadline.after(environment.clock().nanoTime(), Duration.ofMillis(request.getObjectiveMillis()));
             queuedRequest = new RequestQueue.QueuedRequest(request.getRank(), objective, work, this::searchAgain);
@@ -272,7 +278,7 @@
             requirement = new ServerRequirement(
                     request.getService(),
                     environment.engines().apply(request.getService()),
-                    Optional.of(work),
+                    work,
                     triedServers,
                     origin);
         }
@@ -304,7 +310,7 @@
                     .setIncarnation(choice.server().incarnation())
                     .setRequests(1)
                     .setPromptTokens(choice.prefillTokens())
-                    .setHeldTokens(work.totalTokens())
+                    .setHeldTokens(work.map(EngineWork::totalTokens).orElse(0))
                     .build();
             Deadline expiresAt = Deadline.after(environment.clock().nanoTime(), UNREPORTED_GRANT_VALIDITY);
             entry.grants.add(new Grant(entry.lastSlot, granted, expiresAt));
@@ -328,7 +334,8 @@
                 case NO_SERVER -> refuse(SlotAnswer.Outcome.NO_SERVER, MIN_RETRY_AFTER);
                 case ALL_TRIED -> refuse(SlotAnswer.Outcome.ALL_TRIED, MIN_RETRY_AFTER);
                 case CROWDED -> waitForCapacity();
-                default -> waitForModel(unavailability);
+                case LIMITED -> waitForPermit();
+                default -> waitForModel(unavailability, work.orElseThrow());
             }
         }
 
@@ -336,9 +343,9 @@
             return requirement.origin().map(StreamOrigin::softwareVersion);
         }
 
-        private void waitForModel(ServerPool.Unavailability unavailability) {
+        private void waitForModel(ServerPool.Unavailability unavailability, EngineWork missing) {
             Optional<Deadline> availableAt =
-                    environment.demand().availableAt(request.getService(), work, softwareVersion());
+                    environment.demand().availableAt(request.getService(), missing, softwareVersion());
             // Models, unlike adapters, are placed without regard to software versions.
             boolean mayBeOrdered = requirement.origin().isEmpty()
                     || unavailability == ServerPool.Unavailability.NO_ADAPTER
@@ -367,8 +374,35 @@
         }
 
         private void waitForCapacity() {
-            double prefillRate = Math.max(0.1, pool.prefillTokensPerMillisecond(request.getService(), work.model()));
-            double aheadMillis = pool.queuedTokensAhead(queuedRequest) / prefillRate;
+            double prefillRate = work.map(each -> pool.prefillTokensPerMillisecond(request.getService(), each.model()))
+                    .orElse(0.0);
+            double aheadMillis = pool.queuedTokensAhead(queuedRequest) / Math.max(0.1, prefillRate);
+            waitForCapacity(aheadMillis, false);
+        }
+
+        /** A model all of whose servers limit their requests is in demand like one that is not loaded. */
+        private void waitForPermit() {
+            long nowNanos = environment.clock().nanoTime();
+            long aheadNanos = pool.permittedAt(requirement).remainingNanos(nowNanos);
+            waitForCapacity(aheadNanos / NANOS_PER_MILLISECOND, true);
+            if (isWaiting) {
+                retryAtNextPermit(nowNanos);
+            }
+        }
+
+        private void retryAtNextPermit(long nowNanos) {
+            Duration delay = Duration.ofNanos(pool.firstPermitAt(requirement).remainingNanos(nowNanos));
+            environment.timer().schedule(delay.compareTo(REFRESH_DELAY) < 0 ? REFRESH_DELAY : delay, () -> {
+                if (isWaiting) {
+                    pool.retryQueued();
+                }
+                if (isWaiting) {
+                    retryAtNextPermit(environment.clock().nanoTime());
+                }
+            });
+        }
+
+        private void waitForCapacity(double aheadMillis, boolean isInDemand) {
             double totalMillis = (double) request.getObjectiveMillis() + request.getWaitedMillis();
             double maximumWaitMillis = totalMillis * CAPACITY_WAIT_SHARE - request.getWaitedMillis();
             // A retry makes sense once the queue ahead has drained, and not before the maximum wait is over.
@@ -377,7 +411,11 @@
             if (aheadMillis > maximumWaitMillis) {
                 refuse(SlotAnswer.Outcome.CROWDED, retryAfter);
             } else {
-                waitFor(Duration.ofMillis((long) maximumWaitMillis), SlotAnswer.Outcome.CROWDED, retryAfter, false);
+                waitFor(
+                        Duration.ofMillis((long) maximumWaitMillis),
+                        SlotAnswer.Outcome.CROWDED,
+                        retryAfter,
+                        isInDemand);
             }
         }
 
@@ -386,9 +424,7 @@
             isWaiting = true;
             isModelMissing = isForModel;
             pool.enqueue(request.getService(), queuedRequest, false);
-            if (isForModel) {
-                environment.demand().addWaiting(request.getService(), work, softwareVersion(), 1);
-            }
+            changeDemand(1);
             boolean isLong = maximumWait.compareTo(MAX_ANSWER_DELAY) > 0;
             environment.timer().schedule(isLong ? MAX_ANSWER_DELAY : maximumWait, () -> {
                 if (isWaiting) {
@@ -401,8 +437,13 @@
         private void stopWaiting() {
             isWaiting = false;
             pool.dequeue(request.getService(), queuedRequest, false);
+            changeDemand(-1);
+        }
+
+        private void changeDemand(int change) {
             if (isModelMissing) {
-                environment.demand().addWaiting(request.getService(), work, softwareVersion(), -1);
+                work.ifPresent(
+                        each -> environment.demand().addWaiting(request.getService(), each, softwareVersion(), change));
             }
         }
 
--- a/src/main/java/org/borageproxy/forward/SlotClient.java
+++ b/src/main/java/org/borageproxy/forward/SlotClient.java
@@ -23,8 +23,9 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Requests slots at model engines from the coordinator. After a request without an answer in time, no further request
- * is sent during a backoff, in which this VM selects servers itself. Not thread safe; confined to one event loop.
+ * Requests slots at model engines, and at plain services whose servers state limits, from the coordinator. After a
+ * request without an answer in time, no further request is sent during a backoff, in which this VM selects servers
+ * itself. Not thread safe; confined to one event loop.
  */
 public final class SlotClient {
 
@@ -102,14 +103,12 @@
      * Requests a slot.
      *
      * @param buffered the request
-     * @param work the inference work
      * @param priorAttempts the results of earlier attempts
      * @param origin what began the stream that the request continues; empty for a request that any server can run
      * @param listener receives the answer, possibly before this method returns
      */
     void request(
             BufferedRequest buffered,
-            EngineWork work,
             PriorAttempts priorAttempts,
             Optional<StreamOrigin> origin,
             AnswerListener listener) {
@@ -123,16 +122,10 @@
         SlotRequest.Builder request = SlotRequest.newBuilder()
                 .setZone(zone.value())
                 .setService(buffered.service())
-                .setModel(work.model())
-                .setAdapter(work.adapter())
-                .setPromptTokens(work.promptTokens())
-                .setOutputTokens(work.outputTokens())
                 .setRank(buffered.urgency())
                 .setObjectiveMillis((int) objectiveMillis)
                 .setDeadlineMillis((int) buffered.deadline().remainingMillis(nowNanos));
-        work.promptParts()
-                .forEach(part -> request.addParts(
-                        PartOfPrompt.newBuilder().setIdentity(part.identity()).setTokens(part.tokens())));
+        buffered.inferenceWork().ifPresent(work -> addWork(request, work));
         priorAttempts.triedServers().forEach(name -> request.addTried(name.value()));
         priorAttempts.serversWithoutModel().forEach(name -> request.addAbsentAt(name.value()));
         priorAttempts.goneServers().forEach(name -> request.addGone(name.value()));
@@ -148,6 +141,16 @@
                         eventLoop.execute(() -> handleAnswer(target.get(), body, failure, listener)));
     }
 
+    private static void addWork(SlotRequest.Builder request, EngineWork work) {
+        request.setModel(work.model())
+                .setAdapter(work.adapter())
+                .setPromptTokens(work.promptTokens())
+                .setOutputTokens(work.outputTokens());
+        work.promptParts()
+                .forEach(part -> request.addParts(
+                        PartOfPrompt.newBuilder().setIdentity(part.identity()).setTokens(part.tokens())));
+    }
+
     private void handleAnswer(VmName target, ByteString body, Throwable failure, AnswerListener listener) {
         if (failure != null) {
             backoffUntil = Deadline.after(clock.nanoTime(), BACKOFF);
--- a/src/main/java/org/borageproxy/placement/FleetPlacement.java
+++ b/src/main/java/org/borageproxy/placement/FleetPlacement.java
@@ -43,6 +43,8 @@
     private static final Duration BUSY_REPORT_INTERVAL = Duration.ofMillis(150);
     /** Time between two reports of an idle engine. */
     private static final Duration IDLE_REPORT_INTERVAL = Duration.ofMillis(2500);
+    /** Time between two reports of an engine that limits its requests. */
+    private static final Duration LIMITED_REPORT_INTERVAL = Duration.ofSeconds(6);
     /** Time until an engine that rejected an order because it executes another one may get the next order. */
     private static final Duration BUSY_RETRY_DELAY = Duration.ofMillis(120);
     /** Time until an engine whose last order failed or got no answer may get the next order. */
@@ -85,6 +87,7 @@
      * @param publication returns the publication in force
      * @param servers the backend servers
      * @param engineClient sends orders and reads reports
+     * @param permits the permits for calls to engines that limit their requests
      * @param modelsListener receives the usable models of an engine when they change, with the name of the engine
      * @param clock the monotonic clock
      * @param timer runs tasks after a delay
@@ -98,6 +101,7 @@
             Supplier<Optional<Publication>> publication,
             BackendServers servers,
             EngineClient engineClient,
+            CallPermits permits,
             BiConsumer<String, ModelInventory> modelsListener,
             MonotonicClock clock,
             Timer timer,
@@ -195,6 +199,7 @@
         liveServers.forEach((name, server) -> trackedEngines
                 .computeIfAbsent(name, key -> new TrackedEngine(server, nowNanos))
                 .applyAnnouncement(server));
+        trackedEngines.values().forEach(this::refreshPermit);
         for (TrackedEngine engine : List.copyOf(trackedEngines.values())) {
             if (engine.completeAdapterLoads(nowNanos)) {
                 publishModels(engine);
@@ -203,6 +208,12 @@
         }
     }
 
+    private void refreshPermit(TrackedEngine engine) {
+        engine.setLimits(
+                environment.permits().isLimiting(engine.server()),
+                environment.permits().isPermitted(engine.server()));
+    }
+
     private Optional<EnginePool> pool(String service) {
         return environment.publication().get().flatMap(publication -> publication.enginePool(service));
     }
@@ -211,11 +222,12 @@
         BackendServerName name = engine.server().name();
         Deadline nextReport = nextReports.computeIfAbsent(name, key -> new Deadline(nowNanos));
         boolean isLoadUnfinished = engine.isBusy() && !engine.loadCompletesAt().hasPassed(nowNanos);
-        if (!nextReport.hasPassed(nowNanos) || isLoadUnfinished) {
+        boolean isPermitted = environment.permits().isPermitted(engine.server());
+        if (!nextReport.hasPassed(nowNanos) || isLoadUnfinished || !isPermitted) {
             return;
         }
-        nextReports.put(
-                name, Deadline.after(nowNanos, engine.needsReport() ? BUSY_REPORT_INTERVAL : IDLE_REPORT_INTERVAL));
+        nextReports.put(name, Deadline.after(nowNanos, reportInterval(engine)));
+        environment.permits().acquirePermit(engine.server());
         environment.engineClient().fetchState(engine.server()).thenAccept(report -> environment
                 .eventLoop()
                 .execute(() -> report.ifPresent(received -> {
@@ -229,6 +241,13 @@
                 })));
     }
 
+    private static Duration reportInterval(TrackedEngine engine) {
+        if (engine.needsReport()) {
+            return BUSY_REPORT_INTERVAL;
+        }
+        return engine.isLimiting() ? LIMITED_REPORT_INTERVAL : IDLE_REPORT_INTERVAL;
+    }
+
     private void publishModels(TrackedEngine engine) {
         inventoryVersion++;
         environment.modelsListener().accept(engine.server().name().value(), engine.usableModels());
@@ -288,6 +307,7 @@
         List<TrackedEngine> engines = trackedEngines.values().stream()
                 .filter(engine -> engine.server().services().contains(service))
                 .toList();
+        engines.forEach(this::refreshPermit);
         planAdapters(service, pool, engines);
         Map<String, LoadPlanner.Demand> byModel = demand.byModel(service);
         Optional<LoadPlanner.Step> step = new LoadPlanner(pool, engines, byModel).nextStep(storeTokens >= 1);
@@ -364,6 +384,7 @@
         EngineClient.EngineOrder order =
                 new EngineClient.EngineOrder(isLoad, model, adapter, engine.orderCount(), environment.holder(), term);
         engine.beginOrder(order);
+        environment.permits().acquirePermit(engine.server());
         environment.engineClient().sendOrder(engine.server(), order).thenAccept(reply -> environment
                 .eventLoop()
                 .execute(() -> onReply(engine, order, loadTime, reply)));
--- a/src/main/java/org/borageproxy/placement/LoadPlanner.java
+++ b/src/main/java/org/borageproxy/placement/LoadPlanner.java
@@ -168,9 +168,12 @@
         double addedWork = workPerReplica(model, replicas(model) + 1);
         Optional<Step> best = Optional.empty();
         double bestCost = Double.MAX_VALUE;
+        boolean areAllLimiting = engines.stream().allMatch(TrackedEngine::isLimiting);
         for (TrackedEngine engine : engines) {
-            boolean isCandidate =
-                    engine.acceptsOrders() && engine.successorModel().isEmpty() && !engine.hasOrExpects(model);
+            boolean isCandidate = engine.acceptsOrders()
+                    && engine.successorModel().isEmpty()
+                    && !engine.hasOrExpects(model)
+                    && (!engine.isLimiting() || areAllLimiting);
             boolean hasWeightSource = engine.hasLocalWeights(model) || mayUseStore;
             if (!isCandidate || !hasWeightSource) {
                 continue;
@@ -239,9 +242,11 @@
                 .count();
     }
 
+    /** Engines that limit their requests do not count: a model needs another engine beside them. */
     private int replicas(String model) {
-        return (int)
-                engines.stream().filter(engine -> engine.hasOrExpects(model)).count();
+        return (int) engines.stream()
+                .filter(engine -> engine.hasOrExpects(model) && !engine.isLimiting())
+                .count();
     }
 
     /**
--- a/src/main/java/org/borageproxy/placement/TrackedEngine.java
+++ b/src/main/java/org/borageproxy/placement/TrackedEngine.java
@@ -43,6 +43,8 @@
     private Deadline loadCompletesAt;
     private Deadline reportsValidFrom;
     private boolean isOrderInFlight;
+    private boolean isLimiting;
+    private boolean isCallPermitted = true;
     private boolean wasReportedBusy;
     private int reportedLoadingAdapters;
 
@@ -115,6 +117,26 @@
         return loadedModels.containsKey(model) && loadedModels.get(model).remove(adapter);
     }
 
+    /**
+     * Sets what the engine's limit of requests allows.
+     *
+     * @param isNowLimiting whether the engine states limits
+     * @param isNowPermitted whether a call may be sent to it now
+     */
+    void setLimits(boolean isNowLimiting, boolean isNowPermitted) {
+        isLimiting = isNowLimiting;
+        isCallPermitted = isNowPermitted;
+    }
+
+    /**
+     * Returns whether the engine states limits, so that it serves less than others.
+     *
+     * @return the value of the last {@link #setLimits}
+     */
+    boolean isLimiting() {
+        return isLimiting;
+    }
+
     /**
      * Returns whether a report is needed soon: the number of accepted orders is unknown, or an order is being executed.
      *
@@ -131,8 +153,7 @@
      *     unknown
      */
     boolean acceptsOrders() {
-        return isOrderCountKnown
-                && !isOrderInFlight
+        return acceptsAdapterOrders()
                 && (!wasReportedBusy || hasSuccessor())
                 && loadingModel.isEmpty()
                 && (unloadingModel.isEmpty() || hasSuccessor());
@@ -161,7 +182,7 @@
     }
 
     boolean acceptsAdapterOrders() {
-        return isOrderCountKnown && !isOrderInFlight;
+        return isOrderCountKnown && !isOrderInFlight && isCallPermitted;
     }
 
     /**
--- a/src/main/java/org/borageproxy/server/GatewayControl.java
+++ b/src/main/java/org/borageproxy/server/GatewayControl.java
@@ -34,10 +34,12 @@
 import org.borageproxy.membership.Announcement;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerName;
+import org.borageproxy.placement.CallPermits;
 import org.borageproxy.placement.FleetPlacement;
 import org.borageproxy.publication.Publication;
 import org.borageproxy.publication.PublishedWorkspace;
 import org.borageproxy.routing.EngineWork;
+import org.borageproxy.routing.ServerStatement;
 import org.borageproxy.spread.WatchService;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.wire.MessageKind;
@@ -64,6 +66,11 @@
     /** Delay of a notice to all entries, so that many changes cost one message to each. */
     private static final Duration NOTICE_DELAY = Duration.ofMillis(250);
 
+    /** Longest usual time from a call to an engine to its answer. */
+    private static final Duration CALL_TIME = Duration.ofMillis(100);
+
+    private static final Duration CLEANUP_INTERVAL = Duration.ofSeconds(5);
+
     private static final LogSettings LOG_SETTINGS = LogSettings.STANDARD;
 
     private final GatewayRuntime runtime;
@@ -155,7 +162,8 @@
                 () -> publication,
                 runtime.membership().registry(),
                 runtime.protocol().createEngineClient(runtime.vertx(), (server, statement) -> runtime.eventLoop()
-                        .execute(() -> pool.recordStatement(server, statement))),
+                        .execute(() -> recordStatement(server, statement))),
+                new EngineCallPermits(),
                 this::notifyEntries,
                 runtime.clock(),
                 runtime.timer(),
@@ -167,7 +175,8 @@
                 runtime.membership().registry(),
                 runtime.clock(),
                 runtime.settings().vm().zone(),
-                new Random());
+                new Random(),
+                () -> 1);
         created.onGone(runtime::suspectServer);
         return created;
     }
@@ -201,6 +210,34 @@
         }
     }
 
+    /** The time of the call is not known here; engines answer calls at once. */
+    private void recordStatement(BackendServer server, ServerStatement statement) {
+        pool.statements().recordAnswer(server, statement, runtime.clock().nanoTime() - CALL_TIME.toNanos());
+    }
+
+    /** Lets calls to engines use the permits that the broker grants from. */
+    private final class EngineCallPermits implements CallPermits {
+        @Override
+        public boolean isLimiting(BackendServer engine) {
+            return pool.statements().isLimiting(engine);
+        }
+
+        @Override
+        public boolean isPermitted(BackendServer engine) {
+            return pool.statements().isPermitted(engine);
+        }
+
+        @Override
+        public void acquirePermit(BackendServer engine) {
+            pool.statements().acquirePermit(engine);
+        }
+    }
+
+    private void removeObsoleteState() {
+        pool.removeUnknownServers();
+        runtime.timer().schedule(CLEANUP_INTERVAL, () -> runtime.eventLoop().execute(this::removeObsoleteState));
+    }
+
     private void notifyEntries(String server, ModelInventory inventory) {
         slotBroker.updateInventory(server, inventory);
         boolean isFirst = changedInventories.isEmpty();
@@ -230,7 +267,8 @@
                 this::workspaces,
                 runtime.spread()::registeredDataPlaneVms,
                 placement,
-                slotBroker::recordReport);
+                slotBroker::recordReport,
+                pool.statements());
         runtime.network().registerHandler(MessageKind.SLOT, slotBroker);
         runtime.network().registerHandler(MessageKind.STREAM_ORIGIN, streamOrigins);
         runtime.network()
@@ -247,6 +285,7 @@
         member.start();
         admission.start();
         placement.start();
+        runtime.eventLoop().execute(this::removeObsoleteState);
     }
 
     private void applyDocument(long number, byte[] document) {
--- a/src/main/java/org/borageproxy/server/GatewayEntry.java
+++ b/src/main/java/org/borageproxy/server/GatewayEntry.java
@@ -46,6 +46,12 @@
     /** Fraction of the retry ratio that is used; the rest is a margin for windows with more retries than average. */
     private static final double RETRY_RATIO_FRACTION = 0.75;
 
+    /**
+     * Fraction of a server's request limit that the entries without coordinator share; the coordinator may still grant
+     * the whole limit to the others.
+     */
+    private static final double LOCAL_LIMIT_FRACTION = 0.3;
+
     private static final Duration CLEANUP_INTERVAL = Duration.ofSeconds(5);
     /** Number of entries assumed until the first update of the coordinator. */
     private static final int INITIAL_ENTRY_COUNT = 16;
@@ -63,6 +69,7 @@
     private Optional<ServedPublication> servedPublication = Optional.empty();
     private int entryCount = INITIAL_ENTRY_COUNT;
     private long inventoryVersion;
+    private long limitsVersion;
 
     GatewayEntry(GatewayRuntime runtime, ForwardMetrics metrics) {
         this.runtime = runtime;
@@ -71,7 +78,8 @@
                 runtime.membership().registry(),
                 runtime.clock(),
                 runtime.settings().vm().zone(),
-                random);
+                random,
+                () -> LOCAL_LIMIT_FRACTION / entryCount);
         coordination = new CoordinationClient(
                 runtime.network(),
                 runtime::controlVms,
@@ -83,6 +91,7 @@
         streamOrigins = new StreamOrigins(runtime.clock());
         pool.onGone(runtime::suspectServer);
         pool.onUrgentDemand(coordination::requestUrgentReport);
+        pool.statements().onChange(coordination::requestUrgentReport);
         pool.onLoadChange(coordination::requestUrgentReport);
         rateShares = new RateShares(runtime.clock().nanoTime(), random, () -> runtime.spread()
                 .registeredDataPlaneVms()
@@ -159,6 +168,8 @@
                 .setContentsVersion(inventoryVersion)
                 .addAllPaces(latencyRatios())
                 .addAllBegunStreams(streamOrigins.collectUnreported())
+                .addAllStatedLimits(pool.statements().collectUnreported())
+                .setLimitsVersion(limitsVersion)
                 .build();
     }
 
@@ -177,6 +188,9 @@
         }
         if (update.getEntries() > 0) {
             streamOrigins.confirmReport(update.getTerm());
+            pool.statements().confirmReport(update.getTerm());
+            limitsVersion = update.getLimitsVersion();
+            pool.statements().merge(update.getStatedLimitsList());
             pool.updateOtherVmUsage(update.getServersList(), update.getAllServers());
             Map<String, PublishedWorkspace> workspaces = servedPublication
                     .map(current -> current.publication().workspaces())
--- a/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
@@ -229,6 +229,60 @@
      */
     org.borageproxy.wire.proto.CoordinationProtocol.BegunStreamOrBuilder getBegunStreamsOrBuilder(
         int index);
+
+    /**
+     * <pre>
+     * What backend servers stated in their answers to the entry, as far as the coordinator has not confirmed it.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 9;</code>
+     */
+    java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits> 
+        getStatedLimitsList();
+    /**
+     * <pre>
+     * What backend servers stated in their answers to the entry, as far as the coordinator has not confirmed it.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 9;</code>
+     */
+    org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits getStatedLimits(int index);
+    /**
+     * <pre>
+     * What backend servers stated in their answers to the entry, as far as the coordinator has not confirmed it.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 9;</code>
+     */
+    int getStatedLimitsCount();
+    /**
+     * <pre>
+     * What backend servers stated in their answers to the entry, as far as the coordinator has not confirmed it.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 9;</code>
+     */
+    java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.StatedLimitsOrBuilder> 
+        getStatedLimitsOrBuilderList();
+    /**
+     * <pre>
+     * What backend servers stated in their answers to the entry, as far as the coordinator has not confirmed it.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 9;</code>
+     */
+    org.borageproxy.wire.proto.CoordinationProtocol.StatedLimitsOrBuilder getStatedLimitsOrBuilder(
+        int index);
+
+    /**
+     * <pre>
+     * The version of the stated limits that the entry has received.
+     * </pre>
+     *
+     * <code>uint64 limits_version = 10;</code>
+     * @return The limitsVersion.
+     */
+    long getLimitsVersion();
   }
   /**
    * <pre>
@@ -262,6 +316,7 @@
       demands_ = java.util.Collections.emptyList();
       paces_ = java.util.Collections.emptyList();
       begunStreams_ = java.util.Collections.emptyList();
+      statedLimits_ = java.util.Collections.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -604,6 +659,82 @@
       return begunStreams_.get(index);
     }
 
+    public static final int STATED_LIMITS_FIELD_NUMBER = 9;
+    @SuppressWarnings("serial")
+    private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits> statedLimits_;
+    /**
+     * <pre>
+     * What backend servers stated in their answers to the entry, as far as the coordinator has not confirmed it.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 9;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits> getStatedLimitsList() {
+      return statedLimits_;
+    }
+    /**
+     * <pre>
+     * What backend servers stated in their answers to the entry, as far as the coordinator has not confirmed it.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 9;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.StatedLimitsOrBuilder> 
+        getStatedLimitsOrBuilderList() {
+      return statedLimits_;
+    }
+    /**
+     * <pre>
+     * What backend servers stated in their answers to the entry, as far as the coordinator has not confirmed it.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 9;</code>
+     */
+    @java.lang.Override
+    public int getStatedLimitsCount() {
+      return statedLimits_.size();
+    }
+    /**
+     * <pre>
+     * What backend servers stated in their answers to the entry, as far as the coordinator has not confirmed it.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 9;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits getStatedLimits(int index) {
+      return statedLimits_.get(index);
+    }
+    /**
+     * <pre>
+     * What backend servers stated in their answers to the entry, as far as the coordinator has not confirmed it.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 9;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.CoordinationProtocol.StatedLimitsOrBuilder getStatedLimitsOrBuilder(
+        int index) {
+      return statedLimits_.get(index);
+    }
+
+    public static final int LIMITS_VERSION_FIELD_NUMBER = 10;
+    private long limitsVersion_ = 0L;
+    /**
+     * <pre>
+     * The version of the stated limits that the entry has received.
+     * </pre>
+     *
+     * <code>uint64 limits_version = 10;</code>
+     * @return The limitsVersion.
+     */
+    @java.lang.Override
+    public long getLimitsVersion() {
+      return limitsVersion_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -642,6 +773,12 @@
       for (int i = 0; i < begunStreams_.size(); i++) {
         output.writeMessage(8, begunStreams_.get(i));
       }
+      for (int i = 0; i < statedLimits_.size(); i++) {
+        output.writeMessage(9, statedLimits_.get(i));
+      }
+      if (limitsVersion_ != 0L) {
+        output.writeUInt64(10, limitsVersion_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -707,6 +844,19 @@
             }
             size += 1 * count;
           }
+
+          {
+            final int count = statedLimits_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(statedLimits_.get(i));
+            }
+            size += 1 * count;
+          }
+      if (limitsVersion_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(10, limitsVersion_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -738,6 +888,10 @@
           != other.getContentsVersion()) return false;
       if (!getBegunStreamsList()
           .equals(other.getBegunStreamsList())) return false;
+      if (!getStatedLimitsList()
+          .equals(other.getStatedLimitsList())) return false;
+      if (getLimitsVersion()
+          != other.getLimitsVersion()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -777,6 +931,13 @@
         hash = (37 * hash) + BEGUN_STREAMS_FIELD_NUMBER;
         hash = (53 * hash) + getBegunStreamsList().hashCode();
       }
+      if (getStatedLimitsCount() > 0) {
+        hash = (37 * hash) + STATED_LIMITS_FIELD_NUMBER;
+        hash = (53 * hash) + getStatedLimitsList().hashCode();
+      }
+      hash = (37 * hash) + LIMITS_VERSION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getLimitsVersion());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -950,6 +1111,14 @@
           begunStreamsBuilder_.clear();
         }
         bitField0_ = (bitField0_ & ~0x00000080);
+        if (statedLimitsBuilder_ == null) {
+          statedLimits_ = java.util.Collections.emptyList();
+        } else {
+          statedLimits_ = null;
+          statedLimitsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000100);
+        limitsVersion_ = 0L;
         return this;
       }
 
@@ -1028,6 +1197,15 @@
         } else {
           result.begunStreams_ = begunStreamsBuilder_.build();
         }
+        if (statedLimitsBuilder_ == null) {
+          if (((bitField0_ & 0x00000100) != 0)) {
+            statedLimits_ = java.util.Collections.unmodifiableList(statedLimits_);
+            bitField0_ = (bitField0_ & ~0x00000100);
+          }
+          result.statedLimits_ = statedLimits_;
+        } else {
+          result.statedLimits_ = statedLimitsBuilder_.build();
+        }
       }
 
       private void buildPartial0(org.borageproxy.wire.proto.CoordinationProtocol.UsageReport result) {
@@ -1041,6 +1219,9 @@
         if (((from_bitField0_ & 0x00000040) != 0)) {
           result.contentsVersion_ = contentsVersion_;
         }
+        if (((from_bitField0_ & 0x00000200) != 0)) {
+          result.limitsVersion_ = limitsVersion_;
+        }
       }
 
       @java.lang.Override
@@ -1196,6 +1377,35 @@
             }
           }
         }
+        if (statedLimitsBuilder_ == null) {
+          if (!other.statedLimits_.isEmpty()) {
+            if (statedLimits_.isEmpty()) {
+              statedLimits_ = other.statedLimits_;
+              bitField0_ = (bitField0_ & ~0x00000100);
+            } else {
+              ensureStatedLimitsIsMutable();
+              statedLimits_.addAll(other.statedLimits_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.statedLimits_.isEmpty()) {
+            if (statedLimitsBuilder_.isEmpty()) {
+              statedLimitsBuilder_.dispose();
+              statedLimitsBuilder_ = null;
+              statedLimits_ = other.statedLimits_;
+              bitField0_ = (bitField0_ & ~0x00000100);
+              statedLimitsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetStatedLimitsFieldBuilder() : null;
+            } else {
+              statedLimitsBuilder_.addAllMessages(other.statedLimits_);
+            }
+          }
+        }
+        if (other.getLimitsVersion() != 0L) {
+          setLimitsVersion(other.getLimitsVersion());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -1302,6 +1512,24 @@
                 }
                 break;
               } // case 66
+              case 74: {
+                org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits m =
+                    input.readMessage(
+                        org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.parser(),
+                        extensionRegistry);
+                if (statedLimitsBuilder_ == null) {
+                  ensureStatedLimitsIsMutable();
+                  statedLimits_.add(m);
+                } else {
+                  statedLimitsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 74
+              case 80: {
+                limitsVersion_ = input.readUInt64();
+                bitField0_ |= 0x00000200;
+                break;
+              } // case 80
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -2651,215 +2879,1527 @@
        *
        * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
        */
-      public Builder addBegunStreams(
-          int index, org.borageproxy.wire.proto.CoordinationProtocol.BegunStream value) {
-        if (begunStreamsBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          ensureBegunStreamsIsMutable();
-          begunStreams_.add(index, value);
-          onChanged();
-        } else {
-          begunStreamsBuilder_.addMessage(index, value);
-        }
+      public Builder addBegunStreams(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.BegunStream value) {
+        if (begunStreamsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureBegunStreamsIsMutable();
+          begunStreams_.add(index, value);
+          onChanged();
+        } else {
+          begunStreamsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Resumable streams whose first event was relayed since the last report that was answered.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       */
+      public Builder addBegunStreams(
+          org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.Builder builderForValue) {
+        if (begunStreamsBuilder_ == null) {
+          ensureBegunStreamsIsMutable();
+          begunStreams_.add(builderForValue.build());
+          onChanged();
+        } else {
+          begunStreamsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Resumable streams whose first event was relayed since the last report that was answered.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       */
+      public Builder addBegunStreams(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.Builder builderForValue) {
+        if (begunStreamsBuilder_ == null) {
+          ensureBegunStreamsIsMutable();
+          begunStreams_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          begunStreamsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Resumable streams whose first event was relayed since the last report that was answered.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       */
+      public Builder addAllBegunStreams(
+          java.lang.Iterable<? extends org.borageproxy.wire.proto.CoordinationProtocol.BegunStream> values) {
+        if (begunStreamsBuilder_ == null) {
+          ensureBegunStreamsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, begunStreams_);
+          onChanged();
+        } else {
+          begunStreamsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Resumable streams whose first event was relayed since the last report that was answered.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       */
+      public Builder clearBegunStreams() {
+        if (begunStreamsBuilder_ == null) {
+          begunStreams_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000080);
+          onChanged();
+        } else {
+          begunStreamsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Resumable streams whose first event was relayed since the last report that was answered.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       */
+      public Builder removeBegunStreams(int index) {
+        if (begunStreamsBuilder_ == null) {
+          ensureBegunStreamsIsMutable();
+          begunStreams_.remove(index);
+          onChanged();
+        } else {
+          begunStreamsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Resumable streams whose first event was relayed since the last report that was answered.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.Builder getBegunStreamsBuilder(
+          int index) {
+        return internalGetBegunStreamsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * Resumable streams whose first event was relayed since the last report that was answered.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.BegunStreamOrBuilder getBegunStreamsOrBuilder(
+          int index) {
+        if (begunStreamsBuilder_ == null) {
+          return begunStreams_.get(index);  } else {
+          return begunStreamsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * Resumable streams whose first event was relayed since the last report that was answered.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       */
+      public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.BegunStreamOrBuilder> 
+           getBegunStreamsOrBuilderList() {
+        if (begunStreamsBuilder_ != null) {
+          return begunStreamsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(begunStreams_);
+        }
+      }
+      /**
+       * <pre>
+       * Resumable streams whose first event was relayed since the last report that was answered.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.Builder addBegunStreamsBuilder() {
+        return internalGetBegunStreamsFieldBuilder().addBuilder(
+            org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Resumable streams whose first event was relayed since the last report that was answered.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.Builder addBegunStreamsBuilder(
+          int index) {
+        return internalGetBegunStreamsFieldBuilder().addBuilder(
+            index, org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Resumable streams whose first event was relayed since the last report that was answered.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.Builder> 
+           getBegunStreamsBuilderList() {
+        return internalGetBegunStreamsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.CoordinationProtocol.BegunStream, org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.Builder, org.borageproxy.wire.proto.CoordinationProtocol.BegunStreamOrBuilder> 
+          internalGetBegunStreamsFieldBuilder() {
+        if (begunStreamsBuilder_ == null) {
+          begunStreamsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.borageproxy.wire.proto.CoordinationProtocol.BegunStream, org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.Builder, org.borageproxy.wire.proto.CoordinationProtocol.BegunStreamOrBuilder>(
+                  begunStreams_,
+                  ((bitField0_ & 0x00000080) != 0),
+                  getParentForChildren(),
+                  isClean());
+          begunStreams_ = null;
+        }
+        return begunStreamsBuilder_;
+      }
+
+      private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits> statedLimits_ =
+        java.util.Collections.emptyList();
+      private void ensureStatedLimitsIsMutable() {
+        if (!((bitField0_ & 0x00000100) != 0)) {
+          statedLimits_ = new java.util.ArrayList<org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits>(statedLimits_);
+          bitField0_ |= 0x00000100;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimitsOrBuilder> statedLimitsBuilder_;
+
+      /**
+       * <pre>
+       * What backend servers stated in their answers to the entry, as far as the coordinator has not confirmed it.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 9;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits> getStatedLimitsList() {
+        if (statedLimitsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(statedLimits_);
+        } else {
+          return statedLimitsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <pre>
+       * What backend servers stated in their answers to the entry, as far as the coordinator has not confirmed it.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 9;</code>
+       */
+      public int getStatedLimitsCount() {
+        if (statedLimitsBuilder_ == null) {
+          return statedLimits_.size();
+        } else {
+          return statedLimitsBuilder_.getCount();
+        }
+      }
+      /**
+       * <pre>
+       * What backend servers stated in their answers to the entry, as far as the coordinator has not confirmed it.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 9;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits getStatedLimits(int index) {
+        if (statedLimitsBuilder_ == null) {
+          return statedLimits_.get(index);
+        } else {
+          return statedLimitsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <pre>
+       * What backend servers stated in their answers to the entry, as far as the coordinator has not confirmed it.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 9;</code>
+       */
+      public Builder setStatedLimits(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits value) {
+        if (statedLimitsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureStatedLimitsIsMutable();
+          statedLimits_.set(index, value);
+          onChanged();
+        } else {
+          statedLimitsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What backend servers stated in their answers to the entry, as far as the coordinator has not confirmed it.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 9;</code>
+       */
+      public Builder setStatedLimits(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder builderForValue) {
+        if (statedLimitsBuilder_ == null) {
+          ensureStatedLimitsIsMutable();
+          statedLimits_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          statedLimitsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What backend servers stated in their answers to the entry, as far as the coordinator has not confirmed it.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 9;</code>
+       */
+      public Builder addStatedLimits(org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits value) {
+        if (statedLimitsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureStatedLimitsIsMutable();
+          statedLimits_.add(value);
+          onChanged();
+        } else {
+          statedLimitsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What backend servers stated in their answers to the entry, as far as the coordinator has not confirmed it.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 9;</code>
+       */
+      public Builder addStatedLimits(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits value) {
+        if (statedLimitsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureStatedLimitsIsMutable();
+          statedLimits_.add(index, value);
+          onChanged();
+        } else {
+          statedLimitsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What backend servers stated in their answers to the entry, as far as the coordinator has not confirmed it.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 9;</code>
+       */
+      public Builder addStatedLimits(
+          org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder builderForValue) {
+        if (statedLimitsBuilder_ == null) {
+          ensureStatedLimitsIsMutable();
+          statedLimits_.add(builderForValue.build());
+          onChanged();
+        } else {
+          statedLimitsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What backend servers stated in their answers to the entry, as far as the coordinator has not confirmed it.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 9;</code>
+       */
+      public Builder addStatedLimits(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder builderForValue) {
+        if (statedLimitsBuilder_ == null) {
+          ensureStatedLimitsIsMutable();
+          statedLimits_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          statedLimitsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What backend servers stated in their answers to the entry, as far as the coordinator has not confirmed it.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 9;</code>
+       */
+      public Builder addAllStatedLimits(
+          java.lang.Iterable<? extends org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits> values) {
+        if (statedLimitsBuilder_ == null) {
+          ensureStatedLimitsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, statedLimits_);
+          onChanged();
+        } else {
+          statedLimitsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What backend servers stated in their answers to the entry, as far as the coordinator has not confirmed it.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 9;</code>
+       */
+      public Builder clearStatedLimits() {
+        if (statedLimitsBuilder_ == null) {
+          statedLimits_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000100);
+          onChanged();
+        } else {
+          statedLimitsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What backend servers stated in their answers to the entry, as far as the coordinator has not confirmed it.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 9;</code>
+       */
+      public Builder removeStatedLimits(int index) {
+        if (statedLimitsBuilder_ == null) {
+          ensureStatedLimitsIsMutable();
+          statedLimits_.remove(index);
+          onChanged();
+        } else {
+          statedLimitsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * What backend servers stated in their answers to the entry, as far as the coordinator has not confirmed it.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 9;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder getStatedLimitsBuilder(
+          int index) {
+        return internalGetStatedLimitsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * What backend servers stated in their answers to the entry, as far as the coordinator has not confirmed it.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 9;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.StatedLimitsOrBuilder getStatedLimitsOrBuilder(
+          int index) {
+        if (statedLimitsBuilder_ == null) {
+          return statedLimits_.get(index);  } else {
+          return statedLimitsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * What backend servers stated in their answers to the entry, as far as the coordinator has not confirmed it.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 9;</code>
+       */
+      public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.StatedLimitsOrBuilder> 
+           getStatedLimitsOrBuilderList() {
+        if (statedLimitsBuilder_ != null) {
+          return statedLimitsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(statedLimits_);
+        }
+      }
+      /**
+       * <pre>
+       * What backend servers stated in their answers to the entry, as far as the coordinator has not confirmed it.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 9;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder addStatedLimitsBuilder() {
+        return internalGetStatedLimitsFieldBuilder().addBuilder(
+            org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * What backend servers stated in their answers to the entry, as far as the coordinator has not confirmed it.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 9;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder addStatedLimitsBuilder(
+          int index) {
+        return internalGetStatedLimitsFieldBuilder().addBuilder(
+            index, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * What backend servers stated in their answers to the entry, as far as the coordinator has not confirmed it.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 9;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder> 
+           getStatedLimitsBuilderList() {
+        return internalGetStatedLimitsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimitsOrBuilder> 
+          internalGetStatedLimitsFieldBuilder() {
+        if (statedLimitsBuilder_ == null) {
+          statedLimitsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimitsOrBuilder>(
+                  statedLimits_,
+                  ((bitField0_ & 0x00000100) != 0),
+                  getParentForChildren(),
+                  isClean());
+          statedLimits_ = null;
+        }
+        return statedLimitsBuilder_;
+      }
+
+      private long limitsVersion_ ;
+      /**
+       * <pre>
+       * The version of the stated limits that the entry has received.
+       * </pre>
+       *
+       * <code>uint64 limits_version = 10;</code>
+       * @return The limitsVersion.
+       */
+      @java.lang.Override
+      public long getLimitsVersion() {
+        return limitsVersion_;
+      }
+      /**
+       * <pre>
+       * The version of the stated limits that the entry has received.
+       * </pre>
+       *
+       * <code>uint64 limits_version = 10;</code>
+       * @param value The limitsVersion to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLimitsVersion(long value) {
+
+        limitsVersion_ = value;
+        bitField0_ |= 0x00000200;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The version of the stated limits that the entry has received.
+       * </pre>
+       *
+       * <code>uint64 limits_version = 10;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLimitsVersion() {
+        bitField0_ = (bitField0_ & ~0x00000200);
+        limitsVersion_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:borageproxy.coordination.UsageReport)
+    }
+
+    // @@protoc_insertion_point(class_scope:borageproxy.coordination.UsageReport)
+    private static final org.borageproxy.wire.proto.CoordinationProtocol.UsageReport DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.CoordinationProtocol.UsageReport();
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.UsageReport getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<UsageReport>
+        PARSER = new com.google.protobuf.AbstractParser<UsageReport>() {
+      @java.lang.Override
+      public UsageReport parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<UsageReport> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<UsageReport> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.borageproxy.wire.proto.CoordinationProtocol.UsageReport getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface StatedLimitsOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.coordination.StatedLimits)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string name = 1;</code>
+     * @return The name.
+     */
+    java.lang.String getName();
+    /**
+     * <code>string name = 1;</code>
+     * @return The bytes for name.
+     */
+    com.google.protobuf.ByteString
+        getNameBytes();
+
+    /**
+     * <code>uint64 incarnation = 2;</code>
+     * @return The incarnation.
+     */
+    long getIncarnation();
+
+    /**
+     * <pre>
+     * The time since the server stated it.
+     * </pre>
+     *
+     * <code>uint64 age_millis = 3;</code>
+     * @return The ageMillis.
+     */
+    long getAgeMillis();
+
+    /**
+     * <pre>
+     * The requests per second that the server takes from all VMs; absent for no limit.
+     * </pre>
+     *
+     * <code>optional double requests_per_second = 4;</code>
+     * @return Whether the requestsPerSecond field is set.
+     */
+    boolean hasRequestsPerSecond();
+    /**
+     * <pre>
+     * The requests per second that the server takes from all VMs; absent for no limit.
+     * </pre>
+     *
+     * <code>optional double requests_per_second = 4;</code>
+     * @return The requestsPerSecond.
+     */
+    double getRequestsPerSecond();
+
+    /**
+     * <pre>
+     * The rejections within a second that the server survives; absent for no limit.
+     * </pre>
+     *
+     * <code>optional uint32 rejections = 5;</code>
+     * @return Whether the rejections field is set.
+     */
+    boolean hasRejections();
+    /**
+     * <pre>
+     * The rejections within a second that the server survives; absent for no limit.
+     * </pre>
+     *
+     * <code>optional uint32 rejections = 5;</code>
+     * @return The rejections.
+     */
+    int getRejections();
+  }
+  /**
+   * <pre>
+   * What a backend server states about its capacity.
+   * </pre>
+   *
+   * Protobuf type {@code borageproxy.coordination.StatedLimits}
+   */
+  public static final class StatedLimits extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:borageproxy.coordination.StatedLimits)
+      StatedLimitsOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "StatedLimits");
+    }
+    // Use StatedLimits.newBuilder() to construct.
+    private StatedLimits(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private StatedLimits() {
+      name_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_StatedLimits_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_StatedLimits_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_StatedLimits_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.class, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder.class);
+    }
+
+    private int bitField0_;
+    public static final int NAME_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object name_ = "";
+    /**
+     * <code>string name = 1;</code>
+     * @return The name.
+     */
+    @java.lang.Override
+    public java.lang.String getName() {
+      java.lang.Object ref = name_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        name_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string name = 1;</code>
+     * @return The bytes for name.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getNameBytes() {
+      java.lang.Object ref = name_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        name_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int INCARNATION_FIELD_NUMBER = 2;
+    private long incarnation_ = 0L;
+    /**
+     * <code>uint64 incarnation = 2;</code>
+     * @return The incarnation.
+     */
+    @java.lang.Override
+    public long getIncarnation() {
+      return incarnation_;
+    }
+
+    public static final int AGE_MILLIS_FIELD_NUMBER = 3;
+    private long ageMillis_ = 0L;
+    /**
+     * <pre>
+     * The time since the server stated it.
+     * </pre>
+     *
+     * <code>uint64 age_millis = 3;</code>
+     * @return The ageMillis.
+     */
+    @java.lang.Override
+    public long getAgeMillis() {
+      return ageMillis_;
+    }
+
+    public static final int REQUESTS_PER_SECOND_FIELD_NUMBER = 4;
+    private double requestsPerSecond_ = 0D;
+    /**
+     * <pre>
+     * The requests per second that the server takes from all VMs; absent for no limit.
+     * </pre>
+     *
+     * <code>optional double requests_per_second = 4;</code>
+     * @return Whether the requestsPerSecond field is set.
+     */
+    @java.lang.Override
+    public boolean hasRequestsPerSecond() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <pre>
+     * The requests per second that the server takes from all VMs; absent for no limit.
+     * </pre>
+     *
+     * <code>optional double requests_per_second = 4;</code>
+     * @return The requestsPerSecond.
+     */
+    @java.lang.Override
+    public double getRequestsPerSecond() {
+      return requestsPerSecond_;
+    }
+
+    public static final int REJECTIONS_FIELD_NUMBER = 5;
+    private int rejections_ = 0;
+    /**
+     * <pre>
+     * The rejections within a second that the server survives; absent for no limit.
+     * </pre>
+     *
+     * <code>optional uint32 rejections = 5;</code>
+     * @return Whether the rejections field is set.
+     */
+    @java.lang.Override
+    public boolean hasRejections() {
+      return ((bitField0_ & 0x00000002) != 0);
+    }
+    /**
+     * <pre>
+     * The rejections within a second that the server survives; absent for no limit.
+     * </pre>
+     *
+     * <code>optional uint32 rejections = 5;</code>
+     * @return The rejections.
+     */
+    @java.lang.Override
+    public int getRejections() {
+      return rejections_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(name_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, name_);
+      }
+      if (incarnation_ != 0L) {
+        output.writeUInt64(2, incarnation_);
+      }
+      if (ageMillis_ != 0L) {
+        output.writeUInt64(3, ageMillis_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeDouble(4, requestsPerSecond_);
+      }
+      if (((bitField0_ & 0x00000002) != 0)) {
+        output.writeUInt32(5, rejections_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(name_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, name_);
+      }
+      if (incarnation_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, incarnation_);
+      }
+      if (ageMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, ageMillis_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeDoubleSize(4, requestsPerSecond_);
+      }
+      if (((bitField0_ & 0x00000002) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(5, rejections_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits)) {
+        return super.equals(obj);
+      }
+      org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits other = (org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits) obj;
+
+      if (!getName()
+          .equals(other.getName())) return false;
+      if (getIncarnation()
+          != other.getIncarnation()) return false;
+      if (getAgeMillis()
+          != other.getAgeMillis()) return false;
+      if (hasRequestsPerSecond() != other.hasRequestsPerSecond()) return false;
+      if (hasRequestsPerSecond()) {
+        if (java.lang.Double.doubleToLongBits(getRequestsPerSecond())
+            != java.lang.Double.doubleToLongBits(
+                other.getRequestsPerSecond())) return false;
+      }
+      if (hasRejections() != other.hasRejections()) return false;
+      if (hasRejections()) {
+        if (getRejections()
+            != other.getRejections()) return false;
+      }
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + NAME_FIELD_NUMBER;
+      hash = (53 * hash) + getName().hashCode();
+      hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getIncarnation());
+      hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getAgeMillis());
+      if (hasRequestsPerSecond()) {
+        hash = (37 * hash) + REQUESTS_PER_SECOND_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+            java.lang.Double.doubleToLongBits(getRequestsPerSecond()));
+      }
+      if (hasRejections()) {
+        hash = (37 * hash) + REJECTIONS_FIELD_NUMBER;
+        hash = (53 * hash) + getRejections();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * What a backend server states about its capacity.
+     * </pre>
+     *
+     * Protobuf type {@code borageproxy.coordination.StatedLimits}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:borageproxy.coordination.StatedLimits)
+        org.borageproxy.wire.proto.CoordinationProtocol.StatedLimitsOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_StatedLimits_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_StatedLimits_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.class, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder.class);
+      }
+
+      // Construct using org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        name_ = "";
+        incarnation_ = 0L;
+        ageMillis_ = 0L;
+        requestsPerSecond_ = 0D;
+        rejections_ = 0;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_StatedLimits_descriptor;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits build() {
+        org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits buildPartial() {
+        org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits result = new org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.name_ = name_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.incarnation_ = incarnation_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.ageMillis_ = ageMillis_;
+        }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.requestsPerSecond_ = requestsPerSecond_;
+          to_bitField0_ |= 0x00000001;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.rejections_ = rejections_;
+          to_bitField0_ |= 0x00000002;
+        }
+        result.bitField0_ |= to_bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits) {
+          return mergeFrom((org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits other) {
+        if (other == org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.getDefaultInstance()) return this;
+        if (!other.getName().isEmpty()) {
+          name_ = other.name_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getIncarnation() != 0L) {
+          setIncarnation(other.getIncarnation());
+        }
+        if (other.getAgeMillis() != 0L) {
+          setAgeMillis(other.getAgeMillis());
+        }
+        if (other.hasRequestsPerSecond()) {
+          setRequestsPerSecond(other.getRequestsPerSecond());
+        }
+        if (other.hasRejections()) {
+          setRejections(other.getRejections());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                name_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                incarnation_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                ageMillis_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 33: {
+                requestsPerSecond_ = input.readDouble();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 33
+              case 40: {
+                rejections_ = input.readUInt32();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object name_ = "";
+      /**
+       * <code>string name = 1;</code>
+       * @return The name.
+       */
+      public java.lang.String getName() {
+        java.lang.Object ref = name_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          name_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string name = 1;</code>
+       * @return The bytes for name.
+       */
+      public com.google.protobuf.ByteString
+          getNameBytes() {
+        java.lang.Object ref = name_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          name_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string name = 1;</code>
+       * @param value The name to set.
+       * @return This builder for chaining.
+       */
+      public Builder setName(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        name_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string name = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearName() {
+        name_ = getDefaultInstance().getName();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string name = 1;</code>
+       * @param value The bytes for name to set.
+       * @return This builder for chaining.
+       */
+      public Builder setNameBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        name_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long incarnation_ ;
+      /**
+       * <code>uint64 incarnation = 2;</code>
+       * @return The incarnation.
+       */
+      @java.lang.Override
+      public long getIncarnation() {
+        return incarnation_;
+      }
+      /**
+       * <code>uint64 incarnation = 2;</code>
+       * @param value The incarnation to set.
+       * @return This builder for chaining.
+       */
+      public Builder setIncarnation(long value) {
+
+        incarnation_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 incarnation = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearIncarnation() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        incarnation_ = 0L;
+        onChanged();
         return this;
       }
+
+      private long ageMillis_ ;
       /**
        * <pre>
-       * Resumable streams whose first event was relayed since the last report that was answered.
+       * The time since the server stated it.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       * <code>uint64 age_millis = 3;</code>
+       * @return The ageMillis.
        */
-      public Builder addBegunStreams(
-          org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.Builder builderForValue) {
-        if (begunStreamsBuilder_ == null) {
-          ensureBegunStreamsIsMutable();
-          begunStreams_.add(builderForValue.build());
-          onChanged();
-        } else {
-          begunStreamsBuilder_.addMessage(builderForValue.build());
-        }
-        return this;
+      @java.lang.Override
+      public long getAgeMillis() {
+        return ageMillis_;
       }
       /**
        * <pre>
-       * Resumable streams whose first event was relayed since the last report that was answered.
+       * The time since the server stated it.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       * <code>uint64 age_millis = 3;</code>
+       * @param value The ageMillis to set.
+       * @return This builder for chaining.
        */
-      public Builder addBegunStreams(
-          int index, org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.Builder builderForValue) {
-        if (begunStreamsBuilder_ == null) {
-          ensureBegunStreamsIsMutable();
-          begunStreams_.add(index, builderForValue.build());
-          onChanged();
-        } else {
-          begunStreamsBuilder_.addMessage(index, builderForValue.build());
-        }
+      public Builder setAgeMillis(long value) {
+
+        ageMillis_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
         return this;
       }
       /**
        * <pre>
-       * Resumable streams whose first event was relayed since the last report that was answered.
+       * The time since the server stated it.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       * <code>uint64 age_millis = 3;</code>
+       * @return This builder for chaining.
        */
-      public Builder addAllBegunStreams(
-          java.lang.Iterable<? extends org.borageproxy.wire.proto.CoordinationProtocol.BegunStream> values) {
-        if (begunStreamsBuilder_ == null) {
-          ensureBegunStreamsIsMutable();
-          com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, begunStreams_);
-          onChanged();
-        } else {
-          begunStreamsBuilder_.addAllMessages(values);
-        }
+      public Builder clearAgeMillis() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        ageMillis_ = 0L;
+        onChanged();
         return this;
       }
+
+      private double requestsPerSecond_ ;
       /**
        * <pre>
-       * Resumable streams whose first event was relayed since the last report that was answered.
+       * The requests per second that the server takes from all VMs; absent for no limit.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       * <code>optional double requests_per_second = 4;</code>
+       * @return Whether the requestsPerSecond field is set.
        */
-      public Builder clearBegunStreams() {
-        if (begunStreamsBuilder_ == null) {
-          begunStreams_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000080);
-          onChanged();
-        } else {
-          begunStreamsBuilder_.clear();
-        }
-        return this;
+      @java.lang.Override
+      public boolean hasRequestsPerSecond() {
+        return ((bitField0_ & 0x00000008) != 0);
       }
       /**
        * <pre>
-       * Resumable streams whose first event was relayed since the last report that was answered.
+       * The requests per second that the server takes from all VMs; absent for no limit.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       * <code>optional double requests_per_second = 4;</code>
+       * @return The requestsPerSecond.
        */
-      public Builder removeBegunStreams(int index) {
-        if (begunStreamsBuilder_ == null) {
-          ensureBegunStreamsIsMutable();
-          begunStreams_.remove(index);
-          onChanged();
-        } else {
-          begunStreamsBuilder_.remove(index);
-        }
-        return this;
+      @java.lang.Override
+      public double getRequestsPerSecond() {
+        return requestsPerSecond_;
       }
       /**
        * <pre>
-       * Resumable streams whose first event was relayed since the last report that was answered.
+       * The requests per second that the server takes from all VMs; absent for no limit.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       * <code>optional double requests_per_second = 4;</code>
+       * @param value The requestsPerSecond to set.
+       * @return This builder for chaining.
        */
-      public org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.Builder getBegunStreamsBuilder(
-          int index) {
-        return internalGetBegunStreamsFieldBuilder().getBuilder(index);
+      public Builder setRequestsPerSecond(double value) {
+
+        requestsPerSecond_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
       }
       /**
        * <pre>
-       * Resumable streams whose first event was relayed since the last report that was answered.
+       * The requests per second that the server takes from all VMs; absent for no limit.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       * <code>optional double requests_per_second = 4;</code>
+       * @return This builder for chaining.
        */
-      public org.borageproxy.wire.proto.CoordinationProtocol.BegunStreamOrBuilder getBegunStreamsOrBuilder(
-          int index) {
-        if (begunStreamsBuilder_ == null) {
-          return begunStreams_.get(index);  } else {
-          return begunStreamsBuilder_.getMessageOrBuilder(index);
-        }
+      public Builder clearRequestsPerSecond() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        requestsPerSecond_ = 0D;
+        onChanged();
+        return this;
       }
+
+      private int rejections_ ;
       /**
        * <pre>
-       * Resumable streams whose first event was relayed since the last report that was answered.
+       * The rejections within a second that the server survives; absent for no limit.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       * <code>optional uint32 rejections = 5;</code>
+       * @return Whether the rejections field is set.
        */
-      public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.BegunStreamOrBuilder> 
-           getBegunStreamsOrBuilderList() {
-        if (begunStreamsBuilder_ != null) {
-          return begunStreamsBuilder_.getMessageOrBuilderList();
-        } else {
-          return java.util.Collections.unmodifiableList(begunStreams_);
-        }
+      @java.lang.Override
+      public boolean hasRejections() {
+        return ((bitField0_ & 0x00000010) != 0);
       }
       /**
        * <pre>
-       * Resumable streams whose first event was relayed since the last report that was answered.
+       * The rejections within a second that the server survives; absent for no limit.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       * <code>optional uint32 rejections = 5;</code>
+       * @return The rejections.
        */
-      public org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.Builder addBegunStreamsBuilder() {
-        return internalGetBegunStreamsFieldBuilder().addBuilder(
-            org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.getDefaultInstance());
+      @java.lang.Override
+      public int getRejections() {
+        return rejections_;
       }
       /**
        * <pre>
-       * Resumable streams whose first event was relayed since the last report that was answered.
+       * The rejections within a second that the server survives; absent for no limit.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       * <code>optional uint32 rejections = 5;</code>
+       * @param value The rejections to set.
+       * @return This builder for chaining.
        */
-      public org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.Builder addBegunStreamsBuilder(
-          int index) {
-        return internalGetBegunStreamsFieldBuilder().addBuilder(
-            index, org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.getDefaultInstance());
+      public Builder setRejections(int value) {
+
+        rejections_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
       }
       /**
        * <pre>
-       * Resumable streams whose first event was relayed since the last report that was answered.
+       * The rejections within a second that the server survives; absent for no limit.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.BegunStream begun_streams = 8;</code>
+       * <code>optional uint32 rejections = 5;</code>
+       * @return This builder for chaining.
        */
-      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.Builder> 
-           getBegunStreamsBuilderList() {
-        return internalGetBegunStreamsFieldBuilder().getBuilderList();
-      }
-      private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.CoordinationProtocol.BegunStream, org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.Builder, org.borageproxy.wire.proto.CoordinationProtocol.BegunStreamOrBuilder> 
-          internalGetBegunStreamsFieldBuilder() {
-        if (begunStreamsBuilder_ == null) {
-          begunStreamsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              org.borageproxy.wire.proto.CoordinationProtocol.BegunStream, org.borageproxy.wire.proto.CoordinationProtocol.BegunStream.Builder, org.borageproxy.wire.proto.CoordinationProtocol.BegunStreamOrBuilder>(
-                  begunStreams_,
-                  ((bitField0_ & 0x00000080) != 0),
-                  getParentForChildren(),
-                  isClean());
-          begunStreams_ = null;
-        }
-        return begunStreamsBuilder_;
+      public Builder clearRejections() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        rejections_ = 0;
+        onChanged();
+        return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:borageproxy.coordination.UsageReport)
+      // @@protoc_insertion_point(builder_scope:borageproxy.coordination.StatedLimits)
     }
 
-    // @@protoc_insertion_point(class_scope:borageproxy.coordination.UsageReport)
-    private static final org.borageproxy.wire.proto.CoordinationProtocol.UsageReport DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:borageproxy.coordination.StatedLimits)
+    private static final org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.CoordinationProtocol.UsageReport();
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits();
     }
 
-    public static org.borageproxy.wire.proto.CoordinationProtocol.UsageReport getDefaultInstance() {
+    public static org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<UsageReport>
-        PARSER = new com.google.protobuf.AbstractParser<UsageReport>() {
+    private static final com.google.protobuf.Parser<StatedLimits>
+        PARSER = new com.google.protobuf.AbstractParser<StatedLimits>() {
       @java.lang.Override
-      public UsageReport parsePartialFrom(
+      public StatedLimits parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -2878,17 +4418,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<UsageReport> parser() {
+    public static com.google.protobuf.Parser<StatedLimits> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<UsageReport> getParserForType() {
+    public com.google.protobuf.Parser<StatedLimits> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.borageproxy.wire.proto.CoordinationProtocol.UsageReport getDefaultInstanceForType() {
+    public org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -8986,6 +10526,56 @@
      * @return The term.
      */
     long getTerm();
+
+    /**
+     * <pre>
+     * The stated limits of all servers, if the entry reported another version of them.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+     */
+    java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits> 
+        getStatedLimitsList();
+    /**
+     * <pre>
+     * The stated limits of all servers, if the entry reported another version of them.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+     */
+    org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits getStatedLimits(int index);
+    /**
+     * <pre>
+     * The stated limits of all servers, if the entry reported another version of them.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+     */
+    int getStatedLimitsCount();
+    /**
+     * <pre>
+     * The stated limits of all servers, if the entry reported another version of them.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+     */
+    java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.StatedLimitsOrBuilder> 
+        getStatedLimitsOrBuilderList();
+    /**
+     * <pre>
+     * The stated limits of all servers, if the entry reported another version of them.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+     */
+    org.borageproxy.wire.proto.CoordinationProtocol.StatedLimitsOrBuilder getStatedLimitsOrBuilder(
+        int index);
+
+    /**
+     * <code>uint64 limits_version = 11;</code>
+     * @return The limitsVersion.
+     */
+    long getLimitsVersion();
   }
   /**
    * <pre>
@@ -9017,6 +10607,7 @@
       servers_ = java.util.Collections.emptyList();
       shares_ = java.util.Collections.emptyList();
       contents_ = java.util.Collections.emptyList();
+      statedLimits_ = java.util.Collections.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -9311,6 +10902,78 @@
       return term_;
     }
 
+    public static final int STATED_LIMITS_FIELD_NUMBER = 10;
+    @SuppressWarnings("serial")
+    private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits> statedLimits_;
+    /**
+     * <pre>
+     * The stated limits of all servers, if the entry reported another version of them.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits> getStatedLimitsList() {
+      return statedLimits_;
+    }
+    /**
+     * <pre>
+     * The stated limits of all servers, if the entry reported another version of them.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.StatedLimitsOrBuilder> 
+        getStatedLimitsOrBuilderList() {
+      return statedLimits_;
+    }
+    /**
+     * <pre>
+     * The stated limits of all servers, if the entry reported another version of them.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+     */
+    @java.lang.Override
+    public int getStatedLimitsCount() {
+      return statedLimits_.size();
+    }
+    /**
+     * <pre>
+     * The stated limits of all servers, if the entry reported another version of them.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits getStatedLimits(int index) {
+      return statedLimits_.get(index);
+    }
+    /**
+     * <pre>
+     * The stated limits of all servers, if the entry reported another version of them.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.CoordinationProtocol.StatedLimitsOrBuilder getStatedLimitsOrBuilder(
+        int index) {
+      return statedLimits_.get(index);
+    }
+
+    public static final int LIMITS_VERSION_FIELD_NUMBER = 11;
+    private long limitsVersion_ = 0L;
+    /**
+     * <code>uint64 limits_version = 11;</code>
+     * @return The limitsVersion.
+     */
+    @java.lang.Override
+    public long getLimitsVersion() {
+      return limitsVersion_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -9352,6 +11015,12 @@
       if (term_ != 0L) {
         output.writeUInt64(9, term_);
       }
+      for (int i = 0; i < statedLimits_.size(); i++) {
+        output.writeMessage(10, statedLimits_.get(i));
+      }
+      if (limitsVersion_ != 0L) {
+        output.writeUInt64(11, limitsVersion_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -9411,6 +11080,19 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(9, term_);
       }
+
+          {
+            final int count = statedLimits_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(statedLimits_.get(i));
+            }
+            size += 1 * count;
+          }
+      if (limitsVersion_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(11, limitsVersion_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -9444,6 +11126,10 @@
           != other.getAllServers()) return false;
       if (getTerm()
           != other.getTerm()) return false;
+      if (!getStatedLimitsList()
+          .equals(other.getStatedLimitsList())) return false;
+      if (getLimitsVersion()
+          != other.getLimitsVersion()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -9483,6 +11169,13 @@
       hash = (37 * hash) + TERM_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getTerm());
+      if (getStatedLimitsCount() > 0) {
+        hash = (37 * hash) + STATED_LIMITS_FIELD_NUMBER;
+        hash = (53 * hash) + getStatedLimitsList().hashCode();
+      }
+      hash = (37 * hash) + LIMITS_VERSION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getLimitsVersion());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -9645,6 +11338,14 @@
         contentsVersion_ = 0L;
         allServers_ = false;
         term_ = 0L;
+        if (statedLimitsBuilder_ == null) {
+          statedLimits_ = java.util.Collections.emptyList();
+        } else {
+          statedLimits_ = null;
+          statedLimitsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000200);
+        limitsVersion_ = 0L;
         return this;
       }
 
@@ -9705,6 +11406,15 @@
         } else {
           result.contents_ = contentsBuilder_.build();
         }
+        if (statedLimitsBuilder_ == null) {
+          if (((bitField0_ & 0x00000200) != 0)) {
+            statedLimits_ = java.util.Collections.unmodifiableList(statedLimits_);
+            bitField0_ = (bitField0_ & ~0x00000200);
+          }
+          result.statedLimits_ = statedLimits_;
+        } else {
+          result.statedLimits_ = statedLimitsBuilder_.build();
+        }
       }
 
       private void buildPartial0(org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate result) {
@@ -9727,6 +11437,9 @@
         if (((from_bitField0_ & 0x00000100) != 0)) {
           result.term_ = term_;
         }
+        if (((from_bitField0_ & 0x00000400) != 0)) {
+          result.limitsVersion_ = limitsVersion_;
+        }
       }
 
       @java.lang.Override
@@ -9839,6 +11552,35 @@
         if (other.getTerm() != 0L) {
           setTerm(other.getTerm());
         }
+        if (statedLimitsBuilder_ == null) {
+          if (!other.statedLimits_.isEmpty()) {
+            if (statedLimits_.isEmpty()) {
+              statedLimits_ = other.statedLimits_;
+              bitField0_ = (bitField0_ & ~0x00000200);
+            } else {
+              ensureStatedLimitsIsMutable();
+              statedLimits_.addAll(other.statedLimits_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.statedLimits_.isEmpty()) {
+            if (statedLimitsBuilder_.isEmpty()) {
+              statedLimitsBuilder_.dispose();
+              statedLimitsBuilder_ = null;
+              statedLimits_ = other.statedLimits_;
+              bitField0_ = (bitField0_ & ~0x00000200);
+              statedLimitsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetStatedLimitsFieldBuilder() : null;
+            } else {
+              statedLimitsBuilder_.addAllMessages(other.statedLimits_);
+            }
+          }
+        }
+        if (other.getLimitsVersion() != 0L) {
+          setLimitsVersion(other.getLimitsVersion());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -9934,6 +11676,24 @@
                 bitField0_ |= 0x00000100;
                 break;
               } // case 72
+              case 82: {
+                org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits m =
+                    input.readMessage(
+                        org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.parser(),
+                        extensionRegistry);
+                if (statedLimitsBuilder_ == null) {
+                  ensureStatedLimitsIsMutable();
+                  statedLimits_.add(m);
+                } else {
+                  statedLimitsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 82
+              case 88: {
+                limitsVersion_ = input.readUInt64();
+                bitField0_ |= 0x00000400;
+                break;
+              } // case 88
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -11098,6 +12858,350 @@
         return this;
       }
 
+      private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits> statedLimits_ =
+        java.util.Collections.emptyList();
+      private void ensureStatedLimitsIsMutable() {
+        if (!((bitField0_ & 0x00000200) != 0)) {
+          statedLimits_ = new java.util.ArrayList<org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits>(statedLimits_);
+          bitField0_ |= 0x00000200;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimitsOrBuilder> statedLimitsBuilder_;
+
+      /**
+       * <pre>
+       * The stated limits of all servers, if the entry reported another version of them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits> getStatedLimitsList() {
+        if (statedLimitsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(statedLimits_);
+        } else {
+          return statedLimitsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <pre>
+       * The stated limits of all servers, if the entry reported another version of them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+       */
+      public int getStatedLimitsCount() {
+        if (statedLimitsBuilder_ == null) {
+          return statedLimits_.size();
+        } else {
+          return statedLimitsBuilder_.getCount();
+        }
+      }
+      /**
+       * <pre>
+       * The stated limits of all servers, if the entry reported another version of them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits getStatedLimits(int index) {
+        if (statedLimitsBuilder_ == null) {
+          return statedLimits_.get(index);
+        } else {
+          return statedLimitsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <pre>
+       * The stated limits of all servers, if the entry reported another version of them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+       */
+      public Builder setStatedLimits(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits value) {
+        if (statedLimitsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureStatedLimitsIsMutable();
+          statedLimits_.set(index, value);
+          onChanged();
+        } else {
+          statedLimitsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * The stated limits of all servers, if the entry reported another version of them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+       */
+      public Builder setStatedLimits(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder builderForValue) {
+        if (statedLimitsBuilder_ == null) {
+          ensureStatedLimitsIsMutable();
+          statedLimits_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          statedLimitsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * The stated limits of all servers, if the entry reported another version of them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+       */
+      public Builder addStatedLimits(org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits value) {
+        if (statedLimitsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureStatedLimitsIsMutable();
+          statedLimits_.add(value);
+          onChanged();
+        } else {
+          statedLimitsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * The stated limits of all servers, if the entry reported another version of them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+       */
+      public Builder addStatedLimits(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits value) {
+        if (statedLimitsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureStatedLimitsIsMutable();
+          statedLimits_.add(index, value);
+          onChanged();
+        } else {
+          statedLimitsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * The stated limits of all servers, if the entry reported another version of them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+       */
+      public Builder addStatedLimits(
+          org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder builderForValue) {
+        if (statedLimitsBuilder_ == null) {
+          ensureStatedLimitsIsMutable();
+          statedLimits_.add(builderForValue.build());
+          onChanged();
+        } else {
+          statedLimitsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * The stated limits of all servers, if the entry reported another version of them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+       */
+      public Builder addStatedLimits(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder builderForValue) {
+        if (statedLimitsBuilder_ == null) {
+          ensureStatedLimitsIsMutable();
+          statedLimits_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          statedLimitsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * The stated limits of all servers, if the entry reported another version of them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+       */
+      public Builder addAllStatedLimits(
+          java.lang.Iterable<? extends org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits> values) {
+        if (statedLimitsBuilder_ == null) {
+          ensureStatedLimitsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, statedLimits_);
+          onChanged();
+        } else {
+          statedLimitsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * The stated limits of all servers, if the entry reported another version of them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+       */
+      public Builder clearStatedLimits() {
+        if (statedLimitsBuilder_ == null) {
+          statedLimits_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000200);
+          onChanged();
+        } else {
+          statedLimitsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * The stated limits of all servers, if the entry reported another version of them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+       */
+      public Builder removeStatedLimits(int index) {
+        if (statedLimitsBuilder_ == null) {
+          ensureStatedLimitsIsMutable();
+          statedLimits_.remove(index);
+          onChanged();
+        } else {
+          statedLimitsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * The stated limits of all servers, if the entry reported another version of them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder getStatedLimitsBuilder(
+          int index) {
+        return internalGetStatedLimitsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * The stated limits of all servers, if the entry reported another version of them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.StatedLimitsOrBuilder getStatedLimitsOrBuilder(
+          int index) {
+        if (statedLimitsBuilder_ == null) {
+          return statedLimits_.get(index);  } else {
+          return statedLimitsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * The stated limits of all servers, if the entry reported another version of them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+       */
+      public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.StatedLimitsOrBuilder> 
+           getStatedLimitsOrBuilderList() {
+        if (statedLimitsBuilder_ != null) {
+          return statedLimitsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(statedLimits_);
+        }
+      }
+      /**
+       * <pre>
+       * The stated limits of all servers, if the entry reported another version of them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder addStatedLimitsBuilder() {
+        return internalGetStatedLimitsFieldBuilder().addBuilder(
+            org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * The stated limits of all servers, if the entry reported another version of them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder addStatedLimitsBuilder(
+          int index) {
+        return internalGetStatedLimitsFieldBuilder().addBuilder(
+            index, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * The stated limits of all servers, if the entry reported another version of them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder> 
+           getStatedLimitsBuilderList() {
+        return internalGetStatedLimitsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimitsOrBuilder> 
+          internalGetStatedLimitsFieldBuilder() {
+        if (statedLimitsBuilder_ == null) {
+          statedLimitsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimitsOrBuilder>(
+                  statedLimits_,
+                  ((bitField0_ & 0x00000200) != 0),
+                  getParentForChildren(),
+                  isClean());
+          statedLimits_ = null;
+        }
+        return statedLimitsBuilder_;
+      }
+
+      private long limitsVersion_ ;
+      /**
+       * <code>uint64 limits_version = 11;</code>
+       * @return The limitsVersion.
+       */
+      @java.lang.Override
+      public long getLimitsVersion() {
+        return limitsVersion_;
+      }
+      /**
+       * <code>uint64 limits_version = 11;</code>
+       * @param value The limitsVersion to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLimitsVersion(long value) {
+
+        limitsVersion_ = value;
+        bitField0_ |= 0x00000400;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 limits_version = 11;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLimitsVersion() {
+        bitField0_ = (bitField0_ & ~0x00000400);
+        limitsVersion_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.coordination.CoordinationUpdate)
     }
 
@@ -11411,7 +13515,8 @@
   }
   /**
    * <pre>
-   * A request of an entry to the coordinator for an execution slot on a model engine.
+   * A request of an entry to the coordinator for an execution slot on a model engine, or on a server of a plain service
+   * some of whose servers state limits; the latter has no model.
    * </pre>
    *
    * Protobuf type {@code borageproxy.coordination.SlotRequest}
@@ -12283,7 +14388,8 @@
     }
     /**
      * <pre>
-     * A request of an entry to the coordinator for an execution slot on a model engine.
+     * A request of an entry to the coordinator for an execution slot on a model engine, or on a server of a plain service
+     * some of whose servers state limits; the latter has no model.
      * </pre>
      *
      * Protobuf type {@code borageproxy.coordination.SlotRequest}
@@ -18566,6 +20672,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_borageproxy_coordination_UsageReport_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_borageproxy_coordination_StatedLimits_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_borageproxy_coordination_StatedLimits_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_borageproxy_coordination_BegunStream_descriptor;
   private static final 
@@ -18646,7 +20757,7 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\022coordination.proto\022\030borageproxy.coordi" +
-      "nation\"\353\002\n\013UsageReport\022\017\n\007session\030\001 \001(\t\022" +
+      "nation\"\302\003\n\013UsageReport\022\017\n\007session\030\001 \001(\t\022" +
       "6\n\007servers\030\002 \003(\0132%.borageproxy.coordinat" +
       "ion.ServerUsage\022<\n\nworkspaces\030\003 \003(\0132(.bo" +
       "rageproxy.coordination.WorkspaceUsage\0226\n" +
@@ -18655,56 +20766,64 @@
       "s\030\006 \003(\0132#.borageproxy.coordination.Model" +
       "Pace\022\030\n\020contents_version\030\007 \001(\004\022<\n\rbegun_" +
       "streams\030\010 \003(\0132%.borageproxy.coordination" +
-      ".BegunStream\"I\n\013BegunStream\022\017\n\007request\030\001" +
-      " \001(\t\022\017\n\007service\030\002 \001(\t\022\030\n\020software_versio" +
-      "n\030\003 \001(\t\"$\n\021StreamOriginQuery\022\017\n\007request\030" +
-      "\001 \001(\t\"N\n\022StreamOriginAnswer\022\r\n\005known\030\001 \001" +
-      "(\010\022\017\n\007service\030\002 \001(\t\022\030\n\020software_version\030" +
-      "\003 \001(\t\"(\n\tModelPace\022\r\n\005model\030\001 \001(\t\022\014\n\004pac" +
-      "e\030\002 \001(\001\"\221\001\n\013ServerUsage\022\014\n\004name\030\001 \001(\t\022\023\n" +
-      "\013incarnation\030\002 \001(\004\022\020\n\010requests\030\003 \001(\r\022\025\n\r" +
-      "prompt_tokens\030\004 \001(\r\022\023\n\013held_tokens\030\005 \001(\r" +
-      "\022\020\n\010failures\030\006 \001(\r\022\017\n\007answers\030\007 \001(\r\"r\n\016W" +
-      "orkspaceUsage\022\014\n\004name\030\001 \001(\t\022\016\n\006demand\030\002 " +
-      "\001(\004\022\014\n\004held\030\003 \001(\004\022\r\n\005spent\030\004 \001(\004\022\r\n\005need" +
-      "s\030\006 \003(\004\022\020\n\010returned\030\007 \001(\004J\004\010\005\020\006\"_\n\013Model" +
-      "Demand\022\017\n\007service\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022\017" +
-      "\n\007adapter\030\003 \001(\t\022\016\n\006tokens\030\004 \001(\004\022\017\n\007waiti" +
-      "ng\030\005 \001(\r\"\264\002\n\022CoordinationUpdate\022\023\n\013coord" +
-      "inates\030\001 \001(\010\022\023\n\013coordinator\030\002 \001(\t\022\017\n\007ent" +
-      "ries\030\003 \001(\r\0226\n\007servers\030\004 \003(\0132%.borageprox" +
-      "y.coordination.ServerUsage\0223\n\006shares\030\005 \003" +
-      "(\0132#.borageproxy.coordination.RateShare\022" +
-      "9\n\010contents\030\006 \003(\0132\'.borageproxy.coordina" +
-      "tion.ServerContent\022\030\n\020contents_version\030\007" +
-      " \001(\004\022\023\n\013all_servers\030\010 \001(\010\022\014\n\004term\030\t \001(\004\"" +
-      "\363\002\n\013SlotRequest\022\014\n\004zone\030\001 \001(\t\022\017\n\007service" +
-      "\030\002 \001(\t\022\r\n\005model\030\003 \001(\t\022\017\n\007adapter\030\004 \001(\t\022\025" +
-      "\n\rprompt_tokens\030\005 \001(\r\022\025\n\routput_tokens\030\006" +
-      " \001(\r\0225\n\005parts\030\007 \003(\0132&.borageproxy.coordi" +
-      "nation.PartOfPrompt\022\014\n\004rank\030\010 \001(\r\022\030\n\020obj" +
-      "ective_millis\030\t \001(\r\022\027\n\017deadline_millis\030\n" +
-      " \001(\r\022\r\n\005tried\030\013 \003(\t\022\025\n\rwaited_millis\030\014 \001" +
-      "(\r\022\021\n\tabsent_at\030\016 \003(\t\022\014\n\004gone\030\017 \003(\t\022\035\n\020s" +
-      "oftware_version\030\020 \001(\tH\000\210\001\001B\023\n\021_software_" +
-      "versionJ\004\010\r\020\016\"0\n\014PartOfPrompt\022\020\n\010identit" +
-      "y\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\r\"\270\002\n\nSlotAnswer\022=" +
-      "\n\007outcome\030\001 \001(\0162,.borageproxy.coordinati" +
-      "on.SlotAnswer.Outcome\022\016\n\006server\030\002 \001(\t\022\023\n" +
-      "\013incarnation\030\003 \001(\004\022\027\n\017expected_millis\030\004 " +
-      "\001(\001\022\025\n\runread_tokens\030\005 \001(\r\022\014\n\004slot\030\006 \001(\004" +
-      "\022\030\n\020come_back_millis\030\007 \001(\r\"n\n\007Outcome\022\023\n" +
-      "\017NOT_COORDINATOR\020\000\022\n\n\006CHOSEN\020\001\022\r\n\tNO_SER" +
-      "VER\020\002\022\014\n\010NO_MODEL\020\003\022\013\n\007CROWDED\020\004\022\r\n\tALL_" +
-      "TRIED\020\005\022\t\n\005AGAIN\020\006\"=\n\tRateShare\022\021\n\tworks" +
-      "pace\030\001 \001(\t\022\014\n\004rate\030\002 \001(\004\022\017\n\007granted\030\003 \001(" +
-      "\004\"\211\001\n\rServerContent\022\014\n\004name\030\001 \001(\t\022\023\n\013inc" +
-      "arnation\030\002 \001(\004\022\016\n\006orders\030\003 \001(\004\0223\n\006models" +
-      "\030\004 \003(\0132#.borageproxy.coordination.HeldMo" +
-      "del\022\020\n\010arriving\030\005 \003(\t\",\n\tHeldModel\022\r\n\005mo" +
-      "del\030\001 \001(\t\022\020\n\010adapters\030\002 \003(\tB2\n\032org.borag" +
-      "eproxy.wire.protoB\024CoordinationProtocolb" +
-      "\006proto3"
+      ".BegunStream\022=\n\rstated_limits\030\t \003(\0132&.bo" +
+      "rageproxy.coordination.StatedLimits\022\026\n\016l" +
+      "imits_version\030\n \001(\004\"\247\001\n\014StatedLimits\022\014\n\004" +
+      "name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\022\n\nage_m" +
+      "illis\030\003 \001(\004\022 \n\023requests_per_second\030\004 \001(\001" +
+      "H\000\210\001\001\022\027\n\nrejections\030\005 \001(\rH\001\210\001\001B\026\n\024_reque" +
+      "sts_per_secondB\r\n\013_rejections\"I\n\013BegunSt" +
+      "ream\022\017\n\007request\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\030" +
+      "\n\020software_version\030\003 \001(\t\"$\n\021StreamOrigin" +
+      "Query\022\017\n\007request\030\001 \001(\t\"N\n\022StreamOriginAn" +
+      "swer\022\r\n\005known\030\001 \001(\010\022\017\n\007service\030\002 \001(\t\022\030\n\020" +
+      "software_version\030\003 \001(\t\"(\n\tModelPace\022\r\n\005m" +
+      "odel\030\001 \001(\t\022\014\n\004pace\030\002 \001(\001\"\221\001\n\013ServerUsage" +
+      "\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010r" +
+      "equests\030\003 \001(\r\022\025\n\rprompt_tokens\030\004 \001(\r\022\023\n\013" +
+      "held_tokens\030\005 \001(\r\022\020\n\010failures\030\006 \001(\r\022\017\n\007a" +
+      "nswers\030\007 \001(\r\"r\n\016WorkspaceUsage\022\014\n\004name\030\001" +
+      " \001(\t\022\016\n\006demand\030\002 \001(\004\022\014\n\004held\030\003 \001(\004\022\r\n\005sp" +
+      "ent\030\004 \001(\004\022\r\n\005needs\030\006 \003(\004\022\020\n\010returned\030\007 \001" +
+      "(\004J\004\010\005\020\006\"_\n\013ModelDemand\022\017\n\007service\030\001 \001(\t" +
+      "\022\r\n\005model\030\002 \001(\t\022\017\n\007adapter\030\003 \001(\t\022\016\n\006toke" +
+      "ns\030\004 \001(\004\022\017\n\007waiting\030\005 \001(\r\"\213\003\n\022Coordinati" +
+      "onUpdate\022\023\n\013coordinates\030\001 \001(\010\022\023\n\013coordin" +
+      "ator\030\002 \001(\t\022\017\n\007entries\030\003 \001(\r\0226\n\007servers\030\004" +
+      " \003(\0132%.borageproxy.coordination.ServerUs" +
+      "age\0223\n\006shares\030\005 \003(\0132#.borageproxy.coordi" +
+      "nation.RateShare\0229\n\010contents\030\006 \003(\0132\'.bor" +
+      "ageproxy.coordination.ServerContent\022\030\n\020c" +
+      "ontents_version\030\007 \001(\004\022\023\n\013all_servers\030\010 \001" +
+      "(\010\022\014\n\004term\030\t \001(\004\022=\n\rstated_limits\030\n \003(\0132" +
+      "&.borageproxy.coordination.StatedLimits\022" +
+      "\026\n\016limits_version\030\013 \001(\004\"\363\002\n\013SlotRequest\022" +
+      "\014\n\004zone\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\r\n\005model\030" +
+      "\003 \001(\t\022\017\n\007adapter\030\004 \001(\t\022\025\n\rprompt_tokens\030" +
+      "\005 \001(\r\022\025\n\routput_tokens\030\006 \001(\r\0225\n\005parts\030\007 " +
+      "\003(\0132&.borageproxy.coordination.PartOfPro" +
+      "mpt\022\014\n\004rank\030\010 \001(\r\022\030\n\020objective_millis\030\t " +
+      "\001(\r\022\027\n\017deadline_millis\030\n \001(\r\022\r\n\005tried\030\013 " +
+      "\003(\t\022\025\n\rwaited_millis\030\014 \001(\r\022\021\n\tabsent_at\030" +
+      "\016 \003(\t\022\014\n\004gone\030\017 \003(\t\022\035\n\020software_version\030" +
+      "\020 \001(\tH\000\210\001\001B\023\n\021_software_versionJ\004\010\r\020\016\"0\n" +
+      "\014PartOfPrompt\022\020\n\010identity\030\001 \001(\t\022\016\n\006token" +
+      "s\030\002 \001(\r\"\270\002\n\nSlotAnswer\022=\n\007outcome\030\001 \001(\0162" +
+      ",.borageproxy.coordination.SlotAnswer.Ou" +
+      "tcome\022\016\n\006server\030\002 \001(\t\022\023\n\013incarnation\030\003 \001" +
+      "(\004\022\027\n\017expected_millis\030\004 \001(\001\022\025\n\runread_to" +
+      "kens\030\005 \001(\r\022\014\n\004slot\030\006 \001(\004\022\030\n\020come_back_mi" +
+      "llis\030\007 \001(\r\"n\n\007Outcome\022\023\n\017NOT_COORDINATOR" +
+      "\020\000\022\n\n\006CHOSEN\020\001\022\r\n\tNO_SERVER\020\002\022\014\n\010NO_MODE" +
+      "L\020\003\022\013\n\007CROWDED\020\004\022\r\n\tALL_TRIED\020\005\022\t\n\005AGAIN" +
+      "\020\006\"=\n\tRateShare\022\021\n\tworkspace\030\001 \001(\t\022\014\n\004ra" +
+      "te\030\002 \001(\004\022\017\n\007granted\030\003 \001(\004\"\211\001\n\rServerCont" +
+      "ent\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\016" +
+      "\n\006orders\030\003 \001(\004\0223\n\006models\030\004 \003(\0132#.boragep" +
+      "roxy.coordination.HeldModel\022\020\n\010arriving\030" +
+      "\005 \003(\t\",\n\tHeldModel\022\r\n\005model\030\001 \001(\t\022\020\n\010ada" +
+      "pters\030\002 \003(\tB2\n\032org.borageproxy.wire.prot" +
+      "oB\024CoordinationProtocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -18715,87 +20834,93 @@
     internal_static_borageproxy_coordination_UsageReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_UsageReport_descriptor,
-        new java.lang.String[] { "Session", "Servers", "Workspaces", "Demands", "LastSlot", "Paces", "ContentsVersion", "BegunStreams", });
-    internal_static_borageproxy_coordination_BegunStream_descriptor =
+        new java.lang.String[] { "Session", "Servers", "Workspaces", "Demands", "LastSlot", "Paces", "ContentsVersion", "BegunStreams", "StatedLimits", "LimitsVersion", });
+    internal_static_borageproxy_coordination_StatedLimits_descriptor =
       getDescriptor().getMessageType(1);
+    internal_static_borageproxy_coordination_StatedLimits_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_borageproxy_coordination_StatedLimits_descriptor,
+        new java.lang.String[] { "Name", "Incarnation", "AgeMillis", "RequestsPerSecond", "Rejections", });
+    internal_static_borageproxy_coordination_BegunStream_descriptor =
+      getDescriptor().getMessageType(2);
     internal_static_borageproxy_coordination_BegunStream_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_BegunStream_descriptor,
         new java.lang.String[] { "Request", "Service", "SoftwareVersion", });
     internal_static_borageproxy_coordination_StreamOriginQuery_descriptor =
-      getDescriptor().getMessageType(2);
+      getDescriptor().getMessageType(3);
     internal_static_borageproxy_coordination_StreamOriginQuery_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_StreamOriginQuery_descriptor,
         new java.lang.String[] { "Request", });
     internal_static_borageproxy_coordination_StreamOriginAnswer_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(4);
     internal_static_borageproxy_coordination_StreamOriginAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_StreamOriginAnswer_descriptor,
         new java.lang.String[] { "Known", "Service", "SoftwareVersion", });
     internal_static_borageproxy_coordination_ModelPace_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(5);
     internal_static_borageproxy_coordination_ModelPace_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_ModelPace_descriptor,
         new java.lang.String[] { "Model", "Pace", });
     internal_static_borageproxy_coordination_ServerUsage_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(6);
     internal_static_borageproxy_coordination_ServerUsage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_ServerUsage_descriptor,
         new java.lang.String[] { "Name", "Incarnation", "Requests", "PromptTokens", "HeldTokens", "Failures", "Answers", });
     internal_static_borageproxy_coordination_WorkspaceUsage_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(7);
     internal_static_borageproxy_coordination_WorkspaceUsage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_WorkspaceUsage_descriptor,
         new java.lang.String[] { "Name", "Demand", "Held", "Spent", "Needs", "Returned", });
     internal_static_borageproxy_coordination_ModelDemand_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(8);
     internal_static_borageproxy_coordination_ModelDemand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_ModelDemand_descriptor,
         new java.lang.String[] { "Service", "Model", "Adapter", "Tokens", "Waiting", });
     internal_static_borageproxy_coordination_CoordinationUpdate_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(9);
     internal_static_borageproxy_coordination_CoordinationUpdate_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_CoordinationUpdate_descriptor,
-        new java.lang.String[] { "Coordinates", "Coordinator", "Entries", "Servers", "Shares", "Contents", "ContentsVersion", "AllServers", "Term", });
+        new java.lang.String[] { "Coordinates", "Coordinator", "Entries", "Servers", "Shares", "Contents", "ContentsVersion", "AllServers", "Term", "StatedLimits", "LimitsVersion", });
     internal_static_borageproxy_coordination_SlotRequest_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(10);
     internal_static_borageproxy_coordination_SlotRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_SlotRequest_descriptor,
         new java.lang.String[] { "Zone", "Service", "Model", "Adapter", "PromptTokens", "OutputTokens", "Parts", "Rank", "ObjectiveMillis", "DeadlineMillis", "Tried", "WaitedMillis", "AbsentAt", "Gone", "SoftwareVersion", });
     internal_static_borageproxy_coordination_PartOfPrompt_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(11);
     internal_static_borageproxy_coordination_PartOfPrompt_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_PartOfPrompt_descriptor,
         new java.lang.String[] { "Identity", "Tokens", });
     internal_static_borageproxy_coordination_SlotAnswer_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_borageproxy_coordination_SlotAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_SlotAnswer_descriptor,
         new java.lang.String[] { "Outcome", "Server", "Incarnation", "ExpectedMillis", "UnreadTokens", "Slot", "ComeBackMillis", });
     internal_static_borageproxy_coordination_RateShare_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_borageproxy_coordination_RateShare_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_RateShare_descriptor,
         new java.lang.String[] { "Workspace", "Rate", "Granted", });
     internal_static_borageproxy_coordination_ServerContent_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_borageproxy_coordination_ServerContent_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_ServerContent_descriptor,
         new java.lang.String[] { "Name", "Incarnation", "Orders", "Models", "Arriving", });
     internal_static_borageproxy_coordination_HeldModel_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_borageproxy_coordination_HeldModel_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_HeldModel_descriptor,
--- a/src/test/java/org/borageproxy/forward/ServerPoolTest.java
+++ b/src/test/java/org/borageproxy/forward/ServerPoolTest.java
@@ -26,7 +26,7 @@
 
     private final List<BackendServer> servers = new ArrayList<>();
     private final ServerPool pool =
-            new ServerPool(() -> List.copyOf(servers), () -> 1, BackendServerFixture.ZONE, new Random(1));
+            new ServerPool(() -> List.copyOf(servers), () -> 1, BackendServerFixture.ZONE, new Random(1), () -> 1);
 
     private static Optional<EngineWork> work(String model) {
         return Optional.of(new EngineWork(model, "", 1_000, 40, List.of()));
--- a/src/test/java/org/borageproxy/forward/SlotBrokerTest.java
+++ b/src/test/java/org/borageproxy/forward/SlotBrokerTest.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 
@@ -14,6 +16,7 @@
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.publication.EnginePool;
 import org.borageproxy.routing.EngineWork;
+import org.borageproxy.routing.ServerStatement;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.time.VirtualTime;
 import org.borageproxy.vm.VmName;
@@ -36,23 +39,25 @@
     private int waiting;
     private int selections;
     private final List<BackendServer> servers = new ArrayList<>();
+    private ServerPool pool;
     private final SlotBroker broker = broker();
 
     private SlotBroker broker() {
         servers.add(BackendServerFixture.withSoftware(BackendServerFixture.engine("other", "n"), "v1"));
-        ServerPool pool = new ServerPool(
+        pool = new ServerPool(
                 () -> {
                     selections++;
                     return List.copyOf(servers);
                 },
                 time::nowNanos,
                 BackendServerFixture.ZONE,
-                new Random(1));
+                new Random(1),
+                () -> 1);
         SlotBroker made = new SlotBroker(new SlotBroker.Environment(
                 () -> true,
                 pool,
                 new StreamOrigins(time::nowNanos),
-                service -> Optional.of(ENGINES),
+                service -> service.equals("plain") ? Optional.empty() : Optional.of(ENGINES),
                 time::nowNanos,
                 (delay, task) -> time.scheduleAfterNanos(delay.toNanos(), task),
                 new Demand()));
@@ -195,6 +200,73 @@
         return selections - before;
     }
 
+    private CompletableFuture<ByteString> askPlain(int objectiveMillis) {
+        SlotRequest request = SlotRequest.newBuilder()
+                .setZone("a")
+                .setService("s")
+                .setObjectiveMillis(objectiveMillis)
+                .setDeadlineMillis(4_000)
+                .build();
+        return broker.handle(ENTRY, request.toByteString()).toCompletableFuture();
+    }
+
+    private void limit(String server, double limit) {
+        BackendServer limited = servers.stream()
+                .filter(each -> each.name().value().equals(server))
+                .findFirst()
+                .orElseThrow();
+        pool.statements()
+                .recordAnswer(
+                        limited, new ServerStatement(OptionalDouble.of(limit), OptionalInt.empty()), time.nowNanos());
+    }
+
+    /** Guards against a burst to a server of a plain service that limits its requests, while another one has none. */
+    @Test
+    void plainRequestsBeyondLimitGoToOtherServers() throws Exception {
+        servers.clear();
+        servers.add(BackendServerFixture.service("p1", 1));
+        servers.add(BackendServerFixture.service("p2", 2));
+        limit("p1", 2);
+        time.advance(Duration.ofSeconds(1));
+        int limited = 0;
+        for (int number = 0; number < 40; number++) {
+            time.advance(Duration.ofMillis(50));
+            SlotAnswer answer = answer(askPlain(300));
+            assertEquals(SlotAnswer.Outcome.CHOSEN, answer.getOutcome());
+            limited += answer.getServer().equals("p1") ? 1 : 0;
+        }
+        assertTrue(limited >= 2 && limited <= 6, limited + " requests in two seconds");
+    }
+
+    /** Guards against requests that wait although the servers of their service have no room for them in time. */
+    @Test
+    void requestsWaitForPermitsInTimeAndTheOthersAreRefusedAtOnce() throws Exception {
+        servers.clear();
+        servers.add(BackendServerFixture.service("p1", 1));
+        limit("p1", 5);
+        CompletableFuture<ByteString> first = askPlain(500);
+        CompletableFuture<ByteString> second = askPlain(500);
+        assertFalse(first.isDone());
+        SlotAnswer refused = answer(second);
+        assertEquals(SlotAnswer.Outcome.CROWDED, refused.getOutcome());
+        assertTrue(refused.getComeBackMillis() >= 400, refused.toString());
+        time.advance(Duration.ofMillis(210));
+        SlotAnswer.Outcome outcome = answer(first).getOutcome();
+        assertTrue(outcome == SlotAnswer.Outcome.CHOSEN || outcome == SlotAnswer.Outcome.AGAIN, outcome.toString());
+    }
+
+    /** Guards against a model whose only engine limits its requests staying there. */
+    @Test
+    void requestsThatWaitForPermitsOfEnginesAreDemandForTheModel() {
+        servers.clear();
+        servers.add(BackendServerFixture.engine("e", "m"));
+        limit("e", 2);
+        ask("m", 5, 5_000, 0);
+        assertEquals(1, waiting);
+        time.advance(Duration.ofMillis(600));
+        assertEquals(0, waiting);
+    }
+
     private final class Demand implements SlotBroker.Demand {
         @Override
         public void addWaiting(String service, EngineWork work, Optional<String> softwareVersion, int change) {
--- a/src/test/java/org/borageproxy/membership/BackendServerFixture.java
+++ b/src/test/java/org/borageproxy/membership/BackendServerFixture.java
@@ -42,9 +42,23 @@
      * @return the copy
      */
     public static BackendServer withSoftware(BackendServer server, String softwareVersion) {
+        return copy(server, server.incarnation(), softwareVersion);
+    }
+
+    /**
+     * Returns the next incarnation of a server.
+     *
+     * @param server the server
+     * @return the server after a restart
+     */
+    public static BackendServer restarted(BackendServer server) {
+        return copy(server, server.incarnation() + 1, server.softwareVersion());
+    }
+
+    private static BackendServer copy(BackendServer server, long incarnation, String softwareVersion) {
         return new BackendServer(
                 server.name(),
-                server.incarnation(),
+                incarnation,
                 server.sequence(),
                 server.kind(),
                 server.state(),
--- a/src/test/java/org/borageproxy/placement/FleetPlacementTest.java
+++ b/src/test/java/org/borageproxy/placement/FleetPlacementTest.java
@@ -36,6 +36,7 @@
     private static final EnginePool POOL = pool();
 
     private final LoadingEngineClient engineClient = new LoadingEngineClient();
+    private final CountedPermits permits = new CountedPermits();
     private final VirtualTime time = new VirtualTime(1);
     private boolean isLeader = true;
     private long term = 4;
@@ -74,6 +75,7 @@
                 () -> Optional.of(publication),
                 () -> List.copyOf(servers),
                 engineClient,
+                permits,
                 (name, loadedModels) -> {},
                 time::nowNanos,
                 (delay, task) -> time.scheduleAfterNanos(delay.toNanos(), task),
@@ -82,6 +84,63 @@
         return fleetPlacement;
     }
 
+    /** Permits for the engines in {@code limited}, which are granted by the tests. */
+    private static final class CountedPermits implements CallPermits {
+        private final Map<String, Integer> limited = new HashMap<>();
+        private int lowest;
+
+        @Override
+        public boolean isLimiting(BackendServer engine) {
+            return limited.containsKey(engine.name().value());
+        }
+
+        @Override
+        public boolean isPermitted(BackendServer engine) {
+            return limited.getOrDefault(engine.name().value(), 1) > 0;
+        }
+
+        @Override
+        public void acquirePermit(BackendServer engine) {
+            limited.computeIfPresent(engine.name().value(), (name, permitted) -> permitted - 1);
+            lowest = Math.min(lowest, limited.getOrDefault(engine.name().value(), 0));
+        }
+    }
+
+    /**
+     * Guards against orders and reads of the state that come on top of the requests of callers at engines which limit
+     * their requests.
+     */
+    @Test
+    void enginesThatLimitTheirRequestsGetCallsOnlyWithPermits() {
+        permits.limited.put("e1", 1);
+        permits.limited.put("e2", 1);
+        time.advance(HANDOVER_DELAY.plusMillis(1_200));
+        placement.adjustWaiting("s", "c", "", Optional.empty(), 1);
+        time.advance(Duration.ofSeconds(5));
+        assertEquals(0, permits.lowest);
+        assertEquals(List.of(), engineClient.sentOrders);
+        permits.limited.put("e1", 2);
+        time.advance(Duration.ofSeconds(2));
+        assertEquals(0, permits.lowest);
+        assertEquals(1, engineClient.sentOrders.size(), engineClient.sentOrders.toString());
+    }
+
+    /** Guards against models whose only engine limits its requests, and against loads to such an engine. */
+    @Test
+    void modelOfLimitingEngineIsLoadedElsewhereWhileRequestsWait() {
+        permits.limited.put("e1", 100);
+        time.advance(HANDOVER_DELAY.plusMillis(1_200));
+        placement.adjustWaiting("s", "a", "", Optional.empty(), 1);
+        placement.adjustWaiting("s", "c", "", Optional.empty(), 1);
+        time.advance(LOAD_TIME.multipliedBy(3));
+        List<String> loaded = engineClient.sentOrders.stream()
+                .filter(each -> each.order().isLoad())
+                .map(each -> each.server() + each.order().model())
+                .toList();
+        assertTrue(loaded.contains("e2a") || loaded.contains("e2c"), loaded.toString());
+        assertTrue(loaded.stream().noneMatch(each -> each.startsWith("e1")), loaded.toString());
+    }
+
     @Test
     void newLeaderSendsNoOrdersDuringHandoverDelay() {
         time.advance(Duration.ofMillis(200));
--- a/src/test/java/org/borageproxy/platform/ForwardingTest.java
+++ b/src/test/java/org/borageproxy/platform/ForwardingTest.java
@@ -125,7 +125,7 @@
         vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
         context = ((VertxInternal) vertx).createEventLoopContext();
         MonotonicClock clock = MonotonicClock.ofSystem();
-        ServerPool pool = new ServerPool(() -> List.copyOf(servers), clock, ZONE, new Random(1));
+        ServerPool pool = new ServerPool(() -> List.copyOf(servers), clock, ZONE, new Random(1), () -> 1);
         pool.onGone(server -> goneServers.add(server.name().value()));
         ForwardContext forwardContext = new ForwardContext(
                 context.nettyEventLoop(),
--- /dev/null
+++ b/src/test/java/org/borageproxy/platform/PlatformHeadersTest.java
@@ -0,0 +1,54 @@
+package org.borageproxy.platform;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalInt;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import org.borageproxy.routing.ServerStatement;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+class PlatformHeadersTest {
+
+    private static Optional<ServerStatement> parse(String... fields) {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        for (int index = 0; index < fields.length; index += 2) {
+            headers.add(fields[index], fields[index + 1]);
+        }
+        return new PlatformHeaders().parseResponse(200, headers).statement();
+    }
+
+    private static Optional<ServerStatement> limit(double limit) {
+        return Optional.of(new ServerStatement(OptionalDouble.of(limit), OptionalInt.empty()));
+    }
+
+    @Test
+    void limitsAreParsedInAnyCase() {
+        assertEquals(limit(2.6), parse("Server-Limit", "2.6"));
+        assertEquals(limit(0), parse("server-limit", "0"));
+        assertEquals(
+                Optional.of(new ServerStatement(OptionalDouble.empty(), OptionalInt.of(3))),
+                parse("SERVER-BRITTLE", "3"));
+        assertEquals(Optional.of(ServerStatement.NONE), parse("X-Request-Id", "1"));
+    }
+
+    @Test
+    void lowestOfRepeatedLimitsCounts() {
+        assertEquals(limit(1.5), parse("Server-Limit", "4", "Server-Limit", "1.5"));
+    }
+
+    /** Guards against a malformed field that ends or imposes a limit. */
+    @Test
+    void malformedLimitsStateNothing() {
+        for (String malformed : List.of("", "many", "-1", "NaN", "Infinity", "1e300", "2,6")) {
+            assertEquals(Optional.empty(), parse("Server-Limit", malformed), malformed);
+        }
+        for (String malformed : List.of("", "-3", "2.5", "99999999999")) {
+            assertEquals(Optional.empty(), parse("Server-Brittle", malformed), malformed);
+        }
+    }
+}
