Reproduce entries that lose their links to all backend servers

The fault is triggered with a control VM, three entries and simulated servers, which reset all connections of some entries' processes. Ruled out: a first form found no connection of the entries, since the JVM opens sockets of the other protocol version, and passed without any cut.

--- a/src/test/java/org/borageproxy/platform/EngineStandIn.java
+++ b/src/test/java/org/borageproxy/platform/EngineStandIn.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Predicate;
 
 /**
  * A model engine that streams events, each with the version of the engine's software as its data. What it does with a
@@ -53,6 +54,7 @@
     /** Header lines of all answers, each with its end of line. */
     private volatile String statement = "";
 
+    private volatile Predicate<Socket> isCutOff = connection -> false;
     private volatile long incarnation;
     private volatile ServerSocket listening;
 
@@ -95,6 +97,10 @@
             try {
                 Socket connection = accepting.accept();
                 connection.setTcpNoDelay(true);
+                if (isCutOff.test(connection)) {
+                    reset(connection);
+                    continue;
+                }
                 connections.add(connection);
                 Thread thread = new Thread(() -> serve(connection));
                 thread.setDaemon(true);
@@ -105,6 +111,30 @@
         }
     }
 
+    private static void reset(Socket connection) throws IOException {
+        connection.setSoLinger(true, 0);
+        connection.close();
+    }
+
+    /**
+     * Resets the present and all further connections of some callers.
+     *
+     * @param isCaller tests whether a connection is from such a caller
+     */
+    void cutOff(Predicate<Socket> isCaller) throws IOException {
+        isCutOff = isCaller;
+        for (Socket connection : connections) {
+            if (isCaller.test(connection)) {
+                reset(connection);
+            }
+        }
+    }
+
+    /** Accepts connections of all callers again. */
+    void heal() {
+        isCutOff = connection -> false;
+    }
+
     private void serve(Socket connection) {
         try (connection) {
             String request = ScriptedServer.read(connection.getInputStream());
--- a/src/test/java/org/borageproxy/platform/PlatformFleet.java
+++ b/src/test/java/org/borageproxy/platform/PlatformFleet.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -17,9 +18,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * VMs on the platform, each a separate process on a loopback address, with engines that send heartbeats to the control
@@ -134,6 +138,37 @@
         processes.put(vm, builder.start());
     }
 
+    /** Returns whether the other end of a connection on this machine belongs to the process of a VM. */
+    boolean isFrom(String vm, Socket connection) {
+        Process process = processes.get(vm);
+        if (process == null) {
+            return false;
+        }
+        String end = String.format(":%04X ", connection.getPort());
+        // The JVM opens sockets of both protocol versions.
+        try (Stream<String> sockets =
+                        Stream.concat(Files.lines(Path.of("/proc/net/tcp")), Files.lines(Path.of("/proc/net/tcp6")));
+                Stream<Path> files = Files.list(Path.of("/proc/" + process.pid() + "/fd"))) {
+            Set<String> inodes = sockets.map(String::strip)
+                    .map(line -> line.split("\\s+"))
+                    .filter(fields -> (fields[1] + " ").endsWith(end))
+                    .map(fields -> "socket:[" + fields[9] + "]")
+                    .collect(Collectors.toSet());
+            return files.anyMatch(file -> inodes.contains(targetOf(file)));
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
+    private static String targetOf(Path link) {
+        try {
+            return Files.readSymbolicLink(link).toString();
+        } catch (IOException exception) {
+            // The file was closed meanwhile.
+            return "";
+        }
+    }
+
     /** Kills a VM. */
     void kill(String vm) throws InterruptedException {
         Process process = processes.remove(vm);
