--- a/src/main/java/org/borageproxy/coordination/Coordinator.java
+++ b/src/main/java/org/borageproxy/coordination/Coordinator.java
@@ -1,6 +1,8 @@
 package org.borageproxy.coordination;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -38,6 +40,8 @@
     private static final Duration REPORT_VALIDITY = Duration.ofMillis(1500);
     /** Interval at which an entry receives the load on model engines, which it uses only without a coordinator. */
     private static final Duration ENGINE_USAGE_INTERVAL = Duration.ofMillis(500);
+    /** Number of entries that an entry is told as ways to the backend servers. */
+    private static final int MAX_RELAYS = 3;
 
     private final GroupMember member;
     private final MonotonicClock clock;
@@ -178,6 +182,9 @@
                 : previous.get().nextEngineUsageAt();
         reports.put(sender, new ReceivedReport(report, Deadline.after(nowNanos, REPORT_VALIDITY), nextEngineUsageAt));
         update.setEntries(reports.size()).setTerm(term);
+        if (hasEngineUsage) {
+            update.addAllRelays(relaysFor(sender));
+        }
         Map<String, WorkspaceUsage> usageByWorkspace = new HashMap<>();
         report.getWorkspacesList().forEach(usage -> usageByWorkspace.put(usage.getName(), usage));
         splitters.keySet().retainAll(workspaces.get().keySet());
@@ -193,6 +200,17 @@
         return update;
     }
 
+    private List<String> relaysFor(VmName sender) {
+        List<String> relays = new ArrayList<>();
+        reports.forEach((entry, received) -> {
+            if (received.report().getRelays() && !entry.equals(sender)) {
+                relays.add(entry.value());
+            }
+        });
+        Collections.shuffle(relays);
+        return relays.subList(0, Math.min(MAX_RELAYS, relays.size()));
+    }
+
     private void removeExpiredReports(long nowNanos) {
         reports.values().removeIf(received -> {
             boolean isExpired = received.expiresAt().hasPassed(nowNanos);
--- a/src/main/java/org/borageproxy/execution/CrashProbe.java
+++ b/src/main/java/org/borageproxy/execution/CrashProbe.java
@@ -3,6 +3,8 @@
 import java.net.ConnectException;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
 
 import io.netty.channel.ConnectTimeoutException;
 import io.vertx.core.Future;
@@ -35,6 +37,21 @@
         return new TcpProbe(vertx);
     }
 
+    /**
+     * Returns a probe whose finding another VM has to confirm, since a VM that has lost its links to the servers may be
+     * refused by all of them.
+     *
+     * @param probe the probe of this VM
+     * @param confirmation returns whether another VM finds the same
+     * @return the probe
+     */
+    static CrashProbe confirmed(CrashProbe probe, Function<BackendServer, CompletionStage<Boolean>> confirmation) {
+        return server -> probe.hasStopped(server)
+                .compose(hasStopped -> hasStopped
+                        ? Future.fromCompletionStage(confirmation.apply(server))
+                        : Future.succeededFuture(false));
+    }
+
     /** Probes by opening TCP connections. Safe for use by any event loop. */
     final class TcpProbe implements CrashProbe {
 
--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -9,10 +9,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.vertx.core.http.HttpServerRequest;
 import org.borageproxy.membership.BackendServer;
@@ -20,7 +17,6 @@
 import org.borageproxy.publication.Repeatability;
 import org.borageproxy.quota.RateShares;
 import org.borageproxy.routing.ServerSelector;
-import org.borageproxy.routing.ServerStatement;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer;
 
@@ -73,8 +69,14 @@
         this.log = new RequestLog(buffered, context.clock());
         this.rate = new RateAdmission(context, buffered);
         this.crashEvidence = new CrashEvidence(context.suspectRequests(), buffered.suspects(), context.clock());
-        this.localSearch =
-                new LocalSearch(context, buffered, log, triedServers, () -> origin, new LocalSearchListener());
+        this.localSearch = new LocalSearch(
+                context,
+                buffered,
+                log,
+                triedServers,
+                () -> origin,
+                this::send,
+                reason -> refuseOrAbort(reason, DEFAULT_RETRY_AFTER));
     }
 
     /** Refuses the request or begins its admission, unless it was refused by a shutdown before. */
@@ -190,28 +192,13 @@
         context.connections().connect(choice.server(), attempt);
     }
 
-    /** Sends the request to the server that this VM selected, or refuses it. */
-    private final class LocalSearchListener implements LocalSearch.Listener {
-        @Override
-        public void onChosen(ServerSelector.Choice choice) {
-            send(choice);
-        }
-
-        @Override
-        public void onNotFound(RefusalReason reason) {
-            refuseOrAbort(reason, DEFAULT_RETRY_AFTER);
-        }
-    }
-
     /** One attempt to run the request on one server. */
     private final class Attempt implements ServerConnectionPool.ConnectListener, ServerConnection.Listener {
         private final ServerSelector.Choice choice;
         private final BackendServer server;
         private Optional<ServerConnection> connection = Optional.empty();
         private Optional<InFlightRequest> inFlightRequest = Optional.empty();
-        private Optional<HttpResponse> head = Optional.empty();
-        private ByteBuf body = Unpooled.EMPTY_BUFFER;
-        private long receivedBytes;
+        private final ReceivedAnswer received = new ReceivedAnswer();
         private boolean isStream;
         private boolean isOver;
 
@@ -261,9 +248,12 @@
             if (isRefused) {
                 markServerGone();
             }
-            context.pool()
-                    .recordStart(choice, buffered.engines(), buffered.metadata().work())
-                    .recordFailure();
+            if (isServerToBlame()) {
+                context.pool()
+                        .recordStart(
+                                choice, buffered.engines(), buffered.metadata().work())
+                        .recordFailure();
+            }
             log.failed(server, "unreachable: " + reason, 0, 0);
             retry(RefusalReason.NO_CAPACITY, true);
         }
@@ -281,30 +271,23 @@
                 handleLostAnswer("answer belongs to another request");
                 return;
             }
+            long sentAtNanos = inFlightRequest.orElseThrow().startedAtNanos();
             if (answer.respondingServer().isEmpty()) {
-                answer.statement().ifPresent(this::recordStatement);
+                answer.statement()
+                        .ifPresent(
+                                statement -> context.pool().statements().recordAnswer(server, statement, sentAtNanos));
             }
             if (answer.notRun()) {
                 handleNotRun(response, answer);
                 return;
             }
-            head = Optional.of(response);
-            boolean isSuccess = response.status().codeClass() == HttpStatusClass.SUCCESS;
-            isStream = isSuccess && buffered.route().repeatability().isStream();
+            received.setHead(response);
+            isStream = received.isSuccess() && buffered.route().repeatability().isStream();
             if (!isStream && relay.hasBegun()) {
                 closeConnection();
                 handleLostAnswer("status " + response.status().code() + " to a resumed stream");
                 return;
             }
-            if (!isStream) {
-                body = Unpooled.buffer();
-            }
-        }
-
-        private void recordStatement(ServerStatement statement) {
-            long sentAtNanos =
-                    inFlightRequest.map(InFlightRequest::startedAtNanos).orElse(buffered.arrivedAtNanos());
-            context.pool().statements().recordAnswer(server, statement, sentAtNanos);
         }
 
         private void handleNotRun(HttpResponse response, CallerProtocol.ResponseMetadata answer) {
@@ -335,10 +318,16 @@
         }
 
         private void cancel() {
-            inFlightRequest.filter(InFlightRequest::isOverdue).ifPresent(overdue -> {
-                log.failed(server, "no answer within several times the expected time", ageMillis(), receivedBytes);
-                overdue.recordFailure();
-            });
+            inFlightRequest
+                    .filter(each -> each.isOverdue() && isServerToBlame())
+                    .ifPresent(overdue -> {
+                        log.failed(
+                                server,
+                                "no answer within several times the expected time",
+                                ageMillis(),
+                                received.receivedBytes());
+                        overdue.recordFailure();
+                    });
             closeConnection();
         }
 
@@ -350,10 +339,10 @@
 
         @Override
         public void onContent(ByteBuf bytes) {
-            if (isOver || head.isEmpty()) {
+            if (isOver || received.head().isEmpty()) {
                 return;
             }
-            receivedBytes += bytes.readableBytes();
+            received.count(bytes);
             if (isStream) {
                 // Before the response is recorded, which may report to the coordinator what began the stream.
                 relayEvents(bytes);
@@ -362,30 +351,25 @@
             if (isStream) {
                 return;
             }
-            body.writeBytes(bytes);
-            if (body.readableBytes() > MAX_BUFFERED_BYTES) {
+            received.keep(bytes);
+            if (received.keptBytes() > MAX_BUFFERED_BYTES) {
                 isStream = true;
-                relay.sendPart(head.get(), body, length());
-                body = Unpooled.EMPTY_BUFFER;
+                relay.sendPart(received.head().get(), received.takeBody(), received.length());
             }
         }
 
-        private Optional<String> length() {
-            return Optional.ofNullable(head.get().headers().get(HttpHeaderNames.CONTENT_LENGTH));
-        }
-
         private void relayEvents(ByteBuf bytes) {
             ByteBuf relayedBytes = buffered.route().repeatability().isStream() ? scanner.append(bytes) : bytes;
             if (!relayedBytes.isReadable()) {
                 return;
             }
             if (firstHead.isEmpty()) {
-                firstHead = head;
+                firstHead = received.head();
                 recordOrigin();
             }
             log.streamEvent();
             crashEvidence.recordEvent();
-            relay.sendPart(firstHead.get(), relayedBytes, isResumable() ? Optional.empty() : length());
+            relay.sendPart(firstHead.get(), relayedBytes, isResumable() ? Optional.empty() : received.length());
             if (relay.isWriteQueueFull()) {
                 connection.ifPresent(present -> present.setReading(false));
                 relay.onDrained(() -> connection.ifPresent(present -> present.setReading(true)));
@@ -408,13 +392,13 @@
             isOver = true;
             inFlightRequest.ifPresent(present -> present.recordResponse(buffered.service()));
             inFlightRequest.ifPresent(InFlightRequest::recordEnd);
-            int status = head.get().status().code();
+            int status = received.status();
             if (isBrokenOff()) {
                 recordCrashSuspicion();
                 handleLostAnswer("answer ended within an event");
                 return;
             }
-            if (head.get().status().codeClass() == HttpStatusClass.SUCCESS) {
+            if (received.isSuccess()) {
                 crashEvidence.recordSuccess();
             }
             context.metrics().recordAttempt(buffered.service(), Integer.toString(status), ageMillis());
@@ -422,36 +406,44 @@
                 endStream();
             } else if (status >= FIRST_SERVER_ERROR && mayRepeat() && !isExpired()) {
                 inFlightRequest.ifPresent(InFlightRequest::recordFailure);
-                log.failed(server, "status " + status, ageMillis(), receivedBytes);
-                HttpResponse keptHead = head.get();
-                ByteBuf keptBody = body;
-                retryOrElse(() -> sendCompleteAnswer(keptHead, keptBody));
+                log.failed(server, "status " + status, ageMillis(), received.receivedBytes());
+                retryOrElse(() -> sendCompleteAnswer(received));
             } else {
                 if (status >= FIRST_SERVER_ERROR) {
                     inFlightRequest.ifPresent(InFlightRequest::recordFailure);
                 }
-                sendCompleteAnswer(head.get(), body);
+                sendCompleteAnswer(received);
             }
         }
 
         /** Returns whether a stream ended within an event, or without any if only the connection marks its end. */
         private boolean isBrokenOff() {
             boolean isEventStream = isStream && buffered.route().repeatability().isStream();
-            boolean isFramed = length().isPresent() || HttpUtil.isTransferEncodingChunked(head.get());
-            return isEventStream && (scanner.hasPartialEvent() || !isFramed && receivedBytes == 0);
+            boolean isEmpty = received.isUnframed() && received.receivedBytes() == 0;
+            return isEventStream && (scanner.hasPartialEvent() || isEmpty);
+        }
+
+        /** A lost connection says nothing about the server if the links of this VM are lost. */
+        private boolean isServerToBlame() {
+            boolean isDirect = connection.map(each -> !each.isRelayed()).orElse(true);
+            return !(isDirect && context.connections().links().areLost());
         }
 
         private void recordCrashSuspicion() {
+            if (!isServerToBlame()) {
+                inFlightRequest.ifPresent(InFlightRequest::recordEnd);
+                return;
+            }
             inFlightRequest.ifPresent(InFlightRequest::recordFailure);
             crashEvidence.recordConnectionLoss(server);
         }
 
         private void endStream() {
             if (!relay.hasBegun()) {
-                relay.sendPart(head.get(), Unpooled.EMPTY_BUFFER, Optional.empty());
+                relay.sendPart(received.head().get(), Unpooled.EMPTY_BUFFER, Optional.empty());
             }
             relay.end();
-            finish("answered", head.get().status().code());
+            finish("answered", received.status());
         }
 
         @Override
@@ -464,8 +456,16 @@
             handleLostAnswer(reason);
         }
 
+        @Override
+        public void onLinksLost() {
+            if (!isOver && mayRepeat()) {
+                closeConnection();
+                handleLostAnswer("links of this VM to the servers are lost");
+            }
+        }
+
         private void handleLostAnswer(String reason) {
-            log.failed(server, reason, ageMillis(), receivedBytes);
+            log.failed(server, reason, ageMillis(), received.receivedBytes());
             context.metrics().recordAttempt(buffered.service(), "lost", ageMillis());
             scanner.discardPartialEvent();
             if (relay.hasBegun() && !(isStream && isResumable())) {
@@ -555,9 +555,9 @@
         relay.abort();
     }
 
-    private void sendCompleteAnswer(HttpResponse head, ByteBuf body) {
-        relay.sendComplete(head, body);
-        finish("answered", head.status().code());
+    private void sendCompleteAnswer(ReceivedAnswer answer) {
+        relay.sendComplete(answer.head().orElseThrow(), answer.takeBody());
+        finish("answered", answer.status());
     }
 
     private void expire() {
--- a/src/main/java/org/borageproxy/forward/LocalSearch.java
+++ b/src/main/java/org/borageproxy/forward/LocalSearch.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import org.borageproxy.membership.BackendServerName;
@@ -32,46 +33,42 @@
     private final RequestLog log;
     private final Set<BackendServerName> triedServers;
     private final Supplier<Optional<StreamOrigin>> origin;
-    private final Listener listener;
+    private final Consumer<ServerSelector.Choice> chosenListener;
+    private final Consumer<RefusalReason> notFoundListener;
     private final Runnable searchAgain = this::searchAgain;
     private Optional<RequestQueue.QueuedRequest> queuedRequest = Optional.empty();
     private ScheduledFuture<?> timer;
     private boolean isModelMissing;
 
-    /** Receives the outcome of a search. */
-    interface Listener {
-
-        /**
-         * Called with a server that can run the request now.
-         *
-         * @param choice the server
-         */
-        void onChosen(ServerSelector.Choice choice);
-
-        /**
-         * Called if no server can run the request, after the wait if there was one.
-         *
-         * @param reason the reason for the refusal
-         */
-        void onNotFound(RefusalReason reason);
-    }
-
+    /**
+     * Creates a search that has not begun.
+     *
+     * @param context the collaborators of forwarding
+     * @param buffered the request
+     * @param log the log lines of the request
+     * @param triedServers the servers that must not be selected again
+     * @param origin supplies what began the stream that the request continues
+     * @param chosenListener receives a server that can run the request now
+     * @param notFoundListener receives the reason if no server can run the request, after the wait if there was one
+     */
     LocalSearch(
             ForwardContext context,
             BufferedRequest buffered,
             RequestLog log,
             Set<BackendServerName> triedServers,
             Supplier<Optional<StreamOrigin>> origin,
-            Listener listener) {
+            Consumer<ServerSelector.Choice> chosenListener,
+            Consumer<RefusalReason> notFoundListener) {
         this.context = context;
         this.buffered = buffered;
         this.log = log;
         this.triedServers = triedServers;
         this.origin = origin;
-        this.listener = listener;
+        this.chosenListener = chosenListener;
+        this.notFoundListener = notFoundListener;
     }
 
-    /** Selects a server or starts to wait for one; the listener may be called before this method returns. */
+    /** Selects a server or starts to wait for one; a listener may be called before this method returns. */
     void search() {
         ServerRequirement requirement = new ServerRequirement(
                 buffered.service(), buffered.engines(), buffered.metadata().work(), triedServers, origin.get());
@@ -79,12 +76,12 @@
         if (choice.isPresent()) {
             stop();
             context.pool().statements().acquirePermit(choice.get().server());
-            listener.onChosen(choice.get());
+            chosenListener.accept(choice.get());
             return;
         }
         ServerPool.Unavailability unavailability = context.pool().unavailability(requirement);
         switch (unavailability) {
-            case ALL_TRIED -> listener.onNotFound(RefusalReason.REFUSED_BY_SERVERS);
+            case ALL_TRIED -> notFoundListener.accept(RefusalReason.REFUSED_BY_SERVERS);
             case NO_SERVER -> waitOrRefuse(RefusalReason.NO_SERVER, unavailability, MAX_SERVER_WAIT);
             case NO_ADAPTER -> waitOrRefuse(RefusalReason.MODEL_ABSENT, unavailability, MAX_ADAPTER_WAIT);
             case CROWDED, LIMITED -> waitOrRefuse(RefusalReason.NO_CAPACITY, unavailability, capacityWait());
@@ -128,14 +125,14 @@
         }
         log.noServer(unavailability, triedServers.size());
         if (buffered.metadata().work().isEmpty() || maximumWait.isZero()) {
-            listener.onNotFound(reason);
+            notFoundListener.accept(reason);
             return;
         }
         isModelMissing = unavailability != ServerPool.Unavailability.CROWDED
                 && unavailability != ServerPool.Unavailability.LIMITED;
         queuedRequest = Optional.of(newQueuedRequest());
         timer = context.eventLoop()
-                .schedule(() -> listener.onNotFound(reason), maximumWait.toNanos(), TimeUnit.NANOSECONDS);
+                .schedule(() -> notFoundListener.accept(reason), maximumWait.toNanos(), TimeUnit.NANOSECONDS);
         context.pool().enqueue(buffered.service(), queuedRequest.get(), isModelMissing);
     }
 
@@ -145,7 +142,7 @@
         }
     }
 
-    /** Ends the wait, if there is one; the listener is not called. */
+    /** Ends the wait, if there is one; no listener is called. */
     void stop() {
         queuedRequest.ifPresent(request -> {
             timer.cancel(false);
--- a/src/main/java/org/borageproxy/forward/ServerConnection.java
+++ b/src/main/java/org/borageproxy/forward/ServerConnection.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import org.borageproxy.membership.BackendServer;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
 
@@ -42,6 +43,9 @@
 
     private final MonotonicClock clock;
     private final Releaser releaser;
+    private final ServerLinks links;
+    private final BackendServer server;
+    private final boolean isRelayed;
     private Channel channel;
     private Optional<Listener> listener = Optional.empty();
     private Optional<ChannelFuture> written = Optional.empty();
@@ -49,6 +53,7 @@
     private boolean isBroken;
     private Deadline usableUntil = new Deadline(0);
     private int exchangeCount;
+    private boolean hasReceived;
 
     /** Receives the answer of one exchange. No method is called after {@link #onEnd} or {@link #onFailure}. */
     interface Listener {
@@ -76,6 +81,9 @@
          * @param reason the reason, for logs
          */
         void onFailure(String reason);
+
+        /** Called if the answer may never arrive, since the links of this VM to the servers are lost. */
+        default void onLinksLost() {}
     }
 
     /** Receives reusable connections. */
@@ -90,9 +98,13 @@
         void release(ServerConnection connection);
     }
 
-    ServerConnection(MonotonicClock clock, Releaser releaser) {
+    ServerConnection(
+            MonotonicClock clock, Releaser releaser, ServerLinks links, BackendServer server, boolean isRelayed) {
         this.clock = clock;
         this.releaser = releaser;
+        this.links = links;
+        this.server = server;
+        this.isRelayed = isRelayed;
     }
 
     @Override
@@ -111,6 +123,10 @@
         listener = Optional.of(newListener);
         isReusable = false;
         exchangeCount++;
+        hasReceived = false;
+        if (!isRelayed) {
+            links.recordWaiting(this);
+        }
         DefaultFullHttpRequest fullRequest = new DefaultFullHttpRequest(
                 request.protocolVersion(), request.method(), request.uri(), Unpooled.wrappedBuffer(body));
         fullRequest.headers().set(request.headers());
@@ -126,6 +142,20 @@
         return exchangeCount > 1;
     }
 
+    /**
+     * Returns whether the connection leads through another VM.
+     *
+     * @return {@code false} for a direct connection
+     */
+    boolean isRelayed() {
+        return isRelayed;
+    }
+
+    /** Tells the listener that the answer may never arrive. */
+    void handleLostLinks() {
+        listener.ifPresent(Listener::onLinksLost);
+    }
+
     /**
      * Returns whether the connection may carry another exchange.
      *
@@ -133,7 +163,8 @@
      * @return {@code false} if it is closed or the server is about to close it
      */
     boolean isUsable(long nowNanos) {
-        return channel.isActive() && !isBroken && !usableUntil.hasPassed(nowNanos);
+        boolean isReachable = isRelayed || !links.areLost();
+        return isReachable && channel.isActive() && !isBroken && !usableUntil.hasPassed(nowNanos);
     }
 
     /**
@@ -149,6 +180,7 @@
     void close() {
         listener = Optional.empty();
         isBroken = true;
+        links.recordEnded(this);
         channel.close();
     }
 
@@ -164,6 +196,10 @@
     }
 
     private void read(HttpObject part) {
+        hasReceived = true;
+        if (!isRelayed) {
+            links.recordReceived();
+        }
         boolean isMalformed = ((DecoderResultProvider) part).decoderResult().isFailure();
         if (isMalformed || listener.isEmpty() || isBroken) {
             fail(isMalformed ? "malformed answer" : "data received without a request in flight");
@@ -211,6 +247,7 @@
     }
 
     private void end() {
+        links.recordEnded(this);
         Listener endedListener = listener.get();
         listener = Optional.empty();
         boolean isRequestWritten = written.map(ChannelFuture::isSuccess).orElse(false);
@@ -227,8 +264,12 @@
 
     private void fail(String reason) {
         isBroken = true;
+        links.recordEnded(this);
         Optional<Listener> failedListener = listener;
         listener = Optional.empty();
+        if (failedListener.isPresent() && !hasReceived && !isRelayed) {
+            links.recordDirectFailure(server);
+        }
         channel.close();
         failedListener.ifPresent(present -> present.onFailure(reason));
     }
--- a/src/main/java/org/borageproxy/forward/ServerConnectionPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerConnectionPool.java
@@ -1,22 +1,13 @@
 package org.borageproxy.forward;
 
-import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.BiPredicate;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.ConnectTimeoutException;
-import io.netty.channel.EventLoop;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpClientCodec;
-import jdk.net.ExtendedSocketOptions;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.time.MonotonicClock;
@@ -28,21 +19,12 @@
  */
 public final class ServerConnectionPool {
 
-    /** Connect timeout; covers several round trips between availability zones. */
-    private static final int CONNECT_TIMEOUT_MILLIS = 700;
-    /** Idle time before the first TCP keep-alive probe. */
-    private static final int PROBE_IDLE_SECONDS = 1;
-
-    private static final int PROBE_INTERVAL_SECONDS = 1;
-    /** Number of unanswered TCP keep-alive probes after which a connection counts as lost. */
-    private static final int MAX_UNANSWERED_PROBES = 2;
-
     private static final int MAX_IDLE_PER_SERVER = 64;
     private static final int MAX_LINE_BYTES = 8 << 10;
     private static final int MAX_HEADER_BYTES = 64 << 10;
     private static final int MAX_CHUNK_BYTES = 64 << 10;
 
-    private final EventLoop eventLoop;
+    private final ServerLinks links;
     private final MonotonicClock clock;
     private final Map<Destination, Deque<ServerConnection>> idle = new HashMap<>();
     private long openedCount;
@@ -72,11 +54,11 @@
     /**
      * Creates an empty pool.
      *
-     * @param eventLoop the event loop of the connections and of all callers
+     * @param links opens the connections, on the event loop of all callers
      * @param clock the clock
      */
-    public ServerConnectionPool(EventLoop eventLoop, MonotonicClock clock) {
-        this.eventLoop = eventLoop;
+    public ServerConnectionPool(ServerLinks links, MonotonicClock clock) {
+        this.links = links;
         this.clock = clock;
     }
 
@@ -101,39 +83,32 @@
 
     private void open(BackendServer server, ConnectListener listener) {
         openedCount++;
-        Destination destination = destination(server);
-        ServerConnection connection = new ServerConnection(clock, used -> returnIdle(destination, used));
-        new Bootstrap()
-                .group(eventLoop)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.SO_KEEPALIVE, true)
-                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), PROBE_IDLE_SECONDS)
-                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), PROBE_INTERVAL_SECONDS)
-                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), MAX_UNANSWERED_PROBES)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                .handler(initializer(connection))
-                .connect(server.host(), server.port())
-                .addListener(result -> {
-                    if (result.isSuccess()) {
-                        listener.onConnected(connection);
-                    } else {
-                        boolean isRefused = result.cause() instanceof ConnectException
-                                && !(result.cause() instanceof ConnectTimeoutException);
-                        listener.onUnreachable(String.valueOf(result.cause().getMessage()), isRefused);
-                    }
-                });
-    }
-
-    private static ChannelInitializer<SocketChannel> initializer(ServerConnection connection) {
-        return new ChannelInitializer<>() {
+        links.open(server, new ServerLinks.OpenListener() {
             @Override
-            protected void initChannel(SocketChannel channel) {
+            public void onOpened(Channel channel, boolean isRelayed) {
+                Destination destination = destination(server);
+                ServerConnection connection =
+                        new ServerConnection(clock, used -> returnIdle(destination, used), links, server, isRelayed);
                 channel.pipeline()
                         .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
                         .addLast(connection);
+                listener.onConnected(connection);
+            }
+
+            @Override
+            public void onFailed(String reason, boolean isRefused) {
+                listener.onUnreachable(reason, isRefused);
             }
-        };
+        });
+    }
+
+    /**
+     * Returns the links to the servers.
+     *
+     * @return the links of this VM
+     */
+    ServerLinks links() {
+        return links;
     }
 
     private void returnIdle(Destination destination, ServerConnection connection) {
--- a/src/main/java/org/borageproxy/server/GatewayEntry.java
+++ b/src/main/java/org/borageproxy/server/GatewayEntry.java
@@ -20,7 +20,9 @@
 import org.borageproxy.forward.ForwardMetrics;
 import org.borageproxy.forward.ForwardServer;
 import org.borageproxy.forward.ServerConnectionPool;
+import org.borageproxy.forward.ServerLinks;
 import org.borageproxy.forward.ServerPool;
+import org.borageproxy.forward.ServerRelay;
 import org.borageproxy.forward.SlotClient;
 import org.borageproxy.forward.StreamOriginClient;
 import org.borageproxy.forward.StreamOrigins;
@@ -30,6 +32,7 @@
 import org.borageproxy.publication.ServedPublication;
 import org.borageproxy.quota.RateShares;
 import org.borageproxy.settings.Endpoint;
+import org.borageproxy.vm.VmName;
 import org.borageproxy.wire.proto.ControlProtocol.DocumentState;
 import org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate;
 import org.borageproxy.wire.proto.CoordinationProtocol.ModelPace;
@@ -64,11 +67,16 @@
     private final SlotClient slotClient;
     private final StreamOrigins streamOrigins;
     private final ServerConnectionPool connectionPool;
+    private final ServerRelay relay;
     private final ForwardServer server;
     private final String session = UUID.randomUUID().toString();
     private Optional<ServedPublication> servedPublication = Optional.empty();
     private int entryCount = INITIAL_ENTRY_COUNT;
     private long inventoryVersion;
+    /** Other entries through which the servers can be reached. */
+    private List<VmName> relays = List.of();
+
+    private boolean isStopping;
     private long limitsVersion;
 
     GatewayEntry(GatewayRuntime runtime, ForwardMetrics metrics) {
@@ -99,13 +107,11 @@
         rateShares.onShortage(coordination::requestUrgentReport);
         ControlClient client = new ControlClient(
                 runtime.self(), runtime.network(), runtime::controlVms, runtime.clock(), runtime.timer());
-        slotClient = new SlotClient(
-                runtime.network(),
-                coordination::coordinator,
-                runtime.settings().vm().zone(),
-                runtime.clock(),
-                runtime.eventLoop());
-        connectionPool = new ServerConnectionPool(runtime.eventLoop(), runtime.clock());
+        slotClient = createSlotClient();
+        ServerLinks links = createLinks();
+        relay = new ServerRelay(runtime.membership().registry(), links, () -> isStopping);
+        runtime.network().acceptStreams(relay);
+        connectionPool = new ServerConnectionPool(links, runtime.clock());
         ForwardContext context = new ForwardContext(
                 runtime.eventLoop(),
                 runtime.clock(),
@@ -121,12 +127,30 @@
                 connectionPool,
                 rateShares,
                 this::retryBudget,
-                new CrashReports(runtime, client, CrashProbe.overTcp(runtime.vertx())),
+                new CrashReports(
+                        runtime,
+                        client,
+                        CrashProbe.confirmed(CrashProbe.overTcp(runtime.vertx()), links::isRefusedElsewhere)),
                 metrics);
         server = new ForwardServer(runtime.vertx(), context, () -> servedPublication, random);
         runtime.spread().subscribeDocument(document -> runtime.eventLoop().execute(() -> applyDocument(document)));
     }
 
+    private SlotClient createSlotClient() {
+        return new SlotClient(
+                runtime.network(),
+                coordination::coordinator,
+                runtime.settings().vm().zone(),
+                runtime.clock(),
+                runtime.eventLoop());
+    }
+
+    private ServerLinks createLinks() {
+        ServerLinks.Environment environment = new ServerLinks.Environment(
+                runtime.network(), () -> relays, runtime.membership().registry());
+        return new ServerLinks(runtime.eventLoop(), runtime.clock(), environment);
+    }
+
     private void applyDocument(DocumentState document) {
         boolean isNewer = servedPublication
                 .map(current -> current.publication().number() < document.getNumber())
@@ -170,6 +194,7 @@
                 .addAllBegunStreams(streamOrigins.collectUnreported())
                 .addAllStatedLimits(pool.statements().collectUnreported())
                 .setLimitsVersion(limitsVersion)
+                .setRelays(relay.isAvailable())
                 .build();
     }
 
@@ -192,6 +217,9 @@
             limitsVersion = update.getLimitsVersion();
             pool.statements().merge(update.getStatedLimitsList());
             pool.updateOtherVmUsage(update.getServersList(), update.getAllServers());
+            if (update.getAllServers()) {
+                relays = update.getRelaysList().stream().map(VmName::new).toList();
+            }
             Map<String, PublishedWorkspace> workspaces = servedPublication
                     .map(current -> current.publication().workspaces())
                     .orElse(Map.of());
@@ -247,11 +275,12 @@
     }
 
     int inFlightCount() {
-        return server.inFlight();
+        return server.inFlight() + relay.openCount();
     }
 
-    /** Closes each connection after its next answer, so that callers connect to another VM. */
+    /** Closes each connection after its next answer and connects no other VMs, since this one stops. */
     void disableKeepAlive() {
+        isStopping = true;
         server.disableKeepAlive();
     }
 
--- a/src/main/java/org/borageproxy/wire/AcceptedConnection.java
+++ b/src/main/java/org/borageproxy/wire/AcceptedConnection.java
@@ -1,9 +1,12 @@
 package org.borageproxy.wire;
 
+import java.net.ConnectException;
 import java.util.concurrent.CompletionStage;
 
 import com.google.protobuf.ByteString;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.timeout.IdleStateEvent;
 import org.borageproxy.vm.VmName;
@@ -23,6 +26,7 @@
 
     private final Frames frames;
     private final MessageHandlers handlers;
+    private final VmStreams.Acceptor streamAcceptor;
     /** The nonce that the peer has to sign. */
     private final byte[] challenge = PeerCredential.newChallenge();
     /** The authenticated peer, {@code null} before the handshake is complete. */
@@ -33,10 +37,12 @@
      *
      * @param frames creates and verifies frames
      * @param handlers the message handlers of this VM
+     * @param streamAcceptor connects to the targets of streams
      */
-    AcceptedConnection(Frames frames, MessageHandlers handlers) {
+    AcceptedConnection(Frames frames, MessageHandlers handlers, VmStreams.Acceptor streamAcceptor) {
         this.frames = frames;
         this.handlers = handlers;
+        this.streamAcceptor = streamAcceptor;
     }
 
     @Override
@@ -87,12 +93,44 @@
     private void receive(ChannelHandlerContext context, Frame frame) {
         switch (frame.getForm()) {
             case ONE_WAY -> handlers.dispatch(peer, frame);
-            case REQUEST -> answer(context, frame);
+            case REQUEST -> {
+                if (frame.getKind() == MessageKind.STREAM.number()) {
+                    openStream(context, frame);
+                } else {
+                    answer(context, frame);
+                }
+            }
             case PING -> context.writeAndFlush(frames.empty(Frame.Form.PONG));
             default -> LOGGER.warn("event=frame-ignored form={} peer={}", frame.getForm(), peer);
         }
     }
 
+    /**
+     * Connects to the target of a stream and joins the connections, or sends the failure.
+     *
+     * @param context the channel's context
+     * @param frame the request
+     */
+    private void openStream(ChannelHandlerContext context, Frame frame) {
+        Channel channel = context.channel();
+        streamAcceptor
+                .accept(peer, frame.getBody(), channel.eventLoop())
+                .whenComplete((target, failure) -> channel.eventLoop().execute(() -> {
+                    if (failure == null) {
+                        // The joined channels must carry no further frames, so that this one is written before.
+                        channel.writeAndFlush(frames.message(
+                                        Frame.Form.RESPONSE, frame.getKind(), frame.getCorrelation(), ByteString.EMPTY))
+                                .addListener(written -> StreamJoint.join(channel, target));
+                        return;
+                    }
+                    boolean isRefused =
+                            failure instanceof ConnectException && !(failure instanceof ConnectTimeoutException);
+                    ByteString reason = isRefused ? StreamOpening.REFUSED : ByteString.EMPTY;
+                    channel.writeAndFlush(
+                            frames.message(Frame.Form.FAILURE, frame.getKind(), frame.getCorrelation(), reason));
+                }));
+    }
+
     /**
      * Dispatches a request and sends the answer or the failure when its handler completes. The cause of a failure is
      * not sent.
--- a/src/main/java/org/borageproxy/wire/DialedConnection.java
+++ b/src/main/java/org/borageproxy/wire/DialedConnection.java
@@ -26,7 +26,7 @@
  * buffer are dropped. The state is confined to one event loop; {@link #send}, {@link #request} and {@link #close} may
  * be called by any thread.
  */
-final class DialedConnection {
+final class DialedConnection implements FrameReceiver {
 
     private static final Logger LOGGER = LoggerFactory.getLogger(DialedConnection.class);
     private static final int MAX_QUEUED_FRAMES = 1_024;
@@ -63,7 +63,7 @@
          * @param connection the connection that receives the channel's frames
          * @return the channel once the peer is authenticated, or the failure
          */
-        CompletableFuture<Channel> dial(VmAddress address, DialedConnection connection);
+        CompletableFuture<Channel> dial(VmAddress address, FrameReceiver connection);
     }
 
     /**
@@ -84,21 +84,13 @@
         this.earliestDialAt = new Deadline(clock.nanoTime());
     }
 
-    /**
-     * Returns the VM to which this connection leads.
-     *
-     * @return the VM's name
-     */
-    VmName peer() {
+    @Override
+    public VmName peer() {
         return peer;
     }
 
-    /**
-     * Returns the event loop to which the state is confined.
-     *
-     * @return the event loop
-     */
-    EventLoop eventLoop() {
+    @Override
+    public EventLoop eventLoop() {
         return eventLoop;
     }
 
@@ -140,11 +132,12 @@
 
     /**
      * Completes the request to which a received frame belongs. A frame without pending request, such as a late answer,
-     * is ignored. Called on the event loop.
+     * is ignored.
      *
      * @param frame the received frame
      */
-    void onFrame(Frame frame) {
+    @Override
+    public void onFrame(Frame frame) {
         frames.observe(frame);
         CompletableFuture<ByteString> answer = pendingRequests.remove(frame.getCorrelation());
         if (answer == null) {
@@ -158,11 +151,12 @@
     }
 
     /**
-     * Fails all pending requests if the closed channel is the current one. Called on the event loop.
+     * Fails all pending requests if the closed channel is the current one.
      *
      * @param closed the closed channel
      */
-    void onChannelClosed(Channel closed) {
+    @Override
+    public void onChannelClosed(Channel closed) {
         if (channel == closed) {
             channel = null;
             failAll();
--- a/src/main/java/org/borageproxy/wire/DialingHandler.java
+++ b/src/main/java/org/borageproxy/wire/DialingHandler.java
@@ -18,7 +18,7 @@
     private static final int MAX_IDLE_PERIODS = 3;
 
     private final Frames frames;
-    private final DialedConnection connection;
+    private final FrameReceiver connection;
     private final CompletableFuture<Channel> ready;
     /** The nonce that the peer has to sign. */
     private final byte[] challenge = PeerCredential.newChallenge();
@@ -32,7 +32,7 @@
      * @param connection the connection that receives the channel's frames
      * @param ready completed with the channel once the peer is authenticated, or with the failure
      */
-    DialingHandler(Frames frames, DialedConnection connection, CompletableFuture<Channel> ready) {
+    DialingHandler(Frames frames, FrameReceiver connection, CompletableFuture<Channel> ready) {
         this.frames = frames;
         this.connection = connection;
         this.ready = ready;
--- a/src/main/java/org/borageproxy/wire/MessageKind.java
+++ b/src/main/java/org/borageproxy/wire/MessageKind.java
@@ -31,7 +31,9 @@
     /** A request of an entry for an execution slot on a model engine, answered by the coordinator. */
     SLOT(14),
     /** A query of an entry for the origin of a stream, answered by the coordinator. */
-    STREAM_ORIGIN(15);
+    STREAM_ORIGIN(15),
+    /** A request to connect to a target and to pass the bytes of both directions on. */
+    STREAM(16);
 
     private final int number;
 
--- a/src/main/java/org/borageproxy/wire/NettyVmNetwork.java
+++ b/src/main/java/org/borageproxy/wire/NettyVmNetwork.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
@@ -13,6 +14,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -31,7 +33,7 @@
  * on demand. Both ends authenticate each other with the fleet's shared secret before any message is handled; the
  * traffic is not encrypted. Messages to this VM itself are dispatched without a connection. Thread safe.
  */
-public final class NettyVmNetwork implements VmNetwork, AutoCloseable {
+public final class NettyVmNetwork implements VmNetwork, VmStreams, AutoCloseable {
 
     private static final int NETWORK_THREADS = 2;
     /** Limits the TCP connect, and also connect and handshake together. */
@@ -49,6 +51,9 @@
     private final VmDirectory directory;
     private final MonotonicClock clock;
     private final MessageHandlers handlers = new MessageHandlers();
+    private volatile Acceptor streamAcceptor =
+            (sender, request, eventLoop) -> CompletableFuture.failedFuture(new UnreachableException("No streams here"));
+
     private final Map<VmName, DialedConnection> connections = new ConcurrentHashMap<>();
 
     /**
@@ -140,6 +145,38 @@
         handlers.register(kind, handler);
     }
 
+    @Override
+    public CompletionStage<Channel> open(VmName recipient, ByteString request, EventLoop eventLoop, Deadline deadline) {
+        StreamOpening opening = new StreamOpening(recipient, frames, request, eventLoop);
+        Optional<VmAddress> address = directory.find(recipient);
+        if (address.isEmpty()) {
+            opening.fail(new UnreachableException("Unknown VM: " + recipient));
+            return opening.opened();
+        }
+        eventLoop.schedule(
+                () -> opening.fail(new UnreachableException("No stream before the deadline through " + recipient)),
+                deadline.remainingNanos(clock.nanoTime()),
+                TimeUnit.NANOSECONDS);
+        dial(address.get(), opening)
+                .whenComplete((channel, failure) -> eventLoop.execute(() -> {
+                    if (failure == null) {
+                        opening.begin(channel);
+                    } else {
+                        opening.fail(failure);
+                    }
+                }));
+        return opening.opened();
+    }
+
+    @Override
+    public void acceptStreams(Acceptor acceptor) {
+        streamAcceptor = acceptor;
+    }
+
+    private CompletionStage<Channel> acceptStream(VmName sender, ByteString request, EventLoop eventLoop) {
+        return streamAcceptor.accept(sender, request, eventLoop);
+    }
+
     /** Closes the connections that this VM opened, and shuts the network's own threads down. */
     @Override
     public void close() {
@@ -165,7 +202,7 @@
      * @param connection the connection that receives the channel's frames
      * @return the channel once the peer is authenticated, or the failure
      */
-    private CompletableFuture<Channel> dial(VmAddress address, DialedConnection connection) {
+    private CompletableFuture<Channel> dial(VmAddress address, FrameReceiver connection) {
         CompletableFuture<Channel> ready = new CompletableFuture<>();
         Bootstrap bootstrap = new Bootstrap()
                 .group(connection.eventLoop())
@@ -188,13 +225,13 @@
                 channel.pipeline()
                         .addLast(new IdleStateHandler(ACCEPTED_IDLE_TIMEOUT_MILLIS, 0, 0, TimeUnit.MILLISECONDS));
                 FrameCodec.addTo(channel.pipeline());
-                channel.pipeline().addLast(new AcceptedConnection(frames, handlers));
+                channel.pipeline().addLast(new AcceptedConnection(frames, handlers, NettyVmNetwork.this::acceptStream));
             }
         };
     }
 
     private ChannelInitializer<SocketChannel> dialingInitializer(
-            DialedConnection connection, CompletableFuture<Channel> ready) {
+            FrameReceiver connection, CompletableFuture<Channel> ready) {
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(SocketChannel channel) {
--- a/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
@@ -283,6 +283,16 @@
      * @return The limitsVersion.
      */
     long getLimitsVersion();
+
+    /**
+     * <pre>
+     * Whether the entry reaches the backend servers and connects other entries to them.
+     * </pre>
+     *
+     * <code>bool relays = 11;</code>
+     * @return The relays.
+     */
+    boolean getRelays();
   }
   /**
    * <pre>
@@ -735,6 +745,21 @@
       return limitsVersion_;
     }
 
+    public static final int RELAYS_FIELD_NUMBER = 11;
+    private boolean relays_ = false;
+    /**
+     * <pre>
+     * Whether the entry reaches the backend servers and connects other entries to them.
+     * </pre>
+     *
+     * <code>bool relays = 11;</code>
+     * @return The relays.
+     */
+    @java.lang.Override
+    public boolean getRelays() {
+      return relays_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -779,6 +804,9 @@
       if (limitsVersion_ != 0L) {
         output.writeUInt64(10, limitsVersion_);
       }
+      if (relays_ != false) {
+        output.writeBool(11, relays_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -857,6 +885,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(10, limitsVersion_);
       }
+      if (relays_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(11, relays_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -892,6 +924,8 @@
           .equals(other.getStatedLimitsList())) return false;
       if (getLimitsVersion()
           != other.getLimitsVersion()) return false;
+      if (getRelays()
+          != other.getRelays()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -938,6 +972,9 @@
       hash = (37 * hash) + LIMITS_VERSION_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getLimitsVersion());
+      hash = (37 * hash) + RELAYS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getRelays());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -1119,6 +1156,7 @@
         }
         bitField0_ = (bitField0_ & ~0x00000100);
         limitsVersion_ = 0L;
+        relays_ = false;
         return this;
       }
 
@@ -1222,6 +1260,9 @@
         if (((from_bitField0_ & 0x00000200) != 0)) {
           result.limitsVersion_ = limitsVersion_;
         }
+        if (((from_bitField0_ & 0x00000400) != 0)) {
+          result.relays_ = relays_;
+        }
       }
 
       @java.lang.Override
@@ -1406,6 +1447,9 @@
         if (other.getLimitsVersion() != 0L) {
           setLimitsVersion(other.getLimitsVersion());
         }
+        if (other.getRelays() != false) {
+          setRelays(other.getRelays());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -1530,6 +1574,11 @@
                 bitField0_ |= 0x00000200;
                 break;
               } // case 80
+              case 88: {
+                relays_ = input.readBool();
+                bitField0_ |= 0x00000400;
+                break;
+              } // case 88
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -3383,67 +3432,707 @@
         return statedLimitsBuilder_;
       }
 
-      private long limitsVersion_ ;
+      private long limitsVersion_ ;
+      /**
+       * <pre>
+       * The version of the stated limits that the entry has received.
+       * </pre>
+       *
+       * <code>uint64 limits_version = 10;</code>
+       * @return The limitsVersion.
+       */
+      @java.lang.Override
+      public long getLimitsVersion() {
+        return limitsVersion_;
+      }
+      /**
+       * <pre>
+       * The version of the stated limits that the entry has received.
+       * </pre>
+       *
+       * <code>uint64 limits_version = 10;</code>
+       * @param value The limitsVersion to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLimitsVersion(long value) {
+
+        limitsVersion_ = value;
+        bitField0_ |= 0x00000200;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The version of the stated limits that the entry has received.
+       * </pre>
+       *
+       * <code>uint64 limits_version = 10;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLimitsVersion() {
+        bitField0_ = (bitField0_ & ~0x00000200);
+        limitsVersion_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private boolean relays_ ;
+      /**
+       * <pre>
+       * Whether the entry reaches the backend servers and connects other entries to them.
+       * </pre>
+       *
+       * <code>bool relays = 11;</code>
+       * @return The relays.
+       */
+      @java.lang.Override
+      public boolean getRelays() {
+        return relays_;
+      }
+      /**
+       * <pre>
+       * Whether the entry reaches the backend servers and connects other entries to them.
+       * </pre>
+       *
+       * <code>bool relays = 11;</code>
+       * @param value The relays to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRelays(boolean value) {
+
+        relays_ = value;
+        bitField0_ |= 0x00000400;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether the entry reaches the backend servers and connects other entries to them.
+       * </pre>
+       *
+       * <code>bool relays = 11;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRelays() {
+        bitField0_ = (bitField0_ & ~0x00000400);
+        relays_ = false;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:borageproxy.coordination.UsageReport)
+    }
+
+    // @@protoc_insertion_point(class_scope:borageproxy.coordination.UsageReport)
+    private static final org.borageproxy.wire.proto.CoordinationProtocol.UsageReport DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.CoordinationProtocol.UsageReport();
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.UsageReport getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<UsageReport>
+        PARSER = new com.google.protobuf.AbstractParser<UsageReport>() {
+      @java.lang.Override
+      public UsageReport parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<UsageReport> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<UsageReport> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.borageproxy.wire.proto.CoordinationProtocol.UsageReport getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface RelayRequestOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.coordination.RelayRequest)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string server = 1;</code>
+     * @return The server.
+     */
+    java.lang.String getServer();
+    /**
+     * <code>string server = 1;</code>
+     * @return The bytes for server.
+     */
+    com.google.protobuf.ByteString
+        getServerBytes();
+
+    /**
+     * <code>uint64 incarnation = 2;</code>
+     * @return The incarnation.
+     */
+    long getIncarnation();
+  }
+  /**
+   * <pre>
+   * A request to be connected to a backend server.
+   * </pre>
+   *
+   * Protobuf type {@code borageproxy.coordination.RelayRequest}
+   */
+  public static final class RelayRequest extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:borageproxy.coordination.RelayRequest)
+      RelayRequestOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "RelayRequest");
+    }
+    // Use RelayRequest.newBuilder() to construct.
+    private RelayRequest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private RelayRequest() {
+      server_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_RelayRequest_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_RelayRequest_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_RelayRequest_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest.class, org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest.Builder.class);
+    }
+
+    public static final int SERVER_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object server_ = "";
+    /**
+     * <code>string server = 1;</code>
+     * @return The server.
+     */
+    @java.lang.Override
+    public java.lang.String getServer() {
+      java.lang.Object ref = server_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        server_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string server = 1;</code>
+     * @return The bytes for server.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getServerBytes() {
+      java.lang.Object ref = server_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        server_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int INCARNATION_FIELD_NUMBER = 2;
+    private long incarnation_ = 0L;
+    /**
+     * <code>uint64 incarnation = 2;</code>
+     * @return The incarnation.
+     */
+    @java.lang.Override
+    public long getIncarnation() {
+      return incarnation_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(server_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, server_);
+      }
+      if (incarnation_ != 0L) {
+        output.writeUInt64(2, incarnation_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(server_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, server_);
+      }
+      if (incarnation_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, incarnation_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest)) {
+        return super.equals(obj);
+      }
+      org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest other = (org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest) obj;
+
+      if (!getServer()
+          .equals(other.getServer())) return false;
+      if (getIncarnation()
+          != other.getIncarnation()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + SERVER_FIELD_NUMBER;
+      hash = (53 * hash) + getServer().hashCode();
+      hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getIncarnation());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * A request to be connected to a backend server.
+     * </pre>
+     *
+     * Protobuf type {@code borageproxy.coordination.RelayRequest}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:borageproxy.coordination.RelayRequest)
+        org.borageproxy.wire.proto.CoordinationProtocol.RelayRequestOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_RelayRequest_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_RelayRequest_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest.class, org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest.Builder.class);
+      }
+
+      // Construct using org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        server_ = "";
+        incarnation_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_RelayRequest_descriptor;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest build() {
+        org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest buildPartial() {
+        org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest result = new org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.server_ = server_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.incarnation_ = incarnation_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest) {
+          return mergeFrom((org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest other) {
+        if (other == org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest.getDefaultInstance()) return this;
+        if (!other.getServer().isEmpty()) {
+          server_ = other.server_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getIncarnation() != 0L) {
+          setIncarnation(other.getIncarnation());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                server_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                incarnation_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object server_ = "";
+      /**
+       * <code>string server = 1;</code>
+       * @return The server.
+       */
+      public java.lang.String getServer() {
+        java.lang.Object ref = server_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          server_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string server = 1;</code>
+       * @return The bytes for server.
+       */
+      public com.google.protobuf.ByteString
+          getServerBytes() {
+        java.lang.Object ref = server_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          server_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string server = 1;</code>
+       * @param value The server to set.
+       * @return This builder for chaining.
+       */
+      public Builder setServer(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        server_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string server = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearServer() {
+        server_ = getDefaultInstance().getServer();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string server = 1;</code>
+       * @param value The bytes for server to set.
+       * @return This builder for chaining.
+       */
+      public Builder setServerBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        server_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long incarnation_ ;
       /**
-       * <pre>
-       * The version of the stated limits that the entry has received.
-       * </pre>
-       *
-       * <code>uint64 limits_version = 10;</code>
-       * @return The limitsVersion.
+       * <code>uint64 incarnation = 2;</code>
+       * @return The incarnation.
        */
       @java.lang.Override
-      public long getLimitsVersion() {
-        return limitsVersion_;
+      public long getIncarnation() {
+        return incarnation_;
       }
       /**
-       * <pre>
-       * The version of the stated limits that the entry has received.
-       * </pre>
-       *
-       * <code>uint64 limits_version = 10;</code>
-       * @param value The limitsVersion to set.
+       * <code>uint64 incarnation = 2;</code>
+       * @param value The incarnation to set.
        * @return This builder for chaining.
        */
-      public Builder setLimitsVersion(long value) {
+      public Builder setIncarnation(long value) {
 
-        limitsVersion_ = value;
-        bitField0_ |= 0x00000200;
+        incarnation_ = value;
+        bitField0_ |= 0x00000002;
         onChanged();
         return this;
       }
       /**
-       * <pre>
-       * The version of the stated limits that the entry has received.
-       * </pre>
-       *
-       * <code>uint64 limits_version = 10;</code>
+       * <code>uint64 incarnation = 2;</code>
        * @return This builder for chaining.
        */
-      public Builder clearLimitsVersion() {
-        bitField0_ = (bitField0_ & ~0x00000200);
-        limitsVersion_ = 0L;
+      public Builder clearIncarnation() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        incarnation_ = 0L;
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:borageproxy.coordination.UsageReport)
+      // @@protoc_insertion_point(builder_scope:borageproxy.coordination.RelayRequest)
     }
 
-    // @@protoc_insertion_point(class_scope:borageproxy.coordination.UsageReport)
-    private static final org.borageproxy.wire.proto.CoordinationProtocol.UsageReport DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:borageproxy.coordination.RelayRequest)
+    private static final org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.CoordinationProtocol.UsageReport();
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest();
     }
 
-    public static org.borageproxy.wire.proto.CoordinationProtocol.UsageReport getDefaultInstance() {
+    public static org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<UsageReport>
-        PARSER = new com.google.protobuf.AbstractParser<UsageReport>() {
+    private static final com.google.protobuf.Parser<RelayRequest>
+        PARSER = new com.google.protobuf.AbstractParser<RelayRequest>() {
       @java.lang.Override
-      public UsageReport parsePartialFrom(
+      public RelayRequest parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -3462,17 +4151,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<UsageReport> parser() {
+    public static com.google.protobuf.Parser<RelayRequest> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<UsageReport> getParserForType() {
+    public com.google.protobuf.Parser<RelayRequest> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.borageproxy.wire.proto.CoordinationProtocol.UsageReport getDefaultInstanceForType() {
+    public org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -10576,6 +11265,47 @@
      * @return The limitsVersion.
      */
     long getLimitsVersion();
+
+    /**
+     * <pre>
+     * Some entries through which backend servers can be reached; present if all_servers is set.
+     * </pre>
+     *
+     * <code>repeated string relays = 12;</code>
+     * @return A list containing the relays.
+     */
+    java.util.List<java.lang.String>
+        getRelaysList();
+    /**
+     * <pre>
+     * Some entries through which backend servers can be reached; present if all_servers is set.
+     * </pre>
+     *
+     * <code>repeated string relays = 12;</code>
+     * @return The count of relays.
+     */
+    int getRelaysCount();
+    /**
+     * <pre>
+     * Some entries through which backend servers can be reached; present if all_servers is set.
+     * </pre>
+     *
+     * <code>repeated string relays = 12;</code>
+     * @param index The index of the element to return.
+     * @return The relays at the given index.
+     */
+    java.lang.String getRelays(int index);
+    /**
+     * <pre>
+     * Some entries through which backend servers can be reached; present if all_servers is set.
+     * </pre>
+     *
+     * <code>repeated string relays = 12;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the relays at the given index.
+     */
+    com.google.protobuf.ByteString
+        getRelaysBytes(int index);
   }
   /**
    * <pre>
@@ -10608,6 +11338,8 @@
       shares_ = java.util.Collections.emptyList();
       contents_ = java.util.Collections.emptyList();
       statedLimits_ = java.util.Collections.emptyList();
+      relays_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -10974,6 +11706,59 @@
       return limitsVersion_;
     }
 
+    public static final int RELAYS_FIELD_NUMBER = 12;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.LazyStringArrayList relays_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    /**
+     * <pre>
+     * Some entries through which backend servers can be reached; present if all_servers is set.
+     * </pre>
+     *
+     * <code>repeated string relays = 12;</code>
+     * @return A list containing the relays.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getRelaysList() {
+      return relays_;
+    }
+    /**
+     * <pre>
+     * Some entries through which backend servers can be reached; present if all_servers is set.
+     * </pre>
+     *
+     * <code>repeated string relays = 12;</code>
+     * @return The count of relays.
+     */
+    public int getRelaysCount() {
+      return relays_.size();
+    }
+    /**
+     * <pre>
+     * Some entries through which backend servers can be reached; present if all_servers is set.
+     * </pre>
+     *
+     * <code>repeated string relays = 12;</code>
+     * @param index The index of the element to return.
+     * @return The relays at the given index.
+     */
+    public java.lang.String getRelays(int index) {
+      return relays_.get(index);
+    }
+    /**
+     * <pre>
+     * Some entries through which backend servers can be reached; present if all_servers is set.
+     * </pre>
+     *
+     * <code>repeated string relays = 12;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the relays at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getRelaysBytes(int index) {
+      return relays_.getByteString(index);
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -11021,6 +11806,9 @@
       if (limitsVersion_ != 0L) {
         output.writeUInt64(11, limitsVersion_);
       }
+      for (int i = 0; i < relays_.size(); i++) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 12, relays_.getRaw(i));
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -11093,6 +11881,14 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(11, limitsVersion_);
       }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < relays_.size(); i++) {
+          dataSize += computeStringSizeNoTag(relays_.getRaw(i));
+        }
+        size += dataSize;
+        size += 1 * getRelaysList().size();
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -11130,6 +11926,8 @@
           .equals(other.getStatedLimitsList())) return false;
       if (getLimitsVersion()
           != other.getLimitsVersion()) return false;
+      if (!getRelaysList()
+          .equals(other.getRelaysList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -11176,6 +11974,10 @@
       hash = (37 * hash) + LIMITS_VERSION_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getLimitsVersion());
+      if (getRelaysCount() > 0) {
+        hash = (37 * hash) + RELAYS_FIELD_NUMBER;
+        hash = (53 * hash) + getRelaysList().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -11346,6 +12148,8 @@
         }
         bitField0_ = (bitField0_ & ~0x00000200);
         limitsVersion_ = 0L;
+        relays_ =
+            com.google.protobuf.LazyStringArrayList.emptyList();
         return this;
       }
 
@@ -11440,6 +12244,10 @@
         if (((from_bitField0_ & 0x00000400) != 0)) {
           result.limitsVersion_ = limitsVersion_;
         }
+        if (((from_bitField0_ & 0x00000800) != 0)) {
+          relays_.makeImmutable();
+          result.relays_ = relays_;
+        }
       }
 
       @java.lang.Override
@@ -11581,6 +12389,16 @@
         if (other.getLimitsVersion() != 0L) {
           setLimitsVersion(other.getLimitsVersion());
         }
+        if (!other.relays_.isEmpty()) {
+          if (relays_.isEmpty()) {
+            relays_ = other.relays_;
+            bitField0_ |= 0x00000800;
+          } else {
+            ensureRelaysIsMutable();
+            relays_.addAll(other.relays_);
+          }
+          onChanged();
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -11694,6 +12512,11 @@
                 bitField0_ |= 0x00000400;
                 break;
               } // case 88
+              case 98: {
+                ensureRelaysIsMutable();
+                relays_.add(input.readStringRequireUtf8());
+                break;
+              } // case 98
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -13202,6 +14025,153 @@
         return this;
       }
 
+      private com.google.protobuf.LazyStringArrayList relays_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      private void ensureRelaysIsMutable() {
+        if (!relays_.isModifiable()) {
+          relays_ = new com.google.protobuf.LazyStringArrayList(relays_);
+        }
+        bitField0_ |= 0x00000800;
+      }
+      /**
+       * <pre>
+       * Some entries through which backend servers can be reached; present if all_servers is set.
+       * </pre>
+       *
+       * <code>repeated string relays = 12;</code>
+       * @return A list containing the relays.
+       */
+      public com.google.protobuf.ProtocolStringList
+          getRelaysList() {
+        relays_.makeImmutable();
+        return relays_;
+      }
+      /**
+       * <pre>
+       * Some entries through which backend servers can be reached; present if all_servers is set.
+       * </pre>
+       *
+       * <code>repeated string relays = 12;</code>
+       * @return The count of relays.
+       */
+      public int getRelaysCount() {
+        return relays_.size();
+      }
+      /**
+       * <pre>
+       * Some entries through which backend servers can be reached; present if all_servers is set.
+       * </pre>
+       *
+       * <code>repeated string relays = 12;</code>
+       * @param index The index of the element to return.
+       * @return The relays at the given index.
+       */
+      public java.lang.String getRelays(int index) {
+        return relays_.get(index);
+      }
+      /**
+       * <pre>
+       * Some entries through which backend servers can be reached; present if all_servers is set.
+       * </pre>
+       *
+       * <code>repeated string relays = 12;</code>
+       * @param index The index of the value to return.
+       * @return The bytes of the relays at the given index.
+       */
+      public com.google.protobuf.ByteString
+          getRelaysBytes(int index) {
+        return relays_.getByteString(index);
+      }
+      /**
+       * <pre>
+       * Some entries through which backend servers can be reached; present if all_servers is set.
+       * </pre>
+       *
+       * <code>repeated string relays = 12;</code>
+       * @param index The index to set the value at.
+       * @param value The relays to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRelays(
+          int index, java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        ensureRelaysIsMutable();
+        relays_.set(index, value);
+        bitField0_ |= 0x00000800;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Some entries through which backend servers can be reached; present if all_servers is set.
+       * </pre>
+       *
+       * <code>repeated string relays = 12;</code>
+       * @param value The relays to add.
+       * @return This builder for chaining.
+       */
+      public Builder addRelays(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        ensureRelaysIsMutable();
+        relays_.add(value);
+        bitField0_ |= 0x00000800;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Some entries through which backend servers can be reached; present if all_servers is set.
+       * </pre>
+       *
+       * <code>repeated string relays = 12;</code>
+       * @param values The relays to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllRelays(
+          java.lang.Iterable<java.lang.String> values) {
+        ensureRelaysIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, relays_);
+        bitField0_ |= 0x00000800;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Some entries through which backend servers can be reached; present if all_servers is set.
+       * </pre>
+       *
+       * <code>repeated string relays = 12;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRelays() {
+        relays_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000800);;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Some entries through which backend servers can be reached; present if all_servers is set.
+       * </pre>
+       *
+       * <code>repeated string relays = 12;</code>
+       * @param value The bytes of the relays to add.
+       * @return This builder for chaining.
+       */
+      public Builder addRelaysBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        ensureRelaysIsMutable();
+        relays_.add(value);
+        bitField0_ |= 0x00000800;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.coordination.CoordinationUpdate)
     }
 
@@ -20672,6 +21642,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_borageproxy_coordination_UsageReport_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_borageproxy_coordination_RelayRequest_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_borageproxy_coordination_RelayRequest_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_borageproxy_coordination_StatedLimits_descriptor;
   private static final 
@@ -20757,7 +21732,7 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\022coordination.proto\022\030borageproxy.coordi" +
-      "nation\"\302\003\n\013UsageReport\022\017\n\007session\030\001 \001(\t\022" +
+      "nation\"\322\003\n\013UsageReport\022\017\n\007session\030\001 \001(\t\022" +
       "6\n\007servers\030\002 \003(\0132%.borageproxy.coordinat" +
       "ion.ServerUsage\022<\n\nworkspaces\030\003 \003(\0132(.bo" +
       "rageproxy.coordination.WorkspaceUsage\0226\n" +
@@ -20768,62 +21743,64 @@
       "streams\030\010 \003(\0132%.borageproxy.coordination" +
       ".BegunStream\022=\n\rstated_limits\030\t \003(\0132&.bo" +
       "rageproxy.coordination.StatedLimits\022\026\n\016l" +
-      "imits_version\030\n \001(\004\"\247\001\n\014StatedLimits\022\014\n\004" +
-      "name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\022\n\nage_m" +
-      "illis\030\003 \001(\004\022 \n\023requests_per_second\030\004 \001(\001" +
-      "H\000\210\001\001\022\027\n\nrejections\030\005 \001(\rH\001\210\001\001B\026\n\024_reque" +
-      "sts_per_secondB\r\n\013_rejections\"I\n\013BegunSt" +
-      "ream\022\017\n\007request\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\030" +
-      "\n\020software_version\030\003 \001(\t\"$\n\021StreamOrigin" +
-      "Query\022\017\n\007request\030\001 \001(\t\"N\n\022StreamOriginAn" +
-      "swer\022\r\n\005known\030\001 \001(\010\022\017\n\007service\030\002 \001(\t\022\030\n\020" +
-      "software_version\030\003 \001(\t\"(\n\tModelPace\022\r\n\005m" +
-      "odel\030\001 \001(\t\022\014\n\004pace\030\002 \001(\001\"\221\001\n\013ServerUsage" +
-      "\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010r" +
-      "equests\030\003 \001(\r\022\025\n\rprompt_tokens\030\004 \001(\r\022\023\n\013" +
-      "held_tokens\030\005 \001(\r\022\020\n\010failures\030\006 \001(\r\022\017\n\007a" +
-      "nswers\030\007 \001(\r\"r\n\016WorkspaceUsage\022\014\n\004name\030\001" +
-      " \001(\t\022\016\n\006demand\030\002 \001(\004\022\014\n\004held\030\003 \001(\004\022\r\n\005sp" +
-      "ent\030\004 \001(\004\022\r\n\005needs\030\006 \003(\004\022\020\n\010returned\030\007 \001" +
-      "(\004J\004\010\005\020\006\"_\n\013ModelDemand\022\017\n\007service\030\001 \001(\t" +
-      "\022\r\n\005model\030\002 \001(\t\022\017\n\007adapter\030\003 \001(\t\022\016\n\006toke" +
-      "ns\030\004 \001(\004\022\017\n\007waiting\030\005 \001(\r\"\213\003\n\022Coordinati" +
-      "onUpdate\022\023\n\013coordinates\030\001 \001(\010\022\023\n\013coordin" +
-      "ator\030\002 \001(\t\022\017\n\007entries\030\003 \001(\r\0226\n\007servers\030\004" +
-      " \003(\0132%.borageproxy.coordination.ServerUs" +
-      "age\0223\n\006shares\030\005 \003(\0132#.borageproxy.coordi" +
-      "nation.RateShare\0229\n\010contents\030\006 \003(\0132\'.bor" +
-      "ageproxy.coordination.ServerContent\022\030\n\020c" +
-      "ontents_version\030\007 \001(\004\022\023\n\013all_servers\030\010 \001" +
-      "(\010\022\014\n\004term\030\t \001(\004\022=\n\rstated_limits\030\n \003(\0132" +
-      "&.borageproxy.coordination.StatedLimits\022" +
-      "\026\n\016limits_version\030\013 \001(\004\"\363\002\n\013SlotRequest\022" +
-      "\014\n\004zone\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\r\n\005model\030" +
-      "\003 \001(\t\022\017\n\007adapter\030\004 \001(\t\022\025\n\rprompt_tokens\030" +
-      "\005 \001(\r\022\025\n\routput_tokens\030\006 \001(\r\0225\n\005parts\030\007 " +
-      "\003(\0132&.borageproxy.coordination.PartOfPro" +
-      "mpt\022\014\n\004rank\030\010 \001(\r\022\030\n\020objective_millis\030\t " +
-      "\001(\r\022\027\n\017deadline_millis\030\n \001(\r\022\r\n\005tried\030\013 " +
-      "\003(\t\022\025\n\rwaited_millis\030\014 \001(\r\022\021\n\tabsent_at\030" +
-      "\016 \003(\t\022\014\n\004gone\030\017 \003(\t\022\035\n\020software_version\030" +
-      "\020 \001(\tH\000\210\001\001B\023\n\021_software_versionJ\004\010\r\020\016\"0\n" +
-      "\014PartOfPrompt\022\020\n\010identity\030\001 \001(\t\022\016\n\006token" +
-      "s\030\002 \001(\r\"\270\002\n\nSlotAnswer\022=\n\007outcome\030\001 \001(\0162" +
-      ",.borageproxy.coordination.SlotAnswer.Ou" +
-      "tcome\022\016\n\006server\030\002 \001(\t\022\023\n\013incarnation\030\003 \001" +
-      "(\004\022\027\n\017expected_millis\030\004 \001(\001\022\025\n\runread_to" +
-      "kens\030\005 \001(\r\022\014\n\004slot\030\006 \001(\004\022\030\n\020come_back_mi" +
-      "llis\030\007 \001(\r\"n\n\007Outcome\022\023\n\017NOT_COORDINATOR" +
-      "\020\000\022\n\n\006CHOSEN\020\001\022\r\n\tNO_SERVER\020\002\022\014\n\010NO_MODE" +
-      "L\020\003\022\013\n\007CROWDED\020\004\022\r\n\tALL_TRIED\020\005\022\t\n\005AGAIN" +
-      "\020\006\"=\n\tRateShare\022\021\n\tworkspace\030\001 \001(\t\022\014\n\004ra" +
-      "te\030\002 \001(\004\022\017\n\007granted\030\003 \001(\004\"\211\001\n\rServerCont" +
-      "ent\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\016" +
-      "\n\006orders\030\003 \001(\004\0223\n\006models\030\004 \003(\0132#.boragep" +
-      "roxy.coordination.HeldModel\022\020\n\010arriving\030" +
-      "\005 \003(\t\",\n\tHeldModel\022\r\n\005model\030\001 \001(\t\022\020\n\010ada" +
-      "pters\030\002 \003(\tB2\n\032org.borageproxy.wire.prot" +
-      "oB\024CoordinationProtocolb\006proto3"
+      "imits_version\030\n \001(\004\022\016\n\006relays\030\013 \001(\010\"3\n\014R" +
+      "elayRequest\022\016\n\006server\030\001 \001(\t\022\023\n\013incarnati" +
+      "on\030\002 \001(\004\"\247\001\n\014StatedLimits\022\014\n\004name\030\001 \001(\t\022" +
+      "\023\n\013incarnation\030\002 \001(\004\022\022\n\nage_millis\030\003 \001(\004" +
+      "\022 \n\023requests_per_second\030\004 \001(\001H\000\210\001\001\022\027\n\nre" +
+      "jections\030\005 \001(\rH\001\210\001\001B\026\n\024_requests_per_sec" +
+      "ondB\r\n\013_rejections\"I\n\013BegunStream\022\017\n\007req" +
+      "uest\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\030\n\020software_" +
+      "version\030\003 \001(\t\"$\n\021StreamOriginQuery\022\017\n\007re" +
+      "quest\030\001 \001(\t\"N\n\022StreamOriginAnswer\022\r\n\005kno" +
+      "wn\030\001 \001(\010\022\017\n\007service\030\002 \001(\t\022\030\n\020software_ve" +
+      "rsion\030\003 \001(\t\"(\n\tModelPace\022\r\n\005model\030\001 \001(\t\022" +
+      "\014\n\004pace\030\002 \001(\001\"\221\001\n\013ServerUsage\022\014\n\004name\030\001 " +
+      "\001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010requests\030\003 \001" +
+      "(\r\022\025\n\rprompt_tokens\030\004 \001(\r\022\023\n\013held_tokens" +
+      "\030\005 \001(\r\022\020\n\010failures\030\006 \001(\r\022\017\n\007answers\030\007 \001(" +
+      "\r\"r\n\016WorkspaceUsage\022\014\n\004name\030\001 \001(\t\022\016\n\006dem" +
+      "and\030\002 \001(\004\022\014\n\004held\030\003 \001(\004\022\r\n\005spent\030\004 \001(\004\022\r" +
+      "\n\005needs\030\006 \003(\004\022\020\n\010returned\030\007 \001(\004J\004\010\005\020\006\"_\n" +
+      "\013ModelDemand\022\017\n\007service\030\001 \001(\t\022\r\n\005model\030\002" +
+      " \001(\t\022\017\n\007adapter\030\003 \001(\t\022\016\n\006tokens\030\004 \001(\004\022\017\n" +
+      "\007waiting\030\005 \001(\r\"\233\003\n\022CoordinationUpdate\022\023\n" +
+      "\013coordinates\030\001 \001(\010\022\023\n\013coordinator\030\002 \001(\t\022" +
+      "\017\n\007entries\030\003 \001(\r\0226\n\007servers\030\004 \003(\0132%.bora" +
+      "geproxy.coordination.ServerUsage\0223\n\006shar" +
+      "es\030\005 \003(\0132#.borageproxy.coordination.Rate" +
+      "Share\0229\n\010contents\030\006 \003(\0132\'.borageproxy.co" +
+      "ordination.ServerContent\022\030\n\020contents_ver" +
+      "sion\030\007 \001(\004\022\023\n\013all_servers\030\010 \001(\010\022\014\n\004term\030" +
+      "\t \001(\004\022=\n\rstated_limits\030\n \003(\0132&.boragepro" +
+      "xy.coordination.StatedLimits\022\026\n\016limits_v" +
+      "ersion\030\013 \001(\004\022\016\n\006relays\030\014 \003(\t\"\363\002\n\013SlotReq" +
+      "uest\022\014\n\004zone\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\r\n\005m" +
+      "odel\030\003 \001(\t\022\017\n\007adapter\030\004 \001(\t\022\025\n\rprompt_to" +
+      "kens\030\005 \001(\r\022\025\n\routput_tokens\030\006 \001(\r\0225\n\005par" +
+      "ts\030\007 \003(\0132&.borageproxy.coordination.Part" +
+      "OfPrompt\022\014\n\004rank\030\010 \001(\r\022\030\n\020objective_mill" +
+      "is\030\t \001(\r\022\027\n\017deadline_millis\030\n \001(\r\022\r\n\005tri" +
+      "ed\030\013 \003(\t\022\025\n\rwaited_millis\030\014 \001(\r\022\021\n\tabsen" +
+      "t_at\030\016 \003(\t\022\014\n\004gone\030\017 \003(\t\022\035\n\020software_ver" +
+      "sion\030\020 \001(\tH\000\210\001\001B\023\n\021_software_versionJ\004\010\r" +
+      "\020\016\"0\n\014PartOfPrompt\022\020\n\010identity\030\001 \001(\t\022\016\n\006" +
+      "tokens\030\002 \001(\r\"\270\002\n\nSlotAnswer\022=\n\007outcome\030\001" +
+      " \001(\0162,.borageproxy.coordination.SlotAnsw" +
+      "er.Outcome\022\016\n\006server\030\002 \001(\t\022\023\n\013incarnatio" +
+      "n\030\003 \001(\004\022\027\n\017expected_millis\030\004 \001(\001\022\025\n\runre" +
+      "ad_tokens\030\005 \001(\r\022\014\n\004slot\030\006 \001(\004\022\030\n\020come_ba" +
+      "ck_millis\030\007 \001(\r\"n\n\007Outcome\022\023\n\017NOT_COORDI" +
+      "NATOR\020\000\022\n\n\006CHOSEN\020\001\022\r\n\tNO_SERVER\020\002\022\014\n\010NO" +
+      "_MODEL\020\003\022\013\n\007CROWDED\020\004\022\r\n\tALL_TRIED\020\005\022\t\n\005" +
+      "AGAIN\020\006\"=\n\tRateShare\022\021\n\tworkspace\030\001 \001(\t\022" +
+      "\014\n\004rate\030\002 \001(\004\022\017\n\007granted\030\003 \001(\004\"\211\001\n\rServe" +
+      "rContent\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 " +
+      "\001(\004\022\016\n\006orders\030\003 \001(\004\0223\n\006models\030\004 \003(\0132#.bo" +
+      "rageproxy.coordination.HeldModel\022\020\n\010arri" +
+      "ving\030\005 \003(\t\",\n\tHeldModel\022\r\n\005model\030\001 \001(\t\022\020" +
+      "\n\010adapters\030\002 \003(\tB2\n\032org.borageproxy.wire" +
+      ".protoB\024CoordinationProtocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -20834,93 +21811,99 @@
     internal_static_borageproxy_coordination_UsageReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_UsageReport_descriptor,
-        new java.lang.String[] { "Session", "Servers", "Workspaces", "Demands", "LastSlot", "Paces", "ContentsVersion", "BegunStreams", "StatedLimits", "LimitsVersion", });
-    internal_static_borageproxy_coordination_StatedLimits_descriptor =
+        new java.lang.String[] { "Session", "Servers", "Workspaces", "Demands", "LastSlot", "Paces", "ContentsVersion", "BegunStreams", "StatedLimits", "LimitsVersion", "Relays", });
+    internal_static_borageproxy_coordination_RelayRequest_descriptor =
       getDescriptor().getMessageType(1);
+    internal_static_borageproxy_coordination_RelayRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_borageproxy_coordination_RelayRequest_descriptor,
+        new java.lang.String[] { "Server", "Incarnation", });
+    internal_static_borageproxy_coordination_StatedLimits_descriptor =
+      getDescriptor().getMessageType(2);
     internal_static_borageproxy_coordination_StatedLimits_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_StatedLimits_descriptor,
         new java.lang.String[] { "Name", "Incarnation", "AgeMillis", "RequestsPerSecond", "Rejections", });
     internal_static_borageproxy_coordination_BegunStream_descriptor =
-      getDescriptor().getMessageType(2);
+      getDescriptor().getMessageType(3);
     internal_static_borageproxy_coordination_BegunStream_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_BegunStream_descriptor,
         new java.lang.String[] { "Request", "Service", "SoftwareVersion", });
     internal_static_borageproxy_coordination_StreamOriginQuery_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(4);
     internal_static_borageproxy_coordination_StreamOriginQuery_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_StreamOriginQuery_descriptor,
         new java.lang.String[] { "Request", });
     internal_static_borageproxy_coordination_StreamOriginAnswer_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(5);
     internal_static_borageproxy_coordination_StreamOriginAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_StreamOriginAnswer_descriptor,
         new java.lang.String[] { "Known", "Service", "SoftwareVersion", });
     internal_static_borageproxy_coordination_ModelPace_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(6);
     internal_static_borageproxy_coordination_ModelPace_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_ModelPace_descriptor,
         new java.lang.String[] { "Model", "Pace", });
     internal_static_borageproxy_coordination_ServerUsage_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(7);
     internal_static_borageproxy_coordination_ServerUsage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_ServerUsage_descriptor,
         new java.lang.String[] { "Name", "Incarnation", "Requests", "PromptTokens", "HeldTokens", "Failures", "Answers", });
     internal_static_borageproxy_coordination_WorkspaceUsage_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(8);
     internal_static_borageproxy_coordination_WorkspaceUsage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_WorkspaceUsage_descriptor,
         new java.lang.String[] { "Name", "Demand", "Held", "Spent", "Needs", "Returned", });
     internal_static_borageproxy_coordination_ModelDemand_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(9);
     internal_static_borageproxy_coordination_ModelDemand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_ModelDemand_descriptor,
         new java.lang.String[] { "Service", "Model", "Adapter", "Tokens", "Waiting", });
     internal_static_borageproxy_coordination_CoordinationUpdate_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(10);
     internal_static_borageproxy_coordination_CoordinationUpdate_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_CoordinationUpdate_descriptor,
-        new java.lang.String[] { "Coordinates", "Coordinator", "Entries", "Servers", "Shares", "Contents", "ContentsVersion", "AllServers", "Term", "StatedLimits", "LimitsVersion", });
+        new java.lang.String[] { "Coordinates", "Coordinator", "Entries", "Servers", "Shares", "Contents", "ContentsVersion", "AllServers", "Term", "StatedLimits", "LimitsVersion", "Relays", });
     internal_static_borageproxy_coordination_SlotRequest_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(11);
     internal_static_borageproxy_coordination_SlotRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_SlotRequest_descriptor,
         new java.lang.String[] { "Zone", "Service", "Model", "Adapter", "PromptTokens", "OutputTokens", "Parts", "Rank", "ObjectiveMillis", "DeadlineMillis", "Tried", "WaitedMillis", "AbsentAt", "Gone", "SoftwareVersion", });
     internal_static_borageproxy_coordination_PartOfPrompt_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_borageproxy_coordination_PartOfPrompt_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_PartOfPrompt_descriptor,
         new java.lang.String[] { "Identity", "Tokens", });
     internal_static_borageproxy_coordination_SlotAnswer_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_borageproxy_coordination_SlotAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_SlotAnswer_descriptor,
         new java.lang.String[] { "Outcome", "Server", "Incarnation", "ExpectedMillis", "UnreadTokens", "Slot", "ComeBackMillis", });
     internal_static_borageproxy_coordination_RateShare_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_borageproxy_coordination_RateShare_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_RateShare_descriptor,
         new java.lang.String[] { "Workspace", "Rate", "Granted", });
     internal_static_borageproxy_coordination_ServerContent_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_borageproxy_coordination_ServerContent_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_ServerContent_descriptor,
         new java.lang.String[] { "Name", "Incarnation", "Orders", "Models", "Arriving", });
     internal_static_borageproxy_coordination_HeldModel_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(16);
     internal_static_borageproxy_coordination_HeldModel_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_HeldModel_descriptor,
--- a/src/test/java/org/borageproxy/platform/ForwardingTest.java
+++ b/src/test/java/org/borageproxy/platform/ForwardingTest.java
@@ -22,6 +22,8 @@
 import java.util.function.Function;
 
 import com.google.protobuf.ByteString;
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.internal.ContextInternal;
@@ -32,6 +34,7 @@
 import org.borageproxy.forward.ForwardMetrics;
 import org.borageproxy.forward.ForwardServer;
 import org.borageproxy.forward.ServerConnectionPool;
+import org.borageproxy.forward.ServerLinks;
 import org.borageproxy.forward.ServerPool;
 import org.borageproxy.forward.SlotClient;
 import org.borageproxy.forward.StreamOriginClient;
@@ -54,6 +57,7 @@
 import org.borageproxy.vm.VmName;
 import org.borageproxy.wire.MessageKind;
 import org.borageproxy.wire.VmNetwork;
+import org.borageproxy.wire.VmStreams;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -103,6 +107,22 @@
         }
     }
 
+    /** The tests have no other entries. */
+    private enum NoStreams implements VmStreams {
+        INSTANCE;
+
+        @Override
+        public CompletionStage<Channel> open(
+                VmName recipient, ByteString request, EventLoop eventLoop, Deadline deadline) {
+            throw new AssertionError("opened a stream");
+        }
+
+        @Override
+        public void acceptStreams(Acceptor acceptor) {
+            throw new AssertionError("accepts streams");
+        }
+    }
+
     private final class LossRecorder implements SuspectRequests {
         @Override
         public boolean isQuarantined(CrashSuspects suspects) {
@@ -127,6 +147,10 @@
         MonotonicClock clock = MonotonicClock.ofSystem();
         ServerPool pool = new ServerPool(() -> List.copyOf(servers), clock, ZONE, new Random(1), () -> 1);
         pool.onGone(server -> goneServers.add(server.name().value()));
+        ServerLinks links = new ServerLinks(
+                context.nettyEventLoop(),
+                clock,
+                new ServerLinks.Environment(NoStreams.INSTANCE, List::of, () -> List.copyOf(servers)));
         ForwardContext forwardContext = new ForwardContext(
                 context.nettyEventLoop(),
                 clock,
@@ -135,7 +159,7 @@
                 new SlotClient(NoNetwork.INSTANCE, Optional::empty, ZONE, clock, context.nettyEventLoop()),
                 new StreamOriginClient(
                         new StreamOrigins(clock), NoNetwork.INSTANCE, Optional::empty, clock, context.nettyEventLoop()),
-                new ServerConnectionPool(context.nettyEventLoop(), clock),
+                new ServerConnectionPool(links, clock),
                 new RateShares(System.nanoTime(), new Random(1), () -> 1),
                 service -> budget,
                 new LossRecorder(),
