--- a/src/test/java/org/borageproxy/platform/EngineStandIn.java
+++ b/src/test/java/org/borageproxy/platform/EngineStandIn.java
@@ -9,12 +9,15 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Predicate;
 
@@ -55,6 +58,12 @@
     private volatile String statement = "";
 
     private volatile Predicate<Socket> isCutOff = connection -> false;
+    private final Semaphore slot = new Semaphore(1);
+    private final List<Long> rejectionsNanos = new ArrayList<>();
+    /** Rejections within a second that the server survives; negative if it queues requests instead. */
+    private volatile int survivedRejections = -1;
+
+    private volatile int falls;
     private volatile long incarnation;
     private volatile ServerSocket listening;
 
@@ -161,8 +170,11 @@
         }
         if (request.startsWith("POST /p/")) {
             requests.add(request);
-            workPlainly();
             String identity = header(request, "X-Request-Id").orElse("");
+            if (!workPlainly()) {
+                write(output, rejection(identity));
+                return recordRejection();
+            }
             write(
                     output,
                     document("")
@@ -220,14 +232,59 @@
         return isFramed ? Integer.toHexString(text.length()) + "\r\n" + text + "\r\n" : text;
     }
 
-    private static void workPlainly() throws IOException {
+    /** Works on a request in the only slot, and returns {@code false} if it is brittle and the slot is taken. */
+    private boolean workPlainly() throws IOException {
+        boolean isFree = slot.tryAcquire();
+        if (!isFree && survivedRejections >= 0) {
+            return false;
+        }
         try {
             Thread.sleep(PLAIN_WORK_MILLIS);
+            return true;
         } catch (InterruptedException exception) {
             throw new InterruptedIOException("stopped");
+        } finally {
+            if (isFree) {
+                slot.release();
+            }
         }
     }
 
+    private String rejection(String identity) {
+        return "HTTP/1.1 503 Service Unavailable\r\n" + statement + "X-Not-Executed: 1\r\nX-Request-Id: " + identity
+                + "\r\nContent-Length: 0\r\n\r\n";
+    }
+
+    /** Counts a rejection and returns whether the server survives it. */
+    private synchronized boolean recordRejection() throws IOException {
+        long nowNanos = System.nanoTime();
+        rejectionsNanos.removeIf(each -> nowNanos - each > TimeUnit.SECONDS.toNanos(1));
+        rejectionsNanos.add(nowNanos);
+        if (rejectionsNanos.size() > survivedRejections) {
+            rejectionsNanos.clear();
+            falls++;
+            crash();
+            return false;
+        }
+        return true;
+    }
+
+    /**
+     * Makes a server of a plain service reject requests while its slot is taken, and end after too many rejections
+     * within a second.
+     *
+     * @param rejections the rejections within a second that it survives, which it states in its answers
+     */
+    void makeBrittle(int rejections) {
+        survivedRejections = rejections;
+        statement = "Server-Brittle: " + rejections + "\r\n";
+    }
+
+    /** Returns how often the server has ended since it is brittle. */
+    int falls() {
+        return falls;
+    }
+
     private String document(String fields) {
         String body = "{" + fields + "}";
         return "HTTP/1.1 200 OK\r\n" + statement + "Content-Type: application/json\r\nContent-Length: " + body.length()
