Spare slots of servers that must not reject requests

Callers would lose whole servers of a service that is brittle: each one that has to reject more requests within a second than it states ends for some seconds, and the others get its load. Cause: plain services are chosen by each entry alone, on a load of the others that is up to 120 ms old, and a rejection is not held against a server, so that retries hit the next one. Change: while servers of a service state how many rejections they survive, its requests are granted by the coordinator, which gives such a server four fifths of its slots; requests that find no slot wait while they can meet their objective. Without the coordinator an entry keeps to a share, at least one request at a time. A rejection by such a server counts as a failure, so that all VMs avoid it for a while. The ends of requests at servers that state limits are reported at once. SlotBrokerTest.brittleServerKeepsSlotsToSpare is new.

--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -11,7 +11,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
-import io.vertx.core.http.HttpServerRequest;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.publication.Repeatability;
@@ -84,9 +83,8 @@
         if (hasEnded) {
             return;
         }
-        HttpServerRequest request = buffered.request();
-        request.response().closeHandler(closed -> handleCallerLeft());
-        request.response().exceptionHandler(failure -> handleCallerLeft());
+        buffered.request().response().closeHandler(closed -> handleCallerLeft());
+        buffered.request().response().exceptionHandler(failure -> handleCallerLeft());
         if (buffered.deadline().hasPassed(context.clock().nanoTime())) {
             refuse(RefusalReason.EXPIRED_UNSENT, Optional.empty());
             return;
@@ -294,7 +292,9 @@
             int status = response.status().code();
             possibleRuns--;
             isOver = true;
-            inFlightRequest.ifPresent(InFlightRequest::recordEnd);
+            boolean isOverloaded =
+                    status != MISDIRECTED_REQUEST && context.pool().statements().isBrittle(server);
+            inFlightRequest.ifPresent(isOverloaded ? InFlightRequest::recordFailure : InFlightRequest::recordEnd);
             log.rejected(server, status);
             boolean isOtherServer = answer.respondingServer()
                     .filter(name -> !name.equals(server.name()))
@@ -425,8 +425,8 @@
 
         /** A lost connection says nothing about the server if the links of this VM are lost. */
         private boolean isServerToBlame() {
-            boolean isDirect = connection.map(each -> !each.isRelayed()).orElse(true);
-            return !(isDirect && context.connections().links().areLost());
+            return !context.connections().links().areLost()
+                    || connection.filter(ServerConnection::isRelayed).isPresent();
         }
 
         private void recordCrashSuspicion() {
--- a/src/main/java/org/borageproxy/forward/ServerPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerPool.java
@@ -156,14 +156,12 @@
     Optional<ServerSelector.Choice> choose(ServerRequirement requirement, AvailabilityZone callerZone) {
         List<ServerSelector.Candidate> candidates = new ArrayList<>();
         String modelOrService = requirement.work().map(EngineWork::model).orElse(requirement.service());
-        for (BackendServer server : servers.current()) {
-            if (isCapable(server, requirement)
-                    && !requirement.triedServers().contains(server.name())
-                    && statements.isPermitted(server)) {
-                candidates.add(new ServerSelector.Candidate(
-                        server, load(server, requirement.engines()), latencyRatios.of(modelOrService)));
+        untried(requirement).forEach(server -> {
+            ServerLoad load = load(server, requirement.engines());
+            if (statements.admits(server, requirement.engines(), load)) {
+                candidates.add(new ServerSelector.Candidate(server, load, latencyRatios.of(modelOrService)));
             }
-        }
+        });
         ServerSelector.Query query = new ServerSelector.Query(
                 requirement.work(), requirement.engines(), callerZone, requirement.triedServers());
         return ServerSelector.INSTANCE.choose(query, candidates, clock.nanoTime(), random);
@@ -258,9 +256,7 @@
         List<BackendServer> capable =
                 accepting.stream().filter(server -> canRun(server, work)).toList();
         if (!capable.isEmpty()) {
-            List<BackendServer> untried = capable.stream()
-                    .filter(server -> !requirement.triedServers().contains(server.name()))
-                    .toList();
+            List<BackendServer> untried = untried(requirement).toList();
             if (untried.isEmpty()) {
                 return Unavailability.ALL_TRIED;
             }
@@ -430,12 +426,13 @@
     InFlightRequest recordStart(ServerSelector.Choice choice, Optional<EnginePool> engines, Optional<EngineWork> work) {
         ServerLoad load = load(choice.server(), engines);
         work.ifPresent(load.prefixCache()::recordPrompt);
-        return new InFlightRequest(clock, load, choice, work, latencyRatios, () -> handleLoadChange(work));
+        return new InFlightRequest(
+                clock, load, choice, work, latencyRatios, () -> handleLoadChange(choice.server(), work));
     }
 
-    private void handleLoadChange(Optional<EngineWork> work) {
+    private void handleLoadChange(BackendServer server, Optional<EngineWork> work) {
         queue.retryAll();
-        if (work.isPresent()) {
+        if (work.isPresent() || statements.isLimiting(server)) {
             loadChangeListener.run();
         }
     }
--- a/src/main/java/org/borageproxy/forward/ServerStatements.java
+++ b/src/main/java/org/borageproxy/forward/ServerStatements.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.Set;
@@ -14,6 +15,8 @@
 import org.borageproxy.coordination.Coordinator;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerName;
+import org.borageproxy.publication.EnginePool;
+import org.borageproxy.routing.ServerLoad;
 import org.borageproxy.routing.ServerStatement;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
@@ -32,6 +35,8 @@
     private static final Logger LOGGER = LoggerFactory.getLogger(ServerStatements.class);
     /** Time for which the end of a limit is remembered, so that it outlasts older statements of other VMs. */
     private static final Duration END_RETENTION = Duration.ofSeconds(10);
+    /** Fraction of its slots that a server which must not reject requests is given. */
+    private static final double BRITTLE_SLOT_FRACTION = 0.8;
 
     private final MonotonicClock clock;
     private final RandomGenerator random;
@@ -140,6 +145,45 @@
         return isKnown ? current.statement : ServerStatement.NONE;
     }
 
+    /**
+     * Returns whether a server takes a request now, as far as its statement is concerned. May use up the saved fraction
+     * of a permit.
+     *
+     * @param server the server
+     * @param engines the engine pool of the service; empty for a plain service
+     * @param load the load of the server
+     * @return {@code true} for a server without a statement
+     */
+    boolean admits(BackendServer server, Optional<EnginePool> engines, ServerLoad load) {
+        int slots = engines.map(EnginePool::batchSlots).orElse(server.load().batchLimit());
+        return hasRoom(server, slots, load) && isPermitted(server);
+    }
+
+    /**
+     * Returns whether a server that must not reject requests has a slot to spare. New connections and checks may take
+     * some of the slots. An entry without coordinator knows the load of the others only as it was, and keeps to a
+     * share.
+     */
+    private boolean hasRoom(BackendServer server, int slots, ServerLoad load) {
+        if (statement(server).rejectionLimit().isEmpty()) {
+            return true;
+        }
+        int usableSlots = Math.max(1, (int) (slots * BRITTLE_SLOT_FRACTION));
+        boolean isWithinShare =
+                share.getAsDouble() >= 1 || load.ownRequests() < Math.max(1, usableSlots * share.getAsDouble());
+        return load.totalRequests() < usableSlots && isWithinShare;
+    }
+
+    /**
+     * Returns whether a server must not reject many requests.
+     *
+     * @param server the server
+     * @return whether it states how many rejections it survives
+     */
+    boolean isBrittle(BackendServer server) {
+        return statement(server).rejectionLimit().isPresent();
+    }
+
     /**
      * Returns whether this VM may send a request to a server now, as far as the server's request limit is concerned.
      *
--- a/src/test/java/org/borageproxy/forward/SlotBrokerTest.java
+++ b/src/test/java/org/borageproxy/forward/SlotBrokerTest.java
@@ -255,6 +255,24 @@
         assertTrue(outcome == SlotAnswer.Outcome.CHOSEN || outcome == SlotAnswer.Outcome.AGAIN, outcome.toString());
     }
 
+    /** Guards against rejections by a server that ends after too many of them. */
+    @Test
+    void brittleServerKeepsSlotsToSpare() throws Exception {
+        servers.clear();
+        servers.add(BackendServerFixture.service("p1", 1));
+        pool.statements()
+                .recordAnswer(
+                        servers.get(0),
+                        new ServerStatement(OptionalDouble.empty(), OptionalInt.of(3)),
+                        time.nowNanos());
+        int granted = 0;
+        for (int number = 0; number < 64; number++) {
+            CompletableFuture<ByteString> asked = askPlain(300);
+            granted += asked.isDone() && answer(asked).getOutcome() == SlotAnswer.Outcome.CHOSEN ? 1 : 0;
+        }
+        assertEquals(51, granted);
+    }
+
     /** Guards against a model whose only engine limits its requests staying there. */
     @Test
     void requestsThatWaitForPermitsOfEnginesAreDemandForTheModel() {
