Read interim responses of backend servers to their end

Cause: the decoder marks the end of an interim response like that of an answer, at which the exchange ended without a head; the failure reached nobody. Class of fault: a part of a message is taken for the end of the message. Ruled out: the head limit, which ends a head without end at once. Change: the end of an interim response is skipped, and an answer counts as malformed after 16 of them.

--- a/src/main/java/org/borageproxy/forward/ServerConnection.java
+++ b/src/main/java/org/borageproxy/forward/ServerConnection.java
@@ -37,6 +37,9 @@
      */
     private static final Duration DEFAULT_KEEP_ALIVE = Duration.ofSeconds(4);
 
+    /** Number of interim responses after which an answer counts as malformed. */
+    private static final int MAX_INTERIM_RESPONSES = 16;
+
     private static final String TIMEOUT_FIELD = "timeout=";
     private static final int CONTINUE_STATUS = 100;
     private static final int FIRST_FINAL_STATUS = 200;
@@ -53,6 +56,8 @@
     private boolean isBroken;
     private Deadline usableUntil = new Deadline(0);
     private int exchangeCount;
+    private int interimCount;
+    private boolean isReadingInterim;
     private boolean hasReceived;
 
     /** Receives the answer of one exchange. No method is called after {@link #onEnd} or {@link #onFailure}. */
@@ -124,6 +129,7 @@
         isReusable = false;
         exchangeCount++;
         hasReceived = false;
+        interimCount = 0;
         if (!isRelayed) {
             links.recordWaiting(this);
         }
@@ -206,7 +212,12 @@
             return;
         }
         if (part instanceof HttpResponse response) {
-            if (isInterim(response)) {
+            isReadingInterim = isInterim(response);
+            if (isReadingInterim) {
+                interimCount++;
+                if (interimCount > MAX_INTERIM_RESPONSES) {
+                    fail("too many interim responses");
+                }
                 return;
             }
             isReusable = HttpUtil.isKeepAlive(response)
@@ -214,7 +225,8 @@
             usableUntil = Deadline.after(clock.nanoTime(), keepAlive(response));
             listener.get().onHead(response);
         }
-        if (part instanceof HttpContent content && listener.isPresent()) {
+        // The decoder also marks the end of an interim response.
+        if (part instanceof HttpContent content && listener.isPresent() && !isReadingInterim) {
             if (content.content().isReadable()) {
                 listener.get().onContent(content.content());
             }
--- a/src/test/java/org/borageproxy/platform/EngineStandIn.java
+++ b/src/test/java/org/borageproxy/platform/EngineStandIn.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Predicate;
 
@@ -41,6 +42,17 @@
     /** Time for which a server of a plain service works on a request; it has one slot. */
     private static final long PLAIN_WORK_MILLIS = 60;
 
+    /** Sends a head without end. */
+    static final String ENDLESS_HEAD = "endless-head";
+    /** Sends interim responses without end. */
+    static final String ENDLESS_INTERIM = "endless-interim";
+    /** Sends a body without end, which is one event if it is a stream. */
+    static final String ENDLESS_BODY = "endless-body";
+    /** Pauses for {@link #PAUSE_MILLIS} before the answer and within it. */
+    static final String PAUSE = "pause";
+
+    static final long PAUSE_MILLIS = 1_200;
+
     private static final String MODELS = "\"Models\":[{\"Name\":\"m\",\"Version\":1,\"Adapters\":[]}]";
     private static final AtomicLong LAST_INCARNATION = new AtomicLong();
 
@@ -58,6 +70,7 @@
     private volatile String statement = "";
 
     private volatile Predicate<Socket> isCutOff = connection -> false;
+    private final AtomicInteger endlessAnswers = new AtomicInteger();
     private final Semaphore slot = new Semaphore(1);
     private final List<Long> rejectionsNanos = new ArrayList<>();
     /** Rejections within a second that the server survives; negative if it queues requests instead. */
@@ -168,6 +181,15 @@
                             + "\"KvTotal\":90000,\"Stage\":\"mixed\"," + MODELS));
             return true;
         }
+        String script = header(request, "X-Script").orElse(WHOLE);
+        if (script.startsWith("endless")) {
+            requests.add(request);
+            writeEndlessly(script, header(request, "X-Request-Id").orElse(""), output);
+            return false;
+        }
+        if (script.equals(PAUSE)) {
+            pause();
+        }
         if (request.startsWith("POST /p/")) {
             requests.add(request);
             String identity = header(request, "X-Request-Id").orElse("");
@@ -216,6 +238,11 @@
             write(output, framed(event(1) + event(2) + "id: 3\ndata: "));
             return false;
         }
+        if (script.equals(PAUSE)) {
+            write(output, framed(event(first)));
+            first++;
+            pause();
+        }
         StringBuilder events = new StringBuilder();
         for (int number = first; number <= EVENT_COUNT; number++) {
             events.append(event(number));
@@ -232,6 +259,35 @@
         return isFramed ? Integer.toHexString(text.length()) + "\r\n" + text + "\r\n" : text;
     }
 
+    private void writeEndlessly(String script, String identity, OutputStream output) throws IOException {
+        String head = "HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\nX-Request-Id: " + identity + "\r\n";
+        String start =
+                script.equals(ENDLESS_BODY) ? head + "\r\ndata: " : script.equals(ENDLESS_HEAD) ? head + "X: " : "";
+        String part = script.equals(ENDLESS_INTERIM) ? "HTTP/1.1 100 Continue\r\n\r\n" : "a".repeat(10_000);
+        endlessAnswers.incrementAndGet();
+        try {
+            write(output, start);
+            while (isRunning()) {
+                write(output, part);
+            }
+        } finally {
+            endlessAnswers.decrementAndGet();
+        }
+    }
+
+    /** Returns the number of answers without end that are being sent. */
+    int endlessAnswers() {
+        return endlessAnswers.get();
+    }
+
+    private static void pause() throws InterruptedIOException {
+        try {
+            Thread.sleep(PAUSE_MILLIS);
+        } catch (InterruptedException exception) {
+            throw new InterruptedIOException("stopped");
+        }
+    }
+
     /** Works on a request in the only slot, and returns {@code false} if it is brittle and the slot is taken. */
     private boolean workPlainly() throws IOException {
         boolean isFree = slot.tryAcquire();
--- a/src/test/java/org/borageproxy/platform/PlatformFleet.java
+++ b/src/test/java/org/borageproxy/platform/PlatformFleet.java
@@ -279,11 +279,16 @@
 
     /** Sends a request for the plain service and returns the whole answer, or what arrived of it. */
     String callPlain(String entry, String identity) throws IOException {
-        try (Socket socket = sendTo(entry, "/p/" + identity, identity, "")) {
+        try (Socket socket = sendPlain(entry, identity, "")) {
             return readAll(socket);
         }
     }
 
+    /** Opens a connection to an entry, sends a request for the plain service and returns the connection. */
+    Socket sendPlain(String entry, String identity, String extraHeaders) throws IOException {
+        return sendTo(entry, "/p/" + identity, identity, extraHeaders);
+    }
+
     /** Sends a request and returns the whole answer, or what arrived of it before the connection broke. */
     String call(String entry, String identity, String parts, String extraHeaders) throws IOException {
         try (Socket socket = send(entry, identity, parts, extraHeaders)) {
@@ -291,7 +296,8 @@
         }
     }
 
-    private static String readAll(Socket socket) throws IOException {
+    /** Returns all that a connection brings until its end. */
+    static String readAll(Socket socket) throws IOException {
         StringBuilder answer = new StringBuilder();
         InputStream input = socket.getInputStream();
         try {
