Read limited engines less often while their state is not known

Callers of an engine that takes one request a second would wait for permits that reads of the engine's state use up: every 150 ms while an order runs or the number of orders is not known. Cause: the read interval of such an engine depended on its limit only while it was idle. Ruled out: reading it not at all; orders need its number of accepted orders. Change: an engine that limits its requests is read each 2.5 s at most.

--- a/src/main/java/org/borageproxy/placement/FleetPlacement.java
+++ b/src/main/java/org/borageproxy/placement/FleetPlacement.java
@@ -41,9 +41,9 @@
     private static final Duration PLANNING_INTERVAL = Duration.ofMillis(100);
     /** Time between two reports of an engine that executes an order. */
     private static final Duration BUSY_REPORT_INTERVAL = Duration.ofMillis(150);
-    /** Time between two reports of an idle engine. */
+    /** Time between two reports of an idle engine, or of a busy one that limits its requests. */
     private static final Duration IDLE_REPORT_INTERVAL = Duration.ofMillis(2500);
-    /** Time between two reports of an engine that limits its requests. */
+    /** Time between two reports of an idle engine that limits its requests. */
     private static final Duration LIMITED_REPORT_INTERVAL = Duration.ofSeconds(6);
     /** Time until an engine that rejected an order because it executes another one may get the next order. */
     private static final Duration BUSY_RETRY_DELAY = Duration.ofMillis(120);
@@ -242,10 +242,11 @@
     }
 
     private static Duration reportInterval(TrackedEngine engine) {
-        if (engine.needsReport()) {
-            return BUSY_REPORT_INTERVAL;
+        if (engine.isLimiting()) {
+            // Frequent reads would take the permits of the callers' requests.
+            return engine.needsReport() ? IDLE_REPORT_INTERVAL : LIMITED_REPORT_INTERVAL;
         }
-        return engine.isLimiting() ? LIMITED_REPORT_INTERVAL : IDLE_REPORT_INTERVAL;
+        return engine.needsReport() ? BUSY_REPORT_INTERVAL : IDLE_REPORT_INTERVAL;
     }
 
     private void publishModels(TrackedEngine engine) {
--- a/src/test/java/org/borageproxy/placement/FleetPlacementTest.java
+++ b/src/test/java/org/borageproxy/placement/FleetPlacementTest.java
@@ -125,6 +125,16 @@
         assertEquals(1, engineClient.sentOrders.size(), engineClient.sentOrders.toString());
     }
 
+    /** Guards against reads of the state that take the permits of callers' requests. */
+    @Test
+    void enginesThatLimitTheirRequestsAreReadLessOften() {
+        int permitted = 1_000;
+        permits.limited.put("e1", permitted);
+        time.advance(Duration.ofMillis(1_200));
+        int reads = permitted - permits.limited.get("e1");
+        assertTrue(reads >= 1 && reads <= 2, reads + " reads");
+    }
+
     /** Guards against models whose only engine limits its requests, and against loads to such an engine. */
     @Test
     void modelOfLimitingEngineIsLoadedElsewhereWhileRequestsWait() {
