Keep idle connections while the links count as lost, and probe before they do

Callers of an entry that had two servers crash beside its requests would wait for handshakes through other entries, and again after its idle connections had been closed for nothing. Ruled out: waiting for more than two servers, which an entry with little traffic meets late. Change: the links count as lost only after probes failed; a direct connection that is sound is skipped, not closed, while they do. Evidence: PartitionedEntryTest, ServerLinksTest and ForwardingTest pass; no test of its own.

--- a/src/main/java/org/borageproxy/forward/ServerConnection.java
+++ b/src/main/java/org/borageproxy/forward/ServerConnection.java
@@ -157,6 +157,15 @@
         return isRelayed;
     }
 
+    /**
+     * Returns whether the connection leads to the server while the links of this VM are as they are.
+     *
+     * @return {@code false} for a direct connection while the links are lost
+     */
+    boolean isReachable() {
+        return isRelayed || !links.areLost();
+    }
+
     /** Tells the listener that the answer may never arrive. */
     void handleLostLinks() {
         listener.ifPresent(Listener::onLinksLost);
@@ -169,8 +178,7 @@
      * @return {@code false} if it is closed or the server is about to close it
      */
     boolean isUsable(long nowNanos) {
-        boolean isReachable = isRelayed || !links.areLost();
-        return isReachable && channel.isActive() && !isBroken && !usableUntil.hasPassed(nowNanos);
+        return channel.isActive() && !isBroken && !usableUntil.hasPassed(nowNanos);
     }
 
     /**
--- a/src/main/java/org/borageproxy/forward/ServerConnectionPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerConnectionPool.java
@@ -3,7 +3,9 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.BiPredicate;
 
 import io.netty.channel.Channel;
@@ -69,16 +71,23 @@
      * @param listener receives the outcome, possibly before this method returns
      */
     void connect(BackendServer server, ConnectListener listener) {
-        Deque<ServerConnection> idleConnections = idle.get(destination(server));
-        while (idleConnections != null && !idleConnections.isEmpty()) {
-            ServerConnection connection = idleConnections.pop();
-            if (connection.isUsable(clock.nanoTime())) {
-                listener.onConnected(connection);
-                return;
+        takeIdle(destination(server)).ifPresentOrElse(listener::onConnected, () -> open(server, listener));
+    }
+
+    private Optional<ServerConnection> takeIdle(Destination destination) {
+        Iterator<ServerConnection> connections =
+                idle.getOrDefault(destination, new ArrayDeque<>()).iterator();
+        while (connections.hasNext()) {
+            ServerConnection connection = connections.next();
+            if (!connection.isUsable(clock.nanoTime())) {
+                connections.remove();
+                connection.close();
+            } else if (connection.isReachable()) {
+                connections.remove();
+                return Optional.of(connection);
             }
-            connection.close();
         }
-        open(server, listener);
+        return Optional.empty();
     }
 
     private void open(BackendServer server, ConnectListener listener) {
--- a/src/main/java/org/borageproxy/forward/ServerLinks.java
+++ b/src/main/java/org/borageproxy/forward/ServerLinks.java
@@ -303,21 +303,16 @@
     }
 
     /**
-     * Records that a direct connection failed which a sound server would not have ended.
+     * Records that a direct connection failed which a sound server would not have ended. After failures at two servers
+     * the links are probed.
      *
      * @param server the server
      */
     void recordDirectFailure(BackendServer server) {
         if (!environment.relays().get().isEmpty() && failedServers.add(server.name())) {
-            suspect();
-        }
-    }
-
-    /** The links count as lost at once, which is safe, until a probe holds. */
-    private void suspect() {
-        if (failedServers.size() >= SUSPICIOUS_FAILURES && !areLost) {
-            setLost(true, "connections to " + failedServers.size() + " servers failed");
-            probe();
+            if (failedServers.size() >= SUSPICIOUS_FAILURES && !areLost) {
+                probe();
+            }
         }
     }
 
