Probe the links for a silence every three seconds at most

Callers of slow models would pay for connections that find nothing: an entry whose only request waits for its first event opened two connections each second. Cause: a probe that held was repeated after a second while the silence lasted. Ruled out: no probe for a silence; a cut that leaves open connections hanging shows by nothing else while no connection is opened. Change: after a probe that held, the next one for a silence is 3 s later; failures at two servers still cause one at once, and lost links are probed each second as before.

--- a/src/main/java/org/borageproxy/forward/ServerLinks.java
+++ b/src/main/java/org/borageproxy/forward/ServerLinks.java
@@ -57,8 +57,10 @@
     private static final Duration PROBE_TIMEOUT = Duration.ofMillis(300);
     /** Time for which a probe has to stay open. */
     private static final Duration PROBE_HOLD_TIME = Duration.ofMillis(200);
-    /** Time between probes while the links are lost, and after a probe that held. */
+    /** Time between probes while the links are lost. */
     private static final Duration PROBE_INTERVAL = Duration.ofSeconds(1);
+    /** Time from a probe that held to the next one for a silence, which often has other reasons. */
+    private static final Duration HELD_PROBE_VALIDITY = Duration.ofSeconds(3);
     /** Number of servers to which direct connections must fail for the links to be suspected. */
     private static final int SUSPICIOUS_FAILURES = 2;
     /** Number of other VMs through which one connection is tried. */
@@ -403,8 +405,8 @@
 
     private void handleProbes(boolean hasHeld) {
         isProbing = false;
-        nextProbeAt = Deadline.after(clock.nanoTime(), PROBE_INTERVAL);
         if (hasHeld) {
+            nextProbeAt = Deadline.after(clock.nanoTime(), HELD_PROBE_VALIDITY);
             failedServers.clear();
             setLost(false, "a direct connection holds");
             return;
