Log for how long backend servers refuse which VM

Cause: request-rejected stated neither the time that a 503 asks for, nor the VM that the server answered, nor whether the coordinator had granted a slot; refused orders and reads had no line. Ruled out: nothing; no decision uses the new values yet. Change: Retry-After of a 503 is parsed (times that cannot be read count as one second, longer ones than ten minutes as ten minutes, each with a line), request-rejected has retry_after_ms, relay and slot, call-refused is new. Connections know the VM through which they lead. What is known of the earlier attempts of a request moved to PriorAttempts.

--- a/src/main/java/org/borageproxy/forward/CallerProtocol.java
+++ b/src/main/java/org/borageproxy/forward/CallerProtocol.java
@@ -1,5 +1,6 @@
 package org.borageproxy.forward;
 
+import java.time.Duration;
 import java.util.Optional;
 
 import io.netty.handler.codec.http.HttpHeaders;
@@ -48,10 +49,12 @@
      * @param respondingServer the server that answered at the address of the expected one; empty if it is the expected
      *     one or none is stated
      * @param statement what the server states about its capacity; empty if that cannot be read
+     * @param retryAfter how long the server wants no further requests from the VM that it answered; positive
      */
     record ResponseMetadata(
             String requestIdentity,
             boolean notRun,
             Optional<BackendServerName> respondingServer,
-            Optional<ServerStatement> statement) {}
+            Optional<ServerStatement> statement,
+            Optional<Duration> retryAfter) {}
 }
--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -1,9 +1,7 @@
 package org.borageproxy.forward;
 
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -12,7 +10,6 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.borageproxy.membership.BackendServer;
-import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.publication.Repeatability;
 import org.borageproxy.quota.RateShares;
 import org.borageproxy.routing.ServerSelector;
@@ -26,8 +23,6 @@
  */
 final class Exchange {
 
-    /** Maximum number of sends of one request, including those that a server refused. */
-    private static final int MAX_SENDS = 4;
     /** Largest answer that is buffered until it is complete; a buffered answer can still be replaced by a retry. */
     private static final int MAX_BUFFERED_BYTES = 512 << 10;
     /** Retry-after time of refusals whose cause is short-lived. */
@@ -44,9 +39,7 @@
     private final RateAdmission rate;
     private final Consumer<Exchange> endListener;
     private final ResponseRelay relay;
-    private final Set<BackendServerName> triedServers = new HashSet<>();
-    private final Set<BackendServerName> serversWithoutModel = new HashSet<>();
-    private final Set<BackendServerName> goneServers = new HashSet<>();
+    private final PriorAttempts priorAttempts = new PriorAttempts();
     private final EventScanner scanner = new EventScanner();
     private final LocalSearch localSearch;
     private final CrashEvidence crashEvidence;
@@ -56,8 +49,6 @@
     /** What began the stream; present once the caller has an event of it. */
     private Optional<StreamOrigin> origin = Optional.empty();
 
-    private int sends;
-    private int possibleRuns;
     private boolean hasEnded;
 
     Exchange(ForwardContext context, BufferedRequest buffered, Consumer<Exchange> endListener) {
@@ -72,9 +63,9 @@
                 context,
                 buffered,
                 log,
-                triedServers,
+                priorAttempts.triedServers(),
                 () -> origin,
-                this::send,
+                choice -> send(choice, false),
                 reason -> refuseOrAbort(reason, DEFAULT_RETRY_AFTER));
     }
 
@@ -148,8 +139,6 @@
             localSearch.search();
             return;
         }
-        SlotClient.PriorAttempts priorAttempts =
-                new SlotClient.PriorAttempts(triedServers, serversWithoutModel, goneServers);
         context.slotClient().request(buffered, priorAttempts, origin, answer -> {
             if (hasEnded) {
                 return;
@@ -169,7 +158,10 @@
             case CHOSEN -> {
                 Optional<BackendServer> server = context.pool().find(answer.getServer(), answer.getIncarnation());
                 if (server.isPresent()) {
-                    send(new ServerSelector.Choice(server.get(), answer.getExpectedMillis(), answer.getUnreadTokens()));
+                    send(
+                            new ServerSelector.Choice(
+                                    server.get(), answer.getExpectedMillis(), answer.getUnreadTokens()),
+                            true);
                 } else {
                     log.unknownServer(answer.getServer());
                     localSearch.search();
@@ -183,9 +175,9 @@
         }
     }
 
-    private void send(ServerSelector.Choice choice) {
-        triedServers.add(choice.server().name());
-        Attempt attempt = new Attempt(choice);
+    private void send(ServerSelector.Choice choice, boolean hasSlot) {
+        priorAttempts.recordTried(choice.server().name());
+        Attempt attempt = new Attempt(choice, hasSlot);
         currentAttempt = Optional.of(attempt);
         context.connections().connect(choice.server(), attempt);
     }
@@ -194,14 +186,18 @@
     private final class Attempt implements ServerConnectionPool.ConnectListener, ServerConnection.Listener {
         private final ServerSelector.Choice choice;
         private final BackendServer server;
+        /** Whether the coordinator granted a slot for the attempt. */
+        private final boolean hasSlot;
+
         private Optional<ServerConnection> connection = Optional.empty();
         private Optional<InFlightRequest> inFlightRequest = Optional.empty();
         private final ReceivedAnswer received = new ReceivedAnswer();
         private boolean isStream;
         private boolean isOver;
 
-        Attempt(ServerSelector.Choice choice) {
+        Attempt(ServerSelector.Choice choice, boolean hasSlot) {
             this.choice = choice;
+            this.hasSlot = hasSlot;
             this.server = choice.server();
         }
 
@@ -228,11 +224,10 @@
             }
             connection = Optional.of(acquired);
             crashEvidence.recordAttempt();
-            sends++;
-            possibleRuns++;
+            priorAttempts.recordSent();
             inFlightRequest = Optional.of(context.pool()
                     .recordStart(choice, buffered.engines(), buffered.metadata().work()));
-            log.sent(choice, sends, acquired.isReused(), scanner.lastEventIdentity());
+            log.sent(choice, priorAttempts.sends(), acquired.isReused(), scanner.lastEventIdentity());
             acquired.send(
                     ForwardedHead.of(context, buffered, server, scanner.lastEventIdentity()), buffered.body(), this);
         }
@@ -290,12 +285,12 @@
 
         private void handleNotRun(HttpResponse response, CallerProtocol.ResponseMetadata answer) {
             int status = response.status().code();
-            possibleRuns--;
+            priorAttempts.recordNotRun();
             isOver = true;
             boolean isOverloaded =
                     status != MISDIRECTED_REQUEST && context.pool().statements().isBrittle(server);
             inFlightRequest.ifPresent(isOverloaded ? InFlightRequest::recordFailure : InFlightRequest::recordEnd);
-            log.rejected(server, status);
+            log.rejected(server, status, answer.retryAfter(), connection.flatMap(ServerConnection::relay), hasSlot);
             boolean isOtherServer = answer.respondingServer()
                     .filter(name -> !name.equals(server.name()))
                     .isPresent();
@@ -305,8 +300,7 @@
                     && buffered.metadata().work().isPresent()) {
                 context.pool()
                         .recordMissingModel(server, buffered.metadata().work().get());
-                triedServers.remove(server.name());
-                serversWithoutModel.add(server.name());
+                priorAttempts.recordWithoutModel(server.name());
             }
             retry(RefusalReason.REFUSED_BY_SERVERS, true);
         }
@@ -314,7 +308,7 @@
         private void markServerGone() {
             inFlightRequest.ifPresent(InFlightRequest::recordFailure);
             context.pool().markGone(server);
-            goneServers.add(server.name());
+            priorAttempts.recordGone(server.name());
         }
 
         private void cancel() {
@@ -426,7 +420,7 @@
         /** A lost connection says nothing about the server if the links of this VM are lost. */
         private boolean isServerToBlame() {
             return !context.connections().links().areLost()
-                    || connection.filter(ServerConnection::isRelayed).isPresent();
+                    || connection.flatMap(ServerConnection::relay).isPresent();
         }
 
         private void recordCrashSuspicion() {
@@ -489,8 +483,8 @@
     }
 
     private void retryOrElse(Runnable fallback) {
-        boolean isAllowed = sends < MAX_SENDS && possibleRuns < buffered.route().maxAttempts();
-        if (isAllowed && context.retryBudgets().apply(buffered.service()).tryWithdraw()) {
+        if (priorAttempts.allowAnother(buffered.route().maxAttempts())
+                && context.retryBudgets().apply(buffered.service()).tryWithdraw()) {
             findServer();
         } else {
             fallback.run();
@@ -502,12 +496,11 @@
         if (hasEnded) {
             return;
         }
-        boolean isSafe = isNotRun && possibleRuns == 0 || mayRepeat();
-        boolean hasBeenSent = sends > 0;
+        boolean isSafe = isNotRun && !priorAttempts.mayHaveRun() || mayRepeat();
+        boolean hasBeenSent = priorAttempts.sends() > 0;
         boolean isAllowed = isSafe
                 && !isExpired()
-                && sends < MAX_SENDS
-                && possibleRuns < buffered.route().maxAttempts()
+                && priorAttempts.allowAnother(buffered.route().maxAttempts())
                 && !crashEvidence.isQuarantined();
         if (isAllowed
                 && (!hasBeenSent
@@ -524,7 +517,7 @@
         }
         if (relay.hasBegun()) {
             abortStream(reason.code());
-        } else if (possibleRuns > 0) {
+        } else if (priorAttempts.mayHaveRun()) {
             refuse(RefusalReason.ANSWER_LOST, Optional.empty());
         } else {
             refuse(reason, Optional.of(retryAfter));
@@ -533,7 +526,7 @@
 
     /** Ends the request if no server can have started it. */
     void stopIfUnsent(Duration retryAfter) {
-        if (possibleRuns == 0 && !relay.hasBegun()) {
+        if (!priorAttempts.mayHaveRun() && !relay.hasBegun()) {
             stop(retryAfter);
         }
     }
@@ -566,7 +559,7 @@
         }
         if (relay.hasBegun()) {
             abortStream("deadline");
-        } else if (possibleRuns > 0) {
+        } else if (priorAttempts.mayHaveRun()) {
             refuse(RefusalReason.EXPIRED, Optional.empty());
         } else {
             refuse(RefusalReason.EXPIRED_UNSENT, Optional.empty());
@@ -586,9 +579,9 @@
         if (deadlineTimer != null) {
             deadlineTimer.cancel(false);
         }
-        rate.close(possibleRuns > 0);
+        rate.close(priorAttempts.mayHaveRun());
         currentAttempt.filter(attempt -> !attempt.isOver).ifPresent(Attempt::cancel);
-        log.ended(outcome, status, sends, scanner.eventCount());
+        log.ended(outcome, status, priorAttempts.sends(), scanner.eventCount());
         context.metrics()
                 .recordRequest(
                         buffered.route().name(),
--- /dev/null
+++ b/src/main/java/org/borageproxy/forward/PriorAttempts.java
@@ -0,0 +1,118 @@
+package org.borageproxy.forward;
+
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.Set;
+
+import org.borageproxy.membership.BackendServerName;
+
+/**
+ * What the attempts of one request have shown so far: the servers that were tried, and how many attempts can have
+ * started the request. Not thread safe; confined to one event loop.
+ */
+final class PriorAttempts {
+
+    /** Maximum number of sends of one request, including those that a server refused. */
+    private static final int MAX_SENDS = 4;
+
+    private final Set<BackendServerName> triedServers = new HashSet<>();
+    private final Set<BackendServerName> serversWithoutModel = new HashSet<>();
+    private final Set<BackendServerName> goneServers = new HashSet<>();
+    private int sends;
+    private int possibleRuns;
+
+    /**
+     * Returns the servers that must not be selected again.
+     *
+     * @return a view that grows with the attempts
+     */
+    Set<BackendServerName> triedServers() {
+        return Collections.unmodifiableSet(triedServers);
+    }
+
+    /**
+     * Returns the servers that refused the request because the model or adapter is not loaded.
+     *
+     * @return a view that grows with the attempts
+     */
+    Set<BackendServerName> serversWithoutModel() {
+        return Collections.unmodifiableSet(serversWithoutModel);
+    }
+
+    /**
+     * Returns the servers at whose address nothing, or another server, answered.
+     *
+     * @return a view that grows with the attempts
+     */
+    Set<BackendServerName> goneServers() {
+        return Collections.unmodifiableSet(goneServers);
+    }
+
+    /**
+     * Returns the number of sends.
+     *
+     * @return the number, with those that a server refused
+     */
+    int sends() {
+        return sends;
+    }
+
+    /**
+     * Returns whether a server may have started the request.
+     *
+     * @return {@code false} if every server that got it has stated that it did not run it
+     */
+    boolean mayHaveRun() {
+        return possibleRuns > 0;
+    }
+
+    /**
+     * Returns whether the number of attempts allows another one.
+     *
+     * @param maximumRuns the number of attempts of the route that can have started the request
+     * @return {@code false} if either maximum is reached
+     */
+    boolean allowAnother(int maximumRuns) {
+        return sends < MAX_SENDS && possibleRuns < maximumRuns;
+    }
+
+    /**
+     * Records that a server is tried.
+     *
+     * @param server the server, which must not be selected again
+     */
+    void recordTried(BackendServerName server) {
+        triedServers.add(server);
+    }
+
+    /** Records that the request is sent, and may run. */
+    void recordSent() {
+        sends++;
+        possibleRuns++;
+    }
+
+    /** Records that the server of the latest attempt has stated that it did not run the request. */
+    void recordNotRun() {
+        possibleRuns--;
+    }
+
+    /**
+     * Records that a server refused the request because the model or adapter is not loaded; it may be selected once it
+     * is.
+     *
+     * @param server the server
+     */
+    void recordWithoutModel(BackendServerName server) {
+        triedServers.remove(server);
+        serversWithoutModel.add(server);
+    }
+
+    /**
+     * Records that nothing, or another server, answered at the address of a server.
+     *
+     * @param server the server
+     */
+    void recordGone(BackendServerName server) {
+        goneServers.add(server);
+    }
+}
--- a/src/main/java/org/borageproxy/forward/RequestLog.java
+++ b/src/main/java/org/borageproxy/forward/RequestLog.java
@@ -1,5 +1,6 @@
 package org.borageproxy.forward;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.stream.Collectors;
 
@@ -7,6 +8,7 @@
 import org.borageproxy.routing.EngineWork;
 import org.borageproxy.routing.ServerSelector;
 import org.borageproxy.time.MonotonicClock;
+import org.borageproxy.vm.VmName;
 import org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -116,13 +118,26 @@
         LOGGER.info("event=server-skipped id={} server={} reason=\"{}\"", identity(), server.name(), reason);
     }
 
-    void rejected(BackendServer server, int status) {
+    /**
+     * Logs that a server rejected the request.
+     *
+     * @param server the server
+     * @param status the status of its answer
+     * @param retryAfter how long it wants no further requests
+     * @param relay the VM that the server answered; empty for this one
+     * @param hasSlot whether the coordinator had granted a slot there
+     */
+    void rejected(
+            BackendServer server, int status, Optional<Duration> retryAfter, Optional<VmName> relay, boolean hasSlot) {
         LOGGER.info(
-                "event=request-rejected id={} server={} status={} age_ms={}",
+                "event=request-rejected id={} server={} status={} age_ms={} retry_after_ms={} relay={} slot={}",
                 identity(),
                 server.name(),
                 status,
-                ageMillis());
+                ageMillis(),
+                retryAfter.map(Duration::toMillis).orElse(0L),
+                relay.map(VmName::value).orElse("-"),
+                hasSlot);
     }
 
     /**
--- a/src/main/java/org/borageproxy/forward/ServerConnection.java
+++ b/src/main/java/org/borageproxy/forward/ServerConnection.java
@@ -22,6 +22,7 @@
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
+import org.borageproxy.vm.VmName;
 
 /**
  * One connection to a backend server, which carries one exchange at a time. A connection is reused only after a
@@ -48,7 +49,7 @@
     private final Releaser releaser;
     private final ServerLinks links;
     private final BackendServer server;
-    private final boolean isRelayed;
+    private final Optional<VmName> relay;
     private Channel channel;
     private Optional<Listener> listener = Optional.empty();
     private Optional<ChannelFuture> written = Optional.empty();
@@ -104,12 +105,12 @@
     }
 
     ServerConnection(
-            MonotonicClock clock, Releaser releaser, ServerLinks links, BackendServer server, boolean isRelayed) {
+            MonotonicClock clock, Releaser releaser, ServerLinks links, BackendServer server, Optional<VmName> relay) {
         this.clock = clock;
         this.releaser = releaser;
         this.links = links;
         this.server = server;
-        this.isRelayed = isRelayed;
+        this.relay = relay;
     }
 
     @Override
@@ -130,7 +131,7 @@
         exchangeCount++;
         hasReceived = false;
         interimCount = 0;
-        if (!isRelayed) {
+        if (relay.isEmpty()) {
             links.recordWaiting(this);
         }
         DefaultFullHttpRequest fullRequest = new DefaultFullHttpRequest(
@@ -149,12 +150,12 @@
     }
 
     /**
-     * Returns whether the connection leads through another VM.
+     * Returns the VM through which the connection leads, which is the one that the server answers.
      *
-     * @return {@code false} for a direct connection
+     * @return empty for a direct connection
      */
-    boolean isRelayed() {
-        return isRelayed;
+    Optional<VmName> relay() {
+        return relay;
     }
 
     /**
@@ -163,7 +164,7 @@
      * @return {@code false} for a direct connection while the links are lost
      */
     boolean isReachable() {
-        return isRelayed || !links.areLost();
+        return relay.isPresent() || !links.areLost();
     }
 
     /** Tells the listener that the answer may never arrive. */
@@ -211,7 +212,7 @@
 
     private void read(HttpObject part) {
         hasReceived = true;
-        if (!isRelayed) {
+        if (relay.isEmpty()) {
             links.recordReceived();
         }
         boolean isMalformed = ((DecoderResultProvider) part).decoderResult().isFailure();
@@ -287,7 +288,7 @@
         links.recordEnded(this);
         Optional<Listener> failedListener = listener;
         listener = Optional.empty();
-        if (failedListener.isPresent() && !hasReceived && !isRelayed) {
+        if (failedListener.isPresent() && !hasReceived && relay.isEmpty()) {
             links.recordDirectFailure(server);
         }
         channel.close();
--- a/src/main/java/org/borageproxy/forward/ServerConnectionPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerConnectionPool.java
@@ -13,6 +13,7 @@
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.time.MonotonicClock;
+import org.borageproxy.vm.VmName;
 
 /**
  * Pool of connections to backend servers, by server and incarnation. The most recently used idle connection is reused
@@ -94,10 +95,10 @@
         openedCount++;
         links.open(server, new ServerLinks.OpenListener() {
             @Override
-            public void onOpened(Channel channel, boolean isRelayed) {
+            public void onOpened(Channel channel, Optional<VmName> relay) {
                 Destination destination = destination(server);
                 ServerConnection connection =
-                        new ServerConnection(clock, used -> returnIdle(destination, used), links, server, isRelayed);
+                        new ServerConnection(clock, used -> returnIdle(destination, used), links, server, relay);
                 channel.pipeline()
                         .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
                         .addLast(connection);
--- a/src/main/java/org/borageproxy/forward/ServerLinks.java
+++ b/src/main/java/org/borageproxy/forward/ServerLinks.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -97,9 +98,9 @@
          * Called with a connection without handlers.
          *
          * @param channel the connection
-         * @param isRelayed whether it leads through another VM
+         * @param relay the VM through which it leads; empty for a direct connection
          */
-        void onOpened(Channel channel, boolean isRelayed);
+        void onOpened(Channel channel, Optional<VmName> relay);
 
         /**
          * Called if no connection could be opened.
@@ -179,11 +180,12 @@
             // The direct way is the last one while the links are lost, and the first one otherwise.
             int relay = areLost ? way : way - 1;
             if (relay >= 0 && relay < relays.size()) {
+                Optional<VmName> through = Optional.of(relays.get(relay));
                 openThrough(relays.get(relay), server)
-                        .whenComplete((channel, failure) -> handle(true, channel, failure));
+                        .whenComplete((channel, failure) -> handle(through, channel, failure));
             } else {
                 openDirectly(server, CONNECT_TIMEOUT)
-                        .whenComplete((channel, failure) -> handle(false, channel, failure));
+                        .whenComplete((channel, failure) -> handle(Optional.empty(), channel, failure));
             }
             schedule(NEXT_WAY_DELAY, () -> {
                 if (triedWays == way + 1) {
@@ -192,7 +194,8 @@
             });
         }
 
-        private void handle(boolean isRelayed, Channel channel, Throwable failure) {
+        private void handle(Optional<VmName> relay, Channel channel, Throwable failure) {
+            boolean isRelayed = relay.isPresent();
             if (failure != null) {
                 handleFailure(isRelayed, failure);
             } else if (isDone || !channel.isActive()) {
@@ -203,7 +206,7 @@
                 if (isRelayed && !areLost) {
                     recordDirectFailure(server);
                 }
-                listener.onOpened(channel, isRelayed);
+                listener.onOpened(channel, relay);
             }
         }
 
--- a/src/main/java/org/borageproxy/forward/SlotClient.java
+++ b/src/main/java/org/borageproxy/forward/SlotClient.java
@@ -2,13 +2,11 @@
 
 import java.time.Duration;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.function.Supplier;
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
-import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.routing.EngineWork;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
@@ -43,18 +41,6 @@
     private Deadline backoffUntil;
     private long lastSlot;
 
-    /**
-     * Results of earlier attempts of a request.
-     *
-     * @param triedServers the servers that must not be selected again
-     * @param serversWithoutModel the servers that refused the request because the model or adapter is not loaded
-     * @param goneServers the servers at whose address nothing, or another server, answered
-     */
-    record PriorAttempts(
-            Set<BackendServerName> triedServers,
-            Set<BackendServerName> serversWithoutModel,
-            Set<BackendServerName> goneServers) {}
-
     /** Receives the answer to a request. */
     @FunctionalInterface
     interface AnswerListener {
--- a/src/main/java/org/borageproxy/platform/EngineCalls.java
+++ b/src/main/java/org/borageproxy/platform/EngineCalls.java
@@ -123,6 +123,13 @@
     }
 
     private void readStatement(BackendServer server, HttpClientResponse response) {
+        PlatformHeaders.parseRetryAfter(
+                        response.statusCode(), response.headers().getAll(HttpHeaders.RETRY_AFTER))
+                .ifPresent(time -> LOGGER.info(
+                        "event=call-refused server={} incarnation={} retry_after_ms={}",
+                        server.name(),
+                        server.incarnation(),
+                        time.toMillis()));
         if (response.statusCode() != MISDIRECTED) {
             PlatformHeaders.parseStatement(
                             response.headers().getAll(PlatformHeaders.REQUEST_LIMIT_HEADER),
--- a/src/main/java/org/borageproxy/platform/PlatformHeaders.java
+++ b/src/main/java/org/borageproxy/platform/PlatformHeaders.java
@@ -1,5 +1,6 @@
 package org.borageproxy.platform;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -47,6 +48,13 @@
 
     private static final Logger LOGGER = LoggerFactory.getLogger(PlatformHeaders.class);
     private static final int MISDIRECTED_STATUS = 421;
+    private static final int UNAVAILABLE_STATUS = 503;
+    /** Longest time that is granted to a server, which may state any. */
+    private static final Duration MAX_RETRY_AFTER = Duration.ofMinutes(10);
+    /** Assumed for a time that cannot be read. */
+    private static final Duration UNREADABLE_RETRY_AFTER = Duration.ofSeconds(1);
+
+    private static final double MILLIS_PER_SECOND = 1e3;
     /** Headers that are not copied from the caller: its API key, and headers that only the proxy may set. */
     private static final Set<String> NON_FORWARDED_HEADERS = Set.of(
             "x-credential",
@@ -158,7 +166,43 @@
                 identity,
                 headers.contains(NOT_RUN_HEADER) || isMisdirected,
                 respondingServer,
-                parseStatement(headers.getAll(REQUEST_LIMIT_HEADER), headers.getAll(REJECTION_LIMIT_HEADER)));
+                parseStatement(headers.getAll(REQUEST_LIMIT_HEADER), headers.getAll(REJECTION_LIMIT_HEADER)),
+                parseRetryAfter(status, headers.getAll(HttpHeaderNames.RETRY_AFTER)));
+    }
+
+    /**
+     * Parses how long a backend server wants no further requests from the VM that it answered. Of a repeated field, the
+     * longest time counts.
+     *
+     * @param status the status of the answer; only 503 states such a time
+     * @param values the values of the field, in seconds
+     * @return the time, bounded; empty if the answer states none
+     */
+    static Optional<Duration> parseRetryAfter(int status, List<String> values) {
+        return status == UNAVAILABLE_STATUS
+                ? values.stream()
+                        .map(PlatformHeaders::parseSeconds)
+                        .filter(time -> !time.isZero())
+                        .max(Duration::compareTo)
+                : Optional.empty();
+    }
+
+    private static Duration parseSeconds(String text) {
+        double seconds;
+        try {
+            seconds = Double.parseDouble(text.trim());
+        } catch (NumberFormatException exception) {
+            seconds = Double.NaN;
+        }
+        if (Double.isNaN(seconds) || seconds < 0) {
+            LOGGER.info("event=retry-after-malformed value=\"{}\"", text);
+            return UNREADABLE_RETRY_AFTER;
+        }
+        if (seconds > MAX_RETRY_AFTER.toSeconds()) {
+            LOGGER.info("event=retry-after-bounded value=\"{}\"", text);
+            return MAX_RETRY_AFTER;
+        }
+        return Duration.ofMillis((long) Math.ceil(seconds * MILLIS_PER_SECOND));
     }
 
     /**
--- a/src/test/java/org/borageproxy/forward/ServerLinksTest.java
+++ b/src/test/java/org/borageproxy/forward/ServerLinksTest.java
@@ -142,8 +142,8 @@
         CompletableFuture<Opened> opened = new CompletableFuture<>();
         eventLoop.execute(() -> links.open(server, new ServerLinks.OpenListener() {
             @Override
-            public void onOpened(Channel channel, boolean isRelayed) {
-                opened.complete(new Opened(channel, isRelayed, false));
+            public void onOpened(Channel channel, Optional<VmName> relay) {
+                opened.complete(new Opened(channel, relay.isPresent(), false));
             }
 
             @Override
--- a/src/test/java/org/borageproxy/platform/PlatformHeadersTest.java
+++ b/src/test/java/org/borageproxy/platform/PlatformHeadersTest.java
@@ -1,5 +1,6 @@
 package org.borageproxy.platform;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -26,6 +27,36 @@
         return Optional.of(new ServerStatement(OptionalDouble.of(limit), OptionalInt.empty()));
     }
 
+    private static Optional<Duration> parseRetryAfter(int status, String... values) {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        for (String value : values) {
+            headers.add("retry-AFTER", value);
+        }
+        return new PlatformHeaders().parseResponse(status, headers).retryAfter();
+    }
+
+    @Test
+    void timesOfRefusalsAreParsed() {
+        assertEquals(Optional.empty(), parseRetryAfter(503));
+        assertEquals(Optional.of(Duration.ofSeconds(3)), parseRetryAfter(503, "3"));
+        assertEquals(Optional.of(Duration.ofMillis(250)), parseRetryAfter(503, "0.25"));
+        assertEquals(Optional.of(Duration.ofSeconds(4)), parseRetryAfter(503, "1", "4", "2"));
+        assertEquals(Optional.empty(), parseRetryAfter(503, "0"));
+        assertEquals(Optional.empty(), parseRetryAfter(502, "3"));
+        assertEquals(Optional.empty(), parseRetryAfter(200, "3"));
+    }
+
+    /** Guards against a malformed or absurd time that is ignored, or that keeps requests away for good. */
+    @Test
+    void timesThatCannotBeReadOrAreAbsurdAreBounded() {
+        for (String malformed : List.of("", "soon", "-1", "NaN", "Fri, 04 Dec 2026 12:00:00 GMT")) {
+            assertEquals(Optional.of(Duration.ofSeconds(1)), parseRetryAfter(503, malformed), malformed);
+        }
+        for (String absurd : List.of("86400", "1e300", "Infinity")) {
+            assertEquals(Optional.of(Duration.ofMinutes(10)), parseRetryAfter(503, absurd), absurd);
+        }
+    }
+
     @Test
     void limitsAreParsedInAnyCase() {
         assertEquals(limit(2.6), parse("Server-Limit", "2.6"));
