Reproduce servers that get requests of VMs which they have refused for a time

Change: RefusingServerTest with three entries and three servers of a plain service, counted by the process at the other end of each connection: one server refuses; one refuses while an entry has lost its links and sends through others; all refuse. Ruled out: that the rule needs lost links or a coordinator to break; one refusing server is enough.

--- a/src/test/java/org/borageproxy/platform/EngineStandIn.java
+++ b/src/test/java/org/borageproxy/platform/EngineStandIn.java
@@ -9,9 +9,11 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -20,8 +22,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
 import java.util.function.Predicate;
 
+import org.borageproxy.time.Deadline;
+
 /**
  * A model engine that streams events, each with the version of the engine's software as its data. What it does with a
  * stream follows from the {@code X-Script} header that the caller sends. It crashes, as an engine does whose process
@@ -56,6 +61,18 @@
     private static final String MODELS = "\"Models\":[{\"Name\":\"m\",\"Version\":1,\"Adapters\":[]}]";
     private static final AtomicLong LAST_INCARNATION = new AtomicLong();
 
+    /** A request of a VM. */
+    record Arrival(String vm, long atNanos, String request) {}
+
+    /** An answer that asked a VM for no further requests until a time. */
+    record Refusal(String vm, long atNanos, Deadline until) {
+        private boolean covers(Arrival arrival, Duration gracePeriod) {
+            return arrival.vm().equals(vm)
+                    && arrival.atNanos() - atNanos > gracePeriod.toNanos()
+                    && !until.hasPassed(arrival.atNanos());
+        }
+    }
+
     private final String name;
     private final String software;
     private final String service;
@@ -69,6 +86,14 @@
     /** Header lines of all answers, each with its end of line. */
     private volatile String statement = "";
 
+    private final List<Arrival> arrivals = new CopyOnWriteArrayList<>();
+    private final List<Refusal> refusals = new CopyOnWriteArrayList<>();
+    /** Seconds for which callers are refused; zero while they are not. */
+    private volatile int refusalSeconds;
+
+    private final Map<Socket, String> vmByConnection = new ConcurrentHashMap<>();
+    private volatile Function<Socket, String> vmOf = connection -> "";
+
     private volatile Predicate<Socket> isCutOff = connection -> false;
     private final AtomicInteger endlessAnswers = new AtomicInteger();
     private final Semaphore slot = new Semaphore(1);
@@ -167,13 +192,21 @@
             // The other side closed the connection; tests assert on the recorded requests.
         } finally {
             connections.remove(connection);
+            vmByConnection.remove(connection);
         }
     }
 
     /** Answers a request and returns whether the connection stays open. */
     private boolean answer(String request, Socket connection) throws IOException {
         OutputStream output = connection.getOutputStream();
-        arrivalsNanos.add(System.nanoTime());
+        Arrival arrival = new Arrival(vmByConnection.computeIfAbsent(connection, vmOf), System.nanoTime(), request);
+        arrivalsNanos.add(arrival.atNanos());
+        arrivals.add(arrival);
+        int seconds = refusalSeconds;
+        if (seconds > 0) {
+            refuse(request, arrival, seconds, output);
+            return true;
+        }
         if (request.startsWith("GET /report")) {
             write(
                     output,
@@ -360,6 +393,59 @@
                 .findFirst();
     }
 
+    /**
+     * Refuses all requests, each with the time for which no further ones are wanted from the VM that sent it.
+     *
+     * @param seconds the time; zero to take requests again
+     * @param vmOf returns the VM at the other end of a connection
+     */
+    void refuseFor(int seconds, Function<Socket, String> vmOf) {
+        this.vmOf = vmOf;
+        vmByConnection.clear();
+        refusalSeconds = seconds;
+    }
+
+    /** Answers a request of a VM that is refused. */
+    private void refuse(String request, Arrival arrival, int seconds, OutputStream output) throws IOException {
+        write(
+                output,
+                rejection(header(request, "X-Request-Id").orElse(""))
+                        .replace("X-Not-Executed", "Retry-After: " + seconds + "\r\nX-Not-Executed"));
+        refusals.add(new Refusal(
+                arrival.vm(), System.nanoTime(), Deadline.after(System.nanoTime(), Duration.ofSeconds(seconds))));
+    }
+
+    /**
+     * Returns the most requests of a VM that arrived between a grace period after it had been refused and the end of
+     * the stated time.
+     *
+     * @param gracePeriod the time in which requests may still be on their way
+     */
+    int mostArrivalsWithinRefusal(Duration gracePeriod) {
+        return refusals.stream()
+                .mapToInt(refusal -> (int) arrivals.stream()
+                        .filter(each -> refusal.covers(each, gracePeriod))
+                        .count())
+                .max()
+                .orElse(0);
+    }
+
+    /** Returns the refusals in their order. */
+    List<Refusal> refusals() {
+        return refusals;
+    }
+
+    /** Returns the requests of all kinds that have arrived since {@link #refuseFor}. */
+    List<Arrival> arrivals() {
+        return arrivals;
+    }
+
+    /** Forgets arrivals and refusals. */
+    void forgetRefusals() {
+        arrivals.clear();
+        refusals.clear();
+    }
+
     /** Makes the engine crash when it begins to answer a request with this part of a prompt. */
     void crashOn(String part) {
         crashingParts.add(part);
--- a/src/test/java/org/borageproxy/platform/PlatformFleet.java
+++ b/src/test/java/org/borageproxy/platform/PlatformFleet.java
@@ -160,6 +160,14 @@
         }
     }
 
+    /** Returns the VM whose process has the other end of a connection on this machine; empty for none. */
+    String vmOf(Socket connection) {
+        return Stream.concat(Stream.of(CONTROL), entries.stream())
+                .filter(vm -> isFrom(vm, connection))
+                .findFirst()
+                .orElse("");
+    }
+
     private static String targetOf(Path link) {
         try {
             return Files.readSymbolicLink(link).toString();
--- /dev/null
+++ b/src/test/java/org/borageproxy/platform/RefusingServerTest.java
@@ -0,0 +1,175 @@
+package org.borageproxy.platform;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/**
+ * Backend servers that turn requests of a VM away and want no further ones from it for a time, with real VMs and
+ * simulated servers. The tests share one fleet and leave it as they found it.
+ */
+class RefusingServerTest {
+
+    private static final int REFUSAL_SECONDS = 2;
+    /** Requests of a VM that may reach a server while it wants none, after the grace period. */
+    private static final int ALLOWED_ARRIVALS = 2;
+
+    private static final Duration GRACE_PERIOD = Duration.ofMillis(500);
+    /** Time for which servers refuse: more than twice the time that they state. */
+    private static final Duration REFUSAL_TIME = Duration.ofSeconds(5);
+
+    private static final Duration CALL_INTERVAL = Duration.ofMillis(40);
+    /** Time within which a server gets requests again, after the last time that it has stated. */
+    private static final Duration RETURN_TIME = Duration.ofSeconds(1);
+    /** Share of the requests that other servers serve while one refuses. */
+    private static final double SERVED_SHARE = 0.95;
+    /** Time by which callers may be told to come too early or too late, for the transit of the answers. */
+    private static final Duration TOLERATED_ERROR = Duration.ofMillis(100);
+
+    @TempDir
+    static Path folder;
+
+    private static final List<EngineStandIn> PLAIN_SERVERS = new ArrayList<>();
+    private static PlatformFleet fleet;
+
+    @BeforeAll
+    static void start() throws Exception {
+        fleet = new PlatformFleet(folder, 3);
+        for (int number = 0; number < 3; number++) {
+            PLAIN_SERVERS.add(fleet.startServer(PlatformFleet.PLAIN, "plain-" + number, "v1", true));
+        }
+    }
+
+    @AfterAll
+    static void stop() throws Exception {
+        fleet.close();
+    }
+
+    @BeforeEach
+    void forget() {
+        PLAIN_SERVERS.forEach(EngineStandIn::forgetRefusals);
+    }
+
+    private static void refuseFor(int seconds, List<EngineStandIn> servers) {
+        servers.forEach(server -> server.refuseFor(seconds, fleet::vmOf));
+    }
+
+    /** Lets servers refuse for {@link #REFUSAL_TIME}. */
+    private static void refuseForAWhile(List<EngineStandIn> servers) throws InterruptedException {
+        refuseFor(REFUSAL_SECONDS, servers);
+        Thread.sleep(REFUSAL_TIME.toMillis());
+        refuseFor(0, servers);
+    }
+
+    private static void assertTimesAreKept(List<EngineStandIn> servers) {
+        for (EngineStandIn server : servers) {
+            assertFalse(server.refusals().isEmpty(), () -> server.name() + " got no requests at all");
+            int arrivals = server.mostArrivalsWithinRefusal(GRACE_PERIOD);
+            assertTrue(
+                    arrivals <= ALLOWED_ARRIVALS,
+                    () -> server.name() + " got " + arrivals + " requests of a VM that it had refused");
+        }
+    }
+
+    /** Waits until a server has got a request after all times that it has stated. */
+    private static void assertGetsRequestsAgain(EngineStandIn server) throws InterruptedException {
+        long returnedAtNanos = server.refusals().stream()
+                .mapToLong(refusal -> refusal.until().atNanos())
+                .max()
+                .orElseThrow();
+        Thread.sleep(Duration.ofNanos(Math.max(0, returnedAtNanos - System.nanoTime()))
+                .plus(RETURN_TIME)
+                .toMillis());
+        assertTrue(
+                server.arrivals().stream().anyMatch(each -> each.atNanos() - returnedAtNanos >= 0),
+                () -> server.name() + " gets no requests any more");
+    }
+
+    /** Guards against a server getting requests from VMs that it has asked for none for a time. */
+    @Test
+    void plainServerGetsNoRequestsOfVmsThatItHasRefused() throws Exception {
+        EngineStandIn refusing = PLAIN_SERVERS.get(0);
+        try (FleetLoad load = new FleetLoad(fleet, PlatformFleet.PLAIN, CALL_INTERVAL)) {
+            load.awaitServed(30);
+            long sinceNanos = System.nanoTime();
+            refuseForAWhile(List.of(refusing));
+            assertGetsRequestsAgain(refusing);
+            assertTimesAreKept(List.of(refusing));
+            load.assertServed(SERVED_SHARE, sinceNanos);
+        }
+    }
+
+    /** Guards against requests that come through another VM, which the server has refused, and against its own. */
+    @Test
+    void serverGetsNoRequestsThroughVmsThatItHasRefused() throws Exception {
+        EngineStandIn refusing = PLAIN_SERVERS.get(0);
+        String cutOff = fleet.entries().get(0);
+        try (FleetLoad load = new FleetLoad(fleet, PlatformFleet.PLAIN, CALL_INTERVAL)) {
+            load.awaitServed(30);
+            for (EngineStandIn server : PLAIN_SERVERS) {
+                server.cutOff(connection -> fleet.isFrom(cutOff, connection));
+            }
+            Thread.sleep(PlatformFleet.STABLE.toMillis());
+            load.awaitServed(30);
+            refuseForAWhile(List.of(refusing));
+            assertGetsRequestsAgain(refusing);
+            assertTimesAreKept(List.of(refusing));
+        } finally {
+            PLAIN_SERVERS.forEach(EngineStandIn::heal);
+        }
+    }
+
+    /** Guards against callers who wait, or hear an untrue time, although no server takes requests for a known time. */
+    @Test
+    void callersOfAServiceWhoseServersAllRefuseHearAtOnceWhenToComeBack() throws Exception {
+        try (FleetLoad load = new FleetLoad(fleet, PlatformFleet.PLAIN, CALL_INTERVAL)) {
+            load.awaitServed(30);
+            refuseFor(REFUSAL_SECONDS, PLAIN_SERVERS);
+            Thread.sleep(GRACE_PERIOD.toMillis());
+            long sinceNanos = System.nanoTime();
+            Thread.sleep(REFUSAL_TIME.toMillis());
+            List<FleetLoad.Call> refused = load.callsSince(sinceNanos);
+            refuseFor(0, PLAIN_SERVERS);
+            assertTimesAreKept(PLAIN_SERVERS);
+            for (FleetLoad.Call call : refused) {
+                assertTrue(call.isRefused(), call::toString);
+                assertTrue(call.duration().toMillis() < GRACE_PERIOD.toMillis(), call::toString);
+            }
+            assertTimesAreTrue(refused);
+            for (EngineStandIn server : PLAIN_SERVERS) {
+                assertGetsRequestsAgain(server);
+            }
+            long servedSinceNanos = System.nanoTime();
+            load.awaitServed(30);
+            load.assertServed(SERVED_SHARE, servedSinceNanos);
+        }
+    }
+
+    /** Asserts that callers are told a time at which a server takes a request of their VM again, and not long after. */
+    private static void assertTimesAreTrue(List<FleetLoad.Call> refused) {
+        for (FleetLoad.Call call : refused) {
+            long comesBackAtNanos = call.endedAtNanos() + (long) (call.retryAfterSeconds() * 1e9);
+            long acceptedAtNanos = PLAIN_SERVERS.stream()
+                    .mapToLong(server -> server.refusals().stream()
+                            .filter(refusal ->
+                                    refusal.vm().equals(call.entry()) && refusal.atNanos() < call.endedAtNanos())
+                            .mapToLong(refusal -> refusal.until().atNanos())
+                            .max()
+                            .orElseThrow())
+                    .min()
+                    .orElseThrow();
+            long errorMillis = (comesBackAtNanos - acceptedAtNanos) / 1_000_000;
+            assertTrue(Math.abs(errorMillis) < TOLERATED_ERROR.toMillis(), () -> errorMillis + " ms: " + call);
+        }
+    }
+}
