--- a/src/main/java/org/borageproxy/forward/BufferedRequest.java
+++ b/src/main/java/org/borageproxy/forward/BufferedRequest.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.Set;
 
 import io.vertx.core.http.HttpServerRequest;
+import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.publication.EnginePool;
 import org.borageproxy.publication.PublishedRoute;
 import org.borageproxy.publication.PublishedWorkspace;
@@ -63,6 +65,17 @@
         return engines.isEmpty() ? Optional.empty() : metadata.work();
     }
 
+    /**
+     * Returns what the request requires of its server.
+     *
+     * @param excludedServers the servers that must not be selected
+     * @param origin what began the stream that the request continues; empty for a request that any server can run
+     * @return the requirement
+     */
+    ServerRequirement requirement(Set<BackendServerName> excludedServers, Optional<StreamOrigin> origin) {
+        return new ServerRequirement(service, engines, metadata.work(), excludedServers, origin);
+    }
+
     /**
      * Returns the cost of the request under the workspace's token rate.
      *
--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -10,10 +11,10 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.borageproxy.membership.BackendServer;
-import org.borageproxy.publication.Repeatability;
 import org.borageproxy.quota.RateShares;
 import org.borageproxy.routing.ServerSelector;
 import org.borageproxy.time.Deadline;
+import org.borageproxy.vm.VmName;
 import org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer;
 
 /**
@@ -42,13 +43,11 @@
     private final PriorAttempts priorAttempts = new PriorAttempts();
     private final EventScanner scanner = new EventScanner();
     private final LocalSearch localSearch;
+    private final ResumableStream stream;
     private final CrashEvidence crashEvidence;
     private ScheduledFuture<?> deadlineTimer;
     private Optional<Attempt> currentAttempt = Optional.empty();
     private Optional<HttpResponse> firstHead = Optional.empty();
-    /** What began the stream; present once the caller has an event of it. */
-    private Optional<StreamOrigin> origin = Optional.empty();
-
     private boolean hasEnded;
 
     Exchange(ForwardContext context, BufferedRequest buffered, Consumer<Exchange> endListener) {
@@ -59,12 +58,13 @@
         this.log = new RequestLog(buffered, context.clock());
         this.rate = new RateAdmission(context, buffered);
         this.crashEvidence = new CrashEvidence(context.suspectRequests(), buffered.suspects(), context.clock());
+        this.stream = new ResumableStream(context, buffered, log);
         this.localSearch = new LocalSearch(
                 context,
                 buffered,
                 log,
                 priorAttempts.triedServers(),
-                () -> origin,
+                stream::origin,
                 choice -> send(choice, false),
                 reason -> refuseOrAbort(reason, DEFAULT_RETRY_AFTER));
     }
@@ -88,33 +88,18 @@
         deadlineTimer = schedule(buffered.deadline(), DEADLINE_GRACE, this::expire);
         context.retryBudgets().apply(buffered.service()).deposit();
         buffered.metadata().work().ifPresent(work -> context.pool().recordDemand(buffered.service(), work));
-        if (isResumable() && buffered.metadata().lastEventIdentity().isPresent()) {
-            findOrigin();
+        if (stream.isTakenUp()) {
+            stream.findOrigin(this::resume);
         } else {
             rate.admit(this::findServer, this::refuseRate);
         }
     }
 
-    private boolean isResumable() {
-        return buffered.route().repeatability() == Repeatability.RESUMABLE_STREAM;
-    }
-
-    /** A caller that does not name the request that began the stream can resume it while there is only one version. */
-    private void findOrigin() {
-        buffered.metadata()
-                .resumedRequest()
-                .ifPresentOrElse(
-                        begunBy -> context.streamOrigins().find(begunBy, this::resume),
-                        () -> resume(context.pool().commonOrigin(buffered.service())));
-    }
-
     private void resume(Optional<StreamOrigin> found) {
         if (hasEnded) {
             return;
         }
-        log.originFound(found);
-        origin = found.filter(known -> known.service().equals(buffered.service()));
-        if (origin.isPresent()) {
+        if (stream.recordFound(found)) {
             rate.admit(this::findServer, this::refuseRate);
         } else {
             refuse(RefusalReason.STREAM_UNKNOWN, Optional.of(DEFAULT_RETRY_AFTER));
@@ -139,7 +124,7 @@
             localSearch.search();
             return;
         }
-        context.slotClient().request(buffered, priorAttempts, origin, answer -> {
+        context.slotClient().request(buffered, priorAttempts, stream.origin(), answer -> {
             if (hasEnded) {
                 return;
             }
@@ -207,19 +192,16 @@
                 acquired.close();
                 return;
             }
-            if (!context.pool().isCurrent(server)) {
-                acquired.close();
-                isOver = true;
-                log.skipped(server, "server left or restarted before the request was sent");
-                findServer();
-                return;
-            }
-            // A part of the prompt may have been quarantined while the request waited.
-            if (crashEvidence.isQuarantined()) {
+            Optional<String> obstacle = obstacle(acquired);
+            if (obstacle.isPresent()) {
                 acquired.close();
                 isOver = true;
-                log.skipped(server, "request was quarantined before it was sent");
-                refuseOrAbort(RefusalReason.QUARANTINED, DEFAULT_RETRY_AFTER);
+                log.skipped(server, obstacle.get());
+                if (crashEvidence.isQuarantined()) {
+                    refuseOrAbort(RefusalReason.QUARANTINED, DEFAULT_RETRY_AFTER);
+                } else {
+                    findServer();
+                }
                 return;
             }
             connection = Optional.of(acquired);
@@ -232,6 +214,19 @@
                     ForwardedHead.of(context, buffered, server, scanner.lastEventIdentity()), buffered.body(), this);
         }
 
+        /** Returns what has come between the choice of the server and the moment at which the request can be sent. */
+        private Optional<String> obstacle(ServerConnection acquired) {
+            if (!context.pool().isCurrent(server)) {
+                return Optional.of("server left or restarted before the request was sent");
+            }
+            if (!hasSlot && !context.refusals().accepts(server, acquired.relay())) {
+                return Optional.of("server refused the VM before the request was sent");
+            }
+            return crashEvidence.isQuarantined()
+                    ? Optional.of("request was quarantined before it was sent")
+                    : Optional.empty();
+        }
+
         @Override
         public void onUnreachable(String reason, boolean isRefused) {
             if (isOver) {
@@ -269,6 +264,7 @@
                 answer.statement()
                         .ifPresent(
                                 statement -> context.pool().statements().recordAnswer(server, statement, sentAtNanos));
+                answer.retryAfter().ifPresent(time -> context.refusals().recordAnswer(server, relayOf(), time));
             }
             if (answer.notRun()) {
                 handleNotRun(response, answer);
@@ -290,7 +286,7 @@
             boolean isOverloaded =
                     status != MISDIRECTED_REQUEST && context.pool().statements().isBrittle(server);
             inFlightRequest.ifPresent(isOverloaded ? InFlightRequest::recordFailure : InFlightRequest::recordEnd);
-            log.rejected(server, status, answer.retryAfter(), connection.flatMap(ServerConnection::relay), hasSlot);
+            log.rejected(server, status, answer.retryAfter(), relayOf(), hasSlot);
             boolean isOtherServer = answer.respondingServer()
                     .filter(name -> !name.equals(server.name()))
                     .isPresent();
@@ -305,6 +301,11 @@
             retry(RefusalReason.REFUSED_BY_SERVERS, true);
         }
 
+        /** Returns the VM that the server answers; empty for this one. */
+        private Optional<VmName> relayOf() {
+            return connection.flatMap(ServerConnection::relay);
+        }
+
         private void markServerGone() {
             inFlightRequest.ifPresent(InFlightRequest::recordFailure);
             context.pool().markGone(server);
@@ -359,25 +360,17 @@
             }
             if (firstHead.isEmpty()) {
                 firstHead = received.head();
-                recordOrigin();
+                stream.recordBegun(server);
             }
             log.streamEvent();
             crashEvidence.recordEvent();
-            relay.sendPart(firstHead.get(), relayedBytes, isResumable() ? Optional.empty() : received.length());
+            relay.sendPart(firstHead.get(), relayedBytes, stream.isResumable() ? Optional.empty() : received.length());
             if (relay.isWriteQueueFull()) {
                 connection.ifPresent(present -> present.setReading(false));
                 relay.onDrained(() -> connection.ifPresent(present -> present.setReading(true)));
             }
         }
 
-        private void recordOrigin() {
-            if (isResumable() && origin.isEmpty()) {
-                StreamOrigin begun = new StreamOrigin(buffered.service(), server.softwareVersion());
-                origin = Optional.of(begun);
-                context.streamOrigins().recordBegun(buffered.metadata().requestIdentity(), begun);
-            }
-        }
-
         @Override
         public void onEnd() {
             if (isOver) {
@@ -419,8 +412,7 @@
 
         /** A lost connection says nothing about the server if the links of this VM are lost. */
         private boolean isServerToBlame() {
-            return !context.connections().links().areLost()
-                    || connection.flatMap(ServerConnection::relay).isPresent();
+            return !context.connections().links().areLost() || relayOf().isPresent();
         }
 
         private void recordCrashSuspicion() {
@@ -462,7 +454,7 @@
             log.failed(server, reason, ageMillis(), received.receivedBytes());
             context.metrics().recordAttempt(buffered.service(), "lost", ageMillis());
             scanner.discardPartialEvent();
-            if (relay.hasBegun() && !(isStream && isResumable())) {
+            if (relay.hasBegun() && !(isStream && stream.isResumable())) {
                 abortStream("answer broken off");
                 return;
             }
@@ -520,10 +512,19 @@
         } else if (priorAttempts.mayHaveRun()) {
             refuse(RefusalReason.ANSWER_LOST, Optional.empty());
         } else {
-            refuse(reason, Optional.of(retryAfter));
+            refuse(reason, Optional.of(reason == RefusalReason.REFUSED_BY_SERVERS ? acceptedAfter() : retryAfter));
         }
     }
 
+    /** Returns the time until the first server takes the request again, or the default if one may take it now. */
+    private Duration acceptedAfter() {
+        return context.refusals()
+                .acceptedAt(context.pool().capable(buffered.requirement(Set.of(), stream.origin())))
+                .map(time ->
+                        Duration.ofNanos(time.remainingNanos(context.clock().nanoTime())))
+                .orElse(DEFAULT_RETRY_AFTER);
+    }
+
     /** Ends the request if no server can have started it. */
     void stopIfUnsent(Duration retryAfter) {
         if (!priorAttempts.mayHaveRun() && !relay.hasBegun()) {
--- a/src/main/java/org/borageproxy/forward/ForwardContext.java
+++ b/src/main/java/org/borageproxy/forward/ForwardContext.java
@@ -33,4 +33,14 @@
         RateShares rateShares,
         Function<String, RetryBudget> retryBudgets,
         SuspectRequests suspectRequests,
-        ForwardMetrics metrics) {}
+        ForwardMetrics metrics) {
+
+    /**
+     * Returns the times until which backend servers want no requests.
+     *
+     * @return the refusals of the ways on which the connections lead
+     */
+    ServerRefusals refusals() {
+        return connections.links().refusals();
+    }
+}
--- a/src/main/java/org/borageproxy/forward/LocalSearch.java
+++ b/src/main/java/org/borageproxy/forward/LocalSearch.java
@@ -70,8 +70,9 @@
 
     /** Selects a server or starts to wait for one; a listener may be called before this method returns. */
     void search() {
-        ServerRequirement requirement = new ServerRequirement(
-                buffered.service(), buffered.engines(), buffered.metadata().work(), triedServers, origin.get());
+        Set<BackendServerName> excludedServers = context.refusals().refusing();
+        excludedServers.addAll(triedServers);
+        ServerRequirement requirement = buffered.requirement(excludedServers, origin.get());
         Optional<ServerSelector.Choice> choice = context.pool().choose(requirement);
         if (choice.isPresent()) {
             stop();
--- a/src/main/java/org/borageproxy/forward/ServerConnection.java
+++ b/src/main/java/org/borageproxy/forward/ServerConnection.java
@@ -161,10 +161,11 @@
     /**
      * Returns whether the connection leads to the server while the links of this VM are as they are.
      *
-     * @return {@code false} for a direct connection while the links are lost
+     * @return {@code false} for a direct connection while the links are lost, and for one through a VM of which the
+     *     server wants no requests
      */
     boolean isReachable() {
-        return relay.isPresent() || !links.areLost();
+        return relay.isPresent() ? links.refusals().accepts(server, relay) : !links.areLost();
     }
 
     /** Tells the listener that the answer may never arrive. */
--- a/src/main/java/org/borageproxy/forward/ServerLinks.java
+++ b/src/main/java/org/borageproxy/forward/ServerLinks.java
@@ -70,6 +70,7 @@
     private final EventLoop eventLoop;
     private final MonotonicClock clock;
     private final Environment environment;
+    private final ServerRefusals refusals;
     private final Random random = new Random();
     /** Servers to which direct connections failed since the last byte that came over one. */
     private final Set<BackendServerName> failedServers = new HashSet<>();
@@ -122,6 +123,7 @@
         this.eventLoop = eventLoop;
         this.clock = clock;
         this.environment = environment;
+        this.refusals = new ServerRefusals(clock, this::schedule, environment.servers(), this::waysInUse);
         this.receivedAtNanos = clock.nanoTime();
         this.nextProbeAt = new Deadline(receivedAtNanos);
     }
@@ -135,6 +137,20 @@
         return areLost;
     }
 
+    /**
+     * Returns the times until which servers want no requests over these links.
+     *
+     * @return the refusals, which the caller updates
+     */
+    public ServerRefusals refusals() {
+        return refusals;
+    }
+
+    private List<Optional<VmName>> waysInUse() {
+        List<VmName> relays = environment.relays().get();
+        return areLost && !relays.isEmpty() ? relays.stream().map(Optional::of).toList() : List.of(Optional.empty());
+    }
+
     /**
      * Opens a connection to a server, directly or through another VM.
      *
@@ -149,8 +165,8 @@
     private final class Opening {
         private final BackendServer server;
         private final OpenListener listener;
-        private final List<VmName> relays;
-        private final int wayCount;
+        private final List<Optional<VmName>> ways = new ArrayList<>();
+        private final boolean hasRelays;
         private int triedWays;
         private int failedWays;
         private boolean isDirectRefused;
@@ -161,10 +177,15 @@
         Opening(BackendServer server, OpenListener listener) {
             this.server = server;
             this.listener = listener;
-            List<VmName> all = new ArrayList<>(environment.relays().get());
-            Collections.shuffle(all, random);
-            relays = all.subList(0, Math.min(MAX_RELAYS, all.size()));
-            wayCount = 1 + relays.size();
+            List<Optional<VmName>> relays = new ArrayList<>(environment.relays().get().stream()
+                    .map(Optional::of)
+                    .filter(relay -> refusals.accepts(server, relay))
+                    .toList());
+            Collections.shuffle(relays, random);
+            ways.addAll(relays.subList(0, Math.min(MAX_RELAYS, relays.size())));
+            hasRelays = !ways.isEmpty();
+            // The direct way is the last one while the links are lost, and the first one otherwise.
+            ways.add(areLost ? ways.size() : 0, Optional.empty());
         }
 
         void begin() {
@@ -173,22 +194,16 @@
         }
 
         private void tryNextWay() {
-            if (isDone || triedWays == wayCount) {
+            if (isDone || triedWays == ways.size()) {
                 return;
             }
-            int way = triedWays++;
-            // The direct way is the last one while the links are lost, and the first one otherwise.
-            int relay = areLost ? way : way - 1;
-            if (relay >= 0 && relay < relays.size()) {
-                Optional<VmName> through = Optional.of(relays.get(relay));
-                openThrough(relays.get(relay), server)
-                        .whenComplete((channel, failure) -> handle(through, channel, failure));
-            } else {
-                openDirectly(server, CONNECT_TIMEOUT)
-                        .whenComplete((channel, failure) -> handle(Optional.empty(), channel, failure));
-            }
+            int number = triedWays++;
+            Optional<VmName> relay = ways.get(number);
+            relay.map(through -> openThrough(through, server))
+                    .orElseGet(() -> openDirectly(server, CONNECT_TIMEOUT))
+                    .whenComplete((channel, failure) -> handle(relay, channel, failure));
             schedule(NEXT_WAY_DELAY, () -> {
-                if (triedWays == way + 1) {
+                if (triedWays == number + 1) {
                     tryNextWay();
                 }
             });
@@ -218,11 +233,10 @@
             lastReason = String.valueOf(failure.getMessage());
             hasDirectFailed |= !isRelayed;
             isDirectRefused |= !isRelayed && isRefusal(failure);
-            boolean isGone =
-                    isRelayed ? failure instanceof StreamRefusedException : isDirectRefused && relays.isEmpty();
+            boolean isGone = isRelayed ? failure instanceof StreamRefusedException : isDirectRefused && !hasRelays;
             if (isGone && (hasDirectFailed || areLost)) {
                 finish("refused: " + lastReason, true);
-            } else if (failedWays == wayCount) {
+            } else if (failedWays == ways.size()) {
                 fail(lastReason);
             } else {
                 tryNextWay();
--- a/src/main/java/org/borageproxy/forward/ServerPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerPool.java
@@ -253,9 +253,7 @@
         if (accepting.isEmpty()) {
             return Unavailability.NO_SERVER;
         }
-        List<BackendServer> capable =
-                accepting.stream().filter(server -> canRun(server, work)).toList();
-        if (!capable.isEmpty()) {
+        if (accepting.stream().anyMatch(server -> canRun(server, work))) {
             List<BackendServer> untried = untried(requirement).toList();
             if (untried.isEmpty()) {
                 return Unavailability.ALL_TRIED;
@@ -288,9 +286,8 @@
     }
 
     private Stream<BackendServer> untried(ServerRequirement requirement) {
-        return servers.current().stream()
-                .filter(server -> isCapable(server, requirement)
-                        && !requirement.triedServers().contains(server.name()));
+        return capable(requirement).stream()
+                .filter(server -> !requirement.triedServers().contains(server.name()));
     }
 
     /**
@@ -306,8 +303,20 @@
                 .orElseGet(() -> new Deadline(clock.nanoTime()));
     }
 
+    /**
+     * Returns the servers that could run a request if they took it now.
+     *
+     * @param requirement what the request requires; tried servers are included
+     * @return the servers, in no order
+     */
+    List<BackendServer> capable(ServerRequirement requirement) {
+        return servers.current().stream()
+                .filter(server -> isCapable(server, requirement))
+                .toList();
+    }
+
     /** Retries all queued requests in their order. */
-    void retryQueued() {
+    public void retryQueued() {
         queue.retryAll();
     }
 
@@ -408,11 +417,7 @@
      * @return empty if the server is leaving, unknown or restarted
      */
     Optional<BackendServer> find(String name, long incarnation) {
-        return servers.current().stream()
-                .filter(server -> server.name().value().equals(name)
-                        && server.incarnation() == incarnation
-                        && server.state() != BackendServerState.LEAVING)
-                .findFirst();
+        return find(name).filter(server -> server.incarnation() == incarnation);
     }
 
     /**
--- a/src/main/java/org/borageproxy/forward/ServerRelay.java
+++ b/src/main/java/org/borageproxy/forward/ServerRelay.java
@@ -1,15 +1,20 @@
 package org.borageproxy.forward;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import org.borageproxy.membership.BackendServer;
+import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.membership.BackendServers;
 import org.borageproxy.vm.VmName;
 import org.borageproxy.wire.UnreachableException;
@@ -20,8 +25,8 @@
 
 /**
  * Connects other VMs, whose links to the backend servers are lost, to announced servers. What they send is not read
- * here. Does not connect while the links of this VM are lost or it stops. Not thread safe; confined to the event loop
- * of the links.
+ * here. Does not connect while the links of this VM are lost or it stops, nor to servers that want no requests of it.
+ * Not thread safe; confined to the event loop of the links.
  */
 public final class ServerRelay implements VmStreams.Acceptor {
 
@@ -30,7 +35,10 @@
     private final BackendServers servers;
     private final ServerLinks links;
     private final BooleanSupplier isStopping;
-    private int openCount;
+    private final List<Connection> connections = new ArrayList<>();
+
+    /** A connection of another VM to a server. */
+    private record Connection(VmName user, BackendServerName server, Channel channel) {}
 
     /**
      * Creates a relay.
@@ -60,20 +68,34 @@
      * @return the number of open connections, idle ones included
      */
     public int openCount() {
-        return openCount;
+        return connections.size();
+    }
+
+    /**
+     * Returns the VMs that are connected to a server through this one.
+     *
+     * @param server the server
+     * @return the VMs, each once
+     */
+    Set<VmName> usersOf(BackendServer server) {
+        return connections.stream()
+                .filter(connection -> connection.server().equals(server.name()))
+                .map(Connection::user)
+                .collect(Collectors.toSet());
     }
 
     @Override
     public CompletionStage<Channel> accept(VmName sender, ByteString request, EventLoop eventLoop) {
         Optional<BackendServer> server = find(sender, request);
-        if (server.isEmpty() || !isAvailable()) {
+        if (server.isEmpty() || !isAvailable() || !links.refusals().accepts(server.get(), Optional.empty())) {
             return CompletableFuture.failedFuture(new UnreachableException("No connection for " + sender));
         }
         CompletableFuture<Channel> accepted = new CompletableFuture<>();
         links.openDirectly(server.get()).whenComplete((channel, failure) -> {
             if (failure == null) {
-                openCount++;
-                channel.closeFuture().addListener(closed -> openCount--);
+                Connection connection = new Connection(sender, server.get().name(), channel);
+                connections.add(connection);
+                channel.closeFuture().addListener(closed -> connections.remove(connection));
                 accepted.complete(channel);
                 return;
             }
--- a/src/main/java/org/borageproxy/server/GatewayEntry.java
+++ b/src/main/java/org/borageproxy/server/GatewayEntry.java
@@ -19,6 +19,7 @@
 import org.borageproxy.forward.ForwardContext;
 import org.borageproxy.forward.ForwardMetrics;
 import org.borageproxy.forward.ForwardServer;
+import org.borageproxy.forward.RefusalNotices;
 import org.borageproxy.forward.ServerConnectionPool;
 import org.borageproxy.forward.ServerLinks;
 import org.borageproxy.forward.ServerPool;
@@ -109,8 +110,8 @@
                 runtime.self(), runtime.network(), runtime::controlVms, runtime.clock(), runtime.timer());
         slotClient = createSlotClient();
         ServerLinks links = createLinks();
-        relay = new ServerRelay(runtime.membership().registry(), links, () -> isStopping);
-        runtime.network().acceptStreams(relay);
+        relay = createRelay(links);
+        links.refusals().onEnd(pool::retryQueued);
         connectionPool = new ServerConnectionPool(links, runtime.clock());
         ForwardContext context = new ForwardContext(
                 runtime.eventLoop(),
@@ -145,6 +146,19 @@
                 runtime.eventLoop());
     }
 
+    private ServerRelay createRelay(ServerLinks links) {
+        ServerRelay created = new ServerRelay(runtime.membership().registry(), links, () -> isStopping);
+        runtime.network().acceptStreams(created);
+        RefusalNotices.exchange(
+                runtime.network(),
+                runtime.membership().registry(),
+                links.refusals(),
+                created,
+                runtime.clock(),
+                runtime.eventLoop());
+        return created;
+    }
+
     private ServerLinks createLinks() {
         ServerLinks.Environment environment = new ServerLinks.Environment(
                 runtime.network(), () -> relays, runtime.membership().registry());
--- a/src/main/java/org/borageproxy/wire/MessageKind.java
+++ b/src/main/java/org/borageproxy/wire/MessageKind.java
@@ -33,7 +33,9 @@
     /** A query of an entry for the origin of a stream, answered by the coordinator. */
     STREAM_ORIGIN(15),
     /** A request to connect to a target and to pass the bytes of both directions on. */
-    STREAM(16);
+    STREAM(16),
+    /** A notice that a backend server wants no requests of the sender or the recipient for a time. */
+    SERVER_REFUSAL(17);
 
     private final int number;
 
--- a/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
@@ -4167,6 +4167,788 @@
 
   }
 
+  public interface RefusalNoticeOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.coordination.RefusalNotice)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string server = 1;</code>
+     * @return The server.
+     */
+    java.lang.String getServer();
+    /**
+     * <code>string server = 1;</code>
+     * @return The bytes for server.
+     */
+    com.google.protobuf.ByteString
+        getServerBytes();
+
+    /**
+     * <code>uint64 incarnation = 2;</code>
+     * @return The incarnation.
+     */
+    long getIncarnation();
+
+    /**
+     * <pre>
+     * The time until the server takes requests again.
+     * </pre>
+     *
+     * <code>uint64 remaining_millis = 3;</code>
+     * @return The remainingMillis.
+     */
+    long getRemainingMillis();
+
+    /**
+     * <pre>
+     * Whether the server refused the recipient, through which the sender was connected; otherwise it refused the sender.
+     * </pre>
+     *
+     * <code>bool of_recipient = 4;</code>
+     * @return The ofRecipient.
+     */
+    boolean getOfRecipient();
+  }
+  /**
+   * <pre>
+   * Tells another VM that a backend server wants no requests for a time.
+   * </pre>
+   *
+   * Protobuf type {@code borageproxy.coordination.RefusalNotice}
+   */
+  public static final class RefusalNotice extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:borageproxy.coordination.RefusalNotice)
+      RefusalNoticeOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "RefusalNotice");
+    }
+    // Use RefusalNotice.newBuilder() to construct.
+    private RefusalNotice(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private RefusalNotice() {
+      server_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_RefusalNotice_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_RefusalNotice_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_RefusalNotice_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice.class, org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice.Builder.class);
+    }
+
+    public static final int SERVER_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object server_ = "";
+    /**
+     * <code>string server = 1;</code>
+     * @return The server.
+     */
+    @java.lang.Override
+    public java.lang.String getServer() {
+      java.lang.Object ref = server_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        server_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string server = 1;</code>
+     * @return The bytes for server.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getServerBytes() {
+      java.lang.Object ref = server_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        server_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int INCARNATION_FIELD_NUMBER = 2;
+    private long incarnation_ = 0L;
+    /**
+     * <code>uint64 incarnation = 2;</code>
+     * @return The incarnation.
+     */
+    @java.lang.Override
+    public long getIncarnation() {
+      return incarnation_;
+    }
+
+    public static final int REMAINING_MILLIS_FIELD_NUMBER = 3;
+    private long remainingMillis_ = 0L;
+    /**
+     * <pre>
+     * The time until the server takes requests again.
+     * </pre>
+     *
+     * <code>uint64 remaining_millis = 3;</code>
+     * @return The remainingMillis.
+     */
+    @java.lang.Override
+    public long getRemainingMillis() {
+      return remainingMillis_;
+    }
+
+    public static final int OF_RECIPIENT_FIELD_NUMBER = 4;
+    private boolean ofRecipient_ = false;
+    /**
+     * <pre>
+     * Whether the server refused the recipient, through which the sender was connected; otherwise it refused the sender.
+     * </pre>
+     *
+     * <code>bool of_recipient = 4;</code>
+     * @return The ofRecipient.
+     */
+    @java.lang.Override
+    public boolean getOfRecipient() {
+      return ofRecipient_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(server_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, server_);
+      }
+      if (incarnation_ != 0L) {
+        output.writeUInt64(2, incarnation_);
+      }
+      if (remainingMillis_ != 0L) {
+        output.writeUInt64(3, remainingMillis_);
+      }
+      if (ofRecipient_ != false) {
+        output.writeBool(4, ofRecipient_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(server_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, server_);
+      }
+      if (incarnation_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, incarnation_);
+      }
+      if (remainingMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, remainingMillis_);
+      }
+      if (ofRecipient_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(4, ofRecipient_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice)) {
+        return super.equals(obj);
+      }
+      org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice other = (org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice) obj;
+
+      if (!getServer()
+          .equals(other.getServer())) return false;
+      if (getIncarnation()
+          != other.getIncarnation()) return false;
+      if (getRemainingMillis()
+          != other.getRemainingMillis()) return false;
+      if (getOfRecipient()
+          != other.getOfRecipient()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + SERVER_FIELD_NUMBER;
+      hash = (53 * hash) + getServer().hashCode();
+      hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getIncarnation());
+      hash = (37 * hash) + REMAINING_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRemainingMillis());
+      hash = (37 * hash) + OF_RECIPIENT_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getOfRecipient());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * Tells another VM that a backend server wants no requests for a time.
+     * </pre>
+     *
+     * Protobuf type {@code borageproxy.coordination.RefusalNotice}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:borageproxy.coordination.RefusalNotice)
+        org.borageproxy.wire.proto.CoordinationProtocol.RefusalNoticeOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_RefusalNotice_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_RefusalNotice_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice.class, org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice.Builder.class);
+      }
+
+      // Construct using org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        server_ = "";
+        incarnation_ = 0L;
+        remainingMillis_ = 0L;
+        ofRecipient_ = false;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_RefusalNotice_descriptor;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice build() {
+        org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice buildPartial() {
+        org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice result = new org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.server_ = server_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.incarnation_ = incarnation_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.remainingMillis_ = remainingMillis_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.ofRecipient_ = ofRecipient_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice) {
+          return mergeFrom((org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice other) {
+        if (other == org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice.getDefaultInstance()) return this;
+        if (!other.getServer().isEmpty()) {
+          server_ = other.server_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getIncarnation() != 0L) {
+          setIncarnation(other.getIncarnation());
+        }
+        if (other.getRemainingMillis() != 0L) {
+          setRemainingMillis(other.getRemainingMillis());
+        }
+        if (other.getOfRecipient() != false) {
+          setOfRecipient(other.getOfRecipient());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                server_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                incarnation_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                remainingMillis_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 32: {
+                ofRecipient_ = input.readBool();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object server_ = "";
+      /**
+       * <code>string server = 1;</code>
+       * @return The server.
+       */
+      public java.lang.String getServer() {
+        java.lang.Object ref = server_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          server_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string server = 1;</code>
+       * @return The bytes for server.
+       */
+      public com.google.protobuf.ByteString
+          getServerBytes() {
+        java.lang.Object ref = server_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          server_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string server = 1;</code>
+       * @param value The server to set.
+       * @return This builder for chaining.
+       */
+      public Builder setServer(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        server_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string server = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearServer() {
+        server_ = getDefaultInstance().getServer();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string server = 1;</code>
+       * @param value The bytes for server to set.
+       * @return This builder for chaining.
+       */
+      public Builder setServerBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        server_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long incarnation_ ;
+      /**
+       * <code>uint64 incarnation = 2;</code>
+       * @return The incarnation.
+       */
+      @java.lang.Override
+      public long getIncarnation() {
+        return incarnation_;
+      }
+      /**
+       * <code>uint64 incarnation = 2;</code>
+       * @param value The incarnation to set.
+       * @return This builder for chaining.
+       */
+      public Builder setIncarnation(long value) {
+
+        incarnation_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 incarnation = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearIncarnation() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        incarnation_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long remainingMillis_ ;
+      /**
+       * <pre>
+       * The time until the server takes requests again.
+       * </pre>
+       *
+       * <code>uint64 remaining_millis = 3;</code>
+       * @return The remainingMillis.
+       */
+      @java.lang.Override
+      public long getRemainingMillis() {
+        return remainingMillis_;
+      }
+      /**
+       * <pre>
+       * The time until the server takes requests again.
+       * </pre>
+       *
+       * <code>uint64 remaining_millis = 3;</code>
+       * @param value The remainingMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRemainingMillis(long value) {
+
+        remainingMillis_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The time until the server takes requests again.
+       * </pre>
+       *
+       * <code>uint64 remaining_millis = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRemainingMillis() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        remainingMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private boolean ofRecipient_ ;
+      /**
+       * <pre>
+       * Whether the server refused the recipient, through which the sender was connected; otherwise it refused the sender.
+       * </pre>
+       *
+       * <code>bool of_recipient = 4;</code>
+       * @return The ofRecipient.
+       */
+      @java.lang.Override
+      public boolean getOfRecipient() {
+        return ofRecipient_;
+      }
+      /**
+       * <pre>
+       * Whether the server refused the recipient, through which the sender was connected; otherwise it refused the sender.
+       * </pre>
+       *
+       * <code>bool of_recipient = 4;</code>
+       * @param value The ofRecipient to set.
+       * @return This builder for chaining.
+       */
+      public Builder setOfRecipient(boolean value) {
+
+        ofRecipient_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether the server refused the recipient, through which the sender was connected; otherwise it refused the sender.
+       * </pre>
+       *
+       * <code>bool of_recipient = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearOfRecipient() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        ofRecipient_ = false;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:borageproxy.coordination.RefusalNotice)
+    }
+
+    // @@protoc_insertion_point(class_scope:borageproxy.coordination.RefusalNotice)
+    private static final org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice();
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<RefusalNotice>
+        PARSER = new com.google.protobuf.AbstractParser<RefusalNotice>() {
+      @java.lang.Override
+      public RefusalNotice parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<RefusalNotice> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<RefusalNotice> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.borageproxy.wire.proto.CoordinationProtocol.RefusalNotice getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
   public interface StatedLimitsOrBuilder extends
       // @@protoc_insertion_point(interface_extends:borageproxy.coordination.StatedLimits)
       com.google.protobuf.MessageOrBuilder {
@@ -21647,6 +22429,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_borageproxy_coordination_RelayRequest_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_borageproxy_coordination_RefusalNotice_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_borageproxy_coordination_RefusalNotice_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_borageproxy_coordination_StatedLimits_descriptor;
   private static final 
@@ -21745,62 +22532,65 @@
       "rageproxy.coordination.StatedLimits\022\026\n\016l" +
       "imits_version\030\n \001(\004\022\016\n\006relays\030\013 \001(\010\"3\n\014R" +
       "elayRequest\022\016\n\006server\030\001 \001(\t\022\023\n\013incarnati" +
-      "on\030\002 \001(\004\"\247\001\n\014StatedLimits\022\014\n\004name\030\001 \001(\t\022" +
-      "\023\n\013incarnation\030\002 \001(\004\022\022\n\nage_millis\030\003 \001(\004" +
-      "\022 \n\023requests_per_second\030\004 \001(\001H\000\210\001\001\022\027\n\nre" +
-      "jections\030\005 \001(\rH\001\210\001\001B\026\n\024_requests_per_sec" +
-      "ondB\r\n\013_rejections\"I\n\013BegunStream\022\017\n\007req" +
-      "uest\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\030\n\020software_" +
-      "version\030\003 \001(\t\"$\n\021StreamOriginQuery\022\017\n\007re" +
-      "quest\030\001 \001(\t\"N\n\022StreamOriginAnswer\022\r\n\005kno" +
-      "wn\030\001 \001(\010\022\017\n\007service\030\002 \001(\t\022\030\n\020software_ve" +
-      "rsion\030\003 \001(\t\"(\n\tModelPace\022\r\n\005model\030\001 \001(\t\022" +
-      "\014\n\004pace\030\002 \001(\001\"\221\001\n\013ServerUsage\022\014\n\004name\030\001 " +
-      "\001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010requests\030\003 \001" +
-      "(\r\022\025\n\rprompt_tokens\030\004 \001(\r\022\023\n\013held_tokens" +
-      "\030\005 \001(\r\022\020\n\010failures\030\006 \001(\r\022\017\n\007answers\030\007 \001(" +
-      "\r\"r\n\016WorkspaceUsage\022\014\n\004name\030\001 \001(\t\022\016\n\006dem" +
-      "and\030\002 \001(\004\022\014\n\004held\030\003 \001(\004\022\r\n\005spent\030\004 \001(\004\022\r" +
-      "\n\005needs\030\006 \003(\004\022\020\n\010returned\030\007 \001(\004J\004\010\005\020\006\"_\n" +
-      "\013ModelDemand\022\017\n\007service\030\001 \001(\t\022\r\n\005model\030\002" +
-      " \001(\t\022\017\n\007adapter\030\003 \001(\t\022\016\n\006tokens\030\004 \001(\004\022\017\n" +
-      "\007waiting\030\005 \001(\r\"\233\003\n\022CoordinationUpdate\022\023\n" +
-      "\013coordinates\030\001 \001(\010\022\023\n\013coordinator\030\002 \001(\t\022" +
-      "\017\n\007entries\030\003 \001(\r\0226\n\007servers\030\004 \003(\0132%.bora" +
-      "geproxy.coordination.ServerUsage\0223\n\006shar" +
-      "es\030\005 \003(\0132#.borageproxy.coordination.Rate" +
-      "Share\0229\n\010contents\030\006 \003(\0132\'.borageproxy.co" +
-      "ordination.ServerContent\022\030\n\020contents_ver" +
-      "sion\030\007 \001(\004\022\023\n\013all_servers\030\010 \001(\010\022\014\n\004term\030" +
-      "\t \001(\004\022=\n\rstated_limits\030\n \003(\0132&.boragepro" +
-      "xy.coordination.StatedLimits\022\026\n\016limits_v" +
-      "ersion\030\013 \001(\004\022\016\n\006relays\030\014 \003(\t\"\363\002\n\013SlotReq" +
-      "uest\022\014\n\004zone\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\r\n\005m" +
-      "odel\030\003 \001(\t\022\017\n\007adapter\030\004 \001(\t\022\025\n\rprompt_to" +
-      "kens\030\005 \001(\r\022\025\n\routput_tokens\030\006 \001(\r\0225\n\005par" +
-      "ts\030\007 \003(\0132&.borageproxy.coordination.Part" +
-      "OfPrompt\022\014\n\004rank\030\010 \001(\r\022\030\n\020objective_mill" +
-      "is\030\t \001(\r\022\027\n\017deadline_millis\030\n \001(\r\022\r\n\005tri" +
-      "ed\030\013 \003(\t\022\025\n\rwaited_millis\030\014 \001(\r\022\021\n\tabsen" +
-      "t_at\030\016 \003(\t\022\014\n\004gone\030\017 \003(\t\022\035\n\020software_ver" +
-      "sion\030\020 \001(\tH\000\210\001\001B\023\n\021_software_versionJ\004\010\r" +
-      "\020\016\"0\n\014PartOfPrompt\022\020\n\010identity\030\001 \001(\t\022\016\n\006" +
-      "tokens\030\002 \001(\r\"\270\002\n\nSlotAnswer\022=\n\007outcome\030\001" +
-      " \001(\0162,.borageproxy.coordination.SlotAnsw" +
-      "er.Outcome\022\016\n\006server\030\002 \001(\t\022\023\n\013incarnatio" +
-      "n\030\003 \001(\004\022\027\n\017expected_millis\030\004 \001(\001\022\025\n\runre" +
-      "ad_tokens\030\005 \001(\r\022\014\n\004slot\030\006 \001(\004\022\030\n\020come_ba" +
-      "ck_millis\030\007 \001(\r\"n\n\007Outcome\022\023\n\017NOT_COORDI" +
-      "NATOR\020\000\022\n\n\006CHOSEN\020\001\022\r\n\tNO_SERVER\020\002\022\014\n\010NO" +
-      "_MODEL\020\003\022\013\n\007CROWDED\020\004\022\r\n\tALL_TRIED\020\005\022\t\n\005" +
-      "AGAIN\020\006\"=\n\tRateShare\022\021\n\tworkspace\030\001 \001(\t\022" +
-      "\014\n\004rate\030\002 \001(\004\022\017\n\007granted\030\003 \001(\004\"\211\001\n\rServe" +
-      "rContent\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 " +
-      "\001(\004\022\016\n\006orders\030\003 \001(\004\0223\n\006models\030\004 \003(\0132#.bo" +
-      "rageproxy.coordination.HeldModel\022\020\n\010arri" +
-      "ving\030\005 \003(\t\",\n\tHeldModel\022\r\n\005model\030\001 \001(\t\022\020" +
-      "\n\010adapters\030\002 \003(\tB2\n\032org.borageproxy.wire" +
-      ".protoB\024CoordinationProtocolb\006proto3"
+      "on\030\002 \001(\004\"d\n\rRefusalNotice\022\016\n\006server\030\001 \001(" +
+      "\t\022\023\n\013incarnation\030\002 \001(\004\022\030\n\020remaining_mill" +
+      "is\030\003 \001(\004\022\024\n\014of_recipient\030\004 \001(\010\"\247\001\n\014State" +
+      "dLimits\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001" +
+      "(\004\022\022\n\nage_millis\030\003 \001(\004\022 \n\023requests_per_s" +
+      "econd\030\004 \001(\001H\000\210\001\001\022\027\n\nrejections\030\005 \001(\rH\001\210\001" +
+      "\001B\026\n\024_requests_per_secondB\r\n\013_rejections" +
+      "\"I\n\013BegunStream\022\017\n\007request\030\001 \001(\t\022\017\n\007serv" +
+      "ice\030\002 \001(\t\022\030\n\020software_version\030\003 \001(\t\"$\n\021S" +
+      "treamOriginQuery\022\017\n\007request\030\001 \001(\t\"N\n\022Str" +
+      "eamOriginAnswer\022\r\n\005known\030\001 \001(\010\022\017\n\007servic" +
+      "e\030\002 \001(\t\022\030\n\020software_version\030\003 \001(\t\"(\n\tMod" +
+      "elPace\022\r\n\005model\030\001 \001(\t\022\014\n\004pace\030\002 \001(\001\"\221\001\n\013" +
+      "ServerUsage\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation" +
+      "\030\002 \001(\004\022\020\n\010requests\030\003 \001(\r\022\025\n\rprompt_token" +
+      "s\030\004 \001(\r\022\023\n\013held_tokens\030\005 \001(\r\022\020\n\010failures" +
+      "\030\006 \001(\r\022\017\n\007answers\030\007 \001(\r\"r\n\016WorkspaceUsag" +
+      "e\022\014\n\004name\030\001 \001(\t\022\016\n\006demand\030\002 \001(\004\022\014\n\004held\030" +
+      "\003 \001(\004\022\r\n\005spent\030\004 \001(\004\022\r\n\005needs\030\006 \003(\004\022\020\n\010r" +
+      "eturned\030\007 \001(\004J\004\010\005\020\006\"_\n\013ModelDemand\022\017\n\007se" +
+      "rvice\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022\017\n\007adapter\030\003 " +
+      "\001(\t\022\016\n\006tokens\030\004 \001(\004\022\017\n\007waiting\030\005 \001(\r\"\233\003\n" +
+      "\022CoordinationUpdate\022\023\n\013coordinates\030\001 \001(\010" +
+      "\022\023\n\013coordinator\030\002 \001(\t\022\017\n\007entries\030\003 \001(\r\0226" +
+      "\n\007servers\030\004 \003(\0132%.borageproxy.coordinati" +
+      "on.ServerUsage\0223\n\006shares\030\005 \003(\0132#.boragep" +
+      "roxy.coordination.RateShare\0229\n\010contents\030" +
+      "\006 \003(\0132\'.borageproxy.coordination.ServerC" +
+      "ontent\022\030\n\020contents_version\030\007 \001(\004\022\023\n\013all_" +
+      "servers\030\010 \001(\010\022\014\n\004term\030\t \001(\004\022=\n\rstated_li" +
+      "mits\030\n \003(\0132&.borageproxy.coordination.St" +
+      "atedLimits\022\026\n\016limits_version\030\013 \001(\004\022\016\n\006re" +
+      "lays\030\014 \003(\t\"\363\002\n\013SlotRequest\022\014\n\004zone\030\001 \001(\t" +
+      "\022\017\n\007service\030\002 \001(\t\022\r\n\005model\030\003 \001(\t\022\017\n\007adap" +
+      "ter\030\004 \001(\t\022\025\n\rprompt_tokens\030\005 \001(\r\022\025\n\routp" +
+      "ut_tokens\030\006 \001(\r\0225\n\005parts\030\007 \003(\0132&.boragep" +
+      "roxy.coordination.PartOfPrompt\022\014\n\004rank\030\010" +
+      " \001(\r\022\030\n\020objective_millis\030\t \001(\r\022\027\n\017deadli" +
+      "ne_millis\030\n \001(\r\022\r\n\005tried\030\013 \003(\t\022\025\n\rwaited" +
+      "_millis\030\014 \001(\r\022\021\n\tabsent_at\030\016 \003(\t\022\014\n\004gone" +
+      "\030\017 \003(\t\022\035\n\020software_version\030\020 \001(\tH\000\210\001\001B\023\n" +
+      "\021_software_versionJ\004\010\r\020\016\"0\n\014PartOfPrompt" +
+      "\022\020\n\010identity\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\r\"\270\002\n\nS" +
+      "lotAnswer\022=\n\007outcome\030\001 \001(\0162,.borageproxy" +
+      ".coordination.SlotAnswer.Outcome\022\016\n\006serv" +
+      "er\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\004\022\027\n\017expecte" +
+      "d_millis\030\004 \001(\001\022\025\n\runread_tokens\030\005 \001(\r\022\014\n" +
+      "\004slot\030\006 \001(\004\022\030\n\020come_back_millis\030\007 \001(\r\"n\n" +
+      "\007Outcome\022\023\n\017NOT_COORDINATOR\020\000\022\n\n\006CHOSEN\020" +
+      "\001\022\r\n\tNO_SERVER\020\002\022\014\n\010NO_MODEL\020\003\022\013\n\007CROWDE" +
+      "D\020\004\022\r\n\tALL_TRIED\020\005\022\t\n\005AGAIN\020\006\"=\n\tRateSha" +
+      "re\022\021\n\tworkspace\030\001 \001(\t\022\014\n\004rate\030\002 \001(\004\022\017\n\007g" +
+      "ranted\030\003 \001(\004\"\211\001\n\rServerContent\022\014\n\004name\030\001" +
+      " \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\016\n\006orders\030\003 \001(" +
+      "\004\0223\n\006models\030\004 \003(\0132#.borageproxy.coordina" +
+      "tion.HeldModel\022\020\n\010arriving\030\005 \003(\t\",\n\tHeld" +
+      "Model\022\r\n\005model\030\001 \001(\t\022\020\n\010adapters\030\002 \003(\tB2" +
+      "\n\032org.borageproxy.wire.protoB\024Coordinati" +
+      "onProtocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -21818,92 +22608,98 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_RelayRequest_descriptor,
         new java.lang.String[] { "Server", "Incarnation", });
-    internal_static_borageproxy_coordination_StatedLimits_descriptor =
+    internal_static_borageproxy_coordination_RefusalNotice_descriptor =
       getDescriptor().getMessageType(2);
+    internal_static_borageproxy_coordination_RefusalNotice_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_borageproxy_coordination_RefusalNotice_descriptor,
+        new java.lang.String[] { "Server", "Incarnation", "RemainingMillis", "OfRecipient", });
+    internal_static_borageproxy_coordination_StatedLimits_descriptor =
+      getDescriptor().getMessageType(3);
     internal_static_borageproxy_coordination_StatedLimits_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_StatedLimits_descriptor,
         new java.lang.String[] { "Name", "Incarnation", "AgeMillis", "RequestsPerSecond", "Rejections", });
     internal_static_borageproxy_coordination_BegunStream_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(4);
     internal_static_borageproxy_coordination_BegunStream_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_BegunStream_descriptor,
         new java.lang.String[] { "Request", "Service", "SoftwareVersion", });
     internal_static_borageproxy_coordination_StreamOriginQuery_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(5);
     internal_static_borageproxy_coordination_StreamOriginQuery_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_StreamOriginQuery_descriptor,
         new java.lang.String[] { "Request", });
     internal_static_borageproxy_coordination_StreamOriginAnswer_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(6);
     internal_static_borageproxy_coordination_StreamOriginAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_StreamOriginAnswer_descriptor,
         new java.lang.String[] { "Known", "Service", "SoftwareVersion", });
     internal_static_borageproxy_coordination_ModelPace_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(7);
     internal_static_borageproxy_coordination_ModelPace_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_ModelPace_descriptor,
         new java.lang.String[] { "Model", "Pace", });
     internal_static_borageproxy_coordination_ServerUsage_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(8);
     internal_static_borageproxy_coordination_ServerUsage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_ServerUsage_descriptor,
         new java.lang.String[] { "Name", "Incarnation", "Requests", "PromptTokens", "HeldTokens", "Failures", "Answers", });
     internal_static_borageproxy_coordination_WorkspaceUsage_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(9);
     internal_static_borageproxy_coordination_WorkspaceUsage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_WorkspaceUsage_descriptor,
         new java.lang.String[] { "Name", "Demand", "Held", "Spent", "Needs", "Returned", });
     internal_static_borageproxy_coordination_ModelDemand_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(10);
     internal_static_borageproxy_coordination_ModelDemand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_ModelDemand_descriptor,
         new java.lang.String[] { "Service", "Model", "Adapter", "Tokens", "Waiting", });
     internal_static_borageproxy_coordination_CoordinationUpdate_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(11);
     internal_static_borageproxy_coordination_CoordinationUpdate_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_CoordinationUpdate_descriptor,
         new java.lang.String[] { "Coordinates", "Coordinator", "Entries", "Servers", "Shares", "Contents", "ContentsVersion", "AllServers", "Term", "StatedLimits", "LimitsVersion", "Relays", });
     internal_static_borageproxy_coordination_SlotRequest_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_borageproxy_coordination_SlotRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_SlotRequest_descriptor,
         new java.lang.String[] { "Zone", "Service", "Model", "Adapter", "PromptTokens", "OutputTokens", "Parts", "Rank", "ObjectiveMillis", "DeadlineMillis", "Tried", "WaitedMillis", "AbsentAt", "Gone", "SoftwareVersion", });
     internal_static_borageproxy_coordination_PartOfPrompt_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_borageproxy_coordination_PartOfPrompt_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_PartOfPrompt_descriptor,
         new java.lang.String[] { "Identity", "Tokens", });
     internal_static_borageproxy_coordination_SlotAnswer_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_borageproxy_coordination_SlotAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_SlotAnswer_descriptor,
         new java.lang.String[] { "Outcome", "Server", "Incarnation", "ExpectedMillis", "UnreadTokens", "Slot", "ComeBackMillis", });
     internal_static_borageproxy_coordination_RateShare_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_borageproxy_coordination_RateShare_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_RateShare_descriptor,
         new java.lang.String[] { "Workspace", "Rate", "Granted", });
     internal_static_borageproxy_coordination_ServerContent_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(16);
     internal_static_borageproxy_coordination_ServerContent_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_ServerContent_descriptor,
         new java.lang.String[] { "Name", "Incarnation", "Orders", "Models", "Arriving", });
     internal_static_borageproxy_coordination_HeldModel_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(17);
     internal_static_borageproxy_coordination_HeldModel_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_HeldModel_descriptor,
