Reproduce engines that get requests of VMs which they have refused for a time

Ruled out: that the fix of the first incident covers the second: entries that select servers themselves keep to the times since then, slots do not.

--- a/src/test/java/org/borageproxy/platform/RefusingServerTest.java
+++ b/src/test/java/org/borageproxy/platform/RefusingServerTest.java
@@ -44,6 +44,7 @@
     static Path folder;
 
     private static final List<EngineStandIn> PLAIN_SERVERS = new ArrayList<>();
+    private static final List<EngineStandIn> ENGINES = new ArrayList<>();
     private static PlatformFleet fleet;
 
     @BeforeAll
@@ -51,6 +52,7 @@
         fleet = new PlatformFleet(folder, 3);
         for (int number = 0; number < 3; number++) {
             PLAIN_SERVERS.add(fleet.startServer(PlatformFleet.PLAIN, "plain-" + number, "v1", true));
+            ENGINES.add(fleet.startServer(PlatformFleet.ENGINES, "engine-" + number, "v1", true));
         }
     }
 
@@ -62,6 +64,7 @@
     @BeforeEach
     void forget() {
         PLAIN_SERVERS.forEach(EngineStandIn::forgetRefusals);
+        ENGINES.forEach(EngineStandIn::forgetRefusals);
     }
 
     private static void refuseFor(int seconds, List<EngineStandIn> servers) {
@@ -188,6 +191,38 @@
         Thread.sleep(Math.max(0, (lastEndNanos - System.nanoTime()) / 1_000_000));
     }
 
+    /** Guards against slots that the coordinator grants at an engine which has refused the VM that asks for one. */
+    @Test
+    void engineGetsNoRequestsOfVmsThatItHasRefused() throws Exception {
+        EngineStandIn refusing = ENGINES.get(0);
+        try (FleetLoad load = new FleetLoad(fleet, PlatformFleet.ENGINES, CALL_INTERVAL)) {
+            load.awaitServed(30);
+            long sinceNanos = System.nanoTime();
+            refuseForAWhile(List.of(refusing));
+            assertGetsRequestsAgain(refusing);
+            assertTimesAreKept(List.of(refusing));
+            load.assertServed(SERVED_SHARE, sinceNanos);
+        }
+    }
+
+    /** Guards against refusals that are forgotten with the coordinator, or that a new one does not learn. */
+    @Test
+    void engineGetsNoRequestsOfVmsThatItHasRefusedWhileTheCoordinatorRestarts() throws Exception {
+        EngineStandIn refusing = ENGINES.get(0);
+        try (FleetLoad load = new FleetLoad(fleet, PlatformFleet.ENGINES, CALL_INTERVAL)) {
+            load.awaitServed(30);
+            refuseFor(2 * REFUSAL_SECONDS, List.of(refusing));
+            Thread.sleep(GRACE_PERIOD.toMillis());
+            fleet.kill(fleet.control());
+            Thread.sleep(GRACE_PERIOD.toMillis());
+            fleet.start(fleet.control());
+            Thread.sleep(REFUSAL_TIME.toMillis());
+            assertTimesAreKept(List.of(refusing));
+        } finally {
+            refuseFor(0, List.of(refusing));
+        }
+    }
+
     /** Guards against callers who wait, or hear an untrue time, although no server takes requests for a known time. */
     @Test
     void callersOfAServiceWhoseServersAllRefuseHearAtOnceWhenToComeBack() throws Exception {
