Grant no slots at engines that have refused the entry which asks for one

Cause: the coordinator chooses for an entry without knowing what servers have answered to it. A slot that was granted before the refusal is given up before the connection is opened, and again before the send. Ruled out: reports of refusals to the coordinator: a slot may be granted before the report arrives.

--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.borageproxy.membership.BackendServer;
+import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.quota.RateShares;
 import org.borageproxy.routing.ServerSelector;
 import org.borageproxy.time.Deadline;
@@ -124,7 +125,9 @@
             localSearch.search();
             return;
         }
-        context.slotClient().request(buffered, priorAttempts, stream.origin(), answer -> {
+        Set<BackendServerName> excluded = context.refusals().refusing();
+        excluded.addAll(priorAttempts.triedServers());
+        context.slotClient().request(buffered, priorAttempts, excluded, stream.origin(), answer -> {
             if (hasEnded) {
                 return;
             }
@@ -162,6 +165,11 @@
 
     private void send(ServerSelector.Choice choice, boolean hasSlot) {
         priorAttempts.recordTried(choice.server().name());
+        if (context.refusals().refusedUntil(choice.server()).isPresent()) {
+            log.skipped(choice.server(), "server refused the VM before the request was sent");
+            findServer();
+            return;
+        }
         Attempt attempt = new Attempt(choice, hasSlot);
         currentAttempt = Optional.of(attempt);
         context.connections().connect(choice.server(), attempt);
@@ -219,7 +227,7 @@
             if (!context.pool().isCurrent(server)) {
                 return Optional.of("server left or restarted before the request was sent");
             }
-            if (!hasSlot && !context.refusals().accepts(server, acquired.relay())) {
+            if (!context.refusals().accepts(server, acquired.relay())) {
                 return Optional.of("server refused the VM before the request was sent");
             }
             return crashEvidence.isQuarantined()
@@ -516,12 +524,8 @@
         }
     }
 
-    /** Returns the time until the first server takes the request again, or the default if one may take it now. */
     private Duration acceptedAfter() {
-        return context.refusals()
-                .acceptedAt(context.pool().capable(buffered.requirement(Set.of(), stream.origin())))
-                .map(time ->
-                        Duration.ofNanos(time.remainingNanos(context.clock().nanoTime())))
+        return context.acceptedAfter(buffered.requirement(Set.of(), stream.origin()))
                 .orElse(DEFAULT_RETRY_AFTER);
     }
 
--- a/src/main/java/org/borageproxy/forward/ForwardContext.java
+++ b/src/main/java/org/borageproxy/forward/ForwardContext.java
@@ -1,5 +1,7 @@
 package org.borageproxy.forward;
 
+import java.time.Duration;
+import java.util.Optional;
 import java.util.function.Function;
 
 import io.netty.channel.EventLoop;
@@ -43,4 +45,16 @@
     ServerRefusals refusals() {
         return connections.links().refusals();
     }
+
+    /**
+     * Returns the time until the first server takes a request again, if all that could run it refuse now.
+     *
+     * @param requirement what the request requires
+     * @return empty if a server may take the request now, or none could run it
+     */
+    Optional<Duration> acceptedAfter(ServerRequirement requirement) {
+        return refusals()
+                .acceptedAt(pool.capable(requirement))
+                .map(time -> Duration.ofNanos(time.remainingNanos(clock.nanoTime())));
+    }
 }
--- a/src/main/java/org/borageproxy/forward/SlotClient.java
+++ b/src/main/java/org/borageproxy/forward/SlotClient.java
@@ -2,11 +2,13 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.function.Supplier;
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.routing.EngineWork;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
@@ -90,12 +92,14 @@
      *
      * @param buffered the request
      * @param priorAttempts the results of earlier attempts
+     * @param excludedServers the servers that must not be selected, those that were tried included
      * @param origin what began the stream that the request continues; empty for a request that any server can run
      * @param listener receives the answer, possibly before this method returns
      */
     void request(
             BufferedRequest buffered,
             PriorAttempts priorAttempts,
+            Set<BackendServerName> excludedServers,
             Optional<StreamOrigin> origin,
             AnswerListener listener) {
         long nowNanos = clock.nanoTime();
@@ -112,7 +116,7 @@
                 .setObjectiveMillis((int) objectiveMillis)
                 .setDeadlineMillis((int) buffered.deadline().remainingMillis(nowNanos));
         buffered.inferenceWork().ifPresent(work -> addWork(request, work));
-        priorAttempts.triedServers().forEach(name -> request.addTried(name.value()));
+        excludedServers.forEach(name -> request.addTried(name.value()));
         priorAttempts.serversWithoutModel().forEach(name -> request.addAbsentAt(name.value()));
         priorAttempts.goneServers().forEach(name -> request.addGone(name.value()));
         origin.ifPresent(known -> request.setSoftwareVersion(known.softwareVersion()));
