Send engines no orders or reads of their state while they refuse the control VM

Cause: what an engine answers to an order or a read was used for that call only; a 503 with Retry-After delayed nothing. Change: answers to calls reach ServerRefusals of the control VM, and permits for calls ask it. These times say nothing about entries, so that slots are granted as before. EngineClient.AnswerListener replaces the function for statements. Ruled out: sharing these times with entries; each VM is refused for itself.

--- a/src/main/java/org/borageproxy/forward/ServerRefusals.java
+++ b/src/main/java/org/borageproxy/forward/ServerRefusals.java
@@ -64,7 +64,7 @@
      * @param servers the announced servers
      * @param waysInUse supplies the VMs through which connections lead at present; an empty one stands for this VM
      */
-    ServerRefusals(
+    public ServerRefusals(
             MonotonicClock clock, Timer timer, BackendServers servers, Supplier<List<Optional<VmName>>> waysInUse) {
         this.clock = clock;
         this.timer = timer;
@@ -97,7 +97,7 @@
      * @param relay the VM that the server answered; empty for this one
      * @param retryAfter how long the server wants no requests from that VM
      */
-    void recordAnswer(BackendServer server, Optional<VmName> relay, Duration retryAfter) {
+    public void recordAnswer(BackendServer server, Optional<VmName> relay, Duration retryAfter) {
         record(server, relay, retryAfter, true);
     }
 
@@ -170,7 +170,7 @@
      * @param relay the VM through which the request would be sent; empty for this one
      * @return {@code false} before the end of a stated time
      */
-    boolean accepts(BackendServer server, Optional<VmName> relay) {
+    public boolean accepts(BackendServer server, Optional<VmName> relay) {
         return refusedUntil(server, relay).isEmpty();
     }
 
--- a/src/main/java/org/borageproxy/placement/CallPermits.java
+++ b/src/main/java/org/borageproxy/placement/CallPermits.java
@@ -3,8 +3,8 @@
 import org.borageproxy.membership.BackendServer;
 
 /**
- * Permits for calls to engines that limit their requests, which the calls share with the requests of callers. Not
- * thread safe; confined to the event loop of the placement.
+ * Permits for calls to engines that limit their requests, which the calls share with the requests of callers, or that
+ * want none from this VM for a time. Not thread safe; confined to the event loop of the placement.
  */
 public interface CallPermits {
 
@@ -20,7 +20,7 @@
      * Returns whether a call may be sent to an engine now.
      *
      * @param engine the engine
-     * @return {@code true} for an engine without a limit
+     * @return {@code true} for an engine that states no limit and has not refused this VM
      */
     boolean isPermitted(BackendServer engine);
 
--- a/src/main/java/org/borageproxy/placement/EngineClient.java
+++ b/src/main/java/org/borageproxy/placement/EngineClient.java
@@ -1,10 +1,12 @@
 package org.borageproxy.placement;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 
 import org.borageproxy.coordination.ModelInventory;
 import org.borageproxy.membership.BackendServer;
+import org.borageproxy.routing.ServerStatement;
 
 /** Sends orders to model engines and reads their reports. Implementations are thread safe. */
 public interface EngineClient {
@@ -26,6 +28,26 @@
      */
     CompletionStage<Optional<EngineReport>> fetchState(BackendServer server);
 
+    /** Receives what engines say of themselves in their answers, on any thread. */
+    interface AnswerListener {
+
+        /**
+         * Called with each answer whose statement can be read.
+         *
+         * @param server the engine
+         * @param statement what it states about its capacity
+         */
+        void onStatement(BackendServer server, ServerStatement statement);
+
+        /**
+         * Called if an engine refused a call and wants no further requests of this VM for a time.
+         *
+         * @param server the engine
+         * @param retryAfter the time
+         */
+        void onRefusal(BackendServer server, Duration retryAfter);
+    }
+
     /** The outcome of an order. */
     enum OrderReply {
         /** The engine has started to execute the order. */
--- a/src/main/java/org/borageproxy/platform/EngineCalls.java
+++ b/src/main/java/org/borageproxy/platform/EngineCalls.java
@@ -7,7 +7,6 @@
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiConsumer;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -24,7 +23,6 @@
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.LoadedModel;
 import org.borageproxy.placement.EngineClient;
-import org.borageproxy.routing.ServerStatement;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -49,10 +47,10 @@
     private static final int UNAVAILABLE = 503;
 
     private final HttpClient client;
-    private final BiConsumer<BackendServer, ServerStatement> statementListener;
+    private final AnswerListener listener;
 
-    EngineCalls(Vertx vertx, BiConsumer<BackendServer, ServerStatement> statementListener) {
-        this.statementListener = statementListener;
+    EngineCalls(Vertx vertx, AnswerListener listener) {
+        this.listener = listener;
         client = vertx.httpClientBuilder()
                 .with(new HttpClientOptions()
                         .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
@@ -125,16 +123,19 @@
     private void readStatement(BackendServer server, HttpClientResponse response) {
         PlatformHeaders.parseRetryAfter(
                         response.statusCode(), response.headers().getAll(HttpHeaders.RETRY_AFTER))
-                .ifPresent(time -> LOGGER.info(
-                        "event=call-refused server={} incarnation={} retry_after_ms={}",
-                        server.name(),
-                        server.incarnation(),
-                        time.toMillis()));
+                .ifPresent(time -> {
+                    LOGGER.info(
+                            "event=call-refused server={} incarnation={} retry_after_ms={}",
+                            server.name(),
+                            server.incarnation(),
+                            time.toMillis());
+                    listener.onRefusal(server, time);
+                });
         if (response.statusCode() != MISDIRECTED) {
             PlatformHeaders.parseStatement(
                             response.headers().getAll(PlatformHeaders.REQUEST_LIMIT_HEADER),
                             response.headers().getAll(PlatformHeaders.REJECTION_LIMIT_HEADER))
-                    .ifPresent(statement -> statementListener.accept(server, statement));
+                    .ifPresent(statement -> listener.onStatement(server, statement));
         }
     }
 
--- a/src/main/java/org/borageproxy/platform/PlatformProtocol.java
+++ b/src/main/java/org/borageproxy/platform/PlatformProtocol.java
@@ -1,14 +1,11 @@
 package org.borageproxy.platform;
 
 import java.util.concurrent.CompletionStage;
-import java.util.function.BiConsumer;
 
 import io.vertx.core.Vertx;
 import org.borageproxy.forward.CallerProtocol;
-import org.borageproxy.membership.BackendServer;
 import org.borageproxy.placement.EngineClient;
 import org.borageproxy.publication.Publication;
-import org.borageproxy.routing.ServerStatement;
 import org.borageproxy.server.ControlPlane;
 import org.borageproxy.server.ExternalProtocol;
 import org.borageproxy.settings.Endpoint;
@@ -36,7 +33,7 @@
     }
 
     @Override
-    public EngineClient createEngineClient(Vertx vertx, BiConsumer<BackendServer, ServerStatement> statementListener) {
-        return new EngineCalls(vertx, statementListener);
+    public EngineClient createEngineClient(Vertx vertx, EngineClient.AnswerListener listener) {
+        return new EngineCalls(vertx, listener);
     }
 }
--- a/src/main/java/org/borageproxy/server/ExternalProtocol.java
+++ b/src/main/java/org/borageproxy/server/ExternalProtocol.java
@@ -1,14 +1,11 @@
 package org.borageproxy.server;
 
 import java.util.concurrent.CompletionStage;
-import java.util.function.BiConsumer;
 
 import io.vertx.core.Vertx;
 import org.borageproxy.forward.CallerProtocol;
-import org.borageproxy.membership.BackendServer;
 import org.borageproxy.placement.EngineClient;
 import org.borageproxy.publication.Publication;
-import org.borageproxy.routing.ServerStatement;
 import org.borageproxy.settings.Endpoint;
 
 /**
@@ -47,8 +44,8 @@
      * Creates a client that sends orders to model engines and reads their reports.
      *
      * @param vertx the event loops of the client
-     * @param statementListener receives what an engine states about its capacity in each answer, on any thread
+     * @param listener receives what engines say of themselves
      * @return the client
      */
-    EngineClient createEngineClient(Vertx vertx, BiConsumer<BackendServer, ServerStatement> statementListener);
+    EngineClient createEngineClient(Vertx vertx, EngineClient.AnswerListener listener);
 }
--- a/src/main/java/org/borageproxy/server/GatewayControl.java
+++ b/src/main/java/org/borageproxy/server/GatewayControl.java
@@ -24,6 +24,7 @@
 import org.borageproxy.coordination.Coordinator;
 import org.borageproxy.coordination.ModelInventory;
 import org.borageproxy.forward.ServerPool;
+import org.borageproxy.forward.ServerRefusals;
 import org.borageproxy.forward.SlotBroker;
 import org.borageproxy.forward.StreamOrigins;
 import org.borageproxy.log.GroupMember;
@@ -35,6 +36,7 @@
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.placement.CallPermits;
+import org.borageproxy.placement.EngineClient;
 import org.borageproxy.placement.FleetPlacement;
 import org.borageproxy.publication.Publication;
 import org.borageproxy.publication.PublishedWorkspace;
@@ -82,6 +84,9 @@
     /** The servers with the load of all entries; used by the broker and the placement. */
     private final ServerPool pool;
 
+    /** Refusals of the calls of this VM to engines, which say nothing about the entries. */
+    private final ServerRefusals refusals;
+
     private final SlotBroker slotBroker;
     private final StreamOrigins streamOrigins;
     /** Changes that the entries have not been told yet; confined to the event loop. */
@@ -98,6 +103,8 @@
         client = new ControlClient(
                 runtime.self(), runtime.network(), runtime::controlVms, runtime.clock(), runtime.timer());
         pool = createServerPool();
+        refusals = new ServerRefusals(
+                runtime.clock(), runtime.timer(), runtime.membership().registry(), () -> List.of(Optional.empty()));
         placement = createPlacement();
         streamOrigins = new StreamOrigins(runtime.clock());
         slotBroker = createSlotBroker();
@@ -161,8 +168,7 @@
                 Duration.ofMillis(settings.bounds().handoverDelayMillis()),
                 () -> publication,
                 runtime.membership().registry(),
-                runtime.protocol().createEngineClient(runtime.vertx(), (server, statement) -> runtime.eventLoop()
-                        .execute(() -> recordStatement(server, statement))),
+                runtime.protocol().createEngineClient(runtime.vertx(), new EngineAnswers()),
                 new EngineCallPermits(),
                 this::notifyEntries,
                 runtime.clock(),
@@ -210,9 +216,19 @@
         }
     }
 
-    /** The time of the call is not known here; engines answer calls at once. */
-    private void recordStatement(BackendServer server, ServerStatement statement) {
-        pool.statements().recordAnswer(server, statement, runtime.clock().nanoTime() - CALL_TIME.toNanos());
+    /** Records what engines say of themselves in their answers to the calls of this VM. */
+    private final class EngineAnswers implements EngineClient.AnswerListener {
+        /** The time of the call is not known here; engines answer calls at once. */
+        @Override
+        public void onStatement(BackendServer server, ServerStatement statement) {
+            runtime.eventLoop().execute(() -> pool.statements()
+                    .recordAnswer(server, statement, runtime.clock().nanoTime() - CALL_TIME.toNanos()));
+        }
+
+        @Override
+        public void onRefusal(BackendServer server, Duration retryAfter) {
+            runtime.eventLoop().execute(() -> refusals.recordAnswer(server, Optional.empty(), retryAfter));
+        }
     }
 
     /** Lets calls to engines use the permits that the broker grants from. */
@@ -224,7 +240,7 @@
 
         @Override
         public boolean isPermitted(BackendServer engine) {
-            return pool.statements().isPermitted(engine);
+            return pool.statements().isPermitted(engine) && refusals.accepts(engine, Optional.empty());
         }
 
         @Override
