Send nothing to servers that say in an answer that they leave

Cause: Server-Leaving was read by nobody. Only heartbeats made a server leave. Change: an answer of the server itself with Server-Leaving 1 makes the VM record the leave of that incarnation, which is final, stops new requests of this VM at once on every path that asks for the state, and is spread like one of a heartbeat. The VM through which the answer came is told, and tells those connected through it; it connects nobody to such a server any more. Answers to orders and reads count as well. Values other than 1, and answers of another server (421), change nothing. Ruled out: a second list of leaving servers beside the registry; routing, slots, relays and placement ask the registry already.

--- a/src/main/java/org/borageproxy/forward/CallerProtocol.java
+++ b/src/main/java/org/borageproxy/forward/CallerProtocol.java
@@ -50,11 +50,13 @@
      *     one or none is stated
      * @param statement what the server states about its capacity; empty if that cannot be read
      * @param retryAfter how long the server wants no further requests from the VM that it answered; positive
+     * @param isLeaving whether the expected server states that it leaves
      */
     record ResponseMetadata(
             String requestIdentity,
             boolean notRun,
             Optional<BackendServerName> respondingServer,
             Optional<ServerStatement> statement,
-            Optional<Duration> retryAfter) {}
+            Optional<Duration> retryAfter,
+            boolean isLeaving) {}
 }
--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -274,6 +274,9 @@
                                 statement -> context.pool().statements().recordAnswer(server, statement, sentAtNanos));
                 answer.retryAfter().ifPresent(time -> context.refusals().recordAnswer(server, relayOf(), time));
             }
+            if (answer.isLeaving()) {
+                context.refusals().recordLeaving(server, relayOf());
+            }
             if (answer.notRun()) {
                 handleNotRun(response, answer);
                 return;
--- a/src/main/java/org/borageproxy/forward/RefusalNotices.java
+++ b/src/main/java/org/borageproxy/forward/RefusalNotices.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.function.Consumer;
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
@@ -16,10 +17,10 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Tells VMs that share their ways to the backend servers which of these want no requests. The VM that reads an answer
- * is not the one that the server refused if a connection leads through another VM, which passes bytes on unread: that
- * VM is told, and tells all VMs that are connected to the server through it. Not thread safe; confined to the event
- * loop of the refusals.
+ * Tells VMs that share their ways to the backend servers which of these want no requests for a time, or leave. The VM
+ * that reads an answer is not the one that the server refused if a connection leads through another VM, which passes
+ * bytes on unread: that VM is told, and tells all VMs that are connected to the server through it. Not thread safe;
+ * confined to the event loop of the refusals.
  */
 public final class RefusalNotices {
 
@@ -28,11 +29,14 @@
     private final VmNetwork network;
     private final ServerRefusals refusals;
     private final ServerRelay relay;
+    private final Consumer<BackendServer> leavingListener;
 
-    private RefusalNotices(VmNetwork network, ServerRefusals refusals, ServerRelay relay) {
+    private RefusalNotices(
+            VmNetwork network, ServerRefusals refusals, ServerRelay relay, Consumer<BackendServer> leavingListener) {
         this.network = network;
         this.refusals = refusals;
         this.relay = relay;
+        this.leavingListener = leavingListener;
     }
 
     /**
@@ -41,11 +45,18 @@
      * @param network transport to the other VMs
      * @param refusals the refusals of this VM, and of those through which it is connected
      * @param relay knows the VMs that are connected through this one
+     * @param leavingListener receives each server that says that it leaves, once
      * @param eventLoop the event loop of the refusals
      */
-    public static void exchange(VmNetwork network, ServerRefusals refusals, ServerRelay relay, Executor eventLoop) {
-        RefusalNotices notices = new RefusalNotices(network, refusals, relay);
+    public static void exchange(
+            VmNetwork network,
+            ServerRefusals refusals,
+            ServerRelay relay,
+            Consumer<BackendServer> leavingListener,
+            Executor eventLoop) {
+        RefusalNotices notices = new RefusalNotices(network, refusals, relay, leavingListener);
         refusals.onRefused(notices::tell);
+        refusals.onLeaving(notices::tellLeaving);
         network.registerHandler(MessageKind.SERVER_REFUSAL, (sender, body) -> {
             eventLoop.execute(() -> notices.handle(sender, body));
             return CompletableFuture.completedFuture(ByteString.EMPTY);
@@ -62,6 +73,13 @@
         }
     }
 
+    private void tellLeaving(BackendServer server, Optional<VmName> answered) {
+        RefusalNotice.Builder notice = refusals.encodeLeaving(server).toBuilder();
+        answered.ifPresent(through -> send(through, notice));
+        relay.usersOf(server).forEach(user -> send(user, notice));
+        leavingListener.accept(server);
+    }
+
     private void send(VmName recipient, RefusalNotice.Builder notice) {
         network.send(recipient, MessageKind.SERVER_REFUSAL, notice.build().toByteString());
     }
--- a/src/main/java/org/borageproxy/forward/ServerConnectionPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerConnectionPool.java
@@ -117,7 +117,7 @@
      *
      * @return the links of this VM
      */
-    ServerLinks links() {
+    public ServerLinks links() {
         return links;
     }
 
--- a/src/main/java/org/borageproxy/forward/ServerRefusals.java
+++ b/src/main/java/org/borageproxy/forward/ServerRefusals.java
@@ -9,10 +9,12 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 import org.borageproxy.control.Timer;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerName;
+import org.borageproxy.membership.BackendServerState;
 import org.borageproxy.membership.BackendServers;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
@@ -24,7 +26,8 @@
 /**
  * The times until which backend servers want no requests from this VM, or from other VMs through which this one is
  * connected. A time belongs to one incarnation of its server and to the VM that the server answered; of several times
- * the latest one holds, whatever the server answers in between. Not thread safe; confined to one event loop.
+ * the latest one holds, whatever the server answers in between. Also tells which servers say that they leave, which
+ * concerns all VMs and ends with the incarnation. Not thread safe; confined to one event loop.
  */
 public final class ServerRefusals {
 
@@ -35,12 +38,29 @@
     private final BackendServers servers;
     private final Supplier<List<Optional<VmName>>> waysInUse;
     private final Map<Way, Deadline> endTimes = new HashMap<>();
+    private final Set<Incarnation> leaving = new HashSet<>();
     private Listener listener = (server, relay, until, isFromAnswer) -> {};
+    private LeavingListener leavingListener = (server, relay) -> {};
     private Runnable endListener = () -> {};
 
     /** A server as one VM reaches it; without a relay, that is this VM. */
     private record Way(BackendServerName server, long incarnation, Optional<VmName> relay) {}
 
+    private record Incarnation(BackendServerName server, long incarnation) {}
+
+    /** Receives the servers that leave. */
+    @FunctionalInterface
+    public interface LeavingListener {
+
+        /**
+         * Called once for each server that leaves.
+         *
+         * @param server the server
+         * @param relay the VM that the server answered; empty for this one, or if another VM reported it
+         */
+        void onLeaving(BackendServer server, Optional<VmName> relay);
+    }
+
     /** Receives the times that are later than those known before. */
     @FunctionalInterface
     interface Listener {
@@ -81,6 +101,40 @@
         listener = newListener;
     }
 
+    /**
+     * Sets the listener for servers that leave.
+     *
+     * @param newListener keeps requests of all VMs away from them
+     */
+    void onLeaving(LeavingListener newListener) {
+        leavingListener = newListener;
+    }
+
+    /**
+     * Records that a server says that it leaves.
+     *
+     * @param server the server
+     * @param relay the VM that the server answered; empty for this one, or if another VM reported it
+     */
+    void recordLeaving(BackendServer server, Optional<VmName> relay) {
+        if (leaving.add(new Incarnation(server.name(), server.incarnation()))) {
+            LOGGER.info(
+                    "event=server-leaving server={} incarnation={} relay={}",
+                    server.name(),
+                    server.incarnation(),
+                    relay.map(VmName::value).orElse("-"));
+            leavingListener.onLeaving(server, relay);
+        }
+    }
+
+    /** Removes what is known of servers that are no longer announced. */
+    public void removeUnknownServers() {
+        Set<Incarnation> announced = servers.current().stream()
+                .map(server -> new Incarnation(server.name(), server.incarnation()))
+                .collect(Collectors.toSet());
+        leaving.retainAll(announced);
+    }
+
     /**
      * Sets the action to run when a server takes requests again.
      *
@@ -111,8 +165,13 @@
         servers.current().stream()
                 .filter(server -> server.name().value().equals(notice.getServer())
                         && server.incarnation() == notice.getIncarnation())
-                .forEach(server ->
-                        record(server, relay, Duration.ofMillis(Math.max(0, notice.getRemainingMillis())), false));
+                .forEach(server -> {
+                    if (notice.getLeaving()) {
+                        recordLeaving(server, Optional.empty());
+                    } else {
+                        record(server, relay, Duration.ofMillis(Math.max(0, notice.getRemainingMillis())), false);
+                    }
+                });
     }
 
     /**
@@ -122,7 +181,23 @@
      * @return empty if the server takes requests of this VM now
      */
     Optional<RefusalNotice> noticeOf(BackendServer server) {
-        return refusedUntil(server, Optional.empty()).map(until -> encode(server, until));
+        return server.state() == BackendServerState.LEAVING
+                ? Optional.of(encodeLeaving(server))
+                : refusedUntil(server, Optional.empty()).map(until -> encode(server, until));
+    }
+
+    /**
+     * Encodes that a server leaves.
+     *
+     * @param server the server
+     * @return the notice
+     */
+    RefusalNotice encodeLeaving(BackendServer server) {
+        return RefusalNotice.newBuilder()
+                .setServer(server.name().value())
+                .setIncarnation(server.incarnation())
+                .setLeaving(true)
+                .build();
     }
 
     /**
--- a/src/main/java/org/borageproxy/placement/EngineClient.java
+++ b/src/main/java/org/borageproxy/placement/EngineClient.java
@@ -46,6 +46,13 @@
          * @param retryAfter the time
          */
         void onRefusal(BackendServer server, Duration retryAfter);
+
+        /**
+         * Called with each answer in which an engine states that it leaves.
+         *
+         * @param server the engine
+         */
+        void onLeaving(BackendServer server);
     }
 
     /** The outcome of an order. */
--- a/src/main/java/org/borageproxy/platform/EngineCalls.java
+++ b/src/main/java/org/borageproxy/platform/EngineCalls.java
@@ -132,6 +132,9 @@
                     listener.onRefusal(server, time);
                 });
         if (response.statusCode() != MISDIRECTED) {
+            if (PlatformHeaders.parseLeaving(response.headers().getAll(PlatformHeaders.LEAVING_HEADER))) {
+                listener.onLeaving(server);
+            }
             PlatformHeaders.parseStatement(
                             response.headers().getAll(PlatformHeaders.REQUEST_LIMIT_HEADER),
                             response.headers().getAll(PlatformHeaders.REJECTION_LIMIT_HEADER))
--- a/src/main/java/org/borageproxy/platform/PlatformHeaders.java
+++ b/src/main/java/org/borageproxy/platform/PlatformHeaders.java
@@ -46,6 +46,9 @@
     /** The number of rejections within a second that the answering server survives. */
     static final String REJECTION_LIMIT_HEADER = "Server-Brittle";
 
+    /** Stated as one by a server that leaves, in all its answers. */
+    static final String LEAVING_HEADER = "Server-Leaving";
+
     private static final Logger LOGGER = LoggerFactory.getLogger(PlatformHeaders.class);
     private static final int MISDIRECTED_STATUS = 421;
     private static final int UNAVAILABLE_STATUS = 503;
@@ -167,7 +170,8 @@
                 headers.contains(NOT_RUN_HEADER) || isMisdirected,
                 respondingServer,
                 parseStatement(headers.getAll(REQUEST_LIMIT_HEADER), headers.getAll(REJECTION_LIMIT_HEADER)),
-                parseRetryAfter(status, headers.getAll(HttpHeaderNames.RETRY_AFTER)));
+                parseRetryAfter(status, headers.getAll(HttpHeaderNames.RETRY_AFTER)),
+                !isMisdirected && parseLeaving(headers.getAll(LEAVING_HEADER)));
     }
 
     /**
@@ -187,6 +191,20 @@
                 : Optional.empty();
     }
 
+    /**
+     * Parses whether a backend server leaves.
+     *
+     * @param values the values of the field
+     * @return {@code true} if any of them says so
+     */
+    static boolean parseLeaving(List<String> values) {
+        boolean isLeaving = values.stream().anyMatch(value -> value.trim().equals("1"));
+        if (!isLeaving && !values.isEmpty()) {
+            LOGGER.info("event=server-leaving-malformed values={}", values);
+        }
+        return isLeaving;
+    }
+
     private static Duration parseSeconds(String text) {
         double seconds;
         try {
--- a/src/main/java/org/borageproxy/server/GatewayControl.java
+++ b/src/main/java/org/borageproxy/server/GatewayControl.java
@@ -229,6 +229,11 @@
         public void onRefusal(BackendServer server, Duration retryAfter) {
             runtime.eventLoop().execute(() -> refusals.recordAnswer(server, Optional.empty(), retryAfter));
         }
+
+        @Override
+        public void onLeaving(BackendServer server) {
+            runtime.membership().leave(server.name(), server.incarnation());
+        }
     }
 
     /** Lets calls to engines use the permits that the broker grants from. */
--- a/src/main/java/org/borageproxy/server/GatewayEntry.java
+++ b/src/main/java/org/borageproxy/server/GatewayEntry.java
@@ -149,7 +149,12 @@
     private ServerRelay createRelay(ServerLinks links) {
         ServerRelay created = new ServerRelay(runtime.membership().registry(), links, () -> isStopping);
         runtime.network().acceptStreams(created);
-        RefusalNotices.exchange(runtime.network(), links.refusals(), created, runtime.eventLoop());
+        RefusalNotices.exchange(
+                runtime.network(),
+                links.refusals(),
+                created,
+                leaving -> runtime.membership().leave(leaving.name(), leaving.incarnation()),
+                runtime.eventLoop());
         return created;
     }
 
@@ -258,6 +263,7 @@
     private void removeObsoleteState() {
         pool.removeUnknownServers();
         connectionPool.closeObsolete(pool::isKnown);
+        connectionPool.links().refusals().removeUnknownServers();
         runtime.timer().schedule(CLEANUP_INTERVAL, this::removeObsoleteState);
     }
 
--- a/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
@@ -4208,10 +4208,20 @@
      * @return The ofRecipient.
      */
     boolean getOfRecipient();
+
+    /**
+     * <pre>
+     * Whether the server leaves, so that no VM may send it requests; the time and the refused VM are not set then.
+     * </pre>
+     *
+     * <code>bool leaving = 5;</code>
+     * @return The leaving.
+     */
+    boolean getLeaving();
   }
   /**
    * <pre>
-   * Tells another VM that a backend server wants no requests for a time.
+   * Tells another VM that a backend server wants no requests, for a time or since it leaves.
    * </pre>
    *
    * Protobuf type {@code borageproxy.coordination.RefusalNotice}
@@ -4336,6 +4346,21 @@
       return ofRecipient_;
     }
 
+    public static final int LEAVING_FIELD_NUMBER = 5;
+    private boolean leaving_ = false;
+    /**
+     * <pre>
+     * Whether the server leaves, so that no VM may send it requests; the time and the refused VM are not set then.
+     * </pre>
+     *
+     * <code>bool leaving = 5;</code>
+     * @return The leaving.
+     */
+    @java.lang.Override
+    public boolean getLeaving() {
+      return leaving_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -4362,6 +4387,9 @@
       if (ofRecipient_ != false) {
         output.writeBool(4, ofRecipient_);
       }
+      if (leaving_ != false) {
+        output.writeBool(5, leaving_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -4386,6 +4414,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeBoolSize(4, ofRecipient_);
       }
+      if (leaving_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(5, leaving_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -4409,6 +4441,8 @@
           != other.getRemainingMillis()) return false;
       if (getOfRecipient()
           != other.getOfRecipient()) return false;
+      if (getLeaving()
+          != other.getLeaving()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -4431,6 +4465,9 @@
       hash = (37 * hash) + OF_RECIPIENT_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
           getOfRecipient());
+      hash = (37 * hash) + LEAVING_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getLeaving());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -4530,7 +4567,7 @@
     }
     /**
      * <pre>
-     * Tells another VM that a backend server wants no requests for a time.
+     * Tells another VM that a backend server wants no requests, for a time or since it leaves.
      * </pre>
      *
      * Protobuf type {@code borageproxy.coordination.RefusalNotice}
@@ -4570,6 +4607,7 @@
         incarnation_ = 0L;
         remainingMillis_ = 0L;
         ofRecipient_ = false;
+        leaving_ = false;
         return this;
       }
 
@@ -4615,6 +4653,9 @@
         if (((from_bitField0_ & 0x00000008) != 0)) {
           result.ofRecipient_ = ofRecipient_;
         }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.leaving_ = leaving_;
+        }
       }
 
       @java.lang.Override
@@ -4643,6 +4684,9 @@
         if (other.getOfRecipient() != false) {
           setOfRecipient(other.getOfRecipient());
         }
+        if (other.getLeaving() != false) {
+          setLeaving(other.getLeaving());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -4689,6 +4733,11 @@
                 bitField0_ |= 0x00000008;
                 break;
               } // case 32
+              case 40: {
+                leaving_ = input.readBool();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -4898,6 +4947,50 @@
         return this;
       }
 
+      private boolean leaving_ ;
+      /**
+       * <pre>
+       * Whether the server leaves, so that no VM may send it requests; the time and the refused VM are not set then.
+       * </pre>
+       *
+       * <code>bool leaving = 5;</code>
+       * @return The leaving.
+       */
+      @java.lang.Override
+      public boolean getLeaving() {
+        return leaving_;
+      }
+      /**
+       * <pre>
+       * Whether the server leaves, so that no VM may send it requests; the time and the refused VM are not set then.
+       * </pre>
+       *
+       * <code>bool leaving = 5;</code>
+       * @param value The leaving to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLeaving(boolean value) {
+
+        leaving_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether the server leaves, so that no VM may send it requests; the time and the refused VM are not set then.
+       * </pre>
+       *
+       * <code>bool leaving = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLeaving() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        leaving_ = false;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.coordination.RefusalNotice)
     }
 
@@ -15120,23 +15213,39 @@
     int getDeadlineMillis();
 
     /**
+     * <pre>
+     * Servers that were tried, or want no requests of the entry now.
+     * </pre>
+     *
      * <code>repeated string tried = 11;</code>
      * @return A list containing the tried.
      */
     java.util.List<java.lang.String>
         getTriedList();
     /**
+     * <pre>
+     * Servers that were tried, or want no requests of the entry now.
+     * </pre>
+     *
      * <code>repeated string tried = 11;</code>
      * @return The count of tried.
      */
     int getTriedCount();
     /**
+     * <pre>
+     * Servers that were tried, or want no requests of the entry now.
+     * </pre>
+     *
      * <code>repeated string tried = 11;</code>
      * @param index The index of the element to return.
      * @return The tried at the given index.
      */
     java.lang.String getTried(int index);
     /**
+     * <pre>
+     * Servers that were tried, or want no requests of the entry now.
+     * </pre>
+     *
      * <code>repeated string tried = 11;</code>
      * @param index The index of the value to return.
      * @return The bytes of the tried at the given index.
@@ -15590,6 +15699,10 @@
     private com.google.protobuf.LazyStringArrayList tried_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
     /**
+     * <pre>
+     * Servers that were tried, or want no requests of the entry now.
+     * </pre>
+     *
      * <code>repeated string tried = 11;</code>
      * @return A list containing the tried.
      */
@@ -15598,6 +15711,10 @@
       return tried_;
     }
     /**
+     * <pre>
+     * Servers that were tried, or want no requests of the entry now.
+     * </pre>
+     *
      * <code>repeated string tried = 11;</code>
      * @return The count of tried.
      */
@@ -15605,6 +15722,10 @@
       return tried_.size();
     }
     /**
+     * <pre>
+     * Servers that were tried, or want no requests of the entry now.
+     * </pre>
+     *
      * <code>repeated string tried = 11;</code>
      * @param index The index of the element to return.
      * @return The tried at the given index.
@@ -15613,6 +15734,10 @@
       return tried_.get(index);
     }
     /**
+     * <pre>
+     * Servers that were tried, or want no requests of the entry now.
+     * </pre>
+     *
      * <code>repeated string tried = 11;</code>
      * @param index The index of the value to return.
      * @return The bytes of the tried at the given index.
@@ -17255,6 +17380,10 @@
         bitField0_ |= 0x00000400;
       }
       /**
+       * <pre>
+       * Servers that were tried, or want no requests of the entry now.
+       * </pre>
+       *
        * <code>repeated string tried = 11;</code>
        * @return A list containing the tried.
        */
@@ -17264,6 +17393,10 @@
         return tried_;
       }
       /**
+       * <pre>
+       * Servers that were tried, or want no requests of the entry now.
+       * </pre>
+       *
        * <code>repeated string tried = 11;</code>
        * @return The count of tried.
        */
@@ -17271,6 +17404,10 @@
         return tried_.size();
       }
       /**
+       * <pre>
+       * Servers that were tried, or want no requests of the entry now.
+       * </pre>
+       *
        * <code>repeated string tried = 11;</code>
        * @param index The index of the element to return.
        * @return The tried at the given index.
@@ -17279,6 +17416,10 @@
         return tried_.get(index);
       }
       /**
+       * <pre>
+       * Servers that were tried, or want no requests of the entry now.
+       * </pre>
+       *
        * <code>repeated string tried = 11;</code>
        * @param index The index of the value to return.
        * @return The bytes of the tried at the given index.
@@ -17288,6 +17429,10 @@
         return tried_.getByteString(index);
       }
       /**
+       * <pre>
+       * Servers that were tried, or want no requests of the entry now.
+       * </pre>
+       *
        * <code>repeated string tried = 11;</code>
        * @param index The index to set the value at.
        * @param value The tried to set.
@@ -17303,6 +17448,10 @@
         return this;
       }
       /**
+       * <pre>
+       * Servers that were tried, or want no requests of the entry now.
+       * </pre>
+       *
        * <code>repeated string tried = 11;</code>
        * @param value The tried to add.
        * @return This builder for chaining.
@@ -17317,6 +17466,10 @@
         return this;
       }
       /**
+       * <pre>
+       * Servers that were tried, or want no requests of the entry now.
+       * </pre>
+       *
        * <code>repeated string tried = 11;</code>
        * @param values The tried to add.
        * @return This builder for chaining.
@@ -17331,6 +17484,10 @@
         return this;
       }
       /**
+       * <pre>
+       * Servers that were tried, or want no requests of the entry now.
+       * </pre>
+       *
        * <code>repeated string tried = 11;</code>
        * @return This builder for chaining.
        */
@@ -17342,6 +17499,10 @@
         return this;
       }
       /**
+       * <pre>
+       * Servers that were tried, or want no requests of the entry now.
+       * </pre>
+       *
        * <code>repeated string tried = 11;</code>
        * @param value The bytes of the tried to add.
        * @return This builder for chaining.
@@ -22532,65 +22693,65 @@
       "rageproxy.coordination.StatedLimits\022\026\n\016l" +
       "imits_version\030\n \001(\004\022\016\n\006relays\030\013 \001(\010\"3\n\014R" +
       "elayRequest\022\016\n\006server\030\001 \001(\t\022\023\n\013incarnati" +
-      "on\030\002 \001(\004\"d\n\rRefusalNotice\022\016\n\006server\030\001 \001(" +
+      "on\030\002 \001(\004\"u\n\rRefusalNotice\022\016\n\006server\030\001 \001(" +
       "\t\022\023\n\013incarnation\030\002 \001(\004\022\030\n\020remaining_mill" +
-      "is\030\003 \001(\004\022\024\n\014of_recipient\030\004 \001(\010\"\247\001\n\014State" +
-      "dLimits\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001" +
-      "(\004\022\022\n\nage_millis\030\003 \001(\004\022 \n\023requests_per_s" +
-      "econd\030\004 \001(\001H\000\210\001\001\022\027\n\nrejections\030\005 \001(\rH\001\210\001" +
-      "\001B\026\n\024_requests_per_secondB\r\n\013_rejections" +
-      "\"I\n\013BegunStream\022\017\n\007request\030\001 \001(\t\022\017\n\007serv" +
-      "ice\030\002 \001(\t\022\030\n\020software_version\030\003 \001(\t\"$\n\021S" +
-      "treamOriginQuery\022\017\n\007request\030\001 \001(\t\"N\n\022Str" +
-      "eamOriginAnswer\022\r\n\005known\030\001 \001(\010\022\017\n\007servic" +
-      "e\030\002 \001(\t\022\030\n\020software_version\030\003 \001(\t\"(\n\tMod" +
-      "elPace\022\r\n\005model\030\001 \001(\t\022\014\n\004pace\030\002 \001(\001\"\221\001\n\013" +
-      "ServerUsage\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation" +
-      "\030\002 \001(\004\022\020\n\010requests\030\003 \001(\r\022\025\n\rprompt_token" +
-      "s\030\004 \001(\r\022\023\n\013held_tokens\030\005 \001(\r\022\020\n\010failures" +
-      "\030\006 \001(\r\022\017\n\007answers\030\007 \001(\r\"r\n\016WorkspaceUsag" +
-      "e\022\014\n\004name\030\001 \001(\t\022\016\n\006demand\030\002 \001(\004\022\014\n\004held\030" +
-      "\003 \001(\004\022\r\n\005spent\030\004 \001(\004\022\r\n\005needs\030\006 \003(\004\022\020\n\010r" +
-      "eturned\030\007 \001(\004J\004\010\005\020\006\"_\n\013ModelDemand\022\017\n\007se" +
-      "rvice\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022\017\n\007adapter\030\003 " +
-      "\001(\t\022\016\n\006tokens\030\004 \001(\004\022\017\n\007waiting\030\005 \001(\r\"\233\003\n" +
-      "\022CoordinationUpdate\022\023\n\013coordinates\030\001 \001(\010" +
-      "\022\023\n\013coordinator\030\002 \001(\t\022\017\n\007entries\030\003 \001(\r\0226" +
-      "\n\007servers\030\004 \003(\0132%.borageproxy.coordinati" +
-      "on.ServerUsage\0223\n\006shares\030\005 \003(\0132#.boragep" +
-      "roxy.coordination.RateShare\0229\n\010contents\030" +
-      "\006 \003(\0132\'.borageproxy.coordination.ServerC" +
-      "ontent\022\030\n\020contents_version\030\007 \001(\004\022\023\n\013all_" +
-      "servers\030\010 \001(\010\022\014\n\004term\030\t \001(\004\022=\n\rstated_li" +
-      "mits\030\n \003(\0132&.borageproxy.coordination.St" +
-      "atedLimits\022\026\n\016limits_version\030\013 \001(\004\022\016\n\006re" +
-      "lays\030\014 \003(\t\"\363\002\n\013SlotRequest\022\014\n\004zone\030\001 \001(\t" +
-      "\022\017\n\007service\030\002 \001(\t\022\r\n\005model\030\003 \001(\t\022\017\n\007adap" +
-      "ter\030\004 \001(\t\022\025\n\rprompt_tokens\030\005 \001(\r\022\025\n\routp" +
-      "ut_tokens\030\006 \001(\r\0225\n\005parts\030\007 \003(\0132&.boragep" +
-      "roxy.coordination.PartOfPrompt\022\014\n\004rank\030\010" +
-      " \001(\r\022\030\n\020objective_millis\030\t \001(\r\022\027\n\017deadli" +
-      "ne_millis\030\n \001(\r\022\r\n\005tried\030\013 \003(\t\022\025\n\rwaited" +
-      "_millis\030\014 \001(\r\022\021\n\tabsent_at\030\016 \003(\t\022\014\n\004gone" +
-      "\030\017 \003(\t\022\035\n\020software_version\030\020 \001(\tH\000\210\001\001B\023\n" +
-      "\021_software_versionJ\004\010\r\020\016\"0\n\014PartOfPrompt" +
-      "\022\020\n\010identity\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\r\"\270\002\n\nS" +
-      "lotAnswer\022=\n\007outcome\030\001 \001(\0162,.borageproxy" +
-      ".coordination.SlotAnswer.Outcome\022\016\n\006serv" +
-      "er\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\004\022\027\n\017expecte" +
-      "d_millis\030\004 \001(\001\022\025\n\runread_tokens\030\005 \001(\r\022\014\n" +
-      "\004slot\030\006 \001(\004\022\030\n\020come_back_millis\030\007 \001(\r\"n\n" +
-      "\007Outcome\022\023\n\017NOT_COORDINATOR\020\000\022\n\n\006CHOSEN\020" +
-      "\001\022\r\n\tNO_SERVER\020\002\022\014\n\010NO_MODEL\020\003\022\013\n\007CROWDE" +
-      "D\020\004\022\r\n\tALL_TRIED\020\005\022\t\n\005AGAIN\020\006\"=\n\tRateSha" +
-      "re\022\021\n\tworkspace\030\001 \001(\t\022\014\n\004rate\030\002 \001(\004\022\017\n\007g" +
-      "ranted\030\003 \001(\004\"\211\001\n\rServerContent\022\014\n\004name\030\001" +
-      " \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\016\n\006orders\030\003 \001(" +
-      "\004\0223\n\006models\030\004 \003(\0132#.borageproxy.coordina" +
-      "tion.HeldModel\022\020\n\010arriving\030\005 \003(\t\",\n\tHeld" +
-      "Model\022\r\n\005model\030\001 \001(\t\022\020\n\010adapters\030\002 \003(\tB2" +
-      "\n\032org.borageproxy.wire.protoB\024Coordinati" +
-      "onProtocolb\006proto3"
+      "is\030\003 \001(\004\022\024\n\014of_recipient\030\004 \001(\010\022\017\n\007leavin" +
+      "g\030\005 \001(\010\"\247\001\n\014StatedLimits\022\014\n\004name\030\001 \001(\t\022\023" +
+      "\n\013incarnation\030\002 \001(\004\022\022\n\nage_millis\030\003 \001(\004\022" +
+      " \n\023requests_per_second\030\004 \001(\001H\000\210\001\001\022\027\n\nrej" +
+      "ections\030\005 \001(\rH\001\210\001\001B\026\n\024_requests_per_seco" +
+      "ndB\r\n\013_rejections\"I\n\013BegunStream\022\017\n\007requ" +
+      "est\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\030\n\020software_v" +
+      "ersion\030\003 \001(\t\"$\n\021StreamOriginQuery\022\017\n\007req" +
+      "uest\030\001 \001(\t\"N\n\022StreamOriginAnswer\022\r\n\005know" +
+      "n\030\001 \001(\010\022\017\n\007service\030\002 \001(\t\022\030\n\020software_ver" +
+      "sion\030\003 \001(\t\"(\n\tModelPace\022\r\n\005model\030\001 \001(\t\022\014" +
+      "\n\004pace\030\002 \001(\001\"\221\001\n\013ServerUsage\022\014\n\004name\030\001 \001" +
+      "(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010requests\030\003 \001(" +
+      "\r\022\025\n\rprompt_tokens\030\004 \001(\r\022\023\n\013held_tokens\030" +
+      "\005 \001(\r\022\020\n\010failures\030\006 \001(\r\022\017\n\007answers\030\007 \001(\r" +
+      "\"r\n\016WorkspaceUsage\022\014\n\004name\030\001 \001(\t\022\016\n\006dema" +
+      "nd\030\002 \001(\004\022\014\n\004held\030\003 \001(\004\022\r\n\005spent\030\004 \001(\004\022\r\n" +
+      "\005needs\030\006 \003(\004\022\020\n\010returned\030\007 \001(\004J\004\010\005\020\006\"_\n\013" +
+      "ModelDemand\022\017\n\007service\030\001 \001(\t\022\r\n\005model\030\002 " +
+      "\001(\t\022\017\n\007adapter\030\003 \001(\t\022\016\n\006tokens\030\004 \001(\004\022\017\n\007" +
+      "waiting\030\005 \001(\r\"\233\003\n\022CoordinationUpdate\022\023\n\013" +
+      "coordinates\030\001 \001(\010\022\023\n\013coordinator\030\002 \001(\t\022\017" +
+      "\n\007entries\030\003 \001(\r\0226\n\007servers\030\004 \003(\0132%.borag" +
+      "eproxy.coordination.ServerUsage\0223\n\006share" +
+      "s\030\005 \003(\0132#.borageproxy.coordination.RateS" +
+      "hare\0229\n\010contents\030\006 \003(\0132\'.borageproxy.coo" +
+      "rdination.ServerContent\022\030\n\020contents_vers" +
+      "ion\030\007 \001(\004\022\023\n\013all_servers\030\010 \001(\010\022\014\n\004term\030\t" +
+      " \001(\004\022=\n\rstated_limits\030\n \003(\0132&.borageprox" +
+      "y.coordination.StatedLimits\022\026\n\016limits_ve" +
+      "rsion\030\013 \001(\004\022\016\n\006relays\030\014 \003(\t\"\363\002\n\013SlotRequ" +
+      "est\022\014\n\004zone\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\r\n\005mo" +
+      "del\030\003 \001(\t\022\017\n\007adapter\030\004 \001(\t\022\025\n\rprompt_tok" +
+      "ens\030\005 \001(\r\022\025\n\routput_tokens\030\006 \001(\r\0225\n\005part" +
+      "s\030\007 \003(\0132&.borageproxy.coordination.PartO" +
+      "fPrompt\022\014\n\004rank\030\010 \001(\r\022\030\n\020objective_milli" +
+      "s\030\t \001(\r\022\027\n\017deadline_millis\030\n \001(\r\022\r\n\005trie" +
+      "d\030\013 \003(\t\022\025\n\rwaited_millis\030\014 \001(\r\022\021\n\tabsent" +
+      "_at\030\016 \003(\t\022\014\n\004gone\030\017 \003(\t\022\035\n\020software_vers" +
+      "ion\030\020 \001(\tH\000\210\001\001B\023\n\021_software_versionJ\004\010\r\020" +
+      "\016\"0\n\014PartOfPrompt\022\020\n\010identity\030\001 \001(\t\022\016\n\006t" +
+      "okens\030\002 \001(\r\"\270\002\n\nSlotAnswer\022=\n\007outcome\030\001 " +
+      "\001(\0162,.borageproxy.coordination.SlotAnswe" +
+      "r.Outcome\022\016\n\006server\030\002 \001(\t\022\023\n\013incarnation" +
+      "\030\003 \001(\004\022\027\n\017expected_millis\030\004 \001(\001\022\025\n\runrea" +
+      "d_tokens\030\005 \001(\r\022\014\n\004slot\030\006 \001(\004\022\030\n\020come_bac" +
+      "k_millis\030\007 \001(\r\"n\n\007Outcome\022\023\n\017NOT_COORDIN" +
+      "ATOR\020\000\022\n\n\006CHOSEN\020\001\022\r\n\tNO_SERVER\020\002\022\014\n\010NO_" +
+      "MODEL\020\003\022\013\n\007CROWDED\020\004\022\r\n\tALL_TRIED\020\005\022\t\n\005A" +
+      "GAIN\020\006\"=\n\tRateShare\022\021\n\tworkspace\030\001 \001(\t\022\014" +
+      "\n\004rate\030\002 \001(\004\022\017\n\007granted\030\003 \001(\004\"\211\001\n\rServer" +
+      "Content\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001" +
+      "(\004\022\016\n\006orders\030\003 \001(\004\0223\n\006models\030\004 \003(\0132#.bor" +
+      "ageproxy.coordination.HeldModel\022\020\n\010arriv" +
+      "ing\030\005 \003(\t\",\n\tHeldModel\022\r\n\005model\030\001 \001(\t\022\020\n" +
+      "\010adapters\030\002 \003(\tB2\n\032org.borageproxy.wire." +
+      "protoB\024CoordinationProtocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -22613,7 +22774,7 @@
     internal_static_borageproxy_coordination_RefusalNotice_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_RefusalNotice_descriptor,
-        new java.lang.String[] { "Server", "Incarnation", "RemainingMillis", "OfRecipient", });
+        new java.lang.String[] { "Server", "Incarnation", "RemainingMillis", "OfRecipient", "Leaving", });
     internal_static_borageproxy_coordination_StatedLimits_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_borageproxy_coordination_StatedLimits_fieldAccessorTable = new
--- a/src/test/java/org/borageproxy/platform/EngineStandIn.java
+++ b/src/test/java/org/borageproxy/platform/EngineStandIn.java
@@ -62,7 +62,11 @@
     private static final AtomicLong LAST_INCARNATION = new AtomicLong();
 
     /** A request of a VM. */
-    record Arrival(String vm, long atNanos, String request) {}
+    record Arrival(String vm, long atNanos, String request) {
+        boolean isOfCaller() {
+            return request.startsWith("POST /p/") || request.startsWith("POST /e/");
+        }
+    }
 
     /** An answer that asked a VM for no further requests until a time. */
     record Refusal(String vm, long atNanos, Deadline until) {
@@ -393,15 +397,22 @@
                 .findFirst();
     }
 
+    /**
+     * Notes from now on which VM sends a request.
+     *
+     * @param newVmOf returns the VM at the other end of a connection
+     */
+    void identifyCallers(Function<Socket, String> newVmOf) {
+        vmOf = newVmOf;
+        vmByConnection.clear();
+    }
+
     /**
      * Refuses all requests, each with the time for which no further ones are wanted from the VM that sent it.
      *
      * @param seconds the time; zero to take requests again
-     * @param vmOf returns the VM at the other end of a connection
      */
-    void refuseFor(int seconds, Function<Socket, String> vmOf) {
-        this.vmOf = vmOf;
-        vmByConnection.clear();
+    void refuseFor(int seconds) {
         refusalSeconds = seconds;
     }
 
@@ -435,7 +446,7 @@
         return refusals;
     }
 
-    /** Returns the requests of all kinds that have arrived since {@link #refuseFor}. */
+    /** Returns the requests of all kinds that have arrived since {@link #forgetRefusals}. */
     List<Arrival> arrivals() {
         return arrivals;
     }
--- a/src/test/java/org/borageproxy/platform/PlatformHeadersTest.java
+++ b/src/test/java/org/borageproxy/platform/PlatformHeadersTest.java
@@ -12,6 +12,8 @@
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class PlatformHeadersTest {
 
@@ -57,6 +59,26 @@
         }
     }
 
+    private static boolean isLeaving(int status, String... values) {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        for (String value : values) {
+            headers.add("SERVER-leaving", value);
+        }
+        return new PlatformHeaders().parseResponse(status, headers).isLeaving();
+    }
+
+    /** Guards against a server that is taken out of service by an answer of another one, or by another value. */
+    @Test
+    void serversThatLeaveAreRecognized() {
+        assertTrue(isLeaving(200, "1"));
+        assertTrue(isLeaving(503, "0", "1"));
+        assertFalse(isLeaving(200));
+        assertFalse(isLeaving(421, "1"));
+        for (String other : List.of("0", "", "true", "11", "-1")) {
+            assertFalse(isLeaving(200, other), other);
+        }
+    }
+
     @Test
     void limitsAreParsedInAnyCase() {
         assertEquals(limit(2.6), parse("Server-Limit", "2.6"));
--- a/src/test/java/org/borageproxy/platform/RefusingServerTest.java
+++ b/src/test/java/org/borageproxy/platform/RefusingServerTest.java
@@ -65,10 +65,12 @@
     void forget() {
         PLAIN_SERVERS.forEach(EngineStandIn::forgetRefusals);
         ENGINES.forEach(EngineStandIn::forgetRefusals);
+        PLAIN_SERVERS.forEach(server -> server.identifyCallers(fleet::vmOf));
+        ENGINES.forEach(server -> server.identifyCallers(fleet::vmOf));
     }
 
     private static void refuseFor(int seconds, List<EngineStandIn> servers) {
-        servers.forEach(server -> server.refuseFor(seconds, fleet::vmOf));
+        servers.forEach(server -> server.refuseFor(seconds));
     }
 
     /** Lets servers refuse for {@link #REFUSAL_TIME}. */
