Test that a server that leaves gets nothing through the VM that it has told

Cause: the rule counts from the VM that passed an answer on, also for other VMs that send through it. Change: LeavingServerTest.serverThatLeavesGetsNoRequestsThroughTheVmThatItHasTold, two entries without links of their own and no control VM. Ruled out: nothing.

--- a/src/test/java/org/borageproxy/platform/LeavingServerTest.java
+++ b/src/test/java/org/borageproxy/platform/LeavingServerTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /**
@@ -110,4 +111,34 @@
         Thread.sleep(MEASURED_TIME.toMillis());
         assertLeavingServersGetNoRequests();
     }
+
+    /** Guards against VMs that have passed on, for another one, an answer in which a server says that it leaves. */
+    @Test
+    void serverThatLeavesGetsNoRequestsThroughTheVmThatItHasTold() throws Exception {
+        EngineStandIn server = leaving().get(0);
+        List<String> cutOff = fleet.entries().subList(0, 2);
+        servers.forEach(each -> each.identifyCallers(fleet::vmOf));
+        for (EngineStandIn each : servers) {
+            each.cutOff(connection -> cutOff.stream().anyMatch(entry -> fleet.isFrom(entry, connection)));
+        }
+        Thread.sleep(PlatformFleet.STABLE.toMillis());
+        plainLoad.close();
+        engineLoad.close();
+        fleet.kill(fleet.control());
+        server.state(STATEMENT);
+        server.forgetRefusals();
+        long end = System.nanoTime() + PlatformFleet.STEP_TIMEOUT.toNanos();
+        while (server.arrivals().isEmpty()) {
+            assertTrue(System.nanoTime() - end < 0, "the server was not asked");
+            fleet.callPlain(cutOff.get(0), "first" + System.nanoTime());
+        }
+        Thread.sleep(DRAIN_TIME.toMillis());
+        server.forgetRefusals();
+        for (String entry : List.of(cutOff.get(1), fleet.entries().get(2))) {
+            for (int number = 0; number < 6; number++) {
+                fleet.callPlain(entry, "later" + System.nanoTime());
+            }
+        }
+        assertEquals(List.of(), server.arrivals());
+    }
 }
