Ask all servers in the test of servers that leave

Cause: with one request at a time the entry may never choose the server that leaves; without the notices between VMs the test waited 60 s for that ("the server was not asked") instead of failing for what it guards against. Change: requests are sent at once, by a method that RefusingServerTest uses as well. Ruled out: that the server was known to leave before it was asked.

--- a/src/test/java/org/borageproxy/platform/LeavingServerTest.java
+++ b/src/test/java/org/borageproxy/platform/LeavingServerTest.java
@@ -26,6 +26,9 @@
 
     private static final Duration MEASURED_TIME = Duration.ofSeconds(3);
     private static final Duration CALL_INTERVAL = Duration.ofMillis(20);
+    /** Enough for all servers of a service to get some. */
+    private static final int CALLS_AT_ONCE = 12;
+
     private static final double SERVED_SHARE = 0.95;
     private static final String STATEMENT = "Server-Leaving: 1\r\n";
 
@@ -130,14 +133,12 @@
         long end = System.nanoTime() + PlatformFleet.STEP_TIMEOUT.toNanos();
         while (server.arrivals().isEmpty()) {
             assertTrue(System.nanoTime() - end < 0, "the server was not asked");
-            fleet.callPlain(cutOff.get(0), "first" + System.nanoTime());
+            fleet.callPlainAtOnce(cutOff.get(0), CALLS_AT_ONCE);
         }
         Thread.sleep(DRAIN_TIME.toMillis());
         server.forgetRefusals();
         for (String entry : List.of(cutOff.get(1), fleet.entries().get(2))) {
-            for (int number = 0; number < 6; number++) {
-                fleet.callPlain(entry, "later" + System.nanoTime());
-            }
+            fleet.callPlainAtOnce(entry, CALLS_AT_ONCE);
         }
         assertEquals(List.of(), server.arrivals());
     }
--- a/src/test/java/org/borageproxy/platform/PlatformFleet.java
+++ b/src/test/java/org/borageproxy/platform/PlatformFleet.java
@@ -19,6 +19,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -292,6 +294,21 @@
         }
     }
 
+    /** Sends requests for the plain service to an entry at the same time and waits for all answers. */
+    void callPlainAtOnce(String entry, int count) throws InterruptedException {
+        ExecutorService callers = Executors.newFixedThreadPool(count);
+        try {
+            List<Callable<String>> calls = new ArrayList<>();
+            for (int number = 0; number < count; number++) {
+                String identity = "once" + number + "-" + System.nanoTime();
+                calls.add(() -> callPlain(entry, identity));
+            }
+            callers.invokeAll(calls);
+        } finally {
+            callers.shutdownNow();
+        }
+    }
+
     /** Opens a connection to an entry, sends a request for the plain service and returns the connection. */
     Socket sendPlain(String entry, String identity, String extraHeaders) throws IOException {
         return sendTo(entry, "/p/" + identity, identity, extraHeaders);
--- a/src/test/java/org/borageproxy/platform/RefusingServerTest.java
+++ b/src/test/java/org/borageproxy/platform/RefusingServerTest.java
@@ -4,9 +4,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.Callable;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
@@ -159,7 +156,7 @@
             }
             Thread.sleep(GRACE_PERIOD.multipliedBy(2).toMillis());
             for (String entry : List.of(cutOff.get(1), fleet.entries().get(2))) {
-                callAtOnce(entry, 6);
+                fleet.callPlainAtOnce(entry, 6);
             }
             assertTimesAreKept(PLAIN_SERVERS);
         } finally {
@@ -169,20 +166,6 @@
         }
     }
 
-    private static void callAtOnce(String entry, int count) throws Exception {
-        ExecutorService callers = Executors.newFixedThreadPool(count);
-        try {
-            List<Callable<String>> calls = new ArrayList<>();
-            for (int number = 0; number < count; number++) {
-                String identity = "once" + number + "-" + System.nanoTime();
-                calls.add(() -> fleet.callPlain(entry, identity));
-            }
-            callers.invokeAll(calls);
-        } finally {
-            callers.shutdownNow();
-        }
-    }
-
     /** Waits until the end of all times that servers have stated. */
     private static void awaitAcceptance(List<EngineStandIn> servers) throws InterruptedException {
         long lastEndNanos = servers.stream()
