--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -272,10 +272,10 @@
                 answer.statement()
                         .ifPresent(
                                 statement -> context.pool().statements().recordAnswer(server, statement, sentAtNanos));
-                answer.retryAfter().ifPresent(time -> context.refusals().recordAnswer(server, relayOf(), time));
+                answer.retryAfter().ifPresent(time -> context.refusals().recordAnswer(server, answeredVm(), time));
             }
             if (answer.isLeaving()) {
-                context.refusals().recordLeaving(server, relayOf());
+                context.refusals().recordLeaving(server, answeredVm());
             }
             if (answer.notRun()) {
                 handleNotRun(response, answer);
@@ -297,7 +297,7 @@
             boolean isOverloaded =
                     status != MISDIRECTED_REQUEST && context.pool().statements().isBrittle(server);
             inFlightRequest.ifPresent(isOverloaded ? InFlightRequest::recordFailure : InFlightRequest::recordEnd);
-            log.rejected(server, status, answer.retryAfter(), relayOf(), hasSlot);
+            log.rejected(server, status, answer.retryAfter(), answeredVm(), hasSlot);
             boolean isOtherServer = answer.respondingServer()
                     .filter(name -> !name.equals(server.name()))
                     .isPresent();
@@ -313,7 +313,7 @@
         }
 
         /** Returns the VM that the server answers; empty for this one. */
-        private Optional<VmName> relayOf() {
+        private Optional<VmName> answeredVm() {
             return connection.flatMap(ServerConnection::relay);
         }
 
@@ -423,7 +423,7 @@
 
         /** A lost connection says nothing about the server if the links of this VM are lost. */
         private boolean isServerToBlame() {
-            return !context.connections().links().areLost() || relayOf().isPresent();
+            return !context.connections().links().areLost() || answeredVm().isPresent();
         }
 
         private void recordCrashSuspicion() {
--- a/src/main/java/org/borageproxy/forward/ServerLinks.java
+++ b/src/main/java/org/borageproxy/forward/ServerLinks.java
@@ -180,13 +180,14 @@
         Opening(BackendServer server, OpenListener listener) {
             this.server = server;
             this.listener = listener;
-            List<Optional<VmName>> relays = new ArrayList<>(environment.relays().get().stream()
+            List<VmName> relays = new ArrayList<>(environment.relays().get());
+            hasRelays = !relays.isEmpty();
+            Collections.shuffle(relays, random);
+            relays.stream()
                     .map(Optional::of)
                     .filter(relay -> refusals.accepts(server, relay))
-                    .toList());
-            Collections.shuffle(relays, random);
-            ways.addAll(relays.subList(0, Math.min(MAX_RELAYS, relays.size())));
-            hasRelays = !ways.isEmpty();
+                    .limit(MAX_RELAYS)
+                    .forEach(ways::add);
             // The direct way is the last one while the links are lost, and the first one otherwise.
             ways.add(areLost ? ways.size() : 0, Optional.empty());
         }
@@ -231,15 +232,19 @@
             }
         }
 
-        /** A relay that answers shows that the direct way is not the last resort, which it is while links are lost. */
+        /**
+         * Drops the direct way if it is the last resort since the links are lost: another VM reaches the server, which
+         * only refuses its requests for a time.
+         */
         private void recordRefusal(Optional<VmName> relay, StreamDeclinedException declined) {
             try {
                 refusals.recordReport(RefusalNotice.parseFrom(declined.reason()), relay);
             } catch (InvalidProtocolBufferException exception) {
                 LOGGER.warn("event=refusal-notice-malformed vm={}", relay.orElseThrow());
             }
-            if (areLost && triedWays < ways.size()) {
-                ways.remove(Optional.<VmName>empty());
+            int last = ways.size() - 1;
+            if (triedWays <= last && ways.get(last).isEmpty()) {
+                ways.remove(last);
             }
         }
 
--- a/src/test/java/org/borageproxy/platform/EngineStandIn.java
+++ b/src/test/java/org/borageproxy/platform/EngineStandIn.java
@@ -456,6 +456,15 @@
         return arrivals;
     }
 
+    /** Returns the VMs, times and first lines of the arrivals. */
+    String describeArrivals() {
+        return arrivals.stream()
+                .map(each -> each.vm() + " " + each.atNanos() + " "
+                        + each.request().lines().findFirst().orElse(""))
+                .toList()
+                .toString();
+    }
+
     /** Forgets arrivals and refusals. */
     void forgetRefusals() {
         arrivals.clear();
--- a/src/test/java/org/borageproxy/platform/LeavingServerTest.java
+++ b/src/test/java/org/borageproxy/platform/LeavingServerTest.java
@@ -1,5 +1,6 @@
 package org.borageproxy.platform;
 
+import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -92,7 +93,7 @@
             server.state("");
             server.close();
             server.forgetRefusals();
-            server.restart();
+            restart(server);
         }
         Thread.sleep(PlatformFleet.STABLE.toMillis());
         servers.subList(2, servers.size()).forEach(server -> server.state(STATEMENT));
@@ -103,6 +104,19 @@
         engineLoad.assertServed(SERVED_SHARE, sinceNanos);
     }
 
+    /** Restarts a server on its port, which a connection may use meanwhile. */
+    private static void restart(EngineStandIn server) throws InterruptedException {
+        long end = System.nanoTime() + PlatformFleet.STEP_TIMEOUT.toNanos();
+        while (!server.isRunning()) {
+            try {
+                server.restart();
+            } catch (IOException exception) {
+                assertTrue(System.nanoTime() - end < 0, exception::toString);
+                Thread.sleep(100);
+            }
+        }
+    }
+
     /** Guards against entries that learn of leaving servers from the control VMs only. */
     @Test
     void serversThatLeaveGetNoRequestsWhileTheControlVmIsDown() throws Exception {
--- a/src/test/java/org/borageproxy/platform/RefusingServerTest.java
+++ b/src/test/java/org/borageproxy/platform/RefusingServerTest.java
@@ -73,6 +73,11 @@
     /** Lets servers refuse for {@link #REFUSAL_TIME}. */
     private static void refuseForAWhile(List<EngineStandIn> servers) throws InterruptedException {
         refuseFor(REFUSAL_SECONDS, servers);
+        long end = System.nanoTime() + PlatformFleet.STEP_TIMEOUT.toNanos();
+        while (servers.stream().anyMatch(server -> server.refusals().isEmpty())) {
+            assertTrue(System.nanoTime() - end < 0, "not all servers were asked");
+            Thread.sleep(50);
+        }
         Thread.sleep(REFUSAL_TIME.toMillis());
         refuseFor(0, servers);
     }
@@ -83,7 +88,8 @@
             int arrivals = server.mostArrivalsWithinRefusal(GRACE_PERIOD);
             assertTrue(
                     arrivals <= ALLOWED_ARRIVALS,
-                    () -> server.name() + " got " + arrivals + " requests of a VM that it had refused");
+                    () -> server.name() + " got " + arrivals + " requests of a VM that it had refused; "
+                            + server.refusals() + server.describeArrivals());
         }
     }
 
