Resume streams only at the version that a record of them names

Cause: a caller that named no request was resumed at the only version announced now, whether or not that version had begun its stream. A record under an identity that a caller used twice kept the first version only. A second resumption that named the first one found nothing. Change: without a record the stream is refused (stream-unknown). Resumes without Last-Event-Id counts as a resumption. A resumed stream is recorded under the request that resumed it as well. Two different origins of one identity make it ambiguous: no VM resumes it (stream-origin-ambiguous). Right before a request is sent, the entry compares the server's version itself, also if the coordinator chose it, and a server that changes its version without a new incarnation is not current. Origins expire at the moment of use. Ruled out: the version is not read from the table at the first event; it is that of the chosen announcement.

--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -224,8 +224,8 @@
 
         /** Returns what has come between the choice of the server and the moment at which the request can be sent. */
         private Optional<String> obstacle(ServerConnection acquired) {
-            if (!context.pool().isCurrent(server)) {
-                return Optional.of("server left or restarted before the request was sent");
+            if (!context.pool().isCurrent(server) || !stream.mayRunAt(server)) {
+                return Optional.of("server left, restarted or runs another version");
             }
             if (!context.refusals().accepts(server, acquired.relay())) {
                 return Optional.of("server refused the VM before the request was sent");
@@ -371,7 +371,7 @@
             }
             if (firstHead.isEmpty()) {
                 firstHead = received.head();
-                stream.recordBegun(server);
+                stream.recordEvent(server);
             }
             log.streamEvent();
             crashEvidence.recordEvent();
--- a/src/main/java/org/borageproxy/forward/ResumableStream.java
+++ b/src/main/java/org/borageproxy/forward/ResumableStream.java
@@ -17,6 +17,7 @@
     private final BufferedRequest buffered;
     private final RequestLog log;
     private Optional<StreamOrigin> origin = Optional.empty();
+    private boolean isRecorded;
 
     ResumableStream(ForwardContext context, BufferedRequest buffered, RequestLog log) {
         this.context = context;
@@ -34,12 +35,16 @@
     }
 
     /**
-     * Returns whether the caller takes up a stream that another request began.
+     * Returns whether the caller takes up a stream that another request began: it names that request, its last event or
+     * both.
      *
      * @return {@code true} if the origin has to be found first
      */
     boolean isTakenUp() {
-        return isResumable() && buffered.metadata().lastEventIdentity().isPresent();
+        RequestMetadata metadata = buffered.metadata();
+        return isResumable()
+                && (metadata.lastEventIdentity().isPresent()
+                        || metadata.resumedRequest().isPresent());
     }
 
     /**
@@ -52,8 +57,19 @@
     }
 
     /**
-     * Finds what began a stream that is taken up. A caller that does not name the request that began it can resume it
-     * while there is only one version.
+     * Returns whether a server may run the request.
+     *
+     * @param server the server
+     * @return {@code false} if it cannot continue the stream, whoever selected it
+     */
+    boolean mayRunAt(BackendServer server) {
+        return origin.map(known -> known.matches(server)).orElse(true);
+    }
+
+    /**
+     * Finds what began a stream that is taken up. The origin of a stream whose caller does not name a request that
+     * began or resumed it is unknown: the versions announced now say nothing about it, since the servers of the version
+     * that began it may have left, or this VM may not have heard of them yet.
      *
      * @param listener receives the origin, empty if it is unknown, possibly before this method returns
      */
@@ -62,7 +78,7 @@
                 .resumedRequest()
                 .ifPresentOrElse(
                         begunBy -> context.streamOrigins().find(begunBy, listener::accept),
-                        () -> listener.accept(context.pool().commonOrigin(buffered.service())));
+                        () -> listener.accept(Optional.empty()));
     }
 
     /**
@@ -78,15 +94,19 @@
     }
 
     /**
-     * Records that the caller gets the first event of an answer.
+     * Records that the caller gets an event of an answer. The origin of a resumed stream is recorded under the request
+     * that resumed it as well, since a caller may name either.
      *
      * @param server the server that answers
      */
-    void recordBegun(BackendServer server) {
-        if (isResumable() && origin.isEmpty()) {
-            StreamOrigin begun = new StreamOrigin(buffered.service(), server.softwareVersion());
-            origin = Optional.of(begun);
-            context.streamOrigins().recordBegun(buffered.metadata().requestIdentity(), begun);
+    void recordEvent(BackendServer server) {
+        if (!isResumable() || isRecorded) {
+            return;
+        }
+        isRecorded = true;
+        if (origin.isEmpty()) {
+            origin = Optional.of(new StreamOrigin(buffered.service(), server.softwareVersion()));
         }
+        context.streamOrigins().recordBegun(buffered.metadata().requestIdentity(), origin.get());
     }
 }
--- a/src/main/java/org/borageproxy/forward/ServerPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerPool.java
@@ -321,30 +321,29 @@
     }
 
     /**
-     * Returns the origin of any stream of a service, if all of its announced servers run the same software version.
+     * Returns whether any server that takes a model of a service could continue a stream. Tells nothing about the
+     * origin of a stream, which only a record of it does.
      *
-     * @param service the service
-     * @return empty if there are several versions or no servers
+     * @param origin the known origin of the stream
+     * @return {@code true} if all announced servers of the service run the version that began the stream
      */
-    Optional<StreamOrigin> commonOrigin(String service) {
-        List<String> versions = servers.current().stream()
-                .filter(server -> server.services().contains(service))
-                .map(BackendServer::softwareVersion)
-                .distinct()
-                .toList();
-        return versions.size() == 1 ? Optional.of(new StreamOrigin(service, versions.get(0))) : Optional.empty();
+    boolean isOnlyVersion(StreamOrigin origin) {
+        return servers.current().stream()
+                .filter(server -> server.services().contains(origin.service()))
+                .allMatch(origin::matches);
     }
 
     /**
-     * Returns whether an incarnation of a server is still announced and not leaving.
+     * Returns whether an incarnation of a server is still announced with its software version and not leaving.
      *
      * @param selected the server
-     * @return {@code false} if the server is leaving, left or restarted
+     * @return {@code false} if the server is leaving, left, restarted or announces another software version
      */
     boolean isCurrent(BackendServer selected) {
         return servers.current().stream()
                 .anyMatch(server -> server.name().equals(selected.name())
                         && server.incarnation() == selected.incarnation()
+                        && server.softwareVersion().equals(selected.softwareVersion())
                         && server.state() != BackendServerState.LEAVING);
     }
 
--- a/src/main/java/org/borageproxy/forward/SlotBroker.java
+++ b/src/main/java/org/borageproxy/forward/SlotBroker.java
@@ -349,7 +349,7 @@
             // Models, unlike adapters, are placed without regard to software versions.
             boolean mayBeOrdered = requirement.origin().isEmpty()
                     || unavailability == ServerPool.Unavailability.NO_ADAPTER
-                    || requirement.origin().equals(pool.commonOrigin(request.getService()));
+                    || pool.isOnlyVersion(requirement.origin().get());
             if (availableAt.isEmpty() && !mayBeOrdered) {
                 refuse(SlotAnswer.Outcome.NO_MODEL, UNORDERED_RETRY_AFTER);
                 return;
--- a/src/main/java/org/borageproxy/forward/StreamOriginClient.java
+++ b/src/main/java/org/borageproxy/forward/StreamOriginClient.java
@@ -56,9 +56,9 @@
     }
 
     /**
-     * Records the origin of a stream that this VM begins.
+     * Records the origin of a stream of which this VM relays an event.
      *
-     * @param request the identity of the request
+     * @param request the identity of the request that began or resumed it
      * @param origin the origin
      */
     void recordBegun(String request, StreamOrigin origin) {
@@ -75,7 +75,7 @@
     void find(String request, Consumer<Optional<StreamOrigin>> listener) {
         Optional<StreamOrigin> known = origins.find(request);
         Optional<VmName> target = coordinator.get();
-        if (known.isPresent() || target.isEmpty()) {
+        if (origins.isRecorded(request) || target.isEmpty()) {
             listener.accept(known);
             return;
         }
--- a/src/main/java/org/borageproxy/forward/StreamOrigins.java
+++ b/src/main/java/org/borageproxy/forward/StreamOrigins.java
@@ -21,15 +21,19 @@
 import org.borageproxy.wire.proto.CoordinationProtocol.BegunStream;
 import org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginAnswer;
 import org.borageproxy.wire.proto.CoordinationProtocol.StreamOriginQuery;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
- * Origins of resumable streams by the identity of the request that began each. The origin of a request never changes
- * once it is known, so that copies on several VMs cannot contradict each other; an origin may be missing here and known
- * elsewhere. An entry records the streams that it begins and reports them to the coordinator, which answers the queries
- * of all entries. Not thread safe; confined to one event loop.
+ * Origins of resumable streams by the identity of each request that began or resumed one. Origins are recorded, never
+ * derived from the servers that are announced. A request with two different origins, as of a caller that uses one
+ * identity twice, has none: which of the two streams the caller resumes is not known. An origin may be missing here and
+ * known elsewhere. An entry records the streams that it relays and reports them to the coordinator, which answers the
+ * queries of all entries. Not thread safe; confined to one event loop.
  */
 public final class StreamOrigins implements VmNetwork.Handler {
 
+    private static final Logger LOGGER = LoggerFactory.getLogger(StreamOrigins.class);
     /** Period for which an origin is kept; exceeds the time in which callers resume a stream. */
     private static final Duration RETENTION = Duration.ofSeconds(60);
     /** Maximum number of origins; the oldest are dropped first. */
@@ -45,7 +49,17 @@
     private List<String> reportInFlight = List.of();
     private long reportedTerm;
 
-    private record Entry(StreamOrigin origin, Deadline expiresAt) {}
+    private record Entry(Set<StreamOrigin> origins, Deadline expiresAt) {
+        private Entry {
+            origins = Set.copyOf(origins);
+        }
+
+        private Entry with(StreamOrigin added) {
+            Set<StreamOrigin> all = new LinkedHashSet<>(origins);
+            all.add(added);
+            return new Entry(all, expiresAt);
+        }
+    }
 
     /**
      * Creates an empty table.
@@ -57,9 +71,9 @@
     }
 
     /**
-     * Records the origin of a stream that this VM begins.
+     * Records the origin of a stream of which this VM relays an event.
      *
-     * @param request the identity of the request; ignored if empty
+     * @param request the identity of the request that began or resumed it; ignored if empty
      * @param origin the origin
      */
     void recordBegun(String request, StreamOrigin origin) {
@@ -70,8 +84,21 @@
 
     private boolean record(String request, StreamOrigin origin) {
         removeObsolete();
-        Entry entry = new Entry(origin, Deadline.after(clock.nanoTime(), RETENTION));
-        return entries.putIfAbsent(request, entry) == null;
+        Entry known = entries.computeIfAbsent(
+                request, key -> new Entry(Set.of(), Deadline.after(clock.nanoTime(), RETENTION)));
+        if (known.origins().contains(origin)) {
+            return false;
+        }
+        if (!known.origins().isEmpty()) {
+            LOGGER.warn(
+                    "event=stream-origin-ambiguous id={} service={} software={} others={}",
+                    request,
+                    origin.service(),
+                    origin.softwareVersion(),
+                    known.origins().size());
+        }
+        entries.put(request, known.with(origin));
+        return true;
     }
 
     private void removeObsolete() {
@@ -90,11 +117,24 @@
     /**
      * Returns the origin of a stream as far as this VM knows it.
      *
-     * @param request the identity of the request that began the stream
-     * @return empty if the origin is not known here
+     * @param request the identity of a request that began or resumed the stream
+     * @return empty if the origin is not known here, is ambiguous or has expired
      */
     Optional<StreamOrigin> find(String request) {
-        return Optional.ofNullable(entries.get(request)).map(Entry::origin);
+        return Optional.ofNullable(entries.get(request))
+                .filter(entry ->
+                        entry.origins().size() == 1 && !entry.expiresAt().hasPassed(clock.nanoTime()))
+                .map(entry -> entry.origins().iterator().next());
+    }
+
+    /**
+     * Returns whether this VM has recorded a request, whether or not its origin is ambiguous.
+     *
+     * @param request the identity of a request
+     * @return {@code true} if {@link #find} decides without another VM
+     */
+    boolean isRecorded(String request) {
+        return entries.containsKey(request);
     }
 
     /**
@@ -107,12 +147,13 @@
         reportInFlight = unreported.stream().limit(MAX_REPORTED).toList();
         List<BegunStream> streams = new ArrayList<>();
         for (String request : reportInFlight) {
-            StreamOrigin origin = entries.get(request).origin();
-            streams.add(BegunStream.newBuilder()
-                    .setRequest(request)
-                    .setService(origin.service())
-                    .setSoftwareVersion(origin.softwareVersion())
-                    .build());
+            for (StreamOrigin origin : entries.get(request).origins()) {
+                streams.add(BegunStream.newBuilder()
+                        .setRequest(request)
+                        .setService(origin.service())
+                        .setSoftwareVersion(origin.softwareVersion())
+                        .build());
+            }
         }
         return streams;
     }
--- a/src/test/java/org/borageproxy/platform/SplicedStreamTest.java
+++ b/src/test/java/org/borageproxy/platform/SplicedStreamTest.java
@@ -110,6 +110,23 @@
         assertTrue(resumed >= streams.size(), resumed + " of " + 2 * streams.size());
     }
 
+    /** Guards against a second resumption that finds no version: the caller names the attempt that resumed. */
+    @Test
+    void streamGoesOnWhenItsLatestAttemptIsNamed() throws Exception {
+        List<VersionedStreams.Begun> streams = callers.begin(fleet.entries().get(0), "l");
+        Thread.sleep(300);
+        List<VersionedStreams.Begun> resumed = new ArrayList<>();
+        for (VersionedStreams.Begun stream : streams) {
+            String identity = "second-" + stream.identity();
+            String answer = callers.takeUp(fleet.entries().get(1), identity, stream.identity());
+            if (answer.startsWith("HTTP/1.1 200")) {
+                resumed.add(new VersionedStreams.Begun(identity, stream.software()));
+            }
+        }
+        Thread.sleep(300);
+        assertTrue(takeUp(resumed, "third", true) >= streams.size(), () -> "" + resumed.size());
+    }
+
     private void awaitServed() throws Exception {
         for (String entry : fleet.entries()) {
             long end = System.nanoTime() + PlatformFleet.STEP_TIMEOUT.toNanos();
