--- a/src/main/java/org/borageproxy/coordination/Coordinator.java
+++ b/src/main/java/org/borageproxy/coordination/Coordinator.java
@@ -50,6 +50,7 @@
     private final Placement placement;
     private final BiConsumer<VmName, UsageReport> reportListener;
     private final Limits limits;
+    private final SpeedCoordinator speeds;
     private final Map<VmName, ReceivedReport> reports = new HashMap<>();
     private final ServerUsageTotals usage = new ServerUsageTotals();
     private final Map<String, RateSplitter> splitters = new HashMap<>();
@@ -111,6 +112,7 @@
      * @param placement receives model demand and supplies the inventories
      * @param reportListener receives each report
      * @param limits what the backend servers state about their capacity
+     * @param speeds learns the speeds of the backend servers
      */
     public Coordinator(
             GroupMember member,
@@ -119,7 +121,8 @@
             Supplier<List<VmName>> entries,
             Placement placement,
             BiConsumer<VmName, UsageReport> reportListener,
-            Limits limits) {
+            Limits limits,
+            SpeedCoordinator speeds) {
         this.member = member;
         this.clock = clock;
         this.workspaces = workspaces;
@@ -127,6 +130,7 @@
         this.placement = placement;
         this.reportListener = reportListener;
         this.limits = limits;
+        this.speeds = speeds;
     }
 
     @Override
@@ -146,6 +150,7 @@
         CoordinationUpdate.Builder update = buildUpdate(sender, report);
         placement.recordDemand(sender, report.getDemandsList());
         reportListener.accept(sender, report);
+        speeds.exchange(report, update);
         update.setContentsVersion(placement.inventoryVersion());
         if (report.getContentsVersion() != placement.inventoryVersion()) {
             placement.inventories().forEach((name, inventory) -> update.addContents(inventory.encode(name)));
--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -146,10 +146,7 @@
             case CHOSEN -> {
                 Optional<BackendServer> server = context.pool().find(answer.getServer(), answer.getIncarnation());
                 if (server.isPresent()) {
-                    send(
-                            new ServerSelector.Choice(
-                                    server.get(), answer.getExpectedMillis(), answer.getUnreadTokens()),
-                            true);
+                    send(SlotClient.choice(answer, server.get()), true);
                 } else {
                     log.unknownServer(answer.getServer());
                     localSearch.search();
@@ -353,7 +350,7 @@
                 // Before the response is recorded, which may report to the coordinator what began the stream.
                 relayEvents(bytes);
             }
-            inFlightRequest.ifPresent(present -> present.recordResponse(buffered.service()));
+            inFlightRequest.ifPresent(present -> present.recordResponse(buffered.service(), received.isSuccess()));
             if (isStream) {
                 return;
             }
@@ -376,7 +373,9 @@
             log.streamEvent();
             crashEvidence.recordEvent();
             relay.sendPart(firstHead.get(), relayedBytes, stream.isResumable() ? Optional.empty() : received.length());
-            if (relay.isWriteQueueFull()) {
+            boolean isCallerSlow = relay.isWriteQueueFull();
+            inFlightRequest.ifPresent(present -> present.recordEvents(scanner.eventCount(), isCallerSlow));
+            if (isCallerSlow) {
                 connection.ifPresent(present -> present.setReading(false));
                 relay.onDrained(() -> connection.ifPresent(present -> present.setReading(true)));
             }
@@ -388,7 +387,7 @@
                 return;
             }
             isOver = true;
-            inFlightRequest.ifPresent(present -> present.recordResponse(buffered.service()));
+            inFlightRequest.ifPresent(present -> present.recordResponse(buffered.service(), received.isSuccess()));
             inFlightRequest.ifPresent(InFlightRequest::recordEnd);
             int status = received.status();
             if (isBrokenOff()) {
--- a/src/main/java/org/borageproxy/forward/InFlightRequest.java
+++ b/src/main/java/org/borageproxy/forward/InFlightRequest.java
@@ -5,6 +5,7 @@
 import org.borageproxy.routing.EngineWork;
 import org.borageproxy.routing.ServerLoad;
 import org.borageproxy.routing.ServerSelector;
+import org.borageproxy.routing.speed.PauseMeter;
 import org.borageproxy.time.MonotonicClock;
 
 /** Tracks one request in flight at a server. Not thread safe; confined to one event loop. */
@@ -22,6 +23,7 @@
     private final ModelLatencyRatios latencyRatios;
     private final Runnable loadChangeListener;
     private final long startedAtNanos;
+    private final PauseMeter pauses = new PauseMeter();
     private boolean hasResponded;
     private boolean hasEnded;
 
@@ -61,8 +63,9 @@
      * {@link #recordEnd}.
      *
      * @param service the service, whose latency ratio is updated if the request has no inference work
+     * @param isSuccess whether the time of the response shows the speed of the server; that of an error does not
      */
-    void recordResponse(String service) {
+    void recordResponse(String service, boolean isSuccess) {
         if (hasResponded || hasEnded) {
             return;
         }
@@ -70,11 +73,31 @@
         load.recordPrefillEnd(choice.prefillTokens());
         double millis = (clock.nanoTime() - startedAtNanos) / 1e6;
         double ratio = ModelLatencyRatios.clamp(millis / Math.max(1.0, choice.expectedMillis()));
+        if (isSuccess) {
+            load.slowness().recordFirstEvent(millis / Math.max(1.0, choice.expectedMillis() * choice.speed()));
+        }
         load.recordSuccess(ratio);
         latencyRatios.recordObservation(work.map(EngineWork::model).orElse(service), ratio);
         loadChangeListener.run();
     }
 
+    /**
+     * Records that events of the response arrived.
+     *
+     * @param totalEvents the number of events so far
+     * @param isCallerSlow whether reading is suspended until the caller has taken more, so that the next pause says
+     *     nothing about the server
+     */
+    void recordEvents(int totalEvents, boolean isCallerSlow) {
+        if (isCallerSlow || work.isEmpty()) {
+            pauses.discard();
+        } else {
+            double stepMillis = ServerSelector.stepMillis(load)
+                    * latencyRatios.of(work.get().model());
+            pauses.recordEvents(totalEvents, clock.nanoTime(), stepMillis, load.slowness());
+        }
+    }
+
     /** Records the end of the request, whatever its outcome; later calls have no effect. */
     void recordEnd() {
         if (!hasEnded) {
--- a/src/main/java/org/borageproxy/forward/ServerPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerPool.java
@@ -23,6 +23,7 @@
 import org.borageproxy.routing.EngineWork;
 import org.borageproxy.routing.ServerLoad;
 import org.borageproxy.routing.ServerSelector;
+import org.borageproxy.routing.speed.ServerSpeeds;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
 import org.borageproxy.vm.AvailabilityZone;
@@ -53,6 +54,7 @@
     private final ModelDemandCounter demandCounter = new ModelDemandCounter();
     private final RequestQueue queue = new RequestQueue();
     private final ServerStatements statements;
+    private ServerSpeeds speeds = ServerSpeeds.EQUAL;
     private Runnable urgentDemandListener = () -> {};
     private Runnable loadChangeListener = () -> {};
     private Consumer<BackendServer> goneListener = server -> {};
@@ -98,6 +100,15 @@
         this.statements = new ServerStatements(clock, random, limitShare);
     }
 
+    /**
+     * Sets the speeds of the servers, which are equal before.
+     *
+     * @param learned the speeds
+     */
+    public void setSpeeds(ServerSpeeds learned) {
+        speeds = learned;
+    }
+
     /**
      * Returns what the servers state about their capacity.
      *
@@ -155,16 +166,18 @@
      */
     Optional<ServerSelector.Choice> choose(ServerRequirement requirement, AvailabilityZone callerZone) {
         List<ServerSelector.Candidate> candidates = new ArrayList<>();
+        long nowNanos = clock.nanoTime();
         String modelOrService = requirement.work().map(EngineWork::model).orElse(requirement.service());
         untried(requirement).forEach(server -> {
             ServerLoad load = load(server, requirement.engines());
             if (statements.admits(server, requirement.engines(), load)) {
-                candidates.add(new ServerSelector.Candidate(server, load, latencyRatios.of(modelOrService)));
+                candidates.add(new ServerSelector.Candidate(
+                        server, load, latencyRatios.of(modelOrService), speeds.speedOf(server, nowNanos)));
             }
         });
         ServerSelector.Query query = new ServerSelector.Query(
                 requirement.work(), requirement.engines(), callerZone, requirement.triedServers());
-        return ServerSelector.INSTANCE.choose(query, candidates, clock.nanoTime(), random);
+        return ServerSelector.INSTANCE.choose(query, candidates, nowNanos, random);
     }
 
     private boolean isCapable(BackendServer server, ServerRequirement requirement) {
@@ -499,11 +512,13 @@
      * @return the sum in prompt tokens per millisecond; zero without such a server
      */
     double prefillTokensPerMillisecond(String service, String model) {
-        long serverCount = servers.current().stream()
+        long nowNanos = clock.nanoTime();
+        double totalSpeed = servers.current().stream()
                 .filter(server ->
                         acceptsWork(server, service) && inventories.of(server).contains(model, ""))
-                .count();
-        return serverCount * ServerSelector.PREFILL_TOKENS_PER_MILLISECOND / latencyRatios.of(model);
+                .mapToDouble(server -> speeds.speedOf(server, nowNanos))
+                .sum();
+        return totalSpeed * ServerSelector.PREFILL_TOKENS_PER_MILLISECOND / latencyRatios.of(model);
     }
 
     /**
@@ -556,27 +571,12 @@
     }
 
     /**
-     * Returns this VM's usage of servers and resets the outcomes.
+     * Returns this VM's usage of servers and resets the outcomes and the samples of their slowness.
      *
      * @return the usage of each server with requests in flight or outcomes since the previous call
      */
     public List<ServerUsage> drainUsage() {
-        List<ServerUsage> usages = new ArrayList<>();
-        loads.forEach((name, load) -> {
-            ServerLoad.OutcomeCounts outcomes = load.drainOutcomes();
-            if (load.ownRequests() > 0 || outcomes.failures() > 0 || outcomes.successes() > 0) {
-                usages.add(ServerUsage.newBuilder()
-                        .setName(name.value())
-                        .setIncarnation(load.incarnation())
-                        .setRequests(load.ownRequests())
-                        .setPromptTokens(Math.max(0, load.ownPrefillTokens()))
-                        .setHeldTokens(Math.max(0, load.ownReservedTokens()))
-                        .setFailures(outcomes.failures())
-                        .setAnswers(outcomes.successes())
-                        .build());
-            }
-        });
-        return usages;
+        return UsageCollector.drain(loads);
     }
 
     /**
--- a/src/main/java/org/borageproxy/forward/SlotBroker.java
+++ b/src/main/java/org/borageproxy/forward/SlotBroker.java
@@ -320,6 +320,7 @@
             }
             pool.recordAssignment(choice, work);
             answer(SlotAnswer.newBuilder()
+                    .setSpeed((float) choice.speed())
                     .setOutcome(SlotAnswer.Outcome.CHOSEN)
                     .setServer(choice.server().name().value())
                     .setIncarnation(choice.server().incarnation())
--- a/src/main/java/org/borageproxy/forward/SlotClient.java
+++ b/src/main/java/org/borageproxy/forward/SlotClient.java
@@ -8,8 +8,10 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.routing.EngineWork;
+import org.borageproxy.routing.ServerSelector;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
 import org.borageproxy.vm.AvailabilityZone;
@@ -158,4 +160,16 @@
             listener.onAnswer(Optional.empty());
         }
     }
+
+    /**
+     * Returns the selection that an answer contains.
+     *
+     * @param answer an answer that grants a slot
+     * @param server the server that it names
+     * @return the selection
+     */
+    static ServerSelector.Choice choice(SlotAnswer answer, BackendServer server) {
+        double speed = answer.getSpeed() > 0 ? answer.getSpeed() : 1.0;
+        return new ServerSelector.Choice(server, answer.getExpectedMillis(), answer.getUnreadTokens(), speed);
+    }
 }
--- a/src/main/java/org/borageproxy/routing/ServerLoad.java
+++ b/src/main/java/org/borageproxy/routing/ServerLoad.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 
+import org.borageproxy.routing.speed.SlownessMeter;
 import org.borageproxy.time.Deadline;
 
 /**
@@ -20,6 +21,7 @@
 
     private final long incarnation;
     private final PrefixCacheEstimate prefixCache;
+    private final SlownessMeter slowness = new SlownessMeter();
     private int ownRequests;
     private int ownPrefillTokens;
     private int ownReservedTokens;
@@ -64,6 +66,15 @@
         return prefixCache;
     }
 
+    /**
+     * Returns the meter of how much longer than predicted the server takes for the requests of this VM.
+     *
+     * @return the meter, which the caller updates
+     */
+    public SlownessMeter slowness() {
+        return slowness;
+    }
+
     /**
      * Records that this VM sends a request.
      *
--- a/src/main/java/org/borageproxy/routing/ServerSelector.java
+++ b/src/main/java/org/borageproxy/routing/ServerSelector.java
@@ -44,6 +44,13 @@
     /** Penalty of an engine for each running stream that a prefill backlog may stall. */
     private static final double STREAM_STALL_PENALTY_MILLISECONDS = 25.0;
 
+    /** Requests in flight, relative to the mean, from which a server of a fleet with different speeds is crowded. */
+    private static final double TOLERATED_IMBALANCE = 1.15;
+    /** Penalty of a server that has the whole mean in addition to the tolerated requests. */
+    private static final double IMBALANCE_PENALTY_MILLISECONDS = 400.0;
+    /** Mean up to which differences between servers are those of single requests. */
+    private static final double MIN_MEAN_REQUESTS = 2.0;
+
     /**
      * The requirements of a request.
      *
@@ -64,8 +71,20 @@
      * @param server the server
      * @param load the load and recent outcomes of the server
      * @param latencyRatio the ratio of observed to expected latency of the model or plain service; one as expected
+     * @param speed the speed of the server; one is the median of its peers
      */
-    public record Candidate(BackendServer server, ServerLoad load, double latencyRatio) {}
+    public record Candidate(BackendServer server, ServerLoad load, double latencyRatio, double speed) {
+
+        /** Returns the factor by which the nominal times of the request are multiplied on the server. */
+        private double timeFactor() {
+            return latencyRatio / speed;
+        }
+
+        /** Returns the requests in flight, including one more, in relation to the speed. */
+        private double weightedRequests() {
+            return (load.totalRequests() + 1) / speed;
+        }
+    }
 
     /**
      * The selected server.
@@ -73,8 +92,9 @@
      * @param server the server
      * @param expectedMillis the predicted time to the answer or its first event, in milliseconds
      * @param prefillTokens the prompt tokens that the server probably has not cached; zero for a plain service
+     * @param speed the speed of the server that the predicted time assumes; one is the median of its peers
      */
-    public record Choice(BackendServer server, double expectedMillis, int prefillTokens) {}
+    public record Choice(BackendServer server, double expectedMillis, int prefillTokens, double speed) {}
 
     /**
      * Selects the server with the lowest score. Servers that are suspect or avoided after failures are considered only
@@ -97,10 +117,11 @@
                 .toList();
         List<Candidate> admitting = (healthy.isEmpty() ? untried : healthy)
                 .stream().filter(candidate -> admits(query, candidate)).toList();
+        double meanWeightedRequests = meanWeightedRequests(admitting);
         int offset = admitting.isEmpty() ? 0 : random.nextInt(admitting.size());
         return IntStream.range(0, admitting.size())
                 .mapToObj(index -> admitting.get((index + offset) % admitting.size()))
-                .map(candidate -> score(query, candidate))
+                .map(candidate -> score(query, candidate, meanWeightedRequests))
                 .min(Comparator.comparingDouble(Scored::score))
                 .map(Scored::choice);
     }
@@ -115,7 +136,7 @@
         EngineWork work = query.work().get();
         int prefillTokens =
                 work.promptTokens() - load.prefixCache().cachedTokens(work) + Math.max(0, load.totalPrefillTokens());
-        boolean isBacklogShort = prefillTokens / PREFILL_TOKENS_PER_MILLISECOND * candidate.latencyRatio()
+        boolean isBacklogShort = prefillTokens / PREFILL_TOKENS_PER_MILLISECOND * candidate.timeFactor()
                 <= MAX_PREFILL_BACKLOG_MILLISECONDS;
         boolean hasRoom = load.totalReservedTokens() + work.totalTokens()
                 <= query.engines().get().cacheTokens() * USABLE_CACHE_SHARE;
@@ -125,7 +146,7 @@
 
     private record Scored(Choice choice, double score) {}
 
-    private Scored score(Query query, Candidate candidate) {
+    private Scored score(Query query, Candidate candidate, double meanWeightedRequests) {
         ServerLoad load = candidate.load();
         int prefillTokens = query.work()
                 .map(work ->
@@ -138,13 +159,33 @@
         double score = expectedMillis * load.latencyRatio()
                 + load.failureRate() * FAILURE_PENALTY_MILLISECONDS
                 + penalty
-                + interferenceMillis(load, prefillTokens, candidate.latencyRatio());
-        return new Scored(new Choice(candidate.server(), expectedMillis, prefillTokens), score);
+                + interferenceMillis(load, prefillTokens, candidate.timeFactor())
+                + imbalanceMillis(candidate, meanWeightedRequests);
+        return new Scored(new Choice(candidate.server(), expectedMillis, prefillTokens, candidate.speed()), score);
+    }
+
+    /** Returns infinity for servers of equal speed, whose predicted times alone spread the requests evenly. */
+    private static double meanWeightedRequests(List<Candidate> candidates) {
+        boolean isEqual = candidates.stream().allMatch(candidate -> candidate.speed() == 1.0);
+        double mean = candidates.stream()
+                .mapToDouble(Candidate::weightedRequests)
+                .average()
+                .orElse(0);
+        return isEqual ? Double.POSITIVE_INFINITY : Math.max(MIN_MEAN_REQUESTS, mean);
     }
 
-    private static double interferenceMillis(ServerLoad load, int prefillTokens, double latencyRatio) {
+    /**
+     * The predicted time to the first event hardly depends on the number of running streams, so that a fast engine
+     * would get nearly all requests until its batch or memory is full.
+     */
+    private static double imbalanceMillis(Candidate candidate, double meanWeightedRequests) {
+        double excess = candidate.weightedRequests() / meanWeightedRequests - TOLERATED_IMBALANCE;
+        return Math.max(0.0, excess) * IMBALANCE_PENALTY_MILLISECONDS;
+    }
+
+    private static double interferenceMillis(ServerLoad load, int prefillTokens, double timeFactor) {
         double backlogMillis =
-                (load.totalPrefillTokens() + prefillTokens) / PREFILL_TOKENS_PER_MILLISECOND * latencyRatio;
+                (load.totalPrefillTokens() + prefillTokens) / PREFILL_TOKENS_PER_MILLISECOND * timeFactor;
         double excess = Math.max(0, backlogMillis - TOLERATED_PREFILL_BACKLOG_MILLISECONDS)
                 / TOLERATED_PREFILL_BACKLOG_MILLISECONDS;
         return Math.min(1.0, excess) * load.totalRequests() * STREAM_STALL_PENALTY_MILLISECONDS;
@@ -153,7 +194,7 @@
     private static double engineMillis(Query query, Candidate candidate, EngineWork work, int prefillTokens) {
         ServerLoad load = candidate.load();
         double prefillMillis = (load.totalPrefillTokens() + prefillTokens) / PREFILL_TOKENS_PER_MILLISECOND;
-        double stepMillis = DECODE_STEP_MILLISECONDS + load.totalRequests() * DECODE_STEP_MILLISECONDS_PER_REQUEST;
+        double stepMillis = stepMillis(load);
         double memoryMillis = 0.0;
         if (query.engines().isPresent()) {
             EnginePool engines = query.engines().get();
@@ -163,14 +204,23 @@
             int excessRequests = load.totalRequests() + 1 - engines.batchSlots();
             memoryMillis += Math.max(0, excessRequests) * stepMillis;
         }
-        return (prefillMillis + 2 * stepMillis) * candidate.latencyRatio() + memoryMillis;
+        return (prefillMillis + 2 * stepMillis) * candidate.timeFactor() + memoryMillis;
+    }
+
+    /**
+     * Returns the nominal duration of a decoding step, for a model and a server that are as fast as expected.
+     *
+     * @param load the load of the server
+     * @return the time in milliseconds
+     */
+    public static double stepMillis(ServerLoad load) {
+        return DECODE_STEP_MILLISECONDS + load.totalRequests() * DECODE_STEP_MILLISECONDS_PER_REQUEST;
     }
 
     private static double serviceMillis(Candidate candidate) {
         int slots = Math.max(1, candidate.server().load().batchLimit());
         int excessRequests = Math.max(0, candidate.load().totalRequests() + 1 - slots);
         double crowding = candidate.load().totalRequests() / (double) slots;
-        return DEFAULT_SERVICE_MILLISECONDS * candidate.latencyRatio() * (1 + excessRequests / (double) slots)
-                + crowding;
+        return DEFAULT_SERVICE_MILLISECONDS * candidate.timeFactor() * (1 + excessRequests / (double) slots) + crowding;
     }
 }
--- /dev/null
+++ b/src/main/java/org/borageproxy/routing/speed/SlownessHistory.java
@@ -0,0 +1,79 @@
+package org.borageproxy.routing.speed;
+
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.OptionalDouble;
+
+import org.borageproxy.time.Deadline;
+
+/**
+ * The latest samples of one kind for one server, as logarithms of the ratio of observed to expected time. Samples that
+ * are older than their validity are not used. Recording a sample costs constant time. Not thread safe.
+ */
+final class SlownessHistory {
+
+    private final double[] values;
+    private final long[] recordedAtNanos;
+    private final double quantile;
+    private final Duration validity;
+    private int size;
+    private int next;
+
+    /**
+     * Creates an empty history.
+     *
+     * @param capacity the number of samples that are kept
+     * @param quantile the quantile that stands for the server, from zero to one
+     * @param validity the age after which a sample is not used
+     */
+    SlownessHistory(int capacity, double quantile, Duration validity) {
+        values = new double[capacity];
+        recordedAtNanos = new long[capacity];
+        this.quantile = quantile;
+        this.validity = validity;
+    }
+
+    void record(double logSlowness, long nowNanos) {
+        values[next] = logSlowness;
+        recordedAtNanos[next] = nowNanos;
+        next = (next + 1) % values.length;
+        size = Math.min(size + 1, values.length);
+    }
+
+    /** Returns the number of samples that are not too old. */
+    int count(long nowNanos) {
+        int count = 0;
+        for (int index = 0; index < size; index++) {
+            if (isValid(index, nowNanos, validity)) {
+                count++;
+            }
+        }
+        return count;
+    }
+
+    private boolean isValid(int index, long nowNanos, Duration age) {
+        return !Deadline.after(recordedAtNanos[index], age).hasPassed(nowNanos);
+    }
+
+    /** Returns the quantile of the valid samples; empty without any. */
+    OptionalDouble slowness(long nowNanos) {
+        double[] valid = samplesWithin(validity, nowNanos);
+        Arrays.sort(valid);
+        return valid.length == 0
+                ? OptionalDouble.empty()
+                : OptionalDouble.of(valid[(int) Math.floor((valid.length - 1) * quantile)]);
+    }
+
+    /** Returns the samples that are not older than a given age, in no order. */
+    double[] samplesWithin(Duration age, long nowNanos) {
+        double[] valid = new double[size];
+        int count = 0;
+        for (int index = 0; index < size; index++) {
+            if (isValid(index, nowNanos, age)) {
+                valid[count] = values[index];
+                count++;
+            }
+        }
+        return Arrays.copyOf(valid, count);
+    }
+}
--- a/src/main/java/org/borageproxy/server/GatewayControl.java
+++ b/src/main/java/org/borageproxy/server/GatewayControl.java
@@ -23,6 +23,7 @@
 import org.borageproxy.control.Submission;
 import org.borageproxy.coordination.Coordinator;
 import org.borageproxy.coordination.ModelInventory;
+import org.borageproxy.coordination.SpeedCoordinator;
 import org.borageproxy.forward.ServerPool;
 import org.borageproxy.forward.ServerRefusals;
 import org.borageproxy.forward.SlotBroker;
@@ -81,6 +82,7 @@
     private final ControlClient client;
     private final AdmissionService admission;
     private final FleetPlacement placement;
+    private final SpeedCoordinator speeds;
     /** The servers with the load of all entries; used by the broker and the placement. */
     private final ServerPool pool;
 
@@ -102,6 +104,7 @@
         member = GroupMember.open(folder, LOG_SETTINGS, context);
         client = new ControlClient(
                 runtime.self(), runtime.network(), runtime::controlVms, runtime.clock(), runtime.timer());
+        speeds = new SpeedCoordinator(runtime.membership().registry(), runtime.clock());
         pool = createServerPool();
         refusals = new ServerRefusals(
                 runtime.clock(), runtime.timer(), runtime.membership().registry(), () -> List.of(Optional.empty()));
@@ -184,6 +187,7 @@
                 new Random(),
                 () -> 1);
         created.onGone(runtime::suspectServer);
+        created.setSpeeds(speeds);
         return created;
     }
 
@@ -256,6 +260,7 @@
 
     private void removeObsoleteState() {
         pool.removeUnknownServers();
+        speeds.removeUnknownServers();
         runtime.timer().schedule(CLEANUP_INTERVAL, () -> runtime.eventLoop().execute(this::removeObsoleteState));
     }
 
@@ -289,7 +294,8 @@
                 runtime.spread()::registeredDataPlaneVms,
                 placement,
                 slotBroker::recordReport,
-                pool.statements());
+                pool.statements(),
+                speeds);
         runtime.network().registerHandler(MessageKind.SLOT, slotBroker);
         runtime.network().registerHandler(MessageKind.STREAM_ORIGIN, streamOrigins);
         runtime.network()
--- a/src/main/java/org/borageproxy/server/GatewayEntry.java
+++ b/src/main/java/org/borageproxy/server/GatewayEntry.java
@@ -13,6 +13,7 @@
 import io.vertx.core.Future;
 import org.borageproxy.control.ControlClient;
 import org.borageproxy.coordination.CoordinationClient;
+import org.borageproxy.coordination.EntrySpeeds;
 import org.borageproxy.coordination.ModelInventory;
 import org.borageproxy.execution.CrashProbe;
 import org.borageproxy.execution.RetryBudget;
@@ -62,6 +63,7 @@
 
     private final GatewayRuntime runtime;
     private final ServerPool pool;
+    private final EntrySpeeds speeds;
     private final RateShares rateShares;
     private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
     private final CoordinationClient coordination;
@@ -89,6 +91,8 @@
                 runtime.settings().vm().zone(),
                 random,
                 () -> LOCAL_LIMIT_FRACTION / entryCount);
+        speeds = new EntrySpeeds(runtime.clock());
+        pool.setSpeeds(speeds);
         coordination = new CoordinationClient(
                 runtime.network(),
                 runtime::controlVms,
@@ -196,7 +200,7 @@
     }
 
     private UsageReport createUsageReport() {
-        return UsageReport.newBuilder()
+        UsageReport.Builder report = UsageReport.newBuilder()
                 .setSession(session)
                 .addAllServers(pool.drainUsage())
                 .addAllWorkspaces(rateShares.collectUsage(runtime.clock().nanoTime()))
@@ -207,8 +211,9 @@
                 .addAllBegunStreams(streamOrigins.collectUnreported())
                 .addAllStatedLimits(pool.statements().collectUnreported())
                 .setLimitsVersion(limitsVersion)
-                .setRelays(relay.isAvailable())
-                .build();
+                .setRelays(relay.isAvailable());
+        speeds.addTo(report);
+        return report.build();
     }
 
     private List<ModelPace> latencyRatios() {
@@ -228,6 +233,7 @@
             streamOrigins.confirmReport(update.getTerm());
             pool.statements().confirmReport(update.getTerm());
             limitsVersion = update.getLimitsVersion();
+            speeds.apply(update);
             pool.statements().merge(update.getStatedLimitsList());
             pool.updateOtherVmUsage(update.getServersList(), update.getAllServers());
             if (update.getAllServers()) {
@@ -262,6 +268,7 @@
 
     private void removeObsoleteState() {
         pool.removeUnknownServers();
+        speeds.removeUnknownServers(runtime.membership().registry());
         connectionPool.closeObsolete(pool::isKnown);
         connectionPool.links().refusals().removeUnknownServers();
         runtime.timer().schedule(CLEANUP_INTERVAL, this::removeObsoleteState);
--- a/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
@@ -293,6 +293,60 @@
      * @return The relays.
      */
     boolean getRelays();
+
+    /**
+     * <pre>
+     * The speeds that the entry received from an earlier coordinator, if the coordinator asked for them.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+     */
+    java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed> 
+        getSpeedsList();
+    /**
+     * <pre>
+     * The speeds that the entry received from an earlier coordinator, if the coordinator asked for them.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+     */
+    org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed getSpeeds(int index);
+    /**
+     * <pre>
+     * The speeds that the entry received from an earlier coordinator, if the coordinator asked for them.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+     */
+    int getSpeedsCount();
+    /**
+     * <pre>
+     * The speeds that the entry received from an earlier coordinator, if the coordinator asked for them.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+     */
+    java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeedOrBuilder> 
+        getSpeedsOrBuilderList();
+    /**
+     * <pre>
+     * The speeds that the entry received from an earlier coordinator, if the coordinator asked for them.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+     */
+    org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeedOrBuilder getSpeedsOrBuilder(
+        int index);
+
+    /**
+     * <pre>
+     * The version of the speeds that the entry has received.
+     * </pre>
+     *
+     * <code>uint64 speeds_version = 51;</code>
+     * @return The speedsVersion.
+     */
+    long getSpeedsVersion();
   }
   /**
    * <pre>
@@ -327,6 +381,7 @@
       paces_ = java.util.Collections.emptyList();
       begunStreams_ = java.util.Collections.emptyList();
       statedLimits_ = java.util.Collections.emptyList();
+      speeds_ = java.util.Collections.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -760,6 +815,82 @@
       return relays_;
     }
 
+    public static final int SPEEDS_FIELD_NUMBER = 50;
+    @SuppressWarnings("serial")
+    private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed> speeds_;
+    /**
+     * <pre>
+     * The speeds that the entry received from an earlier coordinator, if the coordinator asked for them.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed> getSpeedsList() {
+      return speeds_;
+    }
+    /**
+     * <pre>
+     * The speeds that the entry received from an earlier coordinator, if the coordinator asked for them.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeedOrBuilder> 
+        getSpeedsOrBuilderList() {
+      return speeds_;
+    }
+    /**
+     * <pre>
+     * The speeds that the entry received from an earlier coordinator, if the coordinator asked for them.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+     */
+    @java.lang.Override
+    public int getSpeedsCount() {
+      return speeds_.size();
+    }
+    /**
+     * <pre>
+     * The speeds that the entry received from an earlier coordinator, if the coordinator asked for them.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed getSpeeds(int index) {
+      return speeds_.get(index);
+    }
+    /**
+     * <pre>
+     * The speeds that the entry received from an earlier coordinator, if the coordinator asked for them.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeedOrBuilder getSpeedsOrBuilder(
+        int index) {
+      return speeds_.get(index);
+    }
+
+    public static final int SPEEDS_VERSION_FIELD_NUMBER = 51;
+    private long speedsVersion_ = 0L;
+    /**
+     * <pre>
+     * The version of the speeds that the entry has received.
+     * </pre>
+     *
+     * <code>uint64 speeds_version = 51;</code>
+     * @return The speedsVersion.
+     */
+    @java.lang.Override
+    public long getSpeedsVersion() {
+      return speedsVersion_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -807,6 +938,12 @@
       if (relays_ != false) {
         output.writeBool(11, relays_);
       }
+      for (int i = 0; i < speeds_.size(); i++) {
+        output.writeMessage(50, speeds_.get(i));
+      }
+      if (speedsVersion_ != 0L) {
+        output.writeUInt64(51, speedsVersion_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -889,6 +1026,19 @@
         size += com.google.protobuf.CodedOutputStream
           .computeBoolSize(11, relays_);
       }
+
+          {
+            final int count = speeds_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(speeds_.get(i));
+            }
+            size += 2 * count;
+          }
+      if (speedsVersion_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(51, speedsVersion_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -926,6 +1076,10 @@
           != other.getLimitsVersion()) return false;
       if (getRelays()
           != other.getRelays()) return false;
+      if (!getSpeedsList()
+          .equals(other.getSpeedsList())) return false;
+      if (getSpeedsVersion()
+          != other.getSpeedsVersion()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -975,6 +1129,13 @@
       hash = (37 * hash) + RELAYS_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
           getRelays());
+      if (getSpeedsCount() > 0) {
+        hash = (37 * hash) + SPEEDS_FIELD_NUMBER;
+        hash = (53 * hash) + getSpeedsList().hashCode();
+      }
+      hash = (37 * hash) + SPEEDS_VERSION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getSpeedsVersion());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -1157,6 +1318,14 @@
         bitField0_ = (bitField0_ & ~0x00000100);
         limitsVersion_ = 0L;
         relays_ = false;
+        if (speedsBuilder_ == null) {
+          speeds_ = java.util.Collections.emptyList();
+        } else {
+          speeds_ = null;
+          speedsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000800);
+        speedsVersion_ = 0L;
         return this;
       }
 
@@ -1244,6 +1413,15 @@
         } else {
           result.statedLimits_ = statedLimitsBuilder_.build();
         }
+        if (speedsBuilder_ == null) {
+          if (((bitField0_ & 0x00000800) != 0)) {
+            speeds_ = java.util.Collections.unmodifiableList(speeds_);
+            bitField0_ = (bitField0_ & ~0x00000800);
+          }
+          result.speeds_ = speeds_;
+        } else {
+          result.speeds_ = speedsBuilder_.build();
+        }
       }
 
       private void buildPartial0(org.borageproxy.wire.proto.CoordinationProtocol.UsageReport result) {
@@ -1263,6 +1441,9 @@
         if (((from_bitField0_ & 0x00000400) != 0)) {
           result.relays_ = relays_;
         }
+        if (((from_bitField0_ & 0x00001000) != 0)) {
+          result.speedsVersion_ = speedsVersion_;
+        }
       }
 
       @java.lang.Override
@@ -1450,6 +1631,35 @@
         if (other.getRelays() != false) {
           setRelays(other.getRelays());
         }
+        if (speedsBuilder_ == null) {
+          if (!other.speeds_.isEmpty()) {
+            if (speeds_.isEmpty()) {
+              speeds_ = other.speeds_;
+              bitField0_ = (bitField0_ & ~0x00000800);
+            } else {
+              ensureSpeedsIsMutable();
+              speeds_.addAll(other.speeds_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.speeds_.isEmpty()) {
+            if (speedsBuilder_.isEmpty()) {
+              speedsBuilder_.dispose();
+              speedsBuilder_ = null;
+              speeds_ = other.speeds_;
+              bitField0_ = (bitField0_ & ~0x00000800);
+              speedsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetSpeedsFieldBuilder() : null;
+            } else {
+              speedsBuilder_.addAllMessages(other.speeds_);
+            }
+          }
+        }
+        if (other.getSpeedsVersion() != 0L) {
+          setSpeedsVersion(other.getSpeedsVersion());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -1579,6 +1789,24 @@
                 bitField0_ |= 0x00000400;
                 break;
               } // case 88
+              case 402: {
+                org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed m =
+                    input.readMessage(
+                        org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed.parser(),
+                        extensionRegistry);
+                if (speedsBuilder_ == null) {
+                  ensureSpeedsIsMutable();
+                  speeds_.add(m);
+                } else {
+                  speedsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 402
+              case 408: {
+                speedsVersion_ = input.readUInt64();
+                bitField0_ |= 0x00001000;
+                break;
+              } // case 408
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -3520,140 +3748,1986 @@
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:borageproxy.coordination.UsageReport)
-    }
-
-    // @@protoc_insertion_point(class_scope:borageproxy.coordination.UsageReport)
-    private static final org.borageproxy.wire.proto.CoordinationProtocol.UsageReport DEFAULT_INSTANCE;
-    static {
-      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.CoordinationProtocol.UsageReport();
-    }
+      private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed> speeds_ =
+        java.util.Collections.emptyList();
+      private void ensureSpeedsIsMutable() {
+        if (!((bitField0_ & 0x00000800) != 0)) {
+          speeds_ = new java.util.ArrayList<org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed>(speeds_);
+          bitField0_ |= 0x00000800;
+         }
+      }
 
-    public static org.borageproxy.wire.proto.CoordinationProtocol.UsageReport getDefaultInstance() {
-      return DEFAULT_INSTANCE;
-    }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed, org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed.Builder, org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeedOrBuilder> speedsBuilder_;
 
-    private static final com.google.protobuf.Parser<UsageReport>
-        PARSER = new com.google.protobuf.AbstractParser<UsageReport>() {
-      @java.lang.Override
-      public UsageReport parsePartialFrom(
-          com.google.protobuf.CodedInputStream input,
-          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-          throws com.google.protobuf.InvalidProtocolBufferException {
-        Builder builder = newBuilder();
-        try {
-          builder.mergeFrom(input, extensionRegistry);
-        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-          throw e.setUnfinishedMessage(builder.buildPartial());
-        } catch (com.google.protobuf.UninitializedMessageException e) {
-          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-        } catch (java.io.IOException e) {
-          throw new com.google.protobuf.InvalidProtocolBufferException(e)
-              .setUnfinishedMessage(builder.buildPartial());
+      /**
+       * <pre>
+       * The speeds that the entry received from an earlier coordinator, if the coordinator asked for them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed> getSpeedsList() {
+        if (speedsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(speeds_);
+        } else {
+          return speedsBuilder_.getMessageList();
         }
-        return builder.buildPartial();
       }
-    };
-
-    public static com.google.protobuf.Parser<UsageReport> parser() {
-      return PARSER;
-    }
-
-    @java.lang.Override
-    public com.google.protobuf.Parser<UsageReport> getParserForType() {
-      return PARSER;
-    }
-
-    @java.lang.Override
-    public org.borageproxy.wire.proto.CoordinationProtocol.UsageReport getDefaultInstanceForType() {
-      return DEFAULT_INSTANCE;
-    }
-
-  }
-
-  public interface RelayRequestOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:borageproxy.coordination.RelayRequest)
-      com.google.protobuf.MessageOrBuilder {
-
-    /**
-     * <code>string server = 1;</code>
-     * @return The server.
-     */
-    java.lang.String getServer();
-    /**
-     * <code>string server = 1;</code>
-     * @return The bytes for server.
-     */
-    com.google.protobuf.ByteString
-        getServerBytes();
-
-    /**
-     * <code>uint64 incarnation = 2;</code>
-     * @return The incarnation.
-     */
-    long getIncarnation();
-  }
-  /**
-   * <pre>
-   * A request to be connected to a backend server.
-   * </pre>
-   *
-   * Protobuf type {@code borageproxy.coordination.RelayRequest}
-   */
-  public static final class RelayRequest extends
-      com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:borageproxy.coordination.RelayRequest)
-      RelayRequestOrBuilder {
-  private static final long serialVersionUID = 0L;
-    static {
-      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-        /* major= */ 4,
-        /* minor= */ 34,
-        /* patch= */ 2,
-        /* suffix= */ "",
-        "RelayRequest");
-    }
-    // Use RelayRequest.newBuilder() to construct.
-    private RelayRequest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-      super(builder);
-    }
-    private RelayRequest() {
-      server_ = "";
-    }
-
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_RelayRequest_descriptor;
-    }
-
-    @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_RelayRequest_descriptor;
-    }
-
-    @java.lang.Override
-    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_RelayRequest_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest.class, org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest.Builder.class);
-    }
-
-    public static final int SERVER_FIELD_NUMBER = 1;
-    @SuppressWarnings("serial")
-    private volatile java.lang.Object server_ = "";
-    /**
-     * <code>string server = 1;</code>
-     * @return The server.
-     */
-    @java.lang.Override
-    public java.lang.String getServer() {
-      java.lang.Object ref = server_;
-      if (ref instanceof java.lang.String) {
-        return (java.lang.String) ref;
-      } else {
-        com.google.protobuf.ByteString bs = 
+      /**
+       * <pre>
+       * The speeds that the entry received from an earlier coordinator, if the coordinator asked for them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+       */
+      public int getSpeedsCount() {
+        if (speedsBuilder_ == null) {
+          return speeds_.size();
+        } else {
+          return speedsBuilder_.getCount();
+        }
+      }
+      /**
+       * <pre>
+       * The speeds that the entry received from an earlier coordinator, if the coordinator asked for them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed getSpeeds(int index) {
+        if (speedsBuilder_ == null) {
+          return speeds_.get(index);
+        } else {
+          return speedsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <pre>
+       * The speeds that the entry received from an earlier coordinator, if the coordinator asked for them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+       */
+      public Builder setSpeeds(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed value) {
+        if (speedsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureSpeedsIsMutable();
+          speeds_.set(index, value);
+          onChanged();
+        } else {
+          speedsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * The speeds that the entry received from an earlier coordinator, if the coordinator asked for them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+       */
+      public Builder setSpeeds(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed.Builder builderForValue) {
+        if (speedsBuilder_ == null) {
+          ensureSpeedsIsMutable();
+          speeds_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          speedsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * The speeds that the entry received from an earlier coordinator, if the coordinator asked for them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+       */
+      public Builder addSpeeds(org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed value) {
+        if (speedsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureSpeedsIsMutable();
+          speeds_.add(value);
+          onChanged();
+        } else {
+          speedsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * The speeds that the entry received from an earlier coordinator, if the coordinator asked for them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+       */
+      public Builder addSpeeds(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed value) {
+        if (speedsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureSpeedsIsMutable();
+          speeds_.add(index, value);
+          onChanged();
+        } else {
+          speedsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * The speeds that the entry received from an earlier coordinator, if the coordinator asked for them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+       */
+      public Builder addSpeeds(
+          org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed.Builder builderForValue) {
+        if (speedsBuilder_ == null) {
+          ensureSpeedsIsMutable();
+          speeds_.add(builderForValue.build());
+          onChanged();
+        } else {
+          speedsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * The speeds that the entry received from an earlier coordinator, if the coordinator asked for them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+       */
+      public Builder addSpeeds(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed.Builder builderForValue) {
+        if (speedsBuilder_ == null) {
+          ensureSpeedsIsMutable();
+          speeds_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          speedsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * The speeds that the entry received from an earlier coordinator, if the coordinator asked for them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+       */
+      public Builder addAllSpeeds(
+          java.lang.Iterable<? extends org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed> values) {
+        if (speedsBuilder_ == null) {
+          ensureSpeedsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, speeds_);
+          onChanged();
+        } else {
+          speedsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * The speeds that the entry received from an earlier coordinator, if the coordinator asked for them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+       */
+      public Builder clearSpeeds() {
+        if (speedsBuilder_ == null) {
+          speeds_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000800);
+          onChanged();
+        } else {
+          speedsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * The speeds that the entry received from an earlier coordinator, if the coordinator asked for them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+       */
+      public Builder removeSpeeds(int index) {
+        if (speedsBuilder_ == null) {
+          ensureSpeedsIsMutable();
+          speeds_.remove(index);
+          onChanged();
+        } else {
+          speedsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * The speeds that the entry received from an earlier coordinator, if the coordinator asked for them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed.Builder getSpeedsBuilder(
+          int index) {
+        return internalGetSpeedsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * The speeds that the entry received from an earlier coordinator, if the coordinator asked for them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeedOrBuilder getSpeedsOrBuilder(
+          int index) {
+        if (speedsBuilder_ == null) {
+          return speeds_.get(index);  } else {
+          return speedsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * The speeds that the entry received from an earlier coordinator, if the coordinator asked for them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+       */
+      public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeedOrBuilder> 
+           getSpeedsOrBuilderList() {
+        if (speedsBuilder_ != null) {
+          return speedsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(speeds_);
+        }
+      }
+      /**
+       * <pre>
+       * The speeds that the entry received from an earlier coordinator, if the coordinator asked for them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed.Builder addSpeedsBuilder() {
+        return internalGetSpeedsFieldBuilder().addBuilder(
+            org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * The speeds that the entry received from an earlier coordinator, if the coordinator asked for them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed.Builder addSpeedsBuilder(
+          int index) {
+        return internalGetSpeedsFieldBuilder().addBuilder(
+            index, org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * The speeds that the entry received from an earlier coordinator, if the coordinator asked for them.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed.Builder> 
+           getSpeedsBuilderList() {
+        return internalGetSpeedsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed, org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed.Builder, org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeedOrBuilder> 
+          internalGetSpeedsFieldBuilder() {
+        if (speedsBuilder_ == null) {
+          speedsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed, org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed.Builder, org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeedOrBuilder>(
+                  speeds_,
+                  ((bitField0_ & 0x00000800) != 0),
+                  getParentForChildren(),
+                  isClean());
+          speeds_ = null;
+        }
+        return speedsBuilder_;
+      }
+
+      private long speedsVersion_ ;
+      /**
+       * <pre>
+       * The version of the speeds that the entry has received.
+       * </pre>
+       *
+       * <code>uint64 speeds_version = 51;</code>
+       * @return The speedsVersion.
+       */
+      @java.lang.Override
+      public long getSpeedsVersion() {
+        return speedsVersion_;
+      }
+      /**
+       * <pre>
+       * The version of the speeds that the entry has received.
+       * </pre>
+       *
+       * <code>uint64 speeds_version = 51;</code>
+       * @param value The speedsVersion to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSpeedsVersion(long value) {
+
+        speedsVersion_ = value;
+        bitField0_ |= 0x00001000;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The version of the speeds that the entry has received.
+       * </pre>
+       *
+       * <code>uint64 speeds_version = 51;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSpeedsVersion() {
+        bitField0_ = (bitField0_ & ~0x00001000);
+        speedsVersion_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:borageproxy.coordination.UsageReport)
+    }
+
+    // @@protoc_insertion_point(class_scope:borageproxy.coordination.UsageReport)
+    private static final org.borageproxy.wire.proto.CoordinationProtocol.UsageReport DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.CoordinationProtocol.UsageReport();
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.UsageReport getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<UsageReport>
+        PARSER = new com.google.protobuf.AbstractParser<UsageReport>() {
+      @java.lang.Override
+      public UsageReport parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<UsageReport> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<UsageReport> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.borageproxy.wire.proto.CoordinationProtocol.UsageReport getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface ServerSpeedOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.coordination.ServerSpeed)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string name = 1;</code>
+     * @return The name.
+     */
+    java.lang.String getName();
+    /**
+     * <code>string name = 1;</code>
+     * @return The bytes for name.
+     */
+    com.google.protobuf.ByteString
+        getNameBytes();
+
+    /**
+     * <code>uint64 incarnation = 2;</code>
+     * @return The incarnation.
+     */
+    long getIncarnation();
+
+    /**
+     * <pre>
+     * 1 is the median of the server's peers.
+     * </pre>
+     *
+     * <code>float speed = 3;</code>
+     * @return The speed.
+     */
+    float getSpeed();
+
+    /**
+     * <pre>
+     * The time since the coordinator stated it.
+     * </pre>
+     *
+     * <code>uint64 age_millis = 4;</code>
+     * @return The ageMillis.
+     */
+    long getAgeMillis();
+  }
+  /**
+   * <pre>
+   * The learned speed of a backend server.
+   * </pre>
+   *
+   * Protobuf type {@code borageproxy.coordination.ServerSpeed}
+   */
+  public static final class ServerSpeed extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:borageproxy.coordination.ServerSpeed)
+      ServerSpeedOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "ServerSpeed");
+    }
+    // Use ServerSpeed.newBuilder() to construct.
+    private ServerSpeed(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private ServerSpeed() {
+      name_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ServerSpeed_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ServerSpeed_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ServerSpeed_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed.class, org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed.Builder.class);
+    }
+
+    public static final int NAME_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object name_ = "";
+    /**
+     * <code>string name = 1;</code>
+     * @return The name.
+     */
+    @java.lang.Override
+    public java.lang.String getName() {
+      java.lang.Object ref = name_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        name_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string name = 1;</code>
+     * @return The bytes for name.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getNameBytes() {
+      java.lang.Object ref = name_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        name_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int INCARNATION_FIELD_NUMBER = 2;
+    private long incarnation_ = 0L;
+    /**
+     * <code>uint64 incarnation = 2;</code>
+     * @return The incarnation.
+     */
+    @java.lang.Override
+    public long getIncarnation() {
+      return incarnation_;
+    }
+
+    public static final int SPEED_FIELD_NUMBER = 3;
+    private float speed_ = 0F;
+    /**
+     * <pre>
+     * 1 is the median of the server's peers.
+     * </pre>
+     *
+     * <code>float speed = 3;</code>
+     * @return The speed.
+     */
+    @java.lang.Override
+    public float getSpeed() {
+      return speed_;
+    }
+
+    public static final int AGE_MILLIS_FIELD_NUMBER = 4;
+    private long ageMillis_ = 0L;
+    /**
+     * <pre>
+     * The time since the coordinator stated it.
+     * </pre>
+     *
+     * <code>uint64 age_millis = 4;</code>
+     * @return The ageMillis.
+     */
+    @java.lang.Override
+    public long getAgeMillis() {
+      return ageMillis_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(name_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, name_);
+      }
+      if (incarnation_ != 0L) {
+        output.writeUInt64(2, incarnation_);
+      }
+      if (java.lang.Float.floatToRawIntBits(speed_) != 0) {
+        output.writeFloat(3, speed_);
+      }
+      if (ageMillis_ != 0L) {
+        output.writeUInt64(4, ageMillis_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(name_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, name_);
+      }
+      if (incarnation_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, incarnation_);
+      }
+      if (java.lang.Float.floatToRawIntBits(speed_) != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFloatSize(3, speed_);
+      }
+      if (ageMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(4, ageMillis_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed)) {
+        return super.equals(obj);
+      }
+      org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed other = (org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed) obj;
+
+      if (!getName()
+          .equals(other.getName())) return false;
+      if (getIncarnation()
+          != other.getIncarnation()) return false;
+      if (java.lang.Float.floatToIntBits(getSpeed())
+          != java.lang.Float.floatToIntBits(
+              other.getSpeed())) return false;
+      if (getAgeMillis()
+          != other.getAgeMillis()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + NAME_FIELD_NUMBER;
+      hash = (53 * hash) + getName().hashCode();
+      hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getIncarnation());
+      hash = (37 * hash) + SPEED_FIELD_NUMBER;
+      hash = (53 * hash) + java.lang.Float.floatToIntBits(
+          getSpeed());
+      hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getAgeMillis());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * The learned speed of a backend server.
+     * </pre>
+     *
+     * Protobuf type {@code borageproxy.coordination.ServerSpeed}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:borageproxy.coordination.ServerSpeed)
+        org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeedOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ServerSpeed_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ServerSpeed_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed.class, org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed.Builder.class);
+      }
+
+      // Construct using org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        name_ = "";
+        incarnation_ = 0L;
+        speed_ = 0F;
+        ageMillis_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_ServerSpeed_descriptor;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed build() {
+        org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed buildPartial() {
+        org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed result = new org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.name_ = name_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.incarnation_ = incarnation_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.speed_ = speed_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.ageMillis_ = ageMillis_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed) {
+          return mergeFrom((org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed other) {
+        if (other == org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed.getDefaultInstance()) return this;
+        if (!other.getName().isEmpty()) {
+          name_ = other.name_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getIncarnation() != 0L) {
+          setIncarnation(other.getIncarnation());
+        }
+        if (java.lang.Float.floatToRawIntBits(other.getSpeed()) != 0) {
+          setSpeed(other.getSpeed());
+        }
+        if (other.getAgeMillis() != 0L) {
+          setAgeMillis(other.getAgeMillis());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                name_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                incarnation_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 29: {
+                speed_ = input.readFloat();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 29
+              case 32: {
+                ageMillis_ = input.readUInt64();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object name_ = "";
+      /**
+       * <code>string name = 1;</code>
+       * @return The name.
+       */
+      public java.lang.String getName() {
+        java.lang.Object ref = name_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          name_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string name = 1;</code>
+       * @return The bytes for name.
+       */
+      public com.google.protobuf.ByteString
+          getNameBytes() {
+        java.lang.Object ref = name_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          name_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string name = 1;</code>
+       * @param value The name to set.
+       * @return This builder for chaining.
+       */
+      public Builder setName(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        name_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string name = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearName() {
+        name_ = getDefaultInstance().getName();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string name = 1;</code>
+       * @param value The bytes for name to set.
+       * @return This builder for chaining.
+       */
+      public Builder setNameBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        name_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long incarnation_ ;
+      /**
+       * <code>uint64 incarnation = 2;</code>
+       * @return The incarnation.
+       */
+      @java.lang.Override
+      public long getIncarnation() {
+        return incarnation_;
+      }
+      /**
+       * <code>uint64 incarnation = 2;</code>
+       * @param value The incarnation to set.
+       * @return This builder for chaining.
+       */
+      public Builder setIncarnation(long value) {
+
+        incarnation_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 incarnation = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearIncarnation() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        incarnation_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private float speed_ ;
+      /**
+       * <pre>
+       * 1 is the median of the server's peers.
+       * </pre>
+       *
+       * <code>float speed = 3;</code>
+       * @return The speed.
+       */
+      @java.lang.Override
+      public float getSpeed() {
+        return speed_;
+      }
+      /**
+       * <pre>
+       * 1 is the median of the server's peers.
+       * </pre>
+       *
+       * <code>float speed = 3;</code>
+       * @param value The speed to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSpeed(float value) {
+
+        speed_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * 1 is the median of the server's peers.
+       * </pre>
+       *
+       * <code>float speed = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSpeed() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        speed_ = 0F;
+        onChanged();
+        return this;
+      }
+
+      private long ageMillis_ ;
+      /**
+       * <pre>
+       * The time since the coordinator stated it.
+       * </pre>
+       *
+       * <code>uint64 age_millis = 4;</code>
+       * @return The ageMillis.
+       */
+      @java.lang.Override
+      public long getAgeMillis() {
+        return ageMillis_;
+      }
+      /**
+       * <pre>
+       * The time since the coordinator stated it.
+       * </pre>
+       *
+       * <code>uint64 age_millis = 4;</code>
+       * @param value The ageMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAgeMillis(long value) {
+
+        ageMillis_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The time since the coordinator stated it.
+       * </pre>
+       *
+       * <code>uint64 age_millis = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAgeMillis() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        ageMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:borageproxy.coordination.ServerSpeed)
+    }
+
+    // @@protoc_insertion_point(class_scope:borageproxy.coordination.ServerSpeed)
+    private static final org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed();
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<ServerSpeed>
+        PARSER = new com.google.protobuf.AbstractParser<ServerSpeed>() {
+      @java.lang.Override
+      public ServerSpeed parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<ServerSpeed> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<ServerSpeed> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface SlownessSamplesOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.coordination.SlownessSamples)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <pre>
+     * The mean natural logarithm of the ratio for the time to the first event or to the answer, and the number of times.
+     * </pre>
+     *
+     * <code>float first_event = 1;</code>
+     * @return The firstEvent.
+     */
+    float getFirstEvent();
+
+    /**
+     * <code>uint32 first_events = 2;</code>
+     * @return The firstEvents.
+     */
+    int getFirstEvents();
+
+    /**
+     * <pre>
+     * The mean natural logarithm of the ratio for the pauses between events, and the number of pauses.
+     * </pre>
+     *
+     * <code>float pause = 3;</code>
+     * @return The pause.
+     */
+    float getPause();
+
+    /**
+     * <code>uint32 pauses = 4;</code>
+     * @return The pauses.
+     */
+    int getPauses();
+  }
+  /**
+   * <pre>
+   * How much longer than predicted for a server of the speed one a server took, since the previous report.
+   * </pre>
+   *
+   * Protobuf type {@code borageproxy.coordination.SlownessSamples}
+   */
+  public static final class SlownessSamples extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:borageproxy.coordination.SlownessSamples)
+      SlownessSamplesOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "SlownessSamples");
+    }
+    // Use SlownessSamples.newBuilder() to construct.
+    private SlownessSamples(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private SlownessSamples() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_SlownessSamples_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_SlownessSamples_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_SlownessSamples_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples.class, org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples.Builder.class);
+    }
+
+    public static final int FIRST_EVENT_FIELD_NUMBER = 1;
+    private float firstEvent_ = 0F;
+    /**
+     * <pre>
+     * The mean natural logarithm of the ratio for the time to the first event or to the answer, and the number of times.
+     * </pre>
+     *
+     * <code>float first_event = 1;</code>
+     * @return The firstEvent.
+     */
+    @java.lang.Override
+    public float getFirstEvent() {
+      return firstEvent_;
+    }
+
+    public static final int FIRST_EVENTS_FIELD_NUMBER = 2;
+    private int firstEvents_ = 0;
+    /**
+     * <code>uint32 first_events = 2;</code>
+     * @return The firstEvents.
+     */
+    @java.lang.Override
+    public int getFirstEvents() {
+      return firstEvents_;
+    }
+
+    public static final int PAUSE_FIELD_NUMBER = 3;
+    private float pause_ = 0F;
+    /**
+     * <pre>
+     * The mean natural logarithm of the ratio for the pauses between events, and the number of pauses.
+     * </pre>
+     *
+     * <code>float pause = 3;</code>
+     * @return The pause.
+     */
+    @java.lang.Override
+    public float getPause() {
+      return pause_;
+    }
+
+    public static final int PAUSES_FIELD_NUMBER = 4;
+    private int pauses_ = 0;
+    /**
+     * <code>uint32 pauses = 4;</code>
+     * @return The pauses.
+     */
+    @java.lang.Override
+    public int getPauses() {
+      return pauses_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (java.lang.Float.floatToRawIntBits(firstEvent_) != 0) {
+        output.writeFloat(1, firstEvent_);
+      }
+      if (firstEvents_ != 0) {
+        output.writeUInt32(2, firstEvents_);
+      }
+      if (java.lang.Float.floatToRawIntBits(pause_) != 0) {
+        output.writeFloat(3, pause_);
+      }
+      if (pauses_ != 0) {
+        output.writeUInt32(4, pauses_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (java.lang.Float.floatToRawIntBits(firstEvent_) != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFloatSize(1, firstEvent_);
+      }
+      if (firstEvents_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(2, firstEvents_);
+      }
+      if (java.lang.Float.floatToRawIntBits(pause_) != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFloatSize(3, pause_);
+      }
+      if (pauses_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(4, pauses_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples)) {
+        return super.equals(obj);
+      }
+      org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples other = (org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples) obj;
+
+      if (java.lang.Float.floatToIntBits(getFirstEvent())
+          != java.lang.Float.floatToIntBits(
+              other.getFirstEvent())) return false;
+      if (getFirstEvents()
+          != other.getFirstEvents()) return false;
+      if (java.lang.Float.floatToIntBits(getPause())
+          != java.lang.Float.floatToIntBits(
+              other.getPause())) return false;
+      if (getPauses()
+          != other.getPauses()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + FIRST_EVENT_FIELD_NUMBER;
+      hash = (53 * hash) + java.lang.Float.floatToIntBits(
+          getFirstEvent());
+      hash = (37 * hash) + FIRST_EVENTS_FIELD_NUMBER;
+      hash = (53 * hash) + getFirstEvents();
+      hash = (37 * hash) + PAUSE_FIELD_NUMBER;
+      hash = (53 * hash) + java.lang.Float.floatToIntBits(
+          getPause());
+      hash = (37 * hash) + PAUSES_FIELD_NUMBER;
+      hash = (53 * hash) + getPauses();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * How much longer than predicted for a server of the speed one a server took, since the previous report.
+     * </pre>
+     *
+     * Protobuf type {@code borageproxy.coordination.SlownessSamples}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:borageproxy.coordination.SlownessSamples)
+        org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamplesOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_SlownessSamples_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_SlownessSamples_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples.class, org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples.Builder.class);
+      }
+
+      // Construct using org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        firstEvent_ = 0F;
+        firstEvents_ = 0;
+        pause_ = 0F;
+        pauses_ = 0;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_SlownessSamples_descriptor;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples build() {
+        org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples buildPartial() {
+        org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples result = new org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.firstEvent_ = firstEvent_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.firstEvents_ = firstEvents_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.pause_ = pause_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.pauses_ = pauses_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples) {
+          return mergeFrom((org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples other) {
+        if (other == org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples.getDefaultInstance()) return this;
+        if (java.lang.Float.floatToRawIntBits(other.getFirstEvent()) != 0) {
+          setFirstEvent(other.getFirstEvent());
+        }
+        if (other.getFirstEvents() != 0) {
+          setFirstEvents(other.getFirstEvents());
+        }
+        if (java.lang.Float.floatToRawIntBits(other.getPause()) != 0) {
+          setPause(other.getPause());
+        }
+        if (other.getPauses() != 0) {
+          setPauses(other.getPauses());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 13: {
+                firstEvent_ = input.readFloat();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 13
+              case 16: {
+                firstEvents_ = input.readUInt32();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 29: {
+                pause_ = input.readFloat();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 29
+              case 32: {
+                pauses_ = input.readUInt32();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private float firstEvent_ ;
+      /**
+       * <pre>
+       * The mean natural logarithm of the ratio for the time to the first event or to the answer, and the number of times.
+       * </pre>
+       *
+       * <code>float first_event = 1;</code>
+       * @return The firstEvent.
+       */
+      @java.lang.Override
+      public float getFirstEvent() {
+        return firstEvent_;
+      }
+      /**
+       * <pre>
+       * The mean natural logarithm of the ratio for the time to the first event or to the answer, and the number of times.
+       * </pre>
+       *
+       * <code>float first_event = 1;</code>
+       * @param value The firstEvent to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFirstEvent(float value) {
+
+        firstEvent_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The mean natural logarithm of the ratio for the time to the first event or to the answer, and the number of times.
+       * </pre>
+       *
+       * <code>float first_event = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearFirstEvent() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        firstEvent_ = 0F;
+        onChanged();
+        return this;
+      }
+
+      private int firstEvents_ ;
+      /**
+       * <code>uint32 first_events = 2;</code>
+       * @return The firstEvents.
+       */
+      @java.lang.Override
+      public int getFirstEvents() {
+        return firstEvents_;
+      }
+      /**
+       * <code>uint32 first_events = 2;</code>
+       * @param value The firstEvents to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFirstEvents(int value) {
+
+        firstEvents_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 first_events = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearFirstEvents() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        firstEvents_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private float pause_ ;
+      /**
+       * <pre>
+       * The mean natural logarithm of the ratio for the pauses between events, and the number of pauses.
+       * </pre>
+       *
+       * <code>float pause = 3;</code>
+       * @return The pause.
+       */
+      @java.lang.Override
+      public float getPause() {
+        return pause_;
+      }
+      /**
+       * <pre>
+       * The mean natural logarithm of the ratio for the pauses between events, and the number of pauses.
+       * </pre>
+       *
+       * <code>float pause = 3;</code>
+       * @param value The pause to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPause(float value) {
+
+        pause_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The mean natural logarithm of the ratio for the pauses between events, and the number of pauses.
+       * </pre>
+       *
+       * <code>float pause = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearPause() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        pause_ = 0F;
+        onChanged();
+        return this;
+      }
+
+      private int pauses_ ;
+      /**
+       * <code>uint32 pauses = 4;</code>
+       * @return The pauses.
+       */
+      @java.lang.Override
+      public int getPauses() {
+        return pauses_;
+      }
+      /**
+       * <code>uint32 pauses = 4;</code>
+       * @param value The pauses to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPauses(int value) {
+
+        pauses_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 pauses = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearPauses() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        pauses_ = 0;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:borageproxy.coordination.SlownessSamples)
+    }
+
+    // @@protoc_insertion_point(class_scope:borageproxy.coordination.SlownessSamples)
+    private static final org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples();
+    }
+
+    public static org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<SlownessSamples>
+        PARSER = new com.google.protobuf.AbstractParser<SlownessSamples>() {
+      @java.lang.Override
+      public SlownessSamples parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<SlownessSamples> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<SlownessSamples> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface RelayRequestOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.coordination.RelayRequest)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string server = 1;</code>
+     * @return The server.
+     */
+    java.lang.String getServer();
+    /**
+     * <code>string server = 1;</code>
+     * @return The bytes for server.
+     */
+    com.google.protobuf.ByteString
+        getServerBytes();
+
+    /**
+     * <code>uint64 incarnation = 2;</code>
+     * @return The incarnation.
+     */
+    long getIncarnation();
+  }
+  /**
+   * <pre>
+   * A request to be connected to a backend server.
+   * </pre>
+   *
+   * Protobuf type {@code borageproxy.coordination.RelayRequest}
+   */
+  public static final class RelayRequest extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:borageproxy.coordination.RelayRequest)
+      RelayRequestOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "RelayRequest");
+    }
+    // Use RelayRequest.newBuilder() to construct.
+    private RelayRequest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private RelayRequest() {
+      server_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_RelayRequest_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_RelayRequest_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.borageproxy.wire.proto.CoordinationProtocol.internal_static_borageproxy_coordination_RelayRequest_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest.class, org.borageproxy.wire.proto.CoordinationProtocol.RelayRequest.Builder.class);
+    }
+
+    public static final int SERVER_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object server_ = "";
+    /**
+     * <code>string server = 1;</code>
+     * @return The server.
+     */
+    @java.lang.Override
+    public java.lang.String getServer() {
+      java.lang.Object ref = server_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
             (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
         server_ = s;
@@ -8804,6 +10878,21 @@
      * @return The answers.
      */
     int getAnswers();
+
+    /**
+     * <code>optional .borageproxy.coordination.SlownessSamples slowness = 50;</code>
+     * @return Whether the slowness field is set.
+     */
+    boolean hasSlowness();
+    /**
+     * <code>optional .borageproxy.coordination.SlownessSamples slowness = 50;</code>
+     * @return The slowness.
+     */
+    org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples getSlowness();
+    /**
+     * <code>optional .borageproxy.coordination.SlownessSamples slowness = 50;</code>
+     */
+    org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamplesOrBuilder getSlownessOrBuilder();
   }
   /**
    * <pre>
@@ -8852,6 +10941,7 @@
               org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.class, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder.class);
     }
 
+    private int bitField0_;
     public static final int NAME_FIELD_NUMBER = 1;
     @SuppressWarnings("serial")
     private volatile java.lang.Object name_ = "";
@@ -8973,6 +11063,32 @@
       return answers_;
     }
 
+    public static final int SLOWNESS_FIELD_NUMBER = 50;
+    private org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples slowness_;
+    /**
+     * <code>optional .borageproxy.coordination.SlownessSamples slowness = 50;</code>
+     * @return Whether the slowness field is set.
+     */
+    @java.lang.Override
+    public boolean hasSlowness() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <code>optional .borageproxy.coordination.SlownessSamples slowness = 50;</code>
+     * @return The slowness.
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples getSlowness() {
+      return slowness_ == null ? org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples.getDefaultInstance() : slowness_;
+    }
+    /**
+     * <code>optional .borageproxy.coordination.SlownessSamples slowness = 50;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamplesOrBuilder getSlownessOrBuilder() {
+      return slowness_ == null ? org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples.getDefaultInstance() : slowness_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -9008,6 +11124,9 @@
       if (answers_ != 0) {
         output.writeUInt32(7, answers_);
       }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeMessage(50, getSlowness());
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -9044,6 +11163,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt32Size(7, answers_);
       }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(50, getSlowness());
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -9073,6 +11196,11 @@
           != other.getFailures()) return false;
       if (getAnswers()
           != other.getAnswers()) return false;
+      if (hasSlowness() != other.hasSlowness()) return false;
+      if (hasSlowness()) {
+        if (!getSlowness()
+            .equals(other.getSlowness())) return false;
+      }
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -9099,6 +11227,10 @@
       hash = (53 * hash) + getFailures();
       hash = (37 * hash) + ANSWERS_FIELD_NUMBER;
       hash = (53 * hash) + getAnswers();
+      if (hasSlowness()) {
+        hash = (37 * hash) + SLOWNESS_FIELD_NUMBER;
+        hash = (53 * hash) + getSlowness().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -9222,13 +11354,19 @@
 
       // Construct using org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.newBuilder()
       private Builder() {
-
+        maybeForceBuilderInitialization();
       }
 
       private Builder(
           com.google.protobuf.GeneratedMessage.BuilderParent parent) {
         super(parent);
-
+        maybeForceBuilderInitialization();
+      }
+      private void maybeForceBuilderInitialization() {
+        if (com.google.protobuf.GeneratedMessage
+                .alwaysUseFieldBuilders) {
+          internalGetSlownessFieldBuilder();
+        }
       }
       @java.lang.Override
       public Builder clear() {
@@ -9241,6 +11379,11 @@
         heldTokens_ = 0;
         failures_ = 0;
         answers_ = 0;
+        slowness_ = null;
+        if (slownessBuilder_ != null) {
+          slownessBuilder_.dispose();
+          slownessBuilder_ = null;
+        }
         return this;
       }
 
@@ -9295,6 +11438,14 @@
         if (((from_bitField0_ & 0x00000040) != 0)) {
           result.answers_ = answers_;
         }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000080) != 0)) {
+          result.slowness_ = slownessBuilder_ == null
+              ? slowness_
+              : slownessBuilder_.build();
+          to_bitField0_ |= 0x00000001;
+        }
+        result.bitField0_ |= to_bitField0_;
       }
 
       @java.lang.Override
@@ -9332,6 +11483,9 @@
         if (other.getAnswers() != 0) {
           setAnswers(other.getAnswers());
         }
+        if (other.hasSlowness()) {
+          mergeSlowness(other.getSlowness());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -9393,6 +11547,13 @@
                 bitField0_ |= 0x00000040;
                 break;
               } // case 56
+              case 402: {
+                input.readMessage(
+                    internalGetSlownessFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bitField0_ |= 0x00000080;
+                break;
+              } // case 402
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -9722,6 +11883,127 @@
         return this;
       }
 
+      private org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples slowness_;
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples, org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples.Builder, org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamplesOrBuilder> slownessBuilder_;
+      /**
+       * <code>optional .borageproxy.coordination.SlownessSamples slowness = 50;</code>
+       * @return Whether the slowness field is set.
+       */
+      public boolean hasSlowness() {
+        return ((bitField0_ & 0x00000080) != 0);
+      }
+      /**
+       * <code>optional .borageproxy.coordination.SlownessSamples slowness = 50;</code>
+       * @return The slowness.
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples getSlowness() {
+        if (slownessBuilder_ == null) {
+          return slowness_ == null ? org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples.getDefaultInstance() : slowness_;
+        } else {
+          return slownessBuilder_.getMessage();
+        }
+      }
+      /**
+       * <code>optional .borageproxy.coordination.SlownessSamples slowness = 50;</code>
+       */
+      public Builder setSlowness(org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples value) {
+        if (slownessBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          slowness_ = value;
+        } else {
+          slownessBuilder_.setMessage(value);
+        }
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>optional .borageproxy.coordination.SlownessSamples slowness = 50;</code>
+       */
+      public Builder setSlowness(
+          org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples.Builder builderForValue) {
+        if (slownessBuilder_ == null) {
+          slowness_ = builderForValue.build();
+        } else {
+          slownessBuilder_.setMessage(builderForValue.build());
+        }
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>optional .borageproxy.coordination.SlownessSamples slowness = 50;</code>
+       */
+      public Builder mergeSlowness(org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples value) {
+        if (slownessBuilder_ == null) {
+          if (((bitField0_ & 0x00000080) != 0) &&
+            slowness_ != null &&
+            slowness_ != org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples.getDefaultInstance()) {
+            getSlownessBuilder().mergeFrom(value);
+          } else {
+            slowness_ = value;
+          }
+        } else {
+          slownessBuilder_.mergeFrom(value);
+        }
+        if (slowness_ != null) {
+          bitField0_ |= 0x00000080;
+          onChanged();
+        }
+        return this;
+      }
+      /**
+       * <code>optional .borageproxy.coordination.SlownessSamples slowness = 50;</code>
+       */
+      public Builder clearSlowness() {
+        bitField0_ = (bitField0_ & ~0x00000080);
+        slowness_ = null;
+        if (slownessBuilder_ != null) {
+          slownessBuilder_.dispose();
+          slownessBuilder_ = null;
+        }
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>optional .borageproxy.coordination.SlownessSamples slowness = 50;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples.Builder getSlownessBuilder() {
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return internalGetSlownessFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>optional .borageproxy.coordination.SlownessSamples slowness = 50;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamplesOrBuilder getSlownessOrBuilder() {
+        if (slownessBuilder_ != null) {
+          return slownessBuilder_.getMessageOrBuilder();
+        } else {
+          return slowness_ == null ?
+              org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples.getDefaultInstance() : slowness_;
+        }
+      }
+      /**
+       * <code>optional .borageproxy.coordination.SlownessSamples slowness = 50;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples, org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples.Builder, org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamplesOrBuilder> 
+          internalGetSlownessFieldBuilder() {
+        if (slownessBuilder_ == null) {
+          slownessBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples, org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples.Builder, org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamplesOrBuilder>(
+                  getSlowness(),
+                  getParentForChildren(),
+                  isClean());
+          slowness_ = null;
+        }
+        return slownessBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.coordination.ServerUsage)
     }
 
@@ -12181,6 +14463,66 @@
      */
     com.google.protobuf.ByteString
         getRelaysBytes(int index);
+
+    /**
+     * <pre>
+     * The learned speeds of the servers that were published after the version that the entry reported.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+     */
+    java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed> 
+        getSpeedsList();
+    /**
+     * <pre>
+     * The learned speeds of the servers that were published after the version that the entry reported.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+     */
+    org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed getSpeeds(int index);
+    /**
+     * <pre>
+     * The learned speeds of the servers that were published after the version that the entry reported.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+     */
+    int getSpeedsCount();
+    /**
+     * <pre>
+     * The learned speeds of the servers that were published after the version that the entry reported.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+     */
+    java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeedOrBuilder> 
+        getSpeedsOrBuilderList();
+    /**
+     * <pre>
+     * The learned speeds of the servers that were published after the version that the entry reported.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+     */
+    org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeedOrBuilder getSpeedsOrBuilder(
+        int index);
+
+    /**
+     * <code>uint64 speeds_version = 51;</code>
+     * @return The speedsVersion.
+     */
+    long getSpeedsVersion();
+
+    /**
+     * <pre>
+     * Whether the entry should return the speeds that it received from an earlier coordinator.
+     * </pre>
+     *
+     * <code>bool asks_speeds = 52;</code>
+     * @return The asksSpeeds.
+     */
+    boolean getAsksSpeeds();
   }
   /**
    * <pre>
@@ -12215,6 +14557,7 @@
       statedLimits_ = java.util.Collections.emptyList();
       relays_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
+      speeds_ = java.util.Collections.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -12634,6 +14977,93 @@
       return relays_.getByteString(index);
     }
 
+    public static final int SPEEDS_FIELD_NUMBER = 50;
+    @SuppressWarnings("serial")
+    private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed> speeds_;
+    /**
+     * <pre>
+     * The learned speeds of the servers that were published after the version that the entry reported.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed> getSpeedsList() {
+      return speeds_;
+    }
+    /**
+     * <pre>
+     * The learned speeds of the servers that were published after the version that the entry reported.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeedOrBuilder> 
+        getSpeedsOrBuilderList() {
+      return speeds_;
+    }
+    /**
+     * <pre>
+     * The learned speeds of the servers that were published after the version that the entry reported.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+     */
+    @java.lang.Override
+    public int getSpeedsCount() {
+      return speeds_.size();
+    }
+    /**
+     * <pre>
+     * The learned speeds of the servers that were published after the version that the entry reported.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed getSpeeds(int index) {
+      return speeds_.get(index);
+    }
+    /**
+     * <pre>
+     * The learned speeds of the servers that were published after the version that the entry reported.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeedOrBuilder getSpeedsOrBuilder(
+        int index) {
+      return speeds_.get(index);
+    }
+
+    public static final int SPEEDS_VERSION_FIELD_NUMBER = 51;
+    private long speedsVersion_ = 0L;
+    /**
+     * <code>uint64 speeds_version = 51;</code>
+     * @return The speedsVersion.
+     */
+    @java.lang.Override
+    public long getSpeedsVersion() {
+      return speedsVersion_;
+    }
+
+    public static final int ASKS_SPEEDS_FIELD_NUMBER = 52;
+    private boolean asksSpeeds_ = false;
+    /**
+     * <pre>
+     * Whether the entry should return the speeds that it received from an earlier coordinator.
+     * </pre>
+     *
+     * <code>bool asks_speeds = 52;</code>
+     * @return The asksSpeeds.
+     */
+    @java.lang.Override
+    public boolean getAsksSpeeds() {
+      return asksSpeeds_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -12684,6 +15114,15 @@
       for (int i = 0; i < relays_.size(); i++) {
         com.google.protobuf.GeneratedMessage.writeString(output, 12, relays_.getRaw(i));
       }
+      for (int i = 0; i < speeds_.size(); i++) {
+        output.writeMessage(50, speeds_.get(i));
+      }
+      if (speedsVersion_ != 0L) {
+        output.writeUInt64(51, speedsVersion_);
+      }
+      if (asksSpeeds_ != false) {
+        output.writeBool(52, asksSpeeds_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -12764,6 +15203,23 @@
         size += dataSize;
         size += 1 * getRelaysList().size();
       }
+
+          {
+            final int count = speeds_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(speeds_.get(i));
+            }
+            size += 2 * count;
+          }
+      if (speedsVersion_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(51, speedsVersion_);
+      }
+      if (asksSpeeds_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(52, asksSpeeds_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -12803,6 +15259,12 @@
           != other.getLimitsVersion()) return false;
       if (!getRelaysList()
           .equals(other.getRelaysList())) return false;
+      if (!getSpeedsList()
+          .equals(other.getSpeedsList())) return false;
+      if (getSpeedsVersion()
+          != other.getSpeedsVersion()) return false;
+      if (getAsksSpeeds()
+          != other.getAsksSpeeds()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -12853,6 +15315,16 @@
         hash = (37 * hash) + RELAYS_FIELD_NUMBER;
         hash = (53 * hash) + getRelaysList().hashCode();
       }
+      if (getSpeedsCount() > 0) {
+        hash = (37 * hash) + SPEEDS_FIELD_NUMBER;
+        hash = (53 * hash) + getSpeedsList().hashCode();
+      }
+      hash = (37 * hash) + SPEEDS_VERSION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getSpeedsVersion());
+      hash = (37 * hash) + ASKS_SPEEDS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getAsksSpeeds());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -13025,6 +15497,15 @@
         limitsVersion_ = 0L;
         relays_ =
             com.google.protobuf.LazyStringArrayList.emptyList();
+        if (speedsBuilder_ == null) {
+          speeds_ = java.util.Collections.emptyList();
+        } else {
+          speeds_ = null;
+          speedsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00001000);
+        speedsVersion_ = 0L;
+        asksSpeeds_ = false;
         return this;
       }
 
@@ -13094,6 +15575,15 @@
         } else {
           result.statedLimits_ = statedLimitsBuilder_.build();
         }
+        if (speedsBuilder_ == null) {
+          if (((bitField0_ & 0x00001000) != 0)) {
+            speeds_ = java.util.Collections.unmodifiableList(speeds_);
+            bitField0_ = (bitField0_ & ~0x00001000);
+          }
+          result.speeds_ = speeds_;
+        } else {
+          result.speeds_ = speedsBuilder_.build();
+        }
       }
 
       private void buildPartial0(org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate result) {
@@ -13123,6 +15613,12 @@
           relays_.makeImmutable();
           result.relays_ = relays_;
         }
+        if (((from_bitField0_ & 0x00002000) != 0)) {
+          result.speedsVersion_ = speedsVersion_;
+        }
+        if (((from_bitField0_ & 0x00004000) != 0)) {
+          result.asksSpeeds_ = asksSpeeds_;
+        }
       }
 
       @java.lang.Override
@@ -13274,6 +15770,38 @@
           }
           onChanged();
         }
+        if (speedsBuilder_ == null) {
+          if (!other.speeds_.isEmpty()) {
+            if (speeds_.isEmpty()) {
+              speeds_ = other.speeds_;
+              bitField0_ = (bitField0_ & ~0x00001000);
+            } else {
+              ensureSpeedsIsMutable();
+              speeds_.addAll(other.speeds_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.speeds_.isEmpty()) {
+            if (speedsBuilder_.isEmpty()) {
+              speedsBuilder_.dispose();
+              speedsBuilder_ = null;
+              speeds_ = other.speeds_;
+              bitField0_ = (bitField0_ & ~0x00001000);
+              speedsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetSpeedsFieldBuilder() : null;
+            } else {
+              speedsBuilder_.addAllMessages(other.speeds_);
+            }
+          }
+        }
+        if (other.getSpeedsVersion() != 0L) {
+          setSpeedsVersion(other.getSpeedsVersion());
+        }
+        if (other.getAsksSpeeds() != false) {
+          setAsksSpeeds(other.getAsksSpeeds());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -13392,6 +15920,29 @@
                 relays_.add(input.readStringRequireUtf8());
                 break;
               } // case 98
+              case 402: {
+                org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed m =
+                    input.readMessage(
+                        org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed.parser(),
+                        extensionRegistry);
+                if (speedsBuilder_ == null) {
+                  ensureSpeedsIsMutable();
+                  speeds_.add(m);
+                } else {
+                  speedsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 402
+              case 408: {
+                speedsVersion_ = input.readUInt64();
+                bitField0_ |= 0x00002000;
+                break;
+              } // case 408
+              case 416: {
+                asksSpeeds_ = input.readBool();
+                bitField0_ |= 0x00004000;
+                break;
+              } // case 416
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -13524,63 +16075,285 @@
         onChanged();
         return this;
       }
-
-      private int entries_ ;
+
+      private int entries_ ;
+      /**
+       * <pre>
+       * The number of entries with a recent report.
+       * </pre>
+       *
+       * <code>uint32 entries = 3;</code>
+       * @return The entries.
+       */
+      @java.lang.Override
+      public int getEntries() {
+        return entries_;
+      }
+      /**
+       * <pre>
+       * The number of entries with a recent report.
+       * </pre>
+       *
+       * <code>uint32 entries = 3;</code>
+       * @param value The entries to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEntries(int value) {
+
+        entries_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The number of entries with a recent report.
+       * </pre>
+       *
+       * <code>uint32 entries = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearEntries() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        entries_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage> servers_ =
+        java.util.Collections.emptyList();
+      private void ensureServersIsMutable() {
+        if (!((bitField0_ & 0x00000008) != 0)) {
+          servers_ = new java.util.ArrayList<org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage>(servers_);
+          bitField0_ |= 0x00000008;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsageOrBuilder> serversBuilder_;
+
+      /**
+       * <pre>
+       * The load of all other entries, on plain services only unless all_servers is set.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage> getServersList() {
+        if (serversBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(servers_);
+        } else {
+          return serversBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <pre>
+       * The load of all other entries, on plain services only unless all_servers is set.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       */
+      public int getServersCount() {
+        if (serversBuilder_ == null) {
+          return servers_.size();
+        } else {
+          return serversBuilder_.getCount();
+        }
+      }
+      /**
+       * <pre>
+       * The load of all other entries, on plain services only unless all_servers is set.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage getServers(int index) {
+        if (serversBuilder_ == null) {
+          return servers_.get(index);
+        } else {
+          return serversBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <pre>
+       * The load of all other entries, on plain services only unless all_servers is set.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       */
+      public Builder setServers(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage value) {
+        if (serversBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureServersIsMutable();
+          servers_.set(index, value);
+          onChanged();
+        } else {
+          serversBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * The load of all other entries, on plain services only unless all_servers is set.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       */
+      public Builder setServers(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder builderForValue) {
+        if (serversBuilder_ == null) {
+          ensureServersIsMutable();
+          servers_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          serversBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * The load of all other entries, on plain services only unless all_servers is set.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       */
+      public Builder addServers(org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage value) {
+        if (serversBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureServersIsMutable();
+          servers_.add(value);
+          onChanged();
+        } else {
+          serversBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * The load of all other entries, on plain services only unless all_servers is set.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       */
+      public Builder addServers(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage value) {
+        if (serversBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureServersIsMutable();
+          servers_.add(index, value);
+          onChanged();
+        } else {
+          serversBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * The load of all other entries, on plain services only unless all_servers is set.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       */
+      public Builder addServers(
+          org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder builderForValue) {
+        if (serversBuilder_ == null) {
+          ensureServersIsMutable();
+          servers_.add(builderForValue.build());
+          onChanged();
+        } else {
+          serversBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * The load of all other entries, on plain services only unless all_servers is set.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       */
+      public Builder addServers(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder builderForValue) {
+        if (serversBuilder_ == null) {
+          ensureServersIsMutable();
+          servers_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          serversBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
       /**
        * <pre>
-       * The number of entries with a recent report.
+       * The load of all other entries, on plain services only unless all_servers is set.
        * </pre>
        *
-       * <code>uint32 entries = 3;</code>
-       * @return The entries.
+       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
        */
-      @java.lang.Override
-      public int getEntries() {
-        return entries_;
+      public Builder addAllServers(
+          java.lang.Iterable<? extends org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage> values) {
+        if (serversBuilder_ == null) {
+          ensureServersIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, servers_);
+          onChanged();
+        } else {
+          serversBuilder_.addAllMessages(values);
+        }
+        return this;
       }
       /**
        * <pre>
-       * The number of entries with a recent report.
+       * The load of all other entries, on plain services only unless all_servers is set.
        * </pre>
        *
-       * <code>uint32 entries = 3;</code>
-       * @param value The entries to set.
-       * @return This builder for chaining.
+       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
        */
-      public Builder setEntries(int value) {
-
-        entries_ = value;
-        bitField0_ |= 0x00000004;
-        onChanged();
+      public Builder clearServers() {
+        if (serversBuilder_ == null) {
+          servers_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000008);
+          onChanged();
+        } else {
+          serversBuilder_.clear();
+        }
         return this;
       }
       /**
        * <pre>
-       * The number of entries with a recent report.
+       * The load of all other entries, on plain services only unless all_servers is set.
        * </pre>
        *
-       * <code>uint32 entries = 3;</code>
-       * @return This builder for chaining.
+       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
        */
-      public Builder clearEntries() {
-        bitField0_ = (bitField0_ & ~0x00000004);
-        entries_ = 0;
-        onChanged();
+      public Builder removeServers(int index) {
+        if (serversBuilder_ == null) {
+          ensureServersIsMutable();
+          servers_.remove(index);
+          onChanged();
+        } else {
+          serversBuilder_.remove(index);
+        }
         return this;
       }
-
-      private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage> servers_ =
-        java.util.Collections.emptyList();
-      private void ensureServersIsMutable() {
-        if (!((bitField0_ & 0x00000008) != 0)) {
-          servers_ = new java.util.ArrayList<org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage>(servers_);
-          bitField0_ |= 0x00000008;
-         }
+      /**
+       * <pre>
+       * The load of all other entries, on plain services only unless all_servers is set.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder getServersBuilder(
+          int index) {
+        return internalGetServersFieldBuilder().getBuilder(index);
       }
-
-      private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsageOrBuilder> serversBuilder_;
-
       /**
        * <pre>
        * The load of all other entries, on plain services only unless all_servers is set.
@@ -13588,11 +16361,11 @@
        *
        * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
        */
-      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage> getServersList() {
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerUsageOrBuilder getServersOrBuilder(
+          int index) {
         if (serversBuilder_ == null) {
-          return java.util.Collections.unmodifiableList(servers_);
-        } else {
-          return serversBuilder_.getMessageList();
+          return servers_.get(index);  } else {
+          return serversBuilder_.getMessageOrBuilder(index);
         }
       }
       /**
@@ -13602,11 +16375,12 @@
        *
        * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
        */
-      public int getServersCount() {
-        if (serversBuilder_ == null) {
-          return servers_.size();
+      public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.ServerUsageOrBuilder> 
+           getServersOrBuilderList() {
+        if (serversBuilder_ != null) {
+          return serversBuilder_.getMessageOrBuilderList();
         } else {
-          return serversBuilder_.getCount();
+          return java.util.Collections.unmodifiableList(servers_);
         }
       }
       /**
@@ -13616,12 +16390,9 @@
        *
        * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
        */
-      public org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage getServers(int index) {
-        if (serversBuilder_ == null) {
-          return servers_.get(index);
-        } else {
-          return serversBuilder_.getMessage(index);
-        }
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder addServersBuilder() {
+        return internalGetServersFieldBuilder().addBuilder(
+            org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.getDefaultInstance());
       }
       /**
        * <pre>
