@@ -13630,1419 +16401,1587 @@
        *
        * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
        */
-      public Builder setServers(
-          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage value) {
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder addServersBuilder(
+          int index) {
+        return internalGetServersFieldBuilder().addBuilder(
+            index, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * The load of all other entries, on plain services only unless all_servers is set.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder> 
+           getServersBuilderList() {
+        return internalGetServersFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsageOrBuilder> 
+          internalGetServersFieldBuilder() {
         if (serversBuilder_ == null) {
+          serversBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsageOrBuilder>(
+                  servers_,
+                  ((bitField0_ & 0x00000008) != 0),
+                  getParentForChildren(),
+                  isClean());
+          servers_ = null;
+        }
+        return serversBuilder_;
+      }
+
+      private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.RateShare> shares_ =
+        java.util.Collections.emptyList();
+      private void ensureSharesIsMutable() {
+        if (!((bitField0_ & 0x00000010) != 0)) {
+          shares_ = new java.util.ArrayList<org.borageproxy.wire.proto.CoordinationProtocol.RateShare>(shares_);
+          bitField0_ |= 0x00000010;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.CoordinationProtocol.RateShare, org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder, org.borageproxy.wire.proto.CoordinationProtocol.RateShareOrBuilder> sharesBuilder_;
+
+      /**
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.RateShare> getSharesList() {
+        if (sharesBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(shares_);
+        } else {
+          return sharesBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       */
+      public int getSharesCount() {
+        if (sharesBuilder_ == null) {
+          return shares_.size();
+        } else {
+          return sharesBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.RateShare getShares(int index) {
+        if (sharesBuilder_ == null) {
+          return shares_.get(index);
+        } else {
+          return sharesBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       */
+      public Builder setShares(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.RateShare value) {
+        if (sharesBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensureServersIsMutable();
-          servers_.set(index, value);
+          ensureSharesIsMutable();
+          shares_.set(index, value);
           onChanged();
         } else {
-          serversBuilder_.setMessage(index, value);
+          sharesBuilder_.setMessage(index, value);
         }
         return this;
       }
       /**
-       * <pre>
-       * The load of all other entries, on plain services only unless all_servers is set.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
        */
-      public Builder setServers(
-          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder builderForValue) {
-        if (serversBuilder_ == null) {
-          ensureServersIsMutable();
-          servers_.set(index, builderForValue.build());
+      public Builder setShares(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder builderForValue) {
+        if (sharesBuilder_ == null) {
+          ensureSharesIsMutable();
+          shares_.set(index, builderForValue.build());
           onChanged();
         } else {
-          serversBuilder_.setMessage(index, builderForValue.build());
+          sharesBuilder_.setMessage(index, builderForValue.build());
         }
         return this;
       }
       /**
-       * <pre>
-       * The load of all other entries, on plain services only unless all_servers is set.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
        */
-      public Builder addServers(org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage value) {
-        if (serversBuilder_ == null) {
+      public Builder addShares(org.borageproxy.wire.proto.CoordinationProtocol.RateShare value) {
+        if (sharesBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensureServersIsMutable();
-          servers_.add(value);
+          ensureSharesIsMutable();
+          shares_.add(value);
           onChanged();
         } else {
-          serversBuilder_.addMessage(value);
+          sharesBuilder_.addMessage(value);
         }
         return this;
       }
       /**
-       * <pre>
-       * The load of all other entries, on plain services only unless all_servers is set.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
        */
-      public Builder addServers(
-          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage value) {
-        if (serversBuilder_ == null) {
+      public Builder addShares(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.RateShare value) {
+        if (sharesBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensureServersIsMutable();
-          servers_.add(index, value);
+          ensureSharesIsMutable();
+          shares_.add(index, value);
           onChanged();
         } else {
-          serversBuilder_.addMessage(index, value);
+          sharesBuilder_.addMessage(index, value);
         }
         return this;
       }
       /**
-       * <pre>
-       * The load of all other entries, on plain services only unless all_servers is set.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
-       */
-      public Builder addServers(
-          org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder builderForValue) {
-        if (serversBuilder_ == null) {
-          ensureServersIsMutable();
-          servers_.add(builderForValue.build());
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       */
+      public Builder addShares(
+          org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder builderForValue) {
+        if (sharesBuilder_ == null) {
+          ensureSharesIsMutable();
+          shares_.add(builderForValue.build());
           onChanged();
         } else {
-          serversBuilder_.addMessage(builderForValue.build());
+          sharesBuilder_.addMessage(builderForValue.build());
         }
         return this;
       }
       /**
-       * <pre>
-       * The load of all other entries, on plain services only unless all_servers is set.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
        */
-      public Builder addServers(
-          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder builderForValue) {
-        if (serversBuilder_ == null) {
-          ensureServersIsMutable();
-          servers_.add(index, builderForValue.build());
+      public Builder addShares(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder builderForValue) {
+        if (sharesBuilder_ == null) {
+          ensureSharesIsMutable();
+          shares_.add(index, builderForValue.build());
           onChanged();
         } else {
-          serversBuilder_.addMessage(index, builderForValue.build());
+          sharesBuilder_.addMessage(index, builderForValue.build());
         }
         return this;
       }
       /**
-       * <pre>
-       * The load of all other entries, on plain services only unless all_servers is set.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
        */
-      public Builder addAllServers(
-          java.lang.Iterable<? extends org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage> values) {
-        if (serversBuilder_ == null) {
-          ensureServersIsMutable();
+      public Builder addAllShares(
+          java.lang.Iterable<? extends org.borageproxy.wire.proto.CoordinationProtocol.RateShare> values) {
+        if (sharesBuilder_ == null) {
+          ensureSharesIsMutable();
           com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, servers_);
+              values, shares_);
           onChanged();
         } else {
-          serversBuilder_.addAllMessages(values);
+          sharesBuilder_.addAllMessages(values);
         }
         return this;
       }
       /**
-       * <pre>
-       * The load of all other entries, on plain services only unless all_servers is set.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
        */
-      public Builder clearServers() {
-        if (serversBuilder_ == null) {
-          servers_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000008);
+      public Builder clearShares() {
+        if (sharesBuilder_ == null) {
+          shares_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000010);
           onChanged();
         } else {
-          serversBuilder_.clear();
+          sharesBuilder_.clear();
         }
         return this;
       }
       /**
-       * <pre>
-       * The load of all other entries, on plain services only unless all_servers is set.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
        */
-      public Builder removeServers(int index) {
-        if (serversBuilder_ == null) {
-          ensureServersIsMutable();
-          servers_.remove(index);
+      public Builder removeShares(int index) {
+        if (sharesBuilder_ == null) {
+          ensureSharesIsMutable();
+          shares_.remove(index);
           onChanged();
         } else {
-          serversBuilder_.remove(index);
+          sharesBuilder_.remove(index);
         }
         return this;
       }
       /**
-       * <pre>
-       * The load of all other entries, on plain services only unless all_servers is set.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
        */
-      public org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder getServersBuilder(
+      public org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder getSharesBuilder(
           int index) {
-        return internalGetServersFieldBuilder().getBuilder(index);
+        return internalGetSharesFieldBuilder().getBuilder(index);
       }
       /**
-       * <pre>
-       * The load of all other entries, on plain services only unless all_servers is set.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
        */
-      public org.borageproxy.wire.proto.CoordinationProtocol.ServerUsageOrBuilder getServersOrBuilder(
+      public org.borageproxy.wire.proto.CoordinationProtocol.RateShareOrBuilder getSharesOrBuilder(
           int index) {
-        if (serversBuilder_ == null) {
-          return servers_.get(index);  } else {
-          return serversBuilder_.getMessageOrBuilder(index);
+        if (sharesBuilder_ == null) {
+          return shares_.get(index);  } else {
+          return sharesBuilder_.getMessageOrBuilder(index);
         }
       }
       /**
-       * <pre>
-       * The load of all other entries, on plain services only unless all_servers is set.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
        */
-      public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.ServerUsageOrBuilder> 
-           getServersOrBuilderList() {
-        if (serversBuilder_ != null) {
-          return serversBuilder_.getMessageOrBuilderList();
+      public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.RateShareOrBuilder> 
+           getSharesOrBuilderList() {
+        if (sharesBuilder_ != null) {
+          return sharesBuilder_.getMessageOrBuilderList();
         } else {
-          return java.util.Collections.unmodifiableList(servers_);
+          return java.util.Collections.unmodifiableList(shares_);
         }
       }
       /**
-       * <pre>
-       * The load of all other entries, on plain services only unless all_servers is set.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
        */
-      public org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder addServersBuilder() {
-        return internalGetServersFieldBuilder().addBuilder(
-            org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.getDefaultInstance());
+      public org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder addSharesBuilder() {
+        return internalGetSharesFieldBuilder().addBuilder(
+            org.borageproxy.wire.proto.CoordinationProtocol.RateShare.getDefaultInstance());
       }
       /**
-       * <pre>
-       * The load of all other entries, on plain services only unless all_servers is set.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
        */
-      public org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder addServersBuilder(
+      public org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder addSharesBuilder(
           int index) {
-        return internalGetServersFieldBuilder().addBuilder(
-            index, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.getDefaultInstance());
+        return internalGetSharesFieldBuilder().addBuilder(
+            index, org.borageproxy.wire.proto.CoordinationProtocol.RateShare.getDefaultInstance());
       }
       /**
-       * <pre>
-       * The load of all other entries, on plain services only unless all_servers is set.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.ServerUsage servers = 4;</code>
+       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
        */
-      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder> 
-           getServersBuilderList() {
-        return internalGetServersFieldBuilder().getBuilderList();
+      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder> 
+           getSharesBuilderList() {
+        return internalGetSharesFieldBuilder().getBuilderList();
       }
       private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsageOrBuilder> 
-          internalGetServersFieldBuilder() {
-        if (serversBuilder_ == null) {
-          serversBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage.Builder, org.borageproxy.wire.proto.CoordinationProtocol.ServerUsageOrBuilder>(
-                  servers_,
-                  ((bitField0_ & 0x00000008) != 0),
+          org.borageproxy.wire.proto.CoordinationProtocol.RateShare, org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder, org.borageproxy.wire.proto.CoordinationProtocol.RateShareOrBuilder> 
+          internalGetSharesFieldBuilder() {
+        if (sharesBuilder_ == null) {
+          sharesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.borageproxy.wire.proto.CoordinationProtocol.RateShare, org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder, org.borageproxy.wire.proto.CoordinationProtocol.RateShareOrBuilder>(
+                  shares_,
+                  ((bitField0_ & 0x00000010) != 0),
                   getParentForChildren(),
                   isClean());
-          servers_ = null;
+          shares_ = null;
         }
-        return serversBuilder_;
+        return sharesBuilder_;
       }
 
-      private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.RateShare> shares_ =
+      private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerContent> contents_ =
         java.util.Collections.emptyList();
-      private void ensureSharesIsMutable() {
-        if (!((bitField0_ & 0x00000010) != 0)) {
-          shares_ = new java.util.ArrayList<org.borageproxy.wire.proto.CoordinationProtocol.RateShare>(shares_);
-          bitField0_ |= 0x00000010;
+      private void ensureContentsIsMutable() {
+        if (!((bitField0_ & 0x00000020) != 0)) {
+          contents_ = new java.util.ArrayList<org.borageproxy.wire.proto.CoordinationProtocol.ServerContent>(contents_);
+          bitField0_ |= 0x00000020;
          }
       }
 
       private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.CoordinationProtocol.RateShare, org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder, org.borageproxy.wire.proto.CoordinationProtocol.RateShareOrBuilder> sharesBuilder_;
+          org.borageproxy.wire.proto.CoordinationProtocol.ServerContent, org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder, org.borageproxy.wire.proto.CoordinationProtocol.ServerContentOrBuilder> contentsBuilder_;
 
       /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       * <pre>
+       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
        */
-      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.RateShare> getSharesList() {
-        if (sharesBuilder_ == null) {
-          return java.util.Collections.unmodifiableList(shares_);
+      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerContent> getContentsList() {
+        if (contentsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(contents_);
         } else {
-          return sharesBuilder_.getMessageList();
+          return contentsBuilder_.getMessageList();
         }
       }
       /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       * <pre>
+       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
        */
-      public int getSharesCount() {
-        if (sharesBuilder_ == null) {
-          return shares_.size();
+      public int getContentsCount() {
+        if (contentsBuilder_ == null) {
+          return contents_.size();
         } else {
-          return sharesBuilder_.getCount();
+          return contentsBuilder_.getCount();
         }
       }
       /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       * <pre>
+       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
        */
-      public org.borageproxy.wire.proto.CoordinationProtocol.RateShare getShares(int index) {
-        if (sharesBuilder_ == null) {
-          return shares_.get(index);
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerContent getContents(int index) {
+        if (contentsBuilder_ == null) {
+          return contents_.get(index);
         } else {
-          return sharesBuilder_.getMessage(index);
+          return contentsBuilder_.getMessage(index);
         }
       }
       /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       * <pre>
+       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
        */
-      public Builder setShares(
-          int index, org.borageproxy.wire.proto.CoordinationProtocol.RateShare value) {
-        if (sharesBuilder_ == null) {
+      public Builder setContents(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerContent value) {
+        if (contentsBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensureSharesIsMutable();
-          shares_.set(index, value);
+          ensureContentsIsMutable();
+          contents_.set(index, value);
           onChanged();
         } else {
-          sharesBuilder_.setMessage(index, value);
+          contentsBuilder_.setMessage(index, value);
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       * <pre>
+       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
        */
-      public Builder setShares(
-          int index, org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder builderForValue) {
-        if (sharesBuilder_ == null) {
-          ensureSharesIsMutable();
-          shares_.set(index, builderForValue.build());
+      public Builder setContents(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder builderForValue) {
+        if (contentsBuilder_ == null) {
+          ensureContentsIsMutable();
+          contents_.set(index, builderForValue.build());
           onChanged();
         } else {
-          sharesBuilder_.setMessage(index, builderForValue.build());
+          contentsBuilder_.setMessage(index, builderForValue.build());
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       * <pre>
+       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
        */
-      public Builder addShares(org.borageproxy.wire.proto.CoordinationProtocol.RateShare value) {
-        if (sharesBuilder_ == null) {
+      public Builder addContents(org.borageproxy.wire.proto.CoordinationProtocol.ServerContent value) {
+        if (contentsBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensureSharesIsMutable();
-          shares_.add(value);
+          ensureContentsIsMutable();
+          contents_.add(value);
           onChanged();
         } else {
-          sharesBuilder_.addMessage(value);
+          contentsBuilder_.addMessage(value);
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       * <pre>
+       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
        */
-      public Builder addShares(
-          int index, org.borageproxy.wire.proto.CoordinationProtocol.RateShare value) {
-        if (sharesBuilder_ == null) {
+      public Builder addContents(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerContent value) {
+        if (contentsBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensureSharesIsMutable();
-          shares_.add(index, value);
+          ensureContentsIsMutable();
+          contents_.add(index, value);
           onChanged();
         } else {
-          sharesBuilder_.addMessage(index, value);
+          contentsBuilder_.addMessage(index, value);
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       * <pre>
+       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
        */
-      public Builder addShares(
-          org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder builderForValue) {
-        if (sharesBuilder_ == null) {
-          ensureSharesIsMutable();
-          shares_.add(builderForValue.build());
+      public Builder addContents(
+          org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder builderForValue) {
+        if (contentsBuilder_ == null) {
+          ensureContentsIsMutable();
+          contents_.add(builderForValue.build());
           onChanged();
         } else {
-          sharesBuilder_.addMessage(builderForValue.build());
+          contentsBuilder_.addMessage(builderForValue.build());
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       * <pre>
+       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
        */
-      public Builder addShares(
-          int index, org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder builderForValue) {
-        if (sharesBuilder_ == null) {
-          ensureSharesIsMutable();
-          shares_.add(index, builderForValue.build());
+      public Builder addContents(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder builderForValue) {
+        if (contentsBuilder_ == null) {
+          ensureContentsIsMutable();
+          contents_.add(index, builderForValue.build());
           onChanged();
         } else {
-          sharesBuilder_.addMessage(index, builderForValue.build());
+          contentsBuilder_.addMessage(index, builderForValue.build());
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       * <pre>
+       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
        */
-      public Builder addAllShares(
-          java.lang.Iterable<? extends org.borageproxy.wire.proto.CoordinationProtocol.RateShare> values) {
-        if (sharesBuilder_ == null) {
-          ensureSharesIsMutable();
+      public Builder addAllContents(
+          java.lang.Iterable<? extends org.borageproxy.wire.proto.CoordinationProtocol.ServerContent> values) {
+        if (contentsBuilder_ == null) {
+          ensureContentsIsMutable();
           com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, shares_);
+              values, contents_);
           onChanged();
         } else {
-          sharesBuilder_.addAllMessages(values);
+          contentsBuilder_.addAllMessages(values);
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       * <pre>
+       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
        */
-      public Builder clearShares() {
-        if (sharesBuilder_ == null) {
-          shares_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000010);
+      public Builder clearContents() {
+        if (contentsBuilder_ == null) {
+          contents_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000020);
           onChanged();
         } else {
-          sharesBuilder_.clear();
+          contentsBuilder_.clear();
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       * <pre>
+       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
        */
-      public Builder removeShares(int index) {
-        if (sharesBuilder_ == null) {
-          ensureSharesIsMutable();
-          shares_.remove(index);
+      public Builder removeContents(int index) {
+        if (contentsBuilder_ == null) {
+          ensureContentsIsMutable();
+          contents_.remove(index);
           onChanged();
         } else {
-          sharesBuilder_.remove(index);
+          contentsBuilder_.remove(index);
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       * <pre>
+       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
        */
-      public org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder getSharesBuilder(
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder getContentsBuilder(
           int index) {
-        return internalGetSharesFieldBuilder().getBuilder(index);
+        return internalGetContentsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerContentOrBuilder getContentsOrBuilder(
+          int index) {
+        if (contentsBuilder_ == null) {
+          return contents_.get(index);  } else {
+          return contentsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       */
+      public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.ServerContentOrBuilder> 
+           getContentsOrBuilderList() {
+        if (contentsBuilder_ != null) {
+          return contentsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(contents_);
+        }
+      }
+      /**
+       * <pre>
+       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder addContentsBuilder() {
+        return internalGetContentsFieldBuilder().addBuilder(
+            org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       */
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder addContentsBuilder(
+          int index) {
+        return internalGetContentsFieldBuilder().addBuilder(
+            index, org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder> 
+           getContentsBuilderList() {
+        return internalGetContentsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.CoordinationProtocol.ServerContent, org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder, org.borageproxy.wire.proto.CoordinationProtocol.ServerContentOrBuilder> 
+          internalGetContentsFieldBuilder() {
+        if (contentsBuilder_ == null) {
+          contentsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.borageproxy.wire.proto.CoordinationProtocol.ServerContent, org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder, org.borageproxy.wire.proto.CoordinationProtocol.ServerContentOrBuilder>(
+                  contents_,
+                  ((bitField0_ & 0x00000020) != 0),
+                  getParentForChildren(),
+                  isClean());
+          contents_ = null;
+        }
+        return contentsBuilder_;
+      }
+
+      private long contentsVersion_ ;
+      /**
+       * <code>uint64 contents_version = 7;</code>
+       * @return The contentsVersion.
+       */
+      @java.lang.Override
+      public long getContentsVersion() {
+        return contentsVersion_;
+      }
+      /**
+       * <code>uint64 contents_version = 7;</code>
+       * @param value The contentsVersion to set.
+       * @return This builder for chaining.
+       */
+      public Builder setContentsVersion(long value) {
+
+        contentsVersion_ = value;
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 contents_version = 7;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearContentsVersion() {
+        bitField0_ = (bitField0_ & ~0x00000040);
+        contentsVersion_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private boolean allServers_ ;
+      /**
+       * <pre>
+       * Whether the load on model engines is included. It is left out of most answers, since the coordinator chooses the
+       * engines while it answers.
+       * </pre>
+       *
+       * <code>bool all_servers = 8;</code>
+       * @return The allServers.
+       */
+      @java.lang.Override
+      public boolean getAllServers() {
+        return allServers_;
       }
       /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       * <pre>
+       * Whether the load on model engines is included. It is left out of most answers, since the coordinator chooses the
+       * engines while it answers.
+       * </pre>
+       *
+       * <code>bool all_servers = 8;</code>
+       * @param value The allServers to set.
+       * @return This builder for chaining.
        */
-      public org.borageproxy.wire.proto.CoordinationProtocol.RateShareOrBuilder getSharesOrBuilder(
-          int index) {
-        if (sharesBuilder_ == null) {
-          return shares_.get(index);  } else {
-          return sharesBuilder_.getMessageOrBuilder(index);
-        }
+      public Builder setAllServers(boolean value) {
+
+        allServers_ = value;
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
       }
       /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       * <pre>
+       * Whether the load on model engines is included. It is left out of most answers, since the coordinator chooses the
+       * engines while it answers.
+       * </pre>
+       *
+       * <code>bool all_servers = 8;</code>
+       * @return This builder for chaining.
        */
-      public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.RateShareOrBuilder> 
-           getSharesOrBuilderList() {
-        if (sharesBuilder_ != null) {
-          return sharesBuilder_.getMessageOrBuilderList();
-        } else {
-          return java.util.Collections.unmodifiableList(shares_);
-        }
+      public Builder clearAllServers() {
+        bitField0_ = (bitField0_ & ~0x00000080);
+        allServers_ = false;
+        onChanged();
+        return this;
       }
+
+      private long term_ ;
       /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       * <pre>
+       * The term of the coordinator; zero in notices between reports.
+       * </pre>
+       *
+       * <code>uint64 term = 9;</code>
+       * @return The term.
        */
-      public org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder addSharesBuilder() {
-        return internalGetSharesFieldBuilder().addBuilder(
-            org.borageproxy.wire.proto.CoordinationProtocol.RateShare.getDefaultInstance());
+      @java.lang.Override
+      public long getTerm() {
+        return term_;
       }
       /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       * <pre>
+       * The term of the coordinator; zero in notices between reports.
+       * </pre>
+       *
+       * <code>uint64 term = 9;</code>
+       * @param value The term to set.
+       * @return This builder for chaining.
        */
-      public org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder addSharesBuilder(
-          int index) {
-        return internalGetSharesFieldBuilder().addBuilder(
-            index, org.borageproxy.wire.proto.CoordinationProtocol.RateShare.getDefaultInstance());
+      public Builder setTerm(long value) {
+
+        term_ = value;
+        bitField0_ |= 0x00000100;
+        onChanged();
+        return this;
       }
       /**
-       * <code>repeated .borageproxy.coordination.RateShare shares = 5;</code>
+       * <pre>
+       * The term of the coordinator; zero in notices between reports.
+       * </pre>
+       *
+       * <code>uint64 term = 9;</code>
+       * @return This builder for chaining.
        */
-      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder> 
-           getSharesBuilderList() {
-        return internalGetSharesFieldBuilder().getBuilderList();
-      }
-      private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.CoordinationProtocol.RateShare, org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder, org.borageproxy.wire.proto.CoordinationProtocol.RateShareOrBuilder> 
-          internalGetSharesFieldBuilder() {
-        if (sharesBuilder_ == null) {
-          sharesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              org.borageproxy.wire.proto.CoordinationProtocol.RateShare, org.borageproxy.wire.proto.CoordinationProtocol.RateShare.Builder, org.borageproxy.wire.proto.CoordinationProtocol.RateShareOrBuilder>(
-                  shares_,
-                  ((bitField0_ & 0x00000010) != 0),
-                  getParentForChildren(),
-                  isClean());
-          shares_ = null;
-        }
-        return sharesBuilder_;
+      public Builder clearTerm() {
+        bitField0_ = (bitField0_ & ~0x00000100);
+        term_ = 0L;
+        onChanged();
+        return this;
       }
 
-      private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerContent> contents_ =
+      private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits> statedLimits_ =
         java.util.Collections.emptyList();
-      private void ensureContentsIsMutable() {
-        if (!((bitField0_ & 0x00000020) != 0)) {
-          contents_ = new java.util.ArrayList<org.borageproxy.wire.proto.CoordinationProtocol.ServerContent>(contents_);
-          bitField0_ |= 0x00000020;
+      private void ensureStatedLimitsIsMutable() {
+        if (!((bitField0_ & 0x00000200) != 0)) {
+          statedLimits_ = new java.util.ArrayList<org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits>(statedLimits_);
+          bitField0_ |= 0x00000200;
          }
       }
 
       private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.CoordinationProtocol.ServerContent, org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder, org.borageproxy.wire.proto.CoordinationProtocol.ServerContentOrBuilder> contentsBuilder_;
+          org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimitsOrBuilder> statedLimitsBuilder_;
 
       /**
        * <pre>
-       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * The stated limits of all servers, if the entry reported another version of them.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
        */
-      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerContent> getContentsList() {
-        if (contentsBuilder_ == null) {
-          return java.util.Collections.unmodifiableList(contents_);
+      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits> getStatedLimitsList() {
+        if (statedLimitsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(statedLimits_);
         } else {
-          return contentsBuilder_.getMessageList();
+          return statedLimitsBuilder_.getMessageList();
         }
       }
       /**
        * <pre>
-       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * The stated limits of all servers, if the entry reported another version of them.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
        */
-      public int getContentsCount() {
-        if (contentsBuilder_ == null) {
-          return contents_.size();
+      public int getStatedLimitsCount() {
+        if (statedLimitsBuilder_ == null) {
+          return statedLimits_.size();
         } else {
-          return contentsBuilder_.getCount();
+          return statedLimitsBuilder_.getCount();
         }
       }
       /**
        * <pre>
-       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * The stated limits of all servers, if the entry reported another version of them.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
        */
-      public org.borageproxy.wire.proto.CoordinationProtocol.ServerContent getContents(int index) {
-        if (contentsBuilder_ == null) {
-          return contents_.get(index);
+      public org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits getStatedLimits(int index) {
+        if (statedLimitsBuilder_ == null) {
+          return statedLimits_.get(index);
         } else {
-          return contentsBuilder_.getMessage(index);
+          return statedLimitsBuilder_.getMessage(index);
         }
       }
       /**
        * <pre>
-       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * The stated limits of all servers, if the entry reported another version of them.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
        */
-      public Builder setContents(
-          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerContent value) {
-        if (contentsBuilder_ == null) {
+      public Builder setStatedLimits(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits value) {
+        if (statedLimitsBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensureContentsIsMutable();
-          contents_.set(index, value);
+          ensureStatedLimitsIsMutable();
+          statedLimits_.set(index, value);
           onChanged();
         } else {
-          contentsBuilder_.setMessage(index, value);
+          statedLimitsBuilder_.setMessage(index, value);
         }
         return this;
       }
       /**
        * <pre>
-       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * The stated limits of all servers, if the entry reported another version of them.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
        */
-      public Builder setContents(
-          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder builderForValue) {
-        if (contentsBuilder_ == null) {
-          ensureContentsIsMutable();
-          contents_.set(index, builderForValue.build());
+      public Builder setStatedLimits(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder builderForValue) {
+        if (statedLimitsBuilder_ == null) {
+          ensureStatedLimitsIsMutable();
+          statedLimits_.set(index, builderForValue.build());
           onChanged();
         } else {
-          contentsBuilder_.setMessage(index, builderForValue.build());
+          statedLimitsBuilder_.setMessage(index, builderForValue.build());
         }
         return this;
       }
       /**
        * <pre>
-       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * The stated limits of all servers, if the entry reported another version of them.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
        */
-      public Builder addContents(org.borageproxy.wire.proto.CoordinationProtocol.ServerContent value) {
-        if (contentsBuilder_ == null) {
+      public Builder addStatedLimits(org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits value) {
+        if (statedLimitsBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensureContentsIsMutable();
-          contents_.add(value);
+          ensureStatedLimitsIsMutable();
+          statedLimits_.add(value);
           onChanged();
         } else {
-          contentsBuilder_.addMessage(value);
+          statedLimitsBuilder_.addMessage(value);
         }
         return this;
       }
       /**
        * <pre>
-       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * The stated limits of all servers, if the entry reported another version of them.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
        */
-      public Builder addContents(
-          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerContent value) {
-        if (contentsBuilder_ == null) {
+      public Builder addStatedLimits(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits value) {
+        if (statedLimitsBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensureContentsIsMutable();
-          contents_.add(index, value);
+          ensureStatedLimitsIsMutable();
+          statedLimits_.add(index, value);
           onChanged();
         } else {
-          contentsBuilder_.addMessage(index, value);
+          statedLimitsBuilder_.addMessage(index, value);
         }
         return this;
       }
       /**
        * <pre>
-       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * The stated limits of all servers, if the entry reported another version of them.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
        */
-      public Builder addContents(
-          org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder builderForValue) {
-        if (contentsBuilder_ == null) {
-          ensureContentsIsMutable();
-          contents_.add(builderForValue.build());
+      public Builder addStatedLimits(
+          org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder builderForValue) {
+        if (statedLimitsBuilder_ == null) {
+          ensureStatedLimitsIsMutable();
+          statedLimits_.add(builderForValue.build());
           onChanged();
         } else {
-          contentsBuilder_.addMessage(builderForValue.build());
+          statedLimitsBuilder_.addMessage(builderForValue.build());
         }
         return this;
       }
       /**
        * <pre>
-       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * The stated limits of all servers, if the entry reported another version of them.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
        */
-      public Builder addContents(
-          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder builderForValue) {
-        if (contentsBuilder_ == null) {
-          ensureContentsIsMutable();
-          contents_.add(index, builderForValue.build());
+      public Builder addStatedLimits(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder builderForValue) {
+        if (statedLimitsBuilder_ == null) {
+          ensureStatedLimitsIsMutable();
+          statedLimits_.add(index, builderForValue.build());
           onChanged();
         } else {
-          contentsBuilder_.addMessage(index, builderForValue.build());
+          statedLimitsBuilder_.addMessage(index, builderForValue.build());
         }
         return this;
       }
       /**
        * <pre>
-       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * The stated limits of all servers, if the entry reported another version of them.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
-       */
-      public Builder addAllContents(
-          java.lang.Iterable<? extends org.borageproxy.wire.proto.CoordinationProtocol.ServerContent> values) {
-        if (contentsBuilder_ == null) {
-          ensureContentsIsMutable();
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+       */
+      public Builder addAllStatedLimits(
+          java.lang.Iterable<? extends org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits> values) {
+        if (statedLimitsBuilder_ == null) {
+          ensureStatedLimitsIsMutable();
           com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, contents_);
+              values, statedLimits_);
           onChanged();
         } else {
-          contentsBuilder_.addAllMessages(values);
+          statedLimitsBuilder_.addAllMessages(values);
         }
         return this;
       }
       /**
        * <pre>
-       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * The stated limits of all servers, if the entry reported another version of them.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
        */
-      public Builder clearContents() {
-        if (contentsBuilder_ == null) {
-          contents_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000020);
+      public Builder clearStatedLimits() {
+        if (statedLimitsBuilder_ == null) {
+          statedLimits_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000200);
           onChanged();
         } else {
-          contentsBuilder_.clear();
+          statedLimitsBuilder_.clear();
         }
         return this;
       }
       /**
        * <pre>
-       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * The stated limits of all servers, if the entry reported another version of them.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
        */
-      public Builder removeContents(int index) {
-        if (contentsBuilder_ == null) {
-          ensureContentsIsMutable();
-          contents_.remove(index);
+      public Builder removeStatedLimits(int index) {
+        if (statedLimitsBuilder_ == null) {
+          ensureStatedLimitsIsMutable();
+          statedLimits_.remove(index);
           onChanged();
         } else {
-          contentsBuilder_.remove(index);
+          statedLimitsBuilder_.remove(index);
         }
         return this;
       }
       /**
        * <pre>
-       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * The stated limits of all servers, if the entry reported another version of them.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
        */
-      public org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder getContentsBuilder(
+      public org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder getStatedLimitsBuilder(
           int index) {
-        return internalGetContentsFieldBuilder().getBuilder(index);
+        return internalGetStatedLimitsFieldBuilder().getBuilder(index);
       }
       /**
        * <pre>
-       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * The stated limits of all servers, if the entry reported another version of them.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
        */
-      public org.borageproxy.wire.proto.CoordinationProtocol.ServerContentOrBuilder getContentsOrBuilder(
+      public org.borageproxy.wire.proto.CoordinationProtocol.StatedLimitsOrBuilder getStatedLimitsOrBuilder(
           int index) {
-        if (contentsBuilder_ == null) {
-          return contents_.get(index);  } else {
-          return contentsBuilder_.getMessageOrBuilder(index);
+        if (statedLimitsBuilder_ == null) {
+          return statedLimits_.get(index);  } else {
+          return statedLimitsBuilder_.getMessageOrBuilder(index);
         }
       }
       /**
        * <pre>
-       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * The stated limits of all servers, if the entry reported another version of them.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
        */
-      public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.ServerContentOrBuilder> 
-           getContentsOrBuilderList() {
-        if (contentsBuilder_ != null) {
-          return contentsBuilder_.getMessageOrBuilderList();
+      public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.StatedLimitsOrBuilder> 
+           getStatedLimitsOrBuilderList() {
+        if (statedLimitsBuilder_ != null) {
+          return statedLimitsBuilder_.getMessageOrBuilderList();
         } else {
-          return java.util.Collections.unmodifiableList(contents_);
+          return java.util.Collections.unmodifiableList(statedLimits_);
         }
       }
       /**
        * <pre>
-       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * The stated limits of all servers, if the entry reported another version of them.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
        */
-      public org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder addContentsBuilder() {
-        return internalGetContentsFieldBuilder().addBuilder(
-            org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.getDefaultInstance());
+      public org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder addStatedLimitsBuilder() {
+        return internalGetStatedLimitsFieldBuilder().addBuilder(
+            org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.getDefaultInstance());
       }
       /**
        * <pre>
-       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * The stated limits of all servers, if the entry reported another version of them.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
        */
-      public org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder addContentsBuilder(
+      public org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder addStatedLimitsBuilder(
           int index) {
-        return internalGetContentsFieldBuilder().addBuilder(
-            index, org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.getDefaultInstance());
+        return internalGetStatedLimitsFieldBuilder().addBuilder(
+            index, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.getDefaultInstance());
       }
       /**
        * <pre>
-       * The backend servers whose content the coordinator has more recent information on than their announcements.
+       * The stated limits of all servers, if the entry reported another version of them.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.ServerContent contents = 6;</code>
+       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
        */
-      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder> 
-           getContentsBuilderList() {
-        return internalGetContentsFieldBuilder().getBuilderList();
+      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder> 
+           getStatedLimitsBuilderList() {
+        return internalGetStatedLimitsFieldBuilder().getBuilderList();
       }
       private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.CoordinationProtocol.ServerContent, org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder, org.borageproxy.wire.proto.CoordinationProtocol.ServerContentOrBuilder> 
-          internalGetContentsFieldBuilder() {
-        if (contentsBuilder_ == null) {
-          contentsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              org.borageproxy.wire.proto.CoordinationProtocol.ServerContent, org.borageproxy.wire.proto.CoordinationProtocol.ServerContent.Builder, org.borageproxy.wire.proto.CoordinationProtocol.ServerContentOrBuilder>(
-                  contents_,
-                  ((bitField0_ & 0x00000020) != 0),
+          org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimitsOrBuilder> 
+          internalGetStatedLimitsFieldBuilder() {
+        if (statedLimitsBuilder_ == null) {
+          statedLimitsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimitsOrBuilder>(
+                  statedLimits_,
+                  ((bitField0_ & 0x00000200) != 0),
                   getParentForChildren(),
                   isClean());
-          contents_ = null;
+          statedLimits_ = null;
         }
-        return contentsBuilder_;
+        return statedLimitsBuilder_;
       }
 
-      private long contentsVersion_ ;
+      private long limitsVersion_ ;
       /**
-       * <code>uint64 contents_version = 7;</code>
-       * @return The contentsVersion.
+       * <code>uint64 limits_version = 11;</code>
+       * @return The limitsVersion.
        */
       @java.lang.Override
-      public long getContentsVersion() {
-        return contentsVersion_;
+      public long getLimitsVersion() {
+        return limitsVersion_;
       }
       /**
-       * <code>uint64 contents_version = 7;</code>
-       * @param value The contentsVersion to set.
+       * <code>uint64 limits_version = 11;</code>
+       * @param value The limitsVersion to set.
        * @return This builder for chaining.
        */
-      public Builder setContentsVersion(long value) {
+      public Builder setLimitsVersion(long value) {
 
-        contentsVersion_ = value;
-        bitField0_ |= 0x00000040;
+        limitsVersion_ = value;
+        bitField0_ |= 0x00000400;
         onChanged();
         return this;
       }
       /**
-       * <code>uint64 contents_version = 7;</code>
+       * <code>uint64 limits_version = 11;</code>
        * @return This builder for chaining.
        */
-      public Builder clearContentsVersion() {
-        bitField0_ = (bitField0_ & ~0x00000040);
-        contentsVersion_ = 0L;
+      public Builder clearLimitsVersion() {
+        bitField0_ = (bitField0_ & ~0x00000400);
+        limitsVersion_ = 0L;
         onChanged();
         return this;
       }
 
-      private boolean allServers_ ;
+      private com.google.protobuf.LazyStringArrayList relays_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      private void ensureRelaysIsMutable() {
+        if (!relays_.isModifiable()) {
+          relays_ = new com.google.protobuf.LazyStringArrayList(relays_);
+        }
+        bitField0_ |= 0x00000800;
+      }
       /**
        * <pre>
-       * Whether the load on model engines is included. It is left out of most answers, since the coordinator chooses the
-       * engines while it answers.
+       * Some entries through which backend servers can be reached; present if all_servers is set.
        * </pre>
        *
-       * <code>bool all_servers = 8;</code>
-       * @return The allServers.
+       * <code>repeated string relays = 12;</code>
+       * @return A list containing the relays.
        */
-      @java.lang.Override
-      public boolean getAllServers() {
-        return allServers_;
+      public com.google.protobuf.ProtocolStringList
+          getRelaysList() {
+        relays_.makeImmutable();
+        return relays_;
       }
       /**
        * <pre>
-       * Whether the load on model engines is included. It is left out of most answers, since the coordinator chooses the
-       * engines while it answers.
+       * Some entries through which backend servers can be reached; present if all_servers is set.
        * </pre>
        *
-       * <code>bool all_servers = 8;</code>
-       * @param value The allServers to set.
+       * <code>repeated string relays = 12;</code>
+       * @return The count of relays.
+       */
+      public int getRelaysCount() {
+        return relays_.size();
+      }
+      /**
+       * <pre>
+       * Some entries through which backend servers can be reached; present if all_servers is set.
+       * </pre>
+       *
+       * <code>repeated string relays = 12;</code>
+       * @param index The index of the element to return.
+       * @return The relays at the given index.
+       */
+      public java.lang.String getRelays(int index) {
+        return relays_.get(index);
+      }
+      /**
+       * <pre>
+       * Some entries through which backend servers can be reached; present if all_servers is set.
+       * </pre>
+       *
+       * <code>repeated string relays = 12;</code>
+       * @param index The index of the value to return.
+       * @return The bytes of the relays at the given index.
+       */
+      public com.google.protobuf.ByteString
+          getRelaysBytes(int index) {
+        return relays_.getByteString(index);
+      }
+      /**
+       * <pre>
+       * Some entries through which backend servers can be reached; present if all_servers is set.
+       * </pre>
+       *
+       * <code>repeated string relays = 12;</code>
+       * @param index The index to set the value at.
+       * @param value The relays to set.
        * @return This builder for chaining.
        */
-      public Builder setAllServers(boolean value) {
-
-        allServers_ = value;
-        bitField0_ |= 0x00000080;
+      public Builder setRelays(
+          int index, java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        ensureRelaysIsMutable();
+        relays_.set(index, value);
+        bitField0_ |= 0x00000800;
         onChanged();
         return this;
       }
       /**
        * <pre>
-       * Whether the load on model engines is included. It is left out of most answers, since the coordinator chooses the
-       * engines while it answers.
+       * Some entries through which backend servers can be reached; present if all_servers is set.
        * </pre>
        *
-       * <code>bool all_servers = 8;</code>
+       * <code>repeated string relays = 12;</code>
+       * @param value The relays to add.
        * @return This builder for chaining.
        */
-      public Builder clearAllServers() {
-        bitField0_ = (bitField0_ & ~0x00000080);
-        allServers_ = false;
+      public Builder addRelays(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        ensureRelaysIsMutable();
+        relays_.add(value);
+        bitField0_ |= 0x00000800;
         onChanged();
         return this;
       }
-
-      private long term_ ;
       /**
        * <pre>
-       * The term of the coordinator; zero in notices between reports.
+       * Some entries through which backend servers can be reached; present if all_servers is set.
        * </pre>
        *
-       * <code>uint64 term = 9;</code>
-       * @return The term.
+       * <code>repeated string relays = 12;</code>
+       * @param values The relays to add.
+       * @return This builder for chaining.
        */
-      @java.lang.Override
-      public long getTerm() {
-        return term_;
+      public Builder addAllRelays(
+          java.lang.Iterable<java.lang.String> values) {
+        ensureRelaysIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, relays_);
+        bitField0_ |= 0x00000800;
+        onChanged();
+        return this;
       }
       /**
        * <pre>
-       * The term of the coordinator; zero in notices between reports.
+       * Some entries through which backend servers can be reached; present if all_servers is set.
        * </pre>
        *
-       * <code>uint64 term = 9;</code>
-       * @param value The term to set.
+       * <code>repeated string relays = 12;</code>
        * @return This builder for chaining.
        */
-      public Builder setTerm(long value) {
-
-        term_ = value;
-        bitField0_ |= 0x00000100;
+      public Builder clearRelays() {
+        relays_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000800);;
         onChanged();
         return this;
       }
       /**
        * <pre>
-       * The term of the coordinator; zero in notices between reports.
+       * Some entries through which backend servers can be reached; present if all_servers is set.
        * </pre>
        *
-       * <code>uint64 term = 9;</code>
+       * <code>repeated string relays = 12;</code>
+       * @param value The bytes of the relays to add.
        * @return This builder for chaining.
        */
-      public Builder clearTerm() {
-        bitField0_ = (bitField0_ & ~0x00000100);
-        term_ = 0L;
+      public Builder addRelaysBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        ensureRelaysIsMutable();
+        relays_.add(value);
+        bitField0_ |= 0x00000800;
         onChanged();
         return this;
       }
 
-      private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits> statedLimits_ =
+      private java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed> speeds_ =
         java.util.Collections.emptyList();
-      private void ensureStatedLimitsIsMutable() {
-        if (!((bitField0_ & 0x00000200) != 0)) {
-          statedLimits_ = new java.util.ArrayList<org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits>(statedLimits_);
-          bitField0_ |= 0x00000200;
+      private void ensureSpeedsIsMutable() {
+        if (!((bitField0_ & 0x00001000) != 0)) {
+          speeds_ = new java.util.ArrayList<org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed>(speeds_);
+          bitField0_ |= 0x00001000;
          }
       }
 
       private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimitsOrBuilder> statedLimitsBuilder_;
+          org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed, org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed.Builder, org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeedOrBuilder> speedsBuilder_;
 
       /**
        * <pre>
-       * The stated limits of all servers, if the entry reported another version of them.
+       * The learned speeds of the servers that were published after the version that the entry reported.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
        */
-      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits> getStatedLimitsList() {
-        if (statedLimitsBuilder_ == null) {
-          return java.util.Collections.unmodifiableList(statedLimits_);
+      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed> getSpeedsList() {
+        if (speedsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(speeds_);
         } else {
-          return statedLimitsBuilder_.getMessageList();
+          return speedsBuilder_.getMessageList();
         }
       }
       /**
        * <pre>
-       * The stated limits of all servers, if the entry reported another version of them.
+       * The learned speeds of the servers that were published after the version that the entry reported.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
        */
-      public int getStatedLimitsCount() {
-        if (statedLimitsBuilder_ == null) {
-          return statedLimits_.size();
+      public int getSpeedsCount() {
+        if (speedsBuilder_ == null) {
+          return speeds_.size();
         } else {
-          return statedLimitsBuilder_.getCount();
+          return speedsBuilder_.getCount();
         }
       }
       /**
        * <pre>
-       * The stated limits of all servers, if the entry reported another version of them.
+       * The learned speeds of the servers that were published after the version that the entry reported.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
        */
-      public org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits getStatedLimits(int index) {
-        if (statedLimitsBuilder_ == null) {
-          return statedLimits_.get(index);
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed getSpeeds(int index) {
+        if (speedsBuilder_ == null) {
+          return speeds_.get(index);
         } else {
-          return statedLimitsBuilder_.getMessage(index);
+          return speedsBuilder_.getMessage(index);
         }
       }
       /**
        * <pre>
-       * The stated limits of all servers, if the entry reported another version of them.
+       * The learned speeds of the servers that were published after the version that the entry reported.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
        */
-      public Builder setStatedLimits(
-          int index, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits value) {
-        if (statedLimitsBuilder_ == null) {
+      public Builder setSpeeds(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed value) {
+        if (speedsBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensureStatedLimitsIsMutable();
-          statedLimits_.set(index, value);
+          ensureSpeedsIsMutable();
+          speeds_.set(index, value);
           onChanged();
         } else {
-          statedLimitsBuilder_.setMessage(index, value);
+          speedsBuilder_.setMessage(index, value);
         }
         return this;
       }
       /**
        * <pre>
-       * The stated limits of all servers, if the entry reported another version of them.
+       * The learned speeds of the servers that were published after the version that the entry reported.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
        */
-      public Builder setStatedLimits(
-          int index, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder builderForValue) {
-        if (statedLimitsBuilder_ == null) {
-          ensureStatedLimitsIsMutable();
-          statedLimits_.set(index, builderForValue.build());
+      public Builder setSpeeds(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed.Builder builderForValue) {
+        if (speedsBuilder_ == null) {
+          ensureSpeedsIsMutable();
+          speeds_.set(index, builderForValue.build());
           onChanged();
         } else {
-          statedLimitsBuilder_.setMessage(index, builderForValue.build());
+          speedsBuilder_.setMessage(index, builderForValue.build());
         }
         return this;
       }
       /**
        * <pre>
-       * The stated limits of all servers, if the entry reported another version of them.
+       * The learned speeds of the servers that were published after the version that the entry reported.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
        */
-      public Builder addStatedLimits(org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits value) {
-        if (statedLimitsBuilder_ == null) {
+      public Builder addSpeeds(org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed value) {
+        if (speedsBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensureStatedLimitsIsMutable();
-          statedLimits_.add(value);
+          ensureSpeedsIsMutable();
+          speeds_.add(value);
           onChanged();
         } else {
-          statedLimitsBuilder_.addMessage(value);
+          speedsBuilder_.addMessage(value);
         }
         return this;
       }
       /**
        * <pre>
-       * The stated limits of all servers, if the entry reported another version of them.
+       * The learned speeds of the servers that were published after the version that the entry reported.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
        */
-      public Builder addStatedLimits(
-          int index, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits value) {
-        if (statedLimitsBuilder_ == null) {
+      public Builder addSpeeds(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed value) {
+        if (speedsBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensureStatedLimitsIsMutable();
-          statedLimits_.add(index, value);
+          ensureSpeedsIsMutable();
+          speeds_.add(index, value);
           onChanged();
         } else {
-          statedLimitsBuilder_.addMessage(index, value);
+          speedsBuilder_.addMessage(index, value);
         }
         return this;
       }
       /**
        * <pre>
-       * The stated limits of all servers, if the entry reported another version of them.
+       * The learned speeds of the servers that were published after the version that the entry reported.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
        */
-      public Builder addStatedLimits(
-          org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder builderForValue) {
-        if (statedLimitsBuilder_ == null) {
-          ensureStatedLimitsIsMutable();
-          statedLimits_.add(builderForValue.build());
+      public Builder addSpeeds(
+          org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed.Builder builderForValue) {
+        if (speedsBuilder_ == null) {
+          ensureSpeedsIsMutable();
+          speeds_.add(builderForValue.build());
           onChanged();
         } else {
-          statedLimitsBuilder_.addMessage(builderForValue.build());
+          speedsBuilder_.addMessage(builderForValue.build());
         }
         return this;
       }
       /**
        * <pre>
-       * The stated limits of all servers, if the entry reported another version of them.
+       * The learned speeds of the servers that were published after the version that the entry reported.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
        */
-      public Builder addStatedLimits(
-          int index, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder builderForValue) {
-        if (statedLimitsBuilder_ == null) {
-          ensureStatedLimitsIsMutable();
-          statedLimits_.add(index, builderForValue.build());
+      public Builder addSpeeds(
+          int index, org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed.Builder builderForValue) {
+        if (speedsBuilder_ == null) {
+          ensureSpeedsIsMutable();
+          speeds_.add(index, builderForValue.build());
           onChanged();
         } else {
-          statedLimitsBuilder_.addMessage(index, builderForValue.build());
+          speedsBuilder_.addMessage(index, builderForValue.build());
         }
         return this;
       }
       /**
        * <pre>
-       * The stated limits of all servers, if the entry reported another version of them.
+       * The learned speeds of the servers that were published after the version that the entry reported.
        * </pre>
        *
-       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
        */
-      public Builder addAllStatedLimits(
-          java.lang.Iterable<? extends org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits> values) {
-        if (statedLimitsBuilder_ == null) {
-          ensureStatedLimitsIsMutable();
+      public Builder addAllSpeeds(
+          java.lang.Iterable<? extends org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed> values) {
+        if (speedsBuilder_ == null) {
+          ensureSpeedsIsMutable();
           com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, statedLimits_);
-          onChanged();
-        } else {
-          statedLimitsBuilder_.addAllMessages(values);
-        }
-        return this;
-      }
-      /**
-       * <pre>
-       * The stated limits of all servers, if the entry reported another version of them.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
-       */
-      public Builder clearStatedLimits() {
-        if (statedLimitsBuilder_ == null) {
-          statedLimits_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000200);
-          onChanged();
-        } else {
-          statedLimitsBuilder_.clear();
-        }
-        return this;
-      }
-      /**
-       * <pre>
-       * The stated limits of all servers, if the entry reported another version of them.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
-       */
-      public Builder removeStatedLimits(int index) {
-        if (statedLimitsBuilder_ == null) {
-          ensureStatedLimitsIsMutable();
-          statedLimits_.remove(index);
+              values, speeds_);
           onChanged();
         } else {
-          statedLimitsBuilder_.remove(index);
-        }
-        return this;
-      }
-      /**
-       * <pre>
-       * The stated limits of all servers, if the entry reported another version of them.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
-       */
-      public org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder getStatedLimitsBuilder(
-          int index) {
-        return internalGetStatedLimitsFieldBuilder().getBuilder(index);
-      }
-      /**
-       * <pre>
-       * The stated limits of all servers, if the entry reported another version of them.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
-       */
-      public org.borageproxy.wire.proto.CoordinationProtocol.StatedLimitsOrBuilder getStatedLimitsOrBuilder(
-          int index) {
-        if (statedLimitsBuilder_ == null) {
-          return statedLimits_.get(index);  } else {
-          return statedLimitsBuilder_.getMessageOrBuilder(index);
-        }
-      }
-      /**
-       * <pre>
-       * The stated limits of all servers, if the entry reported another version of them.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
-       */
-      public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.StatedLimitsOrBuilder> 
-           getStatedLimitsOrBuilderList() {
-        if (statedLimitsBuilder_ != null) {
-          return statedLimitsBuilder_.getMessageOrBuilderList();
-        } else {
-          return java.util.Collections.unmodifiableList(statedLimits_);
-        }
-      }
-      /**
-       * <pre>
-       * The stated limits of all servers, if the entry reported another version of them.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
-       */
-      public org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder addStatedLimitsBuilder() {
-        return internalGetStatedLimitsFieldBuilder().addBuilder(
-            org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.getDefaultInstance());
-      }
-      /**
-       * <pre>
-       * The stated limits of all servers, if the entry reported another version of them.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
-       */
-      public org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder addStatedLimitsBuilder(
-          int index) {
-        return internalGetStatedLimitsFieldBuilder().addBuilder(
-            index, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.getDefaultInstance());
-      }
-      /**
-       * <pre>
-       * The stated limits of all servers, if the entry reported another version of them.
-       * </pre>
-       *
-       * <code>repeated .borageproxy.coordination.StatedLimits stated_limits = 10;</code>
-       */
-      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder> 
-           getStatedLimitsBuilderList() {
-        return internalGetStatedLimitsFieldBuilder().getBuilderList();
-      }
-      private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimitsOrBuilder> 
-          internalGetStatedLimitsFieldBuilder() {
-        if (statedLimitsBuilder_ == null) {
-          statedLimitsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits.Builder, org.borageproxy.wire.proto.CoordinationProtocol.StatedLimitsOrBuilder>(
-                  statedLimits_,
-                  ((bitField0_ & 0x00000200) != 0),
-                  getParentForChildren(),
-                  isClean());
-          statedLimits_ = null;
-        }
-        return statedLimitsBuilder_;
-      }
-
-      private long limitsVersion_ ;
-      /**
-       * <code>uint64 limits_version = 11;</code>
-       * @return The limitsVersion.
-       */
-      @java.lang.Override
-      public long getLimitsVersion() {
-        return limitsVersion_;
-      }
-      /**
-       * <code>uint64 limits_version = 11;</code>
-       * @param value The limitsVersion to set.
-       * @return This builder for chaining.
-       */
-      public Builder setLimitsVersion(long value) {
-
-        limitsVersion_ = value;
-        bitField0_ |= 0x00000400;
-        onChanged();
+          speedsBuilder_.addAllMessages(values);
+        }
         return this;
       }
       /**
-       * <code>uint64 limits_version = 11;</code>
-       * @return This builder for chaining.
+       * <pre>
+       * The learned speeds of the servers that were published after the version that the entry reported.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
        */
-      public Builder clearLimitsVersion() {
-        bitField0_ = (bitField0_ & ~0x00000400);
-        limitsVersion_ = 0L;
-        onChanged();
+      public Builder clearSpeeds() {
+        if (speedsBuilder_ == null) {
+          speeds_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00001000);
+          onChanged();
+        } else {
+          speedsBuilder_.clear();
+        }
         return this;
       }
-
-      private com.google.protobuf.LazyStringArrayList relays_ =
-          com.google.protobuf.LazyStringArrayList.emptyList();
-      private void ensureRelaysIsMutable() {
-        if (!relays_.isModifiable()) {
-          relays_ = new com.google.protobuf.LazyStringArrayList(relays_);
+      /**
+       * <pre>
+       * The learned speeds of the servers that were published after the version that the entry reported.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+       */
+      public Builder removeSpeeds(int index) {
+        if (speedsBuilder_ == null) {
+          ensureSpeedsIsMutable();
+          speeds_.remove(index);
+          onChanged();
+        } else {
+          speedsBuilder_.remove(index);
         }
-        bitField0_ |= 0x00000800;
+        return this;
       }
       /**
        * <pre>
-       * Some entries through which backend servers can be reached; present if all_servers is set.
+       * The learned speeds of the servers that were published after the version that the entry reported.
        * </pre>
        *
-       * <code>repeated string relays = 12;</code>
-       * @return A list containing the relays.
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
        */
-      public com.google.protobuf.ProtocolStringList
-          getRelaysList() {
-        relays_.makeImmutable();
-        return relays_;
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed.Builder getSpeedsBuilder(
+          int index) {
+        return internalGetSpeedsFieldBuilder().getBuilder(index);
       }
       /**
        * <pre>
-       * Some entries through which backend servers can be reached; present if all_servers is set.
+       * The learned speeds of the servers that were published after the version that the entry reported.
        * </pre>
        *
-       * <code>repeated string relays = 12;</code>
-       * @return The count of relays.
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
        */
-      public int getRelaysCount() {
-        return relays_.size();
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeedOrBuilder getSpeedsOrBuilder(
+          int index) {
+        if (speedsBuilder_ == null) {
+          return speeds_.get(index);  } else {
+          return speedsBuilder_.getMessageOrBuilder(index);
+        }
       }
       /**
        * <pre>
-       * Some entries through which backend servers can be reached; present if all_servers is set.
+       * The learned speeds of the servers that were published after the version that the entry reported.
        * </pre>
        *
-       * <code>repeated string relays = 12;</code>
-       * @param index The index of the element to return.
-       * @return The relays at the given index.
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
        */
-      public java.lang.String getRelays(int index) {
-        return relays_.get(index);
+      public java.util.List<? extends org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeedOrBuilder> 
+           getSpeedsOrBuilderList() {
+        if (speedsBuilder_ != null) {
+          return speedsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(speeds_);
+        }
       }
       /**
        * <pre>
-       * Some entries through which backend servers can be reached; present if all_servers is set.
+       * The learned speeds of the servers that were published after the version that the entry reported.
        * </pre>
        *
-       * <code>repeated string relays = 12;</code>
-       * @param index The index of the value to return.
-       * @return The bytes of the relays at the given index.
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
        */
-      public com.google.protobuf.ByteString
-          getRelaysBytes(int index) {
-        return relays_.getByteString(index);
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed.Builder addSpeedsBuilder() {
+        return internalGetSpeedsFieldBuilder().addBuilder(
+            org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed.getDefaultInstance());
       }
       /**
        * <pre>
-       * Some entries through which backend servers can be reached; present if all_servers is set.
+       * The learned speeds of the servers that were published after the version that the entry reported.
        * </pre>
        *
-       * <code>repeated string relays = 12;</code>
-       * @param index The index to set the value at.
-       * @param value The relays to set.
-       * @return This builder for chaining.
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
        */
-      public Builder setRelays(
-          int index, java.lang.String value) {
-        if (value == null) { throw new NullPointerException(); }
-        ensureRelaysIsMutable();
-        relays_.set(index, value);
-        bitField0_ |= 0x00000800;
-        onChanged();
-        return this;
+      public org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed.Builder addSpeedsBuilder(
+          int index) {
+        return internalGetSpeedsFieldBuilder().addBuilder(
+            index, org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed.getDefaultInstance());
       }
       /**
        * <pre>
-       * Some entries through which backend servers can be reached; present if all_servers is set.
+       * The learned speeds of the servers that were published after the version that the entry reported.
        * </pre>
        *
-       * <code>repeated string relays = 12;</code>
-       * @param value The relays to add.
+       * <code>repeated .borageproxy.coordination.ServerSpeed speeds = 50;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed.Builder> 
+           getSpeedsBuilderList() {
+        return internalGetSpeedsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed, org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed.Builder, org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeedOrBuilder> 
+          internalGetSpeedsFieldBuilder() {
+        if (speedsBuilder_ == null) {
+          speedsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed, org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeed.Builder, org.borageproxy.wire.proto.CoordinationProtocol.ServerSpeedOrBuilder>(
+                  speeds_,
+                  ((bitField0_ & 0x00001000) != 0),
+                  getParentForChildren(),
+                  isClean());
+          speeds_ = null;
+        }
+        return speedsBuilder_;
+      }
+
+      private long speedsVersion_ ;
+      /**
+       * <code>uint64 speeds_version = 51;</code>
+       * @return The speedsVersion.
+       */
+      @java.lang.Override
+      public long getSpeedsVersion() {
+        return speedsVersion_;
+      }
+      /**
+       * <code>uint64 speeds_version = 51;</code>
+       * @param value The speedsVersion to set.
        * @return This builder for chaining.
        */
-      public Builder addRelays(
-          java.lang.String value) {
-        if (value == null) { throw new NullPointerException(); }
-        ensureRelaysIsMutable();
-        relays_.add(value);
-        bitField0_ |= 0x00000800;
+      public Builder setSpeedsVersion(long value) {
+
+        speedsVersion_ = value;
+        bitField0_ |= 0x00002000;
         onChanged();
         return this;
       }
       /**
-       * <pre>
-       * Some entries through which backend servers can be reached; present if all_servers is set.
-       * </pre>
-       *
-       * <code>repeated string relays = 12;</code>
-       * @param values The relays to add.
+       * <code>uint64 speeds_version = 51;</code>
        * @return This builder for chaining.
        */
-      public Builder addAllRelays(
-          java.lang.Iterable<java.lang.String> values) {
-        ensureRelaysIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, relays_);
-        bitField0_ |= 0x00000800;
+      public Builder clearSpeedsVersion() {
+        bitField0_ = (bitField0_ & ~0x00002000);
+        speedsVersion_ = 0L;
         onChanged();
         return this;
       }
+
+      private boolean asksSpeeds_ ;
       /**
        * <pre>
-       * Some entries through which backend servers can be reached; present if all_servers is set.
+       * Whether the entry should return the speeds that it received from an earlier coordinator.
        * </pre>
        *
-       * <code>repeated string relays = 12;</code>
+       * <code>bool asks_speeds = 52;</code>
+       * @return The asksSpeeds.
+       */
+      @java.lang.Override
+      public boolean getAsksSpeeds() {
+        return asksSpeeds_;
+      }
+      /**
+       * <pre>
+       * Whether the entry should return the speeds that it received from an earlier coordinator.
+       * </pre>
+       *
+       * <code>bool asks_speeds = 52;</code>
+       * @param value The asksSpeeds to set.
        * @return This builder for chaining.
        */
-      public Builder clearRelays() {
-        relays_ =
-          com.google.protobuf.LazyStringArrayList.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000800);;
+      public Builder setAsksSpeeds(boolean value) {
+
+        asksSpeeds_ = value;
+        bitField0_ |= 0x00004000;
         onChanged();
         return this;
       }
       /**
        * <pre>
-       * Some entries through which backend servers can be reached; present if all_servers is set.
+       * Whether the entry should return the speeds that it received from an earlier coordinator.
        * </pre>
        *
-       * <code>repeated string relays = 12;</code>
-       * @param value The bytes of the relays to add.
+       * <code>bool asks_speeds = 52;</code>
        * @return This builder for chaining.
        */
-      public Builder addRelaysBytes(
-          com.google.protobuf.ByteString value) {
-        if (value == null) { throw new NullPointerException(); }
-        checkByteStringIsUtf8(value);
-        ensureRelaysIsMutable();
-        relays_.add(value);
-        bitField0_ |= 0x00000800;
+      public Builder clearAsksSpeeds() {
+        bitField0_ = (bitField0_ & ~0x00004000);
+        asksSpeeds_ = false;
         onChanged();
         return this;
       }
@@ -18661,6 +21600,25 @@
      * @return The comeBackMillis.
      */
     int getComeBackMillis();
+
+    /**
+     * <pre>
+     * The speed of the server that expected_millis assumes; absent for one.
+     * </pre>
+     *
+     * <code>optional float speed = 50;</code>
+     * @return Whether the speed field is set.
+     */
+    boolean hasSpeed();
+    /**
+     * <pre>
+     * The speed of the server that expected_millis assumes; absent for one.
+     * </pre>
+     *
+     * <code>optional float speed = 50;</code>
+     * @return The speed.
+     */
+    float getSpeed();
   }
   /**
    * Protobuf type {@code borageproxy.coordination.SlotAnswer}
@@ -18876,6 +21834,7 @@
       // @@protoc_insertion_point(enum_scope:borageproxy.coordination.SlotAnswer.Outcome)
     }
 
+    private int bitField0_;
     public static final int OUTCOME_FIELD_NUMBER = 1;
     private int outcome_ = 0;
     /**
@@ -18996,6 +21955,33 @@
       return comeBackMillis_;
     }
 
+    public static final int SPEED_FIELD_NUMBER = 50;
+    private float speed_ = 0F;
+    /**
+     * <pre>
+     * The speed of the server that expected_millis assumes; absent for one.
+     * </pre>
+     *
+     * <code>optional float speed = 50;</code>
+     * @return Whether the speed field is set.
+     */
+    @java.lang.Override
+    public boolean hasSpeed() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <pre>
+     * The speed of the server that expected_millis assumes; absent for one.
+     * </pre>
+     *
+     * <code>optional float speed = 50;</code>
+     * @return The speed.
+     */
+    @java.lang.Override
+    public float getSpeed() {
+      return speed_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -19031,6 +22017,9 @@
       if (comeBackMillis_ != 0) {
         output.writeUInt32(7, comeBackMillis_);
       }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeFloat(50, speed_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -19067,6 +22056,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt32Size(7, comeBackMillis_);
       }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFloatSize(50, speed_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -19096,6 +22089,12 @@
           != other.getSlot()) return false;
       if (getComeBackMillis()
           != other.getComeBackMillis()) return false;
+      if (hasSpeed() != other.hasSpeed()) return false;
+      if (hasSpeed()) {
+        if (java.lang.Float.floatToIntBits(getSpeed())
+            != java.lang.Float.floatToIntBits(
+                other.getSpeed())) return false;
+      }
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -19124,6 +22123,11 @@
           getSlot());
       hash = (37 * hash) + COME_BACK_MILLIS_FIELD_NUMBER;
       hash = (53 * hash) + getComeBackMillis();
+      if (hasSpeed()) {
+        hash = (37 * hash) + SPEED_FIELD_NUMBER;
+        hash = (53 * hash) + java.lang.Float.floatToIntBits(
+            getSpeed());
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -19262,6 +22266,7 @@
         unreadTokens_ = 0;
         slot_ = 0L;
         comeBackMillis_ = 0;
+        speed_ = 0F;
         return this;
       }
 
@@ -19316,6 +22321,12 @@
         if (((from_bitField0_ & 0x00000040) != 0)) {
           result.comeBackMillis_ = comeBackMillis_;
         }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000080) != 0)) {
+          result.speed_ = speed_;
+          to_bitField0_ |= 0x00000001;
+        }
+        result.bitField0_ |= to_bitField0_;
       }
 
       @java.lang.Override
@@ -19353,6 +22364,9 @@
         if (other.getComeBackMillis() != 0) {
           setComeBackMillis(other.getComeBackMillis());
         }
+        if (other.hasSpeed()) {
+          setSpeed(other.getSpeed());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -19414,6 +22428,11 @@
                 bitField0_ |= 0x00000040;
                 break;
               } // case 56
+              case 405: {
+                speed_ = input.readFloat();
+                bitField0_ |= 0x00000080;
+                break;
+              } // case 405
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -19739,6 +22758,62 @@
         return this;
       }
 
+      private float speed_ ;
+      /**
+       * <pre>
+       * The speed of the server that expected_millis assumes; absent for one.
+       * </pre>
+       *
+       * <code>optional float speed = 50;</code>
+       * @return Whether the speed field is set.
+       */
+      @java.lang.Override
+      public boolean hasSpeed() {
+        return ((bitField0_ & 0x00000080) != 0);
+      }
+      /**
+       * <pre>
+       * The speed of the server that expected_millis assumes; absent for one.
+       * </pre>
+       *
+       * <code>optional float speed = 50;</code>
+       * @return The speed.
+       */
+      @java.lang.Override
+      public float getSpeed() {
+        return speed_;
+      }
+      /**
+       * <pre>
+       * The speed of the server that expected_millis assumes; absent for one.
+       * </pre>
+       *
+       * <code>optional float speed = 50;</code>
+       * @param value The speed to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSpeed(float value) {
+
+        speed_ = value;
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The speed of the server that expected_millis assumes; absent for one.
+       * </pre>
+       *
+       * <code>optional float speed = 50;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSpeed() {
+        bitField0_ = (bitField0_ & ~0x00000080);
+        speed_ = 0F;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.coordination.SlotAnswer)
     }
 
@@ -22585,6 +25660,16 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_borageproxy_coordination_UsageReport_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_borageproxy_coordination_ServerSpeed_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_borageproxy_coordination_ServerSpeed_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_borageproxy_coordination_SlownessSamples_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_borageproxy_coordination_SlownessSamples_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_borageproxy_coordination_RelayRequest_descriptor;
   private static final 
@@ -22680,7 +25765,7 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\022coordination.proto\022\030borageproxy.coordi" +
-      "nation\"\322\003\n\013UsageReport\022\017\n\007session\030\001 \001(\t\022" +
+      "nation\"\241\004\n\013UsageReport\022\017\n\007session\030\001 \001(\t\022" +
       "6\n\007servers\030\002 \003(\0132%.borageproxy.coordinat" +
       "ion.ServerUsage\022<\n\nworkspaces\030\003 \003(\0132(.bo" +
       "rageproxy.coordination.WorkspaceUsage\0226\n" +
@@ -22691,67 +25776,79 @@
       "streams\030\010 \003(\0132%.borageproxy.coordination" +
       ".BegunStream\022=\n\rstated_limits\030\t \003(\0132&.bo" +
       "rageproxy.coordination.StatedLimits\022\026\n\016l" +
-      "imits_version\030\n \001(\004\022\016\n\006relays\030\013 \001(\010\"3\n\014R" +
-      "elayRequest\022\016\n\006server\030\001 \001(\t\022\023\n\013incarnati" +
-      "on\030\002 \001(\004\"u\n\rRefusalNotice\022\016\n\006server\030\001 \001(" +
-      "\t\022\023\n\013incarnation\030\002 \001(\004\022\030\n\020remaining_mill" +
-      "is\030\003 \001(\004\022\024\n\014of_recipient\030\004 \001(\010\022\017\n\007leavin" +
-      "g\030\005 \001(\010\"\247\001\n\014StatedLimits\022\014\n\004name\030\001 \001(\t\022\023" +
-      "\n\013incarnation\030\002 \001(\004\022\022\n\nage_millis\030\003 \001(\004\022" +
-      " \n\023requests_per_second\030\004 \001(\001H\000\210\001\001\022\027\n\nrej" +
-      "ections\030\005 \001(\rH\001\210\001\001B\026\n\024_requests_per_seco" +
-      "ndB\r\n\013_rejections\"I\n\013BegunStream\022\017\n\007requ" +
-      "est\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\030\n\020software_v" +
-      "ersion\030\003 \001(\t\"$\n\021StreamOriginQuery\022\017\n\007req" +
-      "uest\030\001 \001(\t\"N\n\022StreamOriginAnswer\022\r\n\005know" +
-      "n\030\001 \001(\010\022\017\n\007service\030\002 \001(\t\022\030\n\020software_ver" +
-      "sion\030\003 \001(\t\"(\n\tModelPace\022\r\n\005model\030\001 \001(\t\022\014" +
-      "\n\004pace\030\002 \001(\001\"\221\001\n\013ServerUsage\022\014\n\004name\030\001 \001" +
-      "(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010requests\030\003 \001(" +
-      "\r\022\025\n\rprompt_tokens\030\004 \001(\r\022\023\n\013held_tokens\030" +
-      "\005 \001(\r\022\020\n\010failures\030\006 \001(\r\022\017\n\007answers\030\007 \001(\r" +
-      "\"r\n\016WorkspaceUsage\022\014\n\004name\030\001 \001(\t\022\016\n\006dema" +
-      "nd\030\002 \001(\004\022\014\n\004held\030\003 \001(\004\022\r\n\005spent\030\004 \001(\004\022\r\n" +
-      "\005needs\030\006 \003(\004\022\020\n\010returned\030\007 \001(\004J\004\010\005\020\006\"_\n\013" +
-      "ModelDemand\022\017\n\007service\030\001 \001(\t\022\r\n\005model\030\002 " +
-      "\001(\t\022\017\n\007adapter\030\003 \001(\t\022\016\n\006tokens\030\004 \001(\004\022\017\n\007" +
-      "waiting\030\005 \001(\r\"\233\003\n\022CoordinationUpdate\022\023\n\013" +
-      "coordinates\030\001 \001(\010\022\023\n\013coordinator\030\002 \001(\t\022\017" +
-      "\n\007entries\030\003 \001(\r\0226\n\007servers\030\004 \003(\0132%.borag" +
-      "eproxy.coordination.ServerUsage\0223\n\006share" +
-      "s\030\005 \003(\0132#.borageproxy.coordination.RateS" +
-      "hare\0229\n\010contents\030\006 \003(\0132\'.borageproxy.coo" +
-      "rdination.ServerContent\022\030\n\020contents_vers" +
-      "ion\030\007 \001(\004\022\023\n\013all_servers\030\010 \001(\010\022\014\n\004term\030\t" +
-      " \001(\004\022=\n\rstated_limits\030\n \003(\0132&.borageprox" +
-      "y.coordination.StatedLimits\022\026\n\016limits_ve" +
-      "rsion\030\013 \001(\004\022\016\n\006relays\030\014 \003(\t\"\363\002\n\013SlotRequ" +
-      "est\022\014\n\004zone\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\r\n\005mo" +
-      "del\030\003 \001(\t\022\017\n\007adapter\030\004 \001(\t\022\025\n\rprompt_tok" +
-      "ens\030\005 \001(\r\022\025\n\routput_tokens\030\006 \001(\r\0225\n\005part" +
-      "s\030\007 \003(\0132&.borageproxy.coordination.PartO" +
-      "fPrompt\022\014\n\004rank\030\010 \001(\r\022\030\n\020objective_milli" +
-      "s\030\t \001(\r\022\027\n\017deadline_millis\030\n \001(\r\022\r\n\005trie" +
-      "d\030\013 \003(\t\022\025\n\rwaited_millis\030\014 \001(\r\022\021\n\tabsent" +
-      "_at\030\016 \003(\t\022\014\n\004gone\030\017 \003(\t\022\035\n\020software_vers" +
-      "ion\030\020 \001(\tH\000\210\001\001B\023\n\021_software_versionJ\004\010\r\020" +
-      "\016\"0\n\014PartOfPrompt\022\020\n\010identity\030\001 \001(\t\022\016\n\006t" +
-      "okens\030\002 \001(\r\"\270\002\n\nSlotAnswer\022=\n\007outcome\030\001 " +
-      "\001(\0162,.borageproxy.coordination.SlotAnswe" +
-      "r.Outcome\022\016\n\006server\030\002 \001(\t\022\023\n\013incarnation" +
-      "\030\003 \001(\004\022\027\n\017expected_millis\030\004 \001(\001\022\025\n\runrea" +
-      "d_tokens\030\005 \001(\r\022\014\n\004slot\030\006 \001(\004\022\030\n\020come_bac" +
-      "k_millis\030\007 \001(\r\"n\n\007Outcome\022\023\n\017NOT_COORDIN" +
-      "ATOR\020\000\022\n\n\006CHOSEN\020\001\022\r\n\tNO_SERVER\020\002\022\014\n\010NO_" +
-      "MODEL\020\003\022\013\n\007CROWDED\020\004\022\r\n\tALL_TRIED\020\005\022\t\n\005A" +
-      "GAIN\020\006\"=\n\tRateShare\022\021\n\tworkspace\030\001 \001(\t\022\014" +
-      "\n\004rate\030\002 \001(\004\022\017\n\007granted\030\003 \001(\004\"\211\001\n\rServer" +
-      "Content\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001" +
-      "(\004\022\016\n\006orders\030\003 \001(\004\0223\n\006models\030\004 \003(\0132#.bor" +
-      "ageproxy.coordination.HeldModel\022\020\n\010arriv" +
-      "ing\030\005 \003(\t\",\n\tHeldModel\022\r\n\005model\030\001 \001(\t\022\020\n" +
-      "\010adapters\030\002 \003(\tB2\n\032org.borageproxy.wire." +
-      "protoB\024CoordinationProtocolb\006proto3"
+      "imits_version\030\n \001(\004\022\016\n\006relays\030\013 \001(\010\0225\n\006s" +
+      "peeds\0302 \003(\0132%.borageproxy.coordination.S" +
+      "erverSpeed\022\026\n\016speeds_version\0303 \001(\004\"S\n\013Se" +
+      "rverSpeed\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002" +
+      " \001(\004\022\r\n\005speed\030\003 \001(\002\022\022\n\nage_millis\030\004 \001(\004\"" +
+      "[\n\017SlownessSamples\022\023\n\013first_event\030\001 \001(\002\022" +
+      "\024\n\014first_events\030\002 \001(\r\022\r\n\005pause\030\003 \001(\002\022\016\n\006" +
+      "pauses\030\004 \001(\r\"3\n\014RelayRequest\022\016\n\006server\030\001" +
+      " \001(\t\022\023\n\013incarnation\030\002 \001(\004\"u\n\rRefusalNoti" +
+      "ce\022\016\n\006server\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022" +
+      "\030\n\020remaining_millis\030\003 \001(\004\022\024\n\014of_recipien" +
+      "t\030\004 \001(\010\022\017\n\007leaving\030\005 \001(\010\"\247\001\n\014StatedLimit" +
+      "s\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\022\n\n" +
+      "age_millis\030\003 \001(\004\022 \n\023requests_per_second\030" +
+      "\004 \001(\001H\000\210\001\001\022\027\n\nrejections\030\005 \001(\rH\001\210\001\001B\026\n\024_" +
+      "requests_per_secondB\r\n\013_rejections\"I\n\013Be" +
+      "gunStream\022\017\n\007request\030\001 \001(\t\022\017\n\007service\030\002 " +
+      "\001(\t\022\030\n\020software_version\030\003 \001(\t\"$\n\021StreamO" +
+      "riginQuery\022\017\n\007request\030\001 \001(\t\"N\n\022StreamOri" +
+      "ginAnswer\022\r\n\005known\030\001 \001(\010\022\017\n\007service\030\002 \001(" +
+      "\t\022\030\n\020software_version\030\003 \001(\t\"(\n\tModelPace" +
+      "\022\r\n\005model\030\001 \001(\t\022\014\n\004pace\030\002 \001(\001\"\340\001\n\013Server" +
+      "Usage\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004" +
+      "\022\020\n\010requests\030\003 \001(\r\022\025\n\rprompt_tokens\030\004 \001(" +
+      "\r\022\023\n\013held_tokens\030\005 \001(\r\022\020\n\010failures\030\006 \001(\r" +
+      "\022\017\n\007answers\030\007 \001(\r\022@\n\010slowness\0302 \001(\0132).bo" +
+      "rageproxy.coordination.SlownessSamplesH\000" +
+      "\210\001\001B\013\n\t_slowness\"r\n\016WorkspaceUsage\022\014\n\004na" +
+      "me\030\001 \001(\t\022\016\n\006demand\030\002 \001(\004\022\014\n\004held\030\003 \001(\004\022\r" +
+      "\n\005spent\030\004 \001(\004\022\r\n\005needs\030\006 \003(\004\022\020\n\010returned" +
+      "\030\007 \001(\004J\004\010\005\020\006\"_\n\013ModelDemand\022\017\n\007service\030\001" +
+      " \001(\t\022\r\n\005model\030\002 \001(\t\022\017\n\007adapter\030\003 \001(\t\022\016\n\006" +
+      "tokens\030\004 \001(\004\022\017\n\007waiting\030\005 \001(\r\"\377\003\n\022Coordi" +
+      "nationUpdate\022\023\n\013coordinates\030\001 \001(\010\022\023\n\013coo" +
+      "rdinator\030\002 \001(\t\022\017\n\007entries\030\003 \001(\r\0226\n\007serve" +
+      "rs\030\004 \003(\0132%.borageproxy.coordination.Serv" +
+      "erUsage\0223\n\006shares\030\005 \003(\0132#.borageproxy.co" +
+      "ordination.RateShare\0229\n\010contents\030\006 \003(\0132\'" +
+      ".borageproxy.coordination.ServerContent\022" +
+      "\030\n\020contents_version\030\007 \001(\004\022\023\n\013all_servers" +
+      "\030\010 \001(\010\022\014\n\004term\030\t \001(\004\022=\n\rstated_limits\030\n " +
+      "\003(\0132&.borageproxy.coordination.StatedLim" +
+      "its\022\026\n\016limits_version\030\013 \001(\004\022\016\n\006relays\030\014 " +
+      "\003(\t\0225\n\006speeds\0302 \003(\0132%.borageproxy.coordi" +
+      "nation.ServerSpeed\022\026\n\016speeds_version\0303 \001" +
+      "(\004\022\023\n\013asks_speeds\0304 \001(\010\"\363\002\n\013SlotRequest\022" +
+      "\014\n\004zone\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\r\n\005model\030" +
+      "\003 \001(\t\022\017\n\007adapter\030\004 \001(\t\022\025\n\rprompt_tokens\030" +
+      "\005 \001(\r\022\025\n\routput_tokens\030\006 \001(\r\0225\n\005parts\030\007 " +
+      "\003(\0132&.borageproxy.coordination.PartOfPro" +
+      "mpt\022\014\n\004rank\030\010 \001(\r\022\030\n\020objective_millis\030\t " +
+      "\001(\r\022\027\n\017deadline_millis\030\n \001(\r\022\r\n\005tried\030\013 " +
+      "\003(\t\022\025\n\rwaited_millis\030\014 \001(\r\022\021\n\tabsent_at\030" +
+      "\016 \003(\t\022\014\n\004gone\030\017 \003(\t\022\035\n\020software_version\030" +
+      "\020 \001(\tH\000\210\001\001B\023\n\021_software_versionJ\004\010\r\020\016\"0\n" +
+      "\014PartOfPrompt\022\020\n\010identity\030\001 \001(\t\022\016\n\006token" +
+      "s\030\002 \001(\r\"\326\002\n\nSlotAnswer\022=\n\007outcome\030\001 \001(\0162" +
+      ",.borageproxy.coordination.SlotAnswer.Ou" +
+      "tcome\022\016\n\006server\030\002 \001(\t\022\023\n\013incarnation\030\003 \001" +
+      "(\004\022\027\n\017expected_millis\030\004 \001(\001\022\025\n\runread_to" +
+      "kens\030\005 \001(\r\022\014\n\004slot\030\006 \001(\004\022\030\n\020come_back_mi" +
+      "llis\030\007 \001(\r\022\022\n\005speed\0302 \001(\002H\000\210\001\001\"n\n\007Outcom" +
+      "e\022\023\n\017NOT_COORDINATOR\020\000\022\n\n\006CHOSEN\020\001\022\r\n\tNO" +
+      "_SERVER\020\002\022\014\n\010NO_MODEL\020\003\022\013\n\007CROWDED\020\004\022\r\n\t" +
+      "ALL_TRIED\020\005\022\t\n\005AGAIN\020\006B\010\n\006_speed\"=\n\tRate" +
+      "Share\022\021\n\tworkspace\030\001 \001(\t\022\014\n\004rate\030\002 \001(\004\022\017" +
+      "\n\007granted\030\003 \001(\004\"\211\001\n\rServerContent\022\014\n\004nam" +
+      "e\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\016\n\006orders\030\003" +
+      " \001(\004\0223\n\006models\030\004 \003(\0132#.borageproxy.coord" +
+      "ination.HeldModel\022\020\n\010arriving\030\005 \003(\t\",\n\tH" +
+      "eldModel\022\r\n\005model\030\001 \001(\t\022\020\n\010adapters\030\002 \003(" +
+      "\tB2\n\032org.borageproxy.wire.protoB\024Coordin" +
+      "ationProtocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -22762,105 +25859,117 @@
     internal_static_borageproxy_coordination_UsageReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_UsageReport_descriptor,
-        new java.lang.String[] { "Session", "Servers", "Workspaces", "Demands", "LastSlot", "Paces", "ContentsVersion", "BegunStreams", "StatedLimits", "LimitsVersion", "Relays", });
-    internal_static_borageproxy_coordination_RelayRequest_descriptor =
+        new java.lang.String[] { "Session", "Servers", "Workspaces", "Demands", "LastSlot", "Paces", "ContentsVersion", "BegunStreams", "StatedLimits", "LimitsVersion", "Relays", "Speeds", "SpeedsVersion", });
+    internal_static_borageproxy_coordination_ServerSpeed_descriptor =
       getDescriptor().getMessageType(1);
+    internal_static_borageproxy_coordination_ServerSpeed_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_borageproxy_coordination_ServerSpeed_descriptor,
+        new java.lang.String[] { "Name", "Incarnation", "Speed", "AgeMillis", });
+    internal_static_borageproxy_coordination_SlownessSamples_descriptor =
+      getDescriptor().getMessageType(2);
+    internal_static_borageproxy_coordination_SlownessSamples_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_borageproxy_coordination_SlownessSamples_descriptor,
+        new java.lang.String[] { "FirstEvent", "FirstEvents", "Pause", "Pauses", });
+    internal_static_borageproxy_coordination_RelayRequest_descriptor =
+      getDescriptor().getMessageType(3);
     internal_static_borageproxy_coordination_RelayRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_RelayRequest_descriptor,
         new java.lang.String[] { "Server", "Incarnation", });
     internal_static_borageproxy_coordination_RefusalNotice_descriptor =
-      getDescriptor().getMessageType(2);
+      getDescriptor().getMessageType(4);
     internal_static_borageproxy_coordination_RefusalNotice_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_RefusalNotice_descriptor,
         new java.lang.String[] { "Server", "Incarnation", "RemainingMillis", "OfRecipient", "Leaving", });
     internal_static_borageproxy_coordination_StatedLimits_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(5);
     internal_static_borageproxy_coordination_StatedLimits_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_StatedLimits_descriptor,
         new java.lang.String[] { "Name", "Incarnation", "AgeMillis", "RequestsPerSecond", "Rejections", });
     internal_static_borageproxy_coordination_BegunStream_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(6);
     internal_static_borageproxy_coordination_BegunStream_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_BegunStream_descriptor,
         new java.lang.String[] { "Request", "Service", "SoftwareVersion", });
     internal_static_borageproxy_coordination_StreamOriginQuery_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(7);
     internal_static_borageproxy_coordination_StreamOriginQuery_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_StreamOriginQuery_descriptor,
         new java.lang.String[] { "Request", });
     internal_static_borageproxy_coordination_StreamOriginAnswer_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(8);
     internal_static_borageproxy_coordination_StreamOriginAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_StreamOriginAnswer_descriptor,
         new java.lang.String[] { "Known", "Service", "SoftwareVersion", });
     internal_static_borageproxy_coordination_ModelPace_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(9);
     internal_static_borageproxy_coordination_ModelPace_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_ModelPace_descriptor,
         new java.lang.String[] { "Model", "Pace", });
     internal_static_borageproxy_coordination_ServerUsage_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(10);
     internal_static_borageproxy_coordination_ServerUsage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_ServerUsage_descriptor,
-        new java.lang.String[] { "Name", "Incarnation", "Requests", "PromptTokens", "HeldTokens", "Failures", "Answers", });
+        new java.lang.String[] { "Name", "Incarnation", "Requests", "PromptTokens", "HeldTokens", "Failures", "Answers", "Slowness", });
     internal_static_borageproxy_coordination_WorkspaceUsage_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(11);
     internal_static_borageproxy_coordination_WorkspaceUsage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_WorkspaceUsage_descriptor,
         new java.lang.String[] { "Name", "Demand", "Held", "Spent", "Needs", "Returned", });
     internal_static_borageproxy_coordination_ModelDemand_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(12);
     internal_static_borageproxy_coordination_ModelDemand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_ModelDemand_descriptor,
         new java.lang.String[] { "Service", "Model", "Adapter", "Tokens", "Waiting", });
     internal_static_borageproxy_coordination_CoordinationUpdate_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(13);
     internal_static_borageproxy_coordination_CoordinationUpdate_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_CoordinationUpdate_descriptor,
-        new java.lang.String[] { "Coordinates", "Coordinator", "Entries", "Servers", "Shares", "Contents", "ContentsVersion", "AllServers", "Term", "StatedLimits", "LimitsVersion", "Relays", });
+        new java.lang.String[] { "Coordinates", "Coordinator", "Entries", "Servers", "Shares", "Contents", "ContentsVersion", "AllServers", "Term", "StatedLimits", "LimitsVersion", "Relays", "Speeds", "SpeedsVersion", "AsksSpeeds", });
     internal_static_borageproxy_coordination_SlotRequest_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(14);
     internal_static_borageproxy_coordination_SlotRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_SlotRequest_descriptor,
         new java.lang.String[] { "Zone", "Service", "Model", "Adapter", "PromptTokens", "OutputTokens", "Parts", "Rank", "ObjectiveMillis", "DeadlineMillis", "Tried", "WaitedMillis", "AbsentAt", "Gone", "SoftwareVersion", });
     internal_static_borageproxy_coordination_PartOfPrompt_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(15);
     internal_static_borageproxy_coordination_PartOfPrompt_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_PartOfPrompt_descriptor,
         new java.lang.String[] { "Identity", "Tokens", });
     internal_static_borageproxy_coordination_SlotAnswer_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(16);
     internal_static_borageproxy_coordination_SlotAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_SlotAnswer_descriptor,
-        new java.lang.String[] { "Outcome", "Server", "Incarnation", "ExpectedMillis", "UnreadTokens", "Slot", "ComeBackMillis", });
+        new java.lang.String[] { "Outcome", "Server", "Incarnation", "ExpectedMillis", "UnreadTokens", "Slot", "ComeBackMillis", "Speed", });
     internal_static_borageproxy_coordination_RateShare_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(17);
     internal_static_borageproxy_coordination_RateShare_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_RateShare_descriptor,
         new java.lang.String[] { "Workspace", "Rate", "Granted", });
     internal_static_borageproxy_coordination_ServerContent_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(18);
     internal_static_borageproxy_coordination_ServerContent_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_ServerContent_descriptor,
         new java.lang.String[] { "Name", "Incarnation", "Orders", "Models", "Arriving", });
     internal_static_borageproxy_coordination_HeldModel_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(19);
     internal_static_borageproxy_coordination_HeldModel_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_HeldModel_descriptor,
--- a/src/test/java/org/borageproxy/routing/ServerSelectorTest.java
+++ b/src/test/java/org/borageproxy/routing/ServerSelectorTest.java
@@ -24,7 +24,7 @@
 
     private static ServerSelector.Candidate candidate(String name, ServerLoad load) {
         BackendServer server = BackendServerFixture.engine(name);
-        return new ServerSelector.Candidate(server, load, 1.0);
+        return new ServerSelector.Candidate(server, load, 1.0, 1.0);
     }
 
     private static ServerLoad idleLoad() {
