Place models by speed, waiting time and lost copies

Cause: an empty engine that joined stayed empty unless a model exceeded the mean work by 35%, and then got the model with the most waiting requests. The last copies of a leaving engine were loaded elsewhere only when requests already waited for them. Engines counted as equally fast. A last copy in demand could be unloaded for any model with a waiting request, so that models which do not fit together displaced one another by turns. Nothing in the log said how long a model had no copy.

Change: work is divided by the learned speed. Empty engines first get the model whose requests have waited longest, then the busiest one. Lost last copies are replaced at once, in free room or in place of surplus copies. A last copy is unloaded only for a model with waiting requests that is in at least as much demand. model-absent, model-absence-ended and model-copy-lost are logged. The planner counts replicas and work once a step instead of for each model and engine.

Ruled out: never unloading a last copy, since a model whose demand is gone would keep its memory while callers of another one are refused; replacing the copies of suspect engines, which may return.

--- /dev/null
+++ b/src/main/java/org/borageproxy/placement/AbsentModels.java
@@ -0,0 +1,129 @@
+package org.borageproxy.placement;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.borageproxy.time.Deadline;
+
+/**
+ * The models of one service that requests need and that no engine has, and those whose last copy was lost with its
+ * engine. An absence begins with the first request that waits for the model. It ends when an engine has the model, or
+ * some time after the latest wait, since refused callers return. Pure state in the time of the caller; not thread safe.
+ */
+final class AbsentModels {
+
+    /** Time after the latest wait at which an absence ends without a copy; longer than callers take to return. */
+    private static final Duration WAIT_VALIDITY = Duration.ofSeconds(10);
+    /** Time for which a lost copy is replaced before requests wait for it. */
+    private static final Duration LOSS_VALIDITY = Duration.ofSeconds(15);
+
+    private final Map<String, Absence> absences = new HashMap<>();
+    private final Map<String, Deadline> lostUntil = new HashMap<>();
+
+    private static final class Absence {
+        private final long sinceNanos;
+        private Deadline expiresAt;
+        private int waits;
+
+        private Absence(long sinceNanos) {
+            this.sinceNanos = sinceNanos;
+        }
+    }
+
+    /**
+     * An absence that has ended.
+     *
+     * @param model the model
+     * @param millis the time from the first wait to the end, in milliseconds
+     * @param waits the number of requests that began to wait, where a request that returns counts again
+     * @param isLoaded whether an engine has the model now; otherwise no request has waited for it lately
+     */
+    record Ended(String model, long millis, int waits, boolean isLoaded) {}
+
+    /**
+     * Records that a request begins to wait for a model that no engine has.
+     *
+     * @param model the model
+     * @param nowNanos the time on the monotonic clock in nanoseconds
+     * @return whether the absence begins with this request
+     */
+    boolean recordWait(String model, long nowNanos) {
+        boolean isFirst = !absences.containsKey(model);
+        Absence absence = absences.computeIfAbsent(model, key -> new Absence(nowNanos));
+        absence.waits++;
+        absence.expiresAt = Deadline.after(nowNanos, WAIT_VALIDITY);
+        return isFirst;
+    }
+
+    /**
+     * Records that the last copy of a model was lost because its engine left or is gone.
+     *
+     * @param model the model
+     * @param nowNanos the time on the monotonic clock in nanoseconds
+     */
+    void recordLoss(String model, long nowNanos) {
+        lostUntil.put(model, Deadline.after(nowNanos, LOSS_VALIDITY));
+    }
+
+    /**
+     * Ends the absences of models that are loaded again or no longer requested.
+     *
+     * @param loaded the models that engines have
+     * @param expected the models that engines have or are about to load
+     * @param nowNanos the time on the monotonic clock in nanoseconds
+     * @return the ended absences
+     */
+    List<Ended> update(Set<String> loaded, Set<String> expected, long nowNanos) {
+        lostUntil
+                .entrySet()
+                .removeIf(entry ->
+                        expected.contains(entry.getKey()) || entry.getValue().hasPassed(nowNanos));
+        List<Ended> ended = new ArrayList<>();
+        absences.entrySet().removeIf(entry -> {
+            Absence absence = entry.getValue();
+            boolean isLoaded = loaded.contains(entry.getKey());
+            boolean isOver = isLoaded || absence.expiresAt.hasPassed(nowNanos);
+            if (isOver) {
+                long millis = (nowNanos - absence.sinceNanos) / 1_000_000L;
+                ended.add(new Ended(entry.getKey(), millis, absence.waits, isLoaded));
+            }
+            return isOver;
+        });
+        return ended;
+    }
+
+    /**
+     * Adds to the demand for a model since when its requests have waited, and whether its copy has to be replaced.
+     *
+     * @param model the model
+     * @param demand the demand
+     * @return the demand with the absence
+     */
+    LoadPlanner.Demand complete(String model, LoadPlanner.Demand demand) {
+        Absence absence = absences.get(model);
+        return new LoadPlanner.Demand(
+                demand.tokensPerSecond(),
+                demand.waitingRequests(),
+                absence == null ? LoadPlanner.Demand.NOT_WAITING : absence.sinceNanos,
+                lostUntil.containsKey(model));
+    }
+
+    /**
+     * Returns the models whose copy has to be replaced.
+     *
+     * @return the models
+     */
+    Set<String> lost() {
+        return Set.copyOf(lostUntil.keySet());
+    }
+
+    /** Discards everything. */
+    void clear() {
+        absences.clear();
+        lostUntil.clear();
+    }
+}
--- a/src/main/java/org/borageproxy/placement/FleetPlacement.java
+++ b/src/main/java/org/borageproxy/placement/FleetPlacement.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,6 +13,7 @@
 import java.util.concurrent.Executor;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
+import java.util.function.ToDoubleFunction;
 
 import org.borageproxy.control.Timer;
 import org.borageproxy.coordination.Coordinator;
@@ -69,6 +71,8 @@
     private final Map<BackendServerName, TrackedEngine> trackedEngines = new LinkedHashMap<>();
     private final Map<BackendServerName, Deadline> nextReports = new HashMap<>();
     private final FleetDemand demand = new FleetDemand();
+    private final Map<String, AbsentModels> absentModels = new HashMap<>();
+    private ToDoubleFunction<BackendServer> speeds = server -> 1.0;
     private long term = -1;
     private Deadline ordersAllowedFrom;
     private double storeTokens;
@@ -118,6 +122,15 @@
         this.storeRefilledAtNanos = environment.clock().nanoTime();
     }
 
+    /**
+     * Sets the speeds of the engines, which are equal before.
+     *
+     * @param learned returns the speed of an engine; 1 is the median of its peers
+     */
+    public void setSpeeds(ToDoubleFunction<BackendServer> learned) {
+        speeds = learned;
+    }
+
     /** Starts planning. Nothing is ordered while another VM leads. */
     public void start() {
         isRunning = true;
@@ -152,6 +165,7 @@
         inventoryVersion = term << INVENTORY_VERSION_BITS;
         nextReports.clear();
         demand.clearReports();
+        absentModels.values().forEach(AbsentModels::clear);
         storeTokens = 0;
         long nowNanos = environment.clock().nanoTime();
         storeRefilledAtNanos = nowNanos;
@@ -191,11 +205,7 @@
                 liveServers.put(server.name(), server);
             }
         }
-        trackedEngines
-                .values()
-                .removeIf(engine -> !liveServers.containsKey(engine.server().name())
-                        || liveServers.get(engine.server().name()).incarnation()
-                                != engine.server().incarnation());
+        removeLostEngines(liveServers, nowNanos);
         liveServers.forEach((name, server) -> trackedEngines
                 .computeIfAbsent(name, key -> new TrackedEngine(server, nowNanos))
                 .applyAnnouncement(server));
@@ -208,6 +218,40 @@
         }
     }
 
+    private void removeLostEngines(Map<BackendServerName, BackendServer> liveServers, long nowNanos) {
+        List<TrackedEngine> lostEngines = trackedEngines.values().stream()
+                .filter(engine -> !liveServers.containsKey(engine.server().name())
+                        || liveServers.get(engine.server().name()).incarnation()
+                                != engine.server().incarnation())
+                .toList();
+        lostEngines.forEach(engine -> trackedEngines.remove(engine.server().name()));
+        Set<BackendServerName> suspectServers = new HashSet<>();
+        environment.servers().current().stream()
+                .filter(server -> server.state() == BackendServerState.SUSPECT)
+                .forEach(server -> suspectServers.add(server.name()));
+        // A suspect engine may return with its models; until then they are loaded elsewhere only for waiting requests.
+        lostEngines.stream()
+                .filter(engine -> !suspectServers.contains(engine.server().name()))
+                .forEach(engine -> recordLostCopies(engine, nowNanos));
+    }
+
+    private void recordLostCopies(TrackedEngine lost, long nowNanos) {
+        for (String model : lost.loadedModels().keySet()) {
+            if (trackedEngines.values().stream().noneMatch(engine -> engine.hasOrExpects(model))) {
+                lost.server().services().forEach(service -> absentModels(service)
+                        .recordLoss(model, nowNanos));
+                LOGGER.warn(
+                        "event=model-copy-lost model={} server={}",
+                        model,
+                        lost.server().name());
+            }
+        }
+    }
+
+    private AbsentModels absentModels(String service) {
+        return absentModels.computeIfAbsent(service, name -> new AbsentModels());
+    }
+
     private void refreshPermit(TrackedEngine engine) {
         engine.setLimits(
                 environment.permits().isLimiting(engine.server()),
@@ -287,12 +331,22 @@
     public void adjustWaiting(
             String service, String model, String adapter, Optional<String> softwareVersion, int change) {
         FleetDemand.Target target = new FleetDemand.Target(service, model, adapter, softwareVersion);
-        demand.adjustWaiting(target, change, environment.clock().nanoTime());
+        long nowNanos = environment.clock().nanoTime();
+        demand.adjustWaiting(target, change, nowNanos);
+        boolean isAbsent = trackedEngines.values().stream().noneMatch(engine -> isUsable(engine, service, model));
+        if (change > 0 && isAbsent && absentModels(service).recordWait(model, nowNanos)) {
+            LOGGER.warn("event=model-absent service={} model={}", service, model);
+        }
         if (change > 0 && mayOrder()) {
             plan();
         }
     }
 
+    private static boolean isUsable(TrackedEngine engine, String service, String model) {
+        return engine.server().services().contains(service)
+                && engine.loadedModels().containsKey(model);
+    }
+
     private void plan() {
         demand.updateRates(environment.clock().nanoTime());
         if (!mayOrder()) {
@@ -310,12 +364,35 @@
                 .toList();
         engines.forEach(this::refreshPermit);
         planAdapters(service, pool, engines);
-        Map<String, LoadPlanner.Demand> byModel = demand.byModel(service);
-        Optional<LoadPlanner.Step> step = new LoadPlanner(pool, engines, byModel).nextStep(storeTokens >= 1);
+        Map<String, LoadPlanner.Demand> byModel = demandWithAbsences(service, pool, engines);
+        Optional<LoadPlanner.Step> step = new LoadPlanner(pool, engines, byModel, speeds).nextStep(storeTokens >= 1);
         while (step.isPresent()) {
             execute(step.get(), pool);
-            step = new LoadPlanner(pool, engines, byModel).nextStep(storeTokens >= 1);
+            step = new LoadPlanner(pool, engines, byModel, speeds).nextStep(storeTokens >= 1);
+        }
+    }
+
+    private Map<String, LoadPlanner.Demand> demandWithAbsences(
+            String service, EnginePool pool, List<TrackedEngine> engines) {
+        AbsentModels absent = absentModels(service);
+        Set<String> loaded = new HashSet<>();
+        Set<String> expected = new HashSet<>();
+        for (TrackedEngine engine : engines) {
+            loaded.addAll(engine.loadedModels().keySet());
+            pool.models().keySet().stream().filter(engine::hasOrExpects).forEach(expected::add);
         }
+        absent.update(loaded, expected, environment.clock().nanoTime())
+                .forEach(ended -> LOGGER.warn(
+                        "event=model-absence-ended service={} model={} absent_ms={} waits={} loaded={}",
+                        service,
+                        ended.model(),
+                        ended.millis(),
+                        ended.waits(),
+                        ended.isLoaded()));
+        Map<String, LoadPlanner.Demand> byModel = demand.byModel(service);
+        absent.lost().forEach(model -> byModel.putIfAbsent(model, LoadPlanner.Demand.NONE));
+        byModel.replaceAll(absent::complete);
+        return byModel;
     }
 
     private void execute(LoadPlanner.Step step, EnginePool pool) {
--- a/src/main/java/org/borageproxy/placement/LoadPlanner.java
+++ b/src/main/java/org/borageproxy/placement/LoadPlanner.java
@@ -1,21 +1,22 @@
 package org.borageproxy.placement;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.ToDoubleFunction;
 
+import org.borageproxy.membership.BackendServer;
 import org.borageproxy.publication.EnginePool;
 
 /**
  * Plans which model an engine loads or unloads next. Models for which room is already being made on an engine come
  * first, then models without a replica that have waiting requests, then models whose engines have much more work than
- * the average. A model with waiting requests is never unloaded. The last replica of a model with demand is unloaded
- * only if no other model on the engine costs less to unload. Work is measured in engine-seconds per second, so that 1
- * is a fully used engine.
+ * the average. A model with waiting requests is never unloaded. The last replica of a model is unloaded only for a
+ * model with waiting requests that is in at least as much demand. Work is measured in engine-seconds per second of an
+ * engine of the speed one, so that 1 is a fully used engine.
  *
  * <p>Reads the engines but doesn't change them. Not thread safe, since the engines aren't.
  */
@@ -23,12 +24,16 @@
 
     /** A model gets another replica if even the least loaded of its engines exceeds the mean work by this factor. */
     private static final double OVERLOAD_FACTOR = 1.35;
+    /** Replaces the overload factor while an engine is empty, since nothing has to be unloaded there. */
+    private static final double EMPTY_ENGINE_FACTOR = 1.0;
     /** Work up to which an engine doesn't count as overloaded, whatever the mean is. */
     private static final double MIN_OVERLOAD_WORK = 0.12;
     /** Least reduction of work, net of losses, that justifies another replica. */
     private static final double MIN_GAIN = 0.04;
     /** Fraction of the work of a replica that the other replicas of the model can't take over without loss. */
     private static final double UNLOAD_LOSS_SHARE = 0.6;
+    /** Loss, as work, from any unload, so that free room is used first. */
+    private static final double MIN_UNLOAD_LOSS = 0.01;
     /** Loss, as work, from unloading the last replica of a model that has demand. */
     private static final double LAST_REPLICA_LOSS = 0.3;
     /**
@@ -52,19 +57,37 @@
     /** Nominal number of prompt and output tokens that an engine serves per second. */
     private static final double TOKENS_PER_SECOND = 12_000.0;
 
+    /** Requested tokens per second up to which a model counts as idle. */
+    private static final double IDLE_TOKENS_PER_SECOND = 1.0;
+
     private final EnginePool pool;
     private final Collection<TrackedEngine> engines;
     private final Map<String, Demand> demands;
+    private final ToDoubleFunction<BackendServer> speeds;
+    /** The engines do not change while a step is planned. */
+    private final Map<String, Integer> replicaCounts = new HashMap<>();
+
+    private Optional<Map<TrackedEngine, Double>> work = Optional.empty();
 
     /**
      * The demand for a model.
      *
      * @param tokensPerSecond the requested prompt and output tokens per second
      * @param waitingRequests the number of requests that wait for the model
+     * @param waitingSinceNanos the time on the monotonic clock since which requests have waited because no engine has
+     *     the model, or {@link #NOT_WAITING}
+     * @param isCopyLost whether the last copy was lost with its engine and has to be replaced
      */
-    record Demand(double tokensPerSecond, int waitingRequests) {
+    record Demand(double tokensPerSecond, int waitingRequests, long waitingSinceNanos, boolean isCopyLost) {
+
+        static final long NOT_WAITING = Long.MAX_VALUE;
 
         static final Demand NONE = new Demand(0, 0);
+
+        /** Creates the demand for a model that engines have had all the time. */
+        Demand(double tokensPerSecond, int waitingRequests) {
+            this(tokensPerSecond, waitingRequests, NOT_WAITING, false);
+        }
     }
 
     /** A load or unload of a model that an engine should do next. */
@@ -95,10 +118,28 @@
         record Unload(TrackedEngine engine, String model, String successor) implements Step {}
     }
 
+    /** Creates a planner for engines of equal speed. */
     LoadPlanner(EnginePool pool, Collection<TrackedEngine> engines, Map<String, Demand> demands) {
+        this(pool, engines, demands, server -> 1.0);
+    }
+
+    /**
+     * Creates a planner.
+     *
+     * @param pool the pool of the engines
+     * @param engines the engines
+     * @param demands the demand by model
+     * @param speeds returns the speed of an engine; 1 is the median of its peers
+     */
+    LoadPlanner(
+            EnginePool pool,
+            Collection<TrackedEngine> engines,
+            Map<String, Demand> demands,
+            ToDoubleFunction<BackendServer> speeds) {
         this.pool = pool;
         this.engines = engines;
         this.demands = demands;
+        this.speeds = speeds;
     }
 
     /**
@@ -118,16 +159,7 @@
                 }
             }
         }
-        List<String> unservedModels = demands.entrySet().stream()
-                .filter(entry -> entry.getValue().waitingRequests() > 0
-                        && pool.models().containsKey(entry.getKey())
-                        && replicas(entry.getKey()) == 0)
-                .sorted(Comparator.comparingInt((Map.Entry<String, Demand> entry) ->
-                                entry.getValue().waitingRequests())
-                        .reversed())
-                .map(Map.Entry::getKey)
-                .toList();
-        for (String model : unservedModels) {
+        for (String model : unservedModels()) {
             Optional<Step> step = planReplica(model, mayUseStore, Double.MAX_VALUE);
             if (step.isPresent()) {
                 return step;
@@ -136,16 +168,47 @@
         return planForOverload(mayUseStore);
     }
 
+    /**
+     * Returns the models to load that no engine has or expects: first those with waiting requests, then lost copies. An
+     * empty engine gets the model whose requests have waited longest; room that has to be made is for the model with
+     * the most waiting requests.
+     */
+    private List<String> unservedModels() {
+        Comparator<Map.Entry<String, Demand>> byWaitingRequests =
+                Comparator.comparingInt(entry -> -entry.getValue().waitingRequests());
+        Comparator<Map.Entry<String, Demand>> byWaitingTime =
+                Comparator.comparingLong(entry -> entry.getValue().waitingSinceNanos());
+        Comparator<Map.Entry<String, Demand>> order = engines.stream().anyMatch(LoadPlanner::isEmpty)
+                ? byWaitingTime.thenComparing(byWaitingRequests)
+                : byWaitingRequests.thenComparing(byWaitingTime);
+        Comparator<Map.Entry<String, Demand>> waitingFirst =
+                Comparator.comparing(entry -> entry.getValue().waitingRequests() == 0);
+        return demands.entrySet().stream()
+                .filter(entry -> entry.getValue().waitingRequests() > 0
+                        || entry.getValue().isCopyLost())
+                .filter(entry -> pool.models().containsKey(entry.getKey()) && replicas(entry.getKey()) == 0)
+                .sorted(waitingFirst.thenComparing(order).thenComparingDouble(entry -> -entry.getValue()
+                        .tokensPerSecond()))
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
+    private static boolean isEmpty(TrackedEngine engine) {
+        return engine.acceptsOrders()
+                && engine.loadedModels().isEmpty()
+                && engine.successorModel().isEmpty();
+    }
+
     private Optional<Step> planForOverload(boolean mayUseStore) {
         Map<TrackedEngine, Double> work = workByEngine();
         double mean = work.values().stream()
                 .mapToDouble(Double::doubleValue)
                 .average()
                 .orElse(0);
+        double factor = engines.stream().anyMatch(LoadPlanner::isEmpty) ? EMPTY_ENGINE_FACTOR : OVERLOAD_FACTOR;
         return demands.entrySet().stream()
                 .filter(entry -> replicas(entry.getKey()) > 0 && pool.models().containsKey(entry.getKey()))
-                .filter(entry ->
-                        leastWorkOf(entry.getKey(), work) > Math.max(MIN_OVERLOAD_WORK, mean * OVERLOAD_FACTOR))
+                .filter(entry -> leastWorkOf(entry.getKey(), work) > Math.max(MIN_OVERLOAD_WORK, mean * factor))
                 .sorted(Comparator.comparingDouble(
                         (Map.Entry<String, Demand> entry) -> -workPerReplica(entry.getKey(), replicas(entry.getKey()))))
                 .map(entry -> planReplica(entry.getKey(), mayUseStore, leastWorkOf(entry.getKey(), work)))
@@ -165,7 +228,7 @@
     private Optional<Step> planReplica(String model, boolean mayUseStore, double leastWork) {
         boolean isUnserved = replicas(model) == 0;
         Map<TrackedEngine, Double> work = workByEngine();
-        double addedWork = workPerReplica(model, replicas(model) + 1);
+        double sharedWork = workPerReplica(model, replicas(model) + 1);
         Optional<Step> best = Optional.empty();
         double bestCost = Double.MAX_VALUE;
         boolean areAllLimiting = engines.stream().allMatch(TrackedEngine::isLimiting);
@@ -180,10 +243,13 @@
             }
             Optional<Step> step = loadOrUnload(engine, model);
             double loss = lossOfStep(step);
+            double addedWork = sharedWork / speeds.applyAsDouble(engine.server());
             double gain = (leastWork - work.get(engine) - addedWork) * servingFraction(engine, model);
             double secondCost = isUnserved ? URGENT_LOAD_COST_PER_SECOND : LOAD_COST_PER_SECOND;
-            double cost =
-                    work.get(engine) + loadSeconds(engine, model) * (secondCost + adapterBlockingCost(engine)) + loss;
+            double cost = work.get(engine)
+                    + addedWork
+                    + loadSeconds(engine, model) * (secondCost + adapterBlockingCost(engine))
+                    + loss;
             if (step.isPresent() && gain > loss + MIN_GAIN && cost < bestCost) {
                 best = step;
                 bestCost = cost;
@@ -207,7 +273,8 @@
     }
 
     private double lossOfStep(Optional<Step> step) {
-        return step.map(each -> each instanceof Step.Unload unload ? lossOfUnload(unload.model()) : 0.0)
+        return step.map(each ->
+                        each instanceof Step.Unload unload ? MIN_UNLOAD_LOSS + lossOfUnload(unload.model()) : 0.0)
                 .orElse(0.0);
     }
 
@@ -220,19 +287,31 @@
             return Optional.of(new Step.Load(engine, model));
         }
         return engine.loadedModels().keySet().stream()
-                .filter(each -> !each.equals(model))
+                .filter(each -> !each.equals(model) && mayUnload(each, model))
                 .min(Comparator.comparingDouble(this::lossOfUnload))
-                .filter(victim -> demands.getOrDefault(victim, Demand.NONE).waitingRequests() == 0)
                 .map(victim -> new Step.Unload(engine, victim, model));
     }
 
+    /**
+     * Returns whether a model may be unloaded for another one. Its last copy may only if requests wait for the other
+     * model and it is in less demand; otherwise models that do not fit together would displace one another by turns.
+     */
+    private boolean mayUnload(String victim, String successor) {
+        Demand demand = demands.getOrDefault(victim, Demand.NONE);
+        Demand successorDemand = demands.getOrDefault(successor, Demand.NONE);
+        boolean isSurplus = loadedReplicas(victim) > 1;
+        boolean isWorthLess = successorDemand.waitingRequests() > 0
+                && demand.tokensPerSecond() <= Math.max(IDLE_TOKENS_PER_SECOND, successorDemand.tokensPerSecond());
+        return demand.waitingRequests() == 0 && (isSurplus || isWorthLess);
+    }
+
     /** Loss from unloading one replica of a model, as work. */
     private double lossOfUnload(String model) {
         double work = workPerReplica(model, replicas(model));
         if (loadedReplicas(model) > 1) {
             return work * UNLOAD_LOSS_SHARE;
         }
-        boolean hasDemand = demands.getOrDefault(model, Demand.NONE).tokensPerSecond() > 1;
+        boolean hasDemand = demands.getOrDefault(model, Demand.NONE).tokensPerSecond() > IDLE_TOKENS_PER_SECOND;
         return hasDemand ? LAST_REPLICA_LOSS + 2 * work : IDLE_LAST_REPLICA_LOSS;
     }
 
@@ -244,6 +323,10 @@
 
     /** Engines that limit their requests do not count: a model needs another engine beside them. */
     private int replicas(String model) {
+        return replicaCounts.computeIfAbsent(model, this::countReplicas);
+    }
+
+    private int countReplicas(String model) {
         return (int) engines.stream()
                 .filter(engine -> engine.hasOrExpects(model) && !engine.isLimiting())
                 .count();
@@ -299,16 +382,19 @@
         return demand.tokensPerSecond() / TOKENS_PER_SECOND / Math.max(1, replicaCount);
     }
 
+    /** Returns the work of each engine in relation to its speed. */
     private Map<TrackedEngine, Double> workByEngine() {
-        Map<TrackedEngine, Double> work = new HashMap<>();
-        List<String> models = new ArrayList<>(demands.keySet());
-        for (TrackedEngine engine : engines) {
-            double sum = models.stream()
-                    .filter(model -> engine.hasOrExpects(model))
-                    .mapToDouble(model -> workPerReplica(model, replicas(model)))
-                    .sum();
-            work.put(engine, sum);
+        if (work.isEmpty()) {
+            Map<TrackedEngine, Double> computed = new HashMap<>();
+            for (TrackedEngine engine : engines) {
+                double sum = demands.keySet().stream()
+                        .filter(engine::hasOrExpects)
+                        .mapToDouble(model -> workPerReplica(model, replicas(model)))
+                        .sum();
+                computed.put(engine, sum / speeds.applyAsDouble(engine.server()));
+            }
+            work = Optional.of(computed);
         }
-        return work;
+        return work.get();
     }
 }
--- a/src/main/java/org/borageproxy/server/GatewayControl.java
+++ b/src/main/java/org/borageproxy/server/GatewayControl.java
@@ -109,6 +109,7 @@
         refusals = new ServerRefusals(
                 runtime.clock(), runtime.timer(), runtime.membership().registry(), () -> List.of(Optional.empty()));
         placement = createPlacement();
+        placement.setSpeeds(speeds::lastingSpeedOf);
         streamOrigins = new StreamOrigins(runtime.clock());
         slotBroker = createSlotBroker();
         admission = new AdmissionService(
--- a/src/test/java/org/borageproxy/placement/FleetPlacementTest.java
+++ b/src/test/java/org/borageproxy/placement/FleetPlacementTest.java
@@ -13,6 +13,7 @@
 import org.borageproxy.coordination.ModelInventory;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerFixture;
+import org.borageproxy.membership.BackendServerState;
 import org.borageproxy.publication.EnginePool;
 import org.borageproxy.publication.Publication;
 import org.borageproxy.publication.PublishedService;
@@ -262,6 +263,27 @@
         assertEquals(List.of("e1 y", "e2 x"), loads);
     }
 
+    /** Pattern: a server leaves with a notice of 2 s. Nobody waits for its models yet. */
+    @Test
+    void lastCopiesOfLeavingServerAreLoadedElsewhereAtOnce() {
+        time.advance(HANDOVER_DELAY.plusMillis(1_200));
+        servers.set(0, servers.get(0).withState(BackendServerState.LEAVING));
+        time.advance(Duration.ofMillis(300));
+        List<String> loads = engineClient.sentOrders.stream()
+                .map(sent -> sent.server() + ' ' + sent.order().model())
+                .toList();
+        assertEquals(List.of("e2 a"), loads);
+    }
+
+    /** Guards against needless loads while heartbeats are missing because of the control group. */
+    @Test
+    void suspectServerIsNotReplacedWithoutWaitingRequests() {
+        time.advance(HANDOVER_DELAY.plusMillis(1_200));
+        servers.set(0, servers.get(0).withState(BackendServerState.SUSPECT));
+        time.advance(Duration.ofSeconds(2));
+        assertEquals(List.of(), engineClient.sentOrders);
+    }
+
     /** Accepts every order and never completes a load. */
     private final class LoadingEngineClient implements EngineClient {
         private final Set<String> loadingEngines = new java.util.HashSet<>();
--- a/src/test/java/org/borageproxy/placement/LoadPlannerTest.java
+++ b/src/test/java/org/borageproxy/placement/LoadPlannerTest.java
@@ -86,4 +86,91 @@
         assertEquals("new", unload.successor());
         assertTrue(Set.of("was", "was2").contains(unload.model()), unload.toString());
     }
+
+    private static LoadPlanner.Demand absent(double tokens, int waitingRequests, long sinceNanos) {
+        return new LoadPlanner.Demand(tokens, waitingRequests, sinceNanos, false);
+    }
+
+    private static LoadPlanner.Step.Load firstLoad(
+            List<TrackedEngine> planned, Map<String, LoadPlanner.Demand> demands) {
+        return (LoadPlanner.Step.Load)
+                new LoadPlanner(pool(), planned, demands).nextStep(true).orElseThrow();
+    }
+
+    /** Pattern: empty servers are added at the peak. */
+    @Test
+    void emptyEngineGetsModelWhoseRequestsHaveWaitedLongest() {
+        List<TrackedEngine> joined = new ArrayList<>(engines);
+        joined.add(engine("empty"));
+        Map<String, LoadPlanner.Demand> demands = Map.of(
+                "hot1", demand(14_000, 0), "new", absent(100, 1, SECOND_NANOS), "gone", absent(900, 9, SECOND_NANOS));
+        assertEquals("new", firstLoad(joined, demands).model());
+        assertEquals(
+                "empty", firstLoad(joined, demands).engine().server().name().value());
+    }
+
+    /** Guards against an empty engine that stays empty because no model exceeds the mean work by much. */
+    @Test
+    void emptyEngineTakesOverWorkOfBusiestModel() {
+        List<TrackedEngine> joined = new ArrayList<>(engines);
+        joined.add(engine("empty"));
+        Map<String, LoadPlanner.Demand> demands = new HashMap<>();
+        for (String model : List.of("cold1", "cold2", "cold3", "cold4", "cold5", "cold8")) {
+            demands.put(model, demand(9_000, 0));
+        }
+        demands.put("cold3", demand(9_500, 0));
+        LoadPlanner.Step.Load load = firstLoad(joined, demands);
+        assertEquals("cold3", load.model());
+        assertEquals("empty", load.engine().server().name().value());
+    }
+
+    /** Pattern: a server leaves with a notice of 2 s; its last copies are needed again before requests wait. */
+    @Test
+    void lostCopyIsReplacedInPlaceOfSurplusCopyOnly() {
+        Map<String, LoadPlanner.Demand> demands =
+                Map.of("new", new LoadPlanner.Demand(200, 0, LoadPlanner.Demand.NOT_WAITING, true));
+        LoadPlanner.Step.Unload unload = (LoadPlanner.Step.Unload)
+                new LoadPlanner(pool(), engines, demands).nextStep(true).orElseThrow();
+        assertTrue(Set.of("was", "was2", "hot1", "hot2").contains(unload.model()), unload.toString());
+        List<TrackedEngine> lastCopies = List.of(engines.get(4));
+        assertTrue(new LoadPlanner(pool(), lastCopies, demands).nextStep(true).isEmpty());
+    }
+
+    /** Guards against models that do not fit together and displace one another by turns. */
+    @Test
+    void lastCopyIsNotUnloadedForModelInLessDemand() {
+        List<TrackedEngine> lastCopies = List.of(engines.get(4));
+        Map<String, LoadPlanner.Demand> demands = new HashMap<>();
+        for (String model : List.of("cold5", "cold6", "cold7")) {
+            demands.put(model, demand(500, 0));
+        }
+        demands.put("new", absent(100, 1, 0));
+        assertTrue(new LoadPlanner(pool(), lastCopies, demands).nextStep(true).isEmpty());
+        demands.put("cold6", demand(0, 0));
+        LoadPlanner.Step.Unload unload = (LoadPlanner.Step.Unload)
+                new LoadPlanner(pool(), lastCopies, demands).nextStep(true).orElseThrow();
+        assertEquals("cold6", unload.model());
+    }
+
+    /** Guards against a further copy of a model at the cost of the last copy of another one. */
+    @Test
+    void overloadUnloadsNoLastReplica() {
+        List<TrackedEngine> planned = List.of(engines.get(0), engines.get(4));
+        Map<String, LoadPlanner.Demand> demands = Map.of("hot1", demand(40_000, 0));
+        assertTrue(new LoadPlanner(pool(), planned, demands).nextStep(true).isEmpty());
+    }
+
+    /** Pattern: servers of different speed. A further copy goes where it gives the most room. */
+    @Test
+    void furtherCopyGoesToFastEngine() {
+        List<TrackedEngine> joined = new ArrayList<>(engines);
+        joined.add(engine("slow"));
+        joined.add(engine("fast"));
+        Map<String, LoadPlanner.Demand> demands = Map.of("hot1", demand(14_000, 0));
+        LoadPlanner.Step.Load load = (LoadPlanner.Step.Load) new LoadPlanner(
+                        pool(), joined, demands, server -> server.name().value().equals("fast") ? 1.7 : 0.7)
+                .nextStep(true)
+                .orElseThrow();
+        assertEquals("fast", load.engine().server().name().value());
+    }
 }
