Rehearse with a second VM, so that the archive holds the classes of connections between VMs

A VM dispatches messages to itself without a connection, so the archive made from one VM lacked the classes of the network between VMs.

--- a/src/main/java/org/borageproxy/platform/PlatformRehearsal.java
+++ b/src/main/java/org/borageproxy/platform/PlatformRehearsal.java
@@ -10,6 +10,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.List;
 import java.util.OptionalInt;
 
 import io.vertx.core.Vertx;
@@ -21,37 +22,43 @@
 import org.borageproxy.time.MonotonicClock;
 
 /**
- * Runs a VM with all roles on loopback ports from its start through some requests to its shutdown, so that the virtual
- * machine can record the classes that a VM loads. Thread safe; each run uses ports and a folder of its own.
+ * Runs a VM with all roles and an entry on loopback ports from their start through some requests to their shutdown, so
+ * that the virtual machine can record the classes that a VM loads. The second VM is needed because messages of a VM to
+ * itself use no connection. Thread safe; each run uses ports and a folder of its own.
  */
 public final class PlatformRehearsal {
 
     private static final String HOST = "127.0.0.1";
+    /** The address of the entry, which uses the same ports as the VM with all roles. */
+    private static final String ENTRY_HOST = "127.0.0.2";
+
     private static final int OK = 200;
-    private static final Duration TIME_LIMIT = Duration.ofSeconds(20);
+    private static final Duration TIME_LIMIT = Duration.ofSeconds(30);
     private static final Duration ATTEMPT_INTERVAL = Duration.ofMillis(100);
 
     private static final String SETTINGS = """
             NodeName = "rehearsal"
-            Ip = "127.0.0.1"
+            Ip = "%1$s"
             Zone = "a"
             Bootstrap = true
             HeartbeatMs = 1000
-            DataDir = "%s"
-            InternalPortRange = [%d, %d]
-            SeedNodes = ["127.0.0.1:%d"]
+            %2$s
+            InternalPortRange = [%3$d, %3$d]
+            SeedNodes = ["127.0.0.1:%3$d"]
             [Listen]
-            FrontAddr = "127.0.0.1:%d"
-            ReadyAddr = "127.0.0.1:%d"
-            ControlPlane = "127.0.0.1:%d"
+            FrontAddr = "%1$s:%4$d"
+            ReadyAddr = "%1$s:%5$d"
+            %6$s
             [Bounds]
             GraceS = 3
             """;
-    private static final String PUBLICATION = """
-            {"Version":1,"Routes":[{"Name":"r1","Host":"127.0.0.1","PathPrefix":"/e/","Type":"streaming",
+    private static final String ROUTES = """
+            {"Name":"e-%1$s","Host":"%1$s","PathPrefix":"/e/","Type":"streaming",
             "TimeoutMs":9000,"TargetLatencyMs":5000,"Priority":1,"Service":"engines","MaxAttempts":2,"Sticky":true,
-            "Resumable":true,"TargetGapMs":400},{"Name":"r2","Host":"127.0.0.1","PathPrefix":"/p/","Type":"safe",
-            "TimeoutMs":9000,"TargetLatencyMs":5000,"Priority":1,"Service":"plain","MaxAttempts":2}],
+            "Resumable":true,"TargetGapMs":400},{"Name":"p-%1$s","Host":"%1$s","PathPrefix":"/p/","Type":"safe",
+            "TimeoutMs":9000,"TargetLatencyMs":5000,"Priority":1,"Service":"plain","MaxAttempts":2}""";
+    private static final String PUBLICATION = """
+            {"Version":1,"Routes":[%s,%s],
             "Services":[{"Name":"engines","HealthPath":"/healthz","MaxConnections":90,"Engine":{"Slots":8,
             "KvCapacityTokens":90000,"Models":[{"Name":"m","WeightsMb":10.0,"LoadS":1.0,"Adapters":1,
             "AdapterSizeMb":1.0}],"WeightsMb":100.0,"AdapterSlots":2,"LoadsPerS":2.0}},
@@ -73,10 +80,10 @@
     private final HttpClient client = HttpClient.newHttpClient();
 
     /**
-     * Runs the VM. Blocks until it has shut down.
+     * Runs the VMs. Blocks until they have shut down.
      *
      * @param folder an empty folder for the settings and the state
-     * @throws Exception if the VM cannot start or does not serve the requests within the time limit
+     * @throws Exception if a VM cannot start or does not serve the requests within the time limit
      */
     public void run(Path folder) throws Exception {
         Ports ports = Ports.free();
@@ -87,21 +94,34 @@
                 .toCompletionStage()
                 .toCompletableFuture()
                 .get();
-        Path settings = Files.writeString(folder.resolve("boot.toml"), settings(folder, ports));
-        GatewayProcess process = new PlatformVm(settings, OptionalInt.of(ports.metrics())).start();
-        awaitOk(request(ports.control(), "/Config.Replace").POST(HttpRequest.BodyPublishers.ofString(PUBLICATION)));
+        GatewayProcess control = start(folder, HOST, ports);
+        GatewayProcess entry = start(folder, ENTRY_HOST, ports);
+        awaitOk(request(HOST, ports.control(), "/Config.Replace")
+                .POST(HttpRequest.BodyPublishers.ofString(publication())));
         announce(ports, "engines", ENGINE_STATE);
         announce(ports, "plain", "");
-        awaitOk(request(ports.readiness(), "/readyz"));
-        awaitOk(modelRequest(ports.callers()));
-        awaitOk(callerRequest(ports.callers(), "/p/1"));
-        awaitOk(request(ports.control(), "/Config.Read"));
-        awaitOk(request(ports.metrics(), "/metrics"));
-        process.shutDown().toCompletableFuture().join();
+        for (String host : List.of(HOST, ENTRY_HOST)) {
+            awaitOk(request(host, ports.readiness(), "/readyz"));
+            awaitOk(modelRequest(host, ports.callers()));
+            awaitOk(callerRequest(host, ports.callers(), "/p/1"));
+            awaitOk(request(host, ports.metrics(), "/metrics"));
+        }
+        awaitOk(request(HOST, ports.control(), "/Config.Read"));
+        entry.shutDown().toCompletableFuture().join();
+        control.shutDown().toCompletableFuture().join();
         vertx.close().toCompletionStage().toCompletableFuture().get();
     }
 
-    /** The ports of the VM and of the backend server. */
+    private static String publication() {
+        return PUBLICATION.formatted(ROUTES.formatted(HOST), ROUTES.formatted(ENTRY_HOST));
+    }
+
+    private static GatewayProcess start(Path folder, String host, Ports ports) throws Exception {
+        Path settings = Files.writeString(folder.resolve(host + ".toml"), settings(folder, host, ports));
+        return new PlatformVm(settings, OptionalInt.of(ports.metrics())).start();
+    }
+
+    /** The ports of the VMs and of the backend server. */
     private record Ports(int internal, int callers, int readiness, int control, int metrics, int server) {
 
         /** Returns ports on which nothing listens; all are bound at the same time, so that they differ. */
@@ -127,36 +147,36 @@
         }
     }
 
-    private static String settings(Path folder, Ports ports) {
+    private static String settings(Path folder, String host, Ports ports) {
+        boolean isControl = host.equals(HOST);
         return SETTINGS.formatted(
-                folder.resolve("data"),
-                ports.internal(),
-                ports.internal(),
+                host,
+                isControl ? "DataDir = \"" + folder.resolve("data") + "\"" : "",
                 ports.internal(),
                 ports.callers(),
                 ports.readiness(),
-                ports.control());
+                isControl ? "ControlPlane = \"" + new Endpoint(host, ports.control()) + "\"" : "");
     }
 
     private void announce(Ports ports, String service, String state) throws Exception {
         String heartbeat = HEARTBEAT.formatted(service, ports.server(), state);
-        awaitOk(request(ports.control(), "/Replicas.Heartbeat/i-" + service)
+        awaitOk(request(HOST, ports.control(), "/Replicas.Heartbeat/i-" + service)
                 .POST(HttpRequest.BodyPublishers.ofString(heartbeat)));
     }
 
-    private static HttpRequest.Builder request(int port, String path) {
-        return HttpRequest.newBuilder(URI.create("http://" + new Endpoint(HOST, port) + path));
+    private static HttpRequest.Builder request(String host, int port, String path) {
+        return HttpRequest.newBuilder(URI.create("http://" + new Endpoint(host, port) + path));
     }
 
-    private static HttpRequest.Builder callerRequest(int port, String path) {
-        return request(port, path)
+    private static HttpRequest.Builder callerRequest(String host, int port, String path) {
+        return request(host, port, path)
                 .header("X-Request-Id", "1")
                 .header("X-Deadline-Ms", "9000")
                 .header("X-Credential", "k");
     }
 
-    private static HttpRequest.Builder modelRequest(int port) {
-        return callerRequest(port, "/e/1")
+    private static HttpRequest.Builder modelRequest(String host, int port) {
+        return callerRequest(host, port, "/e/1")
                 .header("X-Model", "m")
                 .header("X-Token-Count", "100,10")
                 .header("X-Prompt-Prefix", "5c1e07a2:80,91bd3f06:20")
