--- a/src/main/java/org/borageproxy/logging/RequestLines.java
+++ b/src/main/java/org/borageproxy/logging/RequestLines.java
@@ -12,7 +12,7 @@
 /**
  * Selects the log lines that concern one request from the logs of all VMs: the lines that contain the request's
  * identity, and, between the first and the last of these, the state changes and placement orders of the backend servers
- * to which the request was sent. Times are compared as text, as written by {@code logback.xml}. Immutable and thread
+ * to which the request was sent. Times are compared as text, as written by {@link LineEncoder}. Immutable and thread
  * safe.
  */
 public final class RequestLines {
