Withdraw saturated entries from the load balancer

Cause: entries differ in CPU share and link by a factor of three, and the load balancer does not distinguish between them, so that the small ones are slow while the others are idle.

Change: an entry measures the delay of the timer of its reports and the share of its callers' connections with unsent bytes. When a high level has lasted for 1.5 s, it reports that it is saturated. The coordinator lets at most a tenth of the entries, and none while more than 30% are saturated, report that they are not ready; each permission lasts for 1.5 s and is renewed by the reports. A level that has been low for 3 s ends it. A new coordinator permits nothing until the earlier permissions have expired. Without coordinator an entry serves. The gauges timer_delay_millis and withdrawn and the log lines vm-saturated and vm-withdrawn show it. No timer and no message is added.

Ruled out: deciding on each entry, since all of them may withdraw at once; the number of unsent bytes alone, since callers that read slowly cause it as well.

--- a/src/main/java/org/borageproxy/coordination/Coordinator.java
+++ b/src/main/java/org/borageproxy/coordination/Coordinator.java
@@ -17,6 +17,7 @@
 import org.borageproxy.log.GroupMember;
 import org.borageproxy.publication.PublishedWorkspace;
 import org.borageproxy.quota.RateSplitter;
+import org.borageproxy.saturation.Withdrawals;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
 import org.borageproxy.vm.VmName;
@@ -54,6 +55,7 @@
     private final Map<VmName, ReceivedReport> reports = new HashMap<>();
     private final ServerUsageTotals usage = new ServerUsageTotals();
     private final Map<String, RateSplitter> splitters = new HashMap<>();
+    private final Withdrawals withdrawals = new Withdrawals();
     private long term = -1;
 
     private record ReceivedReport(UsageReport report, Deadline expiresAt, Deadline nextEngineUsageAt) {}
@@ -151,6 +153,7 @@
         placement.recordDemand(sender, report.getDemandsList());
         reportListener.accept(sender, report);
         speeds.exchange(report, update);
+        update.setWithdraws(isWithdrawn(sender, report, update));
         update.setContentsVersion(placement.inventoryVersion());
         if (report.getContentsVersion() != placement.inventoryVersion()) {
             placement.inventories().forEach((name, inventory) -> update.addContents(inventory.encode(name)));
@@ -164,6 +167,21 @@
         return CompletableFuture.completedFuture(update.build().toByteString());
     }
 
+    private synchronized boolean isWithdrawn(VmName sender, UsageReport report, CoordinationUpdate.Builder update) {
+        Withdrawals.Decision decision = withdrawals.decide(
+                sender, report.getSaturated(), update.getEntries(), update.getTerm(), clock.nanoTime());
+        return decision == Withdrawals.Decision.WITHDRAWN;
+    }
+
+    /**
+     * Returns the number of entries that are withdrawn from the load balancer.
+     *
+     * @return the number; zero on a VM that is not the coordinator
+     */
+    public synchronized int withdrawnCount() {
+        return withdrawals.count(clock.nanoTime());
+    }
+
     private synchronized CoordinationUpdate.Builder buildUpdate(VmName sender, UsageReport report) {
         long nowNanos = clock.nanoTime();
         resetOnNewTerm();
--- a/src/main/java/org/borageproxy/forward/ForwardServer.java
+++ b/src/main/java/org/borageproxy/forward/ForwardServer.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
@@ -12,6 +13,7 @@
 
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpConnection;
@@ -57,6 +59,7 @@
     private final RandomGenerator random;
     private HttpServer server;
     private final Set<Exchange> exchanges = new LinkedHashSet<>();
+    private final Set<Channel> channels = new HashSet<>();
     private boolean isKeepAliveDisabled;
     private boolean isRefusingNewRequests;
 
@@ -79,6 +82,31 @@
         this.random = random;
     }
 
+    /**
+     * Returns the number of open connections of callers.
+     *
+     * @return the number
+     */
+    public int connectionCount() {
+        return channels.size();
+    }
+
+    /**
+     * Returns the number of connections with bytes that the kernel has not taken.
+     *
+     * @return the number
+     */
+    public int unsentConnectionCount() {
+        int count = 0;
+        for (Channel channel : channels) {
+            ChannelOutboundBuffer unsent = channel.unsafe().outboundBuffer();
+            if (unsent != null && unsent.totalPendingWriteBytes() > 0) {
+                count++;
+            }
+        }
+        return count;
+    }
+
     /**
      * Starts to listen for callers.
      *
@@ -102,6 +130,9 @@
                 .connectionHandler(connection -> {
                     StrictRequestDecoder.install(connection, options);
                     readToTheEnd(connection);
+                    Channel channel = channelOf(connection);
+                    channels.add(channel);
+                    connection.closeHandler(closed -> channels.remove(channel));
                 })
                 .invalidRequestHandler(ForwardServer::refuseInvalid)
                 .requestHandler(this::handle);
--- a/src/main/java/org/borageproxy/server/GatewayEntry.java
+++ b/src/main/java/org/borageproxy/server/GatewayEntry.java
@@ -33,6 +33,7 @@
 import org.borageproxy.publication.PublishedWorkspace;
 import org.borageproxy.publication.ServedPublication;
 import org.borageproxy.quota.RateShares;
+import org.borageproxy.saturation.EntrySaturation;
 import org.borageproxy.settings.Endpoint;
 import org.borageproxy.vm.VmName;
 import org.borageproxy.wire.proto.ControlProtocol.DocumentState;
@@ -64,6 +65,7 @@
     private final GatewayRuntime runtime;
     private final ServerPool pool;
     private final EntrySpeeds speeds;
+    private final EntrySaturation saturation;
     private final RateShares rateShares;
     private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
     private final CoordinationClient coordination;
@@ -93,11 +95,12 @@
                 () -> LOCAL_LIMIT_FRACTION / entryCount);
         speeds = new EntrySpeeds(runtime.clock());
         pool.setSpeeds(speeds);
+        saturation = new EntrySaturation(runtime.clock());
         coordination = new CoordinationClient(
                 runtime.network(),
                 runtime::controlVms,
                 runtime.clock(),
-                runtime.timer(),
+                saturation.measuring(runtime.timer()),
                 runtime.eventLoop(),
                 this::createUsageReport,
                 this::applyUpdate);
@@ -213,6 +216,7 @@
                 .setLimitsVersion(limitsVersion)
                 .setRelays(relay.isAvailable());
         speeds.addTo(report);
+        report.setSaturated(saturation.sample(server.connectionCount(), server.unsentConnectionCount()));
         return report.build();
     }
 
@@ -234,6 +238,7 @@
             pool.statements().confirmReport(update.getTerm());
             limitsVersion = update.getLimitsVersion();
             speeds.apply(update);
+            saturation.apply(update.getWithdraws(), reportedAtNanos);
             pool.statements().merge(update.getStatedLimitsList());
             pool.updateOtherVmUsage(update.getServersList(), update.getAllServers());
             if (update.getAllServers()) {
@@ -275,18 +280,29 @@
     }
 
     /**
-     * Returns whether callers can be served.
+     * Returns whether the load balancer should send callers.
      *
-     * @return {@code true} if a publication is in force and the registry of backend servers is synchronized
+     * @return {@code true} if a publication is in force, the registry of backend servers is synchronized and the VM is
+     *     not withdrawn because of saturation
      */
     boolean isReady() {
-        return servedPublication.isPresent() && runtime.membership().isSynchronized();
+        return !saturation.isWithdrawn()
+                && servedPublication.isPresent()
+                && runtime.membership().isSynchronized();
     }
 
     long publicationNumber() {
         return servedPublication.map(current -> current.publication().number()).orElse(0L);
     }
 
+    double timerDelayMillis() {
+        return saturation.timerDelayMillis();
+    }
+
+    boolean isWithdrawn() {
+        return saturation.isWithdrawn();
+    }
+
     boolean hasCoordinator() {
         return coordination.coordinator().isPresent();
     }
--- a/src/main/java/org/borageproxy/server/GatewayProcess.java
+++ b/src/main/java/org/borageproxy/server/GatewayProcess.java
@@ -103,6 +103,8 @@
                 "known_servers", () -> runtime.membership().registry().current().size());
         entry.ifPresent(entryRole -> {
             metrics.registerGauge("requests_in_flight", entryRole::inFlightCount);
+            metrics.registerGauge("timer_delay_millis", entryRole::timerDelayMillis);
+            metrics.registerGauge("withdrawn", () -> entryRole.isWithdrawn() ? 1 : 0);
             metrics.registerGauge("publication_number", entryRole::publicationNumber);
             metrics.registerGauge("coordinator_known", () -> entryRole.hasCoordinator() ? 1 : 0);
             metrics.registerGauge("server_connections_opened", entryRole::openedConnectionCount);
--- a/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
@@ -347,6 +347,16 @@
      * @return The speedsVersion.
      */
     long getSpeedsVersion();
+
+    /**
+     * <pre>
+     * Whether the entry is short of CPU time or link capacity.
+     * </pre>
+     *
+     * <code>bool saturated = 52;</code>
+     * @return The saturated.
+     */
+    boolean getSaturated();
   }
   /**
    * <pre>
@@ -891,6 +901,21 @@
       return speedsVersion_;
     }
 
+    public static final int SATURATED_FIELD_NUMBER = 52;
+    private boolean saturated_ = false;
+    /**
+     * <pre>
+     * Whether the entry is short of CPU time or link capacity.
+     * </pre>
+     *
+     * <code>bool saturated = 52;</code>
+     * @return The saturated.
+     */
+    @java.lang.Override
+    public boolean getSaturated() {
+      return saturated_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -944,6 +969,9 @@
       if (speedsVersion_ != 0L) {
         output.writeUInt64(51, speedsVersion_);
       }
+      if (saturated_ != false) {
+        output.writeBool(52, saturated_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -1039,6 +1067,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(51, speedsVersion_);
       }
+      if (saturated_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(52, saturated_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -1080,6 +1112,8 @@
           .equals(other.getSpeedsList())) return false;
       if (getSpeedsVersion()
           != other.getSpeedsVersion()) return false;
+      if (getSaturated()
+          != other.getSaturated()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -1136,6 +1170,9 @@
       hash = (37 * hash) + SPEEDS_VERSION_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getSpeedsVersion());
+      hash = (37 * hash) + SATURATED_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getSaturated());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -1326,6 +1363,7 @@
         }
         bitField0_ = (bitField0_ & ~0x00000800);
         speedsVersion_ = 0L;
+        saturated_ = false;
         return this;
       }
 
@@ -1444,6 +1482,9 @@
         if (((from_bitField0_ & 0x00001000) != 0)) {
           result.speedsVersion_ = speedsVersion_;
         }
+        if (((from_bitField0_ & 0x00002000) != 0)) {
+          result.saturated_ = saturated_;
+        }
       }
 
       @java.lang.Override
@@ -1660,6 +1701,9 @@
         if (other.getSpeedsVersion() != 0L) {
           setSpeedsVersion(other.getSpeedsVersion());
         }
+        if (other.getSaturated() != false) {
+          setSaturated(other.getSaturated());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -1807,6 +1851,11 @@
                 bitField0_ |= 0x00001000;
                 break;
               } // case 408
+              case 416: {
+                saturated_ = input.readBool();
+                bitField0_ |= 0x00002000;
+                break;
+              } // case 416
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -4104,6 +4153,50 @@
         return this;
       }
 
+      private boolean saturated_ ;
+      /**
+       * <pre>
+       * Whether the entry is short of CPU time or link capacity.
+       * </pre>
+       *
+       * <code>bool saturated = 52;</code>
+       * @return The saturated.
+       */
+      @java.lang.Override
+      public boolean getSaturated() {
+        return saturated_;
+      }
+      /**
+       * <pre>
+       * Whether the entry is short of CPU time or link capacity.
+       * </pre>
+       *
+       * <code>bool saturated = 52;</code>
+       * @param value The saturated to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSaturated(boolean value) {
+
+        saturated_ = value;
+        bitField0_ |= 0x00002000;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether the entry is short of CPU time or link capacity.
+       * </pre>
+       *
+       * <code>bool saturated = 52;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSaturated() {
+        bitField0_ = (bitField0_ & ~0x00002000);
+        saturated_ = false;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.coordination.UsageReport)
     }
 
@@ -14523,6 +14616,16 @@
      * @return The asksSpeeds.
      */
     boolean getAsksSpeeds();
+
+    /**
+     * <pre>
+     * Whether the entry should report to the load balancer that it is not ready, for a time that the entry knows.
+     * </pre>
+     *
+     * <code>bool withdraws = 53;</code>
+     * @return The withdraws.
+     */
+    boolean getWithdraws();
   }
   /**
    * <pre>
@@ -15064,6 +15167,21 @@
       return asksSpeeds_;
     }
 
+    public static final int WITHDRAWS_FIELD_NUMBER = 53;
+    private boolean withdraws_ = false;
+    /**
+     * <pre>
+     * Whether the entry should report to the load balancer that it is not ready, for a time that the entry knows.
+     * </pre>
+     *
+     * <code>bool withdraws = 53;</code>
+     * @return The withdraws.
+     */
+    @java.lang.Override
+    public boolean getWithdraws() {
+      return withdraws_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -15123,6 +15241,9 @@
       if (asksSpeeds_ != false) {
         output.writeBool(52, asksSpeeds_);
       }
+      if (withdraws_ != false) {
+        output.writeBool(53, withdraws_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -15220,6 +15341,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeBoolSize(52, asksSpeeds_);
       }
+      if (withdraws_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(53, withdraws_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -15265,6 +15390,8 @@
           != other.getSpeedsVersion()) return false;
       if (getAsksSpeeds()
           != other.getAsksSpeeds()) return false;
+      if (getWithdraws()
+          != other.getWithdraws()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -15325,6 +15452,9 @@
       hash = (37 * hash) + ASKS_SPEEDS_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
           getAsksSpeeds());
+      hash = (37 * hash) + WITHDRAWS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getWithdraws());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -15506,6 +15636,7 @@
         bitField0_ = (bitField0_ & ~0x00001000);
         speedsVersion_ = 0L;
         asksSpeeds_ = false;
+        withdraws_ = false;
         return this;
       }
 
@@ -15619,6 +15750,9 @@
         if (((from_bitField0_ & 0x00004000) != 0)) {
           result.asksSpeeds_ = asksSpeeds_;
         }
+        if (((from_bitField0_ & 0x00008000) != 0)) {
+          result.withdraws_ = withdraws_;
+        }
       }
 
       @java.lang.Override
@@ -15802,6 +15936,9 @@
         if (other.getAsksSpeeds() != false) {
           setAsksSpeeds(other.getAsksSpeeds());
         }
+        if (other.getWithdraws() != false) {
+          setWithdraws(other.getWithdraws());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -15943,6 +16080,11 @@
                 bitField0_ |= 0x00004000;
                 break;
               } // case 416
+              case 424: {
+                withdraws_ = input.readBool();
+                bitField0_ |= 0x00008000;
+                break;
+              } // case 424
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -17986,6 +18128,50 @@
         return this;
       }
 
+      private boolean withdraws_ ;
+      /**
+       * <pre>
+       * Whether the entry should report to the load balancer that it is not ready, for a time that the entry knows.
+       * </pre>
+       *
+       * <code>bool withdraws = 53;</code>
+       * @return The withdraws.
+       */
+      @java.lang.Override
+      public boolean getWithdraws() {
+        return withdraws_;
+      }
+      /**
+       * <pre>
+       * Whether the entry should report to the load balancer that it is not ready, for a time that the entry knows.
+       * </pre>
+       *
+       * <code>bool withdraws = 53;</code>
+       * @param value The withdraws to set.
+       * @return This builder for chaining.
+       */
+      public Builder setWithdraws(boolean value) {
+
+        withdraws_ = value;
+        bitField0_ |= 0x00008000;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether the entry should report to the load balancer that it is not ready, for a time that the entry knows.
+       * </pre>
+       *
+       * <code>bool withdraws = 53;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearWithdraws() {
+        bitField0_ = (bitField0_ & ~0x00008000);
+        withdraws_ = false;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.coordination.CoordinationUpdate)
     }
 
@@ -25765,7 +25951,7 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\022coordination.proto\022\030borageproxy.coordi" +
-      "nation\"\241\004\n\013UsageReport\022\017\n\007session\030\001 \001(\t\022" +
+      "nation\"\264\004\n\013UsageReport\022\017\n\007session\030\001 \001(\t\022" +
       "6\n\007servers\030\002 \003(\0132%.borageproxy.coordinat" +
       "ion.ServerUsage\022<\n\nworkspaces\030\003 \003(\0132(.bo" +
       "rageproxy.coordination.WorkspaceUsage\0226\n" +
@@ -25778,77 +25964,78 @@
       "rageproxy.coordination.StatedLimits\022\026\n\016l" +
       "imits_version\030\n \001(\004\022\016\n\006relays\030\013 \001(\010\0225\n\006s" +
       "peeds\0302 \003(\0132%.borageproxy.coordination.S" +
-      "erverSpeed\022\026\n\016speeds_version\0303 \001(\004\"S\n\013Se" +
-      "rverSpeed\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002" +
-      " \001(\004\022\r\n\005speed\030\003 \001(\002\022\022\n\nage_millis\030\004 \001(\004\"" +
-      "[\n\017SlownessSamples\022\023\n\013first_event\030\001 \001(\002\022" +
-      "\024\n\014first_events\030\002 \001(\r\022\r\n\005pause\030\003 \001(\002\022\016\n\006" +
-      "pauses\030\004 \001(\r\"3\n\014RelayRequest\022\016\n\006server\030\001" +
-      " \001(\t\022\023\n\013incarnation\030\002 \001(\004\"u\n\rRefusalNoti" +
-      "ce\022\016\n\006server\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022" +
-      "\030\n\020remaining_millis\030\003 \001(\004\022\024\n\014of_recipien" +
-      "t\030\004 \001(\010\022\017\n\007leaving\030\005 \001(\010\"\247\001\n\014StatedLimit" +
-      "s\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\022\n\n" +
-      "age_millis\030\003 \001(\004\022 \n\023requests_per_second\030" +
-      "\004 \001(\001H\000\210\001\001\022\027\n\nrejections\030\005 \001(\rH\001\210\001\001B\026\n\024_" +
-      "requests_per_secondB\r\n\013_rejections\"I\n\013Be" +
-      "gunStream\022\017\n\007request\030\001 \001(\t\022\017\n\007service\030\002 " +
-      "\001(\t\022\030\n\020software_version\030\003 \001(\t\"$\n\021StreamO" +
-      "riginQuery\022\017\n\007request\030\001 \001(\t\"N\n\022StreamOri" +
-      "ginAnswer\022\r\n\005known\030\001 \001(\010\022\017\n\007service\030\002 \001(" +
-      "\t\022\030\n\020software_version\030\003 \001(\t\"(\n\tModelPace" +
-      "\022\r\n\005model\030\001 \001(\t\022\014\n\004pace\030\002 \001(\001\"\340\001\n\013Server" +
-      "Usage\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004" +
-      "\022\020\n\010requests\030\003 \001(\r\022\025\n\rprompt_tokens\030\004 \001(" +
-      "\r\022\023\n\013held_tokens\030\005 \001(\r\022\020\n\010failures\030\006 \001(\r" +
-      "\022\017\n\007answers\030\007 \001(\r\022@\n\010slowness\0302 \001(\0132).bo" +
-      "rageproxy.coordination.SlownessSamplesH\000" +
-      "\210\001\001B\013\n\t_slowness\"r\n\016WorkspaceUsage\022\014\n\004na" +
-      "me\030\001 \001(\t\022\016\n\006demand\030\002 \001(\004\022\014\n\004held\030\003 \001(\004\022\r" +
-      "\n\005spent\030\004 \001(\004\022\r\n\005needs\030\006 \003(\004\022\020\n\010returned" +
-      "\030\007 \001(\004J\004\010\005\020\006\"_\n\013ModelDemand\022\017\n\007service\030\001" +
-      " \001(\t\022\r\n\005model\030\002 \001(\t\022\017\n\007adapter\030\003 \001(\t\022\016\n\006" +
-      "tokens\030\004 \001(\004\022\017\n\007waiting\030\005 \001(\r\"\377\003\n\022Coordi" +
-      "nationUpdate\022\023\n\013coordinates\030\001 \001(\010\022\023\n\013coo" +
-      "rdinator\030\002 \001(\t\022\017\n\007entries\030\003 \001(\r\0226\n\007serve" +
-      "rs\030\004 \003(\0132%.borageproxy.coordination.Serv" +
-      "erUsage\0223\n\006shares\030\005 \003(\0132#.borageproxy.co" +
-      "ordination.RateShare\0229\n\010contents\030\006 \003(\0132\'" +
-      ".borageproxy.coordination.ServerContent\022" +
-      "\030\n\020contents_version\030\007 \001(\004\022\023\n\013all_servers" +
-      "\030\010 \001(\010\022\014\n\004term\030\t \001(\004\022=\n\rstated_limits\030\n " +
-      "\003(\0132&.borageproxy.coordination.StatedLim" +
-      "its\022\026\n\016limits_version\030\013 \001(\004\022\016\n\006relays\030\014 " +
-      "\003(\t\0225\n\006speeds\0302 \003(\0132%.borageproxy.coordi" +
-      "nation.ServerSpeed\022\026\n\016speeds_version\0303 \001" +
-      "(\004\022\023\n\013asks_speeds\0304 \001(\010\"\363\002\n\013SlotRequest\022" +
-      "\014\n\004zone\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\r\n\005model\030" +
-      "\003 \001(\t\022\017\n\007adapter\030\004 \001(\t\022\025\n\rprompt_tokens\030" +
-      "\005 \001(\r\022\025\n\routput_tokens\030\006 \001(\r\0225\n\005parts\030\007 " +
-      "\003(\0132&.borageproxy.coordination.PartOfPro" +
-      "mpt\022\014\n\004rank\030\010 \001(\r\022\030\n\020objective_millis\030\t " +
-      "\001(\r\022\027\n\017deadline_millis\030\n \001(\r\022\r\n\005tried\030\013 " +
-      "\003(\t\022\025\n\rwaited_millis\030\014 \001(\r\022\021\n\tabsent_at\030" +
-      "\016 \003(\t\022\014\n\004gone\030\017 \003(\t\022\035\n\020software_version\030" +
-      "\020 \001(\tH\000\210\001\001B\023\n\021_software_versionJ\004\010\r\020\016\"0\n" +
-      "\014PartOfPrompt\022\020\n\010identity\030\001 \001(\t\022\016\n\006token" +
-      "s\030\002 \001(\r\"\326\002\n\nSlotAnswer\022=\n\007outcome\030\001 \001(\0162" +
-      ",.borageproxy.coordination.SlotAnswer.Ou" +
-      "tcome\022\016\n\006server\030\002 \001(\t\022\023\n\013incarnation\030\003 \001" +
-      "(\004\022\027\n\017expected_millis\030\004 \001(\001\022\025\n\runread_to" +
-      "kens\030\005 \001(\r\022\014\n\004slot\030\006 \001(\004\022\030\n\020come_back_mi" +
-      "llis\030\007 \001(\r\022\022\n\005speed\0302 \001(\002H\000\210\001\001\"n\n\007Outcom" +
-      "e\022\023\n\017NOT_COORDINATOR\020\000\022\n\n\006CHOSEN\020\001\022\r\n\tNO" +
-      "_SERVER\020\002\022\014\n\010NO_MODEL\020\003\022\013\n\007CROWDED\020\004\022\r\n\t" +
-      "ALL_TRIED\020\005\022\t\n\005AGAIN\020\006B\010\n\006_speed\"=\n\tRate" +
-      "Share\022\021\n\tworkspace\030\001 \001(\t\022\014\n\004rate\030\002 \001(\004\022\017" +
-      "\n\007granted\030\003 \001(\004\"\211\001\n\rServerContent\022\014\n\004nam" +
-      "e\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\016\n\006orders\030\003" +
-      " \001(\004\0223\n\006models\030\004 \003(\0132#.borageproxy.coord" +
-      "ination.HeldModel\022\020\n\010arriving\030\005 \003(\t\",\n\tH" +
-      "eldModel\022\r\n\005model\030\001 \001(\t\022\020\n\010adapters\030\002 \003(" +
-      "\tB2\n\032org.borageproxy.wire.protoB\024Coordin" +
-      "ationProtocolb\006proto3"
+      "erverSpeed\022\026\n\016speeds_version\0303 \001(\004\022\021\n\tsa" +
+      "turated\0304 \001(\010\"S\n\013ServerSpeed\022\014\n\004name\030\001 \001" +
+      "(\t\022\023\n\013incarnation\030\002 \001(\004\022\r\n\005speed\030\003 \001(\002\022\022" +
+      "\n\nage_millis\030\004 \001(\004\"[\n\017SlownessSamples\022\023\n" +
+      "\013first_event\030\001 \001(\002\022\024\n\014first_events\030\002 \001(\r" +
+      "\022\r\n\005pause\030\003 \001(\002\022\016\n\006pauses\030\004 \001(\r\"3\n\014Relay" +
+      "Request\022\016\n\006server\030\001 \001(\t\022\023\n\013incarnation\030\002" +
+      " \001(\004\"u\n\rRefusalNotice\022\016\n\006server\030\001 \001(\t\022\023\n" +
+      "\013incarnation\030\002 \001(\004\022\030\n\020remaining_millis\030\003" +
+      " \001(\004\022\024\n\014of_recipient\030\004 \001(\010\022\017\n\007leaving\030\005 " +
+      "\001(\010\"\247\001\n\014StatedLimits\022\014\n\004name\030\001 \001(\t\022\023\n\013in" +
+      "carnation\030\002 \001(\004\022\022\n\nage_millis\030\003 \001(\004\022 \n\023r" +
+      "equests_per_second\030\004 \001(\001H\000\210\001\001\022\027\n\nrejecti" +
+      "ons\030\005 \001(\rH\001\210\001\001B\026\n\024_requests_per_secondB\r" +
+      "\n\013_rejections\"I\n\013BegunStream\022\017\n\007request\030" +
+      "\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\030\n\020software_versi" +
+      "on\030\003 \001(\t\"$\n\021StreamOriginQuery\022\017\n\007request" +
+      "\030\001 \001(\t\"N\n\022StreamOriginAnswer\022\r\n\005known\030\001 " +
+      "\001(\010\022\017\n\007service\030\002 \001(\t\022\030\n\020software_version" +
+      "\030\003 \001(\t\"(\n\tModelPace\022\r\n\005model\030\001 \001(\t\022\014\n\004pa" +
+      "ce\030\002 \001(\001\"\340\001\n\013ServerUsage\022\014\n\004name\030\001 \001(\t\022\023" +
+      "\n\013incarnation\030\002 \001(\004\022\020\n\010requests\030\003 \001(\r\022\025\n" +
+      "\rprompt_tokens\030\004 \001(\r\022\023\n\013held_tokens\030\005 \001(" +
+      "\r\022\020\n\010failures\030\006 \001(\r\022\017\n\007answers\030\007 \001(\r\022@\n\010" +
+      "slowness\0302 \001(\0132).borageproxy.coordinatio" +
+      "n.SlownessSamplesH\000\210\001\001B\013\n\t_slowness\"r\n\016W" +
+      "orkspaceUsage\022\014\n\004name\030\001 \001(\t\022\016\n\006demand\030\002 " +
+      "\001(\004\022\014\n\004held\030\003 \001(\004\022\r\n\005spent\030\004 \001(\004\022\r\n\005need" +
+      "s\030\006 \003(\004\022\020\n\010returned\030\007 \001(\004J\004\010\005\020\006\"_\n\013Model" +
+      "Demand\022\017\n\007service\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022\017" +
+      "\n\007adapter\030\003 \001(\t\022\016\n\006tokens\030\004 \001(\004\022\017\n\007waiti" +
+      "ng\030\005 \001(\r\"\222\004\n\022CoordinationUpdate\022\023\n\013coord" +
+      "inates\030\001 \001(\010\022\023\n\013coordinator\030\002 \001(\t\022\017\n\007ent" +
+      "ries\030\003 \001(\r\0226\n\007servers\030\004 \003(\0132%.borageprox" +
+      "y.coordination.ServerUsage\0223\n\006shares\030\005 \003" +
+      "(\0132#.borageproxy.coordination.RateShare\022" +
+      "9\n\010contents\030\006 \003(\0132\'.borageproxy.coordina" +
+      "tion.ServerContent\022\030\n\020contents_version\030\007" +
+      " \001(\004\022\023\n\013all_servers\030\010 \001(\010\022\014\n\004term\030\t \001(\004\022" +
+      "=\n\rstated_limits\030\n \003(\0132&.borageproxy.coo" +
+      "rdination.StatedLimits\022\026\n\016limits_version" +
+      "\030\013 \001(\004\022\016\n\006relays\030\014 \003(\t\0225\n\006speeds\0302 \003(\0132%" +
+      ".borageproxy.coordination.ServerSpeed\022\026\n" +
+      "\016speeds_version\0303 \001(\004\022\023\n\013asks_speeds\0304 \001" +
+      "(\010\022\021\n\twithdraws\0305 \001(\010\"\363\002\n\013SlotRequest\022\014\n" +
+      "\004zone\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\r\n\005model\030\003 " +
+      "\001(\t\022\017\n\007adapter\030\004 \001(\t\022\025\n\rprompt_tokens\030\005 " +
+      "\001(\r\022\025\n\routput_tokens\030\006 \001(\r\0225\n\005parts\030\007 \003(" +
+      "\0132&.borageproxy.coordination.PartOfPromp" +
+      "t\022\014\n\004rank\030\010 \001(\r\022\030\n\020objective_millis\030\t \001(" +
+      "\r\022\027\n\017deadline_millis\030\n \001(\r\022\r\n\005tried\030\013 \003(" +
+      "\t\022\025\n\rwaited_millis\030\014 \001(\r\022\021\n\tabsent_at\030\016 " +
+      "\003(\t\022\014\n\004gone\030\017 \003(\t\022\035\n\020software_version\030\020 " +
+      "\001(\tH\000\210\001\001B\023\n\021_software_versionJ\004\010\r\020\016\"0\n\014P" +
+      "artOfPrompt\022\020\n\010identity\030\001 \001(\t\022\016\n\006tokens\030" +
+      "\002 \001(\r\"\326\002\n\nSlotAnswer\022=\n\007outcome\030\001 \001(\0162,." +
+      "borageproxy.coordination.SlotAnswer.Outc" +
+      "ome\022\016\n\006server\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\004" +
+      "\022\027\n\017expected_millis\030\004 \001(\001\022\025\n\runread_toke" +
+      "ns\030\005 \001(\r\022\014\n\004slot\030\006 \001(\004\022\030\n\020come_back_mill" +
+      "is\030\007 \001(\r\022\022\n\005speed\0302 \001(\002H\000\210\001\001\"n\n\007Outcome\022" +
+      "\023\n\017NOT_COORDINATOR\020\000\022\n\n\006CHOSEN\020\001\022\r\n\tNO_S" +
+      "ERVER\020\002\022\014\n\010NO_MODEL\020\003\022\013\n\007CROWDED\020\004\022\r\n\tAL" +
+      "L_TRIED\020\005\022\t\n\005AGAIN\020\006B\010\n\006_speed\"=\n\tRateSh" +
+      "are\022\021\n\tworkspace\030\001 \001(\t\022\014\n\004rate\030\002 \001(\004\022\017\n\007" +
+      "granted\030\003 \001(\004\"\211\001\n\rServerContent\022\014\n\004name\030" +
+      "\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\016\n\006orders\030\003 \001" +
+      "(\004\0223\n\006models\030\004 \003(\0132#.borageproxy.coordin" +
+      "ation.HeldModel\022\020\n\010arriving\030\005 \003(\t\",\n\tHel" +
+      "dModel\022\r\n\005model\030\001 \001(\t\022\020\n\010adapters\030\002 \003(\tB" +
+      "2\n\032org.borageproxy.wire.protoB\024Coordinat" +
+      "ionProtocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -25859,7 +26046,7 @@
     internal_static_borageproxy_coordination_UsageReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_UsageReport_descriptor,
-        new java.lang.String[] { "Session", "Servers", "Workspaces", "Demands", "LastSlot", "Paces", "ContentsVersion", "BegunStreams", "StatedLimits", "LimitsVersion", "Relays", "Speeds", "SpeedsVersion", });
+        new java.lang.String[] { "Session", "Servers", "Workspaces", "Demands", "LastSlot", "Paces", "ContentsVersion", "BegunStreams", "StatedLimits", "LimitsVersion", "Relays", "Speeds", "SpeedsVersion", "Saturated", });
     internal_static_borageproxy_coordination_ServerSpeed_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_borageproxy_coordination_ServerSpeed_fieldAccessorTable = new
@@ -25937,7 +26124,7 @@
     internal_static_borageproxy_coordination_CoordinationUpdate_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_CoordinationUpdate_descriptor,
-        new java.lang.String[] { "Coordinates", "Coordinator", "Entries", "Servers", "Shares", "Contents", "ContentsVersion", "AllServers", "Term", "StatedLimits", "LimitsVersion", "Relays", "Speeds", "SpeedsVersion", "AsksSpeeds", });
+        new java.lang.String[] { "Coordinates", "Coordinator", "Entries", "Servers", "Shares", "Contents", "ContentsVersion", "AllServers", "Term", "StatedLimits", "LimitsVersion", "Relays", "Speeds", "SpeedsVersion", "AsksSpeeds", "Withdraws", });
     internal_static_borageproxy_coordination_SlotRequest_descriptor =
       getDescriptor().getMessageType(14);
     internal_static_borageproxy_coordination_SlotRequest_fieldAccessorTable = new
