--- a/src/main/java/org/borageproxy/forward/ServerPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerPool.java
@@ -175,9 +175,7 @@
                         server, load, latencyRatios.of(modelOrService), speeds.speedOf(server, nowNanos)));
             }
         });
-        ServerSelector.Query query = new ServerSelector.Query(
-                requirement.work(), requirement.engines(), callerZone, requirement.triedServers());
-        return ServerSelector.INSTANCE.choose(query, candidates, nowNanos, random);
+        return ServerSelector.INSTANCE.choose(requirement.query(callerZone), candidates, nowNanos, random);
     }
 
     private boolean isCapable(BackendServer server, ServerRequirement requirement) {
--- a/src/main/java/org/borageproxy/forward/ServerRequirement.java
+++ b/src/main/java/org/borageproxy/forward/ServerRequirement.java
@@ -7,6 +7,8 @@
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.publication.EnginePool;
 import org.borageproxy.routing.EngineWork;
+import org.borageproxy.routing.ServerSelector;
+import org.borageproxy.vm.AvailabilityZone;
 
 /**
  * What a request requires of the server that runs it. Immutable and thread safe, except that the set of tried servers
@@ -17,13 +19,25 @@
  * @param work the inference work; empty for a plain service
  * @param triedServers the servers that must not be selected again
  * @param origin what began the stream that the request continues; empty for a request that any server can run
+ * @param toleratedMillis the predicted time up to which the request leaves faster servers to others, in milliseconds
  */
 record ServerRequirement(
         String service,
         Optional<EnginePool> engines,
         Optional<EngineWork> work,
         Set<BackendServerName> triedServers,
-        Optional<StreamOrigin> origin) {
+        Optional<StreamOrigin> origin,
+        double toleratedMillis) {
+
+    /** Creates the requirement of a request that takes the server which is expected to finish first. */
+    ServerRequirement(
+            String service,
+            Optional<EnginePool> engines,
+            Optional<EngineWork> work,
+            Set<BackendServerName> triedServers,
+            Optional<StreamOrigin> origin) {
+        this(service, engines, work, triedServers, origin, 0.0);
+    }
 
     /**
      * Returns whether a server runs the software that the request requires. Its state and its models are not checked.
@@ -35,4 +49,14 @@
         return server.services().contains(service)
                 && origin.map(known -> known.matches(server)).orElse(true);
     }
+
+    /**
+     * Returns the requirements on the selection among the servers that meet the others.
+     *
+     * @param callerZone the availability zone from which the request is sent
+     * @return the query
+     */
+    ServerSelector.Query query(AvailabilityZone callerZone) {
+        return new ServerSelector.Query(work, engines, callerZone, triedServers, toleratedMillis);
+    }
 }
--- a/src/main/java/org/borageproxy/forward/SlotBroker.java
+++ b/src/main/java/org/borageproxy/forward/SlotBroker.java
@@ -280,7 +280,8 @@
                     environment.engines().apply(request.getService()),
                     work,
                     triedServers,
-                    origin);
+                    origin,
+                    ServerSelector.toleratedMillis(request.getObjectiveMillis()));
         }
 
         void begin() {
--- a/src/main/java/org/borageproxy/routing/ServerSelector.java
+++ b/src/main/java/org/borageproxy/routing/ServerSelector.java
@@ -48,6 +48,12 @@
     private static final double TOLERATED_IMBALANCE = 1.15;
     /** Penalty of a server that has the whole mean in addition to the tolerated requests. */
     private static final double IMBALANCE_PENALTY_MILLISECONDS = 400.0;
+    /** Part of the time to the objective that a request may lose on a slower server, in excess of the next constant. */
+    private static final double TOLERATED_OBJECTIVE_SHARE = 0.05;
+    /** Keeps requests with objectives of up to two seconds on the servers that finish soonest. */
+    private static final double URGENT_MILLISECONDS = 100.0;
+    /** Penalty, for each unit of speed, of servers that are all fast enough for a request. */
+    private static final double FAST_SERVER_PENALTY_MILLISECONDS = 20.0;
     /** Mean up to which differences between servers are those of single requests. */
     private static final double MIN_MEAN_REQUESTS = 2.0;
 
@@ -58,12 +64,42 @@
      * @param engines the engine pool of the service; empty for a plain service
      * @param zone the availability zone from which the request is sent
      * @param triedServers the servers that must not be selected again
+     * @param toleratedMillis the predicted time up to which the request leaves faster servers to others, in
+     *     milliseconds
      */
     public record Query(
             Optional<EngineWork> work,
             Optional<EnginePool> engines,
             AvailabilityZone zone,
-            Set<BackendServerName> triedServers) {}
+            Set<BackendServerName> triedServers,
+            double toleratedMillis) {
+
+        /**
+         * Creates the requirements of an urgent request.
+         *
+         * @param work the inference work; empty for a plain service
+         * @param engines the engine pool of the service; empty for a plain service
+         * @param zone the availability zone from which the request is sent
+         * @param triedServers the servers that must not be selected again
+         */
+        public Query(
+                Optional<EngineWork> work,
+                Optional<EnginePool> engines,
+                AvailabilityZone zone,
+                Set<BackendServerName> triedServers) {
+            this(work, engines, zone, triedServers, 0.0);
+        }
+    }
+
+    /**
+     * Returns the predicted time up to which a request leaves faster servers to others.
+     *
+     * @param objectiveMillis the time until the latency objective is missed, in milliseconds
+     * @return a small part of that time; zero for urgent requests
+     */
+    public static double toleratedMillis(double objectiveMillis) {
+        return Math.max(0.0, objectiveMillis * TOLERATED_OBJECTIVE_SHARE - URGENT_MILLISECONDS);
+    }
 
     /**
      * A server that can run the request.
@@ -156,7 +192,7 @@
                 .map(work -> engineMillis(query, candidate, work, prefillTokens))
                 .orElseGet(() -> serviceMillis(candidate));
         double penalty = candidate.server().zone().equals(query.zone()) ? 0.0 : CROSS_ZONE_PENALTY_MILLISECONDS;
-        double score = expectedMillis * load.latencyRatio()
+        double score = timeScore(query, candidate, expectedMillis, Double.isFinite(meanWeightedRequests))
                 + load.failureRate() * FAILURE_PENALTY_MILLISECONDS
                 + penalty
                 + interferenceMillis(load, prefillTokens, candidate.timeFactor())
@@ -164,6 +200,14 @@
         return new Scored(new Choice(candidate.server(), expectedMillis, prefillTokens, candidate.speed()), score);
     }
 
+    /** Servers that are all fast enough for a request differ in their value to more urgent ones. */
+    private static double timeScore(Query query, Candidate candidate, double expectedMillis, boolean isUneven) {
+        double millis = expectedMillis * candidate.load().latencyRatio();
+        return isUneven && query.toleratedMillis() > 0
+                ? Math.max(millis, query.toleratedMillis()) + candidate.speed() * FAST_SERVER_PENALTY_MILLISECONDS
+                : millis;
+    }
+
     /** Returns infinity for servers of equal speed, whose predicted times alone spread the requests evenly. */
     private static double meanWeightedRequests(List<Candidate> candidates) {
         boolean isEqual = candidates.stream().allMatch(candidate -> candidate.speed() == 1.0);
