Order waiting requests by what their delay costs callers

Cause: requests waited for 0.6 of their time to the objective whether or not capacity became free, so that those with a far objective were refused early; work and workspaces were not considered, new requests went past waiting ones, and each report retried the whole queue.

Change: org.borageproxy.scheduling orders waiting requests (rank, objective still in reach, work begun lately for the workspace, objective plus work) and decides whether a request waits until it could no longer end before its deadline, or is refused with the time at which its kind is expected to begin. SlotBroker and LocalSearch call it; only lanes that a changed server can serve are retried. ServerPool's loads move to ServerLoads.

The request for a permit is refused by its deadline instead of its objective.

--- a/src/main/java/org/borageproxy/forward/LocalSearch.java
+++ b/src/main/java/org/borageproxy/forward/LocalSearch.java
@@ -9,8 +9,11 @@
 import java.util.function.Supplier;
 
 import org.borageproxy.membership.BackendServerName;
-import org.borageproxy.routing.EngineWork;
+import org.borageproxy.publication.PublishedWorkspace;
 import org.borageproxy.routing.ServerSelector;
+import org.borageproxy.scheduling.RequestCost;
+import org.borageproxy.scheduling.WaitingRequest;
+import org.borageproxy.time.Deadline;
 
 /**
  * Selects the server of a request without the coordinator: for plain services, and for model engines while the
@@ -23,8 +26,6 @@
     private static final Duration MAX_ADAPTER_WAIT = Duration.ofMillis(700);
     /** Maximum wait for a server of the service. */
     private static final Duration MAX_SERVER_WAIT = Duration.ofMillis(250);
-    /** Share of the time until the objective for which a request waits for capacity; the rest is left to run it. */
-    private static final double CAPACITY_WAIT_SHARE = 0.55;
     /** Number of VMs assumed to have queues of the same length, since those of other VMs are not visible here. */
     private static final int ASSUMED_QUEUES = 4;
 
@@ -36,7 +37,7 @@
     private final Consumer<ServerSelector.Choice> chosenListener;
     private final Consumer<RefusalReason> notFoundListener;
     private final Runnable searchAgain = this::searchAgain;
-    private Optional<RequestQueue.QueuedRequest> queuedRequest = Optional.empty();
+    private Optional<WaitingRequest> queuedRequest = Optional.empty();
     private ScheduledFuture<?> timer;
     private boolean isModelMissing;
 
@@ -73,9 +74,13 @@
         Set<BackendServerName> excludedServers = context.refusals().refusing();
         excludedServers.addAll(triedServers);
         ServerRequirement requirement = buffered.requirement(excludedServers, origin.get());
-        Optional<ServerSelector.Choice> choice = context.pool().choose(requirement);
+        WaitingRequest request = queuedRequest.orElseGet(() -> newWaitingRequest(requirement));
+        boolean isFirst = queuedRequest.isPresent()
+                || context.pool().waiting().firstBefore(request).isEmpty();
+        Optional<ServerSelector.Choice> choice = isFirst ? context.pool().choose(requirement) : Optional.empty();
         if (choice.isPresent()) {
             stop();
+            context.pool().waiting().recordStart(request);
             context.pool().statements().acquirePermit(choice.get().server());
             chosenListener.accept(choice.get());
             return;
@@ -83,10 +88,11 @@
         ServerPool.Unavailability unavailability = context.pool().unavailability(requirement);
         switch (unavailability) {
             case ALL_TRIED -> notFoundListener.accept(RefusalReason.REFUSED_BY_SERVERS);
-            case NO_SERVER -> waitOrRefuse(RefusalReason.NO_SERVER, unavailability, MAX_SERVER_WAIT);
-            case NO_ADAPTER -> waitOrRefuse(RefusalReason.MODEL_ABSENT, unavailability, MAX_ADAPTER_WAIT);
-            case CROWDED, LIMITED -> waitOrRefuse(RefusalReason.NO_CAPACITY, unavailability, capacityWait());
-            default -> waitOrRefuse(RefusalReason.MODEL_ABSENT, unavailability, modelWait());
+            case NO_SERVER -> waitOrRefuse(request, RefusalReason.NO_SERVER, unavailability, MAX_SERVER_WAIT);
+            case NO_ADAPTER -> waitOrRefuse(request, RefusalReason.MODEL_ABSENT, unavailability, MAX_ADAPTER_WAIT);
+            case CROWDED, LIMITED ->
+                waitOrRefuse(request, RefusalReason.NO_CAPACITY, unavailability, capacityWait(request));
+            default -> waitOrRefuse(request, RefusalReason.MODEL_ABSENT, unavailability, modelWait());
         }
     }
 
@@ -96,31 +102,45 @@
         return Duration.ofNanos(untilObjective / 2);
     }
 
-    /** Returns zero if the prefill of the requests ahead would take longer than the maximum wait. */
-    private Duration capacityWait() {
-        Optional<EngineWork> work = buffered.metadata().work();
-        if (work.isEmpty()) {
-            return Duration.ZERO;
-        }
-        double prefillRate = context.pool()
-                .prefillTokensPerMillisecond(buffered.service(), work.get().model());
-        double aheadMillis =
-                context.pool().queuedTokensAhead(newQueuedRequest()) * ASSUMED_QUEUES / Math.max(0.1, prefillRate);
-        long leftMillis =
-                buffered.objectiveDeadline().remainingMillis(context.clock().nanoTime());
-        long maximumWaitMillis = (long) (leftMillis * CAPACITY_WAIT_SHARE);
-        return aheadMillis > maximumWaitMillis ? Duration.ZERO : Duration.ofMillis(maximumWaitMillis);
+    /** Returns zero if the request is expected to begin too late to end before its deadline. */
+    private Duration capacityWait(WaitingRequest request) {
+        double servers = context.pool()
+                .nominalServers(buffered.service(), buffered.metadata().work());
+        Deadline expectedStart = context.pool().waiting().expectedStart(request, ASSUMED_QUEUES, servers);
+        return context.pool()
+                .waiting()
+                .decide(request, expectedStart)
+                .waitUntil()
+                .map(until ->
+                        Duration.ofNanos(until.remainingNanos(context.clock().nanoTime())))
+                .orElse(Duration.ZERO);
     }
 
-    private RequestQueue.QueuedRequest newQueuedRequest() {
-        return new RequestQueue.QueuedRequest(
-                buffered.urgency(),
-                buffered.objectiveDeadline(),
-                buffered.metadata().work(),
+    private WaitingRequest newWaitingRequest(ServerRequirement requirement) {
+        long nowNanos = context.clock().nanoTime();
+        RequestCost.Times times = new RequestCost.Times(
+                nowNanos,
+                Duration.ofNanos(nowNanos - buffered.arrivedAtNanos()),
+                Duration.ofNanos(buffered.objectiveDeadline().remainingNanos(nowNanos)),
+                Duration.ofNanos(buffered.deadline().remainingNanos(nowNanos)));
+        String workspace = buffered.workspace().map(PublishedWorkspace::name).orElse("");
+        return new WaitingRequest(
+                requirement.lane(),
+                RequestCost.of(
+                        buffered.urgency(),
+                        false,
+                        workspace,
+                        buffered.metadata().work(),
+                        times),
+                buffered.metadata().requestIdentity(),
                 searchAgain);
     }
 
-    private void waitOrRefuse(RefusalReason reason, ServerPool.Unavailability unavailability, Duration maximumWait) {
+    private void waitOrRefuse(
+            WaitingRequest request,
+            RefusalReason reason,
+            ServerPool.Unavailability unavailability,
+            Duration maximumWait) {
         if (queuedRequest.isPresent()) {
             return;
         }
@@ -131,10 +151,10 @@
         }
         isModelMissing = unavailability != ServerPool.Unavailability.CROWDED
                 && unavailability != ServerPool.Unavailability.LIMITED;
-        queuedRequest = Optional.of(newQueuedRequest());
+        queuedRequest = Optional.of(request);
         timer = context.eventLoop()
                 .schedule(() -> notFoundListener.accept(reason), maximumWait.toNanos(), TimeUnit.NANOSECONDS);
-        context.pool().enqueue(buffered.service(), queuedRequest.get(), isModelMissing);
+        context.pool().enqueue(request, buffered.metadata().work(), isModelMissing);
     }
 
     private void searchAgain() {
@@ -147,7 +167,7 @@
     void stop() {
         queuedRequest.ifPresent(request -> {
             timer.cancel(false);
-            context.pool().dequeue(buffered.service(), request, isModelMissing);
+            context.pool().dequeue(request, buffered.metadata().work(), isModelMissing);
         });
         queuedRequest = Optional.empty();
     }
--- /dev/null
+++ b/src/main/java/org/borageproxy/forward/ServerLoads.java
@@ -0,0 +1,110 @@
+package org.borageproxy.forward;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import org.borageproxy.membership.BackendServer;
+import org.borageproxy.membership.BackendServerName;
+import org.borageproxy.publication.EnginePool;
+import org.borageproxy.routing.ServerLoad;
+import org.borageproxy.time.MonotonicClock;
+import org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage;
+
+/**
+ * The load of each backend server that was considered for a request. A restarted server begins without load. Not thread
+ * safe; confined to one event loop.
+ */
+final class ServerLoads {
+
+    /** Assumed KV cache capacity of a server whose engine pool is not published. */
+    private static final long DEFAULT_CACHE_TOKENS = 100_000;
+
+    private final MonotonicClock clock;
+    private final Map<BackendServerName, ServerLoad> loads = new HashMap<>();
+
+    ServerLoads(MonotonicClock clock) {
+        this.clock = clock;
+    }
+
+    ServerLoad of(BackendServer server, Optional<EnginePool> engines) {
+        ServerLoad known = loads.get(server.name());
+        if (known == null || known.incarnation() != server.incarnation()) {
+            long cache = engines.map(EnginePool::cacheTokens).orElse(DEFAULT_CACHE_TOKENS);
+            known = new ServerLoad(server.incarnation(), cache, clock.nanoTime());
+            loads.put(server.name(), known);
+        }
+        return known;
+    }
+
+    /**
+     * Updates the load of the other VMs. Servers that were never considered for a request are skipped.
+     *
+     * @param usages the total usage of the other VMs, one for each server; a server that is left out has none
+     * @param isComplete {@code false} if the usage of model engines is left out and unchanged
+     * @param decreaseListener receives each server whose load has decreased
+     */
+    void updateOtherVmUsage(
+            List<ServerUsage> usages, boolean isComplete, Consumer<BackendServerName> decreaseListener) {
+        Map<BackendServerName, ServerUsage> usageByServer = new HashMap<>();
+        usages.forEach(usage -> usageByServer.put(new BackendServerName(usage.getName()), usage));
+        loads.forEach((name, load) -> {
+            ServerUsage usage = usageByServer.getOrDefault(name, ServerUsage.getDefaultInstance());
+            boolean isKnown = usage.getIncarnation() == load.incarnation();
+            boolean isUnused = !isKnown && (isComplete || !load.hasOtherVmTokens());
+            if ((isKnown || isUnused) && update(load, isKnown ? usage : ServerUsage.getDefaultInstance())) {
+                decreaseListener.accept(name);
+            }
+        });
+    }
+
+    private static boolean update(ServerLoad load, ServerUsage usage) {
+        int requests = load.totalRequests();
+        int prefillTokens = load.totalPrefillTokens();
+        int reservedTokens = load.totalReservedTokens();
+        load.setOtherVmLoad(usage.getRequests(), usage.getPromptTokens(), usage.getHeldTokens());
+        return load.totalRequests() < requests
+                || load.totalPrefillTokens() < prefillTokens
+                || load.totalReservedTokens() < reservedTokens;
+    }
+
+    void applyOutcomes(ServerUsage usage) {
+        ServerLoad load = loads.get(new BackendServerName(usage.getName()));
+        if (load == null || load.incarnation() != usage.getIncarnation()) {
+            return;
+        }
+        if (usage.getAnswers() > 0) {
+            load.recordSuccess(1.0);
+        }
+        if (usage.getFailures() > 0) {
+            load.recordFailure(clock.nanoTime());
+        }
+    }
+
+    List<ServerUsage> drainUsage() {
+        List<ServerUsage> usages = new ArrayList<>();
+        loads.forEach((name, load) -> {
+            ServerLoad.OutcomeCounts outcomes = load.drainOutcomes();
+            if (load.ownRequests() > 0 || outcomes.failures() > 0 || outcomes.successes() > 0) {
+                usages.add(ServerUsage.newBuilder()
+                        .setName(name.value())
+                        .setIncarnation(load.incarnation())
+                        .setRequests(load.ownRequests())
+                        .setPromptTokens(Math.max(0, load.ownPrefillTokens()))
+                        .setHeldTokens(Math.max(0, load.ownReservedTokens()))
+                        .setFailures(outcomes.failures())
+                        .setAnswers(outcomes.successes())
+                        .build());
+            }
+        });
+        return usages;
+    }
+
+    void retain(Set<BackendServerName> known) {
+        loads.keySet().retainAll(known);
+    }
+}
--- a/src/main/java/org/borageproxy/forward/ServerPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerPool.java
@@ -23,6 +23,7 @@
 import org.borageproxy.routing.EngineWork;
 import org.borageproxy.routing.ServerLoad;
 import org.borageproxy.routing.ServerSelector;
+import org.borageproxy.scheduling.WaitingRequest;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
 import org.borageproxy.vm.AvailabilityZone;
@@ -37,21 +38,18 @@
  */
 public final class ServerPool {
 
-    /** Assumed KV cache capacity of a server whose engine pool is not published. */
-    private static final long DEFAULT_CACHE_TOKENS = 100_000;
-
     private static final double MILLIS_PER_SECOND = 1e3;
 
     private final BackendServers servers;
     private final MonotonicClock clock;
     private final AvailabilityZone zone;
     private final RandomGenerator random;
-    private final Map<BackendServerName, ServerLoad> loads = new HashMap<>();
+    private final ServerLoads loads;
     private final ModelInventories inventories = new ModelInventories();
     private final Map<BackendServerName, Long> goneIncarnations = new HashMap<>();
     private final ModelLatencyRatios latencyRatios = new ModelLatencyRatios();
     private final ModelDemandCounter demandCounter = new ModelDemandCounter();
-    private final RequestQueue queue = new RequestQueue();
+    private final WaitingRequests waiting;
     private final ServerStatements statements;
     private Runnable urgentDemandListener = () -> {};
     private Runnable loadChangeListener = () -> {};
@@ -96,6 +94,24 @@
         this.zone = zone;
         this.random = random;
         this.statements = new ServerStatements(clock, random, limitShare);
+        this.loads = new ServerLoads(clock);
+        this.waiting = new WaitingRequests(clock, this::canRun);
+    }
+
+    /**
+     * Returns the requests that wait for a server.
+     *
+     * @return the requests, in the order in which they are retried
+     */
+    WaitingRequests waiting() {
+        return waiting;
+    }
+
+    private boolean canRun(Set<BackendServerName> changed, WaitingRequest.Lane lane) {
+        return servers.current().stream()
+                .anyMatch(server -> changed.contains(server.name())
+                        && server.services().contains(lane.service())
+                        && (lane.model().isEmpty() || inventories.of(server).contains(lane.model(), lane.adapter())));
     }
 
     /**
@@ -157,7 +173,7 @@
         List<ServerSelector.Candidate> candidates = new ArrayList<>();
         String modelOrService = requirement.work().map(EngineWork::model).orElse(requirement.service());
         untried(requirement).forEach(server -> {
-            ServerLoad load = load(server, requirement.engines());
+            ServerLoad load = loads.of(server, requirement.engines());
             if (statements.admits(server, requirement.engines(), load)) {
                 candidates.add(new ServerSelector.Candidate(server, load, latencyRatios.of(modelOrService)));
             }
@@ -198,16 +214,6 @@
                         .contains(work.get().model(), work.get().adapter());
     }
 
-    private ServerLoad load(BackendServer server, Optional<EnginePool> engines) {
-        ServerLoad known = loads.get(server.name());
-        if (known == null || known.incarnation() != server.incarnation()) {
-            long cache = engines.map(EnginePool::cacheTokens).orElse(DEFAULT_CACHE_TOKENS);
-            known = new ServerLoad(server.incarnation(), cache, clock.nanoTime());
-            loads.put(server.name(), known);
-        }
-        return known;
-    }
-
     /**
      * Records that a server refused a request because the model or adapter is not loaded.
      *
@@ -280,7 +286,7 @@
         double rate = untried(requirement)
                 .mapToDouble(server -> statements.requestLimit(server).orElse(0))
                 .sum();
-        double queueSeconds = queue.size() / Math.max(RequestPermits.MIN_RATE, rate);
+        double queueSeconds = waiting.size() / Math.max(RequestPermits.MIN_RATE, rate);
         return Deadline.after(
                 firstPermitAt(requirement).atNanos(), Duration.ofMillis((long) (queueSeconds * MILLIS_PER_SECOND)));
     }
@@ -317,7 +323,7 @@
 
     /** Retries all queued requests in their order. */
     public void retryQueued() {
-        queue.retryAll();
+        waiting.retryAll();
     }
 
     /**
@@ -370,7 +376,7 @@
      */
     void recordAssignment(ServerSelector.Choice choice, Optional<EngineWork> work) {
         statements.acquirePermit(choice.server());
-        ServerLoad load = loads.get(choice.server().name());
+        ServerLoad load = loads.of(choice.server(), Optional.empty());
         work.ifPresent(load.prefixCache()::recordPrompt);
         load.setOtherVmLoad(
                 load.totalRequests() + 1,
@@ -429,14 +435,15 @@
      * @return tracks the request
      */
     InFlightRequest recordStart(ServerSelector.Choice choice, Optional<EnginePool> engines, Optional<EngineWork> work) {
-        ServerLoad load = load(choice.server(), engines);
+        ServerLoad load = loads.of(choice.server(), engines);
         work.ifPresent(load.prefixCache()::recordPrompt);
         return new InFlightRequest(
                 clock, load, choice, work, latencyRatios, () -> handleLoadChange(choice.server(), work));
     }
 
     private void handleLoadChange(BackendServer server, Optional<EngineWork> work) {
-        queue.retryAll();
+        waiting.recordChange(server.name());
+        waiting.retryChanged();
         if (work.isPresent() || statements.isLimiting(server)) {
             loadChangeListener.run();
         }
@@ -455,14 +462,14 @@
     /**
      * Queues a request, which is retried whenever load or inventories change.
      *
-     * @param service the service
      * @param request the request
+     * @param work the inference work; empty for a plain service
      * @param isModelMissing whether no server has the model or adapter loaded, so that the wait counts as demand
      */
-    void enqueue(String service, RequestQueue.QueuedRequest request, boolean isModelMissing) {
-        queue.add(request);
+    void enqueue(WaitingRequest request, Optional<EngineWork> work, boolean isModelMissing) {
+        waiting.add(request);
         if (isModelMissing) {
-            request.work().ifPresent(work -> demandCounter.addWaiting(service, work, 1));
+            work.ifPresent(each -> demandCounter.addWaiting(request.lane().service(), each, 1));
             urgentDemandListener.run();
         }
     }
@@ -470,40 +477,37 @@
     /**
      * Removes a request from the queue. Has no effect on a request that is not queued.
      *
-     * @param service the service
      * @param request the request that was passed to {@link #enqueue}
+     * @param work the inference work; empty for a plain service
      * @param wasModelMissing the value that was passed to {@link #enqueue}
      */
-    void dequeue(String service, RequestQueue.QueuedRequest request, boolean wasModelMissing) {
-        if (queue.remove(request) && wasModelMissing) {
-            request.work().ifPresent(work -> demandCounter.addWaiting(service, work, -1));
+    void dequeue(WaitingRequest request, Optional<EngineWork> work, boolean wasModelMissing) {
+        if (waiting.remove(request) && wasModelMissing) {
+            work.ifPresent(each -> demandCounter.addWaiting(request.lane().service(), each, -1));
         }
     }
 
     /**
-     * Returns the prompt tokens of the queued requests for the same model that are retried before a newly queued
-     * request.
-     *
-     * @param request the request, not queued yet
-     * @return the number of tokens in the queue of this pool
-     */
-    long queuedTokensAhead(RequestQueue.QueuedRequest request) {
-        return queue.tokensAhead(request);
-    }
-
-    /**
-     * Returns the prefill rate of all servers that have a model loaded.
+     * Returns how many nominal servers work for a kind of requests: engines that have the model loaded, in proportion
+     * to its latency, or slots of plain services.
      *
      * @param service the service
-     * @param model the model
-     * @return the sum in prompt tokens per millisecond; zero without such a server
-     */
-    double prefillTokensPerMillisecond(String service, String model) {
+     * @param work the inference work; empty for a plain service
+     * @return the number; zero without such a server
+     */
+    double nominalServers(String service, Optional<EngineWork> work) {
+        if (work.isEmpty()) {
+            return servers.current().stream()
+                    .filter(server -> acceptsWork(server, service))
+                    .mapToInt(server -> Math.max(1, server.load().batchLimit()))
+                    .sum();
+        }
+        String model = work.get().model();
         long serverCount = servers.current().stream()
                 .filter(server ->
                         acceptsWork(server, service) && inventories.of(server).contains(model, ""))
                 .count();
-        return serverCount * ServerSelector.PREFILL_TOKENS_PER_MILLISECOND / latencyRatios.of(model);
+        return serverCount / latencyRatios.of(model);
     }
 
     /**
@@ -513,7 +517,8 @@
      */
     public void updateInventories(Map<BackendServerName, ModelInventory> newInventories) {
         inventories.update(newInventories);
-        queue.retryAll();
+        newInventories.keySet().forEach(waiting::recordChange);
+        waiting.retryChanged();
     }
 
     /**
@@ -524,16 +529,8 @@
      * @param isComplete {@code false} if the usage of model engines is left out and unchanged
      */
     public void updateOtherVmUsage(List<ServerUsage> usages, boolean isComplete) {
-        loads.values().stream()
-                .filter(load -> isComplete || !load.hasOtherVmTokens())
-                .forEach(load -> load.setOtherVmLoad(0, 0, 0));
-        for (ServerUsage usage : usages) {
-            ServerLoad load = loads.get(new BackendServerName(usage.getName()));
-            if (load != null && usage.getIncarnation() == load.incarnation()) {
-                load.setOtherVmLoad(usage.getRequests(), usage.getPromptTokens(), usage.getHeldTokens());
-            }
-        }
-        queue.retryAll();
+        loads.updateOtherVmUsage(usages, isComplete, waiting::recordChange);
+        waiting.retryChanged();
     }
 
     /**
@@ -543,16 +540,7 @@
      * @param usage the usage of the server with the outcomes; ignored for another incarnation
      */
     void applyOutcomes(ServerUsage usage) {
-        ServerLoad load = loads.get(new BackendServerName(usage.getName()));
-        if (load == null || load.incarnation() != usage.getIncarnation()) {
-            return;
-        }
-        if (usage.getAnswers() > 0) {
-            load.recordSuccess(1.0);
-        }
-        if (usage.getFailures() > 0) {
-            load.recordFailure(clock.nanoTime());
-        }
+        loads.applyOutcomes(usage);
     }
 
     /**
@@ -561,22 +549,7 @@
      * @return the usage of each server with requests in flight or outcomes since the previous call
      */
     public List<ServerUsage> drainUsage() {
-        List<ServerUsage> usages = new ArrayList<>();
-        loads.forEach((name, load) -> {
-            ServerLoad.OutcomeCounts outcomes = load.drainOutcomes();
-            if (load.ownRequests() > 0 || outcomes.failures() > 0 || outcomes.successes() > 0) {
-                usages.add(ServerUsage.newBuilder()
-                        .setName(name.value())
-                        .setIncarnation(load.incarnation())
-                        .setRequests(load.ownRequests())
-                        .setPromptTokens(Math.max(0, load.ownPrefillTokens()))
-                        .setHeldTokens(Math.max(0, load.ownReservedTokens()))
-                        .setFailures(outcomes.failures())
-                        .setAnswers(outcomes.successes())
-                        .build());
-            }
-        });
-        return usages;
+        return loads.drainUsage();
     }
 
     /**
@@ -592,7 +565,7 @@
     public void removeUnknownServers() {
         Set<BackendServerName> known = new LinkedHashSet<>();
         servers.current().forEach(server -> known.add(server.name()));
-        loads.keySet().retainAll(known);
+        loads.retain(known);
         inventories.retain(known);
         statements.retain(known);
         goneIncarnations.keySet().retainAll(known);
--- a/src/main/java/org/borageproxy/forward/ServerRequirement.java
+++ b/src/main/java/org/borageproxy/forward/ServerRequirement.java
@@ -7,6 +7,7 @@
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.publication.EnginePool;
 import org.borageproxy.routing.EngineWork;
+import org.borageproxy.scheduling.WaitingRequest;
 
 /**
  * What a request requires of the server that runs it. Immutable and thread safe, except that the set of tried servers
@@ -35,4 +36,17 @@
         return server.services().contains(service)
                 && origin.map(known -> known.matches(server)).orElse(true);
     }
+
+    /**
+     * Returns the lane in which the request waits.
+     *
+     * @return the lane of all requests that the same servers can run, apart from those that each has tried
+     */
+    WaitingRequest.Lane lane() {
+        return new WaitingRequest.Lane(
+                service,
+                work.map(EngineWork::model).orElse(""),
+                work.map(EngineWork::adapter).orElse(""),
+                origin.map(StreamOrigin::softwareVersion).orElse(""));
+    }
 }
--- a/src/main/java/org/borageproxy/forward/SlotBroker.java
+++ b/src/main/java/org/borageproxy/forward/SlotBroker.java
@@ -23,6 +23,9 @@
 import org.borageproxy.publication.EnginePool;
 import org.borageproxy.routing.EngineWork;
 import org.borageproxy.routing.ServerSelector;
+import org.borageproxy.scheduling.AdmissionDecision;
+import org.borageproxy.scheduling.RequestCost;
+import org.borageproxy.scheduling.WaitingRequest;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
 import org.borageproxy.vm.AvailabilityZone;
@@ -36,16 +39,12 @@
 /**
  * Grants slots at model engines to the requests of all entries, on the coordinator, so that entries do not overload an
  * engine independently of one another; also at plain services whose servers state limits. A request without a slot
- * waits in the order of ranks and objectives: for capacity while it can still meet its objective, for a model that is
- * being loaded if that ends before the request's deadline. An entry that gets no answer selects a server itself. Not
+ * waits in the order of {@link RequestCost}: for capacity while it can still end before its deadline, for a model that
+ * is being loaded if that ends before the request's deadline. An entry that gets no answer selects a server itself. Not
  * thread safe; confined to one event loop.
  */
 public final class SlotBroker implements VmNetwork.Handler {
 
-    /**
-     * Share of the time from arrival to objective for which a request waits for capacity; the rest is left to run it.
-     */
-    private static final double CAPACITY_WAIT_SHARE = 0.6;
     /** Maximum wait for a load of the model or adapter to be ordered. */
     private static final Duration MAX_ORDER_WAIT = Duration.ofMillis(700);
     /** Minimum time to run a request once its model is loaded. */
@@ -61,7 +60,6 @@
     /** Delay after a report until the usage is updated and the queued requests are retried. */
     private static final Duration REFRESH_DELAY = Duration.ofMillis(4);
 
-    private static final double NANOS_PER_MILLISECOND = 1e6;
     /** Maximum delay of an answer; a request that has to wait longer is told to ask again. */
     static final Duration MAX_ANSWER_DELAY = Duration.ofMillis(200);
 
@@ -247,7 +245,7 @@
         private final SlotRequest request;
         private final Optional<EngineWork> work;
         private final CompletableFuture<ByteString> answer;
-        private final RequestQueue.QueuedRequest queuedRequest;
+        private final WaitingRequest waitingRequest;
         private final ServerRequirement requirement;
         private boolean isWaiting;
         private boolean isModelMissing;
@@ -267,9 +265,6 @@
                             request.getPromptTokens(),
                             request.getOutputTokens(),
                             parts));
-            Deadline objective =
-                    Deadline.after(environment.clock().nanoTime(), Duration.ofMillis(request.getObjectiveMillis()));
-            queuedRequest = new RequestQueue.QueuedRequest(request.getRank(), objective, work, this::searchAgain);
             Set<BackendServerName> triedServers = new HashSet<>();
             request.getTriedList().forEach(name -> triedServers.add(new BackendServerName(name)));
             Optional<StreamOrigin> origin = request.hasSoftwareVersion()
@@ -281,11 +276,29 @@
                     work,
                     triedServers,
                     origin);
+            waitingRequest = waitingRequest();
+        }
+
+        private WaitingRequest waitingRequest() {
+            SlotAttributes attributes = SlotAttributes.read(request);
+            RequestCost.Times times = new RequestCost.Times(
+                    environment.clock().nanoTime(),
+                    Duration.ofMillis(request.getWaitedMillis()),
+                    Duration.ofMillis(request.getObjectiveMillis()),
+                    Duration.ofMillis(request.getDeadlineMillis()));
+            return new WaitingRequest(
+                    requirement.lane(),
+                    RequestCost.of(request.getRank(), false, attributes.workspace(), work, times),
+                    attributes.identity(),
+                    this::searchAgain);
         }
 
         void begin() {
-            if (!tryGrant()) {
+            Optional<WaitingRequest> before = pool.waiting().firstBefore(waitingRequest);
+            if (before.isPresent() || !tryGrant()) {
                 waitOrRefuse();
+                // The request may fit where the one before it does not.
+                scheduleRefresh();
             }
         }
 
@@ -319,6 +332,7 @@
                 entry.expiresAt = expiresAt;
             }
             pool.recordAssignment(choice, work);
+            pool.waiting().recordStart(waitingRequest);
             answer(SlotAnswer.newBuilder()
                     .setOutcome(SlotAnswer.Outcome.CHOSEN)
                     .setServer(choice.server().name().value())
@@ -355,14 +369,14 @@
                 return;
             }
             if (availableAt.isEmpty()) {
-                waitFor(remainingWait(MAX_ORDER_WAIT), SlotAnswer.Outcome.NO_MODEL, UNORDERED_RETRY_AFTER, true);
+                waitFor(remainingWait(MAX_ORDER_WAIT), SlotAnswer.Outcome.NO_MODEL, () -> UNORDERED_RETRY_AFTER, true);
                 return;
             }
             long nowNanos = environment.clock().nanoTime();
             Duration remaining = Duration.ofNanos(availableAt.get().remainingNanos(nowNanos));
             boolean isInTime = remaining.plus(MIN_RUN_TIME).toMillis() < request.getDeadlineMillis();
             if (isInTime) {
-                waitFor(remaining, SlotAnswer.Outcome.NO_MODEL, UNORDERED_RETRY_AFTER, true);
+                waitFor(remaining, SlotAnswer.Outcome.NO_MODEL, () -> UNORDERED_RETRY_AFTER, true);
             } else {
                 refuse(SlotAnswer.Outcome.NO_MODEL, remaining);
             }
@@ -374,17 +388,18 @@
         }
 
         private void waitForCapacity() {
-            double prefillRate = work.map(each -> pool.prefillTokensPerMillisecond(request.getService(), each.model()))
-                    .orElse(0.0);
-            double aheadMillis = pool.queuedTokensAhead(queuedRequest) / Math.max(0.1, prefillRate);
-            waitForCapacity(aheadMillis, false);
+            waitForCapacity(this::expectedStart, false);
+        }
+
+        private Deadline expectedStart() {
+            double servers = pool.nominalServers(request.getService(), work);
+            return pool.waiting().expectedStart(waitingRequest, 1, servers);
         }
 
         /** A model all of whose servers limit their requests is in demand like one that is not loaded. */
         private void waitForPermit() {
             long nowNanos = environment.clock().nanoTime();
-            long aheadNanos = pool.permittedAt(requirement).remainingNanos(nowNanos);
-            waitForCapacity(aheadNanos / NANOS_PER_MILLISECOND, true);
+            waitForCapacity(() -> pool.permittedAt(requirement), true);
             if (isWaiting) {
                 retryAtNextPermit(nowNanos);
             }
@@ -402,41 +417,46 @@
             });
         }
 
-        private void waitForCapacity(double aheadMillis, boolean isInDemand) {
-            double totalMillis = (double) request.getObjectiveMillis() + request.getWaitedMillis();
-            double maximumWaitMillis = totalMillis * CAPACITY_WAIT_SHARE - request.getWaitedMillis();
-            // A retry makes sense once the queue ahead has drained, and not before the maximum wait is over.
-            double retryAfterMillis = Math.max(aheadMillis, totalMillis * CAPACITY_WAIT_SHARE);
-            Duration retryAfter = Duration.ofMillis((long) retryAfterMillis);
-            if (aheadMillis > maximumWaitMillis) {
-                refuse(SlotAnswer.Outcome.CROWDED, retryAfter);
-            } else {
-                waitFor(
-                        Duration.ofMillis((long) maximumWaitMillis),
-                        SlotAnswer.Outcome.CROWDED,
-                        retryAfter,
-                        isInDemand);
+        private void waitForCapacity(Supplier<Deadline> expectedStart, boolean isInDemand) {
+            AdmissionDecision decision = pool.waiting().decide(waitingRequest, expectedStart.get());
+            if (decision.waitUntil().isEmpty()) {
+                refuse(SlotAnswer.Outcome.CROWDED, remaining(decision.retryAt()));
+                return;
             }
+            waitFor(
+                    remaining(decision.waitUntil().get()),
+                    SlotAnswer.Outcome.CROWDED,
+                    () -> remaining(pool.waiting().retryAt(waitingRequest, expectedStart.get())),
+                    isInDemand);
+        }
+
+        private Duration remaining(Deadline deadline) {
+            return Duration.ofNanos(deadline.remainingNanos(environment.clock().nanoTime()));
         }
 
         private void waitFor(
-                Duration maximumWait, SlotAnswer.Outcome finalOutcome, Duration retryAfter, boolean isForModel) {
+                Duration maximumWait,
+                SlotAnswer.Outcome finalOutcome,
+                Supplier<Duration> retryAfter,
+                boolean isForModel) {
             isWaiting = true;
             isModelMissing = isForModel;
-            pool.enqueue(request.getService(), queuedRequest, false);
+            pool.enqueue(waitingRequest, work, false);
             changeDemand(1);
             boolean isLong = maximumWait.compareTo(MAX_ANSWER_DELAY) > 0;
             environment.timer().schedule(isLong ? MAX_ANSWER_DELAY : maximumWait, () -> {
                 if (isWaiting) {
                     stopWaiting();
-                    refuse(isLong ? SlotAnswer.Outcome.AGAIN : finalOutcome, retryAfter);
+                    refuse(
+                            isLong ? SlotAnswer.Outcome.AGAIN : finalOutcome,
+                            isLong ? MIN_RETRY_AFTER : retryAfter.get());
                 }
             });
         }
 
         private void stopWaiting() {
             isWaiting = false;
-            pool.dequeue(request.getService(), queuedRequest, false);
+            pool.dequeue(waitingRequest, work, false);
             changeDemand(-1);
         }
 
--- a/src/main/java/org/borageproxy/forward/SlotClient.java
+++ b/src/main/java/org/borageproxy/forward/SlotClient.java
@@ -122,6 +122,7 @@
         origin.ifPresent(known -> request.setSoftwareVersion(known.softwareVersion()));
         long waitedMillis = (nowNanos - buffered.arrivedAtNanos()) / 1_000_000L;
         request.setWaitedMillis((int) waitedMillis);
+        SlotAttributes.of(buffered).addTo(request);
         network.request(
                         target.get(),
                         MessageKind.SLOT,
