--- a/src/main/java/org/borageproxy/forward/ServerRequirement.java
+++ b/src/main/java/org/borageproxy/forward/ServerRequirement.java
@@ -8,6 +8,7 @@
 import org.borageproxy.publication.EnginePool;
 import org.borageproxy.routing.EngineWork;
 import org.borageproxy.routing.ServerSelector;
+import org.borageproxy.scheduling.WaitingRequest;
 import org.borageproxy.vm.AvailabilityZone;
 
 /**
@@ -59,4 +60,17 @@
     ServerSelector.Query query(AvailabilityZone callerZone) {
         return new ServerSelector.Query(work, engines, callerZone, triedServers, toleratedMillis);
     }
+
+    /**
+     * Returns the lane in which the request waits.
+     *
+     * @return the lane of all requests that the same servers can run, apart from those that each has tried
+     */
+    WaitingRequest.Lane lane() {
+        return new WaitingRequest.Lane(
+                service,
+                work.map(EngineWork::model).orElse(""),
+                work.map(EngineWork::adapter).orElse(""),
+                origin.map(StreamOrigin::softwareVersion).orElse(""));
+    }
 }
