Account for buffered bytes and hold back bodies and answers by it

Cause: request bodies, answers that are kept or wait for a slow caller, and copies of bodies for slow servers were bounded by counts only, so that a VM could use up its memory. Reading from the server stopped as soon as a caller fell behind, and servers cut off such answers. Change: package buffer with BufferAccount (bounds in total, by workspace, caller and server from the limits of heap and direct memory) and Delivery (spool of a slow caller, disconnection), both without input or output. BodyReader reads bodies as far as the account permits and ends incomplete ones with 408 at the deadline; CallerWrites and ServerWrites account for what connections have not taken. Two new reasons of refusal: buffer-full (503) and body-incomplete (408). The send buffer of callers' connections is 32 kB. Ruled out: reserving the announced length, one bound without shares (docs/design/buffers.md).

--- /dev/null
+++ b/src/main/java/org/borageproxy/forward/BodyReader.java
@@ -0,0 +1,249 @@
+package org.borageproxy.forward;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import org.borageproxy.buffer.BufferAccount;
+import org.borageproxy.buffer.BufferOwner;
+import org.borageproxy.buffer.Reservation;
+import org.borageproxy.buffer.Shortage;
+import org.borageproxy.time.Deadline;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Reads the body of one request as far as the buffer account permits. While there is no room, the connection is not
+ * read; a request for which no room can come in time is refused at once. Bytes are reserved as they arrive, whatever
+ * length the head states. The listener is called at most once. Not thread safe; confined to the event loop of the
+ * request.
+ */
+final class BodyReader {
+
+    private static final Logger LOGGER = LoggerFactory.getLogger(BodyReader.class);
+
+    private final ForwardContext context;
+    private final HttpServerRequest request;
+    private final String identity;
+    private final int maximumBytes;
+    private final Listener listener;
+    private final Reservation reservation;
+    private final BufferOwner owner;
+    private final List<byte[]> parts = new ArrayList<>(1);
+    private Optional<BufferAccount.Waiter> waiter = Optional.empty();
+    private ScheduledFuture<?> deadlineTimer;
+    private int receivedBytes;
+    private boolean isOver;
+
+    /** Receives the body or the reason for which it is not read. */
+    interface Listener {
+
+        /**
+         * Called with the whole body.
+         *
+         * @param body the body
+         * @param reservation holds its bytes; must be released
+         */
+        void onBody(byte[] body, Reservation reservation);
+
+        /**
+         * Called if the request must be refused; nothing is reserved any more.
+         *
+         * @param reason the reason
+         * @param retryAfter the time after which a retry may succeed; empty if a retry is not advised
+         */
+        void onRefused(RefusalReason reason, Optional<Duration> retryAfter);
+    }
+
+    private BodyReader(
+            ForwardContext context,
+            HttpServerRequest request,
+            String identity,
+            BufferOwner owner,
+            int maximumBytes,
+            Listener listener) {
+        this.context = context;
+        this.request = request;
+        this.identity = identity;
+        this.owner = owner;
+        this.maximumBytes = maximumBytes;
+        this.listener = listener;
+        this.reservation = context.buffers().open(owner);
+    }
+
+    /**
+     * Begins to read a body.
+     *
+     * @param context the collaborators of forwarding
+     * @param request the request, of whose body nothing was read
+     * @param identity the identity of the request, for logs
+     * @param owner for whom the body is buffered
+     * @param maximumBytes the maximum size of a body
+     * @param listener receives the outcome, possibly before this method returns
+     */
+    static void read(
+            ForwardContext context,
+            HttpServerRequest request,
+            String identity,
+            BufferOwner owner,
+            int maximumBytes,
+            Listener listener) {
+        new BodyReader(context, request, identity, owner, maximumBytes, listener).begin();
+    }
+
+    private void begin() {
+        request.exceptionHandler(failure -> {
+            LOGGER.debug("event=request-incomplete", failure);
+            stop();
+            reservation.release();
+        });
+        request.handler(this::handlePart);
+        request.endHandler(end -> handleEnd());
+        boolean hasBody = request.getHeader("content-length") != null || request.getHeader("transfer-encoding") != null;
+        if (!hasBody) {
+            return;
+        }
+        long nanos = deadline().remainingNanos(context.clock().nanoTime());
+        deadlineTimer = context.eventLoop().schedule(this::expire, nanos, TimeUnit.NANOSECONDS);
+        reservation.allowEviction(shortage -> refuse(RefusalReason.BUFFER_FULL, Optional.of(shortage.roomAfter())));
+        if (!context.buffers().mayBegin(owner)) {
+            Duration roomAfter = context.buffers().mayBeginAfter(owner);
+            awaitOrRefuse(
+                    roomAfter,
+                    true,
+                    () -> waiter = Optional.of(context.buffers().awaitBeginning(owner, this::resume)));
+        }
+    }
+
+    private Deadline deadline() {
+        return owner.cost().deadline();
+    }
+
+    private void awaitOrRefuse(Duration roomAfter, boolean mayWait, Runnable startWait) {
+        boolean isInTime =
+                roomAfter.toNanos() < deadline().remainingNanos(context.clock().nanoTime());
+        LOGGER.info(
+                "event=body-not-read id={} workspace={} received_bytes={} waits={} room_after_ms={} held_bytes={}",
+                identity,
+                owner.workspace().isEmpty() ? "-" : owner.workspace(),
+                receivedBytes,
+                mayWait && isInTime,
+                roomAfter.toMillis(),
+                context.buffers().heldBytes());
+        if (mayWait && isInTime) {
+            request.pause();
+            startWait.run();
+        } else {
+            refuse(RefusalReason.BUFFER_FULL, Optional.of(roomAfter));
+        }
+    }
+
+    private void resume() {
+        waiter = Optional.empty();
+        request.resume();
+    }
+
+    private void handlePart(Buffer part) {
+        if (isOver) {
+            return;
+        }
+        if (receivedBytes + part.length() > maximumBytes) {
+            refuse(RefusalReason.BODY_TOO_LARGE, Optional.empty());
+            return;
+        }
+        keep(part.getBytes());
+    }
+
+    private void keep(byte[] part) {
+        Optional<Shortage> shortage = reservation.grow(part.length);
+        if (shortage.isEmpty()) {
+            receivedBytes += part.length;
+            parts.add(part);
+            return;
+        }
+        if (receivedBytes + part.length > context.buffers().limits().totalBytes()) {
+            refuse(RefusalReason.BODY_TOO_LARGE, Optional.empty());
+            return;
+        }
+        awaitOrRefuse(
+                shortage.get().roomAfter(),
+                shortage.get().mayWait(),
+                () -> waiter =
+                        Optional.of(context.buffers().awaitRoom(reservation, part.length, () -> keepAndResume(part))));
+    }
+
+    private void keepAndResume(byte[] part) {
+        waiter = Optional.empty();
+        keep(part);
+        if (waiter.isEmpty()) {
+            request.resume();
+        }
+    }
+
+    private void handleEnd() {
+        if (isOver) {
+            cancelTimer();
+            return;
+        }
+        stop();
+        reservation.forbidEviction();
+        listener.onBody(joined(), reservation);
+    }
+
+    private byte[] joined() {
+        if (parts.size() == 1) {
+            return parts.get(0);
+        }
+        byte[] body = new byte[receivedBytes];
+        int end = 0;
+        for (byte[] part : parts) {
+            System.arraycopy(part, 0, body, end, part.length);
+            end += part.length;
+        }
+        parts.clear();
+        return body;
+    }
+
+    private void stop() {
+        isOver = true;
+        cancelTimer();
+        waiter.ifPresent(context.buffers()::cancel);
+        waiter = Optional.empty();
+    }
+
+    private void cancelTimer() {
+        if (deadlineTimer != null) {
+            deadlineTimer.cancel(false);
+        }
+    }
+
+    /** Refuses the request. The rest of the body is read and discarded, so that the caller receives the answer. */
+    private void refuse(RefusalReason reason, Optional<Duration> retryAfter) {
+        if (isOver) {
+            return;
+        }
+        isOver = true;
+        waiter.ifPresent(context.buffers()::cancel);
+        waiter = Optional.empty();
+        parts.clear();
+        reservation.release();
+        listener.onRefused(reason, retryAfter);
+        request.resume();
+    }
+
+    /** Ends a body that is incomplete at the deadline, and the connection with it. */
+    private void expire() {
+        LOGGER.info("event=body-incomplete id={} received_bytes={}", identity, receivedBytes);
+        if (isOver) {
+            request.connection().close();
+        } else {
+            request.response().putHeader("connection", "close");
+            refuse(RefusalReason.BODY_INCOMPLETE, Optional.empty());
+        }
+    }
+}
--- a/src/main/java/org/borageproxy/forward/BufferedRequest.java
+++ b/src/main/java/org/borageproxy/forward/BufferedRequest.java
@@ -5,6 +5,9 @@
 import java.util.Set;
 
 import io.vertx.core.http.HttpServerRequest;
+import org.borageproxy.buffer.BufferOwner;
+import org.borageproxy.buffer.RefusalCost;
+import org.borageproxy.buffer.Reservation;
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.publication.EnginePool;
 import org.borageproxy.publication.PublishedRoute;
@@ -26,6 +29,7 @@
  * @param suspects what may make a backend server crash that begins the request
  * @param arrivedAtNanos the time on the monotonic clock at the arrival, in nanoseconds
  * @param deadline the deadline of the caller or of the route, whichever is earlier
+ * @param reservation the buffer memory of the request, which holds the bytes of its body
  */
 record BufferedRequest(
         HttpServerRequest request,
@@ -37,7 +41,8 @@
         Optional<PublishedWorkspace> workspace,
         CrashSuspects suspects,
         long arrivedAtNanos,
-        Deadline deadline) {
+        Deadline deadline,
+        Reservation reservation) {
 
     /** Requests of priority zero rank one above this urgency. */
     private static final int OUTRANKED_URGENCY = 5;
@@ -93,10 +98,47 @@
      * @return a rank from zero, the first, to nine, the last
      */
     int urgency() {
+        return urgency(workspace, route);
+    }
+
+    private static int urgency(Optional<PublishedWorkspace> workspace, PublishedRoute route) {
         int priority = workspace
                 .map(PublishedWorkspace::priority)
                 .filter(rank -> rank >= 0)
                 .orElse(route.priority());
         return Math.max(0, Math.min(LOWEST_URGENCY, OUTRANKED_URGENCY - 1 + priority));
     }
+
+    /**
+     * Returns for whom a request is buffered that was not read yet. A caller without API key is bounded by connection.
+     *
+     * @param request the HTTP request
+     * @param metadata the metadata of the headers
+     * @param workspace the workspace of the API key; empty if there is none
+     * @param route the route; empty if none matches
+     * @param deadline the deadline of the request
+     * @return the owner
+     */
+    static BufferOwner ownerOf(
+            HttpServerRequest request,
+            RequestMetadata metadata,
+            Optional<PublishedWorkspace> workspace,
+            Optional<PublishedRoute> route,
+            Deadline deadline) {
+        int rank = route.map(each -> urgency(workspace, each)).orElse(LOWEST_URGENCY);
+        return new BufferOwner(
+                metadata.apiKey().orElseGet(() -> String.valueOf(request.remoteAddress())),
+                workspace.map(PublishedWorkspace::name).orElse(""),
+                "",
+                new RefusalCost(rank, deadline));
+    }
+
+    /**
+     * Returns for whom the request is buffered.
+     *
+     * @return the owner, without a server
+     */
+    BufferOwner owner() {
+        return reservation.owner();
+    }
 }
--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -55,8 +55,8 @@
         this.context = context;
         this.buffered = buffered;
         this.endListener = endListener;
-        this.relay = new ResponseRelay(buffered.request().response());
         this.log = new RequestLog(buffered, context.clock());
+        this.relay = new ResponseRelay(buffered.request().response(), new CallerWrites(context, buffered, log));
         this.rate = new RateAdmission(context, buffered);
         this.crashEvidence = new CrashEvidence(context.suspectRequests(), buffered.suspects(), context.clock());
         this.stream = new ResumableStream(context, buffered, log);
@@ -77,6 +77,8 @@
         }
         buffered.request().response().closeHandler(closed -> handleCallerLeft());
         buffered.request().response().exceptionHandler(failure -> handleCallerLeft());
+        buffered.reservation()
+                .allowEviction(shortage -> refuseOrAbort(RefusalReason.BUFFER_FULL, log.evicted(shortage)));
         if (buffered.deadline().hasPassed(context.clock().nanoTime())) {
             refuse(RefusalReason.EXPIRED_UNSENT, Optional.empty());
             return;
@@ -184,7 +186,7 @@
 
         private Optional<ServerConnection> connection = Optional.empty();
         private Optional<InFlightRequest> inFlightRequest = Optional.empty();
-        private final ReceivedAnswer received = new ReceivedAnswer();
+        private final ReceivedAnswer received = new ReceivedAnswer(buffered);
         private boolean isStream;
         private boolean isOver;
 
@@ -218,8 +220,7 @@
             inFlightRequest = Optional.of(context.pool()
                     .recordStart(choice, buffered.engines(), buffered.metadata().work()));
             log.sent(choice, priorAttempts.sends(), acquired.isReused(), scanner.lastEventIdentity());
-            acquired.send(
-                    ForwardedHead.of(context, buffered, server, scanner.lastEventIdentity()), buffered.body(), this);
+            ServerWrites.send(context, buffered, server, acquired, scanner.lastEventIdentity(), this);
         }
 
         /** Returns what has come between the choice of the server and the moment at which the request can be sent. */
@@ -232,7 +233,7 @@
             }
             return crashEvidence.isQuarantined()
                     ? Optional.of("request was quarantined before it was sent")
-                    : Optional.empty();
+                    : ServerWrites.obstacle(context, buffered, server);
         }
 
         @Override
@@ -286,7 +287,6 @@
             if (!isStream && relay.hasBegun()) {
                 closeConnection();
                 handleLostAnswer("status " + response.status().code() + " to a resumed stream");
-                return;
             }
         }
 
@@ -357,8 +357,7 @@
             if (isStream) {
                 return;
             }
-            received.keep(bytes);
-            if (received.keptBytes() > MAX_BUFFERED_BYTES) {
+            if (!received.keep(bytes) || received.keptBytes() > MAX_BUFFERED_BYTES) {
                 isStream = true;
                 relay.sendPart(received.head().get(), received.takeBody(), received.length());
             }
@@ -595,6 +594,7 @@
                         buffered.route().name(),
                         outcome,
                         (context.clock().nanoTime() - buffered.arrivedAtNanos()) / 1e6);
+        relay.releaseBuffers();
         endListener.accept(this);
     }
 }
--- a/src/main/java/org/borageproxy/forward/ForwardContext.java
+++ b/src/main/java/org/borageproxy/forward/ForwardContext.java
@@ -5,6 +5,7 @@
 import java.util.function.Function;
 
 import io.netty.channel.EventLoop;
+import org.borageproxy.buffer.BufferAccount;
 import org.borageproxy.execution.RetryBudget;
 import org.borageproxy.quota.RateShares;
 import org.borageproxy.time.MonotonicClock;
@@ -22,6 +23,7 @@
  * @param rateShares this entry's shares of the workspace rates
  * @param retryBudgets returns the retry budget of a service
  * @param suspectRequests the requests that are suspected of crashing backend servers
+ * @param buffers the account of buffered bytes
  * @param metrics records outcomes and latencies
  */
 public record ForwardContext(
@@ -35,6 +37,7 @@
         RateShares rateShares,
         Function<String, RetryBudget> retryBudgets,
         SuspectRequests suspectRequests,
+        BufferAccount buffers,
         ForwardMetrics metrics) {
 
     /**
--- a/src/main/java/org/borageproxy/forward/ForwardServer.java
+++ b/src/main/java/org/borageproxy/forward/ForwardServer.java
@@ -1,6 +1,5 @@
 package org.borageproxy.forward;
 
-import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -20,6 +19,8 @@
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.net.impl.ConnectionBase;
+import org.borageproxy.buffer.BufferOwner;
+import org.borageproxy.buffer.Reservation;
 import org.borageproxy.entry.StrictRequestDecoder;
 import org.borageproxy.execution.RequestDigest;
 import org.borageproxy.publication.PublishedRoute;
@@ -47,6 +48,14 @@
     /** Retry-after time while this VM stops; short, since another VM can accept the request at once. */
     private static final Duration STOPPING_RETRY_AFTER = Duration.ofMillis(20);
 
+    /** Deadline of a body whose request matches no route and states no time. */
+    private static final Duration DEFAULT_BODY_TIMEOUT = Duration.ofSeconds(60);
+    /**
+     * Send buffer of a caller's connection, which the kernel doubles. It bounds the kernel memory of slow callers and
+     * suffices for 10 MB/s at a round trip of 6 ms.
+     */
+    private static final int SEND_BUFFER_BYTES = 32 << 10;
+
     private static final int ACCEPT_BACKLOG = 1024;
     /** Maximum number of reads from one connection before others are read. */
     private static final int MAX_READS_PER_TURN = 16;
@@ -96,6 +105,7 @@
                 .setHandle100ContinueAutomatically(true)
                 .setIdleTimeout(IDLE_TIMEOUT_SECONDS)
                 .setAcceptBacklog(ACCEPT_BACKLOG)
+                .setSendBufferSize(SEND_BUFFER_BYTES)
                 .setTcpNoDelay(true)
                 .setTcpKeepAlive(true);
         server = vertx.createHttpServer(options)
@@ -137,27 +147,55 @@
                 .get()
                 .map(served -> served.publication().limits().maxBodyBytes())
                 .orElse(RequestLimits.DEFAULT.maxBodyBytes());
-        ByteArrayOutputStream body = new ByteArrayOutputStream();
-        request.exceptionHandler(failure -> LOGGER.debug("event=request-incomplete", failure));
-        request.handler(chunk -> {
-            if (body.size() <= maximumBytes) {
-                body.writeBytes(chunk.getBytes());
-            }
-        });
-        request.endHandler(end -> {
-            if (body.size() > maximumBytes) {
-                refuse(request, "", RefusalReason.BODY_TOO_LARGE, Optional.empty());
-            } else {
-                forward(request, body.toByteArray(), arrivedAtNanos);
-            }
-        });
+        RequestMetadata fields = context.protocol().parseRequest(request.headers());
+        BodyReader.read(
+                context,
+                request,
+                fields.requestIdentity(),
+                ownerOf(request, fields, arrivedAtNanos),
+                maximumBytes,
+                new BodyReader.Listener() {
+                    @Override
+                    public void onBody(byte[] body, Reservation reservation) {
+                        if (!forward(request, fields, body, arrivedAtNanos, reservation)) {
+                            reservation.release();
+                        }
+                    }
+
+                    @Override
+                    public void onRefused(RefusalReason reason, Optional<Duration> retryAfter) {
+                        refuse(request, fields.requestIdentity(), reason, retryAfter);
+                    }
+                });
     }
 
-    private void forward(HttpServerRequest request, byte[] body, long arrivedAtNanos) {
-        RequestMetadata fields = context.protocol().parseRequest(request.headers());
+    private BufferOwner ownerOf(HttpServerRequest request, RequestMetadata fields, long arrivedAtNanos) {
+        Optional<ServedPublication> served = publications.get();
+        Optional<PublishedRoute> route = served.flatMap(each -> each.route(hostOf(request), pathOf(request.uri())));
+        Optional<PublishedWorkspace> workspace =
+                served.flatMap(each -> fields.apiKey().flatMap(each::workspaceOf));
+        Duration timeout = route.map(PublishedRoute::timeout).orElse(DEFAULT_BODY_TIMEOUT);
+        return BufferedRequest.ownerOf(request, fields, workspace, route, deadline(fields, timeout, arrivedAtNanos));
+    }
+
+    private static Deadline deadline(RequestMetadata fields, Duration routeTimeout, long arrivedAtNanos) {
+        Deadline routeEnd = Deadline.after(arrivedAtNanos, routeTimeout);
+        return fields.timeoutMillis().isEmpty()
+                ? routeEnd
+                : routeEnd.earlierOf(Deadline.after(
+                        arrivedAtNanos, Duration.ofMillis(fields.timeoutMillis().getAsLong())));
+    }
+
+    /** Starts the exchange of a request, which releases the reservation, or refuses it and returns {@code false}. */
+    private boolean forward(
+            HttpServerRequest request,
+            RequestMetadata fields,
+            byte[] body,
+            long arrivedAtNanos,
+            Reservation reservation) {
         if (isRefusingNewRequests) {
             refuse(request, fields.requestIdentity(), RefusalReason.STOPPING, Optional.of(STOPPING_RETRY_AFTER));
-            return;
+            return false;
         }
         Optional<ServedPublication> served = publications.get();
         if (served.isEmpty()) {
@@ -166,22 +204,22 @@
                     fields.requestIdentity(),
                     RefusalReason.NO_PUBLICATION,
                     Optional.of(NO_PUBLICATION_RETRY_AFTER));
-            return;
+            return false;
         }
         Optional<PublishedRoute> route = served.get().route(hostOf(request), pathOf(request.uri()));
         if (route.isEmpty()) {
             refuse(request, fields.requestIdentity(), RefusalReason.NO_ROUTE, Optional.empty());
-            return;
+            return false;
         }
         Optional<PublishedWorkspace> workspace = fields.apiKey().flatMap(served.get()::workspaceOf);
         boolean needsKey = !route.get().isPublic()
                 && !served.get().publication().workspaces().isEmpty();
         if (needsKey && workspace.isEmpty()) {
             refuse(request, fields.requestIdentity(), RefusalReason.KEY_REFUSED, Optional.empty());
-            return;
+            return false;
         }
-        BufferedRequest buffered =
-                bufferedRequest(request, body, fields, served.get(), route.get(), workspace, arrivedAtNanos);
+        BufferedRequest buffered = bufferedRequest(
+                request, body, fields, served.get(), route.get(), workspace, arrivedAtNanos, reservation);
         Exchange exchange = new Exchange(context, buffered, exchanges::remove);
         exchanges.add(exchange);
         // Runs after the read, which ends with the end of the connection if the caller has left already.
@@ -192,6 +230,7 @@
                 exchange.handleCallerLeft();
             }
         });
+        return true;
     }
 
     private BufferedRequest bufferedRequest(
@@ -201,13 +240,9 @@
             ServedPublication served,
             PublishedRoute route,
             Optional<PublishedWorkspace> workspace,
-            long arrivedAtNanos) {
+            long arrivedAtNanos,
+            Reservation reservation) {
         String service = route.serviceAt(random.nextInt(route.totalWeight()));
-        Deadline routeEnd = Deadline.after(arrivedAtNanos, route.timeout());
-        Deadline deadline = fields.timeoutMillis().isEmpty()
-                ? routeEnd
-                : routeEnd.earlierOf(Deadline.after(
-                        arrivedAtNanos, Duration.ofMillis(fields.timeoutMillis().getAsLong())));
         String owner = workspace.map(PublishedWorkspace::name).orElse("");
         return new BufferedRequest(
                 request,
@@ -222,7 +257,8 @@
                         service,
                         fields.work().map(EngineWork::promptParts).orElse(List.of())),
                 arrivedAtNanos,
-                deadline);
+                deadline(fields, route.timeout(), arrivedAtNanos),
+                reservation);
     }
 
     private static void refuse(
--- a/src/main/java/org/borageproxy/forward/ReceivedAnswer.java
+++ b/src/main/java/org/borageproxy/forward/ReceivedAnswer.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
+import org.borageproxy.buffer.Reservation;
 
 /**
  * What one attempt has received of its answer. The body is kept until it is complete, as far as it is not relayed
@@ -15,10 +16,21 @@
  */
 final class ReceivedAnswer {
 
+    private final Reservation reservation;
     private Optional<HttpResponse> head = Optional.empty();
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     private long receivedBytes;
 
+    /**
+     * Creates an answer of which nothing was received. What was kept of an earlier answer is no longer accounted for.
+     *
+     * @param buffered the request, to whose reservation the bytes that are kept are added
+     */
+    ReceivedAnswer(BufferedRequest buffered) {
+        this.reservation = buffered.reservation();
+        reservation.shrink(reservation.bytes() - buffered.body().length);
+    }
+
     /** Sets the head, after which the body may be added. */
     void setHead(HttpResponse response) {
         head = Optional.of(response);
@@ -46,9 +58,15 @@
         return receivedBytes;
     }
 
-    /** Adds a copy of bytes to the body that is kept. */
-    void keep(ByteBuf bytes) {
+    /**
+     * Adds a copy of bytes to the body that is kept.
+     *
+     * @return whether more may be kept; otherwise the body must be taken
+     */
+    boolean keep(ByteBuf bytes) {
+        int added = bytes.readableBytes();
         body.writeBytes(bytes);
+        return reservation.record(added);
     }
 
     int keptBytes() {
@@ -59,6 +77,7 @@
     ByteBuf takeBody() {
         ByteBuf taken = body;
         body = Unpooled.EMPTY_BUFFER;
+        reservation.shrink(taken.readableBytes());
         return taken;
     }
 
--- a/src/main/java/org/borageproxy/forward/RefusalReason.java
+++ b/src/main/java/org/borageproxy/forward/RefusalReason.java
@@ -10,6 +10,10 @@
     KEY_REFUSED(401, "key-refused"),
     /** The request body exceeds the size limit. */
     BODY_TOO_LARGE(413, "body-too-large"),
+    /** The body was not complete at the deadline of the request. */
+    BODY_INCOMPLETE(408, "body-incomplete"),
+    /** This VM has no memory for the request in time, or needs it for requests whose refusal costs callers more. */
+    BUFFER_FULL(503, "buffer-full"),
     /** The workspace has exhausted its token rate. */
     RATE_SPENT(429, "rate-spent"),
     /** No backend server has capacity for the request in time, or none could be reached. */
--- a/src/main/java/org/borageproxy/forward/RequestLog.java
+++ b/src/main/java/org/borageproxy/forward/RequestLog.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.stream.Collectors;
 
+import org.borageproxy.buffer.Shortage;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.routing.EngineWork;
 import org.borageproxy.routing.ServerSelector;
@@ -173,6 +174,58 @@
         return parts.isEmpty() ? "-" : parts;
     }
 
+    /**
+     * Logs that the server of a streamed answer is not read on, since the caller takes it too slowly.
+     *
+     * @param unsentBytes the bytes that the caller has not taken
+     */
+    void readingPaused(long unsentBytes) {
+        LOGGER.info(
+                "event=answer-not-read id={} workspace={} unsent_bytes={} age_ms={}",
+                identity(),
+                workspace(),
+                unsentBytes,
+                ageMillis());
+    }
+
+    /**
+     * Logs that a caller is disconnected which took nothing of a ready answer until its deadline.
+     *
+     * @param unsentBytes the bytes that it has not taken
+     */
+    void callerDisconnected(long unsentBytes) {
+        LOGGER.info(
+                "event=caller-disconnected id={} workspace={} unsent_bytes={} age_ms={}",
+                identity(),
+                workspace(),
+                unsentBytes,
+                ageMillis());
+    }
+
+    /**
+     * Logs that the request is refused to make room for others.
+     *
+     * @param shortage the bound under which room is needed
+     * @return the time after which a retry may succeed
+     */
+    Duration evicted(Shortage shortage) {
+        LOGGER.info(
+                "event=request-evicted id={} workspace={} bound={} held_bytes={} limit_bytes={} room_after_ms={}"
+                        + " age_ms={}",
+                identity(),
+                workspace(),
+                shortage.bound(),
+                shortage.heldBytes(),
+                shortage.limitBytes(),
+                shortage.roomAfter().toMillis(),
+                ageMillis());
+        return shortage.roomAfter();
+    }
+
+    private String workspace() {
+        return buffered.workspace().map(each -> each.name()).orElse("-");
+    }
+
     void streamEvent() {
         long nowMillis = ageMillis();
         if (firstEventMillis < 0) {
@@ -205,7 +258,7 @@
                 identity(),
                 buffered.route().name(),
                 buffered.service(),
-                buffered.workspace().map(each -> each.name()).orElse("-"),
+                workspace(),
                 model(),
                 outcome,
                 status,
--- a/src/main/java/org/borageproxy/forward/ResponseRelay.java
+++ b/src/main/java/org/borageproxy/forward/ResponseRelay.java
@@ -19,12 +19,17 @@
  */
 final class ResponseRelay {
 
+    /** Size of the parts in which a complete answer is written, so that memory is returned as the caller takes them. */
+    private static final int PART_BYTES = 32 << 10;
+
     private final HttpServerResponse response;
+    private final CallerWrites writes;
     private boolean hasBegun;
     private boolean isStreamed;
 
-    ResponseRelay(HttpServerResponse response) {
+    ResponseRelay(HttpServerResponse response, CallerWrites writes) {
         this.response = response;
+        this.writes = writes;
     }
 
     boolean hasBegun() {
@@ -39,7 +44,19 @@
      */
     void sendComplete(HttpResponse head, ByteBuf body) {
         writeHead(head);
-        response.end(Buffer.buffer(ByteBufUtil.getBytes(body)));
+        if (body.readableBytes() > PART_BYTES) {
+            response.putHeader(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(body.readableBytes()));
+            while (body.readableBytes() > PART_BYTES) {
+                write(body.readSlice(PART_BYTES));
+            }
+        }
+        int lastBytes = body.readableBytes();
+        writes.track(response.end(Buffer.buffer(ByteBufUtil.getBytes(body))), lastBytes);
+    }
+
+    private void write(ByteBuf bytes) {
+        int size = bytes.readableBytes();
+        writes.track(response.write(Buffer.buffer(ByteBufUtil.getBytes(bytes))), size);
     }
 
     /**
@@ -60,7 +77,7 @@
             }
         }
         if (bytes.isReadable()) {
-            response.write(Buffer.buffer(ByteBufUtil.getBytes(bytes)));
+            write(bytes);
         }
     }
 
@@ -75,21 +92,26 @@
     }
 
     /**
-     * Returns whether the caller reads more slowly than the server writes.
+     * Returns whether the caller reads so slowly that no more of the answer may be buffered.
      *
      * @return {@code true} if reading from the server should pause
      */
     boolean isWriteQueueFull() {
-        return isStreamed && response.writeQueueFull();
+        return isStreamed && writes.isPaused();
     }
 
     /**
-     * Sets the action to run when the write queue has drained.
+     * Sets the action to run when more of the answer may be buffered.
      *
      * @param resume resumes reading from the server
      */
     void onDrained(Runnable resume) {
-        response.drainHandler(drained -> resume.run());
+        writes.onDrained(resume);
+    }
+
+    /** Returns the memory of the request, and that of the answer as the caller takes what is left of it. */
+    void releaseBuffers() {
+        writes.complete();
     }
 
     private void writeHead(HttpResponse head) {
--- a/src/main/java/org/borageproxy/forward/ServerConnection.java
+++ b/src/main/java/org/borageproxy/forward/ServerConnection.java
@@ -124,8 +124,9 @@
      * @param request the head, with the length of the body
      * @param body the whole body
      * @param newListener receives the answer
+     * @return completes when the request is written or the connection is closed
      */
-    void send(HttpRequest request, byte[] body, Listener newListener) {
+    ChannelFuture send(HttpRequest request, byte[] body, Listener newListener) {
         listener = Optional.of(newListener);
         isReusable = false;
         exchangeCount++;
@@ -137,7 +138,9 @@
         DefaultFullHttpRequest fullRequest = new DefaultFullHttpRequest(
                 request.protocolVersion(), request.method(), request.uri(), Unpooled.wrappedBuffer(body));
         fullRequest.headers().set(request.headers());
-        written = Optional.of(channel.writeAndFlush(fullRequest));
+        ChannelFuture newlyWritten = channel.writeAndFlush(fullRequest);
+        written = Optional.of(newlyWritten);
+        return newlyWritten;
     }
 
     /**
--- a/src/main/java/org/borageproxy/server/GatewayEntry.java
+++ b/src/main/java/org/borageproxy/server/GatewayEntry.java
@@ -10,7 +10,10 @@
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 
+import io.netty.util.internal.PlatformDependent;
 import io.vertx.core.Future;
+import org.borageproxy.buffer.BufferAccount;
+import org.borageproxy.buffer.BufferLimits;
 import org.borageproxy.control.ControlClient;
 import org.borageproxy.coordination.CoordinationClient;
 import org.borageproxy.coordination.ModelInventory;
@@ -70,6 +73,7 @@
     private final ServerConnectionPool connectionPool;
     private final ServerRelay relay;
     private final ForwardServer server;
+    private final BufferAccount buffers;
     private final String session = UUID.randomUUID().toString();
     private Optional<ServedPublication> servedPublication = Optional.empty();
     private int entryCount = INITIAL_ENTRY_COUNT;
@@ -113,6 +117,7 @@
         relay = createRelay(links);
         links.refusals().onEnd(pool::retryQueued);
         connectionPool = new ServerConnectionPool(links, runtime.clock());
+        buffers = createBuffers();
         ForwardContext context = new ForwardContext(
                 runtime.eventLoop(),
                 runtime.clock(),
@@ -132,11 +137,24 @@
                         runtime,
                         client,
                         CrashProbe.confirmed(CrashProbe.overTcp(runtime.vertx()), links::isRefusedElsewhere)),
+                buffers,
                 metrics);
         server = new ForwardServer(runtime.vertx(), context, () -> servedPublication, random);
         runtime.spread().subscribeDocument(document -> runtime.eventLoop().execute(() -> applyDocument(document)));
     }
 
+    private BufferAccount createBuffers() {
+        BufferLimits limits = BufferLimits.of(Runtime.getRuntime().maxMemory(), PlatformDependent.maxDirectMemory());
+        LOGGER.info(
+                "event=buffer-limits total_bytes={} workspace_bytes={} caller_bytes={} server_bytes={} spool_bytes={}",
+                limits.totalBytes(),
+                limits.workspaceBytes(),
+                limits.callerBytes(),
+                limits.serverBytes(),
+                limits.spoolBytes());
+        return new BufferAccount(limits, runtime.clock());
+    }
+
     private SlotClient createSlotClient() {
         return new SlotClient(
                 runtime.network(),
@@ -288,6 +306,10 @@
         return connectionPool.openedCount();
     }
 
+    BufferAccount buffers() {
+        return buffers;
+    }
+
     int inFlightCount() {
         return server.inFlight() + relay.openCount();
     }
--- a/src/main/java/org/borageproxy/server/GatewayProcess.java
+++ b/src/main/java/org/borageproxy/server/GatewayProcess.java
@@ -11,6 +11,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
+import org.borageproxy.buffer.BufferAccount;
 import org.borageproxy.log.consensus.Role;
 import org.borageproxy.logging.BoundedAppender;
 import org.borageproxy.settings.Endpoint;
@@ -106,6 +107,7 @@
             metrics.registerGauge("publication_number", entryRole::publicationNumber);
             metrics.registerGauge("coordinator_known", () -> entryRole.hasCoordinator() ? 1 : 0);
             metrics.registerGauge("server_connections_opened", entryRole::openedConnectionCount);
+            registerBufferGauges(entryRole.buffers());
         });
         control.ifPresent(controlRole -> {
             metrics.registerGauge("leads", () -> controlRole.status().role() == Role.LEADER ? 1 : 0);
@@ -117,6 +119,14 @@
         });
     }
 
+    private void registerBufferGauges(BufferAccount buffers) {
+        metrics.registerGauge("buffer_held_bytes", buffers::heldBytes);
+        metrics.registerGauge("buffer_peak_bytes", buffers::peakBytes);
+        metrics.registerGauge("buffer_limit_bytes", () -> buffers.limits().totalBytes());
+        metrics.registerGauge("buffer_refusals", buffers::refusalCount);
+        metrics.registerGauge("buffer_waiting_bodies", buffers::waiterCount);
+    }
+
     private CompletionStage<?> runOnEventLoop(Supplier<Future<?>> start) {
         CompletableFuture<Object> done = new CompletableFuture<>();
         runtime.context().runOnContext(nothing -> start.get().onComplete(result -> {
--- /dev/null
+++ b/src/test/java/org/borageproxy/platform/ForwardingFixture.java
@@ -0,0 +1,216 @@
+package org.borageproxy.platform;
+
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+
+import com.google.protobuf.ByteString;
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.internal.ContextInternal;
+import io.vertx.core.internal.VertxInternal;
+import org.borageproxy.buffer.BufferAccount;
+import org.borageproxy.buffer.BufferLimits;
+import org.borageproxy.execution.RetryBudget;
+import org.borageproxy.forward.CrashSuspects;
+import org.borageproxy.forward.ForwardContext;
+import org.borageproxy.forward.ForwardMetrics;
+import org.borageproxy.forward.ForwardServer;
+import org.borageproxy.forward.ServerConnectionPool;
+import org.borageproxy.forward.ServerLinks;
+import org.borageproxy.forward.ServerPool;
+import org.borageproxy.forward.SlotClient;
+import org.borageproxy.forward.StreamOriginClient;
+import org.borageproxy.forward.StreamOrigins;
+import org.borageproxy.forward.SuspectRequests;
+import org.borageproxy.membership.BackendServer;
+import org.borageproxy.membership.BackendServerFixture;
+import org.borageproxy.publication.Publication;
+import org.borageproxy.publication.PublishedRoute;
+import org.borageproxy.publication.PublishedService;
+import org.borageproxy.publication.PublishedWorkspace;
+import org.borageproxy.publication.Repeatability;
+import org.borageproxy.publication.RequestLimits;
+import org.borageproxy.publication.ServedPublication;
+import org.borageproxy.quota.RateShares;
+import org.borageproxy.settings.Endpoint;
+import org.borageproxy.time.Deadline;
+import org.borageproxy.time.MonotonicClock;
+import org.borageproxy.wire.MessageKind;
+import org.borageproxy.wire.VmNetwork;
+import org.borageproxy.wire.VmStreams;
+
+/**
+ * A forwarding server without coordinator and other VMs, with small buffers. Keys {@code key-w} and {@code key-v}
+ * belong to the workspaces {@code w} and {@code v}. Thread safe.
+ */
+final class ForwardingFixture implements AutoCloseable {
+
+    private final List<BackendServer> servers = new CopyOnWriteArrayList<>();
+    private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+    private final ContextInternal context = ((VertxInternal) vertx).createEventLoopContext();
+    private final BufferAccount buffers;
+    private final ForwardServer forwarding;
+    private final int port;
+
+    private enum NoNetwork implements VmNetwork {
+        INSTANCE;
+
+        @Override
+        public void send(org.borageproxy.vm.VmName recipient, MessageKind kind, ByteString body) {
+            throw new AssertionError("sent a message: " + kind);
+        }
+
+        @Override
+        public CompletionStage<ByteString> request(
+                org.borageproxy.vm.VmName recipient, MessageKind kind, ByteString body, Deadline deadline) {
+            throw new AssertionError("sent a request: " + kind);
+        }
+
+        @Override
+        public void registerHandler(MessageKind kind, Handler handler) {
+            throw new AssertionError("registered a handler: " + kind);
+        }
+    }
+
+    private enum NoStreams implements VmStreams {
+        INSTANCE;
+
+        @Override
+        public CompletionStage<Channel> open(
+                org.borageproxy.vm.VmName recipient, ByteString request, EventLoop eventLoop, Deadline deadline) {
+            throw new AssertionError("opened a stream");
+        }
+
+        @Override
+        public void acceptStreams(Acceptor acceptor) {
+            throw new AssertionError("accepts streams");
+        }
+    }
+
+    private enum NoSuspects implements SuspectRequests {
+        INSTANCE;
+
+        @Override
+        public boolean isQuarantined(CrashSuspects suspects) {
+            return false;
+        }
+
+        @Override
+        public void reportConnectionLoss(CrashSuspects suspects, BackendServer server) {
+            // Crashes are not the subject of these tests.
+        }
+
+        @Override
+        public void reportHarmless(CrashSuspects suspects) {
+            // Crashes are not the subject of these tests.
+        }
+    }
+
+    ForwardingFixture(BufferLimits limits, Duration routeTimeout) throws Exception {
+        MonotonicClock clock = MonotonicClock.ofSystem();
+        buffers = new BufferAccount(limits, clock);
+        ServerLinks links = new ServerLinks(
+                context.nettyEventLoop(),
+                clock,
+                new ServerLinks.Environment(NoStreams.INSTANCE, List::of, () -> List.copyOf(servers)));
+        ForwardContext forwardContext = new ForwardContext(
+                context.nettyEventLoop(),
+                clock,
+                new PlatformHeaders(),
+                new ServerPool(() -> List.copyOf(servers), clock, BackendServerFixture.ZONE, new Random(1), () -> 1),
+                new SlotClient(
+                        NoNetwork.INSTANCE,
+                        Optional::empty,
+                        BackendServerFixture.ZONE,
+                        clock,
+                        context.nettyEventLoop()),
+                new StreamOriginClient(
+                        new StreamOrigins(clock), NoNetwork.INSTANCE, Optional::empty, clock, context.nettyEventLoop()),
+                new ServerConnectionPool(links, clock),
+                new RateShares(System.nanoTime(), new Random(1), () -> 1),
+                service -> new RetryBudget(1, 100),
+                NoSuspects.INSTANCE,
+                buffers,
+                ForwardMetrics.NoOp.INSTANCE);
+        ServedPublication served = new ServedPublication(publication(routeTimeout));
+        forwarding = new ForwardServer(vertx, forwardContext, () -> Optional.of(served), new Random(1));
+        try (ServerSocket free = new ServerSocket(0)) {
+            port = free.getLocalPort();
+        }
+        CompletableFuture<Object> listening = new CompletableFuture<>();
+        context.runOnContext(nothing ->
+                forwarding.listen(new Endpoint("127.0.0.1", port)).onComplete(result -> listening.complete(result)));
+        listening.get(10, TimeUnit.SECONDS);
+    }
+
+    private static Publication publication(Duration routeTimeout) {
+        return new Publication(
+                1,
+                List.of(
+                        route("/safe/", Repeatability.IDEMPOTENT, routeTimeout),
+                        route("/once/", Repeatability.ONCE, routeTimeout),
+                        route("/stream/", Repeatability.STREAM, routeTimeout)),
+                Map.of("s", new PublishedService("s", 100, Optional.empty())),
+                Map.of(
+                        "w", new PublishedWorkspace("w", Set.of("key-w"), 0, 0, 0, 1),
+                        "v", new PublishedWorkspace("v", Set.of("key-v"), 0, 0, 0, 1)),
+                RequestLimits.DEFAULT);
+    }
+
+    private static PublishedRoute route(String prefix, Repeatability repeatability, Duration timeout) {
+        return new PublishedRoute(
+                prefix,
+                "host.example",
+                prefix,
+                repeatability,
+                timeout,
+                Duration.ofSeconds(1),
+                Duration.ZERO,
+                1,
+                List.of(new PublishedRoute.WeightedService("s", 1)),
+                2,
+                false);
+    }
+
+    void addServer(int serverPort) {
+        servers.add(BackendServerFixture.service("r" + servers.size(), serverPort));
+    }
+
+    int port() {
+        return port;
+    }
+
+    BufferAccount buffers() {
+        return buffers;
+    }
+
+    /** Runs a task on the event loop and returns its result. */
+    <T> T onEventLoop(Callable<T> task) throws Exception {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        context.runOnContext(nothing -> {
+            try {
+                result.complete(task.call());
+            } catch (Exception exception) {
+                result.completeExceptionally(exception);
+            }
+        });
+        return result.get(10, TimeUnit.SECONDS);
+    }
+
+    @Override
+    public void close() throws Exception {
+        vertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+    }
+}
--- a/src/test/java/org/borageproxy/platform/ForwardingTest.java
+++ b/src/test/java/org/borageproxy/platform/ForwardingTest.java
@@ -28,6 +28,7 @@
 import io.vertx.core.VertxOptions;
 import io.vertx.core.internal.ContextInternal;
 import io.vertx.core.internal.VertxInternal;
+import org.borageproxy.buffer.BufferFixture;
 import org.borageproxy.execution.RetryBudget;
 import org.borageproxy.forward.CrashSuspects;
 import org.borageproxy.forward.ForwardContext;
@@ -163,6 +164,7 @@
                 new RateShares(System.nanoTime(), new Random(1), () -> 1),
                 service -> budget,
                 new LossRecorder(),
+                BufferFixture.account(clock),
                 ForwardMetrics.NoOp.INSTANCE);
         ServedPublication served = new ServedPublication(publication());
         forwarding = new ForwardServer(vertx, forwardContext, () -> Optional.of(served), new Random(1));
@@ -211,14 +213,10 @@
                 false);
     }
 
-    private BackendServer backendServer(int serverPort) {
-        return BackendServerFixture.service("r" + servers.size(), serverPort);
-    }
-
     private ScriptedServer server(Function<String, ScriptedServer.Answer> script) throws IOException {
         ScriptedServer started = new ScriptedServer(script);
         scripted.add(started);
-        servers.add(backendServer(started.port()));
+        servers.add(BackendServerFixture.service("r" + servers.size(), started.port()));
         return started;
     }
 
@@ -569,7 +567,7 @@
         CountDownLatch arrived = new CountDownLatch(1);
         CompletableFuture<Long> closedAtNanos = new CompletableFuture<>();
         try (ServerSocket silent = new ServerSocket(0)) {
-            servers.add(backendServer(silent.getLocalPort()));
+            servers.add(BackendServerFixture.service("r" + servers.size(), silent.getLocalPort()));
             Thread thread = new Thread(() -> {
                 try (Socket connection = silent.accept()) {
                     ScriptedServer.read(connection.getInputStream());
