--- a/src/main/java/org/borageproxy/buffer/BufferAccount.java
+++ b/src/main/java/org/borageproxy/buffer/BufferAccount.java
@@ -28,7 +28,7 @@
 
     private final BufferLimits limits;
     private final MonotonicClock clock;
-    private final Map<Shortage.Bound, Map<String, Long>> heldByName = new EnumMap<>(Shortage.Bound.class);
+    private final Map<Shortage.Bound, Map<String, Holding>> holdings = new EnumMap<>(Shortage.Bound.class);
     private final Set<Reservation> reservations = new LinkedHashSet<>();
     private final Set<Waiter> waiters = new LinkedHashSet<>();
     private final ReleaseRate releaseRate;
@@ -67,7 +67,7 @@
         this.clock = clock;
         this.releaseRate = new ReleaseRate(clock.nanoTime());
         for (Shortage.Bound bound : Shortage.Bound.values()) {
-            heldByName.put(bound, new HashMap<>());
+            holdings.put(bound, new HashMap<>());
         }
     }
 
@@ -79,11 +79,10 @@
      * @return a {@link Reservation}, which must be released, or a {@link Shortage}
      */
     public ReservationResult reserve(BufferOwner owner, long bytes) {
-        Reservation reservation = new Reservation(this, owner);
-        reservations.add(reservation);
+        Reservation reservation = open(owner);
         Optional<Shortage> shortage = grow(reservation, bytes);
         if (shortage.isPresent()) {
-            reservations.remove(reservation);
+            reservation.release();
             return shortage.get();
         }
         return reservation;
@@ -96,11 +95,25 @@
      * @return the reservation, which must be released
      */
     public Reservation open(BufferOwner owner) {
-        Reservation reservation = new Reservation(this, owner);
+        Reservation reservation = new Reservation(
+                this,
+                owner,
+                open(Shortage.Bound.WORKSPACE, owner.workspace()),
+                open(Shortage.Bound.CALLER, owner.caller()),
+                open(Shortage.Bound.SERVER, owner.server()));
         reservations.add(reservation);
         return reservation;
     }
 
+    private Holding open(Shortage.Bound bound, String name) {
+        if (name.isEmpty()) {
+            return Holding.NONE;
+        }
+        Holding holding = holdings.get(bound).computeIfAbsent(name, key -> new Holding());
+        holding.open();
+        return holding;
+    }
+
     Optional<Shortage> grow(Reservation reservation, long added) {
         if (added == 0) {
             return Optional.empty();
@@ -134,16 +147,16 @@
     }
 
     private boolean exceeds(Shortage.Bound bound, Reservation reservation, long added) {
-        String name = nameOf(bound, reservation.owner());
-        if (name.isEmpty()) {
-            return false;
-        }
-        long held = heldBytes(bound, name);
-        return held > reservation.bytes() && held + added > limit(bound);
+        Holding holding = reservation.holding(bound);
+        return holding != Holding.NONE
+                && holding.bytes() > reservation.bytes()
+                && holding.bytes() + added > limit(bound);
     }
 
     private long heldBytes(Shortage.Bound bound, String name) {
-        return bound == Shortage.Bound.TOTAL ? heldBytes : heldByName.get(bound).getOrDefault(name, 0L);
+        return bound == Shortage.Bound.TOTAL
+                ? heldBytes
+                : holdings.get(bound).getOrDefault(name, Holding.NONE).bytes();
     }
 
     private long limit(Shortage.Bound bound) {
@@ -242,19 +255,9 @@
     }
 
     private void change(Reservation reservation, long change) {
-        BufferOwner owner = reservation.owner();
         reservation.add(change);
         heldBytes += change;
         peakBytes = Math.max(peakBytes, heldBytes);
-        changeNamed(Shortage.Bound.WORKSPACE, owner.workspace(), change);
-        changeNamed(Shortage.Bound.CALLER, owner.caller(), change);
-        changeNamed(Shortage.Bound.SERVER, owner.server(), change);
-    }
-
-    private void changeNamed(Shortage.Bound bound, String name, long change) {
-        if (!name.isEmpty()) {
-            heldByName.get(bound).merge(name, change, (held, each) -> held + each == 0 ? null : held + each);
-        }
     }
 
     /** Adds bytes that are buffered already, and returns whether all bounds still hold. */
@@ -278,6 +281,16 @@
 
     void remove(Reservation reservation) {
         reservations.remove(reservation);
+        close(Shortage.Bound.WORKSPACE, reservation);
+        close(Shortage.Bound.CALLER, reservation);
+        close(Shortage.Bound.SERVER, reservation);
+    }
+
+    private void close(Shortage.Bound bound, Reservation reservation) {
+        Holding holding = reservation.holding(bound);
+        if (holding != Holding.NONE && holding.close()) {
+            holdings.get(bound).remove(nameOf(bound, reservation.owner()));
+        }
     }
 
     /**
--- a/src/main/java/org/borageproxy/buffer/Reservation.java
+++ b/src/main/java/org/borageproxy/buffer/Reservation.java
@@ -10,6 +10,9 @@
 
     private final BufferAccount account;
     private final BufferOwner owner;
+    private final Holding workspace;
+    private final Holding caller;
+    private final Holding server;
     private long bytes;
     private boolean isReleased;
     /** Refuses the request; empty while it must not be refused. */
@@ -27,9 +30,12 @@
         void refuse(Shortage shortage);
     }
 
-    Reservation(BufferAccount account, BufferOwner owner) {
+    Reservation(BufferAccount account, BufferOwner owner, Holding workspace, Holding caller, Holding server) {
         this.account = account;
         this.owner = owner;
+        this.workspace = workspace;
+        this.caller = caller;
+        this.server = server;
     }
 
     /**
@@ -134,7 +140,19 @@
         return isReleased;
     }
 
+    Holding holding(Shortage.Bound bound) {
+        return switch (bound) {
+            case WORKSPACE -> workspace;
+            case CALLER -> caller;
+            case SERVER -> server;
+            case TOTAL -> throw new IllegalArgumentException("The total belongs to no reservation");
+        };
+    }
+
     void add(long change) {
         bytes += change;
+        workspace.add(change);
+        caller.add(change);
+        server.add(change);
     }
 }
--- a/src/main/java/org/borageproxy/forward/BodyReader.java
+++ b/src/main/java/org/borageproxy/forward/BodyReader.java
@@ -242,7 +242,8 @@
         if (isOver) {
             request.connection().close();
         } else {
-            request.response().putHeader("connection", "close");
+            request.response().putHeader("connection", "close").endHandler(ended -> request.connection()
+                    .close());
             refuse(RefusalReason.BODY_INCOMPLETE, Optional.empty());
         }
     }
--- a/src/main/java/org/borageproxy/forward/CallerWrites.java
+++ b/src/main/java/org/borageproxy/forward/CallerWrites.java
@@ -39,11 +39,7 @@
             return;
         }
         Delivery current = delivery.orElseGet(this::begin);
-        boolean wasPaused = current.isPaused();
         current.recordQueued(bytes, context.clock().nanoTime());
-        if (!wasPaused && current.isPaused()) {
-            log.readingPaused(current.unsentBytes());
-        }
         written.onComplete(result -> handleTaken(current, bytes));
     }
 
@@ -84,6 +80,9 @@
      * @param resume resumes reading; called at most once
      */
     void onDrained(Runnable resume) {
+        if (drainedListener.isEmpty()) {
+            log.readingPaused(delivery.map(Delivery::unsentBytes).orElse(0L));
+        }
         drainedListener = Optional.of(resume);
     }
 
