Keep grants of tokens valid until a slow coordinator answers again

Cause: with 64 entries and answers of the coordinator after 300 ms, 295 of 538 requests of a workspace at half its rate were refused with 429 while a single bucket would have held the tokens (568 of 1,011 at 0.95 of the rate): grants lapsed 500 ms after the last answered report, and requests were decided after 550 ms, before their own report was answered.

Ruled out: the division itself; with answers after 2 ms no request within the rate is refused.

Change: grants last 950 ms and end when a report is not answered in time. CoordinationClient gets a listener for unanswered reports.

--- a/src/main/java/org/borageproxy/coordination/CoordinationClient.java
+++ b/src/main/java/org/borageproxy/coordination/CoordinationClient.java
@@ -46,6 +46,7 @@
     private final Executor eventLoop;
     private final Supplier<UsageReport> reportSource;
     private final BiConsumer<CoordinationUpdate, Long> updateListener;
+    private Runnable unansweredListener = () -> {};
     private VmName coordinator;
     private int nextCandidate;
     private boolean isReportInFlight;
@@ -102,6 +103,15 @@
         return isReachable ? Optional.ofNullable(coordinator) : Optional.empty();
     }
 
+    /**
+     * Sets the action to run when a report was not answered in time.
+     *
+     * @param listener makes this VM decide by itself
+     */
+    public void onUnanswered(Runnable listener) {
+        unansweredListener = listener;
+    }
+
     /** Sends the first report and schedules periodic reports. */
     public void start() {
         isRunning = true;
@@ -169,6 +179,7 @@
         if (failure != null) {
             coordinator = null;
             nextCandidate++;
+            unansweredListener.run();
         }
         if (!isCoordinator && hadCoordinator && coordinator == null) {
             hadCoordinator = false;
--- a/src/main/java/org/borageproxy/quota/RateShares.java
+++ b/src/main/java/org/borageproxy/quota/RateShares.java
@@ -28,8 +28,12 @@
 
     /** Validity of a share without renewal. The coordinator reserves the share for longer than that. */
     public static final Duration SHARE_VALIDITY = Duration.ofSeconds(10);
-    /** Validity of grants after the last answered report was sent: four report intervals. */
-    public static final Duration GRANT_VALIDITY = Duration.ofMillis(500);
+    /**
+     * Validity of grants after the last answered report was sent: two report timeouts and the interval between them, so
+     * that grants of a coordinator that answers slowly do not lapse between two answers. 500 ms refused half of the
+     * requests of a workspace within its rate when answers took 300 ms.
+     */
+    public static final Duration GRANT_VALIDITY = Duration.ofMillis(950);
     /** Time after the start for which requests wait for the first grant; an entry finds the coordinator within it. */
     private static final Duration COORDINATOR_SEARCH_TIME = Duration.ofSeconds(2);
     /** Time for which a workspace counts as exhausted after a grant did not cover its pending requests. */
@@ -343,6 +347,17 @@
         decisions.forEach(Runnable::run);
     }
 
+    /**
+     * Records that the coordinator did not answer a report in time: grants expire now, and this entry spends its share
+     * until the next answer.
+     *
+     * @param nowNanos the current time of the clock
+     */
+    public void recordUnanswered(long nowNanos) {
+        grantsExpireAt = grantsExpireAt.earlierOf(new Deadline(nowNanos));
+        shares.values().forEach(share -> share.grantsExpireAt = share.grantsExpireAt.earlierOf(grantsExpireAt));
+    }
+
     /**
      * Builds the next report: the smoothed demand, the tokens spent without a grant since the last answered report, and
      * the pending requests. Also returns the unspent granted tokens, which cannot be spent here any more.
--- a/src/main/java/org/borageproxy/server/GatewayEntry.java
+++ b/src/main/java/org/borageproxy/server/GatewayEntry.java
@@ -106,6 +106,8 @@
                 .registeredDataPlaneVms()
                 .size());
         rateShares.onShortage(coordination::requestUrgentReport);
+        coordination.onUnanswered(
+                () -> rateShares.recordUnanswered(runtime.clock().nanoTime()));
         ControlClient client = new ControlClient(
                 runtime.self(), runtime.network(), runtime::controlVms, runtime.clock(), runtime.timer());
         slotClient = createSlotClient();
