--- a/src/main/java/org/borageproxy/control/ControlState.java
+++ b/src/main/java/org/borageproxy/control/ControlState.java
@@ -20,6 +20,7 @@
 import org.borageproxy.wire.proto.ControlProtocol.Missing;
 import org.borageproxy.wire.proto.ControlProtocol.PublishDocument;
 import org.borageproxy.wire.proto.ControlProtocol.Reply;
+import org.borageproxy.wire.proto.ControlProtocol.StreamRecord;
 import org.borageproxy.wire.proto.ControlProtocol.TreeState;
 import org.borageproxy.wire.proto.ControlProtocol.VmRecord;
 import org.slf4j.Logger;
@@ -48,6 +49,7 @@
     private final LeaseTable leases = new LeaseTable(records);
     private final IntentLedger intents = new IntentLedger(leases);
     private final CrashTable crashes = new CrashTable(records);
+    private final StreamTable streams = new StreamTable();
     private final ReplyCache replies = new ReplyCache();
     private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
 
@@ -80,6 +82,7 @@
             leases.save(snapshot);
             intents.save(snapshot);
             crashes.save(snapshot);
+            streams.save(snapshot);
             replies.save(snapshot);
             return snapshot.build().toByteString();
         } finally {
@@ -103,6 +106,7 @@
             leases.load(snapshot);
             intents.load(snapshot);
             crashes.load(snapshot);
+            streams.load(snapshot);
             replies.load(snapshot);
         } finally {
             lock.unlock();
@@ -252,10 +256,26 @@
         }
     }
 
+    /**
+     * Returns what is recorded of a resumable stream.
+     *
+     * @param request the identity of a request that began or resumed the stream
+     * @return the records; several if requests with this identity had different origins
+     */
+    public List<StreamRecord> streams(String request) {
+        lock.lock();
+        try {
+            return streams.find(request);
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** Expires old entries and applies a command unless its reply is cached. The caller holds the lock. */
     private Reply applyLocked(long stateMillis, Command command) {
         claims.expire(stateMillis);
         crashes.expire(stateMillis);
+        streams.expire(stateMillis);
         replies.expire(stateMillis);
         Optional<Reply> earlier = replies.find(command.getIdentity());
         if (earlier.isPresent()) {
@@ -291,6 +311,10 @@
                 yield done();
             }
             case PUBLISH_DOCUMENT -> publish(command.getPublishDocument());
+            case RECORD_STREAMS -> {
+                streams.record(command.getRecordStreams(), stateMillis);
+                yield done();
+            }
             case REMOVE_VM -> removeVm(command.getRemoveVm().getName());
             default ->
                 Reply.newBuilder().setMissing(Missing.getDefaultInstance()).build();
--- a/src/main/java/org/borageproxy/forward/StreamOrigins.java
+++ b/src/main/java/org/borageproxy/forward/StreamOrigins.java
@@ -42,6 +42,7 @@
     private static final int MAX_REPORTED = 400;
 
     private final MonotonicClock clock;
+    private final Archive archive;
     /** Oldest first. */
     private final Map<String, Entry> entries = new LinkedHashMap<>();
 
@@ -49,6 +50,38 @@
     private List<String> reportInFlight = List.of();
     private long reportedTerm;
 
+    /** Keeps origins beyond the end of this process. Confined to the event loop of the origins. */
+    public interface Archive {
+
+        /** Keeps nothing. */
+        Archive NONE = new Archive() {
+            @Override
+            public void add(BegunStream stream) {
+                // Keeps nothing.
+            }
+
+            @Override
+            public List<BegunStream> find(String request) {
+                return List.of();
+            }
+        };
+
+        /**
+         * Keeps the origin of a stream soon.
+         *
+         * @param stream the reported stream
+         */
+        void add(BegunStream stream);
+
+        /**
+         * Returns what is kept of a request.
+         *
+         * @param request the identity of the request
+         * @return the origins; empty if none is kept
+         */
+        List<BegunStream> find(String request);
+    }
+
     private record Entry(Set<StreamOrigin> origins, Deadline expiresAt) {
         private Entry {
             origins = Set.copyOf(origins);
@@ -67,7 +100,18 @@
      * @param clock the clock
      */
     public StreamOrigins(MonotonicClock clock) {
+        this(clock, Archive.NONE);
+    }
+
+    /**
+     * Creates the table of a VM that may be the coordinator.
+     *
+     * @param clock the clock
+     * @param archive receives the streams that other VMs report
+     */
+    public StreamOrigins(MonotonicClock clock, Archive archive) {
         this.clock = clock;
+        this.archive = archive;
     }
 
     /**
@@ -121,10 +165,16 @@
      * @return empty if the origin is not known here, is ambiguous or has expired
      */
     Optional<StreamOrigin> find(String request) {
-        return Optional.ofNullable(entries.get(request))
-                .filter(entry ->
-                        entry.origins().size() == 1 && !entry.expiresAt().hasPassed(clock.nanoTime()))
-                .map(entry -> entry.origins().iterator().next());
+        Set<StreamOrigin> known = new LinkedHashSet<>();
+        archive.find(request).forEach(stream -> known.add(originOf(stream)));
+        Optional.ofNullable(entries.get(request))
+                .filter(entry -> !entry.expiresAt().hasPassed(clock.nanoTime()))
+                .ifPresent(entry -> known.addAll(entry.origins()));
+        return known.size() == 1 ? Optional.of(known.iterator().next()) : Optional.empty();
+    }
+
+    private static StreamOrigin originOf(BegunStream stream) {
+        return new StreamOrigin(stream.getService(), stream.getSoftwareVersion());
     }
 
     /**
@@ -180,8 +230,11 @@
      * @param streams the reported streams
      */
     void recordReported(List<BegunStream> streams) {
-        streams.forEach(stream ->
-                record(stream.getRequest(), new StreamOrigin(stream.getService(), stream.getSoftwareVersion())));
+        streams.forEach(stream -> {
+            if (record(stream.getRequest(), originOf(stream))) {
+                archive.add(stream);
+            }
+        });
     }
 
     @Override
--- a/src/main/java/org/borageproxy/server/GatewayControl.java
+++ b/src/main/java/org/borageproxy/server/GatewayControl.java
@@ -106,7 +106,7 @@
         refusals = new ServerRefusals(
                 runtime.clock(), runtime.timer(), runtime.membership().registry(), () -> List.of(Optional.empty()));
         placement = createPlacement();
-        streamOrigins = new StreamOrigins(runtime.clock());
+        streamOrigins = new StreamOrigins(runtime.clock(), new StreamArchive(state, client, runtime.timer()));
         slotBroker = createSlotBroker();
         admission = new AdmissionService(
                 member,
--- a/src/main/java/org/borageproxy/wire/proto/ControlProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/ControlProtocol.java
@@ -2007,6 +2007,21 @@
      */
     org.borageproxy.wire.proto.ControlProtocol.PublishDocumentOrBuilder getPublishDocumentOrBuilder();
 
+    /**
+     * <code>.borageproxy.control.RecordStreams record_streams = 30;</code>
+     * @return Whether the recordStreams field is set.
+     */
+    boolean hasRecordStreams();
+    /**
+     * <code>.borageproxy.control.RecordStreams record_streams = 30;</code>
+     * @return The recordStreams.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.RecordStreams getRecordStreams();
+    /**
+     * <code>.borageproxy.control.RecordStreams record_streams = 30;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.RecordStreamsOrBuilder getRecordStreamsOrBuilder();
+
     org.borageproxy.wire.proto.ControlProtocol.Command.BodyCase getBodyCase();
   }
   /**
@@ -2080,6 +2095,7 @@
       REGISTER_VM(17),
       REMOVE_VM(18),
       PUBLISH_DOCUMENT(19),
+      RECORD_STREAMS(30),
       BODY_NOT_SET(0);
       private final int value;
       private BodyCase(int value) {
@@ -2115,6 +2131,7 @@
           case 17: return REGISTER_VM;
           case 18: return REMOVE_VM;
           case 19: return PUBLISH_DOCUMENT;
+          case 30: return RECORD_STREAMS;
           case 0: return BODY_NOT_SET;
           default: return null;
         }
@@ -2727,6 +2744,37 @@
       return org.borageproxy.wire.proto.ControlProtocol.PublishDocument.getDefaultInstance();
     }
 
+    public static final int RECORD_STREAMS_FIELD_NUMBER = 30;
+    /**
+     * <code>.borageproxy.control.RecordStreams record_streams = 30;</code>
+     * @return Whether the recordStreams field is set.
+     */
+    @java.lang.Override
+    public boolean hasRecordStreams() {
+      return bodyCase_ == 30;
+    }
+    /**
+     * <code>.borageproxy.control.RecordStreams record_streams = 30;</code>
+     * @return The recordStreams.
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.RecordStreams getRecordStreams() {
+      if (bodyCase_ == 30) {
+         return (org.borageproxy.wire.proto.ControlProtocol.RecordStreams) body_;
+      }
+      return org.borageproxy.wire.proto.ControlProtocol.RecordStreams.getDefaultInstance();
+    }
+    /**
+     * <code>.borageproxy.control.RecordStreams record_streams = 30;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.RecordStreamsOrBuilder getRecordStreamsOrBuilder() {
+      if (bodyCase_ == 30) {
+         return (org.borageproxy.wire.proto.ControlProtocol.RecordStreams) body_;
+      }
+      return org.borageproxy.wire.proto.ControlProtocol.RecordStreams.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -2798,6 +2846,9 @@
       if (bodyCase_ == 19) {
         output.writeMessage(19, (org.borageproxy.wire.proto.ControlProtocol.PublishDocument) body_);
       }
+      if (bodyCase_ == 30) {
+        output.writeMessage(30, (org.borageproxy.wire.proto.ControlProtocol.RecordStreams) body_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -2882,6 +2933,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(19, (org.borageproxy.wire.proto.ControlProtocol.PublishDocument) body_);
       }
+      if (bodyCase_ == 30) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(30, (org.borageproxy.wire.proto.ControlProtocol.RecordStreams) body_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -2973,6 +3028,10 @@
           if (!getPublishDocument()
               .equals(other.getPublishDocument())) return false;
           break;
+        case 30:
+          if (!getRecordStreams()
+              .equals(other.getRecordStreams())) return false;
+          break;
         case 0:
         default:
       }
@@ -3062,6 +3121,10 @@
           hash = (37 * hash) + PUBLISH_DOCUMENT_FIELD_NUMBER;
           hash = (53 * hash) + getPublishDocument().hashCode();
           break;
+        case 30:
+          hash = (37 * hash) + RECORD_STREAMS_FIELD_NUMBER;
+          hash = (53 * hash) + getRecordStreams().hashCode();
+          break;
         case 0:
         default:
       }
@@ -3255,6 +3318,9 @@
         if (publishDocumentBuilder_ != null) {
           publishDocumentBuilder_.clear();
         }
+        if (recordStreamsBuilder_ != null) {
+          recordStreamsBuilder_.clear();
+        }
         bodyCase_ = 0;
         body_ = null;
         return this;
@@ -3371,6 +3437,10 @@
             publishDocumentBuilder_ != null) {
           result.body_ = publishDocumentBuilder_.build();
         }
+        if (bodyCase_ == 30 &&
+            recordStreamsBuilder_ != null) {
+          result.body_ = recordStreamsBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -3463,6 +3533,10 @@
             mergePublishDocument(other.getPublishDocument());
             break;
           }
+          case RECORD_STREAMS: {
+            mergeRecordStreams(other.getRecordStreams());
+            break;
+          }
           case BODY_NOT_SET: {
             break;
           }
@@ -3624,6 +3698,13 @@
                 bodyCase_ = 19;
                 break;
               } // case 154
+              case 242: {
+                input.readMessage(
+                    internalGetRecordStreamsFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 30;
+                break;
+              } // case 242
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -6284,6 +6365,148 @@
         return publishDocumentBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.RecordStreams, org.borageproxy.wire.proto.ControlProtocol.RecordStreams.Builder, org.borageproxy.wire.proto.ControlProtocol.RecordStreamsOrBuilder> recordStreamsBuilder_;
+      /**
+       * <code>.borageproxy.control.RecordStreams record_streams = 30;</code>
+       * @return Whether the recordStreams field is set.
+       */
+      @java.lang.Override
+      public boolean hasRecordStreams() {
+        return bodyCase_ == 30;
+      }
+      /**
+       * <code>.borageproxy.control.RecordStreams record_streams = 30;</code>
+       * @return The recordStreams.
+       */
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.RecordStreams getRecordStreams() {
+        if (recordStreamsBuilder_ == null) {
+          if (bodyCase_ == 30) {
+            return (org.borageproxy.wire.proto.ControlProtocol.RecordStreams) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.RecordStreams.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 30) {
+            return recordStreamsBuilder_.getMessage();
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.RecordStreams.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.borageproxy.control.RecordStreams record_streams = 30;</code>
+       */
+      public Builder setRecordStreams(org.borageproxy.wire.proto.ControlProtocol.RecordStreams value) {
+        if (recordStreamsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          body_ = value;
+          onChanged();
+        } else {
+          recordStreamsBuilder_.setMessage(value);
+        }
+        bodyCase_ = 30;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.RecordStreams record_streams = 30;</code>
+       */
+      public Builder setRecordStreams(
+          org.borageproxy.wire.proto.ControlProtocol.RecordStreams.Builder builderForValue) {
+        if (recordStreamsBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          recordStreamsBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 30;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.RecordStreams record_streams = 30;</code>
+       */
+      public Builder mergeRecordStreams(org.borageproxy.wire.proto.ControlProtocol.RecordStreams value) {
+        if (recordStreamsBuilder_ == null) {
+          if (bodyCase_ == 30 &&
+              body_ != org.borageproxy.wire.proto.ControlProtocol.RecordStreams.getDefaultInstance()) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.RecordStreams.newBuilder((org.borageproxy.wire.proto.ControlProtocol.RecordStreams) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 30) {
+            recordStreamsBuilder_.mergeFrom(value);
+          } else {
+            recordStreamsBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 30;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.RecordStreams record_streams = 30;</code>
+       */
+      public Builder clearRecordStreams() {
+        if (recordStreamsBuilder_ == null) {
+          if (bodyCase_ == 30) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 30) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          recordStreamsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.RecordStreams record_streams = 30;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.RecordStreams.Builder getRecordStreamsBuilder() {
+        return internalGetRecordStreamsFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.borageproxy.control.RecordStreams record_streams = 30;</code>
+       */
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.RecordStreamsOrBuilder getRecordStreamsOrBuilder() {
+        if ((bodyCase_ == 30) && (recordStreamsBuilder_ != null)) {
+          return recordStreamsBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 30) {
+            return (org.borageproxy.wire.proto.ControlProtocol.RecordStreams) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.RecordStreams.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.borageproxy.control.RecordStreams record_streams = 30;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.RecordStreams, org.borageproxy.wire.proto.ControlProtocol.RecordStreams.Builder, org.borageproxy.wire.proto.ControlProtocol.RecordStreamsOrBuilder> 
+          internalGetRecordStreamsFieldBuilder() {
+        if (recordStreamsBuilder_ == null) {
+          if (!(bodyCase_ == 30)) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.RecordStreams.getDefaultInstance();
+          }
+          recordStreamsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.RecordStreams, org.borageproxy.wire.proto.ControlProtocol.RecordStreams.Builder, org.borageproxy.wire.proto.ControlProtocol.RecordStreamsOrBuilder>(
+                  (org.borageproxy.wire.proto.ControlProtocol.RecordStreams) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 30;
+        onChanged();
+        return recordStreamsBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.control.Command)
     }
 
@@ -6335,69 +6558,45 @@
 
   }
 
-  public interface ApplyTreeOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:borageproxy.control.ApplyTree)
+  public interface RecordStreamsOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.control.RecordStreams)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>string change_identity = 1;</code>
-     * @return The changeIdentity.
+     * <code>repeated .borageproxy.control.StreamRecord streams = 1;</code>
      */
-    java.lang.String getChangeIdentity();
+    java.util.List<org.borageproxy.wire.proto.ControlProtocol.StreamRecord> 
+        getStreamsList();
     /**
-     * <code>string change_identity = 1;</code>
-     * @return The bytes for changeIdentity.
+     * <code>repeated .borageproxy.control.StreamRecord streams = 1;</code>
      */
-    com.google.protobuf.ByteString
-        getChangeIdentityBytes();
-
+    org.borageproxy.wire.proto.ControlProtocol.StreamRecord getStreams(int index);
     /**
-     * <code>uint64 base_revision = 2;</code>
-     * @return The baseRevision.
+     * <code>repeated .borageproxy.control.StreamRecord streams = 1;</code>
      */
-    long getBaseRevision();
-
+    int getStreamsCount();
     /**
-     * <code>string document = 3;</code>
-     * @return The document.
+     * <code>repeated .borageproxy.control.StreamRecord streams = 1;</code>
      */
-    java.lang.String getDocument();
+    java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder> 
+        getStreamsOrBuilderList();
     /**
-     * <code>string document = 3;</code>
-     * @return The bytes for document.
-     */
-    com.google.protobuf.ByteString
-        getDocumentBytes();
-
-    /**
-     * <code>string operator = 4;</code>
-     * @return The operator.
-     */
-    java.lang.String getOperator();
-    /**
-     * <code>string operator = 4;</code>
-     * @return The bytes for operator.
+     * <code>repeated .borageproxy.control.StreamRecord streams = 1;</code>
      */
-    com.google.protobuf.ByteString
-        getOperatorBytes();
-
-    /**
-     * <pre>
-     * Only requests the reply to an earlier copy of the change; the change itself is not applied.
-     * </pre>
-     *
-     * <code>bool only_known = 5;</code>
-     * @return The onlyKnown.
-     */
-    boolean getOnlyKnown();
+    org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder getStreamsOrBuilder(
+        int index);
   }
   /**
-   * Protobuf type {@code borageproxy.control.ApplyTree}
+   * <pre>
+   * Streams of which entries have relayed events. Members of an earlier release ignore the command.
+   * </pre>
+   *
+   * Protobuf type {@code borageproxy.control.RecordStreams}
    */
-  public static final class ApplyTree extends
+  public static final class RecordStreams extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:borageproxy.control.ApplyTree)
-      ApplyTreeOrBuilder {
+      // @@protoc_insertion_point(message_implements:borageproxy.control.RecordStreams)
+      RecordStreamsOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -6406,177 +6605,73 @@
         /* minor= */ 34,
         /* patch= */ 2,
         /* suffix= */ "",
-        "ApplyTree");
+        "RecordStreams");
     }
-    // Use ApplyTree.newBuilder() to construct.
-    private ApplyTree(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use RecordStreams.newBuilder() to construct.
+    private RecordStreams(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private ApplyTree() {
-      changeIdentity_ = "";
-      document_ = "";
-      operator_ = "";
+    private RecordStreams() {
+      streams_ = java.util.Collections.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ApplyTree_descriptor;
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_RecordStreams_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ApplyTree_descriptor;
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_RecordStreams_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ApplyTree_fieldAccessorTable
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_RecordStreams_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.borageproxy.wire.proto.ControlProtocol.ApplyTree.class, org.borageproxy.wire.proto.ControlProtocol.ApplyTree.Builder.class);
+              org.borageproxy.wire.proto.ControlProtocol.RecordStreams.class, org.borageproxy.wire.proto.ControlProtocol.RecordStreams.Builder.class);
     }
 
-    public static final int CHANGE_IDENTITY_FIELD_NUMBER = 1;
+    public static final int STREAMS_FIELD_NUMBER = 1;
     @SuppressWarnings("serial")
-    private volatile java.lang.Object changeIdentity_ = "";
+    private java.util.List<org.borageproxy.wire.proto.ControlProtocol.StreamRecord> streams_;
     /**
-     * <code>string change_identity = 1;</code>
-     * @return The changeIdentity.
-     */
-    @java.lang.Override
-    public java.lang.String getChangeIdentity() {
-      java.lang.Object ref = changeIdentity_;
-      if (ref instanceof java.lang.String) {
-        return (java.lang.String) ref;
-      } else {
-        com.google.protobuf.ByteString bs = 
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        changeIdentity_ = s;
-        return s;
-      }
-    }
-    /**
-     * <code>string change_identity = 1;</code>
-     * @return The bytes for changeIdentity.
-     */
-    @java.lang.Override
-    public com.google.protobuf.ByteString
-        getChangeIdentityBytes() {
-      java.lang.Object ref = changeIdentity_;
-      if (ref instanceof java.lang.String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        changeIdentity_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
-    }
-
-    public static final int BASE_REVISION_FIELD_NUMBER = 2;
-    private long baseRevision_ = 0L;
-    /**
-     * <code>uint64 base_revision = 2;</code>
-     * @return The baseRevision.
-     */
-    @java.lang.Override
-    public long getBaseRevision() {
-      return baseRevision_;
-    }
-
-    public static final int DOCUMENT_FIELD_NUMBER = 3;
-    @SuppressWarnings("serial")
-    private volatile java.lang.Object document_ = "";
-    /**
-     * <code>string document = 3;</code>
-     * @return The document.
+     * <code>repeated .borageproxy.control.StreamRecord streams = 1;</code>
      */
     @java.lang.Override
-    public java.lang.String getDocument() {
-      java.lang.Object ref = document_;
-      if (ref instanceof java.lang.String) {
-        return (java.lang.String) ref;
-      } else {
-        com.google.protobuf.ByteString bs = 
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        document_ = s;
-        return s;
-      }
+    public java.util.List<org.borageproxy.wire.proto.ControlProtocol.StreamRecord> getStreamsList() {
+      return streams_;
     }
     /**
-     * <code>string document = 3;</code>
-     * @return The bytes for document.
+     * <code>repeated .borageproxy.control.StreamRecord streams = 1;</code>
      */
     @java.lang.Override
-    public com.google.protobuf.ByteString
-        getDocumentBytes() {
-      java.lang.Object ref = document_;
-      if (ref instanceof java.lang.String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        document_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
+    public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder> 
+        getStreamsOrBuilderList() {
+      return streams_;
     }
-
-    public static final int OPERATOR_FIELD_NUMBER = 4;
-    @SuppressWarnings("serial")
-    private volatile java.lang.Object operator_ = "";
     /**
-     * <code>string operator = 4;</code>
-     * @return The operator.
+     * <code>repeated .borageproxy.control.StreamRecord streams = 1;</code>
      */
     @java.lang.Override
-    public java.lang.String getOperator() {
-      java.lang.Object ref = operator_;
-      if (ref instanceof java.lang.String) {
-        return (java.lang.String) ref;
-      } else {
-        com.google.protobuf.ByteString bs = 
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        operator_ = s;
-        return s;
-      }
+    public int getStreamsCount() {
+      return streams_.size();
     }
     /**
-     * <code>string operator = 4;</code>
-     * @return The bytes for operator.
+     * <code>repeated .borageproxy.control.StreamRecord streams = 1;</code>
      */
     @java.lang.Override
-    public com.google.protobuf.ByteString
-        getOperatorBytes() {
-      java.lang.Object ref = operator_;
-      if (ref instanceof java.lang.String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        operator_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
+    public org.borageproxy.wire.proto.ControlProtocol.StreamRecord getStreams(int index) {
+      return streams_.get(index);
     }
-
-    public static final int ONLY_KNOWN_FIELD_NUMBER = 5;
-    private boolean onlyKnown_ = false;
     /**
-     * <pre>
-     * Only requests the reply to an earlier copy of the change; the change itself is not applied.
-     * </pre>
-     *
-     * <code>bool only_known = 5;</code>
-     * @return The onlyKnown.
+     * <code>repeated .borageproxy.control.StreamRecord streams = 1;</code>
      */
     @java.lang.Override
-    public boolean getOnlyKnown() {
-      return onlyKnown_;
+    public org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder getStreamsOrBuilder(
+        int index) {
+      return streams_.get(index);
     }
 
     private byte memoizedIsInitialized = -1;
@@ -6593,20 +6688,8 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(changeIdentity_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 1, changeIdentity_);
-      }
-      if (baseRevision_ != 0L) {
-        output.writeUInt64(2, baseRevision_);
-      }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(document_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 3, document_);
-      }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(operator_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 4, operator_);
-      }
-      if (onlyKnown_ != false) {
-        output.writeBool(5, onlyKnown_);
+      for (int i = 0; i < streams_.size(); i++) {
+        output.writeMessage(1, streams_.get(i));
       }
       getUnknownFields().writeTo(output);
     }
@@ -6617,23 +6700,15 @@
       if (size != -1) return size;
 
       size = 0;
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(changeIdentity_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, changeIdentity_);
-      }
-      if (baseRevision_ != 0L) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(2, baseRevision_);
-      }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(document_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(3, document_);
-      }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(operator_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(4, operator_);
-      }
-      if (onlyKnown_ != false) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeBoolSize(5, onlyKnown_);
-      }
+
+          {
+            final int count = streams_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(streams_.get(i));
+            }
+            size += 1 * count;
+          }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -6644,21 +6719,13 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.ApplyTree)) {
+      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.RecordStreams)) {
         return super.equals(obj);
       }
-      org.borageproxy.wire.proto.ControlProtocol.ApplyTree other = (org.borageproxy.wire.proto.ControlProtocol.ApplyTree) obj;
+      org.borageproxy.wire.proto.ControlProtocol.RecordStreams other = (org.borageproxy.wire.proto.ControlProtocol.RecordStreams) obj;
 
-      if (!getChangeIdentity()
-          .equals(other.getChangeIdentity())) return false;
-      if (getBaseRevision()
-          != other.getBaseRevision()) return false;
-      if (!getDocument()
-          .equals(other.getDocument())) return false;
-      if (!getOperator()
-          .equals(other.getOperator())) return false;
-      if (getOnlyKnown()
-          != other.getOnlyKnown()) return false;
+      if (!getStreamsList()
+          .equals(other.getStreamsList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -6670,61 +6737,53 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + CHANGE_IDENTITY_FIELD_NUMBER;
-      hash = (53 * hash) + getChangeIdentity().hashCode();
-      hash = (37 * hash) + BASE_REVISION_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getBaseRevision());
-      hash = (37 * hash) + DOCUMENT_FIELD_NUMBER;
-      hash = (53 * hash) + getDocument().hashCode();
-      hash = (37 * hash) + OPERATOR_FIELD_NUMBER;
-      hash = (53 * hash) + getOperator().hashCode();
-      hash = (37 * hash) + ONLY_KNOWN_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-          getOnlyKnown());
+      if (getStreamsCount() > 0) {
+        hash = (37 * hash) + STREAMS_FIELD_NUMBER;
+        hash = (53 * hash) + getStreamsList().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.ApplyTree parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.RecordStreams parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.ApplyTree parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.RecordStreams parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.ApplyTree parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.RecordStreams parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.ApplyTree parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.RecordStreams parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.ApplyTree parseFrom(byte[] data)
+    public static org.borageproxy.wire.proto.ControlProtocol.RecordStreams parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.ApplyTree parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.RecordStreams parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.ApplyTree parseFrom(java.io.InputStream input)
+    public static org.borageproxy.wire.proto.ControlProtocol.RecordStreams parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.ApplyTree parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.RecordStreams parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -6732,26 +6791,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.ApplyTree parseDelimitedFrom(java.io.InputStream input)
+    public static org.borageproxy.wire.proto.ControlProtocol.RecordStreams parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.ApplyTree parseDelimitedFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.RecordStreams parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.ApplyTree parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.RecordStreams parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.ApplyTree parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.RecordStreams parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -6764,7 +6823,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.ApplyTree prototype) {
+    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.RecordStreams prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -6780,26 +6839,30 @@
       return builder;
     }
     /**
-     * Protobuf type {@code borageproxy.control.ApplyTree}
+     * <pre>
+     * Streams of which entries have relayed events. Members of an earlier release ignore the command.
+     * </pre>
+     *
+     * Protobuf type {@code borageproxy.control.RecordStreams}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:borageproxy.control.ApplyTree)
-        org.borageproxy.wire.proto.ControlProtocol.ApplyTreeOrBuilder {
+        // @@protoc_insertion_point(builder_implements:borageproxy.control.RecordStreams)
+        org.borageproxy.wire.proto.ControlProtocol.RecordStreamsOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ApplyTree_descriptor;
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_RecordStreams_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ApplyTree_fieldAccessorTable
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_RecordStreams_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                org.borageproxy.wire.proto.ControlProtocol.ApplyTree.class, org.borageproxy.wire.proto.ControlProtocol.ApplyTree.Builder.class);
+                org.borageproxy.wire.proto.ControlProtocol.RecordStreams.class, org.borageproxy.wire.proto.ControlProtocol.RecordStreams.Builder.class);
       }
 
-      // Construct using org.borageproxy.wire.proto.ControlProtocol.ApplyTree.newBuilder()
+      // Construct using org.borageproxy.wire.proto.ControlProtocol.RecordStreams.newBuilder()
       private Builder() {
 
       }
@@ -6813,28 +6876,30 @@
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        changeIdentity_ = "";
-        baseRevision_ = 0L;
-        document_ = "";
-        operator_ = "";
-        onlyKnown_ = false;
+        if (streamsBuilder_ == null) {
+          streams_ = java.util.Collections.emptyList();
+        } else {
+          streams_ = null;
+          streamsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000001);
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ApplyTree_descriptor;
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_RecordStreams_descriptor;
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.ApplyTree getDefaultInstanceForType() {
-        return org.borageproxy.wire.proto.ControlProtocol.ApplyTree.getDefaultInstance();
+      public org.borageproxy.wire.proto.ControlProtocol.RecordStreams getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.RecordStreams.getDefaultInstance();
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.ApplyTree build() {
-        org.borageproxy.wire.proto.ControlProtocol.ApplyTree result = buildPartial();
+      public org.borageproxy.wire.proto.ControlProtocol.RecordStreams build() {
+        org.borageproxy.wire.proto.ControlProtocol.RecordStreams result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -6842,64 +6907,1928 @@
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.ApplyTree buildPartial() {
-        org.borageproxy.wire.proto.ControlProtocol.ApplyTree result = new org.borageproxy.wire.proto.ControlProtocol.ApplyTree(this);
+      public org.borageproxy.wire.proto.ControlProtocol.RecordStreams buildPartial() {
+        org.borageproxy.wire.proto.ControlProtocol.RecordStreams result = new org.borageproxy.wire.proto.ControlProtocol.RecordStreams(this);
+        buildPartialRepeatedFields(result);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.ApplyTree result) {
-        int from_bitField0_ = bitField0_;
-        if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.changeIdentity_ = changeIdentity_;
-        }
-        if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.baseRevision_ = baseRevision_;
-        }
-        if (((from_bitField0_ & 0x00000004) != 0)) {
-          result.document_ = document_;
-        }
-        if (((from_bitField0_ & 0x00000008) != 0)) {
-          result.operator_ = operator_;
-        }
-        if (((from_bitField0_ & 0x00000010) != 0)) {
-          result.onlyKnown_ = onlyKnown_;
+      private void buildPartialRepeatedFields(org.borageproxy.wire.proto.ControlProtocol.RecordStreams result) {
+        if (streamsBuilder_ == null) {
+          if (((bitField0_ & 0x00000001) != 0)) {
+            streams_ = java.util.Collections.unmodifiableList(streams_);
+            bitField0_ = (bitField0_ & ~0x00000001);
+          }
+          result.streams_ = streams_;
+        } else {
+          result.streams_ = streamsBuilder_.build();
         }
       }
 
+      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.RecordStreams result) {
+        int from_bitField0_ = bitField0_;
+      }
+
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.ApplyTree) {
-          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.ApplyTree)other);
+        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.RecordStreams) {
+          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.RecordStreams)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.ApplyTree other) {
-        if (other == org.borageproxy.wire.proto.ControlProtocol.ApplyTree.getDefaultInstance()) return this;
-        if (!other.getChangeIdentity().isEmpty()) {
-          changeIdentity_ = other.changeIdentity_;
-          bitField0_ |= 0x00000001;
-          onChanged();
-        }
-        if (other.getBaseRevision() != 0L) {
-          setBaseRevision(other.getBaseRevision());
-        }
-        if (!other.getDocument().isEmpty()) {
-          document_ = other.document_;
-          bitField0_ |= 0x00000004;
-          onChanged();
-        }
-        if (!other.getOperator().isEmpty()) {
-          operator_ = other.operator_;
-          bitField0_ |= 0x00000008;
-          onChanged();
-        }
-        if (other.getOnlyKnown() != false) {
-          setOnlyKnown(other.getOnlyKnown());
+      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.RecordStreams other) {
+        if (other == org.borageproxy.wire.proto.ControlProtocol.RecordStreams.getDefaultInstance()) return this;
+        if (streamsBuilder_ == null) {
+          if (!other.streams_.isEmpty()) {
+            if (streams_.isEmpty()) {
+              streams_ = other.streams_;
+              bitField0_ = (bitField0_ & ~0x00000001);
+            } else {
+              ensureStreamsIsMutable();
+              streams_.addAll(other.streams_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.streams_.isEmpty()) {
+            if (streamsBuilder_.isEmpty()) {
+              streamsBuilder_.dispose();
+              streamsBuilder_ = null;
+              streams_ = other.streams_;
+              bitField0_ = (bitField0_ & ~0x00000001);
+              streamsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetStreamsFieldBuilder() : null;
+            } else {
+              streamsBuilder_.addAllMessages(other.streams_);
+            }
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                org.borageproxy.wire.proto.ControlProtocol.StreamRecord m =
+                    input.readMessage(
+                        org.borageproxy.wire.proto.ControlProtocol.StreamRecord.parser(),
+                        extensionRegistry);
+                if (streamsBuilder_ == null) {
+                  ensureStreamsIsMutable();
+                  streams_.add(m);
+                } else {
+                  streamsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 10
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.util.List<org.borageproxy.wire.proto.ControlProtocol.StreamRecord> streams_ =
+        java.util.Collections.emptyList();
+      private void ensureStreamsIsMutable() {
+        if (!((bitField0_ & 0x00000001) != 0)) {
+          streams_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.StreamRecord>(streams_);
+          bitField0_ |= 0x00000001;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.StreamRecord, org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder, org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder> streamsBuilder_;
+
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 1;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.StreamRecord> getStreamsList() {
+        if (streamsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(streams_);
+        } else {
+          return streamsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 1;</code>
+       */
+      public int getStreamsCount() {
+        if (streamsBuilder_ == null) {
+          return streams_.size();
+        } else {
+          return streamsBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 1;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.StreamRecord getStreams(int index) {
+        if (streamsBuilder_ == null) {
+          return streams_.get(index);
+        } else {
+          return streamsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 1;</code>
+       */
+      public Builder setStreams(
+          int index, org.borageproxy.wire.proto.ControlProtocol.StreamRecord value) {
+        if (streamsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureStreamsIsMutable();
+          streams_.set(index, value);
+          onChanged();
+        } else {
+          streamsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 1;</code>
+       */
+      public Builder setStreams(
+          int index, org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder builderForValue) {
+        if (streamsBuilder_ == null) {
+          ensureStreamsIsMutable();
+          streams_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          streamsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 1;</code>
+       */
+      public Builder addStreams(org.borageproxy.wire.proto.ControlProtocol.StreamRecord value) {
+        if (streamsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureStreamsIsMutable();
+          streams_.add(value);
+          onChanged();
+        } else {
+          streamsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 1;</code>
+       */
+      public Builder addStreams(
+          int index, org.borageproxy.wire.proto.ControlProtocol.StreamRecord value) {
+        if (streamsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureStreamsIsMutable();
+          streams_.add(index, value);
+          onChanged();
+        } else {
+          streamsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 1;</code>
+       */
+      public Builder addStreams(
+          org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder builderForValue) {
+        if (streamsBuilder_ == null) {
+          ensureStreamsIsMutable();
+          streams_.add(builderForValue.build());
+          onChanged();
+        } else {
+          streamsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 1;</code>
+       */
+      public Builder addStreams(
+          int index, org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder builderForValue) {
+        if (streamsBuilder_ == null) {
+          ensureStreamsIsMutable();
+          streams_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          streamsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 1;</code>
+       */
+      public Builder addAllStreams(
+          java.lang.Iterable<? extends org.borageproxy.wire.proto.ControlProtocol.StreamRecord> values) {
+        if (streamsBuilder_ == null) {
+          ensureStreamsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, streams_);
+          onChanged();
+        } else {
+          streamsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 1;</code>
+       */
+      public Builder clearStreams() {
+        if (streamsBuilder_ == null) {
+          streams_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000001);
+          onChanged();
+        } else {
+          streamsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 1;</code>
+       */
+      public Builder removeStreams(int index) {
+        if (streamsBuilder_ == null) {
+          ensureStreamsIsMutable();
+          streams_.remove(index);
+          onChanged();
+        } else {
+          streamsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 1;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder getStreamsBuilder(
+          int index) {
+        return internalGetStreamsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 1;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder getStreamsOrBuilder(
+          int index) {
+        if (streamsBuilder_ == null) {
+          return streams_.get(index);  } else {
+          return streamsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 1;</code>
+       */
+      public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder> 
+           getStreamsOrBuilderList() {
+        if (streamsBuilder_ != null) {
+          return streamsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(streams_);
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 1;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder addStreamsBuilder() {
+        return internalGetStreamsFieldBuilder().addBuilder(
+            org.borageproxy.wire.proto.ControlProtocol.StreamRecord.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 1;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder addStreamsBuilder(
+          int index) {
+        return internalGetStreamsFieldBuilder().addBuilder(
+            index, org.borageproxy.wire.proto.ControlProtocol.StreamRecord.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 1;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder> 
+           getStreamsBuilderList() {
+        return internalGetStreamsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.StreamRecord, org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder, org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder> 
+          internalGetStreamsFieldBuilder() {
+        if (streamsBuilder_ == null) {
+          streamsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.StreamRecord, org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder, org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder>(
+                  streams_,
+                  ((bitField0_ & 0x00000001) != 0),
+                  getParentForChildren(),
+                  isClean());
+          streams_ = null;
+        }
+        return streamsBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:borageproxy.control.RecordStreams)
+    }
+
+    // @@protoc_insertion_point(class_scope:borageproxy.control.RecordStreams)
+    private static final org.borageproxy.wire.proto.ControlProtocol.RecordStreams DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.RecordStreams();
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.RecordStreams getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<RecordStreams>
+        PARSER = new com.google.protobuf.AbstractParser<RecordStreams>() {
+      @java.lang.Override
+      public RecordStreams parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<RecordStreams> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<RecordStreams> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.RecordStreams getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface StreamRecordOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.control.StreamRecord)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <pre>
+     * The identity of a request that began or resumed the stream.
+     * </pre>
+     *
+     * <code>string request = 1;</code>
+     * @return The request.
+     */
+    java.lang.String getRequest();
+    /**
+     * <pre>
+     * The identity of a request that began or resumed the stream.
+     * </pre>
+     *
+     * <code>string request = 1;</code>
+     * @return The bytes for request.
+     */
+    com.google.protobuf.ByteString
+        getRequestBytes();
+
+    /**
+     * <code>string service = 2;</code>
+     * @return The service.
+     */
+    java.lang.String getService();
+    /**
+     * <code>string service = 2;</code>
+     * @return The bytes for service.
+     */
+    com.google.protobuf.ByteString
+        getServiceBytes();
+
+    /**
+     * <code>string software_version = 3;</code>
+     * @return The softwareVersion.
+     */
+    java.lang.String getSoftwareVersion();
+    /**
+     * <code>string software_version = 3;</code>
+     * @return The bytes for softwareVersion.
+     */
+    com.google.protobuf.ByteString
+        getSoftwareVersionBytes();
+
+    /**
+     * <pre>
+     * Set by the state machine.
+     * </pre>
+     *
+     * <code>int64 expires_at_millis = 4;</code>
+     * @return The expiresAtMillis.
+     */
+    long getExpiresAtMillis();
+  }
+  /**
+   * <pre>
+   * The service and software version at which a resumable stream began.
+   * </pre>
+   *
+   * Protobuf type {@code borageproxy.control.StreamRecord}
+   */
+  public static final class StreamRecord extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:borageproxy.control.StreamRecord)
+      StreamRecordOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "StreamRecord");
+    }
+    // Use StreamRecord.newBuilder() to construct.
+    private StreamRecord(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private StreamRecord() {
+      request_ = "";
+      service_ = "";
+      softwareVersion_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_StreamRecord_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_StreamRecord_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_StreamRecord_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.borageproxy.wire.proto.ControlProtocol.StreamRecord.class, org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder.class);
+    }
+
+    public static final int REQUEST_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object request_ = "";
+    /**
+     * <pre>
+     * The identity of a request that began or resumed the stream.
+     * </pre>
+     *
+     * <code>string request = 1;</code>
+     * @return The request.
+     */
+    @java.lang.Override
+    public java.lang.String getRequest() {
+      java.lang.Object ref = request_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        request_ = s;
+        return s;
+      }
+    }
+    /**
+     * <pre>
+     * The identity of a request that began or resumed the stream.
+     * </pre>
+     *
+     * <code>string request = 1;</code>
+     * @return The bytes for request.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getRequestBytes() {
+      java.lang.Object ref = request_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        request_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int SERVICE_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object service_ = "";
+    /**
+     * <code>string service = 2;</code>
+     * @return The service.
+     */
+    @java.lang.Override
+    public java.lang.String getService() {
+      java.lang.Object ref = service_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        service_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string service = 2;</code>
+     * @return The bytes for service.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getServiceBytes() {
+      java.lang.Object ref = service_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        service_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int SOFTWARE_VERSION_FIELD_NUMBER = 3;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object softwareVersion_ = "";
+    /**
+     * <code>string software_version = 3;</code>
+     * @return The softwareVersion.
+     */
+    @java.lang.Override
+    public java.lang.String getSoftwareVersion() {
+      java.lang.Object ref = softwareVersion_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        softwareVersion_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string software_version = 3;</code>
+     * @return The bytes for softwareVersion.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getSoftwareVersionBytes() {
+      java.lang.Object ref = softwareVersion_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        softwareVersion_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int EXPIRES_AT_MILLIS_FIELD_NUMBER = 4;
+    private long expiresAtMillis_ = 0L;
+    /**
+     * <pre>
+     * Set by the state machine.
+     * </pre>
+     *
+     * <code>int64 expires_at_millis = 4;</code>
+     * @return The expiresAtMillis.
+     */
+    @java.lang.Override
+    public long getExpiresAtMillis() {
+      return expiresAtMillis_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(request_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, request_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, service_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(softwareVersion_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 3, softwareVersion_);
+      }
+      if (expiresAtMillis_ != 0L) {
+        output.writeInt64(4, expiresAtMillis_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(request_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, request_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, service_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(softwareVersion_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(3, softwareVersion_);
+      }
+      if (expiresAtMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(4, expiresAtMillis_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.StreamRecord)) {
+        return super.equals(obj);
+      }
+      org.borageproxy.wire.proto.ControlProtocol.StreamRecord other = (org.borageproxy.wire.proto.ControlProtocol.StreamRecord) obj;
+
+      if (!getRequest()
+          .equals(other.getRequest())) return false;
+      if (!getService()
+          .equals(other.getService())) return false;
+      if (!getSoftwareVersion()
+          .equals(other.getSoftwareVersion())) return false;
+      if (getExpiresAtMillis()
+          != other.getExpiresAtMillis()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + REQUEST_FIELD_NUMBER;
+      hash = (53 * hash) + getRequest().hashCode();
+      hash = (37 * hash) + SERVICE_FIELD_NUMBER;
+      hash = (53 * hash) + getService().hashCode();
+      hash = (37 * hash) + SOFTWARE_VERSION_FIELD_NUMBER;
+      hash = (53 * hash) + getSoftwareVersion().hashCode();
+      hash = (37 * hash) + EXPIRES_AT_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getExpiresAtMillis());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.StreamRecord parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.StreamRecord parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.StreamRecord parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.StreamRecord parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.StreamRecord parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.StreamRecord parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.StreamRecord parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.StreamRecord parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.StreamRecord parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.StreamRecord parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.StreamRecord parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.StreamRecord parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.StreamRecord prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * The service and software version at which a resumable stream began.
+     * </pre>
+     *
+     * Protobuf type {@code borageproxy.control.StreamRecord}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:borageproxy.control.StreamRecord)
+        org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_StreamRecord_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_StreamRecord_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.borageproxy.wire.proto.ControlProtocol.StreamRecord.class, org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder.class);
+      }
+
+      // Construct using org.borageproxy.wire.proto.ControlProtocol.StreamRecord.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        request_ = "";
+        service_ = "";
+        softwareVersion_ = "";
+        expiresAtMillis_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_StreamRecord_descriptor;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.StreamRecord getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.StreamRecord.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.StreamRecord build() {
+        org.borageproxy.wire.proto.ControlProtocol.StreamRecord result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.StreamRecord buildPartial() {
+        org.borageproxy.wire.proto.ControlProtocol.StreamRecord result = new org.borageproxy.wire.proto.ControlProtocol.StreamRecord(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.StreamRecord result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.request_ = request_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.service_ = service_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.softwareVersion_ = softwareVersion_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.expiresAtMillis_ = expiresAtMillis_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.StreamRecord) {
+          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.StreamRecord)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.StreamRecord other) {
+        if (other == org.borageproxy.wire.proto.ControlProtocol.StreamRecord.getDefaultInstance()) return this;
+        if (!other.getRequest().isEmpty()) {
+          request_ = other.request_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (!other.getService().isEmpty()) {
+          service_ = other.service_;
+          bitField0_ |= 0x00000002;
+          onChanged();
+        }
+        if (!other.getSoftwareVersion().isEmpty()) {
+          softwareVersion_ = other.softwareVersion_;
+          bitField0_ |= 0x00000004;
+          onChanged();
+        }
+        if (other.getExpiresAtMillis() != 0L) {
+          setExpiresAtMillis(other.getExpiresAtMillis());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                request_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 18: {
+                service_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              case 26: {
+                softwareVersion_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 26
+              case 32: {
+                expiresAtMillis_ = input.readInt64();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object request_ = "";
+      /**
+       * <pre>
+       * The identity of a request that began or resumed the stream.
+       * </pre>
+       *
+       * <code>string request = 1;</code>
+       * @return The request.
+       */
+      public java.lang.String getRequest() {
+        java.lang.Object ref = request_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          request_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <pre>
+       * The identity of a request that began or resumed the stream.
+       * </pre>
+       *
+       * <code>string request = 1;</code>
+       * @return The bytes for request.
+       */
+      public com.google.protobuf.ByteString
+          getRequestBytes() {
+        java.lang.Object ref = request_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          request_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <pre>
+       * The identity of a request that began or resumed the stream.
+       * </pre>
+       *
+       * <code>string request = 1;</code>
+       * @param value The request to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRequest(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        request_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The identity of a request that began or resumed the stream.
+       * </pre>
+       *
+       * <code>string request = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRequest() {
+        request_ = getDefaultInstance().getRequest();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The identity of a request that began or resumed the stream.
+       * </pre>
+       *
+       * <code>string request = 1;</code>
+       * @param value The bytes for request to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRequestBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        request_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object service_ = "";
+      /**
+       * <code>string service = 2;</code>
+       * @return The service.
+       */
+      public java.lang.String getService() {
+        java.lang.Object ref = service_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          service_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string service = 2;</code>
+       * @return The bytes for service.
+       */
+      public com.google.protobuf.ByteString
+          getServiceBytes() {
+        java.lang.Object ref = service_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          service_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string service = 2;</code>
+       * @param value The service to set.
+       * @return This builder for chaining.
+       */
+      public Builder setService(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        service_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string service = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearService() {
+        service_ = getDefaultInstance().getService();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string service = 2;</code>
+       * @param value The bytes for service to set.
+       * @return This builder for chaining.
+       */
+      public Builder setServiceBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        service_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object softwareVersion_ = "";
+      /**
+       * <code>string software_version = 3;</code>
+       * @return The softwareVersion.
+       */
+      public java.lang.String getSoftwareVersion() {
+        java.lang.Object ref = softwareVersion_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          softwareVersion_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string software_version = 3;</code>
+       * @return The bytes for softwareVersion.
+       */
+      public com.google.protobuf.ByteString
+          getSoftwareVersionBytes() {
+        java.lang.Object ref = softwareVersion_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          softwareVersion_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string software_version = 3;</code>
+       * @param value The softwareVersion to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSoftwareVersion(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        softwareVersion_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string software_version = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSoftwareVersion() {
+        softwareVersion_ = getDefaultInstance().getSoftwareVersion();
+        bitField0_ = (bitField0_ & ~0x00000004);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string software_version = 3;</code>
+       * @param value The bytes for softwareVersion to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSoftwareVersionBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        softwareVersion_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+
+      private long expiresAtMillis_ ;
+      /**
+       * <pre>
+       * Set by the state machine.
+       * </pre>
+       *
+       * <code>int64 expires_at_millis = 4;</code>
+       * @return The expiresAtMillis.
+       */
+      @java.lang.Override
+      public long getExpiresAtMillis() {
+        return expiresAtMillis_;
+      }
+      /**
+       * <pre>
+       * Set by the state machine.
+       * </pre>
+       *
+       * <code>int64 expires_at_millis = 4;</code>
+       * @param value The expiresAtMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setExpiresAtMillis(long value) {
+
+        expiresAtMillis_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Set by the state machine.
+       * </pre>
+       *
+       * <code>int64 expires_at_millis = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearExpiresAtMillis() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        expiresAtMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:borageproxy.control.StreamRecord)
+    }
+
+    // @@protoc_insertion_point(class_scope:borageproxy.control.StreamRecord)
+    private static final org.borageproxy.wire.proto.ControlProtocol.StreamRecord DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.StreamRecord();
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.StreamRecord getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<StreamRecord>
+        PARSER = new com.google.protobuf.AbstractParser<StreamRecord>() {
+      @java.lang.Override
+      public StreamRecord parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<StreamRecord> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<StreamRecord> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.StreamRecord getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface ApplyTreeOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.control.ApplyTree)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string change_identity = 1;</code>
+     * @return The changeIdentity.
+     */
+    java.lang.String getChangeIdentity();
+    /**
+     * <code>string change_identity = 1;</code>
+     * @return The bytes for changeIdentity.
+     */
+    com.google.protobuf.ByteString
+        getChangeIdentityBytes();
+
+    /**
+     * <code>uint64 base_revision = 2;</code>
+     * @return The baseRevision.
+     */
+    long getBaseRevision();
+
+    /**
+     * <code>string document = 3;</code>
+     * @return The document.
+     */
+    java.lang.String getDocument();
+    /**
+     * <code>string document = 3;</code>
+     * @return The bytes for document.
+     */
+    com.google.protobuf.ByteString
+        getDocumentBytes();
+
+    /**
+     * <code>string operator = 4;</code>
+     * @return The operator.
+     */
+    java.lang.String getOperator();
+    /**
+     * <code>string operator = 4;</code>
+     * @return The bytes for operator.
+     */
+    com.google.protobuf.ByteString
+        getOperatorBytes();
+
+    /**
+     * <pre>
+     * Only requests the reply to an earlier copy of the change; the change itself is not applied.
+     * </pre>
+     *
+     * <code>bool only_known = 5;</code>
+     * @return The onlyKnown.
+     */
+    boolean getOnlyKnown();
+  }
+  /**
+   * Protobuf type {@code borageproxy.control.ApplyTree}
+   */
+  public static final class ApplyTree extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:borageproxy.control.ApplyTree)
+      ApplyTreeOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "ApplyTree");
+    }
+    // Use ApplyTree.newBuilder() to construct.
+    private ApplyTree(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private ApplyTree() {
+      changeIdentity_ = "";
+      document_ = "";
+      operator_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ApplyTree_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ApplyTree_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ApplyTree_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.borageproxy.wire.proto.ControlProtocol.ApplyTree.class, org.borageproxy.wire.proto.ControlProtocol.ApplyTree.Builder.class);
+    }
+
+    public static final int CHANGE_IDENTITY_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object changeIdentity_ = "";
+    /**
+     * <code>string change_identity = 1;</code>
+     * @return The changeIdentity.
+     */
+    @java.lang.Override
+    public java.lang.String getChangeIdentity() {
+      java.lang.Object ref = changeIdentity_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        changeIdentity_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string change_identity = 1;</code>
+     * @return The bytes for changeIdentity.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getChangeIdentityBytes() {
+      java.lang.Object ref = changeIdentity_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        changeIdentity_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int BASE_REVISION_FIELD_NUMBER = 2;
+    private long baseRevision_ = 0L;
+    /**
+     * <code>uint64 base_revision = 2;</code>
+     * @return The baseRevision.
+     */
+    @java.lang.Override
+    public long getBaseRevision() {
+      return baseRevision_;
+    }
+
+    public static final int DOCUMENT_FIELD_NUMBER = 3;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object document_ = "";
+    /**
+     * <code>string document = 3;</code>
+     * @return The document.
+     */
+    @java.lang.Override
+    public java.lang.String getDocument() {
+      java.lang.Object ref = document_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        document_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string document = 3;</code>
+     * @return The bytes for document.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getDocumentBytes() {
+      java.lang.Object ref = document_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        document_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int OPERATOR_FIELD_NUMBER = 4;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object operator_ = "";
+    /**
+     * <code>string operator = 4;</code>
+     * @return The operator.
+     */
+    @java.lang.Override
+    public java.lang.String getOperator() {
+      java.lang.Object ref = operator_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        operator_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string operator = 4;</code>
+     * @return The bytes for operator.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getOperatorBytes() {
+      java.lang.Object ref = operator_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        operator_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int ONLY_KNOWN_FIELD_NUMBER = 5;
+    private boolean onlyKnown_ = false;
+    /**
+     * <pre>
+     * Only requests the reply to an earlier copy of the change; the change itself is not applied.
+     * </pre>
+     *
+     * <code>bool only_known = 5;</code>
+     * @return The onlyKnown.
+     */
+    @java.lang.Override
+    public boolean getOnlyKnown() {
+      return onlyKnown_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(changeIdentity_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, changeIdentity_);
+      }
+      if (baseRevision_ != 0L) {
+        output.writeUInt64(2, baseRevision_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(document_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 3, document_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(operator_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 4, operator_);
+      }
+      if (onlyKnown_ != false) {
+        output.writeBool(5, onlyKnown_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(changeIdentity_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, changeIdentity_);
+      }
+      if (baseRevision_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, baseRevision_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(document_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(3, document_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(operator_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(4, operator_);
+      }
+      if (onlyKnown_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(5, onlyKnown_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.ApplyTree)) {
+        return super.equals(obj);
+      }
+      org.borageproxy.wire.proto.ControlProtocol.ApplyTree other = (org.borageproxy.wire.proto.ControlProtocol.ApplyTree) obj;
+
+      if (!getChangeIdentity()
+          .equals(other.getChangeIdentity())) return false;
+      if (getBaseRevision()
+          != other.getBaseRevision()) return false;
+      if (!getDocument()
+          .equals(other.getDocument())) return false;
+      if (!getOperator()
+          .equals(other.getOperator())) return false;
+      if (getOnlyKnown()
+          != other.getOnlyKnown()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + CHANGE_IDENTITY_FIELD_NUMBER;
+      hash = (53 * hash) + getChangeIdentity().hashCode();
+      hash = (37 * hash) + BASE_REVISION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getBaseRevision());
+      hash = (37 * hash) + DOCUMENT_FIELD_NUMBER;
+      hash = (53 * hash) + getDocument().hashCode();
+      hash = (37 * hash) + OPERATOR_FIELD_NUMBER;
+      hash = (53 * hash) + getOperator().hashCode();
+      hash = (37 * hash) + ONLY_KNOWN_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getOnlyKnown());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.ApplyTree parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.ApplyTree parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.ApplyTree parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.ApplyTree parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.ApplyTree parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.ApplyTree parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.ApplyTree parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.ApplyTree parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.ApplyTree parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.ApplyTree parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.ApplyTree parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.ApplyTree parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.ApplyTree prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code borageproxy.control.ApplyTree}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:borageproxy.control.ApplyTree)
+        org.borageproxy.wire.proto.ControlProtocol.ApplyTreeOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ApplyTree_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ApplyTree_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.borageproxy.wire.proto.ControlProtocol.ApplyTree.class, org.borageproxy.wire.proto.ControlProtocol.ApplyTree.Builder.class);
+      }
+
+      // Construct using org.borageproxy.wire.proto.ControlProtocol.ApplyTree.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        changeIdentity_ = "";
+        baseRevision_ = 0L;
+        document_ = "";
+        operator_ = "";
+        onlyKnown_ = false;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ApplyTree_descriptor;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ApplyTree getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.ApplyTree.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ApplyTree build() {
+        org.borageproxy.wire.proto.ControlProtocol.ApplyTree result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ApplyTree buildPartial() {
+        org.borageproxy.wire.proto.ControlProtocol.ApplyTree result = new org.borageproxy.wire.proto.ControlProtocol.ApplyTree(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.ApplyTree result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.changeIdentity_ = changeIdentity_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.baseRevision_ = baseRevision_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.document_ = document_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.operator_ = operator_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.onlyKnown_ = onlyKnown_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.ApplyTree) {
+          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.ApplyTree)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.ApplyTree other) {
+        if (other == org.borageproxy.wire.proto.ControlProtocol.ApplyTree.getDefaultInstance()) return this;
+        if (!other.getChangeIdentity().isEmpty()) {
+          changeIdentity_ = other.changeIdentity_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getBaseRevision() != 0L) {
+          setBaseRevision(other.getBaseRevision());
+        }
+        if (!other.getDocument().isEmpty()) {
+          document_ = other.document_;
+          bitField0_ |= 0x00000004;
+          onChanged();
+        }
+        if (!other.getOperator().isEmpty()) {
+          operator_ = other.operator_;
+          bitField0_ |= 0x00000008;
+          onChanged();
+        }
+        if (other.getOnlyKnown() != false) {
+          setOnlyKnown(other.getOnlyKnown());
         }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
@@ -43387,6 +45316,30 @@
      * @return The removalsSince.
      */
     long getRemovalsSince();
+
+    /**
+     * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+     */
+    java.util.List<org.borageproxy.wire.proto.ControlProtocol.StreamRecord> 
+        getStreamsList();
+    /**
+     * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.StreamRecord getStreams(int index);
+    /**
+     * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+     */
+    int getStreamsCount();
+    /**
+     * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+     */
+    java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder> 
+        getStreamsOrBuilderList();
+    /**
+     * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder getStreamsOrBuilder(
+        int index);
   }
   /**
    * Protobuf type {@code borageproxy.control.ControlSnapshot}
@@ -43419,6 +45372,7 @@
       intents_ = java.util.Collections.emptyList();
       crashes_ = java.util.Collections.emptyList();
       items_ = java.util.Collections.emptyList();
+      streams_ = java.util.Collections.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -43863,6 +45817,47 @@
       return removalsSince_;
     }
 
+    public static final int STREAMS_FIELD_NUMBER = 30;
+    @SuppressWarnings("serial")
+    private java.util.List<org.borageproxy.wire.proto.ControlProtocol.StreamRecord> streams_;
+    /**
+     * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.borageproxy.wire.proto.ControlProtocol.StreamRecord> getStreamsList() {
+      return streams_;
+    }
+    /**
+     * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder> 
+        getStreamsOrBuilderList() {
+      return streams_;
+    }
+    /**
+     * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+     */
+    @java.lang.Override
+    public int getStreamsCount() {
+      return streams_.size();
+    }
+    /**
+     * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.StreamRecord getStreams(int index) {
+      return streams_.get(index);
+    }
+    /**
+     * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder getStreamsOrBuilder(
+        int index) {
+      return streams_.get(index);
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -43919,6 +45914,9 @@
       if (removalsSince_ != 0L) {
         output.writeUInt64(15, removalsSince_);
       }
+      for (int i = 0; i < streams_.size(); i++) {
+        output.writeMessage(30, streams_.get(i));
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -44029,6 +46027,15 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(15, removalsSince_);
       }
+
+          {
+            final int count = streams_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(streams_.get(i));
+            }
+            size += 2 * count;
+          }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -44072,6 +46079,8 @@
           .equals(other.getItemsList())) return false;
       if (getRemovalsSince()
           != other.getRemovalsSince()) return false;
+      if (!getStreamsList()
+          .equals(other.getStreamsList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -44134,6 +46143,10 @@
       hash = (37 * hash) + REMOVALS_SINCE_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getRemovalsSince());
+      if (getStreamsCount() > 0) {
+        hash = (37 * hash) + STREAMS_FIELD_NUMBER;
+        hash = (53 * hash) + getStreamsList().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -44333,6 +46346,13 @@
         }
         bitField0_ = (bitField0_ & ~0x00001000);
         removalsSince_ = 0L;
+        if (streamsBuilder_ == null) {
+          streams_ = java.util.Collections.emptyList();
+        } else {
+          streams_ = null;
+          streamsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00004000);
         return this;
       }
 
@@ -44447,6 +46467,15 @@
         } else {
           result.items_ = itemsBuilder_.build();
         }
+        if (streamsBuilder_ == null) {
+          if (((bitField0_ & 0x00004000) != 0)) {
+            streams_ = java.util.Collections.unmodifiableList(streams_);
+            bitField0_ = (bitField0_ & ~0x00004000);
+          }
+          result.streams_ = streams_;
+        } else {
+          result.streams_ = streamsBuilder_.build();
+        }
       }
 
       private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot result) {
@@ -44729,6 +46758,32 @@
         if (other.getRemovalsSince() != 0L) {
           setRemovalsSince(other.getRemovalsSince());
         }
+        if (streamsBuilder_ == null) {
+          if (!other.streams_.isEmpty()) {
+            if (streams_.isEmpty()) {
+              streams_ = other.streams_;
+              bitField0_ = (bitField0_ & ~0x00004000);
+            } else {
+              ensureStreamsIsMutable();
+              streams_.addAll(other.streams_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.streams_.isEmpty()) {
+            if (streamsBuilder_.isEmpty()) {
+              streamsBuilder_.dispose();
+              streamsBuilder_ = null;
+              streams_ = other.streams_;
+              bitField0_ = (bitField0_ & ~0x00004000);
+              streamsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetStreamsFieldBuilder() : null;
+            } else {
+              streamsBuilder_.addAllMessages(other.streams_);
+            }
+          }
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -44897,6 +46952,19 @@
                 bitField0_ |= 0x00002000;
                 break;
               } // case 120
+              case 242: {
+                org.borageproxy.wire.proto.ControlProtocol.StreamRecord m =
+                    input.readMessage(
+                        org.borageproxy.wire.proto.ControlProtocol.StreamRecord.parser(),
+                        extensionRegistry);
+                if (streamsBuilder_ == null) {
+                  ensureStreamsIsMutable();
+                  streams_.add(m);
+                } else {
+                  streamsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 242
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -47234,6 +49302,246 @@
         return this;
       }
 
+      private java.util.List<org.borageproxy.wire.proto.ControlProtocol.StreamRecord> streams_ =
+        java.util.Collections.emptyList();
+      private void ensureStreamsIsMutable() {
+        if (!((bitField0_ & 0x00004000) != 0)) {
+          streams_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.StreamRecord>(streams_);
+          bitField0_ |= 0x00004000;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.StreamRecord, org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder, org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder> streamsBuilder_;
+
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.StreamRecord> getStreamsList() {
+        if (streamsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(streams_);
+        } else {
+          return streamsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       */
+      public int getStreamsCount() {
+        if (streamsBuilder_ == null) {
+          return streams_.size();
+        } else {
+          return streamsBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.StreamRecord getStreams(int index) {
+        if (streamsBuilder_ == null) {
+          return streams_.get(index);
+        } else {
+          return streamsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       */
+      public Builder setStreams(
+          int index, org.borageproxy.wire.proto.ControlProtocol.StreamRecord value) {
+        if (streamsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureStreamsIsMutable();
+          streams_.set(index, value);
+          onChanged();
+        } else {
+          streamsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       */
+      public Builder setStreams(
+          int index, org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder builderForValue) {
+        if (streamsBuilder_ == null) {
+          ensureStreamsIsMutable();
+          streams_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          streamsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       */
+      public Builder addStreams(org.borageproxy.wire.proto.ControlProtocol.StreamRecord value) {
+        if (streamsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureStreamsIsMutable();
+          streams_.add(value);
+          onChanged();
+        } else {
+          streamsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       */
+      public Builder addStreams(
+          int index, org.borageproxy.wire.proto.ControlProtocol.StreamRecord value) {
+        if (streamsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureStreamsIsMutable();
+          streams_.add(index, value);
+          onChanged();
+        } else {
+          streamsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       */
+      public Builder addStreams(
+          org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder builderForValue) {
+        if (streamsBuilder_ == null) {
+          ensureStreamsIsMutable();
+          streams_.add(builderForValue.build());
+          onChanged();
+        } else {
+          streamsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       */
+      public Builder addStreams(
+          int index, org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder builderForValue) {
+        if (streamsBuilder_ == null) {
+          ensureStreamsIsMutable();
+          streams_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          streamsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       */
+      public Builder addAllStreams(
+          java.lang.Iterable<? extends org.borageproxy.wire.proto.ControlProtocol.StreamRecord> values) {
+        if (streamsBuilder_ == null) {
+          ensureStreamsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, streams_);
+          onChanged();
+        } else {
+          streamsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       */
+      public Builder clearStreams() {
+        if (streamsBuilder_ == null) {
+          streams_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00004000);
+          onChanged();
+        } else {
+          streamsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       */
+      public Builder removeStreams(int index) {
+        if (streamsBuilder_ == null) {
+          ensureStreamsIsMutable();
+          streams_.remove(index);
+          onChanged();
+        } else {
+          streamsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder getStreamsBuilder(
+          int index) {
+        return internalGetStreamsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder getStreamsOrBuilder(
+          int index) {
+        if (streamsBuilder_ == null) {
+          return streams_.get(index);  } else {
+          return streamsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       */
+      public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder> 
+           getStreamsOrBuilderList() {
+        if (streamsBuilder_ != null) {
+          return streamsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(streams_);
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder addStreamsBuilder() {
+        return internalGetStreamsFieldBuilder().addBuilder(
+            org.borageproxy.wire.proto.ControlProtocol.StreamRecord.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder addStreamsBuilder(
+          int index) {
+        return internalGetStreamsFieldBuilder().addBuilder(
+            index, org.borageproxy.wire.proto.ControlProtocol.StreamRecord.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder> 
+           getStreamsBuilderList() {
+        return internalGetStreamsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.StreamRecord, org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder, org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder> 
+          internalGetStreamsFieldBuilder() {
+        if (streamsBuilder_ == null) {
+          streamsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.StreamRecord, org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder, org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder>(
+                  streams_,
+                  ((bitField0_ & 0x00004000) != 0),
+                  getParentForChildren(),
+                  isClean());
+          streams_ = null;
+        }
+        return streamsBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.control.ControlSnapshot)
     }
 
@@ -54420,6 +56728,16 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_borageproxy_control_Command_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_borageproxy_control_RecordStreams_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_borageproxy_control_RecordStreams_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_borageproxy_control_StreamRecord_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_borageproxy_control_StreamRecord_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_borageproxy_control_ApplyTree_descriptor;
   private static final 
@@ -54695,7 +57013,7 @@
       "s\030\002 \001(\004\"p\n\rCommandAnswer\022+\n\005reply\030\001 \001(\0132" +
       "\032.borageproxy.control.ReplyH\000\022\024\n\nnot_lea" +
       "der\030\002 \001(\tH\000\022\021\n\007unknown\030\003 \001(\010H\000B\t\n\007outcom" +
-      "e\"\245\010\n\007Command\022\020\n\010identity\030\001 \001(\t\0224\n\napply" +
+      "e\"\343\010\n\007Command\022\020\n\010identity\030\001 \001(\t\0224\n\napply" +
       "_tree\030\002 \001(\0132\036.borageproxy.control.ApplyT" +
       "reeH\000\0221\n\010rollback\030\003 \001(\0132\035.borageproxy.co" +
       "ntrol.RollbackH\000\0224\n\ncreate_key\030\004 \001(\0132\036.b" +
@@ -54721,157 +57039,165 @@
       "ontrol.RegisterVmH\000\0222\n\tremove_vm\030\022 \001(\0132\035" +
       ".borageproxy.control.RemoveVmH\000\022@\n\020publi" +
       "sh_document\030\023 \001(\0132$.borageproxy.control." +
-      "PublishDocumentH\000B\006\n\004body\"s\n\tApplyTree\022\027" +
-      "\n\017change_identity\030\001 \001(\t\022\025\n\rbase_revision" +
-      "\030\002 \001(\004\022\020\n\010document\030\003 \001(\t\022\020\n\010operator\030\004 \001" +
-      "(\t\022\022\n\nonly_known\030\005 \001(\010\"a\n\010Rollback\022\027\n\017ch" +
-      "ange_identity\030\001 \001(\t\022\025\n\rbase_revision\030\002 \001" +
-      "(\004\022\023\n\013to_revision\030\003 \001(\004\022\020\n\010operator\030\004 \001(" +
-      "\t\"o\n\tCreateKey\022\027\n\017change_identity\030\001 \001(\t\022" +
-      "\024\n\014key_identity\030\002 \001(\t\022\016\n\006digest\030\003 \001(\t\022\021\n" +
-      "\tworkspace\030\004 \001(\t\022\020\n\010operator\030\005 \001(\t\"#\n\013Wi" +
-      "thdrawKey\022\024\n\014key_identity\030\001 \001(\t\"\203\001\n\005Clai" +
-      "m\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017idempotency_key\030" +
-      "\002 \001(\t\022\016\n\006digest\030\003 \001(\t\022\031\n\021created_at_mill" +
-      "is\030\004 \001(\003\022\016\n\006holder\030\005 \001(\t\022\023\n\013hold_millis\030" +
-      "\006 \001(\003\"w\n\rCompleteClaim\022\021\n\tworkspace\030\001 \001(" +
-      "\t\022\027\n\017idempotency_key\030\002 \001(\t\022\r\n\005epoch\030\003 \001(" +
-      "\003\022+\n\006answer\030\004 \001(\0132\033.borageproxy.control." +
-      "Answer\"E\n\010EndClaim\022\021\n\tworkspace\030\001 \001(\t\022\027\n" +
-      "\017idempotency_key\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\"<\n" +
-      "\006Answer\022\016\n\006status\030\001 \001(\005\022\024\n\014content_type\030" +
-      "\002 \001(\t\022\014\n\004body\030\003 \001(\014\"V\n\014AcquireLease\022\014\n\004d" +
-      "uty\030\001 \001(\t\022\016\n\006holder\030\002 \001(\t\022\017\n\007session\030\003 \001" +
-      "(\t\022\027\n\017expired_renewal\030\004 \001(\004\"U\n\014ReleaseLe" +
-      "ase\022\014\n\004duty\030\001 \001(\t\022\017\n\007session\030\002 \001(\t\022\r\n\005ep" +
-      "och\030\003 \001(\003\022\027\n\017expired_renewal\030\004 \001(\004\"\276\001\n\014I" +
-      "ntentRecord\022\016\n\006number\030\001 \001(\003\022\r\n\005epoch\030\002 \001" +
-      "(\003\022\016\n\006server\030\003 \001(\t\022\023\n\013incarnation\030\004 \001(\003\022" +
-      "\023\n\013accelerator\030\005 \001(\t\022\016\n\006action\030\006 \001(\005\022\r\n\005" +
-      "model\030\007 \001(\t\022\017\n\007version\030\010 \001(\t\022\017\n\007adapter\030" +
-      "\t \001(\t\022\024\n\014memory_bytes\030\n \001(\003\"A\n\014RecordInt" +
-      "ent\0221\n\006intent\030\001 \001(\0132!.borageproxy.contro" +
-      "l.IntentRecord\"0\n\016ResolveIntents\022\r\n\005epoc" +
-      "h\030\001 \001(\003\022\017\n\007numbers\030\002 \003(\003\"\r\n\013ReadIntents\"" +
-      "\207\001\n\013ReportCrash\022\023\n\013fingerprint\030\001 \001(\t\022\016\n\006" +
-      "server\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\003\022\r\n\005alo" +
-      "ne\030\004 \001(\010\022/\n\005parts\030\005 \003(\0132 .borageproxy.co" +
-      "ntrol.SuspectPart\"4\n\013SuspectPart\022\023\n\013fing" +
-      "erprint\030\001 \001(\t\022\020\n\010untested\030\002 \001(\010\"!\n\nClear" +
-      "Crash\022\023\n\013fingerprint\030\001 \001(\t\"7\n\nRegisterVm" +
-      "\022)\n\002vm\030\001 \001(\0132\035.borageproxy.control.VmRec" +
-      "ord\"\030\n\010RemoveVm\022\014\n\004name\030\001 \001(\t\"2\n\017Publish" +
-      "Document\022\016\n\006number\030\001 \001(\004\022\017\n\007content\030\002 \001(" +
-      "\014\"S\n\010VmRecord\022\014\n\004name\030\001 \001(\t\022\014\n\004zone\030\002 \001(" +
-      "\t\022\014\n\004host\030\003 \001(\t\022\014\n\004port\030\004 \001(\005\022\017\n\007control" +
-      "\030\005 \001(\010\"\301\005\n\005Reply\0221\n\010accepted\030\001 \001(\0132\035.bor" +
-      "ageproxy.control.AcceptedH\000\022>\n\017change_co" +
-      "nflict\030\002 \001(\0132#.borageproxy.control.Chang" +
-      "eConflictH\000\022B\n\021identity_conflict\030\003 \001(\0132%" +
-      ".borageproxy.control.IdentityConflictH\000\022" +
-      "/\n\007missing\030\004 \001(\0132\034.borageproxy.control.M" +
-      "issingH\000\0220\n\005claim\030\005 \001(\0132\037.borageproxy.co" +
-      "ntrol.ClaimReplyH\000\0220\n\005lease\030\006 \001(\0132\037.bora" +
-      "geproxy.control.LeaseReplyH\000\0223\n\006intent\030\007" +
-      " \001(\0132!.borageproxy.control.IntentRecordH" +
-      "\000\022-\n\006fenced\030\010 \001(\0132\033.borageproxy.control." +
-      "FencedH\000\022/\n\007intents\030\t \001(\0132\034.borageproxy." +
-      "control.IntentsH\000\0220\n\005crash\030\n \001(\0132\037.borag" +
-      "eproxy.control.CrashReplyH\000\022)\n\004done\030\013 \001(" +
-      "\0132\031.borageproxy.control.DoneH\000\0226\n\013key_cr" +
-      "eated\030\014 \001(\0132\037.borageproxy.control.KeyCre" +
-      "atedH\000\022:\n\rdocument_held\030\r \001(\0132!.boragepr" +
-      "oxy.control.DocumentHeldH\000B\006\n\004body\"\034\n\010Ac" +
-      "cepted\022\020\n\010revision\030\001 \001(\004\":\n\016ChangeConfli" +
-      "ct\022\030\n\020current_revision\030\001 \001(\004\022\016\n\006holder\030\002" +
-      " \001(\t\"4\n\020IdentityConflict\022\016\n\006holder\030\001 \001(\t" +
-      "\022\020\n\010revision\030\002 \001(\004\"\036\n\014DocumentHeld\022\016\n\006nu" +
-      "mber\030\001 \001(\004\"\t\n\007Missing\"\006\n\004Done\"\037\n\006Fenced\022" +
-      "\025\n\rcurrent_epoch\030\001 \001(\003\"J\n\nKeyCreated\022\020\n\010" +
-      "revision\030\001 \001(\004\022*\n\003key\030\002 \001(\0132\035.borageprox" +
-      "y.control.KeyState\"\351\001\n\nClaimReply\022:\n\010dec" +
-      "ision\030\001 \001(\0162(.borageproxy.control.ClaimR" +
-      "eply.Decision\022\r\n\005epoch\030\002 \001(\003\022+\n\006answer\030\003" +
-      " \001(\0132\033.borageproxy.control.Answer\"c\n\010Dec" +
-      "ision\022\013\n\007GRANTED\020\000\022\014\n\010ANSWERED\020\001\022\017\n\013IN_P" +
-      "ROGRESS\020\002\022\020\n\014MAY_HAVE_RUN\020\003\022\014\n\010CONFLICT\020" +
-      "\004\022\013\n\007TOO_OLD\020\005\"<\n\nLeaseReply\022\017\n\007granted\030" +
-      "\001 \001(\010\022\016\n\006holder\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\"=\n\007" +
-      "Intents\0222\n\007intents\030\001 \003(\0132!.borageproxy.c" +
-      "ontrol.IntentRecord\"\037\n\nCrashReply\022\021\n\tsus" +
-      "picion\030\001 \001(\005\"R\n\010KeyState\022\020\n\010identity\030\001 \001" +
-      "(\t\022\016\n\006digest\030\002 \001(\t\022\021\n\tworkspace\030\003 \001(\t\022\021\n" +
-      "\twithdrawn\030\004 \001(\010\"v\n\tTreeState\022\020\n\010revisio" +
-      "n\030\001 \001(\004\022\020\n\010document\030\002 \001(\t\022\027\n\017change_iden" +
-      "tity\030\003 \001(\t\022\020\n\010operator\030\004 \001(\t\022\032\n\022accepted" +
-      "_at_millis\030\005 \001(\003\"i\n\nLeaseState\022\014\n\004duty\030\001" +
-      " \001(\t\022\016\n\006holder\030\002 \001(\t\022\017\n\007session\030\003 \001(\t\022\r\n" +
-      "\005epoch\030\004 \001(\003\022\017\n\007renewal\030\005 \001(\004\022\014\n\004free\030\006 " +
-      "\001(\010\"\304\002\n\nClaimState\022\021\n\tworkspace\030\001 \001(\t\022\027\n" +
-      "\017idempotency_key\030\002 \001(\t\022\016\n\006digest\030\003 \001(\t\022\016" +
-      "\n\006holder\030\004 \001(\t\022\r\n\005epoch\030\005 \001(\003\0224\n\005phase\030\006" +
-      " \001(\0162%.borageproxy.control.ClaimState.Ph" +
-      "ase\022\031\n\021held_until_millis\030\007 \001(\003\022\031\n\021expire" +
-      "s_at_millis\030\010 \001(\003\022+\n\006answer\030\t \001(\0132\033.bora" +
-      "geproxy.control.Answer\"B\n\005Phase\022\013\n\007CLAIM" +
-      "ED\020\000\022\014\n\010ANSWERED\020\001\022\020\n\014MAY_HAVE_RUN\020\002\022\014\n\010" +
-      "RELEASED\020\003\"\212\001\n\nCrashState\022\023\n\013fingerprint" +
-      "\030\001 \001(\t\022\017\n\007crashes\030\002 \003(\t\022\023\n\013quarantined\030\003" +
-      " \001(\010\022\031\n\021expires_at_millis\030\004 \001(\003\022\014\n\004part\030" +
-      "\005 \001(\010\022\030\n\020untested_crashes\030\006 \003(\t\"0\n\rDocum" +
-      "entState\022\016\n\006number\030\001 \001(\004\022\017\n\007content\030\002 \001(" +
-      "\014\"l\n\013ChangeState\022\020\n\010identity\030\001 \001(\t\022\016\n\006di" +
-      "gest\030\002 \001(\014\022\020\n\010operator\030\003 \001(\t\022)\n\005reply\030\004 " +
-      "\001(\0132\032.borageproxy.control.Reply\"a\n\017Remem" +
-      "beredReply\022\020\n\010identity\030\001 \001(\t\022\021\n\tat_milli" +
-      "s\030\002 \001(\003\022)\n\005reply\030\003 \001(\0132\032.borageproxy.con" +
-      "trol.Reply\"\350\002\n\004Item\022\014\n\004name\030\001 \001(\t\022\017\n\007ver" +
-      "sion\030\002 \001(\004\022.\n\004tree\030\003 \001(\0132\036.borageproxy.c" +
-      "ontrol.TreeStateH\000\022,\n\003key\030\004 \001(\0132\035.borage" +
-      "proxy.control.KeyStateH\000\0220\n\005lease\030\005 \001(\0132" +
-      "\037.borageproxy.control.LeaseStateH\000\0220\n\005cr" +
-      "ash\030\006 \001(\0132\037.borageproxy.control.CrashSta" +
-      "teH\000\022+\n\002vm\030\007 \001(\0132\035.borageproxy.control.V" +
-      "mRecordH\000\022\021\n\007removed\030\010 \001(\010H\000\0226\n\010document" +
-      "\030\t \001(\0132\".borageproxy.control.DocumentSta" +
-      "teH\000B\007\n\005value\"\302\004\n\017ControlSnapshot\022\017\n\007ver" +
-      "sion\030\001 \001(\004\022\020\n\010revision\030\002 \001(\004\022/\n\007history\030" +
-      "\004 \003(\0132\036.borageproxy.control.TreeState\022+\n" +
-      "\004keys\030\005 \003(\0132\035.borageproxy.control.KeySta" +
-      "te\0221\n\007changes\030\006 \003(\0132 .borageproxy.contro" +
-      "l.ChangeState\0225\n\007replies\030\007 \003(\0132$.boragep" +
-      "roxy.control.RememberedReply\022/\n\006claims\030\010" +
-      " \003(\0132\037.borageproxy.control.ClaimState\022\030\n" +
-      "\020last_claim_epoch\030\t \001(\003\022/\n\006leases\030\n \003(\0132" +
-      "\037.borageproxy.control.LeaseState\0222\n\007inte" +
-      "nts\030\013 \003(\0132!.borageproxy.control.IntentRe" +
-      "cord\022\032\n\022last_intent_number\030\014 \001(\003\0220\n\007cras" +
-      "hes\030\r \003(\0132\037.borageproxy.control.CrashSta" +
-      "te\022(\n\005items\030\016 \003(\0132\031.borageproxy.control." +
-      "Item\022\026\n\016removals_since\030\017 \001(\004J\004\010\003\020\004\"\241\002\n\014W" +
-      "atchRequest\022+\n\005watch\030\001 \001(\0132\032.borageproxy" +
-      ".control.WatchH\000\0226\n\013read_served\030\002 \001(\0132\037." +
-      "borageproxy.control.ReadServedH\000\0222\n\tread" +
-      "_tree\030\003 \001(\0132\035.borageproxy.control.ReadTr" +
-      "eeH\000\022<\n\016read_revisions\030\004 \001(\0132\".boragepro" +
-      "xy.control.ReadRevisionsH\000\0222\n\tread_keys\030" +
-      "\005 \001(\0132\035.borageproxy.control.ReadKeysH\000B\006" +
-      "\n\004body\"q\n\005Watch\022)\n\002vm\030\001 \001(\0132\035.borageprox" +
-      "y.control.VmRecord\022\017\n\007version\030\002 \001(\004\022\027\n\017s" +
-      "erved_revision\030\003 \001(\004\022\023\n\013wait_millis\030\004 \001(" +
-      "\r\"\014\n\nReadServed\"\034\n\010ReadTree\022\020\n\010revision\030" +
-      "\001 \001(\004\"\017\n\rReadRevisions\"\n\n\010ReadKeys\"\266\002\n\013W" +
-      "atchAnswer\022\021\n\tconfirmed\030\001 \001(\010\022\017\n\007version" +
-      "\030\002 \001(\004\022\020\n\010revision\030\003 \001(\004\022\014\n\004full\030\004 \001(\010\022(" +
-      "\n\005items\030\005 \003(\0132\031.borageproxy.control.Item" +
-      "\022+\n\006served\030\006 \003(\0132\033.borageproxy.control.S" +
-      "erved\022,\n\004tree\030\007 \001(\0132\036.borageproxy.contro" +
-      "l.TreeState\0221\n\trevisions\030\010 \003(\0132\036.boragep" +
-      "roxy.control.TreeState\022+\n\004keys\030\t \003(\0132\035.b" +
-      "orageproxy.control.KeyState\"H\n\006Served\022\n\n" +
-      "\002vm\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\022\n\nage_milli" +
-      "s\030\003 \001(\004\022\014\n\004zone\030\004 \001(\tB-\n\032org.borageproxy" +
-      ".wire.protoB\017ControlProtocolb\006proto3"
+      "PublishDocumentH\000\022<\n\016record_streams\030\036 \001(" +
+      "\0132\".borageproxy.control.RecordStreamsH\000B" +
+      "\006\n\004body\"C\n\rRecordStreams\0222\n\007streams\030\001 \003(" +
+      "\0132!.borageproxy.control.StreamRecord\"e\n\014" +
+      "StreamRecord\022\017\n\007request\030\001 \001(\t\022\017\n\007service" +
+      "\030\002 \001(\t\022\030\n\020software_version\030\003 \001(\t\022\031\n\021expi" +
+      "res_at_millis\030\004 \001(\003\"s\n\tApplyTree\022\027\n\017chan" +
+      "ge_identity\030\001 \001(\t\022\025\n\rbase_revision\030\002 \001(\004" +
+      "\022\020\n\010document\030\003 \001(\t\022\020\n\010operator\030\004 \001(\t\022\022\n\n" +
+      "only_known\030\005 \001(\010\"a\n\010Rollback\022\027\n\017change_i" +
+      "dentity\030\001 \001(\t\022\025\n\rbase_revision\030\002 \001(\004\022\023\n\013" +
+      "to_revision\030\003 \001(\004\022\020\n\010operator\030\004 \001(\t\"o\n\tC" +
+      "reateKey\022\027\n\017change_identity\030\001 \001(\t\022\024\n\014key" +
+      "_identity\030\002 \001(\t\022\016\n\006digest\030\003 \001(\t\022\021\n\tworks" +
+      "pace\030\004 \001(\t\022\020\n\010operator\030\005 \001(\t\"#\n\013Withdraw" +
+      "Key\022\024\n\014key_identity\030\001 \001(\t\"\203\001\n\005Claim\022\021\n\tw" +
+      "orkspace\030\001 \001(\t\022\027\n\017idempotency_key\030\002 \001(\t\022" +
+      "\016\n\006digest\030\003 \001(\t\022\031\n\021created_at_millis\030\004 \001" +
+      "(\003\022\016\n\006holder\030\005 \001(\t\022\023\n\013hold_millis\030\006 \001(\003\"" +
+      "w\n\rCompleteClaim\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017i" +
+      "dempotency_key\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\022+\n\006a" +
+      "nswer\030\004 \001(\0132\033.borageproxy.control.Answer" +
+      "\"E\n\010EndClaim\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017idemp" +
+      "otency_key\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\"<\n\006Answe" +
+      "r\022\016\n\006status\030\001 \001(\005\022\024\n\014content_type\030\002 \001(\t\022" +
+      "\014\n\004body\030\003 \001(\014\"V\n\014AcquireLease\022\014\n\004duty\030\001 " +
+      "\001(\t\022\016\n\006holder\030\002 \001(\t\022\017\n\007session\030\003 \001(\t\022\027\n\017" +
+      "expired_renewal\030\004 \001(\004\"U\n\014ReleaseLease\022\014\n" +
+      "\004duty\030\001 \001(\t\022\017\n\007session\030\002 \001(\t\022\r\n\005epoch\030\003 " +
+      "\001(\003\022\027\n\017expired_renewal\030\004 \001(\004\"\276\001\n\014IntentR" +
+      "ecord\022\016\n\006number\030\001 \001(\003\022\r\n\005epoch\030\002 \001(\003\022\016\n\006" +
+      "server\030\003 \001(\t\022\023\n\013incarnation\030\004 \001(\003\022\023\n\013acc" +
+      "elerator\030\005 \001(\t\022\016\n\006action\030\006 \001(\005\022\r\n\005model\030" +
+      "\007 \001(\t\022\017\n\007version\030\010 \001(\t\022\017\n\007adapter\030\t \001(\t\022" +
+      "\024\n\014memory_bytes\030\n \001(\003\"A\n\014RecordIntent\0221\n" +
+      "\006intent\030\001 \001(\0132!.borageproxy.control.Inte" +
+      "ntRecord\"0\n\016ResolveIntents\022\r\n\005epoch\030\001 \001(" +
+      "\003\022\017\n\007numbers\030\002 \003(\003\"\r\n\013ReadIntents\"\207\001\n\013Re" +
+      "portCrash\022\023\n\013fingerprint\030\001 \001(\t\022\016\n\006server" +
+      "\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\003\022\r\n\005alone\030\004 \001" +
+      "(\010\022/\n\005parts\030\005 \003(\0132 .borageproxy.control." +
+      "SuspectPart\"4\n\013SuspectPart\022\023\n\013fingerprin" +
+      "t\030\001 \001(\t\022\020\n\010untested\030\002 \001(\010\"!\n\nClearCrash\022" +
+      "\023\n\013fingerprint\030\001 \001(\t\"7\n\nRegisterVm\022)\n\002vm" +
+      "\030\001 \001(\0132\035.borageproxy.control.VmRecord\"\030\n" +
+      "\010RemoveVm\022\014\n\004name\030\001 \001(\t\"2\n\017PublishDocume" +
+      "nt\022\016\n\006number\030\001 \001(\004\022\017\n\007content\030\002 \001(\014\"S\n\010V" +
+      "mRecord\022\014\n\004name\030\001 \001(\t\022\014\n\004zone\030\002 \001(\t\022\014\n\004h" +
+      "ost\030\003 \001(\t\022\014\n\004port\030\004 \001(\005\022\017\n\007control\030\005 \001(\010" +
+      "\"\301\005\n\005Reply\0221\n\010accepted\030\001 \001(\0132\035.boragepro" +
+      "xy.control.AcceptedH\000\022>\n\017change_conflict" +
+      "\030\002 \001(\0132#.borageproxy.control.ChangeConfl" +
+      "ictH\000\022B\n\021identity_conflict\030\003 \001(\0132%.borag" +
+      "eproxy.control.IdentityConflictH\000\022/\n\007mis" +
+      "sing\030\004 \001(\0132\034.borageproxy.control.Missing" +
+      "H\000\0220\n\005claim\030\005 \001(\0132\037.borageproxy.control." +
+      "ClaimReplyH\000\0220\n\005lease\030\006 \001(\0132\037.borageprox" +
+      "y.control.LeaseReplyH\000\0223\n\006intent\030\007 \001(\0132!" +
+      ".borageproxy.control.IntentRecordH\000\022-\n\006f" +
+      "enced\030\010 \001(\0132\033.borageproxy.control.Fenced" +
+      "H\000\022/\n\007intents\030\t \001(\0132\034.borageproxy.contro" +
+      "l.IntentsH\000\0220\n\005crash\030\n \001(\0132\037.borageproxy" +
+      ".control.CrashReplyH\000\022)\n\004done\030\013 \001(\0132\031.bo" +
+      "rageproxy.control.DoneH\000\0226\n\013key_created\030" +
+      "\014 \001(\0132\037.borageproxy.control.KeyCreatedH\000" +
+      "\022:\n\rdocument_held\030\r \001(\0132!.borageproxy.co" +
+      "ntrol.DocumentHeldH\000B\006\n\004body\"\034\n\010Accepted" +
+      "\022\020\n\010revision\030\001 \001(\004\":\n\016ChangeConflict\022\030\n\020" +
+      "current_revision\030\001 \001(\004\022\016\n\006holder\030\002 \001(\t\"4" +
+      "\n\020IdentityConflict\022\016\n\006holder\030\001 \001(\t\022\020\n\010re" +
+      "vision\030\002 \001(\004\"\036\n\014DocumentHeld\022\016\n\006number\030\001" +
+      " \001(\004\"\t\n\007Missing\"\006\n\004Done\"\037\n\006Fenced\022\025\n\rcur" +
+      "rent_epoch\030\001 \001(\003\"J\n\nKeyCreated\022\020\n\010revisi" +
+      "on\030\001 \001(\004\022*\n\003key\030\002 \001(\0132\035.borageproxy.cont" +
+      "rol.KeyState\"\351\001\n\nClaimReply\022:\n\010decision\030" +
+      "\001 \001(\0162(.borageproxy.control.ClaimReply.D" +
+      "ecision\022\r\n\005epoch\030\002 \001(\003\022+\n\006answer\030\003 \001(\0132\033" +
+      ".borageproxy.control.Answer\"c\n\010Decision\022" +
+      "\013\n\007GRANTED\020\000\022\014\n\010ANSWERED\020\001\022\017\n\013IN_PROGRES" +
+      "S\020\002\022\020\n\014MAY_HAVE_RUN\020\003\022\014\n\010CONFLICT\020\004\022\013\n\007T" +
+      "OO_OLD\020\005\"<\n\nLeaseReply\022\017\n\007granted\030\001 \001(\010\022" +
+      "\016\n\006holder\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\"=\n\007Intent" +
+      "s\0222\n\007intents\030\001 \003(\0132!.borageproxy.control" +
+      ".IntentRecord\"\037\n\nCrashReply\022\021\n\tsuspicion" +
+      "\030\001 \001(\005\"R\n\010KeyState\022\020\n\010identity\030\001 \001(\t\022\016\n\006" +
+      "digest\030\002 \001(\t\022\021\n\tworkspace\030\003 \001(\t\022\021\n\twithd" +
+      "rawn\030\004 \001(\010\"v\n\tTreeState\022\020\n\010revision\030\001 \001(" +
+      "\004\022\020\n\010document\030\002 \001(\t\022\027\n\017change_identity\030\003" +
+      " \001(\t\022\020\n\010operator\030\004 \001(\t\022\032\n\022accepted_at_mi" +
+      "llis\030\005 \001(\003\"i\n\nLeaseState\022\014\n\004duty\030\001 \001(\t\022\016" +
+      "\n\006holder\030\002 \001(\t\022\017\n\007session\030\003 \001(\t\022\r\n\005epoch" +
+      "\030\004 \001(\003\022\017\n\007renewal\030\005 \001(\004\022\014\n\004free\030\006 \001(\010\"\304\002" +
+      "\n\nClaimState\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017idemp" +
+      "otency_key\030\002 \001(\t\022\016\n\006digest\030\003 \001(\t\022\016\n\006hold" +
+      "er\030\004 \001(\t\022\r\n\005epoch\030\005 \001(\003\0224\n\005phase\030\006 \001(\0162%" +
+      ".borageproxy.control.ClaimState.Phase\022\031\n" +
+      "\021held_until_millis\030\007 \001(\003\022\031\n\021expires_at_m" +
+      "illis\030\010 \001(\003\022+\n\006answer\030\t \001(\0132\033.borageprox" +
+      "y.control.Answer\"B\n\005Phase\022\013\n\007CLAIMED\020\000\022\014" +
+      "\n\010ANSWERED\020\001\022\020\n\014MAY_HAVE_RUN\020\002\022\014\n\010RELEAS" +
+      "ED\020\003\"\212\001\n\nCrashState\022\023\n\013fingerprint\030\001 \001(\t" +
+      "\022\017\n\007crashes\030\002 \003(\t\022\023\n\013quarantined\030\003 \001(\010\022\031" +
+      "\n\021expires_at_millis\030\004 \001(\003\022\014\n\004part\030\005 \001(\010\022" +
+      "\030\n\020untested_crashes\030\006 \003(\t\"0\n\rDocumentSta" +
+      "te\022\016\n\006number\030\001 \001(\004\022\017\n\007content\030\002 \001(\014\"l\n\013C" +
+      "hangeState\022\020\n\010identity\030\001 \001(\t\022\016\n\006digest\030\002" +
+      " \001(\014\022\020\n\010operator\030\003 \001(\t\022)\n\005reply\030\004 \001(\0132\032." +
+      "borageproxy.control.Reply\"a\n\017RememberedR" +
+      "eply\022\020\n\010identity\030\001 \001(\t\022\021\n\tat_millis\030\002 \001(" +
+      "\003\022)\n\005reply\030\003 \001(\0132\032.borageproxy.control.R" +
+      "eply\"\350\002\n\004Item\022\014\n\004name\030\001 \001(\t\022\017\n\007version\030\002" +
+      " \001(\004\022.\n\004tree\030\003 \001(\0132\036.borageproxy.control" +
+      ".TreeStateH\000\022,\n\003key\030\004 \001(\0132\035.borageproxy." +
+      "control.KeyStateH\000\0220\n\005lease\030\005 \001(\0132\037.bora" +
+      "geproxy.control.LeaseStateH\000\0220\n\005crash\030\006 " +
+      "\001(\0132\037.borageproxy.control.CrashStateH\000\022+" +
+      "\n\002vm\030\007 \001(\0132\035.borageproxy.control.VmRecor" +
+      "dH\000\022\021\n\007removed\030\010 \001(\010H\000\0226\n\010document\030\t \001(\013" +
+      "2\".borageproxy.control.DocumentStateH\000B\007" +
+      "\n\005value\"\366\004\n\017ControlSnapshot\022\017\n\007version\030\001" +
+      " \001(\004\022\020\n\010revision\030\002 \001(\004\022/\n\007history\030\004 \003(\0132" +
+      "\036.borageproxy.control.TreeState\022+\n\004keys\030" +
+      "\005 \003(\0132\035.borageproxy.control.KeyState\0221\n\007" +
+      "changes\030\006 \003(\0132 .borageproxy.control.Chan" +
+      "geState\0225\n\007replies\030\007 \003(\0132$.borageproxy.c" +
+      "ontrol.RememberedReply\022/\n\006claims\030\010 \003(\0132\037" +
+      ".borageproxy.control.ClaimState\022\030\n\020last_" +
+      "claim_epoch\030\t \001(\003\022/\n\006leases\030\n \003(\0132\037.bora" +
+      "geproxy.control.LeaseState\0222\n\007intents\030\013 " +
+      "\003(\0132!.borageproxy.control.IntentRecord\022\032" +
+      "\n\022last_intent_number\030\014 \001(\003\0220\n\007crashes\030\r " +
+      "\003(\0132\037.borageproxy.control.CrashState\022(\n\005" +
+      "items\030\016 \003(\0132\031.borageproxy.control.Item\022\026" +
+      "\n\016removals_since\030\017 \001(\004\0222\n\007streams\030\036 \003(\0132" +
+      "!.borageproxy.control.StreamRecordJ\004\010\003\020\004" +
+      "\"\241\002\n\014WatchRequest\022+\n\005watch\030\001 \001(\0132\032.borag" +
+      "eproxy.control.WatchH\000\0226\n\013read_served\030\002 " +
+      "\001(\0132\037.borageproxy.control.ReadServedH\000\0222" +
+      "\n\tread_tree\030\003 \001(\0132\035.borageproxy.control." +
+      "ReadTreeH\000\022<\n\016read_revisions\030\004 \001(\0132\".bor" +
+      "ageproxy.control.ReadRevisionsH\000\0222\n\tread" +
+      "_keys\030\005 \001(\0132\035.borageproxy.control.ReadKe" +
+      "ysH\000B\006\n\004body\"q\n\005Watch\022)\n\002vm\030\001 \001(\0132\035.bora" +
+      "geproxy.control.VmRecord\022\017\n\007version\030\002 \001(" +
+      "\004\022\027\n\017served_revision\030\003 \001(\004\022\023\n\013wait_milli" +
+      "s\030\004 \001(\r\"\014\n\nReadServed\"\034\n\010ReadTree\022\020\n\010rev" +
+      "ision\030\001 \001(\004\"\017\n\rReadRevisions\"\n\n\010ReadKeys" +
+      "\"\266\002\n\013WatchAnswer\022\021\n\tconfirmed\030\001 \001(\010\022\017\n\007v" +
+      "ersion\030\002 \001(\004\022\020\n\010revision\030\003 \001(\004\022\014\n\004full\030\004" +
+      " \001(\010\022(\n\005items\030\005 \003(\0132\031.borageproxy.contro" +
+      "l.Item\022+\n\006served\030\006 \003(\0132\033.borageproxy.con" +
+      "trol.Served\022,\n\004tree\030\007 \001(\0132\036.borageproxy." +
+      "control.TreeState\0221\n\trevisions\030\010 \003(\0132\036.b" +
+      "orageproxy.control.TreeState\022+\n\004keys\030\t \003" +
+      "(\0132\035.borageproxy.control.KeyState\"H\n\006Ser" +
+      "ved\022\n\n\002vm\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\022\n\nage" +
+      "_millis\030\003 \001(\004\022\014\n\004zone\030\004 \001(\tB-\n\032org.borag" +
+      "eproxy.wire.protoB\017ControlProtocolb\006prot" +
+      "o3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -54894,315 +57220,327 @@
     internal_static_borageproxy_control_Command_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Command_descriptor,
-        new java.lang.String[] { "Identity", "ApplyTree", "Rollback", "CreateKey", "WithdrawKey", "Claim", "CompleteClaim", "ReleaseClaim", "AbandonClaim", "AcquireLease", "ReleaseLease", "RecordIntent", "ResolveIntents", "ReadIntents", "ReportCrash", "ClearCrash", "RegisterVm", "RemoveVm", "PublishDocument", "Body", });
-    internal_static_borageproxy_control_ApplyTree_descriptor =
+        new java.lang.String[] { "Identity", "ApplyTree", "Rollback", "CreateKey", "WithdrawKey", "Claim", "CompleteClaim", "ReleaseClaim", "AbandonClaim", "AcquireLease", "ReleaseLease", "RecordIntent", "ResolveIntents", "ReadIntents", "ReportCrash", "ClearCrash", "RegisterVm", "RemoveVm", "PublishDocument", "RecordStreams", "Body", });
+    internal_static_borageproxy_control_RecordStreams_descriptor =
       getDescriptor().getMessageType(3);
+    internal_static_borageproxy_control_RecordStreams_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_borageproxy_control_RecordStreams_descriptor,
+        new java.lang.String[] { "Streams", });
+    internal_static_borageproxy_control_StreamRecord_descriptor =
+      getDescriptor().getMessageType(4);
+    internal_static_borageproxy_control_StreamRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_borageproxy_control_StreamRecord_descriptor,
+        new java.lang.String[] { "Request", "Service", "SoftwareVersion", "ExpiresAtMillis", });
+    internal_static_borageproxy_control_ApplyTree_descriptor =
+      getDescriptor().getMessageType(5);
     internal_static_borageproxy_control_ApplyTree_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ApplyTree_descriptor,
         new java.lang.String[] { "ChangeIdentity", "BaseRevision", "Document", "Operator", "OnlyKnown", });
     internal_static_borageproxy_control_Rollback_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(6);
     internal_static_borageproxy_control_Rollback_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Rollback_descriptor,
         new java.lang.String[] { "ChangeIdentity", "BaseRevision", "ToRevision", "Operator", });
     internal_static_borageproxy_control_CreateKey_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(7);
     internal_static_borageproxy_control_CreateKey_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_CreateKey_descriptor,
         new java.lang.String[] { "ChangeIdentity", "KeyIdentity", "Digest", "Workspace", "Operator", });
     internal_static_borageproxy_control_WithdrawKey_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(8);
     internal_static_borageproxy_control_WithdrawKey_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_WithdrawKey_descriptor,
         new java.lang.String[] { "KeyIdentity", });
     internal_static_borageproxy_control_Claim_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(9);
     internal_static_borageproxy_control_Claim_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Claim_descriptor,
         new java.lang.String[] { "Workspace", "IdempotencyKey", "Digest", "CreatedAtMillis", "Holder", "HoldMillis", });
     internal_static_borageproxy_control_CompleteClaim_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(10);
     internal_static_borageproxy_control_CompleteClaim_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_CompleteClaim_descriptor,
         new java.lang.String[] { "Workspace", "IdempotencyKey", "Epoch", "Answer", });
     internal_static_borageproxy_control_EndClaim_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(11);
     internal_static_borageproxy_control_EndClaim_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_EndClaim_descriptor,
         new java.lang.String[] { "Workspace", "IdempotencyKey", "Epoch", });
     internal_static_borageproxy_control_Answer_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(12);
     internal_static_borageproxy_control_Answer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Answer_descriptor,
         new java.lang.String[] { "Status", "ContentType", "Body", });
     internal_static_borageproxy_control_AcquireLease_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(13);
     internal_static_borageproxy_control_AcquireLease_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_AcquireLease_descriptor,
         new java.lang.String[] { "Duty", "Holder", "Session", "ExpiredRenewal", });
     internal_static_borageproxy_control_ReleaseLease_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(14);
     internal_static_borageproxy_control_ReleaseLease_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ReleaseLease_descriptor,
         new java.lang.String[] { "Duty", "Session", "Epoch", "ExpiredRenewal", });
     internal_static_borageproxy_control_IntentRecord_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(15);
     internal_static_borageproxy_control_IntentRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_IntentRecord_descriptor,
         new java.lang.String[] { "Number", "Epoch", "Server", "Incarnation", "Accelerator", "Action", "Model", "Version", "Adapter", "MemoryBytes", });
     internal_static_borageproxy_control_RecordIntent_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(16);
     internal_static_borageproxy_control_RecordIntent_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_RecordIntent_descriptor,
         new java.lang.String[] { "Intent", });
     internal_static_borageproxy_control_ResolveIntents_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(17);
     internal_static_borageproxy_control_ResolveIntents_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ResolveIntents_descriptor,
         new java.lang.String[] { "Epoch", "Numbers", });
     internal_static_borageproxy_control_ReadIntents_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(18);
     internal_static_borageproxy_control_ReadIntents_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ReadIntents_descriptor,
         new java.lang.String[] { });
     internal_static_borageproxy_control_ReportCrash_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(19);
     internal_static_borageproxy_control_ReportCrash_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ReportCrash_descriptor,
         new java.lang.String[] { "Fingerprint", "Server", "Incarnation", "Alone", "Parts", });
     internal_static_borageproxy_control_SuspectPart_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(20);
     internal_static_borageproxy_control_SuspectPart_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_SuspectPart_descriptor,
         new java.lang.String[] { "Fingerprint", "Untested", });
     internal_static_borageproxy_control_ClearCrash_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(21);
     internal_static_borageproxy_control_ClearCrash_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ClearCrash_descriptor,
         new java.lang.String[] { "Fingerprint", });
     internal_static_borageproxy_control_RegisterVm_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(22);
     internal_static_borageproxy_control_RegisterVm_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_RegisterVm_descriptor,
         new java.lang.String[] { "Vm", });
     internal_static_borageproxy_control_RemoveVm_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(23);
     internal_static_borageproxy_control_RemoveVm_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_RemoveVm_descriptor,
         new java.lang.String[] { "Name", });
     internal_static_borageproxy_control_PublishDocument_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(24);
     internal_static_borageproxy_control_PublishDocument_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_PublishDocument_descriptor,
         new java.lang.String[] { "Number", "Content", });
     internal_static_borageproxy_control_VmRecord_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(25);
     internal_static_borageproxy_control_VmRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_VmRecord_descriptor,
         new java.lang.String[] { "Name", "Zone", "Host", "Port", "Control", });
     internal_static_borageproxy_control_Reply_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(26);
     internal_static_borageproxy_control_Reply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Reply_descriptor,
         new java.lang.String[] { "Accepted", "ChangeConflict", "IdentityConflict", "Missing", "Claim", "Lease", "Intent", "Fenced", "Intents", "Crash", "Done", "KeyCreated", "DocumentHeld", "Body", });
     internal_static_borageproxy_control_Accepted_descriptor =
-      getDescriptor().getMessageType(25);
+      getDescriptor().getMessageType(27);
     internal_static_borageproxy_control_Accepted_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Accepted_descriptor,
         new java.lang.String[] { "Revision", });
     internal_static_borageproxy_control_ChangeConflict_descriptor =
-      getDescriptor().getMessageType(26);
+      getDescriptor().getMessageType(28);
     internal_static_borageproxy_control_ChangeConflict_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ChangeConflict_descriptor,
         new java.lang.String[] { "CurrentRevision", "Holder", });
     internal_static_borageproxy_control_IdentityConflict_descriptor =
-      getDescriptor().getMessageType(27);
+      getDescriptor().getMessageType(29);
     internal_static_borageproxy_control_IdentityConflict_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_IdentityConflict_descriptor,
         new java.lang.String[] { "Holder", "Revision", });
     internal_static_borageproxy_control_DocumentHeld_descriptor =
-      getDescriptor().getMessageType(28);
+      getDescriptor().getMessageType(30);
     internal_static_borageproxy_control_DocumentHeld_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_DocumentHeld_descriptor,
         new java.lang.String[] { "Number", });
     internal_static_borageproxy_control_Missing_descriptor =
-      getDescriptor().getMessageType(29);
+      getDescriptor().getMessageType(31);
     internal_static_borageproxy_control_Missing_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Missing_descriptor,
         new java.lang.String[] { });
     internal_static_borageproxy_control_Done_descriptor =
-      getDescriptor().getMessageType(30);
+      getDescriptor().getMessageType(32);
     internal_static_borageproxy_control_Done_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Done_descriptor,
         new java.lang.String[] { });
     internal_static_borageproxy_control_Fenced_descriptor =
-      getDescriptor().getMessageType(31);
+      getDescriptor().getMessageType(33);
     internal_static_borageproxy_control_Fenced_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Fenced_descriptor,
         new java.lang.String[] { "CurrentEpoch", });
     internal_static_borageproxy_control_KeyCreated_descriptor =
-      getDescriptor().getMessageType(32);
+      getDescriptor().getMessageType(34);
     internal_static_borageproxy_control_KeyCreated_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_KeyCreated_descriptor,
         new java.lang.String[] { "Revision", "Key", });
     internal_static_borageproxy_control_ClaimReply_descriptor =
-      getDescriptor().getMessageType(33);
+      getDescriptor().getMessageType(35);
     internal_static_borageproxy_control_ClaimReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ClaimReply_descriptor,
         new java.lang.String[] { "Decision", "Epoch", "Answer", });
     internal_static_borageproxy_control_LeaseReply_descriptor =
-      getDescriptor().getMessageType(34);
+      getDescriptor().getMessageType(36);
     internal_static_borageproxy_control_LeaseReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_LeaseReply_descriptor,
         new java.lang.String[] { "Granted", "Holder", "Epoch", });
     internal_static_borageproxy_control_Intents_descriptor =
-      getDescriptor().getMessageType(35);
+      getDescriptor().getMessageType(37);
     internal_static_borageproxy_control_Intents_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Intents_descriptor,
         new java.lang.String[] { "Intents", });
     internal_static_borageproxy_control_CrashReply_descriptor =
-      getDescriptor().getMessageType(36);
+      getDescriptor().getMessageType(38);
     internal_static_borageproxy_control_CrashReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_CrashReply_descriptor,
         new java.lang.String[] { "Suspicion", });
     internal_static_borageproxy_control_KeyState_descriptor =
-      getDescriptor().getMessageType(37);
+      getDescriptor().getMessageType(39);
     internal_static_borageproxy_control_KeyState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_KeyState_descriptor,
         new java.lang.String[] { "Identity", "Digest", "Workspace", "Withdrawn", });
     internal_static_borageproxy_control_TreeState_descriptor =
-      getDescriptor().getMessageType(38);
+      getDescriptor().getMessageType(40);
     internal_static_borageproxy_control_TreeState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_TreeState_descriptor,
         new java.lang.String[] { "Revision", "Document", "ChangeIdentity", "Operator", "AcceptedAtMillis", });
     internal_static_borageproxy_control_LeaseState_descriptor =
-      getDescriptor().getMessageType(39);
+      getDescriptor().getMessageType(41);
     internal_static_borageproxy_control_LeaseState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_LeaseState_descriptor,
         new java.lang.String[] { "Duty", "Holder", "Session", "Epoch", "Renewal", "Free", });
     internal_static_borageproxy_control_ClaimState_descriptor =
-      getDescriptor().getMessageType(40);
+      getDescriptor().getMessageType(42);
     internal_static_borageproxy_control_ClaimState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ClaimState_descriptor,
         new java.lang.String[] { "Workspace", "IdempotencyKey", "Digest", "Holder", "Epoch", "Phase", "HeldUntilMillis", "ExpiresAtMillis", "Answer", });
     internal_static_borageproxy_control_CrashState_descriptor =
-      getDescriptor().getMessageType(41);
+      getDescriptor().getMessageType(43);
     internal_static_borageproxy_control_CrashState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_CrashState_descriptor,
         new java.lang.String[] { "Fingerprint", "Crashes", "Quarantined", "ExpiresAtMillis", "Part", "UntestedCrashes", });
     internal_static_borageproxy_control_DocumentState_descriptor =
-      getDescriptor().getMessageType(42);
+      getDescriptor().getMessageType(44);
     internal_static_borageproxy_control_DocumentState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_DocumentState_descriptor,
         new java.lang.String[] { "Number", "Content", });
     internal_static_borageproxy_control_ChangeState_descriptor =
-      getDescriptor().getMessageType(43);
+      getDescriptor().getMessageType(45);
     internal_static_borageproxy_control_ChangeState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ChangeState_descriptor,
         new java.lang.String[] { "Identity", "Digest", "Operator", "Reply", });
     internal_static_borageproxy_control_RememberedReply_descriptor =
-      getDescriptor().getMessageType(44);
+      getDescriptor().getMessageType(46);
     internal_static_borageproxy_control_RememberedReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_RememberedReply_descriptor,
         new java.lang.String[] { "Identity", "AtMillis", "Reply", });
     internal_static_borageproxy_control_Item_descriptor =
-      getDescriptor().getMessageType(45);
+      getDescriptor().getMessageType(47);
     internal_static_borageproxy_control_Item_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Item_descriptor,
         new java.lang.String[] { "Name", "Version", "Tree", "Key", "Lease", "Crash", "Vm", "Removed", "Document", "Value", });
     internal_static_borageproxy_control_ControlSnapshot_descriptor =
-      getDescriptor().getMessageType(46);
+      getDescriptor().getMessageType(48);
     internal_static_borageproxy_control_ControlSnapshot_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ControlSnapshot_descriptor,
-        new java.lang.String[] { "Version", "Revision", "History", "Keys", "Changes", "Replies", "Claims", "LastClaimEpoch", "Leases", "Intents", "LastIntentNumber", "Crashes", "Items", "RemovalsSince", });
+        new java.lang.String[] { "Version", "Revision", "History", "Keys", "Changes", "Replies", "Claims", "LastClaimEpoch", "Leases", "Intents", "LastIntentNumber", "Crashes", "Items", "RemovalsSince", "Streams", });
     internal_static_borageproxy_control_WatchRequest_descriptor =
-      getDescriptor().getMessageType(47);
+      getDescriptor().getMessageType(49);
     internal_static_borageproxy_control_WatchRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_WatchRequest_descriptor,
         new java.lang.String[] { "Watch", "ReadServed", "ReadTree", "ReadRevisions", "ReadKeys", "Body", });
     internal_static_borageproxy_control_Watch_descriptor =
-      getDescriptor().getMessageType(48);
+      getDescriptor().getMessageType(50);
     internal_static_borageproxy_control_Watch_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Watch_descriptor,
         new java.lang.String[] { "Vm", "Version", "ServedRevision", "WaitMillis", });
     internal_static_borageproxy_control_ReadServed_descriptor =
-      getDescriptor().getMessageType(49);
+      getDescriptor().getMessageType(51);
     internal_static_borageproxy_control_ReadServed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ReadServed_descriptor,
         new java.lang.String[] { });
     internal_static_borageproxy_control_ReadTree_descriptor =
-      getDescriptor().getMessageType(50);
+      getDescriptor().getMessageType(52);
     internal_static_borageproxy_control_ReadTree_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ReadTree_descriptor,
         new java.lang.String[] { "Revision", });
     internal_static_borageproxy_control_ReadRevisions_descriptor =
-      getDescriptor().getMessageType(51);
+      getDescriptor().getMessageType(53);
     internal_static_borageproxy_control_ReadRevisions_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ReadRevisions_descriptor,
         new java.lang.String[] { });
     internal_static_borageproxy_control_ReadKeys_descriptor =
-      getDescriptor().getMessageType(52);
+      getDescriptor().getMessageType(54);
     internal_static_borageproxy_control_ReadKeys_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ReadKeys_descriptor,
         new java.lang.String[] { });
     internal_static_borageproxy_control_WatchAnswer_descriptor =
-      getDescriptor().getMessageType(53);
+      getDescriptor().getMessageType(55);
     internal_static_borageproxy_control_WatchAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_WatchAnswer_descriptor,
         new java.lang.String[] { "Confirmed", "Version", "Revision", "Full", "Items", "Served", "Tree", "Revisions", "Keys", });
     internal_static_borageproxy_control_Served_descriptor =
-      getDescriptor().getMessageType(54);
+      getDescriptor().getMessageType(56);
     internal_static_borageproxy_control_Served_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Served_descriptor,
--- a/src/test/java/org/borageproxy/platform/SplicedStreamTest.java
+++ b/src/test/java/org/borageproxy/platform/SplicedStreamTest.java
@@ -96,6 +96,21 @@
         takeUp(streams, "named", true);
     }
 
+    /**
+     * Guards against streams that nobody can resume, since all VMs were killed and the coordinator's table is empty.
+     */
+    @Test
+    void streamsGoOnAtTheirVersionAfterAllVmsRestarted() throws Exception {
+        List<VersionedStreams.Begun> streams = callers.begin(fleet.entries().get(0), "a");
+        Thread.sleep(300);
+        List<String> vms = new ArrayList<>(fleet.entries());
+        vms.add(fleet.control());
+        restart(vms);
+        callers.awaitBothVersions();
+        int resumed = takeUp(streams, "named", true);
+        assertTrue(resumed >= streams.size(), resumed + " of " + 2 * streams.size());
+    }
+
     /**
      * Guards against resumptions at a wrong version, or at none, after a kill of all entries; the coordinator stays.
      */
