--- a/src/main/java/org/borageproxy/server/GatewayControl.java
+++ b/src/main/java/org/borageproxy/server/GatewayControl.java
@@ -110,7 +110,7 @@
                 runtime.clock(), runtime.timer(), runtime.membership().registry(), () -> List.of(Optional.empty()));
         placement = createPlacement();
         placement.setSpeeds(speeds::lastingSpeedOf);
-        streamOrigins = new StreamOrigins(runtime.clock());
+        streamOrigins = new StreamOrigins(runtime.clock(), new StreamArchive(state, client, runtime.timer()));
         slotBroker = createSlotBroker();
         admission = new AdmissionService(
                 member,
