--- a/src/main/java/org/borageproxy/wire/proto/ControlProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/ControlProtocol.java
@@ -2007,6 +2007,36 @@
      */
     org.borageproxy.wire.proto.ControlProtocol.PublishDocumentOrBuilder getPublishDocumentOrBuilder();
 
+    /**
+     * <code>.borageproxy.control.ZoneOrder drain_zone = 20;</code>
+     * @return Whether the drainZone field is set.
+     */
+    boolean hasDrainZone();
+    /**
+     * <code>.borageproxy.control.ZoneOrder drain_zone = 20;</code>
+     * @return The drainZone.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ZoneOrder getDrainZone();
+    /**
+     * <code>.borageproxy.control.ZoneOrder drain_zone = 20;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ZoneOrderOrBuilder getDrainZoneOrBuilder();
+
+    /**
+     * <code>.borageproxy.control.ZoneOrder return_zone = 21;</code>
+     * @return Whether the returnZone field is set.
+     */
+    boolean hasReturnZone();
+    /**
+     * <code>.borageproxy.control.ZoneOrder return_zone = 21;</code>
+     * @return The returnZone.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ZoneOrder getReturnZone();
+    /**
+     * <code>.borageproxy.control.ZoneOrder return_zone = 21;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ZoneOrderOrBuilder getReturnZoneOrBuilder();
+
     org.borageproxy.wire.proto.ControlProtocol.Command.BodyCase getBodyCase();
   }
   /**
@@ -2080,6 +2110,8 @@
       REGISTER_VM(17),
       REMOVE_VM(18),
       PUBLISH_DOCUMENT(19),
+      DRAIN_ZONE(20),
+      RETURN_ZONE(21),
       BODY_NOT_SET(0);
       private final int value;
       private BodyCase(int value) {
@@ -2115,6 +2147,8 @@
           case 17: return REGISTER_VM;
           case 18: return REMOVE_VM;
           case 19: return PUBLISH_DOCUMENT;
+          case 20: return DRAIN_ZONE;
+          case 21: return RETURN_ZONE;
           case 0: return BODY_NOT_SET;
           default: return null;
         }
@@ -2727,6 +2761,68 @@
       return org.borageproxy.wire.proto.ControlProtocol.PublishDocument.getDefaultInstance();
     }
 
+    public static final int DRAIN_ZONE_FIELD_NUMBER = 20;
+    /**
+     * <code>.borageproxy.control.ZoneOrder drain_zone = 20;</code>
+     * @return Whether the drainZone field is set.
+     */
+    @java.lang.Override
+    public boolean hasDrainZone() {
+      return bodyCase_ == 20;
+    }
+    /**
+     * <code>.borageproxy.control.ZoneOrder drain_zone = 20;</code>
+     * @return The drainZone.
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.ZoneOrder getDrainZone() {
+      if (bodyCase_ == 20) {
+         return (org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) body_;
+      }
+      return org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.getDefaultInstance();
+    }
+    /**
+     * <code>.borageproxy.control.ZoneOrder drain_zone = 20;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.ZoneOrderOrBuilder getDrainZoneOrBuilder() {
+      if (bodyCase_ == 20) {
+         return (org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) body_;
+      }
+      return org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.getDefaultInstance();
+    }
+
+    public static final int RETURN_ZONE_FIELD_NUMBER = 21;
+    /**
+     * <code>.borageproxy.control.ZoneOrder return_zone = 21;</code>
+     * @return Whether the returnZone field is set.
+     */
+    @java.lang.Override
+    public boolean hasReturnZone() {
+      return bodyCase_ == 21;
+    }
+    /**
+     * <code>.borageproxy.control.ZoneOrder return_zone = 21;</code>
+     * @return The returnZone.
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.ZoneOrder getReturnZone() {
+      if (bodyCase_ == 21) {
+         return (org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) body_;
+      }
+      return org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.getDefaultInstance();
+    }
+    /**
+     * <code>.borageproxy.control.ZoneOrder return_zone = 21;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.ZoneOrderOrBuilder getReturnZoneOrBuilder() {
+      if (bodyCase_ == 21) {
+         return (org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) body_;
+      }
+      return org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -2798,6 +2894,12 @@
       if (bodyCase_ == 19) {
         output.writeMessage(19, (org.borageproxy.wire.proto.ControlProtocol.PublishDocument) body_);
       }
+      if (bodyCase_ == 20) {
+        output.writeMessage(20, (org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) body_);
+      }
+      if (bodyCase_ == 21) {
+        output.writeMessage(21, (org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) body_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -2882,6 +2984,14 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(19, (org.borageproxy.wire.proto.ControlProtocol.PublishDocument) body_);
       }
+      if (bodyCase_ == 20) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(20, (org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) body_);
+      }
+      if (bodyCase_ == 21) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(21, (org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) body_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -2973,6 +3083,14 @@
           if (!getPublishDocument()
               .equals(other.getPublishDocument())) return false;
           break;
+        case 20:
+          if (!getDrainZone()
+              .equals(other.getDrainZone())) return false;
+          break;
+        case 21:
+          if (!getReturnZone()
+              .equals(other.getReturnZone())) return false;
+          break;
         case 0:
         default:
       }
@@ -3062,6 +3180,14 @@
           hash = (37 * hash) + PUBLISH_DOCUMENT_FIELD_NUMBER;
           hash = (53 * hash) + getPublishDocument().hashCode();
           break;
+        case 20:
+          hash = (37 * hash) + DRAIN_ZONE_FIELD_NUMBER;
+          hash = (53 * hash) + getDrainZone().hashCode();
+          break;
+        case 21:
+          hash = (37 * hash) + RETURN_ZONE_FIELD_NUMBER;
+          hash = (53 * hash) + getReturnZone().hashCode();
+          break;
         case 0:
         default:
       }
@@ -3255,6 +3381,12 @@
         if (publishDocumentBuilder_ != null) {
           publishDocumentBuilder_.clear();
         }
+        if (drainZoneBuilder_ != null) {
+          drainZoneBuilder_.clear();
+        }
+        if (returnZoneBuilder_ != null) {
+          returnZoneBuilder_.clear();
+        }
         bodyCase_ = 0;
         body_ = null;
         return this;
@@ -3371,6 +3503,14 @@
             publishDocumentBuilder_ != null) {
           result.body_ = publishDocumentBuilder_.build();
         }
+        if (bodyCase_ == 20 &&
+            drainZoneBuilder_ != null) {
+          result.body_ = drainZoneBuilder_.build();
+        }
+        if (bodyCase_ == 21 &&
+            returnZoneBuilder_ != null) {
+          result.body_ = returnZoneBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -3463,6 +3603,14 @@
             mergePublishDocument(other.getPublishDocument());
             break;
           }
+          case DRAIN_ZONE: {
+            mergeDrainZone(other.getDrainZone());
+            break;
+          }
+          case RETURN_ZONE: {
+            mergeReturnZone(other.getReturnZone());
+            break;
+          }
           case BODY_NOT_SET: {
             break;
           }
@@ -3624,6 +3772,20 @@
                 bodyCase_ = 19;
                 break;
               } // case 154
+              case 162: {
+                input.readMessage(
+                    internalGetDrainZoneFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 20;
+                break;
+              } // case 162
+              case 170: {
+                input.readMessage(
+                    internalGetReturnZoneFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 21;
+                break;
+              } // case 170
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -6284,6 +6446,290 @@
         return publishDocumentBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.ZoneOrder, org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.Builder, org.borageproxy.wire.proto.ControlProtocol.ZoneOrderOrBuilder> drainZoneBuilder_;
+      /**
+       * <code>.borageproxy.control.ZoneOrder drain_zone = 20;</code>
+       * @return Whether the drainZone field is set.
+       */
+      @java.lang.Override
+      public boolean hasDrainZone() {
+        return bodyCase_ == 20;
+      }
+      /**
+       * <code>.borageproxy.control.ZoneOrder drain_zone = 20;</code>
+       * @return The drainZone.
+       */
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ZoneOrder getDrainZone() {
+        if (drainZoneBuilder_ == null) {
+          if (bodyCase_ == 20) {
+            return (org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 20) {
+            return drainZoneBuilder_.getMessage();
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.borageproxy.control.ZoneOrder drain_zone = 20;</code>
+       */
+      public Builder setDrainZone(org.borageproxy.wire.proto.ControlProtocol.ZoneOrder value) {
+        if (drainZoneBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          body_ = value;
+          onChanged();
+        } else {
+          drainZoneBuilder_.setMessage(value);
+        }
+        bodyCase_ = 20;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.ZoneOrder drain_zone = 20;</code>
+       */
+      public Builder setDrainZone(
+          org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.Builder builderForValue) {
+        if (drainZoneBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          drainZoneBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 20;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.ZoneOrder drain_zone = 20;</code>
+       */
+      public Builder mergeDrainZone(org.borageproxy.wire.proto.ControlProtocol.ZoneOrder value) {
+        if (drainZoneBuilder_ == null) {
+          if (bodyCase_ == 20 &&
+              body_ != org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.getDefaultInstance()) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.newBuilder((org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 20) {
+            drainZoneBuilder_.mergeFrom(value);
+          } else {
+            drainZoneBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 20;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.ZoneOrder drain_zone = 20;</code>
+       */
+      public Builder clearDrainZone() {
+        if (drainZoneBuilder_ == null) {
+          if (bodyCase_ == 20) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 20) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          drainZoneBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.ZoneOrder drain_zone = 20;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.Builder getDrainZoneBuilder() {
+        return internalGetDrainZoneFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.borageproxy.control.ZoneOrder drain_zone = 20;</code>
+       */
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ZoneOrderOrBuilder getDrainZoneOrBuilder() {
+        if ((bodyCase_ == 20) && (drainZoneBuilder_ != null)) {
+          return drainZoneBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 20) {
+            return (org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.borageproxy.control.ZoneOrder drain_zone = 20;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.ZoneOrder, org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.Builder, org.borageproxy.wire.proto.ControlProtocol.ZoneOrderOrBuilder> 
+          internalGetDrainZoneFieldBuilder() {
+        if (drainZoneBuilder_ == null) {
+          if (!(bodyCase_ == 20)) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.getDefaultInstance();
+          }
+          drainZoneBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.ZoneOrder, org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.Builder, org.borageproxy.wire.proto.ControlProtocol.ZoneOrderOrBuilder>(
+                  (org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 20;
+        onChanged();
+        return drainZoneBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.ZoneOrder, org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.Builder, org.borageproxy.wire.proto.ControlProtocol.ZoneOrderOrBuilder> returnZoneBuilder_;
+      /**
+       * <code>.borageproxy.control.ZoneOrder return_zone = 21;</code>
+       * @return Whether the returnZone field is set.
+       */
+      @java.lang.Override
+      public boolean hasReturnZone() {
+        return bodyCase_ == 21;
+      }
+      /**
+       * <code>.borageproxy.control.ZoneOrder return_zone = 21;</code>
+       * @return The returnZone.
+       */
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ZoneOrder getReturnZone() {
+        if (returnZoneBuilder_ == null) {
+          if (bodyCase_ == 21) {
+            return (org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 21) {
+            return returnZoneBuilder_.getMessage();
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.borageproxy.control.ZoneOrder return_zone = 21;</code>
+       */
+      public Builder setReturnZone(org.borageproxy.wire.proto.ControlProtocol.ZoneOrder value) {
+        if (returnZoneBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          body_ = value;
+          onChanged();
+        } else {
+          returnZoneBuilder_.setMessage(value);
+        }
+        bodyCase_ = 21;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.ZoneOrder return_zone = 21;</code>
+       */
+      public Builder setReturnZone(
+          org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.Builder builderForValue) {
+        if (returnZoneBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          returnZoneBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 21;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.ZoneOrder return_zone = 21;</code>
+       */
+      public Builder mergeReturnZone(org.borageproxy.wire.proto.ControlProtocol.ZoneOrder value) {
+        if (returnZoneBuilder_ == null) {
+          if (bodyCase_ == 21 &&
+              body_ != org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.getDefaultInstance()) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.newBuilder((org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 21) {
+            returnZoneBuilder_.mergeFrom(value);
+          } else {
+            returnZoneBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 21;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.ZoneOrder return_zone = 21;</code>
+       */
+      public Builder clearReturnZone() {
+        if (returnZoneBuilder_ == null) {
+          if (bodyCase_ == 21) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 21) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          returnZoneBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.ZoneOrder return_zone = 21;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.Builder getReturnZoneBuilder() {
+        return internalGetReturnZoneFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.borageproxy.control.ZoneOrder return_zone = 21;</code>
+       */
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ZoneOrderOrBuilder getReturnZoneOrBuilder() {
+        if ((bodyCase_ == 21) && (returnZoneBuilder_ != null)) {
+          return returnZoneBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 21) {
+            return (org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.borageproxy.control.ZoneOrder return_zone = 21;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.ZoneOrder, org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.Builder, org.borageproxy.wire.proto.ControlProtocol.ZoneOrderOrBuilder> 
+          internalGetReturnZoneFieldBuilder() {
+        if (returnZoneBuilder_ == null) {
+          if (!(bodyCase_ == 21)) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.getDefaultInstance();
+          }
+          returnZoneBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.ZoneOrder, org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.Builder, org.borageproxy.wire.proto.ControlProtocol.ZoneOrderOrBuilder>(
+                  (org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 21;
+        onChanged();
+        return returnZoneBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.control.Command)
     }
 
@@ -22052,6 +22498,16 @@
      * @return The control.
      */
     boolean getControl();
+
+    /**
+     * <pre>
+     * Whether the VM obeys zone drains.
+     * </pre>
+     *
+     * <code>bool obeys_drains = 6;</code>
+     * @return The obeysDrains.
+     */
+    boolean getObeysDrains();
   }
   /**
    * Protobuf type {@code borageproxy.control.VmRecord}
@@ -22241,6 +22697,21 @@
       return control_;
     }
 
+    public static final int OBEYS_DRAINS_FIELD_NUMBER = 6;
+    private boolean obeysDrains_ = false;
+    /**
+     * <pre>
+     * Whether the VM obeys zone drains.
+     * </pre>
+     *
+     * <code>bool obeys_drains = 6;</code>
+     * @return The obeysDrains.
+     */
+    @java.lang.Override
+    public boolean getObeysDrains() {
+      return obeysDrains_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -22270,6 +22741,9 @@
       if (control_ != false) {
         output.writeBool(5, control_);
       }
+      if (obeysDrains_ != false) {
+        output.writeBool(6, obeysDrains_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -22296,6 +22770,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeBoolSize(5, control_);
       }
+      if (obeysDrains_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(6, obeysDrains_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -22321,6 +22799,8 @@
           != other.getPort()) return false;
       if (getControl()
           != other.getControl()) return false;
+      if (getObeysDrains()
+          != other.getObeysDrains()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -22343,6 +22823,9 @@
       hash = (37 * hash) + CONTROL_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
           getControl());
+      hash = (37 * hash) + OBEYS_DRAINS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getObeysDrains());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -22479,6 +22962,7 @@
         host_ = "";
         port_ = 0;
         control_ = false;
+        obeysDrains_ = false;
         return this;
       }
 
@@ -22527,6 +23011,9 @@
         if (((from_bitField0_ & 0x00000010) != 0)) {
           result.control_ = control_;
         }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.obeysDrains_ = obeysDrains_;
+        }
       }
 
       @java.lang.Override
@@ -22562,6 +23049,9 @@
         if (other.getControl() != false) {
           setControl(other.getControl());
         }
+        if (other.getObeysDrains() != false) {
+          setObeysDrains(other.getObeysDrains());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -22613,6 +23103,11 @@
                 bitField0_ |= 0x00000010;
                 break;
               } // case 40
+              case 48: {
+                obeysDrains_ = input.readBool();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 48
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -22628,6 +23123,7 @@
         } // finally
         return this;
       }
+
       private int bitField0_;
 
       private java.lang.Object name_ = "";
@@ -22922,6 +23418,50 @@
         return this;
       }
 
+      private boolean obeysDrains_ ;
+      /**
+       * <pre>
+       * Whether the VM obeys zone drains.
+       * </pre>
+       *
+       * <code>bool obeys_drains = 6;</code>
+       * @return The obeysDrains.
+       */
+      @java.lang.Override
+      public boolean getObeysDrains() {
+        return obeysDrains_;
+      }
+      /**
+       * <pre>
+       * Whether the VM obeys zone drains.
+       * </pre>
+       *
+       * <code>bool obeys_drains = 6;</code>
+       * @param value The obeysDrains to set.
+       * @return This builder for chaining.
+       */
+      public Builder setObeysDrains(boolean value) {
+
+        obeysDrains_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether the VM obeys zone drains.
+       * </pre>
+       *
+       * <code>bool obeys_drains = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearObeysDrains() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        obeysDrains_ = false;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.control.VmRecord)
     }
 
@@ -53794,17 +54334,735 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(vm_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 1, vm_);
-      }
-      if (revision_ != 0L) {
-        output.writeUInt64(2, revision_);
-      }
-      if (ageMillis_ != 0L) {
-        output.writeUInt64(3, ageMillis_);
-      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(vm_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, vm_);
+      }
+      if (revision_ != 0L) {
+        output.writeUInt64(2, revision_);
+      }
+      if (ageMillis_ != 0L) {
+        output.writeUInt64(3, ageMillis_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(zone_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 4, zone_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(vm_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, vm_);
+      }
+      if (revision_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, revision_);
+      }
+      if (ageMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, ageMillis_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(zone_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(4, zone_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.Served)) {
+        return super.equals(obj);
+      }
+      org.borageproxy.wire.proto.ControlProtocol.Served other = (org.borageproxy.wire.proto.ControlProtocol.Served) obj;
+
+      if (!getVm()
+          .equals(other.getVm())) return false;
+      if (getRevision()
+          != other.getRevision()) return false;
+      if (getAgeMillis()
+          != other.getAgeMillis()) return false;
+      if (!getZone()
+          .equals(other.getZone())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + VM_FIELD_NUMBER;
+      hash = (53 * hash) + getVm().hashCode();
+      hash = (37 * hash) + REVISION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRevision());
+      hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getAgeMillis());
+      hash = (37 * hash) + ZONE_FIELD_NUMBER;
+      hash = (53 * hash) + getZone().hashCode();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.Served parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.Served parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.Served prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code borageproxy.control.Served}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:borageproxy.control.Served)
+        org.borageproxy.wire.proto.ControlProtocol.ServedOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Served_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Served_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.borageproxy.wire.proto.ControlProtocol.Served.class, org.borageproxy.wire.proto.ControlProtocol.Served.Builder.class);
+      }
+
+      // Construct using org.borageproxy.wire.proto.ControlProtocol.Served.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        vm_ = "";
+        revision_ = 0L;
+        ageMillis_ = 0L;
+        zone_ = "";
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Served_descriptor;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.Served getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.Served.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.Served build() {
+        org.borageproxy.wire.proto.ControlProtocol.Served result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.Served buildPartial() {
+        org.borageproxy.wire.proto.ControlProtocol.Served result = new org.borageproxy.wire.proto.ControlProtocol.Served(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.Served result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.vm_ = vm_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.revision_ = revision_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.ageMillis_ = ageMillis_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.zone_ = zone_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.Served) {
+          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.Served)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.Served other) {
+        if (other == org.borageproxy.wire.proto.ControlProtocol.Served.getDefaultInstance()) return this;
+        if (!other.getVm().isEmpty()) {
+          vm_ = other.vm_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getRevision() != 0L) {
+          setRevision(other.getRevision());
+        }
+        if (other.getAgeMillis() != 0L) {
+          setAgeMillis(other.getAgeMillis());
+        }
+        if (!other.getZone().isEmpty()) {
+          zone_ = other.zone_;
+          bitField0_ |= 0x00000008;
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                vm_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                revision_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                ageMillis_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 34: {
+                zone_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 34
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object vm_ = "";
+      /**
+       * <code>string vm = 1;</code>
+       * @return The vm.
+       */
+      public java.lang.String getVm() {
+        java.lang.Object ref = vm_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          vm_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string vm = 1;</code>
+       * @return The bytes for vm.
+       */
+      public com.google.protobuf.ByteString
+          getVmBytes() {
+        java.lang.Object ref = vm_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          vm_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string vm = 1;</code>
+       * @param value The vm to set.
+       * @return This builder for chaining.
+       */
+      public Builder setVm(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        vm_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string vm = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearVm() {
+        vm_ = getDefaultInstance().getVm();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string vm = 1;</code>
+       * @param value The bytes for vm to set.
+       * @return This builder for chaining.
+       */
+      public Builder setVmBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        vm_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long revision_ ;
+      /**
+       * <code>uint64 revision = 2;</code>
+       * @return The revision.
+       */
+      @java.lang.Override
+      public long getRevision() {
+        return revision_;
+      }
+      /**
+       * <code>uint64 revision = 2;</code>
+       * @param value The revision to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRevision(long value) {
+
+        revision_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 revision = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRevision() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        revision_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long ageMillis_ ;
+      /**
+       * <code>uint64 age_millis = 3;</code>
+       * @return The ageMillis.
+       */
+      @java.lang.Override
+      public long getAgeMillis() {
+        return ageMillis_;
+      }
+      /**
+       * <code>uint64 age_millis = 3;</code>
+       * @param value The ageMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAgeMillis(long value) {
+
+        ageMillis_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 age_millis = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAgeMillis() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        ageMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object zone_ = "";
+      /**
+       * <code>string zone = 4;</code>
+       * @return The zone.
+       */
+      public java.lang.String getZone() {
+        java.lang.Object ref = zone_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          zone_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string zone = 4;</code>
+       * @return The bytes for zone.
+       */
+      public com.google.protobuf.ByteString
+          getZoneBytes() {
+        java.lang.Object ref = zone_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          zone_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string zone = 4;</code>
+       * @param value The zone to set.
+       * @return This builder for chaining.
+       */
+      public Builder setZone(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        zone_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string zone = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearZone() {
+        zone_ = getDefaultInstance().getZone();
+        bitField0_ = (bitField0_ & ~0x00000008);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string zone = 4;</code>
+       * @param value The bytes for zone to set.
+       * @return This builder for chaining.
+       */
+      public Builder setZoneBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        zone_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:borageproxy.control.Served)
+    }
+
+    // @@protoc_insertion_point(class_scope:borageproxy.control.Served)
+    private static final org.borageproxy.wire.proto.ControlProtocol.Served DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.Served();
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.Served getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Served>
+        PARSER = new com.google.protobuf.AbstractParser<Served>() {
+      @java.lang.Override
+      public Served parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Served> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Served> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.Served getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface ZoneOrderOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.control.ZoneOrder)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string zone = 1;</code>
+     * @return The zone.
+     */
+    java.lang.String getZone();
+    /**
+     * <code>string zone = 1;</code>
+     * @return The bytes for zone.
+     */
+    com.google.protobuf.ByteString
+        getZoneBytes();
+  }
+  /**
+   * <pre>
+   * An operator's order that no requests be sent to the backend servers of a zone, or that they be sent again.
+   * </pre>
+   *
+   * Protobuf type {@code borageproxy.control.ZoneOrder}
+   */
+  public static final class ZoneOrder extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:borageproxy.control.ZoneOrder)
+      ZoneOrderOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "ZoneOrder");
+    }
+    // Use ZoneOrder.newBuilder() to construct.
+    private ZoneOrder(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private ZoneOrder() {
+      zone_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ZoneOrder_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ZoneOrder_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ZoneOrder_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.class, org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.Builder.class);
+    }
+
+    public static final int ZONE_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object zone_ = "";
+    /**
+     * <code>string zone = 1;</code>
+     * @return The zone.
+     */
+    @java.lang.Override
+    public java.lang.String getZone() {
+      java.lang.Object ref = zone_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        zone_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string zone = 1;</code>
+     * @return The bytes for zone.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getZoneBytes() {
+      java.lang.Object ref = zone_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        zone_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(zone_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 4, zone_);
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, zone_);
       }
       getUnknownFields().writeTo(output);
     }
@@ -53815,19 +55073,8 @@
       if (size != -1) return size;
 
       size = 0;
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(vm_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, vm_);
-      }
-      if (revision_ != 0L) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(2, revision_);
-      }
-      if (ageMillis_ != 0L) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(3, ageMillis_);
-      }
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(zone_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(4, zone_);
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, zone_);
       }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
@@ -53839,17 +55086,11 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.Served)) {
+      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.ZoneOrder)) {
         return super.equals(obj);
       }
-      org.borageproxy.wire.proto.ControlProtocol.Served other = (org.borageproxy.wire.proto.ControlProtocol.Served) obj;
+      org.borageproxy.wire.proto.ControlProtocol.ZoneOrder other = (org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) obj;
 
-      if (!getVm()
-          .equals(other.getVm())) return false;
-      if (getRevision()
-          != other.getRevision()) return false;
-      if (getAgeMillis()
-          != other.getAgeMillis()) return false;
       if (!getZone()
           .equals(other.getZone())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
@@ -53863,14 +55104,6 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + VM_FIELD_NUMBER;
-      hash = (53 * hash) + getVm().hashCode();
-      hash = (37 * hash) + REVISION_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getRevision());
-      hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getAgeMillis());
       hash = (37 * hash) + ZONE_FIELD_NUMBER;
       hash = (53 * hash) + getZone().hashCode();
       hash = (29 * hash) + getUnknownFields().hashCode();
@@ -53878,44 +55111,44 @@
       return hash;
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ZoneOrder parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ZoneOrder parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ZoneOrder parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ZoneOrder parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(byte[] data)
+    public static org.borageproxy.wire.proto.ControlProtocol.ZoneOrder parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ZoneOrder parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(java.io.InputStream input)
+    public static org.borageproxy.wire.proto.ControlProtocol.ZoneOrder parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ZoneOrder parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -53923,26 +55156,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.Served parseDelimitedFrom(java.io.InputStream input)
+    public static org.borageproxy.wire.proto.ControlProtocol.ZoneOrder parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.Served parseDelimitedFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ZoneOrder parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ZoneOrder parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ZoneOrder parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -53955,7 +55188,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.Served prototype) {
+    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.ZoneOrder prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -53971,26 +55204,26 @@
       return builder;
     }
     /**
-     * Protobuf type {@code borageproxy.control.Served}
+     * Protobuf type {@code borageproxy.control.ZoneOrder}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:borageproxy.control.Served)
-        org.borageproxy.wire.proto.ControlProtocol.ServedOrBuilder {
+        // @@protoc_insertion_point(builder_implements:borageproxy.control.ZoneOrder)
+        org.borageproxy.wire.proto.ControlProtocol.ZoneOrderOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Served_descriptor;
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ZoneOrder_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Served_fieldAccessorTable
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ZoneOrder_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                org.borageproxy.wire.proto.ControlProtocol.Served.class, org.borageproxy.wire.proto.ControlProtocol.Served.Builder.class);
+                org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.class, org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.Builder.class);
       }
 
-      // Construct using org.borageproxy.wire.proto.ControlProtocol.Served.newBuilder()
+      // Construct using org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.newBuilder()
       private Builder() {
 
       }
@@ -54004,9 +55237,6 @@
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        vm_ = "";
-        revision_ = 0L;
-        ageMillis_ = 0L;
         zone_ = "";
         return this;
       }
@@ -54014,17 +55244,17 @@
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Served_descriptor;
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ZoneOrder_descriptor;
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.Served getDefaultInstanceForType() {
-        return org.borageproxy.wire.proto.ControlProtocol.Served.getDefaultInstance();
+      public org.borageproxy.wire.proto.ControlProtocol.ZoneOrder getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.getDefaultInstance();
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.Served build() {
-        org.borageproxy.wire.proto.ControlProtocol.Served result = buildPartial();
+      public org.borageproxy.wire.proto.ControlProtocol.ZoneOrder build() {
+        org.borageproxy.wire.proto.ControlProtocol.ZoneOrder result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -54032,55 +55262,35 @@
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.Served buildPartial() {
-        org.borageproxy.wire.proto.ControlProtocol.Served result = new org.borageproxy.wire.proto.ControlProtocol.Served(this);
+      public org.borageproxy.wire.proto.ControlProtocol.ZoneOrder buildPartial() {
+        org.borageproxy.wire.proto.ControlProtocol.ZoneOrder result = new org.borageproxy.wire.proto.ControlProtocol.ZoneOrder(this);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.Served result) {
+      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.ZoneOrder result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.vm_ = vm_;
-        }
-        if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.revision_ = revision_;
-        }
-        if (((from_bitField0_ & 0x00000004) != 0)) {
-          result.ageMillis_ = ageMillis_;
-        }
-        if (((from_bitField0_ & 0x00000008) != 0)) {
           result.zone_ = zone_;
         }
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.Served) {
-          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.Served)other);
+        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) {
+          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.ZoneOrder)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.Served other) {
-        if (other == org.borageproxy.wire.proto.ControlProtocol.Served.getDefaultInstance()) return this;
-        if (!other.getVm().isEmpty()) {
-          vm_ = other.vm_;
-          bitField0_ |= 0x00000001;
-          onChanged();
-        }
-        if (other.getRevision() != 0L) {
-          setRevision(other.getRevision());
-        }
-        if (other.getAgeMillis() != 0L) {
-          setAgeMillis(other.getAgeMillis());
-        }
+      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.ZoneOrder other) {
+        if (other == org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.getDefaultInstance()) return this;
         if (!other.getZone().isEmpty()) {
           zone_ = other.zone_;
-          bitField0_ |= 0x00000008;
+          bitField0_ |= 0x00000001;
           onChanged();
         }
         this.mergeUnknownFields(other.getUnknownFields());
@@ -54110,25 +55320,10 @@
                 done = true;
                 break;
               case 10: {
-                vm_ = input.readStringRequireUtf8();
+                zone_ = input.readStringRequireUtf8();
                 bitField0_ |= 0x00000001;
                 break;
               } // case 10
-              case 16: {
-                revision_ = input.readUInt64();
-                bitField0_ |= 0x00000002;
-                break;
-              } // case 16
-              case 24: {
-                ageMillis_ = input.readUInt64();
-                bitField0_ |= 0x00000004;
-                break;
-              } // case 24
-              case 34: {
-                zone_ = input.readStringRequireUtf8();
-                bitField0_ |= 0x00000008;
-                break;
-              } // case 34
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -54146,145 +55341,9 @@
       }
       private int bitField0_;
 
-      private java.lang.Object vm_ = "";
-      /**
-       * <code>string vm = 1;</code>
-       * @return The vm.
-       */
-      public java.lang.String getVm() {
-        java.lang.Object ref = vm_;
-        if (!(ref instanceof java.lang.String)) {
-          com.google.protobuf.ByteString bs =
-              (com.google.protobuf.ByteString) ref;
-          java.lang.String s = bs.toStringUtf8();
-          vm_ = s;
-          return s;
-        } else {
-          return (java.lang.String) ref;
-        }
-      }
-      /**
-       * <code>string vm = 1;</code>
-       * @return The bytes for vm.
-       */
-      public com.google.protobuf.ByteString
-          getVmBytes() {
-        java.lang.Object ref = vm_;
-        if (ref instanceof String) {
-          com.google.protobuf.ByteString b = 
-              com.google.protobuf.ByteString.copyFromUtf8(
-                  (java.lang.String) ref);
-          vm_ = b;
-          return b;
-        } else {
-          return (com.google.protobuf.ByteString) ref;
-        }
-      }
-      /**
-       * <code>string vm = 1;</code>
-       * @param value The vm to set.
-       * @return This builder for chaining.
-       */
-      public Builder setVm(
-          java.lang.String value) {
-        if (value == null) { throw new NullPointerException(); }
-        vm_ = value;
-        bitField0_ |= 0x00000001;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>string vm = 1;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearVm() {
-        vm_ = getDefaultInstance().getVm();
-        bitField0_ = (bitField0_ & ~0x00000001);
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>string vm = 1;</code>
-       * @param value The bytes for vm to set.
-       * @return This builder for chaining.
-       */
-      public Builder setVmBytes(
-          com.google.protobuf.ByteString value) {
-        if (value == null) { throw new NullPointerException(); }
-        checkByteStringIsUtf8(value);
-        vm_ = value;
-        bitField0_ |= 0x00000001;
-        onChanged();
-        return this;
-      }
-
-      private long revision_ ;
-      /**
-       * <code>uint64 revision = 2;</code>
-       * @return The revision.
-       */
-      @java.lang.Override
-      public long getRevision() {
-        return revision_;
-      }
-      /**
-       * <code>uint64 revision = 2;</code>
-       * @param value The revision to set.
-       * @return This builder for chaining.
-       */
-      public Builder setRevision(long value) {
-
-        revision_ = value;
-        bitField0_ |= 0x00000002;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>uint64 revision = 2;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearRevision() {
-        bitField0_ = (bitField0_ & ~0x00000002);
-        revision_ = 0L;
-        onChanged();
-        return this;
-      }
-
-      private long ageMillis_ ;
-      /**
-       * <code>uint64 age_millis = 3;</code>
-       * @return The ageMillis.
-       */
-      @java.lang.Override
-      public long getAgeMillis() {
-        return ageMillis_;
-      }
-      /**
-       * <code>uint64 age_millis = 3;</code>
-       * @param value The ageMillis to set.
-       * @return This builder for chaining.
-       */
-      public Builder setAgeMillis(long value) {
-
-        ageMillis_ = value;
-        bitField0_ |= 0x00000004;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>uint64 age_millis = 3;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearAgeMillis() {
-        bitField0_ = (bitField0_ & ~0x00000004);
-        ageMillis_ = 0L;
-        onChanged();
-        return this;
-      }
-
       private java.lang.Object zone_ = "";
       /**
-       * <code>string zone = 4;</code>
+       * <code>string zone = 1;</code>
        * @return The zone.
        */
       public java.lang.String getZone() {
@@ -54300,7 +55359,7 @@
         }
       }
       /**
-       * <code>string zone = 4;</code>
+       * <code>string zone = 1;</code>
        * @return The bytes for zone.
        */
       public com.google.protobuf.ByteString
@@ -54317,7 +55376,7 @@
         }
       }
       /**
-       * <code>string zone = 4;</code>
+       * <code>string zone = 1;</code>
        * @param value The zone to set.
        * @return This builder for chaining.
        */
@@ -54325,22 +55384,22 @@
           java.lang.String value) {
         if (value == null) { throw new NullPointerException(); }
         zone_ = value;
-        bitField0_ |= 0x00000008;
+        bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
       /**
-       * <code>string zone = 4;</code>
+       * <code>string zone = 1;</code>
        * @return This builder for chaining.
        */
       public Builder clearZone() {
         zone_ = getDefaultInstance().getZone();
-        bitField0_ = (bitField0_ & ~0x00000008);
+        bitField0_ = (bitField0_ & ~0x00000001);
         onChanged();
         return this;
       }
       /**
-       * <code>string zone = 4;</code>
+       * <code>string zone = 1;</code>
        * @param value The bytes for zone to set.
        * @return This builder for chaining.
        */
@@ -54349,28 +55408,28 @@
         if (value == null) { throw new NullPointerException(); }
         checkByteStringIsUtf8(value);
         zone_ = value;
-        bitField0_ |= 0x00000008;
+        bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:borageproxy.control.Served)
+      // @@protoc_insertion_point(builder_scope:borageproxy.control.ZoneOrder)
     }
 
-    // @@protoc_insertion_point(class_scope:borageproxy.control.Served)
-    private static final org.borageproxy.wire.proto.ControlProtocol.Served DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:borageproxy.control.ZoneOrder)
+    private static final org.borageproxy.wire.proto.ControlProtocol.ZoneOrder DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.Served();
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.ZoneOrder();
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.Served getDefaultInstance() {
+    public static org.borageproxy.wire.proto.ControlProtocol.ZoneOrder getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<Served>
-        PARSER = new com.google.protobuf.AbstractParser<Served>() {
+    private static final com.google.protobuf.Parser<ZoneOrder>
+        PARSER = new com.google.protobuf.AbstractParser<ZoneOrder>() {
       @java.lang.Override
-      public Served parsePartialFrom(
+      public ZoneOrder parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -54389,17 +55448,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<Served> parser() {
+    public static com.google.protobuf.Parser<ZoneOrder> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<Served> getParserForType() {
+    public com.google.protobuf.Parser<ZoneOrder> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.Served getDefaultInstanceForType() {
+    public org.borageproxy.wire.proto.ControlProtocol.ZoneOrder getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -54680,6 +55739,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_borageproxy_control_Served_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_borageproxy_control_ZoneOrder_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_borageproxy_control_ZoneOrder_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -54695,7 +55759,7 @@
       "s\030\002 \001(\004\"p\n\rCommandAnswer\022+\n\005reply\030\001 \001(\0132" +
       "\032.borageproxy.control.ReplyH\000\022\024\n\nnot_lea" +
       "der\030\002 \001(\tH\000\022\021\n\007unknown\030\003 \001(\010H\000B\t\n\007outcom" +
-      "e\"\245\010\n\007Command\022\020\n\010identity\030\001 \001(\t\0224\n\napply" +
+      "e\"\222\t\n\007Command\022\020\n\010identity\030\001 \001(\t\0224\n\napply" +
       "_tree\030\002 \001(\0132\036.borageproxy.control.ApplyT" +
       "reeH\000\0221\n\010rollback\030\003 \001(\0132\035.borageproxy.co" +
       "ntrol.RollbackH\000\0224\n\ncreate_key\030\004 \001(\0132\036.b" +
@@ -54721,157 +55785,161 @@
       "ontrol.RegisterVmH\000\0222\n\tremove_vm\030\022 \001(\0132\035" +
       ".borageproxy.control.RemoveVmH\000\022@\n\020publi" +
       "sh_document\030\023 \001(\0132$.borageproxy.control." +
-      "PublishDocumentH\000B\006\n\004body\"s\n\tApplyTree\022\027" +
-      "\n\017change_identity\030\001 \001(\t\022\025\n\rbase_revision" +
-      "\030\002 \001(\004\022\020\n\010document\030\003 \001(\t\022\020\n\010operator\030\004 \001" +
-      "(\t\022\022\n\nonly_known\030\005 \001(\010\"a\n\010Rollback\022\027\n\017ch" +
-      "ange_identity\030\001 \001(\t\022\025\n\rbase_revision\030\002 \001" +
-      "(\004\022\023\n\013to_revision\030\003 \001(\004\022\020\n\010operator\030\004 \001(" +
-      "\t\"o\n\tCreateKey\022\027\n\017change_identity\030\001 \001(\t\022" +
-      "\024\n\014key_identity\030\002 \001(\t\022\016\n\006digest\030\003 \001(\t\022\021\n" +
-      "\tworkspace\030\004 \001(\t\022\020\n\010operator\030\005 \001(\t\"#\n\013Wi" +
-      "thdrawKey\022\024\n\014key_identity\030\001 \001(\t\"\203\001\n\005Clai" +
-      "m\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017idempotency_key\030" +
-      "\002 \001(\t\022\016\n\006digest\030\003 \001(\t\022\031\n\021created_at_mill" +
-      "is\030\004 \001(\003\022\016\n\006holder\030\005 \001(\t\022\023\n\013hold_millis\030" +
-      "\006 \001(\003\"w\n\rCompleteClaim\022\021\n\tworkspace\030\001 \001(" +
-      "\t\022\027\n\017idempotency_key\030\002 \001(\t\022\r\n\005epoch\030\003 \001(" +
-      "\003\022+\n\006answer\030\004 \001(\0132\033.borageproxy.control." +
-      "Answer\"E\n\010EndClaim\022\021\n\tworkspace\030\001 \001(\t\022\027\n" +
-      "\017idempotency_key\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\"<\n" +
-      "\006Answer\022\016\n\006status\030\001 \001(\005\022\024\n\014content_type\030" +
-      "\002 \001(\t\022\014\n\004body\030\003 \001(\014\"V\n\014AcquireLease\022\014\n\004d" +
-      "uty\030\001 \001(\t\022\016\n\006holder\030\002 \001(\t\022\017\n\007session\030\003 \001" +
-      "(\t\022\027\n\017expired_renewal\030\004 \001(\004\"U\n\014ReleaseLe" +
-      "ase\022\014\n\004duty\030\001 \001(\t\022\017\n\007session\030\002 \001(\t\022\r\n\005ep" +
-      "och\030\003 \001(\003\022\027\n\017expired_renewal\030\004 \001(\004\"\276\001\n\014I" +
-      "ntentRecord\022\016\n\006number\030\001 \001(\003\022\r\n\005epoch\030\002 \001" +
-      "(\003\022\016\n\006server\030\003 \001(\t\022\023\n\013incarnation\030\004 \001(\003\022" +
-      "\023\n\013accelerator\030\005 \001(\t\022\016\n\006action\030\006 \001(\005\022\r\n\005" +
-      "model\030\007 \001(\t\022\017\n\007version\030\010 \001(\t\022\017\n\007adapter\030" +
-      "\t \001(\t\022\024\n\014memory_bytes\030\n \001(\003\"A\n\014RecordInt" +
-      "ent\0221\n\006intent\030\001 \001(\0132!.borageproxy.contro" +
-      "l.IntentRecord\"0\n\016ResolveIntents\022\r\n\005epoc" +
-      "h\030\001 \001(\003\022\017\n\007numbers\030\002 \003(\003\"\r\n\013ReadIntents\"" +
-      "\207\001\n\013ReportCrash\022\023\n\013fingerprint\030\001 \001(\t\022\016\n\006" +
-      "server\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\003\022\r\n\005alo" +
-      "ne\030\004 \001(\010\022/\n\005parts\030\005 \003(\0132 .borageproxy.co" +
-      "ntrol.SuspectPart\"4\n\013SuspectPart\022\023\n\013fing" +
-      "erprint\030\001 \001(\t\022\020\n\010untested\030\002 \001(\010\"!\n\nClear" +
-      "Crash\022\023\n\013fingerprint\030\001 \001(\t\"7\n\nRegisterVm" +
-      "\022)\n\002vm\030\001 \001(\0132\035.borageproxy.control.VmRec" +
-      "ord\"\030\n\010RemoveVm\022\014\n\004name\030\001 \001(\t\"2\n\017Publish" +
-      "Document\022\016\n\006number\030\001 \001(\004\022\017\n\007content\030\002 \001(" +
-      "\014\"S\n\010VmRecord\022\014\n\004name\030\001 \001(\t\022\014\n\004zone\030\002 \001(" +
-      "\t\022\014\n\004host\030\003 \001(\t\022\014\n\004port\030\004 \001(\005\022\017\n\007control" +
-      "\030\005 \001(\010\"\301\005\n\005Reply\0221\n\010accepted\030\001 \001(\0132\035.bor" +
-      "ageproxy.control.AcceptedH\000\022>\n\017change_co" +
-      "nflict\030\002 \001(\0132#.borageproxy.control.Chang" +
-      "eConflictH\000\022B\n\021identity_conflict\030\003 \001(\0132%" +
-      ".borageproxy.control.IdentityConflictH\000\022" +
-      "/\n\007missing\030\004 \001(\0132\034.borageproxy.control.M" +
-      "issingH\000\0220\n\005claim\030\005 \001(\0132\037.borageproxy.co" +
-      "ntrol.ClaimReplyH\000\0220\n\005lease\030\006 \001(\0132\037.bora" +
-      "geproxy.control.LeaseReplyH\000\0223\n\006intent\030\007" +
-      " \001(\0132!.borageproxy.control.IntentRecordH" +
-      "\000\022-\n\006fenced\030\010 \001(\0132\033.borageproxy.control." +
-      "FencedH\000\022/\n\007intents\030\t \001(\0132\034.borageproxy." +
-      "control.IntentsH\000\0220\n\005crash\030\n \001(\0132\037.borag" +
-      "eproxy.control.CrashReplyH\000\022)\n\004done\030\013 \001(" +
-      "\0132\031.borageproxy.control.DoneH\000\0226\n\013key_cr" +
-      "eated\030\014 \001(\0132\037.borageproxy.control.KeyCre" +
-      "atedH\000\022:\n\rdocument_held\030\r \001(\0132!.boragepr" +
-      "oxy.control.DocumentHeldH\000B\006\n\004body\"\034\n\010Ac" +
-      "cepted\022\020\n\010revision\030\001 \001(\004\":\n\016ChangeConfli" +
-      "ct\022\030\n\020current_revision\030\001 \001(\004\022\016\n\006holder\030\002" +
-      " \001(\t\"4\n\020IdentityConflict\022\016\n\006holder\030\001 \001(\t" +
-      "\022\020\n\010revision\030\002 \001(\004\"\036\n\014DocumentHeld\022\016\n\006nu" +
-      "mber\030\001 \001(\004\"\t\n\007Missing\"\006\n\004Done\"\037\n\006Fenced\022" +
-      "\025\n\rcurrent_epoch\030\001 \001(\003\"J\n\nKeyCreated\022\020\n\010" +
-      "revision\030\001 \001(\004\022*\n\003key\030\002 \001(\0132\035.borageprox" +
-      "y.control.KeyState\"\351\001\n\nClaimReply\022:\n\010dec" +
-      "ision\030\001 \001(\0162(.borageproxy.control.ClaimR" +
-      "eply.Decision\022\r\n\005epoch\030\002 \001(\003\022+\n\006answer\030\003" +
-      " \001(\0132\033.borageproxy.control.Answer\"c\n\010Dec" +
-      "ision\022\013\n\007GRANTED\020\000\022\014\n\010ANSWERED\020\001\022\017\n\013IN_P" +
-      "ROGRESS\020\002\022\020\n\014MAY_HAVE_RUN\020\003\022\014\n\010CONFLICT\020" +
-      "\004\022\013\n\007TOO_OLD\020\005\"<\n\nLeaseReply\022\017\n\007granted\030" +
-      "\001 \001(\010\022\016\n\006holder\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\"=\n\007" +
-      "Intents\0222\n\007intents\030\001 \003(\0132!.borageproxy.c" +
-      "ontrol.IntentRecord\"\037\n\nCrashReply\022\021\n\tsus" +
-      "picion\030\001 \001(\005\"R\n\010KeyState\022\020\n\010identity\030\001 \001" +
-      "(\t\022\016\n\006digest\030\002 \001(\t\022\021\n\tworkspace\030\003 \001(\t\022\021\n" +
-      "\twithdrawn\030\004 \001(\010\"v\n\tTreeState\022\020\n\010revisio" +
-      "n\030\001 \001(\004\022\020\n\010document\030\002 \001(\t\022\027\n\017change_iden" +
-      "tity\030\003 \001(\t\022\020\n\010operator\030\004 \001(\t\022\032\n\022accepted" +
-      "_at_millis\030\005 \001(\003\"i\n\nLeaseState\022\014\n\004duty\030\001" +
-      " \001(\t\022\016\n\006holder\030\002 \001(\t\022\017\n\007session\030\003 \001(\t\022\r\n" +
-      "\005epoch\030\004 \001(\003\022\017\n\007renewal\030\005 \001(\004\022\014\n\004free\030\006 " +
-      "\001(\010\"\304\002\n\nClaimState\022\021\n\tworkspace\030\001 \001(\t\022\027\n" +
-      "\017idempotency_key\030\002 \001(\t\022\016\n\006digest\030\003 \001(\t\022\016" +
-      "\n\006holder\030\004 \001(\t\022\r\n\005epoch\030\005 \001(\003\0224\n\005phase\030\006" +
-      " \001(\0162%.borageproxy.control.ClaimState.Ph" +
-      "ase\022\031\n\021held_until_millis\030\007 \001(\003\022\031\n\021expire" +
-      "s_at_millis\030\010 \001(\003\022+\n\006answer\030\t \001(\0132\033.bora" +
-      "geproxy.control.Answer\"B\n\005Phase\022\013\n\007CLAIM" +
-      "ED\020\000\022\014\n\010ANSWERED\020\001\022\020\n\014MAY_HAVE_RUN\020\002\022\014\n\010" +
-      "RELEASED\020\003\"\212\001\n\nCrashState\022\023\n\013fingerprint" +
-      "\030\001 \001(\t\022\017\n\007crashes\030\002 \003(\t\022\023\n\013quarantined\030\003" +
-      " \001(\010\022\031\n\021expires_at_millis\030\004 \001(\003\022\014\n\004part\030" +
-      "\005 \001(\010\022\030\n\020untested_crashes\030\006 \003(\t\"0\n\rDocum" +
-      "entState\022\016\n\006number\030\001 \001(\004\022\017\n\007content\030\002 \001(" +
-      "\014\"l\n\013ChangeState\022\020\n\010identity\030\001 \001(\t\022\016\n\006di" +
-      "gest\030\002 \001(\014\022\020\n\010operator\030\003 \001(\t\022)\n\005reply\030\004 " +
-      "\001(\0132\032.borageproxy.control.Reply\"a\n\017Remem" +
-      "beredReply\022\020\n\010identity\030\001 \001(\t\022\021\n\tat_milli" +
-      "s\030\002 \001(\003\022)\n\005reply\030\003 \001(\0132\032.borageproxy.con" +
-      "trol.Reply\"\350\002\n\004Item\022\014\n\004name\030\001 \001(\t\022\017\n\007ver" +
-      "sion\030\002 \001(\004\022.\n\004tree\030\003 \001(\0132\036.borageproxy.c" +
-      "ontrol.TreeStateH\000\022,\n\003key\030\004 \001(\0132\035.borage" +
-      "proxy.control.KeyStateH\000\0220\n\005lease\030\005 \001(\0132" +
-      "\037.borageproxy.control.LeaseStateH\000\0220\n\005cr" +
-      "ash\030\006 \001(\0132\037.borageproxy.control.CrashSta" +
-      "teH\000\022+\n\002vm\030\007 \001(\0132\035.borageproxy.control.V" +
-      "mRecordH\000\022\021\n\007removed\030\010 \001(\010H\000\0226\n\010document" +
-      "\030\t \001(\0132\".borageproxy.control.DocumentSta" +
-      "teH\000B\007\n\005value\"\302\004\n\017ControlSnapshot\022\017\n\007ver" +
-      "sion\030\001 \001(\004\022\020\n\010revision\030\002 \001(\004\022/\n\007history\030" +
-      "\004 \003(\0132\036.borageproxy.control.TreeState\022+\n" +
-      "\004keys\030\005 \003(\0132\035.borageproxy.control.KeySta" +
-      "te\0221\n\007changes\030\006 \003(\0132 .borageproxy.contro" +
-      "l.ChangeState\0225\n\007replies\030\007 \003(\0132$.boragep" +
-      "roxy.control.RememberedReply\022/\n\006claims\030\010" +
-      " \003(\0132\037.borageproxy.control.ClaimState\022\030\n" +
-      "\020last_claim_epoch\030\t \001(\003\022/\n\006leases\030\n \003(\0132" +
-      "\037.borageproxy.control.LeaseState\0222\n\007inte" +
-      "nts\030\013 \003(\0132!.borageproxy.control.IntentRe" +
-      "cord\022\032\n\022last_intent_number\030\014 \001(\003\0220\n\007cras" +
-      "hes\030\r \003(\0132\037.borageproxy.control.CrashSta" +
-      "te\022(\n\005items\030\016 \003(\0132\031.borageproxy.control." +
-      "Item\022\026\n\016removals_since\030\017 \001(\004J\004\010\003\020\004\"\241\002\n\014W" +
-      "atchRequest\022+\n\005watch\030\001 \001(\0132\032.borageproxy" +
-      ".control.WatchH\000\0226\n\013read_served\030\002 \001(\0132\037." +
-      "borageproxy.control.ReadServedH\000\0222\n\tread" +
-      "_tree\030\003 \001(\0132\035.borageproxy.control.ReadTr" +
-      "eeH\000\022<\n\016read_revisions\030\004 \001(\0132\".boragepro" +
-      "xy.control.ReadRevisionsH\000\0222\n\tread_keys\030" +
-      "\005 \001(\0132\035.borageproxy.control.ReadKeysH\000B\006" +
-      "\n\004body\"q\n\005Watch\022)\n\002vm\030\001 \001(\0132\035.borageprox" +
-      "y.control.VmRecord\022\017\n\007version\030\002 \001(\004\022\027\n\017s" +
-      "erved_revision\030\003 \001(\004\022\023\n\013wait_millis\030\004 \001(" +
-      "\r\"\014\n\nReadServed\"\034\n\010ReadTree\022\020\n\010revision\030" +
-      "\001 \001(\004\"\017\n\rReadRevisions\"\n\n\010ReadKeys\"\266\002\n\013W" +
-      "atchAnswer\022\021\n\tconfirmed\030\001 \001(\010\022\017\n\007version" +
-      "\030\002 \001(\004\022\020\n\010revision\030\003 \001(\004\022\014\n\004full\030\004 \001(\010\022(" +
-      "\n\005items\030\005 \003(\0132\031.borageproxy.control.Item" +
-      "\022+\n\006served\030\006 \003(\0132\033.borageproxy.control.S" +
-      "erved\022,\n\004tree\030\007 \001(\0132\036.borageproxy.contro" +
-      "l.TreeState\0221\n\trevisions\030\010 \003(\0132\036.boragep" +
-      "roxy.control.TreeState\022+\n\004keys\030\t \003(\0132\035.b" +
-      "orageproxy.control.KeyState\"H\n\006Served\022\n\n" +
-      "\002vm\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\022\n\nage_milli" +
-      "s\030\003 \001(\004\022\014\n\004zone\030\004 \001(\tB-\n\032org.borageproxy" +
-      ".wire.protoB\017ControlProtocolb\006proto3"
+      "PublishDocumentH\000\0224\n\ndrain_zone\030\024 \001(\0132\036." +
+      "borageproxy.control.ZoneOrderH\000\0225\n\013retur" +
+      "n_zone\030\025 \001(\0132\036.borageproxy.control.ZoneO" +
+      "rderH\000B\006\n\004body\"s\n\tApplyTree\022\027\n\017change_id" +
+      "entity\030\001 \001(\t\022\025\n\rbase_revision\030\002 \001(\004\022\020\n\010d" +
+      "ocument\030\003 \001(\t\022\020\n\010operator\030\004 \001(\t\022\022\n\nonly_" +
+      "known\030\005 \001(\010\"a\n\010Rollback\022\027\n\017change_identi" +
+      "ty\030\001 \001(\t\022\025\n\rbase_revision\030\002 \001(\004\022\023\n\013to_re" +
+      "vision\030\003 \001(\004\022\020\n\010operator\030\004 \001(\t\"o\n\tCreate" +
+      "Key\022\027\n\017change_identity\030\001 \001(\t\022\024\n\014key_iden" +
+      "tity\030\002 \001(\t\022\016\n\006digest\030\003 \001(\t\022\021\n\tworkspace\030" +
+      "\004 \001(\t\022\020\n\010operator\030\005 \001(\t\"#\n\013WithdrawKey\022\024" +
+      "\n\014key_identity\030\001 \001(\t\"\203\001\n\005Claim\022\021\n\tworksp" +
+      "ace\030\001 \001(\t\022\027\n\017idempotency_key\030\002 \001(\t\022\016\n\006di" +
+      "gest\030\003 \001(\t\022\031\n\021created_at_millis\030\004 \001(\003\022\016\n" +
+      "\006holder\030\005 \001(\t\022\023\n\013hold_millis\030\006 \001(\003\"w\n\rCo" +
+      "mpleteClaim\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017idempo" +
+      "tency_key\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\022+\n\006answer" +
+      "\030\004 \001(\0132\033.borageproxy.control.Answer\"E\n\010E" +
+      "ndClaim\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017idempotenc" +
+      "y_key\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\"<\n\006Answer\022\016\n\006" +
+      "status\030\001 \001(\005\022\024\n\014content_type\030\002 \001(\t\022\014\n\004bo" +
+      "dy\030\003 \001(\014\"V\n\014AcquireLease\022\014\n\004duty\030\001 \001(\t\022\016" +
+      "\n\006holder\030\002 \001(\t\022\017\n\007session\030\003 \001(\t\022\027\n\017expir" +
+      "ed_renewal\030\004 \001(\004\"U\n\014ReleaseLease\022\014\n\004duty" +
+      "\030\001 \001(\t\022\017\n\007session\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\022\027" +
+      "\n\017expired_renewal\030\004 \001(\004\"\276\001\n\014IntentRecord" +
+      "\022\016\n\006number\030\001 \001(\003\022\r\n\005epoch\030\002 \001(\003\022\016\n\006serve" +
+      "r\030\003 \001(\t\022\023\n\013incarnation\030\004 \001(\003\022\023\n\013accelera" +
+      "tor\030\005 \001(\t\022\016\n\006action\030\006 \001(\005\022\r\n\005model\030\007 \001(\t" +
+      "\022\017\n\007version\030\010 \001(\t\022\017\n\007adapter\030\t \001(\t\022\024\n\014me" +
+      "mory_bytes\030\n \001(\003\"A\n\014RecordIntent\0221\n\006inte" +
+      "nt\030\001 \001(\0132!.borageproxy.control.IntentRec" +
+      "ord\"0\n\016ResolveIntents\022\r\n\005epoch\030\001 \001(\003\022\017\n\007" +
+      "numbers\030\002 \003(\003\"\r\n\013ReadIntents\"\207\001\n\013ReportC" +
+      "rash\022\023\n\013fingerprint\030\001 \001(\t\022\016\n\006server\030\002 \001(" +
+      "\t\022\023\n\013incarnation\030\003 \001(\003\022\r\n\005alone\030\004 \001(\010\022/\n" +
+      "\005parts\030\005 \003(\0132 .borageproxy.control.Suspe" +
+      "ctPart\"4\n\013SuspectPart\022\023\n\013fingerprint\030\001 \001" +
+      "(\t\022\020\n\010untested\030\002 \001(\010\"!\n\nClearCrash\022\023\n\013fi" +
+      "ngerprint\030\001 \001(\t\"7\n\nRegisterVm\022)\n\002vm\030\001 \001(" +
+      "\0132\035.borageproxy.control.VmRecord\"\030\n\010Remo" +
+      "veVm\022\014\n\004name\030\001 \001(\t\"2\n\017PublishDocument\022\016\n" +
+      "\006number\030\001 \001(\004\022\017\n\007content\030\002 \001(\014\"i\n\010VmReco" +
+      "rd\022\014\n\004name\030\001 \001(\t\022\014\n\004zone\030\002 \001(\t\022\014\n\004host\030\003" +
+      " \001(\t\022\014\n\004port\030\004 \001(\005\022\017\n\007control\030\005 \001(\010\022\024\n\014o" +
+      "beys_drains\030\006 \001(\010\"\301\005\n\005Reply\0221\n\010accepted\030" +
+      "\001 \001(\0132\035.borageproxy.control.AcceptedH\000\022>" +
+      "\n\017change_conflict\030\002 \001(\0132#.borageproxy.co" +
+      "ntrol.ChangeConflictH\000\022B\n\021identity_confl" +
+      "ict\030\003 \001(\0132%.borageproxy.control.Identity" +
+      "ConflictH\000\022/\n\007missing\030\004 \001(\0132\034.borageprox" +
+      "y.control.MissingH\000\0220\n\005claim\030\005 \001(\0132\037.bor" +
+      "ageproxy.control.ClaimReplyH\000\0220\n\005lease\030\006" +
+      " \001(\0132\037.borageproxy.control.LeaseReplyH\000\022" +
+      "3\n\006intent\030\007 \001(\0132!.borageproxy.control.In" +
+      "tentRecordH\000\022-\n\006fenced\030\010 \001(\0132\033.boragepro" +
+      "xy.control.FencedH\000\022/\n\007intents\030\t \001(\0132\034.b" +
+      "orageproxy.control.IntentsH\000\0220\n\005crash\030\n " +
+      "\001(\0132\037.borageproxy.control.CrashReplyH\000\022)" +
+      "\n\004done\030\013 \001(\0132\031.borageproxy.control.DoneH" +
+      "\000\0226\n\013key_created\030\014 \001(\0132\037.borageproxy.con" +
+      "trol.KeyCreatedH\000\022:\n\rdocument_held\030\r \001(\013" +
+      "2!.borageproxy.control.DocumentHeldH\000B\006\n" +
+      "\004body\"\034\n\010Accepted\022\020\n\010revision\030\001 \001(\004\":\n\016C" +
+      "hangeConflict\022\030\n\020current_revision\030\001 \001(\004\022" +
+      "\016\n\006holder\030\002 \001(\t\"4\n\020IdentityConflict\022\016\n\006h" +
+      "older\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\"\036\n\014Documen" +
+      "tHeld\022\016\n\006number\030\001 \001(\004\"\t\n\007Missing\"\006\n\004Done" +
+      "\"\037\n\006Fenced\022\025\n\rcurrent_epoch\030\001 \001(\003\"J\n\nKey" +
+      "Created\022\020\n\010revision\030\001 \001(\004\022*\n\003key\030\002 \001(\0132\035" +
+      ".borageproxy.control.KeyState\"\351\001\n\nClaimR" +
+      "eply\022:\n\010decision\030\001 \001(\0162(.borageproxy.con" +
+      "trol.ClaimReply.Decision\022\r\n\005epoch\030\002 \001(\003\022" +
+      "+\n\006answer\030\003 \001(\0132\033.borageproxy.control.An" +
+      "swer\"c\n\010Decision\022\013\n\007GRANTED\020\000\022\014\n\010ANSWERE" +
+      "D\020\001\022\017\n\013IN_PROGRESS\020\002\022\020\n\014MAY_HAVE_RUN\020\003\022\014" +
+      "\n\010CONFLICT\020\004\022\013\n\007TOO_OLD\020\005\"<\n\nLeaseReply\022" +
+      "\017\n\007granted\030\001 \001(\010\022\016\n\006holder\030\002 \001(\t\022\r\n\005epoc" +
+      "h\030\003 \001(\003\"=\n\007Intents\0222\n\007intents\030\001 \003(\0132!.bo" +
+      "rageproxy.control.IntentRecord\"\037\n\nCrashR" +
+      "eply\022\021\n\tsuspicion\030\001 \001(\005\"R\n\010KeyState\022\020\n\010i" +
+      "dentity\030\001 \001(\t\022\016\n\006digest\030\002 \001(\t\022\021\n\tworkspa" +
+      "ce\030\003 \001(\t\022\021\n\twithdrawn\030\004 \001(\010\"v\n\tTreeState" +
+      "\022\020\n\010revision\030\001 \001(\004\022\020\n\010document\030\002 \001(\t\022\027\n\017" +
+      "change_identity\030\003 \001(\t\022\020\n\010operator\030\004 \001(\t\022" +
+      "\032\n\022accepted_at_millis\030\005 \001(\003\"i\n\nLeaseStat" +
+      "e\022\014\n\004duty\030\001 \001(\t\022\016\n\006holder\030\002 \001(\t\022\017\n\007sessi" +
+      "on\030\003 \001(\t\022\r\n\005epoch\030\004 \001(\003\022\017\n\007renewal\030\005 \001(\004" +
+      "\022\014\n\004free\030\006 \001(\010\"\304\002\n\nClaimState\022\021\n\tworkspa" +
+      "ce\030\001 \001(\t\022\027\n\017idempotency_key\030\002 \001(\t\022\016\n\006dig" +
+      "est\030\003 \001(\t\022\016\n\006holder\030\004 \001(\t\022\r\n\005epoch\030\005 \001(\003" +
+      "\0224\n\005phase\030\006 \001(\0162%.borageproxy.control.Cl" +
+      "aimState.Phase\022\031\n\021held_until_millis\030\007 \001(" +
+      "\003\022\031\n\021expires_at_millis\030\010 \001(\003\022+\n\006answer\030\t" +
+      " \001(\0132\033.borageproxy.control.Answer\"B\n\005Pha" +
+      "se\022\013\n\007CLAIMED\020\000\022\014\n\010ANSWERED\020\001\022\020\n\014MAY_HAV" +
+      "E_RUN\020\002\022\014\n\010RELEASED\020\003\"\212\001\n\nCrashState\022\023\n\013" +
+      "fingerprint\030\001 \001(\t\022\017\n\007crashes\030\002 \003(\t\022\023\n\013qu" +
+      "arantined\030\003 \001(\010\022\031\n\021expires_at_millis\030\004 \001" +
+      "(\003\022\014\n\004part\030\005 \001(\010\022\030\n\020untested_crashes\030\006 \003" +
+      "(\t\"0\n\rDocumentState\022\016\n\006number\030\001 \001(\004\022\017\n\007c" +
+      "ontent\030\002 \001(\014\"l\n\013ChangeState\022\020\n\010identity\030" +
+      "\001 \001(\t\022\016\n\006digest\030\002 \001(\014\022\020\n\010operator\030\003 \001(\t\022" +
+      ")\n\005reply\030\004 \001(\0132\032.borageproxy.control.Rep" +
+      "ly\"a\n\017RememberedReply\022\020\n\010identity\030\001 \001(\t\022" +
+      "\021\n\tat_millis\030\002 \001(\003\022)\n\005reply\030\003 \001(\0132\032.bora" +
+      "geproxy.control.Reply\"\350\002\n\004Item\022\014\n\004name\030\001" +
+      " \001(\t\022\017\n\007version\030\002 \001(\004\022.\n\004tree\030\003 \001(\0132\036.bo" +
+      "rageproxy.control.TreeStateH\000\022,\n\003key\030\004 \001" +
+      "(\0132\035.borageproxy.control.KeyStateH\000\0220\n\005l" +
+      "ease\030\005 \001(\0132\037.borageproxy.control.LeaseSt" +
+      "ateH\000\0220\n\005crash\030\006 \001(\0132\037.borageproxy.contr" +
+      "ol.CrashStateH\000\022+\n\002vm\030\007 \001(\0132\035.borageprox" +
+      "y.control.VmRecordH\000\022\021\n\007removed\030\010 \001(\010H\000\022" +
+      "6\n\010document\030\t \001(\0132\".borageproxy.control." +
+      "DocumentStateH\000B\007\n\005value\"\302\004\n\017ControlSnap" +
+      "shot\022\017\n\007version\030\001 \001(\004\022\020\n\010revision\030\002 \001(\004\022" +
+      "/\n\007history\030\004 \003(\0132\036.borageproxy.control.T" +
+      "reeState\022+\n\004keys\030\005 \003(\0132\035.borageproxy.con" +
+      "trol.KeyState\0221\n\007changes\030\006 \003(\0132 .boragep" +
+      "roxy.control.ChangeState\0225\n\007replies\030\007 \003(" +
+      "\0132$.borageproxy.control.RememberedReply\022" +
+      "/\n\006claims\030\010 \003(\0132\037.borageproxy.control.Cl" +
+      "aimState\022\030\n\020last_claim_epoch\030\t \001(\003\022/\n\006le" +
+      "ases\030\n \003(\0132\037.borageproxy.control.LeaseSt" +
+      "ate\0222\n\007intents\030\013 \003(\0132!.borageproxy.contr" +
+      "ol.IntentRecord\022\032\n\022last_intent_number\030\014 " +
+      "\001(\003\0220\n\007crashes\030\r \003(\0132\037.borageproxy.contr" +
+      "ol.CrashState\022(\n\005items\030\016 \003(\0132\031.boragepro" +
+      "xy.control.Item\022\026\n\016removals_since\030\017 \001(\004J" +
+      "\004\010\003\020\004\"\241\002\n\014WatchRequest\022+\n\005watch\030\001 \001(\0132\032." +
+      "borageproxy.control.WatchH\000\0226\n\013read_serv" +
+      "ed\030\002 \001(\0132\037.borageproxy.control.ReadServe" +
+      "dH\000\0222\n\tread_tree\030\003 \001(\0132\035.borageproxy.con" +
+      "trol.ReadTreeH\000\022<\n\016read_revisions\030\004 \001(\0132" +
+      "\".borageproxy.control.ReadRevisionsH\000\0222\n" +
+      "\tread_keys\030\005 \001(\0132\035.borageproxy.control.R" +
+      "eadKeysH\000B\006\n\004body\"q\n\005Watch\022)\n\002vm\030\001 \001(\0132\035" +
+      ".borageproxy.control.VmRecord\022\017\n\007version" +
+      "\030\002 \001(\004\022\027\n\017served_revision\030\003 \001(\004\022\023\n\013wait_" +
+      "millis\030\004 \001(\r\"\014\n\nReadServed\"\034\n\010ReadTree\022\020" +
+      "\n\010revision\030\001 \001(\004\"\017\n\rReadRevisions\"\n\n\010Rea" +
+      "dKeys\"\266\002\n\013WatchAnswer\022\021\n\tconfirmed\030\001 \001(\010" +
+      "\022\017\n\007version\030\002 \001(\004\022\020\n\010revision\030\003 \001(\004\022\014\n\004f" +
+      "ull\030\004 \001(\010\022(\n\005items\030\005 \003(\0132\031.borageproxy.c" +
+      "ontrol.Item\022+\n\006served\030\006 \003(\0132\033.borageprox" +
+      "y.control.Served\022,\n\004tree\030\007 \001(\0132\036.boragep" +
+      "roxy.control.TreeState\0221\n\trevisions\030\010 \003(" +
+      "\0132\036.borageproxy.control.TreeState\022+\n\004key" +
+      "s\030\t \003(\0132\035.borageproxy.control.KeyState\"H" +
+      "\n\006Served\022\n\n\002vm\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\022" +
+      "\n\nage_millis\030\003 \001(\004\022\014\n\004zone\030\004 \001(\t\"\031\n\tZone" +
+      "Order\022\014\n\004zone\030\001 \001(\tB-\n\032org.borageproxy.w" +
+      "ire.protoB\017ControlProtocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -54894,7 +55962,7 @@
     internal_static_borageproxy_control_Command_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Command_descriptor,
-        new java.lang.String[] { "Identity", "ApplyTree", "Rollback", "CreateKey", "WithdrawKey", "Claim", "CompleteClaim", "ReleaseClaim", "AbandonClaim", "AcquireLease", "ReleaseLease", "RecordIntent", "ResolveIntents", "ReadIntents", "ReportCrash", "ClearCrash", "RegisterVm", "RemoveVm", "PublishDocument", "Body", });
+        new java.lang.String[] { "Identity", "ApplyTree", "Rollback", "CreateKey", "WithdrawKey", "Claim", "CompleteClaim", "ReleaseClaim", "AbandonClaim", "AcquireLease", "ReleaseLease", "RecordIntent", "ResolveIntents", "ReadIntents", "ReportCrash", "ClearCrash", "RegisterVm", "RemoveVm", "PublishDocument", "DrainZone", "ReturnZone", "Body", });
     internal_static_borageproxy_control_ApplyTree_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_borageproxy_control_ApplyTree_fieldAccessorTable = new
@@ -55020,7 +56088,7 @@
     internal_static_borageproxy_control_VmRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_VmRecord_descriptor,
-        new java.lang.String[] { "Name", "Zone", "Host", "Port", "Control", });
+        new java.lang.String[] { "Name", "Zone", "Host", "Port", "Control", "ObeysDrains", });
     internal_static_borageproxy_control_Reply_descriptor =
       getDescriptor().getMessageType(24);
     internal_static_borageproxy_control_Reply_fieldAccessorTable = new
@@ -55207,6 +56275,12 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Served_descriptor,
         new java.lang.String[] { "Vm", "Revision", "AgeMillis", "Zone", });
+    internal_static_borageproxy_control_ZoneOrder_descriptor =
+      getDescriptor().getMessageType(55);
+    internal_static_borageproxy_control_ZoneOrder_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_borageproxy_control_ZoneOrder_descriptor,
+        new java.lang.String[] { "Zone", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
