Drain zones and return them by orders of operators

Cause: operators had no way to ask that nothing more be sent to the servers of a zone. Change: POST /Evacuations.Begin/ZONE and /Evacuations.Finish/ZONE are committed to the replicated log and kept as watched records, which reach all VMs with the state watch. The server pools of entries and coordinator, the last check before a request is sent, relays and the placement ask the drained zones. Models whose only copies are drained get one elsewhere within the load budget, without unloading the last copy of another model. A VM that was frozen selects no server until it has asked the control group again. No order is proposed while a control VM, and no drain while any VM in contact, runs a build that would not obey it. Ruled out: a field of the publication, which the next publication would undo.

--- a/src/main/java/org/borageproxy/control/ControlState.java
+++ b/src/main/java/org/borageproxy/control/ControlState.java
@@ -2,8 +2,10 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.stream.Collectors;
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
@@ -41,6 +43,9 @@
     /** Name of the record with the published document, which is independent of the documents of the settings tree. */
     private static final String DOCUMENT = "document";
 
+    /** Prefix of the names of the records of drained zones, which have no value; the zone follows. */
+    public static final String DRAINED_ZONE_PREFIX = "drained-zone/";
+
     private final ReentrantLock lock = new ReentrantLock();
     private final WatchedRecords records = new WatchedRecords();
     private final ChangeTable changes = new ChangeTable(records);
@@ -238,6 +243,24 @@
         }
     }
 
+    /**
+     * Returns the zones whose servers get no requests by order of an operator.
+     *
+     * @return the names of the zones
+     */
+    public Set<String> drainedZones() {
+        lock.lock();
+        try {
+            return records.all().stream()
+                    .map(Item::getName)
+                    .filter(name -> name.startsWith(DRAINED_ZONE_PREFIX))
+                    .map(name -> name.substring(DRAINED_ZONE_PREFIX.length()))
+                    .collect(Collectors.toUnmodifiableSet());
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /**
      * Lists the leases of all duties.
      *
@@ -291,6 +314,8 @@
                 yield done();
             }
             case PUBLISH_DOCUMENT -> publish(command.getPublishDocument());
+            case DRAIN_ZONE -> drainZone(command.getDrainZone().getZone());
+            case RETURN_ZONE -> returnZone(command.getReturnZone().getZone());
             case REMOVE_VM -> removeVm(command.getRemoveVm().getName());
             default ->
                 Reply.newBuilder().setMissing(Missing.getDefaultInstance()).build();
@@ -319,6 +344,18 @@
                 .build();
     }
 
+    private Reply drainZone(String zone) {
+        if (!drainedZones().contains(zone)) {
+            records.put(Item.newBuilder().setName(DRAINED_ZONE_PREFIX + zone));
+        }
+        return done();
+    }
+
+    private Reply returnZone(String zone) {
+        records.remove(DRAINED_ZONE_PREFIX + zone);
+        return done();
+    }
+
     /** Removes the record of a VM. A VM that is still running registers again. */
     private Reply removeVm(String name) {
         if (records.find(VM_PREFIX + name).filter(Item::hasVm).isEmpty()) {
--- a/src/main/java/org/borageproxy/forward/BufferedRequest.java
+++ b/src/main/java/org/borageproxy/forward/BufferedRequest.java
@@ -73,7 +73,16 @@
      * @return the requirement
      */
     ServerRequirement requirement(Set<BackendServerName> excludedServers, Optional<StreamOrigin> origin) {
-        return new ServerRequirement(service, engines, metadata.work(), excludedServers, origin);
+        return new ServerRequirement(service, engines, metadata.work(), excludedServers, origin, allowedRegions());
+    }
+
+    /**
+     * Returns the regions in which the request may run.
+     *
+     * @return the names of the regions; empty for any
+     */
+    Set<String> allowedRegions() {
+        return Set.of();
     }
 
     /**
--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -224,15 +224,12 @@
 
         /** Returns what has come between the choice of the server and the moment at which the request can be sent. */
         private Optional<String> obstacle(ServerConnection acquired) {
-            if (!context.pool().isCurrent(server)) {
-                return Optional.of("server left or restarted before the request was sent");
-            }
             if (!context.refusals().accepts(server, acquired.relay())) {
                 return Optional.of("server refused the VM before the request was sent");
             }
             return crashEvidence.isQuarantined()
                     ? Optional.of("request was quarantined before it was sent")
-                    : Optional.empty();
+                    : context.pool().availability().obstacle(server, buffered.allowedRegions());
         }
 
         @Override
--- a/src/main/java/org/borageproxy/forward/ServerPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerPool.java
@@ -48,14 +48,13 @@
     private final RandomGenerator random;
     private final Map<BackendServerName, ServerLoad> loads = new HashMap<>();
     private final ModelInventories inventories = new ModelInventories();
-    private final Map<BackendServerName, Long> goneIncarnations = new HashMap<>();
+    private final ServerAvailability availability;
     private final ModelLatencyRatios latencyRatios = new ModelLatencyRatios();
     private final ModelDemandCounter demandCounter = new ModelDemandCounter();
     private final RequestQueue queue = new RequestQueue();
     private final ServerStatements statements;
     private Runnable urgentDemandListener = () -> {};
     private Runnable loadChangeListener = () -> {};
-    private Consumer<BackendServer> goneListener = server -> {};
 
     /** Reasons for which no server can run a request now. */
     public enum Unavailability {
@@ -92,12 +91,22 @@
             RandomGenerator random,
             DoubleSupplier limitShare) {
         this.servers = servers;
+        this.availability = new ServerAvailability(servers);
         this.clock = clock;
         this.zone = zone;
         this.random = random;
         this.statements = new ServerStatements(clock, random, limitShare);
     }
 
+    /**
+     * Returns which servers accept requests at all.
+     *
+     * @return the availability, which the caller restricts
+     */
+    public ServerAvailability availability() {
+        return availability;
+    }
+
     /**
      * Returns what the servers state about their capacity.
      *
@@ -172,23 +181,8 @@
     }
 
     private boolean acceptsWork(BackendServer server, ServerRequirement requirement) {
-        return acceptsWork(server, requirement.service()) && requirement.isMetBy(server);
-    }
-
-    private boolean acceptsWork(BackendServer server, String service) {
-        return server.state() != BackendServerState.LEAVING
-                && server.services().contains(service)
-                && !refreshIsGone(server);
-    }
-
-    /** Returns whether a server is marked as gone, after removing the mark if a later heartbeat made it alive again. */
-    private boolean refreshIsGone(BackendServer server) {
-        boolean isKnownGone = Long.valueOf(server.incarnation()).equals(goneIncarnations.get(server.name()));
-        if (isKnownGone && server.state() == BackendServerState.ALIVE) {
-            goneIncarnations.remove(server.name());
-            return false;
-        }
-        return isKnownGone;
+        return availability.acceptsWork(server, requirement.service(), requirement.allowedRegions())
+                && requirement.isMetBy(server);
     }
 
     private boolean canRun(BackendServer server, Optional<EngineWork> work) {
@@ -225,7 +219,7 @@
      *     of a server whose state is alive is removed
      */
     public void onGone(Consumer<BackendServer> listener) {
-        goneListener = listener;
+        availability.onGone(listener);
     }
 
     /**
@@ -235,8 +229,7 @@
      * @param server the server
      */
     void markGone(BackendServer server) {
-        goneListener.accept(server);
-        goneIncarnations.put(server.name(), server.incarnation());
+        availability.markGone(server);
     }
 
     /**
@@ -335,19 +328,6 @@
         return versions.size() == 1 ? Optional.of(new StreamOrigin(service, versions.get(0))) : Optional.empty();
     }
 
-    /**
-     * Returns whether an incarnation of a server is still announced and not leaving.
-     *
-     * @param selected the server
-     * @return {@code false} if the server is leaving, left or restarted
-     */
-    boolean isCurrent(BackendServer selected) {
-        return servers.current().stream()
-                .anyMatch(server -> server.name().equals(selected.name())
-                        && server.incarnation() == selected.incarnation()
-                        && server.state() != BackendServerState.LEAVING);
-    }
-
     /**
      * Returns whether an incarnation of a server is announced, in any state.
      *
@@ -500,8 +480,8 @@
      */
     double prefillTokensPerMillisecond(String service, String model) {
         long serverCount = servers.current().stream()
-                .filter(server ->
-                        acceptsWork(server, service) && inventories.of(server).contains(model, ""))
+                .filter(server -> availability.acceptsWork(server, service, Set.of())
+                        && inventories.of(server).contains(model, ""))
                 .count();
         return serverCount * ServerSelector.PREFILL_TOKENS_PER_MILLISECOND / latencyRatios.of(model);
     }
@@ -595,6 +575,6 @@
         loads.keySet().retainAll(known);
         inventories.retain(known);
         statements.retain(known);
-        goneIncarnations.keySet().retainAll(known);
+        availability.retain(known);
     }
 }
--- a/src/main/java/org/borageproxy/forward/ServerRelay.java
+++ b/src/main/java/org/borageproxy/forward/ServerRelay.java
@@ -13,6 +13,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
+import org.borageproxy.drain.ServerEligibility;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.membership.BackendServers;
@@ -37,6 +38,7 @@
     private final BackendServers servers;
     private final ServerLinks links;
     private final BooleanSupplier isStopping;
+    private ServerEligibility eligibility = ServerEligibility.ANY;
     private final List<Connection> connections = new ArrayList<>();
 
     /** A connection of another VM to a server. */
@@ -55,6 +57,15 @@
         this.isStopping = isStopping;
     }
 
+    /**
+     * Restricts the servers to which other VMs are connected.
+     *
+     * @param rules decides for each server; asked for each connection
+     */
+    public void restrict(ServerEligibility rules) {
+        eligibility = rules;
+    }
+
     /**
      * Returns whether other VMs can be connected.
      *
@@ -88,7 +99,7 @@
 
     @Override
     public CompletionStage<Channel> accept(VmName sender, ByteString request, EventLoop eventLoop) {
-        Optional<BackendServer> server = find(sender, request);
+        Optional<BackendServer> server = find(sender, request).filter(found -> eligibility.mayReceive(found, Set.of()));
         if (server.isEmpty() || !isAvailable()) {
             return CompletableFuture.failedFuture(new UnreachableException("No connection for " + sender));
         }
--- a/src/main/java/org/borageproxy/forward/ServerRequirement.java
+++ b/src/main/java/org/borageproxy/forward/ServerRequirement.java
@@ -17,13 +17,25 @@
  * @param work the inference work; empty for a plain service
  * @param triedServers the servers that must not be selected again
  * @param origin what began the stream that the request continues; empty for a request that any server can run
+ * @param allowedRegions the regions in which the request may run; empty for any
  */
 record ServerRequirement(
         String service,
         Optional<EnginePool> engines,
         Optional<EngineWork> work,
         Set<BackendServerName> triedServers,
-        Optional<StreamOrigin> origin) {
+        Optional<StreamOrigin> origin,
+        Set<String> allowedRegions) {
+
+    /** A requirement without a restriction of regions. */
+    ServerRequirement(
+            String service,
+            Optional<EnginePool> engines,
+            Optional<EngineWork> work,
+            Set<BackendServerName> triedServers,
+            Optional<StreamOrigin> origin) {
+        this(service, engines, work, triedServers, origin, Set.of());
+    }
 
     /**
      * Returns whether a server runs the software that the request requires. Its state and its models are not checked.
--- a/src/main/java/org/borageproxy/placement/FleetPlacement.java
+++ b/src/main/java/org/borageproxy/placement/FleetPlacement.java
@@ -11,7 +11,9 @@
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 import org.borageproxy.control.Timer;
 import org.borageproxy.coordination.Coordinator;
@@ -20,10 +22,12 @@
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.membership.BackendServerState;
 import org.borageproxy.membership.BackendServers;
+import org.borageproxy.membership.LoadedModel;
 import org.borageproxy.publication.EnginePool;
 import org.borageproxy.publication.Publication;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
+import org.borageproxy.vm.AvailabilityZone;
 import org.borageproxy.vm.VmName;
 import org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand;
 import org.slf4j.Logger;
@@ -86,6 +90,7 @@
      *     leader
      * @param publication returns the publication in force
      * @param servers the backend servers
+     * @param isDrained returns whether a zone is drained; its servers get no calls, and their copies do not count
      * @param engineClient sends orders and reads reports
      * @param permits the permits for calls to engines that limit their requests
      * @param modelsListener receives the usable models of an engine when they change, with the name of the engine
@@ -100,6 +105,7 @@
             Duration handoverDelay,
             Supplier<Optional<Publication>> publication,
             BackendServers servers,
+            Predicate<AvailabilityZone> isDrained,
             EngineClient engineClient,
             CallPermits permits,
             BiConsumer<String, ModelInventory> modelsListener,
@@ -187,7 +193,9 @@
         for (BackendServer server : environment.servers().current()) {
             boolean isEngine =
                     server.services().stream().anyMatch(service -> pool(service).isPresent());
-            if (isEngine && server.state() == BackendServerState.ALIVE) {
+            boolean isUsable = server.state() == BackendServerState.ALIVE
+                    && !environment.isDrained().test(server.zone());
+            if (isEngine && isUsable) {
                 liveServers.put(server.name(), server);
             }
         }
@@ -311,13 +319,24 @@
         engines.forEach(this::refreshPermit);
         planAdapters(service, pool, engines);
         Map<String, LoadPlanner.Demand> byModel = demand.byModel(service);
-        Optional<LoadPlanner.Step> step = new LoadPlanner(pool, engines, byModel).nextStep(storeTokens >= 1);
+        Set<String> displaced = displacedModels(service);
+        Optional<LoadPlanner.Step> step = new LoadPlanner(pool, engines, byModel, displaced).nextStep(storeTokens >= 1);
         while (step.isPresent()) {
             execute(step.get(), pool);
-            step = new LoadPlanner(pool, engines, byModel).nextStep(storeTokens >= 1);
+            step = new LoadPlanner(pool, engines, byModel, displaced).nextStep(storeTokens >= 1);
         }
     }
 
+    /** Returns the models on servers of drained zones, as far as these servers announce them. */
+    private Set<String> displacedModels(String service) {
+        return environment.servers().current().stream()
+                .filter(server -> environment.isDrained().test(server.zone())
+                        && server.services().contains(service))
+                .flatMap(server -> server.models().stream())
+                .map(LoadedModel::model)
+                .collect(Collectors.toSet());
+    }
+
     private void execute(LoadPlanner.Step step, EnginePool pool) {
         TrackedEngine engine = step.engine();
         if (step instanceof LoadPlanner.Step.Load load) {
--- a/src/main/java/org/borageproxy/placement/LoadPlanner.java
+++ b/src/main/java/org/borageproxy/placement/LoadPlanner.java
@@ -7,15 +7,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import org.borageproxy.publication.EnginePool;
 
 /**
  * Plans which model an engine loads or unloads next. Models for which room is already being made on an engine come
- * first, then models without a replica that have waiting requests, then models whose engines have much more work than
- * the average. A model with waiting requests is never unloaded. The last replica of a model with demand is unloaded
- * only if no other model on the engine costs less to unload. Work is measured in engine-seconds per second, so that 1
- * is a fully used engine.
+ * first, then models without a replica that have waiting requests, then models whose only copies are on engines that
+ * may not be used, then models whose engines have much more work than the average. A model with waiting requests is
+ * never unloaded. The last replica of a model with demand is unloaded only if no other model on the engine costs less
+ * to unload. Work is measured in engine-seconds per second, so that 1 is a fully used engine.
  *
  * <p>Reads the engines but doesn't change them. Not thread safe, since the engines aren't.
  */
@@ -55,6 +56,7 @@
     private final EnginePool pool;
     private final Collection<TrackedEngine> engines;
     private final Map<String, Demand> demands;
+    private final Set<String> displacedModels;
 
     /**
      * The demand for a model.
@@ -96,9 +98,26 @@
     }
 
     LoadPlanner(EnginePool pool, Collection<TrackedEngine> engines, Map<String, Demand> demands) {
+        this(pool, engines, demands, Set.of());
+    }
+
+    /**
+     * Creates a planner.
+     *
+     * @param pool the settings of the engines
+     * @param engines the engines that may be used
+     * @param demands the demand by model
+     * @param displacedModels models with copies on engines that may not be used
+     */
+    LoadPlanner(
+            EnginePool pool,
+            Collection<TrackedEngine> engines,
+            Map<String, Demand> demands,
+            Set<String> displacedModels) {
         this.pool = pool;
         this.engines = engines;
         this.demands = demands;
+        this.displacedModels = displacedModels;
     }
 
     /**
@@ -133,7 +152,22 @@
                 return step;
             }
         }
-        return planForOverload(mayUseStore);
+        return planDisplaced(mayUseStore).or(() -> planForOverload(mayUseStore));
+    }
+
+    /**
+     * Plans a copy of a model whose only copies may not be used, so that its callers need not wait. The last copy of
+     * another model is not unloaded for it, since no request waits for it yet.
+     */
+    private Optional<Step> planDisplaced(boolean mayUseStore) {
+        return displacedModels.stream()
+                .filter(model -> pool.models().containsKey(model) && replicas(model) == 0)
+                .sorted(Comparator.comparingDouble((String model) ->
+                                -demands.getOrDefault(model, Demand.NONE).tokensPerSecond())
+                        .thenComparing(Comparator.naturalOrder()))
+                .flatMap(model -> planReplica(model, mayUseStore, Double.MAX_VALUE).stream())
+                .filter(step -> !(step instanceof Step.Unload unload) || loadedReplicas(unload.model()) > 1)
+                .findFirst();
     }
 
     private Optional<Step> planForOverload(boolean mayUseStore) {
--- a/src/main/java/org/borageproxy/platform/ControlCalls.java
+++ b/src/main/java/org/borageproxy/platform/ControlCalls.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.CompletionStage;
 
+import io.netty.handler.codec.http.QueryStringDecoder;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpHeaders;
@@ -22,6 +23,8 @@
     private static final String READ_PATH = "/Config.Read";
     private static final String HEARTBEAT_PATH = "/Replicas.Heartbeat/";
     private static final String DEREGISTER_PATH = "/Replicas.Deregister/";
+    private static final String DRAIN_PATH = "/Evacuations.Begin/";
+    private static final String RETURN_PATH = "/Evacuations.Finish/";
     private static final String JSON = "application/json";
     private static final int IDLE_TIMEOUT_SECONDS = 60;
     private static final int OK = 200;
@@ -77,11 +80,32 @@
                     new BackendServerName(path.substring(DEREGISTER_PATH.length())),
                     HeartbeatDocument.decodeIncarnation(body));
             respond(request, OK, "{}");
+        } else if (isPost && path.startsWith(DRAIN_PATH)) {
+            orderZone(request, path.substring(DRAIN_PATH.length()), true);
+        } else if (isPost && path.startsWith(RETURN_PATH)) {
+            orderZone(request, path.substring(RETURN_PATH.length()), false);
         } else {
             respond(request, NOT_FOUND, "{}");
         }
     }
 
+    private void orderZone(HttpServerRequest request, String encodedZone, boolean isDrain) {
+        String zone;
+        try {
+            zone = QueryStringDecoder.decodeComponent(encodedZone);
+        } catch (IllegalArgumentException exception) {
+            respond(request, BAD_REQUEST, "{}");
+            return;
+        }
+        controlPlane.orderZone(zone, isDrain).thenAccept(result -> {
+            switch (result) {
+                case ACCEPTED -> respond(request, OK, "{}");
+                case UNKNOWN_ZONE -> respond(request, NOT_FOUND, "{}");
+                default -> respond(request, UNAVAILABLE, "{}");
+            }
+        });
+    }
+
     private void publish(HttpServerRequest request, Buffer body) {
         controlPlane.publish(body.getBytes()).thenAccept(result -> {
             if (result instanceof ControlPlane.PublishResult.Accepted) {
--- a/src/main/java/org/borageproxy/platform/PlatformSettings.java
+++ b/src/main/java/org/borageproxy/platform/PlatformSettings.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 
@@ -17,6 +19,7 @@
 import org.tomlj.TomlArray;
 import org.tomlj.TomlParseError;
 import org.tomlj.TomlParseResult;
+import org.tomlj.TomlTable;
 
 /**
  * Settings from the TOML file of the deployment platform. Immutable and thread safe.
@@ -79,7 +82,8 @@
                             .map(Path::of),
                     toml.getBoolean("Bootstrap", () -> false),
                     seeds(),
-                    bounds());
+                    bounds(),
+                    zones());
             return new PlatformSettings(
                     gateway, (int) optionalNumber("HeartbeatMs", DEFAULT_HEARTBEAT_INTERVAL_MILLIS));
         }
@@ -111,6 +115,16 @@
                     (long) optionalNumber("Bounds.LeaseMs", DEFAULT_HANDOVER_DELAY_MILLIS));
         }
 
+        /** Returns the region of each zone. */
+        private Map<AvailabilityZone, String> zones() {
+            Map<AvailabilityZone, String> zones = new HashMap<>();
+            TomlTable table = toml.getTable("Zones");
+            if (table != null) {
+                table.toMap().forEach((zone, region) -> zones.put(new AvailabilityZone(zone), String.valueOf(region)));
+            }
+            return zones;
+        }
+
         private Optional<Endpoint> optionalEndpoint(String key) {
             return Optional.ofNullable(toml.getString(key)).map(Reader::parseEndpoint);
         }
--- a/src/main/java/org/borageproxy/server/ControlPlane.java
+++ b/src/main/java/org/borageproxy/server/ControlPlane.java
@@ -41,6 +41,27 @@
      */
     void handleDeparture(BackendServerName name, OptionalLong incarnation);
 
+    /**
+     * Drains a zone, so that no VM sends requests to its backend servers, or returns it.
+     *
+     * @param zone the name of the zone
+     * @param isDrain {@code false} to return the zone
+     * @return the outcome; never fails
+     */
+    CompletionStage<ZoneOrderResult> orderZone(String zone, boolean isDrain);
+
+    /** Outcome of an order to drain or return a zone. */
+    enum ZoneOrderResult {
+        /** The order is committed and obeyed by all VMs in contact with the control group within seconds. */
+        ACCEPTED,
+        /** The settings name no such zone. */
+        UNKNOWN_ZONE,
+        /** The order will not be executed: there is no leader, or a VM would not obey it. */
+        UNAVAILABLE,
+        /** The order may or may not be executed. */
+        UNKNOWN
+    }
+
     /** Outcome of a publication. Variants are immutable and thread safe. */
     sealed interface PublishResult {
 
--- a/src/main/java/org/borageproxy/server/GatewayControl.java
+++ b/src/main/java/org/borageproxy/server/GatewayControl.java
@@ -23,6 +23,7 @@
 import org.borageproxy.control.Submission;
 import org.borageproxy.coordination.Coordinator;
 import org.borageproxy.coordination.ModelInventory;
+import org.borageproxy.drain.ZoneRules;
 import org.borageproxy.forward.ServerPool;
 import org.borageproxy.forward.ServerRefusals;
 import org.borageproxy.forward.SlotBroker;
@@ -42,6 +43,7 @@
 import org.borageproxy.publication.PublishedWorkspace;
 import org.borageproxy.routing.EngineWork;
 import org.borageproxy.routing.ServerStatement;
+import org.borageproxy.spread.StateReader;
 import org.borageproxy.spread.WatchService;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.wire.MessageKind;
@@ -92,6 +94,8 @@
     /** Changes that the entries have not been told yet; confined to the event loop. */
     private final Map<String, ModelInventory> changedInventories = new LinkedHashMap<>();
 
+    private final ZoneOrders zoneOrders;
+
     private volatile Optional<Publication> publication = Optional.empty();
 
     private GatewayControl(GatewayRuntime runtime, Path folder) throws IOException {
@@ -108,6 +112,9 @@
         placement = createPlacement();
         streamOrigins = new StreamOrigins(runtime.clock());
         slotBroker = createSlotBroker();
+        StateReader reader = new StateReader(runtime.network(), runtime::controlVms, runtime.clock());
+        zoneOrders = new ZoneOrders(new ZoneOrders.Environment(
+                () -> runtime.settings().zones().keySet(), member, state, client, reader::readServed));
         admission = new AdmissionService(
                 member,
                 new AdmissionPolicy(runtime.settings().bounds().targetVoterCount()),
@@ -168,6 +175,7 @@
                 Duration.ofMillis(settings.bounds().handoverDelayMillis()),
                 () -> publication,
                 runtime.membership().registry(),
+                runtime.zoneRules()::isDrained,
                 runtime.protocol().createEngineClient(runtime.vertx(), new EngineAnswers()),
                 new EngineCallPermits(),
                 this::notifyEntries,
@@ -184,6 +192,9 @@
                 new Random(),
                 () -> 1);
         created.onGone(runtime::suspectServer);
+        // The coordinator leads the control group and is informed; entries check each grant again.
+        created.availability()
+                .restrict(new ZoneRules(runtime.settings().zones(), runtime.spread()::drainedZones, () -> true));
         return created;
     }
 
@@ -299,6 +310,7 @@
                         MessageKind.STATE_WATCH,
                         new WatchService(member, state, client, runtime.clock(), runtime.timer()));
         runtime.network().registerHandler(MessageKind.COORDINATION, coordinator);
+        runtime.spread().subscribeDrainedZones(zones -> runtime.eventLoop().execute(pool::retryQueued));
         runtime.spread()
                 .subscribeDocument(document -> applyDocument(
                         document.getNumber(), document.getContent().toByteArray()));
@@ -373,6 +385,11 @@
         });
     }
 
+    @Override
+    public CompletionStage<ZoneOrderResult> orderZone(String zone, boolean isDrain) {
+        return zoneOrders.execute(zone, isDrain);
+    }
+
     @Override
     public void handleHeartbeat(Announcement announcement, boolean isLeaving) {
         runtime.membership().announce(announcement);
--- a/src/main/java/org/borageproxy/server/GatewayEntry.java
+++ b/src/main/java/org/borageproxy/server/GatewayEntry.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 
@@ -33,6 +34,7 @@
 import org.borageproxy.publication.ServedPublication;
 import org.borageproxy.quota.RateShares;
 import org.borageproxy.settings.Endpoint;
+import org.borageproxy.vm.AvailabilityZone;
 import org.borageproxy.vm.VmName;
 import org.borageproxy.wire.proto.ControlProtocol.DocumentState;
 import org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate;
@@ -99,6 +101,7 @@
                 this::applyUpdate);
         streamOrigins = new StreamOrigins(runtime.clock());
         pool.onGone(runtime::suspectServer);
+        pool.availability().restrict(runtime.zoneRules());
         pool.onUrgentDemand(coordination::requestUrgentReport);
         pool.statements().onChange(coordination::requestUrgentReport);
         pool.onLoadChange(coordination::requestUrgentReport);
@@ -134,6 +137,7 @@
                         CrashProbe.confirmed(CrashProbe.overTcp(runtime.vertx()), links::isRefusedElsewhere)),
                 metrics);
         server = new ForwardServer(runtime.vertx(), context, () -> servedPublication, random);
+        runtime.spread().subscribeDrainedZones(zones -> runtime.eventLoop().execute(() -> applyDrains(zones)));
         runtime.spread().subscribeDocument(document -> runtime.eventLoop().execute(() -> applyDocument(document)));
     }
 
@@ -148,6 +152,7 @@
 
     private ServerRelay createRelay(ServerLinks links) {
         ServerRelay created = new ServerRelay(runtime.membership().registry(), links, () -> isStopping);
+        created.restrict(runtime.zoneRules());
         runtime.network().acceptStreams(created);
         RefusalNotices.exchange(
                 runtime.network(),
@@ -164,6 +169,11 @@
         return new ServerLinks(runtime.eventLoop(), runtime.clock(), environment);
     }
 
+    private void applyDrains(Set<AvailabilityZone> zones) {
+        LOGGER.info("event=zone-drains-obeyed zones={}", zones);
+        pool.retryQueued();
+    }
+
     private void applyDocument(DocumentState document) {
         boolean isNewer = servedPublication
                 .map(current -> current.publication().number() < document.getNumber())
--- a/src/main/java/org/borageproxy/server/GatewayRuntime.java
+++ b/src/main/java/org/borageproxy/server/GatewayRuntime.java
@@ -13,6 +13,7 @@
 import io.vertx.core.internal.ContextInternal;
 import io.vertx.core.internal.VertxInternal;
 import org.borageproxy.control.Timer;
+import org.borageproxy.drain.ZoneRules;
 import org.borageproxy.event.HybridClock;
 import org.borageproxy.event.TimeLine;
 import org.borageproxy.membership.BackendServer;
@@ -47,6 +48,7 @@
     private final NettyVmNetwork network;
     private final ControlStateWatcher spread;
     private final BackendServerMembership membership;
+    private final ZoneRules zoneRules;
     private volatile GatewaySettings settings;
 
     GatewayRuntime(GatewaySettings settings, ExternalProtocol protocol) {
@@ -67,6 +69,7 @@
                 self.name(), this::addressOf, PeerCredential.of(PEER_CREDENTIAL), hybridClock, clock, eventLoop);
         boolean isControl = settings.dataFolder().isPresent();
         spread = new ControlStateWatcher(self, isControl, network, this::controlVms, clock, timer(), timeLine);
+        zoneRules = new ZoneRules(settings.zones(), spread::drainedZones, spread::isInformed);
         MembershipPeers peers = isControl
                 ? MembershipPeers.announcingTo(this::otherControlVms, spread::registeredDataPlaneVms)
                 : MembershipPeers.observing(this::otherControlVms);
@@ -156,6 +159,10 @@
         return spread;
     }
 
+    ZoneRules zoneRules() {
+        return zoneRules;
+    }
+
     BackendServerMembership membership() {
         return membership;
     }
--- a/src/main/java/org/borageproxy/server/GatewaySettings.java
+++ b/src/main/java/org/borageproxy/server/GatewaySettings.java
@@ -2,9 +2,11 @@
 
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import org.borageproxy.settings.Endpoint;
+import org.borageproxy.vm.AvailabilityZone;
 import org.borageproxy.vm.VmAddress;
 import org.borageproxy.vm.VmName;
 
@@ -23,6 +25,7 @@
  * @param isFirstStart whether the whole fleet starts for the first time
  * @param seeds the control VMs from which this VM discovers the others
  * @param bounds limits that apply to the whole fleet
+ * @param zones the region of each availability zone; empty if the deployment names none
  */
 public record GatewaySettings(
         VmAddress vm,
@@ -34,11 +37,13 @@
         Optional<Path> dataFolder,
         boolean isFirstStart,
         List<VmName> seeds,
-        FleetBounds bounds) {
+        FleetBounds bounds,
+        Map<AvailabilityZone, String> zones) {
 
-    /** Copies the seeds. */
+    /** Copies the seeds and the zones. */
     public GatewaySettings {
         seeds = List.copyOf(seeds);
+        zones = Map.copyOf(zones);
     }
 
     /**
--- a/src/main/java/org/borageproxy/spread/ControlStateWatcher.java
+++ b/src/main/java/org/borageproxy/spread/ControlStateWatcher.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -23,6 +24,7 @@
 import org.borageproxy.tree.Configuration;
 import org.borageproxy.tree.ConfigurationSource;
 import org.borageproxy.tree.EffectiveTree;
+import org.borageproxy.vm.AvailabilityZone;
 import org.borageproxy.vm.VmAddress;
 import org.borageproxy.vm.VmName;
 import org.borageproxy.wire.MessageKind;
@@ -51,6 +53,12 @@
     /** Maximum time for a request in addition to the long-poll wait. */
     private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(600);
 
+    /**
+     * Time after a request for the state within which this VM counts as informed. Leaves a second of the five within
+     * which a VM must obey a drain.
+     */
+    private static final Duration INFORMED_PERIOD = Duration.ofMillis(4000);
+
     /** Delay after a failed request, or while no control VM is known. */
     private static final Duration RETRY_DELAY = Duration.ofMillis(50);
 
@@ -79,12 +87,18 @@
     /** Whether this VM is a member of the control group. */
     private final boolean isControlVm;
 
+    /** Listeners for the drained zones. */
+    private final List<Consumer<Set<AvailabilityZone>>> drainListeners = new CopyOnWriteArrayList<>();
+
     /** Latest confirmed state. */
     private volatile WatchedState state = WatchedState.EMPTY;
 
     /** End of the freshness lease, or {@code null} before the first confirmed answer. */
     private volatile Deadline freshUntil;
 
+    /** End of the time for which this VM counts as informed, or {@code null} before the first completed request. */
+    private volatile Deadline informedUntil;
+
     private volatile boolean isRunning;
 
     /** Number of consecutive failed requests. */
@@ -175,6 +189,40 @@
         return freshUntil != null;
     }
 
+    /**
+     * Returns whether a request for the state that was sent within the last seconds has completed, with or without
+     * success. A VM that is cut off from the control group stays informed, since it knows that it can learn nothing
+     * newer; one that was frozen is not until the first request after the freeze has completed.
+     *
+     * @return {@code false} if the state may be outdated and is being requested
+     */
+    public boolean isInformed() {
+        Deadline until = informedUntil;
+        return until != null && !until.hasPassed(clock.nanoTime());
+    }
+
+    /**
+     * Returns the zones whose servers get no requests by order of an operator.
+     *
+     * @return the zones as of the latest confirmed state
+     */
+    public Set<AvailabilityZone> drainedZones() {
+        return state.drainedZones();
+    }
+
+    /**
+     * Registers a listener that is called after each change of the drained zones, before the listeners of a document
+     * that arrived with it.
+     *
+     * @param listener receives the zones
+     */
+    public synchronized void subscribeDrainedZones(Consumer<Set<AvailabilityZone>> listener) {
+        drainListeners.add(listener);
+        if (!state.drainedZones().isEmpty()) {
+            listener.accept(state.drainedZones());
+        }
+    }
+
     /**
      * Returns the settings tree with the origin of each value.
      *
@@ -289,15 +337,19 @@
                         .setZone(self.zone().value())
                         .setHost(self.host())
                         .setPort(self.port())
-                        .setControl(isControlVm))
+                        .setControl(isControlVm)
+                        .setObeysDrains(true))
                 .setVersion(state.version())
                 .setServedRevision(state.configuration().revision())
                 .setWaitMillis((int) wait.toMillis());
         ByteString body = WatchRequest.newBuilder().setWatch(watch).build().toByteString();
         Deadline deadline = Deadline.after(sentAtNanos, wait.plus(ANSWER_TIMEOUT));
         request(target, body, deadline)
-                .whenComplete((answer, failure) -> timer.schedule(
-                        Duration.ZERO, () -> scheduleNextPoll(failure == null && applyAnswer(answer, sentAtNanos))));
+                .whenComplete((answer, failure) -> timer.schedule(Duration.ZERO, () -> {
+                    boolean isSuccess = failure == null && applyAnswer(answer, sentAtNanos);
+                    informedUntil = Deadline.after(sentAtNanos, INFORMED_PERIOD);
+                    scheduleNextPoll(isSuccess);
+                }));
     }
 
     /** Sends a request that fails at its deadline even if the network does not report a failure. */
@@ -370,6 +422,12 @@
             return;
         }
         vmListeners.forEach(listener -> listener.accept(later.vms()));
+        if (!later.drainedZones().equals(earlier.drainedZones())) {
+            events.record(Event.named("zones-drained")
+                    .with("zones", later.drainedZones().toString())
+                    .with("version", later.version()));
+            drainListeners.forEach(listener -> listener.accept(later.drainedZones()));
+        }
         long earlierNumber = earlier.published().map(DocumentState::getNumber).orElse(0L);
         later.published()
                 .filter(document -> document.getNumber() > earlierNumber)
--- a/src/main/java/org/borageproxy/spread/WatchedState.java
+++ b/src/main/java/org/borageproxy/spread/WatchedState.java
@@ -4,8 +4,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Collectors;
 
+import org.borageproxy.control.ControlState;
 import org.borageproxy.execution.Suspicion;
 import org.borageproxy.tree.Configuration;
 import org.borageproxy.tree.EffectiveTree;
@@ -47,6 +49,9 @@
     /** Suspicions by request fingerprint. */
     private final Map<String, Suspicion> suspicions;
 
+    /** Zones whose servers get no requests by order of an operator. */
+    private final Set<AvailabilityZone> drainedZones;
+
     private WatchedState(
             long version,
             Map<String, Item> items,
@@ -64,6 +69,10 @@
                 .collect(Collectors.toUnmodifiableMap(
                         crash -> crash.getFingerprint(),
                         crash -> crash.getQuarantined() ? Suspicion.QUARANTINED : Suspicion.SUSPECT));
+        this.drainedZones = items.keySet().stream()
+                .filter(name -> name.startsWith(ControlState.DRAINED_ZONE_PREFIX))
+                .map(name -> new AvailabilityZone(name.substring(ControlState.DRAINED_ZONE_PREFIX.length())))
+                .collect(Collectors.toUnmodifiableSet());
     }
 
     /**
@@ -127,6 +136,11 @@
         return Optional.ofNullable(items.get("document")).map(Item::getDocument);
     }
 
+    /** Returns the zones whose servers get no requests. */
+    Set<AvailabilityZone> drainedZones() {
+        return drainedZones;
+    }
+
     /** Returns the lease of a duty, or the default instance if none is known. */
     LeaseState lease(String duty) {
         Item item = items.get("lease/" + duty);
--- a/src/test/java/org/borageproxy/control/ControlStateTest.java
+++ b/src/test/java/org/borageproxy/control/ControlStateTest.java
@@ -33,6 +33,7 @@
 import org.borageproxy.wire.proto.ControlProtocol.ReportCrash;
 import org.borageproxy.wire.proto.ControlProtocol.Rollback;
 import org.borageproxy.wire.proto.ControlProtocol.WithdrawKey;
+import org.borageproxy.wire.proto.ControlProtocol.ZoneOrder;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -392,4 +393,41 @@
                         .build();
         };
     }
+
+    private Reply orderZone(String zone, boolean isDrain) {
+        ZoneOrder order = ZoneOrder.newBuilder().setZone(zone).build();
+        return submit(
+                isDrain
+                        ? Command.newBuilder().setDrainZone(order)
+                        : Command.newBuilder().setReturnZone(order));
+    }
+
+    /** Guards against a drain that is lost with the log before a snapshot, or ended by a repeated order. */
+    @Test
+    void drainsSurviveSnapshotsAndRepeatedOrdersChangeNothing() {
+        assertTrue(orderZone("a", true).hasDone());
+        assertTrue(orderZone("b", true).hasDone());
+        long version = state.version();
+        assertTrue(orderZone("a", true).hasDone());
+        assertEquals(version, state.version());
+        ControlState restarted = new ControlState();
+        restarted.restore(state.snapshot());
+        assertEquals(Set.of("a", "b"), restarted.drainedZones());
+        assertTrue(orderZone("a", false).hasDone());
+        version = state.version();
+        assertTrue(orderZone("a", false).hasDone());
+        assertEquals(version, state.version());
+        assertEquals(Set.of("b"), state.drainedZones());
+    }
+
+    /** Guards against a member that fails at a command of a later build; it must leave its state as it was. */
+    @Test
+    void unknownCommandIsAnsweredAsMissingAndChangesNothing() throws Exception {
+        long version = state.version();
+        int unknownField = 1_000;
+        byte[] command = new byte[] {(byte) (unknownField << 3 & 0x7f | 0x80 | 2), (byte) (unknownField << 3 >> 7), 0};
+        assertTrue(
+                decode(state.apply(++index, now, ByteString.copyFrom(command))).hasMissing());
+        assertEquals(version, state.version());
+    }
 }
--- a/src/test/java/org/borageproxy/control/FleetFake.java
+++ b/src/test/java/org/borageproxy/control/FleetFake.java
@@ -91,6 +91,11 @@
         runUntil(() -> false, duration);
     }
 
+    /** Lets time pass without running any task, as if all VMs were frozen. */
+    public void freeze(Duration duration) {
+        nowNanos += duration.toNanos();
+    }
+
     public boolean runUntil(BooleanSupplier condition, Duration duration) {
         long end = nowNanos + duration.toNanos();
         while (!condition.getAsBoolean()) {
--- a/src/test/java/org/borageproxy/forward/ServerPoolTest.java
+++ b/src/test/java/org/borageproxy/forward/ServerPoolTest.java
@@ -1,6 +1,7 @@
 package org.borageproxy.forward;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -14,10 +15,10 @@
 import org.borageproxy.publication.EnginePool;
 import org.borageproxy.routing.EngineWork;
 import org.borageproxy.routing.ServerSelector;
+import org.borageproxy.vm.AvailabilityZone;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class ServerPoolTest {
@@ -118,12 +119,39 @@
         BackendServer leaving = BackendServerFixture.engine("leaving", "m");
         servers.add(leaving);
         servers.add(BackendServerFixture.engine("stays", "m"));
-        assertTrue(pool.isCurrent(leaving));
+        assertEquals(Optional.empty(), pool.availability().obstacle(leaving, Set.of()));
         servers.set(0, leaving.withState(BackendServerState.LEAVING));
         assertEquals(Optional.of("stays"), chosen("m"));
         // A request whose slot was granted before checks again immediately before it is sent.
-        assertFalse(pool.isCurrent(leaving));
+        assertTrue(pool.availability().obstacle(leaving, Set.of()).isPresent());
         servers.remove(0);
-        assertFalse(pool.isCurrent(leaving));
+        assertTrue(pool.availability().obstacle(leaving, Set.of()).isPresent());
+    }
+
+    /** Guards against requests to servers of a drained zone, also by a choice that was made before the drain. */
+    @Test
+    void drainedServersAreNeitherChosenNorSentTo() {
+        BackendServer drained = BackendServerFixture.engine("drained", "m");
+        BackendServer other = BackendServerFixture.inZone(BackendServerFixture.engine("other", "m"), "b");
+        servers.add(drained);
+        servers.add(other);
+        Set<AvailabilityZone> zones = new HashSet<>();
+        pool.availability().restrict((server, regions) -> !zones.contains(server.zone()));
+        zones.add(drained.zone());
+        for (int round = 0; round < 20; round++) {
+            assertEquals(Optional.of("other"), chosen("m"));
+        }
+        assertTrue(pool.availability().obstacle(drained, Set.of()).isPresent());
+        assertEquals(Optional.empty(), pool.availability().obstacle(other, Set.of()));
+    }
+
+    /** Guards against callers that wait for a model while no server at all may run it; they are told at once. */
+    @Test
+    void drainOfAllServersLeavesNoServer() {
+        servers.add(BackendServerFixture.engine("only", "m"));
+        pool.availability().restrict((server, regions) -> false);
+        assertTrue(chosen("m").isEmpty());
+        assertEquals(
+                ServerPool.Unavailability.NO_SERVER, pool.unavailability(requirement("m", Set.of(), Optional.empty())));
     }
 }
--- a/src/test/java/org/borageproxy/membership/BackendServerFixture.java
+++ b/src/test/java/org/borageproxy/membership/BackendServerFixture.java
@@ -55,14 +55,30 @@
         return copy(server, server.incarnation() + 1, server.softwareVersion());
     }
 
+    /**
+     * Returns a copy of a server in another availability zone.
+     *
+     * @param server the server
+     * @param zone the zone
+     * @return the copy
+     */
+    public static BackendServer inZone(BackendServer server, String zone) {
+        return copy(server, server.incarnation(), server.softwareVersion(), new AvailabilityZone(zone));
+    }
+
     private static BackendServer copy(BackendServer server, long incarnation, String softwareVersion) {
+        return copy(server, incarnation, softwareVersion, server.zone());
+    }
+
+    private static BackendServer copy(
+            BackendServer server, long incarnation, String softwareVersion, AvailabilityZone zone) {
         return new BackendServer(
                 server.name(),
                 incarnation,
                 server.sequence(),
                 server.kind(),
                 server.state(),
-                server.zone(),
+                zone,
                 server.host(),
                 server.port(),
                 server.checksFencing(),
--- a/src/test/java/org/borageproxy/placement/FleetPlacementTest.java
+++ b/src/test/java/org/borageproxy/placement/FleetPlacementTest.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -18,6 +19,7 @@
 import org.borageproxy.publication.PublishedService;
 import org.borageproxy.publication.RequestLimits;
 import org.borageproxy.time.VirtualTime;
+import org.borageproxy.vm.AvailabilityZone;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -41,6 +43,7 @@
     private boolean isLeader = true;
     private long term = 4;
     private final List<BackendServer> servers = new ArrayList<>();
+    private final Set<AvailabilityZone> drainedZones = new HashSet<>();
     private final FleetPlacement placement = placement();
 
     private record SentOrder(long atNanos, String server, EngineClient.EngineOrder order) {}
@@ -74,6 +77,7 @@
                 HANDOVER_DELAY,
                 () -> Optional.of(publication),
                 () -> List.copyOf(servers),
+                drainedZones::contains,
                 engineClient,
                 permits,
                 (name, loadedModels) -> {},
@@ -262,6 +266,23 @@
         assertEquals(List.of("e1 y", "e2 x"), loads);
     }
 
+    /**
+     * A zone is drained while nobody waits for its models. Guards against orders to its engines, and against models
+     * that are missing elsewhere until the first caller comes.
+     */
+    @Test
+    void modelsOfDrainedZoneAreLoadedElsewhereAndItsEnginesGetNoOrders() {
+        servers.set(0, BackendServerFixture.inZone(servers.get(0), "z"));
+        time.advance(HANDOVER_DELAY.plusMillis(1_200));
+        assertEquals(List.of(), engineClient.sentOrders);
+        drainedZones.add(new AvailabilityZone("z"));
+        time.advance(LOAD_TIME.multipliedBy(2));
+        assertEquals(1, engineClient.sentOrders.size(), engineClient.sentOrders.toString());
+        SentOrder sent = engineClient.sentOrders.get(0);
+        assertEquals("e2", sent.server());
+        assertTrue(sent.order().isLoad() && sent.order().model().equals("a"), sent.toString());
+    }
+
     /** Accepts every order and never completes a load. */
     private final class LoadingEngineClient implements EngineClient {
         private final Set<String> loadingEngines = new java.util.HashSet<>();
--- a/src/test/java/org/borageproxy/placement/LoadPlannerTest.java
+++ b/src/test/java/org/borageproxy/placement/LoadPlannerTest.java
@@ -86,4 +86,34 @@
         assertEquals("new", unload.successor());
         assertTrue(Set.of("was", "was2").contains(unload.model()), unload.toString());
     }
+
+    /** Guards against a model whose only copies are drained and that is loaded only once its callers wait. */
+    @Test
+    void displacedModelGetsCopyBeforeAnyRequestWaits() {
+        LoadPlanner.Step step = new LoadPlanner(pool(), engines, Map.of("new", demand(100, 0)), Set.of("new"))
+                .nextStep(true)
+                .orElseThrow();
+        LoadPlanner.Step.Unload unload = (LoadPlanner.Step.Unload) step;
+        assertEquals("new", unload.successor());
+        assertTrue(Set.of("was", "was2", "hot1", "hot2").contains(unload.model()), unload.toString());
+    }
+
+    /** Guards against drained models that push out the last copies of others, whose callers would wait next. */
+    @Test
+    void displacedModelUnloadsNoLastReplica() {
+        List<TrackedEngine> full = List.of(engines.get(4));
+        assertEquals(
+                0,
+                new LoadPlanner(pool(), full, Map.of("new", demand(100, 0)), Set.of("new"))
+                        .nextStep(true).stream().count());
+    }
+
+    /** Guards against loads beyond the rate of the weight store when a whole zone is drained. */
+    @Test
+    void displacedModelWaitsForTheLoadBudget() {
+        assertEquals(
+                0,
+                new LoadPlanner(pool(), engines, Map.of("new", demand(100, 0)), Set.of("new"))
+                        .nextStep(false).stream().count());
+    }
 }
--- a/src/test/java/org/borageproxy/spread/ControlStateWatcherTest.java
+++ b/src/test/java/org/borageproxy/spread/ControlStateWatcherTest.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 
 import org.borageproxy.control.ControlClient;
 import org.borageproxy.control.ControlService;
@@ -17,7 +18,9 @@
 import org.borageproxy.wire.proto.ControlProtocol.ApplyTree;
 import org.borageproxy.wire.proto.ControlProtocol.Command;
 import org.borageproxy.wire.proto.ControlProtocol.CreateKey;
+import org.borageproxy.wire.proto.ControlProtocol.PublishDocument;
 import org.borageproxy.wire.proto.ControlProtocol.WithdrawKey;
+import org.borageproxy.wire.proto.ControlProtocol.ZoneOrder;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -196,4 +199,72 @@
         fleet.run(duration);
         return fleet.bytes - before;
     }
+
+    private void orderZone(String zone, boolean isDrain) {
+        ZoneOrder order = ZoneOrder.newBuilder().setZone(zone).build();
+        Submission submission = fleet.await(operator.submit(
+                isDrain
+                        ? Command.newBuilder().setDrainZone(order)
+                        : Command.newBuilder().setReturnZone(order),
+                operator.deadlineAfter(Duration.ofSeconds(10))));
+        assertTrue(submission instanceof Submission.Replied replied
+                && replied.reply().hasDone());
+    }
+
+    /** Guards against VMs that learn of a drain or of its end later than within the five seconds they have. */
+    @Test
+    void drainReachesEveryVmInContact() {
+        List<ControlStateWatcher> entries = entries(30);
+        fleet.run(Duration.ofSeconds(2));
+        orderZone("z", true);
+        Set<AvailabilityZone> drained = Set.of(new AvailabilityZone("z"));
+        assertTrue(fleet.runUntil(
+                () -> entries.stream().allMatch(entry -> entry.drainedZones().equals(drained)), Duration.ofSeconds(1)));
+        orderZone("z", false);
+        assertTrue(fleet.runUntil(
+                () -> entries.stream().allMatch(entry -> entry.drainedZones().isEmpty()), Duration.ofSeconds(1)));
+    }
+
+    /** Guards against a starting VM that serves callers by a publication before it knows the drains. */
+    @Test
+    void drainsAreKnownBeforeThePublication() {
+        orderZone("z", true);
+        publish(1);
+        ControlStateWatcher entry = entry("e1");
+        List<Integer> knownDrains = new ArrayList<>();
+        entry.subscribeDocument(document -> knownDrains.add(entry.drainedZones().size()));
+        assertTrue(fleet.runUntil(() -> !knownDrains.isEmpty(), Duration.ofSeconds(3)));
+        assertEquals(List.of(1), knownDrains);
+    }
+
+    private void publish(long number) {
+        fleet.await(operator.submit(
+                Command.newBuilder()
+                        .setPublishDocument(PublishDocument.newBuilder().setNumber(number)),
+                operator.deadlineAfter(Duration.ofSeconds(10))));
+    }
+
+    /** Guards against a VM that stops serving because it cannot learn of drains while it is cut off. */
+    @Test
+    void vmThatIsCutOffStaysInformed() {
+        ControlStateWatcher entry = entry("e1");
+        assertFalse(entry.isInformed());
+        fleet.run(Duration.ofSeconds(2));
+        fleet.isolate("e1");
+        for (int step = 0; step < 200; step++) {
+            fleet.run(Duration.ofMillis(50));
+            assertTrue(entry.isInformed(), "after " + step + " steps");
+        }
+    }
+
+    /** Guards against a VM that resumes from a freeze and sends to a zone that was drained meanwhile. */
+    @Test
+    void frozenVmIsNotInformedUntilItHasAskedAgain() {
+        ControlStateWatcher entry = entry("e1");
+        fleet.run(Duration.ofSeconds(2));
+        fleet.freeze(Duration.ofSeconds(6));
+        assertFalse(entry.isInformed());
+        fleet.runUntil(entry::isInformed, Duration.ofSeconds(2));
+        assertTrue(entry.isFresh(fleet.nanoTime()));
+    }
 }
