--- a/src/test/java/org/borageproxy/platform/EngineStandIn.java
+++ b/src/test/java/org/borageproxy/platform/EngineStandIn.java
@@ -107,6 +107,7 @@
     private volatile int survivedRejections = -1;
 
     private volatile int falls;
+    private volatile String zone = "a";
     private volatile long incarnation;
     private volatile ServerSocket listening;
 
@@ -378,6 +379,11 @@
         statement = "Server-Brittle: " + rejections + "\r\n";
     }
 
+    /** Sets the availability zone; must be called before the first heartbeat of an incarnation. */
+    void placeInZone(String newZone) {
+        zone = newZone;
+    }
+
     /** Returns how often the server has ended since it is brittle. */
     int falls() {
         return falls;
@@ -505,7 +511,8 @@
     /** Returns the next heartbeat of the present incarnation. */
     String heartbeat() {
         boolean isEngine = service.equals(PlatformFleet.ENGINES);
-        return "{\"Service\":\"" + service + "\",\"Address\":\"127.0.0.1:" + port + "\",\"Zone\":\"a\",\"Version\":\""
+        return "{\"Service\":\"" + service + "\",\"Address\":\"127.0.0.1:" + port + "\",\"Zone\":\"" + zone
+                + "\",\"Version\":\""
                 + software
                 + "\",\"Slots\":" + (isEngine ? 64 : 1) + ",\"State\":\"ready\",\"ColdRemainingMs\":0"
                 + (isEngine ? ",\"Stage\":\"mixed\"," + MODELS : "")
--- a/src/test/java/org/borageproxy/platform/PlatformFleet.java
+++ b/src/test/java/org/borageproxy/platform/PlatformFleet.java
@@ -117,7 +117,7 @@
                 + (isControl ? "DataDir = \"" + folder.resolve("data") + "\"\n" : "")
                 + "InternalPortRange = [" + internalPort + ", " + internalPort + "]\nSeedNodes = [\"" + CONTROL + ":"
                 + controlPort + "\"]\n[Listen]\n" + roles + "[Bounds]\nGraceS = 3\nRetryBudgetRatio = 0.2\n"
-                + "RetryBudgetSlack = 60\n";
+                + "RetryBudgetSlack = 60\n[Zones]\na = \"near\"\nb = \"near\"\n";
     }
 
     /** Starts a VM that does not run. */
@@ -199,7 +199,14 @@
 
     /** Starts a server of a service, which announces itself from then on. */
     EngineStandIn startServer(String service, String name, String software, boolean isFramed) throws Exception {
+        return startServer(service, name, software, isFramed, "a");
+    }
+
+    /** Starts a server in an availability zone, "a" or "b". */
+    EngineStandIn startServer(String service, String name, String software, boolean isFramed, String zone)
+            throws Exception {
         EngineStandIn engine = new EngineStandIn(service, name, software, isFramed);
+        engine.placeInZone(zone);
         synchronized (engines) {
             engines.add(engine);
         }
@@ -240,6 +247,17 @@
                 .version(HttpClient.Version.HTTP_1_1);
     }
 
+    /** Sends a call of an operator without a body to the control VM and returns the status. */
+    int callControl(String path) throws IOException, InterruptedException {
+        HttpRequest.Builder call = request(CONTROL, controlPort, path).POST(HttpRequest.BodyPublishers.noBody());
+        return client.send(call.build(), HttpResponse.BodyHandlers.discarding()).statusCode();
+    }
+
+    /** Repeats a call of an operator to the control VM until it is acknowledged. */
+    void awaitAcknowledged(String path) throws Exception {
+        awaitOk(request(CONTROL, controlPort, path).POST(HttpRequest.BodyPublishers.noBody()));
+    }
+
     private void awaitOk(HttpRequest.Builder builder) throws Exception {
         long end = System.nanoTime() + STEP_TIMEOUT.toNanos();
         int status = 0;
