--- a/src/main/java/org/borageproxy/forward/ServerPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerPool.java
@@ -40,6 +40,9 @@
     /** Assumed KV cache capacity of a server whose engine pool is not published. */
     private static final long DEFAULT_CACHE_TOKENS = 100_000;
 
+    /** Factor by which a cold server counts as slower, so that warm servers with similar load come first. */
+    private static final double COLD_SLOWNESS = 2;
+
     private static final double MILLIS_PER_SECOND = 1e3;
 
     private final BackendServers servers;
@@ -168,7 +171,8 @@
         untried(requirement).forEach(server -> {
             ServerLoad load = load(server, requirement.engines());
             if (statements.admits(server, requirement.engines(), load)) {
-                candidates.add(new ServerSelector.Candidate(server, load, latencyRatios.of(modelOrService)));
+                double slowness = statements.isCold(server) ? COLD_SLOWNESS : 1;
+                candidates.add(new ServerSelector.Candidate(server, load, latencyRatios.of(modelOrService) * slowness));
             }
         });
         ServerSelector.Query query = new ServerSelector.Query(
--- a/src/main/java/org/borageproxy/forward/ServerStatements.java
+++ b/src/main/java/org/borageproxy/forward/ServerStatements.java
@@ -10,7 +10,10 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.DoubleStream;
 
 import org.borageproxy.coordination.Coordinator;
 import org.borageproxy.membership.BackendServer;
@@ -20,6 +23,7 @@
 import org.borageproxy.routing.ServerStatement;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
+import org.borageproxy.warmup.WarmUpRules;
 import org.borageproxy.wire.proto.CoordinationProtocol.StatedLimits;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -42,6 +46,7 @@
     private final RandomGenerator random;
     private final DoubleSupplier share;
     private final Map<BackendServerName, Known> known = new HashMap<>();
+    private ColdServers cold;
     private Runnable changeListener = () -> {};
     private long version;
     private long confirmedTerm;
@@ -74,6 +79,20 @@
         this.clock = clock;
         this.random = random;
         this.share = share;
+        limitColdServers(service -> WarmUpRules.NONE, 1, share, System::currentTimeMillis);
+    }
+
+    /**
+     * Sets how servers warm up. What was known of cold servers is forgotten.
+     *
+     * @param rules returns how the servers of a service warm up
+     * @param factor the rate that all holders of permits like those of this VM share, relative to the stated one
+     * @param coldShare supplies the fraction of that rate which this VM may use; one if it holds the whole rate
+     * @param wallMillis the wall clock, in Unix milliseconds, to which servers state their starts
+     */
+    public void limitColdServers(
+            Function<String, WarmUpRules> rules, double factor, DoubleSupplier coldShare, LongSupplier wallMillis) {
+        cold = new ColdServers(new ColdServers.Environment(rules, factor, coldShare, clock, wallMillis, random));
     }
 
     /**
@@ -94,11 +113,29 @@
      */
     public void recordAnswer(BackendServer server, ServerStatement statement, long sentAtNanos) {
         long statedAtNanos = statement.isLimiting() ? clock.nanoTime() : sentAtNanos;
-        if (update(server.name(), server.incarnation(), statement, statedAtNanos, "answer")) {
+        boolean isChange = update(server.name(), server.incarnation(), statement.limits(), statedAtNanos, "answer");
+        boolean isNewlyCold = statement.coldMillis().isPresent()
+                && cold.recordAnswer(
+                        server, Duration.ofMillis(statement.coldMillis().getAsLong()));
+        if (isNewlyCold) {
+            markUnreported(server.name(), server.incarnation());
+        }
+        if (isChange || isNewlyCold) {
             changeListener.run();
         }
     }
 
+    /** Lets the next report, or answer to a report, tell how long a server is cold. */
+    private void markUnreported(BackendServerName name, long incarnation) {
+        Known current = known.get(name);
+        if (current == null || current.incarnation < incarnation) {
+            current = create(name, incarnation, clock.nanoTime());
+        }
+        current.isReported = false;
+        current.isInReport = false;
+        version++;
+    }
+
     private boolean update(
             BackendServerName name, long incarnation, ServerStatement statement, long statedAtNanos, String source) {
         Known previous = known.get(name);
@@ -136,7 +173,17 @@
      * @return {@code false} for a server without a statement
      */
     public boolean isLimiting(BackendServer server) {
-        return statement(server).isLimiting();
+        return statement(server).isLimiting() || cold.limit(server).isPresent();
+    }
+
+    /**
+     * Returns whether a server has started or become cold a short time ago and is slow.
+     *
+     * @param server the server
+     * @return {@code true} until it is warm
+     */
+    boolean isCold(BackendServer server) {
+        return cold.isCold(server);
     }
 
     private ServerStatement statement(BackendServer server) {
@@ -191,8 +238,9 @@
      * @return {@code true} for a server without a request limit
      */
     public boolean isPermitted(BackendServer server) {
-        return statement(server).requestLimit().isEmpty()
+        boolean isPermittedByStatement = statement(server).requestLimit().isEmpty()
                 || known.get(server.name()).permits.isAvailable(share.getAsDouble(), clock.nanoTime());
+        return isPermittedByStatement && cold.isPermitted(server);
     }
 
     /**
@@ -204,6 +252,7 @@
         if (statement(server).requestLimit().isPresent()) {
             known.get(server.name()).permits.acquire(share.getAsDouble(), clock.nanoTime());
         }
+        cold.acquirePermit(server);
     }
 
     /**
@@ -214,9 +263,11 @@
      */
     Deadline permittedAt(BackendServer server) {
         long nowNanos = clock.nanoTime();
-        return statement(server).requestLimit().isEmpty()
+        Deadline whileCold = cold.permittedAt(server);
+        Deadline byStatement = statement(server).requestLimit().isEmpty()
                 ? new Deadline(nowNanos)
                 : known.get(server.name()).permits.availableAt(nowNanos);
+        return whileCold.atNanos() - byStatement.atNanos() > 0 ? whileCold : byStatement;
     }
 
     /**
@@ -226,7 +277,8 @@
      * @return empty if the server states no request limit
      */
     OptionalDouble requestLimit(BackendServer server) {
-        return statement(server).requestLimit();
+        return DoubleStream.concat(statement(server).requestLimit().stream(), cold.limit(server).stream())
+                .min();
     }
 
     /**
@@ -244,7 +296,12 @@
                     stated.hasRejections() ? OptionalInt.of(stated.getRejections()) : OptionalInt.empty());
             long statedAtNanos =
                     nowNanos - Duration.ofMillis(stated.getAgeMillis()).toNanos();
-            update(new BackendServerName(stated.getName()), stated.getIncarnation(), statement, statedAtNanos, "vm");
+            BackendServerName name = new BackendServerName(stated.getName());
+            update(name, stated.getIncarnation(), statement, statedAtNanos, "vm");
+            Duration coldTime = Duration.ofMillis(stated.getColdMillis());
+            if (!coldTime.isZero() && cold.recordReport(name, stated.getIncarnation(), coldTime)) {
+                markUnreported(name, stated.getIncarnation());
+            }
         }
     }
 
@@ -291,7 +348,8 @@
         StatedLimits.Builder stated = StatedLimits.newBuilder()
                 .setName(name.value())
                 .setIncarnation(each.incarnation)
-                .setAgeMillis(Duration.ofNanos(ageNanos).toMillis());
+                .setAgeMillis(Duration.ofNanos(ageNanos).toMillis())
+                .setColdMillis(cold.remaining(name, each.incarnation).toMillis());
         each.statement.requestLimit().ifPresent(stated::setRequestsPerSecond);
         each.statement.rejectionLimit().ifPresent(stated::setRejections);
         return stated.build();
@@ -309,9 +367,12 @@
      */
     public void retain(Set<BackendServerName> announced) {
         long nowNanos = clock.nanoTime();
+        cold.retain(announced);
         known.entrySet()
                 .removeIf(entry -> !announced.contains(entry.getKey())
                         || !entry.getValue().statement.isLimiting()
+                                && cold.remaining(entry.getKey(), entry.getValue().incarnation)
+                                        .isZero()
                                 && Deadline.after(entry.getValue().statedAtNanos, END_RETENTION)
                                         .hasPassed(nowNanos));
     }
--- a/src/main/java/org/borageproxy/membership/MembershipCodec.java
+++ b/src/main/java/org/borageproxy/membership/MembershipCodec.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import org.borageproxy.vm.AvailabilityZone;
@@ -153,6 +154,8 @@
                 .setBatchLimit(load.batchLimit())
                 .setTokensPerSecond(load.tokensPerSecond())
                 .setPrefillTokensPerSecond(load.prefillTokensPerSecond())
+                .setColdMillisPlusOne((int)
+                        load.coldMillis().stream().map(millis -> millis + 1).sum())
                 .build();
     }
 
@@ -162,6 +165,9 @@
                 encoded.getWaiting(),
                 encoded.getBatchLimit(),
                 encoded.getTokensPerSecond(),
-                encoded.getPrefillTokensPerSecond());
+                encoded.getPrefillTokensPerSecond(),
+                encoded.getColdMillisPlusOne() > 0
+                        ? OptionalLong.of(encoded.getColdMillisPlusOne() - 1L)
+                        : OptionalLong.empty());
     }
 }
--- a/src/main/java/org/borageproxy/platform/EngineCalls.java
+++ b/src/main/java/org/borageproxy/platform/EngineCalls.java
@@ -137,7 +137,8 @@
             }
             PlatformHeaders.parseStatement(
                             response.headers().getAll(PlatformHeaders.REQUEST_LIMIT_HEADER),
-                            response.headers().getAll(PlatformHeaders.REJECTION_LIMIT_HEADER))
+                            response.headers().getAll(PlatformHeaders.REJECTION_LIMIT_HEADER),
+                            response.headers().getAll(PlatformHeaders.COLD_HEADER))
                     .ifPresent(statement -> listener.onStatement(server, statement));
         }
     }
--- a/src/main/java/org/borageproxy/platform/HeartbeatDocument.java
+++ b/src/main/java/org/borageproxy/platform/HeartbeatDocument.java
@@ -26,6 +26,8 @@
     private static final String DRAINING = "draining";
     private static final String NO_ACCELERATOR = "";
     private static final String NO_VERSION = "";
+    /** Longest time for which a server may state that it is cold, in milliseconds; longer ones are shortened. */
+    static final long MAX_COLD_MILLIS = 3_600_000;
 
     private HeartbeatDocument() {}
 
@@ -54,7 +56,7 @@
             }
             long incarnation = json.getNumber("born").longValue();
             long sequence = json.getNumber("Sequence").longValue();
-            LoadReport load = new LoadReport(0, 0, json.getInteger("Slots"), 1.0, 1.0);
+            LoadReport load = new LoadReport(0, 0, json.getInteger("Slots"), 1.0, 1.0, decodeCold(json));
             Announcement announcement = new Announcement(
                     new BackendServerName(name), incarnation, sequence, decodeContent(json, intervalMillis), load);
             return Optional.of(new Heartbeat(announcement, DRAINING.equals(state)));
@@ -63,6 +65,13 @@
         }
     }
 
+    private static OptionalLong decodeCold(JsonObject json) {
+        Number remaining = json.getNumber("ColdRemainingMs");
+        return remaining == null
+                ? OptionalLong.empty()
+                : OptionalLong.of(Math.max(0, Math.min(MAX_COLD_MILLIS, remaining.longValue())));
+    }
+
     private static Announcement.Content decodeContent(JsonObject json, int intervalMillis) {
         String address = json.getString("Address");
         int colon = address.lastIndexOf(':');
--- a/src/main/java/org/borageproxy/platform/PlatformHeaders.java
+++ b/src/main/java/org/borageproxy/platform/PlatformHeaders.java
@@ -46,6 +46,9 @@
     /** The number of rejections within a second that the answering server survives. */
     static final String REJECTION_LIMIT_HEADER = "Server-Brittle";
 
+    /** The time until the answering server is warm, in milliseconds. */
+    static final String COLD_HEADER = "X-Cold-Ms";
+
     /** Stated as one by a server that leaves, in all its answers. */
     static final String LEAVING_HEADER = "Server-Leaving";
 
@@ -169,7 +172,10 @@
                 identity,
                 headers.contains(NOT_RUN_HEADER) || isMisdirected,
                 respondingServer,
-                parseStatement(headers.getAll(REQUEST_LIMIT_HEADER), headers.getAll(REJECTION_LIMIT_HEADER)),
+                parseStatement(
+                        headers.getAll(REQUEST_LIMIT_HEADER),
+                        headers.getAll(REJECTION_LIMIT_HEADER),
+                        headers.getAll(COLD_HEADER)),
                 parseRetryAfter(status, headers.getAll(HttpHeaderNames.RETRY_AFTER)),
                 !isMisdirected && parseLeaving(headers.getAll(LEAVING_HEADER)));
     }
@@ -224,24 +230,32 @@
     }
 
     /**
-     * Parses what a backend server states about its capacity. Of a repeated field, the lowest value counts.
+     * Parses what a backend server states about its capacity. Of a repeated field, the lowest value counts, and the
+     * longest time until it is warm.
      *
      * @param requestLimits the values of the field with the requests per second
      * @param rejectionLimits the values of the field with the tolerated rejections per second
+     * @param coldTimes the values of the field with the time until the server is warm, in milliseconds
      * @return empty if a value is malformed
      */
-    static Optional<ServerStatement> parseStatement(List<String> requestLimits, List<String> rejectionLimits) {
+    static Optional<ServerStatement> parseStatement(
+            List<String> requestLimits, List<String> rejectionLimits, List<String> coldTimes) {
         try {
             return Optional.of(new ServerStatement(
                     requestLimits.stream().mapToDouble(Double::parseDouble).min(),
                     rejectionLimits.stream()
                             .mapToInt(text -> Integer.parseInt(text.trim()))
-                            .min()));
+                            .min(),
+                    coldTimes.stream()
+                            .mapToLong(text -> (long) Double.parseDouble(text.trim()))
+                            .map(millis -> Math.max(0, Math.min(HeartbeatDocument.MAX_COLD_MILLIS, millis)))
+                            .max()));
         } catch (IllegalArgumentException exception) {
             LOGGER.info(
-                    "event=server-statement-malformed request_limits={} rejection_limits={}",
+                    "event=server-statement-malformed request_limits={} rejection_limits={} cold_times={}",
                     requestLimits,
-                    rejectionLimits);
+                    rejectionLimits,
+                    coldTimes);
             return Optional.empty();
         }
     }
--- a/src/main/java/org/borageproxy/platform/PlatformSettings.java
+++ b/src/main/java/org/borageproxy/platform/PlatformSettings.java
@@ -32,6 +32,8 @@
     private static final long DEFAULT_GRACE_PERIOD_MILLIS = 8_000;
     private static final long DEFAULT_HANDOVER_DELAY_MILLIS = 3_000;
     private static final double DEFAULT_RETRY_RATIO = 0.1;
+    private static final double DEFAULT_COLD_OVERAGE = 1.5;
+    private static final double DEFAULT_COLD_SLACK = 5;
     private static final int DEFAULT_HEARTBEAT_INTERVAL_MILLIS = 1_000;
 
     /**
@@ -112,7 +114,9 @@
                     (long) (optionalNumber("Bounds.GraceS", DEFAULT_GRACE_PERIOD_MILLIS / 1e3) * 1e3),
                     optionalNumber("Bounds.RetryBudgetRatio", DEFAULT_RETRY_RATIO),
                     optionalNumber("Bounds.RetryBudgetSlack", 0),
-                    (long) optionalNumber("Bounds.LeaseMs", DEFAULT_HANDOVER_DELAY_MILLIS));
+                    (long) optionalNumber("Bounds.LeaseMs", DEFAULT_HANDOVER_DELAY_MILLIS),
+                    optionalNumber("Bounds.ColdOverage", DEFAULT_COLD_OVERAGE),
+                    optionalNumber("Bounds.ColdSlack", DEFAULT_COLD_SLACK));
         }
 
         /** Returns the region of each zone. */
--- a/src/main/java/org/borageproxy/platform/PublicationDocument.java
+++ b/src/main/java/org/borageproxy/platform/PublicationDocument.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 
 import io.vertx.core.buffer.Buffer;
@@ -21,6 +22,7 @@
 import org.borageproxy.publication.PublishedWorkspace;
 import org.borageproxy.publication.Repeatability;
 import org.borageproxy.publication.RequestLimits;
+import org.borageproxy.warmup.WarmUpRules;
 
 /** Decoder of the JSON document with which operators publish a configuration. Stateless and thread safe. */
 final class PublicationDocument {
@@ -114,7 +116,16 @@
         return new PublishedService(
                 requiredString(json, "Name"),
                 json.getInteger("MaxConnections", DEFAULT_MAX_CONNECTIONS),
-                Optional.ofNullable(json.getJsonObject("Engine")).map(PublicationDocument::decodeEnginePool));
+                Optional.ofNullable(json.getJsonObject("Engine")).map(PublicationDocument::decodeEnginePool),
+                decodeWarmUp(json));
+    }
+
+    private static WarmUpRules decodeWarmUp(JsonObject json) {
+        double perSecond = json.getDouble("ColdPerS", 0.0);
+        double seconds = json.getDouble("ColdStartS", 0.0);
+        return new WarmUpRules(
+                Duration.ofMillis((long) (seconds * 1e3)),
+                perSecond > 0 ? OptionalDouble.of(perSecond) : OptionalDouble.empty());
     }
 
     private static EnginePool decodeEnginePool(JsonObject json) {
--- a/src/main/java/org/borageproxy/publication/Publication.java
+++ b/src/main/java/org/borageproxy/publication/Publication.java
@@ -9,6 +9,8 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.borageproxy.warmup.WarmUpRules;
+
 /**
  * A complete configuration as published by an operator. The publication with the highest number is in force. Immutable
  * and thread safe.
@@ -87,6 +89,18 @@
         return Optional.ofNullable(services.get(service)).flatMap(PublishedService::enginePool);
     }
 
+    /**
+     * Finds how the servers of a service warm up.
+     *
+     * @param service the service's name
+     * @return the rules; none for an unknown service
+     */
+    public WarmUpRules warmUp(String service) {
+        return Optional.ofNullable(services.get(service))
+                .map(PublishedService::warmUp)
+                .orElse(WarmUpRules.NONE);
+    }
+
     /**
      * Groups the routes by host for longest-prefix matching.
      *
--- a/src/main/java/org/borageproxy/routing/ServerStatement.java
+++ b/src/main/java/org/borageproxy/routing/ServerStatement.java
@@ -2,6 +2,7 @@
 
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 
 /**
  * What a backend server states about its capacity in an answer. It holds until the server states something else.
@@ -10,8 +11,9 @@
  * @param requestLimit the requests per second that the server takes from all VMs together; empty if it states no limit
  * @param rejectionLimit the number of requests that the server can reject for want of room within one second without
  *     failing; empty if it states none
+ * @param coldMillis the time until the server is warm, in milliseconds; empty if it states none
  */
-public record ServerStatement(OptionalDouble requestLimit, OptionalInt rejectionLimit) {
+public record ServerStatement(OptionalDouble requestLimit, OptionalInt rejectionLimit, OptionalLong coldMillis) {
 
     /** The statement of a server without limits. */
     public static final ServerStatement NONE = new ServerStatement(OptionalDouble.empty(), OptionalInt.empty());
@@ -26,6 +28,27 @@
         }
     }
 
+    /**
+     * Creates a statement of limits alone.
+     *
+     * @param requestLimit the requests per second that the server takes from all VMs together; empty if it states no
+     *     limit
+     * @param rejectionLimit the number of requests that the server can reject for want of room within one second
+     *     without failing; empty if it states none
+     */
+    public ServerStatement(OptionalDouble requestLimit, OptionalInt rejectionLimit) {
+        this(requestLimit, rejectionLimit, OptionalLong.empty());
+    }
+
+    /**
+     * Returns the limits without the time until the server is warm, which changes with each answer.
+     *
+     * @return this statement if it has no such time
+     */
+    public ServerStatement limits() {
+        return coldMillis.isEmpty() ? this : new ServerStatement(requestLimit, rejectionLimit);
+    }
+
     /**
      * Returns whether the server has to be spared.
      *
--- a/src/main/java/org/borageproxy/server/GatewayControl.java
+++ b/src/main/java/org/borageproxy/server/GatewayControl.java
@@ -46,6 +46,7 @@
 import org.borageproxy.spread.StateReader;
 import org.borageproxy.spread.WatchService;
 import org.borageproxy.time.Deadline;
+import org.borageproxy.warmup.WarmUpRules;
 import org.borageproxy.wire.MessageKind;
 import org.borageproxy.wire.proto.ControlProtocol.Command;
 import org.borageproxy.wire.proto.ControlProtocol.PublishDocument;
@@ -195,6 +196,14 @@
         // The coordinator leads the control group and is informed; entries check each grant again.
         created.availability()
                 .restrict(new ZoneRules(runtime.settings().zones(), runtime.spread()::drainedZones, () -> true));
+        created.statements()
+                .limitColdServers(
+                        service -> publication
+                                .map(current -> current.warmUp(service))
+                                .orElse(WarmUpRules.NONE),
+                        runtime.settings().bounds().warmUpShares().coordinatorFactor(),
+                        () -> 1,
+                        System::currentTimeMillis);
         return created;
     }
 
--- a/src/main/java/org/borageproxy/server/GatewayEntry.java
+++ b/src/main/java/org/borageproxy/server/GatewayEntry.java
@@ -36,6 +36,7 @@
 import org.borageproxy.settings.Endpoint;
 import org.borageproxy.vm.AvailabilityZone;
 import org.borageproxy.vm.VmName;
+import org.borageproxy.warmup.WarmUpRules;
 import org.borageproxy.wire.proto.ControlProtocol.DocumentState;
 import org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate;
 import org.borageproxy.wire.proto.CoordinationProtocol.ModelPace;
@@ -85,12 +86,7 @@
     GatewayEntry(GatewayRuntime runtime, ForwardMetrics metrics) {
         this.runtime = runtime;
         Random random = new Random();
-        pool = new ServerPool(
-                runtime.membership().registry(),
-                runtime.clock(),
-                runtime.settings().vm().zone(),
-                random,
-                () -> LOCAL_LIMIT_FRACTION / entryCount);
+        pool = createPool(random);
         coordination = new CoordinationClient(
                 runtime.network(),
                 runtime::controlVms,
@@ -100,8 +96,6 @@
                 this::createUsageReport,
                 this::applyUpdate);
         streamOrigins = new StreamOrigins(runtime.clock());
-        pool.onGone(runtime::suspectServer);
-        pool.availability().restrict(runtime.zoneRules());
         pool.onUrgentDemand(coordination::requestUrgentReport);
         pool.statements().onChange(coordination::requestUrgentReport);
         pool.onLoadChange(coordination::requestUrgentReport);
@@ -141,6 +135,31 @@
         runtime.spread().subscribeDocument(document -> runtime.eventLoop().execute(() -> applyDocument(document)));
     }
 
+    private ServerPool createPool(Random random) {
+        ServerPool created = new ServerPool(
+                runtime.membership().registry(),
+                runtime.clock(),
+                runtime.settings().vm().zone(),
+                random,
+                () -> LOCAL_LIMIT_FRACTION / entryCount);
+        created.onGone(runtime::suspectServer);
+        created.availability().restrict(runtime.zoneRules());
+        created.statements()
+                .limitColdServers(
+                        service -> servedPublication
+                                .map(current -> current.publication().warmUp(service))
+                                .orElse(WarmUpRules.NONE),
+                        runtime.settings().bounds().warmUpShares().entriesFactor(),
+                        () -> 1.0 / Math.max(entryCount, registeredEntryCount()),
+                        System::currentTimeMillis);
+        return created;
+    }
+
+    /** Entries that do not report to the coordinator now may be cut off and send nevertheless. */
+    private int registeredEntryCount() {
+        return runtime.spread().registeredDataPlaneVms().size();
+    }
+
     private SlotClient createSlotClient() {
         return new SlotClient(
                 runtime.network(),
--- a/src/main/java/org/borageproxy/server/GatewaySettings.java
+++ b/src/main/java/org/borageproxy/server/GatewaySettings.java
@@ -9,6 +9,7 @@
 import org.borageproxy.vm.AvailabilityZone;
 import org.borageproxy.vm.VmAddress;
 import org.borageproxy.vm.VmName;
+import org.borageproxy.warmup.WarmUpShares;
 
 /**
  * Settings of a VM that communicates with callers, operators and backend servers over an external protocol. VMs are
@@ -55,13 +56,26 @@
      * @param retryBurst the number of permitted retries beyond the ratio, over all VMs
      * @param handoverDelayMillis the time after an election before the new leader sends orders to engines, reserved for
      *     orders of the previous leader, in milliseconds
+     * @param coldOverage the factor by which the requests to a cold server may exceed its rate in a second
+     * @param coldSlack the number of requests beyond that factor which a cold server may get in a second
      */
     public record FleetBounds(
             int toleratedVmFailures,
             long gracePeriodMillis,
             double retryRatio,
             double retryBurst,
-            long handoverDelayMillis) {
+            long handoverDelayMillis,
+            double coldOverage,
+            double coldSlack) {
+
+        /**
+         * Returns how the requests that cold servers take are divided.
+         *
+         * @return the shares of the coordinator and of the entries
+         */
+        public WarmUpShares warmUpShares() {
+            return WarmUpShares.within(coldOverage, coldSlack);
+        }
 
         /**
          * Returns the number of voters that keeps a quorum through the tolerated failures.
--- a/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
@@ -5074,6 +5074,16 @@
      */
     long getAgeMillis();
 
+    /**
+     * <pre>
+     * The time until the server is warm; zero if it is not known to be cold.
+     * </pre>
+     *
+     * <code>uint64 cold_millis = 6;</code>
+     * @return The coldMillis.
+     */
+    long getColdMillis();
+
     /**
      * <pre>
      * The requests per second that the server takes from all VMs; absent for no limit.
@@ -5225,6 +5235,21 @@
       return ageMillis_;
     }
 
+    public static final int COLD_MILLIS_FIELD_NUMBER = 6;
+    private long coldMillis_ = 0L;
+    /**
+     * <pre>
+     * The time until the server is warm; zero if it is not known to be cold.
+     * </pre>
+     *
+     * <code>uint64 cold_millis = 6;</code>
+     * @return The coldMillis.
+     */
+    @java.lang.Override
+    public long getColdMillis() {
+      return coldMillis_;
+    }
+
     public static final int REQUESTS_PER_SECOND_FIELD_NUMBER = 4;
     private double requestsPerSecond_ = 0D;
     /**
@@ -5302,6 +5327,9 @@
       if (ageMillis_ != 0L) {
         output.writeUInt64(3, ageMillis_);
       }
+      if (coldMillis_ != 0L) {
+        output.writeUInt64(6, coldMillis_);
+      }
       if (((bitField0_ & 0x00000001) != 0)) {
         output.writeDouble(4, requestsPerSecond_);
       }
@@ -5328,6 +5356,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(3, ageMillis_);
       }
+      if (coldMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(6, coldMillis_);
+      }
       if (((bitField0_ & 0x00000001) != 0)) {
         size += com.google.protobuf.CodedOutputStream
           .computeDoubleSize(4, requestsPerSecond_);
@@ -5357,6 +5389,8 @@
           != other.getIncarnation()) return false;
       if (getAgeMillis()
           != other.getAgeMillis()) return false;
+      if (getColdMillis()
+          != other.getColdMillis()) return false;
       if (hasRequestsPerSecond() != other.hasRequestsPerSecond()) return false;
       if (hasRequestsPerSecond()) {
         if (java.lang.Double.doubleToLongBits(getRequestsPerSecond())
@@ -5387,6 +5421,9 @@
       hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getAgeMillis());
+      hash = (37 * hash) + COLD_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getColdMillis());
       if (hasRequestsPerSecond()) {
         hash = (37 * hash) + REQUESTS_PER_SECOND_FIELD_NUMBER;
         hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
@@ -5534,6 +5571,7 @@
         name_ = "";
         incarnation_ = 0L;
         ageMillis_ = 0L;
+        coldMillis_ = 0L;
         requestsPerSecond_ = 0D;
         rejections_ = 0;
         return this;
@@ -5578,6 +5616,9 @@
         if (((from_bitField0_ & 0x00000004) != 0)) {
           result.ageMillis_ = ageMillis_;
         }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.coldMillis_ = coldMillis_;
+        }
         int to_bitField0_ = 0;
         if (((from_bitField0_ & 0x00000008) != 0)) {
           result.requestsPerSecond_ = requestsPerSecond_;
@@ -5613,6 +5654,9 @@
         if (other.getAgeMillis() != 0L) {
           setAgeMillis(other.getAgeMillis());
         }
+        if (other.getColdMillis() != 0L) {
+          setColdMillis(other.getColdMillis());
+        }
         if (other.hasRequestsPerSecond()) {
           setRequestsPerSecond(other.getRequestsPerSecond());
         }
@@ -5660,6 +5704,11 @@
                 bitField0_ |= 0x00000004;
                 break;
               } // case 24
+              case 48: {
+                coldMillis_ = input.readUInt64();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 48
               case 33: {
                 requestsPerSecond_ = input.readDouble();
                 bitField0_ |= 0x00000008;
@@ -5685,6 +5734,7 @@
         } // finally
         return this;
       }
+
       private int bitField0_;
 
       private java.lang.Object name_ = "";
@@ -5835,6 +5885,50 @@
         return this;
       }
 
+      private long coldMillis_ ;
+      /**
+       * <pre>
+       * The time until the server is warm; zero if it is not known to be cold.
+       * </pre>
+       *
+       * <code>uint64 cold_millis = 6;</code>
+       * @return The coldMillis.
+       */
+      @java.lang.Override
+      public long getColdMillis() {
+        return coldMillis_;
+      }
+      /**
+       * <pre>
+       * The time until the server is warm; zero if it is not known to be cold.
+       * </pre>
+       *
+       * <code>uint64 cold_millis = 6;</code>
+       * @param value The coldMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setColdMillis(long value) {
+
+        coldMillis_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The time until the server is warm; zero if it is not known to be cold.
+       * </pre>
+       *
+       * <code>uint64 cold_millis = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearColdMillis() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        coldMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
       private double requestsPerSecond_ ;
       /**
        * <pre>
@@ -22696,62 +22790,63 @@
       "on\030\002 \001(\004\"u\n\rRefusalNotice\022\016\n\006server\030\001 \001(" +
       "\t\022\023\n\013incarnation\030\002 \001(\004\022\030\n\020remaining_mill" +
       "is\030\003 \001(\004\022\024\n\014of_recipient\030\004 \001(\010\022\017\n\007leavin" +
-      "g\030\005 \001(\010\"\247\001\n\014StatedLimits\022\014\n\004name\030\001 \001(\t\022\023" +
+      "g\030\005 \001(\010\"\274\001\n\014StatedLimits\022\014\n\004name\030\001 \001(\t\022\023" +
       "\n\013incarnation\030\002 \001(\004\022\022\n\nage_millis\030\003 \001(\004\022" +
       " \n\023requests_per_second\030\004 \001(\001H\000\210\001\001\022\027\n\nrej" +
-      "ections\030\005 \001(\rH\001\210\001\001B\026\n\024_requests_per_seco" +
-      "ndB\r\n\013_rejections\"I\n\013BegunStream\022\017\n\007requ" +
-      "est\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\030\n\020software_v" +
-      "ersion\030\003 \001(\t\"$\n\021StreamOriginQuery\022\017\n\007req" +
-      "uest\030\001 \001(\t\"N\n\022StreamOriginAnswer\022\r\n\005know" +
-      "n\030\001 \001(\010\022\017\n\007service\030\002 \001(\t\022\030\n\020software_ver" +
-      "sion\030\003 \001(\t\"(\n\tModelPace\022\r\n\005model\030\001 \001(\t\022\014" +
-      "\n\004pace\030\002 \001(\001\"\221\001\n\013ServerUsage\022\014\n\004name\030\001 \001" +
-      "(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010requests\030\003 \001(" +
-      "\r\022\025\n\rprompt_tokens\030\004 \001(\r\022\023\n\013held_tokens\030" +
-      "\005 \001(\r\022\020\n\010failures\030\006 \001(\r\022\017\n\007answers\030\007 \001(\r" +
-      "\"r\n\016WorkspaceUsage\022\014\n\004name\030\001 \001(\t\022\016\n\006dema" +
-      "nd\030\002 \001(\004\022\014\n\004held\030\003 \001(\004\022\r\n\005spent\030\004 \001(\004\022\r\n" +
-      "\005needs\030\006 \003(\004\022\020\n\010returned\030\007 \001(\004J\004\010\005\020\006\"_\n\013" +
-      "ModelDemand\022\017\n\007service\030\001 \001(\t\022\r\n\005model\030\002 " +
-      "\001(\t\022\017\n\007adapter\030\003 \001(\t\022\016\n\006tokens\030\004 \001(\004\022\017\n\007" +
-      "waiting\030\005 \001(\r\"\233\003\n\022CoordinationUpdate\022\023\n\013" +
-      "coordinates\030\001 \001(\010\022\023\n\013coordinator\030\002 \001(\t\022\017" +
-      "\n\007entries\030\003 \001(\r\0226\n\007servers\030\004 \003(\0132%.borag" +
-      "eproxy.coordination.ServerUsage\0223\n\006share" +
-      "s\030\005 \003(\0132#.borageproxy.coordination.RateS" +
-      "hare\0229\n\010contents\030\006 \003(\0132\'.borageproxy.coo" +
-      "rdination.ServerContent\022\030\n\020contents_vers" +
-      "ion\030\007 \001(\004\022\023\n\013all_servers\030\010 \001(\010\022\014\n\004term\030\t" +
-      " \001(\004\022=\n\rstated_limits\030\n \003(\0132&.borageprox" +
-      "y.coordination.StatedLimits\022\026\n\016limits_ve" +
-      "rsion\030\013 \001(\004\022\016\n\006relays\030\014 \003(\t\"\363\002\n\013SlotRequ" +
-      "est\022\014\n\004zone\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\r\n\005mo" +
-      "del\030\003 \001(\t\022\017\n\007adapter\030\004 \001(\t\022\025\n\rprompt_tok" +
-      "ens\030\005 \001(\r\022\025\n\routput_tokens\030\006 \001(\r\0225\n\005part" +
-      "s\030\007 \003(\0132&.borageproxy.coordination.PartO" +
-      "fPrompt\022\014\n\004rank\030\010 \001(\r\022\030\n\020objective_milli" +
-      "s\030\t \001(\r\022\027\n\017deadline_millis\030\n \001(\r\022\r\n\005trie" +
-      "d\030\013 \003(\t\022\025\n\rwaited_millis\030\014 \001(\r\022\021\n\tabsent" +
-      "_at\030\016 \003(\t\022\014\n\004gone\030\017 \003(\t\022\035\n\020software_vers" +
-      "ion\030\020 \001(\tH\000\210\001\001B\023\n\021_software_versionJ\004\010\r\020" +
-      "\016\"0\n\014PartOfPrompt\022\020\n\010identity\030\001 \001(\t\022\016\n\006t" +
-      "okens\030\002 \001(\r\"\270\002\n\nSlotAnswer\022=\n\007outcome\030\001 " +
-      "\001(\0162,.borageproxy.coordination.SlotAnswe" +
-      "r.Outcome\022\016\n\006server\030\002 \001(\t\022\023\n\013incarnation" +
-      "\030\003 \001(\004\022\027\n\017expected_millis\030\004 \001(\001\022\025\n\runrea" +
-      "d_tokens\030\005 \001(\r\022\014\n\004slot\030\006 \001(\004\022\030\n\020come_bac" +
-      "k_millis\030\007 \001(\r\"n\n\007Outcome\022\023\n\017NOT_COORDIN" +
-      "ATOR\020\000\022\n\n\006CHOSEN\020\001\022\r\n\tNO_SERVER\020\002\022\014\n\010NO_" +
-      "MODEL\020\003\022\013\n\007CROWDED\020\004\022\r\n\tALL_TRIED\020\005\022\t\n\005A" +
-      "GAIN\020\006\"=\n\tRateShare\022\021\n\tworkspace\030\001 \001(\t\022\014" +
-      "\n\004rate\030\002 \001(\004\022\017\n\007granted\030\003 \001(\004\"\211\001\n\rServer" +
-      "Content\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001" +
-      "(\004\022\016\n\006orders\030\003 \001(\004\0223\n\006models\030\004 \003(\0132#.bor" +
-      "ageproxy.coordination.HeldModel\022\020\n\010arriv" +
-      "ing\030\005 \003(\t\",\n\tHeldModel\022\r\n\005model\030\001 \001(\t\022\020\n" +
-      "\010adapters\030\002 \003(\tB2\n\032org.borageproxy.wire." +
-      "protoB\024CoordinationProtocolb\006proto3"
+      "ections\030\005 \001(\rH\001\210\001\001\022\023\n\013cold_millis\030\006 \001(\004B" +
+      "\026\n\024_requests_per_secondB\r\n\013_rejections\"I" +
+      "\n\013BegunStream\022\017\n\007request\030\001 \001(\t\022\017\n\007servic" +
+      "e\030\002 \001(\t\022\030\n\020software_version\030\003 \001(\t\"$\n\021Str" +
+      "eamOriginQuery\022\017\n\007request\030\001 \001(\t\"N\n\022Strea" +
+      "mOriginAnswer\022\r\n\005known\030\001 \001(\010\022\017\n\007service\030" +
+      "\002 \001(\t\022\030\n\020software_version\030\003 \001(\t\"(\n\tModel" +
+      "Pace\022\r\n\005model\030\001 \001(\t\022\014\n\004pace\030\002 \001(\001\"\221\001\n\013Se" +
+      "rverUsage\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002" +
+      " \001(\004\022\020\n\010requests\030\003 \001(\r\022\025\n\rprompt_tokens\030" +
+      "\004 \001(\r\022\023\n\013held_tokens\030\005 \001(\r\022\020\n\010failures\030\006" +
+      " \001(\r\022\017\n\007answers\030\007 \001(\r\"r\n\016WorkspaceUsage\022" +
+      "\014\n\004name\030\001 \001(\t\022\016\n\006demand\030\002 \001(\004\022\014\n\004held\030\003 " +
+      "\001(\004\022\r\n\005spent\030\004 \001(\004\022\r\n\005needs\030\006 \003(\004\022\020\n\010ret" +
+      "urned\030\007 \001(\004J\004\010\005\020\006\"_\n\013ModelDemand\022\017\n\007serv" +
+      "ice\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022\017\n\007adapter\030\003 \001(" +
+      "\t\022\016\n\006tokens\030\004 \001(\004\022\017\n\007waiting\030\005 \001(\r\"\233\003\n\022C" +
+      "oordinationUpdate\022\023\n\013coordinates\030\001 \001(\010\022\023" +
+      "\n\013coordinator\030\002 \001(\t\022\017\n\007entries\030\003 \001(\r\0226\n\007" +
+      "servers\030\004 \003(\0132%.borageproxy.coordination" +
+      ".ServerUsage\0223\n\006shares\030\005 \003(\0132#.boragepro" +
+      "xy.coordination.RateShare\0229\n\010contents\030\006 " +
+      "\003(\0132\'.borageproxy.coordination.ServerCon" +
+      "tent\022\030\n\020contents_version\030\007 \001(\004\022\023\n\013all_se" +
+      "rvers\030\010 \001(\010\022\014\n\004term\030\t \001(\004\022=\n\rstated_limi" +
+      "ts\030\n \003(\0132&.borageproxy.coordination.Stat" +
+      "edLimits\022\026\n\016limits_version\030\013 \001(\004\022\016\n\006rela" +
+      "ys\030\014 \003(\t\"\363\002\n\013SlotRequest\022\014\n\004zone\030\001 \001(\t\022\017" +
+      "\n\007service\030\002 \001(\t\022\r\n\005model\030\003 \001(\t\022\017\n\007adapte" +
+      "r\030\004 \001(\t\022\025\n\rprompt_tokens\030\005 \001(\r\022\025\n\routput" +
+      "_tokens\030\006 \001(\r\0225\n\005parts\030\007 \003(\0132&.boragepro" +
+      "xy.coordination.PartOfPrompt\022\014\n\004rank\030\010 \001" +
+      "(\r\022\030\n\020objective_millis\030\t \001(\r\022\027\n\017deadline" +
+      "_millis\030\n \001(\r\022\r\n\005tried\030\013 \003(\t\022\025\n\rwaited_m" +
+      "illis\030\014 \001(\r\022\021\n\tabsent_at\030\016 \003(\t\022\014\n\004gone\030\017" +
+      " \003(\t\022\035\n\020software_version\030\020 \001(\tH\000\210\001\001B\023\n\021_" +
+      "software_versionJ\004\010\r\020\016\"0\n\014PartOfPrompt\022\020" +
+      "\n\010identity\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\r\"\270\002\n\nSlo" +
+      "tAnswer\022=\n\007outcome\030\001 \001(\0162,.borageproxy.c" +
+      "oordination.SlotAnswer.Outcome\022\016\n\006server" +
+      "\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\004\022\027\n\017expected_" +
+      "millis\030\004 \001(\001\022\025\n\runread_tokens\030\005 \001(\r\022\014\n\004s" +
+      "lot\030\006 \001(\004\022\030\n\020come_back_millis\030\007 \001(\r\"n\n\007O" +
+      "utcome\022\023\n\017NOT_COORDINATOR\020\000\022\n\n\006CHOSEN\020\001\022" +
+      "\r\n\tNO_SERVER\020\002\022\014\n\010NO_MODEL\020\003\022\013\n\007CROWDED\020" +
+      "\004\022\r\n\tALL_TRIED\020\005\022\t\n\005AGAIN\020\006\"=\n\tRateShare" +
+      "\022\021\n\tworkspace\030\001 \001(\t\022\014\n\004rate\030\002 \001(\004\022\017\n\007gra" +
+      "nted\030\003 \001(\004\"\211\001\n\rServerContent\022\014\n\004name\030\001 \001" +
+      "(\t\022\023\n\013incarnation\030\002 \001(\004\022\016\n\006orders\030\003 \001(\004\022" +
+      "3\n\006models\030\004 \003(\0132#.borageproxy.coordinati" +
+      "on.HeldModel\022\020\n\010arriving\030\005 \003(\t\",\n\tHeldMo" +
+      "del\022\r\n\005model\030\001 \001(\t\022\020\n\010adapters\030\002 \003(\tB2\n\032" +
+      "org.borageproxy.wire.protoB\024Coordination" +
+      "Protocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -22780,7 +22875,7 @@
     internal_static_borageproxy_coordination_StatedLimits_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_StatedLimits_descriptor,
-        new java.lang.String[] { "Name", "Incarnation", "AgeMillis", "RequestsPerSecond", "Rejections", });
+        new java.lang.String[] { "Name", "Incarnation", "AgeMillis", "RequestsPerSecond", "Rejections", "ColdMillis", });
     internal_static_borageproxy_coordination_BegunStream_descriptor =
       getDescriptor().getMessageType(4);
     internal_static_borageproxy_coordination_BegunStream_fieldAccessorTable = new
--- a/src/main/java/org/borageproxy/wire/proto/MembershipProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/MembershipProtocol.java
@@ -1676,6 +1676,16 @@
      */
     int getBatchLimit();
 
+    /**
+     * <pre>
+     * The time until the server is warm plus one, in milliseconds; zero if it states none.
+     * </pre>
+     *
+     * <code>uint32 cold_millis_plus_one = 6;</code>
+     * @return The coldMillisPlusOne.
+     */
+    int getColdMillisPlusOne();
+
     /**
      * <code>double tokens_per_second = 4;</code>
      * @return The tokensPerSecond.
@@ -1767,6 +1777,21 @@
       return batchLimit_;
     }
 
+    public static final int COLD_MILLIS_PLUS_ONE_FIELD_NUMBER = 6;
+    private int coldMillisPlusOne_ = 0;
+    /**
+     * <pre>
+     * The time until the server is warm plus one, in milliseconds; zero if it states none.
+     * </pre>
+     *
+     * <code>uint32 cold_millis_plus_one = 6;</code>
+     * @return The coldMillisPlusOne.
+     */
+    @java.lang.Override
+    public int getColdMillisPlusOne() {
+      return coldMillisPlusOne_;
+    }
+
     public static final int TOKENS_PER_SECOND_FIELD_NUMBER = 4;
     private double tokensPerSecond_ = 0D;
     /**
@@ -1812,6 +1837,9 @@
       if (batchLimit_ != 0) {
         output.writeUInt32(3, batchLimit_);
       }
+      if (coldMillisPlusOne_ != 0) {
+        output.writeUInt32(6, coldMillisPlusOne_);
+      }
       if (java.lang.Double.doubleToRawLongBits(tokensPerSecond_) != 0) {
         output.writeDouble(4, tokensPerSecond_);
       }
@@ -1839,6 +1867,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt32Size(3, batchLimit_);
       }
+      if (coldMillisPlusOne_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(6, coldMillisPlusOne_);
+      }
       if (java.lang.Double.doubleToRawLongBits(tokensPerSecond_) != 0) {
         size += com.google.protobuf.CodedOutputStream
           .computeDoubleSize(4, tokensPerSecond_);
@@ -1868,6 +1900,8 @@
           != other.getWaiting()) return false;
       if (getBatchLimit()
           != other.getBatchLimit()) return false;
+      if (getColdMillisPlusOne()
+          != other.getColdMillisPlusOne()) return false;
       if (java.lang.Double.doubleToLongBits(getTokensPerSecond())
           != java.lang.Double.doubleToLongBits(
               other.getTokensPerSecond())) return false;
@@ -1891,6 +1925,8 @@
       hash = (53 * hash) + getWaiting();
       hash = (37 * hash) + BATCH_LIMIT_FIELD_NUMBER;
       hash = (53 * hash) + getBatchLimit();
+      hash = (37 * hash) + COLD_MILLIS_PLUS_ONE_FIELD_NUMBER;
+      hash = (53 * hash) + getColdMillisPlusOne();
       hash = (37 * hash) + TOKENS_PER_SECOND_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           java.lang.Double.doubleToLongBits(getTokensPerSecond()));
@@ -2035,6 +2071,7 @@
         running_ = 0;
         waiting_ = 0;
         batchLimit_ = 0;
+        coldMillisPlusOne_ = 0;
         tokensPerSecond_ = 0D;
         prefillTokensPerSecond_ = 0D;
         return this;
@@ -2079,6 +2116,9 @@
         if (((from_bitField0_ & 0x00000004) != 0)) {
           result.batchLimit_ = batchLimit_;
         }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.coldMillisPlusOne_ = coldMillisPlusOne_;
+        }
         if (((from_bitField0_ & 0x00000008) != 0)) {
           result.tokensPerSecond_ = tokensPerSecond_;
         }
@@ -2108,6 +2148,9 @@
         if (other.getBatchLimit() != 0) {
           setBatchLimit(other.getBatchLimit());
         }
+        if (other.getColdMillisPlusOne() != 0) {
+          setColdMillisPlusOne(other.getColdMillisPlusOne());
+        }
         if (java.lang.Double.doubleToRawLongBits(other.getTokensPerSecond()) != 0) {
           setTokensPerSecond(other.getTokensPerSecond());
         }
@@ -2155,6 +2198,11 @@
                 bitField0_ |= 0x00000004;
                 break;
               } // case 24
+              case 48: {
+                coldMillisPlusOne_ = input.readUInt32();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 48
               case 33: {
                 tokensPerSecond_ = input.readDouble();
                 bitField0_ |= 0x00000008;
@@ -2180,6 +2228,7 @@
         } // finally
         return this;
       }
+
       private int bitField0_;
 
       private int running_ ;
@@ -2278,6 +2327,50 @@
         return this;
       }
 
+      private int coldMillisPlusOne_ ;
+      /**
+       * <pre>
+       * The time until the server is warm plus one, in milliseconds; zero if it states none.
+       * </pre>
+       *
+       * <code>uint32 cold_millis_plus_one = 6;</code>
+       * @return The coldMillisPlusOne.
+       */
+      @java.lang.Override
+      public int getColdMillisPlusOne() {
+        return coldMillisPlusOne_;
+      }
+      /**
+       * <pre>
+       * The time until the server is warm plus one, in milliseconds; zero if it states none.
+       * </pre>
+       *
+       * <code>uint32 cold_millis_plus_one = 6;</code>
+       * @param value The coldMillisPlusOne to set.
+       * @return This builder for chaining.
+       */
+      public Builder setColdMillisPlusOne(int value) {
+
+        coldMillisPlusOne_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The time until the server is warm plus one, in milliseconds; zero if it states none.
+       * </pre>
+       *
+       * <code>uint32 cold_millis_plus_one = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearColdMillisPlusOne() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        coldMillisPlusOne_ = 0;
+        onChanged();
+        return this;
+      }
+
       private double tokensPerSecond_ ;
       /**
        * <code>double tokens_per_second = 4;</code>
@@ -8961,33 +9054,34 @@
       "ip\"6\n\020AcceleratorState\022\014\n\004name\030\001 \001(\t\022\024\n\014" +
       "memory_bytes\030\002 \001(\004\"Y\n\020LoadedModelState\022\r" +
       "\n\005model\030\001 \001(\t\022\017\n\007version\030\002 \001(\t\022\023\n\013accele" +
-      "rator\030\003 \001(\t\022\020\n\010adapters\030\004 \003(\t\"\200\001\n\tLoadSt" +
+      "rator\030\003 \001(\t\022\020\n\010adapters\030\004 \003(\t\"\236\001\n\tLoadSt" +
       "ate\022\017\n\007running\030\001 \001(\r\022\017\n\007waiting\030\002 \001(\r\022\023\n" +
       "\013batch_limit\030\003 \001(\r\022\031\n\021tokens_per_second\030" +
       "\004 \001(\001\022!\n\031prefill_tokens_per_second\030\005 \001(\001" +
-      "\"\276\002\n\007Content\022\016\n\006engine\030\001 \001(\010\022\014\n\004zone\030\002 \001" +
-      "(\t\022\014\n\004host\030\003 \001(\t\022\014\n\004port\030\004 \001(\r\022\026\n\016checks" +
-      "_fencing\030\005 \001(\010\022\027\n\017interval_millis\030\006 \001(\r\022" +
-      "\020\n\010services\030\007 \003(\t\022>\n\014accelerators\030\010 \003(\0132" +
-      "(.borageproxy.membership.AcceleratorStat" +
-      "e\0228\n\006models\030\t \003(\0132(.borageproxy.membersh" +
-      "ip.LoadedModelState\022\021\n\tin_memory\030\n \003(\t\022\017" +
-      "\n\007on_disk\030\013 \003(\t\022\030\n\020software_version\030\014 \001(" +
-      "\t\"\341\001\n\014ServerUpdate\022\014\n\004name\030\001 \001(\t\022\023\n\013inca" +
-      "rnation\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\022\014\n\004left\030" +
-      "\004 \001(\010\022\025\n\rsilent_millis\030\005 \001(\004\022\024\n\014content_" +
-      "hash\030\006 \001(\006\0220\n\007content\030\007 \001(\0132\037.borageprox" +
-      "y.membership.Content\022/\n\004load\030\010 \001(\0132!.bor" +
-      "ageproxy.membership.LoadState\"U\n\nDigestL" +
-      "ine\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020" +
-      "\n\010sequence\030\003 \001(\004\022\014\n\004left\030\004 \001(\010J\004\010\005\020\006\"R\n\006" +
-      "Digest\0221\n\005lines\030\001 \003(\0132\".borageproxy.memb" +
-      "ership.DigestLine\022\025\n\rpresence_only\030\002 \001(\010" +
-      "\"z\n\021MembershipMessage\0225\n\007updates\030\001 \003(\0132$" +
-      ".borageproxy.membership.ServerUpdate\022.\n\006" +
-      "digest\030\002 \001(\0132\036.borageproxy.membership.Di" +
-      "gestB0\n\032org.borageproxy.wire.protoB\022Memb" +
-      "ershipProtocolb\006proto3"
+      "\022\034\n\024cold_millis_plus_one\030\006 \001(\r\"\276\002\n\007Conte" +
+      "nt\022\016\n\006engine\030\001 \001(\010\022\014\n\004zone\030\002 \001(\t\022\014\n\004host" +
+      "\030\003 \001(\t\022\014\n\004port\030\004 \001(\r\022\026\n\016checks_fencing\030\005" +
+      " \001(\010\022\027\n\017interval_millis\030\006 \001(\r\022\020\n\010service" +
+      "s\030\007 \003(\t\022>\n\014accelerators\030\010 \003(\0132(.boragepr" +
+      "oxy.membership.AcceleratorState\0228\n\006model" +
+      "s\030\t \003(\0132(.borageproxy.membership.LoadedM" +
+      "odelState\022\021\n\tin_memory\030\n \003(\t\022\017\n\007on_disk\030" +
+      "\013 \003(\t\022\030\n\020software_version\030\014 \001(\t\"\341\001\n\014Serv" +
+      "erUpdate\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 " +
+      "\001(\004\022\020\n\010sequence\030\003 \001(\004\022\014\n\004left\030\004 \001(\010\022\025\n\rs" +
+      "ilent_millis\030\005 \001(\004\022\024\n\014content_hash\030\006 \001(\006" +
+      "\0220\n\007content\030\007 \001(\0132\037.borageproxy.membersh" +
+      "ip.Content\022/\n\004load\030\010 \001(\0132!.borageproxy.m" +
+      "embership.LoadState\"U\n\nDigestLine\022\014\n\004nam" +
+      "e\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010sequence" +
+      "\030\003 \001(\004\022\014\n\004left\030\004 \001(\010J\004\010\005\020\006\"R\n\006Digest\0221\n\005" +
+      "lines\030\001 \003(\0132\".borageproxy.membership.Dig" +
+      "estLine\022\025\n\rpresence_only\030\002 \001(\010\"z\n\021Member" +
+      "shipMessage\0225\n\007updates\030\001 \003(\0132$.boragepro" +
+      "xy.membership.ServerUpdate\022.\n\006digest\030\002 \001" +
+      "(\0132\036.borageproxy.membership.DigestB0\n\032or" +
+      "g.borageproxy.wire.protoB\022MembershipProt" +
+      "ocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -9010,7 +9104,7 @@
     internal_static_borageproxy_membership_LoadState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_membership_LoadState_descriptor,
-        new java.lang.String[] { "Running", "Waiting", "BatchLimit", "TokensPerSecond", "PrefillTokensPerSecond", });
+        new java.lang.String[] { "Running", "Waiting", "BatchLimit", "TokensPerSecond", "PrefillTokensPerSecond", "ColdMillisPlusOne", });
     internal_static_borageproxy_membership_Content_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_borageproxy_membership_Content_fieldAccessorTable = new
