--- a/src/main/java/org/borageproxy/forward/CrashEvidence.java
+++ b/src/main/java/org/borageproxy/forward/CrashEvidence.java
@@ -35,6 +35,11 @@
         return registry.isQuarantined(suspects);
     }
 
+    /** Returns the reason, for logs, for which the request must not be sent; empty if it may be sent. */
+    Optional<String> obstacle() {
+        return isQuarantined() ? Optional.of("request was quarantined before it was sent") : Optional.empty();
+    }
+
     /** Records that the request is sent to a server. */
     void recordAttempt() {
         beginningEndsAt = Optional.empty();
--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -199,7 +199,8 @@
                 acquired.close();
                 return;
             }
-            Optional<String> obstacle = obstacle(acquired);
+            Optional<String> obstacle = SendConditions.obstacle(context, buffered, stream, server, acquired.relay())
+                    .or(crashEvidence::obstacle);
             if (obstacle.isPresent()) {
                 acquired.close();
                 isOver = true;
@@ -220,19 +221,6 @@
             ServerWrites.send(context, buffered, server, acquired, scanner.lastEventIdentity(), this);
         }
 
-        /** Returns what has come between the choice of the server and the moment at which the request can be sent. */
-        private Optional<String> obstacle(ServerConnection acquired) {
-            if (!context.pool().isCurrent(server) || !stream.mayRunAt(server)) {
-                return Optional.of("server left, restarted or runs another version");
-            }
-            if (!context.refusals().accepts(server, acquired.relay())) {
-                return Optional.of("server refused the VM before the request was sent");
-            }
-            return crashEvidence.isQuarantined()
-                    ? Optional.of("request was quarantined before it was sent")
-                    : ServerWrites.obstacle(context, buffered, server);
-        }
-
         @Override
         public void onUnreachable(String reason, boolean isRefused) {
             if (isOver) {
--- /dev/null
+++ b/src/main/java/org/borageproxy/forward/SendConditions.java
@@ -0,0 +1,44 @@
+package org.borageproxy.forward;
+
+import java.util.Optional;
+
+import org.borageproxy.membership.BackendServer;
+import org.borageproxy.vm.VmName;
+
+/**
+ * Conditions that are checked between the choice of a server and the moment at which the request is sent, since servers
+ * leave, restart or refuse, and zones are drained, while a connection is opened. Stateless; called on the event loop of
+ * the requests.
+ */
+final class SendConditions {
+
+    private SendConditions() {}
+
+    /**
+     * Returns what keeps a request from being sent.
+     *
+     * @param context the collaborators of forwarding
+     * @param buffered the request
+     * @param stream the stream that the request begins or continues
+     * @param server the selected server
+     * @param relay the VM through which the connection leads; empty for a direct connection
+     * @return the reason, for logs; empty if the request may be sent
+     */
+    static Optional<String> obstacle(
+            ForwardContext context,
+            BufferedRequest buffered,
+            ResumableStream stream,
+            BackendServer server,
+            Optional<VmName> relay) {
+        if (!stream.mayRunAt(server)) {
+            return Optional.of("server runs another version");
+        }
+        if (!context.refusals().accepts(server, relay)) {
+            return Optional.of("server refused the VM before the request was sent");
+        }
+        return context.pool()
+                .availability()
+                .obstacle(server, buffered.allowedRegions())
+                .or(() -> ServerWrites.obstacle(context, buffered, server));
+    }
+}
--- a/src/main/java/org/borageproxy/forward/ServerPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerPool.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -47,7 +46,7 @@
     private final RandomGenerator random;
     private final ServerLoads loads;
     private final ModelInventories inventories = new ModelInventories();
-    private final Map<BackendServerName, Long> goneIncarnations = new HashMap<>();
+    private final ServerAvailability availability;
     private final ModelLatencyRatios latencyRatios = new ModelLatencyRatios();
     private final ModelDemandCounter demandCounter = new ModelDemandCounter();
     private final WaitingRequests waiting;
@@ -55,7 +54,6 @@
     private ServerSpeeds speeds = ServerSpeeds.EQUAL;
     private Runnable urgentDemandListener = () -> {};
     private Runnable loadChangeListener = () -> {};
-    private Consumer<BackendServer> goneListener = server -> {};
 
     /** Reasons for which no server can run a request now. */
     public enum Unavailability {
@@ -92,6 +90,7 @@
             RandomGenerator random,
             DoubleSupplier limitShare) {
         this.servers = servers;
+        this.availability = new ServerAvailability(servers);
         this.clock = clock;
         this.zone = zone;
         this.random = random;
@@ -125,6 +124,15 @@
         speeds = learned;
     }
 
+    /**
+     * Returns which servers accept requests at all.
+     *
+     * @return the availability, which the caller restricts
+     */
+    public ServerAvailability availability() {
+        return availability;
+    }
+
     /**
      * Returns what the servers state about their capacity.
      *
@@ -199,23 +207,8 @@
     }
 
     private boolean acceptsWork(BackendServer server, ServerRequirement requirement) {
-        return acceptsWork(server, requirement.service()) && requirement.isMetBy(server);
-    }
-
-    private boolean acceptsWork(BackendServer server, String service) {
-        return server.state() != BackendServerState.LEAVING
-                && server.services().contains(service)
-                && !refreshIsGone(server);
-    }
-
-    /** Returns whether a server is marked as gone, after removing the mark if a later heartbeat made it alive again. */
-    private boolean refreshIsGone(BackendServer server) {
-        boolean isKnownGone = Long.valueOf(server.incarnation()).equals(goneIncarnations.get(server.name()));
-        if (isKnownGone && server.state() == BackendServerState.ALIVE) {
-            goneIncarnations.remove(server.name());
-            return false;
-        }
-        return isKnownGone;
+        return availability.acceptsWork(server, requirement.service(), requirement.allowedRegions())
+                && requirement.isMetBy(server);
     }
 
     private boolean canRun(BackendServer server, Optional<EngineWork> work) {
@@ -242,7 +235,7 @@
      *     of a server whose state is alive is removed
      */
     public void onGone(Consumer<BackendServer> listener) {
-        goneListener = listener;
+        availability.onGone(listener);
     }
 
     /**
@@ -252,8 +245,7 @@
      * @param server the server
      */
     void markGone(BackendServer server) {
-        goneListener.accept(server);
-        goneIncarnations.put(server.name(), server.incarnation());
+        availability.markGone(server);
     }
 
     /**
@@ -508,15 +500,15 @@
     double nominalServers(String service, Optional<EngineWork> work) {
         if (work.isEmpty()) {
             return servers.current().stream()
-                    .filter(server -> acceptsWork(server, service))
+                    .filter(server -> availability.acceptsWork(server, service, Set.of()))
                     .mapToInt(server -> Math.max(1, server.load().batchLimit()))
                     .sum();
         }
         String model = work.get().model();
         long nowNanos = clock.nanoTime();
         double totalSpeed = servers.current().stream()
-                .filter(server ->
-                        acceptsWork(server, service) && inventories.of(server).contains(model, ""))
+                .filter(server -> availability.acceptsWork(server, service, Set.of())
+                        && inventories.of(server).contains(model, ""))
                 .mapToDouble(server -> speeds.speedOf(server, nowNanos))
                 .sum();
         return totalSpeed / latencyRatios.of(model);
@@ -580,6 +572,6 @@
         loads.retain(known);
         inventories.retain(known);
         statements.retain(known);
-        goneIncarnations.keySet().retainAll(known);
+        availability.retain(known);
     }
 }
--- a/src/main/java/org/borageproxy/forward/ServerRequirement.java
+++ b/src/main/java/org/borageproxy/forward/ServerRequirement.java
@@ -21,6 +21,7 @@
  * @param triedServers the servers that must not be selected again
  * @param origin what began the stream that the request continues; empty for a request that any server can run
  * @param toleratedMillis the predicted time up to which the request leaves faster servers to others, in milliseconds
+ * @param allowedRegions the regions in which the request may run; empty for any
  */
 record ServerRequirement(
         String service,
@@ -28,16 +29,17 @@
         Optional<EngineWork> work,
         Set<BackendServerName> triedServers,
         Optional<StreamOrigin> origin,
-        double toleratedMillis) {
+        double toleratedMillis,
+        Set<String> allowedRegions) {
 
-    /** Creates the requirement of a request that takes the server which is expected to finish first. */
+    /** Creates the requirement of a request that any region may run, on the server that is expected to finish first. */
     ServerRequirement(
             String service,
             Optional<EnginePool> engines,
             Optional<EngineWork> work,
             Set<BackendServerName> triedServers,
             Optional<StreamOrigin> origin) {
-        this(service, engines, work, triedServers, origin, 0.0);
+        this(service, engines, work, triedServers, origin, 0.0, Set.of());
     }
 
     /**
--- a/src/main/java/org/borageproxy/forward/SlotBroker.java
+++ b/src/main/java/org/borageproxy/forward/SlotBroker.java
@@ -276,7 +276,8 @@
                     work,
                     triedServers,
                     origin,
-                    ServerSelector.toleratedMillis(request.getObjectiveMillis()));
+                    ServerSelector.toleratedMillis(request.getObjectiveMillis()),
+                    Set.of());
             waitingRequest = waitingRequest();
         }
 
--- a/src/main/java/org/borageproxy/placement/AbsentModels.java
+++ b/src/main/java/org/borageproxy/placement/AbsentModels.java
@@ -2,12 +2,20 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
+import org.borageproxy.membership.BackendServers;
+import org.borageproxy.membership.LoadedModel;
+import org.borageproxy.publication.EnginePool;
 import org.borageproxy.time.Deadline;
+import org.borageproxy.vm.AvailabilityZone;
 
 /**
  * The models of one service that requests need and that no engine has, and those whose last copy was lost with its
@@ -96,6 +104,53 @@
         return ended;
     }
 
+    /**
+     * Ends absences, and adds to the demand since when requests have waited for each model and which copies have to be
+     * replaced.
+     *
+     * @param byModel the demand by model, which is completed
+     * @param pool the settings of the engines
+     * @param engines the engines that may be used
+     * @param displaced the models on servers that may not be used; those without another copy count as lost
+     * @param nowNanos the time on the monotonic clock in nanoseconds
+     * @return the ended absences
+     */
+    List<Ended> complete(
+            Map<String, LoadPlanner.Demand> byModel,
+            EnginePool pool,
+            Collection<TrackedEngine> engines,
+            Set<String> displaced,
+            long nowNanos) {
+        Set<String> loaded = new HashSet<>();
+        Set<String> expected = new HashSet<>();
+        for (TrackedEngine engine : engines) {
+            loaded.addAll(engine.loadedModels().keySet());
+            pool.models().keySet().stream().filter(engine::hasOrExpects).forEach(expected::add);
+        }
+        List<Ended> ended = update(loaded, expected, nowNanos);
+        displaced.stream().filter(model -> !expected.contains(model)).forEach(model -> recordLoss(model, nowNanos));
+        lost().forEach(model -> byModel.putIfAbsent(model, LoadPlanner.Demand.NONE));
+        byModel.replaceAll(this::complete);
+        return ended;
+    }
+
+    /**
+     * Returns the models on servers of drained zones, as far as these servers announce them.
+     *
+     * @param servers the announced servers
+     * @param isDrained returns whether a zone is drained
+     * @param service the service
+     * @return the models
+     */
+    static Set<String> displacedModels(BackendServers servers, Predicate<AvailabilityZone> isDrained, String service) {
+        return servers.current().stream()
+                .filter(server ->
+                        isDrained.test(server.zone()) && server.services().contains(service))
+                .flatMap(server -> server.models().stream())
+                .map(LoadedModel::model)
+                .collect(Collectors.toSet());
+    }
+
     /**
      * Adds to the demand for a model since when its requests have waited, and whether its copy has to be replaced.
      *
--- a/src/main/java/org/borageproxy/placement/FleetPlacement.java
+++ b/src/main/java/org/borageproxy/placement/FleetPlacement.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.function.ToDoubleFunction;
 
@@ -26,6 +27,7 @@
 import org.borageproxy.publication.Publication;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
+import org.borageproxy.vm.AvailabilityZone;
 import org.borageproxy.vm.VmName;
 import org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand;
 import org.slf4j.Logger;
@@ -90,6 +92,7 @@
      *     leader
      * @param publication returns the publication in force
      * @param servers the backend servers
+     * @param isDrained returns whether a zone is drained; its servers get no calls, and their copies do not count
      * @param engineClient sends orders and reads reports
      * @param permits the permits for calls to engines that limit their requests
      * @param modelsListener receives the usable models of an engine when they change, with the name of the engine
@@ -104,6 +107,7 @@
             Duration handoverDelay,
             Supplier<Optional<Publication>> publication,
             BackendServers servers,
+            Predicate<AvailabilityZone> isDrained,
             EngineClient engineClient,
             CallPermits permits,
             BiConsumer<String, ModelInventory> modelsListener,
@@ -201,7 +205,9 @@
         for (BackendServer server : environment.servers().current()) {
             boolean isEngine =
                     server.services().stream().anyMatch(service -> pool(service).isPresent());
-            if (isEngine && server.state() == BackendServerState.ALIVE) {
+            boolean isUsable = server.state() == BackendServerState.ALIVE
+                    && !environment.isDrained().test(server.zone());
+            if (isEngine && isUsable) {
                 liveServers.put(server.name(), server);
             }
         }
@@ -374,14 +380,10 @@
 
     private Map<String, LoadPlanner.Demand> demandWithAbsences(
             String service, EnginePool pool, List<TrackedEngine> engines) {
-        AbsentModels absent = absentModels(service);
-        Set<String> loaded = new HashSet<>();
-        Set<String> expected = new HashSet<>();
-        for (TrackedEngine engine : engines) {
-            loaded.addAll(engine.loadedModels().keySet());
-            pool.models().keySet().stream().filter(engine::hasOrExpects).forEach(expected::add);
-        }
-        absent.update(loaded, expected, environment.clock().nanoTime())
+        Set<String> displaced = AbsentModels.displacedModels(environment.servers(), environment.isDrained(), service);
+        Map<String, LoadPlanner.Demand> byModel = demand.byModel(service);
+        absentModels(service)
+                .complete(byModel, pool, engines, displaced, environment.clock().nanoTime())
                 .forEach(ended -> LOGGER.warn(
                         "event=model-absence-ended service={} model={} absent_ms={} waits={} loaded={}",
                         service,
@@ -389,9 +391,6 @@
                         ended.millis(),
                         ended.waits(),
                         ended.isLoaded()));
-        Map<String, LoadPlanner.Demand> byModel = demand.byModel(service);
-        absent.lost().forEach(model -> byModel.putIfAbsent(model, LoadPlanner.Demand.NONE));
-        byModel.replaceAll(absent::complete);
         return byModel;
     }
 
--- a/src/main/java/org/borageproxy/platform/PlatformSettings.java
+++ b/src/main/java/org/borageproxy/platform/PlatformSettings.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 
@@ -17,6 +19,7 @@
 import org.tomlj.TomlArray;
 import org.tomlj.TomlParseError;
 import org.tomlj.TomlParseResult;
+import org.tomlj.TomlTable;
 
 /**
  * Settings from the TOML file of the deployment platform. Immutable and thread safe.
@@ -29,6 +32,8 @@
     private static final long DEFAULT_GRACE_PERIOD_MILLIS = 8_000;
     private static final long DEFAULT_HANDOVER_DELAY_MILLIS = 3_000;
     private static final double DEFAULT_RETRY_RATIO = 0.1;
+    private static final double DEFAULT_COLD_OVERAGE = 1.5;
+    private static final double DEFAULT_COLD_SLACK = 5;
     private static final int DEFAULT_HEARTBEAT_INTERVAL_MILLIS = 1_000;
 
     /**
@@ -79,7 +84,8 @@
                             .map(Path::of),
                     toml.getBoolean("Bootstrap", () -> false),
                     seeds(),
-                    bounds());
+                    bounds(),
+                    zones());
             return new PlatformSettings(
                     gateway, (int) optionalNumber("HeartbeatMs", DEFAULT_HEARTBEAT_INTERVAL_MILLIS));
         }
@@ -108,7 +114,19 @@
                     (long) (optionalNumber("Bounds.GraceS", DEFAULT_GRACE_PERIOD_MILLIS / 1e3) * 1e3),
                     optionalNumber("Bounds.RetryBudgetRatio", DEFAULT_RETRY_RATIO),
                     optionalNumber("Bounds.RetryBudgetSlack", 0),
-                    (long) optionalNumber("Bounds.LeaseMs", DEFAULT_HANDOVER_DELAY_MILLIS));
+                    (long) optionalNumber("Bounds.LeaseMs", DEFAULT_HANDOVER_DELAY_MILLIS),
+                    optionalNumber("Bounds.ColdOverage", DEFAULT_COLD_OVERAGE),
+                    optionalNumber("Bounds.ColdSlack", DEFAULT_COLD_SLACK));
+        }
+
+        /** Returns the region of each zone. */
+        private Map<AvailabilityZone, String> zones() {
+            Map<AvailabilityZone, String> zones = new HashMap<>();
+            TomlTable table = toml.getTable("Zones");
+            if (table != null) {
+                table.toMap().forEach((zone, region) -> zones.put(new AvailabilityZone(zone), String.valueOf(region)));
+            }
+            return zones;
         }
 
         private Optional<Endpoint> optionalEndpoint(String key) {
--- a/src/main/java/org/borageproxy/server/GatewayControl.java
+++ b/src/main/java/org/borageproxy/server/GatewayControl.java
@@ -24,6 +24,7 @@
 import org.borageproxy.coordination.Coordinator;
 import org.borageproxy.coordination.ModelInventory;
 import org.borageproxy.coordination.SpeedCoordinator;
+import org.borageproxy.drain.ZoneRules;
 import org.borageproxy.forward.ServerPool;
 import org.borageproxy.forward.ServerRefusals;
 import org.borageproxy.forward.SlotBroker;
@@ -43,8 +44,10 @@
 import org.borageproxy.publication.PublishedWorkspace;
 import org.borageproxy.routing.EngineWork;
 import org.borageproxy.routing.ServerStatement;
+import org.borageproxy.spread.StateReader;
 import org.borageproxy.spread.WatchService;
 import org.borageproxy.time.Deadline;
+import org.borageproxy.warmup.WarmUpRules;
 import org.borageproxy.wire.MessageKind;
 import org.borageproxy.wire.proto.ControlProtocol.Command;
 import org.borageproxy.wire.proto.ControlProtocol.PublishDocument;
@@ -94,6 +97,8 @@
     /** Changes that the entries have not been told yet; confined to the event loop. */
     private final Map<String, ModelInventory> changedInventories = new LinkedHashMap<>();
 
+    private final ZoneOrders zoneOrders;
+
     private volatile Optional<Publication> publication = Optional.empty();
 
     private GatewayControl(GatewayRuntime runtime, Path folder) throws IOException {
@@ -112,6 +117,9 @@
         placement.setSpeeds(speeds::lastingSpeedOf);
         streamOrigins = new StreamOrigins(runtime.clock(), new StreamArchive(state, client, runtime.timer()));
         slotBroker = createSlotBroker();
+        StateReader reader = new StateReader(runtime.network(), runtime::controlVms, runtime.clock());
+        zoneOrders = new ZoneOrders(new ZoneOrders.Environment(
+                () -> runtime.settings().zones().keySet(), member, state, client, reader::readServed));
         admission = new AdmissionService(
                 member,
                 new AdmissionPolicy(runtime.settings().bounds().targetVoterCount()),
@@ -172,6 +180,7 @@
                 Duration.ofMillis(settings.bounds().handoverDelayMillis()),
                 () -> publication,
                 runtime.membership().registry(),
+                runtime.zoneRules()::isDrained,
                 runtime.protocol().createEngineClient(runtime.vertx(), new EngineAnswers()),
                 new EngineCallPermits(),
                 this::notifyEntries,
@@ -189,6 +198,17 @@
                 () -> 1);
         created.onGone(runtime::suspectServer);
         created.setSpeeds(speeds);
+        // The coordinator leads the control group and is informed; entries check each grant again.
+        created.availability()
+                .restrict(new ZoneRules(runtime.settings().zones(), runtime.spread()::drainedZones, () -> true));
+        created.statements()
+                .limitColdServers(
+                        service -> publication
+                                .map(current -> current.warmUp(service))
+                                .orElse(WarmUpRules.NONE),
+                        runtime.settings().bounds().warmUpShares().coordinatorFactor(),
+                        () -> 1,
+                        System::currentTimeMillis);
         return created;
     }
 
@@ -306,6 +326,7 @@
                         MessageKind.STATE_WATCH,
                         new WatchService(member, state, client, runtime.clock(), runtime.timer()));
         runtime.network().registerHandler(MessageKind.COORDINATION, coordinator);
+        runtime.spread().subscribeDrainedZones(zones -> runtime.eventLoop().execute(pool::retryQueued));
         runtime.spread()
                 .subscribeDocument(document -> applyDocument(
                         document.getNumber(), document.getContent().toByteArray()));
@@ -380,6 +401,11 @@
         });
     }
 
+    @Override
+    public CompletionStage<ZoneOrderResult> orderZone(String zone, boolean isDrain) {
+        return zoneOrders.execute(zone, isDrain);
+    }
+
     @Override
     public void handleHeartbeat(Announcement announcement, boolean isLeaving) {
         runtime.membership().announce(announcement);
--- a/src/main/java/org/borageproxy/server/GatewayEntry.java
+++ b/src/main/java/org/borageproxy/server/GatewayEntry.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 
@@ -38,7 +39,9 @@
 import org.borageproxy.quota.RateShares;
 import org.borageproxy.saturation.EntrySaturation;
 import org.borageproxy.settings.Endpoint;
+import org.borageproxy.vm.AvailabilityZone;
 import org.borageproxy.vm.VmName;
+import org.borageproxy.warmup.WarmUpRules;
 import org.borageproxy.wire.proto.ControlProtocol.DocumentState;
 import org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate;
 import org.borageproxy.wire.proto.CoordinationProtocol.ModelPace;
@@ -91,12 +94,7 @@
     GatewayEntry(GatewayRuntime runtime, ForwardMetrics metrics) {
         this.runtime = runtime;
         Random random = new Random();
-        pool = new ServerPool(
-                runtime.membership().registry(),
-                runtime.clock(),
-                runtime.settings().vm().zone(),
-                random,
-                () -> LOCAL_LIMIT_FRACTION / entryCount);
+        pool = createPool(random);
         speeds = new EntrySpeeds(runtime.clock());
         pool.setSpeeds(speeds);
         saturation = new EntrySaturation(runtime.clock());
@@ -109,7 +107,6 @@
                 this::createUsageReport,
                 this::applyUpdate);
         streamOrigins = new StreamOrigins(runtime.clock());
-        pool.onGone(runtime::suspectServer);
         pool.onUrgentDemand(coordination::requestUrgentReport);
         pool.statements().onChange(coordination::requestUrgentReport);
         pool.onLoadChange(coordination::requestUrgentReport);
@@ -149,6 +146,7 @@
                 buffers,
                 metrics);
         server = new ForwardServer(runtime.vertx(), context, () -> servedPublication, random);
+        runtime.spread().subscribeDrainedZones(zones -> runtime.eventLoop().execute(() -> applyDrains(zones)));
         runtime.spread().subscribeDocument(document -> runtime.eventLoop().execute(() -> applyDocument(document)));
     }
 
@@ -164,6 +162,31 @@
         return new BufferAccount(limits, runtime.clock());
     }
 
+    private ServerPool createPool(Random random) {
+        ServerPool created = new ServerPool(
+                runtime.membership().registry(),
+                runtime.clock(),
+                runtime.settings().vm().zone(),
+                random,
+                () -> LOCAL_LIMIT_FRACTION / entryCount);
+        created.onGone(runtime::suspectServer);
+        created.availability().restrict(runtime.zoneRules());
+        created.statements()
+                .limitColdServers(
+                        service -> servedPublication
+                                .map(current -> current.publication().warmUp(service))
+                                .orElse(WarmUpRules.NONE),
+                        runtime.settings().bounds().warmUpShares().entriesFactor(),
+                        () -> 1.0 / Math.max(entryCount, registeredEntryCount()),
+                        System::currentTimeMillis);
+        return created;
+    }
+
+    /** Entries that do not report to the coordinator now may be cut off and send nevertheless. */
+    private int registeredEntryCount() {
+        return runtime.spread().registeredDataPlaneVms().size();
+    }
+
     private SlotClient createSlotClient() {
         return new SlotClient(
                 runtime.network(),
@@ -175,6 +198,7 @@
 
     private ServerRelay createRelay(ServerLinks links) {
         ServerRelay created = new ServerRelay(runtime.membership().registry(), links, () -> isStopping);
+        created.restrict(runtime.zoneRules());
         runtime.network().acceptStreams(created);
         RefusalNotices.exchange(
                 runtime.network(),
@@ -191,6 +215,11 @@
         return new ServerLinks(runtime.eventLoop(), runtime.clock(), environment);
     }
 
+    private void applyDrains(Set<AvailabilityZone> zones) {
+        LOGGER.info("event=zone-drains-obeyed zones={}", zones);
+        pool.retryQueued();
+    }
+
     private void applyDocument(DocumentState document) {
         boolean isNewer = servedPublication
                 .map(current -> current.publication().number() < document.getNumber())
--- a/src/main/java/org/borageproxy/wire/proto/ControlProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/ControlProtocol.java
@@ -2022,6 +2022,36 @@
      */
     org.borageproxy.wire.proto.ControlProtocol.RecordStreamsOrBuilder getRecordStreamsOrBuilder();
 
+    /**
+     * <code>.borageproxy.control.ZoneOrder drain_zone = 20;</code>
+     * @return Whether the drainZone field is set.
+     */
+    boolean hasDrainZone();
+    /**
+     * <code>.borageproxy.control.ZoneOrder drain_zone = 20;</code>
+     * @return The drainZone.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ZoneOrder getDrainZone();
+    /**
+     * <code>.borageproxy.control.ZoneOrder drain_zone = 20;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ZoneOrderOrBuilder getDrainZoneOrBuilder();
+
+    /**
+     * <code>.borageproxy.control.ZoneOrder return_zone = 21;</code>
+     * @return Whether the returnZone field is set.
+     */
+    boolean hasReturnZone();
+    /**
+     * <code>.borageproxy.control.ZoneOrder return_zone = 21;</code>
+     * @return The returnZone.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ZoneOrder getReturnZone();
+    /**
+     * <code>.borageproxy.control.ZoneOrder return_zone = 21;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ZoneOrderOrBuilder getReturnZoneOrBuilder();
+
     org.borageproxy.wire.proto.ControlProtocol.Command.BodyCase getBodyCase();
   }
   /**
@@ -2096,6 +2126,8 @@
       REMOVE_VM(18),
       PUBLISH_DOCUMENT(19),
       RECORD_STREAMS(30),
+      DRAIN_ZONE(20),
+      RETURN_ZONE(21),
       BODY_NOT_SET(0);
       private final int value;
       private BodyCase(int value) {
@@ -2132,6 +2164,8 @@
           case 18: return REMOVE_VM;
           case 19: return PUBLISH_DOCUMENT;
           case 30: return RECORD_STREAMS;
+          case 20: return DRAIN_ZONE;
+          case 21: return RETURN_ZONE;
           case 0: return BODY_NOT_SET;
           default: return null;
         }
@@ -2775,6 +2809,68 @@
       return org.borageproxy.wire.proto.ControlProtocol.RecordStreams.getDefaultInstance();
     }
 
+    public static final int DRAIN_ZONE_FIELD_NUMBER = 20;
+    /**
+     * <code>.borageproxy.control.ZoneOrder drain_zone = 20;</code>
+     * @return Whether the drainZone field is set.
+     */
+    @java.lang.Override
+    public boolean hasDrainZone() {
+      return bodyCase_ == 20;
+    }
+    /**
+     * <code>.borageproxy.control.ZoneOrder drain_zone = 20;</code>
+     * @return The drainZone.
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.ZoneOrder getDrainZone() {
+      if (bodyCase_ == 20) {
+         return (org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) body_;
+      }
+      return org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.getDefaultInstance();
+    }
+    /**
+     * <code>.borageproxy.control.ZoneOrder drain_zone = 20;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.ZoneOrderOrBuilder getDrainZoneOrBuilder() {
+      if (bodyCase_ == 20) {
+         return (org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) body_;
+      }
+      return org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.getDefaultInstance();
+    }
+
+    public static final int RETURN_ZONE_FIELD_NUMBER = 21;
+    /**
+     * <code>.borageproxy.control.ZoneOrder return_zone = 21;</code>
+     * @return Whether the returnZone field is set.
+     */
+    @java.lang.Override
+    public boolean hasReturnZone() {
+      return bodyCase_ == 21;
+    }
+    /**
+     * <code>.borageproxy.control.ZoneOrder return_zone = 21;</code>
+     * @return The returnZone.
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.ZoneOrder getReturnZone() {
+      if (bodyCase_ == 21) {
+         return (org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) body_;
+      }
+      return org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.getDefaultInstance();
+    }
+    /**
+     * <code>.borageproxy.control.ZoneOrder return_zone = 21;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.ZoneOrderOrBuilder getReturnZoneOrBuilder() {
+      if (bodyCase_ == 21) {
+         return (org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) body_;
+      }
+      return org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -2846,6 +2942,12 @@
       if (bodyCase_ == 19) {
         output.writeMessage(19, (org.borageproxy.wire.proto.ControlProtocol.PublishDocument) body_);
       }
+      if (bodyCase_ == 20) {
+        output.writeMessage(20, (org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) body_);
+      }
+      if (bodyCase_ == 21) {
+        output.writeMessage(21, (org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) body_);
+      }
       if (bodyCase_ == 30) {
         output.writeMessage(30, (org.borageproxy.wire.proto.ControlProtocol.RecordStreams) body_);
       }
@@ -2933,6 +3035,14 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(19, (org.borageproxy.wire.proto.ControlProtocol.PublishDocument) body_);
       }
+      if (bodyCase_ == 20) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(20, (org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) body_);
+      }
+      if (bodyCase_ == 21) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(21, (org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) body_);
+      }
       if (bodyCase_ == 30) {
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(30, (org.borageproxy.wire.proto.ControlProtocol.RecordStreams) body_);
@@ -3032,6 +3142,14 @@
           if (!getRecordStreams()
               .equals(other.getRecordStreams())) return false;
           break;
+        case 20:
+          if (!getDrainZone()
+              .equals(other.getDrainZone())) return false;
+          break;
+        case 21:
+          if (!getReturnZone()
+              .equals(other.getReturnZone())) return false;
+          break;
         case 0:
         default:
       }
@@ -3125,6 +3243,14 @@
           hash = (37 * hash) + RECORD_STREAMS_FIELD_NUMBER;
           hash = (53 * hash) + getRecordStreams().hashCode();
           break;
+        case 20:
+          hash = (37 * hash) + DRAIN_ZONE_FIELD_NUMBER;
+          hash = (53 * hash) + getDrainZone().hashCode();
+          break;
+        case 21:
+          hash = (37 * hash) + RETURN_ZONE_FIELD_NUMBER;
+          hash = (53 * hash) + getReturnZone().hashCode();
+          break;
         case 0:
         default:
       }
@@ -3321,6 +3447,12 @@
         if (recordStreamsBuilder_ != null) {
           recordStreamsBuilder_.clear();
         }
+        if (drainZoneBuilder_ != null) {
+          drainZoneBuilder_.clear();
+        }
+        if (returnZoneBuilder_ != null) {
+          returnZoneBuilder_.clear();
+        }
         bodyCase_ = 0;
         body_ = null;
         return this;
@@ -3441,6 +3573,14 @@
             recordStreamsBuilder_ != null) {
           result.body_ = recordStreamsBuilder_.build();
         }
+        if (bodyCase_ == 20 &&
+            drainZoneBuilder_ != null) {
+          result.body_ = drainZoneBuilder_.build();
+        }
+        if (bodyCase_ == 21 &&
+            returnZoneBuilder_ != null) {
+          result.body_ = returnZoneBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -3537,6 +3677,14 @@
             mergeRecordStreams(other.getRecordStreams());
             break;
           }
+          case DRAIN_ZONE: {
+            mergeDrainZone(other.getDrainZone());
+            break;
+          }
+          case RETURN_ZONE: {
+            mergeReturnZone(other.getReturnZone());
+            break;
+          }
           case BODY_NOT_SET: {
             break;
           }
@@ -3698,6 +3846,20 @@
                 bodyCase_ = 19;
                 break;
               } // case 154
+              case 162: {
+                input.readMessage(
+                    internalGetDrainZoneFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 20;
+                break;
+              } // case 162
+              case 170: {
+                input.readMessage(
+                    internalGetReturnZoneFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 21;
+                break;
+              } // case 170
               case 242: {
                 input.readMessage(
                     internalGetRecordStreamsFieldBuilder().getBuilder(),
@@ -6507,6 +6669,290 @@
         return recordStreamsBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.ZoneOrder, org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.Builder, org.borageproxy.wire.proto.ControlProtocol.ZoneOrderOrBuilder> drainZoneBuilder_;
+      /**
+       * <code>.borageproxy.control.ZoneOrder drain_zone = 20;</code>
+       * @return Whether the drainZone field is set.
+       */
+      @java.lang.Override
+      public boolean hasDrainZone() {
+        return bodyCase_ == 20;
+      }
+      /**
+       * <code>.borageproxy.control.ZoneOrder drain_zone = 20;</code>
+       * @return The drainZone.
+       */
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ZoneOrder getDrainZone() {
+        if (drainZoneBuilder_ == null) {
+          if (bodyCase_ == 20) {
+            return (org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 20) {
+            return drainZoneBuilder_.getMessage();
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.borageproxy.control.ZoneOrder drain_zone = 20;</code>
+       */
+      public Builder setDrainZone(org.borageproxy.wire.proto.ControlProtocol.ZoneOrder value) {
+        if (drainZoneBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          body_ = value;
+          onChanged();
+        } else {
+          drainZoneBuilder_.setMessage(value);
+        }
+        bodyCase_ = 20;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.ZoneOrder drain_zone = 20;</code>
+       */
+      public Builder setDrainZone(
+          org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.Builder builderForValue) {
+        if (drainZoneBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          drainZoneBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 20;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.ZoneOrder drain_zone = 20;</code>
+       */
+      public Builder mergeDrainZone(org.borageproxy.wire.proto.ControlProtocol.ZoneOrder value) {
+        if (drainZoneBuilder_ == null) {
+          if (bodyCase_ == 20 &&
+              body_ != org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.getDefaultInstance()) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.newBuilder((org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 20) {
+            drainZoneBuilder_.mergeFrom(value);
+          } else {
+            drainZoneBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 20;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.ZoneOrder drain_zone = 20;</code>
+       */
+      public Builder clearDrainZone() {
+        if (drainZoneBuilder_ == null) {
+          if (bodyCase_ == 20) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 20) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          drainZoneBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.ZoneOrder drain_zone = 20;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.Builder getDrainZoneBuilder() {
+        return internalGetDrainZoneFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.borageproxy.control.ZoneOrder drain_zone = 20;</code>
+       */
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ZoneOrderOrBuilder getDrainZoneOrBuilder() {
+        if ((bodyCase_ == 20) && (drainZoneBuilder_ != null)) {
+          return drainZoneBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 20) {
+            return (org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.borageproxy.control.ZoneOrder drain_zone = 20;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.ZoneOrder, org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.Builder, org.borageproxy.wire.proto.ControlProtocol.ZoneOrderOrBuilder> 
+          internalGetDrainZoneFieldBuilder() {
+        if (drainZoneBuilder_ == null) {
+          if (!(bodyCase_ == 20)) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.getDefaultInstance();
+          }
+          drainZoneBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.ZoneOrder, org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.Builder, org.borageproxy.wire.proto.ControlProtocol.ZoneOrderOrBuilder>(
+                  (org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 20;
+        onChanged();
+        return drainZoneBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.ZoneOrder, org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.Builder, org.borageproxy.wire.proto.ControlProtocol.ZoneOrderOrBuilder> returnZoneBuilder_;
+      /**
+       * <code>.borageproxy.control.ZoneOrder return_zone = 21;</code>
+       * @return Whether the returnZone field is set.
+       */
+      @java.lang.Override
+      public boolean hasReturnZone() {
+        return bodyCase_ == 21;
+      }
+      /**
+       * <code>.borageproxy.control.ZoneOrder return_zone = 21;</code>
+       * @return The returnZone.
+       */
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ZoneOrder getReturnZone() {
+        if (returnZoneBuilder_ == null) {
+          if (bodyCase_ == 21) {
+            return (org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 21) {
+            return returnZoneBuilder_.getMessage();
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.borageproxy.control.ZoneOrder return_zone = 21;</code>
+       */
+      public Builder setReturnZone(org.borageproxy.wire.proto.ControlProtocol.ZoneOrder value) {
+        if (returnZoneBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          body_ = value;
+          onChanged();
+        } else {
+          returnZoneBuilder_.setMessage(value);
+        }
+        bodyCase_ = 21;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.ZoneOrder return_zone = 21;</code>
+       */
+      public Builder setReturnZone(
+          org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.Builder builderForValue) {
+        if (returnZoneBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          returnZoneBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 21;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.ZoneOrder return_zone = 21;</code>
+       */
+      public Builder mergeReturnZone(org.borageproxy.wire.proto.ControlProtocol.ZoneOrder value) {
+        if (returnZoneBuilder_ == null) {
+          if (bodyCase_ == 21 &&
+              body_ != org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.getDefaultInstance()) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.newBuilder((org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 21) {
+            returnZoneBuilder_.mergeFrom(value);
+          } else {
+            returnZoneBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 21;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.ZoneOrder return_zone = 21;</code>
+       */
+      public Builder clearReturnZone() {
+        if (returnZoneBuilder_ == null) {
+          if (bodyCase_ == 21) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 21) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          returnZoneBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.ZoneOrder return_zone = 21;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.Builder getReturnZoneBuilder() {
+        return internalGetReturnZoneFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.borageproxy.control.ZoneOrder return_zone = 21;</code>
+       */
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ZoneOrderOrBuilder getReturnZoneOrBuilder() {
+        if ((bodyCase_ == 21) && (returnZoneBuilder_ != null)) {
+          return returnZoneBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 21) {
+            return (org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.borageproxy.control.ZoneOrder return_zone = 21;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.ZoneOrder, org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.Builder, org.borageproxy.wire.proto.ControlProtocol.ZoneOrderOrBuilder> 
+          internalGetReturnZoneFieldBuilder() {
+        if (returnZoneBuilder_ == null) {
+          if (!(bodyCase_ == 21)) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.getDefaultInstance();
+          }
+          returnZoneBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.ZoneOrder, org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.Builder, org.borageproxy.wire.proto.ControlProtocol.ZoneOrderOrBuilder>(
+                  (org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 21;
+        onChanged();
+        return returnZoneBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.control.Command)
     }
 
@@ -23981,6 +24427,16 @@
      * @return The control.
      */
     boolean getControl();
+
+    /**
+     * <pre>
+     * Whether the VM obeys zone drains.
+     * </pre>
+     *
+     * <code>bool obeys_drains = 6;</code>
+     * @return The obeysDrains.
+     */
+    boolean getObeysDrains();
   }
   /**
    * Protobuf type {@code borageproxy.control.VmRecord}
@@ -24170,6 +24626,21 @@
       return control_;
     }
 
+    public static final int OBEYS_DRAINS_FIELD_NUMBER = 6;
+    private boolean obeysDrains_ = false;
+    /**
+     * <pre>
+     * Whether the VM obeys zone drains.
+     * </pre>
+     *
+     * <code>bool obeys_drains = 6;</code>
+     * @return The obeysDrains.
+     */
+    @java.lang.Override
+    public boolean getObeysDrains() {
+      return obeysDrains_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -24199,6 +24670,9 @@
       if (control_ != false) {
         output.writeBool(5, control_);
       }
+      if (obeysDrains_ != false) {
+        output.writeBool(6, obeysDrains_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -24225,6 +24699,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeBoolSize(5, control_);
       }
+      if (obeysDrains_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(6, obeysDrains_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -24250,6 +24728,8 @@
           != other.getPort()) return false;
       if (getControl()
           != other.getControl()) return false;
+      if (getObeysDrains()
+          != other.getObeysDrains()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -24272,6 +24752,9 @@
       hash = (37 * hash) + CONTROL_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
           getControl());
+      hash = (37 * hash) + OBEYS_DRAINS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getObeysDrains());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -24408,6 +24891,7 @@
         host_ = "";
         port_ = 0;
         control_ = false;
+        obeysDrains_ = false;
         return this;
       }
 
@@ -24456,6 +24940,9 @@
         if (((from_bitField0_ & 0x00000010) != 0)) {
           result.control_ = control_;
         }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.obeysDrains_ = obeysDrains_;
+        }
       }
 
       @java.lang.Override
@@ -24491,6 +24978,9 @@
         if (other.getControl() != false) {
           setControl(other.getControl());
         }
+        if (other.getObeysDrains() != false) {
+          setObeysDrains(other.getObeysDrains());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -24542,6 +25032,11 @@
                 bitField0_ |= 0x00000010;
                 break;
               } // case 40
+              case 48: {
+                obeysDrains_ = input.readBool();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 48
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -24851,6 +25346,50 @@
         return this;
       }
 
+      private boolean obeysDrains_ ;
+      /**
+       * <pre>
+       * Whether the VM obeys zone drains.
+       * </pre>
+       *
+       * <code>bool obeys_drains = 6;</code>
+       * @return The obeysDrains.
+       */
+      @java.lang.Override
+      public boolean getObeysDrains() {
+        return obeysDrains_;
+      }
+      /**
+       * <pre>
+       * Whether the VM obeys zone drains.
+       * </pre>
+       *
+       * <code>bool obeys_drains = 6;</code>
+       * @param value The obeysDrains to set.
+       * @return This builder for chaining.
+       */
+      public Builder setObeysDrains(boolean value) {
+
+        obeysDrains_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether the VM obeys zone drains.
+       * </pre>
+       *
+       * <code>bool obeys_drains = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearObeysDrains() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        obeysDrains_ = false;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.control.VmRecord)
     }
 
@@ -56102,17 +56641,735 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(vm_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 1, vm_);
-      }
-      if (revision_ != 0L) {
-        output.writeUInt64(2, revision_);
-      }
-      if (ageMillis_ != 0L) {
-        output.writeUInt64(3, ageMillis_);
-      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(vm_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, vm_);
+      }
+      if (revision_ != 0L) {
+        output.writeUInt64(2, revision_);
+      }
+      if (ageMillis_ != 0L) {
+        output.writeUInt64(3, ageMillis_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(zone_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 4, zone_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(vm_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, vm_);
+      }
+      if (revision_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, revision_);
+      }
+      if (ageMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, ageMillis_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(zone_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(4, zone_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.Served)) {
+        return super.equals(obj);
+      }
+      org.borageproxy.wire.proto.ControlProtocol.Served other = (org.borageproxy.wire.proto.ControlProtocol.Served) obj;
+
+      if (!getVm()
+          .equals(other.getVm())) return false;
+      if (getRevision()
+          != other.getRevision()) return false;
+      if (getAgeMillis()
+          != other.getAgeMillis()) return false;
+      if (!getZone()
+          .equals(other.getZone())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + VM_FIELD_NUMBER;
+      hash = (53 * hash) + getVm().hashCode();
+      hash = (37 * hash) + REVISION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRevision());
+      hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getAgeMillis());
+      hash = (37 * hash) + ZONE_FIELD_NUMBER;
+      hash = (53 * hash) + getZone().hashCode();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.Served parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.Served parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.Served prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code borageproxy.control.Served}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:borageproxy.control.Served)
+        org.borageproxy.wire.proto.ControlProtocol.ServedOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Served_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Served_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.borageproxy.wire.proto.ControlProtocol.Served.class, org.borageproxy.wire.proto.ControlProtocol.Served.Builder.class);
+      }
+
+      // Construct using org.borageproxy.wire.proto.ControlProtocol.Served.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        vm_ = "";
+        revision_ = 0L;
+        ageMillis_ = 0L;
+        zone_ = "";
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Served_descriptor;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.Served getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.Served.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.Served build() {
+        org.borageproxy.wire.proto.ControlProtocol.Served result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.Served buildPartial() {
+        org.borageproxy.wire.proto.ControlProtocol.Served result = new org.borageproxy.wire.proto.ControlProtocol.Served(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.Served result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.vm_ = vm_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.revision_ = revision_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.ageMillis_ = ageMillis_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.zone_ = zone_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.Served) {
+          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.Served)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.Served other) {
+        if (other == org.borageproxy.wire.proto.ControlProtocol.Served.getDefaultInstance()) return this;
+        if (!other.getVm().isEmpty()) {
+          vm_ = other.vm_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getRevision() != 0L) {
+          setRevision(other.getRevision());
+        }
+        if (other.getAgeMillis() != 0L) {
+          setAgeMillis(other.getAgeMillis());
+        }
+        if (!other.getZone().isEmpty()) {
+          zone_ = other.zone_;
+          bitField0_ |= 0x00000008;
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                vm_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                revision_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                ageMillis_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 34: {
+                zone_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 34
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object vm_ = "";
+      /**
+       * <code>string vm = 1;</code>
+       * @return The vm.
+       */
+      public java.lang.String getVm() {
+        java.lang.Object ref = vm_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          vm_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string vm = 1;</code>
+       * @return The bytes for vm.
+       */
+      public com.google.protobuf.ByteString
+          getVmBytes() {
+        java.lang.Object ref = vm_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          vm_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string vm = 1;</code>
+       * @param value The vm to set.
+       * @return This builder for chaining.
+       */
+      public Builder setVm(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        vm_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string vm = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearVm() {
+        vm_ = getDefaultInstance().getVm();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string vm = 1;</code>
+       * @param value The bytes for vm to set.
+       * @return This builder for chaining.
+       */
+      public Builder setVmBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        vm_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long revision_ ;
+      /**
+       * <code>uint64 revision = 2;</code>
+       * @return The revision.
+       */
+      @java.lang.Override
+      public long getRevision() {
+        return revision_;
+      }
+      /**
+       * <code>uint64 revision = 2;</code>
+       * @param value The revision to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRevision(long value) {
+
+        revision_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 revision = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRevision() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        revision_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long ageMillis_ ;
+      /**
+       * <code>uint64 age_millis = 3;</code>
+       * @return The ageMillis.
+       */
+      @java.lang.Override
+      public long getAgeMillis() {
+        return ageMillis_;
+      }
+      /**
+       * <code>uint64 age_millis = 3;</code>
+       * @param value The ageMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAgeMillis(long value) {
+
+        ageMillis_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 age_millis = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAgeMillis() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        ageMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object zone_ = "";
+      /**
+       * <code>string zone = 4;</code>
+       * @return The zone.
+       */
+      public java.lang.String getZone() {
+        java.lang.Object ref = zone_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          zone_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string zone = 4;</code>
+       * @return The bytes for zone.
+       */
+      public com.google.protobuf.ByteString
+          getZoneBytes() {
+        java.lang.Object ref = zone_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          zone_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string zone = 4;</code>
+       * @param value The zone to set.
+       * @return This builder for chaining.
+       */
+      public Builder setZone(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        zone_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string zone = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearZone() {
+        zone_ = getDefaultInstance().getZone();
+        bitField0_ = (bitField0_ & ~0x00000008);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string zone = 4;</code>
+       * @param value The bytes for zone to set.
+       * @return This builder for chaining.
+       */
+      public Builder setZoneBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        zone_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:borageproxy.control.Served)
+    }
+
+    // @@protoc_insertion_point(class_scope:borageproxy.control.Served)
+    private static final org.borageproxy.wire.proto.ControlProtocol.Served DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.Served();
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.Served getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Served>
+        PARSER = new com.google.protobuf.AbstractParser<Served>() {
+      @java.lang.Override
+      public Served parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Served> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Served> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.Served getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface ZoneOrderOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.control.ZoneOrder)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string zone = 1;</code>
+     * @return The zone.
+     */
+    java.lang.String getZone();
+    /**
+     * <code>string zone = 1;</code>
+     * @return The bytes for zone.
+     */
+    com.google.protobuf.ByteString
+        getZoneBytes();
+  }
+  /**
+   * <pre>
+   * An operator's order that no requests be sent to the backend servers of a zone, or that they be sent again.
+   * </pre>
+   *
+   * Protobuf type {@code borageproxy.control.ZoneOrder}
+   */
+  public static final class ZoneOrder extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:borageproxy.control.ZoneOrder)
+      ZoneOrderOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "ZoneOrder");
+    }
+    // Use ZoneOrder.newBuilder() to construct.
+    private ZoneOrder(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private ZoneOrder() {
+      zone_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ZoneOrder_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ZoneOrder_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ZoneOrder_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.class, org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.Builder.class);
+    }
+
+    public static final int ZONE_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object zone_ = "";
+    /**
+     * <code>string zone = 1;</code>
+     * @return The zone.
+     */
+    @java.lang.Override
+    public java.lang.String getZone() {
+      java.lang.Object ref = zone_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        zone_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string zone = 1;</code>
+     * @return The bytes for zone.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getZoneBytes() {
+      java.lang.Object ref = zone_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        zone_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(zone_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 4, zone_);
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, zone_);
       }
       getUnknownFields().writeTo(output);
     }
@@ -56123,19 +57380,8 @@
       if (size != -1) return size;
 
       size = 0;
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(vm_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, vm_);
-      }
-      if (revision_ != 0L) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(2, revision_);
-      }
-      if (ageMillis_ != 0L) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(3, ageMillis_);
-      }
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(zone_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(4, zone_);
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, zone_);
       }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
@@ -56147,17 +57393,11 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.Served)) {
+      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.ZoneOrder)) {
         return super.equals(obj);
       }
-      org.borageproxy.wire.proto.ControlProtocol.Served other = (org.borageproxy.wire.proto.ControlProtocol.Served) obj;
+      org.borageproxy.wire.proto.ControlProtocol.ZoneOrder other = (org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) obj;
 
-      if (!getVm()
-          .equals(other.getVm())) return false;
-      if (getRevision()
-          != other.getRevision()) return false;
-      if (getAgeMillis()
-          != other.getAgeMillis()) return false;
       if (!getZone()
           .equals(other.getZone())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
@@ -56171,14 +57411,6 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + VM_FIELD_NUMBER;
-      hash = (53 * hash) + getVm().hashCode();
-      hash = (37 * hash) + REVISION_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getRevision());
-      hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getAgeMillis());
       hash = (37 * hash) + ZONE_FIELD_NUMBER;
       hash = (53 * hash) + getZone().hashCode();
       hash = (29 * hash) + getUnknownFields().hashCode();
@@ -56186,44 +57418,44 @@
       return hash;
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ZoneOrder parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ZoneOrder parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ZoneOrder parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ZoneOrder parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(byte[] data)
+    public static org.borageproxy.wire.proto.ControlProtocol.ZoneOrder parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ZoneOrder parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(java.io.InputStream input)
+    public static org.borageproxy.wire.proto.ControlProtocol.ZoneOrder parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ZoneOrder parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -56231,26 +57463,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.Served parseDelimitedFrom(java.io.InputStream input)
+    public static org.borageproxy.wire.proto.ControlProtocol.ZoneOrder parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.Served parseDelimitedFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ZoneOrder parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ZoneOrder parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.Served parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ZoneOrder parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -56263,7 +57495,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.Served prototype) {
+    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.ZoneOrder prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -56279,26 +57511,30 @@
       return builder;
     }
     /**
-     * Protobuf type {@code borageproxy.control.Served}
+     * <pre>
+     * An operator's order that no requests be sent to the backend servers of a zone, or that they be sent again.
+     * </pre>
+     *
+     * Protobuf type {@code borageproxy.control.ZoneOrder}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:borageproxy.control.Served)
-        org.borageproxy.wire.proto.ControlProtocol.ServedOrBuilder {
+        // @@protoc_insertion_point(builder_implements:borageproxy.control.ZoneOrder)
+        org.borageproxy.wire.proto.ControlProtocol.ZoneOrderOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Served_descriptor;
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ZoneOrder_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Served_fieldAccessorTable
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ZoneOrder_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                org.borageproxy.wire.proto.ControlProtocol.Served.class, org.borageproxy.wire.proto.ControlProtocol.Served.Builder.class);
+                org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.class, org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.Builder.class);
       }
 
-      // Construct using org.borageproxy.wire.proto.ControlProtocol.Served.newBuilder()
+      // Construct using org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.newBuilder()
       private Builder() {
 
       }
@@ -56312,9 +57548,6 @@
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        vm_ = "";
-        revision_ = 0L;
-        ageMillis_ = 0L;
         zone_ = "";
         return this;
       }
@@ -56322,17 +57555,17 @@
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Served_descriptor;
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ZoneOrder_descriptor;
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.Served getDefaultInstanceForType() {
-        return org.borageproxy.wire.proto.ControlProtocol.Served.getDefaultInstance();
+      public org.borageproxy.wire.proto.ControlProtocol.ZoneOrder getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.getDefaultInstance();
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.Served build() {
-        org.borageproxy.wire.proto.ControlProtocol.Served result = buildPartial();
+      public org.borageproxy.wire.proto.ControlProtocol.ZoneOrder build() {
+        org.borageproxy.wire.proto.ControlProtocol.ZoneOrder result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -56340,55 +57573,35 @@
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.Served buildPartial() {
-        org.borageproxy.wire.proto.ControlProtocol.Served result = new org.borageproxy.wire.proto.ControlProtocol.Served(this);
+      public org.borageproxy.wire.proto.ControlProtocol.ZoneOrder buildPartial() {
+        org.borageproxy.wire.proto.ControlProtocol.ZoneOrder result = new org.borageproxy.wire.proto.ControlProtocol.ZoneOrder(this);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.Served result) {
+      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.ZoneOrder result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.vm_ = vm_;
-        }
-        if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.revision_ = revision_;
-        }
-        if (((from_bitField0_ & 0x00000004) != 0)) {
-          result.ageMillis_ = ageMillis_;
-        }
-        if (((from_bitField0_ & 0x00000008) != 0)) {
           result.zone_ = zone_;
         }
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.Served) {
-          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.Served)other);
+        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.ZoneOrder) {
+          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.ZoneOrder)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.Served other) {
-        if (other == org.borageproxy.wire.proto.ControlProtocol.Served.getDefaultInstance()) return this;
-        if (!other.getVm().isEmpty()) {
-          vm_ = other.vm_;
-          bitField0_ |= 0x00000001;
-          onChanged();
-        }
-        if (other.getRevision() != 0L) {
-          setRevision(other.getRevision());
-        }
-        if (other.getAgeMillis() != 0L) {
-          setAgeMillis(other.getAgeMillis());
-        }
+      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.ZoneOrder other) {
+        if (other == org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.getDefaultInstance()) return this;
         if (!other.getZone().isEmpty()) {
           zone_ = other.zone_;
-          bitField0_ |= 0x00000008;
+          bitField0_ |= 0x00000001;
           onChanged();
         }
         this.mergeUnknownFields(other.getUnknownFields());
@@ -56418,25 +57631,10 @@
                 done = true;
                 break;
               case 10: {
-                vm_ = input.readStringRequireUtf8();
+                zone_ = input.readStringRequireUtf8();
                 bitField0_ |= 0x00000001;
                 break;
               } // case 10
-              case 16: {
-                revision_ = input.readUInt64();
-                bitField0_ |= 0x00000002;
-                break;
-              } // case 16
-              case 24: {
-                ageMillis_ = input.readUInt64();
-                bitField0_ |= 0x00000004;
-                break;
-              } // case 24
-              case 34: {
-                zone_ = input.readStringRequireUtf8();
-                bitField0_ |= 0x00000008;
-                break;
-              } // case 34
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -56454,145 +57652,9 @@
       }
       private int bitField0_;
 
-      private java.lang.Object vm_ = "";
-      /**
-       * <code>string vm = 1;</code>
-       * @return The vm.
-       */
-      public java.lang.String getVm() {
-        java.lang.Object ref = vm_;
-        if (!(ref instanceof java.lang.String)) {
-          com.google.protobuf.ByteString bs =
-              (com.google.protobuf.ByteString) ref;
-          java.lang.String s = bs.toStringUtf8();
-          vm_ = s;
-          return s;
-        } else {
-          return (java.lang.String) ref;
-        }
-      }
-      /**
-       * <code>string vm = 1;</code>
-       * @return The bytes for vm.
-       */
-      public com.google.protobuf.ByteString
-          getVmBytes() {
-        java.lang.Object ref = vm_;
-        if (ref instanceof String) {
-          com.google.protobuf.ByteString b = 
-              com.google.protobuf.ByteString.copyFromUtf8(
-                  (java.lang.String) ref);
-          vm_ = b;
-          return b;
-        } else {
-          return (com.google.protobuf.ByteString) ref;
-        }
-      }
-      /**
-       * <code>string vm = 1;</code>
-       * @param value The vm to set.
-       * @return This builder for chaining.
-       */
-      public Builder setVm(
-          java.lang.String value) {
-        if (value == null) { throw new NullPointerException(); }
-        vm_ = value;
-        bitField0_ |= 0x00000001;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>string vm = 1;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearVm() {
-        vm_ = getDefaultInstance().getVm();
-        bitField0_ = (bitField0_ & ~0x00000001);
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>string vm = 1;</code>
-       * @param value The bytes for vm to set.
-       * @return This builder for chaining.
-       */
-      public Builder setVmBytes(
-          com.google.protobuf.ByteString value) {
-        if (value == null) { throw new NullPointerException(); }
-        checkByteStringIsUtf8(value);
-        vm_ = value;
-        bitField0_ |= 0x00000001;
-        onChanged();
-        return this;
-      }
-
-      private long revision_ ;
-      /**
-       * <code>uint64 revision = 2;</code>
-       * @return The revision.
-       */
-      @java.lang.Override
-      public long getRevision() {
-        return revision_;
-      }
-      /**
-       * <code>uint64 revision = 2;</code>
-       * @param value The revision to set.
-       * @return This builder for chaining.
-       */
-      public Builder setRevision(long value) {
-
-        revision_ = value;
-        bitField0_ |= 0x00000002;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>uint64 revision = 2;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearRevision() {
-        bitField0_ = (bitField0_ & ~0x00000002);
-        revision_ = 0L;
-        onChanged();
-        return this;
-      }
-
-      private long ageMillis_ ;
-      /**
-       * <code>uint64 age_millis = 3;</code>
-       * @return The ageMillis.
-       */
-      @java.lang.Override
-      public long getAgeMillis() {
-        return ageMillis_;
-      }
-      /**
-       * <code>uint64 age_millis = 3;</code>
-       * @param value The ageMillis to set.
-       * @return This builder for chaining.
-       */
-      public Builder setAgeMillis(long value) {
-
-        ageMillis_ = value;
-        bitField0_ |= 0x00000004;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>uint64 age_millis = 3;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearAgeMillis() {
-        bitField0_ = (bitField0_ & ~0x00000004);
-        ageMillis_ = 0L;
-        onChanged();
-        return this;
-      }
-
       private java.lang.Object zone_ = "";
       /**
-       * <code>string zone = 4;</code>
+       * <code>string zone = 1;</code>
        * @return The zone.
        */
       public java.lang.String getZone() {
@@ -56608,7 +57670,7 @@
         }
       }
       /**
-       * <code>string zone = 4;</code>
+       * <code>string zone = 1;</code>
        * @return The bytes for zone.
        */
       public com.google.protobuf.ByteString
@@ -56625,7 +57687,7 @@
         }
       }
       /**
-       * <code>string zone = 4;</code>
+       * <code>string zone = 1;</code>
        * @param value The zone to set.
        * @return This builder for chaining.
        */
@@ -56633,22 +57695,22 @@
           java.lang.String value) {
         if (value == null) { throw new NullPointerException(); }
         zone_ = value;
-        bitField0_ |= 0x00000008;
+        bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
       /**
-       * <code>string zone = 4;</code>
+       * <code>string zone = 1;</code>
        * @return This builder for chaining.
        */
       public Builder clearZone() {
         zone_ = getDefaultInstance().getZone();
-        bitField0_ = (bitField0_ & ~0x00000008);
+        bitField0_ = (bitField0_ & ~0x00000001);
         onChanged();
         return this;
       }
       /**
-       * <code>string zone = 4;</code>
+       * <code>string zone = 1;</code>
        * @param value The bytes for zone to set.
        * @return This builder for chaining.
        */
@@ -56657,28 +57719,28 @@
         if (value == null) { throw new NullPointerException(); }
         checkByteStringIsUtf8(value);
         zone_ = value;
-        bitField0_ |= 0x00000008;
+        bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:borageproxy.control.Served)
+      // @@protoc_insertion_point(builder_scope:borageproxy.control.ZoneOrder)
     }
 
-    // @@protoc_insertion_point(class_scope:borageproxy.control.Served)
-    private static final org.borageproxy.wire.proto.ControlProtocol.Served DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:borageproxy.control.ZoneOrder)
+    private static final org.borageproxy.wire.proto.ControlProtocol.ZoneOrder DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.Served();
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.ZoneOrder();
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.Served getDefaultInstance() {
+    public static org.borageproxy.wire.proto.ControlProtocol.ZoneOrder getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<Served>
-        PARSER = new com.google.protobuf.AbstractParser<Served>() {
+    private static final com.google.protobuf.Parser<ZoneOrder>
+        PARSER = new com.google.protobuf.AbstractParser<ZoneOrder>() {
       @java.lang.Override
-      public Served parsePartialFrom(
+      public ZoneOrder parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -56697,17 +57759,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<Served> parser() {
+    public static com.google.protobuf.Parser<ZoneOrder> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<Served> getParserForType() {
+    public com.google.protobuf.Parser<ZoneOrder> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.Served getDefaultInstanceForType() {
+    public org.borageproxy.wire.proto.ControlProtocol.ZoneOrder getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -56998,6 +58060,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_borageproxy_control_Served_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_borageproxy_control_ZoneOrder_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_borageproxy_control_ZoneOrder_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -57013,7 +58080,7 @@
       "s\030\002 \001(\004\"p\n\rCommandAnswer\022+\n\005reply\030\001 \001(\0132" +
       "\032.borageproxy.control.ReplyH\000\022\024\n\nnot_lea" +
       "der\030\002 \001(\tH\000\022\021\n\007unknown\030\003 \001(\010H\000B\t\n\007outcom" +
-      "e\"\343\010\n\007Command\022\020\n\010identity\030\001 \001(\t\0224\n\napply" +
+      "e\"\320\t\n\007Command\022\020\n\010identity\030\001 \001(\t\0224\n\napply" +
       "_tree\030\002 \001(\0132\036.borageproxy.control.ApplyT" +
       "reeH\000\0221\n\010rollback\030\003 \001(\0132\035.borageproxy.co" +
       "ntrol.RollbackH\000\0224\n\ncreate_key\030\004 \001(\0132\036.b" +
@@ -57040,164 +58107,167 @@
       ".borageproxy.control.RemoveVmH\000\022@\n\020publi" +
       "sh_document\030\023 \001(\0132$.borageproxy.control." +
       "PublishDocumentH\000\022<\n\016record_streams\030\036 \001(" +
-      "\0132\".borageproxy.control.RecordStreamsH\000B" +
-      "\006\n\004body\"C\n\rRecordStreams\0222\n\007streams\030\001 \003(" +
-      "\0132!.borageproxy.control.StreamRecord\"e\n\014" +
-      "StreamRecord\022\017\n\007request\030\001 \001(\t\022\017\n\007service" +
-      "\030\002 \001(\t\022\030\n\020software_version\030\003 \001(\t\022\031\n\021expi" +
-      "res_at_millis\030\004 \001(\003\"s\n\tApplyTree\022\027\n\017chan" +
-      "ge_identity\030\001 \001(\t\022\025\n\rbase_revision\030\002 \001(\004" +
-      "\022\020\n\010document\030\003 \001(\t\022\020\n\010operator\030\004 \001(\t\022\022\n\n" +
-      "only_known\030\005 \001(\010\"a\n\010Rollback\022\027\n\017change_i" +
-      "dentity\030\001 \001(\t\022\025\n\rbase_revision\030\002 \001(\004\022\023\n\013" +
-      "to_revision\030\003 \001(\004\022\020\n\010operator\030\004 \001(\t\"o\n\tC" +
-      "reateKey\022\027\n\017change_identity\030\001 \001(\t\022\024\n\014key" +
-      "_identity\030\002 \001(\t\022\016\n\006digest\030\003 \001(\t\022\021\n\tworks" +
-      "pace\030\004 \001(\t\022\020\n\010operator\030\005 \001(\t\"#\n\013Withdraw" +
-      "Key\022\024\n\014key_identity\030\001 \001(\t\"\203\001\n\005Claim\022\021\n\tw" +
-      "orkspace\030\001 \001(\t\022\027\n\017idempotency_key\030\002 \001(\t\022" +
-      "\016\n\006digest\030\003 \001(\t\022\031\n\021created_at_millis\030\004 \001" +
-      "(\003\022\016\n\006holder\030\005 \001(\t\022\023\n\013hold_millis\030\006 \001(\003\"" +
-      "w\n\rCompleteClaim\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017i" +
-      "dempotency_key\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\022+\n\006a" +
-      "nswer\030\004 \001(\0132\033.borageproxy.control.Answer" +
-      "\"E\n\010EndClaim\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017idemp" +
-      "otency_key\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\"<\n\006Answe" +
-      "r\022\016\n\006status\030\001 \001(\005\022\024\n\014content_type\030\002 \001(\t\022" +
-      "\014\n\004body\030\003 \001(\014\"V\n\014AcquireLease\022\014\n\004duty\030\001 " +
-      "\001(\t\022\016\n\006holder\030\002 \001(\t\022\017\n\007session\030\003 \001(\t\022\027\n\017" +
-      "expired_renewal\030\004 \001(\004\"U\n\014ReleaseLease\022\014\n" +
-      "\004duty\030\001 \001(\t\022\017\n\007session\030\002 \001(\t\022\r\n\005epoch\030\003 " +
-      "\001(\003\022\027\n\017expired_renewal\030\004 \001(\004\"\276\001\n\014IntentR" +
-      "ecord\022\016\n\006number\030\001 \001(\003\022\r\n\005epoch\030\002 \001(\003\022\016\n\006" +
-      "server\030\003 \001(\t\022\023\n\013incarnation\030\004 \001(\003\022\023\n\013acc" +
-      "elerator\030\005 \001(\t\022\016\n\006action\030\006 \001(\005\022\r\n\005model\030" +
-      "\007 \001(\t\022\017\n\007version\030\010 \001(\t\022\017\n\007adapter\030\t \001(\t\022" +
-      "\024\n\014memory_bytes\030\n \001(\003\"A\n\014RecordIntent\0221\n" +
-      "\006intent\030\001 \001(\0132!.borageproxy.control.Inte" +
-      "ntRecord\"0\n\016ResolveIntents\022\r\n\005epoch\030\001 \001(" +
-      "\003\022\017\n\007numbers\030\002 \003(\003\"\r\n\013ReadIntents\"\207\001\n\013Re" +
-      "portCrash\022\023\n\013fingerprint\030\001 \001(\t\022\016\n\006server" +
-      "\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\003\022\r\n\005alone\030\004 \001" +
-      "(\010\022/\n\005parts\030\005 \003(\0132 .borageproxy.control." +
-      "SuspectPart\"4\n\013SuspectPart\022\023\n\013fingerprin" +
-      "t\030\001 \001(\t\022\020\n\010untested\030\002 \001(\010\"!\n\nClearCrash\022" +
-      "\023\n\013fingerprint\030\001 \001(\t\"7\n\nRegisterVm\022)\n\002vm" +
-      "\030\001 \001(\0132\035.borageproxy.control.VmRecord\"\030\n" +
-      "\010RemoveVm\022\014\n\004name\030\001 \001(\t\"2\n\017PublishDocume" +
-      "nt\022\016\n\006number\030\001 \001(\004\022\017\n\007content\030\002 \001(\014\"S\n\010V" +
-      "mRecord\022\014\n\004name\030\001 \001(\t\022\014\n\004zone\030\002 \001(\t\022\014\n\004h" +
-      "ost\030\003 \001(\t\022\014\n\004port\030\004 \001(\005\022\017\n\007control\030\005 \001(\010" +
-      "\"\301\005\n\005Reply\0221\n\010accepted\030\001 \001(\0132\035.boragepro" +
-      "xy.control.AcceptedH\000\022>\n\017change_conflict" +
-      "\030\002 \001(\0132#.borageproxy.control.ChangeConfl" +
-      "ictH\000\022B\n\021identity_conflict\030\003 \001(\0132%.borag" +
-      "eproxy.control.IdentityConflictH\000\022/\n\007mis" +
-      "sing\030\004 \001(\0132\034.borageproxy.control.Missing" +
-      "H\000\0220\n\005claim\030\005 \001(\0132\037.borageproxy.control." +
-      "ClaimReplyH\000\0220\n\005lease\030\006 \001(\0132\037.borageprox" +
-      "y.control.LeaseReplyH\000\0223\n\006intent\030\007 \001(\0132!" +
-      ".borageproxy.control.IntentRecordH\000\022-\n\006f" +
-      "enced\030\010 \001(\0132\033.borageproxy.control.Fenced" +
-      "H\000\022/\n\007intents\030\t \001(\0132\034.borageproxy.contro" +
-      "l.IntentsH\000\0220\n\005crash\030\n \001(\0132\037.borageproxy" +
-      ".control.CrashReplyH\000\022)\n\004done\030\013 \001(\0132\031.bo" +
-      "rageproxy.control.DoneH\000\0226\n\013key_created\030" +
-      "\014 \001(\0132\037.borageproxy.control.KeyCreatedH\000" +
-      "\022:\n\rdocument_held\030\r \001(\0132!.borageproxy.co" +
-      "ntrol.DocumentHeldH\000B\006\n\004body\"\034\n\010Accepted" +
-      "\022\020\n\010revision\030\001 \001(\004\":\n\016ChangeConflict\022\030\n\020" +
-      "current_revision\030\001 \001(\004\022\016\n\006holder\030\002 \001(\t\"4" +
-      "\n\020IdentityConflict\022\016\n\006holder\030\001 \001(\t\022\020\n\010re" +
-      "vision\030\002 \001(\004\"\036\n\014DocumentHeld\022\016\n\006number\030\001" +
-      " \001(\004\"\t\n\007Missing\"\006\n\004Done\"\037\n\006Fenced\022\025\n\rcur" +
-      "rent_epoch\030\001 \001(\003\"J\n\nKeyCreated\022\020\n\010revisi" +
-      "on\030\001 \001(\004\022*\n\003key\030\002 \001(\0132\035.borageproxy.cont" +
-      "rol.KeyState\"\351\001\n\nClaimReply\022:\n\010decision\030" +
-      "\001 \001(\0162(.borageproxy.control.ClaimReply.D" +
-      "ecision\022\r\n\005epoch\030\002 \001(\003\022+\n\006answer\030\003 \001(\0132\033" +
-      ".borageproxy.control.Answer\"c\n\010Decision\022" +
-      "\013\n\007GRANTED\020\000\022\014\n\010ANSWERED\020\001\022\017\n\013IN_PROGRES" +
-      "S\020\002\022\020\n\014MAY_HAVE_RUN\020\003\022\014\n\010CONFLICT\020\004\022\013\n\007T" +
-      "OO_OLD\020\005\"<\n\nLeaseReply\022\017\n\007granted\030\001 \001(\010\022" +
-      "\016\n\006holder\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\"=\n\007Intent" +
-      "s\0222\n\007intents\030\001 \003(\0132!.borageproxy.control" +
-      ".IntentRecord\"\037\n\nCrashReply\022\021\n\tsuspicion" +
-      "\030\001 \001(\005\"R\n\010KeyState\022\020\n\010identity\030\001 \001(\t\022\016\n\006" +
-      "digest\030\002 \001(\t\022\021\n\tworkspace\030\003 \001(\t\022\021\n\twithd" +
-      "rawn\030\004 \001(\010\"v\n\tTreeState\022\020\n\010revision\030\001 \001(" +
-      "\004\022\020\n\010document\030\002 \001(\t\022\027\n\017change_identity\030\003" +
-      " \001(\t\022\020\n\010operator\030\004 \001(\t\022\032\n\022accepted_at_mi" +
-      "llis\030\005 \001(\003\"i\n\nLeaseState\022\014\n\004duty\030\001 \001(\t\022\016" +
-      "\n\006holder\030\002 \001(\t\022\017\n\007session\030\003 \001(\t\022\r\n\005epoch" +
-      "\030\004 \001(\003\022\017\n\007renewal\030\005 \001(\004\022\014\n\004free\030\006 \001(\010\"\304\002" +
-      "\n\nClaimState\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017idemp" +
-      "otency_key\030\002 \001(\t\022\016\n\006digest\030\003 \001(\t\022\016\n\006hold" +
-      "er\030\004 \001(\t\022\r\n\005epoch\030\005 \001(\003\0224\n\005phase\030\006 \001(\0162%" +
-      ".borageproxy.control.ClaimState.Phase\022\031\n" +
-      "\021held_until_millis\030\007 \001(\003\022\031\n\021expires_at_m" +
-      "illis\030\010 \001(\003\022+\n\006answer\030\t \001(\0132\033.borageprox" +
-      "y.control.Answer\"B\n\005Phase\022\013\n\007CLAIMED\020\000\022\014" +
-      "\n\010ANSWERED\020\001\022\020\n\014MAY_HAVE_RUN\020\002\022\014\n\010RELEAS" +
-      "ED\020\003\"\212\001\n\nCrashState\022\023\n\013fingerprint\030\001 \001(\t" +
-      "\022\017\n\007crashes\030\002 \003(\t\022\023\n\013quarantined\030\003 \001(\010\022\031" +
-      "\n\021expires_at_millis\030\004 \001(\003\022\014\n\004part\030\005 \001(\010\022" +
-      "\030\n\020untested_crashes\030\006 \003(\t\"0\n\rDocumentSta" +
-      "te\022\016\n\006number\030\001 \001(\004\022\017\n\007content\030\002 \001(\014\"l\n\013C" +
-      "hangeState\022\020\n\010identity\030\001 \001(\t\022\016\n\006digest\030\002" +
-      " \001(\014\022\020\n\010operator\030\003 \001(\t\022)\n\005reply\030\004 \001(\0132\032." +
-      "borageproxy.control.Reply\"a\n\017RememberedR" +
-      "eply\022\020\n\010identity\030\001 \001(\t\022\021\n\tat_millis\030\002 \001(" +
-      "\003\022)\n\005reply\030\003 \001(\0132\032.borageproxy.control.R" +
-      "eply\"\350\002\n\004Item\022\014\n\004name\030\001 \001(\t\022\017\n\007version\030\002" +
-      " \001(\004\022.\n\004tree\030\003 \001(\0132\036.borageproxy.control" +
-      ".TreeStateH\000\022,\n\003key\030\004 \001(\0132\035.borageproxy." +
-      "control.KeyStateH\000\0220\n\005lease\030\005 \001(\0132\037.bora" +
-      "geproxy.control.LeaseStateH\000\0220\n\005crash\030\006 " +
-      "\001(\0132\037.borageproxy.control.CrashStateH\000\022+" +
-      "\n\002vm\030\007 \001(\0132\035.borageproxy.control.VmRecor" +
-      "dH\000\022\021\n\007removed\030\010 \001(\010H\000\0226\n\010document\030\t \001(\013" +
-      "2\".borageproxy.control.DocumentStateH\000B\007" +
-      "\n\005value\"\366\004\n\017ControlSnapshot\022\017\n\007version\030\001" +
-      " \001(\004\022\020\n\010revision\030\002 \001(\004\022/\n\007history\030\004 \003(\0132" +
-      "\036.borageproxy.control.TreeState\022+\n\004keys\030" +
-      "\005 \003(\0132\035.borageproxy.control.KeyState\0221\n\007" +
-      "changes\030\006 \003(\0132 .borageproxy.control.Chan" +
-      "geState\0225\n\007replies\030\007 \003(\0132$.borageproxy.c" +
-      "ontrol.RememberedReply\022/\n\006claims\030\010 \003(\0132\037" +
-      ".borageproxy.control.ClaimState\022\030\n\020last_" +
-      "claim_epoch\030\t \001(\003\022/\n\006leases\030\n \003(\0132\037.bora" +
-      "geproxy.control.LeaseState\0222\n\007intents\030\013 " +
-      "\003(\0132!.borageproxy.control.IntentRecord\022\032" +
-      "\n\022last_intent_number\030\014 \001(\003\0220\n\007crashes\030\r " +
-      "\003(\0132\037.borageproxy.control.CrashState\022(\n\005" +
-      "items\030\016 \003(\0132\031.borageproxy.control.Item\022\026" +
-      "\n\016removals_since\030\017 \001(\004\0222\n\007streams\030\036 \003(\0132" +
-      "!.borageproxy.control.StreamRecordJ\004\010\003\020\004" +
-      "\"\241\002\n\014WatchRequest\022+\n\005watch\030\001 \001(\0132\032.borag" +
-      "eproxy.control.WatchH\000\0226\n\013read_served\030\002 " +
-      "\001(\0132\037.borageproxy.control.ReadServedH\000\0222" +
-      "\n\tread_tree\030\003 \001(\0132\035.borageproxy.control." +
-      "ReadTreeH\000\022<\n\016read_revisions\030\004 \001(\0132\".bor" +
-      "ageproxy.control.ReadRevisionsH\000\0222\n\tread" +
-      "_keys\030\005 \001(\0132\035.borageproxy.control.ReadKe" +
-      "ysH\000B\006\n\004body\"q\n\005Watch\022)\n\002vm\030\001 \001(\0132\035.bora" +
-      "geproxy.control.VmRecord\022\017\n\007version\030\002 \001(" +
-      "\004\022\027\n\017served_revision\030\003 \001(\004\022\023\n\013wait_milli" +
-      "s\030\004 \001(\r\"\014\n\nReadServed\"\034\n\010ReadTree\022\020\n\010rev" +
-      "ision\030\001 \001(\004\"\017\n\rReadRevisions\"\n\n\010ReadKeys" +
-      "\"\266\002\n\013WatchAnswer\022\021\n\tconfirmed\030\001 \001(\010\022\017\n\007v" +
-      "ersion\030\002 \001(\004\022\020\n\010revision\030\003 \001(\004\022\014\n\004full\030\004" +
-      " \001(\010\022(\n\005items\030\005 \003(\0132\031.borageproxy.contro" +
-      "l.Item\022+\n\006served\030\006 \003(\0132\033.borageproxy.con" +
-      "trol.Served\022,\n\004tree\030\007 \001(\0132\036.borageproxy." +
-      "control.TreeState\0221\n\trevisions\030\010 \003(\0132\036.b" +
-      "orageproxy.control.TreeState\022+\n\004keys\030\t \003" +
-      "(\0132\035.borageproxy.control.KeyState\"H\n\006Ser" +
-      "ved\022\n\n\002vm\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\022\n\nage" +
-      "_millis\030\003 \001(\004\022\014\n\004zone\030\004 \001(\tB-\n\032org.borag" +
-      "eproxy.wire.protoB\017ControlProtocolb\006prot" +
-      "o3"
+      "\0132\".borageproxy.control.RecordStreamsH\000\022" +
+      "4\n\ndrain_zone\030\024 \001(\0132\036.borageproxy.contro" +
+      "l.ZoneOrderH\000\0225\n\013return_zone\030\025 \001(\0132\036.bor" +
+      "ageproxy.control.ZoneOrderH\000B\006\n\004body\"C\n\r" +
+      "RecordStreams\0222\n\007streams\030\001 \003(\0132!.boragep" +
+      "roxy.control.StreamRecord\"e\n\014StreamRecor" +
+      "d\022\017\n\007request\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\030\n\020s" +
+      "oftware_version\030\003 \001(\t\022\031\n\021expires_at_mill" +
+      "is\030\004 \001(\003\"s\n\tApplyTree\022\027\n\017change_identity" +
+      "\030\001 \001(\t\022\025\n\rbase_revision\030\002 \001(\004\022\020\n\010documen" +
+      "t\030\003 \001(\t\022\020\n\010operator\030\004 \001(\t\022\022\n\nonly_known\030" +
+      "\005 \001(\010\"a\n\010Rollback\022\027\n\017change_identity\030\001 \001" +
+      "(\t\022\025\n\rbase_revision\030\002 \001(\004\022\023\n\013to_revision" +
+      "\030\003 \001(\004\022\020\n\010operator\030\004 \001(\t\"o\n\tCreateKey\022\027\n" +
+      "\017change_identity\030\001 \001(\t\022\024\n\014key_identity\030\002" +
+      " \001(\t\022\016\n\006digest\030\003 \001(\t\022\021\n\tworkspace\030\004 \001(\t\022" +
+      "\020\n\010operator\030\005 \001(\t\"#\n\013WithdrawKey\022\024\n\014key_" +
+      "identity\030\001 \001(\t\"\203\001\n\005Claim\022\021\n\tworkspace\030\001 " +
+      "\001(\t\022\027\n\017idempotency_key\030\002 \001(\t\022\016\n\006digest\030\003" +
+      " \001(\t\022\031\n\021created_at_millis\030\004 \001(\003\022\016\n\006holde" +
+      "r\030\005 \001(\t\022\023\n\013hold_millis\030\006 \001(\003\"w\n\rComplete" +
+      "Claim\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017idempotency_" +
+      "key\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\022+\n\006answer\030\004 \001(\013" +
+      "2\033.borageproxy.control.Answer\"E\n\010EndClai" +
+      "m\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017idempotency_key\030" +
+      "\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\"<\n\006Answer\022\016\n\006status" +
+      "\030\001 \001(\005\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003 \001" +
+      "(\014\"V\n\014AcquireLease\022\014\n\004duty\030\001 \001(\t\022\016\n\006hold" +
+      "er\030\002 \001(\t\022\017\n\007session\030\003 \001(\t\022\027\n\017expired_ren" +
+      "ewal\030\004 \001(\004\"U\n\014ReleaseLease\022\014\n\004duty\030\001 \001(\t" +
+      "\022\017\n\007session\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\022\027\n\017expi" +
+      "red_renewal\030\004 \001(\004\"\276\001\n\014IntentRecord\022\016\n\006nu" +
+      "mber\030\001 \001(\003\022\r\n\005epoch\030\002 \001(\003\022\016\n\006server\030\003 \001(" +
+      "\t\022\023\n\013incarnation\030\004 \001(\003\022\023\n\013accelerator\030\005 " +
+      "\001(\t\022\016\n\006action\030\006 \001(\005\022\r\n\005model\030\007 \001(\t\022\017\n\007ve" +
+      "rsion\030\010 \001(\t\022\017\n\007adapter\030\t \001(\t\022\024\n\014memory_b" +
+      "ytes\030\n \001(\003\"A\n\014RecordIntent\0221\n\006intent\030\001 \001" +
+      "(\0132!.borageproxy.control.IntentRecord\"0\n" +
+      "\016ResolveIntents\022\r\n\005epoch\030\001 \001(\003\022\017\n\007number" +
+      "s\030\002 \003(\003\"\r\n\013ReadIntents\"\207\001\n\013ReportCrash\022\023" +
+      "\n\013fingerprint\030\001 \001(\t\022\016\n\006server\030\002 \001(\t\022\023\n\013i" +
+      "ncarnation\030\003 \001(\003\022\r\n\005alone\030\004 \001(\010\022/\n\005parts" +
+      "\030\005 \003(\0132 .borageproxy.control.SuspectPart" +
+      "\"4\n\013SuspectPart\022\023\n\013fingerprint\030\001 \001(\t\022\020\n\010" +
+      "untested\030\002 \001(\010\"!\n\nClearCrash\022\023\n\013fingerpr" +
+      "int\030\001 \001(\t\"7\n\nRegisterVm\022)\n\002vm\030\001 \001(\0132\035.bo" +
+      "rageproxy.control.VmRecord\"\030\n\010RemoveVm\022\014" +
+      "\n\004name\030\001 \001(\t\"2\n\017PublishDocument\022\016\n\006numbe" +
+      "r\030\001 \001(\004\022\017\n\007content\030\002 \001(\014\"i\n\010VmRecord\022\014\n\004" +
+      "name\030\001 \001(\t\022\014\n\004zone\030\002 \001(\t\022\014\n\004host\030\003 \001(\t\022\014" +
+      "\n\004port\030\004 \001(\005\022\017\n\007control\030\005 \001(\010\022\024\n\014obeys_d" +
+      "rains\030\006 \001(\010\"\301\005\n\005Reply\0221\n\010accepted\030\001 \001(\0132" +
+      "\035.borageproxy.control.AcceptedH\000\022>\n\017chan" +
+      "ge_conflict\030\002 \001(\0132#.borageproxy.control." +
+      "ChangeConflictH\000\022B\n\021identity_conflict\030\003 " +
+      "\001(\0132%.borageproxy.control.IdentityConfli" +
+      "ctH\000\022/\n\007missing\030\004 \001(\0132\034.borageproxy.cont" +
+      "rol.MissingH\000\0220\n\005claim\030\005 \001(\0132\037.boragepro" +
+      "xy.control.ClaimReplyH\000\0220\n\005lease\030\006 \001(\0132\037" +
+      ".borageproxy.control.LeaseReplyH\000\0223\n\006int" +
+      "ent\030\007 \001(\0132!.borageproxy.control.IntentRe" +
+      "cordH\000\022-\n\006fenced\030\010 \001(\0132\033.borageproxy.con" +
+      "trol.FencedH\000\022/\n\007intents\030\t \001(\0132\034.boragep" +
+      "roxy.control.IntentsH\000\0220\n\005crash\030\n \001(\0132\037." +
+      "borageproxy.control.CrashReplyH\000\022)\n\004done" +
+      "\030\013 \001(\0132\031.borageproxy.control.DoneH\000\0226\n\013k" +
+      "ey_created\030\014 \001(\0132\037.borageproxy.control.K" +
+      "eyCreatedH\000\022:\n\rdocument_held\030\r \001(\0132!.bor" +
+      "ageproxy.control.DocumentHeldH\000B\006\n\004body\"" +
+      "\034\n\010Accepted\022\020\n\010revision\030\001 \001(\004\":\n\016ChangeC" +
+      "onflict\022\030\n\020current_revision\030\001 \001(\004\022\016\n\006hol" +
+      "der\030\002 \001(\t\"4\n\020IdentityConflict\022\016\n\006holder\030" +
+      "\001 \001(\t\022\020\n\010revision\030\002 \001(\004\"\036\n\014DocumentHeld\022" +
+      "\016\n\006number\030\001 \001(\004\"\t\n\007Missing\"\006\n\004Done\"\037\n\006Fe" +
+      "nced\022\025\n\rcurrent_epoch\030\001 \001(\003\"J\n\nKeyCreate" +
+      "d\022\020\n\010revision\030\001 \001(\004\022*\n\003key\030\002 \001(\0132\035.borag" +
+      "eproxy.control.KeyState\"\351\001\n\nClaimReply\022:" +
+      "\n\010decision\030\001 \001(\0162(.borageproxy.control.C" +
+      "laimReply.Decision\022\r\n\005epoch\030\002 \001(\003\022+\n\006ans" +
+      "wer\030\003 \001(\0132\033.borageproxy.control.Answer\"c" +
+      "\n\010Decision\022\013\n\007GRANTED\020\000\022\014\n\010ANSWERED\020\001\022\017\n" +
+      "\013IN_PROGRESS\020\002\022\020\n\014MAY_HAVE_RUN\020\003\022\014\n\010CONF" +
+      "LICT\020\004\022\013\n\007TOO_OLD\020\005\"<\n\nLeaseReply\022\017\n\007gra" +
+      "nted\030\001 \001(\010\022\016\n\006holder\030\002 \001(\t\022\r\n\005epoch\030\003 \001(" +
+      "\003\"=\n\007Intents\0222\n\007intents\030\001 \003(\0132!.boragepr" +
+      "oxy.control.IntentRecord\"\037\n\nCrashReply\022\021" +
+      "\n\tsuspicion\030\001 \001(\005\"R\n\010KeyState\022\020\n\010identit" +
+      "y\030\001 \001(\t\022\016\n\006digest\030\002 \001(\t\022\021\n\tworkspace\030\003 \001" +
+      "(\t\022\021\n\twithdrawn\030\004 \001(\010\"v\n\tTreeState\022\020\n\010re" +
+      "vision\030\001 \001(\004\022\020\n\010document\030\002 \001(\t\022\027\n\017change" +
+      "_identity\030\003 \001(\t\022\020\n\010operator\030\004 \001(\t\022\032\n\022acc" +
+      "epted_at_millis\030\005 \001(\003\"i\n\nLeaseState\022\014\n\004d" +
+      "uty\030\001 \001(\t\022\016\n\006holder\030\002 \001(\t\022\017\n\007session\030\003 \001" +
+      "(\t\022\r\n\005epoch\030\004 \001(\003\022\017\n\007renewal\030\005 \001(\004\022\014\n\004fr" +
+      "ee\030\006 \001(\010\"\304\002\n\nClaimState\022\021\n\tworkspace\030\001 \001" +
+      "(\t\022\027\n\017idempotency_key\030\002 \001(\t\022\016\n\006digest\030\003 " +
+      "\001(\t\022\016\n\006holder\030\004 \001(\t\022\r\n\005epoch\030\005 \001(\003\0224\n\005ph" +
+      "ase\030\006 \001(\0162%.borageproxy.control.ClaimSta" +
+      "te.Phase\022\031\n\021held_until_millis\030\007 \001(\003\022\031\n\021e" +
+      "xpires_at_millis\030\010 \001(\003\022+\n\006answer\030\t \001(\0132\033" +
+      ".borageproxy.control.Answer\"B\n\005Phase\022\013\n\007" +
+      "CLAIMED\020\000\022\014\n\010ANSWERED\020\001\022\020\n\014MAY_HAVE_RUN\020" +
+      "\002\022\014\n\010RELEASED\020\003\"\212\001\n\nCrashState\022\023\n\013finger" +
+      "print\030\001 \001(\t\022\017\n\007crashes\030\002 \003(\t\022\023\n\013quaranti" +
+      "ned\030\003 \001(\010\022\031\n\021expires_at_millis\030\004 \001(\003\022\014\n\004" +
+      "part\030\005 \001(\010\022\030\n\020untested_crashes\030\006 \003(\t\"0\n\r" +
+      "DocumentState\022\016\n\006number\030\001 \001(\004\022\017\n\007content" +
+      "\030\002 \001(\014\"l\n\013ChangeState\022\020\n\010identity\030\001 \001(\t\022" +
+      "\016\n\006digest\030\002 \001(\014\022\020\n\010operator\030\003 \001(\t\022)\n\005rep" +
+      "ly\030\004 \001(\0132\032.borageproxy.control.Reply\"a\n\017" +
+      "RememberedReply\022\020\n\010identity\030\001 \001(\t\022\021\n\tat_" +
+      "millis\030\002 \001(\003\022)\n\005reply\030\003 \001(\0132\032.borageprox" +
+      "y.control.Reply\"\350\002\n\004Item\022\014\n\004name\030\001 \001(\t\022\017" +
+      "\n\007version\030\002 \001(\004\022.\n\004tree\030\003 \001(\0132\036.boragepr" +
+      "oxy.control.TreeStateH\000\022,\n\003key\030\004 \001(\0132\035.b" +
+      "orageproxy.control.KeyStateH\000\0220\n\005lease\030\005" +
+      " \001(\0132\037.borageproxy.control.LeaseStateH\000\022" +
+      "0\n\005crash\030\006 \001(\0132\037.borageproxy.control.Cra" +
+      "shStateH\000\022+\n\002vm\030\007 \001(\0132\035.borageproxy.cont" +
+      "rol.VmRecordH\000\022\021\n\007removed\030\010 \001(\010H\000\0226\n\010doc" +
+      "ument\030\t \001(\0132\".borageproxy.control.Docume" +
+      "ntStateH\000B\007\n\005value\"\366\004\n\017ControlSnapshot\022\017" +
+      "\n\007version\030\001 \001(\004\022\020\n\010revision\030\002 \001(\004\022/\n\007his" +
+      "tory\030\004 \003(\0132\036.borageproxy.control.TreeSta" +
+      "te\022+\n\004keys\030\005 \003(\0132\035.borageproxy.control.K" +
+      "eyState\0221\n\007changes\030\006 \003(\0132 .borageproxy.c" +
+      "ontrol.ChangeState\0225\n\007replies\030\007 \003(\0132$.bo" +
+      "rageproxy.control.RememberedReply\022/\n\006cla" +
+      "ims\030\010 \003(\0132\037.borageproxy.control.ClaimSta" +
+      "te\022\030\n\020last_claim_epoch\030\t \001(\003\022/\n\006leases\030\n" +
+      " \003(\0132\037.borageproxy.control.LeaseState\0222\n" +
+      "\007intents\030\013 \003(\0132!.borageproxy.control.Int" +
+      "entRecord\022\032\n\022last_intent_number\030\014 \001(\003\0220\n" +
+      "\007crashes\030\r \003(\0132\037.borageproxy.control.Cra" +
+      "shState\022(\n\005items\030\016 \003(\0132\031.borageproxy.con" +
+      "trol.Item\022\026\n\016removals_since\030\017 \001(\004\0222\n\007str" +
+      "eams\030\036 \003(\0132!.borageproxy.control.StreamR" +
+      "ecordJ\004\010\003\020\004\"\241\002\n\014WatchRequest\022+\n\005watch\030\001 " +
+      "\001(\0132\032.borageproxy.control.WatchH\000\0226\n\013rea" +
+      "d_served\030\002 \001(\0132\037.borageproxy.control.Rea" +
+      "dServedH\000\0222\n\tread_tree\030\003 \001(\0132\035.boragepro" +
+      "xy.control.ReadTreeH\000\022<\n\016read_revisions\030" +
+      "\004 \001(\0132\".borageproxy.control.ReadRevision" +
+      "sH\000\0222\n\tread_keys\030\005 \001(\0132\035.borageproxy.con" +
+      "trol.ReadKeysH\000B\006\n\004body\"q\n\005Watch\022)\n\002vm\030\001" +
+      " \001(\0132\035.borageproxy.control.VmRecord\022\017\n\007v" +
+      "ersion\030\002 \001(\004\022\027\n\017served_revision\030\003 \001(\004\022\023\n" +
+      "\013wait_millis\030\004 \001(\r\"\014\n\nReadServed\"\034\n\010Read" +
+      "Tree\022\020\n\010revision\030\001 \001(\004\"\017\n\rReadRevisions\"" +
+      "\n\n\010ReadKeys\"\266\002\n\013WatchAnswer\022\021\n\tconfirmed" +
+      "\030\001 \001(\010\022\017\n\007version\030\002 \001(\004\022\020\n\010revision\030\003 \001(" +
+      "\004\022\014\n\004full\030\004 \001(\010\022(\n\005items\030\005 \003(\0132\031.boragep" +
+      "roxy.control.Item\022+\n\006served\030\006 \003(\0132\033.bora" +
+      "geproxy.control.Served\022,\n\004tree\030\007 \001(\0132\036.b" +
+      "orageproxy.control.TreeState\0221\n\trevision" +
+      "s\030\010 \003(\0132\036.borageproxy.control.TreeState\022" +
+      "+\n\004keys\030\t \003(\0132\035.borageproxy.control.KeyS" +
+      "tate\"H\n\006Served\022\n\n\002vm\030\001 \001(\t\022\020\n\010revision\030\002" +
+      " \001(\004\022\022\n\nage_millis\030\003 \001(\004\022\014\n\004zone\030\004 \001(\t\"\031" +
+      "\n\tZoneOrder\022\014\n\004zone\030\001 \001(\tB-\n\032org.boragep" +
+      "roxy.wire.protoB\017ControlProtocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -57220,7 +58290,7 @@
     internal_static_borageproxy_control_Command_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Command_descriptor,
-        new java.lang.String[] { "Identity", "ApplyTree", "Rollback", "CreateKey", "WithdrawKey", "Claim", "CompleteClaim", "ReleaseClaim", "AbandonClaim", "AcquireLease", "ReleaseLease", "RecordIntent", "ResolveIntents", "ReadIntents", "ReportCrash", "ClearCrash", "RegisterVm", "RemoveVm", "PublishDocument", "RecordStreams", "Body", });
+        new java.lang.String[] { "Identity", "ApplyTree", "Rollback", "CreateKey", "WithdrawKey", "Claim", "CompleteClaim", "ReleaseClaim", "AbandonClaim", "AcquireLease", "ReleaseLease", "RecordIntent", "ResolveIntents", "ReadIntents", "ReportCrash", "ClearCrash", "RegisterVm", "RemoveVm", "PublishDocument", "RecordStreams", "DrainZone", "ReturnZone", "Body", });
     internal_static_borageproxy_control_RecordStreams_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_borageproxy_control_RecordStreams_fieldAccessorTable = new
@@ -57358,7 +58428,7 @@
     internal_static_borageproxy_control_VmRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_VmRecord_descriptor,
-        new java.lang.String[] { "Name", "Zone", "Host", "Port", "Control", });
+        new java.lang.String[] { "Name", "Zone", "Host", "Port", "Control", "ObeysDrains", });
     internal_static_borageproxy_control_Reply_descriptor =
       getDescriptor().getMessageType(26);
     internal_static_borageproxy_control_Reply_fieldAccessorTable = new
@@ -57545,6 +58615,12 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Served_descriptor,
         new java.lang.String[] { "Vm", "Revision", "AgeMillis", "Zone", });
+    internal_static_borageproxy_control_ZoneOrder_descriptor =
+      getDescriptor().getMessageType(57);
+    internal_static_borageproxy_control_ZoneOrder_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_borageproxy_control_ZoneOrder_descriptor,
+        new java.lang.String[] { "Zone", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
@@ -7278,6 +7278,16 @@
      * @return The rejections.
      */
     int getRejections();
+
+    /**
+     * <pre>
+     * The time until the server is warm; zero if it is not known to be cold.
+     * </pre>
+     *
+     * <code>uint64 cold_millis = 6;</code>
+     * @return The coldMillis.
+     */
+    long getColdMillis();
   }
   /**
    * <pre>
@@ -7446,6 +7456,21 @@
       return rejections_;
     }
 
+    public static final int COLD_MILLIS_FIELD_NUMBER = 6;
+    private long coldMillis_ = 0L;
+    /**
+     * <pre>
+     * The time until the server is warm; zero if it is not known to be cold.
+     * </pre>
+     *
+     * <code>uint64 cold_millis = 6;</code>
+     * @return The coldMillis.
+     */
+    @java.lang.Override
+    public long getColdMillis() {
+      return coldMillis_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -7475,6 +7500,9 @@
       if (((bitField0_ & 0x00000002) != 0)) {
         output.writeUInt32(5, rejections_);
       }
+      if (coldMillis_ != 0L) {
+        output.writeUInt64(6, coldMillis_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -7503,6 +7531,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt32Size(5, rejections_);
       }
+      if (coldMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(6, coldMillis_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -7535,6 +7567,8 @@
         if (getRejections()
             != other.getRejections()) return false;
       }
+      if (getColdMillis()
+          != other.getColdMillis()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -7563,6 +7597,9 @@
         hash = (37 * hash) + REJECTIONS_FIELD_NUMBER;
         hash = (53 * hash) + getRejections();
       }
+      hash = (37 * hash) + COLD_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getColdMillis());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -7703,6 +7740,7 @@
         ageMillis_ = 0L;
         requestsPerSecond_ = 0D;
         rejections_ = 0;
+        coldMillis_ = 0L;
         return this;
       }
 
@@ -7754,6 +7792,9 @@
           result.rejections_ = rejections_;
           to_bitField0_ |= 0x00000002;
         }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.coldMillis_ = coldMillis_;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -7786,6 +7827,9 @@
         if (other.hasRejections()) {
           setRejections(other.getRejections());
         }
+        if (other.getColdMillis() != 0L) {
+          setColdMillis(other.getColdMillis());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -7837,6 +7881,11 @@
                 bitField0_ |= 0x00000010;
                 break;
               } // case 40
+              case 48: {
+                coldMillis_ = input.readUInt64();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 48
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -8114,6 +8163,50 @@
         return this;
       }
 
+      private long coldMillis_ ;
+      /**
+       * <pre>
+       * The time until the server is warm; zero if it is not known to be cold.
+       * </pre>
+       *
+       * <code>uint64 cold_millis = 6;</code>
+       * @return The coldMillis.
+       */
+      @java.lang.Override
+      public long getColdMillis() {
+        return coldMillis_;
+      }
+      /**
+       * <pre>
+       * The time until the server is warm; zero if it is not known to be cold.
+       * </pre>
+       *
+       * <code>uint64 cold_millis = 6;</code>
+       * @param value The coldMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setColdMillis(long value) {
+
+        coldMillis_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The time until the server is warm; zero if it is not known to be cold.
+       * </pre>
+       *
+       * <code>uint64 cold_millis = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearColdMillis() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        coldMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.coordination.StatedLimits)
     }
 
@@ -18498,6 +18591,56 @@
      */
     com.google.protobuf.ByteString
         getSoftwareVersionBytes();
+
+    /**
+     * <pre>
+     * The workspace of the caller's API key.
+     * </pre>
+     *
+     * <code>string workspace = 17;</code>
+     * @return The workspace.
+     */
+    java.lang.String getWorkspace();
+    /**
+     * <pre>
+     * The workspace of the caller's API key.
+     * </pre>
+     *
+     * <code>string workspace = 17;</code>
+     * @return The bytes for workspace.
+     */
+    com.google.protobuf.ByteString
+        getWorkspaceBytes();
+
+    /**
+     * <pre>
+     * The identity of the request.
+     * </pre>
+     *
+     * <code>string identity = 18;</code>
+     * @return The identity.
+     */
+    java.lang.String getIdentity();
+    /**
+     * <pre>
+     * The identity of the request.
+     * </pre>
+     *
+     * <code>string identity = 18;</code>
+     * @return The bytes for identity.
+     */
+    com.google.protobuf.ByteString
+        getIdentityBytes();
+
+    /**
+     * <pre>
+     * A hash of the caller's API key.
+     * </pre>
+     *
+     * <code>fixed64 caller = 19;</code>
+     * @return The caller.
+     */
+    long getCaller();
   }
   /**
    * <pre>
@@ -18538,6 +18681,8 @@
       gone_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
       softwareVersion_ = "";
+      workspace_ = "";
+      identity_ = "";
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -19052,6 +19197,115 @@
       }
     }
 
+    public static final int WORKSPACE_FIELD_NUMBER = 17;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object workspace_ = "";
+    /**
+     * <pre>
+     * The workspace of the caller's API key.
+     * </pre>
+     *
+     * <code>string workspace = 17;</code>
+     * @return The workspace.
+     */
+    @java.lang.Override
+    public java.lang.String getWorkspace() {
+      java.lang.Object ref = workspace_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        workspace_ = s;
+        return s;
+      }
+    }
+    /**
+     * <pre>
+     * The workspace of the caller's API key.
+     * </pre>
+     *
+     * <code>string workspace = 17;</code>
+     * @return The bytes for workspace.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getWorkspaceBytes() {
+      java.lang.Object ref = workspace_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        workspace_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int IDENTITY_FIELD_NUMBER = 18;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object identity_ = "";
+    /**
+     * <pre>
+     * The identity of the request.
+     * </pre>
+     *
+     * <code>string identity = 18;</code>
+     * @return The identity.
+     */
+    @java.lang.Override
+    public java.lang.String getIdentity() {
+      java.lang.Object ref = identity_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        identity_ = s;
+        return s;
+      }
+    }
+    /**
+     * <pre>
+     * The identity of the request.
+     * </pre>
+     *
+     * <code>string identity = 18;</code>
+     * @return The bytes for identity.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getIdentityBytes() {
+      java.lang.Object ref = identity_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        identity_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int CALLER_FIELD_NUMBER = 19;
+    private long caller_ = 0L;
+    /**
+     * <pre>
+     * A hash of the caller's API key.
+     * </pre>
+     *
+     * <code>fixed64 caller = 19;</code>
+     * @return The caller.
+     */
+    @java.lang.Override
+    public long getCaller() {
+      return caller_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -19111,6 +19365,15 @@
       if (((bitField0_ & 0x00000001) != 0)) {
         com.google.protobuf.GeneratedMessage.writeString(output, 16, softwareVersion_);
       }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workspace_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 17, workspace_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(identity_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 18, identity_);
+      }
+      if (caller_ != 0L) {
+        output.writeFixed64(19, caller_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -19192,6 +19455,16 @@
       if (((bitField0_ & 0x00000001) != 0)) {
         size += com.google.protobuf.GeneratedMessage.computeStringSize(16, softwareVersion_);
       }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workspace_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(17, workspace_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(identity_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(18, identity_);
+      }
+      if (caller_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(19, caller_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -19240,6 +19513,12 @@
         if (!getSoftwareVersion()
             .equals(other.getSoftwareVersion())) return false;
       }
+      if (!getWorkspace()
+          .equals(other.getWorkspace())) return false;
+      if (!getIdentity()
+          .equals(other.getIdentity())) return false;
+      if (getCaller()
+          != other.getCaller()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -19291,6 +19570,13 @@
         hash = (37 * hash) + SOFTWARE_VERSION_FIELD_NUMBER;
         hash = (53 * hash) + getSoftwareVersion().hashCode();
       }
+      hash = (37 * hash) + WORKSPACE_FIELD_NUMBER;
+      hash = (53 * hash) + getWorkspace().hashCode();
+      hash = (37 * hash) + IDENTITY_FIELD_NUMBER;
+      hash = (53 * hash) + getIdentity().hashCode();
+      hash = (37 * hash) + CALLER_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getCaller());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -19451,6 +19737,9 @@
         gone_ =
             com.google.protobuf.LazyStringArrayList.emptyList();
         softwareVersion_ = "";
+        workspace_ = "";
+        identity_ = "";
+        caller_ = 0L;
         return this;
       }
 
@@ -19544,6 +19833,15 @@
           result.softwareVersion_ = softwareVersion_;
           to_bitField0_ |= 0x00000001;
         }
+        if (((from_bitField0_ & 0x00008000) != 0)) {
+          result.workspace_ = workspace_;
+        }
+        if (((from_bitField0_ & 0x00010000) != 0)) {
+          result.identity_ = identity_;
+        }
+        if (((from_bitField0_ & 0x00020000) != 0)) {
+          result.caller_ = caller_;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -19658,6 +19956,19 @@
           bitField0_ |= 0x00004000;
           onChanged();
         }
+        if (!other.getWorkspace().isEmpty()) {
+          workspace_ = other.workspace_;
+          bitField0_ |= 0x00008000;
+          onChanged();
+        }
+        if (!other.getIdentity().isEmpty()) {
+          identity_ = other.identity_;
+          bitField0_ |= 0x00010000;
+          onChanged();
+        }
+        if (other.getCaller() != 0L) {
+          setCaller(other.getCaller());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -19767,6 +20078,21 @@
                 bitField0_ |= 0x00004000;
                 break;
               } // case 130
+              case 138: {
+                workspace_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00008000;
+                break;
+              } // case 138
+              case 146: {
+                identity_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00010000;
+                break;
+              } // case 146
+              case 153: {
+                caller_ = input.readFixed64();
+                bitField0_ |= 0x00020000;
+                break;
+              } // case 153
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -21084,6 +21410,234 @@
         return this;
       }
 
+      private java.lang.Object workspace_ = "";
+      /**
+       * <pre>
+       * The workspace of the caller's API key.
+       * </pre>
+       *
+       * <code>string workspace = 17;</code>
+       * @return The workspace.
+       */
+      public java.lang.String getWorkspace() {
+        java.lang.Object ref = workspace_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          workspace_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <pre>
+       * The workspace of the caller's API key.
+       * </pre>
+       *
+       * <code>string workspace = 17;</code>
+       * @return The bytes for workspace.
+       */
+      public com.google.protobuf.ByteString
+          getWorkspaceBytes() {
+        java.lang.Object ref = workspace_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          workspace_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <pre>
+       * The workspace of the caller's API key.
+       * </pre>
+       *
+       * <code>string workspace = 17;</code>
+       * @param value The workspace to set.
+       * @return This builder for chaining.
+       */
+      public Builder setWorkspace(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        workspace_ = value;
+        bitField0_ |= 0x00008000;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The workspace of the caller's API key.
+       * </pre>
+       *
+       * <code>string workspace = 17;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearWorkspace() {
+        workspace_ = getDefaultInstance().getWorkspace();
+        bitField0_ = (bitField0_ & ~0x00008000);
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The workspace of the caller's API key.
+       * </pre>
+       *
+       * <code>string workspace = 17;</code>
+       * @param value The bytes for workspace to set.
+       * @return This builder for chaining.
+       */
+      public Builder setWorkspaceBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        workspace_ = value;
+        bitField0_ |= 0x00008000;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object identity_ = "";
+      /**
+       * <pre>
+       * The identity of the request.
+       * </pre>
+       *
+       * <code>string identity = 18;</code>
+       * @return The identity.
+       */
+      public java.lang.String getIdentity() {
+        java.lang.Object ref = identity_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          identity_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <pre>
+       * The identity of the request.
+       * </pre>
+       *
+       * <code>string identity = 18;</code>
+       * @return The bytes for identity.
+       */
+      public com.google.protobuf.ByteString
+          getIdentityBytes() {
+        java.lang.Object ref = identity_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          identity_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <pre>
+       * The identity of the request.
+       * </pre>
+       *
+       * <code>string identity = 18;</code>
+       * @param value The identity to set.
+       * @return This builder for chaining.
+       */
+      public Builder setIdentity(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        identity_ = value;
+        bitField0_ |= 0x00010000;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The identity of the request.
+       * </pre>
+       *
+       * <code>string identity = 18;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearIdentity() {
+        identity_ = getDefaultInstance().getIdentity();
+        bitField0_ = (bitField0_ & ~0x00010000);
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The identity of the request.
+       * </pre>
+       *
+       * <code>string identity = 18;</code>
+       * @param value The bytes for identity to set.
+       * @return This builder for chaining.
+       */
+      public Builder setIdentityBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        identity_ = value;
+        bitField0_ |= 0x00010000;
+        onChanged();
+        return this;
+      }
+
+      private long caller_ ;
+      /**
+       * <pre>
+       * A hash of the caller's API key.
+       * </pre>
+       *
+       * <code>fixed64 caller = 19;</code>
+       * @return The caller.
+       */
+      @java.lang.Override
+      public long getCaller() {
+        return caller_;
+      }
+      /**
+       * <pre>
+       * A hash of the caller's API key.
+       * </pre>
+       *
+       * <code>fixed64 caller = 19;</code>
+       * @param value The caller to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCaller(long value) {
+
+        caller_ = value;
+        bitField0_ |= 0x00020000;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * A hash of the caller's API key.
+       * </pre>
+       *
+       * <code>fixed64 caller = 19;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCaller() {
+        bitField0_ = (bitField0_ & ~0x00020000);
+        caller_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.coordination.SlotRequest)
     }
 
@@ -25974,68 +26528,70 @@
       " \001(\004\"u\n\rRefusalNotice\022\016\n\006server\030\001 \001(\t\022\023\n" +
       "\013incarnation\030\002 \001(\004\022\030\n\020remaining_millis\030\003" +
       " \001(\004\022\024\n\014of_recipient\030\004 \001(\010\022\017\n\007leaving\030\005 " +
-      "\001(\010\"\247\001\n\014StatedLimits\022\014\n\004name\030\001 \001(\t\022\023\n\013in" +
+      "\001(\010\"\274\001\n\014StatedLimits\022\014\n\004name\030\001 \001(\t\022\023\n\013in" +
       "carnation\030\002 \001(\004\022\022\n\nage_millis\030\003 \001(\004\022 \n\023r" +
       "equests_per_second\030\004 \001(\001H\000\210\001\001\022\027\n\nrejecti" +
-      "ons\030\005 \001(\rH\001\210\001\001B\026\n\024_requests_per_secondB\r" +
-      "\n\013_rejections\"I\n\013BegunStream\022\017\n\007request\030" +
-      "\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\030\n\020software_versi" +
-      "on\030\003 \001(\t\"$\n\021StreamOriginQuery\022\017\n\007request" +
-      "\030\001 \001(\t\"N\n\022StreamOriginAnswer\022\r\n\005known\030\001 " +
-      "\001(\010\022\017\n\007service\030\002 \001(\t\022\030\n\020software_version" +
-      "\030\003 \001(\t\"(\n\tModelPace\022\r\n\005model\030\001 \001(\t\022\014\n\004pa" +
-      "ce\030\002 \001(\001\"\340\001\n\013ServerUsage\022\014\n\004name\030\001 \001(\t\022\023" +
-      "\n\013incarnation\030\002 \001(\004\022\020\n\010requests\030\003 \001(\r\022\025\n" +
-      "\rprompt_tokens\030\004 \001(\r\022\023\n\013held_tokens\030\005 \001(" +
-      "\r\022\020\n\010failures\030\006 \001(\r\022\017\n\007answers\030\007 \001(\r\022@\n\010" +
-      "slowness\0302 \001(\0132).borageproxy.coordinatio" +
-      "n.SlownessSamplesH\000\210\001\001B\013\n\t_slowness\"r\n\016W" +
-      "orkspaceUsage\022\014\n\004name\030\001 \001(\t\022\016\n\006demand\030\002 " +
-      "\001(\004\022\014\n\004held\030\003 \001(\004\022\r\n\005spent\030\004 \001(\004\022\r\n\005need" +
-      "s\030\006 \003(\004\022\020\n\010returned\030\007 \001(\004J\004\010\005\020\006\"_\n\013Model" +
-      "Demand\022\017\n\007service\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022\017" +
-      "\n\007adapter\030\003 \001(\t\022\016\n\006tokens\030\004 \001(\004\022\017\n\007waiti" +
-      "ng\030\005 \001(\r\"\222\004\n\022CoordinationUpdate\022\023\n\013coord" +
-      "inates\030\001 \001(\010\022\023\n\013coordinator\030\002 \001(\t\022\017\n\007ent" +
-      "ries\030\003 \001(\r\0226\n\007servers\030\004 \003(\0132%.borageprox" +
-      "y.coordination.ServerUsage\0223\n\006shares\030\005 \003" +
-      "(\0132#.borageproxy.coordination.RateShare\022" +
-      "9\n\010contents\030\006 \003(\0132\'.borageproxy.coordina" +
-      "tion.ServerContent\022\030\n\020contents_version\030\007" +
-      " \001(\004\022\023\n\013all_servers\030\010 \001(\010\022\014\n\004term\030\t \001(\004\022" +
-      "=\n\rstated_limits\030\n \003(\0132&.borageproxy.coo" +
-      "rdination.StatedLimits\022\026\n\016limits_version" +
-      "\030\013 \001(\004\022\016\n\006relays\030\014 \003(\t\0225\n\006speeds\0302 \003(\0132%" +
-      ".borageproxy.coordination.ServerSpeed\022\026\n" +
-      "\016speeds_version\0303 \001(\004\022\023\n\013asks_speeds\0304 \001" +
-      "(\010\022\021\n\twithdraws\0305 \001(\010\"\363\002\n\013SlotRequest\022\014\n" +
-      "\004zone\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\r\n\005model\030\003 " +
-      "\001(\t\022\017\n\007adapter\030\004 \001(\t\022\025\n\rprompt_tokens\030\005 " +
-      "\001(\r\022\025\n\routput_tokens\030\006 \001(\r\0225\n\005parts\030\007 \003(" +
-      "\0132&.borageproxy.coordination.PartOfPromp" +
-      "t\022\014\n\004rank\030\010 \001(\r\022\030\n\020objective_millis\030\t \001(" +
-      "\r\022\027\n\017deadline_millis\030\n \001(\r\022\r\n\005tried\030\013 \003(" +
-      "\t\022\025\n\rwaited_millis\030\014 \001(\r\022\021\n\tabsent_at\030\016 " +
-      "\003(\t\022\014\n\004gone\030\017 \003(\t\022\035\n\020software_version\030\020 " +
-      "\001(\tH\000\210\001\001B\023\n\021_software_versionJ\004\010\r\020\016\"0\n\014P" +
-      "artOfPrompt\022\020\n\010identity\030\001 \001(\t\022\016\n\006tokens\030" +
-      "\002 \001(\r\"\326\002\n\nSlotAnswer\022=\n\007outcome\030\001 \001(\0162,." +
-      "borageproxy.coordination.SlotAnswer.Outc" +
-      "ome\022\016\n\006server\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\004" +
-      "\022\027\n\017expected_millis\030\004 \001(\001\022\025\n\runread_toke" +
-      "ns\030\005 \001(\r\022\014\n\004slot\030\006 \001(\004\022\030\n\020come_back_mill" +
-      "is\030\007 \001(\r\022\022\n\005speed\0302 \001(\002H\000\210\001\001\"n\n\007Outcome\022" +
-      "\023\n\017NOT_COORDINATOR\020\000\022\n\n\006CHOSEN\020\001\022\r\n\tNO_S" +
-      "ERVER\020\002\022\014\n\010NO_MODEL\020\003\022\013\n\007CROWDED\020\004\022\r\n\tAL" +
-      "L_TRIED\020\005\022\t\n\005AGAIN\020\006B\010\n\006_speed\"=\n\tRateSh" +
-      "are\022\021\n\tworkspace\030\001 \001(\t\022\014\n\004rate\030\002 \001(\004\022\017\n\007" +
-      "granted\030\003 \001(\004\"\211\001\n\rServerContent\022\014\n\004name\030" +
-      "\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\016\n\006orders\030\003 \001" +
-      "(\004\0223\n\006models\030\004 \003(\0132#.borageproxy.coordin" +
-      "ation.HeldModel\022\020\n\010arriving\030\005 \003(\t\",\n\tHel" +
-      "dModel\022\r\n\005model\030\001 \001(\t\022\020\n\010adapters\030\002 \003(\tB" +
-      "2\n\032org.borageproxy.wire.protoB\024Coordinat" +
-      "ionProtocolb\006proto3"
+      "ons\030\005 \001(\rH\001\210\001\001\022\023\n\013cold_millis\030\006 \001(\004B\026\n\024_" +
+      "requests_per_secondB\r\n\013_rejections\"I\n\013Be" +
+      "gunStream\022\017\n\007request\030\001 \001(\t\022\017\n\007service\030\002 " +
+      "\001(\t\022\030\n\020software_version\030\003 \001(\t\"$\n\021StreamO" +
+      "riginQuery\022\017\n\007request\030\001 \001(\t\"N\n\022StreamOri" +
+      "ginAnswer\022\r\n\005known\030\001 \001(\010\022\017\n\007service\030\002 \001(" +
+      "\t\022\030\n\020software_version\030\003 \001(\t\"(\n\tModelPace" +
+      "\022\r\n\005model\030\001 \001(\t\022\014\n\004pace\030\002 \001(\001\"\340\001\n\013Server" +
+      "Usage\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004" +
+      "\022\020\n\010requests\030\003 \001(\r\022\025\n\rprompt_tokens\030\004 \001(" +
+      "\r\022\023\n\013held_tokens\030\005 \001(\r\022\020\n\010failures\030\006 \001(\r" +
+      "\022\017\n\007answers\030\007 \001(\r\022@\n\010slowness\0302 \001(\0132).bo" +
+      "rageproxy.coordination.SlownessSamplesH\000" +
+      "\210\001\001B\013\n\t_slowness\"r\n\016WorkspaceUsage\022\014\n\004na" +
+      "me\030\001 \001(\t\022\016\n\006demand\030\002 \001(\004\022\014\n\004held\030\003 \001(\004\022\r" +
+      "\n\005spent\030\004 \001(\004\022\r\n\005needs\030\006 \003(\004\022\020\n\010returned" +
+      "\030\007 \001(\004J\004\010\005\020\006\"_\n\013ModelDemand\022\017\n\007service\030\001" +
+      " \001(\t\022\r\n\005model\030\002 \001(\t\022\017\n\007adapter\030\003 \001(\t\022\016\n\006" +
+      "tokens\030\004 \001(\004\022\017\n\007waiting\030\005 \001(\r\"\222\004\n\022Coordi" +
+      "nationUpdate\022\023\n\013coordinates\030\001 \001(\010\022\023\n\013coo" +
+      "rdinator\030\002 \001(\t\022\017\n\007entries\030\003 \001(\r\0226\n\007serve" +
+      "rs\030\004 \003(\0132%.borageproxy.coordination.Serv" +
+      "erUsage\0223\n\006shares\030\005 \003(\0132#.borageproxy.co" +
+      "ordination.RateShare\0229\n\010contents\030\006 \003(\0132\'" +
+      ".borageproxy.coordination.ServerContent\022" +
+      "\030\n\020contents_version\030\007 \001(\004\022\023\n\013all_servers" +
+      "\030\010 \001(\010\022\014\n\004term\030\t \001(\004\022=\n\rstated_limits\030\n " +
+      "\003(\0132&.borageproxy.coordination.StatedLim" +
+      "its\022\026\n\016limits_version\030\013 \001(\004\022\016\n\006relays\030\014 " +
+      "\003(\t\0225\n\006speeds\0302 \003(\0132%.borageproxy.coordi" +
+      "nation.ServerSpeed\022\026\n\016speeds_version\0303 \001" +
+      "(\004\022\023\n\013asks_speeds\0304 \001(\010\022\021\n\twithdraws\0305 \001" +
+      "(\010\"\250\003\n\013SlotRequest\022\014\n\004zone\030\001 \001(\t\022\017\n\007serv" +
+      "ice\030\002 \001(\t\022\r\n\005model\030\003 \001(\t\022\017\n\007adapter\030\004 \001(" +
+      "\t\022\025\n\rprompt_tokens\030\005 \001(\r\022\025\n\routput_token" +
+      "s\030\006 \001(\r\0225\n\005parts\030\007 \003(\0132&.borageproxy.coo" +
+      "rdination.PartOfPrompt\022\014\n\004rank\030\010 \001(\r\022\030\n\020" +
+      "objective_millis\030\t \001(\r\022\027\n\017deadline_milli" +
+      "s\030\n \001(\r\022\r\n\005tried\030\013 \003(\t\022\025\n\rwaited_millis\030" +
+      "\014 \001(\r\022\021\n\tabsent_at\030\016 \003(\t\022\014\n\004gone\030\017 \003(\t\022\035" +
+      "\n\020software_version\030\020 \001(\tH\000\210\001\001\022\021\n\tworkspa" +
+      "ce\030\021 \001(\t\022\020\n\010identity\030\022 \001(\t\022\016\n\006caller\030\023 \001" +
+      "(\006B\023\n\021_software_versionJ\004\010\r\020\016\"0\n\014PartOfP" +
+      "rompt\022\020\n\010identity\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\r\"" +
+      "\326\002\n\nSlotAnswer\022=\n\007outcome\030\001 \001(\0162,.borage" +
+      "proxy.coordination.SlotAnswer.Outcome\022\016\n" +
+      "\006server\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\004\022\027\n\017ex" +
+      "pected_millis\030\004 \001(\001\022\025\n\runread_tokens\030\005 \001" +
+      "(\r\022\014\n\004slot\030\006 \001(\004\022\030\n\020come_back_millis\030\007 \001" +
+      "(\r\022\022\n\005speed\0302 \001(\002H\000\210\001\001\"n\n\007Outcome\022\023\n\017NOT" +
+      "_COORDINATOR\020\000\022\n\n\006CHOSEN\020\001\022\r\n\tNO_SERVER\020" +
+      "\002\022\014\n\010NO_MODEL\020\003\022\013\n\007CROWDED\020\004\022\r\n\tALL_TRIE" +
+      "D\020\005\022\t\n\005AGAIN\020\006B\010\n\006_speed\"=\n\tRateShare\022\021\n" +
+      "\tworkspace\030\001 \001(\t\022\014\n\004rate\030\002 \001(\004\022\017\n\007grante" +
+      "d\030\003 \001(\004\"\211\001\n\rServerContent\022\014\n\004name\030\001 \001(\t\022" +
+      "\023\n\013incarnation\030\002 \001(\004\022\016\n\006orders\030\003 \001(\004\0223\n\006" +
+      "models\030\004 \003(\0132#.borageproxy.coordination." +
+      "HeldModel\022\020\n\010arriving\030\005 \003(\t\",\n\tHeldModel" +
+      "\022\r\n\005model\030\001 \001(\t\022\020\n\010adapters\030\002 \003(\tB2\n\032org" +
+      ".borageproxy.wire.protoB\024CoordinationPro" +
+      "tocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -26076,7 +26632,7 @@
     internal_static_borageproxy_coordination_StatedLimits_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_StatedLimits_descriptor,
-        new java.lang.String[] { "Name", "Incarnation", "AgeMillis", "RequestsPerSecond", "Rejections", });
+        new java.lang.String[] { "Name", "Incarnation", "AgeMillis", "RequestsPerSecond", "Rejections", "ColdMillis", });
     internal_static_borageproxy_coordination_BegunStream_descriptor =
       getDescriptor().getMessageType(6);
     internal_static_borageproxy_coordination_BegunStream_fieldAccessorTable = new
@@ -26130,7 +26686,7 @@
     internal_static_borageproxy_coordination_SlotRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_SlotRequest_descriptor,
-        new java.lang.String[] { "Zone", "Service", "Model", "Adapter", "PromptTokens", "OutputTokens", "Parts", "Rank", "ObjectiveMillis", "DeadlineMillis", "Tried", "WaitedMillis", "AbsentAt", "Gone", "SoftwareVersion", });
+        new java.lang.String[] { "Zone", "Service", "Model", "Adapter", "PromptTokens", "OutputTokens", "Parts", "Rank", "ObjectiveMillis", "DeadlineMillis", "Tried", "WaitedMillis", "AbsentAt", "Gone", "SoftwareVersion", "Workspace", "Identity", "Caller", });
     internal_static_borageproxy_coordination_PartOfPrompt_descriptor =
       getDescriptor().getMessageType(15);
     internal_static_borageproxy_coordination_PartOfPrompt_fieldAccessorTable = new
