--- a/src/main/java/org/borageproxy/spread/WatchService.java
+++ b/src/main/java/org/borageproxy/spread/WatchService.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
@@ -51,6 +52,9 @@
     /** Time at which this service was created, on the monotonic clock. */
     private final long startedAtNanos;
 
+    /** Version up to which changes have ended waits. */
+    private final AtomicLong examinedVersion = new AtomicLong();
+
     private final Set<PendingWatch> pendingWatches = ConcurrentHashMap.newKeySet();
 
     /** Latest watches by VM name. */
@@ -95,7 +99,7 @@
     private CompletionStage<WatchAnswer> watch(Watch watch) {
         VmRecord vm = watch.getVm();
         watchers.put(vm.getName(), new Watcher(vm, watch.getServedRevision(), clock.nanoTime()));
-        PendingWatch pending = new PendingWatch(watch.getVersion(), new CompletableFuture<>());
+        PendingWatch pending = new PendingWatch(watch.getVersion(), vm.getControl(), new CompletableFuture<>());
         int waitMillis = Math.min(watch.getWaitMillis(), MAX_WAIT_MILLIS);
         pendingWatches.add(pending);
         if (waitMillis == 0 || state.version() != watch.getVersion()) {
@@ -173,10 +177,20 @@
                 .whenComplete((submission, failure) -> registering.remove(vm.getName()));
     }
 
-    /** Completes the waits of all watches of other versions than the current one. */
+    /**
+     * Completes the waits of the watches of other versions than the current one. A registration of an entry completes
+     * only those of control VMs, which send to the registered VMs; an entry learns of it when its wait ends anyway.
+     * Otherwise each of the VMs that start together would wake all others.
+     */
     private void endOutdatedWaits() {
         long version = state.version();
-        pendingWatches.stream().filter(pending -> pending.version() != version).forEach(this::endWait);
+        ControlState.Changes changes = state.changesAfter(examinedVersion.getAndSet(version));
+        boolean isOnlyRegistration = !changes.full()
+                && changes.items().stream()
+                        .allMatch(item -> item.hasVm() && !item.getVm().getControl());
+        pendingWatches.stream()
+                .filter(pending -> pending.version() != version && (pending.isControl() || !isOnlyRegistration))
+                .forEach(this::endWait);
     }
 
     private void endWait(PendingWatch pending) {
@@ -184,7 +198,7 @@
         pending.done().complete(null);
     }
 
-    private record PendingWatch(long version, CompletableFuture<Void> done) {}
+    private record PendingWatch(long version, boolean isControl, CompletableFuture<Void> done) {}
 
     private record Watcher(VmRecord vm, long revision, long seenAtNanos) {}
 }
