Encode and decode frames in one handler and one buffer

Each message between VMs passed two further handlers in each direction, and its length and its body were written as two buffers (writev). At two requests a second most of this runs in the interpreter.

--- a/src/main/java/org/borageproxy/wire/NettyVmNetwork.java
+++ b/src/main/java/org/borageproxy/wire/NettyVmNetwork.java
@@ -224,7 +224,7 @@
             protected void initChannel(SocketChannel channel) {
                 channel.pipeline()
                         .addLast(new IdleStateHandler(ACCEPTED_IDLE_TIMEOUT_MILLIS, 0, 0, TimeUnit.MILLISECONDS));
-                FrameCodec.addTo(channel.pipeline());
+                channel.pipeline().addLast(new FrameCodec());
                 channel.pipeline().addLast(new AcceptedConnection(frames, handlers, NettyVmNetwork.this::acceptStream));
             }
         };
@@ -236,7 +236,7 @@
             @Override
             protected void initChannel(SocketChannel channel) {
                 channel.pipeline().addLast(new IdleStateHandler(PING_IDLE_MILLIS, 0, 0, TimeUnit.MILLISECONDS));
-                FrameCodec.addTo(channel.pipeline());
+                channel.pipeline().addLast(new FrameCodec());
                 channel.pipeline().addLast(new DialingHandler(frames, connection, ready));
             }
         };
