Keep the timers of requests and attempts by their names

Each request built a timer, its tags and its buckets twice only to find the same timer in the registry: 4.3% of the samples of Java code on an entry's event loop under load.

--- a/src/main/java/org/borageproxy/server/GatewayMetrics.java
+++ b/src/main/java/org/borageproxy/server/GatewayMetrics.java
@@ -1,6 +1,8 @@
 package org.borageproxy.server;
 
 import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -32,6 +34,11 @@
 
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 
+    /**
+     * Timers by name, value and outcome, since looking one up in the registry needs a builder, tags and their order.
+     */
+    private final Map<String, Timer> timers = new ConcurrentHashMap<>();
+
     @Override
     public void recordRequest(String route, String outcome, double millis) {
         recordTimer("requests", "route", route, outcome, millis);
@@ -43,11 +50,11 @@
     }
 
     private void recordTimer(String name, String dimension, String value, String outcome, double millis) {
-        Timer.builder(name)
-                .tag(dimension, value)
-                .tag("outcome", outcome)
-                .serviceLevelObjectives(LATENCY_BUCKETS)
-                .register(registry)
+        timers.computeIfAbsent(String.join("\n", name, value, outcome), key -> Timer.builder(name)
+                        .tag(dimension, value)
+                        .tag("outcome", outcome)
+                        .serviceLevelObjectives(LATENCY_BUCKETS)
+                        .register(registry))
                 .record((long) (millis * MICROS_PER_MILLI), TimeUnit.MICROSECONDS);
     }
 
