Measure told times from the moment at which the VM answers

Cause: the test counted Retry-After from the moment at which the caller had read the answer to its end, so that a caller without processor time made a true time seem false. Change: RefusingServerTest counts from the log line of the VM (request-ended); tolerance (100 ms) and the bound of the caller's time (500 ms) are as before. The failure message lists the refusals of the servers. Ruled out: the VM's times are not at fault in any of the calls traced. The failure itself (168 ms) was not seen again; that the caller read late there is inferred, not shown.

--- a/src/test/java/org/borageproxy/platform/FleetLoad.java
+++ b/src/test/java/org/borageproxy/platform/FleetLoad.java
@@ -28,7 +28,7 @@
     private final List<Call> calls = new ArrayList<>();
 
     /** A call that has ended, with the whole answer or what arrived of it. */
-    record Call(String entry, long startedAtNanos, long endedAtNanos, String answer) {
+    record Call(String entry, String identity, long startedAtNanos, long endedAtNanos, String answer) {
         boolean isServed() {
             return answer.startsWith("HTTP/1.1 200") && !answer.endsWith("<broken>");
         }
@@ -63,17 +63,18 @@
     private void call() {
         int number = callCount.incrementAndGet();
         String entry = fleet.entries().get(number % fleet.entries().size());
+        String identity = prefix + number;
         long startedAtNanos = System.nanoTime();
         String answer;
         try {
             answer = service.equals(PlatformFleet.ENGINES)
-                    ? fleet.call(entry, prefix + number, "a" + number % 7 + ":50,b" + number + ":50", "")
-                    : fleet.callPlain(entry, prefix + number);
+                    ? fleet.call(entry, identity, "a" + number % 7 + ":50,b" + number + ":50", "")
+                    : fleet.callPlain(entry, identity);
         } catch (IOException exception) {
             answer = exception.toString();
         }
         synchronized (calls) {
-            calls.add(new Call(entry, startedAtNanos, System.nanoTime(), answer));
+            calls.add(new Call(entry, identity, startedAtNanos, System.nanoTime(), answer));
         }
     }
 
--- a/src/test/java/org/borageproxy/platform/PlatformFleet.java
+++ b/src/test/java/org/borageproxy/platform/PlatformFleet.java
@@ -257,6 +257,13 @@
         }
     }
 
+    /** Returns the log lines of a VM with a text, in their order. */
+    List<String> logLines(String vm, String text) throws IOException {
+        try (Stream<String> lines = Files.lines(folder.resolve(vm + ".log"))) {
+            return lines.filter(line -> line.contains(text)).toList();
+        }
+    }
+
     private String logs() throws IOException {
         StringBuilder logs = new StringBuilder();
         for (String vm : processes.keySet()) {
--- a/src/test/java/org/borageproxy/platform/RefusingServerTest.java
+++ b/src/test/java/org/borageproxy/platform/RefusingServerTest.java
@@ -1,7 +1,9 @@
 package org.borageproxy.platform;
 
+import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -240,21 +242,40 @@
         }
     }
 
-    /** Asserts that callers are told a time at which a server takes a request of their VM again, and not long after. */
-    private static void assertTimesAreTrue(List<FleetLoad.Call> refused) {
+    /**
+     * Asserts that callers are told a time at which a server takes a request of their VM again, and not long after. The
+     * told time counts from the moment at which the VM logs the refusal: on a machine that is short of CPU time, a
+     * caller may read the answer much later.
+     */
+    private static void assertTimesAreTrue(List<FleetLoad.Call> refused) throws IOException {
         for (FleetLoad.Call call : refused) {
-            long comesBackAtNanos = call.endedAtNanos() + (long) (call.retryAfterSeconds() * 1e9);
+            long answeredAtNanos = answeredAtNanos(call);
+            long comesBackAtNanos = answeredAtNanos + (long) (call.retryAfterSeconds() * 1e9);
             long acceptedAtNanos = PLAIN_SERVERS.stream()
                     .mapToLong(server -> server.refusals().stream()
-                            .filter(refusal ->
-                                    refusal.vm().equals(call.entry()) && refusal.atNanos() < call.endedAtNanos())
+                            .filter(refusal -> refusal.vm().equals(call.entry()) && refusal.atNanos() < answeredAtNanos)
                             .mapToLong(refusal -> refusal.until().atNanos())
                             .max()
                             .orElseThrow())
                     .min()
                     .orElseThrow();
             long errorMillis = (comesBackAtNanos - acceptedAtNanos) / 1_000_000;
-            assertTrue(Math.abs(errorMillis) < TOLERATED_ERROR.toMillis(), () -> errorMillis + " ms: " + call);
+            assertTrue(
+                    Math.abs(errorMillis) < TOLERATED_ERROR.toMillis(),
+                    () -> errorMillis + " ms: " + call + ", answered at " + answeredAtNanos + "; "
+                            + PLAIN_SERVERS.stream()
+                                    .map(EngineStandIn::refusals)
+                                    .toList());
         }
     }
+
+    /** Returns when the VM of a call answered it, on the clock of this process. */
+    private static long answeredAtNanos(FleetLoad.Call call) throws IOException {
+        String line = fleet.logLines(call.entry(), "id=" + call.identity() + " ").stream()
+                .filter(each -> each.contains("event=request-ended"))
+                .findFirst()
+                .orElseThrow();
+        Instant answeredAt = Instant.parse(line.substring(line.indexOf("time=") + "time=".length(), line.indexOf(' ')));
+        return System.nanoTime() - Duration.between(answeredAt, Instant.now()).toNanos();
+    }
 }
