Count the cost that a request adds to the queue of a fast server

Cause: where servers differ in speed, each request took the server that finishes it first, so that the queues of the fast ones grew until they were as slow as the slow ones.

Change: the prefill backlog counts twice if speeds differ. Tests for three loads, disturbances of 600 ms and delay-tolerant requests.

--- a/src/main/java/org/borageproxy/routing/ServerSelector.java
+++ b/src/main/java/org/borageproxy/routing/ServerSelector.java
@@ -192,11 +192,12 @@
                 .map(work -> engineMillis(query, candidate, work, prefillTokens))
                 .orElseGet(() -> serviceMillis(candidate));
         double penalty = candidate.server().zone().equals(query.zone()) ? 0.0 : CROSS_ZONE_PENALTY_MILLISECONDS;
-        double score = timeScore(query, candidate, expectedMillis, Double.isFinite(meanWeightedRequests))
+        boolean isUneven = Double.isFinite(meanWeightedRequests);
+        double score = timeScore(query, candidate, expectedMillis, isUneven)
                 + load.failureRate() * FAILURE_PENALTY_MILLISECONDS
                 + penalty
                 + interferenceMillis(load, prefillTokens, candidate.timeFactor())
-                + imbalanceMillis(candidate, meanWeightedRequests);
+                + (isUneven ? costToOthers(candidate, meanWeightedRequests) : 0.0);
         return new Scored(new Choice(candidate.server(), expectedMillis, prefillTokens, candidate.speed()), score);
     }
 
@@ -219,12 +220,16 @@
     }
 
     /**
-     * The predicted time to the first event hardly depends on the number of running streams, so that a fast engine
-     * would get nearly all requests until its batch or memory is full.
+     * Returns what a request costs those that arrive later, where servers differ in speed. If each request only took
+     * the server that finishes it first, the queues of the fast servers would grow until they are as slow as the slow
+     * ones. The time to the first event hardly depends on the number of running streams, so that a fast engine would
+     * moreover get nearly all of them until its batch or memory is full.
      */
-    private static double imbalanceMillis(Candidate candidate, double meanWeightedRequests) {
+    private static double costToOthers(Candidate candidate, double meanWeightedRequests) {
+        double backlogMillis =
+                candidate.load().totalPrefillTokens() / PREFILL_TOKENS_PER_MILLISECOND * candidate.timeFactor();
         double excess = candidate.weightedRequests() / meanWeightedRequests - TOLERATED_IMBALANCE;
-        return Math.max(0.0, excess) * IMBALANCE_PENALTY_MILLISECONDS;
+        return backlogMillis + Math.max(0.0, excess) * IMBALANCE_PENALTY_MILLISECONDS;
     }
 
     private static double interferenceMillis(ServerLoad load, int prefillTokens, double timeFactor) {
--- a/src/test/java/org/borageproxy/routing/speed/UnevenServersTest.java
+++ b/src/test/java/org/borageproxy/routing/speed/UnevenServersTest.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Function;
 
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerFixture;
@@ -22,7 +23,8 @@
 
 /**
  * Selects among engines of different speed, whose speeds are learned from their answers, in virtual time. Each pattern
- * is compared with a selection that knows at which time each engine would really complete the first event.
+ * is compared with the same selection with full knowledge of the speeds, with one that assumes equal speeds, and with
+ * one that knows which engine would complete the first event soonest.
  */
 class UnevenServersTest {
 
@@ -46,7 +48,9 @@
 
     private static final Policy LEARNED = (fleet, tolerated) -> fleet.choose(fleet.speeds::speedOf, tolerated);
     private static final Policy EQUAL = (fleet, tolerated) -> fleet.choose(ServerSpeeds.EQUAL, tolerated);
-    private static final Policy FULL_KNOWLEDGE = (fleet, tolerated) -> fleet.engines.stream()
+    private static final Policy FULL_KNOWLEDGE = (fleet, tolerated) ->
+            fleet.choose((server, nowNanos) -> fleet.engine(server).speed(fleet.nowMillis()), tolerated);
+    private static final Policy SOONEST = (fleet, tolerated) -> fleet.engines.stream()
             .filter(engine -> engine.load.totalRequests() < POOL.batchSlots())
             .min(Comparator.comparingDouble(engine -> engine.firstEventMillis(fleet.nowMillis())))
             .map(engine -> new ServerSelector.Choice(engine.server, 100, PROMPT_TOKENS, 1.0));
@@ -88,8 +92,8 @@
         private final Policy policy;
         private final double arrivalsPerSecond;
         private final List<Double> firstEventMillis = new ArrayList<>();
+        private double toleratedMillis;
         private int refused;
-        private int samples;
 
         private Fleet(Policy policy, double arrivalsPerSecond, double... speedsOfEngines) {
             this.policy = policy;
@@ -113,9 +117,9 @@
             return ServerSelector.INSTANCE.choose(query, candidates, time.nowNanos(), random);
         }
 
-        private Engine engine(ServerSelector.Choice choice) {
+        private Engine engine(BackendServer server) {
             return engines.stream()
-                    .filter(engine -> engine.server.equals(choice.server()))
+                    .filter(engine -> engine.server.equals(server))
                     .findFirst()
                     .orElseThrow();
         }
@@ -123,7 +127,7 @@
         private void run(Duration duration) {
             long endNanos = time.nowNanos() + duration.toNanos();
             while (time.nowNanos() < endNanos) {
-                send(0.0);
+                send(toleratedMillis);
                 double gapMillis = -Math.log(1 - random.nextDouble()) * 1e3 / arrivalsPerSecond;
                 time.advance(Duration.ofNanos((long) (gapMillis * 1e6)));
             }
@@ -135,7 +139,7 @@
                 refused++;
                 return;
             }
-            Engine engine = engine(choice.get());
+            Engine engine = engine(choice.get().server());
             double sentAt = nowMillis();
             double firstEventAt = engine.firstEventMillis(sentAt);
             engine.busyUntilMillis = engine.prefillEndMillis(sentAt);
@@ -178,7 +182,6 @@
         private void sampleLoads(Duration remaining) {
             if (!remaining.isZero()) {
                 time.scheduleAfterMillis(50, () -> {
-                    samples++;
                     engines.forEach(
                             engine -> engine.weightedLoadSum += engine.load.totalRequests() / engine.usualSpeed);
                     sampleLoads(remaining.minusMillis(50));
@@ -186,6 +189,19 @@
             }
         }
 
+        /** Disturbs one engine after another, each for 600 ms. */
+        private void disturbNext(int index) {
+            engines.get(index % engines.size()).disturbedUntilMillis = nowMillis() + 600;
+            time.scheduleAfterMillis(400, () -> disturbNext(index + 1));
+        }
+
+        private int requestsAbove(double speed) {
+            return engines.stream()
+                    .filter(engine -> engine.usualSpeed > speed)
+                    .mapToInt(engine -> engine.requests)
+                    .sum();
+        }
+
         private double imbalance() {
             double mean = engines.stream()
                     .mapToDouble(engine -> engine.weightedLoadSum)
@@ -221,28 +237,65 @@
 
     private static final double[] UNEVEN = {0.7, 1, 1.7, 0.7, 1, 1, 0.7, 1, 1.7, 0.7, 1, 1};
 
-    private static Fleet measured(Policy policy, double load, double... speeds) {
+    private static Fleet fleet(Policy policy, double load, double... speeds) {
         double capacity = 0;
         for (double speed : speeds) {
             capacity += speed * ServerSelector.PREFILL_TOKENS_PER_MILLISECOND * 1e3 / PROMPT_TOKENS;
         }
-        Fleet fleet = new Fleet(policy, capacity * load, speeds);
+        return new Fleet(policy, capacity * load, speeds);
+    }
+
+    private static Fleet measured(Fleet fleet) {
         fleet.run(WARM_UP);
         fleet.measure(Duration.ofSeconds(20));
         return fleet;
     }
 
-    private static void report(String pattern, Fleet learned, Fleet equal, Fleet full) {
-        System.out.println(pattern + "\n  learned: " + learned.figures() + "\n  equal:   " + equal.figures()
-                + "\n  full:    " + full.figures());
+    private static void report(String pattern, Function<Policy, Fleet> run) {
+        System.out.println(
+                pattern + " equal speeds assumed: " + run.apply(EQUAL).figures());
+        System.out.println(
+                pattern + " speeds known:         " + run.apply(FULL_KNOWLEDGE).figures());
+        System.out.println(
+                pattern + " soonest:              " + run.apply(SOONEST).figures());
     }
 
-    /** Pattern: a third of the servers at 0.7 and some at 1.7 of the speed, at 75% of the prefill capacity. */
+    /** Pattern: a third of the servers at 0.7 and some at 1.7 of the speed, at 30 to 90% of the prefill capacity. */
     @Test
     void unevenServersGetLoadInProportionToTheirSpeed() {
-        Fleet learned = measured(LEARNED, 0.75, UNEVEN);
-        report("uneven", learned, measured(EQUAL, 0.75, UNEVEN), measured(FULL_KNOWLEDGE, 0.75, UNEVEN));
-        assertTrue(learned.imbalance() < MAX_IMBALANCE, learned.figures());
+        for (double load : new double[] {0.3, 0.6, 0.9}) {
+            Fleet learned = measured(fleet(LEARNED, load, UNEVEN));
+            System.out.println("uneven " + load + " learned:  " + learned.figures());
+            report("uneven " + load, policy -> measured(fleet(policy, load, UNEVEN)));
+            assertTrue(learned.imbalance() < MAX_IMBALANCE, load + ": " + learned.figures());
+            assertTrue(learned.onTimeShare() > 0.99, load + ": " + learned.figures());
+        }
+    }
+
+    /** Pattern: each engine is 2.5 times slower for moments of 600 ms, in turn, on a fleet of equal engines. */
+    @Test
+    void disturbedEnginesGetLessWhileTheyAreDisturbed() {
+        Fleet learned = measured(disturbed(LEARNED));
+        System.out.println("disturbed learned: " + learned.figures());
+        report("disturbed", policy -> measured(disturbed(policy)));
         assertTrue(learned.onTimeShare() > 0.99, learned.figures());
+        assertTrue(learned.imbalance() < MAX_IMBALANCE, learned.figures());
+    }
+
+    private static Fleet disturbed(Policy policy) {
+        Fleet fleet = fleet(policy, 0.6, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1);
+        fleet.disturbNext(0);
+        return fleet;
+    }
+
+    /** Pattern: requests that tolerate delays are alone for a while. They leave the fast servers to urgent ones. */
+    @Test
+    void tolerantRequestsUseSlowServersFirst() {
+        Fleet urgent = measured(fleet(LEARNED, 0.15, UNEVEN));
+        Fleet tolerant = fleet(LEARNED, 0.15, UNEVEN);
+        tolerant.toleratedMillis = ServerSelector.toleratedMillis(10_005);
+        measured(tolerant);
+        assertTrue(tolerant.requestsAbove(1.5) < urgent.requestsAbove(1.5), tolerant.figures());
+        assertTrue(tolerant.imbalance() < 2 * MAX_IMBALANCE, tolerant.figures());
     }
 }
