Leave room at engines for urgent work that has been arriving

Cause: a burst of less urgent requests filled engines to their limits, so that urgent streams queued behind long prefills.

ServerSelector.Query carries the share; its previous constructor means one.

--- a/src/main/java/org/borageproxy/forward/ServerPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerPool.java
@@ -159,7 +159,7 @@
      * @return empty if no server can run the request now
      */
     Optional<ServerSelector.Choice> choose(ServerRequirement requirement) {
-        return choose(requirement, zone);
+        return choose(requirement, zone, 1);
     }
 
     /**
@@ -167,9 +167,11 @@
      *
      * @param requirement what the request requires
      * @param callerZone the availability zone from which the request is sent
+     * @param usableShare the share of its limits up to which an engine takes the request
      * @return empty if no server can run the request now
      */
-    Optional<ServerSelector.Choice> choose(ServerRequirement requirement, AvailabilityZone callerZone) {
+    Optional<ServerSelector.Choice> choose(
+            ServerRequirement requirement, AvailabilityZone callerZone, double usableShare) {
         List<ServerSelector.Candidate> candidates = new ArrayList<>();
         String modelOrService = requirement.work().map(EngineWork::model).orElse(requirement.service());
         untried(requirement).forEach(server -> {
@@ -179,7 +181,7 @@
             }
         });
         ServerSelector.Query query = new ServerSelector.Query(
-                requirement.work(), requirement.engines(), callerZone, requirement.triedServers());
+                requirement.work(), requirement.engines(), callerZone, requirement.triedServers(), usableShare);
         return ServerSelector.INSTANCE.choose(query, candidates, clock.nanoTime(), random);
     }
 
--- a/src/main/java/org/borageproxy/forward/SlotBroker.java
+++ b/src/main/java/org/borageproxy/forward/SlotBroker.java
@@ -25,6 +25,7 @@
 import org.borageproxy.routing.ServerSelector;
 import org.borageproxy.scheduling.AdmissionDecision;
 import org.borageproxy.scheduling.RequestCost;
+import org.borageproxy.scheduling.UrgentHeadroom;
 import org.borageproxy.scheduling.WaitingRequest;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
@@ -68,6 +69,7 @@
     private final StreamOrigins origins;
     private final Map<VmName, Entry> entries = new HashMap<>();
     private final ServerUsageTotals usage = new ServerUsageTotals();
+    private final UrgentHeadroom headroom = new UrgentHeadroom();
     private boolean isRefreshScheduled;
 
     /**
@@ -294,6 +296,12 @@
         }
 
         void begin() {
+            if (request.getWaitedMillis() < MAX_ANSWER_DELAY.toMillis()) {
+                headroom.recordArrival(
+                        request.getService(),
+                        waitingRequest.cost(),
+                        environment.clock().nanoTime());
+            }
             Optional<WaitingRequest> before = pool.waiting().firstBefore(waitingRequest);
             if (before.isPresent() || !tryGrant()) {
                 waitOrRefuse();
@@ -310,7 +318,9 @@
 
         private boolean tryGrant() {
             AvailabilityZone zone = new AvailabilityZone(request.getZone());
-            Optional<ServerSelector.Choice> choice = pool.choose(requirement, zone);
+            double share = headroom.usableShare(
+                    request.getService(), request.getRank(), environment.clock().nanoTime());
+            Optional<ServerSelector.Choice> choice = pool.choose(requirement, zone, share);
             choice.ifPresent(this::grant);
             return choice.isPresent();
         }
--- a/src/main/java/org/borageproxy/routing/ServerSelector.java
+++ b/src/main/java/org/borageproxy/routing/ServerSelector.java
@@ -51,12 +51,31 @@
      * @param engines the engine pool of the service; empty for a plain service
      * @param zone the availability zone from which the request is sent
      * @param triedServers the servers that must not be selected again
+     * @param usableShare the share of its limits up to which an engine takes the request; one if nothing is left free
      */
     public record Query(
             Optional<EngineWork> work,
             Optional<EnginePool> engines,
             AvailabilityZone zone,
-            Set<BackendServerName> triedServers) {}
+            Set<BackendServerName> triedServers,
+            double usableShare) {
+
+        /**
+         * Creates the requirements of a request that may use all of an engine.
+         *
+         * @param work the inference work; empty for a plain service
+         * @param engines the engine pool of the service; empty for a plain service
+         * @param zone the availability zone from which the request is sent
+         * @param triedServers the servers that must not be selected again
+         */
+        public Query(
+                Optional<EngineWork> work,
+                Optional<EnginePool> engines,
+                AvailabilityZone zone,
+                Set<BackendServerName> triedServers) {
+            this(work, engines, zone, triedServers, 1);
+        }
+    }
 
     /**
      * A server that can run the request.
@@ -116,10 +135,10 @@
         int prefillTokens =
                 work.promptTokens() - load.prefixCache().cachedTokens(work) + Math.max(0, load.totalPrefillTokens());
         boolean isBacklogShort = prefillTokens / PREFILL_TOKENS_PER_MILLISECOND * candidate.latencyRatio()
-                <= MAX_PREFILL_BACKLOG_MILLISECONDS;
+                <= MAX_PREFILL_BACKLOG_MILLISECONDS * query.usableShare();
         boolean hasRoom = load.totalReservedTokens() + work.totalTokens()
-                <= query.engines().get().cacheTokens() * USABLE_CACHE_SHARE;
-        boolean hasSlot = load.totalRequests() < query.engines().get().batchSlots();
+                <= query.engines().get().cacheTokens() * USABLE_CACHE_SHARE * query.usableShare();
+        boolean hasSlot = load.totalRequests() < query.engines().get().batchSlots() * query.usableShare();
         return (isBacklogShort || load.totalPrefillTokens() <= 0) && hasRoom && hasSlot;
     }
 
--- a/src/test/java/org/borageproxy/forward/SlotBrokerTest.java
+++ b/src/test/java/org/borageproxy/forward/SlotBrokerTest.java
@@ -152,6 +152,22 @@
         assertFalse(lessUrgent.isDone());
     }
 
+    /**
+     * Load pattern: a burst of delay-tolerant work while urgent requests arrive. Guards against engines filled to their
+     * limit: the next urgent request finds room at once.
+     */
+    @Test
+    void burstOfLessUrgentRequestsLeavesRoomForUrgentOnes() throws Exception {
+        for (int number = 0; number < 4; number++) {
+            assertEquals(
+                    SlotAnswer.Outcome.CHOSEN, answer(ask("n", 4, 5_000, 0)).getOutcome());
+        }
+        for (int number = 0; number < 40; number++) {
+            ask("n", 6, 15_000, 0);
+        }
+        assertEquals(SlotAnswer.Outcome.CHOSEN, answer(ask("n", 4, 5_000, 0)).getOutcome());
+    }
+
     /** Guards against early refusals: a request whose objective is far waits for as long as it can end in time. */
     @Test
     void requestWithFarObjectiveWaitsBeyondItsShareOfTheObjective() throws Exception {
