Keep places for refused requests and log who was put back for whom

Cause: a request that came back after a refusal was treated as new, and the log did not say which request had to wait in favour of which.

Change: a request that comes back when it was told goes before new ones of its rank; repeats share one place, and one that comes back too early is told the same time again. The coordinator logs request-put-back and admission-refused and has the gauges slot_requests_waiting, _put_back and _refused.

--- a/src/main/java/org/borageproxy/forward/SlotBroker.java
+++ b/src/main/java/org/borageproxy/forward/SlotBroker.java
@@ -25,6 +25,7 @@
 import org.borageproxy.routing.ServerSelector;
 import org.borageproxy.scheduling.AdmissionDecision;
 import org.borageproxy.scheduling.RequestCost;
+import org.borageproxy.scheduling.ReturnPlaces;
 import org.borageproxy.scheduling.UrgentHeadroom;
 import org.borageproxy.scheduling.WaitingRequest;
 import org.borageproxy.time.Deadline;
@@ -70,6 +71,8 @@
     private final Map<VmName, Entry> entries = new HashMap<>();
     private final ServerUsageTotals usage = new ServerUsageTotals();
     private final UrgentHeadroom headroom = new UrgentHeadroom();
+    private final ReturnPlaces places = new ReturnPlaces();
+    private final SlotLog log;
     private boolean isRefreshScheduled;
 
     /**
@@ -143,6 +146,34 @@
         this.environment = environment;
         this.pool = environment.pool();
         this.origins = environment.origins();
+        this.log = new SlotLog(environment.clock());
+    }
+
+    /**
+     * Returns the number of requests that wait for a slot. May be called by any thread; the number may be outdated.
+     *
+     * @return the number
+     */
+    public int waitingCount() {
+        return pool.waiting().size();
+    }
+
+    /**
+     * Returns how many requests had to wait for capacity. May be called by any thread.
+     *
+     * @return the number since the start of the process
+     */
+    public long putBackCount() {
+        return log.putBackCount();
+    }
+
+    /**
+     * Returns how many requests were refused for want of capacity. May be called by any thread.
+     *
+     * @return the number since the start of the process
+     */
+    public long refusedCount() {
+        return log.refusedCount();
     }
 
     /**
@@ -248,6 +279,8 @@
         private final Optional<EngineWork> work;
         private final CompletableFuture<ByteString> answer;
         private final WaitingRequest waitingRequest;
+        private final ReturnPlaces.Returning returning;
+        private Optional<WaitingRequest> before = Optional.empty();
         private final ServerRequirement requirement;
         private boolean isWaiting;
         private boolean isModelMissing;
@@ -278,31 +311,39 @@
                     work,
                     triedServers,
                     origin);
-            waitingRequest = waitingRequest();
+            SlotAttributes attributes = SlotAttributes.read(request);
+            returning = new ReturnPlaces.Returning(
+                    attributes.caller(),
+                    attributes.identity(),
+                    request.getService(),
+                    request.getModel(),
+                    request.getRank());
+            waitingRequest = waitingRequest(attributes);
         }
 
-        private WaitingRequest waitingRequest() {
-            SlotAttributes attributes = SlotAttributes.read(request);
+        private WaitingRequest waitingRequest(SlotAttributes attributes) {
+            long nowNanos = environment.clock().nanoTime();
+            boolean isReturning = hasPlace() && places.isReturning(returning, nowNanos);
             RequestCost.Times times = new RequestCost.Times(
-                    environment.clock().nanoTime(),
+                    nowNanos,
                     Duration.ofMillis(request.getWaitedMillis()),
                     Duration.ofMillis(request.getObjectiveMillis()),
                     Duration.ofMillis(request.getDeadlineMillis()));
             return new WaitingRequest(
                     requirement.lane(),
-                    RequestCost.of(request.getRank(), false, attributes.workspace(), work, times),
+                    RequestCost.of(request.getRank(), isReturning, attributes.workspace(), work, times),
                     attributes.identity(),
                     this::searchAgain);
         }
 
         void begin() {
-            if (request.getWaitedMillis() < MAX_ANSWER_DELAY.toMillis()) {
+            if (isFirstAsked()) {
                 headroom.recordArrival(
                         request.getService(),
                         waitingRequest.cost(),
                         environment.clock().nanoTime());
             }
-            Optional<WaitingRequest> before = pool.waiting().firstBefore(waitingRequest);
+            before = pool.waiting().firstBefore(waitingRequest);
             if (before.isPresent() || !tryGrant()) {
                 waitOrRefuse();
                 // The request may fit where the one before it does not.
@@ -310,6 +351,15 @@
             }
         }
 
+        private boolean isFirstAsked() {
+            return request.getWaitedMillis() < MAX_ANSWER_DELAY.toMillis();
+        }
+
+        /** Requests of earlier builds do not name their callers. */
+        private boolean hasPlace() {
+            return returning.caller() != 0 || !returning.identity().isEmpty();
+        }
+
         private void searchAgain() {
             if (isWaiting && tryGrant()) {
                 stopWaiting();
@@ -343,6 +393,7 @@
             }
             pool.recordAssignment(choice, work);
             pool.waiting().recordStart(waitingRequest);
+            places.release(returning);
             answer(SlotAnswer.newBuilder()
                     .setOutcome(SlotAnswer.Outcome.CHOSEN)
                     .setServer(choice.server().name().value())
@@ -375,23 +426,27 @@
                     || unavailability == ServerPool.Unavailability.NO_ADAPTER
                     || requirement.origin().equals(pool.commonOrigin(request.getService()));
             if (availableAt.isEmpty() && !mayBeOrdered) {
-                refuse(SlotAnswer.Outcome.NO_MODEL, UNORDERED_RETRY_AFTER);
+                refuseUnordered();
                 return;
             }
             if (availableAt.isEmpty()) {
-                waitFor(remainingWait(MAX_ORDER_WAIT), SlotAnswer.Outcome.NO_MODEL, () -> UNORDERED_RETRY_AFTER, true);
+                waitFor(remainingWait(MAX_ORDER_WAIT), this::refuseUnordered, true);
                 return;
             }
             long nowNanos = environment.clock().nanoTime();
             Duration remaining = Duration.ofNanos(availableAt.get().remainingNanos(nowNanos));
             boolean isInTime = remaining.plus(MIN_RUN_TIME).toMillis() < request.getDeadlineMillis();
             if (isInTime) {
-                waitFor(remaining, SlotAnswer.Outcome.NO_MODEL, () -> UNORDERED_RETRY_AFTER, true);
+                waitFor(remaining, this::refuseUnordered, true);
             } else {
                 refuse(SlotAnswer.Outcome.NO_MODEL, remaining);
             }
         }
 
+        private void refuseUnordered() {
+            refuse(SlotAnswer.Outcome.NO_MODEL, UNORDERED_RETRY_AFTER);
+        }
+
         private Duration remainingWait(Duration maximumWait) {
             Duration remaining = maximumWait.minusMillis(request.getWaitedMillis());
             return remaining.isNegative() ? Duration.ZERO : remaining;
@@ -428,27 +483,40 @@
         }
 
         private void waitForCapacity(Supplier<Deadline> expectedStart, boolean isInDemand) {
-            AdmissionDecision decision = pool.waiting().decide(waitingRequest, expectedStart.get());
+            Deadline expected = expectedStart.get();
+            AdmissionDecision decision = pool.waiting().decide(waitingRequest, expected);
             if (decision.waitUntil().isEmpty()) {
-                refuse(SlotAnswer.Outcome.CROWDED, remaining(decision.retryAt()));
+                refuseForCapacity(expected, decision.retryAt());
                 return;
             }
+            if (isFirstAsked()) {
+                log.putBack(waitingRequest, before, expected);
+            }
             waitFor(
                     remaining(decision.waitUntil().get()),
-                    SlotAnswer.Outcome.CROWDED,
-                    () -> remaining(pool.waiting().retryAt(waitingRequest, expectedStart.get())),
+                    () -> {
+                        Deadline expectedNow = expectedStart.get();
+                        refuseForCapacity(expectedNow, pool.waiting().retryAt(waitingRequest, expectedNow));
+                    },
                     isInDemand);
         }
 
+        /** A request that is repeated too early is told the same time again. */
+        private void refuseForCapacity(Deadline expectedStart, Deadline retryAt) {
+            long nowNanos = environment.clock().nanoTime();
+            Deadline told = hasPlace() ? places.dueAt(returning, nowNanos).orElse(retryAt) : retryAt;
+            if (hasPlace()) {
+                places.keep(returning, told, nowNanos);
+            }
+            log.refused(waitingRequest, expectedStart, told);
+            refuse(SlotAnswer.Outcome.CROWDED, remaining(told));
+        }
+
         private Duration remaining(Deadline deadline) {
             return Duration.ofNanos(deadline.remainingNanos(environment.clock().nanoTime()));
         }
 
-        private void waitFor(
-                Duration maximumWait,
-                SlotAnswer.Outcome finalOutcome,
-                Supplier<Duration> retryAfter,
-                boolean isForModel) {
+        private void waitFor(Duration maximumWait, Runnable refusal, boolean isForModel) {
             isWaiting = true;
             isModelMissing = isForModel;
             pool.enqueue(waitingRequest, work, false);
@@ -457,9 +525,11 @@
             environment.timer().schedule(isLong ? MAX_ANSWER_DELAY : maximumWait, () -> {
                 if (isWaiting) {
                     stopWaiting();
-                    refuse(
-                            isLong ? SlotAnswer.Outcome.AGAIN : finalOutcome,
-                            isLong ? MIN_RETRY_AFTER : retryAfter.get());
+                    if (isLong) {
+                        refuse(SlotAnswer.Outcome.AGAIN, MIN_RETRY_AFTER);
+                    } else {
+                        refusal.run();
+                    }
                 }
             });
         }
--- a/src/main/java/org/borageproxy/scheduling/RequestCost.java
+++ b/src/main/java/org/borageproxy/scheduling/RequestCost.java
@@ -104,6 +104,26 @@
         return objectiveStart.hasPassed(nowNanos);
     }
 
+    /**
+     * Returns why a request goes before another one.
+     *
+     * @param other the request that is put back
+     * @param nowNanos the current reading of the clock in nanoseconds
+     * @return the first difference that decides: rank, returning, late, workspace or objective
+     */
+    public String reasonBefore(RequestCost other, long nowNanos) {
+        if (rank != other.rank) {
+            return "rank";
+        }
+        if (isReturning != other.isReturning) {
+            return "returning";
+        }
+        if (isLate(nowNanos) != other.isLate(nowNanos)) {
+            return "late";
+        }
+        return workspace.equals(other.workspace) ? "objective" : "workspace";
+    }
+
     /** Returns the time by which requests of one class and workspace are ordered. */
     Deadline orderedBy(boolean isLate) {
         return isLate
--- a/src/main/java/org/borageproxy/scheduling/WaitingRequest.java
+++ b/src/main/java/org/borageproxy/scheduling/WaitingRequest.java
@@ -7,7 +7,9 @@
     private final RequestCost cost;
     private final String identity;
     private final Runnable retry;
-    private long sequence;
+    /** Greater than that of any queued request, so that a request which is not queued goes after its equals. */
+    private long sequence = Long.MAX_VALUE;
+
     private long lastPass;
 
     /**
--- a/src/main/java/org/borageproxy/server/GatewayControl.java
+++ b/src/main/java/org/borageproxy/server/GatewayControl.java
@@ -187,6 +187,11 @@
         return created;
     }
 
+    /** Returns the broker, whose counts may be read by any thread. */
+    SlotBroker slotBroker() {
+        return slotBroker;
+    }
+
     private SlotBroker createSlotBroker() {
         return new SlotBroker(new SlotBroker.Environment(
                 member::isLeader,
--- a/src/main/java/org/borageproxy/server/GatewayProcess.java
+++ b/src/main/java/org/borageproxy/server/GatewayProcess.java
@@ -109,6 +109,9 @@
         });
         control.ifPresent(controlRole -> {
             metrics.registerGauge("leads", () -> controlRole.status().role() == Role.LEADER ? 1 : 0);
+            metrics.registerGauge("slot_requests_waiting", controlRole.slotBroker()::waitingCount);
+            metrics.registerGauge("slot_requests_put_back", controlRole.slotBroker()::putBackCount);
+            metrics.registerGauge("slot_requests_refused", controlRole.slotBroker()::refusedCount);
             metrics.registerGauge("term", () -> controlRole.status().term());
             metrics.registerGauge(
                     "committed_entries", () -> controlRole.status().commitIndex());
--- a/src/test/java/org/borageproxy/forward/SlotBrokerTest.java
+++ b/src/test/java/org/borageproxy/forward/SlotBrokerTest.java
@@ -67,7 +67,12 @@
     }
 
     private CompletableFuture<ByteString> ask(String model, int rank, int deadlineMillis, int waitedMillis) {
-        SlotRequest request = SlotRequest.newBuilder()
+        return ask(model, rank, deadlineMillis, waitedMillis, new SlotAttributes("", "", 0));
+    }
+
+    private CompletableFuture<ByteString> ask(
+            String model, int rank, int deadlineMillis, int waitedMillis, SlotAttributes attributes) {
+        SlotRequest.Builder request = SlotRequest.newBuilder()
                 .setZone("a")
                 .setService("s")
                 .setModel(model)
@@ -75,9 +80,9 @@
                 .setRank(rank)
                 .setObjectiveMillis(1_200)
                 .setDeadlineMillis(deadlineMillis)
-                .setWaitedMillis(waitedMillis)
-                .build();
-        return broker.handle(ENTRY, request.toByteString()).toCompletableFuture();
+                .setWaitedMillis(waitedMillis);
+        attributes.addTo(request);
+        return broker.handle(ENTRY, request.build().toByteString()).toCompletableFuture();
     }
 
     private static SlotAnswer answer(CompletableFuture<ByteString> future) throws Exception {
@@ -168,6 +173,45 @@
         assertEquals(SlotAnswer.Outcome.CHOSEN, answer(ask("n", 4, 5_000, 0)).getOutcome());
     }
 
+    /**
+     * Load pattern: a wave of retries. A request that comes back when it was told goes before new ones of its rank; one
+     * that comes back at once is told the same time again.
+     */
+    @Test
+    void requestThatComesBackWhenToldGoesBeforeNewOnes() throws Exception {
+        SlotAttributes attributes = new SlotAttributes("", "r", 7);
+        for (int request = 0; request < 200; request++) {
+            ask("n", 5, 9_000, 0);
+        }
+        SlotAnswer refused = answer(ask("n", 5, 1_000, 0, attributes));
+        assertEquals(SlotAnswer.Outcome.CROWDED, refused.getOutcome());
+        SlotAnswer refusedAgain = answer(ask("n", 5, 1_000, 0, attributes));
+        assertEquals(refused.getComeBackMillis(), refusedAgain.getComeBackMillis());
+        time.advance(Duration.ofMillis(refused.getComeBackMillis()));
+        broker.recordReport(ENTRY, UsageReport.getDefaultInstance());
+        for (int request = 0; request < 200; request++) {
+            ask("n", 5, 9_000, 0);
+        }
+        CompletableFuture<ByteString> returned = ask("n", 5, 9_000, 0, attributes);
+        assertFalse(returned.isDone());
+        broker.recordReport(ENTRY, UsageReport.newBuilder().setLastSlot(1_000).build());
+        time.advance(Duration.ofMillis(10));
+        assertEquals(SlotAnswer.Outcome.CHOSEN, answer(returned).getOutcome());
+    }
+
+    /** Load pattern: a heavy workspace. A light one of equal rank does not wait behind all of its requests. */
+    @Test
+    void requestOfALightWorkspaceGoesBeforeThoseOfAHeavyOne() throws Exception {
+        for (int request = 0; request < 200; request++) {
+            ask("n", 5, 9_000, 0, new SlotAttributes("heavy", "h" + request, 7));
+        }
+        CompletableFuture<ByteString> light = ask("n", 5, 9_000, 0, new SlotAttributes("light", "l", 8));
+        assertFalse(light.isDone());
+        broker.recordReport(ENTRY, UsageReport.newBuilder().setLastSlot(1_000).build());
+        time.advance(Duration.ofMillis(10));
+        assertEquals(SlotAnswer.Outcome.CHOSEN, answer(light).getOutcome());
+    }
+
     /** Guards against early refusals: a request whose objective is far waits for as long as it can end in time. */
     @Test
     void requestWithFarObjectiveWaitsBeyondItsShareOfTheObjective() throws Exception {
