--- a/src/main/java/org/borageproxy/forward/ServerPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerPool.java
@@ -178,7 +178,7 @@
      * @return empty if no server can run the request now
      */
     Optional<ServerSelector.Choice> choose(ServerRequirement requirement) {
-        return choose(requirement, zone);
+        return choose(requirement, zone, 1);
     }
 
     /**
@@ -186,9 +186,11 @@
      *
      * @param requirement what the request requires
      * @param callerZone the availability zone from which the request is sent
+     * @param usableShare the share of its limits up to which an engine takes the request
      * @return empty if no server can run the request now
      */
-    Optional<ServerSelector.Choice> choose(ServerRequirement requirement, AvailabilityZone callerZone) {
+    Optional<ServerSelector.Choice> choose(
+            ServerRequirement requirement, AvailabilityZone callerZone, double usableShare) {
         List<ServerSelector.Candidate> candidates = new ArrayList<>();
         long nowNanos = clock.nanoTime();
         String modelOrService = requirement.work().map(EngineWork::model).orElse(requirement.service());
@@ -199,7 +201,8 @@
                         server, load, latencyRatios.of(modelOrService), speeds.speedOf(server, nowNanos)));
             }
         });
-        return ServerSelector.INSTANCE.choose(requirement.query(callerZone), candidates, nowNanos, random);
+        return ServerSelector.INSTANCE.choose(
+                requirement.query(callerZone, usableShare), candidates, nowNanos, random);
     }
 
     private boolean isCapable(BackendServer server, ServerRequirement requirement) {
--- a/src/main/java/org/borageproxy/forward/ServerRequirement.java
+++ b/src/main/java/org/borageproxy/forward/ServerRequirement.java
@@ -57,10 +57,11 @@
      * Returns the requirements on the selection among the servers that meet the others.
      *
      * @param callerZone the availability zone from which the request is sent
+     * @param usableShare the share of its limits up to which an engine takes the request
      * @return the query
      */
-    ServerSelector.Query query(AvailabilityZone callerZone) {
-        return new ServerSelector.Query(work, engines, callerZone, triedServers, toleratedMillis);
+    ServerSelector.Query query(AvailabilityZone callerZone, double usableShare) {
+        return new ServerSelector.Query(work, engines, callerZone, triedServers, toleratedMillis, usableShare);
     }
 
     /**
--- a/src/main/java/org/borageproxy/routing/ServerSelector.java
+++ b/src/main/java/org/borageproxy/routing/ServerSelector.java
@@ -66,16 +66,18 @@
      * @param triedServers the servers that must not be selected again
      * @param toleratedMillis the predicted time up to which the request leaves faster servers to others, in
      *     milliseconds
+     * @param usableShare the share of its limits up to which an engine takes the request; one if nothing is left free
      */
     public record Query(
             Optional<EngineWork> work,
             Optional<EnginePool> engines,
             AvailabilityZone zone,
             Set<BackendServerName> triedServers,
-            double toleratedMillis) {
+            double toleratedMillis,
+            double usableShare) {
 
         /**
-         * Creates the requirements of an urgent request.
+         * Creates the requirements of an urgent request that may use all of an engine.
          *
          * @param work the inference work; empty for a plain service
          * @param engines the engine pool of the service; empty for a plain service
@@ -87,7 +89,7 @@
                 Optional<EnginePool> engines,
                 AvailabilityZone zone,
                 Set<BackendServerName> triedServers) {
-            this(work, engines, zone, triedServers, 0.0);
+            this(work, engines, zone, triedServers, 0.0, 1);
         }
     }
 
@@ -173,10 +175,10 @@
         int prefillTokens =
                 work.promptTokens() - load.prefixCache().cachedTokens(work) + Math.max(0, load.totalPrefillTokens());
         boolean isBacklogShort = prefillTokens / PREFILL_TOKENS_PER_MILLISECOND * candidate.timeFactor()
-                <= MAX_PREFILL_BACKLOG_MILLISECONDS;
+                <= MAX_PREFILL_BACKLOG_MILLISECONDS * query.usableShare();
         boolean hasRoom = load.totalReservedTokens() + work.totalTokens()
-                <= query.engines().get().cacheTokens() * USABLE_CACHE_SHARE;
-        boolean hasSlot = load.totalRequests() < query.engines().get().batchSlots();
+                <= query.engines().get().cacheTokens() * USABLE_CACHE_SHARE * query.usableShare();
+        boolean hasSlot = load.totalRequests() < query.engines().get().batchSlots() * query.usableShare();
         return (isBacklogShort || load.totalPrefillTokens() <= 0) && hasRoom && hasSlot;
     }
 
