Keep requests within the regions that their route and workspace allow

Cause: data residency; requests could run in any region. The choice is checked again before the request is sent, together with the region of the VM through which the connection leads. Entries prefer VMs of their own region as ways around lost links. Not done: the placement does not know the regions of demand.

--- a/src/main/java/org/borageproxy/drain/ZoneRules.java
+++ b/src/main/java/org/borageproxy/drain/ZoneRules.java
@@ -54,6 +54,16 @@
         return allowedRegions.isEmpty() || regions.containsKey(zone) && allowedRegions.contains(regions.get(zone));
     }
 
+    /**
+     * Returns the region of a zone.
+     *
+     * @param zone the zone
+     * @return the region alone; empty if it is unknown
+     */
+    public Set<String> regionOf(AvailabilityZone zone) {
+        return regions.containsKey(zone) ? Set.of(regions.get(zone)) : Set.of();
+    }
+
     /**
      * Returns whether the servers of a zone are drained.
      *
--- a/src/main/java/org/borageproxy/forward/BufferedRequest.java
+++ b/src/main/java/org/borageproxy/forward/BufferedRequest.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 
 import io.vertx.core.http.HttpServerRequest;
+import org.borageproxy.drain.Regions;
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.publication.EnginePool;
 import org.borageproxy.publication.PublishedRoute;
@@ -77,12 +78,14 @@
     }
 
     /**
-     * Returns the regions in which the request may run.
+     * Returns the regions in which the request may run, by its route and its workspace.
      *
      * @return the names of the regions; empty for any
      */
     Set<String> allowedRegions() {
-        return Set.of();
+        return Regions.intersect(
+                route.allowedRegions(),
+                workspace.map(PublishedWorkspace::allowedRegions).orElse(Set.of()));
     }
 
     /**
--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -125,7 +125,7 @@
             localSearch.search();
             return;
         }
-        Set<BackendServerName> excluded = context.refusals().refusing();
+        Set<BackendServerName> excluded = context.unusable(buffered.allowedRegions());
         excluded.addAll(priorAttempts.triedServers());
         context.slotClient().request(buffered, priorAttempts, excluded, stream.origin(), answer -> {
             if (hasEnded) {
@@ -229,7 +229,7 @@
             }
             return crashEvidence.isQuarantined()
                     ? Optional.of("request was quarantined before it was sent")
-                    : context.pool().availability().obstacle(server, buffered.allowedRegions());
+                    : context.pool().availability().obstacle(server, buffered.allowedRegions(), acquired.relay());
         }
 
         @Override
--- a/src/main/java/org/borageproxy/forward/ForwardContext.java
+++ b/src/main/java/org/borageproxy/forward/ForwardContext.java
@@ -2,10 +2,12 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
 
 import io.netty.channel.EventLoop;
 import org.borageproxy.execution.RetryBudget;
+import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.quota.RateShares;
 import org.borageproxy.time.MonotonicClock;
 
@@ -46,6 +48,20 @@
         return connections.links().refusals();
     }
 
+    /**
+     * Returns the servers that a request must not be sent to now, apart from those that it has tried.
+     *
+     * @param allowedRegions the regions in which the request may run; empty for any
+     * @return the servers that refuse this VM and those in other regions, in a new set
+     */
+    Set<BackendServerName> unusable(Set<String> allowedRegions) {
+        Set<BackendServerName> unusable = refusals().refusing();
+        if (!allowedRegions.isEmpty()) {
+            unusable.addAll(pool.availability().outside(allowedRegions));
+        }
+        return unusable;
+    }
+
     /**
      * Returns the time until the first server takes a request again, if all that could run it refuse now.
      *
--- a/src/main/java/org/borageproxy/forward/ServerAvailability.java
+++ b/src/main/java/org/borageproxy/forward/ServerAvailability.java
@@ -4,13 +4,16 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiPredicate;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 import org.borageproxy.drain.ServerEligibility;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.membership.BackendServerState;
 import org.borageproxy.membership.BackendServers;
+import org.borageproxy.vm.VmName;
 
 /**
  * Which servers accept requests at all: announced ones that neither leave nor are gone, outside drained zones and in
@@ -23,6 +26,7 @@
     private final Map<BackendServerName, Long> goneIncarnations = new HashMap<>();
     private Consumer<BackendServer> goneListener = server -> {};
     private ServerEligibility eligibility = ServerEligibility.ANY;
+    private BiPredicate<VmName, Set<String>> relayRule = (relay, allowedRegions) -> true;
 
     ServerAvailability(BackendServers servers) {
         this.servers = servers;
@@ -37,6 +41,23 @@
         eligibility = rules;
     }
 
+    /**
+     * Restricts the VMs through which requests are sent.
+     *
+     * @param rule returns whether a VM may receive the body of a request, for the regions that the request allows
+     */
+    public void restrictRelays(BiPredicate<VmName, Set<String>> rule) {
+        relayRule = rule;
+    }
+
+    /** Returns the servers that requests for some regions must not be sent to. */
+    Set<BackendServerName> outside(Set<String> allowedRegions) {
+        return servers.current().stream()
+                .filter(server -> !eligibility.mayReceive(server, allowedRegions))
+                .map(BackendServer::name)
+                .collect(Collectors.toSet());
+    }
+
     /**
      * Sets the listener for servers that are marked as gone.
      *
@@ -87,9 +108,10 @@
      *
      * @param selected the server
      * @param allowedRegions the regions in which the request may run; empty for any
+     * @param relay the VM through which it would be sent; empty for none
      * @return the reason, for logs; empty if the request may be sent
      */
-    Optional<String> obstacle(BackendServer selected, Set<String> allowedRegions) {
+    Optional<String> obstacle(BackendServer selected, Set<String> allowedRegions, Optional<VmName> relay) {
         boolean isCurrent = servers.current().stream()
                 .anyMatch(server -> server.name().equals(selected.name())
                         && server.incarnation() == selected.incarnation()
@@ -97,9 +119,12 @@
         if (!isCurrent) {
             return Optional.of("server left or restarted before the request was sent");
         }
-        return eligibility.mayReceive(selected, allowedRegions)
+        if (!eligibility.mayReceive(selected, allowedRegions)) {
+            return Optional.of("zone of the server was drained or is not allowed");
+        }
+        return relay.isEmpty() || relayRule.test(relay.get(), allowedRegions)
                 ? Optional.empty()
-                : Optional.of("zone of the server was drained or is not allowed");
+                : Optional.of("region of the VM on the way to the server is not allowed");
     }
 
     /** Removes the marks of servers that are no longer announced. */
--- a/src/main/java/org/borageproxy/platform/PublicationDocument.java
+++ b/src/main/java/org/borageproxy/platform/PublicationDocument.java
@@ -85,7 +85,8 @@
                 json.getInteger("Priority", 0),
                 decodeWeightedServices(json),
                 json.getInteger("MaxAttempts", DEFAULT_MAX_ATTEMPTS),
-                json.getBoolean("Public", false));
+                json.getBoolean("Public", false),
+                decodeRegions(json));
     }
 
     private static Repeatability decodeRepeatability(JsonObject json) {
@@ -163,7 +164,16 @@
                 json.getInteger("Priority", -1),
                 json.getLong("RatePerS", 0L),
                 json.getLong("Burst", 0L),
-                json.getLong("PlainTokens", DEFAULT_REQUEST_TOKENS));
+                json.getLong("PlainTokens", DEFAULT_REQUEST_TOKENS),
+                decodeRegions(json));
+    }
+
+    private static Set<String> decodeRegions(JsonObject json) {
+        Set<String> regions = new HashSet<>();
+        for (Object region : json.getJsonArray("AllowedRegions", new JsonArray())) {
+            regions.add((String) region);
+        }
+        return regions;
     }
 
     private static RequestLimits decodeLimits(JsonObject json) {
--- a/src/main/java/org/borageproxy/publication/PublishedRoute.java
+++ b/src/main/java/org/borageproxy/publication/PublishedRoute.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 
 /**
  * A route from a host and a path prefix to one or more services. Immutable and thread safe.
@@ -17,6 +18,7 @@
  * @param services the services among which requests are split, by weight
  * @param maxAttempts the maximum number of backend servers to which one request is sent
  * @param isPublic whether callers need no API key
+ * @param allowedRegions the regions in which requests may run; empty for any
  */
 public record PublishedRoute(
         String name,
@@ -29,11 +31,55 @@
         int priority,
         List<WeightedService> services,
         int maxAttempts,
-        boolean isPublic) {
+        boolean isPublic,
+        Set<String> allowedRegions) {
 
-    /** Copies the list of services. */
+    /** Copies the collections. */
     public PublishedRoute {
         services = List.copyOf(services);
+        allowedRegions = Set.copyOf(allowedRegions);
+    }
+
+    /**
+     * Creates a route whose requests may run in any region.
+     *
+     * @param name the name used in logs and error messages
+     * @param host the host name in lower case, without a port
+     * @param pathPrefix the path prefix, which starts and ends with a slash
+     * @param repeatability whether a request may run more than once and whether its response is a stream
+     * @param timeout the maximum time until the response is complete, positive
+     * @param latencyObjective the target time until the response, or the first event of a stream; zero for none
+     * @param gapObjective the target for the longest pause between two events of a stream; zero for none
+     * @param priority the priority rank; zero is the highest
+     * @param services the services among which requests are split, by weight
+     * @param maxAttempts the maximum number of backend servers to which one request is sent
+     * @param isPublic whether callers need no API key
+     */
+    public PublishedRoute(
+            String name,
+            String host,
+            String pathPrefix,
+            Repeatability repeatability,
+            Duration timeout,
+            Duration latencyObjective,
+            Duration gapObjective,
+            int priority,
+            List<WeightedService> services,
+            int maxAttempts,
+            boolean isPublic) {
+        this(
+                name,
+                host,
+                pathPrefix,
+                repeatability,
+                timeout,
+                latencyObjective,
+                gapObjective,
+                priority,
+                services,
+                maxAttempts,
+                isPublic,
+                Set.of());
     }
 
     /**
--- a/src/main/java/org/borageproxy/server/GatewayEntry.java
+++ b/src/main/java/org/borageproxy/server/GatewayEntry.java
@@ -144,6 +144,7 @@
                 () -> LOCAL_LIMIT_FRACTION / entryCount);
         created.onGone(runtime::suspectServer);
         created.availability().restrict(runtime.zoneRules());
+        created.availability().restrictRelays(this::mayPass);
         created.statements()
                 .limitColdServers(
                         service -> servedPublication
@@ -155,6 +156,26 @@
         return created;
     }
 
+    /**
+     * Returns whether the body of a request may be sent to a VM; a VM of an unknown zone gets none with a restriction.
+     */
+    private boolean mayPass(VmName relay, Set<String> allowedRegions) {
+        return allowedRegions.isEmpty()
+                || runtime.spread().vms().stream()
+                        .anyMatch(vm ->
+                                vm.name().equals(relay) && runtime.zoneRules().isAllowed(vm.zone(), allowedRegions));
+    }
+
+    /** Prefers VMs of this region, through which restricted requests can usually be sent. */
+    private List<VmName> preferOwnRegion(List<VmName> offered) {
+        List<VmName> own = offered.stream()
+                .filter(relay -> mayPass(
+                        relay,
+                        runtime.zoneRules().regionOf(runtime.settings().vm().zone())))
+                .toList();
+        return own.isEmpty() ? offered : own;
+    }
+
     /** Entries that do not report to the coordinator now may be cut off and send nevertheless. */
     private int registeredEntryCount() {
         return runtime.spread().registeredDataPlaneVms().size();
@@ -260,7 +281,8 @@
             pool.statements().merge(update.getStatedLimitsList());
             pool.updateOtherVmUsage(update.getServersList(), update.getAllServers());
             if (update.getAllServers()) {
-                relays = update.getRelaysList().stream().map(VmName::new).toList();
+                relays = preferOwnRegion(
+                        update.getRelaysList().stream().map(VmName::new).toList());
             }
             Map<String, PublishedWorkspace> workspaces = servedPublication
                     .map(current -> current.publication().workspaces())
--- a/src/test/java/org/borageproxy/forward/ServerPoolTest.java
+++ b/src/test/java/org/borageproxy/forward/ServerPoolTest.java
@@ -8,6 +8,7 @@
 import java.util.Random;
 import java.util.Set;
 
+import org.borageproxy.drain.ZoneRules;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerFixture;
 import org.borageproxy.membership.BackendServerName;
@@ -16,6 +17,7 @@
 import org.borageproxy.routing.EngineWork;
 import org.borageproxy.routing.ServerSelector;
 import org.borageproxy.vm.AvailabilityZone;
+import org.borageproxy.vm.VmName;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -119,13 +121,17 @@
         BackendServer leaving = BackendServerFixture.engine("leaving", "m");
         servers.add(leaving);
         servers.add(BackendServerFixture.engine("stays", "m"));
-        assertEquals(Optional.empty(), pool.availability().obstacle(leaving, Set.of()));
+        assertEquals(Optional.empty(), pool.availability().obstacle(leaving, Set.of(), Optional.empty()));
         servers.set(0, leaving.withState(BackendServerState.LEAVING));
         assertEquals(Optional.of("stays"), chosen("m"));
         // A request whose slot was granted before checks again immediately before it is sent.
-        assertTrue(pool.availability().obstacle(leaving, Set.of()).isPresent());
+        assertTrue(pool.availability()
+                .obstacle(leaving, Set.of(), Optional.empty())
+                .isPresent());
         servers.remove(0);
-        assertTrue(pool.availability().obstacle(leaving, Set.of()).isPresent());
+        assertTrue(pool.availability()
+                .obstacle(leaving, Set.of(), Optional.empty())
+                .isPresent());
     }
 
     /** Guards against requests to servers of a drained zone, also by a choice that was made before the drain. */
@@ -141,8 +147,10 @@
         for (int round = 0; round < 20; round++) {
             assertEquals(Optional.of("other"), chosen("m"));
         }
-        assertTrue(pool.availability().obstacle(drained, Set.of()).isPresent());
-        assertEquals(Optional.empty(), pool.availability().obstacle(other, Set.of()));
+        assertTrue(pool.availability()
+                .obstacle(drained, Set.of(), Optional.empty())
+                .isPresent());
+        assertEquals(Optional.empty(), pool.availability().obstacle(other, Set.of(), Optional.empty()));
     }
 
     /** Guards against callers that wait for a model while no server at all may run it; they are told at once. */
@@ -154,4 +162,36 @@
         assertEquals(
                 ServerPool.Unavailability.NO_SERVER, pool.unavailability(requirement("m", Set.of(), Optional.empty())));
     }
+
+    /** Guards against bodies that leave their regions on the way through another VM. */
+    @Test
+    void restrictedRequestIsNotSentThroughVmOfAnotherRegion() {
+        BackendServer server = BackendServerFixture.engine("e", "m");
+        servers.add(server);
+        VmName relay = new VmName("relay");
+        pool.availability().restrictRelays((vm, regions) -> regions.isEmpty());
+        assertEquals(Optional.empty(), pool.availability().obstacle(server, Set.of(), Optional.of(relay)));
+        assertEquals(Optional.empty(), pool.availability().obstacle(server, Set.of("r"), Optional.empty()));
+        assertTrue(pool.availability()
+                .obstacle(server, Set.of("r"), Optional.of(relay))
+                .isPresent());
+    }
+
+    /** Guards against requests to servers of another region, and against a coordinator that offers these again. */
+    @Test
+    void restrictedRequestIsNotSentToServerOfAnotherRegion() {
+        servers.add(BackendServerFixture.engine("near", "m"));
+        servers.add(BackendServerFixture.inZone(BackendServerFixture.engine("far", "m"), "b"));
+        ZoneRules rules = new ZoneRules(
+                Map.of(BackendServerFixture.ZONE, "r", new AvailabilityZone("b"), "q"), Set::of, () -> true);
+        pool.availability().restrict(rules);
+        ServerRequirement restricted =
+                new ServerRequirement("s", Optional.of(ENGINES), work("m"), Set.of(), Optional.empty(), Set.of("q"));
+        for (int round = 0; round < 20; round++) {
+            assertEquals(
+                    Optional.of("far"),
+                    pool.choose(restricted).map(choice -> choice.server().name().value()));
+        }
+        assertEquals(Set.of(new BackendServerName("near")), pool.availability().outside(Set.of("q")));
+    }
 }
