Add commands that drain, return and list zones

drain-zone, return-zone and drained-zones call the control VMs of a fleet on the platform and repeat an order that is not acknowledged; the operators' status and the gauge drained_zones show the drains as well. The two other roles of the command line, which use the operators' interface, serve VMs whose data plane does not ask the drains, so that no order is offered there. Tests for the decoding of the new fields of publication, heartbeats, answers and settings.

--- a/src/main/java/org/borageproxy/command/CommandLine.java
+++ b/src/main/java/org/borageproxy/command/CommandLine.java
@@ -41,6 +41,9 @@
         add("status", "print the state of the VMs and the revision that each one serves", StatusCommand::new);
         add("members", "list or change the members of the control group", MembersCommand::new);
         add("drain", "shut one VM down gracefully", DrainCommand::new);
+        add("drain-zone", "send nothing to the backend servers of a zone", () -> new ZoneCommand.Order(true));
+        add("return-zone", "send requests to a drained zone again", () -> new ZoneCommand.Order(false));
+        add("drained-zones", "print the drained zones of a fleet on the platform", ZoneCommand.ListDrained::new);
         add("timeline", "print the events of all VMs in causal order", TimeLineCommand::new);
         add("explain", "print the log lines of one request from the logs of all VMs", ExplainCommand::new);
         add("check-settings", "validate a settings file", CheckSettingsCommand::new);
--- a/src/main/java/org/borageproxy/operator/StatusHandler.java
+++ b/src/main/java/org/borageproxy/operator/StatusHandler.java
@@ -8,6 +8,7 @@
 import org.borageproxy.control.ControlClient;
 import org.borageproxy.spread.ControlStateWatcher;
 import org.borageproxy.spread.StateReader;
+import org.borageproxy.vm.AvailabilityZone;
 import org.borageproxy.wire.proto.ControlProtocol.Served;
 
 /** Reports which revision each VM serves and whether the newest one is in force. Stateless and thread safe. */
@@ -63,6 +64,12 @@
                 .put("vm", client.self().value())
                 .put("revision", revision)
                 .put("fresh", spread.isFresh(client.nanoTime()))
-                .put("vms", vms));
+                .put("vms", vms)
+                .put(
+                        "drained_zones",
+                        new JsonArray(spread.drainedZones().stream()
+                                .map(AvailabilityZone::value)
+                                .sorted()
+                                .toList())));
     }
 }
--- a/src/main/java/org/borageproxy/platform/ControlCalls.java
+++ b/src/main/java/org/borageproxy/platform/ControlCalls.java
@@ -1,5 +1,6 @@
 package org.borageproxy.platform;
 
+import java.util.List;
 import java.util.concurrent.CompletionStage;
 
 import io.netty.handler.codec.http.QueryStringDecoder;
@@ -9,6 +10,8 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.server.ControlPlane;
 import org.borageproxy.settings.Endpoint;
@@ -23,8 +26,9 @@
     private static final String READ_PATH = "/Config.Read";
     private static final String HEARTBEAT_PATH = "/Replicas.Heartbeat/";
     private static final String DEREGISTER_PATH = "/Replicas.Deregister/";
-    private static final String DRAIN_PATH = "/Evacuations.Begin/";
-    private static final String RETURN_PATH = "/Evacuations.Finish/";
+    static final String DRAIN_PATH = "/Evacuations.Begin/";
+    static final String RETURN_PATH = "/Evacuations.Finish/";
+    static final String READ_DRAINS_PATH = "/Evacuations.Read";
     private static final String JSON = "application/json";
     private static final int IDLE_TIMEOUT_SECONDS = 60;
     private static final int OK = 200;
@@ -80,6 +84,8 @@
                     new BackendServerName(path.substring(DEREGISTER_PATH.length())),
                     HeartbeatDocument.decodeIncarnation(body));
             respond(request, OK, "{}");
+        } else if (path.equals(READ_DRAINS_PATH) && request.method().equals(HttpMethod.GET)) {
+            readDrains(request);
         } else if (isPost && path.startsWith(DRAIN_PATH)) {
             orderZone(request, path.substring(DRAIN_PATH.length()), true);
         } else if (isPost && path.startsWith(RETURN_PATH)) {
@@ -89,6 +95,19 @@
         }
     }
 
+    private void readDrains(HttpServerRequest request) {
+        controlPlane
+                .readDrainedZones()
+                .thenAccept(zones -> zones.ifPresentOrElse(
+                        names -> respond(
+                                request,
+                                OK,
+                                new JsonObject()
+                                        .put("Drained", new JsonArray(List.copyOf(names)))
+                                        .toBuffer()),
+                        () -> respond(request, UNAVAILABLE, "{}")));
+    }
+
     private void orderZone(HttpServerRequest request, String encodedZone, boolean isDrain) {
         String zone;
         try {
--- a/src/main/java/org/borageproxy/server/ControlPlane.java
+++ b/src/main/java/org/borageproxy/server/ControlPlane.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.SortedSet;
 import java.util.concurrent.CompletionStage;
 
 import org.borageproxy.membership.Announcement;
@@ -50,6 +51,13 @@
      */
     CompletionStage<ZoneOrderResult> orderZone(String zone, boolean isDrain);
 
+    /**
+     * Reads the zones that are drained.
+     *
+     * @return the names in order, or empty if this VM cannot confirm that its state is current; never fails
+     */
+    CompletionStage<Optional<SortedSet<String>>> readDrainedZones();
+
     /** Outcome of an order to drain or return a zone. */
     enum ZoneOrderResult {
         /** The order is committed and obeyed by all VMs in contact with the control group within seconds. */
--- a/src/main/java/org/borageproxy/server/GatewayControl.java
+++ b/src/main/java/org/borageproxy/server/GatewayControl.java
@@ -10,6 +10,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
+import java.util.SortedSet;
+import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
@@ -399,6 +401,13 @@
         return zoneOrders.execute(zone, isDrain);
     }
 
+    @Override
+    public CompletionStage<Optional<SortedSet<String>>> readDrainedZones() {
+        return member.confirmRead(Deadline.after(runtime.clock().nanoTime(), READ_TIMEOUT))
+                .thenApply(
+                        isCurrent -> isCurrent ? Optional.of(new TreeSet<>(state.drainedZones())) : Optional.empty());
+    }
+
     @Override
     public void handleHeartbeat(Announcement announcement, boolean isLeaving) {
         runtime.membership().announce(announcement);
--- a/src/main/java/org/borageproxy/server/GatewayProcess.java
+++ b/src/main/java/org/borageproxy/server/GatewayProcess.java
@@ -99,6 +99,8 @@
     private void registerGauges() {
         metrics.registerGauge("ready", () -> isReady() ? 1 : 0);
         metrics.registerGauge("log_lines_dropped", BoundedAppender::droppedCount);
+        metrics.registerGauge(
+                "drained_zones", () -> runtime.spread().drainedZones().size());
         metrics.registerGauge(
                 "known_servers", () -> runtime.membership().registry().current().size());
         entry.ifPresent(entryRole -> {
--- a/src/test/java/org/borageproxy/platform/PlatformDocumentsTest.java
+++ b/src/test/java/org/borageproxy/platform/PlatformDocumentsTest.java
@@ -4,8 +4,12 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Set;
 
 import io.vertx.core.buffer.Buffer;
@@ -14,7 +18,9 @@
 import org.borageproxy.publication.ServedPublication;
 import org.borageproxy.server.GatewaySettings;
 import org.borageproxy.settings.SettingsException;
+import org.borageproxy.vm.AvailabilityZone;
 import org.borageproxy.vm.VmName;
+import org.borageproxy.warmup.WarmUpRules;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -128,4 +134,50 @@
     private static Path write(Path folder, String text) throws IOException {
         return Files.writeString(folder.resolve("boot.toml"), text);
     }
+
+    /** Guards against limits of cold servers and regions that are published and not applied. */
+    @Test
+    void warmUpAndRegionsAreDecoded() {
+        String services = SERVICES.replace("\"MaxConnections\":110", "\"ColdPerS\":4.5,\"ColdStartS\":12");
+        Publication publication = decode(document(
+                        ROUTE.replace("\"Priority\":1", "\"AllowedRegions\":[\"r\",\"q\"]"),
+                        "{\"Name\":\"w\",\"AllowedRegions\":[\"q\"]}")
+                .replace(SERVICES, services));
+        assertEquals(new WarmUpRules(Duration.ofSeconds(12), OptionalDouble.of(4.5)), publication.warmUp("t"));
+        assertEquals(WarmUpRules.NONE, publication.warmUp("s"));
+        assertEquals(Set.of("r", "q"), publication.routes().get(0).allowedRegions());
+        assertEquals(Set.of("q"), publication.workspaces().get("w").allowedRegions());
+    }
+
+    /** Guards against a server that states to be warm and is taken for one that states nothing. */
+    @Test
+    void coldTimeOfHeartbeatsIsDecoded() {
+        String heartbeat = "{\"Service\":\"s\",\"Address\":\"127.0.0.1:1\",\"Zone\":\"a\",\"Slots\":4,"
+                + "\"State\":\"ready\",\"Sequence\":1,\"born\":5";
+        assertEquals(OptionalLong.empty(), coldMillis(heartbeat + "}"));
+        assertEquals(OptionalLong.of(0), coldMillis(heartbeat + ",\"ColdRemainingMs\":0}"));
+        assertEquals(OptionalLong.of(2_500), coldMillis(heartbeat + ",\"ColdRemainingMs\":2500.7}"));
+        assertEquals(OptionalLong.of(0), coldMillis(heartbeat + ",\"ColdRemainingMs\":-3}"));
+    }
+
+    private static OptionalLong coldMillis(String heartbeat) {
+        return HeartbeatDocument.decode("n", Buffer.buffer(heartbeat), 300)
+                .orElseThrow()
+                .announcement()
+                .load()
+                .coldMillis();
+    }
+
+    /** Guards against zones that a drain cannot name, and against bounds that are not read. */
+    @Test
+    void zonesAndBoundsOfColdServersAreRead(@TempDir Path folder) throws Exception {
+        String text = "NodeName = \"n\"\nIp = \"127.0.0.1\"\nZone = \"z-1\"\nInternalPortRange = [1, 2]\n"
+                + "SeedNodes = [\"127.0.0.2:3\"]\n[Zones]\nz-1 = \"r\"\n\"z.2\" = \"q\"\n"
+                + "[Bounds]\nColdOverage = 2.0\nColdSlack = 7\n";
+        GatewaySettings settings =
+                PlatformSettings.read(write(folder, text), OptionalInt.empty()).gateway();
+        assertEquals(Map.of(new AvailabilityZone("z-1"), "r", new AvailabilityZone("z.2"), "q"), settings.zones());
+        assertEquals(2.0, settings.bounds().coldOverage());
+        assertEquals(7.0, settings.bounds().coldSlack());
+    }
 }
--- a/src/test/java/org/borageproxy/platform/PlatformFleet.java
+++ b/src/test/java/org/borageproxy/platform/PlatformFleet.java
@@ -28,6 +28,8 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
+import org.borageproxy.settings.Endpoint;
+
 /**
  * VMs on the platform, each a separate process on a loopback address, with engines that send heartbeats to the control
  * VM. The first VM is the control group, the others are entries. {@link #close()} ends every process and engine. Used
@@ -247,6 +249,11 @@
                 .version(HttpClient.Version.HTTP_1_1);
     }
 
+    /** Returns the address of the control VM for operators. */
+    Endpoint controlEndpoint() {
+        return new Endpoint(CONTROL, controlPort);
+    }
+
     /** Sends a call of an operator without a body to the control VM and returns the status. */
     int callControl(String path) throws IOException, InterruptedException {
         HttpRequest.Builder call = request(CONTROL, controlPort, path).POST(HttpRequest.BodyPublishers.noBody());
--- a/src/test/java/org/borageproxy/platform/PlatformHeadersTest.java
+++ b/src/test/java/org/borageproxy/platform/PlatformHeadersTest.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -104,4 +105,15 @@
             assertEquals(Optional.empty(), parse("Server-Brittle", malformed), malformed);
         }
     }
+
+    /** Guards against a server that becomes cold and says so in vain. */
+    @Test
+    void longestColdTimeCounts() {
+        assertEquals(
+                OptionalLong.of(1_500),
+                parse("X-Cold-Ms", "20", "x-cold-ms", "1500").orElseThrow().coldMillis());
+        assertEquals(
+                OptionalLong.empty(), parse("X-Request-Id", "1").orElseThrow().coldMillis());
+        assertEquals(Optional.empty(), parse("X-Cold-Ms", "soon"));
+    }
 }
--- a/src/test/java/org/borageproxy/platform/ZoneDrainTest.java
+++ b/src/test/java/org/borageproxy/platform/ZoneDrainTest.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -79,6 +80,8 @@
         assertEquals(404, fleet.callControl(FINISH + "elsewhere"));
         fleet.awaitAcknowledged(BEGIN + "a");
         assertEquals(200, fleet.callControl(BEGIN + "a"));
+        ZoneClient client = new ZoneClient(List.of(fleet.controlEndpoint()));
+        assertEquals(Optional.of("{\"Drained\":[\"a\"]}"), client.read());
         Thread.sleep(DRAIN_TIME.toMillis());
         assertNothingArrivesWhile(() -> {
             long sinceNanos = System.nanoTime();
@@ -99,7 +102,8 @@
             fleet.awaitAcknowledged(BEGIN + "a");
             Thread.sleep(MEASURED_TIME.toMillis());
         });
-        fleet.awaitAcknowledged(FINISH + "a");
+        assertEquals(ZoneClient.Outcome.UNKNOWN_ZONE, client.order("elsewhere", false));
+        assertEquals(ZoneClient.Outcome.ACKNOWLEDGED, client.order("a", false));
         awaitRequests();
         plainLoad.awaitServed(50);
         engineLoad.awaitServed(50);
