--- a/src/main/java/org/borageproxy/forward/BufferedRequest.java
+++ b/src/main/java/org/borageproxy/forward/BufferedRequest.java
@@ -8,6 +8,7 @@
 import org.borageproxy.buffer.BufferOwner;
 import org.borageproxy.buffer.RefusalCost;
 import org.borageproxy.buffer.Reservation;
+import org.borageproxy.drain.Regions;
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.publication.EnginePool;
 import org.borageproxy.publication.PublishedRoute;
@@ -82,12 +83,14 @@
     }
 
     /**
-     * Returns the regions in which the request may run.
+     * Returns the regions in which the request may run, by its route and its workspace.
      *
      * @return the names of the regions; empty for any
      */
     Set<String> allowedRegions() {
-        return Set.of();
+        return Regions.intersect(
+                route.allowedRegions(),
+                workspace.map(PublishedWorkspace::allowedRegions).orElse(Set.of()));
     }
 
     /**
--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -127,7 +127,7 @@
             localSearch.search();
             return;
         }
-        Set<BackendServerName> excluded = context.refusals().refusing();
+        Set<BackendServerName> excluded = context.unusable(buffered.allowedRegions());
         excluded.addAll(priorAttempts.triedServers());
         context.slotClient().request(buffered, priorAttempts, excluded, stream.origin(), answer -> {
             if (hasEnded) {
--- a/src/main/java/org/borageproxy/forward/SendConditions.java
+++ b/src/main/java/org/borageproxy/forward/SendConditions.java
@@ -38,7 +38,7 @@
         }
         return context.pool()
                 .availability()
-                .obstacle(server, buffered.allowedRegions())
+                .obstacle(server, buffered.allowedRegions(), relay)
                 .or(() -> ServerWrites.obstacle(context, buffered, server));
     }
 }
--- a/src/main/java/org/borageproxy/forward/ServerPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerPool.java
@@ -201,8 +201,7 @@
                         server, load, latencyRatios.of(modelOrService), speeds.speedOf(server, nowNanos)));
             }
         });
-        return ServerSelector.INSTANCE.choose(
-                requirement.query(callerZone, usableShare), candidates, nowNanos, random);
+        return ServerSelector.INSTANCE.choose(requirement.query(callerZone, usableShare), candidates, nowNanos, random);
     }
 
     private boolean isCapable(BackendServer server, ServerRequirement requirement) {
