Compare names without method handles, and add no WebSocket handlers to callers' connections

The generated equals and hashCode of records run as chains of method handles and spin hidden classes at their first call. The names of VMs, servers and zones are keys of most tables. Each part of an answer passed the two handlers that offer compression of WebSockets, which no caller of this port uses.

--- a/src/main/java/org/borageproxy/forward/ForwardServer.java
+++ b/src/main/java/org/borageproxy/forward/ForwardServer.java
@@ -93,6 +93,9 @@
                 .setMaxHeaderSize(limits.maxHeaderBytes())
                 .setMaxInitialLineLength(limits.maxHeaderBytes())
                 .setHttp2ClearTextEnabled(false)
+                // Each protocol that callers do not use adds a handler that every part of an answer passes.
+                .setPerFrameWebSocketCompressionSupported(false)
+                .setPerMessageWebSocketCompressionSupported(false)
                 .setHandle100ContinueAutomatically(true)
                 .setIdleTimeout(IDLE_TIMEOUT_SECONDS)
                 .setAcceptBacklog(ACCEPT_BACKLOG)
--- a/src/main/java/org/borageproxy/platform/ControlCalls.java
+++ b/src/main/java/org/borageproxy/platform/ControlCalls.java
@@ -52,6 +52,8 @@
         HttpServerOptions options = new HttpServerOptions()
                 .setHost(endpoint.host())
                 .setPort(endpoint.port())
+                .setPerFrameWebSocketCompressionSupported(false)
+                .setPerMessageWebSocketCompressionSupported(false)
                 .setIdleTimeout(IDLE_TIMEOUT_SECONDS);
         return vertx.createHttpServer(options)
                 .connectionHandler(connection -> connection.exceptionHandler(failure -> LOGGER.info(
--- a/src/main/java/org/borageproxy/vm/AvailabilityZone.java
+++ b/src/main/java/org/borageproxy/vm/AvailabilityZone.java
@@ -19,6 +19,17 @@
         return value.compareTo(other.value);
     }
 
+    // Written out, because the generated methods run as chains of method handles, which is slow before compilation.
+    @Override
+    public boolean equals(Object other) {
+        return this == other || other instanceof AvailabilityZone that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
