Cancel the timer of a request between VMs when it is answered

Each answered report, watch and digest left a timer that woke the event loop again at its deadline, about six times a second on an entry at rest.

--- a/src/main/java/org/borageproxy/wire/DialedConnection.java
+++ b/src/main/java/org/borageproxy/wire/DialedConnection.java
@@ -12,6 +12,7 @@
 import com.google.protobuf.ByteString;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
 import org.borageproxy.vm.VmAddress;
@@ -121,8 +122,10 @@
             long correlation = ++lastCorrelation;
             pendingRequests.put(correlation, answer);
             long remaining = deadline.remainingNanos(clock.nanoTime());
-            eventLoop.schedule(
+            ScheduledFuture<?> timeout = eventLoop.schedule(
                     () -> fail(correlation, "No answer before the deadline from "), remaining, TimeUnit.NANOSECONDS);
+            // A timer that is left behind wakes the event loop once more for each answered request.
+            answer.whenComplete((content, failure) -> timeout.cancel(false));
             if (!writeOrQueue(frames.message(Frame.Form.REQUEST, kind.number(), correlation, body), address)) {
                 fail(correlation, "Message could not be sent to ");
             }
