Send no pings on connections between VMs on which nothing waits for an answer

An entry has a connection to each control VM and uses one or two of them; every 1.5 s it pinged the others, and all entries together pinged each control VM. A connection is now pinged only if a frame was sent since the last one was received, so a connection that is in use is given up as before after three periods. One that is not in use and has silently failed is noticed at its next use, by the request's deadline.

--- a/src/main/java/org/borageproxy/wire/DialingHandler.java
+++ b/src/main/java/org/borageproxy/wire/DialingHandler.java
@@ -3,17 +3,19 @@
 import java.util.concurrent.CompletableFuture;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.ChannelPromise;
 import io.netty.handler.timeout.IdleStateEvent;
 import org.borageproxy.wire.proto.FrameProtocol.Frame;
 
 /**
  * Performs the handshake of the dialing end, passes received frames to the connection, and sends a ping after each
- * period without received frames. After several such periods in a row the channel is closed. One instance serves one
- * channel and is confined to its event loop.
+ * period in which no frame was received since the last one was sent. After several such periods in a row the channel is
+ * closed. A channel on which nothing was sent costs no messages. One instance serves one channel and is confined to its
+ * event loop.
  */
-final class DialingHandler extends SimpleChannelInboundHandler<Frame> {
+final class DialingHandler extends ChannelDuplexHandler {
 
     private static final int MAX_IDLE_PERIODS = 3;
 
@@ -24,6 +26,8 @@
     private final byte[] challenge = PeerCredential.newChallenge();
     /** Periods without received frames since the last one was received. */
     private int idlePeriods;
+    /** Whether a frame was sent and none was received since. */
+    private boolean isAwaitingFrame;
 
     /**
      * Creates the handler of a new channel.
@@ -44,8 +48,23 @@
     }
 
     @Override
-    protected void channelRead0(ChannelHandlerContext context, Frame frame) {
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+        isAwaitingFrame = true;
+        context.write(message, promise);
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        if (message instanceof Frame frame) {
+            read(context, frame);
+        } else {
+            context.fireChannelRead(message);
+        }
+    }
+
+    private void read(ChannelHandlerContext context, Frame frame) {
         idlePeriods = 0;
+        isAwaitingFrame = false;
         if (frame.getForm() == Frame.Form.HELLO) {
             handshake(context, frame);
             return;
@@ -78,6 +97,9 @@
             super.userEventTriggered(context, event);
             return;
         }
+        if (!isAwaitingFrame) {
+            return;
+        }
         idlePeriods++;
         if (idlePeriods >= MAX_IDLE_PERIODS) {
             context.close();
