--- a/src/main/java/org/borageproxy/coordination/SpeedCoordinator.java
+++ b/src/main/java/org/borageproxy/coordination/SpeedCoordinator.java
@@ -169,6 +169,18 @@
                 .build();
     }
 
+    /**
+     * Returns the number of servers whose lasting speed differs from that of their peers.
+     *
+     * @return the number; zero on a VM that has not been the coordinator lately
+     */
+    public long unevenCount() {
+        long nowNanos = clock.nanoTime();
+        return announced.values().stream()
+                .filter(server -> learned.lastingSpeedOf(server, nowNanos) != 1.0)
+                .count();
+    }
+
     /** Removes the state of servers that are no longer announced. */
     public void removeUnknownServers() {
         Set<BackendServerName> names =
--- a/src/main/java/org/borageproxy/routing/ServerSelector.java
+++ b/src/main/java/org/borageproxy/routing/ServerSelector.java
@@ -54,6 +54,8 @@
     private static final double URGENT_MILLISECONDS = 100.0;
     /** Penalty, for each unit of speed, of servers that are all fast enough for a request. */
     private static final double FAST_SERVER_PENALTY_MILLISECONDS = 20.0;
+    /** Cost to later requests of each millisecond for which a request waits in the queue of a server. */
+    private static final double QUEUE_COST_FACTOR = 2.0;
     /** Mean up to which differences between servers are those of single requests. */
     private static final double MIN_MEAN_REQUESTS = 2.0;
 
@@ -229,7 +231,7 @@
         double backlogMillis =
                 candidate.load().totalPrefillTokens() / PREFILL_TOKENS_PER_MILLISECOND * candidate.timeFactor();
         double excess = candidate.weightedRequests() / meanWeightedRequests - TOLERATED_IMBALANCE;
-        return backlogMillis + Math.max(0.0, excess) * IMBALANCE_PENALTY_MILLISECONDS;
+        return QUEUE_COST_FACTOR * backlogMillis + Math.max(0.0, excess) * IMBALANCE_PENALTY_MILLISECONDS;
     }
 
     private static double interferenceMillis(ServerLoad load, int prefillTokens, double timeFactor) {
--- a/src/main/java/org/borageproxy/server/GatewayControl.java
+++ b/src/main/java/org/borageproxy/server/GatewayControl.java
@@ -90,6 +90,7 @@
     private final ServerRefusals refusals;
 
     private final SlotBroker slotBroker;
+    private final Coordinator coordinator;
     private final StreamOrigins streamOrigins;
     /** Changes that the entries have not been told yet; confined to the event loop. */
     private final Map<String, ModelInventory> changedInventories = new LinkedHashMap<>();
@@ -112,6 +113,7 @@
         placement.setSpeeds(speeds::lastingSpeedOf);
         streamOrigins = new StreamOrigins(runtime.clock());
         slotBroker = createSlotBroker();
+        coordinator = createCoordinator();
         admission = new AdmissionService(
                 member,
                 new AdmissionPolicy(runtime.settings().bounds().targetVoterCount()),
@@ -287,8 +289,8 @@
                 .send(entry, MessageKind.COORDINATION_NOTICE, notice));
     }
 
-    private void startServices() {
-        Coordinator coordinator = new Coordinator(
+    private Coordinator createCoordinator() {
+        return new Coordinator(
                 member,
                 runtime.clock(),
                 this::workspaces,
@@ -297,6 +299,9 @@
                 slotBroker::recordReport,
                 pool.statements(),
                 speeds);
+    }
+
+    private void startServices() {
         runtime.network().registerHandler(MessageKind.SLOT, slotBroker);
         runtime.network().registerHandler(MessageKind.STREAM_ORIGIN, streamOrigins);
         runtime.network()
@@ -398,6 +403,14 @@
         leaving.ifPresent(leavingIncarnation -> runtime.membership().leave(name, leavingIncarnation));
     }
 
+    int withdrawnEntryCount() {
+        return coordinator.withdrawnCount();
+    }
+
+    long unevenServerCount() {
+        return speeds.unevenCount();
+    }
+
     MemberStatus status() {
         return member.status();
     }
--- a/src/main/java/org/borageproxy/server/GatewayProcess.java
+++ b/src/main/java/org/borageproxy/server/GatewayProcess.java
@@ -111,6 +111,8 @@
         });
         control.ifPresent(controlRole -> {
             metrics.registerGauge("leads", () -> controlRole.status().role() == Role.LEADER ? 1 : 0);
+            metrics.registerGauge("withdrawn_entries", controlRole::withdrawnEntryCount);
+            metrics.registerGauge("uneven_servers", controlRole::unevenServerCount);
             metrics.registerGauge("term", () -> controlRole.status().term());
             metrics.registerGauge(
                     "committed_entries", () -> controlRole.status().commitIndex());
--- a/src/test/java/org/borageproxy/membership/BackendServerFixture.java
+++ b/src/test/java/org/borageproxy/membership/BackendServerFixture.java
@@ -42,7 +42,18 @@
      * @return the copy
      */
     public static BackendServer withSoftware(BackendServer server, String softwareVersion) {
-        return copy(server, server.incarnation(), softwareVersion);
+        return copy(server, server.incarnation(), softwareVersion, server.zone());
+    }
+
+    /**
+     * Returns a copy of a server in another availability zone.
+     *
+     * @param server the server
+     * @param zone the availability zone
+     * @return the copy
+     */
+    public static BackendServer inZone(BackendServer server, AvailabilityZone zone) {
+        return copy(server, server.incarnation(), server.softwareVersion(), zone);
     }
 
     /**
@@ -52,17 +63,18 @@
      * @return the server after a restart
      */
     public static BackendServer restarted(BackendServer server) {
-        return copy(server, server.incarnation() + 1, server.softwareVersion());
+        return copy(server, server.incarnation() + 1, server.softwareVersion(), server.zone());
     }
 
-    private static BackendServer copy(BackendServer server, long incarnation, String softwareVersion) {
+    private static BackendServer copy(
+            BackendServer server, long incarnation, String softwareVersion, AvailabilityZone zone) {
         return new BackendServer(
                 server.name(),
                 incarnation,
                 server.sequence(),
                 server.kind(),
                 server.state(),
-                server.zone(),
+                zone,
                 server.host(),
                 server.port(),
                 server.checksFencing(),
--- a/src/test/java/org/borageproxy/routing/ServerSelectorTest.java
+++ b/src/test/java/org/borageproxy/routing/ServerSelectorTest.java
@@ -82,4 +82,53 @@
         full.setOtherVmLoad(40, 0, 99_000);
         assertTrue(choose(List.of(candidate("full", full))).isEmpty());
     }
+
+    private static ServerSelector.Candidate candidate(String name, ServerLoad load, double speed) {
+        return new ServerSelector.Candidate(BackendServerFixture.engine(name), load, 1.0, speed);
+    }
+
+    /** Pattern: two zones whose peaks do not coincide. */
+    @Test
+    void workLeavesZoneOnlyWhenWaitAtHomeExceedsCostOfPath() {
+        BackendServer remote =
+                BackendServerFixture.inZone(BackendServerFixture.engine("remote"), new AvailabilityZone("b"));
+        ServerLoad home = idleLoad();
+        List<ServerSelector.Candidate> candidates =
+                List.of(candidate("home", home), new ServerSelector.Candidate(remote, idleLoad(), 1.0, 1.0));
+        home.recordStart(400, 440);
+        assertEquals(Optional.of("home"), choose(candidates));
+        home.recordStart(800, 840);
+        assertEquals(Optional.of("remote"), choose(candidates));
+    }
+
+    /** Guards against slow engines whose running streams stall: their backlog is limited in time, not in tokens. */
+    @Test
+    void prefillBacklogLimitScalesWithSpeed() {
+        ServerLoad load = idleLoad();
+        load.recordStart(2_400, 2_440);
+        assertTrue(choose(List.of(candidate("usual", load, 1.0))).isPresent());
+        assertTrue(choose(List.of(candidate("slow", load, 0.7))).isEmpty());
+    }
+
+    /** Guards against other decisions on a fleet of equal servers: the terms for uneven servers must not apply. */
+    @Test
+    void tolerantRequestIsTreatedAsOthersIfServersAreEqual() {
+        ServerLoad busy = idleLoad();
+        busy.recordStart(300, 340);
+        ServerSelector.Query tolerant = new ServerSelector.Query(
+                Optional.of(WORK), Optional.of(POOL), ZONE, Set.of(), ServerSelector.toleratedMillis(10_000));
+        for (int seed = 0; seed < 20; seed++) {
+            String chosen = ServerSelector.INSTANCE
+                    .choose(
+                            tolerant,
+                            List.of(candidate("busy", busy), candidate("idle", idleLoad())),
+                            1,
+                            new Random(seed))
+                    .orElseThrow()
+                    .server()
+                    .name()
+                    .value();
+            assertEquals("idle", chosen);
+        }
+    }
 }
