Let the rate of a model's demand rise within two samples

Cause: the average of the demand takes four samples of half a second to reach nine tenths of a new level, while copies take up to nine seconds to load and demand shifts within seconds. Each plan also looked at all models on all engines to find absent ones.

Change: the rate is the larger one of the average and the smaller one of the latest two samples, so that a burst of one sample does not count in full. Absences are looked up only for models that are absent or lost.

--- a/src/main/java/org/borageproxy/placement/AbsentModels.java
+++ b/src/main/java/org/borageproxy/placement/AbsentModels.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.borageproxy.time.Deadline;
 
@@ -72,20 +73,20 @@
     /**
      * Ends the absences of models that are loaded again or no longer requested.
      *
-     * @param loaded the models that engines have
-     * @param expected the models that engines have or are about to load
+     * @param loaded returns whether an engine has a model
+     * @param expected returns whether an engine has a model or is about to load it
      * @param nowNanos the time on the monotonic clock in nanoseconds
      * @return the ended absences
      */
-    List<Ended> update(Set<String> loaded, Set<String> expected, long nowNanos) {
+    List<Ended> update(Predicate<String> loaded, Predicate<String> expected, long nowNanos) {
         lostUntil
                 .entrySet()
                 .removeIf(entry ->
-                        expected.contains(entry.getKey()) || entry.getValue().hasPassed(nowNanos));
+                        expected.test(entry.getKey()) || entry.getValue().hasPassed(nowNanos));
         List<Ended> ended = new ArrayList<>();
         absences.entrySet().removeIf(entry -> {
             Absence absence = entry.getValue();
-            boolean isLoaded = loaded.contains(entry.getKey());
+            boolean isLoaded = loaded.test(entry.getKey());
             boolean isOver = isLoaded || absence.expiresAt.hasPassed(nowNanos);
             if (isOver) {
                 long millis = (nowNanos - absence.sinceNanos) / 1_000_000L;
--- a/src/main/java/org/borageproxy/placement/FleetDemand.java
+++ b/src/main/java/org/borageproxy/placement/FleetDemand.java
@@ -61,13 +61,24 @@
     }
 
     private static final class DemandRecord {
-        private double tokensPerSecond;
+        /** Exponential moving average of the samples. */
+        private double averageTokensPerSecond;
+
+        private double latestSample;
+        /** Smaller one of the latest two samples. */
+        private double lastingSample;
+
         private long unsampledTokens;
         private long sampledAtNanos;
         private long lastRequestedAtNanos;
         private int waitingLocally;
         private final Map<VmName, Integer> waitingByEntry = new HashMap<>();
 
+        /** Rises within two samples, so that copies follow the demand; falls with the average. */
+        private double tokensPerSecond() {
+            return Math.max(averageTokensPerSecond, lastingSample);
+        }
+
         private int totalWaiting() {
             return waitingLocally
                     + waitingByEntry.values().stream()
@@ -136,7 +147,10 @@
             if (seconds >= MIN_SAMPLE_SECONDS) {
                 // The interval counts as one second at most, since a new record has no earlier sample.
                 double sample = demandRecord.unsampledTokens / Math.min(seconds, 1.0);
-                demandRecord.tokensPerSecond += LATEST_SAMPLE_WEIGHT * (sample - demandRecord.tokensPerSecond);
+                demandRecord.averageTokensPerSecond +=
+                        LATEST_SAMPLE_WEIGHT * (sample - demandRecord.averageTokensPerSecond);
+                demandRecord.lastingSample = Math.min(sample, demandRecord.latestSample);
+                demandRecord.latestSample = sample;
                 demandRecord.unsampledTokens = 0;
                 demandRecord.sampledAtNanos = nowNanos;
             }
@@ -158,7 +172,7 @@
             if (target.service().equals(service)) {
                 byModel.merge(
                         target.model(),
-                        new LoadPlanner.Demand(demandRecord.tokensPerSecond, demandRecord.totalWaiting()),
+                        new LoadPlanner.Demand(demandRecord.tokensPerSecond(), demandRecord.totalWaiting()),
                         (one, other) -> new LoadPlanner.Demand(
                                 one.tokensPerSecond() + other.tokensPerSecond(),
                                 one.waitingRequests() + other.waitingRequests()));
--- a/src/main/java/org/borageproxy/placement/FleetPlacement.java
+++ b/src/main/java/org/borageproxy/placement/FleetPlacement.java
@@ -364,7 +364,7 @@
                 .toList();
         engines.forEach(this::refreshPermit);
         planAdapters(service, pool, engines);
-        Map<String, LoadPlanner.Demand> byModel = demandWithAbsences(service, pool, engines);
+        Map<String, LoadPlanner.Demand> byModel = demandWithAbsences(service, engines);
         Optional<LoadPlanner.Step> step = new LoadPlanner(pool, engines, byModel, speeds).nextStep(storeTokens >= 1);
         while (step.isPresent()) {
             execute(step.get(), pool);
@@ -372,16 +372,13 @@
         }
     }
 
-    private Map<String, LoadPlanner.Demand> demandWithAbsences(
-            String service, EnginePool pool, List<TrackedEngine> engines) {
+    private Map<String, LoadPlanner.Demand> demandWithAbsences(String service, List<TrackedEngine> engines) {
         AbsentModels absent = absentModels(service);
-        Set<String> loaded = new HashSet<>();
-        Set<String> expected = new HashSet<>();
-        for (TrackedEngine engine : engines) {
-            loaded.addAll(engine.loadedModels().keySet());
-            pool.models().keySet().stream().filter(engine::hasOrExpects).forEach(expected::add);
-        }
-        absent.update(loaded, expected, environment.clock().nanoTime())
+        absent.update(
+                        model -> engines.stream()
+                                .anyMatch(engine -> engine.loadedModels().containsKey(model)),
+                        model -> engines.stream().anyMatch(engine -> engine.hasOrExpects(model)),
+                        environment.clock().nanoTime())
                 .forEach(ended -> LOGGER.warn(
                         "event=model-absence-ended service={} model={} absent_ms={} waits={} loaded={}",
                         service,
--- a/src/test/java/org/borageproxy/placement/AbsentModelsTest.java
+++ b/src/test/java/org/borageproxy/placement/AbsentModelsTest.java
@@ -17,7 +17,7 @@
     private final AbsentModels absent = new AbsentModels();
 
     private List<AbsentModels.Ended> update(String... loaded) {
-        return absent.update(Set.of(loaded), Set.of(loaded), time.nowNanos());
+        return absent.update(Set.of(loaded)::contains, Set.of(loaded)::contains, time.nowNanos());
     }
 
     /** Callers that are refused return; the time since the first of them decides which model has waited longest. */
