--- a/src/main/java/org/borageproxy/placement/AbsentModels.java
+++ b/src/main/java/org/borageproxy/placement/AbsentModels.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -13,7 +12,6 @@
 
 import org.borageproxy.membership.BackendServers;
 import org.borageproxy.membership.LoadedModel;
-import org.borageproxy.publication.EnginePool;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.vm.AvailabilityZone;
 
@@ -80,20 +78,20 @@
     /**
      * Ends the absences of models that are loaded again or no longer requested.
      *
-     * @param loaded the models that engines have
-     * @param expected the models that engines have or are about to load
+     * @param loaded returns whether an engine has a model
+     * @param expected returns whether an engine has a model or is about to load it
      * @param nowNanos the time on the monotonic clock in nanoseconds
      * @return the ended absences
      */
-    List<Ended> update(Set<String> loaded, Set<String> expected, long nowNanos) {
+    List<Ended> update(Predicate<String> loaded, Predicate<String> expected, long nowNanos) {
         lostUntil
                 .entrySet()
                 .removeIf(entry ->
-                        expected.contains(entry.getKey()) || entry.getValue().hasPassed(nowNanos));
+                        expected.test(entry.getKey()) || entry.getValue().hasPassed(nowNanos));
         List<Ended> ended = new ArrayList<>();
         absences.entrySet().removeIf(entry -> {
             Absence absence = entry.getValue();
-            boolean isLoaded = loaded.contains(entry.getKey());
+            boolean isLoaded = loaded.test(entry.getKey());
             boolean isOver = isLoaded || absence.expiresAt.hasPassed(nowNanos);
             if (isOver) {
                 long millis = (nowNanos - absence.sinceNanos) / 1_000_000L;
@@ -109,7 +107,6 @@
      * replaced.
      *
      * @param byModel the demand by model, which is completed
-     * @param pool the settings of the engines
      * @param engines the engines that may be used
      * @param displaced the models on servers that may not be used; those without another copy count as lost
      * @param nowNanos the time on the monotonic clock in nanoseconds
@@ -117,18 +114,16 @@
      */
     List<Ended> complete(
             Map<String, LoadPlanner.Demand> byModel,
-            EnginePool pool,
             Collection<TrackedEngine> engines,
             Set<String> displaced,
             long nowNanos) {
-        Set<String> loaded = new HashSet<>();
-        Set<String> expected = new HashSet<>();
-        for (TrackedEngine engine : engines) {
-            loaded.addAll(engine.loadedModels().keySet());
-            pool.models().keySet().stream().filter(engine::hasOrExpects).forEach(expected::add);
-        }
-        List<Ended> ended = update(loaded, expected, nowNanos);
-        displaced.stream().filter(model -> !expected.contains(model)).forEach(model -> recordLoss(model, nowNanos));
+        Predicate<String> isExpected = model -> engines.stream().anyMatch(engine -> engine.hasOrExpects(model));
+        List<Ended> ended = update(
+                model -> engines.stream()
+                        .anyMatch(engine -> engine.loadedModels().containsKey(model)),
+                isExpected,
+                nowNanos);
+        displaced.stream().filter(isExpected.negate()).forEach(model -> recordLoss(model, nowNanos));
         lost().forEach(model -> byModel.putIfAbsent(model, LoadPlanner.Demand.NONE));
         byModel.replaceAll(this::complete);
         return ended;
--- a/src/main/java/org/borageproxy/placement/FleetPlacement.java
+++ b/src/main/java/org/borageproxy/placement/FleetPlacement.java
@@ -370,7 +370,7 @@
                 .toList();
         engines.forEach(this::refreshPermit);
         planAdapters(service, pool, engines);
-        Map<String, LoadPlanner.Demand> byModel = demandWithAbsences(service, pool, engines);
+        Map<String, LoadPlanner.Demand> byModel = demandWithAbsences(service, engines);
         Optional<LoadPlanner.Step> step = new LoadPlanner(pool, engines, byModel, speeds).nextStep(storeTokens >= 1);
         while (step.isPresent()) {
             execute(step.get(), pool);
@@ -379,11 +379,11 @@
     }
 
     private Map<String, LoadPlanner.Demand> demandWithAbsences(
-            String service, EnginePool pool, List<TrackedEngine> engines) {
+            String service, List<TrackedEngine> engines) {
         Set<String> displaced = AbsentModels.displacedModels(environment.servers(), environment.isDrained(), service);
         Map<String, LoadPlanner.Demand> byModel = demand.byModel(service);
         absentModels(service)
-                .complete(byModel, pool, engines, displaced, environment.clock().nanoTime())
+                .complete(byModel, engines, displaced, environment.clock().nanoTime())
                 .forEach(ended -> LOGGER.warn(
                         "event=model-absence-ended service={} model={} absent_ms={} waits={} loaded={}",
                         service,
--- a/src/main/java/org/borageproxy/server/GatewayControl.java
+++ b/src/main/java/org/borageproxy/server/GatewayControl.java
@@ -95,6 +95,7 @@
     private final ServerRefusals refusals;
 
     private final SlotBroker slotBroker;
+    private final Coordinator coordinator;
     private final StreamOrigins streamOrigins;
     /** Changes that the entries have not been told yet; confined to the event loop. */
     private final Map<String, ModelInventory> changedInventories = new LinkedHashMap<>();
@@ -122,6 +123,7 @@
         StateReader reader = new StateReader(runtime.network(), runtime::controlVms, runtime.clock());
         zoneOrders = new ZoneOrders(new ZoneOrders.Environment(
                 () -> runtime.settings().zones().keySet(), member, state, client, reader::readServed));
+        coordinator = createCoordinator();
         admission = new AdmissionService(
                 member,
                 new AdmissionPolicy(runtime.settings().bounds().targetVoterCount()),
@@ -314,8 +316,8 @@
                 .send(entry, MessageKind.COORDINATION_NOTICE, notice));
     }
 
-    private void startServices() {
-        Coordinator coordinator = new Coordinator(
+    private Coordinator createCoordinator() {
+        return new Coordinator(
                 member,
                 runtime.clock(),
                 this::workspaces,
@@ -324,6 +326,9 @@
                 slotBroker::recordReport,
                 pool.statements(),
                 speeds);
+    }
+
+    private void startServices() {
         runtime.network().registerHandler(MessageKind.SLOT, slotBroker);
         runtime.network().registerHandler(MessageKind.STREAM_ORIGIN, streamOrigins);
         runtime.network()
@@ -438,6 +443,14 @@
         leaving.ifPresent(leavingIncarnation -> runtime.membership().leave(name, leavingIncarnation));
     }
 
+    int withdrawnEntryCount() {
+        return coordinator.withdrawnCount();
+    }
+
+    long unevenServerCount() {
+        return speeds.unevenCount();
+    }
+
     MemberStatus status() {
         return member.status();
     }
