Bound the requests in flight at plain services with few slots

Cause: entries sent all requests to a plain service at once, so that they queued at its servers in the order of arrival, and beyond the servers' queues they were refused.

Change: a server that states at least two slots gets at most 1.5 requests for each; the rest waits on the coordinator, the nearest objective first. Entries ask it only while all servers of the service have three quarters of their slots taken, and do not use a load of the other VMs that is older than a second. Exchange asks ServerPool.needsCoordinator, which replaces isLimited.

--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -121,7 +121,7 @@
 
     private void findServer() {
         boolean isPlainService = buffered.inferenceWork().isEmpty();
-        if (isPlainService && !context.pool().isLimited(buffered.service())) {
+        if (isPlainService && !context.pool().needsCoordinator(buffered.service())) {
             localSearch.search();
             return;
         }
--- a/src/main/java/org/borageproxy/forward/LocalSearch.java
+++ b/src/main/java/org/borageproxy/forward/LocalSearch.java
@@ -145,7 +145,8 @@
             return;
         }
         log.noServer(unavailability, triedServers.size());
-        if (buffered.metadata().work().isEmpty() || maximumWait.isZero()) {
+        boolean mayWait = buffered.metadata().work().isPresent() || unavailability == ServerPool.Unavailability.CROWDED;
+        if (!mayWait || maximumWait.isZero()) {
             notFoundListener.accept(reason);
             return;
         }
--- a/src/main/java/org/borageproxy/forward/ServerLoads.java
+++ b/src/main/java/org/borageproxy/forward/ServerLoads.java
@@ -1,5 +1,6 @@
 package org.borageproxy.forward;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -12,6 +13,7 @@
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.publication.EnginePool;
 import org.borageproxy.routing.ServerLoad;
+import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
 import org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage;
 
@@ -24,11 +26,47 @@
     /** Assumed KV cache capacity of a server whose engine pool is not published. */
     private static final long DEFAULT_CACHE_TOKENS = 100_000;
 
+    /** Time for which the load of the other VMs counts without an update: four report intervals at rest. */
+    private static final Duration OTHER_USAGE_VALIDITY = Duration.ofSeconds(1);
+    /**
+     * Share of its slots from which a server of a plain service fills; entries do not see each other's last requests.
+     */
+    private static final double FILLING_SHARE = 0.75;
+
     private final MonotonicClock clock;
     private final Map<BackendServerName, ServerLoad> loads = new HashMap<>();
+    private Deadline otherUsageKnownUntil;
 
     ServerLoads(MonotonicClock clock) {
         this.clock = clock;
+        this.otherUsageKnownUntil = new Deadline(clock.nanoTime());
+    }
+
+    private boolean isOtherUsageKnown() {
+        return !otherUsageKnownUntil.hasPassed(clock.nanoTime());
+    }
+
+    /**
+     * Returns whether a server of a plain service has most of its slots taken.
+     *
+     * @param server the server
+     * @return {@code false} while the load of the other VMs is not known
+     */
+    boolean isFilling(BackendServer server) {
+        int slots = server.load().batchLimit();
+        return slots > 1
+                && isOtherUsageKnown()
+                && of(server, Optional.empty()).totalRequests() >= slots * FILLING_SHARE;
+    }
+
+    /**
+     * Returns the share of its limits up to which a server takes a request of this VM.
+     *
+     * @param engines the engine pool of the service; empty for a plain service
+     * @return one; infinite for a plain service while the load of the other VMs is not known
+     */
+    double usableShare(Optional<EnginePool> engines) {
+        return engines.isPresent() || isOtherUsageKnown() ? 1 : Double.POSITIVE_INFINITY;
     }
 
     ServerLoad of(BackendServer server, Optional<EnginePool> engines) {
@@ -50,6 +88,7 @@
      */
     void updateOtherVmUsage(
             List<ServerUsage> usages, boolean isComplete, Consumer<BackendServerName> decreaseListener) {
+        otherUsageKnownUntil = Deadline.after(clock.nanoTime(), OTHER_USAGE_VALIDITY);
         Map<BackendServerName, ServerUsage> usageByServer = new HashMap<>();
         usages.forEach(usage -> usageByServer.put(new BackendServerName(usage.getName()), usage));
         loads.forEach((name, load) -> {
--- a/src/main/java/org/borageproxy/forward/ServerPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerPool.java
@@ -124,14 +124,18 @@
     }
 
     /**
-     * Returns whether any server of a service states limits.
+     * Returns whether the coordinator has to grant the requests for a plain service.
      *
      * @param service the service
-     * @return {@code true} if the coordinator has to grant the requests for the service
+     * @return {@code true} if any of its servers that accept requests states limits, or all of them have most of their
+     *     slots taken
      */
-    boolean isLimited(String service) {
-        return servers.current().stream()
-                .anyMatch(server -> server.services().contains(service) && statements.isLimiting(server));
+    boolean needsCoordinator(String service) {
+        List<BackendServer> accepting = servers.current().stream()
+                .filter(server -> acceptsWork(server, service))
+                .toList();
+        return accepting.stream().anyMatch(statements::isLimiting)
+                || !accepting.isEmpty() && accepting.stream().allMatch(loads::isFilling);
     }
 
     /**
@@ -159,7 +163,7 @@
      * @return empty if no server can run the request now
      */
     Optional<ServerSelector.Choice> choose(ServerRequirement requirement) {
-        return choose(requirement, zone, 1);
+        return choose(requirement, zone, loads.usableShare(requirement.engines()));
     }
 
     /**
@@ -446,7 +450,7 @@
     private void handleLoadChange(BackendServer server, Optional<EngineWork> work) {
         waiting.recordChange(server.name());
         waiting.retryChanged();
-        if (work.isPresent() || statements.isLimiting(server)) {
+        if (work.isPresent() || statements.isLimiting(server) || loads.isFilling(server)) {
             loadChangeListener.run();
         }
     }
--- a/src/main/java/org/borageproxy/routing/ServerSelector.java
+++ b/src/main/java/org/borageproxy/routing/ServerSelector.java
@@ -30,6 +30,13 @@
     /** Nominal response time of a plain service; scaled by the latency ratio of the service. */
     private static final double DEFAULT_SERVICE_MILLISECONDS = 60.0;
 
+    /**
+     * Fewest stated slots by which the requests at a plain service are bounded; one slot is also the unknown number.
+     */
+    private static final int MIN_BOUNDED_SLOTS = 2;
+    /** Requests in flight for each slot of a plain service: the slots, and what arrives while the end is reported. */
+    private static final double SERVICE_REQUESTS_PER_SLOT = 1.5;
+
     private static final double CROSS_ZONE_PENALTY_MILLISECONDS = 30.0;
     /** Penalty of a server whose failure rate is one. */
     private static final double FAILURE_PENALTY_MILLISECONDS = 1_500.0;
@@ -51,7 +58,8 @@
      * @param engines the engine pool of the service; empty for a plain service
      * @param zone the availability zone from which the request is sent
      * @param triedServers the servers that must not be selected again
-     * @param usableShare the share of its limits up to which an engine takes the request; one if nothing is left free
+     * @param usableShare the share of its limits up to which a server takes the request; one if nothing is left free,
+     *     infinite for a plain service whose load is not known
      */
     public record Query(
             Optional<EngineWork> work,
@@ -125,9 +133,15 @@
     }
 
     private static boolean admits(Query query, Candidate candidate) {
-        if (query.work().isEmpty()
-                || query.engines().isEmpty()
-                || candidate.load().totalRequests() == 0) {
+        if (candidate.load().totalRequests() == 0) {
+            return true;
+        }
+        if (query.engines().isEmpty()) {
+            int slots = candidate.server().load().batchLimit();
+            return slots < MIN_BOUNDED_SLOTS
+                    || candidate.load().totalRequests() < slots * SERVICE_REQUESTS_PER_SLOT * query.usableShare();
+        }
+        if (query.work().isEmpty()) {
             return true;
         }
         ServerLoad load = candidate.load();
--- a/src/test/java/org/borageproxy/forward/ServerPoolTest.java
+++ b/src/test/java/org/borageproxy/forward/ServerPoolTest.java
@@ -1,5 +1,6 @@
 package org.borageproxy.forward;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -14,6 +15,7 @@
 import org.borageproxy.publication.EnginePool;
 import org.borageproxy.routing.EngineWork;
 import org.borageproxy.routing.ServerSelector;
+import org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -25,8 +27,9 @@
     private static final EnginePool ENGINES = new EnginePool(64, 100_000, 2, 200_000, 8, 2, Map.of());
 
     private final List<BackendServer> servers = new ArrayList<>();
-    private final ServerPool pool =
-            new ServerPool(() -> List.copyOf(servers), () -> 1, BackendServerFixture.ZONE, new Random(1), () -> 1);
+    private long nowNanos = 1;
+    private final ServerPool pool = new ServerPool(
+            () -> List.copyOf(servers), () -> nowNanos, BackendServerFixture.ZONE, new Random(1), () -> 1);
 
     private static Optional<EngineWork> work(String model) {
         return Optional.of(new EngineWork(model, "", 1_000, 40, List.of()));
@@ -126,4 +129,36 @@
         servers.remove(0);
         assertFalse(pool.isCurrent(leaving));
     }
+
+    /**
+     * Load pattern: a plain service with few slots. Requests go through the coordinator only while its servers fill,
+     * and an entry that has not heard of the others for long does not keep to what it knew.
+     */
+    @Test
+    void plainServiceIsBoundedWhileTheLoadOfOtherVmsIsKnown() {
+        BackendServer server = BackendServerFixture.service("p", 1);
+        servers.add(server);
+        ServerRequirement plain =
+                new ServerRequirement("s", Optional.empty(), Optional.empty(), Set.of(), Optional.empty());
+        assertTrue(pool.choose(plain).isPresent());
+        assertFalse(pool.needsCoordinator("s"));
+        pool.updateOtherVmUsage(List.of(usage(server, 40)), true);
+        assertFalse(pool.needsCoordinator("s"));
+        pool.updateOtherVmUsage(List.of(usage(server, 48)), true);
+        assertTrue(pool.needsCoordinator("s"));
+        assertTrue(pool.choose(plain).isPresent());
+        pool.updateOtherVmUsage(List.of(usage(server, 96)), true);
+        assertTrue(pool.choose(plain).isEmpty());
+        nowNanos += Duration.ofSeconds(1).toNanos();
+        assertTrue(pool.choose(plain).isPresent());
+        assertFalse(pool.needsCoordinator("s"));
+    }
+
+    private static ServerUsage usage(BackendServer server, int requests) {
+        return ServerUsage.newBuilder()
+                .setName(server.name().value())
+                .setIncarnation(server.incarnation())
+                .setRequests(requests)
+                .build();
+    }
 }
--- a/src/test/java/org/borageproxy/forward/SlotBrokerTest.java
+++ b/src/test/java/org/borageproxy/forward/SlotBrokerTest.java
@@ -37,6 +37,7 @@
 
     private final VirtualTime time = new VirtualTime(1);
     private Optional<Duration> untilArrival = Optional.empty();
+    private Optional<EnginePool> engines = Optional.of(ENGINES);
     private int waiting;
     private int selections;
     private final List<BackendServer> servers = new ArrayList<>();
@@ -58,7 +59,7 @@
                 () -> true,
                 pool,
                 new StreamOrigins(time::nowNanos),
-                service -> service.equals("plain") ? Optional.empty() : Optional.of(ENGINES),
+                service -> engines,
                 time::nowNanos,
                 (delay, task) -> time.scheduleAfterNanos(delay.toNanos(), task),
                 new Demand()));
@@ -359,6 +360,28 @@
         assertTrue(outcome == SlotAnswer.Outcome.CHOSEN || outcome == SlotAnswer.Outcome.AGAIN, outcome.toString());
     }
 
+    /**
+     * Load pattern: a plain service with few slots. Guards against a long queue at its server, in which requests are
+     * served in the order of arrival: the one with the nearest objective goes first.
+     */
+    @Test
+    void serverOfPlainServiceGetsBoundedNumberOfRequests() throws Exception {
+        engines = Optional.empty();
+        servers.clear();
+        servers.add(BackendServerFixture.service("p1", 1));
+        int granted = 0;
+        for (int number = 0; number < 120; number++) {
+            CompletableFuture<ByteString> asked = askPlain(3_000, 4_000);
+            granted += asked.isDone() && answer(asked).getOutcome() == SlotAnswer.Outcome.CHOSEN ? 1 : 0;
+        }
+        assertEquals(64 * 3 / 2, granted);
+        CompletableFuture<ByteString> sooner = askPlain(300, 4_000);
+        assertFalse(sooner.isDone());
+        broker.recordReport(ENTRY, UsageReport.newBuilder().setLastSlot(1).build());
+        time.advance(Duration.ofMillis(10));
+        assertEquals(SlotAnswer.Outcome.CHOSEN, answer(sooner).getOutcome());
+    }
+
     /** Guards against rejections by a server that ends after too many of them. */
     @Test
     void brittleServerKeepsSlotsToSpare() throws Exception {
