--- a/src/test/java/org/borageproxy/forward/ServerPoolTest.java
+++ b/src/test/java/org/borageproxy/forward/ServerPoolTest.java
@@ -1,5 +1,6 @@
 package org.borageproxy.forward;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -18,6 +19,7 @@
 import org.borageproxy.routing.ServerSelector;
 import org.borageproxy.vm.AvailabilityZone;
 import org.borageproxy.vm.VmName;
+import org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -29,8 +31,9 @@
     private static final EnginePool ENGINES = new EnginePool(64, 100_000, 2, 200_000, 8, 2, Map.of());
 
     private final List<BackendServer> servers = new ArrayList<>();
-    private final ServerPool pool =
-            new ServerPool(() -> List.copyOf(servers), () -> 1, BackendServerFixture.ZONE, new Random(1), () -> 1);
+    private long nowNanos = 1;
+    private final ServerPool pool = new ServerPool(
+            () -> List.copyOf(servers), () -> nowNanos, BackendServerFixture.ZONE, new Random(1), () -> 1);
 
     private static Optional<EngineWork> work(String model) {
         return Optional.of(new EngineWork(model, "", 1_000, 40, List.of()));
@@ -198,7 +201,7 @@
                 Map.of(BackendServerFixture.ZONE, "r", new AvailabilityZone("b"), "q"), Set::of, () -> true);
         pool.availability().restrict(rules);
         ServerRequirement restricted =
-                new ServerRequirement("s", Optional.of(ENGINES), work("m"), Set.of(), Optional.empty(), Set.of("q"));
+                new ServerRequirement("s", Optional.of(ENGINES), work("m"), Set.of(), Optional.empty(), 0.0, Set.of("q"));
         for (int round = 0; round < 20; round++) {
             assertEquals(
                     Optional.of("far"),
@@ -206,4 +209,36 @@
         }
         assertEquals(Set.of(new BackendServerName("near")), pool.availability().outside(Set.of("q")));
     }
+
+    /**
+     * Load pattern: a plain service with few slots. Requests go through the coordinator only while its servers fill,
+     * and an entry that has not heard of the others for long does not keep to what it knew.
+     */
+    @Test
+    void plainServiceIsBoundedWhileTheLoadOfOtherVmsIsKnown() {
+        BackendServer server = BackendServerFixture.service("p", 1);
+        servers.add(server);
+        ServerRequirement plain =
+                new ServerRequirement("s", Optional.empty(), Optional.empty(), Set.of(), Optional.empty());
+        assertTrue(pool.choose(plain).isPresent());
+        assertFalse(pool.needsCoordinator("s"));
+        pool.updateOtherVmUsage(List.of(usage(server, 40)), true);
+        assertFalse(pool.needsCoordinator("s"));
+        pool.updateOtherVmUsage(List.of(usage(server, 48)), true);
+        assertTrue(pool.needsCoordinator("s"));
+        assertTrue(pool.choose(plain).isPresent());
+        pool.updateOtherVmUsage(List.of(usage(server, 96)), true);
+        assertTrue(pool.choose(plain).isEmpty());
+        nowNanos += Duration.ofSeconds(1).toNanos();
+        assertTrue(pool.choose(plain).isPresent());
+        assertFalse(pool.needsCoordinator("s"));
+    }
+
+    private static ServerUsage usage(BackendServer server, int requests) {
+        return ServerUsage.newBuilder()
+                .setName(server.name().value())
+                .setIncarnation(server.incarnation())
+                .setRequests(requests)
+                .build();
+    }
 }
--- a/src/test/java/org/borageproxy/membership/BackendServerFixture.java
+++ b/src/test/java/org/borageproxy/membership/BackendServerFixture.java
@@ -70,15 +70,11 @@
      * Returns a copy of a server in another availability zone.
      *
      * @param server the server
-     * @param zone the zone
+     * @param zone the name of the zone
      * @return the copy
      */
     public static BackendServer inZone(BackendServer server, String zone) {
-        return copy(server, server.incarnation(), server.softwareVersion(), new AvailabilityZone(zone));
-    }
-
-    private static BackendServer copy(BackendServer server, long incarnation, String softwareVersion) {
-        return copy(server, incarnation, softwareVersion, server.zone());
+        return inZone(server, new AvailabilityZone(zone));
     }
 
     private static BackendServer copy(
