Learn the memory of backend servers from crashes, over all VMs

Cause: a server crashes if the requests that it holds exceed its memory; entries know only their own requests there and suspected requests and parts of prompts of such crashes. Change: ServerMemory decides in virtual time what a crash teaches. Entries report the bytes of bodies that their requests hold and have lost at each server; the coordinator adds them up, grants no slot beyond a learned limit and passes it on with the stated limits. Entries without coordinator keep to their share. Refusals on connections that end with their answer wait for the end of the body, since Vert.x closes such connections at once and what the caller still sends resets them. Ruled out: learning on each entry, limits per service (docs/design/buffers.md).

--- a/src/main/java/org/borageproxy/coordination/ServerUsageTotals.java
+++ b/src/main/java/org/borageproxy/coordination/ServerUsageTotals.java
@@ -29,12 +29,14 @@
         private int requests;
         private int promptTokens;
         private int heldTokens;
+        private long heldBytes;
 
         private void add(ServerUsage usage, int sign) {
             addends += sign;
             requests += sign * usage.getRequests();
             promptTokens += sign * usage.getPromptTokens();
             heldTokens += sign * usage.getHeldTokens();
+            heldBytes += sign * usage.getHeldBytes();
         }
 
         private ServerUsage toUsage(Incarnation incarnation) {
@@ -44,6 +46,7 @@
                     .setRequests(requests)
                     .setPromptTokens(promptTokens)
                     .setHeldTokens(heldTokens)
+                    .setHeldBytes(heldBytes)
                     .build();
         }
     }
--- a/src/main/java/org/borageproxy/forward/BodyReader.java
+++ b/src/main/java/org/borageproxy/forward/BodyReader.java
@@ -37,6 +37,9 @@
     private final List<byte[]> parts = new ArrayList<>(1);
     private Optional<BufferAccount.Waiter> waiter = Optional.empty();
     private ScheduledFuture<?> deadlineTimer;
+    /** The refusal that is sent once the rest of the body was discarded. */
+    private Optional<Runnable> pendingRefusal = Optional.empty();
+
     private int receivedBytes;
     private boolean isOver;
 
@@ -188,6 +191,7 @@
     private void handleEnd() {
         if (isOver) {
             cancelTimer();
+            sendPendingRefusal();
             return;
         }
         stop();
@@ -222,7 +226,17 @@
         }
     }
 
-    /** Refuses the request. The rest of the body is read and discarded, so that the caller receives the answer. */
+    private void sendPendingRefusal() {
+        Optional<Runnable> refusal = pendingRefusal;
+        pendingRefusal = Optional.empty();
+        refusal.ifPresent(Runnable::run);
+    }
+
+    /**
+     * Refuses the request. The rest of the body is read and discarded, so that the caller receives the answer. A
+     * connection that is to end with the answer would be closed before that and reset by what the caller still sends,
+     * so that its answer has to wait.
+     */
     private void refuse(RefusalReason reason, Optional<Duration> retryAfter) {
         if (isOver) {
             return;
@@ -232,7 +246,10 @@
         waiter = Optional.empty();
         parts.clear();
         reservation.release();
-        listener.onRefused(reason, retryAfter);
+        pendingRefusal = Optional.of(() -> listener.onRefused(reason, retryAfter));
+        if (!"close".equalsIgnoreCase(request.getHeader("connection")) || reason == RefusalReason.BODY_INCOMPLETE) {
+            sendPendingRefusal();
+        }
         request.resume();
     }
 
@@ -240,6 +257,8 @@
     private void expire() {
         LOGGER.info("event=body-incomplete id={} received_bytes={}", identity, receivedBytes);
         if (isOver) {
+            request.response().endHandler(ended -> request.connection().close());
+            sendPendingRefusal();
             request.connection().close();
         } else {
             request.response().putHeader("connection", "close").endHandler(ended -> request.connection()
--- a/src/main/java/org/borageproxy/forward/BufferedRequest.java
+++ b/src/main/java/org/borageproxy/forward/BufferedRequest.java
@@ -78,7 +78,7 @@
      * @return the requirement
      */
     ServerRequirement requirement(Set<BackendServerName> excludedServers, Optional<StreamOrigin> origin) {
-        return new ServerRequirement(service, engines, metadata.work(), excludedServers, origin);
+        return new ServerRequirement(service, engines, metadata.work(), excludedServers, origin, body.length);
     }
 
     /**
--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -218,7 +218,7 @@
             crashEvidence.recordAttempt();
             priorAttempts.recordSent();
             inFlightRequest = Optional.of(context.pool()
-                    .recordStart(choice, buffered.engines(), buffered.metadata().work()));
+                    .recordStart(choice, buffered.engines(), buffered.metadata().work(), buffered.body().length));
             log.sent(choice, priorAttempts.sends(), acquired.isReused(), scanner.lastEventIdentity());
             ServerWrites.send(context, buffered, server, acquired, scanner.lastEventIdentity(), this);
         }
@@ -248,7 +248,7 @@
             if (isServerToBlame()) {
                 context.pool()
                         .recordStart(
-                                choice, buffered.engines(), buffered.metadata().work())
+                                choice, buffered.engines(), buffered.metadata().work(), 0)
                         .recordFailure();
             }
             log.failed(server, "unreachable: " + reason, 0, 0);
--- a/src/main/java/org/borageproxy/forward/InFlightRequest.java
+++ b/src/main/java/org/borageproxy/forward/InFlightRequest.java
@@ -22,6 +22,7 @@
     private final ModelLatencyRatios latencyRatios;
     private final Runnable loadChangeListener;
     private final long startedAtNanos;
+    private final long bodyBytes;
     private boolean hasResponded;
     private boolean hasEnded;
 
@@ -33,6 +34,7 @@
      * @param choice the selected server
      * @param work the inference work; empty for a plain service
      * @param latencyRatios receives the observed latency
+     * @param bodyBytes the size of the body, which the server holds
      * @param loadChangeListener called when the response has begun and when the request has ended
      */
     InFlightRequest(
@@ -41,6 +43,7 @@
             ServerSelector.Choice choice,
             Optional<EngineWork> work,
             ModelLatencyRatios latencyRatios,
+            long bodyBytes,
             Runnable loadChangeListener) {
         this.clock = clock;
         this.load = load;
@@ -48,8 +51,10 @@
         this.work = work;
         this.latencyRatios = latencyRatios;
         this.loadChangeListener = loadChangeListener;
+        this.bodyBytes = bodyBytes;
         this.startedAtNanos = clock.nanoTime();
         load.recordStart(choice.prefillTokens(), reservedTokens());
+        load.addHeldBytes(bodyBytes);
     }
 
     private int reservedTokens() {
@@ -83,6 +88,7 @@
                 load.recordPrefillEnd(choice.prefillTokens());
             }
             load.recordEnd(reservedTokens());
+            load.addHeldBytes(-bodyBytes);
             loadChangeListener.run();
         }
     }
@@ -100,6 +106,9 @@
     /** Records a failure of the server, and the end of the request if it was not recorded before. */
     void recordFailure() {
         load.recordFailure(clock.nanoTime());
+        if (!hasEnded) {
+            load.recordLostBytes(bodyBytes);
+        }
         recordEnd();
     }
 
--- a/src/main/java/org/borageproxy/forward/ServerPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerPool.java
@@ -158,7 +158,7 @@
         String modelOrService = requirement.work().map(EngineWork::model).orElse(requirement.service());
         untried(requirement).forEach(server -> {
             ServerLoad load = load(server, requirement.engines());
-            if (statements.admits(server, requirement.engines(), load)) {
+            if (statements.admits(server, requirement.engines(), load, requirement.bodyBytes())) {
                 candidates.add(new ServerSelector.Candidate(server, load, latencyRatios.of(modelOrService)));
             }
         });
@@ -367,15 +367,14 @@
      *
      * @param choice the server that this pool selected
      * @param work the inference work; empty for a plain service
+     * @param bodyBytes the size of the request's body
      */
-    void recordAssignment(ServerSelector.Choice choice, Optional<EngineWork> work) {
+    void recordAssignment(ServerSelector.Choice choice, Optional<EngineWork> work, long bodyBytes) {
         statements.acquirePermit(choice.server());
         ServerLoad load = loads.get(choice.server().name());
         work.ifPresent(load.prefixCache()::recordPrompt);
-        load.setOtherVmLoad(
-                load.totalRequests() + 1,
-                load.totalPrefillTokens() + choice.prefillTokens(),
-                load.totalReservedTokens() + work.map(EngineWork::totalTokens).orElse(0));
+        load.addOtherVmRequest(
+                choice.prefillTokens(), work.map(EngineWork::totalTokens).orElse(0), bodyBytes);
     }
 
     /**
@@ -426,13 +425,15 @@
      * @param choice the selected server
      * @param engines the engine pool of the service; empty for a plain service
      * @param work the inference work; empty for a plain service
+     * @param bodyBytes the size of the body that is sent
      * @return tracks the request
      */
-    InFlightRequest recordStart(ServerSelector.Choice choice, Optional<EnginePool> engines, Optional<EngineWork> work) {
+    InFlightRequest recordStart(
+            ServerSelector.Choice choice, Optional<EnginePool> engines, Optional<EngineWork> work, long bodyBytes) {
         ServerLoad load = load(choice.server(), engines);
         work.ifPresent(load.prefixCache()::recordPrompt);
         return new InFlightRequest(
-                clock, load, choice, work, latencyRatios, () -> handleLoadChange(choice.server(), work));
+                clock, load, choice, work, latencyRatios, bodyBytes, () -> handleLoadChange(choice.server(), work));
     }
 
     private void handleLoadChange(BackendServer server, Optional<EngineWork> work) {
@@ -526,11 +527,11 @@
     public void updateOtherVmUsage(List<ServerUsage> usages, boolean isComplete) {
         loads.values().stream()
                 .filter(load -> isComplete || !load.hasOtherVmTokens())
-                .forEach(load -> load.setOtherVmLoad(0, 0, 0));
+                .forEach(load -> ServerUsages.apply(ServerUsage.getDefaultInstance(), load));
         for (ServerUsage usage : usages) {
             ServerLoad load = loads.get(new BackendServerName(usage.getName()));
             if (load != null && usage.getIncarnation() == load.incarnation()) {
-                load.setOtherVmLoad(usage.getRequests(), usage.getPromptTokens(), usage.getHeldTokens());
+                ServerUsages.apply(usage, load);
             }
         }
         queue.retryAll();
@@ -562,23 +563,22 @@
      */
     public List<ServerUsage> drainUsage() {
         List<ServerUsage> usages = new ArrayList<>();
-        loads.forEach((name, load) -> {
-            ServerLoad.OutcomeCounts outcomes = load.drainOutcomes();
-            if (load.ownRequests() > 0 || outcomes.failures() > 0 || outcomes.successes() > 0) {
-                usages.add(ServerUsage.newBuilder()
-                        .setName(name.value())
-                        .setIncarnation(load.incarnation())
-                        .setRequests(load.ownRequests())
-                        .setPromptTokens(Math.max(0, load.ownPrefillTokens()))
-                        .setHeldTokens(Math.max(0, load.ownReservedTokens()))
-                        .setFailures(outcomes.failures())
-                        .setAnswers(outcomes.successes())
-                        .build());
-            }
-        });
+        loads.forEach((name, load) -> ServerUsages.drain(name, load).ifPresent(usages::add));
         return usages;
     }
 
+    /**
+     * Returns whether a server may have ended for lack of memory, so that its requests are not suspected.
+     *
+     * @param server a server to which connections were lost
+     * @return {@code true} if this VM's requests held much there and no limit is known that they kept
+     */
+    public boolean mayHaveLackedMemory(BackendServer server) {
+        ServerLoad load = loads.get(server.name());
+        return load != null
+                && statements.memory().mayExplain(server.name().value(), load.heldOrLostBytes(), clock.nanoTime());
+    }
+
     /**
      * Returns the demand and resets its token counts.
      *
--- a/src/main/java/org/borageproxy/forward/ServerRequirement.java
+++ b/src/main/java/org/borageproxy/forward/ServerRequirement.java
@@ -17,13 +17,33 @@
  * @param work the inference work; empty for a plain service
  * @param triedServers the servers that must not be selected again
  * @param origin what began the stream that the request continues; empty for a request that any server can run
+ * @param bodyBytes the size of the request's body, which the server holds while it runs the request
  */
 record ServerRequirement(
         String service,
         Optional<EnginePool> engines,
         Optional<EngineWork> work,
         Set<BackendServerName> triedServers,
-        Optional<StreamOrigin> origin) {
+        Optional<StreamOrigin> origin,
+        long bodyBytes) {
+
+    /**
+     * Creates a requirement of a request without a body.
+     *
+     * @param service the service
+     * @param engines the engine pool of the service; empty for a plain service
+     * @param work the inference work; empty for a plain service
+     * @param triedServers the servers that must not be selected again
+     * @param origin what began the stream that the request continues; empty for a request that any server can run
+     */
+    ServerRequirement(
+            String service,
+            Optional<EnginePool> engines,
+            Optional<EngineWork> work,
+            Set<BackendServerName> triedServers,
+            Optional<StreamOrigin> origin) {
+        this(service, engines, work, triedServers, origin, 0);
+    }
 
     /**
      * Returns whether a server runs the software that the request requires. Its state and its models are not checked.
--- a/src/main/java/org/borageproxy/forward/ServerStatements.java
+++ b/src/main/java/org/borageproxy/forward/ServerStatements.java
@@ -12,6 +12,7 @@
 import java.util.function.DoubleSupplier;
 import java.util.random.RandomGenerator;
 
+import org.borageproxy.buffer.ServerMemory;
 import org.borageproxy.coordination.Coordinator;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerName;
@@ -35,6 +36,8 @@
     private static final Logger LOGGER = LoggerFactory.getLogger(ServerStatements.class);
     /** Time for which the end of a limit is remembered, so that it outlasts older statements of other VMs. */
     private static final Duration END_RETENTION = Duration.ofSeconds(10);
+    /** Age of messages that state only memory: VMs of an older version ignore statements older than the known one. */
+    private static final Duration NO_STATEMENT_AGE = Duration.ofDays(1);
     /** Fraction of its slots that a server which must not reject requests is given. */
     private static final double BRITTLE_SLOT_FRACTION = 0.8;
 
@@ -45,6 +48,9 @@
     private Runnable changeListener = () -> {};
     private long version;
     private long confirmedTerm;
+    private final ServerMemory memory = new ServerMemory();
+    /** Whether the next report names the memory limits, which a coordinator of a new term may not know. */
+    private boolean isMemoryUnreported;
 
     private static final class Known {
         private final long incarnation;
@@ -85,6 +91,15 @@
         changeListener = listener;
     }
 
+    /**
+     * Returns the memory of the servers, as learned from their crashes.
+     *
+     * @return the limits, which the caller updates
+     */
+    public ServerMemory memory() {
+        return memory;
+    }
+
     /**
      * Records the statement in an answer to this VM.
      *
@@ -130,13 +145,14 @@
     }
 
     /**
-     * Returns whether a server states any limit.
+     * Returns whether a server states any limit, or one of its memory is known.
      *
      * @param server the server
-     * @return {@code false} for a server without a statement
+     * @return {@code false} for a server without a statement and a learned limit
      */
     public boolean isLimiting(BackendServer server) {
-        return statement(server).isLimiting();
+        return statement(server).isLimiting()
+                || memory.limit(server.name().value(), clock.nanoTime()).isPresent();
     }
 
     private ServerStatement statement(BackendServer server) {
@@ -152,11 +168,20 @@
      * @param server the server
      * @param engines the engine pool of the service; empty for a plain service
      * @param load the load of the server
-     * @return {@code true} for a server without a statement
+     * @param bodyBytes the size of the request's body
+     * @return {@code true} for a server without a statement and a limit of its memory
      */
-    boolean admits(BackendServer server, Optional<EnginePool> engines, ServerLoad load) {
+    boolean admits(BackendServer server, Optional<EnginePool> engines, ServerLoad load, long bodyBytes) {
         int slots = engines.map(EnginePool::batchSlots).orElse(server.load().batchLimit());
-        return hasRoom(server, slots, load) && isPermitted(server);
+        return hasRoom(server, slots, load) && hasMemory(server, load, bodyBytes) && isPermitted(server);
+    }
+
+    /** Returns whether a server has memory for a body. An entry without coordinator keeps to a share. */
+    private boolean hasMemory(BackendServer server, ServerLoad load, long bodyBytes) {
+        String name = server.name().value();
+        long nowNanos = clock.nanoTime();
+        return memory.admits(name, load.totalHeldBytes(), bodyBytes, 1, nowNanos)
+                && memory.admits(name, load.ownHeldBytes(), bodyBytes, Math.min(1, share.getAsDouble()), nowNanos);
     }
 
     /**
@@ -237,6 +262,10 @@
     public void merge(List<StatedLimits> statements) {
         long nowNanos = clock.nanoTime();
         for (StatedLimits stated : statements) {
+            if (stated.getHeldBytes() > 0) {
+                memory.apply(stated.getName(), stated.getHeldBytes(), nowNanos);
+                continue;
+            }
             ServerStatement statement = new ServerStatement(
                     stated.hasRequestsPerSecond()
                             ? OptionalDouble.of(stated.getRequestsPerSecond())
@@ -261,6 +290,9 @@
                 unreported.add(encode(name, each));
             }
         });
+        if (isMemoryUnreported) {
+            unreported.addAll(memoryLimits());
+        }
         return unreported;
     }
 
@@ -273,6 +305,7 @@
     public void confirmReport(long term) {
         boolean isNewTerm = term != confirmedTerm;
         confirmedTerm = term;
+        isMemoryUnreported = isNewTerm;
         for (Known each : known.values()) {
             each.isReported = each.isInReport || each.isReported && !isNewTerm;
             each.isInReport = false;
@@ -283,9 +316,21 @@
     public List<StatedLimits> all() {
         List<StatedLimits> statements = new ArrayList<>();
         known.forEach((name, each) -> statements.add(encode(name, each)));
+        statements.addAll(memoryLimits());
         return statements;
     }
 
+    private List<StatedLimits> memoryLimits() {
+        List<StatedLimits> limits = new ArrayList<>();
+        memory.limits(clock.nanoTime())
+                .forEach((server, bytes) -> limits.add(StatedLimits.newBuilder()
+                        .setName(server)
+                        .setAgeMillis(NO_STATEMENT_AGE.toMillis())
+                        .setHeldBytes(bytes)
+                        .build()));
+        return limits;
+    }
+
     private StatedLimits encode(BackendServerName name, Known each) {
         long ageNanos = Math.max(0, clock.nanoTime() - each.statedAtNanos);
         StatedLimits.Builder stated = StatedLimits.newBuilder()
@@ -299,7 +344,7 @@
 
     @Override
     public long version() {
-        return version;
+        return version + memory.version();
     }
 
     /**
@@ -309,6 +354,7 @@
      */
     public void retain(Set<BackendServerName> announced) {
         long nowNanos = clock.nanoTime();
+        memory.removeExpired(nowNanos);
         known.entrySet()
                 .removeIf(entry -> !announced.contains(entry.getKey())
                         || !entry.getValue().statement.isLimiting()
--- a/src/main/java/org/borageproxy/forward/SlotBroker.java
+++ b/src/main/java/org/borageproxy/forward/SlotBroker.java
@@ -20,6 +20,7 @@
 import org.borageproxy.coordination.ModelInventory;
 import org.borageproxy.coordination.ServerUsageTotals;
 import org.borageproxy.membership.BackendServerName;
+import org.borageproxy.membership.BackendServerState;
 import org.borageproxy.publication.EnginePool;
 import org.borageproxy.routing.EngineWork;
 import org.borageproxy.routing.ServerSelector;
@@ -162,6 +163,9 @@
         entry.reportedUsage = report.getServersList();
         entry.expiresAt = Deadline.after(nowNanos, Duration.ofMillis(1500));
         report.getServersList().forEach(pool::applyOutcomes);
+        report.getServersList().stream().filter(each -> each.getLostBytes() > 0).forEach(each -> pool.statements()
+                .memory()
+                .recordLost(each.getName(), each.getIncarnation(), each.getLostBytes(), nowNanos));
         pool.statements().merge(report.getStatedLimitsList());
         origins.recordReported(report.getBegunStreamsList());
         report.getPacesList().forEach(pace -> pool.mergeLatencyRatio(pace.getModel(), pace.getPace()));
@@ -209,7 +213,16 @@
             }
             return isExpired;
         });
-        pool.updateOtherVmUsage(usage.latest(), true);
+        List<ServerUsage> latest = usage.latest();
+        pool.updateOtherVmUsage(latest, true);
+        latest.forEach(each -> pool.statements().memory().recordHeld(each.getName(), each.getHeldBytes(), nowNanos));
+        pool.statements().memory().learn((name, incarnation) -> !isAlive(name, incarnation), nowNanos);
+    }
+
+    private boolean isAlive(String name, long incarnation) {
+        return pool.find(name, incarnation)
+                .filter(server -> server.state() == BackendServerState.ALIVE)
+                .isPresent();
     }
 
     @Override
@@ -280,7 +293,8 @@
                     environment.engines().apply(request.getService()),
                     work,
                     triedServers,
-                    origin);
+                    origin,
+                    request.getBodyBytes());
         }
 
         void begin() {
@@ -311,6 +325,7 @@
                     .setRequests(1)
                     .setPromptTokens(choice.prefillTokens())
                     .setHeldTokens(work.map(EngineWork::totalTokens).orElse(0))
+                    .setHeldBytes(request.getBodyBytes())
                     .build();
             Deadline expiresAt = Deadline.after(environment.clock().nanoTime(), UNREPORTED_GRANT_VALIDITY);
             entry.grants.add(new Grant(entry.lastSlot, granted, expiresAt));
@@ -318,7 +333,7 @@
             if (entry.expiresAt == null) {
                 entry.expiresAt = expiresAt;
             }
-            pool.recordAssignment(choice, work);
+            pool.recordAssignment(choice, work, request.getBodyBytes());
             answer(SlotAnswer.newBuilder()
                     .setOutcome(SlotAnswer.Outcome.CHOSEN)
                     .setServer(choice.server().name().value())
--- a/src/main/java/org/borageproxy/routing/ServerLoad.java
+++ b/src/main/java/org/borageproxy/routing/ServerLoad.java
@@ -26,6 +26,9 @@
     private int otherRequests;
     private int otherPrefillTokens;
     private int otherReservedTokens;
+    private long ownHeldBytes;
+    private long otherHeldBytes;
+    private long lostBytes;
     private int failures;
     private int successes;
     private int consecutiveFailures;
@@ -95,6 +98,84 @@
         ownReservedTokens -= reservedTokens;
     }
 
+    /**
+     * Records that a request of this VM begins or ceases to hold memory of the server.
+     *
+     * @param change the size of its body in bytes, negative at its end
+     */
+    public void addHeldBytes(long change) {
+        ownHeldBytes += change;
+    }
+
+    /**
+     * Records that a request of this VM failed.
+     *
+     * @param bytes the size of its body in bytes
+     */
+    public void recordLostBytes(long bytes) {
+        lostBytes += bytes;
+    }
+
+    /**
+     * Returns and resets the bytes of this VM's failed requests.
+     *
+     * @return the number of bytes since the previous call
+     */
+    public long drainLostBytes() {
+        long drained = lostBytes;
+        lostBytes = 0;
+        return drained;
+    }
+
+    /**
+     * Returns the bytes that this VM's requests hold, or held at their failure.
+     *
+     * @return the number of bytes, without failures that were drained
+     */
+    public long heldOrLostBytes() {
+        return ownHeldBytes + lostBytes;
+    }
+
+    /**
+     * Adds a request to the load of the other VMs.
+     *
+     * @param prefillTokens its prefill tokens
+     * @param reservedTokens its reserved tokens
+     * @param bodyBytes the size of its body in bytes
+     */
+    public void addOtherVmRequest(int prefillTokens, int reservedTokens, long bodyBytes) {
+        setOtherVmLoad(
+                totalRequests() + 1, totalPrefillTokens() + prefillTokens, totalReservedTokens() + reservedTokens);
+        setOtherHeldBytes(totalHeldBytes() + bodyBytes);
+    }
+
+    /**
+     * Replaces the bytes that the requests of the other VMs hold.
+     *
+     * @param bytes the number of bytes
+     */
+    public void setOtherHeldBytes(long bytes) {
+        otherHeldBytes = bytes;
+    }
+
+    /**
+     * Returns the bytes that this VM's requests hold.
+     *
+     * @return the number of bytes
+     */
+    public long ownHeldBytes() {
+        return ownHeldBytes;
+    }
+
+    /**
+     * Returns the bytes that the requests of all VMs hold.
+     *
+     * @return the number of bytes
+     */
+    public long totalHeldBytes() {
+        return ownHeldBytes + otherHeldBytes;
+    }
+
     /**
      * Returns whether the other VMs have tokens reserved at the server, which only model engines have.
      *
--- a/src/main/java/org/borageproxy/server/CrashReports.java
+++ b/src/main/java/org/borageproxy/server/CrashReports.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 import com.github.benmanes.caffeine.cache.Cache;
@@ -32,12 +33,18 @@
 
     private final ControlGroupCrashRegistry registry;
     private final CrashProbe probe;
+    private final Predicate<BackendServer> mayHaveLackedMemory;
     private final Cache<Fingerprint, Boolean> testedParts = Caffeine.newBuilder()
             .maximumSize(MAX_TESTED_PARTS)
             .expireAfterWrite(TESTED_RETENTION)
             .build();
 
-    CrashReports(GatewayRuntime runtime, ControlClient client, CrashProbe probe) {
+    CrashReports(
+            GatewayRuntime runtime,
+            ControlClient client,
+            CrashProbe probe,
+            Predicate<BackendServer> mayHaveLackedMemory) {
+        this.mayHaveLackedMemory = mayHaveLackedMemory;
         this.registry = new ControlGroupCrashRegistry(client, runtime.spread()::suspicion);
         this.probe = probe;
     }
@@ -53,6 +60,14 @@
 
     @Override
     public void reportConnectionLoss(CrashSuspects suspects, BackendServer server) {
+        if (mayHaveLackedMemory.test(server)) {
+            LOGGER.info(
+                    "event=crash-not-suspected server={} incarnation={} request={}",
+                    server.name(),
+                    server.incarnation(),
+                    suspects.request().value());
+            return;
+        }
         probe.hasStopped(server).onSuccess(hasStopped -> {
             if (hasStopped) {
                 reportCrash(suspects, server);
--- a/src/main/java/org/borageproxy/server/GatewayEntry.java
+++ b/src/main/java/org/borageproxy/server/GatewayEntry.java
@@ -136,7 +136,8 @@
                 new CrashReports(
                         runtime,
                         client,
-                        CrashProbe.confirmed(CrashProbe.overTcp(runtime.vertx()), links::isRefusedElsewhere)),
+                        CrashProbe.confirmed(CrashProbe.overTcp(runtime.vertx()), links::isRefusedElsewhere),
+                        pool::mayHaveLackedMemory),
                 buffers,
                 metrics);
         server = new ForwardServer(runtime.vertx(), context, () -> servedPublication, random);
--- a/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
@@ -5111,6 +5111,17 @@
      * @return The rejections.
      */
     int getRejections();
+
+    /**
+     * <pre>
+     * The bytes of request bodies that the requests of all VMs may hold at the server, as learned from its crashes; zero
+     * if none is known. A message with it states nothing else, and its age is that of no statement.
+     * </pre>
+     *
+     * <code>uint64 held_bytes = 6;</code>
+     * @return The heldBytes.
+     */
+    long getHeldBytes();
   }
   /**
    * <pre>
@@ -5279,6 +5290,22 @@
       return rejections_;
     }
 
+    public static final int HELD_BYTES_FIELD_NUMBER = 6;
+    private long heldBytes_ = 0L;
+    /**
+     * <pre>
+     * The bytes of request bodies that the requests of all VMs may hold at the server, as learned from its crashes; zero
+     * if none is known. A message with it states nothing else, and its age is that of no statement.
+     * </pre>
+     *
+     * <code>uint64 held_bytes = 6;</code>
+     * @return The heldBytes.
+     */
+    @java.lang.Override
+    public long getHeldBytes() {
+      return heldBytes_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -5308,6 +5335,9 @@
       if (((bitField0_ & 0x00000002) != 0)) {
         output.writeUInt32(5, rejections_);
       }
+      if (heldBytes_ != 0L) {
+        output.writeUInt64(6, heldBytes_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -5336,6 +5366,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt32Size(5, rejections_);
       }
+      if (heldBytes_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(6, heldBytes_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -5368,6 +5402,8 @@
         if (getRejections()
             != other.getRejections()) return false;
       }
+      if (getHeldBytes()
+          != other.getHeldBytes()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -5396,6 +5432,9 @@
         hash = (37 * hash) + REJECTIONS_FIELD_NUMBER;
         hash = (53 * hash) + getRejections();
       }
+      hash = (37 * hash) + HELD_BYTES_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getHeldBytes());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -5536,6 +5575,7 @@
         ageMillis_ = 0L;
         requestsPerSecond_ = 0D;
         rejections_ = 0;
+        heldBytes_ = 0L;
         return this;
       }
 
@@ -5587,6 +5627,9 @@
           result.rejections_ = rejections_;
           to_bitField0_ |= 0x00000002;
         }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.heldBytes_ = heldBytes_;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -5619,6 +5662,9 @@
         if (other.hasRejections()) {
           setRejections(other.getRejections());
         }
+        if (other.getHeldBytes() != 0L) {
+          setHeldBytes(other.getHeldBytes());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -5670,6 +5716,11 @@
                 bitField0_ |= 0x00000010;
                 break;
               } // case 40
+              case 48: {
+                heldBytes_ = input.readUInt64();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 48
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -5947,6 +5998,53 @@
         return this;
       }
 
+      private long heldBytes_ ;
+      /**
+       * <pre>
+       * The bytes of request bodies that the requests of all VMs may hold at the server, as learned from its crashes; zero
+       * if none is known. A message with it states nothing else, and its age is that of no statement.
+       * </pre>
+       *
+       * <code>uint64 held_bytes = 6;</code>
+       * @return The heldBytes.
+       */
+      @java.lang.Override
+      public long getHeldBytes() {
+        return heldBytes_;
+      }
+      /**
+       * <pre>
+       * The bytes of request bodies that the requests of all VMs may hold at the server, as learned from its crashes; zero
+       * if none is known. A message with it states nothing else, and its age is that of no statement.
+       * </pre>
+       *
+       * <code>uint64 held_bytes = 6;</code>
+       * @param value The heldBytes to set.
+       * @return This builder for chaining.
+       */
+      public Builder setHeldBytes(long value) {
+
+        heldBytes_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The bytes of request bodies that the requests of all VMs may hold at the server, as learned from its crashes; zero
+       * if none is known. A message with it states nothing else, and its age is that of no statement.
+       * </pre>
+       *
+       * <code>uint64 held_bytes = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearHeldBytes() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        heldBytes_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.coordination.StatedLimits)
     }
 
@@ -8804,6 +8902,26 @@
      * @return The answers.
      */
     int getAnswers();
+
+    /**
+     * <pre>
+     * Bytes of request bodies that the entry's requests hold at the server.
+     * </pre>
+     *
+     * <code>uint64 held_bytes = 8;</code>
+     * @return The heldBytes.
+     */
+    long getHeldBytes();
+
+    /**
+     * <pre>
+     * Bytes of request bodies whose connections to the server were lost since the previous report.
+     * </pre>
+     *
+     * <code>uint64 lost_bytes = 9;</code>
+     * @return The lostBytes.
+     */
+    long getLostBytes();
   }
   /**
    * <pre>
@@ -8973,6 +9091,36 @@
       return answers_;
     }
 
+    public static final int HELD_BYTES_FIELD_NUMBER = 8;
+    private long heldBytes_ = 0L;
+    /**
+     * <pre>
+     * Bytes of request bodies that the entry's requests hold at the server.
+     * </pre>
+     *
+     * <code>uint64 held_bytes = 8;</code>
+     * @return The heldBytes.
+     */
+    @java.lang.Override
+    public long getHeldBytes() {
+      return heldBytes_;
+    }
+
+    public static final int LOST_BYTES_FIELD_NUMBER = 9;
+    private long lostBytes_ = 0L;
+    /**
+     * <pre>
+     * Bytes of request bodies whose connections to the server were lost since the previous report.
+     * </pre>
+     *
+     * <code>uint64 lost_bytes = 9;</code>
+     * @return The lostBytes.
+     */
+    @java.lang.Override
+    public long getLostBytes() {
+      return lostBytes_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -9008,6 +9156,12 @@
       if (answers_ != 0) {
         output.writeUInt32(7, answers_);
       }
+      if (heldBytes_ != 0L) {
+        output.writeUInt64(8, heldBytes_);
+      }
+      if (lostBytes_ != 0L) {
+        output.writeUInt64(9, lostBytes_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -9044,6 +9198,14 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt32Size(7, answers_);
       }
+      if (heldBytes_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(8, heldBytes_);
+      }
+      if (lostBytes_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(9, lostBytes_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -9073,6 +9235,10 @@
           != other.getFailures()) return false;
       if (getAnswers()
           != other.getAnswers()) return false;
+      if (getHeldBytes()
+          != other.getHeldBytes()) return false;
+      if (getLostBytes()
+          != other.getLostBytes()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -9099,6 +9265,12 @@
       hash = (53 * hash) + getFailures();
       hash = (37 * hash) + ANSWERS_FIELD_NUMBER;
       hash = (53 * hash) + getAnswers();
+      hash = (37 * hash) + HELD_BYTES_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getHeldBytes());
+      hash = (37 * hash) + LOST_BYTES_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getLostBytes());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -9241,6 +9413,8 @@
         heldTokens_ = 0;
         failures_ = 0;
         answers_ = 0;
+        heldBytes_ = 0L;
+        lostBytes_ = 0L;
         return this;
       }
 
@@ -9295,6 +9469,12 @@
         if (((from_bitField0_ & 0x00000040) != 0)) {
           result.answers_ = answers_;
         }
+        if (((from_bitField0_ & 0x00000080) != 0)) {
+          result.heldBytes_ = heldBytes_;
+        }
+        if (((from_bitField0_ & 0x00000100) != 0)) {
+          result.lostBytes_ = lostBytes_;
+        }
       }
 
       @java.lang.Override
@@ -9332,6 +9512,12 @@
         if (other.getAnswers() != 0) {
           setAnswers(other.getAnswers());
         }
+        if (other.getHeldBytes() != 0L) {
+          setHeldBytes(other.getHeldBytes());
+        }
+        if (other.getLostBytes() != 0L) {
+          setLostBytes(other.getLostBytes());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -9393,6 +9579,16 @@
                 bitField0_ |= 0x00000040;
                 break;
               } // case 56
+              case 64: {
+                heldBytes_ = input.readUInt64();
+                bitField0_ |= 0x00000080;
+                break;
+              } // case 64
+              case 72: {
+                lostBytes_ = input.readUInt64();
+                bitField0_ |= 0x00000100;
+                break;
+              } // case 72
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -9722,6 +9918,94 @@
         return this;
       }
 
+      private long heldBytes_ ;
+      /**
+       * <pre>
+       * Bytes of request bodies that the entry's requests hold at the server.
+       * </pre>
+       *
+       * <code>uint64 held_bytes = 8;</code>
+       * @return The heldBytes.
+       */
+      @java.lang.Override
+      public long getHeldBytes() {
+        return heldBytes_;
+      }
+      /**
+       * <pre>
+       * Bytes of request bodies that the entry's requests hold at the server.
+       * </pre>
+       *
+       * <code>uint64 held_bytes = 8;</code>
+       * @param value The heldBytes to set.
+       * @return This builder for chaining.
+       */
+      public Builder setHeldBytes(long value) {
+
+        heldBytes_ = value;
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Bytes of request bodies that the entry's requests hold at the server.
+       * </pre>
+       *
+       * <code>uint64 held_bytes = 8;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearHeldBytes() {
+        bitField0_ = (bitField0_ & ~0x00000080);
+        heldBytes_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long lostBytes_ ;
+      /**
+       * <pre>
+       * Bytes of request bodies whose connections to the server were lost since the previous report.
+       * </pre>
+       *
+       * <code>uint64 lost_bytes = 9;</code>
+       * @return The lostBytes.
+       */
+      @java.lang.Override
+      public long getLostBytes() {
+        return lostBytes_;
+      }
+      /**
+       * <pre>
+       * Bytes of request bodies whose connections to the server were lost since the previous report.
+       * </pre>
+       *
+       * <code>uint64 lost_bytes = 9;</code>
+       * @param value The lostBytes to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLostBytes(long value) {
+
+        lostBytes_ = value;
+        bitField0_ |= 0x00000100;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Bytes of request bodies whose connections to the server were lost since the previous report.
+       * </pre>
+       *
+       * <code>uint64 lost_bytes = 9;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLostBytes() {
+        bitField0_ = (bitField0_ & ~0x00000100);
+        lostBytes_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.coordination.ServerUsage)
     }
 
@@ -15373,6 +15657,16 @@
      */
     com.google.protobuf.ByteString
         getSoftwareVersionBytes();
+
+    /**
+     * <pre>
+     * The size of the request body.
+     * </pre>
+     *
+     * <code>uint64 body_bytes = 17;</code>
+     * @return The bodyBytes.
+     */
+    long getBodyBytes();
   }
   /**
    * <pre>
@@ -15927,6 +16221,21 @@
       }
     }
 
+    public static final int BODY_BYTES_FIELD_NUMBER = 17;
+    private long bodyBytes_ = 0L;
+    /**
+     * <pre>
+     * The size of the request body.
+     * </pre>
+     *
+     * <code>uint64 body_bytes = 17;</code>
+     * @return The bodyBytes.
+     */
+    @java.lang.Override
+    public long getBodyBytes() {
+      return bodyBytes_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -15986,6 +16295,9 @@
       if (((bitField0_ & 0x00000001) != 0)) {
         com.google.protobuf.GeneratedMessage.writeString(output, 16, softwareVersion_);
       }
+      if (bodyBytes_ != 0L) {
+        output.writeUInt64(17, bodyBytes_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -16067,6 +16379,10 @@
       if (((bitField0_ & 0x00000001) != 0)) {
         size += com.google.protobuf.GeneratedMessage.computeStringSize(16, softwareVersion_);
       }
+      if (bodyBytes_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(17, bodyBytes_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -16115,6 +16431,8 @@
         if (!getSoftwareVersion()
             .equals(other.getSoftwareVersion())) return false;
       }
+      if (getBodyBytes()
+          != other.getBodyBytes()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -16166,6 +16484,9 @@
         hash = (37 * hash) + SOFTWARE_VERSION_FIELD_NUMBER;
         hash = (53 * hash) + getSoftwareVersion().hashCode();
       }
+      hash = (37 * hash) + BODY_BYTES_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getBodyBytes());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -16326,6 +16647,7 @@
         gone_ =
             com.google.protobuf.LazyStringArrayList.emptyList();
         softwareVersion_ = "";
+        bodyBytes_ = 0L;
         return this;
       }
 
@@ -16419,6 +16741,9 @@
           result.softwareVersion_ = softwareVersion_;
           to_bitField0_ |= 0x00000001;
         }
+        if (((from_bitField0_ & 0x00008000) != 0)) {
+          result.bodyBytes_ = bodyBytes_;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -16533,6 +16858,9 @@
           bitField0_ |= 0x00004000;
           onChanged();
         }
+        if (other.getBodyBytes() != 0L) {
+          setBodyBytes(other.getBodyBytes());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -16642,6 +16970,11 @@
                 bitField0_ |= 0x00004000;
                 break;
               } // case 130
+              case 136: {
+                bodyBytes_ = input.readUInt64();
+                bitField0_ |= 0x00008000;
+                break;
+              } // case 136
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -17959,6 +18292,50 @@
         return this;
       }
 
+      private long bodyBytes_ ;
+      /**
+       * <pre>
+       * The size of the request body.
+       * </pre>
+       *
+       * <code>uint64 body_bytes = 17;</code>
+       * @return The bodyBytes.
+       */
+      @java.lang.Override
+      public long getBodyBytes() {
+        return bodyBytes_;
+      }
+      /**
+       * <pre>
+       * The size of the request body.
+       * </pre>
+       *
+       * <code>uint64 body_bytes = 17;</code>
+       * @param value The bodyBytes to set.
+       * @return This builder for chaining.
+       */
+      public Builder setBodyBytes(long value) {
+
+        bodyBytes_ = value;
+        bitField0_ |= 0x00008000;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The size of the request body.
+       * </pre>
+       *
+       * <code>uint64 body_bytes = 17;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearBodyBytes() {
+        bitField0_ = (bitField0_ & ~0x00008000);
+        bodyBytes_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.coordination.SlotRequest)
     }
 
@@ -22696,45 +23073,47 @@
       "on\030\002 \001(\004\"u\n\rRefusalNotice\022\016\n\006server\030\001 \001(" +
       "\t\022\023\n\013incarnation\030\002 \001(\004\022\030\n\020remaining_mill" +
       "is\030\003 \001(\004\022\024\n\014of_recipient\030\004 \001(\010\022\017\n\007leavin" +
-      "g\030\005 \001(\010\"\247\001\n\014StatedLimits\022\014\n\004name\030\001 \001(\t\022\023" +
+      "g\030\005 \001(\010\"\273\001\n\014StatedLimits\022\014\n\004name\030\001 \001(\t\022\023" +
       "\n\013incarnation\030\002 \001(\004\022\022\n\nage_millis\030\003 \001(\004\022" +
       " \n\023requests_per_second\030\004 \001(\001H\000\210\001\001\022\027\n\nrej" +
-      "ections\030\005 \001(\rH\001\210\001\001B\026\n\024_requests_per_seco" +
-      "ndB\r\n\013_rejections\"I\n\013BegunStream\022\017\n\007requ" +
-      "est\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\030\n\020software_v" +
-      "ersion\030\003 \001(\t\"$\n\021StreamOriginQuery\022\017\n\007req" +
-      "uest\030\001 \001(\t\"N\n\022StreamOriginAnswer\022\r\n\005know" +
-      "n\030\001 \001(\010\022\017\n\007service\030\002 \001(\t\022\030\n\020software_ver" +
-      "sion\030\003 \001(\t\"(\n\tModelPace\022\r\n\005model\030\001 \001(\t\022\014" +
-      "\n\004pace\030\002 \001(\001\"\221\001\n\013ServerUsage\022\014\n\004name\030\001 \001" +
-      "(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010requests\030\003 \001(" +
-      "\r\022\025\n\rprompt_tokens\030\004 \001(\r\022\023\n\013held_tokens\030" +
-      "\005 \001(\r\022\020\n\010failures\030\006 \001(\r\022\017\n\007answers\030\007 \001(\r" +
-      "\"r\n\016WorkspaceUsage\022\014\n\004name\030\001 \001(\t\022\016\n\006dema" +
-      "nd\030\002 \001(\004\022\014\n\004held\030\003 \001(\004\022\r\n\005spent\030\004 \001(\004\022\r\n" +
-      "\005needs\030\006 \003(\004\022\020\n\010returned\030\007 \001(\004J\004\010\005\020\006\"_\n\013" +
-      "ModelDemand\022\017\n\007service\030\001 \001(\t\022\r\n\005model\030\002 " +
-      "\001(\t\022\017\n\007adapter\030\003 \001(\t\022\016\n\006tokens\030\004 \001(\004\022\017\n\007" +
-      "waiting\030\005 \001(\r\"\233\003\n\022CoordinationUpdate\022\023\n\013" +
-      "coordinates\030\001 \001(\010\022\023\n\013coordinator\030\002 \001(\t\022\017" +
-      "\n\007entries\030\003 \001(\r\0226\n\007servers\030\004 \003(\0132%.borag" +
-      "eproxy.coordination.ServerUsage\0223\n\006share" +
-      "s\030\005 \003(\0132#.borageproxy.coordination.RateS" +
-      "hare\0229\n\010contents\030\006 \003(\0132\'.borageproxy.coo" +
-      "rdination.ServerContent\022\030\n\020contents_vers" +
-      "ion\030\007 \001(\004\022\023\n\013all_servers\030\010 \001(\010\022\014\n\004term\030\t" +
-      " \001(\004\022=\n\rstated_limits\030\n \003(\0132&.borageprox" +
-      "y.coordination.StatedLimits\022\026\n\016limits_ve" +
-      "rsion\030\013 \001(\004\022\016\n\006relays\030\014 \003(\t\"\363\002\n\013SlotRequ" +
-      "est\022\014\n\004zone\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\r\n\005mo" +
-      "del\030\003 \001(\t\022\017\n\007adapter\030\004 \001(\t\022\025\n\rprompt_tok" +
-      "ens\030\005 \001(\r\022\025\n\routput_tokens\030\006 \001(\r\0225\n\005part" +
-      "s\030\007 \003(\0132&.borageproxy.coordination.PartO" +
-      "fPrompt\022\014\n\004rank\030\010 \001(\r\022\030\n\020objective_milli" +
-      "s\030\t \001(\r\022\027\n\017deadline_millis\030\n \001(\r\022\r\n\005trie" +
-      "d\030\013 \003(\t\022\025\n\rwaited_millis\030\014 \001(\r\022\021\n\tabsent" +
-      "_at\030\016 \003(\t\022\014\n\004gone\030\017 \003(\t\022\035\n\020software_vers" +
-      "ion\030\020 \001(\tH\000\210\001\001B\023\n\021_software_versionJ\004\010\r\020" +
+      "ections\030\005 \001(\rH\001\210\001\001\022\022\n\nheld_bytes\030\006 \001(\004B\026" +
+      "\n\024_requests_per_secondB\r\n\013_rejections\"I\n" +
+      "\013BegunStream\022\017\n\007request\030\001 \001(\t\022\017\n\007service" +
+      "\030\002 \001(\t\022\030\n\020software_version\030\003 \001(\t\"$\n\021Stre" +
+      "amOriginQuery\022\017\n\007request\030\001 \001(\t\"N\n\022Stream" +
+      "OriginAnswer\022\r\n\005known\030\001 \001(\010\022\017\n\007service\030\002" +
+      " \001(\t\022\030\n\020software_version\030\003 \001(\t\"(\n\tModelP" +
+      "ace\022\r\n\005model\030\001 \001(\t\022\014\n\004pace\030\002 \001(\001\"\271\001\n\013Ser" +
+      "verUsage\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 " +
+      "\001(\004\022\020\n\010requests\030\003 \001(\r\022\025\n\rprompt_tokens\030\004" +
+      " \001(\r\022\023\n\013held_tokens\030\005 \001(\r\022\020\n\010failures\030\006 " +
+      "\001(\r\022\017\n\007answers\030\007 \001(\r\022\022\n\nheld_bytes\030\010 \001(\004" +
+      "\022\022\n\nlost_bytes\030\t \001(\004\"r\n\016WorkspaceUsage\022\014" +
+      "\n\004name\030\001 \001(\t\022\016\n\006demand\030\002 \001(\004\022\014\n\004held\030\003 \001" +
+      "(\004\022\r\n\005spent\030\004 \001(\004\022\r\n\005needs\030\006 \003(\004\022\020\n\010retu" +
+      "rned\030\007 \001(\004J\004\010\005\020\006\"_\n\013ModelDemand\022\017\n\007servi" +
+      "ce\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022\017\n\007adapter\030\003 \001(\t" +
+      "\022\016\n\006tokens\030\004 \001(\004\022\017\n\007waiting\030\005 \001(\r\"\233\003\n\022Co" +
+      "ordinationUpdate\022\023\n\013coordinates\030\001 \001(\010\022\023\n" +
+      "\013coordinator\030\002 \001(\t\022\017\n\007entries\030\003 \001(\r\0226\n\007s" +
+      "ervers\030\004 \003(\0132%.borageproxy.coordination." +
+      "ServerUsage\0223\n\006shares\030\005 \003(\0132#.borageprox" +
+      "y.coordination.RateShare\0229\n\010contents\030\006 \003" +
+      "(\0132\'.borageproxy.coordination.ServerCont" +
+      "ent\022\030\n\020contents_version\030\007 \001(\004\022\023\n\013all_ser" +
+      "vers\030\010 \001(\010\022\014\n\004term\030\t \001(\004\022=\n\rstated_limit" +
+      "s\030\n \003(\0132&.borageproxy.coordination.State" +
+      "dLimits\022\026\n\016limits_version\030\013 \001(\004\022\016\n\006relay" +
+      "s\030\014 \003(\t\"\207\003\n\013SlotRequest\022\014\n\004zone\030\001 \001(\t\022\017\n" +
+      "\007service\030\002 \001(\t\022\r\n\005model\030\003 \001(\t\022\017\n\007adapter" +
+      "\030\004 \001(\t\022\025\n\rprompt_tokens\030\005 \001(\r\022\025\n\routput_" +
+      "tokens\030\006 \001(\r\0225\n\005parts\030\007 \003(\0132&.borageprox" +
+      "y.coordination.PartOfPrompt\022\014\n\004rank\030\010 \001(" +
+      "\r\022\030\n\020objective_millis\030\t \001(\r\022\027\n\017deadline_" +
+      "millis\030\n \001(\r\022\r\n\005tried\030\013 \003(\t\022\025\n\rwaited_mi" +
+      "llis\030\014 \001(\r\022\021\n\tabsent_at\030\016 \003(\t\022\014\n\004gone\030\017 " +
+      "\003(\t\022\035\n\020software_version\030\020 \001(\tH\000\210\001\001\022\022\n\nbo" +
+      "dy_bytes\030\021 \001(\004B\023\n\021_software_versionJ\004\010\r\020" +
       "\016\"0\n\014PartOfPrompt\022\020\n\010identity\030\001 \001(\t\022\016\n\006t" +
       "okens\030\002 \001(\r\"\270\002\n\nSlotAnswer\022=\n\007outcome\030\001 " +
       "\001(\0162,.borageproxy.coordination.SlotAnswe" +
@@ -22780,7 +23159,7 @@
     internal_static_borageproxy_coordination_StatedLimits_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_StatedLimits_descriptor,
-        new java.lang.String[] { "Name", "Incarnation", "AgeMillis", "RequestsPerSecond", "Rejections", });
+        new java.lang.String[] { "Name", "Incarnation", "AgeMillis", "RequestsPerSecond", "Rejections", "HeldBytes", });
     internal_static_borageproxy_coordination_BegunStream_descriptor =
       getDescriptor().getMessageType(4);
     internal_static_borageproxy_coordination_BegunStream_fieldAccessorTable = new
@@ -22810,7 +23189,7 @@
     internal_static_borageproxy_coordination_ServerUsage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_ServerUsage_descriptor,
-        new java.lang.String[] { "Name", "Incarnation", "Requests", "PromptTokens", "HeldTokens", "Failures", "Answers", });
+        new java.lang.String[] { "Name", "Incarnation", "Requests", "PromptTokens", "HeldTokens", "Failures", "Answers", "HeldBytes", "LostBytes", });
     internal_static_borageproxy_coordination_WorkspaceUsage_descriptor =
       getDescriptor().getMessageType(9);
     internal_static_borageproxy_coordination_WorkspaceUsage_fieldAccessorTable = new
@@ -22834,7 +23213,7 @@
     internal_static_borageproxy_coordination_SlotRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_SlotRequest_descriptor,
-        new java.lang.String[] { "Zone", "Service", "Model", "Adapter", "PromptTokens", "OutputTokens", "Parts", "Rank", "ObjectiveMillis", "DeadlineMillis", "Tried", "WaitedMillis", "AbsentAt", "Gone", "SoftwareVersion", });
+        new java.lang.String[] { "Zone", "Service", "Model", "Adapter", "PromptTokens", "OutputTokens", "Parts", "Rank", "ObjectiveMillis", "DeadlineMillis", "Tried", "WaitedMillis", "AbsentAt", "Gone", "SoftwareVersion", "BodyBytes", });
     internal_static_borageproxy_coordination_PartOfPrompt_descriptor =
       getDescriptor().getMessageType(13);
     internal_static_borageproxy_coordination_PartOfPrompt_fieldAccessorTable = new
