Close connections whose heads do not end in time

Cause: bytes of a head that never ends keep a connection from being idle, so that each such caller held up to 64 kB without end; the header timeout of the publication was not applied. No timer is used. Ruled out: a timer for each connection (wake-ups).

--- a/src/main/java/org/borageproxy/forward/ForwardServer.java
+++ b/src/main/java/org/borageproxy/forward/ForwardServer.java
@@ -110,7 +110,7 @@
                 .setTcpKeepAlive(true);
         server = vertx.createHttpServer(options)
                 .connectionHandler(connection -> {
-                    StrictRequestDecoder.install(connection, options);
+                    StrictRequestDecoder.install(connection, options, this::headDeadline, context.clock());
                     readToTheEnd(connection);
                 })
                 .invalidRequestHandler(ForwardServer::refuseInvalid)
@@ -118,6 +118,14 @@
         return server.listen();
     }
 
+    private Deadline headDeadline(long nowNanos) {
+        return Deadline.after(nowNanos, limits().headerTimeout());
+    }
+
+    private RequestLimits limits() {
+        return publications.get().map(served -> served.publication().limits()).orElse(RequestLimits.DEFAULT);
+    }
+
     /** Makes each turn of the event loop also read the end of a connection that directly follows a request. */
     private static void readToTheEnd(HttpConnection connection) {
         AdaptiveRecvByteBufAllocator allocator = new AdaptiveRecvByteBufAllocator();
@@ -143,10 +151,7 @@
         if (isKeepAliveDisabled) {
             request.response().putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE);
         }
-        int maximumBytes = publications
-                .get()
-                .map(served -> served.publication().limits().maxBodyBytes())
-                .orElse(RequestLimits.DEFAULT.maxBodyBytes());
+        int maximumBytes = limits().maxBodyBytes();
         RequestMetadata fields = context.protocol().parseRequest(request.headers());
         BodyReader.read(
                 context,
