Merge: learn the memory of servers, and bound bodies and heads

Conflicts: the body's size and the bytes that are held get field numbers of their own; one collector encodes the usage of servers.

--- a/src/main/java/org/borageproxy/forward/BodyReader.java
+++ b/src/main/java/org/borageproxy/forward/BodyReader.java
@@ -27,6 +27,9 @@
 
     private static final Logger LOGGER = LoggerFactory.getLogger(BodyReader.class);
 
+    /** Digits of a length that fit into a number. */
+    private static final int MAX_LENGTH_DIGITS = 18;
+
     private final ForwardContext context;
     private final HttpServerRequest request;
     private final String identity;
@@ -37,6 +40,9 @@
     private final List<byte[]> parts = new ArrayList<>(1);
     private Optional<BufferAccount.Waiter> waiter = Optional.empty();
     private ScheduledFuture<?> deadlineTimer;
+    /** The refusal that is sent once the rest of the body was discarded. */
+    private Optional<Runnable> pendingRefusal = Optional.empty();
+
     private int receivedBytes;
     private boolean isOver;
 
@@ -111,12 +117,13 @@
         long nanos = deadline().remainingNanos(context.clock().nanoTime());
         deadlineTimer = context.eventLoop().schedule(this::expire, nanos, TimeUnit.NANOSECONDS);
         reservation.allowEviction(shortage -> refuse(RefusalReason.BUFFER_FULL, Optional.of(shortage.roomAfter())));
-        if (!context.buffers().mayBegin(owner)) {
-            Duration roomAfter = context.buffers().mayBeginAfter(owner);
+        if (context.buffers().mayBegin(owner)) {
+            reservation.expect(announcedBytes());
+        } else {
             awaitOrRefuse(
-                    roomAfter,
+                    context.buffers().mayBeginAfter(owner),
                     true,
-                    () -> waiter = Optional.of(context.buffers().awaitBeginning(owner, this::resume)));
+                    () -> waiter = Optional.of(context.buffers().awaitBeginning(owner, this::beginLater)));
         }
     }
 
@@ -136,16 +143,42 @@
                 roomAfter.toMillis(),
                 context.buffers().heldBytes());
         if (mayWait && isInTime) {
-            request.pause();
+            pause();
             startWait.run();
         } else {
             refuse(RefusalReason.BUFFER_FULL, Optional.of(roomAfter));
         }
     }
 
-    private void resume() {
-        waiter = Optional.empty();
+    /**
+     * Stops to read the connection at once. The pause of the request alone would let it read on until a queue of many
+     * parts is full, for each caller that waits.
+     */
+    private void pause() {
+        ForwardServer.channelOf(request.connection()).config().setAutoRead(false);
+        request.pause();
+    }
+
+    private void readOn() {
         request.resume();
+        if (waiter.isEmpty()) {
+            ForwardServer.channelOf(request.connection()).config().setAutoRead(true);
+        }
+    }
+
+    private void beginLater() {
+        waiter = Optional.empty();
+        reservation.expect(announcedBytes());
+        readOn();
+    }
+
+    /** Returns the length of the body that the head states, as far as it may be read; zero if it states none. */
+    private long announcedBytes() {
+        String length = Optional.ofNullable(request.getHeader("content-length")).orElse("");
+        boolean isNumber = !length.isEmpty()
+                && length.length() < MAX_LENGTH_DIGITS
+                && length.chars().allMatch(each -> each >= '0' && each <= '9');
+        return isNumber ? Math.min(maximumBytes, Long.parseLong(length)) : 0;
     }
 
     private void handlePart(Buffer part) {
@@ -181,13 +214,14 @@
         waiter = Optional.empty();
         keep(part);
         if (waiter.isEmpty()) {
-            request.resume();
+            readOn();
         }
     }
 
     private void handleEnd() {
         if (isOver) {
             cancelTimer();
+            sendPendingRefusal();
             return;
         }
         stop();
@@ -222,7 +256,17 @@
         }
     }
 
-    /** Refuses the request. The rest of the body is read and discarded, so that the caller receives the answer. */
+    private void sendPendingRefusal() {
+        Optional<Runnable> refusal = pendingRefusal;
+        pendingRefusal = Optional.empty();
+        refusal.ifPresent(Runnable::run);
+    }
+
+    /**
+     * Refuses the request. The rest of the body is read and discarded, so that the caller receives the answer. A
+     * connection that is to end with the answer would be closed before that and reset by what the caller still sends,
+     * so that its answer has to wait.
+     */
     private void refuse(RefusalReason reason, Optional<Duration> retryAfter) {
         if (isOver) {
             return;
@@ -232,14 +276,19 @@
         waiter = Optional.empty();
         parts.clear();
         reservation.release();
-        listener.onRefused(reason, retryAfter);
-        request.resume();
+        pendingRefusal = Optional.of(() -> listener.onRefused(reason, retryAfter));
+        if (!"close".equalsIgnoreCase(request.getHeader("connection")) || reason == RefusalReason.BODY_INCOMPLETE) {
+            sendPendingRefusal();
+        }
+        readOn();
     }
 
     /** Ends a body that is incomplete at the deadline, and the connection with it. */
     private void expire() {
         LOGGER.info("event=body-incomplete id={} received_bytes={}", identity, receivedBytes);
         if (isOver) {
+            request.response().endHandler(ended -> request.connection().close());
+            sendPendingRefusal();
             request.connection().close();
         } else {
             request.response().putHeader("connection", "close").endHandler(ended -> request.connection()
--- a/src/main/java/org/borageproxy/forward/BufferedRequest.java
+++ b/src/main/java/org/borageproxy/forward/BufferedRequest.java
@@ -79,7 +79,7 @@
      * @return the requirement
      */
     ServerRequirement requirement(Set<BackendServerName> excludedServers, Optional<StreamOrigin> origin) {
-        return new ServerRequirement(service, engines, metadata.work(), excludedServers, origin, 0.0, allowedRegions());
+        return new ServerRequirement(service, engines, metadata.work(), excludedServers, origin, 0.0, allowedRegions(), body.length);
     }
 
     /**
--- a/src/main/java/org/borageproxy/forward/ForwardServer.java
+++ b/src/main/java/org/borageproxy/forward/ForwardServer.java
@@ -141,7 +141,7 @@
                 .setTcpKeepAlive(true);
         server = vertx.createHttpServer(options)
                 .connectionHandler(connection -> {
-                    StrictRequestDecoder.install(connection, options);
+                    StrictRequestDecoder.install(connection, options, this::headDeadline, context.clock());
                     readToTheEnd(connection);
                     Channel channel = channelOf(connection);
                     channels.add(channel);
@@ -152,6 +152,14 @@
         return server.listen();
     }
 
+    private Deadline headDeadline(long nowNanos) {
+        return Deadline.after(nowNanos, limits().headerTimeout());
+    }
+
+    private RequestLimits limits() {
+        return publications.get().map(served -> served.publication().limits()).orElse(RequestLimits.DEFAULT);
+    }
+
     /** Makes each turn of the event loop also read the end of a connection that directly follows a request. */
     private static void readToTheEnd(HttpConnection connection) {
         AdaptiveRecvByteBufAllocator allocator = new AdaptiveRecvByteBufAllocator();
@@ -159,7 +167,8 @@
         channelOf(connection).config().setRecvByteBufAllocator(allocator.respectMaybeMoreData(false));
     }
 
-    private static Channel channelOf(HttpConnection connection) {
+    /** Returns the channel of a caller's connection. */
+    static Channel channelOf(HttpConnection connection) {
         return ((ConnectionBase) connection).channel();
     }
 
@@ -177,10 +186,7 @@
         if (isKeepAliveDisabled) {
             request.response().putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE);
         }
-        int maximumBytes = publications
-                .get()
-                .map(served -> served.publication().limits().maxBodyBytes())
-                .orElse(RequestLimits.DEFAULT.maxBodyBytes());
+        int maximumBytes = limits().maxBodyBytes();
         RequestMetadata fields = context.protocol().parseRequest(request.headers());
         BodyReader.read(
                 context,
--- a/src/main/java/org/borageproxy/forward/InFlightRequest.java
+++ b/src/main/java/org/borageproxy/forward/InFlightRequest.java
@@ -24,6 +24,7 @@
     private final Runnable loadChangeListener;
     private final long startedAtNanos;
     private final PauseMeter pauses = new PauseMeter();
+    private final long bodyBytes;
     private boolean hasResponded;
     private boolean hasEnded;
 
@@ -35,6 +36,7 @@
      * @param choice the selected server
      * @param work the inference work; empty for a plain service
      * @param latencyRatios receives the observed latency
+     * @param bodyBytes the size of the body, which the server holds
      * @param loadChangeListener called when the response has begun and when the request has ended
      */
     InFlightRequest(
@@ -43,6 +45,7 @@
             ServerSelector.Choice choice,
             Optional<EngineWork> work,
             ModelLatencyRatios latencyRatios,
+            long bodyBytes,
             Runnable loadChangeListener) {
         this.clock = clock;
         this.load = load;
@@ -50,8 +53,10 @@
         this.work = work;
         this.latencyRatios = latencyRatios;
         this.loadChangeListener = loadChangeListener;
+        this.bodyBytes = bodyBytes;
         this.startedAtNanos = clock.nanoTime();
         load.recordStart(choice.prefillTokens(), reservedTokens());
+        load.addHeldBytes(bodyBytes);
     }
 
     private int reservedTokens() {
@@ -106,6 +111,7 @@
                 load.recordPrefillEnd(choice.prefillTokens());
             }
             load.recordEnd(reservedTokens());
+            load.addHeldBytes(-bodyBytes);
             loadChangeListener.run();
         }
     }
@@ -123,6 +129,9 @@
     /** Records a failure of the server, and the end of the request if it was not recorded before. */
     void recordFailure() {
         load.recordFailure(clock.nanoTime());
+        if (!hasEnded) {
+            load.recordLostBytes(bodyBytes);
+        }
         recordEnd();
     }
 
--- a/src/main/java/org/borageproxy/forward/ServerLoads.java
+++ b/src/main/java/org/borageproxy/forward/ServerLoads.java
@@ -104,10 +104,13 @@
         int requests = load.totalRequests();
         int prefillTokens = load.totalPrefillTokens();
         int reservedTokens = load.totalReservedTokens();
+        long heldBytes = load.totalHeldBytes();
         load.setOtherVmLoad(usage.getRequests(), usage.getPromptTokens(), usage.getHeldTokens());
+        load.setOtherHeldBytes(usage.getHeldBytes());
         return load.totalRequests() < requests
                 || load.totalPrefillTokens() < prefillTokens
-                || load.totalReservedTokens() < reservedTokens;
+                || load.totalReservedTokens() < reservedTokens
+                || load.totalHeldBytes() < heldBytes;
     }
 
     void applyOutcomes(ServerUsage usage) {
@@ -123,6 +126,11 @@
         }
     }
 
+    /** Returns the load of a server that was considered for a request before. */
+    Optional<ServerLoad> find(BackendServerName name) {
+        return Optional.ofNullable(loads.get(name));
+    }
+
     List<ServerUsage> drainUsage() {
         return UsageCollector.drain(loads);
     }
--- a/src/main/java/org/borageproxy/forward/ServerPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerPool.java
@@ -200,7 +200,7 @@
         String modelOrService = requirement.work().map(EngineWork::model).orElse(requirement.service());
         untried(requirement).forEach(server -> {
             ServerLoad load = loads.of(server, requirement.engines());
-            if (statements.admits(server, requirement.engines(), load)) {
+            if (statements.admits(server, requirement.engines(), load, requirement.bodyBytes())) {
                 candidates.add(new ServerSelector.Candidate(
                         server, load, latencyRatios.of(modelOrService), speeds.speedOf(server, nowNanos)));
             }
@@ -381,15 +381,14 @@
      *
      * @param choice the server that this pool selected
      * @param work the inference work; empty for a plain service
+     * @param bodyBytes the size of the request's body
      */
-    void recordAssignment(ServerSelector.Choice choice, Optional<EngineWork> work) {
+    void recordAssignment(ServerSelector.Choice choice, Optional<EngineWork> work, long bodyBytes) {
         statements.acquirePermit(choice.server());
         ServerLoad load = loads.of(choice.server(), Optional.empty());
         work.ifPresent(load.prefixCache()::recordPrompt);
-        load.setOtherVmLoad(
-                load.totalRequests() + 1,
-                load.totalPrefillTokens() + choice.prefillTokens(),
-                load.totalReservedTokens() + work.map(EngineWork::totalTokens).orElse(0));
+        load.addOtherVmRequest(
+                choice.prefillTokens(), work.map(EngineWork::totalTokens).orElse(0), bodyBytes);
     }
 
     /**
@@ -440,13 +439,15 @@
      * @param choice the selected server
      * @param engines the engine pool of the service; empty for a plain service
      * @param work the inference work; empty for a plain service
+     * @param bodyBytes the size of the body that is sent
      * @return tracks the request
      */
-    InFlightRequest recordStart(ServerSelector.Choice choice, Optional<EnginePool> engines, Optional<EngineWork> work) {
+    InFlightRequest recordStart(
+            ServerSelector.Choice choice, Optional<EnginePool> engines, Optional<EngineWork> work, long bodyBytes) {
         ServerLoad load = loads.of(choice.server(), engines);
         work.ifPresent(load.prefixCache()::recordPrompt);
         return new InFlightRequest(
-                clock, load, choice, work, latencyRatios, () -> handleLoadChange(choice.server(), work));
+                clock, load, choice, work, latencyRatios, bodyBytes, () -> handleLoadChange(choice.server(), work));
     }
 
     private void handleLoadChange(BackendServer server, Optional<EngineWork> work) {
@@ -562,6 +563,20 @@
         return loads.drainUsage();
     }
 
+    /**
+     * Returns whether a server may have ended for lack of memory, so that its requests are not suspected.
+     *
+     * @param server a server to which connections were lost
+     * @return {@code true} if this VM's requests held much there and no limit is known that they kept
+     */
+    public boolean mayHaveLackedMemory(BackendServer server) {
+        return loads.find(server.name())
+                .filter(load -> statements
+                        .memory()
+                        .mayExplain(server.name().value(), load.heldOrLostBytes(), clock.nanoTime()))
+                .isPresent();
+    }
+
     /**
      * Returns the demand and resets its token counts.
      *
--- a/src/main/java/org/borageproxy/forward/ServerRequirement.java
+++ b/src/main/java/org/borageproxy/forward/ServerRequirement.java
@@ -22,6 +22,7 @@
  * @param origin what began the stream that the request continues; empty for a request that any server can run
  * @param toleratedMillis the predicted time up to which the request leaves faster servers to others, in milliseconds
  * @param allowedRegions the regions in which the request may run; empty for any
+ * @param bodyBytes the size of the request's body, which the server holds while it runs the request
  */
 record ServerRequirement(
         String service,
@@ -30,16 +31,26 @@
         Set<BackendServerName> triedServers,
         Optional<StreamOrigin> origin,
         double toleratedMillis,
-        Set<String> allowedRegions) {
+        Set<String> allowedRegions,
+        long bodyBytes) {
 
-    /** Creates the requirement of a request that any region may run, on the server that is expected to finish first. */
+    /**
+     * Creates the requirement of a request without a body that any region may run, on the server that is expected to
+     * finish first.
+     *
+     * @param service the service
+     * @param engines the engine pool of the service; empty for a plain service
+     * @param work the inference work; empty for a plain service
+     * @param triedServers the servers that must not be selected again
+     * @param origin what began the stream that the request continues; empty for a request that any server can run
+     */
     ServerRequirement(
             String service,
             Optional<EnginePool> engines,
             Optional<EngineWork> work,
             Set<BackendServerName> triedServers,
             Optional<StreamOrigin> origin) {
-        this(service, engines, work, triedServers, origin, 0.0, Set.of());
+        this(service, engines, work, triedServers, origin, 0.0, Set.of(), 0);
     }
 
     /**
--- a/src/main/java/org/borageproxy/forward/UsageCollector.java
+++ b/src/main/java/org/borageproxy/forward/UsageCollector.java
@@ -35,7 +35,9 @@
                         .setPromptTokens(Math.max(0, load.ownPrefillTokens()))
                         .setHeldTokens(Math.max(0, load.ownReservedTokens()))
                         .setFailures(outcomes.failures())
-                        .setAnswers(outcomes.successes());
+                        .setAnswers(outcomes.successes())
+                        .setHeldBytes(load.ownHeldBytes())
+                        .setLostBytes(load.drainLostBytes());
                 if (slowness.isPresent()) {
                     usage.setSlowness(encode(slowness));
                 }
--- a/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
@@ -7288,6 +7288,17 @@
      * @return The coldMillis.
      */
     long getColdMillis();
+
+    /**
+     * <pre>
+     * The bytes of request bodies that the requests of all VMs may hold at the server, as learned from its crashes; zero
+     * if none is known. A message with it states nothing else, and its age is that of no statement.
+     * </pre>
+     *
+     * <code>uint64 held_bytes = 7;</code>
+     * @return The heldBytes.
+     */
+    long getHeldBytes();
   }
   /**
    * <pre>
@@ -7471,6 +7482,22 @@
       return coldMillis_;
     }
 
+    public static final int HELD_BYTES_FIELD_NUMBER = 7;
+    private long heldBytes_ = 0L;
+    /**
+     * <pre>
+     * The bytes of request bodies that the requests of all VMs may hold at the server, as learned from its crashes; zero
+     * if none is known. A message with it states nothing else, and its age is that of no statement.
+     * </pre>
+     *
+     * <code>uint64 held_bytes = 7;</code>
+     * @return The heldBytes.
+     */
+    @java.lang.Override
+    public long getHeldBytes() {
+      return heldBytes_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -7503,6 +7530,9 @@
       if (coldMillis_ != 0L) {
         output.writeUInt64(6, coldMillis_);
       }
+      if (heldBytes_ != 0L) {
+        output.writeUInt64(7, heldBytes_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -7535,6 +7565,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt64Size(6, coldMillis_);
       }
+      if (heldBytes_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(7, heldBytes_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -7569,6 +7603,8 @@
       }
       if (getColdMillis()
           != other.getColdMillis()) return false;
+      if (getHeldBytes()
+          != other.getHeldBytes()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -7600,6 +7636,9 @@
       hash = (37 * hash) + COLD_MILLIS_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getColdMillis());
+      hash = (37 * hash) + HELD_BYTES_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getHeldBytes());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -7741,6 +7780,7 @@
         requestsPerSecond_ = 0D;
         rejections_ = 0;
         coldMillis_ = 0L;
+        heldBytes_ = 0L;
         return this;
       }
 
@@ -7795,6 +7835,9 @@
         if (((from_bitField0_ & 0x00000020) != 0)) {
           result.coldMillis_ = coldMillis_;
         }
+        if (((from_bitField0_ & 0x00000040) != 0)) {
+          result.heldBytes_ = heldBytes_;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -7830,6 +7873,9 @@
         if (other.getColdMillis() != 0L) {
           setColdMillis(other.getColdMillis());
         }
+        if (other.getHeldBytes() != 0L) {
+          setHeldBytes(other.getHeldBytes());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -7886,6 +7932,11 @@
                 bitField0_ |= 0x00000020;
                 break;
               } // case 48
+              case 56: {
+                heldBytes_ = input.readUInt64();
+                bitField0_ |= 0x00000040;
+                break;
+              } // case 56
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -8207,6 +8258,53 @@
         return this;
       }
 
+      private long heldBytes_ ;
+      /**
+       * <pre>
+       * The bytes of request bodies that the requests of all VMs may hold at the server, as learned from its crashes; zero
+       * if none is known. A message with it states nothing else, and its age is that of no statement.
+       * </pre>
+       *
+       * <code>uint64 held_bytes = 7;</code>
+       * @return The heldBytes.
+       */
+      @java.lang.Override
+      public long getHeldBytes() {
+        return heldBytes_;
+      }
+      /**
+       * <pre>
+       * The bytes of request bodies that the requests of all VMs may hold at the server, as learned from its crashes; zero
+       * if none is known. A message with it states nothing else, and its age is that of no statement.
+       * </pre>
+       *
+       * <code>uint64 held_bytes = 7;</code>
+       * @param value The heldBytes to set.
+       * @return This builder for chaining.
+       */
+      public Builder setHeldBytes(long value) {
+
+        heldBytes_ = value;
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The bytes of request bodies that the requests of all VMs may hold at the server, as learned from its crashes; zero
+       * if none is known. A message with it states nothing else, and its age is that of no statement.
+       * </pre>
+       *
+       * <code>uint64 held_bytes = 7;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearHeldBytes() {
+        bitField0_ = (bitField0_ & ~0x00000040);
+        heldBytes_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.coordination.StatedLimits)
     }
 
@@ -11065,6 +11163,26 @@
      */
     int getAnswers();
 
+    /**
+     * <pre>
+     * Bytes of request bodies that the entry's requests hold at the server.
+     * </pre>
+     *
+     * <code>uint64 held_bytes = 8;</code>
+     * @return The heldBytes.
+     */
+    long getHeldBytes();
+
+    /**
+     * <pre>
+     * Bytes of request bodies whose connections to the server were lost since the previous report.
+     * </pre>
+     *
+     * <code>uint64 lost_bytes = 9;</code>
+     * @return The lostBytes.
+     */
+    long getLostBytes();
+
     /**
      * <code>optional .borageproxy.coordination.SlownessSamples slowness = 50;</code>
      * @return Whether the slowness field is set.
@@ -11249,6 +11367,36 @@
       return answers_;
     }
 
+    public static final int HELD_BYTES_FIELD_NUMBER = 8;
+    private long heldBytes_ = 0L;
+    /**
+     * <pre>
+     * Bytes of request bodies that the entry's requests hold at the server.
+     * </pre>
+     *
+     * <code>uint64 held_bytes = 8;</code>
+     * @return The heldBytes.
+     */
+    @java.lang.Override
+    public long getHeldBytes() {
+      return heldBytes_;
+    }
+
+    public static final int LOST_BYTES_FIELD_NUMBER = 9;
+    private long lostBytes_ = 0L;
+    /**
+     * <pre>
+     * Bytes of request bodies whose connections to the server were lost since the previous report.
+     * </pre>
+     *
+     * <code>uint64 lost_bytes = 9;</code>
+     * @return The lostBytes.
+     */
+    @java.lang.Override
+    public long getLostBytes() {
+      return lostBytes_;
+    }
+
     public static final int SLOWNESS_FIELD_NUMBER = 50;
     private org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples slowness_;
     /**
@@ -11310,6 +11458,12 @@
       if (answers_ != 0) {
         output.writeUInt32(7, answers_);
       }
+      if (heldBytes_ != 0L) {
+        output.writeUInt64(8, heldBytes_);
+      }
+      if (lostBytes_ != 0L) {
+        output.writeUInt64(9, lostBytes_);
+      }
       if (((bitField0_ & 0x00000001) != 0)) {
         output.writeMessage(50, getSlowness());
       }
@@ -11349,6 +11503,14 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt32Size(7, answers_);
       }
+      if (heldBytes_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(8, heldBytes_);
+      }
+      if (lostBytes_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(9, lostBytes_);
+      }
       if (((bitField0_ & 0x00000001) != 0)) {
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(50, getSlowness());
@@ -11382,6 +11544,10 @@
           != other.getFailures()) return false;
       if (getAnswers()
           != other.getAnswers()) return false;
+      if (getHeldBytes()
+          != other.getHeldBytes()) return false;
+      if (getLostBytes()
+          != other.getLostBytes()) return false;
       if (hasSlowness() != other.hasSlowness()) return false;
       if (hasSlowness()) {
         if (!getSlowness()
@@ -11413,6 +11579,12 @@
       hash = (53 * hash) + getFailures();
       hash = (37 * hash) + ANSWERS_FIELD_NUMBER;
       hash = (53 * hash) + getAnswers();
+      hash = (37 * hash) + HELD_BYTES_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getHeldBytes());
+      hash = (37 * hash) + LOST_BYTES_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getLostBytes());
       if (hasSlowness()) {
         hash = (37 * hash) + SLOWNESS_FIELD_NUMBER;
         hash = (53 * hash) + getSlowness().hashCode();
@@ -11565,6 +11737,8 @@
         heldTokens_ = 0;
         failures_ = 0;
         answers_ = 0;
+        heldBytes_ = 0L;
+        lostBytes_ = 0L;
         slowness_ = null;
         if (slownessBuilder_ != null) {
           slownessBuilder_.dispose();
@@ -11624,8 +11798,14 @@
         if (((from_bitField0_ & 0x00000040) != 0)) {
           result.answers_ = answers_;
         }
-        int to_bitField0_ = 0;
         if (((from_bitField0_ & 0x00000080) != 0)) {
+          result.heldBytes_ = heldBytes_;
+        }
+        if (((from_bitField0_ & 0x00000100) != 0)) {
+          result.lostBytes_ = lostBytes_;
+        }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000200) != 0)) {
           result.slowness_ = slownessBuilder_ == null
               ? slowness_
               : slownessBuilder_.build();
@@ -11669,6 +11849,12 @@
         if (other.getAnswers() != 0) {
           setAnswers(other.getAnswers());
         }
+        if (other.getHeldBytes() != 0L) {
+          setHeldBytes(other.getHeldBytes());
+        }
+        if (other.getLostBytes() != 0L) {
+          setLostBytes(other.getLostBytes());
+        }
         if (other.hasSlowness()) {
           mergeSlowness(other.getSlowness());
         }
@@ -11733,11 +11919,21 @@
                 bitField0_ |= 0x00000040;
                 break;
               } // case 56
+              case 64: {
+                heldBytes_ = input.readUInt64();
+                bitField0_ |= 0x00000080;
+                break;
+              } // case 64
+              case 72: {
+                lostBytes_ = input.readUInt64();
+                bitField0_ |= 0x00000100;
+                break;
+              } // case 72
               case 402: {
                 input.readMessage(
                     internalGetSlownessFieldBuilder().getBuilder(),
                     extensionRegistry);
-                bitField0_ |= 0x00000080;
+                bitField0_ |= 0x00000200;
                 break;
               } // case 402
               default: {
@@ -12069,6 +12265,94 @@
         return this;
       }
 
+      private long heldBytes_ ;
+      /**
+       * <pre>
+       * Bytes of request bodies that the entry's requests hold at the server.
+       * </pre>
+       *
+       * <code>uint64 held_bytes = 8;</code>
+       * @return The heldBytes.
+       */
+      @java.lang.Override
+      public long getHeldBytes() {
+        return heldBytes_;
+      }
+      /**
+       * <pre>
+       * Bytes of request bodies that the entry's requests hold at the server.
+       * </pre>
+       *
+       * <code>uint64 held_bytes = 8;</code>
+       * @param value The heldBytes to set.
+       * @return This builder for chaining.
+       */
+      public Builder setHeldBytes(long value) {
+
+        heldBytes_ = value;
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Bytes of request bodies that the entry's requests hold at the server.
+       * </pre>
+       *
+       * <code>uint64 held_bytes = 8;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearHeldBytes() {
+        bitField0_ = (bitField0_ & ~0x00000080);
+        heldBytes_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long lostBytes_ ;
+      /**
+       * <pre>
+       * Bytes of request bodies whose connections to the server were lost since the previous report.
+       * </pre>
+       *
+       * <code>uint64 lost_bytes = 9;</code>
+       * @return The lostBytes.
+       */
+      @java.lang.Override
+      public long getLostBytes() {
+        return lostBytes_;
+      }
+      /**
+       * <pre>
+       * Bytes of request bodies whose connections to the server were lost since the previous report.
+       * </pre>
+       *
+       * <code>uint64 lost_bytes = 9;</code>
+       * @param value The lostBytes to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLostBytes(long value) {
+
+        lostBytes_ = value;
+        bitField0_ |= 0x00000100;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Bytes of request bodies whose connections to the server were lost since the previous report.
+       * </pre>
+       *
+       * <code>uint64 lost_bytes = 9;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLostBytes() {
+        bitField0_ = (bitField0_ & ~0x00000100);
+        lostBytes_ = 0L;
+        onChanged();
+        return this;
+      }
+
       private org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples slowness_;
       private com.google.protobuf.SingleFieldBuilder<
           org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples, org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples.Builder, org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamplesOrBuilder> slownessBuilder_;
@@ -12077,7 +12361,7 @@
        * @return Whether the slowness field is set.
        */
       public boolean hasSlowness() {
-        return ((bitField0_ & 0x00000080) != 0);
+        return ((bitField0_ & 0x00000200) != 0);
       }
       /**
        * <code>optional .borageproxy.coordination.SlownessSamples slowness = 50;</code>
@@ -12102,7 +12386,7 @@
         } else {
           slownessBuilder_.setMessage(value);
         }
-        bitField0_ |= 0x00000080;
+        bitField0_ |= 0x00000200;
         onChanged();
         return this;
       }
@@ -12116,7 +12400,7 @@
         } else {
           slownessBuilder_.setMessage(builderForValue.build());
         }
-        bitField0_ |= 0x00000080;
+        bitField0_ |= 0x00000200;
         onChanged();
         return this;
       }
@@ -12125,7 +12409,7 @@
        */
       public Builder mergeSlowness(org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples value) {
         if (slownessBuilder_ == null) {
-          if (((bitField0_ & 0x00000080) != 0) &&
+          if (((bitField0_ & 0x00000200) != 0) &&
             slowness_ != null &&
             slowness_ != org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples.getDefaultInstance()) {
             getSlownessBuilder().mergeFrom(value);
@@ -12136,7 +12420,7 @@
           slownessBuilder_.mergeFrom(value);
         }
         if (slowness_ != null) {
-          bitField0_ |= 0x00000080;
+          bitField0_ |= 0x00000200;
           onChanged();
         }
         return this;
@@ -12145,7 +12429,7 @@
        * <code>optional .borageproxy.coordination.SlownessSamples slowness = 50;</code>
        */
       public Builder clearSlowness() {
-        bitField0_ = (bitField0_ & ~0x00000080);
+        bitField0_ = (bitField0_ & ~0x00000200);
         slowness_ = null;
         if (slownessBuilder_ != null) {
           slownessBuilder_.dispose();
@@ -12158,7 +12442,7 @@
        * <code>optional .borageproxy.coordination.SlownessSamples slowness = 50;</code>
        */
       public org.borageproxy.wire.proto.CoordinationProtocol.SlownessSamples.Builder getSlownessBuilder() {
-        bitField0_ |= 0x00000080;
+        bitField0_ |= 0x00000200;
         onChanged();
         return internalGetSlownessFieldBuilder().getBuilder();
       }
@@ -18641,6 +18925,16 @@
      * @return The caller.
      */
     long getCaller();
+
+    /**
+     * <pre>
+     * The size of the request body.
+     * </pre>
+     *
+     * <code>uint64 body_bytes = 20;</code>
+     * @return The bodyBytes.
+     */
+    long getBodyBytes();
   }
   /**
    * <pre>
@@ -19306,6 +19600,21 @@
       return caller_;
     }
 
+    public static final int BODY_BYTES_FIELD_NUMBER = 20;
+    private long bodyBytes_ = 0L;
+    /**
+     * <pre>
+     * The size of the request body.
+     * </pre>
+     *
+     * <code>uint64 body_bytes = 20;</code>
+     * @return The bodyBytes.
+     */
+    @java.lang.Override
+    public long getBodyBytes() {
+      return bodyBytes_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -19374,6 +19683,9 @@
       if (caller_ != 0L) {
         output.writeFixed64(19, caller_);
       }
+      if (bodyBytes_ != 0L) {
+        output.writeUInt64(20, bodyBytes_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -19465,6 +19777,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeFixed64Size(19, caller_);
       }
+      if (bodyBytes_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(20, bodyBytes_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -19519,6 +19835,8 @@
           .equals(other.getIdentity())) return false;
       if (getCaller()
           != other.getCaller()) return false;
+      if (getBodyBytes()
+          != other.getBodyBytes()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -19577,6 +19895,9 @@
       hash = (37 * hash) + CALLER_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getCaller());
+      hash = (37 * hash) + BODY_BYTES_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getBodyBytes());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -19740,6 +20061,7 @@
         workspace_ = "";
         identity_ = "";
         caller_ = 0L;
+        bodyBytes_ = 0L;
         return this;
       }
 
@@ -19842,6 +20164,9 @@
         if (((from_bitField0_ & 0x00020000) != 0)) {
           result.caller_ = caller_;
         }
+        if (((from_bitField0_ & 0x00040000) != 0)) {
+          result.bodyBytes_ = bodyBytes_;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -19969,6 +20294,9 @@
         if (other.getCaller() != 0L) {
           setCaller(other.getCaller());
         }
+        if (other.getBodyBytes() != 0L) {
+          setBodyBytes(other.getBodyBytes());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -20093,6 +20421,11 @@
                 bitField0_ |= 0x00020000;
                 break;
               } // case 153
+              case 160: {
+                bodyBytes_ = input.readUInt64();
+                bitField0_ |= 0x00040000;
+                break;
+              } // case 160
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -21638,6 +21971,50 @@
         return this;
       }
 
+      private long bodyBytes_ ;
+      /**
+       * <pre>
+       * The size of the request body.
+       * </pre>
+       *
+       * <code>uint64 body_bytes = 20;</code>
+       * @return The bodyBytes.
+       */
+      @java.lang.Override
+      public long getBodyBytes() {
+        return bodyBytes_;
+      }
+      /**
+       * <pre>
+       * The size of the request body.
+       * </pre>
+       *
+       * <code>uint64 body_bytes = 20;</code>
+       * @param value The bodyBytes to set.
+       * @return This builder for chaining.
+       */
+      public Builder setBodyBytes(long value) {
+
+        bodyBytes_ = value;
+        bitField0_ |= 0x00040000;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The size of the request body.
+       * </pre>
+       *
+       * <code>uint64 body_bytes = 20;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearBodyBytes() {
+        bitField0_ = (bitField0_ & ~0x00040000);
+        bodyBytes_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.coordination.SlotRequest)
     }
 
@@ -26528,52 +26905,54 @@
       " \001(\004\"u\n\rRefusalNotice\022\016\n\006server\030\001 \001(\t\022\023\n" +
       "\013incarnation\030\002 \001(\004\022\030\n\020remaining_millis\030\003" +
       " \001(\004\022\024\n\014of_recipient\030\004 \001(\010\022\017\n\007leaving\030\005 " +
-      "\001(\010\"\274\001\n\014StatedLimits\022\014\n\004name\030\001 \001(\t\022\023\n\013in" +
+      "\001(\010\"\320\001\n\014StatedLimits\022\014\n\004name\030\001 \001(\t\022\023\n\013in" +
       "carnation\030\002 \001(\004\022\022\n\nage_millis\030\003 \001(\004\022 \n\023r" +
       "equests_per_second\030\004 \001(\001H\000\210\001\001\022\027\n\nrejecti" +
-      "ons\030\005 \001(\rH\001\210\001\001\022\023\n\013cold_millis\030\006 \001(\004B\026\n\024_" +
-      "requests_per_secondB\r\n\013_rejections\"I\n\013Be" +
-      "gunStream\022\017\n\007request\030\001 \001(\t\022\017\n\007service\030\002 " +
-      "\001(\t\022\030\n\020software_version\030\003 \001(\t\"$\n\021StreamO" +
-      "riginQuery\022\017\n\007request\030\001 \001(\t\"N\n\022StreamOri" +
-      "ginAnswer\022\r\n\005known\030\001 \001(\010\022\017\n\007service\030\002 \001(" +
-      "\t\022\030\n\020software_version\030\003 \001(\t\"(\n\tModelPace" +
-      "\022\r\n\005model\030\001 \001(\t\022\014\n\004pace\030\002 \001(\001\"\340\001\n\013Server" +
-      "Usage\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004" +
-      "\022\020\n\010requests\030\003 \001(\r\022\025\n\rprompt_tokens\030\004 \001(" +
-      "\r\022\023\n\013held_tokens\030\005 \001(\r\022\020\n\010failures\030\006 \001(\r" +
-      "\022\017\n\007answers\030\007 \001(\r\022@\n\010slowness\0302 \001(\0132).bo" +
-      "rageproxy.coordination.SlownessSamplesH\000" +
-      "\210\001\001B\013\n\t_slowness\"r\n\016WorkspaceUsage\022\014\n\004na" +
-      "me\030\001 \001(\t\022\016\n\006demand\030\002 \001(\004\022\014\n\004held\030\003 \001(\004\022\r" +
-      "\n\005spent\030\004 \001(\004\022\r\n\005needs\030\006 \003(\004\022\020\n\010returned" +
-      "\030\007 \001(\004J\004\010\005\020\006\"_\n\013ModelDemand\022\017\n\007service\030\001" +
-      " \001(\t\022\r\n\005model\030\002 \001(\t\022\017\n\007adapter\030\003 \001(\t\022\016\n\006" +
-      "tokens\030\004 \001(\004\022\017\n\007waiting\030\005 \001(\r\"\222\004\n\022Coordi" +
-      "nationUpdate\022\023\n\013coordinates\030\001 \001(\010\022\023\n\013coo" +
-      "rdinator\030\002 \001(\t\022\017\n\007entries\030\003 \001(\r\0226\n\007serve" +
-      "rs\030\004 \003(\0132%.borageproxy.coordination.Serv" +
-      "erUsage\0223\n\006shares\030\005 \003(\0132#.borageproxy.co" +
-      "ordination.RateShare\0229\n\010contents\030\006 \003(\0132\'" +
-      ".borageproxy.coordination.ServerContent\022" +
-      "\030\n\020contents_version\030\007 \001(\004\022\023\n\013all_servers" +
-      "\030\010 \001(\010\022\014\n\004term\030\t \001(\004\022=\n\rstated_limits\030\n " +
-      "\003(\0132&.borageproxy.coordination.StatedLim" +
-      "its\022\026\n\016limits_version\030\013 \001(\004\022\016\n\006relays\030\014 " +
-      "\003(\t\0225\n\006speeds\0302 \003(\0132%.borageproxy.coordi" +
-      "nation.ServerSpeed\022\026\n\016speeds_version\0303 \001" +
-      "(\004\022\023\n\013asks_speeds\0304 \001(\010\022\021\n\twithdraws\0305 \001" +
-      "(\010\"\250\003\n\013SlotRequest\022\014\n\004zone\030\001 \001(\t\022\017\n\007serv" +
-      "ice\030\002 \001(\t\022\r\n\005model\030\003 \001(\t\022\017\n\007adapter\030\004 \001(" +
-      "\t\022\025\n\rprompt_tokens\030\005 \001(\r\022\025\n\routput_token" +
-      "s\030\006 \001(\r\0225\n\005parts\030\007 \003(\0132&.borageproxy.coo" +
-      "rdination.PartOfPrompt\022\014\n\004rank\030\010 \001(\r\022\030\n\020" +
-      "objective_millis\030\t \001(\r\022\027\n\017deadline_milli" +
-      "s\030\n \001(\r\022\r\n\005tried\030\013 \003(\t\022\025\n\rwaited_millis\030" +
-      "\014 \001(\r\022\021\n\tabsent_at\030\016 \003(\t\022\014\n\004gone\030\017 \003(\t\022\035" +
-      "\n\020software_version\030\020 \001(\tH\000\210\001\001\022\021\n\tworkspa" +
-      "ce\030\021 \001(\t\022\020\n\010identity\030\022 \001(\t\022\016\n\006caller\030\023 \001" +
-      "(\006B\023\n\021_software_versionJ\004\010\r\020\016\"0\n\014PartOfP" +
+      "ons\030\005 \001(\rH\001\210\001\001\022\023\n\013cold_millis\030\006 \001(\004\022\022\n\nh" +
+      "eld_bytes\030\007 \001(\004B\026\n\024_requests_per_secondB" +
+      "\r\n\013_rejections\"I\n\013BegunStream\022\017\n\007request" +
+      "\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\030\n\020software_vers" +
+      "ion\030\003 \001(\t\"$\n\021StreamOriginQuery\022\017\n\007reques" +
+      "t\030\001 \001(\t\"N\n\022StreamOriginAnswer\022\r\n\005known\030\001" +
+      " \001(\010\022\017\n\007service\030\002 \001(\t\022\030\n\020software_versio" +
+      "n\030\003 \001(\t\"(\n\tModelPace\022\r\n\005model\030\001 \001(\t\022\014\n\004p" +
+      "ace\030\002 \001(\001\"\210\002\n\013ServerUsage\022\014\n\004name\030\001 \001(\t\022" +
+      "\023\n\013incarnation\030\002 \001(\004\022\020\n\010requests\030\003 \001(\r\022\025" +
+      "\n\rprompt_tokens\030\004 \001(\r\022\023\n\013held_tokens\030\005 \001" +
+      "(\r\022\020\n\010failures\030\006 \001(\r\022\017\n\007answers\030\007 \001(\r\022\022\n" +
+      "\nheld_bytes\030\010 \001(\004\022\022\n\nlost_bytes\030\t \001(\004\022@\n" +
+      "\010slowness\0302 \001(\0132).borageproxy.coordinati" +
+      "on.SlownessSamplesH\000\210\001\001B\013\n\t_slowness\"r\n\016" +
+      "WorkspaceUsage\022\014\n\004name\030\001 \001(\t\022\016\n\006demand\030\002" +
+      " \001(\004\022\014\n\004held\030\003 \001(\004\022\r\n\005spent\030\004 \001(\004\022\r\n\005nee" +
+      "ds\030\006 \003(\004\022\020\n\010returned\030\007 \001(\004J\004\010\005\020\006\"_\n\013Mode" +
+      "lDemand\022\017\n\007service\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022" +
+      "\017\n\007adapter\030\003 \001(\t\022\016\n\006tokens\030\004 \001(\004\022\017\n\007wait" +
+      "ing\030\005 \001(\r\"\222\004\n\022CoordinationUpdate\022\023\n\013coor" +
+      "dinates\030\001 \001(\010\022\023\n\013coordinator\030\002 \001(\t\022\017\n\007en" +
+      "tries\030\003 \001(\r\0226\n\007servers\030\004 \003(\0132%.boragepro" +
+      "xy.coordination.ServerUsage\0223\n\006shares\030\005 " +
+      "\003(\0132#.borageproxy.coordination.RateShare" +
+      "\0229\n\010contents\030\006 \003(\0132\'.borageproxy.coordin" +
+      "ation.ServerContent\022\030\n\020contents_version\030" +
+      "\007 \001(\004\022\023\n\013all_servers\030\010 \001(\010\022\014\n\004term\030\t \001(\004" +
+      "\022=\n\rstated_limits\030\n \003(\0132&.borageproxy.co" +
+      "ordination.StatedLimits\022\026\n\016limits_versio" +
+      "n\030\013 \001(\004\022\016\n\006relays\030\014 \003(\t\0225\n\006speeds\0302 \003(\0132" +
+      "%.borageproxy.coordination.ServerSpeed\022\026" +
+      "\n\016speeds_version\0303 \001(\004\022\023\n\013asks_speeds\0304 " +
+      "\001(\010\022\021\n\twithdraws\0305 \001(\010\"\274\003\n\013SlotRequest\022\014" +
+      "\n\004zone\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\r\n\005model\030\003" +
+      " \001(\t\022\017\n\007adapter\030\004 \001(\t\022\025\n\rprompt_tokens\030\005" +
+      " \001(\r\022\025\n\routput_tokens\030\006 \001(\r\0225\n\005parts\030\007 \003" +
+      "(\0132&.borageproxy.coordination.PartOfProm" +
+      "pt\022\014\n\004rank\030\010 \001(\r\022\030\n\020objective_millis\030\t \001" +
+      "(\r\022\027\n\017deadline_millis\030\n \001(\r\022\r\n\005tried\030\013 \003" +
+      "(\t\022\025\n\rwaited_millis\030\014 \001(\r\022\021\n\tabsent_at\030\016" +
+      " \003(\t\022\014\n\004gone\030\017 \003(\t\022\035\n\020software_version\030\020" +
+      " \001(\tH\000\210\001\001\022\021\n\tworkspace\030\021 \001(\t\022\020\n\010identity" +
+      "\030\022 \001(\t\022\016\n\006caller\030\023 \001(\006\022\022\n\nbody_bytes\030\024 \001" +
+      "(\004B\023\n\021_software_versionJ\004\010\r\020\016\"0\n\014PartOfP" +
       "rompt\022\020\n\010identity\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\r\"" +
       "\326\002\n\nSlotAnswer\022=\n\007outcome\030\001 \001(\0162,.borage" +
       "proxy.coordination.SlotAnswer.Outcome\022\016\n" +
@@ -26632,7 +27011,7 @@
     internal_static_borageproxy_coordination_StatedLimits_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_StatedLimits_descriptor,
-        new java.lang.String[] { "Name", "Incarnation", "AgeMillis", "RequestsPerSecond", "Rejections", "ColdMillis", });
+        new java.lang.String[] { "Name", "Incarnation", "AgeMillis", "RequestsPerSecond", "Rejections", "ColdMillis", "HeldBytes", });
     internal_static_borageproxy_coordination_BegunStream_descriptor =
       getDescriptor().getMessageType(6);
     internal_static_borageproxy_coordination_BegunStream_fieldAccessorTable = new
@@ -26662,7 +27041,7 @@
     internal_static_borageproxy_coordination_ServerUsage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_ServerUsage_descriptor,
-        new java.lang.String[] { "Name", "Incarnation", "Requests", "PromptTokens", "HeldTokens", "Failures", "Answers", "Slowness", });
+        new java.lang.String[] { "Name", "Incarnation", "Requests", "PromptTokens", "HeldTokens", "Failures", "Answers", "HeldBytes", "LostBytes", "Slowness", });
     internal_static_borageproxy_coordination_WorkspaceUsage_descriptor =
       getDescriptor().getMessageType(11);
     internal_static_borageproxy_coordination_WorkspaceUsage_fieldAccessorTable = new
@@ -26686,7 +27065,7 @@
     internal_static_borageproxy_coordination_SlotRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_SlotRequest_descriptor,
-        new java.lang.String[] { "Zone", "Service", "Model", "Adapter", "PromptTokens", "OutputTokens", "Parts", "Rank", "ObjectiveMillis", "DeadlineMillis", "Tried", "WaitedMillis", "AbsentAt", "Gone", "SoftwareVersion", "Workspace", "Identity", "Caller", });
+        new java.lang.String[] { "Zone", "Service", "Model", "Adapter", "PromptTokens", "OutputTokens", "Parts", "Rank", "ObjectiveMillis", "DeadlineMillis", "Tried", "WaitedMillis", "AbsentAt", "Gone", "SoftwareVersion", "Workspace", "Identity", "Caller", "BodyBytes", });
     internal_static_borageproxy_coordination_PartOfPrompt_descriptor =
       getDescriptor().getMessageType(15);
     internal_static_borageproxy_coordination_PartOfPrompt_fieldAccessorTable = new
--- a/src/test/java/org/borageproxy/ArchitectureTest.java
+++ b/src/test/java/org/borageproxy/ArchitectureTest.java
@@ -31,7 +31,8 @@
                     ROOT + ".key",
                     ROOT + ".lease",
                     ROOT + ".admission",
-                    ROOT + ".scheduling")
+                    ROOT + ".scheduling",
+                    ROOT + ".buffer")
             .should()
             .dependOnClassesThat()
             .resideInAnyPackage("io.vertx..", "io.netty..", "java.net..", "java.nio.file..");
