--- a/src/main/java/org/borageproxy/forward/ColdServers.java
+++ b/src/main/java/org/borageproxy/forward/ColdServers.java
@@ -191,11 +191,13 @@
 
     /** Returns the requests per second that a server takes from all VMs while it is cold; empty for no limit now. */
     OptionalDouble limit(BackendServer server) {
-        OptionalDouble lowest = server.services().stream()
-                .map(service -> environment.rules().apply(service).requestsPerSecond())
-                .flatMapToDouble(OptionalDouble::stream)
-                .min();
-        return lowest.isPresent() && isCold(server) ? lowest : OptionalDouble.empty();
+        // Most servers are warm; the rules are looked up only for the others, since this is asked for each candidate.
+        return isCold(server)
+                ? server.services().stream()
+                        .map(service -> environment.rules().apply(service).requestsPerSecond())
+                        .flatMapToDouble(OptionalDouble::stream)
+                        .min()
+                : OptionalDouble.empty();
     }
 
     private RequestPermits permits(BackendServer server, double limit) {
--- a/src/test/java/org/borageproxy/platform/ZoneDrainTest.java
+++ b/src/test/java/org/borageproxy/platform/ZoneDrainTest.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 
@@ -133,11 +134,12 @@
                         .filter(call -> !call.isRefused())
                         .findFirst()
                         .toString());
-                long slowest = calls.stream()
-                        .mapToLong(call -> call.duration().toMillis())
-                        .max()
-                        .orElse(0);
-                assertTrue(slowest < 500, slowest + " ms");
+                List<Long> slowest = calls.stream()
+                        .map(call -> call.duration().toMillis())
+                        .sorted(Comparator.reverseOrder())
+                        .limit(10)
+                        .toList();
+                assertTrue(slowest.get(0) < 500, () -> slowest + " ms of " + calls.size() + " calls");
             }
         });
     }
