--- a/src/test/java/org/borageproxy/forward/ServerPoolTest.java
+++ b/src/test/java/org/borageproxy/forward/ServerPoolTest.java
@@ -172,8 +172,11 @@
     @Test
     void drainOfAllServersLeavesNoServer() {
         servers.add(BackendServerFixture.engine("only", "m"));
+        assertFalse(pool.availability().areRuledOut("s", Set.of()));
         pool.availability().restrict((server, regions) -> false);
         assertTrue(chosen("m").isEmpty());
+        assertTrue(pool.availability().areRuledOut("s", Set.of()));
+        assertFalse(pool.availability().areRuledOut("other", Set.of()));
         assertEquals(
                 ServerPool.Unavailability.NO_SERVER, pool.unavailability(requirement("m", Set.of(), Optional.empty())));
     }
