Adapt tests to the merged parts

Cause: tests of one part used methods whose parameters another part had changed. Change: the arguments of four tests; what they check is unchanged.

--- a/src/main/java/org/borageproxy/forward/BufferedRequest.java
+++ b/src/main/java/org/borageproxy/forward/BufferedRequest.java
@@ -79,7 +79,8 @@
      * @return the requirement
      */
     ServerRequirement requirement(Set<BackendServerName> excludedServers, Optional<StreamOrigin> origin) {
-        return new ServerRequirement(service, engines, metadata.work(), excludedServers, origin, 0.0, allowedRegions(), body.length);
+        return new ServerRequirement(
+                service, engines, metadata.work(), excludedServers, origin, 0.0, allowedRegions(), body.length);
     }
 
     /**
--- a/src/main/java/org/borageproxy/forward/ServerPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerPool.java
@@ -151,7 +151,7 @@
      */
     boolean needsCoordinator(String service) {
         List<BackendServer> accepting = servers.current().stream()
-                .filter(server -> acceptsWork(server, service))
+                .filter(server -> availability.acceptsWork(server, service, Set.of()))
                 .toList();
         return accepting.stream().anyMatch(statements::isLimiting)
                 || !accepting.isEmpty() && accepting.stream().allMatch(loads::isFilling);
@@ -571,9 +571,8 @@
      */
     public boolean mayHaveLackedMemory(BackendServer server) {
         return loads.find(server.name())
-                .filter(load -> statements
-                        .memory()
-                        .mayExplain(server.name().value(), load.heldOrLostBytes(), clock.nanoTime()))
+                .filter(load ->
+                        statements.memory().mayExplain(server.name().value(), load.heldOrLostBytes(), clock.nanoTime()))
                 .isPresent();
     }
 
--- a/src/main/java/org/borageproxy/placement/FleetPlacement.java
+++ b/src/main/java/org/borageproxy/placement/FleetPlacement.java
@@ -378,8 +378,7 @@
         }
     }
 
-    private Map<String, LoadPlanner.Demand> demandWithAbsences(
-            String service, List<TrackedEngine> engines) {
+    private Map<String, LoadPlanner.Demand> demandWithAbsences(String service, List<TrackedEngine> engines) {
         Set<String> displaced = AbsentModels.displacedModels(environment.servers(), environment.isDrained(), service);
         Map<String, LoadPlanner.Demand> byModel = demand.byModel(service);
         absentModels(service)
--- a/src/test/java/org/borageproxy/forward/ColdServersTest.java
+++ b/src/test/java/org/borageproxy/forward/ColdServersTest.java
@@ -236,7 +236,7 @@
         Optional<ServerSelector.Choice> choice = pool.choose(requirement);
         while (choice.isPresent()) {
             granted++;
-            pool.recordAssignment(choice.get(), work);
+            pool.recordAssignment(choice.get(), work, 0);
             choice = pool.choose(requirement);
         }
         assertTrue(granted >= 1 && granted <= 4 * OVERAGE + SLACK, granted + " requests at once");
--- a/src/test/java/org/borageproxy/forward/ServerMemoryLimitTest.java
+++ b/src/test/java/org/borageproxy/forward/ServerMemoryLimitTest.java
@@ -123,7 +123,7 @@
             report(entry, 0, 0);
         }
         crash();
-        assertTrue(pool.isLimited(BackendServerFixture.SERVICE));
+        assertTrue(pool.needsCoordinator(BackendServerFixture.SERVICE));
         int granted = 0;
         for (int entry = 0; entry < ENTRY_COUNT; entry++) {
             granted += isGranted(entry) ? 1 : 0;
--- a/src/test/java/org/borageproxy/forward/ServerPoolTest.java
+++ b/src/test/java/org/borageproxy/forward/ServerPoolTest.java
@@ -203,8 +203,8 @@
         ZoneRules rules = new ZoneRules(
                 Map.of(BackendServerFixture.ZONE, "r", new AvailabilityZone("b"), "q"), Set::of, () -> true);
         pool.availability().restrict(rules);
-        ServerRequirement restricted =
-                new ServerRequirement("s", Optional.of(ENGINES), work("m"), Set.of(), Optional.empty(), 0.0, Set.of("q"), 0);
+        ServerRequirement restricted = new ServerRequirement(
+                "s", Optional.of(ENGINES), work("m"), Set.of(), Optional.empty(), 0.0, Set.of("q"), 0);
         for (int round = 0; round < 20; round++) {
             assertEquals(
                     Optional.of("far"),
--- a/src/test/java/org/borageproxy/routing/ServerSelectorTest.java
+++ b/src/test/java/org/borageproxy/routing/ServerSelectorTest.java
@@ -116,7 +116,7 @@
         ServerLoad busy = idleLoad();
         busy.recordStart(300, 340);
         ServerSelector.Query tolerant = new ServerSelector.Query(
-                Optional.of(WORK), Optional.of(POOL), ZONE, Set.of(), ServerSelector.toleratedMillis(10_000));
+                Optional.of(WORK), Optional.of(POOL), ZONE, Set.of(), ServerSelector.toleratedMillis(10_000), 1);
         for (int seed = 0; seed < 20; seed++) {
             String chosen = ServerSelector.INSTANCE
                     .choose(
--- a/src/test/java/org/borageproxy/routing/speed/UnevenServersTest.java
+++ b/src/test/java/org/borageproxy/routing/speed/UnevenServersTest.java
@@ -109,7 +109,7 @@
 
         private Optional<ServerSelector.Choice> choose(ServerSpeeds known, double toleratedMillis) {
             ServerSelector.Query query = new ServerSelector.Query(
-                    Optional.of(WORK), Optional.of(POOL), BackendServerFixture.ZONE, Set.of(), toleratedMillis);
+                    Optional.of(WORK), Optional.of(POOL), BackendServerFixture.ZONE, Set.of(), toleratedMillis, 1);
             List<ServerSelector.Candidate> candidates = engines.stream()
                     .map(engine -> new ServerSelector.Candidate(
                             engine.server, engine.load, 1.0, known.speedOf(engine.server, time.nowNanos())))
