Sort the samples of a server four times a second at most

Cause: each sample sorted up to 41 earlier ones to find the usual value with which a disturbance is compared.

Change: the usual value is computed anew at most every 250 ms.

--- a/src/main/java/org/borageproxy/routing/speed/SlownessHistory.java
+++ b/src/main/java/org/borageproxy/routing/speed/SlownessHistory.java
@@ -16,6 +16,8 @@
     private final long[] recordedAtNanos;
     private final double quantile;
     private final Duration validity;
+    private OptionalDouble usual = OptionalDouble.empty();
+    private Deadline usualUntil;
     private int size;
     private int next;
 
@@ -64,6 +66,15 @@
                 : OptionalDouble.of(valid[(int) Math.floor((valid.length - 1) * quantile)]);
     }
 
+    /** Returns the quantile of the valid samples as of at most {@link LearnedSpeeds#UPDATE_INTERVAL} ago. */
+    OptionalDouble usual(long nowNanos) {
+        if (usualUntil == null || usualUntil.hasPassed(nowNanos)) {
+            usualUntil = Deadline.after(nowNanos, LearnedSpeeds.UPDATE_INTERVAL);
+            usual = slowness(nowNanos);
+        }
+        return usual;
+    }
+
     /** Returns the samples that are not older than a given age, in no order. */
     double[] samplesWithin(Duration age, long nowNanos) {
         double[] valid = new double[size];
--- a/src/main/java/org/borageproxy/routing/speed/SpeedEstimate.java
+++ b/src/main/java/org/borageproxy/routing/speed/SpeedEstimate.java
@@ -60,7 +60,7 @@
 
     /** Records a sample and updates the disturbance from the latest samples of its kind. */
     void record(SlownessHistory history, double logSlowness, long nowNanos) {
-        OptionalDouble usual = history.slowness(nowNanos);
+        OptionalDouble usual = history.usual(nowNanos);
         history.record(logSlowness, nowNanos);
         double[] latest = history.samplesWithin(DISTURBANCE_WINDOW, nowNanos);
         if (usual.isEmpty() || latest.length < MIN_DISTURBED_SAMPLES || history.count(nowNanos) < 2 * latest.length) {
