Search the servers once for each pass over the waiting requests

Cause: for each lane with waiting requests, a pass searched all servers for the changed ones.

Change: the changed servers are found once for each pass.

--- a/src/main/java/org/borageproxy/forward/ServerPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerPool.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
 
@@ -95,7 +96,7 @@
         this.random = random;
         this.statements = new ServerStatements(clock, random, limitShare);
         this.loads = new ServerLoads(clock);
-        this.waiting = new WaitingRequests(clock, this::canRun);
+        this.waiting = new WaitingRequests(clock, this::lanesOf);
     }
 
     /**
@@ -107,10 +108,12 @@
         return waiting;
     }
 
-    private boolean canRun(Set<BackendServerName> changed, WaitingRequest.Lane lane) {
-        return servers.current().stream()
-                .anyMatch(server -> changed.contains(server.name())
-                        && server.services().contains(lane.service())
+    private Predicate<WaitingRequest.Lane> lanesOf(Set<BackendServerName> changed) {
+        List<BackendServer> changedServers = servers.current().stream()
+                .filter(server -> changed.contains(server.name()))
+                .toList();
+        return lane -> changedServers.stream()
+                .anyMatch(server -> server.services().contains(lane.service())
                         && (lane.model().isEmpty() || inventories.of(server).contains(lane.model(), lane.adapter())));
     }
 
--- a/src/main/java/org/borageproxy/forward/WaitingRequests.java
+++ b/src/main/java/org/borageproxy/forward/WaitingRequests.java
@@ -4,7 +4,8 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.BiPredicate;
+import java.util.function.Function;
+import java.util.function.Predicate;
 
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.scheduling.AdmissionDecision;
@@ -25,7 +26,7 @@
     private static final Duration SWEEP_INTERVAL = Duration.ofMillis(100);
 
     private final MonotonicClock clock;
-    private final BiPredicate<Set<BackendServerName>, WaitingRequest.Lane> canRun;
+    private final Function<Set<BackendServerName>, Predicate<WaitingRequest.Lane>> lanesOf;
     private final WaitingQueue queue = new WaitingQueue();
     private final AdmissionPolicy policy = new AdmissionPolicy();
     private final Set<BackendServerName> changedServers = new HashSet<>();
@@ -37,11 +38,11 @@
      * Creates an instance without requests.
      *
      * @param clock the clock
-     * @param canRun returns whether any of some servers could run the requests of a lane if it took them now
+     * @param lanesOf returns which lanes any of some servers could serve if it took requests now
      */
-    WaitingRequests(MonotonicClock clock, BiPredicate<Set<BackendServerName>, WaitingRequest.Lane> canRun) {
+    WaitingRequests(MonotonicClock clock, Function<Set<BackendServerName>, Predicate<WaitingRequest.Lane>> lanesOf) {
         this.clock = clock;
-        this.canRun = canRun;
+        this.lanesOf = lanesOf;
         this.nextSweepAt = new Deadline(clock.nanoTime());
     }
 
@@ -106,7 +107,7 @@
 
     /** Retries the requests that a changed server could run. Has no effect within a retry. */
     void retryChanged() {
-        if (isRetrying) {
+        if (isRetrying || queue.size() == 0) {
             return;
         }
         long nowNanos = clock.nanoTime();
@@ -120,9 +121,8 @@
         }
         isRetrying = true;
         try {
-            queue.retry(
-                    lane -> isSweep || lanes.contains(lane) || !servers.isEmpty() && canRun.test(servers, lane),
-                    nowNanos);
+            Predicate<WaitingRequest.Lane> isServed = servers.isEmpty() ? lane -> false : lanesOf.apply(servers);
+            queue.retry(lane -> isSweep || lanes.contains(lane) || isServed.test(lane), nowNanos);
         } finally {
             isRetrying = false;
         }
