Reject documents without routes or an integral version, and leave no room free for urgent work

Cause: the test that sends malformed input to every port found that a document with nothing but "Version":1e999 was accepted, removed all routes and could not be replaced. Change: a document needs Routes, Services and a Version that is an integer.

--- a/src/main/java/org/borageproxy/forward/SlotBroker.java
+++ b/src/main/java/org/borageproxy/forward/SlotBroker.java
@@ -27,7 +27,6 @@
 import org.borageproxy.scheduling.AdmissionDecision;
 import org.borageproxy.scheduling.RequestCost;
 import org.borageproxy.scheduling.ReturnPlaces;
-import org.borageproxy.scheduling.UrgentHeadroom;
 import org.borageproxy.scheduling.WaitingRequest;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
@@ -71,7 +70,6 @@
     private final StreamOrigins origins;
     private final Map<VmName, Entry> entries = new HashMap<>();
     private final ServerUsageTotals usage = new ServerUsageTotals();
-    private final UrgentHeadroom headroom = new UrgentHeadroom();
     private final ReturnPlaces places = new ReturnPlaces();
     private final SlotLog log;
     private boolean isRefreshScheduled;
@@ -353,12 +351,6 @@
         }
 
         void begin() {
-            if (isFirstAsked()) {
-                headroom.recordArrival(
-                        request.getService(),
-                        waitingRequest.cost(),
-                        environment.clock().nanoTime());
-            }
             before = pool.waiting().firstBefore(waitingRequest);
             if (before.isPresent() || !tryGrant()) {
                 waitOrRefuse();
@@ -384,9 +376,7 @@
 
         private boolean tryGrant() {
             AvailabilityZone zone = new AvailabilityZone(request.getZone());
-            double share = headroom.usableShare(
-                    request.getService(), request.getRank(), environment.clock().nanoTime());
-            Optional<ServerSelector.Choice> choice = pool.choose(requirement, zone, share);
+            Optional<ServerSelector.Choice> choice = pool.choose(requirement, zone, 1);
             choice.ifPresent(this::grant);
             return choice.isPresent();
         }
--- a/src/main/java/org/borageproxy/platform/PublicationDocument.java
+++ b/src/main/java/org/borageproxy/platform/PublicationDocument.java
@@ -52,6 +52,10 @@
     }
 
     private static Publication decodePublication(JsonObject json) {
+        // An absent list is a document that was cut short, and not one that removes everything.
+        if (!json.containsKey("Routes") || !json.containsKey("Services")) {
+            throw new IllegalArgumentException("document without Routes or Services");
+        }
         List<PublishedRoute> routes = new ArrayList<>();
         for (JsonObject route : objects(json, "Routes")) {
             routes.add(decodeRoute(route));
@@ -65,11 +69,16 @@
             workspaces.put(requiredString(tenant, "Name"), decodeWorkspace(tenant));
         }
         return new Publication(
-                requiredNumber(json, "Version").longValue(),
-                routes,
-                services,
-                workspaces,
-                decodeLimits(json.getJsonObject("Limits")));
+                decodeVersion(json), routes, services, workspaces, decodeLimits(json.getJsonObject("Limits")));
+    }
+
+    /** A fraction or a number beyond the range would come into force as another version than the operator stated. */
+    private static long decodeVersion(JsonObject json) {
+        Number version = requiredNumber(json, "Version");
+        if (version instanceof Integer || version instanceof Long) {
+            return version.longValue();
+        }
+        throw new IllegalArgumentException("Version is not an integer: " + version);
     }
 
     private static PublishedRoute decodeRoute(JsonObject json) {
--- a/src/test/java/org/borageproxy/platform/PlatformDocumentsTest.java
+++ b/src/test/java/org/borageproxy/platform/PlatformDocumentsTest.java
@@ -83,6 +83,12 @@
         String whole = document(ROUTE, "");
         assertThrows(IllegalArgumentException.class, () -> decode(whole.substring(0, whole.length() - 3)));
         assertThrows(IllegalArgumentException.class, () -> decode(whole.replace("\"Version\":7,", "")));
+        for (String version : List.of("1e999", "7.5", "99999999999999999999")) {
+            assertThrows(
+                    IllegalArgumentException.class,
+                    () -> decode(whole.replace("\"Version\":7", "\"Version\":" + version)));
+        }
+        assertThrows(IllegalArgumentException.class, () -> decode("{\"Version\":8}"));
     }
 
     private static final String HEARTBEAT =
--- a/src/test/java/org/borageproxy/platform/TroubledServerTest.java
+++ b/src/test/java/org/borageproxy/platform/TroubledServerTest.java
@@ -1,10 +1,14 @@
 package org.borageproxy.platform;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.function.BooleanSupplier;
 
 import org.junit.jupiter.api.AfterAll;
@@ -23,6 +27,13 @@
     /** Far more than an entry may hold of one answer. */
     private static final int READ_BYTES = 4 << 20;
 
+    private static final Duration STALL_DEADLINE = Duration.ofMillis(2_500);
+    /** The time after which a server must have been left once its caller's deadline has passed. */
+    private static final Duration TOLERATED_DELAY = Duration.ofMillis(500);
+
+    private static final long MALFORMED_SEED = 20261204;
+    private static final int MALFORMED_READ_MILLIS = 60;
+
     private final List<EngineStandIn> servers = new ArrayList<>();
     private PlatformFleet fleet;
     private int calls;
@@ -131,4 +142,97 @@
         }
         assertAllIsWell();
     }
+
+    /** Guards against streams that are cut because they are slow, though each event arrives before their deadline. */
+    @Test
+    void slowStreamIsDeliveredWhole() throws Exception {
+        try (Socket socket = send(true, EngineStandIn.SLOW)) {
+            String answer = PlatformFleet.readAll(socket);
+            assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
+            for (int number = 1; number <= EngineStandIn.EVENT_COUNT; number++) {
+                assertTrue(answer.contains("id: " + number + "\n"), answer);
+            }
+            assertTrue(answer.endsWith("0\r\n\r\n"), answer);
+        }
+    }
+
+    /** Guards against streams that never end, since a byte now and then counts as progress. */
+    @Test
+    void stalledStreamIsCutAtItsDeadlineAndItsServerIsLeft() throws Exception {
+        long startedAtNanos = System.nanoTime();
+        calls++;
+        String header = "X-Script: " + EngineStandIn.STALL + "\r\nX-Deadline-Ms: " + STALL_DEADLINE.toMillis() + "\r\n";
+        try (Socket socket = fleet.send(fleet.entries().get(0), "t" + calls, "a:50,t" + calls + ":50", header)) {
+            String answer = PlatformFleet.readAll(socket);
+            long tookMillis = (System.nanoTime() - startedAtNanos) / 1_000_000;
+            assertTrue(answer.startsWith("HTTP/1.1 200") && answer.contains("id: 1\n"), answer);
+            assertTrue(!answer.endsWith("0\r\n\r\n") && !answer.contains("id: 2\n"), answer);
+            assertTrue(tookMillis < STALL_DEADLINE.plus(TOLERATED_DELAY).toMillis(), tookMillis + " ms");
+        }
+        assertAllIsWell();
+    }
+
+    /** Guards against input that is no message, or one with absurd values, and ends the process that reads it. */
+    @Test
+    void malformedInputEndsNoProcess() throws Exception {
+        List<String> vms = new ArrayList<>(fleet.entries());
+        vms.add(fleet.control());
+        Random random = new Random(MALFORMED_SEED);
+        for (String vm : vms) {
+            for (InetSocketAddress address : fleet.listeningAddresses(vm)) {
+                for (byte[] input : malformedInputs(random)) {
+                    sendAndReadShortly(address, input);
+                }
+            }
+        }
+        for (String vm : vms) {
+            assertTrue(fleet.isRunning(vm), vm);
+        }
+        assertAllIsWell();
+    }
+
+    private static List<byte[]> malformedInputs(Random random) {
+        List<byte[]> inputs = new ArrayList<>();
+        for (int length : List.of(1, 64, 4_096)) {
+            byte[] bytes = new byte[length];
+            random.nextBytes(bytes);
+            inputs.add(bytes);
+        }
+        String nested = "[".repeat(20_000);
+        for (String body : List.of("{", nested, "{\"Version\":1e999}", "{\"born\":\"x\",\"Sequence\":-1}", "\u0000")) {
+            for (String path : List.of("/Replicas.Heartbeat/x", "/Replicas.Deregister/x", "/Config.Replace", "/e/x")) {
+                inputs.add(bytes("POST " + path + " HTTP/1.1\r\nHost: e.example\r\nContent-Length: " + body.length()
+                        + "\r\n\r\n" + body));
+            }
+        }
+        for (String header : List.of(
+                "X-Token-Count: 99999999999999999999,-1",
+                "X-Token-Count: ,",
+                "X-Prompt-Prefix: a:-1,:,b",
+                "X-Deadline-Ms: -5",
+                "X-Deadline-Ms: 99999999999999999999",
+                "Last-Event-Id: \u0001",
+                "Content-Length: -1")) {
+            inputs.add(bytes(
+                    "POST /e/x HTTP/1.1\r\nHost: e.example\r\nX-Request-Id: m\r\nX-Credential: k\r\nX-Model: m\r\n"
+                            + header + "\r\n\r\n"));
+        }
+        return inputs;
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    /** Sends input and waits a moment for an answer; a connection that the VM closes is in order. */
+    private static void sendAndReadShortly(InetSocketAddress address, byte[] input) {
+        try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+            socket.setSoTimeout(MALFORMED_READ_MILLIS);
+            socket.getOutputStream().write(input);
+            socket.getOutputStream().flush();
+            socket.getInputStream().read(new byte[512]);
+        } catch (IOException exception) {
+            // Closed, reset or silent; the test asserts that the process still serves.
+        }
+    }
 }
