Choose test ports that are free on the addresses of all VMs

PlatformFleet tested four ports one after the other, each on the address of the control VM only, and the entries bind the same numbers on others. RefusingServerTest ("readyz answered 0" for 60 s, not traced) may be the same. Change: the four ports are held open together and on all addresses, without reuse, until all are found. No check changes. Ruled out: the same port twice among the four as the usual cause: 2 of 5,000 sets in a loop. Which socket held the port is not shown.

--- a/src/test/java/org/borageproxy/platform/PlatformFleet.java
+++ b/src/test/java/org/borageproxy/platform/PlatformFleet.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -70,10 +69,10 @@
     private final List<EngineStandIn> engines = new ArrayList<>();
     private final HttpClient client = HttpClient.newHttpClient();
     private final ScheduledExecutorService heartbeats = Executors.newSingleThreadScheduledExecutor();
-    private final int internalPort = freePort();
-    private final int callerPort = freePort();
-    private final int readinessPort = freePort();
-    private final int controlPort = freePort();
+    private final int internalPort;
+    private final int callerPort;
+    private final int readinessPort;
+    private final int controlPort;
 
     /** Starts the VMs and publishes one route, whose service has one model; waits until the entries are ready. */
     PlatformFleet(Path folder, int entryCount) throws Exception {
@@ -81,6 +80,11 @@
         for (int number = 1; number <= entryCount; number++) {
             entries.add("127.0.1." + (10 + number));
         }
+        List<Integer> ports = freePorts(4);
+        internalPort = ports.get(0);
+        callerPort = ports.get(1);
+        readinessPort = ports.get(2);
+        controlPort = ports.get(3);
         start(CONTROL);
         for (String entry : entries) {
             start(entry);
@@ -94,10 +98,46 @@
                 this::announceEngines, HEARTBEAT_MILLIS, HEARTBEAT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(CONTROL))) {
-            return socket.getLocalPort();
+    /**
+     * Returns ports that are free on the addresses of all VMs and differ from one another. A port that is free on one
+     * address only may still be in use on another, by connections of an earlier fleet; its VM would not start.
+     */
+    private List<Integer> freePorts(int count) throws IOException {
+        List<Integer> ports = new ArrayList<>();
+        List<ServerSocket> held = new ArrayList<>();
+        try {
+            while (ports.size() < count) {
+                ServerSocket first = bind(CONTROL, 0);
+                held.add(first);
+                int port = first.getLocalPort();
+                if (isFreeOnAll(port, held)) {
+                    ports.add(port);
+                }
+            }
+        } finally {
+            for (ServerSocket socket : held) {
+                socket.close();
+            }
+        }
+        return ports;
+    }
+
+    private boolean isFreeOnAll(int port, List<ServerSocket> held) {
+        for (String entry : entries) {
+            try {
+                held.add(bind(entry, port));
+            } catch (IOException exception) {
+                return false;
+            }
         }
+        return true;
+    }
+
+    private static ServerSocket bind(String address, int port) throws IOException {
+        ServerSocket socket = new ServerSocket();
+        socket.setReuseAddress(false);
+        socket.bind(new InetSocketAddress(address, port), 1);
+        return socket;
     }
 
     /** Returns the addresses of the entries. */
