Let a request begin while others of its class wait for more room than there is

A new request waited behind any request of its lane whose delay costs more, also if that one needs more room than there is or has tried the servers. It was tried again only once the load of a server had fallen, or after 100 ms. Now only requests of an earlier class (rank, or coming back after a refusal) must not be passed; within a class the waiting ones have been offered the present room already.

SlotBrokerTest.requestThatFitsDoesNotWaitBehindOneOfItsRankThatDoesNot failed on (the second request was not chosen) and passes. Ruled out: letting all requests pass, since a less urgent one would take the room that an urgent one waits for.

--- a/src/main/java/org/borageproxy/forward/SlotLog.java
+++ b/src/main/java/org/borageproxy/forward/SlotLog.java
@@ -42,7 +42,7 @@
                 cost.rank(),
                 named(cost.workspace()),
                 before.map(WaitingRequest::identity).map(SlotLog::named).orElse("-"),
-                before.map(first -> first.cost().reasonBefore(cost, nowNanos)).orElse("no-room"),
+                before.map(first -> first.cost().reasonBefore(cost)).orElse("no-room"),
                 expectedStart.remainingMillis(nowNanos),
                 cost.latestStart().remainingMillis(nowNanos));
     }
--- a/src/main/java/org/borageproxy/scheduling/RequestCost.java
+++ b/src/main/java/org/borageproxy/scheduling/RequestCost.java
@@ -105,23 +105,13 @@
     }
 
     /**
-     * Returns why a request goes before another one.
+     * Returns why a request goes before one of another class.
      *
      * @param other the request that is put back
-     * @param nowNanos the current reading of the clock in nanoseconds
-     * @return the first difference that decides: rank, returning, late, workspace or objective
+     * @return the difference that decides: rank or returning
      */
-    public String reasonBefore(RequestCost other, long nowNanos) {
-        if (rank != other.rank) {
-            return "rank";
-        }
-        if (isReturning != other.isReturning) {
-            return "returning";
-        }
-        if (isLate(nowNanos) != other.isLate(nowNanos)) {
-            return "late";
-        }
-        return workspace.equals(other.workspace) ? "objective" : "workspace";
+    public String reasonBefore(RequestCost other) {
+        return rank == other.rank ? "returning" : "rank";
     }
 
     /** Returns the time by which requests of one class and workspace are ordered. */
--- a/src/main/java/org/borageproxy/scheduling/WaitingQueue.java
+++ b/src/main/java/org/borageproxy/scheduling/WaitingQueue.java
@@ -107,21 +107,19 @@
     }
 
     /**
-     * Returns the queued request of the same lane that goes before a request.
+     * Returns the queued request of the same lane that a new request must not pass. That is one of a class that goes
+     * before its own; those of its own class were offered the present room in vain, since they need more of it or have
+     * tried the servers.
      *
      * @param request the request, not queued yet
      * @param nowNanos the current reading of the clock in nanoseconds
      * @return empty if the request may begin now
      */
     public Optional<WaitingRequest> firstBefore(WaitingRequest request, long nowNanos) {
-        WaitingLane lane = lanes.get(request.lane());
-        if (lane == null) {
-            return Optional.empty();
-        }
-        WaitingLane.Head head = lane.head(request, request.cost().isLate(nowNanos), nowNanos);
-        return lane.first(lastPass + 1, nowNanos)
-                .filter(first -> first.compareTo(head) <= 0)
-                .map(WaitingLane.Head::request);
+        return Optional.ofNullable(lanes.get(request.lane()))
+                .flatMap(lane -> lane.first(lastPass + 1, nowNanos))
+                .map(WaitingLane.Head::request)
+                .filter(first -> first.cost().order() < request.cost().order());
     }
 
     /**
--- a/src/test/java/org/borageproxy/forward/SlotBrokerTest.java
+++ b/src/test/java/org/borageproxy/forward/SlotBrokerTest.java
@@ -184,6 +184,33 @@
         assertEquals(SlotAnswer.Outcome.CHOSEN, answer(returned).getOutcome());
     }
 
+    /**
+     * Load pattern: prompts of very different lengths. Guards against requests that wait although an engine has room
+     * for them, behind one of their rank that needs more room than there is. A less urgent one takes no room from that
+     * one.
+     */
+    @Test
+    void requestThatFitsDoesNotWaitBehindOneOfItsRankThatDoesNot() throws Exception {
+        SlotAttributes heavy = new SlotAttributes("heavy", "h", 7);
+        assertEquals(
+                SlotAnswer.Outcome.CHOSEN, answer(ask("n", 5, 15_000, 0, heavy)).getOutcome());
+        SlotRequest.Builder large = SlotRequest.newBuilder()
+                .setZone("a")
+                .setService("s")
+                .setModel("n")
+                .setPromptTokens(99_900)
+                .setRank(5)
+                .setObjectiveMillis(10_000)
+                .setDeadlineMillis(15_000);
+        new SlotAttributes("light", "l", 8).addTo(large);
+        assertFalse(broker.handle(ENTRY, large.build().toByteString())
+                .toCompletableFuture()
+                .isDone());
+        assertEquals(
+                SlotAnswer.Outcome.CHOSEN, answer(ask("n", 5, 15_000, 0, heavy)).getOutcome());
+        assertFalse(ask("n", 6, 15_000, 0, heavy).isDone());
+    }
+
     /** Load pattern: a heavy workspace. A light one of equal rank does not wait behind all of its requests. */
     @Test
     void requestOfALightWorkspaceGoesBeforeThoseOfAHeavyOne() throws Exception {
