Unload no last copy of a model for a further copy of another one

Requests wait for a model while its first copy is being loaded on another engine, so that a second copy for its load was taken for the first one and displaced the last copy of a model in use.

LoadPlannerTest.modelThatIsBeingLoadedUnloadsNoLastReplicaForAnotherCopy failed before (one step planned) and passes.

--- a/src/main/java/org/borageproxy/placement/LoadPlanner.java
+++ b/src/main/java/org/borageproxy/placement/LoadPlanner.java
@@ -14,9 +14,9 @@
 /**
  * Plans which model an engine loads or unloads next. Models for which room is already being made on an engine come
  * first, then models without a replica that have waiting requests, then models whose engines have much more work than
- * the average. A model with waiting requests is never unloaded. The last replica of a model is unloaded only for a
- * model with waiting requests that is in at least as much demand. Work is measured in engine-seconds per second of an
- * engine of the speed one, so that 1 is a fully used engine.
+ * the average. A model with waiting requests is never unloaded. The last replica of a model is unloaded only for the
+ * first one of a model with waiting requests that is in at least as much demand. Work is measured in engine-seconds per
+ * second of an engine of the speed one, so that 1 is a fully used engine.
  *
  * <p>Reads the engines but doesn't change them. Not thread safe, since the engines aren't.
  */
@@ -287,20 +287,25 @@
             return Optional.of(new Step.Load(engine, model));
         }
         return engine.loadedModels().keySet().stream()
-                .filter(each -> !each.equals(model) && mayUnload(each, model))
+                .filter(each -> !each.equals(model) && mayUnload(engine, each, model))
                 .min(Comparator.comparingDouble(this::lossOfUnload))
                 .map(victim -> new Step.Unload(engine, victim, model));
     }
 
     /**
-     * Returns whether a model may be unloaded for another one. Its last copy may only if requests wait for the other
-     * model and it is in less demand; otherwise models that do not fit together would displace one another by turns.
+     * Returns whether an engine may unload a model for another one. The last copy of a model may only be unloaded for
+     * the first copy of one that requests wait for and that is in no less demand; otherwise models that do not fit
+     * together would displace one another by turns. Requests also wait for a model while its first copy is loaded on
+     * another engine.
      */
-    private boolean mayUnload(String victim, String successor) {
+    private boolean mayUnload(TrackedEngine engine, String victim, String successor) {
         Demand demand = demands.getOrDefault(victim, Demand.NONE);
         Demand successorDemand = demands.getOrDefault(successor, Demand.NONE);
         boolean isSurplus = loadedReplicas(victim) > 1;
-        boolean isWorthLess = successorDemand.waitingRequests() > 0
+        boolean isFirstCopy = engines.stream()
+                .noneMatch(other -> other != engine && other.hasOrExpects(successor) && !other.isLimiting());
+        boolean isWorthLess = isFirstCopy
+                && successorDemand.waitingRequests() > 0
                 && demand.tokensPerSecond() <= Math.max(IDLE_TOKENS_PER_SECOND, successorDemand.tokensPerSecond());
         return demand.waitingRequests() == 0 && (isSurplus || isWorthLess);
     }
--- a/src/test/java/org/borageproxy/placement/LoadPlannerTest.java
+++ b/src/test/java/org/borageproxy/placement/LoadPlannerTest.java
@@ -1,5 +1,6 @@
 package org.borageproxy.placement;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -154,6 +155,24 @@
         assertEquals("cold6", unload.model());
     }
 
+    /**
+     * Pattern: a model with little capacity is loaded a second time while requests still wait for the first copy.
+     * Guards against the loss of the last copy of a model that is in use.
+     */
+    @Test
+    void modelThatIsBeingLoadedUnloadsNoLastReplicaForAnotherCopy() {
+        TrackedEngine loading = engine("loading", "hot1");
+        loading.applyAcceptedOrder(
+                new EngineClient.EngineOrder(true, "new", "", 0, "", 0), false, Duration.ofSeconds(5), SECOND_NANOS);
+        List<TrackedEngine> planned = List.of(engine("e0", "cold1", "cold2", "cold3"), loading);
+        Map<String, LoadPlanner.Demand> demands =
+                Map.of("cold1", demand(100, 0), "cold2", demand(100, 0), "new", demand(30_000, 5));
+        assertEquals(
+                0,
+                new LoadPlanner(pool(), planned, demands)
+                        .nextStep(true).stream().count());
+    }
+
     /** Guards against a further copy of a model at the cost of the last copy of another one. */
     @Test
     void overloadUnloadsNoLastReplica() {
