Count a copy that an engine was told to unload as gone

Until the engine answered, a copy that was being unloaded counted as loaded, so that the other copy of the model was surplus too.

LoadPlannerTest.copiesOfOneModelAreNotUnloadedForTwoOthersAtOnce failed before (one step planned) and passes.

--- a/src/main/java/org/borageproxy/placement/LoadPlanner.java
+++ b/src/main/java/org/borageproxy/placement/LoadPlanner.java
@@ -321,9 +321,7 @@
     }
 
     private int loadedReplicas(String model) {
-        return (int) engines.stream()
-                .filter(engine -> engine.loadedModels().containsKey(model))
-                .count();
+        return (int) engines.stream().filter(engine -> engine.keeps(model)).count();
     }
 
     /** Engines that limit their requests do not count: a model needs another engine beside them. */
--- a/src/main/java/org/borageproxy/placement/TrackedEngine.java
+++ b/src/main/java/org/borageproxy/placement/TrackedEngine.java
@@ -40,6 +40,9 @@
     private String unloadingModel = "";
     private String successorModel = "";
     private String requestedModel = "";
+    /** Model whose unload was ordered without an answer yet; an empty string if there is none. */
+    private String unloadRequestedModel = "";
+
     private Deadline loadCompletesAt;
     private Deadline reportsValidFrom;
     private boolean isOrderInFlight;
@@ -192,13 +195,26 @@
      */
     void beginOrder(EngineClient.EngineOrder order) {
         isOrderInFlight = true;
-        requestedModel = order.isLoad() && order.adapter().isEmpty() ? order.model() : "";
+        boolean isForModel = order.adapter().isEmpty();
+        requestedModel = isForModel && order.isLoad() ? order.model() : "";
+        unloadRequestedModel = isForModel && !order.isLoad() ? order.model() : "";
     }
 
     /** Records that no order is unanswered any more. */
     void endOrder() {
         isOrderInFlight = false;
         requestedModel = "";
+        unloadRequestedModel = "";
+    }
+
+    /**
+     * Returns whether the engine has a model and was not told to unload it.
+     *
+     * @param model the model
+     * @return {@code false} also while an order to unload it is unanswered
+     */
+    boolean keeps(String model) {
+        return loadedModels.containsKey(model) && !unloadRequestedModel.equals(model);
     }
 
     /**
@@ -208,7 +224,7 @@
      * @return whether the engine counts as a replica of the model
      */
     boolean hasOrExpects(String model) {
-        return loadedModels.containsKey(model)
+        return keeps(model)
                 || loadingModel.equals(model)
                 || successorModel.equals(model)
                 || requestedModel.equals(model);
--- a/src/test/java/org/borageproxy/placement/LoadPlannerTest.java
+++ b/src/test/java/org/borageproxy/placement/LoadPlannerTest.java
@@ -173,6 +173,32 @@
                         .nextStep(true).stream().count());
     }
 
+    /**
+     * Pattern: requests wait for two models at once. Guards against the loss of all copies of a third one, each of
+     * which counted as surplus because the order to unload the other was not answered yet.
+     */
+    @Test
+    void copiesOfOneModelAreNotUnloadedForTwoOthersAtOnce() {
+        List<TrackedEngine> planned =
+                List.of(engine("e0", "hot1", "cold1", "cold2"), engine("e1", "hot1", "cold3", "cold4"));
+        Map<String, LoadPlanner.Demand> demands = new HashMap<>();
+        for (int index = 1; index <= 4; index++) {
+            demands.put("cold" + index, demand(9_000, 0));
+        }
+        demands.put("hot1", demand(5_000, 0));
+        demands.put("was", demand(4_000, 5));
+        demands.put("new", demand(4_000, 4));
+        LoadPlanner.Step.Unload first = (LoadPlanner.Step.Unload)
+                new LoadPlanner(pool(), planned, demands).nextStep(true).orElseThrow();
+        assertEquals("hot1", first.model());
+        first.engine().setSuccessorModel(first.successor());
+        first.engine().beginOrder(new EngineClient.EngineOrder(false, "hot1", "", 0, "", 0));
+        assertEquals(
+                0,
+                new LoadPlanner(pool(), planned, demands)
+                        .nextStep(true).stream().count());
+    }
+
     /** Guards against a further copy of a model at the cost of the last copy of another one. */
     @Test
     void overloadUnloadsNoLastReplica() {
