Write the events of a stream straight to the caller's connection

Cause: each event passed the queue, the idle handler and the encoder of Vert.x and was written as three buffers, each copied twice.

Change: once Vert.x has written all that it was given, ChunkWriter writes each further part of a chunked answer as one buffer at the encoder's place in the pipeline, and resets the idle timeout. Answers with a length, of HTTP/1.0, to HEAD or with another status than 200 go through Vert.x as before; so does the end of the answer. Back pressure and the account of buffers see the writes as before.

Ruled out by the code: HttpContent past the queue only, since the encoder makes three buffers of it; writing before Vert.x has finished, since chunks would overtake the head.

--- a/src/main/java/org/borageproxy/forward/CallerWrites.java
+++ b/src/main/java/org/borageproxy/forward/CallerWrites.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
+import io.netty.channel.ChannelFuture;
 import io.vertx.core.Future;
 import io.vertx.core.http.HttpServerResponse;
 import org.borageproxy.buffer.Delivery;
@@ -35,12 +36,29 @@
      * @param bytes the size of the write
      */
     void track(Future<Void> written, int bytes) {
-        if (written.isComplete() || bytes == 0) {
-            return;
+        if (!written.isComplete() && bytes > 0) {
+            Delivery current = recordQueued(bytes);
+            written.onComplete(result -> handleTaken(current, bytes));
+        }
+    }
+
+    /**
+     * Accounts for a write past Vert.x until the connection has passed it on or was closed.
+     *
+     * @param written completes then
+     * @param bytes the size of the write, not zero
+     */
+    void track(ChannelFuture written, int bytes) {
+        if (!written.isDone()) {
+            Delivery current = recordQueued(bytes);
+            written.addListener(result -> handleTaken(current, bytes));
         }
+    }
+
+    private Delivery recordQueued(int bytes) {
         Delivery current = delivery.orElseGet(this::begin);
         current.recordQueued(bytes, context.clock().nanoTime());
-        written.onComplete(result -> handleTaken(current, bytes));
+        return current;
     }
 
     private Delivery begin() {
--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -56,7 +56,7 @@
         this.buffered = buffered;
         this.endListener = endListener;
         this.log = new RequestLog(buffered, context.clock());
-        this.relay = new ResponseRelay(buffered.request().response(), new CallerWrites(context, buffered, log));
+        this.relay = new ResponseRelay(buffered.request(), new CallerWrites(context, buffered, log));
         this.rate = new RateAdmission(context, buffered);
         this.crashEvidence = new CrashEvidence(context.suspectRequests(), buffered.suspects(), context.clock());
         this.stream = new ResumableStream(context, buffered, log);
--- a/src/main/java/org/borageproxy/forward/ResponseRelay.java
+++ b/src/main/java/org/borageproxy/forward/ResponseRelay.java
@@ -9,8 +9,11 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
+import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import org.borageproxy.entry.ChunkWriter;
 
 /**
  * Relays the answer of a backend server to the caller. The head is sent with the first bytes of the body, so that an
@@ -22,13 +25,21 @@
     /** Size of the parts in which a complete answer is written, so that memory is returned as the caller takes them. */
     private static final int PART_BYTES = 32 << 10;
 
+    private final HttpServerRequest request;
     private final HttpServerResponse response;
     private final CallerWrites writes;
     private boolean hasBegun;
     private boolean isStreamed;
-
-    ResponseRelay(HttpServerResponse response, CallerWrites writes) {
-        this.response = response;
+    /** The latest write of a part by Vert.x; empty before the first one. */
+    private Optional<Future<Void>> lastWrite = Optional.empty();
+    /** Writes the further parts; empty while Vert.x does. */
+    private Optional<ChunkWriter> chunks = Optional.empty();
+    /** Whether parts may be written past Vert.x once it has nothing left to write. */
+    private boolean mayWriteChunks = true;
+
+    ResponseRelay(HttpServerRequest request, CallerWrites writes) {
+        this.request = request;
+        this.response = request.response();
         this.writes = writes;
     }
 
@@ -54,9 +65,11 @@
         writes.track(response.end(Buffer.buffer(ByteBufUtil.getBytes(body))), lastBytes);
     }
 
-    private void write(ByteBuf bytes) {
+    private Future<Void> write(ByteBuf bytes) {
         int size = bytes.readableBytes();
-        writes.track(response.write(Buffer.buffer(ByteBufUtil.getBytes(bytes))), size);
+        Future<Void> written = response.write(Buffer.buffer(ByteBufUtil.getBytes(bytes)));
+        writes.track(written, size);
+        return written;
     }
 
     /**
@@ -76,8 +89,18 @@
                 response.setChunked(true);
             }
         }
-        if (bytes.isReadable()) {
-            write(bytes);
+        if (!bytes.isReadable()) {
+            return;
+        }
+        if (mayWriteChunks && lastWrite.isPresent() && lastWrite.get().succeeded()) {
+            chunks = ChunkWriter.of(request);
+            mayWriteChunks = false;
+        }
+        if (chunks.isPresent()) {
+            int size = bytes.readableBytes();
+            writes.track(chunks.get().write(bytes), size);
+        } else {
+            lastWrite = Optional.of(write(bytes));
         }
     }
 
