--- a/src/main/java/org/borageproxy/membership/BackendServerRegistry.java
+++ b/src/main/java/org/borageproxy/membership/BackendServerRegistry.java
@@ -1,7 +1,6 @@
 package org.borageproxy.membership;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -28,6 +27,8 @@
     private final Map<BackendServerName, ServerRecord> records = new TreeMap<>();
     /** Immutable list for readers. */
     private volatile List<BackendServer> published = List.of();
+    /** The record of each published server, in the same order; guarded by this. */
+    private List<ServerRecord> publishedRecords = List.of();
 
     /**
      * Creates an empty registry.
@@ -167,34 +168,62 @@
     }
 
     /**
-     * Publishes the list of backend servers and records an event for each difference from the previous list. The caller
-     * holds the monitor.
+     * Publishes the list of backend servers and records an event for each difference from the previous list. Views of
+     * servers whose records and states are unchanged are kept, since the periodic publication of hundreds of servers
+     * would otherwise build all of them anew. The caller holds the monitor.
      */
     private void publish(long nowNanos) {
         boolean isMassSilence = isMassSilence(nowNanos);
-        List<BackendServer> servers = new ArrayList<>();
+        List<BackendServer> before = published;
+        List<BackendServer> servers = new ArrayList<>(records.size());
+        List<ServerRecord> sources = new ArrayList<>(records.size());
+        List<BackendServer> forgotten = new ArrayList<>();
+        int position = 0;
+        // Both lists are in the order of the names.
         for (ServerRecord current : records.values()) {
-            boolean isHidden =
-                    current.isSilentFor(settings.hideAfter(), nowNanos) && (current.left() || !isMassSilence);
-            if (!isHidden && current.announcement().isPresent()) {
-                BackendServerState state = state(current, isMassSilence, nowNanos);
-                servers.add(current.announcement().get().server(state));
+            if (isHidden(current, isMassSilence, nowNanos)) {
+                continue;
+            }
+            while (position < before.size() && before.get(position).name().compareTo(current.name()) < 0) {
+                forgotten.add(before.get(position));
+                position++;
+            }
+            BackendServerState state = state(current, isMassSilence, nowNanos);
+            boolean isKnown =
+                    position < before.size() && before.get(position).name().equals(current.name());
+            BackendServer previous = isKnown ? before.get(position) : null;
+            boolean isUnchanged = isKnown && publishedRecords.get(position) == current && previous.state() == state;
+            position += isKnown ? 1 : 0;
+            BackendServer server =
+                    isUnchanged ? previous : current.announcement().get().server(state);
+            servers.add(server);
+            sources.add(current);
+            if (!isUnchanged) {
+                recordChange(previous, server);
             }
         }
-        List<BackendServer> before = published;
+        forgotten.addAll(before.subList(position, before.size()));
+        forgotten.forEach(server -> events.record(event("server-forgotten", server)));
         published = List.copyOf(servers);
-        recordEvents(before, published);
+        publishedRecords = sources;
+    }
+
+    private boolean isHidden(ServerRecord current, boolean isMassSilence, long nowNanos) {
+        boolean isForgotten = current.isSilentFor(settings.hideAfter(), nowNanos) && (current.left() || !isMassSilence);
+        return isForgotten || current.announcement().isEmpty();
     }
 
     /** Whether most of the backend servers that have not left are unresponsive. */
     private boolean isMassSilence(long nowNanos) {
-        List<ServerRecord> present = records.values().stream()
-                .filter(current -> !current.left() && current.announcement().isPresent())
-                .toList();
-        long unresponsive = present.stream()
-                .filter(current -> current.isUnresponsive(settings, nowNanos))
-                .count();
-        return present.size() >= MIN_FLEET_FOR_MASS_SILENCE && 2 * unresponsive > present.size();
+        int present = 0;
+        int unresponsive = 0;
+        for (ServerRecord current : records.values()) {
+            if (!current.left() && current.announcement().isPresent()) {
+                present++;
+                unresponsive += current.isUnresponsive(settings, nowNanos) ? 1 : 0;
+            }
+        }
+        return present >= MIN_FLEET_FOR_MASS_SILENCE && 2 * unresponsive > present;
     }
 
     /** Returns the published state of a server. Mass silence makes no server suspect, but a failed request does. */
@@ -206,20 +235,15 @@
         return isSuspect ? BackendServerState.SUSPECT : BackendServerState.ALIVE;
     }
 
-    private void recordEvents(List<BackendServer> before, List<BackendServer> after) {
-        Map<BackendServerName, BackendServer> earlier = new TreeMap<>(Comparator.naturalOrder());
-        before.forEach(server -> earlier.put(server.name(), server));
-        for (BackendServer server : after) {
-            BackendServer previous = earlier.remove(server.name());
-            if (previous == null) {
-                events.record(event("server-joined", server));
-            } else if (previous.incarnation() != server.incarnation()) {
-                events.record(event("server-restarted", server));
-            } else if (previous.state() != server.state()) {
-                events.record(event("server-state", server).with("before", previous.state()));
-            }
+    /** Records the difference of a server from its previous view, which is {@code null} for a new server. */
+    private void recordChange(BackendServer previous, BackendServer server) {
+        if (previous == null) {
+            events.record(event("server-joined", server));
+        } else if (previous.incarnation() != server.incarnation()) {
+            events.record(event("server-restarted", server));
+        } else if (previous.state() != server.state()) {
+            events.record(event("server-state", server).with("before", previous.state()));
         }
-        earlier.values().forEach(server -> events.record(event("server-forgotten", server)));
     }
 
     private static Event event(String name, BackendServer server) {
--- a/src/test/java/org/borageproxy/membership/BackendServerRegistryTest.java
+++ b/src/test/java/org/borageproxy/membership/BackendServerRegistryTest.java
@@ -4,7 +4,9 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
@@ -55,6 +57,53 @@
         }
     }
 
+    /**
+     * Guards against a difference that is published without its event, or the reverse: the list is compared with the
+     * previous one, of which unchanged views are kept.
+     */
+    @Property(seed = "42", tries = 500)
+    void eventsTellTheWholeListAfterEachStep(@ForAll("messages") List<Message> messages) {
+        Map<String, String> told = new TreeMap<>();
+        BackendServerRegistry watched = new BackendServerRegistry(MembershipSettings.DEFAULT, event -> {
+            Map<String, String> fields = event.fields();
+            if (event.name().equals("server-forgotten")) {
+                told.remove(fields.get("server"));
+            } else {
+                told.put(fields.get("server"), fields.get("incarnation") + fields.get("state"));
+            }
+        });
+        long nowNanos = 0;
+        for (Message message : messages) {
+            nowNanos += 4 * SECOND_NANOS * message.sequence();
+            message.apply(watched, nowNanos);
+            watched.reportRequestFailure(name(message.incarnation() - 1), message.incarnation(), nowNanos);
+            assertEquals(listed(watched), told);
+            watched.sweep(nowNanos + SECOND_NANOS);
+            assertEquals(listed(watched), told);
+        }
+    }
+
+    private static Map<String, String> listed(BackendServerRegistry registry) {
+        Map<String, String> listed = new TreeMap<>();
+        registry.current()
+                .forEach(server -> listed.put(
+                        server.name().value(),
+                        server.incarnation() + server.state().toString()));
+        return listed;
+    }
+
+    /** Guards against views that are kept although a later heartbeat stated another load. */
+    @Test
+    void sweepPublishesTheLatestLoad() {
+        announceAll(3, 0, SECOND_NANOS);
+        Announcement first = announcement(1, 1, 1);
+        LoadReport load = new LoadReport(1, 2, 3, 4, 5);
+        registry.announce(new Announcement(first.name(), 1, 3, first.content(), load), 2 * SECOND_NANOS);
+        registry.sweep(2 * SECOND_NANOS);
+        assertEquals(load, registry.current().get(1).load());
+        assertEquals(LoadReport.UNKNOWN, registry.current().get(2).load());
+    }
+
     @Provide
     Arbitrary<List<Message>> messages() {
         return Combinators.combine(
@@ -143,10 +192,14 @@
     record Message(int server, int incarnation, int sequence, boolean leave) {
 
         void apply(BackendServerRegistry registry) {
+            apply(registry, 0);
+        }
+
+        void apply(BackendServerRegistry registry, long nowNanos) {
             if (leave) {
-                registry.leave(name(server), incarnation, 0);
+                registry.leave(name(server), incarnation, nowNanos);
             } else {
-                registry.announce(announcement(server, incarnation, sequence), 0);
+                registry.announce(announcement(server, incarnation, sequence), nowNanos);
             }
         }
     }
