Learn speeds only while a server reads hardly any other prompts

Times to the first event behind other prompts, and pauses while prompts are read, show the load of a server. A server that counts as slow is admitted less work.

InFlightRequestTest.timesOfAServerThatReadsOtherPromptsDoNotShowItsSpeed is new; LearnedSpeedsTest and UnevenServersTest pass unchanged.

--- a/src/main/java/org/borageproxy/forward/InFlightRequest.java
+++ b/src/main/java/org/borageproxy/forward/InFlightRequest.java
@@ -15,6 +15,8 @@
     private static final double MIN_OVERDUE_MILLIS = 1_000.0;
     /** Multiple of the expected time after which a request without a response is overdue. */
     private static final double OVERDUE_FACTOR = 4.0;
+    /** Prompt tokens that a server reads for others, from which times show its load instead of its speed. */
+    private static final int MAX_OTHER_PROMPT_TOKENS = 200;
 
     private final MonotonicClock clock;
     private final ServerLoad load;
@@ -25,6 +27,9 @@
     private final long startedAtNanos;
     private final PauseMeter pauses = new PauseMeter();
     private final long bodyBytes;
+    /** Whether the server read hardly any prompts of other requests when this one was sent. */
+    private final boolean isFirstEventTelling;
+
     private boolean hasResponded;
     private boolean hasEnded;
 
@@ -55,10 +60,15 @@
         this.loadChangeListener = loadChangeListener;
         this.bodyBytes = bodyBytes;
         this.startedAtNanos = clock.nanoTime();
+        this.isFirstEventTelling = !isReadingPrompts();
         load.recordStart(choice.prefillTokens(), reservedTokens());
         load.addHeldBytes(bodyBytes);
     }
 
+    private boolean isReadingPrompts() {
+        return load.totalPrefillTokens() > MAX_OTHER_PROMPT_TOKENS;
+    }
+
     private int reservedTokens() {
         return work.map(EngineWork::totalTokens).orElse(0);
     }
@@ -78,7 +88,7 @@
         load.recordPrefillEnd(choice.prefillTokens());
         double millis = (clock.nanoTime() - startedAtNanos) / 1e6;
         double ratio = ModelLatencyRatios.clamp(millis / Math.max(1.0, choice.expectedMillis()));
-        if (isSuccess) {
+        if (isSuccess && isFirstEventTelling) {
             load.slowness().recordFirstEvent(millis / Math.max(1.0, choice.expectedMillis() * choice.speed()));
         }
         load.recordSuccess(ratio);
@@ -94,7 +104,7 @@
      *     nothing about the server
      */
     void recordEvents(int totalEvents, boolean isCallerSlow) {
-        if (isCallerSlow || work.isEmpty()) {
+        if (isCallerSlow || work.isEmpty() || isReadingPrompts()) {
             pauses.discard();
         } else {
             double stepMillis = ServerSelector.stepMillis(load)
