Let the lasting speed of a server span seconds instead of the last second

The 41 latest pauses and 21 latest first events of a busy engine are those of about one second, so that the lasting speed followed its load. Samples that follow one another are now represented by the lowest within an interval that grows with their number up to 500 ms, so that a full history spans 10 or 20 s. Disturbances are still found among the latest samples.

--- a/src/main/java/org/borageproxy/routing/speed/LearnedSpeeds.java
+++ b/src/main/java/org/borageproxy/routing/speed/LearnedSpeeds.java
@@ -70,10 +70,10 @@
         SpeedEstimate estimate = learned(server, nowNanos).estimate;
         boolean wasDisturbed = estimate.disturbance(nowNanos) > 0;
         if (sample.firstEvents() > 0) {
-            estimate.record(estimate.firstEvents(), sample.firstEvent(), nowNanos);
+            estimate.recordFirstEvent(sample.firstEvent(), nowNanos);
         }
         if (sample.pauses() > 0) {
-            estimate.record(estimate.pauses(), sample.pause(), nowNanos);
+            estimate.recordPause(sample.pause(), nowNanos);
         }
         double disturbance = estimate.disturbance(nowNanos);
         return wasDisturbed || disturbance == 0 ? OptionalDouble.empty() : OptionalDouble.of(Math.exp(disturbance));
--- a/src/main/java/org/borageproxy/routing/speed/SlownessHistory.java
+++ b/src/main/java/org/borageproxy/routing/speed/SlownessHistory.java
@@ -7,8 +7,12 @@
 import org.borageproxy.time.Deadline;
 
 /**
- * The latest samples of one kind for one server, as logarithms of the ratio of observed to expected time. Samples that
- * are older than their validity are not used. Recording a sample costs constant time. Not thread safe.
+ * Samples of one kind for one server, as logarithms of the ratio of observed to expected time. Samples that are older
+ * than their validity are not used. Recording a sample costs constant time. Not thread safe.
+ *
+ * <p>Samples that follow within an interval are represented by the lowest of them, since load that the prediction does
+ * not know lengthens times and nothing makes a server faster than it is. The interval grows with the number of samples
+ * up to a bound, so that a new server is known after a few samples and a full history spans several seconds.
  */
 final class SlownessHistory {
 
@@ -16,6 +20,8 @@
     private final long[] recordedAtNanos;
     private final double quantile;
     private final Duration validity;
+    private final Duration maximumInterval;
+    private Deadline intervalEndsAt;
     private OptionalDouble usual = OptionalDouble.empty();
     private Deadline usualUntil;
     private int size;
@@ -27,15 +33,24 @@
      * @param capacity the number of samples that are kept
      * @param quantile the quantile that stands for the server, from zero to one
      * @param validity the age after which a sample is not used
+     * @param maximumInterval the interval of a full history; zero to keep all samples
      */
-    SlownessHistory(int capacity, double quantile, Duration validity) {
+    SlownessHistory(int capacity, double quantile, Duration validity, Duration maximumInterval) {
         values = new double[capacity];
         recordedAtNanos = new long[capacity];
         this.quantile = quantile;
         this.validity = validity;
+        this.maximumInterval = maximumInterval;
     }
 
     void record(double logSlowness, long nowNanos) {
+        if (intervalEndsAt != null && !intervalEndsAt.hasPassed(nowNanos)) {
+            int latest = Math.floorMod(next - 1, values.length);
+            values[latest] = Math.min(values[latest], logSlowness);
+            return;
+        }
+        intervalEndsAt =
+                Deadline.after(nowNanos, maximumInterval.multipliedBy(size).dividedBy(values.length));
         values[next] = logSlowness;
         recordedAtNanos[next] = nowNanos;
         next = (next + 1) % values.length;
--- a/src/main/java/org/borageproxy/routing/speed/SpeedEstimate.java
+++ b/src/main/java/org/borageproxy/routing/speed/SpeedEstimate.java
@@ -17,6 +17,9 @@
     /** Samples of a kind below which a server says nothing about its peers. */
     static final int MIN_SAMPLES = 5;
 
+    /** Interval of a full history, which then spans the last 10 s of first events and 20 s of pauses. */
+    private static final Duration SAMPLE_INTERVAL = Duration.ofMillis(500);
+
     private static final int FIRST_EVENT_CAPACITY = 21;
     private static final int PAUSE_CAPACITY = 41;
     private static final double MEDIAN = 0.5;
@@ -36,8 +39,14 @@
     private static final double PRIOR_SAMPLES = 1.0;
 
     private final long incarnation;
-    private final SlownessHistory firstEvents = new SlownessHistory(FIRST_EVENT_CAPACITY, MEDIAN, VALIDITY);
-    private final SlownessHistory pauses = new SlownessHistory(PAUSE_CAPACITY, PAUSE_QUANTILE, VALIDITY);
+    private final SlownessHistory firstEvents =
+            new SlownessHistory(FIRST_EVENT_CAPACITY, MEDIAN, VALIDITY, SAMPLE_INTERVAL);
+    private final SlownessHistory pauses =
+            new SlownessHistory(PAUSE_CAPACITY, PAUSE_QUANTILE, VALIDITY, SAMPLE_INTERVAL);
+    private final SlownessHistory latestFirstEvents =
+            new SlownessHistory(FIRST_EVENT_CAPACITY, MEDIAN, VALIDITY, Duration.ZERO);
+    private final SlownessHistory latestPauses =
+            new SlownessHistory(PAUSE_CAPACITY, PAUSE_QUANTILE, VALIDITY, Duration.ZERO);
     private double disturbance;
     private Deadline disturbedUntil;
 
@@ -58,8 +67,18 @@
         return pauses;
     }
 
-    /** Records a sample and updates the disturbance from the latest samples of its kind. */
-    void record(SlownessHistory history, double logSlowness, long nowNanos) {
+    void recordFirstEvent(double logSlowness, long nowNanos) {
+        firstEvents.record(logSlowness, nowNanos);
+        updateDisturbance(latestFirstEvents, logSlowness, nowNanos);
+    }
+
+    void recordPause(double logSlowness, long nowNanos) {
+        pauses.record(logSlowness, nowNanos);
+        updateDisturbance(latestPauses, logSlowness, nowNanos);
+    }
+
+    /** Records a sample among the latest of its kind and updates the disturbance from them. */
+    private void updateDisturbance(SlownessHistory history, double logSlowness, long nowNanos) {
         OptionalDouble usual = history.usual(nowNanos);
         history.record(logSlowness, nowNanos);
         double[] latest = history.samplesWithin(DISTURBANCE_WINDOW, nowNanos);
