Send commands to the leader that the VM's own group member follows

Cause: ControlClient keeps the last VM that replied as the leader and waits one second for it. When that VM freezes, the first command of each client waits for it although another leader is elected, even on the VM that leads; operators give up after one second.

Ruled out: a shorter timeout for each attempt. The next attempt would go to the same slow leader, so an overloaded leader would get further copies.

Change: the leader that the member on this VM follows goes before the presumption, when an attempt starts and every 20 ms while one is pending. An attempt that was abandoned for a newer leader keeps its identity, its late reply still is the outcome, and its late refusal changes no presumption. If the leader has not answered for 250 ms, the client asks another control VM, at most once in 250 ms for all its commands; the leader that one command finds is used by all that are overdue. At most one attempt for a command is pending at each VM.

--- a/src/main/java/org/borageproxy/control/ControlClient.java
+++ b/src/main/java/org/borageproxy/control/ControlClient.java
@@ -2,12 +2,21 @@
 
 import java.security.SecureRandom;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 
 import com.google.protobuf.ByteString;
@@ -25,13 +34,26 @@
 
 /**
  * Submits commands to the control group from any VM. All attempts to submit one command carry the same identity, so the
- * command takes effect at most once. Thread safe.
+ * command takes effect at most once. At most one attempt for a command is pending at each control VM, so a slow leader
+ * never holds more copies of a command than one. While the leader does not answer, further attempts ask other control
+ * VMs for the leader; one client makes them at most once in {@link #PROBE_INTERVAL}, however many commands wait. Thread
+ * safe.
  */
 public final class ControlClient {
 
     /** Maximum time for one attempt. */
     private static final Duration ATTEMPT_TIMEOUT = Duration.ofMillis(1000);
 
+    /**
+     * Time without an answer after which another control VM is asked, and minimum interval of such attempts of this
+     * client. A quarter of the second for which operators wait: a leader that answers later than this is as good as
+     * frozen for them, and its successor is found in time to use it.
+     */
+    static final Duration PROBE_INTERVAL = Duration.ofMillis(250);
+
+    /** Interval of the checks whether a pending attempt went to a VM that is no longer presumed to lead. */
+    static final Duration CHECK_INTERVAL = Duration.ofMillis(20);
+
     /** Minimum delay between attempts, in milliseconds. */
     private static final int MIN_RETRY_DELAY_MILLIS = 25;
 
@@ -53,8 +75,33 @@
     /** Number of identities assigned to commands. */
     private final AtomicLong commandCount = new AtomicLong();
 
-    /** Presumed leader, or {@code null} if unknown. */
-    private volatile VmName leader;
+    private final LeaderView leaders;
+
+    /** Submissions without an outcome. */
+    private final Set<SubmissionAttempts> active = ConcurrentHashMap.newKeySet();
+
+    /** Whether a check of the active submissions is scheduled. */
+    private final AtomicBoolean isCheckScheduled = new AtomicBoolean();
+
+    /** Number of probes of this client, which ask the control VMs in turn. */
+    private final AtomicInteger probeCount = new AtomicInteger();
+
+    /** Time from which the next probe is permitted. */
+    private final AtomicReference<Deadline> nextProbeAt;
+
+    /**
+     * Creates a client on a VM outside the control group.
+     *
+     * @param self the name of this VM
+     * @param network the network between VMs
+     * @param controlVms supplies the control VMs
+     * @param clock the monotonic clock
+     * @param timer schedules attempts
+     */
+    public ControlClient(
+            VmName self, VmNetwork network, Supplier<List<VmName>> controlVms, MonotonicClock clock, Timer timer) {
+        this(self, network, controlVms, clock, timer, Optional::empty);
+    }
 
     /**
      * Creates a client.
@@ -64,14 +111,23 @@
      * @param controlVms supplies the control VMs
      * @param clock the monotonic clock
      * @param timer schedules attempts
+     * @param memberView supplies the leader that this VM's member of the control group follows, or this VM if it leads;
+     *     empty if the member knows none or this VM has no member
      */
     public ControlClient(
-            VmName self, VmNetwork network, Supplier<List<VmName>> controlVms, MonotonicClock clock, Timer timer) {
+            VmName self,
+            VmNetwork network,
+            Supplier<List<VmName>> controlVms,
+            MonotonicClock clock,
+            Timer timer,
+            Supplier<Optional<VmName>> memberView) {
         this.self = self;
         this.network = network;
         this.controlVms = controlVms;
         this.clock = clock;
         this.timer = timer;
+        this.leaders = new LeaderView(memberView);
+        this.nextProbeAt = new AtomicReference<>(new Deadline(clock.nanoTime()));
         byte[] random = new byte[SESSION_BYTES];
         new SecureRandom().nextBytes(random);
         this.session = HexFormat.of().formatHex(random);
@@ -144,7 +200,11 @@
      */
     public CompletionStage<Submission> resubmit(Command command, Deadline deadline) {
         CompletableFuture<Submission> outcome = new CompletableFuture<>();
-        new SubmissionAttempts(command, deadline, outcome).startNext();
+        SubmissionAttempts attempts = new SubmissionAttempts(command, deadline, outcome);
+        active.add(attempts);
+        outcome.whenComplete((submission, failure) -> active.remove(attempts));
+        attempts.startNext();
+        scheduleCheck();
         return outcome;
     }
 
@@ -165,7 +225,38 @@
         });
     }
 
-    /** Attempts to submit one command. Used by one thread at a time. */
+    /** Schedules a check of the active submissions, unless there are none or a check is scheduled. */
+    private void scheduleCheck() {
+        if (!active.isEmpty() && isCheckScheduled.compareAndSet(false, true)) {
+            timer.schedule(CHECK_INTERVAL, () -> {
+                active.forEach(SubmissionAttempts::review);
+                isCheckScheduled.set(false);
+                scheduleCheck();
+            });
+        }
+    }
+
+    /** Returns whether a probe is permitted now; if so, the next one is permitted after the interval. */
+    private boolean acquireProbe(long nowNanos) {
+        Deadline permittedAt = nextProbeAt.get();
+        return permittedAt.hasPassed(nowNanos)
+                && nextProbeAt.compareAndSet(permittedAt, Deadline.after(nowNanos, PROBE_INTERVAL));
+    }
+
+    /** What a pending attempt is for. */
+    private enum Purpose {
+        /** Its result decides on the next attempt. A submission has at most one such attempt. */
+        AWAITED,
+        /** Asks another VM for the leader while the awaited attempt is unanswered. */
+        PROBE,
+        /** Went to a VM that is no longer presumed to lead; a late reply is still the outcome. */
+        ABANDONED
+    }
+
+    /**
+     * Attempts to submit one command. Fields are guarded by the monitor of the object; requests are sent, and the
+     * outcome is completed, without it. Thread safe.
+     */
     private final class SubmissionAttempts {
 
         private final Command command;
@@ -174,32 +265,132 @@
 
         private final CompletableFuture<Submission> outcome;
 
+        /** Pending attempts by the VM that was asked. */
+        private final Map<VmName, Purpose> pending = new HashMap<>();
+
         private int count;
 
         /** Whether an attempt has ended without a refusal, so the command may be applied. */
         private boolean mayBeApplied;
 
+        private boolean isRetryScheduled;
+
+        /** Time from which the awaited attempt is overdue. */
+        private Deadline overdueAt;
+
+        /** VM whose awaited attempt ended last without a reply. */
+        private Optional<VmName> avoided = Optional.empty();
+
+        /** Time until which other VMs are preferred to the avoided one. */
+        private Deadline avoidedUntil;
+
         private SubmissionAttempts(Command command, Deadline deadline, CompletableFuture<Submission> outcome) {
             this.command = command;
             this.deadline = deadline;
             this.outcome = outcome;
+            this.overdueAt = deadline;
+            this.avoidedUntil = deadline;
         }
 
         /**
          * Sends the command to the presumed leader or to the next control VM, or completes the outcome if the deadline
-         * has passed or no control VM is known.
+         * has passed or no control VM is known. Has no effect while an attempt is awaited.
          */
         private void startNext() {
-            long nowNanos = clock.nanoTime();
-            List<VmName> candidates = controlVms.get();
-            if (deadline.hasPassed(nowNanos) || candidates.isEmpty()) {
-                outcome.complete(mayBeApplied ? new Submission.Unknown() : new Submission.NotLeader());
-                return;
+            Optional<VmName> target = Optional.empty();
+            Optional<Submission> end = Optional.empty();
+            synchronized (this) {
+                isRetryScheduled = false;
+                if (outcome.isDone() || pending.containsValue(Purpose.AWAITED)) {
+                    return;
+                }
+                long nowNanos = clock.nanoTime();
+                List<VmName> candidates = controlVms.get();
+                if (deadline.hasPassed(nowNanos) || candidates.isEmpty()) {
+                    boolean isUncertain = mayBeApplied || !pending.isEmpty();
+                    end = Optional.of(isUncertain ? new Submission.Unknown() : new Submission.NotLeader());
+                } else {
+                    target = select(candidates, nowNanos);
+                    target.ifPresent(vm -> begin(vm, Purpose.AWAITED, nowNanos));
+                }
+            }
+            end.ifPresent(outcome::complete);
+            target.ifPresent(this::send);
+        }
+
+        /**
+         * Abandons an awaited attempt if this VM's member follows another leader. If the attempt is overdue, asks the
+         * leader that another submission of this client has found, or else any other control VM as a probe.
+         */
+        private void review() {
+            Optional<VmName> target;
+            synchronized (this) {
+                if (outcome.isDone() || !pending.containsValue(Purpose.AWAITED)) {
+                    return;
+                }
+                long nowNanos = clock.nanoTime();
+                boolean isOverdue = overdueAt.hasPassed(nowNanos);
+                target = leaders.memberLeader()
+                        .filter(vm -> isEligible(vm, nowNanos))
+                        .or(() -> leaders.presumed().filter(vm -> isOverdue && isEligible(vm, nowNanos)));
+                if (target.isPresent()) {
+                    abandonAwaited();
+                    begin(target.get(), Purpose.AWAITED, nowNanos);
+                } else if (isOverdue) {
+                    target = selectProbed(nowNanos);
+                    target.ifPresent(vm -> begin(vm, Purpose.PROBE, nowNanos));
+                }
             }
-            VmName presumed = leader;
+            target.ifPresent(this::send);
+        }
+
+        /**
+         * Returns the VM to ask next, without those at which an attempt is pending: the leader that this VM's member
+         * follows, else the presumed one, else the next control VM. The avoided VM comes after all others.
+         */
+        private Optional<VmName> select(List<VmName> candidates, long nowNanos) {
             int start = Math.floorMod(self.hashCode() + count, candidates.size());
-            VmName target = presumed == null ? candidates.get(start) : presumed;
+            List<VmName> preferred = new ArrayList<>();
+            leaders.memberLeader().ifPresent(preferred::add);
+            leaders.presumed().ifPresent(preferred::add);
+            preferred.addAll(candidates.subList(start, candidates.size()));
+            preferred.addAll(candidates.subList(0, start));
+            return preferred.stream()
+                    .filter(vm -> isEligible(vm, nowNanos))
+                    .findFirst()
+                    .or(() -> avoided.filter(vm -> !pending.containsKey(vm)));
+        }
+
+        /** Returns the VM to probe, if a probe is permitted: the other control VMs in turn. */
+        private Optional<VmName> selectProbed(long nowNanos) {
+            List<VmName> others = controlVms.get().stream()
+                    .filter(vm -> !vm.equals(self) && isEligible(vm, nowNanos))
+                    .toList();
+            if (others.isEmpty() || !acquireProbe(nowNanos)) {
+                return Optional.empty();
+            }
+            return Optional.of(others.get(Math.floorMod(probeCount.getAndIncrement(), others.size())));
+        }
+
+        private boolean isEligible(VmName vm, long nowNanos) {
+            boolean isAvoided = avoided.equals(Optional.of(vm)) && !avoidedUntil.hasPassed(nowNanos);
+            return !isAvoided && !pending.containsKey(vm);
+        }
+
+        private void abandonAwaited() {
+            pending.replaceAll((vm, purpose) -> purpose == Purpose.AWAITED ? Purpose.ABANDONED : purpose);
+        }
+
+        private void begin(VmName target, Purpose purpose, long nowNanos) {
+            pending.put(target, purpose);
             count++;
+            if (purpose == Purpose.AWAITED) {
+                overdueAt = Deadline.after(nowNanos, PROBE_INTERVAL);
+            }
+        }
+
+        private void send(VmName target) {
+            long nowNanos = clock.nanoTime();
             Deadline attemptDeadline = deadline.earlierOf(Deadline.after(nowNanos, ATTEMPT_TIMEOUT));
             ByteString request = CommandRequest.newBuilder()
                     .setCommand(command)
@@ -210,25 +401,57 @@
                     .whenComplete((body, failure) -> handleResult(target, body, failure));
         }
 
-        /**
-         * Handles the result of an attempt. If the first attempt is refused with the name of a leader, the retry has no
-         * delay.
-         */
         private void handleResult(VmName target, ByteString body, Throwable failure) {
             CommandAnswer answer = failure == null ? decode(body) : CommandAnswer.getDefaultInstance();
             if (answer.hasReply()) {
-                leader = target;
+                synchronized (this) {
+                    if (pending.remove(target) != Purpose.ABANDONED) {
+                        leaders.recordReply(target);
+                    }
+                }
                 outcome.complete(new Submission.Replied(answer.getReply()));
                 return;
             }
             boolean isRefused = answer.getOutcomeCase() == CommandAnswer.OutcomeCase.NOT_LEADER;
-            boolean isHinted = isRefused && !answer.getNotLeader().isEmpty();
-            mayBeApplied |= !isRefused;
-            leader = isHinted && !answer.getNotLeader().equals(target.value())
-                    ? new VmName(answer.getNotLeader())
-                    : null;
-            int delayMillis = ThreadLocalRandom.current().nextInt(MIN_RETRY_DELAY_MILLIS, MAX_RETRY_DELAY_MILLIS);
-            timer.schedule(Duration.ofMillis(isHinted && count == 1 ? 0 : delayMillis), this::startNext);
+            String named = isRefused ? answer.getNotLeader() : "";
+            boolean isHinted = !named.isEmpty() && !named.equals(target.value());
+            handleFailedAttempt(target, isRefused, isHinted ? Optional.of(new VmName(named)) : Optional.empty());
+        }
+
+        /**
+         * Handles an attempt without a reply. If the first attempt is refused with the name of a leader, the retry has
+         * no delay. A leader that is named in the refusal of a probe is asked at once, unless it has been asked.
+         */
+        private void handleFailedAttempt(VmName target, boolean isRefused, Optional<VmName> hint) {
+            Optional<VmName> redirect = Optional.empty();
+            Optional<Duration> retryDelay = Optional.empty();
+            synchronized (this) {
+                Purpose purpose = pending.remove(target);
+                long nowNanos = clock.nanoTime();
+                mayBeApplied |= !isRefused;
+                if (purpose != Purpose.ABANDONED) {
+                    leaders.recordNoReply(target, hint);
+                }
+                if (purpose == Purpose.AWAITED) {
+                    avoided = Optional.of(target);
+                    avoidedUntil = Deadline.after(nowNanos, Duration.ofMillis(MAX_RETRY_DELAY_MILLIS));
+                }
+                boolean isAwaiting = pending.containsValue(Purpose.AWAITED);
+                if (purpose == Purpose.PROBE && isAwaiting) {
+                    redirect = hint.filter(vm -> !pending.containsKey(vm));
+                    redirect.ifPresent(vm -> {
+                        abandonAwaited();
+                        begin(vm, Purpose.AWAITED, nowNanos);
+                    });
+                } else if (!isAwaiting && !isRetryScheduled) {
+                    isRetryScheduled = true;
+                    int delayMillis =
+                            ThreadLocalRandom.current().nextInt(MIN_RETRY_DELAY_MILLIS, MAX_RETRY_DELAY_MILLIS);
+                    retryDelay = Optional.of(Duration.ofMillis(hint.isPresent() && count == 1 ? 0 : delayMillis));
+                }
+            }
+            redirect.ifPresent(this::send);
+            retryDelay.ifPresent(delay -> timer.schedule(delay, this::startNext));
         }
 
         /** Decodes an answer; a malformed answer becomes one without an outcome. */
--- a/src/main/java/org/borageproxy/server/ControlRole.java
+++ b/src/main/java/org/borageproxy/server/ControlRole.java
@@ -12,6 +12,7 @@
 import org.borageproxy.log.MemberContext;
 import org.borageproxy.log.consensus.LogSettings;
 import org.borageproxy.spread.WatchService;
+import org.borageproxy.vm.VmName;
 import org.borageproxy.wire.MessageKind;
 
 /** Control role of a VM: a member of the control group with its services. Immutable and thread safe. */
@@ -19,21 +20,26 @@
 
     private static final long LEASE_SWEEP_INTERVAL_MILLIS = 250;
 
+    private final VmRuntime runtime;
+
+    private final ControlState state;
+
     private final GroupMember member;
 
-    private ControlRole(GroupMember member) {
+    private ControlRole(VmRuntime runtime, ControlState state, GroupMember member) {
+        this.runtime = runtime;
+        this.state = state;
         this.member = member;
     }
 
     /**
-     * Opens the durable state and starts the member, its services and the sweeps of expired leases.
+     * Opens the durable state.
      *
      * @param runtime the shared resources of the VM
-     * @param client submits commands to the control group
      * @return the role, or empty on a VM without a data folder
      * @throws IOException if the durable state is missing or damaged
      */
-    static Optional<ControlRole> start(VmRuntime runtime, ControlClient client) throws IOException {
+    static Optional<ControlRole> open(VmRuntime runtime) throws IOException {
         if (!runtime.settings().isControlVm()) {
             return Optional.empty();
         }
@@ -42,17 +48,29 @@
                 runtime.network(), state, runtime.clock(), System::currentTimeMillis, runtime.timeLine());
         GroupMember member =
                 GroupMember.open(runtime.settings().dataFolder().orElseThrow(), LogSettings.STANDARD, context);
-        registerHandlers(runtime, client, state, member);
+        return Optional.of(new ControlRole(runtime, state, member));
+    }
+
+    /**
+     * Starts the member, its services and the sweeps of expired leases. Called once.
+     *
+     * @param client submits commands to the control group
+     */
+    void start(ControlClient client) {
+        registerHandlers(client);
         member.start();
         LeaseSweep sweep = new LeaseSweep(member, state, runtime.clock());
         runtime.scheduler()
                 .scheduleWithFixedDelay(
                         sweep::sweep, LEASE_SWEEP_INTERVAL_MILLIS, LEASE_SWEEP_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-        return Optional.of(new ControlRole(member));
     }
 
-    private static void registerHandlers(
-            VmRuntime runtime, ControlClient client, ControlState state, GroupMember member) {
+    /** Returns the leader of the control group that this VM's member follows. */
+    Optional<VmName> leader() {
+        return member.leader();
+    }
+
+    private void registerHandlers(ControlClient client) {
         runtime.network()
                 .registerHandler(MessageKind.CONTROL_COMMAND, new ControlService(member, state, runtime.clock()));
         runtime.network()
--- a/src/main/java/org/borageproxy/server/GatewayControl.java
+++ b/src/main/java/org/borageproxy/server/GatewayControl.java
@@ -49,6 +49,7 @@
 import org.borageproxy.spread.StateReader;
 import org.borageproxy.spread.WatchService;
 import org.borageproxy.time.Deadline;
+import org.borageproxy.vm.VmName;
 import org.borageproxy.warmup.WarmUpRules;
 import org.borageproxy.wire.MessageKind;
 import org.borageproxy.wire.proto.ControlProtocol.Command;
@@ -111,7 +112,12 @@
                 runtime.network(), state, runtime.clock(), System::currentTimeMillis, runtime.timeLine());
         member = GroupMember.open(folder, LOG_SETTINGS, context);
         client = new ControlClient(
-                runtime.self(), runtime.network(), runtime::controlVms, runtime.clock(), runtime.timer());
+                runtime.self(),
+                runtime.network(),
+                runtime::controlVms,
+                runtime.clock(),
+                runtime.timer(),
+                member::leader);
         speeds = new SpeedCoordinator(runtime.membership().registry(), runtime.clock());
         pool = createServerPool();
         refusals = new ServerRefusals(
@@ -451,6 +457,11 @@
         return speeds.unevenCount();
     }
 
+    /** Returns the leader of the control group that this VM's member follows. */
+    Optional<VmName> leader() {
+        return member.leader();
+    }
+
     MemberStatus status() {
         return member.status();
     }
--- a/src/main/java/org/borageproxy/server/GatewayEntry.java
+++ b/src/main/java/org/borageproxy/server/GatewayEntry.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import io.netty.util.internal.PlatformDependent;
 import io.vertx.core.Future;
@@ -91,7 +92,14 @@
     private boolean isStopping;
     private long limitsVersion;
 
-    GatewayEntry(GatewayRuntime runtime, ForwardMetrics metrics) {
+    /**
+     * Creates an entry.
+     *
+     * @param runtime the shared resources of the VM
+     * @param metrics counts requests
+     * @param memberView supplies the leader that this VM's member of the control group follows, if it has one
+     */
+    GatewayEntry(GatewayRuntime runtime, ForwardMetrics metrics, Supplier<Optional<VmName>> memberView) {
         this.runtime = runtime;
         Random random = new Random();
         pool = createPool(random);
@@ -117,7 +125,7 @@
         coordination.onUnanswered(
                 () -> rateShares.recordUnanswered(runtime.clock().nanoTime()));
         ControlClient client = new ControlClient(
-                runtime.self(), runtime.network(), runtime::controlVms, runtime.clock(), runtime.timer());
+                runtime.self(), runtime.network(), runtime::controlVms, runtime.clock(), runtime.timer(), memberView);
         slotClient = createSlotClient();
         ServerLinks links = createLinks();
         relay = createRelay(links);
--- a/src/main/java/org/borageproxy/server/GatewayProcess.java
+++ b/src/main/java/org/borageproxy/server/GatewayProcess.java
@@ -47,7 +47,8 @@
     private GatewayProcess(GatewaySettings settings, ExternalProtocol protocol) throws Exception {
         runtime = new GatewayRuntime(settings, protocol);
         control = GatewayControl.start(runtime);
-        entry = settings.callerEndpoint().map(callers -> new GatewayEntry(runtime, metrics));
+        entry = settings.callerEndpoint()
+                .map(callers -> new GatewayEntry(runtime, metrics, () -> control.flatMap(GatewayControl::leader)));
     }
 
     /**
--- a/src/main/java/org/borageproxy/server/VmProcess.java
+++ b/src/main/java/org/borageproxy/server/VmProcess.java
@@ -64,8 +64,14 @@
 
     private VmProcess(ProcessSettings settings) throws IOException {
         runtime = VmRuntime.of(settings);
+        control = ControlRole.open(runtime);
         client = new ControlClient(
-                runtime.self(), runtime.network(), runtime::controlVms, runtime.clock(), runtime.timer());
+                runtime.self(),
+                runtime.network(),
+                runtime::controlVms,
+                runtime.clock(),
+                runtime.timer(),
+                () -> control.flatMap(ControlRole::leader));
         spread = new ControlStateWatcher(
                 settings.vm(),
                 runtime.network(),
@@ -74,7 +80,7 @@
                 runtime.timer(),
                 runtime.timeLine());
         spread.subscribeVms(runtime.directory()::updateRegistered);
-        control = ControlRole.start(runtime, client);
+        control.ifPresent(role -> role.start(client));
         control.ifPresent(role -> role.onFailure(this::shutDown));
         Credentials credentials = settings.credentials();
         Endpoint announcements = settings.announcementEndpoint();
