Turn entries to an elected coordinator although a report to the former one waits

Cause: an entry has one report in flight. One to a frozen coordinator blocks all others for 400 ms, a redirect of a member that still follows the frozen VM sends the next one there again, and the failure then cleared a coordinator that had been learned meanwhile. SlotClient's backoff of 600 ms after an unanswered request held also for the next coordinator.

Ruled out: a second report beside the unanswered one, since a report takes the usage out of the entry's counters.

An entry with a report in flight to another VM abandons it, ignores its late answer, and reports to the new coordinator after 15 to 120 ms, at random, since all entries get the notice at the same time. The backoff for slots holds for the VM that did not answer only, and a late failure of a former coordinator starts none.

On the code before, CoordinatorChangeTest failed in 3 of 5 (no report to the new coordinator within a report interval; none known after the failure of the former one; late answer of the former one taken) and SlotClientTest in 2 of 3 (the new coordinator not asked). Both pass, with CoordinationClientTest, LeaderChangeTest, ArchitectureTest and PlatformNamesTest.

--- a/src/main/java/org/borageproxy/coordination/CoordinationClient.java
+++ b/src/main/java/org/borageproxy/coordination/CoordinationClient.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 
@@ -23,8 +24,9 @@
 
 /**
  * Reports an entry's usage to the coordinator periodically, and earlier on request. Discovers the coordinator by trying
- * the control VMs in turn and following their redirects. At most one report is in flight. All methods and callbacks run
- * on one event loop.
+ * the control VMs in turn and following their redirects. At most one report is in flight; a report to a VM that is no
+ * longer the coordinator is abandoned, and its answer ignored, when a notice of another coordinator arrives. All
+ * methods and callbacks run on one event loop.
  */
 public final class CoordinationClient {
 
@@ -48,6 +50,9 @@
     private final BiConsumer<CoordinationUpdate, Long> updateListener;
     private Runnable unansweredListener = () -> {};
     private VmName coordinator;
+    /** The VM to which the report in flight was sent. */
+    private VmName reportedTo;
+
     private int nextCandidate;
     private boolean isReportInFlight;
     private boolean isIdle;
@@ -88,7 +93,7 @@
         this.nextUrgentReportAt = new Deadline(clock.nanoTime());
         this.reachableUntil = nextUrgentReportAt;
         network.registerHandler(MessageKind.COORDINATION_NOTICE, (sender, body) -> {
-            eventLoop.execute(() -> handleUpdate(sender, body, clock.nanoTime()));
+            eventLoop.execute(() -> handleNotice(sender, body));
             return CompletableFuture.completedFuture(ByteString.EMPTY);
         });
     }
@@ -160,6 +165,8 @@
         VmName target =
                 coordinator != null ? coordinator : candidates.get(Math.floorMod(nextCandidate, candidates.size()));
         isReportInFlight = true;
+        reportedTo = target;
+        long round = lastRound;
         long reportedAtNanos = clock.nanoTime();
         nextUrgentReportAt = Deadline.after(reportedAtNanos, URGENT_REPORT_INTERVAL);
         UsageReport report = reportSource.get();
@@ -169,8 +176,28 @@
                         MessageKind.COORDINATION,
                         report.toByteString(),
                         Deadline.after(reportedAtNanos, REPORT_TIMEOUT))
-                .whenComplete((body, failure) ->
-                        eventLoop.execute(() -> handleAnswer(target, body, failure, reportedAtNanos)));
+                .whenComplete((body, failure) -> eventLoop.execute(() -> {
+                    if (round == lastRound) {
+                        handleAnswer(target, body, failure, reportedAtNanos);
+                    }
+                }));
+    }
+
+    /**
+     * Handles an unsolicited update. If a report to another VM is in flight, the next report to the new coordinator
+     * follows within a report interval, after a random delay, since all entries get the notice at the same time.
+     */
+    private void handleNotice(VmName sender, ByteString body) {
+        boolean isCoordinator = handleUpdate(sender, body, clock.nanoTime());
+        if (isCoordinator && isReportInFlight && !sender.equals(reportedTo)) {
+            isReportInFlight = false;
+            lastRound++;
+            if (isRunning) {
+                long delayMillis = ThreadLocalRandom.current()
+                        .nextLong(URGENT_REPORT_INTERVAL.toMillis(), REPORT_INTERVAL.toMillis());
+                schedule(Duration.ofMillis(delayMillis));
+            }
+        }
     }
 
     private void handleAnswer(VmName target, ByteString body, Throwable failure, long reportedAtNanos) {
--- a/src/main/java/org/borageproxy/forward/SlotClient.java
+++ b/src/main/java/org/borageproxy/forward/SlotClient.java
@@ -26,8 +26,8 @@
 
 /**
  * Requests slots at model engines, and at plain services whose servers state limits, from the coordinator. After a
- * request without an answer in time, no further request is sent during a backoff, in which this VM selects servers
- * itself. Not thread safe; confined to one event loop.
+ * request without an answer in time, no further request is sent to the same VM during a backoff, in which this VM
+ * selects servers itself. Another coordinator is asked at once. Not thread safe; confined to one event loop.
  */
 public final class SlotClient {
 
@@ -43,6 +43,9 @@
     private final MonotonicClock clock;
     private final Executor eventLoop;
     private Deadline backoffUntil;
+    /** The VM to which the backoff applies. */
+    private Optional<VmName> unanswered = Optional.empty();
+
     private long lastSlot;
 
     /** Receives the answer to a request. */
@@ -106,7 +109,8 @@
             AnswerListener listener) {
         long nowNanos = clock.nanoTime();
         Optional<VmName> target = coordinator.get();
-        if (target.isEmpty() || !backoffUntil.hasPassed(nowNanos)) {
+        boolean isBackoff = target.equals(unanswered) && !backoffUntil.hasPassed(nowNanos);
+        if (target.isEmpty() || isBackoff) {
             listener.onAnswer(Optional.empty());
             return;
         }
@@ -147,7 +151,11 @@
 
     private void handleAnswer(VmName target, ByteString body, Throwable failure, AnswerListener listener) {
         if (failure != null) {
-            backoffUntil = Deadline.after(clock.nanoTime(), BACKOFF);
+            // A late failure of a former coordinator must not delay requests to the present one.
+            if (coordinator.get().isEmpty() || coordinator.get().equals(Optional.of(target))) {
+                unanswered = Optional.of(target);
+                backoffUntil = Deadline.after(clock.nanoTime(), BACKOFF);
+            }
             LOGGER.info("event=slot-unanswered vm={} reason=\"{}\"", target, failure.getMessage());
             listener.onAnswer(Optional.empty());
             return;
--- a/src/main/java/org/borageproxy/server/GatewayControl.java
+++ b/src/main/java/org/borageproxy/server/GatewayControl.java
@@ -24,6 +24,7 @@
 import org.borageproxy.control.ControlState;
 import org.borageproxy.control.Submission;
 import org.borageproxy.coordination.Coordinator;
+import org.borageproxy.coordination.LeadershipNotices;
 import org.borageproxy.coordination.ModelInventory;
 import org.borageproxy.coordination.SpeedCoordinator;
 import org.borageproxy.drain.ZoneRules;
@@ -97,6 +98,7 @@
 
     private final SlotBroker slotBroker;
     private final Coordinator coordinator;
+    private final LeadershipNotices leadershipNotices;
     private final StreamOrigins streamOrigins;
     /** Changes that the entries have not been told yet; confined to the event loop. */
     private final Map<String, ModelInventory> changedInventories = new LinkedHashMap<>();
@@ -130,6 +132,8 @@
         zoneOrders = new ZoneOrders(new ZoneOrders.Environment(
                 () -> runtime.settings().zones().keySet(), member, state, client, reader::readServed));
         coordinator = createCoordinator();
+        leadershipNotices = new LeadershipNotices(
+                member::isLeader, () -> member.status().term(), this::announceCoordinator, runtime.timer());
         admission = new AdmissionService(
                 member,
                 new AdmissionPolicy(runtime.settings().bounds().targetVoterCount()),
@@ -317,7 +321,16 @@
         if (!member.isLeader()) {
             return;
         }
-        ByteString notice = update.build().toByteString();
+        sendToEntries(update.build());
+    }
+
+    private void announceCoordinator() {
+        LOGGER.info("event=coordinator-announced term={}", member.status().term());
+        sendToEntries(CoordinationUpdate.newBuilder().setCoordinates(true).build());
+    }
+
+    private void sendToEntries(CoordinationUpdate update) {
+        ByteString notice = update.toByteString();
         runtime.spread().registeredDataPlaneVms().forEach(entry -> runtime.network()
                 .send(entry, MessageKind.COORDINATION_NOTICE, notice));
     }
@@ -351,6 +364,7 @@
         member.failure().thenAccept(failure -> LOGGER.error("event=member-failed", failure));
         member.start();
         admission.start();
+        leadershipNotices.start();
         placement.start();
         runtime.eventLoop().execute(this::removeObsoleteState);
     }
@@ -470,6 +484,7 @@
     @Override
     public void close() {
         admission.stop();
+        leadershipNotices.stop();
         placement.stop();
         member.close();
     }
