Await a slow leader again after an outdated presumption or a wrong hint

Cause: an overdue command went to the presumed leader also when the presumption was older than what the group member knew, and a command that had been abandoned for a VM that refused it circled among the other control VMs every 25 to 100 ms until the slow leader answered.

Change: an overdue command follows the presumption only if that has changed since the attempt began, and a pending attempt at the leader is awaited again instead of asking others.

--- a/src/main/java/org/borageproxy/control/ControlClient.java
+++ b/src/main/java/org/borageproxy/control/ControlClient.java
@@ -278,6 +278,9 @@
         /** Time from which the awaited attempt is overdue. */
         private Deadline overdueAt;
 
+        /** Presumption when the awaited attempt began, which may be older than what the member knows. */
+        private Optional<VmName> presumedBefore = Optional.empty();
+
         /** VM whose awaited attempt ended last without a reply. */
         private Optional<VmName> avoided = Optional.empty();
 
@@ -310,7 +313,7 @@
                     boolean isUncertain = mayBeApplied || !pending.isEmpty();
                     end = Optional.of(isUncertain ? new Submission.Unknown() : new Submission.NotLeader());
                 } else {
-                    target = select(candidates, nowNanos);
+                    target = awaitPendingLeader(nowNanos) ? Optional.empty() : select(candidates, nowNanos);
                     target.ifPresent(vm -> begin(vm, Purpose.AWAITED, nowNanos));
                 }
             }
@@ -318,9 +321,22 @@
             target.ifPresent(this::send);
         }
 
+        /**
+         * Awaits a pending attempt at the presumed leader again, instead of asking others meanwhile, if it was
+         * abandoned for a VM that turned out not to lead.
+         *
+         * @return {@code false} if no attempt is pending there
+         */
+        private boolean awaitPendingLeader(long nowNanos) {
+            Optional<VmName> leader =
+                    leaders.memberLeader().or(leaders::presumed).filter(pending::containsKey);
+            leader.ifPresent(vm -> markAwaited(vm, nowNanos));
+            return leader.isPresent();
+        }
+
         /**
          * Abandons an awaited attempt if this VM's member follows another leader. If the attempt is overdue, asks the
-         * leader that another submission of this client has found, or else any other control VM as a probe.
+         * leader that another submission of this client has found since, or else any other control VM as a probe.
          */
         private void review() {
             Optional<VmName> target;
@@ -332,7 +348,9 @@
                 boolean isOverdue = overdueAt.hasPassed(nowNanos);
                 target = leaders.memberLeader()
                         .filter(vm -> isEligible(vm, nowNanos))
-                        .or(() -> leaders.presumed().filter(vm -> isOverdue && isEligible(vm, nowNanos)));
+                        .or(() -> leaders.presumed()
+                                .filter(vm -> isOverdue && isEligible(vm, nowNanos))
+                                .filter(vm -> !presumedBefore.equals(Optional.of(vm))));
                 if (target.isPresent()) {
                     abandonAwaited();
                     begin(target.get(), Purpose.AWAITED, nowNanos);
@@ -385,10 +403,16 @@
             pending.put(target, purpose);
             count++;
             if (purpose == Purpose.AWAITED) {
-                overdueAt = Deadline.after(nowNanos, PROBE_INTERVAL);
+                markAwaited(target, nowNanos);
             }
         }
 
+        private void markAwaited(VmName target, long nowNanos) {
+            pending.put(target, Purpose.AWAITED);
+            overdueAt = Deadline.after(nowNanos, PROBE_INTERVAL);
+            presumedBefore = leaders.presumed();
+        }
+
         private void send(VmName target) {
             long nowNanos = clock.nanoTime();
             Deadline attemptDeadline = deadline.earlierOf(Deadline.after(nowNanos, ATTEMPT_TIMEOUT));
--- a/src/test/java/org/borageproxy/control/LeaderChangeTest.java
+++ b/src/test/java/org/borageproxy/control/LeaderChangeTest.java
@@ -251,6 +251,46 @@
         assertEquals(201, group.applied.size());
     }
 
+    /** Guards against commands that circle among the other control VMs while the leader is slow. */
+    @Test
+    void slowLeaderThatMemberFollowsIsAwaitedDespiteOutdatedPresumption() {
+        ControlClient client = group.client(C2);
+        group.elect(C3);
+        submitAndAwait(client, "before");
+        group.elect(C1);
+        int others = group.arrivals(C2) + group.arrivals(C3);
+        group.answerDelay = Duration.ofMillis(900);
+        List<CompletionStage<Submission>> pending = new ArrayList<>();
+        for (int number = 0; number < 50; number++) {
+            pending.add(submit(client, "command " + number));
+        }
+        pending.forEach(this::await);
+        assertEquals(50, group.arrivals(C1));
+        int probes = group.arrivals(C2) + group.arrivals(C3) - others;
+        assertTrue(probes <= 900 / PROBE_MILLIS, "probes " + probes);
+    }
+
+    /** Guards against the same after a wrong hint. */
+    @Test
+    void slowLeaderIsAwaitedAgainAfterWrongHint() {
+        ControlClient client = group.client(ENTRY);
+        group.elect(C1);
+        submitAndAwait(client, "before");
+        group.follow(C2, Optional.of(C3));
+        group.follow(C3, Optional.of(C1));
+        int arrivals = group.arrivals(C1);
+        int others = group.arrivals(C2) + group.arrivals(C3);
+        group.answerDelay = Duration.ofMillis(900);
+        List<CompletionStage<Submission>> pending = new ArrayList<>();
+        for (int number = 0; number < 50; number++) {
+            pending.add(submit(client, "command " + number));
+        }
+        pending.forEach(this::await);
+        assertEquals(50, group.arrivals(C1) - arrivals);
+        int copies = group.arrivals(C2) + group.arrivals(C3) - others;
+        assertTrue(copies <= 50 + 900 / PROBE_MILLIS, "copies " + copies);
+    }
+
     private static Command.Builder command(String name) {
         return Command.newBuilder()
                 .setPublishDocument(
