Test publications through each control VM after the leader froze, with real VMs

FrozenLeaderTest starts three control VMs, freezes the leader (SIGSTOP), and publishes through each of the others as soon as one is elected.

--- a/src/test/java/org/borageproxy/platform/PlatformFleet.java
+++ b/src/test/java/org/borageproxy/platform/PlatformFleet.java
@@ -32,8 +32,8 @@
 
 /**
  * VMs on the platform, each a separate process on a loopback address, with engines that send heartbeats to the control
- * VM. The first VM is the control group, the others are entries. {@link #close()} ends every process and engine. Used
- * by one thread.
+ * VM. The first VM is the control group, the others are entries, unless further control VMs are asked for.
+ * {@link #close()} ends every process and engine. Used by one thread.
  */
 final class PlatformFleet implements AutoCloseable {
 
@@ -64,6 +64,7 @@
             "RatePerS":0,"Burst":0}]}""";
 
     private final Path folder;
+    private final List<String> controls = new ArrayList<>();
     private final List<String> entries = new ArrayList<>();
     private final Map<String, Process> processes = new LinkedHashMap<>();
     private final List<EngineStandIn> engines = new ArrayList<>();
@@ -76,7 +77,16 @@
 
     /** Starts the VMs and publishes one route, whose service has one model; waits until the entries are ready. */
     PlatformFleet(Path folder, int entryCount) throws Exception {
+        this(folder, entryCount, 1);
+    }
+
+    /** Starts the VMs with a control group of several VMs, and publishes like the other constructor, through each. */
+    PlatformFleet(Path folder, int entryCount, int controlCount) throws Exception {
         this.folder = folder;
+        controls.add(CONTROL);
+        for (int number = 1; number < controlCount; number++) {
+            controls.add("127.0.1." + (100 + number));
+        }
         for (int number = 1; number <= entryCount; number++) {
             entries.add("127.0.1." + (10 + number));
         }
@@ -85,12 +95,16 @@
         callerPort = ports.get(1);
         readinessPort = ports.get(2);
         controlPort = ports.get(3);
-        start(CONTROL);
+        for (String control : controls) {
+            start(control);
+        }
         for (String entry : entries) {
             start(entry);
         }
-        awaitOk(request(CONTROL, controlPort, "/Config.Replace")
-                .POST(HttpRequest.BodyPublishers.ofString(PUBLICATION)));
+        for (String control : controls) {
+            awaitOk(request(control, controlPort, "/Config.Replace")
+                    .POST(HttpRequest.BodyPublishers.ofString(PUBLICATION)));
+        }
         for (String entry : entries) {
             awaitReady(entry);
         }
@@ -123,9 +137,11 @@
     }
 
     private boolean isFreeOnAll(int port, List<ServerSocket> held) {
-        for (String entry : entries) {
+        List<String> others = new ArrayList<>(controls.subList(1, controls.size()));
+        others.addAll(entries);
+        for (String vm : others) {
             try {
-                held.add(bind(entry, port));
+                held.add(bind(vm, port));
             } catch (IOException exception) {
                 return false;
             }
@@ -150,22 +166,34 @@
         return CONTROL;
     }
 
+    /** Returns the addresses of the control VMs. */
+    List<String> controls() {
+        return controls;
+    }
+
+    private Path dataFolder(String vm) {
+        return folder.resolve(vm.equals(CONTROL) ? "data" : "data-" + vm);
+    }
+
     private String settings(String vm, boolean isFirstStart) {
-        boolean isControl = vm.equals(CONTROL);
+        boolean isControl = controls.contains(vm);
+        String seeds = controls.stream()
+                .map(control -> "\"" + control + ":" + controlPort + "\"")
+                .collect(Collectors.joining(", "));
         String roles = isControl
-                ? "ControlPlane = \"" + CONTROL + ":" + controlPort + "\"\n"
+                ? "ControlPlane = \"" + vm + ":" + controlPort + "\"\n"
                 : "FrontAddr = \"" + vm + ":" + callerPort + "\"\nReadyAddr = \"" + vm + ":" + readinessPort + "\"\n";
         return "NodeName = \"vm-" + vm + "\"\nIp = \"" + vm + "\"\nZone = \"a\"\nBootstrap = " + isFirstStart
                 + "\nHeartbeatMs = " + HEARTBEAT_MILLIS + "\n"
-                + (isControl ? "DataDir = \"" + folder.resolve("data") + "\"\n" : "")
-                + "InternalPortRange = [" + internalPort + ", " + internalPort + "]\nSeedNodes = [\"" + CONTROL + ":"
-                + controlPort + "\"]\n[Listen]\n" + roles + "[Bounds]\nGraceS = 3\nRetryBudgetRatio = 0.2\n"
+                + (isControl ? "DataDir = \"" + dataFolder(vm) + "\"\n" : "")
+                + "InternalPortRange = [" + internalPort + ", " + internalPort + "]\nSeedNodes = [" + seeds
+                + "]\n[Listen]\n" + roles + "[Bounds]\nGraceS = 3\nRetryBudgetRatio = 0.2\n"
                 + "RetryBudgetSlack = 60\n[Zones]\na = \"near\"\nb = \"near\"\n";
     }
 
     /** Starts a VM that does not run. */
     void start(String vm) throws IOException {
-        boolean isFirstStart = !Files.exists(folder.resolve("data"));
+        boolean isFirstStart = !Files.exists(dataFolder(vm));
         Path file = Files.writeString(folder.resolve(vm + ".toml"), settings(vm, isFirstStart));
         List<String> command = List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
@@ -208,7 +236,7 @@
 
     /** Returns the VM whose process has the other end of a connection on this machine; empty for none. */
     String vmOf(Socket connection) {
-        return Stream.concat(Stream.of(CONTROL), entries.stream())
+        return Stream.concat(controls.stream(), entries.stream())
                 .filter(vm -> isFrom(vm, connection))
                 .findFirst()
                 .orElse("");
@@ -230,9 +258,24 @@
         process.waitFor();
     }
 
+    /** Stops a VM from running until it is killed; its connections stay open. */
+    void freeze(String vm) throws IOException, InterruptedException {
+        String processId = Long.toString(processes.get(vm).pid());
+        new ProcessBuilder("kill", "-STOP", processId).start().waitFor();
+    }
+
+    /** Publishes the document again, under another version, through one control VM; returns the status. */
+    int publish(String control, int version) throws IOException, InterruptedException {
+        String document = PUBLICATION.replace("\"Version\":1", "\"Version\":" + version);
+        HttpRequest call = request(control, controlPort, "/Config.Replace")
+                .POST(HttpRequest.BodyPublishers.ofString(document))
+                .build();
+        return client.send(call, HttpResponse.BodyHandlers.discarding()).statusCode();
+    }
+
     /** Returns the addresses on which a VM listens. */
     List<InetSocketAddress> listeningAddresses(String vm) {
-        List<Integer> ports = vm.equals(CONTROL)
+        List<Integer> ports = controls.contains(vm)
                 ? List.of(controlPort, internalPort)
                 : List.of(callerPort, readinessPort, internalPort);
         return ports.stream().map(port -> new InetSocketAddress(vm, port)).toList();
