Drop the body of a request when its memory is returned to the account

The process ended with exit code 3, "java.lang.OutOfMemoryError: Java heap space". A heap dump at that moment has 44.8 MB reachable, of which 17 whole bodies (35 MB) whose reservations had been released: 16 by the timer that disconnects a stalled caller, which was not cancelled when the answer was delivered and lay in the queue of the event loop until the deadline (up to the route's timeout or 20 s), and one by an idle connection to a server. The handlers of the caller's connection refer to a body too, until its answer is taken. Change: RequestBody drops the bytes together with the reservation, whatever still refers to the request. The timer is cancelled at the end of the delivery. BodyReader drops its parts, a single one too.

--- a/src/main/java/org/borageproxy/forward/BodyReader.java
+++ b/src/main/java/org/borageproxy/forward/BodyReader.java
@@ -106,6 +106,7 @@
         request.exceptionHandler(failure -> {
             LOGGER.debug("event=request-incomplete", failure);
             stop();
+            parts.clear();
             reservation.release();
         });
         request.handler(this::handlePart);
@@ -226,7 +227,10 @@
         }
         stop();
         reservation.forbidEviction();
-        listener.onBody(joined(), reservation);
+        byte[] body = joined();
+        // The connection refers to this reader until its next request.
+        parts.clear();
+        listener.onBody(body, reservation);
     }
 
     private byte[] joined() {
@@ -239,7 +243,6 @@
             System.arraycopy(part, 0, body, end, part.length);
             end += part.length;
         }
-        parts.clear();
         return body;
     }
 
--- a/src/main/java/org/borageproxy/forward/BufferedRequest.java
+++ b/src/main/java/org/borageproxy/forward/BufferedRequest.java
@@ -22,7 +22,7 @@
  *
  * @param request the HTTP request
  * @param metadata the metadata of the headers
- * @param body the body
+ * @param body the body and the buffer memory of the request
  * @param route the route that the request matched
  * @param service the service that was drawn from the route
  * @param engines the engine pool of the service; empty for a plain service
@@ -30,20 +30,18 @@
  * @param suspects what may make a backend server crash that begins the request
  * @param arrivedAtNanos the time on the monotonic clock at the arrival, in nanoseconds
  * @param deadline the deadline of the caller or of the route, whichever is earlier
- * @param reservation the buffer memory of the request, which holds the bytes of its body
  */
 record BufferedRequest(
         HttpServerRequest request,
         RequestMetadata metadata,
-        byte[] body,
+        RequestBody body,
         PublishedRoute route,
         String service,
         Optional<EnginePool> engines,
         Optional<PublishedWorkspace> workspace,
         CrashSuspects suspects,
         long arrivedAtNanos,
-        Deadline deadline,
-        Reservation reservation) {
+        Deadline deadline) {
 
     /** Requests of priority zero rank one above this urgency. */
     private static final int OUTRANKED_URGENCY = 5;
@@ -80,7 +78,7 @@
      */
     ServerRequirement requirement(Set<BackendServerName> excludedServers, Optional<StreamOrigin> origin) {
         return new ServerRequirement(
-                service, engines, metadata.work(), excludedServers, origin, 0.0, allowedRegions(), body.length);
+                service, engines, metadata.work(), excludedServers, origin, 0.0, allowedRegions(), body.length());
     }
 
     /**
@@ -146,12 +144,21 @@
                 new RefusalCost(rank, deadline));
     }
 
+    /**
+     * Returns the buffer memory of the request, which holds the bytes of its body.
+     *
+     * @return the reservation
+     */
+    Reservation reservation() {
+        return body.reservation();
+    }
+
     /**
      * Returns for whom the request is buffered.
      *
      * @return the owner, without a server
      */
     BufferOwner owner() {
-        return reservation.owner();
+        return reservation().owner();
     }
 }
--- a/src/main/java/org/borageproxy/forward/CallerWrites.java
+++ b/src/main/java/org/borageproxy/forward/CallerWrites.java
@@ -1,6 +1,7 @@
 package org.borageproxy.forward;
 
 import java.util.Optional;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
 import io.vertx.core.Future;
@@ -19,6 +20,9 @@
     private final HttpServerResponse response;
     private Optional<Delivery> delivery = Optional.empty();
     private Optional<Runnable> drainedListener = Optional.empty();
+    /** Disconnects the caller; kept until the answer is delivered. */
+    private Optional<ScheduledFuture<?>> stallTimer = Optional.empty();
+
     private boolean isComplete;
 
     CallerWrites(ForwardContext context, BufferedRequest buffered, RequestLog log) {
@@ -67,6 +71,8 @@
     private void end(Delivery ended) {
         ended.end();
         delivery = Optional.empty();
+        stallTimer.ifPresent(timer -> timer.cancel(false));
+        stallTimer = Optional.empty();
     }
 
     /** Returns whether reading from the server must pause. */
@@ -88,7 +94,7 @@
 
     /** Records that the whole answer was written or will never be; what is left of it is delivered. */
     void complete() {
-        buffered.reservation().release();
+        buffered.body().release();
         isComplete = true;
         drainedListener = Optional.empty();
         delivery.ifPresent(current -> {
@@ -102,7 +108,8 @@
 
     private void scheduleCheck(Delivery current) {
         long nanos = current.disconnectAt().remainingNanos(context.clock().nanoTime());
-        context.eventLoop().schedule(() -> disconnectIfStalled(current), nanos, TimeUnit.NANOSECONDS);
+        stallTimer = Optional.of(
+                context.eventLoop().schedule(() -> disconnectIfStalled(current), nanos, TimeUnit.NANOSECONDS));
     }
 
     private void disconnectIfStalled(Delivery current) {
--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -216,7 +216,11 @@
             crashEvidence.recordAttempt();
             priorAttempts.recordSent();
             inFlightRequest = Optional.of(context.pool()
-                    .recordStart(choice, buffered.engines(), buffered.metadata().work(), buffered.body().length));
+                    .recordStart(
+                            choice,
+                            buffered.engines(),
+                            buffered.metadata().work(),
+                            buffered.body().length()));
             log.sent(choice, priorAttempts.sends(), acquired.isReused(), scanner.lastEventIdentity());
             ServerWrites.send(context, buffered, server, acquired, scanner.lastEventIdentity(), this);
         }
--- a/src/main/java/org/borageproxy/forward/ForwardServer.java
+++ b/src/main/java/org/borageproxy/forward/ForwardServer.java
@@ -287,7 +287,7 @@
         return new BufferedRequest(
                 request,
                 fields,
-                body,
+                new RequestBody(body, reservation),
                 route,
                 service,
                 served.publication().enginePool(service),
@@ -297,8 +297,7 @@
                         service,
                         fields.work().map(EngineWork::promptParts).orElse(List.of())),
                 arrivedAtNanos,
-                deadline(fields, route.timeout(), arrivedAtNanos),
-                reservation);
+                deadline(fields, route.timeout(), arrivedAtNanos));
     }
 
     private static void refuse(
--- a/src/main/java/org/borageproxy/forward/ForwardedHead.java
+++ b/src/main/java/org/borageproxy/forward/ForwardedHead.java
@@ -39,8 +39,8 @@
         HttpHeaders headers =
                 context.protocol().forwardedHeaders(buffered.request().headers(), dispatch);
         HttpMethod method = HttpMethod.valueOf(buffered.request().method().name());
-        if (buffered.body().length > 0 || method.equals(HttpMethod.POST) || method.equals(HttpMethod.PUT)) {
-            headers.set(HttpHeaderNames.CONTENT_LENGTH, buffered.body().length);
+        if (buffered.body().length() > 0 || method.equals(HttpMethod.POST) || method.equals(HttpMethod.PUT)) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, buffered.body().length());
         }
         return new DefaultHttpRequest(
                 HttpVersion.HTTP_1_1, method, buffered.request().uri(), headers);
--- a/src/main/java/org/borageproxy/forward/ReceivedAnswer.java
+++ b/src/main/java/org/borageproxy/forward/ReceivedAnswer.java
@@ -28,7 +28,7 @@
      */
     ReceivedAnswer(BufferedRequest buffered) {
         this.reservation = buffered.reservation();
-        reservation.shrink(reservation.bytes() - buffered.body().length);
+        reservation.shrink(reservation.bytes() - buffered.body().length());
     }
 
     /** Sets the head, after which the body may be added. */
--- a/src/main/java/org/borageproxy/forward/ServerWrites.java
+++ b/src/main/java/org/borageproxy/forward/ServerWrites.java
@@ -35,13 +35,13 @@
             ServerConnection.Listener listener) {
         buffered.reservation().forbidEviction();
         HttpRequest head = ForwardedHead.of(context, buffered, server, relayedEvent);
-        ChannelFuture written = connection.send(head, buffered.body(), listener);
-        if (written.isDone() || buffered.body().length == 0) {
+        ChannelFuture written = connection.send(head, buffered.body().bytes(), listener);
+        if (written.isDone() || buffered.body().length() == 0) {
             return;
         }
         Reservation copy =
                 context.buffers().open(buffered.owner().withServer(server.name().value()));
-        copy.record(buffered.body().length);
+        copy.record(buffered.body().length());
         written.addListener(done -> copy.release());
     }
 
@@ -55,7 +55,10 @@
      */
     static Optional<String> obstacle(ForwardContext context, BufferedRequest buffered, BackendServer server) {
         return context.buffers()
-                        .hasRoomFor(buffered.reservation(), server.name().value(), buffered.body().length)
+                        .hasRoomFor(
+                                buffered.reservation(),
+                                server.name().value(),
+                                buffered.body().length())
                 ? Optional.empty()
                 : Optional.of("server takes the bodies of other requests too slowly");
     }
--- a/src/main/java/org/borageproxy/forward/SlotClient.java
+++ b/src/main/java/org/borageproxy/forward/SlotClient.java
@@ -115,7 +115,7 @@
                 .setZone(zone.value())
                 .setService(buffered.service())
                 .setRank(buffered.urgency())
-                .setBodyBytes(buffered.body().length)
+                .setBodyBytes(buffered.body().length())
                 .setObjectiveMillis((int) objectiveMillis)
                 .setDeadlineMillis((int) buffered.deadline().remainingMillis(nowNanos));
         buffered.inferenceWork().ifPresent(work -> addWork(request, work));
