Let idle connections to servers refer to no request

Cause: the releaser of a connection was created within the listener of its opening, so that an idle connection held the first exchange that it carried, with its caller's connection. Change: the connection is created outside the listener. Ruled out: nothing.

--- a/src/main/java/org/borageproxy/forward/ServerConnectionPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerConnectionPool.java
@@ -96,9 +96,7 @@
         links.open(server, new ServerLinks.OpenListener() {
             @Override
             public void onOpened(Channel channel, Optional<VmName> relay) {
-                Destination destination = destination(server);
-                ServerConnection connection =
-                        new ServerConnection(clock, used -> returnIdle(destination, used), links, server, relay);
+                ServerConnection connection = newConnection(server, relay);
                 channel.pipeline()
                         .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
                         .addLast(connection);
@@ -112,6 +110,12 @@
         });
     }
 
+    /** Creates a connection that refers to no request, since it may lie idle for long after its first one. */
+    private ServerConnection newConnection(BackendServer server, Optional<VmName> relay) {
+        Destination destination = destination(server);
+        return new ServerConnection(clock, used -> returnIdle(destination, used), links, server, relay);
+    }
+
     /**
      * Returns the links to the servers.
      *
