Account for the whole memory of kept answers, and drop it with the attempt

Cause: an answer that is kept until it is complete lies in a buffer whose capacity doubles, so that up to twice the reserved bytes were held. What was kept of a broken answer stayed reachable through its attempt after its reservation had been returned: until the timer of the connection's opening (700 ms), and for as long as the caller's connection refers to the exchange. Change: ReceivedAnswer reserves the capacity; Exchange drops the kept answer when the next attempt begins and when the request ends. Ruled out: the broken answers as a cause of the failure of SmallHeapTest: in a trial with 120 callers one after the other, 450 kB each, keep-alive, at 48 MB, the code before survived as well.

--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -169,11 +169,17 @@
             findServer();
             return;
         }
+        discardKeptAnswer();
         Attempt attempt = new Attempt(choice, hasSlot);
         currentAttempt = Optional.of(attempt);
         context.connections().connect(choice.server(), attempt);
     }
 
+    /** Drops what is kept of an answer, to which timers and the caller's connection may refer for long. */
+    private void discardKeptAnswer() {
+        currentAttempt.ifPresent(attempt -> attempt.received.discardBody());
+    }
+
     /** One attempt to run the request on one server. */
     private final class Attempt implements ServerConnectionPool.ConnectListener, ServerConnection.Listener {
         private final ServerSelector.Choice choice;
@@ -183,7 +189,7 @@
 
         private Optional<ServerConnection> connection = Optional.empty();
         private Optional<InFlightRequest> inFlightRequest = Optional.empty();
-        private final ReceivedAnswer received = new ReceivedAnswer(buffered);
+        private final ReceivedAnswer received = new ReceivedAnswer(buffered.reservation());
         private boolean isStream;
         private boolean isOver;
 
@@ -585,6 +591,7 @@
                         buffered.route().name(),
                         outcome,
                         (context.clock().nanoTime() - buffered.arrivedAtNanos()) / 1e6);
+        discardKeptAnswer();
         relay.releaseBuffers();
         endListener.accept(this);
     }
--- a/src/main/java/org/borageproxy/forward/ReceivedAnswer.java
+++ b/src/main/java/org/borageproxy/forward/ReceivedAnswer.java
@@ -19,16 +19,18 @@
     private final Reservation reservation;
     private Optional<HttpResponse> head = Optional.empty();
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
+    /** What the kept body takes up, which is up to twice its size. */
+    private int reservedBytes;
+
     private long receivedBytes;
 
     /**
-     * Creates an answer of which nothing was received. What was kept of an earlier answer is no longer accounted for.
+     * Creates an answer of which nothing was received.
      *
-     * @param buffered the request, to whose reservation the bytes that are kept are added
+     * @param reservation the reservation of the request, to which the memory of the body that is kept is added
      */
-    ReceivedAnswer(BufferedRequest buffered) {
-        this.reservation = buffered.reservation();
-        reservation.shrink(reservation.bytes() - buffered.body().length());
+    ReceivedAnswer(Reservation reservation) {
+        this.reservation = reservation;
     }
 
     /** Sets the head, after which the body may be added. */
@@ -64,8 +66,9 @@
      * @return whether more may be kept; otherwise the body must be taken
      */
     boolean keep(ByteBuf bytes) {
-        int added = bytes.readableBytes();
         body.writeBytes(bytes);
+        int added = body.capacity() - reservedBytes;
+        reservedBytes += added;
         return reservation.record(added);
     }
 
@@ -76,11 +79,17 @@
     /** Returns the kept body and keeps nothing further. */
     ByteBuf takeBody() {
         ByteBuf taken = body;
-        body = Unpooled.EMPTY_BUFFER;
-        reservation.shrink(taken.readableBytes());
+        discardBody();
         return taken;
     }
 
+    /** Drops the kept body and returns its memory to the account; has no effect if none is kept. */
+    void discardBody() {
+        body = Unpooled.EMPTY_BUFFER;
+        reservation.shrink(reservedBytes);
+        reservedBytes = 0;
+    }
+
     Optional<String> length() {
         return Optional.ofNullable(head.orElseThrow().headers().get(HttpHeaderNames.CONTENT_LENGTH));
     }
