Refuse the use of a body only after it was dropped

Cause: RequestBody.bytes() failed as soon as the reservation was released, which BodyReader does without RequestBody if the caller's connection fails. No such failure was seen. Change: the check asks whether the bytes were dropped. Ruled out: nothing. Figures: SmallHeapTest, BackPressureTest, BodyPartsTest, ReceivedAnswerTest and ArchitectureTest passed.

--- a/src/main/java/org/borageproxy/forward/RequestBody.java
+++ b/src/main/java/org/borageproxy/forward/RequestBody.java
@@ -34,7 +34,7 @@
 
     /** Returns the body, which must not be modified or kept beyond the release. */
     byte[] bytes() {
-        if (reservation.isReleased()) {
+        if (bytes == RELEASED) {
             throw new IllegalStateException("Body was released");
         }
         return bytes;
