--- a/src/test/java/org/borageproxy/forward/SlotClientTest.java
+++ b/src/test/java/org/borageproxy/forward/SlotClientTest.java
@@ -62,15 +62,14 @@
                         Optional.empty(),
                         Optional.empty(),
                         Optional.empty()),
-                new byte[0],
+                new RequestBody(new byte[0], null),
                 ROUTE,
                 "s",
                 Optional.empty(),
                 Optional.empty(),
                 CrashSuspects.of(RequestDigest.fingerprint("w", "/", new byte[0]), "s", List.of()),
                 time.nowNanos(),
-                Deadline.after(time.nowNanos(), Duration.ofSeconds(5)),
-                null);
+                Deadline.after(time.nowNanos(), Duration.ofSeconds(5)));
         client.request(buffered, new PriorAttempts(), Set.of(), Optional.empty(), answers::add);
         return answers;
     }
