Give an entry its share of the retries when it learns how many share them

Cause: the retry budget. A budget is created at the first request for its service. If that comes before the first update of the coordinator, it begins with the share among 16 assumed entries, 60 x 0.6 / 16 = 2.25 retries, and RetryBudget.setMaximum never raises a balance. Callers of an entry that has just started suffered in fleets of fewer than 16 entries.

Change: the first number of entries replaces the assumed one also for what was not spent until then. Later numbers only reduce balances, as before, since a new coordinator counts the entries from one on and would refill them.

RetryBudgetsTest on the code before (RetryBudgets extracted without the change): 4 of 5 failed (18 expected, 2 was; 16, 0; 0, 1; 18, 2).

--- a/src/main/java/org/borageproxy/execution/RetryBudget.java
+++ b/src/main/java/org/borageproxy/execution/RetryBudget.java
@@ -42,7 +42,8 @@
     }
 
     /**
-     * Changes the maximum balance. A larger balance is reduced to it.
+     * Changes the maximum balance. A larger balance is reduced to it; a smaller one stays, since a maximum that falls
+     * and rises again must not refill the budget.
      *
      * @param newMaximum the maximum balance, in retries
      */
@@ -50,4 +51,15 @@
         maximum = newMaximum;
         balance = Math.min(balance, maximum);
     }
+
+    /**
+     * Replaces an assumed maximum balance by the known one. The balance becomes what it would be if the budget had
+     * begun with it, or zero.
+     *
+     * @param knownMaximum the maximum balance, in retries
+     */
+    public synchronized void correctMaximum(double knownMaximum) {
+        balance = Math.max(0, Math.min(balance + knownMaximum - maximum, knownMaximum));
+        maximum = knownMaximum;
+    }
 }
--- a/src/main/java/org/borageproxy/server/GatewayEntry.java
+++ b/src/main/java/org/borageproxy/server/GatewayEntry.java
@@ -20,7 +20,7 @@
 import org.borageproxy.coordination.EntrySpeeds;
 import org.borageproxy.coordination.ModelInventory;
 import org.borageproxy.execution.CrashProbe;
-import org.borageproxy.execution.RetryBudget;
+import org.borageproxy.execution.RetryBudgets;
 import org.borageproxy.forward.ForwardContext;
 import org.borageproxy.forward.ForwardMetrics;
 import org.borageproxy.forward.ForwardServer;
@@ -53,11 +53,6 @@
 final class GatewayEntry {
 
     private static final Logger LOGGER = LoggerFactory.getLogger(GatewayEntry.class);
-    /** Fraction of the fleet-wide retry burst that the entries share; the rest covers entries not counted yet. */
-    private static final double RETRY_BURST_FRACTION = 0.6;
-    /** Fraction of the retry ratio that is used; the rest is a margin for windows with more retries than average. */
-    private static final double RETRY_RATIO_FRACTION = 0.75;
-
     /**
      * Fraction of a server's request limit that the entries without coordinator share; the coordinator may still grant
      * the whole limit to the others.
@@ -65,15 +60,13 @@
     private static final double LOCAL_LIMIT_FRACTION = 0.3;
 
     private static final Duration CLEANUP_INTERVAL = Duration.ofSeconds(5);
-    /** Number of entries assumed until the first update of the coordinator. */
-    private static final int INITIAL_ENTRY_COUNT = 16;
 
     private final GatewayRuntime runtime;
     private final ServerPool pool;
     private final EntrySpeeds speeds;
     private final EntrySaturation saturation;
     private final RateShares rateShares;
-    private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
+    private final RetryBudgets retryBudgets;
     private final CoordinationClient coordination;
     private final SlotClient slotClient;
     private final StreamOrigins streamOrigins;
@@ -83,7 +76,7 @@
     private final BufferAccount buffers;
     private final String session = UUID.randomUUID().toString();
     private Optional<ServedPublication> servedPublication = Optional.empty();
-    private int entryCount = INITIAL_ENTRY_COUNT;
+    private int entryCount = RetryBudgets.ASSUMED_ENTRY_COUNT;
     private long inventoryVersion;
     /** Other entries through which the servers can be reached. */
     private List<VmName> relays = List.of();
@@ -93,6 +86,7 @@
 
     GatewayEntry(GatewayRuntime runtime, ForwardMetrics metrics) {
         this.runtime = runtime;
+        retryBudgets = createRetryBudgets();
         Random random = new Random();
         pool = createPool(random);
         speeds = new EntrySpeeds(runtime.clock());
@@ -138,7 +132,7 @@
                         runtime.eventLoop()),
                 connectionPool,
                 rateShares,
-                this::retryBudget,
+                retryBudgets::of,
                 new CrashReports(
                         runtime,
                         client,
@@ -231,6 +225,11 @@
         return created;
     }
 
+    private RetryBudgets createRetryBudgets() {
+        GatewaySettings.FleetBounds bounds = runtime.settings().bounds();
+        return new RetryBudgets(bounds.retryRatio(), bounds.retryBurst());
+    }
+
     private ServerLinks createLinks() {
         ServerLinks.Environment environment = new ServerLinks.Environment(
                 runtime.network(), () -> relays, runtime.membership().registry());
@@ -263,16 +262,6 @@
         }
     }
 
-    private RetryBudget retryBudget(String service) {
-        return retryBudgets.computeIfAbsent(
-                service,
-                name -> new RetryBudget(runtime.settings().bounds().retryRatio() * RETRY_RATIO_FRACTION, retryBurst()));
-    }
-
-    private double retryBurst() {
-        return runtime.settings().bounds().retryBurst() * RETRY_BURST_FRACTION / entryCount;
-    }
-
     private UsageReport createUsageReport() {
         UsageReport.Builder report = UsageReport.newBuilder()
                 .setSession(session)
@@ -300,11 +289,9 @@
     }
 
     private void applyUpdate(CoordinationUpdate update, long reportedAtNanos) {
-        if (update.getEntries() > 0 && update.getEntries() != entryCount) {
-            entryCount = update.getEntries();
-            retryBudgets.values().forEach(budget -> budget.setMaximum(retryBurst()));
-        }
         if (update.getEntries() > 0) {
+            entryCount = update.getEntries();
+            retryBudgets.setEntryCount(entryCount);
             streamOrigins.confirmReport(update.getTerm());
             pool.statements().confirmReport(update.getTerm());
             limitsVersion = update.getLimitsVersion();
--- /dev/null
+++ b/src/test/java/org/borageproxy/execution/RetryBudgetsTest.java
@@ -0,0 +1,72 @@
+package org.borageproxy.execution;
+
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/**
+ * Checks the share of an entry in the retries of a fleet that may spend 60 beyond its ratio, of which 36 are shared.
+ */
+class RetryBudgetsTest {
+
+    private static final String SERVICE = "engines";
+
+    private final RetryBudgets budgets = new RetryBudgets(0.2, 60);
+
+    private int withdrawAll() {
+        int retries = 0;
+        while (budgets.of(SERVICE).tryWithdraw()) {
+            retries++;
+        }
+        return retries;
+    }
+
+    /**
+     * Guards against streams that are not resumed at an entry that has just started: a request came before the first
+     * update of the coordinator, so that the entry kept the small share of an assumed number of entries.
+     */
+    @Test
+    void requestBeforeTheFirstUpdateDoesNotReduceTheShare() {
+        budgets.of(SERVICE).deposit();
+        budgets.setEntryCount(2);
+        assertEquals(18, withdrawAll());
+    }
+
+    /** Guards against retries beyond the share: those before the first update count. */
+    @Test
+    void retriesBeforeTheFirstUpdateCount() {
+        assertEquals(2, withdrawAll());
+        budgets.setEntryCount(2);
+        assertEquals(16, withdrawAll());
+    }
+
+    /** Guards against retries beyond the share if there are more entries than assumed. */
+    @Test
+    void shareShrinksToThatOfManyEntries() {
+        assertTrue(budgets.of(SERVICE).tryWithdraw());
+        budgets.setEntryCount(32);
+        assertEquals(0, withdrawAll());
+    }
+
+    /** Guards against a refill by each new coordinator, which counts the entries from one on. */
+    @Test
+    void entriesCountedAnewDoNotRefillTheShare() {
+        budgets.setEntryCount(2);
+        assertEquals(18, withdrawAll());
+        for (int coordinator = 0; coordinator < 5; coordinator++) {
+            budgets.setEntryCount(1);
+            budgets.setEntryCount(2);
+        }
+        assertEquals(0, withdrawAll());
+    }
+
+    /** Guards against a refill by a first update that comes before the other entries are counted. */
+    @Test
+    void firstCountBelowTheFinalOneLeavesNoMoreThanTheShare() {
+        budgets.of(SERVICE).deposit();
+        budgets.setEntryCount(1);
+        budgets.setEntryCount(2);
+        assertEquals(18, withdrawAll());
+    }
+}
