Log what keeps a request from another attempt

The new line request-not-retried does. A request that turns out to be quarantined after a 5xx answer now gets that answer instead of another search that could only end in a refusal.

--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -472,30 +472,42 @@
     }
 
     private void retryOrElse(Runnable fallback) {
-        if (priorAttempts.allowAnother(buffered.route().maxAttempts())
-                && context.retryBudgets().apply(buffered.service()).tryWithdraw()) {
+        Optional<String> obstacle = obstacleToRetry();
+        if (obstacle.isEmpty()) {
             findServer();
         } else {
+            log.notRetried(obstacle.get());
             fallback.run();
         }
     }
 
+    /** Returns what keeps the request from another attempt; withdraws a retry of one that was sent if nothing does. */
+    private Optional<String> obstacleToRetry() {
+        if (isExpired()) {
+            return Optional.of("deadline");
+        }
+        if (!priorAttempts.allowAnother(buffered.route().maxAttempts())) {
+            return Optional.of("attempts");
+        }
+        if (crashEvidence.isQuarantined()) {
+            return Optional.of("quarantine");
+        }
+        boolean isPaid = priorAttempts.sends() == 0
+                || context.retryBudgets().apply(buffered.service()).tryWithdraw();
+        return isPaid ? Optional.empty() : Optional.of("budget");
+    }
+
     /** Sends the request to another server if that is safe and permitted; refuses or aborts it otherwise. */
     private void retry(RefusalReason reason, boolean isNotRun) {
         if (hasEnded) {
             return;
         }
         boolean isSafe = isNotRun && !priorAttempts.mayHaveRun() || mayRepeat();
-        boolean hasBeenSent = priorAttempts.sends() > 0;
-        boolean isAllowed = isSafe
-                && !isExpired()
-                && priorAttempts.allowAnother(buffered.route().maxAttempts())
-                && !crashEvidence.isQuarantined();
-        if (isAllowed
-                && (!hasBeenSent
-                        || context.retryBudgets().apply(buffered.service()).tryWithdraw())) {
+        Optional<String> obstacle = isSafe ? obstacleToRetry() : Optional.of("may have run");
+        if (obstacle.isEmpty()) {
             findServer();
         } else {
+            log.notRetried(obstacle.get());
             refuseOrAbort(reason, DEFAULT_RETRY_AFTER);
         }
     }
--- a/src/main/java/org/borageproxy/forward/RequestLog.java
+++ b/src/main/java/org/borageproxy/forward/RequestLog.java
@@ -163,6 +163,20 @@
                 parts());
     }
 
+    /**
+     * Logs that the request is not sent again after an attempt without a usable answer.
+     *
+     * @param obstacle what keeps it from another attempt
+     */
+    void notRetried(String obstacle) {
+        LOGGER.info(
+                "event=request-not-retried id={} service={} obstacle=\"{}\" age_ms={}",
+                identity(),
+                buffered.service(),
+                obstacle,
+                ageMillis());
+    }
+
     private String parts() {
         String parts = buffered.metadata()
                 .work()
