Do not use a slot that expired before the request is sent

An entry used a slot whenever its answer was handled: one that was frozen, or whose connection to the server took long, sent the request after the coordinator had given the slot to another one (800 ms after the grant, if no report names it). Nothing was checked at the moment of use.

Now the end of the slot is stored when the entry asks for it: 800 ms after the request to the coordinator, which is never later than the coordinator's own end, since the grant follows the request. Attempt.onConnected checks it right before the send. The server may be selected again, the coordinator is asked again once, and after a second slot that expired the entry selects a server itself, so that a VM that is always too slow does not ask until the deadline.

Not covered: the permit that an entry takes when it selects a limited server itself has no deadline at the send. An entry that reports a slot before it has sent the request frees it early at the coordinator.

--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -66,7 +66,7 @@
                 log,
                 priorAttempts.triedServers(),
                 stream::origin,
-                choice -> send(choice, false),
+                choice -> send(choice, Optional.empty()),
                 reason -> refuseOrAbort(reason, DEFAULT_RETRY_AFTER));
     }
 
@@ -123,32 +123,33 @@
 
     private void findServer() {
         boolean isPlainService = buffered.inferenceWork().isEmpty();
-        if (isPlainService && !context.pool().needsCoordinator(buffered.service())) {
+        boolean needsSlot = !isPlainService || context.pool().needsCoordinator(buffered.service());
+        if (!needsSlot || !priorAttempts.mayAskForSlot()) {
             localSearch.search();
             return;
         }
         Set<BackendServerName> excluded = context.unusable(buffered.allowedRegions());
         excluded.addAll(priorAttempts.triedServers());
-        context.slotClient().request(buffered, priorAttempts, excluded, stream.origin(), answer -> {
+        context.slotClient().request(buffered, priorAttempts, excluded, stream.origin(), (answer, slotValidUntil) -> {
             if (hasEnded) {
                 return;
             }
             if (answer.isPresent()) {
-                handleSlotAnswer(answer.get());
+                handleSlotAnswer(answer.get(), slotValidUntil);
             } else {
                 localSearch.search();
             }
         });
     }
 
-    private void handleSlotAnswer(SlotAnswer answer) {
+    private void handleSlotAnswer(SlotAnswer answer, Deadline slotValidUntil) {
         Duration retryAfter = Duration.ofMillis(answer.getComeBackMillis());
         log.slotAnswered(answer);
         switch (answer.getOutcome()) {
             case CHOSEN -> {
                 Optional<BackendServer> server = context.pool().find(answer.getServer(), answer.getIncarnation());
                 if (server.isPresent()) {
-                    send(SlotClient.choice(answer, server.get()), true);
+                    send(SlotClient.choice(answer, server.get()), Optional.of(slotValidUntil));
                 } else {
                     log.unknownServer(answer.getServer());
                     localSearch.search();
@@ -162,14 +163,14 @@
         }
     }
 
-    private void send(ServerSelector.Choice choice, boolean hasSlot) {
+    private void send(ServerSelector.Choice choice, Optional<Deadline> slotValidUntil) {
         priorAttempts.recordTried(choice.server().name());
         if (context.refusals().refusedUntil(choice.server()).isPresent()) {
             log.skipped(choice.server(), "server refused the VM before the request was sent");
             findServer();
             return;
         }
-        Attempt attempt = new Attempt(choice, hasSlot);
+        Attempt attempt = new Attempt(choice, slotValidUntil);
         currentAttempt = Optional.of(attempt);
         context.connections().connect(choice.server(), attempt);
     }
@@ -178,8 +179,8 @@
     private final class Attempt implements ServerConnectionPool.ConnectListener, ServerConnection.Listener {
         private final ServerSelector.Choice choice;
         private final BackendServer server;
-        /** Whether the coordinator granted a slot for the attempt. */
-        private final boolean hasSlot;
+        /** The end of the slot that the coordinator granted for the attempt; empty if this VM selected the server. */
+        private final Optional<Deadline> slotValidUntil;
 
         private Optional<ServerConnection> connection = Optional.empty();
         private Optional<InFlightRequest> inFlightRequest = Optional.empty();
@@ -187,9 +188,9 @@
         private boolean isStream;
         private boolean isOver;
 
-        Attempt(ServerSelector.Choice choice, boolean hasSlot) {
+        Attempt(ServerSelector.Choice choice, Optional<Deadline> slotValidUntil) {
             this.choice = choice;
-            this.hasSlot = hasSlot;
+            this.slotValidUntil = slotValidUntil;
             this.server = choice.server();
         }
 
@@ -201,6 +202,10 @@
             }
             Optional<String> obstacle = SendConditions.obstacle(context, buffered, stream, server, acquired.relay())
                     .or(crashEvidence::obstacle);
+            if (obstacle.isEmpty() && SendConditions.isSlotExpired(context, slotValidUntil)) {
+                obstacle = Optional.of("slot expired before the request was sent");
+                priorAttempts.recordSlotExpired(server.name());
+            }
             if (obstacle.isPresent()) {
                 acquired.close();
                 isOver = true;
@@ -282,7 +287,7 @@
             boolean isOverloaded =
                     status != MISDIRECTED_REQUEST && context.pool().statements().isBrittle(server);
             inFlightRequest.ifPresent(isOverloaded ? InFlightRequest::recordFailure : InFlightRequest::recordEnd);
-            log.rejected(server, status, answer.retryAfter(), answeredVm(), hasSlot);
+            log.rejected(server, status, answer.retryAfter(), answeredVm(), slotValidUntil.isPresent());
             boolean isOtherServer = answer.respondingServer()
                     .filter(name -> !name.equals(server.name()))
                     .isPresent();
@@ -391,7 +396,7 @@
             } else if (status >= FIRST_SERVER_ERROR && mayRepeat() && !isExpired()) {
                 inFlightRequest.ifPresent(InFlightRequest::recordFailure);
                 log.failed(server, "status " + status, ageMillis(), received.receivedBytes());
-                retryOrElse(() -> sendCompleteAnswer(received));
+                retryOrElse(true, () -> sendCompleteAnswer(received));
             } else {
                 if (status >= FIRST_SERVER_ERROR) {
                     inFlightRequest.ifPresent(InFlightRequest::recordFailure);
@@ -471,16 +476,6 @@
         return buffered.deadline().hasPassed(context.clock().nanoTime());
     }
 
-    private void retryOrElse(Runnable fallback) {
-        Optional<String> obstacle = obstacleToRetry();
-        if (obstacle.isEmpty()) {
-            findServer();
-        } else {
-            log.notRetried(obstacle.get());
-            fallback.run();
-        }
-    }
-
     /** Returns what keeps the request from another attempt; withdraws a retry of one that was sent if nothing does. */
     private Optional<String> obstacleToRetry() {
         if (isExpired()) {
@@ -499,16 +494,19 @@
 
     /** Sends the request to another server if that is safe and permitted; refuses or aborts it otherwise. */
     private void retry(RefusalReason reason, boolean isNotRun) {
-        if (hasEnded) {
-            return;
+        if (!hasEnded) {
+            boolean isSafe = isNotRun && !priorAttempts.mayHaveRun() || mayRepeat();
+            retryOrElse(isSafe, () -> refuseOrAbort(reason, DEFAULT_RETRY_AFTER));
         }
-        boolean isSafe = isNotRun && !priorAttempts.mayHaveRun() || mayRepeat();
+    }
+
+    private void retryOrElse(boolean isSafe, Runnable fallback) {
         Optional<String> obstacle = isSafe ? obstacleToRetry() : Optional.of("may have run");
         if (obstacle.isEmpty()) {
             findServer();
         } else {
             log.notRetried(obstacle.get());
-            refuseOrAbort(reason, DEFAULT_RETRY_AFTER);
+            fallback.run();
         }
     }
 
--- a/src/main/java/org/borageproxy/forward/PriorAttempts.java
+++ b/src/main/java/org/borageproxy/forward/PriorAttempts.java
@@ -14,10 +14,13 @@
 
     /** Maximum number of sends of one request, including those that a server refused. */
     private static final int MAX_SENDS = 4;
+    /** Number of slots that may expire unused before this VM selects the server itself. */
+    private static final int MAX_EXPIRED_SLOTS = 1;
 
     private final Set<BackendServerName> triedServers = new HashSet<>();
     private final Set<BackendServerName> serversWithoutModel = new HashSet<>();
     private final Set<BackendServerName> goneServers = new HashSet<>();
+    private int expiredSlots;
     private int sends;
     private int possibleRuns;
 
@@ -85,6 +88,25 @@
         triedServers.add(server);
     }
 
+    /**
+     * Records that the request was not sent to a server since the slot there had expired.
+     *
+     * @param server the server, which may be selected again
+     */
+    void recordSlotExpired(BackendServerName server) {
+        triedServers.remove(server);
+        expiredSlots++;
+    }
+
+    /**
+     * Returns whether the coordinator may be asked for a slot.
+     *
+     * @return {@code false} if slots have expired repeatedly, since this VM is too slow to use them
+     */
+    boolean mayAskForSlot() {
+        return expiredSlots <= MAX_EXPIRED_SLOTS;
+    }
+
     /** Records that the request is sent, and may run. */
     void recordSent() {
         sends++;
--- a/src/main/java/org/borageproxy/forward/SendConditions.java
+++ b/src/main/java/org/borageproxy/forward/SendConditions.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 
 import org.borageproxy.membership.BackendServer;
+import org.borageproxy.time.Deadline;
 import org.borageproxy.vm.VmName;
 
 /**
@@ -41,4 +42,17 @@
                 .obstacle(server, buffered.allowedRegions(), relay)
                 .or(() -> ServerWrites.obstacle(context, buffered, server));
     }
+
+    /**
+     * Returns whether the slot for a request has expired, as in a VM that was frozen after the slot was granted.
+     *
+     * @param context the collaborators of forwarding
+     * @param slotValidUntil the end of the slot; empty if this VM selected the server itself
+     * @return {@code true} if the coordinator may have given the slot to another request
+     */
+    static boolean isSlotExpired(ForwardContext context, Optional<Deadline> slotValidUntil) {
+        return slotValidUntil
+                .filter(until -> until.hasPassed(context.clock().nanoTime()))
+                .isPresent();
+    }
 }
--- a/src/main/java/org/borageproxy/forward/SlotBroker.java
+++ b/src/main/java/org/borageproxy/forward/SlotBroker.java
@@ -53,8 +53,8 @@
     private static final Duration MIN_RUN_TIME = Duration.ofMillis(300);
     /** Retry-after time for a model whose load has not been ordered or did not complete in time. */
     private static final Duration UNORDERED_RETRY_AFTER = Duration.ofMillis(1500);
-    /** Period for which a granted slot counts as used before its entry reports it. */
-    private static final Duration UNREPORTED_GRANT_VALIDITY = Duration.ofMillis(800);
+    /** Period for which a granted slot counts as used before its entry reports it; an entry must not use it later. */
+    static final Duration UNREPORTED_GRANT_VALIDITY = Duration.ofMillis(800);
 
     private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(10);
 
--- a/src/main/java/org/borageproxy/forward/SlotClient.java
+++ b/src/main/java/org/borageproxy/forward/SlotClient.java
@@ -53,8 +53,10 @@
          * Called once for each request.
          *
          * @param answer the answer; empty if there is none, so that this VM must select the server itself
+         * @param slotValidUntil the time until which a granted slot may be used; the coordinator then gives it to
+         *     another request, unless this VM has reported it
          */
-        void onAnswer(Optional<SlotAnswer> answer);
+        void onAnswer(Optional<SlotAnswer> answer, Deadline slotValidUntil);
     }
 
     /**
@@ -105,9 +107,11 @@
             Optional<StreamOrigin> origin,
             AnswerListener listener) {
         long nowNanos = clock.nanoTime();
+        // The coordinator counts from the grant, which is later; the clocks of VMs cannot be compared.
+        Deadline slotValidUntil = Deadline.after(nowNanos, SlotBroker.UNREPORTED_GRANT_VALIDITY);
         Optional<VmName> target = coordinator.get();
         if (target.isEmpty() || !backoffUntil.hasPassed(nowNanos)) {
-            listener.onAnswer(Optional.empty());
+            listener.onAnswer(Optional.empty(), slotValidUntil);
             return;
         }
         long objectiveMillis = buffered.objectiveDeadline().remainingMillis(nowNanos);
@@ -131,8 +135,8 @@
                         MessageKind.SLOT,
                         request.build().toByteString(),
                         Deadline.after(nowNanos, ANSWER_TIMEOUT))
-                .whenComplete((body, failure) ->
-                        eventLoop.execute(() -> handleAnswer(target.get(), body, failure, listener)));
+                .whenComplete((body, failure) -> eventLoop.execute(
+                        () -> listener.onAnswer(parseAnswer(target.get(), body, failure), slotValidUntil)));
     }
 
     private static void addWork(SlotRequest.Builder request, EngineWork work) {
@@ -145,21 +149,20 @@
                         PartOfPrompt.newBuilder().setIdentity(part.identity()).setTokens(part.tokens())));
     }
 
-    private void handleAnswer(VmName target, ByteString body, Throwable failure, AnswerListener listener) {
+    private Optional<SlotAnswer> parseAnswer(VmName target, ByteString body, Throwable failure) {
         if (failure != null) {
             backoffUntil = Deadline.after(clock.nanoTime(), BACKOFF);
             LOGGER.info("event=slot-unanswered vm={} reason=\"{}\"", target, failure.getMessage());
-            listener.onAnswer(Optional.empty());
-            return;
+            return Optional.empty();
         }
         try {
             SlotAnswer answer = SlotAnswer.parseFrom(body);
             lastSlot = Math.max(lastSlot, answer.getSlot());
             boolean isFromCoordinator = answer.getOutcome() != SlotAnswer.Outcome.NOT_COORDINATOR;
-            listener.onAnswer(isFromCoordinator ? Optional.of(answer) : Optional.empty());
+            return isFromCoordinator ? Optional.of(answer) : Optional.empty();
         } catch (InvalidProtocolBufferException exception) {
             LOGGER.warn("event=slot-malformed vm={}", target);
-            listener.onAnswer(Optional.empty());
+            return Optional.empty();
         }
     }
 
--- a/src/test/java/org/borageproxy/platform/ForwardingFixture.java
+++ b/src/test/java/org/borageproxy/platform/ForwardingFixture.java
@@ -36,6 +36,7 @@
 import org.borageproxy.forward.SuspectRequests;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerFixture;
+import org.borageproxy.publication.EnginePool;
 import org.borageproxy.publication.Publication;
 import org.borageproxy.publication.PublishedRoute;
 import org.borageproxy.publication.PublishedService;
@@ -47,6 +48,7 @@
 import org.borageproxy.settings.Endpoint;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
+import org.borageproxy.vm.VmName;
 import org.borageproxy.wire.MessageKind;
 import org.borageproxy.wire.VmNetwork;
 import org.borageproxy.wire.VmStreams;
@@ -57,6 +59,8 @@
  */
 final class ForwardingFixture implements AutoCloseable {
 
+    private static final EnginePool ENGINES = new EnginePool(64, 100_000, 2, 200_000, 8, 2, Map.of());
+
     private final List<BackendServer> servers = new CopyOnWriteArrayList<>();
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
     private final ContextInternal context = ((VertxInternal) vertx).createEventLoopContext();
@@ -68,13 +72,13 @@
         INSTANCE;
 
         @Override
-        public void send(org.borageproxy.vm.VmName recipient, MessageKind kind, ByteString body) {
+        public void send(VmName recipient, MessageKind kind, ByteString body) {
             throw new AssertionError("sent a message: " + kind);
         }
 
         @Override
         public CompletionStage<ByteString> request(
-                org.borageproxy.vm.VmName recipient, MessageKind kind, ByteString body, Deadline deadline) {
+                VmName recipient, MessageKind kind, ByteString body, Deadline deadline) {
             throw new AssertionError("sent a request: " + kind);
         }
 
@@ -89,7 +93,7 @@
 
         @Override
         public CompletionStage<Channel> open(
-                org.borageproxy.vm.VmName recipient, ByteString request, EventLoop eventLoop, Deadline deadline) {
+                VmName recipient, ByteString request, EventLoop eventLoop, Deadline deadline) {
             throw new AssertionError("opened a stream");
         }
 
@@ -119,7 +123,22 @@
     }
 
     ForwardingFixture(BufferLimits limits, Duration routeTimeout) throws Exception {
-        MonotonicClock clock = MonotonicClock.ofSystem();
+        this(limits, routeTimeout, MonotonicClock.ofSystem(), NoNetwork.INSTANCE, Optional.empty());
+    }
+
+    /**
+     * Starts a forwarding server.
+     *
+     * @param network transports the requests for slots
+     * @param coordinator the coordinator, which grants slots at the servers, engines in this case; empty for none
+     */
+    ForwardingFixture(
+            BufferLimits limits,
+            Duration routeTimeout,
+            MonotonicClock clock,
+            VmNetwork network,
+            Optional<VmName> coordinator)
+            throws Exception {
         buffers = new BufferAccount(limits, clock);
         ServerLinks links = new ServerLinks(
                 context.nettyEventLoop(),
@@ -130,21 +149,16 @@
                 clock,
                 new PlatformHeaders(),
                 new ServerPool(() -> List.copyOf(servers), clock, BackendServerFixture.ZONE, new Random(1), () -> 1),
-                new SlotClient(
-                        NoNetwork.INSTANCE,
-                        Optional::empty,
-                        BackendServerFixture.ZONE,
-                        clock,
-                        context.nettyEventLoop()),
+                new SlotClient(network, () -> coordinator, BackendServerFixture.ZONE, clock, context.nettyEventLoop()),
                 new StreamOriginClient(
                         new StreamOrigins(clock), NoNetwork.INSTANCE, Optional::empty, clock, context.nettyEventLoop()),
                 new ServerConnectionPool(links, clock),
-                new RateShares(System.nanoTime(), new Random(1), () -> 1),
+                new RateShares(clock.nanoTime(), new Random(1), () -> 1),
                 service -> new RetryBudget(1, 100),
                 NoSuspects.INSTANCE,
                 buffers,
                 ForwardMetrics.NoOp.INSTANCE);
-        ServedPublication served = new ServedPublication(publication(routeTimeout));
+        ServedPublication served = new ServedPublication(publication(routeTimeout, coordinator.map(vm -> ENGINES)));
         forwarding = new ForwardServer(vertx, forwardContext, () -> Optional.of(served), new Random(1));
         try (ServerSocket free = new ServerSocket(0)) {
             port = free.getLocalPort();
@@ -155,14 +169,14 @@
         listening.get(10, TimeUnit.SECONDS);
     }
 
-    private static Publication publication(Duration routeTimeout) {
+    private static Publication publication(Duration routeTimeout, Optional<EnginePool> engines) {
         return new Publication(
                 1,
                 List.of(
                         route("/safe/", Repeatability.IDEMPOTENT, routeTimeout),
                         route("/once/", Repeatability.ONCE, routeTimeout),
                         route("/stream/", Repeatability.STREAM, routeTimeout)),
-                Map.of("s", new PublishedService("s", 100, Optional.empty())),
+                Map.of("s", new PublishedService("s", 100, engines)),
                 Map.of(
                         "w", new PublishedWorkspace("w", Set.of("key-w"), 0, 0, 0, 1),
                         "v", new PublishedWorkspace("v", Set.of("key-v"), 0, 0, 0, 1)),
@@ -196,6 +210,11 @@
         return buffers;
     }
 
+    /** Runs a task on the event loop, after those that wait there. */
+    void execute(Runnable task) {
+        context.nettyEventLoop().execute(task);
+    }
+
     /** Runs a task on the event loop and returns its result. */
     <T> T onEventLoop(Callable<T> task) throws Exception {
         CompletableFuture<T> result = new CompletableFuture<>();
