--- a/src/test/java/org/borageproxy/forward/SlotClientTest.java
+++ b/src/test/java/org/borageproxy/forward/SlotClientTest.java
@@ -70,7 +70,12 @@
                 CrashSuspects.of(RequestDigest.fingerprint("w", "/", new byte[0]), "s", List.of()),
                 time.nowNanos(),
                 Deadline.after(time.nowNanos(), Duration.ofSeconds(5)));
-        client.request(buffered, new PriorAttempts(), Set.of(), Optional.empty(), answers::add);
+        client.request(
+                buffered,
+                new PriorAttempts(),
+                Set.of(),
+                Optional.empty(),
+                (answer, slotValidUntil) -> answers.add(answer));
         return answers;
     }
 
