--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -122,8 +122,8 @@
     }
 
     private void findServer() {
-        boolean isPlainService = buffered.inferenceWork().isEmpty();
-        boolean needsSlot = !isPlainService || context.pool().needsCoordinator(buffered.service());
+        boolean needsSlot =
+                buffered.inferenceWork().isPresent() || context.pool().needsCoordinator(buffered.service());
         if (!needsSlot || !priorAttempts.mayAskForSlot()) {
             localSearch.search();
             return;
@@ -131,13 +131,8 @@
         Set<BackendServerName> excluded = context.unusable(buffered.allowedRegions());
         excluded.addAll(priorAttempts.triedServers());
         context.slotClient().request(buffered, priorAttempts, excluded, stream.origin(), (answer, slotValidUntil) -> {
-            if (hasEnded) {
-                return;
-            }
-            if (answer.isPresent()) {
-                handleSlotAnswer(answer.get(), slotValidUntil);
-            } else {
-                localSearch.search();
+            if (!hasEnded) {
+                answer.ifPresentOrElse(slot -> handleSlotAnswer(slot, slotValidUntil), localSearch::search);
             }
         });
     }
@@ -170,17 +165,13 @@
             findServer();
             return;
         }
-        discardKeptAnswer();
+        // Timers and the caller's connection may refer to an earlier attempt for long.
+        currentAttempt.ifPresent(earlier -> earlier.received.discardBody());
         Attempt attempt = new Attempt(choice, slotValidUntil);
         currentAttempt = Optional.of(attempt);
         context.connections().connect(choice.server(), attempt);
     }
 
-    /** Drops what is kept of an answer, to which timers and the caller's connection may refer for long. */
-    private void discardKeptAnswer() {
-        currentAttempt.ifPresent(attempt -> attempt.received.discardBody());
-    }
-
     /** One attempt to run the request on one server. */
     private final class Attempt implements ServerConnectionPool.ConnectListener, ServerConnection.Listener {
         private final ServerSelector.Choice choice;
@@ -207,11 +198,8 @@
                 return;
             }
             Optional<String> obstacle = SendConditions.obstacle(context, buffered, stream, server, acquired.relay())
-                    .or(crashEvidence::obstacle);
-            if (obstacle.isEmpty() && SendConditions.isSlotExpired(context, slotValidUntil)) {
-                obstacle = Optional.of("slot expired before the request was sent");
-                priorAttempts.recordSlotExpired(server.name());
-            }
+                    .or(crashEvidence::obstacle)
+                    .or(() -> SendConditions.slotObstacle(context, server, slotValidUntil, priorAttempts));
             if (obstacle.isPresent()) {
                 acquired.close();
                 isOver = true;
@@ -601,7 +589,7 @@
                         buffered.route().name(),
                         outcome,
                         (context.clock().nanoTime() - buffered.arrivedAtNanos()) / 1e6);
-        discardKeptAnswer();
+        currentAttempt.ifPresent(attempt -> attempt.received.discardBody());
         relay.releaseBuffers();
         endListener.accept(this);
     }
--- a/src/main/java/org/borageproxy/forward/SendConditions.java
+++ b/src/main/java/org/borageproxy/forward/SendConditions.java
@@ -44,15 +44,27 @@
     }
 
     /**
-     * Returns whether the slot for a request has expired, as in a VM that was frozen after the slot was granted.
+     * Returns why the slot for a request must not be used, as in a VM that was frozen after the slot was granted: the
+     * coordinator may have given it to another request. The server may then be selected again.
      *
      * @param context the collaborators of forwarding
+     * @param server the server of the slot
      * @param slotValidUntil the end of the slot; empty if this VM selected the server itself
-     * @return {@code true} if the coordinator may have given the slot to another request
+     * @param priorAttempts records that the slot has expired
+     * @return empty if there is no slot or it may be used
      */
-    static boolean isSlotExpired(ForwardContext context, Optional<Deadline> slotValidUntil) {
-        return slotValidUntil
+    static Optional<String> slotObstacle(
+            ForwardContext context,
+            BackendServer server,
+            Optional<Deadline> slotValidUntil,
+            PriorAttempts priorAttempts) {
+        boolean isExpired = slotValidUntil
                 .filter(until -> until.hasPassed(context.clock().nanoTime()))
                 .isPresent();
+        if (!isExpired) {
+            return Optional.empty();
+        }
+        priorAttempts.recordSlotExpired(server.name());
+        return Optional.of("slot expired before the request was sent");
     }
 }
