Let entries of a large fleet retry with the chance of their share

An entry has 0.6 of the permitted burst divided by the number of entries. In fleets of more than 36 entries, with a burst of 60, that is less than one retry, to which a balance bounded by the share never grows: no entry retried a request that had been sent, and no stream that broke off was resumed within its answer. A share below one is now drawn for, and spent whatever the draw. Ruled out: a maximum of one retry for each entry, since 370 entries would hold 370 retries.

--- a/src/main/java/org/borageproxy/execution/RetryBudget.java
+++ b/src/main/java/org/borageproxy/execution/RetryBudget.java
@@ -1,13 +1,19 @@
 package org.borageproxy.execution;
 
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.DoubleSupplier;
+
 /**
  * Limits retries to a ratio of the requests of this VM, so that retries cannot multiply the load during an outage.
  * Every request deposits a fraction of a retry; a retry withdraws a whole one. The balance stays between zero and the
- * maximum. Thread safe; calls nothing while it holds its lock.
+ * maximum. A maximum below one retry, as the share of a VM in a large fleet is, would permit none at all; such a
+ * balance is drawn for instead, and spent whatever the draw, so that the VMs together spend what they are entitled to
+ * on average. Thread safe.
  */
 public final class RetryBudget {
 
     private final double ratio;
+    private final DoubleSupplier random;
     private double maximum;
     private double balance;
 
@@ -18,7 +24,19 @@
      * @param maximum the maximum balance, in retries
      */
     public RetryBudget(double ratio, double maximum) {
+        this(ratio, maximum, () -> ThreadLocalRandom.current().nextDouble());
+    }
+
+    /**
+     * Creates a budget whose balance is the maximum.
+     *
+     * @param ratio the fraction of a retry that each request deposits
+     * @param maximum the maximum balance, in retries
+     * @param random supplies numbers from zero to one, without one
+     */
+    RetryBudget(double ratio, double maximum, DoubleSupplier random) {
         this.ratio = ratio;
+        this.random = random;
         this.maximum = maximum;
         this.balance = maximum;
     }
@@ -34,6 +52,11 @@
      * @return {@code true} if the retry is permitted
      */
     public synchronized boolean tryWithdraw() {
+        if (maximum < 1.0) {
+            boolean isDrawn = random.getAsDouble() < balance;
+            balance = 0;
+            return isDrawn;
+        }
         if (balance < 1.0) {
             return false;
         }
--- a/src/main/java/org/borageproxy/execution/RetryBudgets.java
+++ b/src/main/java/org/borageproxy/execution/RetryBudgets.java
@@ -2,6 +2,8 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.DoubleSupplier;
 
 /**
  * The retry budgets of the services of one entry, each with this entry's share of the burst that the fleet may spend on
@@ -20,6 +22,7 @@
 
     private final double ratio;
     private final double fleetBurst;
+    private final DoubleSupplier random;
     private final Map<String, RetryBudget> budgets = new HashMap<>();
     private int entryCount = ASSUMED_ENTRY_COUNT;
     private boolean isEntryCountKnown;
@@ -31,6 +34,11 @@
      * @param fleetBurst the retries of the fleet in addition, for each service
      */
     public RetryBudgets(double ratio, double fleetBurst) {
+        this(ratio, fleetBurst, () -> ThreadLocalRandom.current().nextDouble());
+    }
+
+    RetryBudgets(double ratio, double fleetBurst, DoubleSupplier random) {
+        this.random = random;
         this.ratio = ratio;
         this.fleetBurst = fleetBurst;
     }
@@ -42,7 +50,7 @@
      * @return the budget, the same one for each call
      */
     public RetryBudget of(String service) {
-        return budgets.computeIfAbsent(service, name -> new RetryBudget(ratio * RATIO_FRACTION, burst()));
+        return budgets.computeIfAbsent(service, name -> new RetryBudget(ratio * RATIO_FRACTION, burst(), random));
     }
 
     private double burst() {
--- a/src/test/java/org/borageproxy/execution/RetryBudgetsTest.java
+++ b/src/test/java/org/borageproxy/execution/RetryBudgetsTest.java
@@ -1,5 +1,7 @@
 package org.borageproxy.execution;
 
+import java.util.Random;
+
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -69,4 +71,32 @@
         budgets.setEntryCount(2);
         assertEquals(18, withdrawAll());
     }
+
+    /**
+     * Load pattern: all servers fail at once for a fleet of 64 and one of 370 entries, each of which has a share of
+     * less than one retry. Guards against entries of a large fleet that retry nothing, so that no broken stream goes
+     * on, and against a fleet that spends more than it may.
+     */
+    @Test
+    void largeFleetSpendsItsShareAndNoMoreThanItMay() {
+        for (int entries : new int[] {64, 370}) {
+            for (int seed = 1; seed <= 20; seed++) {
+                Random random = new Random(seed);
+                int requests = 0;
+                int retries = 0;
+                for (int entry = 0; entry < entries; entry++) {
+                    RetryBudgets share = new RetryBudgets(0.2, 60, random::nextDouble);
+                    share.setEntryCount(entries);
+                    for (int request = 0; request < 10; request++) {
+                        requests++;
+                        share.of(SERVICE).deposit();
+                        retries += share.of(SERVICE).tryWithdraw() ? 1 : 0;
+                    }
+                }
+                int permitted = (int) (60 + 0.2 * requests);
+                assertTrue(retries <= permitted, retries + " of " + permitted + ", seed " + seed);
+                assertTrue(retries >= 18, retries + " with " + entries + " entries, seed " + seed);
+            }
+        }
+    }
 }
