--- a/review/standins/Engine.java
+++ b/review/standins/Engine.java
@@ -31,7 +31,11 @@
     final AtomicInteger active = new AtomicInteger();
 
     Engine(String id, String host, Record record, long adapterMillis) throws IOException {
-        super(id, "llm", host, record);
+        this(id, host, 0, "v1", record, adapterMillis);
+    }
+
+    Engine(String id, String host, int port, String version, Record record, long adapterMillis) throws IOException {
+        super(id, "llm", host, port, version, record);
         this.adapterMillis = adapterMillis;
     }
 
--- a/review/standins/Replica.java
+++ b/review/standins/Replica.java
@@ -3,6 +3,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -19,6 +20,7 @@
 
     final String id;
     final String service;
+    final String version;
     final Record record;
     private final ServerSocket listening;
     private final String address;
@@ -28,10 +30,18 @@
     private volatile boolean isRunning = true;
 
     Replica(String id, String service, String host, Record record) throws IOException {
+        this(id, service, host, 0, "v1", record);
+    }
+
+    /** Creates a replica with a version of its software, at a port; zero for any. */
+    Replica(String id, String service, String host, int port, String version, Record record) throws IOException {
         this.id = id;
         this.service = service;
+        this.version = version;
         this.record = record;
-        listening = new ServerSocket(0, 200, InetAddress.getByName(host));
+        listening = new ServerSocket();
+        listening.setReuseAddress(true);
+        listening.bind(new InetSocketAddress(InetAddress.getByName(host), port), 200);
         address = host + ":" + listening.getLocalPort();
     }
 
@@ -139,10 +149,14 @@
 
     final String heartbeat() {
         return "{\"Service\":\"" + service + "\",\"Address\":\"" + address + "\",\"Zone\":\"zone-a\","
-                + "\"Version\":\"v1\",\"State\":\"ready\",\"ColdRemainingMs\":0," + ownFields() + "\"Sequence\":"
+                + "\"Version\":\"" + version + "\",\"State\":\"ready\",\"ColdRemainingMs\":0," + ownFields() + "\"Sequence\":"
                 + beats.incrementAndGet() + ",\"born\":" + born + "}";
     }
 
+    final int port() {
+        return listening.getLocalPort();
+    }
+
     final long born() {
         return born;
     }
