Replace lost voters within the catch-up time, whoever leads

Cause: a voter that is gone was removed after 6 s of silence, which only the present leader measured, so that the time began anew with each leader; each of the six changes then waited for the next check. CatchUpS is 4 s. Ruled out: the log itself (the group commits every change that it is asked for).

Change: members apply at all members, so that each knows how long a voter has been silent, and a new leader goes on from there. A voter is removed after half of CatchUpS if each silent voter has a successor, a VM that first applied after the voter was last heard; otherwise after 6 s as before, since a partition may cut off the one while the other was replaced. It is removed only for a learner that holds all committed entries, and the next change follows at once.

--- a/src/main/java/org/borageproxy/control/AdmissionService.java
+++ b/src/main/java/org/borageproxy/control/AdmissionService.java
@@ -1,8 +1,10 @@
 package org.borageproxy.control;
 
 import java.time.Duration;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -23,8 +25,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Applies periodically for this VM's membership of the control group, and admits applicants while this VM is the
- * leader. Thread safe: the policy is guarded by its own monitor, and at most one change is in progress.
+ * Applies periodically for this VM's membership of the control group, at all members, and admits applicants while this
+ * VM is the leader. Thread safe: the policy is guarded by its own monitor, and at most one change is in progress.
  */
 public final class AdmissionService {
 
@@ -33,6 +35,8 @@
     private static final Duration INTERVAL = Duration.ofMillis(500);
     /** Maximum time for a change; a learner may have to catch up first. */
     private static final Duration CHANGE_TIMEOUT = Duration.ofMillis(1500);
+    /** Delay of the next decision after a committed change; the member publishes its new status meanwhile. */
+    private static final Duration NEXT_CHANGE_DELAY = Duration.ofMillis(20);
 
     private final GroupMember member;
     private final AdmissionPolicy policy;
@@ -95,20 +99,31 @@
             return;
         }
         ByteString application = ByteString.copyFromUtf8(member.status().self().toString());
-        Optional<VmName> leader = member.leader();
-        List<VmName> recipients = leader.map(List::of).orElseGet(controlVms);
-        recipients.forEach(recipient -> network.send(recipient, MessageKind.ADMISSION, application));
-        if (member.isLeader()) {
-            admit();
-        }
+        recipients().forEach(recipient -> network.send(recipient, MessageKind.ADMISSION, application));
+        admit();
         timer.schedule(INTERVAL, this::tick);
     }
 
+    /**
+     * Returns the VMs that learn that this one is alive: all members, since any of them may lead next, or all control
+     * VMs while this VM's member follows no leader.
+     */
+    private Set<VmName> recipients() {
+        Set<VmName> recipients = new LinkedHashSet<>();
+        member.status().members().all().forEach(other -> recipients.add(other.name()));
+        member.leader().ifPresentOrElse(recipients::add, () -> recipients.addAll(controlVms.get()));
+        return recipients;
+    }
+
+    /** Makes the next change if this VM is the leader. */
     private void admit() {
         MemberStatus status = member.status();
-        Optional<MemberChange> next;
+        Optional<MemberChange> next = Optional.empty();
         synchronized (policy) {
-            next = policy.nextChange(status.members(), status.responsiveMembers(), clock.nanoTime());
+            policy.recordStatus(status, clock.nanoTime());
+            if (isRunning && member.isLeader()) {
+                next = policy.nextChange(status, clock.nanoTime());
+            }
         }
         if (next.isEmpty() || !isChangeInProgress.compareAndSet(false, true)) {
             return;
@@ -118,6 +133,9 @@
                 .thenAccept(outcome -> {
                     isChangeInProgress.set(false);
                     logChange(change, status, outcome);
+                    if (outcome instanceof ChangeOutcome.Committed) {
+                        timer.schedule(NEXT_CHANGE_DELAY, this::admit);
+                    }
                 });
     }
 
--- a/src/main/java/org/borageproxy/log/CoreThread.java
+++ b/src/main/java/org/borageproxy/log/CoreThread.java
@@ -436,7 +436,8 @@
                 consensus.commitIndex(),
                 consensus.leader(),
                 consensus.members(),
-                consensus.responsiveMembers());
+                consensus.responsiveMembers(),
+                consensus.upToDateMembers());
     }
 
     /** Returns whether this member leads and its lease has not expired. */
--- a/src/main/java/org/borageproxy/log/MemberStatus.java
+++ b/src/main/java/org/borageproxy/log/MemberStatus.java
@@ -18,6 +18,8 @@
  * @param members the members in force, as of the last entry in the member's log
  * @param responsiveMembers this member and those that answered it within the lease duration if it leads; empty
  *     otherwise
+ * @param upToDateMembers the responsive members, other than this one, that hold all committed entries if it leads;
+ *     empty otherwise
  */
 public record MemberStatus(
         MemberId self,
@@ -26,4 +28,5 @@
         long commitIndex,
         Optional<MemberId> leader,
         Members members,
-        Set<MemberId> responsiveMembers) {}
+        Set<MemberId> responsiveMembers,
+        Set<MemberId> upToDateMembers) {}
--- a/src/main/java/org/borageproxy/log/consensus/Consensus.java
+++ b/src/main/java/org/borageproxy/log/consensus/Consensus.java
@@ -260,6 +260,15 @@
         return leadership.map(Leadership::responsiveMembers).orElse(Set.of());
     }
 
+    /**
+     * Returns the other members that answered this leader within the lease duration and hold all committed entries.
+     *
+     * @return the members; empty if this member does not lead
+     */
+    public Set<MemberId> upToDateMembers() {
+        return leadership.map(Leadership::upToDateMembers).orElse(Set.of());
+    }
+
     /**
      * Returns the members in force, as of the last entry in the log, committed or not.
      *
--- a/src/main/java/org/borageproxy/log/consensus/Leadership.java
+++ b/src/main/java/org/borageproxy/log/consensus/Leadership.java
@@ -135,13 +135,8 @@
         if (isChangePending || state.commitIndex() < termStartIndex) {
             return Optional.of(MemberChange.Refusal.CHANGE_IN_PROGRESS);
         }
-        Progress progress = progressByMember.get(change.member());
-        boolean isUpToDate = progress != null
-                && progress.isCaughtUp()
-                && progress.mode() == Progress.Mode.REPLICATE
-                && progress.matchIndex() >= state.commitIndex()
-                && isResponsive(change.member());
-        Optional<MemberChange.Refusal> refusal = MembershipRules.refusal(log.members(), change, isUpToDate);
+        Optional<MemberChange.Refusal> refusal =
+                MembershipRules.refusal(log.members(), change, isUpToDate(change.member()));
         return refusal.isPresent() ? refusal : refusalIfMajoritySilent(MembershipRules.apply(log.members(), change));
     }
 
@@ -161,6 +156,20 @@
         return state.log().members().all().stream().filter(this::isResponsive).collect(Collectors.toUnmodifiableSet());
     }
 
+    /** Returns the other members that answered within the lease duration and hold all committed entries. */
+    Set<MemberId> upToDateMembers() {
+        return progressByMember.keySet().stream().filter(this::isUpToDate).collect(Collectors.toUnmodifiableSet());
+    }
+
+    private boolean isUpToDate(MemberId member) {
+        Progress progress = progressByMember.get(member);
+        return progress != null
+                && progress.isCaughtUp()
+                && progress.mode() == Progress.Mode.REPLICATE
+                && progress.matchIndex() >= state.commitIndex()
+                && isResponsive(member);
+    }
+
     private boolean isResponsive(MemberId member) {
         if (member.equals(state.self())) {
             return true;
--- a/src/main/java/org/borageproxy/platform/PlatformSettings.java
+++ b/src/main/java/org/borageproxy/platform/PlatformSettings.java
@@ -31,6 +31,7 @@
 
     private static final long DEFAULT_GRACE_PERIOD_MILLIS = 8_000;
     private static final long DEFAULT_HANDOVER_DELAY_MILLIS = 3_000;
+    private static final long DEFAULT_CATCH_UP_MILLIS = 4_000;
     private static final double DEFAULT_RETRY_RATIO = 0.1;
     private static final double DEFAULT_COLD_OVERAGE = 1.5;
     private static final double DEFAULT_COLD_SLACK = 5;
@@ -115,6 +116,7 @@
                     optionalNumber("Bounds.RetryBudgetRatio", DEFAULT_RETRY_RATIO),
                     optionalNumber("Bounds.RetryBudgetSlack", 0),
                     (long) optionalNumber("Bounds.LeaseMs", DEFAULT_HANDOVER_DELAY_MILLIS),
+                    (long) (optionalNumber("Bounds.CatchUpS", DEFAULT_CATCH_UP_MILLIS / 1e3) * 1e3),
                     optionalNumber("Bounds.ColdOverage", DEFAULT_COLD_OVERAGE),
                     optionalNumber("Bounds.ColdSlack", DEFAULT_COLD_SLACK));
         }
--- a/src/main/java/org/borageproxy/server/GatewayControl.java
+++ b/src/main/java/org/borageproxy/server/GatewayControl.java
@@ -136,7 +136,9 @@
                 member::isLeader, () -> member.status().term(), this::announceCoordinator, runtime.timer());
         admission = new AdmissionService(
                 member,
-                new AdmissionPolicy(runtime.settings().bounds().targetVoterCount()),
+                new AdmissionPolicy(
+                        runtime.settings().bounds().targetVoterCount(),
+                        Duration.ofMillis(runtime.settings().bounds().catchUpMillis())),
                 runtime.network(),
                 runtime::controlVms,
                 runtime.clock(),
--- a/src/main/java/org/borageproxy/server/GatewaySettings.java
+++ b/src/main/java/org/borageproxy/server/GatewaySettings.java
@@ -56,6 +56,8 @@
      * @param retryBurst the number of permitted retries beyond the ratio, over all VMs
      * @param handoverDelayMillis the time after an election before the new leader sends orders to engines, reserved for
      *     orders of the previous leader, in milliseconds
+     * @param catchUpMillis the time after its start within which the successor of a lost control VM replaces it, in
+     *     milliseconds
      * @param coldOverage the factor by which the requests to a cold server may exceed its rate in a second
      * @param coldSlack the number of requests beyond that factor which a cold server may get in a second
      */
@@ -65,6 +67,7 @@
             double retryRatio,
             double retryBurst,
             long handoverDelayMillis,
+            long catchUpMillis,
             double coldOverage,
             double coldSlack) {
 
