Reopen a member of the control group after a failed write

Cause: the first failed write ended the threads of the member for good, and the process went on without it. An Error on the core thread ended it without even a log line.

Change: GroupMember reopens its folder until that succeeds, by what a restart does: the batch whose write failed is cut off, the log replayed, and the member follows. It votes, acknowledges and applies for nothing meanwhile. Before it starts, the log is synced and term and vote are written anew, since a failed sync reports its error only once. What was applied is not applied again, so that readers never see an earlier state. A violated invariant of the consensus core still stops the member for good.

--- a/src/main/java/org/borageproxy/control/AdmissionService.java
+++ b/src/main/java/org/borageproxy/control/AdmissionService.java
@@ -99,7 +99,9 @@
             return;
         }
         ByteString application = ByteString.copyFromUtf8(member.status().self().toString());
-        recipients().forEach(recipient -> network.send(recipient, MessageKind.ADMISSION, application));
+        if (member.isRunning()) {
+            recipients().forEach(recipient -> network.send(recipient, MessageKind.ADMISSION, application));
+        }
         admit();
         timer.schedule(INTERVAL, this::tick);
     }
--- a/src/main/java/org/borageproxy/log/CoreThread.java
+++ b/src/main/java/org/borageproxy/log/CoreThread.java
@@ -54,6 +54,8 @@
 
     private final Consensus consensus;
 
+    private final AppliedState applied;
+
     private final DiskWriter disk;
 
     private final BlockingQueue<Runnable> tasks = new LinkedBlockingQueue<>();
@@ -74,7 +76,7 @@
     /** Messages that wait until the write they require is durable, in the order in which they were emitted. */
     private final Deque<Effect.Send> deferredSends = new ArrayDeque<>();
 
-    private final CompletableFuture<Exception> failure = new CompletableFuture<>();
+    private final CompletableFuture<Throwable> failure = new CompletableFuture<>();
 
     private final Thread thread;
 
@@ -90,8 +92,6 @@
 
     private long durableWriteNumber;
 
-    private long appliedIndex;
-
     private long snapshotIndex;
 
     private long lastRequestId;
@@ -102,17 +102,20 @@
      * @param storage the storage of the member's log and state
      * @param settings the timing, batching and storage settings
      * @param context the environment of the member
+     * @param applied the state machine, which may have applied entries for an earlier core thread
      * @param seed the seed of the random election timeouts
      */
-    CoreThread(LogStorage storage, LogSettings settings, MemberContext context, long seed) {
+    CoreThread(LogStorage storage, LogSettings settings, MemberContext context, AppliedState applied, long seed) {
         this.settings = settings;
         this.context = context;
+        this.applied = applied;
         this.self = storage.restoredState().self();
         this.consensus = new Consensus(
                 storage.restoredState(),
                 settings,
                 new Random(seed),
                 context.clock().nanoTime());
+        this.applied.beginReplay();
         this.disk = new DiskWriter(storage, "log-disk-" + self.name(), this::onSynced, this::fail);
         this.thread = new Thread(this::run, "log-core-" + self.name());
         this.thread.setDaemon(true);
@@ -157,8 +160,8 @@
         });
     }
 
-    /** Stops the member permanently. Called by the core thread or the disk thread. */
-    private void fail(Exception exception) {
+    /** Stops both threads. Called by the core thread or the disk thread. */
+    private void fail(Throwable exception) {
         isRunning = false;
         lease = Optional.empty();
         LOGGER.error("event=log-member-failed member={} reason=\"{}\"", self, exception.toString(), exception);
@@ -272,11 +275,12 @@
             }
         } catch (InterruptedException exception) {
             LOGGER.debug("event=log-core-interrupted member={}", self);
-        } catch (RuntimeException exception) {
+        } catch (RuntimeException | Error exception) {
             fail(exception);
         } finally {
             isRunning = false;
             lease = Optional.empty();
+            status = status.afterStop();
             abandonRequests();
         }
     }
@@ -328,10 +332,9 @@
         } else if (effect instanceof Effect.Apply apply) {
             apply(apply.entry());
         } else if (effect instanceof Effect.Restore restore) {
-            context.stateMachine().restore(restore.snapshot().getState());
-            appliedIndex = restore.snapshot().getIndex();
-            snapshotIndex = appliedIndex;
-            pending.onSnapshotRestored(appliedIndex);
+            applied.restore(restore.snapshot());
+            snapshotIndex = restore.snapshot().getIndex();
+            pending.onSnapshotRestored(snapshotIndex);
         } else if (effect instanceof Effect.Appended appended) {
             pending.onAppended(appended);
             changes.remove(appended.id());
@@ -360,12 +363,7 @@
     }
 
     private void apply(Entry entry) {
-        appliedIndex = entry.getIndex();
-        ByteString reply = ByteString.EMPTY;
-        if (entry.getKind() == Entry.Kind.COMMAND) {
-            reply = context.stateMachine().apply(appliedIndex, entry.getStateMillis(), entry.getCommand());
-        }
-        pending.onApplied(entry, reply);
+        pending.onApplied(entry, applied.apply(entry));
     }
 
     /**
@@ -404,10 +402,10 @@
 
     /** Encodes the state machine once enough entries have been applied since the last snapshot. */
     private void takeSnapshotIfDue() {
-        if (appliedIndex - snapshotIndex >= settings.snapshotThresholdEntries()) {
-            snapshotIndex = appliedIndex;
-            inputs.add(
-                    new Input.SnapshotTaken(appliedIndex, context.stateMachine().snapshot()));
+        boolean isReplaying = applied.index() > consensus.commitIndex();
+        if (!isReplaying && applied.index() - snapshotIndex >= settings.snapshotThresholdEntries()) {
+            snapshotIndex = applied.index();
+            inputs.add(new Input.SnapshotTaken(snapshotIndex, applied.snapshot()));
         }
     }
 
@@ -456,15 +454,19 @@
     }
 
     /**
-     * Returns a stage that completes with the failure that stopped the member; it stays incomplete after a normal
+     * Returns a stage that completes with the failure that stopped the threads; it stays incomplete after a normal
      * close.
      */
-    CompletionStage<Exception> failure() {
+    CompletionStage<Throwable> failure() {
         return failure;
     }
 
-    /** Stops both threads and closes the storage. */
-    void close() {
+    /**
+     * Stops both threads and closes the storage.
+     *
+     * @throws IOException if the storage cannot be closed; the call can be repeated
+     */
+    void close() throws IOException {
         isRunning = false;
         wake();
         try {
@@ -472,8 +474,6 @@
             disk.close();
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
-        } catch (IOException exception) {
-            LOGGER.warn("event=log-storage-close-failed member={} reason=\"{}\"", self, exception.getMessage());
         }
     }
 }
--- a/src/main/java/org/borageproxy/log/DiskWriter.java
+++ b/src/main/java/org/borageproxy/log/DiskWriter.java
@@ -26,7 +26,7 @@
 
     private final LongConsumer onDurable;
 
-    private final Consumer<Exception> onFailure;
+    private final Consumer<Throwable> onFailure;
 
     private final BlockingQueue<Effect.Persist> queue = new LinkedBlockingQueue<>();
 
@@ -40,7 +40,7 @@
      * @param onDurable receives the number of the last durable write, on the writer's thread
      * @param onFailure receives the failure that ended the thread, on that thread
      */
-    DiskWriter(LogStorage storage, String threadName, LongConsumer onDurable, Consumer<Exception> onFailure) {
+    DiskWriter(LogStorage storage, String threadName, LongConsumer onDurable, Consumer<Throwable> onFailure) {
         this.storage = storage;
         this.onDurable = onDurable;
         this.onFailure = onFailure;
@@ -73,7 +73,7 @@
             }
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
-        } catch (IOException | RuntimeException exception) {
+        } catch (IOException | RuntimeException | Error exception) {
             onFailure.accept(exception);
         }
     }
--- a/src/main/java/org/borageproxy/log/GroupMember.java
+++ b/src/main/java/org/borageproxy/log/GroupMember.java
@@ -1,6 +1,7 @@
 package org.borageproxy.log;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.time.Duration;
@@ -9,6 +10,8 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 import com.google.protobuf.ByteString;
 import org.borageproxy.log.consensus.LogSettings;
@@ -17,15 +20,20 @@
 import org.borageproxy.log.consensus.Members;
 import org.borageproxy.log.consensus.RestoredState;
 import org.borageproxy.log.consensus.Role;
+import org.borageproxy.log.storage.DiskFile;
 import org.borageproxy.log.storage.DiskStorage;
 import org.borageproxy.log.storage.LogStorage;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.vm.VmName;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * This VM's member of the control group. Commands are proposed through {@link ReplicatedLog}; operators change the
  * membership through {@link #changeMembers}. Stages may complete on the member's core thread, so dependent actions must
- * not block. After a failure of the disk or the state machine the member stops permanently. Thread safe.
+ * not block. After a failed write or sync the member stops, and its folder is reopened until that succeeds, as after a
+ * restart of the process: meanwhile it neither votes nor acknowledges entries, and afterwards it holds what is durable
+ * and catches up. A member on a given storage, and one whose consensus core fails, stops permanently. Thread safe.
  */
 public final class GroupMember implements ReplicatedLog, AutoCloseable {
 
@@ -34,16 +42,50 @@
 
     private static final Duration TRANSFER_POLL_INTERVAL = Duration.ofMillis(5);
 
-    private final CoreThread core;
+    private static final Logger LOGGER = LoggerFactory.getLogger(GroupMember.class);
+
+    /** Delay before each attempt to reopen the storage. */
+    private static final Duration REOPEN_DELAY = Duration.ofMillis(250);
+
+    private final Optional<Reopening> reopening;
 
     private final LogSettings settings;
 
     private final MemberContext context;
 
-    private GroupMember(LogStorage storage, LogSettings settings, MemberContext context) {
+    private final AppliedState applied;
+
+    private final CompletableFuture<Throwable> failure = new CompletableFuture<>();
+
+    private final CountDownLatch closed = new CountDownLatch(1);
+
+    /** The threads of the member; replaced when the storage is reopened. */
+    private volatile CoreThread core;
+
+    /** Opens the storage of a member again after a failed write. */
+    @FunctionalInterface
+    private interface Reopening {
+
+        /**
+         * Opens the storage.
+         *
+         * @return the storage, whose content is durable
+         * @throws IOException if the storage cannot be read, or the disk still refuses writes
+         */
+        LogStorage open() throws IOException;
+    }
+
+    private GroupMember(
+            LogStorage storage, Optional<Reopening> reopening, LogSettings settings, MemberContext context) {
+        this.reopening = reopening;
         this.settings = settings;
         this.context = context;
-        this.core = new CoreThread(storage, settings, context, new SecureRandom().nextLong());
+        this.applied = new AppliedState(context.stateMachine());
+        this.core = createCore(storage);
+    }
+
+    private CoreThread createCore(LogStorage storage) {
+        return new CoreThread(storage, settings, context, applied, new SecureRandom().nextLong());
     }
 
     /**
@@ -110,7 +152,15 @@
      * @throws IOException if the folder holds no member, is damaged, or is in use by another process
      */
     public static GroupMember open(Path folder, LogSettings settings, MemberContext context) throws IOException {
-        return new GroupMember(DiskStorage.open(folder, settings.segmentBytes()), settings, context);
+        return open(folder, settings, context, DiskFile.ChannelFile::open);
+    }
+
+    /** Opens the member stored in a data folder, with a given way to open the files that it writes. */
+    static GroupMember open(Path folder, LogSettings settings, MemberContext context, DiskFile.Opener opener)
+            throws IOException {
+        DiskStorage storage = DiskStorage.open(folder, settings.segmentBytes(), opener);
+        Reopening reopening = () -> DiskStorage.reopen(folder, settings.segmentBytes(), opener);
+        return new GroupMember(storage, Optional.of(reopening), settings, context);
     }
 
     /**
@@ -122,7 +172,7 @@
      * @return the member, not started
      */
     public static GroupMember withStorage(LogStorage storage, LogSettings settings, MemberContext context) {
-        return new GroupMember(storage, settings, context);
+        return new GroupMember(storage, Optional.empty(), settings, context);
     }
 
     /**
@@ -135,12 +185,63 @@
     public static GroupMember inMemory(VmName self, MemberContext context) {
         MemberId member = MemberId.initial("memory", self);
         RestoredState state = RestoredState.fresh("memory", member, Members.ofVoters(List.of(member)));
-        return new GroupMember(new LogStorage.InMemory(state), LogSettings.IN_PROCESS, context);
+        return withStorage(new LogStorage.InMemory(state), LogSettings.IN_PROCESS, context);
     }
 
     /** Starts the member's threads and registers it with the network. */
     public void start() {
-        core.start();
+        start(core);
+    }
+
+    private void start(CoreThread started) {
+        started.failure().thenAccept(exception -> onFailure(started, exception));
+        started.start();
+    }
+
+    /** Reopens the storage on a thread of its own, since the failed thread must end first. */
+    private void onFailure(CoreThread failed, Throwable exception) {
+        boolean isStorageFailure = exception instanceof IOException
+                || exception instanceof UncheckedIOException
+                || exception instanceof Error;
+        if (reopening.isEmpty() || !isStorageFailure) {
+            failure.complete(exception);
+            return;
+        }
+        Thread thread = new Thread(
+                () -> reopen(failed, reopening.get()),
+                "log-reopen-" + status().self().name());
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void reopen(CoreThread failed, Reopening storage) {
+        try {
+            while (!closed.await(REOPEN_DELAY.toNanos(), TimeUnit.NANOSECONDS)) {
+                if (tryReopen(failed, storage)) {
+                    return;
+                }
+            }
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Starts new threads on the reopened storage, unless it cannot be opened or the member has been closed. */
+    private synchronized boolean tryReopen(CoreThread failed, Reopening storage) {
+        if (closed.getCount() == 0) {
+            return true;
+        }
+        try {
+            failed.close();
+            core = createCore(storage.open());
+            LOGGER.info("event=log-member-reopened member={}", status().self());
+            start(core);
+            return true;
+        } catch (IOException | RuntimeException exception) {
+            LOGGER.warn(
+                    "event=log-member-reopen-failed member={} reason=\"{}\"", status().self(), exception.toString());
+            return false;
+        }
     }
 
     @Override
@@ -189,6 +290,15 @@
         return core.isLeaseHeld();
     }
 
+    /**
+     * Returns whether the member takes part in the group.
+     *
+     * @return {@code false} after a failure, until the member is reopened, and after a close
+     */
+    public boolean isRunning() {
+        return core.isRunning();
+    }
+
     /**
      * Returns the member's current view of itself and the group.
      *
@@ -203,8 +313,8 @@
      *
      * @return completes with the failure; stays incomplete after a normal close
      */
-    public CompletionStage<Exception> failure() {
-        return core.failure();
+    public CompletionStage<Throwable> failure() {
+        return failure;
     }
 
     /**
@@ -231,7 +341,17 @@
                 break;
             }
         }
-        core.close();
+        closeCore();
+    }
+
+    private synchronized void closeCore() {
+        closed.countDown();
+        try {
+            core.close();
+        } catch (IOException exception) {
+            LOGGER.warn(
+                    "event=log-storage-close-failed member={} reason=\"{}\"", status().self(), exception.getMessage());
+        }
     }
 
     private boolean followsAnother() {
--- a/src/main/java/org/borageproxy/log/MemberStatus.java
+++ b/src/main/java/org/borageproxy/log/MemberStatus.java
@@ -29,4 +29,10 @@
         Optional<MemberId> leader,
         Members members,
         Set<MemberId> responsiveMembers,
-        Set<MemberId> upToDateMembers) {}
+        Set<MemberId> upToDateMembers) {
+
+    /** Returns the status of the same member after it has stopped: it neither leads nor follows a leader. */
+    MemberStatus afterStop() {
+        return new MemberStatus(self, Role.FOLLOWER, term, commitIndex, Optional.empty(), members, Set.of(), Set.of());
+    }
+}
--- a/src/main/java/org/borageproxy/log/storage/DiskStorage.java
+++ b/src/main/java/org/borageproxy/log/storage/DiskStorage.java
@@ -107,6 +107,31 @@
         return new DiskStorage(folder, segmentBytes, opener);
     }
 
+    /**
+     * Opens the storage of a member after one of its writes failed, and makes durable what it holds: an earlier sync
+     * may have failed, and its error is reported only once.
+     *
+     * @param folder the data folder, whose failed storage has been closed
+     * @param segmentBytes the size in bytes after which a segment is closed
+     * @param opener opens the files to write
+     * @return the storage
+     * @throws IOException if the folder cannot be read, is damaged, or still refuses writes
+     */
+    public static DiskStorage reopen(Path folder, int segmentBytes, DiskFile.Opener opener) throws IOException {
+        DiskStorage storage = open(folder, segmentBytes, opener);
+        try {
+            storage.segments.sync();
+            AtomicFile.replace(
+                    folder.resolve(HARD_STATE_FILE),
+                    storage.restoredState.hardState().toByteArray(),
+                    opener);
+            return storage;
+        } catch (IOException exception) {
+            storage.close();
+            throw exception;
+        }
+    }
+
     /**
      * Returns whether a folder holds a member.
      *
@@ -343,8 +368,15 @@
         return syncCount;
     }
 
+    /**
+     * Closes the files. A batch whose write failed is discarded first: none of it was acknowledged, and after a failed
+     * sync it may be readable without being durable. If that fails, the files remain open and the call can be repeated.
+     */
     @Override
     public void close() throws IOException {
+        if (hasFailed) {
+            segments.discardUnsynced();
+        }
         try {
             segments.close();
         } finally {
--- a/src/main/java/org/borageproxy/log/storage/Segments.java
+++ b/src/main/java/org/borageproxy/log/storage/Segments.java
@@ -225,6 +225,27 @@
         }
     }
 
+    /**
+     * Removes what was appended to the open segment and is not known to be durable.
+     *
+     * @throws IOException if the segment cannot be truncated
+     */
+    void discardUnsynced() throws IOException {
+        Path path = path(folder, openNumber);
+        if (Files.exists(path)) {
+            truncate(path, openBytes);
+        }
+    }
+
+    /**
+     * Waits until the open segment is durable.
+     *
+     * @throws IOException if durability is not certain
+     */
+    void sync() throws IOException {
+        openSegment.sync();
+    }
+
     @Override
     public void close() throws IOException {
         openSegment.close();
--- a/src/test/java/org/borageproxy/log/FailingFile.java
+++ b/src/test/java/org/borageproxy/log/FailingFile.java
@@ -6,7 +6,7 @@
 
 import org.borageproxy.log.storage.DiskFile;
 
-/** A file whose writes fail while its disk is marked as full. */
+/** A file whose writes fail, half of their bytes written, while its disk is marked as full. */
 final class FailingFile implements DiskFile {
 
     private final DiskFile file;
@@ -21,6 +21,7 @@
     @Override
     public void append(ByteBuffer bytes) throws IOException {
         if (isDiskFull.get()) {
+            file.append(bytes.slice(bytes.position(), bytes.remaining() / 2));
             throw new IOException("No space left on device");
         }
         file.append(bytes);
--- a/src/test/java/org/borageproxy/log/GroupMemberTest.java
+++ b/src/test/java/org/borageproxy/log/GroupMemberTest.java
@@ -131,6 +131,44 @@
         }
     }
 
+    /** Guards against members that stay away after a full disk, until too few are left for a majority. */
+    @Test
+    void membersWhoseDisksWereFullReturnSoThatGroupOutlivesOneAfterTheOther() throws Exception {
+        try (TestGroup group = new TestGroup(root, SETTINGS, "a", "b", "c")) {
+            group.commit("before");
+            List<VmName> names = List.of(A, B, C);
+            List<AtomicBoolean> disks =
+                    names.stream().map(name -> new AtomicBoolean()).toList();
+            for (int position = 0; position < names.size(); position++) {
+                group.kill(names.get(position));
+                AtomicBoolean isDiskFull = disks.get(position);
+                group.start(names.get(position), path -> new FailingFile(DiskFile.ChannelFile.open(path), isDiskFull));
+            }
+            for (int position = 0; position < names.size(); position++) {
+                GroupMember member = group.members.get(names.get(position));
+                disks.get(position).set(true);
+                TestGroup.await(() -> {
+                    group.commit("during");
+                    return !member.isRunning();
+                });
+                group.commit("failed " + position);
+                assertFalse(member.isLeader());
+                disks.get(position).set(false);
+                TestGroup.await(() -> member.isRunning() && member.leader().isPresent());
+                String last = "failed " + position;
+                TestGroup.await(() -> group.stateMachines
+                        .get(member.status().self().name())
+                        .commands()
+                        .contains(last));
+            }
+            group.kill(A);
+            group.commit("after");
+            List<String> expected = List.of("before", "during", "failed 0", "failed 1", "failed 2", "after");
+            TestGroup.await(() -> group.stateMachines.get(B).commands().equals(expected));
+            TestGroup.await(() -> group.stateMachines.get(C).commands().equals(expected));
+        }
+    }
+
     @Test
     void survivorOfLostMajorityContinuesAloneInNewGroup() throws Exception {
         try (TestGroup group = new TestGroup(root, LogSettings.IN_PROCESS, "a", "b", "c")) {
--- a/src/test/java/org/borageproxy/log/TestGroup.java
+++ b/src/test/java/org/borageproxy/log/TestGroup.java
@@ -14,6 +14,7 @@
 import org.borageproxy.log.consensus.LogSettings;
 import org.borageproxy.log.consensus.MemberChange;
 import org.borageproxy.log.consensus.MemberId;
+import org.borageproxy.log.storage.DiskFile;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
 import org.borageproxy.vm.VmName;
@@ -60,7 +61,11 @@
     }
 
     GroupMember start(VmName name) throws IOException {
-        GroupMember member = GroupMember.open(folder(name), settings, context(name));
+        return start(name, DiskFile.ChannelFile::open);
+    }
+
+    GroupMember start(VmName name, DiskFile.Opener opener) throws IOException {
+        GroupMember member = GroupMember.open(folder(name), settings, context(name), opener);
         members.put(name, member);
         member.start();
         return member;
