Bound the answers of engines to control VMs, and close what exceeds them

Cause: EngineCalls collected the whole body without a limit, and its timeout completed only the result; the exchange went on.

Change: BoundedExchange ends an exchange at its deadline or maximum size and closes the connection. Heads are bounded by the codec, which headWithoutEndIsCutOff shows also before the change.

ControlCallsTest passes now; it was not run before, since it would fill the heap of the test.

--- a/src/main/java/org/borageproxy/execution/EngineAttempt.java
+++ b/src/main/java/org/borageproxy/execution/EngineAttempt.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -13,6 +12,7 @@
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.JsonObject;
 import io.vertx.core.parsetools.RecordParser;
+import org.borageproxy.engine.BoundedExchange;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.result.ResultCode;
 import org.borageproxy.time.Deadline;
@@ -38,6 +38,8 @@
      * error.
      */
     private static final Duration CANCEL_TIMEOUT = Duration.ofMillis(500);
+
+    private static final int MAXIMUM_CANCEL_ANSWER_BYTES = 64 << 10;
     /** The stall timeout is the remaining time divided by this, which leaves time for another attempt. */
     private static final int STALL_TIMEOUT_DIVISOR = 2;
 
@@ -265,14 +267,21 @@
      * @return completes when the engine has responded or the timeout has expired
      */
     private Future<Void> cancelRun() {
-        RequestOptions options = options(HttpMethod.DELETE, "/v1/run/" + request.identity());
+        Deadline deadline = Deadline.after(System.nanoTime(), CANCEL_TIMEOUT);
+        RequestOptions options =
+                options(HttpMethod.DELETE, "/v1/run/" + request.identity()).setTimeout(CANCEL_TIMEOUT.toMillis());
         return dependencies
                 .clients()
                 .pooled()
                 .request(options)
-                .compose(HttpClientRequest::send)
-                .compose(HttpClientResponse::end)
-                .timeout(CANCEL_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+                .compose(cancellation -> BoundedExchange.send(
+                        dependencies.vertx(),
+                        cancellation,
+                        Buffer.buffer(),
+                        deadline,
+                        MAXIMUM_CANCEL_ANSWER_BYTES,
+                        head -> {}))
+                .<Void>mapEmpty()
                 .otherwiseEmpty();
     }
 
--- a/src/main/java/org/borageproxy/platform/ControlCalls.java
+++ b/src/main/java/org/borageproxy/platform/ControlCalls.java
@@ -31,9 +31,13 @@
     static final String READ_DRAINS_PATH = "/Evacuations.Read";
     private static final String JSON = "application/json";
     private static final int IDLE_TIMEOUT_SECONDS = 60;
+    /** Far more than the largest publication. */
+    private static final int MAX_BODY_BYTES = 4 << 20;
+
     private static final int OK = 200;
     private static final int BAD_REQUEST = 400;
     private static final int NOT_FOUND = 404;
+    private static final int TOO_LARGE = 413;
     private static final int UNAVAILABLE = 503;
 
     private final ControlPlane controlPlane;
@@ -67,18 +71,37 @@
                         "event=connection-failed peer={} reason=\"{}\"",
                         connection.remoteAddress(),
                         failure.getMessage())))
-                .requestHandler(request -> request.body().onSuccess(body -> calls.handle(request, body)))
+                .requestHandler(calls::read)
                 .listen()
                 .toCompletionStage();
     }
 
+    /** Reads the body; a caller may send one without end, so that a connection with too large a one is closed. */
+    private void read(HttpServerRequest request) {
+        Buffer body = Buffer.buffer();
+        request.handler(part -> {
+            if (body.length() + part.length() <= MAX_BODY_BYTES) {
+                body.appendBuffer(part);
+                return;
+            }
+            LOGGER.info("event=call-too-large path={} bytes={}", request.path(), body.length() + part.length());
+            request.handler(rest -> {}).endHandler(nothing -> {});
+            request.response()
+                    .setStatusCode(TOO_LARGE)
+                    .putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE)
+                    .end()
+                    .onComplete(sent -> request.connection().close());
+        });
+        request.endHandler(nothing -> handle(request, body));
+    }
+
     private void handle(HttpServerRequest request, Buffer body) {
         String path = request.path();
         boolean isPost = request.method().equals(HttpMethod.POST);
         if (isPost && path.equals(PUBLISH_PATH)) {
             publish(request, body);
         } else if (path.equals(READ_PATH) && request.method().equals(HttpMethod.GET)) {
-            read(request);
+            readPublication(request);
         } else if (isPost && path.startsWith(HEARTBEAT_PATH)) {
             heartbeat(request, path.substring(HEARTBEAT_PATH.length()), body);
         } else if (isPost && path.startsWith(DEREGISTER_PATH) && path.length() > DEREGISTER_PATH.length()) {
@@ -139,7 +162,7 @@
         });
     }
 
-    private void read(HttpServerRequest request) {
+    private void readPublication(HttpServerRequest request) {
         controlPlane
                 .read()
                 .thenAccept(document -> document.ifPresentOrElse(
--- a/src/main/java/org/borageproxy/platform/EngineCalls.java
+++ b/src/main/java/org/borageproxy/platform/EngineCalls.java
@@ -1,13 +1,14 @@
 package org.borageproxy.platform;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.TimeUnit;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -16,17 +17,23 @@
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import org.borageproxy.coordination.ModelInventory;
+import org.borageproxy.engine.BoundedExchange;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.LoadedModel;
 import org.borageproxy.placement.EngineClient;
+import org.borageproxy.time.Deadline;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** HTTP client that sends orders to model engines and reads their reports. Thread safe. */
+/**
+ * HTTP client that sends orders to model engines and reads their reports. An answer that is too large or incomplete
+ * after the timeout counts as none, and its connection is closed. Thread safe.
+ */
 final class EngineCalls implements EngineClient {
 
     private static final Logger LOGGER = LoggerFactory.getLogger(EngineCalls.class);
@@ -37,7 +44,9 @@
     private static final int KEEP_ALIVE_TIMEOUT_SECONDS = 2;
     private static final int MAX_CONNECTIONS_PER_ENGINE = 4;
     /** Generous, since engines answer within milliseconds. */
-    private static final long CALL_TIMEOUT_MILLIS = 800;
+    private static final Duration CALL_TIMEOUT = Duration.ofMillis(800);
+    /** Far more than a report of all models and adapters that an engine can hold. */
+    private static final int MAX_BODY_BYTES = 1 << 20;
 
     private static final int DONE = 200;
     private static final int STARTED = 202;
@@ -46,10 +55,12 @@
     private static final int MISDIRECTED = 421;
     private static final int UNAVAILABLE = 503;
 
+    private final Vertx vertx;
     private final HttpClient client;
     private final AnswerListener listener;
 
     EngineCalls(Vertx vertx, AnswerListener listener) {
+        this.vertx = vertx;
         this.listener = listener;
         client = vertx.httpClientBuilder()
                 .with(new HttpClientOptions()
@@ -74,15 +85,8 @@
         if (!order.adapter().isEmpty()) {
             body.put("Adapter", order.adapter());
         }
-        return client.request(HttpMethod.POST, server.port(), server.host(), ORDER_PATH)
-                .compose(request -> request.putHeader(HttpHeaders.CONTENT_TYPE, "application/json")
-                        .putHeader(EXPECTED_SERVER_HEADER, server.name().value())
-                        .send(body.toBuffer()))
-                .compose(response -> {
-                    readStatement(server, response);
-                    return response.body().map(ignored -> toReply(response.statusCode()));
-                })
-                .timeout(CALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+        return call(server, HttpMethod.POST, ORDER_PATH, body.toBuffer())
+                .map(answer -> toReply(answer.status()))
                 .otherwise(failure -> {
                     LOGGER.info("event=order-unanswered server={} reason=\"{}\"", server.name(), failure.getMessage());
                     return OrderReply.UNKNOWN;
@@ -103,16 +107,8 @@
 
     @Override
     public CompletionStage<Optional<EngineReport>> fetchState(BackendServer server) {
-        return client.request(HttpMethod.GET, server.port(), server.host(), REPORT_PATH)
-                .compose(request -> request.putHeader(
-                                EXPECTED_SERVER_HEADER, server.name().value())
-                        .send())
-                .compose(response -> {
-                    readStatement(server, response);
-                    return response.body();
-                })
-                .map(body -> parseReport(server, body))
-                .timeout(CALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+        return call(server, HttpMethod.GET, REPORT_PATH, Buffer.buffer())
+                .map(answer -> parseReport(server, answer.body()))
                 .otherwise(failure -> {
                     LOGGER.info("event=report-unanswered server={} reason=\"{}\"", server.name(), failure.getMessage());
                     return Optional.empty();
@@ -120,6 +116,29 @@
                 .toCompletionStage();
     }
 
+    /** Calls an engine; the timeout includes the time until a connection is available. */
+    private Future<BoundedExchange.Answer> call(BackendServer server, HttpMethod method, String path, Buffer content) {
+        Deadline deadline = Deadline.after(System.nanoTime(), CALL_TIMEOUT);
+        RequestOptions options = new RequestOptions()
+                .setMethod(method)
+                .setHost(server.host())
+                .setPort(server.port())
+                .setURI(path)
+                .setTimeout(CALL_TIMEOUT.toMillis())
+                .putHeader(EXPECTED_SERVER_HEADER, server.name().value());
+        if (content.length() > 0) {
+            options.putHeader(HttpHeaders.CONTENT_TYPE, "application/json");
+        }
+        return client.request(options)
+                .compose(request -> BoundedExchange.send(
+                        vertx,
+                        request,
+                        content,
+                        deadline,
+                        MAX_BODY_BYTES,
+                        response -> readStatement(server, response)));
+    }
+
     private void readStatement(BackendServer server, HttpClientResponse response) {
         PlatformHeaders.parseRetryAfter(
                         response.statusCode(), response.headers().getAll(HttpHeaders.RETRY_AFTER))
