Match refusals by the sending, not by the request

Cause: after a 421 the same request may go to the same engine again, and went out on the connection that had carried the refusal. The second copy of the refusal came as the answer to the second sending; the identity does not tell them apart. A refusal that names no request was accepted on any connection.

Change: a request is never sent again on a connection that carried it, and a refusal that names no request counts only on a new connection.

--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -169,7 +169,7 @@
         currentAttempt.ifPresent(earlier -> earlier.received.discardBody());
         Attempt attempt = new Attempt(choice, slotValidUntil);
         currentAttempt = Optional.of(attempt);
-        context.connections().connect(choice.server(), attempt);
+        context.connections().connect(choice.server(), priorAttempts::mayUse, attempt);
     }
 
     /** One attempt to run the request on one server. */
@@ -213,7 +213,7 @@
             }
             connection = Optional.of(acquired);
             crashEvidence.recordAttempt();
-            priorAttempts.recordSent();
+            priorAttempts.recordSent(acquired);
             inFlightRequest = Optional.of(context.pool()
                     .recordStart(
                             choice,
@@ -247,9 +247,10 @@
         public void onHead(HttpResponse response) {
             CallerProtocol.ResponseMetadata answer =
                     context.protocol().parseResponse(response.status().code(), response.headers());
-            // An answer that states no request is accepted only if it says that the request did not run.
+            // An answer that states no request is accepted only if it says that the request did not run, and if it
+            // cannot be the copy of an earlier answer on the connection.
             boolean isOwn = answer.requestIdentity().isEmpty()
-                    ? answer.notRun()
+                    ? answer.notRun() && !connection.orElseThrow().isReused()
                     : answer.requestIdentity().equals(buffered.metadata().requestIdentity());
             if (!isOwn) {
                 closeConnection();
--- a/src/main/java/org/borageproxy/forward/PriorAttempts.java
+++ b/src/main/java/org/borageproxy/forward/PriorAttempts.java
@@ -20,6 +20,7 @@
     private final Set<BackendServerName> triedServers = new HashSet<>();
     private final Set<BackendServerName> serversWithoutModel = new HashSet<>();
     private final Set<BackendServerName> goneServers = new HashSet<>();
+    private final Set<ServerConnection> connections = new HashSet<>();
     private int expiredSlots;
     private int sends;
     private int possibleRuns;
@@ -107,10 +108,27 @@
         return expiredSlots <= MAX_EXPIRED_SLOTS;
     }
 
-    /** Records that the request is sent, and may run. */
-    void recordSent() {
+    /**
+     * Records that the request is sent, and may run.
+     *
+     * @param connection the connection, which must not carry the request again
+     */
+    void recordSent(ServerConnection connection) {
         sends++;
         possibleRuns++;
+        connections.add(connection);
+    }
+
+    /**
+     * Returns whether a connection may carry the request. A server may answer a request a second time, when the next
+     * answer on the connection is due; the identity of the request does not tell such a copy from the answer to a later
+     * sending of the same request.
+     *
+     * @param connection the connection
+     * @return {@code false} if the request was sent on the connection before
+     */
+    boolean mayUse(ServerConnection connection) {
+        return !connections.contains(connection);
     }
 
     /** Records that the server of the latest attempt has stated that it did not run the request. */
--- a/src/main/java/org/borageproxy/forward/ServerConnectionPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerConnectionPool.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BiPredicate;
+import java.util.function.Predicate;
 
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -69,13 +70,14 @@
      * Acquires an idle connection or opens a new one.
      *
      * @param server the server
+     * @param mayUse tests whether an idle connection may be used
      * @param listener receives the outcome, possibly before this method returns
      */
-    void connect(BackendServer server, ConnectListener listener) {
-        takeIdle(destination(server)).ifPresentOrElse(listener::onConnected, () -> open(server, listener));
+    void connect(BackendServer server, Predicate<ServerConnection> mayUse, ConnectListener listener) {
+        takeIdle(destination(server), mayUse).ifPresentOrElse(listener::onConnected, () -> open(server, listener));
     }
 
-    private Optional<ServerConnection> takeIdle(Destination destination) {
+    private Optional<ServerConnection> takeIdle(Destination destination, Predicate<ServerConnection> mayUse) {
         Iterator<ServerConnection> connections =
                 idle.getOrDefault(destination, new ArrayDeque<>()).iterator();
         while (connections.hasNext()) {
@@ -83,7 +85,7 @@
             if (!connection.isUsable(clock.nanoTime())) {
                 connections.remove();
                 connection.close();
-            } else if (connection.isReachable()) {
+            } else if (connection.isReachable() && mayUse.test(connection)) {
                 connections.remove();
                 return Optional.of(connection);
             }
--- a/src/test/java/org/borageproxy/platform/ScriptedServer.java
+++ b/src/test/java/org/borageproxy/platform/ScriptedServer.java
@@ -22,7 +22,19 @@
     private final List<String> requests = new CopyOnWriteArrayList<>();
     private final Function<String, Answer> script;
 
-    record Answer(String bytes, boolean closes, boolean resets) {}
+    /**
+     * What the server writes for a request.
+     *
+     * @param bytes the bytes
+     * @param closes whether it then closes the connection
+     * @param resets whether it then resets the connection
+     * @param late bytes that it writes when the next answer on the connection is due
+     */
+    record Answer(String bytes, boolean closes, boolean resets, String late) {
+        Answer(String bytes, boolean closes, boolean resets) {
+            this(bytes, closes, resets, "");
+        }
+    }
 
     ScriptedServer(Function<String, Answer> script) throws IOException {
         this.script = script;
@@ -47,9 +59,12 @@
     private void serve(Socket connection) {
         try (connection) {
             String request = read(connection.getInputStream());
+            String late = "";
             while (!request.isEmpty()) {
                 requests.add(request);
+                connection.getOutputStream().write(late.getBytes(StandardCharsets.UTF_8));
                 Answer answer = script.apply(request);
+                late = answer.late();
                 connection.getOutputStream().write(answer.bytes().getBytes(StandardCharsets.UTF_8));
                 connection.getOutputStream().flush();
                 if (answer.resets()) {
