Keep the parts of a VM going after a failure, and no final answer from an old state

Cause, found by reading: the watch of the state, the reports to the coordinator, the planning of models and other periodic tasks ended for good after one failure, without a log line, since the event loop keeps failures of scheduled tasks to itself. A document whose reading failed once was never read again. The process went on and answered as if sound.

Change: RepeatedTask, the watch and the reports go on after a failure and log it; PublicationReader reads a document again until it is in force, on entries and on control VMs. An entry answers 404 or 401 only if its state was confirmed within ConfigApplyMs and the newest document is in force; otherwise 503 with a time to come back.

--- a/src/main/java/org/borageproxy/control/AdmissionService.java
+++ b/src/main/java/org/borageproxy/control/AdmissionService.java
@@ -76,7 +76,7 @@
     public void start() {
         isRunning = true;
         network.registerHandler(MessageKind.ADMISSION, this::handleApplication);
-        timer.schedule(Duration.ZERO, this::tick);
+        RepeatedTask.start("admission", timer, Duration.ZERO, INTERVAL, this::tick);
     }
 
     /** Stops applying and admitting applicants; a change in progress continues. */
@@ -94,16 +94,17 @@
         return CompletableFuture.completedFuture(ByteString.EMPTY);
     }
 
-    private void tick() {
+    /** Returns whether the service still runs. */
+    private boolean tick() {
         if (!isRunning) {
-            return;
+            return false;
         }
         ByteString application = ByteString.copyFromUtf8(member.status().self().toString());
         if (member.isRunning()) {
             recipients().forEach(recipient -> network.send(recipient, MessageKind.ADMISSION, application));
         }
         admit();
-        timer.schedule(INTERVAL, this::tick);
+        return true;
     }
 
     /**
--- a/src/main/java/org/borageproxy/control/ControlClient.java
+++ b/src/main/java/org/borageproxy/control/ControlClient.java
@@ -229,9 +229,12 @@
     private void scheduleCheck() {
         if (!active.isEmpty() && isCheckScheduled.compareAndSet(false, true)) {
             timer.schedule(CHECK_INTERVAL, () -> {
-                active.forEach(SubmissionAttempts::review);
                 isCheckScheduled.set(false);
-                scheduleCheck();
+                try {
+                    active.forEach(SubmissionAttempts::review);
+                } finally {
+                    scheduleCheck();
+                }
             });
         }
     }
--- a/src/main/java/org/borageproxy/coordination/CoordinationClient.java
+++ b/src/main/java/org/borageproxy/coordination/CoordinationClient.java
@@ -166,6 +166,16 @@
                 coordinator != null ? coordinator : candidates.get(Math.floorMod(nextCandidate, candidates.size()));
         isReportInFlight = true;
         reportedTo = target;
+        try {
+            send(target);
+        } catch (RuntimeException | Error exception) {
+            LOGGER.error("event=report-failed vm={}", target, exception);
+            isReportInFlight = false;
+            schedule(REPORT_INTERVAL);
+        }
+    }
+
+    private void send(VmName target) {
         long round = lastRound;
         long reportedAtNanos = clock.nanoTime();
         nextUrgentReportAt = Deadline.after(reportedAtNanos, URGENT_REPORT_INTERVAL);
@@ -202,7 +212,12 @@
 
     private void handleAnswer(VmName target, ByteString body, Throwable failure, long reportedAtNanos) {
         isReportInFlight = false;
-        boolean isCoordinator = failure == null && handleUpdate(target, body, reportedAtNanos);
+        boolean isCoordinator = false;
+        try {
+            isCoordinator = failure == null && handleUpdate(target, body, reportedAtNanos);
+        } catch (RuntimeException | Error exception) {
+            LOGGER.error("event=update-failed vm={}", target, exception);
+        }
         if (failure != null) {
             coordinator = null;
             nextCandidate++;
--- a/src/main/java/org/borageproxy/coordination/LeadershipNotices.java
+++ b/src/main/java/org/borageproxy/coordination/LeadershipNotices.java
@@ -4,6 +4,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 
+import org.borageproxy.control.RepeatedTask;
 import org.borageproxy.control.Timer;
 
 /**
@@ -41,7 +42,7 @@
     /** Starts the checks. */
     public void start() {
         isRunning = true;
-        check();
+        RepeatedTask.start("leadership-notices", timer, Duration.ZERO, CHECK_INTERVAL, this::check);
     }
 
     /** Stops the checks. */
@@ -49,15 +50,13 @@
         isRunning = false;
     }
 
-    private void check() {
-        if (!isRunning) {
-            return;
-        }
-        timer.schedule(CHECK_INTERVAL, this::check);
+    /** Returns whether the checks go on. */
+    private boolean check() {
         long currentTerm = term.getAsLong();
-        if (currentTerm != announcedTerm && isLeader.getAsBoolean()) {
-            announcedTerm = currentTerm;
+        if (isRunning && currentTerm != announcedTerm && isLeader.getAsBoolean()) {
             announcement.run();
+            announcedTerm = currentTerm;
         }
+        return isRunning;
     }
 }
--- a/src/main/java/org/borageproxy/forward/ForwardServer.java
+++ b/src/main/java/org/borageproxy/forward/ForwardServer.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -65,6 +66,7 @@
     private final Vertx vertx;
     private final ForwardContext context;
     private final Supplier<Optional<ServedPublication>> publications;
+    private final BooleanSupplier isPublicationCurrent;
     private final RandomGenerator random;
     private HttpServer server;
     private final Set<Exchange> exchanges = new LinkedHashSet<>();
@@ -78,16 +80,20 @@
      * @param vertx runs the server
      * @param context the collaborators of forwarding
      * @param publications supplies the publication in force; empty until one is available
+     * @param isPublicationCurrent whether no newer publication can be due; otherwise a request that the one in force
+     *     does not allow may be allowed elsewhere
      * @param random the source for draws of services by weight
      */
     public ForwardServer(
             Vertx vertx,
             ForwardContext context,
             Supplier<Optional<ServedPublication>> publications,
+            BooleanSupplier isPublicationCurrent,
             RandomGenerator random) {
         this.vertx = vertx;
         this.context = context;
         this.publications = publications;
+        this.isPublicationCurrent = isPublicationCurrent;
         this.random = random;
     }
 
@@ -248,14 +254,14 @@
         }
         Optional<PublishedRoute> route = served.get().route(hostOf(request), pathOf(request.uri()));
         if (route.isEmpty()) {
-            refuse(request, fields.requestIdentity(), RefusalReason.NO_ROUTE, Optional.empty());
+            refuseByPublication(request, fields.requestIdentity(), RefusalReason.NO_ROUTE);
             return false;
         }
         Optional<PublishedWorkspace> workspace = fields.apiKey().flatMap(served.get()::workspaceOf);
         boolean needsKey = !route.get().isPublic()
                 && !served.get().publication().workspaces().isEmpty();
         if (needsKey && workspace.isEmpty()) {
-            refuse(request, fields.requestIdentity(), RefusalReason.KEY_REFUSED, Optional.empty());
+            refuseByPublication(request, fields.requestIdentity(), RefusalReason.KEY_REFUSED);
             return false;
         }
         BufferedRequest buffered = bufferedRequest(
@@ -273,6 +279,15 @@
         return true;
     }
 
+    /** Refuses a request for good, or until it is known whether a newer publication allows it. */
+    private void refuseByPublication(HttpServerRequest request, String identity, RefusalReason reason) {
+        if (isPublicationCurrent.getAsBoolean()) {
+            refuse(request, identity, reason, Optional.empty());
+        } else {
+            refuse(request, identity, RefusalReason.OLD_PUBLICATION, Optional.of(NO_PUBLICATION_RETRY_AFTER));
+        }
+    }
+
     private BufferedRequest bufferedRequest(
             HttpServerRequest request,
             byte[] body,
--- a/src/main/java/org/borageproxy/forward/RefusalReason.java
+++ b/src/main/java/org/borageproxy/forward/RefusalReason.java
@@ -4,6 +4,8 @@
 public enum RefusalReason {
     /** No publication is available yet. */
     NO_PUBLICATION(503, "no-publication"),
+    /** The publication in force does not allow the request, and a newer one may be due. */
+    OLD_PUBLICATION(503, "old-publication"),
     /** No route matches the host and path. */
     NO_ROUTE(404, "no-route"),
     /** The API key is missing or unknown. */
--- a/src/main/java/org/borageproxy/membership/BackendServerMembership.java
+++ b/src/main/java/org/borageproxy/membership/BackendServerMembership.java
@@ -147,9 +147,12 @@
 
     /** Exchanges digests and schedules the next exchange. */
     private void exchangeDigestsPeriodically() {
-        exchange.exchangeDigests();
-        long interval = exchange.isSynchronized() ? DIGEST_INTERVAL_MILLIS : INITIAL_DIGEST_INTERVAL_MILLIS;
-        digestTimer = vertx.setTimer(interval, timerId -> exchangeDigestsPeriodically());
+        try {
+            exchange.exchangeDigests();
+        } finally {
+            long interval = exchange.isSynchronized() ? DIGEST_INTERVAL_MILLIS : INITIAL_DIGEST_INTERVAL_MILLIS;
+            digestTimer = vertx.setTimer(interval, timerId -> exchangeDigestsPeriodically());
+        }
     }
 
     /**
--- a/src/main/java/org/borageproxy/placement/FleetPlacement.java
+++ b/src/main/java/org/borageproxy/placement/FleetPlacement.java
@@ -16,6 +16,7 @@
 import java.util.function.Supplier;
 import java.util.function.ToDoubleFunction;
 
+import org.borageproxy.control.RepeatedTask;
 import org.borageproxy.control.Timer;
 import org.borageproxy.coordination.Coordinator;
 import org.borageproxy.coordination.ModelInventory;
@@ -138,7 +139,7 @@
     /** Starts planning. Nothing is ordered while another VM leads. */
     public void start() {
         isRunning = true;
-        environment.timer().schedule(PLANNING_INTERVAL, this::tick);
+        RepeatedTask.start("placement", environment.timer(), PLANNING_INTERVAL, PLANNING_INTERVAL, this::tick);
     }
 
     /** Stops planning after the current tick. */
@@ -146,17 +147,18 @@
         isRunning = false;
     }
 
-    private void tick() {
+    /** Returns whether planning goes on. */
+    private boolean tick() {
         if (!isRunning) {
-            return;
+            return false;
         }
-        environment.timer().schedule(PLANNING_INTERVAL, this::tick);
         if (environment.isLeader().get()) {
             beginTerm();
             refillStoreTokens();
             refreshEngines();
             plan();
         }
+        return isRunning;
     }
 
     private void beginTerm() {
--- a/src/main/java/org/borageproxy/platform/PlatformSettings.java
+++ b/src/main/java/org/borageproxy/platform/PlatformSettings.java
@@ -32,6 +32,7 @@
     private static final long DEFAULT_GRACE_PERIOD_MILLIS = 8_000;
     private static final long DEFAULT_HANDOVER_DELAY_MILLIS = 3_000;
     private static final long DEFAULT_CATCH_UP_MILLIS = 4_000;
+    private static final long DEFAULT_PUBLICATION_DELAY_MILLIS = 2_000;
     private static final double DEFAULT_RETRY_RATIO = 0.1;
     private static final double DEFAULT_COLD_OVERAGE = 1.5;
     private static final double DEFAULT_COLD_SLACK = 5;
@@ -117,6 +118,7 @@
                     optionalNumber("Bounds.RetryBudgetSlack", 0),
                     (long) optionalNumber("Bounds.LeaseMs", DEFAULT_HANDOVER_DELAY_MILLIS),
                     (long) (optionalNumber("Bounds.CatchUpS", DEFAULT_CATCH_UP_MILLIS / 1e3) * 1e3),
+                    (long) optionalNumber("Bounds.ConfigApplyMs", DEFAULT_PUBLICATION_DELAY_MILLIS),
                     optionalNumber("Bounds.ColdOverage", DEFAULT_COLD_OVERAGE),
                     optionalNumber("Bounds.ColdSlack", DEFAULT_COLD_SLACK));
         }
--- a/src/main/java/org/borageproxy/server/GatewayControl.java
+++ b/src/main/java/org/borageproxy/server/GatewayControl.java
@@ -22,6 +22,7 @@
 import org.borageproxy.control.ControlClient;
 import org.borageproxy.control.ControlService;
 import org.borageproxy.control.ControlState;
+import org.borageproxy.control.RepeatedTask;
 import org.borageproxy.control.Submission;
 import org.borageproxy.coordination.Coordinator;
 import org.borageproxy.coordination.LeadershipNotices;
@@ -105,6 +106,8 @@
 
     private final ZoneOrders zoneOrders;
 
+    private final PublicationReader publicationReader;
+
     private volatile Optional<Publication> publication = Optional.empty();
 
     private GatewayControl(GatewayRuntime runtime, Path folder) throws IOException {
@@ -120,6 +123,8 @@
                 runtime.clock(),
                 runtime.timer(),
                 member::leader);
+        publicationReader = new PublicationReader(
+                runtime.protocol()::parsePublication, runtime.timer(), newest -> publication = Optional.of(newest));
         speeds = new SpeedCoordinator(runtime.membership().registry(), runtime.clock());
         pool = createServerPool();
         refusals = new ServerRefusals(
@@ -300,10 +305,10 @@
         }
     }
 
-    private void removeObsoleteState() {
+    private boolean removeObsoleteState() {
         pool.removeUnknownServers();
         speeds.removeUnknownServers();
-        runtime.timer().schedule(CLEANUP_INTERVAL, () -> runtime.eventLoop().execute(this::removeObsoleteState));
+        return true;
     }
 
     private void notifyEntries(String server, ModelInventory inventory) {
@@ -361,22 +366,13 @@
         runtime.network().registerHandler(MessageKind.COORDINATION, coordinator);
         runtime.spread().subscribeDrainedZones(zones -> runtime.eventLoop().execute(pool::retryQueued));
         runtime.spread()
-                .subscribeDocument(document -> applyDocument(
-                        document.getNumber(), document.getContent().toByteArray()));
+                .subscribeDocument(document -> runtime.eventLoop().execute(() -> publicationReader.read(document)));
         member.failure().thenAccept(failure -> LOGGER.error("event=member-failed", failure));
         member.start();
         admission.start();
         leadershipNotices.start();
         placement.start();
-        runtime.eventLoop().execute(this::removeObsoleteState);
-    }
-
-    private void applyDocument(long number, byte[] document) {
-        try {
-            publication = Optional.of(runtime.protocol().parsePublication(document));
-        } catch (IllegalArgumentException exception) {
-            LOGGER.error("event=publication-unreadable number={}", number, exception);
-        }
+        RepeatedTask.start("cleanup", runtime.timer(), CLEANUP_INTERVAL, CLEANUP_INTERVAL, this::removeObsoleteState);
     }
 
     private Map<String, PublishedWorkspace> workspaces() {
--- a/src/main/java/org/borageproxy/server/GatewayEntry.java
+++ b/src/main/java/org/borageproxy/server/GatewayEntry.java
@@ -17,6 +17,7 @@
 import org.borageproxy.buffer.BufferAccount;
 import org.borageproxy.buffer.BufferLimits;
 import org.borageproxy.control.ControlClient;
+import org.borageproxy.control.RepeatedTask;
 import org.borageproxy.coordination.CoordinationClient;
 import org.borageproxy.coordination.EntrySpeeds;
 import org.borageproxy.coordination.ModelInventory;
@@ -43,7 +44,6 @@
 import org.borageproxy.vm.AvailabilityZone;
 import org.borageproxy.vm.VmName;
 import org.borageproxy.warmup.WarmUpRules;
-import org.borageproxy.wire.proto.ControlProtocol.DocumentState;
 import org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate;
 import org.borageproxy.wire.proto.CoordinationProtocol.ModelPace;
 import org.borageproxy.wire.proto.CoordinationProtocol.UsageReport;
@@ -73,6 +73,7 @@
     private final StreamOrigins streamOrigins;
     private final ServerConnectionPool connectionPool;
     private final ServerRelay relay;
+    private final PublicationReader publicationReader;
     private final ForwardServer server;
     private final BufferAccount buffers;
     private final String session = UUID.randomUUID().toString();
@@ -112,9 +113,7 @@
         pool.onUrgentDemand(coordination::requestUrgentReport);
         pool.statements().onChange(coordination::requestUrgentReport);
         pool.onLoadChange(coordination::requestUrgentReport);
-        rateShares = new RateShares(runtime.clock().nanoTime(), random, () -> runtime.spread()
-                .registeredDataPlaneVms()
-                .size());
+        rateShares = new RateShares(runtime.clock().nanoTime(), random, this::registeredEntryCount);
         rateShares.onShortage(coordination::requestUrgentReport);
         coordination.onUnanswered(
                 () -> rateShares.recordUnanswered(runtime.clock().nanoTime()));
@@ -148,9 +147,16 @@
                         pool::mayHaveLackedMemory),
                 buffers,
                 metrics);
-        server = new ForwardServer(runtime.vertx(), context, () -> servedPublication, random);
+        publicationReader = new PublicationReader(runtime.protocol()::parsePublication, runtime.timer(), this::serve);
+        server = new ForwardServer(
+                runtime.vertx(), context, () -> servedPublication, this::isPublicationCurrent, random);
+        subscribe();
+    }
+
+    private void subscribe() {
         runtime.spread().subscribeDrainedZones(zones -> runtime.eventLoop().execute(() -> applyDrains(zones)));
-        runtime.spread().subscribeDocument(document -> runtime.eventLoop().execute(() -> applyDocument(document)));
+        runtime.spread()
+                .subscribeDocument(document -> runtime.eventLoop().execute(() -> publicationReader.read(document)));
     }
 
     private BufferAccount createBuffers() {
@@ -249,25 +255,24 @@
         pool.retryQueued();
     }
 
-    private void applyDocument(DocumentState document) {
-        boolean isNewer = servedPublication
-                .map(current -> current.publication().number() < document.getNumber())
-                .orElse(true);
-        if (!isNewer) {
-            return;
-        }
-        try {
-            Publication publication =
-                    runtime.protocol().parsePublication(document.getContent().toByteArray());
-            servedPublication = Optional.of(new ServedPublication(publication));
-            LOGGER.info(
-                    "event=publication-served number={} routes={} workspaces={}",
-                    publication.number(),
-                    publication.routes().size(),
-                    publication.workspaces().size());
-        } catch (IllegalArgumentException exception) {
-            LOGGER.error("event=publication-unreadable number={}", document.getNumber(), exception);
-        }
+    private void serve(Publication publication) {
+        servedPublication = Optional.of(new ServedPublication(publication));
+        LOGGER.info(
+                "event=publication-served number={} routes={} workspaces={}",
+                publication.number(),
+                publication.routes().size(),
+                publication.workspaces().size());
+    }
+
+    /**
+     * Returns whether each publication that was acknowledged longer ago than entries may take to obey it is in force
+     * here.
+     */
+    private boolean isPublicationCurrent() {
+        long applyNanos =
+                TimeUnit.MILLISECONDS.toNanos(runtime.settings().bounds().publicationDelayMillis());
+        return publicationReader.isCurrent()
+                && runtime.spread().isConfirmedAfter(runtime.clock().nanoTime() - applyNanos);
     }
 
     private UsageReport createUsageReport() {
@@ -334,16 +339,16 @@
      */
     Future<?> start(Endpoint callers) {
         coordination.start();
-        runtime.timer().schedule(CLEANUP_INTERVAL, this::removeObsoleteState);
+        RepeatedTask.start("cleanup", runtime.timer(), CLEANUP_INTERVAL, CLEANUP_INTERVAL, this::removeObsoleteState);
         return server.listen(callers);
     }
 
-    private void removeObsoleteState() {
+    private boolean removeObsoleteState() {
         pool.removeUnknownServers();
         speeds.removeUnknownServers(runtime.membership().registry());
         connectionPool.closeObsolete(pool::isKnown);
         connectionPool.links().refusals().removeUnknownServers();
-        runtime.timer().schedule(CLEANUP_INTERVAL, this::removeObsoleteState);
+        return true;
     }
 
     /**
--- a/src/main/java/org/borageproxy/server/GatewayRuntime.java
+++ b/src/main/java/org/borageproxy/server/GatewayRuntime.java
@@ -25,6 +25,8 @@
 import org.borageproxy.vm.VmName;
 import org.borageproxy.wire.NettyVmNetwork;
 import org.borageproxy.wire.PeerCredential;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Resources that the roles of a gateway VM share. One event loop runs the servers, the network between VMs and all
@@ -32,6 +34,8 @@
  */
 final class GatewayRuntime {
 
+    private static final Logger LOGGER = LoggerFactory.getLogger(GatewayRuntime.class);
+
     /** Not a secret: the deployment provides none, and its network admits only VMs to the port between VMs. */
     private static final String PEER_CREDENTIAL = "fleet";
 
@@ -115,8 +119,17 @@
         settings = newSettings;
     }
 
+    /** Returns a timer that logs the failures of its tasks, which the event loop keeps to itself. */
     Timer timer() {
-        return (delay, task) -> eventLoop.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS);
+        return (delay, task) -> eventLoop.schedule(() -> runLogged(task), delay.toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    private static void runLogged(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException | Error exception) {
+            LOGGER.error("event=scheduled-task-failed", exception);
+        }
     }
 
     VmName self() {
--- a/src/main/java/org/borageproxy/server/GatewaySettings.java
+++ b/src/main/java/org/borageproxy/server/GatewaySettings.java
@@ -58,6 +58,8 @@
      *     orders of the previous leader, in milliseconds
      * @param catchUpMillis the time after its start within which the successor of a lost control VM replaces it, in
      *     milliseconds
+     * @param publicationDelayMillis the time after the acknowledgement of a publication from which entries obey it, in
+     *     milliseconds
      * @param coldOverage the factor by which the requests to a cold server may exceed its rate in a second
      * @param coldSlack the number of requests beyond that factor which a cold server may get in a second
      */
@@ -68,6 +70,7 @@
             double retryBurst,
             long handoverDelayMillis,
             long catchUpMillis,
+            long publicationDelayMillis,
             double coldOverage,
             double coldSlack) {
 
--- a/src/main/java/org/borageproxy/spread/ControlStateWatcher.java
+++ b/src/main/java/org/borageproxy/spread/ControlStateWatcher.java
@@ -35,6 +35,8 @@
 import org.borageproxy.wire.proto.ControlProtocol.Watch;
 import org.borageproxy.wire.proto.ControlProtocol.WatchAnswer;
 import org.borageproxy.wire.proto.ControlProtocol.WatchRequest;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Watches the control group's state from one VM. Only answers that a control VM confirmed as current renew the
@@ -44,6 +46,8 @@
  */
 public final class ControlStateWatcher implements ConfigurationSource {
 
+    private static final Logger LOGGER = LoggerFactory.getLogger(ControlStateWatcher.class);
+
     /** Duration for which the configuration counts as current, from when the request was sent. */
     public static final Duration FRESHNESS_LEASE = Duration.ofMillis(2500);
 
@@ -96,6 +100,9 @@
     /** End of the freshness lease, or {@code null} before the first confirmed answer. */
     private volatile Deadline freshUntil;
 
+    /** Time at which the latest confirmed answer was requested; valid once {@link #freshUntil} is set. */
+    private volatile long confirmedAtNanos;
+
     /** End of the time for which this VM counts as informed, or {@code null} before the first completed request. */
     private volatile Deadline informedUntil;
 
@@ -189,6 +196,16 @@
         return freshUntil != null;
     }
 
+    /**
+     * Returns whether the state includes each change that was committed before a time.
+     *
+     * @param nanos the reading of the monotonic clock in nanoseconds
+     * @return {@code true} if a confirmed answer was requested after that time
+     */
+    public boolean isConfirmedAfter(long nanos) {
+        return freshUntil != null && confirmedAtNanos - nanos > 0;
+    }
+
     /**
      * Returns whether a request for the state that was sent within the last seconds has completed, with or without
      * success. A VM that is cut off from the control group stays informed, since it knows that it can learn nothing
@@ -318,8 +335,18 @@
         return state.controlVms();
     }
 
-    /** Sends a request to a control VM, without a long-poll wait after a failure or before the first answer. */
+    /** Sends a request, or schedules another attempt if that fails. */
     private void poll() {
+        try {
+            sendRequest();
+        } catch (RuntimeException | Error exception) {
+            LOGGER.error("event=state-request-failed", exception);
+            timer.schedule(RETRY_DELAY, this::poll);
+        }
+    }
+
+    /** Sends a request to a control VM, without a long-poll wait after a failure or before the first answer. */
+    private void sendRequest() {
         List<VmName> candidates = controlVms.get();
         if (!isRunning) {
             return;
@@ -345,11 +372,21 @@
         ByteString body = WatchRequest.newBuilder().setWatch(watch).build().toByteString();
         Deadline deadline = Deadline.after(sentAtNanos, wait.plus(ANSWER_TIMEOUT));
         request(target, body, deadline)
-                .whenComplete((answer, failure) -> timer.schedule(Duration.ZERO, () -> {
-                    boolean isSuccess = failure == null && applyAnswer(answer, sentAtNanos);
-                    informedUntil = Deadline.after(sentAtNanos, INFORMED_PERIOD);
-                    scheduleNextPoll(isSuccess);
-                }));
+                .whenComplete((answer, failure) ->
+                        timer.schedule(Duration.ZERO, () -> handleAnswer(answer, failure, sentAtNanos)));
+    }
+
+    /** Applies an answer and schedules the next request, whatever fails: the watch has no other way to go on. */
+    private void handleAnswer(ByteString answer, Throwable failure, long sentAtNanos) {
+        boolean isSuccess = false;
+        try {
+            isSuccess = failure == null && applyAnswer(answer, sentAtNanos);
+        } catch (RuntimeException | Error exception) {
+            LOGGER.error("event=state-answer-failed bytes={}", answer.size(), exception);
+        } finally {
+            informedUntil = Deadline.after(sentAtNanos, INFORMED_PERIOD);
+            scheduleNextPoll(isSuccess);
+        }
     }
 
     /** Sends a request that fails at its deadline even if the network does not report a failure. */
@@ -395,7 +432,7 @@
         }
         WatchedState.Update update = state.apply(answer);
         if (update instanceof WatchedState.Update.Applied applied) {
-            replaceState(applied.state(), Deadline.after(sentAtNanos, FRESHNESS_LEASE));
+            replaceState(applied.state(), sentAtNanos);
             return true;
         }
         if (update instanceof WatchedState.Update.InvalidDocument invalid) {
@@ -414,28 +451,40 @@
      * Replaces the state, renews the freshness lease and notifies the listeners of what changed. The caller holds the
      * lock.
      */
-    private void replaceState(WatchedState later, Deadline until) {
+    private void replaceState(WatchedState later, long sentAtNanos) {
         WatchedState earlier = state;
         state = later;
-        freshUntil = until;
+        confirmedAtNanos = sentAtNanos;
+        freshUntil = Deadline.after(sentAtNanos, FRESHNESS_LEASE);
         if (later == earlier) {
             return;
         }
-        vmListeners.forEach(listener -> listener.accept(later.vms()));
+        notifyAll(vmListeners, later.vms());
         if (!later.drainedZones().equals(earlier.drainedZones())) {
             events.record(Event.named("zones-drained")
                     .with("zones", later.drainedZones().toString())
                     .with("version", later.version()));
-            drainListeners.forEach(listener -> listener.accept(later.drainedZones()));
+            notifyAll(drainListeners, later.drainedZones());
         }
         long earlierNumber = earlier.published().map(DocumentState::getNumber).orElse(0L);
         later.published()
                 .filter(document -> document.getNumber() > earlierNumber)
-                .ifPresent(document -> documentListeners.forEach(listener -> listener.accept(document)));
+                .ifPresent(document -> notifyAll(documentListeners, document));
         if (later.configuration().revision() > earlier.configuration().revision()) {
             events.record(Event.named("configuration-served")
                     .with("revision", later.configuration().revision()));
-            configurationListeners.forEach(listener -> listener.accept(later.configuration()));
+            notifyAll(configurationListeners, later.configuration());
+        }
+    }
+
+    /** Calls the listeners; a failure of one affects neither the others nor the watch. */
+    private static <T> void notifyAll(List<Consumer<T>> listeners, T value) {
+        for (Consumer<T> listener : listeners) {
+            try {
+                listener.accept(value);
+            } catch (RuntimeException | Error exception) {
+                LOGGER.error("event=state-listener-failed", exception);
+            }
         }
     }
 }
--- a/src/test/java/org/borageproxy/coordination/CoordinationClientTest.java
+++ b/src/test/java/org/borageproxy/coordination/CoordinationClientTest.java
@@ -27,6 +27,27 @@
     private int reportCount;
     private long lastReportNanos;
     private long longestPauseNanos;
+    private final Failures failures = new Failures();
+
+    /** Makes the next report or the next update fail. */
+    private static final class Failures {
+        private boolean isReportDue;
+        private boolean isUpdateDue;
+
+        void reportOnce() {
+            if (isReportDue) {
+                isReportDue = false;
+                throw new IllegalStateException("thrown by the test");
+            }
+        }
+
+        void updateOnce() {
+            if (isUpdateDue) {
+                isUpdateDue = false;
+                throw new IllegalStateException("thrown by the test");
+            }
+        }
+    }
 
     private final CoordinationClient client = new CoordinationClient(
             new AnsweringNetwork(),
@@ -34,8 +55,11 @@
             time::nowNanos,
             (delay, task) -> time.scheduleAfterNanos(delay.toNanos(), task),
             Runnable::run,
-            () -> report,
-            (update, reportedAtNanos) -> {});
+            () -> {
+                failures.reportOnce();
+                return report;
+            },
+            (update, reportedAtNanos) -> failures.updateOnce());
 
     private int reportsInTenSeconds() {
         int before = reportCount;
@@ -63,6 +87,18 @@
         assertEquals(83, reportsInTenSeconds(), 1);
     }
 
+    /** Guards against an entry without coordinator for good after one error. */
+    @Test
+    void reportsGoOnAfterErrors() {
+        client.start();
+        time.advance(Duration.ofSeconds(1));
+        failures.isReportDue = true;
+        assertTrue(reportsInTenSeconds() > 10);
+        failures.isUpdateDue = true;
+        assertTrue(reportsInTenSeconds() > 10);
+        assertTrue(client.coordinator().isPresent());
+    }
+
     private final class AnsweringNetwork implements VmNetwork {
 
         @Override
--- a/src/test/java/org/borageproxy/platform/ForwardingFixture.java
+++ b/src/test/java/org/borageproxy/platform/ForwardingFixture.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import com.google.protobuf.ByteString;
 import io.netty.channel.Channel;
@@ -64,6 +65,7 @@
     private final List<BackendServer> servers = new CopyOnWriteArrayList<>();
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
     private final ContextInternal context = ((VertxInternal) vertx).createEventLoopContext();
+    private final AtomicBoolean isPublicationCurrent = new AtomicBoolean(true);
     private final BufferAccount buffers;
     private final ForwardServer forwarding;
     private final int port;
@@ -159,7 +161,8 @@
                 buffers,
                 ForwardMetrics.NoOp.INSTANCE);
         ServedPublication served = new ServedPublication(publication(routeTimeout, coordinator.map(vm -> ENGINES)));
-        forwarding = new ForwardServer(vertx, forwardContext, () -> Optional.of(served), new Random(1));
+        forwarding = new ForwardServer(
+                vertx, forwardContext, () -> Optional.of(served), isPublicationCurrent::get, new Random(1));
         try (ServerSocket free = new ServerSocket(0)) {
             port = free.getLocalPort();
         }
@@ -202,6 +205,11 @@
         servers.add(BackendServerFixture.service("r" + servers.size(), serverPort));
     }
 
+    /** Sets whether a newer publication than the one in force cannot be due. */
+    void setPublicationCurrent(boolean isCurrent) {
+        isPublicationCurrent.set(isCurrent);
+    }
+
     int port() {
         return port;
     }
--- a/src/test/java/org/borageproxy/platform/ForwardingTest.java
+++ b/src/test/java/org/borageproxy/platform/ForwardingTest.java
@@ -167,7 +167,7 @@
                 BufferFixture.account(clock),
                 ForwardMetrics.NoOp.INSTANCE);
         ServedPublication served = new ServedPublication(publication());
-        forwarding = new ForwardServer(vertx, forwardContext, () -> Optional.of(served), new Random(1));
+        forwarding = new ForwardServer(vertx, forwardContext, () -> Optional.of(served), () -> true, new Random(1));
         try (ServerSocket free = new ServerSocket(0)) {
             port = free.getLocalPort();
         }
--- a/src/test/java/org/borageproxy/spread/ControlStateWatcherTest.java
+++ b/src/test/java/org/borageproxy/spread/ControlStateWatcherTest.java
@@ -104,6 +104,35 @@
         assertEquals(9, entries.get(0).vms().size());
     }
 
+    /** Guards against an entry that goes on with an old publication after an error in one listener. */
+    @Test
+    void failingListenerEndsNeitherWatchNorOtherListeners() {
+        ControlStateWatcher entry = entry("e1");
+        List<Long> numbers = new ArrayList<>();
+        entry.subscribeDocument(document -> {
+            throw new StackOverflowError("thrown by the test");
+        });
+        entry.subscribeDocument(document -> numbers.add(document.getNumber()));
+        for (long number = 1; number <= 3; number++) {
+            publish(number);
+            fleet.run(Duration.ofSeconds(2));
+        }
+        assertEquals(List.of(1L, 2L, 3L), numbers);
+        assertTrue(entry.isFresh(fleet.nanoTime()));
+    }
+
+    @Test
+    void stateIsConfirmedOnlyUpToTheRequestOfTheLatestAnswer() {
+        ControlStateWatcher entry = entry("e1");
+        fleet.run(Duration.ofSeconds(2));
+        assertTrue(entry.isConfirmedAfter(
+                fleet.nanoTime() - Duration.ofMillis(1_500).toNanos()));
+        fleet.isolate("e1");
+        long isolatedAt = fleet.nanoTime();
+        fleet.run(Duration.ofSeconds(2));
+        assertFalse(entry.isConfirmedAfter(isolatedAt));
+    }
+
     @Test
     void entryIsNotReadyUntilControlMajorityIsReachable() {
         fleet.isolate("c2");
