Ignore odd heartbeats, and hide no other server for one of them

It can happen here: a port out of range reached all VMs, made requests hang and ended each round of planning, since opening a connection to it throws; a sequence of 1e300 hid all later heartbeats of the server of that name; a document nested 900 levels deep overflowed the stack of the event loop; one malformed record in a message between VMs kept the following ones from being applied. No process ended.

Change: BoundedJson refuses deep documents and numbers that are not whole or too large, for heartbeats, publications and reports. Addresses are IP addresses with a port of TCP. A malformed record between VMs is logged and skipped, and a call to an engine that cannot be begun fails by itself.

--- a/src/main/java/org/borageproxy/membership/Announcement.java
+++ b/src/main/java/org/borageproxy/membership/Announcement.java
@@ -44,8 +44,17 @@
             LocalWeights localWeights,
             String softwareVersion) {
 
-        /** Copies the collections defensively. */
+        private static final int MAX_PORT = 65_535;
+
+        /**
+         * Copies the collections defensively.
+         *
+         * @throws IllegalArgumentException if the port is none of TCP
+         */
         public Content {
+            if (port < 1 || port > MAX_PORT) {
+                throw new IllegalArgumentException("port out of range: " + port);
+            }
             services = Set.copyOf(services);
             accelerators = List.copyOf(accelerators);
             models = List.copyOf(models);
--- a/src/main/java/org/borageproxy/membership/MembershipExchange.java
+++ b/src/main/java/org/borageproxy/membership/MembershipExchange.java
@@ -25,6 +25,8 @@
 import org.borageproxy.wire.proto.MembershipProtocol.DigestLine;
 import org.borageproxy.wire.proto.MembershipProtocol.MembershipMessage;
 import org.borageproxy.wire.proto.MembershipProtocol.ServerUpdate;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Propagates the records of backend servers between VMs by gossip. Joins, leaves and changes of content are sent
@@ -36,6 +38,8 @@
  */
 final class MembershipExchange {
 
+    private static final Logger LOGGER = LoggerFactory.getLogger(MembershipExchange.class);
+
     /** Maximum number of other VMs up to which updates are sent to all of them. */
     private static final int MAX_DIRECT_PEERS = 16;
     /** Number of VMs to which an update is forwarded in a larger fleet. */
@@ -201,7 +205,7 @@
         }
         boolean isComplete = true;
         for (ServerUpdate update : message.getUpdatesList()) {
-            isComplete &= apply(update);
+            isComplete &= applyOrIgnore(sender, update);
         }
         if (!isComplete) {
             sendDigest(
@@ -211,6 +215,20 @@
         return message.hasDigest() ? answerDigest(message.getDigest()) : ByteString.EMPTY;
     }
 
+    /** Applies an update; one that is malformed is ignored, and so hides none of the others. */
+    private boolean applyOrIgnore(VmName sender, ServerUpdate update) {
+        try {
+            return apply(update);
+        } catch (IllegalArgumentException exception) {
+            LOGGER.warn(
+                    "event=server-update-malformed vm={} server={} reason=\"{}\"",
+                    sender,
+                    update.getName(),
+                    exception.getMessage());
+            return true;
+        }
+    }
+
     /**
      * Applies an update. Returns {@code false} if it is a heartbeat that is not stale and belongs to content that this
      * VM does not have.
--- a/src/main/java/org/borageproxy/platform/EngineCalls.java
+++ b/src/main/java/org/borageproxy/platform/EngineCalls.java
@@ -24,6 +24,7 @@
 import org.borageproxy.coordination.ModelInventory;
 import org.borageproxy.engine.BoundedExchange;
 import org.borageproxy.membership.BackendServer;
+import org.borageproxy.membership.BoundedJson;
 import org.borageproxy.membership.LoadedModel;
 import org.borageproxy.placement.EngineClient;
 import org.borageproxy.time.Deadline;
@@ -129,7 +130,8 @@
         if (content.length() > 0) {
             options.putHeader(HttpHeaders.CONTENT_TYPE, "application/json");
         }
-        return client.request(options)
+        return Future.succeededFuture()
+                .compose(start -> client.request(options))
                 .compose(request -> BoundedExchange.send(
                         vertx,
                         request,
@@ -164,17 +166,20 @@
 
     private static Optional<EngineReport> parseReport(BackendServer server, Buffer body) {
         try {
-            JsonObject json = new JsonObject(body);
+            JsonObject json = BoundedJson.parse(body);
             Map<String, Set<String>> adapters = new HashMap<>();
             for (LoadedModel model : HeartbeatDocument.decodeModels(json.getJsonArray("Models"))) {
                 adapters.put(model.model(), new HashSet<>(model.adapters()));
             }
-            long incarnation = Optional.ofNullable(json.getLong("born")).orElse(server.incarnation());
-            ModelInventory inventory = new ModelInventory(incarnation, json.getLong("Sequence"), adapters, Set.of());
+            long incarnation = json.containsKey("born")
+                    ? BoundedJson.wholeNumber(json, "born", BoundedJson.MAX_WHOLE_NUMBER)
+                    : server.incarnation();
+            long orderCount = BoundedJson.wholeNumber(json, "Sequence", BoundedJson.MAX_WHOLE_NUMBER);
+            ModelInventory inventory = new ModelInventory(incarnation, orderCount, adapters, Set.of());
             int loadingAdapterCount =
                     json.getJsonArray("Pending", new JsonArray()).size();
             return Optional.of(new EngineReport(inventory, json.getBoolean("Busy", false), loadingAdapterCount));
-        } catch (DecodeException | ClassCastException | NullPointerException exception) {
+        } catch (DecodeException | ClassCastException | NullPointerException | IllegalArgumentException exception) {
             LOGGER.info("event=report-malformed server={} reason=\"{}\"", server.name(), exception.getMessage());
             return Optional.empty();
         }
--- a/src/main/java/org/borageproxy/platform/HeartbeatDocument.java
+++ b/src/main/java/org/borageproxy/platform/HeartbeatDocument.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 
+import io.netty.util.NetUtil;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonArray;
@@ -14,6 +15,7 @@
 import org.borageproxy.membership.Announcement;
 import org.borageproxy.membership.BackendServerKind;
 import org.borageproxy.membership.BackendServerName;
+import org.borageproxy.membership.BoundedJson;
 import org.borageproxy.membership.LoadReport;
 import org.borageproxy.membership.LoadedModel;
 import org.borageproxy.membership.LocalWeights;
@@ -29,6 +31,8 @@
     /** Longest time for which a server may state that it is cold, in milliseconds; longer ones are shortened. */
     static final long MAX_COLD_MILLIS = 3_600_000;
 
+    private static final int MAX_SLOTS = 1_000_000;
+
     private HeartbeatDocument() {}
 
     /**
@@ -49,14 +53,15 @@
      */
     static Optional<Heartbeat> decode(String name, Buffer body, int intervalMillis) {
         try {
-            JsonObject json = new JsonObject(body);
+            JsonObject json = BoundedJson.parse(body);
             String state = json.getString("State");
             if (!READY.equals(state) && !DRAINING.equals(state)) {
                 return Optional.empty();
             }
-            long incarnation = json.getNumber("born").longValue();
-            long sequence = json.getNumber("Sequence").longValue();
-            LoadReport load = new LoadReport(0, 0, json.getInteger("Slots"), 1.0, 1.0, decodeCold(json));
+            long incarnation = BoundedJson.wholeNumber(json, "born", BoundedJson.MAX_WHOLE_NUMBER);
+            long sequence = BoundedJson.wholeNumber(json, "Sequence", BoundedJson.MAX_WHOLE_NUMBER);
+            int slots = (int) BoundedJson.wholeNumber(json, "Slots", MAX_SLOTS);
+            LoadReport load = new LoadReport(0, 0, slots, 1.0, 1.0, decodeCold(json));
             Announcement announcement = new Announcement(
                     new BackendServerName(name), incarnation, sequence, decodeContent(json, intervalMillis), load);
             return Optional.of(new Heartbeat(announcement, DRAINING.equals(state)));
@@ -75,8 +80,8 @@
     private static Announcement.Content decodeContent(JsonObject json, int intervalMillis) {
         String address = json.getString("Address");
         int colon = address.lastIndexOf(':');
-        if (colon < 0) {
-            throw new IllegalArgumentException("address without port: " + address);
+        if (colon < 0 || !NetUtil.isValidIpV4Address(address.substring(0, colon))) {
+            throw new IllegalArgumentException("no IP address with a port: " + address);
         }
         List<LoadedModel> models = decodeModels(json.getJsonArray("Models", new JsonArray()));
         return new Announcement.Content(
@@ -139,9 +144,11 @@
      */
     static OptionalLong decodeIncarnation(Buffer body) {
         try {
-            Number incarnation = body.length() == 0 ? null : new JsonObject(body).getNumber("born");
-            return incarnation == null ? OptionalLong.empty() : OptionalLong.of(incarnation.longValue());
-        } catch (DecodeException | ClassCastException exception) {
+            return body.length() == 0
+                    ? OptionalLong.empty()
+                    : OptionalLong.of(
+                            BoundedJson.wholeNumber(BoundedJson.parse(body), "born", BoundedJson.MAX_WHOLE_NUMBER));
+        } catch (DecodeException | ClassCastException | IllegalArgumentException exception) {
             return OptionalLong.empty();
         }
     }
--- a/src/main/java/org/borageproxy/platform/PublicationDocument.java
+++ b/src/main/java/org/borageproxy/platform/PublicationDocument.java
@@ -15,6 +15,7 @@
 import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
+import org.borageproxy.membership.BoundedJson;
 import org.borageproxy.publication.EnginePool;
 import org.borageproxy.publication.Publication;
 import org.borageproxy.publication.PublishedRoute;
@@ -45,7 +46,7 @@
      */
     static Publication decode(byte[] document) {
         try {
-            return decodePublication(new JsonObject(Buffer.buffer(document)));
+            return decodePublication(BoundedJson.parse(Buffer.buffer(document)));
         } catch (DecodeException | ClassCastException | NullPointerException exception) {
             throw new IllegalArgumentException("malformed document: " + exception.getMessage(), exception);
         }
--- a/src/test/java/org/borageproxy/membership/MembershipExchangeTest.java
+++ b/src/test/java/org/borageproxy/membership/MembershipExchangeTest.java
@@ -5,6 +5,9 @@
 
 import org.borageproxy.event.EventRecorder;
 import org.borageproxy.vm.VmName;
+import org.borageproxy.wire.MessageKind;
+import org.borageproxy.wire.proto.MembershipProtocol.MembershipMessage;
+import org.borageproxy.wire.proto.MembershipProtocol.ServerUpdate;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -63,6 +66,27 @@
         assertEquals(BackendServerState.LEAVING, secondRegistry.current().get(0).state());
     }
 
+    /** Guards against VMs that stop following the list of servers because one entry of it is malformed. */
+    @Test
+    void malformedUpdateHidesNoOthers() {
+        announce(announcement(1));
+        ServerUpdate valid =
+                MembershipCodec.encodeFull(firstRegistry.record(name()).orElseThrow(), 0);
+        ServerUpdate.Builder malformed = valid.toBuilder().setName("odd");
+        malformed.getContentBuilder().setPort(70_000);
+        MembershipMessage message = MembershipMessage.newBuilder()
+                .addUpdates(malformed)
+                .addUpdates(valid.toBuilder().setName("other"))
+                .build();
+        network.at(FIRST).send(SECOND, MessageKind.MEMBERSHIP, message.toByteString());
+        assertEquals(
+                List.of(name(), new BackendServerName("other")),
+                secondRegistry.current().stream()
+                        .map(BackendServer::name)
+                        .sorted()
+                        .toList());
+    }
+
     private void announce(Announcement announcement) {
         first.propagate(announcement.name(), firstRegistry.announce(announcement, 0));
     }
