Take no cut answer without a length for a complete one

Reproduced with real sockets in two ways: the server is reset while the request is still being written, and the server is killed after it has read the request, upon which the kernel ends its connections in order.

Cause: the decoder ends an answer without a length at any end of the connection, also one that this side caused by a failed write. The end of a connection was taken for that of the answer, whoever ended it and why.

Change: such an answer is complete only after an orderly end by the server and a completely written request, and if the server still accepts connections on the same way, directly or through the same VM. The connection that shows so serves the next request. Otherwise the answer is cut: retried or resumed where that is safe, visibly broken off elsewhere.

--- a/src/main/java/org/borageproxy/forward/ServerConnection.java
+++ b/src/main/java/org/borageproxy/forward/ServerConnection.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -9,6 +11,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.DecoderResultProvider;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
@@ -50,10 +53,17 @@
     private final ServerLinks links;
     private final BackendServer server;
     private final Optional<VmName> relay;
+    private final InputEnd inputEnd;
+    private final Supplier<CompletionStage<Void>> endCheck;
     private Channel channel;
     private Optional<Listener> listener = Optional.empty();
     private Optional<ChannelFuture> written = Optional.empty();
     private boolean isReusable;
+    /** Whether the answer has neither a length nor chunks, so that it ends with the connection. */
+    private boolean isUnframed;
+    /** Whether the answer is complete if the server still runs, which is being checked. */
+    private boolean isEndChecked;
+
     private boolean isBroken;
     private Deadline usableUntil = new Deadline(0);
     private int exchangeCount;
@@ -104,11 +114,23 @@
         void release(ServerConnection connection);
     }
 
-    ServerConnection(
-            MonotonicClock clock, Releaser releaser, ServerLinks links, BackendServer server, Optional<VmName> relay) {
-        this.clock = clock;
-        this.releaser = releaser;
-        this.links = links;
+    /**
+     * The collaborators of a connection.
+     *
+     * @param clock the monotonic clock
+     * @param releaser receives the connection when it may carry another exchange
+     * @param links the links of this VM to the servers
+     * @param endCheck confirms that the server still runs after it has ended the connection; fails if it does not
+     */
+    record Environment(
+            MonotonicClock clock, Releaser releaser, ServerLinks links, Supplier<CompletionStage<Void>> endCheck) {}
+
+    ServerConnection(Environment environment, BackendServer server, Optional<VmName> relay, InputEnd inputEnd) {
+        this.inputEnd = inputEnd;
+        this.clock = environment.clock();
+        this.releaser = environment.releaser();
+        this.links = environment.links();
+        this.endCheck = environment.endCheck();
         this.server = server;
         this.relay = relay;
     }
@@ -233,8 +255,8 @@
                 }
                 return;
             }
-            isReusable = HttpUtil.isKeepAlive(response)
-                    && (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response));
+            isUnframed = !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
+            isReusable = HttpUtil.isKeepAlive(response) && !isUnframed;
             usableUntil = Deadline.after(clock.nanoTime(), keepAlive(response));
             listener.get().onHead(response);
         }
@@ -244,11 +266,31 @@
                 listener.get().onContent(content.content());
             }
             if (part instanceof LastHttpContent && listener.isPresent()) {
-                end();
+                if (isCut()) {
+                    fail("connection lost within an answer without a length");
+                } else if (isUnframed && inputEnd.isOrderly()) {
+                    endAfterCheck();
+                } else {
+                    end();
+                }
             }
         }
     }
 
+    /**
+     * Returns whether an answer ended with its connection although the server did not end it, or before the server can
+     * have read the request. A server that is killed with unread bytes resets its connections, which can fail the write
+     * of the request before it is read.
+     */
+    private boolean isCut() {
+        boolean hasConnectionEnded = inputEnd.isOrderly() || !channel.isActive();
+        return isUnframed && hasConnectionEnded && !(inputEnd.isOrderly() && isRequestWritten());
+    }
+
+    private boolean isRequestWritten() {
+        return written.map(ChannelFuture::isSuccess).orElse(false);
+    }
+
     private static boolean isInterim(HttpResponse response) {
         int status = response.status().code();
         return status >= CONTINUE_STATUS && status < FIRST_FINAL_STATUS;
@@ -271,12 +313,29 @@
         return Duration.ofSeconds(seconds).minus(KEEP_ALIVE_MARGIN);
     }
 
+    /**
+     * Ends an answer that ended with its connection, once it is known that the server still runs: the connections of a
+     * server that is killed end in the same way.
+     */
+    private void endAfterCheck() {
+        isEndChecked = true;
+        endCheck.get().whenComplete((confirmed, failure) -> {
+            if (listener.isEmpty()) {
+                return;
+            }
+            if (failure == null) {
+                end();
+            } else {
+                fail("server ended within an answer without a length");
+            }
+        });
+    }
+
     private void end() {
         links.recordEnded(this);
         Listener endedListener = listener.get();
         listener = Optional.empty();
-        boolean isRequestWritten = written.map(ChannelFuture::isSuccess).orElse(false);
-        if (isReusable && isRequestWritten && channel.isActive()) {
+        if (isReusable && isRequestWritten() && channel.isActive()) {
             setReading(true);
             endedListener.onEnd();
             releaser.release(this);
@@ -299,9 +358,19 @@
         failedListener.ifPresent(present -> present.onFailure(reason));
     }
 
+    /** The connection carries nothing more once the server has ended its output. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof ChannelInputShutdownEvent && !isEndChecked) {
+            fail("connection closed");
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        fail("connection closed");
+        if (!isEndChecked) {
+            fail("connection closed");
+        }
     }
 
     @Override
--- a/src/main/java/org/borageproxy/forward/ServerConnectionPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerConnectionPool.java
@@ -6,10 +6,12 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletionStage;
 import java.util.function.BiPredicate;
 import java.util.function.Predicate;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpClientCodec;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerName;
@@ -98,11 +100,7 @@
         links.open(server, new ServerLinks.OpenListener() {
             @Override
             public void onOpened(Channel channel, Optional<VmName> relay) {
-                ServerConnection connection = newConnection(server, relay);
-                channel.pipeline()
-                        .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
-                        .addLast(connection);
-                listener.onConnected(connection);
+                listener.onConnected(createConnection(channel, server, relay));
             }
 
             @Override
@@ -113,9 +111,26 @@
     }
 
     /** Creates a connection that refers to no request, since it may lie idle for long after its first one. */
-    private ServerConnection newConnection(BackendServer server, Optional<VmName> relay) {
+    private ServerConnection createConnection(Channel channel, BackendServer server, Optional<VmName> relay) {
         Destination destination = destination(server);
-        return new ServerConnection(clock, used -> returnIdle(destination, used), links, server, relay);
+        InputEnd inputEnd = new InputEnd();
+        ServerConnection.Environment environment = new ServerConnection.Environment(
+                clock, used -> returnIdle(destination, used), links, () -> confirmEnd(server, relay));
+        ServerConnection connection = new ServerConnection(environment, server, relay, inputEnd);
+        channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
+        channel.pipeline()
+                .addLast(inputEnd)
+                .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                .addLast(connection);
+        return connection;
+    }
+
+    /** Confirms that a server has not ended with its connection; the connection that shows so is kept for later. */
+    private CompletionStage<Void> confirmEnd(BackendServer server, Optional<VmName> relay) {
+        openedCount++;
+        return links.openAgain(server, relay)
+                .thenAccept(opened -> opened.ifPresent(
+                        channel -> returnIdle(destination(server), createConnection(channel, server, relay))));
     }
 
     /**
--- a/src/main/java/org/borageproxy/forward/ServerLinks.java
+++ b/src/main/java/org/borageproxy/forward/ServerLinks.java
@@ -164,6 +164,34 @@
         new Opening(server, listener).begin();
     }
 
+    /**
+     * Opens another connection on the way of one that its server has ended, which shows that both still run: the kernel
+     * ends the connections of a process that is killed in the same order as the process itself would.
+     *
+     * @param server the server
+     * @param relay the VM through which the ended connection led; empty for a direct one
+     * @return a connection without handlers; empty if the server leaves, so that it may have ended since, or if nothing
+     *     shows that it or the other VM has ended; fails if one of them has
+     */
+    CompletionStage<Optional<Channel>> openAgain(BackendServer server, Optional<VmName> relay) {
+        boolean isLeaving = environment.servers().current().stream()
+                .noneMatch(current -> current.name().equals(server.name())
+                        && current.incarnation() == server.incarnation()
+                        && current.state() == BackendServerState.ALIVE);
+        if (isLeaving && relay.isEmpty()) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
+        return relay.map(through -> openThrough(through, server))
+                .orElseGet(() -> openDirectly(server, CONNECT_TIMEOUT))
+                .handle((channel, failure) -> {
+                    boolean hasEnded = failure != null && (relay.isPresent() || isRefusal(failure));
+                    return hasEnded
+                            ? CompletableFuture.<Optional<Channel>>failedFuture(failure)
+                            : CompletableFuture.completedFuture(Optional.ofNullable(channel));
+                })
+                .thenCompose(outcome -> outcome);
+    }
+
     /** One connection to be opened, for which several ways are tried until one succeeds. */
     private final class Opening {
         private final BackendServer server;
