Pass only the bytes of an expected, well-formed answer to the decoder

Cause: the decoder of the connections is made to accept what it can, and what it holds back belongs to no message yet, so that neither the end of an answer nor an idle connection shows it. One cause, thus one change.

Change: org.borageproxy.answer. AnswerReader checks all bytes of a connection and knows where an answer ends; it keeps one line of at most 8 KiB. AnswerGuard stands before the decoder, passes on what the reader accepts, and fires an exception at the first other byte, also on an idle connection; a connection with such a byte is never reused. A whole answer that is followed by other bytes is still passed on. A status line within a reason phrase or a value is malformed, which finds a partial copy that comes too late to be seen before the next request is sent. Holds for direct and relayed connections.

FaultyHeadTest.malformedHeadIsNoSuccess failed before with 200 for 18 of the heads that it has now, holds now. ServerLinksTest, CutAnswerTest, ForwardingTest hold. TroubledServerTest, BackPressureTest, RepeatedRefusalTest, OldPublicationTest, SlotExpiryTest and BackendFaultTest held before a last edit of ServerConnection.exceptionCaught (garbage counts as received bytes for the links).

--- a/src/main/java/org/borageproxy/forward/ServerConnection.java
+++ b/src/main/java/org/borageproxy/forward/ServerConnection.java
@@ -16,12 +16,14 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import org.borageproxy.answer.AnswerGuard;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
@@ -29,8 +31,8 @@
 
 /**
  * One connection to a backend server, which carries one exchange at a time. A connection is reused only after a
- * complete answer to a completely written request; it is closed if data arrives without an exchange. Not thread safe;
- * confined to its event loop.
+ * complete answer to a completely written request; it is closed if data arrives that belongs to no answer, for which a
+ * guard stands before the decoder. Not thread safe; confined to its event loop.
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
 
@@ -41,9 +43,6 @@
      */
     private static final Duration DEFAULT_KEEP_ALIVE = Duration.ofSeconds(4);
 
-    /** Number of interim responses after which an answer counts as malformed. */
-    private static final int MAX_INTERIM_RESPONSES = 16;
-
     private static final String TIMEOUT_FIELD = "timeout=";
     private static final int CONTINUE_STATUS = 100;
     private static final int FIRST_FINAL_STATUS = 200;
@@ -54,6 +53,7 @@
     private final BackendServer server;
     private final Optional<VmName> relay;
     private final InputEnd inputEnd;
+    private final AnswerGuard guard;
     private final Supplier<CompletionStage<Void>> endCheck;
     private Channel channel;
     private Optional<Listener> listener = Optional.empty();
@@ -67,7 +67,6 @@
     private boolean isBroken;
     private Deadline usableUntil = new Deadline(0);
     private int exchangeCount;
-    private int interimCount;
     private boolean isReadingInterim;
     private boolean hasReceived;
 
@@ -125,8 +124,14 @@
     record Environment(
             MonotonicClock clock, Releaser releaser, ServerLinks links, Supplier<CompletionStage<Void>> endCheck) {}
 
-    ServerConnection(Environment environment, BackendServer server, Optional<VmName> relay, InputEnd inputEnd) {
+    ServerConnection(
+            Environment environment,
+            BackendServer server,
+            Optional<VmName> relay,
+            InputEnd inputEnd,
+            AnswerGuard guard) {
         this.inputEnd = inputEnd;
+        this.guard = guard;
         this.clock = environment.clock();
         this.releaser = environment.releaser();
         this.links = environment.links();
@@ -153,7 +158,7 @@
         isReusable = false;
         exchangeCount++;
         hasReceived = false;
-        interimCount = 0;
+        guard.expectAnswer(request.method().equals(HttpMethod.HEAD));
         if (relay.isEmpty()) {
             links.recordWaiting(this);
         }
@@ -236,11 +241,15 @@
         }
     }
 
-    private void read(HttpObject part) {
+    private void recordReceived() {
         hasReceived = true;
         if (relay.isEmpty()) {
             links.recordReceived();
         }
+    }
+
+    private void read(HttpObject part) {
+        recordReceived();
         boolean isMalformed = ((DecoderResultProvider) part).decoderResult().isFailure();
         if (isMalformed || listener.isEmpty() || isBroken) {
             fail(isMalformed ? "malformed answer" : "data received without a request in flight");
@@ -249,10 +258,6 @@
         if (part instanceof HttpResponse response) {
             isReadingInterim = isInterim(response);
             if (isReadingInterim) {
-                interimCount++;
-                if (interimCount > MAX_INTERIM_RESPONSES) {
-                    fail("too many interim responses");
-                }
                 return;
             }
             isUnframed = !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
@@ -335,7 +340,7 @@
         links.recordEnded(this);
         Listener endedListener = listener.get();
         listener = Optional.empty();
-        if (isReusable && isRequestWritten() && channel.isActive()) {
+        if (isReusable && guard.isSound() && isRequestWritten() && channel.isActive()) {
             setReading(true);
             endedListener.onEnd();
             releaser.release(this);
@@ -375,6 +380,11 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        fail(cause.getClass().getSimpleName() + ": " + cause.getMessage());
+        if (cause instanceof AnswerGuard.MalformedAnswerException) {
+            recordReceived();
+            fail(cause.getMessage());
+        } else {
+            fail(cause.getClass().getSimpleName() + ": " + cause.getMessage());
+        }
     }
 }
--- a/src/main/java/org/borageproxy/forward/ServerConnectionPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerConnectionPool.java
@@ -13,6 +13,8 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpClientCodec;
+import org.borageproxy.answer.AnswerGuard;
+import org.borageproxy.answer.AnswerReader;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.time.MonotonicClock;
@@ -26,8 +28,6 @@
 public final class ServerConnectionPool {
 
     private static final int MAX_IDLE_PER_SERVER = 64;
-    private static final int MAX_LINE_BYTES = 8 << 10;
-    private static final int MAX_HEADER_BYTES = 64 << 10;
     private static final int MAX_CHUNK_BYTES = 64 << 10;
 
     private final ServerLinks links;
@@ -114,13 +114,15 @@
     private ServerConnection createConnection(Channel channel, BackendServer server, Optional<VmName> relay) {
         Destination destination = destination(server);
         InputEnd inputEnd = new InputEnd();
+        AnswerGuard guard = new AnswerGuard();
         ServerConnection.Environment environment = new ServerConnection.Environment(
                 clock, used -> returnIdle(destination, used), links, () -> confirmEnd(server, relay));
-        ServerConnection connection = new ServerConnection(environment, server, relay, inputEnd);
+        ServerConnection connection = new ServerConnection(environment, server, relay, inputEnd, guard);
         channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
         channel.pipeline()
                 .addLast(inputEnd)
-                .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                .addLast(guard)
+                .addLast(new HttpClientCodec(AnswerReader.MAX_LINE_BYTES, AnswerReader.MAX_HEAD_BYTES, MAX_CHUNK_BYTES))
                 .addLast(connection);
         return connection;
     }
