Check over generated answers and cuts what counts as a whole answer

Why: single cases have let cut and joined answers through twice. The properties run without a network, with the guard before Netty's decoder as on a connection, and check that the two agree on the end of an answer.

AnswerPropertyTest: every whole answer (length, chunks, until the end of the connection, without a body, with interim answers) is whole however its bytes are split, with its own status and body; no proper prefix is; no answer followed by part or all of another one is; none that follows part of a head is, and none within a body; nothing passes without a request; no head with a control character is whole. An answer without a length is whole only with the end of the connection, and a cut one with that end cannot be told from its bytes: those are left out here.

--- a/src/main/java/org/borageproxy/answer/AnswerGuard.java
+++ b/src/main/java/org/borageproxy/answer/AnswerGuard.java
@@ -50,6 +50,16 @@
         return reader.fault().isEmpty();
     }
 
+    /**
+     * Returns whether the expected answer has ended.
+     *
+     * @param hasInputEnded whether the server has ended the connection, which also ends an answer without a length
+     * @return {@code true} for a whole answer, also if bytes followed it
+     */
+    boolean hasAnswerEnded(boolean hasInputEnded) {
+        return reader.isWhole(hasInputEnded);
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (!(message instanceof ByteBuf bytes)) {
