--- a/src/main/java/org/borageproxy/platform/PlatformHeaders.java
+++ b/src/main/java/org/borageproxy/platform/PlatformHeaders.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.vertx.core.MultiMap;
+import org.borageproxy.answer.AnswerOrigin;
 import org.borageproxy.forward.CallerProtocol;
 import org.borageproxy.forward.DispatchMetadata;
 import org.borageproxy.forward.HopByHopHeaders;
@@ -45,6 +46,7 @@
     private static final String EXPECTED_SERVER_HEADER = "X-Expect-Replica";
     private static final String URGENCY_HEADER = "X-Request-Urgency";
     private static final String NOT_RUN_HEADER = "X-Not-Executed";
+    private static final String SIGNATURE_HEADER = "X-Server-Signature";
     private static final String RESPONDING_SERVER_HEADER = "X-Replica-Id";
     /** The requests per second that the answering server takes from all VMs together, a decimal number. */
     static final String REQUEST_LIMIT_HEADER = "Server-Limit";
@@ -168,13 +170,15 @@
 
     @Override
     public ResponseMetadata parseResponse(int status, HttpHeaders headers) {
-        String identity = headers.get(REQUEST_IDENTITY_HEADER, "");
         boolean isMisdirected = status == MISDIRECTED_STATUS;
         Optional<BackendServerName> respondingServer = Optional.ofNullable(headers.get(RESPONDING_SERVER_HEADER))
                 .filter(name -> isMisdirected && !name.isBlank())
                 .map(BackendServerName::new);
         return new ResponseMetadata(
-                identity,
+                new AnswerOrigin(
+                        headers.getAll(REQUEST_IDENTITY_HEADER),
+                        headers.getAll(SIGNATURE_HEADER),
+                        headers.contains(HttpHeaderNames.CONTENT_ENCODING)),
                 headers.contains(NOT_RUN_HEADER) || isMisdirected,
                 respondingServer,
                 parseStatement(
