Pass on nothing in a planned stop that cannot be answered in time

A request that a server refused as not run late in the grace was sent to the next server, and its caller got 502 instead of a promise that it had not run.

Cause: the notice period was 2.6 s whatever GraceS is, so that with a short grace requests were taken until the connections were closed; and its end bounded the arrival of requests, not their sending.

Change: the notice period is at most a third of the grace, the time for the exit at most an eighth. From the signal on a request is passed on only if its route's objective ends before the connections are closed; after the notice period nothing is sent that no server can have started, and another attempt only if the objective ends in time. What is not sent is refused with 503, Retry-After and Connection: close. Answers in flight at the signal say Connection: close too. vm-stopped cut= counts before the abort, since it never counted a cut request.

Why it works: no request begins at a server without the time that its operator expects the answer to take.

--- a/src/main/java/org/borageproxy/forward/BufferedRequest.java
+++ b/src/main/java/org/borageproxy/forward/BufferedRequest.java
@@ -60,6 +60,22 @@
                 : Deadline.after(arrivedAtNanos, objective).earlierOf(deadline);
     }
 
+    /**
+     * Returns whether an answer, or its first event, can be expected before a VM that stops closes its connections.
+     *
+     * @param answersEnd when the connections are closed
+     * @param sentAtNanos when the request is sent, on the monotonic clock
+     * @return {@code false} if the route's objective, counted from the sending, ends later, or the deadline if the
+     *     route has no objective
+     */
+    boolean mayBeAnsweredBy(Deadline answersEnd, long sentAtNanos) {
+        Duration objective = route.latencyObjective();
+        Deadline expected = objective.isZero()
+                ? deadline
+                : Deadline.after(sentAtNanos, objective).earlierOf(deadline);
+        return expected.compareTo(answersEnd) <= 0;
+    }
+
     /**
      * Returns the inference work of a request for a service of model engines.
      *
--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -88,7 +88,8 @@
             return;
         }
         log.streamResumed();
-        deadlineTimer = schedule(buffered.deadline(), DEADLINE_GRACE, this::expire);
+        long expiryNanos = buffered.deadline().remainingNanos(context.clock().nanoTime()) + DEADLINE_GRACE.toNanos();
+        deadlineTimer = context.eventLoop().schedule(this::expire, expiryNanos, TimeUnit.NANOSECONDS);
         context.retryBudgets().apply(buffered.service()).deposit();
         buffered.metadata().work().ifPresent(work -> context.pool().recordDemand(buffered.service(), work));
         if (stream.isTakenUp()) {
@@ -109,11 +110,6 @@
         }
     }
 
-    private ScheduledFuture<?> schedule(Deadline deadline, Duration grace, Runnable task) {
-        long nanos = deadline.remainingNanos(context.clock().nanoTime()) + grace.toNanos();
-        return context.eventLoop().schedule(task, nanos, TimeUnit.NANOSECONDS);
-    }
-
     private void refuseRate(RateShares.Shortage shortage) {
         buffered.workspace()
                 .ifPresent(workspace -> log.rateSpent(
@@ -122,6 +118,10 @@
     }
 
     private void findServer() {
+        if (SendConditions.stopObstacle(context, buffered, priorAttempts).isPresent()) {
+            stop();
+            return;
+        }
         boolean needsSlot =
                 buffered.inferenceWork().isPresent() || context.pool().needsCoordinator(buffered.service());
         if (!needsSlot || !priorAttempts.mayAskForSlot()) {
@@ -199,6 +199,7 @@
             }
             Optional<String> obstacle = SendConditions.obstacle(context, buffered, stream, server, acquired.relay())
                     .or(crashEvidence::obstacle)
+                    .or(() -> SendConditions.stopObstacle(context, buffered, priorAttempts))
                     .or(() -> SendConditions.slotObstacle(context, server, slotValidUntil, priorAttempts));
             if (obstacle.isPresent()) {
                 acquired.close();
@@ -527,16 +528,17 @@
                 .orElse(DEFAULT_RETRY_AFTER);
     }
 
-    /** Ends the request if no server can have started it. */
-    void stopIfUnsent(Duration retryAfter) {
-        if (!priorAttempts.mayHaveRun() && !relay.hasBegun()) {
-            stop(retryAfter);
+    /** Ends the request if no server can have started it; limits the time in which it may be sent again otherwise. */
+    void beginStop(Deadline answersEnd) {
+        priorAttempts.beginStop(answersEnd);
+        if (!priorAttempts.mayHaveRun()) {
+            stop();
         }
     }
 
     /** Refuses the request, or aborts its answer if that has begun. */
-    void stop(Duration retryAfter) {
-        refuseOrAbort(RefusalReason.STOPPING, retryAfter);
+    void stop() {
+        refuseOrAbort(RefusalReason.STOPPING, Refusals.STOPPING_RETRY_AFTER);
     }
 
     private void refuse(RefusalReason reason, Optional<Duration> retryAfter) {
@@ -562,10 +564,8 @@
         }
         if (relay.hasBegun()) {
             abortStream("deadline");
-        } else if (priorAttempts.mayHaveRun()) {
-            refuse(RefusalReason.EXPIRED, Optional.empty());
         } else {
-            refuse(RefusalReason.EXPIRED_UNSENT, Optional.empty());
+            refuse(priorAttempts.mayHaveRun() ? RefusalReason.EXPIRED : RefusalReason.EXPIRED_UNSENT, Optional.empty());
         }
     }
 
--- a/src/main/java/org/borageproxy/forward/ForwardServer.java
+++ b/src/main/java/org/borageproxy/forward/ForwardServer.java
@@ -2,9 +2,10 @@
 
 import java.time.Duration;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
@@ -48,9 +49,6 @@
     /** Retry-after time while no publication is available. */
     private static final Duration NO_PUBLICATION_RETRY_AFTER = Duration.ofMillis(400);
 
-    /** Retry-after time while this VM stops; short, since another VM can accept the request at once. */
-    private static final Duration STOPPING_RETRY_AFTER = Duration.ofMillis(20);
-
     /** Deadline of a body whose request matches no route and states no time. */
     private static final Duration DEFAULT_BODY_TIMEOUT = Duration.ofSeconds(60);
     /**
@@ -69,9 +67,13 @@
     private final BooleanSupplier isPublicationCurrent;
     private final RandomGenerator random;
     private HttpServer server;
-    private final Set<Exchange> exchanges = new LinkedHashSet<>();
+    /** The exchanges in flight and their requests. */
+    private final Map<Exchange, HttpServerRequest> exchanges = new LinkedHashMap<>();
+
     private final Set<Channel> channels = new HashSet<>();
-    private boolean isKeepAliveDisabled;
+    /** When requests in flight are aborted; empty unless this VM stops. */
+    private Optional<Deadline> answersEnd = Optional.empty();
+
     private boolean isRefusingNewRequests;
 
     /**
@@ -189,7 +191,7 @@
 
     private void handle(HttpServerRequest request) {
         long arrivedAtNanos = context.clock().nanoTime();
-        if (isKeepAliveDisabled) {
+        if (answersEnd.isPresent()) {
             request.response().putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE);
         }
         int maximumBytes = limits().maxBodyBytes();
@@ -240,9 +242,17 @@
             long arrivedAtNanos,
             Reservation reservation) {
         if (isRefusingNewRequests) {
-            refuse(request, fields.requestIdentity(), RefusalReason.STOPPING, Optional.of(STOPPING_RETRY_AFTER));
+            refuse(
+                    request,
+                    fields.requestIdentity(),
+                    RefusalReason.STOPPING,
+                    Optional.of(Refusals.STOPPING_RETRY_AFTER));
             return false;
         }
+        if (answersEnd.isPresent()) {
+            // The head may have been read before the stop.
+            request.response().putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE);
+        }
         Optional<ServedPublication> served = publications.get();
         if (served.isEmpty()) {
             refuse(
@@ -266,8 +276,18 @@
         }
         BufferedRequest buffered = bufferedRequest(
                 request, body, fields, served.get(), route.get(), workspace, arrivedAtNanos, reservation);
+        if (answersEnd
+                .filter(end -> !buffered.mayBeAnsweredBy(end, context.clock().nanoTime()))
+                .isPresent()) {
+            refuse(
+                    request,
+                    fields.requestIdentity(),
+                    RefusalReason.STOPPING,
+                    Optional.of(Refusals.STOPPING_RETRY_AFTER));
+            return false;
+        }
         Exchange exchange = new Exchange(context, buffered, exchanges::remove);
-        exchanges.add(exchange);
+        exchanges.put(exchange, request);
         // Runs after the read, which ends with the end of the connection if the caller has left already.
         context.eventLoop().execute(() -> {
             if (channelOf(request.connection()).isOpen()) {
@@ -349,20 +369,26 @@
     }
 
     /**
-     * Disables keep-alive: each connection is closed after its next answer, so that callers send no further requests on
-     * it.
+     * Begins to stop: each connection is closed after its next answer, so that callers send no further requests on it,
+     * and requests are refused that can hardly be answered in time.
+     *
+     * @param newAnswersEnd when requests in flight are aborted
      */
-    public void disableKeepAlive() {
-        isKeepAliveDisabled = true;
+    public void beginStop(Deadline newAnswersEnd) {
+        answersEnd = Optional.of(newAnswersEnd);
+        exchanges.values().stream()
+                .map(HttpServerRequest::response)
+                .filter(response -> !response.headWritten())
+                .forEach(response -> response.putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE));
     }
 
     /**
      * Refuses new requests, and those that no server can have started, as not run, since they might not complete before
-     * the process exits.
+     * the process exits. Requests in flight are sent again only if that may still bring an answer.
      */
     public void refuseNewRequests() {
         isRefusingNewRequests = true;
-        List.copyOf(exchanges).forEach(exchange -> exchange.stopIfUnsent(STOPPING_RETRY_AFTER));
+        List.copyOf(exchanges.keySet()).forEach(exchange -> exchange.beginStop(answersEnd.orElseThrow()));
     }
 
     /**
@@ -370,7 +396,8 @@
      * requests are refused.
      */
     public void abortInFlight() {
-        List.copyOf(exchanges).forEach(exchange -> exchange.stop(STOPPING_RETRY_AFTER));
+        isRefusingNewRequests = true;
+        List.copyOf(exchanges.keySet()).forEach(Exchange::stop);
     }
 
     /**
--- a/src/main/java/org/borageproxy/forward/PriorAttempts.java
+++ b/src/main/java/org/borageproxy/forward/PriorAttempts.java
@@ -2,9 +2,11 @@
 
 import java.util.Collections;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 
 import org.borageproxy.membership.BackendServerName;
+import org.borageproxy.time.Deadline;
 
 /**
  * What the attempts of one request have shown so far: the servers that were tried, and how many attempts can have
@@ -22,6 +24,7 @@
     private final Set<BackendServerName> goneServers = new HashSet<>();
     private final Set<ServerConnection> connections = new HashSet<>();
     private int expiredSlots;
+    private Optional<Deadline> answersEnd = Optional.empty();
     private int sends;
     private int possibleRuns;
 
@@ -70,6 +73,24 @@
         return possibleRuns > 0;
     }
 
+    /**
+     * Records that this VM stops and takes no new requests.
+     *
+     * @param newAnswersEnd when requests in flight are aborted
+     */
+    void beginStop(Deadline newAnswersEnd) {
+        answersEnd = Optional.of(newAnswersEnd);
+    }
+
+    /**
+     * Returns when a VM that stops and takes no new requests aborts those in flight.
+     *
+     * @return empty if requests are sent without a limit
+     */
+    Optional<Deadline> answersEnd() {
+        return answersEnd;
+    }
+
     /**
      * Returns whether the number of attempts allows another one.
      *
--- a/src/main/java/org/borageproxy/forward/Refusals.java
+++ b/src/main/java/org/borageproxy/forward/Refusals.java
@@ -11,6 +11,9 @@
 /** Answers to requests that were not forwarded, or whose answer was lost. Stateless and thread safe. */
 final class Refusals {
 
+    /** Retry-after time while this VM stops; short, since another VM can accept the request at once. */
+    static final Duration STOPPING_RETRY_AFTER = Duration.ofMillis(20);
+
     private static final double MILLIS_PER_SECOND = 1e3;
 
     private Refusals() {}
@@ -30,6 +33,9 @@
         retryAfter.ifPresent(time -> response.putHeader(
                 HttpHeaders.RETRY_AFTER,
                 String.format(Locale.ROOT, "%.3f", Math.max(1, time.toMillis()) / MILLIS_PER_SECOND)));
+        if (reason == RefusalReason.STOPPING) {
+            response.putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE);
+        }
         response.setStatusCode(reason.status()).end(reason.code() + "\n");
     }
 }
--- a/src/main/java/org/borageproxy/forward/SendConditions.java
+++ b/src/main/java/org/borageproxy/forward/SendConditions.java
@@ -43,6 +43,24 @@
                 .or(() -> ServerWrites.obstacle(context, buffered, server));
     }
 
+    /**
+     * Returns why a request must not be sent by a VM that stops: a request that no server can have started is refused
+     * as not run, and another attempt has to bring its answer before the connections are closed.
+     *
+     * @param context the collaborators of forwarding
+     * @param buffered the request
+     * @param priorAttempts the attempts so far
+     * @return empty if the request may be sent
+     */
+    static Optional<String> stopObstacle(
+            ForwardContext context, BufferedRequest buffered, PriorAttempts priorAttempts) {
+        long nowNanos = context.clock().nanoTime();
+        return priorAttempts
+                .answersEnd()
+                .filter(end -> !priorAttempts.mayHaveRun() || !buffered.mayBeAnsweredBy(end, nowNanos))
+                .map(end -> "VM stops");
+    }
+
     /**
      * Returns why the slot for a request must not be used, as in a VM that was frozen after the slot was granted: the
      * coordinator may have given it to another request. The server may then be selected again.
--- a/src/main/java/org/borageproxy/server/GatewayEntry.java
+++ b/src/main/java/org/borageproxy/server/GatewayEntry.java
@@ -41,6 +41,7 @@
 import org.borageproxy.quota.RateShares;
 import org.borageproxy.saturation.EntrySaturation;
 import org.borageproxy.settings.Endpoint;
+import org.borageproxy.time.Deadline;
 import org.borageproxy.vm.AvailabilityZone;
 import org.borageproxy.vm.VmName;
 import org.borageproxy.warmup.WarmUpRules;
@@ -391,10 +392,14 @@
         return server.inFlight() + relay.openCount();
     }
 
-    /** Closes each connection after its next answer and connects no other VMs, since this one stops. */
-    void disableKeepAlive() {
+    /**
+     * Closes each connection after its next answer and connects no other VMs, since this one stops.
+     *
+     * @param answersEnd when requests in flight are aborted
+     */
+    void beginStop(Deadline answersEnd) {
         isStopping = true;
-        server.disableKeepAlive();
+        server.beginStop(answersEnd);
     }
 
     /** Refuses new requests, and those that no server can have started, as not run. */
--- a/src/main/java/org/borageproxy/server/GatewayProcess.java
+++ b/src/main/java/org/borageproxy/server/GatewayProcess.java
@@ -29,8 +29,12 @@
     private static final Duration START_TIMEOUT = Duration.ofSeconds(20);
     /** Time until the load balancer sends no new connections: derived from two readiness checks of one second. */
     private static final Duration BALANCER_NOTICE_PERIOD = Duration.ofMillis(2600);
+    /** A short grace period is divided by this for the notice period; the rest is left for the answers. */
+    private static final int NOTICE_DIVISOR = 3;
     /** Part of the grace period after the drain deadline, for aborting requests and closing the durable state. */
     private static final Duration EXIT_MARGIN = Duration.ofMillis(700);
+    /** A short grace period is divided by this for the exit margin; servers have the rest for their answers. */
+    private static final int EXIT_MARGIN_DIVISOR = 8;
 
     private static final Duration DRAIN_POLL_INTERVAL = Duration.ofMillis(50);
     private static final Duration CLOSE_TIMEOUT = Duration.ofMillis(200);
@@ -43,6 +47,8 @@
     private final GatewayMetrics metrics = new GatewayMetrics();
     private final AtomicBoolean stopping = new AtomicBoolean();
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+    /** Requests in flight when the shutdown period ended; written before the thread that reads it starts. */
+    private int cutCount;
 
     private GatewayProcess(GatewaySettings settings, ExternalProtocol protocol) throws Exception {
         runtime = new GatewayRuntime(settings, protocol);
@@ -196,15 +202,21 @@
                 entry.map(GatewayEntry::inFlightCount).orElse(0));
         long nowNanos = runtime.clock().nanoTime();
         Duration gracePeriod = Duration.ofMillis(runtime.settings().bounds().gracePeriodMillis());
-        Deadline noticeEnd = Deadline.after(nowNanos, BALANCER_NOTICE_PERIOD);
-        Deadline drainDeadline = Deadline.after(nowNanos, gracePeriod.minus(EXIT_MARGIN));
+        Duration noticePeriod = shorter(BALANCER_NOTICE_PERIOD, gracePeriod.dividedBy(NOTICE_DIVISOR));
+        Duration exitMargin = shorter(EXIT_MARGIN, gracePeriod.dividedBy(EXIT_MARGIN_DIVISOR));
+        Deadline noticeEnd = Deadline.after(nowNanos, noticePeriod);
+        Deadline drainDeadline = Deadline.after(nowNanos, gracePeriod.minus(exitMargin));
         runtime.eventLoop().execute(() -> {
-            entry.ifPresent(GatewayEntry::disableKeepAlive);
+            entry.ifPresent(entryRole -> entryRole.beginStop(drainDeadline));
             drain(noticeEnd, drainDeadline);
         });
         return stopped;
     }
 
+    private static Duration shorter(Duration one, Duration other) {
+        return one.compareTo(other) < 0 ? one : other;
+    }
+
     private void drain(Deadline noticeEnd, Deadline drainDeadline) {
         long nowNanos = runtime.clock().nanoTime();
         if (noticeEnd.hasPassed(nowNanos)) {
@@ -217,6 +229,7 @@
             runtime.timer().schedule(DRAIN_POLL_INTERVAL, () -> drain(noticeEnd, drainDeadline));
             return;
         }
+        cutCount = entry.map(GatewayEntry::inFlightCount).orElse(0);
         entry.ifPresent(GatewayEntry::abortInFlight);
         // Gives the last answers time to be written before their connections are closed.
         runtime.timer().schedule(DRAIN_POLL_INTERVAL, () -> {
@@ -227,10 +240,7 @@
 
     private void closeRemaining() {
         control.ifPresent(GatewayControl::close);
-        LOGGER.info(
-                "event=vm-stopped vm={} cut={}",
-                runtime.self(),
-                entry.map(GatewayEntry::inFlightCount).orElse(0));
+        LOGGER.info("event=vm-stopped vm={} cut={}", runtime.self(), cutCount);
         stopped.complete(null);
     }
 
--- a/src/test/java/org/borageproxy/platform/EngineStandIn.java
+++ b/src/test/java/org/borageproxy/platform/EngineStandIn.java
@@ -58,6 +58,8 @@
     static final String PAUSE = "pause";
 
     static final long PAUSE_MILLIS = 1_200;
+    /** Pauses for {@link #PAUSE_MILLIS} and then refuses the request as not run. */
+    static final String REJECT_LATE = "reject-late";
     /** Pauses for {@link #EVENT_PAUSE_MILLIS} before each event of a stream. */
     static final String SLOW = "slow";
 
@@ -245,17 +247,7 @@
         }
         if (request.startsWith("POST /p/")) {
             requests.add(request);
-            String identity = header(request, "X-Request-Id").orElse("");
-            if (!workPlainly()) {
-                write(output, rejection(identity));
-                return recordRejection();
-            }
-            write(
-                    output,
-                    document("")
-                            .replace(
-                                    "\r\n\r\n", "\r\nX-Server-Signature: s\r\nX-Request-Id: " + identity + "\r\n\r\n"));
-            return true;
+            return answerPlainly(script, header(request, "X-Request-Id").orElse(""), output);
         }
         if (!request.startsWith("POST /e/")) {
             write(output, document(""));
@@ -275,6 +267,24 @@
         return stream(request, head, output, connection.getInputStream());
     }
 
+    /** Answers a request for a plain service and returns whether the connection stays open. */
+    private boolean answerPlainly(String script, String identity, OutputStream output) throws IOException {
+        if (script.equals(REJECT_LATE)) {
+            pause();
+            write(output, rejection(identity));
+            return true;
+        }
+        if (!workPlainly()) {
+            write(output, rejection(identity));
+            return recordRejection();
+        }
+        write(
+                output,
+                document("")
+                        .replace("\r\n\r\n", "\r\nX-Server-Signature: s\r\nX-Request-Id: " + identity + "\r\n\r\n"));
+        return true;
+    }
+
     private boolean stream(String request, String head, OutputStream output, InputStream input) throws IOException {
         Optional<String> resumedAfter = header(request, "Last-Event-Id");
         int first = resumedAfter.map(Integer::parseInt).orElse(0) + 1;
--- a/src/test/java/org/borageproxy/platform/ForwardingTest.java
+++ b/src/test/java/org/borageproxy/platform/ForwardingTest.java
@@ -533,7 +533,7 @@
         });
         assertTrue(arrived.await(5, TimeUnit.SECONDS));
         context.runOnContext(nothing -> {
-            forwarding.disableKeepAlive();
+            forwarding.beginStop(Deadline.after(System.nanoTime(), Duration.ofSeconds(5)));
             forwarding.refuseNewRequests();
         });
         String further = call("/safe/", "");
--- a/src/test/java/org/borageproxy/platform/PlatformFleet.java
+++ b/src/test/java/org/borageproxy/platform/PlatformFleet.java
@@ -74,6 +74,7 @@
     private final int callerPort;
     private final int readinessPort;
     private final int controlPort;
+    private final int gracePeriodSeconds;
 
     /** Starts the VMs and publishes one route, whose service has one model; waits until the entries are ready. */
     PlatformFleet(Path folder, int entryCount) throws Exception {
@@ -82,7 +83,13 @@
 
     /** Starts the VMs with a control group of several VMs, and publishes like the other constructor, through each. */
     PlatformFleet(Path folder, int entryCount, int controlCount) throws Exception {
+        this(folder, entryCount, controlCount, 3);
+    }
+
+    /** Starts and publishes like the other constructors, with another grace period of a planned stop. */
+    PlatformFleet(Path folder, int entryCount, int controlCount, int gracePeriodSeconds) throws Exception {
         this.folder = folder;
+        this.gracePeriodSeconds = gracePeriodSeconds;
         controls.add(CONTROL);
         for (int number = 1; number < controlCount; number++) {
             controls.add("127.0.1." + (100 + number));
@@ -187,7 +194,7 @@
                 + "\nHeartbeatMs = " + HEARTBEAT_MILLIS + "\n"
                 + (isControl ? "DataDir = \"" + dataFolder(vm) + "\"\n" : "")
                 + "InternalPortRange = [" + internalPort + ", " + internalPort + "]\nSeedNodes = [" + seeds
-                + "]\n[Listen]\n" + roles + "[Bounds]\nGraceS = 3\nRetryBudgetRatio = 0.2\n"
+                + "]\n[Listen]\n" + roles + "[Bounds]\nGraceS = " + gracePeriodSeconds + "\nRetryBudgetRatio = 0.2\n"
                 + "RetryBudgetSlack = 60\n[Zones]\na = \"near\"\nb = \"near\"\n";
     }
 
@@ -268,6 +275,11 @@
         signal(vm, "CONT");
     }
 
+    /** Asks a VM to stop, as the platform does in a planned stop; does not wait until it has stopped. */
+    void terminate(String vm) throws IOException, InterruptedException {
+        signal(vm, "TERM");
+    }
+
     private void signal(String vm, String signal) throws IOException, InterruptedException {
         String processId = Long.toString(processes.get(vm).pid());
         new ProcessBuilder("kill", "-" + signal, processId).start().waitFor();
@@ -415,6 +427,15 @@
                 "X-Model: m\r\nX-Token-Count: 100,10\r\nX-Prompt-Prefix: " + parts + "\r\n" + extraHeaders);
     }
 
+    /** Opens a connection to an entry whose caller has a small receive buffer. */
+    Socket connectWithSmallBuffer(String entry) throws IOException {
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(16_384);
+        socket.connect(new InetSocketAddress(entry, callerPort));
+        socket.setSoTimeout(15_000);
+        return socket;
+    }
+
     /** Opens a connection to an entry, sends a request and returns the connection. */
     private Socket sendTo(String entry, String path, String identity, String extraHeaders) throws IOException {
         Socket socket = new Socket(entry, callerPort);
