Continue streams only with whole events above the last one

A second server that answered 200 with text/plain "ERROR" had this text passed on in the stream, which ended as complete. A second server that ignored Last-Event-Id and sent events 1 to 3 had 1 and 2 passed on again.

Cause: EventScanner split bytes at blank lines. Neither the media type of a further answer, nor the fields of an event, nor the order of the identities was checked, and an answer without an event could end a stream. Ruled out: bytes of answers with an error status in a stream; they were cut before a byte was passed on. They were not tried at another server, though, since that required the answer itself to be a stream.

Change: EventSequence, in the package stream and without Netty, decides what is passed on. A further answer must have status 200 and the media type of the one that began the stream. Each event consists of fields and comments, with one identity, a whole number above the last one that the caller has, also from an earlier request. An answer that starts at or below it is rejected, not skipped to the next event: it does not go on at Last-Event-Id, so that its later events may be of another run. Identities may skip numbers, since the protocol asks for increasing ones only. A rejected answer is tried elsewhere within the attempts of the route and the retry budget if that is allowed; otherwise the stream is visibly cut. Why this works: every byte that joins a stream passes one check, whichever answer it comes from, and nothing of an answer is passed on before its first valid event.

An answer of a stream route that is no stream, before the first event, is passed on whole and unchanged; a large one was cut before, since its second half went through the scanner.

--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -7,13 +7,13 @@
 import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.quota.RateShares;
 import org.borageproxy.routing.ServerSelector;
+import org.borageproxy.stream.EventSequence;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.vm.VmName;
 import org.borageproxy.wire.proto.CoordinationProtocol.SlotAnswer;
@@ -42,13 +42,13 @@
     private final Consumer<Exchange> endListener;
     private final ResponseRelay relay;
     private final PriorAttempts priorAttempts = new PriorAttempts();
-    private final EventScanner scanner = new EventScanner();
+    private final EventSequence events;
+    private final EventRelay eventRelay;
     private final LocalSearch localSearch;
     private final ResumableStream stream;
     private final CrashEvidence crashEvidence;
     private ScheduledFuture<?> deadlineTimer;
     private Optional<Attempt> currentAttempt = Optional.empty();
-    private Optional<HttpResponse> firstHead = Optional.empty();
     private boolean hasEnded;
 
     Exchange(ForwardContext context, BufferedRequest buffered, Consumer<Exchange> endListener) {
@@ -60,6 +60,8 @@
         this.rate = new RateAdmission(context, buffered);
         this.crashEvidence = new CrashEvidence(context.suspectRequests(), buffered.suspects(), context.clock());
         this.stream = new ResumableStream(context, buffered, log);
+        this.eventRelay = new EventRelay(buffered, stream, relay);
+        this.events = eventRelay.events();
         this.localSearch = new LocalSearch(
                 context,
                 buffered,
@@ -182,7 +184,11 @@
         private Optional<ServerConnection> connection = Optional.empty();
         private Optional<InFlightRequest> inFlightRequest = Optional.empty();
         private final ReceivedAnswer received = new ReceivedAnswer(buffered.reservation());
+        /** Whether the body is passed on as it arrives. */
         private boolean isStream;
+        /** Whether the body is passed on event by event. */
+        private boolean isEventStream;
+
         private boolean isOver;
 
         Attempt(ServerSelector.Choice choice, Optional<Deadline> slotValidUntil) {
@@ -220,8 +226,8 @@
                             buffered.engines(),
                             buffered.metadata().work(),
                             buffered.body().length()));
-            log.sent(choice, priorAttempts.sends(), acquired.isReused(), scanner.lastEventIdentity());
-            ServerWrites.send(context, buffered, server, acquired, scanner.lastEventIdentity(), this);
+            log.sent(choice, priorAttempts.sends(), acquired.isReused(), events.lastEventIdentity());
+            ServerWrites.send(context, buffered, server, acquired, events.lastEventIdentity(), this);
         }
 
         @Override
@@ -272,13 +278,20 @@
                 return;
             }
             received.setHead(response);
-            isStream = received.isSuccess() && buffered.route().repeatability().isStream();
-            if (!isStream && relay.hasBegun()) {
-                closeConnection();
-                handleLostAnswer("status " + response.status().code() + " to a resumed stream");
+            EventSequence.Kind kind = eventRelay.begin(response);
+            isEventStream = kind == EventSequence.Kind.EVENTS;
+            isStream = isEventStream;
+            if (kind == EventSequence.Kind.FOREIGN) {
+                rejectAnswer(EventRelay.describeForeign(response));
             }
         }
 
+        private void rejectAnswer(String reason) {
+            inFlightRequest.ifPresent(InFlightRequest::recordFailure);
+            closeConnection();
+            handleLostAnswer(reason);
+        }
+
         private void handleNotRun(HttpResponse response, CallerProtocol.ResponseMetadata answer) {
             int status = response.status().code();
             priorAttempts.recordNotRun();
@@ -338,9 +351,18 @@
                 return;
             }
             received.count(bytes);
-            if (isStream) {
+            if (isEventStream) {
                 // Before the response is recorded, which may report to the coordinator what began the stream.
-                relayEvents(bytes);
+                if (eventRelay.relayEvents(bytes, received, server)) {
+                    recordRelayed();
+                }
+                if (events.fault().isPresent()) {
+                    rejectAnswer(events.fault().get());
+                    return;
+                }
+            } else if (isStream) {
+                eventRelay.relayPart(bytes, received);
+                recordRelayed();
             }
             inFlightRequest.ifPresent(present -> present.recordResponse(buffered.service(), received.isSuccess()));
             if (isStream) {
@@ -352,20 +374,11 @@
             }
         }
 
-        private void relayEvents(ByteBuf bytes) {
-            ByteBuf relayedBytes = buffered.route().repeatability().isStream() ? scanner.append(bytes) : bytes;
-            if (!relayedBytes.isReadable()) {
-                return;
-            }
-            if (firstHead.isEmpty()) {
-                firstHead = received.head();
-                stream.recordEvent(server);
-            }
+        private void recordRelayed() {
             log.streamEvent();
             crashEvidence.recordEvent();
-            relay.sendPart(firstHead.get(), relayedBytes, stream.isResumable() ? Optional.empty() : received.length());
             boolean isCallerSlow = relay.isWriteQueueFull();
-            inFlightRequest.ifPresent(present -> present.recordEvents(scanner.eventCount(), isCallerSlow));
+            inFlightRequest.ifPresent(present -> present.recordEvents(events.eventCount(), isCallerSlow));
             if (isCallerSlow) {
                 connection.ifPresent(present -> present.setReading(false));
                 relay.onDrained(() -> connection.ifPresent(present -> present.setReading(true)));
@@ -381,9 +394,12 @@
             inFlightRequest.ifPresent(present -> present.recordResponse(buffered.service(), received.isSuccess()));
             inFlightRequest.ifPresent(InFlightRequest::recordEnd);
             int status = received.status();
-            if (isBrokenOff()) {
-                recordCrashSuspicion();
-                handleLostAnswer("answer ended within an event");
+            Optional<String> fault = isEventStream ? events.endFault(received.isUnframed()) : Optional.empty();
+            if (fault.isPresent()) {
+                if (received.isUnframed() || events.hasPartialEvent()) {
+                    recordCrashSuspicion();
+                }
+                handleLostAnswer(fault.get());
                 return;
             }
             if (received.isSuccess()) {
@@ -391,7 +407,8 @@
             }
             context.metrics().recordAttempt(buffered.service(), Integer.toString(status), ageMillis());
             if (isStream) {
-                endStream();
+                eventRelay.end(received);
+                finish("answered", status);
             } else if (status >= FIRST_SERVER_ERROR && mayRepeat() && !isExpired()) {
                 inFlightRequest.ifPresent(InFlightRequest::recordFailure);
                 log.failed(server, "status " + status, ageMillis(), received.receivedBytes());
@@ -404,13 +421,6 @@
             }
         }
 
-        /** Returns whether a stream ended within an event, or without any if only the connection marks its end. */
-        private boolean isBrokenOff() {
-            boolean isEventStream = isStream && buffered.route().repeatability().isStream();
-            boolean isEmpty = received.isUnframed() && received.receivedBytes() == 0;
-            return isEventStream && (scanner.hasPartialEvent() || isEmpty);
-        }
-
         /** A lost connection says nothing about the server if the links of this VM are lost. */
         private boolean isServerToBlame() {
             return !context.connections().links().areLost() || answeredVm().isPresent();
@@ -425,14 +435,6 @@
             crashEvidence.recordConnectionLoss(server);
         }
 
-        private void endStream() {
-            if (!relay.hasBegun()) {
-                relay.sendPart(received.head().get(), Unpooled.EMPTY_BUFFER, Optional.empty());
-            }
-            relay.end();
-            finish("answered", received.status());
-        }
-
         @Override
         public void onFailure(String reason) {
             if (isOver) {
@@ -454,8 +456,8 @@
         private void handleLostAnswer(String reason) {
             log.failed(server, reason, ageMillis(), received.receivedBytes());
             context.metrics().recordAttempt(buffered.service(), "lost", ageMillis());
-            scanner.discardPartialEvent();
-            if (relay.hasBegun() && !(isStream && stream.isResumable())) {
+            events.discardPending();
+            if (!eventRelay.canContinue()) {
                 abortStream("answer broken off");
                 return;
             }
@@ -584,7 +586,7 @@
         }
         rate.close(priorAttempts.mayHaveRun());
         currentAttempt.filter(attempt -> !attempt.isOver).ifPresent(Attempt::cancel);
-        log.ended(outcome, status, priorAttempts.sends(), scanner.eventCount());
+        log.ended(outcome, status, priorAttempts.sends(), events.eventCount());
         context.metrics()
                 .recordRequest(
                         buffered.route().name(),
--- a/src/test/java/org/borageproxy/ArchitectureTest.java
+++ b/src/test/java/org/borageproxy/ArchitectureTest.java
@@ -32,6 +32,7 @@
                     ROOT + ".lease",
                     ROOT + ".admission",
                     ROOT + ".scheduling",
+                    ROOT + ".stream",
                     ROOT + ".buffer")
             .should()
             .dependOnClassesThat()
--- a/src/test/java/org/borageproxy/platform/ForwardingFixture.java
+++ b/src/test/java/org/borageproxy/platform/ForwardingFixture.java
@@ -176,9 +176,10 @@
         return new Publication(
                 1,
                 List.of(
-                        route("/safe/", Repeatability.IDEMPOTENT, routeTimeout),
-                        route("/once/", Repeatability.ONCE, routeTimeout),
-                        route("/stream/", Repeatability.STREAM, routeTimeout)),
+                        route("/safe/", Repeatability.IDEMPOTENT, routeTimeout, 2),
+                        route("/once/", Repeatability.ONCE, routeTimeout, 2),
+                        route("/stream/", Repeatability.STREAM, routeTimeout, 2),
+                        route("/resume/", Repeatability.RESUMABLE_STREAM, routeTimeout, 3)),
                 Map.of("s", new PublishedService("s", 100, engines)),
                 Map.of(
                         "w", new PublishedWorkspace("w", Set.of("key-w"), 0, 0, 0, 1),
@@ -186,7 +187,7 @@
                 RequestLimits.DEFAULT);
     }
 
-    private static PublishedRoute route(String prefix, Repeatability repeatability, Duration timeout) {
+    private static PublishedRoute route(String prefix, Repeatability repeatability, Duration timeout, int maxAttempts) {
         return new PublishedRoute(
                 prefix,
                 "host.example",
@@ -197,7 +198,7 @@
                 Duration.ZERO,
                 1,
                 List.of(new PublishedRoute.WeightedService("s", 1)),
-                2,
+                maxAttempts,
                 false);
     }
 
