Keep a stopping entry until callers have taken their answers

Cause: a request counts as in flight until its answer is written to the connection, whose queue may hold hundreds of kilobytes, and the drain waited for requests in flight only.

Change: the drain also waits until no connection has bytes that its socket has not taken, up to the end that holds for requests in flight. vm-stopped unsent= counts the connections that were left.

Why it works: bytes that the kernel has taken are delivered after the process has ended; those that it has not are what a close cuts. Without such connections the condition is the old one; the length of such a stop was not measured.

--- a/src/main/java/org/borageproxy/server/GatewayEntry.java
+++ b/src/main/java/org/borageproxy/server/GatewayEntry.java
@@ -392,6 +392,11 @@
         return server.inFlight() + relay.openCount();
     }
 
+    /** Returns the number of connections whose callers have not taken all that was written to them. */
+    int unsentConnectionCount() {
+        return server.unsentConnectionCount();
+    }
+
     /**
      * Closes each connection after its next answer and connects no other VMs, since this one stops.
      *
--- a/src/main/java/org/borageproxy/server/GatewayProcess.java
+++ b/src/main/java/org/borageproxy/server/GatewayProcess.java
@@ -49,6 +49,8 @@
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     /** Requests in flight when the shutdown period ended; written before the thread that reads it starts. */
     private int cutCount;
+    /** Connections then whose callers had not taken all that was written to them. */
+    private int unsentCount;
 
     private GatewayProcess(GatewaySettings settings, ExternalProtocol protocol) throws Exception {
         runtime = new GatewayRuntime(settings, protocol);
@@ -222,7 +224,8 @@
         if (noticeEnd.hasPassed(nowNanos)) {
             entry.ifPresent(GatewayEntry::refuseNewRequests);
         }
-        boolean isIdle = entry.map(GatewayEntry::inFlightCount).orElse(0) == 0;
+        boolean isIdle = entry.map(GatewayEntry::inFlightCount).orElse(0) == 0
+                && entry.map(GatewayEntry::unsentConnectionCount).orElse(0) == 0;
         boolean isDone =
                 entry.isEmpty() || noticeEnd.hasPassed(nowNanos) && isIdle || drainDeadline.hasPassed(nowNanos);
         if (!isDone) {
@@ -230,6 +233,7 @@
             return;
         }
         cutCount = entry.map(GatewayEntry::inFlightCount).orElse(0);
+        unsentCount = entry.map(GatewayEntry::unsentConnectionCount).orElse(0);
         entry.ifPresent(GatewayEntry::abortInFlight);
         // Gives the last answers time to be written before their connections are closed.
         runtime.timer().schedule(DRAIN_POLL_INTERVAL, () -> {
@@ -240,7 +244,7 @@
 
     private void closeRemaining() {
         control.ifPresent(GatewayControl::close);
-        LOGGER.info("event=vm-stopped vm={} cut={}", runtime.self(), cutCount);
+        LOGGER.info("event=vm-stopped vm={} cut={} unsent={}", runtime.self(), cutCount, unsentCount);
         stopped.complete(null);
     }
 
--- a/src/test/java/org/borageproxy/platform/EngineStandIn.java
+++ b/src/test/java/org/borageproxy/platform/EngineStandIn.java
@@ -60,6 +60,10 @@
     static final long PAUSE_MILLIS = 1_200;
     /** Pauses for {@link #PAUSE_MILLIS} and then refuses the request as not run. */
     static final String REJECT_LATE = "reject-late";
+    /** Answers a request for a plain service with a body of {@link #LARGE_BYTES}. */
+    static final String LARGE = "large";
+
+    static final int LARGE_BYTES = 480_000;
     /** Pauses for {@link #EVENT_PAUSE_MILLIS} before each event of a stream. */
     static final String SLOW = "slow";
 
@@ -274,6 +278,11 @@
             write(output, rejection(identity));
             return true;
         }
+        if (script.equals(LARGE)) {
+            String head = "HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\nX-Request-Id: " + identity;
+            write(output, head + "\r\nContent-Length: " + LARGE_BYTES + "\r\n\r\n" + "x".repeat(LARGE_BYTES));
+            return true;
+        }
         if (!workPlainly()) {
             write(output, rejection(identity));
             return recordRejection();
--- a/src/test/java/org/borageproxy/platform/StoppingEntryTest.java
+++ b/src/test/java/org/borageproxy/platform/StoppingEntryTest.java
@@ -1,10 +1,12 @@
 package org.borageproxy.platform;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -25,7 +27,10 @@
 
     private static final int SERVERS = 4;
     private static final int SHORT_GRACE_SECONDS = 3;
+    private static final int USUAL_GRACE_SECONDS = 8;
     private static final long SEND_INTERVAL_MILLIS = 100;
+    private static final int BYTES_PER_READ = 4_096;
+    private static final long READ_PAUSE_MILLIS = 45;
 
     @TempDir
     Path folder;
@@ -121,6 +126,26 @@
         }
     }
 
+    /** Guards against an entry that stops while callers still read complete answers slowly. */
+    @Test
+    void slowCallersReadTheirWholeAnswersWithinTheGracePeriod() throws Exception {
+        start(USUAL_GRACE_SECONDS);
+        List<Future<Integer>> bodies = new ArrayList<>();
+        for (int number = 0; number < SERVERS; number++) {
+            String identity = "slow-" + number;
+            bodies.add(callers.submit(() -> readSlowly(identity)));
+        }
+        for (int number = 0; number < SERVERS; number++) {
+            await("slow-" + number);
+        }
+        fleet.terminate(entry);
+        List<Integer> lengths = new ArrayList<>();
+        for (Future<Integer> body : bodies) {
+            lengths.add(body.get());
+        }
+        assertEquals(Collections.nCopies(SERVERS, EngineStandIn.LARGE_BYTES), lengths);
+    }
+
     private void await(String identity) throws InterruptedException {
         long end = System.nanoTime() + PlatformFleet.STEP_TIMEOUT.toNanos();
         while (arrivals(identity) == 0) {
@@ -145,6 +170,38 @@
         }
     }
 
+    private int readSlowly(String identity) throws Exception {
+        try (Socket socket = fleet.connectWithSmallBuffer(entry)) {
+            String request = requestText(identity, EngineStandIn.LARGE);
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+            return readBodySlowly(socket.getInputStream());
+        }
+    }
+
+    /** Returns the number of bytes of the body that were read before it was complete or the connection ended. */
+    private static int readBodySlowly(InputStream input) throws Exception {
+        byte[] part = new byte[BYTES_PER_READ];
+        StringBuilder answer = new StringBuilder();
+        int bodyStart = -1;
+        while (bodyStart < 0 || answer.length() - bodyStart < EngineStandIn.LARGE_BYTES) {
+            int count;
+            try {
+                count = input.read(part);
+            } catch (IOException exception) {
+                count = -1;
+            }
+            if (count < 0) {
+                break;
+            }
+            answer.append(new String(part, 0, count, StandardCharsets.ISO_8859_1));
+            if (bodyStart < 0 && answer.indexOf("\r\n\r\n") >= 0) {
+                bodyStart = answer.indexOf("\r\n\r\n") + 4;
+            }
+            Thread.sleep(READ_PAUSE_MILLIS);
+        }
+        return bodyStart < 0 ? 0 : answer.length() - bodyStart;
+    }
+
     private long arrivals(String identity) {
         return servers.stream()
                 .flatMap(server -> server.requests().stream())
