Tell entries that are relayed through a stopping VM to send another way

What callers would see: an entry that has lost its links sends through another entry. When that one stops, it opens no more connections, but those that stand went on being used until they were cut at the end of the grace; the callers of requests that may not be repeated got 502.

Cause: a VM that passes bytes on unread cannot refuse a single request, and told nobody that it stops.

Evidence: ServerLinksTest.vmThatStopsTellsThoseThatAreConnectedThroughIt with a tellStopping that sends nothing: "condition not met ==> expected: <true> but was: <false>" after 20 s. All of ServerLinksTest passes with it. Two VMs within one process; a stop of a real relaying entry was not run.

Change: when a VM begins to stop, it sends each VM that is connected to a server through it the notice that is sent when a server refuses a VM, for the rest of its grace.

Why it works: a way that is refused is neither taken from the pool of idle connections nor opened, and is checked again right before a request is sent.

--- a/src/main/java/org/borageproxy/forward/RefusalNotices.java
+++ b/src/main/java/org/borageproxy/forward/RefusalNotices.java
@@ -47,8 +47,9 @@
      * @param relay knows the VMs that are connected through this one
      * @param leavingListener receives each server that says that it leaves, once
      * @param eventLoop the event loop of the refusals
+     * @return the notices that this VM sends
      */
-    public static void exchange(
+    public static RefusalNotices exchange(
             VmNetwork network,
             ServerRefusals refusals,
             ServerRelay relay,
@@ -61,6 +62,19 @@
             eventLoop.execute(() -> notices.handle(sender, body));
             return CompletableFuture.completedFuture(ByteString.EMPTY);
         });
+        return notices;
+    }
+
+    /**
+     * Tells the VMs that are connected to servers through this one to send nothing more that way, since this VM stops.
+     *
+     * @param until when this VM has stopped
+     */
+    public void tellStopping(Deadline until) {
+        for (BackendServer server : relay.usedServers()) {
+            RefusalNotice.Builder notice = refusals.encode(server, until).toBuilder();
+            relay.usersOf(server).forEach(user -> send(user, notice));
+        }
     }
 
     private void tell(BackendServer server, Optional<VmName> refused, Deadline until, boolean isFromAnswer) {
--- a/src/main/java/org/borageproxy/forward/ServerRelay.java
+++ b/src/main/java/org/borageproxy/forward/ServerRelay.java
@@ -84,6 +84,13 @@
         return connections.size();
     }
 
+    /** Returns the announced servers to which other VMs are connected through this one. */
+    List<BackendServer> usedServers() {
+        return servers.current().stream()
+                .filter(server -> !usersOf(server).isEmpty())
+                .toList();
+    }
+
     /**
      * Returns the VMs that are connected to a server through this one.
      *
--- a/src/main/java/org/borageproxy/server/GatewayEntry.java
+++ b/src/main/java/org/borageproxy/server/GatewayEntry.java
@@ -74,6 +74,7 @@
     private final StreamOrigins streamOrigins;
     private final ServerConnectionPool connectionPool;
     private final ServerRelay relay;
+    private final RefusalNotices refusalNotices;
     private final PublicationReader publicationReader;
     private final ForwardServer server;
     private final BufferAccount buffers;
@@ -123,6 +124,7 @@
         slotClient = createSlotClient();
         ServerLinks links = createLinks();
         relay = createRelay(links);
+        refusalNotices = exchangeNotices(links);
         links.refusals().onEnd(pool::retryQueued);
         connectionPool = new ServerConnectionPool(links, runtime.clock());
         buffers = createBuffers();
@@ -231,13 +233,16 @@
         ServerRelay created = new ServerRelay(runtime.membership().registry(), links, () -> isStopping);
         created.restrict(runtime.zoneRules());
         runtime.network().acceptStreams(created);
-        RefusalNotices.exchange(
+        return created;
+    }
+
+    private RefusalNotices exchangeNotices(ServerLinks links) {
+        return RefusalNotices.exchange(
                 runtime.network(),
                 links.refusals(),
-                created,
+                relay,
                 leaving -> runtime.membership().leave(leaving.name(), leaving.incarnation()),
                 runtime.eventLoop());
-        return created;
     }
 
     private RetryBudgets createRetryBudgets() {
@@ -398,12 +403,14 @@
     }
 
     /**
-     * Closes each connection after its next answer and connects no other VMs, since this one stops.
+     * Closes each connection after its next answer and connects no other VMs, since this one stops; those that are
+     * connected are told to send nothing more through it.
      *
      * @param answersEnd when requests in flight are aborted
      */
     void beginStop(Deadline answersEnd) {
         isStopping = true;
+        refusalNotices.tellStopping(answersEnd);
         server.beginStop(answersEnd);
     }
 
--- a/src/test/java/org/borageproxy/forward/ServerLinksTest.java
+++ b/src/test/java/org/borageproxy/forward/ServerLinksTest.java
@@ -31,6 +31,7 @@
 import org.borageproxy.event.HybridClock;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerFixture;
+import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
 import org.borageproxy.vm.AvailabilityZone;
 import org.borageproxy.vm.VmAddress;
@@ -74,6 +75,8 @@
     private final ServerRelay entryRelay = new ServerRelay(() -> List.copyOf(entryServers), links, () -> false);
     private final List<BackendServer> leavingAtOther = new CopyOnWriteArrayList<>();
 
+    private RefusalNotices otherNotices;
+
     private record Opened(Channel channel, boolean isRelayed, boolean isRefused) {}
 
     private NettyVmNetwork network(VmName name) {
@@ -99,7 +102,8 @@
         int entryPort = entryNetwork.listen("127.0.0.1", 0);
         addresses.put(ENTRY, new VmAddress(ENTRY, new AvailabilityZone("a"), "127.0.0.1", entryPort));
         RefusalNotices.exchange(entryNetwork, links.refusals(), entryRelay, server -> {}, eventLoop);
-        RefusalNotices.exchange(otherNetwork, otherLinks.refusals(), relay, leavingAtOther::add, eventLoop);
+        otherNotices =
+                RefusalNotices.exchange(otherNetwork, otherLinks.refusals(), relay, leavingAtOther::add, eventLoop);
     }
 
     @AfterEach
@@ -355,6 +359,16 @@
         awaitOnEventLoop(() -> !links.refusals().accepts(server, Optional.of(OTHER)));
     }
 
+    /** Guards against requests that are sent through a VM that stops and are cut with its connections. */
+    @Test
+    void vmThatStopsTellsThoseThatAreConnectedThroughIt() throws Exception {
+        BackendServer server = announce("s", refusingPort(), listen(10).getLocalPort());
+        assertTrue(open(server).isRelayed());
+        eventLoop.execute(() -> otherNotices.tellStopping(Deadline.after(clock.nanoTime(), STEP_TIMEOUT)));
+        awaitOnEventLoop(() -> !links.refusals().accepts(server, Optional.of(OTHER)));
+        assertTrue(onEventLoop(() -> links.refusals().accepts(server, Optional.empty())));
+    }
+
     /** Guards against a VM that is told why it is not connected and does not keep to it. */
     @Test
     void vmThatIsNotConnectedLearnsUntilWhen() throws Exception {
