Read at most 16 KiB of a server before the other connections' turn

What callers saw: while 200 callers waited for servers that send chunks of one byte without end, a caller of a sound server of another service got 504 after 11.5 s, with a deadline of 2 s: the event loop was busy.

Cause: a connection is read up to 16 times 64 KiB in a row, which is decoded to some 10,000 parts for each 64 KiB, and all other connections wait meanwhile.

Change: one read of at most 16 KiB for each turn of a connection to a server.

--- a/src/main/java/org/borageproxy/forward/ServerConnectionPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerConnectionPool.java
@@ -10,6 +10,7 @@
 import java.util.function.BiPredicate;
 import java.util.function.Predicate;
 
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -29,6 +30,13 @@
 
     private static final int MAX_IDLE_PER_SERVER = 64;
     private static final int MAX_CHUNK_BYTES = 64 << 10;
+    private static final int MIN_READ_BYTES = 64;
+    private static final int INITIAL_READ_BYTES = 2 << 10;
+    /**
+     * Largest read of a connection before the others have their turn. A faulty server that sends without end in chunks
+     * of one byte otherwise keeps the event loop busy for seconds.
+     */
+    private static final int MAX_READ_BYTES = 16 << 10;
 
     private final ServerLinks links;
     private final MonotonicClock clock;
@@ -119,6 +127,11 @@
                 clock, used -> returnIdle(destination, used), links, () -> confirmEnd(server, relay));
         ServerConnection connection = new ServerConnection(environment, server, relay, inputEnd, guard);
         channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
+        channel.config()
+                .setOption(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
+                                .maxMessagesPerRead(1));
         channel.pipeline()
                 .addLast(inputEnd)
                 .addLast(guard)
--- a/src/test/java/org/borageproxy/platform/ForwardingFixture.java
+++ b/src/test/java/org/borageproxy/platform/ForwardingFixture.java
@@ -60,6 +60,7 @@
  */
 final class ForwardingFixture implements AutoCloseable {
 
+    private static final String OTHER_SERVICE = "t";
     private static final EnginePool ENGINES = new EnginePool(64, 100_000, 2, 200_000, 8, 2, Map.of());
 
     private final List<BackendServer> servers = new CopyOnWriteArrayList<>();
@@ -178,8 +179,13 @@
                 List.of(
                         route("/safe/", Repeatability.IDEMPOTENT, routeTimeout),
                         route("/once/", Repeatability.ONCE, routeTimeout),
-                        route("/stream/", Repeatability.STREAM, routeTimeout)),
-                Map.of("s", new PublishedService("s", 100, engines)),
+                        route("/stream/", Repeatability.STREAM, routeTimeout),
+                        route("/other/", Repeatability.ONCE, routeTimeout, OTHER_SERVICE)),
+                Map.of(
+                        "s",
+                        new PublishedService("s", 100, engines),
+                        OTHER_SERVICE,
+                        new PublishedService(OTHER_SERVICE, 100, Optional.empty())),
                 Map.of(
                         "w", new PublishedWorkspace("w", Set.of("key-w"), 0, 0, 0, 1),
                         "v", new PublishedWorkspace("v", Set.of("key-v"), 0, 0, 0, 1)),
@@ -187,6 +193,10 @@
     }
 
     private static PublishedRoute route(String prefix, Repeatability repeatability, Duration timeout) {
+        return route(prefix, repeatability, timeout, "s");
+    }
+
+    private static PublishedRoute route(String prefix, Repeatability repeatability, Duration timeout, String service) {
         return new PublishedRoute(
                 prefix,
                 "host.example",
@@ -196,7 +206,7 @@
                 Duration.ofSeconds(1),
                 Duration.ZERO,
                 1,
-                List.of(new PublishedRoute.WeightedService("s", 1)),
+                List.of(new PublishedRoute.WeightedService(service, 1)),
                 2,
                 false);
     }
@@ -205,6 +215,27 @@
         servers.add(BackendServerFixture.service("r" + servers.size(), serverPort));
     }
 
+    /** Adds a server of the service of the route {@code /other/}. */
+    void addOtherServer(int serverPort) {
+        BackendServer server = BackendServerFixture.service("r" + servers.size(), serverPort);
+        servers.add(new BackendServer(
+                server.name(),
+                server.incarnation(),
+                server.sequence(),
+                server.kind(),
+                server.state(),
+                server.zone(),
+                server.host(),
+                server.port(),
+                server.checksFencing(),
+                Set.of(OTHER_SERVICE),
+                server.accelerators(),
+                server.models(),
+                server.localWeights(),
+                server.softwareVersion(),
+                server.load()));
+    }
+
     /** Sets whether a newer publication than the one in force cannot be due. */
     void setPublicationCurrent(boolean isCurrent) {
         isPublicationCurrent.set(isCurrent);
