Hold the partial events of streams in the account of buffers

Cause: EventScanner keeps up to 1 MiB of a partial event for each stream, and BufferAccount, which bounds everything else that a process holds for callers, did not know of it.

Change: what the scanner's buffer takes up is recorded in the reservation of the request. A partial event of more than 16 KiB ends the attempt while a bound of the account is exceeded; smaller ones are kept whatever room there is, so that events of sound streams do not depend on other requests.

EventScannerTest. partialEventIsHeldByTheAccountAndRefusedIfThereIsNoRoom shows it without load.

--- a/src/main/java/org/borageproxy/forward/EventScanner.java
+++ b/src/main/java/org/borageproxy/forward/EventScanner.java
@@ -4,6 +4,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import org.borageproxy.buffer.Reservation;
 
 /**
  * Splits a server-sent event stream at event boundaries and tracks the identity of the last complete event, so that a
@@ -12,11 +13,15 @@
 final class EventScanner {
 
     private static final int MAX_PENDING_BYTES = 1 << 20;
+    /** Size up to which a partial event is kept whatever room there is: events of sound servers are smaller. */
+    private static final int SMALL_EVENT_BYTES = 16 << 10;
+
     private static final byte LINE_FEED = '\n';
     private static final byte CARRIAGE_RETURN = '\r';
     private static final byte[] IDENTITY_FIELD = {'i', 'd', ':'};
 
     private final ByteBuf pending = Unpooled.buffer();
+    private int reservedBytes;
     private int lineStart;
     private int scanPosition;
     private int eventCount;
@@ -51,6 +56,20 @@
         return completeEvents;
     }
 
+    /**
+     * Adds the memory of the partial event to a reservation.
+     *
+     * @param reservation the reservation of the request
+     * @throws IllegalStateException if the event is large and there is no room for it
+     */
+    void reserve(Reservation reservation) {
+        int added = pending.capacity() - reservedBytes;
+        reservedBytes += added;
+        if (added > 0 && !reservation.record(added) && pending.readableBytes() > SMALL_EVENT_BYTES) {
+            throw new IllegalStateException("No room for a stream event of more than " + SMALL_EVENT_BYTES + " bytes");
+        }
+    }
+
     private boolean endsEvent(int lineEnd) {
         int end = lineEnd - 1;
         if (end > lineStart && pending.getByte(end - 1) == CARRIAGE_RETURN) {
--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -353,6 +353,7 @@
 
         private void relayEvents(ByteBuf bytes) {
             ByteBuf relayedBytes = buffered.route().repeatability().isStream() ? scanner.append(bytes) : bytes;
+            scanner.reserve(buffered.reservation());
             if (!relayedBytes.isReadable()) {
                 return;
             }
--- a/src/test/java/org/borageproxy/forward/EventScannerTest.java
+++ b/src/test/java/org/borageproxy/forward/EventScannerTest.java
@@ -1,6 +1,7 @@
 package org.borageproxy.forward;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Optional;
 
 import io.netty.buffer.ByteBuf;
@@ -8,10 +9,18 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
+import org.borageproxy.buffer.BufferAccount;
+import org.borageproxy.buffer.BufferLimits;
+import org.borageproxy.buffer.BufferOwner;
+import org.borageproxy.buffer.RefusalCost;
+import org.borageproxy.buffer.Reservation;
+import org.borageproxy.time.Deadline;
+import org.borageproxy.time.MonotonicClock;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 class EventScannerTest {
@@ -45,6 +54,23 @@
         assertEquals(2, scanner.eventCount());
     }
 
+    /** Guards against events without end of many streams that fill the memory, since no account holds them. */
+    @Test
+    void partialEventIsHeldByTheAccountAndRefusedIfThereIsNoRoom() {
+        BufferAccount account = new BufferAccount(BufferLimits.of(1 << 20, 1 << 20), MonotonicClock.ofSystem());
+        Reservation reservation = account.open(new BufferOwner(
+                "c", "w", "", new RefusalCost(0, Deadline.after(System.nanoTime(), Duration.ofSeconds(5)))));
+        append("data: a");
+        scanner.reserve(reservation);
+        assertTrue(reservation.bytes() > 0);
+        assertThrows(IllegalStateException.class, () -> {
+            for (int part = 0; part < 100; part++) {
+                append("a".repeat(10_000));
+                scanner.reserve(reservation);
+            }
+        });
+    }
+
     @Test
     void readsEventIdAfterAnotherFieldWithCrlfLineEndings() {
         assertEquals("x-versions: 3\r\nid: 7\r\ndata: a\r\n\r\n", append("x-versions: 3\r\nid: 7\r\ndata: a\r\n\r\n"));
