--- a/src/main/java/org/borageproxy/forward/EventRelay.java
+++ b/src/main/java/org/borageproxy/forward/EventRelay.java
@@ -19,12 +19,14 @@
     private final ResumableStream stream;
     private final ResponseRelay relay;
     private final EventSequence events;
+    private final PartialEventMemory partialEvent;
     private Optional<HttpResponse> firstHead = Optional.empty();
 
     EventRelay(BufferedRequest buffered, ResumableStream stream, ResponseRelay relay) {
         this.buffered = buffered;
         this.stream = stream;
         this.relay = relay;
+        this.partialEvent = new PartialEventMemory(buffered.reservation());
         boolean isTakenUp = stream.isTakenUp();
         this.events =
                 new EventSequence(isTakenUp, isTakenUp ? buffered.metadata().lastEventIdentity() : Optional.empty());
@@ -54,6 +56,9 @@
     /** Relays the whole events that the bytes complete, and returns whether there are any. */
     boolean relayEvents(ByteBuf bytes, ReceivedAnswer answer, BackendServer server) {
         byte[] wholeEvents = events.append(bytes.nioBuffer());
+        if (!partialEvent.hold(events.heldBytes())) {
+            events.refuse("no room for a large event");
+        }
         if (wholeEvents.length == 0) {
             return false;
         }
--- a/src/main/java/org/borageproxy/stream/EventSequence.java
+++ b/src/main/java/org/borageproxy/stream/EventSequence.java
@@ -264,6 +264,25 @@
         return size > blockStart;
     }
 
+    /**
+     * Returns the memory that bytes take up which are not passed on yet.
+     *
+     * @return the size in bytes
+     */
+    public int heldBytes() {
+        return pending.length;
+    }
+
+    /**
+     * Refuses what the current answer sends from here on.
+     *
+     * @param reason the reason, for logs
+     */
+    public void refuse(String reason) {
+        fault = Optional.of(reason);
+        discardPending();
+    }
+
     /**
      * Returns the comments of an answer without events.
      *
--- a/src/test/java/org/borageproxy/platform/ForwardingFixture.java
+++ b/src/test/java/org/borageproxy/platform/ForwardingFixture.java
@@ -40,6 +40,7 @@
 import org.borageproxy.publication.EnginePool;
 import org.borageproxy.publication.Publication;
 import org.borageproxy.publication.PublishedRoute;
+import org.borageproxy.publication.PublishedService;
 import org.borageproxy.publication.PublishedWorkspace;
 import org.borageproxy.publication.Repeatability;
 import org.borageproxy.publication.RequestLimits;
@@ -59,6 +60,7 @@
  */
 final class ForwardingFixture implements AutoCloseable {
 
+    private static final String OTHER_SERVICE = "t";
     private static final EnginePool ENGINES = new EnginePool(64, 100_000, 2, 200_000, 8, 2, Map.of());
 
     private final List<BackendServer> servers = new CopyOnWriteArrayList<>();
@@ -175,18 +177,24 @@
         return new Publication(
                 1,
                 List.of(
-                        route("/safe/", Repeatability.IDEMPOTENT, routeTimeout, 2),
-                        route("/once/", Repeatability.ONCE, routeTimeout, 2),
-                        route("/stream/", Repeatability.STREAM, routeTimeout, 2),
-                        route("/resume/", Repeatability.RESUMABLE_STREAM, routeTimeout, 3)),
-                Map.of("s", ScriptedServer.service(engines)),
+                        route("/safe/", Repeatability.IDEMPOTENT, routeTimeout, 2, "s"),
+                        route("/once/", Repeatability.ONCE, routeTimeout, 2, "s"),
+                        route("/stream/", Repeatability.STREAM, routeTimeout, 2, "s"),
+                        route("/resume/", Repeatability.RESUMABLE_STREAM, routeTimeout, 3, "s"),
+                        route("/other/", Repeatability.ONCE, routeTimeout, 2, OTHER_SERVICE)),
+                Map.of(
+                        "s",
+                        ScriptedServer.service(engines),
+                        OTHER_SERVICE,
+                        new PublishedService(OTHER_SERVICE, 100, Optional.empty())),
                 Map.of(
                         "w", new PublishedWorkspace("w", Set.of("key-w"), 0, 0, 0, 1),
                         "v", new PublishedWorkspace("v", Set.of("key-v"), 0, 0, 0, 1)),
                 RequestLimits.DEFAULT);
     }
 
-    private static PublishedRoute route(String prefix, Repeatability repeatability, Duration timeout, int maxAttempts) {
+    private static PublishedRoute route(
+            String prefix, Repeatability repeatability, Duration timeout, int maxAttempts, String service) {
         return new PublishedRoute(
                 prefix,
                 "host.example",
@@ -196,7 +204,7 @@
                 Duration.ofSeconds(1),
                 Duration.ZERO,
                 1,
-                List.of(new PublishedRoute.WeightedService("s", 1)),
+                List.of(new PublishedRoute.WeightedService(service, 1)),
                 maxAttempts,
                 false);
     }
@@ -210,6 +218,27 @@
         servers.clear();
     }
 
+    /** Adds a server of the service of the route {@code /other/}. */
+    void addOtherServer(int serverPort) {
+        BackendServer server = BackendServerFixture.service("r" + servers.size(), serverPort);
+        servers.add(new BackendServer(
+                server.name(),
+                server.incarnation(),
+                server.sequence(),
+                server.kind(),
+                server.state(),
+                server.zone(),
+                server.host(),
+                server.port(),
+                server.checksFencing(),
+                Set.of(OTHER_SERVICE),
+                server.accelerators(),
+                server.models(),
+                server.localWeights(),
+                server.softwareVersion(),
+                server.load()));
+    }
+
     /** Sets whether a newer publication than the one in force cannot be due. */
     void setPublicationCurrent(boolean isCurrent) {
         isPublicationCurrent.set(isCurrent);
