Read answers of engines to orders, reports and cancellations strictly

What was seen: an order that an engine answered with 500 counted as accepted, since the first bytes of a second copy of a report ('HTTP/1.1 202 Accepted', 'X-Field: ') lay in the decoder and were joined with the answer to the order; and a report of status 0200 was believed.

Cause: the same as for callers' requests, the lenient decoder, here that of the HTTP client.

Change: BoundedExchange puts the AnswerGuard before the decoder of each connection and expects one answer for each request.

Evidence: on EngineCallsTest fails 2 of 9 ('0200 ==> expected: <true> but was: <false>', 'expected: <REFUSED> but was: <ACCEPTED>'); all 9 pass now, PlacementServiceTest passes.

--- a/src/main/java/org/borageproxy/engine/BoundedExchange.java
+++ b/src/main/java/org/borageproxy/engine/BoundedExchange.java
@@ -1,19 +1,24 @@
 package org.borageproxy.engine;
 
+import java.util.Optional;
 import java.util.function.Consumer;
 
+import io.netty.channel.Channel;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.net.impl.ConnectionBase;
+import org.borageproxy.answer.AnswerGuard;
 import org.borageproxy.time.Deadline;
 
 /**
  * One call to an engine whose answer is read whole. The exchange fails if the answer is not complete at the deadline or
  * its body exceeds the maximum, and then closes its connection: a faulty engine may send bytes without end, and nothing
- * else would stop it. The head is bounded by the codec of the client. The outcome is set once. Thread safe.
+ * else would stop it. Bytes that are no part of the answer close the connection, for which a guard stands before the
+ * decoder of the client; it also bounds the head. The outcome is set once. Thread safe.
  */
 public final class BoundedExchange {
 
@@ -56,6 +61,7 @@
         long remainingMillis = Math.max(1, deadline.remainingMillis(System.nanoTime()));
         long timer = vertx.setTimer(remainingMillis, expired -> exchange.abort("no complete answer by the deadline"));
         exchange.answer.future().onComplete(ended -> vertx.cancelTimer(timer));
+        expectAnswer(((ConnectionBase) request.connection()).channel());
         Future<HttpClientResponse> response = content.length() == 0 ? request.send() : request.send(content);
         response.onSuccess(head -> {
                     onHead.accept(head);
@@ -65,6 +71,22 @@
         return exchange.answer.future();
     }
 
+    private static void expectAnswer(Channel channel) {
+        if (channel.eventLoop().inEventLoop()) {
+            guardOf(channel).expectAnswer(false);
+        } else {
+            channel.eventLoop().execute(() -> guardOf(channel).expectAnswer(false));
+        }
+    }
+
+    private static AnswerGuard guardOf(Channel channel) {
+        return Optional.ofNullable(channel.pipeline().get(AnswerGuard.class)).orElseGet(() -> {
+            AnswerGuard guard = new AnswerGuard();
+            channel.pipeline().addFirst(guard);
+            return guard;
+        });
+    }
+
     private void read(HttpClientResponse response) {
         Buffer received = Buffer.buffer();
         response.exceptionHandler(answer::tryFail);
--- a/src/test/java/org/borageproxy/platform/EngineCallsTest.java
+++ b/src/test/java/org/borageproxy/platform/EngineCallsTest.java
@@ -104,6 +104,39 @@
         }
     }
 
+    /** Guards against reports and orders that bytes answer which a lenient decoder takes for an answer. */
+    @Test
+    void bytesThatAreNoAnswerAreNone() throws Exception {
+        String report = "{\"Models\":[],\"Sequence\":2,\"Busy\":false}";
+        String fields = " OK\r\nContent-Length: " + report.length() + "\r\n\r\n" + report;
+        for (String status : List.of("0200", "+200", "2000", "200 OK\r\nno colon here\r\nX: ")) {
+            try (ScriptedServer server = new ScriptedServer(
+                    request -> new ScriptedServer.Answer("HTTP/1.1 " + status + fields, false, false))) {
+                assertTrue(join(calls.fetchState(announced(server.port()))).isEmpty(), status);
+            }
+        }
+        try (ScriptedServer server =
+                new ScriptedServer(request -> new ScriptedServer.Answer("HTTP/1.1 200" + fields, false, false))) {
+            assertTrue(join(calls.fetchState(announced(server.port()))).isPresent());
+        }
+    }
+
+    /** Guards against the status of a copy of a report that is joined with the answer to an order. */
+    @Test
+    void partOfSecondAnswerIsNotJoinedWithTheNextOne() throws Exception {
+        try (ScriptedServer server = new ScriptedServer(request -> new ScriptedServer.Answer(
+                request.startsWith("GET ")
+                        ? "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}HTTP/1.1 202 Accepted\r\nX-Field: "
+                        : "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n",
+                false,
+                false))) {
+            BackendServer engine = announced(server.port());
+            join(calls.fetchState(engine));
+            EngineClient.EngineOrder order = new EngineClient.EngineOrder(true, "m", "", 0, "holder", 1);
+            assertEquals(EngineClient.OrderReply.REFUSED, join(calls.sendOrder(engine, order)));
+        }
+    }
+
     private void assertReportCutOff(String start, String part) throws Exception {
         try (EndlessServer server = new EndlessServer(start, part)) {
             assertTrue(join(calls.fetchState(server.announced())).isEmpty());
@@ -111,6 +144,23 @@
         }
     }
 
+    private static BackendServer announced(int port) {
+        return new BackendServer(
+                new BackendServerName("i-1"),
+                1,
+                1,
+                BackendServerKind.ENGINE,
+                BackendServerState.ALIVE,
+                new AvailabilityZone("z"),
+                "127.0.0.1",
+                port,
+                true,
+                Set.of("s"),
+                List.of(),
+                List.of(),
+                LoadReport.UNKNOWN);
+    }
+
     private static <T> T join(CompletionStage<T> stage) throws Exception {
         return stage.toCompletableFuture().get(TEST_TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
@@ -163,20 +213,7 @@
         }
 
         BackendServer announced() {
-            return new BackendServer(
-                    new BackendServerName("i-1"),
-                    1,
-                    1,
-                    BackendServerKind.ENGINE,
-                    BackendServerState.ALIVE,
-                    new AvailabilityZone("z"),
-                    "127.0.0.1",
-                    socket.getLocalPort(),
-                    true,
-                    Set.of("s"),
-                    List.of(),
-                    List.of(),
-                    LoadReport.UNKNOWN);
+            return EngineCallsTest.announced(socket.getLocalPort());
         }
 
         void awaitCutOff() throws Exception {
