--- a/src/main/java/org/borageproxy/engine/BoundedExchange.java
+++ b/src/main/java/org/borageproxy/engine/BoundedExchange.java
@@ -1,17 +1,13 @@
 package org.borageproxy.engine;
 
-import java.util.Optional;
 import java.util.function.Consumer;
 
-import io.netty.channel.Channel;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
-import io.vertx.core.net.impl.ConnectionBase;
-import org.borageproxy.answer.AnswerGuard;
 import org.borageproxy.time.Deadline;
 
 /**
@@ -61,7 +57,7 @@
         long remainingMillis = Math.max(1, deadline.remainingMillis(System.nanoTime()));
         long timer = vertx.setTimer(remainingMillis, expired -> exchange.abort("no complete answer by the deadline"));
         exchange.answer.future().onComplete(ended -> vertx.cancelTimer(timer));
-        expectAnswer(((ConnectionBase) request.connection()).channel());
+        AnswerExpectation.begin(request);
         Future<HttpClientResponse> response = content.length() == 0 ? request.send() : request.send(content);
         response.onSuccess(head -> {
                     onHead.accept(head);
@@ -71,22 +67,6 @@
         return exchange.answer.future();
     }
 
-    private static void expectAnswer(Channel channel) {
-        if (channel.eventLoop().inEventLoop()) {
-            guardOf(channel).expectAnswer(false);
-        } else {
-            channel.eventLoop().execute(() -> guardOf(channel).expectAnswer(false));
-        }
-    }
-
-    private static AnswerGuard guardOf(Channel channel) {
-        return Optional.ofNullable(channel.pipeline().get(AnswerGuard.class)).orElseGet(() -> {
-            AnswerGuard guard = new AnswerGuard();
-            channel.pipeline().addFirst(guard);
-            return guard;
-        });
-    }
-
     private void read(HttpClientResponse response) {
         Buffer received = Buffer.buffer();
         response.exceptionHandler(answer::tryFail);
--- a/src/main/java/org/borageproxy/execution/EngineAttempt.java
+++ b/src/main/java/org/borageproxy/execution/EngineAttempt.java
@@ -12,6 +12,7 @@
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.JsonObject;
 import io.vertx.core.parsetools.RecordParser;
+import org.borageproxy.engine.AnswerExpectation;
 import org.borageproxy.engine.BoundedExchange;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.result.ResultCode;
@@ -127,6 +128,7 @@
         sent = true;
         resetProgressDeadline();
         progressTimer = dependencies.vertx().setPeriodic(PROGRESS_CHECK_INTERVAL_MILLIS, timer -> checkProgress());
+        AnswerExpectation.begin(connected);
         connected.response().onComplete(this::handleResponse, failure -> onConnectionLost());
         connected
                 .putHeader("content-type", "application/json")
--- a/src/main/java/org/borageproxy/execution/ServiceTask.java
+++ b/src/main/java/org/borageproxy/execution/ServiceTask.java
@@ -14,6 +14,7 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
+import org.borageproxy.engine.AnswerExpectation;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.result.ResultCode;
@@ -177,6 +178,7 @@
             }
             sent = true;
             requestSent = true;
+            AnswerExpectation.begin(connected);
             connected.response().onComplete(this::handleResponse, failure -> fail(AttemptOutcome.Cause.CUT));
             try {
                 request.headers().forEach(header -> connected.headers().add(header.getKey(), header.getValue()));
