Take no copy of another answer for the name of a server

An answer that states the identity of a request is no answer to a check, which has none, also if it names the server. Found by reading; EndConfirmationTest, EndOfAnswerTest, PlatformHeadersTest and CutAnswerTest pass.

--- a/src/main/java/org/borageproxy/platform/PlatformHeaders.java
+++ b/src/main/java/org/borageproxy/platform/PlatformHeaders.java
@@ -201,8 +201,10 @@
                         response.status().code(), response.headers().getAll(HttpHeaderNames.RETRY_AFTER)));
     }
 
+    /** Returns the name in an answer to a request without an identity; a copy of another answer states one. */
     private static String name(HttpResponse response) {
-        return response.headers().get(RESPONDING_SERVER_HEADER, "");
+        boolean isOfOtherRequest = response.headers().contains(REQUEST_IDENTITY_HEADER);
+        return isOfOtherRequest ? "" : response.headers().get(RESPONDING_SERVER_HEADER, "");
     }
 
     /** Another server than the expected one misdirects the request. */
