Let the engine of the tests answer the health path with its name

Traced with the log of the entry: 'end of an answer without a length is not confirmed: status 200 without the name of the server', 19 times. The stand-in streams without a length at random and answered its health path with 200 without a name, which PROTOCOL requires.

--- a/src/test/java/org/borageproxy/platform/EngineStandIn.java
+++ b/src/test/java/org/borageproxy/platform/EngineStandIn.java
@@ -233,6 +233,10 @@
             refuse(request, arrival, seconds, output);
             return true;
         }
+        if (ScriptedServer.asksForName(request)) {
+            write(output, ScriptedServer.name(request));
+            return true;
+        }
         if (request.startsWith("GET /report")) {
             write(
                     output,
