Test the confirmation of ends without a network, in a package of its own

Cause: EndConfirmation used connections directly, so that its rules (which answer counts on which connection, how long it waits, what a closed idle connection says) had tests with sockets only, and stood in the largest package.

Change: org.borageproxy.liveness has the confirmation and the question; IdentityExchange in forward sends it. Behaviour as before.

--- a/src/main/java/org/borageproxy/forward/CallerProtocol.java
+++ b/src/main/java/org/borageproxy/forward/CallerProtocol.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.vertx.core.MultiMap;
 import org.borageproxy.answer.AnswerOrigin;
+import org.borageproxy.liveness.IdentityCheck;
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.routing.ServerStatement;
 
--- a/src/main/java/org/borageproxy/forward/ServerConnection.java
+++ b/src/main/java/org/borageproxy/forward/ServerConnection.java
@@ -25,6 +25,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.borageproxy.answer.AnswerGuard;
+import org.borageproxy.liveness.IdentityCheck;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
--- a/src/main/java/org/borageproxy/forward/ServerConnectionPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerConnectionPool.java
@@ -18,6 +18,8 @@
 import io.netty.handler.codec.http.HttpClientCodec;
 import org.borageproxy.answer.AnswerGuard;
 import org.borageproxy.answer.AnswerReader;
+import org.borageproxy.liveness.EndConfirmation;
+import org.borageproxy.liveness.IdentityCheck;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.time.Deadline;
@@ -161,16 +163,19 @@
         }
 
         @Override
-        public Optional<ServerConnection> takeIdle(Optional<VmName> relay) {
-            return ServerConnectionPool.this.takeIdle(
-                    destination(server),
-                    idleConnection -> idleConnection.relay().equals(relay));
+        public Optional<EndConfirmation.Link> takeIdle(Optional<VmName> relay) {
+            return ServerConnectionPool.this
+                    .takeIdle(
+                            destination(server),
+                            idleConnection -> idleConnection.relay().equals(relay))
+                    .map(IdentityExchange::new);
         }
 
         @Override
-        public CompletionStage<ServerConnection> open(Optional<VmName> relay) {
+        public CompletionStage<EndConfirmation.Link> open(Optional<VmName> relay) {
             openedCount++;
-            return links.openOn(server, relay).thenApply(channel -> createConnection(channel, server, relay));
+            return links.openOn(server, relay)
+                    .thenApply(channel -> new IdentityExchange(createConnection(channel, server, relay)));
         }
 
         @Override
--- a/src/main/java/org/borageproxy/forward/EndConfirmation.java
+++ b/src/main/java/org/borageproxy/liveness/EndConfirmation.java
@@ -1,11 +1,12 @@
-package org.borageproxy.forward;
+package org.borageproxy.liveness;
 
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
 
-import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.time.Deadline;
@@ -21,7 +22,7 @@
  * confirmation takes a second copy of its answer for its own. The outcome is set once. Not thread safe; confined to one
  * event loop.
  */
-final class EndConfirmation implements ServerConnection.Listener {
+public final class EndConfirmation {
 
     private static final Logger LOGGER = LoggerFactory.getLogger(EndConfirmation.class);
     /** Timeout of an answer on a connection that was open before the end, which no other incarnation can give. */
@@ -35,11 +36,27 @@
     private final Environment environment;
     private final CompletableFuture<Void> confirmed = new CompletableFuture<>();
     private final long beganAtNanos;
-    private Optional<ServerConnection> connection = Optional.empty();
+    private Optional<Link> connection = Optional.empty();
     private boolean isNewConnection;
 
+    /** A connection to the server that carries no other exchange. */
+    public interface Link {
+
+        /**
+         * Sends the question. Called once.
+         *
+         * @param request the request, without a body
+         * @param onHead receives the head of the answer, at most once
+         * @param onFailure receives the reason if the connection fails before the end of the answer
+         */
+        void ask(HttpRequest request, Consumer<HttpResponse> onHead, Consumer<String> onFailure);
+
+        /** Closes the connection. */
+        void close();
+    }
+
     /** Opens and takes the connections of a confirmation, and runs it. */
-    interface Environment {
+    public interface Environment {
 
         /**
          * Takes an idle connection to the incarnation of the server.
@@ -47,7 +64,7 @@
          * @param relay the VM through which it must lead; empty for a direct one
          * @return a connection that was opened before; empty if there is none
          */
-        Optional<ServerConnection> takeIdle(Optional<VmName> relay);
+        Optional<Link> takeIdle(Optional<VmName> relay);
 
         /**
          * Opens a connection to the server.
@@ -55,7 +72,7 @@
          * @param relay the VM through which it must lead; empty for a direct one
          * @return the connection; fails if it cannot be opened
          */
-        CompletionStage<ServerConnection> open(Optional<VmName> relay);
+        CompletionStage<Link> open(Optional<VmName> relay);
 
         /**
          * Records that the server wants no requests for a time.
@@ -96,7 +113,15 @@
         void record(boolean isConfirmed, long nanos);
     }
 
-    EndConfirmation(BackendServer server, Optional<VmName> relay, IdentityCheck check, Environment environment) {
+    /**
+     * Creates a confirmation that has not begun.
+     *
+     * @param server the server, which has ended a connection
+     * @param relay the VM through which that connection led; empty for a direct one
+     * @param check the question
+     * @param environment the connections and the time
+     */
+    public EndConfirmation(BackendServer server, Optional<VmName> relay, IdentityCheck check, Environment environment) {
         this.server = server;
         this.relay = relay;
         this.check = check;
@@ -109,7 +134,7 @@
      *
      * @return completes if the server has confirmed that it runs; fails otherwise, within the longer timeout
      */
-    CompletionStage<Void> begin() {
+    public CompletionStage<Void> begin() {
         environment.schedule(
                 Deadline.after(beganAtNanos, OPEN_CONNECTION_TIMEOUT),
                 () -> end(Optional.of("no answer on a connection")));
@@ -140,13 +165,12 @@
         });
     }
 
-    private void ask(ServerConnection open) {
+    private void ask(Link open) {
         connection = Optional.of(open);
-        open.send(check.request(), new byte[0], Optional::empty, this);
+        open.ask(check.request(), this::handleHead, this::handleFailure);
     }
 
-    @Override
-    public void onHead(HttpResponse response) {
+    private void handleHead(HttpResponse response) {
         check.retryAfter().apply(response).ifPresent(time -> environment.recordRefusal(relay, time));
         // On a connection that carried requests before, a refusal may be the copy of an earlier one.
         boolean isShown = check.names().test(response)
@@ -158,24 +182,13 @@
         } else if (isNewConnection) {
             end(Optional.of("status " + response.status().code() + " without the name of the server"));
         } else {
-            connection.ifPresent(ServerConnection::close);
+            connection.ifPresent(Link::close);
             connection = Optional.empty();
             askOnNewConnection();
         }
     }
 
-    @Override
-    public void onContent(ByteBuf bytes) {
-        // Only the head is of interest.
-    }
-
-    @Override
-    public void onEnd() {
-        connection = Optional.empty();
-    }
-
-    @Override
-    public void onFailure(String reason) {
+    private void handleFailure(String reason) {
         connection = Optional.empty();
         if (isNewConnection) {
             end(Optional.of("not answered: " + reason));
@@ -201,7 +214,7 @@
                 obstacle.orElse("-"),
                 nanos / 1000);
         environment.record(obstacle.isEmpty(), nanos);
-        connection.ifPresent(ServerConnection::close);
+        connection.ifPresent(Link::close);
         connection = Optional.empty();
         obstacle.ifPresentOrElse(
                 reason -> confirmed.completeExceptionally(new IllegalStateException(reason)),
--- a/src/main/java/org/borageproxy/forward/IdentityCheck.java
+++ b/src/main/java/org/borageproxy/liveness/IdentityCheck.java
@@ -1,4 +1,4 @@
-package org.borageproxy.forward;
+package org.borageproxy.liveness;
 
 import java.time.Duration;
 import java.util.Optional;
