Log how far the demand for each model and adapter has come

The lines model-absent, model-absence-ended and order show that nothing was ordered, not why, and say nothing of adapters.

Change: no decision changes. The coordinator keeps a claim for each model and adapter that was asked for and got no slot since (package claim), and writes a line at each change of its link, with server or obstacle. `borageproxy unserved` lists what the logs show as never served, with the last link. Metrics unserved_targets and longest_unserved_millis.

--- a/src/main/java/org/borageproxy/command/CommandLine.java
+++ b/src/main/java/org/borageproxy/command/CommandLine.java
@@ -46,6 +46,10 @@
         add("drained-zones", "print the drained zones of a fleet on the platform", ZoneCommand.ListDrained::new);
         add("timeline", "print the events of all VMs in causal order", TimeLineCommand::new);
         add("explain", "print the log lines of one request from the logs of all VMs", ExplainCommand::new);
+        add(
+                "unserved",
+                "list the models and adapters that were asked for and never served, from the logs of all VMs",
+                UnservedCommand::new);
         add("check-settings", "validate a settings file", CheckSettingsCommand::new);
         add("experiment", "compare policies with a baseline on seeded traces", ExperimentCommand::new);
         add("standin", "run a stand-in backend server or weight store", StandInCommand::new);
--- a/src/main/java/org/borageproxy/command/ExplainCommand.java
+++ b/src/main/java/org/borageproxy/command/ExplainCommand.java
@@ -1,9 +1,6 @@
 package org.borageproxy.command;
 
-import java.io.IOException;
 import java.io.PrintStream;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -21,16 +18,7 @@
 
     @Override
     public ExitCode run(PrintStream output) throws Exception {
-        List<String> lines = new ArrayList<>();
-        for (String file : logFiles) {
-            try {
-                lines.addAll(Files.readAllLines(Path.of(file)));
-            } catch (IOException exception) {
-                throw new CommandFailure(
-                        ExitCode.INVALID, file + ": cannot read the log file: " + exception.getMessage());
-            }
-        }
-        List<String> explained = new RequestLines(requestIdentity).select(lines);
+        List<String> explained = new RequestLines(requestIdentity).select(LogFiles.read(logFiles));
         if (explained.isEmpty()) {
             throw new CommandFailure(ExitCode.INVALID, "the logs contain no line of request " + requestIdentity);
         }
--- a/src/main/java/org/borageproxy/forward/SlotBroker.java
+++ b/src/main/java/org/borageproxy/forward/SlotBroker.java
@@ -107,6 +107,27 @@
          */
         void addWaiting(String service, EngineWork work, Optional<String> softwareVersion, int change);
 
+        /**
+         * Records that a request is refused without a wait, since its model or adapter comes too late for it. Ignored
+         * unless overridden.
+         *
+         * @param service the service
+         * @param work the inference work
+         * @param softwareVersion the version of the software that must run the request; empty for any
+         */
+        default void recordUnserved(String service, EngineWork work, Optional<String> softwareVersion) {}
+
+        /**
+         * Records that a request was granted a slot. Ignored unless overridden.
+         *
+         * @param service the service
+         * @param work the inference work
+         * @param softwareVersion the version of the software that must run the request; empty for any
+         * @param server the server of the slot
+         */
+        default void recordGrant(
+                String service, EngineWork work, Optional<String> softwareVersion, BackendServerName server) {}
+
         /**
          * Records that a server refused a request because the model or adapter is not loaded.
          *
@@ -401,6 +422,13 @@
             pool.recordAssignment(choice, work, request.getBodyBytes());
             pool.waiting().recordStart(waitingRequest);
             places.release(returning);
+            work.ifPresent(each -> environment
+                    .demand()
+                    .recordGrant(
+                            request.getService(),
+                            each,
+                            softwareVersion(),
+                            choice.server().name()));
             answer(SlotAnswer.newBuilder()
                     .setSpeed((float) choice.speed())
                     .setOutcome(SlotAnswer.Outcome.CHOSEN)
@@ -447,6 +475,7 @@
             if (isInTime) {
                 waitFor(remaining, this::refuseUnordered, true);
             } else {
+                environment.demand().recordUnserved(request.getService(), missing, softwareVersion());
                 refuse(SlotAnswer.Outcome.NO_MODEL, remaining);
             }
         }
--- a/src/main/java/org/borageproxy/placement/FleetDemand.java
+++ b/src/main/java/org/borageproxy/placement/FleetDemand.java
@@ -4,9 +4,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 
-import org.borageproxy.membership.BackendServer;
+import org.borageproxy.claim.Target;
 import org.borageproxy.vm.VmName;
 import org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand;
 
@@ -27,39 +26,6 @@
 
     private final Map<Target, DemandRecord> demands = new HashMap<>();
 
-    /**
-     * The model and adapter that a request needs.
-     *
-     * @param service the service
-     * @param model the model
-     * @param adapter the adapter, empty for none
-     * @param softwareVersion the version of the software that must run the model; empty for any
-     */
-    record Target(String service, String model, String adapter, Optional<String> softwareVersion) {
-
-        /** Creates the target of requests that any software version can run. */
-        Target(String service, String model, String adapter) {
-            this(service, model, adapter, Optional.empty());
-        }
-
-        private Target ofAnyVersion() {
-            return new Target(service, model, adapter);
-        }
-
-        /**
-         * Returns whether a server can run the requests once it has model and adapter.
-         *
-         * @param server the server
-         * @return {@code false} if it runs another service or software version
-         */
-        boolean admits(BackendServer server) {
-            return server.services().contains(service)
-                    && softwareVersion
-                            .map(required -> required.equals(server.softwareVersion()))
-                            .orElse(true);
-        }
-    }
-
     private static final class DemandRecord {
         /** Exponential moving average of the samples. */
         private double averageTokensPerSecond;
--- a/src/main/java/org/borageproxy/placement/FleetPlacement.java
+++ b/src/main/java/org/borageproxy/placement/FleetPlacement.java
@@ -1,7 +1,6 @@
 package org.borageproxy.placement;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -16,6 +15,8 @@
 import java.util.function.Supplier;
 import java.util.function.ToDoubleFunction;
 
+import org.borageproxy.claim.Claims;
+import org.borageproxy.claim.Target;
 import org.borageproxy.control.RepeatedTask;
 import org.borageproxy.control.Timer;
 import org.borageproxy.coordination.Coordinator;
@@ -62,9 +63,6 @@
     private static final double STORE_RATE_FRACTION = 0.92;
     /** Capacity of the token bucket for loads from the weight store. */
     private static final double MAX_STORE_TOKENS = 2.0;
-    /** Maximum number of adapters that one engine loads at a time. */
-    private static final int MAX_LOADING_ADAPTERS = 4;
-
     /** The term is in the bits above these, so that versions of different terms differ. */
     private static final int INVENTORY_VERSION_BITS = 32;
 
@@ -75,6 +73,8 @@
     private final Map<BackendServerName, Deadline> nextReports = new HashMap<>();
     private final FleetDemand demand = new FleetDemand();
     private final Map<String, AbsentModels> absentModels = new HashMap<>();
+    private final Claims claims = new Claims();
+    private final ClaimProgress progress;
     private ToDoubleFunction<BackendServer> speeds = server -> 1.0;
     private long term = -1;
     private Deadline ordersAllowedFrom;
@@ -123,6 +123,7 @@
      */
     public FleetPlacement(Environment environment) {
         this.environment = environment;
+        this.progress = new ClaimProgress(claims, environment.clock());
         this.ordersAllowedFrom = new Deadline(environment.clock().nanoTime());
         this.storeRefilledAtNanos = environment.clock().nanoTime();
     }
@@ -172,6 +173,7 @@
         nextReports.clear();
         demand.clearReports();
         absentModels.values().forEach(AbsentModels::clear);
+        claims.clear();
         storeTokens = 0;
         long nowNanos = environment.clock().nanoTime();
         storeRefilledAtNanos = nowNanos;
@@ -303,6 +305,7 @@
 
     private void publishModels(TrackedEngine engine) {
         inventoryVersion++;
+        progress.published(engine);
         environment.modelsListener().accept(engine.server().name().value(), engine.usableModels());
     }
 
@@ -338,9 +341,12 @@
      */
     public void adjustWaiting(
             String service, String model, String adapter, Optional<String> softwareVersion, int change) {
-        FleetDemand.Target target = new FleetDemand.Target(service, model, adapter, softwareVersion);
+        Target target = new Target(service, model, adapter, softwareVersion);
         long nowNanos = environment.clock().nanoTime();
         demand.adjustWaiting(target, change, nowNanos);
+        if (change > 0) {
+            claims.recordRequest(target, nowNanos);
+        }
         boolean isAbsent = trackedEngines.values().stream().noneMatch(engine -> isUsable(engine, service, model));
         if (change > 0 && isAbsent && absentModels(service).recordWait(model, nowNanos)) {
             LOGGER.warn("event=model-absent service={} model={}", service, model);
@@ -350,6 +356,35 @@
         }
     }
 
+    /**
+     * Records that a request was refused without a wait, since its model or adapter comes too late for it.
+     *
+     * @param target the model and adapter
+     */
+    public void recordUnserved(Target target) {
+        claims.recordRequest(target, environment.clock().nanoTime());
+    }
+
+    /**
+     * Records that a request got a slot at an engine, which ends the claim of its model and adapter.
+     *
+     * @param target the model and adapter
+     * @param server the engine
+     */
+    public void recordGrant(Target target, BackendServerName server) {
+        claims.recordGrant(target, server.value(), environment.clock().nanoTime());
+    }
+
+    /**
+     * Returns the models and adapters that callers asked for and that were not served yet. Its totals may be read by
+     * any thread.
+     *
+     * @return the claims
+     */
+    public Claims claims() {
+        return claims;
+    }
+
     private static boolean isUsable(TrackedEngine engine, String service, String model) {
         return engine.server().services().contains(service)
                 && engine.loadedModels().containsKey(model);
@@ -357,7 +392,9 @@
 
     private void plan() {
         demand.updateRates(environment.clock().nanoTime());
+        claims.removeExpired(environment.clock().nanoTime());
         if (!mayOrder()) {
+            progress.handover();
             return;
         }
         environment.publication().get().ifPresent(publication -> publication
@@ -371,13 +408,17 @@
                 .filter(engine -> engine.server().services().contains(service))
                 .toList();
         engines.forEach(this::refreshPermit);
-        planAdapters(service, pool, engines);
+        AdapterPlanner adapterPlanner = new AdapterPlanner(service, pool, engines, demand);
+        adapterPlanner.plan((engine, isLoad, adapter) ->
+                sendOrder(engine, isLoad, adapter.model(), adapter.adapter(), Duration.ZERO));
         Map<String, LoadPlanner.Demand> byModel = demandWithAbsences(service, engines);
         Optional<LoadPlanner.Step> step = new LoadPlanner(pool, engines, byModel, speeds).nextStep(storeTokens >= 1);
         while (step.isPresent()) {
             execute(step.get(), pool);
             step = new LoadPlanner(pool, engines, byModel, speeds).nextStep(storeTokens >= 1);
         }
+        LoadPlanner planner = new LoadPlanner(pool, engines, byModel, speeds);
+        progress.unplanned(service, pool, engines, planner, adapterPlanner, storeTokens >= 1);
     }
 
     private Map<String, LoadPlanner.Demand> demandWithAbsences(String service, List<TrackedEngine> engines) {
@@ -405,63 +446,16 @@
             sendOrder(engine, true, load.model(), "", loadTime);
         } else if (step instanceof LoadPlanner.Step.Unload unload) {
             engine.setSuccessorModel(unload.successor());
+            progress.makingRoom(engine, unload.successor());
             sendOrder(engine, false, unload.model(), "", Duration.ZERO);
         }
     }
 
-    private void planAdapters(String service, EnginePool pool, List<TrackedEngine> engines) {
-        List<FleetDemand.Target> missingAdapters = demand.adaptersWithWaitingRequests(service).stream()
-                .filter(target -> engines.stream().noneMatch(engine -> hasAdapter(engine, target)))
-                .toList();
-        for (FleetDemand.Target target : missingAdapters) {
-            engines.stream()
-                    .filter(engine -> target.admits(engine.server())
-                            && engine.loadedModels().containsKey(target.model())
-                            && engine.acceptsAdapterOrders()
-                            && !engine.isBusy()
-                            && engine.loadingAdapterCount() < MAX_LOADING_ADAPTERS)
-                    .min(Comparator.comparingInt((TrackedEngine engine) ->
-                                    engine.occupiedAdapterSlots() >= pool.adapterSlots() ? 1 : 0)
-                            .thenComparingLong(engine -> evictionCandidateRequestedAtNanos(service, engine)))
-                    .ifPresent(engine -> loadOrEvictAdapter(service, pool, engine, target));
-        }
-    }
-
-    private static boolean hasAdapter(TrackedEngine engine, FleetDemand.Target target) {
-        return target.admits(engine.server())
-                && (engine.isLoadingAdapter(target.model(), target.adapter())
-                        || engine.loadedModels()
-                                .getOrDefault(target.model(), Set.of())
-                                .contains(target.adapter()));
-    }
-
-    /** Returns the time of the last request for the adapter that the engine would unload first. */
-    private long evictionCandidateRequestedAtNanos(String service, TrackedEngine engine) {
-        return adapterToEvict(service, engine).map(demand::lastRequestedAtNanos).orElse(Long.MIN_VALUE);
-    }
-
-    private Optional<FleetDemand.Target> adapterToEvict(String service, TrackedEngine engine) {
-        List<FleetDemand.Target> loadedAdapters = new ArrayList<>();
-        engine.loadedModels()
-                .forEach((model, adapters) -> adapters.forEach(
-                        adapter -> loadedAdapters.add(new FleetDemand.Target(service, model, adapter))));
-        return loadedAdapters.stream().min(demand.byLastRequestTime());
-    }
-
-    private void loadOrEvictAdapter(String service, EnginePool pool, TrackedEngine engine, FleetDemand.Target target) {
-        if (engine.occupiedAdapterSlots() < pool.adapterSlots()
-                && LoadPlanner.hasRoomForAdapter(pool, engine, target.model())) {
-            sendOrder(engine, true, target.model(), target.adapter(), Duration.ZERO);
-        } else {
-            adapterToEvict(service, engine)
-                    .ifPresent(victim -> sendOrder(engine, false, victim.model(), victim.adapter(), Duration.ZERO));
-        }
-    }
-
     private void sendOrder(TrackedEngine engine, boolean isLoad, String model, String adapter, Duration loadTime) {
         EngineClient.EngineOrder order =
                 new EngineClient.EngineOrder(isLoad, model, adapter, engine.orderCount(), environment.holder(), term);
         engine.beginOrder(order);
+        progress.ordered(engine, order);
         environment.permits().acquirePermit(engine.server());
         environment.engineClient().sendOrder(engine.server(), order).thenAccept(reply -> environment
                 .eventLoop()
@@ -480,6 +474,7 @@
                 order.expectedOrderCount(),
                 order.fencingToken(),
                 reply);
+        progress.replied(engine, order, reply);
         switch (reply) {
             case ACCEPTED, HELD -> {
                 engine.applyAcceptedOrder(order, reply == EngineClient.OrderReply.HELD, loadTime, nowNanos);
@@ -545,7 +540,7 @@
      */
     public Optional<Deadline> estimateAvailability(
             String service, String model, String adapter, Optional<String> softwareVersion) {
-        FleetDemand.Target target = new FleetDemand.Target(service, model, adapter, softwareVersion);
+        Target target = new Target(service, model, adapter, softwareVersion);
         long nowNanos = environment.clock().nanoTime();
         return trackedEngines.values().stream()
                 .filter(engine -> target.admits(engine.server())
--- a/src/main/java/org/borageproxy/placement/LoadPlanner.java
+++ b/src/main/java/org/borageproxy/placement/LoadPlanner.java
@@ -193,6 +193,32 @@
                 .toList();
     }
 
+    /**
+     * Returns why no step can be planned now for a model that no engine has or expects.
+     *
+     * @param model the model, which is published
+     * @param mayUseStore whether a load from the weight store may start now
+     * @return the first obstacle that holds for all engines, as a word for log lines
+     */
+    String obstacle(String model, boolean mayUseStore) {
+        List<TrackedEngine> accepting = engines.stream()
+                .filter(engine ->
+                        engine.acceptsOrders() && engine.successorModel().isEmpty())
+                .toList();
+        if (accepting.isEmpty()) {
+            return engines.isEmpty() ? "no-engine" : "engines-busy";
+        }
+        List<TrackedEngine> sources = accepting.stream()
+                .filter(engine -> mayUseStore || engine.hasLocalWeights(model))
+                .toList();
+        if (sources.isEmpty()) {
+            return "store-rate";
+        }
+        boolean hasRoom =
+                sources.stream().anyMatch(engine -> loadOrUnload(engine, model).isPresent());
+        return hasRoom ? "no-request-waits" : "no-room";
+    }
+
     private static boolean isEmpty(TrackedEngine engine) {
         return engine.acceptsOrders()
                 && engine.loadedModels().isEmpty()
--- a/src/main/java/org/borageproxy/server/GatewayControl.java
+++ b/src/main/java/org/borageproxy/server/GatewayControl.java
@@ -17,6 +17,8 @@
 import java.util.concurrent.TimeUnit;
 
 import com.google.protobuf.ByteString;
+import org.borageproxy.claim.Claims;
+import org.borageproxy.claim.Target;
 import org.borageproxy.control.AdmissionPolicy;
 import org.borageproxy.control.AdmissionService;
 import org.borageproxy.control.ControlClient;
@@ -233,6 +235,11 @@
         return created;
     }
 
+    /** Returns the models and adapters that were not served yet, whose totals may be read by any thread. */
+    Claims claims() {
+        return placement.claims();
+    }
+
     /** Returns the broker, whose counts may be read by any thread. */
     SlotBroker slotBroker() {
         return slotBroker;
@@ -256,6 +263,17 @@
             placement.adjustWaiting(service, work.model(), work.adapter(), softwareVersion, change);
         }
 
+        @Override
+        public void recordUnserved(String service, EngineWork work, Optional<String> softwareVersion) {
+            placement.recordUnserved(new Target(service, work.model(), work.adapter(), softwareVersion));
+        }
+
+        @Override
+        public void recordGrant(
+                String service, EngineWork work, Optional<String> softwareVersion, BackendServerName server) {
+            placement.recordGrant(new Target(service, work.model(), work.adapter(), softwareVersion), server);
+        }
+
         @Override
         public void recordMissingModel(BackendServerName server, EngineWork work) {
             placement.markAbsent(server, work.model(), work.adapter());
--- a/src/main/java/org/borageproxy/server/GatewayProcess.java
+++ b/src/main/java/org/borageproxy/server/GatewayProcess.java
@@ -129,6 +129,8 @@
             metrics.registerGauge("slot_requests_waiting", controlRole.slotBroker()::waitingCount);
             metrics.registerGauge("slot_requests_put_back", controlRole.slotBroker()::putBackCount);
             metrics.registerGauge("slot_requests_refused", controlRole.slotBroker()::refusedCount);
+            metrics.registerGauge("unserved_targets", controlRole.claims()::count);
+            metrics.registerGauge("longest_unserved_millis", controlRole.claims()::oldestMillis);
             metrics.registerGauge("withdrawn_entries", controlRole::withdrawnEntryCount);
             metrics.registerGauge("uneven_servers", controlRole::unevenServerCount);
             metrics.registerGauge("term", () -> controlRole.status().term());
--- /dev/null
+++ b/src/test/java/org/borageproxy/claim/ClaimsTest.java
@@ -0,0 +1,61 @@
+package org.borageproxy.claim;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** Tests of {@link Claims}. */
+class ClaimsTest {
+
+    private static final long SECOND_NANOS = Duration.ofSeconds(1).toNanos();
+    private static final Target MODEL = new Target("s", "m1", "");
+    private static final Target ADAPTER = new Target("s", "m1", "a1");
+
+    private final Claims claims = new Claims();
+
+    @Test
+    void claimKeepsItsBeginUntilARequestGetsASlot() {
+        claims.recordRequest(MODEL, SECOND_NANOS);
+        claims.recordRequest(MODEL, 20 * SECOND_NANOS);
+        claims.removeExpired(40 * SECOND_NANOS);
+        assertEquals(Optional.of(SECOND_NANOS), claims.sinceNanos(MODEL));
+        assertEquals(1, claims.count());
+        assertEquals(39_000, claims.oldestMillis());
+        claims.recordGrant(MODEL, "e1", 41 * SECOND_NANOS);
+        assertEquals(Optional.empty(), claims.sinceNanos(MODEL));
+    }
+
+    @Test
+    void slotForOneAdapterEndsNoOtherClaim() {
+        claims.recordRequest(MODEL, SECOND_NANOS);
+        claims.recordRequest(ADAPTER, 2 * SECOND_NANOS);
+        claims.recordGrant(MODEL, "e1", 3 * SECOND_NANOS);
+        assertEquals(List.of(ADAPTER), claims.targets("s"));
+        assertEquals(List.of(), claims.targets("other"));
+    }
+
+    @Test
+    void claimEndsLongAfterTheLatestRequest() {
+        claims.recordRequest(MODEL, SECOND_NANOS);
+        claims.removeExpired(31 * SECOND_NANOS - 1);
+        assertEquals(1, claims.count());
+        claims.removeExpired(32 * SECOND_NANOS);
+        assertEquals(0, claims.count());
+        assertEquals(0, claims.oldestMillis());
+    }
+
+    @Test
+    void restoredClaimCountsFromItsEarliestKnownBegin() {
+        claims.recordRequest(MODEL, 9 * SECOND_NANOS);
+        claims.recordRequest(ADAPTER, 8 * SECOND_NANOS);
+        claims.restore(MODEL, 2 * SECOND_NANOS, 10 * SECOND_NANOS);
+        claims.restore(ADAPTER, 9 * SECOND_NANOS, 10 * SECOND_NANOS);
+        assertEquals(Optional.of(2 * SECOND_NANOS), claims.sinceNanos(MODEL));
+        assertEquals(Optional.of(8 * SECOND_NANOS), claims.sinceNanos(ADAPTER));
+        assertEquals(List.of(MODEL, ADAPTER), claims.targets("s"));
+    }
+}
