Let the demand for models and adapters outlive the refusal of its requests

Cause: requests counted as demand for a first copy only while they waited, 700 ms at most, and not at all if they were refused at once because a load would end too late for them. A load was ordered only if within that time the leader may order, an engine takes orders, the store has a token and room can be made. Nothing was left for the next occasion, of a model or an adapter, nor on the next leader. A copy that was loaded for refused callers counted as idle and gave way to the next model; a model in less demand than all others never got a place. Class of fault: a need is represented by those who wait for it, and ends with them.

Change: a claim begins with the first request that is not served, is kept over refusals and ends with a slot, or 30 s after the latest request. Entries repeat what they refused once a second, so that a new leader knows the claims before it may order. Claims are demand for LoadPlanner and AdapterPlanner, earliest first. After 8 s a claim takes the place of a model in more demand; a model that was loaded is kept for 10 s, and one with an earlier claim is not unloaded. Room that turns out not to suffice is given up, so that the model is loaded elsewhere.

--- a/src/main/java/org/borageproxy/claim/Claims.java
+++ b/src/main/java/org/borageproxy/claim/Claims.java
@@ -10,6 +10,7 @@
 import java.util.function.Predicate;
 
 import org.borageproxy.time.Deadline;
+import org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -24,6 +25,8 @@
     private static final Logger LOGGER = LoggerFactory.getLogger(Claims.class);
     /** Time after the latest request at which a claim ends; longer than rarely requested models go without requests. */
     private static final Duration VALIDITY = Duration.ofSeconds(30);
+    /** Time after the report of an entry at which a restored claim ends; entries repeat it once a second. */
+    private static final Duration RESTORED_VALIDITY = Duration.ofSeconds(3);
     /** Minimum time between two lines about the obstacles of one claim. */
     private static final Duration OBSTACLE_INTERVAL = Duration.ofSeconds(1);
     /** Maximum number of claims; targets beyond it have a claim once another one has ended. */
@@ -36,7 +39,7 @@
     private volatile long oldestMillis;
 
     private static final class Claim {
-        private final long sinceNanos;
+        private long sinceNanos;
         private Deadline validUntil;
         private int requests;
         private ClaimLink link = ClaimLink.COUNTED;
@@ -46,6 +49,7 @@
         private Claim(long sinceNanos, long nowNanos) {
             this.sinceNanos = sinceNanos;
             this.nextObstacleAt = new Deadline(nowNanos);
+            this.validUntil = new Deadline(nowNanos);
         }
     }
 
@@ -56,46 +60,48 @@
      * @param nowNanos the time on the monotonic clock in nanoseconds
      */
     public void recordRequest(Target target, long nowNanos) {
-        renew(target, nowNanos, nowNanos);
+        open(target, nowNanos, nowNanos).ifPresent(claim -> {
+            claim.requests++;
+            claim.validUntil = Deadline.after(nowNanos, VALIDITY);
+        });
     }
 
     /**
-     * Records a claim that an entry reports; the earliest known begin counts.
+     * Restores the claims that an entry reports, which a former coordinator may have known; the earliest known begin
+     * counts. A restored claim is valid for as long as an entry repeats it.
      *
-     * @param target the target
-     * @param sinceNanos the time of the first request that was not served
+     * @param reportedDemands the demand that the entry reports
      * @param nowNanos the time on the monotonic clock in nanoseconds
      */
-    public void restore(Target target, long sinceNanos, long nowNanos) {
-        Claim known = claims.get(target);
-        if (known != null && known.sinceNanos > sinceNanos) {
-            claims.remove(target);
-            Claim earlier = open(target, sinceNanos, nowNanos);
-            earlier.link = known.link;
-            earlier.detail = known.detail;
-            earlier.requests = known.requests;
+    public void restore(List<ModelDemand> reportedDemands, long nowNanos) {
+        for (ModelDemand demand : reportedDemands) {
+            if (demand.getUnservedMillis() > 0) {
+                Target target = new Target(demand.getService(), demand.getModel(), demand.getAdapter());
+                restore(target, nowNanos - demand.getUnservedMillis() * NANOS_PER_MILLI, nowNanos);
+            }
         }
-        renew(target, sinceNanos, nowNanos);
     }
 
-    private void renew(Target target, long sinceNanos, long nowNanos) {
-        Claim claim = claims.get(target);
-        if (claim == null && claims.size() >= MAX_CLAIMS) {
-            return;
-        }
-        if (claim == null) {
-            claim = open(target, sinceNanos, nowNanos);
-            write(target, claim, nowNanos);
-        }
-        claim.requests++;
-        claim.validUntil = Deadline.after(nowNanos, VALIDITY);
+    private void restore(Target target, long sinceNanos, long nowNanos) {
+        open(target, sinceNanos, nowNanos).ifPresent(claim -> {
+            claim.sinceNanos = Math.min(claim.sinceNanos, sinceNanos);
+            Deadline repeatedUntil = Deadline.after(nowNanos, RESTORED_VALIDITY);
+            if (claim.validUntil.compareTo(repeatedUntil) < 0) {
+                claim.validUntil = repeatedUntil;
+            }
+        });
     }
 
-    private Claim open(Target target, long sinceNanos, long nowNanos) {
-        Claim claim = new Claim(sinceNanos, nowNanos);
-        claims.put(target, claim);
-        claim.validUntil = Deadline.after(nowNanos, VALIDITY);
-        return claim;
+    /** Returns the claim of a target, which is opened if there is none; empty if there are too many. */
+    private Optional<Claim> open(Target target, long sinceNanos, long nowNanos) {
+        Claim known = claims.get(target);
+        if (known != null || claims.size() >= MAX_CLAIMS) {
+            return Optional.ofNullable(known);
+        }
+        Claim opened = new Claim(sinceNanos, nowNanos);
+        claims.put(target, opened);
+        write(target, opened, nowNanos);
+        return Optional.of(opened);
     }
 
     /**
@@ -164,13 +170,6 @@
         oldestMillis = (nowNanos - earliest) / NANOS_PER_MILLI;
     }
 
-    /** Discards all claims without a line, since another VM decides from now on. */
-    public void clear() {
-        claims.clear();
-        count = 0;
-        oldestMillis = 0;
-    }
-
     /**
      * Returns the targets with a claim, the earliest claim first.
      *
@@ -185,6 +184,22 @@
         return targets;
     }
 
+    /**
+     * Returns since when requests for each model, with any adapter, have not been served.
+     *
+     * @param service the service of the models
+     * @return the times of the earliest claims on the monotonic clock in nanoseconds, by model
+     */
+    public Map<String, Long> sinceNanosByModel(String service) {
+        Map<String, Long> sinceByModel = new HashMap<>();
+        claims.forEach((target, claim) -> {
+            if (target.service().equals(service)) {
+                sinceByModel.merge(target.model(), claim.sinceNanos, Math::min);
+            }
+        });
+        return sinceByModel;
+    }
+
     /**
      * Returns since when a target has had a claim.
      *
--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -93,7 +93,7 @@
         long expiryNanos = buffered.deadline().remainingNanos(context.clock().nanoTime()) + DEADLINE_GRACE.toNanos();
         deadlineTimer = context.eventLoop().schedule(this::expire, expiryNanos, TimeUnit.NANOSECONDS);
         context.retryBudgets().apply(buffered.service()).deposit();
-        buffered.metadata().work().ifPresent(work -> context.pool().recordDemand(buffered.service(), work));
+        buffered.metadata().work().ifPresent(work -> context.pool().demand().recordRequest(buffered.service(), work));
         if (stream.isTakenUp()) {
             stream.findOrigin(this::resume);
         } else {
@@ -544,6 +544,7 @@
 
     private void refuse(RefusalReason reason, Optional<Duration> retryAfter) {
         if (!hasEnded) {
+            context.pool().demand().recordRefusal(buffered, reason);
             Refusals.respond(buffered.request(), reason, retryAfter);
             finish(reason.code(), reason.status());
         }
--- a/src/main/java/org/borageproxy/forward/ModelDemandCounter.java
+++ b/src/main/java/org/borageproxy/forward/ModelDemandCounter.java
@@ -4,20 +4,39 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
+import org.borageproxy.claim.Target;
+import org.borageproxy.claim.UnservedRequests;
 import org.borageproxy.routing.EngineWork;
+import org.borageproxy.time.MonotonicClock;
 import org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand;
 
 /** Counts the demand of this VM's callers by model and adapter. Not thread safe; confined to one event loop. */
-final class ModelDemandCounter {
+public final class ModelDemandCounter {
 
-    private final Map<Key, Demand> demands = new HashMap<>();
+    private static final long NANOS_PER_MILLI = 1_000_000L;
 
-    private record Key(String service, String model, String adapter) {}
+    private final MonotonicClock clock;
+    private final Predicate<Target> isUsable;
+    private final Map<Target, Demand> demands = new HashMap<>();
+    private final UnservedRequests unserved = new UnservedRequests();
 
     private static final class Demand {
         private long tokens;
         private int waiting;
+        private long unservedMillis;
+    }
+
+    /**
+     * Creates a counter.
+     *
+     * @param clock the monotonic clock
+     * @param isUsable returns whether an engine is known to have a model and adapter
+     */
+    ModelDemandCounter(MonotonicClock clock, Predicate<Target> isUsable) {
+        this.clock = clock;
+        this.isUsable = isUsable;
     }
 
     /**
@@ -27,7 +46,21 @@
      * @param work the inference work
      */
     void recordRequest(String service, EngineWork work) {
-        demand(service, work).tokens += work.totalTokens();
+        demand(target(service, work)).tokens += work.totalTokens();
+    }
+
+    /**
+     * Records that a request is refused; it stays in demand if no engine has what it needs.
+     *
+     * @param request the request
+     * @param reason the reason
+     */
+    void recordRefusal(BufferedRequest request, RefusalReason reason) {
+        if (reason == RefusalReason.MODEL_ABSENT) {
+            request.metadata()
+                    .work()
+                    .ifPresent(work -> unserved.recordRefusal(target(request.service(), work), clock.nanoTime()));
+        }
     }
 
     /**
@@ -38,28 +71,41 @@
      * @param change one for a request that starts to wait, minus one for a request that stops waiting
      */
     void addWaiting(String service, EngineWork work, int change) {
-        demand(service, work).waiting += change;
+        demand(target(service, work)).waiting += change;
+    }
+
+    private static Target target(String service, EngineWork work) {
+        return new Target(service, work.model(), work.adapter());
     }
 
-    private Demand demand(String service, EngineWork work) {
-        return demands.computeIfAbsent(new Key(service, work.model(), work.adapter()), key -> new Demand());
+    private Demand demand(Target target) {
+        return demands.computeIfAbsent(target, key -> new Demand());
     }
 
     /**
      * Returns the demand and resets the token counts.
      *
-     * @return the tokens requested since the previous call and the requests now waiting, by model and adapter
+     * @return by model and adapter, the tokens requested since the previous call, the requests now waiting, and from
+     *     time to time how long requests have not been served
      */
-    List<ModelDemand> drain() {
+    public List<ModelDemand> drain() {
+        long nowNanos = clock.nanoTime();
+        unserved.collect(isUsable, nowNanos)
+                .forEach((target, sinceNanos) ->
+                        demand(target).unservedMillis = Math.max(1, (nowNanos - sinceNanos) / NANOS_PER_MILLI));
         List<ModelDemand> drained = new ArrayList<>();
-        demands.forEach((key, demand) -> drained.add(ModelDemand.newBuilder()
-                .setService(key.service())
-                .setModel(key.model())
-                .setAdapter(key.adapter())
+        demands.forEach((target, demand) -> drained.add(ModelDemand.newBuilder()
+                .setService(target.service())
+                .setModel(target.model())
+                .setAdapter(target.adapter())
                 .setTokens(demand.tokens)
                 .setWaiting(demand.waiting)
+                .setUnservedMillis(demand.unservedMillis)
                 .build()));
-        demands.values().forEach(demand -> demand.tokens = 0);
+        demands.values().forEach(demand -> {
+            demand.tokens = 0;
+            demand.unservedMillis = 0;
+        });
         demands.values().removeIf(demand -> demand.waiting == 0);
         return drained;
     }
--- a/src/main/java/org/borageproxy/forward/ServerPool.java
+++ b/src/main/java/org/borageproxy/forward/ServerPool.java
@@ -14,6 +14,7 @@
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
 
+import org.borageproxy.claim.Target;
 import org.borageproxy.coordination.ModelInventory;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerName;
@@ -28,7 +29,6 @@
 import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
 import org.borageproxy.vm.AvailabilityZone;
-import org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand;
 import org.borageproxy.wire.proto.CoordinationProtocol.ServerUsage;
 
 /**
@@ -49,7 +49,7 @@
     private final ModelInventories inventories = new ModelInventories();
     private final ServerAvailability availability;
     private final ModelLatencyRatios latencyRatios = new ModelLatencyRatios();
-    private final ModelDemandCounter demandCounter = new ModelDemandCounter();
+    private final ModelDemandCounter demand;
     private final WaitingRequests waiting;
     private final ServerStatements statements;
     private ServerSpeeds speeds = ServerSpeeds.EQUAL;
@@ -98,6 +98,7 @@
         this.statements = new ServerStatements(clock, random, limitShare);
         this.loads = new ServerLoads(clock);
         this.waiting = new WaitingRequests(clock, this::lanesOf);
+        this.demand = new ModelDemandCounter(clock, this::isUsable);
     }
 
     /**
@@ -462,13 +463,18 @@
     }
 
     /**
-     * Counts the demand of a request for a model and adapter.
+     * Returns the demand of this VM's callers for models and adapters.
      *
-     * @param service the service
-     * @param work the inference work
+     * @return the counter
      */
-    void recordDemand(String service, EngineWork work) {
-        demandCounter.recordRequest(service, work);
+    public ModelDemandCounter demand() {
+        return demand;
+    }
+
+    private boolean isUsable(Target target) {
+        return servers.current().stream()
+                .anyMatch(server ->
+                        target.admits(server) && inventories.of(server).contains(target.model(), target.adapter()));
     }
 
     /**
@@ -481,7 +487,7 @@
     void enqueue(WaitingRequest request, Optional<EngineWork> work, boolean isModelMissing) {
         waiting.add(request);
         if (isModelMissing) {
-            work.ifPresent(each -> demandCounter.addWaiting(request.lane().service(), each, 1));
+            work.ifPresent(each -> demand.addWaiting(request.lane().service(), each, 1));
             urgentDemandListener.run();
         }
     }
@@ -495,7 +501,7 @@
      */
     void dequeue(WaitingRequest request, Optional<EngineWork> work, boolean wasModelMissing) {
         if (waiting.remove(request) && wasModelMissing) {
-            work.ifPresent(each -> demandCounter.addWaiting(request.lane().service(), each, -1));
+            work.ifPresent(each -> demand.addWaiting(request.lane().service(), each, -1));
         }
     }
 
@@ -579,15 +585,6 @@
                 .isPresent();
     }
 
-    /**
-     * Returns the demand and resets its token counts.
-     *
-     * @return the tokens requested since the previous call and the requests now waiting, by model and adapter
-     */
-    public List<ModelDemand> drainDemand() {
-        return demandCounter.drain();
-    }
-
     /** Removes the state of servers that are no longer announced. */
     public void removeUnknownServers() {
         Set<BackendServerName> known = new LinkedHashSet<>();
--- a/src/main/java/org/borageproxy/placement/AdapterPlanner.java
+++ b/src/main/java/org/borageproxy/placement/AdapterPlanner.java
@@ -2,17 +2,20 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
+import org.borageproxy.claim.Claims;
 import org.borageproxy.claim.Target;
 import org.borageproxy.publication.EnginePool;
 
 /**
- * Plans which adapters the engines of one service load or unload next. An adapter is loaded on an engine that has its
- * model and a free slot, or else in place of the least recently requested one. Reads the engines; the receiver of the
- * orders changes them. Not thread safe, since the engines aren't.
+ * Plans which adapters the engines of one service load or unload next: those that requests wait for and those whose
+ * requests were refused and not served since, the earliest claim first. An adapter is loaded on an engine that has its
+ * model and a free slot, or else in place of the least recently requested one without a claim. Reads the engines; the
+ * receiver of the orders changes them. Not thread safe, since the engines aren't.
  */
 final class AdapterPlanner {
 
@@ -23,7 +26,7 @@
     private final EnginePool pool;
     private final List<TrackedEngine> engines;
     private final FleetDemand demand;
-
+    private final Claims claims;
     /** Sends the order for an adapter. */
     @FunctionalInterface
     interface OrderSender {
@@ -45,12 +48,14 @@
      * @param pool the pool of the engines
      * @param engines the engines of the service
      * @param demand the demand for the adapters
+     * @param claims the adapters that were not served yet
      */
-    AdapterPlanner(String service, EnginePool pool, List<TrackedEngine> engines, FleetDemand demand) {
+    AdapterPlanner(String service, EnginePool pool, List<TrackedEngine> engines, FleetDemand demand, Claims claims) {
         this.service = service;
         this.pool = pool;
         this.engines = engines;
         this.demand = demand;
+        this.claims = claims;
     }
 
     /**
@@ -59,10 +64,14 @@
      * @param sender sends the orders
      */
     void plan(OrderSender sender) {
-        demand.adaptersWithWaitingRequests(service).stream()
-                .filter(this::isMissing)
-                .toList()
-                .forEach(target -> planLoad(target, sender));
+        // Requests may wait without a claim if there are too many claims.
+        Set<Target> wanted = new LinkedHashSet<>(claims.targets(service));
+        wanted.addAll(demand.adaptersWithWaitingRequests(service));
+        for (Target target : wanted) {
+            if (!target.adapter().isEmpty() && isMissing(target)) {
+                planLoad(target, sender);
+            }
+        }
     }
 
     private void planLoad(Target target, OrderSender sender) {
@@ -139,6 +148,9 @@
         engine.loadedModels()
                 .forEach((model, adapters) ->
                         adapters.forEach(adapter -> loadedAdapters.add(new Target(service, model, adapter))));
-        return loadedAdapters.stream().min(demand.byLastRequestTime());
+        return loadedAdapters.stream()
+                .min(Comparator.comparing(
+                                (Target adapter) -> claims.sinceNanos(adapter).isPresent())
+                        .thenComparing(demand.byLastRequestTime()));
     }
 }
--- a/src/main/java/org/borageproxy/placement/FleetPlacement.java
+++ b/src/main/java/org/borageproxy/placement/FleetPlacement.java
@@ -1,7 +1,6 @@
 package org.borageproxy.placement;
 
 import java.time.Duration;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -55,10 +54,6 @@
     private static final Duration BUSY_RETRY_DELAY = Duration.ofMillis(120);
     /** Time until an engine whose last order failed or got no answer may get the next order. */
     private static final Duration UNANSWERED_ORDER_DELAY = Duration.ofMillis(1500);
-    /** Time until a change shows in the reports of an engine, which lag by several hundred milliseconds. */
-    private static final Duration REPORT_DELAY = Duration.ofMillis(500);
-    /** Requests stop waiting for a model that is later than expected by more than this. */
-    private static final Duration MAX_LOAD_OVERRUN = Duration.ofSeconds(2);
     /** Fraction of the load rate of the weight store that is used. */
     private static final double STORE_RATE_FRACTION = 0.92;
     /** Capacity of the token bucket for loads from the weight store. */
@@ -173,7 +168,6 @@
         nextReports.clear();
         demand.clearReports();
         absentModels.values().forEach(AbsentModels::clear);
-        claims.clear();
         storeTokens = 0;
         long nowNanos = environment.clock().nanoTime();
         storeRefilledAtNanos = nowNanos;
@@ -311,8 +305,9 @@
 
     @Override
     public void recordDemand(VmName entry, List<ModelDemand> reportedDemands) {
-        boolean hasWaitingRequests =
-                demand.applyReport(entry, reportedDemands, environment.clock().nanoTime());
+        long nowNanos = environment.clock().nanoTime();
+        boolean hasWaitingRequests = demand.applyReport(entry, reportedDemands, nowNanos);
+        claims.restore(reportedDemands, nowNanos);
         if (hasWaitingRequests && mayOrder()) {
             plan();
         }
@@ -408,7 +403,7 @@
                 .filter(engine -> engine.server().services().contains(service))
                 .toList();
         engines.forEach(this::refreshPermit);
-        AdapterPlanner adapterPlanner = new AdapterPlanner(service, pool, engines, demand);
+        AdapterPlanner adapterPlanner = new AdapterPlanner(service, pool, engines, demand, claims);
         adapterPlanner.plan((engine, isLoad, adapter) ->
                 sendOrder(engine, isLoad, adapter.model(), adapter.adapter(), Duration.ZERO));
         Map<String, LoadPlanner.Demand> byModel = demandWithAbsences(service, engines);
@@ -418,6 +413,7 @@
             step = new LoadPlanner(pool, engines, byModel, speeds).nextStep(storeTokens >= 1);
         }
         LoadPlanner planner = new LoadPlanner(pool, engines, byModel, speeds);
+        engines.stream().filter(planner::isBlocked).toList().forEach(engine -> engine.setSuccessorModel(""));
         progress.unplanned(service, pool, engines, planner, adapterPlanner, storeTokens >= 1);
     }
 
@@ -433,7 +429,8 @@
                         ended.millis(),
                         ended.waits(),
                         ended.isLoaded()));
-        return byModel;
+        return new ClaimedDemand(claims.sinceNanosByModel(service), engines)
+                .complete(byModel, environment.clock().nanoTime());
     }
 
     private void execute(LoadPlanner.Step step, EnginePool pool) {
@@ -540,36 +537,24 @@
      */
     public Optional<Deadline> estimateAvailability(
             String service, String model, String adapter, Optional<String> softwareVersion) {
-        Target target = new Target(service, model, adapter, softwareVersion);
-        long nowNanos = environment.clock().nanoTime();
-        return trackedEngines.values().stream()
-                .filter(engine -> target.admits(engine.server())
-                        && engine.isBusy()
-                        && !Deadline.after(engine.loadCompletesAt().atNanos(), MAX_LOAD_OVERRUN)
-                                .hasPassed(nowNanos))
-                .flatMap(engine -> estimateAvailability(engine, service, model, adapter, nowNanos).stream())
-                .min(Comparator.naturalOrder());
-    }
-
-    private Optional<Deadline> estimateAvailability(
-            TrackedEngine engine, String service, String model, String adapter, long nowNanos) {
-        Deadline notBefore =
-                new Deadline(Math.max(nowNanos, engine.loadCompletesAt().atNanos()));
-        boolean isLoading = engine.loadingModel().equals(model) || mayLoadAdapterNext(engine, model, adapter);
-        if (isLoading) {
-            return Optional.of(Deadline.after(notBefore.atNanos(), REPORT_DELAY));
-        }
-        return pool(service)
-                .filter(pool ->
-                        engine.successorModel().equals(model) && pool.models().containsKey(model))
-                .map(pool -> Deadline.after(
-                        notBefore.atNanos(),
-                        REPORT_DELAY.plus(engine.loadTime(pool.models().get(model)))));
+        return arrivals(service)
+                .flatMap(arrivals -> arrivals.ordered(new Target(service, model, adapter, softwareVersion)));
     }
 
-    // An engine that loads a model loads adapters only after it.
-    private static boolean mayLoadAdapterNext(TrackedEngine engine, String model, String adapter) {
-        return !adapter.isEmpty() && engine.loadedModels().containsKey(model);
+    /**
+     * Estimates when a model or an adapter that no engine has or loads would become usable if it were ordered as soon
+     * as an engine can take the order.
+     *
+     * @param target the model and adapter
+     * @return the estimated time, or empty if no engine could load it
+     */
+    public Optional<Deadline> estimateEarliest(Target target) {
+        return arrivals(target.service()).flatMap(arrivals -> arrivals.earliest(target));
+    }
+
+    private Optional<ArrivalEstimates> arrivals(String service) {
+        long nowNanos = environment.clock().nanoTime();
+        return pool(service).map(pool -> new ArrivalEstimates(trackedEngines.values(), pool, nowNanos));
     }
 
     private void planIfAllowed() {
--- a/src/main/java/org/borageproxy/placement/LoadPlanner.java
+++ b/src/main/java/org/borageproxy/placement/LoadPlanner.java
@@ -14,9 +14,10 @@
 /**
  * Plans which model an engine loads or unloads next. Models for which room is already being made on an engine come
  * first, then models without a replica that have waiting requests, then models whose engines have much more work than
- * the average. A model with waiting requests is never unloaded. The last replica of a model is unloaded only for the
- * first one of a model with waiting requests that is in at least as much demand. Work is measured in engine-seconds per
- * second of an engine of the speed one, so that 1 is a fully used engine.
+ * the average. A model with waiting requests is unloaded only for one that is overdue and has an earlier claim. The
+ * last replica of a model is unloaded only for the first one of a model that requests claim and that is overdue or in
+ * at least as much demand. Work is measured in engine-seconds per second of an engine of the speed one, so that 1 is a
+ * fully used engine.
  *
  * <p>Reads the engines but doesn't change them. Not thread safe, since the engines aren't.
  */
@@ -74,11 +75,19 @@
      *
      * @param tokensPerSecond the requested prompt and output tokens per second
      * @param waitingRequests the number of requests that wait for the model
-     * @param waitingSinceNanos the time on the monotonic clock since which requests have waited because no engine has
-     *     the model, or {@link #NOT_WAITING}
+     * @param waitingSinceNanos the time on the monotonic clock since which requests have not been served because no
+     *     engine has the model, or {@link #NOT_WAITING}; they may have been refused meanwhile
      * @param isCopyLost whether the last copy was lost with its engine and has to be replaced
+     * @param isOverdue whether requests have not been served for so long that models in more demand give way
+     * @param isKept whether its last copy stays, since it was loaded lately
      */
-    record Demand(double tokensPerSecond, int waitingRequests, long waitingSinceNanos, boolean isCopyLost) {
+    record Demand(
+            double tokensPerSecond,
+            int waitingRequests,
+            long waitingSinceNanos,
+            boolean isCopyLost,
+            boolean isOverdue,
+            boolean isKept) {
 
         static final long NOT_WAITING = Long.MAX_VALUE;
 
@@ -88,6 +97,16 @@
         Demand(double tokensPerSecond, int waitingRequests) {
             this(tokensPerSecond, waitingRequests, NOT_WAITING, false);
         }
+
+        /** Creates the demand for a model that is neither overdue nor kept. */
+        Demand(double tokensPerSecond, int waitingRequests, long waitingSinceNanos, boolean isCopyLost) {
+            this(tokensPerSecond, waitingRequests, waitingSinceNanos, isCopyLost, false, false);
+        }
+
+        /** Returns whether requests wait or were refused and not served since. */
+        boolean isClaimed() {
+            return waitingRequests > 0 || waitingSinceNanos != NOT_WAITING;
+        }
     }
 
     /** A load or unload of a model that an engine should do next. */
@@ -169,9 +188,10 @@
     }
 
     /**
-     * Returns the models to load that no engine has or expects: first those with waiting requests, then lost copies. An
-     * empty engine gets the model whose requests have waited longest; room that has to be made is for the model with
-     * the most waiting requests.
+     * Returns the models to load that no engine has or expects: first those that are overdue, the earliest claim first,
+     * then those with waiting requests, then those whose requests were refused, then lost copies. An empty engine gets
+     * the model whose requests have waited longest; room that has to be made is for the model with the most waiting
+     * requests.
      */
     private List<String> unservedModels() {
         Comparator<Map.Entry<String, Demand>> byWaitingRequests =
@@ -181,14 +201,21 @@
         Comparator<Map.Entry<String, Demand>> order = engines.stream().anyMatch(LoadPlanner::isEmpty)
                 ? byWaitingTime.thenComparing(byWaitingRequests)
                 : byWaitingRequests.thenComparing(byWaitingTime);
+        Comparator<Map.Entry<String, Demand>> overdueFirst = Comparator.comparingLong(
+                entry -> entry.getValue().isOverdue() ? entry.getValue().waitingSinceNanos() : Long.MAX_VALUE);
         Comparator<Map.Entry<String, Demand>> waitingFirst =
                 Comparator.comparing(entry -> entry.getValue().waitingRequests() == 0);
+        Comparator<Map.Entry<String, Demand>> claimedFirst =
+                Comparator.comparing(entry -> !entry.getValue().isClaimed());
         return demands.entrySet().stream()
-                .filter(entry -> entry.getValue().waitingRequests() > 0
-                        || entry.getValue().isCopyLost())
+                .filter(entry ->
+                        entry.getValue().isClaimed() || entry.getValue().isCopyLost())
                 .filter(entry -> pool.models().containsKey(entry.getKey()) && replicas(entry.getKey()) == 0)
-                .sorted(waitingFirst.thenComparing(order).thenComparingDouble(entry -> -entry.getValue()
-                        .tokensPerSecond()))
+                .sorted(overdueFirst
+                        .thenComparing(waitingFirst)
+                        .thenComparing(claimedFirst)
+                        .thenComparing(order)
+                        .thenComparingDouble(entry -> -entry.getValue().tokensPerSecond()))
                 .map(Map.Entry::getKey)
                 .toList();
     }
@@ -219,6 +246,18 @@
         return hasRoom ? "no-request-waits" : "no-room";
     }
 
+    /**
+     * Returns whether the room that was being made on an engine is not enough and nothing else may be unloaded for it.
+     *
+     * @param engine the engine
+     * @return {@code true} if the model for which room was made does not fit; it should be loaded elsewhere
+     */
+    boolean isBlocked(TrackedEngine engine) {
+        return engine.acceptsOrders()
+                && pool.models().containsKey(engine.successorModel())
+                && loadOrUnload(engine, engine.successorModel()).isEmpty();
+    }
+
     private static boolean isEmpty(TrackedEngine engine) {
         return engine.acceptsOrders()
                 && engine.loadedModels().isEmpty()
@@ -320,9 +359,9 @@
 
     /**
      * Returns whether an engine may unload a model for another one. The last copy of a model may only be unloaded for
-     * the first copy of one that requests wait for and that is in no less demand; otherwise models that do not fit
-     * together would displace one another by turns. Requests also wait for a model while its first copy is loaded on
-     * another engine.
+     * the first copy of one that requests claim and that is in no less demand, or overdue; otherwise models that do not
+     * fit together would displace one another by turns. A copy that was loaded lately stays, so that each of them
+     * serves for a while. Requests also wait for a model while its first copy is loaded on another engine.
      */
     private boolean mayUnload(TrackedEngine engine, String victim, String successor) {
         Demand demand = demands.getOrDefault(victim, Demand.NONE);
@@ -330,10 +369,17 @@
         boolean isSurplus = loadedReplicas(victim) > 1;
         boolean isFirstCopy = engines.stream()
                 .noneMatch(other -> other != engine && other.hasOrExpects(successor) && !other.isLimiting());
-        boolean isWorthLess = isFirstCopy
-                && successorDemand.waitingRequests() > 0
-                && demand.tokensPerSecond() <= Math.max(IDLE_TOKENS_PER_SECOND, successorDemand.tokensPerSecond());
-        return demand.waitingRequests() == 0 && (isSurplus || isWorthLess);
+        boolean isInNoMoreDemand =
+                demand.tokensPerSecond() <= Math.max(IDLE_TOKENS_PER_SECOND, successorDemand.tokensPerSecond());
+        boolean givesWay = isFirstCopy
+                && successorDemand.isClaimed()
+                && !demand.isKept()
+                && (isInNoMoreDemand || successorDemand.isOverdue());
+        // Requests that wait for one adapter after another must not hold a model for ever.
+        boolean isClaimedEarlier =
+                demand.isClaimed() && demand.waitingSinceNanos() <= successorDemand.waitingSinceNanos();
+        boolean isSpared = isClaimedEarlier || demand.waitingRequests() > 0 && !successorDemand.isOverdue();
+        return !isSpared && (isSurplus || givesWay);
     }
 
     /** Loss from unloading one replica of a model, as work. */
--- a/src/main/java/org/borageproxy/placement/TrackedEngine.java
+++ b/src/main/java/org/borageproxy/placement/TrackedEngine.java
@@ -28,10 +28,13 @@
     private static final Duration MAX_REPORT_LAG = Duration.ofMillis(700);
     /** Time after which an ordered adapter counts as loaded, with a margin. */
     private static final Duration ADAPTER_LOAD_TIME = Duration.ofMillis(25);
+    /** Time after its load for which a model is kept; refused callers are told to come back within it. */
+    private static final Duration KEPT_TIME = Duration.ofSeconds(10);
 
     private BackendServer server;
     private final Map<String, Set<String>> loadedModels = new HashMap<>();
     private final Map<String, Deadline> loadingAdapters = new HashMap<>();
+    private final Map<String, Deadline> keptUntil = new HashMap<>();
     private final Set<String> unloadingAdapters = new HashSet<>();
     private final Set<String> locallyStoredModels = new HashSet<>();
     private long orderCount;
@@ -90,6 +93,11 @@
         }
         orderCount = report.loadedModels().acceptedOrders();
         isOrderCountKnown = true;
+        Set<String> reportedModels = report.loadedModels().adaptersByModel().keySet();
+        reportedModels.stream()
+                .filter(model -> !loadedModels.containsKey(model))
+                .forEach(model -> keptUntil.put(model, Deadline.after(requestedAtNanos, KEPT_TIME)));
+        keptUntil.keySet().retainAll(reportedModels);
         loadedModels.clear();
         report.loadedModels()
                 .adaptersByModel()
@@ -106,6 +114,18 @@
         }
     }
 
+    /**
+     * Returns whether a model was loaded so lately that it should not be unloaded yet.
+     *
+     * @param model the model
+     * @param nowNanos the time on the monotonic clock in nanoseconds
+     * @return {@code true} if it was first reported less than {@link #KEPT_TIME} ago, and not announced before
+     */
+    boolean isKept(String model, long nowNanos) {
+        Deadline deadline = keptUntil.get(model);
+        return deadline != null && !deadline.hasPassed(nowNanos);
+    }
+
     /**
      * Records that the engine lacks a model or an adapter.
      *
--- a/src/main/java/org/borageproxy/server/GatewayEntry.java
+++ b/src/main/java/org/borageproxy/server/GatewayEntry.java
@@ -286,7 +286,7 @@
                 .setSession(session)
                 .addAllServers(pool.drainUsage())
                 .addAllWorkspaces(rateShares.collectUsage(runtime.clock().nanoTime()))
-                .addAllDemands(pool.drainDemand())
+                .addAllDemands(pool.demand().drain())
                 .setLastSlot(slotClient.lastSlot())
                 .setContentsVersion(inventoryVersion)
                 .addAllPaces(latencyRatios())
--- a/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
@@ -13723,6 +13723,17 @@
      * @return The waiting.
      */
     int getWaiting();
+
+    /**
+     * <pre>
+     * The time since the first request that was refused for want of the model or adapter, in milliseconds, if none was
+     * served since; repeated once a second, zero in between.
+     * </pre>
+     *
+     * <code>uint64 unserved_millis = 6;</code>
+     * @return The unservedMillis.
+     */
+    long getUnservedMillis();
   }
   /**
    * <pre>
@@ -13920,6 +13931,22 @@
       return waiting_;
     }
 
+    public static final int UNSERVED_MILLIS_FIELD_NUMBER = 6;
+    private long unservedMillis_ = 0L;
+    /**
+     * <pre>
+     * The time since the first request that was refused for want of the model or adapter, in milliseconds, if none was
+     * served since; repeated once a second, zero in between.
+     * </pre>
+     *
+     * <code>uint64 unserved_millis = 6;</code>
+     * @return The unservedMillis.
+     */
+    @java.lang.Override
+    public long getUnservedMillis() {
+      return unservedMillis_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -13949,6 +13976,9 @@
       if (waiting_ != 0) {
         output.writeUInt32(5, waiting_);
       }
+      if (unservedMillis_ != 0L) {
+        output.writeUInt64(6, unservedMillis_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -13975,6 +14005,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt32Size(5, waiting_);
       }
+      if (unservedMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(6, unservedMillis_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -14000,6 +14034,8 @@
           != other.getTokens()) return false;
       if (getWaiting()
           != other.getWaiting()) return false;
+      if (getUnservedMillis()
+          != other.getUnservedMillis()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -14022,6 +14058,9 @@
           getTokens());
       hash = (37 * hash) + WAITING_FIELD_NUMBER;
       hash = (53 * hash) + getWaiting();
+      hash = (37 * hash) + UNSERVED_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getUnservedMillis());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -14162,6 +14201,7 @@
         adapter_ = "";
         tokens_ = 0L;
         waiting_ = 0;
+        unservedMillis_ = 0L;
         return this;
       }
 
@@ -14210,6 +14250,9 @@
         if (((from_bitField0_ & 0x00000010) != 0)) {
           result.waiting_ = waiting_;
         }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.unservedMillis_ = unservedMillis_;
+        }
       }
 
       @java.lang.Override
@@ -14245,6 +14288,9 @@
         if (other.getWaiting() != 0) {
           setWaiting(other.getWaiting());
         }
+        if (other.getUnservedMillis() != 0L) {
+          setUnservedMillis(other.getUnservedMillis());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -14296,6 +14342,11 @@
                 bitField0_ |= 0x00000010;
                 break;
               } // case 40
+              case 48: {
+                unservedMillis_ = input.readUInt64();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 48
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -14617,6 +14668,53 @@
         return this;
       }
 
+      private long unservedMillis_ ;
+      /**
+       * <pre>
+       * The time since the first request that was refused for want of the model or adapter, in milliseconds, if none was
+       * served since; repeated once a second, zero in between.
+       * </pre>
+       *
+       * <code>uint64 unserved_millis = 6;</code>
+       * @return The unservedMillis.
+       */
+      @java.lang.Override
+      public long getUnservedMillis() {
+        return unservedMillis_;
+      }
+      /**
+       * <pre>
+       * The time since the first request that was refused for want of the model or adapter, in milliseconds, if none was
+       * served since; repeated once a second, zero in between.
+       * </pre>
+       *
+       * <code>uint64 unserved_millis = 6;</code>
+       * @param value The unservedMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setUnservedMillis(long value) {
+
+        unservedMillis_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The time since the first request that was refused for want of the model or adapter, in milliseconds, if none was
+       * served since; repeated once a second, zero in between.
+       * </pre>
+       *
+       * <code>uint64 unserved_millis = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearUnservedMillis() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        unservedMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.coordination.ModelDemand)
     }
 
@@ -26925,52 +27023,52 @@
       "on.SlownessSamplesH\000\210\001\001B\013\n\t_slowness\"r\n\016" +
       "WorkspaceUsage\022\014\n\004name\030\001 \001(\t\022\016\n\006demand\030\002" +
       " \001(\004\022\014\n\004held\030\003 \001(\004\022\r\n\005spent\030\004 \001(\004\022\r\n\005nee" +
-      "ds\030\006 \003(\004\022\020\n\010returned\030\007 \001(\004J\004\010\005\020\006\"_\n\013Mode" +
+      "ds\030\006 \003(\004\022\020\n\010returned\030\007 \001(\004J\004\010\005\020\006\"x\n\013Mode" +
       "lDemand\022\017\n\007service\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022" +
       "\017\n\007adapter\030\003 \001(\t\022\016\n\006tokens\030\004 \001(\004\022\017\n\007wait" +
-      "ing\030\005 \001(\r\"\222\004\n\022CoordinationUpdate\022\023\n\013coor" +
-      "dinates\030\001 \001(\010\022\023\n\013coordinator\030\002 \001(\t\022\017\n\007en" +
-      "tries\030\003 \001(\r\0226\n\007servers\030\004 \003(\0132%.boragepro" +
-      "xy.coordination.ServerUsage\0223\n\006shares\030\005 " +
-      "\003(\0132#.borageproxy.coordination.RateShare" +
-      "\0229\n\010contents\030\006 \003(\0132\'.borageproxy.coordin" +
-      "ation.ServerContent\022\030\n\020contents_version\030" +
-      "\007 \001(\004\022\023\n\013all_servers\030\010 \001(\010\022\014\n\004term\030\t \001(\004" +
-      "\022=\n\rstated_limits\030\n \003(\0132&.borageproxy.co" +
-      "ordination.StatedLimits\022\026\n\016limits_versio" +
-      "n\030\013 \001(\004\022\016\n\006relays\030\014 \003(\t\0225\n\006speeds\0302 \003(\0132" +
-      "%.borageproxy.coordination.ServerSpeed\022\026" +
-      "\n\016speeds_version\0303 \001(\004\022\023\n\013asks_speeds\0304 " +
-      "\001(\010\022\021\n\twithdraws\0305 \001(\010\"\274\003\n\013SlotRequest\022\014" +
-      "\n\004zone\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\r\n\005model\030\003" +
-      " \001(\t\022\017\n\007adapter\030\004 \001(\t\022\025\n\rprompt_tokens\030\005" +
-      " \001(\r\022\025\n\routput_tokens\030\006 \001(\r\0225\n\005parts\030\007 \003" +
-      "(\0132&.borageproxy.coordination.PartOfProm" +
-      "pt\022\014\n\004rank\030\010 \001(\r\022\030\n\020objective_millis\030\t \001" +
-      "(\r\022\027\n\017deadline_millis\030\n \001(\r\022\r\n\005tried\030\013 \003" +
-      "(\t\022\025\n\rwaited_millis\030\014 \001(\r\022\021\n\tabsent_at\030\016" +
-      " \003(\t\022\014\n\004gone\030\017 \003(\t\022\035\n\020software_version\030\020" +
-      " \001(\tH\000\210\001\001\022\021\n\tworkspace\030\021 \001(\t\022\020\n\010identity" +
-      "\030\022 \001(\t\022\016\n\006caller\030\023 \001(\006\022\022\n\nbody_bytes\030\024 \001" +
-      "(\004B\023\n\021_software_versionJ\004\010\r\020\016\"0\n\014PartOfP" +
-      "rompt\022\020\n\010identity\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\r\"" +
-      "\326\002\n\nSlotAnswer\022=\n\007outcome\030\001 \001(\0162,.borage" +
-      "proxy.coordination.SlotAnswer.Outcome\022\016\n" +
-      "\006server\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\004\022\027\n\017ex" +
-      "pected_millis\030\004 \001(\001\022\025\n\runread_tokens\030\005 \001" +
-      "(\r\022\014\n\004slot\030\006 \001(\004\022\030\n\020come_back_millis\030\007 \001" +
-      "(\r\022\022\n\005speed\0302 \001(\002H\000\210\001\001\"n\n\007Outcome\022\023\n\017NOT" +
-      "_COORDINATOR\020\000\022\n\n\006CHOSEN\020\001\022\r\n\tNO_SERVER\020" +
-      "\002\022\014\n\010NO_MODEL\020\003\022\013\n\007CROWDED\020\004\022\r\n\tALL_TRIE" +
-      "D\020\005\022\t\n\005AGAIN\020\006B\010\n\006_speed\"=\n\tRateShare\022\021\n" +
-      "\tworkspace\030\001 \001(\t\022\014\n\004rate\030\002 \001(\004\022\017\n\007grante" +
-      "d\030\003 \001(\004\"\211\001\n\rServerContent\022\014\n\004name\030\001 \001(\t\022" +
-      "\023\n\013incarnation\030\002 \001(\004\022\016\n\006orders\030\003 \001(\004\0223\n\006" +
-      "models\030\004 \003(\0132#.borageproxy.coordination." +
-      "HeldModel\022\020\n\010arriving\030\005 \003(\t\",\n\tHeldModel" +
-      "\022\r\n\005model\030\001 \001(\t\022\020\n\010adapters\030\002 \003(\tB2\n\032org" +
-      ".borageproxy.wire.protoB\024CoordinationPro" +
-      "tocolb\006proto3"
+      "ing\030\005 \001(\r\022\027\n\017unserved_millis\030\006 \001(\004\"\222\004\n\022C" +
+      "oordinationUpdate\022\023\n\013coordinates\030\001 \001(\010\022\023" +
+      "\n\013coordinator\030\002 \001(\t\022\017\n\007entries\030\003 \001(\r\0226\n\007" +
+      "servers\030\004 \003(\0132%.borageproxy.coordination" +
+      ".ServerUsage\0223\n\006shares\030\005 \003(\0132#.boragepro" +
+      "xy.coordination.RateShare\0229\n\010contents\030\006 " +
+      "\003(\0132\'.borageproxy.coordination.ServerCon" +
+      "tent\022\030\n\020contents_version\030\007 \001(\004\022\023\n\013all_se" +
+      "rvers\030\010 \001(\010\022\014\n\004term\030\t \001(\004\022=\n\rstated_limi" +
+      "ts\030\n \003(\0132&.borageproxy.coordination.Stat" +
+      "edLimits\022\026\n\016limits_version\030\013 \001(\004\022\016\n\006rela" +
+      "ys\030\014 \003(\t\0225\n\006speeds\0302 \003(\0132%.borageproxy.c" +
+      "oordination.ServerSpeed\022\026\n\016speeds_versio" +
+      "n\0303 \001(\004\022\023\n\013asks_speeds\0304 \001(\010\022\021\n\twithdraw" +
+      "s\0305 \001(\010\"\274\003\n\013SlotRequest\022\014\n\004zone\030\001 \001(\t\022\017\n" +
+      "\007service\030\002 \001(\t\022\r\n\005model\030\003 \001(\t\022\017\n\007adapter" +
+      "\030\004 \001(\t\022\025\n\rprompt_tokens\030\005 \001(\r\022\025\n\routput_" +
+      "tokens\030\006 \001(\r\0225\n\005parts\030\007 \003(\0132&.borageprox" +
+      "y.coordination.PartOfPrompt\022\014\n\004rank\030\010 \001(" +
+      "\r\022\030\n\020objective_millis\030\t \001(\r\022\027\n\017deadline_" +
+      "millis\030\n \001(\r\022\r\n\005tried\030\013 \003(\t\022\025\n\rwaited_mi" +
+      "llis\030\014 \001(\r\022\021\n\tabsent_at\030\016 \003(\t\022\014\n\004gone\030\017 " +
+      "\003(\t\022\035\n\020software_version\030\020 \001(\tH\000\210\001\001\022\021\n\two" +
+      "rkspace\030\021 \001(\t\022\020\n\010identity\030\022 \001(\t\022\016\n\006calle" +
+      "r\030\023 \001(\006\022\022\n\nbody_bytes\030\024 \001(\004B\023\n\021_software" +
+      "_versionJ\004\010\r\020\016\"0\n\014PartOfPrompt\022\020\n\010identi" +
+      "ty\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\r\"\326\002\n\nSlotAnswer\022" +
+      "=\n\007outcome\030\001 \001(\0162,.borageproxy.coordinat" +
+      "ion.SlotAnswer.Outcome\022\016\n\006server\030\002 \001(\t\022\023" +
+      "\n\013incarnation\030\003 \001(\004\022\027\n\017expected_millis\030\004" +
+      " \001(\001\022\025\n\runread_tokens\030\005 \001(\r\022\014\n\004slot\030\006 \001(" +
+      "\004\022\030\n\020come_back_millis\030\007 \001(\r\022\022\n\005speed\0302 \001" +
+      "(\002H\000\210\001\001\"n\n\007Outcome\022\023\n\017NOT_COORDINATOR\020\000\022" +
+      "\n\n\006CHOSEN\020\001\022\r\n\tNO_SERVER\020\002\022\014\n\010NO_MODEL\020\003" +
+      "\022\013\n\007CROWDED\020\004\022\r\n\tALL_TRIED\020\005\022\t\n\005AGAIN\020\006B" +
+      "\010\n\006_speed\"=\n\tRateShare\022\021\n\tworkspace\030\001 \001(" +
+      "\t\022\014\n\004rate\030\002 \001(\004\022\017\n\007granted\030\003 \001(\004\"\211\001\n\rSer" +
+      "verContent\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030" +
+      "\002 \001(\004\022\016\n\006orders\030\003 \001(\004\0223\n\006models\030\004 \003(\0132#." +
+      "borageproxy.coordination.HeldModel\022\020\n\010ar" +
+      "riving\030\005 \003(\t\",\n\tHeldModel\022\r\n\005model\030\001 \001(\t" +
+      "\022\020\n\010adapters\030\002 \003(\tB2\n\032org.borageproxy.wi" +
+      "re.protoB\024CoordinationProtocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -27053,7 +27151,7 @@
     internal_static_borageproxy_coordination_ModelDemand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_ModelDemand_descriptor,
-        new java.lang.String[] { "Service", "Model", "Adapter", "Tokens", "Waiting", });
+        new java.lang.String[] { "Service", "Model", "Adapter", "Tokens", "Waiting", "UnservedMillis", });
     internal_static_borageproxy_coordination_CoordinationUpdate_descriptor =
       getDescriptor().getMessageType(13);
     internal_static_borageproxy_coordination_CoordinationUpdate_fieldAccessorTable = new
--- a/src/test/java/org/borageproxy/claim/ClaimsTest.java
+++ b/src/test/java/org/borageproxy/claim/ClaimsTest.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.borageproxy.wire.proto.CoordinationProtocol.ModelDemand;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -48,12 +49,31 @@
         assertEquals(0, claims.oldestMillis());
     }
 
+    private static ModelDemand unserved(Target target, long millis) {
+        return ModelDemand.newBuilder()
+                .setService(target.service())
+                .setModel(target.model())
+                .setAdapter(target.adapter())
+                .setUnservedMillis(millis)
+                .build();
+    }
+
+    /** A new coordinator hears of claims from the entries, as long as these repeat them. */
+    @Test
+    void restoredClaimEndsOnceNoEntryRepeatsIt() {
+        claims.restore(List.of(unserved(MODEL, 8_000), unserved(ADAPTER, 0)), 10 * SECOND_NANOS);
+        assertEquals(List.of(MODEL), claims.targets("s"));
+        claims.removeExpired(12 * SECOND_NANOS);
+        assertEquals(List.of(MODEL), claims.targets("s"));
+        claims.removeExpired(14 * SECOND_NANOS);
+        assertEquals(List.of(), claims.targets("s"));
+    }
+
     @Test
     void restoredClaimCountsFromItsEarliestKnownBegin() {
         claims.recordRequest(MODEL, 9 * SECOND_NANOS);
         claims.recordRequest(ADAPTER, 8 * SECOND_NANOS);
-        claims.restore(MODEL, 2 * SECOND_NANOS, 10 * SECOND_NANOS);
-        claims.restore(ADAPTER, 9 * SECOND_NANOS, 10 * SECOND_NANOS);
+        claims.restore(List.of(unserved(MODEL, 8_000), unserved(ADAPTER, 1_000)), 10 * SECOND_NANOS);
         assertEquals(Optional.of(2 * SECOND_NANOS), claims.sinceNanos(MODEL));
         assertEquals(Optional.of(8 * SECOND_NANOS), claims.sinceNanos(ADAPTER));
         assertEquals(List.of(MODEL, ADAPTER), claims.targets("s"));
