Unload one adapter for another one, and order each adapter once

What was seen: two tests of ClaimedTargetsTest. An engine with eight adapters was asked for a ninth: all eight were unloaded. Two requests for an adapter at the same moment: two engines loaded it.

Cause: the slot of an adapter that is being unloaded counts as taken until a trusted report, 700 ms later. Until then each pass of the planner, one for each reply, found no free slot and unloaded the next adapter. An order without an answer did not count as a load, so that the next pass chose another engine. On full engines the adapters thus displaced one another, which made them rarer than their places allow.

Change: slots that are becoming free are assigned to the adapters with the earliest claims, and nothing further is unloaded for these. An adapter whose load is ordered counts as being loaded.

--- a/src/main/java/org/borageproxy/placement/AdapterPlanner.java
+++ b/src/main/java/org/borageproxy/placement/AdapterPlanner.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -27,6 +29,9 @@
     private final List<TrackedEngine> engines;
     private final FleetDemand demand;
     private final Claims claims;
+    /** Slots that become free and are kept for an adapter with an earlier claim. */
+    private final Map<TrackedEngine, Integer> assignedSlots = new HashMap<>();
+
     /** Sends the order for an adapter. */
     @FunctionalInterface
     interface OrderSender {
@@ -64,6 +69,7 @@
      * @param sender sends the orders
      */
     void plan(OrderSender sender) {
+        assignedSlots.clear();
         // Requests may wait without a claim if there are too many claims.
         Set<Target> wanted = new LinkedHashSet<>(claims.targets(service));
         wanted.addAll(demand.adaptersWithWaitingRequests(service));
@@ -80,22 +86,32 @@
                         && engine.acceptsAdapterOrders()
                         && !engine.isBusy()
                         && engine.loadingAdapterCount() < MAX_LOADING_ADAPTERS)
-                .min(Comparator.comparingInt(
-                                (TrackedEngine engine) -> engine.occupiedAdapterSlots() >= pool.adapterSlots() ? 1 : 0)
+                .min(Comparator.comparing((TrackedEngine engine) -> !hasRoom(engine, target))
+                        .thenComparing(engine -> unassignedSlots(engine) <= 0)
                         .thenComparingLong(this::evictionCandidateRequestedAtNanos))
                 .ifPresent(engine -> loadOrEvict(engine, target, sender));
     }
 
     private void loadOrEvict(TrackedEngine engine, Target target, OrderSender sender) {
-        boolean hasRoom = engine.occupiedAdapterSlots() < pool.adapterSlots()
-                && LoadPlanner.hasRoomForAdapter(pool, engine, target.model());
-        if (hasRoom) {
+        if (hasRoom(engine, target)) {
             sender.send(engine, true, target);
+        } else if (unassignedSlots(engine) > 0) {
+            // The slot of an adapter that is being unloaded is free only once a report shows it.
+            assignedSlots.merge(engine, 1, Integer::sum);
         } else {
             evictionCandidate(engine).ifPresent(victim -> sender.send(engine, false, victim));
         }
     }
 
+    private boolean hasRoom(TrackedEngine engine, Target target) {
+        return engine.occupiedAdapterSlots() < pool.adapterSlots()
+                && LoadPlanner.hasRoomForAdapter(pool, engine, target.model());
+    }
+
+    private int unassignedSlots(TrackedEngine engine) {
+        return engine.unloadingAdapterCount() - assignedSlots.getOrDefault(engine, 0);
+    }
+
     /**
      * Returns whether no engine has an adapter or is loading it.
      *
--- a/src/main/java/org/borageproxy/placement/TrackedEngine.java
+++ b/src/main/java/org/borageproxy/placement/TrackedEngine.java
@@ -43,6 +43,8 @@
     private String unloadingModel = "";
     private String successorModel = "";
     private String requestedModel = "";
+    /** Adapter whose load was ordered without an answer yet; an empty string if there is none. */
+    private String requestedAdapter = "";
     /** Model whose unload was ordered without an answer yet; an empty string if there is none. */
     private String unloadRequestedModel = "";
 
@@ -217,6 +219,7 @@
         isOrderInFlight = true;
         boolean isForModel = order.adapter().isEmpty();
         requestedModel = isForModel && order.isLoad() ? order.model() : "";
+        requestedAdapter = !isForModel && order.isLoad() ? adapterKey(order.model(), order.adapter()) : "";
         unloadRequestedModel = isForModel && !order.isLoad() ? order.model() : "";
     }
 
@@ -224,6 +227,7 @@
     void endOrder() {
         isOrderInFlight = false;
         requestedModel = "";
+        requestedAdapter = "";
         unloadRequestedModel = "";
     }
 
@@ -309,8 +313,10 @@
         });
     }
 
+    /** Returns whether an adapter is being loaded, or an order to load it is unanswered. */
     boolean isLoadingAdapter(String model, String adapter) {
-        return loadingAdapters.containsKey(adapterKey(model, adapter));
+        String key = adapterKey(model, adapter);
+        return loadingAdapters.containsKey(key) || requestedAdapter.equals(key);
     }
 
     int loadingAdapterCount() {
@@ -377,6 +383,15 @@
         return loadedModels.values().stream().mapToInt(Set::size).sum() + loading + unloadingAdapters.size();
     }
 
+    /**
+     * Returns the number of adapters that are being unloaded, whose slots a later report shows as free.
+     *
+     * @return the number of slots
+     */
+    int unloadingAdapterCount() {
+        return unloadingAdapters.size();
+    }
+
     /**
      * Returns the models and adapters that entry VMs may use.
      *
--- a/src/test/java/org/borageproxy/placement/ClaimedTargetsTest.java
+++ b/src/test/java/org/borageproxy/placement/ClaimedTargetsTest.java
@@ -62,6 +62,34 @@
         assertEquals(List.of(), fleet.unserved(2));
     }
 
+    /** Guards against an engine that unloads one adapter after another until a report shows the first free slot. */
+    @Test
+    void oneAdapterIsUnloadedForOneOther() {
+        SimulatedFleet fleet = new SimulatedFleet(SimulatedFleet.pool(1, 1, 2));
+        fleet.addEngine("e0", "m0");
+        fleet.advance(HANDOVER);
+        for (int adapter = 0; adapter < 9; adapter++) {
+            fleet.ask("m0", "a" + adapter, SHORT_DEADLINE);
+            fleet.advance(Duration.ofMillis(300));
+        }
+        fleet.advance(Duration.ofSeconds(3));
+        assertEquals(List.of(), fleet.unserved(1));
+        assertEquals(1, fleet.adapterUnloadCount());
+    }
+
+    /** Guards against an adapter that is loaded on a second engine while the order to the first one is unanswered. */
+    @Test
+    void adapterIsOrderedOnce() {
+        SimulatedFleet fleet = new SimulatedFleet(SimulatedFleet.pool(1, 1, 2));
+        fleet.addEngine("e0", "m0");
+        fleet.addEngine("e1", "m0");
+        fleet.advance(HANDOVER);
+        fleet.ask("m0", "a0", SHORT_DEADLINE);
+        fleet.ask("m0", "a0", SHORT_DEADLINE);
+        fleet.advance(Duration.ofSeconds(1));
+        assertEquals(1, fleet.orderCount());
+    }
+
     /** Another VM leads before any order for the refused requests could be sent; it hears of them from the entries. */
     @Test
     void claimsOutliveTheirLeader() {
