Send the load of a model when the engine has the room for it

Cause: the load was sent as soon as the unload was accepted, and then each 120 ms. Engines had the room after 76 ms at the earliest, 127 ms in the median, 3.3 s at most.

Change: the time that unloads take is learnt, so that about one load in ten comes too early, and a rejected load is repeated after 120, 240 and then 480 ms.

--- a/src/main/java/org/borageproxy/placement/FleetPlacement.java
+++ b/src/main/java/org/borageproxy/placement/FleetPlacement.java
@@ -50,8 +50,6 @@
     private static final Duration IDLE_REPORT_INTERVAL = Duration.ofMillis(2500);
     /** Time between two reports of an idle engine that limits its requests. */
     private static final Duration LIMITED_REPORT_INTERVAL = Duration.ofSeconds(6);
-    /** Time until an engine that rejected an order because it executes another one may get the next order. */
-    private static final Duration BUSY_RETRY_DELAY = Duration.ofMillis(120);
     /** Time until an engine whose last order failed or got no answer may get the next order. */
     private static final Duration UNANSWERED_ORDER_DELAY = Duration.ofMillis(1500);
     /** Fraction of the load rate of the weight store that is used. */
@@ -70,6 +68,7 @@
     private final Map<String, AbsentModels> absentModels = new HashMap<>();
     private final Claims claims = new Claims();
     private final ClaimProgress progress;
+    private final UnloadTimes unloadTimes = new UnloadTimes();
     private ToDoubleFunction<BackendServer> speeds = server -> 1.0;
     private long term = -1;
     private Deadline ordersAllowedFrom;
@@ -472,21 +471,24 @@
                 order.fencingToken(),
                 reply);
         progress.replied(engine, order, reply);
+        engine.recordReply(order, reply).ifPresent(unloadTimes::record);
         switch (reply) {
             case ACCEPTED, HELD -> {
                 engine.applyAcceptedOrder(order, reply == EngineClient.OrderReply.HELD, loadTime, nowNanos);
-                engine.endOrder();
                 nextReports.put(engine.server().name(), Deadline.after(nowNanos, BUSY_REPORT_INTERVAL));
                 publishModels(engine);
-                planIfAllowed();
+                if (reply == EngineClient.OrderReply.ACCEPTED && engine.isMakingRoom()) {
+                    environment.timer().schedule(unloadTimes.expected(), () -> endOrder(engine));
+                } else {
+                    endOrder(engine);
+                }
             }
             case CONFLICT -> {
                 refundStoreToken(engine, order);
                 if (engine.isBusy()) {
-                    environment.timer().schedule(BUSY_RETRY_DELAY, () -> {
-                        engine.endOrder();
-                        planIfAllowed();
-                    });
+                    environment
+                            .timer()
+                            .schedule(unloadTimes.retryDelay(engine.rejectedLoads()), () -> endOrder(engine));
                 } else {
                     engine.setSuccessorModel("");
                     engine.invalidateOrderCount(nowNanos);
@@ -503,6 +505,11 @@
         environment.timer().schedule(Duration.ofMillis(30), this::completeAdapterLoads);
     }
 
+    private void endOrder(TrackedEngine engine) {
+        engine.endOrder();
+        planIfAllowed();
+    }
+
     // A conflict proves that the engine did not accept the load. A load without an answer may still be executed.
     private void refundStoreToken(TrackedEngine engine, EngineClient.EngineOrder order) {
         boolean isFromStore = order.isLoad() && order.adapter().isEmpty() && !engine.hasLocalWeights(order.model());
--- a/src/main/java/org/borageproxy/placement/TrackedEngine.java
+++ b/src/main/java/org/borageproxy/placement/TrackedEngine.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import org.borageproxy.coordination.ModelInventory;
@@ -43,6 +44,8 @@
     private String unloadingModel = "";
     private String successorModel = "";
     private String requestedModel = "";
+    /** Orders that were rejected since room for the successor was being made. */
+    private int rejectedLoads;
     /** Adapter whose load was ordered without an answer yet; an empty string if there is none. */
     private String requestedAdapter = "";
     /** Model whose unload was ordered without an answer yet; an empty string if there is none. */
@@ -276,7 +279,7 @@
                 }
             }
         } else if (order.isLoad()) {
-            successorModel = "";
+            setSuccessorModel("");
             unloadingModel = "";
             loadingModel = order.model();
             loadCompletesAt = Deadline.after(nowNanos, loadTime);
@@ -342,6 +345,35 @@
 
     void setSuccessorModel(String model) {
         successorModel = model;
+        rejectedLoads = 0;
+    }
+
+    /** Returns whether the engine is unloading a model for a successor. */
+    boolean isMakingRoom() {
+        return hasSuccessor() && !unloadingModel.isEmpty();
+    }
+
+    /**
+     * Records whether the engine had the room that was made for a successor.
+     *
+     * @param order the order
+     * @param reply the reply
+     * @return whether the first load of the successor was accepted; empty if the order is another one
+     */
+    Optional<Boolean> recordReply(EngineClient.EngineOrder order, EngineClient.OrderReply reply) {
+        boolean isForSuccessor = order.isLoad()
+                && order.adapter().isEmpty()
+                && isMakingRoom()
+                && order.model().equals(successorModel);
+        boolean isFirst = isForSuccessor && rejectedLoads == 0;
+        boolean isRejected = reply == EngineClient.OrderReply.CONFLICT;
+        rejectedLoads = isRejected ? rejectedLoads + 1 : 0;
+        return isFirst ? Optional.of(!isRejected) : Optional.empty();
+    }
+
+    /** Returns how often the engine rejected orders since room was being made. */
+    int rejectedLoads() {
+        return rejectedLoads;
     }
 
     Deadline loadCompletesAt() {
