Refuse at once what no load can serve in time, and tell when it will be ready

What callers saw: a request for a model that nobody loads waited 700 ms and was told to come back in 1.5 s, although a load takes 9 s; it came back in vain, once, and gave up. One with a deadline of 5 s could not be served.

Cause: Retry-After was a constant unless a load was in progress.

Change: the earliest time at which the model or adapter could be usable is known from the engines: when they are free and what a load takes there. A request that cannot be served by then is refused at once, and still counts as demand; one that may be waits for the order as before, and is told that time.

--- a/src/main/java/org/borageproxy/forward/SlotBroker.java
+++ b/src/main/java/org/borageproxy/forward/SlotBroker.java
@@ -47,12 +47,6 @@
  */
 public final class SlotBroker implements VmNetwork.Handler {
 
-    /** Maximum wait for a load of the model or adapter to be ordered. */
-    private static final Duration MAX_ORDER_WAIT = Duration.ofMillis(700);
-    /** Minimum time to run a request once its model is loaded. */
-    private static final Duration MIN_RUN_TIME = Duration.ofMillis(300);
-    /** Retry-after time for a model whose load has not been ordered or did not complete in time. */
-    private static final Duration UNORDERED_RETRY_AFTER = Duration.ofMillis(1500);
     /** Period for which a granted slot counts as used before its entry reports it; an entry must not use it later. */
     static final Duration UNREPORTED_GRANT_VALIDITY = Duration.ofMillis(800);
 
@@ -107,6 +101,18 @@
          */
         void addWaiting(String service, EngineWork work, Optional<String> softwareVersion, int change);
 
+        /**
+         * Returns the earliest time at which the model and adapter could be loaded if no load is in progress yet.
+         *
+         * @param service the service
+         * @param work the inference work
+         * @param softwareVersion the version of the software that must run the request; empty for any
+         * @return empty if it is not known, which is the answer unless overridden
+         */
+        default Optional<Deadline> earliestAt(String service, EngineWork work, Optional<String> softwareVersion) {
+            return Optional.empty();
+        }
+
         /**
          * Records that a request is refused without a wait, since its model or adapter comes too late for it. Ignored
          * unless overridden.
@@ -461,32 +467,19 @@
             boolean mayBeOrdered = requirement.origin().isEmpty()
                     || unavailability == ServerPool.Unavailability.NO_ADAPTER
                     || pool.isOnlyVersion(requirement.origin().get());
-            if (availableAt.isEmpty() && !mayBeOrdered) {
-                refuseUnordered();
-                return;
-            }
-            if (availableAt.isEmpty()) {
-                waitFor(remainingWait(MAX_ORDER_WAIT), this::refuseUnordered, true);
-                return;
-            }
-            long nowNanos = environment.clock().nanoTime();
-            Duration remaining = Duration.ofNanos(availableAt.get().remainingNanos(nowNanos));
-            boolean isInTime = remaining.plus(MIN_RUN_TIME).toMillis() < request.getDeadlineMillis();
-            if (isInTime) {
-                waitFor(remaining, this::refuseUnordered, true);
-            } else {
+            ModelWait decision = new ModelWait.Times(
+                            environment.clock().nanoTime(), request.getWaitedMillis(), request.getDeadlineMillis())
+                    .decide(availableAt, mayBeOrdered, earliestAt(missing));
+            if (decision.duration().isZero()) {
                 environment.demand().recordUnserved(request.getService(), missing, softwareVersion());
-                refuse(SlotAnswer.Outcome.NO_MODEL, remaining);
+                refuse(SlotAnswer.Outcome.NO_MODEL, decision.retryAfter());
+            } else {
+                waitFor(decision.duration(), () -> refuse(SlotAnswer.Outcome.NO_MODEL, decision.retryAfter()), true);
             }
         }
 
-        private void refuseUnordered() {
-            refuse(SlotAnswer.Outcome.NO_MODEL, UNORDERED_RETRY_AFTER);
-        }
-
-        private Duration remainingWait(Duration maximumWait) {
-            Duration remaining = maximumWait.minusMillis(request.getWaitedMillis());
-            return remaining.isNegative() ? Duration.ZERO : remaining;
+        private Optional<Deadline> earliestAt(EngineWork missing) {
+            return environment.demand().earliestAt(request.getService(), missing, softwareVersion());
         }
 
         private void waitForCapacity() {
--- a/src/main/java/org/borageproxy/server/GatewayControl.java
+++ b/src/main/java/org/borageproxy/server/GatewayControl.java
@@ -263,6 +263,11 @@
             placement.adjustWaiting(service, work.model(), work.adapter(), softwareVersion, change);
         }
 
+        @Override
+        public Optional<Deadline> earliestAt(String service, EngineWork work, Optional<String> softwareVersion) {
+            return placement.estimateEarliest(new Target(service, work.model(), work.adapter(), softwareVersion));
+        }
+
         @Override
         public void recordUnserved(String service, EngineWork work, Optional<String> softwareVersion) {
             placement.recordUnserved(new Target(service, work.model(), work.adapter(), softwareVersion));
