Plan with many claims at the cost of few

Claims stay for seconds where waiting requests stayed for 700 ms, and the planner runs for each request that begins to wait. What it computes for each model and engine (largest adapter, copies of a model, whether a copy is the first) is computed once for each planner, and the obstacle of a claim at most once a second. No decision changes; the tests of the placement pass. CPU time was not measured separately.

--- a/src/main/java/org/borageproxy/claim/Claims.java
+++ b/src/main/java/org/borageproxy/claim/Claims.java
@@ -51,6 +51,15 @@
             this.nextObstacleAt = new Deadline(nowNanos);
             this.validUntil = new Deadline(nowNanos);
         }
+
+        private void change(Target target, ClaimLink newLink, String newDetail, long nowNanos) {
+            boolean isChanged = link != newLink || !detail.equals(newDetail);
+            link = newLink;
+            detail = newDetail;
+            if (isChanged) {
+                write(target, this, nowNanos);
+            }
+        }
     }
 
     /**
@@ -114,9 +123,7 @@
     public void recordGrant(Target target, String server, long nowNanos) {
         Claim claim = claims.remove(target);
         if (claim != null) {
-            claim.link = ClaimLink.GRANTED;
-            claim.detail = server;
-            write(target, claim, nowNanos);
+            claim.change(target, ClaimLink.GRANTED, server, nowNanos);
         }
     }
 
@@ -130,13 +137,10 @@
      */
     public void record(Predicate<Target> targets, ClaimLink link, String detail, long nowNanos) {
         claims.forEach((target, claim) -> {
-            boolean isChanged = claim.link != link || !claim.detail.equals(detail);
-            boolean isObstacle = link == ClaimLink.UNPLANNED;
-            if (isChanged && targets.test(target) && (!isObstacle || claim.nextObstacleAt.hasPassed(nowNanos))) {
-                claim.link = link;
-                claim.detail = detail;
+            boolean isDue = link != ClaimLink.UNPLANNED || claim.nextObstacleAt.hasPassed(nowNanos);
+            if (isDue && targets.test(target)) {
                 claim.nextObstacleAt = Deadline.after(nowNanos, OBSTACLE_INTERVAL);
-                write(target, claim, nowNanos);
+                claim.change(target, link, detail, nowNanos);
             }
         });
     }
@@ -151,10 +155,7 @@
             Claim claim = entry.getValue();
             boolean isExpired = claim.validUntil.hasPassed(nowNanos);
             if (isExpired) {
-                String last = claim.link.name();
-                claim.link = ClaimLink.EXPIRED;
-                claim.detail = last;
-                write(entry.getKey(), claim, nowNanos);
+                claim.change(entry.getKey(), ClaimLink.EXPIRED, claim.link.name(), nowNanos);
             }
             return isExpired;
         });
@@ -184,6 +185,21 @@
         return targets;
     }
 
+    /**
+     * Returns the targets whose obstacle may be written again.
+     *
+     * @param service the service of the targets
+     * @param nowNanos the time on the monotonic clock in nanoseconds
+     * @return the targets, in no order
+     */
+    public List<Target> dueForObstacle(String service, long nowNanos) {
+        return claims.entrySet().stream()
+                .filter(entry -> entry.getKey().service().equals(service)
+                        && entry.getValue().nextObstacleAt.hasPassed(nowNanos))
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
     /**
      * Returns since when requests for each model, with any adapter, have not been served.
      *
--- a/src/main/java/org/borageproxy/placement/ClaimProgress.java
+++ b/src/main/java/org/borageproxy/placement/ClaimProgress.java
@@ -51,7 +51,7 @@
             LoadPlanner models,
             AdapterPlanner adapters,
             boolean mayUseStore) {
-        for (Target target : claims.targets(service)) {
+        for (Target target : claims.dueForObstacle(service, clock.nanoTime())) {
             if (!pool.models().containsKey(target.model())) {
                 record(target::equals, ClaimLink.UNPLANNED, "model-unknown");
             } else if (engines.stream().noneMatch(engine -> engine.hasOrExpects(target.model()))) {
--- a/src/main/java/org/borageproxy/placement/LoadPlanner.java
+++ b/src/main/java/org/borageproxy/placement/LoadPlanner.java
@@ -68,6 +68,9 @@
     /** The engines do not change while a step is planned. */
     private final Map<String, Integer> replicaCounts = new HashMap<>();
 
+    private final Map<String, Integer> loadedCounts = new HashMap<>();
+    private final double largestAdapterMegabytes;
+
     private Optional<Map<TrackedEngine, Double>> work = Optional.empty();
 
     /**
@@ -159,6 +162,7 @@
         this.engines = engines;
         this.demands = demands;
         this.speeds = speeds;
+        this.largestAdapterMegabytes = largestAdapterMegabytes(pool);
     }
 
     /**
@@ -367,8 +371,8 @@
         Demand demand = demands.getOrDefault(victim, Demand.NONE);
         Demand successorDemand = demands.getOrDefault(successor, Demand.NONE);
         boolean isSurplus = loadedReplicas(victim) > 1;
-        boolean isFirstCopy = engines.stream()
-                .noneMatch(other -> other != engine && other.hasOrExpects(successor) && !other.isLimiting());
+        boolean isOnEngine = engine.hasOrExpects(successor) && !engine.isLimiting();
+        boolean isFirstCopy = replicas(successor) == (isOnEngine ? 1 : 0);
         boolean isInNoMoreDemand =
                 demand.tokensPerSecond() <= Math.max(IDLE_TOKENS_PER_SECOND, successorDemand.tokensPerSecond());
         boolean givesWay = isFirstCopy
@@ -393,7 +397,8 @@
     }
 
     private int loadedReplicas(String model) {
-        return (int) engines.stream().filter(engine -> engine.keeps(model)).count();
+        return loadedCounts.computeIfAbsent(model, name ->
+                (int) engines.stream().filter(engine -> engine.keeps(name)).count());
     }
 
     /** Engines that limit their requests do not count: a model needs another engine beside them. */
@@ -412,11 +417,14 @@
      * adapter.
      */
     private double usedMegabytes(TrackedEngine engine) {
-        double adapter = pool.models().values().stream()
+        return weightMegabytes(pool, engine) + largestAdapterMegabytes * pool.adapterSlots();
+    }
+
+    private static double largestAdapterMegabytes(EnginePool pool) {
+        return pool.models().values().stream()
                 .mapToDouble(EnginePool.EngineModel::adapterMegabytes)
                 .max()
                 .orElse(0);
-        return weightMegabytes(pool, engine) + adapter * pool.adapterSlots();
     }
 
     private static double weightMegabytes(EnginePool pool, TrackedEngine engine) {
@@ -443,11 +451,7 @@
      */
     static boolean hasRoomForAdapter(EnginePool pool, TrackedEngine engine, String model) {
         EnginePool.EngineModel engineModel = pool.models().get(model);
-        double largest = pool.models().values().stream()
-                .mapToDouble(EnginePool.EngineModel::adapterMegabytes)
-                .max()
-                .orElse(0);
-        double adapters = engine.occupiedAdapterSlots() * largest;
+        double adapters = engine.occupiedAdapterSlots() * largestAdapterMegabytes(pool);
         return engineModel != null
                 && weightMegabytes(pool, engine) + adapters + engineModel.adapterMegabytes() <= pool.weightMegabytes();
     }
