--- a/src/main/java/org/borageproxy/claim/Claims.java
+++ b/src/main/java/org/borageproxy/claim/Claims.java
@@ -63,16 +63,19 @@
     }
 
     /**
-     * Records that a request asks for a target that no engine can serve now.
+     * Records that a request asks for a target that no engine can serve now. Requests that need a version of the
+     * software have no claim: they resume a stream, and models are placed without regard to versions.
      *
      * @param target the target
      * @param nowNanos the time on the monotonic clock in nanoseconds
      */
     public void recordRequest(Target target, long nowNanos) {
-        open(target, nowNanos, nowNanos).ifPresent(claim -> {
-            claim.requests++;
-            claim.validUntil = Deadline.after(nowNanos, VALIDITY);
-        });
+        if (target.softwareVersion().isEmpty()) {
+            open(target, nowNanos, nowNanos).ifPresent(claim -> {
+                claim.requests++;
+                claim.validUntil = Deadline.after(nowNanos, VALIDITY);
+            });
+        }
     }
 
     /**
@@ -121,7 +124,7 @@
      * @param nowNanos the time on the monotonic clock in nanoseconds
      */
     public void recordGrant(Target target, String server, long nowNanos) {
-        Claim claim = claims.remove(target);
+        Claim claim = claims.remove(target.ofAnyVersion());
         if (claim != null) {
             claim.change(target, ClaimLink.GRANTED, server, nowNanos);
         }
--- a/src/test/java/org/borageproxy/claim/ClaimsTest.java
+++ b/src/test/java/org/borageproxy/claim/ClaimsTest.java
@@ -39,6 +39,17 @@
         assertEquals(List.of(), claims.targets("other"));
     }
 
+    /** A stream that is resumed needs the version that began it; its slot shows that the model is usable. */
+    @Test
+    void requestForAVersionHasNoClaimAndEndsOne() {
+        Target ofVersion = new Target("s", "m1", "", Optional.of("v1"));
+        claims.recordRequest(ofVersion, SECOND_NANOS);
+        assertEquals(List.of(), claims.targets("s"));
+        claims.recordRequest(MODEL, SECOND_NANOS);
+        claims.recordGrant(ofVersion, "e1", 2 * SECOND_NANOS);
+        assertEquals(List.of(), claims.targets("s"));
+    }
+
     @Test
     void claimEndsLongAfterTheLatestRequest() {
         claims.recordRequest(MODEL, SECOND_NANOS);
