Order claims by requests and age, and keep engines free for waiting callers

Cause: models were loaded by the age of their claims alone. Each load takes one of 16 engines for 9 s; those for models that one caller had asked for once filled all engines, while a model with 178 requests waited 16.6 s for its order (UNPLANNED engines-busy, no-room).

Change: the priority of a claim is its requests times its age, so that a model that is asked for again and again passes any other one in time. Only those are overdue. Requests that were refused a moment ago count as waiting, as they did while they waited 700 ms. For callers who have left, room is made only while half of the engines carry out no order; free room is used at once. A copy that was loaded lately gives way to waiting requests for a model in no less demand.

Evidence: the tests of the claims hold.

--- a/src/main/java/org/borageproxy/claim/Claims.java
+++ b/src/main/java/org/borageproxy/claim/Claims.java
@@ -33,6 +33,7 @@
     private static final int MAX_CLAIMS = 4096;
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final double NANOS_PER_SECOND = 1e9;
 
     private final Map<Target, Claim> claims = new HashMap<>();
     private volatile int count;
@@ -45,11 +46,27 @@
         private ClaimLink link = ClaimLink.COUNTED;
         private String detail = "-";
         private Deadline nextObstacleAt;
+        private long latestRequestAtNanos;
+        private final RecentCount refusals = new RecentCount();
 
         private Claim(long sinceNanos, long nowNanos) {
             this.sinceNanos = sinceNanos;
             this.nextObstacleAt = new Deadline(nowNanos);
             this.validUntil = new Deadline(nowNanos);
+            this.latestRequestAtNanos = sinceNanos;
+        }
+
+        private void renew(long nowNanos) {
+            requests++;
+            latestRequestAtNanos = nowNanos;
+            validUntil = Deadline.after(nowNanos, VALIDITY);
+        }
+
+        /** A restored claim counts as one request, since those before are not known. */
+        private ModelClaim summarize(long nowNanos) {
+            double ageSeconds = (nowNanos - sinceNanos) / NANOS_PER_SECOND;
+            return new ModelClaim(
+                    sinceNanos, latestRequestAtNanos, Math.max(1, requests) * ageSeconds, refusals.count(nowNanos));
         }
 
         private void change(Target target, ClaimLink newLink, String newDetail, long nowNanos) {
@@ -71,13 +88,21 @@
      */
     public void recordRequest(Target target, long nowNanos) {
         if (target.softwareVersion().isEmpty()) {
-            open(target, nowNanos, nowNanos).ifPresent(claim -> {
-                claim.requests++;
-                claim.validUntil = Deadline.after(nowNanos, VALIDITY);
-            });
+            open(target, nowNanos, nowNanos).ifPresent(claim -> claim.renew(nowNanos));
         }
     }
 
+    /**
+     * Records that such a request is refused without a wait.
+     *
+     * @param target the target
+     * @param nowNanos the time on the monotonic clock in nanoseconds
+     */
+    public void recordRefusal(Target target, long nowNanos) {
+        recordRequest(target, nowNanos);
+        Optional.ofNullable(claims.get(target)).ifPresent(claim -> claim.refusals.record(nowNanos));
+    }
+
     /**
      * Restores the claims that an entry reports, which a former coordinator may have known; the earliest known begin
      * counts. A restored claim is valid for as long as an entry repeats it.
@@ -97,6 +122,7 @@
     private void restore(Target target, long sinceNanos, long nowNanos) {
         open(target, sinceNanos, nowNanos).ifPresent(claim -> {
             claim.sinceNanos = Math.min(claim.sinceNanos, sinceNanos);
+            claim.latestRequestAtNanos = Math.max(claim.latestRequestAtNanos, nowNanos);
             Deadline repeatedUntil = Deadline.after(nowNanos, RESTORED_VALIDITY);
             if (claim.validUntil.compareTo(repeatedUntil) < 0) {
                 claim.validUntil = repeatedUntil;
@@ -204,19 +230,20 @@
     }
 
     /**
-     * Returns since when requests for each model, with any adapter, have not been served.
+     * Returns the claims of each model, with all of its adapters.
      *
      * @param service the service of the models
-     * @return the times of the earliest claims on the monotonic clock in nanoseconds, by model
+     * @param nowNanos the time on the monotonic clock in nanoseconds
+     * @return the claims by model
      */
-    public Map<String, Long> sinceNanosByModel(String service) {
-        Map<String, Long> sinceByModel = new HashMap<>();
+    public Map<String, ModelClaim> byModel(String service, long nowNanos) {
+        Map<String, ModelClaim> byModel = new HashMap<>();
         claims.forEach((target, claim) -> {
             if (target.service().equals(service)) {
-                sinceByModel.merge(target.model(), claim.sinceNanos, Math::min);
+                byModel.merge(target.model(), claim.summarize(nowNanos), ModelClaim::plus);
             }
         });
-        return sinceByModel;
+        return byModel;
     }
 
     /**
--- a/src/main/java/org/borageproxy/placement/FleetPlacement.java
+++ b/src/main/java/org/borageproxy/placement/FleetPlacement.java
@@ -356,7 +356,7 @@
      * @param target the model and adapter
      */
     public void recordUnserved(Target target) {
-        claims.recordRequest(target, environment.clock().nanoTime());
+        claims.recordRefusal(target, environment.clock().nanoTime());
     }
 
     /**
@@ -428,8 +428,8 @@
                         ended.millis(),
                         ended.waits(),
                         ended.isLoaded()));
-        return new ClaimedDemand(claims.sinceNanosByModel(service), engines)
-                .complete(byModel, environment.clock().nanoTime());
+        long nowNanos = environment.clock().nanoTime();
+        return new ClaimedDemand(claims.byModel(service, nowNanos), engines).complete(byModel, nowNanos);
     }
 
     private void execute(LoadPlanner.Step step, EnginePool pool) {
--- a/src/main/java/org/borageproxy/placement/LoadPlanner.java
+++ b/src/main/java/org/borageproxy/placement/LoadPlanner.java
@@ -55,6 +55,8 @@
     private static final double DEMAND_HORIZON_SECONDS = 14.0;
 
     private static final double MIN_SERVING_FRACTION = 0.15;
+    /** Fraction of the engines that carry out no order while room is made for requests that were refused. */
+    private static final double MIN_FREE_SHARE = 0.5;
     /** Nominal number of prompt and output tokens that an engine serves per second. */
     private static final double TOKENS_PER_SECOND = 12_000.0;
 
@@ -81,6 +83,7 @@
      * @param waitingSinceNanos the time on the monotonic clock since which requests have not been served because no
      *     engine has the model, or {@link #NOT_WAITING}; they may have been refused meanwhile
      * @param isCopyLost whether the last copy was lost with its engine and has to be replaced
+     * @param priority the requests that were not served, weighted by their age; zero if there are none
      * @param isOverdue whether requests have not been served for so long that models in more demand give way
      * @param isKept whether its last copy stays, since it was loaded lately
      */
@@ -89,6 +92,7 @@
             int waitingRequests,
             long waitingSinceNanos,
             boolean isCopyLost,
+            double priority,
             boolean isOverdue,
             boolean isKept) {
 
@@ -101,9 +105,9 @@
             this(tokensPerSecond, waitingRequests, NOT_WAITING, false);
         }
 
-        /** Creates the demand for a model that is neither overdue nor kept. */
+        /** Creates the demand for a model without a claim that is not kept. */
         Demand(double tokensPerSecond, int waitingRequests, long waitingSinceNanos, boolean isCopyLost) {
-            this(tokensPerSecond, waitingRequests, waitingSinceNanos, isCopyLost, false, false);
+            this(tokensPerSecond, waitingRequests, waitingSinceNanos, isCopyLost, 0, false, false);
         }
 
         /** Returns whether requests wait or were refused and not served since. */
@@ -192,10 +196,9 @@
     }
 
     /**
-     * Returns the models to load that no engine has or expects: first those that are overdue, the earliest claim first,
-     * then those with waiting requests, then those whose requests were refused, then lost copies. An empty engine gets
-     * the model whose requests have waited longest; room that has to be made is for the model with the most waiting
-     * requests.
+     * Returns the models to load that no engine has or expects: those with claims by priority, then lost copies. Of
+     * models with equal priority an empty engine gets the one whose requests have waited longest, and room that has to
+     * be made is for the one with the most waiting requests.
      */
     private List<String> unservedModels() {
         Comparator<Map.Entry<String, Demand>> byWaitingRequests =
@@ -205,8 +208,8 @@
         Comparator<Map.Entry<String, Demand>> order = engines.stream().anyMatch(LoadPlanner::isEmpty)
                 ? byWaitingTime.thenComparing(byWaitingRequests)
                 : byWaitingRequests.thenComparing(byWaitingTime);
-        Comparator<Map.Entry<String, Demand>> overdueFirst = Comparator.comparingLong(
-                entry -> entry.getValue().isOverdue() ? entry.getValue().waitingSinceNanos() : Long.MAX_VALUE);
+        Comparator<Map.Entry<String, Demand>> byPriority =
+                Comparator.comparingDouble(entry -> -entry.getValue().priority());
         Comparator<Map.Entry<String, Demand>> waitingFirst =
                 Comparator.comparing(entry -> entry.getValue().waitingRequests() == 0);
         Comparator<Map.Entry<String, Demand>> claimedFirst =
@@ -215,7 +218,7 @@
                 .filter(entry ->
                         entry.getValue().isClaimed() || entry.getValue().isCopyLost())
                 .filter(entry -> pool.models().containsKey(entry.getKey()) && replicas(entry.getKey()) == 0)
-                .sorted(overdueFirst
+                .sorted(byPriority
                         .thenComparing(waitingFirst)
                         .thenComparing(claimedFirst)
                         .thenComparing(order)
@@ -301,6 +304,7 @@
         Optional<Step> best = Optional.empty();
         double bestCost = Double.MAX_VALUE;
         boolean areAllLimiting = engines.stream().allMatch(TrackedEngine::isLimiting);
+        boolean mayMakeRoom = mayMakeRoomFor(demands.getOrDefault(model, Demand.NONE));
         for (TrackedEngine engine : engines) {
             boolean isCandidate = engine.acceptsOrders()
                     && engine.successorModel().isEmpty()
@@ -310,7 +314,7 @@
             if (!isCandidate || !hasWeightSource) {
                 continue;
             }
-            Optional<Step> step = loadOrUnload(engine, model);
+            Optional<Step> step = loadOrUnload(engine, model).filter(each -> mayMakeRoom || each instanceof Step.Load);
             double loss = lossOfStep(step);
             double addedWork = sharedWork / speeds.applyAsDouble(engine.server());
             double gain = (leastWork - work.get(engine) - addedWork) * servingFraction(engine, model);
@@ -327,6 +331,16 @@
         return best;
     }
 
+    /**
+     * Returns whether models may be unloaded for a model. For callers that have left and of whom not many have asked, a
+     * part of the engines stays free, since each one that loads cannot load for others meanwhile.
+     */
+    private boolean mayMakeRoomFor(Demand demand) {
+        boolean isForRefused = demand.isClaimed() && demand.waitingRequests() == 0 && !demand.isOverdue();
+        long free = engines.stream().filter(TrackedEngine::acceptsOrders).count();
+        return !isForRefused || demand.isCopyLost() || free >= engines.size() * MIN_FREE_SHARE;
+    }
+
     /** Returns the cost of each second of a load that keeps the models on the engine from loading adapters. */
     private double adapterBlockingCost(TrackedEngine engine) {
         return engine.loadedModels().entrySet().stream()
@@ -364,8 +378,9 @@
     /**
      * Returns whether an engine may unload a model for another one. The last copy of a model may only be unloaded for
      * the first copy of one that requests claim and that is in no less demand, or overdue; otherwise models that do not
-     * fit together would displace one another by turns. A copy that was loaded lately stays, so that each of them
-     * serves for a while. Requests also wait for a model while its first copy is loaded on another engine.
+     * fit together would displace one another by turns. A copy that was loaded lately gives way only to waiting
+     * requests for a model in no less demand, so that each of them serves for a while. Requests also wait for a model
+     * while its first copy is loaded on another engine.
      */
     private boolean mayUnload(TrackedEngine engine, String victim, String successor) {
         Demand demand = demands.getOrDefault(victim, Demand.NONE);
@@ -375,14 +390,12 @@
         boolean isFirstCopy = replicas(successor) == (isOnEngine ? 1 : 0);
         boolean isInNoMoreDemand =
                 demand.tokensPerSecond() <= Math.max(IDLE_TOKENS_PER_SECOND, successorDemand.tokensPerSecond());
-        boolean givesWay = isFirstCopy
-                && successorDemand.isClaimed()
-                && !demand.isKept()
-                && (isInNoMoreDemand || successorDemand.isOverdue());
+        boolean isPressing = successorDemand.waitingRequests() > 0 && isInNoMoreDemand;
+        boolean isDue = successorDemand.isClaimed() && (isInNoMoreDemand || successorDemand.isOverdue());
+        boolean givesWay = isFirstCopy && (isPressing || isDue && !demand.isKept());
         // Requests that wait for one adapter after another must not hold a model for ever.
-        boolean isClaimedEarlier =
-                demand.isClaimed() && demand.waitingSinceNanos() <= successorDemand.waitingSinceNanos();
-        boolean isSpared = isClaimedEarlier || demand.waitingRequests() > 0 && !successorDemand.isOverdue();
+        boolean isSpared = demand.priority() > 0 && demand.priority() >= successorDemand.priority()
+                || demand.waitingRequests() > 0 && !successorDemand.isOverdue();
         return !isSpared && (isSurplus || givesWay);
     }
 
--- a/src/test/java/org/borageproxy/claim/ClaimsTest.java
+++ b/src/test/java/org/borageproxy/claim/ClaimsTest.java
@@ -8,6 +8,8 @@
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Tests of {@link Claims}. */
 class ClaimsTest {
@@ -50,6 +52,25 @@
         assertEquals(List.of(), claims.targets("s"));
     }
 
+    @Test
+    void claimsOfAModelCountItsAdapters() {
+        claims.recordRequest(MODEL, SECOND_NANOS);
+        claims.recordRefusal(ADAPTER, 3 * SECOND_NANOS);
+        claims.recordRefusal(ADAPTER, 5 * SECOND_NANOS);
+        ModelClaim claim = claims.byModel("s", 5 * SECOND_NANOS).get("m1");
+        assertEquals(new ModelClaim(SECOND_NANOS, 5 * SECOND_NANOS, 4 + 2 * 2, 1), claim);
+        assertEquals(0, claims.byModel("s", 6 * SECOND_NANOS).get("m1").recentRefusals());
+        assertFalse(claim.isOverdue(9 * SECOND_NANOS - 1));
+        assertTrue(claim.isOverdue(9 * SECOND_NANOS));
+    }
+
+    /** Guards against places that are given to models of which nobody is known to ask again. */
+    @Test
+    void claimOfOneRequestIsNeverOverdue() {
+        claims.recordRequest(MODEL, SECOND_NANOS);
+        assertFalse(claims.byModel("s", 20 * SECOND_NANOS).get("m1").isOverdue(20 * SECOND_NANOS));
+    }
+
     @Test
     void claimEndsLongAfterTheLatestRequest() {
         claims.recordRequest(MODEL, SECOND_NANOS);
