--- a/src/test/java/org/borageproxy/placement/ClaimedTargetsTest.java
+++ b/src/test/java/org/borageproxy/placement/ClaimedTargetsTest.java
@@ -103,6 +103,25 @@
         assertTrue(fleet.isLoaded("m0"));
     }
 
+    /**
+     * Many models are asked for once, then one is asked for all the time. Guards against engines that are all busy with
+     * loads for callers who have left.
+     */
+    @Test
+    void popularModelDoesNotWaitBehindModelsAskedForOnce() {
+        SimulatedFleet fleet = new SimulatedFleet(SimulatedFleet.pool(24, 3, 2));
+        for (int index = 0; index < 4; index++) {
+            fleet.addEngine("e" + index, "m" + 3 * index, "m" + (3 * index + 1), "m" + (3 * index + 2));
+        }
+        fleet.advance(HANDOVER);
+        for (int index = 12; index < 23; index++) {
+            fleet.ask("m" + index, "", SHORT_DEADLINE);
+        }
+        fleet.askAgainAndAgain("m23", "", Duration.ofSeconds(1), Duration.ofMillis(100), SHORT_DEADLINE);
+        fleet.advance(Duration.ofSeconds(21));
+        assertTrue(fleet.isLoaded("m23"));
+    }
+
     /** The popular models fill all places and are asked for all the time. */
     @Test
     void rareModelIsServedThoughAllOthersAreInMoreDemand() {
