Make room for callers who have left only in a calm fleet

Models that were unloaded for ones that a caller had asked for once were in demand a moment later (194 refusals for one of them). Four fifths of the engines instead of half must be without an order, before the callers who have left get room.

--- a/src/main/java/org/borageproxy/placement/LoadPlanner.java
+++ b/src/main/java/org/borageproxy/placement/LoadPlanner.java
@@ -56,7 +56,7 @@
 
     private static final double MIN_SERVING_FRACTION = 0.15;
     /** Fraction of the engines that carry out no order while room is made for requests that were refused. */
-    private static final double MIN_FREE_SHARE = 0.5;
+    private static final double MIN_FREE_SHARE = 0.8;
     /** Nominal number of prompt and output tokens that an engine serves per second. */
     private static final double TOKENS_PER_SECOND = 12_000.0;
 
