Let callers with time come back soon for a load that is not ordered yet

A caller with an objective of 10 s who was told the 9 s of a load comes back too late for it; told 1.5 s, it waits for the rest of the load that was ordered meanwhile. Only callers who have no time for that are told the end of the load.

--- a/src/main/java/org/borageproxy/forward/ModelWait.java
+++ b/src/main/java/org/borageproxy/forward/ModelWait.java
@@ -46,9 +46,16 @@
                         : new ModelWait(Duration.ZERO, remaining);
             }
             Duration load = earliestAt.map(this::remaining).orElse(Duration.ZERO);
-            Duration retryAfter = load.compareTo(MIN_RETRY_AFTER) > 0 ? load : MIN_RETRY_AFTER;
             boolean mayWait = mayBeOrdered && isInTime(load);
-            return new ModelWait(mayWait ? remainingOrderWait() : Duration.ZERO, retryAfter);
+            return new ModelWait(mayWait ? remainingOrderWait() : Duration.ZERO, retryAfter(load));
+        }
+
+        /**
+         * A caller who comes back soon can wait for the rest of a load that was ordered meanwhile, if it has the time.
+         */
+        private Duration retryAfter(Duration load) {
+            boolean isLong = load.compareTo(MIN_RETRY_AFTER) > 0;
+            return isLong && !isInTime(load.plus(MIN_RETRY_AFTER)) ? load : MIN_RETRY_AFTER;
         }
 
         private Duration remaining(Deadline deadline) {
--- a/src/test/java/org/borageproxy/forward/ModelWaitTest.java
+++ b/src/test/java/org/borageproxy/forward/ModelWaitTest.java
@@ -12,6 +12,7 @@
 class ModelWaitTest {
 
     private static final Duration LOAD_TIME = Duration.ofSeconds(9);
+    private static final Duration RETRY_AFTER = Duration.ofMillis(1500);
 
     private static Optional<Deadline> after(Duration duration) {
         return Optional.of(Deadline.after(0, duration));
@@ -42,17 +43,25 @@
     @Test
     void requestWaitsForAnOrderOnlyOnce() {
         assertEquals(
-                new ModelWait(Duration.ofMillis(700), LOAD_TIME),
+                new ModelWait(Duration.ofMillis(700), RETRY_AFTER),
                 times(0, 15_000).decide(Optional.empty(), true, after(LOAD_TIME)));
         assertEquals(
-                new ModelWait(Duration.ZERO, LOAD_TIME),
+                new ModelWait(Duration.ZERO, RETRY_AFTER),
                 times(800, 14_200).decide(Optional.empty(), true, after(LOAD_TIME)));
     }
 
+    /** A caller who has no time for another load after its return comes back when the load can have ended. */
+    @Test
+    void callerWithLittleTimeComesBackForTheEndOfTheLoad() {
+        assertEquals(
+                new ModelWait(Duration.ZERO, LOAD_TIME),
+                times(800, 10_000).decide(Optional.empty(), true, after(LOAD_TIME)));
+    }
+
     @Test
     void nothingWaitsForAnOrderThatIsNotSent() {
         assertEquals(
-                new ModelWait(Duration.ZERO, Duration.ofMillis(1500)),
+                new ModelWait(Duration.ZERO, RETRY_AFTER),
                 times(0, 15_000).decide(Optional.empty(), false, Optional.empty()));
     }
 }
