--- a/src/main/java/org/borageproxy/placement/LoadPlanner.java
+++ b/src/main/java/org/borageproxy/placement/LoadPlanner.java
@@ -114,6 +114,11 @@
         boolean isClaimed() {
             return waitingRequests > 0 || waitingSinceNanos != NOT_WAITING;
         }
+
+        /** Returns whether all requests were refused and not enough of them are known to come back. */
+        boolean isForRefusedOnly() {
+            return isClaimed() && waitingRequests == 0 && !isOverdue;
+        }
     }
 
     /** A load or unload of a model that an engine should do next. */
@@ -336,9 +341,8 @@
      * part of the engines stays free, since each one that loads cannot load for others meanwhile.
      */
     private boolean mayMakeRoomFor(Demand demand) {
-        boolean isForRefused = demand.isClaimed() && demand.waitingRequests() == 0 && !demand.isOverdue();
         long free = engines.stream().filter(TrackedEngine::acceptsOrders).count();
-        return !isForRefused || demand.isCopyLost() || free >= engines.size() * MIN_FREE_SHARE;
+        return !demand.isForRefusedOnly() || demand.isCopyLost() || free >= engines.size() * MIN_FREE_SHARE;
     }
 
     /** Returns the cost of each second of a load that keeps the models on the engine from loading adapters. */
@@ -396,7 +400,8 @@
         // Requests that wait for one adapter after another must not hold a model for ever.
         boolean isSpared = demand.priority() > 0 && demand.priority() >= successorDemand.priority()
                 || demand.waitingRequests() > 0 && !successorDemand.isOverdue();
-        return !isSpared && (isSurplus || givesWay);
+        boolean isIdle = demand.tokensPerSecond() <= IDLE_TOKENS_PER_SECOND;
+        return !isSpared && (isIdle || !successorDemand.isForRefusedOnly()) && (isSurplus || givesWay);
     }
 
     /** Loss from unloading one replica of a model, as work. */
