Let models with claims give up surplus copies, as before

Found by reading the diff: a copy of a model with any claim, also one of an adapter whose callers had left, was kept from giving way to a further copy of an overloaded model, whose priority is zero, for up to 30 s. Surplus copies give way as before the claims; the priority decides between last copies only.

--- a/src/main/java/org/borageproxy/placement/LoadPlanner.java
+++ b/src/main/java/org/borageproxy/placement/LoadPlanner.java
@@ -14,10 +14,10 @@
 /**
  * Plans which model an engine loads or unloads next. Models for which room is already being made on an engine come
  * first, then models without a replica that have waiting requests, then models whose engines have much more work than
- * the average. A model with waiting requests is unloaded only for one that is overdue and has an earlier claim. The
- * last replica of a model is unloaded only for the first one of a model that requests claim and that is overdue or in
- * at least as much demand. Work is measured in engine-seconds per second of an engine of the speed one, so that 1 is a
- * fully used engine.
+ * the average. A model with waiting requests is unloaded only for one that is overdue. The last replica of a model is
+ * unloaded only for the first one of a model that requests claim, of higher priority, and overdue or in at least as
+ * much demand. Work is measured in engine-seconds per second of an engine of the speed one, so that 1 is a fully used
+ * engine.
  *
  * <p>Reads the engines but doesn't change them. Not thread safe, since the engines aren't.
  */
@@ -396,10 +396,10 @@
                 demand.tokensPerSecond() <= Math.max(IDLE_TOKENS_PER_SECOND, successorDemand.tokensPerSecond());
         boolean isPressing = successorDemand.waitingRequests() > 0 && isInNoMoreDemand;
         boolean isDue = successorDemand.isClaimed() && (isInNoMoreDemand || successorDemand.isOverdue());
-        boolean givesWay = isFirstCopy && (isPressing || isDue && !demand.isKept());
+        boolean isOutranked = demand.priority() == 0 || demand.priority() < successorDemand.priority();
+        boolean givesWay = isFirstCopy && isOutranked && (isPressing || isDue && !demand.isKept());
         // Requests that wait for one adapter after another must not hold a model for ever.
-        boolean isSpared = demand.priority() > 0 && demand.priority() >= successorDemand.priority()
-                || demand.waitingRequests() > 0 && !successorDemand.isOverdue();
+        boolean isSpared = demand.waitingRequests() > 0 && !successorDemand.isOverdue();
         boolean isIdle = demand.tokensPerSecond() <= IDLE_TOKENS_PER_SECOND;
         return !isSpared && (isIdle || !successorDemand.isForRefusedOnly()) && (isSurplus || givesWay);
     }
