Let adapters of callers who have left displace no others with claims

Cause: on a full engine an adapter with a claim was unloaded for another one with a claim, whose caller had left as well; the claim of the first one then asked for it again, by turns for up to 30 s.

Change: only an adapter that requests wait for takes the slot of one with a claim.

--- a/src/main/java/org/borageproxy/placement/AdapterPlanner.java
+++ b/src/main/java/org/borageproxy/placement/AdapterPlanner.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -71,16 +72,17 @@
     void plan(OrderSender sender) {
         assignedSlots.clear();
         // Requests may wait without a claim if there are too many claims.
+        Set<Target> waiting = new HashSet<>(demand.adaptersWithWaitingRequests(service));
         Set<Target> wanted = new LinkedHashSet<>(claims.targets(service));
-        wanted.addAll(demand.adaptersWithWaitingRequests(service));
+        wanted.addAll(waiting);
         for (Target target : wanted) {
             if (!target.adapter().isEmpty() && isMissing(target)) {
-                planLoad(target, sender);
+                planLoad(target, waiting.contains(target), sender);
             }
         }
     }
 
-    private void planLoad(Target target, OrderSender sender) {
+    private void planLoad(Target target, boolean isWaiting, OrderSender sender) {
         engines.stream()
                 .filter(engine -> isHolder(engine, target)
                         && engine.acceptsAdapterOrders()
@@ -89,17 +91,20 @@
                 .min(Comparator.comparing((TrackedEngine engine) -> !hasRoom(engine, target))
                         .thenComparing(engine -> unassignedSlots(engine) <= 0)
                         .thenComparingLong(this::evictionCandidateRequestedAtNanos))
-                .ifPresent(engine -> loadOrEvict(engine, target, sender));
+                .ifPresent(engine -> loadOrEvict(engine, target, isWaiting, sender));
     }
 
-    private void loadOrEvict(TrackedEngine engine, Target target, OrderSender sender) {
+    private void loadOrEvict(TrackedEngine engine, Target target, boolean isWaiting, OrderSender sender) {
         if (hasRoom(engine, target)) {
             sender.send(engine, true, target);
         } else if (unassignedSlots(engine) > 0) {
             // The slot of an adapter that is being unloaded is free only once a report shows it.
             assignedSlots.merge(engine, 1, Integer::sum);
         } else {
-            evictionCandidate(engine).ifPresent(victim -> sender.send(engine, false, victim));
+            // Adapters whose callers have left would otherwise displace one another by turns.
+            evictionCandidate(engine)
+                    .filter(victim -> isWaiting || claims.sinceNanos(victim).isEmpty())
+                    .ifPresent(victim -> sender.send(engine, false, victim));
         }
     }
 
--- a/src/test/java/org/borageproxy/placement/ClaimedTargetsTest.java
+++ b/src/test/java/org/borageproxy/placement/ClaimedTargetsTest.java
@@ -77,6 +77,19 @@
         assertEquals(1, fleet.adapterUnloadCount());
     }
 
+    /** Guards against adapters that displace one another by turns, although all callers have left. */
+    @Test
+    void adaptersOfCallersWhoHaveLeftDoNotDisplaceOneAnother() {
+        SimulatedFleet fleet = new SimulatedFleet(SimulatedFleet.pool(1, 1, 2));
+        fleet.addEngine("e0", "m0");
+        fleet.advance(HANDOVER);
+        for (int adapter = 0; adapter < 12; adapter++) {
+            fleet.ask("m0", "a" + adapter, Duration.ofMillis(1));
+        }
+        fleet.advance(Duration.ofSeconds(20));
+        assertTrue(fleet.orderCount() <= 12, fleet.orderCount() + " orders");
+    }
+
     /** Guards against an adapter that is loaded on a second engine while the order to the first one is unanswered. */
     @Test
     void adapterIsOrderedOnce() {
