Log the way of a publication to each VM, and what it takes to be in force

What callers saw: an entry obeyed an old configuration for 3.8 s after a newer one was acknowledged. No line told whether it had asked, whom, in vain or not, or that it was behind.

Change: events for failed requests for the state with control VM and reason, for VMs that are behind and since when, for the publication sent, arrived and served, and for answers of other VMs that come too late; metrics state_age_millis, state_requests_failed, state_bytes_received; the command 'borageproxy publications' names the slowest VM of each publication and the longest link of its way. No decision was changed.

--- a/src/main/java/org/borageproxy/command/CommandLine.java
+++ b/src/main/java/org/borageproxy/command/CommandLine.java
@@ -50,6 +50,10 @@
                 "unserved",
                 "list the models and adapters that were asked for and never served, from the logs of all VMs",
                 UnservedCommand::new);
+        add(
+                "publications",
+                "list how long each publication took to be in force, and why, from the logs of all VMs",
+                PublicationsCommand::new);
         add("check-settings", "validate a settings file", CheckSettingsCommand::new);
         add("experiment", "compare policies with a baseline on seeded traces", ExperimentCommand::new);
         add("standin", "run a stand-in backend server or weight store", StandInCommand::new);
--- a/src/main/java/org/borageproxy/server/GatewayEntry.java
+++ b/src/main/java/org/borageproxy/server/GatewayEntry.java
@@ -80,6 +80,9 @@
     private final BufferAccount buffers;
     private final String session = UUID.randomUUID().toString();
     private Optional<ServedPublication> servedPublication = Optional.empty();
+    /** Time at which the document to be read arrived at this VM. */
+    private long documentArrivedAtNanos;
+
     private int entryCount = RetryBudgets.ASSUMED_ENTRY_COUNT;
     private long inventoryVersion;
     /** Other entries through which the servers can be reached. */
@@ -158,8 +161,13 @@
 
     private void subscribe() {
         runtime.spread().subscribeDrainedZones(zones -> runtime.eventLoop().execute(() -> applyDrains(zones)));
-        runtime.spread()
-                .subscribeDocument(document -> runtime.eventLoop().execute(() -> publicationReader.read(document)));
+        runtime.spread().subscribeDocument(document -> {
+            long arrivedAtNanos = runtime.clock().nanoTime();
+            runtime.eventLoop().execute(() -> {
+                documentArrivedAtNanos = arrivedAtNanos;
+                publicationReader.read(document);
+            });
+        });
     }
 
     private BufferAccount createBuffers() {
@@ -264,10 +272,12 @@
     private void serve(Publication publication) {
         servedPublication = Optional.of(new ServedPublication(publication));
         LOGGER.info(
-                "event=publication-served number={} routes={} workspaces={}",
+                "event=publication-served vm={} number={} routes={} workspaces={} read_ms={}",
+                runtime.self(),
                 publication.number(),
                 publication.routes().size(),
-                publication.workspaces().size());
+                publication.workspaces().size(),
+                TimeUnit.NANOSECONDS.toMillis(runtime.clock().nanoTime() - documentArrivedAtNanos));
     }
 
     /**
--- a/src/main/java/org/borageproxy/server/GatewayProcess.java
+++ b/src/main/java/org/borageproxy/server/GatewayProcess.java
@@ -111,6 +111,9 @@
         metrics.registerGauge("log_lines_dropped", BoundedAppender::droppedCount);
         metrics.registerGauge(
                 "drained_zones", () -> runtime.spread().drainedZones().size());
+        metrics.registerGauge("state_age_millis", runtime.spread()::ageMillis);
+        metrics.registerGauge("state_requests_failed", runtime.spread()::failureCount);
+        metrics.registerGauge("state_bytes_received", runtime.spread()::receivedBytes);
         metrics.registerGauge(
                 "known_servers", () -> runtime.membership().registry().current().size());
         entry.ifPresent(entryRole -> {
--- a/src/main/java/org/borageproxy/spread/ControlStateWatcher.java
+++ b/src/main/java/org/borageproxy/spread/ControlStateWatcher.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -78,6 +79,7 @@
     private final MonotonicClock clock;
     private final Timer timer;
     private final EventRecorder events;
+    private final WatchJournal journal;
 
     /** Listeners for the configuration. */
     private final List<Consumer<Configuration>> configurationListeners = new CopyOnWriteArrayList<>();
@@ -160,6 +162,7 @@
         this.clock = clock;
         this.timer = timer;
         this.events = events;
+        this.journal = new WatchJournal(self.name(), clock);
         this.targetPosition = Math.floorMod(self.name().hashCode(), 1 << 16);
     }
 
@@ -335,6 +338,33 @@
         return state.controlVms();
     }
 
+    /**
+     * Returns the time since the request whose answer showed that this VM has the newest state.
+     *
+     * @return the age in milliseconds, below a second on a VM that is not behind
+     */
+    public long ageMillis() {
+        return journal.ageMillis();
+    }
+
+    /**
+     * Returns the number of requests for the state that brought nothing.
+     *
+     * @return the number since the start
+     */
+    public long failureCount() {
+        return journal.failureCount();
+    }
+
+    /**
+     * Returns the size of all answers to requests for the state.
+     *
+     * @return the number of bytes since the start
+     */
+    public long receivedBytes() {
+        return journal.receivedBytes();
+    }
+
     /** Sends a request, or schedules another attempt if that fails. */
     private void poll() {
         try {
@@ -371,16 +401,25 @@
                 .setWaitMillis((int) wait.toMillis());
         ByteString body = WatchRequest.newBuilder().setWatch(watch).build().toByteString();
         Deadline deadline = Deadline.after(sentAtNanos, wait.plus(ANSWER_TIMEOUT));
+        journal.recordRequest();
         request(target, body, deadline)
-                .whenComplete((answer, failure) ->
-                        timer.schedule(Duration.ZERO, () -> handleAnswer(answer, failure, sentAtNanos)));
+                .whenComplete((answer, failure) -> timer.schedule(Duration.ZERO, () -> {
+                    if (failure != null) {
+                        boolean isTimeout = deadline.hasPassed(clock.nanoTime());
+                        journal.recordFailure(
+                                target,
+                                isTimeout ? WatchJournal.Failure.TIMEOUT : WatchJournal.Failure.UNREACHABLE,
+                                sentAtNanos);
+                    }
+                    handleAnswer(target, answer, failure, sentAtNanos);
+                }));
     }
 
     /** Applies an answer and schedules the next request, whatever fails: the watch has no other way to go on. */
-    private void handleAnswer(ByteString answer, Throwable failure, long sentAtNanos) {
+    private void handleAnswer(VmName target, ByteString answer, Throwable failure, long sentAtNanos) {
         boolean isSuccess = false;
         try {
-            isSuccess = failure == null && applyAnswer(answer, sentAtNanos);
+            isSuccess = failure == null && applyAnswer(target, answer, sentAtNanos);
         } catch (RuntimeException | Error exception) {
             LOGGER.error("event=state-answer-failed bytes={}", answer.size(), exception);
         } finally {
@@ -415,26 +454,37 @@
         } else {
             failures++;
             targetPosition++;
+            journal.checkAge(state.version(), "-");
             timer.schedule(RETRY_DELAY, this::poll);
         }
     }
 
     /** Applies an answer and returns whether it contained a confirmed state that was applied. */
-    private synchronized boolean applyAnswer(ByteString encoded, long sentAtNanos) {
+    private synchronized boolean applyAnswer(VmName target, ByteString encoded, long sentAtNanos) {
+        journal.recordAnswer(encoded.size());
         WatchAnswer answer;
         try {
             answer = WatchAnswer.parseFrom(encoded);
         } catch (InvalidProtocolBufferException exception) {
+            journal.recordFailure(target, WatchJournal.Failure.UNREADABLE, sentAtNanos);
             return false;
         }
         if (!answer.getConfirmed()) {
+            journal.recordFailure(target, WatchJournal.Failure.UNCONFIRMED, sentAtNanos);
             return false;
         }
         WatchedState.Update update = state.apply(answer);
         if (update instanceof WatchedState.Update.Applied applied) {
+            journalDocument(target, applied.state(), encoded.size(), sentAtNanos);
             replaceState(applied.state(), sentAtNanos);
             return true;
         }
+        journal.recordFailure(
+                target,
+                update instanceof WatchedState.Update.Stale
+                        ? WatchJournal.Failure.OUTDATED
+                        : WatchJournal.Failure.UNREADABLE,
+                sentAtNanos);
         if (update instanceof WatchedState.Update.InvalidDocument invalid) {
             events.record(Event.named("configuration-unreadable")
                     .with("revision", invalid.revision())
@@ -447,6 +497,22 @@
         return false;
     }
 
+    private void journalDocument(VmName source, WatchedState later, long receivedBytes, long sentAtNanos) {
+        long requestMillis = TimeUnit.NANOSECONDS.toMillis(clock.nanoTime() - sentAtNanos);
+        if (later.documentVersion() > state.documentVersion()) {
+            DocumentState document = later.published().orElseThrow();
+            journal.recordDocument(new WatchJournal.DocumentArrival(
+                    document.getNumber(),
+                    later.documentVersion(),
+                    source,
+                    requestMillis,
+                    0,
+                    document.getContent().size(),
+                    receivedBytes));
+        }
+        journal.recordConfirmed(sentAtNanos);
+    }
+
     /**
      * Replaces the state, renews the freshness lease and notifies the listeners of what changed. The caller holds the
      * lock.
--- a/src/main/java/org/borageproxy/spread/WatchService.java
+++ b/src/main/java/org/borageproxy/spread/WatchService.java
@@ -21,12 +21,15 @@
 import org.borageproxy.vm.VmName;
 import org.borageproxy.wire.VmNetwork;
 import org.borageproxy.wire.proto.ControlProtocol.Command;
+import org.borageproxy.wire.proto.ControlProtocol.Item;
 import org.borageproxy.wire.proto.ControlProtocol.RegisterVm;
 import org.borageproxy.wire.proto.ControlProtocol.Served;
 import org.borageproxy.wire.proto.ControlProtocol.VmRecord;
 import org.borageproxy.wire.proto.ControlProtocol.Watch;
 import org.borageproxy.wire.proto.ControlProtocol.WatchAnswer;
 import org.borageproxy.wire.proto.ControlProtocol.WatchRequest;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Answers watches of the state and reads of operators on a control VM. Every answer states whether it was confirmed as
@@ -34,6 +37,8 @@
  */
 public final class WatchService implements VmNetwork.Handler {
 
+    private static final Logger LOGGER = LoggerFactory.getLogger(WatchService.class);
+
     /** Maximum time for which a watch waits for a change, in milliseconds. */
     private static final int MAX_WAIT_MILLIS = 1000;
 
@@ -107,18 +112,22 @@
         } else {
             timer.schedule(Duration.ofMillis(waitMillis), () -> endWait(pending));
         }
-        return pending.done()
-                .thenCompose(ignored -> confirmation.confirm())
-                .thenApply(confirmed -> answerWatch(watch, confirmed));
+        return pending.done().thenCompose(ignored -> {
+            long beganAtNanos = clock.nanoTime();
+            return confirmation
+                    .confirm()
+                    .thenApply(confirmed -> answerWatch(watch, confirmed, clock.nanoTime() - beganAtNanos));
+        });
     }
 
     /** Returns the changes after the version of a watch and registers its VM. An unconfirmed answer is empty. */
-    private WatchAnswer answerWatch(Watch watch, boolean confirmed) {
+    private WatchAnswer answerWatch(Watch watch, boolean confirmed, long confirmationNanos) {
         if (!confirmed) {
             return WatchAnswer.getDefaultInstance();
         }
         register(watch.getVm());
         ControlState.Changes changes = state.changesAfter(watch.getVersion());
+        logDocument(watch, changes, confirmationNanos);
         return WatchAnswer.newBuilder()
                 .setConfirmed(true)
                 .setVersion(changes.version())
@@ -128,6 +137,20 @@
                 .build();
     }
 
+    /** Logs that an answer brings a VM a published document: one line for each VM and document. */
+    private static void logDocument(Watch watch, ControlState.Changes changes, long confirmationNanos) {
+        changes.items().stream()
+                .filter(Item::hasDocument)
+                .forEach(item -> LOGGER.info(
+                        "event=publication-sent to={} number={} version={} from_version={} confirmation_ms={} bytes={}",
+                        watch.getVm().getName(),
+                        item.getDocument().getNumber(),
+                        item.getVersion(),
+                        watch.getVersion(),
+                        TimeUnit.NANOSECONDS.toMillis(confirmationNanos),
+                        item.getSerializedSize()));
+    }
+
     private CompletionStage<WatchAnswer> read(WatchRequest request) {
         return confirmation.confirm().thenApply(confirmed -> {
             WatchAnswer.Builder answer = WatchAnswer.newBuilder().setConfirmed(confirmed);
--- a/src/main/java/org/borageproxy/spread/WatchedState.java
+++ b/src/main/java/org/borageproxy/spread/WatchedState.java
@@ -136,6 +136,11 @@
         return Optional.ofNullable(items.get("document")).map(Item::getDocument);
     }
 
+    /** Returns the version at which the published document was accepted, zero before the first publication. */
+    long documentVersion() {
+        return Optional.ofNullable(items.get("document")).map(Item::getVersion).orElse(0L);
+    }
+
     /** Returns the zones whose servers get no requests. */
     Set<AvailabilityZone> drainedZones() {
         return drainedZones;
--- a/src/main/java/org/borageproxy/wire/DialedConnection.java
+++ b/src/main/java/org/borageproxy/wire/DialedConnection.java
@@ -33,6 +33,8 @@
     private static final int MAX_QUEUED_FRAMES = 1_024;
     /** Limits the rate of connection attempts to an unreachable VM. */
     private static final Duration REDIAL_DELAY = Duration.ofMillis(200);
+    /** Minimum interval between two log lines on late answers. */
+    private static final Duration LATE_ANSWER_LOG_INTERVAL = Duration.ofSeconds(1);
 
     private final VmName peer;
     private final Dialer dialer;
@@ -52,6 +54,10 @@
     private Deadline earliestDialAt;
 
     private long lastCorrelation;
+    /** Answers that arrived after the deadline of their request. */
+    private long lateAnswers;
+
+    private Deadline lateAnswersQuietUntil;
 
     /** Opens authenticated channels to VMs. */
     @FunctionalInterface
@@ -83,6 +89,7 @@
         this.clock = clock;
         this.eventLoop = eventLoop;
         this.earliestDialAt = new Deadline(clock.nanoTime());
+        this.lateAnswersQuietUntil = earliestDialAt;
     }
 
     @Override
@@ -144,6 +151,7 @@
         frames.observe(frame);
         CompletableFuture<ByteString> answer = pendingRequests.remove(frame.getCorrelation());
         if (answer == null) {
+            logLateAnswer(frame);
             return;
         }
         if (frame.getForm() == Frame.Form.RESPONSE) {
@@ -153,6 +161,20 @@
         }
     }
 
+    /** Logs answers that arrive after the deadline of their request, once a second at most. */
+    private void logLateAnswer(Frame frame) {
+        lateAnswers++;
+        if (lateAnswersQuietUntil.hasPassed(clock.nanoTime())) {
+            lateAnswersQuietUntil = Deadline.after(clock.nanoTime(), LATE_ANSWER_LOG_INTERVAL);
+            LOGGER.info(
+                    "event=answer-late peer={} kind={} bytes={} times={}",
+                    peer,
+                    frame.getKind(),
+                    frame.getBody().size(),
+                    lateAnswers);
+        }
+    }
+
     /**
      * Fails all pending requests if the closed channel is the current one.
      *
