--- a/src/test/java/org/borageproxy/control/FleetFake.java
+++ b/src/test/java/org/borageproxy/control/FleetFake.java
@@ -39,6 +39,18 @@
     /** Commands that are applied on an isolated control VM once it is reconnected. */
     private final Map<VmName, List<ByteString>> missed = new LinkedHashMap<>();
 
+    /** VMs that neither receive nor send a message; a silent control VM applies no commands either. */
+    private final Set<VmName> silent = new HashSet<>();
+
+    /** Rates at which answers reach a VM one after the other, in bytes per second; others arrive at once. */
+    private final Map<VmName, Long> linkRates = new LinkedHashMap<>();
+
+    /** Time at which the answers sent to a VM so far will have arrived. */
+    private final Map<VmName, Long> linkFreeAtNanos = new LinkedHashMap<>();
+
+    /** The VM that was asked last, by the asking VM and the message kind. */
+    private final Map<String, VmName> lastRecipients = new LinkedHashMap<>();
+
     /** Total size of the bodies of requests and answers between VMs. */
     public long bytes;
 
@@ -83,6 +95,28 @@
         missed.getOrDefault(vm, new ArrayList<>()).clear();
     }
 
+    /** Makes a VM silent, as if it were gone or cut off without a reset. */
+    public void silence(String name) {
+        silent.add(new VmName(name));
+        isolate(name);
+    }
+
+    /** Ends the silence of a VM. */
+    public void unsilence(String name) {
+        silent.remove(new VmName(name));
+        reconnect(name);
+    }
+
+    /** Limits the rate at which answers reach a VM, in bytes per second; zero for no limit. */
+    public void limitLink(String name, long bytesPerSecond) {
+        linkRates.put(new VmName(name), bytesPerSecond);
+    }
+
+    /** Returns the VM that was sent the last request of a kind. */
+    public VmName lastRecipient(String sender, MessageKind kind) {
+        return lastRecipients.get(sender + " " + kind);
+    }
+
     public Timer timer() {
         return (delay, task) -> tasks.add(new Task(nowNanos + delay.toNanos(), order++, task));
     }
@@ -232,22 +266,47 @@
             timer().schedule(
                             remaining, () -> answer.completeExceptionally(new UnreachableException("deadline passed")));
             bytes += body.size();
+            lastRecipients.put(self + " " + kind, recipient);
             timer().schedule(Duration.ofMillis(1), () -> {
                 VmNetwork.Handler handler = handlers.get(recipient + " " + kind);
-                if (handler != null && !isolated.contains(self)) {
-                    handler.handle(self, body).thenAccept(encoded -> deliver(kind, encoded, answer));
+                if (handler != null && !isolated.contains(self) && !isSilent(recipient)) {
+                    handler.handle(self, body).thenAccept(encoded -> deliver(recipient, kind, encoded, answer));
                 }
             });
             return answer;
         }
 
-        private void deliver(MessageKind kind, ByteString encoded, CompletableFuture<ByteString> answer) {
+        private boolean isSilent(VmName other) {
+            return silent.contains(self) || silent.contains(other);
+        }
+
+        /** Delivers an answer after those that are on their way on the link, also if nobody waits for it any more. */
+        private void deliver(
+                VmName sender, MessageKind kind, ByteString encoded, CompletableFuture<ByteString> answer) {
+            if (isSilent(sender)) {
+                return;
+            }
             bytes += encoded.size();
             if (kind == MessageKind.CONTROL_COMMAND && dropNextCommandAnswer) {
                 dropNextCommandAnswer = false;
                 return;
             }
-            timer().schedule(Duration.ofMillis(1), () -> answer.complete(encoded));
+            timer().schedule(transferTime(encoded.size()).plusMillis(1), () -> {
+                if (!isSilent(sender)) {
+                    answer.complete(encoded);
+                }
+            });
+        }
+
+        private Duration transferTime(int size) {
+            long rate = linkRates.getOrDefault(self, 0L);
+            if (rate == 0) {
+                return Duration.ZERO;
+            }
+            long beginAtNanos = Math.max(nowNanos, linkFreeAtNanos.getOrDefault(self, nowNanos));
+            long endAtNanos = beginAtNanos + size * 1_000_000_000L / rate;
+            linkFreeAtNanos.put(self, endAtNanos);
+            return Duration.ofNanos(endAtNanos - nowNanos);
         }
 
         @Override
--- /dev/null
+++ b/src/test/java/org/borageproxy/spread/PublicationArrivalTest.java
@@ -0,0 +1,193 @@
+package org.borageproxy.spread;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.borageproxy.spread.WatchingFleet.Entry;
+import org.borageproxy.wire.proto.ControlProtocol.Command;
+import org.borageproxy.wire.proto.ControlProtocol.RegisterVm;
+import org.borageproxy.wire.proto.ControlProtocol.VmRecord;
+import org.borageproxy.wire.proto.ControlProtocol.ZoneOrder;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/**
+ * Tests that each VM in touch obeys an acknowledged publication in time, over sizes, rates of links, control VMs that
+ * are silent, series of changes and restarts, in virtual time. The bound is the stated one, and the time that the bytes
+ * need on the link.
+ */
+class PublicationArrivalTest {
+
+    /** Bytes per second: a link of 7.5 Mbit/s, its half and its fifth. */
+    private static final List<Integer> RATES = List.of(937_500, 468_750, 187_500);
+
+    private static final Duration START = Duration.ofSeconds(2);
+
+    private static Duration bound(long bytes, int rate) {
+        return WatchingFleet.APPLY_TIME.plusMillis(bytes * 1000 / rate);
+    }
+
+    private static void assertInTime(List<String> late) {
+        assertEquals(List.of(), late);
+    }
+
+    /** Guards against a VM that never obeys a publication which takes longer to arrive than an answer may take. */
+    @Test
+    void largePublicationArrivesOverSlowLink() {
+        List<String> late = new ArrayList<>();
+        for (int rate : RATES) {
+            for (int size : new int[] {100_000, 250_000, 400_000, 600_000, 1_200_000, 4_000_000}) {
+                WatchingFleet fleet = new WatchingFleet(0);
+                Entry entry = fleet.entry("e1");
+                fleet.fleet.run(START);
+                fleet.fleet.limitLink("e1", rate);
+                fleet.publish(1, WatchingFleet.randomContent(1, size));
+                Duration took = fleet.timeUntilObeyed(entry, 1, bound(size, rate));
+                if (took.compareTo(bound(size, rate)) > 0) {
+                    late.add(size + " bytes at " + rate + "/s");
+                }
+            }
+        }
+        assertInTime(late);
+    }
+
+    /** Guards against a VM that is behind for as long as a series of large publications lasts, or for good. */
+    @Test
+    void seriesOfLargePublicationsArrives() {
+        List<String> late = new ArrayList<>();
+        int size = 400_000;
+        for (int rate : RATES) {
+            WatchingFleet fleet = new WatchingFleet(0);
+            Entry entry = fleet.entry("e1");
+            fleet.fleet.run(START);
+            fleet.fleet.limitLink("e1", rate);
+            for (int number = 1; number <= 14; number++) {
+                fleet.publish(number, WatchingFleet.randomContent(number, size));
+                fleet.fleet.run(Duration.ofMillis(140));
+            }
+            Duration took = fleet.timeUntilObeyed(entry, 14, bound(size, rate));
+            if (took.compareTo(bound(size, rate)) > 0 || !entry.neverWentBack()) {
+                late.add(entry.obeyed() + " at " + rate + "/s");
+            }
+        }
+        assertInTime(late);
+    }
+
+    /**
+     * Guards against a restarted VM that never gets the state, since the whole of it is more than fits in one answer.
+     */
+    @Test
+    void restartedVmGetsLargeState() {
+        List<String> late = new ArrayList<>();
+        for (int rate : RATES) {
+            for (int size : new int[] {250_000, 4_000_000}) {
+                WatchingFleet fleet = new WatchingFleet(0);
+                fleet.publish(1, WatchingFleet.randomContent(1, size));
+                fleet.fleet.limitLink("e1", rate);
+                Entry entry = fleet.entry("e1");
+                Duration bound = bound(size, rate);
+                if (!fleet.fleet.runUntil(
+                        () -> entry.newest() == 1 && entry.watcher().isReady(), bound)) {
+                    late.add(size + " bytes at " + rate + "/s");
+                }
+            }
+        }
+        assertInTime(late);
+    }
+
+    /** Guards against a restarted VM that never gets a state of many small records. */
+    @Test
+    void restartedVmGetsManyRecords() {
+        WatchingFleet fleet = new WatchingFleet(0);
+        for (int number = 0; number < 6_000; number++) {
+            fleet.submit(Command.newBuilder()
+                    .setRegisterVm(RegisterVm.newBuilder()
+                            .setVm(VmRecord.newBuilder()
+                                    .setName("vm-" + number + "-of-a-large-fleet")
+                                    .setZone("a")
+                                    .setHost("10.0." + number / 250 + "." + number % 250)
+                                    .setPort(4000))));
+        }
+        int rate = 187_500;
+        fleet.fleet.limitLink("e1", rate);
+        Entry entry = fleet.entry("e1");
+        assertTrue(fleet.fleet.runUntil(entry.watcher()::isReady, bound(6_000 * 75, rate)));
+        assertTrue(entry.watcher().vms().size() >= 6_000);
+    }
+
+    /** Guards against a VM that asks control VMs which are gone one after the other while a publication waits. */
+    @Test
+    void publicationArrivesAlthoughWatchedControlVmFallsSilent() {
+        List<String> late = new ArrayList<>();
+        for (int gone : new int[] {0, 2, 4, 6, 9, 12}) {
+            for (String name : List.of("e1", "e2", "e3", "e4", "e5", "e6")) {
+                WatchingFleet fleet = new WatchingFleet(gone);
+                Entry entry = fleet.entry(name);
+                assertTrue(fleet.fleet.runUntil(entry.watcher()::isReady, Duration.ofSeconds(30)));
+                fleet.fleet.run(START);
+                fleet.fleet.silence(fleet.watchedBy(name).value());
+                fleet.publish(1, WatchingFleet.routes(10, 1));
+                Duration took = fleet.timeUntilObeyed(entry, 1, WatchingFleet.APPLY_TIME);
+                if (took.compareTo(WatchingFleet.APPLY_TIME) > 0) {
+                    late.add(gone + " gone, " + name);
+                }
+            }
+        }
+        assertInTime(late);
+    }
+
+    /** Guards against small changes, as the drain of a zone, that wait behind a large one. */
+    @Test
+    void drainIsObeyedWhileLargePublicationIsOnItsWay() {
+        WatchingFleet fleet = new WatchingFleet(0);
+        Entry entry = fleet.entry("e1");
+        fleet.fleet.run(START);
+        fleet.fleet.limitLink("e1", 187_500);
+        fleet.publish(1, WatchingFleet.randomContent(1, 4_000_000));
+        fleet.fleet.run(Duration.ofSeconds(1));
+        fleet.submit(Command.newBuilder().setDrainZone(ZoneOrder.newBuilder().setZone("z")));
+        assertTrue(fleet.fleet.runUntil(() -> !entry.watcher().drainedZones().isEmpty(), Duration.ofSeconds(1)));
+        assertEquals(0, entry.newest());
+    }
+
+    /** Guards against the cost of a whole publication, for each VM, for a change of one route. */
+    @Test
+    void changeOfOneRouteCostsFewBytes() {
+        WatchingFleet fleet = new WatchingFleet(0);
+        Entry entry = fleet.entry("e1");
+        fleet.publish(1, WatchingFleet.routes(1_570, 1));
+        fleet.fleet.run(Duration.ofSeconds(5));
+        assertEquals(1, entry.newest());
+        int size = WatchingFleet.routes(1_570, 700).size();
+        long before = fleet.fleet.bytes;
+        fleet.publish(2, WatchingFleet.routes(1_570, 700));
+        fleet.fleet.run(Duration.ofSeconds(2));
+        assertEquals(2, entry.newest());
+        long received = fleet.fleet.bytes - before - size;
+        System.out.printf("event=publication-cost document_bytes=%d received_bytes=%d%n", size, received);
+        assertTrue(received < size / 10, received + " bytes for a change of one route in " + size);
+    }
+
+    /** Guards against a VM that stays behind after a publication that replaced another one on its way. */
+    @Test
+    void publicationArrivesAfterItsControlVmFellSilentOnTheWay() {
+        List<String> late = new ArrayList<>();
+        for (int size : new int[] {400_000, 4_000_000}) {
+            WatchingFleet fleet = new WatchingFleet(0);
+            Entry entry = fleet.entry("e1");
+            fleet.fleet.run(START);
+            fleet.fleet.limitLink("e1", 468_750);
+            fleet.publish(1, WatchingFleet.randomContent(1, size));
+            fleet.fleet.run(Duration.ofMillis(400));
+            fleet.fleet.silence(fleet.watchedBy("e1").value());
+            Duration bound = bound(size, 468_750);
+            if (fleet.timeUntilObeyed(entry, 1, bound).compareTo(bound) > 0) {
+                late.add(size + " bytes");
+            }
+        }
+        assertInTime(late);
+    }
+}
