--- a/src/main/java/org/borageproxy/control/ControlState.java
+++ b/src/main/java/org/borageproxy/control/ControlState.java
@@ -150,9 +150,21 @@
      * @return the changes or all records
      */
     public Changes changesAfter(long after) {
+        return changesAfter(after, 0);
+    }
+
+    /**
+     * Returns the changes to the watched records after a version, to a VM that reads all records in several answers. It
+     * needs the removals after the version at which it began only, since it had no records before.
+     *
+     * @param after the version up to which the watching VM has read
+     * @param completeSince the newest version when it began, zero if it had records then
+     * @return the changes or all records
+     */
+    public Changes changesAfter(long after, long completeSince) {
         lock.lock();
         try {
-            boolean isFull = !records.isCompleteAfter(after);
+            boolean isFull = !records.isCompleteAfter(after, completeSince);
             List<Item> items = isFull ? records.all() : records.changesAfter(after);
             return new Changes(records.version(), changes.revision(), isFull, items);
         } finally {
--- a/src/main/java/org/borageproxy/control/WatchedRecords.java
+++ b/src/main/java/org/borageproxy/control/WatchedRecords.java
@@ -72,9 +72,13 @@
         }
     }
 
-    /** Whether the changes after a version are complete. If not, the reader needs all records. */
-    boolean isCompleteAfter(long after) {
-        return after > 0 && after >= evictedTombstoneVersion && after <= version;
+    /**
+     * Whether the changes after a version are complete. If not, the reader needs all records.
+     *
+     * @param completeSince a version whose records the reader has read from the oldest on, up to the other version
+     */
+    boolean isCompleteAfter(long after, long completeSince) {
+        return after > 0 && Math.max(after, completeSince) >= evictedTombstoneVersion && after <= version;
     }
 
     /** Returns the records and tombstones after a version, in order of their versions. */
--- a/src/main/java/org/borageproxy/logging/PublicationChains.java
+++ b/src/main/java/org/borageproxy/logging/PublicationChains.java
@@ -66,7 +66,7 @@
                 add(vms, line, vm -> vm.arrivals);
             } else if (line.contains("event=publication-served ")) {
                 add(vms, line, vm -> vm.servings);
-            } else if (line.contains("event=state-request-failed ")) {
+            } else if (line.contains("event=state-request-unsuccessful ")) {
                 add(vms, line, vm -> vm.failures);
             } else if (line.contains("event=vm-started ")) {
                 add(vms, line, vm -> vm.starts);
--- a/src/main/java/org/borageproxy/spread/ControlStateWatcher.java
+++ b/src/main/java/org/borageproxy/spread/ControlStateWatcher.java
@@ -4,11 +4,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.Supplier;
 
 import com.google.protobuf.ByteString;
@@ -22,15 +21,16 @@
 import org.borageproxy.lease.Lease;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
+import org.borageproxy.transfer.ChunkFetch;
 import org.borageproxy.tree.Configuration;
 import org.borageproxy.tree.ConfigurationSource;
 import org.borageproxy.tree.EffectiveTree;
 import org.borageproxy.vm.AvailabilityZone;
 import org.borageproxy.vm.VmAddress;
 import org.borageproxy.vm.VmName;
-import org.borageproxy.wire.MessageKind;
 import org.borageproxy.wire.VmNetwork;
 import org.borageproxy.wire.proto.ControlProtocol.DocumentState;
+import org.borageproxy.wire.proto.ControlProtocol.Item;
 import org.borageproxy.wire.proto.ControlProtocol.LeaseState;
 import org.borageproxy.wire.proto.ControlProtocol.VmRecord;
 import org.borageproxy.wire.proto.ControlProtocol.Watch;
@@ -41,9 +41,9 @@
 
 /**
  * Watches the control group's state from one VM. Only answers that a control VM confirmed as current renew the
- * freshness lease, which starts when the request is sent; versions and revisions never decrease. At most one request is
- * in flight. Fields that other threads read without the lock are volatile; the other mutable fields are used by one
- * request after the other. Listeners are called under the lock, in order. Thread safe.
+ * freshness lease, which starts when the request is sent, and only while no value of the state is missing; versions and
+ * revisions never decrease. Small changes apply at once; large values come in chunks meanwhile. Fields that other
+ * threads read without the lock are volatile. Listeners are called under the lock, in order. Thread safe.
  */
 public final class ControlStateWatcher implements ConfigurationSource {
 
@@ -55,29 +55,17 @@
     /** Time for which a control VM may delay its answer until a change. */
     private static final Duration LONG_POLL_WAIT = Duration.ofMillis(800);
 
-    /** Maximum time for a request in addition to the long-poll wait. */
-    private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(600);
-
     /**
      * Time after a request for the state within which this VM counts as informed. Leaves a second of the five within
      * which a VM must obey a drain.
      */
     private static final Duration INFORMED_PERIOD = Duration.ofMillis(4000);
 
-    /** Delay after a failed request, or while no control VM is known. */
-    private static final Duration RETRY_DELAY = Duration.ofMillis(50);
-
-    /** Delay between two requests, so that a burst of changes arrives in one answer. */
-    private static final Duration POLL_DELAY = Duration.ofMillis(10);
-
     /** Assumed remaining time of the lease of a watched holder. */
     private static final Duration ASSUMED_LEASE = Duration.ofMillis(3000);
 
     private final VmAddress self;
-    private final VmNetwork network;
-    private final Supplier<List<VmName>> controlVms;
     private final MonotonicClock clock;
-    private final Timer timer;
     private final EventRecorder events;
     private final WatchJournal journal;
 
@@ -108,13 +96,17 @@
     /** End of the time for which this VM counts as informed, or {@code null} before the first completed request. */
     private volatile Deadline informedUntil;
 
-    private volatile boolean isRunning;
+    /** Time at which the latest confirmed answer was requested, whether or not all values had arrived; guarded. */
+    private long confirmedVersionAtNanos;
+
+    /** Changes that others will follow; guarded by this. */
+    private Optional<StagedChanges> staged = Optional.empty();
 
-    /** Number of consecutive failed requests. */
-    private int failures;
+    /** Version after which records are asked for again, since the chunks of one are not to be had; guarded by this. */
+    private Optional<Long> namedAgainAfter = Optional.empty();
 
-    /** Position of the control VM that is asked; advances after each failure. */
-    private int targetPosition;
+    private final StateRequests requests;
+    private final StateTransfers transfers;
 
     /**
      * Creates a watcher on a VM that is not a member of the control group.
@@ -157,26 +149,25 @@
             EventRecorder events) {
         this.self = self;
         this.isControlVm = control;
-        this.network = network;
-        this.controlVms = controlVms;
         this.clock = clock;
-        this.timer = timer;
         this.events = events;
         this.journal = new WatchJournal(self.name(), clock);
-        this.targetPosition = Math.floorMod(self.name().hashCode(), 1 << 16);
+        this.confirmedVersionAtNanos = clock.nanoTime();
+        ControlVmOrder order = new ControlVmOrder(self.name(), clock);
+        this.requests = new StateRequests(network, controlVms, order, clock, timer, journal, new Conversation());
+        this.transfers = new StateTransfers(
+                new ChunkFetch.Environment(network, () -> order.sort(controlVms.get()), clock, timer),
+                new ValueReceiver());
     }
 
     /** Starts sending requests. Has no effect while running. */
-    public synchronized void start() {
-        if (!isRunning) {
-            isRunning = true;
-            timer.schedule(Duration.ZERO, this::poll);
-        }
+    public void start() {
+        requests.start();
     }
 
     /** Stops sending requests; the freshness lease expires. */
     public void stop() {
-        isRunning = false;
+        requests.stop();
     }
 
     @Override
@@ -365,163 +356,197 @@
         return journal.receivedBytes();
     }
 
-    /** Sends a request, or schedules another attempt if that fails. */
-    private void poll() {
-        try {
-            sendRequest();
-        } catch (RuntimeException | Error exception) {
-            LOGGER.error("event=state-request-failed", exception);
-            timer.schedule(RETRY_DELAY, this::poll);
+    /**
+     * Returns whether a newer document has been published than the one that has arrived.
+     *
+     * @return {@code true} from the first answer that names the newer one until it has arrived
+     */
+    public boolean isDocumentMissing() {
+        return state.isDocumentMissing();
+    }
+
+    /** Asks for what changed after the state and the changes that are staged. */
+    private final class Conversation implements StateRequests.Conversation {
+
+        @Override
+        public StateRequests.Question question(boolean mayWait) {
+            synchronized (ControlStateWatcher.this) {
+                boolean isWaiting = mayWait && freshUntil != null && staged.isEmpty() && namedAgainAfter.isEmpty();
+                Duration wait = isWaiting ? LONG_POLL_WAIT : Duration.ZERO;
+                long version = staged.map(StagedChanges::through)
+                        .or(() -> namedAgainAfter)
+                        .orElseGet(state::version);
+                Watch.Builder watch = Watch.newBuilder()
+                        .setVm(VmRecord.newBuilder()
+                                .setName(self.name().value())
+                                .setZone(self.zone().value())
+                                .setHost(self.host())
+                                .setPort(self.port())
+                                .setControl(isControlVm)
+                                .setObeysDrains(true))
+                        .setVersion(version)
+                        .setServedRevision(state.configuration().revision())
+                        .setWaitMillis((int) wait.toMillis())
+                        .setAcceptsChunks(true)
+                        .setCompleteSince(
+                                staged.map(StagedChanges::completeSince).orElse(0L));
+                journal.checkAge(state.version(), transfers.describe(state.missing()));
+                return new StateRequests.Question(
+                        WatchRequest.newBuilder().setWatch(watch).build().toByteString(),
+                        version,
+                        Deadline.after(clock.nanoTime(), wait));
+            }
         }
-    }
 
-    /** Sends a request to a control VM, without a long-poll wait after a failure or before the first answer. */
-    private void sendRequest() {
-        List<VmName> candidates = controlVms.get();
-        if (!isRunning) {
-            return;
-        }
-        if (candidates.isEmpty()) {
-            timer.schedule(RETRY_DELAY, this::poll);
-            return;
+        @Override
+        public StateRequests.Worth receive(
+                VmName source, StateRequests.Question question, long sentAtNanos, ByteString encoded) {
+            journal.recordAnswer(encoded.size());
+            WatchAnswer answer;
+            try {
+                answer = WatchAnswer.parseFrom(encoded);
+            } catch (InvalidProtocolBufferException exception) {
+                journal.recordFailure(source, WatchJournal.Failure.UNREADABLE, sentAtNanos);
+                return StateRequests.Worth.NONE;
+            }
+            if (!answer.getConfirmed()) {
+                journal.recordFailure(source, WatchJournal.Failure.UNCONFIRMED, sentAtNanos);
+                return StateRequests.Worth.NONE;
+            }
+            synchronized (ControlStateWatcher.this) {
+                return answer.getMore()
+                        ? stage(question, answer)
+                        : apply(new Received(source, sentAtNanos, encoded.size()), question, answer);
+            }
         }
-        long sentAtNanos = clock.nanoTime();
-        Duration wait = failures > 0 || freshUntil == null ? Duration.ZERO : LONG_POLL_WAIT;
-        VmName target = candidates.get(Math.floorMod(targetPosition, candidates.size()));
-        Watch.Builder watch = Watch.newBuilder()
-                .setVm(VmRecord.newBuilder()
-                        .setName(self.name().value())
-                        .setZone(self.zone().value())
-                        .setHost(self.host())
-                        .setPort(self.port())
-                        .setControl(isControlVm)
-                        .setObeysDrains(true))
-                .setVersion(state.version())
-                .setServedRevision(state.configuration().revision())
-                .setWaitMillis((int) wait.toMillis());
-        ByteString body = WatchRequest.newBuilder().setWatch(watch).build().toByteString();
-        Deadline deadline = Deadline.after(sentAtNanos, wait.plus(ANSWER_TIMEOUT));
-        journal.recordRequest();
-        request(target, body, deadline)
-                .whenComplete((answer, failure) -> timer.schedule(Duration.ZERO, () -> {
-                    if (failure != null) {
-                        boolean isTimeout = deadline.hasPassed(clock.nanoTime());
-                        journal.recordFailure(
-                                target,
-                                isTimeout ? WatchJournal.Failure.TIMEOUT : WatchJournal.Failure.UNREACHABLE,
-                                sentAtNanos);
-                    }
-                    handleAnswer(target, answer, failure, sentAtNanos);
-                }));
-    }
 
-    /** Applies an answer and schedules the next request, whatever fails: the watch has no other way to go on. */
-    private void handleAnswer(VmName target, ByteString answer, Throwable failure, long sentAtNanos) {
-        boolean isSuccess = false;
-        try {
-            isSuccess = failure == null && applyAnswer(target, answer, sentAtNanos);
-        } catch (RuntimeException | Error exception) {
-            LOGGER.error("event=state-answer-failed bytes={}", answer.size(), exception);
-        } finally {
-            informedUntil = Deadline.after(sentAtNanos, INFORMED_PERIOD);
-            scheduleNextPoll(isSuccess);
+        @Override
+        public void onSettled(long sentAtNanos) {
+            Deadline until = Deadline.after(sentAtNanos, INFORMED_PERIOD);
+            synchronized (ControlStateWatcher.this) {
+                if (informedUntil == null || informedUntil.compareTo(until) < 0) {
+                    informedUntil = until;
+                }
+            }
         }
     }
 
-    /** Sends a request that fails at its deadline even if the network does not report a failure. */
-    private CompletionStage<ByteString> request(VmName target, ByteString body, Deadline deadline) {
-        CompletableFuture<ByteString> answer = new CompletableFuture<>();
-        network.request(target, MessageKind.STATE_WATCH, body, deadline).whenComplete((encoded, failure) -> {
-            if (failure == null) {
-                answer.complete(encoded);
-            } else {
-                answer.completeExceptionally(failure);
-            }
-        });
-        Duration remaining = Duration.ofNanos(deadline.remainingNanos(clock.nanoTime()));
-        timer.schedule(
-                remaining,
-                () -> answer.completeExceptionally(
-                        new IllegalStateException("control VM did not answer before the deadline")));
-        return answer;
-    }
+    /** Where and when an answer came from, and its size. */
+    private record Received(VmName source, long sentAtNanos, long bytes) {}
 
-    /** Schedules the next request, to another control VM after a failure. */
-    private synchronized void scheduleNextPoll(boolean isSuccess) {
-        if (isSuccess) {
-            failures = 0;
-            timer.schedule(POLL_DELAY, this::poll);
-        } else {
-            failures++;
-            targetPosition++;
-            journal.checkAge(state.version(), "-");
-            timer.schedule(RETRY_DELAY, this::poll);
+    /** Keeps changes that others will follow. The caller holds the lock. */
+    private StateRequests.Worth stage(StateRequests.Question question, WatchAnswer answer) {
+        long through = staged.map(StagedChanges::through).orElseGet(state::version);
+        if (answer.getFull() && (staged.isEmpty() || answer.getVersion() > through)) {
+            staged = Optional.of(StagedChanges.begin(answer));
+        } else if (!answer.getFull() && question.version() == through) {
+            staged = Optional.of(
+                    staged.map(changes -> changes.plus(answer)).orElseGet(() -> StagedChanges.begin(answer)));
         }
+        return StateRequests.Worth.INCOMPLETE;
     }
 
-    /** Applies an answer and returns whether it contained a confirmed state that was applied. */
-    private synchronized boolean applyAnswer(VmName target, ByteString encoded, long sentAtNanos) {
-        journal.recordAnswer(encoded.size());
-        WatchAnswer answer;
-        try {
-            answer = WatchAnswer.parseFrom(encoded);
-        } catch (InvalidProtocolBufferException exception) {
-            journal.recordFailure(target, WatchJournal.Failure.UNREADABLE, sentAtNanos);
-            return false;
+    /** Applies an answer with all changes to the present. The caller holds the lock. */
+    private StateRequests.Worth apply(Received received, StateRequests.Question question, WatchAnswer answer) {
+        boolean isLast = staged.filter(changes -> changes.through() == question.version())
+                .isPresent();
+        WatchAnswer whole = isLast ? staged.get().complete(answer) : answer;
+        if (answer.getVersion() < state.version() && question.version() < state.version()) {
+            // Another answer to the same question was faster and newer.
+            return StateRequests.Worth.CURRENT;
         }
-        if (!answer.getConfirmed()) {
-            journal.recordFailure(target, WatchJournal.Failure.UNCONFIRMED, sentAtNanos);
-            return false;
-        }
-        WatchedState.Update update = state.apply(answer);
+        WatchedState.Update update = state.apply(whole);
         if (update instanceof WatchedState.Update.Applied applied) {
-            journalDocument(target, applied.state(), encoded.size(), sentAtNanos);
-            replaceState(applied.state(), sentAtNanos);
-            return true;
+            staged = Optional.empty();
+            namedAgainAfter = namedAgainAfter.filter(version -> version < question.version());
+            long requestMillis = TimeUnit.NANOSECONDS.toMillis(clock.nanoTime() - received.sentAtNanos());
+            confirmedVersionAtNanos = Math.max(confirmedVersionAtNanos, received.sentAtNanos());
+            replaceState(
+                    applied.state(),
+                    document -> new WatchJournal.DocumentArrival(
+                            document.getNumber(),
+                            applied.state().documentVersion(),
+                            received.source(),
+                            requestMillis,
+                            0,
+                            document.getContent().size(),
+                            received.bytes()));
+            transfers.fetch(state.missing(), received.source(), requestMillis);
+            return StateRequests.Worth.CURRENT;
         }
-        journal.recordFailure(
-                target,
-                update instanceof WatchedState.Update.Stale
-                        ? WatchJournal.Failure.OUTDATED
-                        : WatchJournal.Failure.UNREADABLE,
-                sentAtNanos);
+        staged = Optional.empty();
         if (update instanceof WatchedState.Update.InvalidDocument invalid) {
             events.record(Event.named("configuration-unreadable")
                     .with("revision", invalid.revision())
                     .with("errors", invalid.errors().size()));
+            journal.recordFailure(received.source(), WatchJournal.Failure.UNREADABLE, received.sentAtNanos());
         } else {
             events.record(Event.named("configuration-backwards")
                     .with("revision", state.configuration().revision())
                     .with("offered", answer.getRevision()));
+            journal.recordFailure(received.source(), WatchJournal.Failure.OUTDATED, received.sentAtNanos());
+        }
+        return StateRequests.Worth.NONE;
+    }
+
+    /** Applies the values of records that came in chunks. */
+    private final class ValueReceiver implements StateTransfers.Listener {
+
+        @Override
+        public void onValue(StateTransfers.Transfer transfer, Item value) {
+            synchronized (ControlStateWatcher.this) {
+                if (!transfers.isPresent(transfer)) {
+                    return;
+                }
+                transfers.end(transfer, true);
+                journal.recordAnswer(transfer.fetch().receivedBytes());
+                if (state.complete(value) instanceof WatchedState.Update.Applied applied) {
+                    replaceState(
+                            applied.state(),
+                            document -> new WatchJournal.DocumentArrival(
+                                    document.getNumber(),
+                                    applied.state().documentVersion(),
+                                    transfer.source(),
+                                    transfer.requestMillis(),
+                                    transfer.millisSince(clock.nanoTime()),
+                                    document.getContent().size(),
+                                    transfer.fetch().receivedBytes()));
+                }
+                transfers.fetch(state.missing(), transfer.source(), 0);
+            }
         }
-        return false;
-    }
 
-    private void journalDocument(VmName source, WatchedState later, long receivedBytes, long sentAtNanos) {
-        long requestMillis = TimeUnit.NANOSECONDS.toMillis(clock.nanoTime() - sentAtNanos);
-        if (later.documentVersion() > state.documentVersion()) {
-            DocumentState document = later.published().orElseThrow();
-            journal.recordDocument(new WatchJournal.DocumentArrival(
-                    document.getNumber(),
-                    later.documentVersion(),
-                    source,
-                    requestMillis,
-                    0,
-                    document.getContent().size(),
-                    receivedBytes));
+        /** Lets the next answer name the chunks again, as the control VMs divide the value now. */
+        @Override
+        public void onUnavailable(StateTransfers.Transfer transfer) {
+            synchronized (ControlStateWatcher.this) {
+                transfers.end(transfer, false);
+                Item missing = state.missing().get(transfer.name());
+                if (missing != null) {
+                    long version = missing.getVersion() - 1;
+                    namedAgainAfter = Optional.of(namedAgainAfter
+                            .map(other -> Math.min(other, version))
+                            .orElse(version));
+                }
+            }
         }
-        journal.recordConfirmed(sentAtNanos);
     }
 
     /**
-     * Replaces the state, renews the freshness lease and notifies the listeners of what changed. The caller holds the
-     * lock.
+     * Replaces the state, renews the freshness lease if nothing is missing, and notifies the listeners of what changed.
+     * The caller holds the lock.
      */
-    private void replaceState(WatchedState later, long sentAtNanos) {
+    private void replaceState(WatchedState later, Function<DocumentState, WatchJournal.DocumentArrival> arrival) {
         WatchedState earlier = state;
         state = later;
-        confirmedAtNanos = sentAtNanos;
-        freshUntil = Deadline.after(sentAtNanos, FRESHNESS_LEASE);
+        if (later.documentVersion() > earlier.documentVersion()) {
+            journal.recordDocument(arrival.apply(later.published().orElseThrow()));
+        }
+        if (later.missing().isEmpty()) {
+            confirmedAtNanos = confirmedVersionAtNanos;
+            freshUntil = Deadline.after(confirmedVersionAtNanos, FRESHNESS_LEASE);
+            journal.recordConfirmed(confirmedVersionAtNanos);
+        }
         if (later == earlier) {
             return;
         }
--- a/src/main/java/org/borageproxy/spread/WatchJournal.java
+++ b/src/main/java/org/borageproxy/spread/WatchJournal.java
@@ -102,7 +102,7 @@
             quietUntil.values().removeIf(until -> until.hasPassed(nowNanos));
             quietUntil.put(cause, Deadline.after(nowNanos, REPEAT_INTERVAL));
             LOGGER.info(
-                    "event=state-request-failed vm={} target={} reason={} waited_ms={} times={} state_age_ms={}",
+                    "event=state-request-unsuccessful vm={} target={} reason={} waited_ms={} times={} state_age_ms={}",
                     self,
                     target,
                     failure,
--- a/src/main/java/org/borageproxy/spread/WatchService.java
+++ b/src/main/java/org/borageproxy/spread/WatchService.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -18,10 +19,13 @@
 import org.borageproxy.log.ReplicatedLog;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
+import org.borageproxy.transfer.ChunkName;
+import org.borageproxy.transfer.Manifest;
 import org.borageproxy.vm.VmName;
 import org.borageproxy.wire.VmNetwork;
 import org.borageproxy.wire.proto.ControlProtocol.Command;
 import org.borageproxy.wire.proto.ControlProtocol.Item;
+import org.borageproxy.wire.proto.ControlProtocol.ReadChunks;
 import org.borageproxy.wire.proto.ControlProtocol.RegisterVm;
 import org.borageproxy.wire.proto.ControlProtocol.Served;
 import org.borageproxy.wire.proto.ControlProtocol.VmRecord;
@@ -42,6 +46,12 @@
     /** Maximum time for which a watch waits for a change, in milliseconds. */
     private static final int MAX_WAIT_MILLIS = 1000;
 
+    /** Size of the records of an answer from which further ones follow in the next. */
+    private static final int MAXIMUM_ANSWER_BYTES = 32 << 10;
+
+    /** Maximum number of chunks in an answer. */
+    private static final int MAXIMUM_CHUNKS = 128;
+
     /** Maximum time to register a VM. */
     private static final Duration REGISTRATION_TIMEOUT = Duration.ofMillis(3000);
 
@@ -49,6 +59,7 @@
     private static final Duration WATCHER_RETENTION = Duration.ofMinutes(10);
 
     private final ControlState state;
+    private final LargeValues chunks = new LargeValues();
     private final ReadConfirmation confirmation;
     private final ControlClient client;
     private final MonotonicClock clock;
@@ -96,7 +107,12 @@
         } catch (InvalidProtocolBufferException exception) {
             return CompletableFuture.failedFuture(exception);
         }
-        CompletionStage<WatchAnswer> answer = request.hasWatch() ? watch(request.getWatch()) : read(request);
+        if (request.hasReadChunks()) {
+            return CompletableFuture.completedFuture(chunks(request.getReadChunks()));
+        }
+        CompletionStage<WatchAnswer> answer = request.hasWatch()
+                ? watch(request.getWatch())
+                : read(request).thenApply(whole -> request.getAcceptsChunks() ? chunks.abridge(whole) : whole);
         return answer.thenApply(WatchAnswer::toByteString);
     }
 
@@ -126,15 +142,47 @@
             return WatchAnswer.getDefaultInstance();
         }
         register(watch.getVm());
-        ControlState.Changes changes = state.changesAfter(watch.getVersion());
+        ControlState.Changes changes = state.changesAfter(watch.getVersion(), watch.getCompleteSince());
         logDocument(watch, changes, confirmationNanos);
-        return WatchAnswer.newBuilder()
+        WatchAnswer.Builder answer = WatchAnswer.newBuilder()
                 .setConfirmed(true)
                 .setVersion(changes.version())
+                .setNewestVersion(changes.version())
                 .setRevision(changes.revision())
-                .setFull(changes.full())
-                .addAllItems(changes.items())
-                .build();
+                .setFull(changes.full());
+        if (watch.getAcceptsChunks()) {
+            addBounded(answer, changes.items());
+        } else {
+            answer.addAllItems(changes.items());
+        }
+        return answer.build();
+    }
+
+    /** Adds records in order of their versions, large ones named by their chunks, as far as one answer may grow. */
+    private void addBounded(WatchAnswer.Builder answer, List<Item> items) {
+        int bytes = 0;
+        for (Item item : items) {
+            if (bytes >= MAXIMUM_ANSWER_BYTES) {
+                answer.setMore(true)
+                        .setVersion(answer.getItems(answer.getItemsCount() - 1).getVersion());
+                return;
+            }
+            Item abridged = chunks.abridge(item);
+            answer.addItems(abridged);
+            bytes += abridged.getSerializedSize();
+        }
+    }
+
+    /** Answers a read of chunks, which need no confirmation, since their names tell their content. */
+    private ByteString chunks(ReadChunks read) {
+        WatchAnswer.Builder answer = WatchAnswer.newBuilder();
+        for (ChunkName name : Manifest.decodeNames(read.getNames())) {
+            if (answer.getChunksCount() == MAXIMUM_CHUNKS) {
+                break;
+            }
+            chunks.find(name, () -> state.changesAfter(0).items()).ifPresent(answer::addChunks);
+        }
+        return answer.build().toByteString();
     }
 
     /** Logs that an answer brings a VM a published document: one line for each VM and document. */
--- a/src/main/java/org/borageproxy/spread/WatchedState.java
+++ b/src/main/java/org/borageproxy/spread/WatchedState.java
@@ -32,14 +32,23 @@
 final class WatchedState {
 
     /** State before the first answer. */
-    static final WatchedState EMPTY =
-            new WatchedState(0, Map.of(), TreeState.getDefaultInstance(), EffectiveTree.EMPTY, Configuration.EMPTY);
+    static final WatchedState EMPTY = new WatchedState(
+            0, 0, Map.of(), Map.of(), TreeState.getDefaultInstance(), EffectiveTree.EMPTY, Configuration.EMPTY);
+
+    private static final String TREE = "tree";
+    private static final String DOCUMENT = "document";
 
     private final long version;
 
-    /** Records by name. */
+    /** Revision of the settings tree and the keys at that version. */
+    private final long revision;
+
+    /** Records by name; of a record whose newest value has not arrived, an earlier one if there is one. */
     private final Map<String, Item> items;
 
+    /** Records whose newest value has not arrived, by name, with the chunks of the value. */
+    private final Map<String, Item> missing;
+
     /** Revision of the settings tree whose document was parsed into {@link #tree}. */
     private final TreeState document;
 
@@ -54,12 +63,16 @@
 
     private WatchedState(
             long version,
+            long revision,
             Map<String, Item> items,
+            Map<String, Item> missing,
             TreeState document,
             EffectiveTree tree,
             Configuration configuration) {
         this.version = version;
+        this.revision = revision;
         this.items = items;
+        this.missing = missing;
         this.document = document;
         this.tree = tree;
         this.configuration = configuration;
@@ -76,40 +89,86 @@
     }
 
     /**
-     * Applies the changes of an answer. Returns this object as the applied state if nothing changed. The document is
-     * parsed only if its revision differs.
+     * Applies the changes of an answer; large values may be named by their chunks only. Returns this object as the
+     * applied state if nothing changed. The document is parsed only if its revision differs.
      */
     Update apply(WatchAnswer answer) {
-        if (answer.getVersion() < version || answer.getRevision() < configuration.revision()) {
+        if (answer.getVersion() < version || answer.getRevision() < revision) {
             return new Update.Stale();
         }
         boolean isUnchanged = answer.getItemsCount() == 0 && answer.getVersion() == version;
-        if (isUnchanged && !answer.getFull() && answer.getRevision() == configuration.revision()) {
+        if (isUnchanged && !answer.getFull() && answer.getRevision() == revision) {
             return new Update.Applied(this);
         }
         Map<String, Item> merged = new HashMap<>(answer.getFull() ? Map.of() : items);
+        Map<String, Item> newMissing = new HashMap<>(answer.getFull() ? Map.of() : missing);
         for (Item item : answer.getItemsList()) {
-            if (item.getRemoved()) {
-                merged.remove(item.getName());
+            String name = item.getName();
+            if (item.hasChunks()) {
+                Item present = items.get(name);
+                if (present != null) {
+                    merged.put(name, present);
+                }
+                if (present == null || present.getVersion() < item.getVersion()) {
+                    newMissing.put(name, item);
+                }
+            } else if (item.getRemoved()) {
+                merged.remove(name);
+                newMissing.remove(name);
             } else {
-                merged.put(item.getName(), item);
+                merged.put(name, item);
+                newMissing.remove(name);
             }
         }
-        Item treeItem = merged.get("tree");
-        TreeState newDocument = treeItem == null ? TreeState.getDefaultInstance() : treeItem.getTree();
+        return derive(answer.getVersion(), answer.getRevision(), merged, newMissing);
+    }
+
+    /**
+     * Applies the value of a record that was missing. An older value than the missing one replaces the present one and
+     * leaves the newer one missing; one that is not newer than the present one changes nothing.
+     */
+    Update complete(Item value) {
+        Item present = items.get(value.getName());
+        Item awaited = missing.get(value.getName());
+        boolean isNewer = present == null || present.getVersion() < value.getVersion();
+        if (awaited == null || !isNewer || value.getVersion() > awaited.getVersion()) {
+            return new Update.Applied(this);
+        }
+        Map<String, Item> merged = new HashMap<>(items);
+        merged.put(value.getName(), value);
+        Map<String, Item> newMissing = new HashMap<>(missing);
+        if (awaited.getVersion() == value.getVersion()) {
+            newMissing.remove(value.getName());
+        }
+        return derive(version, revision, merged, newMissing);
+    }
+
+    /** Returns the state with other records. The configuration stays as it is while the settings tree is missing. */
+    private Update derive(long newVersion, long newRevision, Map<String, Item> newItems, Map<String, Item> newMissing) {
+        Item treeItem = newItems.get(TREE);
+        boolean isTreeMissing = newMissing.containsKey(TREE);
+        TreeState newDocument = isTreeMissing || treeItem == null ? TreeState.getDefaultInstance() : treeItem.getTree();
         EffectiveTree newTree = tree;
-        if (newDocument.getRevision() != document.getRevision()) {
+        if (isTreeMissing) {
+            newDocument = document;
+        } else if (newDocument.getRevision() != document.getRevision()) {
             TreeParseResult reading = TreeParseResult.parse(newDocument.getDocument());
             if (reading instanceof TreeParseResult.Invalid invalid) {
                 return new Update.InvalidDocument(newDocument.getRevision(), invalid.errors());
             }
             newTree = ((TreeParseResult.Valid) reading).tree();
         }
-        Configuration newConfiguration = answer.getRevision() == configuration.revision()
+        Configuration newConfiguration = isTreeMissing || newRevision == configuration.revision()
                 ? configuration
-                : newTree.toConfiguration(answer.getRevision(), keysOf(merged));
-        return new Update.Applied(
-                new WatchedState(answer.getVersion(), Map.copyOf(merged), newDocument, newTree, newConfiguration));
+                : newTree.toConfiguration(newRevision, keysOf(newItems));
+        return new Update.Applied(new WatchedState(
+                newVersion,
+                newRevision,
+                Map.copyOf(newItems),
+                Map.copyOf(newMissing),
+                newDocument,
+                newTree,
+                newConfiguration));
     }
 
     /** Returns the version of the last applied change. */
@@ -117,6 +176,16 @@
         return version;
     }
 
+    /** Returns the records whose newest value has not arrived, by name, with the chunks of the value. */
+    Map<String, Item> missing() {
+        return missing;
+    }
+
+    /** Returns whether a newer document has been published than the one that has arrived. */
+    boolean isDocumentMissing() {
+        return missing.containsKey(DOCUMENT);
+    }
+
     Configuration configuration() {
         return configuration;
     }
@@ -133,12 +202,12 @@
      * Returns the published document, which is independent of the settings tree; empty before the first publication.
      */
     Optional<DocumentState> published() {
-        return Optional.ofNullable(items.get("document")).map(Item::getDocument);
+        return Optional.ofNullable(items.get(DOCUMENT)).map(Item::getDocument);
     }
 
     /** Returns the version at which the published document was accepted, zero before the first publication. */
     long documentVersion() {
-        return Optional.ofNullable(items.get("document")).map(Item::getVersion).orElse(0L);
+        return Optional.ofNullable(items.get(DOCUMENT)).map(Item::getVersion).orElse(0L);
     }
 
     /** Returns the zones whose servers get no requests. */
--- a/src/main/java/org/borageproxy/wire/proto/ControlProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/ControlProtocol.java
@@ -43615,6 +43615,33 @@
      */
     org.borageproxy.wire.proto.ControlProtocol.DocumentStateOrBuilder getDocumentOrBuilder();
 
+    /**
+     * <pre>
+     * Stands for a large value. The concatenation of the chunks is the encoded item with its value.
+     * </pre>
+     *
+     * <code>.borageproxy.control.ChunkList chunks = 10;</code>
+     * @return Whether the chunks field is set.
+     */
+    boolean hasChunks();
+    /**
+     * <pre>
+     * Stands for a large value. The concatenation of the chunks is the encoded item with its value.
+     * </pre>
+     *
+     * <code>.borageproxy.control.ChunkList chunks = 10;</code>
+     * @return The chunks.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ChunkList getChunks();
+    /**
+     * <pre>
+     * Stands for a large value. The concatenation of the chunks is the encoded item with its value.
+     * </pre>
+     *
+     * <code>.borageproxy.control.ChunkList chunks = 10;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ChunkListOrBuilder getChunksOrBuilder();
+
     org.borageproxy.wire.proto.ControlProtocol.Item.ValueCase getValueCase();
   }
   /**
@@ -43677,6 +43704,7 @@
       VM(7),
       REMOVED(8),
       DOCUMENT(9),
+      CHUNKS(10),
       VALUE_NOT_SET(0);
       private final int value;
       private ValueCase(int value) {
@@ -43701,6 +43729,7 @@
           case 7: return VM;
           case 8: return REMOVED;
           case 9: return DOCUMENT;
+          case 10: return CHUNKS;
           case 0: return VALUE_NOT_SET;
           default: return null;
         }
@@ -43973,6 +44002,49 @@
       return org.borageproxy.wire.proto.ControlProtocol.DocumentState.getDefaultInstance();
     }
 
+    public static final int CHUNKS_FIELD_NUMBER = 10;
+    /**
+     * <pre>
+     * Stands for a large value. The concatenation of the chunks is the encoded item with its value.
+     * </pre>
+     *
+     * <code>.borageproxy.control.ChunkList chunks = 10;</code>
+     * @return Whether the chunks field is set.
+     */
+    @java.lang.Override
+    public boolean hasChunks() {
+      return valueCase_ == 10;
+    }
+    /**
+     * <pre>
+     * Stands for a large value. The concatenation of the chunks is the encoded item with its value.
+     * </pre>
+     *
+     * <code>.borageproxy.control.ChunkList chunks = 10;</code>
+     * @return The chunks.
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.ChunkList getChunks() {
+      if (valueCase_ == 10) {
+         return (org.borageproxy.wire.proto.ControlProtocol.ChunkList) value_;
+      }
+      return org.borageproxy.wire.proto.ControlProtocol.ChunkList.getDefaultInstance();
+    }
+    /**
+     * <pre>
+     * Stands for a large value. The concatenation of the chunks is the encoded item with its value.
+     * </pre>
+     *
+     * <code>.borageproxy.control.ChunkList chunks = 10;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.ChunkListOrBuilder getChunksOrBuilder() {
+      if (valueCase_ == 10) {
+         return (org.borageproxy.wire.proto.ControlProtocol.ChunkList) value_;
+      }
+      return org.borageproxy.wire.proto.ControlProtocol.ChunkList.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -44015,6 +44087,9 @@
       if (valueCase_ == 9) {
         output.writeMessage(9, (org.borageproxy.wire.proto.ControlProtocol.DocumentState) value_);
       }
+      if (valueCase_ == 10) {
+        output.writeMessage(10, (org.borageproxy.wire.proto.ControlProtocol.ChunkList) value_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -44060,6 +44135,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(9, (org.borageproxy.wire.proto.ControlProtocol.DocumentState) value_);
       }
+      if (valueCase_ == 10) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(10, (org.borageproxy.wire.proto.ControlProtocol.ChunkList) value_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -44109,6 +44188,10 @@
           if (!getDocument()
               .equals(other.getDocument())) return false;
           break;
+        case 10:
+          if (!getChunks()
+              .equals(other.getChunks())) return false;
+          break;
         case 0:
         default:
       }
@@ -44158,6 +44241,10 @@
           hash = (37 * hash) + DOCUMENT_FIELD_NUMBER;
           hash = (53 * hash) + getDocument().hashCode();
           break;
+        case 10:
+          hash = (37 * hash) + CHUNKS_FIELD_NUMBER;
+          hash = (53 * hash) + getChunks().hashCode();
+          break;
         case 0:
         default:
       }
@@ -44316,6 +44403,9 @@
         if (documentBuilder_ != null) {
           documentBuilder_.clear();
         }
+        if (chunksBuilder_ != null) {
+          chunksBuilder_.clear();
+        }
         valueCase_ = 0;
         value_ = null;
         return this;
@@ -44387,6 +44477,10 @@
             documentBuilder_ != null) {
           result.value_ = documentBuilder_.build();
         }
+        if (valueCase_ == 10 &&
+            chunksBuilder_ != null) {
+          result.value_ = chunksBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -44438,6 +44532,10 @@
             mergeDocument(other.getDocument());
             break;
           }
+          case CHUNKS: {
+            mergeChunks(other.getChunks());
+            break;
+          }
           case VALUE_NOT_SET: {
             break;
           }
@@ -44525,6 +44623,13 @@
                 valueCase_ = 9;
                 break;
               } // case 74
+              case 82: {
+                input.readMessage(
+                    internalGetChunksFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                valueCase_ = 10;
+                break;
+              } // case 82
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -45555,6 +45660,184 @@
         return documentBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.ChunkList, org.borageproxy.wire.proto.ControlProtocol.ChunkList.Builder, org.borageproxy.wire.proto.ControlProtocol.ChunkListOrBuilder> chunksBuilder_;
+      /**
+       * <pre>
+       * Stands for a large value. The concatenation of the chunks is the encoded item with its value.
+       * </pre>
+       *
+       * <code>.borageproxy.control.ChunkList chunks = 10;</code>
+       * @return Whether the chunks field is set.
+       */
+      @java.lang.Override
+      public boolean hasChunks() {
+        return valueCase_ == 10;
+      }
+      /**
+       * <pre>
+       * Stands for a large value. The concatenation of the chunks is the encoded item with its value.
+       * </pre>
+       *
+       * <code>.borageproxy.control.ChunkList chunks = 10;</code>
+       * @return The chunks.
+       */
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ChunkList getChunks() {
+        if (chunksBuilder_ == null) {
+          if (valueCase_ == 10) {
+            return (org.borageproxy.wire.proto.ControlProtocol.ChunkList) value_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.ChunkList.getDefaultInstance();
+        } else {
+          if (valueCase_ == 10) {
+            return chunksBuilder_.getMessage();
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.ChunkList.getDefaultInstance();
+        }
+      }
+      /**
+       * <pre>
+       * Stands for a large value. The concatenation of the chunks is the encoded item with its value.
+       * </pre>
+       *
+       * <code>.borageproxy.control.ChunkList chunks = 10;</code>
+       */
+      public Builder setChunks(org.borageproxy.wire.proto.ControlProtocol.ChunkList value) {
+        if (chunksBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          value_ = value;
+          onChanged();
+        } else {
+          chunksBuilder_.setMessage(value);
+        }
+        valueCase_ = 10;
+        return this;
+      }
+      /**
+       * <pre>
+       * Stands for a large value. The concatenation of the chunks is the encoded item with its value.
+       * </pre>
+       *
+       * <code>.borageproxy.control.ChunkList chunks = 10;</code>
+       */
+      public Builder setChunks(
+          org.borageproxy.wire.proto.ControlProtocol.ChunkList.Builder builderForValue) {
+        if (chunksBuilder_ == null) {
+          value_ = builderForValue.build();
+          onChanged();
+        } else {
+          chunksBuilder_.setMessage(builderForValue.build());
+        }
+        valueCase_ = 10;
+        return this;
+      }
+      /**
+       * <pre>
+       * Stands for a large value. The concatenation of the chunks is the encoded item with its value.
+       * </pre>
+       *
+       * <code>.borageproxy.control.ChunkList chunks = 10;</code>
+       */
+      public Builder mergeChunks(org.borageproxy.wire.proto.ControlProtocol.ChunkList value) {
+        if (chunksBuilder_ == null) {
+          if (valueCase_ == 10 &&
+              value_ != org.borageproxy.wire.proto.ControlProtocol.ChunkList.getDefaultInstance()) {
+            value_ = org.borageproxy.wire.proto.ControlProtocol.ChunkList.newBuilder((org.borageproxy.wire.proto.ControlProtocol.ChunkList) value_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            value_ = value;
+          }
+          onChanged();
+        } else {
+          if (valueCase_ == 10) {
+            chunksBuilder_.mergeFrom(value);
+          } else {
+            chunksBuilder_.setMessage(value);
+          }
+        }
+        valueCase_ = 10;
+        return this;
+      }
+      /**
+       * <pre>
+       * Stands for a large value. The concatenation of the chunks is the encoded item with its value.
+       * </pre>
+       *
+       * <code>.borageproxy.control.ChunkList chunks = 10;</code>
+       */
+      public Builder clearChunks() {
+        if (chunksBuilder_ == null) {
+          if (valueCase_ == 10) {
+            valueCase_ = 0;
+            value_ = null;
+            onChanged();
+          }
+        } else {
+          if (valueCase_ == 10) {
+            valueCase_ = 0;
+            value_ = null;
+          }
+          chunksBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Stands for a large value. The concatenation of the chunks is the encoded item with its value.
+       * </pre>
+       *
+       * <code>.borageproxy.control.ChunkList chunks = 10;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.ChunkList.Builder getChunksBuilder() {
+        return internalGetChunksFieldBuilder().getBuilder();
+      }
+      /**
+       * <pre>
+       * Stands for a large value. The concatenation of the chunks is the encoded item with its value.
+       * </pre>
+       *
+       * <code>.borageproxy.control.ChunkList chunks = 10;</code>
+       */
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ChunkListOrBuilder getChunksOrBuilder() {
+        if ((valueCase_ == 10) && (chunksBuilder_ != null)) {
+          return chunksBuilder_.getMessageOrBuilder();
+        } else {
+          if (valueCase_ == 10) {
+            return (org.borageproxy.wire.proto.ControlProtocol.ChunkList) value_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.ChunkList.getDefaultInstance();
+        }
+      }
+      /**
+       * <pre>
+       * Stands for a large value. The concatenation of the chunks is the encoded item with its value.
+       * </pre>
+       *
+       * <code>.borageproxy.control.ChunkList chunks = 10;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.ChunkList, org.borageproxy.wire.proto.ControlProtocol.ChunkList.Builder, org.borageproxy.wire.proto.ControlProtocol.ChunkListOrBuilder> 
+          internalGetChunksFieldBuilder() {
+        if (chunksBuilder_ == null) {
+          if (!(valueCase_ == 10)) {
+            value_ = org.borageproxy.wire.proto.ControlProtocol.ChunkList.getDefaultInstance();
+          }
+          chunksBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.ChunkList, org.borageproxy.wire.proto.ControlProtocol.ChunkList.Builder, org.borageproxy.wire.proto.ControlProtocol.ChunkListOrBuilder>(
+                  (org.borageproxy.wire.proto.ControlProtocol.ChunkList) value_,
+                  getParentForChildren(),
+                  isClean());
+          value_ = null;
+        }
+        valueCase_ = 10;
+        onChanged();
+        return chunksBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.control.Item)
     }
 
@@ -45606,975 +45889,792 @@
 
   }
 
-  public interface ControlSnapshotOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:borageproxy.control.ControlSnapshot)
+  public interface ChunkListOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.control.ChunkList)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>uint64 version = 1;</code>
-     * @return The version.
-     */
-    long getVersion();
-
-    /**
-     * <code>uint64 revision = 2;</code>
-     * @return The revision.
+     * <pre>
+     * The names one after the other, 16 bytes each.
+     * </pre>
+     *
+     * <code>bytes names = 1;</code>
+     * @return The names.
      */
-    long getRevision();
+    com.google.protobuf.ByteString getNames();
 
     /**
-     * <code>repeated .borageproxy.control.TreeState history = 4;</code>
-     */
-    java.util.List<org.borageproxy.wire.proto.ControlProtocol.TreeState> 
-        getHistoryList();
-    /**
-     * <code>repeated .borageproxy.control.TreeState history = 4;</code>
-     */
-    org.borageproxy.wire.proto.ControlProtocol.TreeState getHistory(int index);
-    /**
-     * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+     * <code>repeated uint32 sizes = 2;</code>
+     * @return A list containing the sizes.
      */
-    int getHistoryCount();
+    java.util.List<java.lang.Integer> getSizesList();
     /**
-     * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+     * <code>repeated uint32 sizes = 2;</code>
+     * @return The count of sizes.
      */
-    java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.TreeStateOrBuilder> 
-        getHistoryOrBuilderList();
+    int getSizesCount();
     /**
-     * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+     * <code>repeated uint32 sizes = 2;</code>
+     * @param index The index of the element to return.
+     * @return The sizes at the given index.
      */
-    org.borageproxy.wire.proto.ControlProtocol.TreeStateOrBuilder getHistoryOrBuilder(
-        int index);
+    int getSizes(int index);
+  }
+  /**
+   * <pre>
+   * The chunks of a content, in order. A chunk is named by its content, so that it is the same on all VMs.
+   * </pre>
+   *
+   * Protobuf type {@code borageproxy.control.ChunkList}
+   */
+  public static final class ChunkList extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:borageproxy.control.ChunkList)
+      ChunkListOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "ChunkList");
+    }
+    // Use ChunkList.newBuilder() to construct.
+    private ChunkList(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private ChunkList() {
+      names_ = com.google.protobuf.ByteString.EMPTY;
+      sizes_ = emptyIntList();
+    }
 
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ChunkList_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ChunkList_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ChunkList_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.borageproxy.wire.proto.ControlProtocol.ChunkList.class, org.borageproxy.wire.proto.ControlProtocol.ChunkList.Builder.class);
+    }
+
+    public static final int NAMES_FIELD_NUMBER = 1;
+    private com.google.protobuf.ByteString names_ = com.google.protobuf.ByteString.EMPTY;
     /**
-     * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
-     */
-    java.util.List<org.borageproxy.wire.proto.ControlProtocol.KeyState> 
-        getKeysList();
-    /**
-     * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+     * <pre>
+     * The names one after the other, 16 bytes each.
+     * </pre>
+     *
+     * <code>bytes names = 1;</code>
+     * @return The names.
      */
-    org.borageproxy.wire.proto.ControlProtocol.KeyState getKeys(int index);
+    @java.lang.Override
+    public com.google.protobuf.ByteString getNames() {
+      return names_;
+    }
+
+    public static final int SIZES_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.Internal.IntList sizes_ =
+        emptyIntList();
     /**
-     * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+     * <code>repeated uint32 sizes = 2;</code>
+     * @return A list containing the sizes.
      */
-    int getKeysCount();
+    @java.lang.Override
+    public java.util.List<java.lang.Integer>
+        getSizesList() {
+      return sizes_;
+    }
     /**
-     * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+     * <code>repeated uint32 sizes = 2;</code>
+     * @return The count of sizes.
      */
-    java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder> 
-        getKeysOrBuilderList();
+    public int getSizesCount() {
+      return sizes_.size();
+    }
     /**
-     * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+     * <code>repeated uint32 sizes = 2;</code>
+     * @param index The index of the element to return.
+     * @return The sizes at the given index.
      */
-    org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder getKeysOrBuilder(
-        int index);
+    public int getSizes(int index) {
+      return sizes_.getInt(index);
+    }
+    private int sizesMemoizedSerializedSize = -1;
 
-    /**
-     * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
-     */
-    java.util.List<org.borageproxy.wire.proto.ControlProtocol.ChangeState> 
-        getChangesList();
-    /**
-     * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
-     */
-    org.borageproxy.wire.proto.ControlProtocol.ChangeState getChanges(int index);
-    /**
-     * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
-     */
-    int getChangesCount();
-    /**
-     * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
-     */
-    java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.ChangeStateOrBuilder> 
-        getChangesOrBuilderList();
-    /**
-     * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
-     */
-    org.borageproxy.wire.proto.ControlProtocol.ChangeStateOrBuilder getChangesOrBuilder(
-        int index);
-
-    /**
-     * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
-     */
-    java.util.List<org.borageproxy.wire.proto.ControlProtocol.RememberedReply> 
-        getRepliesList();
-    /**
-     * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
-     */
-    org.borageproxy.wire.proto.ControlProtocol.RememberedReply getReplies(int index);
-    /**
-     * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
-     */
-    int getRepliesCount();
-    /**
-     * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
-     */
-    java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.RememberedReplyOrBuilder> 
-        getRepliesOrBuilderList();
-    /**
-     * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
-     */
-    org.borageproxy.wire.proto.ControlProtocol.RememberedReplyOrBuilder getRepliesOrBuilder(
-        int index);
-
-    /**
-     * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
-     */
-    java.util.List<org.borageproxy.wire.proto.ControlProtocol.ClaimState> 
-        getClaimsList();
-    /**
-     * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
-     */
-    org.borageproxy.wire.proto.ControlProtocol.ClaimState getClaims(int index);
-    /**
-     * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
-     */
-    int getClaimsCount();
-    /**
-     * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
-     */
-    java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.ClaimStateOrBuilder> 
-        getClaimsOrBuilderList();
-    /**
-     * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
-     */
-    org.borageproxy.wire.proto.ControlProtocol.ClaimStateOrBuilder getClaimsOrBuilder(
-        int index);
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
 
-    /**
-     * <code>int64 last_claim_epoch = 9;</code>
-     * @return The lastClaimEpoch.
-     */
-    long getLastClaimEpoch();
+      memoizedIsInitialized = 1;
+      return true;
+    }
 
-    /**
-     * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
-     */
-    java.util.List<org.borageproxy.wire.proto.ControlProtocol.LeaseState> 
-        getLeasesList();
-    /**
-     * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
-     */
-    org.borageproxy.wire.proto.ControlProtocol.LeaseState getLeases(int index);
-    /**
-     * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
-     */
-    int getLeasesCount();
-    /**
-     * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
-     */
-    java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.LeaseStateOrBuilder> 
-        getLeasesOrBuilderList();
-    /**
-     * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
-     */
-    org.borageproxy.wire.proto.ControlProtocol.LeaseStateOrBuilder getLeasesOrBuilder(
-        int index);
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      getSerializedSize();
+      if (!names_.isEmpty()) {
+        output.writeBytes(1, names_);
+      }
+      if (getSizesList().size() > 0) {
+        output.writeUInt32NoTag(18);
+        output.writeUInt32NoTag(sizesMemoizedSerializedSize);
+      }
+      for (int i = 0; i < sizes_.size(); i++) {
+        output.writeUInt32NoTag(sizes_.getInt(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
 
-    /**
-     * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
-     */
-    java.util.List<org.borageproxy.wire.proto.ControlProtocol.IntentRecord> 
-        getIntentsList();
-    /**
-     * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
-     */
-    org.borageproxy.wire.proto.ControlProtocol.IntentRecord getIntents(int index);
-    /**
-     * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
-     */
-    int getIntentsCount();
-    /**
-     * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
-     */
-    java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.IntentRecordOrBuilder> 
-        getIntentsOrBuilderList();
-    /**
-     * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
-     */
-    org.borageproxy.wire.proto.ControlProtocol.IntentRecordOrBuilder getIntentsOrBuilder(
-        int index);
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
 
-    /**
-     * <code>int64 last_intent_number = 12;</code>
-     * @return The lastIntentNumber.
-     */
-    long getLastIntentNumber();
+      size = 0;
+      if (!names_.isEmpty()) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBytesSize(1, names_);
+      }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < sizes_.size(); i++) {
+          dataSize += com.google.protobuf.CodedOutputStream
+            .computeUInt32SizeNoTag(sizes_.getInt(i));
+        }
+        size += dataSize;
+        if (!getSizesList().isEmpty()) {
+          size += 1;
+          size += com.google.protobuf.CodedOutputStream
+              .computeInt32SizeNoTag(dataSize);
+        }
+        sizesMemoizedSerializedSize = dataSize;
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
 
-    /**
-     * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
-     */
-    java.util.List<org.borageproxy.wire.proto.ControlProtocol.CrashState> 
-        getCrashesList();
-    /**
-     * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
-     */
-    org.borageproxy.wire.proto.ControlProtocol.CrashState getCrashes(int index);
-    /**
-     * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
-     */
-    int getCrashesCount();
-    /**
-     * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
-     */
-    java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.CrashStateOrBuilder> 
-        getCrashesOrBuilderList();
-    /**
-     * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
-     */
-    org.borageproxy.wire.proto.ControlProtocol.CrashStateOrBuilder getCrashesOrBuilder(
-        int index);
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.ChunkList)) {
+        return super.equals(obj);
+      }
+      org.borageproxy.wire.proto.ControlProtocol.ChunkList other = (org.borageproxy.wire.proto.ControlProtocol.ChunkList) obj;
 
-    /**
-     * <code>repeated .borageproxy.control.Item items = 14;</code>
-     */
-    java.util.List<org.borageproxy.wire.proto.ControlProtocol.Item> 
-        getItemsList();
-    /**
-     * <code>repeated .borageproxy.control.Item items = 14;</code>
-     */
-    org.borageproxy.wire.proto.ControlProtocol.Item getItems(int index);
-    /**
-     * <code>repeated .borageproxy.control.Item items = 14;</code>
-     */
-    int getItemsCount();
-    /**
-     * <code>repeated .borageproxy.control.Item items = 14;</code>
-     */
-    java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.ItemOrBuilder> 
-        getItemsOrBuilderList();
-    /**
-     * <code>repeated .borageproxy.control.Item items = 14;</code>
-     */
-    org.borageproxy.wire.proto.ControlProtocol.ItemOrBuilder getItemsOrBuilder(
-        int index);
+      if (!getNames()
+          .equals(other.getNames())) return false;
+      if (!getSizesList()
+          .equals(other.getSizesList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
 
-    /**
-     * <code>uint64 removals_since = 15;</code>
-     * @return The removalsSince.
-     */
-    long getRemovalsSince();
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + NAMES_FIELD_NUMBER;
+      hash = (53 * hash) + getNames().hashCode();
+      if (getSizesCount() > 0) {
+        hash = (37 * hash) + SIZES_FIELD_NUMBER;
+        hash = (53 * hash) + getSizesList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
 
-    /**
-     * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
-     */
-    java.util.List<org.borageproxy.wire.proto.ControlProtocol.StreamRecord> 
-        getStreamsList();
-    /**
-     * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
-     */
-    org.borageproxy.wire.proto.ControlProtocol.StreamRecord getStreams(int index);
-    /**
-     * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
-     */
-    int getStreamsCount();
-    /**
-     * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
-     */
-    java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder> 
-        getStreamsOrBuilderList();
-    /**
-     * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
-     */
-    org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder getStreamsOrBuilder(
-        int index);
-  }
-  /**
-   * Protobuf type {@code borageproxy.control.ControlSnapshot}
-   */
-  public static final class ControlSnapshot extends
-      com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:borageproxy.control.ControlSnapshot)
-      ControlSnapshotOrBuilder {
-  private static final long serialVersionUID = 0L;
-    static {
-      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-        /* major= */ 4,
-        /* minor= */ 34,
-        /* patch= */ 2,
-        /* suffix= */ "",
-        "ControlSnapshot");
+    public static org.borageproxy.wire.proto.ControlProtocol.ChunkList parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
     }
-    // Use ControlSnapshot.newBuilder() to construct.
-    private ControlSnapshot(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-      super(builder);
+    public static org.borageproxy.wire.proto.ControlProtocol.ChunkList parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
     }
-    private ControlSnapshot() {
-      history_ = java.util.Collections.emptyList();
-      keys_ = java.util.Collections.emptyList();
-      changes_ = java.util.Collections.emptyList();
-      replies_ = java.util.Collections.emptyList();
-      claims_ = java.util.Collections.emptyList();
-      leases_ = java.util.Collections.emptyList();
-      intents_ = java.util.Collections.emptyList();
-      crashes_ = java.util.Collections.emptyList();
-      items_ = java.util.Collections.emptyList();
-      streams_ = java.util.Collections.emptyList();
+    public static org.borageproxy.wire.proto.ControlProtocol.ChunkList parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
     }
-
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ControlSnapshot_descriptor;
+    public static org.borageproxy.wire.proto.ControlProtocol.ChunkList parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
     }
-
-    @java.lang.Override
-    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ControlSnapshot_descriptor;
+    public static org.borageproxy.wire.proto.ControlProtocol.ChunkList parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
     }
-
-    @java.lang.Override
-    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ControlSnapshot_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot.class, org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot.Builder.class);
+    public static org.borageproxy.wire.proto.ControlProtocol.ChunkList parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
     }
-
-    public static final int VERSION_FIELD_NUMBER = 1;
-    private long version_ = 0L;
-    /**
-     * <code>uint64 version = 1;</code>
-     * @return The version.
-     */
-    @java.lang.Override
-    public long getVersion() {
-      return version_;
+    public static org.borageproxy.wire.proto.ControlProtocol.ChunkList parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
     }
-
-    public static final int REVISION_FIELD_NUMBER = 2;
-    private long revision_ = 0L;
-    /**
-     * <code>uint64 revision = 2;</code>
-     * @return The revision.
-     */
-    @java.lang.Override
-    public long getRevision() {
-      return revision_;
+    public static org.borageproxy.wire.proto.ControlProtocol.ChunkList parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static final int HISTORY_FIELD_NUMBER = 4;
-    @SuppressWarnings("serial")
-    private java.util.List<org.borageproxy.wire.proto.ControlProtocol.TreeState> history_;
-    /**
-     * <code>repeated .borageproxy.control.TreeState history = 4;</code>
-     */
-    @java.lang.Override
-    public java.util.List<org.borageproxy.wire.proto.ControlProtocol.TreeState> getHistoryList() {
-      return history_;
-    }
-    /**
-     * <code>repeated .borageproxy.control.TreeState history = 4;</code>
-     */
-    @java.lang.Override
-    public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.TreeStateOrBuilder> 
-        getHistoryOrBuilderList() {
-      return history_;
-    }
-    /**
-     * <code>repeated .borageproxy.control.TreeState history = 4;</code>
-     */
-    @java.lang.Override
-    public int getHistoryCount() {
-      return history_.size();
-    }
-    /**
-     * <code>repeated .borageproxy.control.TreeState history = 4;</code>
-     */
-    @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.TreeState getHistory(int index) {
-      return history_.get(index);
-    }
-    /**
-     * <code>repeated .borageproxy.control.TreeState history = 4;</code>
-     */
-    @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.TreeStateOrBuilder getHistoryOrBuilder(
-        int index) {
-      return history_.get(index);
+    public static org.borageproxy.wire.proto.ControlProtocol.ChunkList parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static final int KEYS_FIELD_NUMBER = 5;
-    @SuppressWarnings("serial")
-    private java.util.List<org.borageproxy.wire.proto.ControlProtocol.KeyState> keys_;
-    /**
-     * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
-     */
-    @java.lang.Override
-    public java.util.List<org.borageproxy.wire.proto.ControlProtocol.KeyState> getKeysList() {
-      return keys_;
-    }
-    /**
-     * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
-     */
-    @java.lang.Override
-    public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder> 
-        getKeysOrBuilderList() {
-      return keys_;
-    }
-    /**
-     * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
-     */
-    @java.lang.Override
-    public int getKeysCount() {
-      return keys_.size();
+    public static org.borageproxy.wire.proto.ControlProtocol.ChunkList parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    /**
-     * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
-     */
-    @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.KeyState getKeys(int index) {
-      return keys_.get(index);
+    public static org.borageproxy.wire.proto.ControlProtocol.ChunkList parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
     }
-    /**
-     * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
-     */
-    @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder getKeysOrBuilder(
-        int index) {
-      return keys_.get(index);
+    public static org.borageproxy.wire.proto.ControlProtocol.ChunkList parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static final int CHANGES_FIELD_NUMBER = 6;
-    @SuppressWarnings("serial")
-    private java.util.List<org.borageproxy.wire.proto.ControlProtocol.ChangeState> changes_;
-    /**
-     * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
-     */
-    @java.lang.Override
-    public java.util.List<org.borageproxy.wire.proto.ControlProtocol.ChangeState> getChangesList() {
-      return changes_;
-    }
-    /**
-     * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
-     */
-    @java.lang.Override
-    public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.ChangeStateOrBuilder> 
-        getChangesOrBuilderList() {
-      return changes_;
-    }
-    /**
-     * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
-     */
     @java.lang.Override
-    public int getChangesCount() {
-      return changes_.size();
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
     }
-    /**
-     * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
-     */
-    @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.ChangeState getChanges(int index) {
-      return changes_.get(index);
+    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.ChunkList prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
-    /**
-     * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
-     */
     @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.ChangeStateOrBuilder getChangesOrBuilder(
-        int index) {
-      return changes_.get(index);
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
     }
 
-    public static final int REPLIES_FIELD_NUMBER = 7;
-    @SuppressWarnings("serial")
-    private java.util.List<org.borageproxy.wire.proto.ControlProtocol.RememberedReply> replies_;
-    /**
-     * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
-     */
     @java.lang.Override
-    public java.util.List<org.borageproxy.wire.proto.ControlProtocol.RememberedReply> getRepliesList() {
-      return replies_;
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
     }
     /**
-     * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+     * <pre>
+     * The chunks of a content, in order. A chunk is named by its content, so that it is the same on all VMs.
+     * </pre>
+     *
+     * Protobuf type {@code borageproxy.control.ChunkList}
      */
-    @java.lang.Override
-    public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.RememberedReplyOrBuilder> 
-        getRepliesOrBuilderList() {
-      return replies_;
-    }
-    /**
-     * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
-     */
-    @java.lang.Override
-    public int getRepliesCount() {
-      return replies_.size();
-    }
-    /**
-     * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
-     */
-    @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.RememberedReply getReplies(int index) {
-      return replies_.get(index);
-    }
-    /**
-     * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
-     */
-    @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.RememberedReplyOrBuilder getRepliesOrBuilder(
-        int index) {
-      return replies_.get(index);
-    }
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:borageproxy.control.ChunkList)
+        org.borageproxy.wire.proto.ControlProtocol.ChunkListOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ChunkList_descriptor;
+      }
 
-    public static final int CLAIMS_FIELD_NUMBER = 8;
-    @SuppressWarnings("serial")
-    private java.util.List<org.borageproxy.wire.proto.ControlProtocol.ClaimState> claims_;
-    /**
-     * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
-     */
-    @java.lang.Override
-    public java.util.List<org.borageproxy.wire.proto.ControlProtocol.ClaimState> getClaimsList() {
-      return claims_;
-    }
-    /**
-     * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
-     */
-    @java.lang.Override
-    public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.ClaimStateOrBuilder> 
-        getClaimsOrBuilderList() {
-      return claims_;
-    }
-    /**
-     * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
-     */
-    @java.lang.Override
-    public int getClaimsCount() {
-      return claims_.size();
-    }
-    /**
-     * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
-     */
-    @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.ClaimState getClaims(int index) {
-      return claims_.get(index);
-    }
-    /**
-     * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
-     */
-    @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.ClaimStateOrBuilder getClaimsOrBuilder(
-        int index) {
-      return claims_.get(index);
-    }
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ChunkList_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.borageproxy.wire.proto.ControlProtocol.ChunkList.class, org.borageproxy.wire.proto.ControlProtocol.ChunkList.Builder.class);
+      }
 
-    public static final int LAST_CLAIM_EPOCH_FIELD_NUMBER = 9;
-    private long lastClaimEpoch_ = 0L;
-    /**
-     * <code>int64 last_claim_epoch = 9;</code>
-     * @return The lastClaimEpoch.
-     */
-    @java.lang.Override
-    public long getLastClaimEpoch() {
-      return lastClaimEpoch_;
-    }
+      // Construct using org.borageproxy.wire.proto.ControlProtocol.ChunkList.newBuilder()
+      private Builder() {
 
-    public static final int LEASES_FIELD_NUMBER = 10;
-    @SuppressWarnings("serial")
-    private java.util.List<org.borageproxy.wire.proto.ControlProtocol.LeaseState> leases_;
-    /**
-     * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
-     */
-    @java.lang.Override
-    public java.util.List<org.borageproxy.wire.proto.ControlProtocol.LeaseState> getLeasesList() {
-      return leases_;
-    }
-    /**
-     * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
-     */
-    @java.lang.Override
-    public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.LeaseStateOrBuilder> 
-        getLeasesOrBuilderList() {
-      return leases_;
-    }
-    /**
-     * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
-     */
-    @java.lang.Override
-    public int getLeasesCount() {
-      return leases_.size();
-    }
-    /**
-     * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
-     */
-    @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.LeaseState getLeases(int index) {
-      return leases_.get(index);
-    }
-    /**
-     * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
-     */
-    @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.LeaseStateOrBuilder getLeasesOrBuilder(
-        int index) {
-      return leases_.get(index);
-    }
+      }
 
-    public static final int INTENTS_FIELD_NUMBER = 11;
-    @SuppressWarnings("serial")
-    private java.util.List<org.borageproxy.wire.proto.ControlProtocol.IntentRecord> intents_;
-    /**
-     * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
-     */
-    @java.lang.Override
-    public java.util.List<org.borageproxy.wire.proto.ControlProtocol.IntentRecord> getIntentsList() {
-      return intents_;
-    }
-    /**
-     * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
-     */
-    @java.lang.Override
-    public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.IntentRecordOrBuilder> 
-        getIntentsOrBuilderList() {
-      return intents_;
-    }
-    /**
-     * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
-     */
-    @java.lang.Override
-    public int getIntentsCount() {
-      return intents_.size();
-    }
-    /**
-     * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
-     */
-    @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.IntentRecord getIntents(int index) {
-      return intents_.get(index);
-    }
-    /**
-     * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
-     */
-    @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.IntentRecordOrBuilder getIntentsOrBuilder(
-        int index) {
-      return intents_.get(index);
-    }
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
 
-    public static final int LAST_INTENT_NUMBER_FIELD_NUMBER = 12;
-    private long lastIntentNumber_ = 0L;
-    /**
-     * <code>int64 last_intent_number = 12;</code>
-     * @return The lastIntentNumber.
-     */
-    @java.lang.Override
-    public long getLastIntentNumber() {
-      return lastIntentNumber_;
-    }
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        names_ = com.google.protobuf.ByteString.EMPTY;
+        sizes_ = emptyIntList();
+        return this;
+      }
 
-    public static final int CRASHES_FIELD_NUMBER = 13;
-    @SuppressWarnings("serial")
-    private java.util.List<org.borageproxy.wire.proto.ControlProtocol.CrashState> crashes_;
-    /**
-     * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
-     */
-    @java.lang.Override
-    public java.util.List<org.borageproxy.wire.proto.ControlProtocol.CrashState> getCrashesList() {
-      return crashes_;
-    }
-    /**
-     * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
-     */
-    @java.lang.Override
-    public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.CrashStateOrBuilder> 
-        getCrashesOrBuilderList() {
-      return crashes_;
-    }
-    /**
-     * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
-     */
-    @java.lang.Override
-    public int getCrashesCount() {
-      return crashes_.size();
-    }
-    /**
-     * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
-     */
-    @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.CrashState getCrashes(int index) {
-      return crashes_.get(index);
-    }
-    /**
-     * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
-     */
-    @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.CrashStateOrBuilder getCrashesOrBuilder(
-        int index) {
-      return crashes_.get(index);
-    }
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ChunkList_descriptor;
+      }
 
-    public static final int ITEMS_FIELD_NUMBER = 14;
-    @SuppressWarnings("serial")
-    private java.util.List<org.borageproxy.wire.proto.ControlProtocol.Item> items_;
-    /**
-     * <code>repeated .borageproxy.control.Item items = 14;</code>
-     */
-    @java.lang.Override
-    public java.util.List<org.borageproxy.wire.proto.ControlProtocol.Item> getItemsList() {
-      return items_;
-    }
-    /**
-     * <code>repeated .borageproxy.control.Item items = 14;</code>
-     */
-    @java.lang.Override
-    public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.ItemOrBuilder> 
-        getItemsOrBuilderList() {
-      return items_;
-    }
-    /**
-     * <code>repeated .borageproxy.control.Item items = 14;</code>
-     */
-    @java.lang.Override
-    public int getItemsCount() {
-      return items_.size();
-    }
-    /**
-     * <code>repeated .borageproxy.control.Item items = 14;</code>
-     */
-    @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.Item getItems(int index) {
-      return items_.get(index);
-    }
-    /**
-     * <code>repeated .borageproxy.control.Item items = 14;</code>
-     */
-    @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.ItemOrBuilder getItemsOrBuilder(
-        int index) {
-      return items_.get(index);
-    }
-
-    public static final int REMOVALS_SINCE_FIELD_NUMBER = 15;
-    private long removalsSince_ = 0L;
-    /**
-     * <code>uint64 removals_since = 15;</code>
-     * @return The removalsSince.
-     */
-    @java.lang.Override
-    public long getRemovalsSince() {
-      return removalsSince_;
-    }
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ChunkList getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.ChunkList.getDefaultInstance();
+      }
 
-    public static final int STREAMS_FIELD_NUMBER = 30;
-    @SuppressWarnings("serial")
-    private java.util.List<org.borageproxy.wire.proto.ControlProtocol.StreamRecord> streams_;
-    /**
-     * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
-     */
-    @java.lang.Override
-    public java.util.List<org.borageproxy.wire.proto.ControlProtocol.StreamRecord> getStreamsList() {
-      return streams_;
-    }
-    /**
-     * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
-     */
-    @java.lang.Override
-    public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder> 
-        getStreamsOrBuilderList() {
-      return streams_;
-    }
-    /**
-     * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
-     */
-    @java.lang.Override
-    public int getStreamsCount() {
-      return streams_.size();
-    }
-    /**
-     * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
-     */
-    @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.StreamRecord getStreams(int index) {
-      return streams_.get(index);
-    }
-    /**
-     * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
-     */
-    @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder getStreamsOrBuilder(
-        int index) {
-      return streams_.get(index);
-    }
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ChunkList build() {
+        org.borageproxy.wire.proto.ControlProtocol.ChunkList result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
 
-    private byte memoizedIsInitialized = -1;
-    @java.lang.Override
-    public final boolean isInitialized() {
-      byte isInitialized = memoizedIsInitialized;
-      if (isInitialized == 1) return true;
-      if (isInitialized == 0) return false;
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ChunkList buildPartial() {
+        org.borageproxy.wire.proto.ControlProtocol.ChunkList result = new org.borageproxy.wire.proto.ControlProtocol.ChunkList(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
 
-      memoizedIsInitialized = 1;
-      return true;
-    }
+      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.ChunkList result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.names_ = names_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          sizes_.makeImmutable();
+          result.sizes_ = sizes_;
+        }
+      }
 
-    @java.lang.Override
-    public void writeTo(com.google.protobuf.CodedOutputStream output)
-                        throws java.io.IOException {
-      if (version_ != 0L) {
-        output.writeUInt64(1, version_);
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.ChunkList) {
+          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.ChunkList)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
       }
-      if (revision_ != 0L) {
-        output.writeUInt64(2, revision_);
+
+      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.ChunkList other) {
+        if (other == org.borageproxy.wire.proto.ControlProtocol.ChunkList.getDefaultInstance()) return this;
+        if (!other.getNames().isEmpty()) {
+          setNames(other.getNames());
+        }
+        if (!other.sizes_.isEmpty()) {
+          if (sizes_.isEmpty()) {
+            sizes_ = other.sizes_;
+            sizes_.makeImmutable();
+            bitField0_ |= 0x00000002;
+          } else {
+            ensureSizesIsMutable();
+            sizes_.addAll(other.sizes_);
+          }
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
       }
-      for (int i = 0; i < history_.size(); i++) {
-        output.writeMessage(4, history_.get(i));
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
       }
-      for (int i = 0; i < keys_.size(); i++) {
-        output.writeMessage(5, keys_.get(i));
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                names_ = input.readBytes();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                int v = input.readUInt32();
+                ensureSizesIsMutable();
+                sizes_.addInt(v);
+                break;
+              } // case 16
+              case 18: {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                ensureSizesIsMutable();
+                while (input.getBytesUntilLimit() > 0) {
+                  sizes_.addInt(input.readUInt32());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 18
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
       }
-      for (int i = 0; i < changes_.size(); i++) {
-        output.writeMessage(6, changes_.get(i));
+      private int bitField0_;
+
+      private com.google.protobuf.ByteString names_ = com.google.protobuf.ByteString.EMPTY;
+      /**
+       * <pre>
+       * The names one after the other, 16 bytes each.
+       * </pre>
+       *
+       * <code>bytes names = 1;</code>
+       * @return The names.
+       */
+      @java.lang.Override
+      public com.google.protobuf.ByteString getNames() {
+        return names_;
       }
-      for (int i = 0; i < replies_.size(); i++) {
-        output.writeMessage(7, replies_.get(i));
+      /**
+       * <pre>
+       * The names one after the other, 16 bytes each.
+       * </pre>
+       *
+       * <code>bytes names = 1;</code>
+       * @param value The names to set.
+       * @return This builder for chaining.
+       */
+      public Builder setNames(com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        names_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
       }
-      for (int i = 0; i < claims_.size(); i++) {
-        output.writeMessage(8, claims_.get(i));
+      /**
+       * <pre>
+       * The names one after the other, 16 bytes each.
+       * </pre>
+       *
+       * <code>bytes names = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearNames() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        names_ = getDefaultInstance().getNames();
+        onChanged();
+        return this;
       }
-      if (lastClaimEpoch_ != 0L) {
-        output.writeInt64(9, lastClaimEpoch_);
+
+      private com.google.protobuf.Internal.IntList sizes_ = emptyIntList();
+      private void ensureSizesIsMutable() {
+        if (!sizes_.isModifiable()) {
+          sizes_ = makeMutableCopy(sizes_);
+        }
+        bitField0_ |= 0x00000002;
       }
-      for (int i = 0; i < leases_.size(); i++) {
-        output.writeMessage(10, leases_.get(i));
+      /**
+       * <code>repeated uint32 sizes = 2;</code>
+       * @return A list containing the sizes.
+       */
+      public java.util.List<java.lang.Integer>
+          getSizesList() {
+        sizes_.makeImmutable();
+        return sizes_;
       }
-      for (int i = 0; i < intents_.size(); i++) {
-        output.writeMessage(11, intents_.get(i));
+      /**
+       * <code>repeated uint32 sizes = 2;</code>
+       * @return The count of sizes.
+       */
+      public int getSizesCount() {
+        return sizes_.size();
       }
-      if (lastIntentNumber_ != 0L) {
-        output.writeInt64(12, lastIntentNumber_);
+      /**
+       * <code>repeated uint32 sizes = 2;</code>
+       * @param index The index of the element to return.
+       * @return The sizes at the given index.
+       */
+      public int getSizes(int index) {
+        return sizes_.getInt(index);
       }
-      for (int i = 0; i < crashes_.size(); i++) {
-        output.writeMessage(13, crashes_.get(i));
+      /**
+       * <code>repeated uint32 sizes = 2;</code>
+       * @param index The index to set the value at.
+       * @param value The sizes to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSizes(
+          int index, int value) {
+
+        ensureSizesIsMutable();
+        sizes_.setInt(index, value);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
       }
-      for (int i = 0; i < items_.size(); i++) {
-        output.writeMessage(14, items_.get(i));
+      /**
+       * <code>repeated uint32 sizes = 2;</code>
+       * @param value The sizes to add.
+       * @return This builder for chaining.
+       */
+      public Builder addSizes(int value) {
+
+        ensureSizesIsMutable();
+        sizes_.addInt(value);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
       }
-      if (removalsSince_ != 0L) {
-        output.writeUInt64(15, removalsSince_);
+      /**
+       * <code>repeated uint32 sizes = 2;</code>
+       * @param values The sizes to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllSizes(
+          java.lang.Iterable<? extends java.lang.Integer> values) {
+        ensureSizesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, sizes_);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
       }
-      for (int i = 0; i < streams_.size(); i++) {
-        output.writeMessage(30, streams_.get(i));
+      /**
+       * <code>repeated uint32 sizes = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSizes() {
+        sizes_ = emptyIntList();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
       }
-      getUnknownFields().writeTo(output);
+
+      // @@protoc_insertion_point(builder_scope:borageproxy.control.ChunkList)
     }
 
-    @java.lang.Override
-    public int getSerializedSize() {
-      int size = memoizedSize;
-      if (size != -1) return size;
+    // @@protoc_insertion_point(class_scope:borageproxy.control.ChunkList)
+    private static final org.borageproxy.wire.proto.ControlProtocol.ChunkList DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.ChunkList();
+    }
 
-      size = 0;
-      if (version_ != 0L) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(1, version_);
-      }
-      if (revision_ != 0L) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(2, revision_);
+    public static org.borageproxy.wire.proto.ControlProtocol.ChunkList getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<ChunkList>
+        PARSER = new com.google.protobuf.AbstractParser<ChunkList>() {
+      @java.lang.Override
+      public ChunkList parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
       }
+    };
 
-          {
-            final int count = history_.size();
-            for (int i = 0; i < count; i++) {
-              size += com.google.protobuf.CodedOutputStream
-                .computeMessageSizeNoTag(history_.get(i));
-            }
-            size += 1 * count;
-          }
+    public static com.google.protobuf.Parser<ChunkList> parser() {
+      return PARSER;
+    }
 
-          {
-            final int count = keys_.size();
-            for (int i = 0; i < count; i++) {
-              size += com.google.protobuf.CodedOutputStream
-                .computeMessageSizeNoTag(keys_.get(i));
-            }
-            size += 1 * count;
-          }
+    @java.lang.Override
+    public com.google.protobuf.Parser<ChunkList> getParserForType() {
+      return PARSER;
+    }
 
-          {
-            final int count = changes_.size();
-            for (int i = 0; i < count; i++) {
-              size += com.google.protobuf.CodedOutputStream
-                .computeMessageSizeNoTag(changes_.get(i));
-            }
-            size += 1 * count;
-          }
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.ChunkList getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
 
-          {
-            final int count = replies_.size();
-            for (int i = 0; i < count; i++) {
-              size += com.google.protobuf.CodedOutputStream
-                .computeMessageSizeNoTag(replies_.get(i));
-            }
-            size += 1 * count;
-          }
+  }
 
-          {
-            final int count = claims_.size();
-            for (int i = 0; i < count; i++) {
-              size += com.google.protobuf.CodedOutputStream
-                .computeMessageSizeNoTag(claims_.get(i));
-            }
-            size += 1 * count;
-          }
-      if (lastClaimEpoch_ != 0L) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeInt64Size(9, lastClaimEpoch_);
-      }
+  public interface ChunkOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.control.Chunk)
+      com.google.protobuf.MessageOrBuilder {
 
-          {
-            final int count = leases_.size();
-            for (int i = 0; i < count; i++) {
-              size += com.google.protobuf.CodedOutputStream
-                .computeMessageSizeNoTag(leases_.get(i));
-            }
-            size += 1 * count;
-          }
+    /**
+     * <code>bytes content = 1;</code>
+     * @return The content.
+     */
+    com.google.protobuf.ByteString getContent();
 
-          {
-            final int count = intents_.size();
-            for (int i = 0; i < count; i++) {
-              size += com.google.protobuf.CodedOutputStream
-                .computeMessageSizeNoTag(intents_.get(i));
-            }
-            size += 1 * count;
-          }
-      if (lastIntentNumber_ != 0L) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeInt64Size(12, lastIntentNumber_);
+    /**
+     * <pre>
+     * The size of the content before it was compressed, zero if it is not compressed.
+     * </pre>
+     *
+     * <code>uint32 inflated_size = 2;</code>
+     * @return The inflatedSize.
+     */
+    int getInflatedSize();
+  }
+  /**
+   * Protobuf type {@code borageproxy.control.Chunk}
+   */
+  public static final class Chunk extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:borageproxy.control.Chunk)
+      ChunkOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Chunk");
+    }
+    // Use Chunk.newBuilder() to construct.
+    private Chunk(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private Chunk() {
+      content_ = com.google.protobuf.ByteString.EMPTY;
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Chunk_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Chunk_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Chunk_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.borageproxy.wire.proto.ControlProtocol.Chunk.class, org.borageproxy.wire.proto.ControlProtocol.Chunk.Builder.class);
+    }
+
+    public static final int CONTENT_FIELD_NUMBER = 1;
+    private com.google.protobuf.ByteString content_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <code>bytes content = 1;</code>
+     * @return The content.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getContent() {
+      return content_;
+    }
+
+    public static final int INFLATED_SIZE_FIELD_NUMBER = 2;
+    private int inflatedSize_ = 0;
+    /**
+     * <pre>
+     * The size of the content before it was compressed, zero if it is not compressed.
+     * </pre>
+     *
+     * <code>uint32 inflated_size = 2;</code>
+     * @return The inflatedSize.
+     */
+    @java.lang.Override
+    public int getInflatedSize() {
+      return inflatedSize_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!content_.isEmpty()) {
+        output.writeBytes(1, content_);
+      }
+      if (inflatedSize_ != 0) {
+        output.writeUInt32(2, inflatedSize_);
       }
+      getUnknownFields().writeTo(output);
+    }
 
-          {
-            final int count = crashes_.size();
-            for (int i = 0; i < count; i++) {
-              size += com.google.protobuf.CodedOutputStream
-                .computeMessageSizeNoTag(crashes_.get(i));
-            }
-            size += 1 * count;
-          }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
 
-          {
-            final int count = items_.size();
-            for (int i = 0; i < count; i++) {
-              size += com.google.protobuf.CodedOutputStream
-                .computeMessageSizeNoTag(items_.get(i));
-            }
-            size += 1 * count;
-          }
-      if (removalsSince_ != 0L) {
+      size = 0;
+      if (!content_.isEmpty()) {
         size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(15, removalsSince_);
+          .computeBytesSize(1, content_);
+      }
+      if (inflatedSize_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(2, inflatedSize_);
       }
-
-          {
-            final int count = streams_.size();
-            for (int i = 0; i < count; i++) {
-              size += com.google.protobuf.CodedOutputStream
-                .computeMessageSizeNoTag(streams_.get(i));
-            }
-            size += 2 * count;
-          }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -46585,41 +46685,15 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot)) {
+      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.Chunk)) {
         return super.equals(obj);
       }
-      org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot other = (org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot) obj;
+      org.borageproxy.wire.proto.ControlProtocol.Chunk other = (org.borageproxy.wire.proto.ControlProtocol.Chunk) obj;
 
-      if (getVersion()
-          != other.getVersion()) return false;
-      if (getRevision()
-          != other.getRevision()) return false;
-      if (!getHistoryList()
-          .equals(other.getHistoryList())) return false;
-      if (!getKeysList()
-          .equals(other.getKeysList())) return false;
-      if (!getChangesList()
-          .equals(other.getChangesList())) return false;
-      if (!getRepliesList()
-          .equals(other.getRepliesList())) return false;
-      if (!getClaimsList()
-          .equals(other.getClaimsList())) return false;
-      if (getLastClaimEpoch()
-          != other.getLastClaimEpoch()) return false;
-      if (!getLeasesList()
-          .equals(other.getLeasesList())) return false;
-      if (!getIntentsList()
-          .equals(other.getIntentsList())) return false;
-      if (getLastIntentNumber()
-          != other.getLastIntentNumber()) return false;
-      if (!getCrashesList()
-          .equals(other.getCrashesList())) return false;
-      if (!getItemsList()
-          .equals(other.getItemsList())) return false;
-      if (getRemovalsSince()
-          != other.getRemovalsSince()) return false;
-      if (!getStreamsList()
-          .equals(other.getStreamsList())) return false;
+      if (!getContent()
+          .equals(other.getContent())) return false;
+      if (getInflatedSize()
+          != other.getInflatedSize()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -46631,104 +46705,53 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + VERSION_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getVersion());
-      hash = (37 * hash) + REVISION_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getRevision());
-      if (getHistoryCount() > 0) {
-        hash = (37 * hash) + HISTORY_FIELD_NUMBER;
-        hash = (53 * hash) + getHistoryList().hashCode();
-      }
-      if (getKeysCount() > 0) {
-        hash = (37 * hash) + KEYS_FIELD_NUMBER;
-        hash = (53 * hash) + getKeysList().hashCode();
-      }
-      if (getChangesCount() > 0) {
-        hash = (37 * hash) + CHANGES_FIELD_NUMBER;
-        hash = (53 * hash) + getChangesList().hashCode();
-      }
-      if (getRepliesCount() > 0) {
-        hash = (37 * hash) + REPLIES_FIELD_NUMBER;
-        hash = (53 * hash) + getRepliesList().hashCode();
-      }
-      if (getClaimsCount() > 0) {
-        hash = (37 * hash) + CLAIMS_FIELD_NUMBER;
-        hash = (53 * hash) + getClaimsList().hashCode();
-      }
-      hash = (37 * hash) + LAST_CLAIM_EPOCH_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getLastClaimEpoch());
-      if (getLeasesCount() > 0) {
-        hash = (37 * hash) + LEASES_FIELD_NUMBER;
-        hash = (53 * hash) + getLeasesList().hashCode();
-      }
-      if (getIntentsCount() > 0) {
-        hash = (37 * hash) + INTENTS_FIELD_NUMBER;
-        hash = (53 * hash) + getIntentsList().hashCode();
-      }
-      hash = (37 * hash) + LAST_INTENT_NUMBER_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getLastIntentNumber());
-      if (getCrashesCount() > 0) {
-        hash = (37 * hash) + CRASHES_FIELD_NUMBER;
-        hash = (53 * hash) + getCrashesList().hashCode();
-      }
-      if (getItemsCount() > 0) {
-        hash = (37 * hash) + ITEMS_FIELD_NUMBER;
-        hash = (53 * hash) + getItemsList().hashCode();
-      }
-      hash = (37 * hash) + REMOVALS_SINCE_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getRemovalsSince());
-      if (getStreamsCount() > 0) {
-        hash = (37 * hash) + STREAMS_FIELD_NUMBER;
-        hash = (53 * hash) + getStreamsList().hashCode();
-      }
+      hash = (37 * hash) + CONTENT_FIELD_NUMBER;
+      hash = (53 * hash) + getContent().hashCode();
+      hash = (37 * hash) + INFLATED_SIZE_FIELD_NUMBER;
+      hash = (53 * hash) + getInflatedSize();
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.Chunk parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.Chunk parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.Chunk parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.Chunk parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot parseFrom(byte[] data)
+    public static org.borageproxy.wire.proto.ControlProtocol.Chunk parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.Chunk parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot parseFrom(java.io.InputStream input)
+    public static org.borageproxy.wire.proto.ControlProtocol.Chunk parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.Chunk parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -46736,26 +46759,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot parseDelimitedFrom(java.io.InputStream input)
+    public static org.borageproxy.wire.proto.ControlProtocol.Chunk parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot parseDelimitedFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.Chunk parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.Chunk parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.Chunk parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -46768,7 +46791,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot prototype) {
+    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.Chunk prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -46784,26 +46807,26 @@
       return builder;
     }
     /**
-     * Protobuf type {@code borageproxy.control.ControlSnapshot}
+     * Protobuf type {@code borageproxy.control.Chunk}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:borageproxy.control.ControlSnapshot)
-        org.borageproxy.wire.proto.ControlProtocol.ControlSnapshotOrBuilder {
+        // @@protoc_insertion_point(builder_implements:borageproxy.control.Chunk)
+        org.borageproxy.wire.proto.ControlProtocol.ChunkOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ControlSnapshot_descriptor;
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Chunk_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ControlSnapshot_fieldAccessorTable
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Chunk_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot.class, org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot.Builder.class);
+                org.borageproxy.wire.proto.ControlProtocol.Chunk.class, org.borageproxy.wire.proto.ControlProtocol.Chunk.Builder.class);
       }
 
-      // Construct using org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot.newBuilder()
+      // Construct using org.borageproxy.wire.proto.ControlProtocol.Chunk.newBuilder()
       private Builder() {
 
       }
@@ -46817,98 +46840,25 @@
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        version_ = 0L;
-        revision_ = 0L;
-        if (historyBuilder_ == null) {
-          history_ = java.util.Collections.emptyList();
-        } else {
-          history_ = null;
-          historyBuilder_.clear();
-        }
-        bitField0_ = (bitField0_ & ~0x00000004);
-        if (keysBuilder_ == null) {
-          keys_ = java.util.Collections.emptyList();
-        } else {
-          keys_ = null;
-          keysBuilder_.clear();
-        }
-        bitField0_ = (bitField0_ & ~0x00000008);
-        if (changesBuilder_ == null) {
-          changes_ = java.util.Collections.emptyList();
-        } else {
-          changes_ = null;
-          changesBuilder_.clear();
-        }
-        bitField0_ = (bitField0_ & ~0x00000010);
-        if (repliesBuilder_ == null) {
-          replies_ = java.util.Collections.emptyList();
-        } else {
-          replies_ = null;
-          repliesBuilder_.clear();
-        }
-        bitField0_ = (bitField0_ & ~0x00000020);
-        if (claimsBuilder_ == null) {
-          claims_ = java.util.Collections.emptyList();
-        } else {
-          claims_ = null;
-          claimsBuilder_.clear();
-        }
-        bitField0_ = (bitField0_ & ~0x00000040);
-        lastClaimEpoch_ = 0L;
-        if (leasesBuilder_ == null) {
-          leases_ = java.util.Collections.emptyList();
-        } else {
-          leases_ = null;
-          leasesBuilder_.clear();
-        }
-        bitField0_ = (bitField0_ & ~0x00000100);
-        if (intentsBuilder_ == null) {
-          intents_ = java.util.Collections.emptyList();
-        } else {
-          intents_ = null;
-          intentsBuilder_.clear();
-        }
-        bitField0_ = (bitField0_ & ~0x00000200);
-        lastIntentNumber_ = 0L;
-        if (crashesBuilder_ == null) {
-          crashes_ = java.util.Collections.emptyList();
-        } else {
-          crashes_ = null;
-          crashesBuilder_.clear();
-        }
-        bitField0_ = (bitField0_ & ~0x00000800);
-        if (itemsBuilder_ == null) {
-          items_ = java.util.Collections.emptyList();
-        } else {
-          items_ = null;
-          itemsBuilder_.clear();
-        }
-        bitField0_ = (bitField0_ & ~0x00001000);
-        removalsSince_ = 0L;
-        if (streamsBuilder_ == null) {
-          streams_ = java.util.Collections.emptyList();
-        } else {
-          streams_ = null;
-          streamsBuilder_.clear();
-        }
-        bitField0_ = (bitField0_ & ~0x00004000);
+        content_ = com.google.protobuf.ByteString.EMPTY;
+        inflatedSize_ = 0;
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ControlSnapshot_descriptor;
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Chunk_descriptor;
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot getDefaultInstanceForType() {
-        return org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot.getDefaultInstance();
+      public org.borageproxy.wire.proto.ControlProtocol.Chunk getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.Chunk.getDefaultInstance();
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot build() {
-        org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot result = buildPartial();
+      public org.borageproxy.wire.proto.ControlProtocol.Chunk build() {
+        org.borageproxy.wire.proto.ControlProtocol.Chunk result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
