@@ -46916,3188 +46866,6596 @@
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot buildPartial() {
-        org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot result = new org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot(this);
-        buildPartialRepeatedFields(result);
+      public org.borageproxy.wire.proto.ControlProtocol.Chunk buildPartial() {
+        org.borageproxy.wire.proto.ControlProtocol.Chunk result = new org.borageproxy.wire.proto.ControlProtocol.Chunk(this);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartialRepeatedFields(org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot result) {
-        if (historyBuilder_ == null) {
-          if (((bitField0_ & 0x00000004) != 0)) {
-            history_ = java.util.Collections.unmodifiableList(history_);
-            bitField0_ = (bitField0_ & ~0x00000004);
-          }
-          result.history_ = history_;
-        } else {
-          result.history_ = historyBuilder_.build();
-        }
-        if (keysBuilder_ == null) {
-          if (((bitField0_ & 0x00000008) != 0)) {
-            keys_ = java.util.Collections.unmodifiableList(keys_);
-            bitField0_ = (bitField0_ & ~0x00000008);
-          }
-          result.keys_ = keys_;
-        } else {
-          result.keys_ = keysBuilder_.build();
-        }
-        if (changesBuilder_ == null) {
-          if (((bitField0_ & 0x00000010) != 0)) {
-            changes_ = java.util.Collections.unmodifiableList(changes_);
-            bitField0_ = (bitField0_ & ~0x00000010);
-          }
-          result.changes_ = changes_;
-        } else {
-          result.changes_ = changesBuilder_.build();
+      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.Chunk result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.content_ = content_;
         }
-        if (repliesBuilder_ == null) {
-          if (((bitField0_ & 0x00000020) != 0)) {
-            replies_ = java.util.Collections.unmodifiableList(replies_);
-            bitField0_ = (bitField0_ & ~0x00000020);
-          }
-          result.replies_ = replies_;
-        } else {
-          result.replies_ = repliesBuilder_.build();
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.inflatedSize_ = inflatedSize_;
         }
-        if (claimsBuilder_ == null) {
-          if (((bitField0_ & 0x00000040) != 0)) {
-            claims_ = java.util.Collections.unmodifiableList(claims_);
-            bitField0_ = (bitField0_ & ~0x00000040);
-          }
-          result.claims_ = claims_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.Chunk) {
+          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.Chunk)other);
         } else {
-          result.claims_ = claimsBuilder_.build();
+          super.mergeFrom(other);
+          return this;
         }
-        if (leasesBuilder_ == null) {
-          if (((bitField0_ & 0x00000100) != 0)) {
-            leases_ = java.util.Collections.unmodifiableList(leases_);
-            bitField0_ = (bitField0_ & ~0x00000100);
-          }
-          result.leases_ = leases_;
-        } else {
-          result.leases_ = leasesBuilder_.build();
+      }
+
+      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.Chunk other) {
+        if (other == org.borageproxy.wire.proto.ControlProtocol.Chunk.getDefaultInstance()) return this;
+        if (!other.getContent().isEmpty()) {
+          setContent(other.getContent());
         }
-        if (intentsBuilder_ == null) {
-          if (((bitField0_ & 0x00000200) != 0)) {
-            intents_ = java.util.Collections.unmodifiableList(intents_);
-            bitField0_ = (bitField0_ & ~0x00000200);
-          }
-          result.intents_ = intents_;
-        } else {
-          result.intents_ = intentsBuilder_.build();
+        if (other.getInflatedSize() != 0) {
+          setInflatedSize(other.getInflatedSize());
         }
-        if (crashesBuilder_ == null) {
-          if (((bitField0_ & 0x00000800) != 0)) {
-            crashes_ = java.util.Collections.unmodifiableList(crashes_);
-            bitField0_ = (bitField0_ & ~0x00000800);
-          }
-          result.crashes_ = crashes_;
-        } else {
-          result.crashes_ = crashesBuilder_.build();
-        }
-        if (itemsBuilder_ == null) {
-          if (((bitField0_ & 0x00001000) != 0)) {
-            items_ = java.util.Collections.unmodifiableList(items_);
-            bitField0_ = (bitField0_ & ~0x00001000);
-          }
-          result.items_ = items_;
-        } else {
-          result.items_ = itemsBuilder_.build();
-        }
-        if (streamsBuilder_ == null) {
-          if (((bitField0_ & 0x00004000) != 0)) {
-            streams_ = java.util.Collections.unmodifiableList(streams_);
-            bitField0_ = (bitField0_ & ~0x00004000);
-          }
-          result.streams_ = streams_;
-        } else {
-          result.streams_ = streamsBuilder_.build();
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
         }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                content_ = input.readBytes();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                inflatedSize_ = input.readUInt32();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
       }
+      private int bitField0_;
 
-      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot result) {
-        int from_bitField0_ = bitField0_;
-        if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.version_ = version_;
-        }
-        if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.revision_ = revision_;
-        }
-        if (((from_bitField0_ & 0x00000080) != 0)) {
-          result.lastClaimEpoch_ = lastClaimEpoch_;
-        }
-        if (((from_bitField0_ & 0x00000400) != 0)) {
-          result.lastIntentNumber_ = lastIntentNumber_;
-        }
-        if (((from_bitField0_ & 0x00002000) != 0)) {
-          result.removalsSince_ = removalsSince_;
-        }
+      private com.google.protobuf.ByteString content_ = com.google.protobuf.ByteString.EMPTY;
+      /**
+       * <code>bytes content = 1;</code>
+       * @return The content.
+       */
+      @java.lang.Override
+      public com.google.protobuf.ByteString getContent() {
+        return content_;
+      }
+      /**
+       * <code>bytes content = 1;</code>
+       * @param value The content to set.
+       * @return This builder for chaining.
+       */
+      public Builder setContent(com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        content_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bytes content = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearContent() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        content_ = getDefaultInstance().getContent();
+        onChanged();
+        return this;
       }
 
+      private int inflatedSize_ ;
+      /**
+       * <pre>
+       * The size of the content before it was compressed, zero if it is not compressed.
+       * </pre>
+       *
+       * <code>uint32 inflated_size = 2;</code>
+       * @return The inflatedSize.
+       */
       @java.lang.Override
-      public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot) {
-          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot)other);
-        } else {
-          super.mergeFrom(other);
-          return this;
-        }
+      public int getInflatedSize() {
+        return inflatedSize_;
       }
+      /**
+       * <pre>
+       * The size of the content before it was compressed, zero if it is not compressed.
+       * </pre>
+       *
+       * <code>uint32 inflated_size = 2;</code>
+       * @param value The inflatedSize to set.
+       * @return This builder for chaining.
+       */
+      public Builder setInflatedSize(int value) {
 
-      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot other) {
-        if (other == org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot.getDefaultInstance()) return this;
-        if (other.getVersion() != 0L) {
-          setVersion(other.getVersion());
-        }
-        if (other.getRevision() != 0L) {
-          setRevision(other.getRevision());
-        }
-        if (historyBuilder_ == null) {
-          if (!other.history_.isEmpty()) {
-            if (history_.isEmpty()) {
-              history_ = other.history_;
-              bitField0_ = (bitField0_ & ~0x00000004);
-            } else {
-              ensureHistoryIsMutable();
-              history_.addAll(other.history_);
-            }
-            onChanged();
-          }
-        } else {
-          if (!other.history_.isEmpty()) {
-            if (historyBuilder_.isEmpty()) {
-              historyBuilder_.dispose();
-              historyBuilder_ = null;
-              history_ = other.history_;
-              bitField0_ = (bitField0_ & ~0x00000004);
-              historyBuilder_ = 
-                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                   internalGetHistoryFieldBuilder() : null;
-            } else {
-              historyBuilder_.addAllMessages(other.history_);
-            }
-          }
-        }
-        if (keysBuilder_ == null) {
-          if (!other.keys_.isEmpty()) {
-            if (keys_.isEmpty()) {
-              keys_ = other.keys_;
-              bitField0_ = (bitField0_ & ~0x00000008);
-            } else {
-              ensureKeysIsMutable();
-              keys_.addAll(other.keys_);
-            }
-            onChanged();
-          }
-        } else {
-          if (!other.keys_.isEmpty()) {
-            if (keysBuilder_.isEmpty()) {
-              keysBuilder_.dispose();
-              keysBuilder_ = null;
-              keys_ = other.keys_;
-              bitField0_ = (bitField0_ & ~0x00000008);
-              keysBuilder_ = 
-                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                   internalGetKeysFieldBuilder() : null;
-            } else {
-              keysBuilder_.addAllMessages(other.keys_);
-            }
-          }
-        }
-        if (changesBuilder_ == null) {
-          if (!other.changes_.isEmpty()) {
-            if (changes_.isEmpty()) {
-              changes_ = other.changes_;
-              bitField0_ = (bitField0_ & ~0x00000010);
-            } else {
-              ensureChangesIsMutable();
-              changes_.addAll(other.changes_);
-            }
-            onChanged();
-          }
-        } else {
-          if (!other.changes_.isEmpty()) {
-            if (changesBuilder_.isEmpty()) {
-              changesBuilder_.dispose();
-              changesBuilder_ = null;
-              changes_ = other.changes_;
-              bitField0_ = (bitField0_ & ~0x00000010);
-              changesBuilder_ = 
-                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                   internalGetChangesFieldBuilder() : null;
-            } else {
-              changesBuilder_.addAllMessages(other.changes_);
-            }
-          }
+        inflatedSize_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The size of the content before it was compressed, zero if it is not compressed.
+       * </pre>
+       *
+       * <code>uint32 inflated_size = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearInflatedSize() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        inflatedSize_ = 0;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:borageproxy.control.Chunk)
+    }
+
+    // @@protoc_insertion_point(class_scope:borageproxy.control.Chunk)
+    private static final org.borageproxy.wire.proto.ControlProtocol.Chunk DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.Chunk();
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.Chunk getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Chunk>
+        PARSER = new com.google.protobuf.AbstractParser<Chunk>() {
+      @java.lang.Override
+      public Chunk parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
         }
-        if (repliesBuilder_ == null) {
-          if (!other.replies_.isEmpty()) {
-            if (replies_.isEmpty()) {
-              replies_ = other.replies_;
-              bitField0_ = (bitField0_ & ~0x00000020);
-            } else {
-              ensureRepliesIsMutable();
-              replies_.addAll(other.replies_);
-            }
-            onChanged();
-          }
-        } else {
-          if (!other.replies_.isEmpty()) {
-            if (repliesBuilder_.isEmpty()) {
-              repliesBuilder_.dispose();
-              repliesBuilder_ = null;
-              replies_ = other.replies_;
-              bitField0_ = (bitField0_ & ~0x00000020);
-              repliesBuilder_ = 
-                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                   internalGetRepliesFieldBuilder() : null;
-            } else {
-              repliesBuilder_.addAllMessages(other.replies_);
-            }
-          }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Chunk> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Chunk> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.Chunk getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface ControlSnapshotOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.control.ControlSnapshot)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>uint64 version = 1;</code>
+     * @return The version.
+     */
+    long getVersion();
+
+    /**
+     * <code>uint64 revision = 2;</code>
+     * @return The revision.
+     */
+    long getRevision();
+
+    /**
+     * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+     */
+    java.util.List<org.borageproxy.wire.proto.ControlProtocol.TreeState> 
+        getHistoryList();
+    /**
+     * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.TreeState getHistory(int index);
+    /**
+     * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+     */
+    int getHistoryCount();
+    /**
+     * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+     */
+    java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.TreeStateOrBuilder> 
+        getHistoryOrBuilderList();
+    /**
+     * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.TreeStateOrBuilder getHistoryOrBuilder(
+        int index);
+
+    /**
+     * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+     */
+    java.util.List<org.borageproxy.wire.proto.ControlProtocol.KeyState> 
+        getKeysList();
+    /**
+     * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.KeyState getKeys(int index);
+    /**
+     * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+     */
+    int getKeysCount();
+    /**
+     * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+     */
+    java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder> 
+        getKeysOrBuilderList();
+    /**
+     * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder getKeysOrBuilder(
+        int index);
+
+    /**
+     * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+     */
+    java.util.List<org.borageproxy.wire.proto.ControlProtocol.ChangeState> 
+        getChangesList();
+    /**
+     * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ChangeState getChanges(int index);
+    /**
+     * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+     */
+    int getChangesCount();
+    /**
+     * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+     */
+    java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.ChangeStateOrBuilder> 
+        getChangesOrBuilderList();
+    /**
+     * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ChangeStateOrBuilder getChangesOrBuilder(
+        int index);
+
+    /**
+     * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+     */
+    java.util.List<org.borageproxy.wire.proto.ControlProtocol.RememberedReply> 
+        getRepliesList();
+    /**
+     * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.RememberedReply getReplies(int index);
+    /**
+     * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+     */
+    int getRepliesCount();
+    /**
+     * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+     */
+    java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.RememberedReplyOrBuilder> 
+        getRepliesOrBuilderList();
+    /**
+     * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.RememberedReplyOrBuilder getRepliesOrBuilder(
+        int index);
+
+    /**
+     * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
+     */
+    java.util.List<org.borageproxy.wire.proto.ControlProtocol.ClaimState> 
+        getClaimsList();
+    /**
+     * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ClaimState getClaims(int index);
+    /**
+     * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
+     */
+    int getClaimsCount();
+    /**
+     * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
+     */
+    java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.ClaimStateOrBuilder> 
+        getClaimsOrBuilderList();
+    /**
+     * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ClaimStateOrBuilder getClaimsOrBuilder(
+        int index);
+
+    /**
+     * <code>int64 last_claim_epoch = 9;</code>
+     * @return The lastClaimEpoch.
+     */
+    long getLastClaimEpoch();
+
+    /**
+     * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
+     */
+    java.util.List<org.borageproxy.wire.proto.ControlProtocol.LeaseState> 
+        getLeasesList();
+    /**
+     * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.LeaseState getLeases(int index);
+    /**
+     * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
+     */
+    int getLeasesCount();
+    /**
+     * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
+     */
+    java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.LeaseStateOrBuilder> 
+        getLeasesOrBuilderList();
+    /**
+     * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.LeaseStateOrBuilder getLeasesOrBuilder(
+        int index);
+
+    /**
+     * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
+     */
+    java.util.List<org.borageproxy.wire.proto.ControlProtocol.IntentRecord> 
+        getIntentsList();
+    /**
+     * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.IntentRecord getIntents(int index);
+    /**
+     * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
+     */
+    int getIntentsCount();
+    /**
+     * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
+     */
+    java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.IntentRecordOrBuilder> 
+        getIntentsOrBuilderList();
+    /**
+     * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.IntentRecordOrBuilder getIntentsOrBuilder(
+        int index);
+
+    /**
+     * <code>int64 last_intent_number = 12;</code>
+     * @return The lastIntentNumber.
+     */
+    long getLastIntentNumber();
+
+    /**
+     * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
+     */
+    java.util.List<org.borageproxy.wire.proto.ControlProtocol.CrashState> 
+        getCrashesList();
+    /**
+     * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.CrashState getCrashes(int index);
+    /**
+     * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
+     */
+    int getCrashesCount();
+    /**
+     * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
+     */
+    java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.CrashStateOrBuilder> 
+        getCrashesOrBuilderList();
+    /**
+     * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.CrashStateOrBuilder getCrashesOrBuilder(
+        int index);
+
+    /**
+     * <code>repeated .borageproxy.control.Item items = 14;</code>
+     */
+    java.util.List<org.borageproxy.wire.proto.ControlProtocol.Item> 
+        getItemsList();
+    /**
+     * <code>repeated .borageproxy.control.Item items = 14;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.Item getItems(int index);
+    /**
+     * <code>repeated .borageproxy.control.Item items = 14;</code>
+     */
+    int getItemsCount();
+    /**
+     * <code>repeated .borageproxy.control.Item items = 14;</code>
+     */
+    java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.ItemOrBuilder> 
+        getItemsOrBuilderList();
+    /**
+     * <code>repeated .borageproxy.control.Item items = 14;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ItemOrBuilder getItemsOrBuilder(
+        int index);
+
+    /**
+     * <code>uint64 removals_since = 15;</code>
+     * @return The removalsSince.
+     */
+    long getRemovalsSince();
+
+    /**
+     * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+     */
+    java.util.List<org.borageproxy.wire.proto.ControlProtocol.StreamRecord> 
+        getStreamsList();
+    /**
+     * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.StreamRecord getStreams(int index);
+    /**
+     * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+     */
+    int getStreamsCount();
+    /**
+     * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+     */
+    java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder> 
+        getStreamsOrBuilderList();
+    /**
+     * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder getStreamsOrBuilder(
+        int index);
+  }
+  /**
+   * Protobuf type {@code borageproxy.control.ControlSnapshot}
+   */
+  public static final class ControlSnapshot extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:borageproxy.control.ControlSnapshot)
+      ControlSnapshotOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "ControlSnapshot");
+    }
+    // Use ControlSnapshot.newBuilder() to construct.
+    private ControlSnapshot(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private ControlSnapshot() {
+      history_ = java.util.Collections.emptyList();
+      keys_ = java.util.Collections.emptyList();
+      changes_ = java.util.Collections.emptyList();
+      replies_ = java.util.Collections.emptyList();
+      claims_ = java.util.Collections.emptyList();
+      leases_ = java.util.Collections.emptyList();
+      intents_ = java.util.Collections.emptyList();
+      crashes_ = java.util.Collections.emptyList();
+      items_ = java.util.Collections.emptyList();
+      streams_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ControlSnapshot_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ControlSnapshot_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ControlSnapshot_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot.class, org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot.Builder.class);
+    }
+
+    public static final int VERSION_FIELD_NUMBER = 1;
+    private long version_ = 0L;
+    /**
+     * <code>uint64 version = 1;</code>
+     * @return The version.
+     */
+    @java.lang.Override
+    public long getVersion() {
+      return version_;
+    }
+
+    public static final int REVISION_FIELD_NUMBER = 2;
+    private long revision_ = 0L;
+    /**
+     * <code>uint64 revision = 2;</code>
+     * @return The revision.
+     */
+    @java.lang.Override
+    public long getRevision() {
+      return revision_;
+    }
+
+    public static final int HISTORY_FIELD_NUMBER = 4;
+    @SuppressWarnings("serial")
+    private java.util.List<org.borageproxy.wire.proto.ControlProtocol.TreeState> history_;
+    /**
+     * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.borageproxy.wire.proto.ControlProtocol.TreeState> getHistoryList() {
+      return history_;
+    }
+    /**
+     * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.TreeStateOrBuilder> 
+        getHistoryOrBuilderList() {
+      return history_;
+    }
+    /**
+     * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+     */
+    @java.lang.Override
+    public int getHistoryCount() {
+      return history_.size();
+    }
+    /**
+     * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.TreeState getHistory(int index) {
+      return history_.get(index);
+    }
+    /**
+     * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.TreeStateOrBuilder getHistoryOrBuilder(
+        int index) {
+      return history_.get(index);
+    }
+
+    public static final int KEYS_FIELD_NUMBER = 5;
+    @SuppressWarnings("serial")
+    private java.util.List<org.borageproxy.wire.proto.ControlProtocol.KeyState> keys_;
+    /**
+     * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.borageproxy.wire.proto.ControlProtocol.KeyState> getKeysList() {
+      return keys_;
+    }
+    /**
+     * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder> 
+        getKeysOrBuilderList() {
+      return keys_;
+    }
+    /**
+     * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+     */
+    @java.lang.Override
+    public int getKeysCount() {
+      return keys_.size();
+    }
+    /**
+     * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.KeyState getKeys(int index) {
+      return keys_.get(index);
+    }
+    /**
+     * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder getKeysOrBuilder(
+        int index) {
+      return keys_.get(index);
+    }
+
+    public static final int CHANGES_FIELD_NUMBER = 6;
+    @SuppressWarnings("serial")
+    private java.util.List<org.borageproxy.wire.proto.ControlProtocol.ChangeState> changes_;
+    /**
+     * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.borageproxy.wire.proto.ControlProtocol.ChangeState> getChangesList() {
+      return changes_;
+    }
+    /**
+     * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.ChangeStateOrBuilder> 
+        getChangesOrBuilderList() {
+      return changes_;
+    }
+    /**
+     * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+     */
+    @java.lang.Override
+    public int getChangesCount() {
+      return changes_.size();
+    }
+    /**
+     * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.ChangeState getChanges(int index) {
+      return changes_.get(index);
+    }
+    /**
+     * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.ChangeStateOrBuilder getChangesOrBuilder(
+        int index) {
+      return changes_.get(index);
+    }
+
+    public static final int REPLIES_FIELD_NUMBER = 7;
+    @SuppressWarnings("serial")
+    private java.util.List<org.borageproxy.wire.proto.ControlProtocol.RememberedReply> replies_;
+    /**
+     * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.borageproxy.wire.proto.ControlProtocol.RememberedReply> getRepliesList() {
+      return replies_;
+    }
+    /**
+     * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.RememberedReplyOrBuilder> 
+        getRepliesOrBuilderList() {
+      return replies_;
+    }
+    /**
+     * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+     */
+    @java.lang.Override
+    public int getRepliesCount() {
+      return replies_.size();
+    }
+    /**
+     * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.RememberedReply getReplies(int index) {
+      return replies_.get(index);
+    }
+    /**
+     * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.RememberedReplyOrBuilder getRepliesOrBuilder(
+        int index) {
+      return replies_.get(index);
+    }
+
+    public static final int CLAIMS_FIELD_NUMBER = 8;
+    @SuppressWarnings("serial")
+    private java.util.List<org.borageproxy.wire.proto.ControlProtocol.ClaimState> claims_;
+    /**
+     * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.borageproxy.wire.proto.ControlProtocol.ClaimState> getClaimsList() {
+      return claims_;
+    }
+    /**
+     * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.ClaimStateOrBuilder> 
+        getClaimsOrBuilderList() {
+      return claims_;
+    }
+    /**
+     * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
+     */
+    @java.lang.Override
+    public int getClaimsCount() {
+      return claims_.size();
+    }
+    /**
+     * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.ClaimState getClaims(int index) {
+      return claims_.get(index);
+    }
+    /**
+     * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.ClaimStateOrBuilder getClaimsOrBuilder(
+        int index) {
+      return claims_.get(index);
+    }
+
+    public static final int LAST_CLAIM_EPOCH_FIELD_NUMBER = 9;
+    private long lastClaimEpoch_ = 0L;
+    /**
+     * <code>int64 last_claim_epoch = 9;</code>
+     * @return The lastClaimEpoch.
+     */
+    @java.lang.Override
+    public long getLastClaimEpoch() {
+      return lastClaimEpoch_;
+    }
+
+    public static final int LEASES_FIELD_NUMBER = 10;
+    @SuppressWarnings("serial")
+    private java.util.List<org.borageproxy.wire.proto.ControlProtocol.LeaseState> leases_;
+    /**
+     * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.borageproxy.wire.proto.ControlProtocol.LeaseState> getLeasesList() {
+      return leases_;
+    }
+    /**
+     * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.LeaseStateOrBuilder> 
+        getLeasesOrBuilderList() {
+      return leases_;
+    }
+    /**
+     * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
+     */
+    @java.lang.Override
+    public int getLeasesCount() {
+      return leases_.size();
+    }
+    /**
+     * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.LeaseState getLeases(int index) {
+      return leases_.get(index);
+    }
+    /**
+     * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.LeaseStateOrBuilder getLeasesOrBuilder(
+        int index) {
+      return leases_.get(index);
+    }
+
+    public static final int INTENTS_FIELD_NUMBER = 11;
+    @SuppressWarnings("serial")
+    private java.util.List<org.borageproxy.wire.proto.ControlProtocol.IntentRecord> intents_;
+    /**
+     * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.borageproxy.wire.proto.ControlProtocol.IntentRecord> getIntentsList() {
+      return intents_;
+    }
+    /**
+     * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.IntentRecordOrBuilder> 
+        getIntentsOrBuilderList() {
+      return intents_;
+    }
+    /**
+     * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
+     */
+    @java.lang.Override
+    public int getIntentsCount() {
+      return intents_.size();
+    }
+    /**
+     * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.IntentRecord getIntents(int index) {
+      return intents_.get(index);
+    }
+    /**
+     * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.IntentRecordOrBuilder getIntentsOrBuilder(
+        int index) {
+      return intents_.get(index);
+    }
+
+    public static final int LAST_INTENT_NUMBER_FIELD_NUMBER = 12;
+    private long lastIntentNumber_ = 0L;
+    /**
+     * <code>int64 last_intent_number = 12;</code>
+     * @return The lastIntentNumber.
+     */
+    @java.lang.Override
+    public long getLastIntentNumber() {
+      return lastIntentNumber_;
+    }
+
+    public static final int CRASHES_FIELD_NUMBER = 13;
+    @SuppressWarnings("serial")
+    private java.util.List<org.borageproxy.wire.proto.ControlProtocol.CrashState> crashes_;
+    /**
+     * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.borageproxy.wire.proto.ControlProtocol.CrashState> getCrashesList() {
+      return crashes_;
+    }
+    /**
+     * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.CrashStateOrBuilder> 
+        getCrashesOrBuilderList() {
+      return crashes_;
+    }
+    /**
+     * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
+     */
+    @java.lang.Override
+    public int getCrashesCount() {
+      return crashes_.size();
+    }
+    /**
+     * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.CrashState getCrashes(int index) {
+      return crashes_.get(index);
+    }
+    /**
+     * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.CrashStateOrBuilder getCrashesOrBuilder(
+        int index) {
+      return crashes_.get(index);
+    }
+
+    public static final int ITEMS_FIELD_NUMBER = 14;
+    @SuppressWarnings("serial")
+    private java.util.List<org.borageproxy.wire.proto.ControlProtocol.Item> items_;
+    /**
+     * <code>repeated .borageproxy.control.Item items = 14;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.borageproxy.wire.proto.ControlProtocol.Item> getItemsList() {
+      return items_;
+    }
+    /**
+     * <code>repeated .borageproxy.control.Item items = 14;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.ItemOrBuilder> 
+        getItemsOrBuilderList() {
+      return items_;
+    }
+    /**
+     * <code>repeated .borageproxy.control.Item items = 14;</code>
+     */
+    @java.lang.Override
+    public int getItemsCount() {
+      return items_.size();
+    }
+    /**
+     * <code>repeated .borageproxy.control.Item items = 14;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.Item getItems(int index) {
+      return items_.get(index);
+    }
+    /**
+     * <code>repeated .borageproxy.control.Item items = 14;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.ItemOrBuilder getItemsOrBuilder(
+        int index) {
+      return items_.get(index);
+    }
+
+    public static final int REMOVALS_SINCE_FIELD_NUMBER = 15;
+    private long removalsSince_ = 0L;
+    /**
+     * <code>uint64 removals_since = 15;</code>
+     * @return The removalsSince.
+     */
+    @java.lang.Override
+    public long getRemovalsSince() {
+      return removalsSince_;
+    }
+
+    public static final int STREAMS_FIELD_NUMBER = 30;
+    @SuppressWarnings("serial")
+    private java.util.List<org.borageproxy.wire.proto.ControlProtocol.StreamRecord> streams_;
+    /**
+     * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.borageproxy.wire.proto.ControlProtocol.StreamRecord> getStreamsList() {
+      return streams_;
+    }
+    /**
+     * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder> 
+        getStreamsOrBuilderList() {
+      return streams_;
+    }
+    /**
+     * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+     */
+    @java.lang.Override
+    public int getStreamsCount() {
+      return streams_.size();
+    }
+    /**
+     * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.StreamRecord getStreams(int index) {
+      return streams_.get(index);
+    }
+    /**
+     * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder getStreamsOrBuilder(
+        int index) {
+      return streams_.get(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (version_ != 0L) {
+        output.writeUInt64(1, version_);
+      }
+      if (revision_ != 0L) {
+        output.writeUInt64(2, revision_);
+      }
+      for (int i = 0; i < history_.size(); i++) {
+        output.writeMessage(4, history_.get(i));
+      }
+      for (int i = 0; i < keys_.size(); i++) {
+        output.writeMessage(5, keys_.get(i));
+      }
+      for (int i = 0; i < changes_.size(); i++) {
+        output.writeMessage(6, changes_.get(i));
+      }
+      for (int i = 0; i < replies_.size(); i++) {
+        output.writeMessage(7, replies_.get(i));
+      }
+      for (int i = 0; i < claims_.size(); i++) {
+        output.writeMessage(8, claims_.get(i));
+      }
+      if (lastClaimEpoch_ != 0L) {
+        output.writeInt64(9, lastClaimEpoch_);
+      }
+      for (int i = 0; i < leases_.size(); i++) {
+        output.writeMessage(10, leases_.get(i));
+      }
+      for (int i = 0; i < intents_.size(); i++) {
+        output.writeMessage(11, intents_.get(i));
+      }
+      if (lastIntentNumber_ != 0L) {
+        output.writeInt64(12, lastIntentNumber_);
+      }
+      for (int i = 0; i < crashes_.size(); i++) {
+        output.writeMessage(13, crashes_.get(i));
+      }
+      for (int i = 0; i < items_.size(); i++) {
+        output.writeMessage(14, items_.get(i));
+      }
+      if (removalsSince_ != 0L) {
+        output.writeUInt64(15, removalsSince_);
+      }
+      for (int i = 0; i < streams_.size(); i++) {
+        output.writeMessage(30, streams_.get(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (version_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(1, version_);
+      }
+      if (revision_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, revision_);
+      }
+
+          {
+            final int count = history_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(history_.get(i));
+            }
+            size += 1 * count;
+          }
+
+          {
+            final int count = keys_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(keys_.get(i));
+            }
+            size += 1 * count;
+          }
+
+          {
+            final int count = changes_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(changes_.get(i));
+            }
+            size += 1 * count;
+          }
+
+          {
+            final int count = replies_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(replies_.get(i));
+            }
+            size += 1 * count;
+          }
+
+          {
+            final int count = claims_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(claims_.get(i));
+            }
+            size += 1 * count;
+          }
+      if (lastClaimEpoch_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(9, lastClaimEpoch_);
+      }
+
+          {
+            final int count = leases_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(leases_.get(i));
+            }
+            size += 1 * count;
+          }
+
+          {
+            final int count = intents_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(intents_.get(i));
+            }
+            size += 1 * count;
+          }
+      if (lastIntentNumber_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(12, lastIntentNumber_);
+      }
+
+          {
+            final int count = crashes_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(crashes_.get(i));
+            }
+            size += 1 * count;
+          }
+
+          {
+            final int count = items_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(items_.get(i));
+            }
+            size += 1 * count;
+          }
+      if (removalsSince_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(15, removalsSince_);
+      }
+
+          {
+            final int count = streams_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(streams_.get(i));
+            }
+            size += 2 * count;
+          }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot)) {
+        return super.equals(obj);
+      }
+      org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot other = (org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot) obj;
+
+      if (getVersion()
+          != other.getVersion()) return false;
+      if (getRevision()
+          != other.getRevision()) return false;
+      if (!getHistoryList()
+          .equals(other.getHistoryList())) return false;
+      if (!getKeysList()
+          .equals(other.getKeysList())) return false;
+      if (!getChangesList()
+          .equals(other.getChangesList())) return false;
+      if (!getRepliesList()
+          .equals(other.getRepliesList())) return false;
+      if (!getClaimsList()
+          .equals(other.getClaimsList())) return false;
+      if (getLastClaimEpoch()
+          != other.getLastClaimEpoch()) return false;
+      if (!getLeasesList()
+          .equals(other.getLeasesList())) return false;
+      if (!getIntentsList()
+          .equals(other.getIntentsList())) return false;
+      if (getLastIntentNumber()
+          != other.getLastIntentNumber()) return false;
+      if (!getCrashesList()
+          .equals(other.getCrashesList())) return false;
+      if (!getItemsList()
+          .equals(other.getItemsList())) return false;
+      if (getRemovalsSince()
+          != other.getRemovalsSince()) return false;
+      if (!getStreamsList()
+          .equals(other.getStreamsList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + VERSION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getVersion());
+      hash = (37 * hash) + REVISION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRevision());
+      if (getHistoryCount() > 0) {
+        hash = (37 * hash) + HISTORY_FIELD_NUMBER;
+        hash = (53 * hash) + getHistoryList().hashCode();
+      }
+      if (getKeysCount() > 0) {
+        hash = (37 * hash) + KEYS_FIELD_NUMBER;
+        hash = (53 * hash) + getKeysList().hashCode();
+      }
+      if (getChangesCount() > 0) {
+        hash = (37 * hash) + CHANGES_FIELD_NUMBER;
+        hash = (53 * hash) + getChangesList().hashCode();
+      }
+      if (getRepliesCount() > 0) {
+        hash = (37 * hash) + REPLIES_FIELD_NUMBER;
+        hash = (53 * hash) + getRepliesList().hashCode();
+      }
+      if (getClaimsCount() > 0) {
+        hash = (37 * hash) + CLAIMS_FIELD_NUMBER;
+        hash = (53 * hash) + getClaimsList().hashCode();
+      }
+      hash = (37 * hash) + LAST_CLAIM_EPOCH_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getLastClaimEpoch());
+      if (getLeasesCount() > 0) {
+        hash = (37 * hash) + LEASES_FIELD_NUMBER;
+        hash = (53 * hash) + getLeasesList().hashCode();
+      }
+      if (getIntentsCount() > 0) {
+        hash = (37 * hash) + INTENTS_FIELD_NUMBER;
+        hash = (53 * hash) + getIntentsList().hashCode();
+      }
+      hash = (37 * hash) + LAST_INTENT_NUMBER_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getLastIntentNumber());
+      if (getCrashesCount() > 0) {
+        hash = (37 * hash) + CRASHES_FIELD_NUMBER;
+        hash = (53 * hash) + getCrashesList().hashCode();
+      }
+      if (getItemsCount() > 0) {
+        hash = (37 * hash) + ITEMS_FIELD_NUMBER;
+        hash = (53 * hash) + getItemsList().hashCode();
+      }
+      hash = (37 * hash) + REMOVALS_SINCE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRemovalsSince());
+      if (getStreamsCount() > 0) {
+        hash = (37 * hash) + STREAMS_FIELD_NUMBER;
+        hash = (53 * hash) + getStreamsList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code borageproxy.control.ControlSnapshot}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:borageproxy.control.ControlSnapshot)
+        org.borageproxy.wire.proto.ControlProtocol.ControlSnapshotOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ControlSnapshot_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ControlSnapshot_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot.class, org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot.Builder.class);
+      }
+
+      // Construct using org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        version_ = 0L;
+        revision_ = 0L;
+        if (historyBuilder_ == null) {
+          history_ = java.util.Collections.emptyList();
+        } else {
+          history_ = null;
+          historyBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000004);
+        if (keysBuilder_ == null) {
+          keys_ = java.util.Collections.emptyList();
+        } else {
+          keys_ = null;
+          keysBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000008);
+        if (changesBuilder_ == null) {
+          changes_ = java.util.Collections.emptyList();
+        } else {
+          changes_ = null;
+          changesBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000010);
+        if (repliesBuilder_ == null) {
+          replies_ = java.util.Collections.emptyList();
+        } else {
+          replies_ = null;
+          repliesBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000020);
+        if (claimsBuilder_ == null) {
+          claims_ = java.util.Collections.emptyList();
+        } else {
+          claims_ = null;
+          claimsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000040);
+        lastClaimEpoch_ = 0L;
+        if (leasesBuilder_ == null) {
+          leases_ = java.util.Collections.emptyList();
+        } else {
+          leases_ = null;
+          leasesBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000100);
+        if (intentsBuilder_ == null) {
+          intents_ = java.util.Collections.emptyList();
+        } else {
+          intents_ = null;
+          intentsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000200);
+        lastIntentNumber_ = 0L;
+        if (crashesBuilder_ == null) {
+          crashes_ = java.util.Collections.emptyList();
+        } else {
+          crashes_ = null;
+          crashesBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000800);
+        if (itemsBuilder_ == null) {
+          items_ = java.util.Collections.emptyList();
+        } else {
+          items_ = null;
+          itemsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00001000);
+        removalsSince_ = 0L;
+        if (streamsBuilder_ == null) {
+          streams_ = java.util.Collections.emptyList();
+        } else {
+          streams_ = null;
+          streamsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00004000);
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ControlSnapshot_descriptor;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot build() {
+        org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot buildPartial() {
+        org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot result = new org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot result) {
+        if (historyBuilder_ == null) {
+          if (((bitField0_ & 0x00000004) != 0)) {
+            history_ = java.util.Collections.unmodifiableList(history_);
+            bitField0_ = (bitField0_ & ~0x00000004);
+          }
+          result.history_ = history_;
+        } else {
+          result.history_ = historyBuilder_.build();
+        }
+        if (keysBuilder_ == null) {
+          if (((bitField0_ & 0x00000008) != 0)) {
+            keys_ = java.util.Collections.unmodifiableList(keys_);
+            bitField0_ = (bitField0_ & ~0x00000008);
+          }
+          result.keys_ = keys_;
+        } else {
+          result.keys_ = keysBuilder_.build();
+        }
+        if (changesBuilder_ == null) {
+          if (((bitField0_ & 0x00000010) != 0)) {
+            changes_ = java.util.Collections.unmodifiableList(changes_);
+            bitField0_ = (bitField0_ & ~0x00000010);
+          }
+          result.changes_ = changes_;
+        } else {
+          result.changes_ = changesBuilder_.build();
+        }
+        if (repliesBuilder_ == null) {
+          if (((bitField0_ & 0x00000020) != 0)) {
+            replies_ = java.util.Collections.unmodifiableList(replies_);
+            bitField0_ = (bitField0_ & ~0x00000020);
+          }
+          result.replies_ = replies_;
+        } else {
+          result.replies_ = repliesBuilder_.build();
+        }
+        if (claimsBuilder_ == null) {
+          if (((bitField0_ & 0x00000040) != 0)) {
+            claims_ = java.util.Collections.unmodifiableList(claims_);
+            bitField0_ = (bitField0_ & ~0x00000040);
+          }
+          result.claims_ = claims_;
+        } else {
+          result.claims_ = claimsBuilder_.build();
+        }
+        if (leasesBuilder_ == null) {
+          if (((bitField0_ & 0x00000100) != 0)) {
+            leases_ = java.util.Collections.unmodifiableList(leases_);
+            bitField0_ = (bitField0_ & ~0x00000100);
+          }
+          result.leases_ = leases_;
+        } else {
+          result.leases_ = leasesBuilder_.build();
+        }
+        if (intentsBuilder_ == null) {
+          if (((bitField0_ & 0x00000200) != 0)) {
+            intents_ = java.util.Collections.unmodifiableList(intents_);
+            bitField0_ = (bitField0_ & ~0x00000200);
+          }
+          result.intents_ = intents_;
+        } else {
+          result.intents_ = intentsBuilder_.build();
+        }
+        if (crashesBuilder_ == null) {
+          if (((bitField0_ & 0x00000800) != 0)) {
+            crashes_ = java.util.Collections.unmodifiableList(crashes_);
+            bitField0_ = (bitField0_ & ~0x00000800);
+          }
+          result.crashes_ = crashes_;
+        } else {
+          result.crashes_ = crashesBuilder_.build();
+        }
+        if (itemsBuilder_ == null) {
+          if (((bitField0_ & 0x00001000) != 0)) {
+            items_ = java.util.Collections.unmodifiableList(items_);
+            bitField0_ = (bitField0_ & ~0x00001000);
+          }
+          result.items_ = items_;
+        } else {
+          result.items_ = itemsBuilder_.build();
+        }
+        if (streamsBuilder_ == null) {
+          if (((bitField0_ & 0x00004000) != 0)) {
+            streams_ = java.util.Collections.unmodifiableList(streams_);
+            bitField0_ = (bitField0_ & ~0x00004000);
+          }
+          result.streams_ = streams_;
+        } else {
+          result.streams_ = streamsBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.version_ = version_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.revision_ = revision_;
+        }
+        if (((from_bitField0_ & 0x00000080) != 0)) {
+          result.lastClaimEpoch_ = lastClaimEpoch_;
+        }
+        if (((from_bitField0_ & 0x00000400) != 0)) {
+          result.lastIntentNumber_ = lastIntentNumber_;
+        }
+        if (((from_bitField0_ & 0x00002000) != 0)) {
+          result.removalsSince_ = removalsSince_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot) {
+          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot other) {
+        if (other == org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot.getDefaultInstance()) return this;
+        if (other.getVersion() != 0L) {
+          setVersion(other.getVersion());
+        }
+        if (other.getRevision() != 0L) {
+          setRevision(other.getRevision());
+        }
+        if (historyBuilder_ == null) {
+          if (!other.history_.isEmpty()) {
+            if (history_.isEmpty()) {
+              history_ = other.history_;
+              bitField0_ = (bitField0_ & ~0x00000004);
+            } else {
+              ensureHistoryIsMutable();
+              history_.addAll(other.history_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.history_.isEmpty()) {
+            if (historyBuilder_.isEmpty()) {
+              historyBuilder_.dispose();
+              historyBuilder_ = null;
+              history_ = other.history_;
+              bitField0_ = (bitField0_ & ~0x00000004);
+              historyBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetHistoryFieldBuilder() : null;
+            } else {
+              historyBuilder_.addAllMessages(other.history_);
+            }
+          }
+        }
+        if (keysBuilder_ == null) {
+          if (!other.keys_.isEmpty()) {
+            if (keys_.isEmpty()) {
+              keys_ = other.keys_;
+              bitField0_ = (bitField0_ & ~0x00000008);
+            } else {
+              ensureKeysIsMutable();
+              keys_.addAll(other.keys_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.keys_.isEmpty()) {
+            if (keysBuilder_.isEmpty()) {
+              keysBuilder_.dispose();
+              keysBuilder_ = null;
+              keys_ = other.keys_;
+              bitField0_ = (bitField0_ & ~0x00000008);
+              keysBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetKeysFieldBuilder() : null;
+            } else {
+              keysBuilder_.addAllMessages(other.keys_);
+            }
+          }
+        }
+        if (changesBuilder_ == null) {
+          if (!other.changes_.isEmpty()) {
+            if (changes_.isEmpty()) {
+              changes_ = other.changes_;
+              bitField0_ = (bitField0_ & ~0x00000010);
+            } else {
+              ensureChangesIsMutable();
+              changes_.addAll(other.changes_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.changes_.isEmpty()) {
+            if (changesBuilder_.isEmpty()) {
+              changesBuilder_.dispose();
+              changesBuilder_ = null;
+              changes_ = other.changes_;
+              bitField0_ = (bitField0_ & ~0x00000010);
+              changesBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetChangesFieldBuilder() : null;
+            } else {
+              changesBuilder_.addAllMessages(other.changes_);
+            }
+          }
+        }
+        if (repliesBuilder_ == null) {
+          if (!other.replies_.isEmpty()) {
+            if (replies_.isEmpty()) {
+              replies_ = other.replies_;
+              bitField0_ = (bitField0_ & ~0x00000020);
+            } else {
+              ensureRepliesIsMutable();
+              replies_.addAll(other.replies_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.replies_.isEmpty()) {
+            if (repliesBuilder_.isEmpty()) {
+              repliesBuilder_.dispose();
+              repliesBuilder_ = null;
+              replies_ = other.replies_;
+              bitField0_ = (bitField0_ & ~0x00000020);
+              repliesBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetRepliesFieldBuilder() : null;
+            } else {
+              repliesBuilder_.addAllMessages(other.replies_);
+            }
+          }
+        }
+        if (claimsBuilder_ == null) {
+          if (!other.claims_.isEmpty()) {
+            if (claims_.isEmpty()) {
+              claims_ = other.claims_;
+              bitField0_ = (bitField0_ & ~0x00000040);
+            } else {
+              ensureClaimsIsMutable();
+              claims_.addAll(other.claims_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.claims_.isEmpty()) {
+            if (claimsBuilder_.isEmpty()) {
+              claimsBuilder_.dispose();
+              claimsBuilder_ = null;
+              claims_ = other.claims_;
+              bitField0_ = (bitField0_ & ~0x00000040);
+              claimsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetClaimsFieldBuilder() : null;
+            } else {
+              claimsBuilder_.addAllMessages(other.claims_);
+            }
+          }
+        }
+        if (other.getLastClaimEpoch() != 0L) {
+          setLastClaimEpoch(other.getLastClaimEpoch());
+        }
+        if (leasesBuilder_ == null) {
+          if (!other.leases_.isEmpty()) {
+            if (leases_.isEmpty()) {
+              leases_ = other.leases_;
+              bitField0_ = (bitField0_ & ~0x00000100);
+            } else {
+              ensureLeasesIsMutable();
+              leases_.addAll(other.leases_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.leases_.isEmpty()) {
+            if (leasesBuilder_.isEmpty()) {
+              leasesBuilder_.dispose();
+              leasesBuilder_ = null;
+              leases_ = other.leases_;
+              bitField0_ = (bitField0_ & ~0x00000100);
+              leasesBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetLeasesFieldBuilder() : null;
+            } else {
+              leasesBuilder_.addAllMessages(other.leases_);
+            }
+          }
+        }
+        if (intentsBuilder_ == null) {
+          if (!other.intents_.isEmpty()) {
+            if (intents_.isEmpty()) {
+              intents_ = other.intents_;
+              bitField0_ = (bitField0_ & ~0x00000200);
+            } else {
+              ensureIntentsIsMutable();
+              intents_.addAll(other.intents_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.intents_.isEmpty()) {
+            if (intentsBuilder_.isEmpty()) {
+              intentsBuilder_.dispose();
+              intentsBuilder_ = null;
+              intents_ = other.intents_;
+              bitField0_ = (bitField0_ & ~0x00000200);
+              intentsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetIntentsFieldBuilder() : null;
+            } else {
+              intentsBuilder_.addAllMessages(other.intents_);
+            }
+          }
+        }
+        if (other.getLastIntentNumber() != 0L) {
+          setLastIntentNumber(other.getLastIntentNumber());
+        }
+        if (crashesBuilder_ == null) {
+          if (!other.crashes_.isEmpty()) {
+            if (crashes_.isEmpty()) {
+              crashes_ = other.crashes_;
+              bitField0_ = (bitField0_ & ~0x00000800);
+            } else {
+              ensureCrashesIsMutable();
+              crashes_.addAll(other.crashes_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.crashes_.isEmpty()) {
+            if (crashesBuilder_.isEmpty()) {
+              crashesBuilder_.dispose();
+              crashesBuilder_ = null;
+              crashes_ = other.crashes_;
+              bitField0_ = (bitField0_ & ~0x00000800);
+              crashesBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetCrashesFieldBuilder() : null;
+            } else {
+              crashesBuilder_.addAllMessages(other.crashes_);
+            }
+          }
+        }
+        if (itemsBuilder_ == null) {
+          if (!other.items_.isEmpty()) {
+            if (items_.isEmpty()) {
+              items_ = other.items_;
+              bitField0_ = (bitField0_ & ~0x00001000);
+            } else {
+              ensureItemsIsMutable();
+              items_.addAll(other.items_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.items_.isEmpty()) {
+            if (itemsBuilder_.isEmpty()) {
+              itemsBuilder_.dispose();
+              itemsBuilder_ = null;
+              items_ = other.items_;
+              bitField0_ = (bitField0_ & ~0x00001000);
+              itemsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetItemsFieldBuilder() : null;
+            } else {
+              itemsBuilder_.addAllMessages(other.items_);
+            }
+          }
+        }
+        if (other.getRemovalsSince() != 0L) {
+          setRemovalsSince(other.getRemovalsSince());
+        }
+        if (streamsBuilder_ == null) {
+          if (!other.streams_.isEmpty()) {
+            if (streams_.isEmpty()) {
+              streams_ = other.streams_;
+              bitField0_ = (bitField0_ & ~0x00004000);
+            } else {
+              ensureStreamsIsMutable();
+              streams_.addAll(other.streams_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.streams_.isEmpty()) {
+            if (streamsBuilder_.isEmpty()) {
+              streamsBuilder_.dispose();
+              streamsBuilder_ = null;
+              streams_ = other.streams_;
+              bitField0_ = (bitField0_ & ~0x00004000);
+              streamsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetStreamsFieldBuilder() : null;
+            } else {
+              streamsBuilder_.addAllMessages(other.streams_);
+            }
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                version_ = input.readUInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 16: {
+                revision_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 34: {
+                org.borageproxy.wire.proto.ControlProtocol.TreeState m =
+                    input.readMessage(
+                        org.borageproxy.wire.proto.ControlProtocol.TreeState.parser(),
+                        extensionRegistry);
+                if (historyBuilder_ == null) {
+                  ensureHistoryIsMutable();
+                  history_.add(m);
+                } else {
+                  historyBuilder_.addMessage(m);
+                }
+                break;
+              } // case 34
+              case 42: {
+                org.borageproxy.wire.proto.ControlProtocol.KeyState m =
+                    input.readMessage(
+                        org.borageproxy.wire.proto.ControlProtocol.KeyState.parser(),
+                        extensionRegistry);
+                if (keysBuilder_ == null) {
+                  ensureKeysIsMutable();
+                  keys_.add(m);
+                } else {
+                  keysBuilder_.addMessage(m);
+                }
+                break;
+              } // case 42
+              case 50: {
+                org.borageproxy.wire.proto.ControlProtocol.ChangeState m =
+                    input.readMessage(
+                        org.borageproxy.wire.proto.ControlProtocol.ChangeState.parser(),
+                        extensionRegistry);
+                if (changesBuilder_ == null) {
+                  ensureChangesIsMutable();
+                  changes_.add(m);
+                } else {
+                  changesBuilder_.addMessage(m);
+                }
+                break;
+              } // case 50
+              case 58: {
+                org.borageproxy.wire.proto.ControlProtocol.RememberedReply m =
+                    input.readMessage(
+                        org.borageproxy.wire.proto.ControlProtocol.RememberedReply.parser(),
+                        extensionRegistry);
+                if (repliesBuilder_ == null) {
+                  ensureRepliesIsMutable();
+                  replies_.add(m);
+                } else {
+                  repliesBuilder_.addMessage(m);
+                }
+                break;
+              } // case 58
+              case 66: {
+                org.borageproxy.wire.proto.ControlProtocol.ClaimState m =
+                    input.readMessage(
+                        org.borageproxy.wire.proto.ControlProtocol.ClaimState.parser(),
+                        extensionRegistry);
+                if (claimsBuilder_ == null) {
+                  ensureClaimsIsMutable();
+                  claims_.add(m);
+                } else {
+                  claimsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 66
+              case 72: {
+                lastClaimEpoch_ = input.readInt64();
+                bitField0_ |= 0x00000080;
+                break;
+              } // case 72
+              case 82: {
+                org.borageproxy.wire.proto.ControlProtocol.LeaseState m =
+                    input.readMessage(
+                        org.borageproxy.wire.proto.ControlProtocol.LeaseState.parser(),
+                        extensionRegistry);
+                if (leasesBuilder_ == null) {
+                  ensureLeasesIsMutable();
+                  leases_.add(m);
+                } else {
+                  leasesBuilder_.addMessage(m);
+                }
+                break;
+              } // case 82
+              case 90: {
+                org.borageproxy.wire.proto.ControlProtocol.IntentRecord m =
+                    input.readMessage(
+                        org.borageproxy.wire.proto.ControlProtocol.IntentRecord.parser(),
+                        extensionRegistry);
+                if (intentsBuilder_ == null) {
+                  ensureIntentsIsMutable();
+                  intents_.add(m);
+                } else {
+                  intentsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 90
+              case 96: {
+                lastIntentNumber_ = input.readInt64();
+                bitField0_ |= 0x00000400;
+                break;
+              } // case 96
+              case 106: {
+                org.borageproxy.wire.proto.ControlProtocol.CrashState m =
+                    input.readMessage(
+                        org.borageproxy.wire.proto.ControlProtocol.CrashState.parser(),
+                        extensionRegistry);
+                if (crashesBuilder_ == null) {
+                  ensureCrashesIsMutable();
+                  crashes_.add(m);
+                } else {
+                  crashesBuilder_.addMessage(m);
+                }
+                break;
+              } // case 106
+              case 114: {
+                org.borageproxy.wire.proto.ControlProtocol.Item m =
+                    input.readMessage(
+                        org.borageproxy.wire.proto.ControlProtocol.Item.parser(),
+                        extensionRegistry);
+                if (itemsBuilder_ == null) {
+                  ensureItemsIsMutable();
+                  items_.add(m);
+                } else {
+                  itemsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 114
+              case 120: {
+                removalsSince_ = input.readUInt64();
+                bitField0_ |= 0x00002000;
+                break;
+              } // case 120
+              case 242: {
+                org.borageproxy.wire.proto.ControlProtocol.StreamRecord m =
+                    input.readMessage(
+                        org.borageproxy.wire.proto.ControlProtocol.StreamRecord.parser(),
+                        extensionRegistry);
+                if (streamsBuilder_ == null) {
+                  ensureStreamsIsMutable();
+                  streams_.add(m);
+                } else {
+                  streamsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 242
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long version_ ;
+      /**
+       * <code>uint64 version = 1;</code>
+       * @return The version.
+       */
+      @java.lang.Override
+      public long getVersion() {
+        return version_;
+      }
+      /**
+       * <code>uint64 version = 1;</code>
+       * @param value The version to set.
+       * @return This builder for chaining.
+       */
+      public Builder setVersion(long value) {
+
+        version_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 version = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearVersion() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        version_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long revision_ ;
+      /**
+       * <code>uint64 revision = 2;</code>
+       * @return The revision.
+       */
+      @java.lang.Override
+      public long getRevision() {
+        return revision_;
+      }
+      /**
+       * <code>uint64 revision = 2;</code>
+       * @param value The revision to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRevision(long value) {
+
+        revision_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 revision = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRevision() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        revision_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<org.borageproxy.wire.proto.ControlProtocol.TreeState> history_ =
+        java.util.Collections.emptyList();
+      private void ensureHistoryIsMutable() {
+        if (!((bitField0_ & 0x00000004) != 0)) {
+          history_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.TreeState>(history_);
+          bitField0_ |= 0x00000004;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.TreeState, org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder, org.borageproxy.wire.proto.ControlProtocol.TreeStateOrBuilder> historyBuilder_;
+
+      /**
+       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.TreeState> getHistoryList() {
+        if (historyBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(history_);
+        } else {
+          return historyBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       */
+      public int getHistoryCount() {
+        if (historyBuilder_ == null) {
+          return history_.size();
+        } else {
+          return historyBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.TreeState getHistory(int index) {
+        if (historyBuilder_ == null) {
+          return history_.get(index);
+        } else {
+          return historyBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       */
+      public Builder setHistory(
+          int index, org.borageproxy.wire.proto.ControlProtocol.TreeState value) {
+        if (historyBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureHistoryIsMutable();
+          history_.set(index, value);
+          onChanged();
+        } else {
+          historyBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       */
+      public Builder setHistory(
+          int index, org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder builderForValue) {
+        if (historyBuilder_ == null) {
+          ensureHistoryIsMutable();
+          history_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          historyBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       */
+      public Builder addHistory(org.borageproxy.wire.proto.ControlProtocol.TreeState value) {
+        if (historyBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureHistoryIsMutable();
+          history_.add(value);
+          onChanged();
+        } else {
+          historyBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       */
+      public Builder addHistory(
+          int index, org.borageproxy.wire.proto.ControlProtocol.TreeState value) {
+        if (historyBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureHistoryIsMutable();
+          history_.add(index, value);
+          onChanged();
+        } else {
+          historyBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       */
+      public Builder addHistory(
+          org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder builderForValue) {
+        if (historyBuilder_ == null) {
+          ensureHistoryIsMutable();
+          history_.add(builderForValue.build());
+          onChanged();
+        } else {
+          historyBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       */
+      public Builder addHistory(
+          int index, org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder builderForValue) {
+        if (historyBuilder_ == null) {
+          ensureHistoryIsMutable();
+          history_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          historyBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       */
+      public Builder addAllHistory(
+          java.lang.Iterable<? extends org.borageproxy.wire.proto.ControlProtocol.TreeState> values) {
+        if (historyBuilder_ == null) {
+          ensureHistoryIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, history_);
+          onChanged();
+        } else {
+          historyBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       */
+      public Builder clearHistory() {
+        if (historyBuilder_ == null) {
+          history_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000004);
+          onChanged();
+        } else {
+          historyBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       */
+      public Builder removeHistory(int index) {
+        if (historyBuilder_ == null) {
+          ensureHistoryIsMutable();
+          history_.remove(index);
+          onChanged();
+        } else {
+          historyBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder getHistoryBuilder(
+          int index) {
+        return internalGetHistoryFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.TreeStateOrBuilder getHistoryOrBuilder(
+          int index) {
+        if (historyBuilder_ == null) {
+          return history_.get(index);  } else {
+          return historyBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       */
+      public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.TreeStateOrBuilder> 
+           getHistoryOrBuilderList() {
+        if (historyBuilder_ != null) {
+          return historyBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(history_);
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder addHistoryBuilder() {
+        return internalGetHistoryFieldBuilder().addBuilder(
+            org.borageproxy.wire.proto.ControlProtocol.TreeState.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder addHistoryBuilder(
+          int index) {
+        return internalGetHistoryFieldBuilder().addBuilder(
+            index, org.borageproxy.wire.proto.ControlProtocol.TreeState.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder> 
+           getHistoryBuilderList() {
+        return internalGetHistoryFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.TreeState, org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder, org.borageproxy.wire.proto.ControlProtocol.TreeStateOrBuilder> 
+          internalGetHistoryFieldBuilder() {
+        if (historyBuilder_ == null) {
+          historyBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.TreeState, org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder, org.borageproxy.wire.proto.ControlProtocol.TreeStateOrBuilder>(
+                  history_,
+                  ((bitField0_ & 0x00000004) != 0),
+                  getParentForChildren(),
+                  isClean());
+          history_ = null;
+        }
+        return historyBuilder_;
+      }
+
+      private java.util.List<org.borageproxy.wire.proto.ControlProtocol.KeyState> keys_ =
+        java.util.Collections.emptyList();
+      private void ensureKeysIsMutable() {
+        if (!((bitField0_ & 0x00000008) != 0)) {
+          keys_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.KeyState>(keys_);
+          bitField0_ |= 0x00000008;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.KeyState, org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder, org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder> keysBuilder_;
+
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.KeyState> getKeysList() {
+        if (keysBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(keys_);
+        } else {
+          return keysBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       */
+      public int getKeysCount() {
+        if (keysBuilder_ == null) {
+          return keys_.size();
+        } else {
+          return keysBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.KeyState getKeys(int index) {
+        if (keysBuilder_ == null) {
+          return keys_.get(index);
+        } else {
+          return keysBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       */
+      public Builder setKeys(
+          int index, org.borageproxy.wire.proto.ControlProtocol.KeyState value) {
+        if (keysBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureKeysIsMutable();
+          keys_.set(index, value);
+          onChanged();
+        } else {
+          keysBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       */
+      public Builder setKeys(
+          int index, org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder builderForValue) {
+        if (keysBuilder_ == null) {
+          ensureKeysIsMutable();
+          keys_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          keysBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       */
+      public Builder addKeys(org.borageproxy.wire.proto.ControlProtocol.KeyState value) {
+        if (keysBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureKeysIsMutable();
+          keys_.add(value);
+          onChanged();
+        } else {
+          keysBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       */
+      public Builder addKeys(
+          int index, org.borageproxy.wire.proto.ControlProtocol.KeyState value) {
+        if (keysBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureKeysIsMutable();
+          keys_.add(index, value);
+          onChanged();
+        } else {
+          keysBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       */
+      public Builder addKeys(
+          org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder builderForValue) {
+        if (keysBuilder_ == null) {
+          ensureKeysIsMutable();
+          keys_.add(builderForValue.build());
+          onChanged();
+        } else {
+          keysBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       */
+      public Builder addKeys(
+          int index, org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder builderForValue) {
+        if (keysBuilder_ == null) {
+          ensureKeysIsMutable();
+          keys_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          keysBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       */
+      public Builder addAllKeys(
+          java.lang.Iterable<? extends org.borageproxy.wire.proto.ControlProtocol.KeyState> values) {
+        if (keysBuilder_ == null) {
+          ensureKeysIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, keys_);
+          onChanged();
+        } else {
+          keysBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       */
+      public Builder clearKeys() {
+        if (keysBuilder_ == null) {
+          keys_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000008);
+          onChanged();
+        } else {
+          keysBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       */
+      public Builder removeKeys(int index) {
+        if (keysBuilder_ == null) {
+          ensureKeysIsMutable();
+          keys_.remove(index);
+          onChanged();
+        } else {
+          keysBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder getKeysBuilder(
+          int index) {
+        return internalGetKeysFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder getKeysOrBuilder(
+          int index) {
+        if (keysBuilder_ == null) {
+          return keys_.get(index);  } else {
+          return keysBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       */
+      public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder> 
+           getKeysOrBuilderList() {
+        if (keysBuilder_ != null) {
+          return keysBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(keys_);
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder addKeysBuilder() {
+        return internalGetKeysFieldBuilder().addBuilder(
+            org.borageproxy.wire.proto.ControlProtocol.KeyState.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder addKeysBuilder(
+          int index) {
+        return internalGetKeysFieldBuilder().addBuilder(
+            index, org.borageproxy.wire.proto.ControlProtocol.KeyState.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder> 
+           getKeysBuilderList() {
+        return internalGetKeysFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.KeyState, org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder, org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder> 
+          internalGetKeysFieldBuilder() {
+        if (keysBuilder_ == null) {
+          keysBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.KeyState, org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder, org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder>(
+                  keys_,
+                  ((bitField0_ & 0x00000008) != 0),
+                  getParentForChildren(),
+                  isClean());
+          keys_ = null;
+        }
+        return keysBuilder_;
+      }
+
+      private java.util.List<org.borageproxy.wire.proto.ControlProtocol.ChangeState> changes_ =
+        java.util.Collections.emptyList();
+      private void ensureChangesIsMutable() {
+        if (!((bitField0_ & 0x00000010) != 0)) {
+          changes_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.ChangeState>(changes_);
+          bitField0_ |= 0x00000010;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.ChangeState, org.borageproxy.wire.proto.ControlProtocol.ChangeState.Builder, org.borageproxy.wire.proto.ControlProtocol.ChangeStateOrBuilder> changesBuilder_;
+
+      /**
+       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.ChangeState> getChangesList() {
+        if (changesBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(changes_);
+        } else {
+          return changesBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       */
+      public int getChangesCount() {
+        if (changesBuilder_ == null) {
+          return changes_.size();
+        } else {
+          return changesBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.ChangeState getChanges(int index) {
+        if (changesBuilder_ == null) {
+          return changes_.get(index);
+        } else {
+          return changesBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       */
+      public Builder setChanges(
+          int index, org.borageproxy.wire.proto.ControlProtocol.ChangeState value) {
+        if (changesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureChangesIsMutable();
+          changes_.set(index, value);
+          onChanged();
+        } else {
+          changesBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       */
+      public Builder setChanges(
+          int index, org.borageproxy.wire.proto.ControlProtocol.ChangeState.Builder builderForValue) {
+        if (changesBuilder_ == null) {
+          ensureChangesIsMutable();
+          changes_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          changesBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       */
+      public Builder addChanges(org.borageproxy.wire.proto.ControlProtocol.ChangeState value) {
+        if (changesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureChangesIsMutable();
+          changes_.add(value);
+          onChanged();
+        } else {
+          changesBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       */
+      public Builder addChanges(
+          int index, org.borageproxy.wire.proto.ControlProtocol.ChangeState value) {
+        if (changesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureChangesIsMutable();
+          changes_.add(index, value);
+          onChanged();
+        } else {
+          changesBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       */
+      public Builder addChanges(
+          org.borageproxy.wire.proto.ControlProtocol.ChangeState.Builder builderForValue) {
+        if (changesBuilder_ == null) {
+          ensureChangesIsMutable();
+          changes_.add(builderForValue.build());
+          onChanged();
+        } else {
+          changesBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       */
+      public Builder addChanges(
+          int index, org.borageproxy.wire.proto.ControlProtocol.ChangeState.Builder builderForValue) {
+        if (changesBuilder_ == null) {
+          ensureChangesIsMutable();
+          changes_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          changesBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       */
+      public Builder addAllChanges(
+          java.lang.Iterable<? extends org.borageproxy.wire.proto.ControlProtocol.ChangeState> values) {
+        if (changesBuilder_ == null) {
+          ensureChangesIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, changes_);
+          onChanged();
+        } else {
+          changesBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       */
+      public Builder clearChanges() {
+        if (changesBuilder_ == null) {
+          changes_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000010);
+          onChanged();
+        } else {
+          changesBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       */
+      public Builder removeChanges(int index) {
+        if (changesBuilder_ == null) {
+          ensureChangesIsMutable();
+          changes_.remove(index);
+          onChanged();
+        } else {
+          changesBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.ChangeState.Builder getChangesBuilder(
+          int index) {
+        return internalGetChangesFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.ChangeStateOrBuilder getChangesOrBuilder(
+          int index) {
+        if (changesBuilder_ == null) {
+          return changes_.get(index);  } else {
+          return changesBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       */
+      public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.ChangeStateOrBuilder> 
+           getChangesOrBuilderList() {
+        if (changesBuilder_ != null) {
+          return changesBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(changes_);
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.ChangeState.Builder addChangesBuilder() {
+        return internalGetChangesFieldBuilder().addBuilder(
+            org.borageproxy.wire.proto.ControlProtocol.ChangeState.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.ChangeState.Builder addChangesBuilder(
+          int index) {
+        return internalGetChangesFieldBuilder().addBuilder(
+            index, org.borageproxy.wire.proto.ControlProtocol.ChangeState.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.ChangeState.Builder> 
+           getChangesBuilderList() {
+        return internalGetChangesFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.ChangeState, org.borageproxy.wire.proto.ControlProtocol.ChangeState.Builder, org.borageproxy.wire.proto.ControlProtocol.ChangeStateOrBuilder> 
+          internalGetChangesFieldBuilder() {
+        if (changesBuilder_ == null) {
+          changesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.ChangeState, org.borageproxy.wire.proto.ControlProtocol.ChangeState.Builder, org.borageproxy.wire.proto.ControlProtocol.ChangeStateOrBuilder>(
+                  changes_,
+                  ((bitField0_ & 0x00000010) != 0),
+                  getParentForChildren(),
+                  isClean());
+          changes_ = null;
+        }
+        return changesBuilder_;
+      }
+
+      private java.util.List<org.borageproxy.wire.proto.ControlProtocol.RememberedReply> replies_ =
+        java.util.Collections.emptyList();
+      private void ensureRepliesIsMutable() {
+        if (!((bitField0_ & 0x00000020) != 0)) {
+          replies_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.RememberedReply>(replies_);
+          bitField0_ |= 0x00000020;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.RememberedReply, org.borageproxy.wire.proto.ControlProtocol.RememberedReply.Builder, org.borageproxy.wire.proto.ControlProtocol.RememberedReplyOrBuilder> repliesBuilder_;
+
+      /**
+       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.RememberedReply> getRepliesList() {
+        if (repliesBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(replies_);
+        } else {
+          return repliesBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+       */
+      public int getRepliesCount() {
+        if (repliesBuilder_ == null) {
+          return replies_.size();
+        } else {
+          return repliesBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.RememberedReply getReplies(int index) {
+        if (repliesBuilder_ == null) {
+          return replies_.get(index);
+        } else {
+          return repliesBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+       */
+      public Builder setReplies(
+          int index, org.borageproxy.wire.proto.ControlProtocol.RememberedReply value) {
+        if (repliesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureRepliesIsMutable();
+          replies_.set(index, value);
+          onChanged();
+        } else {
+          repliesBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+       */
+      public Builder setReplies(
+          int index, org.borageproxy.wire.proto.ControlProtocol.RememberedReply.Builder builderForValue) {
+        if (repliesBuilder_ == null) {
+          ensureRepliesIsMutable();
+          replies_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          repliesBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+       */
+      public Builder addReplies(org.borageproxy.wire.proto.ControlProtocol.RememberedReply value) {
+        if (repliesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureRepliesIsMutable();
+          replies_.add(value);
+          onChanged();
+        } else {
+          repliesBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+       */
+      public Builder addReplies(
+          int index, org.borageproxy.wire.proto.ControlProtocol.RememberedReply value) {
+        if (repliesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureRepliesIsMutable();
+          replies_.add(index, value);
+          onChanged();
+        } else {
+          repliesBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+       */
+      public Builder addReplies(
+          org.borageproxy.wire.proto.ControlProtocol.RememberedReply.Builder builderForValue) {
+        if (repliesBuilder_ == null) {
+          ensureRepliesIsMutable();
+          replies_.add(builderForValue.build());
+          onChanged();
+        } else {
+          repliesBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+       */
+      public Builder addReplies(
+          int index, org.borageproxy.wire.proto.ControlProtocol.RememberedReply.Builder builderForValue) {
+        if (repliesBuilder_ == null) {
+          ensureRepliesIsMutable();
+          replies_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          repliesBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+       */
+      public Builder addAllReplies(
+          java.lang.Iterable<? extends org.borageproxy.wire.proto.ControlProtocol.RememberedReply> values) {
+        if (repliesBuilder_ == null) {
+          ensureRepliesIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, replies_);
+          onChanged();
+        } else {
+          repliesBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+       */
+      public Builder clearReplies() {
+        if (repliesBuilder_ == null) {
+          replies_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000020);
+          onChanged();
+        } else {
+          repliesBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+       */
+      public Builder removeReplies(int index) {
+        if (repliesBuilder_ == null) {
+          ensureRepliesIsMutable();
+          replies_.remove(index);
+          onChanged();
+        } else {
+          repliesBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.RememberedReply.Builder getRepliesBuilder(
+          int index) {
+        return internalGetRepliesFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.RememberedReplyOrBuilder getRepliesOrBuilder(
+          int index) {
+        if (repliesBuilder_ == null) {
+          return replies_.get(index);  } else {
+          return repliesBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+       */
+      public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.RememberedReplyOrBuilder> 
+           getRepliesOrBuilderList() {
+        if (repliesBuilder_ != null) {
+          return repliesBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(replies_);
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.RememberedReply.Builder addRepliesBuilder() {
+        return internalGetRepliesFieldBuilder().addBuilder(
+            org.borageproxy.wire.proto.ControlProtocol.RememberedReply.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.RememberedReply.Builder addRepliesBuilder(
+          int index) {
+        return internalGetRepliesFieldBuilder().addBuilder(
+            index, org.borageproxy.wire.proto.ControlProtocol.RememberedReply.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.RememberedReply.Builder> 
+           getRepliesBuilderList() {
+        return internalGetRepliesFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.RememberedReply, org.borageproxy.wire.proto.ControlProtocol.RememberedReply.Builder, org.borageproxy.wire.proto.ControlProtocol.RememberedReplyOrBuilder> 
+          internalGetRepliesFieldBuilder() {
+        if (repliesBuilder_ == null) {
+          repliesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.RememberedReply, org.borageproxy.wire.proto.ControlProtocol.RememberedReply.Builder, org.borageproxy.wire.proto.ControlProtocol.RememberedReplyOrBuilder>(
+                  replies_,
+                  ((bitField0_ & 0x00000020) != 0),
+                  getParentForChildren(),
+                  isClean());
+          replies_ = null;
         }
+        return repliesBuilder_;
+      }
+
+      private java.util.List<org.borageproxy.wire.proto.ControlProtocol.ClaimState> claims_ =
+        java.util.Collections.emptyList();
+      private void ensureClaimsIsMutable() {
+        if (!((bitField0_ & 0x00000040) != 0)) {
+          claims_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.ClaimState>(claims_);
+          bitField0_ |= 0x00000040;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.ClaimState, org.borageproxy.wire.proto.ControlProtocol.ClaimState.Builder, org.borageproxy.wire.proto.ControlProtocol.ClaimStateOrBuilder> claimsBuilder_;
+
+      /**
+       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.ClaimState> getClaimsList() {
         if (claimsBuilder_ == null) {
-          if (!other.claims_.isEmpty()) {
-            if (claims_.isEmpty()) {
-              claims_ = other.claims_;
-              bitField0_ = (bitField0_ & ~0x00000040);
-            } else {
-              ensureClaimsIsMutable();
-              claims_.addAll(other.claims_);
-            }
-            onChanged();
-          }
+          return java.util.Collections.unmodifiableList(claims_);
         } else {
-          if (!other.claims_.isEmpty()) {
-            if (claimsBuilder_.isEmpty()) {
-              claimsBuilder_.dispose();
-              claimsBuilder_ = null;
-              claims_ = other.claims_;
-              bitField0_ = (bitField0_ & ~0x00000040);
-              claimsBuilder_ = 
-                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                   internalGetClaimsFieldBuilder() : null;
-            } else {
-              claimsBuilder_.addAllMessages(other.claims_);
-            }
-          }
+          return claimsBuilder_.getMessageList();
         }
-        if (other.getLastClaimEpoch() != 0L) {
-          setLastClaimEpoch(other.getLastClaimEpoch());
+      }
+      /**
+       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
+       */
+      public int getClaimsCount() {
+        if (claimsBuilder_ == null) {
+          return claims_.size();
+        } else {
+          return claimsBuilder_.getCount();
         }
-        if (leasesBuilder_ == null) {
-          if (!other.leases_.isEmpty()) {
-            if (leases_.isEmpty()) {
-              leases_ = other.leases_;
-              bitField0_ = (bitField0_ & ~0x00000100);
-            } else {
-              ensureLeasesIsMutable();
-              leases_.addAll(other.leases_);
-            }
-            onChanged();
-          }
+      }
+      /**
+       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.ClaimState getClaims(int index) {
+        if (claimsBuilder_ == null) {
+          return claims_.get(index);
         } else {
-          if (!other.leases_.isEmpty()) {
-            if (leasesBuilder_.isEmpty()) {
-              leasesBuilder_.dispose();
-              leasesBuilder_ = null;
-              leases_ = other.leases_;
-              bitField0_ = (bitField0_ & ~0x00000100);
-              leasesBuilder_ = 
-                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                   internalGetLeasesFieldBuilder() : null;
-            } else {
-              leasesBuilder_.addAllMessages(other.leases_);
-            }
-          }
+          return claimsBuilder_.getMessage(index);
         }
-        if (intentsBuilder_ == null) {
-          if (!other.intents_.isEmpty()) {
-            if (intents_.isEmpty()) {
-              intents_ = other.intents_;
-              bitField0_ = (bitField0_ & ~0x00000200);
-            } else {
-              ensureIntentsIsMutable();
-              intents_.addAll(other.intents_);
-            }
-            onChanged();
+      }
+      /**
+       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
+       */
+      public Builder setClaims(
+          int index, org.borageproxy.wire.proto.ControlProtocol.ClaimState value) {
+        if (claimsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
           }
+          ensureClaimsIsMutable();
+          claims_.set(index, value);
+          onChanged();
         } else {
-          if (!other.intents_.isEmpty()) {
-            if (intentsBuilder_.isEmpty()) {
-              intentsBuilder_.dispose();
-              intentsBuilder_ = null;
-              intents_ = other.intents_;
-              bitField0_ = (bitField0_ & ~0x00000200);
-              intentsBuilder_ = 
-                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                   internalGetIntentsFieldBuilder() : null;
-            } else {
-              intentsBuilder_.addAllMessages(other.intents_);
-            }
-          }
+          claimsBuilder_.setMessage(index, value);
         }
-        if (other.getLastIntentNumber() != 0L) {
-          setLastIntentNumber(other.getLastIntentNumber());
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
+       */
+      public Builder setClaims(
+          int index, org.borageproxy.wire.proto.ControlProtocol.ClaimState.Builder builderForValue) {
+        if (claimsBuilder_ == null) {
+          ensureClaimsIsMutable();
+          claims_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          claimsBuilder_.setMessage(index, builderForValue.build());
         }
-        if (crashesBuilder_ == null) {
-          if (!other.crashes_.isEmpty()) {
-            if (crashes_.isEmpty()) {
-              crashes_ = other.crashes_;
-              bitField0_ = (bitField0_ & ~0x00000800);
-            } else {
-              ensureCrashesIsMutable();
-              crashes_.addAll(other.crashes_);
-            }
-            onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
+       */
+      public Builder addClaims(org.borageproxy.wire.proto.ControlProtocol.ClaimState value) {
+        if (claimsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
           }
+          ensureClaimsIsMutable();
+          claims_.add(value);
+          onChanged();
         } else {
-          if (!other.crashes_.isEmpty()) {
-            if (crashesBuilder_.isEmpty()) {
-              crashesBuilder_.dispose();
-              crashesBuilder_ = null;
-              crashes_ = other.crashes_;
-              bitField0_ = (bitField0_ & ~0x00000800);
-              crashesBuilder_ = 
-                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                   internalGetCrashesFieldBuilder() : null;
-            } else {
-              crashesBuilder_.addAllMessages(other.crashes_);
-            }
-          }
+          claimsBuilder_.addMessage(value);
         }
-        if (itemsBuilder_ == null) {
-          if (!other.items_.isEmpty()) {
-            if (items_.isEmpty()) {
-              items_ = other.items_;
-              bitField0_ = (bitField0_ & ~0x00001000);
-            } else {
-              ensureItemsIsMutable();
-              items_.addAll(other.items_);
-            }
-            onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
+       */
+      public Builder addClaims(
+          int index, org.borageproxy.wire.proto.ControlProtocol.ClaimState value) {
+        if (claimsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
           }
+          ensureClaimsIsMutable();
+          claims_.add(index, value);
+          onChanged();
         } else {
-          if (!other.items_.isEmpty()) {
-            if (itemsBuilder_.isEmpty()) {
-              itemsBuilder_.dispose();
-              itemsBuilder_ = null;
-              items_ = other.items_;
-              bitField0_ = (bitField0_ & ~0x00001000);
-              itemsBuilder_ = 
-                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                   internalGetItemsFieldBuilder() : null;
-            } else {
-              itemsBuilder_.addAllMessages(other.items_);
-            }
-          }
+          claimsBuilder_.addMessage(index, value);
         }
-        if (other.getRemovalsSince() != 0L) {
-          setRemovalsSince(other.getRemovalsSince());
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
+       */
+      public Builder addClaims(
+          org.borageproxy.wire.proto.ControlProtocol.ClaimState.Builder builderForValue) {
+        if (claimsBuilder_ == null) {
+          ensureClaimsIsMutable();
+          claims_.add(builderForValue.build());
+          onChanged();
+        } else {
+          claimsBuilder_.addMessage(builderForValue.build());
         }
-        if (streamsBuilder_ == null) {
-          if (!other.streams_.isEmpty()) {
-            if (streams_.isEmpty()) {
-              streams_ = other.streams_;
-              bitField0_ = (bitField0_ & ~0x00004000);
-            } else {
-              ensureStreamsIsMutable();
-              streams_.addAll(other.streams_);
-            }
-            onChanged();
-          }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
+       */
+      public Builder addClaims(
+          int index, org.borageproxy.wire.proto.ControlProtocol.ClaimState.Builder builderForValue) {
+        if (claimsBuilder_ == null) {
+          ensureClaimsIsMutable();
+          claims_.add(index, builderForValue.build());
+          onChanged();
         } else {
-          if (!other.streams_.isEmpty()) {
-            if (streamsBuilder_.isEmpty()) {
-              streamsBuilder_.dispose();
-              streamsBuilder_ = null;
-              streams_ = other.streams_;
-              bitField0_ = (bitField0_ & ~0x00004000);
-              streamsBuilder_ = 
-                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                   internalGetStreamsFieldBuilder() : null;
-            } else {
-              streamsBuilder_.addAllMessages(other.streams_);
-            }
-          }
+          claimsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
+       */
+      public Builder addAllClaims(
+          java.lang.Iterable<? extends org.borageproxy.wire.proto.ControlProtocol.ClaimState> values) {
+        if (claimsBuilder_ == null) {
+          ensureClaimsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, claims_);
+          onChanged();
+        } else {
+          claimsBuilder_.addAllMessages(values);
         }
-        this.mergeUnknownFields(other.getUnknownFields());
-        onChanged();
         return this;
       }
-
-      @java.lang.Override
-      public final boolean isInitialized() {
-        return true;
-      }
-
-      @java.lang.Override
-      public Builder mergeFrom(
-          com.google.protobuf.CodedInputStream input,
-          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-          throws java.io.IOException {
-        if (extensionRegistry == null) {
-          throw new java.lang.NullPointerException();
+      /**
+       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
+       */
+      public Builder clearClaims() {
+        if (claimsBuilder_ == null) {
+          claims_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000040);
+          onChanged();
+        } else {
+          claimsBuilder_.clear();
         }
-        try {
-          boolean done = false;
-          while (!done) {
-            int tag = input.readTag();
-            switch (tag) {
-              case 0:
-                done = true;
-                break;
-              case 8: {
-                version_ = input.readUInt64();
-                bitField0_ |= 0x00000001;
-                break;
-              } // case 8
-              case 16: {
-                revision_ = input.readUInt64();
-                bitField0_ |= 0x00000002;
-                break;
-              } // case 16
-              case 34: {
-                org.borageproxy.wire.proto.ControlProtocol.TreeState m =
-                    input.readMessage(
-                        org.borageproxy.wire.proto.ControlProtocol.TreeState.parser(),
-                        extensionRegistry);
-                if (historyBuilder_ == null) {
-                  ensureHistoryIsMutable();
-                  history_.add(m);
-                } else {
-                  historyBuilder_.addMessage(m);
-                }
-                break;
-              } // case 34
-              case 42: {
-                org.borageproxy.wire.proto.ControlProtocol.KeyState m =
-                    input.readMessage(
-                        org.borageproxy.wire.proto.ControlProtocol.KeyState.parser(),
-                        extensionRegistry);
-                if (keysBuilder_ == null) {
-                  ensureKeysIsMutable();
-                  keys_.add(m);
-                } else {
-                  keysBuilder_.addMessage(m);
-                }
-                break;
-              } // case 42
-              case 50: {
-                org.borageproxy.wire.proto.ControlProtocol.ChangeState m =
-                    input.readMessage(
-                        org.borageproxy.wire.proto.ControlProtocol.ChangeState.parser(),
-                        extensionRegistry);
-                if (changesBuilder_ == null) {
-                  ensureChangesIsMutable();
-                  changes_.add(m);
-                } else {
-                  changesBuilder_.addMessage(m);
-                }
-                break;
-              } // case 50
-              case 58: {
-                org.borageproxy.wire.proto.ControlProtocol.RememberedReply m =
-                    input.readMessage(
-                        org.borageproxy.wire.proto.ControlProtocol.RememberedReply.parser(),
-                        extensionRegistry);
-                if (repliesBuilder_ == null) {
-                  ensureRepliesIsMutable();
-                  replies_.add(m);
-                } else {
-                  repliesBuilder_.addMessage(m);
-                }
-                break;
-              } // case 58
-              case 66: {
-                org.borageproxy.wire.proto.ControlProtocol.ClaimState m =
-                    input.readMessage(
-                        org.borageproxy.wire.proto.ControlProtocol.ClaimState.parser(),
-                        extensionRegistry);
-                if (claimsBuilder_ == null) {
-                  ensureClaimsIsMutable();
-                  claims_.add(m);
-                } else {
-                  claimsBuilder_.addMessage(m);
-                }
-                break;
-              } // case 66
-              case 72: {
-                lastClaimEpoch_ = input.readInt64();
-                bitField0_ |= 0x00000080;
-                break;
-              } // case 72
-              case 82: {
-                org.borageproxy.wire.proto.ControlProtocol.LeaseState m =
-                    input.readMessage(
-                        org.borageproxy.wire.proto.ControlProtocol.LeaseState.parser(),
-                        extensionRegistry);
-                if (leasesBuilder_ == null) {
-                  ensureLeasesIsMutable();
-                  leases_.add(m);
-                } else {
-                  leasesBuilder_.addMessage(m);
-                }
-                break;
-              } // case 82
-              case 90: {
-                org.borageproxy.wire.proto.ControlProtocol.IntentRecord m =
-                    input.readMessage(
-                        org.borageproxy.wire.proto.ControlProtocol.IntentRecord.parser(),
-                        extensionRegistry);
-                if (intentsBuilder_ == null) {
-                  ensureIntentsIsMutable();
-                  intents_.add(m);
-                } else {
-                  intentsBuilder_.addMessage(m);
-                }
-                break;
-              } // case 90
-              case 96: {
-                lastIntentNumber_ = input.readInt64();
-                bitField0_ |= 0x00000400;
-                break;
-              } // case 96
-              case 106: {
-                org.borageproxy.wire.proto.ControlProtocol.CrashState m =
-                    input.readMessage(
-                        org.borageproxy.wire.proto.ControlProtocol.CrashState.parser(),
-                        extensionRegistry);
-                if (crashesBuilder_ == null) {
-                  ensureCrashesIsMutable();
-                  crashes_.add(m);
-                } else {
-                  crashesBuilder_.addMessage(m);
-                }
-                break;
-              } // case 106
-              case 114: {
-                org.borageproxy.wire.proto.ControlProtocol.Item m =
-                    input.readMessage(
-                        org.borageproxy.wire.proto.ControlProtocol.Item.parser(),
-                        extensionRegistry);
-                if (itemsBuilder_ == null) {
-                  ensureItemsIsMutable();
-                  items_.add(m);
-                } else {
-                  itemsBuilder_.addMessage(m);
-                }
-                break;
-              } // case 114
-              case 120: {
-                removalsSince_ = input.readUInt64();
-                bitField0_ |= 0x00002000;
-                break;
-              } // case 120
-              case 242: {
-                org.borageproxy.wire.proto.ControlProtocol.StreamRecord m =
-                    input.readMessage(
-                        org.borageproxy.wire.proto.ControlProtocol.StreamRecord.parser(),
-                        extensionRegistry);
-                if (streamsBuilder_ == null) {
-                  ensureStreamsIsMutable();
-                  streams_.add(m);
-                } else {
-                  streamsBuilder_.addMessage(m);
-                }
-                break;
-              } // case 242
-              default: {
-                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                  done = true; // was an endgroup tag
-                }
-                break;
-              } // default:
-            } // switch (tag)
-          } // while (!done)
-        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-          throw e.unwrapIOException();
-        } finally {
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
+       */
+      public Builder removeClaims(int index) {
+        if (claimsBuilder_ == null) {
+          ensureClaimsIsMutable();
+          claims_.remove(index);
           onChanged();
-        } // finally
+        } else {
+          claimsBuilder_.remove(index);
+        }
         return this;
       }
-      private int bitField0_;
+      /**
+       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.ClaimState.Builder getClaimsBuilder(
+          int index) {
+        return internalGetClaimsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.ClaimStateOrBuilder getClaimsOrBuilder(
+          int index) {
+        if (claimsBuilder_ == null) {
+          return claims_.get(index);  } else {
+          return claimsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
+       */
+      public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.ClaimStateOrBuilder> 
+           getClaimsOrBuilderList() {
+        if (claimsBuilder_ != null) {
+          return claimsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(claims_);
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.ClaimState.Builder addClaimsBuilder() {
+        return internalGetClaimsFieldBuilder().addBuilder(
+            org.borageproxy.wire.proto.ControlProtocol.ClaimState.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.ClaimState.Builder addClaimsBuilder(
+          int index) {
+        return internalGetClaimsFieldBuilder().addBuilder(
+            index, org.borageproxy.wire.proto.ControlProtocol.ClaimState.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.ClaimState.Builder> 
+           getClaimsBuilderList() {
+        return internalGetClaimsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.ClaimState, org.borageproxy.wire.proto.ControlProtocol.ClaimState.Builder, org.borageproxy.wire.proto.ControlProtocol.ClaimStateOrBuilder> 
+          internalGetClaimsFieldBuilder() {
+        if (claimsBuilder_ == null) {
+          claimsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.ClaimState, org.borageproxy.wire.proto.ControlProtocol.ClaimState.Builder, org.borageproxy.wire.proto.ControlProtocol.ClaimStateOrBuilder>(
+                  claims_,
+                  ((bitField0_ & 0x00000040) != 0),
+                  getParentForChildren(),
+                  isClean());
+          claims_ = null;
+        }
+        return claimsBuilder_;
+      }
 
-      private long version_ ;
+      private long lastClaimEpoch_ ;
       /**
-       * <code>uint64 version = 1;</code>
-       * @return The version.
+       * <code>int64 last_claim_epoch = 9;</code>
+       * @return The lastClaimEpoch.
        */
       @java.lang.Override
-      public long getVersion() {
-        return version_;
+      public long getLastClaimEpoch() {
+        return lastClaimEpoch_;
       }
       /**
-       * <code>uint64 version = 1;</code>
-       * @param value The version to set.
+       * <code>int64 last_claim_epoch = 9;</code>
+       * @param value The lastClaimEpoch to set.
        * @return This builder for chaining.
        */
-      public Builder setVersion(long value) {
+      public Builder setLastClaimEpoch(long value) {
 
-        version_ = value;
-        bitField0_ |= 0x00000001;
+        lastClaimEpoch_ = value;
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 last_claim_epoch = 9;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLastClaimEpoch() {
+        bitField0_ = (bitField0_ & ~0x00000080);
+        lastClaimEpoch_ = 0L;
         onChanged();
         return this;
       }
+
+      private java.util.List<org.borageproxy.wire.proto.ControlProtocol.LeaseState> leases_ =
+        java.util.Collections.emptyList();
+      private void ensureLeasesIsMutable() {
+        if (!((bitField0_ & 0x00000100) != 0)) {
+          leases_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.LeaseState>(leases_);
+          bitField0_ |= 0x00000100;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.LeaseState, org.borageproxy.wire.proto.ControlProtocol.LeaseState.Builder, org.borageproxy.wire.proto.ControlProtocol.LeaseStateOrBuilder> leasesBuilder_;
+
+      /**
+       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.LeaseState> getLeasesList() {
+        if (leasesBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(leases_);
+        } else {
+          return leasesBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
+       */
+      public int getLeasesCount() {
+        if (leasesBuilder_ == null) {
+          return leases_.size();
+        } else {
+          return leasesBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.LeaseState getLeases(int index) {
+        if (leasesBuilder_ == null) {
+          return leases_.get(index);
+        } else {
+          return leasesBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
+       */
+      public Builder setLeases(
+          int index, org.borageproxy.wire.proto.ControlProtocol.LeaseState value) {
+        if (leasesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureLeasesIsMutable();
+          leases_.set(index, value);
+          onChanged();
+        } else {
+          leasesBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
+       */
+      public Builder setLeases(
+          int index, org.borageproxy.wire.proto.ControlProtocol.LeaseState.Builder builderForValue) {
+        if (leasesBuilder_ == null) {
+          ensureLeasesIsMutable();
+          leases_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          leasesBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
+       */
+      public Builder addLeases(org.borageproxy.wire.proto.ControlProtocol.LeaseState value) {
+        if (leasesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureLeasesIsMutable();
+          leases_.add(value);
+          onChanged();
+        } else {
+          leasesBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
+       */
+      public Builder addLeases(
+          int index, org.borageproxy.wire.proto.ControlProtocol.LeaseState value) {
+        if (leasesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureLeasesIsMutable();
+          leases_.add(index, value);
+          onChanged();
+        } else {
+          leasesBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
+       */
+      public Builder addLeases(
+          org.borageproxy.wire.proto.ControlProtocol.LeaseState.Builder builderForValue) {
+        if (leasesBuilder_ == null) {
+          ensureLeasesIsMutable();
+          leases_.add(builderForValue.build());
+          onChanged();
+        } else {
+          leasesBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
+       */
+      public Builder addLeases(
+          int index, org.borageproxy.wire.proto.ControlProtocol.LeaseState.Builder builderForValue) {
+        if (leasesBuilder_ == null) {
+          ensureLeasesIsMutable();
+          leases_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          leasesBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
+       */
+      public Builder addAllLeases(
+          java.lang.Iterable<? extends org.borageproxy.wire.proto.ControlProtocol.LeaseState> values) {
+        if (leasesBuilder_ == null) {
+          ensureLeasesIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, leases_);
+          onChanged();
+        } else {
+          leasesBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
+       */
+      public Builder clearLeases() {
+        if (leasesBuilder_ == null) {
+          leases_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000100);
+          onChanged();
+        } else {
+          leasesBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
+       */
+      public Builder removeLeases(int index) {
+        if (leasesBuilder_ == null) {
+          ensureLeasesIsMutable();
+          leases_.remove(index);
+          onChanged();
+        } else {
+          leasesBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.LeaseState.Builder getLeasesBuilder(
+          int index) {
+        return internalGetLeasesFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.LeaseStateOrBuilder getLeasesOrBuilder(
+          int index) {
+        if (leasesBuilder_ == null) {
+          return leases_.get(index);  } else {
+          return leasesBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
+       */
+      public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.LeaseStateOrBuilder> 
+           getLeasesOrBuilderList() {
+        if (leasesBuilder_ != null) {
+          return leasesBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(leases_);
+        }
+      }
       /**
-       * <code>uint64 version = 1;</code>
-       * @return This builder for chaining.
+       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
        */
-      public Builder clearVersion() {
-        bitField0_ = (bitField0_ & ~0x00000001);
-        version_ = 0L;
-        onChanged();
-        return this;
+      public org.borageproxy.wire.proto.ControlProtocol.LeaseState.Builder addLeasesBuilder() {
+        return internalGetLeasesFieldBuilder().addBuilder(
+            org.borageproxy.wire.proto.ControlProtocol.LeaseState.getDefaultInstance());
       }
-
-      private long revision_ ;
       /**
-       * <code>uint64 revision = 2;</code>
-       * @return The revision.
+       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
        */
-      @java.lang.Override
-      public long getRevision() {
-        return revision_;
+      public org.borageproxy.wire.proto.ControlProtocol.LeaseState.Builder addLeasesBuilder(
+          int index) {
+        return internalGetLeasesFieldBuilder().addBuilder(
+            index, org.borageproxy.wire.proto.ControlProtocol.LeaseState.getDefaultInstance());
       }
       /**
-       * <code>uint64 revision = 2;</code>
-       * @param value The revision to set.
-       * @return This builder for chaining.
+       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
        */
-      public Builder setRevision(long value) {
-
-        revision_ = value;
-        bitField0_ |= 0x00000002;
-        onChanged();
-        return this;
+      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.LeaseState.Builder> 
+           getLeasesBuilderList() {
+        return internalGetLeasesFieldBuilder().getBuilderList();
       }
-      /**
-       * <code>uint64 revision = 2;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearRevision() {
-        bitField0_ = (bitField0_ & ~0x00000002);
-        revision_ = 0L;
-        onChanged();
-        return this;
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.LeaseState, org.borageproxy.wire.proto.ControlProtocol.LeaseState.Builder, org.borageproxy.wire.proto.ControlProtocol.LeaseStateOrBuilder> 
+          internalGetLeasesFieldBuilder() {
+        if (leasesBuilder_ == null) {
+          leasesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.LeaseState, org.borageproxy.wire.proto.ControlProtocol.LeaseState.Builder, org.borageproxy.wire.proto.ControlProtocol.LeaseStateOrBuilder>(
+                  leases_,
+                  ((bitField0_ & 0x00000100) != 0),
+                  getParentForChildren(),
+                  isClean());
+          leases_ = null;
+        }
+        return leasesBuilder_;
       }
 
-      private java.util.List<org.borageproxy.wire.proto.ControlProtocol.TreeState> history_ =
+      private java.util.List<org.borageproxy.wire.proto.ControlProtocol.IntentRecord> intents_ =
         java.util.Collections.emptyList();
-      private void ensureHistoryIsMutable() {
-        if (!((bitField0_ & 0x00000004) != 0)) {
-          history_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.TreeState>(history_);
-          bitField0_ |= 0x00000004;
+      private void ensureIntentsIsMutable() {
+        if (!((bitField0_ & 0x00000200) != 0)) {
+          intents_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.IntentRecord>(intents_);
+          bitField0_ |= 0x00000200;
          }
       }
 
       private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.TreeState, org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder, org.borageproxy.wire.proto.ControlProtocol.TreeStateOrBuilder> historyBuilder_;
+          org.borageproxy.wire.proto.ControlProtocol.IntentRecord, org.borageproxy.wire.proto.ControlProtocol.IntentRecord.Builder, org.borageproxy.wire.proto.ControlProtocol.IntentRecordOrBuilder> intentsBuilder_;
 
       /**
-       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
        */
-      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.TreeState> getHistoryList() {
-        if (historyBuilder_ == null) {
-          return java.util.Collections.unmodifiableList(history_);
+      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.IntentRecord> getIntentsList() {
+        if (intentsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(intents_);
         } else {
-          return historyBuilder_.getMessageList();
+          return intentsBuilder_.getMessageList();
         }
       }
       /**
-       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
        */
-      public int getHistoryCount() {
-        if (historyBuilder_ == null) {
-          return history_.size();
+      public int getIntentsCount() {
+        if (intentsBuilder_ == null) {
+          return intents_.size();
         } else {
-          return historyBuilder_.getCount();
+          return intentsBuilder_.getCount();
         }
       }
       /**
-       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
        */
-      public org.borageproxy.wire.proto.ControlProtocol.TreeState getHistory(int index) {
-        if (historyBuilder_ == null) {
-          return history_.get(index);
+      public org.borageproxy.wire.proto.ControlProtocol.IntentRecord getIntents(int index) {
+        if (intentsBuilder_ == null) {
+          return intents_.get(index);
         } else {
-          return historyBuilder_.getMessage(index);
+          return intentsBuilder_.getMessage(index);
         }
       }
       /**
-       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
        */
-      public Builder setHistory(
-          int index, org.borageproxy.wire.proto.ControlProtocol.TreeState value) {
-        if (historyBuilder_ == null) {
+      public Builder setIntents(
+          int index, org.borageproxy.wire.proto.ControlProtocol.IntentRecord value) {
+        if (intentsBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensureHistoryIsMutable();
-          history_.set(index, value);
+          ensureIntentsIsMutable();
+          intents_.set(index, value);
           onChanged();
         } else {
-          historyBuilder_.setMessage(index, value);
+          intentsBuilder_.setMessage(index, value);
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
        */
-      public Builder setHistory(
-          int index, org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder builderForValue) {
-        if (historyBuilder_ == null) {
-          ensureHistoryIsMutable();
-          history_.set(index, builderForValue.build());
+      public Builder setIntents(
+          int index, org.borageproxy.wire.proto.ControlProtocol.IntentRecord.Builder builderForValue) {
+        if (intentsBuilder_ == null) {
+          ensureIntentsIsMutable();
+          intents_.set(index, builderForValue.build());
           onChanged();
         } else {
-          historyBuilder_.setMessage(index, builderForValue.build());
+          intentsBuilder_.setMessage(index, builderForValue.build());
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
        */
-      public Builder addHistory(org.borageproxy.wire.proto.ControlProtocol.TreeState value) {
-        if (historyBuilder_ == null) {
+      public Builder addIntents(org.borageproxy.wire.proto.ControlProtocol.IntentRecord value) {
+        if (intentsBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensureHistoryIsMutable();
-          history_.add(value);
+          ensureIntentsIsMutable();
+          intents_.add(value);
           onChanged();
         } else {
-          historyBuilder_.addMessage(value);
+          intentsBuilder_.addMessage(value);
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
        */
-      public Builder addHistory(
-          int index, org.borageproxy.wire.proto.ControlProtocol.TreeState value) {
-        if (historyBuilder_ == null) {
+      public Builder addIntents(
+          int index, org.borageproxy.wire.proto.ControlProtocol.IntentRecord value) {
+        if (intentsBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensureHistoryIsMutable();
-          history_.add(index, value);
+          ensureIntentsIsMutable();
+          intents_.add(index, value);
           onChanged();
         } else {
-          historyBuilder_.addMessage(index, value);
+          intentsBuilder_.addMessage(index, value);
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
        */
-      public Builder addHistory(
-          org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder builderForValue) {
-        if (historyBuilder_ == null) {
-          ensureHistoryIsMutable();
-          history_.add(builderForValue.build());
+      public Builder addIntents(
+          org.borageproxy.wire.proto.ControlProtocol.IntentRecord.Builder builderForValue) {
+        if (intentsBuilder_ == null) {
+          ensureIntentsIsMutable();
+          intents_.add(builderForValue.build());
           onChanged();
         } else {
-          historyBuilder_.addMessage(builderForValue.build());
+          intentsBuilder_.addMessage(builderForValue.build());
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
        */
-      public Builder addHistory(
-          int index, org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder builderForValue) {
-        if (historyBuilder_ == null) {
-          ensureHistoryIsMutable();
-          history_.add(index, builderForValue.build());
+      public Builder addIntents(
+          int index, org.borageproxy.wire.proto.ControlProtocol.IntentRecord.Builder builderForValue) {
+        if (intentsBuilder_ == null) {
+          ensureIntentsIsMutable();
+          intents_.add(index, builderForValue.build());
           onChanged();
         } else {
-          historyBuilder_.addMessage(index, builderForValue.build());
+          intentsBuilder_.addMessage(index, builderForValue.build());
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
        */
-      public Builder addAllHistory(
-          java.lang.Iterable<? extends org.borageproxy.wire.proto.ControlProtocol.TreeState> values) {
-        if (historyBuilder_ == null) {
-          ensureHistoryIsMutable();
+      public Builder addAllIntents(
+          java.lang.Iterable<? extends org.borageproxy.wire.proto.ControlProtocol.IntentRecord> values) {
+        if (intentsBuilder_ == null) {
+          ensureIntentsIsMutable();
           com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, history_);
+              values, intents_);
           onChanged();
         } else {
-          historyBuilder_.addAllMessages(values);
+          intentsBuilder_.addAllMessages(values);
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
        */
-      public Builder clearHistory() {
-        if (historyBuilder_ == null) {
-          history_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000004);
+      public Builder clearIntents() {
+        if (intentsBuilder_ == null) {
+          intents_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000200);
           onChanged();
         } else {
-          historyBuilder_.clear();
+          intentsBuilder_.clear();
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
        */
-      public Builder removeHistory(int index) {
-        if (historyBuilder_ == null) {
-          ensureHistoryIsMutable();
-          history_.remove(index);
+      public Builder removeIntents(int index) {
+        if (intentsBuilder_ == null) {
+          ensureIntentsIsMutable();
+          intents_.remove(index);
           onChanged();
         } else {
-          historyBuilder_.remove(index);
+          intentsBuilder_.remove(index);
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
        */
-      public org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder getHistoryBuilder(
+      public org.borageproxy.wire.proto.ControlProtocol.IntentRecord.Builder getIntentsBuilder(
           int index) {
-        return internalGetHistoryFieldBuilder().getBuilder(index);
+        return internalGetIntentsFieldBuilder().getBuilder(index);
       }
       /**
-       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
        */
-      public org.borageproxy.wire.proto.ControlProtocol.TreeStateOrBuilder getHistoryOrBuilder(
+      public org.borageproxy.wire.proto.ControlProtocol.IntentRecordOrBuilder getIntentsOrBuilder(
           int index) {
-        if (historyBuilder_ == null) {
-          return history_.get(index);  } else {
-          return historyBuilder_.getMessageOrBuilder(index);
+        if (intentsBuilder_ == null) {
+          return intents_.get(index);  } else {
+          return intentsBuilder_.getMessageOrBuilder(index);
         }
       }
       /**
-       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
        */
-      public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.TreeStateOrBuilder> 
-           getHistoryOrBuilderList() {
-        if (historyBuilder_ != null) {
-          return historyBuilder_.getMessageOrBuilderList();
+      public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.IntentRecordOrBuilder> 
+           getIntentsOrBuilderList() {
+        if (intentsBuilder_ != null) {
+          return intentsBuilder_.getMessageOrBuilderList();
         } else {
-          return java.util.Collections.unmodifiableList(history_);
+          return java.util.Collections.unmodifiableList(intents_);
         }
       }
       /**
-       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
        */
-      public org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder addHistoryBuilder() {
-        return internalGetHistoryFieldBuilder().addBuilder(
-            org.borageproxy.wire.proto.ControlProtocol.TreeState.getDefaultInstance());
+      public org.borageproxy.wire.proto.ControlProtocol.IntentRecord.Builder addIntentsBuilder() {
+        return internalGetIntentsFieldBuilder().addBuilder(
+            org.borageproxy.wire.proto.ControlProtocol.IntentRecord.getDefaultInstance());
       }
       /**
-       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
        */
-      public org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder addHistoryBuilder(
+      public org.borageproxy.wire.proto.ControlProtocol.IntentRecord.Builder addIntentsBuilder(
           int index) {
-        return internalGetHistoryFieldBuilder().addBuilder(
-            index, org.borageproxy.wire.proto.ControlProtocol.TreeState.getDefaultInstance());
+        return internalGetIntentsFieldBuilder().addBuilder(
+            index, org.borageproxy.wire.proto.ControlProtocol.IntentRecord.getDefaultInstance());
       }
       /**
-       * <code>repeated .borageproxy.control.TreeState history = 4;</code>
+       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
        */
-      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder> 
-           getHistoryBuilderList() {
-        return internalGetHistoryFieldBuilder().getBuilderList();
+      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.IntentRecord.Builder> 
+           getIntentsBuilderList() {
+        return internalGetIntentsFieldBuilder().getBuilderList();
       }
       private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.TreeState, org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder, org.borageproxy.wire.proto.ControlProtocol.TreeStateOrBuilder> 
-          internalGetHistoryFieldBuilder() {
-        if (historyBuilder_ == null) {
-          historyBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              org.borageproxy.wire.proto.ControlProtocol.TreeState, org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder, org.borageproxy.wire.proto.ControlProtocol.TreeStateOrBuilder>(
-                  history_,
-                  ((bitField0_ & 0x00000004) != 0),
+          org.borageproxy.wire.proto.ControlProtocol.IntentRecord, org.borageproxy.wire.proto.ControlProtocol.IntentRecord.Builder, org.borageproxy.wire.proto.ControlProtocol.IntentRecordOrBuilder> 
+          internalGetIntentsFieldBuilder() {
+        if (intentsBuilder_ == null) {
+          intentsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.IntentRecord, org.borageproxy.wire.proto.ControlProtocol.IntentRecord.Builder, org.borageproxy.wire.proto.ControlProtocol.IntentRecordOrBuilder>(
+                  intents_,
+                  ((bitField0_ & 0x00000200) != 0),
                   getParentForChildren(),
                   isClean());
-          history_ = null;
+          intents_ = null;
         }
-        return historyBuilder_;
+        return intentsBuilder_;
       }
 
-      private java.util.List<org.borageproxy.wire.proto.ControlProtocol.KeyState> keys_ =
+      private long lastIntentNumber_ ;
+      /**
+       * <code>int64 last_intent_number = 12;</code>
+       * @return The lastIntentNumber.
+       */
+      @java.lang.Override
+      public long getLastIntentNumber() {
+        return lastIntentNumber_;
+      }
+      /**
+       * <code>int64 last_intent_number = 12;</code>
+       * @param value The lastIntentNumber to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLastIntentNumber(long value) {
+
+        lastIntentNumber_ = value;
+        bitField0_ |= 0x00000400;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 last_intent_number = 12;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLastIntentNumber() {
+        bitField0_ = (bitField0_ & ~0x00000400);
+        lastIntentNumber_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<org.borageproxy.wire.proto.ControlProtocol.CrashState> crashes_ =
         java.util.Collections.emptyList();
-      private void ensureKeysIsMutable() {
-        if (!((bitField0_ & 0x00000008) != 0)) {
-          keys_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.KeyState>(keys_);
-          bitField0_ |= 0x00000008;
+      private void ensureCrashesIsMutable() {
+        if (!((bitField0_ & 0x00000800) != 0)) {
+          crashes_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.CrashState>(crashes_);
+          bitField0_ |= 0x00000800;
          }
       }
 
       private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.KeyState, org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder, org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder> keysBuilder_;
+          org.borageproxy.wire.proto.ControlProtocol.CrashState, org.borageproxy.wire.proto.ControlProtocol.CrashState.Builder, org.borageproxy.wire.proto.ControlProtocol.CrashStateOrBuilder> crashesBuilder_;
 
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
        */
-      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.KeyState> getKeysList() {
-        if (keysBuilder_ == null) {
-          return java.util.Collections.unmodifiableList(keys_);
+      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.CrashState> getCrashesList() {
+        if (crashesBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(crashes_);
         } else {
-          return keysBuilder_.getMessageList();
+          return crashesBuilder_.getMessageList();
         }
       }
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
        */
-      public int getKeysCount() {
-        if (keysBuilder_ == null) {
-          return keys_.size();
+      public int getCrashesCount() {
+        if (crashesBuilder_ == null) {
+          return crashes_.size();
         } else {
-          return keysBuilder_.getCount();
+          return crashesBuilder_.getCount();
         }
       }
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
        */
-      public org.borageproxy.wire.proto.ControlProtocol.KeyState getKeys(int index) {
-        if (keysBuilder_ == null) {
-          return keys_.get(index);
+      public org.borageproxy.wire.proto.ControlProtocol.CrashState getCrashes(int index) {
+        if (crashesBuilder_ == null) {
+          return crashes_.get(index);
         } else {
-          return keysBuilder_.getMessage(index);
+          return crashesBuilder_.getMessage(index);
         }
       }
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
        */
-      public Builder setKeys(
-          int index, org.borageproxy.wire.proto.ControlProtocol.KeyState value) {
-        if (keysBuilder_ == null) {
+      public Builder setCrashes(
+          int index, org.borageproxy.wire.proto.ControlProtocol.CrashState value) {
+        if (crashesBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensureKeysIsMutable();
-          keys_.set(index, value);
+          ensureCrashesIsMutable();
+          crashes_.set(index, value);
           onChanged();
         } else {
-          keysBuilder_.setMessage(index, value);
+          crashesBuilder_.setMessage(index, value);
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
        */
-      public Builder setKeys(
-          int index, org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder builderForValue) {
-        if (keysBuilder_ == null) {
-          ensureKeysIsMutable();
-          keys_.set(index, builderForValue.build());
+      public Builder setCrashes(
+          int index, org.borageproxy.wire.proto.ControlProtocol.CrashState.Builder builderForValue) {
+        if (crashesBuilder_ == null) {
+          ensureCrashesIsMutable();
+          crashes_.set(index, builderForValue.build());
           onChanged();
         } else {
-          keysBuilder_.setMessage(index, builderForValue.build());
+          crashesBuilder_.setMessage(index, builderForValue.build());
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
        */
-      public Builder addKeys(org.borageproxy.wire.proto.ControlProtocol.KeyState value) {
-        if (keysBuilder_ == null) {
+      public Builder addCrashes(org.borageproxy.wire.proto.ControlProtocol.CrashState value) {
+        if (crashesBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensureKeysIsMutable();
-          keys_.add(value);
+          ensureCrashesIsMutable();
+          crashes_.add(value);
           onChanged();
         } else {
-          keysBuilder_.addMessage(value);
+          crashesBuilder_.addMessage(value);
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
        */
-      public Builder addKeys(
-          int index, org.borageproxy.wire.proto.ControlProtocol.KeyState value) {
-        if (keysBuilder_ == null) {
+      public Builder addCrashes(
+          int index, org.borageproxy.wire.proto.ControlProtocol.CrashState value) {
+        if (crashesBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensureKeysIsMutable();
-          keys_.add(index, value);
+          ensureCrashesIsMutable();
+          crashes_.add(index, value);
           onChanged();
         } else {
-          keysBuilder_.addMessage(index, value);
+          crashesBuilder_.addMessage(index, value);
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
        */
-      public Builder addKeys(
-          org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder builderForValue) {
-        if (keysBuilder_ == null) {
-          ensureKeysIsMutable();
-          keys_.add(builderForValue.build());
+      public Builder addCrashes(
+          org.borageproxy.wire.proto.ControlProtocol.CrashState.Builder builderForValue) {
+        if (crashesBuilder_ == null) {
+          ensureCrashesIsMutable();
+          crashes_.add(builderForValue.build());
           onChanged();
         } else {
-          keysBuilder_.addMessage(builderForValue.build());
+          crashesBuilder_.addMessage(builderForValue.build());
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
        */
-      public Builder addKeys(
-          int index, org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder builderForValue) {
-        if (keysBuilder_ == null) {
-          ensureKeysIsMutable();
-          keys_.add(index, builderForValue.build());
+      public Builder addCrashes(
+          int index, org.borageproxy.wire.proto.ControlProtocol.CrashState.Builder builderForValue) {
+        if (crashesBuilder_ == null) {
+          ensureCrashesIsMutable();
+          crashes_.add(index, builderForValue.build());
           onChanged();
         } else {
-          keysBuilder_.addMessage(index, builderForValue.build());
+          crashesBuilder_.addMessage(index, builderForValue.build());
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
        */
-      public Builder addAllKeys(
-          java.lang.Iterable<? extends org.borageproxy.wire.proto.ControlProtocol.KeyState> values) {
-        if (keysBuilder_ == null) {
-          ensureKeysIsMutable();
+      public Builder addAllCrashes(
+          java.lang.Iterable<? extends org.borageproxy.wire.proto.ControlProtocol.CrashState> values) {
+        if (crashesBuilder_ == null) {
+          ensureCrashesIsMutable();
           com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, keys_);
+              values, crashes_);
           onChanged();
         } else {
-          keysBuilder_.addAllMessages(values);
+          crashesBuilder_.addAllMessages(values);
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
        */
-      public Builder clearKeys() {
-        if (keysBuilder_ == null) {
-          keys_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000008);
+      public Builder clearCrashes() {
+        if (crashesBuilder_ == null) {
+          crashes_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000800);
           onChanged();
         } else {
-          keysBuilder_.clear();
+          crashesBuilder_.clear();
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
        */
-      public Builder removeKeys(int index) {
-        if (keysBuilder_ == null) {
-          ensureKeysIsMutable();
-          keys_.remove(index);
+      public Builder removeCrashes(int index) {
+        if (crashesBuilder_ == null) {
+          ensureCrashesIsMutable();
+          crashes_.remove(index);
           onChanged();
         } else {
-          keysBuilder_.remove(index);
+          crashesBuilder_.remove(index);
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
        */
-      public org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder getKeysBuilder(
+      public org.borageproxy.wire.proto.ControlProtocol.CrashState.Builder getCrashesBuilder(
           int index) {
-        return internalGetKeysFieldBuilder().getBuilder(index);
+        return internalGetCrashesFieldBuilder().getBuilder(index);
       }
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
        */
-      public org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder getKeysOrBuilder(
+      public org.borageproxy.wire.proto.ControlProtocol.CrashStateOrBuilder getCrashesOrBuilder(
           int index) {
-        if (keysBuilder_ == null) {
-          return keys_.get(index);  } else {
-          return keysBuilder_.getMessageOrBuilder(index);
+        if (crashesBuilder_ == null) {
+          return crashes_.get(index);  } else {
+          return crashesBuilder_.getMessageOrBuilder(index);
         }
       }
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
        */
-      public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder> 
-           getKeysOrBuilderList() {
-        if (keysBuilder_ != null) {
-          return keysBuilder_.getMessageOrBuilderList();
+      public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.CrashStateOrBuilder> 
+           getCrashesOrBuilderList() {
+        if (crashesBuilder_ != null) {
+          return crashesBuilder_.getMessageOrBuilderList();
         } else {
-          return java.util.Collections.unmodifiableList(keys_);
+          return java.util.Collections.unmodifiableList(crashes_);
         }
       }
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
        */
-      public org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder addKeysBuilder() {
-        return internalGetKeysFieldBuilder().addBuilder(
-            org.borageproxy.wire.proto.ControlProtocol.KeyState.getDefaultInstance());
+      public org.borageproxy.wire.proto.ControlProtocol.CrashState.Builder addCrashesBuilder() {
+        return internalGetCrashesFieldBuilder().addBuilder(
+            org.borageproxy.wire.proto.ControlProtocol.CrashState.getDefaultInstance());
       }
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
        */
-      public org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder addKeysBuilder(
+      public org.borageproxy.wire.proto.ControlProtocol.CrashState.Builder addCrashesBuilder(
           int index) {
-        return internalGetKeysFieldBuilder().addBuilder(
-            index, org.borageproxy.wire.proto.ControlProtocol.KeyState.getDefaultInstance());
+        return internalGetCrashesFieldBuilder().addBuilder(
+            index, org.borageproxy.wire.proto.ControlProtocol.CrashState.getDefaultInstance());
       }
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 5;</code>
+       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
        */
-      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder> 
-           getKeysBuilderList() {
-        return internalGetKeysFieldBuilder().getBuilderList();
+      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.CrashState.Builder> 
+           getCrashesBuilderList() {
+        return internalGetCrashesFieldBuilder().getBuilderList();
       }
       private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.KeyState, org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder, org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder> 
-          internalGetKeysFieldBuilder() {
-        if (keysBuilder_ == null) {
-          keysBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              org.borageproxy.wire.proto.ControlProtocol.KeyState, org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder, org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder>(
-                  keys_,
-                  ((bitField0_ & 0x00000008) != 0),
+          org.borageproxy.wire.proto.ControlProtocol.CrashState, org.borageproxy.wire.proto.ControlProtocol.CrashState.Builder, org.borageproxy.wire.proto.ControlProtocol.CrashStateOrBuilder> 
+          internalGetCrashesFieldBuilder() {
+        if (crashesBuilder_ == null) {
+          crashesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.CrashState, org.borageproxy.wire.proto.ControlProtocol.CrashState.Builder, org.borageproxy.wire.proto.ControlProtocol.CrashStateOrBuilder>(
+                  crashes_,
+                  ((bitField0_ & 0x00000800) != 0),
                   getParentForChildren(),
                   isClean());
-          keys_ = null;
+          crashes_ = null;
         }
-        return keysBuilder_;
+        return crashesBuilder_;
       }
 
-      private java.util.List<org.borageproxy.wire.proto.ControlProtocol.ChangeState> changes_ =
+      private java.util.List<org.borageproxy.wire.proto.ControlProtocol.Item> items_ =
         java.util.Collections.emptyList();
-      private void ensureChangesIsMutable() {
-        if (!((bitField0_ & 0x00000010) != 0)) {
-          changes_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.ChangeState>(changes_);
-          bitField0_ |= 0x00000010;
+      private void ensureItemsIsMutable() {
+        if (!((bitField0_ & 0x00001000) != 0)) {
+          items_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.Item>(items_);
+          bitField0_ |= 0x00001000;
          }
       }
 
       private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.ChangeState, org.borageproxy.wire.proto.ControlProtocol.ChangeState.Builder, org.borageproxy.wire.proto.ControlProtocol.ChangeStateOrBuilder> changesBuilder_;
+          org.borageproxy.wire.proto.ControlProtocol.Item, org.borageproxy.wire.proto.ControlProtocol.Item.Builder, org.borageproxy.wire.proto.ControlProtocol.ItemOrBuilder> itemsBuilder_;
 
       /**
-       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       * <code>repeated .borageproxy.control.Item items = 14;</code>
        */
-      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.ChangeState> getChangesList() {
-        if (changesBuilder_ == null) {
-          return java.util.Collections.unmodifiableList(changes_);
+      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.Item> getItemsList() {
+        if (itemsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(items_);
         } else {
-          return changesBuilder_.getMessageList();
+          return itemsBuilder_.getMessageList();
         }
       }
       /**
-       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       * <code>repeated .borageproxy.control.Item items = 14;</code>
        */
-      public int getChangesCount() {
-        if (changesBuilder_ == null) {
-          return changes_.size();
+      public int getItemsCount() {
+        if (itemsBuilder_ == null) {
+          return items_.size();
         } else {
-          return changesBuilder_.getCount();
+          return itemsBuilder_.getCount();
         }
       }
       /**
-       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       * <code>repeated .borageproxy.control.Item items = 14;</code>
        */
-      public org.borageproxy.wire.proto.ControlProtocol.ChangeState getChanges(int index) {
-        if (changesBuilder_ == null) {
-          return changes_.get(index);
+      public org.borageproxy.wire.proto.ControlProtocol.Item getItems(int index) {
+        if (itemsBuilder_ == null) {
+          return items_.get(index);
         } else {
-          return changesBuilder_.getMessage(index);
+          return itemsBuilder_.getMessage(index);
         }
       }
       /**
-       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       * <code>repeated .borageproxy.control.Item items = 14;</code>
        */
-      public Builder setChanges(
-          int index, org.borageproxy.wire.proto.ControlProtocol.ChangeState value) {
-        if (changesBuilder_ == null) {
+      public Builder setItems(
+          int index, org.borageproxy.wire.proto.ControlProtocol.Item value) {
+        if (itemsBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensureChangesIsMutable();
-          changes_.set(index, value);
+          ensureItemsIsMutable();
+          items_.set(index, value);
           onChanged();
         } else {
-          changesBuilder_.setMessage(index, value);
+          itemsBuilder_.setMessage(index, value);
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       * <code>repeated .borageproxy.control.Item items = 14;</code>
        */
-      public Builder setChanges(
-          int index, org.borageproxy.wire.proto.ControlProtocol.ChangeState.Builder builderForValue) {
-        if (changesBuilder_ == null) {
-          ensureChangesIsMutable();
-          changes_.set(index, builderForValue.build());
+      public Builder setItems(
+          int index, org.borageproxy.wire.proto.ControlProtocol.Item.Builder builderForValue) {
+        if (itemsBuilder_ == null) {
+          ensureItemsIsMutable();
+          items_.set(index, builderForValue.build());
           onChanged();
         } else {
-          changesBuilder_.setMessage(index, builderForValue.build());
+          itemsBuilder_.setMessage(index, builderForValue.build());
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       * <code>repeated .borageproxy.control.Item items = 14;</code>
        */
-      public Builder addChanges(org.borageproxy.wire.proto.ControlProtocol.ChangeState value) {
-        if (changesBuilder_ == null) {
+      public Builder addItems(org.borageproxy.wire.proto.ControlProtocol.Item value) {
+        if (itemsBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensureChangesIsMutable();
-          changes_.add(value);
+          ensureItemsIsMutable();
+          items_.add(value);
           onChanged();
         } else {
-          changesBuilder_.addMessage(value);
+          itemsBuilder_.addMessage(value);
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       * <code>repeated .borageproxy.control.Item items = 14;</code>
        */
