-      public Builder addChanges(
-          int index, org.borageproxy.wire.proto.ControlProtocol.ChangeState value) {
-        if (changesBuilder_ == null) {
+      public Builder addItems(
+          int index, org.borageproxy.wire.proto.ControlProtocol.Item value) {
+        if (itemsBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensureChangesIsMutable();
-          changes_.add(index, value);
+          ensureItemsIsMutable();
+          items_.add(index, value);
           onChanged();
         } else {
-          changesBuilder_.addMessage(index, value);
+          itemsBuilder_.addMessage(index, value);
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       * <code>repeated .borageproxy.control.Item items = 14;</code>
        */
-      public Builder addChanges(
-          org.borageproxy.wire.proto.ControlProtocol.ChangeState.Builder builderForValue) {
-        if (changesBuilder_ == null) {
-          ensureChangesIsMutable();
-          changes_.add(builderForValue.build());
+      public Builder addItems(
+          org.borageproxy.wire.proto.ControlProtocol.Item.Builder builderForValue) {
+        if (itemsBuilder_ == null) {
+          ensureItemsIsMutable();
+          items_.add(builderForValue.build());
           onChanged();
         } else {
-          changesBuilder_.addMessage(builderForValue.build());
+          itemsBuilder_.addMessage(builderForValue.build());
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       * <code>repeated .borageproxy.control.Item items = 14;</code>
        */
-      public Builder addChanges(
-          int index, org.borageproxy.wire.proto.ControlProtocol.ChangeState.Builder builderForValue) {
-        if (changesBuilder_ == null) {
-          ensureChangesIsMutable();
-          changes_.add(index, builderForValue.build());
+      public Builder addItems(
+          int index, org.borageproxy.wire.proto.ControlProtocol.Item.Builder builderForValue) {
+        if (itemsBuilder_ == null) {
+          ensureItemsIsMutable();
+          items_.add(index, builderForValue.build());
           onChanged();
         } else {
-          changesBuilder_.addMessage(index, builderForValue.build());
+          itemsBuilder_.addMessage(index, builderForValue.build());
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       * <code>repeated .borageproxy.control.Item items = 14;</code>
        */
-      public Builder addAllChanges(
-          java.lang.Iterable<? extends org.borageproxy.wire.proto.ControlProtocol.ChangeState> values) {
-        if (changesBuilder_ == null) {
-          ensureChangesIsMutable();
+      public Builder addAllItems(
+          java.lang.Iterable<? extends org.borageproxy.wire.proto.ControlProtocol.Item> values) {
+        if (itemsBuilder_ == null) {
+          ensureItemsIsMutable();
           com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, changes_);
+              values, items_);
           onChanged();
         } else {
-          changesBuilder_.addAllMessages(values);
+          itemsBuilder_.addAllMessages(values);
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       * <code>repeated .borageproxy.control.Item items = 14;</code>
        */
-      public Builder clearChanges() {
-        if (changesBuilder_ == null) {
-          changes_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000010);
+      public Builder clearItems() {
+        if (itemsBuilder_ == null) {
+          items_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00001000);
           onChanged();
         } else {
-          changesBuilder_.clear();
+          itemsBuilder_.clear();
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       * <code>repeated .borageproxy.control.Item items = 14;</code>
        */
-      public Builder removeChanges(int index) {
-        if (changesBuilder_ == null) {
-          ensureChangesIsMutable();
-          changes_.remove(index);
+      public Builder removeItems(int index) {
+        if (itemsBuilder_ == null) {
+          ensureItemsIsMutable();
+          items_.remove(index);
           onChanged();
         } else {
-          changesBuilder_.remove(index);
+          itemsBuilder_.remove(index);
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       * <code>repeated .borageproxy.control.Item items = 14;</code>
        */
-      public org.borageproxy.wire.proto.ControlProtocol.ChangeState.Builder getChangesBuilder(
+      public org.borageproxy.wire.proto.ControlProtocol.Item.Builder getItemsBuilder(
           int index) {
-        return internalGetChangesFieldBuilder().getBuilder(index);
+        return internalGetItemsFieldBuilder().getBuilder(index);
       }
       /**
-       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       * <code>repeated .borageproxy.control.Item items = 14;</code>
        */
-      public org.borageproxy.wire.proto.ControlProtocol.ChangeStateOrBuilder getChangesOrBuilder(
+      public org.borageproxy.wire.proto.ControlProtocol.ItemOrBuilder getItemsOrBuilder(
           int index) {
-        if (changesBuilder_ == null) {
-          return changes_.get(index);  } else {
-          return changesBuilder_.getMessageOrBuilder(index);
+        if (itemsBuilder_ == null) {
+          return items_.get(index);  } else {
+          return itemsBuilder_.getMessageOrBuilder(index);
         }
       }
       /**
-       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       * <code>repeated .borageproxy.control.Item items = 14;</code>
        */
-      public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.ChangeStateOrBuilder> 
-           getChangesOrBuilderList() {
-        if (changesBuilder_ != null) {
-          return changesBuilder_.getMessageOrBuilderList();
+      public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.ItemOrBuilder> 
+           getItemsOrBuilderList() {
+        if (itemsBuilder_ != null) {
+          return itemsBuilder_.getMessageOrBuilderList();
         } else {
-          return java.util.Collections.unmodifiableList(changes_);
+          return java.util.Collections.unmodifiableList(items_);
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.Item items = 14;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.Item.Builder addItemsBuilder() {
+        return internalGetItemsFieldBuilder().addBuilder(
+            org.borageproxy.wire.proto.ControlProtocol.Item.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .borageproxy.control.Item items = 14;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.Item.Builder addItemsBuilder(
+          int index) {
+        return internalGetItemsFieldBuilder().addBuilder(
+            index, org.borageproxy.wire.proto.ControlProtocol.Item.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .borageproxy.control.Item items = 14;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.Item.Builder> 
+           getItemsBuilderList() {
+        return internalGetItemsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.Item, org.borageproxy.wire.proto.ControlProtocol.Item.Builder, org.borageproxy.wire.proto.ControlProtocol.ItemOrBuilder> 
+          internalGetItemsFieldBuilder() {
+        if (itemsBuilder_ == null) {
+          itemsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.Item, org.borageproxy.wire.proto.ControlProtocol.Item.Builder, org.borageproxy.wire.proto.ControlProtocol.ItemOrBuilder>(
+                  items_,
+                  ((bitField0_ & 0x00001000) != 0),
+                  getParentForChildren(),
+                  isClean());
+          items_ = null;
         }
+        return itemsBuilder_;
       }
+
+      private long removalsSince_ ;
       /**
-       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       * <code>uint64 removals_since = 15;</code>
+       * @return The removalsSince.
        */
-      public org.borageproxy.wire.proto.ControlProtocol.ChangeState.Builder addChangesBuilder() {
-        return internalGetChangesFieldBuilder().addBuilder(
-            org.borageproxy.wire.proto.ControlProtocol.ChangeState.getDefaultInstance());
+      @java.lang.Override
+      public long getRemovalsSince() {
+        return removalsSince_;
       }
       /**
-       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       * <code>uint64 removals_since = 15;</code>
+       * @param value The removalsSince to set.
+       * @return This builder for chaining.
        */
-      public org.borageproxy.wire.proto.ControlProtocol.ChangeState.Builder addChangesBuilder(
-          int index) {
-        return internalGetChangesFieldBuilder().addBuilder(
-            index, org.borageproxy.wire.proto.ControlProtocol.ChangeState.getDefaultInstance());
+      public Builder setRemovalsSince(long value) {
+
+        removalsSince_ = value;
+        bitField0_ |= 0x00002000;
+        onChanged();
+        return this;
       }
       /**
-       * <code>repeated .borageproxy.control.ChangeState changes = 6;</code>
+       * <code>uint64 removals_since = 15;</code>
+       * @return This builder for chaining.
        */
-      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.ChangeState.Builder> 
-           getChangesBuilderList() {
-        return internalGetChangesFieldBuilder().getBuilderList();
-      }
-      private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.ChangeState, org.borageproxy.wire.proto.ControlProtocol.ChangeState.Builder, org.borageproxy.wire.proto.ControlProtocol.ChangeStateOrBuilder> 
-          internalGetChangesFieldBuilder() {
-        if (changesBuilder_ == null) {
-          changesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              org.borageproxy.wire.proto.ControlProtocol.ChangeState, org.borageproxy.wire.proto.ControlProtocol.ChangeState.Builder, org.borageproxy.wire.proto.ControlProtocol.ChangeStateOrBuilder>(
-                  changes_,
-                  ((bitField0_ & 0x00000010) != 0),
-                  getParentForChildren(),
-                  isClean());
-          changes_ = null;
-        }
-        return changesBuilder_;
+      public Builder clearRemovalsSince() {
+        bitField0_ = (bitField0_ & ~0x00002000);
+        removalsSince_ = 0L;
+        onChanged();
+        return this;
       }
 
-      private java.util.List<org.borageproxy.wire.proto.ControlProtocol.RememberedReply> replies_ =
+      private java.util.List<org.borageproxy.wire.proto.ControlProtocol.StreamRecord> streams_ =
         java.util.Collections.emptyList();
-      private void ensureRepliesIsMutable() {
-        if (!((bitField0_ & 0x00000020) != 0)) {
-          replies_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.RememberedReply>(replies_);
-          bitField0_ |= 0x00000020;
+      private void ensureStreamsIsMutable() {
+        if (!((bitField0_ & 0x00004000) != 0)) {
+          streams_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.StreamRecord>(streams_);
+          bitField0_ |= 0x00004000;
          }
       }
 
       private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.RememberedReply, org.borageproxy.wire.proto.ControlProtocol.RememberedReply.Builder, org.borageproxy.wire.proto.ControlProtocol.RememberedReplyOrBuilder> repliesBuilder_;
+          org.borageproxy.wire.proto.ControlProtocol.StreamRecord, org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder, org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder> streamsBuilder_;
 
       /**
-       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
        */
-      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.RememberedReply> getRepliesList() {
-        if (repliesBuilder_ == null) {
-          return java.util.Collections.unmodifiableList(replies_);
+      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.StreamRecord> getStreamsList() {
+        if (streamsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(streams_);
         } else {
-          return repliesBuilder_.getMessageList();
+          return streamsBuilder_.getMessageList();
         }
       }
       /**
-       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
        */
-      public int getRepliesCount() {
-        if (repliesBuilder_ == null) {
-          return replies_.size();
+      public int getStreamsCount() {
+        if (streamsBuilder_ == null) {
+          return streams_.size();
         } else {
-          return repliesBuilder_.getCount();
+          return streamsBuilder_.getCount();
         }
       }
       /**
-       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
        */
-      public org.borageproxy.wire.proto.ControlProtocol.RememberedReply getReplies(int index) {
-        if (repliesBuilder_ == null) {
-          return replies_.get(index);
+      public org.borageproxy.wire.proto.ControlProtocol.StreamRecord getStreams(int index) {
+        if (streamsBuilder_ == null) {
+          return streams_.get(index);
         } else {
-          return repliesBuilder_.getMessage(index);
+          return streamsBuilder_.getMessage(index);
         }
       }
       /**
-       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
        */
-      public Builder setReplies(
-          int index, org.borageproxy.wire.proto.ControlProtocol.RememberedReply value) {
-        if (repliesBuilder_ == null) {
+      public Builder setStreams(
+          int index, org.borageproxy.wire.proto.ControlProtocol.StreamRecord value) {
+        if (streamsBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensureRepliesIsMutable();
-          replies_.set(index, value);
+          ensureStreamsIsMutable();
+          streams_.set(index, value);
           onChanged();
         } else {
-          repliesBuilder_.setMessage(index, value);
+          streamsBuilder_.setMessage(index, value);
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
        */
-      public Builder setReplies(
-          int index, org.borageproxy.wire.proto.ControlProtocol.RememberedReply.Builder builderForValue) {
-        if (repliesBuilder_ == null) {
-          ensureRepliesIsMutable();
-          replies_.set(index, builderForValue.build());
+      public Builder setStreams(
+          int index, org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder builderForValue) {
+        if (streamsBuilder_ == null) {
+          ensureStreamsIsMutable();
+          streams_.set(index, builderForValue.build());
           onChanged();
         } else {
-          repliesBuilder_.setMessage(index, builderForValue.build());
+          streamsBuilder_.setMessage(index, builderForValue.build());
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
        */
-      public Builder addReplies(org.borageproxy.wire.proto.ControlProtocol.RememberedReply value) {
-        if (repliesBuilder_ == null) {
+      public Builder addStreams(org.borageproxy.wire.proto.ControlProtocol.StreamRecord value) {
+        if (streamsBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensureRepliesIsMutable();
-          replies_.add(value);
+          ensureStreamsIsMutable();
+          streams_.add(value);
           onChanged();
         } else {
-          repliesBuilder_.addMessage(value);
+          streamsBuilder_.addMessage(value);
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
        */
-      public Builder addReplies(
-          int index, org.borageproxy.wire.proto.ControlProtocol.RememberedReply value) {
-        if (repliesBuilder_ == null) {
+      public Builder addStreams(
+          int index, org.borageproxy.wire.proto.ControlProtocol.StreamRecord value) {
+        if (streamsBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensureRepliesIsMutable();
-          replies_.add(index, value);
+          ensureStreamsIsMutable();
+          streams_.add(index, value);
           onChanged();
         } else {
-          repliesBuilder_.addMessage(index, value);
+          streamsBuilder_.addMessage(index, value);
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
        */
-      public Builder addReplies(
-          org.borageproxy.wire.proto.ControlProtocol.RememberedReply.Builder builderForValue) {
-        if (repliesBuilder_ == null) {
-          ensureRepliesIsMutable();
-          replies_.add(builderForValue.build());
+      public Builder addStreams(
+          org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder builderForValue) {
+        if (streamsBuilder_ == null) {
+          ensureStreamsIsMutable();
+          streams_.add(builderForValue.build());
           onChanged();
         } else {
-          repliesBuilder_.addMessage(builderForValue.build());
+          streamsBuilder_.addMessage(builderForValue.build());
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
        */
-      public Builder addReplies(
-          int index, org.borageproxy.wire.proto.ControlProtocol.RememberedReply.Builder builderForValue) {
-        if (repliesBuilder_ == null) {
-          ensureRepliesIsMutable();
-          replies_.add(index, builderForValue.build());
+      public Builder addStreams(
+          int index, org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder builderForValue) {
+        if (streamsBuilder_ == null) {
+          ensureStreamsIsMutable();
+          streams_.add(index, builderForValue.build());
           onChanged();
         } else {
-          repliesBuilder_.addMessage(index, builderForValue.build());
+          streamsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       */
+      public Builder addAllStreams(
+          java.lang.Iterable<? extends org.borageproxy.wire.proto.ControlProtocol.StreamRecord> values) {
+        if (streamsBuilder_ == null) {
+          ensureStreamsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, streams_);
+          onChanged();
+        } else {
+          streamsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       */
+      public Builder clearStreams() {
+        if (streamsBuilder_ == null) {
+          streams_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00004000);
+          onChanged();
+        } else {
+          streamsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       */
+      public Builder removeStreams(int index) {
+        if (streamsBuilder_ == null) {
+          ensureStreamsIsMutable();
+          streams_.remove(index);
+          onChanged();
+        } else {
+          streamsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder getStreamsBuilder(
+          int index) {
+        return internalGetStreamsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder getStreamsOrBuilder(
+          int index) {
+        if (streamsBuilder_ == null) {
+          return streams_.get(index);  } else {
+          return streamsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       */
+      public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder> 
+           getStreamsOrBuilderList() {
+        if (streamsBuilder_ != null) {
+          return streamsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(streams_);
         }
-        return this;
       }
       /**
-       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
        */
-      public Builder addAllReplies(
-          java.lang.Iterable<? extends org.borageproxy.wire.proto.ControlProtocol.RememberedReply> values) {
-        if (repliesBuilder_ == null) {
-          ensureRepliesIsMutable();
-          com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, replies_);
-          onChanged();
-        } else {
-          repliesBuilder_.addAllMessages(values);
-        }
-        return this;
+      public org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder addStreamsBuilder() {
+        return internalGetStreamsFieldBuilder().addBuilder(
+            org.borageproxy.wire.proto.ControlProtocol.StreamRecord.getDefaultInstance());
       }
       /**
-       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
        */
-      public Builder clearReplies() {
-        if (repliesBuilder_ == null) {
-          replies_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000020);
-          onChanged();
-        } else {
-          repliesBuilder_.clear();
-        }
-        return this;
+      public org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder addStreamsBuilder(
+          int index) {
+        return internalGetStreamsFieldBuilder().addBuilder(
+            index, org.borageproxy.wire.proto.ControlProtocol.StreamRecord.getDefaultInstance());
       }
       /**
-       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
        */
-      public Builder removeReplies(int index) {
-        if (repliesBuilder_ == null) {
-          ensureRepliesIsMutable();
-          replies_.remove(index);
-          onChanged();
-        } else {
-          repliesBuilder_.remove(index);
+      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder> 
+           getStreamsBuilderList() {
+        return internalGetStreamsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.StreamRecord, org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder, org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder> 
+          internalGetStreamsFieldBuilder() {
+        if (streamsBuilder_ == null) {
+          streamsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.StreamRecord, org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder, org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder>(
+                  streams_,
+                  ((bitField0_ & 0x00004000) != 0),
+                  getParentForChildren(),
+                  isClean());
+          streams_ = null;
         }
-        return this;
+        return streamsBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:borageproxy.control.ControlSnapshot)
+    }
+
+    // @@protoc_insertion_point(class_scope:borageproxy.control.ControlSnapshot)
+    private static final org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot();
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<ControlSnapshot>
+        PARSER = new com.google.protobuf.AbstractParser<ControlSnapshot>() {
+      @java.lang.Override
+      public ControlSnapshot parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<ControlSnapshot> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<ControlSnapshot> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface WatchRequestOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.control.WatchRequest)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>.borageproxy.control.Watch watch = 1;</code>
+     * @return Whether the watch field is set.
+     */
+    boolean hasWatch();
+    /**
+     * <code>.borageproxy.control.Watch watch = 1;</code>
+     * @return The watch.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.Watch getWatch();
+    /**
+     * <code>.borageproxy.control.Watch watch = 1;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.WatchOrBuilder getWatchOrBuilder();
+
+    /**
+     * <code>.borageproxy.control.ReadServed read_served = 2;</code>
+     * @return Whether the readServed field is set.
+     */
+    boolean hasReadServed();
+    /**
+     * <code>.borageproxy.control.ReadServed read_served = 2;</code>
+     * @return The readServed.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ReadServed getReadServed();
+    /**
+     * <code>.borageproxy.control.ReadServed read_served = 2;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ReadServedOrBuilder getReadServedOrBuilder();
+
+    /**
+     * <code>.borageproxy.control.ReadTree read_tree = 3;</code>
+     * @return Whether the readTree field is set.
+     */
+    boolean hasReadTree();
+    /**
+     * <code>.borageproxy.control.ReadTree read_tree = 3;</code>
+     * @return The readTree.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ReadTree getReadTree();
+    /**
+     * <code>.borageproxy.control.ReadTree read_tree = 3;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ReadTreeOrBuilder getReadTreeOrBuilder();
+
+    /**
+     * <code>.borageproxy.control.ReadRevisions read_revisions = 4;</code>
+     * @return Whether the readRevisions field is set.
+     */
+    boolean hasReadRevisions();
+    /**
+     * <code>.borageproxy.control.ReadRevisions read_revisions = 4;</code>
+     * @return The readRevisions.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ReadRevisions getReadRevisions();
+    /**
+     * <code>.borageproxy.control.ReadRevisions read_revisions = 4;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ReadRevisionsOrBuilder getReadRevisionsOrBuilder();
+
+    /**
+     * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
+     * @return Whether the readKeys field is set.
+     */
+    boolean hasReadKeys();
+    /**
+     * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
+     * @return The readKeys.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ReadKeys getReadKeys();
+    /**
+     * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ReadKeysOrBuilder getReadKeysOrBuilder();
+
+    /**
+     * <code>.borageproxy.control.ReadChunks read_chunks = 6;</code>
+     * @return Whether the readChunks field is set.
+     */
+    boolean hasReadChunks();
+    /**
+     * <code>.borageproxy.control.ReadChunks read_chunks = 6;</code>
+     * @return The readChunks.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ReadChunks getReadChunks();
+    /**
+     * <code>.borageproxy.control.ReadChunks read_chunks = 6;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ReadChunksOrBuilder getReadChunksOrBuilder();
+
+    /**
+     * <pre>
+     * Whether the answer to a read may name its chunks instead.
+     * </pre>
+     *
+     * <code>bool accepts_chunks = 7;</code>
+     * @return The acceptsChunks.
+     */
+    boolean getAcceptsChunks();
+
+    org.borageproxy.wire.proto.ControlProtocol.WatchRequest.BodyCase getBodyCase();
+  }
+  /**
+   * <pre>
+   * A request of a VM to a control VM to wait for changes of the distributed state or to read a part of the state.
+   * </pre>
+   *
+   * Protobuf type {@code borageproxy.control.WatchRequest}
+   */
+  public static final class WatchRequest extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:borageproxy.control.WatchRequest)
+      WatchRequestOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "WatchRequest");
+    }
+    // Use WatchRequest.newBuilder() to construct.
+    private WatchRequest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private WatchRequest() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_WatchRequest_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_WatchRequest_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_WatchRequest_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.borageproxy.wire.proto.ControlProtocol.WatchRequest.class, org.borageproxy.wire.proto.ControlProtocol.WatchRequest.Builder.class);
+    }
+
+    private int bodyCase_ = 0;
+    @SuppressWarnings("serial")
+    private java.lang.Object body_;
+    public enum BodyCase
+        implements com.google.protobuf.Internal.EnumLite,
+            com.google.protobuf.AbstractMessage.InternalOneOfEnum {
+      WATCH(1),
+      READ_SERVED(2),
+      READ_TREE(3),
+      READ_REVISIONS(4),
+      READ_KEYS(5),
+      READ_CHUNKS(6),
+      BODY_NOT_SET(0);
+      private final int value;
+      private BodyCase(int value) {
+        this.value = value;
       }
       /**
-       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
+       * @param value The number of the enum to look for.
+       * @return The enum associated with the given number.
+       * @deprecated Use {@link #forNumber(int)} instead.
        */
-      public org.borageproxy.wire.proto.ControlProtocol.RememberedReply.Builder getRepliesBuilder(
-          int index) {
-        return internalGetRepliesFieldBuilder().getBuilder(index);
+      @java.lang.Deprecated
+      public static BodyCase valueOf(int value) {
+        return forNumber(value);
       }
-      /**
-       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
-       */
-      public org.borageproxy.wire.proto.ControlProtocol.RememberedReplyOrBuilder getRepliesOrBuilder(
-          int index) {
-        if (repliesBuilder_ == null) {
-          return replies_.get(index);  } else {
-          return repliesBuilder_.getMessageOrBuilder(index);
+
+      public static BodyCase forNumber(int value) {
+        switch (value) {
+          case 1: return WATCH;
+          case 2: return READ_SERVED;
+          case 3: return READ_TREE;
+          case 4: return READ_REVISIONS;
+          case 5: return READ_KEYS;
+          case 6: return READ_CHUNKS;
+          case 0: return BODY_NOT_SET;
+          default: return null;
         }
       }
-      /**
-       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
-       */
-      public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.RememberedReplyOrBuilder> 
-           getRepliesOrBuilderList() {
-        if (repliesBuilder_ != null) {
-          return repliesBuilder_.getMessageOrBuilderList();
-        } else {
-          return java.util.Collections.unmodifiableList(replies_);
-        }
+      public int getNumber() {
+        return this.value;
       }
-      /**
-       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
-       */
-      public org.borageproxy.wire.proto.ControlProtocol.RememberedReply.Builder addRepliesBuilder() {
-        return internalGetRepliesFieldBuilder().addBuilder(
-            org.borageproxy.wire.proto.ControlProtocol.RememberedReply.getDefaultInstance());
+    };
+
+    public BodyCase
+    getBodyCase() {
+      return BodyCase.forNumber(
+          bodyCase_);
+    }
+
+    public static final int WATCH_FIELD_NUMBER = 1;
+    /**
+     * <code>.borageproxy.control.Watch watch = 1;</code>
+     * @return Whether the watch field is set.
+     */
+    @java.lang.Override
+    public boolean hasWatch() {
+      return bodyCase_ == 1;
+    }
+    /**
+     * <code>.borageproxy.control.Watch watch = 1;</code>
+     * @return The watch.
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.Watch getWatch() {
+      if (bodyCase_ == 1) {
+         return (org.borageproxy.wire.proto.ControlProtocol.Watch) body_;
       }
-      /**
-       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
-       */
-      public org.borageproxy.wire.proto.ControlProtocol.RememberedReply.Builder addRepliesBuilder(
-          int index) {
-        return internalGetRepliesFieldBuilder().addBuilder(
-            index, org.borageproxy.wire.proto.ControlProtocol.RememberedReply.getDefaultInstance());
+      return org.borageproxy.wire.proto.ControlProtocol.Watch.getDefaultInstance();
+    }
+    /**
+     * <code>.borageproxy.control.Watch watch = 1;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.WatchOrBuilder getWatchOrBuilder() {
+      if (bodyCase_ == 1) {
+         return (org.borageproxy.wire.proto.ControlProtocol.Watch) body_;
       }
-      /**
-       * <code>repeated .borageproxy.control.RememberedReply replies = 7;</code>
-       */
-      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.RememberedReply.Builder> 
-           getRepliesBuilderList() {
-        return internalGetRepliesFieldBuilder().getBuilderList();
+      return org.borageproxy.wire.proto.ControlProtocol.Watch.getDefaultInstance();
+    }
+
+    public static final int READ_SERVED_FIELD_NUMBER = 2;
+    /**
+     * <code>.borageproxy.control.ReadServed read_served = 2;</code>
+     * @return Whether the readServed field is set.
+     */
+    @java.lang.Override
+    public boolean hasReadServed() {
+      return bodyCase_ == 2;
+    }
+    /**
+     * <code>.borageproxy.control.ReadServed read_served = 2;</code>
+     * @return The readServed.
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.ReadServed getReadServed() {
+      if (bodyCase_ == 2) {
+         return (org.borageproxy.wire.proto.ControlProtocol.ReadServed) body_;
       }
-      private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.RememberedReply, org.borageproxy.wire.proto.ControlProtocol.RememberedReply.Builder, org.borageproxy.wire.proto.ControlProtocol.RememberedReplyOrBuilder> 
-          internalGetRepliesFieldBuilder() {
-        if (repliesBuilder_ == null) {
-          repliesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              org.borageproxy.wire.proto.ControlProtocol.RememberedReply, org.borageproxy.wire.proto.ControlProtocol.RememberedReply.Builder, org.borageproxy.wire.proto.ControlProtocol.RememberedReplyOrBuilder>(
-                  replies_,
-                  ((bitField0_ & 0x00000020) != 0),
-                  getParentForChildren(),
-                  isClean());
-          replies_ = null;
-        }
-        return repliesBuilder_;
+      return org.borageproxy.wire.proto.ControlProtocol.ReadServed.getDefaultInstance();
+    }
+    /**
+     * <code>.borageproxy.control.ReadServed read_served = 2;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.ReadServedOrBuilder getReadServedOrBuilder() {
+      if (bodyCase_ == 2) {
+         return (org.borageproxy.wire.proto.ControlProtocol.ReadServed) body_;
       }
+      return org.borageproxy.wire.proto.ControlProtocol.ReadServed.getDefaultInstance();
+    }
 
-      private java.util.List<org.borageproxy.wire.proto.ControlProtocol.ClaimState> claims_ =
-        java.util.Collections.emptyList();
-      private void ensureClaimsIsMutable() {
-        if (!((bitField0_ & 0x00000040) != 0)) {
-          claims_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.ClaimState>(claims_);
-          bitField0_ |= 0x00000040;
-         }
+    public static final int READ_TREE_FIELD_NUMBER = 3;
+    /**
+     * <code>.borageproxy.control.ReadTree read_tree = 3;</code>
+     * @return Whether the readTree field is set.
+     */
+    @java.lang.Override
+    public boolean hasReadTree() {
+      return bodyCase_ == 3;
+    }
+    /**
+     * <code>.borageproxy.control.ReadTree read_tree = 3;</code>
+     * @return The readTree.
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.ReadTree getReadTree() {
+      if (bodyCase_ == 3) {
+         return (org.borageproxy.wire.proto.ControlProtocol.ReadTree) body_;
       }
+      return org.borageproxy.wire.proto.ControlProtocol.ReadTree.getDefaultInstance();
+    }
+    /**
+     * <code>.borageproxy.control.ReadTree read_tree = 3;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.ReadTreeOrBuilder getReadTreeOrBuilder() {
+      if (bodyCase_ == 3) {
+         return (org.borageproxy.wire.proto.ControlProtocol.ReadTree) body_;
+      }
+      return org.borageproxy.wire.proto.ControlProtocol.ReadTree.getDefaultInstance();
+    }
 
-      private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.ClaimState, org.borageproxy.wire.proto.ControlProtocol.ClaimState.Builder, org.borageproxy.wire.proto.ControlProtocol.ClaimStateOrBuilder> claimsBuilder_;
-
-      /**
-       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
-       */
-      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.ClaimState> getClaimsList() {
-        if (claimsBuilder_ == null) {
-          return java.util.Collections.unmodifiableList(claims_);
-        } else {
-          return claimsBuilder_.getMessageList();
-        }
+    public static final int READ_REVISIONS_FIELD_NUMBER = 4;
+    /**
+     * <code>.borageproxy.control.ReadRevisions read_revisions = 4;</code>
+     * @return Whether the readRevisions field is set.
+     */
+    @java.lang.Override
+    public boolean hasReadRevisions() {
+      return bodyCase_ == 4;
+    }
+    /**
+     * <code>.borageproxy.control.ReadRevisions read_revisions = 4;</code>
+     * @return The readRevisions.
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.ReadRevisions getReadRevisions() {
+      if (bodyCase_ == 4) {
+         return (org.borageproxy.wire.proto.ControlProtocol.ReadRevisions) body_;
       }
-      /**
-       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
-       */
-      public int getClaimsCount() {
-        if (claimsBuilder_ == null) {
-          return claims_.size();
-        } else {
-          return claimsBuilder_.getCount();
-        }
+      return org.borageproxy.wire.proto.ControlProtocol.ReadRevisions.getDefaultInstance();
+    }
+    /**
+     * <code>.borageproxy.control.ReadRevisions read_revisions = 4;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.ReadRevisionsOrBuilder getReadRevisionsOrBuilder() {
+      if (bodyCase_ == 4) {
+         return (org.borageproxy.wire.proto.ControlProtocol.ReadRevisions) body_;
       }
-      /**
-       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
-       */
-      public org.borageproxy.wire.proto.ControlProtocol.ClaimState getClaims(int index) {
-        if (claimsBuilder_ == null) {
-          return claims_.get(index);
-        } else {
-          return claimsBuilder_.getMessage(index);
-        }
+      return org.borageproxy.wire.proto.ControlProtocol.ReadRevisions.getDefaultInstance();
+    }
+
+    public static final int READ_KEYS_FIELD_NUMBER = 5;
+    /**
+     * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
+     * @return Whether the readKeys field is set.
+     */
+    @java.lang.Override
+    public boolean hasReadKeys() {
+      return bodyCase_ == 5;
+    }
+    /**
+     * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
+     * @return The readKeys.
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.ReadKeys getReadKeys() {
+      if (bodyCase_ == 5) {
+         return (org.borageproxy.wire.proto.ControlProtocol.ReadKeys) body_;
       }
-      /**
-       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
-       */
-      public Builder setClaims(
-          int index, org.borageproxy.wire.proto.ControlProtocol.ClaimState value) {
-        if (claimsBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          ensureClaimsIsMutable();
-          claims_.set(index, value);
-          onChanged();
-        } else {
-          claimsBuilder_.setMessage(index, value);
-        }
-        return this;
+      return org.borageproxy.wire.proto.ControlProtocol.ReadKeys.getDefaultInstance();
+    }
+    /**
+     * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.ReadKeysOrBuilder getReadKeysOrBuilder() {
+      if (bodyCase_ == 5) {
+         return (org.borageproxy.wire.proto.ControlProtocol.ReadKeys) body_;
       }
-      /**
-       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
-       */
-      public Builder setClaims(
-          int index, org.borageproxy.wire.proto.ControlProtocol.ClaimState.Builder builderForValue) {
-        if (claimsBuilder_ == null) {
-          ensureClaimsIsMutable();
-          claims_.set(index, builderForValue.build());
-          onChanged();
-        } else {
-          claimsBuilder_.setMessage(index, builderForValue.build());
-        }
-        return this;
+      return org.borageproxy.wire.proto.ControlProtocol.ReadKeys.getDefaultInstance();
+    }
+
+    public static final int READ_CHUNKS_FIELD_NUMBER = 6;
+    /**
+     * <code>.borageproxy.control.ReadChunks read_chunks = 6;</code>
+     * @return Whether the readChunks field is set.
+     */
+    @java.lang.Override
+    public boolean hasReadChunks() {
+      return bodyCase_ == 6;
+    }
+    /**
+     * <code>.borageproxy.control.ReadChunks read_chunks = 6;</code>
+     * @return The readChunks.
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.ReadChunks getReadChunks() {
+      if (bodyCase_ == 6) {
+         return (org.borageproxy.wire.proto.ControlProtocol.ReadChunks) body_;
       }
-      /**
-       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
-       */
-      public Builder addClaims(org.borageproxy.wire.proto.ControlProtocol.ClaimState value) {
-        if (claimsBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          ensureClaimsIsMutable();
-          claims_.add(value);
-          onChanged();
-        } else {
-          claimsBuilder_.addMessage(value);
-        }
-        return this;
+      return org.borageproxy.wire.proto.ControlProtocol.ReadChunks.getDefaultInstance();
+    }
+    /**
+     * <code>.borageproxy.control.ReadChunks read_chunks = 6;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.ReadChunksOrBuilder getReadChunksOrBuilder() {
+      if (bodyCase_ == 6) {
+         return (org.borageproxy.wire.proto.ControlProtocol.ReadChunks) body_;
       }
-      /**
-       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
-       */
-      public Builder addClaims(
-          int index, org.borageproxy.wire.proto.ControlProtocol.ClaimState value) {
-        if (claimsBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          ensureClaimsIsMutable();
-          claims_.add(index, value);
-          onChanged();
-        } else {
-          claimsBuilder_.addMessage(index, value);
-        }
-        return this;
+      return org.borageproxy.wire.proto.ControlProtocol.ReadChunks.getDefaultInstance();
+    }
+
+    public static final int ACCEPTS_CHUNKS_FIELD_NUMBER = 7;
+    private boolean acceptsChunks_ = false;
+    /**
+     * <pre>
+     * Whether the answer to a read may name its chunks instead.
+     * </pre>
+     *
+     * <code>bool accepts_chunks = 7;</code>
+     * @return The acceptsChunks.
+     */
+    @java.lang.Override
+    public boolean getAcceptsChunks() {
+      return acceptsChunks_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (bodyCase_ == 1) {
+        output.writeMessage(1, (org.borageproxy.wire.proto.ControlProtocol.Watch) body_);
       }
-      /**
-       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
-       */
-      public Builder addClaims(
-          org.borageproxy.wire.proto.ControlProtocol.ClaimState.Builder builderForValue) {
-        if (claimsBuilder_ == null) {
-          ensureClaimsIsMutable();
-          claims_.add(builderForValue.build());
-          onChanged();
-        } else {
-          claimsBuilder_.addMessage(builderForValue.build());
-        }
-        return this;
+      if (bodyCase_ == 2) {
+        output.writeMessage(2, (org.borageproxy.wire.proto.ControlProtocol.ReadServed) body_);
       }
-      /**
-       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
-       */
-      public Builder addClaims(
-          int index, org.borageproxy.wire.proto.ControlProtocol.ClaimState.Builder builderForValue) {
-        if (claimsBuilder_ == null) {
-          ensureClaimsIsMutable();
-          claims_.add(index, builderForValue.build());
-          onChanged();
-        } else {
-          claimsBuilder_.addMessage(index, builderForValue.build());
-        }
-        return this;
+      if (bodyCase_ == 3) {
+        output.writeMessage(3, (org.borageproxy.wire.proto.ControlProtocol.ReadTree) body_);
       }
-      /**
-       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
-       */
-      public Builder addAllClaims(
-          java.lang.Iterable<? extends org.borageproxy.wire.proto.ControlProtocol.ClaimState> values) {
-        if (claimsBuilder_ == null) {
-          ensureClaimsIsMutable();
-          com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, claims_);
-          onChanged();
-        } else {
-          claimsBuilder_.addAllMessages(values);
-        }
-        return this;
+      if (bodyCase_ == 4) {
+        output.writeMessage(4, (org.borageproxy.wire.proto.ControlProtocol.ReadRevisions) body_);
       }
-      /**
-       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
-       */
-      public Builder clearClaims() {
-        if (claimsBuilder_ == null) {
-          claims_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000040);
-          onChanged();
-        } else {
-          claimsBuilder_.clear();
-        }
-        return this;
+      if (bodyCase_ == 5) {
+        output.writeMessage(5, (org.borageproxy.wire.proto.ControlProtocol.ReadKeys) body_);
       }
-      /**
-       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
-       */
-      public Builder removeClaims(int index) {
-        if (claimsBuilder_ == null) {
-          ensureClaimsIsMutable();
-          claims_.remove(index);
-          onChanged();
-        } else {
-          claimsBuilder_.remove(index);
-        }
-        return this;
+      if (bodyCase_ == 6) {
+        output.writeMessage(6, (org.borageproxy.wire.proto.ControlProtocol.ReadChunks) body_);
       }
-      /**
-       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
-       */
-      public org.borageproxy.wire.proto.ControlProtocol.ClaimState.Builder getClaimsBuilder(
-          int index) {
-        return internalGetClaimsFieldBuilder().getBuilder(index);
+      if (acceptsChunks_ != false) {
+        output.writeBool(7, acceptsChunks_);
       }
-      /**
-       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
-       */
-      public org.borageproxy.wire.proto.ControlProtocol.ClaimStateOrBuilder getClaimsOrBuilder(
-          int index) {
-        if (claimsBuilder_ == null) {
-          return claims_.get(index);  } else {
-          return claimsBuilder_.getMessageOrBuilder(index);
-        }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (bodyCase_ == 1) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(1, (org.borageproxy.wire.proto.ControlProtocol.Watch) body_);
       }
-      /**
-       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
-       */
-      public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.ClaimStateOrBuilder> 
-           getClaimsOrBuilderList() {
-        if (claimsBuilder_ != null) {
-          return claimsBuilder_.getMessageOrBuilderList();
-        } else {
-          return java.util.Collections.unmodifiableList(claims_);
-        }
+      if (bodyCase_ == 2) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(2, (org.borageproxy.wire.proto.ControlProtocol.ReadServed) body_);
       }
-      /**
-       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
-       */
-      public org.borageproxy.wire.proto.ControlProtocol.ClaimState.Builder addClaimsBuilder() {
-        return internalGetClaimsFieldBuilder().addBuilder(
-            org.borageproxy.wire.proto.ControlProtocol.ClaimState.getDefaultInstance());
+      if (bodyCase_ == 3) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(3, (org.borageproxy.wire.proto.ControlProtocol.ReadTree) body_);
       }
-      /**
-       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
-       */
-      public org.borageproxy.wire.proto.ControlProtocol.ClaimState.Builder addClaimsBuilder(
-          int index) {
-        return internalGetClaimsFieldBuilder().addBuilder(
-            index, org.borageproxy.wire.proto.ControlProtocol.ClaimState.getDefaultInstance());
+      if (bodyCase_ == 4) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(4, (org.borageproxy.wire.proto.ControlProtocol.ReadRevisions) body_);
       }
-      /**
-       * <code>repeated .borageproxy.control.ClaimState claims = 8;</code>
-       */
-      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.ClaimState.Builder> 
-           getClaimsBuilderList() {
-        return internalGetClaimsFieldBuilder().getBuilderList();
+      if (bodyCase_ == 5) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(5, (org.borageproxy.wire.proto.ControlProtocol.ReadKeys) body_);
       }
-      private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.ClaimState, org.borageproxy.wire.proto.ControlProtocol.ClaimState.Builder, org.borageproxy.wire.proto.ControlProtocol.ClaimStateOrBuilder> 
-          internalGetClaimsFieldBuilder() {
-        if (claimsBuilder_ == null) {
-          claimsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              org.borageproxy.wire.proto.ControlProtocol.ClaimState, org.borageproxy.wire.proto.ControlProtocol.ClaimState.Builder, org.borageproxy.wire.proto.ControlProtocol.ClaimStateOrBuilder>(
-                  claims_,
-                  ((bitField0_ & 0x00000040) != 0),
-                  getParentForChildren(),
-                  isClean());
-          claims_ = null;
-        }
-        return claimsBuilder_;
+      if (bodyCase_ == 6) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(6, (org.borageproxy.wire.proto.ControlProtocol.ReadChunks) body_);
       }
-
-      private long lastClaimEpoch_ ;
-      /**
-       * <code>int64 last_claim_epoch = 9;</code>
-       * @return The lastClaimEpoch.
-       */
-      @java.lang.Override
-      public long getLastClaimEpoch() {
-        return lastClaimEpoch_;
+      if (acceptsChunks_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(7, acceptsChunks_);
       }
-      /**
-       * <code>int64 last_claim_epoch = 9;</code>
-       * @param value The lastClaimEpoch to set.
-       * @return This builder for chaining.
-       */
-      public Builder setLastClaimEpoch(long value) {
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
 
-        lastClaimEpoch_ = value;
-        bitField0_ |= 0x00000080;
-        onChanged();
-        return this;
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
       }
-      /**
-       * <code>int64 last_claim_epoch = 9;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearLastClaimEpoch() {
-        bitField0_ = (bitField0_ & ~0x00000080);
-        lastClaimEpoch_ = 0L;
-        onChanged();
-        return this;
+      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.WatchRequest)) {
+        return super.equals(obj);
       }
+      org.borageproxy.wire.proto.ControlProtocol.WatchRequest other = (org.borageproxy.wire.proto.ControlProtocol.WatchRequest) obj;
 
-      private java.util.List<org.borageproxy.wire.proto.ControlProtocol.LeaseState> leases_ =
-        java.util.Collections.emptyList();
-      private void ensureLeasesIsMutable() {
-        if (!((bitField0_ & 0x00000100) != 0)) {
-          leases_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.LeaseState>(leases_);
-          bitField0_ |= 0x00000100;
-         }
+      if (getAcceptsChunks()
+          != other.getAcceptsChunks()) return false;
+      if (!getBodyCase().equals(other.getBodyCase())) return false;
+      switch (bodyCase_) {
+        case 1:
+          if (!getWatch()
+              .equals(other.getWatch())) return false;
+          break;
+        case 2:
+          if (!getReadServed()
+              .equals(other.getReadServed())) return false;
+          break;
+        case 3:
+          if (!getReadTree()
+              .equals(other.getReadTree())) return false;
+          break;
+        case 4:
+          if (!getReadRevisions()
+              .equals(other.getReadRevisions())) return false;
+          break;
+        case 5:
+          if (!getReadKeys()
+              .equals(other.getReadKeys())) return false;
+          break;
+        case 6:
+          if (!getReadChunks()
+              .equals(other.getReadChunks())) return false;
+          break;
+        case 0:
+        default:
       }
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
 
-      private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.LeaseState, org.borageproxy.wire.proto.ControlProtocol.LeaseState.Builder, org.borageproxy.wire.proto.ControlProtocol.LeaseStateOrBuilder> leasesBuilder_;
-
-      /**
-       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
-       */
-      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.LeaseState> getLeasesList() {
-        if (leasesBuilder_ == null) {
-          return java.util.Collections.unmodifiableList(leases_);
-        } else {
-          return leasesBuilder_.getMessageList();
-        }
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
       }
-      /**
-       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
-       */
-      public int getLeasesCount() {
-        if (leasesBuilder_ == null) {
-          return leases_.size();
-        } else {
-          return leasesBuilder_.getCount();
-        }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + ACCEPTS_CHUNKS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getAcceptsChunks());
+      switch (bodyCase_) {
+        case 1:
+          hash = (37 * hash) + WATCH_FIELD_NUMBER;
+          hash = (53 * hash) + getWatch().hashCode();
+          break;
+        case 2:
+          hash = (37 * hash) + READ_SERVED_FIELD_NUMBER;
+          hash = (53 * hash) + getReadServed().hashCode();
+          break;
+        case 3:
+          hash = (37 * hash) + READ_TREE_FIELD_NUMBER;
+          hash = (53 * hash) + getReadTree().hashCode();
+          break;
+        case 4:
+          hash = (37 * hash) + READ_REVISIONS_FIELD_NUMBER;
+          hash = (53 * hash) + getReadRevisions().hashCode();
+          break;
+        case 5:
+          hash = (37 * hash) + READ_KEYS_FIELD_NUMBER;
+          hash = (53 * hash) + getReadKeys().hashCode();
+          break;
+        case 6:
+          hash = (37 * hash) + READ_CHUNKS_FIELD_NUMBER;
+          hash = (53 * hash) + getReadChunks().hashCode();
+          break;
+        case 0:
+        default:
       }
-      /**
-       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
-       */
-      public org.borageproxy.wire.proto.ControlProtocol.LeaseState getLeases(int index) {
-        if (leasesBuilder_ == null) {
-          return leases_.get(index);
-        } else {
-          return leasesBuilder_.getMessage(index);
-        }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.WatchRequest parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.WatchRequest parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.WatchRequest parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.WatchRequest parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.WatchRequest parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.WatchRequest parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.WatchRequest parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.WatchRequest parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.WatchRequest parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.WatchRequest parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.WatchRequest parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.WatchRequest parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.WatchRequest prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * A request of a VM to a control VM to wait for changes of the distributed state or to read a part of the state.
+     * </pre>
+     *
+     * Protobuf type {@code borageproxy.control.WatchRequest}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:borageproxy.control.WatchRequest)
+        org.borageproxy.wire.proto.ControlProtocol.WatchRequestOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_WatchRequest_descriptor;
       }
-      /**
-       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
-       */
-      public Builder setLeases(
-          int index, org.borageproxy.wire.proto.ControlProtocol.LeaseState value) {
-        if (leasesBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          ensureLeasesIsMutable();
-          leases_.set(index, value);
-          onChanged();
-        } else {
-          leasesBuilder_.setMessage(index, value);
-        }
-        return this;
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_WatchRequest_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.borageproxy.wire.proto.ControlProtocol.WatchRequest.class, org.borageproxy.wire.proto.ControlProtocol.WatchRequest.Builder.class);
       }
-      /**
-       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
-       */
-      public Builder setLeases(
-          int index, org.borageproxy.wire.proto.ControlProtocol.LeaseState.Builder builderForValue) {
-        if (leasesBuilder_ == null) {
-          ensureLeasesIsMutable();
-          leases_.set(index, builderForValue.build());
-          onChanged();
-        } else {
-          leasesBuilder_.setMessage(index, builderForValue.build());
-        }
-        return this;
+
+      // Construct using org.borageproxy.wire.proto.ControlProtocol.WatchRequest.newBuilder()
+      private Builder() {
+
       }
-      /**
-       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
-       */
-      public Builder addLeases(org.borageproxy.wire.proto.ControlProtocol.LeaseState value) {
-        if (leasesBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          ensureLeasesIsMutable();
-          leases_.add(value);
-          onChanged();
-        } else {
-          leasesBuilder_.addMessage(value);
-        }
-        return this;
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
       }
-      /**
-       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
-       */
-      public Builder addLeases(
-          int index, org.borageproxy.wire.proto.ControlProtocol.LeaseState value) {
-        if (leasesBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          ensureLeasesIsMutable();
-          leases_.add(index, value);
-          onChanged();
-        } else {
-          leasesBuilder_.addMessage(index, value);
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        if (watchBuilder_ != null) {
+          watchBuilder_.clear();
         }
-        return this;
-      }
-      /**
-       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
-       */
-      public Builder addLeases(
-          org.borageproxy.wire.proto.ControlProtocol.LeaseState.Builder builderForValue) {
-        if (leasesBuilder_ == null) {
-          ensureLeasesIsMutable();
-          leases_.add(builderForValue.build());
-          onChanged();
-        } else {
-          leasesBuilder_.addMessage(builderForValue.build());
+        if (readServedBuilder_ != null) {
+          readServedBuilder_.clear();
         }
-        return this;
-      }
-      /**
-       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
-       */
-      public Builder addLeases(
-          int index, org.borageproxy.wire.proto.ControlProtocol.LeaseState.Builder builderForValue) {
-        if (leasesBuilder_ == null) {
-          ensureLeasesIsMutable();
-          leases_.add(index, builderForValue.build());
-          onChanged();
-        } else {
-          leasesBuilder_.addMessage(index, builderForValue.build());
+        if (readTreeBuilder_ != null) {
+          readTreeBuilder_.clear();
         }
-        return this;
-      }
-      /**
-       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
-       */
-      public Builder addAllLeases(
-          java.lang.Iterable<? extends org.borageproxy.wire.proto.ControlProtocol.LeaseState> values) {
-        if (leasesBuilder_ == null) {
-          ensureLeasesIsMutable();
-          com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, leases_);
-          onChanged();
-        } else {
-          leasesBuilder_.addAllMessages(values);
+        if (readRevisionsBuilder_ != null) {
+          readRevisionsBuilder_.clear();
         }
-        return this;
-      }
-      /**
-       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
-       */
-      public Builder clearLeases() {
-        if (leasesBuilder_ == null) {
-          leases_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000100);
-          onChanged();
-        } else {
-          leasesBuilder_.clear();
+        if (readKeysBuilder_ != null) {
+          readKeysBuilder_.clear();
         }
-        return this;
-      }
-      /**
-       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
-       */
-      public Builder removeLeases(int index) {
-        if (leasesBuilder_ == null) {
-          ensureLeasesIsMutable();
-          leases_.remove(index);
-          onChanged();
-        } else {
-          leasesBuilder_.remove(index);
+        if (readChunksBuilder_ != null) {
+          readChunksBuilder_.clear();
         }
+        acceptsChunks_ = false;
+        bodyCase_ = 0;
+        body_ = null;
         return this;
       }
-      /**
-       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
-       */
-      public org.borageproxy.wire.proto.ControlProtocol.LeaseState.Builder getLeasesBuilder(
-          int index) {
-        return internalGetLeasesFieldBuilder().getBuilder(index);
-      }
-      /**
-       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
-       */
-      public org.borageproxy.wire.proto.ControlProtocol.LeaseStateOrBuilder getLeasesOrBuilder(
-          int index) {
-        if (leasesBuilder_ == null) {
-          return leases_.get(index);  } else {
-          return leasesBuilder_.getMessageOrBuilder(index);
-        }
-      }
-      /**
-       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
-       */
-      public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.LeaseStateOrBuilder> 
-           getLeasesOrBuilderList() {
-        if (leasesBuilder_ != null) {
-          return leasesBuilder_.getMessageOrBuilderList();
-        } else {
-          return java.util.Collections.unmodifiableList(leases_);
-        }
-      }
-      /**
-       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
-       */
-      public org.borageproxy.wire.proto.ControlProtocol.LeaseState.Builder addLeasesBuilder() {
-        return internalGetLeasesFieldBuilder().addBuilder(
-            org.borageproxy.wire.proto.ControlProtocol.LeaseState.getDefaultInstance());
-      }
-      /**
-       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
-       */
-      public org.borageproxy.wire.proto.ControlProtocol.LeaseState.Builder addLeasesBuilder(
-          int index) {
-        return internalGetLeasesFieldBuilder().addBuilder(
-            index, org.borageproxy.wire.proto.ControlProtocol.LeaseState.getDefaultInstance());
-      }
-      /**
-       * <code>repeated .borageproxy.control.LeaseState leases = 10;</code>
-       */
-      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.LeaseState.Builder> 
-           getLeasesBuilderList() {
-        return internalGetLeasesFieldBuilder().getBuilderList();
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_WatchRequest_descriptor;
       }
-      private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.LeaseState, org.borageproxy.wire.proto.ControlProtocol.LeaseState.Builder, org.borageproxy.wire.proto.ControlProtocol.LeaseStateOrBuilder> 
-          internalGetLeasesFieldBuilder() {
-        if (leasesBuilder_ == null) {
-          leasesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              org.borageproxy.wire.proto.ControlProtocol.LeaseState, org.borageproxy.wire.proto.ControlProtocol.LeaseState.Builder, org.borageproxy.wire.proto.ControlProtocol.LeaseStateOrBuilder>(
-                  leases_,
-                  ((bitField0_ & 0x00000100) != 0),
-                  getParentForChildren(),
-                  isClean());
-          leases_ = null;
-        }
-        return leasesBuilder_;
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.WatchRequest getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.WatchRequest.getDefaultInstance();
       }
 
-      private java.util.List<org.borageproxy.wire.proto.ControlProtocol.IntentRecord> intents_ =
-        java.util.Collections.emptyList();
-      private void ensureIntentsIsMutable() {
-        if (!((bitField0_ & 0x00000200) != 0)) {
-          intents_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.IntentRecord>(intents_);
-          bitField0_ |= 0x00000200;
-         }
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.WatchRequest build() {
+        org.borageproxy.wire.proto.ControlProtocol.WatchRequest result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
       }
 
-      private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.IntentRecord, org.borageproxy.wire.proto.ControlProtocol.IntentRecord.Builder, org.borageproxy.wire.proto.ControlProtocol.IntentRecordOrBuilder> intentsBuilder_;
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.WatchRequest buildPartial() {
+        org.borageproxy.wire.proto.ControlProtocol.WatchRequest result = new org.borageproxy.wire.proto.ControlProtocol.WatchRequest(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        buildPartialOneofs(result);
+        onBuilt();
+        return result;
+      }
 
-      /**
-       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
-       */
-      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.IntentRecord> getIntentsList() {
-        if (intentsBuilder_ == null) {
-          return java.util.Collections.unmodifiableList(intents_);
-        } else {
-          return intentsBuilder_.getMessageList();
+      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.WatchRequest result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000040) != 0)) {
+          result.acceptsChunks_ = acceptsChunks_;
         }
       }
-      /**
-       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
-       */
-      public int getIntentsCount() {
-        if (intentsBuilder_ == null) {
-          return intents_.size();
-        } else {
-          return intentsBuilder_.getCount();
+
+      private void buildPartialOneofs(org.borageproxy.wire.proto.ControlProtocol.WatchRequest result) {
+        result.bodyCase_ = bodyCase_;
+        result.body_ = this.body_;
+        if (bodyCase_ == 1 &&
+            watchBuilder_ != null) {
+          result.body_ = watchBuilder_.build();
         }
-      }
-      /**
-       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
-       */
-      public org.borageproxy.wire.proto.ControlProtocol.IntentRecord getIntents(int index) {
-        if (intentsBuilder_ == null) {
-          return intents_.get(index);
-        } else {
-          return intentsBuilder_.getMessage(index);
+        if (bodyCase_ == 2 &&
+            readServedBuilder_ != null) {
+          result.body_ = readServedBuilder_.build();
         }
-      }
-      /**
-       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
-       */
-      public Builder setIntents(
-          int index, org.borageproxy.wire.proto.ControlProtocol.IntentRecord value) {
-        if (intentsBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          ensureIntentsIsMutable();
-          intents_.set(index, value);
-          onChanged();
-        } else {
-          intentsBuilder_.setMessage(index, value);
+        if (bodyCase_ == 3 &&
+            readTreeBuilder_ != null) {
+          result.body_ = readTreeBuilder_.build();
         }
-        return this;
-      }
-      /**
-       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
-       */
-      public Builder setIntents(
-          int index, org.borageproxy.wire.proto.ControlProtocol.IntentRecord.Builder builderForValue) {
-        if (intentsBuilder_ == null) {
-          ensureIntentsIsMutable();
-          intents_.set(index, builderForValue.build());
-          onChanged();
-        } else {
-          intentsBuilder_.setMessage(index, builderForValue.build());
+        if (bodyCase_ == 4 &&
+            readRevisionsBuilder_ != null) {
+          result.body_ = readRevisionsBuilder_.build();
+        }
+        if (bodyCase_ == 5 &&
+            readKeysBuilder_ != null) {
+          result.body_ = readKeysBuilder_.build();
+        }
+        if (bodyCase_ == 6 &&
+            readChunksBuilder_ != null) {
+          result.body_ = readChunksBuilder_.build();
         }
-        return this;
       }
-      /**
-       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
-       */
-      public Builder addIntents(org.borageproxy.wire.proto.ControlProtocol.IntentRecord value) {
-        if (intentsBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          ensureIntentsIsMutable();
-          intents_.add(value);
-          onChanged();
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.WatchRequest) {
+          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.WatchRequest)other);
         } else {
-          intentsBuilder_.addMessage(value);
+          super.mergeFrom(other);
+          return this;
         }
-        return this;
       }
-      /**
-       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
-       */
-      public Builder addIntents(
-          int index, org.borageproxy.wire.proto.ControlProtocol.IntentRecord value) {
-        if (intentsBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
+
+      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.WatchRequest other) {
+        if (other == org.borageproxy.wire.proto.ControlProtocol.WatchRequest.getDefaultInstance()) return this;
+        if (other.getAcceptsChunks() != false) {
+          setAcceptsChunks(other.getAcceptsChunks());
+        }
+        switch (other.getBodyCase()) {
+          case WATCH: {
+            mergeWatch(other.getWatch());
+            break;
+          }
+          case READ_SERVED: {
+            mergeReadServed(other.getReadServed());
+            break;
+          }
+          case READ_TREE: {
+            mergeReadTree(other.getReadTree());
+            break;
+          }
+          case READ_REVISIONS: {
+            mergeReadRevisions(other.getReadRevisions());
+            break;
+          }
+          case READ_KEYS: {
+            mergeReadKeys(other.getReadKeys());
+            break;
+          }
+          case READ_CHUNKS: {
+            mergeReadChunks(other.getReadChunks());
+            break;
+          }
+          case BODY_NOT_SET: {
+            break;
           }
-          ensureIntentsIsMutable();
-          intents_.add(index, value);
-          onChanged();
-        } else {
-          intentsBuilder_.addMessage(index, value);
         }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
         return this;
       }
-      /**
-       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
-       */
-      public Builder addIntents(
-          org.borageproxy.wire.proto.ControlProtocol.IntentRecord.Builder builderForValue) {
-        if (intentsBuilder_ == null) {
-          ensureIntentsIsMutable();
-          intents_.add(builderForValue.build());
-          onChanged();
-        } else {
-          intentsBuilder_.addMessage(builderForValue.build());
-        }
-        return this;
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
       }
-      /**
-       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
-       */
-      public Builder addIntents(
-          int index, org.borageproxy.wire.proto.ControlProtocol.IntentRecord.Builder builderForValue) {
-        if (intentsBuilder_ == null) {
-          ensureIntentsIsMutable();
-          intents_.add(index, builderForValue.build());
-          onChanged();
-        } else {
-          intentsBuilder_.addMessage(index, builderForValue.build());
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
         }
-        return this;
-      }
-      /**
-       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
-       */
-      public Builder addAllIntents(
-          java.lang.Iterable<? extends org.borageproxy.wire.proto.ControlProtocol.IntentRecord> values) {
-        if (intentsBuilder_ == null) {
-          ensureIntentsIsMutable();
-          com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, intents_);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                input.readMessage(
+                    internalGetWatchFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 1;
+                break;
+              } // case 10
+              case 18: {
+                input.readMessage(
+                    internalGetReadServedFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 2;
+                break;
+              } // case 18
+              case 26: {
+                input.readMessage(
+                    internalGetReadTreeFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 3;
+                break;
+              } // case 26
+              case 34: {
+                input.readMessage(
+                    internalGetReadRevisionsFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 4;
+                break;
+              } // case 34
+              case 42: {
+                input.readMessage(
+                    internalGetReadKeysFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 5;
+                break;
+              } // case 42
+              case 50: {
+                input.readMessage(
+                    internalGetReadChunksFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 6;
+                break;
+              } // case 50
+              case 56: {
+                acceptsChunks_ = input.readBool();
+                bitField0_ |= 0x00000040;
+                break;
+              } // case 56
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
           onChanged();
-        } else {
-          intentsBuilder_.addAllMessages(values);
-        }
+        } // finally
         return this;
       }
-      /**
-       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
-       */
-      public Builder clearIntents() {
-        if (intentsBuilder_ == null) {
-          intents_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000200);
-          onChanged();
-        } else {
-          intentsBuilder_.clear();
-        }
-        return this;
+      private int bodyCase_ = 0;
+      private java.lang.Object body_;
+      public BodyCase
+          getBodyCase() {
+        return BodyCase.forNumber(
+            bodyCase_);
       }
-      /**
-       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
-       */
-      public Builder removeIntents(int index) {
-        if (intentsBuilder_ == null) {
-          ensureIntentsIsMutable();
-          intents_.remove(index);
-          onChanged();
-        } else {
-          intentsBuilder_.remove(index);
-        }
+
+      public Builder clearBody() {
+        bodyCase_ = 0;
+        body_ = null;
+        onChanged();
         return this;
       }
+
+      private int bitField0_;
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.Watch, org.borageproxy.wire.proto.ControlProtocol.Watch.Builder, org.borageproxy.wire.proto.ControlProtocol.WatchOrBuilder> watchBuilder_;
       /**
-       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
-       */
-      public org.borageproxy.wire.proto.ControlProtocol.IntentRecord.Builder getIntentsBuilder(
-          int index) {
-        return internalGetIntentsFieldBuilder().getBuilder(index);
-      }
-      /**
-       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
+       * <code>.borageproxy.control.Watch watch = 1;</code>
+       * @return Whether the watch field is set.
        */
-      public org.borageproxy.wire.proto.ControlProtocol.IntentRecordOrBuilder getIntentsOrBuilder(
-          int index) {
-        if (intentsBuilder_ == null) {
-          return intents_.get(index);  } else {
-          return intentsBuilder_.getMessageOrBuilder(index);
-        }
+      @java.lang.Override
+      public boolean hasWatch() {
+        return bodyCase_ == 1;
       }
       /**
-       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
+       * <code>.borageproxy.control.Watch watch = 1;</code>
+       * @return The watch.
        */
-      public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.IntentRecordOrBuilder> 
-           getIntentsOrBuilderList() {
-        if (intentsBuilder_ != null) {
-          return intentsBuilder_.getMessageOrBuilderList();
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.Watch getWatch() {
+        if (watchBuilder_ == null) {
+          if (bodyCase_ == 1) {
+            return (org.borageproxy.wire.proto.ControlProtocol.Watch) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.Watch.getDefaultInstance();
         } else {
-          return java.util.Collections.unmodifiableList(intents_);
+          if (bodyCase_ == 1) {
+            return watchBuilder_.getMessage();
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.Watch.getDefaultInstance();
         }
       }
       /**
-       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
-       */
-      public org.borageproxy.wire.proto.ControlProtocol.IntentRecord.Builder addIntentsBuilder() {
-        return internalGetIntentsFieldBuilder().addBuilder(
-            org.borageproxy.wire.proto.ControlProtocol.IntentRecord.getDefaultInstance());
-      }
-      /**
-       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
-       */
-      public org.borageproxy.wire.proto.ControlProtocol.IntentRecord.Builder addIntentsBuilder(
-          int index) {
-        return internalGetIntentsFieldBuilder().addBuilder(
-            index, org.borageproxy.wire.proto.ControlProtocol.IntentRecord.getDefaultInstance());
-      }
-      /**
-       * <code>repeated .borageproxy.control.IntentRecord intents = 11;</code>
+       * <code>.borageproxy.control.Watch watch = 1;</code>
        */
-      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.IntentRecord.Builder> 
-           getIntentsBuilderList() {
-        return internalGetIntentsFieldBuilder().getBuilderList();
-      }
-      private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.IntentRecord, org.borageproxy.wire.proto.ControlProtocol.IntentRecord.Builder, org.borageproxy.wire.proto.ControlProtocol.IntentRecordOrBuilder> 
-          internalGetIntentsFieldBuilder() {
-        if (intentsBuilder_ == null) {
-          intentsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              org.borageproxy.wire.proto.ControlProtocol.IntentRecord, org.borageproxy.wire.proto.ControlProtocol.IntentRecord.Builder, org.borageproxy.wire.proto.ControlProtocol.IntentRecordOrBuilder>(
-                  intents_,
-                  ((bitField0_ & 0x00000200) != 0),
-                  getParentForChildren(),
-                  isClean());
-          intents_ = null;
+      public Builder setWatch(org.borageproxy.wire.proto.ControlProtocol.Watch value) {
+        if (watchBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          body_ = value;
+          onChanged();
+        } else {
+          watchBuilder_.setMessage(value);
         }
-        return intentsBuilder_;
-      }
-
-      private long lastIntentNumber_ ;
-      /**
-       * <code>int64 last_intent_number = 12;</code>
-       * @return The lastIntentNumber.
-       */
-      @java.lang.Override
-      public long getLastIntentNumber() {
-        return lastIntentNumber_;
-      }
-      /**
-       * <code>int64 last_intent_number = 12;</code>
-       * @param value The lastIntentNumber to set.
-       * @return This builder for chaining.
-       */
-      public Builder setLastIntentNumber(long value) {
-
-        lastIntentNumber_ = value;
-        bitField0_ |= 0x00000400;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>int64 last_intent_number = 12;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearLastIntentNumber() {
-        bitField0_ = (bitField0_ & ~0x00000400);
-        lastIntentNumber_ = 0L;
-        onChanged();
+        bodyCase_ = 1;
         return this;
       }
-
-      private java.util.List<org.borageproxy.wire.proto.ControlProtocol.CrashState> crashes_ =
-        java.util.Collections.emptyList();
-      private void ensureCrashesIsMutable() {
-        if (!((bitField0_ & 0x00000800) != 0)) {
-          crashes_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.CrashState>(crashes_);
-          bitField0_ |= 0x00000800;
-         }
-      }
-
-      private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.CrashState, org.borageproxy.wire.proto.ControlProtocol.CrashState.Builder, org.borageproxy.wire.proto.ControlProtocol.CrashStateOrBuilder> crashesBuilder_;
-
       /**
-       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
+       * <code>.borageproxy.control.Watch watch = 1;</code>
        */
-      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.CrashState> getCrashesList() {
-        if (crashesBuilder_ == null) {
-          return java.util.Collections.unmodifiableList(crashes_);
+      public Builder setWatch(
+          org.borageproxy.wire.proto.ControlProtocol.Watch.Builder builderForValue) {
+        if (watchBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
         } else {
-          return crashesBuilder_.getMessageList();
+          watchBuilder_.setMessage(builderForValue.build());
         }
+        bodyCase_ = 1;
+        return this;
       }
       /**
-       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
+       * <code>.borageproxy.control.Watch watch = 1;</code>
        */
-      public int getCrashesCount() {
-        if (crashesBuilder_ == null) {
-          return crashes_.size();
+      public Builder mergeWatch(org.borageproxy.wire.proto.ControlProtocol.Watch value) {
+        if (watchBuilder_ == null) {
+          if (bodyCase_ == 1 &&
+              body_ != org.borageproxy.wire.proto.ControlProtocol.Watch.getDefaultInstance()) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.Watch.newBuilder((org.borageproxy.wire.proto.ControlProtocol.Watch) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
         } else {
-          return crashesBuilder_.getCount();
+          if (bodyCase_ == 1) {
+            watchBuilder_.mergeFrom(value);
+          } else {
+            watchBuilder_.setMessage(value);
+          }
         }
+        bodyCase_ = 1;
+        return this;
       }
       /**
-       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
+       * <code>.borageproxy.control.Watch watch = 1;</code>
        */
-      public org.borageproxy.wire.proto.ControlProtocol.CrashState getCrashes(int index) {
-        if (crashesBuilder_ == null) {
-          return crashes_.get(index);
+      public Builder clearWatch() {
+        if (watchBuilder_ == null) {
+          if (bodyCase_ == 1) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
         } else {
-          return crashesBuilder_.getMessage(index);
+          if (bodyCase_ == 1) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          watchBuilder_.clear();
         }
+        return this;
       }
       /**
-       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
+       * <code>.borageproxy.control.Watch watch = 1;</code>
        */
-      public Builder setCrashes(
-          int index, org.borageproxy.wire.proto.ControlProtocol.CrashState value) {
-        if (crashesBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          ensureCrashesIsMutable();
-          crashes_.set(index, value);
-          onChanged();
-        } else {
-          crashesBuilder_.setMessage(index, value);
-        }
-        return this;
+      public org.borageproxy.wire.proto.ControlProtocol.Watch.Builder getWatchBuilder() {
+        return internalGetWatchFieldBuilder().getBuilder();
       }
       /**
-       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
+       * <code>.borageproxy.control.Watch watch = 1;</code>
        */
-      public Builder setCrashes(
-          int index, org.borageproxy.wire.proto.ControlProtocol.CrashState.Builder builderForValue) {
-        if (crashesBuilder_ == null) {
-          ensureCrashesIsMutable();
-          crashes_.set(index, builderForValue.build());
-          onChanged();
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.WatchOrBuilder getWatchOrBuilder() {
+        if ((bodyCase_ == 1) && (watchBuilder_ != null)) {
+          return watchBuilder_.getMessageOrBuilder();
         } else {
-          crashesBuilder_.setMessage(index, builderForValue.build());
+          if (bodyCase_ == 1) {
+            return (org.borageproxy.wire.proto.ControlProtocol.Watch) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.Watch.getDefaultInstance();
         }
-        return this;
       }
       /**
-       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
+       * <code>.borageproxy.control.Watch watch = 1;</code>
        */
-      public Builder addCrashes(org.borageproxy.wire.proto.ControlProtocol.CrashState value) {
-        if (crashesBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.Watch, org.borageproxy.wire.proto.ControlProtocol.Watch.Builder, org.borageproxy.wire.proto.ControlProtocol.WatchOrBuilder> 
+          internalGetWatchFieldBuilder() {
+        if (watchBuilder_ == null) {
+          if (!(bodyCase_ == 1)) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.Watch.getDefaultInstance();
           }
-          ensureCrashesIsMutable();
-          crashes_.add(value);
-          onChanged();
-        } else {
-          crashesBuilder_.addMessage(value);
+          watchBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.Watch, org.borageproxy.wire.proto.ControlProtocol.Watch.Builder, org.borageproxy.wire.proto.ControlProtocol.WatchOrBuilder>(
+                  (org.borageproxy.wire.proto.ControlProtocol.Watch) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
         }
-        return this;
+        bodyCase_ = 1;
+        onChanged();
+        return watchBuilder_;
       }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.ReadServed, org.borageproxy.wire.proto.ControlProtocol.ReadServed.Builder, org.borageproxy.wire.proto.ControlProtocol.ReadServedOrBuilder> readServedBuilder_;
       /**
-       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
+       * <code>.borageproxy.control.ReadServed read_served = 2;</code>
+       * @return Whether the readServed field is set.
        */
-      public Builder addCrashes(
-          int index, org.borageproxy.wire.proto.ControlProtocol.CrashState value) {
-        if (crashesBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          ensureCrashesIsMutable();
-          crashes_.add(index, value);
-          onChanged();
-        } else {
-          crashesBuilder_.addMessage(index, value);
-        }
-        return this;
+      @java.lang.Override
+      public boolean hasReadServed() {
+        return bodyCase_ == 2;
       }
       /**
-       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
+       * <code>.borageproxy.control.ReadServed read_served = 2;</code>
+       * @return The readServed.
        */
-      public Builder addCrashes(
-          org.borageproxy.wire.proto.ControlProtocol.CrashState.Builder builderForValue) {
-        if (crashesBuilder_ == null) {
-          ensureCrashesIsMutable();
-          crashes_.add(builderForValue.build());
-          onChanged();
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ReadServed getReadServed() {
+        if (readServedBuilder_ == null) {
+          if (bodyCase_ == 2) {
+            return (org.borageproxy.wire.proto.ControlProtocol.ReadServed) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.ReadServed.getDefaultInstance();
         } else {
-          crashesBuilder_.addMessage(builderForValue.build());
+          if (bodyCase_ == 2) {
+            return readServedBuilder_.getMessage();
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.ReadServed.getDefaultInstance();
         }
-        return this;
       }
       /**
-       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
+       * <code>.borageproxy.control.ReadServed read_served = 2;</code>
        */
-      public Builder addCrashes(
-          int index, org.borageproxy.wire.proto.ControlProtocol.CrashState.Builder builderForValue) {
-        if (crashesBuilder_ == null) {
-          ensureCrashesIsMutable();
-          crashes_.add(index, builderForValue.build());
+      public Builder setReadServed(org.borageproxy.wire.proto.ControlProtocol.ReadServed value) {
+        if (readServedBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          body_ = value;
           onChanged();
         } else {
-          crashesBuilder_.addMessage(index, builderForValue.build());
+          readServedBuilder_.setMessage(value);
         }
+        bodyCase_ = 2;
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
+       * <code>.borageproxy.control.ReadServed read_served = 2;</code>
        */
-      public Builder addAllCrashes(
-          java.lang.Iterable<? extends org.borageproxy.wire.proto.ControlProtocol.CrashState> values) {
-        if (crashesBuilder_ == null) {
-          ensureCrashesIsMutable();
-          com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, crashes_);
+      public Builder setReadServed(
+          org.borageproxy.wire.proto.ControlProtocol.ReadServed.Builder builderForValue) {
+        if (readServedBuilder_ == null) {
+          body_ = builderForValue.build();
           onChanged();
         } else {
-          crashesBuilder_.addAllMessages(values);
+          readServedBuilder_.setMessage(builderForValue.build());
         }
+        bodyCase_ = 2;
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
+       * <code>.borageproxy.control.ReadServed read_served = 2;</code>
        */
-      public Builder clearCrashes() {
-        if (crashesBuilder_ == null) {
-          crashes_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000800);
+      public Builder mergeReadServed(org.borageproxy.wire.proto.ControlProtocol.ReadServed value) {
+        if (readServedBuilder_ == null) {
+          if (bodyCase_ == 2 &&
+              body_ != org.borageproxy.wire.proto.ControlProtocol.ReadServed.getDefaultInstance()) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.ReadServed.newBuilder((org.borageproxy.wire.proto.ControlProtocol.ReadServed) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
           onChanged();
         } else {
-          crashesBuilder_.clear();
+          if (bodyCase_ == 2) {
+            readServedBuilder_.mergeFrom(value);
+          } else {
+            readServedBuilder_.setMessage(value);
+          }
         }
+        bodyCase_ = 2;
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
+       * <code>.borageproxy.control.ReadServed read_served = 2;</code>
        */
-      public Builder removeCrashes(int index) {
-        if (crashesBuilder_ == null) {
-          ensureCrashesIsMutable();
-          crashes_.remove(index);
-          onChanged();
+      public Builder clearReadServed() {
+        if (readServedBuilder_ == null) {
+          if (bodyCase_ == 2) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
         } else {
-          crashesBuilder_.remove(index);
+          if (bodyCase_ == 2) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          readServedBuilder_.clear();
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
-       */
-      public org.borageproxy.wire.proto.ControlProtocol.CrashState.Builder getCrashesBuilder(
-          int index) {
-        return internalGetCrashesFieldBuilder().getBuilder(index);
-      }
-      /**
-       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
+       * <code>.borageproxy.control.ReadServed read_served = 2;</code>
        */
-      public org.borageproxy.wire.proto.ControlProtocol.CrashStateOrBuilder getCrashesOrBuilder(
-          int index) {
-        if (crashesBuilder_ == null) {
-          return crashes_.get(index);  } else {
-          return crashesBuilder_.getMessageOrBuilder(index);
-        }
+      public org.borageproxy.wire.proto.ControlProtocol.ReadServed.Builder getReadServedBuilder() {
+        return internalGetReadServedFieldBuilder().getBuilder();
       }
       /**
-       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
+       * <code>.borageproxy.control.ReadServed read_served = 2;</code>
        */
-      public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.CrashStateOrBuilder> 
-           getCrashesOrBuilderList() {
-        if (crashesBuilder_ != null) {
-          return crashesBuilder_.getMessageOrBuilderList();
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ReadServedOrBuilder getReadServedOrBuilder() {
+        if ((bodyCase_ == 2) && (readServedBuilder_ != null)) {
+          return readServedBuilder_.getMessageOrBuilder();
         } else {
-          return java.util.Collections.unmodifiableList(crashes_);
+          if (bodyCase_ == 2) {
+            return (org.borageproxy.wire.proto.ControlProtocol.ReadServed) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.ReadServed.getDefaultInstance();
         }
       }
       /**
-       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
-       */
-      public org.borageproxy.wire.proto.ControlProtocol.CrashState.Builder addCrashesBuilder() {
-        return internalGetCrashesFieldBuilder().addBuilder(
-            org.borageproxy.wire.proto.ControlProtocol.CrashState.getDefaultInstance());
-      }
-      /**
-       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
-       */
-      public org.borageproxy.wire.proto.ControlProtocol.CrashState.Builder addCrashesBuilder(
-          int index) {
-        return internalGetCrashesFieldBuilder().addBuilder(
-            index, org.borageproxy.wire.proto.ControlProtocol.CrashState.getDefaultInstance());
-      }
-      /**
-       * <code>repeated .borageproxy.control.CrashState crashes = 13;</code>
+       * <code>.borageproxy.control.ReadServed read_served = 2;</code>
        */
-      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.CrashState.Builder> 
-           getCrashesBuilderList() {
-        return internalGetCrashesFieldBuilder().getBuilderList();
-      }
-      private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.CrashState, org.borageproxy.wire.proto.ControlProtocol.CrashState.Builder, org.borageproxy.wire.proto.ControlProtocol.CrashStateOrBuilder> 
-          internalGetCrashesFieldBuilder() {
-        if (crashesBuilder_ == null) {
-          crashesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              org.borageproxy.wire.proto.ControlProtocol.CrashState, org.borageproxy.wire.proto.ControlProtocol.CrashState.Builder, org.borageproxy.wire.proto.ControlProtocol.CrashStateOrBuilder>(
-                  crashes_,
-                  ((bitField0_ & 0x00000800) != 0),
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.ReadServed, org.borageproxy.wire.proto.ControlProtocol.ReadServed.Builder, org.borageproxy.wire.proto.ControlProtocol.ReadServedOrBuilder> 
+          internalGetReadServedFieldBuilder() {
+        if (readServedBuilder_ == null) {
+          if (!(bodyCase_ == 2)) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.ReadServed.getDefaultInstance();
+          }
+          readServedBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.ReadServed, org.borageproxy.wire.proto.ControlProtocol.ReadServed.Builder, org.borageproxy.wire.proto.ControlProtocol.ReadServedOrBuilder>(
+                  (org.borageproxy.wire.proto.ControlProtocol.ReadServed) body_,
                   getParentForChildren(),
                   isClean());
-          crashes_ = null;
+          body_ = null;
         }
-        return crashesBuilder_;
-      }
-
-      private java.util.List<org.borageproxy.wire.proto.ControlProtocol.Item> items_ =
-        java.util.Collections.emptyList();
-      private void ensureItemsIsMutable() {
-        if (!((bitField0_ & 0x00001000) != 0)) {
-          items_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.Item>(items_);
-          bitField0_ |= 0x00001000;
-         }
+        bodyCase_ = 2;
+        onChanged();
+        return readServedBuilder_;
       }
 
-      private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.Item, org.borageproxy.wire.proto.ControlProtocol.Item.Builder, org.borageproxy.wire.proto.ControlProtocol.ItemOrBuilder> itemsBuilder_;
-
-      /**
-       * <code>repeated .borageproxy.control.Item items = 14;</code>
-       */
-      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.Item> getItemsList() {
-        if (itemsBuilder_ == null) {
-          return java.util.Collections.unmodifiableList(items_);
-        } else {
-          return itemsBuilder_.getMessageList();
-        }
-      }
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.ReadTree, org.borageproxy.wire.proto.ControlProtocol.ReadTree.Builder, org.borageproxy.wire.proto.ControlProtocol.ReadTreeOrBuilder> readTreeBuilder_;
       /**
-       * <code>repeated .borageproxy.control.Item items = 14;</code>
-       */
-      public int getItemsCount() {
-        if (itemsBuilder_ == null) {
-          return items_.size();
-        } else {
-          return itemsBuilder_.getCount();
-        }
+       * <code>.borageproxy.control.ReadTree read_tree = 3;</code>
+       * @return Whether the readTree field is set.
+       */
+      @java.lang.Override
+      public boolean hasReadTree() {
+        return bodyCase_ == 3;
       }
       /**
-       * <code>repeated .borageproxy.control.Item items = 14;</code>
+       * <code>.borageproxy.control.ReadTree read_tree = 3;</code>
+       * @return The readTree.
        */
-      public org.borageproxy.wire.proto.ControlProtocol.Item getItems(int index) {
-        if (itemsBuilder_ == null) {
-          return items_.get(index);
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ReadTree getReadTree() {
+        if (readTreeBuilder_ == null) {
+          if (bodyCase_ == 3) {
+            return (org.borageproxy.wire.proto.ControlProtocol.ReadTree) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.ReadTree.getDefaultInstance();
         } else {
-          return itemsBuilder_.getMessage(index);
+          if (bodyCase_ == 3) {
+            return readTreeBuilder_.getMessage();
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.ReadTree.getDefaultInstance();
         }
       }
       /**
-       * <code>repeated .borageproxy.control.Item items = 14;</code>
+       * <code>.borageproxy.control.ReadTree read_tree = 3;</code>
        */
-      public Builder setItems(
-          int index, org.borageproxy.wire.proto.ControlProtocol.Item value) {
-        if (itemsBuilder_ == null) {
+      public Builder setReadTree(org.borageproxy.wire.proto.ControlProtocol.ReadTree value) {
+        if (readTreeBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensureItemsIsMutable();
-          items_.set(index, value);
+          body_ = value;
           onChanged();
         } else {
-          itemsBuilder_.setMessage(index, value);
+          readTreeBuilder_.setMessage(value);
         }
+        bodyCase_ = 3;
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.Item items = 14;</code>
+       * <code>.borageproxy.control.ReadTree read_tree = 3;</code>
        */
-      public Builder setItems(
-          int index, org.borageproxy.wire.proto.ControlProtocol.Item.Builder builderForValue) {
-        if (itemsBuilder_ == null) {
-          ensureItemsIsMutable();
-          items_.set(index, builderForValue.build());
+      public Builder setReadTree(
+          org.borageproxy.wire.proto.ControlProtocol.ReadTree.Builder builderForValue) {
+        if (readTreeBuilder_ == null) {
+          body_ = builderForValue.build();
           onChanged();
         } else {
-          itemsBuilder_.setMessage(index, builderForValue.build());
+          readTreeBuilder_.setMessage(builderForValue.build());
         }
+        bodyCase_ = 3;
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.Item items = 14;</code>
+       * <code>.borageproxy.control.ReadTree read_tree = 3;</code>
        */
-      public Builder addItems(org.borageproxy.wire.proto.ControlProtocol.Item value) {
-        if (itemsBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
+      public Builder mergeReadTree(org.borageproxy.wire.proto.ControlProtocol.ReadTree value) {
+        if (readTreeBuilder_ == null) {
+          if (bodyCase_ == 3 &&
+              body_ != org.borageproxy.wire.proto.ControlProtocol.ReadTree.getDefaultInstance()) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.ReadTree.newBuilder((org.borageproxy.wire.proto.ControlProtocol.ReadTree) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
           }
-          ensureItemsIsMutable();
-          items_.add(value);
           onChanged();
         } else {
-          itemsBuilder_.addMessage(value);
+          if (bodyCase_ == 3) {
+            readTreeBuilder_.mergeFrom(value);
+          } else {
+            readTreeBuilder_.setMessage(value);
+          }
         }
+        bodyCase_ = 3;
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.Item items = 14;</code>
+       * <code>.borageproxy.control.ReadTree read_tree = 3;</code>
        */
-      public Builder addItems(
-          int index, org.borageproxy.wire.proto.ControlProtocol.Item value) {
-        if (itemsBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
+      public Builder clearReadTree() {
+        if (readTreeBuilder_ == null) {
+          if (bodyCase_ == 3) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
           }
-          ensureItemsIsMutable();
-          items_.add(index, value);
-          onChanged();
         } else {
-          itemsBuilder_.addMessage(index, value);
+          if (bodyCase_ == 3) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          readTreeBuilder_.clear();
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.Item items = 14;</code>
+       * <code>.borageproxy.control.ReadTree read_tree = 3;</code>
        */
-      public Builder addItems(
-          org.borageproxy.wire.proto.ControlProtocol.Item.Builder builderForValue) {
-        if (itemsBuilder_ == null) {
-          ensureItemsIsMutable();
-          items_.add(builderForValue.build());
-          onChanged();
+      public org.borageproxy.wire.proto.ControlProtocol.ReadTree.Builder getReadTreeBuilder() {
+        return internalGetReadTreeFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.borageproxy.control.ReadTree read_tree = 3;</code>
+       */
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ReadTreeOrBuilder getReadTreeOrBuilder() {
+        if ((bodyCase_ == 3) && (readTreeBuilder_ != null)) {
+          return readTreeBuilder_.getMessageOrBuilder();
         } else {
-          itemsBuilder_.addMessage(builderForValue.build());
+          if (bodyCase_ == 3) {
+            return (org.borageproxy.wire.proto.ControlProtocol.ReadTree) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.ReadTree.getDefaultInstance();
         }
-        return this;
       }
       /**
-       * <code>repeated .borageproxy.control.Item items = 14;</code>
+       * <code>.borageproxy.control.ReadTree read_tree = 3;</code>
        */
-      public Builder addItems(
-          int index, org.borageproxy.wire.proto.ControlProtocol.Item.Builder builderForValue) {
-        if (itemsBuilder_ == null) {
-          ensureItemsIsMutable();
-          items_.add(index, builderForValue.build());
-          onChanged();
-        } else {
-          itemsBuilder_.addMessage(index, builderForValue.build());
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.ReadTree, org.borageproxy.wire.proto.ControlProtocol.ReadTree.Builder, org.borageproxy.wire.proto.ControlProtocol.ReadTreeOrBuilder> 
+          internalGetReadTreeFieldBuilder() {
+        if (readTreeBuilder_ == null) {
+          if (!(bodyCase_ == 3)) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.ReadTree.getDefaultInstance();
+          }
+          readTreeBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.ReadTree, org.borageproxy.wire.proto.ControlProtocol.ReadTree.Builder, org.borageproxy.wire.proto.ControlProtocol.ReadTreeOrBuilder>(
+                  (org.borageproxy.wire.proto.ControlProtocol.ReadTree) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
         }
-        return this;
+        bodyCase_ = 3;
+        onChanged();
+        return readTreeBuilder_;
       }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.ReadRevisions, org.borageproxy.wire.proto.ControlProtocol.ReadRevisions.Builder, org.borageproxy.wire.proto.ControlProtocol.ReadRevisionsOrBuilder> readRevisionsBuilder_;
       /**
-       * <code>repeated .borageproxy.control.Item items = 14;</code>
+       * <code>.borageproxy.control.ReadRevisions read_revisions = 4;</code>
+       * @return Whether the readRevisions field is set.
        */
-      public Builder addAllItems(
-          java.lang.Iterable<? extends org.borageproxy.wire.proto.ControlProtocol.Item> values) {
-        if (itemsBuilder_ == null) {
-          ensureItemsIsMutable();
-          com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, items_);
-          onChanged();
+      @java.lang.Override
+      public boolean hasReadRevisions() {
+        return bodyCase_ == 4;
+      }
+      /**
+       * <code>.borageproxy.control.ReadRevisions read_revisions = 4;</code>
+       * @return The readRevisions.
+       */
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ReadRevisions getReadRevisions() {
+        if (readRevisionsBuilder_ == null) {
+          if (bodyCase_ == 4) {
+            return (org.borageproxy.wire.proto.ControlProtocol.ReadRevisions) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.ReadRevisions.getDefaultInstance();
         } else {
-          itemsBuilder_.addAllMessages(values);
+          if (bodyCase_ == 4) {
+            return readRevisionsBuilder_.getMessage();
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.ReadRevisions.getDefaultInstance();
         }
-        return this;
       }
       /**
-       * <code>repeated .borageproxy.control.Item items = 14;</code>
+       * <code>.borageproxy.control.ReadRevisions read_revisions = 4;</code>
        */
-      public Builder clearItems() {
-        if (itemsBuilder_ == null) {
-          items_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00001000);
+      public Builder setReadRevisions(org.borageproxy.wire.proto.ControlProtocol.ReadRevisions value) {
+        if (readRevisionsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          body_ = value;
           onChanged();
         } else {
-          itemsBuilder_.clear();
+          readRevisionsBuilder_.setMessage(value);
         }
+        bodyCase_ = 4;
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.Item items = 14;</code>
+       * <code>.borageproxy.control.ReadRevisions read_revisions = 4;</code>
        */
-      public Builder removeItems(int index) {
-        if (itemsBuilder_ == null) {
-          ensureItemsIsMutable();
-          items_.remove(index);
+      public Builder setReadRevisions(
+          org.borageproxy.wire.proto.ControlProtocol.ReadRevisions.Builder builderForValue) {
+        if (readRevisionsBuilder_ == null) {
+          body_ = builderForValue.build();
           onChanged();
         } else {
-          itemsBuilder_.remove(index);
+          readRevisionsBuilder_.setMessage(builderForValue.build());
         }
+        bodyCase_ = 4;
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.Item items = 14;</code>
-       */
-      public org.borageproxy.wire.proto.ControlProtocol.Item.Builder getItemsBuilder(
-          int index) {
-        return internalGetItemsFieldBuilder().getBuilder(index);
-      }
-      /**
-       * <code>repeated .borageproxy.control.Item items = 14;</code>
+       * <code>.borageproxy.control.ReadRevisions read_revisions = 4;</code>
        */
-      public org.borageproxy.wire.proto.ControlProtocol.ItemOrBuilder getItemsOrBuilder(
-          int index) {
-        if (itemsBuilder_ == null) {
-          return items_.get(index);  } else {
-          return itemsBuilder_.getMessageOrBuilder(index);
+      public Builder mergeReadRevisions(org.borageproxy.wire.proto.ControlProtocol.ReadRevisions value) {
+        if (readRevisionsBuilder_ == null) {
+          if (bodyCase_ == 4 &&
+              body_ != org.borageproxy.wire.proto.ControlProtocol.ReadRevisions.getDefaultInstance()) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.ReadRevisions.newBuilder((org.borageproxy.wire.proto.ControlProtocol.ReadRevisions) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 4) {
+            readRevisionsBuilder_.mergeFrom(value);
+          } else {
+            readRevisionsBuilder_.setMessage(value);
+          }
         }
+        bodyCase_ = 4;
+        return this;
       }
       /**
-       * <code>repeated .borageproxy.control.Item items = 14;</code>
+       * <code>.borageproxy.control.ReadRevisions read_revisions = 4;</code>
        */
-      public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.ItemOrBuilder> 
-           getItemsOrBuilderList() {
-        if (itemsBuilder_ != null) {
-          return itemsBuilder_.getMessageOrBuilderList();
+      public Builder clearReadRevisions() {
+        if (readRevisionsBuilder_ == null) {
+          if (bodyCase_ == 4) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
         } else {
-          return java.util.Collections.unmodifiableList(items_);
+          if (bodyCase_ == 4) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          readRevisionsBuilder_.clear();
         }
+        return this;
       }
       /**
-       * <code>repeated .borageproxy.control.Item items = 14;</code>
+       * <code>.borageproxy.control.ReadRevisions read_revisions = 4;</code>
        */
-      public org.borageproxy.wire.proto.ControlProtocol.Item.Builder addItemsBuilder() {
-        return internalGetItemsFieldBuilder().addBuilder(
-            org.borageproxy.wire.proto.ControlProtocol.Item.getDefaultInstance());
+      public org.borageproxy.wire.proto.ControlProtocol.ReadRevisions.Builder getReadRevisionsBuilder() {
+        return internalGetReadRevisionsFieldBuilder().getBuilder();
       }
       /**
-       * <code>repeated .borageproxy.control.Item items = 14;</code>
+       * <code>.borageproxy.control.ReadRevisions read_revisions = 4;</code>
        */
-      public org.borageproxy.wire.proto.ControlProtocol.Item.Builder addItemsBuilder(
-          int index) {
-        return internalGetItemsFieldBuilder().addBuilder(
-            index, org.borageproxy.wire.proto.ControlProtocol.Item.getDefaultInstance());
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ReadRevisionsOrBuilder getReadRevisionsOrBuilder() {
+        if ((bodyCase_ == 4) && (readRevisionsBuilder_ != null)) {
+          return readRevisionsBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 4) {
+            return (org.borageproxy.wire.proto.ControlProtocol.ReadRevisions) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.ReadRevisions.getDefaultInstance();
+        }
       }
       /**
-       * <code>repeated .borageproxy.control.Item items = 14;</code>
+       * <code>.borageproxy.control.ReadRevisions read_revisions = 4;</code>
        */
-      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.Item.Builder> 
-           getItemsBuilderList() {
-        return internalGetItemsFieldBuilder().getBuilderList();
-      }
-      private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.Item, org.borageproxy.wire.proto.ControlProtocol.Item.Builder, org.borageproxy.wire.proto.ControlProtocol.ItemOrBuilder> 
-          internalGetItemsFieldBuilder() {
-        if (itemsBuilder_ == null) {
-          itemsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              org.borageproxy.wire.proto.ControlProtocol.Item, org.borageproxy.wire.proto.ControlProtocol.Item.Builder, org.borageproxy.wire.proto.ControlProtocol.ItemOrBuilder>(
-                  items_,
-                  ((bitField0_ & 0x00001000) != 0),
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.ReadRevisions, org.borageproxy.wire.proto.ControlProtocol.ReadRevisions.Builder, org.borageproxy.wire.proto.ControlProtocol.ReadRevisionsOrBuilder> 
+          internalGetReadRevisionsFieldBuilder() {
+        if (readRevisionsBuilder_ == null) {
+          if (!(bodyCase_ == 4)) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.ReadRevisions.getDefaultInstance();
+          }
+          readRevisionsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.ReadRevisions, org.borageproxy.wire.proto.ControlProtocol.ReadRevisions.Builder, org.borageproxy.wire.proto.ControlProtocol.ReadRevisionsOrBuilder>(
+                  (org.borageproxy.wire.proto.ControlProtocol.ReadRevisions) body_,
                   getParentForChildren(),
                   isClean());
-          items_ = null;
+          body_ = null;
         }
-        return itemsBuilder_;
+        bodyCase_ = 4;
+        onChanged();
+        return readRevisionsBuilder_;
       }
 
-      private long removalsSince_ ;
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.ReadKeys, org.borageproxy.wire.proto.ControlProtocol.ReadKeys.Builder, org.borageproxy.wire.proto.ControlProtocol.ReadKeysOrBuilder> readKeysBuilder_;
       /**
-       * <code>uint64 removals_since = 15;</code>
-       * @return The removalsSince.
+       * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
+       * @return Whether the readKeys field is set.
        */
       @java.lang.Override
-      public long getRemovalsSince() {
-        return removalsSince_;
-      }
-      /**
-       * <code>uint64 removals_since = 15;</code>
-       * @param value The removalsSince to set.
-       * @return This builder for chaining.
-       */
-      public Builder setRemovalsSince(long value) {
-
-        removalsSince_ = value;
-        bitField0_ |= 0x00002000;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>uint64 removals_since = 15;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearRemovalsSince() {
-        bitField0_ = (bitField0_ & ~0x00002000);
-        removalsSince_ = 0L;
-        onChanged();
-        return this;
-      }
-
-      private java.util.List<org.borageproxy.wire.proto.ControlProtocol.StreamRecord> streams_ =
-        java.util.Collections.emptyList();
-      private void ensureStreamsIsMutable() {
-        if (!((bitField0_ & 0x00004000) != 0)) {
-          streams_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.StreamRecord>(streams_);
-          bitField0_ |= 0x00004000;
-         }
+      public boolean hasReadKeys() {
+        return bodyCase_ == 5;
       }
-
-      private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.StreamRecord, org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder, org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder> streamsBuilder_;
-
       /**
-       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
+       * @return The readKeys.
        */
-      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.StreamRecord> getStreamsList() {
-        if (streamsBuilder_ == null) {
-          return java.util.Collections.unmodifiableList(streams_);
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ReadKeys getReadKeys() {
+        if (readKeysBuilder_ == null) {
+          if (bodyCase_ == 5) {
+            return (org.borageproxy.wire.proto.ControlProtocol.ReadKeys) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.ReadKeys.getDefaultInstance();
         } else {
-          return streamsBuilder_.getMessageList();
+          if (bodyCase_ == 5) {
+            return readKeysBuilder_.getMessage();
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.ReadKeys.getDefaultInstance();
         }
       }
       /**
-       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
        */
-      public int getStreamsCount() {
-        if (streamsBuilder_ == null) {
-          return streams_.size();
+      public Builder setReadKeys(org.borageproxy.wire.proto.ControlProtocol.ReadKeys value) {
+        if (readKeysBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          body_ = value;
+          onChanged();
         } else {
-          return streamsBuilder_.getCount();
+          readKeysBuilder_.setMessage(value);
         }
+        bodyCase_ = 5;
+        return this;
       }
       /**
-       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
        */
-      public org.borageproxy.wire.proto.ControlProtocol.StreamRecord getStreams(int index) {
-        if (streamsBuilder_ == null) {
-          return streams_.get(index);
+      public Builder setReadKeys(
+          org.borageproxy.wire.proto.ControlProtocol.ReadKeys.Builder builderForValue) {
+        if (readKeysBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
         } else {
-          return streamsBuilder_.getMessage(index);
+          readKeysBuilder_.setMessage(builderForValue.build());
         }
+        bodyCase_ = 5;
+        return this;
       }
       /**
-       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
        */
-      public Builder setStreams(
-          int index, org.borageproxy.wire.proto.ControlProtocol.StreamRecord value) {
-        if (streamsBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
+      public Builder mergeReadKeys(org.borageproxy.wire.proto.ControlProtocol.ReadKeys value) {
+        if (readKeysBuilder_ == null) {
+          if (bodyCase_ == 5 &&
+              body_ != org.borageproxy.wire.proto.ControlProtocol.ReadKeys.getDefaultInstance()) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.ReadKeys.newBuilder((org.borageproxy.wire.proto.ControlProtocol.ReadKeys) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
           }
-          ensureStreamsIsMutable();
-          streams_.set(index, value);
           onChanged();
         } else {
-          streamsBuilder_.setMessage(index, value);
+          if (bodyCase_ == 5) {
+            readKeysBuilder_.mergeFrom(value);
+          } else {
+            readKeysBuilder_.setMessage(value);
+          }
         }
+        bodyCase_ = 5;
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
        */
-      public Builder setStreams(
-          int index, org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder builderForValue) {
-        if (streamsBuilder_ == null) {
-          ensureStreamsIsMutable();
-          streams_.set(index, builderForValue.build());
-          onChanged();
+      public Builder clearReadKeys() {
+        if (readKeysBuilder_ == null) {
+          if (bodyCase_ == 5) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
         } else {
-          streamsBuilder_.setMessage(index, builderForValue.build());
+          if (bodyCase_ == 5) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          readKeysBuilder_.clear();
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
        */
-      public Builder addStreams(org.borageproxy.wire.proto.ControlProtocol.StreamRecord value) {
-        if (streamsBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          ensureStreamsIsMutable();
-          streams_.add(value);
-          onChanged();
+      public org.borageproxy.wire.proto.ControlProtocol.ReadKeys.Builder getReadKeysBuilder() {
+        return internalGetReadKeysFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
+       */
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ReadKeysOrBuilder getReadKeysOrBuilder() {
+        if ((bodyCase_ == 5) && (readKeysBuilder_ != null)) {
+          return readKeysBuilder_.getMessageOrBuilder();
         } else {
-          streamsBuilder_.addMessage(value);
+          if (bodyCase_ == 5) {
+            return (org.borageproxy.wire.proto.ControlProtocol.ReadKeys) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.ReadKeys.getDefaultInstance();
         }
-        return this;
       }
       /**
-       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
        */
-      public Builder addStreams(
-          int index, org.borageproxy.wire.proto.ControlProtocol.StreamRecord value) {
-        if (streamsBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.ReadKeys, org.borageproxy.wire.proto.ControlProtocol.ReadKeys.Builder, org.borageproxy.wire.proto.ControlProtocol.ReadKeysOrBuilder> 
+          internalGetReadKeysFieldBuilder() {
+        if (readKeysBuilder_ == null) {
+          if (!(bodyCase_ == 5)) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.ReadKeys.getDefaultInstance();
           }
-          ensureStreamsIsMutable();
-          streams_.add(index, value);
-          onChanged();
-        } else {
-          streamsBuilder_.addMessage(index, value);
+          readKeysBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.ReadKeys, org.borageproxy.wire.proto.ControlProtocol.ReadKeys.Builder, org.borageproxy.wire.proto.ControlProtocol.ReadKeysOrBuilder>(
+                  (org.borageproxy.wire.proto.ControlProtocol.ReadKeys) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
         }
-        return this;
+        bodyCase_ = 5;
+        onChanged();
+        return readKeysBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.ReadChunks, org.borageproxy.wire.proto.ControlProtocol.ReadChunks.Builder, org.borageproxy.wire.proto.ControlProtocol.ReadChunksOrBuilder> readChunksBuilder_;
+      /**
+       * <code>.borageproxy.control.ReadChunks read_chunks = 6;</code>
+       * @return Whether the readChunks field is set.
+       */
+      @java.lang.Override
+      public boolean hasReadChunks() {
+        return bodyCase_ == 6;
       }
       /**
-       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       * <code>.borageproxy.control.ReadChunks read_chunks = 6;</code>
+       * @return The readChunks.
        */
-      public Builder addStreams(
-          org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder builderForValue) {
-        if (streamsBuilder_ == null) {
-          ensureStreamsIsMutable();
-          streams_.add(builderForValue.build());
-          onChanged();
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ReadChunks getReadChunks() {
+        if (readChunksBuilder_ == null) {
+          if (bodyCase_ == 6) {
+            return (org.borageproxy.wire.proto.ControlProtocol.ReadChunks) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.ReadChunks.getDefaultInstance();
         } else {
-          streamsBuilder_.addMessage(builderForValue.build());
+          if (bodyCase_ == 6) {
+            return readChunksBuilder_.getMessage();
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.ReadChunks.getDefaultInstance();
         }
-        return this;
       }
       /**
-       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       * <code>.borageproxy.control.ReadChunks read_chunks = 6;</code>
        */
-      public Builder addStreams(
-          int index, org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder builderForValue) {
-        if (streamsBuilder_ == null) {
-          ensureStreamsIsMutable();
-          streams_.add(index, builderForValue.build());
+      public Builder setReadChunks(org.borageproxy.wire.proto.ControlProtocol.ReadChunks value) {
+        if (readChunksBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          body_ = value;
           onChanged();
         } else {
-          streamsBuilder_.addMessage(index, builderForValue.build());
+          readChunksBuilder_.setMessage(value);
         }
+        bodyCase_ = 6;
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       * <code>.borageproxy.control.ReadChunks read_chunks = 6;</code>
        */
-      public Builder addAllStreams(
-          java.lang.Iterable<? extends org.borageproxy.wire.proto.ControlProtocol.StreamRecord> values) {
-        if (streamsBuilder_ == null) {
-          ensureStreamsIsMutable();
-          com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, streams_);
+      public Builder setReadChunks(
+          org.borageproxy.wire.proto.ControlProtocol.ReadChunks.Builder builderForValue) {
+        if (readChunksBuilder_ == null) {
+          body_ = builderForValue.build();
           onChanged();
         } else {
-          streamsBuilder_.addAllMessages(values);
+          readChunksBuilder_.setMessage(builderForValue.build());
         }
+        bodyCase_ = 6;
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       * <code>.borageproxy.control.ReadChunks read_chunks = 6;</code>
        */
-      public Builder clearStreams() {
-        if (streamsBuilder_ == null) {
-          streams_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00004000);
+      public Builder mergeReadChunks(org.borageproxy.wire.proto.ControlProtocol.ReadChunks value) {
+        if (readChunksBuilder_ == null) {
+          if (bodyCase_ == 6 &&
+              body_ != org.borageproxy.wire.proto.ControlProtocol.ReadChunks.getDefaultInstance()) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.ReadChunks.newBuilder((org.borageproxy.wire.proto.ControlProtocol.ReadChunks) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
           onChanged();
         } else {
-          streamsBuilder_.clear();
+          if (bodyCase_ == 6) {
+            readChunksBuilder_.mergeFrom(value);
+          } else {
+            readChunksBuilder_.setMessage(value);
+          }
         }
+        bodyCase_ = 6;
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       * <code>.borageproxy.control.ReadChunks read_chunks = 6;</code>
        */
-      public Builder removeStreams(int index) {
-        if (streamsBuilder_ == null) {
-          ensureStreamsIsMutable();
-          streams_.remove(index);
-          onChanged();
+      public Builder clearReadChunks() {
+        if (readChunksBuilder_ == null) {
+          if (bodyCase_ == 6) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
         } else {
-          streamsBuilder_.remove(index);
+          if (bodyCase_ == 6) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          readChunksBuilder_.clear();
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       * <code>.borageproxy.control.ReadChunks read_chunks = 6;</code>
        */
-      public org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder getStreamsBuilder(
-          int index) {
-        return internalGetStreamsFieldBuilder().getBuilder(index);
+      public org.borageproxy.wire.proto.ControlProtocol.ReadChunks.Builder getReadChunksBuilder() {
+        return internalGetReadChunksFieldBuilder().getBuilder();
       }
       /**
-       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       * <code>.borageproxy.control.ReadChunks read_chunks = 6;</code>
        */
-      public org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder getStreamsOrBuilder(
-          int index) {
-        if (streamsBuilder_ == null) {
-          return streams_.get(index);  } else {
-          return streamsBuilder_.getMessageOrBuilder(index);
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ReadChunksOrBuilder getReadChunksOrBuilder() {
+        if ((bodyCase_ == 6) && (readChunksBuilder_ != null)) {
+          return readChunksBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 6) {
+            return (org.borageproxy.wire.proto.ControlProtocol.ReadChunks) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.ReadChunks.getDefaultInstance();
         }
       }
       /**
-       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       * <code>.borageproxy.control.ReadChunks read_chunks = 6;</code>
        */
-      public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder> 
-           getStreamsOrBuilderList() {
-        if (streamsBuilder_ != null) {
-          return streamsBuilder_.getMessageOrBuilderList();
-        } else {
-          return java.util.Collections.unmodifiableList(streams_);
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.ReadChunks, org.borageproxy.wire.proto.ControlProtocol.ReadChunks.Builder, org.borageproxy.wire.proto.ControlProtocol.ReadChunksOrBuilder> 
+          internalGetReadChunksFieldBuilder() {
+        if (readChunksBuilder_ == null) {
+          if (!(bodyCase_ == 6)) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.ReadChunks.getDefaultInstance();
+          }
+          readChunksBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.ReadChunks, org.borageproxy.wire.proto.ControlProtocol.ReadChunks.Builder, org.borageproxy.wire.proto.ControlProtocol.ReadChunksOrBuilder>(
+                  (org.borageproxy.wire.proto.ControlProtocol.ReadChunks) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
         }
+        bodyCase_ = 6;
+        onChanged();
+        return readChunksBuilder_;
       }
+
+      private boolean acceptsChunks_ ;
       /**
-       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       * <pre>
+       * Whether the answer to a read may name its chunks instead.
+       * </pre>
+       *
+       * <code>bool accepts_chunks = 7;</code>
+       * @return The acceptsChunks.
        */
-      public org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder addStreamsBuilder() {
-        return internalGetStreamsFieldBuilder().addBuilder(
-            org.borageproxy.wire.proto.ControlProtocol.StreamRecord.getDefaultInstance());
+      @java.lang.Override
+      public boolean getAcceptsChunks() {
+        return acceptsChunks_;
       }
       /**
-       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       * <pre>
+       * Whether the answer to a read may name its chunks instead.
+       * </pre>
+       *
+       * <code>bool accepts_chunks = 7;</code>
+       * @param value The acceptsChunks to set.
+       * @return This builder for chaining.
        */
-      public org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder addStreamsBuilder(
-          int index) {
-        return internalGetStreamsFieldBuilder().addBuilder(
-            index, org.borageproxy.wire.proto.ControlProtocol.StreamRecord.getDefaultInstance());
+      public Builder setAcceptsChunks(boolean value) {
+
+        acceptsChunks_ = value;
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
       }
       /**
-       * <code>repeated .borageproxy.control.StreamRecord streams = 30;</code>
+       * <pre>
+       * Whether the answer to a read may name its chunks instead.
+       * </pre>
+       *
+       * <code>bool accepts_chunks = 7;</code>
+       * @return This builder for chaining.
        */
-      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder> 
-           getStreamsBuilderList() {
-        return internalGetStreamsFieldBuilder().getBuilderList();
-      }
-      private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.StreamRecord, org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder, org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder> 
-          internalGetStreamsFieldBuilder() {
-        if (streamsBuilder_ == null) {
-          streamsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              org.borageproxy.wire.proto.ControlProtocol.StreamRecord, org.borageproxy.wire.proto.ControlProtocol.StreamRecord.Builder, org.borageproxy.wire.proto.ControlProtocol.StreamRecordOrBuilder>(
-                  streams_,
-                  ((bitField0_ & 0x00004000) != 0),
-                  getParentForChildren(),
-                  isClean());
-          streams_ = null;
-        }
-        return streamsBuilder_;
+      public Builder clearAcceptsChunks() {
+        bitField0_ = (bitField0_ & ~0x00000040);
+        acceptsChunks_ = false;
+        onChanged();
+        return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:borageproxy.control.ControlSnapshot)
+      // @@protoc_insertion_point(builder_scope:borageproxy.control.WatchRequest)
     }
 
-    // @@protoc_insertion_point(class_scope:borageproxy.control.ControlSnapshot)
-    private static final org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:borageproxy.control.WatchRequest)
+    private static final org.borageproxy.wire.proto.ControlProtocol.WatchRequest DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot();
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.WatchRequest();
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot getDefaultInstance() {
+    public static org.borageproxy.wire.proto.ControlProtocol.WatchRequest getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<ControlSnapshot>
-        PARSER = new com.google.protobuf.AbstractParser<ControlSnapshot>() {
+    private static final com.google.protobuf.Parser<WatchRequest>
+        PARSER = new com.google.protobuf.AbstractParser<WatchRequest>() {
       @java.lang.Override
-      public ControlSnapshot parsePartialFrom(
+      public WatchRequest parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -50116,114 +53474,86 @@
       }
     };
 
-    public static com.google.protobuf.Parser<ControlSnapshot> parser() {
+    public static com.google.protobuf.Parser<WatchRequest> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<ControlSnapshot> getParserForType() {
+    public com.google.protobuf.Parser<WatchRequest> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot getDefaultInstanceForType() {
+    public org.borageproxy.wire.proto.ControlProtocol.WatchRequest getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
   }
 
-  public interface WatchRequestOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:borageproxy.control.WatchRequest)
+  public interface WatchOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.control.Watch)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>.borageproxy.control.Watch watch = 1;</code>
-     * @return Whether the watch field is set.
+     * <code>.borageproxy.control.VmRecord vm = 1;</code>
+     * @return Whether the vm field is set.
      */
-    boolean hasWatch();
+    boolean hasVm();
     /**
-     * <code>.borageproxy.control.Watch watch = 1;</code>
-     * @return The watch.
+     * <code>.borageproxy.control.VmRecord vm = 1;</code>
+     * @return The vm.
      */
-    org.borageproxy.wire.proto.ControlProtocol.Watch getWatch();
+    org.borageproxy.wire.proto.ControlProtocol.VmRecord getVm();
     /**
-     * <code>.borageproxy.control.Watch watch = 1;</code>
+     * <code>.borageproxy.control.VmRecord vm = 1;</code>
      */
-    org.borageproxy.wire.proto.ControlProtocol.WatchOrBuilder getWatchOrBuilder();
+    org.borageproxy.wire.proto.ControlProtocol.VmRecordOrBuilder getVmOrBuilder();
 
     /**
-     * <code>.borageproxy.control.ReadServed read_served = 2;</code>
-     * @return Whether the readServed field is set.
-     */
-    boolean hasReadServed();
-    /**
-     * <code>.borageproxy.control.ReadServed read_served = 2;</code>
-     * @return The readServed.
-     */
-    org.borageproxy.wire.proto.ControlProtocol.ReadServed getReadServed();
-    /**
-     * <code>.borageproxy.control.ReadServed read_served = 2;</code>
+     * <code>uint64 version = 2;</code>
+     * @return The version.
      */
-    org.borageproxy.wire.proto.ControlProtocol.ReadServedOrBuilder getReadServedOrBuilder();
+    long getVersion();
 
     /**
-     * <code>.borageproxy.control.ReadTree read_tree = 3;</code>
-     * @return Whether the readTree field is set.
-     */
-    boolean hasReadTree();
-    /**
-     * <code>.borageproxy.control.ReadTree read_tree = 3;</code>
-     * @return The readTree.
-     */
-    org.borageproxy.wire.proto.ControlProtocol.ReadTree getReadTree();
-    /**
-     * <code>.borageproxy.control.ReadTree read_tree = 3;</code>
+     * <code>uint64 served_revision = 3;</code>
+     * @return The servedRevision.
      */
-    org.borageproxy.wire.proto.ControlProtocol.ReadTreeOrBuilder getReadTreeOrBuilder();
+    long getServedRevision();
 
     /**
-     * <code>.borageproxy.control.ReadRevisions read_revisions = 4;</code>
-     * @return Whether the readRevisions field is set.
-     */
-    boolean hasReadRevisions();
-    /**
-     * <code>.borageproxy.control.ReadRevisions read_revisions = 4;</code>
-     * @return The readRevisions.
-     */
-    org.borageproxy.wire.proto.ControlProtocol.ReadRevisions getReadRevisions();
-    /**
-     * <code>.borageproxy.control.ReadRevisions read_revisions = 4;</code>
+     * <code>uint32 wait_millis = 4;</code>
+     * @return The waitMillis.
      */
-    org.borageproxy.wire.proto.ControlProtocol.ReadRevisionsOrBuilder getReadRevisionsOrBuilder();
+    int getWaitMillis();
 
     /**
-     * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
-     * @return Whether the readKeys field is set.
-     */
-    boolean hasReadKeys();
-    /**
-     * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
-     * @return The readKeys.
+     * <pre>
+     * Whether large values may be named by their chunks, and many changes may come in several answers.
+     * </pre>
+     *
+     * <code>bool accepts_chunks = 5;</code>
+     * @return The acceptsChunks.
      */
-    org.borageproxy.wire.proto.ControlProtocol.ReadKeys getReadKeys();
+    boolean getAcceptsChunks();
+
     /**
-     * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
+     * <pre>
+     * For the further answers to a watch that began with all records: the newest version at the first one.
+     * </pre>
+     *
+     * <code>uint64 complete_since = 6;</code>
+     * @return The completeSince.
      */
-    org.borageproxy.wire.proto.ControlProtocol.ReadKeysOrBuilder getReadKeysOrBuilder();
-
-    org.borageproxy.wire.proto.ControlProtocol.WatchRequest.BodyCase getBodyCase();
+    long getCompleteSince();
   }
   /**
-   * <pre>
-   * A request of a VM to a control VM to wait for changes of the distributed state or to read a part of the state.
-   * </pre>
-   *
-   * Protobuf type {@code borageproxy.control.WatchRequest}
+   * Protobuf type {@code borageproxy.control.Watch}
    */
-  public static final class WatchRequest extends
+  public static final class Watch extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:borageproxy.control.WatchRequest)
-      WatchRequestOrBuilder {
+      // @@protoc_insertion_point(message_implements:borageproxy.control.Watch)
+      WatchOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -50232,234 +53562,121 @@
         /* minor= */ 34,
         /* patch= */ 2,
         /* suffix= */ "",
-        "WatchRequest");
+        "Watch");
     }
-    // Use WatchRequest.newBuilder() to construct.
-    private WatchRequest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use Watch.newBuilder() to construct.
+    private Watch(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private WatchRequest() {
+    private Watch() {
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_WatchRequest_descriptor;
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Watch_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_WatchRequest_descriptor;
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Watch_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_WatchRequest_fieldAccessorTable
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Watch_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.borageproxy.wire.proto.ControlProtocol.WatchRequest.class, org.borageproxy.wire.proto.ControlProtocol.WatchRequest.Builder.class);
-    }
-
-    private int bodyCase_ = 0;
-    @SuppressWarnings("serial")
-    private java.lang.Object body_;
-    public enum BodyCase
-        implements com.google.protobuf.Internal.EnumLite,
-            com.google.protobuf.AbstractMessage.InternalOneOfEnum {
-      WATCH(1),
-      READ_SERVED(2),
-      READ_TREE(3),
-      READ_REVISIONS(4),
-      READ_KEYS(5),
-      BODY_NOT_SET(0);
-      private final int value;
-      private BodyCase(int value) {
-        this.value = value;
-      }
-      /**
-       * @param value The number of the enum to look for.
-       * @return The enum associated with the given number.
-       * @deprecated Use {@link #forNumber(int)} instead.
-       */
-      @java.lang.Deprecated
-      public static BodyCase valueOf(int value) {
-        return forNumber(value);
-      }
-
-      public static BodyCase forNumber(int value) {
-        switch (value) {
-          case 1: return WATCH;
-          case 2: return READ_SERVED;
-          case 3: return READ_TREE;
-          case 4: return READ_REVISIONS;
-          case 5: return READ_KEYS;
-          case 0: return BODY_NOT_SET;
-          default: return null;
-        }
-      }
-      public int getNumber() {
-        return this.value;
-      }
-    };
-
-    public BodyCase
-    getBodyCase() {
-      return BodyCase.forNumber(
-          bodyCase_);
+              org.borageproxy.wire.proto.ControlProtocol.Watch.class, org.borageproxy.wire.proto.ControlProtocol.Watch.Builder.class);
     }
 
-    public static final int WATCH_FIELD_NUMBER = 1;
+    private int bitField0_;
+    public static final int VM_FIELD_NUMBER = 1;
+    private org.borageproxy.wire.proto.ControlProtocol.VmRecord vm_;
     /**
-     * <code>.borageproxy.control.Watch watch = 1;</code>
-     * @return Whether the watch field is set.
+     * <code>.borageproxy.control.VmRecord vm = 1;</code>
+     * @return Whether the vm field is set.
      */
     @java.lang.Override
-    public boolean hasWatch() {
-      return bodyCase_ == 1;
+    public boolean hasVm() {
+      return ((bitField0_ & 0x00000001) != 0);
     }
     /**
-     * <code>.borageproxy.control.Watch watch = 1;</code>
-     * @return The watch.
+     * <code>.borageproxy.control.VmRecord vm = 1;</code>
+     * @return The vm.
      */
     @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.Watch getWatch() {
-      if (bodyCase_ == 1) {
-         return (org.borageproxy.wire.proto.ControlProtocol.Watch) body_;
-      }
-      return org.borageproxy.wire.proto.ControlProtocol.Watch.getDefaultInstance();
+    public org.borageproxy.wire.proto.ControlProtocol.VmRecord getVm() {
+      return vm_ == null ? org.borageproxy.wire.proto.ControlProtocol.VmRecord.getDefaultInstance() : vm_;
     }
     /**
-     * <code>.borageproxy.control.Watch watch = 1;</code>
+     * <code>.borageproxy.control.VmRecord vm = 1;</code>
      */
     @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.WatchOrBuilder getWatchOrBuilder() {
-      if (bodyCase_ == 1) {
-         return (org.borageproxy.wire.proto.ControlProtocol.Watch) body_;
-      }
-      return org.borageproxy.wire.proto.ControlProtocol.Watch.getDefaultInstance();
+    public org.borageproxy.wire.proto.ControlProtocol.VmRecordOrBuilder getVmOrBuilder() {
+      return vm_ == null ? org.borageproxy.wire.proto.ControlProtocol.VmRecord.getDefaultInstance() : vm_;
     }
 
-    public static final int READ_SERVED_FIELD_NUMBER = 2;
-    /**
-     * <code>.borageproxy.control.ReadServed read_served = 2;</code>
-     * @return Whether the readServed field is set.
-     */
-    @java.lang.Override
-    public boolean hasReadServed() {
-      return bodyCase_ == 2;
-    }
-    /**
-     * <code>.borageproxy.control.ReadServed read_served = 2;</code>
-     * @return The readServed.
-     */
-    @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.ReadServed getReadServed() {
-      if (bodyCase_ == 2) {
-         return (org.borageproxy.wire.proto.ControlProtocol.ReadServed) body_;
-      }
-      return org.borageproxy.wire.proto.ControlProtocol.ReadServed.getDefaultInstance();
-    }
+    public static final int VERSION_FIELD_NUMBER = 2;
+    private long version_ = 0L;
     /**
-     * <code>.borageproxy.control.ReadServed read_served = 2;</code>
+     * <code>uint64 version = 2;</code>
+     * @return The version.
      */
     @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.ReadServedOrBuilder getReadServedOrBuilder() {
-      if (bodyCase_ == 2) {
-         return (org.borageproxy.wire.proto.ControlProtocol.ReadServed) body_;
-      }
-      return org.borageproxy.wire.proto.ControlProtocol.ReadServed.getDefaultInstance();
+    public long getVersion() {
+      return version_;
     }
 
-    public static final int READ_TREE_FIELD_NUMBER = 3;
-    /**
-     * <code>.borageproxy.control.ReadTree read_tree = 3;</code>
-     * @return Whether the readTree field is set.
-     */
-    @java.lang.Override
-    public boolean hasReadTree() {
-      return bodyCase_ == 3;
-    }
-    /**
-     * <code>.borageproxy.control.ReadTree read_tree = 3;</code>
-     * @return The readTree.
-     */
-    @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.ReadTree getReadTree() {
-      if (bodyCase_ == 3) {
-         return (org.borageproxy.wire.proto.ControlProtocol.ReadTree) body_;
-      }
-      return org.borageproxy.wire.proto.ControlProtocol.ReadTree.getDefaultInstance();
-    }
+    public static final int SERVED_REVISION_FIELD_NUMBER = 3;
+    private long servedRevision_ = 0L;
     /**
-     * <code>.borageproxy.control.ReadTree read_tree = 3;</code>
+     * <code>uint64 served_revision = 3;</code>
+     * @return The servedRevision.
      */
     @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.ReadTreeOrBuilder getReadTreeOrBuilder() {
-      if (bodyCase_ == 3) {
-         return (org.borageproxy.wire.proto.ControlProtocol.ReadTree) body_;
-      }
-      return org.borageproxy.wire.proto.ControlProtocol.ReadTree.getDefaultInstance();
+    public long getServedRevision() {
+      return servedRevision_;
     }
 
-    public static final int READ_REVISIONS_FIELD_NUMBER = 4;
-    /**
-     * <code>.borageproxy.control.ReadRevisions read_revisions = 4;</code>
-     * @return Whether the readRevisions field is set.
-     */
-    @java.lang.Override
-    public boolean hasReadRevisions() {
-      return bodyCase_ == 4;
-    }
-    /**
-     * <code>.borageproxy.control.ReadRevisions read_revisions = 4;</code>
-     * @return The readRevisions.
-     */
-    @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.ReadRevisions getReadRevisions() {
-      if (bodyCase_ == 4) {
-         return (org.borageproxy.wire.proto.ControlProtocol.ReadRevisions) body_;
-      }
-      return org.borageproxy.wire.proto.ControlProtocol.ReadRevisions.getDefaultInstance();
-    }
+    public static final int WAIT_MILLIS_FIELD_NUMBER = 4;
+    private int waitMillis_ = 0;
     /**
-     * <code>.borageproxy.control.ReadRevisions read_revisions = 4;</code>
+     * <code>uint32 wait_millis = 4;</code>
+     * @return The waitMillis.
      */
     @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.ReadRevisionsOrBuilder getReadRevisionsOrBuilder() {
-      if (bodyCase_ == 4) {
-         return (org.borageproxy.wire.proto.ControlProtocol.ReadRevisions) body_;
-      }
-      return org.borageproxy.wire.proto.ControlProtocol.ReadRevisions.getDefaultInstance();
+    public int getWaitMillis() {
+      return waitMillis_;
     }
 
-    public static final int READ_KEYS_FIELD_NUMBER = 5;
-    /**
-     * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
-     * @return Whether the readKeys field is set.
-     */
-    @java.lang.Override
-    public boolean hasReadKeys() {
-      return bodyCase_ == 5;
-    }
+    public static final int ACCEPTS_CHUNKS_FIELD_NUMBER = 5;
+    private boolean acceptsChunks_ = false;
     /**
-     * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
-     * @return The readKeys.
+     * <pre>
+     * Whether large values may be named by their chunks, and many changes may come in several answers.
+     * </pre>
+     *
+     * <code>bool accepts_chunks = 5;</code>
+     * @return The acceptsChunks.
      */
     @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.ReadKeys getReadKeys() {
-      if (bodyCase_ == 5) {
-         return (org.borageproxy.wire.proto.ControlProtocol.ReadKeys) body_;
-      }
-      return org.borageproxy.wire.proto.ControlProtocol.ReadKeys.getDefaultInstance();
+    public boolean getAcceptsChunks() {
+      return acceptsChunks_;
     }
+
+    public static final int COMPLETE_SINCE_FIELD_NUMBER = 6;
+    private long completeSince_ = 0L;
     /**
-     * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
+     * <pre>
+     * For the further answers to a watch that began with all records: the newest version at the first one.
+     * </pre>
+     *
+     * <code>uint64 complete_since = 6;</code>
+     * @return The completeSince.
      */
     @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.ReadKeysOrBuilder getReadKeysOrBuilder() {
-      if (bodyCase_ == 5) {
-         return (org.borageproxy.wire.proto.ControlProtocol.ReadKeys) body_;
-      }
-      return org.borageproxy.wire.proto.ControlProtocol.ReadKeys.getDefaultInstance();
+    public long getCompleteSince() {
+      return completeSince_;
     }
 
     private byte memoizedIsInitialized = -1;
@@ -50476,20 +53693,23 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      if (bodyCase_ == 1) {
-        output.writeMessage(1, (org.borageproxy.wire.proto.ControlProtocol.Watch) body_);
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeMessage(1, getVm());
       }
-      if (bodyCase_ == 2) {
-        output.writeMessage(2, (org.borageproxy.wire.proto.ControlProtocol.ReadServed) body_);
+      if (version_ != 0L) {
+        output.writeUInt64(2, version_);
       }
-      if (bodyCase_ == 3) {
-        output.writeMessage(3, (org.borageproxy.wire.proto.ControlProtocol.ReadTree) body_);
+      if (servedRevision_ != 0L) {
+        output.writeUInt64(3, servedRevision_);
       }
-      if (bodyCase_ == 4) {
-        output.writeMessage(4, (org.borageproxy.wire.proto.ControlProtocol.ReadRevisions) body_);
+      if (waitMillis_ != 0) {
+        output.writeUInt32(4, waitMillis_);
       }
-      if (bodyCase_ == 5) {
-        output.writeMessage(5, (org.borageproxy.wire.proto.ControlProtocol.ReadKeys) body_);
+      if (acceptsChunks_ != false) {
+        output.writeBool(5, acceptsChunks_);
+      }
+      if (completeSince_ != 0L) {
+        output.writeUInt64(6, completeSince_);
       }
       getUnknownFields().writeTo(output);
     }
@@ -50500,25 +53720,29 @@
       if (size != -1) return size;
 
       size = 0;
-      if (bodyCase_ == 1) {
+      if (((bitField0_ & 0x00000001) != 0)) {
         size += com.google.protobuf.CodedOutputStream
-          .computeMessageSize(1, (org.borageproxy.wire.proto.ControlProtocol.Watch) body_);
+          .computeMessageSize(1, getVm());
       }
-      if (bodyCase_ == 2) {
+      if (version_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, version_);
+      }
+      if (servedRevision_ != 0L) {
         size += com.google.protobuf.CodedOutputStream
-          .computeMessageSize(2, (org.borageproxy.wire.proto.ControlProtocol.ReadServed) body_);
+          .computeUInt64Size(3, servedRevision_);
       }
-      if (bodyCase_ == 3) {
+      if (waitMillis_ != 0) {
         size += com.google.protobuf.CodedOutputStream
-          .computeMessageSize(3, (org.borageproxy.wire.proto.ControlProtocol.ReadTree) body_);
+          .computeUInt32Size(4, waitMillis_);
       }
-      if (bodyCase_ == 4) {
+      if (acceptsChunks_ != false) {
         size += com.google.protobuf.CodedOutputStream
-          .computeMessageSize(4, (org.borageproxy.wire.proto.ControlProtocol.ReadRevisions) body_);
+          .computeBoolSize(5, acceptsChunks_);
       }
-      if (bodyCase_ == 5) {
+      if (completeSince_ != 0L) {
         size += com.google.protobuf.CodedOutputStream
-          .computeMessageSize(5, (org.borageproxy.wire.proto.ControlProtocol.ReadKeys) body_);
+          .computeUInt64Size(6, completeSince_);
       }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
@@ -50530,36 +53754,26 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.WatchRequest)) {
+      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.Watch)) {
         return super.equals(obj);
       }
-      org.borageproxy.wire.proto.ControlProtocol.WatchRequest other = (org.borageproxy.wire.proto.ControlProtocol.WatchRequest) obj;
+      org.borageproxy.wire.proto.ControlProtocol.Watch other = (org.borageproxy.wire.proto.ControlProtocol.Watch) obj;
 
-      if (!getBodyCase().equals(other.getBodyCase())) return false;
-      switch (bodyCase_) {
-        case 1:
-          if (!getWatch()
-              .equals(other.getWatch())) return false;
-          break;
-        case 2:
-          if (!getReadServed()
-              .equals(other.getReadServed())) return false;
-          break;
-        case 3:
-          if (!getReadTree()
-              .equals(other.getReadTree())) return false;
-          break;
-        case 4:
-          if (!getReadRevisions()
-              .equals(other.getReadRevisions())) return false;
-          break;
-        case 5:
-          if (!getReadKeys()
-              .equals(other.getReadKeys())) return false;
-          break;
-        case 0:
-        default:
+      if (hasVm() != other.hasVm()) return false;
+      if (hasVm()) {
+        if (!getVm()
+            .equals(other.getVm())) return false;
       }
+      if (getVersion()
+          != other.getVersion()) return false;
+      if (getServedRevision()
+          != other.getServedRevision()) return false;
+      if (getWaitMillis()
+          != other.getWaitMillis()) return false;
+      if (getAcceptsChunks()
+          != other.getAcceptsChunks()) return false;
+      if (getCompleteSince()
+          != other.getCompleteSince()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -50571,73 +53785,67 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      switch (bodyCase_) {
-        case 1:
-          hash = (37 * hash) + WATCH_FIELD_NUMBER;
-          hash = (53 * hash) + getWatch().hashCode();
-          break;
-        case 2:
-          hash = (37 * hash) + READ_SERVED_FIELD_NUMBER;
-          hash = (53 * hash) + getReadServed().hashCode();
-          break;
-        case 3:
-          hash = (37 * hash) + READ_TREE_FIELD_NUMBER;
-          hash = (53 * hash) + getReadTree().hashCode();
-          break;
-        case 4:
-          hash = (37 * hash) + READ_REVISIONS_FIELD_NUMBER;
-          hash = (53 * hash) + getReadRevisions().hashCode();
-          break;
-        case 5:
-          hash = (37 * hash) + READ_KEYS_FIELD_NUMBER;
-          hash = (53 * hash) + getReadKeys().hashCode();
-          break;
-        case 0:
-        default:
+      if (hasVm()) {
+        hash = (37 * hash) + VM_FIELD_NUMBER;
+        hash = (53 * hash) + getVm().hashCode();
       }
+      hash = (37 * hash) + VERSION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getVersion());
+      hash = (37 * hash) + SERVED_REVISION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getServedRevision());
+      hash = (37 * hash) + WAIT_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + getWaitMillis();
+      hash = (37 * hash) + ACCEPTS_CHUNKS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getAcceptsChunks());
+      hash = (37 * hash) + COMPLETE_SINCE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getCompleteSince());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.WatchRequest parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.Watch parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.WatchRequest parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.Watch parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.WatchRequest parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.Watch parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.WatchRequest parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.Watch parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.WatchRequest parseFrom(byte[] data)
+    public static org.borageproxy.wire.proto.ControlProtocol.Watch parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.WatchRequest parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.Watch parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.WatchRequest parseFrom(java.io.InputStream input)
+    public static org.borageproxy.wire.proto.ControlProtocol.Watch parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.WatchRequest parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.Watch parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -50645,26 +53853,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.WatchRequest parseDelimitedFrom(java.io.InputStream input)
+    public static org.borageproxy.wire.proto.ControlProtocol.Watch parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.WatchRequest parseDelimitedFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.Watch parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.WatchRequest parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.Watch parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.WatchRequest parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.Watch parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -50677,7 +53885,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.WatchRequest prototype) {
+    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.Watch prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
