@@ -50693,978 +53901,540 @@
       return builder;
     }
     /**
-     * <pre>
-     * A request of a VM to a control VM to wait for changes of the distributed state or to read a part of the state.
-     * </pre>
-     *
-     * Protobuf type {@code borageproxy.control.WatchRequest}
+     * Protobuf type {@code borageproxy.control.Watch}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:borageproxy.control.WatchRequest)
-        org.borageproxy.wire.proto.ControlProtocol.WatchRequestOrBuilder {
+        // @@protoc_insertion_point(builder_implements:borageproxy.control.Watch)
+        org.borageproxy.wire.proto.ControlProtocol.WatchOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_WatchRequest_descriptor;
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Watch_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_WatchRequest_fieldAccessorTable
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Watch_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                org.borageproxy.wire.proto.ControlProtocol.WatchRequest.class, org.borageproxy.wire.proto.ControlProtocol.WatchRequest.Builder.class);
+                org.borageproxy.wire.proto.ControlProtocol.Watch.class, org.borageproxy.wire.proto.ControlProtocol.Watch.Builder.class);
       }
 
-      // Construct using org.borageproxy.wire.proto.ControlProtocol.WatchRequest.newBuilder()
+      // Construct using org.borageproxy.wire.proto.ControlProtocol.Watch.newBuilder()
       private Builder() {
-
+        maybeForceBuilderInitialization();
       }
 
       private Builder(
           com.google.protobuf.GeneratedMessage.BuilderParent parent) {
         super(parent);
-
-      }
-      @java.lang.Override
-      public Builder clear() {
-        super.clear();
-        bitField0_ = 0;
-        if (watchBuilder_ != null) {
-          watchBuilder_.clear();
-        }
-        if (readServedBuilder_ != null) {
-          readServedBuilder_.clear();
-        }
-        if (readTreeBuilder_ != null) {
-          readTreeBuilder_.clear();
-        }
-        if (readRevisionsBuilder_ != null) {
-          readRevisionsBuilder_.clear();
-        }
-        if (readKeysBuilder_ != null) {
-          readKeysBuilder_.clear();
-        }
-        bodyCase_ = 0;
-        body_ = null;
-        return this;
-      }
-
-      @java.lang.Override
-      public com.google.protobuf.Descriptors.Descriptor
-          getDescriptorForType() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_WatchRequest_descriptor;
-      }
-
-      @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.WatchRequest getDefaultInstanceForType() {
-        return org.borageproxy.wire.proto.ControlProtocol.WatchRequest.getDefaultInstance();
-      }
-
-      @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.WatchRequest build() {
-        org.borageproxy.wire.proto.ControlProtocol.WatchRequest result = buildPartial();
-        if (!result.isInitialized()) {
-          throw newUninitializedMessageException(result);
-        }
-        return result;
-      }
-
-      @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.WatchRequest buildPartial() {
-        org.borageproxy.wire.proto.ControlProtocol.WatchRequest result = new org.borageproxy.wire.proto.ControlProtocol.WatchRequest(this);
-        if (bitField0_ != 0) { buildPartial0(result); }
-        buildPartialOneofs(result);
-        onBuilt();
-        return result;
-      }
-
-      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.WatchRequest result) {
-        int from_bitField0_ = bitField0_;
-      }
-
-      private void buildPartialOneofs(org.borageproxy.wire.proto.ControlProtocol.WatchRequest result) {
-        result.bodyCase_ = bodyCase_;
-        result.body_ = this.body_;
-        if (bodyCase_ == 1 &&
-            watchBuilder_ != null) {
-          result.body_ = watchBuilder_.build();
-        }
-        if (bodyCase_ == 2 &&
-            readServedBuilder_ != null) {
-          result.body_ = readServedBuilder_.build();
-        }
-        if (bodyCase_ == 3 &&
-            readTreeBuilder_ != null) {
-          result.body_ = readTreeBuilder_.build();
-        }
-        if (bodyCase_ == 4 &&
-            readRevisionsBuilder_ != null) {
-          result.body_ = readRevisionsBuilder_.build();
-        }
-        if (bodyCase_ == 5 &&
-            readKeysBuilder_ != null) {
-          result.body_ = readKeysBuilder_.build();
-        }
-      }
-
-      @java.lang.Override
-      public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.WatchRequest) {
-          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.WatchRequest)other);
-        } else {
-          super.mergeFrom(other);
-          return this;
-        }
-      }
-
-      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.WatchRequest other) {
-        if (other == org.borageproxy.wire.proto.ControlProtocol.WatchRequest.getDefaultInstance()) return this;
-        switch (other.getBodyCase()) {
-          case WATCH: {
-            mergeWatch(other.getWatch());
-            break;
-          }
-          case READ_SERVED: {
-            mergeReadServed(other.getReadServed());
-            break;
-          }
-          case READ_TREE: {
-            mergeReadTree(other.getReadTree());
-            break;
-          }
-          case READ_REVISIONS: {
-            mergeReadRevisions(other.getReadRevisions());
-            break;
-          }
-          case READ_KEYS: {
-            mergeReadKeys(other.getReadKeys());
-            break;
-          }
-          case BODY_NOT_SET: {
-            break;
-          }
-        }
-        this.mergeUnknownFields(other.getUnknownFields());
-        onChanged();
-        return this;
+        maybeForceBuilderInitialization();
       }
-
-      @java.lang.Override
-      public final boolean isInitialized() {
-        return true;
+      private void maybeForceBuilderInitialization() {
+        if (com.google.protobuf.GeneratedMessage
+                .alwaysUseFieldBuilders) {
+          internalGetVmFieldBuilder();
+        }
       }
-
       @java.lang.Override
-      public Builder mergeFrom(
-          com.google.protobuf.CodedInputStream input,
-          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-          throws java.io.IOException {
-        if (extensionRegistry == null) {
-          throw new java.lang.NullPointerException();
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        vm_ = null;
+        if (vmBuilder_ != null) {
+          vmBuilder_.dispose();
+          vmBuilder_ = null;
         }
-        try {
-          boolean done = false;
-          while (!done) {
-            int tag = input.readTag();
-            switch (tag) {
-              case 0:
-                done = true;
-                break;
-              case 10: {
-                input.readMessage(
-                    internalGetWatchFieldBuilder().getBuilder(),
-                    extensionRegistry);
-                bodyCase_ = 1;
-                break;
-              } // case 10
-              case 18: {
-                input.readMessage(
-                    internalGetReadServedFieldBuilder().getBuilder(),
-                    extensionRegistry);
-                bodyCase_ = 2;
-                break;
-              } // case 18
-              case 26: {
-                input.readMessage(
-                    internalGetReadTreeFieldBuilder().getBuilder(),
-                    extensionRegistry);
-                bodyCase_ = 3;
-                break;
-              } // case 26
-              case 34: {
-                input.readMessage(
-                    internalGetReadRevisionsFieldBuilder().getBuilder(),
-                    extensionRegistry);
-                bodyCase_ = 4;
-                break;
-              } // case 34
-              case 42: {
-                input.readMessage(
-                    internalGetReadKeysFieldBuilder().getBuilder(),
-                    extensionRegistry);
-                bodyCase_ = 5;
-                break;
-              } // case 42
-              default: {
-                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                  done = true; // was an endgroup tag
-                }
-                break;
-              } // default:
-            } // switch (tag)
-          } // while (!done)
-        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-          throw e.unwrapIOException();
-        } finally {
-          onChanged();
-        } // finally
+        version_ = 0L;
+        servedRevision_ = 0L;
+        waitMillis_ = 0;
+        acceptsChunks_ = false;
+        completeSince_ = 0L;
         return this;
       }
-      private int bodyCase_ = 0;
-      private java.lang.Object body_;
-      public BodyCase
-          getBodyCase() {
-        return BodyCase.forNumber(
-            bodyCase_);
-      }
 
-      public Builder clearBody() {
-        bodyCase_ = 0;
-        body_ = null;
-        onChanged();
-        return this;
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Watch_descriptor;
       }
 
-      private int bitField0_;
-
-      private com.google.protobuf.SingleFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.Watch, org.borageproxy.wire.proto.ControlProtocol.Watch.Builder, org.borageproxy.wire.proto.ControlProtocol.WatchOrBuilder> watchBuilder_;
-      /**
-       * <code>.borageproxy.control.Watch watch = 1;</code>
-       * @return Whether the watch field is set.
-       */
       @java.lang.Override
-      public boolean hasWatch() {
-        return bodyCase_ == 1;
+      public org.borageproxy.wire.proto.ControlProtocol.Watch getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.Watch.getDefaultInstance();
       }
-      /**
-       * <code>.borageproxy.control.Watch watch = 1;</code>
-       * @return The watch.
-       */
+
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.Watch getWatch() {
-        if (watchBuilder_ == null) {
-          if (bodyCase_ == 1) {
-            return (org.borageproxy.wire.proto.ControlProtocol.Watch) body_;
-          }
-          return org.borageproxy.wire.proto.ControlProtocol.Watch.getDefaultInstance();
-        } else {
-          if (bodyCase_ == 1) {
-            return watchBuilder_.getMessage();
-          }
-          return org.borageproxy.wire.proto.ControlProtocol.Watch.getDefaultInstance();
-        }
-      }
-      /**
-       * <code>.borageproxy.control.Watch watch = 1;</code>
-       */
-      public Builder setWatch(org.borageproxy.wire.proto.ControlProtocol.Watch value) {
-        if (watchBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          body_ = value;
-          onChanged();
-        } else {
-          watchBuilder_.setMessage(value);
+      public org.borageproxy.wire.proto.ControlProtocol.Watch build() {
+        org.borageproxy.wire.proto.ControlProtocol.Watch result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
         }
-        bodyCase_ = 1;
-        return this;
+        return result;
       }
-      /**
-       * <code>.borageproxy.control.Watch watch = 1;</code>
-       */
-      public Builder setWatch(
-          org.borageproxy.wire.proto.ControlProtocol.Watch.Builder builderForValue) {
-        if (watchBuilder_ == null) {
-          body_ = builderForValue.build();
-          onChanged();
-        } else {
-          watchBuilder_.setMessage(builderForValue.build());
-        }
-        bodyCase_ = 1;
-        return this;
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.Watch buildPartial() {
+        org.borageproxy.wire.proto.ControlProtocol.Watch result = new org.borageproxy.wire.proto.ControlProtocol.Watch(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
       }
-      /**
-       * <code>.borageproxy.control.Watch watch = 1;</code>
-       */
-      public Builder mergeWatch(org.borageproxy.wire.proto.ControlProtocol.Watch value) {
-        if (watchBuilder_ == null) {
-          if (bodyCase_ == 1 &&
-              body_ != org.borageproxy.wire.proto.ControlProtocol.Watch.getDefaultInstance()) {
-            body_ = org.borageproxy.wire.proto.ControlProtocol.Watch.newBuilder((org.borageproxy.wire.proto.ControlProtocol.Watch) body_)
-                .mergeFrom(value).buildPartial();
-          } else {
-            body_ = value;
-          }
-          onChanged();
-        } else {
-          if (bodyCase_ == 1) {
-            watchBuilder_.mergeFrom(value);
-          } else {
-            watchBuilder_.setMessage(value);
-          }
+
+      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.Watch result) {
+        int from_bitField0_ = bitField0_;
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.vm_ = vmBuilder_ == null
+              ? vm_
+              : vmBuilder_.build();
+          to_bitField0_ |= 0x00000001;
         }
-        bodyCase_ = 1;
-        return this;
-      }
-      /**
-       * <code>.borageproxy.control.Watch watch = 1;</code>
-       */
-      public Builder clearWatch() {
-        if (watchBuilder_ == null) {
-          if (bodyCase_ == 1) {
-            bodyCase_ = 0;
-            body_ = null;
-            onChanged();
-          }
-        } else {
-          if (bodyCase_ == 1) {
-            bodyCase_ = 0;
-            body_ = null;
-          }
-          watchBuilder_.clear();
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.version_ = version_;
         }
-        return this;
-      }
-      /**
-       * <code>.borageproxy.control.Watch watch = 1;</code>
-       */
-      public org.borageproxy.wire.proto.ControlProtocol.Watch.Builder getWatchBuilder() {
-        return internalGetWatchFieldBuilder().getBuilder();
-      }
-      /**
-       * <code>.borageproxy.control.Watch watch = 1;</code>
-       */
-      @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.WatchOrBuilder getWatchOrBuilder() {
-        if ((bodyCase_ == 1) && (watchBuilder_ != null)) {
-          return watchBuilder_.getMessageOrBuilder();
-        } else {
-          if (bodyCase_ == 1) {
-            return (org.borageproxy.wire.proto.ControlProtocol.Watch) body_;
-          }
-          return org.borageproxy.wire.proto.ControlProtocol.Watch.getDefaultInstance();
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.servedRevision_ = servedRevision_;
         }
-      }
-      /**
-       * <code>.borageproxy.control.Watch watch = 1;</code>
-       */
-      private com.google.protobuf.SingleFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.Watch, org.borageproxy.wire.proto.ControlProtocol.Watch.Builder, org.borageproxy.wire.proto.ControlProtocol.WatchOrBuilder> 
-          internalGetWatchFieldBuilder() {
-        if (watchBuilder_ == null) {
-          if (!(bodyCase_ == 1)) {
-            body_ = org.borageproxy.wire.proto.ControlProtocol.Watch.getDefaultInstance();
-          }
-          watchBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-              org.borageproxy.wire.proto.ControlProtocol.Watch, org.borageproxy.wire.proto.ControlProtocol.Watch.Builder, org.borageproxy.wire.proto.ControlProtocol.WatchOrBuilder>(
-                  (org.borageproxy.wire.proto.ControlProtocol.Watch) body_,
-                  getParentForChildren(),
-                  isClean());
-          body_ = null;
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.waitMillis_ = waitMillis_;
         }
-        bodyCase_ = 1;
-        onChanged();
-        return watchBuilder_;
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.acceptsChunks_ = acceptsChunks_;
+        }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.completeSince_ = completeSince_;
+        }
+        result.bitField0_ |= to_bitField0_;
       }
 
-      private com.google.protobuf.SingleFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.ReadServed, org.borageproxy.wire.proto.ControlProtocol.ReadServed.Builder, org.borageproxy.wire.proto.ControlProtocol.ReadServedOrBuilder> readServedBuilder_;
-      /**
-       * <code>.borageproxy.control.ReadServed read_served = 2;</code>
-       * @return Whether the readServed field is set.
-       */
-      @java.lang.Override
-      public boolean hasReadServed() {
-        return bodyCase_ == 2;
-      }
-      /**
-       * <code>.borageproxy.control.ReadServed read_served = 2;</code>
-       * @return The readServed.
-       */
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.ReadServed getReadServed() {
-        if (readServedBuilder_ == null) {
-          if (bodyCase_ == 2) {
-            return (org.borageproxy.wire.proto.ControlProtocol.ReadServed) body_;
-          }
-          return org.borageproxy.wire.proto.ControlProtocol.ReadServed.getDefaultInstance();
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.Watch) {
+          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.Watch)other);
         } else {
-          if (bodyCase_ == 2) {
-            return readServedBuilder_.getMessage();
-          }
-          return org.borageproxy.wire.proto.ControlProtocol.ReadServed.getDefaultInstance();
+          super.mergeFrom(other);
+          return this;
         }
       }
-      /**
-       * <code>.borageproxy.control.ReadServed read_served = 2;</code>
-       */
-      public Builder setReadServed(org.borageproxy.wire.proto.ControlProtocol.ReadServed value) {
-        if (readServedBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          body_ = value;
-          onChanged();
-        } else {
-          readServedBuilder_.setMessage(value);
+
+      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.Watch other) {
+        if (other == org.borageproxy.wire.proto.ControlProtocol.Watch.getDefaultInstance()) return this;
+        if (other.hasVm()) {
+          mergeVm(other.getVm());
         }
-        bodyCase_ = 2;
-        return this;
-      }
-      /**
-       * <code>.borageproxy.control.ReadServed read_served = 2;</code>
-       */
-      public Builder setReadServed(
-          org.borageproxy.wire.proto.ControlProtocol.ReadServed.Builder builderForValue) {
-        if (readServedBuilder_ == null) {
-          body_ = builderForValue.build();
-          onChanged();
-        } else {
-          readServedBuilder_.setMessage(builderForValue.build());
+        if (other.getVersion() != 0L) {
+          setVersion(other.getVersion());
         }
-        bodyCase_ = 2;
-        return this;
-      }
-      /**
-       * <code>.borageproxy.control.ReadServed read_served = 2;</code>
-       */
-      public Builder mergeReadServed(org.borageproxy.wire.proto.ControlProtocol.ReadServed value) {
-        if (readServedBuilder_ == null) {
-          if (bodyCase_ == 2 &&
-              body_ != org.borageproxy.wire.proto.ControlProtocol.ReadServed.getDefaultInstance()) {
-            body_ = org.borageproxy.wire.proto.ControlProtocol.ReadServed.newBuilder((org.borageproxy.wire.proto.ControlProtocol.ReadServed) body_)
-                .mergeFrom(value).buildPartial();
-          } else {
-            body_ = value;
-          }
-          onChanged();
-        } else {
-          if (bodyCase_ == 2) {
-            readServedBuilder_.mergeFrom(value);
-          } else {
-            readServedBuilder_.setMessage(value);
-          }
+        if (other.getServedRevision() != 0L) {
+          setServedRevision(other.getServedRevision());
         }
-        bodyCase_ = 2;
-        return this;
-      }
-      /**
-       * <code>.borageproxy.control.ReadServed read_served = 2;</code>
-       */
-      public Builder clearReadServed() {
-        if (readServedBuilder_ == null) {
-          if (bodyCase_ == 2) {
-            bodyCase_ = 0;
-            body_ = null;
-            onChanged();
-          }
-        } else {
-          if (bodyCase_ == 2) {
-            bodyCase_ = 0;
-            body_ = null;
-          }
-          readServedBuilder_.clear();
+        if (other.getWaitMillis() != 0) {
+          setWaitMillis(other.getWaitMillis());
+        }
+        if (other.getAcceptsChunks() != false) {
+          setAcceptsChunks(other.getAcceptsChunks());
         }
+        if (other.getCompleteSince() != 0L) {
+          setCompleteSince(other.getCompleteSince());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
         return this;
       }
-      /**
-       * <code>.borageproxy.control.ReadServed read_served = 2;</code>
-       */
-      public org.borageproxy.wire.proto.ControlProtocol.ReadServed.Builder getReadServedBuilder() {
-        return internalGetReadServedFieldBuilder().getBuilder();
-      }
-      /**
-       * <code>.borageproxy.control.ReadServed read_served = 2;</code>
-       */
+
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.ReadServedOrBuilder getReadServedOrBuilder() {
-        if ((bodyCase_ == 2) && (readServedBuilder_ != null)) {
-          return readServedBuilder_.getMessageOrBuilder();
-        } else {
-          if (bodyCase_ == 2) {
-            return (org.borageproxy.wire.proto.ControlProtocol.ReadServed) body_;
-          }
-          return org.borageproxy.wire.proto.ControlProtocol.ReadServed.getDefaultInstance();
-        }
+      public final boolean isInitialized() {
+        return true;
       }
-      /**
-       * <code>.borageproxy.control.ReadServed read_served = 2;</code>
-       */
-      private com.google.protobuf.SingleFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.ReadServed, org.borageproxy.wire.proto.ControlProtocol.ReadServed.Builder, org.borageproxy.wire.proto.ControlProtocol.ReadServedOrBuilder> 
-          internalGetReadServedFieldBuilder() {
-        if (readServedBuilder_ == null) {
-          if (!(bodyCase_ == 2)) {
-            body_ = org.borageproxy.wire.proto.ControlProtocol.ReadServed.getDefaultInstance();
-          }
-          readServedBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-              org.borageproxy.wire.proto.ControlProtocol.ReadServed, org.borageproxy.wire.proto.ControlProtocol.ReadServed.Builder, org.borageproxy.wire.proto.ControlProtocol.ReadServedOrBuilder>(
-                  (org.borageproxy.wire.proto.ControlProtocol.ReadServed) body_,
-                  getParentForChildren(),
-                  isClean());
-          body_ = null;
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
         }
-        bodyCase_ = 2;
-        onChanged();
-        return readServedBuilder_;
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                input.readMessage(
+                    internalGetVmFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                version_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                servedRevision_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 32: {
+                waitMillis_ = input.readUInt32();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              case 40: {
+                acceptsChunks_ = input.readBool();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
+              case 48: {
+                completeSince_ = input.readUInt64();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 48
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
       }
+      private int bitField0_;
 
+      private org.borageproxy.wire.proto.ControlProtocol.VmRecord vm_;
       private com.google.protobuf.SingleFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.ReadTree, org.borageproxy.wire.proto.ControlProtocol.ReadTree.Builder, org.borageproxy.wire.proto.ControlProtocol.ReadTreeOrBuilder> readTreeBuilder_;
+          org.borageproxy.wire.proto.ControlProtocol.VmRecord, org.borageproxy.wire.proto.ControlProtocol.VmRecord.Builder, org.borageproxy.wire.proto.ControlProtocol.VmRecordOrBuilder> vmBuilder_;
       /**
-       * <code>.borageproxy.control.ReadTree read_tree = 3;</code>
-       * @return Whether the readTree field is set.
+       * <code>.borageproxy.control.VmRecord vm = 1;</code>
+       * @return Whether the vm field is set.
        */
-      @java.lang.Override
-      public boolean hasReadTree() {
-        return bodyCase_ == 3;
+      public boolean hasVm() {
+        return ((bitField0_ & 0x00000001) != 0);
       }
       /**
-       * <code>.borageproxy.control.ReadTree read_tree = 3;</code>
-       * @return The readTree.
+       * <code>.borageproxy.control.VmRecord vm = 1;</code>
+       * @return The vm.
        */
-      @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.ReadTree getReadTree() {
-        if (readTreeBuilder_ == null) {
-          if (bodyCase_ == 3) {
-            return (org.borageproxy.wire.proto.ControlProtocol.ReadTree) body_;
-          }
-          return org.borageproxy.wire.proto.ControlProtocol.ReadTree.getDefaultInstance();
+      public org.borageproxy.wire.proto.ControlProtocol.VmRecord getVm() {
+        if (vmBuilder_ == null) {
+          return vm_ == null ? org.borageproxy.wire.proto.ControlProtocol.VmRecord.getDefaultInstance() : vm_;
         } else {
-          if (bodyCase_ == 3) {
-            return readTreeBuilder_.getMessage();
-          }
-          return org.borageproxy.wire.proto.ControlProtocol.ReadTree.getDefaultInstance();
+          return vmBuilder_.getMessage();
         }
       }
       /**
-       * <code>.borageproxy.control.ReadTree read_tree = 3;</code>
+       * <code>.borageproxy.control.VmRecord vm = 1;</code>
        */
-      public Builder setReadTree(org.borageproxy.wire.proto.ControlProtocol.ReadTree value) {
-        if (readTreeBuilder_ == null) {
+      public Builder setVm(org.borageproxy.wire.proto.ControlProtocol.VmRecord value) {
+        if (vmBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          body_ = value;
-          onChanged();
+          vm_ = value;
         } else {
-          readTreeBuilder_.setMessage(value);
+          vmBuilder_.setMessage(value);
         }
-        bodyCase_ = 3;
+        bitField0_ |= 0x00000001;
+        onChanged();
         return this;
       }
       /**
-       * <code>.borageproxy.control.ReadTree read_tree = 3;</code>
+       * <code>.borageproxy.control.VmRecord vm = 1;</code>
        */
-      public Builder setReadTree(
-          org.borageproxy.wire.proto.ControlProtocol.ReadTree.Builder builderForValue) {
-        if (readTreeBuilder_ == null) {
-          body_ = builderForValue.build();
-          onChanged();
+      public Builder setVm(
+          org.borageproxy.wire.proto.ControlProtocol.VmRecord.Builder builderForValue) {
+        if (vmBuilder_ == null) {
+          vm_ = builderForValue.build();
         } else {
-          readTreeBuilder_.setMessage(builderForValue.build());
+          vmBuilder_.setMessage(builderForValue.build());
         }
-        bodyCase_ = 3;
+        bitField0_ |= 0x00000001;
+        onChanged();
         return this;
       }
       /**
-       * <code>.borageproxy.control.ReadTree read_tree = 3;</code>
+       * <code>.borageproxy.control.VmRecord vm = 1;</code>
        */
-      public Builder mergeReadTree(org.borageproxy.wire.proto.ControlProtocol.ReadTree value) {
-        if (readTreeBuilder_ == null) {
-          if (bodyCase_ == 3 &&
-              body_ != org.borageproxy.wire.proto.ControlProtocol.ReadTree.getDefaultInstance()) {
-            body_ = org.borageproxy.wire.proto.ControlProtocol.ReadTree.newBuilder((org.borageproxy.wire.proto.ControlProtocol.ReadTree) body_)
-                .mergeFrom(value).buildPartial();
+      public Builder mergeVm(org.borageproxy.wire.proto.ControlProtocol.VmRecord value) {
+        if (vmBuilder_ == null) {
+          if (((bitField0_ & 0x00000001) != 0) &&
+            vm_ != null &&
+            vm_ != org.borageproxy.wire.proto.ControlProtocol.VmRecord.getDefaultInstance()) {
+            getVmBuilder().mergeFrom(value);
           } else {
-            body_ = value;
+            vm_ = value;
           }
-          onChanged();
         } else {
-          if (bodyCase_ == 3) {
-            readTreeBuilder_.mergeFrom(value);
-          } else {
-            readTreeBuilder_.setMessage(value);
-          }
+          vmBuilder_.mergeFrom(value);
+        }
+        if (vm_ != null) {
+          bitField0_ |= 0x00000001;
+          onChanged();
         }
-        bodyCase_ = 3;
         return this;
       }
       /**
-       * <code>.borageproxy.control.ReadTree read_tree = 3;</code>
+       * <code>.borageproxy.control.VmRecord vm = 1;</code>
        */
-      public Builder clearReadTree() {
-        if (readTreeBuilder_ == null) {
-          if (bodyCase_ == 3) {
-            bodyCase_ = 0;
-            body_ = null;
-            onChanged();
-          }
-        } else {
-          if (bodyCase_ == 3) {
-            bodyCase_ = 0;
-            body_ = null;
-          }
-          readTreeBuilder_.clear();
+      public Builder clearVm() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        vm_ = null;
+        if (vmBuilder_ != null) {
+          vmBuilder_.dispose();
+          vmBuilder_ = null;
         }
+        onChanged();
         return this;
       }
       /**
-       * <code>.borageproxy.control.ReadTree read_tree = 3;</code>
+       * <code>.borageproxy.control.VmRecord vm = 1;</code>
        */
-      public org.borageproxy.wire.proto.ControlProtocol.ReadTree.Builder getReadTreeBuilder() {
-        return internalGetReadTreeFieldBuilder().getBuilder();
+      public org.borageproxy.wire.proto.ControlProtocol.VmRecord.Builder getVmBuilder() {
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return internalGetVmFieldBuilder().getBuilder();
       }
       /**
-       * <code>.borageproxy.control.ReadTree read_tree = 3;</code>
+       * <code>.borageproxy.control.VmRecord vm = 1;</code>
        */
-      @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.ReadTreeOrBuilder getReadTreeOrBuilder() {
-        if ((bodyCase_ == 3) && (readTreeBuilder_ != null)) {
-          return readTreeBuilder_.getMessageOrBuilder();
+      public org.borageproxy.wire.proto.ControlProtocol.VmRecordOrBuilder getVmOrBuilder() {
+        if (vmBuilder_ != null) {
+          return vmBuilder_.getMessageOrBuilder();
         } else {
-          if (bodyCase_ == 3) {
-            return (org.borageproxy.wire.proto.ControlProtocol.ReadTree) body_;
-          }
-          return org.borageproxy.wire.proto.ControlProtocol.ReadTree.getDefaultInstance();
+          return vm_ == null ?
+              org.borageproxy.wire.proto.ControlProtocol.VmRecord.getDefaultInstance() : vm_;
         }
       }
       /**
-       * <code>.borageproxy.control.ReadTree read_tree = 3;</code>
+       * <code>.borageproxy.control.VmRecord vm = 1;</code>
        */
       private com.google.protobuf.SingleFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.ReadTree, org.borageproxy.wire.proto.ControlProtocol.ReadTree.Builder, org.borageproxy.wire.proto.ControlProtocol.ReadTreeOrBuilder> 
-          internalGetReadTreeFieldBuilder() {
-        if (readTreeBuilder_ == null) {
-          if (!(bodyCase_ == 3)) {
-            body_ = org.borageproxy.wire.proto.ControlProtocol.ReadTree.getDefaultInstance();
-          }
-          readTreeBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-              org.borageproxy.wire.proto.ControlProtocol.ReadTree, org.borageproxy.wire.proto.ControlProtocol.ReadTree.Builder, org.borageproxy.wire.proto.ControlProtocol.ReadTreeOrBuilder>(
-                  (org.borageproxy.wire.proto.ControlProtocol.ReadTree) body_,
+          org.borageproxy.wire.proto.ControlProtocol.VmRecord, org.borageproxy.wire.proto.ControlProtocol.VmRecord.Builder, org.borageproxy.wire.proto.ControlProtocol.VmRecordOrBuilder> 
+          internalGetVmFieldBuilder() {
+        if (vmBuilder_ == null) {
+          vmBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.VmRecord, org.borageproxy.wire.proto.ControlProtocol.VmRecord.Builder, org.borageproxy.wire.proto.ControlProtocol.VmRecordOrBuilder>(
+                  getVm(),
                   getParentForChildren(),
                   isClean());
-          body_ = null;
+          vm_ = null;
         }
-        bodyCase_ = 3;
-        onChanged();
-        return readTreeBuilder_;
+        return vmBuilder_;
       }
 
-      private com.google.protobuf.SingleFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.ReadRevisions, org.borageproxy.wire.proto.ControlProtocol.ReadRevisions.Builder, org.borageproxy.wire.proto.ControlProtocol.ReadRevisionsOrBuilder> readRevisionsBuilder_;
-      /**
-       * <code>.borageproxy.control.ReadRevisions read_revisions = 4;</code>
-       * @return Whether the readRevisions field is set.
-       */
-      @java.lang.Override
-      public boolean hasReadRevisions() {
-        return bodyCase_ == 4;
-      }
+      private long version_ ;
       /**
-       * <code>.borageproxy.control.ReadRevisions read_revisions = 4;</code>
-       * @return The readRevisions.
+       * <code>uint64 version = 2;</code>
+       * @return The version.
        */
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.ReadRevisions getReadRevisions() {
-        if (readRevisionsBuilder_ == null) {
-          if (bodyCase_ == 4) {
-            return (org.borageproxy.wire.proto.ControlProtocol.ReadRevisions) body_;
-          }
-          return org.borageproxy.wire.proto.ControlProtocol.ReadRevisions.getDefaultInstance();
-        } else {
-          if (bodyCase_ == 4) {
-            return readRevisionsBuilder_.getMessage();
-          }
-          return org.borageproxy.wire.proto.ControlProtocol.ReadRevisions.getDefaultInstance();
-        }
+      public long getVersion() {
+        return version_;
       }
       /**
-       * <code>.borageproxy.control.ReadRevisions read_revisions = 4;</code>
+       * <code>uint64 version = 2;</code>
+       * @param value The version to set.
+       * @return This builder for chaining.
        */
-      public Builder setReadRevisions(org.borageproxy.wire.proto.ControlProtocol.ReadRevisions value) {
-        if (readRevisionsBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          body_ = value;
-          onChanged();
-        } else {
-          readRevisionsBuilder_.setMessage(value);
-        }
-        bodyCase_ = 4;
+      public Builder setVersion(long value) {
+
+        version_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
         return this;
       }
       /**
-       * <code>.borageproxy.control.ReadRevisions read_revisions = 4;</code>
+       * <code>uint64 version = 2;</code>
+       * @return This builder for chaining.
        */
-      public Builder setReadRevisions(
-          org.borageproxy.wire.proto.ControlProtocol.ReadRevisions.Builder builderForValue) {
-        if (readRevisionsBuilder_ == null) {
-          body_ = builderForValue.build();
-          onChanged();
-        } else {
-          readRevisionsBuilder_.setMessage(builderForValue.build());
-        }
-        bodyCase_ = 4;
+      public Builder clearVersion() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        version_ = 0L;
+        onChanged();
         return this;
       }
+
+      private long servedRevision_ ;
       /**
-       * <code>.borageproxy.control.ReadRevisions read_revisions = 4;</code>
+       * <code>uint64 served_revision = 3;</code>
+       * @return The servedRevision.
        */
-      public Builder mergeReadRevisions(org.borageproxy.wire.proto.ControlProtocol.ReadRevisions value) {
-        if (readRevisionsBuilder_ == null) {
-          if (bodyCase_ == 4 &&
-              body_ != org.borageproxy.wire.proto.ControlProtocol.ReadRevisions.getDefaultInstance()) {
-            body_ = org.borageproxy.wire.proto.ControlProtocol.ReadRevisions.newBuilder((org.borageproxy.wire.proto.ControlProtocol.ReadRevisions) body_)
-                .mergeFrom(value).buildPartial();
-          } else {
-            body_ = value;
-          }
-          onChanged();
-        } else {
-          if (bodyCase_ == 4) {
-            readRevisionsBuilder_.mergeFrom(value);
-          } else {
-            readRevisionsBuilder_.setMessage(value);
-          }
-        }
-        bodyCase_ = 4;
-        return this;
+      @java.lang.Override
+      public long getServedRevision() {
+        return servedRevision_;
       }
       /**
-       * <code>.borageproxy.control.ReadRevisions read_revisions = 4;</code>
+       * <code>uint64 served_revision = 3;</code>
+       * @param value The servedRevision to set.
+       * @return This builder for chaining.
        */
-      public Builder clearReadRevisions() {
-        if (readRevisionsBuilder_ == null) {
-          if (bodyCase_ == 4) {
-            bodyCase_ = 0;
-            body_ = null;
-            onChanged();
-          }
-        } else {
-          if (bodyCase_ == 4) {
-            bodyCase_ = 0;
-            body_ = null;
-          }
-          readRevisionsBuilder_.clear();
-        }
+      public Builder setServedRevision(long value) {
+
+        servedRevision_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
         return this;
       }
       /**
-       * <code>.borageproxy.control.ReadRevisions read_revisions = 4;</code>
-       */
-      public org.borageproxy.wire.proto.ControlProtocol.ReadRevisions.Builder getReadRevisionsBuilder() {
-        return internalGetReadRevisionsFieldBuilder().getBuilder();
-      }
-      /**
-       * <code>.borageproxy.control.ReadRevisions read_revisions = 4;</code>
-       */
-      @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.ReadRevisionsOrBuilder getReadRevisionsOrBuilder() {
-        if ((bodyCase_ == 4) && (readRevisionsBuilder_ != null)) {
-          return readRevisionsBuilder_.getMessageOrBuilder();
-        } else {
-          if (bodyCase_ == 4) {
-            return (org.borageproxy.wire.proto.ControlProtocol.ReadRevisions) body_;
-          }
-          return org.borageproxy.wire.proto.ControlProtocol.ReadRevisions.getDefaultInstance();
-        }
-      }
-      /**
-       * <code>.borageproxy.control.ReadRevisions read_revisions = 4;</code>
+       * <code>uint64 served_revision = 3;</code>
+       * @return This builder for chaining.
        */
-      private com.google.protobuf.SingleFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.ReadRevisions, org.borageproxy.wire.proto.ControlProtocol.ReadRevisions.Builder, org.borageproxy.wire.proto.ControlProtocol.ReadRevisionsOrBuilder> 
-          internalGetReadRevisionsFieldBuilder() {
-        if (readRevisionsBuilder_ == null) {
-          if (!(bodyCase_ == 4)) {
-            body_ = org.borageproxy.wire.proto.ControlProtocol.ReadRevisions.getDefaultInstance();
-          }
-          readRevisionsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-              org.borageproxy.wire.proto.ControlProtocol.ReadRevisions, org.borageproxy.wire.proto.ControlProtocol.ReadRevisions.Builder, org.borageproxy.wire.proto.ControlProtocol.ReadRevisionsOrBuilder>(
-                  (org.borageproxy.wire.proto.ControlProtocol.ReadRevisions) body_,
-                  getParentForChildren(),
-                  isClean());
-          body_ = null;
-        }
-        bodyCase_ = 4;
+      public Builder clearServedRevision() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        servedRevision_ = 0L;
         onChanged();
-        return readRevisionsBuilder_;
+        return this;
       }
 
-      private com.google.protobuf.SingleFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.ReadKeys, org.borageproxy.wire.proto.ControlProtocol.ReadKeys.Builder, org.borageproxy.wire.proto.ControlProtocol.ReadKeysOrBuilder> readKeysBuilder_;
+      private int waitMillis_ ;
       /**
-       * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
-       * @return Whether the readKeys field is set.
+       * <code>uint32 wait_millis = 4;</code>
+       * @return The waitMillis.
        */
       @java.lang.Override
-      public boolean hasReadKeys() {
-        return bodyCase_ == 5;
+      public int getWaitMillis() {
+        return waitMillis_;
       }
       /**
-       * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
-       * @return The readKeys.
+       * <code>uint32 wait_millis = 4;</code>
+       * @param value The waitMillis to set.
+       * @return This builder for chaining.
        */
-      @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.ReadKeys getReadKeys() {
-        if (readKeysBuilder_ == null) {
-          if (bodyCase_ == 5) {
-            return (org.borageproxy.wire.proto.ControlProtocol.ReadKeys) body_;
-          }
-          return org.borageproxy.wire.proto.ControlProtocol.ReadKeys.getDefaultInstance();
-        } else {
-          if (bodyCase_ == 5) {
-            return readKeysBuilder_.getMessage();
-          }
-          return org.borageproxy.wire.proto.ControlProtocol.ReadKeys.getDefaultInstance();
-        }
+      public Builder setWaitMillis(int value) {
+
+        waitMillis_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
       }
       /**
-       * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
+       * <code>uint32 wait_millis = 4;</code>
+       * @return This builder for chaining.
        */
-      public Builder setReadKeys(org.borageproxy.wire.proto.ControlProtocol.ReadKeys value) {
-        if (readKeysBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          body_ = value;
-          onChanged();
-        } else {
-          readKeysBuilder_.setMessage(value);
-        }
-        bodyCase_ = 5;
+      public Builder clearWaitMillis() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        waitMillis_ = 0;
+        onChanged();
         return this;
       }
+
+      private boolean acceptsChunks_ ;
       /**
-       * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
+       * <pre>
+       * Whether large values may be named by their chunks, and many changes may come in several answers.
+       * </pre>
+       *
+       * <code>bool accepts_chunks = 5;</code>
+       * @return The acceptsChunks.
        */
-      public Builder setReadKeys(
-          org.borageproxy.wire.proto.ControlProtocol.ReadKeys.Builder builderForValue) {
-        if (readKeysBuilder_ == null) {
-          body_ = builderForValue.build();
-          onChanged();
-        } else {
-          readKeysBuilder_.setMessage(builderForValue.build());
-        }
-        bodyCase_ = 5;
-        return this;
+      @java.lang.Override
+      public boolean getAcceptsChunks() {
+        return acceptsChunks_;
       }
       /**
-       * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
+       * <pre>
+       * Whether large values may be named by their chunks, and many changes may come in several answers.
+       * </pre>
+       *
+       * <code>bool accepts_chunks = 5;</code>
+       * @param value The acceptsChunks to set.
+       * @return This builder for chaining.
        */
-      public Builder mergeReadKeys(org.borageproxy.wire.proto.ControlProtocol.ReadKeys value) {
-        if (readKeysBuilder_ == null) {
-          if (bodyCase_ == 5 &&
-              body_ != org.borageproxy.wire.proto.ControlProtocol.ReadKeys.getDefaultInstance()) {
-            body_ = org.borageproxy.wire.proto.ControlProtocol.ReadKeys.newBuilder((org.borageproxy.wire.proto.ControlProtocol.ReadKeys) body_)
-                .mergeFrom(value).buildPartial();
-          } else {
-            body_ = value;
-          }
-          onChanged();
-        } else {
-          if (bodyCase_ == 5) {
-            readKeysBuilder_.mergeFrom(value);
-          } else {
-            readKeysBuilder_.setMessage(value);
-          }
-        }
-        bodyCase_ = 5;
+      public Builder setAcceptsChunks(boolean value) {
+
+        acceptsChunks_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
         return this;
       }
       /**
-       * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
+       * <pre>
+       * Whether large values may be named by their chunks, and many changes may come in several answers.
+       * </pre>
+       *
+       * <code>bool accepts_chunks = 5;</code>
+       * @return This builder for chaining.
        */
-      public Builder clearReadKeys() {
-        if (readKeysBuilder_ == null) {
-          if (bodyCase_ == 5) {
-            bodyCase_ = 0;
-            body_ = null;
-            onChanged();
-          }
-        } else {
-          if (bodyCase_ == 5) {
-            bodyCase_ = 0;
-            body_ = null;
-          }
-          readKeysBuilder_.clear();
-        }
+      public Builder clearAcceptsChunks() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        acceptsChunks_ = false;
+        onChanged();
         return this;
       }
+
+      private long completeSince_ ;
       /**
-       * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
+       * <pre>
+       * For the further answers to a watch that began with all records: the newest version at the first one.
+       * </pre>
+       *
+       * <code>uint64 complete_since = 6;</code>
+       * @return The completeSince.
        */
-      public org.borageproxy.wire.proto.ControlProtocol.ReadKeys.Builder getReadKeysBuilder() {
-        return internalGetReadKeysFieldBuilder().getBuilder();
+      @java.lang.Override
+      public long getCompleteSince() {
+        return completeSince_;
       }
       /**
-       * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
+       * <pre>
+       * For the further answers to a watch that began with all records: the newest version at the first one.
+       * </pre>
+       *
+       * <code>uint64 complete_since = 6;</code>
+       * @param value The completeSince to set.
+       * @return This builder for chaining.
        */
-      @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.ReadKeysOrBuilder getReadKeysOrBuilder() {
-        if ((bodyCase_ == 5) && (readKeysBuilder_ != null)) {
-          return readKeysBuilder_.getMessageOrBuilder();
-        } else {
-          if (bodyCase_ == 5) {
-            return (org.borageproxy.wire.proto.ControlProtocol.ReadKeys) body_;
-          }
-          return org.borageproxy.wire.proto.ControlProtocol.ReadKeys.getDefaultInstance();
-        }
+      public Builder setCompleteSince(long value) {
+
+        completeSince_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
       }
       /**
-       * <code>.borageproxy.control.ReadKeys read_keys = 5;</code>
+       * <pre>
+       * For the further answers to a watch that began with all records: the newest version at the first one.
+       * </pre>
+       *
+       * <code>uint64 complete_since = 6;</code>
+       * @return This builder for chaining.
        */
-      private com.google.protobuf.SingleFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.ReadKeys, org.borageproxy.wire.proto.ControlProtocol.ReadKeys.Builder, org.borageproxy.wire.proto.ControlProtocol.ReadKeysOrBuilder> 
-          internalGetReadKeysFieldBuilder() {
-        if (readKeysBuilder_ == null) {
-          if (!(bodyCase_ == 5)) {
-            body_ = org.borageproxy.wire.proto.ControlProtocol.ReadKeys.getDefaultInstance();
-          }
-          readKeysBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-              org.borageproxy.wire.proto.ControlProtocol.ReadKeys, org.borageproxy.wire.proto.ControlProtocol.ReadKeys.Builder, org.borageproxy.wire.proto.ControlProtocol.ReadKeysOrBuilder>(
-                  (org.borageproxy.wire.proto.ControlProtocol.ReadKeys) body_,
-                  getParentForChildren(),
-                  isClean());
-          body_ = null;
-        }
-        bodyCase_ = 5;
+      public Builder clearCompleteSince() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        completeSince_ = 0L;
         onChanged();
-        return readKeysBuilder_;
+        return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:borageproxy.control.WatchRequest)
+      // @@protoc_insertion_point(builder_scope:borageproxy.control.Watch)
     }
 
-    // @@protoc_insertion_point(class_scope:borageproxy.control.WatchRequest)
-    private static final org.borageproxy.wire.proto.ControlProtocol.WatchRequest DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:borageproxy.control.Watch)
+    private static final org.borageproxy.wire.proto.ControlProtocol.Watch DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.WatchRequest();
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.Watch();
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.WatchRequest getDefaultInstance() {
+    public static org.borageproxy.wire.proto.ControlProtocol.Watch getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<WatchRequest>
-        PARSER = new com.google.protobuf.AbstractParser<WatchRequest>() {
+    private static final com.google.protobuf.Parser<Watch>
+        PARSER = new com.google.protobuf.AbstractParser<Watch>() {
       @java.lang.Override
-      public WatchRequest parsePartialFrom(
+      public Watch parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -51683,66 +54453,47 @@
       }
     };
 
-    public static com.google.protobuf.Parser<WatchRequest> parser() {
+    public static com.google.protobuf.Parser<Watch> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<WatchRequest> getParserForType() {
+    public com.google.protobuf.Parser<Watch> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.WatchRequest getDefaultInstanceForType() {
+    public org.borageproxy.wire.proto.ControlProtocol.Watch getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
   }
 
-  public interface WatchOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:borageproxy.control.Watch)
+  public interface ReadChunksOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.control.ReadChunks)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>.borageproxy.control.VmRecord vm = 1;</code>
-     * @return Whether the vm field is set.
-     */
-    boolean hasVm();
-    /**
-     * <code>.borageproxy.control.VmRecord vm = 1;</code>
-     * @return The vm.
-     */
-    org.borageproxy.wire.proto.ControlProtocol.VmRecord getVm();
-    /**
-     * <code>.borageproxy.control.VmRecord vm = 1;</code>
-     */
-    org.borageproxy.wire.proto.ControlProtocol.VmRecordOrBuilder getVmOrBuilder();
-
-    /**
-     * <code>uint64 version = 2;</code>
-     * @return The version.
-     */
-    long getVersion();
-
-    /**
-     * <code>uint64 served_revision = 3;</code>
-     * @return The servedRevision.
-     */
-    long getServedRevision();
-
-    /**
-     * <code>uint32 wait_millis = 4;</code>
-     * @return The waitMillis.
+     * <pre>
+     * The names one after the other, 16 bytes each.
+     * </pre>
+     *
+     * <code>bytes names = 1;</code>
+     * @return The names.
      */
-    int getWaitMillis();
+    com.google.protobuf.ByteString getNames();
   }
   /**
-   * Protobuf type {@code borageproxy.control.Watch}
+   * <pre>
+   * Chunks of large values or answers that earlier answers have named.
+   * </pre>
+   *
+   * Protobuf type {@code borageproxy.control.ReadChunks}
    */
-  public static final class Watch extends
+  public static final class ReadChunks extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:borageproxy.control.Watch)
-      WatchOrBuilder {
+      // @@protoc_insertion_point(message_implements:borageproxy.control.ReadChunks)
+      ReadChunksOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -51751,91 +54502,47 @@
         /* minor= */ 34,
         /* patch= */ 2,
         /* suffix= */ "",
-        "Watch");
+        "ReadChunks");
     }
-    // Use Watch.newBuilder() to construct.
-    private Watch(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use ReadChunks.newBuilder() to construct.
+    private ReadChunks(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private Watch() {
+    private ReadChunks() {
+      names_ = com.google.protobuf.ByteString.EMPTY;
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Watch_descriptor;
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ReadChunks_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Watch_descriptor;
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ReadChunks_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Watch_fieldAccessorTable
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ReadChunks_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.borageproxy.wire.proto.ControlProtocol.Watch.class, org.borageproxy.wire.proto.ControlProtocol.Watch.Builder.class);
-    }
-
-    private int bitField0_;
-    public static final int VM_FIELD_NUMBER = 1;
-    private org.borageproxy.wire.proto.ControlProtocol.VmRecord vm_;
-    /**
-     * <code>.borageproxy.control.VmRecord vm = 1;</code>
-     * @return Whether the vm field is set.
-     */
-    @java.lang.Override
-    public boolean hasVm() {
-      return ((bitField0_ & 0x00000001) != 0);
-    }
-    /**
-     * <code>.borageproxy.control.VmRecord vm = 1;</code>
-     * @return The vm.
-     */
-    @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.VmRecord getVm() {
-      return vm_ == null ? org.borageproxy.wire.proto.ControlProtocol.VmRecord.getDefaultInstance() : vm_;
-    }
-    /**
-     * <code>.borageproxy.control.VmRecord vm = 1;</code>
-     */
-    @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.VmRecordOrBuilder getVmOrBuilder() {
-      return vm_ == null ? org.borageproxy.wire.proto.ControlProtocol.VmRecord.getDefaultInstance() : vm_;
+              org.borageproxy.wire.proto.ControlProtocol.ReadChunks.class, org.borageproxy.wire.proto.ControlProtocol.ReadChunks.Builder.class);
     }
 
-    public static final int VERSION_FIELD_NUMBER = 2;
-    private long version_ = 0L;
-    /**
-     * <code>uint64 version = 2;</code>
-     * @return The version.
-     */
-    @java.lang.Override
-    public long getVersion() {
-      return version_;
-    }
-
-    public static final int SERVED_REVISION_FIELD_NUMBER = 3;
-    private long servedRevision_ = 0L;
-    /**
-     * <code>uint64 served_revision = 3;</code>
-     * @return The servedRevision.
-     */
-    @java.lang.Override
-    public long getServedRevision() {
-      return servedRevision_;
-    }
-
-    public static final int WAIT_MILLIS_FIELD_NUMBER = 4;
-    private int waitMillis_ = 0;
+    public static final int NAMES_FIELD_NUMBER = 1;
+    private com.google.protobuf.ByteString names_ = com.google.protobuf.ByteString.EMPTY;
     /**
-     * <code>uint32 wait_millis = 4;</code>
-     * @return The waitMillis.
+     * <pre>
+     * The names one after the other, 16 bytes each.
+     * </pre>
+     *
+     * <code>bytes names = 1;</code>
+     * @return The names.
      */
     @java.lang.Override
-    public int getWaitMillis() {
-      return waitMillis_;
+    public com.google.protobuf.ByteString getNames() {
+      return names_;
     }
 
     private byte memoizedIsInitialized = -1;
@@ -51852,17 +54559,8 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      if (((bitField0_ & 0x00000001) != 0)) {
-        output.writeMessage(1, getVm());
-      }
-      if (version_ != 0L) {
-        output.writeUInt64(2, version_);
-      }
-      if (servedRevision_ != 0L) {
-        output.writeUInt64(3, servedRevision_);
-      }
-      if (waitMillis_ != 0) {
-        output.writeUInt32(4, waitMillis_);
+      if (!names_.isEmpty()) {
+        output.writeBytes(1, names_);
       }
       getUnknownFields().writeTo(output);
     }
@@ -51873,21 +54571,9 @@
       if (size != -1) return size;
 
       size = 0;
-      if (((bitField0_ & 0x00000001) != 0)) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeMessageSize(1, getVm());
-      }
-      if (version_ != 0L) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(2, version_);
-      }
-      if (servedRevision_ != 0L) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(3, servedRevision_);
-      }
-      if (waitMillis_ != 0) {
+      if (!names_.isEmpty()) {
         size += com.google.protobuf.CodedOutputStream
-          .computeUInt32Size(4, waitMillis_);
+          .computeBytesSize(1, names_);
       }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
@@ -51899,22 +54585,13 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.Watch)) {
+      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.ReadChunks)) {
         return super.equals(obj);
       }
-      org.borageproxy.wire.proto.ControlProtocol.Watch other = (org.borageproxy.wire.proto.ControlProtocol.Watch) obj;
+      org.borageproxy.wire.proto.ControlProtocol.ReadChunks other = (org.borageproxy.wire.proto.ControlProtocol.ReadChunks) obj;
 
-      if (hasVm() != other.hasVm()) return false;
-      if (hasVm()) {
-        if (!getVm()
-            .equals(other.getVm())) return false;
-      }
-      if (getVersion()
-          != other.getVersion()) return false;
-      if (getServedRevision()
-          != other.getServedRevision()) return false;
-      if (getWaitMillis()
-          != other.getWaitMillis()) return false;
+      if (!getNames()
+          .equals(other.getNames())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -51926,61 +54603,51 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      if (hasVm()) {
-        hash = (37 * hash) + VM_FIELD_NUMBER;
-        hash = (53 * hash) + getVm().hashCode();
-      }
-      hash = (37 * hash) + VERSION_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getVersion());
-      hash = (37 * hash) + SERVED_REVISION_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getServedRevision());
-      hash = (37 * hash) + WAIT_MILLIS_FIELD_NUMBER;
-      hash = (53 * hash) + getWaitMillis();
+      hash = (37 * hash) + NAMES_FIELD_NUMBER;
+      hash = (53 * hash) + getNames().hashCode();
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.Watch parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ReadChunks parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.Watch parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ReadChunks parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.Watch parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ReadChunks parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.Watch parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ReadChunks parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.Watch parseFrom(byte[] data)
+    public static org.borageproxy.wire.proto.ControlProtocol.ReadChunks parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.Watch parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ReadChunks parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.Watch parseFrom(java.io.InputStream input)
+    public static org.borageproxy.wire.proto.ControlProtocol.ReadChunks parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.Watch parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ReadChunks parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -51988,26 +54655,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.Watch parseDelimitedFrom(java.io.InputStream input)
+    public static org.borageproxy.wire.proto.ControlProtocol.ReadChunks parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.Watch parseDelimitedFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ReadChunks parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.Watch parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ReadChunks parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.Watch parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.ReadChunks parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -52020,7 +54687,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.Watch prototype) {
+    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.ReadChunks prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -52036,428 +54703,206 @@
       return builder;
     }
     /**
-     * Protobuf type {@code borageproxy.control.Watch}
+     * <pre>
+     * Chunks of large values or answers that earlier answers have named.
+     * </pre>
+     *
+     * Protobuf type {@code borageproxy.control.ReadChunks}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:borageproxy.control.Watch)
-        org.borageproxy.wire.proto.ControlProtocol.WatchOrBuilder {
+        // @@protoc_insertion_point(builder_implements:borageproxy.control.ReadChunks)
+        org.borageproxy.wire.proto.ControlProtocol.ReadChunksOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
-          getDescriptor() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Watch_descriptor;
-      }
-
-      @java.lang.Override
-      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-          internalGetFieldAccessorTable() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Watch_fieldAccessorTable
-            .ensureFieldAccessorsInitialized(
-                org.borageproxy.wire.proto.ControlProtocol.Watch.class, org.borageproxy.wire.proto.ControlProtocol.Watch.Builder.class);
-      }
-
-      // Construct using org.borageproxy.wire.proto.ControlProtocol.Watch.newBuilder()
-      private Builder() {
-        maybeForceBuilderInitialization();
-      }
-
-      private Builder(
-          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-        super(parent);
-        maybeForceBuilderInitialization();
-      }
-      private void maybeForceBuilderInitialization() {
-        if (com.google.protobuf.GeneratedMessage
-                .alwaysUseFieldBuilders) {
-          internalGetVmFieldBuilder();
-        }
-      }
-      @java.lang.Override
-      public Builder clear() {
-        super.clear();
-        bitField0_ = 0;
-        vm_ = null;
-        if (vmBuilder_ != null) {
-          vmBuilder_.dispose();
-          vmBuilder_ = null;
-        }
-        version_ = 0L;
-        servedRevision_ = 0L;
-        waitMillis_ = 0;
-        return this;
-      }
-
-      @java.lang.Override
-      public com.google.protobuf.Descriptors.Descriptor
-          getDescriptorForType() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_Watch_descriptor;
-      }
-
-      @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.Watch getDefaultInstanceForType() {
-        return org.borageproxy.wire.proto.ControlProtocol.Watch.getDefaultInstance();
-      }
-
-      @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.Watch build() {
-        org.borageproxy.wire.proto.ControlProtocol.Watch result = buildPartial();
-        if (!result.isInitialized()) {
-          throw newUninitializedMessageException(result);
-        }
-        return result;
-      }
-
-      @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.Watch buildPartial() {
-        org.borageproxy.wire.proto.ControlProtocol.Watch result = new org.borageproxy.wire.proto.ControlProtocol.Watch(this);
-        if (bitField0_ != 0) { buildPartial0(result); }
-        onBuilt();
-        return result;
-      }
-
-      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.Watch result) {
-        int from_bitField0_ = bitField0_;
-        int to_bitField0_ = 0;
-        if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.vm_ = vmBuilder_ == null
-              ? vm_
-              : vmBuilder_.build();
-          to_bitField0_ |= 0x00000001;
-        }
-        if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.version_ = version_;
-        }
-        if (((from_bitField0_ & 0x00000004) != 0)) {
-          result.servedRevision_ = servedRevision_;
-        }
-        if (((from_bitField0_ & 0x00000008) != 0)) {
-          result.waitMillis_ = waitMillis_;
-        }
-        result.bitField0_ |= to_bitField0_;
-      }
-
-      @java.lang.Override
-      public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.Watch) {
-          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.Watch)other);
-        } else {
-          super.mergeFrom(other);
-          return this;
-        }
-      }
-
-      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.Watch other) {
-        if (other == org.borageproxy.wire.proto.ControlProtocol.Watch.getDefaultInstance()) return this;
-        if (other.hasVm()) {
-          mergeVm(other.getVm());
-        }
-        if (other.getVersion() != 0L) {
-          setVersion(other.getVersion());
-        }
-        if (other.getServedRevision() != 0L) {
-          setServedRevision(other.getServedRevision());
-        }
-        if (other.getWaitMillis() != 0) {
-          setWaitMillis(other.getWaitMillis());
-        }
-        this.mergeUnknownFields(other.getUnknownFields());
-        onChanged();
-        return this;
-      }
-
-      @java.lang.Override
-      public final boolean isInitialized() {
-        return true;
+          getDescriptor() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ReadChunks_descriptor;
       }
 
       @java.lang.Override
-      public Builder mergeFrom(
-          com.google.protobuf.CodedInputStream input,
-          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-          throws java.io.IOException {
-        if (extensionRegistry == null) {
-          throw new java.lang.NullPointerException();
-        }
-        try {
-          boolean done = false;
-          while (!done) {
-            int tag = input.readTag();
-            switch (tag) {
-              case 0:
-                done = true;
-                break;
-              case 10: {
-                input.readMessage(
-                    internalGetVmFieldBuilder().getBuilder(),
-                    extensionRegistry);
-                bitField0_ |= 0x00000001;
-                break;
-              } // case 10
-              case 16: {
-                version_ = input.readUInt64();
-                bitField0_ |= 0x00000002;
-                break;
-              } // case 16
-              case 24: {
-                servedRevision_ = input.readUInt64();
-                bitField0_ |= 0x00000004;
-                break;
-              } // case 24
-              case 32: {
-                waitMillis_ = input.readUInt32();
-                bitField0_ |= 0x00000008;
-                break;
-              } // case 32
-              default: {
-                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-                  done = true; // was an endgroup tag
-                }
-                break;
-              } // default:
-            } // switch (tag)
-          } // while (!done)
-        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-          throw e.unwrapIOException();
-        } finally {
-          onChanged();
-        } // finally
-        return this;
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ReadChunks_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.borageproxy.wire.proto.ControlProtocol.ReadChunks.class, org.borageproxy.wire.proto.ControlProtocol.ReadChunks.Builder.class);
       }
-      private int bitField0_;
 
-      private org.borageproxy.wire.proto.ControlProtocol.VmRecord vm_;
-      private com.google.protobuf.SingleFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.VmRecord, org.borageproxy.wire.proto.ControlProtocol.VmRecord.Builder, org.borageproxy.wire.proto.ControlProtocol.VmRecordOrBuilder> vmBuilder_;
-      /**
-       * <code>.borageproxy.control.VmRecord vm = 1;</code>
-       * @return Whether the vm field is set.
-       */
-      public boolean hasVm() {
-        return ((bitField0_ & 0x00000001) != 0);
-      }
-      /**
-       * <code>.borageproxy.control.VmRecord vm = 1;</code>
-       * @return The vm.
-       */
-      public org.borageproxy.wire.proto.ControlProtocol.VmRecord getVm() {
-        if (vmBuilder_ == null) {
-          return vm_ == null ? org.borageproxy.wire.proto.ControlProtocol.VmRecord.getDefaultInstance() : vm_;
-        } else {
-          return vmBuilder_.getMessage();
-        }
-      }
-      /**
-       * <code>.borageproxy.control.VmRecord vm = 1;</code>
-       */
-      public Builder setVm(org.borageproxy.wire.proto.ControlProtocol.VmRecord value) {
-        if (vmBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          vm_ = value;
-        } else {
-          vmBuilder_.setMessage(value);
-        }
-        bitField0_ |= 0x00000001;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>.borageproxy.control.VmRecord vm = 1;</code>
-       */
-      public Builder setVm(
-          org.borageproxy.wire.proto.ControlProtocol.VmRecord.Builder builderForValue) {
-        if (vmBuilder_ == null) {
-          vm_ = builderForValue.build();
-        } else {
-          vmBuilder_.setMessage(builderForValue.build());
-        }
-        bitField0_ |= 0x00000001;
-        onChanged();
-        return this;
+      // Construct using org.borageproxy.wire.proto.ControlProtocol.ReadChunks.newBuilder()
+      private Builder() {
+
       }
-      /**
-       * <code>.borageproxy.control.VmRecord vm = 1;</code>
-       */
-      public Builder mergeVm(org.borageproxy.wire.proto.ControlProtocol.VmRecord value) {
-        if (vmBuilder_ == null) {
-          if (((bitField0_ & 0x00000001) != 0) &&
-            vm_ != null &&
-            vm_ != org.borageproxy.wire.proto.ControlProtocol.VmRecord.getDefaultInstance()) {
-            getVmBuilder().mergeFrom(value);
-          } else {
-            vm_ = value;
-          }
-        } else {
-          vmBuilder_.mergeFrom(value);
-        }
-        if (vm_ != null) {
-          bitField0_ |= 0x00000001;
-          onChanged();
-        }
-        return this;
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
       }
-      /**
-       * <code>.borageproxy.control.VmRecord vm = 1;</code>
-       */
-      public Builder clearVm() {
-        bitField0_ = (bitField0_ & ~0x00000001);
-        vm_ = null;
-        if (vmBuilder_ != null) {
-          vmBuilder_.dispose();
-          vmBuilder_ = null;
-        }
-        onChanged();
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        names_ = com.google.protobuf.ByteString.EMPTY;
         return this;
       }
-      /**
-       * <code>.borageproxy.control.VmRecord vm = 1;</code>
-       */
-      public org.borageproxy.wire.proto.ControlProtocol.VmRecord.Builder getVmBuilder() {
-        bitField0_ |= 0x00000001;
-        onChanged();
-        return internalGetVmFieldBuilder().getBuilder();
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_ReadChunks_descriptor;
       }
-      /**
-       * <code>.borageproxy.control.VmRecord vm = 1;</code>
-       */
-      public org.borageproxy.wire.proto.ControlProtocol.VmRecordOrBuilder getVmOrBuilder() {
-        if (vmBuilder_ != null) {
-          return vmBuilder_.getMessageOrBuilder();
-        } else {
-          return vm_ == null ?
-              org.borageproxy.wire.proto.ControlProtocol.VmRecord.getDefaultInstance() : vm_;
-        }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ReadChunks getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.ReadChunks.getDefaultInstance();
       }
-      /**
-       * <code>.borageproxy.control.VmRecord vm = 1;</code>
-       */
-      private com.google.protobuf.SingleFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.VmRecord, org.borageproxy.wire.proto.ControlProtocol.VmRecord.Builder, org.borageproxy.wire.proto.ControlProtocol.VmRecordOrBuilder> 
-          internalGetVmFieldBuilder() {
-        if (vmBuilder_ == null) {
-          vmBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-              org.borageproxy.wire.proto.ControlProtocol.VmRecord, org.borageproxy.wire.proto.ControlProtocol.VmRecord.Builder, org.borageproxy.wire.proto.ControlProtocol.VmRecordOrBuilder>(
-                  getVm(),
-                  getParentForChildren(),
-                  isClean());
-          vm_ = null;
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.ReadChunks build() {
+        org.borageproxy.wire.proto.ControlProtocol.ReadChunks result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
         }
-        return vmBuilder_;
+        return result;
       }
 
-      private long version_ ;
-      /**
-       * <code>uint64 version = 2;</code>
-       * @return The version.
-       */
       @java.lang.Override
-      public long getVersion() {
-        return version_;
+      public org.borageproxy.wire.proto.ControlProtocol.ReadChunks buildPartial() {
+        org.borageproxy.wire.proto.ControlProtocol.ReadChunks result = new org.borageproxy.wire.proto.ControlProtocol.ReadChunks(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
       }
-      /**
-       * <code>uint64 version = 2;</code>
-       * @param value The version to set.
-       * @return This builder for chaining.
-       */
-      public Builder setVersion(long value) {
 
-        version_ = value;
-        bitField0_ |= 0x00000002;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>uint64 version = 2;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearVersion() {
-        bitField0_ = (bitField0_ & ~0x00000002);
-        version_ = 0L;
-        onChanged();
-        return this;
+      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.ReadChunks result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.names_ = names_;
+        }
       }
 
-      private long servedRevision_ ;
-      /**
-       * <code>uint64 served_revision = 3;</code>
-       * @return The servedRevision.
-       */
       @java.lang.Override
-      public long getServedRevision() {
-        return servedRevision_;
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.ReadChunks) {
+          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.ReadChunks)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
       }
-      /**
-       * <code>uint64 served_revision = 3;</code>
-       * @param value The servedRevision to set.
-       * @return This builder for chaining.
-       */
-      public Builder setServedRevision(long value) {
 
-        servedRevision_ = value;
-        bitField0_ |= 0x00000004;
+      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.ReadChunks other) {
+        if (other == org.borageproxy.wire.proto.ControlProtocol.ReadChunks.getDefaultInstance()) return this;
+        if (!other.getNames().isEmpty()) {
+          setNames(other.getNames());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
       }
-      /**
-       * <code>uint64 served_revision = 3;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearServedRevision() {
-        bitField0_ = (bitField0_ & ~0x00000004);
-        servedRevision_ = 0L;
-        onChanged();
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                names_ = input.readBytes();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
         return this;
       }
+      private int bitField0_;
 
-      private int waitMillis_ ;
+      private com.google.protobuf.ByteString names_ = com.google.protobuf.ByteString.EMPTY;
       /**
-       * <code>uint32 wait_millis = 4;</code>
-       * @return The waitMillis.
+       * <pre>
+       * The names one after the other, 16 bytes each.
+       * </pre>
+       *
+       * <code>bytes names = 1;</code>
+       * @return The names.
        */
       @java.lang.Override
-      public int getWaitMillis() {
-        return waitMillis_;
+      public com.google.protobuf.ByteString getNames() {
+        return names_;
       }
       /**
-       * <code>uint32 wait_millis = 4;</code>
-       * @param value The waitMillis to set.
+       * <pre>
+       * The names one after the other, 16 bytes each.
+       * </pre>
+       *
+       * <code>bytes names = 1;</code>
+       * @param value The names to set.
        * @return This builder for chaining.
        */
-      public Builder setWaitMillis(int value) {
-
-        waitMillis_ = value;
-        bitField0_ |= 0x00000008;
+      public Builder setNames(com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        names_ = value;
+        bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
       /**
-       * <code>uint32 wait_millis = 4;</code>
+       * <pre>
+       * The names one after the other, 16 bytes each.
+       * </pre>
+       *
+       * <code>bytes names = 1;</code>
        * @return This builder for chaining.
        */
-      public Builder clearWaitMillis() {
-        bitField0_ = (bitField0_ & ~0x00000008);
-        waitMillis_ = 0;
+      public Builder clearNames() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        names_ = getDefaultInstance().getNames();
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:borageproxy.control.Watch)
+      // @@protoc_insertion_point(builder_scope:borageproxy.control.ReadChunks)
     }
 
-    // @@protoc_insertion_point(class_scope:borageproxy.control.Watch)
-    private static final org.borageproxy.wire.proto.ControlProtocol.Watch DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:borageproxy.control.ReadChunks)
+    private static final org.borageproxy.wire.proto.ControlProtocol.ReadChunks DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.Watch();
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.ReadChunks();
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.Watch getDefaultInstance() {
+    public static org.borageproxy.wire.proto.ControlProtocol.ReadChunks getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<Watch>
-        PARSER = new com.google.protobuf.AbstractParser<Watch>() {
+    private static final com.google.protobuf.Parser<ReadChunks>
+        PARSER = new com.google.protobuf.AbstractParser<ReadChunks>() {
       @java.lang.Override
-      public Watch parsePartialFrom(
+      public ReadChunks parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -52476,17 +54921,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<Watch> parser() {
+    public static com.google.protobuf.Parser<ReadChunks> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<Watch> getParserForType() {
+    public com.google.protobuf.Parser<ReadChunks> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.Watch getDefaultInstanceForType() {
+    public org.borageproxy.wire.proto.ControlProtocol.ReadChunks getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -54174,6 +56619,97 @@
      */
     org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder getKeysOrBuilder(
         int index);
+
+    /**
+     * <pre>
+     * Whether there are further changes: the items are those up to the version of this answer.
+     * </pre>
+     *
+     * <code>bool more = 10;</code>
+     * @return The more.
+     */
+    boolean getMore();
+
+    /**
+     * <pre>
+     * The version of the last change.
+     * </pre>
+     *
+     * <code>uint64 newest_version = 11;</code>
+     * @return The newestVersion.
+     */
+    long getNewestVersion();
+
+    /**
+     * <pre>
+     * The answer to ReadChunks, without the chunks that are unknown to the control VM.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.control.Chunk chunks = 12;</code>
+     */
+    java.util.List<org.borageproxy.wire.proto.ControlProtocol.Chunk> 
+        getChunksList();
+    /**
+     * <pre>
+     * The answer to ReadChunks, without the chunks that are unknown to the control VM.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.control.Chunk chunks = 12;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.Chunk getChunks(int index);
+    /**
+     * <pre>
+     * The answer to ReadChunks, without the chunks that are unknown to the control VM.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.control.Chunk chunks = 12;</code>
+     */
+    int getChunksCount();
+    /**
+     * <pre>
+     * The answer to ReadChunks, without the chunks that are unknown to the control VM.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.control.Chunk chunks = 12;</code>
+     */
+    java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.ChunkOrBuilder> 
+        getChunksOrBuilderList();
+    /**
+     * <pre>
+     * The answer to ReadChunks, without the chunks that are unknown to the control VM.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.control.Chunk chunks = 12;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ChunkOrBuilder getChunksOrBuilder(
+        int index);
+
+    /**
+     * <pre>
+     * The chunks of the encoded answer that this one stands for.
+     * </pre>
+     *
+     * <code>.borageproxy.control.ChunkList answer_chunks = 13;</code>
+     * @return Whether the answerChunks field is set.
+     */
+    boolean hasAnswerChunks();
+    /**
+     * <pre>
+     * The chunks of the encoded answer that this one stands for.
+     * </pre>
+     *
+     * <code>.borageproxy.control.ChunkList answer_chunks = 13;</code>
+     * @return The answerChunks.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ChunkList getAnswerChunks();
+    /**
+     * <pre>
+     * The chunks of the encoded answer that this one stands for.
+     * </pre>
+     *
+     * <code>.borageproxy.control.ChunkList answer_chunks = 13;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.ChunkListOrBuilder getAnswerChunksOrBuilder();
   }
   /**
    * Protobuf type {@code borageproxy.control.WatchAnswer}
@@ -54201,6 +56737,7 @@
       served_ = java.util.Collections.emptyList();
       revisions_ = java.util.Collections.emptyList();
       keys_ = java.util.Collections.emptyList();
+      chunks_ = java.util.Collections.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -54460,6 +56997,135 @@
       return keys_.get(index);
     }
 
+    public static final int MORE_FIELD_NUMBER = 10;
+    private boolean more_ = false;
+    /**
+     * <pre>
+     * Whether there are further changes: the items are those up to the version of this answer.
+     * </pre>
+     *
+     * <code>bool more = 10;</code>
+     * @return The more.
+     */
+    @java.lang.Override
+    public boolean getMore() {
+      return more_;
+    }
+
+    public static final int NEWEST_VERSION_FIELD_NUMBER = 11;
+    private long newestVersion_ = 0L;
+    /**
+     * <pre>
+     * The version of the last change.
+     * </pre>
+     *
+     * <code>uint64 newest_version = 11;</code>
+     * @return The newestVersion.
+     */
+    @java.lang.Override
+    public long getNewestVersion() {
+      return newestVersion_;
+    }
+
+    public static final int CHUNKS_FIELD_NUMBER = 12;
+    @SuppressWarnings("serial")
+    private java.util.List<org.borageproxy.wire.proto.ControlProtocol.Chunk> chunks_;
+    /**
+     * <pre>
+     * The answer to ReadChunks, without the chunks that are unknown to the control VM.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.control.Chunk chunks = 12;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.borageproxy.wire.proto.ControlProtocol.Chunk> getChunksList() {
+      return chunks_;
+    }
+    /**
+     * <pre>
+     * The answer to ReadChunks, without the chunks that are unknown to the control VM.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.control.Chunk chunks = 12;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.ChunkOrBuilder> 
+        getChunksOrBuilderList() {
+      return chunks_;
+    }
+    /**
+     * <pre>
+     * The answer to ReadChunks, without the chunks that are unknown to the control VM.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.control.Chunk chunks = 12;</code>
+     */
+    @java.lang.Override
+    public int getChunksCount() {
+      return chunks_.size();
+    }
+    /**
+     * <pre>
+     * The answer to ReadChunks, without the chunks that are unknown to the control VM.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.control.Chunk chunks = 12;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.Chunk getChunks(int index) {
+      return chunks_.get(index);
+    }
+    /**
+     * <pre>
+     * The answer to ReadChunks, without the chunks that are unknown to the control VM.
+     * </pre>
+     *
+     * <code>repeated .borageproxy.control.Chunk chunks = 12;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.ChunkOrBuilder getChunksOrBuilder(
+        int index) {
+      return chunks_.get(index);
+    }
+
+    public static final int ANSWER_CHUNKS_FIELD_NUMBER = 13;
+    private org.borageproxy.wire.proto.ControlProtocol.ChunkList answerChunks_;
+    /**
+     * <pre>
+     * The chunks of the encoded answer that this one stands for.
+     * </pre>
+     *
+     * <code>.borageproxy.control.ChunkList answer_chunks = 13;</code>
+     * @return Whether the answerChunks field is set.
+     */
+    @java.lang.Override
+    public boolean hasAnswerChunks() {
+      return ((bitField0_ & 0x00000002) != 0);
+    }
+    /**
+     * <pre>
+     * The chunks of the encoded answer that this one stands for.
+     * </pre>
+     *
+     * <code>.borageproxy.control.ChunkList answer_chunks = 13;</code>
+     * @return The answerChunks.
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.ChunkList getAnswerChunks() {
+      return answerChunks_ == null ? org.borageproxy.wire.proto.ControlProtocol.ChunkList.getDefaultInstance() : answerChunks_;
+    }
+    /**
+     * <pre>
+     * The chunks of the encoded answer that this one stands for.
+     * </pre>
+     *
+     * <code>.borageproxy.control.ChunkList answer_chunks = 13;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.ChunkListOrBuilder getAnswerChunksOrBuilder() {
+      return answerChunks_ == null ? org.borageproxy.wire.proto.ControlProtocol.ChunkList.getDefaultInstance() : answerChunks_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -54501,6 +57167,18 @@
       for (int i = 0; i < keys_.size(); i++) {
         output.writeMessage(9, keys_.get(i));
       }
+      if (more_ != false) {
+        output.writeBool(10, more_);
+      }
+      if (newestVersion_ != 0L) {
+        output.writeUInt64(11, newestVersion_);
+      }
+      for (int i = 0; i < chunks_.size(); i++) {
+        output.writeMessage(12, chunks_.get(i));
+      }
+      if (((bitField0_ & 0x00000002) != 0)) {
+        output.writeMessage(13, getAnswerChunks());
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -54566,6 +57244,27 @@
             }
             size += 1 * count;
           }
+      if (more_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(10, more_);
+      }
+      if (newestVersion_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(11, newestVersion_);
+      }
+
+          {
+            final int count = chunks_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(chunks_.get(i));
+            }
+            size += 1 * count;
+          }
+      if (((bitField0_ & 0x00000002) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(13, getAnswerChunks());
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -54602,6 +57301,17 @@
           .equals(other.getRevisionsList())) return false;
       if (!getKeysList()
           .equals(other.getKeysList())) return false;
+      if (getMore()
+          != other.getMore()) return false;
+      if (getNewestVersion()
+          != other.getNewestVersion()) return false;
+      if (!getChunksList()
+          .equals(other.getChunksList())) return false;
+      if (hasAnswerChunks() != other.hasAnswerChunks()) return false;
+      if (hasAnswerChunks()) {
+        if (!getAnswerChunks()
+            .equals(other.getAnswerChunks())) return false;
+      }
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -54645,6 +57355,20 @@
         hash = (37 * hash) + KEYS_FIELD_NUMBER;
         hash = (53 * hash) + getKeysList().hashCode();
       }
+      hash = (37 * hash) + MORE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getMore());
+      hash = (37 * hash) + NEWEST_VERSION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getNewestVersion());
+      if (getChunksCount() > 0) {
+        hash = (37 * hash) + CHUNKS_FIELD_NUMBER;
+        hash = (53 * hash) + getChunksList().hashCode();
+      }
+      if (hasAnswerChunks()) {
+        hash = (37 * hash) + ANSWER_CHUNKS_FIELD_NUMBER;
+        hash = (53 * hash) + getAnswerChunks().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -54780,6 +57504,8 @@
           internalGetTreeFieldBuilder();
           internalGetRevisionsFieldBuilder();
           internalGetKeysFieldBuilder();
+          internalGetChunksFieldBuilder();
+          internalGetAnswerChunksFieldBuilder();
         }
       }
       @java.lang.Override
@@ -54823,6 +57549,20 @@
           keysBuilder_.clear();
         }
         bitField0_ = (bitField0_ & ~0x00000100);
+        more_ = false;
+        newestVersion_ = 0L;
+        if (chunksBuilder_ == null) {
+          chunks_ = java.util.Collections.emptyList();
+        } else {
+          chunks_ = null;
+          chunksBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000800);
+        answerChunks_ = null;
+        if (answerChunksBuilder_ != null) {
+          answerChunksBuilder_.dispose();
+          answerChunksBuilder_ = null;
+        }
         return this;
       }
 
@@ -54892,6 +57632,15 @@
         } else {
           result.keys_ = keysBuilder_.build();
         }
+        if (chunksBuilder_ == null) {
+          if (((bitField0_ & 0x00000800) != 0)) {
+            chunks_ = java.util.Collections.unmodifiableList(chunks_);
+            bitField0_ = (bitField0_ & ~0x00000800);
+          }
+          result.chunks_ = chunks_;
+        } else {
+          result.chunks_ = chunksBuilder_.build();
+        }
       }
 
       private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.WatchAnswer result) {
@@ -54915,6 +57664,18 @@
               : treeBuilder_.build();
           to_bitField0_ |= 0x00000001;
         }
+        if (((from_bitField0_ & 0x00000200) != 0)) {
+          result.more_ = more_;
+        }
+        if (((from_bitField0_ & 0x00000400) != 0)) {
+          result.newestVersion_ = newestVersion_;
+        }
+        if (((from_bitField0_ & 0x00001000) != 0)) {
+          result.answerChunks_ = answerChunksBuilder_ == null
+              ? answerChunks_
+              : answerChunksBuilder_.build();
+          to_bitField0_ |= 0x00000002;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -55049,6 +57810,41 @@
             }
           }
         }
+        if (other.getMore() != false) {
+          setMore(other.getMore());
+        }
+        if (other.getNewestVersion() != 0L) {
+          setNewestVersion(other.getNewestVersion());
+        }
+        if (chunksBuilder_ == null) {
+          if (!other.chunks_.isEmpty()) {
+            if (chunks_.isEmpty()) {
+              chunks_ = other.chunks_;
+              bitField0_ = (bitField0_ & ~0x00000800);
+            } else {
+              ensureChunksIsMutable();
+              chunks_.addAll(other.chunks_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.chunks_.isEmpty()) {
+            if (chunksBuilder_.isEmpty()) {
+              chunksBuilder_.dispose();
+              chunksBuilder_ = null;
+              chunks_ = other.chunks_;
+              bitField0_ = (bitField0_ & ~0x00000800);
+              chunksBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetChunksFieldBuilder() : null;
+            } else {
+              chunksBuilder_.addAllMessages(other.chunks_);
+            }
+          }
+        }
+        if (other.hasAnswerChunks()) {
+          mergeAnswerChunks(other.getAnswerChunks());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -55154,6 +57950,36 @@
                 }
                 break;
               } // case 74
+              case 80: {
+                more_ = input.readBool();
+                bitField0_ |= 0x00000200;
+                break;
+              } // case 80
+              case 88: {
+                newestVersion_ = input.readUInt64();
+                bitField0_ |= 0x00000400;
+                break;
+              } // case 88
+              case 98: {
+                org.borageproxy.wire.proto.ControlProtocol.Chunk m =
+                    input.readMessage(
+                        org.borageproxy.wire.proto.ControlProtocol.Chunk.parser(),
+                        extensionRegistry);
+                if (chunksBuilder_ == null) {
+                  ensureChunksIsMutable();
+                  chunks_.add(m);
+                } else {
+                  chunksBuilder_.addMessage(m);
+                }
+                break;
+              } // case 98
+              case 106: {
+                input.readMessage(
+                    internalGetAnswerChunksFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bitField0_ |= 0x00001000;
+                break;
+              } // case 106
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -55993,403 +58819,960 @@
           if (value == null) {
             throw new NullPointerException();
           }
-          ensureRevisionsIsMutable();
-          revisions_.add(value);
+          ensureRevisionsIsMutable();
+          revisions_.add(value);
+          onChanged();
+        } else {
+          revisionsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.TreeState revisions = 8;</code>
+       */
+      public Builder addRevisions(
+          int index, org.borageproxy.wire.proto.ControlProtocol.TreeState value) {
+        if (revisionsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureRevisionsIsMutable();
+          revisions_.add(index, value);
+          onChanged();
+        } else {
+          revisionsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.TreeState revisions = 8;</code>
+       */
+      public Builder addRevisions(
+          org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder builderForValue) {
+        if (revisionsBuilder_ == null) {
+          ensureRevisionsIsMutable();
+          revisions_.add(builderForValue.build());
+          onChanged();
+        } else {
+          revisionsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.TreeState revisions = 8;</code>
+       */
+      public Builder addRevisions(
+          int index, org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder builderForValue) {
+        if (revisionsBuilder_ == null) {
+          ensureRevisionsIsMutable();
+          revisions_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          revisionsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.TreeState revisions = 8;</code>
+       */
+      public Builder addAllRevisions(
+          java.lang.Iterable<? extends org.borageproxy.wire.proto.ControlProtocol.TreeState> values) {
+        if (revisionsBuilder_ == null) {
+          ensureRevisionsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, revisions_);
+          onChanged();
+        } else {
+          revisionsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.TreeState revisions = 8;</code>
+       */
+      public Builder clearRevisions() {
+        if (revisionsBuilder_ == null) {
+          revisions_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000080);
+          onChanged();
+        } else {
+          revisionsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.TreeState revisions = 8;</code>
+       */
+      public Builder removeRevisions(int index) {
+        if (revisionsBuilder_ == null) {
+          ensureRevisionsIsMutable();
+          revisions_.remove(index);
+          onChanged();
+        } else {
+          revisionsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.TreeState revisions = 8;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder getRevisionsBuilder(
+          int index) {
+        return internalGetRevisionsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .borageproxy.control.TreeState revisions = 8;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.TreeStateOrBuilder getRevisionsOrBuilder(
+          int index) {
+        if (revisionsBuilder_ == null) {
+          return revisions_.get(index);  } else {
+          return revisionsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.TreeState revisions = 8;</code>
+       */
+      public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.TreeStateOrBuilder> 
+           getRevisionsOrBuilderList() {
+        if (revisionsBuilder_ != null) {
+          return revisionsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(revisions_);
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.TreeState revisions = 8;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder addRevisionsBuilder() {
+        return internalGetRevisionsFieldBuilder().addBuilder(
+            org.borageproxy.wire.proto.ControlProtocol.TreeState.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .borageproxy.control.TreeState revisions = 8;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder addRevisionsBuilder(
+          int index) {
+        return internalGetRevisionsFieldBuilder().addBuilder(
+            index, org.borageproxy.wire.proto.ControlProtocol.TreeState.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .borageproxy.control.TreeState revisions = 8;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder> 
+           getRevisionsBuilderList() {
+        return internalGetRevisionsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.TreeState, org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder, org.borageproxy.wire.proto.ControlProtocol.TreeStateOrBuilder> 
+          internalGetRevisionsFieldBuilder() {
+        if (revisionsBuilder_ == null) {
+          revisionsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.TreeState, org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder, org.borageproxy.wire.proto.ControlProtocol.TreeStateOrBuilder>(
+                  revisions_,
+                  ((bitField0_ & 0x00000080) != 0),
+                  getParentForChildren(),
+                  isClean());
+          revisions_ = null;
+        }
+        return revisionsBuilder_;
+      }
+
+      private java.util.List<org.borageproxy.wire.proto.ControlProtocol.KeyState> keys_ =
+        java.util.Collections.emptyList();
+      private void ensureKeysIsMutable() {
+        if (!((bitField0_ & 0x00000100) != 0)) {
+          keys_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.KeyState>(keys_);
+          bitField0_ |= 0x00000100;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.KeyState, org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder, org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder> keysBuilder_;
+
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       */
+      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.KeyState> getKeysList() {
+        if (keysBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(keys_);
+        } else {
+          return keysBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       */
+      public int getKeysCount() {
+        if (keysBuilder_ == null) {
+          return keys_.size();
+        } else {
+          return keysBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.KeyState getKeys(int index) {
+        if (keysBuilder_ == null) {
+          return keys_.get(index);
+        } else {
+          return keysBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       */
+      public Builder setKeys(
+          int index, org.borageproxy.wire.proto.ControlProtocol.KeyState value) {
+        if (keysBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureKeysIsMutable();
+          keys_.set(index, value);
+          onChanged();
+        } else {
+          keysBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       */
+      public Builder setKeys(
+          int index, org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder builderForValue) {
+        if (keysBuilder_ == null) {
+          ensureKeysIsMutable();
+          keys_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          keysBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       */
+      public Builder addKeys(org.borageproxy.wire.proto.ControlProtocol.KeyState value) {
+        if (keysBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureKeysIsMutable();
+          keys_.add(value);
           onChanged();
         } else {
-          revisionsBuilder_.addMessage(value);
+          keysBuilder_.addMessage(value);
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.TreeState revisions = 8;</code>
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
        */
-      public Builder addRevisions(
-          int index, org.borageproxy.wire.proto.ControlProtocol.TreeState value) {
-        if (revisionsBuilder_ == null) {
+      public Builder addKeys(
+          int index, org.borageproxy.wire.proto.ControlProtocol.KeyState value) {
+        if (keysBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensureRevisionsIsMutable();
-          revisions_.add(index, value);
+          ensureKeysIsMutable();
+          keys_.add(index, value);
           onChanged();
         } else {
-          revisionsBuilder_.addMessage(index, value);
+          keysBuilder_.addMessage(index, value);
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.TreeState revisions = 8;</code>
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
        */
-      public Builder addRevisions(
-          org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder builderForValue) {
-        if (revisionsBuilder_ == null) {
-          ensureRevisionsIsMutable();
-          revisions_.add(builderForValue.build());
+      public Builder addKeys(
+          org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder builderForValue) {
+        if (keysBuilder_ == null) {
+          ensureKeysIsMutable();
+          keys_.add(builderForValue.build());
           onChanged();
         } else {
-          revisionsBuilder_.addMessage(builderForValue.build());
+          keysBuilder_.addMessage(builderForValue.build());
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.TreeState revisions = 8;</code>
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
        */
-      public Builder addRevisions(
-          int index, org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder builderForValue) {
-        if (revisionsBuilder_ == null) {
-          ensureRevisionsIsMutable();
-          revisions_.add(index, builderForValue.build());
+      public Builder addKeys(
+          int index, org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder builderForValue) {
+        if (keysBuilder_ == null) {
+          ensureKeysIsMutable();
+          keys_.add(index, builderForValue.build());
           onChanged();
         } else {
-          revisionsBuilder_.addMessage(index, builderForValue.build());
+          keysBuilder_.addMessage(index, builderForValue.build());
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.TreeState revisions = 8;</code>
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
        */
-      public Builder addAllRevisions(
-          java.lang.Iterable<? extends org.borageproxy.wire.proto.ControlProtocol.TreeState> values) {
-        if (revisionsBuilder_ == null) {
-          ensureRevisionsIsMutable();
+      public Builder addAllKeys(
+          java.lang.Iterable<? extends org.borageproxy.wire.proto.ControlProtocol.KeyState> values) {
+        if (keysBuilder_ == null) {
+          ensureKeysIsMutable();
           com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, revisions_);
+              values, keys_);
           onChanged();
         } else {
-          revisionsBuilder_.addAllMessages(values);
+          keysBuilder_.addAllMessages(values);
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.TreeState revisions = 8;</code>
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
        */
-      public Builder clearRevisions() {
-        if (revisionsBuilder_ == null) {
-          revisions_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000080);
+      public Builder clearKeys() {
+        if (keysBuilder_ == null) {
+          keys_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000100);
           onChanged();
         } else {
-          revisionsBuilder_.clear();
+          keysBuilder_.clear();
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.TreeState revisions = 8;</code>
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
        */
-      public Builder removeRevisions(int index) {
-        if (revisionsBuilder_ == null) {
-          ensureRevisionsIsMutable();
-          revisions_.remove(index);
+      public Builder removeKeys(int index) {
+        if (keysBuilder_ == null) {
+          ensureKeysIsMutable();
+          keys_.remove(index);
           onChanged();
         } else {
-          revisionsBuilder_.remove(index);
+          keysBuilder_.remove(index);
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.TreeState revisions = 8;</code>
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
        */
-      public org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder getRevisionsBuilder(
+      public org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder getKeysBuilder(
           int index) {
-        return internalGetRevisionsFieldBuilder().getBuilder(index);
+        return internalGetKeysFieldBuilder().getBuilder(index);
       }
       /**
-       * <code>repeated .borageproxy.control.TreeState revisions = 8;</code>
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
        */
-      public org.borageproxy.wire.proto.ControlProtocol.TreeStateOrBuilder getRevisionsOrBuilder(
+      public org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder getKeysOrBuilder(
           int index) {
-        if (revisionsBuilder_ == null) {
-          return revisions_.get(index);  } else {
-          return revisionsBuilder_.getMessageOrBuilder(index);
+        if (keysBuilder_ == null) {
+          return keys_.get(index);  } else {
+          return keysBuilder_.getMessageOrBuilder(index);
         }
       }
       /**
-       * <code>repeated .borageproxy.control.TreeState revisions = 8;</code>
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
        */
-      public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.TreeStateOrBuilder> 
-           getRevisionsOrBuilderList() {
-        if (revisionsBuilder_ != null) {
-          return revisionsBuilder_.getMessageOrBuilderList();
+      public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder> 
+           getKeysOrBuilderList() {
+        if (keysBuilder_ != null) {
+          return keysBuilder_.getMessageOrBuilderList();
         } else {
-          return java.util.Collections.unmodifiableList(revisions_);
+          return java.util.Collections.unmodifiableList(keys_);
         }
       }
       /**
-       * <code>repeated .borageproxy.control.TreeState revisions = 8;</code>
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
        */
-      public org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder addRevisionsBuilder() {
-        return internalGetRevisionsFieldBuilder().addBuilder(
-            org.borageproxy.wire.proto.ControlProtocol.TreeState.getDefaultInstance());
+      public org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder addKeysBuilder() {
+        return internalGetKeysFieldBuilder().addBuilder(
+            org.borageproxy.wire.proto.ControlProtocol.KeyState.getDefaultInstance());
       }
       /**
-       * <code>repeated .borageproxy.control.TreeState revisions = 8;</code>
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
        */
-      public org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder addRevisionsBuilder(
+      public org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder addKeysBuilder(
           int index) {
-        return internalGetRevisionsFieldBuilder().addBuilder(
-            index, org.borageproxy.wire.proto.ControlProtocol.TreeState.getDefaultInstance());
+        return internalGetKeysFieldBuilder().addBuilder(
+            index, org.borageproxy.wire.proto.ControlProtocol.KeyState.getDefaultInstance());
       }
       /**
-       * <code>repeated .borageproxy.control.TreeState revisions = 8;</code>
+       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
        */
-      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder> 
-           getRevisionsBuilderList() {
-        return internalGetRevisionsFieldBuilder().getBuilderList();
+      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder> 
+           getKeysBuilderList() {
+        return internalGetKeysFieldBuilder().getBuilderList();
       }
       private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.TreeState, org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder, org.borageproxy.wire.proto.ControlProtocol.TreeStateOrBuilder> 
-          internalGetRevisionsFieldBuilder() {
-        if (revisionsBuilder_ == null) {
-          revisionsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              org.borageproxy.wire.proto.ControlProtocol.TreeState, org.borageproxy.wire.proto.ControlProtocol.TreeState.Builder, org.borageproxy.wire.proto.ControlProtocol.TreeStateOrBuilder>(
-                  revisions_,
-                  ((bitField0_ & 0x00000080) != 0),
+          org.borageproxy.wire.proto.ControlProtocol.KeyState, org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder, org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder> 
+          internalGetKeysFieldBuilder() {
+        if (keysBuilder_ == null) {
+          keysBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.KeyState, org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder, org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder>(
+                  keys_,
+                  ((bitField0_ & 0x00000100) != 0),
                   getParentForChildren(),
                   isClean());
-          revisions_ = null;
+          keys_ = null;
         }
-        return revisionsBuilder_;
+        return keysBuilder_;
       }
 
-      private java.util.List<org.borageproxy.wire.proto.ControlProtocol.KeyState> keys_ =
+      private boolean more_ ;
+      /**
+       * <pre>
+       * Whether there are further changes: the items are those up to the version of this answer.
+       * </pre>
+       *
+       * <code>bool more = 10;</code>
+       * @return The more.
+       */
+      @java.lang.Override
+      public boolean getMore() {
+        return more_;
+      }
+      /**
+       * <pre>
+       * Whether there are further changes: the items are those up to the version of this answer.
+       * </pre>
+       *
+       * <code>bool more = 10;</code>
+       * @param value The more to set.
+       * @return This builder for chaining.
+       */
+      public Builder setMore(boolean value) {
+
+        more_ = value;
+        bitField0_ |= 0x00000200;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether there are further changes: the items are those up to the version of this answer.
+       * </pre>
+       *
+       * <code>bool more = 10;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearMore() {
+        bitField0_ = (bitField0_ & ~0x00000200);
+        more_ = false;
+        onChanged();
+        return this;
+      }
+
+      private long newestVersion_ ;
+      /**
+       * <pre>
+       * The version of the last change.
+       * </pre>
+       *
+       * <code>uint64 newest_version = 11;</code>
+       * @return The newestVersion.
+       */
+      @java.lang.Override
+      public long getNewestVersion() {
+        return newestVersion_;
+      }
+      /**
+       * <pre>
+       * The version of the last change.
+       * </pre>
+       *
+       * <code>uint64 newest_version = 11;</code>
+       * @param value The newestVersion to set.
+       * @return This builder for chaining.
+       */
+      public Builder setNewestVersion(long value) {
+
+        newestVersion_ = value;
+        bitField0_ |= 0x00000400;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The version of the last change.
+       * </pre>
+       *
+       * <code>uint64 newest_version = 11;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearNewestVersion() {
+        bitField0_ = (bitField0_ & ~0x00000400);
+        newestVersion_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<org.borageproxy.wire.proto.ControlProtocol.Chunk> chunks_ =
         java.util.Collections.emptyList();
-      private void ensureKeysIsMutable() {
-        if (!((bitField0_ & 0x00000100) != 0)) {
-          keys_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.KeyState>(keys_);
-          bitField0_ |= 0x00000100;
+      private void ensureChunksIsMutable() {
+        if (!((bitField0_ & 0x00000800) != 0)) {
+          chunks_ = new java.util.ArrayList<org.borageproxy.wire.proto.ControlProtocol.Chunk>(chunks_);
+          bitField0_ |= 0x00000800;
          }
       }
 
       private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.KeyState, org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder, org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder> keysBuilder_;
+          org.borageproxy.wire.proto.ControlProtocol.Chunk, org.borageproxy.wire.proto.ControlProtocol.Chunk.Builder, org.borageproxy.wire.proto.ControlProtocol.ChunkOrBuilder> chunksBuilder_;
 
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       * <pre>
+       * The answer to ReadChunks, without the chunks that are unknown to the control VM.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.Chunk chunks = 12;</code>
        */
-      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.KeyState> getKeysList() {
-        if (keysBuilder_ == null) {
-          return java.util.Collections.unmodifiableList(keys_);
+      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.Chunk> getChunksList() {
+        if (chunksBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(chunks_);
         } else {
-          return keysBuilder_.getMessageList();
+          return chunksBuilder_.getMessageList();
         }
       }
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       * <pre>
+       * The answer to ReadChunks, without the chunks that are unknown to the control VM.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.Chunk chunks = 12;</code>
        */
-      public int getKeysCount() {
-        if (keysBuilder_ == null) {
-          return keys_.size();
+      public int getChunksCount() {
+        if (chunksBuilder_ == null) {
+          return chunks_.size();
         } else {
-          return keysBuilder_.getCount();
+          return chunksBuilder_.getCount();
         }
       }
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       * <pre>
+       * The answer to ReadChunks, without the chunks that are unknown to the control VM.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.Chunk chunks = 12;</code>
        */
-      public org.borageproxy.wire.proto.ControlProtocol.KeyState getKeys(int index) {
-        if (keysBuilder_ == null) {
-          return keys_.get(index);
+      public org.borageproxy.wire.proto.ControlProtocol.Chunk getChunks(int index) {
+        if (chunksBuilder_ == null) {
+          return chunks_.get(index);
         } else {
-          return keysBuilder_.getMessage(index);
+          return chunksBuilder_.getMessage(index);
         }
       }
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
-       */
-      public Builder setKeys(
-          int index, org.borageproxy.wire.proto.ControlProtocol.KeyState value) {
-        if (keysBuilder_ == null) {
+       * <pre>
+       * The answer to ReadChunks, without the chunks that are unknown to the control VM.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.Chunk chunks = 12;</code>
+       */
+      public Builder setChunks(
+          int index, org.borageproxy.wire.proto.ControlProtocol.Chunk value) {
+        if (chunksBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensureKeysIsMutable();
-          keys_.set(index, value);
+          ensureChunksIsMutable();
+          chunks_.set(index, value);
           onChanged();
         } else {
-          keysBuilder_.setMessage(index, value);
+          chunksBuilder_.setMessage(index, value);
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       * <pre>
+       * The answer to ReadChunks, without the chunks that are unknown to the control VM.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.Chunk chunks = 12;</code>
        */
-      public Builder setKeys(
-          int index, org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder builderForValue) {
-        if (keysBuilder_ == null) {
-          ensureKeysIsMutable();
-          keys_.set(index, builderForValue.build());
+      public Builder setChunks(
+          int index, org.borageproxy.wire.proto.ControlProtocol.Chunk.Builder builderForValue) {
+        if (chunksBuilder_ == null) {
+          ensureChunksIsMutable();
+          chunks_.set(index, builderForValue.build());
           onChanged();
         } else {
-          keysBuilder_.setMessage(index, builderForValue.build());
+          chunksBuilder_.setMessage(index, builderForValue.build());
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       * <pre>
+       * The answer to ReadChunks, without the chunks that are unknown to the control VM.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.Chunk chunks = 12;</code>
        */
-      public Builder addKeys(org.borageproxy.wire.proto.ControlProtocol.KeyState value) {
-        if (keysBuilder_ == null) {
+      public Builder addChunks(org.borageproxy.wire.proto.ControlProtocol.Chunk value) {
+        if (chunksBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensureKeysIsMutable();
-          keys_.add(value);
+          ensureChunksIsMutable();
+          chunks_.add(value);
           onChanged();
         } else {
-          keysBuilder_.addMessage(value);
+          chunksBuilder_.addMessage(value);
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       * <pre>
+       * The answer to ReadChunks, without the chunks that are unknown to the control VM.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.Chunk chunks = 12;</code>
        */
-      public Builder addKeys(
-          int index, org.borageproxy.wire.proto.ControlProtocol.KeyState value) {
-        if (keysBuilder_ == null) {
+      public Builder addChunks(
+          int index, org.borageproxy.wire.proto.ControlProtocol.Chunk value) {
+        if (chunksBuilder_ == null) {
           if (value == null) {
             throw new NullPointerException();
           }
-          ensureKeysIsMutable();
-          keys_.add(index, value);
+          ensureChunksIsMutable();
+          chunks_.add(index, value);
           onChanged();
         } else {
-          keysBuilder_.addMessage(index, value);
+          chunksBuilder_.addMessage(index, value);
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       * <pre>
+       * The answer to ReadChunks, without the chunks that are unknown to the control VM.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.Chunk chunks = 12;</code>
        */
-      public Builder addKeys(
-          org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder builderForValue) {
-        if (keysBuilder_ == null) {
-          ensureKeysIsMutable();
-          keys_.add(builderForValue.build());
+      public Builder addChunks(
+          org.borageproxy.wire.proto.ControlProtocol.Chunk.Builder builderForValue) {
+        if (chunksBuilder_ == null) {
+          ensureChunksIsMutable();
+          chunks_.add(builderForValue.build());
           onChanged();
         } else {
-          keysBuilder_.addMessage(builderForValue.build());
+          chunksBuilder_.addMessage(builderForValue.build());
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       * <pre>
+       * The answer to ReadChunks, without the chunks that are unknown to the control VM.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.Chunk chunks = 12;</code>
        */
-      public Builder addKeys(
-          int index, org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder builderForValue) {
-        if (keysBuilder_ == null) {
-          ensureKeysIsMutable();
-          keys_.add(index, builderForValue.build());
+      public Builder addChunks(
+          int index, org.borageproxy.wire.proto.ControlProtocol.Chunk.Builder builderForValue) {
+        if (chunksBuilder_ == null) {
+          ensureChunksIsMutable();
+          chunks_.add(index, builderForValue.build());
           onChanged();
         } else {
-          keysBuilder_.addMessage(index, builderForValue.build());
+          chunksBuilder_.addMessage(index, builderForValue.build());
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       * <pre>
+       * The answer to ReadChunks, without the chunks that are unknown to the control VM.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.Chunk chunks = 12;</code>
        */
-      public Builder addAllKeys(
-          java.lang.Iterable<? extends org.borageproxy.wire.proto.ControlProtocol.KeyState> values) {
-        if (keysBuilder_ == null) {
-          ensureKeysIsMutable();
+      public Builder addAllChunks(
+          java.lang.Iterable<? extends org.borageproxy.wire.proto.ControlProtocol.Chunk> values) {
+        if (chunksBuilder_ == null) {
+          ensureChunksIsMutable();
           com.google.protobuf.AbstractMessageLite.Builder.addAll(
-              values, keys_);
+              values, chunks_);
           onChanged();
         } else {
-          keysBuilder_.addAllMessages(values);
+          chunksBuilder_.addAllMessages(values);
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       * <pre>
+       * The answer to ReadChunks, without the chunks that are unknown to the control VM.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.Chunk chunks = 12;</code>
        */
-      public Builder clearKeys() {
-        if (keysBuilder_ == null) {
-          keys_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000100);
+      public Builder clearChunks() {
+        if (chunksBuilder_ == null) {
+          chunks_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000800);
           onChanged();
         } else {
-          keysBuilder_.clear();
+          chunksBuilder_.clear();
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       * <pre>
+       * The answer to ReadChunks, without the chunks that are unknown to the control VM.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.Chunk chunks = 12;</code>
        */
-      public Builder removeKeys(int index) {
-        if (keysBuilder_ == null) {
-          ensureKeysIsMutable();
-          keys_.remove(index);
+      public Builder removeChunks(int index) {
+        if (chunksBuilder_ == null) {
+          ensureChunksIsMutable();
+          chunks_.remove(index);
           onChanged();
         } else {
-          keysBuilder_.remove(index);
+          chunksBuilder_.remove(index);
         }
         return this;
       }
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       * <pre>
+       * The answer to ReadChunks, without the chunks that are unknown to the control VM.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.Chunk chunks = 12;</code>
        */
-      public org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder getKeysBuilder(
+      public org.borageproxy.wire.proto.ControlProtocol.Chunk.Builder getChunksBuilder(
           int index) {
-        return internalGetKeysFieldBuilder().getBuilder(index);
+        return internalGetChunksFieldBuilder().getBuilder(index);
       }
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       * <pre>
+       * The answer to ReadChunks, without the chunks that are unknown to the control VM.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.Chunk chunks = 12;</code>
        */
-      public org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder getKeysOrBuilder(
+      public org.borageproxy.wire.proto.ControlProtocol.ChunkOrBuilder getChunksOrBuilder(
           int index) {
-        if (keysBuilder_ == null) {
-          return keys_.get(index);  } else {
-          return keysBuilder_.getMessageOrBuilder(index);
+        if (chunksBuilder_ == null) {
+          return chunks_.get(index);  } else {
+          return chunksBuilder_.getMessageOrBuilder(index);
         }
       }
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       * <pre>
+       * The answer to ReadChunks, without the chunks that are unknown to the control VM.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.Chunk chunks = 12;</code>
        */
-      public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder> 
-           getKeysOrBuilderList() {
-        if (keysBuilder_ != null) {
-          return keysBuilder_.getMessageOrBuilderList();
+      public java.util.List<? extends org.borageproxy.wire.proto.ControlProtocol.ChunkOrBuilder> 
+           getChunksOrBuilderList() {
+        if (chunksBuilder_ != null) {
+          return chunksBuilder_.getMessageOrBuilderList();
         } else {
-          return java.util.Collections.unmodifiableList(keys_);
+          return java.util.Collections.unmodifiableList(chunks_);
         }
       }
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       * <pre>
+       * The answer to ReadChunks, without the chunks that are unknown to the control VM.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.Chunk chunks = 12;</code>
        */
-      public org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder addKeysBuilder() {
-        return internalGetKeysFieldBuilder().addBuilder(
-            org.borageproxy.wire.proto.ControlProtocol.KeyState.getDefaultInstance());
+      public org.borageproxy.wire.proto.ControlProtocol.Chunk.Builder addChunksBuilder() {
+        return internalGetChunksFieldBuilder().addBuilder(
+            org.borageproxy.wire.proto.ControlProtocol.Chunk.getDefaultInstance());
       }
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       * <pre>
+       * The answer to ReadChunks, without the chunks that are unknown to the control VM.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.Chunk chunks = 12;</code>
        */
-      public org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder addKeysBuilder(
+      public org.borageproxy.wire.proto.ControlProtocol.Chunk.Builder addChunksBuilder(
           int index) {
-        return internalGetKeysFieldBuilder().addBuilder(
-            index, org.borageproxy.wire.proto.ControlProtocol.KeyState.getDefaultInstance());
+        return internalGetChunksFieldBuilder().addBuilder(
+            index, org.borageproxy.wire.proto.ControlProtocol.Chunk.getDefaultInstance());
       }
       /**
-       * <code>repeated .borageproxy.control.KeyState keys = 9;</code>
+       * <pre>
+       * The answer to ReadChunks, without the chunks that are unknown to the control VM.
+       * </pre>
+       *
+       * <code>repeated .borageproxy.control.Chunk chunks = 12;</code>
        */
-      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder> 
-           getKeysBuilderList() {
-        return internalGetKeysFieldBuilder().getBuilderList();
+      public java.util.List<org.borageproxy.wire.proto.ControlProtocol.Chunk.Builder> 
+           getChunksBuilderList() {
+        return internalGetChunksFieldBuilder().getBuilderList();
       }
       private com.google.protobuf.RepeatedFieldBuilder<
-          org.borageproxy.wire.proto.ControlProtocol.KeyState, org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder, org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder> 
-          internalGetKeysFieldBuilder() {
-        if (keysBuilder_ == null) {
-          keysBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              org.borageproxy.wire.proto.ControlProtocol.KeyState, org.borageproxy.wire.proto.ControlProtocol.KeyState.Builder, org.borageproxy.wire.proto.ControlProtocol.KeyStateOrBuilder>(
-                  keys_,
-                  ((bitField0_ & 0x00000100) != 0),
+          org.borageproxy.wire.proto.ControlProtocol.Chunk, org.borageproxy.wire.proto.ControlProtocol.Chunk.Builder, org.borageproxy.wire.proto.ControlProtocol.ChunkOrBuilder> 
+          internalGetChunksFieldBuilder() {
+        if (chunksBuilder_ == null) {
+          chunksBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.Chunk, org.borageproxy.wire.proto.ControlProtocol.Chunk.Builder, org.borageproxy.wire.proto.ControlProtocol.ChunkOrBuilder>(
+                  chunks_,
+                  ((bitField0_ & 0x00000800) != 0),
                   getParentForChildren(),
                   isClean());
-          keys_ = null;
+          chunks_ = null;
         }
-        return keysBuilder_;
+        return chunksBuilder_;
+      }
+
+      private org.borageproxy.wire.proto.ControlProtocol.ChunkList answerChunks_;
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.ChunkList, org.borageproxy.wire.proto.ControlProtocol.ChunkList.Builder, org.borageproxy.wire.proto.ControlProtocol.ChunkListOrBuilder> answerChunksBuilder_;
+      /**
+       * <pre>
+       * The chunks of the encoded answer that this one stands for.
+       * </pre>
+       *
+       * <code>.borageproxy.control.ChunkList answer_chunks = 13;</code>
+       * @return Whether the answerChunks field is set.
+       */
+      public boolean hasAnswerChunks() {
+        return ((bitField0_ & 0x00001000) != 0);
+      }
+      /**
+       * <pre>
+       * The chunks of the encoded answer that this one stands for.
+       * </pre>
+       *
+       * <code>.borageproxy.control.ChunkList answer_chunks = 13;</code>
+       * @return The answerChunks.
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.ChunkList getAnswerChunks() {
+        if (answerChunksBuilder_ == null) {
+          return answerChunks_ == null ? org.borageproxy.wire.proto.ControlProtocol.ChunkList.getDefaultInstance() : answerChunks_;
+        } else {
+          return answerChunksBuilder_.getMessage();
+        }
+      }
+      /**
+       * <pre>
+       * The chunks of the encoded answer that this one stands for.
+       * </pre>
+       *
+       * <code>.borageproxy.control.ChunkList answer_chunks = 13;</code>
+       */
+      public Builder setAnswerChunks(org.borageproxy.wire.proto.ControlProtocol.ChunkList value) {
+        if (answerChunksBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          answerChunks_ = value;
+        } else {
+          answerChunksBuilder_.setMessage(value);
+        }
+        bitField0_ |= 0x00001000;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The chunks of the encoded answer that this one stands for.
+       * </pre>
+       *
+       * <code>.borageproxy.control.ChunkList answer_chunks = 13;</code>
+       */
+      public Builder setAnswerChunks(
+          org.borageproxy.wire.proto.ControlProtocol.ChunkList.Builder builderForValue) {
+        if (answerChunksBuilder_ == null) {
+          answerChunks_ = builderForValue.build();
+        } else {
+          answerChunksBuilder_.setMessage(builderForValue.build());
+        }
+        bitField0_ |= 0x00001000;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The chunks of the encoded answer that this one stands for.
+       * </pre>
+       *
+       * <code>.borageproxy.control.ChunkList answer_chunks = 13;</code>
+       */
+      public Builder mergeAnswerChunks(org.borageproxy.wire.proto.ControlProtocol.ChunkList value) {
+        if (answerChunksBuilder_ == null) {
+          if (((bitField0_ & 0x00001000) != 0) &&
+            answerChunks_ != null &&
+            answerChunks_ != org.borageproxy.wire.proto.ControlProtocol.ChunkList.getDefaultInstance()) {
+            getAnswerChunksBuilder().mergeFrom(value);
+          } else {
+            answerChunks_ = value;
+          }
+        } else {
+          answerChunksBuilder_.mergeFrom(value);
+        }
+        if (answerChunks_ != null) {
+          bitField0_ |= 0x00001000;
+          onChanged();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * The chunks of the encoded answer that this one stands for.
+       * </pre>
+       *
+       * <code>.borageproxy.control.ChunkList answer_chunks = 13;</code>
+       */
+      public Builder clearAnswerChunks() {
+        bitField0_ = (bitField0_ & ~0x00001000);
+        answerChunks_ = null;
+        if (answerChunksBuilder_ != null) {
+          answerChunksBuilder_.dispose();
+          answerChunksBuilder_ = null;
+        }
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The chunks of the encoded answer that this one stands for.
+       * </pre>
+       *
+       * <code>.borageproxy.control.ChunkList answer_chunks = 13;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.ChunkList.Builder getAnswerChunksBuilder() {
+        bitField0_ |= 0x00001000;
+        onChanged();
+        return internalGetAnswerChunksFieldBuilder().getBuilder();
+      }
+      /**
+       * <pre>
+       * The chunks of the encoded answer that this one stands for.
+       * </pre>
+       *
+       * <code>.borageproxy.control.ChunkList answer_chunks = 13;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.ChunkListOrBuilder getAnswerChunksOrBuilder() {
+        if (answerChunksBuilder_ != null) {
+          return answerChunksBuilder_.getMessageOrBuilder();
+        } else {
+          return answerChunks_ == null ?
+              org.borageproxy.wire.proto.ControlProtocol.ChunkList.getDefaultInstance() : answerChunks_;
+        }
+      }
+      /**
+       * <pre>
+       * The chunks of the encoded answer that this one stands for.
+       * </pre>
+       *
+       * <code>.borageproxy.control.ChunkList answer_chunks = 13;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.ChunkList, org.borageproxy.wire.proto.ControlProtocol.ChunkList.Builder, org.borageproxy.wire.proto.ControlProtocol.ChunkListOrBuilder> 
+          internalGetAnswerChunksFieldBuilder() {
+        if (answerChunksBuilder_ == null) {
+          answerChunksBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.ChunkList, org.borageproxy.wire.proto.ControlProtocol.ChunkList.Builder, org.borageproxy.wire.proto.ControlProtocol.ChunkListOrBuilder>(
+                  getAnswerChunks(),
+                  getParentForChildren(),
+                  isClean());
+          answerChunks_ = null;
+        }
+        return answerChunksBuilder_;
       }
 
       // @@protoc_insertion_point(builder_scope:borageproxy.control.WatchAnswer)
@@ -58015,6 +61398,16 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_borageproxy_control_Item_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_borageproxy_control_ChunkList_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_borageproxy_control_ChunkList_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_borageproxy_control_Chunk_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_borageproxy_control_Chunk_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_borageproxy_control_ControlSnapshot_descriptor;
   private static final 
@@ -58030,6 +61423,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_borageproxy_control_Watch_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_borageproxy_control_ReadChunks_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_borageproxy_control_ReadChunks_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_borageproxy_control_ReadServed_descriptor;
   private static final 
@@ -58219,7 +61617,7 @@
       "ly\030\004 \001(\0132\032.borageproxy.control.Reply\"a\n\017" +
       "RememberedReply\022\020\n\010identity\030\001 \001(\t\022\021\n\tat_" +
       "millis\030\002 \001(\003\022)\n\005reply\030\003 \001(\0132\032.borageprox" +
-      "y.control.Reply\"\350\002\n\004Item\022\014\n\004name\030\001 \001(\t\022\017" +
+      "y.control.Reply\"\232\003\n\004Item\022\014\n\004name\030\001 \001(\t\022\017" +
       "\n\007version\030\002 \001(\004\022.\n\004tree\030\003 \001(\0132\036.boragepr" +
       "oxy.control.TreeStateH\000\022,\n\003key\030\004 \001(\0132\035.b" +
       "orageproxy.control.KeyStateH\000\0220\n\005lease\030\005" +
@@ -58228,46 +61626,57 @@
       "shStateH\000\022+\n\002vm\030\007 \001(\0132\035.borageproxy.cont" +
       "rol.VmRecordH\000\022\021\n\007removed\030\010 \001(\010H\000\0226\n\010doc" +
       "ument\030\t \001(\0132\".borageproxy.control.Docume" +
-      "ntStateH\000B\007\n\005value\"\366\004\n\017ControlSnapshot\022\017" +
-      "\n\007version\030\001 \001(\004\022\020\n\010revision\030\002 \001(\004\022/\n\007his" +
-      "tory\030\004 \003(\0132\036.borageproxy.control.TreeSta" +
-      "te\022+\n\004keys\030\005 \003(\0132\035.borageproxy.control.K" +
-      "eyState\0221\n\007changes\030\006 \003(\0132 .borageproxy.c" +
-      "ontrol.ChangeState\0225\n\007replies\030\007 \003(\0132$.bo" +
-      "rageproxy.control.RememberedReply\022/\n\006cla" +
-      "ims\030\010 \003(\0132\037.borageproxy.control.ClaimSta" +
-      "te\022\030\n\020last_claim_epoch\030\t \001(\003\022/\n\006leases\030\n" +
-      " \003(\0132\037.borageproxy.control.LeaseState\0222\n" +
-      "\007intents\030\013 \003(\0132!.borageproxy.control.Int" +
-      "entRecord\022\032\n\022last_intent_number\030\014 \001(\003\0220\n" +
-      "\007crashes\030\r \003(\0132\037.borageproxy.control.Cra" +
-      "shState\022(\n\005items\030\016 \003(\0132\031.borageproxy.con" +
-      "trol.Item\022\026\n\016removals_since\030\017 \001(\004\0222\n\007str" +
-      "eams\030\036 \003(\0132!.borageproxy.control.StreamR" +
-      "ecordJ\004\010\003\020\004\"\241\002\n\014WatchRequest\022+\n\005watch\030\001 " +
-      "\001(\0132\032.borageproxy.control.WatchH\000\0226\n\013rea" +
-      "d_served\030\002 \001(\0132\037.borageproxy.control.Rea" +
-      "dServedH\000\0222\n\tread_tree\030\003 \001(\0132\035.boragepro" +
-      "xy.control.ReadTreeH\000\022<\n\016read_revisions\030" +
-      "\004 \001(\0132\".borageproxy.control.ReadRevision" +
-      "sH\000\0222\n\tread_keys\030\005 \001(\0132\035.borageproxy.con" +
-      "trol.ReadKeysH\000B\006\n\004body\"q\n\005Watch\022)\n\002vm\030\001" +
-      " \001(\0132\035.borageproxy.control.VmRecord\022\017\n\007v" +
-      "ersion\030\002 \001(\004\022\027\n\017served_revision\030\003 \001(\004\022\023\n" +
-      "\013wait_millis\030\004 \001(\r\"\014\n\nReadServed\"\034\n\010Read" +
-      "Tree\022\020\n\010revision\030\001 \001(\004\"\017\n\rReadRevisions\"" +
-      "\n\n\010ReadKeys\"\266\002\n\013WatchAnswer\022\021\n\tconfirmed" +
-      "\030\001 \001(\010\022\017\n\007version\030\002 \001(\004\022\020\n\010revision\030\003 \001(" +
-      "\004\022\014\n\004full\030\004 \001(\010\022(\n\005items\030\005 \003(\0132\031.boragep" +
-      "roxy.control.Item\022+\n\006served\030\006 \003(\0132\033.bora" +
-      "geproxy.control.Served\022,\n\004tree\030\007 \001(\0132\036.b" +
-      "orageproxy.control.TreeState\0221\n\trevision" +
-      "s\030\010 \003(\0132\036.borageproxy.control.TreeState\022" +
-      "+\n\004keys\030\t \003(\0132\035.borageproxy.control.KeyS" +
-      "tate\"H\n\006Served\022\n\n\002vm\030\001 \001(\t\022\020\n\010revision\030\002" +
-      " \001(\004\022\022\n\nage_millis\030\003 \001(\004\022\014\n\004zone\030\004 \001(\t\"\031" +
-      "\n\tZoneOrder\022\014\n\004zone\030\001 \001(\tB-\n\032org.boragep" +
-      "roxy.wire.protoB\017ControlProtocolb\006proto3"
+      "ntStateH\000\0220\n\006chunks\030\n \001(\0132\036.borageproxy." +
+      "control.ChunkListH\000B\007\n\005value\")\n\tChunkLis" +
+      "t\022\r\n\005names\030\001 \001(\014\022\r\n\005sizes\030\002 \003(\r\"/\n\005Chunk" +
+      "\022\017\n\007content\030\001 \001(\014\022\025\n\rinflated_size\030\002 \001(\r" +
+      "\"\366\004\n\017ControlSnapshot\022\017\n\007version\030\001 \001(\004\022\020\n" +
+      "\010revision\030\002 \001(\004\022/\n\007history\030\004 \003(\0132\036.borag" +
+      "eproxy.control.TreeState\022+\n\004keys\030\005 \003(\0132\035" +
+      ".borageproxy.control.KeyState\0221\n\007changes" +
+      "\030\006 \003(\0132 .borageproxy.control.ChangeState" +
+      "\0225\n\007replies\030\007 \003(\0132$.borageproxy.control." +
+      "RememberedReply\022/\n\006claims\030\010 \003(\0132\037.borage" +
+      "proxy.control.ClaimState\022\030\n\020last_claim_e" +
+      "poch\030\t \001(\003\022/\n\006leases\030\n \003(\0132\037.borageproxy" +
+      ".control.LeaseState\0222\n\007intents\030\013 \003(\0132!.b" +
+      "orageproxy.control.IntentRecord\022\032\n\022last_" +
+      "intent_number\030\014 \001(\003\0220\n\007crashes\030\r \003(\0132\037.b" +
+      "orageproxy.control.CrashState\022(\n\005items\030\016" +
+      " \003(\0132\031.borageproxy.control.Item\022\026\n\016remov" +
+      "als_since\030\017 \001(\004\0222\n\007streams\030\036 \003(\0132!.borag" +
+      "eproxy.control.StreamRecordJ\004\010\003\020\004\"\361\002\n\014Wa" +
+      "tchRequest\022+\n\005watch\030\001 \001(\0132\032.borageproxy." +
+      "control.WatchH\000\0226\n\013read_served\030\002 \001(\0132\037.b" +
+      "orageproxy.control.ReadServedH\000\0222\n\tread_" +
+      "tree\030\003 \001(\0132\035.borageproxy.control.ReadTre" +
+      "eH\000\022<\n\016read_revisions\030\004 \001(\0132\".borageprox" +
+      "y.control.ReadRevisionsH\000\0222\n\tread_keys\030\005" +
+      " \001(\0132\035.borageproxy.control.ReadKeysH\000\0226\n" +
+      "\013read_chunks\030\006 \001(\0132\037.borageproxy.control" +
+      ".ReadChunksH\000\022\026\n\016accepts_chunks\030\007 \001(\010B\006\n" +
+      "\004body\"\241\001\n\005Watch\022)\n\002vm\030\001 \001(\0132\035.borageprox" +
+      "y.control.VmRecord\022\017\n\007version\030\002 \001(\004\022\027\n\017s" +
+      "erved_revision\030\003 \001(\004\022\023\n\013wait_millis\030\004 \001(" +
+      "\r\022\026\n\016accepts_chunks\030\005 \001(\010\022\026\n\016complete_si" +
+      "nce\030\006 \001(\004\"\033\n\nReadChunks\022\r\n\005names\030\001 \001(\014\"\014" +
+      "\n\nReadServed\"\034\n\010ReadTree\022\020\n\010revision\030\001 \001" +
+      "(\004\"\017\n\rReadRevisions\"\n\n\010ReadKeys\"\277\003\n\013Watc" +
+      "hAnswer\022\021\n\tconfirmed\030\001 \001(\010\022\017\n\007version\030\002 " +
+      "\001(\004\022\020\n\010revision\030\003 \001(\004\022\014\n\004full\030\004 \001(\010\022(\n\005i" +
+      "tems\030\005 \003(\0132\031.borageproxy.control.Item\022+\n" +
+      "\006served\030\006 \003(\0132\033.borageproxy.control.Serv" +
+      "ed\022,\n\004tree\030\007 \001(\0132\036.borageproxy.control.T" +
+      "reeState\0221\n\trevisions\030\010 \003(\0132\036.borageprox" +
+      "y.control.TreeState\022+\n\004keys\030\t \003(\0132\035.bora" +
+      "geproxy.control.KeyState\022\014\n\004more\030\n \001(\010\022\026" +
+      "\n\016newest_version\030\013 \001(\004\022*\n\006chunks\030\014 \003(\0132\032" +
+      ".borageproxy.control.Chunk\0225\n\ranswer_chu" +
+      "nks\030\r \001(\0132\036.borageproxy.control.ChunkLis" +
+      "t\"H\n\006Served\022\n\n\002vm\030\001 \001(\t\022\020\n\010revision\030\002 \001(" +
+      "\004\022\022\n\nage_millis\030\003 \001(\004\022\014\n\004zone\030\004 \001(\t\"\031\n\tZ" +
+      "oneOrder\022\014\n\004zone\030\001 \001(\tB-\n\032org.borageprox" +
+      "y.wire.protoB\017ControlProtocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -58560,63 +61969,81 @@
     internal_static_borageproxy_control_Item_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Item_descriptor,
-        new java.lang.String[] { "Name", "Version", "Tree", "Key", "Lease", "Crash", "Vm", "Removed", "Document", "Value", });
-    internal_static_borageproxy_control_ControlSnapshot_descriptor =
+        new java.lang.String[] { "Name", "Version", "Tree", "Key", "Lease", "Crash", "Vm", "Removed", "Document", "Chunks", "Value", });
+    internal_static_borageproxy_control_ChunkList_descriptor =
       getDescriptor().getMessageType(48);
+    internal_static_borageproxy_control_ChunkList_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_borageproxy_control_ChunkList_descriptor,
+        new java.lang.String[] { "Names", "Sizes", });
+    internal_static_borageproxy_control_Chunk_descriptor =
+      getDescriptor().getMessageType(49);
+    internal_static_borageproxy_control_Chunk_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_borageproxy_control_Chunk_descriptor,
+        new java.lang.String[] { "Content", "InflatedSize", });
+    internal_static_borageproxy_control_ControlSnapshot_descriptor =
+      getDescriptor().getMessageType(50);
     internal_static_borageproxy_control_ControlSnapshot_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ControlSnapshot_descriptor,
         new java.lang.String[] { "Version", "Revision", "History", "Keys", "Changes", "Replies", "Claims", "LastClaimEpoch", "Leases", "Intents", "LastIntentNumber", "Crashes", "Items", "RemovalsSince", "Streams", });
     internal_static_borageproxy_control_WatchRequest_descriptor =
-      getDescriptor().getMessageType(49);
+      getDescriptor().getMessageType(51);
     internal_static_borageproxy_control_WatchRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_WatchRequest_descriptor,
-        new java.lang.String[] { "Watch", "ReadServed", "ReadTree", "ReadRevisions", "ReadKeys", "Body", });
+        new java.lang.String[] { "Watch", "ReadServed", "ReadTree", "ReadRevisions", "ReadKeys", "ReadChunks", "AcceptsChunks", "Body", });
     internal_static_borageproxy_control_Watch_descriptor =
-      getDescriptor().getMessageType(50);
+      getDescriptor().getMessageType(52);
     internal_static_borageproxy_control_Watch_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Watch_descriptor,
-        new java.lang.String[] { "Vm", "Version", "ServedRevision", "WaitMillis", });
+        new java.lang.String[] { "Vm", "Version", "ServedRevision", "WaitMillis", "AcceptsChunks", "CompleteSince", });
+    internal_static_borageproxy_control_ReadChunks_descriptor =
+      getDescriptor().getMessageType(53);
+    internal_static_borageproxy_control_ReadChunks_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_borageproxy_control_ReadChunks_descriptor,
+        new java.lang.String[] { "Names", });
     internal_static_borageproxy_control_ReadServed_descriptor =
-      getDescriptor().getMessageType(51);
+      getDescriptor().getMessageType(54);
     internal_static_borageproxy_control_ReadServed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ReadServed_descriptor,
         new java.lang.String[] { });
     internal_static_borageproxy_control_ReadTree_descriptor =
-      getDescriptor().getMessageType(52);
+      getDescriptor().getMessageType(55);
     internal_static_borageproxy_control_ReadTree_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ReadTree_descriptor,
         new java.lang.String[] { "Revision", });
     internal_static_borageproxy_control_ReadRevisions_descriptor =
-      getDescriptor().getMessageType(53);
+      getDescriptor().getMessageType(56);
     internal_static_borageproxy_control_ReadRevisions_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ReadRevisions_descriptor,
         new java.lang.String[] { });
     internal_static_borageproxy_control_ReadKeys_descriptor =
-      getDescriptor().getMessageType(54);
+      getDescriptor().getMessageType(57);
     internal_static_borageproxy_control_ReadKeys_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ReadKeys_descriptor,
         new java.lang.String[] { });
     internal_static_borageproxy_control_WatchAnswer_descriptor =
-      getDescriptor().getMessageType(55);
+      getDescriptor().getMessageType(58);
     internal_static_borageproxy_control_WatchAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_WatchAnswer_descriptor,
-        new java.lang.String[] { "Confirmed", "Version", "Revision", "Full", "Items", "Served", "Tree", "Revisions", "Keys", });
+        new java.lang.String[] { "Confirmed", "Version", "Revision", "Full", "Items", "Served", "Tree", "Revisions", "Keys", "More", "NewestVersion", "Chunks", "AnswerChunks", });
     internal_static_borageproxy_control_Served_descriptor =
-      getDescriptor().getMessageType(56);
+      getDescriptor().getMessageType(59);
     internal_static_borageproxy_control_Served_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Served_descriptor,
         new java.lang.String[] { "Vm", "Revision", "AgeMillis", "Zone", });
     internal_static_borageproxy_control_ZoneOrder_descriptor =
-      getDescriptor().getMessageType(57);
+      getDescriptor().getMessageType(60);
     internal_static_borageproxy_control_ZoneOrder_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ZoneOrder_descriptor,
--- a/src/test/java/org/borageproxy/logging/PublicationChainsTest.java
+++ b/src/test/java/org/borageproxy/logging/PublicationChainsTest.java
@@ -26,7 +26,7 @@
                 line("05.000", "publication-served vm=a number=4 routes=50 workspaces=2 read_ms=5"),
                 line("05.000", "publication-served vm=b number=4 routes=50 workspaces=2 read_ms=5"),
                 line("10.040", "publication-served vm=a number=18 routes=50 workspaces=2 read_ms=5"),
-                line("11.000", "state-request-failed vm=b target=c1 reason=TIMEOUT waited_ms=600 times=1"),
+                line("11.000", "state-request-unsuccessful vm=b target=c1 reason=TIMEOUT waited_ms=600 times=1"),
                 line("12.000", "publication-arrived vm=b number=18 version=7 from=c2 request_ms=4 transfer_ms=30"),
                 line("12.050", "publication-served vm=b number=18 routes=50 workspaces=2 read_ms=16")));
         assertEquals(2, listed.size());
@@ -44,7 +44,7 @@
         List<String> listed = chains.list(List.of(
                 SUBMITTED,
                 line("05.000", "publication-served vm=b number=4 routes=50 workspaces=2 read_ms=5"),
-                line("11.000", "state-request-failed vm=b target=c1 reason=TIMEOUT waited_ms=600 times=1")));
+                line("11.000", "state-request-unsuccessful vm=b target=c1 reason=TIMEOUT waited_ms=600 times=1")));
         assertTrue(
                 listed.get(0)
                         .endsWith("vms=1 missing=1 slowest=b took_ms=never link=ANSWERED reasons=[c1:TIMEOUT]"
