Replace connections between VMs that are silent within 3 s

Cause: a connection that is open and carries nothing was closed after three idle periods of 1.5 s, and an entry, which has one to every control VM, asked over each of them in turn.

Change: periods of 0.85 s, longer than a watch waits, so that a VM at rest sends no pings; bytes of a frame that is still arriving count as a sign of life.

--- a/src/main/java/org/borageproxy/wire/DialingHandler.java
+++ b/src/main/java/org/borageproxy/wire/DialingHandler.java
@@ -24,7 +24,7 @@
     private final CompletableFuture<Channel> ready;
     /** The nonce that the peer has to sign. */
     private final byte[] challenge = PeerCredential.newChallenge();
-    /** Periods without received frames since the last one was received. */
+    /** Periods without received bytes since the last ones were received. */
     private int idlePeriods;
     /** Whether a frame was sent and none was received since. */
     private boolean isAwaitingFrame;
@@ -62,6 +62,13 @@
         }
     }
 
+    /** Bytes have arrived, if not a whole frame: a large one may take several periods. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        idlePeriods = 0;
+        context.fireChannelReadComplete();
+    }
+
     private void read(ChannelHandlerContext context, Frame frame) {
         idlePeriods = 0;
         isAwaitingFrame = false;
--- a/src/main/java/org/borageproxy/wire/NettyVmNetwork.java
+++ b/src/main/java/org/borageproxy/wire/NettyVmNetwork.java
@@ -38,8 +38,12 @@
     private static final int NETWORK_THREADS = 2;
     /** Limits the TCP connect, and also connect and handshake together. */
     private static final int DIAL_TIMEOUT_MILLIS = 1_000;
-    /** The period without received frames after which the dialing end sends a ping. */
-    private static final int PING_IDLE_MILLIS = 1_500;
+    /**
+     * The period without received bytes after which the dialing end sends a ping. Longer than a watch of the state
+     * waits for a change, so that a VM at rest sends no pings; three of them pass before a VM with silent connections
+     * counts as in touch again.
+     */
+    private static final int PING_IDLE_MILLIS = 850;
     /** Much longer than the dialing end's limit, so that normally the dialing end closes a dead connection. */
     private static final int ACCEPTED_IDLE_TIMEOUT_MILLIS = 30_000;
 
