--- a/src/main/java/org/borageproxy/spread/ControlStateWatcher.java
+++ b/src/main/java/org/borageproxy/spread/ControlStateWatcher.java
@@ -516,13 +516,22 @@
             }
         }
 
-        /** Lets the next answer name the chunks again, as the control VMs divide the value now. */
+        /**
+         * Turns to a newer value, or lets the next answer name the chunks again, as the control VMs divide the value
+         * now.
+         */
         @Override
         public void onUnavailable(StateTransfers.Transfer transfer) {
             synchronized (ControlStateWatcher.this) {
+                if (!transfers.isPresent(transfer)) {
+                    return;
+                }
                 transfers.end(transfer, false);
                 Item missing = state.missing().get(transfer.name());
-                if (missing != null) {
+                if (missing != null
+                        && missing.getVersion() > transfer.reference().getVersion()) {
+                    transfers.fetch(state.missing(), transfer.source(), 0);
+                } else if (missing != null) {
                     long version = missing.getVersion() - 1;
                     namedAgainAfter = Optional.of(namedAgainAfter
                             .map(other -> Math.min(other, version))
--- a/src/main/java/org/borageproxy/spread/StateTransfers.java
+++ b/src/main/java/org/borageproxy/spread/StateTransfers.java
@@ -31,7 +31,7 @@
     private final Listener listener;
     private final Map<String, Transfer> transfers = new HashMap<>();
 
-    /** Chunks of the last value of each record that came in chunks. */
+    /** Chunks of the last value of each record that came in chunks, and of what has arrived of another one since. */
     private final Map<String, Map<ChunkName, ByteString>> keptChunks = new HashMap<>();
 
     /** Receives the values. */
@@ -92,8 +92,11 @@
         Transfer current = transfers.get(reference.getName());
         if (current != null) {
             held.putAll(current.fetch().held());
-            boolean isSame = current.reference().getVersion() == reference.getVersion();
-            if (isSame || manifest.missingBytes(held.keySet()) > current.fetch().missingBytes()) {
+            if (current.reference().getVersion() == reference.getVersion()) {
+                return;
+            }
+            if (manifest.missingBytes(held.keySet()) > current.fetch().missingBytes()) {
+                current.fetch().markReplaced();
                 return;
             }
             current.fetch().cancel();
@@ -107,12 +110,13 @@
         environment.timer().schedule(Duration.ZERO, fetch::start);
     }
 
-    /** Forgets a transfer that has ended, and keeps its chunks if they are a whole value. */
+    /** Forgets a transfer that has ended. Its chunks are kept, instead of those before if they are a whole value. */
     void end(Transfer transfer, boolean isComplete) {
         transfers.remove(transfer.name(), transfer);
-        if (isComplete) {
-            keptChunks.put(transfer.name(), transfer.fetch().held());
-        }
+        Map<ChunkName, ByteString> kept =
+                new HashMap<>(isComplete ? Map.of() : keptChunks.getOrDefault(transfer.name(), Map.of()));
+        kept.putAll(transfer.fetch().held());
+        keptChunks.put(transfer.name(), kept);
     }
 
     /** Returns whether a transfer is the present one of its record. */
--- a/src/main/java/org/borageproxy/transfer/ChunkFetch.java
+++ b/src/main/java/org/borageproxy/transfer/ChunkFetch.java
@@ -33,8 +33,8 @@
  * Fetches a content from the control VMs, a few chunks at a time. What has arrived is kept, also if it came late, and
  * is not requested again; a silent control VM costs at most the chunks that were requested of it. Each answer takes
  * about a tenth of a second, so that other messages on the same link wait no longer. Ends when the content is complete,
- * when no control VM has the missing chunks, or when it is cancelled. Thread safe; the listener is called without a
- * lock.
+ * when no control VM that answers has the missing chunks (the first that lacks them, if there is a newer content), or
+ * when it is cancelled. Thread safe; the listener is called without a lock.
  */
 public final class ChunkFetch {
 
@@ -77,6 +77,9 @@
     /** Control VMs that do not have the chunks. */
     private final Set<VmName> lacking = new HashSet<>();
 
+    /** Control VMs that have not answered a request in time, nor any since. */
+    private final Set<VmName> silent = new HashSet<>();
+
     /** Latest request to each control VM that has not answered it. */
     private final Map<VmName, Request> unanswered = new HashMap<>();
 
@@ -93,6 +96,7 @@
 
     private long lastRequest;
     private long receivedBytes;
+    private boolean isReplaced;
     private boolean isEnded;
 
     /**
@@ -115,7 +119,7 @@
          */
         void onComplete(ByteString content);
 
-        /** No control VM has the missing chunks, which belong to a content that is older than theirs. */
+        /** No control VM that answers has the missing chunks, which belong to a content that is older than theirs. */
         void onUnavailable();
     }
 
@@ -161,6 +165,11 @@
         isEnded = true;
     }
 
+    /** Lets the fetch give up as soon as a control VM does not have the chunks, since there is a newer content. */
+    public synchronized void markReplaced() {
+        isReplaced = true;
+    }
+
     /**
      * Returns the chunks that have arrived or were held.
      *
@@ -212,7 +221,11 @@
             return new Step.Complete(assemble());
         }
         List<VmName> sources = environment.sources().get();
-        if (!sources.isEmpty() && lacking.containsAll(sources)) {
+        boolean isLacking = sources.stream().anyMatch(lacking::contains);
+        if (isLacking && isReplaced) {
+            return new Step.GiveUp();
+        }
+        if (isLacking && sources.stream().allMatch(vm -> lacking.contains(vm) || silent.contains(vm))) {
             return new Step.GiveUp();
         }
         long nowNanos = environment.clock().nanoTime();
@@ -293,6 +306,7 @@
                 return;
             }
             silentRequests++;
+            silent.add(request.source());
             batchBytes = Math.max(MINIMUM_BATCH_BYTES, batchBytes / 2);
             latestSource = Optional.empty();
         }
@@ -311,6 +325,9 @@
             if (isEnded) {
                 return;
             }
+            if (failure == null) {
+                silent.remove(request.source());
+            }
             isLatest = request.number() == lastRequest;
             isUseful = failure == null && store(request, answer);
             if (isUseful) {
--- a/src/test/java/org/borageproxy/control/FleetFake.java
+++ b/src/test/java/org/borageproxy/control/FleetFake.java
@@ -45,9 +45,15 @@
     /** Rates at which answers reach a VM one after the other, in bytes per second; others arrive at once. */
     private final Map<VmName, Long> linkRates = new LinkedHashMap<>();
 
+    /** Rates at which requests leave a VM one after the other, in bytes per second; others leave at once. */
+    private final Map<VmName, Long> uplinkRates = new LinkedHashMap<>();
+
     /** Time at which the answers sent to a VM so far will have arrived. */
     private final Map<VmName, Long> linkFreeAtNanos = new LinkedHashMap<>();
 
+    /** Time at which the requests of a VM so far will have left it. */
+    private final Map<VmName, Long> uplinkFreeAtNanos = new LinkedHashMap<>();
+
     /** The VM that was asked last, by the asking VM and the message kind. */
     private final Map<String, VmName> lastRecipients = new LinkedHashMap<>();
 
@@ -112,6 +118,11 @@
         linkRates.put(new VmName(name), bytesPerSecond);
     }
 
+    /** Limits the rate at which requests leave a VM, in bytes per second; zero for no limit. */
+    public void limitUplink(String name, long bytesPerSecond) {
+        uplinkRates.put(new VmName(name), bytesPerSecond);
+    }
+
     /** Returns the VM that was sent the last request of a kind. */
     public VmName lastRecipient(String sender, MessageKind kind) {
         return lastRecipients.get(sender + " " + kind);
@@ -267,7 +278,8 @@
                             remaining, () -> answer.completeExceptionally(new UnreachableException("deadline passed")));
             bytes += body.size();
             lastRecipients.put(self + " " + kind, recipient);
-            timer().schedule(Duration.ofMillis(1), () -> {
+            Duration onTheWay = transferTime(body.size(), uplinkRates, uplinkFreeAtNanos);
+            timer().schedule(onTheWay.plusMillis(1), () -> {
                 VmNetwork.Handler handler = handlers.get(recipient + " " + kind);
                 if (handler != null && !isolated.contains(self) && !isSilent(recipient)) {
                     handler.handle(self, body).thenAccept(encoded -> deliver(recipient, kind, encoded, answer));
@@ -291,21 +303,22 @@
                 dropNextCommandAnswer = false;
                 return;
             }
-            timer().schedule(transferTime(encoded.size()).plusMillis(1), () -> {
+            Duration onTheWay = transferTime(encoded.size(), linkRates, linkFreeAtNanos);
+            timer().schedule(onTheWay.plusMillis(1), () -> {
                 if (!isSilent(sender)) {
                     answer.complete(encoded);
                 }
             });
         }
 
-        private Duration transferTime(int size) {
-            long rate = linkRates.getOrDefault(self, 0L);
+        private Duration transferTime(int size, Map<VmName, Long> rates, Map<VmName, Long> freeAtNanos) {
+            long rate = rates.getOrDefault(self, 0L);
             if (rate == 0) {
                 return Duration.ZERO;
             }
-            long beginAtNanos = Math.max(nowNanos, linkFreeAtNanos.getOrDefault(self, nowNanos));
+            long beginAtNanos = Math.max(nowNanos, freeAtNanos.getOrDefault(self, nowNanos));
             long endAtNanos = beginAtNanos + size * 1_000_000_000L / rate;
-            linkFreeAtNanos.put(self, endAtNanos);
+            freeAtNanos.put(self, endAtNanos);
             return Duration.ofNanos(endAtNanos - nowNanos);
         }
 
--- a/src/test/java/org/borageproxy/spread/PublicationArrivalTest.java
+++ b/src/test/java/org/borageproxy/spread/PublicationArrivalTest.java
@@ -3,7 +3,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.Random;
 
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
 import org.borageproxy.spread.WatchingFleet.Entry;
 import org.borageproxy.wire.proto.ControlProtocol.Command;
 import org.borageproxy.wire.proto.ControlProtocol.RegisterVm;
@@ -171,6 +175,79 @@
         assertTrue(received < size / 10, received + " bytes for a change of one route in " + size);
     }
 
+    /**
+     * Guards against VMs that go on with an old publication after a series of publications, silent and replaced control
+     * VMs, links of changing rates and restarts: each VM in touch obeys the newest in time and none goes back.
+     */
+    @Property(tries = 60, seed = "64")
+    void entriesInTouchObeyNewestPublicationAfterAnySchedule(@ForAll long seed) {
+        Random random = new Random(seed);
+        WatchingFleet fleet = new WatchingFleet(random.nextInt(4));
+        List<Entry> entries = new ArrayList<>(List.of(fleet.entry("e1"), fleet.entry("e2"), fleet.entry("e3")));
+        int[] rates = new int[entries.size()];
+        for (int index = 0; index < rates.length; index++) {
+            rates[index] = limitLink(fleet, index, random);
+        }
+        long number = 0;
+        int lastBytes = 0;
+        int earlierBytes = 0;
+        Optional<String> silent = Optional.empty();
+        for (int step = 0; step < 25; step++) {
+            int choice = random.nextInt(10);
+            if (choice < 5) {
+                earlierBytes = Math.max(earlierBytes, lastBytes);
+                lastBytes = 1_000 + random.nextInt(random.nextInt(4) == 0 ? 2_000_000 : 400_000);
+                fleet.publish(++number, WatchingFleet.randomContent(random.nextInt(3), lastBytes));
+            } else if (choice < 7) {
+                silent.ifPresent(fleet.fleet::unsilence);
+                silent = Optional.of("c" + (1 + random.nextInt(3)));
+                fleet.fleet.silence(silent.get());
+            } else if (choice < 8) {
+                int index = random.nextInt(rates.length);
+                rates[index] = limitLink(fleet, index, random);
+            } else if (choice < 9) {
+                int index = random.nextInt(entries.size());
+                entries.get(index).watcher().stop();
+                assertTrue(entries.get(index).neverWentBack());
+                entries.set(index, fleet.entry("e" + (index + 1)));
+            }
+            fleet.fleet.run(Duration.ofMillis(random.nextInt(1_500)));
+        }
+        fleet.publish(++number, WatchingFleet.randomContent(random.nextInt(3), 50_000));
+        for (int index = 0; index < entries.size(); index++) {
+            // What was on its way may have to arrive before it.
+            Duration bound = bound(50_000L + lastBytes + earlierBytes, rates[index]);
+            Duration took = fleet.timeUntilObeyed(entries.get(index), number, bound);
+            assertTrue(took.compareTo(bound) <= 0, "e" + (index + 1) + " at " + rates[index] + "/s, seed " + seed);
+            assertTrue(entries.get(index).neverWentBack());
+        }
+    }
+
+    private static int limitLink(WatchingFleet fleet, int index, Random random) {
+        int rate = RATES.get(random.nextInt(RATES.size()));
+        fleet.fleet.limitLink("e" + (index + 1), rate);
+        return rate;
+    }
+
+    /** Guards against a VM that waits for ever for the rest of a publication that only a silent control VM has. */
+    @Test
+    void publicationArrivesAlthoughAnOlderOneIsNotToBeHadAnyMore() {
+        WatchingFleet fleet = new WatchingFleet(2);
+        Entry entry = fleet.entry("e1");
+        assertTrue(fleet.fleet.runUntil(entry.watcher()::isReady, Duration.ofSeconds(30)));
+        fleet.fleet.run(START);
+        int rate = 187_500;
+        int size = 400_000;
+        fleet.fleet.limitLink("e1", rate);
+        fleet.publish(1, WatchingFleet.randomContent(1, size));
+        fleet.fleet.run(Duration.ofMillis(1_900));
+        fleet.fleet.silence(fleet.watchedBy("e1").value());
+        fleet.publish(2, WatchingFleet.randomContent(2, size));
+        Duration bound = bound(size, rate);
+        Duration took = fleet.timeUntilObeyed(entry, 2, bound);
+        assertTrue(took.compareTo(bound) <= 0, entry.obeyed() + " after " + took);
+    }
+
     /** Guards against a VM that stays behind after a publication that replaced another one on its way. */
     @Test
     void publicationArrivesAfterItsControlVmFellSilentOnTheWay() {
