Refuse requests as not run while a newer publication is overdue

What callers would see: a request that runs as only an older configuration allows, with a withdrawn key or on a dropped route, at an entry that knows that a newer one has been acknowledged and has not received it.

Decision: such an entry refuses (503, come back) once the time in which entries must obey a publication has passed since its state was last known to be current.

OldPublicationTest.requestIsRefusedAsNotRunWhileNewerPublicationIsOverdue.

--- a/src/main/java/org/borageproxy/forward/ForwardServer.java
+++ b/src/main/java/org/borageproxy/forward/ForwardServer.java
@@ -65,6 +65,7 @@
     private final ForwardContext context;
     private final Supplier<Optional<ServedPublication>> publications;
     private final BooleanSupplier isPublicationCurrent;
+    private final BooleanSupplier isPublicationOverdue;
     private final RandomGenerator random;
     private HttpServer server;
     /** The exchanges in flight and their requests. */
@@ -92,10 +93,33 @@
             Supplier<Optional<ServedPublication>> publications,
             BooleanSupplier isPublicationCurrent,
             RandomGenerator random) {
+        this(vertx, context, publications, isPublicationCurrent, () -> false, random);
+    }
+
+    /**
+     * Creates a server that refuses requests while a newer publication is overdue.
+     *
+     * @param vertx runs the server
+     * @param context the collaborators of forwarding
+     * @param publications supplies the publication in force; empty until one is available
+     * @param isPublicationCurrent whether no newer publication can be due; otherwise a request that the one in force
+     *     does not allow may be allowed elsewhere
+     * @param isPublicationOverdue whether a newer publication is known that should be in force by now; it may not allow
+     *     what the one in force does
+     * @param random the source for draws of services by weight
+     */
+    public ForwardServer(
+            Vertx vertx,
+            ForwardContext context,
+            Supplier<Optional<ServedPublication>> publications,
+            BooleanSupplier isPublicationCurrent,
+            BooleanSupplier isPublicationOverdue,
+            RandomGenerator random) {
         this.vertx = vertx;
         this.context = context;
         this.publications = publications;
         this.isPublicationCurrent = isPublicationCurrent;
+        this.isPublicationOverdue = isPublicationOverdue;
         this.random = random;
     }
 
@@ -258,6 +282,10 @@
                     Optional.of(NO_PUBLICATION_RETRY_AFTER));
             return false;
         }
+        if (isPublicationOverdue.getAsBoolean()) {
+            refuseSinceOldPublication(request, fields.requestIdentity());
+            return false;
+        }
         Optional<PublishedRoute> route = served.get().route(hostOf(request), pathOf(request.uri()));
         if (route.isEmpty()) {
             refuseByPublication(request, fields.requestIdentity(), RefusalReason.NO_ROUTE);
@@ -300,10 +328,14 @@
         if (isPublicationCurrent.getAsBoolean()) {
             refuse(request, identity, reason, Optional.empty());
         } else {
-            refuse(request, identity, RefusalReason.OLD_PUBLICATION, Optional.of(NO_PUBLICATION_RETRY_AFTER));
+            refuseSinceOldPublication(request, identity);
         }
     }
 
+    private static void refuseSinceOldPublication(HttpServerRequest request, String identity) {
+        refuse(request, identity, RefusalReason.OLD_PUBLICATION, Optional.of(NO_PUBLICATION_RETRY_AFTER));
+    }
+
     private BufferedRequest bufferedRequest(
             HttpServerRequest request,
             byte[] body,
--- a/src/main/java/org/borageproxy/forward/RefusalReason.java
+++ b/src/main/java/org/borageproxy/forward/RefusalReason.java
@@ -4,7 +4,7 @@
 public enum RefusalReason {
     /** No publication is available yet. */
     NO_PUBLICATION(503, "no-publication"),
-    /** The publication in force does not allow the request, and a newer one may be due. */
+    /** The publication in force does not allow the request and a newer one may be due, or a newer one is overdue. */
     OLD_PUBLICATION(503, "old-publication"),
     /** No route matches the host and path. */
     NO_ROUTE(404, "no-route"),
--- a/src/main/java/org/borageproxy/server/GatewayEntry.java
+++ b/src/main/java/org/borageproxy/server/GatewayEntry.java
@@ -154,11 +154,20 @@
                 buffers,
                 metrics);
         publicationReader = new PublicationReader(runtime.protocol()::parsePublication, runtime.timer(), this::serve);
-        server = new ForwardServer(
-                runtime.vertx(), context, () -> servedPublication, this::isPublicationCurrent, random);
+        server = createServer(context, random);
         subscribe();
     }
 
+    private ForwardServer createServer(ForwardContext context, Random random) {
+        return new ForwardServer(
+                runtime.vertx(),
+                context,
+                () -> servedPublication,
+                this::isPublicationCurrent,
+                this::isPublicationOverdue,
+                random);
+    }
+
     private void subscribe() {
         runtime.spread().subscribeDrainedZones(zones -> runtime.eventLoop().execute(() -> applyDrains(zones)));
         runtime.spread().subscribeDocument(document -> {
@@ -285,10 +294,21 @@
      * here.
      */
     private boolean isPublicationCurrent() {
+        return publicationReader.isCurrent() && isStateConfirmedInTime();
+    }
+
+    /**
+     * Returns whether a newer publication is known and entries may take no longer to obey it. An entry that is cut off
+     * from the control group knows of none and goes on.
+     */
+    private boolean isPublicationOverdue() {
+        return runtime.spread().isDocumentMissing() && !isStateConfirmedInTime();
+    }
+
+    private boolean isStateConfirmedInTime() {
         long applyNanos =
                 TimeUnit.MILLISECONDS.toNanos(runtime.settings().bounds().publicationDelayMillis());
-        return publicationReader.isCurrent()
-                && runtime.spread().isConfirmedAfter(runtime.clock().nanoTime() - applyNanos);
+        return runtime.spread().isConfirmedAfter(runtime.clock().nanoTime() - applyNanos);
     }
 
     private UsageReport createUsageReport() {
--- a/src/test/java/org/borageproxy/platform/ForwardingFixture.java
+++ b/src/test/java/org/borageproxy/platform/ForwardingFixture.java
@@ -67,6 +67,7 @@
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
     private final ContextInternal context = ((VertxInternal) vertx).createEventLoopContext();
     private final AtomicBoolean isPublicationCurrent = new AtomicBoolean(true);
+    private final AtomicBoolean isPublicationOverdue = new AtomicBoolean();
     private final BufferAccount buffers;
     private final ForwardServer forwarding;
     private final int port;
@@ -163,7 +164,12 @@
                 ForwardMetrics.NoOp.INSTANCE);
         ServedPublication served = new ServedPublication(publication(routeTimeout, coordinator.map(vm -> ENGINES)));
         forwarding = new ForwardServer(
-                vertx, forwardContext, () -> Optional.of(served), isPublicationCurrent::get, new Random(1));
+                vertx,
+                forwardContext,
+                () -> Optional.of(served),
+                isPublicationCurrent::get,
+                isPublicationOverdue::get,
+                new Random(1));
         try (ServerSocket free = new ServerSocket(0)) {
             port = free.getLocalPort();
         }
@@ -244,6 +250,11 @@
         isPublicationCurrent.set(isCurrent);
     }
 
+    /** Sets whether a newer publication is known that should be in force. */
+    void setPublicationOverdue(boolean isOverdue) {
+        isPublicationOverdue.set(isOverdue);
+    }
+
     int port() {
         return port;
     }
--- a/src/test/java/org/borageproxy/platform/OldPublicationTest.java
+++ b/src/test/java/org/borageproxy/platform/OldPublicationTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /**
@@ -41,6 +42,17 @@
         assertRetryIsInvited(call("/once/", "new-key"));
     }
 
+    /**
+     * Guards against a request that runs as only an older publication allows, at an entry that knows of a newer one.
+     */
+    @Test
+    void requestIsRefusedAsNotRunWhileNewerPublicationIsOverdue() throws Exception {
+        forwarding.setPublicationOverdue(true);
+        assertRetryIsInvited(call("/once/", "key-w"));
+        forwarding.setPublicationOverdue(false);
+        assertFalse(call("/once/", "key-w").contains("old-publication"));
+    }
+
     private static void assertRetryIsInvited(String answer) {
         assertTrue(answer.startsWith("HTTP/1.1 503") && answer.contains("etry-"), answer);
     }
