End the registration of control VMs that are gone

Cause: only an operator's command ended a registration, so that every VM went on asking control VMs that had been replaced. Change: the leader ends it with the removal of the VM's last member, unless the VM applies again; one that lives after all registers with its next request. AdmissionPolicyTest.vmIsGoneOnceItsLastMemberIsRemovedUnlessItAppliesAgain; not run with real processes.

--- a/src/main/java/org/borageproxy/control/AdmissionPolicy.java
+++ b/src/main/java/org/borageproxy/control/AdmissionPolicy.java
@@ -142,6 +142,21 @@
         return nextVoterChange(status, nowNanos);
     }
 
+    /**
+     * Returns whether a change removes the last member of a VM that does not apply for admission any more.
+     *
+     * @param change a committed change
+     * @param before the members before it
+     * @return {@code true} if the VM takes part in the group no longer
+     */
+    public boolean isVmGoneAfter(MemberChange change, Members before) {
+        boolean hasOther = before.all().stream()
+                .anyMatch(other -> other.name().equals(change.member().name()) && !other.equals(change.member()));
+        return change instanceof MemberChange.Remove
+                && !hasOther
+                && !applications.containsKey(change.member().name());
+    }
+
     /**
      * Returns the promotion of a learner, or, if there are already enough voters, the removal of a voter that it can
      * replace.
--- a/src/main/java/org/borageproxy/control/AdmissionService.java
+++ b/src/main/java/org/borageproxy/control/AdmissionService.java
@@ -7,7 +7,9 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import com.google.protobuf.ByteString;
@@ -45,6 +47,7 @@
     private final MonotonicClock clock;
     private final Timer timer;
     private final AtomicBoolean isChangeInProgress = new AtomicBoolean();
+    private final List<Consumer<VmName>> removalListeners = new CopyOnWriteArrayList<>();
     private volatile boolean isRunning;
 
     /**
@@ -72,6 +75,15 @@
         this.timer = timer;
     }
 
+    /**
+     * Registers a listener that is called on the leader after it has removed the member of a VM that is gone.
+     *
+     * @param listener receives the name of the VM
+     */
+    public void onRemoved(Consumer<VmName> listener) {
+        removalListeners.add(listener);
+    }
+
     /** Starts applying for membership and admitting applicants. */
     public void start() {
         isRunning = true;
@@ -137,11 +149,22 @@
                     isChangeInProgress.set(false);
                     logChange(change, status, outcome);
                     if (outcome instanceof ChangeOutcome.Committed) {
+                        announceRemoval(change, status);
                         timer.schedule(NEXT_CHANGE_DELAY, this::admit);
                     }
                 });
     }
 
+    private void announceRemoval(MemberChange change, MemberStatus before) {
+        boolean isVmGone;
+        synchronized (policy) {
+            isVmGone = policy.isVmGoneAfter(change, before.members());
+        }
+        if (isVmGone) {
+            removalListeners.forEach(listener -> listener.accept(change.member().name()));
+        }
+    }
+
     private static void logChange(MemberChange change, MemberStatus status, ChangeOutcome outcome) {
         LOGGER.info(
                 "event=members-change change={} member={} voters={} answering={} outcome={}",
--- a/src/main/java/org/borageproxy/server/GatewayControl.java
+++ b/src/main/java/org/borageproxy/server/GatewayControl.java
@@ -58,6 +58,7 @@
 import org.borageproxy.wire.MessageKind;
 import org.borageproxy.wire.proto.ControlProtocol.Command;
 import org.borageproxy.wire.proto.ControlProtocol.PublishDocument;
+import org.borageproxy.wire.proto.ControlProtocol.RemoveVm;
 import org.borageproxy.wire.proto.CoordinationProtocol.CoordinationUpdate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -150,6 +151,18 @@
                 runtime::controlVms,
                 runtime.clock(),
                 runtime.timer());
+        admission.onRemoved(this::endRegistration);
+    }
+
+    /** Ends the registration of a control VM that is gone, so that no VM asks it any more; one that lives registers. */
+    private void endRegistration(VmName vm) {
+        Command.Builder command =
+                Command.newBuilder().setRemoveVm(RemoveVm.newBuilder().setName(vm.value()));
+        client.submit(command, Deadline.after(runtime.clock().nanoTime(), PUBLISH_TIMEOUT))
+                .thenAccept(submission -> LOGGER.info(
+                        "event=control-vm-unregistered vm={} outcome={}",
+                        vm,
+                        submission.getClass().getSimpleName()));
     }
 
     /**
--- a/src/test/java/org/borageproxy/control/AdmissionPolicyTest.java
+++ b/src/test/java/org/borageproxy/control/AdmissionPolicyTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -56,6 +57,19 @@
                 nextChange(policy, members.without(C), Set.of(A, B), 0));
     }
 
+    /** Guards against control VMs that every VM asks for ever after they are gone. */
+    @Test
+    void vmIsGoneOnceItsLastMemberIsRemovedUnlessItAppliesAgain() {
+        Members members = Members.ofVoters(List.of(A, B, C));
+        MemberChange removal = new MemberChange.Remove(C);
+        assertTrue(policy.isVmGoneAfter(removal, members));
+        MemberId renewed = MemberId.random(new VmName("c"));
+        assertFalse(policy.isVmGoneAfter(removal, members.withLearner(renewed)));
+        assertFalse(policy.isVmGoneAfter(new MemberChange.Promote(C), members));
+        policy.recordApplication(renewed, 0);
+        assertFalse(policy.isVmGoneAfter(removal, members));
+    }
+
     @Test
     void silentVoterIsRemovedOnlyOnceALearnerIsAvailable() {
         AdmissionPolicy three = new AdmissionPolicy(1 + 2, CATCH_UP_TIME);
