Let operators read and change large trees over slow links

Large answers come in chunks; an attempt has the time that its bytes may need (100 kB/s) on top. A change may still travel once to each control VM while its leader is not found.

--- a/src/main/java/org/borageproxy/control/ControlClient.java
+++ b/src/main/java/org/borageproxy/control/ControlClient.java
@@ -41,9 +41,12 @@
  */
 public final class ControlClient {
 
-    /** Maximum time for one attempt. */
+    /** Maximum time for one attempt, beyond the time that its bytes may need. */
     private static final Duration ATTEMPT_TIMEOUT = Duration.ofMillis(1000);
 
+    /** Rate of a slow link: an attempt that ends earlier would send the command again from its start. */
+    private static final int SLOW_BYTES_PER_MILLI = 100;
+
     /**
      * Time without an answer after which another control VM is asked, and minimum interval of such attempts of this
      * client. A quarter of the second for which operators wait: a leader that answers later than this is as good as
@@ -170,6 +173,16 @@
         return Deadline.after(clock.nanoTime(), duration);
     }
 
+    /**
+     * Returns the time that a command may need on a slow link.
+     *
+     * @param bytes the size of the command
+     * @return the time
+     */
+    public static Duration transferTime(int bytes) {
+        return Duration.ofMillis(bytes / SLOW_BYTES_PER_MILLI);
+    }
+
     /**
      * Submits a command under a new identity and retries until the deadline.
      *
@@ -418,7 +431,8 @@
 
         private void send(VmName target) {
             long nowNanos = clock.nanoTime();
-            Deadline attemptDeadline = deadline.earlierOf(Deadline.after(nowNanos, ATTEMPT_TIMEOUT));
+            Duration timeout = ATTEMPT_TIMEOUT.plus(transferTime(command.getSerializedSize()));
+            Deadline attemptDeadline = deadline.earlierOf(Deadline.after(nowNanos, timeout));
             ByteString request = CommandRequest.newBuilder()
                     .setCommand(command)
                     .setRemainingMillis(attemptDeadline.remainingMillis(nowNanos))
--- a/src/main/java/org/borageproxy/operator/ChangeSubmitter.java
+++ b/src/main/java/org/borageproxy/operator/ChangeSubmitter.java
@@ -24,7 +24,7 @@
  */
 final class ChangeSubmitter {
 
-    /** The time limit for submitting a change. */
+    /** The time limit for submitting a change, beyond the time that its bytes may need. */
     private static final Duration SUBMIT_TIMEOUT = Duration.ofSeconds(8);
 
     /** The longest time to wait for a revision to be in force; longer waits are shortened to it. */
@@ -65,10 +65,12 @@
      * Submits a change under a new command identity.
      *
      * @param command the change
-     * @return the outcome, at the latest shortly after {@link #SUBMIT_TIMEOUT}; never fails
+     * @return the outcome, at the latest shortly after {@link #SUBMIT_TIMEOUT} and the time for the bytes; never fails
      */
     CompletionStage<Submission> submit(Command.Builder command) {
-        return client.submit(command, client.deadlineAfter(SUBMIT_TIMEOUT));
+        Duration timeout =
+                SUBMIT_TIMEOUT.plus(ControlClient.transferTime(command.build().getSerializedSize()));
+        return client.submit(command, client.deadlineAfter(timeout));
     }
 
     /**
--- a/src/main/java/org/borageproxy/server/VmProcess.java
+++ b/src/main/java/org/borageproxy/server/VmProcess.java
@@ -240,7 +240,7 @@
     }
 
     private List<OperatorRoute> operatorRoutes() {
-        StateReader reader = new StateReader(runtime.network(), runtime::controlVms, runtime.clock());
+        StateReader reader = new StateReader(runtime.network(), runtime::controlVms, runtime.clock(), runtime.timer());
         FleetTimeLine timeLine =
                 new FleetTimeLine(runtime.timeLine(), runtime.network(), runtime.directory()::names, runtime.clock());
         MembersClient members = new MembersClient(runtime.network(), runtime.controlVms(), runtime.clock());
--- a/src/main/java/org/borageproxy/spread/StateReader.java
+++ b/src/main/java/org/borageproxy/spread/StateReader.java
@@ -5,14 +5,20 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
 
+import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import org.borageproxy.control.ControlClient;
+import org.borageproxy.control.Timer;
 import org.borageproxy.time.Deadline;
 import org.borageproxy.time.MonotonicClock;
+import org.borageproxy.transfer.ChunkFetch;
+import org.borageproxy.transfer.Manifest;
 import org.borageproxy.vm.VmName;
 import org.borageproxy.wire.MessageKind;
 import org.borageproxy.wire.VmNetwork;
@@ -20,28 +26,54 @@
 import org.borageproxy.wire.proto.ControlProtocol.Served;
 import org.borageproxy.wire.proto.ControlProtocol.WatchAnswer;
 import org.borageproxy.wire.proto.ControlProtocol.WatchRequest;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
-/** Reads the control group's state for operators, from any VM. Stateless and thread safe. */
+/**
+ * Reads the control group's state for operators, from any VM. Large answers come in chunks, if there is a timer.
+ * Stateless and thread safe.
+ */
 public final class StateReader {
 
-    /** Maximum time for the answer of one control VM. */
+    private static final Logger LOGGER = LoggerFactory.getLogger(StateReader.class);
+
+    /** Maximum time for the answer of one control VM, and for its chunks beyond the time that their bytes may need. */
     private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(700);
 
     private final VmNetwork network;
     private final Supplier<List<VmName>> controlVms;
     private final MonotonicClock clock;
+    private final Optional<Timer> timer;
 
     /**
-     * Creates a reader.
+     * Creates a reader of answers that arrive whole.
      *
      * @param network the network between VMs; must reach this VM too if it is a control VM
      * @param controlVms supplies the control VMs
      * @param clock the monotonic clock
      */
     public StateReader(VmNetwork network, Supplier<List<VmName>> controlVms, MonotonicClock clock) {
+        this(network, controlVms, clock, Optional.empty());
+    }
+
+    /**
+     * Creates a reader.
+     *
+     * @param network the network between VMs; must reach this VM too if it is a control VM
+     * @param controlVms supplies the control VMs
+     * @param clock the monotonic clock
+     * @param timer schedules the requests for chunks
+     */
+    public StateReader(VmNetwork network, Supplier<List<VmName>> controlVms, MonotonicClock clock, Timer timer) {
+        this(network, controlVms, clock, Optional.of(timer));
+    }
+
+    private StateReader(
+            VmNetwork network, Supplier<List<VmName>> controlVms, MonotonicClock clock, Optional<Timer> timer) {
         this.network = network;
         this.controlVms = controlVms;
         this.clock = clock;
+        this.timer = timer;
     }
 
     /**
@@ -51,7 +83,9 @@
      * @return the answer, empty if no control VM confirms one
      */
     public CompletionStage<Optional<WatchAnswer>> read(WatchRequest request) {
-        return readFrom(List.copyOf(controlVms.get()), 0, request);
+        WatchRequest accepting =
+                request.toBuilder().setAcceptsChunks(timer.isPresent()).build();
+        return readFrom(List.copyOf(controlVms.get()), 0, accepting);
     }
 
     /**
@@ -92,12 +126,60 @@
         if (position >= vms.size()) {
             return CompletableFuture.completedFuture(Optional.empty());
         }
-        return request(vms.get(position), request)
+        VmName vm = vms.get(position);
+        return request(vm, request)
+                .thenCompose(answer ->
+                        answer.hasAnswerChunks() ? fetch(vm, answer) : CompletableFuture.completedFuture(answer))
                 .thenCompose(answer -> answer.getConfirmed()
                         ? CompletableFuture.completedFuture(Optional.of(answer))
                         : readFrom(vms, position + 1, request));
     }
 
+    /**
+     * Fetches the answer that another one names by its chunks. It becomes the default instance, which is unconfirmed,
+     * if it does not arrive in the time that it may need on a slow link.
+     */
+    private CompletionStage<WatchAnswer> fetch(VmName vm, WatchAnswer named) {
+        CompletableFuture<WatchAnswer> whole = new CompletableFuture<>();
+        Timer ticks = timer.orElseThrow();
+        try {
+            Manifest manifest = Manifest.decode(named.getAnswerChunks());
+            ChunkFetch fetch = new ChunkFetch(
+                    manifest,
+                    Map.of(),
+                    new ChunkFetch.Environment(network, () -> List.of(vm), clock, ticks),
+                    new Receiver(whole));
+            Duration timeout = ANSWER_TIMEOUT.plus(ControlClient.transferTime((int) manifest.missingBytes(Set.of())));
+            ticks.schedule(timeout, () -> {
+                fetch.cancel();
+                whole.complete(WatchAnswer.getDefaultInstance());
+            });
+            fetch.start();
+        } catch (IllegalArgumentException exception) {
+            LOGGER.warn("event=chunks-malformed source={}", vm, exception);
+            whole.complete(WatchAnswer.getDefaultInstance());
+        }
+        return whole;
+    }
+
+    private record Receiver(CompletableFuture<WatchAnswer> whole) implements ChunkFetch.Listener {
+
+        @Override
+        public void onComplete(ByteString content) {
+            try {
+                whole.complete(WatchAnswer.parseFrom(content));
+            } catch (InvalidProtocolBufferException exception) {
+                LOGGER.warn("event=chunks-malformed", exception);
+                whole.complete(WatchAnswer.getDefaultInstance());
+            }
+        }
+
+        @Override
+        public void onUnavailable() {
+            whole.complete(WatchAnswer.getDefaultInstance());
+        }
+    }
+
     /**
      * Sends a request to one control VM. Failures and malformed answers become the default instance, which is
      * unconfirmed.
