Bring long lists of backend servers in several answers

Answers to digests stop at 32 kB and say so; the next digest brings the rest from one VM. MembershipExchangeTest.longListOfServersArrivesInSeveralAnswers, 3,000 servers.

--- a/src/main/java/org/borageproxy/membership/MembershipExchange.java
+++ b/src/main/java/org/borageproxy/membership/MembershipExchange.java
@@ -46,6 +46,8 @@
     private static final int FANOUT = 4;
     /** Maximum number of updates in one message. */
     private static final int MAX_BATCH_UPDATES = 200;
+    /** Size of the updates in the answer to a digest from which further ones follow in the next. */
+    private static final int MAX_ANSWER_BYTES = 32 << 10;
     /** Maximum time for the answer to a digest. */
     private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(2);
 
@@ -59,7 +61,11 @@
     private final Set<BackendServerName> pendingHeartbeats = new HashSet<>();
     /** Servers with a heartbeat for the next batch to the observers; guarded by this. */
     private final Set<BackendServerName> pendingObservations = new HashSet<>();
-    /** Whether a digest has been answered since the start, or no other VM was known. */
+    /** VM that is sent one digest after the other, since its answers leave updates out; guarded by this. */
+    private Optional<VmName> continuedPeer = Optional.empty();
+    /** Time from which another VM may take its place; guarded by this. */
+    private Deadline nextDigestPermittedAt;
+    /** Whether a digest has been answered in full since the start, or no other VM was known. */
     private volatile boolean isSynchronized;
 
     /** Creates an exchange and registers it as the handler of membership messages. */
@@ -74,6 +80,7 @@
         this.peers = peers;
         this.clock = clock;
         this.random = random;
+        this.nextDigestPermittedAt = new Deadline(clock.nanoTime());
         network.registerHandler(MessageKind.MEMBERSHIP, this::receive);
     }
 
@@ -147,21 +154,53 @@
         }
         Collections.shuffle(known, random);
         List<VmName> recipients = isSynchronized ? known.subList(0, 1) : known;
-        ByteString message =
-                MembershipMessage.newBuilder().setDigest(digest()).build().toByteString();
+        ByteString message = encodedDigest();
         recipients.forEach(peer -> sendDigest(peer, message));
     }
 
+    private ByteString encodedDigest() {
+        return MembershipMessage.newBuilder()
+                .setDigest(digest())
+                .setAcceptsPartial(true)
+                .build()
+                .toByteString();
+    }
+
     /** Sends a digest to a VM and applies the updates of its answer. */
     private void sendDigest(VmName peer, ByteString message) {
         network.request(peer, MessageKind.MEMBERSHIP, message, Deadline.after(clock.nanoTime(), ANSWER_TIMEOUT))
                 .thenAccept(answer -> {
                     apply(peer, answer);
-                    isSynchronized = true;
+                    if (hasMore(answer)) {
+                        sendNextDigest(peer);
+                    } else {
+                        isSynchronized = true;
+                    }
                 });
     }
 
-    /** Whether another VM has answered a digest since the start, or there was none. */
+    /** Sends the digest that brings the updates left out of an answer, to one VM at a time. */
+    private void sendNextDigest(VmName peer) {
+        long nowNanos = clock.nanoTime();
+        synchronized (this) {
+            if (!nextDigestPermittedAt.hasPassed(nowNanos) && !continuedPeer.equals(Optional.of(peer))) {
+                return;
+            }
+            continuedPeer = Optional.of(peer);
+            nextDigestPermittedAt = Deadline.after(nowNanos, ANSWER_TIMEOUT);
+        }
+        sendDigest(peer, encodedDigest());
+    }
+
+    private static boolean hasMore(ByteString answer) {
+        try {
+            return MembershipMessage.parseFrom(answer).getMore();
+        } catch (InvalidProtocolBufferException malformed) {
+            return false;
+        }
+    }
+
+    /** Whether another VM has answered a digest in full since the start, or there was none. */
     boolean isSynchronized() {
         return isSynchronized;
     }
@@ -208,11 +247,9 @@
             isComplete &= applyOrIgnore(sender, update);
         }
         if (!isComplete) {
-            sendDigest(
-                    sender,
-                    MembershipMessage.newBuilder().setDigest(digest()).build().toByteString());
+            sendDigest(sender, encodedDigest());
         }
-        return message.hasDigest() ? answerDigest(message.getDigest()) : ByteString.EMPTY;
+        return message.hasDigest() ? answerDigest(message.getDigest(), message.getAcceptsPartial()) : ByteString.EMPTY;
     }
 
     /** Applies an update; one that is malformed is ignored, and so hides none of the others. */
@@ -267,14 +304,19 @@
     }
 
     /** Answers a digest with the records that are missing at its sender or newer than there. */
-    private ByteString answerDigest(Digest digest) {
+    private ByteString answerDigest(Digest digest, boolean acceptsPartial) {
         Map<String, DigestLine> lines = new HashMap<>();
         digest.getLinesList().forEach(line -> lines.put(line.getName(), line));
         long nowNanos = clock.nanoTime();
         MembershipMessage.Builder message = MembershipMessage.newBuilder();
+        int bytes = 0;
         for (ServerRecord known : registry.records()) {
             DigestLine line = lines.get(known.name().value());
             if (line == null || isNewer(known, line)) {
+                if (acceptsPartial && bytes >= MAX_ANSWER_BYTES) {
+                    message.setMore(true);
+                    break;
+                }
                 boolean isContentKnown = digest.getPresenceOnly()
                         && line != null
                         && line.getIncarnation() == known.incarnation()
@@ -283,6 +325,7 @@
                         isContentKnown
                                 ? MembershipCodec.encodeHeartbeat(known, nowNanos)
                                 : MembershipCodec.encodeFull(known, nowNanos));
+                bytes += message.getUpdates(message.getUpdatesCount() - 1).getSerializedSize();
             }
         }
         return message.build().toByteString();
--- a/src/main/java/org/borageproxy/wire/proto/MembershipProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/MembershipProtocol.java
@@ -8075,6 +8075,26 @@
      * <code>.borageproxy.membership.Digest digest = 2;</code>
      */
     org.borageproxy.wire.proto.MembershipProtocol.DigestOrBuilder getDigestOrBuilder();
+
+    /**
+     * <pre>
+     * Of a digest: whether its answer may leave updates out.
+     * </pre>
+     *
+     * <code>bool accepts_partial = 3;</code>
+     * @return The acceptsPartial.
+     */
+    boolean getAcceptsPartial();
+
+    /**
+     * <pre>
+     * Of an answer to a digest: whether updates were left out; another digest brings the next ones.
+     * </pre>
+     *
+     * <code>bool more = 4;</code>
+     * @return The more.
+     */
+    boolean getMore();
   }
   /**
    * <pre>
@@ -8191,6 +8211,36 @@
       return digest_ == null ? org.borageproxy.wire.proto.MembershipProtocol.Digest.getDefaultInstance() : digest_;
     }
 
+    public static final int ACCEPTS_PARTIAL_FIELD_NUMBER = 3;
+    private boolean acceptsPartial_ = false;
+    /**
+     * <pre>
+     * Of a digest: whether its answer may leave updates out.
+     * </pre>
+     *
+     * <code>bool accepts_partial = 3;</code>
+     * @return The acceptsPartial.
+     */
+    @java.lang.Override
+    public boolean getAcceptsPartial() {
+      return acceptsPartial_;
+    }
+
+    public static final int MORE_FIELD_NUMBER = 4;
+    private boolean more_ = false;
+    /**
+     * <pre>
+     * Of an answer to a digest: whether updates were left out; another digest brings the next ones.
+     * </pre>
+     *
+     * <code>bool more = 4;</code>
+     * @return The more.
+     */
+    @java.lang.Override
+    public boolean getMore() {
+      return more_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -8211,6 +8261,12 @@
       if (((bitField0_ & 0x00000001) != 0)) {
         output.writeMessage(2, getDigest());
       }
+      if (acceptsPartial_ != false) {
+        output.writeBool(3, acceptsPartial_);
+      }
+      if (more_ != false) {
+        output.writeBool(4, more_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -8233,6 +8289,14 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(2, getDigest());
       }
+      if (acceptsPartial_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(3, acceptsPartial_);
+      }
+      if (more_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(4, more_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -8255,6 +8319,10 @@
         if (!getDigest()
             .equals(other.getDigest())) return false;
       }
+      if (getAcceptsPartial()
+          != other.getAcceptsPartial()) return false;
+      if (getMore()
+          != other.getMore()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -8274,6 +8342,12 @@
         hash = (37 * hash) + DIGEST_FIELD_NUMBER;
         hash = (53 * hash) + getDigest().hashCode();
       }
+      hash = (37 * hash) + ACCEPTS_PARTIAL_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getAcceptsPartial());
+      hash = (37 * hash) + MORE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getMore());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -8428,6 +8502,8 @@
           digestBuilder_.dispose();
           digestBuilder_ = null;
         }
+        acceptsPartial_ = false;
+        more_ = false;
         return this;
       }
 
@@ -8481,6 +8557,12 @@
               : digestBuilder_.build();
           to_bitField0_ |= 0x00000001;
         }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.acceptsPartial_ = acceptsPartial_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.more_ = more_;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -8525,6 +8607,12 @@
         if (other.hasDigest()) {
           mergeDigest(other.getDigest());
         }
+        if (other.getAcceptsPartial() != false) {
+          setAcceptsPartial(other.getAcceptsPartial());
+        }
+        if (other.getMore() != false) {
+          setMore(other.getMore());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -8571,6 +8659,16 @@
                 bitField0_ |= 0x00000002;
                 break;
               } // case 18
+              case 24: {
+                acceptsPartial_ = input.readBool();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 32: {
+                more_ = input.readBool();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -8949,6 +9047,94 @@
         return digestBuilder_;
       }
 
+      private boolean acceptsPartial_ ;
+      /**
+       * <pre>
+       * Of a digest: whether its answer may leave updates out.
+       * </pre>
+       *
+       * <code>bool accepts_partial = 3;</code>
+       * @return The acceptsPartial.
+       */
+      @java.lang.Override
+      public boolean getAcceptsPartial() {
+        return acceptsPartial_;
+      }
+      /**
+       * <pre>
+       * Of a digest: whether its answer may leave updates out.
+       * </pre>
+       *
+       * <code>bool accepts_partial = 3;</code>
+       * @param value The acceptsPartial to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAcceptsPartial(boolean value) {
+
+        acceptsPartial_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Of a digest: whether its answer may leave updates out.
+       * </pre>
+       *
+       * <code>bool accepts_partial = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAcceptsPartial() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        acceptsPartial_ = false;
+        onChanged();
+        return this;
+      }
+
+      private boolean more_ ;
+      /**
+       * <pre>
+       * Of an answer to a digest: whether updates were left out; another digest brings the next ones.
+       * </pre>
+       *
+       * <code>bool more = 4;</code>
+       * @return The more.
+       */
+      @java.lang.Override
+      public boolean getMore() {
+        return more_;
+      }
+      /**
+       * <pre>
+       * Of an answer to a digest: whether updates were left out; another digest brings the next ones.
+       * </pre>
+       *
+       * <code>bool more = 4;</code>
+       * @param value The more to set.
+       * @return This builder for chaining.
+       */
+      public Builder setMore(boolean value) {
+
+        more_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Of an answer to a digest: whether updates were left out; another digest brings the next ones.
+       * </pre>
+       *
+       * <code>bool more = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearMore() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        more_ = false;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.membership.MembershipMessage)
     }
 
@@ -9075,10 +9261,11 @@
       "e\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010sequence" +
       "\030\003 \001(\004\022\014\n\004left\030\004 \001(\010J\004\010\005\020\006\"R\n\006Digest\0221\n\005" +
       "lines\030\001 \003(\0132\".borageproxy.membership.Dig" +
-      "estLine\022\025\n\rpresence_only\030\002 \001(\010\"z\n\021Member" +
-      "shipMessage\0225\n\007updates\030\001 \003(\0132$.boragepro" +
-      "xy.membership.ServerUpdate\022.\n\006digest\030\002 \001" +
-      "(\0132\036.borageproxy.membership.DigestB0\n\032or" +
+      "estLine\022\025\n\rpresence_only\030\002 \001(\010\"\241\001\n\021Membe" +
+      "rshipMessage\0225\n\007updates\030\001 \003(\0132$.boragepr" +
+      "oxy.membership.ServerUpdate\022.\n\006digest\030\002 " +
+      "\001(\0132\036.borageproxy.membership.Digest\022\027\n\017a" +
+      "ccepts_partial\030\003 \001(\010\022\014\n\004more\030\004 \001(\010B0\n\032or" +
       "g.borageproxy.wire.protoB\022MembershipProt" +
       "ocolb\006proto3"
     };
@@ -9133,7 +9320,7 @@
     internal_static_borageproxy_membership_MembershipMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_membership_MembershipMessage_descriptor,
-        new java.lang.String[] { "Updates", "Digest", });
+        new java.lang.String[] { "Updates", "Digest", "AcceptsPartial", "More", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/src/test/java/org/borageproxy/membership/InMemoryNetwork.java
+++ b/src/test/java/org/borageproxy/membership/InMemoryNetwork.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import com.google.protobuf.ByteString;
 import org.borageproxy.time.Deadline;
@@ -20,6 +21,7 @@
     private final Map<VmName, Boolean> isolated = new ConcurrentHashMap<>();
     private final Map<VmName, Integer> receivedBytes = new ConcurrentHashMap<>();
     private final Map<VmName, Set<VmName>> senders = new ConcurrentHashMap<>();
+    private final AtomicInteger largestAnswer = new AtomicInteger();
 
     VmNetwork at(VmName vm) {
         handlers.put(vm, new ConcurrentHashMap<>());
@@ -40,7 +42,10 @@
                 receivedBytes.merge(recipient, body.size(), Integer::sum);
                 senders.computeIfAbsent(recipient, name -> ConcurrentHashMap.newKeySet())
                         .add(vm);
-                return handler.handle(vm, body);
+                return handler.handle(vm, body).thenApply(answer -> {
+                    largestAnswer.accumulateAndGet(answer.size(), Math::max);
+                    return answer;
+                });
             }
 
             @Override
@@ -50,6 +55,11 @@
         };
     }
 
+    /** Returns the size of the largest answer to a request. */
+    int largestAnswer() {
+        return largestAnswer.get();
+    }
+
     /** Returns the bytes of the messages and requests that a VM has received. */
     int receivedBytes(VmName vm) {
         return receivedBytes.getOrDefault(vm, 0);
--- a/src/test/java/org/borageproxy/membership/MembershipExchangeTest.java
+++ b/src/test/java/org/borageproxy/membership/MembershipExchangeTest.java
@@ -66,6 +66,21 @@
         assertEquals(BackendServerState.LEAVING, secondRegistry.current().get(0).state());
     }
 
+    /** Guards against a restarted VM that never gets the list of servers, since the whole is more than one answer. */
+    @Test
+    void longListOfServersArrivesInSeveralAnswers() {
+        int count = 3_000;
+        network.isolate(SECOND);
+        for (int number = 0; number < count; number++) {
+            firstRegistry.announce(BackendServerRegistryTest.announcement(number, 1, 1), 0);
+        }
+        network.reconnect(SECOND);
+        second.exchangeDigests();
+        assertEquals(count, secondRegistry.current().size());
+        assertTrue(second.isSynchronized());
+        assertTrue(network.largestAnswer() < 64 << 10, network.largestAnswer() + " bytes in one answer");
+    }
+
     /** Guards against VMs that stop following the list of servers because one entry of it is malformed. */
     @Test
     void malformedUpdateHidesNoOthers() {
