Bring the inventories of large fleets in several answers

Answers stop at 16 kB; the entry goes on after the last server. Earlier builds get the whole as before.

--- a/src/main/java/org/borageproxy/coordination/Coordinator.java
+++ b/src/main/java/org/borageproxy/coordination/Coordinator.java
@@ -156,7 +156,7 @@
         update.setWithdraws(isWithdrawn(sender, report, update));
         update.setContentsVersion(placement.inventoryVersion());
         if (report.getContentsVersion() != placement.inventoryVersion()) {
-            placement.inventories().forEach((name, inventory) -> update.addContents(inventory.encode(name)));
+            InventoryProgress.addContents(report, placement.inventories(), update);
         }
         // The term makes the versions of two coordinators differ.
         long limitsVersion = (update.getTerm() << Integer.SIZE) + limits.version();
--- a/src/main/java/org/borageproxy/server/GatewayEntry.java
+++ b/src/main/java/org/borageproxy/server/GatewayEntry.java
@@ -20,6 +20,7 @@
 import org.borageproxy.control.RepeatedTask;
 import org.borageproxy.coordination.CoordinationClient;
 import org.borageproxy.coordination.EntrySpeeds;
+import org.borageproxy.coordination.InventoryProgress;
 import org.borageproxy.coordination.ModelInventory;
 import org.borageproxy.execution.CrashProbe;
 import org.borageproxy.execution.RetryBudgets;
@@ -84,7 +85,7 @@
     private long documentArrivedAtNanos;
 
     private int entryCount = RetryBudgets.ASSUMED_ENTRY_COUNT;
-    private long inventoryVersion;
+    private InventoryProgress inventoryProgress = InventoryProgress.NONE;
     /** Other entries through which the servers can be reached. */
     private List<VmName> relays = List.of();
 
@@ -318,12 +319,12 @@
                 .addAllWorkspaces(rateShares.collectUsage(runtime.clock().nanoTime()))
                 .addAllDemands(pool.demand().drain())
                 .setLastSlot(slotClient.lastSlot())
-                .setContentsVersion(inventoryVersion)
                 .addAllPaces(latencyRatios())
                 .addAllBegunStreams(streamOrigins.collectUnreported())
                 .addAllStatedLimits(pool.statements().collectUnreported())
                 .setLimitsVersion(limitsVersion)
                 .setRelays(relay.isAvailable());
+        inventoryProgress.addTo(report);
         speeds.addTo(report);
         report.setSaturated(saturation.sample(server.connectionCount(), server.unsentConnectionCount()));
         return report.build();
@@ -357,8 +358,9 @@
                     .orElse(Map.of());
             rateShares.applyShares(workspaces, update.getSharesList(), reportedAtNanos);
         }
-        if (update.getContentsVersion() != 0) {
-            inventoryVersion = update.getContentsVersion();
+        inventoryProgress = inventoryProgress.advance(update);
+        if (inventoryProgress.isPartial()) {
+            coordination.requestUrgentReport();
         }
         Map<BackendServerName, ModelInventory> inventories = new HashMap<>();
         update.getContentsList()
--- a/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/CoordinationProtocol.java
@@ -357,6 +357,36 @@
      * @return The saturated.
      */
     boolean getSaturated();
+
+    /**
+     * <pre>
+     * Whether the contents may come in several answers.
+     * </pre>
+     *
+     * <code>bool accepts_partial_contents = 53;</code>
+     * @return The acceptsPartialContents.
+     */
+    boolean getAcceptsPartialContents();
+
+    /**
+     * <pre>
+     * The last server of the contents that have come so far in several answers.
+     * </pre>
+     *
+     * <code>string contents_after = 54;</code>
+     * @return The contentsAfter.
+     */
+    java.lang.String getContentsAfter();
+    /**
+     * <pre>
+     * The last server of the contents that have come so far in several answers.
+     * </pre>
+     *
+     * <code>string contents_after = 54;</code>
+     * @return The bytes for contentsAfter.
+     */
+    com.google.protobuf.ByteString
+        getContentsAfterBytes();
   }
   /**
    * <pre>
@@ -392,6 +422,7 @@
       begunStreams_ = java.util.Collections.emptyList();
       statedLimits_ = java.util.Collections.emptyList();
       speeds_ = java.util.Collections.emptyList();
+      contentsAfter_ = "";
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -916,6 +947,68 @@
       return saturated_;
     }
 
+    public static final int ACCEPTS_PARTIAL_CONTENTS_FIELD_NUMBER = 53;
+    private boolean acceptsPartialContents_ = false;
+    /**
+     * <pre>
+     * Whether the contents may come in several answers.
+     * </pre>
+     *
+     * <code>bool accepts_partial_contents = 53;</code>
+     * @return The acceptsPartialContents.
+     */
+    @java.lang.Override
+    public boolean getAcceptsPartialContents() {
+      return acceptsPartialContents_;
+    }
+
+    public static final int CONTENTS_AFTER_FIELD_NUMBER = 54;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object contentsAfter_ = "";
+    /**
+     * <pre>
+     * The last server of the contents that have come so far in several answers.
+     * </pre>
+     *
+     * <code>string contents_after = 54;</code>
+     * @return The contentsAfter.
+     */
+    @java.lang.Override
+    public java.lang.String getContentsAfter() {
+      java.lang.Object ref = contentsAfter_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        contentsAfter_ = s;
+        return s;
+      }
+    }
+    /**
+     * <pre>
+     * The last server of the contents that have come so far in several answers.
+     * </pre>
+     *
+     * <code>string contents_after = 54;</code>
+     * @return The bytes for contentsAfter.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getContentsAfterBytes() {
+      java.lang.Object ref = contentsAfter_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        contentsAfter_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -972,6 +1065,12 @@
       if (saturated_ != false) {
         output.writeBool(52, saturated_);
       }
+      if (acceptsPartialContents_ != false) {
+        output.writeBool(53, acceptsPartialContents_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(contentsAfter_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 54, contentsAfter_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -1071,6 +1170,13 @@
         size += com.google.protobuf.CodedOutputStream
           .computeBoolSize(52, saturated_);
       }
+      if (acceptsPartialContents_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(53, acceptsPartialContents_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(contentsAfter_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(54, contentsAfter_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -1114,6 +1220,10 @@
           != other.getSpeedsVersion()) return false;
       if (getSaturated()
           != other.getSaturated()) return false;
+      if (getAcceptsPartialContents()
+          != other.getAcceptsPartialContents()) return false;
+      if (!getContentsAfter()
+          .equals(other.getContentsAfter())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -1173,6 +1283,11 @@
       hash = (37 * hash) + SATURATED_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
           getSaturated());
+      hash = (37 * hash) + ACCEPTS_PARTIAL_CONTENTS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getAcceptsPartialContents());
+      hash = (37 * hash) + CONTENTS_AFTER_FIELD_NUMBER;
+      hash = (53 * hash) + getContentsAfter().hashCode();
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -1364,6 +1479,8 @@
         bitField0_ = (bitField0_ & ~0x00000800);
         speedsVersion_ = 0L;
         saturated_ = false;
+        acceptsPartialContents_ = false;
+        contentsAfter_ = "";
         return this;
       }
 
@@ -1485,6 +1602,12 @@
         if (((from_bitField0_ & 0x00002000) != 0)) {
           result.saturated_ = saturated_;
         }
+        if (((from_bitField0_ & 0x00004000) != 0)) {
+          result.acceptsPartialContents_ = acceptsPartialContents_;
+        }
+        if (((from_bitField0_ & 0x00008000) != 0)) {
+          result.contentsAfter_ = contentsAfter_;
+        }
       }
 
       @java.lang.Override
@@ -1704,6 +1827,14 @@
         if (other.getSaturated() != false) {
           setSaturated(other.getSaturated());
         }
+        if (other.getAcceptsPartialContents() != false) {
+          setAcceptsPartialContents(other.getAcceptsPartialContents());
+        }
+        if (!other.getContentsAfter().isEmpty()) {
+          contentsAfter_ = other.contentsAfter_;
+          bitField0_ |= 0x00008000;
+          onChanged();
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -1856,6 +1987,16 @@
                 bitField0_ |= 0x00002000;
                 break;
               } // case 416
+              case 424: {
+                acceptsPartialContents_ = input.readBool();
+                bitField0_ |= 0x00004000;
+                break;
+              } // case 424
+              case 434: {
+                contentsAfter_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00008000;
+                break;
+              } // case 434
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -4197,6 +4338,142 @@
         return this;
       }
 
+      private boolean acceptsPartialContents_ ;
+      /**
+       * <pre>
+       * Whether the contents may come in several answers.
+       * </pre>
+       *
+       * <code>bool accepts_partial_contents = 53;</code>
+       * @return The acceptsPartialContents.
+       */
+      @java.lang.Override
+      public boolean getAcceptsPartialContents() {
+        return acceptsPartialContents_;
+      }
+      /**
+       * <pre>
+       * Whether the contents may come in several answers.
+       * </pre>
+       *
+       * <code>bool accepts_partial_contents = 53;</code>
+       * @param value The acceptsPartialContents to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAcceptsPartialContents(boolean value) {
+
+        acceptsPartialContents_ = value;
+        bitField0_ |= 0x00004000;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether the contents may come in several answers.
+       * </pre>
+       *
+       * <code>bool accepts_partial_contents = 53;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAcceptsPartialContents() {
+        bitField0_ = (bitField0_ & ~0x00004000);
+        acceptsPartialContents_ = false;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object contentsAfter_ = "";
+      /**
+       * <pre>
+       * The last server of the contents that have come so far in several answers.
+       * </pre>
+       *
+       * <code>string contents_after = 54;</code>
+       * @return The contentsAfter.
+       */
+      public java.lang.String getContentsAfter() {
+        java.lang.Object ref = contentsAfter_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          contentsAfter_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <pre>
+       * The last server of the contents that have come so far in several answers.
+       * </pre>
+       *
+       * <code>string contents_after = 54;</code>
+       * @return The bytes for contentsAfter.
+       */
+      public com.google.protobuf.ByteString
+          getContentsAfterBytes() {
+        java.lang.Object ref = contentsAfter_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          contentsAfter_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <pre>
+       * The last server of the contents that have come so far in several answers.
+       * </pre>
+       *
+       * <code>string contents_after = 54;</code>
+       * @param value The contentsAfter to set.
+       * @return This builder for chaining.
+       */
+      public Builder setContentsAfter(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        contentsAfter_ = value;
+        bitField0_ |= 0x00008000;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The last server of the contents that have come so far in several answers.
+       * </pre>
+       *
+       * <code>string contents_after = 54;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearContentsAfter() {
+        contentsAfter_ = getDefaultInstance().getContentsAfter();
+        bitField0_ = (bitField0_ & ~0x00008000);
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The last server of the contents that have come so far in several answers.
+       * </pre>
+       *
+       * <code>string contents_after = 54;</code>
+       * @param value The bytes for contentsAfter to set.
+       * @return This builder for chaining.
+       */
+      public Builder setContentsAfterBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        contentsAfter_ = value;
+        bitField0_ |= 0x00008000;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.coordination.UsageReport)
     }
 
@@ -15101,6 +15378,26 @@
      * @return The withdraws.
      */
     boolean getWithdraws();
+
+    /**
+     * <pre>
+     * The last server of the contents, if those of others were left out.
+     * </pre>
+     *
+     * <code>string contents_after = 54;</code>
+     * @return The contentsAfter.
+     */
+    java.lang.String getContentsAfter();
+    /**
+     * <pre>
+     * The last server of the contents, if those of others were left out.
+     * </pre>
+     *
+     * <code>string contents_after = 54;</code>
+     * @return The bytes for contentsAfter.
+     */
+    com.google.protobuf.ByteString
+        getContentsAfterBytes();
   }
   /**
    * <pre>
@@ -15136,6 +15433,7 @@
       relays_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
       speeds_ = java.util.Collections.emptyList();
+      contentsAfter_ = "";
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -15657,6 +15955,53 @@
       return withdraws_;
     }
 
+    public static final int CONTENTS_AFTER_FIELD_NUMBER = 54;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object contentsAfter_ = "";
+    /**
+     * <pre>
+     * The last server of the contents, if those of others were left out.
+     * </pre>
+     *
+     * <code>string contents_after = 54;</code>
+     * @return The contentsAfter.
+     */
+    @java.lang.Override
+    public java.lang.String getContentsAfter() {
+      java.lang.Object ref = contentsAfter_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        contentsAfter_ = s;
+        return s;
+      }
+    }
+    /**
+     * <pre>
+     * The last server of the contents, if those of others were left out.
+     * </pre>
+     *
+     * <code>string contents_after = 54;</code>
+     * @return The bytes for contentsAfter.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getContentsAfterBytes() {
+      java.lang.Object ref = contentsAfter_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        contentsAfter_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -15719,6 +16064,9 @@
       if (withdraws_ != false) {
         output.writeBool(53, withdraws_);
       }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(contentsAfter_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 54, contentsAfter_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -15820,6 +16168,9 @@
         size += com.google.protobuf.CodedOutputStream
           .computeBoolSize(53, withdraws_);
       }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(contentsAfter_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(54, contentsAfter_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -15867,6 +16218,8 @@
           != other.getAsksSpeeds()) return false;
       if (getWithdraws()
           != other.getWithdraws()) return false;
+      if (!getContentsAfter()
+          .equals(other.getContentsAfter())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -15930,6 +16283,8 @@
       hash = (37 * hash) + WITHDRAWS_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
           getWithdraws());
+      hash = (37 * hash) + CONTENTS_AFTER_FIELD_NUMBER;
+      hash = (53 * hash) + getContentsAfter().hashCode();
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -16112,6 +16467,7 @@
         speedsVersion_ = 0L;
         asksSpeeds_ = false;
         withdraws_ = false;
+        contentsAfter_ = "";
         return this;
       }
 
@@ -16228,6 +16584,9 @@
         if (((from_bitField0_ & 0x00008000) != 0)) {
           result.withdraws_ = withdraws_;
         }
+        if (((from_bitField0_ & 0x00010000) != 0)) {
+          result.contentsAfter_ = contentsAfter_;
+        }
       }
 
       @java.lang.Override
@@ -16414,6 +16773,11 @@
         if (other.getWithdraws() != false) {
           setWithdraws(other.getWithdraws());
         }
+        if (!other.getContentsAfter().isEmpty()) {
+          contentsAfter_ = other.contentsAfter_;
+          bitField0_ |= 0x00010000;
+          onChanged();
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -16560,6 +16924,11 @@
                 bitField0_ |= 0x00008000;
                 break;
               } // case 424
+              case 434: {
+                contentsAfter_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00010000;
+                break;
+              } // case 434
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -18647,6 +19016,98 @@
         return this;
       }
 
+      private java.lang.Object contentsAfter_ = "";
+      /**
+       * <pre>
+       * The last server of the contents, if those of others were left out.
+       * </pre>
+       *
+       * <code>string contents_after = 54;</code>
+       * @return The contentsAfter.
+       */
+      public java.lang.String getContentsAfter() {
+        java.lang.Object ref = contentsAfter_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          contentsAfter_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <pre>
+       * The last server of the contents, if those of others were left out.
+       * </pre>
+       *
+       * <code>string contents_after = 54;</code>
+       * @return The bytes for contentsAfter.
+       */
+      public com.google.protobuf.ByteString
+          getContentsAfterBytes() {
+        java.lang.Object ref = contentsAfter_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          contentsAfter_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <pre>
+       * The last server of the contents, if those of others were left out.
+       * </pre>
+       *
+       * <code>string contents_after = 54;</code>
+       * @param value The contentsAfter to set.
+       * @return This builder for chaining.
+       */
+      public Builder setContentsAfter(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        contentsAfter_ = value;
+        bitField0_ |= 0x00010000;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The last server of the contents, if those of others were left out.
+       * </pre>
+       *
+       * <code>string contents_after = 54;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearContentsAfter() {
+        contentsAfter_ = getDefaultInstance().getContentsAfter();
+        bitField0_ = (bitField0_ & ~0x00010000);
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The last server of the contents, if those of others were left out.
+       * </pre>
+       *
+       * <code>string contents_after = 54;</code>
+       * @param value The bytes for contentsAfter to set.
+       * @return This builder for chaining.
+       */
+      public Builder setContentsAfterBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        contentsAfter_ = value;
+        bitField0_ |= 0x00010000;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.coordination.CoordinationUpdate)
     }
 
@@ -26980,7 +27441,7 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\022coordination.proto\022\030borageproxy.coordi" +
-      "nation\"\264\004\n\013UsageReport\022\017\n\007session\030\001 \001(\t\022" +
+      "nation\"\356\004\n\013UsageReport\022\017\n\007session\030\001 \001(\t\022" +
       "6\n\007servers\030\002 \003(\0132%.borageproxy.coordinat" +
       "ion.ServerUsage\022<\n\nworkspaces\030\003 \003(\0132(.bo" +
       "rageproxy.coordination.WorkspaceUsage\0226\n" +
@@ -26994,81 +27455,83 @@
       "imits_version\030\n \001(\004\022\016\n\006relays\030\013 \001(\010\0225\n\006s" +
       "peeds\0302 \003(\0132%.borageproxy.coordination.S" +
       "erverSpeed\022\026\n\016speeds_version\0303 \001(\004\022\021\n\tsa" +
-      "turated\0304 \001(\010\"S\n\013ServerSpeed\022\014\n\004name\030\001 \001" +
-      "(\t\022\023\n\013incarnation\030\002 \001(\004\022\r\n\005speed\030\003 \001(\002\022\022" +
-      "\n\nage_millis\030\004 \001(\004\"[\n\017SlownessSamples\022\023\n" +
-      "\013first_event\030\001 \001(\002\022\024\n\014first_events\030\002 \001(\r" +
-      "\022\r\n\005pause\030\003 \001(\002\022\016\n\006pauses\030\004 \001(\r\"3\n\014Relay" +
-      "Request\022\016\n\006server\030\001 \001(\t\022\023\n\013incarnation\030\002" +
-      " \001(\004\"u\n\rRefusalNotice\022\016\n\006server\030\001 \001(\t\022\023\n" +
-      "\013incarnation\030\002 \001(\004\022\030\n\020remaining_millis\030\003" +
-      " \001(\004\022\024\n\014of_recipient\030\004 \001(\010\022\017\n\007leaving\030\005 " +
-      "\001(\010\"\320\001\n\014StatedLimits\022\014\n\004name\030\001 \001(\t\022\023\n\013in" +
-      "carnation\030\002 \001(\004\022\022\n\nage_millis\030\003 \001(\004\022 \n\023r" +
-      "equests_per_second\030\004 \001(\001H\000\210\001\001\022\027\n\nrejecti" +
-      "ons\030\005 \001(\rH\001\210\001\001\022\023\n\013cold_millis\030\006 \001(\004\022\022\n\nh" +
-      "eld_bytes\030\007 \001(\004B\026\n\024_requests_per_secondB" +
-      "\r\n\013_rejections\"I\n\013BegunStream\022\017\n\007request" +
-      "\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\030\n\020software_vers" +
-      "ion\030\003 \001(\t\"$\n\021StreamOriginQuery\022\017\n\007reques" +
-      "t\030\001 \001(\t\"N\n\022StreamOriginAnswer\022\r\n\005known\030\001" +
-      " \001(\010\022\017\n\007service\030\002 \001(\t\022\030\n\020software_versio" +
-      "n\030\003 \001(\t\"(\n\tModelPace\022\r\n\005model\030\001 \001(\t\022\014\n\004p" +
-      "ace\030\002 \001(\001\"\210\002\n\013ServerUsage\022\014\n\004name\030\001 \001(\t\022" +
-      "\023\n\013incarnation\030\002 \001(\004\022\020\n\010requests\030\003 \001(\r\022\025" +
-      "\n\rprompt_tokens\030\004 \001(\r\022\023\n\013held_tokens\030\005 \001" +
-      "(\r\022\020\n\010failures\030\006 \001(\r\022\017\n\007answers\030\007 \001(\r\022\022\n" +
-      "\nheld_bytes\030\010 \001(\004\022\022\n\nlost_bytes\030\t \001(\004\022@\n" +
-      "\010slowness\0302 \001(\0132).borageproxy.coordinati" +
-      "on.SlownessSamplesH\000\210\001\001B\013\n\t_slowness\"r\n\016" +
-      "WorkspaceUsage\022\014\n\004name\030\001 \001(\t\022\016\n\006demand\030\002" +
-      " \001(\004\022\014\n\004held\030\003 \001(\004\022\r\n\005spent\030\004 \001(\004\022\r\n\005nee" +
-      "ds\030\006 \003(\004\022\020\n\010returned\030\007 \001(\004J\004\010\005\020\006\"x\n\013Mode" +
-      "lDemand\022\017\n\007service\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022" +
-      "\017\n\007adapter\030\003 \001(\t\022\016\n\006tokens\030\004 \001(\004\022\017\n\007wait" +
-      "ing\030\005 \001(\r\022\027\n\017unserved_millis\030\006 \001(\004\"\222\004\n\022C" +
-      "oordinationUpdate\022\023\n\013coordinates\030\001 \001(\010\022\023" +
-      "\n\013coordinator\030\002 \001(\t\022\017\n\007entries\030\003 \001(\r\0226\n\007" +
-      "servers\030\004 \003(\0132%.borageproxy.coordination" +
-      ".ServerUsage\0223\n\006shares\030\005 \003(\0132#.boragepro" +
-      "xy.coordination.RateShare\0229\n\010contents\030\006 " +
-      "\003(\0132\'.borageproxy.coordination.ServerCon" +
-      "tent\022\030\n\020contents_version\030\007 \001(\004\022\023\n\013all_se" +
-      "rvers\030\010 \001(\010\022\014\n\004term\030\t \001(\004\022=\n\rstated_limi" +
-      "ts\030\n \003(\0132&.borageproxy.coordination.Stat" +
-      "edLimits\022\026\n\016limits_version\030\013 \001(\004\022\016\n\006rela" +
-      "ys\030\014 \003(\t\0225\n\006speeds\0302 \003(\0132%.borageproxy.c" +
-      "oordination.ServerSpeed\022\026\n\016speeds_versio" +
-      "n\0303 \001(\004\022\023\n\013asks_speeds\0304 \001(\010\022\021\n\twithdraw" +
-      "s\0305 \001(\010\"\274\003\n\013SlotRequest\022\014\n\004zone\030\001 \001(\t\022\017\n" +
-      "\007service\030\002 \001(\t\022\r\n\005model\030\003 \001(\t\022\017\n\007adapter" +
-      "\030\004 \001(\t\022\025\n\rprompt_tokens\030\005 \001(\r\022\025\n\routput_" +
-      "tokens\030\006 \001(\r\0225\n\005parts\030\007 \003(\0132&.borageprox" +
-      "y.coordination.PartOfPrompt\022\014\n\004rank\030\010 \001(" +
-      "\r\022\030\n\020objective_millis\030\t \001(\r\022\027\n\017deadline_" +
-      "millis\030\n \001(\r\022\r\n\005tried\030\013 \003(\t\022\025\n\rwaited_mi" +
-      "llis\030\014 \001(\r\022\021\n\tabsent_at\030\016 \003(\t\022\014\n\004gone\030\017 " +
-      "\003(\t\022\035\n\020software_version\030\020 \001(\tH\000\210\001\001\022\021\n\two" +
-      "rkspace\030\021 \001(\t\022\020\n\010identity\030\022 \001(\t\022\016\n\006calle" +
-      "r\030\023 \001(\006\022\022\n\nbody_bytes\030\024 \001(\004B\023\n\021_software" +
-      "_versionJ\004\010\r\020\016\"0\n\014PartOfPrompt\022\020\n\010identi" +
-      "ty\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\r\"\326\002\n\nSlotAnswer\022" +
-      "=\n\007outcome\030\001 \001(\0162,.borageproxy.coordinat" +
-      "ion.SlotAnswer.Outcome\022\016\n\006server\030\002 \001(\t\022\023" +
-      "\n\013incarnation\030\003 \001(\004\022\027\n\017expected_millis\030\004" +
-      " \001(\001\022\025\n\runread_tokens\030\005 \001(\r\022\014\n\004slot\030\006 \001(" +
-      "\004\022\030\n\020come_back_millis\030\007 \001(\r\022\022\n\005speed\0302 \001" +
-      "(\002H\000\210\001\001\"n\n\007Outcome\022\023\n\017NOT_COORDINATOR\020\000\022" +
-      "\n\n\006CHOSEN\020\001\022\r\n\tNO_SERVER\020\002\022\014\n\010NO_MODEL\020\003" +
-      "\022\013\n\007CROWDED\020\004\022\r\n\tALL_TRIED\020\005\022\t\n\005AGAIN\020\006B" +
-      "\010\n\006_speed\"=\n\tRateShare\022\021\n\tworkspace\030\001 \001(" +
-      "\t\022\014\n\004rate\030\002 \001(\004\022\017\n\007granted\030\003 \001(\004\"\211\001\n\rSer" +
-      "verContent\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030" +
-      "\002 \001(\004\022\016\n\006orders\030\003 \001(\004\0223\n\006models\030\004 \003(\0132#." +
-      "borageproxy.coordination.HeldModel\022\020\n\010ar" +
-      "riving\030\005 \003(\t\",\n\tHeldModel\022\r\n\005model\030\001 \001(\t" +
-      "\022\020\n\010adapters\030\002 \003(\tB2\n\032org.borageproxy.wi" +
-      "re.protoB\024CoordinationProtocolb\006proto3"
+      "turated\0304 \001(\010\022 \n\030accepts_partial_content" +
+      "s\0305 \001(\010\022\026\n\016contents_after\0306 \001(\t\"S\n\013Serve" +
+      "rSpeed\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(" +
+      "\004\022\r\n\005speed\030\003 \001(\002\022\022\n\nage_millis\030\004 \001(\004\"[\n\017" +
+      "SlownessSamples\022\023\n\013first_event\030\001 \001(\002\022\024\n\014" +
+      "first_events\030\002 \001(\r\022\r\n\005pause\030\003 \001(\002\022\016\n\006pau" +
+      "ses\030\004 \001(\r\"3\n\014RelayRequest\022\016\n\006server\030\001 \001(" +
+      "\t\022\023\n\013incarnation\030\002 \001(\004\"u\n\rRefusalNotice\022" +
+      "\016\n\006server\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\030\n\020" +
+      "remaining_millis\030\003 \001(\004\022\024\n\014of_recipient\030\004" +
+      " \001(\010\022\017\n\007leaving\030\005 \001(\010\"\320\001\n\014StatedLimits\022\014" +
+      "\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\022\n\nage" +
+      "_millis\030\003 \001(\004\022 \n\023requests_per_second\030\004 \001" +
+      "(\001H\000\210\001\001\022\027\n\nrejections\030\005 \001(\rH\001\210\001\001\022\023\n\013cold" +
+      "_millis\030\006 \001(\004\022\022\n\nheld_bytes\030\007 \001(\004B\026\n\024_re" +
+      "quests_per_secondB\r\n\013_rejections\"I\n\013Begu" +
+      "nStream\022\017\n\007request\030\001 \001(\t\022\017\n\007service\030\002 \001(" +
+      "\t\022\030\n\020software_version\030\003 \001(\t\"$\n\021StreamOri" +
+      "ginQuery\022\017\n\007request\030\001 \001(\t\"N\n\022StreamOrigi" +
+      "nAnswer\022\r\n\005known\030\001 \001(\010\022\017\n\007service\030\002 \001(\t\022" +
+      "\030\n\020software_version\030\003 \001(\t\"(\n\tModelPace\022\r" +
+      "\n\005model\030\001 \001(\t\022\014\n\004pace\030\002 \001(\001\"\210\002\n\013ServerUs" +
+      "age\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020" +
+      "\n\010requests\030\003 \001(\r\022\025\n\rprompt_tokens\030\004 \001(\r\022" +
+      "\023\n\013held_tokens\030\005 \001(\r\022\020\n\010failures\030\006 \001(\r\022\017" +
+      "\n\007answers\030\007 \001(\r\022\022\n\nheld_bytes\030\010 \001(\004\022\022\n\nl" +
+      "ost_bytes\030\t \001(\004\022@\n\010slowness\0302 \001(\0132).bora" +
+      "geproxy.coordination.SlownessSamplesH\000\210\001" +
+      "\001B\013\n\t_slowness\"r\n\016WorkspaceUsage\022\014\n\004name" +
+      "\030\001 \001(\t\022\016\n\006demand\030\002 \001(\004\022\014\n\004held\030\003 \001(\004\022\r\n\005" +
+      "spent\030\004 \001(\004\022\r\n\005needs\030\006 \003(\004\022\020\n\010returned\030\007" +
+      " \001(\004J\004\010\005\020\006\"x\n\013ModelDemand\022\017\n\007service\030\001 \001" +
+      "(\t\022\r\n\005model\030\002 \001(\t\022\017\n\007adapter\030\003 \001(\t\022\016\n\006to" +
+      "kens\030\004 \001(\004\022\017\n\007waiting\030\005 \001(\r\022\027\n\017unserved_" +
+      "millis\030\006 \001(\004\"\252\004\n\022CoordinationUpdate\022\023\n\013c" +
+      "oordinates\030\001 \001(\010\022\023\n\013coordinator\030\002 \001(\t\022\017\n" +
+      "\007entries\030\003 \001(\r\0226\n\007servers\030\004 \003(\0132%.borage" +
+      "proxy.coordination.ServerUsage\0223\n\006shares" +
+      "\030\005 \003(\0132#.borageproxy.coordination.RateSh" +
+      "are\0229\n\010contents\030\006 \003(\0132\'.borageproxy.coor" +
+      "dination.ServerContent\022\030\n\020contents_versi" +
+      "on\030\007 \001(\004\022\023\n\013all_servers\030\010 \001(\010\022\014\n\004term\030\t " +
+      "\001(\004\022=\n\rstated_limits\030\n \003(\0132&.borageproxy" +
+      ".coordination.StatedLimits\022\026\n\016limits_ver" +
+      "sion\030\013 \001(\004\022\016\n\006relays\030\014 \003(\t\0225\n\006speeds\0302 \003" +
+      "(\0132%.borageproxy.coordination.ServerSpee" +
+      "d\022\026\n\016speeds_version\0303 \001(\004\022\023\n\013asks_speeds" +
+      "\0304 \001(\010\022\021\n\twithdraws\0305 \001(\010\022\026\n\016contents_af" +
+      "ter\0306 \001(\t\"\274\003\n\013SlotRequest\022\014\n\004zone\030\001 \001(\t\022" +
+      "\017\n\007service\030\002 \001(\t\022\r\n\005model\030\003 \001(\t\022\017\n\007adapt" +
+      "er\030\004 \001(\t\022\025\n\rprompt_tokens\030\005 \001(\r\022\025\n\routpu" +
+      "t_tokens\030\006 \001(\r\0225\n\005parts\030\007 \003(\0132&.boragepr" +
+      "oxy.coordination.PartOfPrompt\022\014\n\004rank\030\010 " +
+      "\001(\r\022\030\n\020objective_millis\030\t \001(\r\022\027\n\017deadlin" +
+      "e_millis\030\n \001(\r\022\r\n\005tried\030\013 \003(\t\022\025\n\rwaited_" +
+      "millis\030\014 \001(\r\022\021\n\tabsent_at\030\016 \003(\t\022\014\n\004gone\030" +
+      "\017 \003(\t\022\035\n\020software_version\030\020 \001(\tH\000\210\001\001\022\021\n\t" +
+      "workspace\030\021 \001(\t\022\020\n\010identity\030\022 \001(\t\022\016\n\006cal" +
+      "ler\030\023 \001(\006\022\022\n\nbody_bytes\030\024 \001(\004B\023\n\021_softwa" +
+      "re_versionJ\004\010\r\020\016\"0\n\014PartOfPrompt\022\020\n\010iden" +
+      "tity\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\r\"\326\002\n\nSlotAnswe" +
+      "r\022=\n\007outcome\030\001 \001(\0162,.borageproxy.coordin" +
+      "ation.SlotAnswer.Outcome\022\016\n\006server\030\002 \001(\t" +
+      "\022\023\n\013incarnation\030\003 \001(\004\022\027\n\017expected_millis" +
+      "\030\004 \001(\001\022\025\n\runread_tokens\030\005 \001(\r\022\014\n\004slot\030\006 " +
+      "\001(\004\022\030\n\020come_back_millis\030\007 \001(\r\022\022\n\005speed\0302" +
+      " \001(\002H\000\210\001\001\"n\n\007Outcome\022\023\n\017NOT_COORDINATOR\020" +
+      "\000\022\n\n\006CHOSEN\020\001\022\r\n\tNO_SERVER\020\002\022\014\n\010NO_MODEL" +
+      "\020\003\022\013\n\007CROWDED\020\004\022\r\n\tALL_TRIED\020\005\022\t\n\005AGAIN\020" +
+      "\006B\010\n\006_speed\"=\n\tRateShare\022\021\n\tworkspace\030\001 " +
+      "\001(\t\022\014\n\004rate\030\002 \001(\004\022\017\n\007granted\030\003 \001(\004\"\211\001\n\rS" +
+      "erverContent\022\014\n\004name\030\001 \001(\t\022\023\n\013incarnatio" +
+      "n\030\002 \001(\004\022\016\n\006orders\030\003 \001(\004\0223\n\006models\030\004 \003(\0132" +
+      "#.borageproxy.coordination.HeldModel\022\020\n\010" +
+      "arriving\030\005 \003(\t\",\n\tHeldModel\022\r\n\005model\030\001 \001" +
+      "(\t\022\020\n\010adapters\030\002 \003(\tB2\n\032org.borageproxy." +
+      "wire.protoB\024CoordinationProtocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -27079,7 +27542,7 @@
     internal_static_borageproxy_coordination_UsageReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_UsageReport_descriptor,
-        new java.lang.String[] { "Session", "Servers", "Workspaces", "Demands", "LastSlot", "Paces", "ContentsVersion", "BegunStreams", "StatedLimits", "LimitsVersion", "Relays", "Speeds", "SpeedsVersion", "Saturated", });
+        new java.lang.String[] { "Session", "Servers", "Workspaces", "Demands", "LastSlot", "Paces", "ContentsVersion", "BegunStreams", "StatedLimits", "LimitsVersion", "Relays", "Speeds", "SpeedsVersion", "Saturated", "AcceptsPartialContents", "ContentsAfter", });
     internal_static_borageproxy_coordination_ServerSpeed_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_borageproxy_coordination_ServerSpeed_fieldAccessorTable = new
@@ -27157,7 +27620,7 @@
     internal_static_borageproxy_coordination_CoordinationUpdate_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_coordination_CoordinationUpdate_descriptor,
-        new java.lang.String[] { "Coordinates", "Coordinator", "Entries", "Servers", "Shares", "Contents", "ContentsVersion", "AllServers", "Term", "StatedLimits", "LimitsVersion", "Relays", "Speeds", "SpeedsVersion", "AsksSpeeds", "Withdraws", });
+        new java.lang.String[] { "Coordinates", "Coordinator", "Entries", "Servers", "Shares", "Contents", "ContentsVersion", "AllServers", "Term", "StatedLimits", "LimitsVersion", "Relays", "Speeds", "SpeedsVersion", "AsksSpeeds", "Withdraws", "ContentsAfter", });
     internal_static_borageproxy_coordination_SlotRequest_descriptor =
       getDescriptor().getMessageType(14);
     internal_static_borageproxy_coordination_SlotRequest_fieldAccessorTable = new
