--- a/src/test/java/org/borageproxy/spread/PublicationArrivalTest.java
+++ b/src/test/java/org/borageproxy/spread/PublicationArrivalTest.java
@@ -50,6 +50,8 @@
                 fleet.fleet.limitLink("e1", rate);
                 fleet.publish(1, WatchingFleet.randomContent(1, size));
                 Duration took = fleet.timeUntilObeyed(entry, 1, bound(size, rate));
+                System.out.printf(
+                        "event=publication-arrival bytes=%d rate=%d took_ms=%d%n", size, rate, took.toMillis());
                 if (took.compareTo(bound(size, rate)) > 0) {
                     late.add(size + " bytes at " + rate + "/s");
                 }
@@ -73,6 +75,7 @@
                 fleet.fleet.run(Duration.ofMillis(140));
             }
             Duration took = fleet.timeUntilObeyed(entry, 14, bound(size, rate));
+            System.out.printf("event=publication-arrival series=14 rate=%d took_ms=%d%n", rate, took.toMillis());
             if (took.compareTo(bound(size, rate)) > 0 || !entry.neverWentBack()) {
                 late.add(entry.obeyed() + " at " + rate + "/s");
             }
@@ -135,6 +138,8 @@
                 fleet.fleet.silence(fleet.watchedBy(name).value());
                 fleet.publish(1, WatchingFleet.routes(10, 1));
                 Duration took = fleet.timeUntilObeyed(entry, 1, WatchingFleet.APPLY_TIME);
+                System.out.printf(
+                        "event=publication-arrival gone=%d entry=%s took_ms=%d%n", gone, name, took.toMillis());
                 if (took.compareTo(WatchingFleet.APPLY_TIME) > 0) {
                     late.add(gone + " gone, " + name);
                 }
