Let a restarted VM wait for changes while a large value is on its way

It asked again after each answer, ten times a second and more, until its first value had arrived. The bytes that PublicationArrivalTest allows for a restart would not have shown it: on the slow link each answer waits behind the chunks.

--- a/src/main/java/org/borageproxy/spread/ControlStateWatcher.java
+++ b/src/main/java/org/borageproxy/spread/ControlStateWatcher.java
@@ -99,6 +99,9 @@
     /** Time at which the latest confirmed answer was requested, whether or not all values had arrived; guarded. */
     private long confirmedVersionAtNanos;
 
+    /** Whether a confirmed answer has been applied; guarded by this. */
+    private boolean hasApplied;
+
     /** Changes that others will follow; guarded by this. */
     private Optional<StagedChanges> staged = Optional.empty();
 
@@ -371,7 +374,7 @@
         @Override
         public StateRequests.Question question(boolean mayWait) {
             synchronized (ControlStateWatcher.this) {
-                boolean isWaiting = mayWait && freshUntil != null && staged.isEmpty() && namedAgainAfter.isEmpty();
+                boolean isWaiting = mayWait && hasApplied && staged.isEmpty() && namedAgainAfter.isEmpty();
                 Duration wait = isWaiting ? LONG_POLL_WAIT : Duration.ZERO;
                 long version = staged.map(StagedChanges::through)
                         .or(() -> namedAgainAfter)
@@ -457,6 +460,7 @@
         }
         WatchedState.Update update = state.apply(whole);
         if (update instanceof WatchedState.Update.Applied applied) {
+            hasApplied = true;
             staged = Optional.empty();
             namedAgainAfter = namedAgainAfter.filter(version -> version < question.version());
             long requestMillis = TimeUnit.NANOSECONDS.toMillis(clock.nanoTime() - received.sentAtNanos());
--- a/src/test/java/org/borageproxy/spread/PublicationArrivalTest.java
+++ b/src/test/java/org/borageproxy/spread/PublicationArrivalTest.java
@@ -94,12 +94,15 @@
                 WatchingFleet fleet = new WatchingFleet(0);
                 fleet.publish(1, WatchingFleet.randomContent(1, size));
                 fleet.fleet.limitLink("e1", rate);
+                long bytesBefore = fleet.fleet.bytes;
                 Entry entry = fleet.entry("e1");
                 Duration bound = bound(size, rate);
                 if (!fleet.fleet.runUntil(
                         () -> entry.newest() == 1 && entry.watcher().isReady(), bound)) {
                     late.add(size + " bytes at " + rate + "/s");
                 }
+                long sentBytes = fleet.fleet.bytes - bytesBefore;
+                assertTrue(sentBytes < size + size / 50 + 20_000, sentBytes + " bytes sent for " + size);
             }
         }
         assertInTime(late);
