--- a/src/test/java/org/borageproxy/control/FleetFake.java
+++ b/src/test/java/org/borageproxy/control/FleetFake.java
@@ -57,6 +57,9 @@
     /** The VM that was asked last, by the asking VM and the message kind. */
     private final Map<String, VmName> lastRecipients = new LinkedHashMap<>();
 
+    /** Number of requests, by the asking VM and the message kind. */
+    private final Map<String, Integer> requestCounts = new LinkedHashMap<>();
+
     /** Total size of the bodies of requests and answers between VMs. */
     public long bytes;
 
@@ -128,6 +131,11 @@
         return lastRecipients.get(sender + " " + kind);
     }
 
+    /** Returns the number of requests of a kind that a VM has sent. */
+    public int requestCount(String sender, MessageKind kind) {
+        return requestCounts.getOrDefault(sender + " " + kind, 0);
+    }
+
     public Timer timer() {
         return (delay, task) -> tasks.add(new Task(nowNanos + delay.toNanos(), order++, task));
     }
@@ -278,6 +286,7 @@
                             remaining, () -> answer.completeExceptionally(new UnreachableException("deadline passed")));
             bytes += body.size();
             lastRecipients.put(self + " " + kind, recipient);
+            requestCounts.merge(self + " " + kind, 1, Integer::sum);
             Duration onTheWay = transferTime(body.size(), uplinkRates, uplinkFreeAtNanos);
             timer().schedule(onTheWay.plusMillis(1), () -> {
                 VmNetwork.Handler handler = handlers.get(recipient + " " + kind);
--- a/src/test/java/org/borageproxy/spread/ControlStateWatcherTest.java
+++ b/src/test/java/org/borageproxy/spread/ControlStateWatcherTest.java
@@ -286,6 +286,22 @@
         }
     }
 
+    /** Guards against VMs that flood control VMs which do not answer, or are slow to find those that do again. */
+    @Test
+    void vmWithoutAnswersAsksEachControlVmAboutOnceASecond() {
+        ControlStateWatcher entry = entry("e1");
+        fleet.run(Duration.ofSeconds(2));
+        fleet.controlVms().forEach(vm -> fleet.silence(vm.value()));
+        fleet.run(Duration.ofSeconds(2));
+        int before = fleet.requestCount("e1", MessageKind.STATE_WATCH);
+        fleet.run(Duration.ofSeconds(20));
+        int sent = fleet.requestCount("e1", MessageKind.STATE_WATCH) - before;
+        assertTrue(sent <= 20 * fleet.controlVms().size(), sent + " requests in 20 s");
+        assertFalse(entry.isFresh(fleet.nanoTime()));
+        fleet.controlVms().forEach(vm -> fleet.unsilence(vm.value()));
+        assertTrue(fleet.runUntil(() -> entry.isFresh(fleet.nanoTime()), Duration.ofMillis(1_500)));
+    }
+
     /** Guards against a VM that resumes from a freeze and sends to a zone that was drained meanwhile. */
     @Test
     void frozenVmIsNotInformedUntilItHasAskedAgain() {
