--- a/src/main/java/org/borageproxy/transfer/ChunkFetch.java
+++ b/src/main/java/org/borageproxy/transfer/ChunkFetch.java
@@ -41,7 +41,7 @@
     private static final Logger LOGGER = LoggerFactory.getLogger(ChunkFetch.class);
 
     private static final int MINIMUM_BATCH_BYTES = 8 << 10;
-    private static final int FIRST_BATCH_BYTES = 16 << 10;
+    private static final int FIRST_BATCH_BYTES = 32 << 10;
     private static final int MAXIMUM_BATCH_BYTES = 128 << 10;
 
     /** Time for an answer from which the next request is for fewer chunks. */
@@ -51,7 +51,7 @@
     private static final long SHORT_ANSWER_NANOS = Duration.ofMillis(50).toNanos();
 
     /** Minimum time for an answer after which another control VM is asked too. */
-    private static final long MINIMUM_PATIENCE_NANOS = Duration.ofMillis(400).toNanos();
+    private static final long MINIMUM_PATIENCE_NANOS = Duration.ofMillis(300).toNanos();
 
     /** How much longer than the last answer the next one may take. */
     private static final int PATIENCE_FACTOR = 3;
