--- a/review/rig-2/Http.java
+++ b/review/rig-2/Http.java
@@ -65,8 +65,8 @@
         return bytes;
     }
 
-    private static byte[] readChunks(InputStream in) throws IOException {
-        ByteArrayOutputStream body = new ByteArrayOutputStream();
+    /** Reads whole chunks; those before a cut remain in the body. */
+    private static void readChunks(InputStream in, ByteArrayOutputStream body) throws IOException {
         while (true) {
             int size = Integer.parseInt(readLine(in).split(";")[0].trim(), 16);
             if (size > 0) {
@@ -77,7 +77,7 @@
                 while (!end.isEmpty()) {
                     end = readLine(in);
                 }
-                return body.toByteArray();
+                return;
             }
         }
     }
@@ -125,22 +125,25 @@
             while (answer.status() < 200) {
                 answer = readHead(in);
             }
+            ByteArrayOutputStream content = new ByteArrayOutputStream();
+            boolean isWhole = true;
             try {
-                String content = new String(readBody(answer), StandardCharsets.ISO_8859_1);
-                return new Answer(answer.status(), answer.fields(), content, true);
+                readBody(answer, content);
             } catch (IOException cut) {
-                return new Answer(answer.status(), answer.fields(), "", false);
+                isWhole = false;
             }
+            return new Answer(
+                    answer.status(), answer.fields(), content.toString(StandardCharsets.ISO_8859_1), isWhole);
         }
 
-        private byte[] readBody(Head answer) throws IOException {
+        private void readBody(Head answer, ByteArrayOutputStream content) throws IOException {
             if (answer.field("transfer-encoding").equalsIgnoreCase("chunked")) {
-                return readChunks(in);
+                readChunks(in, content);
+            } else if (!answer.field("content-length").isEmpty()) {
+                content.write(readExactly(in, Integer.parseInt(answer.field("content-length"))));
+            } else {
+                content.write(in.readAllBytes());
             }
-            if (!answer.field("content-length").isEmpty()) {
-                return readExactly(in, Integer.parseInt(answer.field("content-length")));
-            }
-            return in.readAllBytes();
         }
 
         @Override
--- a/review/rig-2/Replica.java
+++ b/review/rig-2/Replica.java
@@ -33,9 +33,11 @@
             int slots,
             int workMillis,
             int downMillis,
-            int longWorkMillis,
+            int events,
             Predicate<Http.Head> crashesOn) {
 
+        private static final int USUAL_EVENTS = 4;
+
         Behaviour(
                 String service,
                 boolean isEngine,
@@ -44,12 +46,12 @@
                 int workMillis,
                 int downMillis,
                 Predicate<Http.Head> crashesOn) {
-            this(service, isEngine, models, slots, workMillis, downMillis, workMillis, crashesOn);
+            this(service, isEngine, models, slots, workMillis, downMillis, USUAL_EVENTS, crashesOn);
         }
 
-        /** Returns a copy that works longer on requests whose path says so. */
-        Behaviour withLongWork(int millis) {
-            return new Behaviour(service, isEngine, models, slots, workMillis, downMillis, millis, crashesOn);
+        /** Returns a copy whose streams have more or fewer events. */
+        Behaviour withEvents(int count) {
+            return new Behaviour(service, isEngine, models, slots, workMillis, downMillis, count, crashesOn);
         }
     }
 
@@ -208,7 +210,7 @@
         rig.runs.add(run);
         rig.record("run " + id + " at " + name + " path=" + path + " body_bytes=" + bodyBytes
                 + (crashes ? " crashes the replica" : ""));
-        Rig.sleep(path.contains("/long") ? behaviour.longWorkMillis() : behaviour.workMillis());
+        Rig.sleep(behaviour.workMillis());
         if (crashes) {
             crash("request " + id);
             return;
@@ -222,7 +224,8 @@
         out.write(("HTTP/1.1 200 OK\r\n" + signature
                         + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
                 .getBytes(StandardCharsets.ISO_8859_1));
-        for (int event = 1; event <= 4; event++) {
+        String last = head.field("last-event-id");
+        for (int event = last.isEmpty() ? 1 : Integer.parseInt(last) + 1; event <= behaviour.events(); event++) {
             byte[] text = ("id: " + event + "\ndata: " + id + "\n\n").getBytes(StandardCharsets.ISO_8859_1);
             out.write((Integer.toHexString(text.length) + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
             out.write(text);
--- a/review/rig-2/Rig.java
+++ b/review/rig-2/Rig.java
@@ -48,8 +48,12 @@
     private final List<String> cores = new ArrayList<>();
     private final List<String> edges = new ArrayList<>();
     private final List<Process> processes = new ArrayList<>();
+    private final List<Machine> machines = new ArrayList<>();
     private final List<Replica> replicas = new ArrayList<>();
 
+    /** What a machine runs. */
+    private record Machine(String name, String role, Path settings) {}
+
     /** The body of a case. */
     interface Play {
 
@@ -179,14 +183,36 @@
                 + "CeilingWindowS = 5\nCeilingOverage = 1.1\n";
         Path file = folder.resolve(name + ".toml");
         Files.writeString(file, text);
-        ProcessBuilder builder = new ProcessBuilder(command(role));
-        builder.environment().put("BORAGEPROXY_BOOT", file.toString());
-        builder.redirectErrorStream(true);
-        builder.redirectOutput(folder.resolve(name + ".log").toFile());
-        processes.add(builder.start());
+        Machine machine = new Machine(name, role, file);
+        machines.add(machine);
+        processes.add(startProcess(machine));
         record("machine " + name + " " + ip);
     }
 
+    private Process startProcess(Machine machine) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(command(machine.role()));
+        builder.environment().put("BORAGEPROXY_BOOT", machine.settings().toString());
+        builder.redirectErrorStream(true);
+        builder.redirectOutput(ProcessBuilder.Redirect.appendTo(
+                folder.resolve(machine.name() + ".log").toFile()));
+        return builder.start();
+    }
+
+    /** Kills the processes of all machines at the same moment and starts them again, with their disks. */
+    synchronized void restartAll() throws IOException {
+        record("all machines killed");
+        processes.forEach(Process::destroyForcibly);
+        processes.forEach(process -> process.onExit().join());
+        processes.clear();
+        for (Machine machine : machines) {
+            Path settings = machine.settings();
+            Files.writeString(
+                    settings, Files.readString(settings).replace("Bootstrap = true", "Bootstrap = false"));
+            processes.add(startProcess(machine));
+        }
+        record("all machines started again");
+    }
+
     /** Returns the command of a role in the deploy file. */
     private static List<String> command(String role) throws IOException {
         boolean isInRole = false;
@@ -200,6 +226,12 @@
         throw new IOException("no role " + role + " in the deploy file");
     }
 
+    /** Kills the process of an edge machine. */
+    void killEdge(int index) {
+        record("machine killed: edge " + index);
+        processes.get(cores.size() + index).destroyForcibly().onExit().join();
+    }
+
     Replica startReplica(Replica.Behaviour behaviour, int number) throws IOException {
         Replica replica = new Replica(this, behaviour, prefix + (100 + number), 8080);
         replicas.add(replica);
