--- a/review/rig-2/SharedPart.java
+++ b/review/rig-2/SharedPart.java
@@ -13,6 +13,7 @@
     private static final int REPLICAS = 8;
     private static final int SOUND_PERIOD_MILLIS = 1_300;
     private static final int SOUND_COUNT = 21;
+    private static final int BAD_PERIOD_MILLIS = 300;
 
     private SharedPart() {}
 
@@ -43,7 +44,7 @@
             Rig.thread(() -> {
                 while (true) {
                     Rig.thread(() -> sendBad(rig));
-                    Rig.sleep(500);
+                    Rig.sleep(BAD_PERIOD_MILLIS);
                 }
             });
         }
