--- a/review/rig-2/SameLookup.java
+++ b/review/rig-2/SameLookup.java
@@ -5,7 +5,7 @@
 /**
  * Case: clients of one tenant look the same thing up again and again, with the same path and no body, and some send
  * orders. Two of 13 replicas, which run such lookups, crash at the same moment, without a request being the cause. A few
- * seconds later all machines are killed and started again.
+ * seconds later, right after a change of the configuration was acknowledged, all machines are killed and started again.
  */
 final class SameLookup {
 
@@ -40,6 +40,7 @@
             crashTwo(rig, replicas);
         }
         Rig.sleep(4_000);
+        rig.configure(Documents.application().replace("\"Version\":7", "\"Version\":8"));
         long finalFault = rig.now();
         rig.restartAll();
         rig.awaitReady();
