--- a/review/rig-2/Documents.java
+++ b/review/rig-2/Documents.java
@@ -10,10 +10,15 @@
     private Documents() {}
 
     private static String document(String routes, String services) {
+        return document(routes, services, 0, 0);
+    }
+
+    private static String document(String routes, String services, int ratePerSecond, int burst) {
         return "{\"Version\":7,\"Routes\":[" + routes + "],\"Services\":[" + services
                 + "],\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":3000,"
                 + "\"IdleTimeoutMs\":15000},\"Tenants\":[{\"Name\":\"tenant1\",\"ApiKeys\":[\"" + KEY
-                + "\"],\"Priority\":1,\"Unit\":\"token_stream\",\"PlainTokens\":200,\"RatePerS\":0,\"Burst\":0}]}";
+                + "\"],\"Priority\":1,\"Unit\":\"token_stream\",\"PlainTokens\":200,\"RatePerS\":" + ratePerSecond
+                + ",\"Burst\":" + burst + "}]}";
     }
 
     private static String streamRoute(String destination, int timeoutMillis, int maxAttempts) {
@@ -37,6 +42,12 @@
         return document(streamRoute("\"Service\":\"llm\"", 5_000, maxAttempts), engineService("llm"));
     }
 
+    /** The same, not resumable, with a quota of the tenant in tokens. */
+    static String streamsWithQuota(int ratePerSecond, int burst) {
+        return document(
+                streamRoute("\"Service\":\"llm\"", 5_000, 1), engineService("llm"), ratePerSecond, burst);
+    }
+
     /** One route of resumable streams that is split between services in equal parts. */
     static String splitStreams(List<String> services) {
         String split = services.stream()
@@ -49,11 +60,17 @@
 
     /** A safe route for lookups and an unsafe one for commits, to an application. */
     static String application() {
+        return application(4_000);
+    }
+
+    /** The same with another time-out of both routes. */
+    static String application(int timeoutMillis) {
         String route = "{\"Name\":\"r-%1$s\",\"Host\":\"" + HOST + "\",\"PathPrefix\":\"/%1$s/\",\"Type\":\"%2$s\","
-                + "\"TimeoutMs\":4000,\"TargetLatencyMs\":386,\"Priority\":1,\"Service\":\"api\",\"MaxAttempts\":%3$d,"
+                + "\"TimeoutMs\":%4$d,\"TargetLatencyMs\":386,\"Priority\":1,\"Service\":\"api\",\"MaxAttempts\":%3$d,"
                 + "\"Public\":false,\"Sticky\":false,\"Resumable\":false}";
         return document(
-                String.format(route, "lookup", "safe", 2) + "," + String.format(route, "commit", "unsafe", 2),
+                String.format(route, "lookup", "safe", 2, timeoutMillis) + ","
+                        + String.format(route, "commit", "unsafe", 2, timeoutMillis),
                 "{\"Name\":\"api\",\"HealthPath\":\"/healthz\",\"MaxConnections\":110,\"Protocol\":\"h1\",\"Tls\":false}");
     }
 }
--- a/review/rig-2/Replica.java
+++ b/review/rig-2/Replica.java
@@ -34,6 +34,7 @@
             int workMillis,
             int downMillis,
             int events,
+            int longWorkMillis,
             Predicate<Http.Head> crashesOn) {
 
         private static final int USUAL_EVENTS = 4;
@@ -46,12 +47,18 @@
                 int workMillis,
                 int downMillis,
                 Predicate<Http.Head> crashesOn) {
-            this(service, isEngine, models, slots, workMillis, downMillis, USUAL_EVENTS, crashesOn);
+            this(service, isEngine, models, slots, workMillis, downMillis, USUAL_EVENTS, workMillis, crashesOn);
         }
 
         /** Returns a copy whose streams have more or fewer events. */
         Behaviour withEvents(int count) {
-            return new Behaviour(service, isEngine, models, slots, workMillis, downMillis, count, crashesOn);
+            return new Behaviour(
+                    service, isEngine, models, slots, workMillis, downMillis, count, longWorkMillis, crashesOn);
+        }
+
+        /** Returns a copy that works longer on requests whose path says so. */
+        Behaviour withLongWork(int millis) {
+            return new Behaviour(service, isEngine, models, slots, workMillis, downMillis, events, millis, crashesOn);
         }
     }
 
@@ -210,7 +217,7 @@
         rig.runs.add(run);
         rig.record("run " + id + " at " + name + " path=" + path + " body_bytes=" + bodyBytes
                 + (crashes ? " crashes the replica" : ""));
-        Rig.sleep(behaviour.workMillis());
+        Rig.sleep(path.contains("/long") ? behaviour.longWorkMillis() : behaviour.workMillis());
         if (crashes) {
             crash("request " + id);
             return;
