--- a/src/main/java/org/borageproxy/control/ControlGroupCrashRegistry.java
+++ b/src/main/java/org/borageproxy/control/ControlGroupCrashRegistry.java
@@ -13,8 +13,11 @@
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.wire.proto.ControlProtocol.ClearCrash;
 import org.borageproxy.wire.proto.ControlProtocol.Command;
+import org.borageproxy.wire.proto.ControlProtocol.GrantTrial;
 import org.borageproxy.wire.proto.ControlProtocol.ReportCrash;
 import org.borageproxy.wire.proto.ControlProtocol.SuspectPart;
+import org.borageproxy.wire.proto.ControlProtocol.TrialReply;
+import org.borageproxy.wire.proto.ControlProtocol.VouchForPart;
 
 /**
  * Stores crash reports in the control group. Reports of this VM take effect on it immediately, before the control group
@@ -25,6 +28,12 @@
     /** Maximum time for a report, including retries. */
     private static final Duration TIMEOUT = Duration.ofSeconds(10);
 
+    /** Maximum time for a request of a trial, for which a caller waits. */
+    private static final Duration TRIAL_TIMEOUT = Duration.ofMillis(500);
+
+    /** Time until the next request of a trial if the control group does not answer, or does not grant trials yet. */
+    private static final Duration UNAVAILABLE_TRIAL_WAIT = Duration.ofMillis(1000);
+
     /** Retention of this VM's own reports; covers the time until the control group has published them. */
     private static final Duration OWN_REPORT_RETENTION = Duration.ofSeconds(30);
 
@@ -40,16 +49,10 @@
     private final Function<Fingerprint, Suspicion> published;
 
     /** Suspicions from this VM's own reports. */
-    private final Cache<Fingerprint, Suspicion> ownReports = Caffeine.newBuilder()
-            .maximumSize(MAX_OWN_REPORTS)
-            .expireAfterWrite(OWN_REPORT_RETENTION)
-            .build();
+    private final Cache<Fingerprint, Suspicion> ownReports;
 
     /** What this VM has cleared and the control group may not have published yet. */
-    private final Cache<Fingerprint, Boolean> ownClears = Caffeine.newBuilder()
-            .maximumSize(MAX_OWN_REPORTS)
-            .expireAfterWrite(CLEAR_INTERVAL)
-            .build();
+    private final Cache<Fingerprint, Boolean> ownClears;
 
     /**
      * Creates a registry.
@@ -60,13 +63,31 @@
     public ControlGroupCrashRegistry(ControlClient client, Function<Fingerprint, Suspicion> published) {
         this.client = client;
         this.published = published;
+        this.ownReports = rememberFor(OWN_REPORT_RETENTION);
+        this.ownClears = rememberFor(CLEAR_INTERVAL);
+    }
+
+    private <T> Cache<Fingerprint, T> rememberFor(Duration retention) {
+        return Caffeine.newBuilder()
+                .ticker(client::nanoTime)
+                .maximumSize(MAX_OWN_REPORTS)
+                .expireAfterWrite(retention)
+                .build();
     }
 
     @Override
     public Suspicion suspicion(Fingerprint fingerprint) {
         Suspicion watched = published.apply(fingerprint);
         Suspicion own = ownReports.getIfPresent(fingerprint);
-        return own == null || own.compareTo(watched) < 0 ? watched : own;
+        if (own == null) {
+            return watched;
+        }
+        if (own.compareTo(watched) <= 0) {
+            // Published from now on: the end of the suspicion is watched as well.
+            ownReports.invalidate(fingerprint);
+            return watched;
+        }
+        return own;
     }
 
     @Override
@@ -117,6 +138,41 @@
         });
     }
 
+    /**
+     * Asks whether a request may be sent once although some of its suspects are quarantined.
+     *
+     * @param suspects the fingerprints of its quarantined suspects
+     * @return whether the request may be sent, or when to ask again
+     */
+    public CompletionStage<TrialDecision> requestTrial(List<Fingerprint> suspects) {
+        GrantTrial.Builder trial = GrantTrial.newBuilder();
+        suspects.forEach(suspect -> trial.addFingerprints(suspect.value()));
+        return client.submitForReply(Command.newBuilder().setGrantTrial(trial), client.deadlineAfter(TRIAL_TIMEOUT))
+                .handle((reply, failure) -> {
+                    if (failure != null || !reply.hasTrial()) {
+                        return new TrialDecision(false, client.deadlineAfter(UNAVAILABLE_TRIAL_WAIT));
+                    }
+                    TrialReply decided = reply.getTrial();
+                    if (decided.getGranted()) {
+                        // This VM's report may be older than the end of the quarantine.
+                        suspects.forEach(ownReports::invalidate);
+                    }
+                    return new TrialDecision(
+                            decided.getGranted(), client.deadlineAfter(Duration.ofMillis(decided.getWaitMillis())));
+                });
+    }
+
+    /**
+     * States that requests with a suspected part have succeeded on this VM shortly before.
+     *
+     * @param part the fingerprint of the part
+     */
+    public void vouch(Fingerprint part) {
+        Command.Builder command =
+                Command.newBuilder().setVouchForPart(VouchForPart.newBuilder().setFingerprint(part.value()));
+        client.submit(command, client.deadlineAfter(TIMEOUT));
+    }
+
     @Override
     public void reportAnswered(Fingerprint fingerprint) {
         Suspicion suspicion = suspicion(fingerprint);
--- a/src/main/java/org/borageproxy/control/ControlState.java
+++ b/src/main/java/org/borageproxy/control/ControlState.java
@@ -341,6 +341,8 @@
                 crashes.clear(command.getClearCrash().getFingerprint());
                 yield done();
             }
+            case GRANT_TRIAL -> crashes.grantTrial(command.getGrantTrial(), stateMillis);
+            case VOUCH_FOR_PART -> crashes.vouch(command.getVouchForPart().getFingerprint(), stateMillis);
             case REGISTER_VM -> {
                 register(command.getRegisterVm().getVm());
                 yield done();
--- a/src/main/java/org/borageproxy/control/CrashTable.java
+++ b/src/main/java/org/borageproxy/control/CrashTable.java
@@ -3,21 +3,32 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import org.borageproxy.execution.Suspicion;
 import org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot;
 import org.borageproxy.wire.proto.ControlProtocol.CrashReply;
 import org.borageproxy.wire.proto.ControlProtocol.CrashState;
+import org.borageproxy.wire.proto.ControlProtocol.Done;
+import org.borageproxy.wire.proto.ControlProtocol.GrantTrial;
 import org.borageproxy.wire.proto.ControlProtocol.Item;
+import org.borageproxy.wire.proto.ControlProtocol.Missing;
 import org.borageproxy.wire.proto.ControlProtocol.Reply;
 import org.borageproxy.wire.proto.ControlProtocol.ReportCrash;
+import org.borageproxy.wire.proto.ControlProtocol.TrialReply;
+import org.borageproxy.wire.proto.ControlProtocol.VmRecord;
 
 /**
  * Requests that were running when backend servers crashed. The first crash makes a request suspect. A further crash
  * quarantines it if it ran alone, if an earlier crash hit another backend server, or if it is the third; crashes that a
  * part of another prompt explains do not count. A successful response clears a suspect request but not a quarantined
- * one. The parts of prompts of these requests are counted apart, in a {@link PartCrashTable}. Guarded by the lock of
- * {@link ControlState}.
+ * one. The parts of prompts of these requests are counted apart, in a {@link PartCrashTable}; quarantined ones get
+ * trials by a {@link TrialSchedule}.
+ *
+ * <p>Members of the control group that run earlier builds grant no trials. So that all members have the same state,
+ * none takes effect until the records of all members say that they do.
+ *
+ * <p>Guarded by the lock of {@link ControlState}.
  */
 final class CrashTable {
 
@@ -79,10 +90,7 @@
         return reply(state.build());
     }
 
-    /**
-     * Clears a suspect request that has been answered, or a part of prompts with which one has. Does not affect
-     * quarantined requests.
-     */
+    /** Clears a request that has been answered, or a part of prompts with which one has. */
     void clear(String fingerprint) {
         if (parts.clear(fingerprint)) {
             return;
@@ -93,6 +101,47 @@
         }
     }
 
+    /** Grants a trial of all quarantined suspects of one request, or replies with the time until one is due. */
+    Reply grantTrial(GrantTrial request, long stateMillis) {
+        if (!allMembersGrantTrials()) {
+            return missing();
+        }
+        List<TrialSchedule.Quarantined> suspects = request.getFingerprintsList().stream()
+                .distinct()
+                .map(parts::quarantined)
+                .flatMap(Optional::stream)
+                .toList();
+        long waitMillis = Math.max(0, TrialSchedule.dueAtMillis(suspects) - stateMillis);
+        if (waitMillis == 0) {
+            suspects.forEach(suspect -> parts.recordTrial(suspect.state().getFingerprint(), stateMillis));
+        }
+        return Reply.newBuilder()
+                .setTrial(TrialReply.newBuilder().setGranted(waitMillis == 0).setWaitMillis(waitMillis))
+                .build();
+    }
+
+    /** Records that requests with a part of prompts had succeeded at a VM shortly before its crashes. */
+    Reply vouch(String fingerprint, long stateMillis) {
+        if (!allMembersGrantTrials()) {
+            return missing();
+        }
+        parts.vouch(fingerprint, stateMillis);
+        return Reply.newBuilder().setDone(Done.getDefaultInstance()).build();
+    }
+
+    private boolean allMembersGrantTrials() {
+        List<VmRecord> members = records.all().stream()
+                .filter(Item::hasVm)
+                .map(Item::getVm)
+                .filter(VmRecord::getControl)
+                .toList();
+        return !members.isEmpty() && members.stream().allMatch(VmRecord::getGrantsTrials);
+    }
+
+    private static Reply missing() {
+        return Reply.newBuilder().setMissing(Missing.getDefaultInstance()).build();
+    }
+
     /** Removes expired suspicions and quarantines. */
     void expire(long stateMillis) {
         parts.expire(stateMillis);
@@ -145,12 +194,16 @@
         records.remove("crash/" + fingerprint);
     }
 
-    /** Publishes the suspicion of a request or part to the watching VMs, without its crashes and expiry time. */
+    /**
+     * Publishes the suspicion of a request or part to the watching VMs, without its crashes, trials and expiry time.
+     */
     private void publish(CrashState state) {
         CrashState published = state.toBuilder()
                 .clearCrashes()
                 .clearUntestedCrashes()
                 .clearExpiresAtMillis()
+                .clearTrials()
+                .clearNextTrialAtMillis()
                 .build();
         records.put(Item.newBuilder().setName("crash/" + state.getFingerprint()).setCrash(published));
     }
--- a/src/main/java/org/borageproxy/control/PartCrashTable.java
+++ b/src/main/java/org/borageproxy/control/PartCrashTable.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 import org.borageproxy.wire.proto.ControlProtocol.CrashState;
@@ -11,14 +12,16 @@
 
 /**
  * Parts of prompts with which requests were beginning when backend servers crashed. A crash counts against a part once,
- * and only against untested parts if there were any: those without which no request had succeeded shortly before. A
- * part is quarantined at its fourth crash without a success in between; a success with it ends suspicion and
- * quarantine. Guarded by the lock of {@link ControlState}.
+ * and only against untested parts if there were any: those with which no request had succeeded shortly before, as far
+ * as the reporting VM knew and no other VM has vouched for them. A part is quarantined at its fourth crash without a
+ * success in between; a success with it ends suspicion and quarantine. Guarded by the lock of {@link ControlState}.
  */
 final class PartCrashTable {
 
     /** Duration of a suspicion or quarantine after the last crash, in milliseconds. */
     static final long RETENTION_MILLIS = 10L * 60 * 1000;
+    /** Time for which a part counts as tested after a VM has vouched for it, in milliseconds. */
+    static final long VOUCHED_MILLIS = 60L * 1000;
     /** Number of crashes that quarantine a part. */
     static final int QUARANTINE_CRASH_COUNT = 4;
     /** Maximum number of parts in the table; the ones reported least recently are evicted. */
@@ -69,7 +72,8 @@
         if (!state.getCrashesList().contains(crash) && state.getCrashesCount() < MAX_CRASHES) {
             state.addCrashes(crash);
         }
-        if (suspect.getUntested() && !state.getUntestedCrashesList().contains(crash)) {
+        boolean isUntested = suspect.getUntested() && state.getTestedUntilMillis() <= stateMillis;
+        if (isUntested && !state.getUntestedCrashesList().contains(crash)) {
             state.addUntestedCrashes(crash);
             untestedParts.merge(crash, 1, Integer::sum);
         }
@@ -101,12 +105,48 @@
         if (state == null) {
             return false;
         }
-        state.getUntestedCrashesList()
-                .forEach(crash -> untestedParts.computeIfPresent(crash, (key, count) -> count == 1 ? null : count - 1));
+        removeExplanations(state);
         remover.accept(fingerprint);
         return true;
     }
 
+    private void removeExplanations(CrashState state) {
+        state.getUntestedCrashesList()
+                .forEach(crash -> untestedParts.computeIfPresent(crash, (key, count) -> count == 1 ? null : count - 1));
+    }
+
+    /**
+     * Records that requests with a part had succeeded at a VM shortly before its crashes. Ends its quarantine if other
+     * parts explain the crashes.
+     */
+    void vouch(String fingerprint, long stateMillis) {
+        CrashState state = parts.get(fingerprint);
+        if (state == null) {
+            return;
+        }
+        removeExplanations(state);
+        CrashState tested = state.toBuilder()
+                .clearUntestedCrashes()
+                .setTestedUntilMillis(stateMillis + VOUCHED_MILLIS)
+                .build();
+        boolean isQuarantined = state.getQuarantined() && countedCrashes(tested) >= QUARANTINE_CRASH_COUNT;
+        CrashState judged = tested.toBuilder().setQuarantined(isQuarantined).build();
+        parts.put(fingerprint, judged);
+        publisher.accept(judged);
+    }
+
+    /** Returns a part that is quarantined. */
+    Optional<TrialSchedule.Quarantined> quarantined(String fingerprint) {
+        return Optional.ofNullable(parts.get(fingerprint))
+                .filter(CrashState::getQuarantined)
+                .map(state -> new TrialSchedule.Quarantined(state, state.getExpiresAtMillis() - RETENTION_MILLIS));
+    }
+
+    /** Records a trial of a quarantined part. */
+    void recordTrial(String fingerprint, long stateMillis) {
+        parts.computeIfPresent(fingerprint, (key, state) -> TrialSchedule.withTrial(state, stateMillis));
+    }
+
     private CrashState oldest() {
         return parts.values().iterator().next();
     }
--- a/src/main/java/org/borageproxy/forward/CrashEvidence.java
+++ b/src/main/java/org/borageproxy/forward/CrashEvidence.java
@@ -8,8 +8,9 @@
 import org.borageproxy.time.MonotonicClock;
 
 /**
- * Decides for one request whether it may have crashed a server that ended: only until a server has survived the
- * beginning of its answer. Not thread safe; confined to the event loop of the request.
+ * Decides for one request whether it may be sent in spite of its suspects, and whether it may have crashed a server
+ * that ended: only until a server has survived the beginning of its answer. A trial permits one sending. Not thread
+ * safe; confined to the event loop of the request.
  */
 final class CrashEvidence {
 
@@ -22,7 +23,11 @@
     /** The end of the beginning of the current attempt's answer; empty before its first event. */
     private Optional<Deadline> beginningEndsAt = Optional.empty();
 
+    /** The permission to be sent once although a suspect is quarantined; empty after the sending. */
+    private Optional<SuspectTrial> trial = Optional.empty();
+
     private boolean isHarmless;
+    private boolean hasEnded;
 
     CrashEvidence(SuspectRequests registry, CrashSuspects suspects, MonotonicClock clock) {
         this.registry = registry;
@@ -32,7 +37,35 @@
 
     /** Returns whether the request must not be sent. */
     boolean isQuarantined() {
-        return registry.isQuarantined(suspects);
+        return trial.isEmpty() && registry.isQuarantined(suspects);
+    }
+
+    /**
+     * Decides whether the request may be sent. A quarantined one may be if it gets a trial.
+     *
+     * @param onPermitted called if it may be, possibly before this method returns
+     * @param onQuarantined called if it must not be; neither is called after the end of the request
+     */
+    void decide(Runnable onPermitted, Runnable onQuarantined) {
+        if (!isQuarantined()) {
+            onPermitted.run();
+            return;
+        }
+        registry.requestTrial(suspects, granted -> {
+            if (hasEnded) {
+                granted.ifPresent(registry::giveBack);
+                return;
+            }
+            trial = granted;
+            (granted.isPresent() ? onPermitted : onQuarantined).run();
+        });
+    }
+
+    /** Records the end of the request. */
+    void recordEnd() {
+        hasEnded = true;
+        trial.ifPresent(registry::giveBack);
+        trial = Optional.empty();
     }
 
     /** Returns the reason, for logs, for which the request must not be sent; empty if it may be sent. */
@@ -42,6 +75,7 @@
 
     /** Records that the request is sent to a server. */
     void recordAttempt() {
+        trial = Optional.empty();
         beginningEndsAt = Optional.empty();
     }
 
--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -85,13 +85,13 @@
             refuse(RefusalReason.EXPIRED_UNSENT, Optional.empty());
             return;
         }
-        if (crashEvidence.isQuarantined()) {
-            refuse(RefusalReason.QUARANTINED, Optional.empty());
-            return;
-        }
-        log.streamResumed();
         long expiryNanos = buffered.deadline().remainingNanos(context.clock().nanoTime()) + DEADLINE_GRACE.toNanos();
         deadlineTimer = context.eventLoop().schedule(this::expire, expiryNanos, TimeUnit.NANOSECONDS);
+        crashEvidence.decide(this::admit, () -> refuse(RefusalReason.QUARANTINED, Optional.empty()));
+    }
+
+    private void admit() {
+        log.streamResumed();
         context.retryBudgets().apply(buffered.service()).deposit();
         buffered.metadata().work().ifPresent(work -> context.pool().demand().recordRequest(buffered.service(), work));
         if (stream.isTakenUp()) {
@@ -477,22 +477,6 @@
         return buffered.deadline().hasPassed(context.clock().nanoTime());
     }
 
-    /** Returns what keeps the request from another attempt; withdraws a retry of one that was sent if nothing does. */
-    private Optional<String> obstacleToRetry() {
-        if (isExpired()) {
-            return Optional.of("deadline");
-        }
-        if (!priorAttempts.allowAnother(buffered.route().maxAttempts())) {
-            return Optional.of("attempts");
-        }
-        if (crashEvidence.isQuarantined()) {
-            return Optional.of("quarantine");
-        }
-        boolean isPaid = priorAttempts.sends() == 0
-                || context.retryBudgets().apply(buffered.service()).tryWithdraw();
-        return isPaid ? Optional.empty() : Optional.of("budget");
-    }
-
     /** Sends the request to another server if that is safe and permitted; refuses or aborts it otherwise. */
     private void retry(RefusalReason reason, boolean isNotRun) {
         if (!hasEnded) {
@@ -502,7 +486,9 @@
     }
 
     private void retryOrElse(boolean isSafe, Runnable fallback) {
-        Optional<String> obstacle = isSafe ? obstacleToRetry() : Optional.of("may have run");
+        Optional<String> obstacle = isSafe
+                ? SendConditions.retryObstacle(context, buffered, priorAttempts, crashEvidence)
+                : Optional.of("may have run");
         if (obstacle.isEmpty()) {
             findServer();
         } else {
@@ -585,6 +571,7 @@
             deadlineTimer.cancel(false);
         }
         rate.close(priorAttempts.mayHaveRun());
+        crashEvidence.recordEnd();
         currentAttempt.filter(attempt -> !attempt.isOver).ifPresent(Attempt::cancel);
         log.ended(outcome, status, priorAttempts.sends(), events.eventCount());
         context.metrics()
--- a/src/main/java/org/borageproxy/forward/SendConditions.java
+++ b/src/main/java/org/borageproxy/forward/SendConditions.java
@@ -85,4 +85,32 @@
         priorAttempts.recordSlotExpired(server.name());
         return Optional.of("slot expired before the request was sent");
     }
+
+    /**
+     * Returns what keeps a request from another attempt; withdraws a retry of one that was sent if nothing does.
+     *
+     * @param context the collaborators of forwarding
+     * @param buffered the request
+     * @param priorAttempts the attempts so far
+     * @param crashEvidence whether the request may crash servers
+     * @return the reason, for logs; empty if the request may be sent again
+     */
+    static Optional<String> retryObstacle(
+            ForwardContext context,
+            BufferedRequest buffered,
+            PriorAttempts priorAttempts,
+            CrashEvidence crashEvidence) {
+        if (buffered.deadline().hasPassed(context.clock().nanoTime())) {
+            return Optional.of("deadline");
+        }
+        if (!priorAttempts.allowAnother(buffered.route().maxAttempts())) {
+            return Optional.of("attempts");
+        }
+        if (crashEvidence.isQuarantined()) {
+            return Optional.of("quarantine");
+        }
+        boolean isPaid = priorAttempts.sends() == 0
+                || context.retryBudgets().apply(buffered.service()).tryWithdraw();
+        return isPaid ? Optional.empty() : Optional.of("budget");
+    }
 }
--- /dev/null
+++ b/src/main/java/org/borageproxy/quarantine/package-info.java
@@ -0,0 +1,2 @@
+/** What a VM knows for and against requests, and parts of prompts, that are suspected of crashing backend servers. */
+package org.borageproxy.quarantine;
--- a/src/main/java/org/borageproxy/server/GatewayEntry.java
+++ b/src/main/java/org/borageproxy/server/GatewayEntry.java
@@ -17,6 +17,7 @@
 import org.borageproxy.buffer.BufferAccount;
 import org.borageproxy.buffer.BufferLimits;
 import org.borageproxy.control.ControlClient;
+import org.borageproxy.control.ControlGroupCrashRegistry;
 import org.borageproxy.control.RepeatedTask;
 import org.borageproxy.coordination.CoordinationClient;
 import org.borageproxy.coordination.EntrySpeeds;
@@ -39,6 +40,7 @@
 import org.borageproxy.publication.Publication;
 import org.borageproxy.publication.PublishedWorkspace;
 import org.borageproxy.publication.ServedPublication;
+import org.borageproxy.quarantine.CrashReports;
 import org.borageproxy.quota.RateShares;
 import org.borageproxy.saturation.EntrySaturation;
 import org.borageproxy.settings.Endpoint;
@@ -79,6 +81,7 @@
     private final PublicationReader publicationReader;
     private final ForwardServer server;
     private final BufferAccount buffers;
+    private final CrashReports crashReports;
     private final String session = UUID.randomUUID().toString();
     private Optional<ServedPublication> servedPublication = Optional.empty();
     /** Time at which the document to be read arrived at this VM. */
@@ -132,6 +135,7 @@
         links.refusals().onEnd(pool::retryQueued);
         connectionPool = new ServerConnectionPool(links, runtime.clock());
         buffers = createBuffers();
+        crashReports = createCrashReports(client, links, random);
         ForwardContext context = new ForwardContext(
                 runtime.eventLoop(),
                 runtime.clock(),
@@ -147,11 +151,7 @@
                 connectionPool,
                 rateShares,
                 retryBudgets::of,
-                new CrashReports(
-                        runtime,
-                        client,
-                        CrashProbe.confirmed(CrashProbe.overTcp(runtime.vertx()), links::isRefusedElsewhere),
-                        pool::mayHaveLackedMemory),
+                crashReports,
                 buffers,
                 metrics);
         publicationReader = new PublicationReader(runtime.protocol()::parsePublication, runtime.timer(), this::serve);
@@ -171,6 +171,7 @@
 
     private void subscribe() {
         runtime.spread().subscribeDrainedZones(zones -> runtime.eventLoop().execute(() -> applyDrains(zones)));
+        runtime.spread().subscribeSuspectParts(parts -> runtime.eventLoop().execute(() -> crashReports.vouch(parts)));
         runtime.spread().subscribeDocument(document -> {
             long arrivedAtNanos = runtime.clock().nanoTime();
             runtime.eventLoop().execute(() -> {
@@ -180,6 +181,18 @@
         });
     }
 
+    private CrashReports createCrashReports(ControlClient client, ServerLinks links, Random random) {
+        return new CrashReports(new CrashReports.Environment(
+                new ControlGroupCrashRegistry(
+                        client, fingerprint -> runtime.spread().suspicions().of(fingerprint)),
+                fingerprint -> runtime.spread().suspicions().versionOf(fingerprint),
+                CrashProbe.confirmed(CrashProbe.overTcp(runtime.vertx()), links::isRefusedElsewhere),
+                pool::mayHaveLackedMemory,
+                runtime.clock(),
+                runtime.timer(),
+                random));
+    }
+
     private BufferAccount createBuffers() {
         BufferLimits limits = BufferLimits.of(Runtime.getRuntime().maxMemory(), PlatformDependent.maxDirectMemory());
         LOGGER.info(
--- a/src/main/java/org/borageproxy/server/VmProcess.java
+++ b/src/main/java/org/borageproxy/server/VmProcess.java
@@ -210,7 +210,8 @@
                 quota,
                 dispatchQueue,
                 new ControlGroupClaimStore(client),
-                new ControlGroupCrashRegistry(client, spread::suspicion),
+                new ControlGroupCrashRegistry(
+                        client, fingerprint -> spread.suspicions().of(fingerprint)),
                 placement.demandMeter(),
                 runtime.timeLine(),
                 runtime.metrics(),
--- a/src/main/java/org/borageproxy/spread/ControlStateWatcher.java
+++ b/src/main/java/org/borageproxy/spread/ControlStateWatcher.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -16,7 +15,6 @@
 import org.borageproxy.event.Event;
 import org.borageproxy.event.EventRecorder;
 import org.borageproxy.execution.Fingerprint;
-import org.borageproxy.execution.Suspicion;
 import org.borageproxy.lease.Duty;
 import org.borageproxy.lease.Lease;
 import org.borageproxy.time.Deadline;
@@ -36,8 +34,6 @@
 import org.borageproxy.wire.proto.ControlProtocol.Watch;
 import org.borageproxy.wire.proto.ControlProtocol.WatchAnswer;
 import org.borageproxy.wire.proto.ControlProtocol.WatchRequest;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Watches the control group's state from one VM. Only answers that a control VM confirmed as current renew the
@@ -47,8 +43,6 @@
  */
 public final class ControlStateWatcher implements ConfigurationSource {
 
-    private static final Logger LOGGER = LoggerFactory.getLogger(ControlStateWatcher.class);
-
     /** Duration for which the configuration counts as current, from when the request was sent. */
     public static final Duration FRESHNESS_LEASE = Duration.ofMillis(2500);
 
@@ -70,19 +64,22 @@
     private final WatchJournal journal;
 
     /** Listeners for the configuration. */
-    private final List<Consumer<Configuration>> configurationListeners = new CopyOnWriteArrayList<>();
+    private final StateListeners<Configuration> configurationListeners = new StateListeners<>();
 
     /** Listeners for the list of VMs. */
-    private final List<Consumer<List<VmAddress>>> vmListeners = new CopyOnWriteArrayList<>();
+    private final StateListeners<List<VmAddress>> vmListeners = new StateListeners<>();
 
     /** Listeners for the published document. */
-    private final List<Consumer<DocumentState>> documentListeners = new CopyOnWriteArrayList<>();
+    private final StateListeners<DocumentState> documentListeners = new StateListeners<>();
 
     /** Whether this VM is a member of the control group. */
     private final boolean isControlVm;
 
     /** Listeners for the drained zones. */
-    private final List<Consumer<Set<AvailabilityZone>>> drainListeners = new CopyOnWriteArrayList<>();
+    private final StateListeners<Set<AvailabilityZone>> drainListeners = new StateListeners<>();
+
+    /** Listeners for the suspected parts of prompts for which no VM has vouched. */
+    private final StateListeners<Set<Fingerprint>> suspectPartListeners = new StateListeners<>();
 
     /** Latest confirmed state. */
     private volatile WatchedState state = WatchedState.EMPTY;
@@ -256,13 +253,24 @@
     }
 
     /**
-     * Returns the published suspicion of a request.
+     * Returns the published suspicions of requests and parts of prompts.
+     *
+     * @return the suspicions as of the latest confirmed state
+     */
+    public WatchedSuspicions suspicions() {
+        return state.suspicions();
+    }
+
+    /**
+     * Registers a listener that is called when the suspected parts of prompts change for which no VM has vouched.
      *
-     * @param fingerprint the fingerprint of the request
-     * @return the suspicion
+     * @param listener receives the fingerprints of these parts
      */
-    public Suspicion suspicion(Fingerprint fingerprint) {
-        return state.suspicion(fingerprint.value());
+    public synchronized void subscribeSuspectParts(Consumer<Set<Fingerprint>> listener) {
+        suspectPartListeners.add(listener);
+        if (!state.suspicions().unvouchedParts().isEmpty()) {
+            listener.accept(state.suspicions().unvouchedParts());
+        }
     }
 
     /**
@@ -386,7 +394,8 @@
                                 .setHost(self.host())
                                 .setPort(self.port())
                                 .setControl(isControlVm)
-                                .setObeysDrains(true))
+                                .setObeysDrains(true)
+                                .setGrantsTrials(true))
                         .setVersion(version)
                         .setServedRevision(state.configuration().revision())
                         .setWaitMillis((int) wait.toMillis())
@@ -563,32 +572,25 @@
         if (later == earlier) {
             return;
         }
-        notifyAll(vmListeners, later.vms());
+        vmListeners.notifyAll(later.vms());
         if (!later.drainedZones().equals(earlier.drainedZones())) {
             events.record(Event.named("zones-drained")
                     .with("zones", later.drainedZones().toString())
                     .with("version", later.version()));
-            notifyAll(drainListeners, later.drainedZones());
+            drainListeners.notifyAll(later.drainedZones());
+        }
+        Set<Fingerprint> unvouchedParts = later.suspicions().unvouchedParts();
+        if (!unvouchedParts.equals(earlier.suspicions().unvouchedParts())) {
+            suspectPartListeners.notifyAll(unvouchedParts);
         }
         long earlierNumber = earlier.published().map(DocumentState::getNumber).orElse(0L);
         later.published()
                 .filter(document -> document.getNumber() > earlierNumber)
-                .ifPresent(document -> notifyAll(documentListeners, document));
+                .ifPresent(document -> documentListeners.notifyAll(document));
         if (later.configuration().revision() > earlier.configuration().revision()) {
             events.record(Event.named("configuration-served")
                     .with("revision", later.configuration().revision()));
-            notifyAll(configurationListeners, later.configuration());
-        }
-    }
-
-    /** Calls the listeners; a failure of one affects neither the others nor the watch. */
-    private static <T> void notifyAll(List<Consumer<T>> listeners, T value) {
-        for (Consumer<T> listener : listeners) {
-            try {
-                listener.accept(value);
-            } catch (RuntimeException | Error exception) {
-                LOGGER.error("event=state-listener-failed", exception);
-            }
+            configurationListeners.notifyAll(later.configuration());
         }
     }
 }
--- a/src/main/java/org/borageproxy/spread/WatchedState.java
+++ b/src/main/java/org/borageproxy/spread/WatchedState.java
@@ -8,7 +8,6 @@
 import java.util.stream.Collectors;
 
 import org.borageproxy.control.ControlState;
-import org.borageproxy.execution.Suspicion;
 import org.borageproxy.tree.Configuration;
 import org.borageproxy.tree.EffectiveTree;
 import org.borageproxy.tree.KeyRecord;
@@ -55,8 +54,7 @@
     private final EffectiveTree tree;
     private final Configuration configuration;
 
-    /** Suspicions by request fingerprint. */
-    private final Map<String, Suspicion> suspicions;
+    private final WatchedSuspicions suspicions;
 
     /** Zones whose servers get no requests by order of an operator. */
     private final Set<AvailabilityZone> drainedZones;
@@ -76,12 +74,7 @@
         this.document = document;
         this.tree = tree;
         this.configuration = configuration;
-        this.suspicions = items.values().stream()
-                .filter(Item::hasCrash)
-                .map(Item::getCrash)
-                .collect(Collectors.toUnmodifiableMap(
-                        crash -> crash.getFingerprint(),
-                        crash -> crash.getQuarantined() ? Suspicion.QUARANTINED : Suspicion.SUSPECT));
+        this.suspicions = WatchedSuspicions.among(items.values());
         this.drainedZones = items.keySet().stream()
                 .filter(name -> name.startsWith(ControlState.DRAINED_ZONE_PREFIX))
                 .map(name -> new AvailabilityZone(name.substring(ControlState.DRAINED_ZONE_PREFIX.length())))
@@ -194,8 +187,8 @@
         return tree;
     }
 
-    Suspicion suspicion(String fingerprint) {
-        return suspicions.getOrDefault(fingerprint, Suspicion.NONE);
+    WatchedSuspicions suspicions() {
+        return suspicions;
     }
 
     /**
--- a/src/main/java/org/borageproxy/wire/proto/ControlProtocol.java
+++ b/src/main/java/org/borageproxy/wire/proto/ControlProtocol.java
@@ -2052,6 +2052,36 @@
      */
     org.borageproxy.wire.proto.ControlProtocol.ZoneOrderOrBuilder getReturnZoneOrBuilder();
 
+    /**
+     * <code>.borageproxy.control.GrantTrial grant_trial = 31;</code>
+     * @return Whether the grantTrial field is set.
+     */
+    boolean hasGrantTrial();
+    /**
+     * <code>.borageproxy.control.GrantTrial grant_trial = 31;</code>
+     * @return The grantTrial.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.GrantTrial getGrantTrial();
+    /**
+     * <code>.borageproxy.control.GrantTrial grant_trial = 31;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.GrantTrialOrBuilder getGrantTrialOrBuilder();
+
+    /**
+     * <code>.borageproxy.control.VouchForPart vouch_for_part = 32;</code>
+     * @return Whether the vouchForPart field is set.
+     */
+    boolean hasVouchForPart();
+    /**
+     * <code>.borageproxy.control.VouchForPart vouch_for_part = 32;</code>
+     * @return The vouchForPart.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.VouchForPart getVouchForPart();
+    /**
+     * <code>.borageproxy.control.VouchForPart vouch_for_part = 32;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.VouchForPartOrBuilder getVouchForPartOrBuilder();
+
     org.borageproxy.wire.proto.ControlProtocol.Command.BodyCase getBodyCase();
   }
   /**
@@ -2128,6 +2158,8 @@
       RECORD_STREAMS(30),
       DRAIN_ZONE(20),
       RETURN_ZONE(21),
+      GRANT_TRIAL(31),
+      VOUCH_FOR_PART(32),
       BODY_NOT_SET(0);
       private final int value;
       private BodyCase(int value) {
@@ -2166,6 +2198,8 @@
           case 30: return RECORD_STREAMS;
           case 20: return DRAIN_ZONE;
           case 21: return RETURN_ZONE;
+          case 31: return GRANT_TRIAL;
+          case 32: return VOUCH_FOR_PART;
           case 0: return BODY_NOT_SET;
           default: return null;
         }
@@ -2871,6 +2905,68 @@
       return org.borageproxy.wire.proto.ControlProtocol.ZoneOrder.getDefaultInstance();
     }
 
+    public static final int GRANT_TRIAL_FIELD_NUMBER = 31;
+    /**
+     * <code>.borageproxy.control.GrantTrial grant_trial = 31;</code>
+     * @return Whether the grantTrial field is set.
+     */
+    @java.lang.Override
+    public boolean hasGrantTrial() {
+      return bodyCase_ == 31;
+    }
+    /**
+     * <code>.borageproxy.control.GrantTrial grant_trial = 31;</code>
+     * @return The grantTrial.
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.GrantTrial getGrantTrial() {
+      if (bodyCase_ == 31) {
+         return (org.borageproxy.wire.proto.ControlProtocol.GrantTrial) body_;
+      }
+      return org.borageproxy.wire.proto.ControlProtocol.GrantTrial.getDefaultInstance();
+    }
+    /**
+     * <code>.borageproxy.control.GrantTrial grant_trial = 31;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.GrantTrialOrBuilder getGrantTrialOrBuilder() {
+      if (bodyCase_ == 31) {
+         return (org.borageproxy.wire.proto.ControlProtocol.GrantTrial) body_;
+      }
+      return org.borageproxy.wire.proto.ControlProtocol.GrantTrial.getDefaultInstance();
+    }
+
+    public static final int VOUCH_FOR_PART_FIELD_NUMBER = 32;
+    /**
+     * <code>.borageproxy.control.VouchForPart vouch_for_part = 32;</code>
+     * @return Whether the vouchForPart field is set.
+     */
+    @java.lang.Override
+    public boolean hasVouchForPart() {
+      return bodyCase_ == 32;
+    }
+    /**
+     * <code>.borageproxy.control.VouchForPart vouch_for_part = 32;</code>
+     * @return The vouchForPart.
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.VouchForPart getVouchForPart() {
+      if (bodyCase_ == 32) {
+         return (org.borageproxy.wire.proto.ControlProtocol.VouchForPart) body_;
+      }
+      return org.borageproxy.wire.proto.ControlProtocol.VouchForPart.getDefaultInstance();
+    }
+    /**
+     * <code>.borageproxy.control.VouchForPart vouch_for_part = 32;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.VouchForPartOrBuilder getVouchForPartOrBuilder() {
+      if (bodyCase_ == 32) {
+         return (org.borageproxy.wire.proto.ControlProtocol.VouchForPart) body_;
+      }
+      return org.borageproxy.wire.proto.ControlProtocol.VouchForPart.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -2951,6 +3047,12 @@
       if (bodyCase_ == 30) {
         output.writeMessage(30, (org.borageproxy.wire.proto.ControlProtocol.RecordStreams) body_);
       }
+      if (bodyCase_ == 31) {
+        output.writeMessage(31, (org.borageproxy.wire.proto.ControlProtocol.GrantTrial) body_);
+      }
+      if (bodyCase_ == 32) {
+        output.writeMessage(32, (org.borageproxy.wire.proto.ControlProtocol.VouchForPart) body_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -3047,6 +3149,14 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(30, (org.borageproxy.wire.proto.ControlProtocol.RecordStreams) body_);
       }
+      if (bodyCase_ == 31) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(31, (org.borageproxy.wire.proto.ControlProtocol.GrantTrial) body_);
+      }
+      if (bodyCase_ == 32) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(32, (org.borageproxy.wire.proto.ControlProtocol.VouchForPart) body_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -3150,6 +3260,14 @@
           if (!getReturnZone()
               .equals(other.getReturnZone())) return false;
           break;
+        case 31:
+          if (!getGrantTrial()
+              .equals(other.getGrantTrial())) return false;
+          break;
+        case 32:
+          if (!getVouchForPart()
+              .equals(other.getVouchForPart())) return false;
+          break;
         case 0:
         default:
       }
@@ -3251,6 +3369,14 @@
           hash = (37 * hash) + RETURN_ZONE_FIELD_NUMBER;
           hash = (53 * hash) + getReturnZone().hashCode();
           break;
+        case 31:
+          hash = (37 * hash) + GRANT_TRIAL_FIELD_NUMBER;
+          hash = (53 * hash) + getGrantTrial().hashCode();
+          break;
+        case 32:
+          hash = (37 * hash) + VOUCH_FOR_PART_FIELD_NUMBER;
+          hash = (53 * hash) + getVouchForPart().hashCode();
+          break;
         case 0:
         default:
       }
@@ -3453,6 +3579,12 @@
         if (returnZoneBuilder_ != null) {
           returnZoneBuilder_.clear();
         }
+        if (grantTrialBuilder_ != null) {
+          grantTrialBuilder_.clear();
+        }
+        if (vouchForPartBuilder_ != null) {
+          vouchForPartBuilder_.clear();
+        }
         bodyCase_ = 0;
         body_ = null;
         return this;
@@ -3581,6 +3713,14 @@
             returnZoneBuilder_ != null) {
           result.body_ = returnZoneBuilder_.build();
         }
+        if (bodyCase_ == 31 &&
+            grantTrialBuilder_ != null) {
+          result.body_ = grantTrialBuilder_.build();
+        }
+        if (bodyCase_ == 32 &&
+            vouchForPartBuilder_ != null) {
+          result.body_ = vouchForPartBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -3685,6 +3825,14 @@
             mergeReturnZone(other.getReturnZone());
             break;
           }
+          case GRANT_TRIAL: {
+            mergeGrantTrial(other.getGrantTrial());
+            break;
+          }
+          case VOUCH_FOR_PART: {
+            mergeVouchForPart(other.getVouchForPart());
+            break;
+          }
           case BODY_NOT_SET: {
             break;
           }
@@ -3867,6 +4015,20 @@
                 bodyCase_ = 30;
                 break;
               } // case 242
+              case 250: {
+                input.readMessage(
+                    internalGetGrantTrialFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 31;
+                break;
+              } // case 250
+              case 258: {
+                input.readMessage(
+                    internalGetVouchForPartFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 32;
+                break;
+              } // case 258
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -6953,6 +7115,290 @@
         return returnZoneBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.GrantTrial, org.borageproxy.wire.proto.ControlProtocol.GrantTrial.Builder, org.borageproxy.wire.proto.ControlProtocol.GrantTrialOrBuilder> grantTrialBuilder_;
+      /**
+       * <code>.borageproxy.control.GrantTrial grant_trial = 31;</code>
+       * @return Whether the grantTrial field is set.
+       */
+      @java.lang.Override
+      public boolean hasGrantTrial() {
+        return bodyCase_ == 31;
+      }
+      /**
+       * <code>.borageproxy.control.GrantTrial grant_trial = 31;</code>
+       * @return The grantTrial.
+       */
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.GrantTrial getGrantTrial() {
+        if (grantTrialBuilder_ == null) {
+          if (bodyCase_ == 31) {
+            return (org.borageproxy.wire.proto.ControlProtocol.GrantTrial) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.GrantTrial.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 31) {
+            return grantTrialBuilder_.getMessage();
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.GrantTrial.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.borageproxy.control.GrantTrial grant_trial = 31;</code>
+       */
+      public Builder setGrantTrial(org.borageproxy.wire.proto.ControlProtocol.GrantTrial value) {
+        if (grantTrialBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          body_ = value;
+          onChanged();
+        } else {
+          grantTrialBuilder_.setMessage(value);
+        }
+        bodyCase_ = 31;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.GrantTrial grant_trial = 31;</code>
+       */
+      public Builder setGrantTrial(
+          org.borageproxy.wire.proto.ControlProtocol.GrantTrial.Builder builderForValue) {
+        if (grantTrialBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          grantTrialBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 31;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.GrantTrial grant_trial = 31;</code>
+       */
+      public Builder mergeGrantTrial(org.borageproxy.wire.proto.ControlProtocol.GrantTrial value) {
+        if (grantTrialBuilder_ == null) {
+          if (bodyCase_ == 31 &&
+              body_ != org.borageproxy.wire.proto.ControlProtocol.GrantTrial.getDefaultInstance()) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.GrantTrial.newBuilder((org.borageproxy.wire.proto.ControlProtocol.GrantTrial) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 31) {
+            grantTrialBuilder_.mergeFrom(value);
+          } else {
+            grantTrialBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 31;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.GrantTrial grant_trial = 31;</code>
+       */
+      public Builder clearGrantTrial() {
+        if (grantTrialBuilder_ == null) {
+          if (bodyCase_ == 31) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 31) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          grantTrialBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.GrantTrial grant_trial = 31;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.GrantTrial.Builder getGrantTrialBuilder() {
+        return internalGetGrantTrialFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.borageproxy.control.GrantTrial grant_trial = 31;</code>
+       */
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.GrantTrialOrBuilder getGrantTrialOrBuilder() {
+        if ((bodyCase_ == 31) && (grantTrialBuilder_ != null)) {
+          return grantTrialBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 31) {
+            return (org.borageproxy.wire.proto.ControlProtocol.GrantTrial) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.GrantTrial.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.borageproxy.control.GrantTrial grant_trial = 31;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.GrantTrial, org.borageproxy.wire.proto.ControlProtocol.GrantTrial.Builder, org.borageproxy.wire.proto.ControlProtocol.GrantTrialOrBuilder> 
+          internalGetGrantTrialFieldBuilder() {
+        if (grantTrialBuilder_ == null) {
+          if (!(bodyCase_ == 31)) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.GrantTrial.getDefaultInstance();
+          }
+          grantTrialBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.GrantTrial, org.borageproxy.wire.proto.ControlProtocol.GrantTrial.Builder, org.borageproxy.wire.proto.ControlProtocol.GrantTrialOrBuilder>(
+                  (org.borageproxy.wire.proto.ControlProtocol.GrantTrial) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 31;
+        onChanged();
+        return grantTrialBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.VouchForPart, org.borageproxy.wire.proto.ControlProtocol.VouchForPart.Builder, org.borageproxy.wire.proto.ControlProtocol.VouchForPartOrBuilder> vouchForPartBuilder_;
+      /**
+       * <code>.borageproxy.control.VouchForPart vouch_for_part = 32;</code>
+       * @return Whether the vouchForPart field is set.
+       */
+      @java.lang.Override
+      public boolean hasVouchForPart() {
+        return bodyCase_ == 32;
+      }
+      /**
+       * <code>.borageproxy.control.VouchForPart vouch_for_part = 32;</code>
+       * @return The vouchForPart.
+       */
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.VouchForPart getVouchForPart() {
+        if (vouchForPartBuilder_ == null) {
+          if (bodyCase_ == 32) {
+            return (org.borageproxy.wire.proto.ControlProtocol.VouchForPart) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.VouchForPart.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 32) {
+            return vouchForPartBuilder_.getMessage();
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.VouchForPart.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.borageproxy.control.VouchForPart vouch_for_part = 32;</code>
+       */
+      public Builder setVouchForPart(org.borageproxy.wire.proto.ControlProtocol.VouchForPart value) {
+        if (vouchForPartBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          body_ = value;
+          onChanged();
+        } else {
+          vouchForPartBuilder_.setMessage(value);
+        }
+        bodyCase_ = 32;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.VouchForPart vouch_for_part = 32;</code>
+       */
+      public Builder setVouchForPart(
+          org.borageproxy.wire.proto.ControlProtocol.VouchForPart.Builder builderForValue) {
+        if (vouchForPartBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          vouchForPartBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 32;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.VouchForPart vouch_for_part = 32;</code>
+       */
+      public Builder mergeVouchForPart(org.borageproxy.wire.proto.ControlProtocol.VouchForPart value) {
+        if (vouchForPartBuilder_ == null) {
+          if (bodyCase_ == 32 &&
+              body_ != org.borageproxy.wire.proto.ControlProtocol.VouchForPart.getDefaultInstance()) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.VouchForPart.newBuilder((org.borageproxy.wire.proto.ControlProtocol.VouchForPart) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 32) {
+            vouchForPartBuilder_.mergeFrom(value);
+          } else {
+            vouchForPartBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 32;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.VouchForPart vouch_for_part = 32;</code>
+       */
+      public Builder clearVouchForPart() {
+        if (vouchForPartBuilder_ == null) {
+          if (bodyCase_ == 32) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 32) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          vouchForPartBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.VouchForPart vouch_for_part = 32;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.VouchForPart.Builder getVouchForPartBuilder() {
+        return internalGetVouchForPartFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.borageproxy.control.VouchForPart vouch_for_part = 32;</code>
+       */
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.VouchForPartOrBuilder getVouchForPartOrBuilder() {
+        if ((bodyCase_ == 32) && (vouchForPartBuilder_ != null)) {
+          return vouchForPartBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 32) {
+            return (org.borageproxy.wire.proto.ControlProtocol.VouchForPart) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.VouchForPart.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.borageproxy.control.VouchForPart vouch_for_part = 32;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.VouchForPart, org.borageproxy.wire.proto.ControlProtocol.VouchForPart.Builder, org.borageproxy.wire.proto.ControlProtocol.VouchForPartOrBuilder> 
+          internalGetVouchForPartFieldBuilder() {
+        if (vouchForPartBuilder_ == null) {
+          if (!(bodyCase_ == 32)) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.VouchForPart.getDefaultInstance();
+          }
+          vouchForPartBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.VouchForPart, org.borageproxy.wire.proto.ControlProtocol.VouchForPart.Builder, org.borageproxy.wire.proto.ControlProtocol.VouchForPartOrBuilder>(
+                  (org.borageproxy.wire.proto.ControlProtocol.VouchForPart) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 32;
+        onChanged();
+        return vouchForPartBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.control.Command)
     }
 
@@ -22263,6 +22709,10 @@
         getFingerprintBytes();
   }
   /**
+   * <pre>
+   * Reports a success. Ends the suspicion, and the quarantine once all members of the control group grant trials.
+   * </pre>
+   *
    * Protobuf type {@code borageproxy.control.ClearCrash}
    */
   public static final class ClearCrash extends
@@ -22501,6 +22951,10 @@
       return builder;
     }
     /**
+     * <pre>
+     * Reports a success. Ends the suspicion, and the quarantine once all members of the control group grant trials.
+     * </pre>
+     *
      * Protobuf type {@code borageproxy.control.ClearCrash}
      */
     public static final class Builder extends
@@ -22761,32 +23215,63 @@
 
   }
 
-  public interface RegisterVmOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:borageproxy.control.RegisterVm)
+  public interface GrantTrialOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.control.GrantTrial)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>.borageproxy.control.VmRecord vm = 1;</code>
-     * @return Whether the vm field is set.
+     * <pre>
+     * The quarantined suspects: the request, parts of its prompt, or both.
+     * </pre>
+     *
+     * <code>repeated string fingerprints = 1;</code>
+     * @return A list containing the fingerprints.
      */
-    boolean hasVm();
+    java.util.List<java.lang.String>
+        getFingerprintsList();
     /**
-     * <code>.borageproxy.control.VmRecord vm = 1;</code>
-     * @return The vm.
+     * <pre>
+     * The quarantined suspects: the request, parts of its prompt, or both.
+     * </pre>
+     *
+     * <code>repeated string fingerprints = 1;</code>
+     * @return The count of fingerprints.
      */
-    org.borageproxy.wire.proto.ControlProtocol.VmRecord getVm();
+    int getFingerprintsCount();
     /**
-     * <code>.borageproxy.control.VmRecord vm = 1;</code>
+     * <pre>
+     * The quarantined suspects: the request, parts of its prompt, or both.
+     * </pre>
+     *
+     * <code>repeated string fingerprints = 1;</code>
+     * @param index The index of the element to return.
+     * @return The fingerprints at the given index.
      */
-    org.borageproxy.wire.proto.ControlProtocol.VmRecordOrBuilder getVmOrBuilder();
+    java.lang.String getFingerprints(int index);
+    /**
+     * <pre>
+     * The quarantined suspects: the request, parts of its prompt, or both.
+     * </pre>
+     *
+     * <code>repeated string fingerprints = 1;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the fingerprints at the given index.
+     */
+    com.google.protobuf.ByteString
+        getFingerprintsBytes(int index);
   }
   /**
-   * Protobuf type {@code borageproxy.control.RegisterVm}
+   * <pre>
+   * Asks whether a request may be sent once although some of its suspects are quarantined. Answered as missing until all
+   * members of the control group grant trials.
+   * </pre>
+   *
+   * Protobuf type {@code borageproxy.control.GrantTrial}
    */
-  public static final class RegisterVm extends
+  public static final class GrantTrial extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:borageproxy.control.RegisterVm)
-      RegisterVmOrBuilder {
+      // @@protoc_insertion_point(message_implements:borageproxy.control.GrantTrial)
+      GrantTrialOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -22795,58 +23280,86 @@
         /* minor= */ 34,
         /* patch= */ 2,
         /* suffix= */ "",
-        "RegisterVm");
+        "GrantTrial");
     }
-    // Use RegisterVm.newBuilder() to construct.
-    private RegisterVm(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use GrantTrial.newBuilder() to construct.
+    private GrantTrial(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private RegisterVm() {
+    private GrantTrial() {
+      fingerprints_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_RegisterVm_descriptor;
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_GrantTrial_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_RegisterVm_descriptor;
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_GrantTrial_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_RegisterVm_fieldAccessorTable
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_GrantTrial_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.borageproxy.wire.proto.ControlProtocol.RegisterVm.class, org.borageproxy.wire.proto.ControlProtocol.RegisterVm.Builder.class);
+              org.borageproxy.wire.proto.ControlProtocol.GrantTrial.class, org.borageproxy.wire.proto.ControlProtocol.GrantTrial.Builder.class);
     }
 
-    private int bitField0_;
-    public static final int VM_FIELD_NUMBER = 1;
-    private org.borageproxy.wire.proto.ControlProtocol.VmRecord vm_;
+    public static final int FINGERPRINTS_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.LazyStringArrayList fingerprints_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
     /**
-     * <code>.borageproxy.control.VmRecord vm = 1;</code>
-     * @return Whether the vm field is set.
+     * <pre>
+     * The quarantined suspects: the request, parts of its prompt, or both.
+     * </pre>
+     *
+     * <code>repeated string fingerprints = 1;</code>
+     * @return A list containing the fingerprints.
      */
-    @java.lang.Override
-    public boolean hasVm() {
-      return ((bitField0_ & 0x00000001) != 0);
+    public com.google.protobuf.ProtocolStringList
+        getFingerprintsList() {
+      return fingerprints_;
     }
     /**
-     * <code>.borageproxy.control.VmRecord vm = 1;</code>
-     * @return The vm.
+     * <pre>
+     * The quarantined suspects: the request, parts of its prompt, or both.
+     * </pre>
+     *
+     * <code>repeated string fingerprints = 1;</code>
+     * @return The count of fingerprints.
      */
-    @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.VmRecord getVm() {
-      return vm_ == null ? org.borageproxy.wire.proto.ControlProtocol.VmRecord.getDefaultInstance() : vm_;
+    public int getFingerprintsCount() {
+      return fingerprints_.size();
     }
     /**
-     * <code>.borageproxy.control.VmRecord vm = 1;</code>
+     * <pre>
+     * The quarantined suspects: the request, parts of its prompt, or both.
+     * </pre>
+     *
+     * <code>repeated string fingerprints = 1;</code>
+     * @param index The index of the element to return.
+     * @return The fingerprints at the given index.
      */
-    @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.VmRecordOrBuilder getVmOrBuilder() {
-      return vm_ == null ? org.borageproxy.wire.proto.ControlProtocol.VmRecord.getDefaultInstance() : vm_;
+    public java.lang.String getFingerprints(int index) {
+      return fingerprints_.get(index);
+    }
+    /**
+     * <pre>
+     * The quarantined suspects: the request, parts of its prompt, or both.
+     * </pre>
+     *
+     * <code>repeated string fingerprints = 1;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the fingerprints at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getFingerprintsBytes(int index) {
+      return fingerprints_.getByteString(index);
     }
 
     private byte memoizedIsInitialized = -1;
@@ -22863,8 +23376,8 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      if (((bitField0_ & 0x00000001) != 0)) {
-        output.writeMessage(1, getVm());
+      for (int i = 0; i < fingerprints_.size(); i++) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, fingerprints_.getRaw(i));
       }
       getUnknownFields().writeTo(output);
     }
@@ -22875,9 +23388,13 @@
       if (size != -1) return size;
 
       size = 0;
-      if (((bitField0_ & 0x00000001) != 0)) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeMessageSize(1, getVm());
+      {
+        int dataSize = 0;
+        for (int i = 0; i < fingerprints_.size(); i++) {
+          dataSize += computeStringSizeNoTag(fingerprints_.getRaw(i));
+        }
+        size += dataSize;
+        size += 1 * getFingerprintsList().size();
       }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
@@ -22889,16 +23406,13 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.RegisterVm)) {
+      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.GrantTrial)) {
         return super.equals(obj);
       }
-      org.borageproxy.wire.proto.ControlProtocol.RegisterVm other = (org.borageproxy.wire.proto.ControlProtocol.RegisterVm) obj;
+      org.borageproxy.wire.proto.ControlProtocol.GrantTrial other = (org.borageproxy.wire.proto.ControlProtocol.GrantTrial) obj;
 
-      if (hasVm() != other.hasVm()) return false;
-      if (hasVm()) {
-        if (!getVm()
-            .equals(other.getVm())) return false;
-      }
+      if (!getFingerprintsList()
+          .equals(other.getFingerprintsList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -22910,53 +23424,53 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      if (hasVm()) {
-        hash = (37 * hash) + VM_FIELD_NUMBER;
-        hash = (53 * hash) + getVm().hashCode();
+      if (getFingerprintsCount() > 0) {
+        hash = (37 * hash) + FINGERPRINTS_FIELD_NUMBER;
+        hash = (53 * hash) + getFingerprintsList().hashCode();
       }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.RegisterVm parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.GrantTrial parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.RegisterVm parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.GrantTrial parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.RegisterVm parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.GrantTrial parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.RegisterVm parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.GrantTrial parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.RegisterVm parseFrom(byte[] data)
+    public static org.borageproxy.wire.proto.ControlProtocol.GrantTrial parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.RegisterVm parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.GrantTrial parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.RegisterVm parseFrom(java.io.InputStream input)
+    public static org.borageproxy.wire.proto.ControlProtocol.GrantTrial parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.RegisterVm parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.GrantTrial parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -22964,26 +23478,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.RegisterVm parseDelimitedFrom(java.io.InputStream input)
+    public static org.borageproxy.wire.proto.ControlProtocol.GrantTrial parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.RegisterVm parseDelimitedFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.GrantTrial parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.RegisterVm parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.GrantTrial parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.borageproxy.wire.proto.ControlProtocol.RegisterVm parseFrom(
+    public static org.borageproxy.wire.proto.ControlProtocol.GrantTrial parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -22996,7 +23510,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.RegisterVm prototype) {
+    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.GrantTrial prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -23012,67 +23526,63 @@
       return builder;
     }
     /**
-     * Protobuf type {@code borageproxy.control.RegisterVm}
+     * <pre>
+     * Asks whether a request may be sent once although some of its suspects are quarantined. Answered as missing until all
+     * members of the control group grant trials.
+     * </pre>
+     *
+     * Protobuf type {@code borageproxy.control.GrantTrial}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:borageproxy.control.RegisterVm)
-        org.borageproxy.wire.proto.ControlProtocol.RegisterVmOrBuilder {
+        // @@protoc_insertion_point(builder_implements:borageproxy.control.GrantTrial)
+        org.borageproxy.wire.proto.ControlProtocol.GrantTrialOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_RegisterVm_descriptor;
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_GrantTrial_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_RegisterVm_fieldAccessorTable
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_GrantTrial_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                org.borageproxy.wire.proto.ControlProtocol.RegisterVm.class, org.borageproxy.wire.proto.ControlProtocol.RegisterVm.Builder.class);
+                org.borageproxy.wire.proto.ControlProtocol.GrantTrial.class, org.borageproxy.wire.proto.ControlProtocol.GrantTrial.Builder.class);
       }
 
-      // Construct using org.borageproxy.wire.proto.ControlProtocol.RegisterVm.newBuilder()
+      // Construct using org.borageproxy.wire.proto.ControlProtocol.GrantTrial.newBuilder()
       private Builder() {
-        maybeForceBuilderInitialization();
+
       }
 
       private Builder(
           com.google.protobuf.GeneratedMessage.BuilderParent parent) {
         super(parent);
-        maybeForceBuilderInitialization();
-      }
-      private void maybeForceBuilderInitialization() {
-        if (com.google.protobuf.GeneratedMessage
-                .alwaysUseFieldBuilders) {
-          internalGetVmFieldBuilder();
-        }
+
       }
       @java.lang.Override
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        vm_ = null;
-        if (vmBuilder_ != null) {
-          vmBuilder_.dispose();
-          vmBuilder_ = null;
-        }
+        fingerprints_ =
+            com.google.protobuf.LazyStringArrayList.emptyList();
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_RegisterVm_descriptor;
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_GrantTrial_descriptor;
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.RegisterVm getDefaultInstanceForType() {
-        return org.borageproxy.wire.proto.ControlProtocol.RegisterVm.getDefaultInstance();
+      public org.borageproxy.wire.proto.ControlProtocol.GrantTrial getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.GrantTrial.getDefaultInstance();
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.RegisterVm build() {
-        org.borageproxy.wire.proto.ControlProtocol.RegisterVm result = buildPartial();
+      public org.borageproxy.wire.proto.ControlProtocol.GrantTrial build() {
+        org.borageproxy.wire.proto.ControlProtocol.GrantTrial result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -23080,39 +23590,1166 @@
       }
 
       @java.lang.Override
-      public org.borageproxy.wire.proto.ControlProtocol.RegisterVm buildPartial() {
-        org.borageproxy.wire.proto.ControlProtocol.RegisterVm result = new org.borageproxy.wire.proto.ControlProtocol.RegisterVm(this);
+      public org.borageproxy.wire.proto.ControlProtocol.GrantTrial buildPartial() {
+        org.borageproxy.wire.proto.ControlProtocol.GrantTrial result = new org.borageproxy.wire.proto.ControlProtocol.GrantTrial(this);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.RegisterVm result) {
+      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.GrantTrial result) {
         int from_bitField0_ = bitField0_;
-        int to_bitField0_ = 0;
         if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.vm_ = vmBuilder_ == null
-              ? vm_
-              : vmBuilder_.build();
-          to_bitField0_ |= 0x00000001;
+          fingerprints_.makeImmutable();
+          result.fingerprints_ = fingerprints_;
         }
-        result.bitField0_ |= to_bitField0_;
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.RegisterVm) {
-          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.RegisterVm)other);
+        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.GrantTrial) {
+          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.GrantTrial)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.RegisterVm other) {
-        if (other == org.borageproxy.wire.proto.ControlProtocol.RegisterVm.getDefaultInstance()) return this;
-        if (other.hasVm()) {
-          mergeVm(other.getVm());
+      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.GrantTrial other) {
+        if (other == org.borageproxy.wire.proto.ControlProtocol.GrantTrial.getDefaultInstance()) return this;
+        if (!other.fingerprints_.isEmpty()) {
+          if (fingerprints_.isEmpty()) {
+            fingerprints_ = other.fingerprints_;
+            bitField0_ |= 0x00000001;
+          } else {
+            ensureFingerprintsIsMutable();
+            fingerprints_.addAll(other.fingerprints_);
+          }
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                ensureFingerprintsIsMutable();
+                fingerprints_.add(input.readStringRequireUtf8());
+                break;
+              } // case 10
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private com.google.protobuf.LazyStringArrayList fingerprints_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      private void ensureFingerprintsIsMutable() {
+        if (!fingerprints_.isModifiable()) {
+          fingerprints_ = new com.google.protobuf.LazyStringArrayList(fingerprints_);
+        }
+        bitField0_ |= 0x00000001;
+      }
+      /**
+       * <pre>
+       * The quarantined suspects: the request, parts of its prompt, or both.
+       * </pre>
+       *
+       * <code>repeated string fingerprints = 1;</code>
+       * @return A list containing the fingerprints.
+       */
+      public com.google.protobuf.ProtocolStringList
+          getFingerprintsList() {
+        fingerprints_.makeImmutable();
+        return fingerprints_;
+      }
+      /**
+       * <pre>
+       * The quarantined suspects: the request, parts of its prompt, or both.
+       * </pre>
+       *
+       * <code>repeated string fingerprints = 1;</code>
+       * @return The count of fingerprints.
+       */
+      public int getFingerprintsCount() {
+        return fingerprints_.size();
+      }
+      /**
+       * <pre>
+       * The quarantined suspects: the request, parts of its prompt, or both.
+       * </pre>
+       *
+       * <code>repeated string fingerprints = 1;</code>
+       * @param index The index of the element to return.
+       * @return The fingerprints at the given index.
+       */
+      public java.lang.String getFingerprints(int index) {
+        return fingerprints_.get(index);
+      }
+      /**
+       * <pre>
+       * The quarantined suspects: the request, parts of its prompt, or both.
+       * </pre>
+       *
+       * <code>repeated string fingerprints = 1;</code>
+       * @param index The index of the value to return.
+       * @return The bytes of the fingerprints at the given index.
+       */
+      public com.google.protobuf.ByteString
+          getFingerprintsBytes(int index) {
+        return fingerprints_.getByteString(index);
+      }
+      /**
+       * <pre>
+       * The quarantined suspects: the request, parts of its prompt, or both.
+       * </pre>
+       *
+       * <code>repeated string fingerprints = 1;</code>
+       * @param index The index to set the value at.
+       * @param value The fingerprints to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFingerprints(
+          int index, java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        ensureFingerprintsIsMutable();
+        fingerprints_.set(index, value);
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The quarantined suspects: the request, parts of its prompt, or both.
+       * </pre>
+       *
+       * <code>repeated string fingerprints = 1;</code>
+       * @param value The fingerprints to add.
+       * @return This builder for chaining.
+       */
+      public Builder addFingerprints(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        ensureFingerprintsIsMutable();
+        fingerprints_.add(value);
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The quarantined suspects: the request, parts of its prompt, or both.
+       * </pre>
+       *
+       * <code>repeated string fingerprints = 1;</code>
+       * @param values The fingerprints to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllFingerprints(
+          java.lang.Iterable<java.lang.String> values) {
+        ensureFingerprintsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, fingerprints_);
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The quarantined suspects: the request, parts of its prompt, or both.
+       * </pre>
+       *
+       * <code>repeated string fingerprints = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearFingerprints() {
+        fingerprints_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000001);;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The quarantined suspects: the request, parts of its prompt, or both.
+       * </pre>
+       *
+       * <code>repeated string fingerprints = 1;</code>
+       * @param value The bytes of the fingerprints to add.
+       * @return This builder for chaining.
+       */
+      public Builder addFingerprintsBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        ensureFingerprintsIsMutable();
+        fingerprints_.add(value);
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:borageproxy.control.GrantTrial)
+    }
+
+    // @@protoc_insertion_point(class_scope:borageproxy.control.GrantTrial)
+    private static final org.borageproxy.wire.proto.ControlProtocol.GrantTrial DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.GrantTrial();
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.GrantTrial getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<GrantTrial>
+        PARSER = new com.google.protobuf.AbstractParser<GrantTrial>() {
+      @java.lang.Override
+      public GrantTrial parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<GrantTrial> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<GrantTrial> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.GrantTrial getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface VouchForPartOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.control.VouchForPart)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string fingerprint = 1;</code>
+     * @return The fingerprint.
+     */
+    java.lang.String getFingerprint();
+    /**
+     * <code>string fingerprint = 1;</code>
+     * @return The bytes for fingerprint.
+     */
+    com.google.protobuf.ByteString
+        getFingerprintBytes();
+  }
+  /**
+   * <pre>
+   * States that requests with a suspect part of prompts had succeeded at the sending VM shortly before the crashes.
+   * Answered as missing until all members of the control group grant trials.
+   * </pre>
+   *
+   * Protobuf type {@code borageproxy.control.VouchForPart}
+   */
+  public static final class VouchForPart extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:borageproxy.control.VouchForPart)
+      VouchForPartOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "VouchForPart");
+    }
+    // Use VouchForPart.newBuilder() to construct.
+    private VouchForPart(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private VouchForPart() {
+      fingerprint_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_VouchForPart_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_VouchForPart_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_VouchForPart_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.borageproxy.wire.proto.ControlProtocol.VouchForPart.class, org.borageproxy.wire.proto.ControlProtocol.VouchForPart.Builder.class);
+    }
+
+    public static final int FINGERPRINT_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object fingerprint_ = "";
+    /**
+     * <code>string fingerprint = 1;</code>
+     * @return The fingerprint.
+     */
+    @java.lang.Override
+    public java.lang.String getFingerprint() {
+      java.lang.Object ref = fingerprint_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        fingerprint_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string fingerprint = 1;</code>
+     * @return The bytes for fingerprint.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getFingerprintBytes() {
+      java.lang.Object ref = fingerprint_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        fingerprint_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(fingerprint_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, fingerprint_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(fingerprint_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, fingerprint_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.VouchForPart)) {
+        return super.equals(obj);
+      }
+      org.borageproxy.wire.proto.ControlProtocol.VouchForPart other = (org.borageproxy.wire.proto.ControlProtocol.VouchForPart) obj;
+
+      if (!getFingerprint()
+          .equals(other.getFingerprint())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + FINGERPRINT_FIELD_NUMBER;
+      hash = (53 * hash) + getFingerprint().hashCode();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.VouchForPart parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.VouchForPart parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.VouchForPart parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.VouchForPart parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.VouchForPart parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.VouchForPart parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.VouchForPart parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.VouchForPart parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.VouchForPart parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.VouchForPart parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.VouchForPart parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.VouchForPart parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.VouchForPart prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * States that requests with a suspect part of prompts had succeeded at the sending VM shortly before the crashes.
+     * Answered as missing until all members of the control group grant trials.
+     * </pre>
+     *
+     * Protobuf type {@code borageproxy.control.VouchForPart}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:borageproxy.control.VouchForPart)
+        org.borageproxy.wire.proto.ControlProtocol.VouchForPartOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_VouchForPart_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_VouchForPart_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.borageproxy.wire.proto.ControlProtocol.VouchForPart.class, org.borageproxy.wire.proto.ControlProtocol.VouchForPart.Builder.class);
+      }
+
+      // Construct using org.borageproxy.wire.proto.ControlProtocol.VouchForPart.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        fingerprint_ = "";
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_VouchForPart_descriptor;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.VouchForPart getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.VouchForPart.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.VouchForPart build() {
+        org.borageproxy.wire.proto.ControlProtocol.VouchForPart result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.VouchForPart buildPartial() {
+        org.borageproxy.wire.proto.ControlProtocol.VouchForPart result = new org.borageproxy.wire.proto.ControlProtocol.VouchForPart(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.VouchForPart result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.fingerprint_ = fingerprint_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.VouchForPart) {
+          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.VouchForPart)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.VouchForPart other) {
+        if (other == org.borageproxy.wire.proto.ControlProtocol.VouchForPart.getDefaultInstance()) return this;
+        if (!other.getFingerprint().isEmpty()) {
+          fingerprint_ = other.fingerprint_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                fingerprint_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object fingerprint_ = "";
+      /**
+       * <code>string fingerprint = 1;</code>
+       * @return The fingerprint.
+       */
+      public java.lang.String getFingerprint() {
+        java.lang.Object ref = fingerprint_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          fingerprint_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string fingerprint = 1;</code>
+       * @return The bytes for fingerprint.
+       */
+      public com.google.protobuf.ByteString
+          getFingerprintBytes() {
+        java.lang.Object ref = fingerprint_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          fingerprint_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string fingerprint = 1;</code>
+       * @param value The fingerprint to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFingerprint(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        fingerprint_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string fingerprint = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearFingerprint() {
+        fingerprint_ = getDefaultInstance().getFingerprint();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string fingerprint = 1;</code>
+       * @param value The bytes for fingerprint to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFingerprintBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        fingerprint_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:borageproxy.control.VouchForPart)
+    }
+
+    // @@protoc_insertion_point(class_scope:borageproxy.control.VouchForPart)
+    private static final org.borageproxy.wire.proto.ControlProtocol.VouchForPart DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.VouchForPart();
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.VouchForPart getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<VouchForPart>
+        PARSER = new com.google.protobuf.AbstractParser<VouchForPart>() {
+      @java.lang.Override
+      public VouchForPart parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<VouchForPart> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<VouchForPart> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.VouchForPart getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface RegisterVmOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.control.RegisterVm)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>.borageproxy.control.VmRecord vm = 1;</code>
+     * @return Whether the vm field is set.
+     */
+    boolean hasVm();
+    /**
+     * <code>.borageproxy.control.VmRecord vm = 1;</code>
+     * @return The vm.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.VmRecord getVm();
+    /**
+     * <code>.borageproxy.control.VmRecord vm = 1;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.VmRecordOrBuilder getVmOrBuilder();
+  }
+  /**
+   * Protobuf type {@code borageproxy.control.RegisterVm}
+   */
+  public static final class RegisterVm extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:borageproxy.control.RegisterVm)
+      RegisterVmOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "RegisterVm");
+    }
+    // Use RegisterVm.newBuilder() to construct.
+    private RegisterVm(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private RegisterVm() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_RegisterVm_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_RegisterVm_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_RegisterVm_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.borageproxy.wire.proto.ControlProtocol.RegisterVm.class, org.borageproxy.wire.proto.ControlProtocol.RegisterVm.Builder.class);
+    }
+
+    private int bitField0_;
+    public static final int VM_FIELD_NUMBER = 1;
+    private org.borageproxy.wire.proto.ControlProtocol.VmRecord vm_;
+    /**
+     * <code>.borageproxy.control.VmRecord vm = 1;</code>
+     * @return Whether the vm field is set.
+     */
+    @java.lang.Override
+    public boolean hasVm() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <code>.borageproxy.control.VmRecord vm = 1;</code>
+     * @return The vm.
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.VmRecord getVm() {
+      return vm_ == null ? org.borageproxy.wire.proto.ControlProtocol.VmRecord.getDefaultInstance() : vm_;
+    }
+    /**
+     * <code>.borageproxy.control.VmRecord vm = 1;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.VmRecordOrBuilder getVmOrBuilder() {
+      return vm_ == null ? org.borageproxy.wire.proto.ControlProtocol.VmRecord.getDefaultInstance() : vm_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeMessage(1, getVm());
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(1, getVm());
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.RegisterVm)) {
+        return super.equals(obj);
+      }
+      org.borageproxy.wire.proto.ControlProtocol.RegisterVm other = (org.borageproxy.wire.proto.ControlProtocol.RegisterVm) obj;
+
+      if (hasVm() != other.hasVm()) return false;
+      if (hasVm()) {
+        if (!getVm()
+            .equals(other.getVm())) return false;
+      }
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      if (hasVm()) {
+        hash = (37 * hash) + VM_FIELD_NUMBER;
+        hash = (53 * hash) + getVm().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.RegisterVm parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.RegisterVm parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.RegisterVm parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.RegisterVm parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.RegisterVm parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.RegisterVm parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.RegisterVm parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.RegisterVm parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.RegisterVm parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.RegisterVm parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.RegisterVm parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.RegisterVm parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.RegisterVm prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code borageproxy.control.RegisterVm}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:borageproxy.control.RegisterVm)
+        org.borageproxy.wire.proto.ControlProtocol.RegisterVmOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_RegisterVm_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_RegisterVm_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.borageproxy.wire.proto.ControlProtocol.RegisterVm.class, org.borageproxy.wire.proto.ControlProtocol.RegisterVm.Builder.class);
+      }
+
+      // Construct using org.borageproxy.wire.proto.ControlProtocol.RegisterVm.newBuilder()
+      private Builder() {
+        maybeForceBuilderInitialization();
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+        maybeForceBuilderInitialization();
+      }
+      private void maybeForceBuilderInitialization() {
+        if (com.google.protobuf.GeneratedMessage
+                .alwaysUseFieldBuilders) {
+          internalGetVmFieldBuilder();
+        }
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        vm_ = null;
+        if (vmBuilder_ != null) {
+          vmBuilder_.dispose();
+          vmBuilder_ = null;
+        }
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_RegisterVm_descriptor;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.RegisterVm getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.RegisterVm.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.RegisterVm build() {
+        org.borageproxy.wire.proto.ControlProtocol.RegisterVm result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.RegisterVm buildPartial() {
+        org.borageproxy.wire.proto.ControlProtocol.RegisterVm result = new org.borageproxy.wire.proto.ControlProtocol.RegisterVm(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.RegisterVm result) {
+        int from_bitField0_ = bitField0_;
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.vm_ = vmBuilder_ == null
+              ? vm_
+              : vmBuilder_.build();
+          to_bitField0_ |= 0x00000001;
+        }
+        result.bitField0_ |= to_bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.RegisterVm) {
+          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.RegisterVm)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.RegisterVm other) {
+        if (other == org.borageproxy.wire.proto.ControlProtocol.RegisterVm.getDefaultInstance()) return this;
+        if (other.hasVm()) {
+          mergeVm(other.getVm());
         }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
@@ -24437,6 +26074,16 @@
      * @return The obeysDrains.
      */
     boolean getObeysDrains();
+
+    /**
+     * <pre>
+     * Whether the VM applies trials, their successes and what other VMs vouch for to its crash records.
+     * </pre>
+     *
+     * <code>bool grants_trials = 7;</code>
+     * @return The grantsTrials.
+     */
+    boolean getGrantsTrials();
   }
   /**
    * Protobuf type {@code borageproxy.control.VmRecord}
@@ -24641,6 +26288,21 @@
       return obeysDrains_;
     }
 
+    public static final int GRANTS_TRIALS_FIELD_NUMBER = 7;
+    private boolean grantsTrials_ = false;
+    /**
+     * <pre>
+     * Whether the VM applies trials, their successes and what other VMs vouch for to its crash records.
+     * </pre>
+     *
+     * <code>bool grants_trials = 7;</code>
+     * @return The grantsTrials.
+     */
+    @java.lang.Override
+    public boolean getGrantsTrials() {
+      return grantsTrials_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -24673,6 +26335,9 @@
       if (obeysDrains_ != false) {
         output.writeBool(6, obeysDrains_);
       }
+      if (grantsTrials_ != false) {
+        output.writeBool(7, grantsTrials_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -24703,6 +26368,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeBoolSize(6, obeysDrains_);
       }
+      if (grantsTrials_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(7, grantsTrials_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -24730,6 +26399,8 @@
           != other.getControl()) return false;
       if (getObeysDrains()
           != other.getObeysDrains()) return false;
+      if (getGrantsTrials()
+          != other.getGrantsTrials()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -24755,6 +26426,9 @@
       hash = (37 * hash) + OBEYS_DRAINS_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
           getObeysDrains());
+      hash = (37 * hash) + GRANTS_TRIALS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getGrantsTrials());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -24892,6 +26566,7 @@
         port_ = 0;
         control_ = false;
         obeysDrains_ = false;
+        grantsTrials_ = false;
         return this;
       }
 
@@ -24943,6 +26618,9 @@
         if (((from_bitField0_ & 0x00000020) != 0)) {
           result.obeysDrains_ = obeysDrains_;
         }
+        if (((from_bitField0_ & 0x00000040) != 0)) {
+          result.grantsTrials_ = grantsTrials_;
+        }
       }
 
       @java.lang.Override
@@ -24981,6 +26659,9 @@
         if (other.getObeysDrains() != false) {
           setObeysDrains(other.getObeysDrains());
         }
+        if (other.getGrantsTrials() != false) {
+          setGrantsTrials(other.getGrantsTrials());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -25037,6 +26718,11 @@
                 bitField0_ |= 0x00000020;
                 break;
               } // case 48
+              case 56: {
+                grantsTrials_ = input.readBool();
+                bitField0_ |= 0x00000040;
+                break;
+              } // case 56
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -25390,6 +27076,50 @@
         return this;
       }
 
+      private boolean grantsTrials_ ;
+      /**
+       * <pre>
+       * Whether the VM applies trials, their successes and what other VMs vouch for to its crash records.
+       * </pre>
+       *
+       * <code>bool grants_trials = 7;</code>
+       * @return The grantsTrials.
+       */
+      @java.lang.Override
+      public boolean getGrantsTrials() {
+        return grantsTrials_;
+      }
+      /**
+       * <pre>
+       * Whether the VM applies trials, their successes and what other VMs vouch for to its crash records.
+       * </pre>
+       *
+       * <code>bool grants_trials = 7;</code>
+       * @param value The grantsTrials to set.
+       * @return This builder for chaining.
+       */
+      public Builder setGrantsTrials(boolean value) {
+
+        grantsTrials_ = value;
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether the VM applies trials, their successes and what other VMs vouch for to its crash records.
+       * </pre>
+       *
+       * <code>bool grants_trials = 7;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearGrantsTrials() {
+        bitField0_ = (bitField0_ & ~0x00000040);
+        grantsTrials_ = false;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.control.VmRecord)
     }
 
@@ -25640,6 +27370,21 @@
      */
     org.borageproxy.wire.proto.ControlProtocol.DocumentHeldOrBuilder getDocumentHeldOrBuilder();
 
+    /**
+     * <code>.borageproxy.control.TrialReply trial = 14;</code>
+     * @return Whether the trial field is set.
+     */
+    boolean hasTrial();
+    /**
+     * <code>.borageproxy.control.TrialReply trial = 14;</code>
+     * @return The trial.
+     */
+    org.borageproxy.wire.proto.ControlProtocol.TrialReply getTrial();
+    /**
+     * <code>.borageproxy.control.TrialReply trial = 14;</code>
+     */
+    org.borageproxy.wire.proto.ControlProtocol.TrialReplyOrBuilder getTrialOrBuilder();
+
     org.borageproxy.wire.proto.ControlProtocol.Reply.BodyCase getBodyCase();
   }
   /**
@@ -25707,6 +27452,7 @@
       DONE(11),
       KEY_CREATED(12),
       DOCUMENT_HELD(13),
+      TRIAL(14),
       BODY_NOT_SET(0);
       private final int value;
       private BodyCase(int value) {
@@ -25737,6 +27483,7 @@
           case 11: return DONE;
           case 12: return KEY_CREATED;
           case 13: return DOCUMENT_HELD;
+          case 14: return TRIAL;
           case 0: return BODY_NOT_SET;
           default: return null;
         }
@@ -26155,6 +27902,37 @@
       return org.borageproxy.wire.proto.ControlProtocol.DocumentHeld.getDefaultInstance();
     }
 
+    public static final int TRIAL_FIELD_NUMBER = 14;
+    /**
+     * <code>.borageproxy.control.TrialReply trial = 14;</code>
+     * @return Whether the trial field is set.
+     */
+    @java.lang.Override
+    public boolean hasTrial() {
+      return bodyCase_ == 14;
+    }
+    /**
+     * <code>.borageproxy.control.TrialReply trial = 14;</code>
+     * @return The trial.
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.TrialReply getTrial() {
+      if (bodyCase_ == 14) {
+         return (org.borageproxy.wire.proto.ControlProtocol.TrialReply) body_;
+      }
+      return org.borageproxy.wire.proto.ControlProtocol.TrialReply.getDefaultInstance();
+    }
+    /**
+     * <code>.borageproxy.control.TrialReply trial = 14;</code>
+     */
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.TrialReplyOrBuilder getTrialOrBuilder() {
+      if (bodyCase_ == 14) {
+         return (org.borageproxy.wire.proto.ControlProtocol.TrialReply) body_;
+      }
+      return org.borageproxy.wire.proto.ControlProtocol.TrialReply.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -26208,6 +27986,9 @@
       if (bodyCase_ == 13) {
         output.writeMessage(13, (org.borageproxy.wire.proto.ControlProtocol.DocumentHeld) body_);
       }
+      if (bodyCase_ == 14) {
+        output.writeMessage(14, (org.borageproxy.wire.proto.ControlProtocol.TrialReply) body_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -26269,6 +28050,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(13, (org.borageproxy.wire.proto.ControlProtocol.DocumentHeld) body_);
       }
+      if (bodyCase_ == 14) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(14, (org.borageproxy.wire.proto.ControlProtocol.TrialReply) body_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -26338,6 +28123,10 @@
           if (!getDocumentHeld()
               .equals(other.getDocumentHeld())) return false;
           break;
+        case 14:
+          if (!getTrial()
+              .equals(other.getTrial())) return false;
+          break;
         case 0:
         default:
       }
@@ -26405,6 +28194,10 @@
           hash = (37 * hash) + DOCUMENT_HELD_FIELD_NUMBER;
           hash = (53 * hash) + getDocumentHeld().hashCode();
           break;
+        case 14:
+          hash = (37 * hash) + TRIAL_FIELD_NUMBER;
+          hash = (53 * hash) + getTrial().hashCode();
+          break;
         case 0:
         default:
       }
@@ -26582,6 +28375,9 @@
         if (documentHeldBuilder_ != null) {
           documentHeldBuilder_.clear();
         }
+        if (trialBuilder_ != null) {
+          trialBuilder_.clear();
+        }
         bodyCase_ = 0;
         body_ = null;
         return this;
@@ -26675,6 +28471,10 @@
             documentHeldBuilder_ != null) {
           result.body_ = documentHeldBuilder_.build();
         }
+        if (bodyCase_ == 14 &&
+            trialBuilder_ != null) {
+          result.body_ = trialBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -26742,6 +28542,10 @@
             mergeDocumentHeld(other.getDocumentHeld());
             break;
           }
+          case TRIAL: {
+            mergeTrial(other.getTrial());
+            break;
+          }
           case BODY_NOT_SET: {
             break;
           }
@@ -26863,6 +28667,13 @@
                 bodyCase_ = 13;
                 break;
               } // case 106
+              case 114: {
+                input.readMessage(
+                    internalGetTrialFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 14;
+                break;
+              } // case 114
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -28741,6 +30552,148 @@
         return documentHeldBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.TrialReply, org.borageproxy.wire.proto.ControlProtocol.TrialReply.Builder, org.borageproxy.wire.proto.ControlProtocol.TrialReplyOrBuilder> trialBuilder_;
+      /**
+       * <code>.borageproxy.control.TrialReply trial = 14;</code>
+       * @return Whether the trial field is set.
+       */
+      @java.lang.Override
+      public boolean hasTrial() {
+        return bodyCase_ == 14;
+      }
+      /**
+       * <code>.borageproxy.control.TrialReply trial = 14;</code>
+       * @return The trial.
+       */
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.TrialReply getTrial() {
+        if (trialBuilder_ == null) {
+          if (bodyCase_ == 14) {
+            return (org.borageproxy.wire.proto.ControlProtocol.TrialReply) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.TrialReply.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 14) {
+            return trialBuilder_.getMessage();
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.TrialReply.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.borageproxy.control.TrialReply trial = 14;</code>
+       */
+      public Builder setTrial(org.borageproxy.wire.proto.ControlProtocol.TrialReply value) {
+        if (trialBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          body_ = value;
+          onChanged();
+        } else {
+          trialBuilder_.setMessage(value);
+        }
+        bodyCase_ = 14;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.TrialReply trial = 14;</code>
+       */
+      public Builder setTrial(
+          org.borageproxy.wire.proto.ControlProtocol.TrialReply.Builder builderForValue) {
+        if (trialBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          trialBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 14;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.TrialReply trial = 14;</code>
+       */
+      public Builder mergeTrial(org.borageproxy.wire.proto.ControlProtocol.TrialReply value) {
+        if (trialBuilder_ == null) {
+          if (bodyCase_ == 14 &&
+              body_ != org.borageproxy.wire.proto.ControlProtocol.TrialReply.getDefaultInstance()) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.TrialReply.newBuilder((org.borageproxy.wire.proto.ControlProtocol.TrialReply) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 14) {
+            trialBuilder_.mergeFrom(value);
+          } else {
+            trialBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 14;
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.TrialReply trial = 14;</code>
+       */
+      public Builder clearTrial() {
+        if (trialBuilder_ == null) {
+          if (bodyCase_ == 14) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 14) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          trialBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.borageproxy.control.TrialReply trial = 14;</code>
+       */
+      public org.borageproxy.wire.proto.ControlProtocol.TrialReply.Builder getTrialBuilder() {
+        return internalGetTrialFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.borageproxy.control.TrialReply trial = 14;</code>
+       */
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.TrialReplyOrBuilder getTrialOrBuilder() {
+        if ((bodyCase_ == 14) && (trialBuilder_ != null)) {
+          return trialBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 14) {
+            return (org.borageproxy.wire.proto.ControlProtocol.TrialReply) body_;
+          }
+          return org.borageproxy.wire.proto.ControlProtocol.TrialReply.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.borageproxy.control.TrialReply trial = 14;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.borageproxy.wire.proto.ControlProtocol.TrialReply, org.borageproxy.wire.proto.ControlProtocol.TrialReply.Builder, org.borageproxy.wire.proto.ControlProtocol.TrialReplyOrBuilder> 
+          internalGetTrialFieldBuilder() {
+        if (trialBuilder_ == null) {
+          if (!(bodyCase_ == 14)) {
+            body_ = org.borageproxy.wire.proto.ControlProtocol.TrialReply.getDefaultInstance();
+          }
+          trialBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.borageproxy.wire.proto.ControlProtocol.TrialReply, org.borageproxy.wire.proto.ControlProtocol.TrialReply.Builder, org.borageproxy.wire.proto.ControlProtocol.TrialReplyOrBuilder>(
+                  (org.borageproxy.wire.proto.ControlProtocol.TrialReply) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 14;
+        onChanged();
+        return trialBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.control.Reply)
     }
 
@@ -35315,10 +37268,507 @@
                 done = true;
                 break;
               case 8: {
-                suspicion_ = input.readInt32();
+                suspicion_ = input.readInt32();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private int suspicion_ ;
+      /**
+       * <code>int32 suspicion = 1;</code>
+       * @return The suspicion.
+       */
+      @java.lang.Override
+      public int getSuspicion() {
+        return suspicion_;
+      }
+      /**
+       * <code>int32 suspicion = 1;</code>
+       * @param value The suspicion to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSuspicion(int value) {
+
+        suspicion_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int32 suspicion = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSuspicion() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        suspicion_ = 0;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:borageproxy.control.CrashReply)
+    }
+
+    // @@protoc_insertion_point(class_scope:borageproxy.control.CrashReply)
+    private static final org.borageproxy.wire.proto.ControlProtocol.CrashReply DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.CrashReply();
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.CrashReply getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<CrashReply>
+        PARSER = new com.google.protobuf.AbstractParser<CrashReply>() {
+      @java.lang.Override
+      public CrashReply parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<CrashReply> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<CrashReply> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.borageproxy.wire.proto.ControlProtocol.CrashReply getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface TrialReplyOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:borageproxy.control.TrialReply)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <pre>
+     * Also set if none of the suspects is quarantined any more.
+     * </pre>
+     *
+     * <code>bool granted = 1;</code>
+     * @return The granted.
+     */
+    boolean getGranted();
+
+    /**
+     * <pre>
+     * The time until a trial may be granted, zero if it is.
+     * </pre>
+     *
+     * <code>int64 wait_millis = 2;</code>
+     * @return The waitMillis.
+     */
+    long getWaitMillis();
+  }
+  /**
+   * Protobuf type {@code borageproxy.control.TrialReply}
+   */
+  public static final class TrialReply extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:borageproxy.control.TrialReply)
+      TrialReplyOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "TrialReply");
+    }
+    // Use TrialReply.newBuilder() to construct.
+    private TrialReply(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private TrialReply() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_TrialReply_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_TrialReply_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_TrialReply_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.borageproxy.wire.proto.ControlProtocol.TrialReply.class, org.borageproxy.wire.proto.ControlProtocol.TrialReply.Builder.class);
+    }
+
+    public static final int GRANTED_FIELD_NUMBER = 1;
+    private boolean granted_ = false;
+    /**
+     * <pre>
+     * Also set if none of the suspects is quarantined any more.
+     * </pre>
+     *
+     * <code>bool granted = 1;</code>
+     * @return The granted.
+     */
+    @java.lang.Override
+    public boolean getGranted() {
+      return granted_;
+    }
+
+    public static final int WAIT_MILLIS_FIELD_NUMBER = 2;
+    private long waitMillis_ = 0L;
+    /**
+     * <pre>
+     * The time until a trial may be granted, zero if it is.
+     * </pre>
+     *
+     * <code>int64 wait_millis = 2;</code>
+     * @return The waitMillis.
+     */
+    @java.lang.Override
+    public long getWaitMillis() {
+      return waitMillis_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (granted_ != false) {
+        output.writeBool(1, granted_);
+      }
+      if (waitMillis_ != 0L) {
+        output.writeInt64(2, waitMillis_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (granted_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(1, granted_);
+      }
+      if (waitMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(2, waitMillis_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.borageproxy.wire.proto.ControlProtocol.TrialReply)) {
+        return super.equals(obj);
+      }
+      org.borageproxy.wire.proto.ControlProtocol.TrialReply other = (org.borageproxy.wire.proto.ControlProtocol.TrialReply) obj;
+
+      if (getGranted()
+          != other.getGranted()) return false;
+      if (getWaitMillis()
+          != other.getWaitMillis()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + GRANTED_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getGranted());
+      hash = (37 * hash) + WAIT_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getWaitMillis());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.TrialReply parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.TrialReply parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.TrialReply parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.TrialReply parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.TrialReply parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.TrialReply parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.TrialReply parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.TrialReply parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.TrialReply parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.borageproxy.wire.proto.ControlProtocol.TrialReply parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.TrialReply parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.borageproxy.wire.proto.ControlProtocol.TrialReply parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.borageproxy.wire.proto.ControlProtocol.TrialReply prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code borageproxy.control.TrialReply}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:borageproxy.control.TrialReply)
+        org.borageproxy.wire.proto.ControlProtocol.TrialReplyOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_TrialReply_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_TrialReply_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.borageproxy.wire.proto.ControlProtocol.TrialReply.class, org.borageproxy.wire.proto.ControlProtocol.TrialReply.Builder.class);
+      }
+
+      // Construct using org.borageproxy.wire.proto.ControlProtocol.TrialReply.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        granted_ = false;
+        waitMillis_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.internal_static_borageproxy_control_TrialReply_descriptor;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.TrialReply getDefaultInstanceForType() {
+        return org.borageproxy.wire.proto.ControlProtocol.TrialReply.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.TrialReply build() {
+        org.borageproxy.wire.proto.ControlProtocol.TrialReply result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.borageproxy.wire.proto.ControlProtocol.TrialReply buildPartial() {
+        org.borageproxy.wire.proto.ControlProtocol.TrialReply result = new org.borageproxy.wire.proto.ControlProtocol.TrialReply(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.borageproxy.wire.proto.ControlProtocol.TrialReply result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.granted_ = granted_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.waitMillis_ = waitMillis_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.borageproxy.wire.proto.ControlProtocol.TrialReply) {
+          return mergeFrom((org.borageproxy.wire.proto.ControlProtocol.TrialReply)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.borageproxy.wire.proto.ControlProtocol.TrialReply other) {
+        if (other == org.borageproxy.wire.proto.ControlProtocol.TrialReply.getDefaultInstance()) return this;
+        if (other.getGranted() != false) {
+          setGranted(other.getGranted());
+        }
+        if (other.getWaitMillis() != 0L) {
+          setWaitMillis(other.getWaitMillis());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                granted_ = input.readBool();
                 bitField0_ |= 0x00000001;
                 break;
               } // case 8
+              case 16: {
+                waitMillis_ = input.readInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -35336,55 +37786,111 @@
       }
       private int bitField0_;
 
-      private int suspicion_ ;
+      private boolean granted_ ;
       /**
-       * <code>int32 suspicion = 1;</code>
-       * @return The suspicion.
+       * <pre>
+       * Also set if none of the suspects is quarantined any more.
+       * </pre>
+       *
+       * <code>bool granted = 1;</code>
+       * @return The granted.
        */
       @java.lang.Override
-      public int getSuspicion() {
-        return suspicion_;
+      public boolean getGranted() {
+        return granted_;
       }
       /**
-       * <code>int32 suspicion = 1;</code>
-       * @param value The suspicion to set.
+       * <pre>
+       * Also set if none of the suspects is quarantined any more.
+       * </pre>
+       *
+       * <code>bool granted = 1;</code>
+       * @param value The granted to set.
        * @return This builder for chaining.
        */
-      public Builder setSuspicion(int value) {
+      public Builder setGranted(boolean value) {
 
-        suspicion_ = value;
+        granted_ = value;
         bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
       /**
-       * <code>int32 suspicion = 1;</code>
+       * <pre>
+       * Also set if none of the suspects is quarantined any more.
+       * </pre>
+       *
+       * <code>bool granted = 1;</code>
        * @return This builder for chaining.
        */
-      public Builder clearSuspicion() {
+      public Builder clearGranted() {
         bitField0_ = (bitField0_ & ~0x00000001);
-        suspicion_ = 0;
+        granted_ = false;
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:borageproxy.control.CrashReply)
+      private long waitMillis_ ;
+      /**
+       * <pre>
+       * The time until a trial may be granted, zero if it is.
+       * </pre>
+       *
+       * <code>int64 wait_millis = 2;</code>
+       * @return The waitMillis.
+       */
+      @java.lang.Override
+      public long getWaitMillis() {
+        return waitMillis_;
+      }
+      /**
+       * <pre>
+       * The time until a trial may be granted, zero if it is.
+       * </pre>
+       *
+       * <code>int64 wait_millis = 2;</code>
+       * @param value The waitMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setWaitMillis(long value) {
+
+        waitMillis_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The time until a trial may be granted, zero if it is.
+       * </pre>
+       *
+       * <code>int64 wait_millis = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearWaitMillis() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        waitMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:borageproxy.control.TrialReply)
     }
 
-    // @@protoc_insertion_point(class_scope:borageproxy.control.CrashReply)
-    private static final org.borageproxy.wire.proto.ControlProtocol.CrashReply DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:borageproxy.control.TrialReply)
+    private static final org.borageproxy.wire.proto.ControlProtocol.TrialReply DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.CrashReply();
+      DEFAULT_INSTANCE = new org.borageproxy.wire.proto.ControlProtocol.TrialReply();
     }
 
-    public static org.borageproxy.wire.proto.ControlProtocol.CrashReply getDefaultInstance() {
+    public static org.borageproxy.wire.proto.ControlProtocol.TrialReply getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<CrashReply>
-        PARSER = new com.google.protobuf.AbstractParser<CrashReply>() {
+    private static final com.google.protobuf.Parser<TrialReply>
+        PARSER = new com.google.protobuf.AbstractParser<TrialReply>() {
       @java.lang.Override
-      public CrashReply parsePartialFrom(
+      public TrialReply parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -35403,17 +37909,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<CrashReply> parser() {
+    public static com.google.protobuf.Parser<TrialReply> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<CrashReply> getParserForType() {
+    public com.google.protobuf.Parser<TrialReply> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.borageproxy.wire.proto.ControlProtocol.CrashReply getDefaultInstanceForType() {
+    public org.borageproxy.wire.proto.ControlProtocol.TrialReply getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -40042,6 +42548,36 @@
      */
     com.google.protobuf.ByteString
         getUntestedCrashesBytes(int index);
+
+    /**
+     * <pre>
+     * The number of trials granted since the quarantine.
+     * </pre>
+     *
+     * <code>int32 trials = 7;</code>
+     * @return The trials.
+     */
+    int getTrials();
+
+    /**
+     * <pre>
+     * The earliest time of the next trial; zero before the first one, which depends on the last crash.
+     * </pre>
+     *
+     * <code>int64 next_trial_at_millis = 8;</code>
+     * @return The nextTrialAtMillis.
+     */
+    long getNextTrialAtMillis();
+
+    /**
+     * <pre>
+     * The time until which the part counts as tested whoever reports it; zero if no VM has vouched for it.
+     * </pre>
+     *
+     * <code>int64 tested_until_millis = 9;</code>
+     * @return The testedUntilMillis.
+     */
+    long getTestedUntilMillis();
   }
   /**
    * Protobuf type {@code borageproxy.control.CrashState}
@@ -40272,6 +42808,51 @@
       return untestedCrashes_.getByteString(index);
     }
 
+    public static final int TRIALS_FIELD_NUMBER = 7;
+    private int trials_ = 0;
+    /**
+     * <pre>
+     * The number of trials granted since the quarantine.
+     * </pre>
+     *
+     * <code>int32 trials = 7;</code>
+     * @return The trials.
+     */
+    @java.lang.Override
+    public int getTrials() {
+      return trials_;
+    }
+
+    public static final int NEXT_TRIAL_AT_MILLIS_FIELD_NUMBER = 8;
+    private long nextTrialAtMillis_ = 0L;
+    /**
+     * <pre>
+     * The earliest time of the next trial; zero before the first one, which depends on the last crash.
+     * </pre>
+     *
+     * <code>int64 next_trial_at_millis = 8;</code>
+     * @return The nextTrialAtMillis.
+     */
+    @java.lang.Override
+    public long getNextTrialAtMillis() {
+      return nextTrialAtMillis_;
+    }
+
+    public static final int TESTED_UNTIL_MILLIS_FIELD_NUMBER = 9;
+    private long testedUntilMillis_ = 0L;
+    /**
+     * <pre>
+     * The time until which the part counts as tested whoever reports it; zero if no VM has vouched for it.
+     * </pre>
+     *
+     * <code>int64 tested_until_millis = 9;</code>
+     * @return The testedUntilMillis.
+     */
+    @java.lang.Override
+    public long getTestedUntilMillis() {
+      return testedUntilMillis_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -40304,6 +42885,15 @@
       for (int i = 0; i < untestedCrashes_.size(); i++) {
         com.google.protobuf.GeneratedMessage.writeString(output, 6, untestedCrashes_.getRaw(i));
       }
+      if (trials_ != 0) {
+        output.writeInt32(7, trials_);
+      }
+      if (nextTrialAtMillis_ != 0L) {
+        output.writeInt64(8, nextTrialAtMillis_);
+      }
+      if (testedUntilMillis_ != 0L) {
+        output.writeInt64(9, testedUntilMillis_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -40344,6 +42934,18 @@
         size += dataSize;
         size += 1 * getUntestedCrashesList().size();
       }
+      if (trials_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt32Size(7, trials_);
+      }
+      if (nextTrialAtMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(8, nextTrialAtMillis_);
+      }
+      if (testedUntilMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(9, testedUntilMillis_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -40371,6 +42973,12 @@
           != other.getPart()) return false;
       if (!getUntestedCrashesList()
           .equals(other.getUntestedCrashesList())) return false;
+      if (getTrials()
+          != other.getTrials()) return false;
+      if (getNextTrialAtMillis()
+          != other.getNextTrialAtMillis()) return false;
+      if (getTestedUntilMillis()
+          != other.getTestedUntilMillis()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -40401,6 +43009,14 @@
         hash = (37 * hash) + UNTESTED_CRASHES_FIELD_NUMBER;
         hash = (53 * hash) + getUntestedCrashesList().hashCode();
       }
+      hash = (37 * hash) + TRIALS_FIELD_NUMBER;
+      hash = (53 * hash) + getTrials();
+      hash = (37 * hash) + NEXT_TRIAL_AT_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getNextTrialAtMillis());
+      hash = (37 * hash) + TESTED_UNTIL_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getTestedUntilMillis());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -40540,6 +43156,9 @@
         part_ = false;
         untestedCrashes_ =
             com.google.protobuf.LazyStringArrayList.emptyList();
+        trials_ = 0;
+        nextTrialAtMillis_ = 0L;
+        testedUntilMillis_ = 0L;
         return this;
       }
 
@@ -40593,6 +43212,15 @@
           untestedCrashes_.makeImmutable();
           result.untestedCrashes_ = untestedCrashes_;
         }
+        if (((from_bitField0_ & 0x00000040) != 0)) {
+          result.trials_ = trials_;
+        }
+        if (((from_bitField0_ & 0x00000080) != 0)) {
+          result.nextTrialAtMillis_ = nextTrialAtMillis_;
+        }
+        if (((from_bitField0_ & 0x00000100) != 0)) {
+          result.testedUntilMillis_ = testedUntilMillis_;
+        }
       }
 
       @java.lang.Override
@@ -40641,6 +43269,15 @@
           }
           onChanged();
         }
+        if (other.getTrials() != 0) {
+          setTrials(other.getTrials());
+        }
+        if (other.getNextTrialAtMillis() != 0L) {
+          setNextTrialAtMillis(other.getNextTrialAtMillis());
+        }
+        if (other.getTestedUntilMillis() != 0L) {
+          setTestedUntilMillis(other.getTestedUntilMillis());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -40697,6 +43334,21 @@
                 untestedCrashes_.add(input.readStringRequireUtf8());
                 break;
               } // case 50
+              case 56: {
+                trials_ = input.readInt32();
+                bitField0_ |= 0x00000040;
+                break;
+              } // case 56
+              case 64: {
+                nextTrialAtMillis_ = input.readInt64();
+                bitField0_ |= 0x00000080;
+                break;
+              } // case 64
+              case 72: {
+                testedUntilMillis_ = input.readInt64();
+                bitField0_ |= 0x00000100;
+                break;
+              } // case 72
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -41188,6 +43840,138 @@
         return this;
       }
 
+      private int trials_ ;
+      /**
+       * <pre>
+       * The number of trials granted since the quarantine.
+       * </pre>
+       *
+       * <code>int32 trials = 7;</code>
+       * @return The trials.
+       */
+      @java.lang.Override
+      public int getTrials() {
+        return trials_;
+      }
+      /**
+       * <pre>
+       * The number of trials granted since the quarantine.
+       * </pre>
+       *
+       * <code>int32 trials = 7;</code>
+       * @param value The trials to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTrials(int value) {
+
+        trials_ = value;
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The number of trials granted since the quarantine.
+       * </pre>
+       *
+       * <code>int32 trials = 7;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTrials() {
+        bitField0_ = (bitField0_ & ~0x00000040);
+        trials_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private long nextTrialAtMillis_ ;
+      /**
+       * <pre>
+       * The earliest time of the next trial; zero before the first one, which depends on the last crash.
+       * </pre>
+       *
+       * <code>int64 next_trial_at_millis = 8;</code>
+       * @return The nextTrialAtMillis.
+       */
+      @java.lang.Override
+      public long getNextTrialAtMillis() {
+        return nextTrialAtMillis_;
+      }
+      /**
+       * <pre>
+       * The earliest time of the next trial; zero before the first one, which depends on the last crash.
+       * </pre>
+       *
+       * <code>int64 next_trial_at_millis = 8;</code>
+       * @param value The nextTrialAtMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setNextTrialAtMillis(long value) {
+
+        nextTrialAtMillis_ = value;
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The earliest time of the next trial; zero before the first one, which depends on the last crash.
+       * </pre>
+       *
+       * <code>int64 next_trial_at_millis = 8;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearNextTrialAtMillis() {
+        bitField0_ = (bitField0_ & ~0x00000080);
+        nextTrialAtMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long testedUntilMillis_ ;
+      /**
+       * <pre>
+       * The time until which the part counts as tested whoever reports it; zero if no VM has vouched for it.
+       * </pre>
+       *
+       * <code>int64 tested_until_millis = 9;</code>
+       * @return The testedUntilMillis.
+       */
+      @java.lang.Override
+      public long getTestedUntilMillis() {
+        return testedUntilMillis_;
+      }
+      /**
+       * <pre>
+       * The time until which the part counts as tested whoever reports it; zero if no VM has vouched for it.
+       * </pre>
+       *
+       * <code>int64 tested_until_millis = 9;</code>
+       * @param value The testedUntilMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTestedUntilMillis(long value) {
+
+        testedUntilMillis_ = value;
+        bitField0_ |= 0x00000100;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The time until which the part counts as tested whoever reports it; zero if no VM has vouched for it.
+       * </pre>
+       *
+       * <code>int64 tested_until_millis = 9;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTestedUntilMillis() {
+        bitField0_ = (bitField0_ & ~0x00000100);
+        testedUntilMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:borageproxy.control.CrashState)
     }
 
@@ -61268,6 +64052,16 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_borageproxy_control_ClearCrash_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_borageproxy_control_GrantTrial_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_borageproxy_control_GrantTrial_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_borageproxy_control_VouchForPart_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_borageproxy_control_VouchForPart_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_borageproxy_control_RegisterVm_descriptor;
   private static final 
@@ -61353,6 +64147,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_borageproxy_control_CrashReply_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_borageproxy_control_TrialReply_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_borageproxy_control_TrialReply_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_borageproxy_control_KeyState_descriptor;
   private static final 
@@ -61478,7 +64277,7 @@
       "s\030\002 \001(\004\"p\n\rCommandAnswer\022+\n\005reply\030\001 \001(\0132" +
       "\032.borageproxy.control.ReplyH\000\022\024\n\nnot_lea" +
       "der\030\002 \001(\tH\000\022\021\n\007unknown\030\003 \001(\010H\000B\t\n\007outcom" +
-      "e\"\320\t\n\007Command\022\020\n\010identity\030\001 \001(\t\0224\n\napply" +
+      "e\"\305\n\n\007Command\022\020\n\010identity\030\001 \001(\t\0224\n\napply" +
       "_tree\030\002 \001(\0132\036.borageproxy.control.ApplyT" +
       "reeH\000\0221\n\010rollback\030\003 \001(\0132\035.borageproxy.co" +
       "ntrol.RollbackH\000\0224\n\ncreate_key\030\004 \001(\0132\036.b" +
