@@ -61508,175 +64307,185 @@
       "\0132\".borageproxy.control.RecordStreamsH\000\022" +
       "4\n\ndrain_zone\030\024 \001(\0132\036.borageproxy.contro" +
       "l.ZoneOrderH\000\0225\n\013return_zone\030\025 \001(\0132\036.bor" +
-      "ageproxy.control.ZoneOrderH\000B\006\n\004body\"C\n\r" +
-      "RecordStreams\0222\n\007streams\030\001 \003(\0132!.boragep" +
-      "roxy.control.StreamRecord\"e\n\014StreamRecor" +
-      "d\022\017\n\007request\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\030\n\020s" +
-      "oftware_version\030\003 \001(\t\022\031\n\021expires_at_mill" +
-      "is\030\004 \001(\003\"s\n\tApplyTree\022\027\n\017change_identity" +
-      "\030\001 \001(\t\022\025\n\rbase_revision\030\002 \001(\004\022\020\n\010documen" +
-      "t\030\003 \001(\t\022\020\n\010operator\030\004 \001(\t\022\022\n\nonly_known\030" +
-      "\005 \001(\010\"a\n\010Rollback\022\027\n\017change_identity\030\001 \001" +
-      "(\t\022\025\n\rbase_revision\030\002 \001(\004\022\023\n\013to_revision" +
-      "\030\003 \001(\004\022\020\n\010operator\030\004 \001(\t\"o\n\tCreateKey\022\027\n" +
-      "\017change_identity\030\001 \001(\t\022\024\n\014key_identity\030\002" +
-      " \001(\t\022\016\n\006digest\030\003 \001(\t\022\021\n\tworkspace\030\004 \001(\t\022" +
-      "\020\n\010operator\030\005 \001(\t\"#\n\013WithdrawKey\022\024\n\014key_" +
-      "identity\030\001 \001(\t\"\203\001\n\005Claim\022\021\n\tworkspace\030\001 " +
-      "\001(\t\022\027\n\017idempotency_key\030\002 \001(\t\022\016\n\006digest\030\003" +
-      " \001(\t\022\031\n\021created_at_millis\030\004 \001(\003\022\016\n\006holde" +
-      "r\030\005 \001(\t\022\023\n\013hold_millis\030\006 \001(\003\"w\n\rComplete" +
-      "Claim\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017idempotency_" +
-      "key\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\022+\n\006answer\030\004 \001(\013" +
-      "2\033.borageproxy.control.Answer\"E\n\010EndClai" +
-      "m\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017idempotency_key\030" +
-      "\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\"<\n\006Answer\022\016\n\006status" +
-      "\030\001 \001(\005\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003 \001" +
-      "(\014\"V\n\014AcquireLease\022\014\n\004duty\030\001 \001(\t\022\016\n\006hold" +
-      "er\030\002 \001(\t\022\017\n\007session\030\003 \001(\t\022\027\n\017expired_ren" +
-      "ewal\030\004 \001(\004\"U\n\014ReleaseLease\022\014\n\004duty\030\001 \001(\t" +
-      "\022\017\n\007session\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\022\027\n\017expi" +
-      "red_renewal\030\004 \001(\004\"\276\001\n\014IntentRecord\022\016\n\006nu" +
-      "mber\030\001 \001(\003\022\r\n\005epoch\030\002 \001(\003\022\016\n\006server\030\003 \001(" +
-      "\t\022\023\n\013incarnation\030\004 \001(\003\022\023\n\013accelerator\030\005 " +
-      "\001(\t\022\016\n\006action\030\006 \001(\005\022\r\n\005model\030\007 \001(\t\022\017\n\007ve" +
-      "rsion\030\010 \001(\t\022\017\n\007adapter\030\t \001(\t\022\024\n\014memory_b" +
-      "ytes\030\n \001(\003\"A\n\014RecordIntent\0221\n\006intent\030\001 \001" +
-      "(\0132!.borageproxy.control.IntentRecord\"0\n" +
-      "\016ResolveIntents\022\r\n\005epoch\030\001 \001(\003\022\017\n\007number" +
-      "s\030\002 \003(\003\"\r\n\013ReadIntents\"\207\001\n\013ReportCrash\022\023" +
-      "\n\013fingerprint\030\001 \001(\t\022\016\n\006server\030\002 \001(\t\022\023\n\013i" +
-      "ncarnation\030\003 \001(\003\022\r\n\005alone\030\004 \001(\010\022/\n\005parts" +
-      "\030\005 \003(\0132 .borageproxy.control.SuspectPart" +
-      "\"4\n\013SuspectPart\022\023\n\013fingerprint\030\001 \001(\t\022\020\n\010" +
-      "untested\030\002 \001(\010\"!\n\nClearCrash\022\023\n\013fingerpr" +
-      "int\030\001 \001(\t\"7\n\nRegisterVm\022)\n\002vm\030\001 \001(\0132\035.bo" +
-      "rageproxy.control.VmRecord\"\030\n\010RemoveVm\022\014" +
-      "\n\004name\030\001 \001(\t\"2\n\017PublishDocument\022\016\n\006numbe" +
-      "r\030\001 \001(\004\022\017\n\007content\030\002 \001(\014\"i\n\010VmRecord\022\014\n\004" +
-      "name\030\001 \001(\t\022\014\n\004zone\030\002 \001(\t\022\014\n\004host\030\003 \001(\t\022\014" +
-      "\n\004port\030\004 \001(\005\022\017\n\007control\030\005 \001(\010\022\024\n\014obeys_d" +
-      "rains\030\006 \001(\010\"\301\005\n\005Reply\0221\n\010accepted\030\001 \001(\0132" +
-      "\035.borageproxy.control.AcceptedH\000\022>\n\017chan" +
-      "ge_conflict\030\002 \001(\0132#.borageproxy.control." +
-      "ChangeConflictH\000\022B\n\021identity_conflict\030\003 " +
-      "\001(\0132%.borageproxy.control.IdentityConfli" +
-      "ctH\000\022/\n\007missing\030\004 \001(\0132\034.borageproxy.cont" +
-      "rol.MissingH\000\0220\n\005claim\030\005 \001(\0132\037.boragepro" +
-      "xy.control.ClaimReplyH\000\0220\n\005lease\030\006 \001(\0132\037" +
-      ".borageproxy.control.LeaseReplyH\000\0223\n\006int" +
-      "ent\030\007 \001(\0132!.borageproxy.control.IntentRe" +
-      "cordH\000\022-\n\006fenced\030\010 \001(\0132\033.borageproxy.con" +
-      "trol.FencedH\000\022/\n\007intents\030\t \001(\0132\034.boragep" +
-      "roxy.control.IntentsH\000\0220\n\005crash\030\n \001(\0132\037." +
-      "borageproxy.control.CrashReplyH\000\022)\n\004done" +
-      "\030\013 \001(\0132\031.borageproxy.control.DoneH\000\0226\n\013k" +
-      "ey_created\030\014 \001(\0132\037.borageproxy.control.K" +
-      "eyCreatedH\000\022:\n\rdocument_held\030\r \001(\0132!.bor" +
-      "ageproxy.control.DocumentHeldH\000B\006\n\004body\"" +
-      "\034\n\010Accepted\022\020\n\010revision\030\001 \001(\004\":\n\016ChangeC" +
-      "onflict\022\030\n\020current_revision\030\001 \001(\004\022\016\n\006hol" +
-      "der\030\002 \001(\t\"4\n\020IdentityConflict\022\016\n\006holder\030" +
-      "\001 \001(\t\022\020\n\010revision\030\002 \001(\004\"\036\n\014DocumentHeld\022" +
-      "\016\n\006number\030\001 \001(\004\"\t\n\007Missing\"\006\n\004Done\"\037\n\006Fe" +
-      "nced\022\025\n\rcurrent_epoch\030\001 \001(\003\"J\n\nKeyCreate" +
-      "d\022\020\n\010revision\030\001 \001(\004\022*\n\003key\030\002 \001(\0132\035.borag" +
-      "eproxy.control.KeyState\"\351\001\n\nClaimReply\022:" +
-      "\n\010decision\030\001 \001(\0162(.borageproxy.control.C" +
-      "laimReply.Decision\022\r\n\005epoch\030\002 \001(\003\022+\n\006ans" +
-      "wer\030\003 \001(\0132\033.borageproxy.control.Answer\"c" +
-      "\n\010Decision\022\013\n\007GRANTED\020\000\022\014\n\010ANSWERED\020\001\022\017\n" +
-      "\013IN_PROGRESS\020\002\022\020\n\014MAY_HAVE_RUN\020\003\022\014\n\010CONF" +
-      "LICT\020\004\022\013\n\007TOO_OLD\020\005\"<\n\nLeaseReply\022\017\n\007gra" +
-      "nted\030\001 \001(\010\022\016\n\006holder\030\002 \001(\t\022\r\n\005epoch\030\003 \001(" +
-      "\003\"=\n\007Intents\0222\n\007intents\030\001 \003(\0132!.boragepr" +
-      "oxy.control.IntentRecord\"\037\n\nCrashReply\022\021" +
-      "\n\tsuspicion\030\001 \001(\005\"R\n\010KeyState\022\020\n\010identit" +
-      "y\030\001 \001(\t\022\016\n\006digest\030\002 \001(\t\022\021\n\tworkspace\030\003 \001" +
-      "(\t\022\021\n\twithdrawn\030\004 \001(\010\"v\n\tTreeState\022\020\n\010re" +
-      "vision\030\001 \001(\004\022\020\n\010document\030\002 \001(\t\022\027\n\017change" +
-      "_identity\030\003 \001(\t\022\020\n\010operator\030\004 \001(\t\022\032\n\022acc" +
-      "epted_at_millis\030\005 \001(\003\"i\n\nLeaseState\022\014\n\004d" +
-      "uty\030\001 \001(\t\022\016\n\006holder\030\002 \001(\t\022\017\n\007session\030\003 \001" +
-      "(\t\022\r\n\005epoch\030\004 \001(\003\022\017\n\007renewal\030\005 \001(\004\022\014\n\004fr" +
-      "ee\030\006 \001(\010\"\304\002\n\nClaimState\022\021\n\tworkspace\030\001 \001" +
-      "(\t\022\027\n\017idempotency_key\030\002 \001(\t\022\016\n\006digest\030\003 " +
-      "\001(\t\022\016\n\006holder\030\004 \001(\t\022\r\n\005epoch\030\005 \001(\003\0224\n\005ph" +
-      "ase\030\006 \001(\0162%.borageproxy.control.ClaimSta" +
-      "te.Phase\022\031\n\021held_until_millis\030\007 \001(\003\022\031\n\021e" +
-      "xpires_at_millis\030\010 \001(\003\022+\n\006answer\030\t \001(\0132\033" +
-      ".borageproxy.control.Answer\"B\n\005Phase\022\013\n\007" +
-      "CLAIMED\020\000\022\014\n\010ANSWERED\020\001\022\020\n\014MAY_HAVE_RUN\020" +
-      "\002\022\014\n\010RELEASED\020\003\"\212\001\n\nCrashState\022\023\n\013finger" +
-      "print\030\001 \001(\t\022\017\n\007crashes\030\002 \003(\t\022\023\n\013quaranti" +
-      "ned\030\003 \001(\010\022\031\n\021expires_at_millis\030\004 \001(\003\022\014\n\004" +
-      "part\030\005 \001(\010\022\030\n\020untested_crashes\030\006 \003(\t\"0\n\r" +
-      "DocumentState\022\016\n\006number\030\001 \001(\004\022\017\n\007content" +
-      "\030\002 \001(\014\"l\n\013ChangeState\022\020\n\010identity\030\001 \001(\t\022" +
-      "\016\n\006digest\030\002 \001(\014\022\020\n\010operator\030\003 \001(\t\022)\n\005rep" +
-      "ly\030\004 \001(\0132\032.borageproxy.control.Reply\"a\n\017" +
-      "RememberedReply\022\020\n\010identity\030\001 \001(\t\022\021\n\tat_" +
-      "millis\030\002 \001(\003\022)\n\005reply\030\003 \001(\0132\032.borageprox" +
-      "y.control.Reply\"\232\003\n\004Item\022\014\n\004name\030\001 \001(\t\022\017" +
-      "\n\007version\030\002 \001(\004\022.\n\004tree\030\003 \001(\0132\036.boragepr" +
-      "oxy.control.TreeStateH\000\022,\n\003key\030\004 \001(\0132\035.b" +
-      "orageproxy.control.KeyStateH\000\0220\n\005lease\030\005" +
-      " \001(\0132\037.borageproxy.control.LeaseStateH\000\022" +
-      "0\n\005crash\030\006 \001(\0132\037.borageproxy.control.Cra" +
-      "shStateH\000\022+\n\002vm\030\007 \001(\0132\035.borageproxy.cont" +
-      "rol.VmRecordH\000\022\021\n\007removed\030\010 \001(\010H\000\0226\n\010doc" +
-      "ument\030\t \001(\0132\".borageproxy.control.Docume" +
-      "ntStateH\000\0220\n\006chunks\030\n \001(\0132\036.borageproxy." +
-      "control.ChunkListH\000B\007\n\005value\")\n\tChunkLis" +
-      "t\022\r\n\005names\030\001 \001(\014\022\r\n\005sizes\030\002 \003(\r\"/\n\005Chunk" +
-      "\022\017\n\007content\030\001 \001(\014\022\025\n\rinflated_size\030\002 \001(\r" +
-      "\"\366\004\n\017ControlSnapshot\022\017\n\007version\030\001 \001(\004\022\020\n" +
-      "\010revision\030\002 \001(\004\022/\n\007history\030\004 \003(\0132\036.borag" +
-      "eproxy.control.TreeState\022+\n\004keys\030\005 \003(\0132\035" +
-      ".borageproxy.control.KeyState\0221\n\007changes" +
-      "\030\006 \003(\0132 .borageproxy.control.ChangeState" +
-      "\0225\n\007replies\030\007 \003(\0132$.borageproxy.control." +
-      "RememberedReply\022/\n\006claims\030\010 \003(\0132\037.borage" +
-      "proxy.control.ClaimState\022\030\n\020last_claim_e" +
-      "poch\030\t \001(\003\022/\n\006leases\030\n \003(\0132\037.borageproxy" +
-      ".control.LeaseState\0222\n\007intents\030\013 \003(\0132!.b" +
-      "orageproxy.control.IntentRecord\022\032\n\022last_" +
-      "intent_number\030\014 \001(\003\0220\n\007crashes\030\r \003(\0132\037.b" +
-      "orageproxy.control.CrashState\022(\n\005items\030\016" +
-      " \003(\0132\031.borageproxy.control.Item\022\026\n\016remov" +
-      "als_since\030\017 \001(\004\0222\n\007streams\030\036 \003(\0132!.borag" +
-      "eproxy.control.StreamRecordJ\004\010\003\020\004\"\361\002\n\014Wa" +
-      "tchRequest\022+\n\005watch\030\001 \001(\0132\032.borageproxy." +
-      "control.WatchH\000\0226\n\013read_served\030\002 \001(\0132\037.b" +
-      "orageproxy.control.ReadServedH\000\0222\n\tread_" +
-      "tree\030\003 \001(\0132\035.borageproxy.control.ReadTre" +
-      "eH\000\022<\n\016read_revisions\030\004 \001(\0132\".borageprox" +
-      "y.control.ReadRevisionsH\000\0222\n\tread_keys\030\005" +
-      " \001(\0132\035.borageproxy.control.ReadKeysH\000\0226\n" +
-      "\013read_chunks\030\006 \001(\0132\037.borageproxy.control" +
-      ".ReadChunksH\000\022\026\n\016accepts_chunks\030\007 \001(\010B\006\n" +
-      "\004body\"\241\001\n\005Watch\022)\n\002vm\030\001 \001(\0132\035.borageprox" +
-      "y.control.VmRecord\022\017\n\007version\030\002 \001(\004\022\027\n\017s" +
-      "erved_revision\030\003 \001(\004\022\023\n\013wait_millis\030\004 \001(" +
-      "\r\022\026\n\016accepts_chunks\030\005 \001(\010\022\026\n\016complete_si" +
-      "nce\030\006 \001(\004\"\033\n\nReadChunks\022\r\n\005names\030\001 \001(\014\"\014" +
-      "\n\nReadServed\"\034\n\010ReadTree\022\020\n\010revision\030\001 \001" +
-      "(\004\"\017\n\rReadRevisions\"\n\n\010ReadKeys\"\277\003\n\013Watc" +
-      "hAnswer\022\021\n\tconfirmed\030\001 \001(\010\022\017\n\007version\030\002 " +
-      "\001(\004\022\020\n\010revision\030\003 \001(\004\022\014\n\004full\030\004 \001(\010\022(\n\005i" +
-      "tems\030\005 \003(\0132\031.borageproxy.control.Item\022+\n" +
-      "\006served\030\006 \003(\0132\033.borageproxy.control.Serv" +
-      "ed\022,\n\004tree\030\007 \001(\0132\036.borageproxy.control.T" +
-      "reeState\0221\n\trevisions\030\010 \003(\0132\036.borageprox" +
-      "y.control.TreeState\022+\n\004keys\030\t \003(\0132\035.bora" +
-      "geproxy.control.KeyState\022\014\n\004more\030\n \001(\010\022\026" +
-      "\n\016newest_version\030\013 \001(\004\022*\n\006chunks\030\014 \003(\0132\032" +
-      ".borageproxy.control.Chunk\0225\n\ranswer_chu" +
-      "nks\030\r \001(\0132\036.borageproxy.control.ChunkLis" +
-      "t\"H\n\006Served\022\n\n\002vm\030\001 \001(\t\022\020\n\010revision\030\002 \001(" +
-      "\004\022\022\n\nage_millis\030\003 \001(\004\022\014\n\004zone\030\004 \001(\t\"\031\n\tZ" +
-      "oneOrder\022\014\n\004zone\030\001 \001(\tB-\n\032org.borageprox" +
-      "y.wire.protoB\017ControlProtocolb\006proto3"
+      "ageproxy.control.ZoneOrderH\000\0226\n\013grant_tr" +
+      "ial\030\037 \001(\0132\037.borageproxy.control.GrantTri" +
+      "alH\000\022;\n\016vouch_for_part\030  \001(\0132!.boragepro" +
+      "xy.control.VouchForPartH\000B\006\n\004body\"C\n\rRec" +
+      "ordStreams\0222\n\007streams\030\001 \003(\0132!.borageprox" +
+      "y.control.StreamRecord\"e\n\014StreamRecord\022\017" +
+      "\n\007request\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\030\n\020soft" +
+      "ware_version\030\003 \001(\t\022\031\n\021expires_at_millis\030" +
+      "\004 \001(\003\"s\n\tApplyTree\022\027\n\017change_identity\030\001 " +
+      "\001(\t\022\025\n\rbase_revision\030\002 \001(\004\022\020\n\010document\030\003" +
+      " \001(\t\022\020\n\010operator\030\004 \001(\t\022\022\n\nonly_known\030\005 \001" +
+      "(\010\"a\n\010Rollback\022\027\n\017change_identity\030\001 \001(\t\022" +
+      "\025\n\rbase_revision\030\002 \001(\004\022\023\n\013to_revision\030\003 " +
+      "\001(\004\022\020\n\010operator\030\004 \001(\t\"o\n\tCreateKey\022\027\n\017ch" +
+      "ange_identity\030\001 \001(\t\022\024\n\014key_identity\030\002 \001(" +
+      "\t\022\016\n\006digest\030\003 \001(\t\022\021\n\tworkspace\030\004 \001(\t\022\020\n\010" +
+      "operator\030\005 \001(\t\"#\n\013WithdrawKey\022\024\n\014key_ide" +
+      "ntity\030\001 \001(\t\"\203\001\n\005Claim\022\021\n\tworkspace\030\001 \001(\t" +
+      "\022\027\n\017idempotency_key\030\002 \001(\t\022\016\n\006digest\030\003 \001(" +
+      "\t\022\031\n\021created_at_millis\030\004 \001(\003\022\016\n\006holder\030\005" +
+      " \001(\t\022\023\n\013hold_millis\030\006 \001(\003\"w\n\rCompleteCla" +
+      "im\022\021\n\tworkspace\030\001 \001(\t\022\027\n\017idempotency_key" +
+      "\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\022+\n\006answer\030\004 \001(\0132\033." +
+      "borageproxy.control.Answer\"E\n\010EndClaim\022\021" +
+      "\n\tworkspace\030\001 \001(\t\022\027\n\017idempotency_key\030\002 \001" +
+      "(\t\022\r\n\005epoch\030\003 \001(\003\"<\n\006Answer\022\016\n\006status\030\001 " +
+      "\001(\005\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"" +
+      "V\n\014AcquireLease\022\014\n\004duty\030\001 \001(\t\022\016\n\006holder\030" +
+      "\002 \001(\t\022\017\n\007session\030\003 \001(\t\022\027\n\017expired_renewa" +
+      "l\030\004 \001(\004\"U\n\014ReleaseLease\022\014\n\004duty\030\001 \001(\t\022\017\n" +
+      "\007session\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\022\027\n\017expired" +
+      "_renewal\030\004 \001(\004\"\276\001\n\014IntentRecord\022\016\n\006numbe" +
+      "r\030\001 \001(\003\022\r\n\005epoch\030\002 \001(\003\022\016\n\006server\030\003 \001(\t\022\023" +
+      "\n\013incarnation\030\004 \001(\003\022\023\n\013accelerator\030\005 \001(\t" +
+      "\022\016\n\006action\030\006 \001(\005\022\r\n\005model\030\007 \001(\t\022\017\n\007versi" +
+      "on\030\010 \001(\t\022\017\n\007adapter\030\t \001(\t\022\024\n\014memory_byte" +
+      "s\030\n \001(\003\"A\n\014RecordIntent\0221\n\006intent\030\001 \001(\0132" +
+      "!.borageproxy.control.IntentRecord\"0\n\016Re" +
+      "solveIntents\022\r\n\005epoch\030\001 \001(\003\022\017\n\007numbers\030\002" +
+      " \003(\003\"\r\n\013ReadIntents\"\207\001\n\013ReportCrash\022\023\n\013f" +
+      "ingerprint\030\001 \001(\t\022\016\n\006server\030\002 \001(\t\022\023\n\013inca" +
+      "rnation\030\003 \001(\003\022\r\n\005alone\030\004 \001(\010\022/\n\005parts\030\005 " +
+      "\003(\0132 .borageproxy.control.SuspectPart\"4\n" +
+      "\013SuspectPart\022\023\n\013fingerprint\030\001 \001(\t\022\020\n\010unt" +
+      "ested\030\002 \001(\010\"!\n\nClearCrash\022\023\n\013fingerprint" +
+      "\030\001 \001(\t\"\"\n\nGrantTrial\022\024\n\014fingerprints\030\001 \003" +
+      "(\t\"#\n\014VouchForPart\022\023\n\013fingerprint\030\001 \001(\t\"" +
+      "7\n\nRegisterVm\022)\n\002vm\030\001 \001(\0132\035.borageproxy." +
+      "control.VmRecord\"\030\n\010RemoveVm\022\014\n\004name\030\001 \001" +
+      "(\t\"2\n\017PublishDocument\022\016\n\006number\030\001 \001(\004\022\017\n" +
+      "\007content\030\002 \001(\014\"\200\001\n\010VmRecord\022\014\n\004name\030\001 \001(" +
+      "\t\022\014\n\004zone\030\002 \001(\t\022\014\n\004host\030\003 \001(\t\022\014\n\004port\030\004 " +
+      "\001(\005\022\017\n\007control\030\005 \001(\010\022\024\n\014obeys_drains\030\006 \001" +
+      "(\010\022\025\n\rgrants_trials\030\007 \001(\010\"\363\005\n\005Reply\0221\n\010a" +
+      "ccepted\030\001 \001(\0132\035.borageproxy.control.Acce" +
+      "ptedH\000\022>\n\017change_conflict\030\002 \001(\0132#.borage" +
+      "proxy.control.ChangeConflictH\000\022B\n\021identi" +
+      "ty_conflict\030\003 \001(\0132%.borageproxy.control." +
+      "IdentityConflictH\000\022/\n\007missing\030\004 \001(\0132\034.bo" +
+      "rageproxy.control.MissingH\000\0220\n\005claim\030\005 \001" +
+      "(\0132\037.borageproxy.control.ClaimReplyH\000\0220\n" +
+      "\005lease\030\006 \001(\0132\037.borageproxy.control.Lease" +
+      "ReplyH\000\0223\n\006intent\030\007 \001(\0132!.borageproxy.co" +
+      "ntrol.IntentRecordH\000\022-\n\006fenced\030\010 \001(\0132\033.b" +
+      "orageproxy.control.FencedH\000\022/\n\007intents\030\t" +
+      " \001(\0132\034.borageproxy.control.IntentsH\000\0220\n\005" +
+      "crash\030\n \001(\0132\037.borageproxy.control.CrashR" +
+      "eplyH\000\022)\n\004done\030\013 \001(\0132\031.borageproxy.contr" +
+      "ol.DoneH\000\0226\n\013key_created\030\014 \001(\0132\037.boragep" +
+      "roxy.control.KeyCreatedH\000\022:\n\rdocument_he" +
+      "ld\030\r \001(\0132!.borageproxy.control.DocumentH" +
+      "eldH\000\0220\n\005trial\030\016 \001(\0132\037.borageproxy.contr" +
+      "ol.TrialReplyH\000B\006\n\004body\"\034\n\010Accepted\022\020\n\010r" +
+      "evision\030\001 \001(\004\":\n\016ChangeConflict\022\030\n\020curre" +
+      "nt_revision\030\001 \001(\004\022\016\n\006holder\030\002 \001(\t\"4\n\020Ide" +
+      "ntityConflict\022\016\n\006holder\030\001 \001(\t\022\020\n\010revisio" +
+      "n\030\002 \001(\004\"\036\n\014DocumentHeld\022\016\n\006number\030\001 \001(\004\"" +
+      "\t\n\007Missing\"\006\n\004Done\"\037\n\006Fenced\022\025\n\rcurrent_" +
+      "epoch\030\001 \001(\003\"J\n\nKeyCreated\022\020\n\010revision\030\001 " +
+      "\001(\004\022*\n\003key\030\002 \001(\0132\035.borageproxy.control.K" +
+      "eyState\"\351\001\n\nClaimReply\022:\n\010decision\030\001 \001(\016" +
+      "2(.borageproxy.control.ClaimReply.Decisi" +
+      "on\022\r\n\005epoch\030\002 \001(\003\022+\n\006answer\030\003 \001(\0132\033.bora" +
+      "geproxy.control.Answer\"c\n\010Decision\022\013\n\007GR" +
+      "ANTED\020\000\022\014\n\010ANSWERED\020\001\022\017\n\013IN_PROGRESS\020\002\022\020" +
+      "\n\014MAY_HAVE_RUN\020\003\022\014\n\010CONFLICT\020\004\022\013\n\007TOO_OL" +
+      "D\020\005\"<\n\nLeaseReply\022\017\n\007granted\030\001 \001(\010\022\016\n\006ho" +
+      "lder\030\002 \001(\t\022\r\n\005epoch\030\003 \001(\003\"=\n\007Intents\0222\n\007" +
+      "intents\030\001 \003(\0132!.borageproxy.control.Inte" +
+      "ntRecord\"\037\n\nCrashReply\022\021\n\tsuspicion\030\001 \001(" +
+      "\005\"2\n\nTrialReply\022\017\n\007granted\030\001 \001(\010\022\023\n\013wait" +
+      "_millis\030\002 \001(\003\"R\n\010KeyState\022\020\n\010identity\030\001 " +
+      "\001(\t\022\016\n\006digest\030\002 \001(\t\022\021\n\tworkspace\030\003 \001(\t\022\021" +
+      "\n\twithdrawn\030\004 \001(\010\"v\n\tTreeState\022\020\n\010revisi" +
+      "on\030\001 \001(\004\022\020\n\010document\030\002 \001(\t\022\027\n\017change_ide" +
+      "ntity\030\003 \001(\t\022\020\n\010operator\030\004 \001(\t\022\032\n\022accepte" +
+      "d_at_millis\030\005 \001(\003\"i\n\nLeaseState\022\014\n\004duty\030" +
+      "\001 \001(\t\022\016\n\006holder\030\002 \001(\t\022\017\n\007session\030\003 \001(\t\022\r" +
+      "\n\005epoch\030\004 \001(\003\022\017\n\007renewal\030\005 \001(\004\022\014\n\004free\030\006" +
+      " \001(\010\"\304\002\n\nClaimState\022\021\n\tworkspace\030\001 \001(\t\022\027" +
+      "\n\017idempotency_key\030\002 \001(\t\022\016\n\006digest\030\003 \001(\t\022" +
+      "\016\n\006holder\030\004 \001(\t\022\r\n\005epoch\030\005 \001(\003\0224\n\005phase\030" +
+      "\006 \001(\0162%.borageproxy.control.ClaimState.P" +
+      "hase\022\031\n\021held_until_millis\030\007 \001(\003\022\031\n\021expir" +
+      "es_at_millis\030\010 \001(\003\022+\n\006answer\030\t \001(\0132\033.bor" +
+      "ageproxy.control.Answer\"B\n\005Phase\022\013\n\007CLAI" +
+      "MED\020\000\022\014\n\010ANSWERED\020\001\022\020\n\014MAY_HAVE_RUN\020\002\022\014\n" +
+      "\010RELEASED\020\003\"\325\001\n\nCrashState\022\023\n\013fingerprin" +
+      "t\030\001 \001(\t\022\017\n\007crashes\030\002 \003(\t\022\023\n\013quarantined\030" +
+      "\003 \001(\010\022\031\n\021expires_at_millis\030\004 \001(\003\022\014\n\004part" +
+      "\030\005 \001(\010\022\030\n\020untested_crashes\030\006 \003(\t\022\016\n\006tria" +
+      "ls\030\007 \001(\005\022\034\n\024next_trial_at_millis\030\010 \001(\003\022\033" +
+      "\n\023tested_until_millis\030\t \001(\003\"0\n\rDocumentS" +
+      "tate\022\016\n\006number\030\001 \001(\004\022\017\n\007content\030\002 \001(\014\"l\n" +
+      "\013ChangeState\022\020\n\010identity\030\001 \001(\t\022\016\n\006digest" +
+      "\030\002 \001(\014\022\020\n\010operator\030\003 \001(\t\022)\n\005reply\030\004 \001(\0132" +
+      "\032.borageproxy.control.Reply\"a\n\017Remembere" +
+      "dReply\022\020\n\010identity\030\001 \001(\t\022\021\n\tat_millis\030\002 " +
+      "\001(\003\022)\n\005reply\030\003 \001(\0132\032.borageproxy.control" +
+      ".Reply\"\232\003\n\004Item\022\014\n\004name\030\001 \001(\t\022\017\n\007version" +
+      "\030\002 \001(\004\022.\n\004tree\030\003 \001(\0132\036.borageproxy.contr" +
+      "ol.TreeStateH\000\022,\n\003key\030\004 \001(\0132\035.borageprox" +
+      "y.control.KeyStateH\000\0220\n\005lease\030\005 \001(\0132\037.bo" +
+      "rageproxy.control.LeaseStateH\000\0220\n\005crash\030" +
+      "\006 \001(\0132\037.borageproxy.control.CrashStateH\000" +
+      "\022+\n\002vm\030\007 \001(\0132\035.borageproxy.control.VmRec" +
+      "ordH\000\022\021\n\007removed\030\010 \001(\010H\000\0226\n\010document\030\t \001" +
+      "(\0132\".borageproxy.control.DocumentStateH\000" +
+      "\0220\n\006chunks\030\n \001(\0132\036.borageproxy.control.C" +
+      "hunkListH\000B\007\n\005value\")\n\tChunkList\022\r\n\005name" +
+      "s\030\001 \001(\014\022\r\n\005sizes\030\002 \003(\r\"/\n\005Chunk\022\017\n\007conte" +
+      "nt\030\001 \001(\014\022\025\n\rinflated_size\030\002 \001(\r\"\366\004\n\017Cont" +
+      "rolSnapshot\022\017\n\007version\030\001 \001(\004\022\020\n\010revision" +
+      "\030\002 \001(\004\022/\n\007history\030\004 \003(\0132\036.borageproxy.co" +
+      "ntrol.TreeState\022+\n\004keys\030\005 \003(\0132\035.boragepr" +
+      "oxy.control.KeyState\0221\n\007changes\030\006 \003(\0132 ." +
+      "borageproxy.control.ChangeState\0225\n\007repli" +
+      "es\030\007 \003(\0132$.borageproxy.control.Remembere" +
+      "dReply\022/\n\006claims\030\010 \003(\0132\037.borageproxy.con" +
+      "trol.ClaimState\022\030\n\020last_claim_epoch\030\t \001(" +
+      "\003\022/\n\006leases\030\n \003(\0132\037.borageproxy.control." +
+      "LeaseState\0222\n\007intents\030\013 \003(\0132!.borageprox" +
+      "y.control.IntentRecord\022\032\n\022last_intent_nu" +
+      "mber\030\014 \001(\003\0220\n\007crashes\030\r \003(\0132\037.borageprox" +
+      "y.control.CrashState\022(\n\005items\030\016 \003(\0132\031.bo" +
+      "rageproxy.control.Item\022\026\n\016removals_since" +
+      "\030\017 \001(\004\0222\n\007streams\030\036 \003(\0132!.borageproxy.co" +
+      "ntrol.StreamRecordJ\004\010\003\020\004\"\361\002\n\014WatchReques" +
+      "t\022+\n\005watch\030\001 \001(\0132\032.borageproxy.control.W" +
+      "atchH\000\0226\n\013read_served\030\002 \001(\0132\037.borageprox" +
+      "y.control.ReadServedH\000\0222\n\tread_tree\030\003 \001(" +
+      "\0132\035.borageproxy.control.ReadTreeH\000\022<\n\016re" +
+      "ad_revisions\030\004 \001(\0132\".borageproxy.control" +
+      ".ReadRevisionsH\000\0222\n\tread_keys\030\005 \001(\0132\035.bo" +
+      "rageproxy.control.ReadKeysH\000\0226\n\013read_chu" +
+      "nks\030\006 \001(\0132\037.borageproxy.control.ReadChun" +
+      "ksH\000\022\026\n\016accepts_chunks\030\007 \001(\010B\006\n\004body\"\241\001\n" +
+      "\005Watch\022)\n\002vm\030\001 \001(\0132\035.borageproxy.control" +
+      ".VmRecord\022\017\n\007version\030\002 \001(\004\022\027\n\017served_rev" +
+      "ision\030\003 \001(\004\022\023\n\013wait_millis\030\004 \001(\r\022\026\n\016acce" +
+      "pts_chunks\030\005 \001(\010\022\026\n\016complete_since\030\006 \001(\004" +
+      "\"\033\n\nReadChunks\022\r\n\005names\030\001 \001(\014\"\014\n\nReadSer" +
+      "ved\"\034\n\010ReadTree\022\020\n\010revision\030\001 \001(\004\"\017\n\rRea" +
+      "dRevisions\"\n\n\010ReadKeys\"\277\003\n\013WatchAnswer\022\021" +
+      "\n\tconfirmed\030\001 \001(\010\022\017\n\007version\030\002 \001(\004\022\020\n\010re" +
+      "vision\030\003 \001(\004\022\014\n\004full\030\004 \001(\010\022(\n\005items\030\005 \003(" +
+      "\0132\031.borageproxy.control.Item\022+\n\006served\030\006" +
+      " \003(\0132\033.borageproxy.control.Served\022,\n\004tre" +
+      "e\030\007 \001(\0132\036.borageproxy.control.TreeState\022" +
+      "1\n\trevisions\030\010 \003(\0132\036.borageproxy.control" +
+      ".TreeState\022+\n\004keys\030\t \003(\0132\035.borageproxy.c" +
+      "ontrol.KeyState\022\014\n\004more\030\n \001(\010\022\026\n\016newest_" +
+      "version\030\013 \001(\004\022*\n\006chunks\030\014 \003(\0132\032.boragepr" +
+      "oxy.control.Chunk\0225\n\ranswer_chunks\030\r \001(\013" +
+      "2\036.borageproxy.control.ChunkList\"H\n\006Serv" +
+      "ed\022\n\n\002vm\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\022\n\nage_" +
+      "millis\030\003 \001(\004\022\014\n\004zone\030\004 \001(\t\"\031\n\tZoneOrder\022" +
+      "\014\n\004zone\030\001 \001(\tB-\n\032org.borageproxy.wire.pr" +
+      "otoB\017ControlProtocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -61699,7 +64508,7 @@
     internal_static_borageproxy_control_Command_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Command_descriptor,
-        new java.lang.String[] { "Identity", "ApplyTree", "Rollback", "CreateKey", "WithdrawKey", "Claim", "CompleteClaim", "ReleaseClaim", "AbandonClaim", "AcquireLease", "ReleaseLease", "RecordIntent", "ResolveIntents", "ReadIntents", "ReportCrash", "ClearCrash", "RegisterVm", "RemoveVm", "PublishDocument", "RecordStreams", "DrainZone", "ReturnZone", "Body", });
+        new java.lang.String[] { "Identity", "ApplyTree", "Rollback", "CreateKey", "WithdrawKey", "Claim", "CompleteClaim", "ReleaseClaim", "AbandonClaim", "AcquireLease", "ReleaseLease", "RecordIntent", "ResolveIntents", "ReadIntents", "ReportCrash", "ClearCrash", "RegisterVm", "RemoveVm", "PublishDocument", "RecordStreams", "DrainZone", "ReturnZone", "GrantTrial", "VouchForPart", "Body", });
     internal_static_borageproxy_control_RecordStreams_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_borageproxy_control_RecordStreams_fieldAccessorTable = new
@@ -61814,236 +64623,254 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ClearCrash_descriptor,
         new java.lang.String[] { "Fingerprint", });
-    internal_static_borageproxy_control_RegisterVm_descriptor =
+    internal_static_borageproxy_control_GrantTrial_descriptor =
       getDescriptor().getMessageType(22);
+    internal_static_borageproxy_control_GrantTrial_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_borageproxy_control_GrantTrial_descriptor,
+        new java.lang.String[] { "Fingerprints", });
+    internal_static_borageproxy_control_VouchForPart_descriptor =
+      getDescriptor().getMessageType(23);
+    internal_static_borageproxy_control_VouchForPart_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_borageproxy_control_VouchForPart_descriptor,
+        new java.lang.String[] { "Fingerprint", });
+    internal_static_borageproxy_control_RegisterVm_descriptor =
+      getDescriptor().getMessageType(24);
     internal_static_borageproxy_control_RegisterVm_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_RegisterVm_descriptor,
         new java.lang.String[] { "Vm", });
     internal_static_borageproxy_control_RemoveVm_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(25);
     internal_static_borageproxy_control_RemoveVm_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_RemoveVm_descriptor,
         new java.lang.String[] { "Name", });
     internal_static_borageproxy_control_PublishDocument_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(26);
     internal_static_borageproxy_control_PublishDocument_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_PublishDocument_descriptor,
         new java.lang.String[] { "Number", "Content", });
     internal_static_borageproxy_control_VmRecord_descriptor =
-      getDescriptor().getMessageType(25);
+      getDescriptor().getMessageType(27);
     internal_static_borageproxy_control_VmRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_VmRecord_descriptor,
-        new java.lang.String[] { "Name", "Zone", "Host", "Port", "Control", "ObeysDrains", });
+        new java.lang.String[] { "Name", "Zone", "Host", "Port", "Control", "ObeysDrains", "GrantsTrials", });
     internal_static_borageproxy_control_Reply_descriptor =
-      getDescriptor().getMessageType(26);
+      getDescriptor().getMessageType(28);
     internal_static_borageproxy_control_Reply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Reply_descriptor,
-        new java.lang.String[] { "Accepted", "ChangeConflict", "IdentityConflict", "Missing", "Claim", "Lease", "Intent", "Fenced", "Intents", "Crash", "Done", "KeyCreated", "DocumentHeld", "Body", });
+        new java.lang.String[] { "Accepted", "ChangeConflict", "IdentityConflict", "Missing", "Claim", "Lease", "Intent", "Fenced", "Intents", "Crash", "Done", "KeyCreated", "DocumentHeld", "Trial", "Body", });
     internal_static_borageproxy_control_Accepted_descriptor =
-      getDescriptor().getMessageType(27);
+      getDescriptor().getMessageType(29);
     internal_static_borageproxy_control_Accepted_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Accepted_descriptor,
         new java.lang.String[] { "Revision", });
     internal_static_borageproxy_control_ChangeConflict_descriptor =
-      getDescriptor().getMessageType(28);
+      getDescriptor().getMessageType(30);
     internal_static_borageproxy_control_ChangeConflict_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ChangeConflict_descriptor,
         new java.lang.String[] { "CurrentRevision", "Holder", });
     internal_static_borageproxy_control_IdentityConflict_descriptor =
-      getDescriptor().getMessageType(29);
+      getDescriptor().getMessageType(31);
     internal_static_borageproxy_control_IdentityConflict_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_IdentityConflict_descriptor,
         new java.lang.String[] { "Holder", "Revision", });
     internal_static_borageproxy_control_DocumentHeld_descriptor =
-      getDescriptor().getMessageType(30);
+      getDescriptor().getMessageType(32);
     internal_static_borageproxy_control_DocumentHeld_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_DocumentHeld_descriptor,
         new java.lang.String[] { "Number", });
     internal_static_borageproxy_control_Missing_descriptor =
-      getDescriptor().getMessageType(31);
+      getDescriptor().getMessageType(33);
     internal_static_borageproxy_control_Missing_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Missing_descriptor,
         new java.lang.String[] { });
     internal_static_borageproxy_control_Done_descriptor =
-      getDescriptor().getMessageType(32);
+      getDescriptor().getMessageType(34);
     internal_static_borageproxy_control_Done_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Done_descriptor,
         new java.lang.String[] { });
     internal_static_borageproxy_control_Fenced_descriptor =
-      getDescriptor().getMessageType(33);
+      getDescriptor().getMessageType(35);
     internal_static_borageproxy_control_Fenced_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Fenced_descriptor,
         new java.lang.String[] { "CurrentEpoch", });
     internal_static_borageproxy_control_KeyCreated_descriptor =
-      getDescriptor().getMessageType(34);
+      getDescriptor().getMessageType(36);
     internal_static_borageproxy_control_KeyCreated_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_KeyCreated_descriptor,
         new java.lang.String[] { "Revision", "Key", });
     internal_static_borageproxy_control_ClaimReply_descriptor =
-      getDescriptor().getMessageType(35);
+      getDescriptor().getMessageType(37);
     internal_static_borageproxy_control_ClaimReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ClaimReply_descriptor,
         new java.lang.String[] { "Decision", "Epoch", "Answer", });
     internal_static_borageproxy_control_LeaseReply_descriptor =
-      getDescriptor().getMessageType(36);
+      getDescriptor().getMessageType(38);
     internal_static_borageproxy_control_LeaseReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_LeaseReply_descriptor,
         new java.lang.String[] { "Granted", "Holder", "Epoch", });
     internal_static_borageproxy_control_Intents_descriptor =
-      getDescriptor().getMessageType(37);
+      getDescriptor().getMessageType(39);
     internal_static_borageproxy_control_Intents_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Intents_descriptor,
         new java.lang.String[] { "Intents", });
     internal_static_borageproxy_control_CrashReply_descriptor =
-      getDescriptor().getMessageType(38);
+      getDescriptor().getMessageType(40);
     internal_static_borageproxy_control_CrashReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_CrashReply_descriptor,
         new java.lang.String[] { "Suspicion", });
+    internal_static_borageproxy_control_TrialReply_descriptor =
+      getDescriptor().getMessageType(41);
+    internal_static_borageproxy_control_TrialReply_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_borageproxy_control_TrialReply_descriptor,
+        new java.lang.String[] { "Granted", "WaitMillis", });
     internal_static_borageproxy_control_KeyState_descriptor =
-      getDescriptor().getMessageType(39);
+      getDescriptor().getMessageType(42);
     internal_static_borageproxy_control_KeyState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_KeyState_descriptor,
         new java.lang.String[] { "Identity", "Digest", "Workspace", "Withdrawn", });
     internal_static_borageproxy_control_TreeState_descriptor =
-      getDescriptor().getMessageType(40);
+      getDescriptor().getMessageType(43);
     internal_static_borageproxy_control_TreeState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_TreeState_descriptor,
         new java.lang.String[] { "Revision", "Document", "ChangeIdentity", "Operator", "AcceptedAtMillis", });
     internal_static_borageproxy_control_LeaseState_descriptor =
-      getDescriptor().getMessageType(41);
+      getDescriptor().getMessageType(44);
     internal_static_borageproxy_control_LeaseState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_LeaseState_descriptor,
         new java.lang.String[] { "Duty", "Holder", "Session", "Epoch", "Renewal", "Free", });
     internal_static_borageproxy_control_ClaimState_descriptor =
-      getDescriptor().getMessageType(42);
+      getDescriptor().getMessageType(45);
     internal_static_borageproxy_control_ClaimState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ClaimState_descriptor,
         new java.lang.String[] { "Workspace", "IdempotencyKey", "Digest", "Holder", "Epoch", "Phase", "HeldUntilMillis", "ExpiresAtMillis", "Answer", });
     internal_static_borageproxy_control_CrashState_descriptor =
-      getDescriptor().getMessageType(43);
+      getDescriptor().getMessageType(46);
     internal_static_borageproxy_control_CrashState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_CrashState_descriptor,
-        new java.lang.String[] { "Fingerprint", "Crashes", "Quarantined", "ExpiresAtMillis", "Part", "UntestedCrashes", });
+        new java.lang.String[] { "Fingerprint", "Crashes", "Quarantined", "ExpiresAtMillis", "Part", "UntestedCrashes", "Trials", "NextTrialAtMillis", "TestedUntilMillis", });
     internal_static_borageproxy_control_DocumentState_descriptor =
-      getDescriptor().getMessageType(44);
+      getDescriptor().getMessageType(47);
     internal_static_borageproxy_control_DocumentState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_DocumentState_descriptor,
         new java.lang.String[] { "Number", "Content", });
     internal_static_borageproxy_control_ChangeState_descriptor =
-      getDescriptor().getMessageType(45);
+      getDescriptor().getMessageType(48);
     internal_static_borageproxy_control_ChangeState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ChangeState_descriptor,
         new java.lang.String[] { "Identity", "Digest", "Operator", "Reply", });
     internal_static_borageproxy_control_RememberedReply_descriptor =
-      getDescriptor().getMessageType(46);
+      getDescriptor().getMessageType(49);
     internal_static_borageproxy_control_RememberedReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_RememberedReply_descriptor,
         new java.lang.String[] { "Identity", "AtMillis", "Reply", });
     internal_static_borageproxy_control_Item_descriptor =
-      getDescriptor().getMessageType(47);
+      getDescriptor().getMessageType(50);
     internal_static_borageproxy_control_Item_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Item_descriptor,
         new java.lang.String[] { "Name", "Version", "Tree", "Key", "Lease", "Crash", "Vm", "Removed", "Document", "Chunks", "Value", });
     internal_static_borageproxy_control_ChunkList_descriptor =
-      getDescriptor().getMessageType(48);
+      getDescriptor().getMessageType(51);
     internal_static_borageproxy_control_ChunkList_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ChunkList_descriptor,
         new java.lang.String[] { "Names", "Sizes", });
     internal_static_borageproxy_control_Chunk_descriptor =
-      getDescriptor().getMessageType(49);
+      getDescriptor().getMessageType(52);
     internal_static_borageproxy_control_Chunk_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Chunk_descriptor,
         new java.lang.String[] { "Content", "InflatedSize", });
     internal_static_borageproxy_control_ControlSnapshot_descriptor =
-      getDescriptor().getMessageType(50);
+      getDescriptor().getMessageType(53);
     internal_static_borageproxy_control_ControlSnapshot_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ControlSnapshot_descriptor,
         new java.lang.String[] { "Version", "Revision", "History", "Keys", "Changes", "Replies", "Claims", "LastClaimEpoch", "Leases", "Intents", "LastIntentNumber", "Crashes", "Items", "RemovalsSince", "Streams", });
     internal_static_borageproxy_control_WatchRequest_descriptor =
-      getDescriptor().getMessageType(51);
+      getDescriptor().getMessageType(54);
     internal_static_borageproxy_control_WatchRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_WatchRequest_descriptor,
         new java.lang.String[] { "Watch", "ReadServed", "ReadTree", "ReadRevisions", "ReadKeys", "ReadChunks", "AcceptsChunks", "Body", });
     internal_static_borageproxy_control_Watch_descriptor =
-      getDescriptor().getMessageType(52);
+      getDescriptor().getMessageType(55);
     internal_static_borageproxy_control_Watch_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Watch_descriptor,
         new java.lang.String[] { "Vm", "Version", "ServedRevision", "WaitMillis", "AcceptsChunks", "CompleteSince", });
     internal_static_borageproxy_control_ReadChunks_descriptor =
-      getDescriptor().getMessageType(53);
+      getDescriptor().getMessageType(56);
     internal_static_borageproxy_control_ReadChunks_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ReadChunks_descriptor,
         new java.lang.String[] { "Names", });
     internal_static_borageproxy_control_ReadServed_descriptor =
-      getDescriptor().getMessageType(54);
+      getDescriptor().getMessageType(57);
     internal_static_borageproxy_control_ReadServed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ReadServed_descriptor,
         new java.lang.String[] { });
     internal_static_borageproxy_control_ReadTree_descriptor =
-      getDescriptor().getMessageType(55);
+      getDescriptor().getMessageType(58);
     internal_static_borageproxy_control_ReadTree_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ReadTree_descriptor,
         new java.lang.String[] { "Revision", });
     internal_static_borageproxy_control_ReadRevisions_descriptor =
-      getDescriptor().getMessageType(56);
+      getDescriptor().getMessageType(59);
     internal_static_borageproxy_control_ReadRevisions_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ReadRevisions_descriptor,
         new java.lang.String[] { });
     internal_static_borageproxy_control_ReadKeys_descriptor =
-      getDescriptor().getMessageType(57);
+      getDescriptor().getMessageType(60);
     internal_static_borageproxy_control_ReadKeys_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ReadKeys_descriptor,
         new java.lang.String[] { });
     internal_static_borageproxy_control_WatchAnswer_descriptor =
-      getDescriptor().getMessageType(58);
+      getDescriptor().getMessageType(61);
     internal_static_borageproxy_control_WatchAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_WatchAnswer_descriptor,
         new java.lang.String[] { "Confirmed", "Version", "Revision", "Full", "Items", "Served", "Tree", "Revisions", "Keys", "More", "NewestVersion", "Chunks", "AnswerChunks", });
     internal_static_borageproxy_control_Served_descriptor =
-      getDescriptor().getMessageType(59);
+      getDescriptor().getMessageType(62);
     internal_static_borageproxy_control_Served_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_Served_descriptor,
         new java.lang.String[] { "Vm", "Revision", "AgeMillis", "Zone", });
     internal_static_borageproxy_control_ZoneOrder_descriptor =
-      getDescriptor().getMessageType(60);
+      getDescriptor().getMessageType(63);
     internal_static_borageproxy_control_ZoneOrder_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_borageproxy_control_ZoneOrder_descriptor,
--- a/src/test/java/org/borageproxy/control/PartCrashTableTest.java
+++ b/src/test/java/org/borageproxy/control/PartCrashTableTest.java
@@ -73,6 +73,40 @@
         assertTrue(isQuarantined("turned"));
     }
 
+    /** Guards against a sound part that is refused since the VMs that report the crashes have not served it. */
+    @Test
+    void partThatAnotherVmVouchesForIsNotCountedForCrashesThatOthersExplain() {
+        for (int server = 1; server <= 4; server++) {
+            crash("s" + server, untested("shared"), untested("guilty"));
+        }
+        assertTrue(isQuarantined("shared"));
+        table.vouch("shared", now);
+        assertFalse(isQuarantined("shared"));
+        for (int server = 5; server <= 9; server++) {
+            crash("s" + server, untested("shared"), untested("guilty"));
+        }
+        assertFalse(isQuarantined("shared"));
+        assertTrue(isQuarantined("guilty"));
+        now += PartCrashTable.VOUCHED_MILLIS;
+        for (int server = 10; server <= 13; server++) {
+            crash("s" + server, untested("shared"), untested("guilty"));
+        }
+        assertTrue(isQuarantined("shared"));
+    }
+
+    /** Guards against a part that goes on crashing servers since a VM vouches for it. */
+    @Test
+    void vouchedPartIsQuarantinedIfNothingElseExplainsTheCrashes() {
+        crash("s1", untested("turned"));
+        table.vouch("turned", now);
+        for (int server = 2; server <= 4; server++) {
+            crash("s" + server, untested("turned"));
+        }
+        assertTrue(isQuarantined("turned"));
+        table.vouch("turned", now);
+        assertTrue(isQuarantined("turned"));
+    }
+
     @Test
     void successEndsSuspicionAndQuarantine() {
         for (int server = 1; server <= 4; server++) {
--- a/src/test/java/org/borageproxy/control/RecordedStateTest.java
+++ b/src/test/java/org/borageproxy/control/RecordedStateTest.java
@@ -8,7 +8,11 @@
 
 import org.borageproxy.log.consensus.RestoredState;
 import org.borageproxy.log.storage.DiskStorage;
+import org.borageproxy.wire.proto.ControlProtocol.Command;
+import org.borageproxy.wire.proto.ControlProtocol.ControlSnapshot;
 import org.borageproxy.wire.proto.ControlProtocol.DocumentState;
+import org.borageproxy.wire.proto.ControlProtocol.GrantTrial;
+import org.borageproxy.wire.proto.ControlProtocol.VouchForPart;
 import org.borageproxy.wire.proto.LogProtocol.Entry;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -24,6 +28,7 @@
 
     private static final String RECORDED = "/recorded/a4c8081/data/";
     private static final List<String> FILES = List.of("identity", "last-segment", "segment-000000000001.log", "vote");
+    private static final String CRASHES = "/recorded/c187e6b/";
     private static final int SEGMENT_BYTES = 1 << 20;
     private static final long LAST_DOCUMENT = 9;
 
@@ -51,4 +56,35 @@
         assertEquals(LAST_DOCUMENT, document.getNumber());
         assertTrue(document.getContent().toStringUtf8().contains("\"PathPrefix\":\"/p/\""));
     }
+
+    /**
+     * Guards against control VMs of two builds that keep different crash records while both run. The commands, and the
+     * snapshot after the last one, were written by a control VM of the commit in their path; no record of a VM says
+     * that it grants trials.
+     */
+    @Test
+    void crashReportsLeadToTheStateOfAnEarlierRelease() throws IOException {
+        ControlState state = new ControlState();
+        try (InputStream commands = RecordedStateTest.class.getResourceAsStream(CRASHES + "crash-commands.bin");
+                InputStream snapshot = RecordedStateTest.class.getResourceAsStream(CRASHES + "crash-snapshot.bin")) {
+            Entry entry = Entry.parseDelimitedFrom(commands);
+            while (entry != null) {
+                state.apply(entry.getIndex(), entry.getStateMillis(), entry.getCommand());
+                applyUnknownToTheEarlierRelease(state, entry.getStateMillis());
+                entry = Entry.parseDelimitedFrom(commands);
+            }
+            assertEquals(ControlSnapshot.parseFrom(snapshot), ControlSnapshot.parseFrom(state.snapshot()));
+        }
+    }
+
+    private static void applyUnknownToTheEarlierRelease(ControlState state, long stateMillis) {
+        Command trial = Command.newBuilder()
+                .setGrantTrial(GrantTrial.newBuilder().addFingerprints("f0").addFingerprints("part:s/p0"))
+                .build();
+        Command word = Command.newBuilder()
+                .setVouchForPart(VouchForPart.newBuilder().setFingerprint("part:s/p1"))
+                .build();
+        state.apply(0, stateMillis, trial.toByteString());
+        state.apply(0, stateMillis, word.toByteString());
+    }
 }
--- a/src/test/java/org/borageproxy/forward/CrashEvidenceTest.java
+++ b/src/test/java/org/borageproxy/forward/CrashEvidenceTest.java
@@ -23,12 +23,7 @@
     private final List<String> reports = new ArrayList<>();
     private final CrashEvidence evidence = new CrashEvidence(new Recorder(), SUSPECTS, time::nowNanos);
 
-    private final class Recorder implements SuspectRequests {
-        @Override
-        public boolean isQuarantined(CrashSuspects suspects) {
-            return false;
-        }
-
+    private final class Recorder implements NeverQuarantined {
         @Override
         public void reportConnectionLoss(CrashSuspects suspects, BackendServer server) {
             reports.add("loss");
--- a/src/test/java/org/borageproxy/platform/ForwardingFixture.java
+++ b/src/test/java/org/borageproxy/platform/ForwardingFixture.java
@@ -28,13 +28,13 @@
 import org.borageproxy.forward.ForwardContext;
 import org.borageproxy.forward.ForwardMetrics;
 import org.borageproxy.forward.ForwardServer;
+import org.borageproxy.forward.NeverQuarantined;
 import org.borageproxy.forward.ServerConnectionPool;
 import org.borageproxy.forward.ServerLinks;
 import org.borageproxy.forward.ServerPool;
 import org.borageproxy.forward.SlotClient;
 import org.borageproxy.forward.StreamOriginClient;
 import org.borageproxy.forward.StreamOrigins;
-import org.borageproxy.forward.SuspectRequests;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerFixture;
 import org.borageproxy.publication.EnginePool;
@@ -107,14 +107,9 @@
         }
     }
 
-    private enum NoSuspects implements SuspectRequests {
+    private enum NoSuspects implements NeverQuarantined {
         INSTANCE;
 
-        @Override
-        public boolean isQuarantined(CrashSuspects suspects) {
-            return false;
-        }
-
         @Override
         public void reportConnectionLoss(CrashSuspects suspects, BackendServer server) {
             // Crashes are not the subject of these tests.
--- a/src/test/java/org/borageproxy/platform/ForwardingTest.java
+++ b/src/test/java/org/borageproxy/platform/ForwardingTest.java
@@ -34,13 +34,13 @@
 import org.borageproxy.forward.ForwardContext;
 import org.borageproxy.forward.ForwardMetrics;
 import org.borageproxy.forward.ForwardServer;
+import org.borageproxy.forward.NeverQuarantined;
 import org.borageproxy.forward.ServerConnectionPool;
 import org.borageproxy.forward.ServerLinks;
 import org.borageproxy.forward.ServerPool;
 import org.borageproxy.forward.SlotClient;
 import org.borageproxy.forward.StreamOriginClient;
 import org.borageproxy.forward.StreamOrigins;
-import org.borageproxy.forward.SuspectRequests;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerFixture;
 import org.borageproxy.publication.Publication;
@@ -123,12 +123,7 @@
         }
     }
 
-    private final class LossRecorder implements SuspectRequests {
-        @Override
-        public boolean isQuarantined(CrashSuspects suspects) {
-            return false;
-        }
-
+    private final class LossRecorder implements NeverQuarantined {
         @Override
         public void reportConnectionLoss(CrashSuspects suspects, BackendServer server) {
             lossReports.add(server.name().value());
