End the quarantine of requests by a success, and try quarantined ones

Cause: a request is quarantined as soon as equal ones were in flight at two servers that ended, and nothing ended a quarantine: the table ignored a success of a quarantined request, although the entries reported it, and none was sent from then on.

Change, as docs/design/crashes.md says: what crashes each server that runs it never succeeds, so a success at any VM ends the quarantine, on all builds of the control VMs at the same entry of the log. If no equal request is in flight, the next one gets a trial a second after the last crash. Quarantines that an earlier build has written get trials as well, counted from then on.

The guilty: three trials in all, whoever asks, over restarts of entries and of the control VMs: at most three sendings later than StableMs after the third crash.

CrashVerdictTest with control VMs that apply no trials, as the build before: lookupsAreServedAfterServersEndedAtOneMoment, rareLookupsAreServedAfterServersEndedAtOneMomentAgainAndAgain, lookupsAreServedAfterRestartOfEverything and quarantinesOfAnEarlierBuildEndAfterTheUpgrade fail.

--- a/src/main/java/org/borageproxy/control/ControlGroupCrashRegistry.java
+++ b/src/main/java/org/borageproxy/control/ControlGroupCrashRegistry.java
@@ -176,9 +176,7 @@
     @Override
     public void reportAnswered(Fingerprint fingerprint) {
         Suspicion suspicion = suspicion(fingerprint);
-        boolean isClearable =
-                suspicion == Suspicion.SUSPECT || suspicion == Suspicion.QUARANTINED && fingerprint.isPart();
-        if (!isClearable || ownClears.getIfPresent(fingerprint) != null) {
+        if (suspicion == Suspicion.NONE || ownClears.getIfPresent(fingerprint) != null) {
             return;
         }
         ownReports.invalidate(fingerprint);
--- a/src/main/java/org/borageproxy/control/CrashTable.java
+++ b/src/main/java/org/borageproxy/control/CrashTable.java
@@ -21,12 +21,11 @@
 /**
  * Requests that were running when backend servers crashed. The first crash makes a request suspect. A further crash
  * quarantines it if it ran alone, if an earlier crash hit another backend server, or if it is the third; crashes that a
- * part of another prompt explains do not count. A successful response clears a suspect request but not a quarantined
- * one. The parts of prompts of these requests are counted apart, in a {@link PartCrashTable}; quarantined ones get
- * trials by a {@link TrialSchedule}.
+ * part of another prompt explains do not count. A successful response clears a request. Quarantined requests get trials
+ * by a {@link TrialSchedule}. The parts of prompts of these requests are counted apart, in a {@link PartCrashTable}.
  *
- * <p>Members of the control group that run earlier builds grant no trials. So that all members have the same state,
- * none takes effect until the records of all members say that they do.
+ * <p>Members of the control group that run earlier builds neither grant trials nor end quarantines. So that all members
+ * have the same state, neither takes effect until the records of all members say that they do both.
  *
  * <p>Guarded by the lock of {@link ControlState}.
  */
@@ -96,7 +95,7 @@
             return;
         }
         CrashState state = crashes.get(fingerprint);
-        if (state != null && !state.getQuarantined()) {
+        if (state != null && (!state.getQuarantined() || allMembersGrantTrials())) {
             remove(fingerprint);
         }
     }
@@ -108,18 +107,29 @@
         }
         List<TrialSchedule.Quarantined> suspects = request.getFingerprintsList().stream()
                 .distinct()
-                .map(parts::quarantined)
+                .map(this::quarantined)
                 .flatMap(Optional::stream)
                 .toList();
         long waitMillis = Math.max(0, TrialSchedule.dueAtMillis(suspects) - stateMillis);
         if (waitMillis == 0) {
-            suspects.forEach(suspect -> parts.recordTrial(suspect.state().getFingerprint(), stateMillis));
+            suspects.forEach(suspect -> recordTrial(suspect.state().getFingerprint(), stateMillis));
         }
         return Reply.newBuilder()
                 .setTrial(TrialReply.newBuilder().setGranted(waitMillis == 0).setWaitMillis(waitMillis))
                 .build();
     }
 
+    private Optional<TrialSchedule.Quarantined> quarantined(String fingerprint) {
+        return parts.quarantined(fingerprint).or(() -> Optional.ofNullable(crashes.get(fingerprint))
+                .filter(CrashState::getQuarantined)
+                .map(state -> new TrialSchedule.Quarantined(state, state.getExpiresAtMillis() - QUARANTINE_MILLIS)));
+    }
+
+    private void recordTrial(String fingerprint, long stateMillis) {
+        parts.recordTrial(fingerprint, stateMillis);
+        crashes.computeIfPresent(fingerprint, (key, state) -> TrialSchedule.withTrial(state, stateMillis));
+    }
+
     /** Records that requests with a part of prompts had succeeded at a VM shortly before its crashes. */
     Reply vouch(String fingerprint, long stateMillis) {
         if (!allMembersGrantTrials()) {
--- a/src/main/java/org/borageproxy/execution/CrashRegistry.java
+++ b/src/main/java/org/borageproxy/execution/CrashRegistry.java
@@ -28,8 +28,7 @@
             Fingerprint fingerprint, BackendServerName server, long incarnation, boolean alone);
 
     /**
-     * Clears the suspicion of a request that was answered, or of a part of its prompt. A quarantined request stays
-     * quarantined.
+     * Ends the suspicion or quarantine of a request that was answered, or of a part of its prompt.
      *
      * @param fingerprint the fingerprint of the request or part
      */
--- a/src/main/java/org/borageproxy/quarantine/CrashReports.java
+++ b/src/main/java/org/borageproxy/quarantine/CrashReports.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
+import java.util.stream.Stream;
 
 import com.github.benmanes.caffeine.cache.Cache;
 import com.github.benmanes.caffeine.cache.Caffeine;
@@ -107,12 +108,9 @@
 
     @Override
     public void requestTrial(CrashSuspects suspects, Consumer<Optional<SuspectTrial>> listener) {
-        if (isQuarantined(suspects.request())) {
-            listener.accept(Optional.empty());
-            return;
-        }
-        List<Fingerprint> quarantined =
-                suspects.parts().stream().filter(this::isQuarantined).toList();
+        List<Fingerprint> quarantined = Stream.concat(Stream.of(suspects.request()), suspects.parts().stream())
+                .filter(this::isQuarantined)
+                .toList();
         trials.acquire(
                 quarantined,
                 isGranted ->
