Take streams up in the service that began them

Cause: the service of each request is drawn by the weights of its route on arrival, also of one that takes a stream up. The origin that was found was dropped if it named another service than the one drawn.

Change: when the origin names another service to which the route leads with a weight above zero in the publication in force, the request goes on there: its exchange is replaced by one in that service before anything was recorded, asked or sent for the drawn one. A service that the route does not lead to any more gets nothing, since only an older publication allows it; such a take-up is refused as before. The version must match as before.

--- a/src/main/java/org/borageproxy/forward/BufferedRequest.java
+++ b/src/main/java/org/borageproxy/forward/BufferedRequest.java
@@ -1,6 +1,7 @@
 package org.borageproxy.forward;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
@@ -11,6 +12,7 @@
 import org.borageproxy.drain.Regions;
 import org.borageproxy.membership.BackendServerName;
 import org.borageproxy.publication.EnginePool;
+import org.borageproxy.publication.Publication;
 import org.borageproxy.publication.PublishedRoute;
 import org.borageproxy.publication.PublishedWorkspace;
 import org.borageproxy.routing.EngineWork;
@@ -50,6 +52,31 @@
 
     private static final int LOWEST_URGENCY = 9;
 
+    /**
+     * Returns the request in another service of its route, with the same body.
+     *
+     * @param otherService the service
+     * @param publication the publication that has the service
+     * @return the request
+     */
+    BufferedRequest inService(String otherService, Publication publication) {
+        return new BufferedRequest(
+                request,
+                metadata,
+                body,
+                route,
+                otherService,
+                publication.enginePool(otherService),
+                publication.identityPath(otherService),
+                workspace,
+                CrashSuspects.of(
+                        suspects.request(),
+                        otherService,
+                        metadata.work().map(EngineWork::promptParts).orElse(List.of())),
+                arrivedAtNanos,
+                deadline);
+    }
+
     /**
      * Returns the time after which an answer, or its first event, misses the route's objective.
      *
--- a/src/main/java/org/borageproxy/forward/Exchange.java
+++ b/src/main/java/org/borageproxy/forward/Exchange.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
@@ -11,7 +12,6 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import org.borageproxy.membership.BackendServer;
 import org.borageproxy.membership.BackendServerName;
-import org.borageproxy.quota.RateShares;
 import org.borageproxy.routing.ServerSelector;
 import org.borageproxy.stream.EventSequence;
 import org.borageproxy.time.Deadline;
@@ -38,8 +38,9 @@
     private final ForwardContext context;
     private final BufferedRequest buffered;
     private final RequestLog log;
-    private final RateAdmission rate;
+    private final RequestAdmission admission;
     private final Consumer<Exchange> endListener;
+    private final BiConsumer<Exchange, StreamOrigin> otherService;
     private final ResponseRelay relay;
     private final PriorAttempts priorAttempts = new PriorAttempts();
     private final EventSequence events;
@@ -51,17 +52,30 @@
     private Optional<Attempt> currentAttempt = Optional.empty();
     private boolean hasEnded;
 
-    Exchange(ForwardContext context, BufferedRequest buffered, Consumer<Exchange> endListener) {
+    /**
+     * Creates an exchange that has not begun.
+     *
+     * @param context the collaborators of forwarding
+     * @param buffered the request, in the service that was drawn
+     * @param endListener called at the end
+     * @param otherService called instead for a stream that another service began; continues the request there
+     */
+    Exchange(
+            ForwardContext context,
+            BufferedRequest buffered,
+            Consumer<Exchange> endListener,
+            BiConsumer<Exchange, StreamOrigin> otherService) {
         this.context = context;
         this.buffered = buffered;
         this.endListener = endListener;
+        this.otherService = otherService;
         this.log = new RequestLog(buffered, context.clock());
         this.relay = new ResponseRelay(buffered.request(), new CallerWrites(context, buffered, log));
-        this.rate = new RateAdmission(context, buffered);
         this.crashEvidence = new CrashEvidence(context.suspectRequests(), buffered.suspects(), context.clock());
         this.stream = new ResumableStream(context, buffered, log);
         this.eventRelay = new EventRelay(buffered, stream, relay);
         this.events = eventRelay.events();
+        this.admission = new RequestAdmission(context, buffered, log, stream, crashEvidence, new AdmissionListener());
         this.localSearch = new LocalSearch(
                 context,
                 buffered,
@@ -87,36 +101,37 @@
         }
         long expiryNanos = buffered.deadline().remainingNanos(context.clock().nanoTime()) + DEADLINE_GRACE.toNanos();
         deadlineTimer = context.eventLoop().schedule(this::expire, expiryNanos, TimeUnit.NANOSECONDS);
-        crashEvidence.decide(this::admit, () -> refuse(RefusalReason.QUARANTINED, Optional.empty()));
+        admission.begin();
     }
 
-    private void admit() {
-        log.streamResumed();
-        context.retryBudgets().apply(buffered.service()).deposit();
-        buffered.metadata().work().ifPresent(work -> context.pool().demand().recordRequest(buffered.service(), work));
-        if (stream.isTakenUp()) {
-            stream.findOrigin(this::resume);
-        } else {
-            rate.admit(this::findServer, this::refuseRate);
-        }
+    /**
+     * Starts an exchange that takes up a stream.
+     *
+     * @param origin what began the stream, in the service of the request
+     */
+    void start(StreamOrigin origin) {
+        stream.recordOrigin(origin);
+        start();
     }
 
-    private void resume(Optional<StreamOrigin> found) {
-        if (hasEnded) {
-            return;
+    private final class AdmissionListener implements RequestAdmission.Listener {
+        @Override
+        public void onAdmitted() {
+            findServer();
         }
-        if (stream.recordFound(found)) {
-            rate.admit(this::findServer, this::refuseRate);
-        } else {
-            refuse(RefusalReason.STREAM_UNKNOWN, Optional.of(DEFAULT_RETRY_AFTER));
+
+        @Override
+        public void onRefused(RefusalReason reason, Optional<Duration> retryAfter) {
+            refuse(reason, retryAfter);
         }
-    }
 
-    private void refuseRate(RateShares.Shortage shortage) {
-        buffered.workspace()
-                .ifPresent(workspace -> log.rateSpent(
-                        buffered.rateTokens(), context.rateShares().describe(workspace)));
-        refuse(RefusalReason.RATE_SPENT, Optional.of(shortage.retryAfter()));
+        @Override
+        public void onOtherService(StreamOrigin origin) {
+            hasEnded = true;
+            deadlineTimer.cancel(false);
+            admission.close(false);
+            otherService.accept(Exchange.this, origin);
+        }
     }
 
     private void findServer() {
@@ -570,8 +585,7 @@
         if (deadlineTimer != null) {
             deadlineTimer.cancel(false);
         }
-        rate.close(priorAttempts.mayHaveRun());
-        crashEvidence.recordEnd();
+        admission.close(priorAttempts.mayHaveRun());
         currentAttempt.filter(attempt -> !attempt.isOver).ifPresent(Attempt::cancel);
         log.ended(outcome, status, priorAttempts.sends(), events.eventCount());
         context.metrics()
--- a/src/main/java/org/borageproxy/forward/ForwardServer.java
+++ b/src/main/java/org/borageproxy/forward/ForwardServer.java
@@ -27,6 +27,7 @@
 import org.borageproxy.buffer.Reservation;
 import org.borageproxy.entry.StrictRequestDecoder;
 import org.borageproxy.execution.RequestDigest;
+import org.borageproxy.publication.Publication;
 import org.borageproxy.publication.PublishedRoute;
 import org.borageproxy.publication.PublishedWorkspace;
 import org.borageproxy.publication.RequestLimits;
@@ -306,8 +307,7 @@
             refuseSinceStopping(request, fields.requestIdentity());
             return false;
         }
-        Exchange exchange = new Exchange(context, buffered, exchanges::remove);
-        exchanges.put(exchange, request);
+        Exchange exchange = createExchange(buffered, served.get().publication());
         // Runs after the read, which ends with the end of the connection if the caller has left already.
         context.eventLoop().execute(() -> {
             if (channelOf(request.connection()).isOpen()) {
@@ -319,6 +319,16 @@
         return true;
     }
 
+    private Exchange createExchange(BufferedRequest buffered, Publication publication) {
+        Exchange created = new Exchange(context, buffered, exchanges::remove, (drawn, origin) -> {
+            exchanges.remove(drawn);
+            createExchange(buffered.inService(origin.service(), publication), publication)
+                    .start(origin);
+        });
+        exchanges.put(created, buffered.request());
+        return created;
+    }
+
     private static void refuseSinceStopping(HttpServerRequest request, String identity) {
         refuse(request, identity, RefusalReason.STOPPING, Optional.of(Refusals.STOPPING_RETRY_AFTER));
     }
--- a/src/main/java/org/borageproxy/forward/ResumableStream.java
+++ b/src/main/java/org/borageproxy/forward/ResumableStream.java
@@ -82,15 +82,23 @@
     }
 
     /**
-     * Records what was found.
+     * Selects the service in which a stream that is taken up goes on.
      *
      * @param found the origin; empty if it is unknown
-     * @return whether the stream can be resumed in the service of the request
+     * @return the origin, empty if it is unknown or the route leads to its service no more
      */
-    boolean recordFound(Optional<StreamOrigin> found) {
+    Optional<StreamOrigin> select(Optional<StreamOrigin> found) {
         log.originFound(found);
-        origin = found.filter(known -> known.service().equals(buffered.service()));
-        return origin.isPresent();
+        return found.filter(known -> buffered.route().leadsTo(known.service()));
+    }
+
+    /**
+     * Records what began the stream that is taken up.
+     *
+     * @param begun the origin, in the service of the request
+     */
+    void recordOrigin(StreamOrigin begun) {
+        origin = Optional.of(begun);
     }
 
     /**
--- a/src/main/java/org/borageproxy/publication/PublishedRoute.java
+++ b/src/main/java/org/borageproxy/publication/PublishedRoute.java
@@ -116,4 +116,16 @@
         }
         throw new IllegalArgumentException("Draw must be below the total weight: " + draw);
     }
+
+    /**
+     * Returns whether requests may run in a service.
+     *
+     * @param service the service's name
+     * @return {@code false} if the route does not name the service or gives it no weight
+     */
+    public boolean leadsTo(String service) {
+        return services.stream()
+                .anyMatch(candidate ->
+                        candidate.weight() > 0 && candidate.service().equals(service));
+    }
 }
--- a/src/test/java/org/borageproxy/platform/PlatformFleet.java
+++ b/src/test/java/org/borageproxy/platform/PlatformFleet.java
@@ -287,7 +287,31 @@
 
     /** Publishes the document again, under another version, through one control VM; returns the status. */
     int publish(String control, int version) throws IOException, InterruptedException {
-        String document = PUBLICATION.replace("\"Version\":1", "\"Version\":" + version);
+        return publish(control, PUBLICATION.replace("\"Version\":1", "\"Version\":" + version));
+    }
+
+    /**
+     * Publishes the document with the route of the engines split between services of engines, by their weights; returns
+     * the status.
+     */
+    int publishSplit(int version, Map<String, Integer> weights) throws IOException, InterruptedException {
+        String engines = PUBLICATION.substring(
+                PUBLICATION.indexOf("{\"Name\":\"engines\""), PUBLICATION.indexOf("{\"Name\":\"plain\""));
+        String services = weights.keySet().stream()
+                .map(service -> engines.replace("\"engines\"", "\"" + service + "\""))
+                .collect(Collectors.joining());
+        String split = weights.entrySet().stream()
+                .map(each -> "{\"Service\":\"" + each.getKey() + "\",\"Weight\":" + each.getValue() + "}")
+                .collect(Collectors.joining(",", "\"TrafficSplit\":[", "]"));
+        return publish(
+                CONTROL,
+                PUBLICATION
+                        .replace("\"Version\":1", "\"Version\":" + version)
+                        .replace(engines, services)
+                        .replace("\"Service\":\"engines\"", split));
+    }
+
+    private int publish(String control, String document) throws IOException, InterruptedException {
         HttpRequest call = request(control, controlPort, "/Config.Replace")
                 .POST(HttpRequest.BodyPublishers.ofString(document))
                 .build();
