Refuse a body that was not read for want of room as not run

Cause: a VM without room stops reading the connection, in the expectation of room in time. If none comes, the deadline of the body passed as if the caller had not sent it. The log lines of the new test show it on the code before: event=body-not-read waits=true received_bytes=0, then event=body-incomplete received_bytes=0 and status=408.

Change: such a body is refused with 503 "buffer-full" and Retry-After, like others for which there is no room; the rest of it is discarded for half a second, so that the answer arrives. A body that its caller does not complete is answered 408 as before (BackPressureTest.bodyThatIsShorterThanAnnouncedIsAnsweredAtTheDeadline).

--- a/src/main/java/org/borageproxy/forward/BodyReader.java
+++ b/src/main/java/org/borageproxy/forward/BodyReader.java
@@ -25,6 +25,9 @@
 
     private static final Logger LOGGER = LoggerFactory.getLogger(BodyReader.class);
 
+    /** Time for which the rest of a body is discarded that was not read for want of room until its deadline. */
+    private static final Duration DISCARD_TIME = Duration.ofMillis(500);
+
     /** Digits of a length that fit into a number. */
     private static final int MAX_LENGTH_DIGITS = 18;
 
@@ -113,8 +116,7 @@
         if (!hasBody) {
             return;
         }
-        long nanos = deadline().remainingNanos(context.clock().nanoTime());
-        deadlineTimer = context.eventLoop().schedule(this::expire, nanos, TimeUnit.NANOSECONDS);
+        expireAt(deadline());
         reservation.allowEviction(shortage -> refuse(RefusalReason.BUFFER_FULL, Optional.of(shortage.roomAfter())));
         if (context.buffers().mayBegin(owner)) {
             reservation.expect(announcedBytes());
@@ -126,6 +128,11 @@
         }
     }
 
+    private void expireAt(Deadline end) {
+        long nanos = end.remainingNanos(context.clock().nanoTime());
+        deadlineTimer = context.eventLoop().schedule(this::expire, nanos, TimeUnit.NANOSECONDS);
+    }
+
     private Deadline deadline() {
         return owner.cost().deadline();
     }
@@ -269,8 +276,16 @@
         readOn();
     }
 
-    /** Ends a body that is incomplete at the deadline, and the connection with it. */
+    /**
+     * Ends a body that is incomplete at the deadline, and the connection with it. The caller may have sent all of a
+     * body that was not read for want of room: it is refused like others for which there is none.
+     */
     private void expire() {
+        if (waiter.isPresent()) {
+            expireAt(Deadline.after(context.clock().nanoTime(), DISCARD_TIME));
+            awaitOrRefuse(context.buffers().mayBeginAfter(owner), false, () -> {});
+            return;
+        }
         LOGGER.info("event=body-incomplete id={} received_bytes={}", identity, receivedBytes);
         if (isOver) {
             request.response().endHandler(ended -> request.connection().close());
--- a/src/test/java/org/borageproxy/platform/BackPressureTest.java
+++ b/src/test/java/org/borageproxy/platform/BackPressureTest.java
@@ -128,6 +128,26 @@
         assertEquals(List.of(), server.requests());
     }
 
+    /** Guards against a 4xx for a caller that has sent its whole body, which this VM did not read for want of room. */
+    @Test
+    void bodyThatWasNotReadForWantOfRoomIsRefusedAsNotRunAtTheDeadline() throws Exception {
+        ScriptedServer server = scriptedServer("ok");
+        Reservation held = hold(LIMITS.totalBytes() - 1_000, 300);
+        List<Socket> sockets = List.of(caller(0), caller(0));
+        String text = head("/once/", "key-w", 600, 20_000) + "b".repeat(20_000);
+        write(sockets.get(0), text);
+        write(sockets.get(1), text.replace("Connection: close", "Connection: keep-alive"));
+        List<String> answers = new ArrayList<>();
+        for (Socket socket : sockets) {
+            answers.add(new String(socket.getInputStream().readNBytes(80), StandardCharsets.UTF_8));
+        }
+        release(held);
+        for (String answer : answers) {
+            assertTrue(answer.startsWith("HTTP/1.1 503") && answer.contains("retry-after: "), answers.toString());
+        }
+        assertEquals(List.of(), server.requests());
+    }
+
     /** While memory is used up, a new body is not read; it is served once there is room. */
     @Test
     void newBodyWaitsForRoom() throws Exception {
