Test vouching and trials over processes

The decisions have tests in virtual time (CrashVerdictTest); nothing showed that the VMs carry them out.

--- a/src/test/java/org/borageproxy/platform/CrashingPartTest.java
+++ b/src/test/java/org/borageproxy/platform/CrashingPartTest.java
@@ -130,6 +130,40 @@
         assertTrue(served >= rounds / 2, served + " of " + rounds + " sound requests served");
     }
 
+    /** Guards against a sound part that is refused since the entry that reports the crashes has not served it. */
+    @Test
+    void partThatOnlyAnotherEntryHasServedIsNotRefused() throws Exception {
+        String serving = fleet.entries().get(0);
+        String reporting = fleet.entries().get(1);
+        assertTrue(isServed(serving, "own"));
+        long end = System.nanoTime() + PlatformFleet.STEP_TIMEOUT.toNanos();
+        String answer = "";
+        while (!answer.contains("quarantined")) {
+            assertTrue(System.nanoTime() - end < 0, answer);
+            sentRequests++;
+            answer = fleet.call(
+                    reporting,
+                    "crash-" + sentRequests,
+                    "own:50," + CRASHING_PART + ":40,c" + sentRequests + ":10",
+                    "X-Script: whole\r\n");
+        }
+        Thread.sleep(PlatformFleet.STABLE.toMillis());
+        int served = 0;
+        int rounds = 20;
+        for (int round = 0; round < rounds; round++) {
+            crashing(reporting);
+            served += isServed(fleet.entries().get(round % 2), "own") ? 1 : 0;
+        }
+        assertTrue(served >= rounds / 2, served + " of " + rounds + " sound requests served");
+    }
+
+    private boolean isServed(String entry, String part) throws IOException {
+        sentRequests++;
+        String parts = part + ":50,d" + sentRequests + ":10";
+        return fleet.call(entry, "sound-" + sentRequests, parts, "X-Script: whole\r\n")
+                .startsWith("HTTP/1.1 200");
+    }
+
     /** Guards against an entry that forgets with its memory which parts crash engines. */
     @Test
     void restartedEntryDoesNotSendRequestsWithCrashingPart() throws Exception {
--- a/src/test/java/org/borageproxy/platform/EngineStandIn.java
+++ b/src/test/java/org/borageproxy/platform/EngineStandIn.java
@@ -541,7 +541,8 @@
         crashingParts.add(part);
     }
 
-    private void crash() throws IOException {
+    /** Ends as a process does that is killed. */
+    void crash() throws IOException {
         listening.close();
         for (Socket connection : connections) {
             connection.close();
