--- a/src/main/java/org/borageproxy/quarantine/QuarantineTrials.java
+++ b/src/main/java/org/borageproxy/quarantine/QuarantineTrials.java
@@ -34,7 +34,7 @@
     /** Minimum time between two questions about the same suspects. */
     private static final Duration MIN_WAIT = Duration.ofMillis(100);
     /** Longest time for which an answer is remembered; bounds the memory of suspects that do not come again. */
-    private static final Duration MAX_WAIT = Duration.ofSeconds(60);
+    private static final Duration MAX_WAIT = Duration.ofMinutes(10);
     /** Bound of each of the two caches. */
     private static final int MAX_REMEMBERED = 5_000;
     /** Bound of the questions that are pending; further requests are refused. */
