--- a/src/test/java/org/borageproxy/control/RecordedStateTest.java
+++ b/src/test/java/org/borageproxy/control/RecordedStateTest.java
@@ -58,9 +58,9 @@
     }
 
     /**
-     * Guards against control VMs of two builds that keep different crash records while both run. The commands, and the
-     * snapshot after the last one, were written by a control VM of the commit in their path; no record of a VM says
-     * that it grants trials.
+     * Guards against control VMs of two builds that keep different crash records while both run. The commands are
+     * random reports and successes; the snapshot is that of the state machine of the commit in their path after them.
+     * No record of a VM says that it grants trials.
      */
     @Test
     void crashReportsLeadToTheStateOfAnEarlierRelease() throws IOException {
